--- /dev/null
+++ b/contract/answer.go
@@ -0,0 +1,79 @@
+package contract
+
+import "time"
+
+// Verdict is the overall result of a job.
+type Verdict uint8
+
+// Verdicts. A refused job was not and will not be executed.
+const (
+	VerdictPending Verdict = iota
+	VerdictComplete
+	VerdictFailed
+	VerdictRefused
+)
+
+// String returns the name used in output.
+func (v Verdict) String() string {
+	names := [...]string{"pending", "complete", "failed", "refused"}
+	if int(v) < len(names) {
+		return names[v]
+	}
+	return "invalid"
+}
+
+// Outcome is what is known of a task's execution.
+type Outcome uint8
+
+// Outcomes of a task.
+const (
+	OutcomePending Outcome = iota
+	OutcomeDone
+	OutcomeFailed
+	OutcomeNotRun
+	OutcomeUnknown
+)
+
+// String returns the name used in output.
+func (o Outcome) String() string {
+	names := [...]string{"pending", "done", "failed", "not run", "outcome unknown"}
+	if int(o) < len(names) {
+		return names[o]
+	}
+	return "invalid"
+}
+
+// TaskReport is the outcome of one task.
+type TaskReport struct {
+	Outcome Outcome
+	Detail  string
+	RunTime time.Duration
+	Worker  string
+}
+
+// Answer is what a caller learns of its job. Results is set only when the verdict is complete and then holds one
+// result per task, so that nobody can take a part for the whole.
+type Answer struct {
+	Job     JobID
+	Verdict Verdict
+	Reason  string
+	Detail  string
+	Results [][]byte
+	Reports []TaskReport
+}
+
+// Consistent reports whether the answer keeps its promise: complete with every result, or without any.
+func (a Answer) Consistent() bool {
+	if a.Verdict != VerdictComplete {
+		return a.Results == nil
+	}
+	if len(a.Results) != len(a.Reports) {
+		return false
+	}
+	for _, r := range a.Reports {
+		if r.Outcome != OutcomeDone {
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/contract/id.go
@@ -0,0 +1,83 @@
+package contract
+
+import (
+	"fmt"
+	"strconv"
+	"strings"
+
+	"github.com/cicadadale/cicadadale/machine"
+	"github.com/cicadadale/cicadadale/zone"
+)
+
+// JobID names a job. Only the incarnation Home may start its tasks.
+type JobID struct {
+	Domain zone.DomainID
+	Home   machine.Incarnation
+	Seq    uint64
+}
+
+// String returns the form that callers see, for example j-2-00c0ffee00c0ffee-17.
+func (id JobID) String() string {
+	return fmt.Sprintf("j-%d-%s-%d", id.Domain, id.Home, id.Seq)
+}
+
+// ParseJobID reads the form that String writes.
+func ParseJobID(s string) (JobID, error) {
+	parts := strings.Split(s, "-")
+	if len(parts) != 4 || parts[0] != "j" {
+		return JobID{}, fmt.Errorf("invalid job id %q", s)
+	}
+	domain, err := strconv.ParseUint(parts[1], 10, 16)
+	if err != nil {
+		return JobID{}, fmt.Errorf("invalid failure domain in job id %q", s)
+	}
+	home, err := machine.ParseIncarnation(parts[2])
+	if err != nil {
+		return JobID{}, fmt.Errorf("invalid incarnation in job id %q", s)
+	}
+	seq, err := strconv.ParseUint(parts[3], 10, 64)
+	if err != nil || seq == 0 {
+		return JobID{}, fmt.Errorf("invalid sequence number in job id %q", s)
+	}
+	return JobID{Domain: zone.DomainID(domain), Home: home, Seq: seq}, nil
+}
+
+// TaskID names a task by its job and index.
+type TaskID struct {
+	Job   JobID
+	Index int
+}
+
+// String returns the form that workers see.
+func (id TaskID) String() string {
+	return id.Job.String() + "." + strconv.Itoa(id.Index)
+}
+
+// ParseTaskID reads the form that String writes.
+func ParseTaskID(s string) (TaskID, error) {
+	job, index, ok := strings.Cut(s, ".")
+	if !ok {
+		return TaskID{}, fmt.Errorf("invalid task id %q", s)
+	}
+	id, err := ParseJobID(job)
+	if err != nil {
+		return TaskID{}, err
+	}
+	i, err := strconv.ParseUint(index, 10, 16)
+	if err != nil {
+		return TaskID{}, fmt.Errorf("invalid index in task id %q", s)
+	}
+	return TaskID{Job: id, Index: int(i)}, nil
+}
+
+// CallerKey is an idempotency key chosen by the caller. All fields are part of its identity.
+type CallerKey struct {
+	Customer      string
+	Text          string
+	CreatedUnixMS int64
+}
+
+// String returns a form for logs and hashing.
+func (k CallerKey) String() string {
+	return fmt.Sprintf("%s/%s@%d", k.Customer, k.Text, k.CreatedUnixMS)
+}
--- /dev/null
+++ b/contract/job.go
@@ -0,0 +1,134 @@
+package contract
+
+import (
+	"time"
+)
+
+// Limits of a job.
+const (
+	MaxTasks        = 500
+	MaxPayloadBytes = 64 << 10
+	MaxJobBytes     = 4 << 20
+)
+
+// TaskSpec is one task as submitted.
+type TaskSpec struct {
+	Kind    string
+	Payload []byte
+}
+
+// JobSpec is a job as submitted.
+type JobSpec struct {
+	ID       JobID
+	Service  string
+	Customer string
+	Team     string
+	Tasks    []TaskSpec
+	Deadline time.Time
+	Priority int
+}
+
+// taskState is the life of a task at its home.
+type taskState uint8
+
+const (
+	taskWaiting taskState = iota
+	taskStarted
+	taskFinished
+)
+
+type task struct {
+	state  taskState
+	report TaskReport
+	result []byte
+	worker string
+}
+
+// Job is a job at its home. The lock of its table shard guards all fields but done, which is closed once.
+type Job struct {
+	spec       JobSpec
+	state      JobState
+	tasks      []task
+	unfinished int
+	started    int
+	cancelled  bool
+	accepted   time.Time
+	finished   time.Time
+	answer     Answer
+	done       chan struct{}
+}
+
+func newJob(spec JobSpec, now time.Time) *Job {
+	return &Job{
+		spec: spec, state: JobWaiting, tasks: make([]task, len(spec.Tasks)),
+		unfinished: len(spec.Tasks), accepted: now, done: make(chan struct{}),
+	}
+}
+
+// JobProgress counts a job's tasks by state.
+type JobProgress struct {
+	ID       JobID
+	Verdict  Verdict
+	Tasks    int
+	Waiting  int
+	Running  int
+	Finished int
+	Deadline time.Time
+	Priority int
+}
+
+// progress expects the shard lock to be held.
+func (j *Job) progress() JobProgress {
+	p := JobProgress{
+		ID: j.spec.ID, Verdict: j.answer.Verdict, Tasks: len(j.tasks),
+		Deadline: j.spec.Deadline, Priority: j.spec.Priority,
+	}
+	for i := range j.tasks {
+		switch j.tasks[i].state {
+		case taskWaiting:
+			p.Waiting++
+		case taskStarted:
+			p.Running++
+		case taskFinished:
+			p.Finished++
+		}
+	}
+	return p
+}
+
+// conclude builds the answer of a job whose tasks have all finished. It expects the shard lock to be held.
+func (j *Job) conclude(now time.Time) {
+	a := Answer{Job: j.spec.ID, Verdict: VerdictComplete, Reports: make([]TaskReport, len(j.tasks))}
+	for i := range j.tasks {
+		r := j.tasks[i].report
+		a.Reports[i] = r
+		if r.Outcome != OutcomeDone && a.Verdict == VerdictComplete {
+			a.Verdict, a.Reason, a.Detail = VerdictFailed, r.Outcome.String(), r.Detail
+		}
+	}
+	if j.cancelled && a.Verdict == VerdictFailed {
+		a.Reason = "cancelled"
+	}
+	if a.Verdict == VerdictComplete {
+		a.Results = make([][]byte, len(j.tasks))
+		for i := range j.tasks {
+			a.Results[i] = j.tasks[i].result
+		}
+		j.fire(jobEventCompleted)
+	} else {
+		j.fire(jobEventFailed)
+	}
+	j.tasks = nil
+	j.spec.Tasks = nil
+	j.answer = a
+	j.finished = now
+	close(j.done)
+}
+
+// fire expects the shard lock to be held. The callers check the state first, so that an event which the state does
+// not allow is a programming error.
+func (j *Job) fire(e jobEvent) {
+	if err := fireJob(&j.state, e); err != nil {
+		panic(err)
+	}
+}
--- /dev/null
+++ b/fault/fault.go
@@ -0,0 +1,95 @@
+// Package fault defines the error types of the dispatcher. A type says what is proven about the execution of the
+// task or job that the error speaks of, and traits say whether a retry is safe.
+package fault
+
+import "github.com/joomcode/errorx"
+
+// Traits of the error types.
+var (
+	// ProvenNotStarted marks errors after which nothing was or will be executed.
+	ProvenNotStarted = errorx.RegisterTrait("proven_not_started")
+	// Retriable marks errors after which the same call may succeed later.
+	Retriable = errorx.RegisterTrait("retriable")
+)
+
+var namespace = errorx.NewNamespace("cicadadale")
+
+// Error types.
+var (
+	// NotStarted says that a start was never written to a socket or was rejected by the worker.
+	NotStarted = namespace.NewType("not_started", ProvenNotStarted, Retriable)
+	// InDoubt says that a start was sent and not answered.
+	InDoubt = namespace.NewType("in_doubt")
+	// Refused says that a job was not accepted.
+	Refused = namespace.NewType("refused", ProvenNotStarted)
+	// Overloaded is a refusal for lack of capacity or quota.
+	Overloaded = namespace.NewType("overloaded", ProvenNotStarted, Retriable)
+	// Draining is a refusal by an entry VM that is stopping.
+	Draining = namespace.NewType("draining", ProvenNotStarted, Retriable)
+	// Invalid says that the input is malformed.
+	Invalid = namespace.NewType("invalid", ProvenNotStarted)
+	// UnknownJob says that the id was never minted or never submitted.
+	UnknownJob = namespace.NewType("unknown_job")
+	// Expired says that the answer is no longer kept.
+	Expired = namespace.NewType("expired")
+	// Unavailable says that the process which knows the answer cannot be reached now.
+	Unavailable = namespace.NewType("unavailable", Retriable)
+	// Violation reports a broken invariant of the program.
+	Violation = namespace.NewType("violation")
+)
+
+// ReasonProperty holds the machine-readable reason of an error.
+var ReasonProperty = errorx.RegisterPrintableProperty("reason")
+
+var byCode = map[string]*errorx.Type{}
+
+func init() {
+	for _, t := range []*errorx.Type{
+		NotStarted, InDoubt, Refused, Overloaded, Draining, Invalid, UnknownJob, Expired, Unavailable, Violation,
+	} {
+		byCode[t.FullName()] = t
+	}
+}
+
+// Code returns the name of the error's type for the wire, empty for foreign errors.
+func Code(err error) string {
+	e := errorx.Cast(err)
+	if e == nil {
+		return ""
+	}
+	return e.Type().FullName()
+}
+
+// FromCode rebuilds an error that another process reported.
+func FromCode(code, text, reason string) error {
+	t, ok := byCode[code]
+	if !ok {
+		t = Unavailable
+	}
+	return t.New("%s", text).WithProperty(ReasonProperty, reason)
+}
+
+// Reason returns the reason attached to the error, or its type's short name.
+func Reason(err error) string {
+	e := errorx.Cast(err)
+	if e == nil {
+		return "internal"
+	}
+	if r, ok := e.Property(ReasonProperty); ok {
+		if s, ok := r.(string); ok && s != "" {
+			return s
+		}
+	}
+	return e.Type().FullName()
+}
+
+// With attaches a reason to a new error of type t.
+func With(t *errorx.Type, reason, format string, args ...any) error {
+	return t.New(format, args...).WithProperty(ReasonProperty, reason)
+}
+
+// IsProvenNotStarted reports whether err proves that nothing was executed.
+func IsProvenNotStarted(err error) bool { return errorx.HasTrait(err, ProvenNotStarted) }
+
+// IsRetriable reports whether the same call may succeed later.
+func IsRetriable(err error) bool { return errorx.HasTrait(err, Retriable) }
--- /dev/null
+++ b/machine/fleet.go
@@ -0,0 +1,81 @@
+package machine
+
+import (
+	"sort"
+	"sync"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+const fleetShards = 16
+
+// Fleet holds the known workers of a failure domain in shards by worker id.
+type Fleet struct {
+	shards [fleetShards]fleetShard
+}
+
+type fleetShard struct {
+	mu      sync.Mutex
+	workers map[WorkerID]*Worker
+}
+
+// NewFleet returns an empty fleet.
+func NewFleet() *Fleet {
+	f := &Fleet{}
+	for i := range f.shards {
+		f.shards[i].workers = make(map[WorkerID]*Worker)
+	}
+	return f
+}
+
+func (f *Fleet) shard(id WorkerID) *fleetShard {
+	return &f.shards[xxhash.Sum64String(string(id))%fleetShards]
+}
+
+// Get returns the worker with the given id.
+func (f *Fleet) Get(id WorkerID) (*Worker, bool) {
+	s := f.shard(id)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	w, ok := s.workers[id]
+	return w, ok
+}
+
+// Upsert adds a worker or updates its entry. It reports whether the worker is new.
+func (f *Fleet) Upsert(spec WorkerSpec) (*Worker, bool) {
+	s := f.shard(spec.ID)
+	s.mu.Lock()
+	w, ok := s.workers[spec.ID]
+	if !ok {
+		w = NewWorker(spec)
+		s.workers[spec.ID] = w
+	}
+	s.mu.Unlock()
+	if ok {
+		w.UpdateSpec(spec)
+	}
+	return w, !ok
+}
+
+// Remove forgets a worker.
+func (f *Fleet) Remove(id WorkerID) {
+	s := f.shard(id)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.workers, id)
+}
+
+// All returns the workers ordered by id.
+func (f *Fleet) All() []*Worker {
+	var all []*Worker
+	for i := range f.shards {
+		s := &f.shards[i]
+		s.mu.Lock()
+		for _, w := range s.workers {
+			all = append(all, w)
+		}
+		s.mu.Unlock()
+	}
+	sort.Slice(all, func(i, j int) bool { return all[i].Spec().ID < all[j].Spec().ID })
+	return all
+}
--- /dev/null
+++ b/machine/incarnation.go
@@ -0,0 +1,39 @@
+package machine
+
+import (
+	"crypto/rand"
+	"encoding/binary"
+	"fmt"
+	"strconv"
+)
+
+// Incarnation identifies one run of a process. It is random, so that no store has to be asked at process start;
+// at 1,500 starts a day a collision within a month has a probability below 1e-9.
+type Incarnation uint64
+
+// NewIncarnation returns a fresh incarnation, never zero.
+func NewIncarnation() Incarnation {
+	for {
+		var b [8]byte
+		// rand.Read never returns an error.
+		_, _ = rand.Read(b[:])
+		inc := Incarnation(binary.BigEndian.Uint64(b[:]))
+		if inc != 0 {
+			return inc
+		}
+	}
+}
+
+// String returns the incarnation as 16 hexadecimal digits.
+func (i Incarnation) String() string {
+	return fmt.Sprintf("%016x", uint64(i))
+}
+
+// ParseIncarnation reads the form that String writes.
+func ParseIncarnation(s string) (Incarnation, error) {
+	v, err := strconv.ParseUint(s, 16, 64)
+	if err != nil || len(s) != 16 || v == 0 {
+		return 0, fmt.Errorf("invalid incarnation %q", s)
+	}
+	return Incarnation(v), nil
+}
--- /dev/null
+++ b/zone/domain.go
@@ -0,0 +1,188 @@
+package zone
+
+import (
+	"sort"
+	"sync"
+	"time"
+
+	"github.com/cicadadale/cicadadale/machine"
+)
+
+// DomainID numbers a failure domain.
+type DomainID uint16
+
+// RegionID names a region.
+type RegionID string
+
+// Listing is an entry VM as the platform's list shows it.
+type Listing struct {
+	VM      machine.EntryVM
+	Domain  DomainID
+	Region  RegionID
+	Leaving bool
+}
+
+const (
+	// SuspectAfter is the time without progress after which a member is suspected.
+	SuspectAfter = 1500 * time.Millisecond
+	// GoneAfter is the time as a suspect after which a member counts as gone.
+	GoneAfter = 3 * time.Second
+)
+
+// Change is a member's state change.
+type Change struct {
+	VM   machine.EntryVM
+	From MemberState
+	To   MemberState
+}
+
+// FailureDomain holds the members of one failure domain. Its mutex guards all fields.
+type FailureDomain struct {
+	id   DomainID
+	self string
+
+	mu      sync.Mutex
+	members map[string]*member
+}
+
+type member struct {
+	listing  Listing
+	state    MemberState
+	lastSeen time.Time
+}
+
+// NewFailureDomain returns a failure domain seen from the entry VM self.
+func NewFailureDomain(id DomainID, self string) *FailureDomain {
+	return &FailureDomain{id: id, self: self, members: make(map[string]*member)}
+}
+
+// ID returns the number of the failure domain.
+func (d *FailureDomain) ID() DomainID { return d.id }
+
+// ApplyList takes over the platform's list. Entries of other failure domains are ignored. A member that the
+// list drops is gone.
+func (d *FailureDomain) ApplyList(list []Listing, now time.Time) []Change {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	seen := make(map[string]bool, len(list))
+	var changes []Change
+	for _, l := range list {
+		if l.Domain != d.id {
+			continue
+		}
+		seen[l.VM.ID] = true
+		changes = append(changes, d.applyListing(l, now)...)
+	}
+	for id, m := range d.members {
+		if !seen[id] && id != d.self {
+			changes = append(changes, d.fire(m, eventDropped)...)
+			delete(d.members, id)
+		}
+	}
+	return changes
+}
+
+// applyListing expects d.mu to be held.
+func (d *FailureDomain) applyListing(l Listing, now time.Time) []Change {
+	m, ok := d.members[l.VM.ID]
+	if !ok {
+		m = &member{listing: l, state: MemberJoining, lastSeen: now}
+		d.members[l.VM.ID] = m
+		if l.VM.ID == d.self {
+			m.state = MemberLive
+		}
+	}
+	// The incarnation comes from the links, which know better than the lagging list.
+	l.VM.Incarnation = m.listing.VM.Incarnation
+	m.listing = l
+	if l.Leaving {
+		return d.fire(m, eventLeave)
+	}
+	return nil
+}
+
+// Heard records a message from the process that runs on a member now.
+func (d *FailureDomain) Heard(id string, inc machine.Incarnation, leaving bool, now time.Time) []Change {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	m, ok := d.members[id]
+	if !ok {
+		return nil
+	}
+	m.lastSeen = now
+	m.listing.VM.Incarnation = inc
+	changes := d.fire(m, eventHeard)
+	if leaving {
+		changes = append(changes, d.fire(m, eventLeave)...)
+	}
+	return changes
+}
+
+// Tick suspects members without progress.
+func (d *FailureDomain) Tick(now time.Time) []Change {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	var changes []Change
+	for id, m := range d.members {
+		if id == d.self {
+			continue
+		}
+		silent := now.Sub(m.lastSeen)
+		if silent > SuspectAfter {
+			changes = append(changes, d.fire(m, eventSilent)...)
+		}
+		if silent > SuspectAfter+GoneAfter {
+			changes = append(changes, d.fire(m, eventExpired)...)
+		}
+	}
+	return changes
+}
+
+// Live returns the members that may receive new work, ordered by id.
+func (d *FailureDomain) Live() []machine.EntryVM {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	var live []machine.EntryVM
+	for _, m := range d.members {
+		if m.state == MemberLive {
+			live = append(live, m.listing.VM)
+		}
+	}
+	sort.Slice(live, func(i, j int) bool { return live[i].ID < live[j].ID })
+	return live
+}
+
+// MemberView is a member as shown to operators.
+type MemberView struct {
+	ID          string
+	Incarnation string
+	Address     string
+	State       string
+	SilentMS    int64
+}
+
+// Members returns all members, ordered by id.
+func (d *FailureDomain) Members(now time.Time) []MemberView {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	var views []MemberView
+	for id, m := range d.members {
+		vm := m.listing.VM
+		views = append(views, MemberView{
+			ID: id, Incarnation: vm.Incarnation.String(), Address: vm.PeerAddress,
+			State: m.state.String(), SilentMS: now.Sub(m.lastSeen).Milliseconds(),
+		})
+	}
+	sort.Slice(views, func(i, j int) bool { return views[i].ID < views[j].ID })
+	return views
+}
+
+// fire expects d.mu to be held.
+func (d *FailureDomain) fire(m *member, e memberEvent) []Change {
+	from := m.state
+	fireMember(&m.state, e)
+	if from == m.state {
+		return nil
+	}
+	return []Change{{VM: m.listing.VM, From: from, To: m.state}}
+}
