entry: serve a job from submission to whole answer

Adds the whole path, thin: schema read at run time, callers by gRPC, peers by drpc with one stream per link, workers by HTTP, stand-ins of platform and workers, the command line and a demo in one process.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,33 @@
+BIN := bin/cicadadale
+
+.PHONY: build test demo lint fmt generate soak bench clean
+
+build:
+	go build -o $(BIN) ./cmd/cicadadale
+
+test:
+	go test ./...
+
+demo: build
+	$(BIN) demo
+
+fmt:
+	gofmt -l -w $$(git ls-files '*.go')
+
+lint:
+	golangci-lint run ./...
+
+# Needs buf, protoc-gen-go, protoc-gen-go-grpc and protoc-gen-go-drpc; the generated code is committed.
+generate:
+	buf generate --template api/buf.gen.callers.yaml --path api/dispatcher.proto
+	buf generate schemas --template api/buf.gen.callers.yaml
+	buf generate --template api/buf.gen.peer.yaml --path api/peer.proto
+
+soak: build
+	$(BIN) soak --seed 1 --duration 60s --json
+
+bench:
+	go test -run '^$$' -bench . -benchmem ./...
+
+clean:
+	rm -rf bin
--- /dev/null
+++ b/command/job.go
@@ -0,0 +1,212 @@
+package command
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"time"
+
+	"github.com/urfave/cli/v3"
+
+	"github.com/cicadadale/cicadadale/contract"
+	"github.com/cicadadale/cicadadale/rpc"
+)
+
+func jobCommand() *cli.Command {
+	addresses := &cli.StringSliceFlag{
+		Name: "entry", Value: []string{"127.0.0.1:7001"}, Usage: "callers' `ADDRESS` of an entry VM; may be repeated",
+	}
+	timeout := &cli.DurationFlag{Name: "timeout", Value: 30 * time.Second, Usage: "longest wait for the answer"}
+	return &cli.Command{
+		Name:  "job",
+		Usage: "create, submit, cancel and reconfigure jobs and ask after them",
+		Flags: []cli.Flag{addresses, timeout},
+		Commands: []*cli.Command{
+			jobCreateCommand(), jobSubmitCommand(), jobCancelCommand(), jobReconfigureCommand(), jobStatusCommand(),
+		},
+	}
+}
+
+// withClient runs fn with a client of the entry VMs that the flags name.
+func withClient(ctx context.Context, c *cli.Command, fn func(context.Context, *rpc.Client) error) error {
+	client, err := rpc.NewClient(c.StringSlice("entry"), nil)
+	if err != nil {
+		return err
+	}
+	defer client.Close()
+	ctx, cancel := context.WithTimeout(ctx, c.Duration("timeout"))
+	defer cancel()
+	return fn(ctx, client)
+}
+
+func jobCreateCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "create",
+		Usage: "print a fresh job id",
+		Action: func(ctx context.Context, c *cli.Command) error {
+			return withClient(ctx, c, func(ctx context.Context, client *rpc.Client) error {
+				id, err := client.NewJob(ctx)
+				if err != nil {
+					return err
+				}
+				_, err = fmt.Fprintln(c.Root().Writer, id)
+				return err
+			})
+		},
+	}
+}
+
+func jobSubmitCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "submit",
+		Usage: "submit a job and print its whole answer as JSON",
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "id", Usage: "job `ID` from create; a fresh one if not given"},
+			&cli.StringFlag{Name: "service", Required: true, Usage: "full `NAME` of the service"},
+			&cli.StringFlag{Name: "kind", Required: true, Usage: "request `KIND`"},
+			&cli.StringSliceFlag{Name: "payload", Usage: "payload `TEXT` of one task; may be repeated"},
+			&cli.StringFlag{Name: "customer", Usage: "`NAME` of the customer"},
+			&cli.StringFlag{Name: "team", Usage: "`NAME` of the team"},
+			&cli.DurationFlag{Name: "deadline", Usage: "time allowed to the whole answer"},
+			&cli.IntFlag{Name: "priority", Usage: "higher runs first within the customer"},
+		},
+		Action: func(ctx context.Context, c *cli.Command) error {
+			return withClient(ctx, c, func(ctx context.Context, client *rpc.Client) error {
+				return submitJob(ctx, c, client)
+			})
+		},
+	}
+}
+
+func submitJob(ctx context.Context, c *cli.Command, client *rpc.Client) error {
+	id, err := jobIDOrNew(ctx, c.String("id"), client)
+	if err != nil {
+		return err
+	}
+	s := contract.Submission{
+		Ref: contract.JobRef{ID: id}, Service: c.String("service"), Customer: c.String("customer"),
+		Team: c.String("team"), Deadline: c.Duration("deadline"), Priority: c.Int("priority"),
+	}
+	for _, p := range c.StringSlice("payload") {
+		s.Tasks = append(s.Tasks, contract.TaskSpec{Kind: c.String("kind"), Payload: []byte(p)})
+	}
+	answer, err := client.Do(ctx, s)
+	if err != nil {
+		return err
+	}
+	return printAnswer(c.Root().Writer, answer)
+}
+
+func jobIDOrNew(ctx context.Context, text string, client *rpc.Client) (contract.JobID, error) {
+	if text == "" {
+		return client.NewJob(ctx)
+	}
+	return contract.ParseJobID(text)
+}
+
+type answerOutput struct {
+	Job     string       `json:"job"`
+	Verdict string       `json:"verdict"`
+	Reason  string       `json:"reason,omitempty"`
+	Detail  string       `json:"detail,omitempty"`
+	Tasks   []taskOutput `json:"tasks,omitempty"`
+}
+
+type taskOutput struct {
+	Outcome string  `json:"outcome"`
+	Detail  string  `json:"detail,omitempty"`
+	RunMS   float64 `json:"run_ms"`
+	Worker  string  `json:"worker,omitempty"`
+	Result  []byte  `json:"result,omitempty"`
+}
+
+func printAnswer(w io.Writer, a contract.Answer) error {
+	out := answerOutput{Job: a.Job.String(), Verdict: a.Verdict.String(), Reason: a.Reason, Detail: a.Detail}
+	for i, r := range a.Reports {
+		t := taskOutput{
+			Outcome: r.Outcome.String(), Detail: r.Detail, RunMS: float64(r.RunTime.Microseconds()) / 1000, Worker: r.Worker,
+		}
+		if i < len(a.Results) {
+			t.Result = a.Results[i]
+		}
+		out.Tasks = append(out.Tasks, t)
+	}
+	enc := json.NewEncoder(w)
+	enc.SetIndent("", "  ")
+	return enc.Encode(out)
+}
+
+// refArgument reads the job id that a command takes as its argument.
+func refArgument(c *cli.Command) (contract.JobRef, error) {
+	id, err := contract.ParseJobID(c.Args().First())
+	return contract.JobRef{ID: id}, err
+}
+
+func jobCancelCommand() *cli.Command {
+	return &cli.Command{
+		Name:      "cancel",
+		Usage:     "withdraw the tasks of a job that have not started",
+		ArgsUsage: "ID",
+		Action: func(ctx context.Context, c *cli.Command) error {
+			ref, err := refArgument(c)
+			if err != nil {
+				return err
+			}
+			return withClient(ctx, c, func(ctx context.Context, client *rpc.Client) error {
+				a, err := client.Cancel(ctx, ref)
+				if err != nil {
+					return err
+				}
+				return printAnswer(c.Root().Writer, a)
+			})
+		},
+	}
+}
+
+func jobReconfigureCommand() *cli.Command {
+	return &cli.Command{
+		Name:      "reconfigure",
+		Usage:     "change the deadline or priority of a job that has not ended",
+		ArgsUsage: "ID",
+		Flags: []cli.Flag{
+			&cli.DurationFlag{Name: "deadline", Usage: "time allowed from now"},
+			&cli.IntFlag{Name: "priority", Usage: "higher runs first within the customer"},
+		},
+		Action: func(ctx context.Context, c *cli.Command) error {
+			ref, err := refArgument(c)
+			if err != nil {
+				return err
+			}
+			return withClient(ctx, c, func(ctx context.Context, client *rpc.Client) error {
+				change := contract.Change{Deadline: c.Duration("deadline"), Priority: c.Int("priority")}
+				st, err := client.Reconfigure(ctx, ref, change)
+				if err != nil {
+					return err
+				}
+				return json.NewEncoder(c.Root().Writer).Encode(st)
+			})
+		},
+	}
+}
+
+func jobStatusCommand() *cli.Command {
+	return &cli.Command{
+		Name:      "status",
+		Usage:     "print the progress of a job as JSON",
+		ArgsUsage: "ID",
+		Action: func(ctx context.Context, c *cli.Command) error {
+			ref, err := refArgument(c)
+			if err != nil {
+				return err
+			}
+			return withClient(ctx, c, func(ctx context.Context, client *rpc.Client) error {
+				st, err := client.Status(ctx, ref)
+				if err != nil {
+					return err
+				}
+				return json.NewEncoder(c.Root().Writer).Encode(st)
+			})
+		},
+	}
+}
--- /dev/null
+++ b/dispatch/dispatcher.go
@@ -0,0 +1,384 @@
+package dispatch
+
+import (
+	"context"
+	"log/slog"
+	"sync"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+
+	"github.com/cicadadale/cicadadale/backend"
+	"github.com/cicadadale/cicadadale/contract"
+	"github.com/cicadadale/cicadadale/customer"
+	"github.com/cicadadale/cicadadale/fault"
+	"github.com/cicadadale/cicadadale/machine"
+	"github.com/cicadadale/cicadadale/metric"
+)
+
+const (
+	defaultDeadline = 10 * time.Second
+	defaultLease    = 30 * time.Second
+	// startWindow is how long after the decision a worker may still start the task.
+	startWindow = time.Second
+	// retryDelay spaces the attempts to place a task whose start was rejected.
+	retryDelay = 5 * time.Millisecond
+	// resolveDelay spaces the attempts to ask a worker about a start in doubt.
+	resolveDelay = 250 * time.Millisecond
+	// resolveFor is how long an unreachable worker is asked before the outcome counts as unknown.
+	resolveFor = 5 * time.Second
+)
+
+// Options are the parts that a dispatcher works with.
+type Options struct {
+	Table   *contract.JobTable
+	Starter Starter
+	Broker  SlotBroker
+	Fleet   *machine.Fleet
+	Now     func() time.Time
+	Logger  *slog.Logger
+	Metrics metrics.Registry
+}
+
+// Dispatcher is the home of jobs: it accepts them, starts their tasks and holds their answers. mu guards the map of
+// lanes; each lane has its own lock.
+type Dispatcher struct {
+	o        Options
+	ctx      context.Context
+	cancel   context.CancelFunc
+	running  sync.WaitGroup
+	counters counters
+
+	mu       sync.RWMutex
+	lanes    map[string]*Lane
+	draining bool
+}
+
+type counters struct {
+	accepted, resubmitted, complete, failed, refused, cancelled   metrics.Counter
+	started, done, taskFailed, notRun, unknown, inDoubt, resolved metrics.Counter
+	rejected, unused, received, demands, returns                  metrics.Counter
+}
+
+func newCounters(r metrics.Registry) counters {
+	c := func(name string) metrics.Counter { return metrics.GetOrRegisterCounter(name, r) }
+	return counters{
+		accepted: c(metric.JobsAccepted), resubmitted: c(metric.JobsResubmitted), complete: c(metric.JobsComplete),
+		failed: c(metric.JobsFailed), refused: c(metric.JobsRefused), cancelled: c(metric.JobsCancelled),
+		started: c(metric.TasksStarted), done: c(metric.TasksDone), taskFailed: c(metric.TasksFailed),
+		notRun: c(metric.TasksNotRun), unknown: c(metric.TasksUnknown), inDoubt: c(metric.TasksInDoubt),
+		resolved: c(metric.TasksResolved), rejected: c(metric.StartsRejected), unused: c(metric.GrantsUnused),
+		received: c(metric.GrantsReceived), demands: c(metric.DemandsSent), returns: c(metric.ReturnsSent),
+	}
+}
+
+// New returns a dispatcher without services.
+func New(o Options) *Dispatcher {
+	ctx, cancel := context.WithCancel(context.Background())
+	return &Dispatcher{
+		o: o, ctx: ctx, cancel: cancel, counters: newCounters(o.Metrics), lanes: make(map[string]*Lane),
+	}
+}
+
+// AddService makes a service available.
+func (d *Dispatcher) AddService(s *backend.Service, weights map[string]float64) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if _, ok := d.lanes[s.Name()]; ok {
+		return
+	}
+	d.lanes[s.Name()] = NewLane(s, customer.NewQueue(weights), d.workerSpeed)
+}
+
+func (d *Dispatcher) workerSpeed(id machine.WorkerID) float64 {
+	w, ok := d.o.Fleet.Get(id)
+	if !ok {
+		return 0
+	}
+	return w.Speed()
+}
+
+func (d *Dispatcher) workerIncarnation(id machine.WorkerID) machine.Incarnation {
+	w, ok := d.o.Fleet.Get(id)
+	if !ok {
+		return 0
+	}
+	return w.Incarnation()
+}
+
+func (d *Dispatcher) lane(service string) (*Lane, bool) {
+	d.mu.RLock()
+	defer d.mu.RUnlock()
+	l, ok := d.lanes[service]
+	return l, ok
+}
+
+// Lanes returns all lanes.
+func (d *Dispatcher) Lanes() []*Lane {
+	d.mu.RLock()
+	defer d.mu.RUnlock()
+	lanes := make([]*Lane, 0, len(d.lanes))
+	for _, l := range d.lanes {
+		lanes = append(lanes, l)
+	}
+	return lanes
+}
+
+// Submit accepts a job or finds the one accepted before under the same id.
+func (d *Dispatcher) Submit(spec contract.JobSpec) error {
+	now := d.o.Now()
+	if _, _, err := d.o.Table.Lookup(spec.ID); err == nil {
+		d.counters.resubmitted.Inc(1)
+		return nil
+	}
+	items, err := d.prepare(&spec, now)
+	if err != nil {
+		d.counters.refused.Inc(1)
+		return err
+	}
+	fresh, err := d.o.Table.Accept(spec, now)
+	if err != nil {
+		d.counters.refused.Inc(1)
+		return err
+	}
+	if !fresh {
+		d.counters.resubmitted.Inc(1)
+		return nil
+	}
+	d.counters.accepted.Inc(1)
+	lane, _ := d.lane(spec.Service)
+	d.carryOut(lane, lane.Push(items, now))
+	return nil
+}
+
+// prepare validates a job and turns its tasks into queue items.
+func (d *Dispatcher) prepare(spec *contract.JobSpec, now time.Time) ([]customer.Item, error) {
+	if d.Draining() {
+		return nil, fault.With(fault.Draining, "draining", "this entry VM is stopping")
+	}
+	lane, ok := d.lane(spec.Service)
+	if !ok {
+		return nil, fault.With(fault.Invalid, "unknown service", "service %q is not configured", spec.Service)
+	}
+	if err := checkSize(spec); err != nil {
+		return nil, err
+	}
+	items := make([]customer.Item, len(spec.Tasks))
+	for i, t := range spec.Tasks {
+		kind, ok := lane.service.Kind(t.Kind)
+		if !ok {
+			return nil, fault.With(fault.Invalid, "unknown kind", "service %q has no request kind %q", spec.Service, t.Kind)
+		}
+		if spec.Deadline.IsZero() {
+			spec.Deadline = now.Add(deadlineOf(kind))
+		}
+		items[i] = customer.Item{
+			Task: contract.TaskID{Job: spec.ID, Index: i}, Kind: kind, Class: kind.Class(),
+			Customer: spec.Customer, Team: spec.Team, Enqueued: now, Priority: spec.Priority,
+			Expected: kind.Expected(),
+		}
+	}
+	for i := range items {
+		items[i].Deadline = spec.Deadline
+	}
+	return items, nil
+}
+
+func deadlineOf(k *backend.RequestKind) time.Duration {
+	if d := k.Spec().Deadline; d > 0 {
+		return d
+	}
+	return defaultDeadline
+}
+
+func checkSize(spec *contract.JobSpec) error {
+	if n := len(spec.Tasks); n == 0 || n > contract.MaxTasks {
+		return fault.With(fault.Invalid, "task count", "a job has 1 to %d tasks, not %d", contract.MaxTasks, n)
+	}
+	total := 0
+	for i, t := range spec.Tasks {
+		if len(t.Payload) > contract.MaxPayloadBytes {
+			return fault.With(fault.Invalid, "payload size", "task %d: payload of %d bytes exceeds %d", i,
+				len(t.Payload), contract.MaxPayloadBytes)
+		}
+		total += len(t.Payload)
+	}
+	if total > contract.MaxJobBytes {
+		return fault.With(fault.Invalid, "job size", "payloads of %d bytes exceed %d", total, contract.MaxJobBytes)
+	}
+	return nil
+}
+
+// Wait returns the answer of a job, pending if it is not final when ctx ends.
+func (d *Dispatcher) Wait(ctx context.Context, id contract.JobID) (contract.Answer, error) {
+	a, done, err := d.o.Table.Lookup(id)
+	if err != nil || a.Verdict != contract.VerdictPending {
+		return a, err
+	}
+	select {
+	case <-done:
+	case <-ctx.Done():
+	}
+	a, _, err = d.o.Table.Lookup(id)
+	return a, err
+}
+
+// Cancel withdraws the tasks of a job that have not started.
+func (d *Dispatcher) Cancel(id contract.JobID) error {
+	n, err := d.o.Table.Cancel(id, "cancelled", d.o.Now())
+	if err != nil {
+		return err
+	}
+	d.counters.cancelled.Inc(1)
+	d.counters.notRun.Inc(int64(n))
+	return nil
+}
+
+// Grant takes over slots from a granter.
+func (d *Dispatcher) Grant(g contract.SlotGrant) {
+	lane, ok := d.lane(g.Service)
+	if !ok {
+		return
+	}
+	d.counters.received.Inc(int64(g.Slots))
+	d.carryOut(lane, lane.AddGrant(g, d.o.Now()))
+}
+
+// carryOut executes a plan. The lane's lock is not held.
+func (d *Dispatcher) carryOut(l *Lane, p Plan) {
+	for _, a := range p.Assignments {
+		d.running.Add(1)
+		go d.run(l, a)
+	}
+	if len(p.Returns) > 0 {
+		for _, r := range p.Returns {
+			d.counters.unused.Inc(int64(r.Unused))
+		}
+		d.counters.returns.Inc(int64(len(p.Returns)))
+		d.o.Broker.Return(p.Returns)
+	}
+	if p.Demand != nil {
+		d.counters.demands.Inc(1)
+		d.o.Broker.Demand(*p.Demand)
+	}
+}
+
+// run starts one task and records its outcome.
+func (d *Dispatcher) run(l *Lane, a Assignment) {
+	defer d.running.Done()
+	ticket, ok := d.o.Table.Start(a.Item.Task, string(a.Slot.Worker))
+	if !ok {
+		// The job was cancelled while the task waited.
+		d.carryOut(l, l.Release(a.Slot, true, d.o.Now()))
+		return
+	}
+	req := StartRequest{
+		Ticket: ticket, Worker: a.Slot.Worker, Incarnation: d.workerIncarnation(a.Slot.Worker), Epoch: a.Slot.Epoch,
+		StartBy: d.o.Now().Add(startWindow), Lease: defaultLease,
+	}
+	d.counters.started.Inc(1)
+	reply, err := d.o.Starter.Start(d.ctx, req)
+	if err != nil && !fault.IsProvenNotStarted(err) {
+		d.counters.inDoubt.Inc(1)
+		reply, err = d.resolve(req)
+	}
+	if err != nil {
+		d.notStarted(l, a, err)
+		return
+	}
+	d.finish(a, reply)
+	d.carryOut(l, l.Release(a.Slot, true, d.o.Now()))
+}
+
+// resolve asks the worker about a start in doubt until it answers or counts as lost.
+func (d *Dispatcher) resolve(req StartRequest) (StartReply, error) {
+	until := d.o.Now().Add(resolveFor)
+	for {
+		reply, err := d.o.Starter.Resolve(d.ctx, req)
+		if err == nil || fault.IsProvenNotStarted(err) {
+			d.counters.resolved.Inc(1)
+			return reply, err
+		}
+		if d.o.Now().After(until) {
+			return StartReply{Outcome: contract.OutcomeUnknown, Detail: err.Error()}, nil
+		}
+		select {
+		case <-time.After(resolveDelay):
+		case <-d.ctx.Done():
+			return StartReply{Outcome: contract.OutcomeUnknown, Detail: "entry VM stopped"}, nil
+		}
+	}
+}
+
+// notStarted queues a task again whose start is proven not to have happened.
+func (d *Dispatcher) notStarted(l *Lane, a Assignment, cause error) {
+	d.counters.rejected.Inc(1)
+	now := d.o.Now()
+	requeue := d.o.Table.NotStarted(a.Item.Task, now)
+	d.carryOut(l, l.Release(a.Slot, false, now))
+	if !requeue {
+		return
+	}
+	d.o.Logger.Debug("start rejected", "task", a.Item.Task, "worker", a.Slot.Worker, "error", cause)
+	select {
+	case <-time.After(retryDelay):
+	case <-d.ctx.Done():
+		return
+	}
+	d.carryOut(l, l.Push([]customer.Item{a.Item}, d.o.Now()))
+}
+
+// finish records the outcome of a task that was started.
+func (d *Dispatcher) finish(a Assignment, r StartReply) {
+	switch r.Outcome {
+	case contract.OutcomeDone:
+		d.counters.done.Inc(1)
+		a.Item.Kind.Observe(r.RunTime)
+		if w, ok := d.o.Fleet.Get(a.Slot.Worker); ok {
+			w.ObserveRun(r.RunTime, a.Item.Expected)
+		}
+	case contract.OutcomeFailed:
+		d.counters.taskFailed.Inc(1)
+	default:
+		d.counters.unknown.Inc(1)
+	}
+	report := contract.TaskReport{
+		Outcome: r.Outcome, Detail: r.Detail, RunTime: r.RunTime, Worker: string(a.Slot.Worker),
+	}
+	answer, last := d.o.Table.Finish(a.Item.Task, report, r.Result, d.o.Now())
+	if !last {
+		return
+	}
+	if answer.Verdict == contract.VerdictComplete {
+		d.counters.complete.Inc(1)
+	} else {
+		d.counters.failed.Inc(1)
+	}
+}
+
+// Drain refuses new jobs from now on.
+func (d *Dispatcher) Drain() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.draining = true
+}
+
+// Draining reports whether new jobs are refused.
+func (d *Dispatcher) Draining() bool {
+	d.mu.RLock()
+	defer d.mu.RUnlock()
+	return d.draining
+}
+
+// Tick returns idle slots that have lingered.
+func (d *Dispatcher) Tick() {
+	for _, l := range d.Lanes() {
+		d.carryOut(l, l.Match(d.o.Now()))
+	}
+}
+
+// Close ends all waiting and returns when no task goroutine is left.
+func (d *Dispatcher) Close() {
+	d.cancel()
+	d.running.Wait()
+}
--- /dev/null
+++ b/entry/daemon.go
@@ -0,0 +1,184 @@
+package entry
+
+import (
+	"context"
+	"log/slog"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+
+	"github.com/cicadadale/cicadadale/backend"
+	"github.com/cicadadale/cicadadale/contract"
+	"github.com/cicadadale/cicadadale/dispatch"
+	"github.com/cicadadale/cicadadale/link"
+	"github.com/cicadadale/cicadadale/machine"
+	"github.com/cicadadale/cicadadale/platform"
+	"github.com/cicadadale/cicadadale/rpc"
+	"github.com/cicadadale/cicadadale/zone"
+)
+
+const (
+	heartbeatInterval = 500 * time.Millisecond
+	listInterval      = 500 * time.Millisecond
+	statusInterval    = time.Second
+	laneInterval      = 10 * time.Millisecond
+	expiryInterval    = 10 * time.Second
+)
+
+// Options are the settings and parts of a daemon. The caller opens the listeners, so that addresses are known
+// before the daemon starts.
+type Options struct {
+	VM          machine.EntryVM
+	Domain      zone.DomainID
+	Region      zone.RegionID
+	Services    []*backend.Service
+	Log         platform.Log
+	List        platform.VMList
+	Callers     net.Listener
+	Peers       net.Listener
+	DialPeer    func(ctx context.Context, address string) (net.Conn, error)
+	Connections int
+	Now         func() time.Time
+	Logger      *slog.Logger
+	Metrics     metrics.Registry
+}
+
+// Daemon is the process that runs on an entry VM.
+type Daemon struct {
+	o          Options
+	table      *contract.JobTable
+	fleet      *machine.Fleet
+	domain     *zone.FailureDomain
+	workers    *link.Workers
+	dispatcher *dispatch.Dispatcher
+	peers      *peers
+	slots      *slotDirectory
+	lamport    atomic.Uint64
+
+	peerServer *link.PeerServer
+	rpcServer  *rpc.Server
+	cancel     context.CancelFunc
+	loops      sync.WaitGroup
+}
+
+// New builds a daemon that does not serve yet.
+func New(o Options) (*Daemon, error) {
+	if o.Now == nil {
+		o.Now = time.Now
+	}
+	if o.Metrics == nil {
+		o.Metrics = metrics.NewRegistry()
+	}
+	if o.DialPeer == nil {
+		var dialer net.Dialer
+		o.DialPeer = func(ctx context.Context, address string) (net.Conn, error) {
+			return dialer.DialContext(ctx, "tcp", address)
+		}
+	}
+	if o.VM.Incarnation == 0 {
+		o.VM.Incarnation = machine.NewIncarnation()
+	}
+	d := &Daemon{
+		o: o, fleet: machine.NewFleet(), domain: zone.NewFailureDomain(o.Domain, o.VM.ID),
+		table: contract.NewJobTable(o.Domain, o.VM.Incarnation),
+	}
+	workers, err := link.NewWorkers(d.fleet, o.VM.Incarnation, o.Connections)
+	if err != nil {
+		return nil, err
+	}
+	d.workers = workers
+	d.peers = newPeers(d)
+	d.slots = newSlotDirectory(d)
+	d.dispatcher = dispatch.New(dispatch.Options{
+		Table: d.table, Starter: workers, Broker: d.slots, Fleet: d.fleet, Now: o.Now, Logger: o.Logger,
+		Metrics: o.Metrics,
+	})
+	for _, s := range o.Services {
+		d.dispatcher.AddService(s, nil)
+	}
+	return d, nil
+}
+
+// Start serves callers and peers.
+func (d *Daemon) Start() error {
+	ctx, cancel := context.WithCancel(context.Background())
+	d.cancel = cancel
+	server, err := link.ServePeers(d.o.Peers, d.receive)
+	if err != nil {
+		cancel()
+		return err
+	}
+	d.peerServer = server
+	d.refreshList(ctx)
+	d.pollWorkers(ctx)
+	d.rpcServer = rpc.Serve(d.o.Callers, d, d.o.Now, nil)
+	d.loop(ctx, heartbeatInterval, func() { d.heartbeat() })
+	d.loop(ctx, listInterval, func() { d.refreshList(ctx) })
+	d.loop(ctx, statusInterval, func() { d.pollWorkers(ctx) })
+	d.loop(ctx, laneInterval, d.dispatcher.Tick)
+	d.loop(ctx, expiryInterval, func() { d.table.Expire(d.o.Now()) })
+	d.o.Logger.Info("entry daemon started", "vm", d.o.VM.ID, "incarnation", d.o.VM.Incarnation.String(),
+		"callers", d.o.Callers.Addr().String())
+	return nil
+}
+
+func (d *Daemon) loop(ctx context.Context, every time.Duration, fn func()) {
+	d.loops.Go(func() {
+		t := time.NewTicker(every)
+		defer t.Stop()
+		for {
+			select {
+			case <-t.C:
+				fn()
+			case <-ctx.Done():
+				return
+			}
+		}
+	})
+}
+
+// Stop refuses new work, finishes what runs until ctx ends, and closes all links.
+func (d *Daemon) Stop(ctx context.Context) {
+	d.dispatcher.Drain()
+	d.waitIdle(ctx)
+	d.rpcServer.Stop(ctx)
+	d.kill()
+	d.o.Logger.Info("entry daemon stopped", "vm", d.o.VM.ID)
+}
+
+func (d *Daemon) waitIdle(ctx context.Context) {
+	t := time.NewTicker(laneInterval)
+	defer t.Stop()
+	for d.table.Unfinished() > 0 {
+		select {
+		case <-t.C:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// kill ends everything at once.
+func (d *Daemon) kill() {
+	d.cancel()
+	d.loops.Wait()
+	d.peerServer.Close()
+	d.peers.close()
+	d.dispatcher.Close()
+}
+
+// tick advances the logical clock.
+func (d *Daemon) tick() uint64 { return d.lamport.Add(1) }
+
+// observe merges the logical clock of a peer.
+func (d *Daemon) observe(remote uint64) {
+	for {
+		local := d.lamport.Load()
+		if remote <= local || d.lamport.CompareAndSwap(local, remote) {
+			return
+		}
+	}
+}
--- /dev/null
+++ b/entry/doc.go
@@ -0,0 +1,2 @@
+// Package entry assembles the entry daemon from its parts.
+package entry
--- /dev/null
+++ b/entry/membership.go
@@ -0,0 +1,75 @@
+package entry
+
+import (
+	"context"
+	"sync"
+
+	"github.com/cicadadale/cicadadale/api"
+	"github.com/cicadadale/cicadadale/machine"
+	"github.com/cicadadale/cicadadale/platform"
+	"github.com/cicadadale/cicadadale/zone"
+)
+
+// refreshList takes over the platform's list. An outage leaves everything as it was.
+func (d *Daemon) refreshList(ctx context.Context) {
+	vms, err := d.o.List.List(ctx)
+	if err != nil {
+		return
+	}
+	now := d.o.Now()
+	d.peers.applyList(vms)
+	d.applyChanges(d.domain.ApplyList(platform.EntryListings(vms), now))
+	d.applyWorkers(platform.WorkerSpecs(vms, d.o.Domain))
+	d.slots.reassign()
+}
+
+func (d *Daemon) applyWorkers(specs []machine.WorkerSpec) {
+	listed := make(map[machine.WorkerID]bool, len(specs))
+	for _, s := range specs {
+		listed[s.ID] = true
+		d.fleet.Upsert(s)
+	}
+	for _, w := range d.fleet.All() {
+		if id := w.Spec().ID; !listed[id] {
+			d.fleet.Remove(id)
+		}
+	}
+}
+
+// pollWorkers asks all workers for their status at the same time.
+func (d *Daemon) pollWorkers(ctx context.Context) {
+	var wg sync.WaitGroup
+	for _, w := range d.fleet.All() {
+		wg.Go(func() {
+			// A worker that does not answer keeps its last status; its starts will show the failure.
+			_, _ = d.workers.Poll(ctx, w, d.o.Now)
+		})
+	}
+	wg.Wait()
+	d.slots.reassign()
+}
+
+// heartbeat tells the members of the failure domain that this process is alive and suspects silent ones.
+func (d *Daemon) heartbeat() {
+	d.applyChanges(d.domain.Tick(d.o.Now()))
+	msg := &api.PeerMessage{Body: &api.PeerMessage_Heartbeat{Heartbeat: &api.Heartbeat{
+		Leaving: d.dispatcher.Draining(),
+	}}}
+	d.peers.broadcast(msg)
+}
+
+func (d *Daemon) applyChanges(changes []zone.Change) {
+	if len(changes) == 0 {
+		return
+	}
+	for _, c := range changes {
+		d.o.Logger.Info("member changed state", "vm", c.VM.ID, "from", c.From.String(), "to", c.To.String())
+		if c.To == zone.MemberGone {
+			d.slots.memberGone(c.VM.ID)
+		}
+	}
+	d.slots.reassign()
+}
+
+// LiveMembers counts the members of the failure domain that may receive new work.
+func (d *Daemon) LiveMembers() int { return len(d.domain.Live()) }
--- /dev/null
+++ b/entry/messages.go
@@ -0,0 +1,121 @@
+package entry
+
+import (
+	"context"
+	"time"
+
+	"github.com/cicadadale/cicadadale/api"
+	"github.com/cicadadale/cicadadale/contract"
+	"github.com/cicadadale/cicadadale/fault"
+	"github.com/cicadadale/cicadadale/internal/wire"
+	"github.com/cicadadale/cicadadale/machine"
+)
+
+// receive handles the envelopes of one link, in order.
+func (d *Daemon) receive(env *api.Envelope) {
+	d.observe(env.GetLamport())
+	inc := machine.Incarnation(env.GetFromIncarnation())
+	vm := env.GetFromVm()
+	d.peers.heard(vm, inc)
+	leaving := false
+	for _, m := range env.GetMessages() {
+		if h := m.GetHeartbeat(); h != nil {
+			leaving = h.GetLeaving()
+		}
+	}
+	d.applyChanges(d.domain.Heard(vm, inc, leaving, d.o.Now()))
+	for _, m := range env.GetMessages() {
+		d.handle(vm, m)
+	}
+}
+
+func (d *Daemon) handle(vm string, m *api.PeerMessage) {
+	switch b := m.GetBody().(type) {
+	case *api.PeerMessage_Demand:
+		d.slots.demandFrom(vm, b.Demand)
+	case *api.PeerMessage_Grant:
+		d.slots.grantFrom(vm, b.Grant)
+	case *api.PeerMessage_Return:
+		d.slots.returnFrom(vm, b.Return)
+	case *api.PeerMessage_Request:
+		// Requests may wait for a job's answer and so must not hold up the link.
+		go d.serveRequest(vm, b.Request)
+	case *api.PeerMessage_Response:
+		d.peers.reply(b.Response)
+	}
+}
+
+// serveRequest answers a call that a peer has forwarded.
+func (d *Daemon) serveRequest(vm string, r *api.Request) {
+	ctx, cancel := context.WithTimeout(context.Background(), forwardLimit)
+	defer cancel()
+	resp := &api.Response{Id: r.GetId()}
+	if err := d.perform(ctx, r, resp); err != nil {
+		resp.ErrorCode = fault.Code(err)
+		if resp.ErrorCode == "" {
+			resp.ErrorCode = fault.Unavailable.FullName()
+		}
+		resp.ErrorText = err.Error()
+		resp.ErrorReason = fault.Reason(err)
+	}
+	d.peers.send(vm, &api.PeerMessage{Body: &api.PeerMessage_Response{Response: resp}})
+}
+
+func (d *Daemon) perform(ctx context.Context, r *api.Request, resp *api.Response) error {
+	switch b := r.GetBody().(type) {
+	case *api.Request_Submit:
+		s, err := wire.SubmissionFrom(b.Submit)
+		if err != nil {
+			return err
+		}
+		a, err := d.Submit(ctx, s, time.Duration(b.Submit.GetWaitMs())*time.Millisecond)
+		return setAnswer(resp, a, err)
+	case *api.Request_Await:
+		ref, err := wire.RefFrom(b.Await.GetJob())
+		if err != nil {
+			return err
+		}
+		a, err := d.Await(ctx, ref, time.Duration(b.Await.GetWaitMs())*time.Millisecond)
+		return setAnswer(resp, a, err)
+	case *api.Request_Cancel:
+		ref, err := wire.RefFrom(b.Cancel.GetJob())
+		if err != nil {
+			return err
+		}
+		a, err := d.Cancel(ctx, ref)
+		return setAnswer(resp, a, err)
+	case *api.Request_Reconfigure:
+		ref, err := wire.RefFrom(b.Reconfigure.GetJob())
+		if err != nil {
+			return err
+		}
+		p, err := d.Reconfigure(ctx, ref, contract.Change{
+			Deadline: time.Duration(b.Reconfigure.GetDeadlineMs()) * time.Millisecond,
+			Priority: int(b.Reconfigure.GetPriority()),
+		})
+		return d.setProgress(resp, p, err)
+	case *api.Request_Status:
+		ref, err := wire.RefFrom(b.Status.GetJob())
+		if err != nil {
+			return err
+		}
+		p, err := d.Status(ctx, ref)
+		return d.setProgress(resp, p, err)
+	default:
+		return fault.Unavailable.New("request is not supported")
+	}
+}
+
+func setAnswer(resp *api.Response, a contract.Answer, err error) error {
+	if err == nil {
+		resp.Body = &api.Response_Answer{Answer: wire.AnswerTo(a)}
+	}
+	return err
+}
+
+func (d *Daemon) setProgress(resp *api.Response, p contract.JobProgress, err error) error {
+	if err == nil {
+		resp.Body = &api.Response_Status{Status: wire.ProgressTo(p, d.o.Now())}
+	}
+	return err
+}
--- /dev/null
+++ b/link/wire.go
@@ -0,0 +1,47 @@
+package link
+
+// Headers of the worker protocol.
+const (
+	HeaderService     = "Cicadadale-Service"
+	HeaderKind        = "Cicadadale-Kind"
+	HeaderHome        = "Cicadadale-Home"
+	HeaderEpoch       = "Cicadadale-Epoch"
+	HeaderStartBy     = "Cicadadale-Start-By-Ms"
+	HeaderLease       = "Cicadadale-Lease-Ms"
+	HeaderIncarnation = "Cicadadale-Worker-Incarnation"
+	HeaderOutcome     = "Cicadadale-Outcome"
+	HeaderReason      = "Cicadadale-Reason"
+	HeaderRunTime     = "Cicadadale-Run-Us"
+)
+
+// Values of HeaderOutcome.
+const (
+	OutcomeDone     = "done"
+	OutcomeFailed   = "failed"
+	OutcomeRejected = "rejected"
+	OutcomeRunning  = "running"
+	OutcomeNever    = "never-started"
+	// OutcomeRestarted says that another incarnation of the worker has taken the place of the one asked for.
+	OutcomeRestarted = "restarted"
+)
+
+// Reasons of a rejected start.
+const (
+	RejectFull        = "full"
+	RejectIncarnation = "worker incarnation"
+	RejectLate        = "start-by time passed"
+	RejectFenced      = "fenced"
+	RejectDuplicate   = "duplicate"
+	RejectLeaving     = "leaving"
+	RejectEpoch       = "stale epoch"
+)
+
+// WorkerStatus is the reply to GET /v1/status.
+type WorkerStatus struct {
+	Incarnation string `json:"incarnation"`
+	// ClockMS is the worker's monotonic clock.
+	ClockMS int64 `json:"clock_ms"`
+	Slots   int   `json:"slots"`
+	Busy    int   `json:"busy"`
+	Leaving bool  `json:"leaving"`
+}
--- /dev/null
+++ b/schema/doc.go
@@ -0,0 +1,2 @@
+// Package schema reads schema files into services and generates typed stubs for callers.
+package schema
