contract: hand jobs over once and bound the memory of answers

Cause: the job table could neither pass jobs on at a planned stop nor bound its memory, and took any outcome for any task. Change: Detach takes never-started jobs out of the table for good, AdoptJob and AdoptAnswer are idempotent at the successor, whose record of a home tells what its hand-over proves. Answers are bounded to 128 MiB, unfinished jobs to 256 MiB. Answers are checked for wholeness, 'not run' for the absence of a start.

--- a/contract/answer.go
+++ b/contract/answer.go
@@ -77,3 +77,22 @@
 	}
 	return true
 }
+
+// jobOverhead and reportOverhead estimate the memory of a job and of a task report beyond payloads and results, from
+// the sizes of the structs and the map entry.
+const (
+	jobOverhead    = 512
+	reportOverhead = 96
+)
+
+// bytes estimates the memory that the answer takes.
+func (a Answer) bytes() int {
+	n := jobOverhead + len(a.Detail)
+	for _, r := range a.Reports {
+		n += reportOverhead + len(r.Detail)
+	}
+	for _, r := range a.Results {
+		n += len(r)
+	}
+	return n
+}
--- /dev/null
+++ b/contract/handover_test.go
@@ -0,0 +1,79 @@
+package contract
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/cicadadale/cicadadale/fault"
+)
+
+// Guards against running a job at two homes: after Detach the old home never starts it, with or without a reply, and a
+// repeated part does not queue it again at the successor.
+func TestDetachedJobStartsOnlyAtSuccessor(t *testing.T) {
+	home, id := acceptedJob(t, 1)
+	successor := NewJobTable(1, 8)
+	now := time.Now()
+	home.Close()
+	specs := home.Detach()
+	require.Len(t, specs, 1)
+	require.Empty(t, home.Detach())
+	_, ok := home.Start(TaskID{Job: id}, "w")
+	require.False(t, ok)
+	_, _, err := home.Lookup(id)
+	require.Equal(t, fault.HandedOver.FullName(), fault.Code(err))
+	require.False(t, successor.AdoptJob(specs[0], now), "without a hand-over")
+	require.True(t, successor.Adopt(AdoptedHome{Home: 7}))
+	require.True(t, successor.AdoptJob(specs[0], now))
+	require.False(t, successor.AdoptJob(specs[0], now))
+	_, ok = successor.Start(TaskID{Job: id}, "w")
+	require.True(t, ok)
+}
+
+// Guards against the false claim "not run" for an id of a home whose hand-over did not complete, and for one whose
+// answer the home had already dropped.
+func TestSuccessorProvesOnlyWhatWasHandedOver(t *testing.T) {
+	home := NewJobTable(1, 7)
+	ids := home.Mint(17)
+	now := time.Now()
+	_, err := home.Accept(JobSpec{ID: ids[16], Tasks: make([]TaskSpec, 1)}, now)
+	require.NoError(t, err)
+	_, err = home.Cancel(ids[16], "cancelled", now)
+	require.NoError(t, err)
+	require.Equal(t, 1, home.Expire(now.Add(AnswerRetention)))
+	home.Close()
+	successor := NewJobTable(1, 8)
+	code := func(id JobID) string {
+		_, _, err := successor.Lookup(id)
+		return fault.Code(err)
+	}
+	record := home.Homes()[0]
+	record.Complete = false
+	successor.Adopt(record)
+	require.Equal(t, fault.Lost.FullName(), code(ids[1]))
+	record.Complete = true
+	successor.Adopt(record)
+	require.Equal(t, fault.NeverAccepted.FullName(), code(ids[1]))
+	require.Equal(t, fault.Expired.FullName(), code(ids[16]))
+	require.Equal(t, fault.Expired.FullName(), code(ids[0]), "shares the shard of an expired id")
+	require.Equal(t, fault.UnknownJob.FullName(), code(JobID{Domain: 1, Home: 7, Seq: 18}))
+}
+
+// Guards against unbounded memory for answers; ids dropped early are refused and never run again.
+func TestAnswersAreBoundedByBytes(t *testing.T) {
+	table := NewJobTable(1, 7)
+	now := time.Now()
+	result := make([]byte, RetainedBytes/jobShards/4)
+	ids := table.Mint(6 * jobShards)
+	for n := 0; n < len(ids); n += jobShards {
+		_, err := table.Accept(JobSpec{ID: ids[n], Tasks: make([]TaskSpec, 1)}, now)
+		require.NoError(t, err)
+		_, ok := table.Start(TaskID{Job: ids[n]}, "w")
+		require.True(t, ok)
+		table.Finish(TaskID{Job: ids[n]}, TaskReport{Outcome: OutcomeDone}, result, now)
+	}
+	require.LessOrEqual(t, table.shard(ids[0]).retained, RetainedBytes/jobShards)
+	_, err := table.Accept(JobSpec{ID: ids[0], Tasks: make([]TaskSpec, 1)}, now)
+	require.Equal(t, fault.Expired.FullName(), fault.Code(err))
+}
--- a/contract/job.go
+++ b/contract/job.go
@@ -50,12 +50,15 @@
 	state      JobState
 	tasks      []task
 	unfinished int
-	started    int
-	cancelled  bool
-	accepted   time.Time
-	finished   time.Time
-	answer     Answer
-	done       chan struct{}
+	// started counts the starts that are not proven not to have happened.
+	started   int
+	cancelled bool
+	accepted  time.Time
+	finished  time.Time
+	answer    Answer
+	done      chan struct{}
+	// size is the memory accounted for the job in its shard.
+	size int
 }
 
 func newJob(spec JobSpec, now time.Time) *Job {
@@ -65,6 +68,33 @@
 	}
 }
 
+// neverStarted reports whether no task of the job was or may have been started and none has ended. It expects the
+// shard lock to be held.
+func (j *Job) neverStarted() bool {
+	return j.started == 0 && j.unfinished == len(j.spec.Tasks) && j.unfinished > 0
+}
+
+// finishTask expects the shard lock to be held.
+func (j *Job) finishTask(index int, report TaskReport, result []byte, now time.Time) {
+	tk := &j.tasks[index]
+	tk.state = taskFinished
+	tk.report = report
+	tk.result = result
+	j.unfinished--
+	if j.unfinished == 0 {
+		j.conclude(now)
+	}
+}
+
+// payloadBytes is the memory that the job's tasks take until it ends.
+func (j *Job) payloadBytes() int {
+	n := jobOverhead
+	for _, t := range j.spec.Tasks {
+		n += len(t.Payload) + reportOverhead
+	}
+	return n
+}
+
 // JobProgress counts a job's tasks by state.
 type JobProgress struct {
 	ID       JobID
--- a/contract/jobstate.go
+++ b/contract/jobstate.go
@@ -58,7 +58,9 @@
 		Permit(jobEventHandedOver, JobHandedOver)
 	m.Configure(JobRunning).
 		Permit(jobEventCompleted, JobComplete).
-		Permit(jobEventFailed, JobFailed)
+		Permit(jobEventFailed, JobFailed).
+		// A running job whose starts were all proven not to have happened may move as well.
+		Permit(jobEventHandedOver, JobHandedOver)
 	return m
 }
 
--- a/contract/jobtable.go
+++ b/contract/jobtable.go
@@ -13,14 +13,32 @@
 	jobShards = 16
 	// AnswerRetention is how long a finished job's answer is kept for resubmissions.
 	AnswerRetention = 10 * time.Minute
+	// RetainedBytes bounds the memory of the answers kept; beyond it the oldest are dropped early and their ids are
+	// answered as expired.
+	RetainedBytes = 128 << 20
+	// PendingBytes bounds the memory of the jobs that have not ended; beyond it new jobs are refused as not run.
+	PendingBytes = 256 << 20
 )
 
-// JobTable holds the jobs of one home in shards by sequence number.
+// Names of the invariants that the table checks.
+const (
+	InvariantAnswerWhole   = "answer_whole"
+	InvariantNotRunIsTrue  = "not_run_is_true"
+	InvariantFinishStarted = "finish_follows_start"
+)
+
+// Check is told of every check of an invariant.
+type Check func(invariant string, holds bool)
+
+// JobTable holds the jobs of one home, and those that other homes have handed over to it, in shards by sequence
+// number.
 type JobTable struct {
-	domain zone.DomainID
-	home   machine.Incarnation
-	mint   mint
-	shards [jobShards]jobShard
+	domain  zone.DomainID
+	home    machine.Incarnation
+	check   Check
+	mint    mint
+	shards  [jobShards]jobShard
+	adopted adoptedHomes
 }
 
 type mint struct {
@@ -32,20 +50,37 @@
 type jobShard struct {
 	mu   sync.Mutex
 	jobs map[JobID]*Job
-	// expired is the highest sequence number whose answer was dropped; an unknown id up to it is never run.
-	expired uint64
+	// expired is, per home, the highest sequence number whose answer was dropped; an unknown id up to it is never
+	// run.
+	expired map[machine.Incarnation]uint64
+	// ended holds the ids of the jobs that have ended in the order of their end.
+	ended    []JobID
+	retained int
+	pending  int
+	closed   bool
 }
 
-// NewJobTable returns the table of the given home.
+// NewJobTable returns the table of the given home. A violated invariant panics until OnCheck sets another reaction.
 func NewJobTable(domain zone.DomainID, home machine.Incarnation) *JobTable {
-	t := &JobTable{domain: domain, home: home}
+	t := &JobTable{domain: domain, home: home, check: mustHold}
 	t.mint.next = 1
 	for i := range t.shards {
 		t.shards[i].jobs = make(map[JobID]*Job)
+		t.shards[i].expired = make(map[machine.Incarnation]uint64)
 	}
+	t.adopted.homes = make(map[machine.Incarnation]AdoptedHome)
 	return t
 }
 
+func mustHold(invariant string, holds bool) {
+	if !holds {
+		panic("violated invariant: " + invariant)
+	}
+}
+
+// OnCheck sets the reaction to checks of invariants. It must be called before the table is shared.
+func (t *JobTable) OnCheck(c Check) { t.check = c }
+
 func (t *JobTable) shard(id JobID) *jobShard {
 	return &t.shards[id.Seq%jobShards]
 }
@@ -91,13 +126,27 @@
 	if _, ok := s.jobs[spec.ID]; ok {
 		return false, nil
 	}
-	if spec.ID.Seq <= s.expired {
+	if spec.ID.Seq <= s.expired[spec.ID.Home] {
 		return false, fault.With(fault.Expired, "expired id", "job id %s is older than the retention of answers", spec.ID)
 	}
-	s.jobs[spec.ID] = newJob(spec, now)
+	if s.closed {
+		return false, fault.With(fault.Draining, "draining", "this entry VM is stopping")
+	}
+	j := newJob(spec, now)
+	if s.pending+j.payloadBytes() > PendingBytes/jobShards {
+		return false, fault.With(fault.Overloaded, "memory", "the unfinished jobs take the memory set aside for them")
+	}
+	s.add(j)
 	return true, nil
 }
 
+// add expects s.mu to be held.
+func (s *jobShard) add(j *Job) {
+	j.size = j.payloadBytes()
+	s.pending += j.size
+	s.jobs[j.spec.ID] = j
+}
+
 // StartTicket is the permission to send one start of a task.
 type StartTicket struct {
 	Task     TaskID
@@ -108,7 +157,7 @@
 }
 
 // Start is the gate in front of every start: it moves the task from waiting to started, once, and returns false
-// if the task was cancelled or has started before.
+// if the task was cancelled, was handed over or has started before.
 func (t *JobTable) Start(id TaskID, worker string) (StartTicket, bool) {
 	s := t.shard(id.Job)
 	s.mu.Lock()
@@ -140,14 +189,16 @@
 		return false
 	}
 	j.tasks[id.Index].state = taskWaiting
+	j.started--
 	if j.cancelled {
-		j.finishTask(id.Index, TaskReport{Outcome: OutcomeNotRun, Detail: "cancelled"}, nil, now)
+		t.finishTask(s, j, id.Index, TaskReport{Outcome: OutcomeNotRun, Detail: "cancelled"}, nil, now)
 		return false
 	}
 	return true
 }
 
-// Finish records the outcome of a task, once. It returns the answer when this was the job's last task.
+// Finish records the outcome of a task, once. It returns the answer when this was the job's last task. "Not run" is
+// only taken for a task that waits, every other outcome only for one that was started.
 func (t *JobTable) Finish(id TaskID, report TaskReport, result []byte, now time.Time) (Answer, bool) {
 	s := t.shard(id.Job)
 	s.mu.Lock()
@@ -156,20 +207,51 @@
 	if !ok || id.Index >= len(j.tasks) || j.tasks[id.Index].state == taskFinished {
 		return Answer{}, false
 	}
-	j.finishTask(id.Index, report, result, now)
+	started := j.tasks[id.Index].state == taskStarted
+	if report.Outcome == OutcomeNotRun {
+		t.check(InvariantNotRunIsTrue, !started)
+		if started {
+			report.Outcome = OutcomeUnknown
+		}
+	} else {
+		t.check(InvariantFinishStarted, started)
+		if !started {
+			return Answer{}, false
+		}
+	}
+	t.finishTask(s, j, id.Index, report, result, now)
 	return j.answer, j.unfinished == 0
 }
 
-// finishTask expects the shard lock to be held.
-func (j *Job) finishTask(index int, report TaskReport, result []byte, now time.Time) {
-	tk := &j.tasks[index]
-	tk.state = taskFinished
-	tk.report = report
-	tk.result = result
-	j.unfinished--
-	if j.unfinished == 0 {
-		j.conclude(now)
+// finishTask expects s.mu to be held.
+func (t *JobTable) finishTask(s *jobShard, j *Job, index int, report TaskReport, result []byte, now time.Time) {
+	j.finishTask(index, report, result, now)
+	if j.unfinished > 0 {
+		return
 	}
+	t.check(InvariantAnswerWhole, j.answer.Consistent())
+	s.keep(j)
+}
+
+// keep moves a job that has ended from the pending to the retained memory and drops the oldest answers beyond the
+// bound. It expects s.mu to be held.
+func (s *jobShard) keep(j *Job) {
+	s.pending -= j.size
+	j.size = j.answer.bytes()
+	s.retained += j.size
+	s.ended = append(s.ended, j.spec.ID)
+	for s.retained > RetainedBytes/jobShards && len(s.ended) > 1 {
+		s.dropOldest()
+	}
+}
+
+// dropOldest expects s.mu to be held and an ended job to exist.
+func (s *jobShard) dropOldest() {
+	id := s.ended[0]
+	s.ended = s.ended[1:]
+	s.retained -= s.jobs[id].size
+	delete(s.jobs, id)
+	s.expired[id.Home] = max(s.expired[id.Home], id.Seq)
 }
 
 // Cancel finishes all waiting tasks of a job as not run and returns how many there were.
@@ -177,37 +259,56 @@
 	s := t.shard(id)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	j, ok := s.jobs[id]
-	if !ok {
-		return 0, t.missing(id, s)
+	j, err := t.find(id, s)
+	if err != nil {
+		return 0, err
+	}
+	if j.unfinished == 0 {
+		return 0, nil
 	}
 	j.cancelled = true
 	n := 0
-	for i := range j.tasks {
+	for i := range j.spec.Tasks {
 		if j.tasks != nil && j.tasks[i].state == taskWaiting {
 			n++
-			j.finishTask(i, TaskReport{Outcome: OutcomeNotRun, Detail: detail}, nil, now)
+			t.finishTask(s, j, i, TaskReport{Outcome: OutcomeNotRun, Detail: detail}, nil, now)
 		}
 	}
 	return n, nil
 }
 
+// find returns a job that this table answers for. It expects the shard lock to be held.
+func (t *JobTable) find(id JobID, s *jobShard) (*Job, error) {
+	j, ok := s.jobs[id]
+	if !ok {
+		return nil, t.missing(id, s)
+	}
+	if j.state == JobHandedOver {
+		return nil, fault.With(fault.HandedOver, "handed over", "job %s was handed over", id)
+	}
+	return j, nil
+}
+
 // missing explains why an id is not in the table. It expects the shard lock to be held.
 func (t *JobTable) missing(id JobID, s *jobShard) error {
-	if id.Seq <= s.expired {
+	if id.Seq <= s.expired[id.Home] {
 		return fault.With(fault.Expired, "expired id", "the answer of %s is no longer kept", id)
 	}
+	if id.Home != t.home {
+		return t.adopted.missing(id)
+	}
 	return fault.With(fault.UnknownJob, "unknown id", "job %s was not submitted", id)
 }
 
-// Lookup returns the answer, pending or final, and a channel that is closed when the answer is final.
+// Lookup returns the answer, pending or final, and a channel that is closed when the answer is final or the job is
+// handed over.
 func (t *JobTable) Lookup(id JobID) (Answer, <-chan struct{}, error) {
 	s := t.shard(id)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	j, ok := s.jobs[id]
-	if !ok {
-		return Answer{}, nil, t.missing(id, s)
+	j, err := t.find(id, s)
+	if err != nil {
+		return Answer{}, nil, err
 	}
 	a := j.answer
 	a.Job = id
@@ -219,9 +320,9 @@
 	s := t.shard(id)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	j, ok := s.jobs[id]
-	if !ok {
-		return JobProgress{}, t.missing(id, s)
+	j, err := t.find(id, s)
+	if err != nil {
+		return JobProgress{}, err
 	}
 	return j.progress(), nil
 }
@@ -231,9 +332,9 @@
 	s := t.shard(id)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	j, ok := s.jobs[id]
-	if !ok {
-		return JobProgress{}, t.missing(id, s)
+	j, err := t.find(id, s)
+	if err != nil {
+		return JobProgress{}, err
 	}
 	if j.unfinished > 0 {
 		if !deadline.IsZero() {
@@ -257,27 +358,21 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	n := 0
-	for id, j := range s.jobs {
-		if j.finished.IsZero() || now.Sub(j.finished) < AnswerRetention {
-			continue
-		}
-		delete(s.jobs, id)
+	for len(s.ended) > 0 && now.Sub(s.jobs[s.ended[0]].finished) >= AnswerRetention {
+		s.dropOldest()
 		n++
-		if id.Seq > s.expired {
-			s.expired = id.Seq
-		}
 	}
 	return n
 }
 
-// Unfinished counts the jobs without a final answer.
+// Unfinished counts the jobs without a final answer that this table answers for.
 func (t *JobTable) Unfinished() int {
 	n := 0
 	for i := range t.shards {
 		s := &t.shards[i]
 		s.mu.Lock()
 		for _, j := range s.jobs {
-			if j.finished.IsZero() {
+			if j.finished.IsZero() && j.state != JobHandedOver {
 				n++
 			}
 		}
--- a/fault/fault.go
+++ b/fault/fault.go
@@ -34,6 +34,12 @@
 	Expired = namespace.NewType("expired")
 	// Unavailable says that the process which knows the answer cannot be reached now.
 	Unavailable = namespace.NewType("unavailable", Retriable)
+	// HandedOver says that the job was handed over to the successor of its home, which answers for it.
+	HandedOver = namespace.NewType("handed_over", Retriable)
+	// NeverAccepted says that a complete hand-over proves that the job was never accepted by its home.
+	NeverAccepted = namespace.NewType("never_accepted", ProvenNotStarted)
+	// Lost says that the home of the job is gone without having handed the job over.
+	Lost = namespace.NewType("lost")
 	// Violation reports a broken invariant of the program.
 	Violation = namespace.NewType("violation")
 )
@@ -46,6 +52,7 @@
 func init() {
 	for _, t := range []*errorx.Type{
 		NotStarted, InDoubt, Refused, Overloaded, Draining, Invalid, UnknownJob, Expired, Unavailable, Violation,
+		HandedOver, NeverAccepted, Lost,
 	} {
 		byCode[t.FullName()] = t
 	}
