--- a/command/entry.go
+++ b/command/entry.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"log/slog"
 	"net"
@@ -54,7 +55,11 @@
 	if err := d.Start(); err != nil {
 		return err
 	}
-	<-ctx.Done()
+	select {
+	case <-ctx.Done():
+	case <-d.Lost():
+		return errors.New("the other entry VMs count this process as gone; start it anew")
+	}
 	drain, cancel := context.WithTimeout(context.Background(), drainTimeout)
 	defer cancel()
 	d.Stop(drain)
--- a/contract/handover.go
+++ b/contract/handover.go
@@ -119,15 +119,7 @@
 	if _, ok := s.jobs[a.Job]; ok || a.Job.Seq <= s.expired[a.Job.Home] {
 		return false
 	}
-	j := newJob(JobSpec{ID: a.Job}, now)
-	j.answer, j.finished = a, now
-	j.state = JobFailed
-	if a.Verdict == VerdictComplete {
-		j.state = JobComplete
-	}
-	close(j.done)
-	s.add(j)
-	s.keep(j)
+	s.addEnded(a, now)
 	return true
 }
 
@@ -180,6 +172,27 @@
 	}
 }
 
+// Abandon ends detached jobs whose successor is gone without having confirmed them: whether they ran is not known.
+func (t *JobTable) Abandon(specs []JobSpec, detail string, now time.Time) {
+	for _, spec := range specs {
+		s := t.shard(spec.ID)
+		s.mu.Lock()
+		if j, ok := s.jobs[spec.ID]; ok && j.state == JobHandedOver {
+			s.addEnded(UnknownAnswer(spec.ID, len(spec.Tasks), detail), now)
+		}
+		s.mu.Unlock()
+	}
+}
+
+// UnknownAnswer is the answer to a job whose home is gone. The number of tasks is only known from a submission.
+func UnknownAnswer(id JobID, tasks int, detail string) Answer {
+	a := Answer{Job: id, Verdict: VerdictFailed, Reason: OutcomeUnknown.String(), Detail: detail}
+	for range tasks {
+		a.Reports = append(a.Reports, TaskReport{Outcome: OutcomeUnknown, Detail: detail})
+	}
+	return a
+}
+
 // Answers calls visit with all final answers, a shard at a time and without holding its lock.
 func (t *JobTable) Answers(visit func([]Answer)) {
 	for i := range t.shards {
--- a/contract/jobtable.go
+++ b/contract/jobtable.go
@@ -140,6 +140,35 @@
 	return true, nil
 }
 
+// Refuse records that a job was refused, so that a copy of the submission that arrives late is not accepted. It
+// returns false if the id is known or expired, in which case nothing may be claimed of it.
+func (t *JobTable) Refuse(id JobID, reason, detail string, now time.Time) bool {
+	s := t.shard(id)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if j, ok := s.jobs[id]; ok {
+		return j.answer.Verdict == VerdictRefused
+	}
+	if id.Home != t.home || id.Seq <= s.expired[id.Home] || !t.minted(id) {
+		return false
+	}
+	s.addEnded(Answer{Job: id, Verdict: VerdictRefused, Reason: reason, Detail: detail}, now)
+	return true
+}
+
+// addEnded expects s.mu to be held and the id to be unknown.
+func (s *jobShard) addEnded(a Answer, now time.Time) {
+	j := newJob(JobSpec{ID: a.Job}, now)
+	j.answer, j.finished = a, now
+	j.state = JobFailed
+	if a.Verdict == VerdictComplete {
+		j.state = JobComplete
+	}
+	close(j.done)
+	s.add(j)
+	s.keep(j)
+}
+
 // add expects s.mu to be held.
 func (s *jobShard) add(j *Job) {
 	j.size = j.payloadBytes()
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -131,15 +131,13 @@
 		d.counters.resubmitted.Inc(1)
 		return nil
 	}
-	items, err := d.prepare(&spec, now)
+	items, err := d.admit(&spec, now)
 	if err != nil {
-		d.counters.refused.Inc(1)
-		return err
+		return d.refuse(spec.ID, err, now)
 	}
 	fresh, err := d.o.Table.Accept(spec, now)
 	if err != nil {
-		d.counters.refused.Inc(1)
-		return err
+		return d.refuse(spec.ID, err, now)
 	}
 	if !fresh {
 		d.counters.resubmitted.Inc(1)
@@ -151,11 +149,16 @@
 	return nil
 }
 
-// prepare validates a job and turns its tasks into queue items.
-func (d *Dispatcher) prepare(spec *contract.JobSpec, now time.Time) ([]customer.Item, error) {
+// admit decides on a new job and turns its tasks into queue items.
+func (d *Dispatcher) admit(spec *contract.JobSpec, now time.Time) ([]customer.Item, error) {
 	if d.Draining() {
 		return nil, fault.With(fault.Draining, "draining", "this entry VM is stopping")
 	}
+	return d.prepare(spec, now)
+}
+
+// prepare validates a job and turns its tasks into queue items.
+func (d *Dispatcher) prepare(spec *contract.JobSpec, now time.Time) ([]customer.Item, error) {
 	lane, ok := d.lane(spec.Service)
 	if !ok {
 		return nil, fault.With(fault.Invalid, "unknown service", "service %q is not configured", spec.Service)
--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -44,6 +44,8 @@
 	Now         func() time.Time
 	Logger      *slog.Logger
 	Metrics     metrics.Registry
+	// OnViolation is told of violated invariants; tests panic.
+	OnViolation func(invariant string)
 }
 
 // Daemon is the process that runs on an entry VM.
@@ -58,6 +60,17 @@
 	slots      *slotDirectory
 	lamport    atomic.Uint64
 
+	homes     *zone.Homes
+	lease     *zone.AnswerLease
+	handovers *handOvers
+	closures  *closureLog
+	serving   *gate
+	lapse     lapse
+	wasListed atomic.Bool
+	fenced    atomic.Bool
+	lost      chan struct{}
+	started   time.Time
+
 	peerServer *link.PeerServer
 	rpcServer  *rpc.Server
 	cancel     context.CancelFunc
@@ -84,7 +97,11 @@
 	d := &Daemon{
 		o: o, fleet: machine.NewFleet(), domain: zone.NewFailureDomain(o.Domain, o.VM.ID),
 		table: contract.NewJobTable(o.Domain, o.VM.Incarnation),
+		homes: zone.NewHomes(), lease: zone.NewAnswerLease(), handovers: newHandOvers(), serving: newGate(maxServed),
+		lost: make(chan struct{}), started: o.Now(),
 	}
+	d.closures = newClosureLog(d)
+	d.table.OnCheck(d.onCheck)
 	workers, err := link.NewWorkers(d.fleet, o.VM.Incarnation, o.Connections)
 	if err != nil {
 		return nil, err
@@ -118,8 +135,9 @@
 	d.loop(ctx, heartbeatInterval, func() { d.heartbeat() })
 	d.loop(ctx, listInterval, func() { d.refreshList(ctx) })
 	d.loop(ctx, statusInterval, func() { d.pollWorkers(ctx) })
-	d.loop(ctx, laneInterval, d.dispatcher.Tick)
-	d.loop(ctx, expiryInterval, func() { d.table.Expire(d.o.Now()) })
+	d.loop(ctx, laneInterval, func() { d.checkLapse(); d.dispatcher.Tick() })
+	d.loop(ctx, expiryInterval, func() { d.table.Expire(d.o.Now()); d.homes.Expire(d.o.Now()) })
+	d.closures.start(ctx)
 	d.o.Logger.Info("entry daemon started", "vm", d.o.VM.ID, "incarnation", d.o.VM.Incarnation.String(),
 		"callers", d.o.Callers.Addr().String())
 	return nil
@@ -140,15 +158,6 @@
 	})
 }
 
-// Stop refuses new work, finishes what runs until ctx ends, and closes all links.
-func (d *Daemon) Stop(ctx context.Context) {
-	d.dispatcher.Drain()
-	d.waitIdle(ctx)
-	d.rpcServer.Stop(ctx)
-	d.kill()
-	d.o.Logger.Info("entry daemon stopped", "vm", d.o.VM.ID)
-}
-
 func (d *Daemon) waitIdle(ctx context.Context) {
 	t := time.NewTicker(laneInterval)
 	defer t.Stop()
@@ -165,6 +174,7 @@
 func (d *Daemon) kill() {
 	d.cancel()
 	d.loops.Wait()
+	d.closures.wait()
 	d.peerServer.Close()
 	d.peers.close()
 	d.dispatcher.Close()
--- /dev/null
+++ b/entry/fence.go
@@ -0,0 +1,86 @@
+package entry
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+
+	"github.com/cicadadale/cicadadale/api"
+	"github.com/cicadadale/cicadadale/metric"
+	"github.com/cicadadale/cicadadale/zone"
+)
+
+// voteTimeout is the time for the reply of a member that is asked about a silent home.
+const voteTimeout = 500 * time.Millisecond
+
+// declare asks the members whether a silent home is gone, following the rule of zone.Homes. Promises are asked for only
+// once enough members find the home silent, since each makes the home end itself.
+func (d *Daemon) declare(ctx context.Context, home zone.Home) zone.HomeState {
+	members := d.domain.Listed()
+	quorum := zone.DeclareQuorum(len(members) + 1)
+	if d.votes(ctx, home, members, false) < quorum || d.votes(ctx, home, members, true) < quorum {
+		return zone.HomeSilent
+	}
+	d.homes.Ended(home.VM, home.Incarnation, d.o.Now())
+	return zone.HomeGone
+}
+
+// votes counts the members, this one included, that find a home silent.
+func (d *Daemon) votes(ctx context.Context, home zone.Home, members []string, promise bool) int {
+	var mu sync.Mutex
+	n := 0
+	count := func(silent bool) {
+		mu.Lock()
+		defer mu.Unlock()
+		if silent {
+			n++
+		}
+	}
+	count(d.homes.Silent(home.Incarnation, promise, d.o.Now()))
+	var asked sync.WaitGroup
+	for _, vm := range members {
+		if vm == home.VM {
+			continue
+		}
+		asked.Go(func() {
+			resp, err := d.peers.request(ctx, vm, &api.Request{Body: &api.Request_SilenceVote{
+				SilenceVote: &api.SilenceVote{Incarnation: uint64(home.Incarnation), Promise: promise},
+			}}, voteTimeout)
+			count(err == nil && resp.GetSilenceVote().GetSilent())
+		})
+	}
+	asked.Wait()
+	return n
+}
+
+// refusedBy is told that a member refuses this incarnation.
+func (d *Daemon) refusedBy(vm string) { d.fence("entry VM " + vm + " counts this one as gone") }
+
+// fence ends the service of an incarnation that others count as gone. Its jobs are answered as lost by everybody, itself
+// included; the process has to be started anew.
+func (d *Daemon) fence(reason string) {
+	if d.fenced.Swap(true) {
+		return
+	}
+	d.o.Logger.Error("this incarnation counts as gone", "vm", d.o.VM.ID, "reason", reason)
+	d.dispatcher.Drain()
+	close(d.lost)
+}
+
+// Lost is closed when the other members count this incarnation as gone. The process has to end and start anew.
+func (d *Daemon) Lost() <-chan struct{} { return d.lost }
+
+// onCheck counts the checks of invariants and reports violations.
+func (d *Daemon) onCheck(invariant string, holds bool) {
+	metrics.GetOrRegisterCounter(metric.InvariantChecks, d.o.Metrics).Inc(1)
+	if holds {
+		return
+	}
+	metrics.GetOrRegisterCounter(metric.InvariantViolations, d.o.Metrics).Inc(1)
+	d.o.Logger.Error("violated invariant", "invariant", invariant)
+	if d.o.OnViolation != nil {
+		d.o.OnViolation(invariant)
+	}
+}
--- /dev/null
+++ b/entry/handover.go
@@ -0,0 +1,371 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/cicadadale/cicadadale/api"
+	"github.com/cicadadale/cicadadale/contract"
+	"github.com/cicadadale/cicadadale/fault"
+	"github.com/cicadadale/cicadadale/internal/wire"
+	"github.com/cicadadale/cicadadale/machine"
+	"github.com/cicadadale/cicadadale/zone"
+)
+
+const (
+	// partBytes bounds a part of a hand-over, so that it does not hold up the heartbeats on the link.
+	partBytes = 1 << 20
+	// partTimeout is the time for the reply to a part, after which the part is sent again.
+	partTimeout = time.Second
+	partDelay   = 50 * time.Millisecond
+	// beginAttempts is the number of times that a member is asked to become the successor.
+	beginAttempts = 2
+	// receiveLimit bounds the time for which a stopping VM waits for the end of hand-overs that it receives.
+	receiveLimit = 20 * time.Second
+)
+
+var errSuccessorGone = errors.New("the successor is gone")
+
+// handOvers is the progress of the hand-overs that this VM receives and of its own. Its mutex guards all fields and is
+// held while a part is applied, so that a repeated part waits for the first copy.
+type handOvers struct {
+	mu   sync.Mutex
+	next map[machine.Incarnation]uint32
+	open map[machine.Incarnation]bool
+
+	out   sync.Mutex // guards own
+	own   zone.Succession
+	known bool
+}
+
+func newHandOvers() *handOvers {
+	return &handOvers{next: make(map[machine.Incarnation]uint32), open: make(map[machine.Incarnation]bool)}
+}
+
+func (h *handOvers) successor() (zone.Succession, bool) {
+	h.out.Lock()
+	defer h.out.Unlock()
+	return h.own, h.known
+}
+
+func (h *handOvers) setSuccessor(s zone.Succession, known bool) {
+	h.out.Lock()
+	defer h.out.Unlock()
+	h.own, h.known = s, known
+}
+
+// receiving returns the homes whose hand-over has begun and not ended.
+func (h *handOvers) receiving() []machine.Incarnation {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	var homes []machine.Incarnation
+	for inc := range h.open {
+		homes = append(homes, inc)
+	}
+	return homes
+}
+
+// adopt applies a part of a hand-over, once. A repeated part is acknowledged again.
+func (d *Daemon) adopt(vm string, m *api.HandOver) error {
+	inc := machine.Incarnation(m.GetIncarnation())
+	if machine.Incarnation(m.GetSuccessor()) != d.o.VM.Incarnation {
+		return fault.Unavailable.New("the part is meant for another incarnation")
+	}
+	h := d.handovers
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	last := h.next[inc]
+	if m.GetPart() <= last {
+		return nil
+	}
+	if m.GetPart() != last+1 {
+		return fault.Unavailable.New("part %d arrived before part %d", m.GetPart(), last+1)
+	}
+	if last == 0 && (d.dispatcher.Draining() || d.fenced.Load()) {
+		return fault.With(fault.Draining, "draining", "this entry VM is stopping")
+	}
+	if err := d.applyPart(m); err != nil {
+		return err
+	}
+	h.next[inc] = m.GetPart()
+	complete := len(m.GetHomes()) > 0 && m.GetHomes()[0].GetComplete()
+	if complete {
+		delete(h.open, inc)
+	} else {
+		h.open[inc] = true
+	}
+	d.homes.Succeed(zone.Succession{
+		Home: inc, VM: vm, Successor: d.o.VM.Incarnation, SuccessorVM: d.o.VM.ID, Complete: complete,
+	}, d.o.Now())
+	return nil
+}
+
+// applyPart takes over answers before the homes of the last part, which prove what was never accepted.
+func (d *Daemon) applyPart(m *api.HandOver) error {
+	now := d.o.Now()
+	answers := make([]contract.Answer, 0, len(m.GetAnswers()))
+	for _, a := range m.GetAnswers() {
+		answer, err := wire.AnswerFrom(a)
+		if err != nil {
+			return err
+		}
+		answers = append(answers, answer)
+	}
+	for _, a := range answers {
+		d.table.AdoptAnswer(a, now)
+	}
+	for _, j := range m.GetWaiting() {
+		s, err := wire.SubmissionFrom(j.GetJob())
+		if err != nil {
+			return err
+		}
+		d.dispatcher.Adopt(contract.JobSpec{
+			ID: s.Ref.ID, Service: s.Service, Customer: s.Customer, Team: s.Team, Tasks: s.Tasks, Priority: s.Priority,
+			Deadline: now.Add(time.Duration(j.GetRemainingMs()) * time.Millisecond),
+		})
+	}
+	for _, r := range m.GetHomes() {
+		ok := d.table.Adopt(contract.AdoptedHome{
+			Home: machine.Incarnation(r.GetIncarnation()), Minted: r.GetMinted(), Expired: r.GetExpired(),
+			Complete: r.GetComplete(),
+		})
+		if !ok {
+			return fault.With(fault.Draining, "too many closures", "too many homes were handed over to this entry VM")
+		}
+	}
+	return nil
+}
+
+// Stop refuses new work, finishes what runs, hands the rest over to a successor, waits until callers in flight have
+// their answers, and closes all links. It gives up when ctx ends.
+func (d *Daemon) Stop(ctx context.Context) {
+	d.dispatcher.Drain()
+	d.awaitReceived(ctx)
+	d.table.Close()
+	d.heartbeat()
+	d.leave(ctx)
+	d.rpcServer.Stop(ctx)
+	d.serving.wait(ctx)
+	d.kill()
+	d.o.Logger.Info("entry daemon stopped", "vm", d.o.VM.ID)
+}
+
+// awaitReceived waits until the hand-overs to this VM have ended, so that they are passed on whole.
+func (d *Daemon) awaitReceived(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, receiveLimit)
+	defer cancel()
+	t := time.NewTicker(laneInterval)
+	defer t.Stop()
+	for {
+		waiting := false
+		for _, inc := range d.handovers.receiving() {
+			state := d.homes.Locate(inc, d.o.Now()).State
+			waiting = waiting || state == zone.HomeRunning
+		}
+		if !waiting {
+			return
+		}
+		select {
+		case <-t.C:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// leave hands everything over, to another member if a successor is lost on the way. Without a member to hand over to,
+// all accepted jobs run to their end here.
+func (d *Daemon) leave(ctx context.Context) {
+	tried := map[string]bool{d.o.VM.ID: true}
+	for ctx.Err() == nil {
+		t, ok := d.beginTransfer(ctx, tried)
+		if !ok {
+			d.handovers.setSuccessor(zone.Succession{}, false)
+			d.waitIdle(ctx)
+			return
+		}
+		if t.run(ctx) == nil {
+			d.closures.publish(ctx, t.succession)
+			return
+		}
+	}
+}
+
+// transfer is one attempt to hand over to a successor.
+type transfer struct {
+	d          *Daemon
+	succession zone.Succession
+	part       uint32
+}
+
+// beginTransfer finds a member that accepts the first part, which holds no job.
+func (d *Daemon) beginTransfer(ctx context.Context, tried map[string]bool) (*transfer, bool) {
+	for ctx.Err() == nil {
+		var members []machine.EntryVM
+		for _, vm := range d.domain.Live() {
+			if !tried[vm.ID] {
+				members = append(members, vm)
+			}
+		}
+		vm, ok := zone.Choose(d.o.VM.Incarnation.String(), members)
+		if !ok {
+			return nil, false
+		}
+		tried[vm.ID] = true
+		t := &transfer{d: d, succession: zone.Succession{
+			Home: d.o.VM.Incarnation, VM: d.o.VM.ID, Successor: d.homes.Current(vm.ID), SuccessorVM: vm.ID,
+		}}
+		if t.begin(ctx) {
+			d.handovers.setSuccessor(t.succession, true)
+			d.peers.broadcast(closureMessage(d.closure(t.succession)))
+			return t, true
+		}
+	}
+	return nil, false
+}
+
+func (t *transfer) begin(ctx context.Context) bool {
+	t.part = 1
+	for range beginAttempts {
+		if err := t.request(ctx, &api.HandOver{Homes: t.homes(false)}); err == nil {
+			return true
+		} else if fault.IsProvenNotStarted(err) {
+			return false
+		}
+	}
+	return false
+}
+
+// run transfers the jobs that never started, waits for those that run, and transfers the answers.
+func (t *transfer) run(ctx context.Context) error {
+	specs := t.d.table.Detach()
+	if err := t.sendJobs(ctx, specs); err != nil {
+		return err
+	}
+	t.d.waitIdle(ctx)
+	err := t.sendAnswers(ctx)
+	if err == nil {
+		err = t.send(ctx, &api.HandOver{Homes: t.homes(true)})
+	}
+	if errors.Is(err, errSuccessorGone) {
+		t.d.table.Abandon(specs, "the successor of the home is gone", t.d.o.Now())
+		return err
+	}
+	t.succession.Complete = err == nil
+	t.d.handovers.setSuccessor(t.succession, true)
+	t.d.homes.Succeed(t.succession, t.d.o.Now())
+	return nil
+}
+
+// sendJobs passes jobs on in parts. A job whose part was not acknowledged never runs here again, unless the successor
+// refused the part, which proves that it does not have it.
+func (t *transfer) sendJobs(ctx context.Context, specs []contract.JobSpec) error {
+	for begin := 0; begin < len(specs); {
+		m := &api.HandOver{}
+		end, size := begin, 0
+		for end < len(specs) && (end == begin || size < partBytes) {
+			job := t.job(specs[end])
+			size += proto.Size(job)
+			m.Waiting = append(m.Waiting, job)
+			end++
+		}
+		err := t.send(ctx, m)
+		switch {
+		case err == nil:
+			begin = end
+		case fault.IsProvenNotStarted(err):
+			t.d.table.Restore(specs[begin:], t.d.o.Now())
+			t.d.dispatcher.Requeue(specs[begin:])
+			return nil
+		default:
+			if errors.Is(err, errSuccessorGone) {
+				t.d.table.Abandon(specs, "the successor of the home is gone", t.d.o.Now())
+			}
+			return err
+		}
+	}
+	return nil
+}
+
+func (t *transfer) job(s contract.JobSpec) *api.HandOverJob {
+	return &api.HandOverJob{
+		Job: wire.SubmissionTo(contract.Submission{
+			Ref: contract.JobRef{ID: s.ID}, Service: s.Service, Customer: s.Customer, Team: s.Team, Tasks: s.Tasks,
+			Priority: s.Priority,
+		}, 0),
+		RemainingMs: s.Deadline.Sub(t.d.o.Now()).Milliseconds(),
+	}
+}
+
+func (t *transfer) sendAnswers(ctx context.Context) error {
+	var failed error
+	m, size := &api.HandOver{}, 0
+	flush := func() {
+		if failed == nil && len(m.Answers) > 0 {
+			failed = t.send(ctx, m)
+		}
+		m, size = &api.HandOver{}, 0
+	}
+	t.d.table.Answers(func(answers []contract.Answer) {
+		for _, a := range answers {
+			out := wire.AnswerTo(a)
+			size += proto.Size(out)
+			m.Answers = append(m.Answers, out)
+			if size >= partBytes {
+				flush()
+			}
+		}
+	})
+	flush()
+	return failed
+}
+
+// homes lists the own home first.
+func (t *transfer) homes(last bool) []*api.HandOverHome {
+	var out []*api.HandOverHome
+	for _, h := range t.d.table.Homes() {
+		out = append(out, &api.HandOverHome{
+			Incarnation: uint64(h.Home), Minted: h.Minted, Expired: h.Expired, Complete: last && h.Complete,
+		})
+	}
+	return out
+}
+
+// send repeats the next part until the successor replies, is gone, or ctx ends.
+func (t *transfer) send(ctx context.Context, m *api.HandOver) error {
+	t.part++
+	for {
+		err := t.request(ctx, m)
+		if err == nil || fault.IsProvenNotStarted(err) {
+			return err
+		}
+		if t.gone(ctx) {
+			return errSuccessorGone
+		}
+		select {
+		case <-time.After(partDelay):
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
+
+func (t *transfer) gone(ctx context.Context) bool {
+	home := t.d.homes.Locate(t.succession.Successor, t.d.o.Now())
+	if home.State == zone.HomeSilent {
+		home.State = t.d.declare(ctx, home)
+	}
+	return home.State == zone.HomeGone
+}
+
+func (t *transfer) request(ctx context.Context, m *api.HandOver) error {
+	m.Incarnation, m.Successor, m.Part = uint64(t.succession.Home), uint64(t.succession.Successor), t.part
+	_, err := t.d.peers.request(ctx, t.succession.SuccessorVM, &api.Request{
+		Body: &api.Request_HandOver{HandOver: m},
+	}, partTimeout)
+	return err
+}
--- a/entry/membership.go
+++ b/entry/membership.go
@@ -18,6 +18,15 @@
 	}
 	now := d.o.Now()
 	d.peers.applyList(vms)
+	listed := make(map[string]bool, len(vms))
+	for _, l := range platform.EntryListings(vms) {
+		listed[l.VM.ID] = listed[l.VM.ID] || l.Domain == d.o.Domain
+	}
+	d.homes.ApplyList(listed, now)
+	if d.wasListed.Load() && !listed[d.o.VM.ID] {
+		d.fence("the list no longer shows this entry VM")
+	}
+	d.wasListed.Store(listed[d.o.VM.ID])
 	d.applyChanges(d.domain.ApplyList(platform.EntryListings(vms), now))
 	d.applyWorkers(platform.WorkerSpecs(vms, d.o.Domain))
 	d.slots.reassign()
@@ -51,11 +60,12 @@
 
 // heartbeat tells the members of the failure domain that this process is alive and suspects silent ones.
 func (d *Daemon) heartbeat() {
+	d.checkLapse()
 	d.applyChanges(d.domain.Tick(d.o.Now()))
 	msg := &api.PeerMessage{Body: &api.PeerMessage_Heartbeat{Heartbeat: &api.Heartbeat{
 		Leaving: d.dispatcher.Draining(),
 	}}}
-	d.peers.broadcast(msg)
+	d.peers.heartbeat(msg)
 }
 
 func (d *Daemon) applyChanges(changes []zone.Change) {
--- a/entry/messages.go
+++ b/entry/messages.go
@@ -8,25 +8,45 @@
 	"github.com/cicadadale/cicadadale/contract"
 	"github.com/cicadadale/cicadadale/fault"
 	"github.com/cicadadale/cicadadale/internal/wire"
+	"github.com/cicadadale/cicadadale/link"
 	"github.com/cicadadale/cicadadale/machine"
+	"github.com/cicadadale/cicadadale/zone"
 )
 
 // receive handles the envelopes of one link, in order.
-func (d *Daemon) receive(env *api.Envelope) {
+func (d *Daemon) receive(env *api.Envelope) link.Reception {
+	d.checkLapse()
 	d.observe(env.GetLamport())
 	inc := machine.Incarnation(env.GetFromIncarnation())
 	vm := env.GetFromVm()
-	d.peers.heard(vm, inc)
+	now := d.o.Now()
+	if zone.DomainID(env.GetFromDomain()) == d.o.Domain {
+		accepted, fresh := d.homes.Heard(vm, inc, now)
+		if !accepted {
+			return d.reject(inc)
+		}
+		if fresh {
+			d.peers.send(vm, d.homesMessage())
+		}
+	}
 	leaving := false
 	for _, m := range env.GetMessages() {
 		if h := m.GetHeartbeat(); h != nil {
 			leaving = h.GetLeaving()
 		}
 	}
-	d.applyChanges(d.domain.Heard(vm, inc, leaving, d.o.Now()))
+	d.applyChanges(d.domain.Heard(vm, inc, leaving, now))
 	for _, m := range env.GetMessages() {
 		d.handle(vm, m)
 	}
+	return link.Accepted
+}
+
+func (d *Daemon) reject(inc machine.Incarnation) link.Reception {
+	if d.homes.Refuses(inc) {
+		return link.Refused
+	}
+	return link.Ignored
 }
 
 func (d *Daemon) handle(vm string, m *api.PeerMessage) {
@@ -39,18 +59,25 @@
 		d.slots.returnFrom(vm, b.Return)
 	case *api.PeerMessage_Request:
 		// Requests may wait for a job's answer and so must not hold up the link.
-		go d.serveRequest(vm, b.Request)
+		if d.serving.begin() {
+			go d.serveRequest(vm, b.Request)
+		}
 	case *api.PeerMessage_Response:
-		d.peers.reply(b.Response)
+		d.peers.reply(vm, b.Response)
+	case *api.PeerMessage_Closure:
+		d.closureFrom(b.Closure)
+	case *api.PeerMessage_Homes:
+		d.homesFrom(b.Homes)
 	}
 }
 
 // serveRequest answers a call that a peer has forwarded.
 func (d *Daemon) serveRequest(vm string, r *api.Request) {
-	ctx, cancel := context.WithTimeout(context.Background(), forwardLimit)
+	defer d.serving.end()
+	ctx, cancel := context.WithTimeout(withHops(context.Background(), r.GetHops()), forwardLimit)
 	defer cancel()
 	resp := &api.Response{Id: r.GetId()}
-	if err := d.perform(ctx, r, resp); err != nil {
+	if err := d.perform(ctx, vm, r, resp); err != nil {
 		resp.ErrorCode = fault.Code(err)
 		if resp.ErrorCode == "" {
 			resp.ErrorCode = fault.Unavailable.FullName()
@@ -61,7 +88,23 @@
 	d.peers.send(vm, &api.PeerMessage{Body: &api.PeerMessage_Response{Response: resp}})
 }
 
-func (d *Daemon) perform(ctx context.Context, r *api.Request, resp *api.Response) error {
+func (d *Daemon) perform(ctx context.Context, vm string, r *api.Request, resp *api.Response) error {
+	switch b := r.GetBody().(type) {
+	case *api.Request_HandOver:
+		err := d.adopt(vm, b.HandOver)
+		resp.Body = &api.Response_HandOver{HandOver: &api.HandOverAck{Part: b.HandOver.GetPart()}}
+		return err
+	case *api.Request_SilenceVote:
+		silent := d.homes.Silent(machine.Incarnation(b.SilenceVote.GetIncarnation()), b.SilenceVote.GetPromise(), d.o.Now())
+		resp.Body = &api.Response_SilenceVote{SilenceVote: &api.SilenceVoteReply{Silent: silent}}
+		return nil
+	default:
+		return d.performCall(ctx, r, resp)
+	}
+}
+
+// performCall serves a caller's call.
+func (d *Daemon) performCall(ctx context.Context, r *api.Request, resp *api.Response) error {
 	switch b := r.GetBody().(type) {
 	case *api.Request_Submit:
 		s, err := wire.SubmissionFrom(b.Submit)
--- a/entry/peers.go
+++ b/entry/peers.go
@@ -13,6 +13,13 @@
 	"github.com/cicadadale/cicadadale/zone"
 )
 
+const (
+	// maxRequests bounds the requests to other entry VMs that wait for a reply, and maxServed those of others that
+	// are served at the same time.
+	maxRequests = 16384
+	maxServed   = 16384
+)
+
 // peers holds the links to other entry VMs and the requests that wait for their replies. mu guards all fields.
 type peers struct {
 	d *Daemon
@@ -21,16 +28,20 @@
 	listed  map[string]platform.VM
 	links   map[string]*link.Peer
 	domains map[string]zone.DomainID
-	homes   map[machine.Incarnation]string
-	pending map[uint64]chan *api.Response
+	pending map[uint64]call
 	nextID  uint64
 }
 
+// call is a request that waits for its reply.
+type call struct {
+	vm    string
+	reply chan *api.Response
+}
+
 func newPeers(d *Daemon) *peers {
 	return &peers{
 		d: d, listed: make(map[string]platform.VM), links: make(map[string]*link.Peer),
-		domains: make(map[string]zone.DomainID), homes: make(map[machine.Incarnation]string),
-		pending: make(map[uint64]chan *api.Response),
+		domains: make(map[string]zone.DomainID), pending: make(map[uint64]call),
 	}
 }
 
@@ -45,6 +56,11 @@
 			p.domains[v.ID] = v.Domain
 		}
 	}
+	for id := range p.domains {
+		if _, ok := p.listed[id]; !ok {
+			delete(p.domains, id)
+		}
+	}
 	for id, l := range p.links {
 		if v, ok := p.listed[id]; !ok || v.PeerAddress != l.Address() {
 			ended = append(ended, l)
@@ -74,7 +90,8 @@
 	o := p.d.o
 	l := link.NewPeer(id, v.PeerAddress, link.PeerOptions{
 		Self: link.Identity{VM: o.VM, Domain: uint32(o.Domain)}, Dial: o.DialPeer, Lamport: p.d.tick, Now: o.Now,
-		Logger: o.Logger, Metrics: o.Metrics,
+		Logger: o.Logger, Metrics: o.Metrics, Acked: p.d.lease.Acknowledged, Replaced: p.replaced,
+		Refused: p.d.refusedBy,
 	})
 	p.links[id] = l
 	return l
@@ -92,6 +109,26 @@
 	return true
 }
 
+// failing reports whether the link to a VM is down and could not be opened again.
+func (p *peers) failing(id string) bool {
+	p.mu.Lock()
+	l, ok := p.links[id]
+	p.mu.Unlock()
+	return ok && l.Failing()
+}
+
+// replaced ends the requests that were sent over a connection which is lost; their replies may be lost as well.
+func (p *peers) replaced(vm string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for id, c := range p.pending {
+		if c.vm == vm {
+			close(c.reply)
+			delete(p.pending, id)
+		}
+	}
+}
+
 // broadcast sends to the members of the own failure domain.
 func (p *peers) broadcast(msg *api.PeerMessage) {
 	p.mu.Lock()
@@ -107,19 +144,17 @@
 	}
 }
 
-// heard records which VM runs an incarnation.
-func (p *peers) heard(vm string, inc machine.Incarnation) {
+// heartbeat sends to all VMs with an open link, which keeps the links to other failure domains from counting as idle.
+func (p *peers) heartbeat(msg *api.PeerMessage) {
 	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.homes[inc] = vm
-}
-
-// homeOf returns the VM that was last heard to run an incarnation.
-func (p *peers) homeOf(inc machine.Incarnation) (string, bool) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	vm, ok := p.homes[inc]
-	return vm, ok
+	links := make([]*link.Peer, 0, len(p.links))
+	for _, l := range p.links {
+		links = append(links, l)
+	}
+	p.mu.Unlock()
+	for _, l := range links {
+		l.Send(msg)
+	}
 }
 
 // inDomain returns the listed entry VMs of a failure domain.
@@ -137,11 +172,18 @@
 
 // request sends a request to a peer and waits for its reply.
 func (p *peers) request(ctx context.Context, vm string, r *api.Request, timeout time.Duration) (*api.Response, error) {
+	if p.failing(vm) {
+		return nil, fault.Unavailable.New("entry VM %s cannot be reached", vm)
+	}
 	reply := make(chan *api.Response, 1)
 	p.mu.Lock()
+	if len(p.pending) >= maxRequests {
+		p.mu.Unlock()
+		return nil, fault.Unavailable.New("too many requests to other entry VMs are waiting")
+	}
 	p.nextID++
 	r.Id = p.nextID
-	p.pending[r.Id] = reply
+	p.pending[r.Id] = call{vm: vm, reply: reply}
 	p.mu.Unlock()
 	defer func() {
 		p.mu.Lock()
@@ -154,7 +196,10 @@
 	timer := time.NewTimer(timeout)
 	defer timer.Stop()
 	select {
-	case resp := <-reply:
+	case resp, ok := <-reply:
+		if !ok {
+			return nil, fault.Unavailable.New("the link to entry VM %s was lost", vm)
+		}
 		if resp.GetErrorCode() != "" {
 			return nil, fault.FromCode(resp.GetErrorCode(), resp.GetErrorText(), resp.GetErrorReason())
 		}
@@ -166,15 +211,18 @@
 	}
 }
 
-// reply hands a response to the request that waits for it.
-func (p *peers) reply(r *api.Response) {
+// reply hands a response to the request that waits for it. A late or repeated reply and one from another VM than the
+// request was sent to have no effect.
+func (p *peers) reply(vm string, r *api.Response) {
 	p.mu.Lock()
-	c := p.pending[r.GetId()]
+	c, ok := p.pending[r.GetId()]
+	if !ok || c.vm != vm {
+		p.mu.Unlock()
+		return
+	}
 	delete(p.pending, r.GetId())
 	p.mu.Unlock()
-	if c != nil {
-		c <- r
-	}
+	c.reply <- r
 }
 
 func (p *peers) close() {
--- a/entry/router.go
+++ b/entry/router.go
@@ -15,12 +15,20 @@
 	forwardMargin = time.Second
 	// forwardLimit bounds the time for which a forwarded call may wait.
 	forwardLimit = 30 * time.Second
+	// maxHops bounds the entry VMs that forward a call: to the failure domain, to the home, to its successor, and once
+	// more if the successor stops meanwhile.
+	maxHops = 4
+	// domainAttempts is the number of members of a foreign failure domain that a call is offered to.
+	domainAttempts = 2
 )
 
 // Create implements rpc.Jobs.
 func (d *Daemon) Create(_ context.Context, n int) ([]contract.JobID, error) {
+	if d.dispatcher.Draining() || d.fenced.Load() {
+		return nil, fault.With(fault.Draining, "draining", "this entry VM is stopping")
+	}
 	ids := d.table.Mint(n)
-	if ids == nil || d.dispatcher.Draining() {
+	if ids == nil {
 		return nil, fault.With(fault.Draining, "draining", "this entry VM is stopping")
 	}
 	return ids, nil
@@ -31,11 +39,17 @@
 	if s.Ref.Key != nil {
 		return contract.Answer{}, fault.With(fault.Overloaded, "keys unavailable", "keyed submissions are not available")
 	}
-	if !d.isHome(s.Ref.ID) {
-		resp, err := d.forward(ctx, s.Ref.ID, wait, &api.Request{
-			Body: &api.Request_Submit{Submit: wire.SubmissionTo(s, wait)},
-		})
-		return answerFrom(resp, err)
+	local := func() (contract.Answer, error) { return d.submitHere(ctx, s, wait) }
+	a, err := d.answer(ctx, s.Ref.ID, wait, local, func() *api.Request {
+		return &api.Request{Body: &api.Request_Submit{Submit: wire.SubmissionTo(s, wait)}}
+	})
+	return concluded(s.Ref.ID, len(s.Tasks), a, err)
+}
+
+func (d *Daemon) submitHere(ctx context.Context, s contract.Submission, wait time.Duration) (contract.Answer, error) {
+	if s.Ref.ID.Home != d.o.VM.Incarnation {
+		// Only the home accepts; a successor answers for what was handed over to it.
+		return d.wait(ctx, s.Ref.ID, wait)
 	}
 	spec := contract.JobSpec{
 		ID: s.Ref.ID, Service: s.Service, Customer: s.Customer, Team: s.Team, Tasks: s.Tasks, Priority: s.Priority,
@@ -43,6 +57,9 @@
 	if s.Deadline > 0 {
 		spec.Deadline = d.o.Now().Add(s.Deadline)
 	}
+	if _, _, err := d.table.Lookup(s.Ref.ID); fault.Code(err) == fault.HandedOver.FullName() {
+		return contract.Answer{}, err
+	}
 	if err := d.dispatcher.Submit(spec); err != nil {
 		return contract.Answer{}, err
 	}
@@ -60,13 +77,13 @@
 	if err := d.needID(r); err != nil {
 		return contract.Answer{}, err
 	}
-	if d.isHome(r.ID) {
-		return d.wait(ctx, r.ID, wait)
-	}
-	resp, err := d.forward(ctx, r.ID, wait, &api.Request{Body: &api.Request_Await{
-		Await: &api.AwaitRequest{Job: wire.RefTo(r), WaitMs: wait.Milliseconds()},
-	}})
-	return answerFrom(resp, err)
+	local := func() (contract.Answer, error) { return d.wait(ctx, r.ID, wait) }
+	a, err := d.answer(ctx, r.ID, wait, local, func() *api.Request {
+		return &api.Request{Body: &api.Request_Await{
+			Await: &api.AwaitRequest{Job: wire.RefTo(r), WaitMs: wait.Milliseconds()},
+		}}
+	})
+	return concluded(r.ID, 0, a, err)
 }
 
 // Cancel implements rpc.Jobs.
@@ -74,16 +91,16 @@
 	if err := d.needID(r); err != nil {
 		return contract.Answer{}, err
 	}
-	if d.isHome(r.ID) {
+	local := func() (contract.Answer, error) {
 		if err := d.dispatcher.Cancel(r.ID); err != nil {
 			return contract.Answer{}, err
 		}
 		return d.wait(ctx, r.ID, 0)
 	}
-	resp, err := d.forward(ctx, r.ID, 0, &api.Request{Body: &api.Request_Cancel{
-		Cancel: &api.CancelRequest{Job: wire.RefTo(r)},
-	}})
-	return answerFrom(resp, err)
+	a, err := d.answer(ctx, r.ID, 0, local, func() *api.Request {
+		return &api.Request{Body: &api.Request_Cancel{Cancel: &api.CancelRequest{Job: wire.RefTo(r)}}}
+	})
+	return concluded(r.ID, 0, a, err)
 }
 
 // Reconfigure implements rpc.Jobs.
@@ -91,19 +108,18 @@
 	if err := d.needID(r); err != nil {
 		return contract.JobProgress{}, err
 	}
-	if d.isHome(r.ID) {
+	local := func() (contract.JobProgress, error) {
 		var deadline time.Time
 		if c.Deadline > 0 {
 			deadline = d.o.Now().Add(c.Deadline)
 		}
 		return d.table.Reconfigure(r.ID, deadline, c.Priority)
 	}
-	resp, err := d.forward(ctx, r.ID, 0, &api.Request{Body: &api.Request_Reconfigure{
-		Reconfigure: &api.ReconfigureRequest{
+	return d.progress(ctx, r.ID, local, func() *api.Request {
+		return &api.Request{Body: &api.Request_Reconfigure{Reconfigure: &api.ReconfigureRequest{
 			Job: wire.RefTo(r), DeadlineMs: c.Deadline.Milliseconds(), Priority: int32(c.Priority),
-		},
-	}})
-	return d.progressFrom(resp, err)
+		}}}
+	})
 }
 
 // Status implements rpc.Jobs.
@@ -111,13 +127,10 @@
 	if err := d.needID(r); err != nil {
 		return contract.JobProgress{}, err
 	}
-	if d.isHome(r.ID) {
-		return d.table.Progress(r.ID)
-	}
-	resp, err := d.forward(ctx, r.ID, 0, &api.Request{Body: &api.Request_Status{
-		Status: &api.StatusRequest{Job: wire.RefTo(r)},
-	}})
-	return d.progressFrom(resp, err)
+	local := func() (contract.JobProgress, error) { return d.table.Progress(r.ID) }
+	return d.progress(ctx, r.ID, local, func() *api.Request {
+		return &api.Request{Body: &api.Request_Status{Status: &api.StatusRequest{Job: wire.RefTo(r)}}}
+	})
 }
 
 func (d *Daemon) needID(r contract.JobRef) error {
@@ -127,31 +140,195 @@
 	return nil
 }
 
-func (d *Daemon) isHome(id contract.JobID) bool { return id.Home == d.o.VM.Incarnation }
-
-// forward sends a call to the home of a job, or to its failure domain if the home is not known here.
-func (d *Daemon) forward(ctx context.Context, id contract.JobID, wait time.Duration, r *api.Request) (*api.Response, error) {
-	vm, ok := d.peers.homeOf(id.Home)
-	if !ok && id.Domain != d.o.Domain {
-		via, found := zone.Choose(id.String(), d.peers.inDomain(id.Domain))
-		vm, ok = via.ID, found
+// answer serves a call here or sends it to the entry VM that answers for the job.
+func (d *Daemon) answer(
+	ctx context.Context, id contract.JobID, wait time.Duration, local func() (contract.Answer, error),
+	request func() *api.Request,
+) (contract.Answer, error) {
+	vm, here, err := d.place(ctx, id)
+	if err != nil {
+		return contract.Answer{}, err
 	}
-	if !ok {
-		return nil, fault.Unavailable.New("the home of job %s is not known", id)
+	if here {
+		a, err := d.final(local())
+		if fault.Code(err) != fault.HandedOver.FullName() {
+			return a, err
+		}
+		if vm, err = d.successor(id); err != nil {
+			return contract.Answer{}, err
+		}
 	}
-	return d.peers.request(ctx, vm, r, wait+forwardMargin)
-}
-
-func answerFrom(resp *api.Response, err error) (contract.Answer, error) {
+	resp, err := d.forward(ctx, id, vm, wait, request)
 	if err != nil {
 		return contract.Answer{}, err
 	}
 	return wire.AnswerFrom(resp.GetAnswer())
 }
 
-func (d *Daemon) progressFrom(resp *api.Response, err error) (contract.JobProgress, error) {
+// progress is answer for calls that return a job's progress.
+func (d *Daemon) progress(
+	ctx context.Context, id contract.JobID, local func() (contract.JobProgress, error), request func() *api.Request,
+) (contract.JobProgress, error) {
+	vm, here, err := d.place(ctx, id)
+	if err != nil {
+		return contract.JobProgress{}, err
+	}
+	if here {
+		p, err := local()
+		if fault.Code(err) != fault.HandedOver.FullName() {
+			return p, err
+		}
+		if vm, err = d.successor(id); err != nil {
+			return contract.JobProgress{}, err
+		}
+	}
+	resp, err := d.forward(ctx, id, vm, 0, request)
 	if err != nil {
 		return contract.JobProgress{}, err
 	}
 	return wire.ProgressFrom(resp.GetStatus(), d.o.Now())
 }
+
+// final withholds an answer of this home that could contradict one given by others; see zone.Homes.
+func (d *Daemon) final(a contract.Answer, err error) (contract.Answer, error) {
+	if err == nil && a.Verdict == contract.VerdictPending {
+		return a, nil
+	}
+	if d.fenced.Load() {
+		return contract.Answer{}, fault.With(fault.Lost, "home lost", "this entry VM counts as gone")
+	}
+	if !d.lease.Holds(d.domain.Listed(), d.o.Now()) {
+		return contract.Answer{}, fault.Unavailable.New("more than half of the failure domain cannot be reached")
+	}
+	return a, err
+}
+
+// place decides where a call is served: here, or at the entry VM vm.
+func (d *Daemon) place(ctx context.Context, id contract.JobID) (vm string, here bool, err error) {
+	if id.Home == d.o.VM.Incarnation {
+		return "", true, nil
+	}
+	if id.Domain != d.o.Domain {
+		return "", false, nil
+	}
+	if d.table.Adopts(id.Home) && d.adoptedFor(id) {
+		return "", true, nil
+	}
+	home := d.homes.Locate(id.Home, d.o.Now())
+	if home.State == zone.HomeSilent {
+		home.State = d.declare(ctx, home)
+	}
+	switch home.State {
+	case zone.HomeRunning:
+		return home.VM, home.Incarnation == d.o.VM.Incarnation, nil
+	case zone.HomeGone:
+		return "", false, fault.With(fault.Lost, "home lost", "the home of job %s is gone", id)
+	case zone.HomeSilent:
+		return "", false, fault.Unavailable.New("the home of job %s cannot be reached", id)
+	default:
+		return "", false, d.unknownHome(id)
+	}
+}
+
+// adoptedFor reports whether the table holds a job of an adopted home, which no succession can contradict.
+func (d *Daemon) adoptedFor(id contract.JobID) bool {
+	_, _, err := d.table.Lookup(id)
+	return err == nil
+}
+
+// unknownHome explains an id whose home is not known. If all members are known, the home is none of them, and its end
+// is older than what the members remember.
+func (d *Daemon) unknownHome(id contract.JobID) error {
+	for _, vm := range d.domain.Listed() {
+		if d.homes.Current(vm) == 0 {
+			return fault.Unavailable.New("the home of job %s is not known, nor who runs on entry VM %s", id, vm)
+		}
+	}
+	if d.o.Now().Sub(d.started) < zone.SilenceLimit {
+		return fault.Unavailable.New("the home of job %s is not known yet", id)
+	}
+	return fault.With(fault.Expired, "home not known", "the home of job %s is not known to its failure domain", id)
+}
+
+// successor returns the VM that answers for the jobs which this one has handed over.
+func (d *Daemon) successor(id contract.JobID) (string, error) {
+	s, ok := d.handovers.successor()
+	if !ok {
+		return "", fault.Unavailable.New("job %s is being handed over", id)
+	}
+	home := d.homes.Locate(s.Successor, d.o.Now())
+	if home.State == zone.HomeGone {
+		return "", fault.With(fault.Lost, "home lost", "the successor of the home of job %s is gone", id)
+	}
+	return home.VM, nil
+}
+
+// forward sends a call to an entry VM, or to the failure domain of the job if vm is empty.
+func (d *Daemon) forward(
+	ctx context.Context, id contract.JobID, vm string, wait time.Duration, request func() *api.Request,
+) (*api.Response, error) {
+	hops := hopsOf(ctx) + 1
+	if hops > maxHops {
+		return nil, fault.Unavailable.New("job %s was forwarded %d times", id, maxHops)
+	}
+	targets := []string{vm}
+	if vm == "" {
+		targets = d.targets(id)
+	}
+	err := error(fault.Unavailable.New("failure domain %d of job %s has no entry VM", id.Domain, id))
+	for _, t := range targets {
+		r := request()
+		r.Hops = hops
+		var resp *api.Response
+		resp, err = d.peers.request(ctx, t, r, wait+forwardMargin)
+		if err == nil || fault.Code(err) != fault.Unavailable.FullName() {
+			return resp, err
+		}
+	}
+	return nil, err
+}
+
+// targets chooses members of a foreign failure domain, those with a failing link last.
+func (d *Daemon) targets(id contract.JobID) []string {
+	var good, failing []string
+	vms := d.peers.inDomain(id.Domain)
+	for len(vms) > 0 {
+		best, _ := zone.Choose(id.String(), vms)
+		for i := range vms {
+			if vms[i].ID == best.ID {
+				vms = append(vms[:i], vms[i+1:]...)
+				break
+			}
+		}
+		if d.peers.failing(best.ID) {
+			failing = append(failing, best.ID)
+		} else {
+			good = append(good, best.ID)
+		}
+	}
+	all := append(good, failing...)
+	return all[:min(len(all), domainAttempts)]
+}
+
+// concluded turns what is proven of a job whose home has ended into an answer.
+func concluded(id contract.JobID, tasks int, a contract.Answer, err error) (contract.Answer, error) {
+	switch fault.Code(err) {
+	case fault.Lost.FullName():
+		return contract.UnknownAnswer(id, tasks, err.Error()), nil
+	case fault.NeverAccepted.FullName():
+		return wire.RefusalOf(id, err), nil
+	default:
+		return a, err
+	}
+}
+
+type hopsKey struct{}
+
+func withHops(ctx context.Context, hops uint32) context.Context {
+	return context.WithValue(ctx, hopsKey{}, hops)
+}
+
+func hopsOf(ctx context.Context) uint32 {
+	hops, _ := ctx.Value(hopsKey{}).(uint32)
+	return hops
+}
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -2,6 +2,7 @@
 package wire
 
 import (
+	"slices"
 	"time"
 
 	"github.com/cicadadale/cicadadale/api"
@@ -123,6 +124,9 @@
 	if out.Verdict != contract.VerdictComplete {
 		return out, nil
 	}
+	if len(a.GetResults()) != n {
+		return contract.Answer{}, fault.Unavailable.New("answer holds %d results of %d", len(a.GetResults()), n)
+	}
 	out.Results = make([][]byte, n)
 	for _, r := range a.GetResults() {
 		if int(r.GetIndex()) >= n {
@@ -130,6 +134,9 @@
 		}
 		out.Results[r.GetIndex()] = append([]byte{}, r.GetPayload()...)
 	}
+	if slices.ContainsFunc(out.Results, func(r []byte) bool { return r == nil }) || !out.Consistent() {
+		return contract.Answer{}, fault.Unavailable.New("answer is not whole")
+	}
 	return out, nil
 }
 
--- a/link/peer.go
+++ b/link/peer.go
@@ -10,6 +10,9 @@
 	"github.com/rcrowley/go-metrics"
 	"google.golang.org/protobuf/proto"
 	"storj.io/drpc/drpcconn"
+	"storj.io/drpc/drpcerr"
+	"storj.io/drpc/drpcmanager"
+	"storj.io/drpc/drpcwire"
 
 	"github.com/cicadadale/cicadadale/api"
 	"github.com/cicadadale/cicadadale/machine"
@@ -18,13 +21,21 @@
 
 const (
 	peerDialTimeout = time.Second
-	// outboxLimit bounds the messages that wait on a link; beyond it the oldest are dropped, which every message
+	// outboxLimit bounds the messages that wait on a link; beyond it and outboxBytes the oldest are dropped, which every message
 	// but a request survives, and a request times out at its sender.
 	outboxLimit = 8192
 	batchLimit  = 512
 	redialDelay = 200 * time.Millisecond
-	// ackTimeout is the time without an acknowledgement after which a link counts as silent and is replaced.
-	ackTimeout = 1500 * time.Millisecond
+	// ackTimeout is the time without an acknowledgement after which a link counts as silent and is replaced. With the
+	// wait for the next heartbeat and the interval of checks a silent link is replaced within 1.5 s.
+	ackTimeout    = 800 * time.Millisecond
+	checkInterval = 200 * time.Millisecond
+	// outboxBytes and batchBytes bound the memory of waiting messages and the size of an envelope. A single message
+	// may be larger than a batch, up to maxEnvelopeBytes.
+	outboxBytes = 32 << 20
+	batchBytes  = 1 << 20
+	// maxEnvelopeBytes leaves room for the largest job; drpc's own limit of 4 MiB is below it.
+	maxEnvelopeBytes = 64 << 20
 )
 
 // Identity is what a process tells its peers of itself.
@@ -41,6 +52,24 @@
 	Now     func() time.Time
 	Logger  *slog.Logger
 	Metrics metrics.Registry
+	// Acked is told when a peer has acknowledged a message, with the time at which it was sent.
+	Acked func(vm string, sent time.Time)
+	// Replaced is told when a connection has ended, so that nothing sent over it will be replied to for certain.
+	Replaced func(vm string)
+	// Refused is told when a peer refuses this incarnation for ever.
+	Refused func(vm string)
+}
+
+// queued is a message in the outbox.
+type queued struct {
+	message *api.PeerMessage
+	size    int
+}
+
+// inFlight is an envelope that is not acknowledged.
+type inFlight struct {
+	sequence uint64
+	sent     time.Time
 }
 
 // Peer is the sending half of the link to another entry VM. Its mutex guards the outbox and the acknowledgement
@@ -54,10 +83,14 @@
 	wake    chan struct{}
 
 	mu     sync.Mutex
-	outbox []*api.PeerMessage
+	outbox []queued
+	bytes  int
 	sent   uint64
-	acked  uint64
-	oldest time.Time // sending time of the oldest envelope that is not acknowledged
+	// unacked holds the envelopes sent and not acknowledged, oldest first.
+	unacked  []inFlight
+	progress time.Time // last acknowledgement
+	open     bool
+	tried    bool
 }
 
 // NewPeer opens a link in the background.
@@ -75,19 +108,36 @@
 
 // Send queues messages for the next envelope.
 func (p *Peer) Send(msgs ...*api.PeerMessage) {
+	dropped := 0
 	p.mu.Lock()
-	p.outbox = append(p.outbox, msgs...)
-	if over := len(p.outbox) - outboxLimit; over > 0 {
-		p.outbox = append([]*api.PeerMessage(nil), p.outbox[over:]...)
-		p.counter(metric.PeerMessagesDropped).Inc(int64(over))
+	for _, m := range msgs {
+		size := proto.Size(m)
+		p.outbox = append(p.outbox, queued{message: m, size: size})
+		p.bytes += size
+	}
+	for len(p.outbox) > outboxLimit || (p.bytes > outboxBytes && len(p.outbox) > 1) {
+		p.bytes -= p.outbox[0].size
+		p.outbox[0] = queued{}
+		p.outbox = p.outbox[1:]
+		dropped++
 	}
 	p.mu.Unlock()
+	if dropped > 0 {
+		p.counter(metric.PeerMessagesDropped).Inc(int64(dropped))
+	}
 	select {
 	case p.wake <- struct{}{}:
 	default:
 	}
 }
 
+// Failing reports whether the last attempt to connect failed and no connection is open.
+func (p *Peer) Failing() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.tried && !p.open
+}
+
 // Close ends the link.
 func (p *Peer) Close() {
 	p.cancel()
@@ -103,9 +153,16 @@
 	defer close(p.done)
 	for ctx.Err() == nil {
 		err := p.serve(ctx)
+		p.setOpen(false)
+		if p.o.Replaced != nil {
+			p.o.Replaced(p.vm)
+		}
 		if ctx.Err() != nil {
 			return
 		}
+		if drpcerr.Code(err) == codeRefused && p.o.Refused != nil {
+			p.o.Refused(p.vm)
+		}
 		p.counter(metric.PeerLinksReplaced).Inc(1)
 		p.o.Logger.Debug("peer link ended", "peer", p.vm, "error", err)
 		select {
@@ -125,45 +182,69 @@
 	if err != nil {
 		return err
 	}
-	conn := drpcconn.New(raw)
+	conn := drpcconn.NewWithOptions(raw, drpcconn.Options{Manager: managerOptions()})
 	defer func() { _ = conn.Close() }()
+	// Closing the socket first unblocks a sender and a receiver whose connection is silent.
+	defer func() { _ = raw.Close() }()
 	stream, err := api.NewDRPCPeerClient(conn).Exchange(ctx)
 	if err != nil {
 		return err
 	}
 	p.counter(metric.PeerLinksOpened).Inc(1)
 	p.reset()
-	failed := make(chan error, 1)
+	failed := make(chan error, 2)
 	go p.receiveAcks(stream, failed)
-	err = p.sendLoop(ctx, stream, failed)
-	// Closing the socket first unblocks a receiver whose connection is silent.
-	_ = raw.Close()
-	return err
+	go p.watch(ctx, raw, failed)
+	return p.sendLoop(ctx, stream, failed)
+}
+
+func managerOptions() drpcmanager.Options {
+	return drpcmanager.Options{Reader: drpcwire.ReaderOptions{MaximumBufferSize: maxEnvelopeBytes}}
+}
+
+// watch closes a connection without progress. It does not depend on the sender, which blocks on a silent connection
+// whose buffers are full.
+func (p *Peer) watch(ctx context.Context, raw net.Conn, failed chan<- error) {
+	check := time.NewTicker(checkInterval)
+	defer check.Stop()
+	for {
+		select {
+		case <-check.C:
+			if p.silent(p.o.Now()) {
+				failed <- errSilent
+				_ = raw.Close()
+				return
+			}
+		case <-ctx.Done():
+			return
+		}
+	}
 }
 
 func (p *Peer) reset() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.sent, p.acked = 0, 0
-	p.oldest = time.Time{}
+	p.sent = 0
+	p.unacked = nil
+	p.open, p.tried = true, true
+}
+
+func (p *Peer) setOpen(open bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.open, p.tried = open, true
 }
 
 func (p *Peer) sendLoop(ctx context.Context, stream api.DRPCPeer_ExchangeClient, failed <-chan error) error {
-	check := time.NewTicker(ackTimeout / 3)
-	defer check.Stop()
 	for {
 		if env := p.nextEnvelope(); env != nil {
 			if err := stream.Send(env); err != nil {
-				return err
+				return firstError(failed, err)
 			}
 			continue
 		}
 		select {
 		case <-p.wake:
-		case <-check.C:
-			if p.silent(p.o.Now()) {
-				return errSilent
-			}
 		case err := <-failed:
 			return err
 		case <-ctx.Done():
@@ -172,21 +253,43 @@
 	}
 }
 
+// firstError returns the reason for which the connection ended; a failed send is only its consequence. The receiver
+// gets a moment to read the reason that a peer gave.
+func firstError(failed <-chan error, err error) error {
+	timer := time.NewTimer(checkInterval)
+	defer timer.Stop()
+	select {
+	case first := <-failed:
+		return first
+	case <-timer.C:
+		return err
+	}
+}
+
 // nextEnvelope takes a batch from the outbox.
 func (p *Peer) nextEnvelope() *api.Envelope {
 	p.mu.Lock()
-	n := min(len(p.outbox), batchLimit)
-	if n == 0 {
+	if len(p.outbox) == 0 {
 		p.mu.Unlock()
 		return nil
 	}
-	batch := p.outbox[:n:n]
+	var batch []*api.PeerMessage
+	size := 0
+	for len(batch) < min(len(p.outbox), batchLimit) {
+		next := p.outbox[len(batch)]
+		if len(batch) > 0 && size+next.size > batchBytes {
+			break
+		}
+		batch = append(batch, next.message)
+		size += next.size
+	}
+	n := len(batch)
+	clear(p.outbox[:n])
 	p.outbox = p.outbox[n:]
+	p.bytes -= size
 	p.sent++
 	sequence := p.sent
-	if p.oldest.IsZero() {
-		p.oldest = p.o.Now()
-	}
+	p.unacked = append(p.unacked, inFlight{sequence: sequence, sent: p.o.Now()})
 	p.mu.Unlock()
 	env := &api.Envelope{
 		FromVm: p.o.Self.VM.ID, FromIncarnation: uint64(p.o.Self.VM.Incarnation), FromDomain: p.o.Self.Domain,
@@ -194,14 +297,21 @@
 	}
 	p.counter(metric.PeerEnvelopesSent).Inc(1)
 	p.counter(metric.PeerMessagesSent).Inc(int64(n))
-	p.counter(metric.PeerBytesSent).Inc(int64(proto.Size(env)))
+	p.counter(metric.PeerBytesSent).Inc(int64(size))
 	return env
 }
 
 func (p *Peer) silent(now time.Time) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return !p.oldest.IsZero() && now.Sub(p.oldest) > ackTimeout
+	if len(p.unacked) == 0 {
+		return false
+	}
+	since := p.unacked[0].sent
+	if p.progress.After(since) {
+		since = p.progress
+	}
+	return now.Sub(since) > ackTimeout
 }
 
 func (p *Peer) receiveAcks(stream api.DRPCPeer_ExchangeClient, failed chan<- error) {
@@ -215,13 +325,18 @@
 	}
 }
 
+// acknowledge records progress. Any acknowledgement restarts the time of the envelopes behind it, which may wait for a
+// large one before them.
 func (p *Peer) acknowledge(ack uint64, now time.Time) {
 	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.acked = max(p.acked, ack)
-	if p.acked >= p.sent {
-		p.oldest = time.Time{}
-	} else {
-		p.oldest = now
+	var sent time.Time
+	for len(p.unacked) > 0 && p.unacked[0].sequence <= ack {
+		sent = p.unacked[0].sent
+		p.unacked = p.unacked[1:]
+	}
+	p.progress = now
+	p.mu.Unlock()
+	if !sent.IsZero() && p.o.Acked != nil {
+		p.o.Acked(p.vm, sent)
 	}
 }
--- a/link/peerserver.go
+++ b/link/peerserver.go
@@ -4,17 +4,42 @@
 	"context"
 	"errors"
 	"net"
+	"time"
 
+	"storj.io/drpc/drpcerr"
 	"storj.io/drpc/drpcmux"
 	"storj.io/drpc/drpcserver"
 
 	"github.com/cicadadale/cicadadale/api"
 )
 
-var errSilent = errors.New("link is silent")
+var (
+	errSilent   = errors.New("link is silent")
+	errRefused  = errors.New("incarnation counts as gone")
+	errNotHeard = errors.New("incarnation is not accepted now")
+)
+
+const (
+	// codeRefused is the drpc error code that tells a peer that its incarnation is refused for ever.
+	codeRefused = 1
+	// peerIdleTimeout ends inbound connections without a message; heartbeats arrive every 500 ms.
+	peerIdleTimeout = 5 * time.Second
+)
+
+// Reception is how a peer's envelope was taken.
+type Reception uint8
+
+// Receptions. Only an accepted envelope is acknowledged.
+const (
+	Accepted Reception = iota
+	// Ignored envelopes come from a VM that the list has dropped; it may come back.
+	Ignored
+	// Refused envelopes come from an incarnation that counts as gone.
+	Refused
+)
 
 // PeerHandler takes the messages of one envelope, in order. It must not block.
-type PeerHandler func(env *api.Envelope)
+type PeerHandler func(env *api.Envelope) Reception
 
 // PeerServer accepts the links of other entry VMs.
 type PeerServer struct {
@@ -32,11 +57,11 @@
 		cancel()
 		return nil, err
 	}
-	server := drpcserver.New(mux)
+	server := drpcserver.NewWithOptions(mux, drpcserver.Options{Manager: managerOptions()})
 	go func() {
 		defer close(s.done)
 		// The listener's end is reported to those who closed it.
-		_ = server.Serve(ctx, l)
+		_ = server.Serve(ctx, idleListener{l})
 	}()
 	return s, nil
 }
@@ -48,7 +73,12 @@
 		if err != nil {
 			return err
 		}
-		s.handler(env)
+		switch s.handler(env) {
+		case Refused:
+			return drpcerr.WithCode(errRefused, codeRefused)
+		case Ignored:
+			return errNotHeard
+		}
 		if err := stream.Send(&api.Envelope{Ack: env.GetSequence()}); err != nil {
 			return err
 		}
@@ -60,3 +90,33 @@
 	s.cancel()
 	<-s.done
 }
+
+// idleListener bounds the time for which an inbound connection may be silent, which otherwise would stay for ever.
+type idleListener struct{ net.Listener }
+
+// Accept implements net.Listener.
+func (l idleListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return idleConn{c}, nil
+}
+
+type idleConn struct{ net.Conn }
+
+// Read implements net.Conn.
+func (c idleConn) Read(b []byte) (int, error) {
+	if err := c.SetReadDeadline(time.Now().Add(peerIdleTimeout)); err != nil {
+		return 0, err
+	}
+	return c.Conn.Read(b)
+}
+
+// Write implements net.Conn.
+func (c idleConn) Write(b []byte) (int, error) {
+	if err := c.SetWriteDeadline(time.Now().Add(peerIdleTimeout)); err != nil {
+		return 0, err
+	}
+	return c.Conn.Write(b)
+}
--- a/machine/worker.go
+++ b/machine/worker.go
@@ -28,9 +28,10 @@
 	spec        WorkerSpec
 	incarnation Incarnation
 	speed       float64
-	// clockOffset is the worker's monotonic clock minus the local time since the epoch.
-	clockOffset time.Duration
-	clockKnown  bool
+	// clock is the worker's monotonic clock at local time clockAt. Local times are compared with each other only, so
+	// that steps of the wall clock have no effect.
+	clock   time.Duration
+	clockAt time.Time
 }
 
 // NewWorker returns a worker of average speed.
@@ -58,8 +59,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.incarnation = inc
-	w.clockOffset = clock - time.Duration(now.UnixNano())
-	w.clockKnown = true
+	w.clock, w.clockAt = clock, now
 }
 
 // Incarnation returns the last incarnation seen, zero if none.
@@ -73,7 +73,7 @@
 func (w *Worker) ClockAt(t time.Time) (time.Duration, bool) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	return w.clockOffset + time.Duration(t.UnixNano()), w.clockKnown
+	return w.clock + t.Sub(w.clockAt), !w.clockAt.IsZero()
 }
 
 // ObserveRun compares the run time of a task with the expectation for its kind.
--- a/zone/domain.go
+++ b/zone/domain.go
@@ -25,8 +25,11 @@
 const (
 	// SuspectAfter is the time without progress after which a member is suspected.
 	SuspectAfter = 1500 * time.Millisecond
-	// GoneAfter is the time as a suspect after which a member counts as gone.
-	GoneAfter = 3 * time.Second
+	// GoneAfter is the time as a suspect after which a member counts as gone. With a check every 500 ms its slots come
+	// back within 3 s of its last message.
+	GoneAfter = time.Second
+	// SilenceLimit is the time without progress after which a member counts as gone.
+	SilenceLimit = SuspectAfter + GoneAfter
 )
 
 // Change is a member's state change.
@@ -109,10 +112,16 @@
 	if !ok {
 		return nil
 	}
+	var changes []Change
+	if old := m.listing.VM.Incarnation; old != 0 && old != inc {
+		// The process was replaced: whatever the old one held is gone at once, and the new one starts unburdened.
+		changes = append(changes, d.fire(m, eventDropped)...)
+		m.state = MemberJoining
+	}
 	m.lastSeen = now
 	m.listing.VM.Incarnation = inc
-	changes := d.fire(m, eventHeard)
-	if leaving {
+	changes = append(changes, d.fire(m, eventHeard)...)
+	if leaving || m.listing.Leaving {
 		changes = append(changes, d.fire(m, eventLeave)...)
 	}
 	return changes
@@ -131,13 +140,27 @@
 		if silent > SuspectAfter {
 			changes = append(changes, d.fire(m, eventSilent)...)
 		}
-		if silent > SuspectAfter+GoneAfter {
+		if silent > SilenceLimit {
 			changes = append(changes, d.fire(m, eventExpired)...)
 		}
 	}
 	return changes
 }
 
+// Listed returns the ids of the other members.
+func (d *FailureDomain) Listed() []string {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	var ids []string
+	for id := range d.members {
+		if id != d.self {
+			ids = append(ids, id)
+		}
+	}
+	sort.Strings(ids)
+	return ids
+}
+
 // Live returns the members that may receive new work, ordered by id.
 func (d *FailureDomain) Live() []machine.EntryVM {
 	d.mu.Lock()
