timeline: record events of jobs, tasks, grants, members and links in a ring

Cause: an operator cannot follow a task over the processes that touch it. Change: timeline.Ring keeps a bounded number of events in eight stripes, each under its own lock; timeline.Clock is the process's Lamport clock, which envelopes already carry. Dispatcher, daemon and peer links record their state changes.

--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -14,6 +14,7 @@
 	"github.com/cicadadale/cicadadale/fault"
 	"github.com/cicadadale/cicadadale/machine"
 	"github.com/cicadadale/cicadadale/metric"
+	"github.com/cicadadale/cicadadale/timeline"
 )
 
 const (
@@ -38,6 +39,8 @@
 	Now     func() time.Time
 	Logger  *slog.Logger
 	Metrics metrics.Registry
+	// Timeline may be nil.
+	Timeline *timeline.Ring
 }
 
 // Dispatcher is the home of jobs: it accepts them, starts their tasks and holds their answers. mu guards the map of
@@ -129,23 +132,28 @@
 	now := d.o.Now()
 	if _, _, err := d.o.Table.Lookup(spec.ID); err == nil {
 		d.counters.resubmitted.Inc(1)
+		d.o.Timeline.Job(timeline.JobResubmitted, spec.ID, "", len(spec.Tasks))
 		return nil
 	}
 	items, err := d.prepare(&spec, now)
 	if err != nil {
 		d.counters.refused.Inc(1)
+		d.o.Timeline.Job(timeline.JobRefused, spec.ID, fault.Reason(err), len(spec.Tasks))
 		return err
 	}
 	fresh, err := d.o.Table.Accept(spec, now)
 	if err != nil {
 		d.counters.refused.Inc(1)
+		d.o.Timeline.Job(timeline.JobRefused, spec.ID, fault.Reason(err), len(spec.Tasks))
 		return err
 	}
 	if !fresh {
 		d.counters.resubmitted.Inc(1)
+		d.o.Timeline.Job(timeline.JobResubmitted, spec.ID, "", len(spec.Tasks))
 		return nil
 	}
 	d.counters.accepted.Inc(1)
+	d.o.Timeline.Job(timeline.JobAccepted, spec.ID, spec.Service, len(spec.Tasks))
 	lane, _ := d.lane(spec.Service)
 	d.carryOut(lane, lane.Push(items, now))
 	return nil
@@ -230,6 +238,7 @@
 		return err
 	}
 	d.counters.cancelled.Inc(1)
+	d.o.Timeline.Job(timeline.JobCancelled, id, "", n)
 	d.counters.notRun.Inc(int64(n))
 	return nil
 }
@@ -241,6 +250,9 @@
 		return
 	}
 	d.counters.received.Inc(int64(g.Slots))
+	d.o.Timeline.Record(timeline.Event{
+		Kind: timeline.GrantReceived, Peer: g.Granter, Worker: g.Worker, Detail: g.Service, Count: int64(g.Slots),
+	})
 	d.carryOut(lane, lane.AddGrant(g, d.o.Now()))
 }
 
@@ -253,12 +265,18 @@
 	if len(p.Returns) > 0 {
 		for _, r := range p.Returns {
 			d.counters.unused.Inc(int64(r.Unused))
+			d.o.Timeline.Record(timeline.Event{
+				Kind: timeline.GrantReturned, Peer: r.Granter, Worker: r.Worker, Detail: r.Service, Count: int64(r.Slots),
+			})
 		}
 		d.counters.returns.Inc(int64(len(p.Returns)))
 		d.o.Broker.Return(p.Returns)
 	}
 	if p.Demand != nil {
 		d.counters.demands.Inc(1)
+		d.o.Timeline.Record(timeline.Event{
+			Kind: timeline.DemandSent, Detail: p.Demand.Service, Count: int64(p.Demand.Short + p.Demand.Long),
+		})
 		d.o.Broker.Demand(*p.Demand)
 	}
 }
@@ -277,9 +295,11 @@
 		StartBy: d.o.Now().Add(startWindow), Lease: defaultLease,
 	}
 	d.counters.started.Inc(1)
+	d.o.Timeline.Task(timeline.TaskStarted, ticket.Task, a.Slot.Worker, "")
 	reply, err := d.o.Starter.Start(d.ctx, req)
 	if err != nil && !fault.IsProvenNotStarted(err) {
 		d.counters.inDoubt.Inc(1)
+		d.o.Timeline.Task(timeline.TaskInDoubt, ticket.Task, a.Slot.Worker, "")
 		reply, err = d.resolve(req)
 	}
 	if err != nil {
@@ -297,6 +317,7 @@
 		reply, err := d.o.Starter.Resolve(d.ctx, req)
 		if err == nil || fault.IsProvenNotStarted(err) {
 			d.counters.resolved.Inc(1)
+			d.o.Timeline.Task(timeline.TaskResolved, req.Ticket.Task, req.Worker, reply.Outcome.String())
 			return reply, err
 		}
 		if d.o.Now().After(until) {
@@ -313,6 +334,7 @@
 // notStarted queues a task again whose start is proven not to have happened.
 func (d *Dispatcher) notStarted(l *Lane, a Assignment, cause error) {
 	d.counters.rejected.Inc(1)
+	d.o.Timeline.Task(timeline.TaskRejected, a.Item.Task, a.Slot.Worker, fault.Reason(cause))
 	now := d.o.Now()
 	requeue := d.o.Table.NotStarted(a.Item.Task, now)
 	d.carryOut(l, l.Release(a.Slot, false, now))
@@ -342,6 +364,7 @@
 	default:
 		d.counters.unknown.Inc(1)
 	}
+	d.o.Timeline.Task(outcomeKind(r.Outcome), a.Item.Task, a.Slot.Worker, r.Detail)
 	report := contract.TaskReport{
 		Outcome: r.Outcome, Detail: r.Detail, RunTime: r.RunTime, Worker: string(a.Slot.Worker),
 	}
@@ -351,8 +374,24 @@
 	}
 	if answer.Verdict == contract.VerdictComplete {
 		d.counters.complete.Inc(1)
+		d.o.Timeline.Job(timeline.JobComplete, a.Item.Task.Job, "", len(answer.Reports))
 	} else {
 		d.counters.failed.Inc(1)
+		d.o.Timeline.Job(timeline.JobFailed, a.Item.Task.Job, answer.Reason, len(answer.Reports))
+	}
+}
+
+// outcomeKind returns the kind of event for a task's final outcome.
+func outcomeKind(o contract.Outcome) timeline.Kind {
+	switch o {
+	case contract.OutcomeDone:
+		return timeline.TaskDone
+	case contract.OutcomeFailed:
+		return timeline.TaskFailed
+	case contract.OutcomeNotRun:
+		return timeline.TaskNotRun
+	default:
+		return timeline.TaskUnknown
 	}
 }
 
--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -5,7 +5,6 @@
 	"log/slog"
 	"net"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
@@ -17,6 +16,7 @@
 	"github.com/cicadadale/cicadadale/machine"
 	"github.com/cicadadale/cicadadale/platform"
 	"github.com/cicadadale/cicadadale/rpc"
+	"github.com/cicadadale/cicadadale/timeline"
 	"github.com/cicadadale/cicadadale/zone"
 )
 
@@ -41,9 +41,11 @@
 	Peers       net.Listener
 	DialPeer    func(ctx context.Context, address string) (net.Conn, error)
 	Connections int
-	Now         func() time.Time
-	Logger      *slog.Logger
-	Metrics     metrics.Registry
+	// Events is the size of the timeline's ring; 0 takes the default, a negative number records nothing.
+	Events  int
+	Now     func() time.Time
+	Logger  *slog.Logger
+	Metrics metrics.Registry
 }
 
 // Daemon is the process that runs on an entry VM.
@@ -56,7 +58,8 @@
 	dispatcher *dispatch.Dispatcher
 	peers      *peers
 	slots      *slotDirectory
-	lamport    atomic.Uint64
+	clock      *timeline.Clock
+	timeline   *timeline.Ring
 
 	peerServer *link.PeerServer
 	rpcServer  *rpc.Server
@@ -83,8 +86,9 @@
 	}
 	d := &Daemon{
 		o: o, fleet: machine.NewFleet(), domain: zone.NewFailureDomain(o.Domain, o.VM.ID),
-		table: contract.NewJobTable(o.Domain, o.VM.Incarnation),
+		table: contract.NewJobTable(o.Domain, o.VM.Incarnation), clock: &timeline.Clock{},
 	}
+	d.timeline = newTimeline(o, d.clock)
 	workers, err := link.NewWorkers(d.fleet, o.VM.Incarnation, o.Connections)
 	if err != nil {
 		return nil, err
@@ -94,7 +98,7 @@
 	d.slots = newSlotDirectory(d)
 	d.dispatcher = dispatch.New(dispatch.Options{
 		Table: d.table, Starter: workers, Broker: d.slots, Fleet: d.fleet, Now: o.Now, Logger: o.Logger,
-		Metrics: o.Metrics,
+		Metrics: o.Metrics, Timeline: d.timeline,
 	})
 	for _, s := range o.Services {
 		d.dispatcher.AddService(s, nil)
@@ -120,6 +124,7 @@
 	d.loop(ctx, statusInterval, func() { d.pollWorkers(ctx) })
 	d.loop(ctx, laneInterval, d.dispatcher.Tick)
 	d.loop(ctx, expiryInterval, func() { d.table.Expire(d.o.Now()) })
+	d.timeline.Record(timeline.Event{Kind: timeline.ProcessStarted})
 	d.o.Logger.Info("entry daemon started", "vm", d.o.VM.ID, "incarnation", d.o.VM.Incarnation.String(),
 		"callers", d.o.Callers.Addr().String())
 	return nil
@@ -143,6 +148,7 @@
 // Stop refuses new work, finishes what runs until ctx ends, and closes all links.
 func (d *Daemon) Stop(ctx context.Context) {
 	d.dispatcher.Drain()
+	d.timeline.Record(timeline.Event{Kind: timeline.ProcessDraining})
 	d.waitIdle(ctx)
 	d.rpcServer.Stop(ctx)
 	d.kill()
@@ -169,16 +175,3 @@
 	d.peers.close()
 	d.dispatcher.Close()
 }
-
-// tick advances the logical clock.
-func (d *Daemon) tick() uint64 { return d.lamport.Add(1) }
-
-// observe merges the logical clock of a peer.
-func (d *Daemon) observe(remote uint64) {
-	for {
-		local := d.lamport.Load()
-		if remote <= local || d.lamport.CompareAndSwap(local, remote) {
-			return
-		}
-	}
-}
--- a/entry/membership.go
+++ b/entry/membership.go
@@ -7,6 +7,7 @@
 	"github.com/cicadadale/cicadadale/api"
 	"github.com/cicadadale/cicadadale/machine"
 	"github.com/cicadadale/cicadadale/platform"
+	"github.com/cicadadale/cicadadale/timeline"
 	"github.com/cicadadale/cicadadale/zone"
 )
 
@@ -64,6 +65,7 @@
 	}
 	for _, c := range changes {
 		d.o.Logger.Info("member changed state", "vm", c.VM.ID, "from", c.From.String(), "to", c.To.String())
+		d.timeline.Record(timeline.Event{Kind: timeline.MemberChanged, Peer: c.VM.ID, Detail: c.To.String()})
 		if c.To == zone.MemberGone {
 			d.slots.memberGone(c.VM.ID)
 		}
--- a/entry/messages.go
+++ b/entry/messages.go
@@ -13,7 +13,7 @@
 
 // receive handles the envelopes of one link, in order.
 func (d *Daemon) receive(env *api.Envelope) {
-	d.observe(env.GetLamport())
+	d.clock.Observe(env.GetLamport())
 	inc := machine.Incarnation(env.GetFromIncarnation())
 	vm := env.GetFromVm()
 	d.peers.heard(vm, inc)
--- a/entry/peers.go
+++ b/entry/peers.go
@@ -73,8 +73,8 @@
 	}
 	o := p.d.o
 	l := link.NewPeer(id, v.PeerAddress, link.PeerOptions{
-		Self: link.Identity{VM: o.VM, Domain: uint32(o.Domain)}, Dial: o.DialPeer, Lamport: p.d.tick, Now: o.Now,
-		Logger: o.Logger, Metrics: o.Metrics,
+		Self: link.Identity{VM: o.VM, Domain: uint32(o.Domain)}, Dial: o.DialPeer, Lamport: p.d.clock.Tick, Now: o.Now,
+		Logger: o.Logger, Metrics: o.Metrics, Timeline: p.d.timeline,
 	})
 	p.links[id] = l
 	return l
--- a/entry/router.go
+++ b/entry/router.go
@@ -4,10 +4,14 @@
 	"context"
 	"time"
 
+	"github.com/rcrowley/go-metrics"
+
 	"github.com/cicadadale/cicadadale/api"
 	"github.com/cicadadale/cicadadale/contract"
 	"github.com/cicadadale/cicadadale/fault"
 	"github.com/cicadadale/cicadadale/internal/wire"
+	"github.com/cicadadale/cicadadale/metric"
+	"github.com/cicadadale/cicadadale/timeline"
 	"github.com/cicadadale/cicadadale/zone"
 )
 
@@ -139,6 +143,8 @@
 	if !ok {
 		return nil, fault.Unavailable.New("the home of job %s is not known", id)
 	}
+	metrics.GetOrRegisterCounter(metric.JobsForwarded, d.o.Metrics).Inc(1)
+	d.timeline.Record(timeline.Event{Kind: timeline.JobForwarded, Task: contract.TaskID{Job: id}, Peer: vm})
 	return d.peers.request(ctx, vm, r, wait+forwardMargin)
 }
 
--- /dev/null
+++ b/entry/timeline.go
@@ -0,0 +1,15 @@
+package entry
+
+import "github.com/cicadadale/cicadadale/timeline"
+
+// newTimeline returns the ring that the options ask for, nil for none.
+func newTimeline(o Options, clock *timeline.Clock) *timeline.Ring {
+	if o.Events < 0 {
+		return nil
+	}
+	if o.Events == 0 {
+		o.Events = timeline.DefaultEvents
+	}
+	p := timeline.Process{VM: o.VM.ID, Incarnation: o.VM.Incarnation}
+	return timeline.NewRing(p, o.Events, clock, o.Now)
+}
--- a/link/peer.go
+++ b/link/peer.go
@@ -14,6 +14,7 @@
 	"github.com/cicadadale/cicadadale/api"
 	"github.com/cicadadale/cicadadale/machine"
 	"github.com/cicadadale/cicadadale/metric"
+	"github.com/cicadadale/cicadadale/timeline"
 )
 
 const (
@@ -41,6 +42,8 @@
 	Now     func() time.Time
 	Logger  *slog.Logger
 	Metrics metrics.Registry
+	// Timeline may be nil.
+	Timeline *timeline.Ring
 }
 
 // Peer is the sending half of the link to another entry VM. Its mutex guards the outbox and the acknowledgement
@@ -107,6 +110,7 @@
 			return
 		}
 		p.counter(metric.PeerLinksReplaced).Inc(1)
+		p.o.Timeline.Record(timeline.Event{Kind: timeline.LinkReplaced, Peer: p.vm, Detail: reasonOf(err)})
 		p.o.Logger.Debug("peer link ended", "peer", p.vm, "error", err)
 		select {
 		case <-time.After(redialDelay):
@@ -132,6 +136,7 @@
 		return err
 	}
 	p.counter(metric.PeerLinksOpened).Inc(1)
+	p.o.Timeline.Record(timeline.Event{Kind: timeline.LinkOpened, Peer: p.vm})
 	p.reset()
 	failed := make(chan error, 1)
 	go p.receiveAcks(stream, failed)
@@ -225,3 +230,10 @@
 		p.oldest = now
 	}
 }
+
+func reasonOf(err error) string {
+	if err == nil {
+		return ""
+	}
+	return err.Error()
+}
--- /dev/null
+++ b/timeline/kind.go
@@ -0,0 +1,97 @@
+package timeline
+
+// Kind says what happened.
+type Kind uint8
+
+// Kinds of events. A kind whose name begins with "task." or "run." speaks of one task, one that begins with "job." of
+// a job. Events "run.*" are recorded by workers, all others by entry VMs.
+const (
+	KindNone Kind = iota
+	JobAccepted
+	JobResubmitted
+	JobForwarded
+	JobComplete
+	JobFailed
+	JobRefused
+	JobCancelled
+	JobReconfigured
+	JobHandedOver
+	JobTakenOver
+	JobExpired
+	TaskStarted
+	TaskDone
+	TaskFailed
+	TaskNotRun
+	TaskUnknown
+	TaskRejected
+	TaskInDoubt
+	TaskResolved
+	TaskStraggling
+	RunStarted
+	RunEnded
+	RunRejected
+	RunFenced
+	DemandSent
+	GrantIssued
+	GrantReceived
+	GrantReturned
+	GrantRecalled
+	GrantExpired
+	MemberChanged
+	DelegateChanged
+	LinkOpened
+	LinkReplaced
+	LinkClosed
+	WorkerListed
+	WorkerRestarted
+	WorkerQuarantined
+	WorkerProbed
+	WorkerReleased
+	WorkerDropped
+	ConfigPublished
+	ConfigApplied
+	ConfigRejected
+	QuotaMoved
+	ClaimWon
+	ClaimLost
+	ClosurePublished
+	ClosureApplied
+	LogDown
+	LogUp
+	ProcessStarted
+	ProcessPaused
+	ProcessDraining
+	ProcessStopped
+	kindCount
+)
+
+var kindNames = [kindCount]string{
+	KindNone: "none", JobAccepted: "job.accepted", JobResubmitted: "job.resubmitted", JobForwarded: "job.forwarded",
+	JobComplete: "job.complete", JobFailed: "job.failed", JobRefused: "job.refused", JobCancelled: "job.cancelled",
+	JobReconfigured: "job.reconfigured", JobHandedOver: "job.handed_over", JobTakenOver: "job.taken_over",
+	JobExpired: "job.expired", TaskStarted: "task.started", TaskDone: "task.done", TaskFailed: "task.failed",
+	TaskNotRun: "task.not_run", TaskUnknown: "task.unknown", TaskRejected: "task.rejected",
+	TaskInDoubt: "task.in_doubt", TaskResolved: "task.resolved", TaskStraggling: "task.straggling",
+	RunStarted: "run.started", RunEnded: "run.ended", RunRejected: "run.rejected", RunFenced: "run.fenced",
+	DemandSent: "demand.sent", GrantIssued: "grant.issued", GrantReceived: "grant.received",
+	GrantReturned: "grant.returned", GrantRecalled: "grant.recalled", GrantExpired: "grant.expired",
+	MemberChanged: "member.changed", DelegateChanged: "delegate.changed", LinkOpened: "link.opened",
+	LinkReplaced: "link.replaced", LinkClosed: "link.closed", WorkerListed: "worker.listed",
+	WorkerRestarted: "worker.restarted", WorkerQuarantined: "worker.quarantined", WorkerProbed: "worker.probed",
+	WorkerReleased: "worker.released", WorkerDropped: "worker.dropped", ConfigPublished: "config.published",
+	ConfigApplied: "config.applied", ConfigRejected: "config.rejected", QuotaMoved: "quota.moved",
+	ClaimWon: "claim.won", ClaimLost: "claim.lost", ClosurePublished: "closure.published",
+	ClosureApplied: "closure.applied", LogDown: "log.down", LogUp: "log.up", ProcessStarted: "process.started",
+	ProcessPaused: "process.paused", ProcessDraining: "process.draining", ProcessStopped: "process.stopped",
+}
+
+// String returns the name used in output and filters.
+func (k Kind) String() string {
+	if k < kindCount {
+		return kindNames[k]
+	}
+	return "invalid"
+}
+
+// Kinds returns the names of all kinds.
+func Kinds() []string { return append([]string(nil), kindNames[1:]...) }
--- /dev/null
+++ b/timeline/ring.go
@@ -0,0 +1,136 @@
+package timeline
+
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cicadadale/cicadadale/contract"
+	"github.com/cicadadale/cicadadale/machine"
+)
+
+const (
+	ringStripes = 8
+	// DefaultEvents keeps about 14 s of history at 2,300 starts/s per entry VM and two events per task, in 11 MB.
+	DefaultEvents = 64 << 10
+)
+
+// Event is something that happened in a process. The ring sets Sequence, Lamport and Wall. Strings must be shared
+// with the caller's state and not be formatted for the event, since recording lies on the path of each start.
+type Event struct {
+	Kind     Kind
+	Sequence uint64
+	Lamport  uint64
+	Wall     int64 // Unix time in ns
+	Task     contract.TaskID
+	Worker   machine.WorkerID
+	Peer     string
+	Detail   string
+	// Count is the number that belongs to the event: slots of a grant, tasks of a job, a revision.
+	Count int64
+}
+
+// Process identifies who records.
+type Process struct {
+	VM          string
+	Incarnation machine.Incarnation
+}
+
+// Ring keeps the last events of a process in stripes, each under its own lock. A nil ring records nothing.
+type Ring struct {
+	process Process
+	clock   *Clock
+	now     func() time.Time
+	off     atomic.Bool
+	next    atomic.Uint64
+	stripes [ringStripes]stripe
+}
+
+// stripe is a part of the ring. mu guards all fields.
+type stripe struct {
+	mu      sync.Mutex
+	events  []Event
+	written uint64
+	// lost is the Lamport time of the latest event that was overwritten.
+	lost uint64
+	// The padding keeps neighbouring locks on separate cache lines.
+	_ [64]byte
+}
+
+// NewRing returns a ring for the given number of events.
+func NewRing(p Process, events int, clock *Clock, now func() time.Time) *Ring {
+	r := &Ring{process: p, clock: clock, now: now}
+	per := max(1, events/ringStripes)
+	for i := range r.stripes {
+		r.stripes[i].events = make([]Event, per)
+	}
+	return r
+}
+
+// Switch turns recording on or off.
+func (r *Ring) Switch(on bool) { r.off.Store(!on) }
+
+// Record adds an event at the next tick of the clock.
+func (r *Ring) Record(e Event) {
+	if r == nil || r.off.Load() {
+		return
+	}
+	e.Sequence = r.next.Add(1)
+	e.Lamport = r.clock.Tick()
+	e.Wall = r.now().UnixNano()
+	s := &r.stripes[e.Sequence%ringStripes]
+	s.mu.Lock()
+	slot := &s.events[s.written%uint64(len(s.events))]
+	if s.written >= uint64(len(s.events)) {
+		s.lost = max(s.lost, slot.Lamport)
+	}
+	*slot = e
+	s.written++
+	s.mu.Unlock()
+}
+
+// Job records an event of a job.
+func (r *Ring) Job(k Kind, id contract.JobID, detail string, count int) {
+	r.Record(Event{Kind: k, Task: contract.TaskID{Job: id}, Detail: detail, Count: int64(count)})
+}
+
+// Task records an event of a task on a worker.
+func (r *Ring) Task(k Kind, id contract.TaskID, w machine.WorkerID, detail string) {
+	r.Record(Event{Kind: k, Task: id, Worker: w, Detail: detail})
+}
+
+// Snapshot is the content of a ring.
+type Snapshot struct {
+	Process Process
+	Events  []Event
+	// Overwritten counts the events that the ring no longer holds; the latest of them happened at LostThrough.
+	Overwritten uint64
+	LostThrough uint64
+}
+
+// Snapshot copies the events for which keep returns true; a nil keep takes all.
+func (r *Ring) Snapshot(keep func(*Event) bool) Snapshot {
+	if r == nil {
+		return Snapshot{}
+	}
+	out := Snapshot{Process: r.process}
+	for i := range r.stripes {
+		r.stripes[i].copyTo(&out, keep)
+	}
+	return out
+}
+
+func (s *stripe) copyTo(out *Snapshot, keep func(*Event) bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	size := uint64(len(s.events))
+	held := min(s.written, size)
+	out.Overwritten += s.written - held
+	out.LostThrough = max(out.LostThrough, s.lost)
+	for i := s.written - held; i < s.written; i++ {
+		e := &s.events[i%size]
+		if keep == nil || keep(e) {
+			out.Events = append(out.Events, *e)
+		}
+	}
+}
