timeline: collect, filter and merge the events of several processes

Cause: events stay in the process that recorded them. Change: GET /events handler, Part and Filter as its wire form, a collector, a merge by (Lamport, process, sequence) and text, JSON and trace output; starts and fences carry the Lamport time to workers, whose stand-in records runs. Conclusion: one task can be followed from submit to answer.

--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -89,7 +89,7 @@
 		table: contract.NewJobTable(o.Domain, o.VM.Incarnation), clock: &timeline.Clock{},
 	}
 	d.timeline = newTimeline(o, d.clock)
-	workers, err := link.NewWorkers(d.fleet, o.VM.Incarnation, o.Connections)
+	workers, err := link.NewWorkers(d.fleet, o.VM.Incarnation, o.Connections, d.clock)
 	if err != nil {
 		return nil, err
 	}
--- a/link/wire.go
+++ b/link/wire.go
@@ -12,6 +12,8 @@
 	HeaderOutcome     = "Cicadadale-Outcome"
 	HeaderReason      = "Cicadadale-Reason"
 	HeaderRunTime     = "Cicadadale-Run-Us"
+	// HeaderLamport carries the sender's logical time in starts, fences and their replies.
+	HeaderLamport = "Cicadadale-Lamport"
 )
 
 // Values of HeaderOutcome.
--- a/link/worker.go
+++ b/link/worker.go
@@ -17,6 +17,7 @@
 	"github.com/cicadadale/cicadadale/dispatch"
 	"github.com/cicadadale/cicadadale/fault"
 	"github.com/cicadadale/cicadadale/machine"
+	"github.com/cicadadale/cicadadale/timeline"
 )
 
 const (
@@ -38,10 +39,13 @@
 	// silent or full.
 	starts  *client.Client
 	control *client.Client
+	clock   *timeline.Clock
 }
 
-// NewWorkers returns the links of one home.
-func NewWorkers(fleet *machine.Fleet, home machine.Incarnation, connections int) (*Workers, error) {
+// NewWorkers returns the links of one home. Starts and fences carry the time of the clock.
+func NewWorkers(
+	fleet *machine.Fleet, home machine.Incarnation, connections int, clock *timeline.Clock,
+) (*Workers, error) {
 	starts, err := newWorkerClient(connections)
 	if err != nil {
 		return nil, err
@@ -50,7 +54,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &Workers{fleet: fleet, home: home, starts: starts, control: control}, nil
+	return &Workers{fleet: fleet, home: home, starts: starts, control: control, clock: clock}, nil
 }
 
 func newWorkerClient(connections int) (*client.Client, error) {
@@ -86,10 +90,12 @@
 	req.Header.Set(HeaderStartBy, strconv.FormatInt(clock.Milliseconds(), 10))
 	req.Header.Set(HeaderLease, strconv.FormatInt(r.Lease.Milliseconds(), 10))
 	req.Header.Set(HeaderIncarnation, r.Incarnation.String())
+	l.sendTime(req)
 	req.SetBodyRaw(r.Ticket.Payload)
 	if err := l.starts.DoTimeout(ctx, req, resp, r.Lease+replyMargin); err != nil {
 		return dispatch.StartReply{}, classify(err, r)
 	}
+	l.receiveTime(resp)
 	return readReply(resp, r)
 }
 
@@ -139,9 +145,11 @@
 	wait := strconv.FormatInt(fenceWait.Milliseconds(), 10)
 	req.SetRequestURI("http://" + w.Spec().Address + "/v1/tasks/" + r.Ticket.Task.String() + "/fence?wait_ms=" + wait)
 	req.Header.Set(HeaderIncarnation, r.Incarnation.String())
+	l.sendTime(req)
 	if err := l.control.DoTimeout(ctx, req, resp, fenceWait+replyMargin); err != nil {
 		return dispatch.StartReply{}, fault.Unavailable.Wrap(err, "worker %s cannot be asked", r.Worker)
 	}
+	l.receiveTime(resp)
 	return readReply(resp, r)
 }
 
--- a/standin/worker.go
+++ b/standin/worker.go
@@ -12,6 +12,7 @@
 	"github.com/cicadadale/cicadadale/internal/httpserve"
 	"github.com/cicadadale/cicadadale/link"
 	"github.com/cicadadale/cicadadale/machine"
+	"github.com/cicadadale/cicadadale/timeline"
 )
 
 // Work computes the result of a task and the time that it takes on a worker of speed 1.
@@ -34,6 +35,7 @@
 	incarnation machine.Incarnation
 	born        time.Time
 	server      *httpserve.Server
+	clocked     workerTimeline
 
 	mu      sync.Mutex
 	tasks   map[string]*workerTask
@@ -60,6 +62,8 @@
 		o: o, incarnation: machine.NewIncarnation(), born: time.Now(), server: httpserve.New(l, nil),
 		tasks: make(map[string]*workerTask),
 	}
+	w.clocked = newWorkerTimeline(string(o.ID), w.incarnation)
+	w.server.GET("/events", httpserve.Events(w.clocked.ring))
 	w.server.POST("/v1/tasks/:id", w.start)
 	w.server.POST("/v1/tasks/:id/fence", w.fence)
 	w.server.GET("/v1/status", w.status)
@@ -79,6 +83,7 @@
 	id := c.Param("id")
 	service, kind := string(c.GetHeader(link.HeaderService)), string(c.GetHeader(link.HeaderKind))
 	t, reject := w.admit(id, c)
+	w.clocked.record(c, timeline.RunStarted, timeline.RunRejected, reject)
 	if reject != "" {
 		c.Header(link.HeaderOutcome, link.OutcomeRejected)
 		c.Header(link.HeaderReason, reject)
@@ -89,6 +94,7 @@
 		w.o.Started(id)
 	}
 	w.execute(t, service, kind, append([]byte(nil), c.Request.Body()...))
+	w.clocked.record(c, timeline.RunEnded, timeline.RunEnded, t.reason)
 	writeTask(c, t)
 }
 
@@ -150,6 +156,7 @@
 		w.tasks[id] = t
 	}
 	w.mu.Unlock()
+	w.clocked.record(c, timeline.RunFenced, timeline.RunFenced, "")
 	if t.fenced {
 		c.Header(link.HeaderOutcome, link.OutcomeNever)
 		return
--- /dev/null
+++ b/timeline/collect.go
@@ -0,0 +1,86 @@
+package timeline
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/cloudwego/hertz/pkg/app/client"
+	"github.com/cloudwego/hertz/pkg/network/standard"
+	"github.com/cloudwego/hertz/pkg/protocol"
+)
+
+// collectTimeout bounds the request to one process.
+const collectTimeout = 10 * time.Second
+
+// Collector fetches the parts of several processes.
+type Collector struct {
+	client *client.Client
+}
+
+// NewCollector returns a collector that spends at most dial on opening a connection.
+func NewCollector(dial time.Duration) (*Collector, error) {
+	c, err := client.NewClient(client.WithDialer(standard.NewDialer()), client.WithDialTimeout(dial))
+	if err != nil {
+		return nil, err
+	}
+	return &Collector{client: c}, nil
+}
+
+// Collect asks all addresses at the same time. A process that cannot be asked yields a part with an error.
+func (c *Collector) Collect(ctx context.Context, addresses []string, f Filter) []Part {
+	parts := make([]Part, len(addresses))
+	var wg sync.WaitGroup
+	for i, a := range addresses {
+		wg.Go(func() {
+			var p Part
+			if err := c.get(ctx, a, "/events?"+f.Query().Encode(), &p); err != nil {
+				p = Part{Error: err.Error()}
+			}
+			p.Source = a
+			parts[i] = p
+		})
+	}
+	wg.Wait()
+	return parts
+}
+
+// WorkerAddresses asks the entry VMs which workers they know. Entry VMs that cannot be asked are left out, since
+// Collect names them.
+func (c *Collector) WorkerAddresses(ctx context.Context, admin []string) []string {
+	seen := map[string]bool{}
+	var out []string
+	for _, a := range admin {
+		var workers []struct {
+			Address string `json:"address"`
+		}
+		if err := c.get(ctx, a, "/state/workers", &workers); err != nil {
+			continue
+		}
+		for _, w := range workers {
+			if !seen[w.Address] {
+				seen[w.Address] = true
+				out = append(out, w.Address)
+			}
+		}
+	}
+	return out
+}
+
+func (c *Collector) get(ctx context.Context, address, path string, into any) error {
+	req, resp := protocol.AcquireRequest(), protocol.AcquireResponse()
+	defer protocol.ReleaseRequest(req)
+	defer protocol.ReleaseResponse(resp)
+	req.SetMethod(http.MethodGet)
+	req.SetRequestURI("http://" + address + path)
+	if err := c.client.DoTimeout(ctx, req, resp, collectTimeout); err != nil {
+		return err
+	}
+	if resp.StatusCode() != http.StatusOK {
+		return fmt.Errorf("status %d: %s", resp.StatusCode(), resp.Body())
+	}
+	return json.Unmarshal(resp.Body(), into)
+}
