admin: serve health, readiness, metrics, state, events and a status page

Cause: operators and the load balancer cannot see the state of a daemon. Minted ids, issued grants, starts that were not sent, live members, waiting tasks and held slots are counted. Measured: tests only. Conclusion: a person and a balancer read the state; quotas and configuration revisions follow with their owners.

--- /dev/null
+++ b/admin/doc.go
@@ -0,0 +1,3 @@
+// Package admin serves operators over HTTP: health and readiness, metrics, the state of the daemon, its recent events
+// and a status page.
+package admin
--- /dev/null
+++ b/admin/view.go
@@ -0,0 +1,124 @@
+package admin
+
+import (
+	"time"
+
+	"github.com/cicadadale/cicadadale/zone"
+)
+
+// Source is the daemon that the admin side shows. Its methods are safe for concurrent use.
+type Source interface {
+	Process() ProcessView
+	// Health returns an error if the process should be replaced.
+	Health() error
+	Readiness() Readiness
+	Members() []zone.MemberView
+	Workers() []WorkerView
+	Links() []LinkView
+	Queues() []QueueView
+	Grants() []GrantView
+	Quotas() []QuotaView
+	Config() ConfigView
+}
+
+// ProcessView identifies a daemon.
+type ProcessView struct {
+	VM            string    `json:"vm"`
+	Incarnation   string    `json:"incarnation"`
+	FailureDomain int       `json:"failure_domain"`
+	Region        string    `json:"region"`
+	Started       time.Time `json:"started"`
+	Unfinished    int       `json:"unfinished_jobs"`
+}
+
+// Readiness says whether the load balancer should send callers here. Reasons are empty if and only if it is ready.
+type Readiness struct {
+	Ready   bool     `json:"ready"`
+	Reasons []string `json:"reasons"`
+}
+
+// WorkerView is a worker of the failure domain.
+type WorkerView struct {
+	ID          string  `json:"id"`
+	Address     string  `json:"address"`
+	Service     string  `json:"service"`
+	Rack        string  `json:"rack"`
+	Slots       int     `json:"slots"`
+	Speed       float64 `json:"speed"`
+	Incarnation string  `json:"incarnation"`
+	// Reported is false until the worker has sent a status.
+	Reported bool   `json:"reported"`
+	Leaving  bool   `json:"leaving"`
+	Health   string `json:"health"`
+}
+
+// LinkView is the sending half of a link to another entry VM.
+type LinkView struct {
+	VM      string `json:"vm"`
+	Address string `json:"address"`
+	Open    bool   `json:"open"`
+	Queued  int    `json:"queued"`
+	Unacked uint64 `json:"unacknowledged"`
+	// SilentMS is the time since an envelope has waited for its acknowledgement.
+	SilentMS int64 `json:"silent_ms"`
+}
+
+// QueueView is the waiting work and the slots of one service.
+type QueueView struct {
+	Service      string `json:"service"`
+	WaitingShort int    `json:"waiting_short"`
+	WaitingLong  int    `json:"waiting_long"`
+	ShortWorkMS  int64  `json:"short_work_ms"`
+	LongWorkMS   int64  `json:"long_work_ms"`
+	SlotsIdle    int    `json:"slots_idle"`
+	SlotsBusy    int    `json:"slots_busy"`
+}
+
+// GrantView is what this VM, as granter of a worker, has granted.
+type GrantView struct {
+	Service string       `json:"service"`
+	Worker  string       `json:"worker"`
+	Slots   int          `json:"slots"`
+	Free    int          `json:"free"`
+	Closed  bool         `json:"closed"`
+	Holders []HolderView `json:"holders"`
+}
+
+// HolderView is an entry VM that holds slots.
+type HolderView struct {
+	VM    string `json:"vm"`
+	Short int    `json:"short"`
+	Long  int    `json:"long"`
+}
+
+// QuotaView is a team's part of its quota on this entry VM.
+type QuotaView struct {
+	Customer string `json:"customer"`
+	Team     string `json:"team"`
+	Quota    int    `json:"quota"`
+	Share    int    `json:"share"`
+	Running  int    `json:"running"`
+	Waiting  bool   `json:"waiting"`
+}
+
+// ConfigView is the configuration in effect.
+type ConfigView struct {
+	Revision uint64        `json:"revision"`
+	Offset   uint64        `json:"offset"`
+	Services []ServiceView `json:"services"`
+}
+
+// ServiceView is a configured service.
+type ServiceView struct {
+	Name  string     `json:"name"`
+	Kinds []KindView `json:"kinds"`
+}
+
+// KindView is a request kind with its observed class.
+type KindView struct {
+	Name       string `json:"name"`
+	Class      string `json:"class"`
+	DeadlineMS int64  `json:"deadline_ms"`
+	ExpectedMS int64  `json:"expected_ms"`
+	Weight     int    `json:"weight"`
+}
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -60,7 +60,7 @@
 type counters struct {
 	accepted, resubmitted, complete, failed, refused, cancelled   metrics.Counter
 	started, done, taskFailed, notRun, unknown, inDoubt, resolved metrics.Counter
-	rejected, unused, received, demands, returns                  metrics.Counter
+	rejected, notSent, unused, received, demands, returns         metrics.Counter
 }
 
 func newCounters(r metrics.Registry) counters {
@@ -70,7 +70,7 @@
 		failed: c(metric.JobsFailed), refused: c(metric.JobsRefused), cancelled: c(metric.JobsCancelled),
 		started: c(metric.TasksStarted), done: c(metric.TasksDone), taskFailed: c(metric.TasksFailed),
 		notRun: c(metric.TasksNotRun), unknown: c(metric.TasksUnknown), inDoubt: c(metric.TasksInDoubt),
-		resolved: c(metric.TasksResolved), rejected: c(metric.StartsRejected), unused: c(metric.GrantsUnused),
+		resolved: c(metric.TasksResolved), rejected: c(metric.StartsRejected), notSent: c(metric.StartsNotSent), unused: c(metric.GrantsUnused),
 		received: c(metric.GrantsReceived), demands: c(metric.DemandsSent), returns: c(metric.ReturnsSent),
 	}
 }
@@ -334,6 +334,9 @@
 // notStarted queues a task again whose start is proven not to have happened.
 func (d *Dispatcher) notStarted(l *Lane, a Assignment, cause error) {
 	d.counters.rejected.Inc(1)
+	if fault.Reason(cause) == fault.ReasonNotSent {
+		d.counters.notSent.Inc(1)
+	}
 	d.o.Timeline.Task(timeline.TaskRejected, a.Item.Task, a.Slot.Worker, fault.Reason(cause))
 	now := d.o.Now()
 	requeue := d.o.Table.NotStarted(a.Item.Task, now)
--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -31,14 +31,16 @@
 // Options are the settings and parts of a daemon. The caller opens the listeners, so that addresses are known
 // before the daemon starts.
 type Options struct {
-	VM          machine.EntryVM
-	Domain      zone.DomainID
-	Region      zone.RegionID
-	Services    []*backend.Service
-	Log         platform.Log
-	List        platform.VMList
-	Callers     net.Listener
-	Peers       net.Listener
+	VM       machine.EntryVM
+	Domain   zone.DomainID
+	Region   zone.RegionID
+	Services []*backend.Service
+	Log      platform.Log
+	List     platform.VMList
+	Callers  net.Listener
+	Peers    net.Listener
+	// Admin serves operators; nil serves none.
+	Admin       net.Listener
 	DialPeer    func(ctx context.Context, address string) (net.Conn, error)
 	Connections int
 	// Events is the size of the timeline's ring; 0 takes the default, a negative number records nothing.
@@ -63,6 +65,7 @@
 
 	peerServer *link.PeerServer
 	rpcServer  *rpc.Server
+	operators  operators
 	cancel     context.CancelFunc
 	loops      sync.WaitGroup
 }
@@ -116,6 +119,7 @@
 		return err
 	}
 	d.peerServer = server
+	d.serveOperators()
 	d.refreshList(ctx)
 	d.pollWorkers(ctx)
 	d.rpcServer = rpc.Serve(d.o.Callers, d, d.o.Now, nil)
@@ -125,6 +129,7 @@
 	d.loop(ctx, laneInterval, d.dispatcher.Tick)
 	d.loop(ctx, expiryInterval, func() { d.table.Expire(d.o.Now()) })
 	d.timeline.Record(timeline.Event{Kind: timeline.ProcessStarted})
+	d.operators.serving.Store(true)
 	d.o.Logger.Info("entry daemon started", "vm", d.o.VM.ID, "incarnation", d.o.VM.Incarnation.String(),
 		"callers", d.o.Callers.Addr().String())
 	return nil
@@ -174,4 +179,5 @@
 	d.peerServer.Close()
 	d.peers.close()
 	d.dispatcher.Close()
+	d.stopOperators()
 }
--- a/entry/membership.go
+++ b/entry/membership.go
@@ -52,6 +52,7 @@
 
 // heartbeat tells the members of the failure domain that this process is alive and suspects silent ones.
 func (d *Daemon) heartbeat() {
+	d.operators.lastBeat.Store(d.o.Now().UnixNano())
 	d.applyChanges(d.domain.Tick(d.o.Now()))
 	msg := &api.PeerMessage{Body: &api.PeerMessage_Heartbeat{Heartbeat: &api.Heartbeat{
 		Leaving: d.dispatcher.Draining(),
--- a/entry/peers.go
+++ b/entry/peers.go
@@ -187,3 +187,14 @@
 		l.Close()
 	}
 }
+
+// all returns the links to all peers.
+func (p *peers) all() []*link.Peer {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	links := make([]*link.Peer, 0, len(p.links))
+	for _, l := range p.links {
+		links = append(links, l)
+	}
+	return links
+}
--- a/entry/router.go
+++ b/entry/router.go
@@ -4,8 +4,6 @@
 	"context"
 	"time"
 
-	"github.com/rcrowley/go-metrics"
-
 	"github.com/cicadadale/cicadadale/api"
 	"github.com/cicadadale/cicadadale/contract"
 	"github.com/cicadadale/cicadadale/fault"
@@ -27,6 +25,7 @@
 	if ids == nil || d.dispatcher.Draining() {
 		return nil, fault.With(fault.Draining, "draining", "this entry VM is stopping")
 	}
+	d.count(metric.JobsMinted, n)
 	return ids, nil
 }
 
@@ -143,7 +142,7 @@
 	if !ok {
 		return nil, fault.Unavailable.New("the home of job %s is not known", id)
 	}
-	metrics.GetOrRegisterCounter(metric.JobsForwarded, d.o.Metrics).Inc(1)
+	d.count(metric.JobsForwarded, 1)
 	d.timeline.Record(timeline.Event{Kind: timeline.JobForwarded, Task: contract.TaskID{Job: id}, Peer: vm})
 	return d.peers.request(ctx, vm, r, wait+forwardMargin)
 }
--- a/entry/slots.go
+++ b/entry/slots.go
@@ -7,6 +7,7 @@
 	"github.com/cicadadale/cicadadale/api"
 	"github.com/cicadadale/cicadadale/contract"
 	"github.com/cicadadale/cicadadale/machine"
+	"github.com/cicadadale/cicadadale/metric"
 	"github.com/cicadadale/cicadadale/timeline"
 	"github.com/cicadadale/cicadadale/zone"
 )
@@ -123,6 +124,7 @@
 		s.d.timeline.Record(timeline.Event{
 			Kind: timeline.GrantIssued, Peer: a.Member, Worker: a.Worker, Detail: service, Count: int64(a.Slots),
 		})
+		s.d.count(metric.GrantsIssued, a.Slots)
 		if a.Member == s.d.o.VM.ID {
 			s.d.dispatcher.Grant(contract.SlotGrant{
 				Service: service, Worker: a.Worker, Granter: a.Member, Slots: a.Slots, Epoch: a.Epoch, Long: a.Long,
--- a/fault/fault.go
+++ b/fault/fault.go
@@ -41,6 +41,9 @@
 // ReasonProperty holds the machine-readable reason of an error.
 var ReasonProperty = errorx.RegisterPrintableProperty("reason")
 
+// ReasonNotSent is the reason of a NotStarted error when the start was never written to a socket.
+const ReasonNotSent = "not sent"
+
 var byCode = map[string]*errorx.Type{}
 
 func init() {
--- a/link/peer.go
+++ b/link/peer.go
@@ -60,6 +60,7 @@
 	outbox []*api.PeerMessage
 	sent   uint64
 	acked  uint64
+	open   bool
 	oldest time.Time // sending time of the oldest envelope that is not acknowledged
 }
 
@@ -138,6 +139,8 @@
 	p.counter(metric.PeerLinksOpened).Inc(1)
 	p.o.Timeline.Record(timeline.Event{Kind: timeline.LinkOpened, Peer: p.vm})
 	p.reset()
+	p.setOpen(true)
+	defer p.setOpen(false)
 	failed := make(chan error, 1)
 	go p.receiveAcks(stream, failed)
 	err = p.sendLoop(ctx, stream, failed)
--- /dev/null
+++ b/link/peerview.go
@@ -0,0 +1,32 @@
+package link
+
+import "time"
+
+// PeerView is the state of a link as shown to operators.
+type PeerView struct {
+	VM      string
+	Address string
+	Open    bool
+	Queued  int
+	Unacked uint64
+	// Silent is the time since the oldest envelope that waits for its acknowledgement.
+	Silent time.Duration
+}
+
+// View returns the link's state.
+func (p *Peer) View(now time.Time) PeerView {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	v := PeerView{VM: p.vm, Address: p.address, Open: p.open, Queued: len(p.outbox), Unacked: p.sent - p.acked}
+	if !p.oldest.IsZero() {
+		v.Silent = now.Sub(p.oldest)
+	}
+	return v
+}
+
+// setOpen records whether the link has a connection.
+func (p *Peer) setOpen(open bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.open = open
+}
--- a/link/worker.go
+++ b/link/worker.go
@@ -102,7 +102,8 @@
 // classify tells errors before the first byte was written from those after it.
 func classify(err error, r dispatch.StartRequest) error {
 	if errors.Is(err, herrors.ErrNoFreeConns) || isDialError(err) {
-		return fault.NotStarted.Wrap(err, "start of %s was not sent", r.Ticket.Task)
+		return fault.NotStarted.Wrap(err, "start of %s was not sent", r.Ticket.Task).
+			WithProperty(fault.ReasonProperty, fault.ReasonNotSent)
 	}
 	return fault.InDoubt.Wrap(err, "start of %s was not answered", r.Ticket.Task)
 }
--- /dev/null
+++ b/metric/describe.go
@@ -0,0 +1,51 @@
+package metric
+
+// Description explains a metric to operators.
+type Description struct {
+	Name string
+	Help string
+}
+
+// Descriptions returns the explanation of each name, for the exposition and the status page.
+func Descriptions() []Description {
+	return []Description{
+		{JobsMinted, "job ids handed out"},
+		{JobsAccepted, "jobs accepted by this home"},
+		{JobsResubmitted, "submissions of a job that was accepted before"},
+		{JobsComplete, "jobs answered complete"},
+		{JobsFailed, "jobs answered failed"},
+		{JobsRefused, "jobs refused as not run"},
+		{JobsCancelled, "cancellations of jobs of this home"},
+		{JobsForwarded, "calls forwarded to another home"},
+		{TasksStarted, "starts sent to workers"},
+		{TasksDone, "tasks that ended with a result"},
+		{TasksFailed, "tasks that the back end failed"},
+		{TasksNotRun, "tasks proven not executed"},
+		{TasksUnknown, "tasks whose outcome cannot be proven"},
+		{TasksInDoubt, "starts sent and not answered"},
+		{TasksResolved, "starts in doubt whose outcome the worker reported"},
+		{StartsRejected, "starts proven not to have happened"},
+		{StartsNotSent, "starts that were never written to a socket, part of starts.rejected"},
+		{GrantsReceived, "slots received from granters"},
+		{GrantsUnused, "slots returned without a start"},
+		{GrantsIssued, "slots granted by this VM, including to itself"},
+		{DemandsSent, "demands for slots"},
+		{ReturnsSent, "returns of slots"},
+		{RecallsSent, "recalls of granted slots"},
+		{PeerEnvelopesSent, "envelopes sent to other entry VMs"},
+		{PeerMessagesSent, "messages sent to other entry VMs"},
+		{PeerMessagesDropped, "messages dropped because a link's outbox was full"},
+		{PeerBytesSent, "bytes of envelopes sent to other entry VMs"},
+		{PeerLinksOpened, "connections opened to other entry VMs"},
+		{PeerLinksReplaced, "connections to other entry VMs that failed or went silent"},
+		{MembersLive, "live members of the failure domain, including this VM"},
+		{InvalidRequests, "calls refused as malformed"},
+		{InvariantChecks, "checks of invariants performed"},
+		{InvariantViolations, "violations of invariants found"},
+		{ConfigRevision, "revision of the configuration in effect"},
+		{ConfigRejected, "configuration records rejected"},
+		{LogErrors, "failed calls to the platform's log"},
+		{QueueWaiting, "tasks that wait for a slot"},
+		{SlotsHeld, "slots held by this VM, idle or busy"},
+	}
+}
--- a/zone/domain.go
+++ b/zone/domain.go
@@ -154,11 +154,11 @@
 
 // MemberView is a member as shown to operators.
 type MemberView struct {
-	ID          string
-	Incarnation string
-	Address     string
-	State       string
-	SilentMS    int64
+	ID          string `json:"id"`
+	Incarnation string `json:"incarnation"`
+	Address     string `json:"address"`
+	State       string `json:"state"`
+	SilentMS    int64  `json:"silent_ms"`
 }
 
 // Members returns all members, ordered by id.
--- /dev/null
+++ b/zone/granterview.go
@@ -0,0 +1,40 @@
+package zone
+
+import (
+	"sort"
+
+	"github.com/cicadadale/cicadadale/machine"
+)
+
+// WorkerGrants is what a granter has granted of one worker.
+type WorkerGrants struct {
+	Worker  machine.WorkerID
+	Slots   int
+	Free    int
+	Closed  bool
+	Holders []Holder
+}
+
+// Holder is a member that holds slots.
+type Holder struct {
+	Member string
+	Short  int
+	Long   int
+}
+
+// View returns all workers with their holders, ordered by worker and member.
+func (g *Granter) View() []WorkerGrants {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	var out []WorkerGrants
+	for id, w := range g.workers {
+		v := WorkerGrants{Worker: id, Slots: w.slots, Free: w.free(), Closed: w.closed}
+		for member, h := range w.held {
+			v.Holders = append(v.Holders, Holder{Member: member, Short: h.short, Long: h.long})
+		}
+		sort.Slice(v.Holders, func(i, j int) bool { return v.Holders[i].Member < v.Holders[j].Member })
+		out = append(out, v)
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].Worker < out[j].Worker })
+	return out
+}
