--- a/entry/membership.go
+++ b/entry/membership.go
@@ -7,6 +7,7 @@
 	"github.com/cicadadale/cicadadale/api"
 	"github.com/cicadadale/cicadadale/machine"
 	"github.com/cicadadale/cicadadale/platform"
+	"github.com/cicadadale/cicadadale/timeline"
 	"github.com/cicadadale/cicadadale/zone"
 )
 
@@ -51,6 +52,7 @@
 
 // heartbeat tells the members of the failure domain that this process is alive and suspects silent ones.
 func (d *Daemon) heartbeat() {
+	d.operators.lastBeat.Store(d.o.Now().UnixNano())
 	d.applyChanges(d.domain.Tick(d.o.Now()))
 	msg := &api.PeerMessage{Body: &api.PeerMessage_Heartbeat{Heartbeat: &api.Heartbeat{
 		Leaving: d.dispatcher.Draining(),
@@ -64,6 +66,7 @@
 	}
 	for _, c := range changes {
 		d.o.Logger.Info("member changed state", "vm", c.VM.ID, "from", c.From.String(), "to", c.To.String())
+		d.timeline.Record(timeline.Event{Kind: timeline.MemberChanged, Peer: c.VM.ID, Detail: c.To.String()})
 		if c.To == zone.MemberGone {
 			d.slots.memberGone(c.VM.ID)
 		}
--- a/entry/peers.go
+++ b/entry/peers.go
@@ -73,8 +73,8 @@
 	}
 	o := p.d.o
 	l := link.NewPeer(id, v.PeerAddress, link.PeerOptions{
-		Self: link.Identity{VM: o.VM, Domain: uint32(o.Domain)}, Dial: o.DialPeer, Lamport: p.d.tick, Now: o.Now,
-		Logger: o.Logger, Metrics: o.Metrics,
+		Self: link.Identity{VM: o.VM, Domain: uint32(o.Domain)}, Dial: o.DialPeer, Lamport: p.d.clock.Tick, Now: o.Now,
+		Logger: o.Logger, Metrics: o.Metrics, Timeline: p.d.timeline,
 	})
 	p.links[id] = l
 	return l
@@ -187,3 +187,14 @@
 		l.Close()
 	}
 }
+
+// all returns the links to all peers.
+func (p *peers) all() []*link.Peer {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	links := make([]*link.Peer, 0, len(p.links))
+	for _, l := range p.links {
+		links = append(links, l)
+	}
+	return links
+}
--- a/entry/router.go
+++ b/entry/router.go
@@ -8,6 +8,8 @@
 	"github.com/cicadadale/cicadadale/contract"
 	"github.com/cicadadale/cicadadale/fault"
 	"github.com/cicadadale/cicadadale/internal/wire"
+	"github.com/cicadadale/cicadadale/metric"
+	"github.com/cicadadale/cicadadale/timeline"
 	"github.com/cicadadale/cicadadale/zone"
 )
 
@@ -23,6 +25,7 @@
 	if ids == nil || d.dispatcher.Draining() {
 		return nil, fault.With(fault.Draining, "draining", "this entry VM is stopping")
 	}
+	d.count(metric.JobsMinted, n)
 	return ids, nil
 }
 
@@ -139,6 +142,8 @@
 	if !ok {
 		return nil, fault.Unavailable.New("the home of job %s is not known", id)
 	}
+	d.count(metric.JobsForwarded, 1)
+	d.timeline.Record(timeline.Event{Kind: timeline.JobForwarded, Task: contract.TaskID{Job: id}, Peer: vm})
 	return d.peers.request(ctx, vm, r, wait+forwardMargin)
 }
 
