--- a/dispatch/recovery.go
+++ b/dispatch/recovery.go
@@ -5,6 +5,7 @@
 
 	"github.com/cicadadale/cicadadale/contract"
 	"github.com/cicadadale/cicadadale/fault"
+	"github.com/cicadadale/cicadadale/timeline"
 )
 
 // refuse makes a refusal binding: a copy of the submission that arrives later under the same id gets the same answer.
@@ -18,6 +19,7 @@
 		return nil
 	}
 	d.counters.refused.Inc(1)
+	d.o.Timeline.Job(timeline.JobRefused, id, fault.Reason(cause), 0)
 	return cause
 }
 
--- a/entry/handover.go
+++ b/entry/handover.go
@@ -13,6 +13,7 @@
 	"github.com/cicadadale/cicadadale/fault"
 	"github.com/cicadadale/cicadadale/internal/wire"
 	"github.com/cicadadale/cicadadale/machine"
+	"github.com/cicadadale/cicadadale/timeline"
 	"github.com/cicadadale/cicadadale/zone"
 )
 
@@ -144,6 +145,7 @@
 // their answers, and closes all links. It gives up when ctx ends.
 func (d *Daemon) Stop(ctx context.Context) {
 	d.dispatcher.Drain()
+	d.timeline.Record(timeline.Event{Kind: timeline.ProcessDraining})
 	d.awaitReceived(ctx)
 	d.table.Close()
 	d.heartbeat()
--- a/entry/messages.go
+++ b/entry/messages.go
@@ -16,7 +16,7 @@
 // receive handles the envelopes of one link, in order.
 func (d *Daemon) receive(env *api.Envelope) link.Reception {
 	d.checkLapse()
-	d.observe(env.GetLamport())
+	d.clock.Observe(env.GetLamport())
 	inc := machine.Incarnation(env.GetFromIncarnation())
 	vm := env.GetFromVm()
 	now := d.o.Now()
--- a/entry/router.go
+++ b/entry/router.go
@@ -8,6 +8,8 @@
 	"github.com/cicadadale/cicadadale/contract"
 	"github.com/cicadadale/cicadadale/fault"
 	"github.com/cicadadale/cicadadale/internal/wire"
+	"github.com/cicadadale/cicadadale/metric"
+	"github.com/cicadadale/cicadadale/timeline"
 	"github.com/cicadadale/cicadadale/zone"
 )
 
@@ -31,6 +33,7 @@
 	if ids == nil {
 		return nil, fault.With(fault.Draining, "draining", "this entry VM is stopping")
 	}
+	d.count(metric.JobsMinted, n)
 	return ids, nil
 }
 
@@ -277,6 +280,8 @@
 	}
 	err := error(fault.Unavailable.New("failure domain %d of job %s has no entry VM", id.Domain, id))
 	for _, t := range targets {
+		d.count(metric.JobsForwarded, 1)
+		d.timeline.Record(timeline.Event{Kind: timeline.JobForwarded, Task: contract.TaskID{Job: id}, Peer: t})
 		r := request()
 		r.Hops = hops
 		var resp *api.Response
--- a/link/peer.go
+++ b/link/peer.go
@@ -17,6 +17,7 @@
 	"github.com/cicadadale/cicadadale/api"
 	"github.com/cicadadale/cicadadale/machine"
 	"github.com/cicadadale/cicadadale/metric"
+	"github.com/cicadadale/cicadadale/timeline"
 )
 
 const (
@@ -58,6 +59,8 @@
 	Replaced func(vm string)
 	// Refused is told when a peer refuses this incarnation for ever.
 	Refused func(vm string)
+	// Timeline may be nil.
+	Timeline *timeline.Ring
 }
 
 // queued is a message in the outbox.
@@ -164,6 +167,7 @@
 			p.o.Refused(p.vm)
 		}
 		p.counter(metric.PeerLinksReplaced).Inc(1)
+		p.o.Timeline.Record(timeline.Event{Kind: timeline.LinkReplaced, Peer: p.vm, Detail: reasonOf(err)})
 		p.o.Logger.Debug("peer link ended", "peer", p.vm, "error", err)
 		select {
 		case <-time.After(redialDelay):
@@ -191,6 +195,7 @@
 		return err
 	}
 	p.counter(metric.PeerLinksOpened).Inc(1)
+	p.o.Timeline.Record(timeline.Event{Kind: timeline.LinkOpened, Peer: p.vm})
 	p.reset()
 	failed := make(chan error, 2)
 	go p.receiveAcks(stream, failed)
@@ -229,6 +234,7 @@
 	p.open, p.tried = true, true
 }
 
+// setOpen records whether the link has a connection.
 func (p *Peer) setOpen(open bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -340,3 +346,10 @@
 		p.o.Acked(p.vm, sent)
 	}
 }
+
+func reasonOf(err error) string {
+	if err == nil {
+		return ""
+	}
+	return err.Error()
+}
