entry: name the policy of choosing workers

Cause: load experiments have to select the baselines in the same binary. Change: package dispatch names and parses the policies; entry.Options takes one.

--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -41,9 +41,11 @@
 	Peers       net.Listener
 	DialPeer    func(ctx context.Context, address string) (net.Conn, error)
 	Connections int
-	Now         func() time.Time
-	Logger      *slog.Logger
-	Metrics     metrics.Registry
+	// Policy selects how workers are chosen; empty selects the default.
+	Policy  dispatch.Policy
+	Now     func() time.Time
+	Logger  *slog.Logger
+	Metrics metrics.Registry
 }
 
 // Daemon is the process that runs on an entry VM.
@@ -81,6 +83,11 @@
 	if o.VM.Incarnation == 0 {
 		o.VM.Incarnation = machine.NewIncarnation()
 	}
+	policy, err := dispatch.ParsePolicy(string(o.Policy))
+	if err != nil {
+		return nil, err
+	}
+	o.Policy = policy
 	d := &Daemon{
 		o: o, fleet: machine.NewFleet(), domain: zone.NewFailureDomain(o.Domain, o.VM.ID),
 		table: contract.NewJobTable(o.Domain, o.VM.Incarnation),
