--- a/contract/grant.go
+++ b/contract/grant.go
@@ -8,12 +8,14 @@
 
 // Slot is the right to run one task at a time on a worker, granted by the worker's granter for a limited time.
 type Slot struct {
-	Worker  machine.WorkerID
-	Granter string
-	Epoch   uint64
-	Long    bool
-	// Expires is the end of the grant on the holder's clock, counted from before the grant was asked for.
+	Worker machine.WorkerID
+	// Epoch is the granter's incarnation.
+	Epoch uint64
+	Long  bool
+	// Expires is the end of the grant on the holder's clock. Renewals extend it.
 	Expires time.Time
+	// IdleSince is the time at which the slot became idle in the holdings.
+	IdleSince time.Time
 	// Used is set by the first start; a slot returned without one is a wasted message.
 	Used bool
 }
@@ -22,94 +24,198 @@
 type SlotGrant struct {
 	Service string
 	Worker  machine.WorkerID
-	Granter string
-	Slots   int
+	Short   int
+	Long    int
 	Epoch   uint64
-	Long    bool
 	TTL     time.Duration
 }
 
-// SlotReturn gives slots back to their granter.
+// SlotReturn gives slots of one worker back to its granter.
 type SlotReturn struct {
 	Service string
 	Worker  machine.WorkerID
-	Granter string
-	Slots   int
-	Epoch   uint64
-	Long    bool
-	Unused  int
+	Short   int
+	Long    int
+	// Unused counts slots on which no task was started.
+	Unused int
+	// Rejected says that the worker had no free slot, so that the grant exceeded its slots.
+	Rejected bool
 }
 
-// SlotDemand replaces the demand that a member stated before.
+// SlotDemand replaces the demand that a lane stated before. Version orders the demands of a lane.
 type SlotDemand struct {
-	Service    string
-	Short      int
-	Long       int
-	OldestWait time.Duration
+	Service   string
+	Version   uint64
+	Short     int
+	Long      int
+	ShortWait time.Duration
+	LongWait  time.Duration
 }
 
-// Holdings are the slots that this VM holds for one service. The caller's lock guards them.
+// HeldSlots is what this VM holds of one worker.
+type HeldSlots struct {
+	Worker machine.WorkerID
+	Short  int
+	Long   int
+}
+
+// Holdings are the slots that this VM holds for one service. Idle slots are kept by class and by the speed of their
+// worker, so that the choice does not depend on the number of workers. The caller's lock guards them.
 type Holdings struct {
-	idle []Slot
-	busy int
+	idle    [2]slotBuckets
+	workers map[machine.WorkerID]*heldWorker
+	idleSum int
+	sum     int
+}
+
+type heldWorker struct {
+	HeldSlots
+	speed float64
+	// renewed is the end of the last renewal.
+	renewed time.Time
+}
+
+// Add puts a granted slot into the holdings.
+func (h *Holdings) Add(s Slot, speed float64) {
+	if h.workers == nil {
+		h.workers = make(map[machine.WorkerID]*heldWorker)
+	}
+	w, ok := h.workers[s.Worker]
+	if !ok {
+		w = &heldWorker{HeldSlots: HeldSlots{Worker: s.Worker}}
+		h.workers[s.Worker] = w
+	}
+	w.speed = speed
+	w.add(s.Long, 1)
+	h.sum++
+	h.makeIdle(s, w)
 }
 
-// Add puts an idle slot into the holdings.
-func (h *Holdings) Add(s Slot) { h.idle = append(h.idle, s) }
+func (w *heldWorker) add(long bool, n int) {
+	if long {
+		w.Long += n
+	} else {
+		w.Short += n
+	}
+}
+
+func (h *Holdings) makeIdle(s Slot, w *heldWorker) {
+	h.idle[classIndex(s.Long)].push(s, w.speed)
+	h.idleSum++
+}
+
+func classIndex(long bool) int {
+	if long {
+		return 1
+	}
+	return 0
+}
 
 // Idle returns the number of idle slots.
-func (h *Holdings) Idle() int { return len(h.idle) }
+func (h *Holdings) Idle() int { return h.idleSum }
+
+// IdleLong returns the number of idle slots that may serve long work.
+func (h *Holdings) IdleLong() int { return h.idle[1].length }
 
 // Busy returns the number of slots in use.
-func (h *Holdings) Busy() int { return h.busy }
-
-// TakeBest removes the idle slot that fits the class and has the highest score.
-func (h *Holdings) TakeBest(long bool, score func(machine.WorkerID) float64) (Slot, bool) {
-	best := -1
-	bestScore := 0.0
-	for i, s := range h.idle {
-		if long && !s.Long {
-			continue
-		}
-		v := score(s.Worker)
-		if best < 0 || v > bestScore {
-			best, bestScore = i, v
-		}
+func (h *Holdings) Busy() int { return h.sum - h.idleSum }
+
+// TakeShort takes the idle slot on the fastest worker into use. At equal speed it leaves the slots for long work.
+func (h *Holdings) TakeShort() (Slot, bool) {
+	b := &h.idle[0]
+	if h.idle[1].fastest() > b.fastest() {
+		b = &h.idle[1]
 	}
-	if best < 0 {
+	return h.take(b, b.fastest())
+}
+
+// TakeLong takes the idle slot for long work on the slowest worker into use.
+func (h *Holdings) TakeLong() (Slot, bool) {
+	b := &h.idle[1]
+	return h.take(b, b.slowest())
+}
+
+func (h *Holdings) take(b *slotBuckets, bucket int) (Slot, bool) {
+	if bucket < 0 {
 		return Slot{}, false
 	}
-	s := h.idle[best]
-	h.idle = append(h.idle[:best], h.idle[best+1:]...)
-	h.busy++
+	s := b.pop(bucket)
+	h.idleSum--
 	s.Used = true
 	return s, true
 }
 
-// Release ends the use of a slot without making it idle.
-func (h *Holdings) Release() { h.busy-- }
+// Release makes a slot idle again after its task.
+func (h *Holdings) Release(s Slot, speed float64, now time.Time) {
+	w, ok := h.workers[s.Worker]
+	if !ok {
+		return
+	}
+	w.speed = speed
+	s.IdleSince = now
+	h.makeIdle(s, w)
+}
+
+// Expires returns the end of a slot's grant.
+func (h *Holdings) Expires(s Slot) time.Time {
+	if w, ok := h.workers[s.Worker]; ok && w.renewed.After(s.Expires) {
+		return w.renewed
+	}
+	return s.Expires
+}
+
+// Drop removes a slot that is in use or was removed from the idle ones.
+func (h *Holdings) Drop(s Slot) {
+	w, ok := h.workers[s.Worker]
+	if !ok {
+		return
+	}
+	w.add(s.Long, -1)
+	h.sum--
+	if w.Short+w.Long == 0 {
+		delete(h.workers, s.Worker)
+	}
+}
 
-// TakeIdle removes and returns the idle slots for which drop returns true.
-func (h *Holdings) TakeIdle(drop func(Slot) bool) []Slot {
+// DropIdle removes and returns the idle slots for which drop returns true.
+func (h *Holdings) DropIdle(drop func(Slot) bool) []Slot {
 	var dropped []Slot
-	kept := h.idle[:0]
-	for _, s := range h.idle {
-		if drop(s) {
-			dropped = append(dropped, s)
-		} else {
-			kept = append(kept, s)
-		}
+	for i := range h.idle {
+		dropped = h.idle[i].remove(dropped, drop)
+	}
+	h.idleSum -= len(dropped)
+	for _, s := range dropped {
+		h.Drop(s)
 	}
-	h.idle = kept
 	return dropped
 }
 
-// HasLong reports whether an idle slot may serve long work.
-func (h *Holdings) HasLong() bool {
-	for _, s := range h.idle {
-		if s.Long {
-			return true
+// Renew extends the grants of the workers for which renewed returns true.
+func (h *Holdings) Renew(until time.Time, renewed func(machine.WorkerID) bool) {
+	for id, w := range h.workers {
+		if renewed(id) {
+			w.renewed = until
+		}
+	}
+}
+
+// Held returns what is held of each worker.
+func (h *Holdings) Held() []HeldSlots {
+	held := make([]HeldSlots, 0, len(h.workers))
+	for _, w := range h.workers {
+		held = append(held, w.HeldSlots)
+	}
+	return held
+}
+
+// Consistent reports whether the counts by worker match the sums.
+func (h *Holdings) Consistent() bool {
+	sum := 0
+	for _, w := range h.workers {
+		if w.Short < 0 || w.Long < 0 {
+			return false
 		}
+		sum += w.Short + w.Long
 	}
-	return false
+	return sum == h.sum && h.idleSum == h.idle[0].length+h.idle[1].length && h.idleSum <= h.sum
 }
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -34,10 +34,14 @@
 	Table   *contract.JobTable
 	Starter Starter
 	Broker  SlotBroker
-	Fleet   *machine.Fleet
-	Now     func() time.Time
-	Logger  *slog.Logger
-	Metrics metrics.Registry
+	// Self is the entry VM that the dispatcher runs on.
+	Self string
+	// Placement chooses workers without grants; nil selects the default policy.
+	Placement *Placement
+	Fleet     *machine.Fleet
+	Now       func() time.Time
+	Logger    *slog.Logger
+	Metrics   metrics.Registry
 }
 
 // Dispatcher is the home of jobs: it accepts them, starts their tasks and holds their answers. mu guards the map of
@@ -57,7 +61,7 @@
 type counters struct {
 	accepted, resubmitted, complete, failed, refused, cancelled   metrics.Counter
 	started, done, taskFailed, notRun, unknown, inDoubt, resolved metrics.Counter
-	rejected, unused, received, demands, returns                  metrics.Counter
+	rejected                                                      metrics.Counter
 }
 
 func newCounters(r metrics.Registry) counters {
@@ -67,8 +71,7 @@
 		failed: c(metric.JobsFailed), refused: c(metric.JobsRefused), cancelled: c(metric.JobsCancelled),
 		started: c(metric.TasksStarted), done: c(metric.TasksDone), taskFailed: c(metric.TasksFailed),
 		notRun: c(metric.TasksNotRun), unknown: c(metric.TasksUnknown), inDoubt: c(metric.TasksInDoubt),
-		resolved: c(metric.TasksResolved), rejected: c(metric.StartsRejected), unused: c(metric.GrantsUnused),
-		received: c(metric.GrantsReceived), demands: c(metric.DemandsSent), returns: c(metric.ReturnsSent),
+		resolved: c(metric.TasksResolved), rejected: c(metric.StartsRejected),
 	}
 }
 
@@ -87,7 +90,9 @@
 	if _, ok := d.lanes[s.Name()]; ok {
 		return
 	}
-	d.lanes[s.Name()] = NewLane(s, customer.NewQueue(weights), d.workerSpeed)
+	d.lanes[s.Name()] = NewLane(s, customer.NewQueue(weights), LaneOptions{
+		Speed: d.workerSpeed, Granter: d.o.Broker.Granter, Self: d.o.Self, Placement: d.o.Placement,
+	})
 }
 
 func (d *Dispatcher) workerSpeed(id machine.WorkerID) float64 {
@@ -234,16 +239,25 @@
 	return nil
 }
 
-// Grant takes over slots from a granter.
-func (d *Dispatcher) Grant(g contract.SlotGrant) {
-	lane, ok := d.lane(g.Service)
+// Grant takes over slots of a service.
+func (d *Dispatcher) Grant(service string, grants []contract.SlotGrant) {
+	lane, ok := d.lane(service)
 	if !ok {
 		return
 	}
-	d.counters.received.Inc(int64(g.Slots))
-	d.carryOut(lane, lane.AddGrant(g, d.o.Now()))
+	d.carryOut(lane, lane.AddGrants(grants, d.o.Now()))
 }
 
+// Recall gives slots back that a granter needs for work that has waited for longer than the work here.
+func (d *Dispatcher) Recall(service, granter string, slots int, wait time.Duration) {
+	if lane, ok := d.lane(service); ok {
+		d.carryOut(lane, lane.Recall(granter, slots, wait, d.o.Now()))
+	}
+}
+
+// Lane returns the lane of a service.
+func (d *Dispatcher) Lane(service string) (*Lane, bool) { return d.lane(service) }
+
 // carryOut executes a plan. The lane's lock is not held.
 func (d *Dispatcher) carryOut(l *Lane, p Plan) {
 	for _, a := range p.Assignments {
@@ -251,14 +265,9 @@
 		go d.run(l, a)
 	}
 	if len(p.Returns) > 0 {
-		for _, r := range p.Returns {
-			d.counters.unused.Inc(int64(r.Unused))
-		}
-		d.counters.returns.Inc(int64(len(p.Returns)))
 		d.o.Broker.Return(p.Returns)
 	}
 	if p.Demand != nil {
-		d.counters.demands.Inc(1)
 		d.o.Broker.Demand(*p.Demand)
 	}
 }
@@ -269,7 +278,7 @@
 	ticket, ok := d.o.Table.Start(a.Item.Task, string(a.Slot.Worker))
 	if !ok {
 		// The job was cancelled while the task waited.
-		d.carryOut(l, l.Release(a.Slot, true, d.o.Now()))
+		d.carryOut(l, l.Release(a.Slot, d.o.Now()))
 		return
 	}
 	req := StartRequest{
@@ -287,7 +296,7 @@
 		return
 	}
 	d.finish(a, reply)
-	d.carryOut(l, l.Release(a.Slot, true, d.o.Now()))
+	d.carryOut(l, l.Release(a.Slot, d.o.Now()))
 }
 
 // resolve asks the worker about a start in doubt until it answers or counts as lost.
@@ -315,7 +324,7 @@
 	d.counters.rejected.Inc(1)
 	now := d.o.Now()
 	requeue := d.o.Table.NotStarted(a.Item.Task, now)
-	d.carryOut(l, l.Release(a.Slot, false, now))
+	d.carryOut(l, l.Reject(a.Slot, fault.Reason(cause) == ReasonWorkerFull, now))
 	if !requeue {
 		return
 	}
@@ -370,10 +379,10 @@
 	return d.draining
 }
 
-// Tick returns idle slots that have lingered.
+// Tick returns idle slots that have lingered and states unmet demand again.
 func (d *Dispatcher) Tick() {
 	for _, l := range d.Lanes() {
-		d.carryOut(l, l.Match(d.o.Now()))
+		d.carryOut(l, l.Tick(d.o.Now()))
 	}
 }
 
--- a/dispatch/lane.go
+++ b/dispatch/lane.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"sort"
 	"sync"
 	"time"
 
@@ -8,13 +9,17 @@
 	"github.com/cicadadale/cicadadale/contract"
 	"github.com/cicadadale/cicadadale/customer"
 	"github.com/cicadadale/cicadadale/machine"
+	"github.com/cicadadale/cicadadale/zone"
 )
 
 const (
-	// idleLinger is how long an idle remote slot waits for new work before it is returned.
-	idleLinger = 20 * time.Millisecond
+	// idleLinger is how long an idle slot of another VM's worker waits for new work before it is returned, unless its
+	// granter recalls it: returning and granting it again costs more messages than a recall.
+	idleLinger = 50 * time.Millisecond
 	// startMargin is the least remaining time of a grant with which a start is still sent.
 	startMargin = 200 * time.Millisecond
+	// recallValid is how long a recall applies to the slots that become free.
+	recallValid = 400 * time.Millisecond
 )
 
 // Assignment is a task matched with a slot.
@@ -30,22 +35,44 @@
 	Demand      *contract.SlotDemand
 }
 
+// LaneOptions are the parts that the lanes of a dispatcher share.
+type LaneOptions struct {
+	// Speed returns the speed of a worker.
+	Speed func(machine.WorkerID) float64
+	// Granter returns the entry VM that grants the slots of a worker.
+	Granter func(machine.WorkerID) string
+	// Self is this entry VM.
+	Self string
+	// Placement chooses workers without grants; nil selects the default policy.
+	Placement *Placement
+}
+
 // Lane holds the waiting tasks and the slots of one service. mu guards the holdings and is taken before the lock
 // of the queue.
 type Lane struct {
 	service *backend.Service
 	queue   *customer.Queue
-	speed   func(machine.WorkerID) float64
+	o       LaneOptions
+
+	mu       sync.Mutex
+	holdings contract.Holdings
+	// waiting follows the ages of the queued tasks, by class.
+	waiting [2]backlog
+	stated  contract.SlotDemand
+	recalls map[string]recall
+	stopped bool
+}
 
-	mu         sync.Mutex
-	holdings   contract.Holdings
-	lastDemand contract.SlotDemand
-	stopped    bool
+// recall is a granter's wish to have slots back.
+type recall struct {
+	slots int
+	since time.Time // time at which the oldest task of the demander was queued
+	until time.Time
 }
 
 // NewLane returns a lane without slots.
-func NewLane(service *backend.Service, queue *customer.Queue, speed func(machine.WorkerID) float64) *Lane {
-	return &Lane{service: service, queue: queue, speed: speed}
+func NewLane(service *backend.Service, queue *customer.Queue, o LaneOptions) *Lane {
+	return &Lane{service: service, queue: queue, o: o, recalls: make(map[string]recall)}
 }
 
 // Service returns the lane's service.
@@ -53,38 +80,111 @@
 
 // Push queues tasks and matches them with idle slots.
 func (l *Lane) Push(items []customer.Item, now time.Time) Plan {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for i := range items {
+		l.waiting[items[i].Class].push(1, items[i].Enqueued)
+	}
 	l.queue.Push(items)
-	return l.Match(now)
+	return l.match(now)
 }
 
-// AddGrant takes over granted slots and matches them.
-func (l *Lane) AddGrant(g contract.SlotGrant, now time.Time) Plan {
+// AddGrants takes over granted slots and matches them.
+func (l *Lane) AddGrants(grants []contract.SlotGrant, now time.Time) Plan {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	for range g.Slots {
-		l.holdings.Add(contract.Slot{
-			Worker: g.Worker, Granter: g.Granter, Epoch: g.Epoch, Long: g.Long, Expires: now.Add(g.TTL),
-		})
+	for _, g := range grants {
+		s := contract.Slot{Worker: g.Worker, Epoch: g.Epoch, Expires: now.Add(g.TTL), IdleSince: now}
+		speed := l.o.Speed(g.Worker)
+		for range g.Short {
+			l.holdings.Add(s, speed)
+		}
+		s.Long = true
+		for range g.Long {
+			l.holdings.Add(s, speed)
+		}
 	}
 	return l.match(now)
 }
 
-// Release ends the use of a slot. A slot that served keeps serving while work waits; reusable is false when the
-// worker refused the start.
-func (l *Lane) Release(s contract.Slot, reusable bool, now time.Time) Plan {
+// Release ends the use of a slot. It keeps serving while work waits, unless it is recalled.
+func (l *Lane) Release(s contract.Slot, now time.Time) Plan {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.holdings.Release()
-	if !reusable {
+	if l.o.Placement != nil {
+		l.o.Placement.Release(s.Worker)
+		return l.match(now)
+	}
+	if l.recalled(s, now) {
+		l.holdings.Drop(s)
 		plan := l.match(now)
 		plan.Returns = append(plan.Returns, l.returnOf(s))
 		return plan
 	}
-	s.Expires = now.Add(idleLinger + startMargin)
-	l.holdings.Add(s)
+	l.holdings.Release(s, l.o.Speed(s.Worker), now)
 	return l.match(now)
 }
 
+// Reject ends the use of a slot on which the worker refused the start. full says that it had no free slot.
+func (l *Lane) Reject(s contract.Slot, full bool, now time.Time) Plan {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.o.Placement != nil {
+		l.o.Placement.Reject(s.Worker, now)
+		return l.match(now)
+	}
+	l.holdings.Drop(s)
+	plan := l.match(now)
+	r := l.returnOf(s)
+	r.Rejected = full
+	plan.Returns = append(plan.Returns, r)
+	return plan
+}
+
+// Recall returns idle slots of a granter that nothing waits for, and marks the rest of the n slots to be returned as
+// they become free.
+func (l *Lane) Recall(granter string, n int, wait time.Duration, now time.Time) Plan {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	plan := l.match(now)
+	idle := l.holdings.DropIdle(func(s contract.Slot) bool {
+		if n <= 0 || l.o.Granter(s.Worker) != granter {
+			return false
+		}
+		n--
+		return true
+	})
+	plan.Returns = append(plan.Returns, l.returns(idle)...)
+	delete(l.recalls, granter)
+	if n > 0 {
+		l.recalls[granter] = recall{slots: n, since: now.Add(-wait), until: now.Add(recallValid)}
+	}
+	return plan
+}
+
+// recalled reports whether a slot that becomes free has to be returned. It expects l.mu to be held.
+func (l *Lane) recalled(s contract.Slot, now time.Time) bool {
+	if len(l.recalls) == 0 {
+		return false
+	}
+	granter := l.o.Granter(s.Worker)
+	r, ok := l.recalls[granter]
+	if !ok {
+		return false
+	}
+	if r.slots <= 0 || now.After(r.until) {
+		delete(l.recalls, granter)
+		return false
+	}
+	own := l.waiting[backend.ClassShort].wait(now)
+	if own > 0 && !zone.MayRecall(now.Sub(r.since), own) {
+		return false
+	}
+	r.slots--
+	l.recalls[granter] = r
+	return true
+}
+
 // Match pairs waiting tasks with idle slots.
 func (l *Lane) Match(now time.Time) Plan {
 	l.mu.Lock()
@@ -92,64 +192,184 @@
 	return l.match(now)
 }
 
+// Tick returns slots that have been idle for long or whose grant has lapsed, and states the demand again.
+func (l *Lane) Tick(now time.Time) Plan {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	plan := l.match(now)
+	if l.o.Placement != nil {
+		return plan
+	}
+	if l.holdings.Idle() > 0 {
+		plan.Returns = append(plan.Returns, l.returns(l.holdings.DropIdle(func(s contract.Slot) bool {
+			return now.Sub(s.IdleSince) >= idleLinger || !l.usable(s, now)
+		}))...)
+	}
+	if d := l.demand(now); d.Short+d.Long > 0 || d.Short != l.stated.Short || d.Long != l.stated.Long {
+		plan.Demand = l.state(d)
+	}
+	return plan
+}
+
+// usable reports whether the grant of a slot lasts long enough for a start.
+func (l *Lane) usable(s contract.Slot, now time.Time) bool {
+	return now.Add(startMargin).Before(l.holdings.Expires(s))
+}
+
 // match expects l.mu to be held.
 func (l *Lane) match(now time.Time) Plan {
-	plan := Plan{Returns: l.returns(l.holdings.TakeIdle(func(s contract.Slot) bool {
-		return now.Add(startMargin).After(s.Expires)
-	}))}
-	for l.holdings.Idle() > 0 && !l.stopped {
-		slot, item, ok := l.pair()
+	var plan Plan
+	if !l.stopped && l.o.Placement != nil {
+		l.place(&plan, now)
+	} else if !l.stopped {
+		l.pair(&plan, now)
+	}
+	depth := l.queue.Depth()
+	l.waiting[backend.ClassShort].trim(depth.Short, now)
+	l.waiting[backend.ClassLong].trim(depth.Long, now)
+	if l.o.Placement == nil {
+		l.settle(&plan, depth, now)
+	}
+	return plan
+}
+
+// pair assigns waiting tasks to idle slots. Of the tasks that start together, long work gets the slowest workers and
+// the longest short tasks get the fastest ones, as they decide when their job ends. It expects l.mu to be held.
+func (l *Lane) pair(plan *Plan, now time.Time) {
+	for l.holdings.Idle() > 0 {
+		items, long := l.next()
+		if len(items) == 0 {
+			return
+		}
+		for i, it := range items {
+			take := l.holdings.TakeShort
+			if i < long {
+				take = l.holdings.TakeLong
+			}
+			s, ok := l.takeUsable(take, plan, now)
+			if !ok {
+				// Lapsed slots were counted as idle.
+				l.queue.Push(items[i:])
+				return
+			}
+			plan.Assignments = append(plan.Assignments, Assignment{Item: it, Slot: s})
+		}
+	}
+}
+
+// next removes as many tasks from the queue as there are idle slots, long ones first, and returns the number of long
+// ones. It expects l.mu to be held.
+func (l *Lane) next() ([]customer.Item, int) {
+	idle, idleLong := l.holdings.Idle(), l.holdings.IdleLong()
+	var items []customer.Item
+	long := 0
+	for len(items) < idle {
+		// Short tasks may have taken all but idle-len(items) slots, the ones for long work among them.
+		it, ok := l.queue.Pop(long < min(idleLong, idle-len(items)))
 		if !ok {
 			break
 		}
-		plan.Assignments = append(plan.Assignments, Assignment{Item: item, Slot: slot})
+		if it.Class == backend.ClassLong {
+			long++
+		}
+		items = append(items, it)
 	}
-	l.settle(&plan)
-	return plan
+	if len(items) > 1 {
+		sort.SliceStable(items, func(i, j int) bool {
+			if items[i].Class != items[j].Class {
+				return items[i].Class > items[j].Class
+			}
+			return items[i].Expected > items[j].Expected
+		})
+	}
+	return items, long
 }
 
-// pair expects l.mu to be held.
-func (l *Lane) pair() (contract.Slot, customer.Item, bool) {
-	anyLong := l.holdings.HasLong()
-	item, ok := l.queue.Pop(anyLong)
-	if !ok {
-		return contract.Slot{}, customer.Item{}, false
+// takeUsable takes an idle slot into use and returns lapsed ones to their granters. It expects l.mu to be held.
+func (l *Lane) takeUsable(take func() (contract.Slot, bool), plan *Plan, now time.Time) (contract.Slot, bool) {
+	for {
+		s, ok := take()
+		if !ok || l.usable(s, now) {
+			return s, ok
+		}
+		l.holdings.Drop(s)
+		plan.Returns = append(plan.Returns, l.returnOf(s))
 	}
-	slot, ok := l.holdings.TakeBest(item.Class == backend.ClassLong, l.speed)
-	if !ok {
-		l.queue.Push([]customer.Item{item})
-		return contract.Slot{}, customer.Item{}, false
+}
+
+// place assigns waiting tasks to workers chosen by a baseline policy. It expects l.mu to be held.
+func (l *Lane) place(plan *Plan, now time.Time) {
+	for {
+		worker, ok := l.o.Placement.Choose(l.service.Name(), now)
+		if !ok {
+			return
+		}
+		it, ok := l.queue.Pop(true)
+		if !ok {
+			l.o.Placement.Release(worker)
+			return
+		}
+		plan.Assignments = append(plan.Assignments, Assignment{Item: it, Slot: contract.Slot{Worker: worker}})
 	}
-	return slot, item, true
 }
 
-// settle states the remaining demand and returns slots that nothing waits for. It expects l.mu to be held.
-func (l *Lane) settle(plan *Plan) {
-	depth := l.queue.Depth()
-	if depth.Short+depth.Long == 0 {
-		plan.Returns = append(plan.Returns, l.returns(l.holdings.TakeIdle(func(contract.Slot) bool { return true }))...)
+// settle states a demand that has grown or ended, and returns own slots that nothing waits for. Smaller changes are
+// left to the tick. It expects l.mu to be held.
+func (l *Lane) settle(plan *Plan, depth customer.Depth, now time.Time) {
+	if l.holdings.Idle() > 0 && depth.Short == 0 {
+		plan.Returns = append(plan.Returns, l.returns(l.holdings.DropIdle(func(s contract.Slot) bool {
+			// Long work may wait for slots that count against its share, which only the granter can give.
+			return (depth.Long > 0 && !s.Long) || l.o.Granter(s.Worker) == l.o.Self
+		}))...)
 	}
-	demand := contract.SlotDemand{Service: l.service.Name(), Short: depth.Short, Long: depth.Long}
-	if l.stopped {
-		demand.Short, demand.Long = 0, 0
+	d := l.demand(now)
+	ended := d.Short+d.Long == 0 && l.stated.Short+l.stated.Long > 0
+	if d.Short > l.stated.Short || d.Long > l.stated.Long || ended {
+		plan.Demand = l.state(d)
 	}
-	if demand != l.lastDemand {
-		l.lastDemand = demand
-		plan.Demand = &demand
+}
+
+// demand expects l.mu to be held.
+func (l *Lane) demand(now time.Time) contract.SlotDemand {
+	d := contract.SlotDemand{Service: l.service.Name()}
+	if l.stopped {
+		return d
 	}
+	short, long := &l.waiting[backend.ClassShort], &l.waiting[backend.ClassLong]
+	d.Short, d.ShortWait = short.length, short.wait(now)
+	d.Long, d.LongWait = long.length, long.wait(now)
+	return d
 }
 
+// state expects l.mu to be held.
+func (l *Lane) state(d contract.SlotDemand) *contract.SlotDemand {
+	d.Version = l.stated.Version + 1
+	l.stated = d
+	return &d
+}
+
+// returns joins the returned slots of a worker.
 func (l *Lane) returns(slots []contract.Slot) []contract.SlotReturn {
 	var out []contract.SlotReturn
 	for _, s := range slots {
-		out = append(out, l.returnOf(s))
+		r := l.returnOf(s)
+		if n := len(out); n > 0 && out[n-1].Worker == r.Worker {
+			out[n-1].Short += r.Short
+			out[n-1].Long += r.Long
+			out[n-1].Unused += r.Unused
+			continue
+		}
+		out = append(out, r)
 	}
 	return out
 }
 
 func (l *Lane) returnOf(s contract.Slot) contract.SlotReturn {
-	r := contract.SlotReturn{
-		Service: l.service.Name(), Worker: s.Worker, Granter: s.Granter, Slots: 1, Epoch: s.Epoch, Long: s.Long,
+	r := contract.SlotReturn{Service: l.service.Name(), Worker: s.Worker}
+	if s.Long {
+		r.Long = 1
+	} else {
+		r.Short = 1
 	}
 	if !s.Used {
 		r.Unused = 1
@@ -157,12 +377,35 @@
 	return r
 }
 
+// Renew extends the grants of the workers for which renewed returns true.
+func (l *Lane) Renew(until time.Time, renewed func(machine.WorkerID) bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.holdings.Renew(until, renewed)
+}
+
+// Held returns what the lane holds of each worker.
+func (l *Lane) Held() []contract.HeldSlots {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.holdings.Held()
+}
+
+// Waited returns the wait of the oldest waiting short task, zero without any.
+func (l *Lane) Waited(now time.Time) time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.waiting[backend.ClassShort].wait(now)
+}
+
 // Stop ends the matching; waiting tasks stay in the queue.
 func (l *Lane) Stop(now time.Time) Plan {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.stopped = true
-	return l.match(now)
+	plan := l.match(now)
+	plan.Returns = append(plan.Returns, l.returns(l.holdings.DropIdle(func(contract.Slot) bool { return true }))...)
+	return plan
 }
 
 // LaneView is a lane as shown to operators.
@@ -177,7 +420,28 @@
 func (l *Lane) View() LaneView {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return LaneView{
+	v := LaneView{
 		Service: l.service.Name(), Depth: l.queue.Depth(), Idle: l.holdings.Idle(), Busy: l.holdings.Busy(),
 	}
+	if l.o.Placement != nil {
+		v.Busy = l.o.Placement.InFlight(l.service.Name())
+	}
+	return v
+}
+
+// Check reports whether the counts of the holdings add up and no short task waits that could use an idle slot.
+func (l *Lane) Check() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if !l.holdings.Consistent() {
+		return false
+	}
+	if l.stopped || l.o.Placement != nil || l.holdings.Idle() == 0 {
+		return true
+	}
+	it, ok := l.queue.Pop(false)
+	if ok {
+		l.queue.Push([]customer.Item{it})
+	}
+	return !ok
 }
--- a/dispatch/starter.go
+++ b/dispatch/starter.go
@@ -39,8 +39,13 @@
 	Resolve(ctx context.Context, req StartRequest) (StartReply, error)
 }
 
+// ReasonWorkerFull is the reason of a start that the worker rejected because all of its slots were in use.
+const ReasonWorkerFull = "full"
+
 // SlotBroker carries demands and returned slots to the granters of the failure domain.
 type SlotBroker interface {
 	Demand(contract.SlotDemand)
 	Return([]contract.SlotReturn)
+	// Granter returns the entry VM that grants the slots of a worker.
+	Granter(machine.WorkerID) string
 }
--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -100,8 +100,8 @@
 	d.peers = newPeers(d)
 	d.slots = newSlotDirectory(d)
 	d.dispatcher = dispatch.New(dispatch.Options{
-		Table: d.table, Starter: workers, Broker: d.slots, Fleet: d.fleet, Now: o.Now, Logger: o.Logger,
-		Metrics: o.Metrics,
+		Table: d.table, Starter: workers, Broker: d.slots, Self: o.VM.ID, Placement: d.slots.placement,
+		Fleet: d.fleet, Now: o.Now, Logger: o.Logger, Metrics: o.Metrics,
 	})
 	for _, s := range o.Services {
 		d.dispatcher.AddService(s, nil)
@@ -126,6 +126,10 @@
 	d.loop(ctx, listInterval, func() { d.refreshList(ctx) })
 	d.loop(ctx, statusInterval, func() { d.pollWorkers(ctx) })
 	d.loop(ctx, laneInterval, d.dispatcher.Tick)
+	if d.slots.placement == nil {
+		d.loop(ctx, slotInterval, d.slots.tick)
+		d.loop(ctx, renewInterval, d.slots.renew)
+	}
 	d.loop(ctx, expiryInterval, func() { d.table.Expire(d.o.Now()) })
 	d.o.Logger.Info("entry daemon started", "vm", d.o.VM.ID, "incarnation", d.o.VM.Incarnation.String(),
 		"callers", d.o.Callers.Addr().String())
--- a/entry/membership.go
+++ b/entry/membership.go
@@ -53,7 +53,7 @@
 func (d *Daemon) heartbeat() {
 	d.applyChanges(d.domain.Tick(d.o.Now()))
 	msg := &api.PeerMessage{Body: &api.PeerMessage_Heartbeat{Heartbeat: &api.Heartbeat{
-		Leaving: d.dispatcher.Draining(),
+		Leaving: d.dispatcher.Draining(), Slots: d.slots.statuses(),
 	}}}
 	d.peers.broadcast(msg)
 }
--- a/entry/messages.go
+++ b/entry/messages.go
@@ -17,6 +17,7 @@
 	inc := machine.Incarnation(env.GetFromIncarnation())
 	vm := env.GetFromVm()
 	d.peers.heard(vm, inc)
+	d.slots.heard(vm, inc)
 	leaving := false
 	for _, m := range env.GetMessages() {
 		if h := m.GetHeartbeat(); h != nil {
@@ -25,18 +26,14 @@
 	}
 	d.applyChanges(d.domain.Heard(vm, inc, leaving, d.o.Now()))
 	for _, m := range env.GetMessages() {
-		d.handle(vm, m)
+		if !d.slots.handleSlots(vm, inc, m) {
+			d.handle(vm, m)
+		}
 	}
 }
 
 func (d *Daemon) handle(vm string, m *api.PeerMessage) {
 	switch b := m.GetBody().(type) {
-	case *api.PeerMessage_Demand:
-		d.slots.demandFrom(vm, b.Demand)
-	case *api.PeerMessage_Grant:
-		d.slots.grantFrom(vm, b.Grant)
-	case *api.PeerMessage_Return:
-		d.slots.returnFrom(vm, b.Return)
 	case *api.PeerMessage_Request:
 		// Requests may wait for a job's answer and so must not hold up the link.
 		go d.serveRequest(vm, b.Request)
--- a/entry/slots.go
+++ b/entry/slots.go
@@ -2,159 +2,458 @@
 
 import (
 	"sync"
+	"sync/atomic"
 	"time"
 
+	"github.com/rcrowley/go-metrics"
+
 	"github.com/cicadadale/cicadadale/api"
 	"github.com/cicadadale/cicadadale/contract"
+	"github.com/cicadadale/cicadadale/dispatch"
 	"github.com/cicadadale/cicadadale/machine"
+	"github.com/cicadadale/cicadadale/metric"
 	"github.com/cicadadale/cicadadale/zone"
 )
 
+const (
+	// slotInterval spaces the granters' housekeeping: lapsed grants, ends of takeovers, recalls.
+	slotInterval = 50 * time.Millisecond
+	// renewInterval spaces the reports of holdings; two may be lost before a grant lapses.
+	renewInterval = zone.GrantTTL / 3
+	// statusReplyInterval spaces the replies to demands that could not be served.
+	statusReplyInterval = 100 * time.Millisecond
+	// healFor is how long after a takeover the own holdings are reported to the own granter: a return may have crossed
+	// the takeover.
+	healFor = 3 * time.Second
+)
+
 // slotDirectory knows the granter of each worker and carries demands, grants and returns between this VM's lanes and
-// the granters. mu guards the map of granters; each granter has its own lock.
+// the granters. mu guards the maps; the assignment is an immutable snapshot.
 type slotDirectory struct {
-	d *Daemon
+	d          *Daemon
+	placement  *dispatch.Placement
+	assignment atomic.Pointer[map[machine.WorkerID]string]
+	counters   slotCounters
 
-	mu       sync.Mutex
-	granters map[string]*zone.Granter
+	mu           sync.Mutex
+	services     map[string]*serviceSlots
+	incarnations map[string]machine.Incarnation
+}
+
+// serviceSlots are the granter and the asker of one service. mu guards the fields below it and is taken before the
+// locks of both; it keeps demands in the order in which the lane stated them.
+type serviceSlots struct {
+	name    string
+	granter *zone.Granter
+	asker   *zone.Asker
+
+	mu   sync.Mutex
+	need contract.SlotDemand
+	// announced is the number of free slots that the members were last told.
+	announced  int
+	demandedAt time.Time
+	replied    map[string]time.Time
+	reported   map[string]bool
+	healUntil  time.Time
+}
+
+type slotCounters struct {
+	received, unused, issued, demands, returns, recalls metrics.Counter
+	checks, violations                                  metrics.Counter
 }
 
 func newSlotDirectory(d *Daemon) *slotDirectory {
-	return &slotDirectory{d: d, granters: make(map[string]*zone.Granter)}
+	c := func(name string) metrics.Counter { return metrics.GetOrRegisterCounter(name, d.o.Metrics) }
+	s := &slotDirectory{
+		d: d, placement: dispatch.NewPlacement(d.o.Policy, uint64(d.o.VM.Incarnation)),
+		services: make(map[string]*serviceSlots), incarnations: make(map[string]machine.Incarnation),
+		counters: slotCounters{
+			received: c(metric.GrantsReceived), unused: c(metric.GrantsUnused), issued: c(metric.GrantsIssued),
+			demands: c(metric.DemandsSent), returns: c(metric.ReturnsSent), recalls: c(metric.RecallsSent),
+			checks: c(metric.InvariantChecks), violations: c(metric.InvariantViolations),
+		},
+	}
+	s.assignment.Store(&map[machine.WorkerID]string{})
+	return s
 }
 
-func (s *slotDirectory) granter(service string) *zone.Granter {
+func (s *slotDirectory) service(name string) *serviceSlots {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	g, ok := s.granters[service]
+	st, ok := s.services[name]
 	if !ok {
-		g = zone.NewGranter(uint64(s.d.o.VM.Incarnation))
-		s.granters[service] = g
+		self := s.d.o.VM.ID
+		st = &serviceSlots{
+			name: name, granter: zone.NewGranter(self, uint64(s.d.o.VM.Incarnation)), asker: zone.NewAsker(self),
+			replied: make(map[string]time.Time), reported: make(map[string]bool),
+		}
+		s.services[name] = st
 	}
-	return g
+	return st
 }
 
-func (s *slotDirectory) all() map[string]*zone.Granter {
+func (s *slotDirectory) all() []*serviceSlots {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	out := make(map[string]*zone.Granter, len(s.granters))
-	for name, g := range s.granters {
-		out[name] = g
+	out := make([]*serviceSlots, 0, len(s.services))
+	for _, st := range s.services {
+		out = append(out, st)
 	}
 	return out
 }
 
+// Granter implements dispatch.SlotBroker.
+func (s *slotDirectory) Granter(w machine.WorkerID) string {
+	return (*s.assignment.Load())[w]
+}
+
 // reassign takes over the workers whose granter this VM is now, and drops the others.
 func (s *slotDirectory) reassign() {
-	live := s.d.domain.Live()
-	mine := make(map[machine.WorkerID]bool)
-	for _, w := range s.d.fleet.All() {
+	workers := s.d.fleet.All()
+	if s.placement != nil {
+		s.placement.SetWorkers(placementWorkers(workers))
+		return
+	}
+	live := s.candidates()
+	assignment := make(map[machine.WorkerID]string, len(workers))
+	offers := make(map[string][]zone.Offer)
+	slots := make(map[string]map[string]int)
+	for _, w := range workers {
 		spec := w.Spec()
 		vm, ok := zone.Choose(string(spec.ID), live)
-		if !ok || vm.ID != s.d.o.VM.ID {
+		if !ok {
 			continue
 		}
-		mine[spec.ID] = true
-		closed := spec.Leaving || w.Incarnation() == 0
-		s.granter(spec.Service).SetWorker(spec.ID, spec.Slots, w.Speed(), closed)
+		assignment[spec.ID] = vm.ID
+		if slots[spec.Service] == nil {
+			slots[spec.Service] = make(map[string]int)
+		}
+		slots[spec.Service][vm.ID] += spec.Slots
+		if vm.ID == s.d.o.VM.ID {
+			offers[spec.Service] = append(offers[spec.Service], zone.Offer{
+				Worker: spec.ID, Slots: spec.Slots, Speed: w.Speed(), Closed: spec.Leaving || w.Incarnation() == 0,
+			})
+		}
 	}
-	for _, g := range s.all() {
-		g.Retain(func(id machine.WorkerID) bool { return mine[id] })
+	s.assignment.Store(&assignment)
+	for _, l := range s.d.dispatcher.Lanes() {
+		name := l.Service().Name()
+		s.assign(s.service(name), l, offers[name], slots[name])
 	}
 }
 
-// Demand implements dispatch.SlotBroker. The own granter is asked first, without a message.
-func (s *slotDirectory) Demand(dm contract.SlotDemand) {
-	now := s.d.o.Now()
-	self := s.d.o.VM.ID
-	own := s.granter(dm.Service).Demand(self, dm.Short, dm.Long, dm.OldestWait, now)
-	granted := 0
-	for _, a := range own {
-		granted += a.Slots
-	}
-	s.deliver(dm.Service, own)
-	if granted > 0 {
-		// The lane has stated its remaining demand after taking the slots.
-		return
+// candidates returns the members that may be granters. An entry VM that drains hands its workers over.
+func (s *slotDirectory) candidates() []machine.EntryVM {
+	live := s.d.domain.Live()
+	if !s.d.dispatcher.Draining() {
+		return live
+	}
+	others := make([]machine.EntryVM, 0, len(live))
+	for _, vm := range live {
+		if vm.ID != s.d.o.VM.ID {
+			others = append(others, vm)
+		}
 	}
-	s.demandPeers(dm)
+	return others
 }
 
-// demandPeers asks each other member for an equal part.
-func (s *slotDirectory) demandPeers(dm contract.SlotDemand) {
-	var others []string
-	for _, vm := range s.d.domain.Live() {
-		if vm.ID != s.d.o.VM.ID {
-			others = append(others, vm.ID)
+func placementWorkers(workers []*machine.Worker) []dispatch.PlacementWorker {
+	var out []dispatch.PlacementWorker
+	for _, w := range workers {
+		spec := w.Spec()
+		if spec.Leaving || w.Incarnation() == 0 {
+			continue
 		}
+		out = append(out, dispatch.PlacementWorker{ID: spec.ID, Service: spec.Service, Slots: spec.Slots, Busy: w.Busy()})
 	}
-	if len(others) == 0 {
+	return out
+}
+
+// assign gives a service's granter its workers and asks the members for their holdings if there are new ones.
+func (s *slotDirectory) assign(st *serviceSlots, l *dispatch.Lane, offers []zone.Offer, slots map[string]int) {
+	now := s.d.o.Now()
+	others := s.d.domain.Present()
+	st.asker.SetGranters(slots)
+	st.mu.Lock()
+	taken := st.granter.Assign(offers, zoneHeld(l.Held()), others, now)
+	if taken {
+		st.healUntil = now.Add(healFor)
+	}
+	st.mu.Unlock()
+	if !taken {
+		return
+	}
+	msg := &api.PeerMessage{Body: &api.PeerMessage_HoldingsRequest{
+		HoldingsRequest: &api.HoldingsRequest{Service: st.name},
+	}}
+	for _, vm := range others {
+		s.d.peers.send(vm, msg)
+	}
+}
+
+// Demand implements dispatch.SlotBroker.
+func (s *slotDirectory) Demand(dm contract.SlotDemand) {
+	st := s.service(dm.Service)
+	st.mu.Lock()
+	if dm.Version <= st.need.Version {
+		// A later statement of the lane has overtaken this one.
+		st.mu.Unlock()
 		return
 	}
-	part := func(n int) uint32 { return uint32((n + len(others) - 1) / len(others)) }
-	msg := &api.PeerMessage{Body: &api.PeerMessage_Demand{Demand: &api.Demand{
-		Service: dm.Service, ShortTasks: part(dm.Short), LongTasks: part(dm.Long),
-		OldestWaitMs: uint32(dm.OldestWait.Milliseconds()),
-	}}}
-	for _, id := range others {
-		s.d.peers.send(id, msg)
+	st.need = dm
+	own := s.ask(st, s.d.o.Now())
+	st.mu.Unlock()
+	s.deliver(st, own)
+	if dm.Short > 0 && len(own) == 0 {
+		s.recall(st)
 	}
 }
 
+// ask divides the demand between the granters and returns the allocations of the own one. It expects st.mu to be held,
+// so that statements are sent in the order of the lane's demands.
+func (s *slotDirectory) ask(st *serviceSlots, now time.Time) []zone.Allocation {
+	self := s.d.o.VM.ID
+	st.asker.Hint(self, st.granter.Free(), now)
+	st.granter.Observe(self, st.need.ShortWait, now)
+	var own []zone.Allocation
+	for _, a := range st.asker.Plan(zone.Count{Short: st.need.Short, Long: st.need.Long}, now) {
+		if a.Granter == self {
+			own = st.granter.Demand(self, zone.Need{
+				Tasks: a.Tasks, ShortWait: st.need.ShortWait, LongWait: st.need.LongWait, Received: a.Received,
+			}, now)
+			continue
+		}
+		s.counters.demands.Inc(1)
+		s.d.peers.send(a.Granter, &api.PeerMessage{Body: &api.PeerMessage_Demand{Demand: &api.Demand{
+			Status: s.status(st), ShortTasks: uint32(a.Tasks.Short), LongTasks: uint32(a.Tasks.Long),
+			OldestLongWaitMs: millis(st.need.LongWait), Received: a.Received,
+		}}})
+	}
+	return own
+}
+
+// status expects st.mu to be held.
+func (s *slotDirectory) status(st *serviceSlots) *api.SlotStatus {
+	free := st.granter.Free()
+	st.announced = free
+	status := &api.SlotStatus{Service: st.name, Free: uint32(free)}
+	if st.need.Short > 0 {
+		status.OldestWaitMs = millis(st.need.ShortWait)
+	}
+	return status
+}
+
+// millis rounds up, so that a wait is never reported as none.
+func millis(d time.Duration) uint32 {
+	return uint32((d + time.Millisecond - 1) / time.Millisecond)
+}
+
 // Return implements dispatch.SlotBroker.
 func (s *slotDirectory) Return(returns []contract.SlotReturn) {
 	now := s.d.o.Now()
-	for _, r := range returns {
-		if r.Granter == s.d.o.VM.ID {
-			s.deliver(r.Service, s.granter(r.Service).Return(r.Granter, r.Worker, r.Slots, r.Long, now))
-			continue
+	for _, group := range groupReturns(returns, s.Granter) {
+		st := s.service(group.service)
+		switch group.granter {
+		case s.d.o.VM.ID:
+			st.mu.Lock()
+			allocations := st.granter.Return(group.granter, group.returned, now)
+			allocations = append(allocations, st.granter.Reject(group.granter, group.rejected, now)...)
+			st.mu.Unlock()
+			s.deliver(st, allocations)
+		case "":
+			// No member grants the worker's slots any more.
+		default:
+			s.sendReturn(st, group)
 		}
-		s.d.peers.send(r.Granter, &api.PeerMessage{Body: &api.PeerMessage_Return{Return: &api.Return{
-			Service: r.Service, Worker: string(r.Worker), Slots: uint32(r.Slots), Epoch: r.Epoch, LongClass: r.Long,
-			Unused: uint32(r.Unused),
-		}}})
 	}
 }
 
-// deliver hands allocations to the members that they are for.
-func (s *slotDirectory) deliver(service string, allocations []zone.Allocation) {
-	for _, a := range allocations {
-		if a.Member == s.d.o.VM.ID {
-			s.d.dispatcher.Grant(contract.SlotGrant{
-				Service: service, Worker: a.Worker, Granter: a.Member, Slots: a.Slots, Epoch: a.Epoch, Long: a.Long,
+func (s *slotDirectory) sendReturn(st *serviceSlots, g *returnGroup) {
+	s.counters.returns.Inc(1)
+	s.counters.unused.Inc(int64(g.unused))
+	st.mu.Lock()
+	status := s.status(st)
+	st.mu.Unlock()
+	s.d.peers.send(g.granter, &api.PeerMessage{Body: &api.PeerMessage_Return{Return: &api.Return{
+		Status: status, Slots: slotCounts(g.returned), Rejected: slotCounts(g.rejected),
+	}}})
+}
+
+// deliver hands allocations to the members that they are for, one message each.
+func (s *slotDirectory) deliver(st *serviceSlots, allocations []zone.Allocation) {
+	for len(allocations) > 0 {
+		n := 1
+		for n < len(allocations) && allocations[n].Member == allocations[0].Member &&
+			allocations[n].Number == allocations[0].Number {
+			n++
+		}
+		s.deliverTo(st, allocations[0].Member, allocations[:n])
+		allocations = allocations[n:]
+	}
+}
+
+func (s *slotDirectory) deliverTo(st *serviceSlots, member string, allocations []zone.Allocation) {
+	if member == s.d.o.VM.ID {
+		grants := make([]contract.SlotGrant, len(allocations))
+		var sum zone.Count
+		for i, a := range allocations {
+			grants[i] = contract.SlotGrant{
+				Service: st.name, Worker: a.Worker, Short: a.Slots.Short, Long: a.Slots.Long, Epoch: a.Epoch,
 				TTL: zone.GrantTTL,
-			})
+			}
+			sum.Short += a.Slots.Short
+			sum.Long += a.Slots.Long
+		}
+		st.asker.Granted(member, sum, allocations[0].Number)
+		s.d.dispatcher.Grant(st.name, grants)
+		return
+	}
+	g := &api.Grant{TtlMs: uint32(zone.GrantTTL.Milliseconds()), Number: allocations[0].Number}
+	for _, a := range allocations {
+		g.Slots = append(g.Slots, slotCount(a.Worker, a.Slots))
+		s.counters.issued.Inc(int64(a.Slots.Sum()))
+	}
+	st.mu.Lock()
+	g.Status = s.status(st)
+	st.mu.Unlock()
+	s.d.peers.send(member, &api.PeerMessage{Body: &api.PeerMessage_Grant{Grant: g}})
+}
+
+// recall asks for slots back that are needed for work that has waited longer.
+func (s *slotDirectory) recall(st *serviceSlots) {
+	for _, r := range st.granter.Recalls(s.d.o.Now()) {
+		if r.Member == s.d.o.VM.ID {
+			s.d.dispatcher.Recall(st.name, r.Member, r.Slots, r.Wait)
 			continue
 		}
-		s.d.peers.send(a.Member, &api.PeerMessage{Body: &api.PeerMessage_Grant{Grant: &api.Grant{
-			Service: service, Worker: string(a.Worker), Slots: uint32(a.Slots), Epoch: a.Epoch,
-			TtlMs: uint32(zone.GrantTTL.Milliseconds()), LongClass: a.Long,
+		s.counters.recalls.Inc(1)
+		s.d.peers.send(r.Member, &api.PeerMessage{Body: &api.PeerMessage_Recall{Recall: &api.Recall{
+			Service: st.name, Slots: uint32(r.Slots), OldestWaitMs: millis(r.Wait),
 		}}})
 	}
 }
 
-func (s *slotDirectory) demandFrom(vm string, m *api.Demand) {
-	wait := time.Duration(m.GetOldestWaitMs()) * time.Millisecond
-	g := s.granter(m.GetService())
-	s.deliver(m.GetService(), g.Demand(vm, int(m.GetShortTasks()), int(m.GetLongTasks()), wait, s.d.o.Now()))
+// tick lets grants lapse, ends takeovers, recalls slots and announces free ones.
+func (s *slotDirectory) tick() {
+	now := s.d.o.Now()
+	for _, st := range s.all() {
+		s.deliver(st, st.granter.Tick(now))
+		s.recall(st)
+		s.announce(st, now)
+	}
+}
+
+// announce tells the members of free slots that appeared after they were told of none while some of them asked.
+func (s *slotDirectory) announce(st *serviceSlots, now time.Time) {
+	st.mu.Lock()
+	if st.announced > 0 || now.Sub(st.demandedAt) > renewInterval || st.granter.Free() == 0 {
+		st.mu.Unlock()
+		return
+	}
+	msg := &api.PeerMessage{Body: &api.PeerMessage_SlotStatus{SlotStatus: s.status(st)}}
+	st.mu.Unlock()
+	s.d.peers.broadcast(msg)
+}
+
+// statuses returns the state of all services for a heartbeat.
+func (s *slotDirectory) statuses() []*api.SlotStatus {
+	var out []*api.SlotStatus
+	for _, st := range s.all() {
+		st.mu.Lock()
+		out = append(out, s.status(st))
+		st.mu.Unlock()
+	}
+	return out
+}
+
+// renew reports the holdings to their granters and checks the counts.
+func (s *slotDirectory) renew() {
+	now := s.d.o.Now()
+	live := make(map[string]bool)
+	for _, vm := range s.d.domain.Live() {
+		live[vm.ID] = true
+	}
+	for _, l := range s.d.dispatcher.Lanes() {
+		st := s.service(l.Service().Name())
+		s.report(st, l, now)
+		// A granter that is not heard may have let the grants lapse.
+		l.Renew(now.Add(zone.GrantTTL), func(w machine.WorkerID) bool { return live[s.Granter(w)] })
+		s.check(st, l)
+	}
+}
+
+// report sends each granter what is held of its workers. A granter of which nothing is held any more is told once.
+func (s *slotDirectory) report(st *serviceSlots, l *dispatch.Lane, now time.Time) {
+	self := s.d.o.VM.ID
+	byGranter := make(map[string][]zone.Held)
+	st.mu.Lock()
+	for name := range st.reported {
+		byGranter[name] = nil
+	}
+	st.reported = make(map[string]bool)
+	received := make(map[string]uint64)
+	for name := range byGranter {
+		received[name] = st.asker.Received(name)
+	}
+	for _, h := range zoneHeld(l.Held()) {
+		name := s.Granter(h.Worker)
+		if name == "" {
+			continue
+		}
+		if _, ok := received[name]; !ok {
+			received[name] = st.asker.Received(name)
+		}
+		byGranter[name] = append(byGranter[name], h)
+		st.reported[name] = true
+	}
+	var own []zone.Allocation
+	if now.Before(st.healUntil) {
+		own = st.granter.Report(self, byGranter[self], received[self], false, now)
+	}
+	st.mu.Unlock()
+	s.deliver(st, own)
+	for name, held := range byGranter {
+		if name != self {
+			s.sendReport(st, name, held, received[name], false)
+		}
+	}
 }
 
-func (s *slotDirectory) returnFrom(vm string, m *api.Return) {
-	g := s.granter(m.GetService())
-	worker := machine.WorkerID(m.GetWorker())
-	s.deliver(m.GetService(), g.Return(vm, worker, int(m.GetSlots()), m.GetLongClass(), s.d.o.Now()))
+func (s *slotDirectory) sendReport(st *serviceSlots, vm string, held []zone.Held, received uint64, complete bool) {
+	s.d.peers.send(vm, &api.PeerMessage{Body: &api.PeerMessage_HoldingsReport{HoldingsReport: &api.HoldingsReport{
+		Service: st.name, Held: slotCounts(held), Received: received, Complete: complete,
+	}}})
 }
 
-func (s *slotDirectory) grantFrom(vm string, m *api.Grant) {
-	s.d.dispatcher.Grant(contract.SlotGrant{
-		Service: m.GetService(), Worker: machine.WorkerID(m.GetWorker()), Granter: vm, Slots: int(m.GetSlots()),
-		Epoch: m.GetEpoch(), Long: m.GetLongClass(), TTL: time.Duration(m.GetTtlMs()) * time.Millisecond,
-	})
+// check counts the invariant checks of a service.
+func (s *slotDirectory) check(st *serviceSlots, l *dispatch.Lane) {
+	c := st.granter.TakeChecks()
+	c.Made++
+	if !l.Check() {
+		c.Violated++
+	}
+	s.counters.checks.Inc(c.Made)
+	if c.Violated > 0 {
+		s.counters.violations.Inc(c.Violated)
+		s.d.o.Logger.Error("slot counts are inconsistent", "service", st.name, "violations", c.Violated)
+	}
+}
+
+// heard takes back the slots of a member whose process was replaced, and forgets what was asked of it.
+func (s *slotDirectory) heard(vm string, inc machine.Incarnation) {
+	s.mu.Lock()
+	before := s.incarnations[vm]
+	s.incarnations[vm] = inc
+	s.mu.Unlock()
+	if before != 0 && before != inc {
+		s.memberGone(vm)
+	}
 }
 
 // memberGone takes back the slots that a lost member held.
 func (s *slotDirectory) memberGone(vm string) {
-	for service, g := range s.all() {
-		s.deliver(service, g.MemberGone(vm, s.d.o.Now()))
+	for _, st := range s.all() {
+		st.asker.Reset(vm)
+		s.deliver(st, st.granter.MemberGone(vm, s.d.o.Now()))
 	}
 }
--- a/link/wire.go
+++ b/link/wire.go
@@ -1,5 +1,7 @@
 package link
 
+import "github.com/cicadadale/cicadadale/dispatch"
+
 // Headers of the worker protocol.
 const (
 	HeaderService     = "Cicadadale-Service"
@@ -27,7 +29,7 @@
 
 // Reasons of a rejected start.
 const (
-	RejectFull        = "full"
+	RejectFull        = dispatch.ReasonWorkerFull
 	RejectIncarnation = "worker incarnation"
 	RejectLate        = "start-by time passed"
 	RejectFenced      = "fenced"
--- a/link/worker.go
+++ b/link/worker.go
@@ -118,7 +118,7 @@
 		reply.Detail = "worker restarted"
 		return reply, nil
 	case OutcomeRejected, OutcomeNever:
-		return reply, fault.NotStarted.New("worker %s rejected %s: %s", r.Worker, r.Ticket.Task, reason)
+		return reply, fault.With(fault.NotStarted, reason, "worker %s rejected %s: %s", r.Worker, r.Ticket.Task, reason)
 	case OutcomeRunning:
 		return reply, fault.Unavailable.New("task %s is still running", r.Ticket.Task)
 	default:
@@ -165,6 +165,7 @@
 		return s, fault.Unavailable.Wrap(err, "status of worker %s", w.Spec().ID)
 	}
 	// Taking the sending time makes the estimated clock late, so that a start-by time is never extended.
+	w.ObserveBusy(s.Busy)
 	w.ObserveStatus(inc, time.Duration(s.ClockMS)*time.Millisecond, sent)
 	return s, nil
 }
--- a/machine/worker.go
+++ b/machine/worker.go
@@ -28,6 +28,7 @@
 	spec        WorkerSpec
 	incarnation Incarnation
 	speed       float64
+	busy        int
 	// clockOffset is the worker's monotonic clock minus the local time since the epoch.
 	clockOffset time.Duration
 	clockKnown  bool
@@ -76,6 +77,20 @@
 	return w.clockOffset + time.Duration(t.UnixNano()), w.clockKnown
 }
 
+// ObserveBusy records the number of slots in use by the last status report.
+func (w *Worker) ObserveBusy(busy int) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.busy = busy
+}
+
+// Busy returns the number of slots in use by the last status report.
+func (w *Worker) Busy() int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.busy
+}
+
 // ObserveRun compares the run time of a task with the expectation for its kind.
 func (w *Worker) ObserveRun(run, expected time.Duration) {
 	if run <= 0 || expected <= 0 {
--- /dev/null
+++ b/zone/allocation.go
@@ -0,0 +1,266 @@
+package zone
+
+import (
+	"container/heap"
+	"sort"
+	"time"
+
+	"github.com/cicadadale/cicadadale/machine"
+)
+
+// ownAdvantage is how much younger the granter's own work may be and still be served first: its slots need no
+// message.
+const ownAdvantage = 5 * time.Millisecond
+
+type slotClass uint8
+
+const (
+	shortClass slotClass = iota
+	longClass
+)
+
+// grantedWorker is a worker with what the members hold of it.
+type grantedWorker struct {
+	id     machine.WorkerID
+	slots  int
+	speed  float64
+	closed bool
+	// pending is set until the members have reported what they hold.
+	pending bool
+	// withheld counts slots that the worker refused to serve, so that another granter must have granted them.
+	withheld   int
+	withheldAt time.Time
+	held       map[string]heldSlots
+	sum        Count
+	counted    int // the worker's part in Granter.free
+	position   [2]int
+}
+
+type heldSlots struct {
+	Count
+	renewed time.Time
+}
+
+func newGrantedWorker(id machine.WorkerID) *grantedWorker {
+	return &grantedWorker{id: id, held: make(map[string]heldSlots), position: [2]int{-1, -1}}
+}
+
+func (w *grantedWorker) free() int {
+	if w.closed || w.pending {
+		return 0
+	}
+	return max(0, w.slots-w.sum.Sum()-w.withheld)
+}
+
+func (w *grantedWorker) allowsLong() bool {
+	return w.free() > 0 && float64(w.sum.Long+1) <= max(1, longShare*float64(w.slots))
+}
+
+func (w *grantedWorker) withhold(n int, now time.Time) {
+	w.withheld = min(w.slots, w.withheld+n)
+	w.withheldAt = now
+}
+
+// consistent reports whether the sums match the members' parts.
+func (w *grantedWorker) consistent() bool {
+	var sum Count
+	for _, h := range w.held {
+		if h.Short < 0 || h.Long < 0 {
+			return false
+		}
+		sum.Short += h.Short
+		sum.Long += h.Long
+	}
+	return sum == w.sum
+}
+
+// update restores the heaps and the free count after a change of w. It expects g.mu to be held.
+func (g *Granter) update(w *grantedWorker) {
+	free := w.free()
+	g.free += free - w.counted
+	w.counted = free
+	g.short.set(w, free > 0)
+	g.long.set(w, w.allowsLong())
+}
+
+// drop expects g.mu to be held.
+func (g *Granter) drop(w *grantedWorker) {
+	w.closed = true
+	g.update(w)
+	delete(g.workers, w.id)
+}
+
+// setHeld expects g.mu to be held.
+func (g *Granter) setHeld(w *grantedWorker, member string, c Count, now time.Time) {
+	old, ok := w.held[member]
+	if !ok && c.Sum() == 0 {
+		return
+	}
+	w.sum.Short += c.Short - old.Short
+	w.sum.Long += c.Long - old.Long
+	if c.Sum() == 0 {
+		delete(w.held, member)
+	} else {
+		w.held[member] = heldSlots{Count: c, renewed: now}
+	}
+	g.update(w)
+}
+
+// release takes back at most what the member holds. It expects g.mu to be held.
+func (g *Granter) release(w *grantedWorker, member string, c Count) {
+	h := w.held[member]
+	left := Count{Short: h.Short - min(c.Short, h.Short), Long: h.Long - min(c.Long, h.Long)}
+	g.setHeld(w, member, left, h.renewed)
+}
+
+// allocate gives free slots to the members that have waited longest. It expects g.mu to be held.
+func (g *Granter) allocate(now time.Time) []Allocation {
+	var out []Allocation
+	for g.short.Len() > 0 {
+		name, m := g.next(shortClass)
+		if m == nil {
+			break
+		}
+		m.need.Short--
+		out = g.grant(out, g.short.workers[0], name, Count{Short: 1}, now)
+	}
+	for g.long.Len() > 0 {
+		name, m := g.next(longClass)
+		if m == nil {
+			break
+		}
+		m.need.Long--
+		out = g.grant(out, g.long.workers[0], name, Count{Long: 1}, now)
+	}
+	if len(out) == 0 {
+		return nil
+	}
+	return g.number(merge(out), now)
+}
+
+// grant expects g.mu to be held.
+func (g *Granter) grant(out []Allocation, w *grantedWorker, name string, c Count, now time.Time) []Allocation {
+	h := w.held[name]
+	g.setHeld(w, name, Count{Short: h.Short + c.Short, Long: h.Long + c.Long}, now)
+	g.check(w.sum.Sum()+w.withheld <= w.slots)
+	if c.Long > 0 {
+		g.check(float64(w.sum.Long) <= max(1, longShare*float64(w.slots)))
+	}
+	return append(out, Allocation{Member: name, Worker: w.id, Slots: c, Epoch: g.epoch})
+}
+
+// number gives the allocations of one decision a grant number for each member. It expects g.mu to be held.
+func (g *Granter) number(out []Allocation, now time.Time) []Allocation {
+	for i := range out {
+		a := &out[i]
+		m := g.member(a.Member)
+		if i == 0 || out[i-1].Member != a.Member {
+			m.number++
+		}
+		a.Number = m.number
+		if a.Member != g.self {
+			m.flying = append(m.flying, flyingGrant{number: a.Number, worker: a.Worker, slots: a.Slots, sent: now})
+		}
+	}
+	return out
+}
+
+// next returns the member whose task of the class has waited longest. It expects g.mu to be held.
+func (g *Granter) next(class slotClass) (string, *grantee) {
+	var name string
+	var best *grantee
+	var bestSince time.Time
+	for n, m := range g.members {
+		wanted, since := m.need.Short, m.shortSince
+		if class == longClass {
+			wanted, since = m.need.Long, m.longSince
+		}
+		if wanted <= 0 {
+			continue
+		}
+		if n == g.self {
+			since = since.Add(-ownAdvantage)
+		}
+		if best == nil || since.Before(bestSince) || (since.Equal(bestSince) && n < name) {
+			name, best, bestSince = n, m, since
+		}
+	}
+	return name, best
+}
+
+// merge joins allocations of the same member and worker.
+func merge(in []Allocation) []Allocation {
+	sort.SliceStable(in, func(i, j int) bool {
+		if in[i].Member != in[j].Member {
+			return in[i].Member < in[j].Member
+		}
+		return in[i].Worker < in[j].Worker
+	})
+	out := in[:1]
+	for _, a := range in[1:] {
+		last := &out[len(out)-1]
+		if last.Member == a.Member && last.Worker == a.Worker {
+			last.Slots.Short += a.Slots.Short
+			last.Slots.Long += a.Slots.Long
+			continue
+		}
+		out = append(out, a)
+	}
+	return out
+}
+
+// workerHeap orders the workers that may grant a slot of a class: the fastest first for short work; the slowest
+// first for long work, so that it leaves the fast ones to short work.
+type workerHeap struct {
+	class   slotClass
+	workers []*grantedWorker
+}
+
+// set adds, moves or removes a worker.
+func (h *workerHeap) set(w *grantedWorker, in bool) {
+	at := w.position[h.class]
+	switch {
+	case in && at < 0:
+		heap.Push(h, w)
+	case in:
+		heap.Fix(h, at)
+	case at >= 0:
+		heap.Remove(h, at)
+	}
+}
+
+// Len implements heap.Interface.
+func (h *workerHeap) Len() int { return len(h.workers) }
+
+// Less implements heap.Interface.
+func (h *workerHeap) Less(i, j int) bool {
+	a, b := h.workers[i], h.workers[j]
+	if a.speed != b.speed {
+		return (a.speed > b.speed) == (h.class == shortClass)
+	}
+	return a.id < b.id
+}
+
+// Swap implements heap.Interface.
+func (h *workerHeap) Swap(i, j int) {
+	h.workers[i], h.workers[j] = h.workers[j], h.workers[i]
+	h.workers[i].position[h.class] = i
+	h.workers[j].position[h.class] = j
+}
+
+// Push implements heap.Interface.
+func (h *workerHeap) Push(x any) {
+	w := x.(*grantedWorker)
+	w.position[h.class] = len(h.workers)
+	h.workers = append(h.workers, w)
+}
+
+// Pop implements heap.Interface.
+func (h *workerHeap) Pop() any {
+	n := len(h.workers) - 1
+	w := h.workers[n]
+	h.workers[n] = nil
+	h.workers = h.workers[:n]
+	w.position[h.class] = -1
+	return w
+}
--- /dev/null
+++ b/zone/asker.go
@@ -0,0 +1,237 @@
+package zone
+
+import (
+	"sort"
+	"sync"
+	"time"
+)
+
+const (
+	// hintTTL is the age at which a granter's statement of free slots is no longer believed.
+	hintTTL = time.Second
+	// refreshDemand is the time after which an unmet demand is stated again, so that granters compare recent waits
+	// and a lost message costs little.
+	refreshDemand = 200 * time.Millisecond
+	// reaskInterval spaces changes of a demand that no granter is known to be able to serve.
+	reaskInterval = 50 * time.Millisecond
+)
+
+// Ask is the demand to state to a granter; it replaces the one before.
+type Ask struct {
+	Granter  string
+	Tasks    Count
+	Received uint64
+}
+
+// Asker divides the unmet demand of one service between the granters, so that no task is asked for twice. The own
+// granter is one of them. Its mutex guards all fields.
+type Asker struct {
+	self string
+
+	mu       sync.Mutex
+	granters map[string]*askedGranter
+}
+
+// askedGranter is what is known of a granter and has been asked of it.
+type askedGranter struct {
+	name     string
+	slots    int
+	free     int
+	freeAt   time.Time
+	asked    Count
+	askedAt  time.Time
+	received uint64
+}
+
+// NewAsker returns an asker of the entry VM self that knows no granter.
+func NewAsker(self string) *Asker {
+	return &Asker{self: self, granters: make(map[string]*askedGranter)}
+}
+
+// SetGranters replaces the granters; slots holds the number of slots that each one grants.
+func (a *Asker) SetGranters(slots map[string]int) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	for name, n := range slots {
+		a.granter(name).slots = n
+	}
+	for name := range a.granters {
+		if _, ok := slots[name]; !ok {
+			delete(a.granters, name)
+		}
+	}
+}
+
+// granter expects a.mu to be held.
+func (a *Asker) granter(name string) *askedGranter {
+	g, ok := a.granters[name]
+	if !ok {
+		g = &askedGranter{name: name}
+		a.granters[name] = g
+	}
+	return g
+}
+
+// Hint records a granter's statement of its free slots.
+func (a *Asker) Hint(granter string, free int, now time.Time) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if g, ok := a.granters[granter]; ok {
+		g.free, g.freeAt = free, now
+	}
+}
+
+// Granted records a grant.
+func (a *Asker) Granted(granter string, c Count, number uint64) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	g := a.granter(granter)
+	g.received = number
+	g.asked.Short = max(0, g.asked.Short-c.Short)
+	g.asked.Long = max(0, g.asked.Long-c.Long)
+}
+
+// Received returns the number of the last grant from a granter.
+func (a *Asker) Received(granter string) uint64 {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if g, ok := a.granters[granter]; ok {
+		return g.received
+	}
+	return 0
+}
+
+// Reset forgets what was asked of a granter whose process has ended.
+func (a *Asker) Reset(granter string) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if g, ok := a.granters[granter]; ok {
+		*g = askedGranter{name: granter, slots: g.slots}
+	}
+}
+
+// Plan divides the demand and returns the statements to send. The own granter is told directly and needs no
+// message, so that its part is always stated.
+func (a *Asker) Plan(need Count, now time.Time) []Ask {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if need.Sum() == 0 && !a.asking() {
+		return nil
+	}
+	order := a.order(now)
+	target := make([]Count, len(order))
+	left := need
+	for i, g := range order {
+		t := Count{Short: min(left.Short, g.hint(now))}
+		t.Long = min(left.Long, g.hint(now)-t.Short)
+		left.Short -= t.Short
+		left.Long -= t.Long
+		target[i] = t
+	}
+	a.keep(order, target, &left)
+	spread(order, target, left)
+	var asks []Ask
+	for i, g := range order {
+		if g.due(target[i], need, now, g.name == a.self) {
+			g.asked, g.askedAt = target[i], now
+			asks = append(asks, Ask{Granter: g.name, Tasks: target[i], Received: g.received})
+		}
+	}
+	return asks
+}
+
+// asking expects a.mu to be held.
+func (a *Asker) asking() bool {
+	for _, g := range a.granters {
+		if g.asked.Sum() > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// order returns the granters, the own one first, then by their free slots. It expects a.mu to be held.
+func (a *Asker) order(now time.Time) []*askedGranter {
+	order := make([]*askedGranter, 0, len(a.granters))
+	for _, g := range a.granters {
+		order = append(order, g)
+	}
+	sort.Slice(order, func(i, j int) bool {
+		x, y := order[i], order[j]
+		if (x.name == a.self) != (y.name == a.self) {
+			return x.name == a.self
+		}
+		if hx, hy := x.hint(now), y.hint(now); hx != hy {
+			return hx > hy
+		}
+		if x.slots != y.slots {
+			return x.slots > y.slots
+		}
+		return x.name < y.name
+	})
+	return order
+}
+
+// hint is the number of slots that the granter can probably grant at once.
+func (g *askedGranter) hint(now time.Time) int {
+	if now.Sub(g.freeAt) > hintTTL {
+		return 0
+	}
+	return g.free
+}
+
+// keep leaves the part of the demand that no granter is known to serve at once where it has been stated before, so
+// that it needs no message.
+func (a *Asker) keep(order []*askedGranter, target []Count, left *Count) {
+	for i, g := range order {
+		if g.name == a.self {
+			// Its part is divided anew each time: left here it would grow beyond its share.
+			continue
+		}
+		s := min(left.Short, max(0, g.asked.Short-target[i].Short))
+		l := min(left.Long, max(0, g.asked.Long-target[i].Long))
+		target[i].Short += s
+		target[i].Long += l
+		left.Short -= s
+		left.Long -= l
+	}
+}
+
+// spread divides what is left in proportion to the granters' slots.
+func spread(order []*askedGranter, target []Count, left Count) {
+	slots := 0
+	for _, g := range order {
+		slots += g.slots
+	}
+	for i, g := range order {
+		if g.slots == 0 {
+			continue
+		}
+		// Rounding up for each and dividing the rest by what remains gives every task to exactly one granter.
+		s := (left.Short*g.slots + slots - 1) / slots
+		l := (left.Long*g.slots + slots - 1) / slots
+		target[i].Short += s
+		target[i].Long += l
+		left.Short -= s
+		left.Long -= l
+		slots -= g.slots
+	}
+}
+
+// due reports whether a new demand has to be stated now.
+func (g *askedGranter) due(target, need Count, now time.Time, own bool) bool {
+	since := now.Sub(g.askedAt)
+	switch {
+	case own:
+		return target != g.asked || (target.Sum() > 0 && since >= reaskInterval)
+	case target == g.asked:
+		return target.Sum() > 0 && since >= refreshDemand
+	case need.Sum() == 0 || target.Sum() == 0:
+		return true
+	case target.Sum() > g.asked.Sum():
+		// More is asked at once of a granter with free slots, and of any while it has been asked nothing.
+		return g.hint(now) > 0 || g.asked.Sum() == 0 || since >= reaskInterval
+	default:
+		return since >= reaskInterval
+	}
+}
--- a/zone/granter.go
+++ b/zone/granter.go
@@ -1,7 +1,6 @@
 package zone
 
 import (
-	"sort"
 	"sync"
 	"time"
 
@@ -9,257 +8,404 @@
 )
 
 const (
-	// GrantTTL is the time within which a holder must start a task on a granted slot or report it.
+	// GrantTTL is the time after which a grant lapses unless the holder's report renews it.
 	GrantTTL = 3 * time.Second
+	// TakeoverWait bounds the wait for the members' holdings before a new granter grants.
+	TakeoverWait = 300 * time.Millisecond
+	// demandTTL drops the demand of a member that has stopped to refresh it.
+	demandTTL = 2 * time.Second
+	// grantFlight is the time within which a grant arrives or is lost.
+	grantFlight = 500 * time.Millisecond
+	// withholdFor is how long a slot is kept back after the worker refused a start on it.
+	withholdFor = time.Second
+	// forgetAfter drops the record of a member that is not heard any more.
+	forgetAfter = 10 * time.Minute
 	// longShare is the largest share of a worker's slots that long work may hold.
 	longShare = 0.4
 )
 
+// Count is a number of slots by class.
+type Count struct {
+	Short, Long int
+}
+
+// Sum returns the number of slots of both classes.
+func (c Count) Sum() int { return c.Short + c.Long }
+
 // Allocation gives slots of one worker to a member.
 type Allocation struct {
 	Member string
 	Worker machine.WorkerID
-	Slots  int
+	Slots  Count
 	Epoch  uint64
-	Long   bool
+	// Number counts the grants to a member; the allocations of one decision share it.
+	Number uint64
+}
+
+// Need is a member's unmet demand at a granter.
+type Need struct {
+	Tasks Count
+	// ShortWait and LongWait are the waits of the oldest tasks.
+	ShortWait, LongWait time.Duration
+	// Received is the number of the last grant that the member had received.
+	Received uint64
+}
+
+// Held is what a member holds of one worker.
+type Held struct {
+	Worker machine.WorkerID
+	Slots  Count
+}
+
+// Offer describes a worker to its granter. Closed workers get no new work.
+type Offer struct {
+	Worker machine.WorkerID
+	Slots  int
+	Speed  float64
+	Closed bool
 }
 
 // Granter allocates the slots of the workers of one service for which this VM is the granter. Its mutex guards
 // all fields.
 type Granter struct {
+	self  string
+	epoch uint64
+
 	mu      sync.Mutex
 	workers map[machine.WorkerID]*grantedWorker
-	demands map[string]*demand
-	epoch   uint64
+	members map[string]*grantee
+	// short and long order the workers that may grant a slot of the class.
+	short, long workerHeap
+	free        int
+	slots       int
+
+	// awaiting holds the members that have not yet reported what they hold of the workers taken over.
+	awaiting     map[string]bool
+	awaitedUntil time.Time
+
+	recall recallState
+	checks Checks
 }
 
-type grantedWorker struct {
-	id       machine.WorkerID
-	slots    int
-	speed    float64
-	closed   bool
-	held     map[string]heldSlots
-	heldSum  int
-	heldLong int
+// Checks counts the invariant checks of a granter.
+type Checks struct {
+	Made, Violated int64
 }
 
-type heldSlots struct {
-	short, long int
-	renewed     time.Time
+// grantee is a member as the granter sees it.
+type grantee struct {
+	need       Count
+	shortSince time.Time
+	longSince  time.Time
+	refreshed  time.Time
+	seen       time.Time
+	// backlog is the time since which the member's oldest short task waits; zero when none is known.
+	backlog time.Time
+	number  uint64
+	flying  []flyingGrant
+	// recalled counts slots asked back and not yet returned.
+	recalled   int
+	recalledAt time.Time
 }
 
-type demand struct {
-	short, long int
-	since       time.Time
+// flyingGrant is a grant that the member has not acknowledged.
+type flyingGrant struct {
+	number uint64
+	worker machine.WorkerID
+	slots  Count
+	sent   time.Time
 }
 
 // NewGranter returns a granter without workers. The epoch distinguishes it from the granters before it.
-func NewGranter(epoch uint64) *Granter {
+func NewGranter(self string, epoch uint64) *Granter {
 	return &Granter{
-		workers: make(map[machine.WorkerID]*grantedWorker),
-		demands: make(map[string]*demand),
-		epoch:   epoch,
+		self: self, epoch: epoch, workers: make(map[machine.WorkerID]*grantedWorker),
+		members: make(map[string]*grantee),
+		short:   workerHeap{class: shortClass}, long: workerHeap{class: longClass},
 	}
 }
 
-// SetWorker adds a worker or updates it. Closed workers get no new work.
-func (g *Granter) SetWorker(id machine.WorkerID, slots int, speed float64, closed bool) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	w, ok := g.workers[id]
+func (g *Granter) member(name string) *grantee {
+	m, ok := g.members[name]
 	if !ok {
-		w = &grantedWorker{id: id, held: make(map[string]heldSlots)}
-		g.workers[id] = w
+		m = &grantee{}
+		g.members[name] = m
 	}
-	w.slots, w.speed, w.closed = slots, speed, closed
+	return m
 }
 
-// Retain drops the workers for which keep returns false.
-func (g *Granter) Retain(keep func(machine.WorkerID) bool) {
+// Assign replaces the set of workers. Members may hold slots of a worker that is new here, so that its slots are
+// granted only after all of others have reported, or after TakeoverWait; own is what this VM holds. Assign reports
+// whether the others have to be asked.
+func (g *Granter) Assign(offers []Offer, own []Held, others []string, now time.Time) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	for id := range g.workers {
-		if !keep(id) {
-			delete(g.workers, id)
+	seen := make(map[machine.WorkerID]bool, len(offers))
+	taken := false
+	held := make(map[machine.WorkerID]Count, len(own))
+	for _, h := range own {
+		held[h.Worker] = h.Slots
+	}
+	for _, o := range offers {
+		seen[o.Worker] = true
+		w, ok := g.workers[o.Worker]
+		if !ok {
+			w = newGrantedWorker(o.Worker)
+			w.pending = len(others) > 0
+			taken = taken || w.pending
+			g.workers[o.Worker] = w
+			g.setHeld(w, g.self, held[o.Worker], now)
+		}
+		w.slots, w.speed, w.closed = o.Slots, o.Speed, o.Closed
+		g.update(w)
+	}
+	for id, w := range g.workers {
+		if !seen[id] {
+			g.drop(w)
 		}
 	}
+	g.slots = 0
+	for _, w := range g.workers {
+		g.slots += w.slots
+	}
+	if taken {
+		g.await(others, now)
+	}
+	return taken
+}
+
+// await expects g.mu to be held.
+func (g *Granter) await(others []string, now time.Time) {
+	g.awaiting = make(map[string]bool, len(others))
+	for _, m := range others {
+		g.awaiting[m] = true
+	}
+	g.awaitedUntil = now.Add(TakeoverWait)
 }
 
 // Demand replaces a member's demand and returns the allocations that it allows.
-func (g *Granter) Demand(member string, short, long int, oldestWait time.Duration, now time.Time) []Allocation {
+func (g *Granter) Demand(member string, n Need, now time.Time) []Allocation {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if short+long == 0 {
-		delete(g.demands, member)
-		return nil
+	m := g.member(member)
+	m.settle(n.Received, now)
+	under := m.underWay()
+	m.need = Count{Short: max(0, n.Tasks.Short-under.Short), Long: max(0, n.Tasks.Long-under.Long)}
+	m.refreshed, m.seen = now, now
+	m.shortSince, m.longSince = now.Add(-n.ShortWait), now.Add(-n.LongWait)
+	m.backlog = time.Time{}
+	if n.Tasks.Short > 0 {
+		m.backlog = m.shortSince
 	}
-	g.demands[member] = &demand{short: short, long: long, since: now.Add(-oldestWait)}
 	return g.allocate(now)
 }
 
+// Observe records how long a member's oldest short task has waited; zero says that none waits.
+func (g *Granter) Observe(member string, wait time.Duration, now time.Time) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	m := g.member(member)
+	m.seen = now
+	m.backlog = time.Time{}
+	if wait > 0 {
+		m.backlog = now.Add(-wait)
+	}
+}
+
 // Return takes slots back and returns the allocations that they allow.
-func (g *Granter) Return(member string, worker machine.WorkerID, slots int, long bool, now time.Time) []Allocation {
+func (g *Granter) Return(member string, slots []Held, now time.Time) []Allocation {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	w, ok := g.workers[worker]
-	if !ok {
-		return nil
+	m := g.member(member)
+	for _, h := range slots {
+		if w, ok := g.workers[h.Worker]; ok {
+			g.release(w, member, h.Slots)
+		}
+		m.recalled = max(0, m.recalled-h.Slots.Sum())
 	}
-	w.release(member, slots, long)
 	return g.allocate(now)
 }
 
-// MemberGone takes back everything that a member held.
-func (g *Granter) MemberGone(member string, now time.Time) []Allocation {
+// Reject takes back slots on which the worker refused a start because it had none free: another granter has granted
+// them. They are withheld for a while.
+func (g *Granter) Reject(member string, slots []Held, now time.Time) []Allocation {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, h := range slots {
+		w, ok := g.workers[h.Worker]
+		if !ok {
+			continue
+		}
+		w.withhold(h.Slots.Sum(), now)
+		g.release(w, member, h.Slots)
+	}
+	return g.allocate(now)
+}
+
+// Report replaces what a member holds of this granter's workers, but for the grants that it has not received yet.
+// Workers that it does not list count as not held.
+func (g *Granter) Report(member string, held []Held, received uint64, complete bool, now time.Time) []Allocation {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	delete(g.demands, member)
+	m := g.member(member)
+	m.seen = now
+	m.settle(received, now)
+	counts := make(map[machine.WorkerID]Count, len(held))
+	for _, h := range held {
+		counts[h.Worker] = h.Slots
+	}
+	for _, f := range m.flying {
+		c := counts[f.worker]
+		counts[f.worker] = Count{Short: c.Short + f.slots.Short, Long: c.Long + f.slots.Long}
+	}
 	for _, w := range g.workers {
-		h := w.held[member]
-		w.release(member, h.short, false)
-		w.release(member, h.long, true)
+		g.setHeld(w, member, counts[w.id], now)
 	}
+	if complete {
+		delete(g.awaiting, member)
+	}
+	g.endTakeover(now)
 	return g.allocate(now)
 }
 
-// Free returns the number of slots that are not held.
-func (g *Granter) Free() int {
+// MemberGone takes back everything that a member held and forgets its demand.
+func (g *Granter) MemberGone(member string, now time.Time) []Allocation {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	n := 0
+	m := g.member(member)
+	// The number goes on, so that a member that was only cut off does not take an old grant for a new one.
+	*m = grantee{number: m.number, seen: now}
+	delete(g.awaiting, member)
 	for _, w := range g.workers {
-		n += w.free()
+		g.setHeld(w, member, Count{}, now)
 	}
-	return n
+	g.endTakeover(now)
+	return g.allocate(now)
 }
 
-// allocate gives free slots to the members that have waited longest. It expects g.mu to be held.
-func (g *Granter) allocate(now time.Time) []Allocation {
-	var out []Allocation
-	for {
-		member, d := g.longestWaiting()
-		if d == nil {
-			return merge(out)
+// Tick ends takeovers, lets grants and demands lapse and offers withheld slots again.
+func (g *Granter) Tick(now time.Time) []Allocation {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.endTakeover(now)
+	for name, m := range g.members {
+		if name != g.self && now.Sub(m.refreshed) > demandTTL {
+			m.need, m.backlog = Count{}, time.Time{}
 		}
-		long := d.short == 0
-		w := g.bestWorker(long)
-		if w == nil && long {
-			// Only long work waits here; a slot below the cap has to come back first.
-			return merge(out)
+		if name != g.self && now.Sub(m.seen) > forgetAfter {
+			delete(g.members, name)
 		}
-		if w == nil {
-			return merge(out)
+	}
+	for _, w := range g.workers {
+		if w.withheld > 0 && now.Sub(w.withheldAt) > withholdFor {
+			// One at a time: what other granters hold of the worker is unknown.
+			w.withheld--
+			w.withheldAt = now
+			g.update(w)
 		}
-		d.take(long)
-		if d.short+d.long == 0 {
-			delete(g.demands, member)
+		for name, h := range w.held {
+			if name != g.self && now.Sub(h.renewed) > GrantTTL {
+				g.setHeld(w, name, Count{}, now)
+			}
 		}
-		w.hold(member, long, now)
-		out = append(out, Allocation{Member: member, Worker: w.id, Slots: 1, Epoch: g.epoch, Long: long})
 	}
+	return g.allocate(now)
 }
 
-// longestWaiting expects g.mu to be held. Members with short tasks come first.
-func (g *Granter) longestWaiting() (string, *demand) {
-	var best *demand
-	var member string
-	for m, d := range g.demands {
-		if best == nil || d.precedes(best) || (!best.precedes(d) && m < member) {
-			best, member = d, m
+// endTakeover expects g.mu to be held.
+func (g *Granter) endTakeover(now time.Time) {
+	if g.awaiting == nil || (len(g.awaiting) > 0 && now.Before(g.awaitedUntil)) {
+		return
+	}
+	g.awaiting = nil
+	for _, w := range g.workers {
+		if w.pending {
+			w.pending = false
+			g.update(w)
 		}
 	}
-	return member, best
 }
 
-func (d *demand) precedes(o *demand) bool {
-	if (d.short > 0) != (o.short > 0) {
-		return d.short > 0
-	}
-	return d.since.Before(o.since)
+// Free returns the number of slots that can be granted now.
+func (g *Granter) Free() int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.free
 }
 
-func (d *demand) take(long bool) {
-	if long {
-		d.long--
-	} else {
-		d.short--
-	}
+// TakingOver reports whether slots wait for the members' holdings.
+func (g *Granter) TakingOver() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.awaiting != nil
 }
 
-// bestWorker returns the fastest worker with a free slot for the class. It expects g.mu to be held.
-func (g *Granter) bestWorker(long bool) *grantedWorker {
-	var best *grantedWorker
+// TakeChecks returns and resets the counts of invariant checks, after checking that the counts of all workers add up.
+func (g *Granter) TakeChecks() Checks {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	free := 0
 	for _, w := range g.workers {
-		if w.free() <= 0 || (long && !w.allowsLong()) {
-			continue
-		}
-		if best == nil || w.speed > best.speed || (w.speed == best.speed && w.id < best.id) {
-			best = w
-		}
+		g.check(w.consistent())
+		free += w.free()
 	}
-	return best
+	g.check(free == g.free)
+	c := g.checks
+	g.checks = Checks{}
+	return c
 }
 
-func (w *grantedWorker) free() int {
-	if w.closed {
-		return 0
+// check expects g.mu to be held.
+func (g *Granter) check(ok bool) {
+	g.checks.Made++
+	if !ok {
+		g.checks.Violated++
 	}
-	return w.slots - w.heldSum
 }
 
-func (w *grantedWorker) allowsLong() bool {
-	return float64(w.heldLong+1) <= max(1, longShare*float64(w.slots))
+// settle forgets grants that the member has received or that are lost.
+func (m *grantee) settle(received uint64, now time.Time) {
+	kept := m.flying[:0]
+	for _, f := range m.flying {
+		if f.number > received && now.Sub(f.sent) < grantFlight {
+			kept = append(kept, f)
+		}
+	}
+	m.flying = kept
 }
 
-func (w *grantedWorker) hold(member string, long bool, now time.Time) {
-	h := w.held[member]
-	if long {
-		h.long++
-		w.heldLong++
-	} else {
-		h.short++
+// underWay counts the slots granted and not yet acknowledged.
+func (m *grantee) underWay() Count {
+	var c Count
+	for _, f := range m.flying {
+		c.Short += f.slots.Short
+		c.Long += f.slots.Long
 	}
-	h.renewed = now
-	w.heldSum++
-	w.held[member] = h
+	return c
 }
 
-func (w *grantedWorker) release(member string, n int, long bool) {
-	h := w.held[member]
-	if long {
-		n = min(n, h.long)
-		h.long -= n
-		w.heldLong -= n
-	} else {
-		n = min(n, h.short)
-		h.short -= n
-	}
-	w.heldSum -= n
-	if h.short+h.long == 0 {
-		delete(w.held, member)
-		return
-	}
-	w.held[member] = h
+// WorkerGrants is the allocation of a worker's slots as shown to operators.
+type WorkerGrants struct {
+	Worker   machine.WorkerID
+	Slots    int
+	Free     int
+	Withheld int
+	Held     map[string]Count
 }
 
-// merge joins allocations of the same worker, member and class.
-func merge(in []Allocation) []Allocation {
-	sort.SliceStable(in, func(i, j int) bool {
-		if in[i].Member != in[j].Member {
-			return in[i].Member < in[j].Member
-		}
-		if in[i].Worker != in[j].Worker {
-			return in[i].Worker < in[j].Worker
+// View returns the allocation of all workers.
+func (g *Granter) View() []WorkerGrants {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	views := make([]WorkerGrants, 0, len(g.workers))
+	for _, w := range g.workers {
+		v := WorkerGrants{
+			Worker: w.id, Slots: w.slots, Free: w.free(), Withheld: w.withheld, Held: make(map[string]Count, len(w.held)),
 		}
-		return !in[i].Long && in[j].Long
-	})
-	var out []Allocation
-	for _, a := range in {
-		if n := len(out); n > 0 && out[n-1].Member == a.Member && out[n-1].Worker == a.Worker && out[n-1].Long == a.Long {
-			out[n-1].Slots += a.Slots
-			continue
+		for m, h := range w.held {
+			v.Held[m] = h.Count
 		}
-		out = append(out, a)
+		views = append(views, v)
 	}
-	return out
+	return views
 }
--- /dev/null
+++ b/zone/recall.go
@@ -0,0 +1,132 @@
+package zone
+
+import (
+	"sort"
+	"time"
+)
+
+const (
+	// recallInterval spaces the recalls of a granter, so that the effect of one is seen before the next.
+	recallInterval = 50 * time.Millisecond
+	// recallShare is the largest part of a granter's slots recalled at a time.
+	recallShare = 1.0 / 16
+	// recallTimeout is the time after which a recalled slot no longer counts as about to return.
+	recallTimeout = 400 * time.Millisecond
+	// RecallMargin is the least difference of waiting times for which slots change hands.
+	RecallMargin = 20 * time.Millisecond
+	// recallRatio adds a part of the longer wait to the margin: at a deep backlog the waits as known to the granter
+	// differ by the age of the reports.
+	recallRatio = 0.125
+)
+
+// Recall asks a member to return slots.
+type Recall struct {
+	Member string
+	Slots  int
+	// Wait is the wait of the demander's oldest task. A holder whose own work has waited about as long keeps its
+	// slots in use.
+	Wait time.Duration
+}
+
+// recallState limits the recalls of a granter.
+type recallState struct {
+	at       time.Time
+	demander string
+	gap      time.Duration
+}
+
+// MayRecall reports whether work that has waited for wait takes precedence over work that has waited for own.
+func MayRecall(wait, own time.Duration) bool {
+	return wait > own+RecallMargin+time.Duration(recallRatio*float64(wait))
+}
+
+// Recalls returns the slots to ask back for the short work that has waited longest while no slot is free.
+func (g *Granter) Recalls(now time.Time) []Recall {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.short.Len() > 0 || now.Sub(g.recall.at) < recallInterval {
+		return nil
+	}
+	name, m := g.next(shortClass)
+	if m == nil {
+		return nil
+	}
+	wait := max(0, now.Sub(m.shortSince))
+	holders := g.holders(name, wait, now)
+	if len(holders) == 0 || !g.widening(name, holders[0], now.Sub(m.shortSince)) {
+		return nil
+	}
+	g.recall.at = now
+	budget := min(m.need.Short, max(1, int(recallShare*float64(g.slots)))) - g.outstanding(now)
+	var out []Recall
+	for _, h := range holders {
+		n := min(budget, h.slots)
+		if n <= 0 {
+			break
+		}
+		budget -= n
+		grantee := g.member(h.name)
+		grantee.recalled += n
+		grantee.recalledAt = now
+		out = append(out, Recall{Member: h.name, Slots: n, Wait: wait})
+	}
+	return out
+}
+
+type holder struct {
+	name  string
+	slots int
+	wait  time.Duration
+}
+
+// holders returns the members that may have to give slots to the demander, the one with the youngest work first. It
+// expects g.mu to be held.
+func (g *Granter) holders(demander string, wait time.Duration, now time.Time) []holder {
+	slots := make(map[string]int)
+	for _, w := range g.workers {
+		for n, h := range w.held {
+			slots[n] += h.Short
+		}
+	}
+	var out []holder
+	for n, held := range slots {
+		m := g.member(n)
+		own := time.Duration(0)
+		if !m.backlog.IsZero() {
+			own = max(1, now.Sub(m.backlog))
+		}
+		// A member without waiting work may hold idle slots, which it returns for work of any age.
+		if n == demander || held-m.recalled <= 0 || (own > 0 && !MayRecall(wait, own)) {
+			continue
+		}
+		out = append(out, holder{name: n, slots: held - m.recalled, wait: own})
+	}
+	sort.Slice(out, func(i, j int) bool {
+		if out[i].wait != out[j].wait {
+			return out[i].wait < out[j].wait
+		}
+		return out[i].slots > out[j].slots || (out[i].slots == out[j].slots && out[i].name < out[j].name)
+	})
+	return out
+}
+
+// widening reports whether the difference between the waits still grows. While it shrinks the slots recalled so far
+// suffice, and more of them would make the difference change its sign. It expects g.mu to be held.
+func (g *Granter) widening(demander string, youngest holder, wait time.Duration) bool {
+	gap := wait - youngest.wait
+	before, same := g.recall.gap, g.recall.demander == demander
+	g.recall.demander, g.recall.gap = demander, gap
+	return youngest.wait == 0 || !same || gap >= before
+}
+
+// outstanding counts the recalled slots that may still return. It expects g.mu to be held.
+func (g *Granter) outstanding(now time.Time) int {
+	n := 0
+	for _, m := range g.members {
+		if now.Sub(m.recalledAt) > recallTimeout {
+			m.recalled = 0
+		}
+		n += m.recalled
+	}
+	return n
+}
