--- a/zone/granterview.go
+++ b/zone/granterview.go
@@ -8,11 +8,13 @@
 
 // WorkerGrants is what a granter has granted of one worker.
 type WorkerGrants struct {
-	Worker  machine.WorkerID
-	Slots   int
-	Free    int
-	Closed  bool
-	Holders []Holder
+	Worker machine.WorkerID
+	Slots  int
+	Free   int
+	Closed bool
+	// Withheld counts slots that are not granted because the worker rejected a start as full.
+	Withheld int
+	Holders  []Holder
 }
 
 // Holder is a member that holds slots.
@@ -28,9 +30,9 @@
 	defer g.mu.Unlock()
 	var out []WorkerGrants
 	for id, w := range g.workers {
-		v := WorkerGrants{Worker: id, Slots: w.slots, Free: w.free(), Closed: w.closed}
+		v := WorkerGrants{Worker: id, Slots: w.slots, Free: w.free(), Closed: w.closed, Withheld: w.withheld}
 		for member, h := range w.held {
-			v.Holders = append(v.Holders, Holder{Member: member, Short: h.short, Long: h.long})
+			v.Holders = append(v.Holders, Holder{Member: member, Short: h.Short, Long: h.Long})
 		}
 		sort.Slice(v.Holders, func(i, j int) bool { return v.Holders[i].Member < v.Holders[j].Member })
 		out = append(out, v)
