--- a/dispatch/recovery.go
+++ b/dispatch/recovery.go
@@ -64,5 +64,5 @@
 func (l *Lane) dropIdle() Plan {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return Plan{Returns: l.returns(l.holdings.TakeIdle(func(contract.Slot) bool { return true }))}
+	return Plan{Returns: l.returns(l.holdings.DropIdle(func(contract.Slot) bool { return true }))}
 }
--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -45,7 +45,9 @@
 	DialPeer    func(ctx context.Context, address string) (net.Conn, error)
 	Connections int
 	// Events is the size of the timeline's ring; 0 takes the default, a negative number records nothing.
-	Events  int
+	Events int
+	// Policy selects how workers are chosen; empty selects the default.
+	Policy  dispatch.Policy
 	Now     func() time.Time
 	Logger  *slog.Logger
 	Metrics metrics.Registry
@@ -101,6 +103,11 @@
 	if o.VM.Incarnation == 0 {
 		o.VM.Incarnation = machine.NewIncarnation()
 	}
+	policy, err := dispatch.ParsePolicy(string(o.Policy))
+	if err != nil {
+		return nil, err
+	}
+	o.Policy = policy
 	d := &Daemon{
 		o: o, fleet: machine.NewFleet(), domain: zone.NewFailureDomain(o.Domain, o.VM.ID),
 		table: contract.NewJobTable(o.Domain, o.VM.Incarnation), clock: &timeline.Clock{},
@@ -118,8 +125,8 @@
 	d.peers = newPeers(d)
 	d.slots = newSlotDirectory(d)
 	d.dispatcher = dispatch.New(dispatch.Options{
-		Table: d.table, Starter: workers, Broker: d.slots, Fleet: d.fleet, Now: o.Now, Logger: o.Logger,
-		Metrics: o.Metrics, Timeline: d.timeline,
+		Table: d.table, Starter: workers, Broker: d.slots, Self: o.VM.ID, Placement: d.slots.placement,
+		Fleet: d.fleet, Now: o.Now, Logger: o.Logger, Metrics: o.Metrics, Timeline: d.timeline,
 	})
 	for _, s := range o.Services {
 		d.dispatcher.AddService(s, nil)
@@ -145,6 +152,10 @@
 	d.loop(ctx, listInterval, func() { d.refreshList(ctx) })
 	d.loop(ctx, statusInterval, func() { d.pollWorkers(ctx) })
 	d.loop(ctx, laneInterval, func() { d.checkLapse(); d.dispatcher.Tick() })
+	if d.slots.placement == nil {
+		d.loop(ctx, slotInterval, d.slots.tick)
+		d.loop(ctx, renewInterval, d.slots.renew)
+	}
 	d.loop(ctx, expiryInterval, func() { d.table.Expire(d.o.Now()); d.homes.Expire(d.o.Now()) })
 	d.closures.start(ctx)
 	d.timeline.Record(timeline.Event{Kind: timeline.ProcessStarted})
--- a/entry/membership.go
+++ b/entry/membership.go
@@ -64,10 +64,13 @@
 	d.checkLapse()
 	d.operators.lastBeat.Store(d.o.Now().UnixNano())
 	d.applyChanges(d.domain.Tick(d.o.Now()))
-	msg := &api.PeerMessage{Body: &api.PeerMessage_Heartbeat{Heartbeat: &api.Heartbeat{
-		Leaving: d.dispatcher.Draining(),
-	}}}
-	d.peers.heartbeat(msg)
+	leaving := d.dispatcher.Draining()
+	own := &api.Heartbeat{Leaving: leaving, Slots: d.slots.statuses()}
+	foreign := &api.Heartbeat{Leaving: leaving}
+	d.peers.heartbeat(
+		&api.PeerMessage{Body: &api.PeerMessage_Heartbeat{Heartbeat: own}},
+		&api.PeerMessage{Body: &api.PeerMessage_Heartbeat{Heartbeat: foreign}},
+	)
 }
 
 func (d *Daemon) applyChanges(changes []zone.Change) {
--- a/entry/messages.go
+++ b/entry/messages.go
@@ -29,6 +29,7 @@
 			d.peers.send(vm, d.homesMessage())
 		}
 	}
+	d.slots.heard(vm, inc)
 	leaving := false
 	for _, m := range env.GetMessages() {
 		if h := m.GetHeartbeat(); h != nil {
@@ -37,7 +38,9 @@
 	}
 	d.applyChanges(d.domain.Heard(vm, inc, leaving, now))
 	for _, m := range env.GetMessages() {
-		d.handle(vm, m)
+		if !d.slots.handleSlots(vm, inc, m) {
+			d.handle(vm, m)
+		}
 	}
 	return link.Accepted
 }
@@ -51,12 +54,6 @@
 
 func (d *Daemon) handle(vm string, m *api.PeerMessage) {
 	switch b := m.GetBody().(type) {
-	case *api.PeerMessage_Demand:
-		d.slots.demandFrom(vm, b.Demand)
-	case *api.PeerMessage_Grant:
-		d.slots.grantFrom(vm, b.Grant)
-	case *api.PeerMessage_Return:
-		d.slots.returnFrom(vm, b.Return)
 	case *api.PeerMessage_Request:
 		// Requests may wait for a job's answer and so must not hold up the link.
 		if d.serving.begin() {
--- a/entry/peers.go
+++ b/entry/peers.go
@@ -146,15 +146,15 @@
 }
 
 // heartbeat sends to all VMs with an open link, which keeps the links to other failure domains from counting as idle.
-func (p *peers) heartbeat(msg *api.PeerMessage) {
+func (p *peers) heartbeat(own, foreign *api.PeerMessage) {
 	p.mu.Lock()
-	links := make([]*link.Peer, 0, len(p.links))
-	for _, l := range p.links {
-		links = append(links, l)
-	}
-	p.mu.Unlock()
-	for _, l := range links {
-		l.Send(msg)
+	defer p.mu.Unlock()
+	for id, l := range p.links {
+		if p.domains[id] == p.d.o.Domain {
+			l.Send(own)
+		} else {
+			l.Send(foreign)
+		}
 	}
 }
 
--- a/entry/state.go
+++ b/entry/state.go
@@ -64,10 +64,10 @@
 // Grants implements admin.Source.
 func (d *Daemon) Grants() []admin.GrantView {
 	var out []admin.GrantView
-	for service, g := range d.slots.all() {
-		for _, w := range g.View() {
+	for _, st := range d.slots.all() {
+		for _, w := range st.granter.View() {
 			v := admin.GrantView{
-				Service: service, Worker: string(w.Worker), Slots: w.Slots, Free: w.Free, Closed: w.Closed,
+				Service: st.name, Worker: string(w.Worker), Slots: w.Slots, Free: w.Free, Closed: w.Closed,
 				Holders: []admin.HolderView{},
 			}
 			for _, h := range w.Holders {
--- a/machine/worker.go
+++ b/machine/worker.go
@@ -32,6 +32,7 @@
 	// that steps of the wall clock have no effect.
 	clock   time.Duration
 	clockAt time.Time
+	busy    int
 }
 
 // NewWorker returns a worker of average speed.
@@ -76,6 +77,20 @@
 	return w.clock + t.Sub(w.clockAt), !w.clockAt.IsZero()
 }
 
+// ObserveBusy records the number of slots in use by the last status report.
+func (w *Worker) ObserveBusy(busy int) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.busy = busy
+}
+
+// Busy returns the number of slots in use by the last status report.
+func (w *Worker) Busy() int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.busy
+}
+
 // ObserveRun compares the run time of a task with the expectation for its kind.
 func (w *Worker) ObserveRun(run, expected time.Duration) {
 	if run <= 0 || expected <= 0 {
