link: find silent starts by status reports and close only their connection

Cause: a start whose connection went silent was noticed only after its lease of 30 s, and a single slow worker held up the status polls of all others. Change: a worker reports its running tasks with its status; a start that is missing from a report is abandoned after 250 ms, without a message for healthy tasks, and becomes in doubt. Each start has its own connection, so that it alone is closed. A rejection as duplicate counts as in doubt, a confirmed running task is never given up, and the worker's clock is estimated late instead of early, without the wall clock.

--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -335,6 +335,9 @@
 			d.o.Timeline.Task(timeline.TaskResolved, req.Ticket.Task, req.Worker, reply.Outcome.String())
 			return reply, err
 		}
+		if fault.Reason(err) == fault.ReasonRunning {
+			until = d.o.Now().Add(resolveFor)
+		}
 		if d.o.Now().After(until) {
 			return StartReply{Outcome: contract.OutcomeUnknown, Detail: err.Error()}, nil
 		}
--- a/entry/membership.go
+++ b/entry/membership.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"time"
 
 	"github.com/cicadadale/cicadadale/api"
 	"github.com/cicadadale/cicadadale/machine"
@@ -42,20 +43,35 @@
 	for _, w := range d.fleet.All() {
 		if id := w.Spec().ID; !listed[id] {
 			d.fleet.Remove(id)
+			d.workers.Forget(id)
 		}
 	}
 }
 
+// pollWait bounds the time for which a round of status polls is waited for. A worker that does not answer is asked by
+// its own goroutine until its call ends and holds up no other.
+const pollWait = 250 * time.Millisecond
+
 // pollWorkers asks all workers for their status at the same time.
 func (d *Daemon) pollWorkers(ctx context.Context) {
 	var wg sync.WaitGroup
 	for _, w := range d.fleet.All() {
 		wg.Go(func() {
-			// A worker that does not answer keeps its last status; its starts will show the failure.
+			// A worker that does not answer keeps its last status; its starts become in doubt.
 			_, _ = d.workers.Poll(ctx, w, d.o.Now)
 		})
 	}
-	wg.Wait()
+	done := make(chan struct{})
+	go func() {
+		wg.Wait()
+		close(done)
+	}()
+	timer := time.NewTimer(pollWait)
+	defer timer.Stop()
+	select {
+	case <-done:
+	case <-timer.C:
+	}
 	d.slots.reassign()
 }
 
--- a/fault/fault.go
+++ b/fault/fault.go
@@ -50,6 +50,9 @@
 // ReasonNotSent is the reason of a NotStarted error when the start was never written to a socket.
 const ReasonNotSent = "not sent"
 
+// ReasonRunning is the reason of an Unavailable error when a worker has confirmed that a task in doubt still runs.
+const ReasonRunning = "still running"
+
 var byCode = map[string]*errorx.Type{}
 
 func init() {
--- a/link/wire.go
+++ b/link/wire.go
@@ -48,4 +48,6 @@
 	Slots   int   `json:"slots"`
 	Busy    int   `json:"busy"`
 	Leaving bool  `json:"leaving"`
+	// Tasks holds the ids of the running tasks. A worker that does not report them leaves it out.
+	Tasks []string `json:"tasks"`
 }
--- a/link/worker.go
+++ b/link/worker.go
@@ -5,10 +5,12 @@
 	"encoding/json"
 	"errors"
 	"strconv"
+	"sync"
 	"time"
 
 	"github.com/cloudwego/hertz/pkg/app/client"
 	"github.com/cloudwego/hertz/pkg/app/client/retry"
+	"github.com/cloudwego/hertz/pkg/common/config"
 	herrors "github.com/cloudwego/hertz/pkg/common/errors"
 	"github.com/cloudwego/hertz/pkg/network/standard"
 	"github.com/cloudwego/hertz/pkg/protocol"
@@ -23,51 +25,97 @@
 const (
 	workerDialTimeout = time.Second
 	statusTimeout     = time.Second
+	statusIdle        = time.Minute
+	fenceIdle         = 2 * time.Second
+	// maxClockError is the round trip of a status poll beyond which its reading of the worker's clock is not used.
+	maxClockError = 200 * time.Millisecond
 	// fenceWait is how long a fencing call waits for a running task.
-	fenceWait = 2 * time.Second
+	fenceWait = time.Second
 	// replyMargin is added to a task's lease before the connection counts as silent.
 	replyMargin = time.Second
 	// ConnectionsPerWorker keeps 8 entry VMs within the 64 connections of a worker: one per slot.
 	ConnectionsPerWorker = 8
 )
 
-// Workers sends starts to the workers of a failure domain over HTTP.
+// Workers sends starts to the workers of a failure domain over HTTP. mu guards the map of links; each link has its own
+// lock.
 type Workers struct {
-	fleet *machine.Fleet
-	home  machine.Incarnation
-	// starts and control use separate connections, so that asking about a task needs no connection that may be
-	// silent or full.
-	starts  *client.Client
-	control *client.Client
-	clock   *timeline.Clock
+	fleet       *machine.Fleet
+	home        machine.Incarnation
+	connections int
+	// Status polls and fences use connections of their own, so that asking about a task needs no connection that may
+	// be silent or busy.
+	status *client.Client
+	fences *client.Client
+	clock  *timeline.Clock
+	closed sync.Once
+
+	mu    sync.RWMutex
+	links map[machine.WorkerID]*workerLink
 }
 
 // NewWorkers returns the links of one home. Starts and fences carry the time of the clock.
 func NewWorkers(
 	fleet *machine.Fleet, home machine.Incarnation, connections int, clock *timeline.Clock,
 ) (*Workers, error) {
-	starts, err := newWorkerClient(connections)
+	status, err := newWorkerClient(1, statusIdle)
 	if err != nil {
 		return nil, err
 	}
-	control, err := newWorkerClient(connections)
+	fences, err := newWorkerClient(connections, fenceIdle)
 	if err != nil {
 		return nil, err
 	}
-	return &Workers{fleet: fleet, home: home, starts: starts, control: control, clock: clock}, nil
+	return &Workers{
+		fleet: fleet, home: home, connections: connections, status: status, fences: fences, clock: clock,
+		links: make(map[machine.WorkerID]*workerLink),
+	}, nil
 }
 
-func newWorkerClient(connections int) (*client.Client, error) {
+func newWorkerClient(connections int, idle time.Duration) (*client.Client, error) {
 	return client.NewClient(
 		client.WithDialer(standard.NewDialer()),
 		client.WithDialTimeout(workerDialTimeout),
 		client.WithMaxConnsPerHost(connections),
-		client.WithMaxIdleConnDuration(time.Minute),
+		client.WithMaxConnWaitTimeout(fenceWait),
+		client.WithMaxIdleConnDuration(idle),
 		client.WithRetryConfig(retry.WithMaxAttemptTimes(1)),
 		client.WithResponseBodyStream(false),
 	)
 }
 
+func (l *Workers) link(id machine.WorkerID) *workerLink {
+	l.mu.RLock()
+	w, ok := l.links[id]
+	l.mu.RUnlock()
+	if ok {
+		return w
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if w, ok = l.links[id]; !ok {
+		w = newWorkerLink(l.connections)
+		l.links[id] = w
+	}
+	return w
+}
+
+// Forget drops the link to a worker that is not listed any more. Starts in flight end as usual.
+func (l *Workers) Forget(id machine.WorkerID) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	delete(l.links, id)
+}
+
+// abandonAll puts all starts in doubt, so that nothing waits for a reply when the process ends.
+func (l *Workers) abandonAll() {
+	l.mu.RLock()
+	defer l.mu.RUnlock()
+	for _, w := range l.links {
+		w.abandonAll()
+	}
+}
+
 // Start implements dispatch.Starter.
 func (l *Workers) Start(ctx context.Context, r dispatch.StartRequest) (dispatch.StartReply, error) {
 	w, ok := l.fleet.Get(r.Worker)
@@ -82,7 +130,8 @@
 	defer protocol.ReleaseRequest(req)
 	defer protocol.ReleaseResponse(resp)
 	req.SetMethod("POST")
-	req.SetRequestURI("http://" + w.Spec().Address + "/v1/tasks/" + r.Ticket.Task.String())
+	address := w.Spec().Address
+	req.SetRequestURI("http://" + address + "/v1/tasks/" + r.Ticket.Task.String())
 	req.Header.Set(HeaderService, r.Ticket.Service)
 	req.Header.Set(HeaderKind, r.Ticket.Kind)
 	req.Header.Set(HeaderHome, l.home.String())
@@ -92,14 +141,26 @@
 	req.Header.Set(HeaderIncarnation, r.Incarnation.String())
 	l.sendTime(req)
 	req.SetBodyRaw(r.Ticket.Payload)
-	if err := l.starts.DoTimeout(ctx, req, resp, r.Lease+replyMargin); err != nil {
+	req.SetOptions(config.WithRequestTimeout(r.Lease + replyMargin))
+	l.closed.Do(func() { context.AfterFunc(ctx, l.abandonAll) })
+	link := l.link(r.Worker)
+	f := link.begin(r.Ticket.Task, address, time.Now())
+	if f == nil {
+		return dispatch.StartReply{}, classify(herrors.ErrNoFreeConns, r)
+	}
+	err := f.conn.host.Do(ctx, req, resp)
+	link.end(r.Ticket.Task, f, address)
+	if err != nil {
 		return dispatch.StartReply{}, classify(err, r)
 	}
 	l.receiveTime(resp)
 	return readReply(resp, r)
 }
 
-// classify tells errors before the first byte was written from those after it.
+// classify tells errors before the first byte was written from those after it. Only two prove that nothing was written:
+// no connection was free, or none could be opened. Every other error of the client is in doubt, including the end of an
+// idle connection that the worker closed, which shows only after the start was written, and a timeout before writing,
+// which the client does not tell from one after it.
 func classify(err error, r dispatch.StartRequest) error {
 	if errors.Is(err, herrors.ErrNoFreeConns) || isDialError(err) {
 		return fault.NotStarted.Wrap(err, "start of %s was not sent", r.Ticket.Task).
@@ -125,9 +186,13 @@
 		reply.Detail = "worker restarted"
 		return reply, nil
 	case OutcomeRejected, OutcomeNever:
+		if reason == RejectDuplicate {
+			// The worker knows the task, so that the rejection proves nothing about its start.
+			return reply, fault.InDoubt.New("worker %s already knows %s", r.Worker, r.Ticket.Task)
+		}
 		return reply, fault.With(fault.NotStarted, reason, "worker %s rejected %s: %s", r.Worker, r.Ticket.Task, reason)
 	case OutcomeRunning:
-		return reply, fault.Unavailable.New("task %s is still running", r.Ticket.Task)
+		return reply, fault.With(fault.Unavailable, fault.ReasonRunning, "task %s is still running", r.Ticket.Task)
 	default:
 		return reply, fault.InDoubt.New("worker %s sent status %d without an outcome", r.Worker, resp.StatusCode())
 	}
@@ -147,34 +212,56 @@
 	req.SetRequestURI("http://" + w.Spec().Address + "/v1/tasks/" + r.Ticket.Task.String() + "/fence?wait_ms=" + wait)
 	req.Header.Set(HeaderIncarnation, r.Incarnation.String())
 	l.sendTime(req)
-	if err := l.control.DoTimeout(ctx, req, resp, fenceWait+replyMargin); err != nil {
+	if err := l.fences.DoTimeout(ctx, req, resp, fenceWait+replyMargin); err != nil {
 		return dispatch.StartReply{}, fault.Unavailable.Wrap(err, "worker %s cannot be asked", r.Worker)
 	}
 	l.receiveTime(resp)
 	return readReply(resp, r)
 }
 
-// Poll asks a worker for its status and records its incarnation and clock.
+// Poll asks a worker for its status and records its incarnation and clock. The report also shows starts whose reply is
+// missing, which are abandoned and so become in doubt. It does nothing while the worker is being asked already.
 func (l *Workers) Poll(ctx context.Context, w *machine.Worker, now func() time.Time) (WorkerStatus, error) {
+	link := l.link(w.Spec().ID)
+	if !link.startPoll() {
+		return WorkerStatus{}, fault.Unavailable.New("worker %s is being asked for its status", w.Spec().ID)
+	}
+	defer link.endPoll()
+	sent := time.Now()
+	s, inc, err := l.poll(ctx, w)
+	if err != nil {
+		link.abandon(link.unreachable(time.Now()))
+		return s, err
+	}
+	if missing := link.observe(s.Tasks, sent, time.Now()); missing != nil {
+		time.AfterFunc(missGrace, func() { link.abandon(missing) })
+	}
+	w.ObserveBusy(s.Busy)
+	if time.Since(sent) > maxClockError && inc == w.Incarnation() {
+		return s, nil
+	}
+	// The clock was read before the report arrived. Taking the time of arrival makes the estimated clock late, so that a
+	// start-by time is never extended.
+	w.ObserveStatus(inc, time.Duration(s.ClockMS)*time.Millisecond, now())
+	return s, nil
+}
+
+func (l *Workers) poll(ctx context.Context, w *machine.Worker) (WorkerStatus, machine.Incarnation, error) {
 	req, resp := protocol.AcquireRequest(), protocol.AcquireResponse()
 	defer protocol.ReleaseRequest(req)
 	defer protocol.ReleaseResponse(resp)
 	req.SetMethod("GET")
 	req.SetRequestURI("http://" + w.Spec().Address + "/v1/status")
-	sent := now()
-	if err := l.control.DoTimeout(ctx, req, resp, statusTimeout); err != nil {
-		return WorkerStatus{}, fault.Unavailable.Wrap(err, "status of worker %s", w.Spec().ID)
-	}
 	var s WorkerStatus
+	if err := l.status.DoTimeout(ctx, req, resp, statusTimeout); err != nil {
+		return s, 0, fault.Unavailable.Wrap(err, "status of worker %s", w.Spec().ID)
+	}
 	if err := json.Unmarshal(resp.Body(), &s); err != nil {
-		return s, fault.Unavailable.Wrap(err, "status of worker %s", w.Spec().ID)
+		return s, 0, fault.Unavailable.Wrap(err, "status of worker %s", w.Spec().ID)
 	}
 	inc, err := machine.ParseIncarnation(s.Incarnation)
 	if err != nil {
-		return s, fault.Unavailable.Wrap(err, "status of worker %s", w.Spec().ID)
+		return s, 0, fault.Unavailable.Wrap(err, "status of worker %s", w.Spec().ID)
 	}
-	// Taking the sending time makes the estimated clock late, so that a start-by time is never extended.
-	w.ObserveBusy(s.Busy)
-	w.ObserveStatus(inc, time.Duration(s.ClockMS)*time.Millisecond, sent)
-	return s, nil
+	return s, inc, nil
 }
--- a/standin/worker.go
+++ b/standin/worker.go
@@ -39,12 +39,14 @@
 
 	mu      sync.Mutex
 	tasks   map[string]*workerTask
+	running map[string]bool
 	busy    int
 	leaving bool
 }
 
 // workerTask is a task that the worker knows: running, ended, or fenced before it started.
 type workerTask struct {
+	id      string
 	fenced  bool
 	done    chan struct{}
 	outcome string
@@ -60,7 +62,7 @@
 	}
 	w := &Worker{
 		o: o, incarnation: machine.NewIncarnation(), born: time.Now(), server: httpserve.New(l, nil),
-		tasks: make(map[string]*workerTask),
+		tasks: make(map[string]*workerTask), running: make(map[string]bool),
 	}
 	w.clocked = newWorkerTimeline(string(o.ID), w.incarnation)
 	w.server.GET("/events", httpserve.Events(w.clocked.ring))
@@ -120,8 +122,9 @@
 	if w.busy >= w.o.Slots {
 		return nil, link.RejectFull
 	}
-	t := &workerTask{done: make(chan struct{})}
+	t := &workerTask{id: id, done: make(chan struct{})}
 	w.tasks[id] = t
+	w.running[id] = true
 	w.busy++
 	return t, ""
 }
@@ -139,6 +142,7 @@
 		t.outcome, t.reason, t.result = link.OutcomeFailed, err.Error(), nil
 	}
 	w.busy--
+	delete(w.running, t.id)
 	close(t.done)
 }
 
@@ -185,7 +189,10 @@
 	w.mu.Lock()
 	s := link.WorkerStatus{
 		Incarnation: w.incarnation.String(), ClockMS: w.clock().Milliseconds(), Slots: w.o.Slots, Busy: w.busy,
-		Leaving: w.leaving,
+		Leaving: w.leaving, Tasks: []string{},
+	}
+	for id := range w.running {
+		s.Tasks = append(s.Tasks, id)
 	}
 	w.mu.Unlock()
 	c.JSON(200, s)
