rpc: turn to another entry VM without ever doubling work

Cause: the client returned a refusal by a stopping VM to the caller, kept submitting under ids of homes that were gone, and many calls that failed together turned the preferred VM round at random. Change: a job is submitted under another id only when a refusal proves that it did not run, or when the first copy of a fresh id met a home that is gone.

--- a/contract/handover.go
+++ b/contract/handover.go
@@ -39,9 +39,9 @@
 	case !ok:
 		return fault.With(fault.UnknownJob, "unknown id", "the home of job %s is not known here", id)
 	case !h.Complete:
-		return fault.With(fault.Lost, "home lost", "the home of job %s ended before it had handed over everything", id)
+		return fault.With(fault.Lost, "hand-over incomplete", "the home of job %s ended before it had handed over everything", id)
 	case id.Seq < h.Minted:
-		return fault.With(fault.NeverAccepted, "home closed", "job %s was never accepted by its home, which has stopped", id)
+		return fault.With(fault.NeverAccepted, fault.ReasonHomeClosed, "job %s was never accepted by its home, which has stopped", id)
 	default:
 		return fault.With(fault.UnknownJob, "unknown id", "job id %s was never minted", id)
 	}
@@ -178,15 +178,15 @@
 		s := t.shard(spec.ID)
 		s.mu.Lock()
 		if j, ok := s.jobs[spec.ID]; ok && j.state == JobHandedOver {
-			s.addEnded(UnknownAnswer(spec.ID, len(spec.Tasks), detail), now)
+			s.addEnded(UnknownAnswer(spec.ID, len(spec.Tasks), "successor gone", detail), now)
 		}
 		s.mu.Unlock()
 	}
 }
 
 // UnknownAnswer is the answer to a job whose home is gone. The number of tasks is only known from a submission.
-func UnknownAnswer(id JobID, tasks int, detail string) Answer {
-	a := Answer{Job: id, Verdict: VerdictFailed, Reason: OutcomeUnknown.String(), Detail: detail}
+func UnknownAnswer(id JobID, tasks int, reason, detail string) Answer {
+	a := Answer{Job: id, Verdict: VerdictFailed, Reason: reason, Detail: detail}
 	for range tasks {
 		a.Reports = append(a.Reports, TaskReport{Outcome: OutcomeUnknown, Detail: detail})
 	}
--- a/contract/jobtable.go
+++ b/contract/jobtable.go
@@ -127,10 +127,10 @@
 		return false, nil
 	}
 	if spec.ID.Seq <= s.expired[spec.ID.Home] {
-		return false, fault.With(fault.Expired, "expired id", "job id %s is older than the retention of answers", spec.ID)
+		return false, fault.With(fault.Expired, fault.ReasonIDTooOld, "job id %s is older than the retention of answers", spec.ID)
 	}
 	if s.closed {
-		return false, fault.With(fault.Draining, "draining", "this entry VM is stopping")
+		return false, fault.With(fault.Draining, fault.ReasonDraining, "this entry VM is stopping")
 	}
 	j := newJob(spec, now)
 	if s.pending+j.payloadBytes() > PendingBytes/jobShards {
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -163,7 +163,7 @@
 // admit decides on a new job and turns its tasks into queue items.
 func (d *Dispatcher) admit(spec *contract.JobSpec, now time.Time) ([]customer.Item, error) {
 	if d.Draining() {
-		return nil, fault.With(fault.Draining, "draining", "this entry VM is stopping")
+		return nil, fault.With(fault.Draining, fault.ReasonDraining, "this entry VM is stopping")
 	}
 	return d.prepare(spec, now)
 }
--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -192,6 +192,15 @@
 	}
 }
 
+// Kill ends everything at once, as a crash does. The jobs of this incarnation are lost.
+func (d *Daemon) Kill() {
+	cut, cancel := context.WithCancel(context.Background())
+	cancel()
+	d.peers.close()
+	d.rpcServer.Stop(cut)
+	d.kill()
+}
+
 // kill ends everything at once.
 func (d *Daemon) kill() {
 	d.cancel()
--- a/entry/handover.go
+++ b/entry/handover.go
@@ -87,7 +87,7 @@
 		return fault.Unavailable.New("part %d arrived before part %d", m.GetPart(), last+1)
 	}
 	if last == 0 && (d.dispatcher.Draining() || d.fenced.Load()) {
-		return fault.With(fault.Draining, "draining", "this entry VM is stopping")
+		return fault.With(fault.Draining, fault.ReasonDraining, "this entry VM is stopping")
 	}
 	if err := d.applyPart(m); err != nil {
 		return err
--- a/entry/router.go
+++ b/entry/router.go
@@ -27,11 +27,11 @@
 // Create implements rpc.Jobs.
 func (d *Daemon) Create(_ context.Context, n int) ([]contract.JobID, error) {
 	if d.dispatcher.Draining() || d.fenced.Load() {
-		return nil, fault.With(fault.Draining, "draining", "this entry VM is stopping")
+		return nil, fault.With(fault.Draining, fault.ReasonDraining, "this entry VM is stopping")
 	}
 	ids := d.table.Mint(n)
 	if ids == nil {
-		return nil, fault.With(fault.Draining, "draining", "this entry VM is stopping")
+		return nil, fault.With(fault.Draining, fault.ReasonDraining, "this entry VM is stopping")
 	}
 	d.count(metric.JobsMinted, n)
 	return ids, nil
@@ -225,7 +225,7 @@
 	case zone.HomeRunning:
 		return home.VM, home.Incarnation == d.o.VM.Incarnation, nil
 	case zone.HomeGone:
-		return "", false, fault.With(fault.Lost, "home lost", "the home of job %s is gone", id)
+		return "", false, fault.With(fault.Lost, fault.ReasonHomeGone, "the home of job %s is gone", id)
 	case zone.HomeSilent:
 		return "", false, fault.Unavailable.New("the home of job %s cannot be reached", id)
 	default:
@@ -250,7 +250,7 @@
 	if d.o.Now().Sub(d.started) < zone.SilenceLimit {
 		return fault.Unavailable.New("the home of job %s is not known yet", id)
 	}
-	return fault.With(fault.Expired, "home not known", "the home of job %s is not known to its failure domain", id)
+	return fault.With(fault.Expired, fault.ReasonIDTooOld, "the home of job %s is not known to its failure domain", id)
 }
 
 // successor returns the VM that answers for the jobs which this one has handed over.
@@ -261,7 +261,7 @@
 	}
 	home := d.homes.Locate(s.Successor, d.o.Now())
 	if home.State == zone.HomeGone {
-		return "", fault.With(fault.Lost, "home lost", "the successor of the home of job %s is gone", id)
+		return "", fault.With(fault.Lost, "successor gone", "the successor of the home of job %s is gone", id)
 	}
 	return home.VM, nil
 }
@@ -319,7 +319,7 @@
 func concluded(id contract.JobID, tasks int, a contract.Answer, err error) (contract.Answer, error) {
 	switch fault.Code(err) {
 	case fault.Lost.FullName():
-		return contract.UnknownAnswer(id, tasks, err.Error()), nil
+		return contract.UnknownAnswer(id, tasks, fault.Reason(err), err.Error()), nil
 	case fault.NeverAccepted.FullName():
 		return wire.RefusalOf(id, err), nil
 	default:
--- a/fault/fault.go
+++ b/fault/fault.go
@@ -50,6 +50,21 @@
 // ReasonNotSent is the reason of a NotStarted error when the start was never written to a socket.
 const ReasonNotSent = "not sent"
 
+// Reasons with which a job that did not run may be submitted under another id.
+const (
+	// ReasonDraining is the reason of a refusal by a home that stops.
+	ReasonDraining = "draining"
+	// ReasonHomeClosed is the reason of a refusal by the successor of a home that never accepted the job.
+	ReasonHomeClosed = "home closed"
+	// ReasonHomeGone says that the home was gone before the call could be forwarded to it. It proves that the job did
+	// not run only to a caller that has sent no other copy.
+	ReasonHomeGone = "home gone"
+)
+
+// ReasonIDTooOld is the reason of an Expired error for a submission that was not accepted. Like ReasonHomeGone it proves
+// that the job did not run only to a caller that has sent no other copy.
+const ReasonIDTooOld = "id too old"
+
 // ReasonRunning is the reason of an Unavailable error when a worker has confirmed that a task in doubt still runs.
 const ReasonRunning = "still running"
 
--- a/rpc/client.go
+++ b/rpc/client.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"sync"
 	"time"
 
@@ -21,19 +22,28 @@
 const (
 	idBlock = 64
 	// awaitSlice bounds one waiting call, so that a silent connection is noticed.
-	awaitSlice  = 2 * time.Second
-	callMargin  = time.Second
-	retryPause  = 50 * time.Millisecond
-	maxAttempts = 200
+	awaitSlice = 2 * time.Second
+	callMargin = time.Second
+	// retryPause grows with each attempt up to maxRetryPause.
+	retryPause    = 50 * time.Millisecond
+	maxRetryPause = 500 * time.Millisecond
+	maxAttempts   = 200
+	// maxFresh bounds the ids that were handed out and not submitted yet. An id beyond it merely loses the chance to
+	// be replaced.
+	maxFresh = 4096
+	// maxReplaced bounds the fresh ids used for one job.
+	maxReplaced = 8
 )
 
-// Client submits jobs to a set of entry VMs. Its mutex guards the ids fetched ahead and the preferred address.
+// Client submits jobs to a set of entry VMs. Its mutex guards the ids fetched ahead, those handed out and not submitted
+// yet, and the preferred address.
 type Client struct {
 	conns []*grpc.ClientConn
 
 	mu        sync.Mutex
 	preferred int
 	ids       []string
+	fresh     map[contract.JobID]bool
 }
 
 // NewClient returns a client of the entry VMs at the given addresses. Credentials are optional.
@@ -41,7 +51,7 @@
 	if creds == nil {
 		creds = insecure.NewCredentials()
 	}
-	c := &Client{}
+	c := &Client{fresh: make(map[contract.JobID]bool)}
 	for _, a := range addresses {
 		conn, err := grpc.NewClient(a, grpc.WithTransportCredentials(creds),
 			grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(maxMessageBytes), grpc.MaxCallSendMsgSize(maxMessageBytes)))
@@ -62,37 +72,49 @@
 	}
 }
 
-func (c *Client) stub() api.DispatcherClient {
+func (c *Client) stub() (api.DispatcherClient, int) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return api.NewDispatcherClient(c.conns[c.preferred])
+	return api.NewDispatcherClient(c.conns[c.preferred]), c.preferred
 }
 
-// turn moves on to the next entry VM.
-func (c *Client) turn() {
+// turn moves on to the next entry VM, unless another call has done so since this one began.
+func (c *Client) turn(from int) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.preferred = (c.preferred + 1) % len(c.conns)
+	if c.preferred == from {
+		c.preferred = (from + 1) % len(c.conns)
+	}
 }
 
 // NewJob returns a fresh job id.
 func (c *Client) NewJob(ctx context.Context) (contract.JobID, error) {
-	if id, ok := c.takeID(); ok {
-		return contract.ParseJobID(id)
+	text, ok := c.takeID()
+	if !ok {
+		var out *api.CreateJobsResponse
+		err := c.each(ctx, func(ctx context.Context, d api.DispatcherClient) error {
+			var err error
+			out, err = d.CreateJobs(ctx, &api.CreateJobsRequest{Count: idBlock})
+			return err
+		})
+		if err != nil {
+			return contract.JobID{}, err
+		}
+		text = out.GetJobIds()[0]
+		c.mu.Lock()
+		c.ids = append(c.ids, out.GetJobIds()[1:]...)
+		c.mu.Unlock()
 	}
-	var out *api.CreateJobsResponse
-	err := c.each(ctx, func(ctx context.Context, d api.DispatcherClient) error {
-		var err error
-		out, err = d.CreateJobs(ctx, &api.CreateJobsRequest{Count: idBlock})
-		return err
-	})
+	id, err := contract.ParseJobID(text)
 	if err != nil {
-		return contract.JobID{}, err
+		return id, err
 	}
 	c.mu.Lock()
-	c.ids = append(c.ids, out.GetJobIds()[1:]...)
-	c.mu.Unlock()
-	return contract.ParseJobID(out.GetJobIds()[0])
+	defer c.mu.Unlock()
+	if len(c.fresh) < maxFresh {
+		c.fresh[id] = true
+	}
+	return id, nil
 }
 
 func (c *Client) takeID() (string, bool) {
@@ -106,23 +128,79 @@
 	return id, true
 }
 
-// Do submits a job and waits for its final answer, resubmitting to other entry VMs as needed.
+// takeFresh reports, once per id, that this client was given the id and has not submitted it.
+func (c *Client) takeFresh(id contract.JobID) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	fresh := c.fresh[id]
+	delete(c.fresh, id)
+	return fresh
+}
+
+// dropIDs forgets the ids fetched ahead from a home that does not accept jobs any more.
+func (c *Client) dropIDs(home contract.JobID) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.ids = slices.DeleteFunc(c.ids, func(text string) bool {
+		id, err := contract.ParseJobID(text)
+		return err != nil || id.Home == home.Home
+	})
+}
+
+// Do submits a job and waits for its final answer, resubmitting to other entry VMs as needed. A job with a minted id is
+// submitted under another id only when it is proven that it did not run under the first: the home refused it because it
+// stops or has stopped, or the very first copy of a fresh id met a home that is gone. The answer names the id used.
 func (c *Client) Do(ctx context.Context, s contract.Submission) (contract.Answer, error) {
-	var answer contract.Answer
-	err := c.each(ctx, func(ctx context.Context, d api.DispatcherClient) error {
-		a, err := d.Submit(ctx, wire.SubmissionTo(s, awaitSlice))
-		if err != nil {
+	for range maxReplaced {
+		sent := 0
+		fresh := s.Ref.Key == nil && c.takeFresh(s.Ref.ID)
+		var answer contract.Answer
+		err := c.each(ctx, func(ctx context.Context, d api.DispatcherClient) error {
+			sent++
+			var err error
+			answer, err = submit(ctx, d, s)
 			return err
+		})
+		if s.Ref.Key != nil || !provenNotRun(answer, err, fresh && sent == 1) {
+			return answer, err
 		}
-		answer, err = wire.AnswerFrom(a)
-		if err == nil && answer.Verdict == contract.VerdictPending {
-			return errPending
+		c.dropIDs(s.Ref.ID)
+		if s.Ref.ID, err = c.NewJob(ctx); err != nil {
+			return answer, err
 		}
-		return err
-	})
+	}
+	return contract.Answer{}, fault.Unavailable.New("every entry VM that was asked stops")
+}
+
+func submit(ctx context.Context, d api.DispatcherClient, s contract.Submission) (contract.Answer, error) {
+	a, err := d.Submit(ctx, wire.SubmissionTo(s, awaitSlice))
+	if err != nil {
+		return contract.Answer{}, err
+	}
+	return finalAnswer(a)
+}
+
+// finalAnswer decodes an answer. A pending one is reported as errPending.
+func finalAnswer(a *api.Answer) (contract.Answer, error) {
+	answer, err := wire.AnswerFrom(a)
+	if err == nil && answer.Verdict == contract.VerdictPending {
+		return answer, errPending
+	}
 	return answer, err
 }
 
+// provenNotRun reports whether the job did not run and may be submitted under another id. first says that no other copy
+// of the submission can exist.
+func provenNotRun(a contract.Answer, err error, first bool) bool {
+	if err != nil {
+		return first && status.Code(err) == codes.OutOfRange
+	}
+	if a.Verdict == contract.VerdictRefused {
+		return a.Reason == fault.ReasonDraining || a.Reason == fault.ReasonHomeClosed
+	}
+	return first && a.Verdict == contract.VerdictFailed && a.Reason == fault.ReasonHomeGone
+}
+
 // Await waits for the final answer of a submitted job.
 func (c *Client) Await(ctx context.Context, r contract.JobRef) (contract.Answer, error) {
 	var answer contract.Answer
@@ -131,10 +209,7 @@
 		if err != nil {
 			return err
 		}
-		answer, err = wire.AnswerFrom(a)
-		if err == nil && answer.Verdict == contract.VerdictPending {
-			return errPending
-		}
+		answer, err = finalAnswer(a)
 		return err
 	})
 	return answer, err
@@ -184,9 +259,11 @@
 // next entry VM; all calls of this client are idempotent.
 func (c *Client) each(ctx context.Context, fn func(context.Context, api.DispatcherClient) error) error {
 	var err error
+	pause := retryPause
 	for range maxAttempts {
 		callCtx, cancel := context.WithTimeout(ctx, awaitSlice+callMargin)
-		err = fn(callCtx, c.stub())
+		stub, at := c.stub()
+		err = fn(callCtx, stub)
 		cancel()
 		if err == nil || ctx.Err() != nil {
 			return err
@@ -197,12 +274,13 @@
 		if !repeatable(err) {
 			return err
 		}
-		c.turn()
+		c.turn(at)
 		select {
-		case <-time.After(retryPause):
+		case <-time.After(pause):
 		case <-ctx.Done():
 			return ctx.Err()
 		}
+		pause = min(2*pause, maxRetryPause)
 	}
 	return err
 }
--- a/rpc/server.go
+++ b/rpc/server.go
@@ -172,9 +172,16 @@
 		code = codes.NotFound
 	case fault.Expired.FullName():
 		code = codes.FailedPrecondition
+		if fault.Reason(err) == fault.ReasonIDTooOld {
+			code = codes.OutOfRange
+		}
+	case fault.NeverAccepted.FullName():
+		code = codes.FailedPrecondition
+	case fault.Lost.FullName():
+		code = codes.DataLoss
 	case fault.Overloaded.FullName():
 		code = codes.ResourceExhausted
-	case fault.Unavailable.FullName(), fault.Draining.FullName():
+	case fault.Unavailable.FullName(), fault.Draining.FullName(), fault.HandedOver.FullName():
 		code = codes.Unavailable
 	}
 	return status.Error(code, err.Error())
