zone: count the answer lease from the first message sent

Cause: the property test found a home with a lease although all members had promised to refuse it: they had heard it, but their acknowledgements were lost. Change: the lease towards a member begins with the first message sent to it.

--- a/entry/peers.go
+++ b/entry/peers.go
@@ -91,7 +91,7 @@
 	l := link.NewPeer(id, v.PeerAddress, link.PeerOptions{
 		Self: link.Identity{VM: o.VM, Domain: uint32(o.Domain)}, Dial: o.DialPeer, Lamport: p.d.clock.Tick, Now: o.Now,
 		Logger: o.Logger, Metrics: o.Metrics, Timeline: p.d.timeline,
-		Acked: p.d.lease.Acknowledged, Replaced: p.replaced,
+		Sent: p.d.lease.Sent, Acked: p.d.lease.Acknowledged, Replaced: p.replaced,
 		Refused: p.d.refusedBy,
 	})
 	p.links[id] = l
--- a/link/peer.go
+++ b/link/peer.go
@@ -53,6 +53,8 @@
 	Now     func() time.Time
 	Logger  *slog.Logger
 	Metrics metrics.Registry
+	// Sent is told before an envelope is sent.
+	Sent func(vm string, now time.Time)
 	// Acked is told when a peer has acknowledged a message, with the time at which it was sent.
 	Acked func(vm string, sent time.Time)
 	// Replaced is told when a connection has ended, so that nothing sent over it will be replied to for certain.
@@ -244,6 +246,9 @@
 func (p *Peer) sendLoop(ctx context.Context, stream api.DRPCPeer_ExchangeClient, failed <-chan error) error {
 	for {
 		if env := p.nextEnvelope(); env != nil {
+			if p.o.Sent != nil {
+				p.o.Sent(p.vm, p.o.Now())
+			}
 			if err := stream.Send(env); err != nil {
 				return firstError(failed, err)
 			}
--- a/zone/answerlease.go
+++ b/zone/answerlease.go
@@ -17,15 +17,25 @@
 //
 // A member that promises to refuse this home has not heard it for SilenceLimit, and so has not acknowledged anything
 // that was sent within answerLease. As long as fewer than DeclareQuorum members are in that position, the home is not
-// gone. Members that never acknowledged anything do not know this incarnation and cannot promise.
+// gone. A member that was never sent anything does not know this incarnation and cannot promise.
 type AnswerLease struct {
-	mu    sync.Mutex
+	mu sync.Mutex
+	// acked holds the sending time of the last acknowledged message, or of the first message.
 	acked map[string]time.Time
 }
 
 // NewAnswerLease returns the lease of a home that no member knows yet.
 func NewAnswerLease() *AnswerLease { return &AnswerLease{acked: make(map[string]time.Time)} }
 
+// Sent records that a message is about to be sent to a member, which may hear it although its acknowledgement is lost.
+func (l *AnswerLease) Sent(vm string, now time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if _, ok := l.acked[vm]; !ok {
+		l.acked[vm] = now
+	}
+}
+
 // Acknowledged records that a member has acknowledged a message sent at the given time.
 func (l *AnswerLease) Acknowledged(vm string, sent time.Time) {
 	l.mu.Lock()
--- /dev/null
+++ b/zone/homes_test.go
@@ -0,0 +1,135 @@
+package zone
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/cicadadale/cicadadale/machine"
+)
+
+// Guards against contradicting answers: whatever members hear and promise, a home that enough members have promised to
+// refuse holds no answer lease, then or later.
+func TestDeclaredHomeHoldsNoAnswerLease(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const home = machine.Incarnation(7)
+		n := rapid.IntRange(2, 8).Draw(t, "members")
+		names := []string{"b", "c", "d", "e", "f", "g", "h"}[:n-1]
+		now := time.Unix(1000, 0)
+		lease := NewAnswerLease()
+		members := make(map[string]*Homes)
+		for _, m := range names {
+			members[m] = NewHomes()
+		}
+		declared := false
+		t.Repeat(map[string]func(*rapid.T){
+			"wait": func(t *rapid.T) {
+				now = now.Add(time.Duration(rapid.IntRange(1, 3000).Draw(t, "ms")) * time.Millisecond)
+			},
+			"message": func(t *rapid.T) {
+				m := rapid.SampledFrom(names).Draw(t, "member")
+				sent := now
+				lease.Sent(m, sent)
+				now = now.Add(time.Duration(rapid.IntRange(0, 400).Draw(t, "delay")) * time.Millisecond)
+				if ok, _ := members[m].Heard("a", home, now); ok && rapid.Bool().Draw(t, "acknowledged") {
+					lease.Acknowledged(m, sent)
+				}
+			},
+			"vote": func(t *rapid.T) {
+				promised := 0
+				for _, m := range names {
+					if rapid.Bool().Draw(t, "asked") && members[m].Silent(home, true, now) {
+						promised++
+					}
+				}
+				declared = declared || promised >= DeclareQuorum(n)
+			},
+			"": func(t *rapid.T) {
+				if declared {
+					require.False(t, lease.Holds(names, now))
+				}
+			},
+		})
+	})
+}
+
+// Guards against an id that is answered as lost although its home has handed it over, and against a circle of
+// successors.
+func TestLocateFollowsSuccessors(t *testing.T) {
+	h := NewHomes()
+	now := time.Unix(1000, 0)
+	for vm, inc := range map[string]machine.Incarnation{"a": 1, "b": 2, "c": 3} {
+		ok, fresh := h.Heard(vm, inc, now)
+		require.True(t, ok && fresh)
+	}
+	h.Succeed(Succession{Home: 1, VM: "a", Successor: 2, SuccessorVM: "b"}, now)
+	require.Equal(t, machine.Incarnation(1), h.Locate(1, now).Incarnation, "the home still answers")
+	h.Succeed(Succession{Home: 1, VM: "a", Successor: 2, SuccessorVM: "b", Complete: true}, now)
+	h.Succeed(Succession{Home: 2, VM: "b", Successor: 3, SuccessorVM: "c"}, now)
+	require.Equal(t, machine.Incarnation(2), h.Locate(1, now).Incarnation)
+	h.Heard("b", 20, now)
+	require.Equal(t, Home{State: HomeRunning, VM: "c", Incarnation: 3}, h.Locate(1, now))
+	h.Succeed(Succession{Home: 3, VM: "c", Successor: 1, SuccessorVM: "a", Complete: true}, now)
+	require.Equal(t, HomeUnknown, h.Locate(1, now).State)
+}
+
+// Guards against a restarted process that is taken for the old one, and an old one that returns.
+func TestReplacedIncarnationIsGoneAtOnce(t *testing.T) {
+	h := NewHomes()
+	now := time.Unix(1000, 0)
+	h.Heard("a", 1, now)
+	h.Heard("a", 2, now)
+	require.Equal(t, HomeGone, h.Locate(1, now).State)
+	ok, _ := h.Heard("a", 1, now)
+	require.False(t, ok)
+	require.True(t, h.Refuses(1))
+	require.Equal(t, HomeRunning, h.Locate(2, now).State)
+}
+
+// Guards against "outcome unknown" for a home that the list drops for a moment only.
+func TestDroppedHomeIsGoneAfterSilenceLimit(t *testing.T) {
+	h := NewHomes()
+	now := time.Unix(1000, 0)
+	h.Heard("a", 1, now)
+	h.ApplyList(nil, now)
+	require.Equal(t, HomeSilent, h.Locate(1, now).State)
+	h.ApplyList(map[string]bool{"a": true}, now)
+	require.Equal(t, HomeRunning, h.Locate(1, now).State)
+	h.ApplyList(nil, now)
+	h.ApplyList(nil, now.Add(SilenceLimit))
+	require.Equal(t, HomeGone, h.Locate(1, now).State)
+}
+
+// Guards against slots that come back later than 3 s after a crash, with a check every 500 ms.
+func TestSilentMemberIsGoneWithinThreeSeconds(t *testing.T) {
+	d := NewFailureDomain(1, "self")
+	now := time.Unix(1000, 0)
+	d.ApplyList([]Listing{{VM: machine.EntryVM{ID: "a"}, Domain: 1}}, now)
+	d.Heard("a", 1, false, now)
+	var gone time.Duration
+	for t := time.Duration(0); t <= 3*time.Second; t += 500 * time.Millisecond {
+		for _, c := range d.Tick(now.Add(t)) {
+			if c.To == MemberGone {
+				gone = t
+			}
+		}
+	}
+	require.NotZero(t, gone)
+}
+
+// Guards against slots that stay with the old process when a VM's process restarts within the suspicion time.
+func TestRestartedMemberGivesEverythingUp(t *testing.T) {
+	d := NewFailureDomain(1, "self")
+	now := time.Unix(1000, 0)
+	d.ApplyList([]Listing{{VM: machine.EntryVM{ID: "a"}, Domain: 1}}, now)
+	d.Heard("a", 1, false, now)
+	changes := d.Heard("a", 2, false, now)
+	require.Equal(t, MemberGone, changes[0].To)
+	require.Equal(t, machine.Incarnation(1), changes[0].VM.Incarnation)
+	require.Equal(t, MemberLive, changes[1].To)
+	d.ApplyList([]Listing{{VM: machine.EntryVM{ID: "a"}, Domain: 1, Leaving: true}}, now)
+	d.Heard("a", 3, false, now)
+	require.Empty(t, d.Live(), "leaving is never taken back")
+}
