customer: order waiting tasks by customer, team and job

Pop scanned all customers, ignored teams, and left the tasks of a cancelled job in the queue, so that depth and demand were wrong until each had been popped.

The queue now keeps customers and teams in heaps by virtual time and the jobs of a team in a heap by priority, deadline and waiting tasks. Teams with a quota are set aside while it is used up. Cancel and Reconfigure reach the queue.

--- /dev/null
+++ b/customer/job.go
@@ -0,0 +1,116 @@
+package customer
+
+import (
+	"sort"
+	"time"
+
+	"github.com/cicadadale/cicadadale/contract"
+)
+
+// deadlineGrain is the resolution in which deadlines are compared. Within it, the job with fewer waiting tasks goes
+// first, so that the last tasks of a nearly finished job do not wait behind a new large one.
+const deadlineGrain = 500 * time.Millisecond
+
+// jobEntry holds the waiting tasks of a job within a team and class.
+type jobEntry struct {
+	id       contract.JobID
+	flow     *teamFlow
+	index    int
+	priority int
+	due      int64
+	arrived  time.Time
+	// items are ordered by expected run time. The longest, which decides when the job ends, comes last and is taken
+	// first.
+	items  []Item
+	sorted bool
+}
+
+func (j *jobEntry) position() *int { return &j.index }
+
+func newJobEntry(f *teamFlow, first Item) *jobEntry {
+	return &jobEntry{
+		id: first.Task.Job, flow: f, index: notQueued, priority: first.Priority, due: dueGrain(first.Deadline),
+		arrived: first.Enqueued,
+	}
+}
+
+// dueGrain numbers the grains of deadlines.
+func dueGrain(deadline time.Time) int64 { return deadline.UnixNano() / int64(deadlineGrain) }
+
+func precedes(a, b *jobEntry) bool {
+	if a.priority != b.priority {
+		return a.priority > b.priority
+	}
+	if a.due != b.due {
+		return a.due < b.due
+	}
+	if len(a.items) != len(b.items) {
+		return len(a.items) < len(b.items)
+	}
+	if !a.arrived.Equal(b.arrived) {
+		return a.arrived.Before(b.arrived)
+	}
+	return a.id.Seq < b.id.Seq
+}
+
+func (j *jobEntry) add(it Item) {
+	j.items = append(j.items, it)
+	j.sorted = len(j.items) == 1
+}
+
+func (j *jobEntry) sort() {
+	if j.sorted {
+		return
+	}
+	sort.SliceStable(j.items, func(a, b int) bool {
+		x, y := &j.items[a], &j.items[b]
+		if x.Expected != y.Expected {
+			return x.Expected < y.Expected
+		}
+		return x.Task.Index > y.Task.Index
+	})
+	j.sorted = true
+}
+
+// peek returns the task to take next.
+func (j *jobEntry) peek() *Item {
+	j.sort()
+	return &j.items[len(j.items)-1]
+}
+
+// next removes the task to take next.
+func (j *jobEntry) next() Item {
+	it := *j.peek()
+	last := len(j.items) - 1
+	j.items[last] = Item{}
+	j.items = j.items[:last]
+	return it
+}
+
+func (j *jobEntry) reconfigure(deadline time.Time, priority int) {
+	j.priority = priority
+	for i := range j.items {
+		it := &j.items[i]
+		it.Priority = priority
+		if deadline.IsZero() {
+			continue
+		}
+		j.flow.due.add(it.Deadline, -it.Expected)
+		j.flow.due.add(deadline, it.Expected)
+		it.Deadline = deadline
+	}
+	if !deadline.IsZero() {
+		j.due = dueGrain(deadline)
+	}
+}
+
+// dueProfile is the waiting work of a team by the grain of its deadline.
+type dueProfile map[int64]time.Duration
+
+func (p dueProfile) add(deadline time.Time, work time.Duration) {
+	g := dueGrain(deadline)
+	p[g] += work
+	if p[g] <= 0 {
+		delete(p, g)
+	}
+}
--- a/customer/queue.go
+++ b/customer/queue.go
@@ -1,7 +1,7 @@
 package customer
 
 import (
-	"container/heap"
+	"container/list"
 	"sync"
 	"time"
 
@@ -20,110 +20,540 @@
 	Enqueued time.Time
 	Priority int
 	Expected time.Duration
+	Bytes    int
+	// Charged says that the task holds a part of its team's quota, from Pop until Finished or Returned.
+	Charged bool
 }
 
-// Queue orders the waiting tasks of one service. Its mutex guards all fields.
+func (it *Item) teamKey() TeamKey { return TeamKey{Customer: it.Customer, Team: it.Team} }
+
+const (
+	// longFloor is the share of the slot time that long work gets while slots admit it and short work waits as well.
+	// Without it a crest of short work would hold accepted long work past every deadline.
+	longFloor = 0.1
+	// idleFlows is the number of flows without work that are kept before they are looked through.
+	idleFlows = 64
+)
+
+// Queue orders the waiting tasks of one service: by virtual time between customers, then between the teams of a
+// customer; within a team by job. Its mutex guards all fields.
 type Queue struct {
+	teams *Teams
+
 	mu      sync.Mutex
+	now     time.Time
 	classes [2]classQueue
-	weights map[string]float64
 }
 
-// classQueue holds the waiting tasks of one class by customer.
+// classQueue holds the waiting tasks of one class.
 type classQueue struct {
-	flows   map[string]*flow
-	length  int
-	virtual float64
-	work    time.Duration
+	class     backend.Class
+	customers map[string]*customerFlow
+	jobs      map[contract.JobID]*jobEntry
+	// ready holds the customers with a team that may start a task. overQuota lists teams that wait for a slot of
+	// their quota, overRate teams that wait for a token.
+	ready     indexedHeap[*customerFlow]
+	overQuota *list.List
+	overRate  indexedHeap[*teamFlow]
+	virtual   float64
+	// served is the virtual time of the class against the other one.
+	served float64
+	totals Totals
+	// parked is the number of tasks of the teams in overQuota.
+	parked       int
+	activeWeight float64
 }
 
-// flow is the work of one customer within a class. Its virtual time grows by the work started divided by the
-// customer's weight; the flow with the smallest one is served next.
-type flow struct {
-	items   itemHeap
-	virtual float64
-	weight  float64
+// Totals counts waiting tasks.
+type Totals struct {
+	Tasks int
+	Bytes int
+	Work  time.Duration
+	// Startable is the number of tasks that the quotas let start now.
+	Startable int
+}
+
+// customerFlow is the waiting work of one customer within a class. Its virtual time grows by the work started
+// divided by the customer's weight; the flow with the smallest one is served next.
+type customerFlow struct {
+	name         string
+	weight       float64
+	virtual      float64
+	teamVirtual  float64
+	index        int
+	teams        map[string]*teamFlow
+	ready        indexedHeap[*teamFlow]
+	tasks        int
+	work         time.Duration
+	activeWeight float64
+}
+
+type flowState uint8
+
+const (
+	flowIdle flowState = iota
+	flowReady
+	flowOverQuota
+	flowOverRate
+)
+
+// teamFlow is the waiting work of one team within a class.
+type teamFlow struct {
+	key       TeamKey
+	owner     *customerFlow
+	weight    float64
+	virtual   float64
+	state     flowState
+	index     int
+	parkedAt  *list.Element
+	retry     time.Time
+	jobs      indexedHeap[*jobEntry]
+	tasks     int
+	work      time.Duration
+	due       dueProfile
+	startable int
 }
 
-// NewQueue returns an empty queue. Customers without a weight count as 1.
-func NewQueue(weights map[string]float64) *Queue {
-	q := &Queue{weights: weights}
+func (f *customerFlow) position() *int { return &f.index }
+
+func (f *teamFlow) position() *int { return &f.index }
+
+// NewQueue returns an empty queue that asks teams for weights and quotas.
+func NewQueue(teams *Teams) *Queue {
+	q := &Queue{teams: teams}
 	for i := range q.classes {
-		q.classes[i].flows = make(map[string]*flow)
+		c := &q.classes[i]
+		c.class = backend.Class(i)
+		c.customers = make(map[string]*customerFlow)
+		c.jobs = make(map[contract.JobID]*jobEntry)
+		c.overQuota = list.New()
+		c.ready.less = func(a, b *customerFlow) bool { return a.virtual < b.virtual }
+		c.overRate.less = func(a, b *teamFlow) bool { return a.retry.Before(b.retry) }
 	}
 	return q
 }
 
-// Push adds tasks.
+// Push adds tasks, each with the class stated in it.
 func (q *Queue) Push(items []Item) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	for _, it := range items {
-		q.push(it)
+	for i := range items {
+		q.advance(items[i].Enqueued)
+		q.push(items[i])
 	}
 }
 
 // push expects q.mu to be held.
 func (q *Queue) push(it Item) {
 	c := &q.classes[it.Class]
-	f, ok := c.flows[it.Customer]
+	if c.totals.Tasks == 0 {
+		// An idle class gets no credit for the time in which nothing of it waited.
+		c.served = max(c.served, q.classes[1-it.Class].served)
+	}
+	f := q.flow(c, it.teamKey())
+	j, ok := c.jobs[it.Task.Job]
+	if !ok {
+		j = newJobEntry(f, it)
+		c.jobs[it.Task.Job] = j
+		f.jobs.push(j)
+	}
+	j.add(it)
+	f.jobs.fix(j)
+	c.count(f, it, 1)
+	q.settle(c, f)
+}
+
+// flow returns the flow of a team, a new one if needed.
+func (q *Queue) flow(c *classQueue, k TeamKey) *teamFlow {
+	cw, tw := q.teams.Weights(k.Customer, k.Team)
+	o, ok := c.customers[k.Customer]
 	if !ok {
-		weight := q.weights[it.Customer]
-		if weight <= 0 {
-			weight = 1
+		c.forgetIdle()
+		o = &customerFlow{name: k.Customer, weight: cw, index: notQueued, teams: make(map[string]*teamFlow)}
+		o.ready.less = func(a, b *teamFlow) bool { return a.virtual < b.virtual }
+		c.customers[k.Customer] = o
+	}
+	f, ok := o.teams[k.Team]
+	if !ok {
+		o.forgetIdle()
+		f = &teamFlow{key: k, owner: o, weight: tw, index: notQueued, due: make(dueProfile)}
+		f.jobs.less = precedes
+		o.teams[k.Team] = f
+	}
+	return f
+}
+
+// forgetIdle drops flows that are indistinguishable from new ones, so that names made up by callers do not pile up.
+func (c *classQueue) forgetIdle() {
+	if len(c.customers) < idleFlows+2*len(c.ready.items) {
+		return
+	}
+	for name, o := range c.customers {
+		if o.tasks == 0 && o.virtual <= c.virtual {
+			delete(c.customers, name)
+		}
+	}
+}
+
+func (f *customerFlow) forgetIdle() {
+	if len(f.teams) < idleFlows+2*len(f.ready.items) {
+		return
+	}
+	for name, t := range f.teams {
+		if t.tasks == 0 && t.virtual <= f.teamVirtual {
+			delete(f.teams, name)
+		}
+	}
+}
+
+// count adds n tasks like it (1 or -1) to all sums.
+func (c *classQueue) count(f *teamFlow, it Item, n int) {
+	work := time.Duration(n) * it.Expected
+	o := f.owner
+	if o.tasks == 0 {
+		c.activeWeight += o.weight
+		// An idle flow gets no credit for the time in which it asked for nothing.
+		o.virtual = max(o.virtual, c.virtual)
+	}
+	if f.tasks == 0 {
+		o.activeWeight += f.weight
+		f.virtual = max(f.virtual, o.teamVirtual)
+	}
+	c.totals.Tasks += n
+	c.totals.Bytes += n * it.Bytes
+	c.totals.Work += work
+	o.tasks += n
+	o.work += work
+	f.tasks += n
+	f.work += work
+	f.due.add(it.Deadline, work)
+	if f.state == flowOverQuota {
+		c.parked += n
+	}
+	if f.tasks == 0 {
+		o.activeWeight -= f.weight
+	}
+	if o.tasks == 0 {
+		c.activeWeight -= o.weight
+		o.activeWeight = 0
+	}
+	if c.totals.Tasks == 0 {
+		c.activeWeight = 0
+	}
+}
+
+// settle moves a flow to the place that its work and its quota call for, and counts what it may start.
+func (q *Queue) settle(c *classQueue, f *teamFlow) {
+	switch {
+	case f.tasks == 0:
+		c.place(f, flowIdle)
+	case f.state == flowIdle:
+		c.place(f, flowReady)
+	}
+	startable := 0
+	if f.state == flowReady {
+		startable = f.tasks
+		if room, limited := q.teams.Room(f.key, q.now); limited {
+			startable = min(startable, room)
+		}
+	}
+	c.totals.Startable += startable - f.startable
+	f.startable = startable
+}
+
+// place changes the state of a flow.
+func (c *classQueue) place(f *teamFlow, s flowState) {
+	if f.state == s {
+		return
+	}
+	c.leave(f)
+	f.state = s
+	switch s {
+	case flowReady:
+		f.owner.ready.push(f)
+		if f.owner.index == notQueued {
+			c.ready.push(f.owner)
+		}
+	case flowOverQuota:
+		f.parkedAt = c.overQuota.PushBack(f)
+		c.parked += f.tasks
+	case flowOverRate:
+		c.overRate.push(f)
+	}
+}
+
+func (c *classQueue) leave(f *teamFlow) {
+	switch f.state {
+	case flowReady:
+		f.owner.ready.remove(f)
+		if f.owner.ready.empty() {
+			c.ready.remove(f.owner)
+		}
+	case flowOverQuota:
+		c.overQuota.Remove(f.parkedAt)
+		f.parkedAt = nil
+		c.parked -= f.tasks
+	case flowOverRate:
+		c.overRate.remove(f)
+	}
+}
+
+// Advance sets the time from which rates are reckoned and makes teams ready whose next token is due.
+func (q *Queue) Advance(now time.Time) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.advance(now)
+}
+
+// advance expects q.mu to be held.
+func (q *Queue) advance(now time.Time) {
+	if now.After(q.now) {
+		q.now = now
+	}
+	for i := range q.classes {
+		c := &q.classes[i]
+		for !c.overRate.empty() && !c.overRate.top().retry.After(q.now) {
+			f := c.overRate.top()
+			c.place(f, flowReady)
+			q.settle(c, f)
+		}
+	}
+}
+
+// Wake makes a team ready that waits for a slot of its quota. It reports whether there is one.
+func (q *Queue) Wake(k TeamKey) bool {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	woken := false
+	for i := range q.classes {
+		c := &q.classes[i]
+		if f := c.lookup(k); f != nil && f.state == flowOverQuota {
+			c.place(f, flowReady)
+			q.settle(c, f)
+			woken = true
 		}
-		f = &flow{weight: weight}
-		c.flows[it.Customer] = f
 	}
-	if f.items.Len() == 0 && f.virtual < c.virtual {
-		// An idle customer gets no credit for the time in which it asked for nothing.
-		f.virtual = c.virtual
+	return woken
+}
+
+func (c *classQueue) lookup(k TeamKey) *teamFlow {
+	o, ok := c.customers[k.Customer]
+	if !ok {
+		return nil
 	}
-	heap.Push(&f.items, it)
-	c.length++
-	c.work += it.Expected
+	return o.teams[k.Team]
 }
 
 // Pop removes the task to start next. Long work is offered only if long is true.
 func (q *Queue) Pop(long bool) (Item, bool) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	if it, ok := q.classes[backend.ClassShort].pop(); ok {
+	first, second := &q.classes[backend.ClassShort], &q.classes[backend.ClassLong]
+	if !long {
+		return q.pop(first)
+	}
+	if second.totals.Startable > 0 && second.served < first.served {
+		first, second = second, first
+	}
+	if it, ok := q.pop(first); ok {
 		return it, true
 	}
-	if !long {
+	return q.pop(second)
+}
+
+// pop expects q.mu to be held.
+func (q *Queue) pop(c *classQueue) (Item, bool) {
+	for !c.ready.empty() {
+		f := c.ready.top().ready.top()
+		if q.reclass(c, f) {
+			continue
+		}
+		p := q.teams.TryStart(f.key, q.now)
+		if p.OK {
+			return q.take(c, f, p), true
+		}
+		q.park(c, f, p)
+	}
+	return q.popBorrowed(c)
+}
+
+// popBorrowed serves teams beyond their quota in turns. Long work gets no loan, because it could not be returned
+// quickly.
+func (q *Queue) popBorrowed(c *classQueue) (Item, bool) {
+	if c.class == backend.ClassLong || c.overQuota.Len() == 0 {
 		return Item{}, false
 	}
-	return q.classes[backend.ClassLong].pop()
+	f := c.overQuota.Front().Value.(*teamFlow)
+	if q.reclass(c, f) {
+		return q.popBorrowed(c)
+	}
+	p := q.teams.TryBorrow(f.key, q.now)
+	if !p.OK {
+		if !p.Retry.IsZero() {
+			q.park(c, f, p)
+		}
+		return Item{}, false
+	}
+	c.overQuota.MoveToBack(f.parkedAt)
+	return q.take(c, f, p), true
+}
+
+// park sets a flow aside that its quota holds back.
+func (q *Queue) park(c *classQueue, f *teamFlow, p Permit) {
+	if p.Retry.IsZero() {
+		c.place(f, flowOverQuota)
+	} else {
+		f.retry = p.Retry
+		c.place(f, flowOverRate)
+	}
+	q.settle(c, f)
 }
 
-func (c *classQueue) pop() (Item, bool) {
-	var next *flow
-	for _, f := range c.flows {
-		if f.items.Len() == 0 {
+// take removes the first task of a flow and charges its expected work.
+func (q *Queue) take(c *classQueue, f *teamFlow, p Permit) Item {
+	it := q.removeNext(c, f)
+	c.virtual = max(c.virtual, f.owner.virtual)
+	f.owner.teamVirtual = max(f.owner.teamVirtual, f.virtual)
+	c.charge(f, it.Expected.Seconds())
+	it.Charged = p.Charged
+	return it
+}
+
+// removeNext removes the first task of a flow without charging it.
+func (q *Queue) removeNext(c *classQueue, f *teamFlow) Item {
+	j := f.jobs.top()
+	it := j.next()
+	if len(j.items) == 0 {
+		f.jobs.remove(j)
+		delete(c.jobs, j.id)
+	} else {
+		f.jobs.fix(j)
+	}
+	c.count(f, it, -1)
+	q.settle(c, f)
+	return it
+}
+
+// charge adds work in seconds to the virtual times of a flow.
+func (c *classQueue) charge(f *teamFlow, work float64) {
+	f.virtual += work / f.weight
+	f.owner.virtual += work / f.owner.weight
+	if f.state == flowReady {
+		f.owner.ready.fix(f)
+	}
+	c.ready.fix(f.owner)
+	weight := 1 - longFloor
+	if c.class == backend.ClassLong {
+		weight = longFloor
+	}
+	c.served += work / weight
+}
+
+// reclass moves the first task of a flow to the other class if its kind has been judged anew since it was queued.
+func (q *Queue) reclass(c *classQueue, f *teamFlow) bool {
+	kind := f.jobs.top().peek().Kind
+	if kind == nil || kind.Class() == c.class {
+		return false
+	}
+	it := q.removeNext(c, f)
+	it.Class = 1 - c.class
+	q.push(it)
+	return true
+}
+
+// Finished ends a task that was popped and has run for the given time. Its team is charged for the difference to
+// the expectation. It reports whether tasks of the team may wait for the released quota.
+func (q *Queue) Finished(it Item, ran time.Duration) bool {
+	q.mu.Lock()
+	c := &q.classes[it.Class]
+	if f := c.lookup(it.teamKey()); f != nil && ran > 0 {
+		c.charge(f, (ran - it.Expected).Seconds())
+	}
+	q.mu.Unlock()
+	return it.Charged && q.teams.Release(it.teamKey(), true)
+}
+
+// Returned takes back the charge of a task that was popped and did not start.
+func (q *Queue) Returned(it Item) bool {
+	q.mu.Lock()
+	c := &q.classes[it.Class]
+	if f := c.lookup(it.teamKey()); f != nil {
+		c.charge(f, -it.Expected.Seconds())
+	}
+	q.mu.Unlock()
+	return it.Charged && q.teams.Release(it.teamKey(), false)
+}
+
+// Cancel removes the waiting tasks of a job and returns their number. The cost per task is constant.
+func (q *Queue) Cancel(id contract.JobID) int {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	n := 0
+	for i := range q.classes {
+		c := &q.classes[i]
+		j, ok := c.jobs[id]
+		if !ok {
 			continue
 		}
-		if next == nil || f.virtual < next.virtual || (f.virtual == next.virtual && f.items.less(next.items)) {
-			next = f
+		n += len(j.items)
+		delete(c.jobs, id)
+		j.flow.jobs.remove(j)
+		for _, it := range j.items {
+			c.count(j.flow, it, -1)
 		}
+		q.settle(c, j.flow)
 	}
-	if next == nil {
-		return Item{}, false
+	return n
+}
+
+// Reconfigure changes the deadline and priority of a job's waiting tasks. A zero deadline leaves it as it is.
+func (q *Queue) Reconfigure(id contract.JobID, deadline time.Time, priority int) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	for i := range q.classes {
+		j, ok := q.classes[i].jobs[id]
+		if !ok {
+			continue
+		}
+		j.reconfigure(deadline, priority)
+		j.flow.jobs.fix(j)
 	}
-	it := heap.Pop(&next.items).(Item)
-	c.virtual = next.virtual
-	next.virtual += it.Expected.Seconds() / next.weight
-	c.length--
-	c.work -= it.Expected
-	return it, true
 }
 
-// Depth is the amount of waiting work.
+// ApplyWeights takes over the weights and limits in effect.
+func (q *Queue) ApplyWeights() {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	for i := range q.classes {
+		c := &q.classes[i]
+		c.activeWeight = 0
+		for _, o := range c.customers {
+			o.activeWeight = 0
+			for _, f := range o.teams {
+				o.weight, f.weight = q.teams.Weights(f.key.Customer, f.key.Team)
+				if f.tasks > 0 {
+					o.activeWeight += f.weight
+					// Limits may have been raised or dropped: the next Pop finds out.
+					c.place(f, flowReady)
+				}
+				q.settle(c, f)
+			}
+			if o.tasks > 0 {
+				c.activeWeight += o.weight
+			}
+		}
+	}
+}
+
+// Depth is the amount of waiting work. Short and Long count the tasks that the quotas let start, so that no slot is
+// asked for in vain; Waiting and Bytes count all.
 type Depth struct {
 	Short     int
 	Long      int
 	ShortWork time.Duration
 	LongWork  time.Duration
+	Waiting   int
+	Bytes     int
 }
 
 // Depth returns the amount of waiting work.
@@ -131,36 +561,12 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	s, l := &q.classes[backend.ClassShort], &q.classes[backend.ClassLong]
-	return Depth{Short: s.length, Long: l.length, ShortWork: s.work, LongWork: l.work}
-}
-
-// itemHeap orders by priority, deadline, then arrival.
-type itemHeap []Item
-
-func (h itemHeap) Len() int { return len(h) }
-
-func (h itemHeap) Less(i, j int) bool { return before(h[i], h[j]) }
-
-func (h itemHeap) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
-
-func (h *itemHeap) Push(x any) { *h = append(*h, x.(Item)) }
-
-func (h *itemHeap) Pop() any {
-	old := *h
-	n := len(old) - 1
-	it := old[n]
-	*h = old[:n]
-	return it
-}
-
-func (h itemHeap) less(o itemHeap) bool { return before(h[0], o[0]) }
-
-func before(a, b Item) bool {
-	if a.Priority != b.Priority {
-		return a.Priority > b.Priority
+	d := Depth{
+		Short: s.totals.Startable, Long: l.totals.Startable, ShortWork: s.totals.Work, LongWork: l.totals.Work,
+		Waiting: s.totals.Tasks + l.totals.Tasks, Bytes: s.totals.Bytes + l.totals.Bytes,
 	}
-	if !a.Deadline.Equal(b.Deadline) {
-		return a.Deadline.Before(b.Deadline)
+	if s.parked > 0 {
+		d.Short += min(s.parked, q.teams.Spare())
 	}
-	return a.Enqueued.Before(b.Enqueued)
+	return d
 }
--- /dev/null
+++ b/customer/settings.go
@@ -0,0 +1,74 @@
+package customer
+
+import (
+	"errors"
+	"fmt"
+)
+
+// TeamSpec describes a team of a customer. Names are unique within the customer.
+type TeamSpec struct {
+	Name string
+	// Weight is the team's share of its customer's work; 0 counts as 1.
+	Weight float64
+	// Slots is the quota of tasks that run at the same time over all failure domains; 0 means no quota.
+	Slots int
+	// StartsPerSecond is the quota of starts over all failure domains; 0 means no quota.
+	StartsPerSecond float64
+	// Burst is the number of starts that may follow each other at once; 0 takes the starts of one second.
+	Burst float64
+}
+
+// CustomerSpec describes a customer.
+type CustomerSpec struct {
+	Name string
+	// Weight is the customer's share of the capacity; 0 counts as 1.
+	Weight float64
+	Teams  []TeamSpec
+}
+
+// Settings are all customers of a configuration. Revision grows with each configuration in effect.
+type Settings struct {
+	Revision  uint64
+	Customers []CustomerSpec
+}
+
+// Validate returns all faults at once, nil if there are none.
+func (s Settings) Validate() error {
+	var faults []error
+	customers := make(map[string]bool, len(s.Customers))
+	for _, c := range s.Customers {
+		if c.Name == "" || customers[c.Name] {
+			faults = append(faults, fmt.Errorf("customer %q: the name is empty or used twice", c.Name))
+		}
+		customers[c.Name] = true
+		faults = append(faults, c.validate()...)
+	}
+	return errors.Join(faults...)
+}
+
+func (c CustomerSpec) validate() []error {
+	var faults []error
+	if c.Weight < 0 {
+		faults = append(faults, fmt.Errorf("customer %q: the weight is negative", c.Name))
+	}
+	teams := make(map[string]bool, len(c.Teams))
+	for _, t := range c.Teams {
+		if t.Name == "" || teams[t.Name] {
+			faults = append(faults, fmt.Errorf("customer %q, team %q: the name is empty or used twice", c.Name, t.Name))
+		}
+		teams[t.Name] = true
+		if t.Weight < 0 || t.Slots < 0 || t.StartsPerSecond < 0 || t.Burst < 0 {
+			faults = append(faults, fmt.Errorf("customer %q, team %q: a weight or quota is negative", c.Name, t.Name))
+		}
+	}
+	return faults
+}
+
+// TeamKey names a team over all customers.
+type TeamKey struct {
+	Customer string
+	Team     string
+}
+
+// String returns the form used in messages between entry VMs.
+func (k TeamKey) String() string { return k.Customer + "/" + k.Team }
--- /dev/null
+++ b/customer/team.go
@@ -0,0 +1,389 @@
+package customer
+
+import (
+	"math"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+const (
+	teamShards = 16
+	// RateUnits is the number of parts into which the quota of a team is divided that limits only its start rate.
+	RateUnits = 1000
+)
+
+// Permit is the reply to a team that wants to start a task. Without OK, the team waits for the end of one of its
+// tasks, or until Retry if that is set. Charged permits have to be released when the task has ended.
+type Permit struct {
+	OK      bool
+	Charged bool
+	Retry   time.Time
+}
+
+// Team is a team with its limits on this entry VM. The lock of its shard guards all fields.
+type Team struct {
+	spec TeamSpec
+	// share is this VM's part of the quota, in slots or in RateUnits.
+	share   int
+	running int
+	waiting bool
+	bucket  bucket
+}
+
+// bucket is a token bucket of starts.
+type bucket struct {
+	tokens float64
+	last   time.Time
+}
+
+// units is the quota as a whole number that can be divided into shares; 0 means no quota.
+func (s TeamSpec) units() int {
+	switch {
+	case s.Slots > 0:
+		return s.Slots
+	case s.StartsPerSecond > 0:
+		return RateUnits
+	default:
+		return 0
+	}
+}
+
+// rate returns this VM's part of the start rate and of the burst.
+func (t *Team) rate() (perSecond, burst float64) {
+	fraction := float64(t.share) / float64(t.spec.units())
+	burst = t.spec.Burst
+	if burst == 0 {
+		burst = t.spec.StartsPerSecond
+	}
+	return t.spec.StartsPerSecond * fraction, math.Max(1, burst*fraction)
+}
+
+// tokens returns the starts that the rate allows at now, and refills the bucket.
+func (t *Team) tokens(now time.Time) float64 {
+	perSecond, burst := t.rate()
+	if t.bucket.last.IsZero() {
+		t.bucket = bucket{tokens: burst, last: now}
+	}
+	if now.After(t.bucket.last) {
+		t.bucket.tokens += now.Sub(t.bucket.last).Seconds() * perSecond
+		t.bucket.last = now
+	}
+	t.bucket.tokens = math.Min(t.bucket.tokens, burst)
+	return t.bucket.tokens
+}
+
+// retryAt returns when the next token is complete.
+func (t *Team) retryAt(now time.Time) time.Time {
+	perSecond, _ := t.rate()
+	if perSecond <= 0 {
+		// The share is empty; a transfer of quota has to come first.
+		return now.Add(time.Second)
+	}
+	return now.Add(time.Duration((1 - t.bucket.tokens) / perSecond * float64(time.Second)))
+}
+
+// room returns the number of tasks that the own quota lets start now.
+func (t *Team) room(now time.Time) int {
+	room := math.MaxInt
+	if t.spec.Slots > 0 {
+		room = max(0, t.share-t.running)
+	}
+	if t.spec.StartsPerSecond > 0 {
+		room = min(room, int(t.tokens(now)))
+	}
+	return room
+}
+
+// full reports whether the own quota has no slot left.
+func (t *Team) full() bool { return t.spec.Slots > 0 && t.running >= t.share }
+
+// take starts a task on the own quota.
+func (t *Team) take(now time.Time) Permit {
+	if t.full() {
+		t.waiting = true
+		return Permit{}
+	}
+	if p, ok := t.spend(now); !ok {
+		return p
+	}
+	t.running++
+	return Permit{OK: true, Charged: true}
+}
+
+// spend takes a token.
+func (t *Team) spend(now time.Time) (Permit, bool) {
+	if t.spec.StartsPerSecond <= 0 {
+		return Permit{}, true
+	}
+	if t.tokens(now) < 1 {
+		return Permit{Retry: t.retryAt(now)}, false
+	}
+	t.bucket.tokens--
+	return Permit{}, true
+}
+
+// balance returns the unused part of the slot quota and the number of tasks beyond it.
+func (t *Team) balance() (idle, borrowed int64) {
+	if t.spec.Slots == 0 {
+		return 0, 0
+	}
+	free := int64(t.share - t.running)
+	return max(0, free), max(0, -free)
+}
+
+type teamShard struct {
+	mu    sync.Mutex
+	teams map[TeamKey]*Team
+}
+
+type weights struct {
+	customers map[string]float64
+	teams     map[TeamKey]float64
+}
+
+// Teams holds the limits of all teams on this entry VM, in shards by name. A team without quota is not recorded.
+type Teams struct {
+	shards [teamShards]teamShard
+	// idle and borrowed are sums over the shards: the unused slot quota and the tasks that run on it.
+	idle     atomic.Int64
+	borrowed atomic.Int64
+	weights  atomic.Pointer[weights]
+
+	mu       sync.Mutex
+	revision uint64
+	// distributed says that shares arrive by SetShare; otherwise this VM holds the whole quota.
+	distributed bool
+}
+
+// NewTeams returns a registry without teams. With distributed, a team's share is empty until SetShare.
+func NewTeams(distributed bool) *Teams {
+	t := &Teams{distributed: distributed}
+	for i := range t.shards {
+		t.shards[i].teams = make(map[TeamKey]*Team)
+	}
+	t.weights.Store(&weights{})
+	return t
+}
+
+func (t *Teams) shard(k TeamKey) *teamShard {
+	return &t.shards[xxhash.Sum64String(k.String())%teamShards]
+}
+
+// Apply takes over settings of a newer revision and reports whether they were newer.
+func (t *Teams) Apply(s Settings) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if s.Revision < t.revision {
+		return false
+	}
+	t.revision = s.Revision
+	w := &weights{customers: make(map[string]float64), teams: make(map[TeamKey]float64)}
+	limited := make(map[TeamKey]TeamSpec)
+	for _, c := range s.Customers {
+		w.customers[c.Name] = c.Weight
+		for _, spec := range c.Teams {
+			k := TeamKey{Customer: c.Name, Team: spec.Name}
+			w.teams[k] = spec.Weight
+			if spec.units() > 0 {
+				limited[k] = spec
+			}
+		}
+	}
+	t.weights.Store(w)
+	t.drop(limited)
+	for k, spec := range limited {
+		t.applyTeam(k, spec)
+	}
+	return true
+}
+
+// drop removes the limits of teams that have none any more. Their running tasks release nothing.
+func (t *Teams) drop(limited map[TeamKey]TeamSpec) {
+	for i := range t.shards {
+		s := &t.shards[i]
+		s.mu.Lock()
+		for k, team := range s.teams {
+			if _, ok := limited[k]; !ok {
+				t.change(team, func() { *team = Team{} })
+				delete(s.teams, k)
+			}
+		}
+		s.mu.Unlock()
+	}
+}
+
+func (t *Teams) applyTeam(k TeamKey, spec TeamSpec) {
+	s := t.shard(k)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	team, ok := s.teams[k]
+	if !ok {
+		team = &Team{}
+		s.teams[k] = team
+	}
+	t.change(team, func() {
+		team.spec = spec
+		if !t.distributed {
+			team.share = spec.units()
+		}
+	})
+}
+
+// change updates the sums after fn has changed a team. It expects the shard lock to be held.
+func (t *Teams) change(team *Team, fn func()) {
+	idle, borrowed := team.balance()
+	fn()
+	idleNow, borrowedNow := team.balance()
+	t.idle.Add(idleNow - idle)
+	t.borrowed.Add(borrowedNow - borrowed)
+}
+
+// SetShare sets this VM's part of a team's quota and reports whether tasks of the team may wait for it.
+func (t *Teams) SetShare(k TeamKey, share int) bool {
+	s := t.shard(k)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	team, ok := s.teams[k]
+	if !ok {
+		return false
+	}
+	grown := share > team.share
+	t.change(team, func() { team.share = max(0, share) })
+	waiting := team.waiting
+	if grown {
+		team.waiting = false
+	}
+	return grown && waiting
+}
+
+// TryStart asks for a start on the team's own quota.
+func (t *Teams) TryStart(k TeamKey, now time.Time) Permit {
+	s := t.shard(k)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	team, ok := s.teams[k]
+	if !ok {
+		return Permit{OK: true}
+	}
+	var p Permit
+	t.change(team, func() { p = team.take(now) })
+	return p
+}
+
+// TryBorrow asks for a start beyond the team's own quota, on what the other teams leave unused. The lenders come
+// first for every slot that becomes free, so that the loan ends with the tasks that run on it.
+func (t *Teams) TryBorrow(k TeamKey, now time.Time) Permit {
+	s := t.shard(k)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	team, ok := s.teams[k]
+	if !ok {
+		return Permit{OK: true}
+	}
+	if !team.full() {
+		var p Permit
+		t.change(team, func() { p = team.take(now) })
+		return p
+	}
+	if !t.reserveLoan() {
+		return Permit{}
+	}
+	if p, ok := team.spend(now); !ok {
+		t.borrowed.Add(-1)
+		return p
+	}
+	// The loan is in the sum already.
+	team.running++
+	return Permit{OK: true, Charged: true}
+}
+
+func (t *Teams) reserveLoan() bool {
+	for {
+		borrowed := t.borrowed.Load()
+		if borrowed >= t.idle.Load() {
+			return false
+		}
+		if t.borrowed.CompareAndSwap(borrowed, borrowed+1) {
+			return true
+		}
+	}
+}
+
+// Release ends the use of a charged permit. It reports whether tasks of the team may wait for it. A start that did
+// not happen gets its token back.
+func (t *Teams) Release(k TeamKey, started bool) bool {
+	s := t.shard(k)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	team, ok := s.teams[k]
+	if !ok {
+		return false
+	}
+	// The limits may have been dropped and set again while the task ran.
+	t.change(team, func() { team.running = max(0, team.running-1) })
+	if !started && team.spec.StartsPerSecond > 0 {
+		team.bucket.tokens++
+	}
+	if team.full() {
+		return false
+	}
+	waiting := team.waiting
+	team.waiting = false
+	return waiting
+}
+
+// Room returns the number of tasks that a team may start now on its own quota, and whether it has one.
+func (t *Teams) Room(k TeamKey, now time.Time) (room int, limited bool) {
+	s := t.shard(k)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	team, ok := s.teams[k]
+	if !ok {
+		return 0, false
+	}
+	return team.room(now), true
+}
+
+// Spare returns the number of tasks that may still start on the unused quota of other teams.
+func (t *Teams) Spare() int { return int(max(0, t.idle.Load()-t.borrowed.Load())) }
+
+// Weights returns the weights of a customer and a team; unknown ones count as 1.
+func (t *Teams) Weights(customer, team string) (float64, float64) {
+	w := t.weights.Load()
+	return orOne(w.customers[customer]), orOne(w.teams[TeamKey{Customer: customer, Team: team}])
+}
+
+func orOne(weight float64) float64 {
+	if weight <= 0 {
+		return 1
+	}
+	return weight
+}
+
+// Usage is a team's part of its quota on this entry VM.
+type Usage struct {
+	Key     TeamKey
+	Quota   int
+	Share   int
+	Running int
+	Waiting bool
+}
+
+// Usages returns the usage of all teams with a quota, in no particular order.
+func (t *Teams) Usages() []Usage {
+	var out []Usage
+	for i := range t.shards {
+		s := &t.shards[i]
+		s.mu.Lock()
+		for k, team := range s.teams {
+			out = append(out, Usage{
+				Key: k, Quota: team.spec.units(), Share: team.share, Running: team.running, Waiting: team.waiting,
+			})
+		}
+		s.mu.Unlock()
+	}
+	return out
+}
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -38,6 +38,9 @@
 	Now     func() time.Time
 	Logger  *slog.Logger
 	Metrics metrics.Registry
+	// DistributedQuotas says that the shares of the team quotas come from elsewhere; otherwise this dispatcher holds
+	// the whole quotas.
+	DistributedQuotas bool
 }
 
 // Dispatcher is the home of jobs: it accepts them, starts their tasks and holds their answers. mu guards the map of
@@ -48,6 +51,7 @@
 	cancel   context.CancelFunc
 	running  sync.WaitGroup
 	counters counters
+	teams    *customer.Teams
 
 	mu       sync.RWMutex
 	lanes    map[string]*Lane
@@ -77,17 +81,18 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	return &Dispatcher{
 		o: o, ctx: ctx, cancel: cancel, counters: newCounters(o.Metrics), lanes: make(map[string]*Lane),
+		teams: customer.NewTeams(o.DistributedQuotas),
 	}
 }
 
 // AddService makes a service available.
-func (d *Dispatcher) AddService(s *backend.Service, weights map[string]float64) {
+func (d *Dispatcher) AddService(s *backend.Service) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if _, ok := d.lanes[s.Name()]; ok {
 		return
 	}
-	d.lanes[s.Name()] = NewLane(s, customer.NewQueue(weights), d.workerSpeed)
+	d.lanes[s.Name()] = NewLane(s, customer.NewQueue(d.teams), d.workerSpeed)
 }
 
 func (d *Dispatcher) workerSpeed(id machine.WorkerID) float64 {
@@ -175,7 +180,7 @@
 		items[i] = customer.Item{
 			Task: contract.TaskID{Job: spec.ID, Index: i}, Kind: kind, Class: kind.Class(),
 			Customer: spec.Customer, Team: spec.Team, Enqueued: now, Priority: spec.Priority,
-			Expected: kind.Expected(),
+			Expected: kind.Expected(), Bytes: len(t.Payload),
 		}
 	}
 	for i := range items {
@@ -229,6 +234,7 @@
 	if err != nil {
 		return err
 	}
+	d.dequeue(id)
 	d.counters.cancelled.Inc(1)
 	d.counters.notRun.Inc(int64(n))
 	return nil
@@ -269,6 +275,7 @@
 	ticket, ok := d.o.Table.Start(a.Item.Task, string(a.Slot.Worker))
 	if !ok {
 		// The job was cancelled while the task waited.
+		d.wake(a.Item, l.queue.Returned(a.Item))
 		d.carryOut(l, l.Release(a.Slot, true, d.o.Now()))
 		return
 	}
@@ -287,6 +294,7 @@
 		return
 	}
 	d.finish(a, reply)
+	d.wake(a.Item, l.queue.Finished(a.Item, reply.RunTime))
 	d.carryOut(l, l.Release(a.Slot, true, d.o.Now()))
 }
 
@@ -315,6 +323,7 @@
 	d.counters.rejected.Inc(1)
 	now := d.o.Now()
 	requeue := d.o.Table.NotStarted(a.Item.Task, now)
+	d.wake(a.Item, l.queue.Returned(a.Item))
 	d.carryOut(l, l.Release(a.Slot, false, now))
 	if !requeue {
 		return
--- a/dispatch/lane.go
+++ b/dispatch/lane.go
@@ -94,6 +94,7 @@
 
 // match expects l.mu to be held.
 func (l *Lane) match(now time.Time) Plan {
+	l.queue.Advance(now)
 	plan := Plan{Returns: l.returns(l.holdings.TakeIdle(func(s contract.Slot) bool {
 		return now.Add(startMargin).After(s.Expires)
 	}))}
--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -97,7 +97,7 @@
 		Metrics: o.Metrics,
 	})
 	for _, s := range o.Services {
-		d.dispatcher.AddService(s, nil)
+		d.dispatcher.AddService(s)
 	}
 	return d, nil
 }
--- a/entry/router.go
+++ b/entry/router.go
@@ -96,7 +96,7 @@
 		if c.Deadline > 0 {
 			deadline = d.o.Now().Add(c.Deadline)
 		}
-		return d.table.Reconfigure(r.ID, deadline, c.Priority)
+		return d.dispatcher.Reconfigure(r.ID, deadline, c.Priority)
 	}
 	resp, err := d.forward(ctx, r.ID, 0, &api.Request{Body: &api.Request_Reconfigure{
 		Reconfigure: &api.ReconfigureRequest{
