--- a/customer/job.go
+++ b/customer/job.go
@@ -27,7 +27,7 @@
 
 func (j *jobEntry) position() *int { return &j.index }
 
-func newJobEntry(f *teamFlow, first Item) *jobEntry {
+func newJobEntry(f *teamFlow, first *Item) *jobEntry {
 	return &jobEntry{
 		id: first.Task.Job, flow: f, index: notQueued, priority: first.Priority, due: dueGrain(first.Deadline),
 		arrived: first.Enqueued,
--- a/customer/queue.go
+++ b/customer/queue.go
@@ -2,6 +2,7 @@
 
 import (
 	"container/list"
+	"slices"
 	"sync"
 	"time"
 
@@ -56,6 +57,8 @@
 	overQuota *list.List
 	overRate  indexedHeap[*teamFlow]
 	virtual   float64
+	// last is the highest virtual time of a customer; virtual catches up with it when nothing waits.
+	last float64
 	// served is the virtual time of the class against the other one.
 	served float64
 	totals Totals
@@ -80,6 +83,7 @@
 	weight       float64
 	virtual      float64
 	teamVirtual  float64
+	teamLast     float64
 	index        int
 	teams        map[string]*teamFlow
 	ready        indexedHeap[*teamFlow]
@@ -137,34 +141,47 @@
 func (q *Queue) Push(items []Item) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	for i := range items {
-		q.advance(items[i].Enqueued)
-		q.push(items[i])
+	for rest := items; len(rest) > 0; {
+		n := 1
+		for n < len(rest) && sameEntry(&rest[0], &rest[n]) {
+			n++
+		}
+		q.advance(rest[0].Enqueued)
+		q.push(rest[:n])
+		rest = rest[n:]
 	}
 }
 
-// push expects q.mu to be held.
-func (q *Queue) push(it Item) {
-	c := &q.classes[it.Class]
+// sameEntry reports whether two tasks wait in the same entry.
+func sameEntry(a, b *Item) bool { return a.Task.Job == b.Task.Job && a.Class == b.Class }
+
+// push adds tasks of one job and class. It expects q.mu to be held.
+func (q *Queue) push(items []Item) {
+	first := &items[0]
+	c := &q.classes[first.Class]
 	if c.totals.Tasks == 0 {
 		// An idle class gets no credit for the time in which nothing of it waited.
-		c.served = max(c.served, q.classes[1-it.Class].served)
+		c.served = max(c.served, q.classes[1-first.Class].served)
 	}
-	f := q.flow(c, it.teamKey())
-	j, ok := c.jobs[it.Task.Job]
+	j, ok := c.jobs[first.Task.Job]
 	if !ok {
-		j = newJobEntry(f, it)
-		c.jobs[it.Task.Job] = j
+		f := q.flow(c, first.teamKey())
+		j = newJobEntry(f, first)
+		c.jobs[j.id] = j
 		f.jobs.push(j)
 	}
-	j.add(it)
-	f.jobs.fix(j)
-	c.count(f, it, 1)
-	q.settle(c, f)
+	j.items = slices.Grow(j.items, len(items))
+	for i := range items {
+		j.add(items[i])
+		c.count(j.flow, &items[i], 1)
+	}
+	j.flow.jobs.fix(j)
+	q.settle(c, j.flow)
 }
 
 // flow returns the flow of a team, a new one if needed.
 func (q *Queue) flow(c *classQueue, k TeamKey) *teamFlow {
+	k = q.teams.Flow(k)
 	cw, tw := q.teams.Weights(k.Customer, k.Team)
 	o, ok := c.customers[k.Customer]
 	if !ok {
@@ -207,7 +224,7 @@
 }
 
 // count adds n tasks like it (1 or -1) to all sums.
-func (c *classQueue) count(f *teamFlow, it Item, n int) {
+func (c *classQueue) count(f *teamFlow, it *Item, n int) {
 	work := time.Duration(n) * it.Expected
 	o := f.owner
 	if o.tasks == 0 {
@@ -236,9 +253,11 @@
 	if o.tasks == 0 {
 		c.activeWeight -= o.weight
 		o.activeWeight = 0
+		o.teamVirtual = max(o.teamVirtual, o.teamLast)
 	}
 	if c.totals.Tasks == 0 {
 		c.activeWeight = 0
+		c.virtual = max(c.virtual, c.last)
 	}
 }
 
@@ -411,10 +430,10 @@
 
 // take removes the first task of a flow and charges its expected work.
 func (q *Queue) take(c *classQueue, f *teamFlow, p Permit) Item {
-	it := q.removeNext(c, f)
 	c.virtual = max(c.virtual, f.owner.virtual)
 	f.owner.teamVirtual = max(f.owner.teamVirtual, f.virtual)
-	c.charge(f, it.Expected.Seconds())
+	c.charge(f, f.jobs.top().peek().Expected.Seconds())
+	it := q.removeNext(c, f)
 	it.Charged = p.Charged
 	return it
 }
@@ -429,7 +448,7 @@
 	} else {
 		f.jobs.fix(j)
 	}
-	c.count(f, it, -1)
+	c.count(f, &it, -1)
 	q.settle(c, f)
 	return it
 }
@@ -438,6 +457,8 @@
 func (c *classQueue) charge(f *teamFlow, work float64) {
 	f.virtual += work / f.weight
 	f.owner.virtual += work / f.owner.weight
+	f.owner.teamLast = max(f.owner.teamLast, f.virtual)
+	c.last = max(c.last, f.owner.virtual)
 	if f.state == flowReady {
 		f.owner.ready.fix(f)
 	}
@@ -457,7 +478,7 @@
 	}
 	it := q.removeNext(c, f)
 	it.Class = 1 - c.class
-	q.push(it)
+	q.push([]Item{it})
 	return true
 }
 
@@ -466,7 +487,7 @@
 func (q *Queue) Finished(it Item, ran time.Duration) bool {
 	q.mu.Lock()
 	c := &q.classes[it.Class]
-	if f := c.lookup(it.teamKey()); f != nil && ran > 0 {
+	if f := c.lookup(q.teams.Flow(it.teamKey())); f != nil && ran > 0 {
 		c.charge(f, (ran - it.Expected).Seconds())
 	}
 	q.mu.Unlock()
@@ -477,7 +498,7 @@
 func (q *Queue) Returned(it Item) bool {
 	q.mu.Lock()
 	c := &q.classes[it.Class]
-	if f := c.lookup(it.teamKey()); f != nil {
+	if f := c.lookup(q.teams.Flow(it.teamKey())); f != nil {
 		c.charge(f, -it.Expected.Seconds())
 	}
 	q.mu.Unlock()
@@ -498,8 +519,8 @@
 		n += len(j.items)
 		delete(c.jobs, id)
 		j.flow.jobs.remove(j)
-		for _, it := range j.items {
-			c.count(j.flow, it, -1)
+		for i := range j.items {
+			c.count(j.flow, &j.items[i], -1)
 		}
 		q.settle(c, j.flow)
 	}
--- a/customer/settings.go
+++ b/customer/settings.go
@@ -18,8 +18,8 @@
 	Burst float64
 }
 
-// CustomerSpec describes a customer.
-type CustomerSpec struct {
+// Spec describes a customer.
+type Spec struct {
 	Name string
 	// Weight is the customer's share of the capacity; 0 counts as 1.
 	Weight float64
@@ -29,7 +29,7 @@
 // Settings are all customers of a configuration. Revision grows with each configuration in effect.
 type Settings struct {
 	Revision  uint64
-	Customers []CustomerSpec
+	Customers []Spec
 }
 
 // Validate returns all faults at once, nil if there are none.
@@ -46,7 +46,7 @@
 	return errors.Join(faults...)
 }
 
-func (c CustomerSpec) validate() []error {
+func (c Spec) validate() []error {
 	var faults []error
 	if c.Weight < 0 {
 		faults = append(faults, fmt.Errorf("customer %q: the weight is negative", c.Name))
--- a/customer/team.go
+++ b/customer/team.go
@@ -169,7 +169,7 @@
 }
 
 func (t *Teams) shard(k TeamKey) *teamShard {
-	return &t.shards[xxhash.Sum64String(k.String())%teamShards]
+	return &t.shards[(xxhash.Sum64String(k.Customer)+31*xxhash.Sum64String(k.Team))%teamShards]
 }
 
 // Apply takes over settings of a newer revision and reports whether they were newer.
@@ -356,6 +356,22 @@
 	return orOne(w.customers[customer]), orOne(w.teams[TeamKey{Customer: customer, Team: team}])
 }
 
+// Flow returns the team under which the work of k is ordered. Once customers are configured, all unknown names share
+// one flow; otherwise a caller could take over the queue by making up a new name for each job.
+func (t *Teams) Flow(k TeamKey) TeamKey {
+	w := t.weights.Load()
+	if len(w.customers) == 0 {
+		return k
+	}
+	if _, ok := w.customers[k.Customer]; !ok {
+		return TeamKey{}
+	}
+	if _, ok := w.teams[k]; !ok {
+		return TeamKey{Customer: k.Customer}
+	}
+	return k
+}
+
 func orOne(weight float64) float64 {
 	if weight <= 0 {
 		return 1
