--- a/dispatch/lane.go
+++ b/dispatch/lane.go
@@ -219,6 +219,7 @@
 // match expects l.mu to be held.
 func (l *Lane) match(now time.Time) Plan {
 	var plan Plan
+	l.queue.Advance(now)
 	if !l.stopped && l.o.Placement != nil {
 		l.place(&plan, now)
 	} else if !l.stopped {
@@ -249,7 +250,7 @@
 			s, ok := l.takeUsable(take, plan, now)
 			if !ok {
 				// Lapsed slots were counted as idle.
-				l.queue.Push(items[i:])
+				l.requeue(items[i:])
 				return
 			}
 			plan.Assignments = append(plan.Assignments, Assignment{Item: it, Slot: s})
@@ -257,6 +258,15 @@
 	}
 }
 
+// requeue puts back tasks for which no slot was left. It expects l.mu to be held.
+func (l *Lane) requeue(items []customer.Item) {
+	for i := range items {
+		l.queue.Returned(items[i])
+		items[i].Charged = false
+	}
+	l.queue.Push(items)
+}
+
 // next removes as many tasks from the queue as there are idle slots, long ones first, and returns the number of long
 // ones. It expects l.mu to be held.
 func (l *Lane) next() ([]customer.Item, int) {
--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -111,7 +111,7 @@
 		Fleet: d.fleet, Now: o.Now, Logger: o.Logger, Metrics: o.Metrics, Timeline: d.timeline,
 	})
 	for _, s := range o.Services {
-		d.dispatcher.AddService(s, nil)
+		d.dispatcher.AddService(s)
 	}
 	return d, nil
 }
