--- a/link/peerview.go
+++ b/link/peerview.go
@@ -17,16 +17,9 @@
 func (p *Peer) View(now time.Time) PeerView {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	v := PeerView{VM: p.vm, Address: p.address, Open: p.open, Queued: len(p.outbox), Unacked: p.sent - p.acked}
-	if !p.oldest.IsZero() {
-		v.Silent = now.Sub(p.oldest)
+	v := PeerView{VM: p.vm, Address: p.address, Open: p.open, Queued: len(p.outbox), Unacked: uint64(len(p.unacked))}
+	if len(p.unacked) > 0 {
+		v.Silent = now.Sub(p.unacked[0].sent)
 	}
 	return v
 }
-
-// setOpen records whether the link has a connection.
-func (p *Peer) setOpen(open bool) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.open = open
-}
