load: add workload files, the load command and its checks

The load command draws jobs from a workload file and a seed, submits them without waiting for answers, checks every answer against the workers' own records and prints the fields of section 10.

--- /dev/null
+++ b/load/check.go
@@ -0,0 +1,155 @@
+package load
+
+import (
+	"bytes"
+	"fmt"
+	"time"
+
+	"github.com/cicadadale/cicadadale/contract"
+)
+
+// Names of the checks, as reported.
+const (
+	CheckStartedOnce     = "task_started_once"
+	CheckAnswerWhole     = "answer_complete_or_without_results"
+	CheckResultsRight    = "results_right"
+	CheckNotRunTrue      = "not_run_true"
+	CheckAnswerArrives   = "answer_within_bound"
+	CheckAnswersAgree    = "answers_agree"
+	CheckLeavingNoStarts = "leaving_worker_gets_no_start"
+	CheckStopCutsNothing = "planned_stop_cuts_no_request"
+	CheckProgram         = "program_invariants"
+)
+
+// Violation is a broken invariant with what is needed to follow it.
+type Violation struct {
+	Check string
+	Job   string
+	Task  string
+	At    time.Time
+	Seen  string
+}
+
+// String returns the line printed for a violation.
+func (v Violation) String() string {
+	return fmt.Sprintf("violation of %s at %s: job %s task %s: %s", v.Check, v.At.Format(time.RFC3339Nano), v.Job,
+		v.Task, v.Seen)
+}
+
+// Checker compares the answers of a job with what the workers recorded.
+type Checker struct {
+	Ledger *StartLedger
+	// Faultless says that no process fails, so that all answers to a job have to agree.
+	Faultless bool
+}
+
+// Check returns the violations in a job's answers. It is called when all attempts have ended and no start of the job
+// can be under way.
+func (c Checker) Check(r *JobRecord) []Violation {
+	attempts := r.Attempts()
+	var out []Violation
+	for i, a := range attempts {
+		if !a.Final() {
+			continue
+		}
+		switch a.Answer.Verdict {
+		case contract.VerdictComplete:
+			out = append(out, c.complete(r, a)...)
+		case contract.VerdictFailed:
+			out = append(out, c.failed(r, a)...)
+		case contract.VerdictRefused:
+			out = append(out, c.refused(r, attempts, i)...)
+		}
+		if !a.Answer.Consistent() {
+			out = append(out, r.violation(CheckAnswerWhole, -1, a, "answer holds results without being complete"))
+		}
+	}
+	if c.Faultless {
+		out = append(out, agree(r, attempts)...)
+	}
+	return out
+}
+
+func (r *JobRecord) violation(check string, task int, a Attempt, seen string) Violation {
+	v := Violation{Check: check, Job: r.ID.String(), Task: "-", At: a.Received}
+	if task >= 0 {
+		v.Task = r.TaskID(task)
+	}
+	v.Seen = fmt.Sprintf("%s (entry VM %d, answer %s %q, sent %s)", seen, a.Entry, a.Answer.Verdict, a.Answer.Reason,
+		a.Sent.Format(time.RFC3339Nano))
+	return v
+}
+
+func (c Checker) complete(r *JobRecord, a Attempt) []Violation {
+	if len(a.Answer.Results) != len(r.Plan.Tasks) || len(a.Answer.Reports) != len(r.Plan.Tasks) {
+		return []Violation{r.violation(CheckAnswerWhole, -1, a, fmt.Sprintf("complete with %d results and %d reports of %d tasks",
+			len(a.Answer.Results), len(a.Answer.Reports), len(r.Plan.Tasks)))}
+	}
+	var out []Violation
+	if a.Answer.Job != r.ID {
+		out = append(out, r.violation(CheckResultsRight, -1, a, "answer belongs to job "+a.Answer.Job.String()))
+	}
+	for i, t := range r.Plan.Tasks {
+		if want := ExpectedResult(t.Payload.Identity); !bytes.Equal(a.Answer.Results[i], want) {
+			out = append(out, r.violation(CheckResultsRight, i, a, fmt.Sprintf("result %q instead of %q", a.Answer.Results[i], want)))
+		}
+		if c.Ledger.Identity(t.Payload.Identity).Count == 0 {
+			out = append(out, r.violation(CheckResultsRight, i, a, "result of a task that no worker started"))
+		}
+	}
+	return out
+}
+
+func (c Checker) failed(r *JobRecord, a Attempt) []Violation {
+	// A process that knows only the job's id reports no tasks.
+	if n := len(a.Answer.Reports); n != 0 && n != len(r.Plan.Tasks) {
+		return []Violation{r.violation(CheckAnswerWhole, -1, a, fmt.Sprintf("%d reports of %d tasks", n, len(r.Plan.Tasks)))}
+	}
+	var out []Violation
+	for i, p := range a.Answer.Reports {
+		st := c.Ledger.Identity(r.Plan.Tasks[i].Payload.Identity)
+		if p.Outcome == contract.OutcomeNotRun && st.Count > 0 {
+			out = append(out, r.violation(CheckNotRunTrue, i, a, fmt.Sprintf("reported not run, started %d times, first at %s on %s",
+				st.Count, st.First.Format(time.RFC3339Nano), st.Worker)))
+		}
+		if p.Outcome == contract.OutcomeDone && st.Count == 0 {
+			out = append(out, r.violation(CheckResultsRight, i, a, "reported done, never started"))
+		}
+	}
+	return out
+}
+
+// refused checks that a refusal is accurate. A start before the refused submission was sent makes it false, and so
+// does any later start unless another submission, which ended after the refused one was sent, was not refused.
+func (c Checker) refused(r *JobRecord, attempts []Attempt, n int) []Violation {
+	a := attempts[n]
+	excused := false
+	for i, o := range attempts {
+		excused = excused || i != n && !o.refused() && o.Received.After(a.Sent)
+	}
+	var out []Violation
+	for i, t := range r.Plan.Tasks {
+		st := c.Ledger.Identity(t.Payload.Identity)
+		if st.Count == 0 || excused && st.First.After(a.Sent) {
+			continue
+		}
+		out = append(out, r.violation(CheckNotRunTrue, i, a, fmt.Sprintf("refused, but started %d times, first at %s on %s",
+			st.Count, st.First.Format(time.RFC3339Nano), st.Worker)))
+	}
+	return out
+}
+
+// agree checks that all answers but refusals have the same verdict.
+func agree(r *JobRecord, attempts []Attempt) []Violation {
+	verdict := contract.VerdictPending
+	for _, a := range attempts {
+		if !a.Final() || a.refused() {
+			continue
+		}
+		if verdict != contract.VerdictPending && a.Answer.Verdict != verdict {
+			return []Violation{r.violation(CheckAnswersAgree, -1, a, "another answer was "+verdict.String())}
+		}
+		verdict = a.Answer.Verdict
+	}
+	return nil
+}
--- a/load/deployment.go
+++ b/load/deployment.go
@@ -35,7 +35,12 @@
 	Services func() []*backend.Service
 	Work     standin.Work
 	Started  func(task string)
-	Logger   *slog.Logger
+	// Observer and Added may be nil. Added is told of a worker before it serves.
+	Observer standin.Observer
+	Added    func(machine.WorkerID)
+	// Policy is the placement policy of the entry VMs, empty for the default.
+	Policy string
+	Logger *slog.Logger
 }
 
 // Deployment is a set of entry daemons, workers and the platform stand-in.
@@ -100,8 +105,11 @@
 		speed = o.Speed(n)
 	}
 	id := machine.WorkerID(fmt.Sprintf("worker-%d-%d", domain, n))
+	if o.Added != nil {
+		o.Added(id)
+	}
 	w := standin.NewWorker(l, standin.WorkerOptions{
-		ID: id, Slots: o.Slots, Speed: speed, Work: o.Work, Started: o.Started,
+		ID: id, Slots: o.Slots, Speed: speed, Work: o.Work, Started: o.Started, Observer: o.Observer,
 	})
 	d.Workers = append(d.Workers, w)
 	d.Platform.SetVM(platform.VM{
@@ -168,6 +176,15 @@
 	return out
 }
 
+// Counter returns the sum of a counter over all entry VMs.
+func (d *Deployment) Counter(name string) int64 {
+	var sum int64
+	for _, e := range d.Entries {
+		sum += metrics.GetOrRegisterCounter(name, e.Metrics).Count()
+	}
+	return sum
+}
+
 // Close stops all parts.
 func (d *Deployment) Close() {
 	ctx, cancel := context.WithTimeout(context.Background(), readyTimeout)
--- /dev/null
+++ b/load/load_test.go
@@ -0,0 +1,230 @@
+package load
+
+import (
+	"context"
+	"errors"
+	"io"
+	"log/slog"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/cicadadale/cicadadale/config"
+	"github.com/cicadadale/cicadadale/contract"
+	"github.com/cicadadale/cicadadale/machine"
+	"github.com/cicadadale/cicadadale/standin"
+)
+
+// Guards against a load tool that loses jobs or reports a sound dispatcher as faulty.
+func TestShortLoadRunIsClean(t *testing.T) {
+	w, err := ReadWorkload("../workloads/ci.toml")
+	require.NoError(t, err)
+	r, plot, err := RunLoad(context.Background(), Options{
+		File: "ci.toml", Workload: w, Policy: "default", Seed: 1, Logger: slog.New(slog.DiscardHandler), Out: io.Discard,
+	})
+	require.NoError(t, err)
+	require.Positive(t, r.JobsSubmitted)
+	require.Equal(t, r.JobsSubmitted, r.JobsComplete+r.JobsFailed+r.JobsRefused+r.AnswersMissing)
+	require.Positive(t, r.JobsComplete)
+	require.Positive(t, r.TasksStarted)
+	require.Zero(t, r.TasksStartedTwice)
+	require.Zero(t, r.AnswersWrong)
+	require.Zero(t, r.AnswersMissing)
+	require.Zero(t, r.RefusalsFalse)
+	for _, name := range []string{"run.png", "run.svg"} {
+		file := filepath.Join(t.TempDir(), name)
+		require.NoError(t, plot.Save(file))
+		info, err := os.Stat(file)
+		require.NoError(t, err)
+		require.Positive(t, info.Size())
+	}
+}
+
+// Guards against workload files in the repository that no longer parse.
+func TestWorkloadFilesParse(t *testing.T) {
+	files, err := filepath.Glob("../workloads/*.toml")
+	require.NoError(t, err)
+	require.NotEmpty(t, files)
+	for _, f := range files {
+		_, err := ReadWorkload(f)
+		require.NoError(t, err, f)
+	}
+}
+
+// Guards against findings that are reported one at a time or without their place.
+func TestWorkloadFindingsAreComplete(t *testing.T) {
+	_, err := ParseWorkload("w.toml", []byte("duration = \"-1s\"\nnonsense = 1\n[tasks]\nslow_share = 2.0\n[demand]\nbase = 0.0\n"))
+	var findings config.Findings
+	require.True(t, errors.As(err, &findings))
+	require.Equal(t, config.Findings{
+		{File: "w.toml", Line: 2, Key: "nonsense", Reason: "unknown key"},
+		{File: "w.toml", Line: 4, Key: "tasks.slow_share", Reason: "must be 0 to 1"},
+		{File: "w.toml", Line: 6, Key: "demand.base", Reason: "must be above 0 and at most 4"},
+		{File: "w.toml", Line: 1, Key: "duration", Reason: "must be positive"},
+	}, findings)
+}
+
+// Guards against a schedule that depends on anything but the workload and the seed.
+func TestScheduleFollowsSeed(t *testing.T) {
+	w, err := ReadWorkload("../workloads/mixed.toml")
+	require.NoError(t, err)
+	require.Equal(t, NewSchedule(w, 7), NewSchedule(w, 7))
+	require.NotEqual(t, NewSchedule(w, 7).Jobs, NewSchedule(w, 8).Jobs)
+}
+
+// answered is a job of two tasks with one complete and correct answer, whose tasks each started once.
+type answered struct {
+	record  *JobRecord
+	ledger  *StartLedger
+	sent    time.Time
+	attempt Attempt
+}
+
+func newAnswered() *answered {
+	plan := &PlannedJob{Tasks: make([]PlannedTask, 2)}
+	plan.number(3)
+	a := &answered{
+		record: &JobRecord{Plan: plan, ID: contract.JobID{Domain: 1, Home: 9, Seq: 5}}, ledger: NewStartLedger(),
+		sent: time.Unix(1000, 0),
+	}
+	a.attempt = Attempt{Sent: a.sent, Received: a.sent.Add(time.Second), Answer: contract.Answer{
+		Job: a.record.ID, Verdict: contract.VerdictComplete, Reports: make([]contract.TaskReport, 2),
+	}}
+	for i, t := range plan.Tasks {
+		a.attempt.Answer.Reports[i].Outcome = contract.OutcomeDone
+		a.attempt.Answer.Results = append(a.attempt.Answer.Results, ExpectedResult(t.Payload.Identity))
+	}
+	return a
+}
+
+func (a *answered) start(task int, after time.Duration) {
+	a.ledger.Record(standin.Start{Task: a.record.TaskID(task), At: a.sent.Add(after)},
+		a.record.Plan.Tasks[task].Payload.Identity)
+}
+
+func (a *answered) startAll() {
+	a.start(0, time.Millisecond)
+	a.start(1, time.Millisecond)
+}
+
+func (a *answered) failed(outcome contract.Outcome) {
+	a.attempt.Answer.Verdict, a.attempt.Answer.Results = contract.VerdictFailed, nil
+	a.attempt.Answer.Reports = make([]contract.TaskReport, 2)
+	for i := range a.attempt.Answer.Reports {
+		a.attempt.Answer.Reports[i].Outcome = outcome
+	}
+}
+
+func (a *answered) refused() {
+	a.attempt.Answer = contract.Answer{Job: a.record.ID, Verdict: contract.VerdictRefused}
+}
+
+func (a *answered) checks() []string {
+	a.record.Add(a.attempt)
+	var names []string
+	for _, v := range (Checker{Ledger: a.ledger, Faultless: true}).Check(a.record) {
+		names = append(names, v.Check)
+	}
+	return names
+}
+
+// Guards against a checker that cannot fail: each case breaks one promise and names the check that has to see it.
+func TestCheckerSeesBrokenPromises(t *testing.T) {
+	cases := map[string]struct {
+		spoil func(*answered)
+		want  []string
+	}{
+		"correct": {func(a *answered) { a.startAll() }, nil},
+		"wrong result": {func(a *answered) {
+			a.startAll()
+			a.attempt.Answer.Results[1] = []byte("other")
+		}, []string{CheckResultsRight}},
+		"results mixed up": {func(a *answered) {
+			a.startAll()
+			r := a.attempt.Answer.Results
+			r[0], r[1] = r[1], r[0]
+		}, []string{CheckResultsRight, CheckResultsRight}},
+		"answer of another job": {func(a *answered) {
+			a.startAll()
+			a.attempt.Answer.Job.Seq++
+		}, []string{CheckResultsRight}},
+		"partial": {func(a *answered) {
+			a.startAll()
+			a.attempt.Answer.Results = a.attempt.Answer.Results[:1]
+		}, []string{CheckAnswerWhole, CheckAnswerWhole}},
+		"failed with results": {func(a *answered) {
+			a.startAll()
+			results := a.attempt.Answer.Results
+			a.failed(contract.OutcomeUnknown)
+			a.attempt.Answer.Results = results
+		}, []string{CheckAnswerWhole}},
+		"result without a start": {func(a *answered) { a.start(0, 0) }, []string{CheckResultsRight}},
+		"not run, but started": {func(a *answered) {
+			a.start(1, time.Millisecond)
+			a.failed(contract.OutcomeNotRun)
+		}, []string{CheckNotRunTrue}},
+		"not run": {func(a *answered) { a.failed(contract.OutcomeNotRun) }, nil},
+		"false refusal": {func(a *answered) {
+			a.start(0, time.Hour)
+			a.refused()
+		}, []string{CheckNotRunTrue}},
+		"true refusal": {func(a *answered) { a.refused() }, nil},
+		"refused after a start, accepted elsewhere": {func(a *answered) {
+			a.start(0, -time.Second)
+			a.record.Add(Attempt{Received: a.sent.Add(time.Minute), Err: context.DeadlineExceeded})
+			a.refused()
+		}, []string{CheckNotRunTrue}},
+		"refused before an accepted submission": {func(a *answered) {
+			a.start(0, time.Second)
+			a.record.Add(Attempt{Received: a.sent.Add(time.Minute), Err: context.DeadlineExceeded})
+			a.refused()
+		}, nil},
+		"answers differ": {func(a *answered) {
+			a.startAll()
+			a.record.Add(a.attempt)
+			a.failed(contract.OutcomeUnknown)
+		}, []string{CheckAnswersAgree}},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			a := newAnswered()
+			c.spoil(a)
+			require.Equal(t, c.want, a.checks())
+		})
+	}
+}
+
+// Guards against a doubled start that is not counted, under the same task id and under another id for the same task.
+func TestLedgerCountsDoubledStarts(t *testing.T) {
+	a := newAnswered()
+	a.startAll()
+	starts, twice := a.ledger.Totals()
+	require.Equal(t, []int{2, 0}, []int{starts, twice})
+	a.start(1, time.Second)
+	starts, twice = a.ledger.Totals()
+	require.Equal(t, []int{3, 1}, []int{starts, twice})
+
+	b := newAnswered()
+	b.startAll()
+	b.record.ID.Seq++
+	b.start(0, time.Second)
+	_, twice = b.ledger.Totals()
+	require.Equal(t, 1, twice)
+}
+
+// Guards against a wait that is not attributed to long work above its cap.
+func TestObstructionsByLongWork(t *testing.T) {
+	r := newWorkerRecord(machine.WorkerID("w"), 4)
+	at := func(s int) time.Time { return time.Unix(int64(s), 0) }
+	for i, span := range [][2]int{{0, 10}, {2, 6}, {4, 20}} {
+		task := string(rune('a' + i))
+		r.started(standin.Start{Task: task, Kind: kindReport, At: at(span[0])}, Payload{Long: true})
+		r.ended(task, at(span[1]))
+	}
+	blocked := union(r.obstructions(0.4, at(30)))
+	require.Equal(t, []interval{{at(2), at(10)}}, blocked)
+	require.Equal(t, 3*time.Second, overlap(interval{at(7), at(15)}, blocked))
+}
--- /dev/null
+++ b/load/recorder.go
@@ -0,0 +1,100 @@
+package load
+
+import (
+	"time"
+
+	"github.com/cicadadale/cicadadale/machine"
+	"github.com/cicadadale/cicadadale/standin"
+)
+
+// Recorder is the observer of all workers of a run. The map of records is complete before the run begins; each record
+// and each shard of the ledger has its own lock.
+type Recorder struct {
+	Ledger  *StartLedger
+	workers map[machine.WorkerID]*WorkerRecord
+	// twice is told of a start that is not the first one of its task or identity; nil drops it.
+	twice func(standin.Start, Payload)
+}
+
+// NewRecorder returns a recorder without workers.
+func NewRecorder() *Recorder {
+	return &Recorder{Ledger: NewStartLedger(), workers: make(map[machine.WorkerID]*WorkerRecord)}
+}
+
+// Add makes a worker known before it serves.
+func (r *Recorder) Add(id machine.WorkerID, slots int) { r.workers[id] = newWorkerRecord(id, slots) }
+
+// Started implements standin.Observer.
+func (r *Recorder) Started(s standin.Start) {
+	p, err := DecodePayload(s.Payload)
+	if err != nil {
+		p = Payload{}
+	}
+	task, same := r.Ledger.Record(s, p.Identity)
+	r.workers[s.Worker].started(s, p)
+	if r.twice != nil && (task.Count > 1 || same.Count > 1) {
+		r.twice(s, p)
+	}
+}
+
+// Ended implements standin.Observer.
+func (r *Recorder) Ended(w machine.WorkerID, task string, at time.Time) { r.workers[w].ended(task, at) }
+
+// Rejected implements standin.Observer.
+func (r *Recorder) Rejected(w machine.WorkerID, _, reason string) {
+	r.workers[w].count(func(x *WorkerRecord) { x.rejected[reason]++ })
+}
+
+// Fenced implements standin.Observer.
+func (r *Recorder) Fenced(w machine.WorkerID, _ string) {
+	r.workers[w].count(func(x *WorkerRecord) { x.fenced++ })
+}
+
+// Polled implements standin.Observer.
+func (r *Recorder) Polled(w machine.WorkerID) {
+	r.workers[w].count(func(x *WorkerRecord) { x.polled++ })
+}
+
+// workerTotals are the counts of all workers.
+type workerTotals struct {
+	rejected       map[string]int
+	rejectedAll    int
+	fenced, polled int
+}
+
+func (r *Recorder) totals() workerTotals {
+	t := workerTotals{rejected: make(map[string]int)}
+	for _, w := range r.workers {
+		w.count(func(x *WorkerRecord) {
+			for reason, n := range x.rejected {
+				t.rejected[reason] += n
+				t.rejectedAll += n
+			}
+			t.fenced += x.fenced
+			t.polled += x.polled
+		})
+	}
+	return t
+}
+
+// obstructions returns when any worker's slots were held by long work above its cap or by a stoppable straggler.
+func (r *Recorder) obstructions(longCap float64, now time.Time) []interval {
+	var all []interval
+	for _, w := range r.workers {
+		all = append(all, w.obstructions(longCap, now)...)
+	}
+	return union(all)
+}
+
+func (r *Recorder) busyShare(v interval) float64 {
+	var busy time.Duration
+	slots := 0
+	for _, w := range r.workers {
+		busy += w.busy(v)
+		slots += w.slots
+	}
+	if slots == 0 || !v.to.After(v.from) {
+		return 0
+	}
+	return float64(busy) / (float64(slots) * float64(v.to.Sub(v.from)))
+}
--- a/standin/worker.go
+++ b/standin/worker.go
@@ -14,9 +14,39 @@
 	"github.com/cicadadale/cicadadale/machine"
 )
 
+// reasonStopped is the reason of a task that was stopped on request.
+const reasonStopped = "stopped"
+
 // Work computes the result of a task and the time that it takes on a worker of speed 1.
 type Work func(service, kind string, payload []byte) (result []byte, run time.Duration, err error)
 
+// Start is a start that a worker has accepted.
+type Start struct {
+	Worker  machine.WorkerID
+	Task    string
+	Kind    string
+	Home    string
+	Payload []byte
+	At      time.Time
+}
+
+// Observer is told what happens at workers. It is called without a lock held and by many goroutines.
+type Observer interface {
+	Started(Start)
+	Ended(w machine.WorkerID, task string, at time.Time)
+	Rejected(w machine.WorkerID, task, reason string)
+	Fenced(w machine.WorkerID, task string)
+	Polled(w machine.WorkerID)
+}
+
+// WorkerFaults are the failures that a worker shows.
+type WorkerFaults struct {
+	// Slowdown divides the speed; 0 counts as 1.
+	Slowdown float64
+	// FailAll makes every task fail at once.
+	FailAll bool
+}
+
 // WorkerOptions describe a worker stand-in.
 type WorkerOptions struct {
 	ID    machine.WorkerID
@@ -26,25 +56,46 @@
 	Work  Work
 	// Started is told of every start, so that a test can count tasks started twice.
 	Started func(task string)
+	// Observer may be nil.
+	Observer Observer
 }
 
-// Worker is a stand-in of a worker. mu guards the tasks and flags.
+// Worker is a stand-in of a worker. mu guards the life, the faults and the tasks of the life.
 type Worker struct {
-	o           WorkerOptions
-	incarnation machine.Incarnation
-	born        time.Time
-	server      *httpserve.Server
+	o      WorkerOptions
+	server *httpserve.Server
 
 	mu      sync.Mutex
-	tasks   map[string]*workerTask
-	busy    int
+	life    *workerLife
+	faults  WorkerFaults
 	leaving bool
 }
 
+// workerLife is what a worker process knows and loses when it restarts.
+type workerLife struct {
+	incarnation machine.Incarnation
+	born        time.Time
+	tasks       map[string]*workerTask
+	busy        int
+	over        chan struct{}
+}
+
+func newWorkerLife() *workerLife {
+	return &workerLife{
+		incarnation: machine.NewIncarnation(), born: time.Now(), tasks: make(map[string]*workerTask),
+		over: make(chan struct{}),
+	}
+}
+
+func (l *workerLife) clock() time.Duration { return time.Since(l.born) }
+
 // workerTask is a task that the worker knows: running, ended, or fenced before it started.
 type workerTask struct {
+	life    *workerLife
 	fenced  bool
 	done    chan struct{}
+	stop    chan struct{}
+	stopped bool
 	outcome string
 	reason  string
 	result  []byte
@@ -56,40 +107,77 @@
 	if o.Speed <= 0 {
 		o.Speed = 1
 	}
-	w := &Worker{
-		o: o, incarnation: machine.NewIncarnation(), born: time.Now(), server: httpserve.New(l, nil),
-		tasks: make(map[string]*workerTask),
-	}
+	w := &Worker{o: o, server: httpserve.New(l, nil), life: newWorkerLife()}
 	w.server.POST("/v1/tasks/:id", w.start)
 	w.server.POST("/v1/tasks/:id/fence", w.fence)
+	w.server.POST("/v1/tasks/:id/stop", w.stop)
 	w.server.GET("/v1/status", w.status)
 	w.server.Start()
 	return w
 }
 
+// ID returns the worker's name.
+func (w *Worker) ID() machine.WorkerID { return w.o.ID }
+
 // Address returns where the worker listens.
 func (w *Worker) Address() string { return w.server.Address() }
 
 // Close stops serving.
 func (w *Worker) Close() error { return w.server.Stop() }
 
-func (w *Worker) clock() time.Duration { return time.Since(w.born) }
+// SetFaults replaces the failures shown.
+func (w *Worker) SetFaults(f WorkerFaults) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.faults = f
+}
+
+// SetLeaving makes the worker reject all starts.
+func (w *Worker) SetLeaving() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.leaving = true
+}
+
+// Restart ends the worker's process and begins another: all tasks are lost and the incarnation changes. Connections
+// stay open; a caller that simulates a crash cuts them.
+func (w *Worker) Restart() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	close(w.life.over)
+	w.life = newWorkerLife()
+}
 
 func (w *Worker) start(_ context.Context, c *app.RequestContext) {
-	id := c.Param("id")
-	service, kind := string(c.GetHeader(link.HeaderService)), string(c.GetHeader(link.HeaderKind))
+	id, kind := c.Param("id"), string(c.GetHeader(link.HeaderKind))
 	t, reject := w.admit(id, c)
 	if reject != "" {
+		if w.o.Observer != nil {
+			w.o.Observer.Rejected(w.o.ID, id, reject)
+		}
 		c.Header(link.HeaderOutcome, link.OutcomeRejected)
 		c.Header(link.HeaderReason, reject)
 		c.Status(409)
 		return
 	}
+	payload := append([]byte(nil), c.Request.Body()...)
+	w.announce(id, kind, string(c.GetHeader(link.HeaderHome)), payload)
+	w.execute(t, string(c.GetHeader(link.HeaderService)), kind, payload)
+	if w.o.Observer != nil {
+		w.o.Observer.Ended(w.o.ID, id, time.Now())
+	}
+	writeTask(c, t)
+}
+
+func (w *Worker) announce(id, kind, home string, payload []byte) {
 	if w.o.Started != nil {
 		w.o.Started(id)
 	}
-	w.execute(t, service, kind, append([]byte(nil), c.Request.Body()...))
-	writeTask(c, t)
+	if w.o.Observer != nil {
+		w.o.Observer.Started(Start{
+			Worker: w.o.ID, Task: id, Kind: kind, Home: home, Payload: payload, At: time.Now(),
+		})
+	}
 }
 
 // admit registers a start or returns the reason of its rejection.
@@ -97,26 +185,27 @@
 	startBy, _ := strconv.ParseInt(string(c.GetHeader(link.HeaderStartBy)), 10, 64)
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if string(c.GetHeader(link.HeaderIncarnation)) != w.incarnation.String() {
+	l := w.life
+	if string(c.GetHeader(link.HeaderIncarnation)) != l.incarnation.String() {
 		return nil, link.RejectIncarnation
 	}
-	if t, ok := w.tasks[id]; ok && t.fenced {
+	if t, ok := l.tasks[id]; ok && t.fenced {
 		return nil, link.RejectFenced
 	} else if ok {
 		return nil, link.RejectDuplicate
 	}
-	if w.clock().Milliseconds() > startBy {
+	if l.clock().Milliseconds() > startBy {
 		return nil, link.RejectLate
 	}
 	if w.leaving {
 		return nil, link.RejectLeaving
 	}
-	if w.busy >= w.o.Slots {
+	if l.busy >= w.o.Slots {
 		return nil, link.RejectFull
 	}
-	t := &workerTask{done: make(chan struct{})}
-	w.tasks[id] = t
-	w.busy++
+	t := &workerTask{life: l, done: make(chan struct{}), stop: make(chan struct{})}
+	l.tasks[id] = t
+	l.busy++
 	return t, ""
 }
 
@@ -124,32 +213,46 @@
 func (w *Worker) execute(t *workerTask, service, kind string, payload []byte) {
 	begin := time.Now()
 	result, nominal, err := w.o.Work(service, kind, payload)
-	time.Sleep(time.Duration(float64(nominal) / w.o.Speed))
 	w.mu.Lock()
-	defer w.mu.Unlock()
-	t.run = time.Since(begin)
-	t.outcome, t.result = link.OutcomeDone, result
+	f := w.faults
+	w.mu.Unlock()
+	speed := w.o.Speed / max(f.Slowdown, 1)
+	outcome, reason := link.OutcomeDone, ""
 	if err != nil {
-		t.outcome, t.reason, t.result = link.OutcomeFailed, err.Error(), nil
+		outcome, reason, result = link.OutcomeFailed, err.Error(), nil
+	}
+	if f.FailAll {
+		nominal, outcome, reason, result = 0, link.OutcomeFailed, "worker fails everything", nil
+	}
+	timer := time.NewTimer(time.Duration(float64(nominal) / speed))
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-t.stop:
+		outcome, reason, result = link.OutcomeFailed, reasonStopped, nil
+	case <-t.life.over:
+		// The process that ran the task is gone, so that there is no outcome to report.
+		outcome, reason, result = "", "", nil
 	}
-	w.busy--
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	t.run = time.Since(begin)
+	t.outcome, t.reason, t.result = outcome, reason, result
+	t.life.busy--
 	close(t.done)
 }
 
 func (w *Worker) fence(ctx context.Context, c *app.RequestContext) {
-	if string(c.GetHeader(link.HeaderIncarnation)) != w.incarnation.String() {
-		c.Header(link.HeaderOutcome, link.OutcomeRestarted)
-		return
+	id := c.Param("id")
+	if w.o.Observer != nil {
+		w.o.Observer.Fenced(w.o.ID, id)
 	}
 	waitMS, _ := strconv.ParseInt(c.Query("wait_ms"), 10, 64)
-	id := c.Param("id")
-	w.mu.Lock()
-	t, ok := w.tasks[id]
-	if !ok {
-		t = &workerTask{fenced: true, done: make(chan struct{})}
-		w.tasks[id] = t
+	t := w.fenceTask(id, string(c.GetHeader(link.HeaderIncarnation)))
+	if t == nil {
+		c.Header(link.HeaderOutcome, link.OutcomeRestarted)
+		return
 	}
-	w.mu.Unlock()
 	if t.fenced {
 		c.Header(link.HeaderOutcome, link.OutcomeNever)
 		return
@@ -166,8 +269,43 @@
 	}
 }
 
+// fenceTask returns the task after making sure that it cannot start any more, nil for another incarnation.
+func (w *Worker) fenceTask(id, incarnation string) *workerTask {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if incarnation != w.life.incarnation.String() {
+		return nil
+	}
+	t, ok := w.life.tasks[id]
+	if !ok {
+		t = &workerTask{life: w.life, fenced: true, done: make(chan struct{})}
+		w.life.tasks[id] = t
+	}
+	return t
+}
+
+// stop ends a running task; its start is answered as failed.
+func (w *Worker) stop(_ context.Context, c *app.RequestContext) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	t, ok := w.life.tasks[c.Param("id")]
+	if !ok || t.fenced {
+		c.Status(404)
+		return
+	}
+	if !t.stopped {
+		t.stopped = true
+		close(t.stop)
+	}
+	c.Status(204)
+}
+
 // writeTask writes the outcome of a task that has ended.
 func writeTask(c *app.RequestContext, t *workerTask) {
+	if t.outcome == "" {
+		c.Status(503)
+		return
+	}
 	c.Header(link.HeaderOutcome, t.outcome)
 	c.Header(link.HeaderReason, t.reason)
 	c.Header(link.HeaderRunTime, strconv.FormatInt(t.run.Microseconds(), 10))
@@ -175,10 +313,13 @@
 }
 
 func (w *Worker) status(_ context.Context, c *app.RequestContext) {
+	if w.o.Observer != nil {
+		w.o.Observer.Polled(w.o.ID)
+	}
 	w.mu.Lock()
 	s := link.WorkerStatus{
-		Incarnation: w.incarnation.String(), ClockMS: w.clock().Milliseconds(), Slots: w.o.Slots, Busy: w.busy,
-		Leaving: w.leaving,
+		Incarnation: w.life.incarnation.String(), ClockMS: w.life.clock().Milliseconds(), Slots: w.o.Slots,
+		Busy: w.life.busy, Leaving: w.leaving,
 	}
 	w.mu.Unlock()
 	c.JSON(200, s)
