--- /dev/null
+++ b/load/process.go
@@ -0,0 +1,221 @@
+package load
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/cicadadale/cicadadale/platform"
+	"github.com/cicadadale/cicadadale/zone"
+)
+
+const (
+	// Ports of entry daemons lie below the range from which the kernel takes the ports of outgoing connections, so that
+	// a daemon that is started again finds its ports free.
+	firstPort, lastPort = 20000, 32000
+	portAttempts        = 200
+	listenTimeout       = 10 * time.Second
+)
+
+// EntryProcess is an entry VM whose daemon runs as a child process. mu guards the process and the flags; the other
+// fields do not change.
+type EntryProcess struct {
+	ID       string
+	Domain   zone.DomainID
+	Callers  string
+	Peers    string
+	Admin    string
+	settings string
+	log      string
+	view     *View
+
+	mu        sync.Mutex
+	cmd       *exec.Cmd
+	exited    chan struct{}
+	err       error
+	busy      bool
+	retired   bool
+	disturbed bool
+}
+
+// EntrySetup is what an entry daemon's settings are made from.
+type EntrySetup struct {
+	ID       string
+	Domain   zone.DomainID
+	Dir      string
+	Schema   string
+	Log      string
+	Slots    int
+	View     *View
+	LogLevel string
+}
+
+// NewEntryProcess writes the settings of a daemon.
+func NewEntryProcess(s EntrySetup) (*EntryProcess, error) {
+	p := &EntryProcess{
+		ID: s.ID, Domain: s.Domain, settings: filepath.Join(s.Dir, s.ID+".toml"), log: filepath.Join(s.Dir, s.ID+".log"),
+		view: s.View,
+	}
+	for _, address := range []*string{&p.Callers, &p.Peers, &p.Admin} {
+		a, err := freeAddress()
+		if err != nil {
+			return nil, err
+		}
+		*address = a
+	}
+	text := fmt.Sprintf("[vm]\nid = %q\nfailure_domain = %d\nregion = \"pwani\"\n[listen]\ncallers = %q\npeers = %q\n"+
+		"admin = %q\n[platform]\nlog = %q\nlist = %q\n[schema]\nfiles = [%q]\n[workers]\nconnections_per_worker = %d\n"+
+		"[log]\nlevel = %q\n", s.ID, s.Domain, p.Callers, p.Peers, p.Admin, "http://"+s.Log, "http://"+s.View.Address(),
+		s.Schema, s.Slots, s.LogLevel)
+	return p, os.WriteFile(p.settings, []byte(text), 0o600)
+}
+
+// freeAddress draws a port that nothing listens on. It is no part of the seeded choices.
+func freeAddress() (string, error) {
+	var last error
+	for range portAttempts {
+		address := fmt.Sprintf("127.0.0.1:%d", firstPort+rand.IntN(lastPort-firstPort))
+		l, err := net.Listen("tcp", address)
+		if err != nil {
+			last = err
+			continue
+		}
+		return address, l.Close()
+	}
+	return "", fmt.Errorf("no free port: %w", last)
+}
+
+// VM returns the entry of the platform's list.
+func (p *EntryProcess) VM() platform.VM {
+	return platform.VM{
+		ID: p.ID, Kind: platform.KindEntry, Domain: p.Domain, PeerAddress: p.Peers, CallerAddress: p.Callers,
+	}
+}
+
+// Start runs the daemon and waits until it listens for callers.
+func (p *EntryProcess) Start() error {
+	self, err := os.Executable()
+	if err != nil {
+		return err
+	}
+	out, err := os.OpenFile(p.log, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = out.Close() }()
+	cmd := exec.Command(self, "entry", "--settings", p.settings)
+	cmd.Stderr, cmd.Stdout = out, out
+	if err := cmd.Start(); err != nil {
+		return err
+	}
+	exited := make(chan struct{})
+	p.mu.Lock()
+	p.cmd, p.exited, p.err, p.disturbed = cmd, exited, nil, false
+	p.mu.Unlock()
+	go func() {
+		err := cmd.Wait()
+		p.mu.Lock()
+		p.err = err
+		p.mu.Unlock()
+		close(exited)
+	}()
+	return p.waitListening(exited)
+}
+
+func (p *EntryProcess) waitListening(exited <-chan struct{}) error {
+	deadline := time.Now().Add(listenTimeout)
+	for time.Now().Before(deadline) {
+		conn, err := net.DialTimeout("tcp", p.Callers, time.Second)
+		if err == nil {
+			return conn.Close()
+		}
+		select {
+		case <-exited:
+			return fmt.Errorf("entry daemon %s ended at start, see %s", p.ID, p.log)
+		case <-time.After(20 * time.Millisecond):
+		}
+	}
+	return fmt.Errorf("entry daemon %s does not listen", p.ID)
+}
+
+// Signal sends a signal to the daemon.
+func (p *EntryProcess) Signal(s syscall.Signal) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	// A process that has ended needs no signal.
+	_ = p.cmd.Process.Signal(s)
+}
+
+// Wait returns when the daemon has ended, with its error, or false after the timeout.
+func (p *EntryProcess) Wait(timeout time.Duration) (error, bool) { //nolint:revive // The error is a result, not a failure.
+	p.mu.Lock()
+	exited := p.exited
+	p.mu.Unlock()
+	select {
+	case <-exited:
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		return p.err, true
+	case <-time.After(timeout):
+		return nil, false
+	}
+}
+
+// Kill ends the daemon at once.
+func (p *EntryProcess) Kill() {
+	p.Signal(syscall.SIGKILL)
+	_, _ = p.Wait(listenTimeout)
+}
+
+// Reserve claims the process for a fault that stops or ends it.
+func (p *EntryProcess) Reserve() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.busy || p.retired {
+		return false
+	}
+	p.busy = true
+	return true
+}
+
+// Release ends a reservation.
+func (p *EntryProcess) Release() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.busy = false
+}
+
+// Retire says that the daemon will not run again.
+func (p *EntryProcess) Retire() {
+	p.mu.Lock()
+	p.retired = true
+	p.mu.Unlock()
+	p.view.Close()
+}
+
+// Serving reports whether callers may expect the daemon to run.
+func (p *EntryProcess) Serving() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return !p.retired
+}
+
+// Disturb notes that a fault has touched the VM's links since its daemon was started.
+func (p *EntryProcess) Disturb() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.disturbed = true
+}
+
+// Disturbed reports whether a fault has touched the VM's links since its daemon was started.
+func (p *EntryProcess) Disturbed() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.disturbed
+}
--- a/standin/platform.go
+++ b/standin/platform.go
@@ -59,6 +59,9 @@
 // URL returns the base URL.
 func (p *Platform) URL() string { return "http://" + p.server.Address() }
 
+// Address returns where the platform listens.
+func (p *Platform) Address() string { return p.server.Address() }
+
 // Close stops serving.
 func (p *Platform) Close() error { return p.server.Stop() }
 
