--- a/standin/worker.go
+++ b/standin/worker.go
@@ -12,6 +12,7 @@
 	"github.com/cicadadale/cicadadale/internal/httpserve"
 	"github.com/cicadadale/cicadadale/link"
 	"github.com/cicadadale/cicadadale/machine"
+	"github.com/cicadadale/cicadadale/timeline"
 )
 
 // reasonStopped is the reason of a task that was stopped on request.
@@ -62,8 +63,9 @@
 
 // Worker is a stand-in of a worker. mu guards the life, the faults and the tasks of the life.
 type Worker struct {
-	o      WorkerOptions
-	server *httpserve.Server
+	o       WorkerOptions
+	server  *httpserve.Server
+	clocked workerTimeline
 
 	mu      sync.Mutex
 	life    *workerLife
@@ -108,6 +110,8 @@
 		o.Speed = 1
 	}
 	w := &Worker{o: o, server: httpserve.New(l, nil), life: newWorkerLife()}
+	w.clocked = newWorkerTimeline(string(o.ID), w.life.incarnation)
+	w.server.GET("/events", httpserve.Events(w.clocked.ring))
 	w.server.POST("/v1/tasks/:id", w.start)
 	w.server.POST("/v1/tasks/:id/fence", w.fence)
 	w.server.POST("/v1/tasks/:id/stop", w.stop)
@@ -151,6 +155,7 @@
 func (w *Worker) start(_ context.Context, c *app.RequestContext) {
 	id, kind := c.Param("id"), string(c.GetHeader(link.HeaderKind))
 	t, reject := w.admit(id, c)
+	w.clocked.record(c, timeline.RunStarted, timeline.RunRejected, reject)
 	if reject != "" {
 		if w.o.Observer != nil {
 			w.o.Observer.Rejected(w.o.ID, id, reject)
@@ -163,6 +168,7 @@
 	payload := append([]byte(nil), c.Request.Body()...)
 	w.announce(id, kind, string(c.GetHeader(link.HeaderHome)), payload)
 	w.execute(t, string(c.GetHeader(link.HeaderService)), kind, payload)
+	w.clocked.record(c, timeline.RunEnded, timeline.RunEnded, t.reason)
 	if w.o.Observer != nil {
 		w.o.Observer.Ended(w.o.ID, id, time.Now())
 	}
@@ -253,6 +259,7 @@
 		c.Header(link.HeaderOutcome, link.OutcomeRestarted)
 		return
 	}
+	w.clocked.record(c, timeline.RunFenced, timeline.RunFenced, "")
 	if t.fenced {
 		c.Header(link.HeaderOutcome, link.OutcomeNever)
 		return
