entry: claim callers' keys on the log

Keyed submissions were refused. The claim delegate of a failure domain now batches claims into appends, reads the stream of claims and decides by offset; contract.ClaimTable holds the rule. After a failed claim "not run" is reported only once the minted id is marked as refused and no failure domain knows the key. The platform stand-in gains limits, retention, lost replies, a lagging list and a control interface.

Dropping the rule for missing records makes TestClaimReadersAgree fail.

--- a/command/standin.go
+++ b/command/standin.go
@@ -7,6 +7,7 @@
 	"os"
 	"os/signal"
 	"syscall"
+	"time"
 
 	"github.com/urfave/cli/v3"
 
@@ -21,13 +22,20 @@
 		Name:  "standin",
 		Usage: "run the stand-ins of the platform and of workers",
 		Description: "Serves the platform's log and VM list and a number of workers for each failure domain and " +
-			"service, on loopback. Entry VMs are listed as --entry ID,DOMAIN,PEERS,CALLERS.",
+			"service, on loopback. Entry VMs are listed as --entry ID;DOMAIN;PEERS;CALLERS. Failures of the platform are " +
+			"set with PUT /control/faults, for example {\"log_down\":true}; GET shows all fields. GET /control/stats " +
+			"counts the calls and POST /control/truncate/STREAM?first=N drops the records below an offset.",
 		Flags: []cli.Flag{
 			&cli.StringFlag{Name: "listen", Value: "127.0.0.1:7400", Usage: "`ADDRESS` of the platform"},
 			&cli.IntFlag{Name: "domains", Value: 1, Usage: "number of failure domains"},
 			&cli.IntFlag{Name: "workers", Value: 4, Usage: "workers per failure domain and service"},
 			&cli.IntFlag{Name: "slots", Value: 8, Usage: "slots per worker"},
 			&cli.StringSliceFlag{Name: "service", Usage: "`NAME` of a service to run workers for"},
+			&cli.IntFlag{Name: "append-rate", Value: 500, Usage: "appends per `SECOND` that the log sustains"},
+			&cli.DurationFlag{Name: "sync", Value: 4 * time.Millisecond, Usage: "time of a synced append"},
+			&cli.DurationFlag{Name: "retain", Value: 48 * time.Hour, Usage: "how long the log keeps records"},
+			&cli.IntFlag{Name: "retain-records", Value: 1 << 20, Usage: "records that the log keeps in a stream"},
+			&cli.DurationFlag{Name: "list-lag", Usage: "age of the VM list that is shown"},
 			&cli.StringSliceFlag{Name: "entry", Usage: "entry VM as `ID;DOMAIN;PEERS;CALLERS`"},
 		},
 		Action: runStandin,
@@ -39,7 +47,10 @@
 	if err != nil {
 		return err
 	}
-	p := standin.NewPlatform(l)
+	p := standin.NewPlatformWith(l, standin.PlatformLimits{
+		AppendsPerSecond: c.Int("append-rate"), Sync: c.Duration("sync"), RetainFor: c.Duration("retain"),
+		RetainRecords: c.Int("retain-records"), ListLag: c.Duration("list-lag"),
+	})
 	for _, text := range c.StringSlice("entry") {
 		vm, err := parseEntryVM(text)
 		if err != nil {
--- /dev/null
+++ b/entry/claims.go
@@ -0,0 +1,516 @@
+package entry
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"sync"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+
+	"github.com/cicadadale/cicadadale/contract"
+	"github.com/cicadadale/cicadadale/fault"
+	"github.com/cicadadale/cicadadale/machine"
+	"github.com/cicadadale/cicadadale/metric"
+	"github.com/cicadadale/cicadadale/platform"
+)
+
+const (
+	claimStream = "claims"
+	// claimTimeout bounds the wait for the decision on a claim. It leaves a caller's call of three seconds time for
+	// the refusal.
+	claimTimeout = time.Second
+	// outageTimeout bounds the wait while the log cannot be read, so that callers learn of an outage soon.
+	outageTimeout = 250 * time.Millisecond
+	// appendTimeout bounds one append; a slower one is looked for in the stream.
+	appendTimeout = 700 * time.Millisecond
+	// barrierTimeout bounds the read that brings a lookup up to date.
+	barrierTimeout = 300 * time.Millisecond
+	claimReadWait  = time.Second
+	claimPageLimit = 256
+	// maxWaitingClaims bounds the memory for claims that wait; more are refused.
+	maxWaitingClaims = 8192
+	// delegateIdle is how long a process that is not the delegate keeps reading after its last use.
+	delegateIdle = time.Minute
+)
+
+// claimWaiter is a claim whose decision is awaited. done receives one value.
+type claimWaiter struct {
+	claim contract.Claim
+	done  chan claimReply
+	// ended is guarded by the delegate's mu.
+	ended bool
+}
+
+type claimReply struct {
+	id  contract.JobID
+	err error
+}
+
+// claimDelegateOptions are the parts of a claim delegate.
+type claimDelegateOptions struct {
+	Self    machine.Incarnation
+	Log     platform.Log
+	Budget  *platform.Budget
+	Now     func() time.Time
+	Logger  *slog.Logger
+	Metrics metrics.Registry
+}
+
+// claimDelegate claims keys on the log for its failure domain: it reads the stream of claims and appends batches. Two
+// delegates at once are safe, since the stream decides. mu guards the fields below it; the table has its own locks.
+type claimDelegate struct {
+	o     claimDelegateOptions
+	table *contract.ClaimTable
+	wake  chan struct{}
+
+	mu       sync.Mutex
+	closed   bool
+	cancel   context.CancelFunc
+	done     chan struct{}
+	lastUse  time.Time
+	pending  []*claimWaiter
+	waiting  map[contract.CallerKey][]*claimWaiter
+	waiters  int
+	caughtUp chan struct{} // closed while the stream was read to its end since the start
+	failing  bool
+	batches  uint64
+	inflight string
+	landed   chan struct{} // closed when the batch in flight is seen in the stream
+	newest   time.Time
+}
+
+func newClaimDelegate(o claimDelegateOptions) *claimDelegate {
+	return &claimDelegate{
+		o: o, table: contract.NewClaimTable(), wake: make(chan struct{}, 1),
+		waiting: make(map[contract.CallerKey][]*claimWaiter), caughtUp: make(chan struct{}),
+	}
+}
+
+// start begins to read the stream, if that is not done already.
+func (c *claimDelegate) start() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.lastUse = c.o.Now()
+	if c.cancel != nil || c.closed {
+		return
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	c.cancel = cancel
+	c.done = make(chan struct{})
+	c.caughtUp = make(chan struct{})
+	var loops sync.WaitGroup
+	loops.Go(func() { c.tail(ctx) })
+	loops.Go(func() { c.appendLoop(ctx) })
+	go func(done chan struct{}) {
+		loops.Wait()
+		close(done)
+	}(c.done)
+}
+
+// stop ends reading. The bindings stay for the next start.
+func (c *claimDelegate) stop() {
+	c.mu.Lock()
+	cancel, done := c.cancel, c.done
+	c.cancel = nil
+	c.mu.Unlock()
+	if cancel != nil {
+		cancel()
+		<-done
+	}
+}
+
+// close ends reading for good.
+func (c *claimDelegate) close() {
+	c.mu.Lock()
+	c.closed = true
+	c.mu.Unlock()
+	c.stop()
+}
+
+// elected is called regularly with the current choice of delegate.
+func (c *claimDelegate) elected(self bool) {
+	if self {
+		c.start()
+	}
+	c.mu.Lock()
+	idle := c.cancel != nil && c.o.Now().Sub(c.lastUse) > delegateIdle
+	now := c.o.Now()
+	if !c.newest.IsZero() && c.newest.Before(now) {
+		// Of the two clocks the one that lies behind keeps more.
+		now = c.newest
+	}
+	c.mu.Unlock()
+	if idle {
+		c.stop()
+	}
+	c.table.Expire(now)
+}
+
+// claim returns the id that holds the key after claiming it for the given one. The error is of type
+// fault.Unavailable when the decision stays open, so that the claim may still win later.
+func (c *claimDelegate) claim(ctx context.Context, cl contract.Claim) (contract.JobID, error) {
+	c.start()
+	if id, bound, _ := c.table.Lookup(cl.Key); bound {
+		return id, nil
+	}
+	w := &claimWaiter{claim: cl, done: make(chan claimReply, 1)}
+	if !c.enqueue(w) {
+		return contract.JobID{}, fault.Unavailable.New("%d claims are waiting for the log", maxWaitingClaims)
+	}
+	timeout := claimTimeout
+	if c.isFailing() {
+		timeout = outageTimeout
+	}
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	select {
+	case r := <-w.done:
+		return r.id, r.err
+	case <-ctx.Done():
+		c.abandon(w)
+		return contract.JobID{}, fault.Unavailable.New("the log has not decided the claim of key %s", cl.Key)
+	}
+}
+
+func (c *claimDelegate) enqueue(w *claimWaiter) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.waiters >= maxWaitingClaims {
+		return false
+	}
+	c.waiters++
+	c.pending = append(c.pending, w)
+	c.waiting[w.claim.Key] = append(c.waiting[w.claim.Key], w)
+	select {
+	case c.wake <- struct{}{}:
+	default:
+	}
+	return true
+}
+
+func (c *claimDelegate) abandon(w *claimWaiter) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if w.ended {
+		return
+	}
+	w.ended = true
+	c.waiters--
+	kept := c.waiting[w.claim.Key][:0]
+	for _, x := range c.waiting[w.claim.Key] {
+		if x != w {
+			kept = append(kept, x)
+		}
+	}
+	if len(kept) == 0 {
+		delete(c.waiting, w.claim.Key)
+	} else {
+		c.waiting[w.claim.Key] = kept
+	}
+}
+
+// find looks a key up without claiming it. While the log cannot be reached, a key that this process neither knows
+// nor is claiming is reported as fault.Overloaded: not claimed through this process.
+func (c *claimDelegate) find(ctx context.Context, k contract.CallerKey) (contract.JobID, bool, error) {
+	c.start()
+	if id, bound, _ := c.table.Lookup(k); bound {
+		return id, true, nil
+	}
+	err := c.barrier(ctx)
+	id, bound, complete := c.table.Lookup(k)
+	switch {
+	case bound:
+		return id, true, nil
+	case !complete:
+		return contract.JobID{}, false, fault.Unavailable.New("records that may hold a claim of key %s are missing", k)
+	case err == nil:
+		return contract.JobID{}, false, nil
+	case c.read() && !c.claiming(k):
+		return contract.JobID{}, false, fault.With(fault.Overloaded, reasonNotClaimed, "key %s was not claimed here", k)
+	default:
+		return contract.JobID{}, false, err
+	}
+}
+
+const reasonNotClaimed = "not claimed here"
+
+// barrier reads to the present end of the stream.
+func (c *claimDelegate) barrier(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, barrierTimeout)
+	defer cancel()
+	if c.isFailing() {
+		return fault.Unavailable.New("the log cannot be read")
+	}
+	c.mu.Lock()
+	caughtUp := c.caughtUp
+	c.mu.Unlock()
+	select {
+	case <-caughtUp:
+	case <-ctx.Done():
+		return fault.Unavailable.New("the stream of claims has not been read yet")
+	}
+	for {
+		page, err := c.o.Log.Read(ctx, claimStream, c.table.Next(), claimPageLimit, 0)
+		if err != nil {
+			return err
+		}
+		c.applyPage(page)
+		if c.table.Next() >= page.Next {
+			return nil
+		}
+	}
+}
+
+func (c *claimDelegate) isFailing() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.failing
+}
+
+// read reports whether the stream was read to its end since the start.
+func (c *claimDelegate) read() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	select {
+	case <-c.caughtUp:
+		return true
+	default:
+		return false
+	}
+}
+
+// claiming reports whether a claim of the key waits for its decision.
+func (c *claimDelegate) claiming(k contract.CallerKey) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.waiting[k]) > 0
+}
+
+// tail reads the stream from its oldest needed record on.
+func (c *claimDelegate) tail(ctx context.Context) {
+	var backoff platform.Backoff
+	for ctx.Err() == nil {
+		err := c.tailOnce(ctx)
+		c.mu.Lock()
+		c.failing = err != nil
+		c.mu.Unlock()
+		if err == nil {
+			backoff.Reset()
+			continue
+		}
+		c.countError()
+		if platform.Sleep(ctx, backoff.Next()) != nil {
+			return
+		}
+	}
+}
+
+func (c *claimDelegate) tailOnce(ctx context.Context) error {
+	if c.table.Next() == 0 {
+		from, complete, err := platform.FirstSince(ctx, c.o.Log, claimStream, contract.ClaimHistory)
+		if err != nil {
+			return err
+		}
+		if complete {
+			c.table.SkipTo(from)
+		}
+	}
+	wait := time.Duration(0)
+	if c.read() {
+		wait = claimReadWait
+	}
+	page, err := c.o.Log.Read(ctx, claimStream, c.table.Next(), claimPageLimit, wait)
+	if err != nil {
+		return err
+	}
+	c.applyPage(page)
+	if c.table.Next() >= page.Next {
+		c.setCaughtUp()
+	}
+	return nil
+}
+
+func (c *claimDelegate) setCaughtUp() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	select {
+	case <-c.caughtUp:
+	default:
+		close(c.caughtUp)
+	}
+}
+
+// applyPage may run concurrently for overlapping pages: the table ignores what was applied before.
+func (c *claimDelegate) applyPage(page platform.Page) {
+	c.table.Truncated(page.First)
+	for _, r := range page.Records {
+		b, err := decodeBatch(r.Data)
+		if err != nil {
+			// Every reader skips a malformed record alike.
+			c.o.Logger.Warn("malformed record", "stream", claimStream, "offset", r.Offset, "error", err)
+		}
+		c.resolve(b.ID, r.Time, c.table.Apply(r.Offset, r.Time, b))
+	}
+}
+
+// resolve answers the waiters that the decisions concern.
+func (c *claimDelegate) resolve(batch string, at time.Time, decisions []contract.ClaimDecision) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.newest = at
+	if batch != "" && batch == c.inflight {
+		c.inflight = ""
+		close(c.landed)
+	}
+	for _, d := range decisions {
+		var open []*claimWaiter
+		for _, w := range c.waiting[d.Claim.Key] {
+			if d.Result != contract.ClaimBound && w.claim.Job != d.Claim.Job {
+				open = append(open, w)
+				continue
+			}
+			w.ended = true
+			c.waiters--
+			w.done <- claimReply{id: d.Winner, err: claimError(d)}
+		}
+		if len(open) == 0 {
+			delete(c.waiting, d.Claim.Key)
+		} else {
+			c.waiting[d.Claim.Key] = open
+		}
+	}
+}
+
+func claimError(d contract.ClaimDecision) error {
+	switch d.Result {
+	case contract.ClaimTooOld:
+		// The key may have had a job whose answer is no longer kept, so that this proves nothing about execution.
+		return fault.With(fault.Expired, "key too old", "key %s is older than %s", d.Claim.Key, contract.KeyValidity)
+	case contract.ClaimTooNew:
+		return fault.With(fault.Invalid, "key from the future", "key %s was created more than %s ahead of the log's clock",
+			d.Claim.Key, contract.KeySkew)
+	case contract.ClaimUndecided:
+		return fault.Unavailable.New("records that may hold an earlier claim of key %s are missing", d.Claim.Key)
+	default:
+		return nil
+	}
+}
+
+// appendLoop appends what waits whenever no append is in flight and the budget allows one. Claims that arrive
+// meanwhile form the next batch, so the window grows with the log's latency and is zero for an idle delegate.
+func (c *claimDelegate) appendLoop(ctx context.Context) {
+	for {
+		select {
+		case <-c.wake:
+		case <-ctx.Done():
+			return
+		}
+		for c.hasPending() {
+			if !c.awaitCaughtUp(ctx) || c.o.Budget.Wait(ctx, claimStream, c.o.Now()) != nil {
+				return
+			}
+			c.appendBatch(ctx, c.takeBatch())
+		}
+	}
+}
+
+func (c *claimDelegate) hasPending() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.pending) > 0
+}
+
+func (c *claimDelegate) awaitCaughtUp(ctx context.Context) bool {
+	c.mu.Lock()
+	caughtUp := c.caughtUp
+	c.mu.Unlock()
+	select {
+	case <-caughtUp:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// takeBatch removes the oldest claims that still wait.
+func (c *claimDelegate) takeBatch() []*claimWaiter {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var batch []*claimWaiter
+	taken := 0
+	for _, w := range c.pending {
+		if len(batch) == maxClaimBatch {
+			break
+		}
+		taken++
+		if !w.ended {
+			batch = append(batch, w)
+		}
+	}
+	c.pending = append([]*claimWaiter(nil), c.pending[taken:]...)
+	return batch
+}
+
+// appendBatch appends until the batch is seen in the stream, an append succeeds or nobody waits any more. A repeated
+// batch changes nothing, since each of its keys is bound by the first one.
+func (c *claimDelegate) appendBatch(ctx context.Context, waiters []*claimWaiter) {
+	if len(waiters) == 0 {
+		return
+	}
+	b, landed := c.newBatch(waiters)
+	data, err := encodeBatch(b)
+	if err != nil {
+		c.o.Logger.Error("encode claims", "error", err)
+		return
+	}
+	var backoff platform.Backoff
+	for c.anyWaits(waiters) {
+		attempt, cancel := context.WithTimeout(ctx, appendTimeout)
+		_, err := c.o.Log.Append(attempt, claimStream, data)
+		cancel()
+		if err == nil {
+			return
+		}
+		c.countError()
+		select {
+		case <-landed:
+			return
+		case <-time.After(backoff.Next()):
+		case <-ctx.Done():
+			return
+		}
+		if c.o.Budget.Wait(ctx, claimStream, c.o.Now()) != nil {
+			return
+		}
+	}
+}
+
+func (c *claimDelegate) newBatch(waiters []*claimWaiter) (contract.ClaimBatch, <-chan struct{}) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.batches++
+	b := contract.ClaimBatch{ID: fmt.Sprintf("%s-%d", c.o.Self, c.batches)}
+	for _, w := range waiters {
+		b.Claims = append(b.Claims, w.claim)
+	}
+	c.inflight = b.ID
+	c.landed = make(chan struct{})
+	return b, c.landed
+}
+
+func (c *claimDelegate) anyWaits(waiters []*claimWaiter) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, w := range waiters {
+		if !w.ended {
+			return true
+		}
+	}
+	return false
+}
+
+func (c *claimDelegate) countError() {
+	metrics.GetOrRegisterCounter(metric.LogErrors, c.o.Metrics).Inc(1)
+}
--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -56,7 +56,11 @@
 	dispatcher *dispatch.Dispatcher
 	peers      *peers
 	slots      *slotDirectory
-	lamport    atomic.Uint64
+	budget     *platform.Budget
+	claims     *claimDelegate
+	// inquiries holds a token for each claim that asks other failure domains.
+	inquiries chan struct{}
+	lamport   atomic.Uint64
 
 	peerServer *link.PeerServer
 	rpcServer  *rpc.Server
@@ -92,6 +96,11 @@
 	d.workers = workers
 	d.peers = newPeers(d)
 	d.slots = newSlotDirectory(d)
+	d.inquiries = make(chan struct{}, maxKeyInquiries)
+	d.budget = platform.NewBudget(appendBudget)
+	d.claims = newClaimDelegate(claimDelegateOptions{
+		Self: o.VM.Incarnation, Log: o.Log, Budget: d.budget, Now: o.Now, Logger: o.Logger, Metrics: o.Metrics,
+	})
 	d.dispatcher = dispatch.New(dispatch.Options{
 		Table: d.table, Starter: workers, Broker: d.slots, Fleet: d.fleet, Now: o.Now, Logger: o.Logger,
 		Metrics: o.Metrics,
@@ -116,6 +125,7 @@
 	d.pollWorkers(ctx)
 	d.rpcServer = rpc.Serve(d.o.Callers, d, d.o.Now, nil)
 	d.loop(ctx, heartbeatInterval, func() { d.heartbeat() })
+	d.loop(ctx, delegateInterval, d.electClaims)
 	d.loop(ctx, listInterval, func() { d.refreshList(ctx) })
 	d.loop(ctx, statusInterval, func() { d.pollWorkers(ctx) })
 	d.loop(ctx, laneInterval, d.dispatcher.Tick)
@@ -165,6 +175,7 @@
 func (d *Daemon) kill() {
 	d.cancel()
 	d.loops.Wait()
+	d.claims.close()
 	d.peerServer.Close()
 	d.peers.close()
 	d.dispatcher.Close()
--- a/entry/messages.go
+++ b/entry/messages.go
@@ -50,7 +50,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), forwardLimit)
 	defer cancel()
 	resp := &api.Response{Id: r.GetId()}
-	if err := d.perform(ctx, r, resp); err != nil {
+	if err := d.perform(ctx, vm, r, resp); err != nil {
 		resp.ErrorCode = fault.Code(err)
 		if resp.ErrorCode == "" {
 			resp.ErrorCode = fault.Unavailable.FullName()
@@ -61,7 +61,7 @@
 	d.peers.send(vm, &api.PeerMessage{Body: &api.PeerMessage_Response{Response: resp}})
 }
 
-func (d *Daemon) perform(ctx context.Context, r *api.Request, resp *api.Response) error {
+func (d *Daemon) perform(ctx context.Context, vm string, r *api.Request, resp *api.Response) error {
 	switch b := r.GetBody().(type) {
 	case *api.Request_Submit:
 		s, err := wire.SubmissionFrom(b.Submit)
@@ -101,6 +101,8 @@
 		}
 		p, err := d.Status(ctx, ref)
 		return d.setProgress(resp, p, err)
+	case *api.Request_Claim:
+		return d.serveClaim(ctx, vm, b.Claim, resp)
 	default:
 		return fault.Unavailable.New("request is not supported")
 	}
--- a/entry/router.go
+++ b/entry/router.go
@@ -29,7 +29,7 @@
 // Submit implements rpc.Jobs.
 func (d *Daemon) Submit(ctx context.Context, s contract.Submission, wait time.Duration) (contract.Answer, error) {
 	if s.Ref.Key != nil {
-		return contract.Answer{}, fault.With(fault.Overloaded, "keys unavailable", "keyed submissions are not available")
+		return d.submitKeyed(ctx, s, wait)
 	}
 	if !d.isHome(s.Ref.ID) {
 		resp, err := d.forward(ctx, s.Ref.ID, wait, &api.Request{
@@ -57,7 +57,8 @@
 
 // Await implements rpc.Jobs.
 func (d *Daemon) Await(ctx context.Context, r contract.JobRef, wait time.Duration) (contract.Answer, error) {
-	if err := d.needID(r); err != nil {
+	r, err := d.resolveKey(ctx, r)
+	if err != nil {
 		return contract.Answer{}, err
 	}
 	if d.isHome(r.ID) {
@@ -71,7 +72,8 @@
 
 // Cancel implements rpc.Jobs.
 func (d *Daemon) Cancel(ctx context.Context, r contract.JobRef) (contract.Answer, error) {
-	if err := d.needID(r); err != nil {
+	r, err := d.resolveKey(ctx, r)
+	if err != nil {
 		return contract.Answer{}, err
 	}
 	if d.isHome(r.ID) {
@@ -88,7 +90,8 @@
 
 // Reconfigure implements rpc.Jobs.
 func (d *Daemon) Reconfigure(ctx context.Context, r contract.JobRef, c contract.Change) (contract.JobProgress, error) {
-	if err := d.needID(r); err != nil {
+	r, err := d.resolveKey(ctx, r)
+	if err != nil {
 		return contract.JobProgress{}, err
 	}
 	if d.isHome(r.ID) {
@@ -108,7 +111,8 @@
 
 // Status implements rpc.Jobs.
 func (d *Daemon) Status(ctx context.Context, r contract.JobRef) (contract.JobProgress, error) {
-	if err := d.needID(r); err != nil {
+	r, err := d.resolveKey(ctx, r)
+	if err != nil {
 		return contract.JobProgress{}, err
 	}
 	if d.isHome(r.ID) {
@@ -120,13 +124,6 @@
 	return d.progressFrom(resp, err)
 }
 
-func (d *Daemon) needID(r contract.JobRef) error {
-	if r.Key != nil {
-		return fault.Unavailable.New("keyed submissions are not available")
-	}
-	return nil
-}
-
 func (d *Daemon) isHome(id contract.JobID) bool { return id.Home == d.o.VM.Incarnation }
 
 // forward sends a call to the home of a job, or to its failure domain if the home is not known here.
--- a/standin/platform.go
+++ b/standin/platform.go
@@ -4,7 +4,6 @@
 	"context"
 	"encoding/json"
 	"net"
-	"sort"
 	"strconv"
 	"sync"
 	"time"
@@ -15,21 +14,48 @@
 	"github.com/cicadadale/cicadadale/platform"
 )
 
-// Platform is a stand-in of the platform's log and VM list. mu guards the streams, the list and the faults.
-type Platform struct {
-	server *httpserve.Server
+const (
+	// defaultSync is the time of a synced write.
+	defaultSync = 4 * time.Millisecond
+	// defaultAppendRate is the rate of appends that the log sustains.
+	defaultAppendRate = 500
+	// defaultRetention is how long the log keeps records.
+	defaultRetention = 48 * time.Hour
+	defaultRecords   = 1 << 20
+	// appendQueue is the time by which an append beyond the rate is delayed at most; further ones are refused.
+	appendQueue = 200 * time.Millisecond
+)
 
-	mu      sync.Mutex
-	streams map[string]*stream
-	vms     map[string]platform.VM
-	faults  PlatformFaults
+// PlatformLimits are the properties of a healthy platform. Zero values take the defaults.
+type PlatformLimits struct {
+	AppendsPerSecond int
+	// Sync is the time that an append takes.
+	Sync time.Duration
+	// RetainFor and RetainRecords bound each stream.
+	RetainFor     time.Duration
+	RetainRecords int
+	// ListLag is the age of the VM list that is shown.
+	ListLag time.Duration
+	Now     func() time.Time
 }
 
-type stream struct {
-	first   uint64
-	records []platform.WireRecord
-	// grown is closed and replaced at each append.
-	grown chan struct{}
+func (l PlatformLimits) withDefaults() PlatformLimits {
+	if l.AppendsPerSecond == 0 {
+		l.AppendsPerSecond = defaultAppendRate
+	}
+	if l.Sync == 0 {
+		l.Sync = defaultSync
+	}
+	if l.RetainFor == 0 {
+		l.RetainFor = defaultRetention
+	}
+	if l.RetainRecords == 0 {
+		l.RetainRecords = defaultRecords
+	}
+	if l.Now == nil {
+		l.Now = time.Now
+	}
+	return l
 }
 
 // PlatformFaults are the failures that the stand-in shows.
@@ -37,21 +63,47 @@
 	// LogDown makes all log calls fail, ListDown all calls for the list.
 	LogDown  bool
 	ListDown bool
-	// LoseReplies is the number of appends that take effect and then fail.
+	// LoseReplies is the number of appends that take effect and then fail, LoseReads that of reads that fail after
+	// they were served.
 	LoseReplies int
-	// AppendDelay is added to each append.
+	LoseReads   int
+	// AppendDelay is added to each append, ReadDelay to each read.
 	AppendDelay time.Duration
+	ReadDelay   time.Duration
 }
 
-// NewPlatform serves on l.
-func NewPlatform(l net.Listener) *Platform {
-	p := &Platform{
-		server: httpserve.New(l, nil), streams: make(map[string]*stream), vms: make(map[string]platform.VM),
-	}
+// Platform is a stand-in of the platform's log and VM list. mu guards the streams, the list, the faults and the
+// counter of appends.
+type Platform struct {
+	server *httpserve.Server
+	limits PlatformLimits
+
+	mu      sync.Mutex
+	streams map[string]*stream
+	list    vmHistory
+	faults  PlatformFaults
+	paid    time.Time // time up to which the appends use the rate
+	stats   PlatformStats
+}
+
+// PlatformStats counts the calls for the log.
+type PlatformStats struct {
+	Appends   int `json:"appends"`
+	Throttled int `json:"throttled"`
+	Reads     int `json:"reads"`
+}
+
+// NewPlatform serves on l with default limits.
+func NewPlatform(l net.Listener) *Platform { return NewPlatformWith(l, PlatformLimits{}) }
+
+// NewPlatformWith serves on l.
+func NewPlatformWith(l net.Listener, limits PlatformLimits) *Platform {
+	p := &Platform{server: httpserve.New(l, nil), limits: limits.withDefaults(), streams: make(map[string]*stream)}
 	p.server.POST("/v1/log/:stream", p.append)
 	p.server.GET("/v1/log/:stream", p.read)
-	p.server.GET("/v1/vms", p.list)
+	p.server.GET("/v1/vms", p.vms)
 	p.server.PUT("/v1/vms", p.put)
+	p.serveControl()
 	p.server.Start()
 	return p
 }
@@ -62,25 +114,56 @@
 // Close stops serving.
 func (p *Platform) Close() error { return p.server.Stop() }
 
-// SetFaults replaces the failures shown.
+// SetFaults replaces the failures shown. Waiting reads return.
 func (p *Platform) SetFaults(f PlatformFaults) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.faults = f
+	for _, s := range p.streams {
+		s.wakeReaders()
+	}
+}
+
+// Faults returns the failures shown now.
+func (p *Platform) Faults() PlatformFaults {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.faults
+}
+
+// Stats returns the calls counted so far.
+func (p *Platform) Stats() PlatformStats {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.stats
 }
 
 // SetVM adds or updates an entry of the list.
 func (p *Platform) SetVM(vm platform.VM) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.vms[vm.ID] = vm
+	p.list.set(vm, p.limits.Now())
 }
 
 // RemoveVM drops an entry of the list.
 func (p *Platform) RemoveVM(id string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	delete(p.vms, id)
+	p.list.remove(id, p.limits.Now())
+}
+
+// SetListLag changes the age of the list that is shown.
+func (p *Platform) SetListLag(lag time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.limits.ListLag = lag
+}
+
+// Truncate drops the records of a stream below an offset.
+func (p *Platform) Truncate(name string, first uint64) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.stream(name).truncate(first)
 }
 
 // stream expects p.mu to be held.
@@ -93,22 +176,40 @@
 	return s
 }
 
-func (p *Platform) append(_ context.Context, c *app.RequestContext) {
+// admit books an append and returns its delay, or false if the rate is exceeded for too long.
+func (p *Platform) admit(now time.Time) (time.Duration, bool) {
 	p.mu.Lock()
-	f := p.faults
-	p.mu.Unlock()
-	time.Sleep(f.AppendDelay)
-	if f.LogDown {
+	defer p.mu.Unlock()
+	if p.paid.Before(now) {
+		p.paid = now
+	}
+	delay := p.paid.Sub(now)
+	if delay > appendQueue {
+		p.stats.Throttled++
+		return 0, false
+	}
+	p.paid = p.paid.Add(time.Second / time.Duration(p.limits.AppendsPerSecond))
+	return delay, true
+}
+
+func (p *Platform) append(_ context.Context, c *app.RequestContext) {
+	delay, ok := p.admit(p.limits.Now())
+	if !ok {
+		c.String(429, "append rate exceeded")
+		return
+	}
+	f := p.Faults()
+	time.Sleep(delay + p.limits.Sync + f.AppendDelay)
+	if p.Faults().LogDown {
 		c.String(503, "log is down")
 		return
 	}
+	now := p.limits.Now()
 	p.mu.Lock()
 	s := p.stream(c.Param("stream"))
-	offset := s.first + uint64(len(s.records))
-	data := append([]byte(nil), c.Request.Body()...)
-	s.records = append(s.records, platform.WireRecord{Offset: offset, UnixMS: time.Now().UnixMilli(), Data: data})
-	close(s.grown)
-	s.grown = make(chan struct{})
+	offset := s.add(c.Request.Body(), now)
+	s.expire(now.Add(-p.limits.RetainFor), p.limits.RetainRecords)
+	p.stats.Appends++
 	lose := p.faults.LoseReplies > 0
 	if lose {
 		p.faults.LoseReplies--
@@ -122,11 +223,17 @@
 }
 
 func (p *Platform) read(ctx context.Context, c *app.RequestContext) {
-	from, _ := strconv.ParseUint(c.Query("from"), 10, 64)
+	from, err := strconv.ParseUint(c.Query("from"), 10, 64)
+	if err != nil && c.Query("from") != "" {
+		c.String(400, "invalid from")
+		return
+	}
+	// A missing limit or wait means none.
 	limit, _ := strconv.Atoi(c.Query("limit"))
 	waitMS, _ := strconv.ParseInt(c.Query("wait_ms"), 10, 64)
-	page, grown, down := p.page(c.Param("stream"), from, limit)
-	if !down && len(page.Records) == 0 && waitMS > 0 {
+	time.Sleep(p.Faults().ReadDelay)
+	page, grown, fail := p.page(c.Param("stream"), from, limit)
+	if fail == "" && len(page.Records) == 0 && waitMS > 0 {
 		timer := time.NewTimer(time.Duration(waitMS) * time.Millisecond)
 		defer timer.Stop()
 		select {
@@ -134,43 +241,44 @@
 		case <-timer.C:
 		case <-ctx.Done():
 		}
-		page, _, down = p.page(c.Param("stream"), from, limit)
+		page, _, fail = p.page(c.Param("stream"), from, limit)
 	}
-	if down {
-		c.String(503, "log is down")
+	if fail != "" {
+		c.String(503, fail)
 		return
 	}
 	c.JSON(200, page)
 }
 
-func (p *Platform) page(name string, from uint64, limit int) (platform.WirePage, <-chan struct{}, bool) {
+// page returns a part of a stream, the channel that tells of its growth, and the failure to show.
+func (p *Platform) page(name string, from uint64, limit int) (platform.WirePage, <-chan struct{}, string) {
+	now := p.limits.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.stats.Reads++
 	s := p.stream(name)
-	page := platform.WirePage{First: s.first, Next: s.first + uint64(len(s.records))}
-	from = max(from, s.first)
-	if from < page.Next {
-		page.Records = s.records[from-s.first:]
-	}
-	if limit > 0 && len(page.Records) > limit {
-		page.Records = page.Records[:limit]
+	s.expire(now.Add(-p.limits.RetainFor), p.limits.RetainRecords)
+	fail := ""
+	switch {
+	case p.faults.LogDown:
+		fail = "log is down"
+	case p.faults.LoseReads > 0:
+		p.faults.LoseReads--
+		fail = "reply lost"
 	}
-	return page, s.grown, p.faults.LogDown
+	return s.page(from, limit), s.grown, fail
 }
 
-func (p *Platform) list(_ context.Context, c *app.RequestContext) {
+func (p *Platform) vms(_ context.Context, c *app.RequestContext) {
+	now := p.limits.Now()
 	p.mu.Lock()
 	down := p.faults.ListDown
-	vms := make([]platform.VM, 0, len(p.vms))
-	for _, vm := range p.vms {
-		vms = append(vms, vm)
-	}
+	vms := p.list.at(now.Add(-p.limits.ListLag))
 	p.mu.Unlock()
 	if down {
 		c.String(503, "list is down")
 		return
 	}
-	sort.Slice(vms, func(i, j int) bool { return vms[i].ID < vms[j].ID })
 	c.JSON(200, vms)
 }
 
