--- a/contract/claim_test.go
+++ b/contract/claim_test.go
@@ -90,13 +90,13 @@
 		}
 		for range 3 {
 			for at, d := range readClaims(t, log) {
-				switch {
-				case d.Result == ClaimBound:
+				switch d.Result {
+				case ClaimBound:
 					// A reader that skipped records may still hold a binding that others have dropped by age; their
 					// answer is then that the key is too old, and no other id can ever hold it.
 					require.Equal(t, winners[d.Claim.Key], d.Winner)
 					require.Contains(t, []ClaimResult{ClaimBound, ClaimTooOld}, want[at].Result)
-				case d.Result == ClaimTooNew:
+				case ClaimTooNew:
 					require.Equal(t, ClaimTooNew, want[at].Result)
 				}
 			}
