--- a/entry/router.go
+++ b/entry/router.go
@@ -40,7 +40,7 @@
 // Submit implements rpc.Jobs.
 func (d *Daemon) Submit(ctx context.Context, s contract.Submission, wait time.Duration) (contract.Answer, error) {
 	if s.Ref.Key != nil {
-		return contract.Answer{}, fault.With(fault.Overloaded, "keys unavailable", "keyed submissions are not available")
+		return d.submitKeyed(ctx, s, wait)
 	}
 	local := func() (contract.Answer, error) { return d.submitHere(ctx, s, wait) }
 	a, err := d.answer(ctx, s.Ref.ID, wait, local, func() *api.Request {
@@ -77,7 +77,8 @@
 
 // Await implements rpc.Jobs.
 func (d *Daemon) Await(ctx context.Context, r contract.JobRef, wait time.Duration) (contract.Answer, error) {
-	if err := d.needID(r); err != nil {
+	r, err := d.resolveKey(ctx, r)
+	if err != nil {
 		return contract.Answer{}, err
 	}
 	local := func() (contract.Answer, error) { return d.wait(ctx, r.ID, wait) }
@@ -91,7 +92,8 @@
 
 // Cancel implements rpc.Jobs.
 func (d *Daemon) Cancel(ctx context.Context, r contract.JobRef) (contract.Answer, error) {
-	if err := d.needID(r); err != nil {
+	r, err := d.resolveKey(ctx, r)
+	if err != nil {
 		return contract.Answer{}, err
 	}
 	local := func() (contract.Answer, error) {
@@ -108,7 +110,8 @@
 
 // Reconfigure implements rpc.Jobs.
 func (d *Daemon) Reconfigure(ctx context.Context, r contract.JobRef, c contract.Change) (contract.JobProgress, error) {
-	if err := d.needID(r); err != nil {
+	r, err := d.resolveKey(ctx, r)
+	if err != nil {
 		return contract.JobProgress{}, err
 	}
 	local := func() (contract.JobProgress, error) {
@@ -127,7 +130,8 @@
 
 // Status implements rpc.Jobs.
 func (d *Daemon) Status(ctx context.Context, r contract.JobRef) (contract.JobProgress, error) {
-	if err := d.needID(r); err != nil {
+	r, err := d.resolveKey(ctx, r)
+	if err != nil {
 		return contract.JobProgress{}, err
 	}
 	local := func() (contract.JobProgress, error) { return d.table.Progress(r.ID) }
@@ -136,13 +140,6 @@
 	})
 }
 
-func (d *Daemon) needID(r contract.JobRef) error {
-	if r.Key != nil {
-		return fault.Unavailable.New("keyed submissions are not available")
-	}
-	return nil
-}
-
 // answer serves a call here or sends it to the entry VM that answers for the job.
 func (d *Daemon) answer(
 	ctx context.Context, id contract.JobID, wait time.Duration, local func() (contract.Answer, error),
