--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -65,8 +65,12 @@
 	dispatcher *dispatch.Dispatcher
 	peers      *peers
 	slots      *slotDirectory
-	clock      *timeline.Clock
-	timeline   *timeline.Ring
+	budget     *platform.Budget
+	claims     *claimDelegate
+	// inquiries holds a token for each claim that asks other failure domains.
+	inquiries chan struct{}
+	clock     *timeline.Clock
+	timeline  *timeline.Ring
 
 	homes     *zone.Homes
 	lease     *zone.AnswerLease
@@ -124,12 +128,17 @@
 	d.workers = workers
 	d.peers = newPeers(d)
 	d.slots = newSlotDirectory(d)
+	d.inquiries = make(chan struct{}, maxKeyInquiries)
+	d.budget = platform.NewBudget(appendBudget)
+	d.claims = newClaimDelegate(claimDelegateOptions{
+		Self: o.VM.Incarnation, Log: o.Log, Budget: d.budget, Now: o.Now, Logger: o.Logger, Metrics: o.Metrics,
+	})
 	d.dispatcher = dispatch.New(dispatch.Options{
 		Table: d.table, Starter: workers, Broker: d.slots, Self: o.VM.ID, Placement: d.slots.placement,
 		Fleet: d.fleet, Now: o.Now, Logger: o.Logger, Metrics: o.Metrics, Timeline: d.timeline,
 	})
 	for _, s := range o.Services {
-		d.dispatcher.AddService(s, nil)
+		d.dispatcher.AddService(s)
 	}
 	return d, nil
 }
@@ -149,13 +158,14 @@
 	d.pollWorkers(ctx)
 	d.rpcServer = rpc.Serve(d.o.Callers, d, d.o.Now, nil)
 	d.loop(ctx, heartbeatInterval, func() { d.heartbeat() })
+	d.loop(ctx, delegateInterval, d.electClaims)
 	d.loop(ctx, listInterval, func() { d.refreshList(ctx) })
 	d.loop(ctx, statusInterval, func() { d.pollWorkers(ctx) })
-	d.loop(ctx, laneInterval, func() { d.checkLapse(); d.dispatcher.Tick() })
 	if d.slots.placement == nil {
 		d.loop(ctx, slotInterval, d.slots.tick)
 		d.loop(ctx, renewInterval, d.slots.renew)
 	}
+	d.loop(ctx, laneInterval, func() { d.checkLapse(); d.dispatcher.Tick() })
 	d.loop(ctx, expiryInterval, func() { d.table.Expire(d.o.Now()); d.homes.Expire(d.o.Now()) })
 	d.closures.start(ctx)
 	d.timeline.Record(timeline.Event{Kind: timeline.ProcessStarted})
@@ -206,6 +216,7 @@
 	d.cancel()
 	d.loops.Wait()
 	d.closures.wait()
+	d.claims.close()
 	d.peerServer.Close()
 	d.peers.close()
 	d.dispatcher.Close()
--- a/entry/messages.go
+++ b/entry/messages.go
@@ -95,6 +95,8 @@
 		silent := d.homes.Silent(machine.Incarnation(b.SilenceVote.GetIncarnation()), b.SilenceVote.GetPromise(), d.o.Now())
 		resp.Body = &api.Response_SilenceVote{SilenceVote: &api.SilenceVoteReply{Silent: silent}}
 		return nil
+	case *api.Request_Claim:
+		return d.serveClaim(ctx, vm, b.Claim, resp)
 	default:
 		return d.performCall(ctx, r, resp)
 	}
--- a/machine/worker.go
+++ b/machine/worker.go
@@ -28,11 +28,11 @@
 	spec        WorkerSpec
 	incarnation Incarnation
 	speed       float64
+	busy        int
 	// clock is the worker's monotonic clock at local time clockAt. Local times are compared with each other only, so
 	// that steps of the wall clock have no effect.
 	clock   time.Duration
 	clockAt time.Time
-	busy    int
 }
 
 // NewWorker returns a worker of average speed.
