--- /dev/null
+++ b/entry/recovery_test.go
@@ -0,0 +1,200 @@
+package entry_test
+
+import (
+	"context"
+	"log/slog"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/cicadadale/cicadadale/contract"
+	"github.com/cicadadale/cicadadale/load"
+	"github.com/cicadadale/cicadadale/metric"
+	"github.com/cicadadale/cicadadale/rpc"
+	"github.com/cicadadale/cicadadale/standin"
+)
+
+// site is a deployment whose tasks run until they are released.
+type site struct {
+	*load.Deployment
+	release chan struct{}
+
+	mu      sync.Mutex
+	started map[string]int
+}
+
+func newSite(t *testing.T, entryVMs int) *site {
+	t.Helper()
+	s := &site{release: make(chan struct{}), started: make(map[string]int)}
+	var err error
+	s.Deployment, err = load.StartDeployment(load.DeploymentOptions{
+		Domains: 1, EntryVMs: entryVMs, Workers: 1, Slots: 2, Services: load.DeploymentServices,
+		Work: func(_, _ string, payload []byte) ([]byte, time.Duration, error) {
+			<-s.release
+			return payload, 0, nil
+		},
+		Started: func(task string) {
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			s.started[task]++
+		},
+		Logger: slog.New(slog.DiscardHandler),
+	})
+	require.NoError(t, err)
+	t.Cleanup(func() {
+		require.Zero(t, s.Counter(metric.InvariantViolations))
+		s.Close()
+	})
+	return s
+}
+
+func (s *site) client(t *testing.T, entries ...int) *rpc.Client {
+	t.Helper()
+	var addresses []string
+	for _, i := range entries {
+		addresses = append(addresses, s.Entries[i].Callers)
+	}
+	c, err := rpc.NewClient(addresses, nil)
+	require.NoError(t, err)
+	t.Cleanup(c.Close)
+	return c
+}
+
+func (s *site) starts(id contract.JobID) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.started[contract.TaskID{Job: id}.String()]
+}
+
+func job(id contract.JobID) contract.Submission {
+	return contract.Submission{
+		Ref: contract.JobRef{ID: id}, Service: "glashaus.v1.Booking", Customer: "c", Team: "t", Deadline: time.Minute,
+		Tasks: []contract.TaskSpec{{Kind: "PriceHire", Payload: []byte(id.String())}},
+	}
+}
+
+// submitted is a job whose answer is awaited by a caller.
+type submitted struct {
+	id     contract.JobID
+	answer chan contract.Answer
+}
+
+// submit submits n jobs and returns when the home knows them.
+func (s *site) submit(t *testing.T, c *rpc.Client, n int) []submitted {
+	t.Helper()
+	jobs := make([]submitted, n)
+	for i := range jobs {
+		id, err := c.NewJob(t.Context())
+		require.NoError(t, err)
+		jobs[i] = submitted{id: id, answer: make(chan contract.Answer, 1)}
+		go func() {
+			a, err := c.Do(t.Context(), job(id))
+			if err == nil {
+				jobs[i].answer <- a
+			}
+			close(jobs[i].answer)
+		}()
+	}
+	for _, j := range jobs {
+		require.Eventually(t, func() bool {
+			_, err := c.Status(t.Context(), contract.JobRef{ID: j.id})
+			return err == nil
+		}, 10*time.Second, 5*time.Millisecond)
+	}
+	return jobs
+}
+
+func (s *site) requireComplete(t *testing.T, jobs []submitted) {
+	t.Helper()
+	for _, j := range jobs {
+		a := <-j.answer
+		require.Equal(t, contract.VerdictComplete, a.Verdict, "%s: %s", a.Reason, a.Detail)
+		require.Equal(t, j.id, a.Job)
+		require.Equal(t, j.id.String(), string(a.Results[0]))
+		require.Equal(t, 1, s.starts(j.id))
+	}
+}
+
+// Guards against a request that is cut, lost or run twice by a planned stop, also during an outage of the log: jobs that
+// run end at the old home, those that wait at the successor, and both answer callers and later questions.
+func TestPlannedStopLosesNothing(t *testing.T) {
+	for name, logDown := range map[string]bool{"log up": false, "log down": true} {
+		t.Run(name, func(t *testing.T) {
+			s := newSite(t, 3)
+			s.Platform.SetFaults(standin.PlatformFaults{LogDown: logDown})
+			jobs := s.submit(t, s.client(t, 0, 1, 2), 6)
+			require.Eventually(t, func() bool { return s.Counter(metric.TasksStarted) >= 2 }, 10*time.Second, 5*time.Millisecond)
+			stopped := make(chan struct{})
+			go func() {
+				s.Entries[0].Daemon.Stop(context.Background())
+				close(stopped)
+			}()
+			close(s.release)
+			s.requireComplete(t, jobs)
+			<-stopped
+			for _, other := range []int{1, 2} {
+				c := s.client(t, other)
+				for _, j := range jobs {
+					a, err := c.Await(t.Context(), contract.JobRef{ID: j.id})
+					require.NoError(t, err)
+					require.Equal(t, contract.VerdictComplete, a.Verdict)
+				}
+			}
+		})
+	}
+}
+
+// Guards against lost jobs when VMs are replaced in the same minute: the successor stops while it receives.
+func TestSuccessorsStopTogether(t *testing.T) {
+	s := newSite(t, 4)
+	jobs := s.submit(t, s.client(t, 0, 1, 2, 3), 6)
+	var stops sync.WaitGroup
+	for _, e := range s.Entries[:3] {
+		stops.Go(func() { e.Daemon.Stop(context.Background()) })
+	}
+	close(s.release)
+	s.requireComplete(t, jobs)
+	stops.Wait()
+	c := s.client(t, 3)
+	for _, j := range jobs {
+		a, err := c.Await(t.Context(), contract.JobRef{ID: j.id})
+		require.NoError(t, err)
+		require.Equal(t, contract.VerdictComplete, a.Verdict)
+	}
+}
+
+// Guards against a guess about the jobs of a crashed entry VM, against different answers at different VMs, and against a
+// second run by resubmission.
+func TestCrashedHomeIsAnsweredAsUnknown(t *testing.T) {
+	s := newSite(t, 3)
+	jobs := s.submit(t, s.client(t, 0), 3)
+	s.Entries[0].Daemon.Kill()
+	close(s.release)
+	for _, other := range []int{1, 2} {
+		c := s.client(t, other)
+		for _, j := range jobs {
+			a, err := c.Do(t.Context(), job(j.id))
+			require.NoError(t, err)
+			require.Equal(t, contract.VerdictFailed, a.Verdict)
+			require.Equal(t, contract.OutcomeUnknown, a.Reports[0].Outcome)
+			require.LessOrEqual(t, s.starts(j.id), 1)
+		}
+	}
+}
+
+// Guards against a fresh VM that does not know of a closure, and against a false claim for an id that the closed home
+// never accepted.
+func TestRefusalAfterClosureIsProven(t *testing.T) {
+	s := newSite(t, 2)
+	close(s.release)
+	id, err := s.client(t, 0).NewJob(t.Context())
+	require.NoError(t, err)
+	s.Entries[0].Daemon.Stop(context.Background())
+	a, err := s.client(t, 1).Do(t.Context(), job(id))
+	require.NoError(t, err)
+	require.Equal(t, contract.VerdictComplete, a.Verdict)
+	require.NotEqual(t, id, a.Job, "the proven refusal lets the client use a fresh id")
+	require.Zero(t, s.starts(id))
+}
