rpc: replace ids only in Run, which mints them itself

Cause: Do answered under another id than the caller's, which the soak rightly reports as an answer that belongs to another job. Change: Do keeps the caller's id in all cases; Run mints ids and replaces one only on proof.

--- a/rpc/client.go
+++ b/rpc/client.go
@@ -28,22 +28,17 @@
 	retryPause    = 50 * time.Millisecond
 	maxRetryPause = 500 * time.Millisecond
 	maxAttempts   = 200
-	// maxFresh bounds the ids that were handed out and not submitted yet. An id beyond it merely loses the chance to
-	// be replaced.
-	maxFresh = 4096
 	// maxReplaced bounds the fresh ids used for one job.
 	maxReplaced = 8
 )
 
-// Client submits jobs to a set of entry VMs. Its mutex guards the ids fetched ahead, those handed out and not submitted
-// yet, and the preferred address.
+// Client submits jobs to a set of entry VMs. Its mutex guards the ids fetched ahead and the preferred address.
 type Client struct {
 	conns []*grpc.ClientConn
 
 	mu        sync.Mutex
 	preferred int
 	ids       []string
-	fresh     map[contract.JobID]bool
 }
 
 // NewClient returns a client of the entry VMs at the given addresses. Credentials are optional.
@@ -51,7 +46,7 @@
 	if creds == nil {
 		creds = insecure.NewCredentials()
 	}
-	c := &Client{fresh: make(map[contract.JobID]bool)}
+	c := &Client{}
 	for _, a := range addresses {
 		conn, err := grpc.NewClient(a, grpc.WithTransportCredentials(creds),
 			grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(maxMessageBytes), grpc.MaxCallSendMsgSize(maxMessageBytes)))
@@ -105,16 +100,7 @@
 		c.ids = append(c.ids, out.GetJobIds()[1:]...)
 		c.mu.Unlock()
 	}
-	id, err := contract.ParseJobID(text)
-	if err != nil {
-		return id, err
-	}
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if len(c.fresh) < maxFresh {
-		c.fresh[id] = true
-	}
-	return id, nil
+	return contract.ParseJobID(text)
 }
 
 func (c *Client) takeID() (string, bool) {
@@ -128,15 +114,6 @@
 	return id, true
 }
 
-// takeFresh reports, once per id, that this client was given the id and has not submitted it.
-func (c *Client) takeFresh(id contract.JobID) bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	fresh := c.fresh[id]
-	delete(c.fresh, id)
-	return fresh
-}
-
 // dropIDs forgets the ids fetched ahead from a home that does not accept jobs any more.
 func (c *Client) dropIDs(home contract.JobID) {
 	c.mu.Lock()
@@ -147,27 +124,40 @@
 	})
 }
 
-// Do submits a job and waits for its final answer, resubmitting to other entry VMs as needed. A job with a minted id is
-// submitted under another id only when it is proven that it did not run under the first: the home refused it because it
-// stops or has stopped, or the very first copy of a fresh id met a home that is gone. The answer names the id used.
+// Do submits a job and waits for its final answer, resubmitting under the same id to other entry VMs as needed.
 func (c *Client) Do(ctx context.Context, s contract.Submission) (contract.Answer, error) {
+	answer, _, err := c.do(ctx, s)
+	return answer, err
+}
+
+// do returns the number of copies that were sent as well.
+func (c *Client) do(ctx context.Context, s contract.Submission) (contract.Answer, int, error) {
+	sent := 0
+	var answer contract.Answer
+	err := c.each(ctx, func(ctx context.Context, d api.DispatcherClient) error {
+		sent++
+		var err error
+		answer, err = submit(ctx, d, s)
+		return err
+	})
+	return answer, sent, err
+}
+
+// Run submits a job under an id of the client's own choice and waits for its final answer, which names the id. The job
+// is submitted under another id only when it is proven that it did not run under the first: the home refused it because
+// it stops or has stopped, or the only copy of the submission met a home that is gone.
+func (c *Client) Run(ctx context.Context, s contract.Submission) (contract.Answer, error) {
 	for range maxReplaced {
-		sent := 0
-		fresh := s.Ref.Key == nil && c.takeFresh(s.Ref.ID)
-		var answer contract.Answer
-		err := c.each(ctx, func(ctx context.Context, d api.DispatcherClient) error {
-			sent++
-			var err error
-			answer, err = submit(ctx, d, s)
-			return err
-		})
-		if s.Ref.Key != nil || !provenNotRun(answer, err, fresh && sent == 1) {
-			return answer, err
+		id, err := c.NewJob(ctx)
+		if err != nil {
+			return contract.Answer{}, err
 		}
-		c.dropIDs(s.Ref.ID)
-		if s.Ref.ID, err = c.NewJob(ctx); err != nil {
+		s.Ref = contract.JobRef{ID: id}
+		answer, sent, err := c.do(ctx, s)
+		if !provenNotRun(answer, err, sent == 1) {
 			return answer, err
 		}
+		c.dropIDs(id)
 	}
 	return contract.Answer{}, fault.Unavailable.New("every entry VM that was asked stops")
 }
