--- a/command/entry.go
+++ b/command/entry.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"log/slog"
 	"net"
@@ -42,23 +41,36 @@
 	if err != nil {
 		return err
 	}
-	o, err := entryOptions(settings)
+	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, os.Interrupt)
+	defer stop()
+	for ctx.Err() == nil {
+		if err := serveEntry(ctx, &settings); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// serveEntry runs one incarnation, until the process is told to stop or the other entry VMs count the incarnation as
+// gone, after a long pause or a partition. The next one binds the same addresses.
+func serveEntry(ctx context.Context, settings *config.Entry) error {
+	o, err := entryOptions(*settings)
 	if err != nil {
 		return err
 	}
+	settings.Listen.Callers, settings.Listen.Peers = o.Callers.Addr().String(), o.Peers.Addr().String()
 	d, err := entry.New(o)
 	if err != nil {
 		return err
 	}
-	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, os.Interrupt)
-	defer stop()
 	if err := d.Start(); err != nil {
 		return err
 	}
 	select {
 	case <-ctx.Done():
 	case <-d.Lost():
-		return errors.New("the other entry VMs count this process as gone; start it anew")
+		d.Kill()
+		return nil
 	}
 	drain, cancel := context.WithTimeout(context.Background(), drainTimeout)
 	defer cancel()
--- a/entry/fence.go
+++ b/entry/fence.go
@@ -59,7 +59,7 @@
 func (d *Daemon) refusedBy(vm string) { d.fence("entry VM " + vm + " counts this one as gone") }
 
 // fence ends the service of an incarnation that others count as gone. Its jobs are answered as lost by everybody, itself
-// included; the process has to be started anew.
+// included, and the process has to go on under a new incarnation.
 func (d *Daemon) fence(reason string) {
 	if d.fenced.Swap(true) {
 		return
@@ -69,7 +69,7 @@
 	close(d.lost)
 }
 
-// Lost is closed when the other members count this incarnation as gone. The process has to end and start anew.
+// Lost is closed when the other members count this incarnation as gone. The caller kills the daemon and starts another.
 func (d *Daemon) Lost() <-chan struct{} { return d.lost }
 
 // onCheck counts the checks of invariants and reports violations.
