link: round the start-by time down, and end starts with their context

Cause: a start-by time of a fraction of a millisecond before the worker's own start was cut to zero, which the worker accepted; a start that waited for its reply did not end with its context. Change: round down; close the connection when the context ends.

--- a/link/worker.go
+++ b/link/worker.go
@@ -48,7 +48,6 @@
 	status *client.Client
 	fences *client.Client
 	clock  *timeline.Clock
-	closed sync.Once
 
 	mu    sync.RWMutex
 	links map[machine.WorkerID]*workerLink
@@ -107,15 +106,6 @@
 	delete(l.links, id)
 }
 
-// abandonAll puts all starts in doubt, so that nothing waits for a reply when the process ends.
-func (l *Workers) abandonAll() {
-	l.mu.RLock()
-	defer l.mu.RUnlock()
-	for _, w := range l.links {
-		w.abandonAll()
-	}
-}
-
 // Start implements dispatch.Starter.
 func (l *Workers) Start(ctx context.Context, r dispatch.StartRequest) (dispatch.StartReply, error) {
 	w, ok := l.fleet.Get(r.Worker)
@@ -136,19 +126,21 @@
 	req.Header.Set(HeaderKind, r.Ticket.Kind)
 	req.Header.Set(HeaderHome, l.home.String())
 	req.Header.Set(HeaderEpoch, strconv.FormatUint(r.Epoch, 10))
-	req.Header.Set(HeaderStartBy, strconv.FormatInt(clock.Milliseconds(), 10))
+	req.Header.Set(HeaderStartBy, strconv.FormatInt(floorMS(clock), 10))
 	req.Header.Set(HeaderLease, strconv.FormatInt(r.Lease.Milliseconds(), 10))
 	req.Header.Set(HeaderIncarnation, r.Incarnation.String())
 	l.sendTime(req)
 	req.SetBodyRaw(r.Ticket.Payload)
 	req.SetOptions(config.WithRequestTimeout(r.Lease + replyMargin))
-	l.closed.Do(func() { context.AfterFunc(ctx, l.abandonAll) })
 	link := l.link(r.Worker)
 	f := link.begin(r.Ticket.Task, address, time.Now())
 	if f == nil {
 		return dispatch.StartReply{}, classify(herrors.ErrNoFreeConns, r)
 	}
+	// The client does not watch the context while it waits for the reply.
+	stop := context.AfterFunc(ctx, f.conn.abandon)
 	err := f.conn.host.Do(ctx, req, resp)
+	stop()
 	link.end(r.Ticket.Task, f, address)
 	if err != nil {
 		return dispatch.StartReply{}, classify(err, r)
@@ -157,6 +149,15 @@
 	return readReply(resp, r)
 }
 
+// floorMS rounds down also below zero, so that a start-by time before the worker's own start stays before it.
+func floorMS(t time.Duration) int64 {
+	ms := t.Milliseconds()
+	if t < time.Duration(ms)*time.Millisecond {
+		ms--
+	}
+	return ms
+}
+
 // classify tells errors before the first byte was written from those after it. Only two prove that nothing was written:
 // no connection was free, or none could be opened. Every other error of the client is in doubt, including the end of an
 // idle connection that the worker closed, which shows only after the start was written, and a timeout before writing,
--- a/link/worker_test.go
+++ b/link/worker_test.go
@@ -251,7 +251,7 @@
 	r := s.request(1)
 	r.StartBy = time.Now().Add(-time.Millisecond)
 	_, err := s.links.Start(t.Context(), r)
-	require.True(t, fault.IsProvenNotStarted(err))
+	require.True(t, fault.IsProvenNotStarted(err), "%v", err)
 	require.Contains(t, err.Error(), link.RejectLate)
 	require.Zero(t, s.starts.Load())
 }
--- a/link/workerlink.go
+++ b/link/workerlink.go
@@ -147,12 +147,3 @@
 		}
 	}
 }
-
-// abandonAll is abandon for all starts that wait.
-func (l *workerLink) abandonAll() {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	for _, f := range l.inFlight {
-		f.conn.abandon()
-	}
-}
