--- a/entry/peers.go
+++ b/entry/peers.go
@@ -91,7 +91,7 @@
 	l := link.NewPeer(id, v.PeerAddress, link.PeerOptions{
 		Self: link.Identity{VM: o.VM, Domain: uint32(o.Domain)}, Dial: o.DialPeer, Lamport: p.d.clock.Tick, Now: o.Now,
 		Logger: o.Logger, Metrics: o.Metrics, Timeline: p.d.timeline,
-		Acked: p.d.lease.Acknowledged, Replaced: p.replaced,
+		Sent: p.d.lease.Sent, Acked: p.d.lease.Acknowledged, Replaced: p.replaced,
 		Refused: p.d.refusedBy,
 	})
 	p.links[id] = l
@@ -146,15 +146,15 @@
 }
 
 // heartbeat sends to all VMs with an open link, which keeps the links to other failure domains from counting as idle.
-func (p *peers) heartbeat(msg *api.PeerMessage) {
+func (p *peers) heartbeat(own, foreign *api.PeerMessage) {
 	p.mu.Lock()
-	links := make([]*link.Peer, 0, len(p.links))
-	for _, l := range p.links {
-		links = append(links, l)
-	}
-	p.mu.Unlock()
-	for _, l := range links {
-		l.Send(msg)
+	defer p.mu.Unlock()
+	for id, l := range p.links {
+		if p.domains[id] == p.d.o.Domain {
+			l.Send(own)
+		} else {
+			l.Send(foreign)
+		}
 	}
 }
 
