slots: measure allocation in a simulated failure domain and ask for no task twice

Cause: the demand used for a new division was up to a tick old, and a demand moved while its grant was under way. Change: divide the lane's demand of the moment; leave a demand where an answer is due; hold idle slots of scarce granters no longer. The test cluster runs entry VMs on virtual time with 0.5 ms round trips.

--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -91,7 +91,8 @@
 		return
 	}
 	d.lanes[s.Name()] = NewLane(s, customer.NewQueue(weights), LaneOptions{
-		Speed: d.workerSpeed, Granter: d.o.Broker.Granter, Self: d.o.Self, Placement: d.o.Placement,
+		Speed: d.workerSpeed, Granter: d.o.Broker.Granter, Scarce: d.o.Broker.Scarce, Self: d.o.Self,
+		Placement: d.o.Placement,
 	})
 }
 
--- a/dispatch/lane.go
+++ b/dispatch/lane.go
@@ -13,9 +13,11 @@
 )
 
 const (
-	// idleLinger is how long an idle slot of another VM's worker waits for new work before it is returned, unless its
-	// granter recalls it: returning and granting it again costs more messages than a recall.
+	// idleLinger is how long an idle slot of another VM's worker waits for new work before it is returned, while its
+	// granter has others free: returning and granting it again costs messages.
 	idleLinger = 50 * time.Millisecond
+	// idleAlong is the idle time after which a slot is returned along with others to the same granter.
+	idleAlong = 15 * time.Millisecond
 	// startMargin is the least remaining time of a grant with which a start is still sent.
 	startMargin = 200 * time.Millisecond
 	// recallValid is how long a recall applies to the slots that become free.
@@ -41,6 +43,8 @@
 	Speed func(machine.WorkerID) float64
 	// Granter returns the entry VM that grants the slots of a worker.
 	Granter func(machine.WorkerID) string
+	// Scarce reports whether a granter is known to have hardly any free slots, so that idle ones must not linger.
+	Scarce func(service, granter string) bool
 	// Self is this entry VM.
 	Self string
 	// Placement chooses workers without grants; nil selects the default policy.
@@ -201,9 +205,7 @@
 		return plan
 	}
 	if l.holdings.Idle() > 0 {
-		plan.Returns = append(plan.Returns, l.returns(l.holdings.DropIdle(func(s contract.Slot) bool {
-			return now.Sub(s.IdleSince) >= idleLinger || !l.usable(s, now)
-		}))...)
+		plan.Returns = append(plan.Returns, l.lingered(now)...)
 	}
 	if d := l.demand(now); d.Short+d.Long > 0 || d.Short != l.stated.Short || d.Long != l.stated.Long {
 		plan.Demand = l.state(d)
@@ -211,6 +213,25 @@
 	return plan
 }
 
+// lingered returns the slots that have been idle for long, with others of the same granters to save messages. It
+// expects l.mu to be held.
+func (l *Lane) lingered(now time.Time) []contract.SlotReturn {
+	granters := make(map[string]bool)
+	out := l.returns(l.holdings.DropIdle(func(s contract.Slot) bool {
+		if now.Sub(s.IdleSince) >= idleLinger || !l.usable(s, now) {
+			granters[l.o.Granter(s.Worker)] = true
+			return true
+		}
+		return false
+	}))
+	if len(granters) == 0 {
+		return nil
+	}
+	return append(out, l.returns(l.holdings.DropIdle(func(s contract.Slot) bool {
+		return now.Sub(s.IdleSince) >= idleAlong && granters[l.o.Granter(s.Worker)]
+	}))...)
+}
+
 // usable reports whether the grant of a slot lasts long enough for a start.
 func (l *Lane) usable(s contract.Slot, now time.Time) bool {
 	return now.Add(startMargin).Before(l.holdings.Expires(s))
@@ -313,13 +334,17 @@
 	}
 }
 
-// settle states a demand that has grown or ended, and returns own slots that nothing waits for. Smaller changes are
-// left to the tick. It expects l.mu to be held.
+// settle states a demand that has grown or ended, and returns slots that nothing waits for: own ones, which need no
+// message, and those of granters that have hardly any left. Smaller changes of the demand are left to the tick. It expects l.mu to be held.
 func (l *Lane) settle(plan *Plan, depth customer.Depth, now time.Time) {
 	if l.holdings.Idle() > 0 && depth.Short == 0 {
 		plan.Returns = append(plan.Returns, l.returns(l.holdings.DropIdle(func(s contract.Slot) bool {
 			// Long work may wait for slots that count against its share, which only the granter can give.
-			return (depth.Long > 0 && !s.Long) || l.o.Granter(s.Worker) == l.o.Self
+			if depth.Long > 0 && !s.Long {
+				return true
+			}
+			granter := l.o.Granter(s.Worker)
+			return granter == l.o.Self || l.o.Scarce(l.service.Name(), granter)
 		}))...)
 	}
 	d := l.demand(now)
@@ -341,6 +366,13 @@
 	return d
 }
 
+// Demand returns the demand as it is now.
+func (l *Lane) Demand(now time.Time) contract.SlotDemand {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return *l.state(l.demand(now))
+}
+
 // state expects l.mu to be held.
 func (l *Lane) state(d contract.SlotDemand) *contract.SlotDemand {
 	d.Version = l.stated.Version + 1
--- /dev/null
+++ b/entry/cluster_test.go
@@ -0,0 +1,475 @@
+package entry
+
+import (
+	"context"
+	"encoding/binary"
+	"fmt"
+	"io"
+	"log/slog"
+	"math/rand/v2"
+	"net"
+	"os"
+	"sort"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+	"github.com/stretchr/testify/require"
+
+	"github.com/cicadadale/cicadadale/backend"
+	"github.com/cicadadale/cicadadale/contract"
+	"github.com/cicadadale/cicadadale/dispatch"
+	"github.com/cicadadale/cicadadale/fault"
+	"github.com/cicadadale/cicadadale/link"
+	"github.com/cicadadale/cicadadale/machine"
+	"github.com/cicadadale/cicadadale/metric"
+	"github.com/cicadadale/cicadadale/platform"
+	"github.com/cicadadale/cicadadale/zone"
+)
+
+const (
+	testService = "test.v1.Work"
+	shortKind   = "Short"
+	longKind    = "Long"
+	// oneWay is the delay of a message between entry VMs of a failure domain.
+	oneWay = 250 * time.Microsecond
+)
+
+// testNetwork connects entry VMs in memory, with a delay, inside a synctest bubble.
+type testNetwork struct {
+	mu        sync.Mutex
+	listeners map[string]*testListener
+	cut       func(from, to string) bool
+}
+
+type testListener struct {
+	address string
+	conns   chan net.Conn
+	closed  chan struct{}
+	once    sync.Once
+}
+
+func (l *testListener) Accept() (net.Conn, error) {
+	select {
+	case c := <-l.conns:
+		return c, nil
+	case <-l.closed:
+		return nil, net.ErrClosed
+	}
+}
+
+func (l *testListener) Close() error   { l.once.Do(func() { close(l.closed) }); return nil }
+func (l *testListener) Addr() net.Addr { return testAddr(l.address) }
+
+type testAddr string
+
+func (a testAddr) Network() string { return "test" }
+func (a testAddr) String() string  { return string(a) }
+
+func (n *testNetwork) listen(address string) *testListener {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	l := &testListener{address: address, conns: make(chan net.Conn), closed: make(chan struct{})}
+	n.listeners[address] = l
+	return l
+}
+
+func (n *testNetwork) severed(from, to string) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.cut != nil && n.cut(from, to)
+}
+
+func (n *testNetwork) dial(ctx context.Context, from, to string) (net.Conn, error) {
+	n.mu.Lock()
+	l := n.listeners[to]
+	n.mu.Unlock()
+	if l == nil || n.severed(from, to) {
+		return nil, net.ErrClosed
+	}
+	cut := func() bool { return n.severed(from, to) }
+	there, back := newTestPipe(cut), newTestPipe(cut)
+	select {
+	case l.conns <- &testConn{in: there, out: back, address: testAddr(from)}:
+		return &testConn{in: back, out: there, address: testAddr(to)}, nil
+	case <-l.closed:
+		return nil, net.ErrClosed
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+}
+
+// testPipe is one direction of a connection.
+type testPipe struct {
+	mu     sync.Mutex
+	wake   chan struct{}
+	chunks []testChunk
+	closed bool
+	cut    func() bool
+}
+
+type testChunk struct {
+	data []byte
+	at   time.Time
+}
+
+func newTestPipe(cut func() bool) *testPipe {
+	return &testPipe{wake: make(chan struct{}, 1), cut: cut}
+}
+
+func (p *testPipe) signal() {
+	select {
+	case p.wake <- struct{}{}:
+	default:
+	}
+}
+
+func (p *testPipe) write(b []byte) (int, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.closed {
+		return 0, net.ErrClosed
+	}
+	if !p.cut() {
+		p.chunks = append(p.chunks, testChunk{data: append([]byte(nil), b...), at: time.Now().Add(oneWay)})
+		p.signal()
+	}
+	return len(b), nil
+}
+
+func (p *testPipe) read(b []byte) (int, error) {
+	for {
+		p.mu.Lock()
+		if len(p.chunks) > 0 {
+			c := &p.chunks[0]
+			if delay := time.Until(c.at); delay > 0 {
+				p.mu.Unlock()
+				time.Sleep(delay)
+				continue
+			}
+			n := copy(b, c.data)
+			c.data = c.data[n:]
+			if len(c.data) == 0 {
+				p.chunks = p.chunks[1:]
+			}
+			p.mu.Unlock()
+			return n, nil
+		}
+		closed := p.closed
+		p.mu.Unlock()
+		if closed {
+			p.signal()
+			return 0, io.EOF
+		}
+		<-p.wake
+	}
+}
+
+func (p *testPipe) close() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.closed = true
+	p.signal()
+}
+
+type testConn struct {
+	in, out *testPipe
+	address testAddr
+}
+
+func (c *testConn) Read(b []byte) (int, error)       { return c.in.read(b) }
+func (c *testConn) Write(b []byte) (int, error)      { return c.out.write(b) }
+func (c *testConn) Close() error                     { c.in.close(); c.out.close(); return nil }
+func (c *testConn) LocalAddr() net.Addr              { return c.address }
+func (c *testConn) RemoteAddr() net.Addr             { return c.address }
+func (c *testConn) SetDeadline(time.Time) error      { return nil }
+func (c *testConn) SetReadDeadline(time.Time) error  { return nil }
+func (c *testConn) SetWriteDeadline(time.Time) error { return nil }
+
+// testWorkers stand for all workers: a start beyond a worker's slots is rejected.
+type testWorkers struct {
+	cluster *testCluster
+
+	mu       sync.Mutex
+	busy     map[machine.WorkerID]int
+	long     map[machine.WorkerID]int
+	maxLong  map[machine.WorkerID]int
+	busyTime time.Duration
+	waits    map[string][]time.Duration // by home
+	longWait []time.Duration
+	started  map[contract.TaskID]int
+}
+
+// payload tells a stand-in worker how long a task runs and when it was submitted.
+func payload(run time.Duration, submitted time.Time) []byte {
+	b := binary.BigEndian.AppendUint64(nil, uint64(run))
+	return binary.BigEndian.AppendUint64(b, uint64(submitted.UnixNano()))
+}
+
+// testHome starts the tasks of one home.
+type testHome struct {
+	workers *testWorkers
+	vm      string
+}
+
+func (h testHome) Start(ctx context.Context, r dispatch.StartRequest) (dispatch.StartReply, error) {
+	w := h.workers
+	run := time.Duration(binary.BigEndian.Uint64(r.Ticket.Payload))
+	submitted := time.Unix(0, int64(binary.BigEndian.Uint64(r.Ticket.Payload[8:])))
+	time.Sleep(oneWay)
+	w.mu.Lock()
+	if w.busy[r.Worker] >= w.cluster.slots {
+		w.mu.Unlock()
+		return dispatch.StartReply{}, fault.With(fault.NotStarted, dispatch.ReasonWorkerFull, "full")
+	}
+	w.busy[r.Worker]++
+	w.started[r.Ticket.Task]++
+	waited := time.Since(submitted) - oneWay
+	if r.Ticket.Kind == longKind {
+		w.long[r.Worker]++
+		w.maxLong[r.Worker] = max(w.maxLong[r.Worker], w.long[r.Worker])
+		w.longWait = append(w.longWait, waited)
+	} else {
+		w.waits[h.vm] = append(w.waits[h.vm], waited)
+	}
+	w.mu.Unlock()
+	run = time.Duration(float64(run) / w.cluster.speed(r.Worker))
+	select {
+	case <-time.After(run):
+	case <-ctx.Done():
+	}
+	w.mu.Lock()
+	w.busy[r.Worker]--
+	if r.Ticket.Kind == longKind {
+		w.long[r.Worker]--
+	}
+	w.busyTime += run
+	w.mu.Unlock()
+	time.Sleep(oneWay)
+	return dispatch.StartReply{Outcome: contract.OutcomeDone, RunTime: run}, nil
+}
+
+func (h testHome) Resolve(context.Context, dispatch.StartRequest) (dispatch.StartReply, error) {
+	return dispatch.StartReply{}, fault.Unavailable.New("not asked in this test")
+}
+
+// testCluster is a failure domain of entry VMs without callers' front ends and HTTP.
+type testCluster struct {
+	t       testing.TB
+	net     *testNetwork
+	workers *testWorkers
+	slots   int
+	speeds  map[machine.WorkerID]float64
+	specs   []machine.WorkerSpec
+	vms     []platform.VM
+	members map[string]*testMember
+	policy  dispatch.Policy
+}
+
+type testMember struct {
+	*Daemon
+	cancel  context.CancelFunc
+	server  *link.PeerServer
+	metrics metrics.Registry
+}
+
+func newTestCluster(t testing.TB, policy dispatch.Policy, vms, workers, slots int) *testCluster {
+	c := &testCluster{
+		t: t, net: &testNetwork{listeners: make(map[string]*testListener)}, slots: slots, policy: policy,
+		speeds: make(map[machine.WorkerID]float64), members: make(map[string]*testMember),
+	}
+	c.workers = &testWorkers{
+		cluster: c, busy: make(map[machine.WorkerID]int), long: make(map[machine.WorkerID]int),
+		maxLong: make(map[machine.WorkerID]int), waits: make(map[string][]time.Duration),
+		started: make(map[contract.TaskID]int),
+	}
+	for i := range workers {
+		c.specs = append(c.specs, machine.WorkerSpec{
+			ID: machine.WorkerID(fmt.Sprintf("worker-%d", i)), Service: testService, Slots: slots,
+		})
+	}
+	for i := range vms {
+		id := fmt.Sprintf("entry-%d", i)
+		c.vms = append(c.vms, platform.VM{ID: id, Kind: platform.KindEntry, Domain: 1, PeerAddress: id})
+	}
+	for i := range vms {
+		c.start(c.vms[i].ID)
+	}
+	// The members hear each other and take their workers over.
+	time.Sleep(2 * time.Second)
+	return c
+}
+
+func (c *testCluster) speed(w machine.WorkerID) float64 {
+	if v, ok := c.speeds[w]; ok {
+		return v
+	}
+	return 1
+}
+
+// start runs a new process on an entry VM.
+func (c *testCluster) start(id string) *testMember {
+	inc := machine.NewIncarnation()
+	m := &testMember{metrics: metrics.NewRegistry()}
+	d := &Daemon{
+		o: Options{
+			VM: machine.EntryVM{ID: id, PeerAddress: id, Incarnation: inc}, Domain: 1, Policy: c.policy, Now: time.Now,
+			Logger:  slog.New(slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{Level: slog.LevelError})),
+			Metrics: m.metrics,
+			DialPeer: func(ctx context.Context, address string) (net.Conn, error) {
+				return c.net.dial(ctx, id, address)
+			},
+		},
+		fleet: machine.NewFleet(), domain: zone.NewFailureDomain(1, id), table: contract.NewJobTable(1, inc),
+	}
+	m.Daemon = d
+	d.peers = newPeers(d)
+	d.slots = newSlotDirectory(d)
+	d.dispatcher = dispatch.New(dispatch.Options{
+		Table: d.table, Starter: testHome{workers: c.workers, vm: id}, Broker: d.slots, Self: id,
+		Placement: d.slots.placement, Fleet: d.fleet, Now: time.Now, Logger: d.o.Logger, Metrics: m.metrics,
+	})
+	d.dispatcher.AddService(backend.NewService(testService, []backend.KindSpec{
+		{Name: shortKind, Expected: 100 * time.Millisecond, Deadline: time.Minute},
+		{Name: longKind, Expected: 5 * time.Second, Class: backend.ClassLong, Deadline: time.Minute},
+	}), nil)
+	server, err := link.ServePeers(c.net.listen(id), d.receive)
+	require.NoError(c.t, err)
+	m.server = server
+	d.peers.applyList(c.vms)
+	d.domain.ApplyList(platform.EntryListings(c.vms), time.Now())
+	d.applyWorkers(c.specs)
+	ctx, cancel := context.WithCancel(context.Background())
+	m.cancel = cancel
+	poll := func() {
+		for _, w := range d.fleet.All() {
+			w.ObserveStatus(1, 0, time.Now())
+			c.workers.mu.Lock()
+			w.ObserveBusy(c.workers.busy[w.Spec().ID])
+			c.workers.mu.Unlock()
+		}
+		d.slots.reassign()
+	}
+	poll()
+	d.loop(ctx, heartbeatInterval, d.heartbeat)
+	d.loop(ctx, statusInterval, poll)
+	d.startSlots(ctx)
+	c.members[id] = m
+	return m
+}
+
+// stop ends the process on an entry VM without any notice.
+func (c *testCluster) stop(id string) {
+	m := c.members[id]
+	delete(c.members, id)
+	m.cancel()
+	m.loops.Wait()
+	m.peers.close()
+	m.server.Close()
+	m.dispatcher.Close()
+}
+
+func (c *testCluster) close() {
+	for id := range c.members {
+		c.stop(id)
+	}
+}
+
+// submit queues one job.
+func (c *testCluster) submit(id, kind string, runs ...time.Duration) {
+	m := c.members[id]
+	spec := contract.JobSpec{ID: m.table.Mint(1)[0], Service: testService, Customer: "customer"}
+	for _, run := range runs {
+		spec.Tasks = append(spec.Tasks, contract.TaskSpec{Kind: kind, Payload: payload(run, time.Now())})
+	}
+	require.NoError(c.t, m.dispatcher.Submit(spec))
+}
+
+// offer submits jobs of short tasks with exponential gaps and run times of 50 to 150 ms until the time is over. load
+// is the rate of tasks by their mean run time, in slots.
+func (c *testCluster) offer(id string, load float64, tasks int, during time.Duration, seed uint64) {
+	random := rand.New(rand.NewPCG(seed, 1))
+	gap := 0.1 * float64(tasks) / load
+	end := time.Now().Add(during)
+	for {
+		time.Sleep(time.Duration(random.ExpFloat64() * gap * float64(time.Second)))
+		if time.Now().After(end) {
+			return
+		}
+		runs := make([]time.Duration, tasks)
+		for i := range runs {
+			runs[i] = 50*time.Millisecond + time.Duration(random.IntN(int(100*time.Millisecond)))
+		}
+		c.submit(id, shortKind, runs...)
+	}
+}
+
+func (c *testCluster) count(name string) int64 {
+	var n int64
+	for _, m := range c.members {
+		n += metrics.GetOrRegisterCounter(name, m.metrics).Count()
+	}
+	return n
+}
+
+// summary are the figures of a run.
+type summary struct {
+	tasks           int64
+	wasted          float64
+	bytesPerSecond  float64
+	busy            float64
+	p50, p99, worst time.Duration
+	byHome          map[string]time.Duration // mean waits
+}
+
+func (c *testCluster) summarise(during time.Duration) summary {
+	c.workers.mu.Lock()
+	defer c.workers.mu.Unlock()
+	s := summary{byHome: make(map[string]time.Duration)}
+	for _, waits := range c.workers.waits {
+		s.tasks += int64(len(waits))
+	}
+	s.tasks += int64(len(c.workers.longWait))
+	s.wasted = float64(c.count(metric.StartsRejected)+c.count(metric.GrantsUnused)) / float64(max(1, s.tasks))
+	s.bytesPerSecond = float64(c.count(metric.PeerBytesSent)) / float64(len(c.members)) / during.Seconds()
+	s.busy = c.workers.busyTime.Seconds() / during.Seconds() / float64(c.slots*len(c.specs))
+	var all []time.Duration
+	for id, waits := range c.workers.waits {
+		var sum time.Duration
+		for _, w := range waits {
+			sum += w
+		}
+		s.byHome[id] = sum / time.Duration(max(1, len(waits)))
+		all = append(all, waits...)
+	}
+	sort.Slice(all, func(i, j int) bool { return all[i] < all[j] })
+	if n := len(all); n > 0 {
+		s.p50, s.p99, s.worst = all[n/2], all[n*99/100], all[n-1]
+	}
+	return s
+}
+
+// messages counts the messages of slot allocation for a log line.
+func (c *testCluster) messages() map[string]int64 {
+	counts := make(map[string]int64)
+	for _, name := range []string{
+		metric.DemandsSent, metric.GrantsIssued, metric.GrantsUnused, metric.ReturnsSent, metric.RecallsSent,
+		metric.PeerEnvelopesSent, metric.PeerMessagesSent, metric.PeerBytesSent, metric.StartsRejected,
+		metric.InvariantChecks, metric.InvariantViolations,
+	} {
+		counts[name] = c.count(name)
+	}
+	return counts
+}
+
+func (s summary) String() string {
+	return fmt.Sprintf("tasks %d, wasted/task %.4f, bytes/s %.0f, busy %.3f, wait p50 %v p99 %v max %v, mean by home %v",
+		s.tasks, s.wasted, s.bytesPerSecond, s.busy, s.p50, s.p99, s.worst, s.byHome)
+}
+
+func inBubble(t *testing.T, run func(t *testing.T)) {
+	t.Helper()
+	synctest.Test(t, run)
+}
--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -125,15 +125,20 @@
 	d.loop(ctx, heartbeatInterval, func() { d.heartbeat() })
 	d.loop(ctx, listInterval, func() { d.refreshList(ctx) })
 	d.loop(ctx, statusInterval, func() { d.pollWorkers(ctx) })
+	d.startSlots(ctx)
+	d.loop(ctx, expiryInterval, func() { d.table.Expire(d.o.Now()) })
+	d.o.Logger.Info("entry daemon started", "vm", d.o.VM.ID, "incarnation", d.o.VM.Incarnation.String(),
+		"callers", d.o.Callers.Addr().String())
+	return nil
+}
+
+// startSlots runs the housekeeping of lanes and granters.
+func (d *Daemon) startSlots(ctx context.Context) {
 	d.loop(ctx, laneInterval, d.dispatcher.Tick)
 	if d.slots.placement == nil {
 		d.loop(ctx, slotInterval, d.slots.tick)
 		d.loop(ctx, renewInterval, d.slots.renew)
 	}
-	d.loop(ctx, expiryInterval, func() { d.table.Expire(d.o.Now()) })
-	d.o.Logger.Info("entry daemon started", "vm", d.o.VM.ID, "incarnation", d.o.VM.Incarnation.String(),
-		"callers", d.o.Callers.Addr().String())
-	return nil
 }
 
 func (d *Daemon) loop(ctx context.Context, every time.Duration, fn func()) {
--- a/entry/slotmessages.go
+++ b/entry/slotmessages.go
@@ -52,9 +52,14 @@
 	if m.GetFree() == 0 {
 		return
 	}
+	l, ok := s.d.dispatcher.Lane(st.name)
+	if !ok {
+		return
+	}
 	st.mu.Lock()
 	var own []zone.Allocation
 	if st.need.Short+st.need.Long > 0 {
+		st.need = l.Demand(now)
 		own = s.ask(st, now)
 	}
 	st.mu.Unlock()
--- a/entry/slots.go
+++ b/entry/slots.go
@@ -107,6 +107,11 @@
 	return (*s.assignment.Load())[w]
 }
 
+// Scarce implements dispatch.SlotBroker.
+func (s *slotDirectory) Scarce(service, granter string) bool {
+	return s.service(service).asker.Scarce(granter, s.d.o.Now())
+}
+
 // reassign takes over the workers whose granter this VM is now, and drops the others.
 func (s *slotDirectory) reassign() {
 	workers := s.d.fleet.All()
--- a/zone/asker.go
+++ b/zone/asker.go
@@ -12,6 +12,12 @@
 	// refreshDemand is the time after which an unmet demand is stated again, so that granters compare recent waits
 	// and a lost message costs little.
 	refreshDemand = 200 * time.Millisecond
+	// answerTime is the time within which a granter with free slots answers a demand.
+	answerTime = 10 * time.Millisecond
+	// withdrawInterval spaces the reductions of a demand: a grant that comes too late is a wasted message.
+	withdrawInterval = 5 * time.Millisecond
+	// scarceShare is the share of a granter's slots below which its free ones count as scarce.
+	scarceShare = 1.0 / 16
 	// reaskInterval spaces changes of a demand that no granter is known to be able to serve.
 	reaskInterval = 50 * time.Millisecond
 )
@@ -81,6 +87,14 @@
 	}
 }
 
+// Scarce reports whether a granter is known to have hardly any free slots.
+func (a *Asker) Scarce(granter string, now time.Time) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	g, ok := a.granters[granter]
+	return ok && now.Sub(g.freeAt) <= hintTTL && float64(g.free) < scarceShare*float64(g.slots)
+}
+
 // Granted records a grant.
 func (a *Asker) Granted(granter string, c Count, number uint64) {
 	a.mu.Lock()
@@ -121,14 +135,19 @@
 	order := a.order(now)
 	target := make([]Count, len(order))
 	left := need
+	a.keep(order, target, &left, func(g *askedGranter) bool {
+		return now.Sub(g.askedAt) < answerTime && g.hint(now) > 0
+	})
 	for i, g := range order {
-		t := Count{Short: min(left.Short, g.hint(now))}
-		t.Long = min(left.Long, g.hint(now)-t.Short)
-		left.Short -= t.Short
-		left.Long -= t.Long
-		target[i] = t
+		free := max(0, g.hint(now)-target[i].Sum())
+		s := min(left.Short, free)
+		l := min(left.Long, free-s)
+		target[i].Short += s
+		target[i].Long += l
+		left.Short -= s
+		left.Long -= l
 	}
-	a.keep(order, target, &left)
+	a.keep(order, target, &left, func(*askedGranter) bool { return true })
 	spread(order, target, left)
 	var asks []Ask
 	for i, g := range order {
@@ -180,12 +199,12 @@
 	return g.free
 }
 
-// keep leaves the part of the demand that no granter is known to serve at once where it has been stated before, so
-// that it needs no message.
-func (a *Asker) keep(order []*askedGranter, target []Count, left *Count) {
+// keep leaves the parts of the demand where they have been stated before, at the granters for which stays returns true.
+// A part that moves costs messages, and a grant for it may be under way.
+func (a *Asker) keep(order []*askedGranter, target []Count, left *Count, stays func(*askedGranter) bool) {
 	for i, g := range order {
-		if g.name == a.self {
-			// Its part is divided anew each time: left here it would grow beyond its share.
+		if g.name == a.self || !stays(g) {
+			// The own part is divided anew each time: left here it would grow beyond its share.
 			continue
 		}
 		s := min(left.Short, max(0, g.asked.Short-target[i].Short))
@@ -229,9 +248,9 @@
 	case need.Sum() == 0 || target.Sum() == 0:
 		return true
 	case target.Sum() > g.asked.Sum():
-		// More is asked at once of a granter with free slots, and of any while it has been asked nothing.
-		return g.hint(now) > 0 || g.asked.Sum() == 0 || since >= reaskInterval
+		// More is asked at once of a granter with free slots, and of any if it is much more.
+		return g.hint(now) > 0 || target.Sum() >= 2*g.asked.Sum() || since >= reaskInterval
 	default:
-		return since >= reaskInterval
+		return since >= withdrawInterval
 	}
 }
