--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -14,6 +14,7 @@
 	"github.com/cicadadale/cicadadale/fault"
 	"github.com/cicadadale/cicadadale/machine"
 	"github.com/cicadadale/cicadadale/metric"
+	"github.com/cicadadale/cicadadale/timeline"
 )
 
 const (
@@ -42,6 +43,11 @@
 	Now       func() time.Time
 	Logger    *slog.Logger
 	Metrics   metrics.Registry
+	// Timeline may be nil.
+	Timeline *timeline.Ring
+	// DistributedQuotas says that the shares of the team quotas come from elsewhere; otherwise this dispatcher holds
+	// the whole quotas.
+	DistributedQuotas bool
 }
 
 // Dispatcher is the home of jobs: it accepts them, starts their tasks and holds their answers. mu guards the map of
@@ -52,6 +58,7 @@
 	cancel   context.CancelFunc
 	running  sync.WaitGroup
 	counters counters
+	teams    *customer.Teams
 
 	mu       sync.RWMutex
 	lanes    map[string]*Lane
@@ -61,7 +68,7 @@
 type counters struct {
 	accepted, resubmitted, complete, failed, refused, cancelled   metrics.Counter
 	started, done, taskFailed, notRun, unknown, inDoubt, resolved metrics.Counter
-	rejected                                                      metrics.Counter
+	rejected, notSent                                             metrics.Counter
 }
 
 func newCounters(r metrics.Registry) counters {
@@ -71,7 +78,7 @@
 		failed: c(metric.JobsFailed), refused: c(metric.JobsRefused), cancelled: c(metric.JobsCancelled),
 		started: c(metric.TasksStarted), done: c(metric.TasksDone), taskFailed: c(metric.TasksFailed),
 		notRun: c(metric.TasksNotRun), unknown: c(metric.TasksUnknown), inDoubt: c(metric.TasksInDoubt),
-		resolved: c(metric.TasksResolved), rejected: c(metric.StartsRejected),
+		resolved: c(metric.TasksResolved), rejected: c(metric.StartsRejected), notSent: c(metric.StartsNotSent),
 	}
 }
 
@@ -80,17 +87,18 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	return &Dispatcher{
 		o: o, ctx: ctx, cancel: cancel, counters: newCounters(o.Metrics), lanes: make(map[string]*Lane),
+		teams: customer.NewTeams(o.DistributedQuotas),
 	}
 }
 
 // AddService makes a service available.
-func (d *Dispatcher) AddService(s *backend.Service, weights map[string]float64) {
+func (d *Dispatcher) AddService(s *backend.Service) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if _, ok := d.lanes[s.Name()]; ok {
 		return
 	}
-	d.lanes[s.Name()] = NewLane(s, customer.NewQueue(weights), LaneOptions{
+	d.lanes[s.Name()] = NewLane(s, customer.NewQueue(d.teams), LaneOptions{
 		Speed: d.workerSpeed, Granter: d.o.Broker.Granter, Scarce: d.o.Broker.Scarce, Self: d.o.Self,
 		Placement: d.o.Placement,
 	})
@@ -135,33 +143,39 @@
 	now := d.o.Now()
 	if _, _, err := d.o.Table.Lookup(spec.ID); err == nil {
 		d.counters.resubmitted.Inc(1)
+		d.o.Timeline.Job(timeline.JobResubmitted, spec.ID, "", len(spec.Tasks))
 		return nil
 	}
-	items, err := d.prepare(&spec, now)
+	items, err := d.admit(&spec, now)
 	if err != nil {
-		d.counters.refused.Inc(1)
-		return err
+		return d.refuse(spec.ID, err, now)
 	}
 	fresh, err := d.o.Table.Accept(spec, now)
 	if err != nil {
-		d.counters.refused.Inc(1)
-		return err
+		return d.refuse(spec.ID, err, now)
 	}
 	if !fresh {
 		d.counters.resubmitted.Inc(1)
+		d.o.Timeline.Job(timeline.JobResubmitted, spec.ID, "", len(spec.Tasks))
 		return nil
 	}
 	d.counters.accepted.Inc(1)
+	d.o.Timeline.Job(timeline.JobAccepted, spec.ID, spec.Service, len(spec.Tasks))
 	lane, _ := d.lane(spec.Service)
 	d.carryOut(lane, lane.Push(items, now))
 	return nil
 }
 
-// prepare validates a job and turns its tasks into queue items.
-func (d *Dispatcher) prepare(spec *contract.JobSpec, now time.Time) ([]customer.Item, error) {
+// admit decides on a new job and turns its tasks into queue items.
+func (d *Dispatcher) admit(spec *contract.JobSpec, now time.Time) ([]customer.Item, error) {
 	if d.Draining() {
 		return nil, fault.With(fault.Draining, "draining", "this entry VM is stopping")
 	}
+	return d.prepare(spec, now)
+}
+
+// prepare validates a job and turns its tasks into queue items.
+func (d *Dispatcher) prepare(spec *contract.JobSpec, now time.Time) ([]customer.Item, error) {
 	lane, ok := d.lane(spec.Service)
 	if !ok {
 		return nil, fault.With(fault.Invalid, "unknown service", "service %q is not configured", spec.Service)
@@ -181,7 +195,7 @@
 		items[i] = customer.Item{
 			Task: contract.TaskID{Job: spec.ID, Index: i}, Kind: kind, Class: kind.Class(),
 			Customer: spec.Customer, Team: spec.Team, Enqueued: now, Priority: spec.Priority,
-			Expected: kind.Expected(),
+			Expected: kind.Expected(), Bytes: len(t.Payload),
 		}
 	}
 	for i := range items {
@@ -235,7 +249,9 @@
 	if err != nil {
 		return err
 	}
+	d.dequeue(id)
 	d.counters.cancelled.Inc(1)
+	d.o.Timeline.Job(timeline.JobCancelled, id, "", n)
 	d.counters.notRun.Inc(int64(n))
 	return nil
 }
@@ -246,6 +262,12 @@
 	if !ok {
 		return
 	}
+	for _, g := range grants {
+		d.o.Timeline.Record(timeline.Event{
+			Kind: timeline.GrantReceived, Worker: g.Worker, Detail: service,
+			Count: int64(g.Short + g.Long),
+		})
+	}
 	d.carryOut(lane, lane.AddGrants(grants, d.o.Now()))
 }
 
@@ -266,9 +288,17 @@
 		go d.run(l, a)
 	}
 	if len(p.Returns) > 0 {
+		for _, r := range p.Returns {
+			d.o.Timeline.Record(timeline.Event{
+				Kind: timeline.GrantReturned, Worker: r.Worker, Detail: r.Service, Count: int64(r.Short + r.Long),
+			})
+		}
 		d.o.Broker.Return(p.Returns)
 	}
 	if p.Demand != nil {
+		d.o.Timeline.Record(timeline.Event{
+			Kind: timeline.DemandSent, Detail: p.Demand.Service, Count: int64(p.Demand.Short + p.Demand.Long),
+		})
 		d.o.Broker.Demand(*p.Demand)
 	}
 }
@@ -279,6 +309,7 @@
 	ticket, ok := d.o.Table.Start(a.Item.Task, string(a.Slot.Worker))
 	if !ok {
 		// The job was cancelled while the task waited.
+		d.wake(a.Item, l.queue.Returned(a.Item))
 		d.carryOut(l, l.Release(a.Slot, d.o.Now()))
 		return
 	}
@@ -287,9 +318,11 @@
 		StartBy: d.o.Now().Add(startWindow), Lease: defaultLease,
 	}
 	d.counters.started.Inc(1)
+	d.o.Timeline.Task(timeline.TaskStarted, ticket.Task, a.Slot.Worker, "")
 	reply, err := d.o.Starter.Start(d.ctx, req)
 	if err != nil && !fault.IsProvenNotStarted(err) {
 		d.counters.inDoubt.Inc(1)
+		d.o.Timeline.Task(timeline.TaskInDoubt, ticket.Task, a.Slot.Worker, "")
 		reply, err = d.resolve(req)
 	}
 	if err != nil {
@@ -297,6 +330,7 @@
 		return
 	}
 	d.finish(a, reply)
+	d.wake(a.Item, l.queue.Finished(a.Item, reply.RunTime))
 	d.carryOut(l, l.Release(a.Slot, d.o.Now()))
 }
 
@@ -307,6 +341,7 @@
 		reply, err := d.o.Starter.Resolve(d.ctx, req)
 		if err == nil || fault.IsProvenNotStarted(err) {
 			d.counters.resolved.Inc(1)
+			d.o.Timeline.Task(timeline.TaskResolved, req.Ticket.Task, req.Worker, reply.Outcome.String())
 			return reply, err
 		}
 		if d.o.Now().After(until) {
@@ -323,8 +358,13 @@
 // notStarted queues a task again whose start is proven not to have happened.
 func (d *Dispatcher) notStarted(l *Lane, a Assignment, cause error) {
 	d.counters.rejected.Inc(1)
+	if fault.Reason(cause) == fault.ReasonNotSent {
+		d.counters.notSent.Inc(1)
+	}
+	d.o.Timeline.Task(timeline.TaskRejected, a.Item.Task, a.Slot.Worker, fault.Reason(cause))
 	now := d.o.Now()
 	requeue := d.o.Table.NotStarted(a.Item.Task, now)
+	d.wake(a.Item, l.queue.Returned(a.Item))
 	d.carryOut(l, l.Reject(a.Slot, fault.Reason(cause) == ReasonWorkerFull, now))
 	if !requeue {
 		return
@@ -352,6 +392,7 @@
 	default:
 		d.counters.unknown.Inc(1)
 	}
+	d.o.Timeline.Task(outcomeKind(r.Outcome), a.Item.Task, a.Slot.Worker, r.Detail)
 	report := contract.TaskReport{
 		Outcome: r.Outcome, Detail: r.Detail, RunTime: r.RunTime, Worker: string(a.Slot.Worker),
 	}
@@ -361,8 +402,24 @@
 	}
 	if answer.Verdict == contract.VerdictComplete {
 		d.counters.complete.Inc(1)
+		d.o.Timeline.Job(timeline.JobComplete, a.Item.Task.Job, "", len(answer.Reports))
 	} else {
 		d.counters.failed.Inc(1)
+		d.o.Timeline.Job(timeline.JobFailed, a.Item.Task.Job, answer.Reason, len(answer.Reports))
+	}
+}
+
+// outcomeKind returns the kind of event for a task's final outcome.
+func outcomeKind(o contract.Outcome) timeline.Kind {
+	switch o {
+	case contract.OutcomeDone:
+		return timeline.TaskDone
+	case contract.OutcomeFailed:
+		return timeline.TaskFailed
+	case contract.OutcomeNotRun:
+		return timeline.TaskNotRun
+	default:
+		return timeline.TaskUnknown
 	}
 }
 
--- a/entry/cluster_test.go
+++ b/entry/cluster_test.go
@@ -25,6 +25,7 @@
 	"github.com/cicadadale/cicadadale/machine"
 	"github.com/cicadadale/cicadadale/metric"
 	"github.com/cicadadale/cicadadale/platform"
+	"github.com/cicadadale/cicadadale/timeline"
 	"github.com/cicadadale/cicadadale/zone"
 )
 
@@ -337,18 +338,23 @@
 			},
 		},
 		fleet: machine.NewFleet(), domain: zone.NewFailureDomain(1, id), table: contract.NewJobTable(1, inc),
+		clock: &timeline.Clock{}, homes: zone.NewHomes(), lease: zone.NewAnswerLease(), handovers: newHandOvers(),
+		serving: newGate(maxServed), lost: make(chan struct{}), started: time.Now(),
 	}
 	m.Daemon = d
+	d.closures = newClosureLog(d)
+	d.timeline = newTimeline(d.o, d.clock)
 	d.peers = newPeers(d)
 	d.slots = newSlotDirectory(d)
 	d.dispatcher = dispatch.New(dispatch.Options{
 		Table: d.table, Starter: testHome{workers: c.workers, vm: id}, Broker: d.slots, Self: id,
 		Placement: d.slots.placement, Fleet: d.fleet, Now: time.Now, Logger: d.o.Logger, Metrics: m.metrics,
+		Timeline: d.timeline,
 	})
 	d.dispatcher.AddService(backend.NewService(testService, []backend.KindSpec{
 		{Name: shortKind, Expected: 100 * time.Millisecond, Deadline: time.Minute},
 		{Name: longKind, Expected: 5 * time.Second, Class: backend.ClassLong, Deadline: time.Minute},
-	}), nil)
+	}))
 	server, err := link.ServePeers(c.net.listen(id), d.receive)
 	require.NoError(c.t, err)
 	m.server = server
--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -17,6 +17,7 @@
 	"github.com/cicadadale/cicadadale/machine"
 	"github.com/cicadadale/cicadadale/platform"
 	"github.com/cicadadale/cicadadale/rpc"
+	"github.com/cicadadale/cicadadale/timeline"
 	"github.com/cicadadale/cicadadale/zone"
 )
 
@@ -31,21 +32,27 @@
 // Options are the settings and parts of a daemon. The caller opens the listeners, so that addresses are known
 // before the daemon starts.
 type Options struct {
-	VM          machine.EntryVM
-	Domain      zone.DomainID
-	Region      zone.RegionID
-	Services    []*backend.Service
-	Log         platform.Log
-	List        platform.VMList
-	Callers     net.Listener
-	Peers       net.Listener
+	VM       machine.EntryVM
+	Domain   zone.DomainID
+	Region   zone.RegionID
+	Services []*backend.Service
+	Log      platform.Log
+	List     platform.VMList
+	Callers  net.Listener
+	Peers    net.Listener
+	// Admin serves operators; nil serves none.
+	Admin       net.Listener
 	DialPeer    func(ctx context.Context, address string) (net.Conn, error)
 	Connections int
+	// Events is the size of the timeline's ring; 0 takes the default, a negative number records nothing.
+	Events int
 	// Policy selects how workers are chosen; empty selects the default.
 	Policy  dispatch.Policy
 	Now     func() time.Time
 	Logger  *slog.Logger
 	Metrics metrics.Registry
+	// OnViolation is told of violated invariants; tests panic.
+	OnViolation func(invariant string)
 }
 
 // Daemon is the process that runs on an entry VM.
@@ -58,10 +65,23 @@
 	dispatcher *dispatch.Dispatcher
 	peers      *peers
 	slots      *slotDirectory
-	lamport    atomic.Uint64
+	clock      *timeline.Clock
+	timeline   *timeline.Ring
+
+	homes     *zone.Homes
+	lease     *zone.AnswerLease
+	handovers *handOvers
+	closures  *closureLog
+	serving   *gate
+	lapse     lapse
+	wasListed atomic.Bool
+	fenced    atomic.Bool
+	lost      chan struct{}
+	started   time.Time
 
 	peerServer *link.PeerServer
 	rpcServer  *rpc.Server
+	operators  operators
 	cancel     context.CancelFunc
 	loops      sync.WaitGroup
 }
@@ -90,9 +110,14 @@
 	o.Policy = policy
 	d := &Daemon{
 		o: o, fleet: machine.NewFleet(), domain: zone.NewFailureDomain(o.Domain, o.VM.ID),
-		table: contract.NewJobTable(o.Domain, o.VM.Incarnation),
+		table: contract.NewJobTable(o.Domain, o.VM.Incarnation), clock: &timeline.Clock{},
+		homes: zone.NewHomes(), lease: zone.NewAnswerLease(), handovers: newHandOvers(), serving: newGate(maxServed),
+		lost: make(chan struct{}), started: o.Now(),
 	}
-	workers, err := link.NewWorkers(d.fleet, o.VM.Incarnation, o.Connections)
+	d.closures = newClosureLog(d)
+	d.table.OnCheck(d.onCheck)
+	d.timeline = newTimeline(o, d.clock)
+	workers, err := link.NewWorkers(d.fleet, o.VM.Incarnation, o.Connections, d.clock)
 	if err != nil {
 		return nil, err
 	}
@@ -101,10 +126,10 @@
 	d.slots = newSlotDirectory(d)
 	d.dispatcher = dispatch.New(dispatch.Options{
 		Table: d.table, Starter: workers, Broker: d.slots, Self: o.VM.ID, Placement: d.slots.placement,
-		Fleet: d.fleet, Now: o.Now, Logger: o.Logger, Metrics: o.Metrics,
+		Fleet: d.fleet, Now: o.Now, Logger: o.Logger, Metrics: o.Metrics, Timeline: d.timeline,
 	})
 	for _, s := range o.Services {
-		d.dispatcher.AddService(s, nil)
+		d.dispatcher.AddService(s)
 	}
 	return d, nil
 }
@@ -119,6 +144,7 @@
 		return err
 	}
 	d.peerServer = server
+	d.serveOperators()
 	d.refreshList(ctx)
 	d.pollWorkers(ctx)
 	d.rpcServer = rpc.Serve(d.o.Callers, d, d.o.Now, nil)
@@ -126,7 +152,10 @@
 	d.loop(ctx, listInterval, func() { d.refreshList(ctx) })
 	d.loop(ctx, statusInterval, func() { d.pollWorkers(ctx) })
 	d.startSlots(ctx)
-	d.loop(ctx, expiryInterval, func() { d.table.Expire(d.o.Now()) })
+	d.loop(ctx, expiryInterval, func() { d.table.Expire(d.o.Now()); d.homes.Expire(d.o.Now()) })
+	d.closures.start(ctx)
+	d.timeline.Record(timeline.Event{Kind: timeline.ProcessStarted})
+	d.operators.serving.Store(true)
 	d.o.Logger.Info("entry daemon started", "vm", d.o.VM.ID, "incarnation", d.o.VM.Incarnation.String(),
 		"callers", d.o.Callers.Addr().String())
 	return nil
@@ -134,7 +163,7 @@
 
 // startSlots runs the housekeeping of lanes and granters.
 func (d *Daemon) startSlots(ctx context.Context) {
-	d.loop(ctx, laneInterval, d.dispatcher.Tick)
+	d.loop(ctx, laneInterval, func() { d.checkLapse(); d.dispatcher.Tick() })
 	if d.slots.placement == nil {
 		d.loop(ctx, slotInterval, d.slots.tick)
 		d.loop(ctx, renewInterval, d.slots.renew)
@@ -156,15 +185,6 @@
 	})
 }
 
-// Stop refuses new work, finishes what runs until ctx ends, and closes all links.
-func (d *Daemon) Stop(ctx context.Context) {
-	d.dispatcher.Drain()
-	d.waitIdle(ctx)
-	d.rpcServer.Stop(ctx)
-	d.kill()
-	d.o.Logger.Info("entry daemon stopped", "vm", d.o.VM.ID)
-}
-
 func (d *Daemon) waitIdle(ctx context.Context) {
 	t := time.NewTicker(laneInterval)
 	defer t.Stop()
@@ -181,20 +201,9 @@
 func (d *Daemon) kill() {
 	d.cancel()
 	d.loops.Wait()
+	d.closures.wait()
 	d.peerServer.Close()
 	d.peers.close()
 	d.dispatcher.Close()
-}
-
-// tick advances the logical clock.
-func (d *Daemon) tick() uint64 { return d.lamport.Add(1) }
-
-// observe merges the logical clock of a peer.
-func (d *Daemon) observe(remote uint64) {
-	for {
-		local := d.lamport.Load()
-		if remote <= local || d.lamport.CompareAndSwap(local, remote) {
-			return
-		}
-	}
+	d.stopOperators()
 }
--- a/entry/slots.go
+++ b/entry/slots.go
@@ -12,6 +12,7 @@
 	"github.com/cicadadale/cicadadale/dispatch"
 	"github.com/cicadadale/cicadadale/machine"
 	"github.com/cicadadale/cicadadale/metric"
+	"github.com/cicadadale/cicadadale/timeline"
 	"github.com/cicadadale/cicadadale/zone"
 )
 
@@ -37,7 +38,14 @@
 
 	mu           sync.Mutex
 	services     map[string]*serviceSlots
-	incarnations map[string]machine.Incarnation
+	incarnations map[string]memberProcess
+}
+
+// memberProcess is the process that was last heard on a member.
+type memberProcess struct {
+	incarnation machine.Incarnation
+	// fresh is set until the process counts as live for the first time. It can hold no slots before.
+	fresh bool
 }
 
 // serviceSlots are the granter and the asker of one service. mu guards the fields below it and is taken before the
@@ -66,7 +74,7 @@
 	c := func(name string) metrics.Counter { return metrics.GetOrRegisterCounter(name, d.o.Metrics) }
 	s := &slotDirectory{
 		d: d, placement: dispatch.NewPlacement(d.o.Policy, uint64(d.o.VM.Incarnation)),
-		services: make(map[string]*serviceSlots), incarnations: make(map[string]machine.Incarnation),
+		services: make(map[string]*serviceSlots), incarnations: make(map[string]memberProcess),
 		counters: slotCounters{
 			received: c(metric.GrantsReceived), unused: c(metric.GrantsUnused), issued: c(metric.GrantsIssued),
 			demands: c(metric.DemandsSent), returns: c(metric.ReturnsSent), recalls: c(metric.RecallsSent),
@@ -310,6 +318,11 @@
 		s.d.dispatcher.Grant(st.name, grants)
 		return
 	}
+	for _, a := range allocations {
+		s.d.timeline.Record(timeline.Event{
+			Kind: timeline.GrantIssued, Peer: a.Member, Worker: a.Worker, Detail: st.name, Count: int64(a.Slots.Sum()),
+		})
+	}
 	g := &api.Grant{TtlMs: uint32(zone.GrantTTL.Milliseconds()), Number: allocations[0].Number}
 	for _, a := range allocations {
 		g.Slots = append(g.Slots, slotCount(a.Worker, a.Slots))
@@ -444,8 +457,10 @@
 // heard takes back the slots of a member whose process was replaced, and forgets what was asked of it.
 func (s *slotDirectory) heard(vm string, inc machine.Incarnation) {
 	s.mu.Lock()
-	before := s.incarnations[vm]
-	s.incarnations[vm] = inc
+	before := s.incarnations[vm].incarnation
+	if before != inc {
+		s.incarnations[vm] = memberProcess{incarnation: inc, fresh: true}
+	}
 	s.mu.Unlock()
 	if before != 0 && before != inc {
 		s.memberGone(vm)
@@ -469,8 +484,17 @@
 	}
 }
 
-// rejoin asks a member that responds again for its holdings.
+// rejoin asks a member that responds again for its holdings, unless its process is new.
 func (s *slotDirectory) rejoin(vm string) {
+	s.mu.Lock()
+	process := s.incarnations[vm]
+	fresh := process.fresh
+	process.fresh = false
+	s.incarnations[vm] = process
+	s.mu.Unlock()
+	if fresh {
+		return
+	}
 	for _, st := range s.all() {
 		st.granter.Rejoin(vm, s.d.o.Now())
 		s.requestHoldings(st, vm)
--- a/zone/granter.go
+++ b/zone/granter.go
@@ -412,29 +412,3 @@
 	}
 	return c
 }
-
-// WorkerGrants is the allocation of a worker's slots as shown to operators.
-type WorkerGrants struct {
-	Worker   machine.WorkerID
-	Slots    int
-	Free     int
-	Withheld int
-	Held     map[string]Count
-}
-
-// View returns the allocation of all workers.
-func (g *Granter) View() []WorkerGrants {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	views := make([]WorkerGrants, 0, len(g.workers))
-	for _, w := range g.workers {
-		v := WorkerGrants{
-			Worker: w.id, Slots: w.slots, Free: w.free(), Withheld: w.withheld, Held: make(map[string]Count, len(w.held)),
-		}
-		for m, h := range w.held {
-			v.Held[m] = h.Count
-		}
-		views = append(views, v)
-	}
-	return views
-}
