--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -161,11 +161,7 @@
 	d.loop(ctx, delegateInterval, d.electClaims)
 	d.loop(ctx, listInterval, func() { d.refreshList(ctx) })
 	d.loop(ctx, statusInterval, func() { d.pollWorkers(ctx) })
-	if d.slots.placement == nil {
-		d.loop(ctx, slotInterval, d.slots.tick)
-		d.loop(ctx, renewInterval, d.slots.renew)
-	}
-	d.loop(ctx, laneInterval, func() { d.checkLapse(); d.dispatcher.Tick() })
+	d.startSlots(ctx)
 	d.loop(ctx, expiryInterval, func() { d.table.Expire(d.o.Now()); d.homes.Expire(d.o.Now()) })
 	d.closures.start(ctx)
 	d.timeline.Record(timeline.Event{Kind: timeline.ProcessStarted})
@@ -175,6 +171,15 @@
 	return nil
 }
 
+// startSlots runs the housekeeping of lanes and granters.
+func (d *Daemon) startSlots(ctx context.Context) {
+	d.loop(ctx, laneInterval, func() { d.checkLapse(); d.dispatcher.Tick() })
+	if d.slots.placement == nil {
+		d.loop(ctx, slotInterval, d.slots.tick)
+		d.loop(ctx, renewInterval, d.slots.renew)
+	}
+}
+
 func (d *Daemon) loop(ctx context.Context, every time.Duration, fn func()) {
 	d.loops.Go(func() {
 		t := time.NewTicker(every)
