config: report all findings of a settings file with their lines

Cause: the decoder stops at the first value of a wrong type, and validation knew no lines and no order. Change: the file is read by walking go-toml's expressions; wrong types, unknown and repeated keys, syntax and validation findings come together in file order. Settings for TLS, log format, drain timeout, events and the admin address.

--- a/admin/exposition.go
+++ b/admin/exposition.go
@@ -12,7 +12,7 @@
 func exposition(samples []sample) string {
 	var b strings.Builder
 	for _, s := range samples {
-		name := metricPrefix + sanitize(s.name)
+		name := metricPrefix + exposedName(s.name)
 		if s.kind == typeCounter {
 			name += "_total"
 		}
@@ -32,8 +32,8 @@
 	return b.String()
 }
 
-// sanitize replaces what the format does not allow in a name.
-func sanitize(name string) string {
+// exposedName replaces what the format does not allow in a name.
+func exposedName(name string) string {
 	return strings.Map(func(r rune) rune {
 		if r == '_' || r >= '0' && r <= '9' || r >= 'a' && r <= 'z' || r >= 'A' && r <= 'Z' {
 			return r
--- a/config/entry.go
+++ b/config/entry.go
@@ -1,48 +1,33 @@
 package config
 
 import (
-	"errors"
-	"fmt"
-	"net"
 	"os"
 	"strings"
+	"time"
 
-	"github.com/pelletier/go-toml/v2"
+	"github.com/cicadadale/cicadadale/timeline"
 )
 
-// Finding is a fault in a settings file.
-type Finding struct {
-	File   string
-	Line   int
-	Key    string
-	Reason string
-}
-
-// String returns the form shown to operators.
-func (f Finding) String() string {
-	return fmt.Sprintf("%s:%d: %s: %s", f.File, f.Line, f.Key, f.Reason)
-}
-
-// Findings are all faults of a file.
-type Findings []Finding
-
-// Error lists all findings, a line each.
-func (f Findings) Error() string {
-	lines := make([]string, len(f))
-	for i, x := range f {
-		lines[i] = x.String()
-	}
-	return strings.Join(lines, "\n")
-}
+// Defaults of settings that a file may leave out.
+const (
+	defaultConnections  = 8
+	defaultDrainTimeout = 60 * time.Second
+)
 
 // Entry holds the settings of an entry daemon.
 type Entry struct {
 	VM       VM       `toml:"vm"`
 	Listen   Listen   `toml:"listen"`
+	TLS      TLS      `toml:"tls"`
 	Platform Platform `toml:"platform"`
 	Schema   Schema   `toml:"schema"`
 	Workers  Workers  `toml:"workers"`
+	Stop     Stop     `toml:"stop"`
+	Timeline Timeline `toml:"timeline"`
 	Log      Log      `toml:"log"`
+
+	file  string
+	lines map[string]int
 }
 
 // VM names the machine.
@@ -57,6 +42,28 @@
 	Callers string `toml:"callers"`
 	Peers   string `toml:"peers"`
 	Admin   string `toml:"admin"`
+	// AdminBeyondLoopback allows an admin address that other machines reach. The admin side has no authentication.
+	AdminBeyondLoopback bool `toml:"admin_beyond_loopback"`
+}
+
+// TLS holds the files that secure connections. Without files a side uses plain TCP.
+type TLS struct {
+	Callers CallersTLS `toml:"callers"`
+	Peers   PeersTLS   `toml:"peers"`
+}
+
+// CallersTLS secures the callers' side. With ClientCA, callers need a certificate that it has signed.
+type CallersTLS struct {
+	Certificate string `toml:"certificate"`
+	Key         string `toml:"key"`
+	ClientCA    string `toml:"client_ca"`
+}
+
+// PeersTLS secures the links between entry VMs; each side has to show a certificate that CA has signed.
+type PeersTLS struct {
+	Certificate string `toml:"certificate"`
+	Key         string `toml:"key"`
+	CA          string `toml:"ca"`
 }
 
 // Platform holds the addresses of the platform's services.
@@ -75,17 +82,32 @@
 	Connections int `toml:"connections_per_worker"`
 }
 
-// Log holds the level of the log.
+// Stop holds the limits of a planned stop.
+type Stop struct {
+	// DrainTimeout bounds the time in which running tasks may end.
+	DrainTimeout time.Duration `toml:"drain_timeout"`
+}
+
+// Timeline holds the size of the ring of events.
+type Timeline struct {
+	// Events is the number of events that the process keeps; 0 records nothing.
+	Events int `toml:"events"`
+}
+
+// Log holds the level and format of the log.
 type Log struct {
-	Level string `toml:"level"`
+	Level  string `toml:"level"`
+	Format string `toml:"format"`
 }
 
 // DefaultEntry returns the settings that a file may leave out.
 func DefaultEntry() Entry {
 	return Entry{
-		Listen:  Listen{Callers: "127.0.0.1:7001", Peers: "127.0.0.1:7002", Admin: "127.0.0.1:7003"},
-		Workers: Workers{Connections: 8},
-		Log:     Log{Level: "info"},
+		Listen:   Listen{Callers: "127.0.0.1:7001", Peers: "127.0.0.1:7002", Admin: "127.0.0.1:7003"},
+		Workers:  Workers{Connections: defaultConnections},
+		Stop:     Stop{DrainTimeout: defaultDrainTimeout},
+		Timeline: Timeline{Events: timeline.DefaultEvents},
+		Log:      Log{Level: "info", Format: "text"},
 	}
 }
 
@@ -98,65 +120,39 @@
 	return ParseEntry(path, text)
 }
 
-// ParseEntry reads settings and returns all findings at once.
+// ParseEntry reads settings and returns all findings at once, in file order.
 func ParseEntry(file string, text []byte) (Entry, error) {
 	e := DefaultEntry()
-	dec := toml.NewDecoder(strings.NewReader(string(text)))
-	dec.DisallowUnknownFields()
-	if err := dec.Decode(&e); err != nil {
-		return e, decodeFindings(file, err)
-	}
-	if f := e.validate(file); len(f) > 0 {
-		return e, f
-	}
-	return e, nil
-}
-
-func decodeFindings(file string, err error) Findings {
-	var decode *toml.DecodeError
-	if errors.As(err, &decode) {
-		line, _ := decode.Position()
-		return Findings{{File: file, Line: line, Key: strings.Join(decode.Key(), "."), Reason: decode.Error()}}
+	d := readDocument(file, text, &e)
+	e.file, e.lines = file, d.lines
+	reported := make(map[string]bool)
+	for _, f := range d.findings {
+		reported[f.Key] = true
 	}
-	var strict *toml.StrictMissingError
-	if !errors.As(err, &strict) {
-		return Findings{{File: file, Reason: err.Error()}}
+	findings := d.findings
+	for _, f := range e.validate() {
+		// A value of a wrong type has left the default, whose validation says nothing about the file.
+		_, set := d.lines[f.Key]
+		if !reported[f.Key] && (set || !d.broken) {
+			findings = append(findings, f)
+		}
 	}
-	var out Findings
-	for _, e := range strict.Errors {
-		line, _ := e.Position()
-		out = append(out, Finding{File: file, Line: line, Key: strings.Join(e.Key(), "."), Reason: "unknown key"})
+	if len(findings) > 0 {
+		return e, findings.sorted()
 	}
-	return out
+	return e, nil
 }
 
-func (e Entry) validate(file string) Findings {
-	var out Findings
-	add := func(key, reason string) { out = append(out, Finding{File: file, Key: key, Reason: reason}) }
-	if e.VM.ID == "" {
-		add("vm.id", "must be set")
-	}
-	if e.VM.Domain == 0 {
-		add("vm.failure_domain", "must be at least 1")
-	}
-	for key, a := range map[string]string{
-		"listen.callers": e.Listen.Callers, "listen.peers": e.Listen.Peers, "listen.admin": e.Listen.Admin,
-	} {
-		if _, _, err := net.SplitHostPort(a); err != nil {
-			add(key, err.Error())
+// Finding returns a finding at the line of a key of this file. A key that the file lacks is reported at the line of
+// the innermost table that should hold it, else at the first line.
+func (e Entry) Finding(key, reason string) Finding {
+	f := Finding{File: e.file, Line: 1, Key: key, Reason: reason}
+	for path := key; path != ""; {
+		if line, ok := e.lines[path]; ok {
+			f.Line = line
+			break
 		}
+		path = path[:max(0, strings.LastIndexByte(path, '.'))]
 	}
-	if e.Platform.List == "" {
-		add("platform.list", "must be set")
-	}
-	if e.Platform.Log == "" {
-		add("platform.log", "must be set")
-	}
-	if len(e.Schema.Files) == 0 {
-		add("schema.files", "names no schema file")
-	}
-	if e.Workers.Connections < 1 || e.Workers.Connections > 64 {
-		add("workers.connections_per_worker", "must be 1 to 64")
-	}
-	return out
+	return f
 }
