entry: TLS for callers and peers, and a check of the settings

Cause: connections were plain TCP, and settings could be checked only by starting a daemon. Log format is a setting.

--- a/command/demo.go
+++ b/command/demo.go
@@ -16,7 +16,7 @@
 			&cli.IntFlag{Name: "jobs", Value: 40, Usage: "number of jobs"},
 		},
 		Action: func(ctx context.Context, c *cli.Command) error {
-			return load.Demo(ctx, c.Root().Writer, c.Int("jobs"), newLogger("warn"))
+			return load.Demo(ctx, c.Root().Writer, c.Int("jobs"), newLogger("warn", "text"))
 		},
 	}
 }
--- a/command/entry.go
+++ b/command/entry.go
@@ -4,47 +4,56 @@
 	"context"
 	"fmt"
 	"log/slog"
-	"net"
 	"os"
 	"os/signal"
 	"syscall"
-	"time"
 
 	"github.com/urfave/cli/v3"
 
 	"github.com/cicadadale/cicadadale/config"
 	"github.com/cicadadale/cicadadale/entry"
-	"github.com/cicadadale/cicadadale/machine"
-	"github.com/cicadadale/cicadadale/platform"
-	"github.com/cicadadale/cicadadale/schema"
-	"github.com/cicadadale/cicadadale/zone"
 )
 
-// drainTimeout bounds a planned stop; it is longer than the longest usual task.
-const drainTimeout = 60 * time.Second
-
 func entryCommand() *cli.Command {
 	return &cli.Command{
 		Name:  "entry",
 		Usage: "run the entry daemon",
 		Description: "Reads a TOML settings file, serves callers by gRPC and joins the other entry VMs of its failure " +
-			"domain. SIGTERM stops it gracefully.",
+			"domain. SIGTERM or SIGINT stops it gracefully: it refuses new jobs, finishes running tasks within " +
+			"stop.drain_timeout and exits with status 0. Settings are described in docs/operations.md, examples are in " +
+			"examples/.\n\nExample: cicadadale entry --settings examples/entry-1.toml",
 		Flags: []cli.Flag{
 			&cli.StringFlag{Name: "settings", Aliases: []string{"s"}, Required: true, Usage: "settings `FILE` (TOML)"},
+			&cli.BoolFlag{Name: "check", Usage: "check the settings and the files that they name, print all findings, and exit"},
 		},
 		Action: runEntry,
 	}
 }
 
 func runEntry(ctx context.Context, c *cli.Command) error {
-	settings, err := config.LoadEntry(c.String("settings"))
+	path := c.String("settings")
+	settings, err := config.LoadEntry(path)
+	if err != nil {
+		return err
+	}
+	logger := newLogger(settings.Log.Level, settings.Log.Format)
+	parts, err := readEntryParts(settings, logger)
 	if err != nil {
 		return err
 	}
-	o, err := entryOptions(settings)
+	if c.Bool("check") {
+		_, err := fmt.Fprintf(c.Root().Writer, "%s: no findings\n", path)
+		return err
+	}
+	o, err := parts.options()
 	if err != nil {
 		return err
 	}
+	return serveEntry(ctx, o, settings)
+}
+
+// serveEntry runs the daemon until a signal asks it to stop.
+func serveEntry(ctx context.Context, o entry.Options, settings config.Entry) error {
 	d, err := entry.New(o)
 	if err != nil {
 		return err
@@ -55,46 +64,20 @@
 		return err
 	}
 	<-ctx.Done()
-	drain, cancel := context.WithTimeout(context.Background(), drainTimeout)
+	drain, cancel := context.WithTimeout(context.Background(), settings.Stop.DrainTimeout)
 	defer cancel()
 	d.Stop(drain)
 	return nil
 }
 
-func entryOptions(s config.Entry) (entry.Options, error) {
-	services, findings := schema.LoadFiles(s.Schema.Files...)
-	if len(findings) > 0 {
-		return entry.Options{}, findingsError(findings)
-	}
-	logs, err := platform.NewHTTPLog(s.Platform.Log)
-	if err != nil {
-		return entry.Options{}, err
-	}
-	list, err := platform.NewHTTPVMList(s.Platform.List)
-	if err != nil {
-		return entry.Options{}, err
-	}
-	callers, err := net.Listen("tcp", s.Listen.Callers)
-	if err != nil {
-		return entry.Options{}, fmt.Errorf("listen for callers: %w", err)
-	}
-	peers, err := net.Listen("tcp", s.Listen.Peers)
-	if err != nil {
-		return entry.Options{}, fmt.Errorf("listen for peers: %w", err)
-	}
-	return entry.Options{
-		VM: machine.EntryVM{
-			ID: s.VM.ID, PeerAddress: peers.Addr().String(), CallerAddress: callers.Addr().String(),
-		},
-		Domain: zone.DomainID(s.VM.Domain), Region: zone.RegionID(s.VM.Region), Services: services, Log: logs,
-		List: list, Callers: callers, Peers: peers, Connections: s.Workers.Connections, Logger: newLogger(s.Log.Level),
-	}, nil
-}
-
-func newLogger(level string) *slog.Logger {
+func newLogger(level, format string) *slog.Logger {
 	var l slog.Level
 	if err := l.UnmarshalText([]byte(level)); err != nil {
 		l = slog.LevelInfo
 	}
-	return slog.New(slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{Level: l}))
+	o := &slog.HandlerOptions{Level: l}
+	if format == "json" {
+		return slog.New(slog.NewJSONHandler(os.Stderr, o))
+	}
+	return slog.New(slog.NewTextHandler(os.Stderr, o))
 }
--- /dev/null
+++ b/command/entryparts.go
@@ -0,0 +1,115 @@
+package command
+
+import (
+	"errors"
+	"fmt"
+	"log/slog"
+	"net"
+	"time"
+
+	"google.golang.org/grpc/credentials"
+
+	"github.com/cicadadale/cicadadale/backend"
+	"github.com/cicadadale/cicadadale/config"
+	"github.com/cicadadale/cicadadale/entry"
+	"github.com/cicadadale/cicadadale/internal/tlsfiles"
+	"github.com/cicadadale/cicadadale/machine"
+	"github.com/cicadadale/cicadadale/platform"
+	"github.com/cicadadale/cicadadale/schema"
+	"github.com/cicadadale/cicadadale/zone"
+)
+
+// alpnHTTP2 is the protocol that gRPC negotiates.
+const alpnHTTP2 = "h2"
+
+// entryParts are what the settings of an entry daemon name, read and checked but not listening yet.
+type entryParts struct {
+	settings config.Entry
+	logger   *slog.Logger
+	services []*backend.Service
+	callers  *tlsfiles.Identity
+	peers    *tlsfiles.Identity
+}
+
+// readEntryParts reads the files that the settings name and returns all findings at once.
+func readEntryParts(s config.Entry, logger *slog.Logger) (*entryParts, error) {
+	p := &entryParts{settings: s, logger: logger}
+	var errs []error
+	var findings []schema.Finding
+	p.services, findings = schema.LoadFiles(s.Schema.Files...)
+	if len(findings) > 0 {
+		errs = append(errs, s.Finding("schema.files", "the schema has findings"), findingsError(findings))
+	}
+	var err error
+	c := s.TLS.Callers
+	if p.callers, err = p.identity(tlsfiles.Files{Certificate: c.Certificate, Key: c.Key, CA: c.ClientCA}); err != nil {
+		errs = append(errs, s.Finding("tls.callers", err.Error()))
+	}
+	t := s.TLS.Peers
+	if p.peers, err = p.identity(tlsfiles.Files{Certificate: t.Certificate, Key: t.Key, CA: t.CA}); err != nil {
+		errs = append(errs, s.Finding("tls.peers", err.Error()))
+	}
+	return p, errors.Join(errs...)
+}
+
+// identity returns nil if no files are named.
+func (p *entryParts) identity(f tlsfiles.Files) (*tlsfiles.Identity, error) {
+	if f == (tlsfiles.Files{}) {
+		return nil, nil
+	}
+	return tlsfiles.Load(f, time.Now, p.logger)
+}
+
+// options opens the listeners.
+func (p *entryParts) options() (entry.Options, error) {
+	s := p.settings
+	logs, err := platform.NewHTTPLog(s.Platform.Log)
+	if err != nil {
+		return entry.Options{}, err
+	}
+	list, err := platform.NewHTTPVMList(s.Platform.List)
+	if err != nil {
+		return entry.Options{}, err
+	}
+	o := entry.Options{
+		Domain: zone.DomainID(s.VM.Domain), Region: zone.RegionID(s.VM.Region), Services: p.services, Log: logs,
+		List: list, Connections: s.Workers.Connections, Events: s.Timeline.Events, Logger: p.logger,
+	}
+	if o.Events == 0 {
+		o.Events = entry.NoEvents
+	}
+	if err := listen(s.Listen, &o); err != nil {
+		return o, err
+	}
+	o.VM = machine.EntryVM{ID: s.VM.ID, PeerAddress: o.Peers.Addr().String(), CallerAddress: o.Callers.Addr().String()}
+	p.secure(&o)
+	return o, nil
+}
+
+func listen(s config.Listen, o *entry.Options) error {
+	var err error
+	if o.Callers, err = net.Listen("tcp", s.Callers); err != nil {
+		return fmt.Errorf("listen for callers: %w", err)
+	}
+	if o.Peers, err = net.Listen("tcp", s.Peers); err != nil {
+		return fmt.Errorf("listen for peers: %w", err)
+	}
+	if s.Admin == "" {
+		return nil
+	}
+	if o.Admin, err = net.Listen("tcp", s.Admin); err != nil {
+		return fmt.Errorf("listen for operators: %w", err)
+	}
+	return nil
+}
+
+// secure puts TLS on the sides that have files for it.
+func (p *entryParts) secure(o *entry.Options) {
+	if p.callers != nil {
+		o.CallerCredentials = credentials.NewTLS(p.callers.Server(alpnHTTP2))
+	}
+	if p.peers != nil {
+		o.Peers = p.peers.Listen(o.Peers)
+		o.DialPeer = p.peers.Dial
+	}
+}
--- a/command/job.go
+++ b/command/job.go
@@ -21,7 +21,17 @@
 	return &cli.Command{
 		Name:  "job",
 		Usage: "create, submit, cancel and reconfigure jobs and ask after them",
-		Flags: []cli.Flag{addresses, timeout},
+		Description: "Jobs go to any of the entry VMs; the client tries the others when one is unreachable. All calls may " +
+			"be repeated safely with the same job id.\n\nExample:\n" +
+			"  cicadadale job --entry 127.0.0.1:7001 submit --service glashaus.v1.Booking --kind PriceHire --payload ''\n" +
+			"  cicadadale job --entry 127.0.0.1:7001 status j-1-00c0ffee00c0ffee-17",
+		Flags: []cli.Flag{
+			addresses, timeout,
+			&cli.StringFlag{Name: "tls-ca", Usage: "use TLS and trust the authorities in this PEM `FILE`"},
+			&cli.StringFlag{Name: "tls-certificate", Usage: "use TLS and show the certificate in this PEM `FILE`"},
+			&cli.StringFlag{Name: "tls-key", Usage: "key of the certificate, a PEM `FILE`"},
+			&cli.StringFlag{Name: "tls-server-name", Usage: "`NAME` that the entry VM's certificate must have; its address if not given"},
+		},
 		Commands: []*cli.Command{
 			jobCreateCommand(), jobSubmitCommand(), jobCancelCommand(), jobReconfigureCommand(), jobStatusCommand(),
 		},
@@ -30,7 +40,11 @@
 
 // withClient runs fn with a client of the entry VMs that the flags name.
 func withClient(ctx context.Context, c *cli.Command, fn func(context.Context, *rpc.Client) error) error {
-	client, err := rpc.NewClient(c.StringSlice("entry"), nil)
+	creds, err := callerCredentials(c)
+	if err != nil {
+		return err
+	}
+	client, err := rpc.NewClient(c.StringSlice("entry"), creds)
 	if err != nil {
 		return err
 	}
--- a/config/finding.go
+++ b/config/finding.go
@@ -26,6 +26,9 @@
 	return fmt.Sprintf("%s: %s: %s", place, f.Key, f.Reason)
 }
 
+// Error makes a single finding usable as an error.
+func (f Finding) Error() string { return f.String() }
+
 // Findings are all faults of a file.
 type Findings []Finding
 
--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/rcrowley/go-metrics"
+	"google.golang.org/grpc/credentials"
 
 	"github.com/cicadadale/cicadadale/backend"
 	"github.com/cicadadale/cicadadale/contract"
@@ -44,10 +45,12 @@
 	DialPeer    func(ctx context.Context, address string) (net.Conn, error)
 	Connections int
 	// Events is the size of the timeline's ring; 0 takes the default, a negative number records nothing.
-	Events  int
-	Now     func() time.Time
-	Logger  *slog.Logger
-	Metrics metrics.Registry
+	Events int
+	// CallerCredentials secure the callers\' side; nil serves plain TCP.
+	CallerCredentials credentials.TransportCredentials
+	Now               func() time.Time
+	Logger            *slog.Logger
+	Metrics           metrics.Registry
 }
 
 // Daemon is the process that runs on an entry VM.
@@ -122,7 +125,7 @@
 	d.serveOperators()
 	d.refreshList(ctx)
 	d.pollWorkers(ctx)
-	d.rpcServer = rpc.Serve(d.o.Callers, d, d.o.Now, nil)
+	d.rpcServer = rpc.Serve(d.o.Callers, d, d.o.Now, d.o.CallerCredentials)
 	d.loop(ctx, heartbeatInterval, func() { d.heartbeat() })
 	d.loop(ctx, listInterval, func() { d.refreshList(ctx) })
 	d.loop(ctx, statusInterval, func() { d.pollWorkers(ctx) })
--- a/entry/timeline.go
+++ b/entry/timeline.go
@@ -2,6 +2,9 @@
 
 import "github.com/cicadadale/cicadadale/timeline"
 
+// NoEvents is the value of Options.Events that records nothing.
+const NoEvents = -1
+
 // newTimeline returns the ring that the options ask for, nil for none.
 func newTimeline(o Options, clock *timeline.Clock) *timeline.Ring {
 	if o.Events < 0 {
