--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -35,12 +35,19 @@
 	Table   *contract.JobTable
 	Starter Starter
 	Broker  SlotBroker
-	Fleet   *machine.Fleet
-	Now     func() time.Time
-	Logger  *slog.Logger
-	Metrics metrics.Registry
+	// Self is the entry VM that the dispatcher runs on.
+	Self string
+	// Placement chooses workers without grants; nil selects the default policy.
+	Placement *Placement
+	Fleet     *machine.Fleet
+	Now       func() time.Time
+	Logger    *slog.Logger
+	Metrics   metrics.Registry
 	// Timeline may be nil.
 	Timeline *timeline.Ring
+	// DistributedQuotas says that the shares of the team quotas come from elsewhere; otherwise this dispatcher holds
+	// the whole quotas.
+	DistributedQuotas bool
 }
 
 // Dispatcher is the home of jobs: it accepts them, starts their tasks and holds their answers. mu guards the map of
@@ -51,6 +58,7 @@
 	cancel   context.CancelFunc
 	running  sync.WaitGroup
 	counters counters
+	teams    *customer.Teams
 
 	mu       sync.RWMutex
 	lanes    map[string]*Lane
@@ -60,7 +68,7 @@
 type counters struct {
 	accepted, resubmitted, complete, failed, refused, cancelled   metrics.Counter
 	started, done, taskFailed, notRun, unknown, inDoubt, resolved metrics.Counter
-	rejected, notSent, unused, received, demands, returns         metrics.Counter
+	rejected, notSent                                             metrics.Counter
 }
 
 func newCounters(r metrics.Registry) counters {
@@ -70,8 +78,7 @@
 		failed: c(metric.JobsFailed), refused: c(metric.JobsRefused), cancelled: c(metric.JobsCancelled),
 		started: c(metric.TasksStarted), done: c(metric.TasksDone), taskFailed: c(metric.TasksFailed),
 		notRun: c(metric.TasksNotRun), unknown: c(metric.TasksUnknown), inDoubt: c(metric.TasksInDoubt),
-		resolved: c(metric.TasksResolved), rejected: c(metric.StartsRejected), notSent: c(metric.StartsNotSent), unused: c(metric.GrantsUnused),
-		received: c(metric.GrantsReceived), demands: c(metric.DemandsSent), returns: c(metric.ReturnsSent),
+		resolved: c(metric.TasksResolved), rejected: c(metric.StartsRejected), notSent: c(metric.StartsNotSent),
 	}
 }
 
@@ -80,17 +87,20 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	return &Dispatcher{
 		o: o, ctx: ctx, cancel: cancel, counters: newCounters(o.Metrics), lanes: make(map[string]*Lane),
+		teams: customer.NewTeams(o.DistributedQuotas),
 	}
 }
 
 // AddService makes a service available.
-func (d *Dispatcher) AddService(s *backend.Service, weights map[string]float64) {
+func (d *Dispatcher) AddService(s *backend.Service) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if _, ok := d.lanes[s.Name()]; ok {
 		return
 	}
-	d.lanes[s.Name()] = NewLane(s, customer.NewQueue(weights), d.workerSpeed)
+	d.lanes[s.Name()] = NewLane(s, customer.NewQueue(d.teams), LaneOptions{
+		Speed: d.workerSpeed, Granter: d.o.Broker.Granter, Self: d.o.Self, Placement: d.o.Placement,
+	})
 }
 
 func (d *Dispatcher) workerSpeed(id machine.WorkerID) float64 {
@@ -183,7 +193,7 @@
 		items[i] = customer.Item{
 			Task: contract.TaskID{Job: spec.ID, Index: i}, Kind: kind, Class: kind.Class(),
 			Customer: spec.Customer, Team: spec.Team, Enqueued: now, Priority: spec.Priority,
-			Expected: kind.Expected(),
+			Expected: kind.Expected(), Bytes: len(t.Payload),
 		}
 	}
 	for i := range items {
@@ -237,25 +247,38 @@
 	if err != nil {
 		return err
 	}
+	d.dequeue(id)
 	d.counters.cancelled.Inc(1)
 	d.o.Timeline.Job(timeline.JobCancelled, id, "", n)
 	d.counters.notRun.Inc(int64(n))
 	return nil
 }
 
-// Grant takes over slots from a granter.
-func (d *Dispatcher) Grant(g contract.SlotGrant) {
-	lane, ok := d.lane(g.Service)
+// Grant takes over slots of a service.
+func (d *Dispatcher) Grant(service string, grants []contract.SlotGrant) {
+	lane, ok := d.lane(service)
 	if !ok {
 		return
 	}
-	d.counters.received.Inc(int64(g.Slots))
-	d.o.Timeline.Record(timeline.Event{
-		Kind: timeline.GrantReceived, Peer: g.Granter, Worker: g.Worker, Detail: g.Service, Count: int64(g.Slots),
-	})
-	d.carryOut(lane, lane.AddGrant(g, d.o.Now()))
+	for _, g := range grants {
+		d.o.Timeline.Record(timeline.Event{
+			Kind: timeline.GrantReceived, Worker: g.Worker, Detail: service,
+			Count: int64(g.Short + g.Long),
+		})
+	}
+	d.carryOut(lane, lane.AddGrants(grants, d.o.Now()))
 }
 
+// Recall gives slots back that a granter needs for work that has waited for longer than the work here.
+func (d *Dispatcher) Recall(service, granter string, slots int, wait time.Duration) {
+	if lane, ok := d.lane(service); ok {
+		d.carryOut(lane, lane.Recall(granter, slots, wait, d.o.Now()))
+	}
+}
+
+// Lane returns the lane of a service.
+func (d *Dispatcher) Lane(service string) (*Lane, bool) { return d.lane(service) }
+
 // carryOut executes a plan. The lane's lock is not held.
 func (d *Dispatcher) carryOut(l *Lane, p Plan) {
 	for _, a := range p.Assignments {
@@ -264,16 +287,13 @@
 	}
 	if len(p.Returns) > 0 {
 		for _, r := range p.Returns {
-			d.counters.unused.Inc(int64(r.Unused))
 			d.o.Timeline.Record(timeline.Event{
-				Kind: timeline.GrantReturned, Peer: r.Granter, Worker: r.Worker, Detail: r.Service, Count: int64(r.Slots),
+				Kind: timeline.GrantReturned, Worker: r.Worker, Detail: r.Service, Count: int64(r.Short + r.Long),
 			})
 		}
-		d.counters.returns.Inc(int64(len(p.Returns)))
 		d.o.Broker.Return(p.Returns)
 	}
 	if p.Demand != nil {
-		d.counters.demands.Inc(1)
 		d.o.Timeline.Record(timeline.Event{
 			Kind: timeline.DemandSent, Detail: p.Demand.Service, Count: int64(p.Demand.Short + p.Demand.Long),
 		})
@@ -287,7 +307,8 @@
 	ticket, ok := d.o.Table.Start(a.Item.Task, string(a.Slot.Worker))
 	if !ok {
 		// The job was cancelled while the task waited.
-		d.carryOut(l, l.Release(a.Slot, true, d.o.Now()))
+		d.wake(a.Item, l.queue.Returned(a.Item))
+		d.carryOut(l, l.Release(a.Slot, d.o.Now()))
 		return
 	}
 	req := StartRequest{
@@ -307,7 +328,8 @@
 		return
 	}
 	d.finish(a, reply)
-	d.carryOut(l, l.Release(a.Slot, true, d.o.Now()))
+	d.wake(a.Item, l.queue.Finished(a.Item, reply.RunTime))
+	d.carryOut(l, l.Release(a.Slot, d.o.Now()))
 }
 
 // resolve asks the worker about a start in doubt until it answers or counts as lost.
@@ -340,7 +362,8 @@
 	d.o.Timeline.Task(timeline.TaskRejected, a.Item.Task, a.Slot.Worker, fault.Reason(cause))
 	now := d.o.Now()
 	requeue := d.o.Table.NotStarted(a.Item.Task, now)
-	d.carryOut(l, l.Release(a.Slot, false, now))
+	d.wake(a.Item, l.queue.Returned(a.Item))
+	d.carryOut(l, l.Reject(a.Slot, fault.Reason(cause) == ReasonWorkerFull, now))
 	if !requeue {
 		return
 	}
@@ -412,10 +435,10 @@
 	return d.draining
 }
 
-// Tick returns idle slots that have lingered.
+// Tick returns idle slots that have lingered and states unmet demand again.
 func (d *Dispatcher) Tick() {
 	for _, l := range d.Lanes() {
-		d.carryOut(l, l.Match(d.o.Now()))
+		d.carryOut(l, l.Tick(d.o.Now()))
 	}
 }
 
