schema: generate messages and job stubs without external tools

Cause: callers had gRPC stubs of services that nobody serves, and a check stopped at the first file with a fault. Change: schema generate runs protogen's Go generator on protocompile's descriptors and writes a job type per service on top of rpc.Job; the demo uses it. schema check reports every finding of every file in order, including negative and absurd deadlines, equal names and services declared twice. /state/quotas shows the teams' shares. Conclusion: callers need the binary and their schema file only.

--- a/Makefile
+++ b/Makefile
@@ -17,10 +17,13 @@
 lint:
 	golangci-lint run ./...
 
-# Needs buf, protoc-gen-go, protoc-gen-go-grpc and protoc-gen-go-drpc; the generated code is committed.
+# Needs buf, protoc-gen-go, protoc-gen-go-grpc and protoc-gen-go-drpc; the generated code is committed. The stubs of
+# the deployments need none of them.
 generate:
 	buf generate --template api/buf.gen.callers.yaml --path api/dispatcher.proto
-	buf generate schemas --template api/buf.gen.callers.yaml
+	buf generate schemas --template api/buf.gen.options.yaml --path schemas/cicadadale
+	go run ./cmd/cicadadale schema generate schemas/glashaus.proto --out schemas/glashaus
+	go run ./cmd/cicadadale schema generate schemas/wakala.proto --out schemas/wakala
 	buf generate --template api/buf.gen.peer.yaml --path api/peer.proto
 
 soak: build
--- a/entry/state.go
+++ b/entry/state.go
@@ -86,7 +86,22 @@
 }
 
 // Quotas implements admin.Source.
-func (d *Daemon) Quotas() []admin.QuotaView { return nil }
+func (d *Daemon) Quotas() []admin.QuotaView {
+	var out []admin.QuotaView
+	for _, u := range d.dispatcher.Teams().Usages() {
+		out = append(out, admin.QuotaView{
+			Customer: u.Key.Customer, Team: u.Key.Team, Quota: u.Quota, Share: u.Share, Running: u.Running,
+			Waiting: u.Waiting,
+		})
+	}
+	sort.Slice(out, func(i, j int) bool {
+		if out[i].Customer != out[j].Customer {
+			return out[i].Customer < out[j].Customer
+		}
+		return out[i].Team < out[j].Team
+	})
+	return out
+}
 
 // Config implements admin.Source.
 func (d *Daemon) Config() admin.ConfigView {
--- a/fault/fault.go
+++ b/fault/fault.go
@@ -34,6 +34,8 @@
 	Expired = namespace.NewType("expired")
 	// Unavailable says that the process which knows the answer cannot be reached now.
 	Unavailable = namespace.NewType("unavailable", Retriable)
+	// Failed says that the back end failed a task, or that the job of a finished task was not complete.
+	Failed = namespace.NewType("failed")
 	// Violation reports a broken invariant of the program.
 	Violation = namespace.NewType("violation")
 )
@@ -48,7 +50,7 @@
 
 func init() {
 	for _, t := range []*errorx.Type{
-		NotStarted, InDoubt, Refused, Overloaded, Draining, Invalid, UnknownJob, Expired, Unavailable, Violation,
+		NotStarted, InDoubt, Refused, Overloaded, Draining, Invalid, UnknownJob, Expired, Unavailable, Failed, Violation,
 	} {
 		byCode[t.FullName()] = t
 	}
--- a/load/demo.go
+++ b/load/demo.go
@@ -102,32 +102,32 @@
 		return fail(err)
 	}
 	defer other.Close()
-	id, err := client.NewJob(ctx)
+	work, err := newDemoWork(ctx, client, n)
 	if err != nil {
 		return fail(err)
 	}
-	sub, want := demoSubmission(n, id)
 	begin := time.Now()
-	answer, err := client.Do(ctx, sub)
+	answer, err := work.submit(ctx)
 	if err != nil {
 		return fail(err)
 	}
 	took := time.Since(begin)
-	again, err := other.Do(ctx, sub)
+	again, err := other.Do(ctx, work.submission())
 	if err != nil {
 		return fail(err)
 	}
-	ok := correct(answer, want) && correct(again, want)
+	ok := work.check() == nil && sameAnswer(answer, again)
 	return demoResult{ok: ok, line: fmt.Sprintf("job %s: %s, %d tasks, %.0f ms, response ratio %.3f, correct %t",
-		id, answer.Verdict, len(answer.Reports), took.Seconds()*1000, ResponseRatio(took, answer), ok)}
+		answer.Job, answer.Verdict, len(answer.Reports), took.Seconds()*1000, ResponseRatio(took, answer), ok)}
 }
 
-func correct(a contract.Answer, want [][]byte) bool {
-	if a.Verdict != contract.VerdictComplete || !a.Consistent() || len(a.Results) != len(want) {
+// sameAnswer reports whether a resubmission got the complete answer of the first submission.
+func sameAnswer(a, b contract.Answer) bool {
+	if !a.Consistent() || !b.Consistent() || b.Verdict != contract.VerdictComplete || len(a.Results) != len(b.Results) {
 		return false
 	}
-	for i := range want {
-		if !bytes.Equal(a.Results[i], want[i]) {
+	for i := range a.Results {
+		if !bytes.Equal(a.Results[i], b.Results[i]) {
 			return false
 		}
 	}
@@ -146,33 +146,64 @@
 	return float64(took) / float64(longest+callerRoundTrip)
 }
 
-// demoSubmission builds a job of one of the deployments and its expected results.
-func demoSubmission(n int, id contract.JobID) (contract.Submission, [][]byte) {
-	s := contract.Submission{Ref: contract.JobRef{ID: id}}
-	var want [][]byte
-	add := func(kind string, request, reply proto.Message) {
-		s.Tasks = append(s.Tasks, contract.TaskSpec{Kind: kind, Payload: mustMarshal(request)})
-		want = append(want, mustMarshal(reply))
+// demoWork is a job of one of the deployments, built with the generated stubs.
+type demoWork struct {
+	submit     func(context.Context) (contract.Answer, error)
+	submission func() contract.Submission
+	checks     []func() error
+}
+
+// check compares the typed results with the expected ones.
+func (w *demoWork) check() error {
+	for _, c := range w.checks {
+		if err := c(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func newDemoWork(ctx context.Context, client *rpc.Client, n int) (*demoWork, error) {
+	if n%2 == 0 {
+		return newBookingWork(ctx, client, n)
+	}
+	return newOrdersWork(ctx, client, n)
+}
+
+func newBookingWork(ctx context.Context, client *rpc.Client, n int) (*demoWork, error) {
+	j, err := glashaus.NewBookingJob(ctx, client, rpc.JobOptions{Customer: "glashaus"})
+	if err != nil {
+		return nil, err
 	}
+	w := &demoWork{submit: j.Submit, submission: j.Submission}
 	for i := range demoTasks {
-		name := fmt.Sprintf("%d-%d", n, i)
-		if n%2 == 0 {
-			s.Service, s.Customer = "glashaus.v1.Booking", "glashaus"
-			add("PriceHire", &glashaus.PriceHireRequest{Venue: name, Heaters: uint32(i + 1), Days: 2},
-				&glashaus.PriceHireReply{PriceCents: int64(i+1) * 2 * 2500})
-		} else {
-			s.Service, s.Customer = "wakala.v1.Orders", "wakala"
-			add("IssueOrder", &wakala.IssueOrderRequest{Plot: name, Cutter: "cooperative", SquareMetres: 40},
-				&wakala.IssueOrderReply{Order: "order-" + name})
-		}
+		t := j.AddPriceHire(&glashaus.PriceHireRequest{Venue: fmt.Sprintf("%d-%d", n, i), Heaters: uint32(i + 1), Days: 2})
+		w.checks = append(w.checks, expect(t, &glashaus.PriceHireReply{PriceCents: int64(i+1) * 2 * 2500}))
 	}
-	return s, want
+	return w, nil
 }
 
-func mustMarshal(m proto.Message) []byte {
-	b, err := proto.Marshal(m)
+func newOrdersWork(ctx context.Context, client *rpc.Client, n int) (*demoWork, error) {
+	j, err := wakala.NewOrdersJob(ctx, client, rpc.JobOptions{Customer: "wakala"})
 	if err != nil {
-		panic(err)
+		return nil, err
+	}
+	w := &demoWork{submit: j.Submit, submission: j.Submission}
+	for i := range demoTasks {
+		plot := fmt.Sprintf("%d-%d", n, i)
+		t := j.AddIssueOrder(&wakala.IssueOrderRequest{Plot: plot, Cutter: "cooperative", SquareMetres: 40})
+		w.checks = append(w.checks, expect(t, &wakala.IssueOrderReply{Order: "order-" + plot}))
+	}
+	return w, nil
+}
+
+// expect returns a check that a task's result is the wanted one.
+func expect[R proto.Message](t rpc.Task[R], want R) func() error {
+	return func() error {
+		got, err := t.Result()
+		if err == nil && !proto.Equal(got, want) {
+			err = fmt.Errorf("task %d: got %v, want %v", t.Index(), got, want)
+		}
+		return err
 	}
-	return b
 }
--- a/schema/load.go
+++ b/schema/load.go
@@ -2,8 +2,13 @@
 
 import (
 	"context"
+	"fmt"
 	"os"
 	"path/filepath"
+	"slices"
+	"sort"
+	"strings"
+	"sync"
 	"time"
 
 	"github.com/bufbuild/protocompile"
@@ -29,30 +34,57 @@
 // Source gives the text of a schema file by its import path.
 type Source map[string]string
 
-// LoadFiles reads schema files from disk.
+// LoadFiles reads schema files from disk. Findings name the files as they were given.
 func LoadFiles(paths ...string) ([]*backend.Service, []Finding) {
+	src, names, findings := readFiles(paths)
+	services, more := Load(src, names...)
+	return services, append(findings, byPath(more, paths)...)
+}
+
+// readFiles reads files into a source by their base names, which is how schema files import each other.
+func readFiles(paths []string) (Source, []string, []Finding) {
 	src := Source{}
 	var names []string
 	var findings []Finding
 	for _, p := range paths {
+		name := filepath.Base(p)
+		if _, ok := src[name]; ok {
+			findings = append(findings, Finding{File: p, Line: 1, Column: 1, Reason: "another schema file has the same name"})
+			continue
+		}
 		text, err := os.ReadFile(p)
 		if err != nil {
-			findings = append(findings, Finding{File: p, Reason: err.Error()})
+			findings = append(findings, Finding{File: p, Line: 1, Column: 1, Reason: err.Error()})
 			continue
 		}
-		name := filepath.Base(p)
 		src[name] = string(text)
 		names = append(names, name)
 	}
-	services, more := Load(src, names...)
-	return services, append(findings, more...)
+	return src, names, findings
+}
+
+// byPath replaces base names by the paths that the operator gave.
+func byPath(findings []Finding, paths []string) []Finding {
+	full := make(map[string]string, len(paths))
+	for _, p := range paths {
+		full[filepath.Base(p)] = p
+	}
+	for i, f := range findings {
+		if p, ok := full[f.File]; ok {
+			findings[i].File = p
+		}
+	}
+	return findings
 }
 
-// Load compiles schema files. The options file is built in.
+// Load compiles schema files. The options file is built in. Files that compile are checked even if others do not.
 func Load(src Source, names ...string) ([]*backend.Service, []Finding) {
 	files, findings := compile(src, names)
 	var services []*backend.Service
 	for _, f := range files {
+		if f == nil {
+			continue
+		}
 		for i := range f.Services().Len() {
 			s, more := readService(f.Path(), f.Services().Get(i))
 			findings = append(findings, more...)
@@ -60,22 +92,41 @@
 		}
 	}
 	if len(findings) > 0 {
-		return nil, findings
+		return nil, ordered(findings, names)
 	}
 	if len(services) == 0 {
-		return nil, []Finding{{Reason: "no service is declared"}}
+		return nil, []Finding{{File: strings.Join(names, ", "), Line: 1, Column: 1, Reason: "no service is declared"}}
 	}
 	return services, nil
 }
 
+// ordered sorts findings by file, as given, and position.
+func ordered(findings []Finding, names []string) []Finding {
+	sort.SliceStable(findings, func(i, j int) bool {
+		a, b := findings[i], findings[j]
+		if a.File != b.File {
+			return slices.Index(names, a.File) < slices.Index(names, b.File)
+		}
+		if a.Line != b.Line {
+			return a.Line < b.Line
+		}
+		return a.Column < b.Column
+	})
+	return findings
+}
+
+// compile returns the files that compile, nil in place of others.
 func compile(src Source, names []string) (linker.Files, []Finding) {
 	all := map[string]string{optionsPath: schemas.Options}
 	for name, text := range src {
 		all[name] = text
 	}
 	var findings []Finding
+	var mu sync.Mutex
 	rep := reporter.NewReporter(func(err reporter.ErrorWithPos) error {
 		pos := err.GetPosition()
+		mu.Lock()
+		defer mu.Unlock()
 		findings = append(findings, Finding{
 			File: pos.Filename, Line: pos.Line, Column: pos.Col, Reason: err.Unwrap().Error(),
 		})
@@ -90,12 +141,26 @@
 	}
 	files, err := c.Compile(context.Background(), names...)
 	if err != nil && len(findings) == 0 {
-		findings = append(findings, Finding{Reason: err.Error()})
+		findings = append(findings, Finding{File: strings.Join(names, ", "), Line: 1, Column: 1, Reason: err.Error()})
 	}
-	if len(findings) > 0 {
-		return nil, findings
+	return files, findings
+}
+
+// Limits of options. Tasks run for seconds; a deadline beyond an hour is a mistake in the unit.
+const (
+	maxMillis = int64(time.Hour / time.Millisecond)
+	maxWeight = 1000
+)
+
+func checkMillis(file string, d protoreflect.Descriptor, option string, ms int64) []Finding {
+	switch {
+	case ms < 0:
+		return []Finding{findingAt(file, d, fmt.Sprintf("%s must not be negative", option))}
+	case ms > maxMillis:
+		return []Finding{findingAt(file, d, fmt.Sprintf("%s of %d exceeds an hour (%d)", option, ms, maxMillis))}
+	default:
+		return nil
 	}
-	return files, nil
 }
 
 const optionsPath = "cicadadale/options.proto"
@@ -106,6 +171,7 @@
 	if err := extension(d.Options(), schemaopts.E_Service, opts); err != nil {
 		findings = append(findings, findingAt(file, d, err.Error()))
 	}
+	findings = append(findings, checkMillis(file, d, "default_deadline_ms", opts.GetDefaultDeadlineMs())...)
 	fallback := time.Duration(opts.GetDefaultDeadlineMs()) * time.Millisecond
 	var kinds []backend.KindSpec
 	for i := range d.Methods().Len() {
@@ -128,8 +194,10 @@
 	if d.IsStreamingClient() || d.IsStreamingServer() {
 		findings = append(findings, findingAt(file, d, "request kind "+string(d.Name())+" must not stream"))
 	}
-	if opts.GetDeadlineMs() < 0 || opts.GetExpectedMs() < 0 {
-		findings = append(findings, findingAt(file, d, "deadline_ms and expected_ms must not be negative"))
+	findings = append(findings, checkMillis(file, d, "deadline_ms", opts.GetDeadlineMs())...)
+	findings = append(findings, checkMillis(file, d, "expected_ms", opts.GetExpectedMs())...)
+	if opts.GetWeight() > maxWeight {
+		findings = append(findings, findingAt(file, d, fmt.Sprintf("weight of %d exceeds %d", opts.GetWeight(), maxWeight)))
 	}
 	k := backend.KindSpec{
 		Name:        string(d.Name()),
@@ -142,6 +210,10 @@
 	if k.Deadline == 0 {
 		k.Deadline = fallback
 	}
+	if k.Deadline > 0 && k.Expected > k.Deadline {
+		findings = append(findings, findingAt(file, d,
+			fmt.Sprintf("expected run time of %s exceeds the deadline of %s", k.Expected, k.Deadline)))
+	}
 	if opts.GetClass() == schemaopts.Class_CLASS_LONG {
 		k.Class = backend.ClassLong
 	}
