--- a/command/entry.go
+++ b/command/entry.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"log/slog"
 	"os"
@@ -36,7 +37,7 @@
 	if err != nil {
 		return err
 	}
-	logger := newLogger(settings.Log.Level, settings.Log.Format)
+	logger := newFormatLogger(settings.Log.Level, settings.Log.Format)
 	parts, err := readEntryParts(settings, logger)
 	if err != nil {
 		return err
@@ -63,14 +64,21 @@
 	if err := d.Start(); err != nil {
 		return err
 	}
-	<-ctx.Done()
+	select {
+	case <-ctx.Done():
+	case <-d.Lost():
+		return errors.New("the other entry VMs count this process as gone; start it anew")
+	}
 	drain, cancel := context.WithTimeout(context.Background(), settings.Stop.DrainTimeout)
 	defer cancel()
 	d.Stop(drain)
 	return nil
 }
 
-func newLogger(level, format string) *slog.Logger {
+// newLogger returns the text logger of the tools.
+func newLogger(level string) *slog.Logger { return newFormatLogger(level, "text") }
+
+func newFormatLogger(level, format string) *slog.Logger {
 	var l slog.Level
 	if err := l.UnmarshalText([]byte(level)); err != nil {
 		l = slog.LevelInfo
--- a/command/jobtls.go
+++ b/command/jobtls.go
@@ -17,7 +17,7 @@
 	if f == (tlsfiles.Files{}) {
 		return nil, nil
 	}
-	id, err := tlsfiles.Load(f, time.Now, newLogger("warn", "text"))
+	id, err := tlsfiles.Load(f, time.Now, newLogger("warn"))
 	if err != nil {
 		return nil, err
 	}
--- a/fault/fault.go
+++ b/fault/fault.go
@@ -36,6 +36,12 @@
 	Unavailable = namespace.NewType("unavailable", Retriable)
 	// Failed says that the back end failed a task, or that the job of a finished task was not complete.
 	Failed = namespace.NewType("failed")
+	// HandedOver says that the job was handed over to the successor of its home, which answers for it.
+	HandedOver = namespace.NewType("handed_over", Retriable)
+	// NeverAccepted says that a complete hand-over proves that the job was never accepted by its home.
+	NeverAccepted = namespace.NewType("never_accepted", ProvenNotStarted)
+	// Lost says that the home of the job is gone without having handed the job over.
+	Lost = namespace.NewType("lost")
 	// Violation reports a broken invariant of the program.
 	Violation = namespace.NewType("violation")
 )
@@ -50,7 +56,8 @@
 
 func init() {
 	for _, t := range []*errorx.Type{
-		NotStarted, InDoubt, Refused, Overloaded, Draining, Invalid, UnknownJob, Expired, Unavailable, Failed, Violation,
+		NotStarted, InDoubt, Refused, Overloaded, Draining, Invalid, UnknownJob, Expired, Unavailable, Violation,
+		HandedOver, NeverAccepted, Lost, Failed,
 	} {
 		byCode[t.FullName()] = t
 	}
