rpc: type, count and bound malformed calls

Cause: waits and deadlines could be negative or overflow, malformed calls were counted nowhere, errors lost their type on the way to the client, and a malformed resubmission was answered 'not run' although the job may have run. Ids had several spellings, which workers tell apart.

--- a/contract/id.go
+++ b/contract/id.go
@@ -21,8 +21,23 @@
 	return fmt.Sprintf("j-%d-%s-%d", id.Domain, id.Home, id.Seq)
 }
 
-// ParseJobID reads the form that String writes.
+// maxJobID is the length of the longest id.
+const maxJobID = len("j-65535-0123456789abcdef-18446744073709551615")
+
+// ParseJobID reads the form that String writes, and no other form: workers compare ids as text, so that an id with a
+// second spelling could be started twice.
 func ParseJobID(s string) (JobID, error) {
+	if len(s) > maxJobID {
+		return JobID{}, fmt.Errorf("job id of %d bytes is too long", len(s))
+	}
+	id, err := parseJobID(s)
+	if err == nil && id.String() != s {
+		return JobID{}, fmt.Errorf("job id %q is not in its usual form %q", s, id)
+	}
+	return id, err
+}
+
+func parseJobID(s string) (JobID, error) {
 	parts := strings.Split(s, "-")
 	if len(parts) != 4 || parts[0] != "j" {
 		return JobID{}, fmt.Errorf("invalid job id %q", s)
@@ -67,7 +82,11 @@
 	if err != nil {
 		return TaskID{}, fmt.Errorf("invalid index in task id %q", s)
 	}
-	return TaskID{Job: id, Index: int(i)}, nil
+	task := TaskID{Job: id, Index: int(i)}
+	if task.String() != s {
+		return TaskID{}, fmt.Errorf("task id %q is not in its usual form %q", s, task)
+	}
+	return task, nil
 }
 
 // CallerKey is an idempotency key chosen by the caller. All fields are part of its identity.
--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -159,7 +159,7 @@
 	d.serveOperators()
 	d.refreshList(ctx)
 	d.pollWorkers(ctx)
-	d.rpcServer = rpc.Serve(d.o.Callers, d, d.o.Now, d.o.CallerCredentials)
+	d.rpcServer = rpc.Serve(d.o.Callers, d, d.o.Now, d.o.CallerCredentials, d.o.Metrics)
 	d.loop(ctx, heartbeatInterval, func() { d.heartbeat() })
 	d.loop(ctx, delegateInterval, d.electClaims)
 	d.loop(ctx, listInterval, func() { d.refreshList(ctx) })
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -24,6 +24,10 @@
 		if k.Customer == "" || k.Text == "" {
 			return contract.JobRef{}, fault.With(fault.Invalid, "key", "a key needs a customer and a text")
 		}
+		if len(k.Customer) > maxName || len(k.Text) > maxKeyText {
+			return contract.JobRef{}, fault.With(fault.Invalid, "key", "a key has at most %d bytes of customer and %d of text",
+				maxName, maxKeyText)
+		}
 		return contract.JobRef{Key: &k}, nil
 	default:
 		return contract.JobRef{}, fault.With(fault.Invalid, "job reference", "neither a job id nor a key is given")
@@ -54,12 +58,16 @@
 	if err != nil {
 		return contract.Submission{}, err
 	}
-	if r.GetDeadlineMs() < 0 {
-		return contract.Submission{}, fault.With(fault.Invalid, "deadline", "deadline_ms must not be negative")
+	deadline, err := DeadlineFrom(r.GetDeadlineMs())
+	if err != nil {
+		return contract.Submission{}, err
+	}
+	if err := checkNames(r); err != nil {
+		return contract.Submission{}, err
 	}
 	s := contract.Submission{
 		Ref: ref, Service: r.GetService(), Customer: r.GetCustomer(), Team: r.GetTeam(),
-		Deadline: millis(r.GetDeadlineMs()), Priority: int(r.GetPriority()),
+		Deadline: deadline, Priority: int(r.GetPriority()),
 		Tasks: make([]contract.TaskSpec, len(r.GetTasks())),
 	}
 	for i, t := range r.GetTasks() {
--- a/rpc/client.go
+++ b/rpc/client.go
@@ -186,7 +186,7 @@
 	var err error
 	for range maxAttempts {
 		callCtx, cancel := context.WithTimeout(ctx, awaitSlice+callMargin)
-		err = fn(callCtx, c.stub())
+		err = errorFrom(fn(callCtx, c.stub()))
 		cancel()
 		if err == nil || ctx.Err() != nil {
 			return err
--- /dev/null
+++ b/rpc/errors.go
@@ -0,0 +1,57 @@
+package rpc
+
+import (
+	"google.golang.org/genproto/googleapis/rpc/errdetails"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
+
+	"github.com/cicadadale/cicadadale/fault"
+)
+
+const (
+	// errorDomain marks the error details that this package writes.
+	errorDomain = "cicadadale"
+	reasonField = "reason"
+)
+
+// codesByFault gives the status code of each type of error; others are internal.
+var codesByFault = map[string]codes.Code{
+	fault.Invalid.FullName():     codes.InvalidArgument,
+	fault.UnknownJob.FullName():  codes.NotFound,
+	fault.Expired.FullName():     codes.FailedPrecondition,
+	fault.Overloaded.FullName():  codes.ResourceExhausted,
+	fault.Unavailable.FullName(): codes.Unavailable,
+	fault.Draining.FullName():    codes.Unavailable,
+	fault.HandedOver.FullName():  codes.Unavailable,
+	fault.Lost.FullName():        codes.Aborted,
+}
+
+// statusOf writes an error. Its type and reason travel in the details, so that callers of this package get it back.
+func statusOf(err error) error {
+	code, ok := codesByFault[fault.Code(err)]
+	if !ok {
+		code = codes.Internal
+	}
+	s := status.New(code, err.Error())
+	if detailed, failed := s.WithDetails(&errdetails.ErrorInfo{
+		Reason: fault.Code(err), Domain: errorDomain, Metadata: map[string]string{reasonField: fault.Reason(err)},
+	}); failed == nil {
+		s = detailed
+	}
+	return s.Err()
+}
+
+// errorFrom restores the type of an error that statusOf wrote. Other errors stay as they are: they come from the
+// connection and prove nothing.
+func errorFrom(err error) error {
+	s, ok := status.FromError(err)
+	if err == nil || !ok {
+		return err
+	}
+	for _, d := range s.Details() {
+		if info, ok := d.(*errdetails.ErrorInfo); ok && info.GetDomain() == errorDomain && info.GetReason() != "" {
+			return fault.FromCode(info.GetReason(), s.Message(), info.GetMetadata()[reasonField])
+		}
+	}
+	return err
+}
--- a/rpc/server.go
+++ b/rpc/server.go
@@ -5,15 +5,15 @@
 	"net"
 	"time"
 
+	"github.com/rcrowley/go-metrics"
 	"google.golang.org/grpc"
-	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/credentials"
-	"google.golang.org/grpc/status"
 
 	"github.com/cicadadale/cicadadale/api"
 	"github.com/cicadadale/cicadadale/contract"
 	"github.com/cicadadale/cicadadale/fault"
 	"github.com/cicadadale/cicadadale/internal/wire"
+	"github.com/cicadadale/cicadadale/metric"
 )
 
 const (
@@ -35,18 +35,25 @@
 // Server serves callers.
 type Server struct {
 	api.UnimplementedDispatcherServer
-	jobs Jobs
-	now  func() time.Time
-	grpc *grpc.Server
+	jobs    Jobs
+	now     func() time.Time
+	invalid metrics.Counter
+	grpc    *grpc.Server
 }
 
 // Serve accepts callers on l in the background. Credentials are optional.
-func Serve(l net.Listener, jobs Jobs, now func() time.Time, creds credentials.TransportCredentials) *Server {
-	opts := []grpc.ServerOption{grpc.MaxRecvMsgSize(maxMessageBytes), grpc.MaxSendMsgSize(maxMessageBytes)}
+func Serve(
+	l net.Listener, jobs Jobs, now func() time.Time, creds credentials.TransportCredentials, r metrics.Registry,
+) *Server {
+	invalid := metrics.GetOrRegisterCounter(metric.InvalidRequests, r)
+	opts := []grpc.ServerOption{
+		grpc.MaxRecvMsgSize(maxMessageBytes), grpc.MaxSendMsgSize(maxMessageBytes),
+		grpc.StatsHandler(oversizeCounter{counter: invalid}),
+	}
 	if creds != nil {
 		opts = append(opts, grpc.Creds(creds))
 	}
-	s := &Server{jobs: jobs, now: now, grpc: grpc.NewServer(opts...)}
+	s := &Server{jobs: jobs, now: now, invalid: invalid, grpc: grpc.NewServer(opts...)}
 	api.RegisterDispatcherServer(s.grpc, s)
 	go func() {
 		// Serve ends when the listener is closed by Stop.
@@ -74,11 +81,11 @@
 func (s *Server) CreateJobs(ctx context.Context, r *api.CreateJobsRequest) (*api.CreateJobsResponse, error) {
 	n := int(r.GetCount())
 	if n < 1 || n > maxMint {
-		return nil, status.Errorf(codes.InvalidArgument, "count must be 1 to %d", maxMint)
+		return nil, s.failed(fault.With(fault.Invalid, "count", "count of %d is not from 1 to %d", n, maxMint))
 	}
 	ids, err := s.jobs.Create(ctx, n)
 	if err != nil {
-		return nil, statusOf(err)
+		return nil, s.failed(err)
 	}
 	out := &api.CreateJobsResponse{JobIds: make([]string, len(ids))}
 	for i, id := range ids {
@@ -91,21 +98,30 @@
 func (s *Server) Submit(ctx context.Context, r *api.SubmitRequest) (*api.Answer, error) {
 	sub, err := wire.SubmissionFrom(r)
 	if err != nil {
-		return answerOf(contract.Answer{}, sub.Ref.ID, err)
+		// This is no refusal of the job: an earlier submission of the same id may have run.
+		return nil, s.failed(err)
+	}
+	wait, err := wire.WaitFrom(r.GetWaitMs())
+	if err != nil {
+		return nil, s.failed(err)
 	}
-	a, err := s.jobs.Submit(ctx, sub, time.Duration(r.GetWaitMs())*time.Millisecond)
-	return answerOf(a, sub.Ref.ID, err)
+	a, err := s.jobs.Submit(ctx, sub, wait)
+	return s.answerOf(a, sub.Ref.ID, err)
 }
 
 // Await implements the generated interface.
 func (s *Server) Await(ctx context.Context, r *api.AwaitRequest) (*api.Answer, error) {
 	ref, err := wire.RefFrom(r.GetJob())
 	if err != nil {
-		return nil, statusOf(err)
+		return nil, s.failed(err)
+	}
+	wait, err := wire.WaitFrom(r.GetWaitMs())
+	if err != nil {
+		return nil, s.failed(err)
 	}
-	a, err := s.jobs.Await(ctx, ref, time.Duration(r.GetWaitMs())*time.Millisecond)
+	a, err := s.jobs.Await(ctx, ref, wait)
 	if err != nil {
-		return nil, statusOf(err)
+		return nil, s.failed(err)
 	}
 	return wire.AnswerTo(a), nil
 }
@@ -114,11 +130,11 @@
 func (s *Server) Cancel(ctx context.Context, r *api.CancelRequest) (*api.Answer, error) {
 	ref, err := wire.RefFrom(r.GetJob())
 	if err != nil {
-		return nil, statusOf(err)
+		return nil, s.failed(err)
 	}
 	a, err := s.jobs.Cancel(ctx, ref)
 	if err != nil {
-		return nil, statusOf(err)
+		return nil, s.failed(err)
 	}
 	return wire.AnswerTo(a), nil
 }
@@ -127,14 +143,15 @@
 func (s *Server) Reconfigure(ctx context.Context, r *api.ReconfigureRequest) (*api.JobStatus, error) {
 	ref, err := wire.RefFrom(r.GetJob())
 	if err != nil {
-		return nil, statusOf(err)
+		return nil, s.failed(err)
 	}
-	c := contract.Change{
-		Deadline: time.Duration(r.GetDeadlineMs()) * time.Millisecond, Priority: int(r.GetPriority()),
+	c, err := wire.ChangeFrom(r)
+	if err != nil {
+		return nil, s.failed(err)
 	}
 	p, err := s.jobs.Reconfigure(ctx, ref, c)
 	if err != nil {
-		return nil, statusOf(err)
+		return nil, s.failed(err)
 	}
 	return wire.ProgressTo(p, s.now()), nil
 }
@@ -143,39 +160,35 @@
 func (s *Server) Status(ctx context.Context, r *api.StatusRequest) (*api.JobStatus, error) {
 	ref, err := wire.RefFrom(r.GetJob())
 	if err != nil {
-		return nil, statusOf(err)
+		return nil, s.failed(err)
 	}
 	p, err := s.jobs.Status(ctx, ref)
 	if err != nil {
-		return nil, statusOf(err)
+		return nil, s.failed(err)
 	}
 	return wire.ProgressTo(p, s.now()), nil
 }
 
 // answerOf writes the answer to a submission. A refusal is an answer, since it states that nothing ran.
-func answerOf(a contract.Answer, id contract.JobID, err error) (*api.Answer, error) {
+func (s *Server) answerOf(a contract.Answer, id contract.JobID, err error) (*api.Answer, error) {
 	if err == nil {
 		return wire.AnswerTo(a), nil
 	}
 	if fault.IsProvenNotStarted(err) {
+		s.countInvalid(err)
 		return wire.AnswerTo(wire.RefusalOf(id, err)), nil
 	}
-	return nil, statusOf(err)
+	return nil, s.failed(err)
+}
+
+// failed counts a malformed call and writes its error.
+func (s *Server) failed(err error) error {
+	s.countInvalid(err)
+	return statusOf(err)
 }
 
-func statusOf(err error) error {
-	code := codes.Internal
-	switch fault.Code(err) {
-	case fault.Invalid.FullName():
-		code = codes.InvalidArgument
-	case fault.UnknownJob.FullName():
-		code = codes.NotFound
-	case fault.Expired.FullName():
-		code = codes.FailedPrecondition
-	case fault.Overloaded.FullName():
-		code = codes.ResourceExhausted
-	case fault.Unavailable.FullName(), fault.Draining.FullName():
-		code = codes.Unavailable
-	}
-	return status.Error(code, err.Error())
+func (s *Server) countInvalid(err error) {
+	if fault.Code(err) == fault.Invalid.FullName() {
+		s.invalid.Inc(1)
+	}
 }
