--- a/command/job.go
+++ b/command/job.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/hex"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -75,11 +76,14 @@
 	return &cli.Command{
 		Name:  "submit",
 		Usage: "submit a job and print its whole answer as JSON",
+		Description: "Each payload makes a task. Exit status: 0 complete, 1 error without an answer (submit again with the " +
+			"same --id), 2 failed, 3 refused as not run.",
 		Flags: []cli.Flag{
 			&cli.StringFlag{Name: "id", Usage: "job `ID` from create; a fresh one if not given"},
 			&cli.StringFlag{Name: "service", Required: true, Usage: "full `NAME` of the service"},
 			&cli.StringFlag{Name: "kind", Required: true, Usage: "request `KIND`"},
 			&cli.StringSliceFlag{Name: "payload", Usage: "payload `TEXT` of one task; may be repeated"},
+			&cli.StringSliceFlag{Name: "payload-hex", Usage: "payload of one task as `HEX` digits, for encoded messages; may be repeated"},
 			&cli.StringFlag{Name: "customer", Usage: "`NAME` of the customer"},
 			&cli.StringFlag{Name: "team", Usage: "`NAME` of the team"},
 			&cli.DurationFlag{Name: "deadline", Usage: "time allowed to the whole answer"},
@@ -105,11 +109,38 @@
 	for _, p := range c.StringSlice("payload") {
 		s.Tasks = append(s.Tasks, contract.TaskSpec{Kind: c.String("kind"), Payload: []byte(p)})
 	}
+	for _, p := range c.StringSlice("payload-hex") {
+		payload, err := hex.DecodeString(p)
+		if err != nil {
+			return fmt.Errorf("payload-hex %q: %w", p, err)
+		}
+		s.Tasks = append(s.Tasks, contract.TaskSpec{Kind: c.String("kind"), Payload: payload})
+	}
 	answer, err := client.Do(ctx, s)
 	if err != nil {
 		return err
 	}
-	return printAnswer(c.Root().Writer, answer)
+	if err := printAnswer(c.Root().Writer, answer); err != nil {
+		return err
+	}
+	return exitOf(answer)
+}
+
+// Exit statuses of job submit beside 0 for a complete answer and 1 for an error that leaves the answer open.
+const (
+	exitFailed  = 2
+	exitRefused = 3
+)
+
+func exitOf(a contract.Answer) error {
+	switch a.Verdict {
+	case contract.VerdictFailed:
+		return cli.Exit("job failed: "+a.Reason, exitFailed)
+	case contract.VerdictRefused:
+		return cli.Exit("job refused, not run: "+a.Reason, exitRefused)
+	default:
+		return nil
+	}
 }
 
 func jobIDOrNew(ctx context.Context, text string, client *rpc.Client) (contract.JobID, error) {
