--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/rcrowley/go-metrics"
+	"google.golang.org/grpc/credentials"
 
 	"github.com/cicadadale/cicadadale/backend"
 	"github.com/cicadadale/cicadadale/contract"
@@ -46,6 +47,8 @@
 	Connections int
 	// Events is the size of the timeline's ring; 0 takes the default, a negative number records nothing.
 	Events int
+	// CallerCredentials secure the callers' side; nil serves plain TCP.
+	CallerCredentials credentials.TransportCredentials
 	// Policy selects how workers are chosen; empty selects the default.
 	Policy  dispatch.Policy
 	Now     func() time.Time
@@ -156,7 +159,7 @@
 	d.serveOperators()
 	d.refreshList(ctx)
 	d.pollWorkers(ctx)
-	d.rpcServer = rpc.Serve(d.o.Callers, d, d.o.Now, nil)
+	d.rpcServer = rpc.Serve(d.o.Callers, d, d.o.Now, d.o.CallerCredentials, d.o.Metrics)
 	d.loop(ctx, heartbeatInterval, func() { d.heartbeat() })
 	d.loop(ctx, delegateInterval, d.electClaims)
 	d.loop(ctx, listInterval, func() { d.refreshList(ctx) })
--- a/rpc/client.go
+++ b/rpc/client.go
@@ -183,7 +183,7 @@
 // of the submission can exist.
 func provenNotRun(a contract.Answer, err error, first bool) bool {
 	if err != nil {
-		return first && status.Code(err) == codes.OutOfRange
+		return first && fault.Code(err) == fault.Expired.FullName() && fault.Reason(err) == fault.ReasonIDTooOld
 	}
 	if a.Verdict == contract.VerdictRefused {
 		return a.Reason == fault.ReasonDraining || a.Reason == fault.ReasonHomeClosed
@@ -253,7 +253,7 @@
 	for range maxAttempts {
 		callCtx, cancel := context.WithTimeout(ctx, awaitSlice+callMargin)
 		stub, at := c.stub()
-		err = fn(callCtx, stub)
+		err = errorFrom(fn(callCtx, stub))
 		cancel()
 		if err == nil || ctx.Err() != nil {
 			return err
--- a/rpc/client_test.go
+++ b/rpc/client_test.go
@@ -7,6 +7,7 @@
 	"testing"
 	"time"
 
+	"github.com/rcrowley/go-metrics"
 	"github.com/stretchr/testify/require"
 
 	"github.com/cicadadale/cicadadale/contract"
@@ -60,7 +61,7 @@
 		vm.home, vm.seen = uint64(i+1), make(map[contract.JobID]int)
 		l, err := net.Listen("tcp", "127.0.0.1:0")
 		require.NoError(t, err)
-		s := Serve(l, vm, time.Now, nil)
+		s := Serve(l, vm, time.Now, nil, metrics.NewRegistry())
 		t.Cleanup(func() { s.Stop(context.Background()) })
 		addresses = append(addresses, l.Addr().String())
 	}
