entry: carry configuration from the log and from peers

Heartbeats state the position; a restarted process that knows no state refuses jobs as not run. Services change without losing learned run times; customers and teams go to Dispatcher.ApplyCustomers.

--- a/backend/kind.go
+++ b/backend/kind.go
@@ -21,11 +21,10 @@
 	defaultExpected = 300 * time.Millisecond
 )
 
-// RequestKind is a request kind with its observed run times. Its mutex guards the histogram.
+// RequestKind is a request kind with its observed run times. Its mutex guards all fields.
 type RequestKind struct {
-	spec KindSpec
-
 	mu         sync.Mutex
+	spec       KindSpec
 	buckets    [bucketCount]float64
 	total      float64
 	sum        float64
@@ -38,7 +37,11 @@
 }
 
 // Spec returns the declaration.
-func (k *RequestKind) Spec() KindSpec { return k.spec }
+func (k *RequestKind) Spec() KindSpec {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.spec
+}
 
 // Observe records the run time of a finished task.
 func (k *RequestKind) Observe(run time.Duration) {
--- /dev/null
+++ b/backend/redeclare.go
@@ -0,0 +1,26 @@
+package backend
+
+// Redeclare replaces the declaration and keeps the observed run times.
+func (k *RequestKind) Redeclare(spec KindSpec) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.spec = spec
+}
+
+// Redeclare replaces the declared kinds. A kind of the same name keeps its observed run times; tasks of a kind that is
+// no longer declared keep the kind until they end.
+func (s *Service) Redeclare(specs []KindSpec) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	kinds := make(map[string]*RequestKind, len(specs))
+	for _, spec := range specs {
+		k, ok := s.kinds[spec.Name]
+		if ok {
+			k.Redeclare(spec)
+		} else {
+			k = NewRequestKind(spec)
+		}
+		kinds[spec.Name] = k
+	}
+	s.kinds = kinds
+}
--- a/backend/service.go
+++ b/backend/service.go
@@ -1,6 +1,9 @@
 package backend
 
-import "time"
+import (
+	"sync"
+	"time"
+)
 
 // Class separates short from long work.
 type Class uint8
@@ -51,10 +54,11 @@
 	Expected    time.Duration
 }
 
-// Service is a back end with its request kinds. It is immutable once built, but for the observations inside the
-// kinds.
+// Service is a back end with its request kinds. mu guards the map of kinds.
 type Service struct {
-	name  string
+	name string
+
+	mu    sync.RWMutex
 	kinds map[string]*RequestKind
 }
 
@@ -72,15 +76,19 @@
 
 // Kind returns the request kind with the given name.
 func (s *Service) Kind(name string) (*RequestKind, bool) {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
 	k, ok := s.kinds[name]
 	return k, ok
 }
 
 // Kinds returns the declarations of all kinds.
 func (s *Service) Kinds() []KindSpec {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
 	specs := make([]KindSpec, 0, len(s.kinds))
 	for _, k := range s.kinds {
-		specs = append(specs, k.spec)
+		specs = append(specs, k.Spec())
 	}
 	return specs
 }
--- /dev/null
+++ b/contract/configstate.go
@@ -0,0 +1,257 @@
+package contract
+
+import (
+	"fmt"
+	"strings"
+	"sync"
+	"time"
+)
+
+const (
+	// recentOrigins bounds the authors that are remembered to tell the losers of a race.
+	recentOrigins = 32
+	// maxHeldRecords bounds the records kept after a gap until a snapshot arrives.
+	maxHeldRecords = 4096
+	// snapshotEvery and snapshotAge say after how many records and how long a snapshot is due; the age is a quarter
+	// of the shortest retention for which the log is set up, 24 h.
+	snapshotEvery = 256
+	snapshotAge   = 6 * time.Hour
+	// snapshotMargin is the distance to the oldest record kept at which a snapshot is due at once.
+	snapshotMargin = 64
+)
+
+// ConfigState applies the records of the stream "config" in offset order. Every reader that has applied the same
+// records holds the same revision. mu guards all fields but check, which is a pure function of a document.
+type ConfigState struct {
+	check func(ConfigDocument) []string
+
+	mu       sync.Mutex
+	known    bool // false until the state at some offset is known
+	next     uint64
+	revision uint64
+	document ConfigDocument
+	recent   []ConfigOrigin
+
+	// After a gap, records are held until a snapshot covers what is missing.
+	gap      bool
+	gapFirst uint64
+	held     []heldRecord
+
+	// Offset from which on the log must keep records, and when the snapshot that set it was written.
+	needed     uint64
+	neededTime time.Time
+}
+
+type heldRecord struct {
+	offset uint64
+	at     time.Time
+	record ConfigRecord
+}
+
+// NewConfigState returns a state that knows no configuration. check returns the faults of a document; a change that
+// leads to a faulty one is rejected.
+func NewConfigState(check func(ConfigDocument) []string) *ConfigState {
+	return &ConfigState{check: check}
+}
+
+// ConfigView is the configuration at one moment.
+type ConfigView struct {
+	Known    bool
+	Next     uint64
+	Revision uint64
+	Origin   ConfigOrigin
+	Document ConfigDocument
+}
+
+// View returns the configuration in effect.
+func (s *ConfigState) View() ConfigView {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	v := ConfigView{Known: s.known, Next: s.next, Revision: s.revision, Document: s.document}
+	if n := len(s.recent); n > 0 {
+		v.Origin = s.recent[n-1]
+	}
+	return v
+}
+
+// Position returns the offset from which to read the log.
+func (s *ConfigState) Position() uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.position()
+}
+
+// position expects s.mu to be held.
+func (s *ConfigState) position() uint64 {
+	if s.gap {
+		return s.gapFirst + uint64(len(s.held))
+	}
+	return s.next
+}
+
+// Bounds tells the state the oldest offset that the log keeps. Only a log that still holds its first record shows
+// that nothing is missing; an expired log shows nothing of the past but a snapshot that covers the missing records.
+func (s *ConfigState) Bounds(first uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if first == 0 && !s.known {
+		s.known = true
+	}
+	if first > s.position() || (first > 0 && !s.known && !s.gap) {
+		s.gap, s.gapFirst, s.held = true, first, nil
+	}
+}
+
+// Apply applies the record at an offset. Records that were applied before are ignored, as are records beyond the next
+// one. It returns the decisions on changes, several when a snapshot has closed a gap.
+func (s *ConfigState) Apply(offset uint64, at time.Time, r ConfigRecord) []ConfigVerdict {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.gap {
+		return s.hold(heldRecord{offset: offset, at: at, record: r})
+	}
+	if !s.known || offset != s.next {
+		return nil
+	}
+	return s.apply(heldRecord{offset: offset, at: at, record: r})
+}
+
+// hold expects s.mu to be held.
+func (s *ConfigState) hold(h heldRecord) []ConfigVerdict {
+	if h.offset != s.position() || len(s.held) >= maxHeldRecords {
+		return nil
+	}
+	s.held = append(s.held, h)
+	snap := h.record.Snapshot
+	if snap == nil || snap.Next > h.offset || snap.Next < s.gapFirst || (s.known && snap.Next < s.next) {
+		return nil
+	}
+	s.adopt(*snap)
+	return s.release()
+}
+
+// release applies the held records that follow the adopted state. It expects s.mu to be held.
+func (s *ConfigState) release() []ConfigVerdict {
+	if s.next < s.gapFirst {
+		return nil
+	}
+	held := s.held
+	s.gap, s.held = false, nil
+	var out []ConfigVerdict
+	for _, h := range held {
+		if h.offset == s.next {
+			out = append(out, s.apply(h)...)
+		}
+	}
+	return out
+}
+
+// adopt expects s.mu to be held.
+func (s *ConfigState) adopt(snap ConfigSnapshot) {
+	s.known = true
+	s.next, s.revision, s.document = snap.Next, snap.Revision, snap.Document
+	s.recent = append([]ConfigOrigin(nil), snap.Recent...)
+}
+
+// Adopt takes over the state of a peer if it is ahead of this one. The state at an offset is the same at every
+// reader, so that a peer's is as good as the log; a stale peer's is ignored.
+func (s *ConfigState) Adopt(snap ConfigSnapshot) ([]ConfigVerdict, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.known && snap.Next <= s.next {
+		return nil, false
+	}
+	s.adopt(snap)
+	if !s.gap {
+		return nil, true
+	}
+	return s.release(), true
+}
+
+// apply expects s.mu to be held and the record to be the next one.
+func (s *ConfigState) apply(h heldRecord) []ConfigVerdict {
+	s.next = h.offset + 1
+	switch {
+	case h.record.Snapshot != nil:
+		if n := h.record.Snapshot.Next; n <= h.offset && n >= s.needed {
+			s.needed, s.neededTime = n, h.at
+		}
+		return nil
+	case h.record.Change == nil:
+		return nil
+	}
+	if s.neededTime.IsZero() {
+		s.neededTime = h.at
+	}
+	return []ConfigVerdict{s.decide(h.offset, *h.record.Change)}
+}
+
+// decide expects s.mu to be held.
+func (s *ConfigState) decide(offset uint64, c ConfigChange) ConfigVerdict {
+	v := ConfigVerdict{Offset: offset, ID: c.ID, Author: c.Author, Revision: s.revision}
+	if c.ID == "" || c.Author == "" {
+		v.Reason = "a change needs an id and an author"
+		return v
+	}
+	if c.Base != s.revision {
+		v.Reason = fmt.Sprintf("base revision %d is not the present revision %d", c.Base, s.revision)
+		v.Winner = s.winner(c.Base + 1)
+		return v
+	}
+	document := s.document.Patched(c.Patch)
+	if faults := s.check(document); len(faults) > 0 {
+		v.Reason = strings.Join(faults, "; ")
+		return v
+	}
+	s.document = document
+	s.revision++
+	s.recent = append(s.recent, ConfigOrigin{Revision: s.revision, ID: c.ID, Author: c.Author})
+	if over := len(s.recent) - recentOrigins; over > 0 {
+		s.recent = append([]ConfigOrigin(nil), s.recent[over:]...)
+	}
+	v.Accepted, v.Revision = true, s.revision
+	return v
+}
+
+// winner expects s.mu to be held.
+func (s *ConfigState) winner(revision uint64) ConfigOrigin {
+	for _, o := range s.recent {
+		if o.Revision == revision {
+			return o
+		}
+	}
+	if n := len(s.recent); n > 0 {
+		return s.recent[n-1]
+	}
+	return ConfigOrigin{}
+}
+
+// Snapshot returns the state for publication, or false if it is not known.
+func (s *ConfigState) Snapshot() (ConfigSnapshot, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return ConfigSnapshot{
+		Next: s.next, Revision: s.revision, Recent: append([]ConfigOrigin(nil), s.recent...), Document: s.document,
+	}, s.known
+}
+
+// SnapshotDue reports whether a snapshot has to be published, given the oldest offset that the log keeps.
+func (s *ConfigState) SnapshotDue(first uint64, now time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	// After a gap this state covers none of the records that the log has dropped.
+	if !s.known || s.gap || s.revision == 0 {
+		return false
+	}
+	if (first > 0 && first+snapshotMargin > s.needed && s.next > s.needed+1) || first > s.needed {
+		return true
+	}
+	return s.next-s.needed >= snapshotEvery || (!s.neededTime.IsZero() && now.Sub(s.neededTime) >= snapshotAge)
+}
+
+// Gapped reports whether the log has dropped records that this state lacks.
+func (s *ConfigState) Gapped() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.gap
+}
--- /dev/null
+++ b/contract/configuration.go
@@ -0,0 +1,123 @@
+package contract
+
+import "maps"
+
+// ServiceConfig is a schema file; its name is the key.
+type ServiceConfig struct {
+	Schema string `json:"schema"`
+}
+
+// KindConfig overrides the declaration of a request kind, whose name is service/kind. Zero values leave it.
+type KindConfig struct {
+	DeadlineMS int64  `json:"deadline_ms,omitempty"`
+	ExpectedMS int64  `json:"expected_ms,omitempty"`
+	Class      string `json:"class,omitempty"`
+	Weight     int    `json:"weight,omitempty"`
+}
+
+// CustomerConfig is a customer's part in fair sharing.
+type CustomerConfig struct {
+	Weight float64 `json:"weight"`
+}
+
+// TeamConfig is a team's part of its customer and its quotas; 0 means no quota. Its name is customer/team.
+type TeamConfig struct {
+	Weight          float64 `json:"weight,omitempty"`
+	Slots           int     `json:"slots,omitempty"`
+	StartsPerSecond float64 `json:"starts_per_second,omitempty"`
+	Burst           float64 `json:"burst,omitempty"`
+}
+
+// WorkerClassConfig declares a class of workers.
+type WorkerClassConfig struct {
+	Slots       int `json:"slots,omitempty"`
+	Connections int `json:"connections,omitempty"`
+}
+
+// ConfigDocument is a whole configuration. Documents are not changed once built.
+type ConfigDocument struct {
+	Services      map[string]ServiceConfig     `json:"services,omitempty"`
+	Kinds         map[string]KindConfig        `json:"kinds,omitempty"`
+	Customers     map[string]CustomerConfig    `json:"customers,omitempty"`
+	Teams         map[string]TeamConfig        `json:"teams,omitempty"`
+	WorkerClasses map[string]WorkerClassConfig `json:"worker_classes,omitempty"`
+}
+
+// ConfigPatch replaces the entries that it names; a null entry removes one.
+type ConfigPatch struct {
+	Services      map[string]*ServiceConfig     `json:"services,omitempty"`
+	Kinds         map[string]*KindConfig        `json:"kinds,omitempty"`
+	Customers     map[string]*CustomerConfig    `json:"customers,omitempty"`
+	Teams         map[string]*TeamConfig        `json:"teams,omitempty"`
+	WorkerClasses map[string]*WorkerClassConfig `json:"worker_classes,omitempty"`
+}
+
+// Patched returns the document with a patch applied.
+func (d ConfigDocument) Patched(p ConfigPatch) ConfigDocument {
+	return ConfigDocument{
+		Services:      patched(d.Services, p.Services),
+		Kinds:         patched(d.Kinds, p.Kinds),
+		Customers:     patched(d.Customers, p.Customers),
+		Teams:         patched(d.Teams, p.Teams),
+		WorkerClasses: patched(d.WorkerClasses, p.WorkerClasses),
+	}
+}
+
+func patched[V any](old map[string]V, changes map[string]*V) map[string]V {
+	if len(changes) == 0 {
+		return old
+	}
+	out := maps.Clone(old)
+	if out == nil {
+		out = make(map[string]V)
+	}
+	for k, v := range changes {
+		if v == nil {
+			delete(out, k)
+		} else {
+			out[k] = *v
+		}
+	}
+	return out
+}
+
+// ConfigChange is an operator's change of the revision Base.
+type ConfigChange struct {
+	ID     string      `json:"id"`
+	Author string      `json:"author"`
+	Base   uint64      `json:"base"`
+	Patch  ConfigPatch `json:"patch"`
+}
+
+// ConfigOrigin names the change that made a revision.
+type ConfigOrigin struct {
+	Revision uint64 `json:"revision"`
+	ID       string `json:"id"`
+	Author   string `json:"author"`
+}
+
+// ConfigSnapshot is the state after all records below the offset Next.
+type ConfigSnapshot struct {
+	Next     uint64         `json:"next"`
+	Revision uint64         `json:"revision"`
+	Recent   []ConfigOrigin `json:"recent,omitempty"`
+	Document ConfigDocument `json:"document"`
+}
+
+// ConfigRecord is a record of the stream "config": a change, a snapshot, or neither if it is malformed.
+type ConfigRecord struct {
+	Change   *ConfigChange   `json:"change,omitempty"`
+	Snapshot *ConfigSnapshot `json:"snapshot,omitempty"`
+}
+
+// ConfigVerdict is the decision on a change. Reason is empty if it was accepted; a change with a stale base is told
+// who made the next revision after its base, or the present one if that is long ago.
+type ConfigVerdict struct {
+	Offset   uint64
+	ID       string
+	Author   string
+	Accepted bool
+	Revision uint64
+	Reason   string
+	Winner   ConfigOrigin
+}
--- /dev/null
+++ b/entry/configapply.go
@@ -0,0 +1,133 @@
+package entry
+
+import (
+	"context"
+	"time"
+
+	"github.com/cicadadale/cicadadale/api"
+	"github.com/cicadadale/cicadadale/backend"
+	"github.com/cicadadale/cicadadale/config"
+	"github.com/cicadadale/cicadadale/contract"
+	"github.com/cicadadale/cicadadale/fault"
+	"github.com/cicadadale/cicadadale/machine"
+	"github.com/cicadadale/cicadadale/timeline"
+	"github.com/cicadadale/cicadadale/zone"
+)
+
+const (
+	// configKey is hashed with VM ids to choose who publishes snapshots and who tells other failure domains.
+	configKey      = "config"
+	configInterval = time.Second
+)
+
+// applyConfiguration puts a document into effect. The services of the settings are in effect unless the document
+// replaces them; what a document no longer names keeps its last declaration for the tasks that it has.
+func (d *Daemon) applyConfiguration(v contract.ConfigView) {
+	declared := make(map[string][]backend.KindSpec)
+	for _, s := range d.o.Services {
+		declared[s.Name()] = s.Kinds()
+	}
+	services, findings := config.Services(v.Document)
+	if len(findings) > 0 {
+		// Accepted documents compile, unless another version of the program has accepted this one.
+		d.o.Logger.Error("configured services do not compile", "revision", v.Revision, "finding", findings[0].Reason)
+	}
+	for _, s := range services {
+		declared[s.Name()] = s.Kinds()
+	}
+	for name, kinds := range declared {
+		d.dispatcher.Configure(name, overridden(name, kinds, v.Document.Kinds))
+	}
+	if err := d.dispatcher.ApplyCustomers(config.Customers(v.Revision, v.Document)); err != nil {
+		d.o.Logger.Error("customers not applied", "revision", v.Revision, "error", err)
+	}
+	d.slots.reassign()
+	d.timeline.Record(timeline.Event{Kind: timeline.ConfigApplied, Detail: v.Origin.ID, Count: int64(v.Revision)})
+	d.o.Logger.Info("configuration in effect", "revision", v.Revision, "change", v.Origin.ID, "author", v.Origin.Author)
+}
+
+// overridden returns the declarations of a service's kinds with the overrides of the document.
+func overridden(service string, kinds []backend.KindSpec, overrides map[string]contract.KindConfig) []backend.KindSpec {
+	out := append([]backend.KindSpec(nil), kinds...)
+	for i := range out {
+		o, ok := overrides[service+"/"+out[i].Name]
+		if !ok {
+			continue
+		}
+		if o.DeadlineMS > 0 {
+			out[i].Deadline = time.Duration(o.DeadlineMS) * time.Millisecond
+		}
+		if o.ExpectedMS > 0 {
+			out[i].Expected = time.Duration(o.ExpectedMS) * time.Millisecond
+		}
+		if o.Weight > 0 {
+			out[i].Weight = o.Weight
+		}
+		switch o.Class {
+		case "short":
+			out[i].Class = backend.ClassShort
+		case "long":
+			out[i].Class = backend.ClassLong
+		}
+	}
+	return out
+}
+
+func (d *Daemon) configDecided(v contract.ConfigVerdict) {
+	if !v.Accepted {
+		d.timeline.Record(timeline.Event{Kind: timeline.ConfigRejected, Detail: v.ID + ": " + v.Reason})
+		d.o.Logger.Info("configuration change rejected", "change", v.ID, "author", v.Author, "reason", v.Reason)
+	}
+}
+
+// configured refuses jobs while this process does not know which configuration is in effect. Nothing has run under
+// an id of this process before it knew one.
+func (d *Daemon) configured() error {
+	if !d.configs.state.View().Known {
+		return fault.With(fault.Overloaded, "no configuration", "neither the log nor a peer has shown the configuration")
+	}
+	return nil
+}
+
+// heardConfiguration sends records to a peer that is behind.
+func (d *Daemon) heardConfiguration(vm string, offset uint64) {
+	var others []machine.EntryVM
+	for _, m := range d.domain.Live() {
+		if m.ID != vm {
+			others = append(others, m)
+		}
+	}
+	chosen, ok := zone.Choose(configKey+"/"+vm, others)
+	foreign := d.peers.domainOf(vm) != d.o.Domain
+	if !d.configs.helps(vm, offset, foreign || (ok && chosen.ID == d.o.VM.ID)) {
+		return
+	}
+	if m := d.configs.recordsFor(offset); m != nil {
+		d.peers.send(vm, &api.PeerMessage{Body: &api.PeerMessage_ConfigRecords{ConfigRecords: m}})
+	}
+}
+
+// tendConfiguration publishes snapshots when it is this VM's turn and lets one VM of each other failure domain know
+// this one's position, so that a failure domain that is cut off from the platform is found.
+func (d *Daemon) tendConfiguration(ctx context.Context) {
+	domains := d.peers.otherDomains()
+	all := append([]machine.EntryVM(nil), d.domain.Live()...)
+	for _, vms := range domains {
+		all = append(all, vms...)
+	}
+	d.configs.publishSnapshot(ctx, zone.Rank(configKey, d.o.VM.ID, all))
+	if vm, ok := zone.Choose(configKey, d.domain.Live()); !ok || vm.ID != d.o.VM.ID {
+		return
+	}
+	offset, revision := d.configs.position()
+	for _, vms := range domains {
+		if vm, ok := zone.Choose(configKey, vms); ok {
+			d.peers.send(vm.ID, &api.PeerMessage{Body: &api.PeerMessage_Heartbeat{Heartbeat: &api.Heartbeat{
+				Leaving: d.dispatcher.Draining(), ConfigOffset: offset, ConfigRevision: revision,
+			}}})
+		}
+	}
+}
+
+// Configuration reports the configuration in effect on this VM.
+func (d *Daemon) Configuration(context.Context) contract.ConfigView { return d.configs.state.View() }
--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -64,6 +64,7 @@
 	slots      *slotDirectory
 	budget     *platform.Budget
 	claims     *claimDelegate
+	configs    *configCarrier
 	// inquiries holds a token for each claim that asks other failure domains.
 	inquiries chan struct{}
 	clock     *timeline.Clock
@@ -119,9 +120,10 @@
 		Table: d.table, Starter: workers, Broker: d.slots, Self: o.VM.ID, Placement: d.slots.placement,
 		Fleet: d.fleet, Now: o.Now, Logger: o.Logger, Metrics: o.Metrics, Timeline: d.timeline,
 	})
-	for _, s := range o.Services {
-		d.dispatcher.AddService(s)
-	}
+	d.configs = newConfigCarrier(configCarrierOptions{
+		Log: o.Log, Budget: d.budget, Now: o.Now, Logger: o.Logger, Metrics: o.Metrics, Apply: d.applyConfiguration,
+		Verdict: d.configDecided,
+	})
 	return d, nil
 }
 
@@ -137,10 +139,13 @@
 	d.peerServer = server
 	d.serveOperators()
 	d.refreshList(ctx)
+	d.configs.begin(ctx)
 	d.pollWorkers(ctx)
 	d.rpcServer = rpc.Serve(d.o.Callers, d, d.o.Now, nil)
 	d.loop(ctx, heartbeatInterval, func() { d.heartbeat() })
 	d.loop(ctx, delegateInterval, d.electClaims)
+	d.loops.Go(func() { d.configs.tail(ctx) })
+	d.loop(ctx, configInterval, func() { d.tendConfiguration(ctx) })
 	d.loop(ctx, listInterval, func() { d.refreshList(ctx) })
 	d.loop(ctx, statusInterval, func() { d.pollWorkers(ctx) })
 	d.loop(ctx, laneInterval, d.dispatcher.Tick)
--- a/entry/membership.go
+++ b/entry/membership.go
@@ -54,8 +54,9 @@
 func (d *Daemon) heartbeat() {
 	d.operators.lastBeat.Store(d.o.Now().UnixNano())
 	d.applyChanges(d.domain.Tick(d.o.Now()))
+	offset, revision := d.configs.position()
 	msg := &api.PeerMessage{Body: &api.PeerMessage_Heartbeat{Heartbeat: &api.Heartbeat{
-		Leaving: d.dispatcher.Draining(), Slots: d.slots.statuses(),
+		Leaving: d.dispatcher.Draining(), ConfigOffset: offset, ConfigRevision: revision, Slots: d.slots.statuses(),
 	}}}
 	d.peers.broadcast(msg)
 }
--- a/entry/messages.go
+++ b/entry/messages.go
@@ -22,6 +22,7 @@
 	for _, m := range env.GetMessages() {
 		if h := m.GetHeartbeat(); h != nil {
 			leaving = h.GetLeaving()
+			d.heardConfiguration(vm, h.GetConfigOffset())
 		}
 	}
 	d.applyChanges(d.domain.Heard(vm, inc, leaving, d.o.Now()))
@@ -34,6 +35,8 @@
 
 func (d *Daemon) handle(vm string, m *api.PeerMessage) {
 	switch b := m.GetBody().(type) {
+	case *api.PeerMessage_ConfigRecords:
+		d.configs.fromPeer(b.ConfigRecords)
 	case *api.PeerMessage_Request:
 		// Requests may wait for a job's answer and so must not hold up the link.
 		go d.serveRequest(vm, b.Request)
--- a/entry/router.go
+++ b/entry/router.go
@@ -40,6 +40,9 @@
 		})
 		return answerFrom(resp, err)
 	}
+	if err := d.configured(); err != nil {
+		return contract.Answer{}, err
+	}
 	spec := contract.JobSpec{
 		ID: s.Ref.ID, Service: s.Service, Customer: s.Customer, Team: s.Team, Tasks: s.Tasks, Priority: s.Priority,
 	}
