--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -5,6 +5,7 @@
 	"log/slog"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
@@ -50,6 +51,8 @@
 	Now     func() time.Time
 	Logger  *slog.Logger
 	Metrics metrics.Registry
+	// OnViolation is told of violated invariants; tests panic.
+	OnViolation func(invariant string)
 }
 
 // Daemon is the process that runs on an entry VM.
@@ -70,6 +73,17 @@
 	clock     *timeline.Clock
 	timeline  *timeline.Ring
 
+	homes     *zone.Homes
+	lease     *zone.AnswerLease
+	handovers *handOvers
+	closures  *closureLog
+	serving   *gate
+	lapse     lapse
+	wasListed atomic.Bool
+	fenced    atomic.Bool
+	lost      chan struct{}
+	started   time.Time
+
 	peerServer *link.PeerServer
 	rpcServer  *rpc.Server
 	operators  operators
@@ -102,7 +116,11 @@
 	d := &Daemon{
 		o: o, fleet: machine.NewFleet(), domain: zone.NewFailureDomain(o.Domain, o.VM.ID),
 		table: contract.NewJobTable(o.Domain, o.VM.Incarnation), clock: &timeline.Clock{},
+		homes: zone.NewHomes(), lease: zone.NewAnswerLease(), handovers: newHandOvers(), serving: newGate(maxServed),
+		lost: make(chan struct{}), started: o.Now(),
 	}
+	d.closures = newClosureLog(d)
+	d.table.OnCheck(d.onCheck)
 	d.timeline = newTimeline(o, d.clock)
 	workers, err := link.NewWorkers(d.fleet, o.VM.Incarnation, o.Connections, d.clock)
 	if err != nil {
@@ -148,12 +166,13 @@
 	d.loop(ctx, configInterval, func() { d.tendConfiguration(ctx) })
 	d.loop(ctx, listInterval, func() { d.refreshList(ctx) })
 	d.loop(ctx, statusInterval, func() { d.pollWorkers(ctx) })
-	d.loop(ctx, laneInterval, d.dispatcher.Tick)
 	if d.slots.placement == nil {
 		d.loop(ctx, slotInterval, d.slots.tick)
 		d.loop(ctx, renewInterval, d.slots.renew)
 	}
-	d.loop(ctx, expiryInterval, func() { d.table.Expire(d.o.Now()) })
+	d.loop(ctx, laneInterval, func() { d.checkLapse(); d.dispatcher.Tick() })
+	d.loop(ctx, expiryInterval, func() { d.table.Expire(d.o.Now()); d.homes.Expire(d.o.Now()) })
+	d.closures.start(ctx)
 	d.timeline.Record(timeline.Event{Kind: timeline.ProcessStarted})
 	d.operators.serving.Store(true)
 	d.o.Logger.Info("entry daemon started", "vm", d.o.VM.ID, "incarnation", d.o.VM.Incarnation.String(),
@@ -176,16 +195,6 @@
 	})
 }
 
-// Stop refuses new work, finishes what runs until ctx ends, and closes all links.
-func (d *Daemon) Stop(ctx context.Context) {
-	d.dispatcher.Drain()
-	d.timeline.Record(timeline.Event{Kind: timeline.ProcessDraining})
-	d.waitIdle(ctx)
-	d.rpcServer.Stop(ctx)
-	d.kill()
-	d.o.Logger.Info("entry daemon stopped", "vm", d.o.VM.ID)
-}
-
 func (d *Daemon) waitIdle(ctx context.Context) {
 	t := time.NewTicker(laneInterval)
 	defer t.Stop()
@@ -202,6 +211,7 @@
 func (d *Daemon) kill() {
 	d.cancel()
 	d.loops.Wait()
+	d.closures.wait()
 	d.claims.close()
 	d.peerServer.Close()
 	d.peers.close()
--- a/standin/platform.go
+++ b/standin/platform.go
@@ -111,6 +111,9 @@
 // URL returns the base URL.
 func (p *Platform) URL() string { return "http://" + p.server.Address() }
 
+// Address returns where the platform listens.
+func (p *Platform) Address() string { return p.server.Address() }
+
 // Close stops serving.
 func (p *Platform) Close() error { return p.server.Stop() }
 
