command: check, publish, show and watch the configuration

Operators had no way to change the configuration. The commands work on the platform's log with the same rule as the entry VMs; entry VMs show their revision through the reading RPC Configuration.Show on the callers' side.

--- a/Makefile
+++ b/Makefile
@@ -19,7 +19,7 @@
 
 # Needs buf, protoc-gen-go, protoc-gen-go-grpc and protoc-gen-go-drpc; the generated code is committed.
 generate:
-	buf generate --template api/buf.gen.callers.yaml --path api/dispatcher.proto
+	buf generate --template api/buf.gen.callers.yaml --path api/dispatcher.proto --path api/configuration.proto
 	buf generate schemas --template api/buf.gen.callers.yaml
 	buf generate --template api/buf.gen.peer.yaml --path api/peer.proto
 
--- /dev/null
+++ b/command/config.go
@@ -0,0 +1,146 @@
+package command
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os"
+	"path/filepath"
+	"time"
+
+	"github.com/urfave/cli/v3"
+
+	"github.com/cicadadale/cicadadale/config"
+	"github.com/cicadadale/cicadadale/contract"
+	"github.com/cicadadale/cicadadale/platform"
+	"github.com/cicadadale/cicadadale/rpc"
+)
+
+const (
+	configStream = "config"
+	configPage   = 256
+)
+
+func configCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "config",
+		Usage: "check, publish and show the configuration and watch it take effect",
+		Description: "A file holds a change as JSON with the sections services, kinds, customers, teams and " +
+			"worker_classes. Each entry replaces the one of the same name; null removes it. Example:\n\n" +
+			`{"services": {"glashaus.proto": {"schema_file": "glashaus.proto"}},` + "\n" +
+			` "kinds": {"glashaus.v1.Booking/PriceHire": {"deadline_ms": 800, "class": "short"}},` + "\n" +
+			` "customers": {"glashaus": {"weight": 2}},` + "\n" +
+			` "teams": {"glashaus/north": {"slots": 40, "starts_per_second": 200}}}`,
+		Commands: []*cli.Command{
+			configCheckCommand(), configPublishCommand(), configShowCommand(), configWatchCommand(),
+		},
+	}
+}
+
+// configLogFlags are the flags of commands that read the log.
+func configLogFlags() []cli.Flag {
+	return []cli.Flag{
+		&cli.StringFlag{Name: "log", Value: "http://127.0.0.1:7400", Usage: "base `URL` of the platform's log"},
+		&cli.StringSliceFlag{
+			Name: "entry", Usage: "callers' `ADDRESS` of an entry VM to ask if the log has dropped old records; may be repeated",
+		},
+		&cli.DurationFlag{Name: "timeout", Value: 10 * time.Second, Usage: "longest wait for the log"},
+	}
+}
+
+// configLog reads the stream of configuration records for an operator.
+type configLog struct {
+	log      *platform.HTTPLog
+	state    *contract.ConfigState
+	verdicts map[string]contract.ConfigVerdict
+}
+
+func openConfigLog(ctx context.Context, c *cli.Command) (*configLog, error) {
+	log, err := platform.NewHTTPLog(c.String("log"))
+	if err != nil {
+		return nil, err
+	}
+	l := &configLog{log: log, state: contract.NewConfigState(config.Check), verdicts: make(map[string]contract.ConfigVerdict)}
+	if err := l.read(ctx); err != nil {
+		return nil, err
+	}
+	if l.state.View().Known {
+		return l, nil
+	}
+	return l, l.adopt(ctx, c.StringSlice("entry"))
+}
+
+// read applies all records up to the present end of the stream.
+func (l *configLog) read(ctx context.Context) error {
+	for {
+		page, err := l.log.Read(ctx, configStream, l.state.Position(), configPage, 0)
+		if err != nil {
+			return err
+		}
+		l.state.Bounds(page.First)
+		for _, r := range page.Records {
+			// A malformed record is skipped by all readers.
+			record, _ := config.DecodeRecord(r.Data)
+			for _, v := range l.state.Apply(r.Offset, r.Time, record) {
+				l.verdicts[v.ID] = v
+			}
+		}
+		if len(page.Records) == 0 || l.state.Position() >= page.Next {
+			return nil
+		}
+	}
+}
+
+// adopt takes the state of the entry VM that is furthest ahead.
+func (l *configLog) adopt(ctx context.Context, addresses []string) error {
+	err := errors.New("the log has dropped old records and shows no revision; name entry VMs with --entry")
+	for _, a := range addresses {
+		snap, failed := entrySnapshot(ctx, a)
+		if failed != nil {
+			err = failed
+			continue
+		}
+		verdicts, _ := l.state.Adopt(snap)
+		for _, v := range verdicts {
+			l.verdicts[v.ID] = v
+		}
+	}
+	if l.state.View().Known {
+		return nil
+	}
+	return err
+}
+
+func entrySnapshot(ctx context.Context, address string) (contract.ConfigSnapshot, error) {
+	r, err := rpc.ShowConfiguration(ctx, address, false, nil)
+	if err != nil {
+		return contract.ConfigSnapshot{}, err
+	}
+	if !r.GetKnown() {
+		return contract.ConfigSnapshot{}, fmt.Errorf("entry VM %s knows no configuration", r.GetVm())
+	}
+	document, err := config.DecodeDocument(r.GetDocument())
+	if err != nil {
+		return contract.ConfigSnapshot{}, err
+	}
+	s := contract.ConfigSnapshot{Next: r.GetNextOffset(), Revision: r.GetRevision(), Document: document}
+	if r.GetChangeId() != "" {
+		s.Recent = []contract.ConfigOrigin{{Revision: r.GetRevision(), ID: r.GetChangeId(), Author: r.GetAuthor()}}
+	}
+	return s, nil
+}
+
+// readPatch reads the file that is a command's argument and checks it on top of a document.
+func readPatch(c *cli.Command, onto contract.ConfigDocument) (contract.ConfigPatch, error) {
+	file := c.Args().First()
+	text, err := os.ReadFile(file)
+	if err != nil {
+		return contract.ConfigPatch{}, err
+	}
+	read := func(name string) ([]byte, error) { return os.ReadFile(filepath.Join(filepath.Dir(file), name)) }
+	p, findings := config.CheckPatch(file, text, read, onto)
+	if len(findings) > 0 {
+		return p, findings
+	}
+	return p, nil
+}
--- a/command/root.go
+++ b/command/root.go
@@ -14,7 +14,7 @@
 		Usage:   "dispatcher for short, urgent tasks",
 		Version: Version,
 		Commands: []*cli.Command{
-			entryCommand(), standinCommand(), jobCommand(), schemaCommand(), timelineCommand(), demoCommand(),
+			entryCommand(), standinCommand(), jobCommand(), schemaCommand(), configCommand(), timelineCommand(), demoCommand(),
 			loadCommand(), soakCommand(), versionCommand(),
 		},
 	}
--- a/config/record.go
+++ b/config/record.go
@@ -21,3 +21,10 @@
 	}
 	return r, nil
 }
+
+// DecodeDocument reads a whole document as JSON.
+func DecodeDocument(data []byte) (contract.ConfigDocument, error) {
+	var d contract.ConfigDocument
+	err := json.Unmarshal(data, &d)
+	return d, err
+}
--- a/entry/configapply.go
+++ b/entry/configapply.go
@@ -129,5 +129,7 @@
 	}
 }
 
-// Configuration reports the configuration in effect on this VM.
-func (d *Daemon) Configuration(context.Context) contract.ConfigView { return d.configs.state.View() }
+// Configuration implements rpc.Configured.
+func (d *Daemon) Configuration() (machine.EntryVM, contract.ConfigView) {
+	return d.o.VM, d.configs.state.View()
+}
--- a/entry/configs_test.go
+++ b/entry/configs_test.go
@@ -42,7 +42,7 @@
 	return c
 }
 
-func publishWeight(t *testing.T, l platform.Log, n int, base uint64) {
+func publishWeight(t testing.TB, l platform.Log, n int, base uint64) {
 	t.Helper()
 	data, err := config.EncodeRecord(contract.ConfigRecord{Change: &contract.ConfigChange{
 		ID: fmt.Sprint("change-", n), Author: "operator", Base: base, Patch: contract.ConfigPatch{
--- a/rpc/server.go
+++ b/rpc/server.go
@@ -48,6 +48,9 @@
 	}
 	s := &Server{jobs: jobs, now: now, grpc: grpc.NewServer(opts...)}
 	api.RegisterDispatcherServer(s.grpc, s)
+	if c, ok := jobs.(Configured); ok {
+		api.RegisterConfigurationServer(s.grpc, configurationServer{source: c})
+	}
 	go func() {
 		// Serve ends when the listener is closed by Stop.
 		_ = s.grpc.Serve(l)
