--- a/entry/closures.go
+++ b/entry/closures.go
@@ -124,6 +124,9 @@
 	if err != nil {
 		return err
 	}
+	if err := c.d.budget.Wait(ctx, closureStream, c.d.o.Now()); err != nil {
+		return err
+	}
 	// A record that is appended twice after a lost reply has no further effect.
 	_, err = c.d.o.Log.Append(ctx, closureStream, data)
 	return err
--- a/entry/router.go
+++ b/entry/router.go
@@ -54,7 +54,7 @@
 		// Only the home accepts; a successor answers for what was handed over to it.
 		return d.wait(ctx, s.Ref.ID, wait)
 	}
-	if err := d.configured(); err != nil {
+	if err := d.configured(); err != nil && d.table.Refuse(s.Ref.ID, fault.Reason(err), err.Error(), d.o.Now()) {
 		return contract.Answer{}, err
 	}
 	spec := contract.JobSpec{
