--- a/entry/membership.go
+++ b/entry/membership.go
@@ -81,8 +81,11 @@
 	d.operators.lastBeat.Store(d.o.Now().UnixNano())
 	d.applyChanges(d.domain.Tick(d.o.Now()))
 	leaving := d.dispatcher.Draining()
-	own := &api.Heartbeat{Leaving: leaving, Slots: d.slots.statuses()}
-	foreign := &api.Heartbeat{Leaving: leaving}
+	offset, revision := d.configs.position()
+	foreign := &api.Heartbeat{Leaving: leaving, ConfigOffset: offset, ConfigRevision: revision}
+	own := &api.Heartbeat{
+		Leaving: leaving, ConfigOffset: offset, ConfigRevision: revision, Slots: d.slots.statuses(),
+	}
 	d.peers.heartbeat(
 		&api.PeerMessage{Body: &api.PeerMessage_Heartbeat{Heartbeat: own}},
 		&api.PeerMessage{Body: &api.PeerMessage_Heartbeat{Heartbeat: foreign}},
