--- a/load/soak.go
+++ b/load/soak.go
@@ -21,7 +21,7 @@
 	soakDomains = 2
 	soakWorkers = 4 // per failure domain
 	soakSlots   = 4
-	soakCallers = 24
+	soakCallers = 32
 	// answerBound is the time after the end of all faults within which every caller has its final answer. It covers the
 	// job's deadline, the time until a lost VM counts as gone and the time for which a lost worker is asked.
 	answerBound = 20 * time.Second
--- a/load/soakcaller.go
+++ b/load/soakcaller.go
@@ -15,7 +15,7 @@
 	// attemptTimeout is how long a caller waits at one entry VM before it turns to another.
 	attemptTimeout = 3 * time.Second
 	// patienceForNext is how long a caller waits for an answer before it submits its next job beside it.
-	patienceForNext = time.Second
+	patienceForNext = 200 * time.Millisecond
 	attemptPause    = 100 * time.Millisecond
 	soakDeadline    = 8 * time.Second
 )
