--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -5,6 +5,7 @@
 	"log/slog"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
@@ -44,10 +45,14 @@
 	DialPeer    func(ctx context.Context, address string) (net.Conn, error)
 	Connections int
 	// Events is the size of the timeline's ring; 0 takes the default, a negative number records nothing.
-	Events  int
+	Events int
+	// Policy selects how workers are chosen; empty selects the default.
+	Policy  dispatch.Policy
 	Now     func() time.Time
 	Logger  *slog.Logger
 	Metrics metrics.Registry
+	// OnViolation is told of violated invariants; tests panic.
+	OnViolation func(invariant string)
 }
 
 // Daemon is the process that runs on an entry VM.
@@ -60,8 +65,23 @@
 	dispatcher *dispatch.Dispatcher
 	peers      *peers
 	slots      *slotDirectory
-	clock      *timeline.Clock
-	timeline   *timeline.Ring
+	budget     *platform.Budget
+	claims     *claimDelegate
+	// inquiries holds a token for each claim that asks other failure domains.
+	inquiries chan struct{}
+	clock     *timeline.Clock
+	timeline  *timeline.Ring
+
+	homes     *zone.Homes
+	lease     *zone.AnswerLease
+	handovers *handOvers
+	closures  *closureLog
+	serving   *gate
+	lapse     lapse
+	wasListed atomic.Bool
+	fenced    atomic.Bool
+	lost      chan struct{}
+	started   time.Time
 
 	peerServer *link.PeerServer
 	rpcServer  *rpc.Server
@@ -87,10 +107,19 @@
 	if o.VM.Incarnation == 0 {
 		o.VM.Incarnation = machine.NewIncarnation()
 	}
+	policy, err := dispatch.ParsePolicy(string(o.Policy))
+	if err != nil {
+		return nil, err
+	}
+	o.Policy = policy
 	d := &Daemon{
 		o: o, fleet: machine.NewFleet(), domain: zone.NewFailureDomain(o.Domain, o.VM.ID),
 		table: contract.NewJobTable(o.Domain, o.VM.Incarnation), clock: &timeline.Clock{},
+		homes: zone.NewHomes(), lease: zone.NewAnswerLease(), handovers: newHandOvers(), serving: newGate(maxServed),
+		lost: make(chan struct{}), started: o.Now(),
 	}
+	d.closures = newClosureLog(d)
+	d.table.OnCheck(d.onCheck)
 	d.timeline = newTimeline(o, d.clock)
 	workers, err := link.NewWorkers(d.fleet, o.VM.Incarnation, o.Connections, d.clock)
 	if err != nil {
@@ -99,12 +128,17 @@
 	d.workers = workers
 	d.peers = newPeers(d)
 	d.slots = newSlotDirectory(d)
+	d.inquiries = make(chan struct{}, maxKeyInquiries)
+	d.budget = platform.NewBudget(appendBudget)
+	d.claims = newClaimDelegate(claimDelegateOptions{
+		Self: o.VM.Incarnation, Log: o.Log, Budget: d.budget, Now: o.Now, Logger: o.Logger, Metrics: o.Metrics,
+	})
 	d.dispatcher = dispatch.New(dispatch.Options{
-		Table: d.table, Starter: workers, Broker: d.slots, Fleet: d.fleet, Now: o.Now, Logger: o.Logger,
-		Metrics: o.Metrics, Timeline: d.timeline,
+		Table: d.table, Starter: workers, Broker: d.slots, Self: o.VM.ID, Placement: d.slots.placement,
+		Fleet: d.fleet, Now: o.Now, Logger: o.Logger, Metrics: o.Metrics, Timeline: d.timeline,
 	})
 	for _, s := range o.Services {
-		d.dispatcher.AddService(s, nil)
+		d.dispatcher.AddService(s)
 	}
 	return d, nil
 }
@@ -124,10 +158,16 @@
 	d.pollWorkers(ctx)
 	d.rpcServer = rpc.Serve(d.o.Callers, d, d.o.Now, nil)
 	d.loop(ctx, heartbeatInterval, func() { d.heartbeat() })
+	d.loop(ctx, delegateInterval, d.electClaims)
 	d.loop(ctx, listInterval, func() { d.refreshList(ctx) })
 	d.loop(ctx, statusInterval, func() { d.pollWorkers(ctx) })
-	d.loop(ctx, laneInterval, d.dispatcher.Tick)
-	d.loop(ctx, expiryInterval, func() { d.table.Expire(d.o.Now()) })
+	if d.slots.placement == nil {
+		d.loop(ctx, slotInterval, d.slots.tick)
+		d.loop(ctx, renewInterval, d.slots.renew)
+	}
+	d.loop(ctx, laneInterval, func() { d.checkLapse(); d.dispatcher.Tick() })
+	d.loop(ctx, expiryInterval, func() { d.table.Expire(d.o.Now()); d.homes.Expire(d.o.Now()) })
+	d.closures.start(ctx)
 	d.timeline.Record(timeline.Event{Kind: timeline.ProcessStarted})
 	d.operators.serving.Store(true)
 	d.o.Logger.Info("entry daemon started", "vm", d.o.VM.ID, "incarnation", d.o.VM.Incarnation.String(),
@@ -150,16 +190,6 @@
 	})
 }
 
-// Stop refuses new work, finishes what runs until ctx ends, and closes all links.
-func (d *Daemon) Stop(ctx context.Context) {
-	d.dispatcher.Drain()
-	d.timeline.Record(timeline.Event{Kind: timeline.ProcessDraining})
-	d.waitIdle(ctx)
-	d.rpcServer.Stop(ctx)
-	d.kill()
-	d.o.Logger.Info("entry daemon stopped", "vm", d.o.VM.ID)
-}
-
 func (d *Daemon) waitIdle(ctx context.Context) {
 	t := time.NewTicker(laneInterval)
 	defer t.Stop()
@@ -176,6 +206,8 @@
 func (d *Daemon) kill() {
 	d.cancel()
 	d.loops.Wait()
+	d.closures.wait()
+	d.claims.close()
 	d.peerServer.Close()
 	d.peers.close()
 	d.dispatcher.Close()
