--- a/load/deployment.go
+++ b/load/deployment.go
@@ -11,6 +11,7 @@
 	"github.com/rcrowley/go-metrics"
 
 	"github.com/cicadadale/cicadadale/backend"
+	"github.com/cicadadale/cicadadale/dispatch"
 	"github.com/cicadadale/cicadadale/entry"
 	"github.com/cicadadale/cicadadale/machine"
 	"github.com/cicadadale/cicadadale/platform"
@@ -144,7 +145,7 @@
 	e.Daemon, err = entry.New(entry.Options{
 		VM: machine.EntryVM{ID: id, PeerAddress: peers.Addr().String(), CallerAddress: e.Callers}, Domain: domain,
 		Services: o.Services(), Log: logs, List: list, Callers: callers, Peers: peers, Connections: o.Slots,
-		Logger: o.Logger, Metrics: e.Metrics,
+		Logger: o.Logger, Metrics: e.Metrics, Policy: dispatch.Policy(o.Policy),
 	})
 	if err != nil {
 		return err
--- a/load/policy.go
+++ b/load/policy.go
@@ -1,21 +1,18 @@
 package load
 
-import (
-	"fmt"
-	"slices"
-	"strings"
-)
+import "github.com/cicadadale/cicadadale/dispatch"
 
-// Policies are the placement policies that a run can use, the default first.
-var policies = []string{"default"}
-
-// Policies returns the names of all policies.
-func Policies() []string { return slices.Clone(policies) }
+// Policies returns the names of all placement policies, the default first.
+func Policies() []string {
+	var names []string
+	for _, p := range dispatch.Policies() {
+		names = append(names, string(p))
+	}
+	return names
+}
 
 // CheckPolicy reports a name that is no policy.
 func CheckPolicy(name string) error {
-	if slices.Contains(policies, name) {
-		return nil
-	}
-	return fmt.Errorf("unknown policy %q, use one of %s", name, strings.Join(policies, ", "))
+	_, err := dispatch.ParsePolicy(name)
+	return err
 }
--- a/load/soak.go
+++ b/load/soak.go
@@ -305,7 +305,8 @@
 		s.checked(CheckAnswerArrives, 1)
 		first, ok := rec.First()
 		if !ok {
-			s.violate(rec.violation(CheckAnswerArrives, -1, rec.last(), fmt.Sprintf("no final answer, last error %v", rec.last().Err)))
+			s.violate(rec.violation(CheckAnswerArrives, -1, rec.last(), fmt.Sprintf("no final answer after %d attempts, home %s, "+
+				"last error %v", len(rec.Attempts()), s.fate(rec.ID.Home), rec.last().Err)))
 			continue
 		}
 		for _, name := range []string{CheckAnswerWhole, CheckResultsRight, CheckNotRunTrue} {
@@ -336,6 +337,22 @@
 	}
 }
 
+// fate names the process that minted an id and says how it ended.
+func (s *Soak) fate(inc machine.Incarnation) string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	switch home := s.homes[inc]; {
+	case home == nil:
+		return "unknown"
+	case s.crashed[inc]:
+		return home.ID + " (crashed)"
+	case s.stopped[inc]:
+		return home.ID + " (stopped as planned)"
+	default:
+		return home.ID
+	}
+}
+
 func (s *Soak) jobs() []*JobRecord {
 	s.mu.Lock()
 	defer s.mu.Unlock()
