load: add keyed submissions, restarts and the daemons' own counters to the soak run

A daemon that the others count as gone ends itself; the run now starts it anew as the platform would, and takes any other end for a violation. A twelfth of the jobs uses a caller's key, submitted to two entry VMs at once.

--- a/load/check.go
+++ b/load/check.go
@@ -15,10 +15,12 @@
 	CheckResultsRight    = "results_right"
 	CheckNotRunTrue      = "not_run_true"
 	CheckAnswerArrives   = "answer_within_bound"
+	CheckKeyOnce         = "key_names_one_job"
 	CheckAnswersAgree    = "answers_agree"
 	CheckLeavingNoStarts = "leaving_worker_gets_no_start"
 	CheckStopCutsNothing = "planned_stop_cuts_no_request"
 	CheckProgram         = "program_invariants"
+	CheckDaemonRuns      = "daemon_runs"
 )
 
 // Violation is a broken invariant with what is needed to follow it.
@@ -67,11 +69,33 @@
 	if c.Faultless {
 		out = append(out, agree(r, attempts)...)
 	}
+	if r.Key != nil {
+		out = append(out, oneJob(r, attempts)...)
+	}
 	return out
 }
 
+// oneJob checks that complete answers to a caller's key belong to the same job.
+func oneJob(r *JobRecord, attempts []Attempt) []Violation {
+	var first Attempt
+	for _, a := range attempts {
+		if !a.Final() || a.Answer.Verdict != contract.VerdictComplete {
+			continue
+		}
+		if first.Final() && a.Answer.Job != first.Answer.Job {
+			return []Violation{r.violation(CheckKeyOnce, -1, a, fmt.Sprintf("key %s: answers of jobs %s and %s", r.Key, a.Answer.Job,
+				first.Answer.Job))}
+		}
+		first = a
+	}
+	return nil
+}
+
 func (r *JobRecord) violation(check string, task int, a Attempt, seen string) Violation {
 	v := Violation{Check: check, Job: r.ID.String(), Task: "-", At: a.Received}
+	if r.Key != nil {
+		v.Job = fmt.Sprintf("%s of key %s", a.Answer.Job, r.Key)
+	}
 	if task >= 0 {
 		v.Task = r.TaskID(task)
 	}
@@ -86,7 +110,7 @@
 			len(a.Answer.Results), len(a.Answer.Reports), len(r.Plan.Tasks)))}
 	}
 	var out []Violation
-	if a.Answer.Job != r.ID {
+	if r.Key == nil && a.Answer.Job != r.ID {
 		out = append(out, r.violation(CheckResultsRight, -1, a, "answer belongs to job "+a.Answer.Job.String()))
 	}
 	for i, t := range r.Plan.Tasks {
--- a/load/jobrecord.go
+++ b/load/jobrecord.go
@@ -26,11 +26,21 @@
 type JobRecord struct {
 	Plan *PlannedJob
 	ID   contract.JobID
+	// Key is the caller's own key instead of a job id, nil for none.
+	Key *contract.CallerKey
 
 	mu       sync.Mutex
 	attempts []Attempt
 }
 
+// Ref returns how the job is named in calls.
+func (r *JobRecord) Ref() contract.JobRef {
+	if r.Key != nil {
+		return contract.JobRef{Key: r.Key}
+	}
+	return contract.JobRef{ID: r.ID}
+}
+
 // Add records an attempt that has ended.
 func (r *JobRecord) Add(a Attempt) {
 	r.mu.Lock()
--- a/load/process.go
+++ b/load/process.go
@@ -7,6 +7,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -21,6 +22,8 @@
 	firstPort, lastPort = 20000, 32000
 	portAttempts        = 200
 	listenTimeout       = 10 * time.Second
+	// fencedMessage is a part of the error with which a daemon ends that the others count as gone.
+	fencedMessage = "count this process as gone"
 )
 
 // EntryProcess is an entry VM whose daemon runs as a child process. mu guards the process and the flags; the other
@@ -34,11 +37,14 @@
 	settings string
 	log      string
 	view     *View
+	// ended is told of a daemon that ended without being told to.
+	ended func(p *EntryProcess, err error)
 
 	mu        sync.Mutex
 	cmd       *exec.Cmd
 	exited    chan struct{}
 	err       error
+	expected  bool
 	busy      bool
 	retired   bool
 	disturbed bool
@@ -54,13 +60,14 @@
 	Slots    int
 	View     *View
 	LogLevel string
+	Ended    func(p *EntryProcess, err error)
 }
 
 // NewEntryProcess writes the settings of a daemon.
 func NewEntryProcess(s EntrySetup) (*EntryProcess, error) {
 	p := &EntryProcess{
 		ID: s.ID, Domain: s.Domain, settings: filepath.Join(s.Dir, s.ID+".toml"), log: filepath.Join(s.Dir, s.ID+".log"),
-		view: s.View,
+		view: s.View, ended: s.Ended,
 	}
 	for _, address := range []*string{&p.Callers, &p.Peers, &p.Admin} {
 		a, err := freeAddress()
@@ -116,14 +123,18 @@
 	}
 	exited := make(chan struct{})
 	p.mu.Lock()
-	p.cmd, p.exited, p.err, p.disturbed = cmd, exited, nil, false
+	p.cmd, p.exited, p.err, p.disturbed, p.expected = cmd, exited, nil, false, false
 	p.mu.Unlock()
 	go func() {
 		err := cmd.Wait()
 		p.mu.Lock()
 		p.err = err
+		expected := p.expected
 		p.mu.Unlock()
 		close(exited)
+		if !expected && p.ended != nil {
+			p.ended(p, err)
+		}
 	}()
 	return p.waitListening(exited)
 }
@@ -152,6 +163,23 @@
 	_ = p.cmd.Process.Signal(s)
 }
 
+// Expect says that the daemon is about to be ended on purpose.
+func (p *EntryProcess) Expect() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.expected = true
+}
+
+// Fenced reports whether the daemon's last words are that the other entry VMs count it as gone.
+func (p *EntryProcess) Fenced() bool {
+	text, err := os.ReadFile(p.log)
+	if err != nil {
+		return false
+	}
+	lines := strings.Split(strings.TrimSpace(string(text)), "\n")
+	return strings.Contains(lines[len(lines)-1], fencedMessage)
+}
+
 // Wait returns when the daemon has ended, with its error, or false after the timeout.
 func (p *EntryProcess) Wait(timeout time.Duration) (error, bool) { //nolint:revive // The error is a result, not a failure.
 	p.mu.Lock()
@@ -169,6 +197,7 @@
 
 // Kill ends the daemon at once.
 func (p *EntryProcess) Kill() {
+	p.Expect()
 	p.Signal(syscall.SIGKILL)
 	_, _ = p.Wait(listenTimeout)
 }
--- a/load/soak.go
+++ b/load/soak.go
@@ -57,6 +57,7 @@
 	JobsFailed      int            `json:"jobs_failed"`
 	JobsRefused     int            `json:"jobs_refused"`
 	TasksUnknown    int            `json:"tasks_outcome_unknown"`
+	DaemonsFenced   int            `json:"daemons_fenced"`
 	CPUSeconds      float64        `json:"cpu_seconds"`
 	RunSeconds      float64        `json:"run_seconds"`
 }
@@ -100,6 +101,8 @@
 	// logFault holds the failures of the log in effect, the oldest first.
 	logFault []func(*standin.PlatformFaults)
 	finish   time.Time
+	// fenced counts the daemons that ended because the others counted them as gone.
+	fenced int
 }
 
 // RunSoak performs a randomised run.
@@ -117,6 +120,7 @@
 		return SoakReport{}, err
 	}
 	s.drive()
+	s.readAllInvariants()
 	s.checkJobs()
 	r := s.report()
 	r.CPUSeconds = (cpuTime() - cpu).Seconds()
@@ -196,7 +200,7 @@
 	}
 	p, err := NewEntryProcess(EntrySetup{
 		ID: id, Domain: domain, Dir: s.dir, Schema: s.schemaPath(), Log: logs.Address(), Slots: soakSlots, View: view,
-		LogLevel: "info",
+		LogLevel: "info", Ended: s.restart,
 	})
 	if err != nil {
 		return err
@@ -316,13 +320,14 @@
 	}
 }
 
-// checkStop checks that a planned stop left no task of its jobs without an outcome, unless the worker crashed.
+// checkStop checks that a planned stop left no task of its jobs without an outcome, unless the worker crashed or was
+// taken off the list, so that it could not be asked.
 func (s *Soak) checkStop(rec *JobRecord, a Attempt) {
 	s.mu.Lock()
 	stopped := s.stopped[rec.ID.Home]
 	crashed := make(map[machine.WorkerID]bool)
 	for _, w := range s.workers {
-		crashed[w.worker.ID()] = w.crashed
+		crashed[w.worker.ID()] = w.crashed || w.gone
 	}
 	s.mu.Unlock()
 	if !stopped {
@@ -392,6 +397,7 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	r.DaemonsFenced = s.fenced
 	r.FaultsInjected, r.InvariantChecks, r.ViolationsBy = s.injected, s.checks, s.broken
 	for _, n := range s.broken {
 		r.Violations += n
--- a/load/soakcaller.go
+++ b/load/soakcaller.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -12,6 +13,8 @@
 
 const (
 	soakMostTasks = 8
+	// keyedOneIn is the share of jobs that are submitted under a caller's own key; the log bounds their rate.
+	keyedOneIn = 12
 	// attemptTimeout is how long a caller waits at one entry VM before it turns to another.
 	attemptTimeout = 3 * time.Second
 	// patienceForNext is how long a caller waits for an answer before it submits its next job beside it.
@@ -62,6 +65,8 @@
 	duringDelay   time.Duration
 	cancelAfter   time.Duration
 	joinsWave     bool
+	// keyed submits under a key of the caller, to two entry VMs at once.
+	keyed bool
 }
 
 // call submits jobs until end, one after the other while answers arrive in time, and returns when all have ended.
@@ -105,6 +110,9 @@
 	for range 4 {
 		j.others = append(j.others, rng.Uint64())
 	}
+	if rng.IntN(keyedOneIn) == 0 {
+		j.keyed, j.during, j.duringDelay = true, true, 0
+	}
 	if rng.IntN(20) == 0 {
 		j.cancelAfter = time.Millisecond + time.Duration(rng.Int64N(int64(50*time.Millisecond)))
 	}
@@ -152,9 +160,25 @@
 	return false
 }
 
+// name gives a job its id or key and adds it to the records.
+func (s *Soak) name(j *soakJob, end time.Time) bool {
+	if !j.keyed {
+		return s.mint(j, end)
+	}
+	j.record.Key = &contract.CallerKey{
+		Customer: j.record.Plan.Customer, Text: fmt.Sprintf("%d-%d", s.o.Seed, j.record.Plan.Number),
+		CreatedUnixMS: time.Now().UnixMilli(),
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.records = append(s.records, j.record)
+	s.injected["key_submitted_twice_at_once"]++
+	return true
+}
+
 // runJob submits a job until its final answer arrives or the bound has passed.
 func (s *Soak) runJob(j *soakJob, end time.Time) {
-	if !s.mint(j, end) {
+	if !s.name(j, end) {
 		return
 	}
 	var side sync.WaitGroup
@@ -187,7 +211,7 @@
 	client, err := s.gateways.Client(p.Callers)
 	if err == nil {
 		a.Answer, err = client.Do(ctx, contract.Submission{
-			Ref: contract.JobRef{ID: r.ID}, Service: serviceName, Customer: r.Plan.Customer, Tasks: r.Plan.Specs(),
+			Ref: r.Ref(), Service: serviceName, Customer: r.Plan.Customer, Tasks: r.Plan.Specs(),
 			Deadline: r.Plan.Deadline,
 		})
 	}
@@ -221,5 +245,5 @@
 	ctx, cancel := context.WithTimeout(context.Background(), attemptTimeout)
 	defer cancel()
 	// The job's answer tells what the cancellation did.
-	_, _ = client.Cancel(ctx, contract.JobRef{ID: j.record.ID})
+	_, _ = client.Cancel(ctx, j.record.Ref())
 }
--- a/load/soakfault.go
+++ b/load/soakfault.go
@@ -191,8 +191,16 @@
 		time.Sleep(f.lag / 2)
 	}
 	begin := time.Now()
+	s.readInvariants(p)
+	p.Expect()
 	p.Signal(syscall.SIGTERM)
 	err, ended := p.Wait(stopBound)
+	if ended && err != nil && p.Fenced() {
+		// A partition made the others count it as gone before the stop was complete.
+		s.noteHomes(p, s.crashed)
+		s.replace(p, f.lag)
+		return true
+	}
 	s.checked(CheckStopCutsNothing, 1)
 	if !ended || err != nil {
 		s.violate(Violation{Check: CheckStopCutsNothing, Job: "-", Task: "-", At: time.Now(), Seen: fmt.Sprintf(
@@ -204,6 +212,22 @@
 	return true
 }
 
+// restart does what the platform does when a daemon ends: it starts the daemon anew. The end is allowed only when the
+// other entry VMs count the process as gone.
+func (s *Soak) restart(p *EntryProcess, cause error) {
+	s.noteHomes(p, s.crashed)
+	if !p.Fenced() {
+		s.violate(Violation{Check: CheckDaemonRuns, Job: "-", Task: "-", At: time.Now(), Seen: fmt.Sprintf(
+			"daemon of %s ended: %v, see %s", p.ID, cause, p.log)})
+	}
+	s.mu.Lock()
+	s.fenced++
+	s.mu.Unlock()
+	if p.Serving() {
+		s.must(p.Start())
+	}
+}
+
 // noteStopped marks the homes of a process that was stopped as planned and was never paused.
 func (s *Soak) noteStopped(p *EntryProcess) {
 	if !p.Disturbed() {
--- /dev/null
+++ b/load/soakinvariants.go
@@ -0,0 +1,69 @@
+package load
+
+import (
+	"context"
+	"fmt"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/cloudwego/hertz/pkg/app/client"
+
+	"github.com/cicadadale/cicadadale/metric"
+)
+
+const metricsTimeout = 2 * time.Second
+
+// readAllInvariants reads the counters of all daemons that run.
+func (s *Soak) readAllInvariants() {
+	s.mu.Lock()
+	entries := append([]*EntryProcess(nil), s.entries...)
+	s.mu.Unlock()
+	for _, p := range entries {
+		if p.Serving() {
+			s.readInvariants(p)
+		}
+	}
+}
+
+// readInvariants takes over the counts of a daemon's own checks. Counts of a daemon that does not answer are lost.
+func (s *Soak) readInvariants(p *EntryProcess) {
+	counters, err := daemonMetrics(p.Admin)
+	if err != nil {
+		return
+	}
+	s.checked(CheckProgram, counters[metric.InvariantChecks])
+	if n := counters[metric.InvariantViolations]; n > 0 {
+		s.violate(Violation{Check: CheckProgram, Job: "-", Task: "-", At: time.Now(), Seen: fmt.Sprintf(
+			"daemon of %s counts %d violations, see %s", p.ID, n, p.log)})
+	}
+}
+
+// daemonMetrics reads the counters that an admin endpoint shows, by their names in package metric.
+func daemonMetrics(address string) (map[string]int, error) {
+	c, err := client.NewClient()
+	if err != nil {
+		return nil, err
+	}
+	defer c.CloseIdleConnections()
+	ctx, cancel := context.WithTimeout(context.Background(), metricsTimeout)
+	defer cancel()
+	status, body, err := c.GetTimeout(ctx, nil, "http://"+address+"/metrics", metricsTimeout)
+	if err != nil || status != 200 {
+		return nil, fmt.Errorf("metrics of %s: status %d: %w", address, status, err)
+	}
+	out := make(map[string]int)
+	for line := range strings.Lines(string(body)) {
+		name, value, ok := strings.Cut(strings.TrimSpace(line), " ")
+		n, err := strconv.Atoi(value)
+		if !ok || err != nil {
+			continue
+		}
+		for _, known := range []string{metric.InvariantChecks, metric.InvariantViolations} {
+			if name == "cicadadale_"+strings.ReplaceAll(known, ".", "_")+"_total" {
+				out[known] = n
+			}
+		}
+	}
+	return out, nil
+}
