--- a/load/soak.go
+++ b/load/soak.go
@@ -7,6 +7,7 @@
 	"net"
 	"os"
 	"path/filepath"
+	"regexp"
 	"sync"
 	"time"
 
@@ -31,6 +32,9 @@
 	stopBound = 65 * time.Second
 )
 
+// identifiers match what differs between two texts of the same cause.
+var identifiers = regexp.MustCompile(`(entry|worker|j)-[0-9a-f.-]+|127\.0\.0\.1:[0-9]+|[0-9a-f]{16}`)
+
 // SoakOptions select a randomised run.
 type SoakOptions struct {
 	Seed     uint64
@@ -57,6 +61,7 @@
 	JobsFailed      int            `json:"jobs_failed"`
 	JobsRefused     int            `json:"jobs_refused"`
 	TasksUnknown    int            `json:"tasks_outcome_unknown"`
+	UnknownBy       map[string]int `json:"tasks_outcome_unknown_by_detail"`
 	DaemonsFenced   int            `json:"daemons_fenced"`
 	CPUSeconds      float64        `json:"cpu_seconds"`
 	RunSeconds      float64        `json:"run_seconds"`
@@ -246,7 +251,8 @@
 	defer s.mu.Unlock()
 	s.broken[v.Check]++
 	// A failure to print must not hide the count.
-	_, _ = fmt.Fprintf(s.o.Out, "seed %d, %.3f s: %s\n", s.o.Seed, v.At.Sub(s.begin).Seconds(), v)
+	_, _ = fmt.Fprintf(s.o.Out, "start %d, seed %d, %.3f s: %s\n", s.checks[CheckStartedOnce], s.o.Seed,
+		v.At.Sub(s.begin).Seconds(), v)
 }
 
 func (s *Soak) checked(name string, n int) {
@@ -374,7 +380,7 @@
 }
 
 func (s *Soak) report() SoakReport {
-	r := SoakReport{Seed: s.o.Seed}
+	r := SoakReport{Seed: s.o.Seed, UnknownBy: make(map[string]int)}
 	r.TasksStarted, _ = s.recorder.Ledger.Totals()
 	for _, rec := range s.jobs() {
 		r.JobsSubmitted++
@@ -392,6 +398,7 @@
 		for _, t := range first.Answer.Reports {
 			if t.Outcome == contract.OutcomeUnknown {
 				r.TasksUnknown++
+				r.UnknownBy[identifiers.ReplaceAllString(t.Detail, "*")]++
 			}
 		}
 	}
