--- a/entry/slots.go
+++ b/entry/slots.go
@@ -38,7 +38,14 @@
 
 	mu           sync.Mutex
 	services     map[string]*serviceSlots
-	incarnations map[string]machine.Incarnation
+	incarnations map[string]memberProcess
+}
+
+// memberProcess is the process that was last heard on a member.
+type memberProcess struct {
+	incarnation machine.Incarnation
+	// fresh is set until the process counts as live for the first time. It can hold no slots before.
+	fresh bool
 }
 
 // serviceSlots are the granter and the asker of one service. mu guards the fields below it and is taken before the
@@ -67,7 +74,7 @@
 	c := func(name string) metrics.Counter { return metrics.GetOrRegisterCounter(name, d.o.Metrics) }
 	s := &slotDirectory{
 		d: d, placement: dispatch.NewPlacement(d.o.Policy, uint64(d.o.VM.Incarnation)),
-		services: make(map[string]*serviceSlots), incarnations: make(map[string]machine.Incarnation),
+		services: make(map[string]*serviceSlots), incarnations: make(map[string]memberProcess),
 		counters: slotCounters{
 			received: c(metric.GrantsReceived), unused: c(metric.GrantsUnused), issued: c(metric.GrantsIssued),
 			demands: c(metric.DemandsSent), returns: c(metric.ReturnsSent), recalls: c(metric.RecallsSent),
@@ -108,6 +115,11 @@
 	return (*s.assignment.Load())[w]
 }
 
+// Scarce implements dispatch.SlotBroker.
+func (s *slotDirectory) Scarce(service string) bool {
+	return s.service(service).asker.Scarce(s.d.o.Now())
+}
+
 // reassign takes over the workers whose granter this VM is now, and drops the others.
 func (s *slotDirectory) reassign() {
 	workers := s.d.fleet.All()
@@ -184,11 +196,8 @@
 	if !taken {
 		return
 	}
-	msg := &api.PeerMessage{Body: &api.PeerMessage_HoldingsRequest{
-		HoldingsRequest: &api.HoldingsRequest{Service: st.name},
-	}}
 	for _, vm := range others {
-		s.d.peers.send(vm, msg)
+		s.requestHoldings(st, vm)
 	}
 }
 
@@ -448,14 +457,56 @@
 // heard takes back the slots of a member whose process was replaced, and forgets what was asked of it.
 func (s *slotDirectory) heard(vm string, inc machine.Incarnation) {
 	s.mu.Lock()
-	before := s.incarnations[vm]
-	s.incarnations[vm] = inc
+	before := s.incarnations[vm].incarnation
+	if before != inc {
+		s.incarnations[vm] = memberProcess{incarnation: inc, fresh: true}
+	}
 	s.mu.Unlock()
 	if before != 0 && before != inc {
 		s.memberGone(vm)
 	}
 }
 
+// memberChanged follows the state of a member.
+func (s *slotDirectory) memberChanged(c zone.Change) {
+	if s.placement != nil {
+		return
+	}
+	switch c.To {
+	case zone.MemberGone:
+		s.memberGone(c.VM.ID)
+	case zone.MemberSuspect:
+		for _, st := range s.all() {
+			st.granter.Suspend(c.VM.ID)
+		}
+	case zone.MemberLive:
+		s.rejoin(c.VM.ID)
+	}
+}
+
+// rejoin asks a member that responds again for its holdings, unless its process is new.
+func (s *slotDirectory) rejoin(vm string) {
+	s.mu.Lock()
+	process := s.incarnations[vm]
+	fresh := process.fresh
+	process.fresh = false
+	s.incarnations[vm] = process
+	s.mu.Unlock()
+	if fresh {
+		return
+	}
+	for _, st := range s.all() {
+		st.granter.Rejoin(vm, s.d.o.Now())
+		s.requestHoldings(st, vm)
+	}
+}
+
+func (s *slotDirectory) requestHoldings(st *serviceSlots, vm string) {
+	s.d.peers.send(vm, &api.PeerMessage{Body: &api.PeerMessage_HoldingsRequest{
+		HoldingsRequest: &api.HoldingsRequest{Service: st.name},
+	}})
+}
+
 // memberGone takes back the slots that a lost member held.
 func (s *slotDirectory) memberGone(vm string) {
 	for _, st := range s.all() {
