--- a/entry/membership.go
+++ b/entry/membership.go
@@ -81,8 +81,11 @@
 	d.operators.lastBeat.Store(d.o.Now().UnixNano())
 	d.applyChanges(d.domain.Tick(d.o.Now()))
 	leaving := d.dispatcher.Draining()
-	own := &api.Heartbeat{Leaving: leaving, Slots: d.slots.statuses()}
-	foreign := &api.Heartbeat{Leaving: leaving}
+	offset, revision := d.configs.position()
+	foreign := &api.Heartbeat{Leaving: leaving, ConfigOffset: offset, ConfigRevision: revision}
+	own := &api.Heartbeat{
+		Leaving: leaving, ConfigOffset: offset, ConfigRevision: revision, Slots: d.slots.statuses(),
+	}
 	d.peers.heartbeat(
 		&api.PeerMessage{Body: &api.PeerMessage_Heartbeat{Heartbeat: own}},
 		&api.PeerMessage{Body: &api.PeerMessage_Heartbeat{Heartbeat: foreign}},
@@ -96,9 +99,7 @@
 	for _, c := range changes {
 		d.o.Logger.Info("member changed state", "vm", c.VM.ID, "from", c.From.String(), "to", c.To.String())
 		d.timeline.Record(timeline.Event{Kind: timeline.MemberChanged, Peer: c.VM.ID, Detail: c.To.String()})
-		if c.To == zone.MemberGone {
-			d.slots.memberGone(c.VM.ID)
-		}
+		d.slots.memberChanged(c)
 	}
 	d.slots.reassign()
 }
--- a/link/peer.go
+++ b/link/peer.go
@@ -308,7 +308,7 @@
 	}
 	p.counter(metric.PeerEnvelopesSent).Inc(1)
 	p.counter(metric.PeerMessagesSent).Inc(int64(n))
-	p.counter(metric.PeerBytesSent).Inc(int64(size))
+	p.counter(metric.PeerBytesSent).Inc(int64(proto.Size(env)))
 	return env
 }
 
