--- a/entry/cluster_test.go
+++ b/entry/cluster_test.go
@@ -344,6 +344,7 @@
 	m.Daemon = d
 	d.closures = newClosureLog(d)
 	d.timeline = newTimeline(d.o, d.clock)
+	d.configs = newConfigCarrier(configCarrierOptions{Now: time.Now, Logger: d.o.Logger, Metrics: m.metrics})
 	d.peers = newPeers(d)
 	d.slots = newSlotDirectory(d)
 	d.dispatcher = dispatch.New(dispatch.Options{
