--- a/entry/handover.go
+++ b/entry/handover.go
@@ -89,6 +89,9 @@
 	if last == 0 && (d.dispatcher.Draining() || d.fenced.Load()) {
 		return fault.With(fault.Draining, fault.ReasonDraining, "this entry VM is stopping")
 	}
+	if err := d.configured(); last == 0 && err != nil {
+		return err
+	}
 	if err := d.applyPart(m); err != nil {
 		return err
 	}
--- a/entry/recovery_test.go
+++ b/entry/recovery_test.go
@@ -199,3 +199,20 @@
 	require.Equal(t, fault.ReasonHomeClosed, a.Reason)
 	require.Zero(t, s.starts(id))
 }
+
+// Guards against a link that breaks on a job of the largest size, whose envelope exceeds the default limit of drpc.
+func TestLargestJobIsForwarded(t *testing.T) {
+	s := newSite(t, 2)
+	close(s.release)
+	id, err := s.client(t, 0).NewJob(t.Context())
+	require.NoError(t, err)
+	large := job(id)
+	large.Tasks = nil
+	for range contract.MaxJobBytes / contract.MaxPayloadBytes {
+		large.Tasks = append(large.Tasks, contract.TaskSpec{Kind: "PriceHire", Payload: make([]byte, contract.MaxPayloadBytes)})
+	}
+	a, err := s.client(t, 1).Do(t.Context(), large)
+	require.NoError(t, err)
+	require.Equal(t, contract.VerdictComplete, a.Verdict, a.Detail)
+	require.Len(t, a.Results, len(large.Tasks))
+}
--- /dev/null
+++ b/entry/router_test.go
@@ -0,0 +1,184 @@
+package entry
+
+import (
+	"io"
+	"log/slog"
+	"testing"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+	"github.com/stretchr/testify/require"
+
+	"github.com/cicadadale/cicadadale/api"
+	"github.com/cicadadale/cicadadale/backend"
+	"github.com/cicadadale/cicadadale/contract"
+	"github.com/cicadadale/cicadadale/fault"
+	"github.com/cicadadale/cicadadale/internal/wire"
+	"github.com/cicadadale/cicadadale/machine"
+	"github.com/cicadadale/cicadadale/platform"
+	"github.com/cicadadale/cicadadale/zone"
+)
+
+// testHomeVM is a daemon without network whose clock the test moves.
+type testHomeVM struct {
+	*Daemon
+	now time.Time
+}
+
+func newTestHomeVM(t *testing.T, members ...string) *testHomeVM {
+	t.Helper()
+	h := &testHomeVM{now: time.Unix(1000, 0)}
+	d, err := New(Options{
+		VM: machine.EntryVM{ID: "self"}, Domain: 1, Connections: 8, Log: newFakeLog(), Metrics: metrics.NewRegistry(),
+		Logger: slog.New(slog.NewTextHandler(io.Discard, nil)), Now: func() time.Time { return h.now },
+		Services:    []*backend.Service{backend.NewService("s", []backend.KindSpec{{Name: "k", Deadline: time.Minute}})},
+		OnViolation: func(invariant string) { panic(invariant) },
+	})
+	require.NoError(t, err)
+	h.Daemon = d
+	d.configs.begin(t.Context())
+	listings := []zone.Listing{{VM: machine.EntryVM{ID: "self"}, Domain: 1}}
+	for i, m := range members {
+		listings = append(listings, zone.Listing{VM: machine.EntryVM{ID: m}, Domain: 1})
+		d.lease.Sent(m, h.now)
+		d.homes.Heard(m, machine.Incarnation(i+1), h.now)
+	}
+	d.domain.ApplyList(listings, h.now)
+	return h
+}
+
+func (h *testHomeVM) submit(t *testing.T) contract.JobID {
+	t.Helper()
+	ids, err := h.Create(t.Context(), 1)
+	require.NoError(t, err)
+	a, err := h.Submit(t.Context(), contract.Submission{
+		Ref: contract.JobRef{ID: ids[0]}, Service: "s", Tasks: []contract.TaskSpec{{Kind: "k"}},
+	}, 0)
+	require.NoError(t, err)
+	require.Equal(t, contract.VerdictPending, a.Verdict)
+	return ids[0]
+}
+
+// Guards against a home that comes back from a partition or a pause and contradicts "outcome unknown" given by others.
+func TestHomeWithoutLeaseWithholdsFinalAnswers(t *testing.T) {
+	h := newTestHomeVM(t, "a", "b")
+	id := h.submit(t)
+	h.now = h.now.Add(zone.SilenceLimit)
+	_, err := h.Cancel(t.Context(), contract.JobRef{ID: id})
+	require.Equal(t, fault.Unavailable.FullName(), fault.Code(err))
+	h.lease.Acknowledged("a", h.now)
+	a, err := h.Await(t.Context(), contract.JobRef{ID: id}, 0)
+	require.NoError(t, err)
+	require.Equal(t, contract.VerdictFailed, a.Verdict)
+	h.fence("test")
+	a, err = h.Await(t.Context(), contract.JobRef{ID: id}, 0)
+	require.NoError(t, err)
+	require.Equal(t, "home lost", a.Reason)
+}
+
+// Guards against a wrong claim about homes: silent but not gone, replaced, and unknown to all members.
+func TestCallsForForeignHomes(t *testing.T) {
+	h := newTestHomeVM(t, "a")
+	ask := func(home machine.Incarnation) (contract.Answer, error) {
+		return h.Submit(t.Context(), contract.Submission{
+			Ref: contract.JobRef{ID: contract.JobID{Domain: 1, Home: home, Seq: 1}}, Tasks: make([]contract.TaskSpec, 2),
+		}, 0)
+	}
+	h.now = h.now.Add(zone.SilenceLimit)
+	_, err := ask(1)
+	require.Equal(t, fault.Unavailable.FullName(), fault.Code(err), "silence alone proves nothing")
+	_, err = ask(99)
+	require.Equal(t, fault.Expired.FullName(), fault.Code(err))
+	h.homes.Heard("a", 11, h.now)
+	for range 2 {
+		a, err := ask(1)
+		require.NoError(t, err)
+		require.Equal(t, contract.VerdictFailed, a.Verdict)
+		require.Len(t, a.Reports, 2)
+		require.Equal(t, contract.OutcomeUnknown, a.Reports[1].Outcome)
+	}
+}
+
+// Guards against calls that circle between VMs or failure domains.
+func TestForwardingIsBounded(t *testing.T) {
+	h := newTestHomeVM(t, "a")
+	h.peers.applyList([]platform.VM{{ID: "b", Kind: platform.KindEntry, Domain: 2}})
+	defer h.peers.close()
+	id := contract.JobID{Domain: 2, Home: 5, Seq: 1}
+	_, err := h.Await(withHops(t.Context(), maxHops), contract.JobRef{ID: id}, 0)
+	require.ErrorContains(t, err, "forwarded 4 times")
+}
+
+// Guards against a second start of a handed-over job by a part that arrives twice, out of order, or at another
+// incarnation than it was meant for.
+func TestHandOverPartsApplyOnce(t *testing.T) {
+	h := newTestHomeVM(t, "a")
+	waiting := func(seq uint64) *api.HandOverJob {
+		return &api.HandOverJob{RemainingMs: 60000, Job: wire.SubmissionTo(contract.Submission{
+			Ref: contract.JobRef{ID: contract.JobID{Domain: 1, Home: 1, Seq: seq}}, Service: "s",
+			Tasks: []contract.TaskSpec{{Kind: "k"}},
+		}, 0)}
+	}
+	part := func(n uint32, complete bool, jobs ...*api.HandOverJob) *api.HandOver {
+		return &api.HandOver{
+			Incarnation: 1, Part: n, Successor: uint64(h.o.VM.Incarnation), Waiting: jobs,
+			Homes: []*api.HandOverHome{{Incarnation: 1, Minted: 10, Complete: complete}},
+		}
+	}
+	require.Error(t, h.adopt("a", part(2, false)))
+	require.NoError(t, h.adopt("a", part(1, false)))
+	require.NoError(t, h.adopt("a", part(2, false, waiting(1))))
+	require.NoError(t, h.adopt("a", part(2, false, waiting(2))), "a repeated part is acknowledged and not applied")
+	wrong := part(3, true)
+	wrong.Successor++
+	require.Error(t, h.adopt("a", wrong))
+	require.Equal(t, 1, h.table.Unfinished())
+	require.NoError(t, h.adopt("a", part(3, true)))
+	a, err := h.Await(t.Context(), contract.JobRef{ID: contract.JobID{Domain: 1, Home: 1, Seq: 1}}, 0)
+	require.NoError(t, err)
+	require.Equal(t, contract.VerdictPending, a.Verdict)
+	a, err = h.Await(t.Context(), contract.JobRef{ID: contract.JobID{Domain: 1, Home: 1, Seq: 2}}, 0)
+	require.NoError(t, err)
+	require.Equal(t, contract.VerdictRefused, a.Verdict)
+}
+
+// Guards against a refused submission whose late copy is accepted and run.
+func TestRefusalBindsLateCopies(t *testing.T) {
+	h := newTestHomeVM(t)
+	ids, err := h.Create(t.Context(), 1)
+	require.NoError(t, err)
+	good := contract.Submission{
+		Ref: contract.JobRef{ID: ids[0]}, Service: "s", Tasks: []contract.TaskSpec{{Kind: "k"}},
+	}
+	bad := good
+	bad.Tasks = nil
+	_, err = h.Submit(t.Context(), bad, 0)
+	require.True(t, fault.IsProvenNotStarted(err))
+	a, err := h.Submit(t.Context(), good, 0)
+	require.NoError(t, err)
+	require.Equal(t, contract.VerdictRefused, a.Verdict)
+	require.Zero(t, h.table.Unfinished())
+}
+
+// Guards against replies that are mixed up: late, repeated, or from another VM than the one that was asked.
+func TestRepliesReachOnlyTheirRequest(t *testing.T) {
+	h := newTestHomeVM(t, "a")
+	reply := make(chan *api.Response, 1)
+	h.peers.pending[1] = call{vm: "a", reply: reply}
+	h.peers.reply("b", &api.Response{Id: 1})
+	h.peers.reply("a", &api.Response{Id: 2})
+	require.Empty(t, reply)
+	h.peers.reply("a", &api.Response{Id: 1})
+	h.peers.reply("a", &api.Response{Id: 1})
+	require.Len(t, reply, 1)
+}
+
+// Guards against idle grants that a process still uses after a pause longer than their life.
+func TestPauseIsNoticed(t *testing.T) {
+	var l lapse
+	now := time.Unix(1000, 0)
+	require.False(t, l.resumed(now))
+	require.False(t, l.resumed(now.Add(lapseLimit)))
+	require.True(t, l.resumed(now.Add(3*lapseLimit)))
+	require.False(t, l.resumed(now.Add(3*lapseLimit)))
+}
--- a/link/worker.go
+++ b/link/worker.go
@@ -112,6 +112,9 @@
 	if !ok {
 		return dispatch.StartReply{}, fault.NotStarted.New("worker %s is not listed", r.Worker)
 	}
+	if w.Spec().Leaving {
+		return dispatch.StartReply{}, fault.With(fault.NotStarted, fault.ReasonNotSent, "worker %s is leaving", r.Worker)
+	}
 	clock, ok := w.ClockAt(r.StartBy)
 	if !ok {
 		return dispatch.StartReply{}, fault.NotStarted.New("worker %s has not reported its clock", r.Worker)
@@ -238,6 +241,11 @@
 		time.AfterFunc(missGrace, func() { link.abandon(missing) })
 	}
 	w.ObserveBusy(s.Busy)
+	if spec := w.Spec(); s.Leaving && !spec.Leaving {
+		// The worker knows before the lagging list.
+		spec.Leaving = true
+		w.UpdateSpec(spec)
+	}
 	if time.Since(sent) > maxClockError && inc == w.Incarnation() {
 		return s, nil
 	}
--- a/link/worker_test.go
+++ b/link/worker_test.go
@@ -266,3 +266,16 @@
 	require.Equal(t, fault.InDoubt.FullName(), fault.Code(err))
 	require.EqualValues(t, 1, s.starts.Load())
 }
+
+// Guards against new work for a worker that says it is leaving before the list does, on slots that are still held.
+func TestLeavingWorkerGetsNoStart(t *testing.T) {
+	s := newWorkerSite(t, direct)
+	close(s.release)
+	s.worker.SetLeaving()
+	_, err := s.links.Poll(t.Context(), s.machine, time.Now)
+	require.NoError(t, err)
+	require.True(t, s.machine.Spec().Leaving)
+	_, err = s.links.Start(t.Context(), s.request(1))
+	require.Equal(t, fault.ReasonNotSent, fault.Reason(err))
+	require.Zero(t, s.starts.Load())
+}
