entry: a home may turn to another successor until its hand-over is complete

Cause: members kept the first successor that was announced, so that a home which did not see the reply to its first part and chose another member was followed to the wrong one; a stopping VM could end before its closure and last replies were sent, and could wait for a home that had turned elsewhere. Change: the home's own announcements replace each other until one is complete, reports of others only fill gaps, and Stop waits up to 1 s for the acknowledgements of what it has sent. The client drops the ids of a home that accepts nothing any more.

--- a/entry/closures.go
+++ b/entry/closures.go
@@ -68,7 +68,7 @@
 // homesFrom takes over what a member knows of incarnations that have ended.
 func (d *Daemon) homesFrom(m *api.Homes) {
 	for _, c := range m.GetClosures() {
-		d.homes.Succeed(successionOf(c), d.o.Now())
+		d.homes.Learn(successionOf(c), d.o.Now())
 	}
 	for _, e := range m.GetEnded() {
 		if inc := machine.Incarnation(e.GetIncarnation()); inc != d.o.VM.Incarnation {
@@ -184,7 +184,7 @@
 	if proto.Unmarshal(data, &record) != nil || record.GetDomain() != uint32(c.d.o.Domain) {
 		return
 	}
-	c.d.homes.Succeed(successionOf(&record), c.d.o.Now())
+	c.d.homes.Learn(successionOf(&record), c.d.o.Now())
 }
 
 func (c *closureLog) appendLater(ctx context.Context) {
--- a/entry/handover.go
+++ b/entry/handover.go
@@ -27,6 +27,7 @@
 	beginAttempts = 2
 	// receiveLimit bounds the time for which a stopping VM waits for the end of hand-overs that it receives.
 	receiveLimit = 20 * time.Second
+	flushLimit   = time.Second
 )
 
 var errSuccessorGone = errors.New("the successor is gone")
@@ -102,6 +103,10 @@
 	} else {
 		h.open[inc] = true
 	}
+	if last == 0 {
+		// The home may still choose another successor, if it does not see the reply to the first part.
+		return nil
+	}
 	d.homes.Succeed(zone.Succession{
 		Home: inc, VM: vm, Successor: d.o.VM.Incarnation, SuccessorVM: d.o.VM.ID, Complete: complete,
 	}, d.o.Now())
@@ -155,10 +160,27 @@
 	d.leave(ctx)
 	d.rpcServer.Stop(ctx)
 	d.serving.wait(ctx)
+	d.flush(ctx)
 	d.kill()
 	d.o.Logger.Info("entry daemon stopped", "vm", d.o.VM.ID)
 }
 
+// flush waits until the members have acknowledged the closure and the last replies. A link that is down does not hold it
+// up for longer than flushLimit.
+func (d *Daemon) flush(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, flushLimit)
+	defer cancel()
+	t := time.NewTicker(laneInterval)
+	defer t.Stop()
+	for !d.peers.flushed() {
+		select {
+		case <-t.C:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
 // awaitReceived waits until the hand-overs to this VM have ended, so that they are passed on whole.
 func (d *Daemon) awaitReceived(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, receiveLimit)
@@ -168,8 +190,8 @@
 	for {
 		waiting := false
 		for _, inc := range d.handovers.receiving() {
-			state := d.homes.Locate(inc, d.o.Now()).State
-			waiting = waiting || state == zone.HomeRunning
+			home := d.homes.Locate(inc, d.o.Now())
+			waiting = waiting || (home.State == zone.HomeRunning && home.Incarnation == inc)
 		}
 		if !waiting {
 			return
--- a/entry/peers.go
+++ b/entry/peers.go
@@ -118,6 +118,18 @@
 	return ok && l.Failing()
 }
 
+// flushed reports whether all links that are up have sent everything and had it acknowledged.
+func (p *peers) flushed() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, l := range p.links {
+		if !l.Failing() && !l.Flushed() {
+			return false
+		}
+	}
+	return true
+}
+
 // replaced ends the requests that were sent over a connection which is lost; their replies may be lost as well.
 func (p *peers) replaced(vm string) {
 	p.mu.Lock()
--- a/link/peer.go
+++ b/link/peer.go
@@ -143,6 +143,13 @@
 	return p.tried && !p.open
 }
 
+// Flushed reports whether nothing waits to be sent or acknowledged.
+func (p *Peer) Flushed() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return len(p.outbox) == 0 && len(p.unacked) == 0
+}
+
 // Close ends the link.
 func (p *Peer) Close() {
 	p.cancel()
--- a/rpc/client.go
+++ b/rpc/client.go
@@ -140,6 +140,10 @@
 		answer, err = submit(ctx, d, s)
 		return err
 	})
+	if provenNotRun(answer, err, true) {
+		// The home accepts nothing any more, so that its other ids would only fail the same way.
+		c.dropIDs(s.Ref.ID)
+	}
 	return answer, sent, err
 }
 
@@ -157,7 +161,6 @@
 		if !provenNotRun(answer, err, sent == 1) {
 			return answer, err
 		}
-		c.dropIDs(id)
 	}
 	return contract.Answer{}, fault.Unavailable.New("every entry VM that was asked stops")
 }
--- a/zone/homes.go
+++ b/zone/homes.go
@@ -147,13 +147,28 @@
 	h.end(h.record(inc, vm), now)
 }
 
-// Succeed records who answers for a home. A complete succession is never taken back, and the first successor counts
-// until the hand-over to another one is complete.
+// Succeed records who answers for a home, as announced by the home. A complete succession is never taken back; before
+// that the home may turn to another successor.
 func (h *Homes) Succeed(s Succession, now time.Time) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	h.succeed(s, now)
+}
+
+// Learn is Succeed for what others report, which may be older than what is known.
+func (h *Homes) Learn(s Succession, now time.Time) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if r, ok := h.records[s.Home]; ok && r.next.Successor != 0 && !s.Complete {
+		return
+	}
+	h.succeed(s, now)
+}
+
+// succeed expects h.mu to be held.
+func (h *Homes) succeed(s Succession, now time.Time) {
 	r := h.record(s.Home, s.VM)
-	if r.next.Complete || (r.next.Successor != 0 && !s.Complete) {
+	if r.next.Complete {
 		return
 	}
 	r.next = s
