dispatch: learn run times, speeds and worker health, admit by expected wait, watch running tasks

Cause: nothing bounded the queue, a worker that failed everything kept its slots, and a straggler held its slot to the end; run times were not normalised by speed, so kinds and workers distorted each other. Change: kinds and speeds are learned against each other as logarithms; classes follow the share of the slot time in long runs; running tasks are re-classed and acted on through lease, throttle, checkpoint and stop calls; worker health is a state machine fed with failures that a kind or job does not explain; jobs are refused when the expected wait exceeds the deadline; rejected starts are placed again under a budget.

--- a/customer/queue.go
+++ b/customer/queue.go
@@ -22,6 +22,8 @@
 	Priority int
 	Expected time.Duration
 	Bytes    int
+	// Attempts counts the rejected starts.
+	Attempts int
 	// Charged says that the task holds a part of its team's quota, from Pop until Finished or Returned.
 	Charged bool
 }
@@ -505,6 +507,15 @@
 	return it.Charged && q.teams.Release(it.teamKey(), false)
 }
 
+// PutBack queues tasks again that were popped and found no slot.
+func (q *Queue) PutBack(items []Item) {
+	for i := range items {
+		q.Returned(items[i])
+		items[i].Charged = false
+	}
+	q.Push(items)
+}
+
 // Cancel removes the waiting tasks of a job and returns their number. The cost per task is constant.
 func (q *Queue) Cancel(id contract.JobID) int {
 	q.mu.Lock()
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -14,15 +14,15 @@
 	"github.com/cicadadale/cicadadale/fault"
 	"github.com/cicadadale/cicadadale/machine"
 	"github.com/cicadadale/cicadadale/metric"
+	"github.com/cicadadale/cicadadale/timeline"
 )
 
 const (
 	defaultDeadline = 10 * time.Second
-	defaultLease    = 30 * time.Second
+	// defaultLease is how long a task runs on when its home has gone.
+	defaultLease = 5 * time.Second
 	// startWindow is how long after the decision a worker may still start the task.
 	startWindow = time.Second
-	// retryDelay spaces the attempts to place a task whose start was rejected.
-	retryDelay = 5 * time.Millisecond
 	// resolveDelay spaces the attempts to ask a worker about a start in doubt.
 	resolveDelay = 250 * time.Millisecond
 	// resolveFor is how long an unreachable worker is asked before the outcome counts as unknown.
@@ -41,6 +41,18 @@
 	// DistributedQuotas says that the shares of the team quotas come from elsewhere; otherwise this dispatcher holds
 	// the whole quotas.
 	DistributedQuotas bool
+	// Control acts on running tasks; nil leaves them alone.
+	Control TaskControl
+	// Capacity returns the slots that serve a service's queue on this entry VM, each counted with its worker's speed,
+	// and the number of workers of the service. Without it no job is refused for its expected wait.
+	Capacity func(service string) (slots float64, workers int)
+	// HealthChanged is called when a worker has become healthy or unhealthy; it may be nil.
+	HealthChanged func()
+	// MaxWaiting and MaxWaitingBytes bound the waiting tasks and their payloads; zero takes the defaults.
+	MaxWaiting      int
+	MaxWaitingBytes int
+	// Timeline may be nil.
+	Timeline *timeline.Ring
 }
 
 // Dispatcher is the home of jobs: it accepts them, starts their tasks and holds their answers. mu guards the map of
@@ -52,6 +64,8 @@
 	running  sync.WaitGroup
 	counters counters
 	teams    *customer.Teams
+	tasks    *runningTasks
+	retries  RetryBudget
 
 	mu       sync.RWMutex
 	lanes    map[string]*Lane
@@ -61,7 +75,7 @@
 type counters struct {
 	accepted, resubmitted, complete, failed, refused, cancelled   metrics.Counter
 	started, done, taskFailed, notRun, unknown, inDoubt, resolved metrics.Counter
-	rejected, unused, received, demands, returns                  metrics.Counter
+	outgrown, stragglers, rejected, notSent, unused, received, demands, returns         metrics.Counter
 }
 
 func newCounters(r metrics.Registry) counters {
@@ -71,7 +85,8 @@
 		failed: c(metric.JobsFailed), refused: c(metric.JobsRefused), cancelled: c(metric.JobsCancelled),
 		started: c(metric.TasksStarted), done: c(metric.TasksDone), taskFailed: c(metric.TasksFailed),
 		notRun: c(metric.TasksNotRun), unknown: c(metric.TasksUnknown), inDoubt: c(metric.TasksInDoubt),
-		resolved: c(metric.TasksResolved), rejected: c(metric.StartsRejected), unused: c(metric.GrantsUnused),
+		resolved: c(metric.TasksResolved), outgrown: c(metric.TasksOutgrown), stragglers: c(metric.TasksStraggling),
+		rejected: c(metric.StartsRejected), notSent: c(metric.StartsNotSent), unused: c(metric.GrantsUnused),
 		received: c(metric.GrantsReceived), demands: c(metric.DemandsSent), returns: c(metric.ReturnsSent),
 	}
 }
@@ -81,7 +96,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	return &Dispatcher{
 		o: o, ctx: ctx, cancel: cancel, counters: newCounters(o.Metrics), lanes: make(map[string]*Lane),
-		teams: customer.NewTeams(o.DistributedQuotas),
+		teams: customer.NewTeams(o.DistributedQuotas), tasks: newRunningTasks(),
 	}
 }
 
@@ -134,23 +149,28 @@
 	now := d.o.Now()
 	if _, _, err := d.o.Table.Lookup(spec.ID); err == nil {
 		d.counters.resubmitted.Inc(1)
+		d.o.Timeline.Job(timeline.JobResubmitted, spec.ID, "", len(spec.Tasks))
 		return nil
 	}
 	items, err := d.prepare(&spec, now)
 	if err != nil {
 		d.counters.refused.Inc(1)
+		d.o.Timeline.Job(timeline.JobRefused, spec.ID, fault.Reason(err), len(spec.Tasks))
 		return err
 	}
 	fresh, err := d.o.Table.Accept(spec, now)
 	if err != nil {
 		d.counters.refused.Inc(1)
+		d.o.Timeline.Job(timeline.JobRefused, spec.ID, fault.Reason(err), len(spec.Tasks))
 		return err
 	}
 	if !fresh {
 		d.counters.resubmitted.Inc(1)
+		d.o.Timeline.Job(timeline.JobResubmitted, spec.ID, "", len(spec.Tasks))
 		return nil
 	}
 	d.counters.accepted.Inc(1)
+	d.o.Timeline.Job(timeline.JobAccepted, spec.ID, spec.Service, len(spec.Tasks))
 	lane, _ := d.lane(spec.Service)
 	d.carryOut(lane, lane.Push(items, now))
 	return nil
@@ -186,7 +206,7 @@
 	for i := range items {
 		items[i].Deadline = spec.Deadline
 	}
-	return items, nil
+	return items, d.admission(lane, spec, items, now)
 }
 
 func deadlineOf(k *backend.RequestKind) time.Duration {
@@ -236,6 +256,7 @@
 	}
 	d.dequeue(id)
 	d.counters.cancelled.Inc(1)
+	d.o.Timeline.Job(timeline.JobCancelled, id, "", n)
 	d.counters.notRun.Inc(int64(n))
 	return nil
 }
@@ -247,6 +268,9 @@
 		return
 	}
 	d.counters.received.Inc(int64(g.Slots))
+	d.o.Timeline.Record(timeline.Event{
+		Kind: timeline.GrantReceived, Peer: g.Granter, Worker: g.Worker, Detail: g.Service, Count: int64(g.Slots),
+	})
 	d.carryOut(lane, lane.AddGrant(g, d.o.Now()))
 }
 
@@ -259,12 +283,18 @@
 	if len(p.Returns) > 0 {
 		for _, r := range p.Returns {
 			d.counters.unused.Inc(int64(r.Unused))
+			d.o.Timeline.Record(timeline.Event{
+				Kind: timeline.GrantReturned, Peer: r.Granter, Worker: r.Worker, Detail: r.Service, Count: int64(r.Slots),
+			})
 		}
 		d.counters.returns.Inc(int64(len(p.Returns)))
 		d.o.Broker.Return(p.Returns)
 	}
 	if p.Demand != nil {
 		d.counters.demands.Inc(1)
+		d.o.Timeline.Record(timeline.Event{
+			Kind: timeline.DemandSent, Detail: p.Demand.Service, Count: int64(p.Demand.Short + p.Demand.Long),
+		})
 		d.o.Broker.Demand(*p.Demand)
 	}
 }
@@ -284,18 +314,30 @@
 		StartBy: d.o.Now().Add(startWindow), Lease: defaultLease,
 	}
 	d.counters.started.Inc(1)
+	d.retries.Earn()
+	task := d.tasks.add(l, a, req, d.o.Now())
+	d.o.Timeline.Task(timeline.TaskStarted, ticket.Task, a.Slot.Worker, "")
 	reply, err := d.o.Starter.Start(d.ctx, req)
 	if err != nil && !fault.IsProvenNotStarted(err) {
 		d.counters.inDoubt.Inc(1)
+		d.o.Timeline.Task(timeline.TaskInDoubt, ticket.Task, a.Slot.Worker, "")
 		reply, err = d.resolve(req)
 	}
+	outgrown, acted, released := d.tasks.remove(task)
+	if outgrown {
+		a.Item.Kind.Shrink()
+	}
 	if err != nil {
 		d.notStarted(l, a, err)
 		return
 	}
+	l.observeStart(a, false, d.o.Now())
+	d.learn(a, reply, acted)
 	d.finish(a, reply)
 	d.wake(a.Item, l.queue.Finished(a.Item, reply.RunTime))
-	d.carryOut(l, l.Release(a.Slot, true, d.o.Now()))
+	if !released {
+		d.carryOut(l, l.Release(a.Slot, d.accepts(a.Slot.Worker), d.o.Now()))
+	}
 }
 
 // resolve asks the worker about a start in doubt until it answers or counts as lost.
@@ -305,9 +347,12 @@
 		reply, err := d.o.Starter.Resolve(d.ctx, req)
 		if err == nil || fault.IsProvenNotStarted(err) {
 			d.counters.resolved.Inc(1)
+			d.o.Timeline.Task(timeline.TaskResolved, req.Ticket.Task, req.Worker, reply.Outcome.String())
 			return reply, err
 		}
-		if d.o.Now().After(until) {
+		if reply.Running {
+			until = d.o.Now().Add(resolveFor)
+		} else if d.o.Now().After(until) {
 			return StartReply{Outcome: contract.OutcomeUnknown, Detail: err.Error()}, nil
 		}
 		select {
@@ -321,16 +366,21 @@
 // notStarted queues a task again whose start is proven not to have happened.
 func (d *Dispatcher) notStarted(l *Lane, a Assignment, cause error) {
 	d.counters.rejected.Inc(1)
+	if fault.Reason(cause) == fault.ReasonNotSent {
+		d.counters.notSent.Inc(1)
+	}
+	d.o.Timeline.Task(timeline.TaskRejected, a.Item.Task, a.Slot.Worker, fault.Reason(cause))
 	now := d.o.Now()
 	requeue := d.o.Table.NotStarted(a.Item.Task, now)
 	d.wake(a.Item, l.queue.Returned(a.Item))
 	d.carryOut(l, l.Release(a.Slot, false, now))
-	if !requeue {
+	d.learnRejection(l, a, now)
+	if !requeue || d.giveUp(&a, now) {
 		return
 	}
 	d.o.Logger.Debug("start rejected", "task", a.Item.Task, "worker", a.Slot.Worker, "error", cause)
 	select {
-	case <-time.After(retryDelay):
+	case <-time.After(d.retries.Delay(a.Item.Attempts, jitter())):
 	case <-d.ctx.Done():
 		return
 	}
@@ -342,15 +392,12 @@
 	switch r.Outcome {
 	case contract.OutcomeDone:
 		d.counters.done.Inc(1)
-		a.Item.Kind.Observe(r.RunTime)
-		if w, ok := d.o.Fleet.Get(a.Slot.Worker); ok {
-			w.ObserveRun(r.RunTime, a.Item.Expected)
-		}
 	case contract.OutcomeFailed:
 		d.counters.taskFailed.Inc(1)
 	default:
 		d.counters.unknown.Inc(1)
 	}
+	d.o.Timeline.Task(outcomeKind(r.Outcome), a.Item.Task, a.Slot.Worker, r.Detail)
 	report := contract.TaskReport{
 		Outcome: r.Outcome, Detail: r.Detail, RunTime: r.RunTime, Worker: string(a.Slot.Worker),
 	}
@@ -360,8 +407,24 @@
 	}
 	if answer.Verdict == contract.VerdictComplete {
 		d.counters.complete.Inc(1)
+		d.o.Timeline.Job(timeline.JobComplete, a.Item.Task.Job, "", len(answer.Reports))
 	} else {
 		d.counters.failed.Inc(1)
+		d.o.Timeline.Job(timeline.JobFailed, a.Item.Task.Job, answer.Reason, len(answer.Reports))
+	}
+}
+
+// outcomeKind returns the kind of event for a task's final outcome.
+func outcomeKind(o contract.Outcome) timeline.Kind {
+	switch o {
+	case contract.OutcomeDone:
+		return timeline.TaskDone
+	case contract.OutcomeFailed:
+		return timeline.TaskFailed
+	case contract.OutcomeNotRun:
+		return timeline.TaskNotRun
+	default:
+		return timeline.TaskUnknown
 	}
 }
 
@@ -381,9 +444,11 @@
 
 // Tick returns idle slots that have lingered.
 func (d *Dispatcher) Tick() {
+	now := d.o.Now()
 	for _, l := range d.Lanes() {
-		d.carryOut(l, l.Match(d.o.Now()))
+		d.carryOut(l, l.Match(now))
 	}
+	d.watch(now)
 }
 
 // Close ends all waiting and returns when no task goroutine is left.
--- a/dispatch/lane.go
+++ b/dispatch/lane.go
@@ -40,6 +40,7 @@
 	mu         sync.Mutex
 	holdings   contract.Holdings
 	lastDemand contract.SlotDemand
+	starts     backend.Attribution
 	stopped    bool
 }
 
@@ -118,7 +119,7 @@
 	}
 	slot, ok := l.holdings.TakeBest(item.Class == backend.ClassLong, l.speed)
 	if !ok {
-		l.queue.Push([]customer.Item{item})
+		l.queue.PutBack([]customer.Item{item})
 		return contract.Slot{}, customer.Item{}, false
 	}
 	return slot, item, true
--- a/standin/worker.go
+++ b/standin/worker.go
@@ -12,6 +12,7 @@
 	"github.com/cicadadale/cicadadale/internal/httpserve"
 	"github.com/cicadadale/cicadadale/link"
 	"github.com/cicadadale/cicadadale/machine"
+	"github.com/cicadadale/cicadadale/timeline"
 )
 
 // Work computes the result of a task and the time that it takes on a worker of speed 1.
@@ -34,9 +35,11 @@
 	incarnation machine.Incarnation
 	born        time.Time
 	server      *httpserve.Server
+	clocked     workerTimeline
 
 	mu      sync.Mutex
 	tasks   map[string]*workerTask
+	running map[string]*workerTask
 	busy    int
 	leaving bool
 }
@@ -49,6 +52,7 @@
 	reason  string
 	result  []byte
 	run     time.Duration
+	control taskControl
 }
 
 // NewWorker serves on l.
@@ -58,10 +62,13 @@
 	}
 	w := &Worker{
 		o: o, incarnation: machine.NewIncarnation(), born: time.Now(), server: httpserve.New(l, nil),
-		tasks: make(map[string]*workerTask),
+		tasks: make(map[string]*workerTask), running: make(map[string]*workerTask),
 	}
+	w.clocked = newWorkerTimeline(string(o.ID), w.incarnation)
+	w.server.GET("/events", httpserve.Events(w.clocked.ring))
 	w.server.POST("/v1/tasks/:id", w.start)
 	w.server.POST("/v1/tasks/:id/fence", w.fence)
+	w.serveControl()
 	w.server.GET("/v1/status", w.status)
 	w.server.Start()
 	return w
@@ -79,6 +86,7 @@
 	id := c.Param("id")
 	service, kind := string(c.GetHeader(link.HeaderService)), string(c.GetHeader(link.HeaderKind))
 	t, reject := w.admit(id, c)
+	w.clocked.record(c, timeline.RunStarted, timeline.RunRejected, reject)
 	if reject != "" {
 		c.Header(link.HeaderOutcome, link.OutcomeRejected)
 		c.Header(link.HeaderReason, reject)
@@ -88,7 +96,8 @@
 	if w.o.Started != nil {
 		w.o.Started(id)
 	}
-	w.execute(t, service, kind, append([]byte(nil), c.Request.Body()...))
+	w.execute(id, t, service, kind, append([]byte(nil), c.Request.Body()...))
+	w.clocked.record(c, timeline.RunEnded, timeline.RunEnded, t.reason)
 	writeTask(c, t)
 }
 
@@ -114,17 +123,18 @@
 	if w.busy >= w.o.Slots {
 		return nil, link.RejectFull
 	}
-	t := &workerTask{done: make(chan struct{})}
-	w.tasks[id] = t
+	t := &workerTask{done: make(chan struct{}), control: newTaskControl(c)}
+	w.tasks[id], w.running[id] = t, t
 	w.busy++
+	w.wakeCheckpointed()
 	return t, ""
 }
 
 // execute runs a task on the calling goroutine.
-func (w *Worker) execute(t *workerTask, service, kind string, payload []byte) {
+func (w *Worker) execute(id string, t *workerTask, service, kind string, payload []byte) {
 	begin := time.Now()
 	result, nominal, err := w.o.Work(service, kind, payload)
-	time.Sleep(time.Duration(float64(nominal) / w.o.Speed))
+	stopped := w.work(t, time.Duration(float64(nominal)/w.o.Speed))
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	t.run = time.Since(begin)
@@ -132,7 +142,11 @@
 	if err != nil {
 		t.outcome, t.reason, t.result = link.OutcomeFailed, err.Error(), nil
 	}
-	w.busy--
+	if stopped != "" {
+		t.outcome, t.reason, t.result = link.OutcomeFailed, stopped, nil
+	}
+	delete(w.running, id)
+	w.leaveSlot(t)
 	close(t.done)
 }
 
@@ -150,6 +164,7 @@
 		w.tasks[id] = t
 	}
 	w.mu.Unlock()
+	w.clocked.record(c, timeline.RunFenced, timeline.RunFenced, "")
 	if t.fenced {
 		c.Header(link.HeaderOutcome, link.OutcomeNever)
 		return
