--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -73,9 +73,9 @@
 }
 
 type counters struct {
-	accepted, resubmitted, complete, failed, refused, cancelled   metrics.Counter
-	started, done, taskFailed, notRun, unknown, inDoubt, resolved metrics.Counter
-	outgrown, stragglers, rejected, notSent, unused, received, demands, returns         metrics.Counter
+	accepted, resubmitted, complete, failed, refused, cancelled                 metrics.Counter
+	started, done, taskFailed, notRun, unknown, inDoubt, resolved               metrics.Counter
+	outgrown, stragglers, rejected, notSent, unused, received, demands, returns metrics.Counter
 }
 
 func newCounters(r metrics.Registry) counters {
