--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -34,13 +34,14 @@
 	Table   *contract.JobTable
 	Starter Starter
 	Broker  SlotBroker
-	Fleet   *machine.Fleet
-	Now     func() time.Time
-	Logger  *slog.Logger
-	Metrics metrics.Registry
-	// DistributedQuotas says that the shares of the team quotas come from elsewhere; otherwise this dispatcher holds
-	// the whole quotas.
-	DistributedQuotas bool
+	// Self is the entry VM that the dispatcher runs on.
+	Self string
+	// Placement chooses workers without grants; nil selects the default policy.
+	Placement *Placement
+	Fleet     *machine.Fleet
+	Now       func() time.Time
+	Logger    *slog.Logger
+	Metrics   metrics.Registry
 	// Control acts on running tasks; nil leaves them alone.
 	Control TaskControl
 	// Capacity returns the slots that serve a service's queue on this entry VM, each counted with its worker's speed,
@@ -48,11 +49,16 @@
 	Capacity func(service string) (slots float64, workers int)
 	// HealthChanged is called when a worker has become healthy or unhealthy; it may be nil.
 	HealthChanged func()
+	// SlotOutgrown is called when a slot counts as held by long work from now on; it may be nil.
+	SlotOutgrown func(service string, worker machine.WorkerID)
 	// MaxWaiting and MaxWaitingBytes bound the waiting tasks and their payloads; zero takes the defaults.
 	MaxWaiting      int
 	MaxWaitingBytes int
 	// Timeline may be nil.
 	Timeline *timeline.Ring
+	// DistributedQuotas says that the shares of the team quotas come from elsewhere; otherwise this dispatcher holds
+	// the whole quotas.
+	DistributedQuotas bool
 }
 
 // Dispatcher is the home of jobs: it accepts them, starts their tasks and holds their answers. mu guards the map of
@@ -73,9 +79,9 @@
 }
 
 type counters struct {
-	accepted, resubmitted, complete, failed, refused, cancelled                 metrics.Counter
-	started, done, taskFailed, notRun, unknown, inDoubt, resolved               metrics.Counter
-	outgrown, stragglers, rejected, notSent, unused, received, demands, returns metrics.Counter
+	accepted, resubmitted, complete, failed, refused, cancelled   metrics.Counter
+	started, done, taskFailed, notRun, unknown, inDoubt, resolved metrics.Counter
+	outgrown, stragglers, rejected, notSent                       metrics.Counter
 }
 
 func newCounters(r metrics.Registry) counters {
@@ -86,8 +92,7 @@
 		started: c(metric.TasksStarted), done: c(metric.TasksDone), taskFailed: c(metric.TasksFailed),
 		notRun: c(metric.TasksNotRun), unknown: c(metric.TasksUnknown), inDoubt: c(metric.TasksInDoubt),
 		resolved: c(metric.TasksResolved), outgrown: c(metric.TasksOutgrown), stragglers: c(metric.TasksStraggling),
-		rejected: c(metric.StartsRejected), notSent: c(metric.StartsNotSent), unused: c(metric.GrantsUnused),
-		received: c(metric.GrantsReceived), demands: c(metric.DemandsSent), returns: c(metric.ReturnsSent),
+		rejected: c(metric.StartsRejected), notSent: c(metric.StartsNotSent),
 	}
 }
 
@@ -107,7 +112,9 @@
 	if _, ok := d.lanes[s.Name()]; ok {
 		return
 	}
-	d.lanes[s.Name()] = NewLane(s, customer.NewQueue(d.teams), d.workerSpeed)
+	d.lanes[s.Name()] = NewLane(s, customer.NewQueue(d.teams), LaneOptions{
+		Speed: d.workerSpeed, Granter: d.o.Broker.Granter, Self: d.o.Self, Placement: d.o.Placement,
+	})
 }
 
 func (d *Dispatcher) workerSpeed(id machine.WorkerID) float64 {
@@ -261,19 +268,31 @@
 	return nil
 }
 
-// Grant takes over slots from a granter.
-func (d *Dispatcher) Grant(g contract.SlotGrant) {
-	lane, ok := d.lane(g.Service)
+// Grant takes over slots of a service.
+func (d *Dispatcher) Grant(service string, grants []contract.SlotGrant) {
+	lane, ok := d.lane(service)
 	if !ok {
 		return
 	}
-	d.counters.received.Inc(int64(g.Slots))
-	d.o.Timeline.Record(timeline.Event{
-		Kind: timeline.GrantReceived, Peer: g.Granter, Worker: g.Worker, Detail: g.Service, Count: int64(g.Slots),
-	})
-	d.carryOut(lane, lane.AddGrant(g, d.o.Now()))
+	for _, g := range grants {
+		d.o.Timeline.Record(timeline.Event{
+			Kind: timeline.GrantReceived, Worker: g.Worker, Detail: service,
+			Count: int64(g.Short + g.Long),
+		})
+	}
+	d.carryOut(lane, lane.AddGrants(grants, d.o.Now()))
 }
 
+// Recall gives slots back that a granter needs for work that has waited for longer than the work here.
+func (d *Dispatcher) Recall(service, granter string, slots int, wait time.Duration) {
+	if lane, ok := d.lane(service); ok {
+		d.carryOut(lane, lane.Recall(granter, slots, wait, d.o.Now()))
+	}
+}
+
+// Lane returns the lane of a service.
+func (d *Dispatcher) Lane(service string) (*Lane, bool) { return d.lane(service) }
+
 // carryOut executes a plan. The lane's lock is not held.
 func (d *Dispatcher) carryOut(l *Lane, p Plan) {
 	for _, a := range p.Assignments {
@@ -282,16 +301,13 @@
 	}
 	if len(p.Returns) > 0 {
 		for _, r := range p.Returns {
-			d.counters.unused.Inc(int64(r.Unused))
 			d.o.Timeline.Record(timeline.Event{
-				Kind: timeline.GrantReturned, Peer: r.Granter, Worker: r.Worker, Detail: r.Service, Count: int64(r.Slots),
+				Kind: timeline.GrantReturned, Worker: r.Worker, Detail: r.Service, Count: int64(r.Short + r.Long),
 			})
 		}
-		d.counters.returns.Inc(int64(len(p.Returns)))
 		d.o.Broker.Return(p.Returns)
 	}
 	if p.Demand != nil {
-		d.counters.demands.Inc(1)
 		d.o.Timeline.Record(timeline.Event{
 			Kind: timeline.DemandSent, Detail: p.Demand.Service, Count: int64(p.Demand.Short + p.Demand.Long),
 		})
@@ -306,7 +322,7 @@
 	if !ok {
 		// The job was cancelled while the task waited.
 		d.wake(a.Item, l.queue.Returned(a.Item))
-		d.carryOut(l, l.Release(a.Slot, true, d.o.Now()))
+		d.carryOut(l, l.Release(a.Slot, d.o.Now()))
 		return
 	}
 	req := StartRequest{
@@ -336,7 +352,7 @@
 	d.finish(a, reply)
 	d.wake(a.Item, l.queue.Finished(a.Item, reply.RunTime))
 	if !released {
-		d.carryOut(l, l.Release(a.Slot, d.accepts(a.Slot.Worker), d.o.Now()))
+		d.carryOut(l, l.Leave(task.assignment.Slot, d.accepts(a.Slot.Worker), d.o.Now()))
 	}
 }
 
@@ -373,7 +389,7 @@
 	now := d.o.Now()
 	requeue := d.o.Table.NotStarted(a.Item.Task, now)
 	d.wake(a.Item, l.queue.Returned(a.Item))
-	d.carryOut(l, l.Release(a.Slot, false, now))
+	d.carryOut(l, l.Reject(a.Slot, fault.Reason(cause) == ReasonWorkerFull, now))
 	d.learnRejection(l, a, now)
 	if !requeue || d.giveUp(&a, now) {
 		return
@@ -442,11 +458,11 @@
 	return d.draining
 }
 
-// Tick returns idle slots that have lingered.
+// Tick returns idle slots that have lingered and states unmet demand again.
 func (d *Dispatcher) Tick() {
 	now := d.o.Now()
 	for _, l := range d.Lanes() {
-		d.carryOut(l, l.Match(now))
+		d.carryOut(l, l.Tick(now))
 	}
 	d.watch(now)
 }
--- a/dispatch/running.go
+++ b/dispatch/running.go
@@ -90,16 +90,31 @@
 	return t.outgrown, t.acted, t.released
 }
 
+// lengthen counts the slot of a task as held by long work. It returns false if the task has ended, has no slot or a slot
+// for long work.
+func (r *runningTasks) lengthen(t *runningTask) bool {
+	s := r.shard(t.assignment.Item.Task)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.tasks[t.assignment.Item.Task] != t || t.released || t.assignment.Slot.Long {
+		return false
+	}
+	// The lane is changed under the lock of the shard, so that the slot cannot be released in between.
+	t.lane.outgrow(t.assignment.Slot)
+	t.assignment.Slot.Long = true
+	return true
+}
+
 // release marks the slot of a task as given up. It returns false if the task has ended or has no slot.
-func (r *runningTasks) release(t *runningTask) bool {
+func (r *runningTasks) release(t *runningTask) (contract.Slot, bool) {
 	s := r.shard(t.assignment.Item.Task)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.tasks[t.assignment.Item.Task] != t || t.released {
-		return false
+		return contract.Slot{}, false
 	}
 	t.released = true
-	return true
+	return t.assignment.Slot, true
 }
 
 // due reports whether it is time for the next look.
@@ -173,9 +188,7 @@
 	}
 	for _, x := range d.tasks.duties(now, d.workerSpeed) {
 		if x.step.Outgrow {
-			x.task.assignment.Item.Kind.Outgrow()
-			x.task.lane.outgrow(x.task.assignment.Slot)
-			d.counters.outgrown.Inc(1)
+			d.outgrow(x.task)
 		}
 		if d.o.Control == nil {
 			continue
@@ -190,6 +203,15 @@
 	}
 }
 
+// outgrow counts a task as long from now on, for its kind and for the slots of its worker.
+func (d *Dispatcher) outgrow(t *runningTask) {
+	d.counters.outgrown.Inc(1)
+	t.assignment.Item.Kind.Outgrow()
+	if d.tasks.lengthen(t) && d.o.SlotOutgrown != nil {
+		d.o.SlotOutgrown(t.lane.service.Name(), t.req.Worker)
+	}
+}
+
 func (d *Dispatcher) renew(t *runningTask) {
 	err := d.o.Control.Renew(d.ctx, t.req)
 	d.tasks.renewedAt(t, err == nil, d.o.Now())
@@ -201,7 +223,10 @@
 		d.o.Logger.Debug("straggler action failed", "task", t.req.Ticket.Task, "worker", t.req.Worker, "error", err)
 		return
 	}
-	if reply.SlotFreed && action != backend.StragglerStop && d.tasks.release(t) {
-		d.carryOut(t.lane, t.lane.Release(t.assignment.Slot, true, d.o.Now()))
+	if !reply.SlotFreed || action == backend.StragglerStop {
+		return
+	}
+	if slot, ok := d.tasks.release(t); ok {
+		d.carryOut(t.lane, t.lane.Leave(slot, d.accepts(slot.Worker), d.o.Now()))
 	}
 }
--- a/entry/capacity.go
+++ b/entry/capacity.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/cicadadale/cicadadale/dispatch"
+	"github.com/cicadadale/cicadadale/machine"
+	"github.com/cicadadale/cicadadale/zone"
 )
 
 // capacityAge is how long a sum over all workers is used.
@@ -46,7 +48,8 @@
 
 // heldAndFree counts the slots of a service that this VM holds and those that it could get now.
 func (s *slotDirectory) heldAndFree(service string) int {
-	n := s.granter(service).Free()
+	st := s.service(service)
+	n := st.granter.Free() + st.asker.Free(s.d.o.Now())
 	for _, l := range s.d.dispatcher.Lanes() {
 		if l.Service().Name() == service {
 			v := l.View()
@@ -55,3 +58,31 @@
 	}
 	return n
 }
+
+// outgrown tells the granter of a worker that a slot there is held by long work now.
+func (s *slotDirectory) outgrown(service string, worker machine.WorkerID) {
+	st, granter := s.service(service), s.Granter(worker)
+	if granter == s.d.o.VM.ID {
+		st.granter.Outgrow(granter, worker, s.d.o.Now())
+		return
+	}
+	if s.placement != nil || granter == "" {
+		return
+	}
+	for _, l := range s.d.dispatcher.Lanes() {
+		if l.Service().Name() == service {
+			s.reportTo(st, l, granter)
+		}
+	}
+}
+
+// reportTo sends one granter what is held of its workers.
+func (s *slotDirectory) reportTo(st *serviceSlots, l *dispatch.Lane, granter string) {
+	var held []zone.Held
+	for _, h := range zoneHeld(l.Held()) {
+		if s.Granter(h.Worker) == granter {
+			held = append(held, h)
+		}
+	}
+	s.sendReport(st, granter, held, st.asker.Received(granter), false)
+}
--- a/machine/worker.go
+++ b/machine/worker.go
@@ -38,6 +38,7 @@
 	logSpeed float64
 	runs     int
 	health   Health
+	busy     int
 	// clockOffset is the worker's monotonic clock minus the local time since the epoch.
 	clockOffset time.Duration
 	clockKnown  bool
@@ -90,6 +91,20 @@
 	return w.clockOffset + time.Duration(t.UnixNano()), w.clockKnown
 }
 
+// ObserveBusy records the number of slots in use by the last status report.
+func (w *Worker) ObserveBusy(busy int) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.busy = busy
+}
+
+// Busy returns the number of slots in use by the last status report.
+func (w *Worker) Busy() int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.busy
+}
+
 // ObserveRun compares the run time of a task with what a worker of average speed takes for its kind.
 func (w *Worker) ObserveRun(run, expected time.Duration) {
 	if run <= 0 || expected <= 0 {
