entry: move shares of team quotas by explicit transfers

Cause: a quota over all failure domains had no owner; each VM would have held all. Change: contract.QuotaShare keeps what a process holds and sums of what it gave and got per peer process, so that a transfer is idempotent and a later one makes up for a lost one; customer.QuotaToGive moves shares towards demand; entry/quota.go carries requests and transfers. Shares start empty and are founded once per failure domain and quota revision by its delegate.

--- a/customer/queue.go
+++ b/customer/queue.go
@@ -593,3 +593,16 @@
 	}
 	return d
 }
+
+// WaitingOf counts the waiting tasks of a team.
+func (q *Queue) WaitingOf(k TeamKey) int {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	n := 0
+	for i := range q.classes {
+		if f := q.classes[i].lookup(k); f != nil {
+			n += f.tasks
+		}
+	}
+	return n
+}
--- a/customer/settings.go
+++ b/customer/settings.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"strings"
 )
 
 // TeamSpec describes a team of a customer. Names are unique within the customer.
@@ -16,6 +17,9 @@
 	StartsPerSecond float64
 	// Burst is the number of starts that may follow each other at once; 0 takes the starts of one second.
 	Burst float64
+	// QuotaRevision is the revision at which Slots or StartsPerSecond were last changed. Shares of an earlier revision
+	// are void, and the quota is divided anew.
+	QuotaRevision uint64
 }
 
 // Spec describes a customer.
@@ -30,6 +34,9 @@
 type Settings struct {
 	Revision  uint64
 	Customers []Spec
+	// Domains lists the numbers of the failure domains among which quotas are divided at first. They are a part of the
+	// settings, because entry VMs with different lists of the platform would divide differently.
+	Domains []uint16
 }
 
 // Validate returns all faults at once, nil if there are none.
@@ -37,8 +44,8 @@
 	var faults []error
 	customers := make(map[string]bool, len(s.Customers))
 	for _, c := range s.Customers {
-		if c.Name == "" || customers[c.Name] {
-			faults = append(faults, fmt.Errorf("customer %q: the name is empty or used twice", c.Name))
+		if c.Name == "" || customers[c.Name] || strings.Contains(c.Name, "/") {
+			faults = append(faults, fmt.Errorf("customer %q: the name is empty, used twice or contains a slash", c.Name))
 		}
 		customers[c.Name] = true
 		faults = append(faults, c.validate()...)
@@ -72,3 +79,9 @@
 
 // String returns the form used in messages between entry VMs.
 func (k TeamKey) String() string { return k.Customer + "/" + k.Team }
+
+// ParseTeamKey reads the form that String writes.
+func ParseTeamKey(s string) (TeamKey, bool) {
+	name, team, ok := strings.Cut(s, "/")
+	return TeamKey{Customer: name, Team: team}, ok && name != "" && team != ""
+}
--- a/customer/team.go
+++ b/customer/team.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -142,6 +143,7 @@
 type weights struct {
 	customers map[string]float64
 	teams     map[TeamKey]float64
+	domains   []uint16
 }
 
 // Teams holds the limits of all teams on this entry VM, in shards by name. A team without quota is not recorded.
@@ -180,7 +182,9 @@
 		return false
 	}
 	t.revision = s.Revision
-	w := &weights{customers: make(map[string]float64), teams: make(map[TeamKey]float64)}
+	w := &weights{
+		customers: make(map[string]float64), teams: make(map[TeamKey]float64), domains: slices.Clone(s.Domains),
+	}
 	limited := make(map[TeamKey]TeamSpec)
 	for _, c := range s.Customers {
 		w.customers[c.Name] = c.Weight
@@ -381,8 +385,9 @@
 
 // Usage is a team's part of its quota on this entry VM.
 type Usage struct {
-	Key     TeamKey
-	Quota   int
+	Key      TeamKey
+	Quota    int
+	Revision uint64
 	Share   int
 	Running int
 	Waiting bool
@@ -396,10 +401,24 @@
 		s.mu.Lock()
 		for k, team := range s.teams {
 			out = append(out, Usage{
-				Key: k, Quota: team.spec.units(), Share: team.share, Running: team.running, Waiting: team.waiting,
+				Key: k, Quota: team.spec.units(), Revision: team.spec.QuotaRevision, Share: team.share, Running: team.running, Waiting: team.waiting,
 			})
 		}
 		s.mu.Unlock()
 	}
 	return out
 }
+
+// Running counts the tasks of a team that run on its quota here.
+func (t *Teams) Running(k TeamKey) int {
+	s := t.shard(k)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if team, ok := s.teams[k]; ok {
+		return team.running
+	}
+	return 0
+}
+
+// Domains returns the failure domains among which the quotas are divided at first.
+func (t *Teams) Domains() []uint16 { return t.weights.Load().domains }
--- a/dispatch/customers.go
+++ b/dispatch/customers.go
@@ -68,3 +68,12 @@
 		}
 	}
 }
+
+// TeamDemand counts the tasks of a team that run or wait here.
+func (d *Dispatcher) TeamDemand(k customer.TeamKey) int {
+	n := d.teams.Running(k)
+	for _, l := range d.Lanes() {
+		n += l.queue.WaitingOf(k)
+	}
+	return n
+}
--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -63,6 +63,7 @@
 	dispatcher *dispatch.Dispatcher
 	peers      *peers
 	slots      *slotDirectory
+	quotas     *quotaCarrier
 	capacities capacityCache
 	clock      *timeline.Clock
 	timeline   *timeline.Ring
@@ -108,11 +109,12 @@
 	d.workers = workers
 	d.peers = newPeers(d)
 	d.slots = newSlotDirectory(d)
+	d.quotas = newQuotaCarrier(d)
 	d.dispatcher = dispatch.New(dispatch.Options{
 		Table: d.table, Starter: workers, Broker: d.slots, Self: o.VM.ID, Placement: d.slots.placement,
 		Fleet: d.fleet, Now: o.Now, Logger: o.Logger, Metrics: o.Metrics, Timeline: d.timeline,
 		Control: workers, Capacity: d.capacity, HealthChanged: d.slots.reassign,
-		SlotOutgrown: d.slots.outgrown,
+		SlotOutgrown: d.slots.outgrown, DistributedQuotas: true,
 	})
 	for _, s := range o.Services {
 		d.dispatcher.AddService(s)
@@ -139,6 +141,7 @@
 	d.loop(ctx, statusInterval, func() { d.pollWorkers(ctx) })
 	d.loop(ctx, laneInterval, d.dispatcher.Tick)
 	d.loop(ctx, speedInterval, d.fleet.CentreSpeeds)
+	d.loop(ctx, quotaInterval, d.quotas.tick)
 	if d.slots.placement == nil {
 		d.loop(ctx, slotInterval, d.slots.tick)
 		d.loop(ctx, renewInterval, d.slots.renew)
--- a/entry/membership.go
+++ b/entry/membership.go
@@ -55,7 +55,7 @@
 	d.operators.lastBeat.Store(d.o.Now().UnixNano())
 	d.applyChanges(d.domain.Tick(d.o.Now()))
 	msg := &api.PeerMessage{Body: &api.PeerMessage_Heartbeat{Heartbeat: &api.Heartbeat{
-		Leaving: d.dispatcher.Draining(), Slots: d.slots.statuses(),
+		Leaving: d.dispatcher.Draining(), Slots: d.slots.statuses(), QuotaFounded: d.quotas.foundedBelow(),
 	}}}
 	d.peers.broadcast(msg)
 }
--- a/entry/messages.go
+++ b/entry/messages.go
@@ -22,11 +22,12 @@
 	for _, m := range env.GetMessages() {
 		if h := m.GetHeartbeat(); h != nil {
 			leaving = h.GetLeaving()
+			d.quotas.setFounded(h.GetQuotaFounded())
 		}
 	}
 	d.applyChanges(d.domain.Heard(vm, inc, leaving, d.o.Now()))
 	for _, m := range env.GetMessages() {
-		if !d.slots.handleSlots(vm, inc, m) {
+		if !d.slots.handleSlots(vm, inc, m) && !d.quotas.heard(vm, inc, m) {
 			d.handle(vm, m)
 		}
 	}
--- /dev/null
+++ b/entry/quota.go
@@ -0,0 +1,322 @@
+package entry
+
+import (
+	"fmt"
+	"sort"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/cicadadale/cicadadale/api"
+	"github.com/cicadadale/cicadadale/contract"
+	"github.com/cicadadale/cicadadale/customer"
+	"github.com/cicadadale/cicadadale/machine"
+	"github.com/cicadadale/cicadadale/zone"
+)
+
+const (
+	quotaShards   = 16
+	quotaInterval = 500 * time.Millisecond
+	// foundingDelay is the time after the start of the process before it may found shares: by then it has heard from
+	// the members that know of an earlier founding.
+	foundingDelay = 3 * time.Second
+	// unmetFor is how long a delegate asks for quota that others have asked it for in vain.
+	unmetFor = 2 * time.Second
+)
+
+// quotaCarrier moves shares of the team quotas between entry VMs. A VM asks the members of its failure domain; the
+// failure domain's delegate also asks the delegates of the others. The shards hold the shares by team.
+type quotaCarrier struct {
+	d       *Daemon
+	shards  [quotaShards]quotaShard
+	started time.Time
+
+	mu sync.Mutex
+	// founded is one more than the highest quota revision that was founded in the failure domain, as far as known.
+	founded uint64
+	round   int
+}
+
+type quotaShard struct {
+	mu    sync.Mutex
+	teams map[customer.TeamKey]*carriedQuota
+}
+
+// carriedQuota is this VM's share of a team's quota.
+type carriedQuota struct {
+	share *contract.QuotaShare
+	// unmet is what others have asked for in vain, until it lapses.
+	unmet  int
+	lapses time.Time
+}
+
+func newQuotaCarrier(d *Daemon) *quotaCarrier {
+	q := &quotaCarrier{d: d, started: d.o.Now()}
+	for i := range q.shards {
+		q.shards[i].teams = make(map[customer.TeamKey]*carriedQuota)
+	}
+	return q
+}
+
+func (q *quotaCarrier) shard(k customer.TeamKey) *quotaShard {
+	return &q.shards[xxhash.Sum64String(k.String())%quotaShards]
+}
+
+// delegate returns the member of a failure domain that asks the other failure domains.
+func (q *quotaCarrier) delegate(domain zone.DomainID) (machine.EntryVM, bool) {
+	vms := q.d.peers.inDomain(domain)
+	if domain == q.d.o.Domain {
+		vms = q.d.domain.Live()
+	}
+	return zone.Choose(fmt.Sprintf("quota/%d", domain), vms)
+}
+
+func (q *quotaCarrier) isDelegate() bool {
+	vm, ok := q.delegate(q.d.o.Domain)
+	return ok && vm.ID == q.d.o.VM.ID
+}
+
+// tick founds new quotas, sends transfers again that were not acknowledged, and asks for quota.
+func (q *quotaCarrier) tick() {
+	usages := q.d.dispatcher.Teams().Usages()
+	if len(usages) == 0 {
+		return
+	}
+	sort.Slice(usages, func(i, j int) bool { return usages[i].Key.String() < usages[j].Key.String() })
+	delegate := q.isDelegate()
+	founding := q.mayFound(delegate)
+	highest := uint64(0)
+	for _, u := range usages {
+		q.adopt(u, founding)
+		highest = max(highest, u.Revision+1)
+	}
+	if founding {
+		q.setFounded(highest)
+	}
+	targets := q.targets(delegate)
+	for _, u := range usages {
+		q.resend(u.Key)
+		q.ask(u, targets)
+	}
+}
+
+// mayFound reports whether this VM founds the shares of its failure domain: only the delegate, and only once it has
+// heard from all listed members, so that a founding that they know of is not repeated.
+func (q *quotaCarrier) mayFound(delegate bool) bool {
+	if !delegate || q.d.o.Now().Sub(q.started) < foundingDelay {
+		return false
+	}
+	for _, m := range q.d.domain.Members(q.d.o.Now()) {
+		if m.State == zone.MemberJoining.String() || m.State == zone.MemberSuspect.String() {
+			return false
+		}
+	}
+	return true
+}
+
+func (q *quotaCarrier) foundedBelow() uint64 {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return q.founded
+}
+
+func (q *quotaCarrier) setFounded(f uint64) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.founded = max(q.founded, f)
+}
+
+// adopt keeps the share at the revision of the quota. Shares of earlier revisions are void.
+func (q *quotaCarrier) adopt(u customer.Usage, founding bool) {
+	found := founding && u.Revision >= q.foundedBelow()
+	s := q.shard(u.Key)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	c, ok := s.teams[u.Key]
+	if ok && c.share.Revision() == u.Revision && !found {
+		return
+	}
+	part := 0
+	if found {
+		part = q.part(u.Quota)
+	}
+	c = &carriedQuota{share: contract.NewQuotaShare(u.Key.String(), u.Revision, q.d.o.VM.Incarnation, part)}
+	s.teams[u.Key] = c
+	q.d.dispatcher.SetQuotaShare(u.Key, part)
+}
+
+// part returns what this failure domain founds of a quota.
+func (q *quotaCarrier) part(quota int) int {
+	domains := q.d.dispatcher.Teams().Domains()
+	for n, id := range domains {
+		if zone.DomainID(id) == q.d.o.Domain {
+			return contract.FoundedPart(quota, n, len(domains))
+		}
+	}
+	return 0
+}
+
+// resend sends the transfers that were not acknowledged.
+func (q *quotaCarrier) resend(k customer.TeamKey) {
+	s := q.shard(k)
+	s.mu.Lock()
+	var pending []contract.QuotaTransfer
+	if c, ok := s.teams[k]; ok {
+		pending = c.share.Pending()
+	}
+	s.mu.Unlock()
+	for _, t := range pending {
+		q.sendTransfer(t, 0)
+	}
+}
+
+func (q *quotaCarrier) sendTransfer(t contract.QuotaTransfer, slots int) {
+	vm, ok := q.d.peers.homeOf(t.To)
+	if !ok {
+		return
+	}
+	m := transferTo(t)
+	m.Slots = uint32(slots)
+	m.FromDomain = uint32(q.d.o.Domain)
+	q.d.peers.send(vm, &api.PeerMessage{Body: &api.PeerMessage_QuotaTransfer{QuotaTransfer: m}})
+}
+
+func transferTo(t contract.QuotaTransfer) *api.QuotaTransfer {
+	return &api.QuotaTransfer{
+		Team: t.Team, QuotaRevision: t.Revision, Sequence: t.Sequence, Total: t.Total,
+		FromIncarnation: uint64(t.From), ToIncarnation: uint64(t.To),
+	}
+}
+
+func transferFrom(m *api.QuotaTransfer) contract.QuotaTransfer {
+	return contract.QuotaTransfer{
+		Team: m.GetTeam(), Revision: m.GetQuotaRevision(), Sequence: m.GetSequence(), Total: m.GetTotal(),
+		From: machine.Incarnation(m.GetFromIncarnation()), To: machine.Incarnation(m.GetToIncarnation()),
+	}
+}
+
+// targets returns whom to ask in this round: one member of the own failure domain in turn, and for the delegate one
+// delegate of another failure domain in turn.
+func (q *quotaCarrier) targets(delegate bool) []string {
+	q.mu.Lock()
+	q.round++
+	round := q.round
+	q.mu.Unlock()
+	var near, far, out []string
+	for _, vm := range q.d.domain.Live() {
+		if vm.ID != q.d.o.VM.ID {
+			near = append(near, vm.ID)
+		}
+	}
+	if delegate {
+		for _, id := range q.d.dispatcher.Teams().Domains() {
+			if vm, ok := q.delegate(zone.DomainID(id)); ok && zone.DomainID(id) != q.d.o.Domain {
+				far = append(far, vm.ID)
+			}
+		}
+	}
+	if len(near) > 0 {
+		out = append(out, near[round%len(near)])
+	}
+	if len(far) > 0 {
+		out = append(out, far[round%len(far)])
+	}
+	return out
+}
+
+// need returns what this VM has and could use of a team's quota. It expects the shard lock to be held.
+func (q *quotaCarrier) need(k customer.TeamKey, c *carriedQuota) customer.QuotaNeed {
+	n := customer.QuotaNeed{Held: c.share.Held(), Demand: q.d.dispatcher.TeamDemand(k)}
+	if q.d.o.Now().Before(c.lapses) {
+		n.Demand += c.unmet
+	}
+	return n
+}
+
+// ask requests quota that the team's work could use here.
+func (q *quotaCarrier) ask(u customer.Usage, targets []string) {
+	s := q.shard(u.Key)
+	s.mu.Lock()
+	c, ok := s.teams[u.Key]
+	var n customer.QuotaNeed
+	if ok {
+		n = q.need(u.Key, c)
+	}
+	s.mu.Unlock()
+	if !ok || min(n.Demand, u.Quota) <= n.Held {
+		return
+	}
+	for _, vm := range targets {
+		q.d.peers.send(vm, &api.PeerMessage{Body: &api.PeerMessage_QuotaRequest{QuotaRequest: &api.QuotaRequest{
+			Team: u.Key.String(), QuotaRevision: u.Revision, Held: uint32(n.Held), Demand: uint32(min(n.Demand, u.Quota)),
+		}}})
+	}
+}
+
+// heard handles the quota messages of a peer. It returns false for other messages.
+func (q *quotaCarrier) heard(vm string, inc machine.Incarnation, m *api.PeerMessage) bool {
+	switch b := m.GetBody().(type) {
+	case *api.PeerMessage_QuotaRequest:
+		q.give(inc, b.QuotaRequest)
+	case *api.PeerMessage_QuotaTransfer:
+		q.take(vm, b.QuotaTransfer)
+	default:
+		return false
+	}
+	return true
+}
+
+// give answers a request with a part of the share.
+func (q *quotaCarrier) give(to machine.Incarnation, r *api.QuotaRequest) {
+	k, ok := customer.ParseTeamKey(r.GetTeam())
+	if !ok {
+		return
+	}
+	theirs := customer.QuotaNeed{Held: int(r.GetHeld()), Demand: int(r.GetDemand())}
+	delegate := q.isDelegate()
+	s := q.shard(k)
+	s.mu.Lock()
+	c, ok := s.teams[k]
+	if !ok || c.share.Revision() != r.GetQuotaRevision() {
+		s.mu.Unlock()
+		return
+	}
+	n := customer.QuotaToGive(q.need(k, c), theirs)
+	t, given := c.share.Give(to, n)
+	if given {
+		q.d.dispatcher.SetQuotaShare(k, c.share.Held())
+	} else if delegate {
+		c.unmet, c.lapses = theirs.Demand-theirs.Held, q.d.o.Now().Add(unmetFor)
+	}
+	s.mu.Unlock()
+	if given {
+		q.sendTransfer(t, n)
+	}
+}
+
+// take adds a transfer to the share and acknowledges it, or records an acknowledgement.
+func (q *quotaCarrier) take(vm string, m *api.QuotaTransfer) {
+	k, ok := customer.ParseTeamKey(m.GetTeam())
+	if !ok {
+		return
+	}
+	t := transferFrom(m)
+	s := q.shard(k)
+	s.mu.Lock()
+	c, ok := s.teams[k]
+	taken := false
+	if ok && m.GetAcknowledged() {
+		c.share.Acknowledge(t)
+	} else if ok && c.share.Take(t) {
+		taken = true
+		q.d.dispatcher.SetQuotaShare(k, c.share.Held())
+	}
+	s.mu.Unlock()
+	if !taken {
+		return
+	}
+	ack := transferTo(t)
+	ack.Acknowledged = true
+	q.d.peers.send(vm, &api.PeerMessage{Body: &api.PeerMessage_QuotaTransfer{QuotaTransfer: ack}})
+}
