--- a/customer/team.go
+++ b/customer/team.go
@@ -388,9 +388,9 @@
 	Key      TeamKey
 	Quota    int
 	Revision uint64
-	Share   int
-	Running int
-	Waiting bool
+	Share    int
+	Running  int
+	Waiting  bool
 }
 
 // Usages returns the usage of all teams with a quota, in no particular order.
--- a/entry/quota.go
+++ b/entry/quota.go
@@ -143,12 +143,33 @@
 	}
 	c = &carriedQuota{share: contract.NewQuotaShare(u.Key.String(), u.Revision, q.d.o.VM.Incarnation, part)}
 	s.teams[u.Key] = c
-	q.d.dispatcher.SetQuotaShare(u.Key, part)
+	if found {
+		q.divide(c, part)
+	}
+	q.d.dispatcher.SetQuotaShare(u.Key, c.share.Held())
+}
+
+// divide gives the members of the failure domain equal parts of what was founded. It expects the shard lock to be
+// held; the transfers go out with those that wait for an acknowledgement.
+func (q *quotaCarrier) divide(c *carriedQuota, part int) {
+	live := q.d.domain.Live()
+	for _, vm := range live {
+		c.share.Give(vm.Incarnation, part/len(live))
+	}
+}
+
+// domains returns the failure domains that found shares. Settings without them are divided among the listed ones,
+// which is exact only while all entry VMs have the same list.
+func (q *quotaCarrier) domains() []uint16 {
+	if d := q.d.dispatcher.Teams().Domains(); len(d) > 0 {
+		return d
+	}
+	return q.d.peers.listedDomains()
 }
 
 // part returns what this failure domain founds of a quota.
 func (q *quotaCarrier) part(quota int) int {
-	domains := q.d.dispatcher.Teams().Domains()
+	domains := q.domains()
 	for n, id := range domains {
 		if zone.DomainID(id) == q.d.o.Domain {
 			return contract.FoundedPart(quota, n, len(domains))
@@ -210,7 +231,7 @@
 		}
 	}
 	if delegate {
-		for _, id := range q.d.dispatcher.Teams().Domains() {
+		for _, id := range q.domains() {
 			if vm, ok := q.delegate(zone.DomainID(id)); ok && zone.DomainID(id) != q.d.o.Domain {
 				far = append(far, vm.ID)
 			}
