--- a/contract/abandon.go
+++ b/contract/failwaiting.go
@@ -2,9 +2,9 @@
 
 import "time"
 
-// Abandon finishes the waiting tasks of a job that cannot complete any more as not run, and returns how many there
+// FailWaiting finishes the waiting tasks of a job that cannot complete any more as not run, and returns how many there
 // were and the answer if the job has ended by it.
-func (t *JobTable) Abandon(id JobID, detail string, now time.Time) (int, Answer, bool) {
+func (t *JobTable) FailWaiting(id JobID, detail string, now time.Time) (int, Answer, bool) {
 	s := t.shard(id)
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/dispatch/learn.go
+++ b/dispatch/learn.go
@@ -94,7 +94,7 @@
 // abandon answers for a job that cannot complete any more; its waiting tasks are not started.
 func (d *Dispatcher) abandon(a Assignment, detail string, now time.Time) {
 	id := a.Item.Task.Job
-	n, answer, last := d.o.Table.Abandon(id, detail, now)
+	n, answer, last := d.o.Table.FailWaiting(id, detail, now)
 	if n == 0 {
 		return
 	}
--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -5,6 +5,7 @@
 	"log/slog"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
@@ -51,6 +52,8 @@
 	Now     func() time.Time
 	Logger  *slog.Logger
 	Metrics metrics.Registry
+	// OnViolation is told of violated invariants; tests panic.
+	OnViolation func(invariant string)
 }
 
 // Daemon is the process that runs on an entry VM.
@@ -65,8 +68,23 @@
 	slots      *slotDirectory
 	quotas     *quotaCarrier
 	capacities capacityCache
-	clock      *timeline.Clock
-	timeline   *timeline.Ring
+	budget     *platform.Budget
+	claims     *claimDelegate
+	// inquiries holds a token for each claim that asks other failure domains.
+	inquiries chan struct{}
+	clock     *timeline.Clock
+	timeline  *timeline.Ring
+
+	homes     *zone.Homes
+	lease     *zone.AnswerLease
+	handovers *handOvers
+	closures  *closureLog
+	serving   *gate
+	lapse     lapse
+	wasListed atomic.Bool
+	fenced    atomic.Bool
+	lost      chan struct{}
+	started   time.Time
 
 	peerServer *link.PeerServer
 	rpcServer  *rpc.Server
@@ -100,7 +118,11 @@
 	d := &Daemon{
 		o: o, fleet: machine.NewFleet(), domain: zone.NewFailureDomain(o.Domain, o.VM.ID),
 		table: contract.NewJobTable(o.Domain, o.VM.Incarnation), clock: &timeline.Clock{},
+		homes: zone.NewHomes(), lease: zone.NewAnswerLease(), handovers: newHandOvers(), serving: newGate(maxServed),
+		lost: make(chan struct{}), started: o.Now(),
 	}
+	d.closures = newClosureLog(d)
+	d.table.OnCheck(d.onCheck)
 	d.timeline = newTimeline(o, d.clock)
 	workers, err := link.NewWorkers(d.fleet, o.VM.Incarnation, o.Connections, d.clock)
 	if err != nil {
@@ -110,6 +132,11 @@
 	d.peers = newPeers(d)
 	d.slots = newSlotDirectory(d)
 	d.quotas = newQuotaCarrier(d)
+	d.inquiries = make(chan struct{}, maxKeyInquiries)
+	d.budget = platform.NewBudget(appendBudget)
+	d.claims = newClaimDelegate(claimDelegateOptions{
+		Self: o.VM.Incarnation, Log: o.Log, Budget: d.budget, Now: o.Now, Logger: o.Logger, Metrics: o.Metrics,
+	})
 	d.dispatcher = dispatch.New(dispatch.Options{
 		Table: d.table, Starter: workers, Broker: d.slots, Self: o.VM.ID, Placement: d.slots.placement,
 		Fleet: d.fleet, Now: o.Now, Logger: o.Logger, Metrics: o.Metrics, Timeline: d.timeline,
@@ -137,16 +164,18 @@
 	d.pollWorkers(ctx)
 	d.rpcServer = rpc.Serve(d.o.Callers, d, d.o.Now, nil)
 	d.loop(ctx, heartbeatInterval, func() { d.heartbeat() })
+	d.loop(ctx, delegateInterval, d.electClaims)
 	d.loop(ctx, listInterval, func() { d.refreshList(ctx) })
 	d.loop(ctx, statusInterval, func() { d.pollWorkers(ctx) })
-	d.loop(ctx, laneInterval, d.dispatcher.Tick)
 	d.loop(ctx, speedInterval, d.fleet.CentreSpeeds)
 	d.loop(ctx, quotaInterval, d.quotas.tick)
 	if d.slots.placement == nil {
 		d.loop(ctx, slotInterval, d.slots.tick)
 		d.loop(ctx, renewInterval, d.slots.renew)
 	}
-	d.loop(ctx, expiryInterval, func() { d.table.Expire(d.o.Now()) })
+	d.loop(ctx, laneInterval, func() { d.checkLapse(); d.dispatcher.Tick() })
+	d.loop(ctx, expiryInterval, func() { d.table.Expire(d.o.Now()); d.homes.Expire(d.o.Now()) })
+	d.closures.start(ctx)
 	d.timeline.Record(timeline.Event{Kind: timeline.ProcessStarted})
 	d.operators.serving.Store(true)
 	d.o.Logger.Info("entry daemon started", "vm", d.o.VM.ID, "incarnation", d.o.VM.Incarnation.String(),
@@ -169,16 +198,6 @@
 	})
 }
 
-// Stop refuses new work, finishes what runs until ctx ends, and closes all links.
-func (d *Daemon) Stop(ctx context.Context) {
-	d.dispatcher.Drain()
-	d.timeline.Record(timeline.Event{Kind: timeline.ProcessDraining})
-	d.waitIdle(ctx)
-	d.rpcServer.Stop(ctx)
-	d.kill()
-	d.o.Logger.Info("entry daemon stopped", "vm", d.o.VM.ID)
-}
-
 func (d *Daemon) waitIdle(ctx context.Context) {
 	t := time.NewTicker(laneInterval)
 	defer t.Stop()
@@ -195,6 +214,8 @@
 func (d *Daemon) kill() {
 	d.cancel()
 	d.loops.Wait()
+	d.closures.wait()
+	d.claims.close()
 	d.peerServer.Close()
 	d.peers.close()
 	d.dispatcher.Close()
--- a/entry/quota.go
+++ b/entry/quota.go
@@ -36,6 +36,8 @@
 	// founded is one more than the highest quota revision that was founded in the failure domain, as far as known.
 	founded uint64
 	round   int
+	// vms names the VM of each process that was given quota.
+	vms map[machine.Incarnation]string
 }
 
 type quotaShard struct {
@@ -52,7 +54,7 @@
 }
 
 func newQuotaCarrier(d *Daemon) *quotaCarrier {
-	q := &quotaCarrier{d: d, started: d.o.Now()}
+	q := &quotaCarrier{d: d, started: d.o.Now(), vms: make(map[machine.Incarnation]string)}
 	for i := range q.shards {
 		q.shards[i].teams = make(map[customer.TeamKey]*carriedQuota)
 	}
@@ -154,6 +156,7 @@
 func (q *quotaCarrier) divide(c *carriedQuota, part int) {
 	live := q.d.domain.Live()
 	for _, vm := range live {
+		q.know(vm.ID, vm.Incarnation)
 		c.share.Give(vm.Incarnation, part/len(live))
 	}
 }
@@ -178,6 +181,13 @@
 	return 0
 }
 
+// know records on which VM a process runs.
+func (q *quotaCarrier) know(vm string, inc machine.Incarnation) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.vms[inc] = vm
+}
+
 // resend sends the transfers that were not acknowledged.
 func (q *quotaCarrier) resend(k customer.TeamKey) {
 	s := q.shard(k)
@@ -193,10 +203,9 @@
 }
 
 func (q *quotaCarrier) sendTransfer(t contract.QuotaTransfer, slots int) {
-	vm, ok := q.d.peers.homeOf(t.To)
-	if !ok {
-		return
-	}
+	q.mu.Lock()
+	vm := q.vms[t.To]
+	q.mu.Unlock()
 	m := transferTo(t)
 	m.Slots = uint32(slots)
 	m.FromDomain = uint32(q.d.o.Domain)
@@ -279,6 +288,7 @@
 func (q *quotaCarrier) heard(vm string, inc machine.Incarnation, m *api.PeerMessage) bool {
 	switch b := m.GetBody().(type) {
 	case *api.PeerMessage_QuotaRequest:
+		q.know(vm, inc)
 		q.give(inc, b.QuotaRequest)
 	case *api.PeerMessage_QuotaTransfer:
 		q.take(vm, b.QuotaTransfer)
--- a/standin/control.go
+++ b/standin/control.go
@@ -51,46 +51,46 @@
 
 // serveControl registers the calls about running tasks.
 func (w *Worker) serveControl() {
-	w.server.POST("/v1/tasks/:id/lease", w.control(func(t *taskControl, lease time.Duration) {
+	w.server.POST("/v1/tasks/:id/lease", w.control(func(_ *workerLife, t *taskControl, lease time.Duration) {
 		t.lapses = time.Now().Add(lease)
 	}))
-	w.server.POST("/v1/tasks/:id/throttle", w.control(func(t *taskControl, _ time.Duration) {
-		w.freeSlot(t)
+	w.server.POST("/v1/tasks/:id/throttle", w.control(func(l *workerLife, t *taskControl, _ time.Duration) {
+		l.freeSlot(t)
 		t.throttled = true
 	}))
-	w.server.POST("/v1/tasks/:id/checkpoint", w.control(func(t *taskControl, _ time.Duration) {
-		w.freeSlot(t)
+	w.server.POST("/v1/tasks/:id/checkpoint", w.control(func(l *workerLife, t *taskControl, _ time.Duration) {
+		l.freeSlot(t)
 		t.checkpointed = true
 	}))
-	w.server.POST("/v1/tasks/:id/stop", w.control(func(t *taskControl, _ time.Duration) {
+	w.server.POST("/v1/tasks/:id/stop", w.control(func(_ *workerLife, t *taskControl, _ time.Duration) {
 		t.stop = link.StoppedByHome
 	}))
 }
 
-// freeSlot expects w.mu to be held.
-func (w *Worker) freeSlot(t *taskControl) {
+// freeSlot expects the lock of the worker to be held.
+func (l *workerLife) freeSlot(t *taskControl) {
 	if !t.freed() {
-		w.busy--
+		l.busy--
 	}
 }
 
 // control returns a handler that changes a running task. The reply says whether the task runs and holds its slot.
-func (w *Worker) control(change func(t *taskControl, lease time.Duration)) app.HandlerFunc {
+func (w *Worker) control(change func(l *workerLife, t *taskControl, lease time.Duration)) app.HandlerFunc {
 	return func(_ context.Context, c *app.RequestContext) {
-		if string(c.GetHeader(link.HeaderIncarnation)) != w.incarnation.String() {
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		if string(c.GetHeader(link.HeaderIncarnation)) != w.life.incarnation.String() {
 			c.Header(link.HeaderOutcome, link.OutcomeRestarted)
 			return
 		}
-		w.mu.Lock()
-		defer w.mu.Unlock()
-		t, ok := w.tasks[c.Param("id")]
+		t, ok := w.life.tasks[c.Param("id")]
 		switch {
 		case !ok || t.fenced:
 			c.Header(link.HeaderOutcome, link.OutcomeNever)
 		case t.outcome != "":
 			c.Header(link.HeaderOutcome, t.outcome)
 		default:
-			change(&t.control, leaseOf(c))
+			change(w.life, &t.control, leaseOf(c))
 			t.control.wake()
 			c.Header(link.HeaderOutcome, link.OutcomeRunning)
 			c.Header(link.HeaderSlotFreed, strconv.FormatBool(t.control.freed()))
@@ -99,8 +99,8 @@
 }
 
 // work spends the run time of a task at the rate that the home and the free slots allow. It returns the reason if the
-// task was stopped.
-func (w *Worker) work(t *workerTask, need time.Duration) string {
+// task was stopped, and whether the process has ended.
+func (w *Worker) work(t *workerTask, need time.Duration) (stopped string, over bool) {
 	for {
 		rate, lapses, stop := w.rate(t)
 		now := time.Now()
@@ -108,7 +108,7 @@
 			stop = link.StoppedLapsed
 		}
 		if stop != "" || need <= 0 {
-			return stop
+			return stop, false
 		}
 		step := lapses.Sub(now)
 		if rate > 0 {
@@ -119,6 +119,9 @@
 		case <-timer.C:
 		case <-t.control.changed:
 			timer.Stop()
+		case <-t.life.over:
+			timer.Stop()
+			return "", true
 		}
 		need -= time.Duration(float64(time.Since(now)) * rate)
 	}
@@ -132,23 +135,23 @@
 	if t.control.throttled {
 		rate = throttledRate
 	}
-	if t.control.checkpointed && w.busy >= w.o.Slots {
+	if t.control.checkpointed && t.life.busy >= w.o.Slots {
 		rate = 0
 	}
 	return rate, t.control.lapses, t.control.stop
 }
 
-// leaveSlot ends the use of a slot and lets checkpointed tasks go on. It expects w.mu to be held.
-func (w *Worker) leaveSlot(t *workerTask) {
+// leaveSlot ends the use of a slot and lets checkpointed tasks go on. It expects the lock of the worker to be held.
+func (l *workerLife) leaveSlot(t *workerTask) {
 	if !t.control.freed() {
-		w.busy--
+		l.busy--
 	}
-	w.wakeCheckpointed()
+	l.wakeCheckpointed()
 }
 
-// wakeCheckpointed expects w.mu to be held.
-func (w *Worker) wakeCheckpointed() {
-	for _, t := range w.running {
+// wakeCheckpointed expects the lock of the worker to be held.
+func (l *workerLife) wakeCheckpointed() {
+	for _, t := range l.running {
 		if t.control.checkpointed {
 			t.control.wake()
 		}
