customer, machine, backend: test admission, health and learned classes; count on held slots while tasks wait

Cause: at a crest with uneven callers an entry VM counted on an equal part of the slots even when the granters gave it less, and the team's check ignored work in the job's own deadline interval, so accepted jobs were late. Change: while tasks wait the capacity is what is held; the interval is counted.

--- /dev/null
+++ b/backend/kind_test.go
@@ -0,0 +1,137 @@
+package backend
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+)
+
+var epoch = time.Unix(1_000_000, 0)
+
+func observeMany(k *RequestKind, n int, run time.Duration) {
+	for range n {
+		k.Observe(run, 1)
+	}
+}
+
+// Guards against a declaration that outlives what is observed, in both directions.
+func TestClassFollowsObservation(t *testing.T) {
+	declaredShort := NewRequestKind(KindSpec{Class: ClassShort})
+	observeMany(declaredShort, 30, 4*time.Second)
+	require.Equal(t, ClassLong, declaredShort.Class())
+	declaredLong := NewRequestKind(KindSpec{Class: ClassLong})
+	observeMany(declaredLong, 30, 100*time.Millisecond)
+	require.Equal(t, ClassShort, declaredLong.Class())
+}
+
+// Guards against a bimodal kind that fills the slots with its long runs, and against one with a rare long run that is
+// held under the cap of long work.
+func TestBimodalKinds(t *testing.T) {
+	often, rarely := NewRequestKind(KindSpec{}), NewRequestKind(KindSpec{})
+	for range 30 {
+		observeMany(often, 9, 100*time.Millisecond)
+		often.Observe(5*time.Second, 1)
+		observeMany(rarely, 200, 100*time.Millisecond)
+		rarely.Observe(5*time.Second, 1)
+	}
+	require.Equal(t, ClassLong, often.Class())
+	require.Equal(t, ClassShort, rarely.Class())
+}
+
+// Guards against a kind whose tasks all hang: no run time is observed, and its later tasks would count as short.
+func TestRunningTasksReclassTheirKind(t *testing.T) {
+	k := NewRequestKind(KindSpec{})
+	for range 8 {
+		k.Outgrow()
+	}
+	require.Equal(t, ClassLong, k.Class())
+	for range 8 {
+		k.Shrink()
+	}
+	observeMany(k, 30, 100*time.Millisecond)
+	require.Equal(t, ClassShort, k.Class())
+}
+
+// Guards against an expectation that depends on the speed of the workers that happened to run the kind.
+func TestExpectationIsNormalised(t *testing.T) {
+	k := NewRequestKind(KindSpec{})
+	for range 100 {
+		k.Observe(400*time.Millisecond, 0.5)
+		k.Observe(100*time.Millisecond, 2)
+	}
+	require.InDelta(t, 0.2, k.Expected().Seconds(), 1e-6)
+}
+
+// Guards against action on a task of a kind that may not be acted on, a second action, and action before the run time
+// is far beyond the expectation.
+func TestJudge(t *testing.T) {
+	k := NewRequestKind(KindSpec{Straggler: StragglerStop, Expected: 200 * time.Millisecond})
+	observeMany(k, 300, 200*time.Millisecond)
+	require.Equal(t, Step{}, k.Judge(Progress{Elapsed: time.Second}, 1))
+	require.Equal(t, Step{Outgrow: true}, k.Judge(Progress{Elapsed: 1600 * time.Millisecond}, 1))
+	late := Progress{Elapsed: 5 * time.Second, Outgrown: true}
+	require.Equal(t, Step{Act: StragglerStop}, k.Judge(late, 1))
+	late.Acted = true
+	require.Equal(t, Step{}, k.Judge(late, 1))
+	wait := NewRequestKind(KindSpec{Straggler: StragglerWait})
+	require.Equal(t, Step{}, wait.Judge(Progress{Elapsed: time.Hour, Outgrown: true}, 1))
+}
+
+// Guards against failures of a kind or job that are held against workers, and against a bad worker whose failures are
+// not.
+func TestAttribution(t *testing.T) {
+	t.Run("worker", func(t *testing.T) {
+		var a Attribution
+		a.Observe("good", 1, false, epoch)
+		require.True(t, a.Observe("bad", 2, true, epoch).Proven)
+	})
+	t.Run("kind", func(t *testing.T) {
+		var a Attribution
+		for i := range uint64(10) {
+			require.False(t, a.Observe([]string{"a", "b"}[i%2], i, true, epoch).Proven)
+		}
+		require.True(t, a.Hopeless(50))
+		require.True(t, a.Trial(epoch))
+		require.False(t, a.Trial(epoch.Add(time.Second)))
+		a.Observe("a", 99, false, epoch)
+		require.False(t, a.Hopeless(50))
+	})
+	t.Run("job", func(t *testing.T) {
+		var a Attribution
+		for i := range uint64(20) {
+			a.Observe([]string{"a", "b", "c"}[i%3], i, false, epoch)
+		}
+		held := 0
+		for _, w := range []string{"a", "a", "b", "c", "a", "b"} {
+			b := a.Observe(w, 100, true, epoch)
+			if b.Proven {
+				held++
+			}
+			for _, n := range b.Forgive {
+				held -= n
+			}
+		}
+		require.Zero(t, held)
+	})
+}
+
+// Guards against memory that grows with workers and jobs of the past, and against counts that go out of step.
+func TestAttributionForgets(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var a Attribution
+		r := rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 1))
+		now := epoch
+		for job := range uint64(300) {
+			now = now.Add(time.Duration(r.IntN(3000)) * time.Millisecond)
+			b := a.Observe(string(rune('a'+r.IntN(20))), job, r.IntN(2) == 0, now)
+			require.GreaterOrEqual(t, b.Expected, 0.0)
+			require.LessOrEqual(t, b.Expected, 1.0)
+		}
+		require.LessOrEqual(t, len(a.jobs), recentJobs)
+		a.Observe("z", 999, false, now.Add(time.Hour))
+		require.LessOrEqual(t, len(a.workers), 21)
+	})
+}
--- a/customer/admission.go
+++ b/customer/admission.go
@@ -15,7 +15,7 @@
 	longestRetry  = 10 * time.Second
 )
 
-// Due is waiting work by the end of the interval in which its deadline lies.
+// Due is waiting work by the start of the interval in which its deadline lies.
 type Due struct {
 	By   time.Time
 	Work time.Duration
@@ -78,7 +78,7 @@
 func (p dueProfile) list() []Due {
 	out := make([]Due, 0, len(p))
 	for g, work := range p {
-		out = append(out, Due{By: time.Unix(0, (g+1)*int64(deadlineGrain)), Work: work})
+		out = append(out, Due{By: time.Unix(0, g*int64(deadlineGrain)), Work: work})
 	}
 	sort.Slice(out, func(i, j int) bool { return out[i].By.Before(out[j].By) })
 	return out
@@ -91,6 +91,10 @@
 // end at once and cannot oscillate.
 func Admit(b Backlog, l Load, slots float64, now time.Time) Verdict {
 	allowed := l.Deadline.Sub(now) - l.Longest
+	if b.Work > 0 {
+		// While tasks wait all slots are busy, on average with half of a task before them.
+		allowed -= l.Longest / 2
+	}
 	if slots <= 0 {
 		return refuse(longestRetry, allowed)
 	}
@@ -123,7 +127,7 @@
 			continue
 		}
 		total += d.Work
-		if wait(total, slots) > d.By.Sub(now) {
+		if wait(total, slots)+l.Longest > d.By.Sub(now) {
 			return wait(ahead, slots), false
 		}
 	}
--- a/entry/capacity.go
+++ b/entry/capacity.go
@@ -9,8 +9,12 @@
 	"github.com/cicadadale/cicadadale/zone"
 )
 
-// capacityAge is how long a sum over all workers is used.
-const capacityAge = 100 * time.Millisecond
+const (
+	// capacityAge is how long a sum over all workers is used.
+	capacityAge = 100 * time.Millisecond
+	// congestedAfter is the wait of the oldest task from which on no more slots are counted on than are held.
+	congestedAfter = 50 * time.Millisecond
+)
 
 // capacityCache keeps the capacity of each service. mu guards all fields.
 type capacityCache struct {
@@ -36,8 +40,7 @@
 	workers, slots, speed := d.fleet.Capacity(service, now)
 	share := 0.0
 	if slots > 0 {
-		heldAndFree := float64(d.slots.heldAndFree(service)) * speed / float64(slots)
-		share = dispatch.ShareOfCapacity(speed, len(d.domain.Live()), heldAndFree)
+		share = d.share(service, speed/float64(slots), speed, now)
 	}
 	if c.services == nil {
 		c.services = make(map[string]capacity)
@@ -46,17 +49,22 @@
 	return share, workers
 }
 
-// heldAndFree counts the slots of a service that this VM holds and those that it could get now.
-func (s *slotDirectory) heldAndFree(service string) int {
-	st := s.service(service)
-	n := st.granter.Free() + st.asker.Free(s.d.o.Now())
-	for _, l := range s.d.dispatcher.Lanes() {
-		if l.Service().Name() == service {
-			v := l.View()
-			n += v.Idle + v.Busy
-		}
+// share returns the part of a service's capacity that this VM can count on. While its tasks wait, that is what it
+// holds, since the granters divide the slots by the waiting times of the VMs; an equal part would be too much for a VM
+// with less demand than the others. Otherwise it is what it holds and what is free, but at least an equal part.
+func (d *Daemon) share(service string, perSlot, total float64, now time.Time) float64 {
+	l, ok := d.dispatcher.Lane(service)
+	if !ok {
+		return 0
+	}
+	v := l.View()
+	held := float64(v.Idle+v.Busy) * perSlot
+	if l.Waited(now) > congestedAfter && held > 0 {
+		return held
 	}
-	return n
+	st := d.slots.service(service)
+	free := float64(st.granter.Free()+st.asker.Free(now)) * perSlot
+	return dispatch.ShareOfCapacity(total, len(d.domain.Live()), held+free)
 }
 
 // outgrown tells the granter of a worker that a slot there is held by long work now.
