--- a/backend/attribution.go
+++ b/backend/attribution.go
@@ -7,12 +7,13 @@
 	attributionHalfLife = 10 * time.Second
 	// provenSuccesses is the weight of successes elsewhere that proves that a kind can succeed.
 	provenSuccesses = 0.5
-	// newKindFailures is the number of failures, on at least two workers and without a success ever, after which a
+	// newKindFailures is the number of failures, on several workers and without a success ever, after which a
 	// kind counts as one that can never run. usedKindFailures applies to a kind that has succeeded before.
 	newKindFailures  = 6
 	usedKindFailures = 30
-	newKindWorkers   = 2
-	usedKindWorkers  = 3
+	// failingWorkers is the number of workers on which a kind has to fail, without a success in between, for the
+	// failures to be the kind's own.
+	failingWorkers = 3
 	// trialInterval spaces the jobs that are let through to find out whether a failing kind runs again.
 	trialInterval = 5 * time.Second
 	// poisonWorkers is the number of workers on which tasks of a job have to fail, without a success of the job, for
@@ -38,7 +39,10 @@
 	Proven bool
 	// Expected is the failure rate of the same work elsewhere.
 	Expected float64
-	// Forgive lists the failures by worker that were held against the workers and were the job's own.
+	// Explained says that the work fails on other workers as well and nowhere succeeds.
+	Explained bool
+	// Forgive lists the failures by worker that were held against the workers and turned out to be the fault of the
+	// job or kind.
 	Forgive map[string]int
 }
 
@@ -51,6 +55,7 @@
 
 	succeeded     bool
 	streak        int
+	streakSince   time.Time
 	streakWorkers map[string]bool
 	lastTrial     time.Time
 
@@ -75,13 +80,26 @@
 	}
 	w.failed++
 	a.total.failed++
+	if a.streak == 0 {
+		a.streakSince = now
+	}
 	a.streak++
+	before := len(a.streakWorkers)
 	a.streakWorkers[worker] = true
 	b := Blame{
 		Proven:   elsewhere.ok >= provenSuccesses,
 		Expected: elsewhere.failed / max(1, elsewhere.ok+elsewhere.failed),
 	}
 	a.failJob(worker, job, &b)
+	if len(a.streakWorkers) >= failingWorkers && !b.Proven {
+		b.Explained = true
+	}
+	if b.Forgive == nil && before < failingWorkers && b.Explained {
+		b.Forgive = make(map[string]int)
+		for w := range a.streakWorkers {
+			b.Forgive[w] = 0
+		}
+	}
 	return b
 }
 
@@ -152,13 +170,18 @@
 	}
 }
 
-// Hopeless reports whether the kind fails wherever it runs. Workers is the number of workers that serve it.
-func (a *Attribution) Hopeless(workers int) bool {
-	failures, spread := newKindFailures, newKindWorkers
+// Hopeless reports whether the kind fails wherever it runs. Workers is the number of workers that serve it. Failures
+// on a few workers within the run time of a task do not suffice: tasks that would succeed elsewhere still run.
+func (a *Attribution) Hopeless(workers int, run time.Duration, now time.Time) bool {
+	failures := newKindFailures
 	if a.succeeded {
-		failures, spread = usedKindFailures, usedKindWorkers
+		failures = usedKindFailures
+	}
+	spread := len(a.streakWorkers)
+	if a.streak < failures || spread < min(failingWorkers, max(1, workers)) {
+		return false
 	}
-	return a.streak >= failures && len(a.streakWorkers) >= min(spread, max(1, workers))
+	return now.Sub(a.streakSince) >= run || (spread > failingWorkers && 2*spread >= workers)
 }
 
 // Trial reports whether a job of a hopeless kind may be let through at now.
--- a/backend/kind.go
+++ b/backend/kind.go
@@ -16,8 +16,11 @@
 	decayAfter = 2048
 	// minObservations is the number of runs before observations replace the declaration.
 	minObservations = 20
-	// minClassRuns is the number of runs, ended or outgrown, before observations replace the declared class.
+	// minClassRuns is the number of runs, ended or outgrown, before observations replace the declared class. Before
+	// settledRuns the long ones also have to be the majority: the tasks that take longest end last, so that a few of
+	// them outweigh the others for a while.
 	minClassRuns = 8
+	settledRuns  = 200
 	// tailObservations is the number of runs before the 99th percentile means something.
 	tailObservations = 200
 	// LongThreshold separates short from long work: most tasks take up to a second.
@@ -53,6 +56,7 @@
 	total       float64
 	sum         float64
 	longSum     float64
+	longRuns    float64
 	logSum      float64
 	sinceDecay  int
 	outgrown    int
@@ -84,6 +88,7 @@
 	k.logSum += math.Log(normal.Seconds())
 	if run > LongThreshold {
 		k.longSum += normal.Seconds()
+		k.longRuns++
 	}
 	k.sinceDecay++
 	if k.sinceDecay >= decayAfter {
@@ -114,12 +119,15 @@
 	if k.total >= minObservations {
 		k.mean.Store(int64(k.sum / k.total * float64(time.Second)))
 	}
-	if k.total+float64(k.outgrown) < minClassRuns {
+	runs, long := k.total+float64(k.outgrown), k.longRuns+float64(k.outgrown)
+	if runs < minClassRuns {
 		return
 	}
-	// A task that has outgrown its class is taken to run twice as long as it has.
-	pending := 2 * LongThreshold.Seconds() * float64(k.outgrown)
+	pending := LongThreshold.Seconds() * float64(k.outgrown)
 	share := (k.longSum + pending) / max(k.sum+pending, 1e-9)
+	if runs < settledRuns && long < runs/2 {
+		share = min(share, longAbove)
+	}
 	switch {
 	case share > longAbove:
 		k.class.Store(uint32(ClassLong))
@@ -136,6 +144,7 @@
 	k.total /= 2
 	k.sum /= 2
 	k.longSum /= 2
+	k.longRuns /= 2
 	k.logSum /= 2
 	k.sinceDecay = 0
 }
@@ -171,10 +180,10 @@
 }
 
 // Hopeless reports whether the kind fails wherever it runs.
-func (k *RequestKind) Hopeless(workers int) bool {
+func (k *RequestKind) Hopeless(workers int, now time.Time) bool {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	return k.attribution.Hopeless(workers)
+	return k.attribution.Hopeless(workers, time.Duration(k.mean.Load()), now)
 }
 
 // Trial reports whether a job of a hopeless kind may be let through at now.
--- a/customer/queue.go
+++ b/customer/queue.go
@@ -273,15 +273,29 @@
 	}
 	startable := 0
 	if f.state == flowReady {
-		startable = f.tasks
-		if room, limited := q.teams.Room(f.key, q.now); limited {
-			startable = min(startable, room)
-		}
+		startable = q.bound(c, f)
 	}
 	c.totals.Startable += startable - f.startable
 	f.startable = startable
 }
 
+// bound returns how many tasks of a ready flow its quota lets start, and sets the flow aside if there are none.
+func (q *Queue) bound(c *classQueue, f *teamFlow) int {
+	room, retry, limited := q.teams.Room(f.key, f.tasks, q.now)
+	switch {
+	case !limited:
+		return f.tasks
+	case room > 0:
+		return min(f.tasks, room)
+	case retry.IsZero():
+		c.place(f, flowOverQuota)
+	default:
+		f.retry = retry
+		c.place(f, flowOverRate)
+	}
+	return 0
+}
+
 // place changes the state of a flow.
 func (c *classQueue) place(f *teamFlow, s flowState) {
 	if f.state == s {
@@ -341,18 +355,22 @@
 	}
 }
 
-// Wake makes a team ready that waits for a slot of its quota. It reports whether there is one.
+// Wake counts anew what a team may start after quota was released. It reports whether there is something.
 func (q *Queue) Wake(k TeamKey) bool {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	woken := false
 	for i := range q.classes {
 		c := &q.classes[i]
-		if f := c.lookup(k); f != nil && f.state == flowOverQuota {
+		f := c.lookup(k)
+		if f == nil || f.tasks == 0 {
+			continue
+		}
+		if f.state == flowOverQuota {
 			c.place(f, flowReady)
-			q.settle(c, f)
-			woken = true
 		}
+		q.settle(c, f)
+		woken = woken || f.state == flowReady
 	}
 	return woken
 }
--- a/customer/team.go
+++ b/customer/team.go
@@ -83,7 +83,8 @@
 		// The share is empty; a transfer of quota has to come first.
 		return now.Add(time.Second)
 	}
-	return now.Add(time.Duration((1 - t.bucket.tokens) / perSecond * float64(time.Second)))
+	due := time.Duration((1 - t.bucket.tokens) / perSecond * float64(time.Second))
+	return now.Add(max(time.Millisecond, due))
 }
 
 // room returns the number of tasks that the own quota lets start now.
@@ -339,16 +340,25 @@
 	return waiting
 }
 
-// Room returns the number of tasks that a team may start now on its own quota, and whether it has one.
-func (t *Teams) Room(k TeamKey, now time.Time) (room int, limited bool) {
+// Room returns the number of tasks that a team may start now on its own quota, and whether it has one. If there is no
+// room for lack of a token, retry is when the next one is due. If less than want are possible, the team counts as
+// waiting for quota to be released.
+func (t *Teams) Room(k TeamKey, want int, now time.Time) (room int, retry time.Time, limited bool) {
 	s := t.shard(k)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	team, ok := s.teams[k]
 	if !ok {
-		return 0, false
+		return 0, time.Time{}, false
 	}
-	return team.room(now), true
+	room = team.room(now)
+	if room < want {
+		team.waiting = true
+	}
+	if room == 0 && !team.full() {
+		retry = team.retryAt(now)
+	}
+	return room, retry, true
 }
 
 // Spare returns the number of tasks that may still start on the unused quota of other teams.
--- a/dispatch/admit.go
+++ b/dispatch/admit.go
@@ -67,7 +67,7 @@
 			continue
 		}
 		last = k
-		if k.Failing() && k.Hopeless(d.workersOf(service)) && !k.Trial(now) {
+		if k.Failing() && k.Hopeless(d.workersOf(service), now) && !k.Trial(now) {
 			return fault.With(fault.Refused, "kind fails", "request kind %s fails on every worker", k.Spec().Name)
 		}
 	}
--- a/dispatch/learn.go
+++ b/dispatch/learn.go
@@ -36,8 +36,10 @@
 	failed := r.Outcome != contract.OutcomeDone
 	blame := kind.ObserveOutcome(string(a.Slot.Worker), a.Item.Task.Job.Seq, failed, now)
 	d.forgive(blame, now)
-	d.judgeWorker(w, machine.Evidence{Failed: failed, Proven: blame.Proven, Expected: blame.Expected}, now)
-	if failed && kind.Hopeless(d.workersOf(w.Spec().Service)) {
+	d.judgeWorker(w, machine.Evidence{
+		Failed: failed, Proven: blame.Proven, Explained: blame.Explained, Expected: blame.Expected,
+	}, now)
+	if failed && kind.Hopeless(d.workersOf(w.Spec().Service), now) {
 		d.abandon(a, fmt.Sprintf("request kind %s fails on every worker", kind.Spec().Name), now)
 	}
 }
@@ -49,7 +51,9 @@
 		return
 	}
 	blame := l.observeStart(a, true, now)
-	d.judgeWorker(w, machine.Evidence{Rejected: true, Proven: blame.Proven, Expected: blame.Expected}, now)
+	d.judgeWorker(w, machine.Evidence{
+		Rejected: true, Proven: blame.Proven, Explained: blame.Explained, Expected: blame.Expected,
+	}, now)
 }
 
 // judgeWorker reports a changed health, so that the granters learn of it at once.
--- a/machine/health.go
+++ b/machine/health.go
@@ -37,6 +37,10 @@
 	// unprovenLimit is the number of failures in a row of kinds that have not succeeded anywhere yet after which a
 	// worker is suspected. They never suffice for a quarantine.
 	unprovenLimit = 3
+	// firstHold is the time without new work after the last of these failures; it doubles with each further one. A
+	// worker that fails at once would otherwise draw all the work before another one has had the time to succeed.
+	firstHold     = 20 * time.Millisecond
+	holdDoublings = 5
 	// successFactor is what a success leaves of the score.
 	successFactor = 0.5
 	// suspectShare divides the slots of a suspect.
@@ -98,6 +102,8 @@
 	Rejected bool
 	// Proven says that the same kind of work succeeds on other workers. Without it a failure does not count.
 	Proven bool
+	// Explained says that the same kind of work fails on several workers and succeeds on none.
+	Explained bool
 	// Expected is the failure rate of the same kind of work on other workers.
 	Expected float64
 }
@@ -111,6 +117,8 @@
 	passed   int
 	pause    time.Duration
 	until    time.Time
+	// held is the end of a suspect's time without new work.
+	held time.Time
 }
 
 // State returns the state.
@@ -138,10 +146,15 @@
 	if e.Rejected {
 		weight = rejectionScore
 	}
+	if e.Explained {
+		return
+	}
 	if !e.Proven {
 		h.unproven++
 		if h.unproven >= unprovenLimit {
 			h.fire(healthSuspected)
+			pause := firstHold << min(h.unproven-unprovenLimit, holdDoublings)
+			h.held = now.Add(pause)
 		}
 		return
 	}
@@ -154,7 +167,7 @@
 }
 
 func (h *Health) succeed() {
-	h.unproven = 0
+	h.unproven, h.held = 0, time.Time{}
 	h.score *= successFactor
 	if h.score < suspectScore {
 		h.fire(healthCleared)
@@ -193,6 +206,7 @@
 	before := h.state
 	h.tick(now)
 	h.score = max(0, h.score-float64(failures))
+	h.unproven, h.held = 0, time.Time{}
 	if h.score < suspectScore {
 		h.fire(healthCleared)
 	}
@@ -219,10 +233,13 @@
 	h.fire(healthCleared)
 }
 
-// Slots returns how many of n slots the worker may use.
-func (h *Health) Slots(n int) int {
+// Slots returns how many of n slots the worker may use at now.
+func (h *Health) Slots(n int, now time.Time) int {
 	switch h.state {
 	case Suspect:
+		if now.Before(h.held) {
+			return 0
+		}
 		return min(n, max(1, n/suspectShare))
 	case Quarantined:
 		return 0
--- a/machine/worker.go
+++ b/machine/worker.go
@@ -164,8 +164,11 @@
 		return 0
 	}
 	w.health.Tick(now)
-	return w.health.Slots(w.spec.Slots)
+	return w.health.Slots(w.spec.Slots, now)
 }
 
-// Accepts reports whether the worker may get another task at now.
-func (w *Worker) Accepts(now time.Time) bool { return w.UsableSlots(now) > 0 }
+// Accepts reports whether a slot of the worker may serve another task at now without being granted anew. The slots of
+// workers that are not healthy go back to the granter, which grants fewer.
+func (w *Worker) Accepts(now time.Time) bool {
+	return w.UsableSlots(now) > 0 && w.HealthAt(now) == Healthy
+}
