--- a/dispatch/lane.go
+++ b/dispatch/lane.go
@@ -64,6 +64,8 @@
 	waiting [2]backlog
 	stated  contract.SlotDemand
 	recalls map[string]recall
+	// starts tells workers that reject starts from times at which many do.
+	starts  backend.Attribution
 	stopped bool
 }
 
--- a/entry/cluster_test.go
+++ b/entry/cluster_test.go
@@ -346,6 +346,10 @@
 	d.timeline = newTimeline(d.o, d.clock)
 	d.peers = newPeers(d)
 	d.slots = newSlotDirectory(d)
+	d.quotas = newQuotaCarrier(d)
+	d.configs = newConfigCarrier(configCarrierOptions{
+		Log: d.o.Log, Budget: platform.NewBudget(appendBudget), Now: time.Now, Logger: d.o.Logger, Metrics: m.metrics,
+	})
 	d.dispatcher = dispatch.New(dispatch.Options{
 		Table: d.table, Starter: testHome{workers: c.workers, vm: id}, Broker: d.slots, Self: id,
 		Placement: d.slots.placement, Fleet: d.fleet, Now: time.Now, Logger: d.o.Logger, Metrics: m.metrics,
--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -28,6 +28,7 @@
 	statusInterval    = time.Second
 	laneInterval      = 10 * time.Millisecond
 	expiryInterval    = 10 * time.Second
+	speedInterval     = 2 * time.Second
 )
 
 // Options are the settings and parts of a daemon. The caller opens the listeners, so that addresses are known
@@ -68,6 +69,8 @@
 	dispatcher *dispatch.Dispatcher
 	peers      *peers
 	slots      *slotDirectory
+	quotas     *quotaCarrier
+	capacities capacityCache
 	budget     *platform.Budget
 	claims     *claimDelegate
 	configs    *configCarrier
@@ -132,6 +135,7 @@
 	d.workers = workers
 	d.peers = newPeers(d)
 	d.slots = newSlotDirectory(d)
+	d.quotas = newQuotaCarrier(d)
 	d.inquiries = make(chan struct{}, maxKeyInquiries)
 	d.budget = platform.NewBudget(appendBudget)
 	d.claims = newClaimDelegate(claimDelegateOptions{
@@ -140,6 +144,8 @@
 	d.dispatcher = dispatch.New(dispatch.Options{
 		Table: d.table, Starter: workers, Broker: d.slots, Self: o.VM.ID, Placement: d.slots.placement,
 		Fleet: d.fleet, Now: o.Now, Logger: o.Logger, Metrics: o.Metrics, Timeline: d.timeline,
+		Control: workers, Capacity: d.capacity, HealthChanged: d.slots.reassign,
+		SlotOutgrown: d.slots.outgrown, DistributedQuotas: true,
 	})
 	d.configs = newConfigCarrier(configCarrierOptions{
 		Log: o.Log, Budget: d.budget, Now: o.Now, Logger: o.Logger, Metrics: o.Metrics, Apply: d.applyConfiguration,
@@ -170,6 +176,8 @@
 	d.loop(ctx, listInterval, func() { d.refreshList(ctx) })
 	d.loop(ctx, statusInterval, func() { d.pollWorkers(ctx) })
 	d.startSlots(ctx)
+	d.loop(ctx, speedInterval, d.fleet.CentreSpeeds)
+	d.loop(ctx, quotaInterval, d.quotas.tick)
 	d.loop(ctx, expiryInterval, func() { d.table.Expire(d.o.Now()); d.homes.Expire(d.o.Now()) })
 	d.closures.start(ctx)
 	d.timeline.Record(timeline.Event{Kind: timeline.ProcessStarted})
--- a/machine/fleet.go
+++ b/machine/fleet.go
@@ -1,8 +1,10 @@
 package machine
 
 import (
+	"math"
 	"sort"
 	"sync"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 )
@@ -79,3 +81,40 @@
 	sort.Slice(all, func(i, j int) bool { return all[i].Spec().ID < all[j].Spec().ID })
 	return all
 }
+
+// CentreSpeeds makes the average worker of each service have speed 1. Run times and speeds are learned from each
+// other, so without a fixed average both could drift together.
+func (f *Fleet) CentreSpeeds() {
+	byService := make(map[string][]*Worker)
+	for _, w := range f.All() {
+		service := w.Spec().Service
+		byService[service] = append(byService[service], w)
+	}
+	for _, workers := range byService {
+		sum := 0.0
+		for _, w := range workers {
+			sum += math.Log(w.Speed())
+		}
+		for _, w := range workers {
+			w.shiftSpeed(-sum / float64(len(workers)))
+		}
+	}
+}
+
+// Capacity counts the workers of a service and their usable slots, plain and with each counted by its speed.
+func (f *Fleet) Capacity(service string, now time.Time) (workers, slots int, speed float64) {
+	for i := range f.shards {
+		s := &f.shards[i]
+		s.mu.Lock()
+		for _, w := range s.workers {
+			if w.Spec().Service == service {
+				n := w.UsableSlots(now)
+				workers++
+				slots += n
+				speed += float64(n) * w.Speed()
+			}
+		}
+		s.mu.Unlock()
+	}
+	return workers, slots, speed
+}
--- a/machine/worker.go
+++ b/machine/worker.go
@@ -1,6 +1,7 @@
 package machine
 
 import (
+	"math"
 	"sync"
 	"time"
 )
@@ -19,16 +20,25 @@
 	Leaving bool
 }
 
-// speedWeight is the share of a new observation in the moving average of a worker's speed.
-const speedWeight = 0.05
+const (
+	// speedWeight is the least share of a new observation in the moving average of a worker's speed; the first
+	// observations count more, so that the average is soon near.
+	speedWeight = 0.02
+	// speedLimit bounds the learned speed in both directions.
+	speedLimit = 16
+)
 
 // Worker runs tasks in a fixed number of slots. Its mutex guards all fields.
 type Worker struct {
 	mu          sync.Mutex
 	spec        WorkerSpec
 	incarnation Incarnation
-	speed       float64
-	busy        int
+	// logSpeed is the logarithm of the speed relative to the average worker. Ratios of run times are averaged as
+	// logarithms, because the mean of the ratios themselves exceeds the ratio of the means.
+	logSpeed float64
+	runs     int
+	health   Health
+	busy     int
 	// clock is the worker's monotonic clock at local time clockAt. Local times are compared with each other only, so
 	// that steps of the wall clock have no effect.
 	clock   time.Duration
@@ -37,7 +47,7 @@
 
 // NewWorker returns a worker of average speed.
 func NewWorker(spec WorkerSpec) *Worker {
-	return &Worker{spec: spec, speed: 1}
+	return &Worker{spec: spec}
 }
 
 // Spec returns the current entry of the platform's list.
@@ -59,6 +69,10 @@
 func (w *Worker) ObserveStatus(inc Incarnation, clock time.Duration, now time.Time) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	if w.incarnation != 0 && w.incarnation != inc {
+		// The failures of the process before say nothing about this one, but a quarantine ends with probes.
+		w.health.restart()
+	}
 	w.incarnation = inc
 	w.clock, w.clockAt = clock, now
 }
@@ -91,20 +105,70 @@
 	return w.busy
 }
 
-// ObserveRun compares the run time of a task with the expectation for its kind.
+// ObserveRun compares the run time of a task with what a worker of average speed takes for its kind.
 func (w *Worker) ObserveRun(run, expected time.Duration) {
 	if run <= 0 || expected <= 0 {
 		return
 	}
-	ratio := float64(expected) / float64(run)
+	ratio := math.Log(float64(expected) / float64(run))
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.speed += speedWeight * (ratio - w.speed)
+	w.runs++
+	weight := max(speedWeight, 1/float64(w.runs+1))
+	limit := math.Log(speedLimit)
+	w.logSpeed = min(limit, max(-limit, w.logSpeed+weight*(ratio-w.logSpeed)))
 }
 
 // Speed returns the learned speed relative to the average worker.
 func (w *Worker) Speed() float64 {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	return w.speed
+	return math.Exp(w.logSpeed)
+}
+
+// shiftSpeed moves the logarithm of the speed.
+func (w *Worker) shiftSpeed(by float64) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.logSpeed += by
+}
+
+// Observe takes over the end of a start and reports whether the worker's health has changed.
+func (w *Worker) Observe(e Evidence, now time.Time) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.health.Observe(e, now)
+}
+
+// Forgive withdraws failures that have turned out to be the fault of a job.
+func (w *Worker) Forgive(failures int, now time.Time) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.health.Forgive(failures, now)
+}
+
+// HealthAt returns the health at now.
+func (w *Worker) HealthAt(now time.Time) HealthState {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.health.Tick(now)
+	return w.health.State()
+}
+
+// UsableSlots returns the number of slots that may be granted at now: none of a worker that is leaving, quarantined
+// or has not reported its status.
+func (w *Worker) UsableSlots(now time.Time) int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.spec.Leaving || w.incarnation == 0 {
+		return 0
+	}
+	w.health.Tick(now)
+	return w.health.Slots(w.spec.Slots, now)
+}
+
+// Accepts reports whether a slot of the worker may serve another task at now without being granted anew. The slots of
+// workers that are not healthy go back to the granter, which grants fewer.
+func (w *Worker) Accepts(now time.Time) bool {
+	return w.UsableSlots(now) > 0 && w.HealthAt(now) == Healthy
 }
--- a/standin/worker.go
+++ b/standin/worker.go
@@ -15,9 +15,6 @@
 	"github.com/cicadadale/cicadadale/timeline"
 )
 
-// reasonStopped is the reason of a task that was stopped on request.
-const reasonStopped = "stopped"
-
 // Work computes the result of a task and the time that it takes on a worker of speed 1.
 type Work func(service, kind string, payload []byte) (result []byte, run time.Duration, err error)
 
@@ -78,7 +75,7 @@
 	incarnation machine.Incarnation
 	born        time.Time
 	tasks       map[string]*workerTask
-	running     map[string]bool
+	running     map[string]*workerTask
 	busy        int
 	over        chan struct{}
 }
@@ -86,7 +83,7 @@
 func newWorkerLife() *workerLife {
 	return &workerLife{
 		incarnation: machine.NewIncarnation(), born: time.Now(), tasks: make(map[string]*workerTask),
-		running: make(map[string]bool), over: make(chan struct{}),
+		running: make(map[string]*workerTask), over: make(chan struct{}),
 	}
 }
 
@@ -98,8 +95,7 @@
 	life    *workerLife
 	fenced  bool
 	done    chan struct{}
-	stop    chan struct{}
-	stopped bool
+	control taskControl
 	outcome string
 	reason  string
 	result  []byte
@@ -116,7 +112,7 @@
 	w.server.GET("/events", httpserve.Events(w.clocked.ring))
 	w.server.POST("/v1/tasks/:id", w.start)
 	w.server.POST("/v1/tasks/:id/fence", w.fence)
-	w.server.POST("/v1/tasks/:id/stop", w.stop)
+	w.serveControl()
 	w.server.GET("/v1/status", w.status)
 	w.server.Start()
 	return w
@@ -169,7 +165,7 @@
 	}
 	payload := append([]byte(nil), c.Request.Body()...)
 	w.announce(id, kind, string(c.GetHeader(link.HeaderHome)), payload)
-	w.execute(t, string(c.GetHeader(link.HeaderService)), kind, payload)
+	w.execute(id, t, string(c.GetHeader(link.HeaderService)), kind, payload)
 	w.clocked.record(c, timeline.RunEnded, timeline.RunEnded, t.reason)
 	if w.o.Observer != nil {
 		w.o.Observer.Ended(w.o.ID, id, time.Now())
@@ -211,15 +207,15 @@
 	if l.busy >= w.o.Slots {
 		return nil, link.RejectFull
 	}
-	t := &workerTask{id: id, life: l, done: make(chan struct{}), stop: make(chan struct{})}
-	l.tasks[id] = t
-	l.running[id] = true
+	t := &workerTask{life: l, done: make(chan struct{}), control: newTaskControl(c)}
+	l.tasks[id], l.running[id] = t, t
 	l.busy++
+	l.wakeCheckpointed()
 	return t, ""
 }
 
 // execute runs a task on the calling goroutine.
-func (w *Worker) execute(t *workerTask, service, kind string, payload []byte) {
+func (w *Worker) execute(id string, t *workerTask, service, kind string, payload []byte) {
 	begin := time.Now()
 	result, nominal, err := w.o.Work(service, kind, payload)
 	w.mu.Lock()
@@ -233,13 +229,11 @@
 	if f.FailAll {
 		nominal, outcome, reason, result = 0, link.OutcomeFailed, "worker fails everything", nil
 	}
-	timer := time.NewTimer(time.Duration(float64(nominal) / speed))
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-t.stop:
-		outcome, reason, result = link.OutcomeFailed, reasonStopped, nil
-	case <-t.life.over:
+	stopped, over := w.work(t, time.Duration(float64(nominal)/speed))
+	if stopped != "" {
+		outcome, reason, result = link.OutcomeFailed, stopped, nil
+	}
+	if over {
 		// The process that ran the task is gone, so that there is no outcome to report.
 		outcome, reason, result = "", "", nil
 	}
@@ -247,8 +241,8 @@
 	defer w.mu.Unlock()
 	t.run = time.Since(begin)
 	t.outcome, t.reason, t.result = outcome, reason, result
-	t.life.busy--
-	delete(t.life.running, t.id)
+	delete(t.life.running, id)
+	t.life.leaveSlot(t)
 	close(t.done)
 }
 
@@ -295,22 +289,6 @@
 	return t
 }
 
-// stop ends a running task; its start is answered as failed.
-func (w *Worker) stop(_ context.Context, c *app.RequestContext) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	t, ok := w.life.tasks[c.Param("id")]
-	if !ok || t.fenced {
-		c.Status(404)
-		return
-	}
-	if !t.stopped {
-		t.stopped = true
-		close(t.stop)
-	}
-	c.Status(204)
-}
-
 // writeTask writes the outcome of a task that has ended.
 func writeTask(c *app.RequestContext, t *workerTask) {
 	if t.outcome == "" {
