dispatch: keep full workers out of the health judgement

Cause: under a partition two granters give the slots of a worker away; its rejections as full counted as faults of the worker and quarantined it. Seen in TestPartition: 30 of 96 slots stayed closed after the partition had ended. Change: a rejection as full only informs the granters. After: TestPartition ends with 96 of 96 slots free.

--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -397,8 +397,12 @@
 	now := d.o.Now()
 	requeue := d.o.Table.NotStarted(a.Item.Task, now)
 	d.wake(a.Item, l.queue.Returned(a.Item))
-	d.carryOut(l, l.Reject(a.Slot, fault.Reason(cause) == ReasonWorkerFull, now))
-	d.learnRejection(l, a, now)
+	full := fault.Reason(cause) == ReasonWorkerFull
+	d.carryOut(l, l.Reject(a.Slot, full, now))
+	if !full {
+		// A full worker is in order: two granters have given its slots away, which the granters heal.
+		d.learnRejection(l, a, now)
+	}
 	if !requeue || d.giveUp(&a, now) {
 		return
 	}
