--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/rcrowley/go-metrics"
+	"google.golang.org/grpc/credentials"
 
 	"github.com/cicadadale/cicadadale/backend"
 	"github.com/cicadadale/cicadadale/contract"
@@ -46,6 +47,8 @@
 	Connections int
 	// Events is the size of the timeline's ring; 0 takes the default, a negative number records nothing.
 	Events int
+	// CallerCredentials secure the callers' side; nil serves plain TCP.
+	CallerCredentials credentials.TransportCredentials
 	// Policy selects how workers are chosen; empty selects the default.
 	Policy  dispatch.Policy
 	Now     func() time.Time
@@ -65,8 +68,13 @@
 	dispatcher *dispatch.Dispatcher
 	peers      *peers
 	slots      *slotDirectory
-	clock      *timeline.Clock
-	timeline   *timeline.Ring
+	budget     *platform.Budget
+	claims     *claimDelegate
+	configs    *configCarrier
+	// inquiries holds a token for each claim that asks other failure domains.
+	inquiries chan struct{}
+	clock     *timeline.Clock
+	timeline  *timeline.Ring
 
 	homes     *zone.Homes
 	lease     *zone.AnswerLease
@@ -124,13 +132,19 @@
 	d.workers = workers
 	d.peers = newPeers(d)
 	d.slots = newSlotDirectory(d)
+	d.inquiries = make(chan struct{}, maxKeyInquiries)
+	d.budget = platform.NewBudget(appendBudget)
+	d.claims = newClaimDelegate(claimDelegateOptions{
+		Self: o.VM.Incarnation, Log: o.Log, Budget: d.budget, Now: o.Now, Logger: o.Logger, Metrics: o.Metrics,
+	})
 	d.dispatcher = dispatch.New(dispatch.Options{
 		Table: d.table, Starter: workers, Broker: d.slots, Self: o.VM.ID, Placement: d.slots.placement,
 		Fleet: d.fleet, Now: o.Now, Logger: o.Logger, Metrics: o.Metrics, Timeline: d.timeline,
 	})
-	for _, s := range o.Services {
-		d.dispatcher.AddService(s)
-	}
+	d.configs = newConfigCarrier(configCarrierOptions{
+		Log: o.Log, Budget: d.budget, Now: o.Now, Logger: o.Logger, Metrics: o.Metrics, Apply: d.applyConfiguration,
+		Verdict: d.configDecided,
+	})
 	return d, nil
 }
 
@@ -146,9 +160,13 @@
 	d.peerServer = server
 	d.serveOperators()
 	d.refreshList(ctx)
+	d.configs.begin(ctx)
 	d.pollWorkers(ctx)
-	d.rpcServer = rpc.Serve(d.o.Callers, d, d.o.Now, nil)
+	d.rpcServer = rpc.Serve(d.o.Callers, d, d.o.Now, d.o.CallerCredentials, d.o.Metrics)
 	d.loop(ctx, heartbeatInterval, func() { d.heartbeat() })
+	d.loop(ctx, delegateInterval, d.electClaims)
+	d.loops.Go(func() { d.configs.tail(ctx) })
+	d.loop(ctx, configInterval, func() { d.tendConfiguration(ctx) })
 	d.loop(ctx, listInterval, func() { d.refreshList(ctx) })
 	d.loop(ctx, statusInterval, func() { d.pollWorkers(ctx) })
 	d.startSlots(ctx)
@@ -197,11 +215,21 @@
 	}
 }
 
+// Kill ends everything at once, as a crash does. The jobs of this incarnation are lost.
+func (d *Daemon) Kill() {
+	cut, cancel := context.WithCancel(context.Background())
+	cancel()
+	d.peers.close()
+	d.rpcServer.Stop(cut)
+	d.kill()
+}
+
 // kill ends everything at once.
 func (d *Daemon) kill() {
 	d.cancel()
 	d.loops.Wait()
 	d.closures.wait()
+	d.claims.close()
 	d.peerServer.Close()
 	d.peers.close()
 	d.dispatcher.Close()
