--- a/backend/kind.go
+++ b/backend/kind.go
@@ -42,17 +42,16 @@
 )
 
 // RequestKind is a request kind with its observed run times, normalised to a worker of speed 1 and, in raw, as they
-// were. Its mutex guards the
-// histogram and the attribution; class and mean are also kept where the queue can read them without the lock.
+// were. Its mutex guards the declaration, the histogram and the attribution; class and mean are also kept where the
+// queue can read them without the lock.
 type RequestKind struct {
-	spec KindSpec
-
 	class atomic.Uint32
 	mean  atomic.Int64
 	// failing says that the last outcome was a failure.
 	failing atomic.Bool
 
 	mu          sync.Mutex
+	spec        KindSpec
 	buckets     [bucketCount]float64
 	raw         [bucketCount]float64
 	total       float64
--- a/dispatch/admit.go
+++ b/dispatch/admit.go
@@ -11,9 +11,10 @@
 )
 
 const (
-	// DefaultMaxWaiting and DefaultMaxWaitingBytes bound the waiting tasks of an entry VM. At 2,300 starts/s the tasks
-	// are the work of 17 s, longer than any usual deadline.
-	DefaultMaxWaiting      = 40_000
+	// DefaultMaxWaiting bounds the waiting tasks of an entry VM. At 2,300 starts/s they are the work of 17 s, longer
+	// than any usual deadline.
+	DefaultMaxWaiting = 40_000
+	// DefaultMaxWaitingBytes bounds the payloads of the waiting tasks.
 	DefaultMaxWaitingBytes = 256 << 20
 	// lateShare is the share of jobs whose longest task may exceed the bound that admission reckons with.
 	lateShare = 0.1
--- a/standin/worker.go
+++ b/standin/worker.go
@@ -91,7 +91,6 @@
 
 // workerTask is a task that the worker knows: running, ended, or fenced before it started.
 type workerTask struct {
-	id      string
 	life    *workerLife
 	fenced  bool
 	done    chan struct{}
