--- a/entry/slots.go
+++ b/entry/slots.go
@@ -143,8 +143,9 @@
 		}
 		slots[spec.Service][vm.ID] += spec.Slots
 		if vm.ID == s.d.o.VM.ID {
+			usable := w.UsableSlots(s.d.o.Now())
 			offers[spec.Service] = append(offers[spec.Service], zone.Offer{
-				Worker: spec.ID, Slots: spec.Slots, Speed: w.Speed(), Closed: spec.Leaving || w.Incarnation() == 0,
+				Worker: spec.ID, Slots: usable, Speed: w.Speed(), Closed: usable == 0,
 			})
 		}
 	}
--- a/entry/state.go
+++ b/entry/state.go
@@ -26,7 +26,7 @@
 		spec, inc := w.Spec(), w.Incarnation()
 		out = append(out, admin.WorkerView{
 			ID: string(spec.ID), Address: spec.Address, Service: spec.Service, Rack: spec.Rack, Slots: spec.Slots,
-			Speed: w.Speed(), Incarnation: inc.String(), Reported: inc != 0, Leaving: spec.Leaving,
+			Speed: w.Speed(), Health: w.HealthAt(d.o.Now()).String(), Incarnation: inc.String(), Reported: inc != 0, Leaving: spec.Leaving,
 		})
 	}
 	return out
--- a/link/wire.go
+++ b/link/wire.go
@@ -14,6 +14,8 @@
 	HeaderOutcome     = "Cicadadale-Outcome"
 	HeaderReason      = "Cicadadale-Reason"
 	HeaderRunTime     = "Cicadadale-Run-Us"
+	// HeaderSlotFreed is "true" in the reply to a throttle or checkpoint call after which the task holds no slot.
+	HeaderSlotFreed = "Cicadadale-Slot-Freed"
 	// HeaderLamport carries the sender's logical time in starts, fences and their replies.
 	HeaderLamport = "Cicadadale-Lamport"
 )
@@ -40,6 +42,12 @@
 	RejectEpoch       = "stale epoch"
 )
 
+// Reasons of a task that the worker has ended before its time. Such a task has run, if only in part.
+const (
+	StoppedByHome = "stopped"
+	StoppedLapsed = "lease lapsed"
+)
+
 // WorkerStatus is the reply to GET /v1/status.
 type WorkerStatus struct {
 	Incarnation string `json:"incarnation"`
--- a/zone/allocation.go
+++ b/zone/allocation.go
@@ -106,9 +106,11 @@
 	g.update(w)
 }
 
-// release takes back at most what the member holds. It expects g.mu to be held.
+// release takes back at most what the member holds. A slot whose task has outgrown its class may come back as long
+// before the report that says so. It expects g.mu to be held.
 func (g *Granter) release(w *grantedWorker, member string, c Count) {
 	h := w.held[member]
+	c.Short += max(0, c.Long-h.Long)
 	left := Count{Short: h.Short - min(c.Short, h.Short), Long: h.Long - min(c.Long, h.Long)}
 	g.setHeld(w, member, left, h.renewed)
 }
