--- a/entry/router_test.go
+++ b/entry/router_test.go
@@ -37,6 +37,8 @@
 	require.NoError(t, err)
 	h.Daemon = d
 	d.configs.begin(t.Context())
+	w, _ := d.fleet.Upsert(machine.WorkerSpec{ID: "w", Service: "s", Slots: 8, Address: "127.0.0.1:1"})
+	w.ObserveStatus(1, 0, h.now)
 	listings := []zone.Listing{{VM: machine.EntryVM{ID: "self"}, Domain: 1}}
 	for i, m := range members {
 		listings = append(listings, zone.Listing{VM: machine.EntryVM{ID: m}, Domain: 1})
