httpserve: set the level of hertz's log once

Cause: every new server wrote the global level while running servers read it; go test -race ./entry and ./rpc reported it. Seen: go test -race ./entry -run 'Planned|Successors|Crashed|...' reported the race before and nothing after.

--- a/internal/httpserve/httpserve.go
+++ b/internal/httpserve/httpserve.go
@@ -7,6 +7,7 @@
 	"errors"
 	"net"
 	"net/http"
+	"sync"
 	"time"
 
 	"github.com/cloudwego/hertz/pkg/app/server"
@@ -21,6 +22,9 @@
 	stopTimeout = 200 * time.Millisecond
 )
 
+// quiet turns hertz's own log off. Its level is a global variable without a lock, which servers that run read.
+var quiet = sync.OnceFunc(func() { hlog.SetLevel(hlog.LevelFatal) })
+
 // Server is a hertz server on one listener.
 type Server struct {
 	*server.Hertz
@@ -30,7 +34,7 @@
 
 // New returns a server that does not serve yet. A TLS configuration is optional.
 func New(l net.Listener, t *tls.Config) *Server {
-	hlog.SetLevel(hlog.LevelFatal)
+	quiet()
 	opts := []config.Option{
 		server.WithListener(l),
 		server.WithTransport(standard.NewTransporter),
