--- a/entry/router_test.go
+++ b/entry/router_test.go
@@ -1,9 +1,11 @@
 package entry
 
 import (
+	"context"
 	"io"
 	"log/slog"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
@@ -184,3 +186,31 @@
 	require.True(t, l.resumed(now.Add(3*lapseLimit)))
 	require.False(t, l.resumed(now.Add(3*lapseLimit)))
 }
+
+// Guards against a closure that is lost because the log was out when its home stopped, and a fresh VM that learns of it
+// from the log only.
+func TestSuccessorAppendsClosureAfterOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		h, fresh := newTestHomeVM(t, "a"), newTestHomeVM(t)
+		l := h.o.Log.(*fakeLog)
+		fresh.closures.d.o.Log = l
+		l.set(func(l *fakeLog) { l.down = true })
+		h.closures.start(ctx)
+		fresh.closures.start(ctx)
+		h.closureFrom(&api.Closure{
+			Incarnation: 1, Vm: "a", SuccessorIncarnation: uint64(h.o.VM.Incarnation), SuccessorVm: "self", Domain: 1,
+			Complete: true, Unlogged: true,
+		})
+		time.Sleep(5 * time.Second)
+		require.Empty(t, l.streams[closureStream])
+		require.Equal(t, zone.HomeUnknown, fresh.homes.Locate(1, fresh.now).State)
+		l.set(func(l *fakeLog) { l.down = false })
+		time.Sleep(closureRead + 5*time.Second)
+		require.Len(t, l.streams[closureStream], 1)
+		require.Equal(t, h.o.VM.Incarnation, fresh.homes.Locate(1, fresh.now).Incarnation)
+		cancel()
+		h.closures.wait()
+		fresh.closures.wait()
+	})
+}
