zone: a gone member stays gone while the list shows it as leaving

Change: the list's mark takes effect when the member is heard again. Seen: the test fails before and passes after.

--- a/zone/domain.go
+++ b/zone/domain.go
@@ -98,7 +98,7 @@
 	// The incarnation comes from the links, which know better than the lagging list.
 	l.VM.Incarnation = m.listing.VM.Incarnation
 	m.listing = l
-	if l.Leaving {
+	if l.Leaving && m.state != MemberGone {
 		return d.fire(m, eventLeave)
 	}
 	return nil
--- a/zone/homes_test.go
+++ b/zone/homes_test.go
@@ -133,3 +133,18 @@
 	d.Heard("a", 3, false, now)
 	require.Empty(t, d.Live(), "leaving is never taken back")
 }
+
+// Guards against a member that is gone and listed as leaving, and changes its state with each list and each check.
+func TestGoneMemberStaysGoneWhileListedAsLeaving(t *testing.T) {
+	d := NewFailureDomain(1, "self")
+	now := time.Unix(1000, 0)
+	leaving := []Listing{{VM: machine.EntryVM{ID: "a"}, Domain: 1, Leaving: true}}
+	d.ApplyList(leaving, now)
+	d.Heard("a", 1, false, now)
+	now = now.Add(SilenceLimit + time.Millisecond)
+	require.Len(t, d.Tick(now), 1)
+	require.Empty(t, d.ApplyList(leaving, now))
+	require.Empty(t, d.Tick(now))
+	d.Heard("a", 1, false, now)
+	require.Empty(t, d.Live())
+}
