dispatch: start nothing on a worker that the list shows as leaving

A home knew from the list that a worker was leaving, but went on serving on held slots and on slots granted by a VM that had not seen the list.

--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -100,10 +100,15 @@
 	}
 	d.lanes[s.Name()] = NewLane(s, customer.NewQueue(d.teams), LaneOptions{
 		Speed: d.workerSpeed, Granter: d.o.Broker.Granter, Scarce: d.o.Broker.Scarce, Self: d.o.Self,
-		Placement: d.o.Placement,
+		Placement: d.o.Placement, Leaving: d.workerLeaving,
 	})
 }
 
+func (d *Dispatcher) workerLeaving(id machine.WorkerID) bool {
+	w, ok := d.o.Fleet.Get(id)
+	return ok && w.Spec().Leaving
+}
+
 func (d *Dispatcher) workerSpeed(id machine.WorkerID) float64 {
 	w, ok := d.o.Fleet.Get(id)
 	if !ok {
--- a/dispatch/lane.go
+++ b/dispatch/lane.go
@@ -43,6 +43,8 @@
 	Speed func(machine.WorkerID) float64
 	// Granter returns the entry VM that grants the slots of a worker.
 	Granter func(machine.WorkerID) string
+	// Leaving reports that the list shows a worker as leaving; nil means none.
+	Leaving func(machine.WorkerID) bool
 	// Scarce reports whether there are hardly any free slots of a service, so that idle ones must not linger.
 	Scarce func(service string) bool
 	// Self is this entry VM.
@@ -316,15 +318,20 @@
 	return items, long
 }
 
-// takeUsable takes an idle slot into use and returns lapsed ones to their granters. It expects l.mu to be held.
+// takeUsable takes an idle slot into use and returns lapsed ones to their granters. Slots of a leaving worker are
+// returned as rejected, so that a granter which has not seen the list withholds them instead of granting them again. It
+// expects l.mu to be held.
 func (l *Lane) takeUsable(take func() (contract.Slot, bool), plan *Plan, now time.Time) (contract.Slot, bool) {
 	for {
 		s, ok := take()
-		if !ok || l.usable(s, now) {
+		leaving := ok && l.o.Leaving != nil && l.o.Leaving(s.Worker)
+		if !ok || !leaving && l.usable(s, now) {
 			return s, ok
 		}
 		l.holdings.Drop(s)
-		plan.Returns = append(plan.Returns, l.returnOf(s))
+		r := l.returnOf(s)
+		r.Rejected = leaving
+		plan.Returns = append(plan.Returns, r)
 	}
 }
 
