--- a/fault/fault.go
+++ b/fault/fault.go
@@ -34,6 +34,8 @@
 	Expired = namespace.NewType("expired")
 	// Unavailable says that the process which knows the answer cannot be reached now.
 	Unavailable = namespace.NewType("unavailable", Retriable)
+	// Failed says that the back end failed a task, or that the job of a finished task was not complete.
+	Failed = namespace.NewType("failed")
 	// HandedOver says that the job was handed over to the successor of its home, which answers for it.
 	HandedOver = namespace.NewType("handed_over", Retriable)
 	// NeverAccepted says that a complete hand-over proves that the job was never accepted by its home.
@@ -73,7 +75,7 @@
 func init() {
 	for _, t := range []*errorx.Type{
 		NotStarted, InDoubt, Refused, Overloaded, Draining, Invalid, UnknownJob, Expired, Unavailable, Violation,
-		HandedOver, NeverAccepted, Lost,
+		HandedOver, NeverAccepted, Lost, Failed,
 	} {
 		byCode[t.FullName()] = t
 	}
