--- a/load/soak.go
+++ b/load/soak.go
@@ -398,7 +398,7 @@
 		for _, t := range first.Answer.Reports {
 			if t.Outcome == contract.OutcomeUnknown {
 				r.TasksUnknown++
-				r.UnknownBy[identifiers.ReplaceAllString(t.Detail, "*")]++
+				r.UnknownBy[identifiers.ReplaceAllString(s.fate(rec.ID.Home)+": "+t.Detail, "*")]++
 			}
 		}
 	}
--- a/load/soakcaller.go
+++ b/load/soakcaller.go
@@ -27,6 +27,8 @@
 type Gateways struct {
 	mu      sync.Mutex
 	clients map[string]*rpc.Client
+	// former are clients that calls in progress may still use.
+	former []*rpc.Client
 }
 
 // NewGateways returns an empty set.
@@ -46,10 +48,24 @@
 	return c, err
 }
 
+// Forget drops the client of an address with the job ids that it has fetched ahead: the process that minted them has
+// ended, and jobs submitted under them would only be answered as lost.
+func (g *Gateways) Forget(address string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if c, ok := g.clients[address]; ok {
+		g.former = append(g.former, c)
+		delete(g.clients, address)
+	}
+}
+
 // Close ends all connections.
 func (g *Gateways) Close() {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	for _, c := range g.former {
+		c.Close()
+	}
 	for _, c := range g.clients {
 		c.Close()
 	}
--- a/load/soakfault.go
+++ b/load/soakfault.go
@@ -143,6 +143,7 @@
 	defer p.Release()
 	p.Kill()
 	s.noteHomes(p, s.crashed)
+	s.gateways.Forget(p.Callers)
 	time.Sleep(f.span / 4)
 	if f.coin {
 		s.must(p.Start())
@@ -216,6 +217,7 @@
 // other entry VMs count the process as gone.
 func (s *Soak) restart(p *EntryProcess, cause error) {
 	s.noteHomes(p, s.crashed)
+	s.gateways.Forget(p.Callers)
 	if !p.Fenced() {
 		s.violate(Violation{Check: CheckDaemonRuns, Job: "-", Task: "-", At: time.Now(), Seen: fmt.Sprintf(
 			"daemon of %s ended: %v, see %s", p.ID, cause, p.log)})
