--- a/load/caller.go
+++ b/load/caller.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strconv"
 	"sync"
 	"time"
 
@@ -70,7 +71,7 @@
 	id, err := c.clients[r.Plan.Entry].NewJob(ctx)
 	if err != nil {
 		now := time.Now()
-		r.Add(Attempt{Entry: r.Plan.Entry, Sent: now, Received: now, Err: err})
+		r.Add(Attempt{Entry: strconv.Itoa(r.Plan.Entry), Sent: now, Received: now, Err: err})
 		return
 	}
 	r.ID = id
@@ -89,7 +90,7 @@
 }
 
 func (c *Callers) submit(ctx context.Context, r *JobRecord, entry int) {
-	a := Attempt{Entry: entry, Sent: time.Now()}
+	a := Attempt{Entry: strconv.Itoa(entry), Sent: time.Now()}
 	a.Answer, a.Err = c.clients[entry].Do(ctx, contract.Submission{
 		Ref: contract.JobRef{ID: r.ID}, Service: serviceName, Customer: r.Plan.Customer, Tasks: r.Plan.Specs(),
 		Deadline: r.Plan.Deadline,
--- a/load/check.go
+++ b/load/check.go
@@ -99,7 +99,7 @@
 	if task >= 0 {
 		v.Task = r.TaskID(task)
 	}
-	v.Seen = fmt.Sprintf("%s (entry VM %d, answer %s %q, sent %s)", seen, a.Entry, a.Answer.Verdict, a.Answer.Reason,
+	v.Seen = fmt.Sprintf("%s (entry VM %s, answer %s %q, sent %s)", seen, a.Entry, a.Answer.Verdict, a.Answer.Reason,
 		a.Sent.Format(time.RFC3339Nano))
 	return v
 }
--- a/load/jobrecord.go
+++ b/load/jobrecord.go
@@ -9,7 +9,7 @@
 
 // Attempt is one submission of a job and what came back.
 type Attempt struct {
-	Entry    int
+	Entry    string
 	Sent     time.Time
 	Received time.Time
 	Answer   contract.Answer
--- a/load/soak.go
+++ b/load/soak.go
@@ -8,6 +8,7 @@
 	"os"
 	"path/filepath"
 	"regexp"
+	"strings"
 	"sync"
 	"time"
 
@@ -42,7 +43,7 @@
 	Entries  int
 	// Faults limits the fault kinds; none means all.
 	Faults []string
-	// Keep leaves the daemons' settings and logs in Dir.
+	// Dir receives the daemons' settings and logs and the times of the faults; a temporary one is used if empty.
 	Dir string
 	Out io.Writer
 }
@@ -106,6 +107,8 @@
 	// logFault holds the failures of the log in effect, the oldest first.
 	logFault []func(*standin.PlatformFaults)
 	finish   time.Time
+	// history names the faults with their times, for the file that is kept beside the daemons' logs.
+	history []string
 	// fenced counts the daemons that ended because the others counted them as gone.
 	fenced int
 }
@@ -436,6 +439,13 @@
 		wg.Go(func() { _ = s.platform.Close() })
 	}
 	wg.Wait()
+	if s.o.Dir != "" {
+		s.mu.Lock()
+		text := strings.Join(s.history, "\n") + "\n"
+		s.mu.Unlock()
+		// The file helps to follow a violation; the run's outcome does not depend on it.
+		_ = os.WriteFile(filepath.Join(s.dir, "faults.log"), []byte(text), 0o600)
+	}
 	if s.o.Dir == "" && s.dir != "" {
 		// The directory is temporary; what cannot be removed is left to the system.
 		_ = os.RemoveAll(s.dir)
--- a/load/soakcaller.go
+++ b/load/soakcaller.go
@@ -221,7 +221,7 @@
 
 // attempt submits a job to one entry VM and reports whether the answer is final.
 func (s *Soak) attempt(r *JobRecord, p *EntryProcess) bool {
-	a := Attempt{Sent: time.Now()}
+	a := Attempt{Entry: p.ID, Sent: time.Now()}
 	ctx, cancel := context.WithTimeout(context.Background(), attemptTimeout)
 	defer cancel()
 	client, err := s.gateways.Client(p.Callers)
--- a/load/soakfault.go
+++ b/load/soakfault.go
@@ -80,9 +80,12 @@
 	for _, f := range plan {
 		time.Sleep(gap)
 		s.faults.Go(func() {
+			begin := time.Now()
 			if faultKinds[f.kind](s, f) {
 				s.mu.Lock()
 				s.injected[f.kind]++
+				s.history = append(s.history, fmt.Sprintf("%s %s until %s", begin.Format(time.RFC3339Nano), f.kind,
+					time.Now().Format(time.RFC3339Nano)))
 				s.mu.Unlock()
 			}
 		})
