--- a/load/check.go
+++ b/load/check.go
@@ -16,6 +16,7 @@
 	CheckNotRunTrue      = "not_run_true"
 	CheckAnswerArrives   = "answer_within_bound"
 	CheckKeyOnce         = "key_names_one_job"
+	CheckNoLateStart     = "no_start_after_answer"
 	CheckAnswersAgree    = "answers_agree"
 	CheckLeavingNoStarts = "leaving_worker_gets_no_start"
 	CheckStopCutsNothing = "planned_stop_cuts_no_request"
@@ -23,6 +24,10 @@
 	CheckDaemonRuns      = "daemon_runs"
 )
 
+// startGrace is how long after a job's final answer a start that was under way may still arrive. A worker rejects starts
+// whose start-by time, 1 s after the decision, has passed.
+const startGrace = 2 * time.Second
+
 // Violation is a broken invariant with what is needed to follow it.
 type Violation struct {
 	Check string
@@ -66,6 +71,7 @@
 			out = append(out, r.violation(CheckAnswerWhole, -1, a, "answer holds results without being complete"))
 		}
 	}
+	out = append(out, c.lateStarts(r)...)
 	if c.Faultless {
 		out = append(out, agree(r, attempts)...)
 	}
@@ -163,6 +169,24 @@
 	return out
 }
 
+// lateStarts checks that no task starts once the job has its final answer: a home that was paused or cut off must not go
+// on with a job that others have answered as lost.
+func (c Checker) lateStarts(r *JobRecord) []Violation {
+	first, ok := r.First()
+	if !ok || first.refused() {
+		return nil
+	}
+	var out []Violation
+	for i, t := range r.Plan.Tasks {
+		st := c.Ledger.Identity(t.Payload.Identity)
+		if st.Count > 0 && st.First.After(first.Received.Add(startGrace)) {
+			out = append(out, r.violation(CheckNoLateStart, i, first, fmt.Sprintf("first start at %s on %s, after the answer",
+				st.First.Format(time.RFC3339Nano), st.Worker)))
+		}
+	}
+	return out
+}
+
 // agree checks that all answers but refusals have the same verdict.
 func agree(r *JobRecord, attempts []Attempt) []Violation {
 	verdict := contract.VerdictPending
--- a/load/load_test.go
+++ b/load/load_test.go
@@ -182,6 +182,11 @@
 			a.record.Add(Attempt{Received: a.sent.Add(time.Minute), Err: context.DeadlineExceeded})
 			a.refused()
 		}, nil},
+		"started after the answer": {func(a *answered) {
+			a.startAll()
+			a.failed(contract.OutcomeUnknown)
+			a.attempt.Received = a.sent.Add(-time.Minute)
+		}, []string{CheckNoLateStart, CheckNoLateStart}},
 		"answers differ": {func(a *answered) {
 			a.startAll()
 			a.record.Add(a.attempt)
--- a/load/soak.go
+++ b/load/soak.go
@@ -90,15 +90,17 @@
 	begin    time.Time
 	faults   sync.WaitGroup
 
-	mu       sync.Mutex
-	workers  []*soakWorker
-	entries  []*EntryProcess
-	nextVM   int
-	nextJob  int
-	shown    map[string]map[string]time.Time
-	homes    map[machine.Incarnation]*EntryProcess
-	stopped  map[machine.Incarnation]bool
-	crashed  map[machine.Incarnation]bool
+	mu      sync.Mutex
+	workers []*soakWorker
+	entries []*EntryProcess
+	nextVM  int
+	nextJob int
+	shown   map[string]map[string]time.Time
+	homes   map[machine.Incarnation]*EntryProcess
+	stopped map[machine.Incarnation]time.Time
+	crashed map[machine.Incarnation]time.Time
+	// losses are the times at which entry VMs of a failure domain were killed or paused.
+	losses   map[zone.DomainID][]time.Time
 	injected map[string]int
 	checks   map[string]int
 	broken   map[string]int
@@ -118,7 +120,8 @@
 	s := &Soak{
 		o: o, roster: NewRoster(), network: NewNetwork(), recorder: NewRecorder(), gateways: NewGateways(),
 		shown: make(map[string]map[string]time.Time), homes: make(map[machine.Incarnation]*EntryProcess),
-		stopped: make(map[machine.Incarnation]bool), crashed: make(map[machine.Incarnation]bool),
+		stopped: make(map[machine.Incarnation]time.Time), crashed: make(map[machine.Incarnation]time.Time),
+		losses:   make(map[zone.DomainID][]time.Time),
 		injected: make(map[string]int), checks: make(map[string]int), broken: make(map[string]int), wave: make(chan struct{}), begin: time.Now(),
 	}
 	s.recorder.seen = s.sawStart
@@ -322,18 +325,22 @@
 				"last error %v", len(rec.Attempts()), s.fate(rec.ID.Home), rec.last().Err)))
 			continue
 		}
-		for _, name := range []string{CheckAnswerWhole, CheckResultsRight, CheckNotRunTrue} {
+		for _, name := range []string{CheckAnswerWhole, CheckResultsRight, CheckNotRunTrue, CheckNoLateStart} {
 			s.checked(name, 1)
 		}
 		s.checkStop(rec, first)
 	}
 }
 
-// checkStop checks that a planned stop left no task of its jobs without an outcome, unless the worker crashed or was
-// taken off the list, so that it could not be asked.
+// checkStop checks that a planned stop left no task of its jobs without an outcome. It is excused when the worker crashed
+// or was taken off the list, so that it could not be asked, and when an entry VM of the failure domain was lost after the
+// stop began, which may be the successor with the jobs that it took over.
 func (s *Soak) checkStop(rec *JobRecord, a Attempt) {
 	s.mu.Lock()
-	stopped := s.stopped[rec.ID.Home]
+	begin, stopped := s.stopped[rec.ID.Home]
+	for _, at := range s.losses[rec.ID.Domain] {
+		stopped = stopped && (at.Before(begin) || at.After(a.Received))
+	}
 	crashed := make(map[machine.WorkerID]bool)
 	for _, w := range s.workers {
 		crashed[w.worker.ID()] = w.crashed || w.gone
@@ -359,9 +366,9 @@
 	switch home := s.homes[inc]; {
 	case home == nil:
 		return "unknown"
-	case s.crashed[inc]:
+	case !s.crashed[inc].IsZero():
 		return home.ID + " (crashed)"
-	case s.stopped[inc]:
+	case !s.stopped[inc].IsZero():
 		return home.ID + " (stopped as planned)"
 	default:
 		return home.ID
--- a/load/soakfault.go
+++ b/load/soakfault.go
@@ -18,8 +18,9 @@
 	roundsPerRun = 3
 	shortFault   = 100 * time.Millisecond
 	longFault    = 3 * time.Second
-	longPause    = 6 * time.Second
-	listLag      = 2 * time.Second
+	// longPause exceeds the time after which a silent entry VM counts as gone.
+	longPause = 9 * time.Second
+	listLag   = 2 * time.Second
 )
 
 // drawnFault holds the random choices of one fault.
@@ -145,7 +146,7 @@
 	}
 	defer p.Release()
 	p.Kill()
-	s.noteHomes(p, s.crashed)
+	s.noteLoss(p)
 	s.gateways.Forget(p.Callers)
 	time.Sleep(f.span / 4)
 	if f.coin {
@@ -178,6 +179,7 @@
 	}
 	defer p.Release()
 	p.Disturb()
+	s.notePause(p)
 	p.Signal(syscall.SIGSTOP)
 	time.Sleep(f.span)
 	p.Signal(syscall.SIGCONT)
@@ -201,7 +203,7 @@
 	err, ended := p.Wait(stopBound)
 	if ended && err != nil && p.Fenced() {
 		// A partition made the others count it as gone before the stop was complete.
-		s.noteHomes(p, s.crashed)
+		s.noteLoss(p)
 		s.replace(p, f.lag)
 		return true
 	}
@@ -211,7 +213,7 @@
 			"planned stop of %s: ended %t with error %v after %s", p.ID, ended, err, time.Since(begin))})
 		p.Kill()
 	}
-	s.noteStopped(p)
+	s.noteStopped(p, begin)
 	s.replace(p, f.lag)
 	return true
 }
@@ -219,7 +221,7 @@
 // restart does what the platform does when a daemon ends: it starts the daemon anew. The end is allowed only when the
 // other entry VMs count the process as gone.
 func (s *Soak) restart(p *EntryProcess, cause error) {
-	s.noteHomes(p, s.crashed)
+	s.noteLoss(p)
 	s.gateways.Forget(p.Callers)
 	if !p.Fenced() {
 		s.violate(Violation{Check: CheckDaemonRuns, Job: "-", Task: "-", At: time.Now(), Seen: fmt.Sprintf(
@@ -234,19 +236,32 @@
 }
 
 // noteStopped marks the homes of a process that was stopped as planned and was never paused.
-func (s *Soak) noteStopped(p *EntryProcess) {
+func (s *Soak) noteStopped(p *EntryProcess, begin time.Time) {
 	if !p.Disturbed() {
-		s.noteHomes(p, s.stopped)
+		s.noteHomes(p, s.stopped, begin)
 	}
 }
 
+// noteLoss marks the homes of a process that was lost.
+func (s *Soak) noteLoss(p *EntryProcess) {
+	s.notePause(p)
+	s.noteHomes(p, s.crashed, time.Now())
+}
+
+// notePause records that a failure domain is without an entry VM, which the others may count as gone.
+func (s *Soak) notePause(p *EntryProcess) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.losses[p.Domain] = append(s.losses[p.Domain], time.Now())
+}
+
 // noteHomes marks the incarnations of a process that did not end before.
-func (s *Soak) noteHomes(p *EntryProcess, in map[machine.Incarnation]bool) {
+func (s *Soak) noteHomes(p *EntryProcess, in map[machine.Incarnation]time.Time, at time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for inc, home := range s.homes {
-		if home == p && !s.crashed[inc] {
-			in[inc] = true
+		if home == p && s.crashed[inc].IsZero() {
+			in[inc] = at
 		}
 	}
 }
