--- a/customer/queue.go
+++ b/customer/queue.go
@@ -22,6 +22,8 @@
 	Priority int
 	Expected time.Duration
 	Bytes    int
+	// Attempts counts the rejected starts.
+	Attempts int
 	// Charged says that the task holds a part of its team's quota, from Pop until Finished or Returned.
 	Charged bool
 }
@@ -63,8 +65,8 @@
 	served float64
 	totals Totals
 	// parked is the number of tasks of the teams in overQuota.
-	parked       int
-	activeWeight float64
+	parked int
+	rate   meter
 }
 
 // Totals counts waiting tasks.
@@ -79,17 +81,17 @@
 // customerFlow is the waiting work of one customer within a class. Its virtual time grows by the work started
 // divided by the customer's weight; the flow with the smallest one is served next.
 type customerFlow struct {
-	name         string
-	weight       float64
-	virtual      float64
-	teamVirtual  float64
-	teamLast     float64
-	index        int
-	teams        map[string]*teamFlow
-	ready        indexedHeap[*teamFlow]
-	tasks        int
-	work         time.Duration
-	activeWeight float64
+	name        string
+	weight      float64
+	virtual     float64
+	teamVirtual float64
+	teamLast    float64
+	index       int
+	teams       map[string]*teamFlow
+	ready       indexedHeap[*teamFlow]
+	tasks       int
+	work        time.Duration
+	rate        meter
 }
 
 type flowState uint8
@@ -116,6 +118,7 @@
 	work      time.Duration
 	due       dueProfile
 	startable int
+	rate      meter
 }
 
 func (f *customerFlow) position() *int { return &f.index }
@@ -228,12 +231,10 @@
 	work := time.Duration(n) * it.Expected
 	o := f.owner
 	if o.tasks == 0 {
-		c.activeWeight += o.weight
 		// An idle flow gets no credit for the time in which it asked for nothing.
 		o.virtual = max(o.virtual, c.virtual)
 	}
 	if f.tasks == 0 {
-		o.activeWeight += f.weight
 		f.virtual = max(f.virtual, o.teamVirtual)
 	}
 	c.totals.Tasks += n
@@ -247,16 +248,10 @@
 	if f.state == flowOverQuota {
 		c.parked += n
 	}
-	if f.tasks == 0 {
-		o.activeWeight -= f.weight
-	}
 	if o.tasks == 0 {
-		c.activeWeight -= o.weight
-		o.activeWeight = 0
 		o.teamVirtual = max(o.teamVirtual, o.teamLast)
 	}
 	if c.totals.Tasks == 0 {
-		c.activeWeight = 0
 		c.virtual = max(c.virtual, c.last)
 	}
 }
@@ -271,15 +266,29 @@
 	}
 	startable := 0
 	if f.state == flowReady {
-		startable = f.tasks
-		if room, limited := q.teams.Room(f.key, q.now); limited {
-			startable = min(startable, room)
-		}
+		startable = q.bound(c, f)
 	}
 	c.totals.Startable += startable - f.startable
 	f.startable = startable
 }
 
+// bound returns how many tasks of a ready flow its quota lets start, and sets the flow aside if there are none.
+func (q *Queue) bound(c *classQueue, f *teamFlow) int {
+	room, retry, limited := q.teams.Room(f.key, f.tasks, q.now)
+	switch {
+	case !limited:
+		return f.tasks
+	case room > 0:
+		return min(f.tasks, room)
+	case retry.IsZero():
+		c.place(f, flowOverQuota)
+	default:
+		f.retry = retry
+		c.place(f, flowOverRate)
+	}
+	return 0
+}
+
 // place changes the state of a flow.
 func (c *classQueue) place(f *teamFlow, s flowState) {
 	if f.state == s {
@@ -339,18 +348,22 @@
 	}
 }
 
-// Wake makes a team ready that waits for a slot of its quota. It reports whether there is one.
+// Wake counts anew what a team may start after quota was released. It reports whether there is something.
 func (q *Queue) Wake(k TeamKey) bool {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	woken := false
 	for i := range q.classes {
 		c := &q.classes[i]
-		if f := c.lookup(k); f != nil && f.state == flowOverQuota {
+		f := c.lookup(k)
+		if f == nil || f.tasks == 0 {
+			continue
+		}
+		if f.state == flowOverQuota {
 			c.place(f, flowReady)
-			q.settle(c, f)
-			woken = true
 		}
+		q.settle(c, f)
+		woken = woken || f.state == flowReady
 	}
 	return woken
 }
@@ -434,6 +447,9 @@
 	f.owner.teamVirtual = max(f.owner.teamVirtual, f.virtual)
 	c.charge(f, f.jobs.top().peek().Expected.Seconds())
 	it := q.removeNext(c, f)
+	for _, m := range []*meter{&c.rate, &f.owner.rate, &f.rate} {
+		m.add(it.Expected, q.now)
+	}
 	it.Charged = p.Charged
 	return it
 }
@@ -547,21 +563,15 @@
 	defer q.mu.Unlock()
 	for i := range q.classes {
 		c := &q.classes[i]
-		c.activeWeight = 0
 		for _, o := range c.customers {
-			o.activeWeight = 0
 			for _, f := range o.teams {
 				o.weight, f.weight = q.teams.Weights(f.key.Customer, f.key.Team)
 				if f.tasks > 0 {
-					o.activeWeight += f.weight
 					// Limits may have been raised or dropped: the next Pop finds out.
 					c.place(f, flowReady)
 				}
 				q.settle(c, f)
 			}
-			if o.tasks > 0 {
-				c.activeWeight += o.weight
-			}
 		}
 	}
 }
@@ -591,3 +601,16 @@
 	}
 	return d
 }
+
+// WaitingOf counts the waiting tasks of a team.
+func (q *Queue) WaitingOf(k TeamKey) int {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	n := 0
+	for i := range q.classes {
+		if f := q.classes[i].lookup(k); f != nil {
+			n += f.tasks
+		}
+	}
+	return n
+}
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -19,11 +19,10 @@
 
 const (
 	defaultDeadline = 10 * time.Second
-	defaultLease    = 30 * time.Second
+	// defaultLease is how long a task runs on when its home has gone.
+	defaultLease = 5 * time.Second
 	// startWindow is how long after the decision a worker may still start the task.
 	startWindow = time.Second
-	// retryDelay spaces the attempts to place a task whose start was rejected.
-	retryDelay = 5 * time.Millisecond
 	// resolveDelay spaces the attempts to ask a worker about a start in doubt.
 	resolveDelay = 250 * time.Millisecond
 	// resolveFor is how long an unreachable worker is asked before the outcome counts as unknown.
@@ -43,6 +42,18 @@
 	Now       func() time.Time
 	Logger    *slog.Logger
 	Metrics   metrics.Registry
+	// Control acts on running tasks; nil leaves them alone.
+	Control TaskControl
+	// Capacity returns the slots that serve a service's queue on this entry VM, each counted with its worker's speed,
+	// and the number of workers of the service. Without it no job is refused for its expected wait.
+	Capacity func(service string) (slots float64, workers int)
+	// HealthChanged is called when a worker has become healthy or unhealthy; it may be nil.
+	HealthChanged func()
+	// SlotOutgrown is called when a slot counts as held by long work from now on; it may be nil.
+	SlotOutgrown func(service string, worker machine.WorkerID)
+	// MaxWaiting and MaxWaitingBytes bound the waiting tasks and their payloads; zero takes the defaults.
+	MaxWaiting      int
+	MaxWaitingBytes int
 	// Timeline may be nil.
 	Timeline *timeline.Ring
 	// DistributedQuotas says that the shares of the team quotas come from elsewhere; otherwise this dispatcher holds
@@ -59,6 +70,8 @@
 	running  sync.WaitGroup
 	counters counters
 	teams    *customer.Teams
+	tasks    *runningTasks
+	retries  RetryBudget
 
 	mu       sync.RWMutex
 	lanes    map[string]*Lane
@@ -68,7 +81,7 @@
 type counters struct {
 	accepted, resubmitted, complete, failed, refused, cancelled   metrics.Counter
 	started, done, taskFailed, notRun, unknown, inDoubt, resolved metrics.Counter
-	rejected, notSent                                             metrics.Counter
+	outgrown, stragglers, rejected, notSent                       metrics.Counter
 }
 
 func newCounters(r metrics.Registry) counters {
@@ -78,7 +91,8 @@
 		failed: c(metric.JobsFailed), refused: c(metric.JobsRefused), cancelled: c(metric.JobsCancelled),
 		started: c(metric.TasksStarted), done: c(metric.TasksDone), taskFailed: c(metric.TasksFailed),
 		notRun: c(metric.TasksNotRun), unknown: c(metric.TasksUnknown), inDoubt: c(metric.TasksInDoubt),
-		resolved: c(metric.TasksResolved), rejected: c(metric.StartsRejected), notSent: c(metric.StartsNotSent),
+		resolved: c(metric.TasksResolved), outgrown: c(metric.TasksOutgrown), stragglers: c(metric.TasksStraggling),
+		rejected: c(metric.StartsRejected), notSent: c(metric.StartsNotSent),
 	}
 }
 
@@ -87,7 +101,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	return &Dispatcher{
 		o: o, ctx: ctx, cancel: cancel, counters: newCounters(o.Metrics), lanes: make(map[string]*Lane),
-		teams: customer.NewTeams(o.DistributedQuotas),
+		teams: customer.NewTeams(o.DistributedQuotas), tasks: newRunningTasks(),
 	}
 }
 
@@ -176,7 +190,12 @@
 	if d.Draining() {
 		return nil, fault.With(fault.Draining, fault.ReasonDraining, "this entry VM is stopping")
 	}
-	return d.prepare(spec, now)
+	items, err := d.prepare(spec, now)
+	if err != nil {
+		return nil, err
+	}
+	lane, _ := d.lane(spec.Service)
+	return items, d.admission(lane, spec, items, now)
 }
 
 // prepare validates a job and turns its tasks into queue items.
@@ -323,6 +342,8 @@
 		StartBy: d.o.Now().Add(startWindow), Lease: defaultLease,
 	}
 	d.counters.started.Inc(1)
+	d.retries.Earn()
+	task := d.tasks.add(l, a, req, d.o.Now())
 	d.o.Timeline.Task(timeline.TaskStarted, ticket.Task, a.Slot.Worker, "")
 	reply, err := d.o.Starter.Start(d.ctx, req)
 	if err != nil && !fault.IsProvenNotStarted(err) {
@@ -330,13 +351,21 @@
 		d.o.Timeline.Task(timeline.TaskInDoubt, ticket.Task, a.Slot.Worker, "")
 		reply, err = d.resolve(req)
 	}
+	outgrown, acted, released := d.tasks.remove(task)
+	if outgrown {
+		a.Item.Kind.Shrink()
+	}
 	if err != nil {
 		d.notStarted(l, a, err)
 		return
 	}
+	l.observeStart(a, false, d.o.Now())
+	d.learn(a, reply, acted)
 	d.finish(a, reply)
 	d.wake(a.Item, l.queue.Finished(a.Item, reply.RunTime))
-	d.carryOut(l, l.Release(a.Slot, d.o.Now()))
+	if !released {
+		d.carryOut(l, l.Leave(task.assignment.Slot, d.accepts(a.Slot.Worker), d.o.Now()))
+	}
 }
 
 // resolve asks the worker about a start in doubt until it answers or counts as lost.
@@ -373,13 +402,18 @@
 	now := d.o.Now()
 	requeue := d.o.Table.NotStarted(a.Item.Task, now)
 	d.wake(a.Item, l.queue.Returned(a.Item))
-	d.carryOut(l, l.Reject(a.Slot, fault.Reason(cause) == ReasonWorkerFull, now))
-	if !requeue {
+	full := fault.Reason(cause) == ReasonWorkerFull
+	d.carryOut(l, l.Reject(a.Slot, full, now))
+	if !full {
+		// A full worker is in order: two granters have given its slots away, which the granters heal.
+		d.learnRejection(l, a, now)
+	}
+	if !requeue || d.giveUp(&a, now) {
 		return
 	}
 	d.o.Logger.Debug("start rejected", "task", a.Item.Task, "worker", a.Slot.Worker, "error", cause)
 	select {
-	case <-time.After(retryDelay):
+	case <-time.After(d.retries.Delay(a.Item.Attempts, jitter())):
 	case <-d.ctx.Done():
 		return
 	}
@@ -391,10 +425,6 @@
 	switch r.Outcome {
 	case contract.OutcomeDone:
 		d.counters.done.Inc(1)
-		a.Item.Kind.Observe(r.RunTime)
-		if w, ok := d.o.Fleet.Get(a.Slot.Worker); ok {
-			w.ObserveRun(r.RunTime, a.Item.Expected)
-		}
 	case contract.OutcomeFailed:
 		d.counters.taskFailed.Inc(1)
 	default:
@@ -447,9 +477,11 @@
 
 // Tick returns idle slots that have lingered and states unmet demand again.
 func (d *Dispatcher) Tick() {
+	now := d.o.Now()
 	for _, l := range d.Lanes() {
-		d.carryOut(l, l.Tick(d.o.Now()))
+		d.carryOut(l, l.Tick(now))
 	}
+	d.watch(now)
 }
 
 // Close ends all waiting and returns when no task goroutine is left.
--- a/entry/messages.go
+++ b/entry/messages.go
@@ -35,11 +35,12 @@
 		if h := m.GetHeartbeat(); h != nil {
 			leaving = h.GetLeaving()
 			d.heardConfiguration(vm, h.GetConfigOffset())
+			d.quotas.setFounded(h.GetQuotaFounded())
 		}
 	}
 	d.applyChanges(d.domain.Heard(vm, inc, leaving, now))
 	for _, m := range env.GetMessages() {
-		if !d.slots.handleSlots(vm, inc, m) {
+		if !d.slots.handleSlots(vm, inc, m) && !d.quotas.heard(vm, inc, m) {
 			d.handle(vm, m)
 		}
 	}
--- /dev/null
+++ b/zone/outgrow.go
@@ -0,0 +1,23 @@
+package zone
+
+import (
+	"time"
+
+	"github.com/cicadadale/cicadadale/machine"
+)
+
+// Outgrow counts a slot of a member as held by long work, because its task has outgrown the short class. The cap of
+// long work then admits fewer new long tasks.
+func (g *Granter) Outgrow(member string, worker machine.WorkerID, now time.Time) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	w, ok := g.workers[worker]
+	if !ok {
+		return
+	}
+	h := w.held[member]
+	if h.Short == 0 {
+		return
+	}
+	g.setHeld(w, member, Count{Short: h.Short - 1, Long: h.Long + 1}, now)
+}
