entry: start nothing while this home may count as gone

A home that was paused for longer than 4.5 s went on for up to 200 ms to start tasks that the others had already answered as lost: it checked its grants at the next tick, and members that had counted it as gone may have been replaced.

--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -36,6 +36,8 @@
 	Broker  SlotBroker
 	// Self is the entry VM that the dispatcher runs on.
 	Self string
+	// MayStart reports whether no other entry VM can have answered this home's jobs as lost; nil means always.
+	MayStart func() bool
 	// Placement chooses workers without grants; nil selects the default policy.
 	Placement *Placement
 	Fleet     *machine.Fleet
@@ -114,7 +116,7 @@
 	}
 	d.lanes[s.Name()] = NewLane(s, customer.NewQueue(d.teams), LaneOptions{
 		Speed: d.workerSpeed, Granter: d.o.Broker.Granter, Scarce: d.o.Broker.Scarce, Self: d.o.Self,
-		Placement: d.o.Placement, Leaving: d.workerLeaving,
+		Placement: d.o.Placement, Leaving: d.workerLeaving, MayStart: d.mayStart,
 	})
 }
 
@@ -327,6 +329,16 @@
 	}
 }
 
+// send sends a start unless the others may count this home as gone, as after a pause between decision and start.
+func (d *Dispatcher) send(req StartRequest) (StartReply, error) {
+	if !d.mayStart() {
+		return StartReply{}, fault.NotStarted.New("this home may count as gone")
+	}
+	return d.o.Starter.Start(d.ctx, req)
+}
+
+func (d *Dispatcher) mayStart() bool { return d.o.MayStart == nil || d.o.MayStart() }
+
 // run starts one task and records its outcome.
 func (d *Dispatcher) run(l *Lane, a Assignment) {
 	defer d.running.Done()
@@ -345,7 +357,7 @@
 	d.retries.Earn()
 	task := d.tasks.add(l, a, req, d.o.Now())
 	d.o.Timeline.Task(timeline.TaskStarted, ticket.Task, a.Slot.Worker, "")
-	reply, err := d.o.Starter.Start(d.ctx, req)
+	reply, err := d.send(req)
 	if err != nil && !fault.IsProvenNotStarted(err) {
 		d.counters.inDoubt.Inc(1)
 		d.o.Timeline.Task(timeline.TaskInDoubt, ticket.Task, a.Slot.Worker, "")
--- a/dispatch/lane.go
+++ b/dispatch/lane.go
@@ -44,6 +44,8 @@
 	Speed func(machine.WorkerID) float64
 	// Granter returns the entry VM that grants the slots of a worker.
 	Granter func(machine.WorkerID) string
+	// MayStart reports whether this home may start tasks now; nil means always. The tick looks again.
+	MayStart func() bool
 	// Leaving reports that the list shows a worker as leaving; nil means none.
 	Leaving func(machine.WorkerID) bool
 	// Scarce reports whether there are hardly any free slots of a service, so that idle ones must not linger.
@@ -246,9 +248,10 @@
 func (l *Lane) match(now time.Time) Plan {
 	var plan Plan
 	l.queue.Advance(now)
-	if !l.stopped && l.o.Placement != nil {
+	halted := l.stopped || l.o.MayStart != nil && !l.o.MayStart()
+	if !halted && l.o.Placement != nil {
 		l.place(&plan, now)
-	} else if !l.stopped {
+	} else if !halted {
 		l.pair(&plan, now)
 	}
 	depth := l.queue.Depth()
--- a/dispatch/laneleaving_test.go
+++ b/dispatch/laneleaving_test.go
@@ -38,3 +38,15 @@
 	require.Len(t, plan.Returns, 1)
 	require.True(t, plan.Returns[0].Rejected)
 }
+
+// Guards against a home that was paused and goes on to start tasks which others have answered as lost.
+func TestLaneStartsNothingWhileHomeMayCountAsGone(t *testing.T) {
+	may := false
+	l := newTestLane(nil)
+	l.o.MayStart = func() bool { return may }
+	now := time.Unix(1000, 0)
+	l.Push([]customer.Item{testItem(1, backend.ClassShort, time.Second, now)}, now)
+	require.Empty(t, l.AddGrants([]contract.SlotGrant{{Worker: "slow", Short: 1, Epoch: 1, TTL: time.Minute}}, now).Assignments)
+	may = true
+	require.Len(t, l.Tick(now).Assignments, 1)
+}
--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -142,7 +142,7 @@
 		Self: o.VM.Incarnation, Log: o.Log, Budget: d.budget, Now: o.Now, Logger: o.Logger, Metrics: o.Metrics,
 	})
 	d.dispatcher = dispatch.New(dispatch.Options{
-		Table: d.table, Starter: workers, Broker: d.slots, Self: o.VM.ID, Placement: d.slots.placement,
+		Table: d.table, Starter: workers, Broker: d.slots, Self: o.VM.ID, Placement: d.slots.placement, MayStart: d.mayStart,
 		Fleet: d.fleet, Now: o.Now, Logger: o.Logger, Metrics: o.Metrics, Timeline: d.timeline,
 		Control: workers, Capacity: d.capacity, HealthChanged: d.slots.reassign,
 		SlotOutgrown: d.slots.outgrown, DistributedQuotas: true,
--- a/load/mutations.sh
+++ b/load/mutations.sh
@@ -48,7 +48,7 @@
 
 # The home is fenced neither by its peers nor by its own lapse, and the worker ignores the start-by time of the grant.
 accept_stale_start() {
-  replace standin/worker.go 'l.clock().Milliseconds() > startBy' 'false && startBy > 0'
+  replace standin/worker.go 'l.clock().Milliseconds() >= startBy' 'false && startBy > 0'
   replace entry/fence.go 'if d.fenced.Swap(true) {' 'if true {'
 }
 
--- a/standin/worker.go
+++ b/standin/worker.go
@@ -198,7 +198,8 @@
 	} else if ok {
 		return nil, link.RejectDuplicate
 	}
-	if l.clock().Milliseconds() > startBy {
+	// Both sides count whole milliseconds, so that an equal count may already be late.
+	if l.clock().Milliseconds() >= startBy {
 		return nil, link.RejectLate
 	}
 	if w.leaving {
