--- a/entry/router_test.go
+++ b/entry/router_test.go
@@ -181,10 +181,15 @@
 func TestPauseIsNoticed(t *testing.T) {
 	var l lapse
 	now := time.Unix(1000, 0)
-	require.False(t, l.resumed(now))
-	require.False(t, l.resumed(now.Add(lapseLimit)))
-	require.True(t, l.resumed(now.Add(3*lapseLimit)))
-	require.False(t, l.resumed(now.Add(3*lapseLimit)))
+	notices := 0
+	stale := func(at time.Time) bool { return l.alive(at, func(time.Duration) { notices++ }) }
+	require.False(t, stale(now))
+	require.False(t, stale(now.Add(lapseLimit)))
+	require.True(t, stale(now.Add(3*lapseLimit)))
+	require.True(t, stale(now.Add(3*lapseLimit)), "the grants from before the pause are still held")
+	require.Equal(t, 1, notices)
+	l.dropped()
+	require.False(t, stale(now.Add(3*lapseLimit)))
 }
 
 // Guards against a closure that is lost because the log was out when its home stopped, and a fresh VM that learns of it
