entry: test the answer lease with a refused job

Cause: the test's job was offered to a worker that does not exist, so that a cancellation met its task between two attempts now and then. Change: a refused job has its final answer at once; the check is the same.

--- a/entry/router_test.go
+++ b/entry/router_test.go
@@ -38,6 +38,7 @@
 	})
 	require.NoError(t, err)
 	h.Daemon = d
+	t.Cleanup(d.dispatcher.Close)
 	d.configs.begin(t.Context())
 	w, _ := d.fleet.Upsert(machine.WorkerSpec{ID: "w", Service: "s", Slots: 8, Address: "127.0.0.1:1"})
 	w.ObserveStatus(1, 0, h.now)
@@ -51,29 +52,21 @@
 	return h
 }
 
-func (h *testHomeVM) submit(t *testing.T) contract.JobID {
-	t.Helper()
-	ids, err := h.Create(t.Context(), 1)
-	require.NoError(t, err)
-	a, err := h.Submit(t.Context(), contract.Submission{
-		Ref: contract.JobRef{ID: ids[0]}, Service: "s", Tasks: []contract.TaskSpec{{Kind: "k"}},
-	}, 0)
-	require.NoError(t, err)
-	require.Equal(t, contract.VerdictPending, a.Verdict)
-	return ids[0]
-}
-
 // Guards against a home that comes back from a partition or a pause and contradicts "outcome unknown" given by others.
 func TestHomeWithoutLeaseWithholdsFinalAnswers(t *testing.T) {
 	h := newTestHomeVM(t, "a", "b")
-	id := h.submit(t)
+	ids, err := h.Create(t.Context(), 1)
+	require.NoError(t, err)
+	id := ids[0]
+	_, err = h.Submit(t.Context(), contract.Submission{Ref: contract.JobRef{ID: id}, Service: "s"}, 0)
+	require.True(t, fault.IsProvenNotStarted(err), "a job without tasks")
 	h.now = h.now.Add(zone.SilenceLimit)
-	_, err := h.Cancel(t.Context(), contract.JobRef{ID: id})
+	_, err = h.Await(t.Context(), contract.JobRef{ID: id}, 0)
 	require.Equal(t, fault.Unavailable.FullName(), fault.Code(err))
 	h.lease.Acknowledged("a", h.now)
 	a, err := h.Await(t.Context(), contract.JobRef{ID: id}, 0)
 	require.NoError(t, err)
-	require.Equal(t, contract.VerdictFailed, a.Verdict)
+	require.Equal(t, contract.VerdictRefused, a.Verdict)
 	h.fence("test")
 	a, err = h.Await(t.Context(), contract.JobRef{ID: id}, 0)
 	require.NoError(t, err)
