--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -99,7 +99,8 @@
 		return
 	}
 	d.lanes[s.Name()] = NewLane(s, customer.NewQueue(d.teams), LaneOptions{
-		Speed: d.workerSpeed, Granter: d.o.Broker.Granter, Self: d.o.Self, Placement: d.o.Placement,
+		Speed: d.workerSpeed, Granter: d.o.Broker.Granter, Scarce: d.o.Broker.Scarce, Self: d.o.Self,
+		Placement: d.o.Placement,
 	})
 }
 
@@ -168,7 +169,7 @@
 // admit decides on a new job and turns its tasks into queue items.
 func (d *Dispatcher) admit(spec *contract.JobSpec, now time.Time) ([]customer.Item, error) {
 	if d.Draining() {
-		return nil, fault.With(fault.Draining, "draining", "this entry VM is stopping")
+		return nil, fault.With(fault.Draining, fault.ReasonDraining, "this entry VM is stopping")
 	}
 	return d.prepare(spec, now)
 }
@@ -343,6 +344,9 @@
 			d.o.Timeline.Task(timeline.TaskResolved, req.Ticket.Task, req.Worker, reply.Outcome.String())
 			return reply, err
 		}
+		if fault.Reason(err) == fault.ReasonRunning {
+			until = d.o.Now().Add(resolveFor)
+		}
 		if d.o.Now().After(until) {
 			return StartReply{Outcome: contract.OutcomeUnknown, Detail: err.Error()}, nil
 		}
