entry: expire key bindings every 10 s and ask failure domains that are leaving

Every election swept the whole table twice a second. A failure domain of which all entry VMs are leaving was not asked before "not run" was said of a key; its keys now stay open. The slot tests' daemons carry a configuration, since heartbeats state it.

--- a/entry/claims.go
+++ b/entry/claims.go
@@ -136,15 +136,21 @@
 	}
 	c.mu.Lock()
 	idle := c.cancel != nil && c.o.Now().Sub(c.lastUse) > delegateIdle
-	now := c.o.Now()
-	if !c.newest.IsZero() && c.newest.Before(now) {
-		// Of the two clocks the one that lies behind keeps more.
-		now = c.newest
-	}
 	c.mu.Unlock()
 	if idle {
 		c.stop()
 	}
+}
+
+// expire drops bindings that have served their time. The log's clock decides, as it does for claims; if the own clock
+// lies behind it, that one keeps more.
+func (c *claimDelegate) expire() {
+	c.mu.Lock()
+	now := c.newest
+	c.mu.Unlock()
+	if own := c.o.Now(); own.Before(now) {
+		now = own
+	}
 	c.table.Expire(now)
 }
 
--- a/entry/cluster_test.go
+++ b/entry/cluster_test.go
@@ -346,6 +346,7 @@
 	d.timeline = newTimeline(d.o, d.clock)
 	d.peers = newPeers(d)
 	d.slots = newSlotDirectory(d)
+	d.configs = newTestCarrier(newFakeLog())
 	d.dispatcher = dispatch.New(dispatch.Options{
 		Table: d.table, Starter: testHome{workers: c.workers, vm: id}, Broker: d.slots, Self: id,
 		Placement: d.slots.placement, Fleet: d.fleet, Now: time.Now, Logger: d.o.Logger, Metrics: m.metrics,
--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -171,6 +171,7 @@
 	d.loop(ctx, statusInterval, func() { d.pollWorkers(ctx) })
 	d.startSlots(ctx)
 	d.loop(ctx, expiryInterval, func() { d.table.Expire(d.o.Now()); d.homes.Expire(d.o.Now()) })
+	d.loop(ctx, expiryInterval, d.claims.expire)
 	d.closures.start(ctx)
 	d.timeline.Record(timeline.Event{Kind: timeline.ProcessStarted})
 	d.operators.serving.Store(true)
--- a/entry/keys.go
+++ b/entry/keys.go
@@ -120,7 +120,11 @@
 	var wg sync.WaitGroup
 	wg.Go(func() { note(d.findKey(ctx, k)) })
 	for _, vms := range d.peers.otherDomains() {
-		via, _ := zone.Choose(claimDelegateKey, vms)
+		via, ok := zone.Choose(claimDelegateKey, vms)
+		if !ok {
+			note(contract.JobID{}, false, fault.Unavailable.New("all entry VMs of a failure domain are leaving"))
+			continue
+		}
 		wg.Go(func() {
 			req := &api.ClaimRequest{Key: wire.KeyTo(k), Lookup: true}
 			note(d.askDelegate(ctx, via.ID, req, keyInquiryTimeout))
@@ -206,15 +210,20 @@
 	return p.domains[vm]
 }
 
-// otherDomains returns the listed entry VMs of each other failure domain.
+// otherDomains returns the listed entry VMs of each other failure domain that are not leaving; there may be none.
 func (p *peers) otherDomains() map[zone.DomainID][]machine.EntryVM {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	out := make(map[zone.DomainID][]machine.EntryVM)
 	for id, v := range p.listed {
-		if v.Domain != p.d.o.Domain && !v.Leaving {
-			out[v.Domain] = append(out[v.Domain], machine.EntryVM{ID: id})
+		if v.Domain == p.d.o.Domain {
+			continue
+		}
+		vms := out[v.Domain]
+		if !v.Leaving {
+			vms = append(vms, machine.EntryVM{ID: id})
 		}
+		out[v.Domain] = vms
 	}
 	return out
 }
