--- a/customer/team.go
+++ b/customer/team.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -82,7 +83,8 @@
 		// The share is empty; a transfer of quota has to come first.
 		return now.Add(time.Second)
 	}
-	return now.Add(time.Duration((1 - t.bucket.tokens) / perSecond * float64(time.Second)))
+	due := time.Duration((1 - t.bucket.tokens) / perSecond * float64(time.Second))
+	return now.Add(max(time.Millisecond, due))
 }
 
 // room returns the number of tasks that the own quota lets start now.
@@ -142,6 +144,7 @@
 type weights struct {
 	customers map[string]float64
 	teams     map[TeamKey]float64
+	domains   []uint16
 }
 
 // Teams holds the limits of all teams on this entry VM, in shards by name. A team without quota is not recorded.
@@ -180,7 +183,9 @@
 		return false
 	}
 	t.revision = s.Revision
-	w := &weights{customers: make(map[string]float64), teams: make(map[TeamKey]float64)}
+	w := &weights{
+		customers: make(map[string]float64), teams: make(map[TeamKey]float64), domains: slices.Clone(s.Domains),
+	}
 	limited := make(map[TeamKey]TeamSpec)
 	for _, c := range s.Customers {
 		w.customers[c.Name] = c.Weight
@@ -335,16 +340,25 @@
 	return waiting
 }
 
-// Room returns the number of tasks that a team may start now on its own quota, and whether it has one.
-func (t *Teams) Room(k TeamKey, now time.Time) (room int, limited bool) {
+// Room returns the number of tasks that a team may start now on its own quota, and whether it has one. If there is no
+// room for lack of a token, retry is when the next one is due. If less than want are possible, the team counts as
+// waiting for quota to be released.
+func (t *Teams) Room(k TeamKey, want int, now time.Time) (room int, retry time.Time, limited bool) {
 	s := t.shard(k)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	team, ok := s.teams[k]
 	if !ok {
-		return 0, false
+		return 0, time.Time{}, false
+	}
+	room = team.room(now)
+	if room < want {
+		team.waiting = true
+	}
+	if room == 0 && !team.full() {
+		retry = team.retryAt(now)
 	}
-	return team.room(now), true
+	return room, retry, true
 }
 
 // Spare returns the number of tasks that may still start on the unused quota of other teams.
@@ -381,11 +395,12 @@
 
 // Usage is a team's part of its quota on this entry VM.
 type Usage struct {
-	Key     TeamKey
-	Quota   int
-	Share   int
-	Running int
-	Waiting bool
+	Key      TeamKey
+	Quota    int
+	Revision uint64
+	Share    int
+	Running  int
+	Waiting  bool
 }
 
 // Usages returns the usage of all teams with a quota, in no particular order.
@@ -396,10 +411,24 @@
 		s.mu.Lock()
 		for k, team := range s.teams {
 			out = append(out, Usage{
-				Key: k, Quota: team.spec.units(), Share: team.share, Running: team.running, Waiting: team.waiting,
+				Key: k, Quota: team.spec.units(), Revision: team.spec.QuotaRevision, Share: team.share, Running: team.running, Waiting: team.waiting,
 			})
 		}
 		s.mu.Unlock()
 	}
 	return out
 }
+
+// Running counts the tasks of a team that run on its quota here.
+func (t *Teams) Running(k TeamKey) int {
+	s := t.shard(k)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if team, ok := s.teams[k]; ok {
+		return team.running
+	}
+	return 0
+}
+
+// Domains returns the failure domains among which the quotas are divided at first.
+func (t *Teams) Domains() []uint16 { return t.weights.Load().domains }
--- a/internal/httpserve/httpserve.go
+++ b/internal/httpserve/httpserve.go
@@ -18,7 +18,8 @@
 
 const (
 	maxBodyBytes = 8 << 20
-	stopTimeout  = 2 * time.Second
+	// stopTimeout is the time that requests in flight have to end; idle connections of clients take all of it.
+	stopTimeout = 200 * time.Millisecond
 )
 
 // Server is a hertz server on one listener.
