entry: claim keys through a stand-in when the delegate is cut off from the log

A delegate that had lost the platform, or had crashed and was not yet suspect, made all keyed submissions of its failure domain fail. The member that comes next by hash now claims instead; any number of delegates is safe, since the log decides. "Not run" needs an answer of both that excludes a claim.

Tests: TestCutOffDelegateIsReplaced; go test -race of the tests of keys, claims and configuration passes.

--- a/entry/claims.go
+++ b/entry/claims.go
@@ -238,11 +238,16 @@
 	case c.read():
 		return contract.JobID{}, false, fault.With(fault.Overloaded, reasonNotClaimed, "key %s was not claimed here", k)
 	default:
-		return contract.JobID{}, false, err
+		return contract.JobID{}, false, fault.With(fault.Unavailable, reasonNotRead, "the log was not read here: %s", err)
 	}
 }
 
-const reasonNotClaimed = "not claimed here"
+const (
+	// reasonNotClaimed says that this process was up to date before the outage and knows no claim of the key.
+	reasonNotClaimed = "not claimed here"
+	// reasonNotRead says that this process has not claimed the key, but knows nothing of others' claims.
+	reasonNotRead = "not read here"
+)
 
 // barrier reads to the present end of the stream.
 func (c *claimDelegate) barrier(ctx context.Context) error {
--- a/entry/keys.go
+++ b/entry/keys.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -22,6 +23,9 @@
 	appendBudget = 300.0
 	// claimReplyMargin is the time that a reply of the delegate takes beyond the wait for the log.
 	claimReplyMargin = 200 * time.Millisecond
+	// claimsTimeout bounds the claims through the delegate and its stand-in together. With keyInquiryTimeout it stays
+	// below the three seconds after which a client repeats its call.
+	claimsTimeout = 1600 * time.Millisecond
 	// keyInquiryTimeout bounds the questions to other failure domains while the log cannot be reached.
 	keyInquiryTimeout = 600 * time.Millisecond
 	// maxKeyInquiries bounds the claims that ask other failure domains at the same time.
@@ -59,14 +63,42 @@
 	return d.Submit(ctx, s, wait)
 }
 
-// claimKey has the delegate of the own failure domain claim a key.
+// delegates returns the delegate of the own failure domain and the member that stands in for it, while the delegate does
+// not answer or is cut off from the log. Any number of delegates is safe, since the log decides.
+func (d *Daemon) delegates() []machine.EntryVM {
+	live := d.domain.Live()
+	var out []machine.EntryVM
+	for range 2 {
+		vm, ok := zone.Choose(claimDelegateKey, live)
+		if !ok {
+			break
+		}
+		out = append(out, vm)
+		live = slices.DeleteFunc(slices.Clone(live), func(o machine.EntryVM) bool { return o.ID == vm.ID })
+	}
+	if len(out) == 0 {
+		out = append(out, d.o.VM)
+	}
+	return out
+}
+
+// claimKey has a delegate of the own failure domain claim a key.
 func (d *Daemon) claimKey(ctx context.Context, c contract.Claim) (contract.JobID, error) {
-	vm, ok := zone.Choose(claimDelegateKey, d.domain.Live())
-	if !ok || vm.ID == d.o.VM.ID {
-		return d.claims.claim(ctx, c)
+	ctx, cancel := context.WithTimeout(ctx, claimsTimeout)
+	defer cancel()
+	var id contract.JobID
+	var err error
+	for _, vm := range d.delegates() {
+		if vm.ID == d.o.VM.ID {
+			id, err = d.claims.claim(ctx, c)
+		} else {
+			req := &api.ClaimRequest{Key: wire.KeyTo(c.Key), JobId: c.Job.String()}
+			id, _, err = d.askDelegate(ctx, vm.ID, req, claimTimeout+claimReplyMargin)
+		}
+		if err == nil || !fault.IsRetriable(err) || ctx.Err() != nil {
+			break
+		}
 	}
-	req := &api.ClaimRequest{Key: wire.KeyTo(c.Key), JobId: c.Job.String()}
-	id, _, err := d.askDelegate(ctx, vm.ID, req, claimTimeout+claimReplyMargin)
 	return id, err
 }
 
@@ -113,12 +145,12 @@
 		if ok {
 			winner, found = id, true
 		}
-		if err != nil && fault.Reason(err) != reasonNotClaimed {
+		if err != nil {
 			open = err
 		}
 	}
 	var wg sync.WaitGroup
-	wg.Go(func() { note(d.findKey(ctx, k)) })
+	wg.Go(func() { note(d.excludeKey(ctx, k)) })
 	for _, vms := range d.peers.otherDomains() {
 		via, ok := zone.Choose(claimDelegateKey, vms)
 		if !ok {
@@ -134,14 +166,51 @@
 	return winner, found, open
 }
 
-// findKey has the delegate of the own failure domain look a key up.
+// findKey has the delegates of the own failure domain look a key up, the second one if the first cannot read the log.
 func (d *Daemon) findKey(ctx context.Context, k contract.CallerKey) (contract.JobID, bool, error) {
-	vm, ok := zone.Choose(claimDelegateKey, d.domain.Live())
-	if !ok || vm.ID == d.o.VM.ID {
+	var err error
+	for _, vm := range d.delegates() {
+		var id contract.JobID
+		var found bool
+		if id, found, err = d.findAt(ctx, vm.ID, k); err == nil {
+			return id, found, nil
+		}
+	}
+	return contract.JobID{}, false, err
+}
+
+// excludeKey looks for proof that no delegate of the own failure domain has claimed or is claiming a key: all have to
+// answer, and one of them must be up to date or have been so before an outage.
+func (d *Daemon) excludeKey(ctx context.Context, k contract.CallerKey) (contract.JobID, bool, error) {
+	upToDate := false
+	var open error
+	for _, vm := range d.delegates() {
+		id, found, err := d.findAt(ctx, vm.ID, k)
+		switch {
+		case found:
+			return id, true, nil
+		case err == nil || fault.Reason(err) == reasonNotClaimed:
+			upToDate = true
+		case fault.Reason(err) != reasonNotRead:
+			open = err
+		}
+	}
+	switch {
+	case open != nil:
+		return contract.JobID{}, false, open
+	case !upToDate:
+		return contract.JobID{}, false, fault.Unavailable.New("no delegate has read the claims of key %s", k)
+	default:
+		return contract.JobID{}, false, nil
+	}
+}
+
+func (d *Daemon) findAt(ctx context.Context, vm string, k contract.CallerKey) (contract.JobID, bool, error) {
+	if vm == d.o.VM.ID {
 		return d.claims.find(ctx, k)
 	}
 	req := &api.ClaimRequest{Key: wire.KeyTo(k), Lookup: true}
-	return d.askDelegate(ctx, vm.ID, req, claimTimeout+claimReplyMargin)
+	return d.askDelegate(ctx, vm, req, claimTimeout)
 }
 
 func (d *Daemon) askDelegate(ctx context.Context, vm string, r *api.ClaimRequest, timeout time.Duration) (contract.JobID, bool, error) {
@@ -157,7 +226,7 @@
 }
 
 // serveClaim answers a peer. A member of the own failure domain has chosen this VM as the delegate; a foreign one may
-// know the members less well, so that its lookup goes to the delegate that this VM knows.
+// know the members less well, so that its lookup goes to the delegates that this VM knows.
 func (d *Daemon) serveClaim(ctx context.Context, vm string, r *api.ClaimRequest, resp *api.Response) error {
 	key := wire.KeyFrom(r.GetKey())
 	var id contract.JobID
@@ -173,7 +242,7 @@
 	case d.peers.domainOf(vm) == d.o.Domain:
 		id, found, err = d.claims.find(ctx, key)
 	default:
-		id, found, err = d.findKey(ctx, key)
+		id, found, err = d.excludeKey(ctx, key)
 	}
 	if err != nil {
 		return err
