entry: share the reads of lookups by key

Each lookup of an unknown key read the end of the stream by itself; a burst of them took all connections to the log and held up claims. Lookups that arrive during a read now share the next one.

Test: TestLookupsShareReads, 200 lookups at once take at most 4 reads; go test -race of the tests of keys passes.

--- a/entry/claims.go
+++ b/entry/claims.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"log/slog"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
@@ -65,6 +66,12 @@
 	table *contract.ClaimTable
 	wake  chan struct{}
 
+	// barriers numbers the reads on behalf of lookups. The holder of the token in reading reads and guards
+	// barrierRead, the number of the last read that came to the end of the stream.
+	barriers    atomic.Uint64
+	reading     chan struct{}
+	barrierRead uint64
+
 	mu       sync.Mutex
 	closed   bool
 	cancel   context.CancelFunc
@@ -83,7 +90,7 @@
 
 func newClaimDelegate(o claimDelegateOptions) *claimDelegate {
 	return &claimDelegate{
-		o: o, table: contract.NewClaimTable(), wake: make(chan struct{}, 1),
+		o: o, table: contract.NewClaimTable(), wake: make(chan struct{}, 1), reading: make(chan struct{}, 1),
 		waiting: make(map[contract.CallerKey][]*claimWaiter), caughtUp: make(chan struct{}),
 	}
 }
@@ -249,7 +256,8 @@
 	reasonNotRead = "not read here"
 )
 
-// barrier reads to the present end of the stream.
+// barrier reads to the present end of the stream. Lookups that arrive during a read share the next one, since the
+// connections to the log are few.
 func (c *claimDelegate) barrier(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, barrierTimeout)
 	defer cancel()
@@ -264,6 +272,18 @@
 	case <-ctx.Done():
 		return fault.Unavailable.New("the stream of claims has not been read yet")
 	}
+	arrived := c.barriers.Load()
+	select {
+	case c.reading <- struct{}{}:
+		defer func() { <-c.reading }()
+	case <-ctx.Done():
+		return fault.Unavailable.New("too many lookups wait for the log")
+	}
+	if c.barrierRead > arrived {
+		// A read that began after this lookup has come to the end of the stream.
+		return nil
+	}
+	number := c.barriers.Add(1)
 	for {
 		page, err := c.o.Log.Read(ctx, claimStream, c.table.Next(), claimPageLimit, 0)
 		if err != nil {
@@ -271,6 +291,7 @@
 		}
 		c.applyPage(page)
 		if c.table.Next() >= page.Next {
+			c.barrierRead = number
 			return nil
 		}
 	}
--- a/entry/claims_test.go
+++ b/entry/claims_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"log/slog"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -189,6 +190,27 @@
 	})
 }
 
+// Guards against a burst of lookups that takes all connections to the log: they share reads.
+func TestLookupsShareReads(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := newFakeLog()
+		c := startDelegate(t, l, 1)
+		synctest.Wait()
+		l.set(func(l *fakeLog) { l.readDelay = 10 * time.Millisecond; l.reads = 0 })
+		var lookups sync.WaitGroup
+		for n := range 200 {
+			lookups.Go(func() {
+				_, found, err := c.find(t.Context(), testClaim(fmt.Sprint(n), 1, 1).Key)
+				if err != nil || found {
+					t.Errorf("lookup %d: %t %v", n, found, err)
+				}
+			})
+		}
+		lookups.Wait()
+		require.LessOrEqual(t, l.reads, 4, "one read in progress, one for all that wait, and those of the reader")
+	})
+}
+
 // FuzzClaimRecord guards against a panic, and against claims without an identity.
 func FuzzClaimRecord(f *testing.F) {
 	f.Add([]byte(`{"batch":"b","claims":[{"customer":"c","text":"t","created_unix_ms":1,"job":"j-1-00c0ffee00c0ffee-17"}]}`))
--- a/entry/fakelog_test.go
+++ b/entry/fakelog_test.go
@@ -20,6 +20,9 @@
 	holdDown int // appends that fail without effect
 	delay    time.Duration
 	appends  int
+	// readDelay is the time of a read that does not wait for a record.
+	readDelay time.Duration
+	reads     int
 }
 
 func newFakeLog() *fakeLog {
@@ -69,6 +72,13 @@
 }
 
 func (l *fakeLog) Read(ctx context.Context, stream string, from uint64, limit int, wait time.Duration) (platform.Page, error) {
+	l.mu.Lock()
+	l.reads++
+	delay := l.readDelay
+	l.mu.Unlock()
+	if wait == 0 {
+		time.Sleep(delay)
+	}
 	page, grown, err := l.page(stream, from, limit)
 	if err != nil || len(page.Records) > 0 || wait == 0 {
 		return page, err
