command: benchmark of the control cost of a daemon

Cause: the target for control overhead had no measurement. Change: go test -run '^$' -bench Control -benchtime 1x ./command runs one daemon in its own process among members, workers and foreign failure domains, reads its CPU, resident memory and bytes from /proc and fits slopes.

--- /dev/null
+++ b/command/control_bench_test.go
@@ -0,0 +1,293 @@
+package command_test
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"net"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/cicadadale/cicadadale/entry"
+	"github.com/cicadadale/cicadadale/machine"
+	"github.com/cicadadale/cicadadale/platform"
+	"github.com/cicadadale/cicadadale/rpc"
+	"github.com/cicadadale/cicadadale/schema"
+	"github.com/cicadadale/cicadadale/schemas"
+	"github.com/cicadadale/cicadadale/schemas/glashaus"
+	"github.com/cicadadale/cicadadale/standin"
+	"github.com/cicadadale/cicadadale/zone"
+)
+
+const (
+	controlSettle  = 4 * time.Second
+	controlMeasure = 6 * time.Second
+	// clockTicks is the unit of CPU times in /proc on Linux.
+	clockTicks   = 100
+	controlSlots = 8
+	jobTasks     = 20
+)
+
+// controlSize is a deployment around the daemon that is measured.
+type controlSize struct {
+	members int // entry VMs of the failure domain, the measured one included
+	workers int // workers of the failure domain
+	domains int // failure domains, the own one included; the others have one entry VM each
+	starts  int // task starts per second at the other members
+}
+
+func (c controlSize) String() string {
+	return fmt.Sprintf("members=%d/workers=%d/domains=%d/starts=%d", c.members, c.workers, c.domains, c.starts)
+}
+
+// controlCost is what one daemon spends.
+type controlCost struct {
+	core, megabytes, received, sent float64 // share of a core, MB resident, bytes/s, bytes/s
+}
+
+// controlSeries vary one quantity each, so that a slope can be fitted.
+func controlSeries() map[string][]controlSize {
+	return map[string][]controlSize{
+		"members": {{2, 24, 1, 0}, {4, 24, 1, 0}, {8, 24, 1, 0}},
+		"workers": {{2, 24, 1, 0}, {2, 96, 1, 0}, {2, 187, 1, 0}},
+		"domains": {{2, 24, 1, 0}, {2, 24, 8, 0}, {2, 24, 23, 0}},
+		"starts":  {{2, 48, 1, 0}, {2, 48, 1, 200}, {2, 48, 1, 400}},
+	}
+}
+
+// BenchmarkControl measures the control cost of an entry daemon in a process of its own, without tasks of its own.
+// Run it with -bench Control -benchtime 1x.
+func BenchmarkControl(b *testing.B) {
+	s := newSite(b)
+	costs := map[controlSize]controlCost{}
+	for _, name := range []string{"members", "workers", "domains", "starts"} {
+		for _, size := range controlSeries()[name] {
+			if _, ok := costs[size]; ok {
+				continue
+			}
+			b.Run(size.String(), func(b *testing.B) {
+				for b.Loop() {
+					c := s.measureControl(size)
+					costs[size] = c
+					b.ReportMetric(c.core*100, "%core")
+					b.ReportMetric(c.megabytes, "MB")
+					b.ReportMetric(c.received, "B/s-in")
+					b.ReportMetric(c.sent, "B/s-out")
+				}
+			})
+		}
+	}
+	printSlopes(costs)
+}
+
+// printSlopes prints the cost of one more unit of each quantity by least squares.
+func printSlopes(costs map[controlSize]controlCost) {
+	quantity := map[string]func(controlSize) int{
+		"members": func(c controlSize) int { return c.members }, "workers": func(c controlSize) int { return c.workers },
+		"domains": func(c controlSize) int { return c.domains }, "starts": func(c controlSize) int { return c.starts },
+	}
+	fmt.Printf("%-14s %10s %8s %8s %8s\n", "cost per unit", "core %", "MB", "B/s in", "B/s out")
+	for _, name := range []string{"members", "workers", "domains", "starts"} {
+		var x []float64
+		var y [4][]float64
+		for _, size := range controlSeries()[name] {
+			c, ok := costs[size]
+			if !ok {
+				continue
+			}
+			x = append(x, float64(quantity[name](size)))
+			for i, v := range []float64{c.core * 100, c.megabytes, c.received, c.sent} {
+				y[i] = append(y[i], v)
+			}
+		}
+		fmt.Printf("%-14s %10.5f %8.3f %8.1f %8.1f\n", name, slope(x, y[0]), slope(x, y[1]), slope(x, y[2]), slope(x, y[3]))
+	}
+}
+
+func slope(x, y []float64) float64 {
+	var sx, sy, sxx, sxy float64
+	for i := range x {
+		sx, sy, sxx, sxy = sx+x[i], sy+y[i], sxx+x[i]*x[i], sxy+x[i]*y[i]
+	}
+	n := float64(len(x))
+	return (n*sxy - sx*sy) / (n*sxx - sx*sx)
+}
+
+// surroundings are the stand-ins and the other daemons.
+type surroundings struct {
+	platform *standin.Platform
+	workers  []*standin.Worker
+	daemons  []*entry.Daemon
+	callers  []string
+}
+
+func (s *site) measureControl(size controlSize) controlCost {
+	around := s.surround(size)
+	defer around.close()
+	e := s.entryVM(1)
+	around.platform.SetVM(platform.VM{
+		ID: e.id, Kind: platform.KindEntry, Domain: 1, PeerAddress: e.peers, CallerAddress: e.callers,
+	})
+	e.writeSettings(s.t, strings.TrimPrefix(around.platform.URL(), "http://"))
+	e.process = s.start("entry", "--settings", e.settings)
+	e.awaitReady(s.t, float64(size.members))
+	stop := around.load(s.t, size.starts)
+	defer stop()
+	time.Sleep(controlSettle)
+	pid := e.process.cmd.Process.Pid
+	before, begin := readUsage(s.t, pid), time.Now()
+	time.Sleep(controlMeasure)
+	after, took := readUsage(s.t, pid), time.Since(begin).Seconds()
+	require.Equal(s.t, 0, e.process.terminate())
+	return controlCost{
+		core: (after.cpu - before.cpu) / took, megabytes: after.resident / (1 << 20),
+		received: (after.received - before.received) / took, sent: (after.sent - before.sent) / took,
+	}
+}
+
+func (s *site) surround(size controlSize) *surroundings {
+	l, err := net.Listen("tcp", s.ip+":0")
+	require.NoError(s.t, err)
+	a := &surroundings{platform: standin.NewPlatform(l)}
+	for n := range size.workers {
+		l, err := net.Listen("tcp", s.ip+":0")
+		require.NoError(s.t, err)
+		id := fmt.Sprintf("worker-%d", n)
+		w := standin.NewWorker(l, standin.WorkerOptions{
+			ID: machine.WorkerID(id), Slots: controlSlots, Work: standin.DeploymentWork,
+		})
+		a.workers = append(a.workers, w)
+		a.platform.SetVM(platform.VM{
+			ID: id, Kind: platform.KindWorker, Domain: 1, Address: w.Address(), Service: bookings, Slots: controlSlots,
+		})
+	}
+	for n := 2; n <= size.members; n++ {
+		a.callers = append(a.callers, s.member(a, fmt.Sprintf("entry-%d", n), 1))
+	}
+	for domain := 2; domain <= size.domains; domain++ {
+		s.member(a, fmt.Sprintf("foreign-%d", domain), zone.DomainID(domain))
+	}
+	return a
+}
+
+// member starts another entry daemon in this process and returns its callers' address.
+func (s *site) member(a *surroundings, id string, domain zone.DomainID) string {
+	callers, err := net.Listen("tcp", s.ip+":0")
+	require.NoError(s.t, err)
+	peers, err := net.Listen("tcp", s.ip+":0")
+	require.NoError(s.t, err)
+	logs, err := platform.NewHTTPLog(a.platform.URL())
+	require.NoError(s.t, err)
+	list, err := platform.NewHTTPVMList(a.platform.URL())
+	require.NoError(s.t, err)
+	services, findings := schema.Load(schema.Source{"glashaus.proto": schemas.Glashaus}, "glashaus.proto")
+	require.Empty(s.t, findings)
+	vm := machine.EntryVM{ID: id, PeerAddress: peers.Addr().String(), CallerAddress: callers.Addr().String()}
+	a.platform.SetVM(platform.VM{
+		ID: id, Kind: platform.KindEntry, Domain: domain, PeerAddress: vm.PeerAddress, CallerAddress: vm.CallerAddress,
+	})
+	d, err := entry.New(entry.Options{
+		VM: vm, Domain: domain, Services: services, Log: logs, List: list, Callers: callers, Peers: peers,
+		Connections: controlSlots, Logger: slog.New(slog.DiscardHandler),
+	})
+	require.NoError(s.t, err)
+	require.NoError(s.t, d.Start())
+	a.daemons = append(a.daemons, d)
+	return vm.CallerAddress
+}
+
+// load submits jobs to the other members at a steady rate until the returned function is called.
+func (a *surroundings) load(t testing.TB, starts int) func() {
+	if starts == 0 {
+		return func() {}
+	}
+	client, err := rpc.NewClient(a.callers, nil)
+	require.NoError(t, err)
+	ctx, cancel := context.WithCancel(context.Background())
+	var wg sync.WaitGroup
+	wg.Go(func() {
+		tick := time.NewTicker(time.Second * jobTasks / time.Duration(starts))
+		defer tick.Stop()
+		for {
+			select {
+			case <-tick.C:
+				wg.Go(func() { submitBooking(ctx, client) })
+			case <-ctx.Done():
+				return
+			}
+		}
+	})
+	return func() {
+		cancel()
+		wg.Wait()
+		client.Close()
+	}
+}
+
+func submitBooking(ctx context.Context, client *rpc.Client) {
+	j, err := glashaus.NewBookingJob(ctx, client, rpc.JobOptions{})
+	if err != nil {
+		return
+	}
+	for range jobTasks {
+		j.AddPriceHire(&glashaus.PriceHireRequest{Heaters: 1, Days: 1})
+	}
+	// The answers do not matter here; jobs at the end of the measurement are cut off.
+	_, _ = j.Submit(ctx)
+}
+
+func (a *surroundings) close() {
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	var wg sync.WaitGroup
+	for _, d := range a.daemons {
+		wg.Go(func() { d.Stop(ctx) })
+	}
+	wg.Wait()
+	for _, w := range a.workers {
+		wg.Go(func() { _ = w.Close() })
+	}
+	wg.Wait()
+	_ = a.platform.Close()
+}
+
+// usage is what a process has spent since its start, and its resident memory.
+type usage struct {
+	cpu, resident, received, sent float64
+}
+
+func readUsage(t testing.TB, pid int) usage {
+	dir := filepath.Join("/proc", strconv.Itoa(pid))
+	read := func(name string) string {
+		text, err := os.ReadFile(filepath.Join(dir, name))
+		require.NoError(t, err)
+		return string(text)
+	}
+	number := func(text string) float64 {
+		v, err := strconv.ParseFloat(text, 64)
+		require.NoError(t, err)
+		return v
+	}
+	// The fields after the command's name, which is in parentheses, start with the third one of the file.
+	stat := read("stat")
+	fields := strings.Fields(stat[strings.LastIndexByte(stat, ')')+1:])
+	u := usage{cpu: (number(fields[11]) + number(fields[12])) / clockTicks}
+	u.resident = number(strings.Fields(read("statm"))[1]) * float64(os.Getpagesize())
+	for _, line := range strings.Split(read("io"), "\n") {
+		name, value, _ := strings.Cut(line, ": ")
+		switch name {
+		case "rchar":
+			u.received = number(value)
+		case "wchar":
+			u.sent = number(value)
+		}
+	}
+	return u
+}
--- a/command/e2e_test.go
+++ b/command/e2e_test.go
@@ -27,14 +27,14 @@
 
 // site is a binary with the processes that a test has started from it.
 type site struct {
-	t      *testing.T
+	t      testing.TB
 	binary string
 	dir    string
 	// ip is a loopback address of its own, on which no outgoing connection takes the ports reserved below.
 	ip string
 }
 
-func newSite(t *testing.T) *site {
+func newSite(t testing.TB) *site {
 	s := &site{t: t, dir: t.TempDir()}
 	s.binary = filepath.Join(s.dir, "cicadadale")
 	out, err := exec.Command("go", "build", "-o", s.binary, "../cmd/cicadadale").CombinedOutput()
@@ -53,7 +53,7 @@
 
 // process is a running command.
 type process struct {
-	t    *testing.T
+	t    testing.TB
 	cmd  *exec.Cmd
 	done chan struct{}
 	out  bytes.Buffer
@@ -112,7 +112,7 @@
 	return e
 }
 
-func (e *entryVM) writeSettings(t *testing.T, platform string) {
+func (e *entryVM) writeSettings(t testing.TB, platform string) {
 	text := fmt.Sprintf(`[vm]
 id = %q
 failure_domain = 1
@@ -141,7 +141,7 @@
 }
 
 // awaitReady returns when the VM is ready and sees the given number of live members.
-func (e *entryVM) awaitReady(t *testing.T, members float64) {
+func (e *entryVM) awaitReady(t testing.TB, members float64) {
 	require.Eventually(t, func() bool {
 		code, _ := get("http://" + e.admin + "/readyz")
 		var m map[string]any
