--- a/command/entry.go
+++ b/command/entry.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"log/slog"
 	"os"
@@ -38,36 +37,50 @@
 		return err
 	}
 	logger := newFormatLogger(settings.Log.Level, settings.Log.Format)
-	parts, err := readEntryParts(settings, logger)
-	if err != nil {
-		return err
-	}
 	if c.Bool("check") {
+		if _, err := readEntryParts(settings, logger); err != nil {
+			return err
+		}
 		_, err := fmt.Fprintf(c.Root().Writer, "%s: no findings\n", path)
 		return err
 	}
+	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, os.Interrupt)
+	defer stop()
+	for ctx.Err() == nil {
+		if err := serveEntry(ctx, &settings, logger); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// serveEntry runs one incarnation, until the process is told to stop or the other entry VMs count the incarnation as
+// gone, after a long pause or a partition. The next one binds the same addresses.
+func serveEntry(ctx context.Context, settings *config.Entry, logger *slog.Logger) error {
+	parts, err := readEntryParts(*settings, logger)
+	if err != nil {
+		return err
+	}
 	o, err := parts.options()
 	if err != nil {
 		return err
 	}
-	return serveEntry(ctx, o, settings)
-}
-
-// serveEntry runs the daemon until a signal asks it to stop.
-func serveEntry(ctx context.Context, o entry.Options, settings config.Entry) error {
+	settings.Listen.Callers, settings.Listen.Peers = o.Callers.Addr().String(), o.Peers.Addr().String()
+	if o.Admin != nil {
+		settings.Listen.Admin = o.Admin.Addr().String()
+	}
 	d, err := entry.New(o)
 	if err != nil {
 		return err
 	}
-	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, os.Interrupt)
-	defer stop()
 	if err := d.Start(); err != nil {
 		return err
 	}
 	select {
 	case <-ctx.Done():
 	case <-d.Lost():
-		return errors.New("the other entry VMs count this process as gone; start it anew")
+		d.Kill()
+		return nil
 	}
 	drain, cancel := context.WithTimeout(context.Background(), settings.Stop.DrainTimeout)
 	defer cancel()
--- a/rpc/errors.go
+++ b/rpc/errors.go
@@ -16,14 +16,15 @@
 
 // codesByFault gives the status code of each type of error; others are internal.
 var codesByFault = map[string]codes.Code{
-	fault.Invalid.FullName():     codes.InvalidArgument,
-	fault.UnknownJob.FullName():  codes.NotFound,
-	fault.Expired.FullName():     codes.FailedPrecondition,
-	fault.Overloaded.FullName():  codes.ResourceExhausted,
-	fault.Unavailable.FullName(): codes.Unavailable,
-	fault.Draining.FullName():    codes.Unavailable,
-	fault.HandedOver.FullName():  codes.Unavailable,
-	fault.Lost.FullName():        codes.Aborted,
+	fault.Invalid.FullName():       codes.InvalidArgument,
+	fault.UnknownJob.FullName():    codes.NotFound,
+	fault.Expired.FullName():       codes.FailedPrecondition,
+	fault.Overloaded.FullName():    codes.ResourceExhausted,
+	fault.Unavailable.FullName():   codes.Unavailable,
+	fault.Draining.FullName():      codes.Unavailable,
+	fault.HandedOver.FullName():    codes.Unavailable,
+	fault.Lost.FullName():          codes.DataLoss,
+	fault.NeverAccepted.FullName(): codes.FailedPrecondition,
 }
 
 // statusOf writes an error. Its type and reason travel in the details, so that callers of this package get it back.
@@ -32,6 +33,9 @@
 	if !ok {
 		code = codes.Internal
 	}
+	if fault.Reason(err) == fault.ReasonIDTooOld {
+		code = codes.OutOfRange
+	}
 	s := status.New(code, err.Error())
 	if detailed, failed := s.WithDetails(&errdetails.ErrorInfo{
 		Reason: fault.Code(err), Domain: errorDomain, Metadata: map[string]string{reasonField: fault.Reason(err)},
--- a/standin/worker.go
+++ b/standin/worker.go
@@ -78,6 +78,7 @@
 	incarnation machine.Incarnation
 	born        time.Time
 	tasks       map[string]*workerTask
+	running     map[string]bool
 	busy        int
 	over        chan struct{}
 }
@@ -85,7 +86,7 @@
 func newWorkerLife() *workerLife {
 	return &workerLife{
 		incarnation: machine.NewIncarnation(), born: time.Now(), tasks: make(map[string]*workerTask),
-		over: make(chan struct{}),
+		running: make(map[string]bool), over: make(chan struct{}),
 	}
 }
 
@@ -93,6 +94,7 @@
 
 // workerTask is a task that the worker knows: running, ended, or fenced before it started.
 type workerTask struct {
+	id      string
 	life    *workerLife
 	fenced  bool
 	done    chan struct{}
@@ -209,8 +211,9 @@
 	if l.busy >= w.o.Slots {
 		return nil, link.RejectFull
 	}
-	t := &workerTask{life: l, done: make(chan struct{}), stop: make(chan struct{})}
+	t := &workerTask{id: id, life: l, done: make(chan struct{}), stop: make(chan struct{})}
 	l.tasks[id] = t
+	l.running[id] = true
 	l.busy++
 	return t, ""
 }
@@ -245,6 +248,7 @@
 	t.run = time.Since(begin)
 	t.outcome, t.reason, t.result = outcome, reason, result
 	t.life.busy--
+	delete(t.life.running, t.id)
 	close(t.done)
 }
 
@@ -326,7 +330,10 @@
 	w.mu.Lock()
 	s := link.WorkerStatus{
 		Incarnation: w.life.incarnation.String(), ClockMS: w.life.clock().Milliseconds(), Slots: w.o.Slots,
-		Busy: w.life.busy, Leaving: w.leaving,
+		Busy: w.life.busy, Leaving: w.leaving, Tasks: []string{},
+	}
+	for id := range w.life.running {
+		s.Tasks = append(s.Tasks, id)
 	}
 	w.mu.Unlock()
 	c.JSON(200, s)
