--- a/command/entry.go
+++ b/command/entry.go
@@ -37,17 +37,18 @@
 		return err
 	}
 	logger := newFormatLogger(settings.Log.Level, settings.Log.Format)
+	parts, err := readEntryParts(settings, logger)
+	if err != nil {
+		return err
+	}
 	if c.Bool("check") {
-		if _, err := readEntryParts(settings, logger); err != nil {
-			return err
-		}
 		_, err := fmt.Fprintf(c.Root().Writer, "%s: no findings\n", path)
 		return err
 	}
 	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, os.Interrupt)
 	defer stop()
 	for ctx.Err() == nil {
-		if err := serveEntry(ctx, &settings, logger); err != nil {
+		if err := serveEntry(ctx, parts); err != nil {
 			return err
 		}
 	}
@@ -56,18 +57,15 @@
 
 // serveEntry runs one incarnation, until the process is told to stop or the other entry VMs count the incarnation as
 // gone, after a long pause or a partition. The next one binds the same addresses.
-func serveEntry(ctx context.Context, settings *config.Entry, logger *slog.Logger) error {
-	parts, err := readEntryParts(*settings, logger)
-	if err != nil {
-		return err
-	}
+func serveEntry(ctx context.Context, parts *entryParts) error {
 	o, err := parts.options()
 	if err != nil {
 		return err
 	}
-	settings.Listen.Callers, settings.Listen.Peers = o.Callers.Addr().String(), o.Peers.Addr().String()
+	listen := &parts.settings.Listen
+	listen.Callers, listen.Peers = o.Callers.Addr().String(), o.Peers.Addr().String()
 	if o.Admin != nil {
-		settings.Listen.Admin = o.Admin.Addr().String()
+		listen.Admin = o.Admin.Addr().String()
 	}
 	d, err := entry.New(o)
 	if err != nil {
@@ -82,7 +80,7 @@
 		d.Kill()
 		return nil
 	}
-	drain, cancel := context.WithTimeout(context.Background(), settings.Stop.DrainTimeout)
+	drain, cancel := context.WithTimeout(context.Background(), parts.settings.Stop.DrainTimeout)
 	defer cancel()
 	d.Stop(drain)
 	return nil
--- a/entry/messages.go
+++ b/entry/messages.go
@@ -34,6 +34,7 @@
 	for _, m := range env.GetMessages() {
 		if h := m.GetHeartbeat(); h != nil {
 			leaving = h.GetLeaving()
+			d.heardConfiguration(vm, h.GetConfigOffset())
 		}
 	}
 	d.applyChanges(d.domain.Heard(vm, inc, leaving, now))
@@ -54,6 +55,8 @@
 
 func (d *Daemon) handle(vm string, m *api.PeerMessage) {
 	switch b := m.GetBody().(type) {
+	case *api.PeerMessage_ConfigRecords:
+		d.configs.fromPeer(b.ConfigRecords)
 	case *api.PeerMessage_Request:
 		// Requests may wait for a job's answer and so must not hold up the link.
 		if d.serving.begin() {
--- a/entry/operators.go
+++ b/entry/operators.go
@@ -97,9 +97,12 @@
 		reasons = append(reasons, "draining")
 	}
 	lanes := d.dispatcher.Lanes()
-	if len(lanes) == 0 {
+	if d.configured() != nil {
 		reasons = append(reasons, "no configuration")
 	}
+	if len(lanes) == 0 {
+		reasons = append(reasons, "no service is configured")
+	}
 	if !d.anyWorker() {
 		reasons = append(reasons, "no worker has reported")
 	}
--- a/entry/router.go
+++ b/entry/router.go
@@ -54,6 +54,9 @@
 		// Only the home accepts; a successor answers for what was handed over to it.
 		return d.wait(ctx, s.Ref.ID, wait)
 	}
+	if err := d.configured(); err != nil && d.table.Refuse(s.Ref.ID, fault.Reason(err), err.Error(), d.o.Now()) {
+		return contract.Answer{}, err
+	}
 	spec := contract.JobSpec{
 		ID: s.Ref.ID, Service: s.Service, Customer: s.Customer, Team: s.Team, Tasks: s.Tasks, Priority: s.Priority,
 	}
--- a/rpc/server.go
+++ b/rpc/server.go
@@ -55,6 +55,9 @@
 	}
 	s := &Server{jobs: jobs, now: now, invalid: invalid, grpc: grpc.NewServer(opts...)}
 	api.RegisterDispatcherServer(s.grpc, s)
+	if c, ok := jobs.(Configured); ok {
+		api.RegisterConfigurationServer(s.grpc, configurationServer{source: c})
+	}
 	go func() {
 		// Serve ends when the listener is closed by Stop.
 		_ = s.grpc.Serve(l)
