--- a/config/entry_test.go
+++ b/config/entry_test.go
@@ -3,6 +3,7 @@
 import (
 	"os"
 	"path/filepath"
+	"strings"
 	"testing"
 	"time"
 
@@ -129,3 +130,15 @@
 		}
 	})
 }
+
+// Guards against a setting that operators cannot find on their page.
+func TestEverySettingIsDocumented(t *testing.T) {
+	page, err := os.ReadFile(filepath.Join("..", "docs", "operations.md"))
+	require.NoError(t, err)
+	var e Entry
+	d := readDocument("f", nil, &e)
+	require.NotEmpty(t, d.fields)
+	for key := range d.fields {
+		require.True(t, strings.Contains(string(page), "`"+key+"`"), "docs/operations.md does not describe %s", key)
+	}
+}
--- a/timeline/ring.go
+++ b/timeline/ring.go
@@ -11,7 +11,7 @@
 
 const (
 	ringStripes = 8
-	// DefaultEvents keeps about 14 s of history at 2,300 starts/s per entry VM and two events per task, in 11 MB.
+	// DefaultEvents keeps about 14 s of history at 2,300 starts/s per entry VM and two events per task, in 8 MB.
 	DefaultEvents = 64 << 10
 )
 
