--- /dev/null
+++ b/dispatch/learn.go
@@ -0,0 +1,111 @@
+package dispatch
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/cicadadale/cicadadale/backend"
+	"github.com/cicadadale/cicadadale/contract"
+	"github.com/cicadadale/cicadadale/machine"
+	"github.com/cicadadale/cicadadale/timeline"
+)
+
+// learn takes over what the end of a task says about its kind and its worker. acted says that the run time was
+// changed by a straggler action.
+func (d *Dispatcher) learn(a Assignment, r StartReply, acted bool) {
+	if acted {
+		return
+	}
+	now := d.o.Now()
+	w, ok := d.o.Fleet.Get(a.Slot.Worker)
+	if !ok {
+		return
+	}
+	if r.Outcome == contract.OutcomeUnknown {
+		// A worker that stops answering is lost or paused; no kind explains that.
+		d.judgeWorker(w, machine.Evidence{Failed: true, Proven: true}, now)
+		return
+	}
+	kind := a.Item.Kind
+	if r.Outcome == contract.OutcomeDone {
+		kind.Observe(r.RunTime, w.Speed())
+		if typical, ok := kind.Typical(); ok {
+			w.ObserveRun(r.RunTime, typical)
+		}
+	}
+	failed := r.Outcome != contract.OutcomeDone
+	blame := kind.ObserveOutcome(string(a.Slot.Worker), a.Item.Task.Job.Seq, failed, now)
+	d.forgive(blame, now)
+	d.judgeWorker(w, machine.Evidence{
+		Failed: failed, Proven: blame.Proven, Explained: blame.Explained, Expected: blame.Expected,
+	}, now)
+	if failed && kind.Hopeless(d.workersOf(w.Spec().Service), now) {
+		d.abandon(a, fmt.Sprintf("request kind %s fails on every worker", kind.Spec().Name), now)
+	}
+}
+
+// learnRejection takes over what a rejected start says about its worker.
+func (d *Dispatcher) learnRejection(l *Lane, a Assignment, now time.Time) {
+	w, ok := d.o.Fleet.Get(a.Slot.Worker)
+	if !ok {
+		return
+	}
+	blame := l.observeStart(a, true, now)
+	d.judgeWorker(w, machine.Evidence{
+		Rejected: true, Proven: blame.Proven, Explained: blame.Explained, Expected: blame.Expected,
+	}, now)
+}
+
+// judgeWorker reports a changed health, so that the granters learn of it at once.
+func (d *Dispatcher) judgeWorker(w *machine.Worker, e machine.Evidence, now time.Time) {
+	if w.Observe(e, now) {
+		d.healthChanged(w, now)
+	}
+}
+
+func (d *Dispatcher) forgive(b backend.Blame, now time.Time) {
+	for id, failures := range b.Forgive {
+		if w, ok := d.o.Fleet.Get(machine.WorkerID(id)); ok && w.Forgive(failures, now) {
+			d.healthChanged(w, now)
+		}
+	}
+}
+
+func (d *Dispatcher) healthChanged(w *machine.Worker, now time.Time) {
+	d.o.Logger.Info("worker health changed", "worker", w.Spec().ID, "health", w.HealthAt(now).String())
+	if d.o.HealthChanged != nil {
+		d.o.HealthChanged()
+	}
+}
+
+// workersOf counts the workers of a service.
+func (d *Dispatcher) workersOf(service string) int {
+	n := 0
+	for _, w := range d.o.Fleet.All() {
+		if w.Spec().Service == service {
+			n++
+		}
+	}
+	return n
+}
+
+// accepts reports whether a worker may get another task now.
+func (d *Dispatcher) accepts(id machine.WorkerID) bool {
+	w, ok := d.o.Fleet.Get(id)
+	return ok && w.Accepts(d.o.Now())
+}
+
+// abandon answers for a job that cannot complete any more; its waiting tasks are not started.
+func (d *Dispatcher) abandon(a Assignment, detail string, now time.Time) {
+	id := a.Item.Task.Job
+	n, answer, last := d.o.Table.FailWaiting(id, detail, now)
+	if n == 0 {
+		return
+	}
+	d.counters.notRun.Inc(int64(n))
+	d.dequeue(id)
+	if last {
+		d.counters.failed.Inc(1)
+		d.o.Timeline.Job(timeline.JobFailed, id, answer.Reason, len(answer.Reports))
+	}
+}
--- a/metric/metric.go
+++ b/metric/metric.go
@@ -18,6 +18,8 @@
 	TasksUnknown        = "tasks.unknown"
 	TasksInDoubt        = "tasks.in_doubt"
 	TasksResolved       = "tasks.in_doubt_resolved"
+	TasksOutgrown       = "tasks.outgrown"
+	TasksStraggling     = "tasks.straggling"
 	StartsRejected      = "starts.rejected"
 	StartsNotSent       = "starts.not_sent"
 	GrantsReceived      = "grants.received"
--- a/zone/asker.go
+++ b/zone/asker.go
@@ -258,3 +258,16 @@
 		return since >= withdrawInterval
 	}
 }
+
+// Free returns the number of slots that other granters are known to have free.
+func (a *Asker) Free(now time.Time) int {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	n := 0
+	for name, g := range a.granters {
+		if name != a.self {
+			n += g.hint(now)
+		}
+	}
+	return n
+}
