metric: describe the counters of outgrown and straggling tasks

Cause: tasks.outgrown and tasks.straggling came without a description. Conclusion: every metric is documented again; go test ./metric passes.

--- a/metric/describe.go
+++ b/metric/describe.go
@@ -24,6 +24,8 @@
 		{TasksUnknown, "tasks whose outcome cannot be proven"},
 		{TasksInDoubt, "starts sent and not answered"},
 		{TasksResolved, "starts in doubt whose outcome the worker reported"},
+		{TasksOutgrown, "running tasks that outgrew their class and count as long work from then on"},
+		{TasksStraggling, "running tasks that became stragglers of their kind"},
 		{StartsRejected, "starts proven not to have happened"},
 		{StartsNotSent, "starts that were never written to a socket, part of starts.rejected"},
 		{GrantsReceived, "slots received from granters"},
