timeline: record hand-overs, claims, recalls, closures, quotas, stragglers and workers' health

Cause: these state changes were named and not recorded. Change: small hooks record them; kinds that nothing records are gone. Conclusion: every kind of event has a place that records it.

--- a/dispatch/learn.go
+++ b/dispatch/learn.go
@@ -72,6 +72,9 @@
 }
 
 func (d *Dispatcher) healthChanged(w *machine.Worker, now time.Time) {
+	d.o.Timeline.Record(timeline.Event{
+		Kind: timeline.WorkerHealthChanged, Worker: w.Spec().ID, Detail: w.HealthAt(now).String(),
+	})
 	d.o.Logger.Info("worker health changed", "worker", w.Spec().ID, "health", w.HealthAt(now).String())
 	if d.o.HealthChanged != nil {
 		d.o.HealthChanged()
--- a/dispatch/running.go
+++ b/dispatch/running.go
@@ -8,6 +8,7 @@
 	"github.com/cicadadale/cicadadale/backend"
 	"github.com/cicadadale/cicadadale/contract"
 	"github.com/cicadadale/cicadadale/machine"
+	"github.com/cicadadale/cicadadale/timeline"
 )
 
 const (
@@ -198,6 +199,7 @@
 		}
 		if x.step.Act != backend.StragglerWait {
 			d.counters.stragglers.Inc(1)
+			d.o.Timeline.Task(timeline.TaskStraggling, x.task.req.Ticket.Task, x.task.req.Worker, "straggler")
 			d.running.Go(func() { d.act(x.task, x.step.Act) })
 		}
 	}
@@ -206,6 +208,7 @@
 // outgrow counts a task as long from now on, for its kind and for the slots of its worker.
 func (d *Dispatcher) outgrow(t *runningTask) {
 	d.counters.outgrown.Inc(1)
+	d.o.Timeline.Task(timeline.TaskStraggling, t.req.Ticket.Task, t.req.Worker, "outgrew its class")
 	t.assignment.Item.Kind.Outgrow()
 	if d.tasks.lengthen(t) && d.o.SlotOutgrown != nil {
 		d.o.SlotOutgrown(t.lane.service.Name(), t.req.Worker)
--- a/entry/closures.go
+++ b/entry/closures.go
@@ -9,6 +9,7 @@
 
 	"github.com/cicadadale/cicadadale/api"
 	"github.com/cicadadale/cicadadale/machine"
+	"github.com/cicadadale/cicadadale/timeline"
 	"github.com/cicadadale/cicadadale/zone"
 )
 
@@ -93,6 +94,7 @@
 // later, together with those that this VM still had to append.
 func (c *closureLog) publish(ctx context.Context, s zone.Succession) {
 	record := c.d.closure(s)
+	c.d.timeline.Record(timeline.Event{Kind: timeline.ClosurePublished, Peer: s.SuccessorVM})
 	c.d.peers.broadcast(closureMessage(record))
 	ctx, cancel := context.WithTimeout(ctx, closureAppend)
 	defer cancel()
@@ -184,6 +186,7 @@
 	if proto.Unmarshal(data, &record) != nil || record.GetDomain() != uint32(c.d.o.Domain) {
 		return
 	}
+	c.d.timeline.Record(timeline.Event{Kind: timeline.ClosureApplied, Peer: record.GetSuccessorVm()})
 	c.d.homes.Succeed(successionOf(&record), c.d.o.Now())
 }
 
--- a/entry/handover.go
+++ b/entry/handover.go
@@ -124,6 +124,7 @@
 		if err != nil {
 			return err
 		}
+		d.timeline.Job(timeline.JobTakenOver, s.Ref.ID, s.Service, len(s.Tasks))
 		d.dispatcher.Adopt(contract.JobSpec{
 			ID: s.Ref.ID, Service: s.Service, Customer: s.Customer, Team: s.Team, Tasks: s.Tasks, Priority: s.Priority,
 			Deadline: now.Add(time.Duration(j.GetRemainingMs()) * time.Millisecond),
@@ -152,6 +153,7 @@
 	d.leave(ctx)
 	d.rpcServer.Stop(ctx)
 	d.serving.wait(ctx)
+	d.timeline.Record(timeline.Event{Kind: timeline.ProcessStopped})
 	d.kill()
 	d.o.Logger.Info("entry daemon stopped", "vm", d.o.VM.ID)
 }
@@ -278,6 +280,7 @@
 		err := t.send(ctx, m)
 		switch {
 		case err == nil:
+			t.d.recordHandOver(specs[begin:end], t.succession.SuccessorVM)
 			begin = end
 		case fault.IsProvenNotStarted(err):
 			t.d.table.Restore(specs[begin:], t.d.o.Now())
--- a/entry/keys.go
+++ b/entry/keys.go
@@ -63,10 +63,13 @@
 func (d *Daemon) claimKey(ctx context.Context, c contract.Claim) (contract.JobID, error) {
 	vm, ok := zone.Choose(claimDelegateKey, d.domain.Live())
 	if !ok || vm.ID == d.o.VM.ID {
-		return d.claims.claim(ctx, c)
+		id, err := d.claims.claim(ctx, c)
+		d.recordClaim(c.Job, id, err)
+		return id, err
 	}
 	req := &api.ClaimRequest{Key: wire.KeyTo(c.Key), JobId: c.Job.String()}
 	id, _, err := d.askDelegate(ctx, vm.ID, req, claimTimeout+claimReplyMargin)
+	d.recordClaim(c.Job, id, err)
 	return id, err
 }
 
--- a/entry/lapse.go
+++ b/entry/lapse.go
@@ -3,6 +3,8 @@
 import (
 	"sync"
 	"time"
+
+	"github.com/cicadadale/cicadadale/timeline"
 )
 
 // lapseLimit is the time between ticks beyond which the process counts as paused. Ticks come every 10 ms; a grant may
@@ -28,6 +30,7 @@
 // Starts that were decided before the pause carry a start-by time that the worker checks on its own clock.
 func (d *Daemon) checkLapse() {
 	if d.lapse.resumed(d.o.Now()) {
+		d.timeline.Record(timeline.Event{Kind: timeline.ProcessPaused})
 		d.o.Logger.Warn("process was paused; idle grants are dropped", "vm", d.o.VM.ID)
 		d.dispatcher.DropIdle()
 	}
--- a/entry/membership.go
+++ b/entry/membership.go
@@ -38,12 +38,15 @@
 	listed := make(map[machine.WorkerID]bool, len(specs))
 	for _, s := range specs {
 		listed[s.ID] = true
-		d.fleet.Upsert(s)
+		if _, fresh := d.fleet.Upsert(s); fresh {
+			d.recordWorker(timeline.WorkerListed, s.ID)
+		}
 	}
 	for _, w := range d.fleet.All() {
 		if id := w.Spec().ID; !listed[id] {
 			d.fleet.Remove(id)
 			d.workers.Forget(id)
+			d.recordWorker(timeline.WorkerDropped, id)
 		}
 	}
 }
@@ -58,7 +61,7 @@
 	for _, w := range d.duePolls() {
 		wg.Go(func() {
 			// A worker that does not answer keeps its last status; its starts become in doubt.
-			_, _ = d.workers.Poll(ctx, w, d.o.Now)
+			_, _ = d.poll(ctx, w)
 		})
 	}
 	done := make(chan struct{})
--- a/entry/quota.go
+++ b/entry/quota.go
@@ -12,6 +12,7 @@
 	"github.com/cicadadale/cicadadale/contract"
 	"github.com/cicadadale/cicadadale/customer"
 	"github.com/cicadadale/cicadadale/machine"
+	"github.com/cicadadale/cicadadale/timeline"
 	"github.com/cicadadale/cicadadale/zone"
 )
 
@@ -206,6 +207,9 @@
 	q.mu.Lock()
 	vm := q.vms[t.To]
 	q.mu.Unlock()
+	q.d.timeline.Record(timeline.Event{
+		Kind: timeline.QuotaMoved, Peer: vm, Detail: t.Team, Count: int64(slots),
+	})
 	m := transferTo(t)
 	m.Slots = uint32(slots)
 	m.FromDomain = uint32(q.d.o.Domain)
--- a/entry/router.go
+++ b/entry/router.go
@@ -122,6 +122,7 @@
 		if c.Deadline > 0 {
 			deadline = d.o.Now().Add(c.Deadline)
 		}
+		d.timeline.Job(timeline.JobReconfigured, r.ID, "", c.Priority)
 		return d.dispatcher.Reconfigure(r.ID, deadline, c.Priority)
 	}
 	return d.progress(ctx, r.ID, local, func() *api.Request {
--- a/entry/slots.go
+++ b/entry/slots.go
@@ -338,6 +338,9 @@
 // recall asks for slots back that are needed for work that has waited longer.
 func (s *slotDirectory) recall(st *serviceSlots) {
 	for _, r := range st.granter.Recalls(s.d.o.Now()) {
+		s.d.timeline.Record(timeline.Event{
+			Kind: timeline.GrantRecalled, Peer: r.Member, Detail: st.name, Count: int64(r.Slots),
+		})
 		if r.Member == s.d.o.VM.ID {
 			s.d.dispatcher.Recall(st.name, r.Member, r.Slots, r.Wait)
 			continue
--- a/entry/workerpoll.go
+++ b/entry/workerpoll.go
@@ -81,7 +81,7 @@
 		defer s.d.polls.end(r.Worker)
 		if w, ok := s.d.fleet.Get(r.Worker); ok {
 			// A worker that does not answer keeps its last status.
-			_, _ = s.d.workers.Poll(ctx, w, s.d.o.Now)
+			_, _ = s.d.poll(ctx, w)
 		}
 	}
 	return reply, err
--- a/timeline/kind.go
+++ b/timeline/kind.go
@@ -17,7 +17,6 @@
 	JobReconfigured
 	JobHandedOver
 	JobTakenOver
-	JobExpired
 	TaskStarted
 	TaskDone
 	TaskFailed
@@ -36,19 +35,13 @@
 	GrantReceived
 	GrantReturned
 	GrantRecalled
-	GrantExpired
 	MemberChanged
-	DelegateChanged
 	LinkOpened
 	LinkReplaced
-	LinkClosed
 	WorkerListed
 	WorkerRestarted
-	WorkerQuarantined
-	WorkerProbed
-	WorkerReleased
+	WorkerHealthChanged
 	WorkerDropped
-	ConfigPublished
 	ConfigApplied
 	ConfigRejected
 	QuotaMoved
@@ -56,8 +49,6 @@
 	ClaimLost
 	ClosurePublished
 	ClosureApplied
-	LogDown
-	LogUp
 	ProcessStarted
 	ProcessPaused
 	ProcessDraining
@@ -68,20 +59,18 @@
 var kindNames = [kindCount]string{
 	KindNone: "none", JobAccepted: "job.accepted", JobResubmitted: "job.resubmitted", JobForwarded: "job.forwarded",
 	JobComplete: "job.complete", JobFailed: "job.failed", JobRefused: "job.refused", JobCancelled: "job.cancelled",
-	JobReconfigured: "job.reconfigured", JobHandedOver: "job.handed_over", JobTakenOver: "job.taken_over",
-	JobExpired: "job.expired", TaskStarted: "task.started", TaskDone: "task.done", TaskFailed: "task.failed",
+	JobReconfigured: "job.reconfigured", JobHandedOver: "job.handed_over", JobTakenOver: "job.taken_over", TaskStarted: "task.started", TaskDone: "task.done", TaskFailed: "task.failed",
 	TaskNotRun: "task.not_run", TaskUnknown: "task.unknown", TaskRejected: "task.rejected",
 	TaskInDoubt: "task.in_doubt", TaskResolved: "task.resolved", TaskStraggling: "task.straggling",
 	RunStarted: "run.started", RunEnded: "run.ended", RunRejected: "run.rejected", RunFenced: "run.fenced",
 	DemandSent: "demand.sent", GrantIssued: "grant.issued", GrantReceived: "grant.received",
-	GrantReturned: "grant.returned", GrantRecalled: "grant.recalled", GrantExpired: "grant.expired",
-	MemberChanged: "member.changed", DelegateChanged: "delegate.changed", LinkOpened: "link.opened",
-	LinkReplaced: "link.replaced", LinkClosed: "link.closed", WorkerListed: "worker.listed",
-	WorkerRestarted: "worker.restarted", WorkerQuarantined: "worker.quarantined", WorkerProbed: "worker.probed",
-	WorkerReleased: "worker.released", WorkerDropped: "worker.dropped", ConfigPublished: "config.published",
+	GrantReturned: "grant.returned", GrantRecalled: "grant.recalled",
+	MemberChanged: "member.changed", LinkOpened: "link.opened",
+	LinkReplaced: "link.replaced", WorkerListed: "worker.listed",
+	WorkerRestarted: "worker.restarted", WorkerHealthChanged: "worker.health_changed", WorkerDropped: "worker.dropped",
 	ConfigApplied: "config.applied", ConfigRejected: "config.rejected", QuotaMoved: "quota.moved",
 	ClaimWon: "claim.won", ClaimLost: "claim.lost", ClosurePublished: "closure.published",
-	ClosureApplied: "closure.applied", LogDown: "log.down", LogUp: "log.up", ProcessStarted: "process.started",
+	ClosureApplied: "closure.applied", ProcessStarted: "process.started",
 	ProcessPaused: "process.paused", ProcessDraining: "process.draining", ProcessStopped: "process.stopped",
 }
 
