command: test TLS between separate processes; introduce the tools in the root help

Cause: TLS was tested without the settings, gRPC and the peers' links. Change: a second end-to-end test runs two entry VMs whose callers and peers need certificates; strangers get status 1. Conclusion: the settings of TLS reach the sockets.

--- a/command/e2e_test.go
+++ b/command/e2e_test.go
@@ -17,6 +17,8 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"github.com/cicadadale/cicadadale/internal/testcert"
 )
 
 const (
@@ -112,7 +114,7 @@
 	return e
 }
 
-func (e *entryVM) writeSettings(t testing.TB, platform string) {
+func (e *entryVM) writeSettings(t testing.TB, platform string, more ...string) {
 	text := fmt.Sprintf(`[vm]
 id = %q
 failure_domain = 1
@@ -125,7 +127,7 @@
 list = "http://%s"
 [schema]
 files = ["schemas/glashaus.proto"]
-`, e.id, e.callers, e.peers, e.admin, platform, platform)
+`, e.id, e.callers, e.peers, e.admin, platform, platform) + strings.Join(more, "")
 	require.NoError(t, os.WriteFile(e.settings, []byte(text), 0o600))
 }
 
@@ -249,3 +251,42 @@
 	_, _, code = s.run(append(job, "submit", "--service", bookings, "--kind", "PriceHire", "--payload-hex", "ff")...)
 	require.Equal(s.t, 2, code)
 }
+
+// Guards the settings of TLS from the file to the sockets: entry VMs that do not join each other over TLS, and a
+// callers' side that serves strangers.
+func TestSeparateProcessesOverTLS(t *testing.T) {
+	s := newSite(t)
+	ca := testcert.NewAuthority(t, s.dir, "ca")
+	files := ca.Issue(t, s.dir, "machine", net.ParseIP(s.ip))
+	platform := s.address()
+	vms := []*entryVM{s.entryVM(1), s.entryVM(2)}
+	args := []string{"standin", "--listen", platform, "--workers", "1", "--service", bookings}
+	for _, e := range vms {
+		args = append(args, "--entry", strings.Join([]string{e.id, "1", e.peers, e.callers}, ";"))
+	}
+	s.start(args...)
+	tls := fmt.Sprintf("[tls.callers]\ncertificate = %q\nkey = %q\nclient_ca = %q\n[tls.peers]\ncertificate = %q\nkey = %q\nca = %q\n",
+		files.Certificate, files.Key, files.CA, files.Certificate, files.Key, files.CA)
+	for _, e := range vms {
+		e.writeSettings(t, platform, tls)
+		e.process = s.start("entry", "--settings", e.settings)
+	}
+	for _, e := range vms {
+		e.awaitReady(t, 2)
+	}
+	submit := []string{"submit", "--service", bookings, "--kind", "PriceHire", "--payload-hex", "10021802"}
+	secure := []string{"job", "--entry", vms[0].callers, "--tls-ca", files.CA, "--tls-certificate", files.Certificate, "--tls-key", files.Key}
+	out, errs, code := s.run(append(secure, submit...)...)
+	require.Equal(t, 0, code, errs)
+	require.Contains(t, out, `"verdict": "complete"`)
+	for _, stranger := range [][]string{
+		{"job", "--entry", vms[0].callers, "--timeout", "1s"},
+		{"job", "--entry", vms[0].callers, "--timeout", "1s", "--tls-ca", files.CA},
+	} {
+		_, _, code = s.run(append(stranger, submit...)...)
+		require.Equal(t, 1, code)
+	}
+	for _, e := range vms {
+		require.Equal(t, 0, e.process.terminate())
+	}
+}
--- a/command/root.go
+++ b/command/root.go
@@ -13,6 +13,11 @@
 		Name:    "cicadadale",
 		Usage:   "dispatcher for short, urgent tasks",
 		Version: Version,
+		Description: "Entry daemons accept jobs of up to 500 tasks from callers and run each task at most once on a worker of " +
+			"the service that a schema file declares.\n\nTo see it work: cicadadale demo. To run it: start `standin` (or point " +
+			"the settings at a platform), check the settings with `entry --settings FILE --check`, start `entry --settings " +
+			"FILE`, send jobs with `job`, look at http://ADMIN-ADDRESS/ and follow a task with `timeline`. Operators' page: " +
+			"docs/operations.md.",
 		Commands: []*cli.Command{
 			entryCommand(), standinCommand(), jobCommand(), schemaCommand(), configCommand(), timelineCommand(), demoCommand(),
 			loadCommand(), soakCommand(), versionCommand(),
--- a/internal/testcert/testcert.go
+++ b/internal/testcert/testcert.go
@@ -41,13 +41,13 @@
 	return a
 }
 
-// Issue writes a certificate for loopback addresses, usable by servers and clients.
-func (a *Authority) Issue(t testing.TB, dir, name string) Files {
+// Issue writes a certificate for the usual loopback addresses and the given ones, usable by servers and clients.
+func (a *Authority) Issue(t testing.TB, dir, name string, addresses ...net.IP) Files {
 	t.Helper()
 	f := Files{Certificate: filepath.Join(dir, name+".pem"), Key: filepath.Join(dir, name+".key"), CA: a.path}
 	key, c := newKey(t), template(t, name)
 	c.ExtKeyUsage = []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth, x509.ExtKeyUsageClientAuth}
-	c.IPAddresses = []net.IP{net.IPv4(127, 0, 0, 1), net.IPv6loopback}
+	c.IPAddresses = append([]net.IP{net.IPv4(127, 0, 0, 1), net.IPv6loopback}, addresses...)
 	der, err := x509.MarshalPKCS8PrivateKey(key)
 	check(t, err)
 	writePEM(t, f.Key, "PRIVATE KEY", der)
