--- /dev/null
+++ b/entry/readiness_test.go
@@ -0,0 +1,30 @@
+package entry_test
+
+import (
+	"context"
+	"log/slog"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/cicadadale/cicadadale/load"
+	"github.com/cicadadale/cicadadale/standin"
+)
+
+// Guards against a balancer that sends callers to a VM that is not started, knows no worker, or is stopping.
+func TestReadinessFollowsTheDaemon(t *testing.T) {
+	d, err := load.StartDeployment(load.DeploymentOptions{
+		Domains: 1, EntryVMs: 1, Workers: 1, Slots: 2, Services: load.DeploymentServices, Work: standin.DeploymentWork,
+		Logger: slog.New(slog.DiscardHandler),
+	})
+	defer d.Close()
+	require.NoError(t, err)
+	daemon := d.Entries[0].Daemon
+	require.Eventually(t, func() bool { return daemon.Readiness().Ready }, time.Minute, time.Millisecond)
+	require.NoError(t, daemon.Health())
+	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+	defer cancel()
+	daemon.Stop(ctx)
+	require.Contains(t, daemon.Readiness().Reasons, "draining")
+}
