--- a/entry/keys.go
+++ b/entry/keys.go
@@ -99,6 +99,7 @@
 			break
 		}
 	}
+	d.recordClaim(c.Job, id, err)
 	return id, err
 }
 
--- a/rpc/errors.go
+++ b/rpc/errors.go
@@ -33,6 +33,9 @@
 	if !ok {
 		code = codes.Internal
 	}
+	if fault.Reason(err) == fault.ReasonIDTooOld {
+		code = codes.OutOfRange
+	}
 	s := status.New(code, err.Error())
 	if detailed, failed := s.WithDetails(&errdetails.ErrorInfo{
 		Reason: fault.Code(err), Domain: errorDomain, Metadata: map[string]string{reasonField: fault.Reason(err)},
