--- a/dispatch/lane.go
+++ b/dispatch/lane.go
@@ -17,6 +17,9 @@
 	// idleLinger is how long an idle slot of another VM's worker waits for new work before it is returned, while its
 	// granter has others free: returning and granting it again costs messages.
 	idleLinger = 50 * time.Millisecond
+	// unusedLinger is how long a granted slot waits for its first task while free slots are scarce. Slots that were in use
+	// already may serve the tasks that it was asked for; returned at once it would be a wasted message.
+	unusedLinger = 10 * time.Millisecond
 	// idleAlong is the idle time after which a slot is returned along with others to the same granter.
 	idleAlong = 15 * time.Millisecond
 	// startMargin is the least remaining time of a grant with which a start is still sent.
@@ -65,6 +68,8 @@
 	waiting [2]backlog
 	stated  contract.SlotDemand
 	recalls map[string]recall
+	// starts tells workers that reject starts from times at which many do.
+	starts  backend.Attribution
 	stopped bool
 }
 
@@ -218,8 +223,12 @@
 // expects l.mu to be held.
 func (l *Lane) lingered(now time.Time) []contract.SlotReturn {
 	granters := make(map[string]bool)
+	linger := idleLinger
+	if l.o.Scarce(l.service.Name()) {
+		linger = unusedLinger
+	}
 	out := l.returns(l.holdings.DropIdle(func(s contract.Slot) bool {
-		if now.Sub(s.IdleSince) >= idleLinger || !l.usable(s, now) {
+		if now.Sub(s.IdleSince) >= linger || !l.usable(s, now) {
 			granters[l.o.Granter(s.Worker)] = true
 			return true
 		}
@@ -354,7 +363,7 @@
 		scarce := l.o.Scarce(l.service.Name())
 		plan.Returns = append(plan.Returns, l.returns(l.holdings.DropIdle(func(s contract.Slot) bool {
 			// Long work may wait for slots that count against its share, which only the granter can give.
-			return scarce || (depth.Long > 0 && !s.Long) || l.o.Granter(s.Worker) == l.o.Self
+			return (scarce && s.Used) || (depth.Long > 0 && !s.Long) || l.o.Granter(s.Worker) == l.o.Self
 		}))...)
 	}
 	d := l.demand(now)
--- a/entry/slotmessages.go
+++ b/entry/slotmessages.go
@@ -40,7 +40,8 @@
 
 func wait(ms uint32) time.Duration { return time.Duration(ms) * time.Millisecond }
 
-// statusFrom records what a member could grant and how long its work waits. A demand that waits may move to it.
+// statusFrom records what a member could grant and how long its work waits. A demand that waits may move to it, or
+// away from it when it has nothing left.
 func (s *slotDirectory) statusFrom(vm string, m *api.SlotStatus) {
 	if m == nil {
 		return
@@ -49,9 +50,6 @@
 	st := s.service(m.GetService())
 	st.granter.Observe(vm, wait(m.GetOldestWaitMs()), now)
 	st.asker.Hint(vm, int(m.GetFree()), now)
-	if m.GetFree() == 0 {
-		return
-	}
 	l, ok := s.d.dispatcher.Lane(st.name)
 	if !ok {
 		return
--- a/fault/fault.go
+++ b/fault/fault.go
@@ -2,7 +2,12 @@
 // task or job that the error speaks of, and traits say whether a retry is safe.
 package fault
 
-import "github.com/joomcode/errorx"
+import (
+	"fmt"
+	"time"
+
+	"github.com/joomcode/errorx"
+)
 
 // Traits of the error types.
 var (
@@ -123,3 +128,27 @@
 
 // IsRetriable reports whether the same call may succeed later.
 func IsRetriable(err error) bool { return errorx.HasTrait(err, Retriable) }
+
+// RetryAfterProperty holds the time after which a refused call may succeed.
+var RetryAfterProperty = errorx.RegisterProperty("retry_after")
+
+// Overload returns a refusal for lack of capacity with a hint when to retry.
+func Overload(reason string, retryAfter time.Duration, format string, args ...any) error {
+	text := fmt.Sprintf(format, args...) + ", retry after " + retryAfter.Round(time.Millisecond).String()
+	return Overloaded.New("%s", text).WithProperty(ReasonProperty, reason).
+		WithProperty(RetryAfterProperty, retryAfter)
+}
+
+// RetryAfter returns the hint attached to the error, zero if there is none.
+func RetryAfter(err error) time.Duration {
+	e := errorx.Cast(err)
+	if e == nil {
+		return 0
+	}
+	if v, ok := e.Property(RetryAfterProperty); ok {
+		if d, ok := v.(time.Duration); ok {
+			return d
+		}
+	}
+	return 0
+}
