--- a/entry/slotmessages.go
+++ b/entry/slotmessages.go
@@ -14,10 +14,10 @@
 	switch b := m.GetBody().(type) {
 	case *api.PeerMessage_Heartbeat:
 		for _, status := range b.Heartbeat.GetSlots() {
-			s.statusFrom(vm, status)
+			s.statusFrom(vm, status, false)
 		}
 	case *api.PeerMessage_SlotStatus:
-		s.statusFrom(vm, b.SlotStatus)
+		s.statusFrom(vm, b.SlotStatus, true)
 	case *api.PeerMessage_Demand:
 		s.demandFrom(vm, b.Demand)
 	case *api.PeerMessage_Grant:
@@ -42,14 +42,18 @@
 
 // statusFrom records what a member could grant and how long its work waits. A demand that waits may move to it, or
 // away from it when it has nothing left.
-func (s *slotDirectory) statusFrom(vm string, m *api.SlotStatus) {
+func (s *slotDirectory) statusFrom(vm string, m *api.SlotStatus, reply bool) {
 	if m == nil {
 		return
 	}
 	now := s.d.o.Now()
 	st := s.service(m.GetService())
 	st.granter.Observe(vm, wait(m.GetOldestWaitMs()), now)
-	st.asker.Hint(vm, int(m.GetFree()), now)
+	if reply {
+		st.asker.Hint(vm, int(m.GetFree()), now)
+	} else {
+		st.asker.Overheard(vm, int(m.GetFree()), now)
+	}
 	l, ok := s.d.dispatcher.Lane(st.name)
 	if !ok {
 		return
@@ -61,14 +65,14 @@
 		own = s.ask(st, now)
 	}
 	st.mu.Unlock()
-	s.deliver(st, own)
+	s.deliverAsked(st, own)
 }
 
 // demandFrom grants what is free. A member that gets nothing is told so, as it may know of free slots elsewhere.
 func (s *slotDirectory) demandFrom(vm string, m *api.Demand) {
 	now := s.d.o.Now()
 	st := s.service(m.GetStatus().GetService())
-	st.asker.Hint(vm, int(m.GetStatus().GetFree()), now)
+	st.asker.Overheard(vm, int(m.GetStatus().GetFree()), now)
 	allocations := st.granter.Demand(vm, zone.Need{
 		Tasks:     zone.Count{Short: int(m.GetShortTasks()), Long: int(m.GetLongTasks())},
 		ShortWait: wait(m.GetStatus().GetOldestWaitMs()), LongWait: wait(m.GetOldestLongWaitMs()),
@@ -96,7 +100,7 @@
 	st := s.service(m.GetStatus().GetService())
 	s.deliver(st, st.granter.Return(vm, heldFrom(m.GetSlots()), now))
 	s.deliver(st, st.granter.Reject(vm, heldFrom(m.GetRejected()), now))
-	s.statusFrom(vm, m.GetStatus())
+	s.statusFrom(vm, m.GetStatus(), false)
 }
 
 func (s *slotDirectory) grantFrom(vm string, inc machine.Incarnation, m *api.Grant) {
@@ -113,9 +117,15 @@
 		grants = append(grants, g)
 	}
 	s.counters.received.Inc(int64(sum.Sum()))
+	st.mu.Lock()
 	st.asker.Granted(vm, sum, m.GetNumber())
+	st.deliver(sum, 1)
+	st.mu.Unlock()
 	s.d.dispatcher.Grant(st.name, grants)
-	s.statusFrom(vm, m.GetStatus())
+	st.mu.Lock()
+	st.deliver(sum, -1)
+	st.mu.Unlock()
+	s.statusFrom(vm, m.GetStatus(), true)
 }
 
 // holdingsRequested answers a new granter with all holdings: this VM may not know yet which workers it took over.
--- a/entry/slots.go
+++ b/entry/slots.go
@@ -57,6 +57,9 @@
 
 	mu   sync.Mutex
 	need contract.SlotDemand
+	// delivering counts the slots granted for the demand that the lane has not received yet. They must not be asked for
+	// again.
+	delivering zone.Count
 	// announced is the number of free slots that the members were last told.
 	announced  int
 	demandedAt time.Time
@@ -214,7 +217,7 @@
 	st.need = dm
 	own := s.ask(st, s.d.o.Now())
 	st.mu.Unlock()
-	s.deliver(st, own)
+	s.deliverAsked(st, own)
 	if dm.Short > 0 && len(own) == 0 {
 		s.recall(st)
 	}
@@ -227,7 +230,10 @@
 	st.asker.Hint(self, st.granter.Free(), now)
 	st.granter.Observe(self, st.need.ShortWait, now)
 	var own []zone.Allocation
-	for _, a := range st.asker.Plan(zone.Count{Short: st.need.Short, Long: st.need.Long}, now) {
+	need := zone.Count{
+		Short: max(0, st.need.Short-st.delivering.Short), Long: max(0, st.need.Long-st.delivering.Long),
+	}
+	for _, a := range st.asker.Plan(need, now) {
 		if a.Granter == self {
 			own = st.granter.Demand(self, zone.Need{
 				Tasks: a.Tasks, ShortWait: st.need.ShortWait, LongWait: st.need.LongWait, Received: a.Received,
@@ -243,9 +249,41 @@
 			OldestLongWaitMs: millis(st.need.LongWait), Received: a.Received,
 		}}})
 	}
+	st.deliver(sumFor(self, own), 1)
 	return own
 }
 
+// deliverAsked delivers what ask returned.
+func (s *slotDirectory) deliverAsked(st *serviceSlots, own []zone.Allocation) {
+	s.deliver(st, own)
+	c := sumFor(s.d.o.VM.ID, own)
+	if c.Sum() == 0 {
+		return
+	}
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	st.deliver(c, -1)
+}
+
+// deliver counts slots that are on their way to the lane (sign 1) or have arrived there (sign -1). It expects st.mu to
+// be held.
+func (st *serviceSlots) deliver(c zone.Count, sign int) {
+	st.delivering.Short += sign * c.Short
+	st.delivering.Long += sign * c.Long
+}
+
+// sumFor counts the slots allocated to a member.
+func sumFor(member string, allocations []zone.Allocation) zone.Count {
+	var c zone.Count
+	for _, a := range allocations {
+		if a.Member == member {
+			c.Short += a.Slots.Short
+			c.Long += a.Slots.Long
+		}
+	}
+	return c
+}
+
 // status expects st.mu to be held.
 func (s *slotDirectory) status(st *serviceSlots) *api.SlotStatus {
 	free := st.granter.Free()
--- a/zone/asker.go
+++ b/zone/asker.go
@@ -12,6 +12,8 @@
 	// refreshDemand is the time after which an unmet demand is stated again, so that granters compare recent waits
 	// and a lost message costs little.
 	refreshDemand = 200 * time.Millisecond
+	// demandFlight is the time within which a demand reaches its granter.
+	demandFlight = 2 * time.Millisecond
 	// answerTime is the time within which a granter with free slots answers a demand.
 	answerTime = 10 * time.Millisecond
 	// withdrawInterval spaces the reductions of a demand: a grant that comes too late is a wasted message.
@@ -78,7 +80,7 @@
 	return g
 }
 
-// Hint records a granter's statement of its free slots.
+// Hint records a granter's statement of its free slots, made in reply to a demand.
 func (a *Asker) Hint(granter string, free int, now time.Time) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
@@ -87,6 +89,18 @@
 	}
 }
 
+// Overheard records a granter's statement of its free slots, made on another occasion. While a demand may still be
+// under way to the granter, a statement of none says nothing about the answer, and must not move the demand.
+func (a *Asker) Overheard(granter string, free int, now time.Time) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	g, ok := a.granters[granter]
+	if !ok || (free == 0 && g.asked.Sum() > 0 && now.Sub(g.askedAt) < demandFlight) {
+		return
+	}
+	g.free, g.freeAt = free, now
+}
+
 // Scarce reports whether the granters are known to have hardly any free slots among them.
 func (a *Asker) Scarce(now time.Time) bool {
 	a.mu.Lock()
--- a/zone/granter_test.go
+++ b/zone/granter_test.go
@@ -308,5 +308,7 @@
 	require.Equal(t, []Ask{{Granter: "entry-2", Tasks: Count{Short: 5}}}, asks)
 	a.Hint("entry-1", 8, now)
 	require.Empty(t, a.Plan(Count{Short: 5}, now), "an answer is under way")
+	a.Overheard("entry-2", 0, now)
+	require.Empty(t, a.Plan(Count{Short: 5}, now), "an older statement is no answer")
 	require.Equal(t, []Ask{{Granter: "entry-2"}}, a.Plan(Count{}, now), "a demand that has ended is withdrawn")
 }
