entry: guard the test cluster's processes by a lock

Cause: the race detector found the map of processes read and written at the same time, and the counts of ended processes were missing from the figures. Change: a lock, and the registries of all processes.

--- a/entry/cluster_test.go
+++ b/entry/cluster_test.go
@@ -271,8 +271,12 @@
 	speeds  map[machine.WorkerID]float64
 	specs   []machine.WorkerSpec
 	vms     []platform.VM
-	members map[string]*testMember
 	policy  dispatch.Policy
+
+	mu      sync.Mutex
+	members map[string]*testMember
+	// registries are those of all processes, ended ones included.
+	registries []metrics.Registry
 	// before are the counts at the start of the load.
 	before map[string]int64
 }
@@ -365,13 +369,35 @@
 	d.loop(ctx, heartbeatInterval, d.heartbeat)
 	d.loop(ctx, statusInterval, poll)
 	d.startSlots(ctx)
+	c.mu.Lock()
+	defer c.mu.Unlock()
 	c.members[id] = m
+	c.registries = append(c.registries, m.metrics)
+}
+
+func (c *testCluster) member(id string) *testMember {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.members[id]
+}
+
+// processes returns the running processes.
+func (c *testCluster) processes() []*testMember {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	out := make([]*testMember, 0, len(c.members))
+	for _, m := range c.members {
+		out = append(out, m)
+	}
+	return out
 }
 
 // stop ends the process on an entry VM without any notice.
 func (c *testCluster) stop(id string) {
+	c.mu.Lock()
 	m := c.members[id]
 	delete(c.members, id)
+	c.mu.Unlock()
 	m.cancel()
 	m.loops.Wait()
 	m.peers.close()
@@ -380,14 +406,14 @@
 }
 
 func (c *testCluster) close() {
-	for id := range c.members {
-		c.stop(id)
+	for _, m := range c.processes() {
+		c.stop(m.o.VM.ID)
 	}
 }
 
 // submit queues one job.
 func (c *testCluster) submit(id, kind string, runs ...time.Duration) {
-	m := c.members[id]
+	m := c.member(id)
 	spec := contract.JobSpec{ID: m.table.Mint(1)[0], Service: testService, Customer: "customer"}
 	for _, run := range runs {
 		spec.Tasks = append(spec.Tasks, contract.TaskSpec{Kind: kind, Payload: payload(run, time.Now())})
@@ -416,8 +442,10 @@
 
 func (c *testCluster) count(name string) int64 {
 	var n int64
-	for _, m := range c.members {
-		n += metrics.GetOrRegisterCounter(name, m.metrics).Count()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, r := range c.registries {
+		n += metrics.GetOrRegisterCounter(name, r).Count()
 	}
 	return n - c.before[name]
 }
@@ -441,7 +469,7 @@
 	}
 	s.tasks += int64(len(c.workers.longWait))
 	s.wasted = float64(c.count(metric.StartsRejected)+c.count(metric.GrantsUnused)) / float64(max(1, s.tasks))
-	s.bytesPerSecond = float64(c.count(metric.PeerBytesSent)) / float64(len(c.members)) / during.Seconds()
+	s.bytesPerSecond = float64(c.count(metric.PeerBytesSent)) / float64(len(c.processes())) / during.Seconds()
 	s.busy = c.workers.busyTime.Seconds() / during.Seconds() / float64(c.slots*len(c.specs))
 	var all []time.Duration
 	for id, waits := range c.workers.waits {
--- a/entry/slots_test.go
+++ b/entry/slots_test.go
@@ -137,14 +137,6 @@
 	require.LessOrEqual(t, waste[dispatch.PolicyDefault], waste[dispatch.PolicyBestOfTwo]/2, fmt.Sprint(waste))
 }
 
-func (c *testCluster) processes() []*testMember {
-	var out []*testMember
-	for _, m := range c.members {
-		out = append(out, m)
-	}
-	return out
-}
-
 // freeSlots counts the slots that all granters can grant.
 func (c *testCluster) freeSlots() int {
 	n := 0
