--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -322,9 +322,6 @@
 		d.o.Broker.Return(p.Returns)
 	}
 	if p.Demand != nil {
-		d.o.Timeline.Record(timeline.Event{
-			Kind: timeline.DemandSent, Detail: p.Demand.Service, Count: int64(p.Demand.Short + p.Demand.Long),
-		})
 		d.o.Broker.Demand(*p.Demand)
 	}
 }
@@ -425,13 +422,22 @@
 	}
 	d.o.Logger.Debug("start rejected", "task", a.Item.Task, "worker", a.Slot.Worker, "error", cause)
 	select {
-	case <-time.After(d.retries.Delay(a.Item.Attempts, jitter())):
+	case <-time.After(d.retryPause(a.Item.Attempts, full)):
 	case <-d.ctx.Done():
 		return
 	}
 	d.carryOut(l, l.Push([]customer.Item{a.Item}, d.o.Now()))
 }
 
+// retryPause returns the time until a rejected task is queued again. Rejections by full workers are the normal course of
+// the baseline policies, which avoid such a worker for a while: the retry budget would only make the tasks wait.
+func (d *Dispatcher) retryPause(attempt int, full bool) time.Duration {
+	if full && d.o.Placement != nil {
+		return retryDelay
+	}
+	return d.retries.Delay(attempt, jitter())
+}
+
 // finish records the outcome of a task that was started.
 func (d *Dispatcher) finish(a Assignment, r StartReply) {
 	switch r.Outcome {
