--- a/backend/progress.go
+++ b/backend/progress.go
@@ -24,8 +24,9 @@
 		return s
 	}
 	s.Outgrow = p.Class == ClassShort && !p.Outgrown
-	if !p.Acted && k.spec.Straggler != StragglerWait && p.Elapsed > k.StragglerAfter(speed) {
-		s.Act = k.spec.Straggler
+	action := k.Spec().Straggler
+	if !p.Acted && action != StragglerWait && p.Elapsed > k.StragglerAfter(speed) {
+		s.Act = action
 	}
 	return s
 }
--- a/customer/admission.go
+++ b/customer/admission.go
@@ -10,7 +10,7 @@
 const (
 	// waitMargin is the factor on the work ahead that covers the error of the expected wait: work of other customers arrives in
 	// bursts, and slots change hands.
-	waitMargin = 1.25
+	waitMargin = 1.5
 	// shortestRetry and longestRetry bound the hint after which time a refused job may be submitted again.
 	shortestRetry = 100 * time.Millisecond
 	longestRetry  = 10 * time.Second
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -19,8 +19,10 @@
 
 const (
 	defaultDeadline = 10 * time.Second
-	// defaultLease is how long a task runs on when its home has gone.
-	defaultLease = 5 * time.Second
+	// shortLease and longLease are how long a task of a class runs on when its home has gone. A start that is not
+	// answered for as long is in doubt, so that they exceed what most tasks of the class take.
+	shortLease = 10 * time.Second
+	longLease  = 30 * time.Second
 	// startWindow is how long after the decision a worker may still start the task.
 	startWindow = time.Second
 	// resolveDelay spaces the attempts to ask a worker about a start in doubt.
@@ -113,7 +115,8 @@
 		return
 	}
 	d.lanes[s.Name()] = NewLane(s, customer.NewQueue(d.teams), LaneOptions{
-		Speed: d.workerSpeed, Granter: d.o.Broker.Granter, Self: d.o.Self, Placement: d.o.Placement,
+		Speed: d.workerSpeed, Granter: d.o.Broker.Granter, Scarce: d.o.Broker.Scarce, Self: d.o.Self,
+		Placement: d.o.Placement,
 	})
 }
 
@@ -182,7 +185,7 @@
 // admit decides on a new job and turns its tasks into queue items.
 func (d *Dispatcher) admit(spec *contract.JobSpec, now time.Time) ([]customer.Item, error) {
 	if d.Draining() {
-		return nil, fault.With(fault.Draining, "draining", "this entry VM is stopping")
+		return nil, fault.With(fault.Draining, fault.ReasonDraining, "this entry VM is stopping")
 	}
 	items, err := d.prepare(spec, now)
 	if err != nil {
@@ -333,7 +336,7 @@
 	}
 	req := StartRequest{
 		Ticket: ticket, Worker: a.Slot.Worker, Incarnation: d.workerIncarnation(a.Slot.Worker), Epoch: a.Slot.Epoch,
-		StartBy: d.o.Now().Add(startWindow), Lease: defaultLease,
+		StartBy: d.o.Now().Add(startWindow), Lease: leaseOf(a.Item.Class),
 	}
 	d.counters.started.Inc(1)
 	d.retries.Earn()
@@ -362,6 +365,13 @@
 	}
 }
 
+func leaseOf(c backend.Class) time.Duration {
+	if c == backend.ClassLong {
+		return longLease
+	}
+	return shortLease
+}
+
 // resolve asks the worker about a start in doubt until it answers or counts as lost.
 func (d *Dispatcher) resolve(req StartRequest) (StartReply, error) {
 	until := d.o.Now().Add(resolveFor)
@@ -372,9 +382,10 @@
 			d.o.Timeline.Task(timeline.TaskResolved, req.Ticket.Task, req.Worker, reply.Outcome.String())
 			return reply, err
 		}
-		if reply.Running {
+		if fault.Reason(err) == fault.ReasonRunning {
 			until = d.o.Now().Add(resolveFor)
-		} else if d.o.Now().After(until) {
+		}
+		if d.o.Now().After(until) {
 			return StartReply{Outcome: contract.OutcomeUnknown, Detail: err.Error()}, nil
 		}
 		select {
@@ -396,7 +407,10 @@
 	requeue := d.o.Table.NotStarted(a.Item.Task, now)
 	d.wake(a.Item, l.queue.Returned(a.Item))
 	d.carryOut(l, l.Reject(a.Slot, fault.Reason(cause) == ReasonWorkerFull, now))
-	d.learnRejection(l, a, now)
+	if fault.Reason(cause) != ReasonWorkerFull {
+		// A full worker was granted twice, which is not its fault.
+		d.learnRejection(l, a, now)
+	}
 	if !requeue || d.giveUp(&a, now) {
 		return
 	}
--- a/dispatch/starter.go
+++ b/dispatch/starter.go
@@ -27,8 +27,6 @@
 	Detail  string
 	Result  []byte
 	RunTime time.Duration
-	// Running accompanies an error of Resolve: the worker has answered that the task still runs.
-	Running bool
 }
 
 // Starter sends starts to workers.
@@ -50,4 +48,6 @@
 	Return([]contract.SlotReturn)
 	// Granter returns the entry VM that grants the slots of a worker.
 	Granter(machine.WorkerID) string
+	// Scarce reports whether the granters are known to have hardly any free slots of a service.
+	Scarce(service string) bool
 }
--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/rcrowley/go-metrics"
+	"google.golang.org/grpc/credentials"
 
 	"github.com/cicadadale/cicadadale/backend"
 	"github.com/cicadadale/cicadadale/contract"
@@ -47,6 +48,8 @@
 	Connections int
 	// Events is the size of the timeline's ring; 0 takes the default, a negative number records nothing.
 	Events int
+	// CallerCredentials secure the callers' side; nil serves plain TCP.
+	CallerCredentials credentials.TransportCredentials
 	// Policy selects how workers are chosen; empty selects the default.
 	Policy  dispatch.Policy
 	Now     func() time.Time
@@ -70,6 +73,7 @@
 	capacities capacityCache
 	budget     *platform.Budget
 	claims     *claimDelegate
+	configs    *configCarrier
 	// inquiries holds a token for each claim that asks other failure domains.
 	inquiries chan struct{}
 	clock     *timeline.Clock
@@ -143,9 +147,10 @@
 		Control: workers, Capacity: d.capacity, HealthChanged: d.slots.reassign,
 		SlotOutgrown: d.slots.outgrown, DistributedQuotas: true,
 	})
-	for _, s := range o.Services {
-		d.dispatcher.AddService(s)
-	}
+	d.configs = newConfigCarrier(configCarrierOptions{
+		Log: o.Log, Budget: d.budget, Now: o.Now, Logger: o.Logger, Metrics: o.Metrics, Apply: d.applyConfiguration,
+		Verdict: d.configDecided,
+	})
 	return d, nil
 }
 
@@ -161,19 +166,18 @@
 	d.peerServer = server
 	d.serveOperators()
 	d.refreshList(ctx)
+	d.configs.begin(ctx)
 	d.pollWorkers(ctx)
-	d.rpcServer = rpc.Serve(d.o.Callers, d, d.o.Now, nil)
+	d.rpcServer = rpc.Serve(d.o.Callers, d, d.o.Now, d.o.CallerCredentials, d.o.Metrics)
 	d.loop(ctx, heartbeatInterval, func() { d.heartbeat() })
 	d.loop(ctx, delegateInterval, d.electClaims)
+	d.loops.Go(func() { d.configs.tail(ctx) })
+	d.loop(ctx, configInterval, func() { d.tendConfiguration(ctx) })
 	d.loop(ctx, listInterval, func() { d.refreshList(ctx) })
 	d.loop(ctx, statusInterval, func() { d.pollWorkers(ctx) })
 	d.loop(ctx, speedInterval, d.fleet.CentreSpeeds)
 	d.loop(ctx, quotaInterval, d.quotas.tick)
-	if d.slots.placement == nil {
-		d.loop(ctx, slotInterval, d.slots.tick)
-		d.loop(ctx, renewInterval, d.slots.renew)
-	}
-	d.loop(ctx, laneInterval, func() { d.checkLapse(); d.dispatcher.Tick() })
+	d.startSlots(ctx)
 	d.loop(ctx, expiryInterval, func() { d.table.Expire(d.o.Now()); d.homes.Expire(d.o.Now()) })
 	d.closures.start(ctx)
 	d.timeline.Record(timeline.Event{Kind: timeline.ProcessStarted})
@@ -183,6 +187,15 @@
 	return nil
 }
 
+// startSlots runs the housekeeping of lanes and granters.
+func (d *Daemon) startSlots(ctx context.Context) {
+	d.loop(ctx, laneInterval, func() { d.checkLapse(); d.dispatcher.Tick() })
+	if d.slots.placement == nil {
+		d.loop(ctx, slotInterval, d.slots.tick)
+		d.loop(ctx, renewInterval, d.slots.renew)
+	}
+}
+
 func (d *Daemon) loop(ctx context.Context, every time.Duration, fn func()) {
 	d.loops.Go(func() {
 		t := time.NewTicker(every)
@@ -210,6 +223,15 @@
 	}
 }
 
+// Kill ends everything at once, as a crash does. The jobs of this incarnation are lost.
+func (d *Daemon) Kill() {
+	cut, cancel := context.WithCancel(context.Background())
+	cancel()
+	d.peers.close()
+	d.rpcServer.Stop(cut)
+	d.kill()
+}
+
 // kill ends everything at once.
 func (d *Daemon) kill() {
 	d.cancel()
--- a/link/control.go
+++ b/link/control.go
@@ -50,7 +50,7 @@
 	req.SetRequestURI("http://" + w.Spec().Address + "/v1/tasks/" + r.Ticket.Task.String() + "/" + call)
 	req.Header.Set(HeaderIncarnation, r.Incarnation.String())
 	req.Header.Set(HeaderLease, strconv.FormatInt(r.Lease.Milliseconds(), 10))
-	if err := l.control.DoTimeout(ctx, req, resp, controlTimeout); err != nil {
+	if err := l.fences.DoTimeout(ctx, req, resp, controlTimeout); err != nil {
 		return dispatch.ControlReply{}, fault.Unavailable.Wrap(err, "%s of %s", call, r.Ticket.Task)
 	}
 	if outcome := string(resp.Header.Peek(HeaderOutcome)); outcome != OutcomeRunning {
--- a/load/soak.go
+++ b/load/soak.go
@@ -7,6 +7,7 @@
 	"net"
 	"os"
 	"path/filepath"
+	"regexp"
 	"sync"
 	"time"
 
@@ -21,7 +22,7 @@
 	soakDomains = 2
 	soakWorkers = 4 // per failure domain
 	soakSlots   = 4
-	soakCallers = 24
+	soakCallers = 32
 	// answerBound is the time after the end of all faults within which every caller has its final answer. It covers the
 	// job's deadline, the time until a lost VM counts as gone and the time for which a lost worker is asked.
 	answerBound = 20 * time.Second
@@ -31,6 +32,9 @@
 	stopBound = 65 * time.Second
 )
 
+// identifiers match what differs between two texts of the same cause.
+var identifiers = regexp.MustCompile(`(entry|worker|j)-[0-9a-f.-]+|127\.0\.0\.1:[0-9]+|[0-9a-f]{16}`)
+
 // SoakOptions select a randomised run.
 type SoakOptions struct {
 	Seed     uint64
@@ -57,6 +61,8 @@
 	JobsFailed      int            `json:"jobs_failed"`
 	JobsRefused     int            `json:"jobs_refused"`
 	TasksUnknown    int            `json:"tasks_outcome_unknown"`
+	UnknownBy       map[string]int `json:"tasks_outcome_unknown_by_detail"`
+	DaemonsFenced   int            `json:"daemons_fenced"`
 	CPUSeconds      float64        `json:"cpu_seconds"`
 	RunSeconds      float64        `json:"run_seconds"`
 }
@@ -100,6 +106,8 @@
 	// logFault holds the failures of the log in effect, the oldest first.
 	logFault []func(*standin.PlatformFaults)
 	finish   time.Time
+	// fenced counts the daemons that ended because the others counted them as gone.
+	fenced int
 }
 
 // RunSoak performs a randomised run.
@@ -117,6 +125,7 @@
 		return SoakReport{}, err
 	}
 	s.drive()
+	s.readAllInvariants()
 	s.checkJobs()
 	r := s.report()
 	r.CPUSeconds = (cpuTime() - cpu).Seconds()
@@ -196,7 +205,7 @@
 	}
 	p, err := NewEntryProcess(EntrySetup{
 		ID: id, Domain: domain, Dir: s.dir, Schema: s.schemaPath(), Log: logs.Address(), Slots: soakSlots, View: view,
-		LogLevel: "info",
+		LogLevel: "info", Ended: s.restart,
 	})
 	if err != nil {
 		return err
@@ -242,7 +251,8 @@
 	defer s.mu.Unlock()
 	s.broken[v.Check]++
 	// A failure to print must not hide the count.
-	_, _ = fmt.Fprintf(s.o.Out, "seed %d, %.3f s: %s\n", s.o.Seed, v.At.Sub(s.begin).Seconds(), v)
+	_, _ = fmt.Fprintf(s.o.Out, "start %d, seed %d, %.3f s: %s\n", s.checks[CheckStartedOnce], s.o.Seed,
+		v.At.Sub(s.begin).Seconds(), v)
 }
 
 func (s *Soak) checked(name string, n int) {
@@ -305,7 +315,8 @@
 		s.checked(CheckAnswerArrives, 1)
 		first, ok := rec.First()
 		if !ok {
-			s.violate(rec.violation(CheckAnswerArrives, -1, rec.last(), fmt.Sprintf("no final answer, last error %v", rec.last().Err)))
+			s.violate(rec.violation(CheckAnswerArrives, -1, rec.last(), fmt.Sprintf("no final answer after %d attempts, home %s, "+
+				"last error %v", len(rec.Attempts()), s.fate(rec.ID.Home), rec.last().Err)))
 			continue
 		}
 		for _, name := range []string{CheckAnswerWhole, CheckResultsRight, CheckNotRunTrue} {
@@ -315,13 +326,14 @@
 	}
 }
 
-// checkStop checks that a planned stop left no task of its jobs without an outcome, unless the worker crashed.
+// checkStop checks that a planned stop left no task of its jobs without an outcome, unless the worker crashed or was
+// taken off the list, so that it could not be asked.
 func (s *Soak) checkStop(rec *JobRecord, a Attempt) {
 	s.mu.Lock()
 	stopped := s.stopped[rec.ID.Home]
 	crashed := make(map[machine.WorkerID]bool)
 	for _, w := range s.workers {
-		crashed[w.worker.ID()] = w.crashed
+		crashed[w.worker.ID()] = w.crashed || w.gone
 	}
 	s.mu.Unlock()
 	if !stopped {
@@ -330,12 +342,29 @@
 	s.checked(CheckStopCutsNothing, 1)
 	for i, r := range a.Answer.Reports {
 		st := s.recorder.Ledger.Identity(rec.Plan.Tasks[i].Payload.Identity)
-		if r.Outcome == contract.OutcomeUnknown && !crashed[st.Worker] {
+		// A start may be in doubt at a worker that crashed before it recorded the start.
+		if r.Outcome == contract.OutcomeUnknown && !crashed[st.Worker] && !crashed[machine.WorkerID(r.Worker)] {
 			s.violate(rec.violation(CheckStopCutsNothing, i, a, "planned stop of the home left the outcome unknown: "+r.Detail))
 		}
 	}
 }
 
+// fate names the process that minted an id and says how it ended.
+func (s *Soak) fate(inc machine.Incarnation) string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	switch home := s.homes[inc]; {
+	case home == nil:
+		return "unknown"
+	case s.crashed[inc]:
+		return home.ID + " (crashed)"
+	case s.stopped[inc]:
+		return home.ID + " (stopped as planned)"
+	default:
+		return home.ID
+	}
+}
+
 func (s *Soak) jobs() []*JobRecord {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -351,7 +380,7 @@
 }
 
 func (s *Soak) report() SoakReport {
-	r := SoakReport{Seed: s.o.Seed}
+	r := SoakReport{Seed: s.o.Seed, UnknownBy: make(map[string]int)}
 	r.TasksStarted, _ = s.recorder.Ledger.Totals()
 	for _, rec := range s.jobs() {
 		r.JobsSubmitted++
@@ -369,11 +398,13 @@
 		for _, t := range first.Answer.Reports {
 			if t.Outcome == contract.OutcomeUnknown {
 				r.TasksUnknown++
+				r.UnknownBy[identifiers.ReplaceAllString(t.Detail, "*")]++
 			}
 		}
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	r.DaemonsFenced = s.fenced
 	r.FaultsInjected, r.InvariantChecks, r.ViolationsBy = s.injected, s.checks, s.broken
 	for _, n := range s.broken {
 		r.Violations += n
--- a/machine/health.go
+++ b/machine/health.go
@@ -41,6 +41,8 @@
 	// worker that fails at once would otherwise draw all the work before another one has had the time to succeed.
 	firstHold     = 20 * time.Millisecond
 	holdDoublings = 5
+	// suspicionLasts is the time without a failure after which a suspect is healthy again, even if it has run nothing.
+	suspicionLasts = 5 * time.Second
 	// successFactor is what a success leaves of the score.
 	successFactor = 0.5
 	// suspectShare divides the slots of a suspect.
@@ -117,6 +119,8 @@
 	passed   int
 	pause    time.Duration
 	until    time.Time
+	// failed is the time of the last failure.
+	failed time.Time
 	// held is the end of a suspect's time without new work.
 	held time.Time
 }
@@ -149,6 +153,7 @@
 	if e.Explained {
 		return
 	}
+	h.failed = now
 	if !e.Proven {
 		h.unproven++
 		if h.unproven >= unprovenLimit {
@@ -221,6 +226,10 @@
 }
 
 func (h *Health) tick(now time.Time) {
+	if h.state == Suspect && now.Sub(h.failed) >= suspicionLasts {
+		h.score, h.unproven, h.held = 0, 0, time.Time{}
+		h.fire(healthCleared)
+	}
 	if h.state == Quarantined && !now.Before(h.until) {
 		h.fire(healthPauseOver)
 	}
--- a/machine/health_test.go
+++ b/machine/health_test.go
@@ -132,3 +132,13 @@
 	require.InDelta(t, 1, a.Speed()*b.Speed(), 1e-6)
 	require.InDelta(t, 4, a.Speed()/b.Speed(), 0.01)
 }
+
+// Guards against a suspect that keeps few slots for ever because nothing is started on it.
+func TestSuspicionEnds(t *testing.T) {
+	var h Health
+	h.Observe(failure, epoch)
+	h.Observe(failure, epoch)
+	require.Equal(t, Suspect, h.State())
+	require.True(t, h.Tick(epoch.Add(suspicionLasts)))
+	require.Equal(t, Healthy, h.State())
+}
--- a/standin/worker.go
+++ b/standin/worker.go
@@ -91,6 +91,7 @@
 
 // workerTask is a task that the worker knows: running, ended, or fenced before it started.
 type workerTask struct {
+	id      string
 	life    *workerLife
 	fenced  bool
 	done    chan struct{}
@@ -307,7 +308,10 @@
 	w.mu.Lock()
 	s := link.WorkerStatus{
 		Incarnation: w.life.incarnation.String(), ClockMS: w.life.clock().Milliseconds(), Slots: w.o.Slots,
-		Busy: w.life.busy, Leaving: w.leaving,
+		Busy: w.life.busy, Leaving: w.leaving, Tasks: []string{},
+	}
+	for id := range w.life.running {
+		s.Tasks = append(s.Tasks, id)
 	}
 	w.mu.Unlock()
 	c.JSON(200, s)
