--- a/entry/messages.go
+++ b/entry/messages.go
@@ -34,8 +34,8 @@
 	for _, m := range env.GetMessages() {
 		if h := m.GetHeartbeat(); h != nil {
 			leaving = h.GetLeaving()
-			d.quotas.setFounded(h.GetQuotaFounded())
 			d.heardConfiguration(vm, h.GetConfigOffset())
+			d.quotas.setFounded(h.GetQuotaFounded())
 		}
 	}
 	d.applyChanges(d.domain.Heard(vm, inc, leaving, now))
--- /dev/null
+++ b/entry/quota_test.go
@@ -0,0 +1,69 @@
+package entry
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/cicadadale/cicadadale/contract"
+	"github.com/cicadadale/cicadadale/customer"
+	"github.com/cicadadale/cicadadale/dispatch"
+)
+
+// Guards against quota that is created or stuck while it moves between entry VMs, through a partition, and against a
+// team that is not served where its work is.
+func TestQuotaFollowsDemand(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newTestCluster(t, dispatch.PolicyDefault, 3, 6)
+		defer c.close()
+		key := customer.TeamKey{Customer: "c", Team: "t"}
+		for _, m := range c.members {
+			require.NoError(t, m.dispatcher.ApplyCustomers(customer.Settings{
+				Revision: 1, Domains: []uint16{1, 2}, Customers: []customer.Spec{
+					{Name: key.Customer, Teams: []customer.TeamSpec{{Name: key.Team, Slots: 40}}},
+				},
+			}))
+		}
+		held := func() (sum int) {
+			for _, m := range c.members {
+				for _, u := range m.dispatcher.Teams().Usages() {
+					sum += u.Share
+				}
+			}
+			return sum
+		}
+		run := func(d time.Duration) {
+			for range int(d / quotaInterval) {
+				time.Sleep(quotaInterval)
+				for _, m := range c.members {
+					m.quotas.tick()
+				}
+				synctest.Wait()
+				require.LessOrEqual(t, held(), 20, "the failure domain founds half of the quota")
+			}
+		}
+		run(foundingDelay + 2*time.Second)
+		require.Equal(t, 20, held())
+		busy := c.members[c.vms[0].ID]
+		spec := contract.JobSpec{
+			ID: busy.table.Mint(1)[0], Service: testService, Customer: key.Customer, Team: key.Team,
+		}
+		for range 30 {
+			spec.Tasks = append(spec.Tasks, contract.TaskSpec{Kind: shortKind, Payload: payload(8*time.Second, time.Now())})
+		}
+		require.NoError(t, busy.dispatcher.Submit(spec))
+		c.net.sever(func(string, string) bool { return true })
+		run(time.Second)
+		c.net.sever(nil)
+		run(5 * time.Second)
+		for _, u := range busy.dispatcher.Teams().Usages() {
+			require.GreaterOrEqual(t, u.Share, 18, "the others give what they do not need")
+		}
+		run(30 * time.Second)
+		a, _, err := busy.table.Lookup(spec.ID)
+		require.NoError(t, err)
+		require.Equal(t, contract.VerdictComplete, a.Verdict)
+	})
+}
