--- /dev/null
+++ b/standin/control_test.go
@@ -0,0 +1,93 @@
+package standin
+
+import (
+	"context"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/cicadadale/cicadadale/backend"
+	"github.com/cicadadale/cicadadale/contract"
+	"github.com/cicadadale/cicadadale/dispatch"
+	"github.com/cicadadale/cicadadale/link"
+	"github.com/cicadadale/cicadadale/machine"
+	"github.com/cicadadale/cicadadale/timeline"
+)
+
+// startTask starts a task of an hour and returns its request and the channel of its reply.
+func startTask(t *testing.T, lease time.Duration) (*link.Workers, dispatch.StartRequest, <-chan dispatch.StartReply) {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	started := make(chan string, 1)
+	w := NewWorker(l, WorkerOptions{
+		ID: "w", Slots: 1, Started: func(task string) { started <- task },
+		Work: func(string, string, []byte) ([]byte, time.Duration, error) { return nil, time.Hour, nil },
+	})
+	t.Cleanup(func() { _ = w.Close() })
+	fleet := machine.NewFleet()
+	known, _ := fleet.Upsert(machine.WorkerSpec{ID: "w", Address: w.Address(), Service: "s", Slots: 1})
+	workers, err := link.NewWorkers(fleet, 7, 2, &timeline.Clock{})
+	require.NoError(t, err)
+	_, err = workers.Poll(context.Background(), known, time.Now)
+	require.NoError(t, err)
+	req := dispatch.StartRequest{
+		Ticket: contract.StartTicket{
+			Task: contract.TaskID{Job: contract.JobID{Domain: 1, Home: 7, Seq: 1}}, Service: "s", Kind: "k",
+		},
+		Worker: "w", Incarnation: known.Incarnation(), StartBy: time.Now().Add(time.Minute), Lease: lease,
+	}
+	replies := make(chan dispatch.StartReply, 1)
+	go func() {
+		reply, err := workers.Start(context.Background(), req)
+		if err == nil {
+			replies <- reply
+		}
+		close(replies)
+	}()
+	<-started
+	return workers, req, replies
+}
+
+// Guards against a stopped task that is reported as not run or done, and against calls that reach another process.
+func TestStop(t *testing.T) {
+	workers, req, replies := startTask(t, time.Minute)
+	other := req
+	other.Incarnation++
+	_, err := workers.Act(context.Background(), other, backend.StragglerStop)
+	require.Error(t, err)
+	require.NoError(t, workers.Renew(context.Background(), req))
+	reply, err := workers.Act(context.Background(), req, backend.StragglerStop)
+	require.NoError(t, err)
+	require.False(t, reply.SlotFreed)
+	end := <-replies
+	require.Equal(t, contract.OutcomeFailed, end.Outcome)
+	require.Equal(t, link.StoppedByHome, end.Detail)
+	require.Error(t, workers.Renew(context.Background(), req), "the task has ended")
+}
+
+// Guards against a task that keeps its slot after it was throttled or checkpointed, and against a slot that is freed
+// twice.
+func TestThrottleAndCheckpointFreeTheSlot(t *testing.T) {
+	for _, action := range []backend.StragglerAction{backend.StragglerThrottle, backend.StragglerCheckpoint} {
+		workers, req, replies := startTask(t, time.Minute)
+		for range 2 {
+			reply, err := workers.Act(context.Background(), req, action)
+			require.NoError(t, err)
+			require.True(t, reply.SlotFreed)
+		}
+		_, err := workers.Act(context.Background(), req, backend.StragglerStop)
+		require.NoError(t, err)
+		require.Equal(t, contract.OutcomeFailed, (<-replies).Outcome)
+	}
+}
+
+// Guards against a task that runs on although its home has stopped renewing the lease.
+func TestLapsedLeaseStopsTheTask(t *testing.T) {
+	_, _, replies := startTask(t, 20*time.Millisecond)
+	end := <-replies
+	require.Equal(t, contract.OutcomeFailed, end.Outcome)
+	require.Equal(t, link.StoppedLapsed, end.Detail)
+}
