--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -49,8 +49,8 @@
 	// Capacity returns the slots that serve a service's queue on this entry VM, each counted with its worker's speed,
 	// and the number of workers of the service. Without it no job is refused for its expected wait.
 	Capacity func(service string) (slots float64, workers int)
-	// HealthChanged is called when a worker has become healthy or unhealthy; it may be nil.
-	HealthChanged func()
+	// HealthChanged is called with the new state when the health of a worker has changed; it may be nil.
+	HealthChanged func(machine.WorkerID, machine.HealthState)
 	// SlotOutgrown is called when a slot counts as held by long work from now on; it may be nil.
 	SlotOutgrown func(service string, worker machine.WorkerID)
 	// MaxWaiting and MaxWaitingBytes bound the waiting tasks and their payloads; zero takes the defaults.
--- a/dispatch/learn.go
+++ b/dispatch/learn.go
@@ -72,9 +72,10 @@
 }
 
 func (d *Dispatcher) healthChanged(w *machine.Worker, now time.Time) {
-	d.o.Logger.Info("worker health changed", "worker", w.Spec().ID, "health", w.HealthAt(now).String())
+	id, state := w.Spec().ID, w.HealthAt(now)
+	d.o.Logger.Info("worker health changed", "worker", id, "health", state.String())
 	if d.o.HealthChanged != nil {
-		d.o.HealthChanged()
+		d.o.HealthChanged(id, state)
 	}
 }
 
--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -144,7 +144,7 @@
 	d.dispatcher = dispatch.New(dispatch.Options{
 		Table: d.table, Starter: workers, Broker: d.slots, Self: o.VM.ID, Placement: d.slots.placement,
 		Fleet: d.fleet, Now: o.Now, Logger: o.Logger, Metrics: o.Metrics, Timeline: d.timeline,
-		Control: workers, Capacity: d.capacity, HealthChanged: d.slots.reassign,
+		Control: workers, Capacity: d.capacity, HealthChanged: d.healthChanged,
 		SlotOutgrown: d.slots.outgrown, DistributedQuotas: true,
 	})
 	d.configs = newConfigCarrier(configCarrierOptions{
--- a/entry/messages.go
+++ b/entry/messages.go
@@ -63,6 +63,8 @@
 		if d.serving.begin() {
 			go d.serveRequest(vm, b.Request)
 		}
+	case *api.PeerMessage_WorkerWarning:
+		d.warned(b.WorkerWarning)
 	case *api.PeerMessage_Response:
 		d.peers.reply(vm, b.Response)
 	case *api.PeerMessage_Closure:
--- a/machine/health.go
+++ b/machine/health.go
@@ -218,6 +218,18 @@
 	return h.state != before
 }
 
+// Warn takes over that another entry VM has quarantined the worker. Its judgement may come from its own network, so
+// that the worker is only suspected: it gets fewer slots, and half of the failures suffice for a quarantine here.
+func (h *Health) Warn(now time.Time) bool {
+	before := h.state
+	h.tick(now)
+	if h.state == Healthy {
+		h.score, h.failed = max(h.score, suspectScore), now
+		h.fire(healthSuspected)
+	}
+	return h.state != before
+}
+
 // Tick ends a quarantine whose pause is over and reports whether the state has changed.
 func (h *Health) Tick(now time.Time) bool {
 	before := h.state
--- a/machine/health_test.go
+++ b/machine/health_test.go
@@ -142,3 +142,19 @@
 	require.True(t, h.Tick(epoch.Add(suspicionLasts)))
 	require.Equal(t, Healthy, h.State())
 }
+
+// Guards against each entry VM losing as many tasks as the first one, and against a warning that suffices for a
+// quarantine.
+func TestWarning(t *testing.T) {
+	var h Health
+	require.True(t, h.Warn(epoch))
+	require.Equal(t, 2, h.Slots(8, epoch))
+	h.Observe(failure, epoch)
+	h.Observe(failure, epoch)
+	require.Equal(t, Quarantined, h.State())
+	var good Health
+	good.Warn(epoch)
+	good.Observe(success, epoch)
+	require.Equal(t, Healthy, good.State())
+	require.False(t, h.Warn(epoch), "a quarantine is not shortened")
+}
--- a/machine/worker.go
+++ b/machine/worker.go
@@ -147,6 +147,13 @@
 	return w.health.Forgive(failures, now)
 }
 
+// Warn takes over that another entry VM has quarantined an incarnation of the worker.
+func (w *Worker) Warn(inc Incarnation, now time.Time) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.incarnation == inc && w.health.Warn(now)
+}
+
 // HealthAt returns the health at now.
 func (w *Worker) HealthAt(now time.Time) HealthState {
 	w.mu.Lock()
