--- a/customer/admission_test.go
+++ b/customer/admission_test.go
@@ -1,6 +1,7 @@
 package customer
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -14,11 +15,20 @@
 	return Load{Work: 5 * task, Typical: task, Longest: task, Deadline: deadline}
 }
 
-// crest runs admission and a fluid server with the given slots against steady demands, one for each customer, and
-// returns the answered and the late work and the share of the time in which the slots were busy. It is a function of
-// time without any clock.
-func crest(demands []float64, slots int, deadline time.Duration) (served, late, busy float64) {
+func steady(time.Duration) float64 { return 1 }
+
+// figures are the answered and the late tasks of a simulation, the share of the time in which the slots were busy, and
+// the time of the last refusal.
+type figures struct {
+	served, late, busy float64
+	refused            time.Duration
+}
+
+// crest runs admission and a fluid server with the given slots for 20 s against demands, one for each customer, that
+// change by the given factor over time. It is a function of time without any clock.
+func crest(demands []float64, slots int, deadline time.Duration, factor func(time.Duration) float64) figures {
 	const step, steps = 10 * time.Millisecond, 2000
+	var f figures
 	q := NewQueue(NewTeams(false))
 	now, job := epoch, 0
 	owed := make([]float64, len(demands))
@@ -28,10 +38,11 @@
 		q.Advance(now)
 		for n, demand := range demands {
 			who := string(rune('a' + n))
-			for owed[n] += demand * float64(slots) * step.Seconds() / 0.2; owed[n] >= 5; owed[n] -= 5 {
+			for owed[n] += demand * factor(now.Sub(epoch)) * float64(slots) * step.Seconds() / 0.2; owed[n] >= 5; owed[n] -= 5 {
 				job++
 				load := oneSecond(now.Add(deadline))
 				if !Admit(q.Backlog(TeamKey{who, "t"}, 0), load, float64(slots), now).Admit {
+					f.refused = now.Sub(epoch)
 					continue
 				}
 				items := tasks(job, 5, who, "t", 200*time.Millisecond)
@@ -43,23 +54,24 @@
 		}
 		for i := range free {
 			if free[i].After(now) {
-				busy++
+				f.busy++
 				continue
 			}
 			it, ok := q.Pop(false)
 			if !ok {
 				continue
 			}
-			busy++
+			f.busy++
 			free[i] = now.Add(200 * time.Millisecond)
 			if free[i].After(it.Deadline) {
-				late++
+				f.late++
 			} else {
-				served++
+				f.served++
 			}
 		}
 	}
-	return served, late, busy / float64(steps*slots)
+	f.busy /= float64(steps * slots)
+	return f
 }
 
 // Guards against work that is accepted and answered too late, and against refusals that leave slots idle at a crest,
@@ -76,9 +88,9 @@
 			demands[0] -= part
 			demands = append(demands, part)
 		}
-		served, late, busy := crest(demands, slots, deadline)
-		require.GreaterOrEqual(t, busy, 0.95)
-		require.GreaterOrEqual(t, served/(served+late), 0.97)
+		f := crest(demands, slots, deadline, steady)
+		require.GreaterOrEqual(t, f.busy, 0.95)
+		require.GreaterOrEqual(t, f.served/(f.served+f.late), 0.97)
 	})
 }
 
@@ -86,11 +98,28 @@
 func TestNoRefusalBelowCapacity(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		slots := rapid.IntRange(10, 60).Draw(t, "slots")
-		served, late, _ := crest([]float64{0.7}, slots, 3*time.Second)
+		f := crest([]float64{0.7}, slots, 3*time.Second, steady)
 		want := float64(int(0.7*float64(slots)*20/0.2/5)) * 5
-		require.Zero(t, late)
+		require.Zero(t, f.late)
+		require.Zero(t, f.refused)
 		// Work of the last second may still run.
-		require.GreaterOrEqual(t, served, want-0.7*float64(slots)*5-5)
+		require.GreaterOrEqual(t, f.served, want-0.7*float64(slots)*5-5)
+	})
+}
+
+// Guards against refusals that go on, or come back, after a crest. The bound is that of section 1.3 of the design page.
+func TestRecoveryAfterTheCrest(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		slots := rapid.IntRange(20, 187).Draw(t, "slots")
+		height := rapid.Float64Range(1.2, 4).Draw(t, "crest")
+		const end = 10 * time.Second
+		f := crest([]float64{1}, slots, 3*time.Second, func(at time.Duration) float64 {
+			if at < end {
+				return height
+			}
+			return 0.7
+		})
+		require.LessOrEqual(t, f.refused, end+2*time.Second)
 	})
 }
 
@@ -141,3 +170,14 @@
 		}
 	})
 }
+
+func BenchmarkAdmit490Customers(b *testing.B) {
+	q := NewQueue(NewTeams(false))
+	for n := range 490 {
+		q.Push(tasks(n+1, 20, fmt.Sprint(n), "t", 200*time.Millisecond))
+		q.Pop(false)
+	}
+	for b.Loop() {
+		Admit(q.Backlog(TeamKey{"0", "t"}, 0), oneSecond(epoch.Add(time.Second)), 187, epoch)
+	}
+}
