customer: do not refuse for the tail of a kind while nothing waits

Cause: with 1% of runs up to 8 s the bound of a job's longest task exceeded the deadline of 5 s, so jobs were refused at 70% load. Change: the bound counts for at most half of the time that remains.

--- a/customer/admission.go
+++ b/customer/admission.go
@@ -129,7 +129,10 @@
 // this work still meets them. There is no state besides the queue, so that admission follows a crest and its end at
 // once and cannot oscillate.
 func Admit(b Backlog, l Load, slots float64, now time.Time) Verdict {
-	allowed := l.Deadline.Sub(now) - l.Longest
+	remaining := l.Deadline.Sub(now)
+	// A kind with a few very long runs must not have its jobs refused while nothing waits.
+	l.Longest = max(l.Typical, min(l.Longest, remaining/2))
+	allowed := remaining - l.Longest
 	if b.Work > 0 {
 		// While tasks wait all slots are busy, on average with half of a task before them.
 		allowed -= l.Typical / 2
--- a/customer/admission_test.go
+++ b/customer/admission_test.go
@@ -134,6 +134,17 @@
 	require.True(t, Admit(q.Backlog(TeamKey{"calm", "t"}, 0), load, 10, epoch).Admit)
 }
 
+// Guards against jobs of a kind with a few very long runs that are refused although nothing waits, and against jobs that
+// are accepted although already a usual run takes too long.
+func TestLongTailIsNoReasonToRefuse(t *testing.T) {
+	q := NewQueue(NewTeams(false))
+	l := oneSecond(epoch.Add(3 * time.Second))
+	l.Longest = 10 * time.Second
+	require.True(t, Admit(q.Backlog(TeamKey{"a", "t"}, 0), l, 10, epoch).Admit)
+	l.Typical = 4 * time.Second
+	require.False(t, Admit(q.Backlog(TeamKey{"a", "t"}, 0), l, 10, epoch).Admit)
+}
+
 // Guards against an urgent job that is refused although it would be served before the rest of its team's work, and
 // against one that makes accepted jobs late.
 func TestUrgentJobOvertakesWithinItsTeam(t *testing.T) {
