--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -142,7 +142,7 @@
 		Self: o.VM.Incarnation, Log: o.Log, Budget: d.budget, Now: o.Now, Logger: o.Logger, Metrics: o.Metrics,
 	})
 	d.dispatcher = dispatch.New(dispatch.Options{
-		Table: d.table, Starter: workers, Broker: d.slots, Self: o.VM.ID, Placement: d.slots.placement,
+		Table: d.table, Starter: workers, Broker: d.slots, Self: o.VM.ID, Placement: d.slots.placement, MayStart: d.mayStart,
 		Fleet: d.fleet, Now: o.Now, Logger: o.Logger, Metrics: o.Metrics, Timeline: d.timeline,
 		Control: workers, Capacity: d.capacity, HealthChanged: d.healthChanged,
 		SlotOutgrown: d.slots.outgrown, DistributedQuotas: true,
@@ -179,6 +179,7 @@
 	d.loop(ctx, speedInterval, d.fleet.CentreSpeeds)
 	d.loop(ctx, quotaInterval, d.quotas.tick)
 	d.loop(ctx, expiryInterval, func() { d.table.Expire(d.o.Now()); d.homes.Expire(d.o.Now()) })
+	d.loop(ctx, expiryInterval, d.claims.expire)
 	d.closures.start(ctx)
 	d.timeline.Record(timeline.Event{Kind: timeline.ProcessStarted})
 	d.operators.serving.Store(true)
--- a/load/soakcaller.go
+++ b/load/soakcaller.go
@@ -27,6 +27,8 @@
 type Gateways struct {
 	mu      sync.Mutex
 	clients map[string]*rpc.Client
+	// former are clients that calls in progress may still use.
+	former []*rpc.Client
 }
 
 // NewGateways returns an empty set.
@@ -46,10 +48,24 @@
 	return c, err
 }
 
+// Forget drops the client of an address with the job ids that it has fetched ahead: the process that minted them has
+// ended, and jobs submitted under them would only be answered as lost.
+func (g *Gateways) Forget(address string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if c, ok := g.clients[address]; ok {
+		g.former = append(g.former, c)
+		delete(g.clients, address)
+	}
+}
+
 // Close ends all connections.
 func (g *Gateways) Close() {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	for _, c := range g.former {
+		c.Close()
+	}
 	for _, c := range g.clients {
 		c.Close()
 	}
@@ -205,7 +221,7 @@
 
 // attempt submits a job to one entry VM and reports whether the answer is final.
 func (s *Soak) attempt(r *JobRecord, p *EntryProcess) bool {
-	a := Attempt{Sent: time.Now()}
+	a := Attempt{Entry: p.ID, Sent: time.Now()}
 	ctx, cancel := context.WithTimeout(context.Background(), attemptTimeout)
 	defer cancel()
 	client, err := s.gateways.Client(p.Callers)
