--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -19,8 +19,10 @@
 
 const (
 	defaultDeadline = 10 * time.Second
-	// defaultLease is how long a task runs on when its home has gone.
-	defaultLease = 5 * time.Second
+	// shortLease and longLease are how long a task of a class runs on when its home has gone. A start that is not
+	// answered for as long is in doubt, so that they exceed what most tasks of the class take.
+	shortLease = 10 * time.Second
+	longLease  = 30 * time.Second
 	// startWindow is how long after the decision a worker may still start the task.
 	startWindow = time.Second
 	// resolveDelay spaces the attempts to ask a worker about a start in doubt.
@@ -49,8 +51,8 @@
 	// Capacity returns the slots that serve a service's queue on this entry VM, each counted with its worker's speed,
 	// and the number of workers of the service. Without it no job is refused for its expected wait.
 	Capacity func(service string) (slots float64, workers int)
-	// HealthChanged is called when a worker has become healthy or unhealthy; it may be nil.
-	HealthChanged func()
+	// HealthChanged is called with the new state when the health of a worker has changed; it may be nil.
+	HealthChanged func(machine.WorkerID, machine.HealthState)
 	// SlotOutgrown is called when a slot counts as held by long work from now on; it may be nil.
 	SlotOutgrown func(service string, worker machine.WorkerID)
 	// MaxWaiting and MaxWaitingBytes bound the waiting tasks and their payloads; zero takes the defaults.
@@ -348,7 +350,7 @@
 	}
 	req := StartRequest{
 		Ticket: ticket, Worker: a.Slot.Worker, Incarnation: d.workerIncarnation(a.Slot.Worker), Epoch: a.Slot.Epoch,
-		StartBy: d.o.Now().Add(startWindow), Lease: defaultLease,
+		StartBy: d.o.Now().Add(startWindow), Lease: leaseOf(a.Item.Class),
 	}
 	d.counters.started.Inc(1)
 	d.retries.Earn()
@@ -377,6 +379,13 @@
 	}
 }
 
+func leaseOf(c backend.Class) time.Duration {
+	if c == backend.ClassLong {
+		return longLease
+	}
+	return shortLease
+}
+
 // resolve asks the worker about a start in doubt until it answers or counts as lost.
 func (d *Dispatcher) resolve(req StartRequest) (StartReply, error) {
 	until := d.o.Now().Add(resolveFor)
--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -146,7 +146,7 @@
 		Table: d.table, Starter: pollingStarter{Starter: workers, d: d}, Broker: d.slots, Self: o.VM.ID,
 		Placement: d.slots.placement, MayStart: d.mayStart,
 		Fleet: d.fleet, Now: o.Now, Logger: o.Logger, Metrics: o.Metrics, Timeline: d.timeline,
-		Control: workers, Capacity: d.capacity, HealthChanged: d.slots.reassign,
+		Control: workers, Capacity: d.capacity, HealthChanged: d.healthChanged,
 		SlotOutgrown: d.slots.outgrown, DistributedQuotas: true,
 	})
 	d.configs = newConfigCarrier(configCarrierOptions{
