--- a/contract/configuration.go
+++ b/contract/configuration.go
@@ -26,6 +26,8 @@
 	Slots           int     `json:"slots,omitempty"`
 	StartsPerSecond float64 `json:"starts_per_second,omitempty"`
 	Burst           float64 `json:"burst,omitempty"`
+	// QuotaRevision is the revision that last changed Slots or StartsPerSecond. Readers set it; a patch does not.
+	QuotaRevision uint64 `json:"quota_revision,omitempty"`
 }
 
 // WorkerClassConfig declares a class of workers.
@@ -63,6 +65,22 @@
 	}
 }
 
+// withQuotaRevisions returns the document with the quota revision of each team, given the document before and the
+// revision that the change makes.
+func (d ConfigDocument) withQuotaRevisions(before ConfigDocument, revision uint64) ConfigDocument {
+	teams := maps.Clone(d.Teams)
+	for name, t := range teams {
+		old, ok := before.Teams[name]
+		t.QuotaRevision = old.QuotaRevision
+		if !ok || old.Slots != t.Slots || old.StartsPerSecond != t.StartsPerSecond {
+			t.QuotaRevision = revision
+		}
+		teams[name] = t
+	}
+	d.Teams = teams
+	return d
+}
+
 func patched[V any](old map[string]V, changes map[string]*V) map[string]V {
 	if len(changes) == 0 {
 		return old
--- a/customer/admission.go
+++ b/customer/admission.go
@@ -10,7 +10,7 @@
 const (
 	// waitMargin is the factor on the work ahead that covers the error of the expected wait: work of other customers arrives in
 	// bursts, and slots change hands.
-	waitMargin = 1.25
+	waitMargin = 1.5
 	// shortestRetry and longestRetry bound the hint after which time a refused job may be submitted again.
 	shortestRetry = 100 * time.Millisecond
 	longestRetry  = 10 * time.Second
@@ -129,7 +129,10 @@
 // this work still meets them. There is no state besides the queue, so that admission follows a crest and its end at
 // once and cannot oscillate.
 func Admit(b Backlog, l Load, slots float64, now time.Time) Verdict {
-	allowed := l.Deadline.Sub(now) - l.Longest
+	remaining := l.Deadline.Sub(now)
+	// A kind with a few very long runs must not have its jobs refused while nothing waits.
+	l.Longest = max(l.Typical, min(l.Longest, remaining/2))
+	allowed := remaining - l.Longest
 	if b.Work > 0 {
 		// While tasks wait all slots are busy, on average with half of a task before them.
 		allowed -= l.Typical / 2
--- a/dispatch/bench_test.go
+++ b/dispatch/bench_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"log/slog"
+	"math"
 	"net"
 	"runtime"
 	"sync"
@@ -92,6 +93,8 @@
 		Table: table, Starter: starter, Broker: broker, Self: benchSelf, Fleet: fleet, Now: time.Now,
 		Logger: slog.New(slog.DiscardHandler), Metrics: metrics.NewRegistry(),
 		Timeline: timeline.NewRing(timeline.Process{}, 1<<14, &timeline.Clock{}, time.Now),
+		// The benchmark submits as fast as it can.
+		MaxWaiting: math.MaxInt, MaxWaitingBytes: math.MaxInt,
 	})
 	broker.dispatcher = d
 	d.AddService(backend.NewService(benchService, []backend.KindSpec{{Name: "Work", Expected: 100 * time.Millisecond}}))
--- a/dispatch/starter.go
+++ b/dispatch/starter.go
@@ -27,8 +27,6 @@
 	Detail  string
 	Result  []byte
 	RunTime time.Duration
-	// Running accompanies an error of Resolve: the worker has answered that the task still runs.
-	Running bool
 }
 
 // Starter sends starts to workers.
--- a/entry/claims.go
+++ b/entry/claims.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"log/slog"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
@@ -65,6 +66,12 @@
 	table *contract.ClaimTable
 	wake  chan struct{}
 
+	// barriers numbers the reads on behalf of lookups. The holder of the token in reading reads and guards
+	// barrierRead, the number of the last read that came to the end of the stream.
+	barriers    atomic.Uint64
+	reading     chan struct{}
+	barrierRead uint64
+
 	mu       sync.Mutex
 	closed   bool
 	cancel   context.CancelFunc
@@ -83,7 +90,7 @@
 
 func newClaimDelegate(o claimDelegateOptions) *claimDelegate {
 	return &claimDelegate{
-		o: o, table: contract.NewClaimTable(), wake: make(chan struct{}, 1),
+		o: o, table: contract.NewClaimTable(), wake: make(chan struct{}, 1), reading: make(chan struct{}, 1),
 		waiting: make(map[contract.CallerKey][]*claimWaiter), caughtUp: make(chan struct{}),
 	}
 }
@@ -136,15 +143,21 @@
 	}
 	c.mu.Lock()
 	idle := c.cancel != nil && c.o.Now().Sub(c.lastUse) > delegateIdle
-	now := c.o.Now()
-	if !c.newest.IsZero() && c.newest.Before(now) {
-		// Of the two clocks the one that lies behind keeps more.
-		now = c.newest
-	}
 	c.mu.Unlock()
 	if idle {
 		c.stop()
 	}
+}
+
+// expire drops bindings that have served their time. The log's clock decides, as it does for claims; if the own clock
+// lies behind it, that one keeps more.
+func (c *claimDelegate) expire() {
+	c.mu.Lock()
+	now := c.newest
+	c.mu.Unlock()
+	if own := c.o.Now(); own.Before(now) {
+		now = own
+	}
 	c.table.Expire(now)
 }
 
@@ -225,18 +238,26 @@
 		return id, true, nil
 	case !complete:
 		return contract.JobID{}, false, fault.Unavailable.New("records that may hold a claim of key %s are missing", k)
+	case c.claiming(k):
+		return contract.JobID{}, false, fault.Unavailable.New("key %s is being claimed", k)
 	case err == nil:
 		return contract.JobID{}, false, nil
-	case c.read() && !c.claiming(k):
+	case c.read():
 		return contract.JobID{}, false, fault.With(fault.Overloaded, reasonNotClaimed, "key %s was not claimed here", k)
 	default:
-		return contract.JobID{}, false, err
+		return contract.JobID{}, false, fault.With(fault.Unavailable, reasonNotRead, "the log was not read here: %s", err)
 	}
 }
 
-const reasonNotClaimed = "not claimed here"
+const (
+	// reasonNotClaimed says that this process was up to date before the outage and knows no claim of the key.
+	reasonNotClaimed = "not claimed here"
+	// reasonNotRead says that this process has not claimed the key, but knows nothing of others' claims.
+	reasonNotRead = "not read here"
+)
 
-// barrier reads to the present end of the stream.
+// barrier reads to the present end of the stream. Lookups that arrive during a read share the next one, since the
+// connections to the log are few.
 func (c *claimDelegate) barrier(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, barrierTimeout)
 	defer cancel()
@@ -251,6 +272,18 @@
 	case <-ctx.Done():
 		return fault.Unavailable.New("the stream of claims has not been read yet")
 	}
+	arrived := c.barriers.Load()
+	select {
+	case c.reading <- struct{}{}:
+		defer func() { <-c.reading }()
+	case <-ctx.Done():
+		return fault.Unavailable.New("too many lookups wait for the log")
+	}
+	if c.barrierRead > arrived {
+		// A read that began after this lookup has come to the end of the stream.
+		return nil
+	}
+	number := c.barriers.Add(1)
 	for {
 		page, err := c.o.Log.Read(ctx, claimStream, c.table.Next(), claimPageLimit, 0)
 		if err != nil {
@@ -258,6 +291,7 @@
 		}
 		c.applyPage(page)
 		if c.table.Next() >= page.Next {
+			c.barrierRead = number
 			return nil
 		}
 	}
--- a/entry/cluster_test.go
+++ b/entry/cluster_test.go
@@ -25,8 +25,6 @@
 	"github.com/cicadadale/cicadadale/machine"
 	"github.com/cicadadale/cicadadale/metric"
 	"github.com/cicadadale/cicadadale/platform"
-	"github.com/cicadadale/cicadadale/timeline"
-	"github.com/cicadadale/cicadadale/zone"
 )
 
 const (
@@ -273,8 +271,12 @@
 	speeds  map[machine.WorkerID]float64
 	specs   []machine.WorkerSpec
 	vms     []platform.VM
-	members map[string]*testMember
 	policy  dispatch.Policy
+
+	mu      sync.Mutex
+	members map[string]*testMember
+	// registries are those of all processes, ended ones included.
+	registries []metrics.Registry
 	// before are the counts at the start of the load.
 	before map[string]int64
 }
@@ -328,29 +330,15 @@
 func (c *testCluster) start(id string) {
 	inc := machine.NewIncarnation()
 	m := &testMember{metrics: metrics.NewRegistry()}
-	d := &Daemon{
-		o: Options{
-			VM: machine.EntryVM{ID: id, PeerAddress: id, Incarnation: inc}, Domain: 1, Policy: c.policy, Now: time.Now,
-			Logger:  slog.New(slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{Level: slog.LevelError})),
-			Metrics: m.metrics,
-			DialPeer: func(ctx context.Context, address string) (net.Conn, error) {
-				return c.net.dial(ctx, id, address)
-			},
-		},
-		fleet: machine.NewFleet(), domain: zone.NewFailureDomain(1, id), table: contract.NewJobTable(1, inc),
-		clock: &timeline.Clock{}, homes: zone.NewHomes(), lease: zone.NewAnswerLease(), handovers: newHandOvers(),
-		serving: newGate(maxServed), lost: make(chan struct{}), started: time.Now(),
-	}
-	m.Daemon = d
-	d.closures = newClosureLog(d)
-	d.timeline = newTimeline(d.o, d.clock)
-	d.configs = newConfigCarrier(configCarrierOptions{Now: time.Now, Logger: d.o.Logger, Metrics: m.metrics})
-	d.peers = newPeers(d)
-	d.slots = newSlotDirectory(d)
-	d.quotas = newQuotaCarrier(d)
-	d.configs = newConfigCarrier(configCarrierOptions{
-		Log: d.o.Log, Budget: platform.NewBudget(appendBudget), Now: time.Now, Logger: d.o.Logger, Metrics: m.metrics,
+	d, err := New(Options{
+		VM: machine.EntryVM{ID: id, PeerAddress: id, Incarnation: inc}, Domain: 1, Policy: c.policy, Now: time.Now,
+		Logger:  slog.New(slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{Level: slog.LevelError})),
+		Metrics: m.metrics, Connections: slotsPerWorker,
+		DialPeer: func(ctx context.Context, address string) (net.Conn, error) { return c.net.dial(ctx, id, address) },
 	})
+	require.NoError(c.t, err)
+	m.Daemon = d
+	// The link to workers is replaced by a model.
 	d.dispatcher = dispatch.New(dispatch.Options{
 		Table: d.table, Starter: testHome{workers: c.workers, vm: id}, Broker: d.slots, Self: id,
 		Placement: d.slots.placement, Fleet: d.fleet, Now: time.Now, Logger: d.o.Logger, Metrics: m.metrics,
@@ -381,13 +369,35 @@
 	d.loop(ctx, heartbeatInterval, d.heartbeat)
 	d.loop(ctx, statusInterval, poll)
 	d.startSlots(ctx)
+	c.mu.Lock()
+	defer c.mu.Unlock()
 	c.members[id] = m
+	c.registries = append(c.registries, m.metrics)
+}
+
+func (c *testCluster) member(id string) *testMember {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.members[id]
+}
+
+// processes returns the running processes.
+func (c *testCluster) processes() []*testMember {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	out := make([]*testMember, 0, len(c.members))
+	for _, m := range c.members {
+		out = append(out, m)
+	}
+	return out
 }
 
 // stop ends the process on an entry VM without any notice.
 func (c *testCluster) stop(id string) {
+	c.mu.Lock()
 	m := c.members[id]
 	delete(c.members, id)
+	c.mu.Unlock()
 	m.cancel()
 	m.loops.Wait()
 	m.peers.close()
@@ -396,14 +406,14 @@
 }
 
 func (c *testCluster) close() {
-	for id := range c.members {
-		c.stop(id)
+	for _, m := range c.processes() {
+		c.stop(m.o.VM.ID)
 	}
 }
 
 // submit queues one job.
 func (c *testCluster) submit(id, kind string, runs ...time.Duration) {
-	m := c.members[id]
+	m := c.member(id)
 	spec := contract.JobSpec{ID: m.table.Mint(1)[0], Service: testService, Customer: "customer"}
 	for _, run := range runs {
 		spec.Tasks = append(spec.Tasks, contract.TaskSpec{Kind: kind, Payload: payload(run, time.Now())})
@@ -432,8 +442,10 @@
 
 func (c *testCluster) count(name string) int64 {
 	var n int64
-	for _, m := range c.members {
-		n += metrics.GetOrRegisterCounter(name, m.metrics).Count()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, r := range c.registries {
+		n += metrics.GetOrRegisterCounter(name, r).Count()
 	}
 	return n - c.before[name]
 }
@@ -457,7 +469,7 @@
 	}
 	s.tasks += int64(len(c.workers.longWait))
 	s.wasted = float64(c.count(metric.StartsRejected)+c.count(metric.GrantsUnused)) / float64(max(1, s.tasks))
-	s.bytesPerSecond = float64(c.count(metric.PeerBytesSent)) / float64(len(c.members)) / during.Seconds()
+	s.bytesPerSecond = float64(c.count(metric.PeerBytesSent)) / float64(len(c.processes())) / during.Seconds()
 	s.busy = c.workers.busyTime.Seconds() / during.Seconds() / float64(c.slots*len(c.specs))
 	var all []time.Duration
 	for id, waits := range c.workers.waits {
--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -93,6 +93,7 @@
 	peerServer *link.PeerServer
 	rpcServer  *rpc.Server
 	operators  operators
+	polls      workerPolls
 	cancel     context.CancelFunc
 	loops      sync.WaitGroup
 }
@@ -142,9 +143,10 @@
 		Self: o.VM.Incarnation, Log: o.Log, Budget: d.budget, Now: o.Now, Logger: o.Logger, Metrics: o.Metrics,
 	})
 	d.dispatcher = dispatch.New(dispatch.Options{
-		Table: d.table, Starter: workers, Broker: d.slots, Self: o.VM.ID, Placement: d.slots.placement, MayStart: d.mayStart,
+		Table: d.table, Starter: pollingStarter{Starter: workers, d: d}, Broker: d.slots, Self: o.VM.ID,
+		Placement: d.slots.placement, MayStart: d.mayStart,
 		Fleet: d.fleet, Now: o.Now, Logger: o.Logger, Metrics: o.Metrics, Timeline: d.timeline,
-		Control: workers, Capacity: d.capacity, HealthChanged: d.slots.reassign,
+		Control: workers, Capacity: d.capacity, HealthChanged: d.healthChanged,
 		SlotOutgrown: d.slots.outgrown, DistributedQuotas: true,
 	})
 	d.configs = newConfigCarrier(configCarrierOptions{
@@ -179,6 +181,7 @@
 	d.loop(ctx, speedInterval, d.fleet.CentreSpeeds)
 	d.loop(ctx, quotaInterval, d.quotas.tick)
 	d.loop(ctx, expiryInterval, func() { d.table.Expire(d.o.Now()); d.homes.Expire(d.o.Now()) })
+	d.loop(ctx, expiryInterval, d.claims.expire)
 	d.closures.start(ctx)
 	d.timeline.Record(timeline.Event{Kind: timeline.ProcessStarted})
 	d.operators.serving.Store(true)
--- a/entry/lapse.go
+++ b/entry/lapse.go
@@ -4,6 +4,7 @@
 	"sync"
 	"time"
 
+	"github.com/cicadadale/cicadadale/timeline"
 	"github.com/cicadadale/cicadadale/zone"
 )
 
@@ -45,6 +46,7 @@
 	if !d.lapse.alive(d.o.Now(), d.resumed) {
 		return
 	}
+	d.timeline.Record(timeline.Event{Kind: timeline.ProcessPaused})
 	d.o.Logger.Warn("process was paused; idle grants are dropped", "vm", d.o.VM.ID)
 	d.dispatcher.DropIdle()
 	d.lapse.dropped()
