--- a/dispatch/bench_test.go
+++ b/dispatch/bench_test.go
@@ -90,7 +90,7 @@
 	table := contract.NewJobTable(1, home)
 	broker := &ownBroker{granter: zone.NewGranter(benchSelf, 1)}
 	d := dispatch.New(dispatch.Options{
-		Table: table, Starter: starter, Broker: broker, Self: benchSelf, Fleet: fleet, Now: time.Now, MaxWaiting: math.MaxInt,
+		Table: table, Starter: starter, Broker: broker, Self: benchSelf, Fleet: fleet, Now: time.Now,
 		Logger: slog.New(slog.DiscardHandler), Metrics: metrics.NewRegistry(),
 		Timeline: timeline.NewRing(timeline.Process{}, 1<<14, &timeline.Clock{}, time.Now),
 		// The benchmark submits as fast as it can.
--- a/link/peer_test.go
+++ b/link/peer_test.go
@@ -14,6 +14,7 @@
 
 	"github.com/cicadadale/cicadadale/api"
 	"github.com/cicadadale/cicadadale/link"
+	"github.com/cicadadale/cicadadale/machine"
 )
 
 // pipeListener connects in memory, so that links work under testing/synctest.
@@ -94,6 +95,7 @@
 		muted := make(chan struct{})
 		dials := 0
 		peer := link.NewPeer("b", "", link.PeerOptions{
+			Self: link.Identity{VM: machine.EntryVM{ID: "a", Incarnation: 1}, Domain: 1},
 			Dial: func(context.Context, string) (net.Conn, error) {
 				here, there := net.Pipe()
 				c := &muteConn{Conn: here, muted: make(chan struct{}), closed: make(chan struct{})}
