--- a/dispatch/lane.go
+++ b/dispatch/lane.go
@@ -72,6 +72,8 @@
 	// starts tells workers that reject starts from times at which many do.
 	starts  backend.Attribution
 	stopped bool
+	// halted says that nothing was matched the last time.
+	halted bool
 }
 
 // recall is a granter's wish to have slots back.
@@ -248,10 +250,10 @@
 func (l *Lane) match(now time.Time) Plan {
 	var plan Plan
 	l.queue.Advance(now)
-	halted := l.stopped || l.o.MayStart != nil && !l.o.MayStart()
-	if !halted && l.o.Placement != nil {
+	l.halted = l.stopped || l.o.MayStart != nil && !l.o.MayStart()
+	if !l.halted && l.o.Placement != nil {
 		l.place(&plan, now)
-	} else if !halted {
+	} else if !l.halted {
 		l.pair(&plan, now)
 	}
 	depth := l.queue.Depth()
@@ -490,7 +492,7 @@
 	if !l.holdings.Consistent() {
 		return false
 	}
-	if l.stopped || l.o.Placement != nil || l.holdings.Idle() == 0 {
+	if l.halted || l.o.Placement != nil || l.holdings.Idle() == 0 {
 		return true
 	}
 	it, ok := l.queue.Pop(false)
--- a/dispatch/laneleaving_test.go
+++ b/dispatch/laneleaving_test.go
@@ -47,6 +47,7 @@
 	now := time.Unix(1000, 0)
 	l.Push([]customer.Item{testItem(1, backend.ClassShort, time.Second, now)}, now)
 	require.Empty(t, l.AddGrants([]contract.SlotGrant{{Worker: "slow", Short: 1, Epoch: 1, TTL: time.Minute}}, now).Assignments)
+	require.True(t, l.Check(), "a halted lane holds idle slots beside waiting tasks")
 	may = true
 	require.Len(t, l.Tick(now).Assignments, 1)
 }
--- a/load/mutations.sh
+++ b/load/mutations.sh
@@ -46,10 +46,11 @@
 		return reply, nil' 'return reply, fault.NotStarted.New("worker restarted")'
 }
 
-# The home is fenced neither by its peers nor by its own lapse, and the worker ignores the start-by time of the grant.
+# A home that was paused goes on, and the worker ignores the start-by time of its starts.
 accept_stale_start() {
   replace standin/worker.go 'l.clock().Milliseconds() >= startBy' 'false && startBy > 0'
-  replace entry/fence.go 'if d.fenced.Swap(true) {' 'if true {'
+  replace entry/lapse.go 'return !d.lapse.alive(now, d.resumed) && !d.fenced.Load() && d.lease.Holds(d.domain.Listed(), now)' \
+    'return !now.IsZero()'
 }
 
 # A planned stop appends and announces no closure.
