--- a/load/mutations.sh
+++ b/load/mutations.sh
@@ -53,8 +53,14 @@
     'return !now.IsZero()'
 }
 
-# A planned stop appends and announces no closure.
+# A planned stop appends and announces no closure, and the members do not pass it on.
 drop_closure() {
+  replace entry/closures.go '	d.homes.Succeed(successionOf(c), d.o.Now())
+	if' '	if'
+  replace entry/closures.go '	for _, c := range m.GetClosures() {
+		d.homes.Succeed(successionOf(c), d.o.Now())
+	}
+' ''
   replace entry/closures.go '	record := c.d.closure(s)
 ' '	if c.d != nil {
 		return
