--- a/entry/claims_test.go
+++ b/entry/claims_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"log/slog"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -179,6 +180,34 @@
 		require.Error(t, err)
 		require.NotEqual(t, reasonNotClaimed, fault.Reason(err))
 		time.Sleep(2 * claimTimeout)
+		l.set(func(l *fakeLog) { l.down = false; l.delay = 500 * time.Millisecond })
+		time.Sleep(2 * maxRecovery)
+		go func() { _, _ = c.claim(t.Context(), cl) }()
+		synctest.Wait()
+		_, _, err = c.find(t.Context(), cl.Key)
+		require.Error(t, err, "an append in flight leaves the key open while the log can be read")
+		time.Sleep(2 * claimTimeout)
+	})
+}
+
+// Guards against a burst of lookups that takes all connections to the log: they share reads.
+func TestLookupsShareReads(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := newFakeLog()
+		c := startDelegate(t, l, 1)
+		synctest.Wait()
+		l.set(func(l *fakeLog) { l.readDelay = 10 * time.Millisecond; l.reads = 0 })
+		var lookups sync.WaitGroup
+		for n := range 200 {
+			lookups.Go(func() {
+				_, found, err := c.find(t.Context(), testClaim(fmt.Sprint(n), 1, 1).Key)
+				if err != nil || found {
+					t.Errorf("lookup %d: %t %v", n, found, err)
+				}
+			})
+		}
+		lookups.Wait()
+		require.LessOrEqual(t, l.reads, 4, "one read in progress, one for all that wait, and those of the reader")
 	})
 }
 
