--- a/load/mutations.sh
+++ b/load/mutations.sh
@@ -57,10 +57,7 @@
 drop_closure() {
   replace entry/closures.go '	d.homes.Succeed(successionOf(c), d.o.Now())
 	if' '	if'
-  replace entry/closures.go '	for _, c := range m.GetClosures() {
-		d.homes.Succeed(successionOf(c), d.o.Now())
-	}
-' ''
+  replace entry/closures.go '		d.homes.Learn(successionOf(c), d.o.Now())' '		_ = c'
   replace entry/closures.go '	record := c.d.closure(s)
 ' '	if c.d != nil {
 		return
