--- a/load/mutations.sh
+++ b/load/mutations.sh
@@ -46,14 +46,18 @@
 		return reply, nil' 'return reply, fault.NotStarted.New("worker restarted")'
 }
 
-# The home is fenced neither by its peers nor by its own lapse, and the worker ignores the start-by time of the grant.
+# A home that was paused goes on, and the worker ignores the start-by time of its starts.
 accept_stale_start() {
   replace standin/worker.go 'l.clock().Milliseconds() >= startBy' 'false && startBy > 0'
-  replace entry/fence.go 'if d.fenced.Swap(true) {' 'if true {'
+  replace entry/lapse.go 'return !d.lapse.alive(now, d.resumed) && !d.fenced.Load() && d.lease.Holds(d.domain.Listed(), now)' \
+    'return !now.IsZero()'
 }
 
-# A planned stop appends and announces no closure.
+# A planned stop appends and announces no closure, and the members do not pass it on.
 drop_closure() {
+  replace entry/closures.go '	d.homes.Succeed(successionOf(c), d.o.Now())
+	if' '	if'
+  replace entry/closures.go '		d.homes.Learn(successionOf(c), d.o.Now())' '		_ = c'
   replace entry/closures.go '	record := c.d.closure(s)
 ' '	if c.d != nil {
 		return
