--- a/entry/closures.go
+++ b/entry/closures.go
@@ -69,7 +69,7 @@
 // homesFrom takes over what a member knows of incarnations that have ended.
 func (d *Daemon) homesFrom(m *api.Homes) {
 	for _, c := range m.GetClosures() {
-		d.homes.Succeed(successionOf(c), d.o.Now())
+		d.homes.Learn(successionOf(c), d.o.Now())
 	}
 	for _, e := range m.GetEnded() {
 		if inc := machine.Incarnation(e.GetIncarnation()); inc != d.o.VM.Incarnation {
@@ -187,7 +187,7 @@
 		return
 	}
 	c.d.timeline.Record(timeline.Event{Kind: timeline.ClosureApplied, Peer: record.GetSuccessorVm()})
-	c.d.homes.Succeed(successionOf(&record), c.d.o.Now())
+	c.d.homes.Learn(successionOf(&record), c.d.o.Now())
 }
 
 func (c *closureLog) appendLater(ctx context.Context) {
