--- a/entry/handover.go
+++ b/entry/handover.go
@@ -161,8 +161,8 @@
 	d.leave(ctx)
 	d.rpcServer.Stop(ctx)
 	d.serving.wait(ctx)
-	d.timeline.Record(timeline.Event{Kind: timeline.ProcessStopped})
 	d.flush(ctx)
+	d.timeline.Record(timeline.Event{Kind: timeline.ProcessStopped})
 	d.kill()
 	d.o.Logger.Info("entry daemon stopped", "vm", d.o.VM.ID)
 }
