--- a/backend/kind.go
+++ b/backend/kind.go
@@ -42,8 +42,8 @@
 )
 
 // RequestKind is a request kind with its observed run times, normalised to a worker of speed 1 and, in raw, as they
-// were. Its mutex guards the declaration, the histogram and the attribution; class and mean are also kept where the
-// queue can read them without the lock.
+// were. Its mutex guards the declaration, the histograms and the attribution; class, mean and the last outcome are also
+// kept where they can be read without the lock.
 type RequestKind struct {
 	class atomic.Uint32
 	mean  atomic.Int64
--- a/backend/redeclare.go
+++ b/backend/redeclare.go
@@ -5,6 +5,12 @@
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	k.spec = spec
+	if k.total < minObservations {
+		k.mean.Store(int64(k.declared()))
+	}
+	if k.total+float64(k.outgrown) < minClassRuns {
+		k.class.Store(uint32(spec.Class))
+	}
 }
 
 // Redeclare replaces the declared kinds. A kind of the same name keeps its observed run times; tasks of a kind that is
--- a/config/check.go
+++ b/config/check.go
@@ -138,6 +138,7 @@
 				t := d.Teams[key]
 				spec.Teams = append(spec.Teams, customer.TeamSpec{
 					Name: team, Weight: t.Weight, Slots: t.Slots, StartsPerSecond: t.StartsPerSecond, Burst: t.Burst,
+					QuotaRevision: t.QuotaRevision,
 				})
 			}
 		}
--- a/machine/health.go
+++ b/machine/health.go
@@ -41,6 +41,8 @@
 	// worker that fails at once would otherwise draw all the work before another one has had the time to succeed.
 	firstHold     = 20 * time.Millisecond
 	holdDoublings = 5
+	// suspicionLasts is the time without a failure after which a suspect is healthy again, even if it has run nothing.
+	suspicionLasts = 5 * time.Second
 	// successFactor is what a success leaves of the score.
 	successFactor = 0.5
 	// suspectShare divides the slots of a suspect.
@@ -117,6 +119,8 @@
 	passed   int
 	pause    time.Duration
 	until    time.Time
+	// failed is the time of the last failure.
+	failed time.Time
 	// held is the end of a suspect's time without new work.
 	held time.Time
 }
@@ -149,6 +153,7 @@
 	if e.Explained {
 		return
 	}
+	h.failed = now
 	if !e.Proven {
 		h.unproven++
 		if h.unproven >= unprovenLimit {
@@ -213,6 +218,18 @@
 	return h.state != before
 }
 
+// Warn takes over that another entry VM has quarantined the worker. Its judgement may come from its own network, so
+// that the worker is only suspected: it gets fewer slots, and half of the failures suffice for a quarantine here.
+func (h *Health) Warn(now time.Time) bool {
+	before := h.state
+	h.tick(now)
+	if h.state == Healthy {
+		h.score, h.failed = max(h.score, suspectScore), now
+		h.fire(healthSuspected)
+	}
+	return h.state != before
+}
+
 // Tick ends a quarantine whose pause is over and reports whether the state has changed.
 func (h *Health) Tick(now time.Time) bool {
 	before := h.state
@@ -221,6 +238,10 @@
 }
 
 func (h *Health) tick(now time.Time) {
+	if h.state == Suspect && now.Sub(h.failed) >= suspicionLasts {
+		h.score, h.unproven, h.held = 0, 0, time.Time{}
+		h.fire(healthCleared)
+	}
 	if h.state == Quarantined && !now.Before(h.until) {
 		h.fire(healthPauseOver)
 	}
--- a/machine/health_test.go
+++ b/machine/health_test.go
@@ -132,3 +132,29 @@
 	require.InDelta(t, 1, a.Speed()*b.Speed(), 1e-6)
 	require.InDelta(t, 4, a.Speed()/b.Speed(), 0.01)
 }
+
+// Guards against a suspect that keeps few slots for ever because nothing is started on it.
+func TestSuspicionEnds(t *testing.T) {
+	var h Health
+	h.Observe(failure, epoch)
+	h.Observe(failure, epoch)
+	require.Equal(t, Suspect, h.State())
+	require.True(t, h.Tick(epoch.Add(suspicionLasts)))
+	require.Equal(t, Healthy, h.State())
+}
+
+// Guards against each entry VM losing as many tasks as the first one, and against a warning that suffices for a
+// quarantine.
+func TestWarning(t *testing.T) {
+	var h Health
+	require.True(t, h.Warn(epoch))
+	require.Equal(t, 2, h.Slots(8, epoch))
+	h.Observe(failure, epoch)
+	h.Observe(failure, epoch)
+	require.Equal(t, Quarantined, h.State())
+	var good Health
+	good.Warn(epoch)
+	good.Observe(success, epoch)
+	require.Equal(t, Healthy, good.State())
+	require.False(t, h.Warn(epoch), "a quarantine is not shortened")
+}
