--- a/entry/readiness_test.go
+++ b/entry/readiness_test.go
@@ -18,8 +18,8 @@
 		Domains: 1, EntryVMs: 1, Workers: 1, Slots: 2, Services: load.DeploymentServices, Work: standin.DeploymentWork,
 		Logger: slog.New(slog.DiscardHandler),
 	})
-	defer d.Close()
 	require.NoError(t, err)
+	defer d.Close()
 	daemon := d.Entries[0].Daemon
 	require.Eventually(t, func() bool { return daemon.Readiness().Ready }, time.Minute, time.Millisecond)
 	require.NoError(t, daemon.Health())
