--- a/entry/readiness_test.go
+++ b/entry/readiness_test.go
@@ -19,7 +19,7 @@
 		Logger: slog.New(slog.DiscardHandler),
 	})
 	require.NoError(t, err)
-	defer d.Close()
+	t.Cleanup(d.Close)
 	daemon := d.Entries[0].Daemon
 	require.Eventually(t, func() bool { return daemon.Readiness().Ready }, time.Minute, time.Millisecond)
 	require.NoError(t, daemon.Health())
