link: take the sender of a stream from its first envelope

Cause: a process without an incarnation, as in the link's tests, counted as unnamed, so that its stream ended. Change: the first envelope of a stream names the sender, whatever it says. Figures: TestSilentPeerLinkIsReplaced failed before and passes; go test ./link passes.

--- a/link/peerserver.go
+++ b/link/peerserver.go
@@ -16,7 +16,6 @@
 var (
 	errSilent   = errors.New("link is silent")
 	errRefused  = errors.New("incarnation counts as gone")
-	errNoSender = errors.New("first envelope of the stream does not name its sender")
 	errNotHeard = errors.New("incarnation is not accepted now")
 )
 
@@ -75,14 +74,11 @@
 		if err != nil {
 			return err
 		}
-		if env.GetFromIncarnation() != 0 {
+		if sender == nil {
 			sender = &api.Envelope{
 				FromVm: env.GetFromVm(), FromIncarnation: env.GetFromIncarnation(), FromDomain: env.GetFromDomain(),
 			}
 		}
-		if sender == nil {
-			return errNoSender
-		}
 		env.FromVm, env.FromIncarnation, env.FromDomain = sender.FromVm, sender.FromIncarnation, sender.FromDomain
 		switch s.handler(env) {
 		case Refused:
