--- a/load/soak.go
+++ b/load/soak.go
@@ -319,8 +319,7 @@
 			s.violate(v)
 		}
 		s.checked(CheckAnswerArrives, 1)
-		first, ok := rec.First()
-		if !ok {
+		if _, ok := rec.First(); !ok {
 			s.violate(rec.violation(CheckAnswerArrives, -1, rec.last(), fmt.Sprintf("no final answer after %d attempts, home %s, "+
 				"last error %v", len(rec.Attempts()), s.fate(rec.ID.Home), rec.last().Err)))
 			continue
@@ -328,7 +327,9 @@
 		for _, name := range []string{CheckAnswerWhole, CheckResultsRight, CheckNotRunTrue, CheckNoLateStart} {
 			s.checked(name, 1)
 		}
-		s.checkStop(rec, first)
+		for _, a := range rec.Attempts() {
+			s.checkStop(rec, a)
+		}
 	}
 }
 
--- a/load/soakcaller.go
+++ b/load/soakcaller.go
@@ -19,6 +19,7 @@
 	attemptTimeout = 3 * time.Second
 	// patienceForNext is how long a caller waits for an answer before it submits its next job beside it.
 	patienceForNext = 200 * time.Millisecond
+	longestAfter    = 6 * time.Second
 	attemptPause    = 100 * time.Millisecond
 	soakDeadline    = 8 * time.Second
 )
@@ -79,8 +80,10 @@
 	others        []uint64
 	during, after bool
 	duringDelay   time.Duration
-	cancelAfter   time.Duration
-	joinsWave     bool
+	// afterDelay lets the home end before the resubmission in some cases.
+	afterDelay  time.Duration
+	cancelAfter time.Duration
+	joinsWave   bool
 	// keyed submits under a key of the caller, to two entry VMs at once.
 	keyed bool
 }
@@ -123,6 +126,9 @@
 		record: &JobRecord{Plan: plan}, first: rng.Uint64(), during: rng.IntN(10) == 0, after: rng.IntN(10) == 0,
 		duringDelay: time.Duration(rng.Int64N(int64(60 * time.Millisecond))), joinsWave: rng.IntN(3) > 0,
 	}
+	if rng.IntN(2) == 0 {
+		j.afterDelay = time.Duration(rng.Int64N(int64(longestAfter)))
+	}
 	for range 4 {
 		j.others = append(j.others, rng.Uint64())
 	}
@@ -214,6 +220,7 @@
 	}
 	close(over)
 	if j.after {
+		time.Sleep(j.afterDelay)
 		s.attempt(j.record, s.choose(j.others[1]))
 	}
 	side.Wait()
