--- a/contract/configstate.go
+++ b/contract/configstate.go
@@ -203,7 +203,7 @@
 		v.Reason = strings.Join(faults, "; ")
 		return v
 	}
-	s.document = document
+	s.document = document.withQuotaRevisions(s.document, s.revision+1)
 	s.revision++
 	s.recent = append(s.recent, ConfigOrigin{Revision: s.revision, ID: c.ID, Author: c.Author})
 	if over := len(s.recent) - recentOrigins; over > 0 {
