zone: tell members which incarnations run, so that a crashed home is not forgotten

Cause: members told a fresh one only of incarnations that had ended. Change: a member that appears is told of all known incarnations, the others hear of it, and a process that starts a new incarnation names the one before. A member that knows an incarnation from others only finds it gone when the list drops its VM, or when another process on its VM is still heard after the silence limit.

--- a/Makefile
+++ b/Makefile
@@ -22,9 +22,9 @@
 generate:
 	buf generate --template api/buf.gen.callers.yaml --path api/dispatcher.proto --path api/configuration.proto
 	buf generate schemas --template api/buf.gen.options.yaml --path schemas/cicadadale
+	buf generate --template api/buf.gen.peer.yaml --path api/peer.proto
 	go run ./cmd/cicadadale schema generate schemas/glashaus.proto --out schemas/glashaus
 	go run ./cmd/cicadadale schema generate schemas/wakala.proto --out schemas/wakala
-	buf generate --template api/buf.gen.peer.yaml --path api/peer.proto
 
 soak: build
 	$(BIN) soak --seed 1 --duration 60s --json
--- a/command/entry.go
+++ b/command/entry.go
@@ -12,6 +12,7 @@
 
 	"github.com/cicadadale/cicadadale/config"
 	"github.com/cicadadale/cicadadale/entry"
+	"github.com/cicadadale/cicadadale/machine"
 )
 
 func entryCommand() *cli.Command {
@@ -47,8 +48,9 @@
 	}
 	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, os.Interrupt)
 	defer stop()
+	var predecessor machine.Incarnation
 	for ctx.Err() == nil {
-		if err := serveEntry(ctx, parts); err != nil {
+		if predecessor, err = serveEntry(ctx, parts, predecessor); err != nil {
 			return err
 		}
 	}
@@ -56,12 +58,15 @@
 }
 
 // serveEntry runs one incarnation, until the process is told to stop or the other entry VMs count the incarnation as
-// gone, after a long pause or a partition. The next one binds the same addresses.
-func serveEntry(ctx context.Context, parts *entryParts) error {
+// gone, after a long pause or a partition. The next one binds the same addresses. It returns the incarnation.
+func serveEntry(
+	ctx context.Context, parts *entryParts, predecessor machine.Incarnation,
+) (machine.Incarnation, error) {
 	o, err := parts.options()
 	if err != nil {
-		return err
+		return 0, err
 	}
+	o.VM.Incarnation, o.Predecessor = machine.NewIncarnation(), predecessor
 	listen := &parts.settings.Listen
 	listen.Callers, listen.Peers = o.Callers.Addr().String(), o.Peers.Addr().String()
 	if o.Admin != nil {
@@ -69,21 +74,21 @@
 	}
 	d, err := entry.New(o)
 	if err != nil {
-		return err
+		return 0, err
 	}
 	if err := d.Start(); err != nil {
-		return err
+		return 0, err
 	}
 	select {
 	case <-ctx.Done():
 	case <-d.Lost():
 		d.Kill()
-		return nil
+		return o.VM.Incarnation, nil
 	}
 	drain, cancel := context.WithTimeout(context.Background(), parts.settings.Stop.DrainTimeout)
 	defer cancel()
 	d.Stop(drain)
-	return nil
+	return o.VM.Incarnation, nil
 }
 
 // newLogger returns the text logger of the tools.
--- a/entry/closures.go
+++ b/entry/closures.go
@@ -76,20 +76,38 @@
 			d.homes.Ended(e.GetVm(), inc, d.o.Now())
 		}
 	}
+	for _, k := range m.GetKnown() {
+		if inc := machine.Incarnation(k.GetIncarnation()); inc != d.o.VM.Incarnation {
+			d.homes.Know(k.GetVm(), inc, d.o.Now())
+		}
+	}
 }
 
 func (d *Daemon) homesMessage() *api.PeerMessage {
-	next, ended := d.homes.Endings()
-	m := &api.Homes{}
-	for _, s := range next {
+	report := d.homes.Report()
+	m := &api.Homes{Ended: homeProcesses(report.Ended), Known: homeProcesses(report.Known)}
+	for _, s := range report.Successions {
 		m.Closures = append(m.Closures, d.closure(s))
 	}
-	for inc, vm := range ended {
-		m.Ended = append(m.Ended, &api.Ended{Incarnation: uint64(inc), Vm: vm})
-	}
 	return &api.PeerMessage{Body: &api.PeerMessage_Homes{Homes: m}}
 }
 
+func homeProcesses(vms map[machine.Incarnation]string) []*api.HomeProcess {
+	out := make([]*api.HomeProcess, 0, len(vms))
+	for inc, vm := range vms {
+		out = append(out, &api.HomeProcess{Incarnation: uint64(inc), Vm: vm})
+	}
+	return out
+}
+
+// appeared tells a member that has just been heard all that is known, and the others that it runs.
+func (d *Daemon) appeared(vm string, inc machine.Incarnation) {
+	d.peers.send(vm, d.homesMessage())
+	d.peers.broadcast(&api.PeerMessage{Body: &api.PeerMessage_Homes{Homes: &api.Homes{
+		Known: []*api.HomeProcess{{Incarnation: uint64(inc), Vm: vm}},
+	}}})
+}
+
 // publish announces the closure to the members and appends it to the log. During an outage the successor appends it
 // later, together with those that this VM still had to append.
 func (c *closureLog) publish(ctx context.Context, s zone.Succession) {
--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -34,14 +34,16 @@
 // Options are the settings and parts of a daemon. The caller opens the listeners, so that addresses are known
 // before the daemon starts.
 type Options struct {
-	VM       machine.EntryVM
-	Domain   zone.DomainID
-	Region   zone.RegionID
-	Services []*backend.Service
-	Log      platform.Log
-	List     platform.VMList
-	Callers  net.Listener
-	Peers    net.Listener
+	VM machine.EntryVM
+	// Predecessor is the incarnation that ran in this process before, zero if none.
+	Predecessor machine.Incarnation
+	Domain      zone.DomainID
+	Region      zone.RegionID
+	Services    []*backend.Service
+	Log         platform.Log
+	List        platform.VMList
+	Callers     net.Listener
+	Peers       net.Listener
 	// Admin serves operators; nil serves none.
 	Admin       net.Listener
 	DialPeer    func(ctx context.Context, address string) (net.Conn, error)
@@ -126,6 +128,9 @@
 		homes: zone.NewHomes(), lease: zone.NewAnswerLease(), handovers: newHandOvers(), serving: newGate(maxServed),
 		lost: make(chan struct{}), started: o.Now(),
 	}
+	if o.Predecessor != 0 {
+		d.homes.Ended(o.VM.ID, o.Predecessor, o.Now())
+	}
 	d.closures = newClosureLog(d)
 	d.table.OnCheck(d.onCheck)
 	d.timeline = newTimeline(o, d.clock)
--- a/entry/messages.go
+++ b/entry/messages.go
@@ -26,7 +26,7 @@
 			return d.reject(inc)
 		}
 		if fresh {
-			d.peers.send(vm, d.homesMessage())
+			d.appeared(vm, inc)
 		}
 	}
 	d.slots.heard(vm, inc)
--- a/zone/homes.go
+++ b/zone/homes.go
@@ -62,8 +62,10 @@
 
 type homeRecord struct {
 	vm string
-	// heard is the time of the last message; zero if the incarnation is only known from others.
+	// heard is the time of the last message; zero if the incarnation is only known from others, who named it first at
+	// learned.
 	heard   time.Time
+	learned time.Time
 	dropped time.Time
 	// promised and gone refuse the incarnation for ever.
 	promised bool
@@ -107,6 +109,30 @@
 	return true, fresh
 }
 
+// Know takes over that another member has heard an incarnation. Without it, the knowledge of a home that crashes is
+// lost when all members that have heard it are replaced before its end is noticed.
+func (h *Homes) Know(vm string, inc machine.Incarnation, now time.Time) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if _, ok := h.records[inc]; !ok {
+		h.record(inc, vm).learned = now
+	}
+}
+
+// endReplaced ends the incarnations that are known from others only and whose VM still runs another one: a newer one
+// would have silenced it. It expects h.mu to be held.
+func (h *Homes) endReplaced(now time.Time) {
+	for inc, r := range h.records {
+		if r.learned.IsZero() || !r.heard.IsZero() || now.Sub(r.learned) < SilenceLimit {
+			continue
+		}
+		current, ok := h.records[h.current[r.vm]]
+		if ok && h.current[r.vm] != inc && now.Sub(current.heard) < SilenceLimit {
+			h.end(r, now)
+		}
+	}
+}
+
 // end expects h.mu to be held.
 func (h *Homes) end(r *homeRecord, now time.Time) {
 	if r == nil || r.gone {
@@ -138,6 +164,7 @@
 			h.end(r, now)
 		}
 	}
+	h.endReplaced(now)
 }
 
 // Ended takes over that an incarnation has ended, as reported by another member.
@@ -242,21 +269,30 @@
 	return h.current[vm]
 }
 
-// Endings returns the successions and the ended incarnations, for a member that has just appeared.
-func (h *Homes) Endings() ([]Succession, map[machine.Incarnation]string) {
+// HomeReport is what a member tells another one that has just appeared.
+type HomeReport struct {
+	Successions []Succession
+	// Ended and Known name the VM of each incarnation.
+	Ended map[machine.Incarnation]string
+	Known map[machine.Incarnation]string
+}
+
+// Report returns what is known of all incarnations.
+func (h *Homes) Report() HomeReport {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	var next []Succession
-	ended := make(map[machine.Incarnation]string)
+	out := HomeReport{Ended: make(map[machine.Incarnation]string), Known: make(map[machine.Incarnation]string)}
 	for inc, r := range h.records {
 		if r.next.Successor != 0 {
-			next = append(next, r.next)
+			out.Successions = append(out.Successions, r.next)
 		}
 		if r.gone {
-			ended[inc] = r.vm
+			out.Ended[inc] = r.vm
+		} else {
+			out.Known[inc] = r.vm
 		}
 	}
-	return next, ended
+	return out
 }
 
 // Expire forgets the incarnations that ended longer than HomeRetention ago, and the oldest beyond the bound.
@@ -279,8 +315,11 @@
 }
 
 func (r *homeRecord) latest() time.Time {
-	if r.heard.After(r.since) {
-		return r.heard
+	last := r.since
+	for _, t := range []time.Time{r.heard, r.learned} {
+		if t.After(last) {
+			last = t
+		}
 	}
-	return r.since
+	return last
 }
--- a/zone/homes_test.go
+++ b/zone/homes_test.go
@@ -148,3 +148,30 @@
 	d.Heard("a", 1, false, now)
 	require.Empty(t, d.Live())
 }
+
+// Guards against a crashed home that is forgotten because the members that had heard it are replaced before its end is
+// noticed: a member that knows it from others only must find it gone, by the list or by the next process on its VM, and
+// must not end a process that is newer than the one it hears.
+func TestHomeKnownFromOthersIsGone(t *testing.T) {
+	const home, next = machine.Incarnation(7), machine.Incarnation(8)
+	now := time.Unix(1000, 0)
+	dropped := NewHomes()
+	dropped.Know("a", home, now)
+	require.Equal(t, HomeRunning, dropped.Locate(home, now).State)
+	dropped.ApplyList(map[string]bool{}, now)
+	dropped.ApplyList(map[string]bool{}, now.Add(SilenceLimit))
+	require.Equal(t, HomeGone, dropped.Locate(home, now).State)
+
+	restarted := NewHomes()
+	restarted.Know("a", home, now)
+	later := now.Add(SilenceLimit)
+	restarted.Heard("a", next, later)
+	restarted.ApplyList(map[string]bool{"a": true}, later)
+	require.Equal(t, HomeGone, restarted.Locate(home, later).State)
+
+	stale := NewHomes()
+	stale.Heard("a", home, now)
+	stale.Know("a", next, now)
+	stale.ApplyList(map[string]bool{"a": true}, later)
+	require.Equal(t, HomeRunning, stale.Locate(next, later).State)
+}
