entry: answer for a home that no member remembers as for one that is gone

Change: a home that is unknown while every listed member runs a known incarnation is gone, and its jobs are failed, outcome unknown.

--- a/entry/router.go
+++ b/entry/router.go
@@ -241,7 +241,7 @@
 }
 
 // unknownHome explains an id whose home is not known. If all members are known, the home is none of them, and its end
-// is older than what the members remember.
+// is older than what the members remember. All its jobs are answered as unknown, since nothing is proven of them.
 func (d *Daemon) unknownHome(id contract.JobID) error {
 	for _, vm := range d.domain.Listed() {
 		if d.homes.Current(vm) == 0 {
@@ -251,7 +251,7 @@
 	if d.o.Now().Sub(d.started) < zone.SilenceLimit {
 		return fault.Unavailable.New("the home of job %s is not known yet", id)
 	}
-	return fault.With(fault.Expired, fault.ReasonIDTooOld, "the home of job %s is not known to its failure domain", id)
+	return fault.With(fault.Lost, fault.ReasonHomeGone, "the home of job %s is no member of its failure domain any more", id)
 }
 
 // successor returns the VM that answers for the jobs which this one has handed over.
