dispatch: return the slot of an outgrown lost start as what it counts as

Cause: a start in doubt for more than 1.5 s moves its slot to long work; when the fence then proved that it never happened, the slot was dropped as one for short work, and a slot given up before was dropped twice. Change: the slot is returned as it counts now, and not at all if it was given up. TestLostStartOutgrowsItsClass fails before and passes after.

--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -366,8 +366,10 @@
 	if outgrown {
 		a.Item.Kind.Shrink()
 	}
+	// The slot counts as held by long work if the start was in doubt for long.
+	a.Slot = task.assignment.Slot
 	if err != nil {
-		d.notStarted(l, a, err)
+		d.notStarted(l, a, released, err)
 		return
 	}
 	l.observeStart(a, false, d.o.Now())
@@ -375,7 +377,7 @@
 	d.finish(a, reply)
 	d.wake(a.Item, l.queue.Finished(a.Item, reply.RunTime))
 	if !released {
-		d.carryOut(l, l.Leave(task.assignment.Slot, d.accepts(a.Slot.Worker), d.o.Now()))
+		d.carryOut(l, l.Leave(a.Slot, d.accepts(a.Slot.Worker), d.o.Now()))
 	}
 }
 
@@ -410,8 +412,9 @@
 	}
 }
 
-// notStarted queues a task again whose start is proven not to have happened.
-func (d *Dispatcher) notStarted(l *Lane, a Assignment, cause error) {
+// notStarted queues a task again whose start is proven not to have happened. released says that its slot was given up
+// before.
+func (d *Dispatcher) notStarted(l *Lane, a Assignment, released bool, cause error) {
 	d.counters.rejected.Inc(1)
 	if fault.Reason(cause) == fault.ReasonNotSent {
 		d.counters.notSent.Inc(1)
@@ -421,7 +424,9 @@
 	requeue := d.o.Table.NotStarted(a.Item.Task, now)
 	d.wake(a.Item, l.queue.Returned(a.Item))
 	full := fault.Reason(cause) == ReasonWorkerFull
-	d.carryOut(l, l.Reject(a.Slot, full, now))
+	if !released {
+		d.carryOut(l, l.Reject(a.Slot, full, now))
+	}
 	if !full {
 		// A full worker is in order: two granters have given its slots away, which the granters heal.
 		d.learnRejection(l, a, now)
