--- a/backend/attribution.go
+++ b/backend/attribution.go
@@ -33,17 +33,17 @@
 	failures  map[string]int
 }
 
-// Blame says how far a failure speaks against the worker on which it happened.
-type Blame struct {
+// FailureCause says how far a failure speaks against the worker on which it happened.
+type FailureCause struct {
 	// Proven says that the same work succeeds elsewhere; otherwise the failure does not count.
 	Proven bool
 	// Expected is the failure rate of the same work elsewhere.
 	Expected float64
 	// Explained says that the work fails on other workers as well and nowhere succeeds.
 	Explained bool
-	// Forgive lists the failures by worker that were held against the workers and turned out to be the fault of the
+	// Retract lists the failures by worker that were held against the workers and turned out to be the fault of the
 	// job or kind.
-	Forgive map[string]int
+	Retract map[string]int
 }
 
 // Attribution tells failures of a worker from those of a kind or a job by comparing workers. The lock of its owner
@@ -64,7 +64,7 @@
 }
 
 // Observe takes over the outcome of a task and returns what it says of the worker.
-func (a *Attribution) Observe(worker string, job uint64, failed bool, now time.Time) Blame {
+func (a *Attribution) Observe(worker string, job uint64, failed bool, now time.Time) FailureCause {
 	a.decay(now)
 	w, ok := a.workers[worker]
 	if !ok {
@@ -76,7 +76,7 @@
 		w.ok++
 		a.total.ok++
 		a.succeed(job)
-		return Blame{Proven: true}
+		return FailureCause{Proven: true}
 	}
 	w.failed++
 	a.total.failed++
@@ -86,7 +86,7 @@
 	a.streak++
 	before := len(a.streakWorkers)
 	a.streakWorkers[worker] = true
-	b := Blame{
+	b := FailureCause{
 		Proven:   elsewhere.ok >= provenSuccesses,
 		Expected: elsewhere.failed / max(1, elsewhere.ok+elsewhere.failed),
 	}
@@ -94,10 +94,10 @@
 	if len(a.streakWorkers) >= failingWorkers && !b.Proven {
 		b.Explained = true
 	}
-	if b.Forgive == nil && before < failingWorkers && b.Explained {
-		b.Forgive = make(map[string]int)
+	if b.Retract == nil && before < failingWorkers && b.Explained {
+		b.Retract = make(map[string]int)
 		for w := range a.streakWorkers {
-			b.Forgive[w] = 0
+			b.Retract[w] = 0
 		}
 	}
 	return b
@@ -141,7 +141,7 @@
 }
 
 // failJob finds jobs whose tasks fail wherever they run.
-func (a *Attribution) failJob(worker string, job uint64, b *Blame) {
+func (a *Attribution) failJob(worker string, job uint64, b *FailureCause) {
 	t, ok := a.jobs[job]
 	if !ok {
 		t = &jobTrace{failures: make(map[string]int)}
@@ -162,7 +162,7 @@
 	if !t.succeeded && len(t.failures) >= poisonWorkers {
 		t.poisoned = true
 		b.Proven = false
-		b.Forgive = t.failures
+		b.Retract = t.failures
 		return
 	}
 	if b.Proven {
@@ -170,9 +170,9 @@
 	}
 }
 
-// Hopeless reports whether the kind fails wherever it runs. Workers is the number of workers that serve it. Failures
+// FailsEverywhere reports whether the kind fails wherever it runs. Workers is the number of workers that serve it. Failures
 // on a few workers within the run time of a task do not suffice: tasks that would succeed elsewhere still run.
-func (a *Attribution) Hopeless(workers int, run time.Duration, now time.Time) bool {
+func (a *Attribution) FailsEverywhere(workers int, run time.Duration, now time.Time) bool {
 	failures := newKindFailures
 	if a.succeeded {
 		failures = usedKindFailures
--- a/backend/kind.go
+++ b/backend/kind.go
@@ -179,18 +179,18 @@
 }
 
 // ObserveOutcome records whether a task of a job succeeded and returns what it says of the worker.
-func (k *RequestKind) ObserveOutcome(worker string, job uint64, failed bool, now time.Time) Blame {
+func (k *RequestKind) ObserveOutcome(worker string, job uint64, failed bool, now time.Time) FailureCause {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	k.failing.Store(failed)
 	return k.attribution.Observe(worker, job, failed, now)
 }
 
-// Hopeless reports whether the kind fails wherever it runs.
-func (k *RequestKind) Hopeless(workers int, now time.Time) bool {
+// FailsEverywhere reports whether the kind fails wherever it runs.
+func (k *RequestKind) FailsEverywhere(workers int, now time.Time) bool {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	return k.attribution.Hopeless(workers, time.Duration(k.mean.Load()), now)
+	return k.attribution.FailsEverywhere(workers, time.Duration(k.mean.Load()), now)
 }
 
 // Trial reports whether a job of a hopeless kind may be let through at now.
--- a/backend/kind_test.go
+++ b/backend/kind_test.go
@@ -93,12 +93,12 @@
 		for i := range uint64(10) {
 			require.False(t, a.Observe([]string{"a", "b", "c"}[i%3], i, true, epoch).Proven)
 		}
-		require.True(t, a.Hopeless(50, 0, epoch))
-		require.False(t, a.Hopeless(50, time.Second, epoch), "tasks on other workers may still run")
+		require.True(t, a.FailsEverywhere(50, 0, epoch))
+		require.False(t, a.FailsEverywhere(50, time.Second, epoch), "tasks on other workers may still run")
 		require.True(t, a.Trial(epoch))
 		require.False(t, a.Trial(epoch.Add(time.Second)))
 		a.Observe("a", 99, false, epoch)
-		require.False(t, a.Hopeless(50, 0, epoch))
+		require.False(t, a.FailsEverywhere(50, 0, epoch))
 	})
 	t.Run("job", func(t *testing.T) {
 		var a Attribution
@@ -111,7 +111,7 @@
 			if b.Proven {
 				held++
 			}
-			for _, n := range b.Forgive {
+			for _, n := range b.Retract {
 				held -= n
 			}
 		}
--- a/contract/quotashare.go
+++ b/contract/quotashare.go
@@ -35,11 +35,11 @@
 	acked    uint64
 }
 
-// NewQuotaShare returns the share of a process at a revision of the team's quota. Founded is what it holds without a
-// transfer; of all holders of a failure domain one founds the domain's part.
-func NewQuotaShare(team string, revision uint64, self machine.Incarnation, founded int) *QuotaShare {
+// NewQuotaShare returns the share of a process at a revision of the team's quota. Seeded is what it holds without a
+// transfer; of all holders of a failure domain one seeds the domain's part.
+func NewQuotaShare(team string, revision uint64, self machine.Incarnation, seeded int) *QuotaShare {
 	return &QuotaShare{
-		team: team, revision: revision, self: self, held: founded,
+		team: team, revision: revision, self: self, held: seeded,
 		given: make(map[machine.Incarnation]*givenQuota), got: make(map[machine.Incarnation]uint64),
 	}
 }
@@ -108,9 +108,9 @@
 	return out
 }
 
-// FoundedPart returns the part of a quota that the n-th of several failure domains founds. The parts add up to the
+// SeededPart returns the part of a quota that the n-th of several failure domains seeds. The parts add up to the
 // quota.
-func FoundedPart(quota, n, domains int) int {
+func SeededPart(quota, n, domains int) int {
 	if domains <= 0 || n < 0 || n >= domains {
 		return 0
 	}
--- a/contract/quotashare_test.go
+++ b/contract/quotashare_test.go
@@ -17,9 +17,9 @@
 		revision, next := uint64(1), machine.Incarnation(holders)
 		shares := make([]*QuotaShare, holders)
 		for i := range shares {
-			shares[i] = NewQuotaShare("a/b", revision, machine.Incarnation(i+1), FoundedPart(quota, i, holders))
+			shares[i] = NewQuotaShare("a/b", revision, machine.Incarnation(i+1), SeededPart(quota, i, holders))
 		}
-		var flying, acks []QuotaTransfer
+		var unacked, acks []QuotaTransfer
 		restarted := false
 		pick := func(t *rapid.T, label string) *QuotaShare {
 			return shares[rapid.IntRange(0, holders-1).Draw(t, label)]
@@ -42,17 +42,17 @@
 			"give": func(t *rapid.T) {
 				m, ok := pick(t, "giver").Give(pick(t, "taker").self, rapid.IntRange(-5, 60).Draw(t, "n"))
 				if ok {
-					flying = append(flying, m)
+					unacked = append(unacked, m)
 				}
 			},
 			"deliver any, keep it": func(t *rapid.T) {
-				if len(flying) > 0 {
-					deliver(rapid.SampledFrom(flying).Draw(t, "message"))
+				if len(unacked) > 0 {
+					deliver(rapid.SampledFrom(unacked).Draw(t, "message"))
 				}
 			},
 			"lose": func(t *rapid.T) {
-				if len(flying) > 0 {
-					flying = flying[1:]
+				if len(unacked) > 0 {
+					unacked = unacked[1:]
 				}
 			},
 			"acknowledge": func(t *rapid.T) {
@@ -63,7 +63,7 @@
 					}
 				}
 			},
-			"resend": func(t *rapid.T) { flying = append(flying, pick(t, "sender").Pending()...) },
+			"resend": func(t *rapid.T) { unacked = append(unacked, pick(t, "sender").Pending()...) },
 			"restart": func(t *rapid.T) {
 				next++
 				restarted = true
@@ -73,7 +73,7 @@
 				revision++
 				restarted = false
 				for i, s := range shares {
-					shares[i] = NewQuotaShare("a/b", revision, s.self, FoundedPart(quota, i, holders))
+					shares[i] = NewQuotaShare("a/b", revision, s.self, SeededPart(quota, i, holders))
 				}
 			},
 			"": func(t *rapid.T) {
--- a/customer/admission_test.go
+++ b/customer/admission_test.go
@@ -158,7 +158,7 @@
 	require.Positive(t, v.RetryAfter)
 }
 
-// Guards against shares that go back and forth or that exceed what the asker can use.
+// Guards against shares that go back and forth or that exceed what the planner can use.
 func TestQuotaToGiveSettles(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		draw := func(label string) int { return rapid.IntRange(0, 100).Draw(t, label) }
--- a/customer/queue.go
+++ b/customer/queue.go
@@ -326,7 +326,7 @@
 	}
 }
 
-// Advance sets the time from which rates are reckoned and makes teams ready whose next token is due.
+// Advance sets the time from which rates are computed and makes teams ready whose next token is due.
 func (q *Queue) Advance(now time.Time) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
--- a/dispatch/admit.go
+++ b/dispatch/admit.go
@@ -16,7 +16,7 @@
 	DefaultMaxWaiting = 40_000
 	// DefaultMaxWaitingBytes bounds the payloads of the waiting tasks.
 	DefaultMaxWaitingBytes = 256 << 20
-	// lateShare is the share of jobs whose longest task may exceed the bound that admission reckons with.
+	// lateShare is the share of jobs whose longest task may exceed the bound that admission assumes.
 	lateShare = 0.1
 	// longCap is the share of the slots that long work may hold, and longFloor what it gets of them while short work
 	// waits.
@@ -68,7 +68,7 @@
 			continue
 		}
 		last = k
-		if k.Failing() && k.Hopeless(d.workersOf(service), now) && !k.Trial(now) {
+		if k.Failing() && k.FailsEverywhere(d.workersOf(service), now) && !k.Trial(now) {
 			return fault.With(fault.Refused, "kind fails", "request kind %s fails on every worker", k.Spec().Name)
 		}
 	}
--- a/dispatch/laneclass.go
+++ b/dispatch/laneclass.go
@@ -8,7 +8,7 @@
 )
 
 // observeStart records whether a worker took a start, and returns what a rejection says of the worker.
-func (l *Lane) observeStart(a Assignment, rejected bool, now time.Time) backend.Blame {
+func (l *Lane) observeStart(a Assignment, rejected bool, now time.Time) backend.FailureCause {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	return l.starts.Observe(string(a.Slot.Worker), a.Item.Task.Job.Seq, rejected, now)
--- a/dispatch/learn.go
+++ b/dispatch/learn.go
@@ -35,11 +35,11 @@
 	}
 	failed := r.Outcome != contract.OutcomeDone
 	blame := kind.ObserveOutcome(string(a.Slot.Worker), a.Item.Task.Job.Seq, failed, now)
-	d.forgive(blame, now)
+	d.retract(blame, now)
 	d.judgeWorker(w, machine.Evidence{
 		Failed: failed, Proven: blame.Proven, Explained: blame.Explained, Expected: blame.Expected,
 	}, now)
-	if failed && kind.Hopeless(d.workersOf(w.Spec().Service), now) {
+	if failed && kind.FailsEverywhere(d.workersOf(w.Spec().Service), now) {
 		d.abandon(a, fmt.Sprintf("request kind %s fails on every worker", kind.Spec().Name), now)
 	}
 }
@@ -63,9 +63,9 @@
 	}
 }
 
-func (d *Dispatcher) forgive(b backend.Blame, now time.Time) {
-	for id, failures := range b.Forgive {
-		if w, ok := d.o.Fleet.Get(machine.WorkerID(id)); ok && w.Forgive(failures, now) {
+func (d *Dispatcher) retract(b backend.FailureCause, now time.Time) {
+	for id, failures := range b.Retract {
+		if w, ok := d.o.Fleet.Get(machine.WorkerID(id)); ok && w.Retract(failures, now) {
 			d.healthChanged(w, now)
 		}
 	}
--- a/dispatch/running.go
+++ b/dispatch/running.go
@@ -91,9 +91,9 @@
 	return t.outgrown, t.acted, t.released
 }
 
-// lengthen counts the slot of a task as held by long work. It returns false if the task has ended, has no slot or a slot
+// markLong counts the slot of a task as held by long work. It returns false if the task has ended, has no slot or a slot
 // for long work.
-func (r *runningTasks) lengthen(t *runningTask) bool {
+func (r *runningTasks) markLong(t *runningTask) bool {
 	s := r.shard(t.assignment.Item.Task)
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -129,21 +129,21 @@
 	return true
 }
 
-// duty is what has to be done about a running task, once the lock is released.
-type duty struct {
+// pendingAction is what has to be done about a running task, once the lock is released.
+type pendingAction struct {
 	task  *runningTask
 	renew bool
 	step  backend.Step
 }
 
-// duties decides about all running tasks at now.
-func (r *runningTasks) duties(now time.Time, speed func(machine.WorkerID) float64) []duty {
-	var out []duty
+// pendingActions decides about all running tasks at now.
+func (r *runningTasks) pendingActions(now time.Time, speed func(machine.WorkerID) float64) []pendingAction {
+	var out []pendingAction
 	for i := range r.shards {
 		s := &r.shards[i]
 		s.mu.Lock()
 		for _, t := range s.tasks {
-			if d := t.duty(now, speed); d.renew || d.step != (backend.Step{}) {
+			if d := t.pendingAction(now, speed); d.renew || d.step != (backend.Step{}) {
 				out = append(out, d)
 			}
 		}
@@ -152,9 +152,9 @@
 	return out
 }
 
-// duty expects the shard lock to be held.
-func (t *runningTask) duty(now time.Time, speed func(machine.WorkerID) float64) duty {
-	d := duty{task: t}
+// pendingAction expects the shard lock to be held.
+func (t *runningTask) pendingAction(now time.Time, speed func(machine.WorkerID) float64) pendingAction {
+	d := pendingAction{task: t}
 	if !t.renewing && now.Sub(t.renewed) >= t.req.Lease/leaseRenewals {
 		t.renewing, d.renew = true, true
 	}
@@ -187,7 +187,7 @@
 	if !d.tasks.due(now) {
 		return
 	}
-	for _, x := range d.tasks.duties(now, d.workerSpeed) {
+	for _, x := range d.tasks.pendingActions(now, d.workerSpeed) {
 		if x.step.Outgrow {
 			d.outgrow(x.task)
 		}
@@ -210,7 +210,7 @@
 	d.counters.outgrown.Inc(1)
 	d.o.Timeline.Task(timeline.TaskStraggling, t.req.Ticket.Task, t.req.Worker, "outgrew its class")
 	t.assignment.Item.Kind.Outgrow()
-	if d.tasks.lengthen(t) && d.o.SlotOutgrown != nil {
+	if d.tasks.markLong(t) && d.o.SlotOutgrown != nil {
 		d.o.SlotOutgrown(t.lane.service.Name(), t.req.Worker)
 	}
 }
--- a/entry/capacity.go
+++ b/entry/capacity.go
@@ -63,7 +63,7 @@
 		return held
 	}
 	st := d.slots.service(service)
-	free := float64(st.granter.Free()+st.asker.Free(now)) * perSlot
+	free := float64(st.granter.Free()+st.planner.Free(now)) * perSlot
 	return dispatch.ShareOfCapacity(total, len(d.domain.Live()), held+free)
 }
 
@@ -92,5 +92,5 @@
 			held = append(held, h)
 		}
 	}
-	s.sendReport(st, granter, held, st.asker.Received(granter), false)
+	s.sendReport(st, granter, held, st.planner.Received(granter), false)
 }
--- a/entry/configs.go
+++ b/entry/configs.go
@@ -36,8 +36,8 @@
 	laggingFor = time.Second
 )
 
-// configCarrierOptions are the parts of a configuration carrier.
-type configCarrierOptions struct {
+// configReplicaOptions are the parts of a configuration carrier.
+type configReplicaOptions struct {
 	Log     platform.Log
 	Budget  *platform.Budget
 	Now     func() time.Time
@@ -49,10 +49,10 @@
 	Verdict func(contract.ConfigVerdict)
 }
 
-// configCarrier brings the records of the stream "config" from the log and from peers to the state and puts accepted
+// configReplica brings the records of the stream "config" from the log and from peers to the state and puts accepted
 // revisions into effect. applying puts applications in order and is taken before mu, which guards the fields below it.
-type configCarrier struct {
-	o     configCarrierOptions
+type configReplica struct {
+	o     configReplicaOptions
 	state *contract.ConfigState
 
 	applying sync.Mutex
@@ -72,12 +72,12 @@
 	data   []byte
 }
 
-func newConfigCarrier(o configCarrierOptions) *configCarrier {
-	return &configCarrier{o: o, state: contract.NewConfigState(config.Check), lagging: make(map[string]time.Time)}
+func newConfigReplica(o configReplicaOptions) *configReplica {
+	return &configReplica{o: o, state: contract.NewConfigState(config.Check), lagging: make(map[string]time.Time)}
 }
 
 // begin reads what the log shows now, for a limited time.
-func (c *configCarrier) begin(ctx context.Context) {
+func (c *configReplica) begin(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, configStartWait)
 	defer cancel()
 	for ctx.Err() == nil {
@@ -89,7 +89,7 @@
 }
 
 // tail follows the log until ctx ends.
-func (c *configCarrier) tail(ctx context.Context) {
+func (c *configReplica) tail(ctx context.Context) {
 	var backoff platform.Backoff
 	for ctx.Err() == nil {
 		if _, err := c.readOnce(ctx, configReadWait); err == nil {
@@ -104,7 +104,7 @@
 }
 
 // readOnce reads a page and reports whether there is more to read at once.
-func (c *configCarrier) readOnce(ctx context.Context, wait time.Duration) (bool, error) {
+func (c *configReplica) readOnce(ctx context.Context, wait time.Duration) (bool, error) {
 	page, err := c.o.Log.Read(ctx, configStream, c.state.Position(), configPageLimit, wait)
 	c.mu.Lock()
 	c.read = err == nil
@@ -126,7 +126,7 @@
 }
 
 // take applies one record. It expects c.applying to be held.
-func (c *configCarrier) take(offset uint64, at time.Time, data []byte) {
+func (c *configReplica) take(offset uint64, at time.Time, data []byte) {
 	record, err := config.DecodeRecord(data)
 	if err != nil {
 		c.o.Logger.Warn("malformed record", "stream", configStream, "offset", offset, "error", err)
@@ -144,7 +144,7 @@
 	}
 }
 
-func (c *configCarrier) report(verdicts []contract.ConfigVerdict) {
+func (c *configReplica) report(verdicts []contract.ConfigVerdict) {
 	for _, v := range verdicts {
 		if !v.Accepted {
 			metrics.GetOrRegisterCounter(metric.ConfigRejected, c.o.Metrics).Inc(1)
@@ -154,7 +154,7 @@
 }
 
 // putIntoEffect expects c.applying to be held.
-func (c *configCarrier) putIntoEffect() {
+func (c *configReplica) putIntoEffect() {
 	v := c.state.View()
 	if !v.Known {
 		return
@@ -167,7 +167,7 @@
 }
 
 // inEffect returns the configuration in effect. It takes no lock, since every submission asks.
-func (c *configCarrier) inEffect() contract.ConfigView {
+func (c *configReplica) inEffect() contract.ConfigView {
 	if v := c.effect.Load(); v != nil {
 		return *v
 	}
@@ -176,7 +176,7 @@
 
 // position returns what heartbeats carry: the number of records applied plus one and the revision in effect. The
 // number is 0, which asks for a snapshot, while no state is known or the log has dropped records that the state lacks.
-func (c *configCarrier) position() (offset, revision uint64) {
+func (c *configReplica) position() (offset, revision uint64) {
 	v := c.state.View()
 	if !v.Known || c.state.Gapped() {
 		return 0, v.Revision
@@ -185,7 +185,7 @@
 }
 
 // fromPeer takes records over from a peer. Records without gap follow the own state, a snapshot replaces an older one.
-func (c *configCarrier) fromPeer(m *api.ConfigRecords) {
+func (c *configReplica) fromPeer(m *api.ConfigRecords) {
 	c.applying.Lock()
 	defer c.applying.Unlock()
 	for _, r := range m.GetRecords() {
@@ -208,7 +208,7 @@
 }
 
 // recordsFor returns what a peer lacks that has reported a position, or nil if it is not behind.
-func (c *configCarrier) recordsFor(peer uint64) *api.ConfigRecords {
+func (c *configReplica) recordsFor(peer uint64) *api.ConfigRecords {
 	own, _ := c.position()
 	if own <= peer {
 		return nil
@@ -229,7 +229,7 @@
 }
 
 // keptFrom returns the kept records from a position on, or nil if they do not reach back to it.
-func (c *configCarrier) keptFrom(peer uint64) *api.ConfigRecords {
+func (c *configReplica) keptFrom(peer uint64) *api.ConfigRecords {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if peer == 0 || len(c.kept) == 0 || c.kept[0].offset > peer-1 {
@@ -251,7 +251,7 @@
 
 // helps decides whether this member sends records to a peer that is behind: the chosen one does at once, the others
 // when the peer stays behind.
-func (c *configCarrier) helps(vm string, peer uint64, chosen bool) bool {
+func (c *configReplica) helps(vm string, peer uint64, chosen bool) bool {
 	own, _ := c.position()
 	now := c.o.Now()
 	c.mu.Lock()
@@ -274,7 +274,7 @@
 
 // publishSnapshot appends the state to the log when that is due; rank is the number of members that do so before this
 // one.
-func (c *configCarrier) publishSnapshot(ctx context.Context, rank int) {
+func (c *configReplica) publishSnapshot(ctx context.Context, rank int) {
 	now := c.o.Now()
 	c.mu.Lock()
 	first, read := c.first, c.read
@@ -301,7 +301,7 @@
 	c.appendSnapshot(ctx)
 }
 
-func (c *configCarrier) appendSnapshot(ctx context.Context) {
+func (c *configReplica) appendSnapshot(ctx context.Context) {
 	snap, ok := c.state.Snapshot()
 	if !ok || c.o.Budget.Wait(ctx, configStream, c.o.Now()) != nil {
 		return
--- a/entry/configs_test.go
+++ b/entry/configs_test.go
@@ -17,8 +17,8 @@
 	"github.com/cicadadale/cicadadale/platform"
 )
 
-func newTestCarrier(l platform.Log) *configCarrier {
-	return newConfigCarrier(configCarrierOptions{
+func newTestCarrier(l platform.Log) *configReplica {
+	return newConfigReplica(configReplicaOptions{
 		Log: l, Budget: platform.NewBudget(75), Now: time.Now, Metrics: metrics.NewRegistry(),
 		Logger: slog.New(slog.NewTextHandler(io.Discard, nil)),
 		Apply:  func(contract.ConfigView) {}, Verdict: func(contract.ConfigVerdict) {},
@@ -26,7 +26,7 @@
 }
 
 // followLog starts a carrier that reads the log until the test ends.
-func followLog(t *testing.T, l platform.Log) *configCarrier {
+func followLog(t *testing.T, l platform.Log) *configReplica {
 	c := newTestCarrier(l)
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
@@ -126,7 +126,7 @@
 func TestSnapshotsPrecedeExpiry(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		l := newFakeLog()
-		members := []*configCarrier{followLog(t, l), followLog(t, l), followLog(t, l)}
+		members := []*configReplica{followLog(t, l), followLog(t, l), followLog(t, l)}
 		revision := uint64(0)
 		for range 40 {
 			for range 10 {
--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -71,11 +71,11 @@
 	dispatcher *dispatch.Dispatcher
 	peers      *peers
 	slots      *slotDirectory
-	quotas     *quotaCarrier
+	quotas     *quotaExchange
 	capacities capacityCache
 	budget     *platform.Budget
 	claims     *claimDelegate
-	configs    *configCarrier
+	configs    *configReplica
 	// inquiries holds a token for each claim that asks other failure domains.
 	inquiries chan struct{}
 	clock     *timeline.Clock
@@ -141,7 +141,7 @@
 	d.workers = workers
 	d.peers = newPeers(d)
 	d.slots = newSlotDirectory(d)
-	d.quotas = newQuotaCarrier(d)
+	d.quotas = newQuotaExchange(d)
 	d.inquiries = make(chan struct{}, maxKeyInquiries)
 	d.budget = platform.NewBudget(appendBudget)
 	d.claims = newClaimDelegate(claimDelegateOptions{
@@ -154,7 +154,7 @@
 		Control: workers, Capacity: d.capacity, HealthChanged: d.healthChanged,
 		SlotOutgrown: d.slots.outgrown, DistributedQuotas: true,
 	})
-	d.configs = newConfigCarrier(configCarrierOptions{
+	d.configs = newConfigReplica(configReplicaOptions{
 		Log: o.Log, Budget: d.budget, Now: o.Now, Logger: o.Logger, Metrics: o.Metrics, Apply: d.applyConfiguration,
 		Verdict: d.configDecided,
 	})
--- a/entry/membership.go
+++ b/entry/membership.go
@@ -88,7 +88,7 @@
 	foreign := &api.Heartbeat{Leaving: leaving, ConfigOffset: offset, ConfigRevision: revision}
 	own := &api.Heartbeat{
 		Leaving: leaving, ConfigOffset: offset, ConfigRevision: revision, Slots: d.slots.statuses(),
-		QuotaFounded: d.quotas.foundedBelow(),
+		QuotaSeeded: d.quotas.seededBelow(),
 	}
 	d.peers.heartbeat(
 		&api.PeerMessage{Body: &api.PeerMessage_Heartbeat{Heartbeat: own}},
--- a/entry/messages.go
+++ b/entry/messages.go
@@ -35,7 +35,7 @@
 		if h := m.GetHeartbeat(); h != nil {
 			leaving = h.GetLeaving()
 			d.heardConfiguration(vm, h.GetConfigOffset())
-			d.quotas.setFounded(h.GetQuotaFounded())
+			d.quotas.setSeeded(h.GetQuotaSeeded())
 		}
 	}
 	d.applyChanges(d.domain.Heard(vm, inc, leaving, now))
--- a/entry/quota.go
+++ b/entry/quota.go
@@ -19,55 +19,55 @@
 const (
 	quotaShards   = 16
 	quotaInterval = 500 * time.Millisecond
-	// foundingDelay is the time after the start of the process before it may found shares: by then it has heard from
-	// the members that know of an earlier founding.
-	foundingDelay = 3 * time.Second
+	// seedingDelay is the time after the start of the process before it may seed shares: by then it has heard from
+	// the members that know of an earlier seeding.
+	seedingDelay = 3 * time.Second
 	// unmetFor is how long a delegate asks for quota that others have asked it for in vain.
 	unmetFor = 2 * time.Second
 )
 
-// quotaCarrier moves shares of the team quotas between entry VMs. A VM asks the members of its failure domain; the
+// quotaExchange moves shares of the team quotas between entry VMs. A VM asks the members of its failure domain; the
 // failure domain's delegate also asks the delegates of the others. The shards hold the shares by team.
-type quotaCarrier struct {
+type quotaExchange struct {
 	d       *Daemon
 	shards  [quotaShards]quotaShard
 	started time.Time
 
 	mu sync.Mutex
-	// founded is one more than the highest quota revision that was founded in the failure domain, as far as known.
-	founded uint64
-	round   int
+	// seeded is one more than the highest quota revision that was seeded in the failure domain, as far as known.
+	seeded uint64
+	round  int
 	// vms names the VM of each process that was given quota.
 	vms map[machine.Incarnation]string
 }
 
 type quotaShard struct {
 	mu    sync.Mutex
-	teams map[customer.TeamKey]*carriedQuota
+	teams map[customer.TeamKey]*quotaEntry
 }
 
-// carriedQuota is this VM's share of a team's quota.
-type carriedQuota struct {
+// quotaEntry is this VM's share of a team's quota.
+type quotaEntry struct {
 	share *contract.QuotaShare
 	// unmet is what others have asked for in vain, until it lapses.
 	unmet  int
 	lapses time.Time
 }
 
-func newQuotaCarrier(d *Daemon) *quotaCarrier {
-	q := &quotaCarrier{d: d, started: d.o.Now(), vms: make(map[machine.Incarnation]string)}
+func newQuotaExchange(d *Daemon) *quotaExchange {
+	q := &quotaExchange{d: d, started: d.o.Now(), vms: make(map[machine.Incarnation]string)}
 	for i := range q.shards {
-		q.shards[i].teams = make(map[customer.TeamKey]*carriedQuota)
+		q.shards[i].teams = make(map[customer.TeamKey]*quotaEntry)
 	}
 	return q
 }
 
-func (q *quotaCarrier) shard(k customer.TeamKey) *quotaShard {
+func (q *quotaExchange) shard(k customer.TeamKey) *quotaShard {
 	return &q.shards[xxhash.Sum64String(k.String())%quotaShards]
 }
 
 // delegate returns the member of a failure domain that asks the other failure domains.
-func (q *quotaCarrier) delegate(domain zone.DomainID) (machine.EntryVM, bool) {
+func (q *quotaExchange) delegate(domain zone.DomainID) (machine.EntryVM, bool) {
 	vms := q.d.peers.inDomain(domain)
 	if domain == q.d.o.Domain {
 		vms = q.d.domain.Live()
@@ -75,27 +75,27 @@
 	return zone.Choose(fmt.Sprintf("quota/%d", domain), vms)
 }
 
-func (q *quotaCarrier) isDelegate() bool {
+func (q *quotaExchange) isDelegate() bool {
 	vm, ok := q.delegate(q.d.o.Domain)
 	return ok && vm.ID == q.d.o.VM.ID
 }
 
-// tick founds new quotas, sends transfers again that were not acknowledged, and asks for quota.
-func (q *quotaCarrier) tick() {
+// tick seeds new quotas, sends transfers again that were not acknowledged, and asks for quota.
+func (q *quotaExchange) tick() {
 	usages := q.d.dispatcher.Teams().Usages()
 	if len(usages) == 0 {
 		return
 	}
 	sort.Slice(usages, func(i, j int) bool { return usages[i].Key.String() < usages[j].Key.String() })
 	delegate := q.isDelegate()
-	founding := q.mayFound(delegate)
+	seeding := q.maySeed(delegate)
 	highest := uint64(0)
 	for _, u := range usages {
-		q.adopt(u, founding)
+		q.adopt(u, seeding)
 		highest = max(highest, u.Revision+1)
 	}
-	if founding {
-		q.setFounded(highest)
+	if seeding {
+		q.setSeeded(highest)
 	}
 	targets := q.targets(delegate)
 	for _, u := range usages {
@@ -104,10 +104,10 @@
 	}
 }
 
-// mayFound reports whether this VM founds the shares of its failure domain: only the delegate, and only once it has
-// heard from all listed members, so that a founding that they know of is not repeated.
-func (q *quotaCarrier) mayFound(delegate bool) bool {
-	if !delegate || q.d.o.Now().Sub(q.started) < foundingDelay {
+// maySeed reports whether this VM seeds the shares of its failure domain: only the delegate, and only once it has
+// heard from all listed members, so that a seeding that they know of is not repeated.
+func (q *quotaExchange) maySeed(delegate bool) bool {
+	if !delegate || q.d.o.Now().Sub(q.started) < seedingDelay {
 		return false
 	}
 	for _, m := range q.d.domain.Members(q.d.o.Now()) {
@@ -118,43 +118,43 @@
 	return true
 }
 
-func (q *quotaCarrier) foundedBelow() uint64 {
+func (q *quotaExchange) seededBelow() uint64 {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	return q.founded
+	return q.seeded
 }
 
-func (q *quotaCarrier) setFounded(f uint64) {
+func (q *quotaExchange) setSeeded(f uint64) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	q.founded = max(q.founded, f)
+	q.seeded = max(q.seeded, f)
 }
 
 // adopt keeps the share at the revision of the quota. Shares of earlier revisions are void.
-func (q *quotaCarrier) adopt(u customer.Usage, founding bool) {
-	found := founding && u.Revision >= q.foundedBelow()
+func (q *quotaExchange) adopt(u customer.Usage, seeding bool) {
+	seed := seeding && u.Revision >= q.seededBelow()
 	s := q.shard(u.Key)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	c, ok := s.teams[u.Key]
-	if ok && c.share.Revision() == u.Revision && !found {
+	if ok && c.share.Revision() == u.Revision && !seed {
 		return
 	}
 	part := 0
-	if found {
+	if seed {
 		part = q.part(u.Quota)
 	}
-	c = &carriedQuota{share: contract.NewQuotaShare(u.Key.String(), u.Revision, q.d.o.VM.Incarnation, part)}
+	c = &quotaEntry{share: contract.NewQuotaShare(u.Key.String(), u.Revision, q.d.o.VM.Incarnation, part)}
 	s.teams[u.Key] = c
-	if found {
+	if seed {
 		q.divide(c, part)
 	}
 	q.d.dispatcher.SetQuotaShare(u.Key, c.share.Held())
 }
 
-// divide gives the members of the failure domain equal parts of what was founded. It expects the shard lock to be
+// divide gives the members of the failure domain equal parts of what was seeded. It expects the shard lock to be
 // held; the transfers go out with those that wait for an acknowledgement.
-func (q *quotaCarrier) divide(c *carriedQuota, part int) {
+func (q *quotaExchange) divide(c *quotaEntry, part int) {
 	live := q.d.domain.Live()
 	for _, vm := range live {
 		q.know(vm.ID, vm.Incarnation)
@@ -162,35 +162,35 @@
 	}
 }
 
-// domains returns the failure domains that found shares. Settings without them are divided among the listed ones,
+// domains returns the failure domains that seed shares. Settings without them are divided among the listed ones,
 // which is exact only while all entry VMs have the same list.
-func (q *quotaCarrier) domains() []uint16 {
+func (q *quotaExchange) domains() []uint16 {
 	if d := q.d.dispatcher.Teams().Domains(); len(d) > 0 {
 		return d
 	}
 	return q.d.peers.listedDomains()
 }
 
-// part returns what this failure domain founds of a quota.
-func (q *quotaCarrier) part(quota int) int {
+// part returns what this failure domain seeds of a quota.
+func (q *quotaExchange) part(quota int) int {
 	domains := q.domains()
 	for n, id := range domains {
 		if zone.DomainID(id) == q.d.o.Domain {
-			return contract.FoundedPart(quota, n, len(domains))
+			return contract.SeededPart(quota, n, len(domains))
 		}
 	}
 	return 0
 }
 
 // know records on which VM a process runs.
-func (q *quotaCarrier) know(vm string, inc machine.Incarnation) {
+func (q *quotaExchange) know(vm string, inc machine.Incarnation) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	q.vms[inc] = vm
 }
 
 // resend sends the transfers that were not acknowledged.
-func (q *quotaCarrier) resend(k customer.TeamKey) {
+func (q *quotaExchange) resend(k customer.TeamKey) {
 	s := q.shard(k)
 	s.mu.Lock()
 	var pending []contract.QuotaTransfer
@@ -203,7 +203,7 @@
 	}
 }
 
-func (q *quotaCarrier) sendTransfer(t contract.QuotaTransfer, slots int) {
+func (q *quotaExchange) sendTransfer(t contract.QuotaTransfer, slots int) {
 	q.mu.Lock()
 	vm := q.vms[t.To]
 	q.mu.Unlock()
@@ -232,7 +232,7 @@
 
 // targets returns whom to ask in this round: one member of the own failure domain in turn, and for the delegate one
 // delegate of another failure domain in turn.
-func (q *quotaCarrier) targets(delegate bool) []string {
+func (q *quotaExchange) targets(delegate bool) []string {
 	q.mu.Lock()
 	q.round++
 	round := q.round
@@ -260,7 +260,7 @@
 }
 
 // need returns what this VM has and could use of a team's quota. It expects the shard lock to be held.
-func (q *quotaCarrier) need(k customer.TeamKey, c *carriedQuota) customer.QuotaNeed {
+func (q *quotaExchange) need(k customer.TeamKey, c *quotaEntry) customer.QuotaNeed {
 	n := customer.QuotaNeed{Held: c.share.Held(), Demand: q.d.dispatcher.TeamDemand(k)}
 	if q.d.o.Now().Before(c.lapses) {
 		n.Demand += c.unmet
@@ -269,7 +269,7 @@
 }
 
 // ask requests quota that the team's work could use here.
-func (q *quotaCarrier) ask(u customer.Usage, targets []string) {
+func (q *quotaExchange) ask(u customer.Usage, targets []string) {
 	s := q.shard(u.Key)
 	s.mu.Lock()
 	c, ok := s.teams[u.Key]
@@ -289,7 +289,7 @@
 }
 
 // heard handles the quota messages of a peer. It returns false for other messages.
-func (q *quotaCarrier) heard(vm string, inc machine.Incarnation, m *api.PeerMessage) bool {
+func (q *quotaExchange) heard(vm string, inc machine.Incarnation, m *api.PeerMessage) bool {
 	switch b := m.GetBody().(type) {
 	case *api.PeerMessage_QuotaRequest:
 		q.know(vm, inc)
@@ -303,7 +303,7 @@
 }
 
 // give answers a request with a part of the share.
-func (q *quotaCarrier) give(to machine.Incarnation, r *api.QuotaRequest) {
+func (q *quotaExchange) give(to machine.Incarnation, r *api.QuotaRequest) {
 	k, ok := customer.ParseTeamKey(r.GetTeam())
 	if !ok {
 		return
@@ -331,7 +331,7 @@
 }
 
 // take adds a transfer to the share and acknowledges it, or records an acknowledgement.
-func (q *quotaCarrier) take(vm string, m *api.QuotaTransfer) {
+func (q *quotaExchange) take(vm string, m *api.QuotaTransfer) {
 	k, ok := customer.ParseTeamKey(m.GetTeam())
 	if !ok {
 		return
--- a/entry/quota_test.go
+++ b/entry/quota_test.go
@@ -41,10 +41,10 @@
 					m.quotas.tick()
 				}
 				synctest.Wait()
-				require.LessOrEqual(t, held(), 20, "the failure domain founds half of the quota")
+				require.LessOrEqual(t, held(), 20, "the failure domain seeds half of the quota")
 			}
 		}
-		run(foundingDelay + 2*time.Second)
+		run(seedingDelay + 2*time.Second)
 		require.Equal(t, 20, held())
 		busy := c.members[c.vms[0].ID]
 		spec := contract.JobSpec{
--- a/entry/slotmessages.go
+++ b/entry/slotmessages.go
@@ -50,9 +50,9 @@
 	st := s.service(m.GetService())
 	st.granter.Observe(vm, wait(m.GetOldestWaitMs()), now)
 	if reply {
-		st.asker.Hint(vm, int(m.GetFree()), now)
+		st.planner.Hint(vm, int(m.GetFree()), now)
 	} else {
-		st.asker.Overheard(vm, int(m.GetFree()), now)
+		st.planner.Overheard(vm, int(m.GetFree()), now)
 	}
 	l, ok := s.d.dispatcher.Lane(st.name)
 	if !ok {
@@ -72,7 +72,7 @@
 func (s *slotDirectory) demandFrom(vm string, m *api.Demand) {
 	now := s.d.o.Now()
 	st := s.service(m.GetStatus().GetService())
-	st.asker.Overheard(vm, int(m.GetStatus().GetFree()), now)
+	st.planner.Overheard(vm, int(m.GetStatus().GetFree()), now)
 	allocations := st.granter.Demand(vm, zone.Need{
 		Tasks:     zone.Count{Short: int(m.GetShortTasks()), Long: int(m.GetLongTasks())},
 		ShortWait: wait(m.GetStatus().GetOldestWaitMs()), LongWait: wait(m.GetOldestLongWaitMs()),
@@ -118,7 +118,7 @@
 	}
 	s.counters.received.Inc(int64(sum.Sum()))
 	st.mu.Lock()
-	st.asker.Granted(vm, sum, m.GetNumber())
+	st.planner.Granted(vm, sum, m.GetNumber())
 	st.deliver(sum, 1)
 	st.mu.Unlock()
 	s.d.dispatcher.Grant(st.name, grants)
@@ -135,7 +135,7 @@
 		return
 	}
 	st := s.service(service)
-	received := st.asker.Received(vm)
+	received := st.planner.Received(vm)
 	s.sendReport(st, vm, zoneHeld(l.Held()), received, true)
 }
 
--- a/entry/slots.go
+++ b/entry/slots.go
@@ -48,12 +48,12 @@
 	fresh bool
 }
 
-// serviceSlots are the granter and the asker of one service. mu guards the fields below it and is taken before the
+// serviceSlots are the granter and the planner of one service. mu guards the fields below it and is taken before the
 // locks of both; it keeps demands in the order in which the lane stated them.
 type serviceSlots struct {
 	name    string
 	granter *zone.Granter
-	asker   *zone.Asker
+	planner *zone.DemandPlanner
 
 	mu   sync.Mutex
 	need contract.SlotDemand
@@ -95,7 +95,7 @@
 	if !ok {
 		self := s.d.o.VM.ID
 		st = &serviceSlots{
-			name: name, granter: zone.NewGranter(self, uint64(s.d.o.VM.Incarnation)), asker: zone.NewAsker(self),
+			name: name, granter: zone.NewGranter(self, uint64(s.d.o.VM.Incarnation)), planner: zone.NewDemandPlanner(self),
 			replied: make(map[string]time.Time), reported: make(map[string]bool),
 		}
 		s.services[name] = st
@@ -120,7 +120,7 @@
 
 // Scarce implements dispatch.SlotBroker.
 func (s *slotDirectory) Scarce(service string) bool {
-	return s.service(service).asker.Scarce(s.d.o.Now())
+	return s.service(service).planner.Scarce(s.d.o.Now())
 }
 
 // reassign takes over the workers whose granter this VM is now, and drops the others.
@@ -190,7 +190,7 @@
 func (s *slotDirectory) assign(st *serviceSlots, l *dispatch.Lane, offers []zone.Offer, slots map[string]int) {
 	now := s.d.o.Now()
 	others := s.d.domain.Present()
-	st.asker.SetGranters(slots)
+	st.planner.SetGranters(slots)
 	st.mu.Lock()
 	taken := st.granter.Assign(offers, zoneHeld(l.Held()), others, now)
 	if taken {
@@ -227,13 +227,13 @@
 // so that statements are sent in the order of the lane's demands.
 func (s *slotDirectory) ask(st *serviceSlots, now time.Time) []zone.Allocation {
 	self := s.d.o.VM.ID
-	st.asker.Hint(self, st.granter.Free(), now)
+	st.planner.Hint(self, st.granter.Free(), now)
 	st.granter.Observe(self, st.need.ShortWait, now)
 	var own []zone.Allocation
 	need := zone.Count{
 		Short: max(0, st.need.Short-st.delivering.Short), Long: max(0, st.need.Long-st.delivering.Long),
 	}
-	for _, a := range st.asker.Plan(need, now) {
+	for _, a := range st.planner.Plan(need, now) {
 		if a.Granter == self {
 			own = st.granter.Demand(self, zone.Need{
 				Tasks: a.Tasks, ShortWait: st.need.ShortWait, LongWait: st.need.LongWait, Received: a.Received,
@@ -356,7 +356,7 @@
 			sum.Short += a.Slots.Short
 			sum.Long += a.Slots.Long
 		}
-		st.asker.Granted(member, sum, allocations[0].Number)
+		st.planner.Granted(member, sum, allocations[0].Number)
 		s.d.dispatcher.Grant(st.name, grants)
 		return
 	}
@@ -453,7 +453,7 @@
 	st.reported = make(map[string]bool)
 	received := make(map[string]uint64)
 	for name := range byGranter {
-		received[name] = st.asker.Received(name)
+		received[name] = st.planner.Received(name)
 	}
 	for _, h := range zoneHeld(l.Held()) {
 		name := s.Granter(h.Worker)
@@ -461,7 +461,7 @@
 			continue
 		}
 		if _, ok := received[name]; !ok {
-			received[name] = st.asker.Received(name)
+			received[name] = st.planner.Received(name)
 		}
 		byGranter[name] = append(byGranter[name], h)
 		st.reported[name] = true
@@ -555,7 +555,7 @@
 // memberGone takes back the slots that a lost member held.
 func (s *slotDirectory) memberGone(vm string) {
 	for _, st := range s.all() {
-		st.asker.Reset(vm)
+		st.planner.Reset(vm)
 		s.deliver(st, st.granter.MemberGone(vm, s.d.o.Now()))
 	}
 }
--- a/link/peer.go
+++ b/link/peer.go
@@ -59,7 +59,7 @@
 	Acked func(vm string, sent time.Time)
 	// Replaced is told when a connection has ended, so that nothing sent over it will be replied to for certain.
 	Replaced func(vm string)
-	// Refused is told when a peer refuses this incarnation for ever.
+	// Refused is told when a peer refuses this incarnation permanently.
 	Refused func(vm string)
 	// Timeline may be nil.
 	Timeline *timeline.Ring
--- a/link/peerserver.go
+++ b/link/peerserver.go
@@ -20,7 +20,7 @@
 )
 
 const (
-	// codeRefused is the drpc error code that tells a peer that its incarnation is refused for ever.
+	// codeRefused is the drpc error code that tells a peer that its incarnation is refused permanently.
 	codeRefused = 1
 	// peerIdleTimeout ends inbound connections without a message; heartbeats arrive every 500 ms.
 	peerIdleTimeout = 5 * time.Second
@@ -98,7 +98,7 @@
 	<-s.done
 }
 
-// idleListener bounds the time for which an inbound connection may be silent, which otherwise would stay for ever.
+// idleListener bounds the time for which an inbound connection may be silent, which otherwise would stay permanently.
 type idleListener struct{ net.Listener }
 
 // Accept implements net.Listener.
--- a/load/load_test.go
+++ b/load/load_test.go
@@ -134,8 +134,8 @@
 // Guards against a checker that cannot fail: each case breaks one promise and names the check that has to see it.
 func TestCheckerSeesBrokenPromises(t *testing.T) {
 	cases := map[string]struct {
-		spoil func(*answered)
-		want  []string
+		degrade func(*answered)
+		want    []string
 	}{
 		"correct": {func(a *answered) { a.startAll() }, nil},
 		"wrong result": {func(a *answered) {
@@ -196,7 +196,7 @@
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
 			a := newAnswered()
-			c.spoil(a)
+			c.degrade(a)
 			require.Equal(t, c.want, a.checks())
 		})
 	}
--- a/load/soakfault.go
+++ b/load/soakfault.go
@@ -47,8 +47,8 @@
 	"worker_silent":       func(s *Soak, f drawnFault) bool { return s.silence(s.entryToWorker(f)) },
 	"worker_replies_lost": func(s *Soak, f drawnFault) bool { return s.loseReplies(f, s.entryToWorker(f)) },
 	"worker_crash":        (*Soak).crashWorker,
-	"worker_slow":         func(s *Soak, f drawnFault) bool { return s.spoil(f, standin.WorkerFaults{Slowdown: 10}) },
-	"worker_fails_all":    func(s *Soak, f drawnFault) bool { return s.spoil(f, standin.WorkerFaults{FailAll: true}) },
+	"worker_slow":         func(s *Soak, f drawnFault) bool { return s.degrade(f, standin.WorkerFaults{Slowdown: 10}) },
+	"worker_fails_all":    func(s *Soak, f drawnFault) bool { return s.degrade(f, standin.WorkerFaults{FailAll: true}) },
 	"worker_leaving":      (*Soak).leaveWorker,
 	"platform_cut":        func(s *Soak, f drawnFault) bool { return s.cut(f, s.entryToPlatform(f)) },
 	"log_outage": func(s *Soak, f drawnFault) bool {
--- a/load/soaknetwork.go
+++ b/load/soaknetwork.go
@@ -155,8 +155,8 @@
 	return true
 }
 
-// spoil makes a worker misbehave for the fault's span.
-func (s *Soak) spoil(f drawnFault, faults standin.WorkerFaults) bool {
+// degrade makes a worker misbehave for the fault's span.
+func (s *Soak) degrade(f drawnFault, faults standin.WorkerFaults) bool {
 	w := s.reserveWorker(f.a)
 	if w == nil {
 		return false
--- a/machine/health.go
+++ b/machine/health.go
@@ -51,8 +51,8 @@
 	probesToHeal    = 3
 	firstQuarantine = time.Second
 	longestPause    = 30 * time.Second
-	// goodConduct is the time without a quarantine after which the pause starts from the beginning.
-	goodConduct = time.Minute
+	// pauseResetAfter is the time without a quarantine after which the pause starts from the beginning.
+	pauseResetAfter = time.Minute
 )
 
 type healthEvent uint8
@@ -60,7 +60,7 @@
 const (
 	healthSuspected healthEvent = iota
 	healthCleared
-	healthCondemned
+	healthQuarantined
 	healthPauseOver
 	healthProbeFailed
 	healthProbesPassed
@@ -84,10 +84,10 @@
 	)
 	m.Configure(Healthy).
 		Permit(healthSuspected, Suspect).
-		Permit(healthCondemned, Quarantined)
+		Permit(healthQuarantined, Quarantined)
 	m.Configure(Suspect).
 		Permit(healthCleared, Healthy).
-		Permit(healthCondemned, Quarantined)
+		Permit(healthQuarantined, Quarantined)
 	m.Configure(Quarantined).
 		Permit(healthPauseOver, Probing).
 		Permit(healthCleared, Healthy)
@@ -165,7 +165,7 @@
 	}
 	h.score += weight * (1 - e.Expected)
 	if h.score >= quarantineScore {
-		h.condemn(healthCondemned, now)
+		h.quarantine(healthQuarantined, now)
 	} else if h.score >= suspectScore {
 		h.fire(healthSuspected)
 	}
@@ -182,7 +182,7 @@
 func (h *Health) probe(e Evidence, now time.Time) {
 	if e.Failed || e.Rejected {
 		if e.Proven {
-			h.condemn(healthProbeFailed, now)
+			h.quarantine(healthProbeFailed, now)
 		}
 		return
 	}
@@ -193,10 +193,10 @@
 	}
 }
 
-// condemn starts a quarantine that lasts twice as long as the one before, unless that was long ago.
-func (h *Health) condemn(e healthEvent, now time.Time) {
+// quarantine starts a quarantine that lasts twice as long as the one before, unless that was long ago.
+func (h *Health) quarantine(e healthEvent, now time.Time) {
 	switch {
-	case h.pause == 0 || now.Sub(h.until) > goodConduct:
+	case h.pause == 0 || now.Sub(h.until) > pauseResetAfter:
 		h.pause = firstQuarantine
 	default:
 		h.pause = min(2*h.pause, longestPause)
@@ -206,8 +206,8 @@
 	h.fire(e)
 }
 
-// Forgive withdraws failures that have turned out to be the fault of a job.
-func (h *Health) Forgive(failures int, now time.Time) bool {
+// Retract withdraws failures that have turned out to be the fault of a job.
+func (h *Health) Retract(failures int, now time.Time) bool {
 	before := h.state
 	h.tick(now)
 	h.score = max(0, h.score-float64(failures))
--- a/machine/health_test.go
+++ b/machine/health_test.go
@@ -83,7 +83,7 @@
 			case 2:
 				h.Observe(Evidence{Rejected: true, Proven: true}, now)
 			case 3:
-				h.Forgive(1, now)
+				h.Retract(1, now)
 			case 4:
 				h.Tick(now)
 			default:
--- a/machine/worker.go
+++ b/machine/worker.go
@@ -140,11 +140,11 @@
 	return w.health.Observe(e, now)
 }
 
-// Forgive withdraws failures that have turned out to be the fault of a job.
-func (w *Worker) Forgive(failures int, now time.Time) bool {
+// Retract withdraws failures that have turned out to be the fault of a job.
+func (w *Worker) Retract(failures int, now time.Time) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	return w.health.Forgive(failures, now)
+	return w.health.Retract(failures, now)
 }
 
 // Warn takes over that another entry VM has quarantined an incarnation of the worker.
--- a/zone/allocation.go
+++ b/zone/allocation.go
@@ -161,7 +161,7 @@
 		}
 		a.Number = m.number
 		if a.Member != g.self {
-			m.flying = append(m.flying, flyingGrant{number: a.Number, worker: a.Worker, slots: a.Slots, sent: now})
+			m.unacked = append(m.unacked, unackedGrant{number: a.Number, worker: a.Worker, slots: a.Slots, sent: now})
 		}
 	}
 	return out
--- a/zone/asker.go
+++ b/zone/demandplanner.go
@@ -24,24 +24,24 @@
 	reaskInterval = 50 * time.Millisecond
 )
 
-// Ask is the demand to state to a granter; it replaces the one before.
-type Ask struct {
+// DemandPart is the demand to state to a granter; it replaces the one before.
+type DemandPart struct {
 	Granter  string
 	Tasks    Count
 	Received uint64
 }
 
-// Asker divides the unmet demand of one service between the granters, so that no task is asked for twice. The own
+// DemandPlanner divides the unmet demand of one service between the granters, so that no task is asked for twice. The own
 // granter is one of them. Its mutex guards all fields.
-type Asker struct {
+type DemandPlanner struct {
 	self string
 
 	mu       sync.Mutex
-	granters map[string]*askedGranter
+	granters map[string]*plannedGranter
 }
 
-// askedGranter is what is known of a granter and has been asked of it.
-type askedGranter struct {
+// plannedGranter is what is known of a granter and has been asked of it.
+type plannedGranter struct {
 	name     string
 	slots    int
 	free     int
@@ -51,13 +51,13 @@
 	received uint64
 }
 
-// NewAsker returns an asker of the entry VM self that knows no granter.
-func NewAsker(self string) *Asker {
-	return &Asker{self: self, granters: make(map[string]*askedGranter)}
+// NewDemandPlanner returns an planner of the entry VM self that knows no granter.
+func NewDemandPlanner(self string) *DemandPlanner {
+	return &DemandPlanner{self: self, granters: make(map[string]*plannedGranter)}
 }
 
 // SetGranters replaces the granters; slots holds the number of slots that each one grants.
-func (a *Asker) SetGranters(slots map[string]int) {
+func (a *DemandPlanner) SetGranters(slots map[string]int) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	for name, n := range slots {
@@ -71,17 +71,17 @@
 }
 
 // granter expects a.mu to be held.
-func (a *Asker) granter(name string) *askedGranter {
+func (a *DemandPlanner) granter(name string) *plannedGranter {
 	g, ok := a.granters[name]
 	if !ok {
-		g = &askedGranter{name: name}
+		g = &plannedGranter{name: name}
 		a.granters[name] = g
 	}
 	return g
 }
 
 // Hint records a granter's statement of its free slots, made in reply to a demand.
-func (a *Asker) Hint(granter string, free int, now time.Time) {
+func (a *DemandPlanner) Hint(granter string, free int, now time.Time) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if g, ok := a.granters[granter]; ok {
@@ -91,7 +91,7 @@
 
 // Overheard records a granter's statement of its free slots, made on another occasion. While a demand may still be
 // under way to the granter, a statement of none says nothing about the answer, and must not move the demand.
-func (a *Asker) Overheard(granter string, free int, now time.Time) {
+func (a *DemandPlanner) Overheard(granter string, free int, now time.Time) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	g, ok := a.granters[granter]
@@ -102,7 +102,7 @@
 }
 
 // Scarce reports whether the granters are known to have hardly any free slots among them.
-func (a *Asker) Scarce(now time.Time) bool {
+func (a *DemandPlanner) Scarce(now time.Time) bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	free, slots := 0, 0
@@ -114,7 +114,7 @@
 }
 
 // Granted records a grant.
-func (a *Asker) Granted(granter string, c Count, number uint64) {
+func (a *DemandPlanner) Granted(granter string, c Count, number uint64) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	g := a.granter(granter)
@@ -124,7 +124,7 @@
 }
 
 // Received returns the number of the last grant from a granter.
-func (a *Asker) Received(granter string) uint64 {
+func (a *DemandPlanner) Received(granter string) uint64 {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if g, ok := a.granters[granter]; ok {
@@ -134,17 +134,17 @@
 }
 
 // Reset forgets what was asked of a granter whose process has ended.
-func (a *Asker) Reset(granter string) {
+func (a *DemandPlanner) Reset(granter string) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if g, ok := a.granters[granter]; ok {
-		*g = askedGranter{name: granter, slots: g.slots}
+		*g = plannedGranter{name: granter, slots: g.slots}
 	}
 }
 
 // Plan divides the demand and returns the statements to send. The own granter is told directly and needs no
 // message, so that its part is always stated.
-func (a *Asker) Plan(need Count, now time.Time) []Ask {
+func (a *DemandPlanner) Plan(need Count, now time.Time) []DemandPart {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if need.Sum() == 0 && !a.asking() {
@@ -153,7 +153,7 @@
 	order := a.order(now)
 	target := make([]Count, len(order))
 	left := need
-	a.keep(order, target, &left, func(g *askedGranter) bool {
+	a.keep(order, target, &left, func(g *plannedGranter) bool {
 		return now.Sub(g.askedAt) < answerTime && g.hint(now) > 0
 	})
 	for i, g := range order {
@@ -165,20 +165,20 @@
 		left.Short -= s
 		left.Long -= l
 	}
-	a.keep(order, target, &left, func(*askedGranter) bool { return true })
+	a.keep(order, target, &left, func(*plannedGranter) bool { return true })
 	spread(order, target, left)
-	var asks []Ask
+	var asks []DemandPart
 	for i, g := range order {
 		if g.due(target[i], need, now, g.name == a.self) {
 			g.asked, g.askedAt = target[i], now
-			asks = append(asks, Ask{Granter: g.name, Tasks: target[i], Received: g.received})
+			asks = append(asks, DemandPart{Granter: g.name, Tasks: target[i], Received: g.received})
 		}
 	}
 	return asks
 }
 
 // asking expects a.mu to be held.
-func (a *Asker) asking() bool {
+func (a *DemandPlanner) asking() bool {
 	for _, g := range a.granters {
 		if g.asked.Sum() > 0 {
 			return true
@@ -188,8 +188,8 @@
 }
 
 // order returns the granters, the own one first, then by their free slots. It expects a.mu to be held.
-func (a *Asker) order(now time.Time) []*askedGranter {
-	order := make([]*askedGranter, 0, len(a.granters))
+func (a *DemandPlanner) order(now time.Time) []*plannedGranter {
+	order := make([]*plannedGranter, 0, len(a.granters))
 	for _, g := range a.granters {
 		order = append(order, g)
 	}
@@ -210,7 +210,7 @@
 }
 
 // hint is the number of slots that the granter can probably grant at once.
-func (g *askedGranter) hint(now time.Time) int {
+func (g *plannedGranter) hint(now time.Time) int {
 	if now.Sub(g.freeAt) > hintTTL {
 		return 0
 	}
@@ -219,7 +219,7 @@
 
 // keep leaves the parts of the demand where they have been stated before, at the granters for which stays returns true.
 // A part that moves costs messages, and a grant for it may be under way.
-func (a *Asker) keep(order []*askedGranter, target []Count, left *Count, stays func(*askedGranter) bool) {
+func (a *DemandPlanner) keep(order []*plannedGranter, target []Count, left *Count, stays func(*plannedGranter) bool) {
 	for i, g := range order {
 		if g.name == a.self || !stays(g) {
 			// The own part is divided anew each time: left here it would grow beyond its share.
@@ -235,7 +235,7 @@
 }
 
 // spread divides what is left in proportion to the granters' slots.
-func spread(order []*askedGranter, target []Count, left Count) {
+func spread(order []*plannedGranter, target []Count, left Count) {
 	slots := 0
 	for _, g := range order {
 		slots += g.slots
@@ -256,7 +256,7 @@
 }
 
 // due reports whether a new demand has to be stated now.
-func (g *askedGranter) due(target, need Count, now time.Time, own bool) bool {
+func (g *plannedGranter) due(target, need Count, now time.Time, own bool) bool {
 	since := now.Sub(g.askedAt)
 	switch {
 	case own:
@@ -274,7 +274,7 @@
 }
 
 // Free returns the number of slots that other granters are known to have free.
-func (a *Asker) Free(now time.Time) int {
+func (a *DemandPlanner) Free(now time.Time) int {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	n := 0
--- a/zone/granter.go
+++ b/zone/granter.go
@@ -15,8 +15,8 @@
 	// demandTTL drops the demand of a member that has stopped to refresh it. Until then slots may be granted to a member
 	// that a partition has cut off, and stay idle until the grants lapse.
 	demandTTL = 500 * time.Millisecond
-	// grantFlight is the time within which a grant arrives or is lost.
-	grantFlight = 500 * time.Millisecond
+	// grantDelivery is the time within which a grant arrives or is lost.
+	grantDelivery = 500 * time.Millisecond
 	// withholdFor is how long a slot is kept back after the worker refused a start on it.
 	withholdFor = time.Second
 	// forgetAfter drops the record of a member that is not heard any more.
@@ -103,14 +103,14 @@
 	// backlog is the time since which the member's oldest short task waits; zero when none is known.
 	backlog time.Time
 	number  uint64
-	flying  []flyingGrant
+	unacked []unackedGrant
 	// recalled counts slots asked back and not yet returned.
 	recalled   int
 	recalledAt time.Time
 }
 
-// flyingGrant is a grant that the member has not acknowledged.
-type flyingGrant struct {
+// unackedGrant is a grant that the member has not acknowledged.
+type unackedGrant struct {
 	number uint64
 	worker machine.WorkerID
 	slots  Count
@@ -192,7 +192,7 @@
 	defer g.mu.Unlock()
 	m := g.member(member)
 	m.settle(n.Received, now)
-	under := m.underWay()
+	under := m.unackedSlots()
 	m.need = Count{Short: max(0, n.Tasks.Short-under.Short), Long: max(0, n.Tasks.Long-under.Long)}
 	m.refreshed, m.seen = now, now
 	m.shortSince, m.longSince = now.Add(-n.ShortWait), now.Add(-n.LongWait)
@@ -257,7 +257,7 @@
 	for _, h := range held {
 		counts[h.Worker] = h.Slots
 	}
-	for _, f := range m.flying {
+	for _, f := range m.unacked {
 		c := counts[f.worker]
 		counts[f.worker] = Count{Short: c.Short + f.slots.Short, Long: c.Long + f.slots.Long}
 	}
@@ -394,19 +394,19 @@
 
 // settle forgets grants that the member has received or that are lost.
 func (m *grantee) settle(received uint64, now time.Time) {
-	kept := m.flying[:0]
-	for _, f := range m.flying {
-		if f.number > received && now.Sub(f.sent) < grantFlight {
+	kept := m.unacked[:0]
+	for _, f := range m.unacked {
+		if f.number > received && now.Sub(f.sent) < grantDelivery {
 			kept = append(kept, f)
 		}
 	}
-	m.flying = kept
+	m.unacked = kept
 }
 
-// underWay counts the slots granted and not yet acknowledged.
-func (m *grantee) underWay() Count {
+// unackedSlots counts the slots granted and not yet acknowledged.
+func (m *grantee) unackedSlots() Count {
 	var c Count
-	for _, f := range m.flying {
+	for _, f := range m.unacked {
 		c.Short += f.slots.Short
 		c.Long += f.slots.Long
 	}
--- a/zone/granter_test.go
+++ b/zone/granter_test.go
@@ -266,7 +266,7 @@
 // Guards against asking for a task twice and against asking a granter that has nothing while another has.
 func TestAskerProperties(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		a := NewAsker(testSelf)
+		a := NewDemandPlanner(testSelf)
 		slots := map[string]int{testSelf: 8, "entry-1": 16, "entry-2": 0, "entry-3": 40}
 		a.SetGranters(slots)
 		now := time.Unix(1000, 0)
@@ -299,16 +299,16 @@
 
 // Guards against a demand that is spread over granters without free slots while one has enough.
 func TestAskerBestFirst(t *testing.T) {
-	a := NewAsker(testSelf)
+	a := NewDemandPlanner(testSelf)
 	a.SetGranters(map[string]int{testSelf: 8, "entry-1": 8, "entry-2": 8})
 	now := time.Unix(1000, 0)
 	a.Hint("entry-1", 2, now)
 	a.Hint("entry-2", 6, now)
 	asks := a.Plan(Count{Short: 5}, now)
-	require.Equal(t, []Ask{{Granter: "entry-2", Tasks: Count{Short: 5}}}, asks)
+	require.Equal(t, []DemandPart{{Granter: "entry-2", Tasks: Count{Short: 5}}}, asks)
 	a.Hint("entry-1", 8, now)
 	require.Empty(t, a.Plan(Count{Short: 5}, now), "an answer is under way")
 	a.Overheard("entry-2", 0, now)
 	require.Empty(t, a.Plan(Count{Short: 5}, now), "an older statement is no answer")
-	require.Equal(t, []Ask{{Granter: "entry-2"}}, a.Plan(Count{}, now), "a demand that has ended is withdrawn")
+	require.Equal(t, []DemandPart{{Granter: "entry-2"}}, a.Plan(Count{}, now), "a demand that has ended is withdrawn")
 }
--- a/zone/homes.go
+++ b/zone/homes.go
@@ -67,7 +67,7 @@
 	heard   time.Time
 	learned time.Time
 	dropped time.Time
-	// promised and gone refuse the incarnation for ever.
+	// promised and gone refuse the incarnation permanently.
 	promised bool
 	gone     bool
 	since    time.Time // end, for the retention
@@ -142,7 +142,7 @@
 	r.since = now
 }
 
-// Refuses reports whether an incarnation is refused for ever.
+// Refuses reports whether an incarnation is refused permanently.
 func (h *Homes) Refuses(inc machine.Incarnation) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
