--- /dev/null
+++ b/dispatch/run.go
@@ -0,0 +1,182 @@
+package dispatch
+
+import (
+	"time"
+
+	"github.com/cicadadale/cicadadale/backend"
+	"github.com/cicadadale/cicadadale/contract"
+	"github.com/cicadadale/cicadadale/customer"
+	"github.com/cicadadale/cicadadale/fault"
+	"github.com/cicadadale/cicadadale/timeline"
+)
+
+const (
+	defaultDeadline = 10 * time.Second
+	// shortLease and longLease are how long a task of a class runs on when its home has gone. A start that is not
+	// answered for as long is in doubt, so that they exceed what most tasks of the class take.
+	shortLease = 10 * time.Second
+	longLease  = 30 * time.Second
+	// startWindow is how long after the decision a worker may still start the task.
+	startWindow = time.Second
+	// resolveDelay spaces the attempts to ask a worker about a start in doubt.
+	resolveDelay = 250 * time.Millisecond
+	// resolveFor is how long an unreachable worker is asked before the outcome counts as unknown.
+	resolveFor = 5 * time.Second
+)
+
+func (d *Dispatcher) mayStart() bool { return d.o.MayStart == nil || d.o.MayStart() }
+
+// run starts one task and records its outcome.
+func (d *Dispatcher) run(l *Lane, a Assignment) {
+	defer d.running.Done()
+	ticket, ok := d.o.Table.Start(a.Item.Task, string(a.Slot.Worker))
+	if !ok {
+		// The job was cancelled while the task waited.
+		d.wake(a.Item, l.queue.Returned(a.Item))
+		d.carryOut(l, l.Release(a.Slot, d.o.Now()))
+		return
+	}
+	req := StartRequest{
+		Ticket: ticket, Worker: a.Slot.Worker, Incarnation: d.workerIncarnation(a.Slot.Worker), Epoch: a.Slot.Epoch,
+		StartBy: d.o.Now().Add(startWindow), Lease: leaseOf(a.Item.Class),
+	}
+	d.counters.started.Inc(1)
+	d.retries.Earn()
+	task := d.tasks.add(l, a, req, d.o.Now())
+	d.o.Timeline.Task(timeline.TaskStarted, ticket.Task, a.Slot.Worker, "")
+	reply, err := d.send(req)
+	if err != nil && !fault.IsProvenNotStarted(err) {
+		d.counters.inDoubt.Inc(1)
+		d.o.Timeline.Task(timeline.TaskInDoubt, ticket.Task, a.Slot.Worker, "")
+		reply, err = d.resolve(req)
+	}
+	outgrown, acted, released := d.tasks.remove(task)
+	if outgrown {
+		a.Item.Kind.Shrink()
+	}
+	// The slot counts as held by long work if the start was in doubt for long.
+	a.Slot = task.assignment.Slot
+	if err != nil {
+		d.notStarted(l, a, released, err)
+		return
+	}
+	l.observeStart(a, false, d.o.Now())
+	d.learn(a, reply, acted)
+	d.finish(a, reply)
+	d.wake(a.Item, l.queue.Finished(a.Item, reply.RunTime))
+	if !released {
+		d.carryOut(l, l.Leave(a.Slot, d.accepts(a.Slot.Worker), d.o.Now()))
+	}
+}
+
+func leaseOf(c backend.Class) time.Duration {
+	if c == backend.ClassLong {
+		return longLease
+	}
+	return shortLease
+}
+
+// resolve asks the worker about a start in doubt until it answers or counts as lost.
+func (d *Dispatcher) resolve(req StartRequest) (StartReply, error) {
+	until := d.o.Now().Add(resolveFor)
+	for {
+		reply, err := d.o.Starter.Resolve(d.ctx, req)
+		if err == nil || fault.IsProvenNotStarted(err) {
+			d.counters.resolved.Inc(1)
+			d.o.Timeline.Task(timeline.TaskResolved, req.Ticket.Task, req.Worker, reply.Outcome.String())
+			return reply, err
+		}
+		if fault.Reason(err) == fault.ReasonRunning {
+			until = d.o.Now().Add(resolveFor)
+		}
+		if d.o.Now().After(until) {
+			return StartReply{Outcome: contract.OutcomeUnknown, Detail: err.Error()}, nil
+		}
+		select {
+		case <-time.After(resolveDelay):
+		case <-d.ctx.Done():
+			return StartReply{Outcome: contract.OutcomeUnknown, Detail: "entry VM stopped"}, nil
+		}
+	}
+}
+
+// notStarted queues a task again whose start is proven not to have happened. released says that its slot was given up
+// before.
+func (d *Dispatcher) notStarted(l *Lane, a Assignment, released bool, cause error) {
+	d.counters.rejected.Inc(1)
+	if fault.Reason(cause) == fault.ReasonNotSent {
+		d.counters.notSent.Inc(1)
+	}
+	d.o.Timeline.Task(timeline.TaskRejected, a.Item.Task, a.Slot.Worker, fault.Reason(cause))
+	now := d.o.Now()
+	requeue := d.o.Table.NotStarted(a.Item.Task, now)
+	d.wake(a.Item, l.queue.Returned(a.Item))
+	full := fault.Reason(cause) == ReasonWorkerFull
+	if !released {
+		d.carryOut(l, l.Reject(a.Slot, full, now))
+	}
+	if !full {
+		// A full worker is in order: two granters have given its slots away, which the granters heal.
+		d.learnRejection(l, a, now)
+	}
+	if !requeue || d.giveUp(&a, now) {
+		return
+	}
+	d.o.Logger.Debug("start rejected", "task", a.Item.Task, "worker", a.Slot.Worker, "error", cause)
+	select {
+	case <-time.After(d.retryPause(a.Item.Attempts, full)):
+	case <-d.ctx.Done():
+		return
+	}
+	d.carryOut(l, l.Push([]customer.Item{a.Item}, d.o.Now()))
+}
+
+// retryPause returns the time until a rejected task is queued again. Rejections by full workers are the normal course of
+// the baseline policies, which avoid such a worker for a while: the retry budget would only make the tasks wait.
+func (d *Dispatcher) retryPause(attempt int, full bool) time.Duration {
+	if full && d.o.Placement != nil {
+		return retryDelay
+	}
+	return d.retries.Delay(attempt, jitter())
+}
+
+// finish records the outcome of a task that was started.
+func (d *Dispatcher) finish(a Assignment, r StartReply) {
+	switch r.Outcome {
+	case contract.OutcomeDone:
+		d.counters.done.Inc(1)
+	case contract.OutcomeFailed:
+		d.counters.taskFailed.Inc(1)
+	default:
+		d.counters.unknown.Inc(1)
+	}
+	d.o.Timeline.Task(outcomeKind(r.Outcome), a.Item.Task, a.Slot.Worker, r.Detail)
+	report := contract.TaskReport{
+		Outcome: r.Outcome, Detail: r.Detail, RunTime: r.RunTime, Worker: string(a.Slot.Worker),
+	}
+	answer, last := d.o.Table.Finish(a.Item.Task, report, r.Result, d.o.Now())
+	if !last {
+		return
+	}
+	if answer.Verdict == contract.VerdictComplete {
+		d.counters.complete.Inc(1)
+		d.o.Timeline.Job(timeline.JobComplete, a.Item.Task.Job, "", len(answer.Reports))
+	} else {
+		d.counters.failed.Inc(1)
+		d.o.Timeline.Job(timeline.JobFailed, a.Item.Task.Job, answer.Reason, len(answer.Reports))
+	}
+}
+
+// outcomeKind returns the kind of event for a task's final outcome.
+func outcomeKind(o contract.Outcome) timeline.Kind {
+	switch o {
+	case contract.OutcomeDone:
+		return timeline.TaskDone
+	case contract.OutcomeFailed:
+		return timeline.TaskFailed
+	case contract.OutcomeNotRun:
+		return timeline.TaskNotRun
+	default:
+		return timeline.TaskUnknown
+	}
+}
