load: let operators race each other in the soak run

Change: operators publish two or three changes of the same base about once a second; the revision of each incarnation must never go back, and after the faults the revision that the log decides must be in effect everywhere within 3 s. The draws of the other faults stay the same.

--- a/load/check.go
+++ b/load/check.go
@@ -22,6 +22,9 @@
 	CheckStopCutsNothing = "planned_stop_cuts_no_request"
 	CheckProgram         = "program_invariants"
 	CheckDaemonRuns      = "daemon_runs"
+
+	CheckConfigNeverReverts = "config_never_reverts"
+	CheckConfigInEffect     = "config_in_effect"
 )
 
 // startGrace is how long after a job's final answer a start that was under way may still arrive. A worker rejects starts
--- a/load/soak.go
+++ b/load/soak.go
@@ -130,7 +130,12 @@
 	if err := s.start(); err != nil {
 		return SoakReport{}, err
 	}
-	s.drive()
+	operators, err := newOperators(s)
+	if err != nil {
+		return SoakReport{}, err
+	}
+	s.drive(operators)
+	operators.settle()
 	s.readAllInvariants()
 	s.checkJobs()
 	r := s.report()
@@ -227,7 +232,7 @@
 }
 
 // drive runs callers and faults for the duration, ends all faults and waits for the last answers.
-func (s *Soak) drive() {
+func (s *Soak) drive(operators *operators) {
 	end := time.Now().Add(s.o.Duration)
 	s.mu.Lock()
 	// Moved forward when all faults have ended.
@@ -237,6 +242,7 @@
 	for n := range soakCallers {
 		callers.Go(func() { s.call(rand.New(rand.NewPCG(s.o.Seed, uint64(n)+100)), end) })
 	}
+	callers.Go(func() { operators.run(rand.New(rand.NewPCG(s.o.Seed, 3)), end) })
 	s.inject(rand.New(rand.NewPCG(s.o.Seed, 2)), end)
 	s.faults.Wait()
 	s.mu.Lock()
