--- a/command/job.go
+++ b/command/job.go
@@ -10,6 +10,7 @@
 
 	"github.com/urfave/cli/v3"
 
+	"github.com/cicadadale/cicadadale/api"
 	"github.com/cicadadale/cicadadale/contract"
 	"github.com/cicadadale/cicadadale/rpc"
 )
@@ -79,7 +80,8 @@
 		Description: "Each payload makes a task. Exit status: 0 complete, 1 error without an answer (submit again with the " +
 			"same --id), 2 failed, 3 refused as not run.",
 		Flags: []cli.Flag{
-			&cli.StringFlag{Name: "id", Usage: "job `ID` from create; a fresh one if not given"},
+			&cli.StringFlag{Name: "id", Usage: "job `ID` from create; a fresh one if neither it nor --key is given"},
+			keyFlag(),
 			&cli.StringFlag{Name: "service", Required: true, Usage: "full `NAME` of the service"},
 			&cli.StringFlag{Name: "kind", Required: true, Usage: "request `KIND`"},
 			&cli.StringSliceFlag{Name: "payload", Usage: "payload `TEXT` of one task; may be repeated"},
@@ -98,12 +100,12 @@
 }
 
 func submitJob(ctx context.Context, c *cli.Command, client *rpc.Client) error {
-	id, err := jobIDOrNew(ctx, c.String("id"), client)
+	ref, err := submitRef(ctx, c, client)
 	if err != nil {
 		return err
 	}
 	s := contract.Submission{
-		Ref: contract.JobRef{ID: id}, Service: c.String("service"), Customer: c.String("customer"),
+		Ref: ref, Service: c.String("service"), Customer: c.String("customer"),
 		Team: c.String("team"), Deadline: c.Duration("deadline"), Priority: c.Int("priority"),
 	}
 	for _, p := range c.StringSlice("payload") {
@@ -143,13 +145,6 @@
 	}
 }
 
-func jobIDOrNew(ctx context.Context, text string, client *rpc.Client) (contract.JobID, error) {
-	if text == "" {
-		return client.NewJob(ctx)
-	}
-	return contract.ParseJobID(text)
-}
-
 type answerOutput struct {
 	Job     string       `json:"job"`
 	Verdict string       `json:"verdict"`
@@ -182,17 +177,12 @@
 	return enc.Encode(out)
 }
 
-// refArgument reads the job id that a command takes as its argument.
-func refArgument(c *cli.Command) (contract.JobRef, error) {
-	id, err := contract.ParseJobID(c.Args().First())
-	return contract.JobRef{ID: id}, err
-}
-
 func jobCancelCommand() *cli.Command {
 	return &cli.Command{
 		Name:      "cancel",
 		Usage:     "withdraw the tasks of a job that have not started",
-		ArgsUsage: "ID",
+		ArgsUsage: "[ID]",
+		Flags:     []cli.Flag{keyFlag()},
 		Action: func(ctx context.Context, c *cli.Command) error {
 			ref, err := refArgument(c)
 			if err != nil {
@@ -213,8 +203,9 @@
 	return &cli.Command{
 		Name:      "reconfigure",
 		Usage:     "change the deadline or priority of a job that has not ended",
-		ArgsUsage: "ID",
+		ArgsUsage: "[ID]",
 		Flags: []cli.Flag{
+			keyFlag(),
 			&cli.DurationFlag{Name: "deadline", Usage: "time allowed from now"},
 			&cli.IntFlag{Name: "priority", Usage: "higher runs first within the customer"},
 		},
@@ -229,7 +220,7 @@
 				if err != nil {
 					return err
 				}
-				return json.NewEncoder(c.Root().Writer).Encode(st)
+				return printStatus(c.Root().Writer, st)
 			})
 		},
 	}
@@ -239,7 +230,8 @@
 	return &cli.Command{
 		Name:      "status",
 		Usage:     "print the progress of a job as JSON",
-		ArgsUsage: "ID",
+		ArgsUsage: "[ID]",
+		Flags:     []cli.Flag{keyFlag()},
 		Action: func(ctx context.Context, c *cli.Command) error {
 			ref, err := refArgument(c)
 			if err != nil {
@@ -250,8 +242,28 @@
 				if err != nil {
 					return err
 				}
-				return json.NewEncoder(c.Root().Writer).Encode(st)
+				return printStatus(c.Root().Writer, st)
 			})
 		},
 	}
 }
+
+// printStatus writes a job's progress on one line.
+func printStatus(w io.Writer, st *api.JobStatus) error {
+	return json.NewEncoder(w).Encode(statusOutput{
+		Job: st.GetJobId(), Verdict: contract.Verdict(st.GetVerdict() - 1).String(), Tasks: st.GetTasks(),
+		Waiting: st.GetWaiting(), Running: st.GetRunning(), Finished: st.GetFinished(), DeadlineMS: st.GetDeadlineMs(),
+		Priority: st.GetPriority(),
+	})
+}
+
+type statusOutput struct {
+	Job        string `json:"job_id"`
+	Verdict    string `json:"verdict"`
+	Tasks      uint32 `json:"tasks"`
+	Waiting    uint32 `json:"waiting"`
+	Running    uint32 `json:"running"`
+	Finished   uint32 `json:"finished"`
+	DeadlineMS int64  `json:"deadline_ms"`
+	Priority   int32  `json:"priority"`
+}
