entry: pass the quota of a stopping entry VM on

Change: after the hand-over of jobs all shares go to a live member, repeated until they are acknowledged or 2 s have passed, and a draining VM asks for none. TestPlannedStopPassesQuotaOn: 37 of 37 slots stay in use after the stop. The share of a crashed VM is still lost until the quota changes.

--- a/entry/handover.go
+++ b/entry/handover.go
@@ -159,6 +159,7 @@
 	d.table.Close()
 	d.heartbeat()
 	d.leave(ctx)
+	d.quotas.passOn(ctx)
 	d.rpcServer.Stop(ctx)
 	d.serving.wait(ctx)
 	d.flush(ctx)
--- a/entry/quota.go
+++ b/entry/quota.go
@@ -100,7 +100,9 @@
 	targets := q.targets(delegate)
 	for _, u := range usages {
 		q.resend(u.Key)
-		q.ask(u, targets)
+		if !q.d.dispatcher.Draining() {
+			q.ask(u, targets)
+		}
 	}
 }
 
--- a/entry/quota_test.go
+++ b/entry/quota_test.go
@@ -67,3 +67,43 @@
 		require.Equal(t, contract.VerdictComplete, a.Verdict)
 	})
 }
+
+// Guards against quota that planned stops take out of use: with 1,400 replacements a day the teams would soon have none.
+func TestPlannedStopPassesQuotaOn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newTestCluster(t, dispatch.PolicyDefault, 3, 6)
+		defer c.close()
+		for _, m := range c.members {
+			require.NoError(t, m.dispatcher.ApplyCustomers(customer.Settings{
+				Revision: 1, Domains: []uint16{1}, Customers: []customer.Spec{
+					{Name: "c", Teams: []customer.TeamSpec{{Name: "t", Slots: 30}, {Name: "u", Slots: 7}}},
+				},
+			}))
+		}
+		held := func() (sum int) {
+			for _, m := range c.members {
+				for _, u := range m.dispatcher.Teams().Usages() {
+					sum += u.Share
+				}
+			}
+			return sum
+		}
+		for range int((seedingDelay + 2*time.Second) / quotaInterval) {
+			time.Sleep(quotaInterval)
+			for _, m := range c.members {
+				m.quotas.tick()
+			}
+			synctest.Wait()
+		}
+		require.Equal(t, 37, held())
+		id := c.vms[0].ID
+		c.members[id].dispatcher.Drain()
+		c.members[id].quotas.passOn(t.Context())
+		for _, u := range c.members[id].dispatcher.Teams().Usages() {
+			require.Zero(t, u.Share)
+		}
+		require.Equal(t, 37, held())
+		c.stop(id)
+		require.Equal(t, 37, held())
+	})
+}
--- /dev/null
+++ b/entry/quotareturn.go
@@ -0,0 +1,70 @@
+package entry
+
+import (
+	"context"
+	"time"
+
+	"github.com/cicadadale/cicadadale/machine"
+	"github.com/cicadadale/cicadadale/zone"
+)
+
+const (
+	// quotaReturnLimit bounds the time that a stopping VM spends on passing its quota on.
+	quotaReturnLimit = 2 * time.Second
+	quotaReturnRetry = 100 * time.Millisecond
+	// quotaReturnKey is hashed with the members' ids to choose who takes the quota of a stopping VM.
+	quotaReturnKey = "quota return/"
+)
+
+// passOn gives the shares of a stopping VM to another member of the failure domain. Without it each planned
+// replacement would take an eighth of the failure domain's quota of every team out of use, until the quota is changed.
+func (q *quotaExchange) passOn(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, quotaReturnLimit)
+	defer cancel()
+	t := time.NewTicker(quotaReturnRetry)
+	defer t.Stop()
+	for {
+		if q.giveAll() {
+			return
+		}
+		select {
+		case <-t.C:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// giveAll sends everything that is held or not acknowledged, and reports whether nothing is left.
+func (q *quotaExchange) giveAll() bool {
+	to, ok := q.receiver()
+	if !ok {
+		return true
+	}
+	q.know(to.ID, to.Incarnation)
+	done := true
+	for _, u := range q.d.dispatcher.Teams().Usages() {
+		s := q.shard(u.Key)
+		s.mu.Lock()
+		c, known := s.teams[u.Key]
+		if known {
+			c.share.Give(to.Incarnation, c.share.Held())
+			q.d.dispatcher.SetQuotaShare(u.Key, c.share.Held())
+			done = done && c.share.Held() == 0 && len(c.share.Pending()) == 0
+		}
+		s.mu.Unlock()
+		q.resend(u.Key)
+	}
+	return done
+}
+
+// receiver returns the member that takes the quota of this VM.
+func (q *quotaExchange) receiver() (machine.EntryVM, bool) {
+	var others []machine.EntryVM
+	for _, vm := range q.d.domain.Live() {
+		if vm.ID != q.d.o.VM.ID {
+			others = append(others, vm)
+		}
+	}
+	return zone.Choose(quotaReturnKey+q.d.o.VM.ID, others)
+}
