--- a/link/wire.go
+++ b/link/wire.go
@@ -39,7 +39,6 @@
 	RejectFenced      = "fenced"
 	RejectDuplicate   = "duplicate"
 	RejectLeaving     = "leaving"
-	RejectEpoch       = "stale epoch"
 )
 
 // Reasons of a task that the worker has ended before its time. Such a task has run, if only in part.
--- a/load/mutations.sh
+++ b/load/mutations.sh
@@ -36,7 +36,7 @@
 
 # A start in doubt is taken for one that never happened and is sent again.
 resend_in_doubt() {
-  replace dispatch/dispatcher.go 'reply, err = d.resolve(req)' 'err = fault.NotStarted.New("assumed")'
+  replace dispatch/run.go 'reply, err = d.resolve(req)' 'err = fault.NotStarted.New("assumed")'
 }
 
 # Another incarnation of a worker is taken for a proof that the task never started.
