--- /dev/null
+++ b/backend/example_test.go
@@ -0,0 +1,21 @@
+package backend_test
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/cicadadale/cicadadale/backend"
+)
+
+// A kind that is declared short counts as long once its runs show it.
+func ExampleRequestKind() {
+	k := backend.NewRequestKind(backend.KindSpec{Name: "IssueOrder", Expected: 200 * time.Millisecond})
+	fmt.Println(k.Class(), k.Expected())
+	for range 300 {
+		k.Observe(4*time.Second, 1)
+	}
+	fmt.Println(k.Class(), k.Expected())
+	// Output:
+	// short 200ms
+	// long 4s
+}
--- /dev/null
+++ b/machine/example_test.go
@@ -0,0 +1,24 @@
+package machine_test
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/cicadadale/cicadadale/machine"
+)
+
+// A worker that fails work which succeeds elsewhere is quarantined and gets no more slots.
+func ExampleWorker_quarantine() {
+	now := time.Unix(0, 0)
+	fleet := machine.NewFleet()
+	w, _ := fleet.Upsert(machine.WorkerSpec{ID: "worker-1", Service: "glashaus.v1.Booking", Slots: 8})
+	w.ObserveStatus(1, 0, now)
+	fmt.Println(w.UsableSlots(now))
+	for range 4 {
+		w.Observe(machine.Evidence{Failed: true, Proven: true}, now)
+	}
+	fmt.Println(w.HealthAt(now), w.UsableSlots(now))
+	// Output:
+	// 8
+	// quarantined 0
+}
--- /dev/null
+++ b/zone/example_test.go
@@ -0,0 +1,23 @@
+package zone_test
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/cicadadale/cicadadale/zone"
+)
+
+// The granter of a worker gives its slots to the members that have work, and takes them back.
+func ExampleGranter() {
+	now := time.Unix(0, 0)
+	g := zone.NewGranter("entry-1", 1)
+	g.Assign([]zone.Offer{{Worker: "worker-1", Slots: 8, Speed: 1}}, nil, nil, now)
+	for _, a := range g.Demand("entry-2", zone.Need{Tasks: zone.Count{Short: 3}}, now) {
+		fmt.Println(a.Member, a.Worker, a.Slots.Short)
+	}
+	g.Return("entry-2", []zone.Held{{Worker: "worker-1", Slots: zone.Count{Short: 2}}}, now)
+	fmt.Println(g.Free())
+	// Output:
+	// entry-2 worker-1 3
+	// 7
+}
