link, standin: number the starts of a task, so that a fence bars only earlier ones

Cause: a fence refused the task id permanently at its worker. A start that was proven not to have happened could not go to that worker again, and a task that every worker of a small failure domain had fenced was rejected until its deadline. Change: starts carry their number, fences refuse the numbers up to their own; a late start is still refused. Also renames the starts in flight of a worker link.

--- a/dispatch/run.go
+++ b/dispatch/run.go
@@ -38,7 +38,7 @@
 	}
 	req := StartRequest{
 		Ticket: ticket, Worker: a.Slot.Worker, Incarnation: d.workerIncarnation(a.Slot.Worker), Epoch: a.Slot.Epoch,
-		StartBy: d.o.Now().Add(startWindow), Lease: leaseOf(a.Item.Class),
+		Attempt: a.Item.Attempts + 1, StartBy: d.o.Now().Add(startWindow), Lease: leaseOf(a.Item.Class),
 	}
 	d.counters.started.Inc(1)
 	d.retries.Earn()
--- a/dispatch/starter.go
+++ b/dispatch/starter.go
@@ -16,6 +16,8 @@
 	// knows nothing of the start and must not be taken for a proof that it never happened.
 	Incarnation machine.Incarnation
 	Epoch       uint64
+	// Attempt numbers the starts of the task from 1; every earlier one is proven not to have happened.
+	Attempt int
 	// StartBy is the latest time at which the worker may start the task.
 	StartBy time.Time
 	Lease   time.Duration
--- a/link/wire.go
+++ b/link/wire.go
@@ -4,10 +4,13 @@
 
 // Headers of the worker protocol.
 const (
-	HeaderService     = "Cicadadale-Service"
-	HeaderKind        = "Cicadadale-Kind"
-	HeaderHome        = "Cicadadale-Home"
-	HeaderEpoch       = "Cicadadale-Epoch"
+	HeaderService = "Cicadadale-Service"
+	HeaderKind    = "Cicadadale-Kind"
+	HeaderHome    = "Cicadadale-Home"
+	HeaderEpoch   = "Cicadadale-Epoch"
+	// HeaderAttempt numbers the starts of a task from 1. A fence refuses the attempts up to its own, so that a start
+	// which is proven not to have happened does not bar the worker for the task.
+	HeaderAttempt     = "Cicadadale-Attempt"
 	HeaderStartBy     = "Cicadadale-Start-By-Ms"
 	HeaderLease       = "Cicadadale-Lease-Ms"
 	HeaderIncarnation = "Cicadadale-Worker-Incarnation"
--- a/link/worker.go
+++ b/link/worker.go
@@ -99,7 +99,7 @@
 	return w
 }
 
-// Forget drops the link to a worker that is not listed any more. Starts in flight end as usual.
+// Forget drops the link to a worker that is not listed any more. Starts in pendingStart end as usual.
 func (l *Workers) Forget(id machine.WorkerID) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -129,6 +129,7 @@
 	req.Header.Set(HeaderKind, r.Ticket.Kind)
 	req.Header.Set(HeaderHome, l.home.String())
 	req.Header.Set(HeaderEpoch, strconv.FormatUint(r.Epoch, 10))
+	req.Header.Set(HeaderAttempt, strconv.Itoa(r.Attempt))
 	req.Header.Set(HeaderStartBy, strconv.FormatInt(floorMS(clock), 10))
 	req.Header.Set(HeaderLease, strconv.FormatInt(r.Lease.Milliseconds(), 10))
 	req.Header.Set(HeaderIncarnation, r.Incarnation.String())
@@ -215,6 +216,7 @@
 	wait := strconv.FormatInt(fenceWait.Milliseconds(), 10)
 	req.SetRequestURI("http://" + w.Spec().Address + "/v1/tasks/" + r.Ticket.Task.String() + "/fence?wait_ms=" + wait)
 	req.Header.Set(HeaderIncarnation, r.Incarnation.String())
+	req.Header.Set(HeaderAttempt, strconv.Itoa(r.Attempt))
 	l.sendTime(req)
 	if err := l.fences.DoTimeout(ctx, req, resp, fenceWait+replyMargin); err != nil {
 		return dispatch.StartReply{}, fault.Unavailable.Wrap(err, "worker %s cannot be asked", r.Worker)
--- a/link/workerlink.go
+++ b/link/workerlink.go
@@ -26,24 +26,24 @@
 	mu       sync.Mutex
 	address  string
 	idle     []*startConn
-	inFlight map[contract.TaskID]*flight
+	inFlight map[contract.TaskID]*pendingStart
 	polling  bool
 	reported time.Time // last status report
 }
 
-// flight is a start that waits for its reply.
-type flight struct {
+// pendingStart is a start that waits for its reply.
+type pendingStart struct {
 	conn   *startConn
 	sent   time.Time
 	missed bool
 }
 
 func newWorkerLink(limit int) *workerLink {
-	return &workerLink{limit: limit, inFlight: make(map[contract.TaskID]*flight)}
+	return &workerLink{limit: limit, inFlight: make(map[contract.TaskID]*pendingStart)}
 }
 
 // begin reserves a connection for a start, or returns nil at the limit.
-func (l *workerLink) begin(id contract.TaskID, address string, now time.Time) *flight {
+func (l *workerLink) begin(id contract.TaskID, address string, now time.Time) *pendingStart {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if len(l.inFlight) >= l.limit || l.inFlight[id] != nil {
@@ -52,7 +52,7 @@
 	if l.address != address {
 		l.address, l.idle = address, nil
 	}
-	f := &flight{sent: now}
+	f := &pendingStart{sent: now}
 	if n := len(l.idle); n > 0 {
 		f.conn = l.idle[n-1]
 		l.idle = l.idle[:n-1]
@@ -65,7 +65,7 @@
 }
 
 // end gives the connection of a start back.
-func (l *workerLink) end(id contract.TaskID, f *flight, address string) {
+func (l *workerLink) end(id contract.TaskID, f *pendingStart, address string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	delete(l.inFlight, id)
@@ -95,7 +95,7 @@
 
 // observe takes over a status report and returns the starts that the worker does not run and should have replied to.
 // A nil list says that the worker does not report its tasks.
-func (l *workerLink) observe(tasks []string, sent, now time.Time) map[contract.TaskID]*flight {
+func (l *workerLink) observe(tasks []string, sent, now time.Time) map[contract.TaskID]*pendingStart {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.reported = now
@@ -106,14 +106,14 @@
 	for _, id := range tasks {
 		running[id] = true
 	}
-	var missing map[contract.TaskID]*flight
+	var missing map[contract.TaskID]*pendingStart
 	for id, f := range l.inFlight {
 		if f.missed || sent.Sub(f.sent) < pollMargin || running[id.String()] {
 			continue
 		}
 		f.missed = true
 		if missing == nil {
-			missing = make(map[contract.TaskID]*flight)
+			missing = make(map[contract.TaskID]*pendingStart)
 		}
 		missing[id] = f
 	}
@@ -121,10 +121,10 @@
 }
 
 // unreachable returns all starts if the worker has not reported for long enough.
-func (l *workerLink) unreachable(now time.Time) map[contract.TaskID]*flight {
+func (l *workerLink) unreachable(now time.Time) map[contract.TaskID]*pendingStart {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	all := make(map[contract.TaskID]*flight)
+	all := make(map[contract.TaskID]*pendingStart)
 	for id, f := range l.inFlight {
 		since := f.sent
 		if l.reported.After(since) {
@@ -138,10 +138,10 @@
 }
 
 // abandon closes the connections of starts that still wait. Their outcome is then in doubt.
-func (l *workerLink) abandon(flights map[contract.TaskID]*flight) {
+func (l *workerLink) abandon(starts map[contract.TaskID]*pendingStart) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	for id, f := range flights {
+	for id, f := range starts {
 		if l.inFlight[id] == f {
 			f.conn.abandon()
 		}
--- a/standin/worker.go
+++ b/standin/worker.go
@@ -91,8 +91,10 @@
 
 // workerTask is a task that the worker knows: running, ended, or fenced before it started.
 type workerTask struct {
-	life    *workerLife
-	fenced  bool
+	life   *workerLife
+	fenced bool
+	// attempt is the number of the start, or the highest one that the fence refuses.
+	attempt int
 	done    chan struct{}
 	control taskControl
 	outcome string
@@ -192,9 +194,10 @@
 	if string(c.GetHeader(link.HeaderIncarnation)) != l.incarnation.String() {
 		return nil, link.RejectIncarnation
 	}
-	if t, ok := l.tasks[id]; ok && t.fenced {
+	attempt := attemptOf(c)
+	if t, ok := l.tasks[id]; ok && t.fenced && attempt <= t.attempt {
 		return nil, link.RejectFenced
-	} else if ok {
+	} else if ok && !t.fenced {
 		return nil, link.RejectDuplicate
 	}
 	// Both sides count whole milliseconds, so that an equal count may already be late.
@@ -207,7 +210,7 @@
 	if l.busy >= w.o.Slots {
 		return nil, link.RejectFull
 	}
-	t := &workerTask{life: l, done: make(chan struct{}), control: newTaskControl(c)}
+	t := &workerTask{life: l, done: make(chan struct{}), control: newTaskControl(c), attempt: attempt}
 	l.tasks[id], l.running[id] = t, t
 	l.busy++
 	l.wakeCheckpointed()
@@ -252,7 +255,7 @@
 		w.o.Observer.Fenced(w.o.ID, id)
 	}
 	waitMS, _ := strconv.ParseInt(c.Query("wait_ms"), 10, 64)
-	t := w.fenceTask(id, string(c.GetHeader(link.HeaderIncarnation)))
+	t := w.fenceTask(id, string(c.GetHeader(link.HeaderIncarnation)), attemptOf(c))
 	if t == nil {
 		c.Header(link.HeaderOutcome, link.OutcomeRestarted)
 		return
@@ -274,8 +277,9 @@
 	}
 }
 
-// fenceTask returns the task after making sure that it cannot start any more, nil for another incarnation.
-func (w *Worker) fenceTask(id, incarnation string) *workerTask {
+// fenceTask returns the task after making sure that it cannot start under this attempt or an earlier one, nil for another
+// incarnation.
+func (w *Worker) fenceTask(id, incarnation string, attempt int) *workerTask {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if incarnation != w.life.incarnation.String() {
@@ -286,9 +290,21 @@
 		t = &workerTask{life: w.life, fenced: true, done: make(chan struct{})}
 		w.life.tasks[id] = t
 	}
+	if t.fenced {
+		t.attempt = max(t.attempt, attempt)
+	}
 	return t
 }
 
+// attemptOf returns the number of a start, 1 if the home gives none.
+func attemptOf(c *app.RequestContext) int {
+	n, err := strconv.Atoi(string(c.GetHeader(link.HeaderAttempt)))
+	if err != nil || n < 1 {
+		return 1
+	}
+	return n
+}
+
 // writeTask writes the outcome of a task that has ended.
 func writeTask(c *app.RequestContext, t *workerTask) {
 	if t.outcome == "" {
