--- a/command/job.go
+++ b/command/job.go
@@ -177,25 +177,30 @@
 	return enc.Encode(out)
 }
 
+// jobAction runs fn with a client and the job that the command names.
+func jobAction(fn func(context.Context, *cli.Command, *rpc.Client, contract.JobRef) error) cli.ActionFunc {
+	return func(ctx context.Context, c *cli.Command) error {
+		ref, err := refArgument(c)
+		if err != nil {
+			return err
+		}
+		return withClient(ctx, c, func(ctx context.Context, client *rpc.Client) error { return fn(ctx, c, client, ref) })
+	}
+}
+
 func jobCancelCommand() *cli.Command {
 	return &cli.Command{
 		Name:      "cancel",
 		Usage:     "withdraw the tasks of a job that have not started",
 		ArgsUsage: "[ID]",
 		Flags:     []cli.Flag{keyFlag()},
-		Action: func(ctx context.Context, c *cli.Command) error {
-			ref, err := refArgument(c)
+		Action: jobAction(func(ctx context.Context, c *cli.Command, client *rpc.Client, ref contract.JobRef) error {
+			a, err := client.Cancel(ctx, ref)
 			if err != nil {
 				return err
 			}
-			return withClient(ctx, c, func(ctx context.Context, client *rpc.Client) error {
-				a, err := client.Cancel(ctx, ref)
-				if err != nil {
-					return err
-				}
-				return printAnswer(c.Root().Writer, a)
-			})
-		},
+			return printAnswer(c.Root().Writer, a)
+		}),
 	}
 }
 
@@ -209,20 +214,14 @@
 			&cli.DurationFlag{Name: "deadline", Usage: "time allowed from now"},
 			&cli.IntFlag{Name: "priority", Usage: "higher runs first within the customer"},
 		},
-		Action: func(ctx context.Context, c *cli.Command) error {
-			ref, err := refArgument(c)
+		Action: jobAction(func(ctx context.Context, c *cli.Command, client *rpc.Client, ref contract.JobRef) error {
+			change := contract.Change{Deadline: c.Duration("deadline"), Priority: c.Int("priority")}
+			st, err := client.Reconfigure(ctx, ref, change)
 			if err != nil {
 				return err
 			}
-			return withClient(ctx, c, func(ctx context.Context, client *rpc.Client) error {
-				change := contract.Change{Deadline: c.Duration("deadline"), Priority: c.Int("priority")}
-				st, err := client.Reconfigure(ctx, ref, change)
-				if err != nil {
-					return err
-				}
-				return printStatus(c.Root().Writer, st)
-			})
-		},
+			return printStatus(c.Root().Writer, st)
+		}),
 	}
 }
 
@@ -232,19 +231,13 @@
 		Usage:     "print the progress of a job as JSON",
 		ArgsUsage: "[ID]",
 		Flags:     []cli.Flag{keyFlag()},
-		Action: func(ctx context.Context, c *cli.Command) error {
-			ref, err := refArgument(c)
+		Action: jobAction(func(ctx context.Context, c *cli.Command, client *rpc.Client, ref contract.JobRef) error {
+			st, err := client.Status(ctx, ref)
 			if err != nil {
 				return err
 			}
-			return withClient(ctx, c, func(ctx context.Context, client *rpc.Client) error {
-				st, err := client.Status(ctx, ref)
-				if err != nil {
-					return err
-				}
-				return printStatus(c.Root().Writer, st)
-			})
-		},
+			return printStatus(c.Root().Writer, st)
+		}),
 	}
 }
 
