entry: pass the closure of a stopped home on from member to member

Cause: the home announced its closure to each member itself. Change: a member passes a complete succession on once when it is news, and so does the successor.

--- a/entry/closures.go
+++ b/entry/closures.go
@@ -60,16 +60,24 @@
 
 // closureFrom takes over a closure announced by a member.
 func (d *Daemon) closureFrom(c *api.Closure) {
-	d.homes.Succeed(successionOf(c), d.o.Now())
+	if d.homes.Succeed(successionOf(c), d.o.Now()) {
+		d.spread(successionOf(c))
+	}
 	if c.GetUnlogged() && machine.Incarnation(c.GetSuccessorIncarnation()) == d.o.VM.Incarnation {
 		d.closures.later(c)
 	}
 }
 
+// spread passes a complete succession on, once. The link from the home or its successor to a member may be cut, and that
+// member would answer for the home as gone until it reads the log.
+func (d *Daemon) spread(s zone.Succession) { d.peers.broadcast(closureMessage(d.closure(s))) }
+
 // homesFrom takes over what a member knows of incarnations that have ended.
 func (d *Daemon) homesFrom(m *api.Homes) {
 	for _, c := range m.GetClosures() {
-		d.homes.Learn(successionOf(c), d.o.Now())
+		if d.homes.Learn(successionOf(c), d.o.Now()) {
+			d.spread(successionOf(c))
+		}
 	}
 	for _, e := range m.GetEnded() {
 		if inc := machine.Incarnation(e.GetIncarnation()); inc != d.o.VM.Incarnation {
--- a/entry/handover.go
+++ b/entry/handover.go
@@ -107,9 +107,12 @@
 		// The home may still choose another successor, if it does not see the reply to the first part.
 		return nil
 	}
-	d.homes.Succeed(zone.Succession{
+	succession := zone.Succession{
 		Home: inc, VM: vm, Successor: d.o.VM.Incarnation, SuccessorVM: d.o.VM.ID, Complete: complete,
-	}, d.o.Now())
+	}
+	if d.homes.Succeed(succession, d.o.Now()) {
+		d.spread(succession)
+	}
 	return nil
 }
 
--- a/zone/homes.go
+++ b/zone/homes.go
@@ -175,28 +175,28 @@
 }
 
 // Succeed records who answers for a home, as announced by the home. A complete succession is never taken back; before
-// that the home may turn to another successor.
-func (h *Homes) Succeed(s Succession, now time.Time) {
+// that the home may turn to another successor. It reports whether a complete succession is news.
+func (h *Homes) Succeed(s Succession, now time.Time) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.succeed(s, now)
+	return h.succeed(s, now)
 }
 
 // Learn is Succeed for what others report, which may be older than what is known.
-func (h *Homes) Learn(s Succession, now time.Time) {
+func (h *Homes) Learn(s Succession, now time.Time) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if r, ok := h.records[s.Home]; ok && r.next.Successor != 0 && !s.Complete {
-		return
+		return false
 	}
-	h.succeed(s, now)
+	return h.succeed(s, now)
 }
 
 // succeed expects h.mu to be held.
-func (h *Homes) succeed(s Succession, now time.Time) {
+func (h *Homes) succeed(s Succession, now time.Time) bool {
 	r := h.record(s.Home, s.VM)
 	if r.next.Complete {
-		return
+		return false
 	}
 	r.next = s
 	if r.since.IsZero() {
@@ -205,6 +205,7 @@
 	if _, ok := h.records[s.Successor]; !ok {
 		h.record(s.Successor, s.SuccessorVM).since = now
 	}
+	return s.Complete
 }
 
 // Silent reports whether a home that was heard before has not been heard for SilenceLimit. With promise set it is
