--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -88,9 +88,11 @@
 	serving   *gate
 	lapse     lapse
 	wasListed atomic.Bool
-	fenced    atomic.Bool
-	lost      chan struct{}
-	started   time.Time
+	// forwards counts the calls sent to other failure domains.
+	forwards atomic.Uint64
+	fenced   atomic.Bool
+	lost     chan struct{}
+	started  time.Time
 
 	peerServer *link.PeerServer
 	rpcServer  *rpc.Server
--- a/entry/router.go
+++ b/entry/router.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strconv"
 	"time"
 
 	"github.com/cicadadale/cicadadale/api"
@@ -294,12 +295,15 @@
 	return nil, err
 }
 
-// targets chooses members of a foreign failure domain, those with a failing link last.
+// targets chooses members of a foreign failure domain, those with a failing link last. The order changes with each call:
+// a member whose replies do not get through takes the whole time that a caller waits, and the next call must not meet it
+// again.
 func (d *Daemon) targets(id contract.JobID) []string {
 	var good, failing []string
+	turn := strconv.FormatUint(d.forwards.Add(1), 10)
 	vms := d.peers.inDomain(id.Domain)
 	for len(vms) > 0 {
-		best, _ := zone.Choose(id.String(), vms)
+		best, _ := zone.Choose(id.String()+turn, vms)
 		for i := range vms {
 			if vms[i].ID == best.ID {
 				vms = append(vms[:i], vms[i+1:]...)
--- a/entry/router_test.go
+++ b/entry/router_test.go
@@ -214,3 +214,20 @@
 		fresh.closures.wait()
 	})
 }
+
+// Guards against a caller that meets the same member of a foreign failure domain at each attempt, one whose replies do
+// not get through (soak seed 118: no answer after 12 attempts).
+func TestForeignTargetsChange(t *testing.T) {
+	h := newTestHomeVM(t)
+	h.peers.applyList([]platform.VM{
+		{ID: "x", Kind: platform.KindEntry, Domain: 2}, {ID: "y", Kind: platform.KindEntry, Domain: 2},
+		{ID: "z", Kind: platform.KindEntry, Domain: 2},
+	})
+	first := make(map[string]bool)
+	for range 50 {
+		targets := h.targets(contract.JobID{Domain: 2, Home: 9, Seq: 1})
+		require.NotEmpty(t, targets)
+		first[targets[0]] = true
+	}
+	require.Len(t, first, 3)
+}
