entry: a member that is cut off from the others declares no home lost

Change: it gives a retriable error unless its answer lease holds, as for its own jobs. TestCutOffMemberDeclaresNothingLost fails before and passes after.

--- a/entry/router.go
+++ b/entry/router.go
@@ -227,6 +227,10 @@
 	case zone.HomeRunning:
 		return home.VM, home.Incarnation == d.o.VM.Incarnation, nil
 	case zone.HomeGone:
+		if !d.lease.Holds(d.domain.Listed(), d.o.Now()) {
+			// A member that is cut off from the others may have missed the closure of a home that stopped as planned.
+			return "", false, fault.Unavailable.New("the home of job %s is gone; its successor may be out of reach", id)
+		}
 		return "", false, fault.With(fault.Lost, fault.ReasonHomeGone, "the home of job %s is gone", id)
 	case zone.HomeSilent:
 		return "", false, fault.Unavailable.New("the home of job %s cannot be reached", id)
--- a/entry/router_test.go
+++ b/entry/router_test.go
@@ -231,3 +231,16 @@
 	}
 	require.Len(t, first, 3)
 }
+
+// Guards against a member that is cut off from the others and answers for the jobs of a planned stop as lost, because the
+// closure has not reached it (soak seeds 51 and 110).
+func TestCutOffMemberDeclaresNothingLost(t *testing.T) {
+	h := newTestHomeVM(t, "a", "b")
+	id := contract.JobID{Domain: 1, Home: 77, Seq: 1}
+	h.homes.Ended("stopped", id.Home, h.now)
+	_, _, err := h.place(t.Context(), id)
+	require.Equal(t, fault.Lost.FullName(), fault.Code(err))
+	h.now = h.now.Add(zone.SilenceLimit)
+	_, _, err = h.place(t.Context(), id)
+	require.Equal(t, fault.Unavailable.FullName(), fault.Code(err))
+}
