command, entry: report a stop that lost its jobs; answer for unknown homes only in contact with the others

Change: the exit status is 1 with the reason; an unknown home is declared lost only by a member whose answer lease holds.

--- a/command/entry.go
+++ b/command/entry.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"log/slog"
 	"os"
@@ -15,6 +16,10 @@
 	"github.com/cicadadale/cicadadale/machine"
 )
 
+// errLostWhileStopping makes the exit status tell a stop that lost jobs from a graceful one.
+var errLostWhileStopping = errors.New(
+	"the other entry VMs count this process as gone; they answered its jobs as lost before it had stopped")
+
 func entryCommand() *cli.Command {
 	return &cli.Command{
 		Name:  "entry",
@@ -88,7 +93,12 @@
 	drain, cancel := context.WithTimeout(context.Background(), parts.settings.Stop.DrainTimeout)
 	defer cancel()
 	d.Stop(drain)
-	return o.VM.Incarnation, nil
+	select {
+	case <-d.Lost():
+		return o.VM.Incarnation, errLostWhileStopping
+	default:
+		return o.VM.Incarnation, nil
+	}
 }
 
 // newLogger returns the text logger of the tools.
--- a/entry/router.go
+++ b/entry/router.go
@@ -253,6 +253,9 @@
 			return fault.Unavailable.New("the home of job %s is not known, nor who runs on entry VM %s", id, vm)
 		}
 	}
+	if !d.lease.Holds(d.domain.Listed(), d.o.Now()) {
+		return fault.Unavailable.New("the home of job %s is not known, and the members that may know it cannot be reached", id)
+	}
 	if d.o.Now().Sub(d.started) < zone.SilenceLimit {
 		return fault.Unavailable.New("the home of job %s is not known yet", id)
 	}
--- a/entry/router_test.go
+++ b/entry/router_test.go
@@ -243,4 +243,6 @@
 	h.now = h.now.Add(zone.SilenceLimit)
 	_, _, err = h.place(t.Context(), id)
 	require.Equal(t, fault.Unavailable.FullName(), fault.Code(err))
+	_, _, err = h.place(t.Context(), contract.JobID{Domain: 1, Home: 78, Seq: 1})
+	require.Equal(t, fault.Unavailable.FullName(), fault.Code(err), "a home that nobody has named yet")
 }
