zone: a VM that the list has not shown yet is not dropped by it

Cause: members hear of a new incarnation before the lagging list shows its VM. Telling members of all incarnations had made this frequent. Change: only a VM that the list has shown can be dropped by it; one that it never shows counts as gone after 15 s of silence. TestUnlistedHomeIsNotDropped fails before and passes after. TestDroppedHomeIsGoneAfterSilenceLimit now lists the VM first, since dropping means that; its bounds are the same.

--- a/zone/homes.go
+++ b/zone/homes.go
@@ -11,6 +11,8 @@
 	// HomeRetention is how long an incarnation that has ended is remembered: the longest deadline of a job plus the
 	// retention of answers, with room to spare.
 	HomeRetention = 30 * time.Minute
+	// unlistedLimit is how long the list may take to show a new VM.
+	unlistedLimit = 15 * time.Second
 	// maxHomes bounds the memory; beyond it the incarnations that ended first are forgotten. A failure domain sees a
 	// few hundred ends a day at most.
 	maxHomes = 4096
@@ -66,6 +68,9 @@
 	// learned.
 	heard   time.Time
 	learned time.Time
+	// listed says that the list has shown the VM; before that, missing is the time since which it has not.
+	listed  bool
+	missing time.Time
 	dropped time.Time
 	// promised and gone refuse the incarnation permanently.
 	promised bool
@@ -157,7 +162,10 @@
 	for _, r := range h.records {
 		switch {
 		case listed[r.vm]:
+			r.listed = true
 			r.dropped = time.Time{}
+		case !r.listed:
+			h.unlisted(r, now)
 		case r.dropped.IsZero():
 			r.dropped = now
 		case now.Sub(r.dropped) >= SilenceLimit:
@@ -167,6 +175,17 @@
 	h.endReplaced(now)
 }
 
+// unlisted ends a silent incarnation whose VM the list has never shown. The list lags behind a VM that has just been
+// added, so that more time is allowed than for one that was dropped. It expects h.mu to be held.
+func (h *Homes) unlisted(r *homeRecord, now time.Time) {
+	if r.missing.IsZero() {
+		r.missing = now
+	}
+	if now.Sub(r.missing) >= unlistedLimit && now.Sub(r.heard) >= SilenceLimit {
+		h.end(r, now)
+	}
+}
+
 // Ended takes over that an incarnation has ended, as reported by another member.
 func (h *Homes) Ended(vm string, inc machine.Incarnation, now time.Time) {
 	h.mu.Lock()
--- a/zone/homes_test.go
+++ b/zone/homes_test.go
@@ -93,6 +93,7 @@
 	h := NewHomes()
 	now := time.Unix(1000, 0)
 	h.Heard("a", 1, now)
+	h.ApplyList(map[string]bool{"a": true}, now)
 	h.ApplyList(nil, now)
 	require.Equal(t, HomeSilent, h.Locate(1, now).State)
 	h.ApplyList(map[string]bool{"a": true}, now)
@@ -158,6 +159,7 @@
 	dropped := NewHomes()
 	dropped.Know("a", home, now)
 	require.Equal(t, HomeRunning, dropped.Locate(home, now).State)
+	dropped.ApplyList(map[string]bool{"a": true}, now)
 	dropped.ApplyList(map[string]bool{}, now)
 	dropped.ApplyList(map[string]bool{}, now.Add(SilenceLimit))
 	require.Equal(t, HomeGone, dropped.Locate(home, now).State)
@@ -175,3 +177,20 @@
 	stale.ApplyList(map[string]bool{"a": true}, later)
 	require.Equal(t, HomeRunning, stale.Locate(next, later).State)
 }
+
+// Guards against a new VM whose home counts as gone because the list lags: members heard of it before the list showed it,
+// and answered its jobs as lost while it ran them (soak seeds 110 and 136).
+func TestUnlistedHomeIsNotDropped(t *testing.T) {
+	const home = machine.Incarnation(7)
+	now := time.Unix(1000, 0)
+	h := NewHomes()
+	h.Know("new", home, now)
+	h.ApplyList(map[string]bool{}, now)
+	h.ApplyList(map[string]bool{}, now.Add(2*SilenceLimit))
+	require.Equal(t, HomeRunning, h.Locate(home, now).State)
+	accepted, _ := h.Heard("new", home, now.Add(2*SilenceLimit))
+	require.True(t, accepted)
+	h.ApplyList(map[string]bool{}, now.Add(unlistedLimit))
+	h.ApplyList(map[string]bool{}, now.Add(2*unlistedLimit))
+	require.Equal(t, HomeGone, h.Locate(home, now.Add(2*unlistedLimit)).State)
+}
