edge, batch, pool: order takeovers of workers by fencing tokens

Now a failure domain is orphaned only after 2 s without a member, a worker that was unreachable is acquired 0.6 s after it answers, claims are marked and never start anything, and takeovers and reports carry the fencing token, so that older ones have no effect.

--- a/batch/advance.go
+++ b/batch/advance.go
@@ -22,6 +22,7 @@
 		t := &j.tasks[i]
 		if t.state == taskLost && !now.Before(t.lostUntil) {
 			h.o.Logger.Info("run of an unreachable owner has lapsed", "task", j.key(t).String(), "owner", t.owner)
+			j.ran = true
 			h.unplace(t, true)
 		}
 		if j.state != jobActive {
@@ -66,14 +67,9 @@
 		t.retryAt = now.Add(placeRetry)
 		return
 	}
-	step := &j.batch.Steps[t.step]
 	t.state, t.owner, t.placedAt = taskPlaced, owner, now
-	t.started, t.withdrawn, t.worker = false, false, ""
-	out.order(owner, contract.TaskOrder{
-		Key: j.key(t), Backend: j.batch.Backend, Spec: j.batch.Spec, Need: step.Need, Priority: j.batch.Priority,
-		Target: j.target, Deadline: j.batch.Deadline, Expected: j.expected,
-		RequiredLabel: step.RequiredLabel, PreferredRack: step.PreferredRack,
-	})
+	t.started, t.withdrawn, t.worker, t.token = false, false, "", 0
+	out.order(owner, j.order(t))
 }
 
 // unplace makes a task ready for its next run.
@@ -156,7 +152,10 @@
 	switch r.State {
 	case contract.RunQueued:
 	case contract.RunStarted:
-		t.state, t.owner, t.started, t.worker = taskPlaced, owner, true, r.Worker
+		if r.Token < t.token {
+			return
+		}
+		t.state, t.owner, t.started, t.worker, t.token = taskPlaced, owner, true, r.Worker, r.Token
 		if j.state != jobActive {
 			out.withdraw(j.place(t), r.Key)
 		}
@@ -166,7 +165,13 @@
 		h.kinds.learn(j.batch.Route, r.RunTime)
 	case contract.RunFailed:
 		h.failed(j, t, r, now, out)
-	case contract.RunEnded, contract.RunUnknown:
+	case contract.RunUnknown:
+		if t.state == taskLost {
+			// The owner does not know the run, which may be alive on a worker that another VM has taken.
+			return
+		}
+		h.unplace(t, r.Ran)
+	case contract.RunEnded:
 		if t.started && !t.withdrawn {
 			h.o.Logger.Info("run has ended before its task was done", "task", r.Key.String(), "worker", r.Worker,
 				"state", r.State.String())
@@ -248,17 +253,16 @@
 		key := j.key(t)
 		found := slices.Contains(takeover.Runs, key)
 		switch {
-		case found && j.state == jobActive:
+		case found && j.state == jobActive && takeover.Token > t.token:
 			h.o.Logger.Info("claiming a run from the new owner of its worker", "task", key.String(),
 				"worker", takeover.Worker, "owner", owner, "last_owner", t.owner)
 			t.state, t.owner, t.placedAt = taskPlaced, owner, now
-			step := &j.batch.Steps[t.step]
-			out.order(owner, contract.TaskOrder{
-				Key: key, Backend: j.batch.Backend, Spec: j.batch.Spec, Need: step.Need, Priority: j.batch.Priority,
-				Target: j.target, Deadline: j.batch.Deadline, Expected: j.expected,
-				RequiredLabel: step.RequiredLabel, PreferredRack: step.PreferredRack,
-			})
-		case !found && t.started && t.worker == takeover.Worker && t.owner != owner:
+			t.worker, t.token, t.started = takeover.Worker, takeover.Token, true
+			j.ran = true
+			order := j.order(t)
+			order.Claim = true
+			out.order(owner, order)
+		case !found && t.started && t.worker == takeover.Worker && takeover.Token > t.token:
 			h.unplace(t, true)
 		}
 	}
--- a/batch/home.go
+++ b/batch/home.go
@@ -47,7 +47,7 @@
 	Owners Owners
 	Rooms  *zone.Rooms
 	// Fits reports whether any listed worker of a back end can hold a task, and whether the list is known at all.
-	Fits func(backend string, need machine.Resources, label string) (fits, known bool)
+	Fits    func(backend string, need machine.Resources, label string) (fits, known bool)
 	Now     func() time.Time
 	Logger  *slog.Logger
 	Metrics metrics.Registry
--- a/batch/job.go
+++ b/batch/job.go
@@ -30,6 +30,8 @@
 	started   bool
 	withdrawn bool
 	worker    string
+	// token is the fencing token under which the run was started, as far as it is known.
+	token     uint64
 	failures  int
 	placedAt  time.Time
 	lostUntil time.Time
@@ -72,6 +74,16 @@
 // place returns the pool at which a task's present run is.
 func (j *job) place(t *task) Place { return Place{Owner: t.owner, Backend: j.batch.Backend} }
 
+// order returns the order for a task's present run.
+func (j *job) order(t *task) contract.TaskOrder {
+	step := &j.batch.Steps[t.step]
+	return contract.TaskOrder{
+		Key: j.key(t), Backend: j.batch.Backend, Spec: j.batch.Spec, Need: step.Need, Priority: j.batch.Priority,
+		Target: j.target, Deadline: j.batch.Deadline, Expected: j.expected,
+		RequiredLabel: step.RequiredLabel, PreferredRack: step.PreferredRack,
+	}
+}
+
 // find returns the task that a key names, if its run is the present one.
 func (j *job) find(k contract.RunKey) *task {
 	for i := range j.tasks {
--- a/contract/batch.go
+++ b/contract/batch.go
@@ -80,6 +80,8 @@
 	Expected      time.Duration
 	RequiredLabel string
 	PreferredRack string
+	// Claim says that the run has been started already: an owner that does not know it must not start it.
+	Claim bool
 }
 
 // RunState is what the owner of a worker knows of a run.
@@ -120,6 +122,8 @@
 	Key    RunKey
 	State  RunState
 	Worker string
+	// Token is the fencing token under which the run was started, zero for a run that was not.
+	Token uint64
 	// Ran is set if a start of the run was sent and not provably rejected.
 	Ran bool
 	// RunTime is how long the run took, for final reports of runs that started.
@@ -130,5 +134,7 @@
 type Takeover struct {
 	Worker string
 	Born   int64
+	// Token is the fencing token of the new owner.
+	Token uint64
 	Runs   []RunKey
 }
--- a/edge/daemon.go
+++ b/edge/daemon.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"maps"
 	"net"
 	"sync"
 	"time"
@@ -30,6 +31,11 @@
 	// publishRetry is the pause before this process is announced again after a failed call.
 	publishRetry    = time.Second
 	peerDialTimeout = 500 * time.Millisecond
+	// divideInterval is the longest time between two divisions of the workers.
+	divideInterval = 500 * time.Millisecond
+	// orphanDelay is how long a failure domain is without a member before the others take its workers over. A process
+	// that was cut off from the others sees them all missing, and must hear from them before it takes anything.
+	orphanDelay = 2 * time.Second
 )
 
 // Store is what the daemon needs of the platform's store. The calls that follow something run until ctx ends and hand
@@ -81,6 +87,9 @@
 	stoppingSince time.Time
 	sent          time.Time
 	lastRoom      map[string]zone.BackendRoom
+	// present says when a member was last seen in a failure domain.
+	present map[string]time.Time
+	divided time.Time
 }
 
 // New starts a daemon.
@@ -88,7 +97,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	d := &Daemon{
 		o: o, self: o.Self.ID(), rooms: zone.NewRooms(o.Self.ID(), o.Self.Domain), cancel: cancel, started: o.Now(),
-		pools: make(map[string]*pool.Pool), workers: newWorkers(o.Logger),
+		pools: make(map[string]*pool.Pool), present: make(map[string]time.Time), workers: newWorkers(o.Logger),
 	}
 	d.members = newMembers(o.Self, d.dialPeer, o.Logger)
 	d.home = batch.New(batch.Options{
@@ -162,7 +171,8 @@
 	for _, id := range d.members.Expire(now) {
 		d.memberGone(id)
 	}
-	if d.workers.expire(now) || d.join(now) {
+	dropped, joined := d.workers.expire(now), d.join(now)
+	if dropped || joined || now.Sub(d.lastDivided()) > divideInterval {
 		d.divide()
 	}
 	d.sendStatus(now)
@@ -219,6 +229,35 @@
 	return p
 }
 
+// orphans returns a function that reports whether a failure domain has been without a member for so long that the others
+// take its workers over.
+func (d *Daemon) orphans(now time.Time) func(domain string) bool {
+	present := d.members.Present()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.divided = now
+	if !d.stopping {
+		present[d.o.Self.Domain] = true
+	}
+	for domain := range present {
+		d.present[domain] = now
+	}
+	last := maps.Clone(d.present)
+	return func(domain string) bool {
+		seen, ok := last[domain]
+		if !ok {
+			seen = d.started
+		}
+		return now.Sub(seen) > orphanDelay
+	}
+}
+
+func (d *Daemon) lastDivided() time.Time {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.divided
+}
+
 // divide hands the pools the workers that this process owns.
 func (d *Daemon) divide() {
 	d.mu.Lock()
@@ -228,9 +267,10 @@
 	if owning {
 		candidates = append(candidates, d.o.Self.candidate())
 	}
+	orphaned := d.orphans(d.o.Now())
 	owned := make(map[string][]machine.Listing)
 	for _, l := range d.workers.all() {
-		if id, ok := zone.OwnerOf(l.Worker, l.Zone, candidates); ok && id == d.self {
+		if id, ok := zone.OwnerOf(l.Worker, l.Zone, candidates, orphaned(l.Zone)); ok && id == d.self {
 			owned[l.Backend] = append(owned[l.Backend], l)
 		}
 	}
--- a/edge/member.go
+++ b/edge/member.go
@@ -28,6 +28,7 @@
 	heard       time.Time
 	live        bool
 	ownsNothing bool
+	leaving     bool
 	desired     uint64
 }
 
--- a/edge/members.go
+++ b/edge/members.go
@@ -78,7 +78,7 @@
 }
 
 // Status records what a live process says of itself. It reports whether its part in ownership has changed.
-func (m *Members) Status(vm string, ownsNothing bool, desired uint64) bool {
+func (m *Members) Status(vm string, ownsNothing, leaving bool, desired uint64) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	e, ok := m.byVM[vm]
@@ -86,7 +86,7 @@
 		return false
 	}
 	changed := e.ownsNothing != ownsNothing
-	e.ownsNothing, e.desired = ownsNothing, desired
+	e.ownsNothing, e.leaving, e.desired = ownsNothing, leaving, desired
 	return changed
 }
 
@@ -131,6 +131,19 @@
 	return all
 }
 
+// Present returns the failure domains in which a live process owns workers or is about to.
+func (m *Members) Present() map[string]bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	present := make(map[string]bool)
+	for _, e := range m.byVM {
+		if e.live && !e.leaving {
+			present[e.info.Domain] = true
+		}
+	}
+	return present
+}
+
 // Known returns all known processes, this one included.
 func (m *Members) Known() []MemberInfo {
 	m.mu.Lock()
--- a/edge/messages.go
+++ b/edge/messages.go
@@ -66,14 +66,14 @@
 	}
 	d.members.Send(home, &api.PeerMessage{Body: &api.PeerMessage_TaskReport{TaskReport: &api.TaskReport{
 		Key: encodeKey(r.Key), State: uint32(r.State), Worker: r.Worker, Backend: backend,
-		RunMs: clampMillis(r.RunTime), Ran: r.Ran,
+		RunMs: clampMillis(r.RunTime), Ran: r.Ran, Token: r.Token,
 	}}})
 }
 
 // takeover tells all homes of a worker that this process owns from now on.
 func (d *Daemon) takeover(t contract.Takeover) {
 	d.members.Broadcast(&api.PeerMessage{Body: &api.PeerMessage_WorkerTakeover{WorkerTakeover: &api.WorkerTakeover{
-		Worker: t.Worker, Born: t.Born, Runs: encodeKeys(t.Runs),
+		Worker: t.Worker, Born: t.Born, Token: t.Token, Runs: encodeKeys(t.Runs),
 	}}})
 	d.home.Takeover(d.self, t)
 }
@@ -85,7 +85,7 @@
 		rooms[backend] = p.Room()
 	}
 	d.mu.Lock()
-	ownsNothing := !d.joined || d.stopping
+	ownsNothing, leaving := !d.joined || d.stopping, d.stopping
 	due := now.Sub(d.sent) >= statusInterval || !maps.Equal(rooms, d.lastRoom)
 	if due {
 		d.sent, d.lastRoom = now, rooms
@@ -96,7 +96,7 @@
 	if !due {
 		return
 	}
-	status := &api.PoolStatus{OwnsNothing: ownsNothing, DesiredVersion: version, Sender: encodeMember(d.o.Self)}
+	status := &api.PoolStatus{OwnsNothing: ownsNothing, Leaving: leaving, DesiredVersion: version, Sender: encodeMember(d.o.Self)}
 	for backend, room := range rooms {
 		status.Rooms = append(status.Rooms, encodeRoom(backend, room))
 	}
@@ -165,13 +165,13 @@
 	case *api.PeerMessage_TaskReport:
 		r := b.TaskReport
 		d.home.Report(batch.Place{Owner: id, Backend: r.GetBackend()}, contract.RunReport{
-			Key: decodeKey(r.GetKey()), State: contract.RunState(r.GetState()), Worker: r.GetWorker(), Ran: r.GetRan(),
+			Key: decodeKey(r.GetKey()), State: contract.RunState(r.GetState()), Worker: r.GetWorker(), Ran: r.GetRan(), Token: r.GetToken(),
 			RunTime: time.Duration(r.GetRunMs()) * time.Millisecond,
 		})
 	case *api.PeerMessage_WorkerTakeover:
 		t := b.WorkerTakeover
 		d.home.Takeover(id, contract.Takeover{
-			Worker: t.GetWorker(), Born: t.GetBorn(), Runs: decodeKeys(t.GetRuns()),
+			Worker: t.GetWorker(), Born: t.GetBorn(), Token: t.GetToken(), Runs: decodeKeys(t.GetRuns()),
 		})
 	case *api.PeerMessage_DesiredState:
 		s, err := d.o.Store.DecodeDesired(b.DesiredState.GetDocument())
@@ -193,7 +193,7 @@
 		rooms[r.GetBackend()] = decodeRoom(r)
 	}
 	d.updateRooms(id, s.GetSender().GetDomain(), s.GetOwnsNothing(), rooms)
-	if d.members.Status(vm, s.GetOwnsNothing(), s.GetDesiredVersion()) {
+	if d.members.Status(vm, s.GetOwnsNothing(), s.GetLeaving(), s.GetDesiredVersion()) {
 		d.divide()
 	}
 }
@@ -259,7 +259,7 @@
 		Key: encodeKey(o.Key), Backend: o.Backend, Spec: o.Spec, CpuMillis: uint32(o.Need.CPUMillis),
 		MemoryMb: uint32(o.Need.MemoryMB), Gpus: uint32(o.Need.GPUs), Priority: uint32(max(o.Priority, 0)),
 		TargetMs: int32(o.Target.Sub(now).Milliseconds()), DeadlineMs: int32(o.Deadline.Sub(now).Milliseconds()),
-		ExpectedMs: clampMillis(o.Expected), RequiredLabel: o.RequiredLabel, PreferredRack: o.PreferredRack,
+		ExpectedMs: clampMillis(o.Expected), RequiredLabel: o.RequiredLabel, PreferredRack: o.PreferredRack, Claim: o.Claim,
 	}
 }
 
@@ -273,7 +273,7 @@
 		Target:   now.Add(time.Duration(m.GetTargetMs()) * time.Millisecond),
 		Deadline: now.Add(time.Duration(m.GetDeadlineMs()) * time.Millisecond),
 		Expected: time.Duration(m.GetExpectedMs()) * time.Millisecond, RequiredLabel: m.GetRequiredLabel(),
-		PreferredRack: m.GetPreferredRack(),
+		PreferredRack: m.GetPreferredRack(), Claim: m.GetClaim(),
 	}
 }
 
--- a/pool/match.go
+++ b/pool/match.go
@@ -90,7 +90,7 @@
 	t.host.Reserve(r.order.Need)
 	t.runs[r.order.Key] = r
 	r.host, r.state, r.started, r.ran = t, runStarting, now, true
-	r.progress, r.progressAt = 0, now
+	r.progress, r.progressAt, r.token = 0, now, t.host.Token
 	fx.starts = append(fx.starts, startEffect{
 		run: r, host: t, token: t.host.Token, leaseEnd: t.host.ExtendLease(p.o.Lease, now),
 	})
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -52,19 +52,26 @@
 	hosts   map[string]*tended
 	runs    map[contract.RunKey]*run
 	waiting queue
-	barred  map[contract.RunKey]time.Time
+	barred  map[contract.RunKey]barrier
 	speeds  map[string]float64
 	typical machine.Resources
 	closing bool
 }
 
+// barrier keeps a run from being started that the pool does not hold. Its state is what homes are told: RunUnknown if the
+// run was never here, RunLost if it may be alive on a worker that another VM has taken.
+type barrier struct {
+	at    time.Time
+	state contract.RunState
+}
+
 // New returns a pool without workers.
 func New(o Options) *Pool {
 	ctx, cancel := context.WithCancel(context.Background())
 	p := &Pool{
 		o: o, ctx: ctx, cancel: cancel,
 		hosts: make(map[string]*tended), runs: make(map[contract.RunKey]*run),
-		barred: make(map[contract.RunKey]time.Time), speeds: make(map[string]float64),
+		barred: make(map[contract.RunKey]barrier), speeds: make(map[string]float64),
 	}
 	p.spawn(p.sweepPeriodically)
 	return p
@@ -168,6 +175,7 @@
 	worker := r.host.host.Listing.Worker
 	p.detach(r)
 	delete(p.runs, r.order.Key)
+	p.barred[r.order.Key] = barrier{at: p.o.Now(), state: contract.RunLost}
 	fx.reports = append(fx.reports, report{r.home, contract.RunReport{
 		Key: r.order.Key, State: contract.RunLost, Worker: worker, Ran: r.ran,
 	}})
@@ -195,8 +203,13 @@
 		}
 		return
 	}
-	if _, ok := p.barred[o.Key]; ok {
-		fx.reports = append(fx.reports, report{home, contract.RunReport{Key: o.Key, State: contract.RunUnknown}})
+	if b, ok := p.barred[o.Key]; ok || o.Claim {
+		if !ok {
+			// The claimed run may be alive on a worker that this VM does not own any more.
+			b = barrier{at: now, state: contract.RunLost}
+			p.barred[o.Key] = b
+		}
+		fx.reports = append(fx.reports, report{home, contract.RunReport{Key: o.Key, State: b.state}})
 		return
 	}
 	if !p.feasible(o) {
@@ -227,8 +240,7 @@
 	for _, k := range keys {
 		r, ok := p.runs[k]
 		if !ok {
-			p.barred[k] = now
-			fx.reports = append(fx.reports, report{home, contract.RunReport{Key: k, State: contract.RunUnknown}})
+			p.reportUnknown(home, k, now, &fx)
 			continue
 		}
 		r.refreshed = now
@@ -240,6 +252,17 @@
 	p.apply(fx)
 }
 
+// reportUnknown answers for a run that the pool does not hold, and bars its start. p.mu is held.
+func (p *Pool) reportUnknown(home string, k contract.RunKey, now time.Time, fx *effects) {
+	b, ok := p.barred[k]
+	if !ok {
+		b.state = contract.RunUnknown
+	}
+	b.at = now
+	p.barred[k] = b
+	fx.reports = append(fx.reports, report{home, contract.RunReport{Key: k, State: b.state}})
+}
+
 // Withdraw ends runs. Those that wait never start; those that run are stopped.
 func (p *Pool) Withdraw(home string, keys []contract.RunKey) {
 	now := p.o.Now()
@@ -248,8 +271,7 @@
 	for _, k := range keys {
 		r, ok := p.runs[k]
 		if !ok {
-			p.barred[k] = now
-			fx.reports = append(fx.reports, report{home, contract.RunReport{Key: k, State: contract.RunUnknown}})
+			p.reportUnknown(home, k, now, &fx)
 			continue
 		}
 		p.withdraw(r, &fx)
@@ -345,8 +367,8 @@
 func (p *Pool) sweep(now time.Time) {
 	var fx effects
 	p.mu.Lock()
-	for k, since := range p.barred {
-		if now.Sub(since) > finalRetention {
+	for k, b := range p.barred {
+		if now.Sub(b.at) > finalRetention {
 			delete(p.barred, k)
 		}
 	}
--- a/pool/run.go
+++ b/pool/run.go
@@ -35,6 +35,7 @@
 
 	queued     time.Time
 	refreshed  time.Time
+	token      uint64
 	started    time.Time
 	answered   time.Time
 	progress   int
@@ -68,7 +69,7 @@
 func (fx *effects) report(r *run) {
 	msg := r.outcome
 	if r.state != runFinal {
-		msg = contract.RunReport{Key: r.order.Key, State: contract.RunStarted, Ran: r.ran}
+		msg = contract.RunReport{Key: r.order.Key, State: contract.RunStarted, Token: r.token, Ran: r.ran}
 		if r.state == runWaiting {
 			msg.State = contract.RunQueued
 		}
@@ -106,7 +107,7 @@
 	}
 	p.detach(r)
 	r.state, r.ended = runFinal, now
-	r.outcome = contract.RunReport{Key: r.order.Key, State: state, Worker: worker, Ran: r.ran, RunTime: took}
+	r.outcome = contract.RunReport{Key: r.order.Key, State: state, Worker: worker, Token: r.token, Ran: r.ran, RunTime: took}
 	fx.report(r)
 	p.o.Logger.Info("run ended", "task", r.order.Key.String(), "state", state.String(), "worker", worker,
 		"run_time", took, "home", r.home)
--- a/pool/tend.go
+++ b/pool/tend.go
@@ -19,6 +19,9 @@
 	holdWait = 250 * time.Millisecond
 	// holdRetry is the pause after a failed look.
 	holdRetry = 50 * time.Millisecond
+	// settleDelay is the pause before a worker is acquired that could not be reached before. After a partition the other
+	// members are heard within it, and the worker may have an owner among them.
+	settleDelay = 600 * time.Millisecond
 	// lostRetry is the pause before a worker that another VM has taken is taken back, if membership still names this VM.
 	lostRetry = 1500 * time.Millisecond
 	// stallTimeout is the time without progress after which a run counts as standing still. One percent of the longest
@@ -51,10 +54,17 @@
 
 // tend owns a worker until ctx ends: it acquires it, renews the lease of its runs and collects their ends.
 func (p *Pool) tend(ctx context.Context, t *tended) {
+	unreached := false
 	for ctx.Err() == nil {
 		if owned, wait := p.ownership(t); !owned {
 			pause(ctx, wait, nil)
-			if !p.acquire(ctx, t) {
+			if reached, err := p.look(ctx, t); err != nil {
+				unreached = true
+				pause(ctx, holdRetry+rand.N(holdRetry), nil)
+			} else if unreached {
+				unreached = false
+				pause(ctx, settleDelay, nil)
+			} else if !p.acquire(ctx, t, reached) {
 				pause(ctx, holdRetry+rand.N(holdRetry), nil)
 			}
 			continue
@@ -114,17 +124,23 @@
 	return h, true
 }
 
-// acquire makes this VM the owner of a worker: the token is taken from the worker's own clock, so that a later owner has
-// a higher one whatever the clocks of the VMs say.
-func (p *Pool) acquire(ctx context.Context, t *tended) bool {
+// look reads the clock of a worker that is not owned, without effect on its owner.
+func (p *Pool) look(ctx context.Context, t *tended) (time.Duration, error) {
 	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	first, err := p.o.Calls.Hold(callCtx, t.address, link.HostHold{})
+	reply, err := p.o.Calls.Hold(callCtx, t.address, link.HostHold{})
 	if err != nil {
 		p.o.Calls.Forget(t.address)
-		return false
 	}
-	token := uint64(max(first.Clock.Milliseconds(), 0)+1)*tokenSpread + rand.Uint64N(tokenSpread)
+	return reply.Clock, err
+}
+
+// acquire makes this VM the owner of a worker: the token is taken from the worker's own clock, so that a later owner has
+// a higher one whatever the clocks of the VMs say.
+func (p *Pool) acquire(ctx context.Context, t *tended, clock time.Duration) bool {
+	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	token := uint64(max(clock.Milliseconds(), 0)+1)*tokenSpread + rand.Uint64N(tokenSpread)
 	reply, err := p.o.Calls.Hold(callCtx, t.address, link.HostHold{Token: token})
 	if err != nil || reply.Fenced || reply.OtherLife {
 		p.o.Logger.Info("worker was not acquired", "worker", t.address.Worker, "token", token, "fenced", reply.Fenced,
@@ -148,7 +164,9 @@
 	p.o.Logger.Info("worker acquired", "worker", t.address.Worker, "token", token, "running", len(reply.Running),
 		"ended", len(reply.Ended))
 	p.apply(fx)
-	p.o.Takeover(contract.Takeover{Worker: t.address.Worker, Born: t.address.Born, Runs: found})
+	p.o.Takeover(contract.Takeover{
+		Worker: t.address.Worker, Born: t.address.Born, Token: token, Runs: found,
+	})
 	return true
 }
 
@@ -158,10 +176,12 @@
 	for _, running := range reply.Running {
 		found = append(found, running.Key)
 		if r, ok := p.runs[running.Key]; ok && r.host == t {
+			r.token = t.host.Token
 			continue
 		}
+		delete(p.barred, running.Key)
 		r := &run{
-			order: contract.TaskOrder{Key: running.Key, Need: p.typical}, state: runRunning, host: t, ran: true,
+			order: contract.TaskOrder{Key: running.Key, Need: p.typical}, state: runRunning, host: t, ran: true, token: t.host.Token,
 			refreshed: now, queued: now, started: now, progress: running.Progress, progressAt: now,
 		}
 		t.host.Reserve(r.order.Need)
--- a/zone/ownership.go
+++ b/zone/ownership.go
@@ -17,13 +17,11 @@
 }
 
 // OwnerOf returns the candidate that owns a worker: the one with the highest weighted rendezvous hash among those of the
-// worker's failure domain, or among all if its failure domain has none. Members that agree on the candidates agree on
-// the owner, and a change of one candidate moves only the workers that it owns before or after.
-func OwnerOf(worker, domain string, candidates []Candidate) (string, bool) {
-	if id, ok := highest(worker, candidates, func(c Candidate) bool { return c.Domain == domain }); ok {
-		return id, true
-	}
-	return highest(worker, candidates, func(Candidate) bool { return true })
+// worker's failure domain. A failure domain that is orphaned, which means that no member has been seen there for a while,
+// shares its workers among all candidates. Members that agree on the candidates agree on the owner, and a change of one
+// candidate moves only the workers that it owns before or after.
+func OwnerOf(worker, domain string, candidates []Candidate, orphaned bool) (string, bool) {
+	return highest(worker, candidates, func(c Candidate) bool { return orphaned || c.Domain == domain })
 }
 
 func highest(key string, candidates []Candidate, eligible func(Candidate) bool) (string, bool) {
