edge, pool, batch: whole deployments in virtual time as tests; mend what they find

standin.RunHost is a worker that fences, leases and lists; edge tests run daemons, workers and a store in one synctest bubble. They failed before and pass now: - a member that had been silent got no more messages, so that both sides of a silent cut never heard of each other again; - each look at a silent worker extended the lease as it was remembered, so that the runs of a crashed worker never counted as lapsed; - moving a queued task stopped it if it had just started (now a recall); - a home that ends left its callers waiting.

--- a/batch/advance.go
+++ b/batch/advance.go
@@ -31,13 +31,13 @@
 		switch {
 		case t.state == taskUnplaced && !now.Before(t.retryAt):
 			h.place(j, t, now, out)
-		case t.state == taskPlaced && !t.started && !t.withdrawn && now.Sub(t.placedAt) > moveAfter &&
-			h.o.Rooms.FreeElsewhere(j.batch.Backend, t.owner):
+		case t.state == taskPlaced && !t.started && now.Sub(t.placedAt) > moveAfter &&
+			now.Sub(t.recalled) > recallRetry && h.o.Rooms.FreeElsewhere(j.batch.Backend, t.owner):
 			h.o.Logger.Info("moving a queued task to an owner with room", "task", j.key(t).String(), "owner", t.owner,
 				"queued_for", now.Sub(t.placedAt))
 			h.counter(metric.BatchTasksMoved).Inc(1)
-			t.withdrawn = true
-			out.withdraw(j.place(t), j.key(t))
+			t.recalled = now
+			out.recall(j.place(t), j.key(t))
 		}
 	}
 	if j.state == jobActive && j.done == len(j.tasks) {
@@ -68,7 +68,7 @@
 		return
 	}
 	t.state, t.owner, t.placedAt = taskPlaced, owner, now
-	t.started, t.withdrawn, t.worker, t.token = false, false, "", 0
+	t.started, t.withdrawn, t.worker, t.token, t.recalled = false, false, "", 0, time.Time{}
 	out.order(owner, j.order(t))
 }
 
--- a/batch/home.go
+++ b/batch/home.go
@@ -28,6 +28,8 @@
 	answerRetention = 30 * time.Second
 	// moveAfter is the wait in an owner's queue after which a task moves to an owner with room.
 	moveAfter = 40 * time.Millisecond
+	// recallRetry is the time after which a recall is repeated that had no effect.
+	recallRetry = 200 * time.Millisecond
 	// placeRetry is the pause before a task is placed again while no owner can take it.
 	placeRetry = 30 * time.Millisecond
 	// refusalMargin is the least time limit left after the expected end of an accepted job.
@@ -39,6 +41,8 @@
 	Order(owner string, o contract.TaskOrder)
 	Refresh(p Place, keys []contract.RunKey)
 	Withdraw(p Place, keys []contract.RunKey)
+	// Recall withdraws only what has not started.
+	Recall(p Place, keys []contract.RunKey)
 	Acknowledge(p Place, keys []contract.RunKey)
 }
 
@@ -165,6 +169,8 @@
 		return answer
 	case <-ctx.Done():
 		return h.leave(b.ID, waiter)
+	case <-h.done:
+		return Answer{Outcome: Abandoned, Reason: "the process ends"}
 	}
 }
 
--- a/batch/job.go
+++ b/batch/job.go
@@ -29,7 +29,9 @@
 	// started says that the owner has reported a start of the present run.
 	started   bool
 	withdrawn bool
-	worker    string
+	// recalled is when the run was last recalled from the queue of its owner.
+	recalled time.Time
+	worker   string
 	// token is the fencing token under which the run was started, as far as it is known.
 	token     uint64
 	failures  int
--- a/batch/outbox.go
+++ b/batch/outbox.go
@@ -7,6 +7,7 @@
 	orders      []ownerOrder
 	refreshes   map[Place][]contract.RunKey
 	withdrawals map[Place][]contract.RunKey
+	recalls     map[Place][]contract.RunKey
 	acks        map[Place][]contract.RunKey
 }
 
@@ -29,6 +30,8 @@
 
 func (o *outbox) withdraw(p Place, k contract.RunKey) { add(&o.withdrawals, p, k) }
 
+func (o *outbox) recall(p Place, k contract.RunKey) { add(&o.recalls, p, k) }
+
 func (o *outbox) acknowledge(p Place, k contract.RunKey) { add(&o.acks, p, k) }
 
 // refresh adds the runs of a job that may be alive. Runs that are to be withdrawn are withdrawn again, in case the first
@@ -61,6 +64,9 @@
 	for place, keys := range o.withdrawals {
 		owners.Withdraw(place, keys)
 	}
+	for place, keys := range o.recalls {
+		owners.Recall(place, keys)
+	}
 	for _, m := range o.orders {
 		owners.Order(m.owner, m.order)
 	}
--- a/command/edge.go
+++ b/command/edge.go
@@ -27,6 +27,8 @@
 	millisPerCore = 1000
 	// stopMargin is the part of the grace that a stopping process leaves to the end of its connections.
 	stopMargin = 300 * time.Millisecond
+	// peerDialTimeout bounds the opening of a connection to another member.
+	peerDialTimeout = 500 * time.Millisecond
 )
 
 func edgeCommand() *cli.Command {
@@ -72,14 +74,18 @@
 	if err != nil {
 		return errors.Join(err, peers.Close())
 	}
-	self := edge.MemberInfo{
+	self := machine.Member{
 		VM: s.VM.ID, Incarnation: machine.NewIncarnation(), Address: peers.Addr().String(), Domain: s.VM.FailureDomain,
 		CPUMillis: int(s.VM.CPUShare * millisPerCore),
 	}
 	logger.Info("starting", "member", self.ID(), "version", Version, "front", s.Listen.Front, "peers", self.Address,
 		"store", s.Store.Address, "failure_domain", self.Domain)
+	dialer := net.Dialer{Timeout: peerDialTimeout}
 	daemon, err := edge.New(edge.Options{
 		Self: self, Store: store, Calls: platform.NewWorkers(), Peers: peers, Lease: s.Lease(), Grace: s.Grace(),
+		Dial: func(ctx context.Context, address string) (net.Conn, error) {
+			return dialer.DialContext(ctx, "tcp", address)
+		},
 		Now: time.Now, Logger: logger, Metrics: metrics.NewRegistry(),
 	})
 	if err != nil {
--- a/edge/daemon.go
+++ b/edge/daemon.go
@@ -29,8 +29,7 @@
 	// joinLimit ends the wait for members that are listed and do not answer.
 	joinLimit = 2 * time.Second
 	// publishRetry is the pause before this process is announced again after a failed call.
-	publishRetry    = time.Second
-	peerDialTimeout = 500 * time.Millisecond
+	publishRetry = time.Second
 	// divideInterval is the longest time between two divisions of the workers.
 	divideInterval = 500 * time.Millisecond
 	// orphanDelay is how long a failure domain is without a member before the others take its workers over. A process
@@ -43,8 +42,8 @@
 type Store interface {
 	FollowWorkers(ctx context.Context, f func([]machine.Listing))
 	FollowDesired(ctx context.Context, f func(contract.Desired))
-	FollowMembers(ctx context.Context, f func([]MemberInfo))
-	PublishMember(ctx context.Context, m MemberInfo) error
+	FollowMembers(ctx context.Context, f func([]machine.Member))
+	PublishMember(ctx context.Context, m machine.Member) error
 	RemoveMember(ctx context.Context, vm string) error
 	// DecodeDesired reads a document that a peer has passed on.
 	DecodeDesired(document []byte) (contract.Desired, error)
@@ -52,10 +51,12 @@
 
 // Options are the parts of a daemon.
 type Options struct {
-	Self  MemberInfo
+	Self  machine.Member
 	Store Store
 	Calls link.HostCalls
 	Peers net.Listener
+	// Dial connects to another member.
+	Dial func(ctx context.Context, address string) (net.Conn, error)
 	// Lease is the longest lease of a run.
 	Lease time.Duration
 	// Grace is the time between the order to stop and the end of the process.
@@ -127,13 +128,9 @@
 }
 
 func (d *Daemon) dialPeer(vm, address string) *link.Peer {
-	dialer := net.Dialer{Timeout: peerDialTimeout}
 	return link.NewPeer(vm, address, link.PeerOptions{
 		Self: link.Identity{VM: machine.EntryVM{ID: d.o.Self.VM, Incarnation: d.o.Self.Incarnation}},
-		Dial: func(ctx context.Context, address string) (net.Conn, error) {
-			return dialer.DialContext(ctx, "tcp", address)
-		},
-		Lamport: func() uint64 { return 0 }, Now: d.o.Now, Logger: d.o.Logger, Metrics: d.o.Metrics,
+		Dial: d.o.Dial, Lamport: func() uint64 { return 0 }, Now: d.o.Now, Logger: d.o.Logger, Metrics: d.o.Metrics,
 	})
 }
 
@@ -265,7 +262,7 @@
 	d.mu.Unlock()
 	candidates := d.members.Owners()
 	if owning {
-		candidates = append(candidates, d.o.Self.candidate())
+		candidates = append(candidates, candidate(d.o.Self))
 	}
 	orphaned := d.orphans(d.o.Now())
 	owned := make(map[string][]machine.Listing)
@@ -302,7 +299,7 @@
 }
 
 // setMembers takes the list of members of the store.
-func (d *Daemon) setMembers(list []MemberInfo) {
+func (d *Daemon) setMembers(list []machine.Member) {
 	listed := make(map[string]bool, len(list))
 	for _, m := range list {
 		listed[m.VM] = true
@@ -314,7 +311,7 @@
 	d.mu.Unlock()
 }
 
-func (d *Daemon) learn(m MemberInfo, direct bool) {
+func (d *Daemon) learn(m machine.Member, direct bool) {
 	if replaced := d.members.Learn(m, direct); replaced != "" {
 		d.memberGone(replaced)
 	}
--- /dev/null
+++ b/edge/daemon_test.go
@@ -0,0 +1,189 @@
+package edge
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/cicadadale/cicadadale/batch"
+	"github.com/cicadadale/cicadadale/contract"
+	"github.com/cicadadale/cicadadale/link"
+	"github.com/cicadadale/cicadadale/standin"
+)
+
+// Guards against jobs that do not end, or run a task more than once, on a calm day.
+func TestJobsComplete(t *testing.T) {
+	run(t, func(t *testing.T) {
+		d := newDeployment(t, 2, 2, 4)
+		defer d.close()
+		var answers []<-chan batch.Answer
+		for i := range 20 {
+			vm := fmt.Sprintf("edge-%d-%d", i%2, i/2%2)
+			answers = append(answers, d.submit(vm, testJob(fmt.Sprintf("%016x", i), 4, 10*time.Second)))
+		}
+		for i, a := range answers {
+			require.Equal(t, batch.Completed, (<-a).Outcome)
+			require.Equal(t, 4, d.seen.startsOf(fmt.Sprintf("%016x", i)))
+		}
+	})
+}
+
+// Guards against members that disagree on the owners of workers once all know each other.
+func TestEveryWorkerHasOneOwner(t *testing.T) {
+	run(t, func(t *testing.T) {
+		d := newDeployment(t, 3, 2, 6)
+		defer d.close()
+		require.Equal(t, 6, ownedBy(d, 0))
+		require.Equal(t, 6, ownedBy(d, 1))
+		require.Equal(t, 6, ownedBy(d, 2))
+	})
+}
+
+// Guards against runs that are started again while the last owner's run is alive: a cut off failure domain must not take
+// the workers of the others when the cut heals, and claims of runs must not start them again.
+func TestCutFailureDomainStartsNothingTwice(t *testing.T) {
+	run(t, func(t *testing.T) {
+		d := newDeployment(t, 3, 2, 4)
+		defer d.close()
+		d.work = func(contract.RunKey) standin.RunOutcome { return standin.RunOutcome{Takes: 400 * time.Millisecond} }
+		stop := make(chan struct{})
+		d.wg.Go(func() {
+			for i := 0; ; i++ {
+				for z := range 3 {
+					d.submit(fmt.Sprintf("edge-%d-%d", z, i%2), testJob(fmt.Sprintf("%08x%08x", i, z), 3, 3*time.Second))
+				}
+				select {
+				case <-stop:
+					return
+				case <-time.After(150 * time.Millisecond):
+				}
+			}
+		})
+		for range 3 {
+			time.Sleep(time.Second)
+			d.net.setCut(func(a, b string) bool { return inZone(a, 2) != inZone(b, 2) })
+			time.Sleep(5 * time.Second)
+			before := ownedBy(d, 2)
+			d.net.setCut(func(string, string) bool { return false })
+			time.Sleep(2 * time.Second)
+			require.Equal(t, 4, ownedBy(d, 2), "workers owned by the failure domain after the cut, before %d", before)
+		}
+		close(stop)
+		time.Sleep(5 * time.Second)
+	})
+}
+
+func inZone(machine string, z int) bool {
+	var kind string
+	var zone, n int
+	if _, err := fmt.Sscanf(machine, "edge-%d-%d", &zone, &n); err == nil {
+		return zone == z
+	}
+	if _, err := fmt.Sscanf(machine, "worker-%d-%d", &zone, &n); err == nil {
+		return zone == z
+	}
+	panic("unknown machine " + machine + kind)
+}
+
+func ownedBy(d *deployment, z int) int {
+	n := 0
+	for vm, daemon := range d.daemons {
+		if inZone(vm, z) {
+			n += len(daemon.pool(testBackend).Owned())
+		}
+	}
+	return n
+}
+
+// Guards against tasks that are lost, or run twice, when the owner of their worker dies.
+func TestTasksSurviveTheirOwner(t *testing.T) {
+	run(t, func(t *testing.T) {
+		d := newDeployment(t, 1, 3, 6)
+		defer d.close()
+		d.work = func(contract.RunKey) standin.RunOutcome { return standin.RunOutcome{Takes: 600 * time.Millisecond} }
+		answer := d.submit("edge-0-0", testJob("00000000000000aa", 10, 8*time.Second))
+		time.Sleep(100 * time.Millisecond)
+		d.killDaemon("edge-0-1")
+		require.Equal(t, batch.Completed, (<-answer).Outcome)
+	})
+}
+
+// Guards against runs that go on after their home has died, which a job that is sent again would meet.
+func TestRunsEndWithTheirHome(t *testing.T) {
+	run(t, func(t *testing.T) {
+		d := newDeployment(t, 1, 2, 6)
+		defer d.close()
+		d.work = func(contract.RunKey) standin.RunOutcome { return standin.RunOutcome{Takes: 5 * time.Second} }
+		d.submit("edge-0-0", testJob("00000000000000aa", 8, 20*time.Second))
+		time.Sleep(500 * time.Millisecond)
+		d.killDaemon("edge-0-0")
+		// Clients send again 1.3 s after the end of their connection.
+		time.Sleep(1300 * time.Millisecond)
+		for id := range d.hosts {
+			reply, err := d.hosts[id].Hold(context.Background(), linkHold)
+			require.NoError(t, err)
+			require.Empty(t, reply.Running, "runs of the dead home on %s", id)
+		}
+	})
+}
+
+// Guards against a planned stop that loses or repeats the jobs of the process.
+func TestStopAnswersAllJobs(t *testing.T) {
+	run(t, func(t *testing.T) {
+		d := newDeployment(t, 2, 2, 4)
+		defer d.close()
+		d.work = func(contract.RunKey) standin.RunOutcome { return standin.RunOutcome{Takes: 700 * time.Millisecond} }
+		var answers []<-chan batch.Answer
+		for i := range 4 {
+			answers = append(answers, d.submit("edge-0-0", testJob(fmt.Sprintf("%016x", i), 3, 6*time.Second)))
+		}
+		time.Sleep(100 * time.Millisecond)
+		ctx, cancel := context.WithTimeout(context.Background(), testGrace)
+		defer cancel()
+		d.daemons["edge-0-0"].Stop(ctx)
+		for i, a := range answers {
+			require.Equal(t, batch.Completed, (<-a).Outcome)
+			require.Equal(t, 3, d.seen.startsOf(fmt.Sprintf("%016x", i)), "starts of job %d", i)
+		}
+	})
+}
+
+// Guards against a start without an answer that is carried out late, beside the run that has replaced it.
+func TestLateOrdersStartNothing(t *testing.T) {
+	run(t, func(t *testing.T) {
+		d := newDeployment(t, 1, 2, 4)
+		defer d.close()
+		d.work = func(contract.RunKey) standin.RunOutcome { return standin.RunOutcome{Takes: 300 * time.Millisecond} }
+		d.hosts["worker-0-0"].SetLate(2 * time.Second)
+		var answers []<-chan batch.Answer
+		for i := range 4 {
+			answers = append(answers, d.submit("edge-0-0", testJob(fmt.Sprintf("%016x", i), 2, 6*time.Second)))
+		}
+		time.Sleep(time.Second)
+		d.hosts["worker-0-0"].SetLate(0)
+		for _, a := range answers {
+			require.Equal(t, batch.Completed, (<-a).Outcome)
+		}
+		time.Sleep(3 * time.Second)
+	})
+}
+
+// Guards against jobs that wait for a crashed worker, and against runs of its last life that count as alive.
+func TestCrashedWorkerIsReplaced(t *testing.T) {
+	run(t, func(t *testing.T) {
+		d := newDeployment(t, 1, 2, 4)
+		defer d.close()
+		d.work = func(contract.RunKey) standin.RunOutcome { return standin.RunOutcome{Takes: 500 * time.Millisecond} }
+		answer := d.submit("edge-0-0", testJob("00000000000000aa", 8, 6*time.Second))
+		time.Sleep(100 * time.Millisecond)
+		d.hosts["worker-0-1"].Crash()
+		require.Equal(t, batch.Completed, (<-answer).Outcome)
+		d.hosts["worker-0-1"].Restart()
+	})
+}
+
+// linkHold looks at a worker without an effect.
+var linkHold = link.HostHold{Token: 1 << 62}
--- /dev/null
+++ b/edge/deployment_test.go
@@ -0,0 +1,440 @@
+package edge
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"net"
+	"os"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+	"github.com/stretchr/testify/require"
+
+	"github.com/cicadadale/cicadadale/batch"
+	"github.com/cicadadale/cicadadale/contract"
+	"github.com/cicadadale/cicadadale/fault"
+	"github.com/cicadadale/cicadadale/link"
+	"github.com/cicadadale/cicadadale/machine"
+	"github.com/cicadadale/cicadadale/standin"
+)
+
+const (
+	testBackend = "bookings"
+	testLease   = time.Second
+	testGrace   = 6 * time.Second
+	taskCPU     = 27_000
+	settleTime  = 3 * time.Second
+)
+
+var errCut = errors.New("the machines are cut off from each other")
+
+// network is the links between the machines of a test. Machines on two sides of a cut hear nothing of each other.
+type network struct {
+	mu        sync.Mutex
+	listeners map[string]*memListener
+	cut       func(a, b string) bool
+}
+
+func newNetwork() *network {
+	return &network{listeners: make(map[string]*memListener), cut: func(string, string) bool { return false }}
+}
+
+func (n *network) setCut(cut func(a, b string) bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.cut = cut
+}
+
+func (n *network) isCut(a, b string) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.cut(a, b)
+}
+
+func (n *network) listen(vm string) *memListener {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	l := &memListener{vm: vm, conns: make(chan net.Conn), closed: make(chan struct{})}
+	n.listeners[vm] = l
+	return l
+}
+
+func (n *network) dial(ctx context.Context, from, to string) (net.Conn, error) {
+	n.mu.Lock()
+	l := n.listeners[to]
+	n.mu.Unlock()
+	if l == nil {
+		return nil, errCut
+	}
+	if n.isCut(from, to) {
+		<-ctx.Done()
+		return nil, errCut
+	}
+	a, b := net.Pipe()
+	select {
+	case l.conns <- &memConn{Conn: b, network: n, from: to, to: from}:
+		return &memConn{Conn: a, network: n, from: from, to: to}, nil
+	case <-l.closed:
+		return nil, errCut
+	case <-ctx.Done():
+		return nil, errCut
+	}
+}
+
+type memListener struct {
+	vm     string
+	conns  chan net.Conn
+	once   sync.Once
+	closed chan struct{}
+}
+
+func (l *memListener) Accept() (net.Conn, error) {
+	select {
+	case c := <-l.conns:
+		return c, nil
+	case <-l.closed:
+		return nil, net.ErrClosed
+	}
+}
+
+func (l *memListener) Close() error {
+	l.once.Do(func() { close(l.closed) })
+	return nil
+}
+
+func (l *memListener) Addr() net.Addr { return memAddr(l.vm) }
+
+type memAddr string
+
+func (a memAddr) Network() string { return "mem" }
+func (a memAddr) String() string  { return string(a) }
+
+// memConn loses what is written while its ends are cut off from each other.
+type memConn struct {
+	net.Conn
+	network  *network
+	from, to string
+	lost     bool
+}
+
+func (c *memConn) Write(b []byte) (int, error) {
+	// Once bytes have been lost, nothing later arrives on the connection.
+	if c.lost = c.lost || c.network.isCut(c.from, c.to); c.lost {
+		return len(b), nil
+	}
+	return c.Conn.Write(b)
+}
+
+// memStore is the platform's store of a test.
+type memStore struct {
+	network *network
+
+	mu      sync.Mutex
+	workers []machine.Listing
+	desired contract.Desired
+	members map[string]machine.Member
+	changed chan struct{}
+	// silent names the VMs that the store does not answer.
+	silent map[string]bool
+}
+
+func newMemStore(n *network) *memStore {
+	return &memStore{network: n, members: make(map[string]machine.Member), changed: make(chan struct{}), silent: map[string]bool{}}
+}
+
+func (s *memStore) update(f func()) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	f()
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// view is the store as one VM reaches it.
+type view struct {
+	s  *memStore
+	vm string
+}
+
+func (v view) follow(ctx context.Context, f func()) {
+	for ctx.Err() == nil {
+		v.s.mu.Lock()
+		changed, silent := v.s.changed, v.s.silent[v.vm]
+		v.s.mu.Unlock()
+		if !silent {
+			f()
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+		}
+	}
+}
+
+func (v view) FollowWorkers(ctx context.Context, f func([]machine.Listing)) {
+	v.follow(ctx, func() {
+		v.s.mu.Lock()
+		list := slices.Clone(v.s.workers)
+		v.s.mu.Unlock()
+		f(list)
+	})
+}
+
+func (v view) FollowDesired(ctx context.Context, f func(contract.Desired)) {
+	v.follow(ctx, func() {
+		v.s.mu.Lock()
+		d := v.s.desired
+		v.s.mu.Unlock()
+		if d.Version > 0 {
+			f(d)
+		}
+	})
+}
+
+func (v view) FollowMembers(ctx context.Context, f func([]machine.Member)) {
+	v.follow(ctx, func() {
+		v.s.mu.Lock()
+		var list []machine.Member
+		for _, m := range v.s.members {
+			list = append(list, m)
+		}
+		v.s.mu.Unlock()
+		f(list)
+	})
+}
+
+func (v view) PublishMember(_ context.Context, m machine.Member) error {
+	v.s.mu.Lock()
+	silent := v.s.silent[v.vm]
+	v.s.mu.Unlock()
+	if silent {
+		return errCut
+	}
+	v.s.update(func() { v.s.members[m.VM] = m })
+	return nil
+}
+
+func (v view) RemoveMember(_ context.Context, vm string) error {
+	v.s.update(func() { delete(v.s.members, vm) })
+	return nil
+}
+
+func (v view) DecodeDesired(document []byte) (contract.Desired, error) {
+	v.s.mu.Lock()
+	defer v.s.mu.Unlock()
+	if string(document) != fmt.Sprint(v.s.desired.Version) {
+		return contract.Desired{}, fmt.Errorf("version %s is not known", document)
+	}
+	return v.s.desired, nil
+}
+
+// calls are the calls to workers as one VM makes them.
+type calls struct {
+	d  *deployment
+	vm string
+}
+
+func (c calls) reach(ctx context.Context, a link.HostAddress) (*standin.RunHost, error) {
+	h := c.d.hosts[a.Worker]
+	if h == nil || c.d.net.isCut(c.vm, a.Worker) {
+		<-ctx.Done()
+		return nil, fault.InDoubt.New("worker %s does not answer", a.Worker)
+	}
+	return h, nil
+}
+
+func (c calls) Start(
+	ctx context.Context, a link.HostAddress, s link.HostStart,
+) (link.StartVerdict, link.HostReply, error) {
+	h, err := c.reach(ctx, a)
+	if err != nil {
+		return 0, link.HostReply{}, err
+	}
+	return h.Start(ctx, s)
+}
+
+func (c calls) Stop(
+	ctx context.Context, a link.HostAddress, key contract.RunKey, token uint64,
+) (link.HostReply, error) {
+	h, err := c.reach(ctx, a)
+	if err != nil {
+		return link.HostReply{}, err
+	}
+	return h.Stop(ctx, key, token)
+}
+
+func (c calls) Hold(ctx context.Context, a link.HostAddress, hold link.HostHold) (link.HoldReply, error) {
+	h, err := c.reach(ctx, a)
+	if err != nil {
+		return link.HoldReply{}, err
+	}
+	return h.Hold(ctx, hold)
+}
+
+func (c calls) Forget(link.HostAddress) {}
+
+// runsSeen observes all workers: it finds tasks that run twice at the same time.
+type runsSeen struct {
+	mu      sync.Mutex
+	running map[contract.RunKey][]contract.RunKey
+	starts  map[contract.RunKey]int
+	done    map[contract.RunKey]int
+	twice   []string
+}
+
+func (r *runsSeen) Started(worker string, key contract.RunKey) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	task := key.Task()
+	if others := r.running[task]; len(others) > 0 {
+		r.twice = append(r.twice, fmt.Sprintf("%s on %s beside %v", key, worker, others))
+	}
+	r.running[task] = append(r.running[task], key)
+	r.starts[task]++
+}
+
+func (r *runsSeen) Ended(_ string, key contract.RunKey, state contract.RunState) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	task := key.Task()
+	if i := slices.Index(r.running[task], key); i >= 0 {
+		r.running[task] = slices.Delete(r.running[task], i, i+1)
+	}
+	if state == contract.RunDone {
+		r.done[task]++
+	}
+}
+
+func (r *runsSeen) startsOf(job string) int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	n := 0
+	for k, count := range r.starts {
+		if k.Batch == job {
+			n += count
+		}
+	}
+	return n
+}
+
+// deployment is a whole system in one process: daemons, workers and a store.
+type deployment struct {
+	t       *testing.T
+	net     *network
+	store   *memStore
+	hosts   map[string]*standin.RunHost
+	daemons map[string]*Daemon
+	seen    *runsSeen
+	work    func(key contract.RunKey) standin.RunOutcome
+	wg      sync.WaitGroup
+}
+
+func newDeployment(t *testing.T, zones, daemonsPerZone, workersPerZone int) *deployment {
+	n := newNetwork()
+	d := &deployment{
+		t: t, net: n, store: newMemStore(n), hosts: make(map[string]*standin.RunHost), daemons: make(map[string]*Daemon),
+		seen: &runsSeen{
+			running: make(map[contract.RunKey][]contract.RunKey), starts: make(map[contract.RunKey]int),
+			done: make(map[contract.RunKey]int),
+		},
+		work: func(contract.RunKey) standin.RunOutcome { return standin.RunOutcome{Takes: 100 * time.Millisecond} },
+	}
+	d.store.desired = contract.Desired{
+		Version: 1, Document: []byte("1"),
+		Routes: []contract.Route{{Name: "r", Host: "h", PathPrefix: "/q/", Backend: testBackend, Attempts: 2}},
+	}
+	for z := range zones {
+		for w := range workersPerZone {
+			d.addWorker(zoneName(z), fmt.Sprintf("worker-%d-%d", z, w))
+		}
+	}
+	for z := range zones {
+		for i := range daemonsPerZone {
+			d.startDaemon(zoneName(z), fmt.Sprintf("edge-%d-%d", z, i))
+		}
+	}
+	time.Sleep(settleTime)
+	return d
+}
+
+func zoneName(z int) string { return fmt.Sprintf("zone-%d", z) }
+
+func (d *deployment) addWorker(zone, id string) {
+	capacity := machine.Resources{CPUMillis: 64_000, MemoryMB: 131_072}
+	h := standin.NewRunHost(standin.RunHostOptions{
+		ID: id, Capacity: capacity, MaxLease: testLease, Observer: d.seen,
+		Work: func(k contract.RunKey) standin.RunOutcome { return d.work(k) },
+		Need: func(contract.RunKey) machine.Resources { return machine.Resources{CPUMillis: taskCPU, MemoryMB: 64} },
+	})
+	d.hosts[id] = h
+	d.store.update(func() {
+		d.store.workers = append(d.store.workers, machine.Listing{
+			Worker: id, Backend: testBackend, Address: id, Zone: zone, Born: h.Born(), Capacity: capacity,
+		})
+	})
+}
+
+func (d *deployment) startDaemon(zone, vm string) *Daemon {
+	level := slog.LevelError
+	if os.Getenv("EDGE_TEST_LOG") != "" {
+		level = slog.LevelInfo
+	}
+	logger := slog.New(slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{Level: level})).With("vm", vm)
+	daemon, err := New(Options{
+		Self: machine.Member{
+			VM: vm, Incarnation: machine.NewIncarnation(), Address: vm, Domain: zone, CPUMillis: 400,
+		},
+		Store: view{d.store, vm}, Calls: calls{d, vm}, Peers: d.net.listen(vm), Lease: testLease, Grace: testGrace,
+		Dial: func(ctx context.Context, address string) (net.Conn, error) { return d.net.dial(ctx, vm, address) },
+		Now:  time.Now, Logger: logger, Metrics: metrics.NewRegistry(),
+	})
+	require.NoError(d.t, err)
+	d.daemons[vm] = daemon
+	return daemon
+}
+
+// killDaemon ends a daemon at once; nothing that it runs is stopped.
+func (d *deployment) killDaemon(vm string) {
+	daemon := d.daemons[vm]
+	delete(d.daemons, vm)
+	daemon.Close()
+}
+
+func (d *deployment) close() {
+	for vm := range d.daemons {
+		d.killDaemon(vm)
+	}
+	d.wg.Wait()
+	d.seen.mu.Lock()
+	defer d.seen.mu.Unlock()
+	require.Empty(d.t, d.seen.twice, "tasks that ran twice at the same time")
+}
+
+func testJob(id string, tasks int, limit time.Duration) contract.Batch {
+	now := time.Now()
+	return contract.Batch{
+		ID: id, Route: "r", Backend: testBackend, Spec: []byte("spec"), Attempts: 2, TargetFactor: 1.6,
+		TargetSlack: 60 * time.Millisecond, Accepted: now, Deadline: now.Add(limit),
+		Steps: []contract.Step{{
+			Count: tasks, Need: machine.Resources{CPUMillis: taskCPU, MemoryMB: 64}, Estimate: 200 * time.Millisecond,
+		}},
+	}
+}
+
+// submit sends a job in the background. The channel gets its answer.
+func (d *deployment) submit(vm string, b contract.Batch) <-chan batch.Answer {
+	out := make(chan batch.Answer, 1)
+	daemon := d.daemons[vm]
+	require.NotNil(d.t, daemon, vm)
+	d.wg.Go(func() { out <- daemon.Submit(context.Background(), b) })
+	return out
+}
+
+// run runs a test of a deployment in virtual time.
+func run(t *testing.T, f func(t *testing.T)) { synctest.Test(t, f) }
--- a/edge/members.go
+++ b/edge/members.go
@@ -7,6 +7,7 @@
 
 	"github.com/cicadadale/cicadadale/api"
 	"github.com/cicadadale/cicadadale/link"
+	"github.com/cicadadale/cicadadale/machine"
 	"github.com/cicadadale/cicadadale/zone"
 )
 
@@ -16,7 +17,7 @@
 
 // Members holds the other processes and the links to them. mu guards all fields below it.
 type Members struct {
-	self   MemberInfo
+	self   machine.Member
 	dial   func(vm, address string) *link.Peer
 	logger *slog.Logger
 
@@ -24,13 +25,13 @@
 	byVM map[string]*member
 }
 
-func newMembers(self MemberInfo, dial func(vm, address string) *link.Peer, logger *slog.Logger) *Members {
+func newMembers(self machine.Member, dial func(vm, address string) *link.Peer, logger *slog.Logger) *Members {
 	return &Members{self: self, dial: dial, logger: logger, byVM: make(map[string]*member)}
 }
 
 // Learn records that a process is said to exist. A process that is heard of directly counts more than what a list says.
 // It returns the id of the process that it replaces.
-func (m *Members) Learn(info MemberInfo, direct bool) (replaced string) {
+func (m *Members) Learn(info machine.Member, direct bool) (replaced string) {
 	if info.VM == m.self.VM || info.VM == "" || info.Address == "" {
 		return ""
 	}
@@ -125,7 +126,7 @@
 	var all []zone.Candidate
 	for _, e := range m.byVM {
 		if e.live && !e.ownsNothing {
-			all = append(all, e.info.candidate())
+			all = append(all, candidate(e.info))
 		}
 	}
 	return all
@@ -145,10 +146,10 @@
 }
 
 // Known returns all known processes, this one included.
-func (m *Members) Known() []MemberInfo {
+func (m *Members) Known() []machine.Member {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	all := []MemberInfo{m.self}
+	all := []machine.Member{m.self}
 	for _, e := range m.byVM {
 		all = append(all, e.info)
 	}
@@ -186,12 +187,13 @@
 	}
 }
 
-// Broadcast queues messages for all known processes.
+// Broadcast queues messages for all known processes. One that is not live gets them too, so that both sides of a healed
+// partition hear of each other, but no more than one batch waits for it.
 func (m *Members) Broadcast(msgs ...*api.PeerMessage) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	for _, e := range m.byVM {
-		if e.live || e.heard.IsZero() {
+		if e.live || e.peer.Flushed() {
 			e.peer.Send(msgs...)
 		}
 	}
--- a/edge/messages.go
+++ b/edge/messages.go
@@ -47,6 +47,17 @@
 	}})
 }
 
+// Recall implements batch.Owners.
+func (s owners) Recall(p batch.Place, keys []contract.RunKey) {
+	if p.Owner == s.d.self {
+		s.d.pool(p.Backend).Recall(s.d.self, keys)
+		return
+	}
+	s.d.members.Send(p.Owner, &api.PeerMessage{Body: &api.PeerMessage_TaskWithdrawal{
+		TaskWithdrawal: &api.TaskWithdrawal{Backend: p.Backend, Keys: encodeKeys(keys), OnlyQueued: true},
+	}})
+}
+
 // Acknowledge implements batch.Owners.
 func (s owners) Acknowledge(p batch.Place, keys []contract.RunKey) {
 	if p.Owner == s.d.self {
@@ -119,7 +130,7 @@
 // handle takes an envelope of another member.
 func (d *Daemon) handle(env *api.Envelope) link.Reception {
 	vm := env.GetFromVm()
-	id := MemberInfo{VM: vm, Incarnation: machine.Incarnation(env.GetFromIncarnation())}.ID()
+	id := machine.Member{VM: vm, Incarnation: machine.Incarnation(env.GetFromIncarnation())}.ID()
 	for _, m := range env.GetMessages() {
 		if s := m.GetPoolStatus(); s != nil {
 			d.learn(decodeMember(s.GetSender()), true)
@@ -159,7 +170,12 @@
 	case *api.PeerMessage_TaskRefresh:
 		d.pool(b.TaskRefresh.GetBackend()).Refresh(id, decodeKeys(b.TaskRefresh.GetKeys()))
 	case *api.PeerMessage_TaskWithdrawal:
-		d.pool(b.TaskWithdrawal.GetBackend()).Withdraw(id, decodeKeys(b.TaskWithdrawal.GetKeys()))
+		w := b.TaskWithdrawal
+		if w.GetOnlyQueued() {
+			d.pool(w.GetBackend()).Recall(id, decodeKeys(w.GetKeys()))
+			return
+		}
+		d.pool(w.GetBackend()).Withdraw(id, decodeKeys(w.GetKeys()))
 	case *api.PeerMessage_TaskAck:
 		d.pool(b.TaskAck.GetBackend()).Acknowledge(decodeKeys(b.TaskAck.GetKeys()))
 	case *api.PeerMessage_TaskReport:
@@ -198,14 +214,14 @@
 	}
 }
 
-func encodeMember(m MemberInfo) *api.Member {
+func encodeMember(m machine.Member) *api.Member {
 	return &api.Member{
 		Vm: m.VM, Incarnation: uint64(m.Incarnation), Address: m.Address, Domain: m.Domain, CpuMillis: uint32(m.CPUMillis),
 	}
 }
 
-func decodeMember(m *api.Member) MemberInfo {
-	return MemberInfo{
+func decodeMember(m *api.Member) machine.Member {
+	return machine.Member{
 		VM: m.GetVm(), Incarnation: machine.Incarnation(m.GetIncarnation()), Address: m.GetAddress(),
 		Domain: m.GetDomain(), CPUMillis: int(m.GetCpuMillis()),
 	}
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -264,7 +264,12 @@
 }
 
 // Withdraw ends runs. Those that wait never start; those that run are stopped.
-func (p *Pool) Withdraw(home string, keys []contract.RunKey) {
+func (p *Pool) Withdraw(home string, keys []contract.RunKey) { p.end(home, keys, false) }
+
+// Recall ends runs that wait. Those that have started go on.
+func (p *Pool) Recall(home string, keys []contract.RunKey) { p.end(home, keys, true) }
+
+func (p *Pool) end(home string, keys []contract.RunKey, onlyWaiting bool) {
 	now := p.o.Now()
 	var fx effects
 	p.mu.Lock()
@@ -274,6 +279,10 @@
 			p.reportUnknown(home, k, now, &fx)
 			continue
 		}
+		if onlyWaiting && r.state != runWaiting {
+			fx.report(r)
+			continue
+		}
 		p.withdraw(r, &fx)
 	}
 	p.match(now, &fx)
@@ -407,3 +416,16 @@
 	}
 	t.host.Stalled(now)
 }
+
+// Owned returns the workers whose ownership this VM has acquired and not lost.
+func (p *Pool) Owned() []string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var ids []string
+	for id, t := range p.hosts {
+		if t.host.Token != 0 {
+			ids = append(ids, id)
+		}
+	}
+	return ids
+}
--- a/pool/tend.go
+++ b/pool/tend.go
@@ -21,14 +21,14 @@
 	holdRetry = 50 * time.Millisecond
 	// settleDelay is the pause before a worker is acquired that could not be reached before. After a partition the other
 	// members are heard within it, and the worker may have an owner among them.
-	settleDelay = 600 * time.Millisecond
+	settleDelay = time.Second
 	// lostRetry is the pause before a worker that another VM has taken is taken back, if membership still names this VM.
-	lostRetry = 1500 * time.Millisecond
+	lostRetry = 500 * time.Millisecond
 	// stallTimeout is the time without progress after which a run counts as standing still. One percent of the longest
 	// tasks on the slowest workers takes half a second.
 	stallTimeout = 900 * time.Millisecond
 	// tokenSpread makes two VMs that take a worker in the same millisecond use different tokens.
-	tokenSpread = 1024
+	tokenSpread = 1 << 20
 )
 
 // tended is an owned worker with its runs. The pool's lock guards host, runs and lost; the goroutine of tend owns the
@@ -41,6 +41,8 @@
 	kick    chan struct{}
 	lost    bool
 	lostAt  time.Time
+	// failing is set from a look without an answer to the next answer.
+	failing bool
 	// unacknowledged is set while the worker may hold ends that it has not been told to forget.
 	unacknowledged bool
 }
@@ -120,6 +122,10 @@
 	if len(t.runs) == 0 {
 		return h, t.unacknowledged
 	}
+	if t.failing {
+		// The lease is not extended, so that the runs of a worker that is gone are over when it has lapsed.
+		return h, true
+	}
 	h.LeaseEnd, h.Wait = t.host.ExtendLease(p.o.Lease, now), holdWait
 	return h, true
 }
@@ -235,9 +241,11 @@
 	if err != nil {
 		p.o.Calls.Forget(t.address)
 		t.host.Stalled(now)
+		t.failing = true
 		p.o.Logger.Warn("worker did not answer a look", "worker", t.address.Worker, "runs", len(t.runs), "error", err)
 		return false
 	}
+	t.failing = false
 	if reply.OtherLife || (reply.Born != 0 && reply.Born != t.address.Born) {
 		p.lifeEnded(t, now, &fx)
 		return false
