pool, edge, platform: keep room exact over takeovers; close connections while stopping

TestRoomIsExactAfterTakeover fails without the change.

A process that starts owns workers 0.4 s after its start once all listed members are heard, not 1 s.

--- a/edge/daemon.go
+++ b/edge/daemon.go
@@ -25,7 +25,7 @@
 	statusInterval = 200 * time.Millisecond
 	// joinDelay is how long a process that starts waits for the other members before it owns workers. A process that
 	// took workers before it knows the others would take all of them.
-	joinDelay = time.Second
+	joinDelay = 400 * time.Millisecond
 	// joinLimit ends the wait for members that are listed and do not answer.
 	joinLimit = 2 * time.Second
 	// publishRetry is the pause before this process is announced again after a failed call.
@@ -339,8 +339,8 @@
 	})
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
-	quiet := 0
-	for quiet < stopQuietTicks {
+	quiet, since := 0, d.o.Now()
+	for quiet < stopQuietTicks || d.o.Now().Sub(since) < rotationDelay {
 		select {
 		case <-ticker.C:
 			quiet++
@@ -355,9 +355,13 @@
 	d.o.Logger.Info("stopped; all jobs are answered")
 }
 
-// stopQuietTicks is the number of ticks without a job after which a stopping process ends. The platform sends new
-// connections for two seconds after the process is not ready any more.
-const stopQuietTicks = int(2500 * time.Millisecond / tickInterval)
+const (
+	// stopQuietTicks is the number of ticks without a job after which a stopping process ends.
+	stopQuietTicks = 6
+	// rotationDelay is the time for which the balancer sends new connections to a process that is not ready any more: it
+	// takes two failed checks, one a second.
+	rotationDelay = 2300 * time.Millisecond
+)
 
 // Close ends all parts at once.
 func (d *Daemon) Close() {
--- a/edge/daemon_test.go
+++ b/edge/daemon_test.go
@@ -187,3 +187,25 @@
 
 // linkHold looks at a worker without an effect.
 var linkHold = link.HostHold{Token: 1 << 62}
+
+// Guards against room that is lost or gained when a worker changes its owner while tasks run: the new owner learns the
+// size of a run only when its home claims it.
+func TestRoomIsExactAfterTakeover(t *testing.T) {
+	run(t, func(t *testing.T) {
+		d := newDeployment(t, 1, 3, 4)
+		defer d.close()
+		d.work = func(contract.RunKey) standin.RunOutcome { return standin.RunOutcome{Takes: 400 * time.Millisecond} }
+		// The first tasks are larger, so that the typical size differs from that of the tasks that change hands.
+		large := testJob("00000000000000aa", 8, 5*time.Second)
+		large.Steps[0].Need.CPUMillis = taskCPU + 4000
+		require.Equal(t, batch.Completed, (<-d.submit("edge-0-0", large)).Outcome)
+		small := d.submit("edge-0-0", testJob("00000000000000bb", 8, 8*time.Second))
+		time.Sleep(100 * time.Millisecond)
+		d.killDaemon("edge-0-1")
+		require.Equal(t, batch.Completed, (<-small).Outcome)
+		time.Sleep(2 * time.Second)
+		for _, daemon := range d.daemons {
+			require.Equal(t, map[string]int{}, daemon.pool(testBackend).Occupied(), "CPU held on idle workers")
+		}
+	})
+}
--- a/edge/front.go
+++ b/edge/front.go
@@ -8,9 +8,8 @@
 	"github.com/cicadadale/cicadadale/contract"
 )
 
-// acceptWhileStopping is the part of the grace in which a process that stops still accepts jobs: the balancer sends it
-// new connections until it has seen two failed readiness checks.
-const acceptWhileStopping = 0.45
+// stopReserve is the part of the grace that a process that stops does not promise to a job.
+const stopReserve = 500 * time.Millisecond
 
 // Route finds the queue of a request. known is false while there is no desired state.
 func (d *Daemon) Route(host, path string) (route contract.Route, found, known bool) {
@@ -26,14 +25,23 @@
 // Submit runs a job and returns its answer.
 func (d *Daemon) Submit(ctx context.Context, b contract.Batch) batch.Answer {
 	d.mu.Lock()
-	refuse := d.stopping && d.o.Now().Sub(d.stoppingSince) > time.Duration(acceptWhileStopping*float64(d.o.Grace))
-	d.mu.Unlock()
-	if refuse {
-		return batch.Answer{Outcome: batch.Refused, Reason: "stopping"}
+	if d.stopping {
+		end := d.stoppingSince.Add(d.o.Grace - stopReserve)
+		if end.Before(b.Deadline) {
+			b.Deadline = end
+		}
 	}
+	d.mu.Unlock()
 	return d.home.Submit(ctx, b)
 }
 
+// Stopping reports whether the process is about to end, so that its clients should connect elsewhere.
+func (d *Daemon) Stopping() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.stopping
+}
+
 // Cancel ends a job of this home. It reports whether the job is known.
 func (d *Daemon) Cancel(id string) bool { return d.home.Cancel(id) }
 
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -196,7 +196,7 @@
 	if r, ok := p.runs[o.Key]; ok {
 		r.home, r.refreshed, r.claimed = home, now, true
 		if r.order.Spec == nil {
-			r.order = o
+			p.describe(r, o)
 		}
 		if r.state != runWaiting {
 			fx.report(r)
@@ -222,6 +222,15 @@
 	p.learnSize(o.Need)
 }
 
+// describe completes a run that was found on a worker with what its home says of it. p.mu is held.
+func (p *Pool) describe(r *run, o contract.TaskOrder) {
+	if r.host != nil {
+		r.host.host.Release(r.order.Need)
+		r.host.host.Reserve(o.Need)
+	}
+	r.order = o
+}
+
 // feasible reports whether a worker of the pool can ever hold the task. p.mu is held.
 func (p *Pool) feasible(o contract.TaskOrder) bool {
 	for _, t := range p.hosts {
@@ -429,3 +438,17 @@
 	}
 	return ids
 }
+
+// Occupied returns the processor time, in thousandths of a core, that the runs on each worker hold, without the idle
+// workers.
+func (p *Pool) Occupied() map[string]int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	held := make(map[string]int)
+	for id, t := range p.hosts {
+		if used := t.host.Listing.Capacity.CPUMillis - t.host.Free().CPUMillis; used != 0 {
+			held[id] = used
+		}
+	}
+	return held
+}
