edge: make the test of exact room fail without its change

It stops the member that owns three now, and fails without the change with 5.9 cores held on two idle workers.

--- a/edge/daemon_test.go
+++ b/edge/daemon_test.go
@@ -201,7 +201,9 @@
 		require.Equal(t, batch.Completed, (<-d.submit("edge-0-0", large)).Outcome)
 		small := d.submit("edge-0-0", testJob("00000000000000bb", 8, 8*time.Second))
 		time.Sleep(100 * time.Millisecond)
-		d.killDaemon("edge-0-1")
+		ctx, cancel := context.WithTimeout(context.Background(), testGrace)
+		defer cancel()
+		d.daemons["edge-0-2"].Stop(ctx)
 		require.Equal(t, batch.Completed, (<-small).Outcome)
 		time.Sleep(2 * time.Second)
 		for _, daemon := range d.daemons {
