pool: look for a run whose start was not answered before stopping it

Now the worker's list decides: a listed run goes on, one that is not listed is stopped, and the next run waits until a look after the stop lists neither the run nor its end. TestLostAnswersStartNothingTwice fails without the change.

--- a/edge/daemon_test.go
+++ b/edge/daemon_test.go
@@ -171,6 +171,21 @@
 	})
 }
 
+// Guards against a run whose start was carried out and not answered: it goes on, and no second one starts beside it.
+func TestLostAnswersStartNothingTwice(t *testing.T) {
+	run(t, func(t *testing.T) {
+		d := newDeployment(t, 1, 2, 4)
+		defer d.close()
+		d.work = func(contract.RunKey) standin.RunOutcome { return standin.RunOutcome{Takes: 300 * time.Millisecond} }
+		for _, h := range d.hosts {
+			h.SetLosingAnswers(true)
+		}
+		answer := d.submit("edge-0-0", testJob("00000000000000aa", 6, 6*time.Second))
+		require.Equal(t, batch.Completed, (<-answer).Outcome)
+		require.Equal(t, 6, d.seen.startsOf("00000000000000aa"))
+	})
+}
+
 // Guards against jobs that wait for a crashed worker, and against runs of its last life that count as alive.
 func TestCrashedWorkerIsReplaced(t *testing.T) {
 	run(t, func(t *testing.T) {
--- a/pool/run.go
+++ b/pool/run.go
@@ -54,6 +54,7 @@
 type effects struct {
 	starts  []startEffect
 	stops   []*run
+	doubts  []*run
 	reports []report
 }
 
@@ -93,6 +94,9 @@
 	for _, r := range fx.stops {
 		p.spawn(func() { p.stop(r) })
 	}
+	for _, r := range fx.doubts {
+		p.spawn(func() { p.resolve(r) })
+	}
 }
 
 // finish records the end of a run and frees its room. p.mu is held.
--- a/pool/start.go
+++ b/pool/start.go
@@ -100,7 +100,31 @@
 	}
 	p.counter(metric.PoolStartsInDoubt).Inc(1)
 	r.state = runDoubtful
-	fx.stops = append(fx.stops, r)
+	fx.doubts = append(fx.doubts, r)
+}
+
+// resolve finds out what became of a start that was not answered. A run that the worker lists goes on; one that it does
+// not list is stopped, which bars a start that arrives late.
+func (p *Pool) resolve(r *run) {
+	p.mu.Lock()
+	t := r.host
+	if r.state != runDoubtful || t == nil {
+		p.mu.Unlock()
+		return
+	}
+	hold := link.HostHold{Token: t.host.Token, LastSeen: t.host.LastSeen}
+	p.mu.Unlock()
+	sent := p.o.Now()
+	ctx, cancel := context.WithTimeout(p.ctx, callTimeout)
+	reply, err := p.o.Calls.Hold(ctx, t.address, hold)
+	cancel()
+	p.held(t, sent, reply, err)
+	p.mu.Lock()
+	doubtful := r.state == runDoubtful
+	p.mu.Unlock()
+	if doubtful {
+		p.stop(r)
+	}
 }
 
 // stop ends a run at its worker, or bars it there. It tries until the worker answers, the lease has lapsed or another
@@ -150,10 +174,9 @@
 		p.loseOwnership(t, now, &fx)
 		return true
 	}
-	// The room is free once the end is listed. A run that was never there has no end, so the run is over for its home.
-	if r.state == runDoubtful {
-		p.finish(r, contract.RunEnded, 0, &fx)
-	}
+	// The run is over once its end is listed, or once a later look lists neither the run nor an end: then it was never
+	// there, and is barred now.
+	r.state, r.answered, r.unwanted = runRunning, now, true
 	t.wake()
 	p.match(now, &fx)
 	return true
--- a/standin/runhost.go
+++ b/standin/runhost.go
@@ -54,6 +54,8 @@
 	down    bool
 	// late holds orders back that get no answer and are carried out after this time.
 	late time.Duration
+	// losesAnswers makes the worker carry starts out without an answer.
+	losesAnswers bool
 	// rejects makes the worker reject every start as unhealthy.
 	rejects bool
 }
@@ -101,6 +103,19 @@
 	h.late = d
 }
 
+// SetLosingAnswers makes the worker carry starts out and lose its answers to them.
+func (h *RunHost) SetLosingAnswers(loses bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.losesAnswers = loses
+}
+
+func (h *RunHost) isLosingAnswers() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.losesAnswers
+}
+
 // SetRejecting makes the worker reject all starts as unhealthy.
 func (h *RunHost) SetRejecting(rejects bool) {
 	h.mu.Lock()
@@ -171,6 +186,9 @@
 		return 0, link.HostReply{}, h.unanswered(ctx)
 	}
 	verdict, reply := h.start(s)
+	if h.isLosingAnswers() {
+		return 0, link.HostReply{}, fault.InDoubt.New("the connection to worker %s was reset", h.id)
+	}
 	return verdict, reply, nil
 }
 
