batch, pool: expect run times from declared estimates; match tasks by each worker's speed

A worker with room takes the most urgent task judged by its own speed; answers after three times the latency target come behind those that are only late.

--- a/batch/advance.go
+++ b/batch/advance.go
@@ -162,7 +162,7 @@
 	case contract.RunDone:
 		t.state = taskDone
 		j.done++
-		h.kinds.learn(j.batch.Route, r.RunTime)
+		h.kinds.learn(j.batch.Route, j.batch.Steps[t.step].Estimate, r.RunTime)
 	case contract.RunFailed:
 		h.failed(j, t, r, now, out)
 	case contract.RunUnknown:
--- a/batch/home.go
+++ b/batch/home.go
@@ -202,7 +202,7 @@
 	}
 	h.counter(metric.BatchJobsAccepted).Inc(1)
 	h.o.Logger.Info("job accepted", "job", b.ID, "route", b.Route, "tasks", len(j.tasks), "priority", b.Priority,
-		"expected_run", expected, "expected_wait", wait, "time_left", left, "target_in", j.target.Sub(now))
+		"estimate", b.Steps[0].Estimate, "expected_run", expected, "expected_wait", wait, "time_left", left, "target_in", j.target.Sub(now))
 	return j, nil
 }
 
--- a/batch/job.go
+++ b/batch/job.go
@@ -81,7 +81,7 @@
 	step := &j.batch.Steps[t.step]
 	return contract.TaskOrder{
 		Key: j.key(t), Backend: j.batch.Backend, Spec: j.batch.Spec, Need: step.Need, Priority: j.batch.Priority,
-		Target: j.target, Deadline: j.batch.Deadline, Expected: j.expected,
+		Accepted: j.batch.Accepted, Target: j.target, Deadline: j.batch.Deadline, Expected: j.expected,
 		RequiredLabel: step.RequiredLabel, PreferredRack: step.PreferredRack,
 	}
 }
--- a/batch/kinds.go
+++ b/batch/kinds.go
@@ -7,51 +7,94 @@
 )
 
 const (
-	// runWeight is the weight of one run in the mean run time of a kind.
-	runWeight = 0.02
-	// estimateShare is the share of a declared estimate that a run takes until runs of the kind have been seen:
-	// declared times are mostly too long.
-	estimateShare = 0.4
+	// runWeight is the weight of one run in what is learned of its kind, once minSamples runs have been seen.
+	runWeight  = 0.01
+	minSamples = 20
+	// priorShare and priorSlope predict a run time from a declared estimate until runs have been seen: declared times are
+	// mostly too long, and a job declared twice as long takes about 1.4 times as long.
+	priorShare = 0.8
+	priorSlope = 0.5
+	maxSlope   = 1.0
+	// priorWeight is the number of runs that the prior slope counts for.
+	priorWeight = 20
 	// defaultRun is the expected run time of a task without an estimate.
 	defaultRun = 200 * time.Millisecond
-	// spread is how much longer the longest of several tasks takes, per doubling of their number.
-	spread = 0.25
+	// spread is how much longer the longest of several tasks takes than their mean, per doubling of their number.
+	spread = 0.13
 )
 
-// kinds learns the run times of the tasks of each route from their ends. mu guards the map.
+// kind is what has been learned of the run times of a route: a regression of the logarithm of run times on that of
+// declared estimates. Declared times are off by large factors, but jobs that declare more take longer.
+type kind struct {
+	samples    float64
+	meanX      float64
+	meanY      float64
+	varianceX  float64
+	covariance float64
+}
+
+// add records one run.
+func (k *kind) add(x, y float64) {
+	k.samples++
+	w := max(runWeight, 1/k.samples)
+	dx, dy := x-k.meanX, y-k.meanY
+	k.meanX += w * dx
+	k.meanY += w * dy
+	k.varianceX += w * (dx*dx*(1-w) - k.varianceX)
+	k.covariance += w * (dx*dy*(1-w) - k.covariance)
+}
+
+// predict returns the logarithm of the expected run time of a job with a declared estimate.
+func (k *kind) predict(x float64) float64 {
+	slope := priorSlope
+	if k.varianceX > 0 {
+		seen := min(k.samples, minSamples*priorWeight)
+		slope = (seen*k.covariance/k.varianceX + priorWeight*priorSlope) / (seen + priorWeight)
+	}
+	return k.meanY + min(max(slope, 0), maxSlope)*(x-k.meanX)
+}
+
+// kinds learns the run times of the tasks of each route from their ends. mu guards the map and the kinds in it.
 type kinds struct {
-	mu    sync.Mutex
-	means map[string]time.Duration
+	mu     sync.Mutex
+	routes map[string]*kind
 }
 
-func newKinds() *kinds { return &kinds{means: make(map[string]time.Duration)} }
+func newKinds() *kinds { return &kinds{routes: make(map[string]*kind)} }
 
-// expected returns the mean run time of a task.
+// expected returns the mean run time of the tasks of a job.
 func (k *kinds) expected(route string, estimate time.Duration) time.Duration {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	if mean, ok := k.means[route]; ok {
-		return mean
-	}
-	if estimate > 0 {
-		return time.Duration(estimateShare * float64(estimate))
+	r := k.routes[route]
+	switch {
+	case r != nil && estimate > 0:
+		return time.Duration(math.Exp(r.predict(math.Log(float64(estimate)))))
+	case r != nil:
+		return time.Duration(math.Exp(r.meanY))
+	case estimate > 0:
+		return time.Duration(priorShare * float64(estimate))
+	default:
+		return defaultRun
 	}
-	return defaultRun
 }
 
-// learn records the run time of a task.
-func (k *kinds) learn(route string, took time.Duration) {
+// learn records the run time of a task of a job with a declared estimate.
+func (k *kinds) learn(route string, estimate, took time.Duration) {
 	if took <= 0 {
 		return
 	}
+	if estimate <= 0 {
+		estimate = took
+	}
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	mean, ok := k.means[route]
-	if !ok {
-		k.means[route] = took
-		return
+	r := k.routes[route]
+	if r == nil {
+		r = &kind{}
+		k.routes[route] = r
 	}
-	k.means[route] = mean + time.Duration(runWeight*float64(took-mean))
+	r.add(math.Log(float64(estimate)), math.Log(float64(took)))
 }
 
 // longest returns the expected run time of the longest of n tasks.
--- a/contract/batch.go
+++ b/contract/batch.go
@@ -74,7 +74,8 @@
 	Spec     []byte
 	Need     machine.Resources
 	Priority int
-	// Target is when the answer is late, Deadline when nobody waits for it any more.
+	// Accepted is when the job arrived, Target when its answer is late, Deadline when nobody waits for it any more.
+	Accepted      time.Time
 	Target        time.Time
 	Deadline      time.Time
 	Expected      time.Duration
--- a/pool/match.go
+++ b/pool/match.go
@@ -1,6 +1,7 @@
 package pool
 
 import (
+	"slices"
 	"time"
 
 	"github.com/cicadadale/cicadadale/contract"
@@ -16,54 +17,85 @@
 	headReserve = 150 * time.Millisecond
 )
 
-// match starts waiting tasks on workers with room, in order of urgency. p.mu is held.
+// match starts waiting tasks on workers with room. Each worker takes the most urgent task that fits, judged by its own
+// speed; the fastest choose first, so that tasks that only they can end in time get them. p.mu is held.
 func (p *Pool) match(now time.Time, fx *effects) {
 	if len(p.waiting.runs) == 0 {
 		return
 	}
-	p.waiting.sort(now)
 	var reserved *tended
-	for i := 0; i < len(p.waiting.runs); {
-		r := p.waiting.runs[i]
-		t := p.choose(r.order, reserved, now)
-		if t == nil {
-			if reserved == nil && now.Sub(r.queued) > headReserve {
-				reserved = p.largestFree(r.order)
+	for _, t := range p.withRoom(now) {
+		p.waiting.sort(now, t.host.Speed())
+		if reserved == nil {
+			reserved = p.reserve(now)
+		}
+		for i := 0; i < len(p.waiting.runs) && t.host.Usable(now); {
+			r := p.waiting.runs[i]
+			if (t == reserved && i > 0) || !p.suits(t, r, now) {
+				i++
+				continue
 			}
-			i++
-			continue
+			p.waiting.remove(r)
+			p.begin(r, t, now, fx)
 		}
-		p.waiting.remove(r)
-		p.begin(r, t, now, fx)
 	}
 }
 
-// choose returns the worker for a task: the fastest with room, and of equally fast ones the one that it fills best.
-func (p *Pool) choose(o contract.TaskOrder, reserved *tended, now time.Time) *tended {
-	var best *tended
+// withRoom returns the workers on which a task may start, the fastest first and of equally fast ones the fullest.
+func (p *Pool) withRoom(now time.Time) []*tended {
+	var hosts []*tended
 	for _, t := range p.hosts {
-		if t == reserved || !t.host.CanStart(o.Need, now) || !t.host.Listing.CanHold(o.Need, o.RequiredLabel) {
-			continue
+		if t.host.CanStart(machine.Resources{}, now) && t.host.Free().CPUMillis > 0 {
+			hosts = append(hosts, t)
 		}
-		if best == nil || better(t.host, best.host, o) {
-			best = t
+	}
+	slices.SortFunc(hosts, func(a, b *tended) int {
+		if better(a.host, b.host) {
+			return -1
 		}
+		return 1
+	})
+	return hosts
+}
+
+// suits reports whether a task may start on a worker now. A task whose data are in a rack of this pool waits for that
+// rack for as long as it runs.
+func (p *Pool) suits(t *tended, r *run, now time.Time) bool {
+	o := r.order
+	if !t.host.CanStart(o.Need, now) || !t.host.Listing.CanHold(o.Need, o.RequiredLabel) {
+		return false
 	}
-	return best
+	if o.PreferredRack == "" || t.host.Listing.HasLabel(o.PreferredRack) || now.Sub(r.queued) > o.Expected {
+		return true
+	}
+	return !p.hasRack(o.PreferredRack, now)
+}
+
+// hasRack reports whether a usable worker of the pool is in a rack.
+func (p *Pool) hasRack(rack string, now time.Time) bool {
+	for _, t := range p.hosts {
+		if t.host.Usable(now) && t.host.Listing.HasLabel(rack) {
+			return true
+		}
+	}
+	return false
+}
+
+// reserve returns the worker that is kept free for the most urgent task, if it has waited for room for long.
+func (p *Pool) reserve(now time.Time) *tended {
+	if len(p.waiting.runs) == 0 || now.Sub(p.waiting.runs[0].queued) < headReserve {
+		return nil
+	}
+	return p.largestFree(p.waiting.runs[0].order)
 }
 
 // speedStep is the difference in speed below which two workers count as equally fast.
 const speedStep = 0.15
 
-func better(a, b *machine.Host, o contract.TaskOrder) bool {
-	if o.PreferredRack != "" {
-		an, bn := a.Listing.HasLabel(o.PreferredRack), b.Listing.HasLabel(o.PreferredRack)
-		if an != bn {
-			return an
-		}
-	}
-	if d := a.Speed() - b.Speed(); d > speedStep || d < -speedStep {
-		return d > 0
+// better orders workers for a task: by speed, and of equally fast ones the one with less room left.
+func better(a, b *machine.Host) bool {
+	if sa, sb := int(a.Speed()/speedStep), int(b.Speed()/speedStep); sa != sb {
+		return sa > sb
 	}
 	if fa, fb := a.Free().CPUMillis, b.Free().CPUMillis; fa != fb {
 		return fa < fb
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -217,6 +217,7 @@
 		return
 	}
 	r := &run{order: o, home: home, refreshed: now, queued: now, claimed: true}
+	r.veryLate = o.Accepted.Add(veryLateFactor * o.Target.Sub(o.Accepted))
 	p.runs[o.Key] = r
 	p.waiting.push(r)
 	p.learnSize(o.Need)
--- a/pool/queue.go
+++ b/pool/queue.go
@@ -19,11 +19,15 @@
 	}
 }
 
-// sort orders the runs by urgency at a time: first what can still meet its latency target, by priority and then by the
-// target; behind it what is late but still inside its time limit; last what cannot end in time any more.
-func (q *queue) sort(now time.Time) {
+// sort orders the runs by urgency at a time, for a worker of a speed: first what can still meet its latency target there,
+// by priority and then by the target; behind it what is late, then what is so late that its answer is worth little, last
+// what cannot end inside its time limit any more.
+func (q *queue) sort(now time.Time, speed float64) {
+	for _, r := range q.runs {
+		r.class = r.lateness(now, speed)
+	}
 	slices.SortStableFunc(q.runs, func(a, b *run) int {
-		if d := a.lateness(now) - b.lateness(now); d != 0 {
+		if d := int(a.class) - int(b.class); d != 0 {
 			return d
 		}
 		if d := a.order.Priority - b.order.Priority; d != 0 {
@@ -33,21 +37,33 @@
 	})
 }
 
-// Classes of lateness.
+// lateness says what an answer is worth that a run can still lead to.
+type lateness uint8
+
 const (
-	inTime = iota
+	inTime lateness = iota
 	late
+	// veryLate answers come after three times the latency target.
+	veryLate
 	tooLate
 )
 
-func (r *run) lateness(now time.Time) int {
-	end := now.Add(r.order.Expected)
+// veryLateFactor is the multiple of the latency target after which an answer is worth little.
+const veryLateFactor = 3
+
+func (r *run) lateness(now time.Time, speed float64) lateness {
+	end := now.Add(time.Duration(float64(r.order.Expected) / max(speed, minMatchSpeed)))
 	switch {
 	case end.After(r.order.Deadline):
 		return tooLate
+	case end.After(r.veryLate):
+		return veryLate
 	case end.After(r.order.Target):
 		return late
 	default:
 		return inTime
 	}
 }
+
+// minMatchSpeed bounds the run time that is expected of a very slow worker.
+const minMatchSpeed = 0.1
--- a/pool/run.go
+++ b/pool/run.go
@@ -33,6 +33,10 @@
 	// ran is set while a start is under way, and stays set unless the worker has provably rejected it.
 	ran bool
 
+	// veryLate is when an answer is worth little, class the lateness that the last sorting found.
+	veryLate time.Time
+	class    lateness
+
 	queued     time.Time
 	refreshed  time.Time
 	token      uint64
