edge: log through a bounded buffer to standard output; serve metrics with histograms

Histograms, not timers: a timer's goroutine never ends, which kept the tests in virtual time from ending.

--- a/admin/server.go
+++ b/admin/server.go
@@ -47,6 +47,14 @@
 	return s
 }
 
+// ServeMetrics serves only the metrics of a registry, at /metrics.
+func ServeMetrics(l net.Listener, registry metrics.Registry) *Server {
+	s := &Server{o: Options{Listener: l, Metrics: registry}, http: httpserve.New(l, nil)}
+	s.http.GET("/metrics", s.metrics)
+	s.http.Start()
+	return s
+}
+
 // Address returns where operators reach the server.
 func (s *Server) Address() string { return s.http.Address() }
 
--- a/batch/advance.go
+++ b/batch/advance.go
@@ -19,26 +19,7 @@
 		h.checkTime(j, now, out)
 	}
 	for i := range j.tasks {
-		t := &j.tasks[i]
-		if t.state == taskLost && !now.Before(t.lostUntil) {
-			h.o.Logger.Info("run of an unreachable owner has lapsed", "task", j.key(t).String(), "owner", t.owner)
-			j.ran = true
-			h.unplace(t, true)
-		}
-		if j.state != jobActive {
-			continue
-		}
-		switch {
-		case t.state == taskUnplaced && !now.Before(t.retryAt):
-			h.place(j, t, now, out)
-		case t.state == taskPlaced && !t.started && now.Sub(t.placedAt) > moveAfter &&
-			now.Sub(t.recalled) > recallRetry && h.o.Rooms.FreeElsewhere(j.batch.Backend, t.owner):
-			h.o.Logger.Info("moving a queued task to an owner with room", "task", j.key(t).String(), "owner", t.owner,
-				"queued_for", now.Sub(t.placedAt))
-			h.counter(metric.BatchTasksMoved).Inc(1)
-			t.recalled = now
-			out.recall(j.place(t), j.key(t))
-		}
+		h.advanceTask(j, &j.tasks[i], now, out)
 	}
 	if j.state == jobActive && j.done == len(j.tasks) {
 		h.end(j, Completed, "", now, out)
@@ -48,6 +29,32 @@
 	}
 }
 
+// advanceTask does for a task what the passing of time decides.
+func (h *Home) advanceTask(j *job, t *task, now time.Time, out *outbox) {
+	if t.state == taskLost && !now.Before(t.lostUntil) {
+		h.o.Logger.Info("run of an unreachable owner has lapsed", "task", j.key(t).String(), "owner", t.owner)
+		j.ran = true
+		h.unplace(t, true)
+	}
+	switch {
+	case j.state != jobActive:
+	case t.state == taskUnplaced && !now.Before(t.retryAt):
+		h.place(j, t, now, out)
+	case h.shouldMove(j, t, now):
+		h.o.Logger.Info("moving a queued task to an owner with room", "task", j.key(t).String(), "owner", t.owner,
+			"queued_for", now.Sub(t.placedAt))
+		h.counter(metric.BatchTasksMoved).Inc(1)
+		t.recalled = now
+		out.recall(j.place(t), j.key(t))
+	}
+}
+
+// shouldMove reports whether a task waits at its owner while another one has room.
+func (h *Home) shouldMove(j *job, t *task, now time.Time) bool {
+	return t.state == taskPlaced && !t.started && now.Sub(t.placedAt) > moveAfter &&
+		now.Sub(t.recalled) > recallRetry && h.o.Rooms.FreeElsewhere(j.batch.Backend, t.owner)
+}
+
 // checkTime ends a job whose caller stops waiting, or that has not started and cannot end in time any more.
 func (h *Home) checkTime(j *job, now time.Time, out *outbox) {
 	switch {
@@ -112,6 +119,7 @@
 		h.o.Logger.Info("job answered", "job", j.batch.ID, "route", j.batch.Route, "outcome", j.answer.Outcome.String(),
 			"reason", j.answer.Reason, "took", now.Sub(j.batch.Accepted), "target", j.target.Sub(j.batch.Accepted),
 			"tasks_done", j.done, "tasks", len(j.tasks))
+		metric.Histogram(metric.BatchAnswerTime, h.o.Metrics).Update(now.Sub(j.batch.Accepted).Microseconds())
 	}
 	for _, w := range j.waiters {
 		w <- j.answer
@@ -150,15 +158,8 @@
 		return
 	}
 	switch r.State {
-	case contract.RunQueued:
 	case contract.RunStarted:
-		if r.Token < t.token {
-			return
-		}
-		t.state, t.owner, t.started, t.worker, t.token = taskPlaced, owner, true, r.Worker, r.Token
-		if j.state != jobActive {
-			out.withdraw(j.place(t), r.Key)
-		}
+		h.started(j, t, owner, r, out)
 	case contract.RunDone:
 		t.state = taskDone
 		j.done++
@@ -166,15 +167,13 @@
 	case contract.RunFailed:
 		h.failed(j, t, r, now, out)
 	case contract.RunUnknown:
-		if t.state == taskLost {
-			// The owner does not know the run, which may be alive on a worker that another VM has taken.
-			return
+		// The owner of a lost run does not know it, but it may be alive on a worker that another VM has taken.
+		if t.state != taskLost {
+			h.unplace(t, r.Ran)
 		}
-		h.unplace(t, r.Ran)
 	case contract.RunEnded:
 		if t.started && !t.withdrawn {
-			h.o.Logger.Info("run has ended before its task was done", "task", r.Key.String(), "worker", r.Worker,
-				"state", r.State.String())
+			h.o.Logger.Info("run has ended before its task was done", "task", r.Key.String(), "worker", r.Worker)
 		}
 		h.unplace(t, r.Ran)
 	case contract.RunInfeasible:
@@ -185,6 +184,17 @@
 	}
 }
 
+// started records that a run goes on at an owner. A report that is older than what is known has no effect.
+func (h *Home) started(j *job, t *task, owner string, r contract.RunReport, out *outbox) {
+	if r.Token < t.token {
+		return
+	}
+	t.state, t.owner, t.started, t.worker, t.token = taskPlaced, owner, true, r.Worker, r.Token
+	if j.state != jobActive {
+		out.withdraw(j.place(t), r.Key)
+	}
+}
+
 // failed counts a failed run. A task that has failed as often as its route allows fails the job.
 func (h *Home) failed(j *job, t *task, r contract.RunReport, now time.Time, out *outbox) {
 	t.failures++
--- a/command/edge.go
+++ b/command/edge.go
@@ -14,8 +14,10 @@
 	"github.com/rcrowley/go-metrics"
 	"github.com/urfave/cli/v3"
 
+	"github.com/cicadadale/cicadadale/admin"
 	"github.com/cicadadale/cicadadale/config"
 	"github.com/cicadadale/cicadadale/edge"
+	"github.com/cicadadale/cicadadale/internal/logbuffer"
 	"github.com/cicadadale/cicadadale/machine"
 	"github.com/cicadadale/cicadadale/platform"
 )
@@ -60,8 +62,9 @@
 	}
 	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, os.Interrupt)
 	defer stop()
-	logger := newFormatLogger(settings.Log.Level, settings.Log.Format)
-	return serveEdge(ctx, settings, logger)
+	lines := logbuffer.New(os.Stdout, time.Now)
+	defer lines.Close()
+	return serveEdge(ctx, settings, newLoggerTo(lines, settings.Log.Level, settings.Log.Format))
 }
 
 // serveEdge runs the daemon until ctx ends.
@@ -81,12 +84,21 @@
 	logger.Info("starting", "member", self.ID(), "version", Version, "front", s.Listen.Front, "peers", self.Address,
 		"store", s.Store.Address, "failure_domain", self.Domain)
 	dialer := net.Dialer{Timeout: peerDialTimeout}
+	registry := metrics.NewRegistry()
+	if s.Listen.Metrics != "" {
+		l, err := net.Listen("tcp", s.Listen.Metrics)
+		if err != nil {
+			return errors.Join(err, peers.Close())
+		}
+		served := admin.ServeMetrics(l, registry)
+		defer func() { logger.Debug("metrics server stopped", "error", served.Stop()) }()
+	}
 	daemon, err := edge.New(edge.Options{
 		Self: self, Store: store, Calls: platform.NewWorkers(), Peers: peers, Lease: s.Lease(), Grace: s.Grace(),
 		Dial: func(ctx context.Context, address string) (net.Conn, error) {
 			return dialer.DialContext(ctx, "tcp", address)
 		},
-		Now: time.Now, Logger: logger, Metrics: metrics.NewRegistry(),
+		Now: time.Now, Logger: logger, Metrics: registry,
 	})
 	if err != nil {
 		return errors.Join(err, peers.Close())
--- a/command/entry.go
+++ b/command/entry.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"log/slog"
 	"os"
 	"os/signal"
@@ -104,14 +105,17 @@
 // newLogger returns the text logger of the tools.
 func newLogger(level string) *slog.Logger { return newFormatLogger(level, "text") }
 
-func newFormatLogger(level, format string) *slog.Logger {
+func newFormatLogger(level, format string) *slog.Logger { return newLoggerTo(os.Stderr, level, format) }
+
+// newLoggerTo returns a logger that writes to w.
+func newLoggerTo(w io.Writer, level, format string) *slog.Logger {
 	var l slog.Level
 	if err := l.UnmarshalText([]byte(level)); err != nil {
 		l = slog.LevelInfo
 	}
 	o := &slog.HandlerOptions{Level: l}
 	if format == "json" {
-		return slog.New(slog.NewJSONHandler(os.Stderr, o))
+		return slog.New(slog.NewJSONHandler(w, o))
 	}
-	return slog.New(slog.NewTextHandler(os.Stderr, o))
+	return slog.New(slog.NewTextHandler(w, o))
 }
--- a/metric/describe.go
+++ b/metric/describe.go
@@ -58,6 +58,9 @@
 		{BatchJobsAccepted, "jobs accepted whose answer is the reply to their submission"},
 		{BatchJobsRefused, "such jobs refused because they could not end in time"},
 		{BatchTasksMoved, "queued tasks moved to an owner with room"},
+		{BatchAnswerTime, "time from the arrival of a job to its answer, in microseconds"},
+		{PoolQueueTime, "time that a task waits for room at the owner of workers, in microseconds"},
+		{PoolCallTime, "time of a start call to a worker, in microseconds"},
 		{SlotsHeld, "slots held by this VM, idle or busy"},
 	}
 }
--- a/metric/metric.go
+++ b/metric/metric.go
@@ -53,4 +53,7 @@
 	BatchJobsAccepted   = "batch.jobs_accepted"
 	BatchJobsRefused    = "batch.jobs_refused"
 	BatchTasksMoved     = "batch.tasks_moved"
+	BatchAnswerTime     = "batch.answer_time"
+	PoolQueueTime       = "pool.queue_time"
+	PoolCallTime        = "pool.start_call_time"
 )
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -55,7 +55,6 @@
 	barred  map[contract.RunKey]barrier
 	speeds  map[string]float64
 	typical machine.Resources
-	closing bool
 }
 
 // barrier keeps a run from being started that the pool does not hold. Its state is what homes are told: RunUnknown if the
--- a/pool/start.go
+++ b/pool/start.go
@@ -53,6 +53,8 @@
 	t.host.SetClock(reply.Clock, now)
 	if verdict == link.StartAccepted {
 		r.state, r.answered = runRunning, now
+		metric.Histogram(metric.PoolQueueTime, p.o.Metrics).Update(r.started.Sub(r.queued).Microseconds())
+		metric.Histogram(metric.PoolCallTime, p.o.Metrics).Update(now.Sub(r.started).Microseconds())
 		p.o.Logger.Info("run started", "task", r.order.Key.String(), "worker", t.host.Listing.Worker, "token", s.token,
 			"queued_for", r.started.Sub(r.queued), "call_took", now.Sub(r.started), "home", r.home)
 		if r.unwanted {
