edge, pool: an order or refresh is as old as the stamp that it returns

Cause: an order that the network delays is carried out on its arrival, after the home has counted the run as lost and started another one. Members send the time since their start with each status and get it back with orders and refreshes, so an owner knows by its own clock how old a message is at most. An order older than the refresh timeout is not carried out, and runs end by the age of what the home knew, not by the arrival of its message. TestDelayedOrdersStartNothing fails without the change (two to six doubled runs in each of five runs).

--- a/edge/daemon_test.go
+++ b/edge/daemon_test.go
@@ -186,6 +186,24 @@
 	})
 }
 
+// Guards against an order that is delivered after its home has counted the run as lost: it must not start beside the run
+// that replaces it.
+func TestDelayedOrdersStartNothing(t *testing.T) {
+	run(t, func(t *testing.T) {
+		d := newDeployment(t, 1, 3, 6)
+		defer d.close()
+		d.work = func(contract.RunKey) standin.RunOutcome { return standin.RunOutcome{Takes: 700 * time.Millisecond} }
+		for i := range 8 {
+			d.net.hold(func(from, _ string) bool { return from == "edge-0-0" })
+			answer := d.submit("edge-0-0", testJob(fmt.Sprintf("%016x", i), 10, 8*time.Second))
+			time.Sleep(1600*time.Millisecond + time.Duration(i)*100*time.Millisecond)
+			d.net.hold(nil)
+			require.Equal(t, batch.Completed, (<-answer).Outcome)
+			time.Sleep(2 * time.Second)
+		}
+	})
+}
+
 // Guards against jobs that wait for a crashed worker, and against runs of its last life that count as alive.
 func TestCrashedWorkerIsReplaced(t *testing.T) {
 	run(t, func(t *testing.T) {
--- a/edge/deployment_test.go
+++ b/edge/deployment_test.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"fmt"
@@ -39,10 +40,52 @@
 	mu        sync.Mutex
 	listeners map[string]*memListener
 	cut       func(a, b string) bool
+	// held delays what is sent between two machines until it is released.
+	held    func(from, to string) bool
+	release chan struct{}
+	conns   []*memConn
 }
 
 func newNetwork() *network {
-	return &network{listeners: make(map[string]*memListener), cut: func(string, string) bool { return false }}
+	return &network{listeners: make(map[string]*memListener), cut: func(string, string) bool { return false },
+		held: func(string, string) bool { return false }, release: make(chan struct{}),
+	}
+}
+
+// hold delays what is sent on some links; a nil function releases all of it.
+func (n *network) hold(held func(from, to string) bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if held == nil {
+		held = func(string, string) bool { return false }
+	}
+	n.held = held
+	close(n.release)
+	n.release = make(chan struct{})
+}
+
+// closeConns closes all ends of a machine, as the end of its process does; without a name those of all machines.
+func (n *network) closeConns(vm string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for _, c := range n.conns {
+		if c.from == vm || vm == "" {
+			_ = c.Close()
+		}
+	}
+}
+
+// wait returns once a link is not held.
+func (n *network) wait(from, to string) {
+	for {
+		n.mu.Lock()
+		held, release := n.held(from, to), n.release
+		n.mu.Unlock()
+		if !held {
+			return
+		}
+		<-release
+	}
 }
 
 func (n *network) setCut(cut func(a, b string) bool) {
@@ -78,8 +121,8 @@
 	}
 	a, b := net.Pipe()
 	select {
-	case l.conns <- &memConn{Conn: b, network: n, from: to, to: from}:
-		return &memConn{Conn: a, network: n, from: from, to: to}, nil
+	case l.conns <- newMemConn(b, n, to, from):
+		return newMemConn(a, n, from, to), nil
 	case <-l.closed:
 		return nil, errCut
 	case <-ctx.Done():
@@ -115,12 +158,29 @@
 func (a memAddr) Network() string { return "mem" }
 func (a memAddr) String() string  { return string(a) }
 
-// memConn loses what is written while its ends are cut off from each other.
+// memConn is one end of a connection. What is written is delivered by a goroutine, also after the end has been closed, as
+// the buffers of a network do. It is lost while the machines are cut off from each other.
 type memConn struct {
 	net.Conn
 	network  *network
 	from, to string
 	lost     bool
+	once     sync.Once
+	closed   chan struct{}
+	chunks   chan []byte
+}
+
+const memBuffer = 4096
+
+func newMemConn(c net.Conn, n *network, from, to string) *memConn {
+	m := &memConn{
+		Conn: c, network: n, from: from, to: to, closed: make(chan struct{}), chunks: make(chan []byte, memBuffer),
+	}
+	n.mu.Lock()
+	n.conns = append(n.conns, m)
+	n.mu.Unlock()
+	go m.deliver()
+	return m
 }
 
 func (c *memConn) Write(b []byte) (int, error) {
@@ -128,7 +188,35 @@
 	if c.lost = c.lost || c.network.isCut(c.from, c.to); c.lost {
 		return len(b), nil
 	}
-	return c.Conn.Write(b)
+	select {
+	case <-c.closed:
+		return 0, net.ErrClosed
+	case c.chunks <- bytes.Clone(b):
+		return len(b), nil
+	}
+}
+
+func (c *memConn) Close() error {
+	c.once.Do(func() { close(c.closed) })
+	// A reader of this end is released at once; what was written is still delivered.
+	return c.SetReadDeadline(time.Now())
+}
+
+func (c *memConn) deliver() {
+	defer func() { _ = c.Conn.Close() }()
+	for {
+		select {
+		case chunk := <-c.chunks:
+			c.network.wait(c.from, c.to)
+			if _, err := c.Conn.Write(chunk); err != nil {
+				return
+			}
+		case <-c.closed:
+			if len(c.chunks) == 0 {
+				return
+			}
+		}
+	}
 }
 
 // memStore is the platform's store of a test.
@@ -404,12 +492,14 @@
 	daemon := d.daemons[vm]
 	delete(d.daemons, vm)
 	daemon.Close()
+	d.net.closeConns(vm)
 }
 
 func (d *deployment) close() {
 	for vm := range d.daemons {
 		d.killDaemon(vm)
 	}
+	d.net.closeConns("")
 	d.wg.Wait()
 	d.seen.mu.Lock()
 	defer d.seen.mu.Unlock()
--- a/edge/member.go
+++ b/edge/member.go
@@ -18,6 +18,8 @@
 	ownsNothing bool
 	leaving     bool
 	desired     uint64
+	// stamp is the newest time that the member has sent of its own clock.
+	stamp uint64
 }
 
 // candidate returns a member as an owner of workers.
--- a/edge/members.go
+++ b/edge/members.go
@@ -52,7 +52,7 @@
 			go known.peer.Close()
 			known.peer = m.dial(info.VM, info.Address)
 		}
-		known.info, known.live, known.heard, known.ownsNothing = info, false, time.Time{}, true
+		known.info, known.live, known.heard, known.ownsNothing, known.stamp = info, false, time.Time{}, true, 0
 	} else {
 		m.byVM[info.VM] = &member{info: info, peer: m.dial(info.VM, info.Address), ownsNothing: true}
 	}
@@ -79,7 +79,7 @@
 }
 
 // Status records what a live process says of itself. It reports whether its part in ownership has changed.
-func (m *Members) Status(vm string, ownsNothing, leaving bool, desired uint64) bool {
+func (m *Members) Status(vm string, ownsNothing, leaving bool, desired, stamp uint64) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	e, ok := m.byVM[vm]
@@ -87,7 +87,7 @@
 		return false
 	}
 	changed := e.ownsNothing != ownsNothing
-	e.ownsNothing, e.leaving, e.desired = ownsNothing, leaving, desired
+	e.ownsNothing, e.leaving, e.desired, e.stamp = ownsNothing, leaving, desired, max(e.stamp, stamp)
 	return changed
 }
 
@@ -199,6 +199,18 @@
 	}
 }
 
+// Stamp returns the newest time that a process has sent of its own clock.
+func (m *Members) Stamp(id string) uint64 {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, e := range m.byVM {
+		if e.info.ID() == id {
+			return e.stamp
+		}
+	}
+	return 0
+}
+
 // Behind returns the live processes whose desired state is older than a version.
 func (m *Members) Behind(version uint64) []string {
 	m.mu.Lock()
--- a/edge/messages.go
+++ b/edge/messages.go
@@ -19,20 +19,22 @@
 // Order implements batch.Owners.
 func (s owners) Order(owner string, o contract.TaskOrder) {
 	if owner == s.d.self {
-		s.d.pool(o.Backend).Order(s.d.self, o)
+		s.d.pool(o.Backend).Order(s.d.self, o, s.d.o.Now())
 		return
 	}
-	s.d.members.Send(owner, &api.PeerMessage{Body: &api.PeerMessage_TaskOrder{TaskOrder: encodeOrder(o, s.d.o.Now())}})
+	m := encodeOrder(o, s.d.o.Now())
+	m.StampMs = s.d.members.Stamp(owner)
+	s.d.members.Send(owner, &api.PeerMessage{Body: &api.PeerMessage_TaskOrder{TaskOrder: m}})
 }
 
 // Refresh implements batch.Owners.
 func (s owners) Refresh(p batch.Place, keys []contract.RunKey) {
 	if p.Owner == s.d.self {
-		s.d.pool(p.Backend).Refresh(s.d.self, keys)
+		s.d.pool(p.Backend).Refresh(s.d.self, keys, s.d.o.Now())
 		return
 	}
 	s.d.members.Send(p.Owner, &api.PeerMessage{Body: &api.PeerMessage_TaskRefresh{
-		TaskRefresh: &api.TaskRefresh{Backend: p.Backend, Keys: encodeKeys(keys)},
+		TaskRefresh: &api.TaskRefresh{Backend: p.Backend, Keys: encodeKeys(keys), StampMs: s.d.members.Stamp(p.Owner)},
 	}})
 }
 
@@ -107,7 +109,7 @@
 	if !due {
 		return
 	}
-	status := &api.PoolStatus{OwnsNothing: ownsNothing, Leaving: leaving, DesiredVersion: version, Sender: encodeMember(d.o.Self)}
+	status := &api.PoolStatus{OwnsNothing: ownsNothing, Leaving: leaving, DesiredVersion: version, StampMs: d.stamp(now), Sender: encodeMember(d.o.Self)}
 	for backend, room := range rooms {
 		status.Rooms = append(status.Rooms, encodeRoom(backend, room))
 	}
@@ -119,6 +121,16 @@
 	}
 }
 
+// stamp returns the time since the start of this process, as it is sent to the other members.
+func (d *Daemon) stamp(now time.Time) uint64 {
+	return uint64(max(now.Sub(d.started).Milliseconds(), 0))
+}
+
+// stampTime returns when this process sent a stamp.
+func (d *Daemon) stampTime(stamp uint64) time.Time {
+	return d.started.Add(time.Duration(stamp) * time.Millisecond)
+}
+
 func (d *Daemon) updateRooms(id, domain string, ownsNothing bool, rooms map[string]zone.BackendRoom) {
 	view := make(map[string]*zone.BackendRoom, len(rooms))
 	for backend, room := range rooms {
@@ -166,9 +178,10 @@
 		d.handleStatus(id, vm, b.PoolStatus)
 	case *api.PeerMessage_TaskOrder:
 		o := decodeOrder(b.TaskOrder, now)
-		d.pool(o.Backend).Order(id, o)
+		d.pool(o.Backend).Order(id, o, d.stampTime(b.TaskOrder.GetStampMs()))
 	case *api.PeerMessage_TaskRefresh:
-		d.pool(b.TaskRefresh.GetBackend()).Refresh(id, decodeKeys(b.TaskRefresh.GetKeys()))
+		d.pool(b.TaskRefresh.GetBackend()).Refresh(id, decodeKeys(b.TaskRefresh.GetKeys()),
+			d.stampTime(b.TaskRefresh.GetStampMs()))
 	case *api.PeerMessage_TaskWithdrawal:
 		w := b.TaskWithdrawal
 		if w.GetOnlyQueued() {
@@ -209,7 +222,7 @@
 		rooms[r.GetBackend()] = decodeRoom(r)
 	}
 	d.updateRooms(id, s.GetSender().GetDomain(), s.GetOwnsNothing(), rooms)
-	if d.members.Status(vm, s.GetOwnsNothing(), s.GetLeaving(), s.GetDesiredVersion()) {
+	if d.members.Status(vm, s.GetOwnsNothing(), s.GetLeaving(), s.GetDesiredVersion(), s.GetStampMs()) {
 		d.divide()
 	}
 }
--- a/pool/match.go
+++ b/pool/match.go
@@ -62,6 +62,10 @@
 // rack for as long as it runs.
 func (p *Pool) suits(t *tended, r *run, now time.Time) bool {
 	o := r.order
+	if now.Sub(r.refreshed) > refreshTimeout {
+		// The home counts the run as lost; the next sweep ends it.
+		return false
+	}
 	if !t.host.CanStart(o.Need, now) || !t.host.Listing.CanHold(o.Need, o.RequiredLabel) {
 		return false
 	}
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -180,20 +180,21 @@
 	}})
 }
 
-// Order queues a task, unless its run is known already.
-func (p *Pool) Order(home string, o contract.TaskOrder) {
+// Order queues a task, unless its run is known already. fresh is a time before which the home cannot have sent the order:
+// one that the network has delayed is not carried out, since the home counts the run as lost by then.
+func (p *Pool) Order(home string, o contract.TaskOrder, fresh time.Time) {
 	now := p.o.Now()
 	var fx effects
 	p.mu.Lock()
-	p.order(home, o, now, &fx)
+	p.order(home, o, fresh, now, &fx)
 	p.match(now, &fx)
 	p.mu.Unlock()
 	p.apply(fx)
 }
 
-func (p *Pool) order(home string, o contract.TaskOrder, now time.Time, fx *effects) {
+func (p *Pool) order(home string, o contract.TaskOrder, fresh, now time.Time, fx *effects) {
 	if r, ok := p.runs[o.Key]; ok {
-		r.home, r.refreshed, r.claimed = home, now, true
+		r.home, r.refreshed, r.claimed = home, later(r.refreshed, fresh), true
 		if r.order.Spec == nil {
 			p.describe(r, o)
 		}
@@ -211,17 +212,30 @@
 		fx.reports = append(fx.reports, report{home, contract.RunReport{Key: o.Key, State: b.state}})
 		return
 	}
+	if now.Sub(fresh) > refreshTimeout {
+		p.o.Logger.Warn("order was delayed by the network; not carried out", "task", o.Key.String(), "home", home,
+			"older_than", now.Sub(fresh))
+		p.reportUnknown(home, o.Key, now, fx)
+		return
+	}
 	if !p.feasible(o) {
 		fx.reports = append(fx.reports, report{home, contract.RunReport{Key: o.Key, State: contract.RunInfeasible}})
 		return
 	}
-	r := &run{order: o, home: home, refreshed: now, queued: now, claimed: true}
+	r := &run{order: o, home: home, refreshed: fresh, queued: now, claimed: true}
 	r.veryLate = o.Accepted.Add(veryLateFactor * o.Target.Sub(o.Accepted))
 	p.runs[o.Key] = r
 	p.waiting.push(r)
 	p.learnSize(o.Need)
 }
 
+func later(a, b time.Time) time.Time {
+	if b.After(a) {
+		return b
+	}
+	return a
+}
+
 // describe completes a run that was found on a worker with what its home says of it. p.mu is held.
 func (p *Pool) describe(r *run, o contract.TaskOrder) {
 	if r.host != nil {
@@ -241,8 +255,9 @@
 	return false
 }
 
-// Refresh keeps runs alive. For a run that the pool does not know it reports so, and never starts it later.
-func (p *Pool) Refresh(home string, keys []contract.RunKey) {
+// Refresh keeps runs alive that the home wanted at a time after fresh. For a run that the pool does not know it reports
+// so, and never starts it later.
+func (p *Pool) Refresh(home string, keys []contract.RunKey, fresh time.Time) {
 	now := p.o.Now()
 	var fx effects
 	p.mu.Lock()
@@ -252,7 +267,7 @@
 			p.reportUnknown(home, k, now, &fx)
 			continue
 		}
-		r.refreshed = now
+		r.refreshed = later(r.refreshed, fresh)
 		if r.state == runFinal {
 			fx.report(r)
 		}
