--- a/batch/advance.go
+++ b/batch/advance.go
@@ -60,8 +60,9 @@
 	switch {
 	case !now.Before(j.batch.Deadline):
 		h.end(j, Abandoned, "time limit", now, out)
-	case !j.ran && j.queued() && now.Add(j.expected).After(j.batch.Deadline):
-		h.end(j, Refused, "it cannot end in time any more", now, out)
+	case !j.ran && j.queued() && j.prospects().hopeless(now):
+		h.counter(metric.BatchJobsRefused).Inc(1)
+		h.end(j, Refused, "no room in time", now, out)
 	}
 }
 
--- a/batch/home.go
+++ b/batch/home.go
@@ -32,8 +32,6 @@
 	recallRetry = 200 * time.Millisecond
 	// placeRetry is the pause before a task is placed again while no owner can take it.
 	placeRetry = 30 * time.Millisecond
-	// refusalMargin is the least time limit left after the expected end of an accepted job.
-	refusalMargin = 20 * time.Millisecond
 )
 
 // Owners sends messages to the owners of workers, this VM included. The calls do not block and do not call the home.
@@ -186,7 +184,7 @@
 	expected := h.kinds.expected(b.Route, b.Steps[0].Estimate)
 	wait, known := h.o.Rooms.Wait(b.Backend, b.Priority)
 	left := b.Deadline.Sub(now)
-	if known && wait+expected+refusalMargin > left {
+	if known && !(prospects{deadline: b.Deadline, expected: expected}).endsInTime(now, wait) {
 		h.o.Logger.Info("job refused: it cannot end in time", "job", b.ID, "route", b.Route, "wait", wait,
 			"expected", expected, "time_left", left)
 		h.counter(metric.BatchJobsRefused).Inc(1)
--- a/batch/job.go
+++ b/batch/job.go
@@ -97,6 +97,10 @@
 	return nil
 }
 
+func (j *job) prospects() prospects {
+	return prospects{accepted: j.batch.Accepted, target: j.target, deadline: j.batch.Deadline, expected: j.expected}
+}
+
 // queued reports whether no task has started.
 func (j *job) queued() bool {
 	for i := range j.tasks {
--- a/command/entry.go
+++ b/command/entry.go
@@ -27,7 +27,7 @@
 		Usage: "run the entry daemon",
 		Description: "Reads a TOML settings file, serves callers by gRPC and joins the other entry VMs of its failure " +
 			"domain. SIGTERM or SIGINT stops it gracefully: it refuses new jobs, finishes running tasks within " +
-			"stop.drain_timeout and exits with status 0. Settings are described in docs/operations.md, examples are in " +
+			"stop.drain_timeout and exits with status 0. Settings are described in docs/OPERATIONS.md, examples are in " +
 			"examples/.\n\nExample: cicadadale entry --settings examples/entry-1.toml",
 		Flags: []cli.Flag{
 			&cli.StringFlag{Name: "settings", Aliases: []string{"s"}, Required: true, Usage: "settings `FILE` (TOML)"},
--- /dev/null
+++ b/command/logs_test.go
@@ -0,0 +1,37 @@
+package command
+
+import (
+	"bytes"
+	"os"
+	"path/filepath"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+// Guards against lines of a request that are missing or out of order when the logs of several daemons are merged.
+func TestLogsOfOneRequestInOrder(t *testing.T) {
+	dir := t.TempDir()
+	first := filepath.Join(dir, "edge-1.log")
+	second := filepath.Join(dir, "edge-2.log")
+	require.NoError(t, os.WriteFile(first, []byte(
+		`{"time":"2026-07-03T11:41:40.3Z","level":"INFO","msg":"job answered","job":"aa11","outcome":"completed"}
+not a line of a log about aa11
+{"time":"2026-07-03T11:41:40.1Z","level":"INFO","msg":"job accepted","job":"aa11","tasks":1}
+{"time":"2026-07-03T11:41:40.1Z","level":"INFO","msg":"job accepted","job":"bb22","tasks":1}
+`), 0o600))
+	require.NoError(t, os.WriteFile(second, []byte(
+		`  3.1 edge-kerry-1 {"time":"2026-07-03T11:41:40.2Z","level":"INFO","msg":"run started","task":"aa11.0.0#1"}
+`), 0o600))
+	var out bytes.Buffer
+	require.NoError(t, showLogs(&out, "aa11", []string{first, second}))
+	require.Equal(t, `11:41:40.100 edge-1 INFO job accepted: "job":"aa11","tasks":1
+11:41:40.200 edge-kerry-1 INFO run started: "task":"aa11.0.0#1"
+11:41:40.300 edge-1 INFO job answered: "job":"aa11","outcome":"completed"
+`, out.String())
+}
+
+// Guards against a missing file that looks like a request without lines.
+func TestLogsOfMissingFile(t *testing.T) {
+	require.ErrorContains(t, showLogs(&bytes.Buffer{}, "aa11", []string{"missing.log"}), "missing.log")
+}
--- a/command/root.go
+++ b/command/root.go
@@ -17,9 +17,9 @@
 			"the service that a schema file declares.\n\nTo see it work: cicadadale demo. To run it: start `standin` (or point " +
 			"the settings at a platform), check the settings with `entry --settings FILE --check`, start `entry --settings " +
 			"FILE`, send jobs with `job`, look at http://ADMIN-ADDRESS/ and follow a task with `timeline`. Operators' page: " +
-			"docs/operations.md.",
+			"docs/OPERATIONS.md.",
 		Commands: []*cli.Command{
-			entryCommand(), edgeCommand(), standinCommand(), jobCommand(), schemaCommand(), configCommand(), timelineCommand(), demoCommand(),
+			entryCommand(), edgeCommand(), standinCommand(), jobCommand(), schemaCommand(), configCommand(), timelineCommand(), logsCommand(), demoCommand(),
 			loadCommand(), soakCommand(), versionCommand(),
 		},
 	}
--- a/config/entry_test.go
+++ b/config/entry_test.go
@@ -133,12 +133,12 @@
 
 // Guards against a setting that operators cannot find on their page.
 func TestEverySettingIsDocumented(t *testing.T) {
-	page, err := os.ReadFile(filepath.Join("..", "docs", "operations.md"))
+	page, err := os.ReadFile(filepath.Join("..", "docs", "OPERATIONS.md"))
 	require.NoError(t, err)
 	var e Entry
 	d := readDocument("f", nil, &e)
 	require.NotEmpty(t, d.fields)
 	for key := range d.fields {
-		require.True(t, strings.Contains(string(page), "`"+key+"`"), "docs/operations.md does not describe %s", key)
+		require.True(t, strings.Contains(string(page), "`"+key+"`"), "docs/OPERATIONS.md does not describe %s", key)
 	}
 }
--- a/metric/metric_test.go
+++ b/metric/metric_test.go
@@ -39,11 +39,11 @@
 		require.NotEmpty(t, d.Help, d.Name)
 		described[d.Name] = true
 	}
-	page, err := os.ReadFile(filepath.Join("..", "docs", "operations.md"))
+	page, err := os.ReadFile(filepath.Join("..", "docs", "OPERATIONS.md"))
 	require.NoError(t, err)
 	for _, name := range declared(t) {
 		require.True(t, described[name], "%s has no description in describe.go", name)
-		require.True(t, strings.Contains(string(page), "`"+name+"`"), "docs/operations.md does not describe %s", name)
+		require.True(t, strings.Contains(string(page), "`"+name+"`"), "docs/OPERATIONS.md does not describe %s", name)
 	}
 }
 
