edge: a member that refuses connections is gone after 0.4 s

A process that was killed was waited for as long as one that is slow (0.7 s). Also ends the deliveries of the test network that nobody reads, which failed one of three runs of the tests (a goroutine left in the bubble).

--- a/edge/deployment_test.go
+++ b/edge/deployment_test.go
@@ -72,6 +72,10 @@
 		if c.from == vm || vm == "" {
 			_ = c.Close()
 		}
+		if vm == "" {
+			// What was sent to a machine that has ended is read by nobody.
+			_ = c.Conn.Close()
+		}
 	}
 }
 
--- a/edge/members.go
+++ b/edge/members.go
@@ -15,6 +15,9 @@
 // 200 ms.
 const silenceTimeout = 700 * time.Millisecond
 
+// refusedTimeout is the same for a member to which no connection can be opened.
+const refusedTimeout = 400 * time.Millisecond
+
 // Members holds the other processes and the links to them. mu guards all fields below it.
 type Members struct {
 	self   machine.Member
@@ -91,13 +94,18 @@
 	return changed
 }
 
-// Expire returns the processes that have been silent for too long and are not live any more.
+// Expire returns the processes that have been silent for too long and are not live any more. One that refuses connections
+// is not there, and is not waited for as long as one that may be slow or cut off.
 func (m *Members) Expire(now time.Time) []string {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	var gone []string
 	for _, e := range m.byVM {
-		if e.live && now.Sub(e.heard) > silenceTimeout {
+		timeout := silenceTimeout
+		if e.peer.Failing() {
+			timeout = refusedTimeout
+		}
+		if e.live && now.Sub(e.heard) > timeout {
 			e.live = false
 			gone = append(gone, e.info.ID())
 			m.logger.Warn("member is silent", "member", e.info.ID(), "since", now.Sub(e.heard))
