pool: report a run as started only when its worker has confirmed it

The worker was taken over, its next owner did not find the run, and the home started the task again, while the first owner, whose start had been rejected by the fence, started the same run on another worker. Until a worker confirms a start the run counts as queued.

--- a/pool/run.go
+++ b/pool/run.go
@@ -70,17 +70,19 @@
 	leaseEnd time.Duration
 }
 
-// report adds a report on the run's present state.
+// report adds a report on the run's present state. A run counts as started only once its worker has confirmed it: until
+// then it may still go to another worker, and the worker's next owner must not be able to declare it over.
 func (fx *effects) report(r *run) {
 	msg := r.outcome
-	if r.state != runFinal {
-		msg = contract.RunReport{Key: r.order.Key, State: contract.RunStarted, Token: r.token, Ran: r.ran}
-		if r.state == runWaiting {
-			msg.State = contract.RunQueued
-		}
+	switch r.state {
+	case runFinal:
+	case runRunning:
+		msg = contract.RunReport{Key: r.order.Key, State: contract.RunStarted, Token: r.token, Ran: true}
 		if r.host != nil {
 			msg.Worker = r.host.host.Listing.Worker
 		}
+	default:
+		msg = contract.RunReport{Key: r.order.Key, State: contract.RunQueued, Ran: r.ran}
 	}
 	fx.reports = append(fx.reports, report{r.home, msg})
 }
