pool: a single unanswered call suspends no worker; look again soon

A worker is now passed over until its next answer, at most 0.4 s, and suspended after two failed looks; a look is asked again after 80 ms, a start looked for after 150 ms.

--- a/edge/daemon_test.go
+++ b/edge/daemon_test.go
@@ -233,6 +233,41 @@
 	})
 }
 
+// Answers a load of two thirds of the room while each twelfth order to a worker gets no answer and is carried out seconds
+// later. Guards against workers that get no tasks for long after a single lost answer: callers would wait for seconds.
+func TestLostOrdersCostLittleRoom(t *testing.T) {
+	run(t, func(t *testing.T) {
+		d := newDeployment(t, 1, 2, 8)
+		defer d.close()
+		d.work = func(contract.RunKey) standin.RunOutcome { return standin.RunOutcome{Takes: 150 * time.Millisecond} }
+		for _, h := range d.hosts {
+			h.SetLateEach(12, 4*time.Second)
+		}
+		const jobs = 150
+		took := make(chan time.Duration, jobs)
+		for i := range jobs {
+			vm := fmt.Sprintf("edge-0-%d", i%2)
+			d.wg.Go(func() {
+				start := time.Now()
+				answer := d.daemons[vm].Submit(context.Background(), testJob(fmt.Sprintf("%016x", i), 2, 4*time.Second))
+				if answer.Outcome == batch.Completed {
+					took <- time.Since(start)
+				}
+			})
+			time.Sleep(28 * time.Millisecond)
+		}
+		time.Sleep(5 * time.Second)
+		close(took)
+		inTime := 0
+		for x := range took {
+			if x < time.Second {
+				inTime++
+			}
+		}
+		require.Greater(t, inTime, jobs*9/10, "jobs that ended within a second")
+	})
+}
+
 // Guards against jobs that wait for a crashed worker, and against runs of its last life that count as alive.
 func TestCrashedWorkerIsReplaced(t *testing.T) {
 	run(t, func(t *testing.T) {
--- a/machine/host.go
+++ b/machine/host.go
@@ -41,6 +41,7 @@
 	suspension   time.Duration
 	suspendUntil time.Time
 	full         time.Time
+	suspectUntil time.Time
 }
 
 // NewHost returns a host without runs that has not been contacted.
@@ -66,7 +67,8 @@
 
 // Usable reports whether new tasks may start: the worker is owned, answers, is not draining and not suspended.
 func (h *Host) Usable(now time.Time) bool {
-	return h.Token != 0 && !h.Listing.Draining && !now.Before(h.suspendUntil) && !now.Before(h.full)
+	return h.Token != 0 && !h.Listing.Draining && !now.Before(h.suspendUntil) && !now.Before(h.full) &&
+		!now.Before(h.suspectUntil)
 }
 
 // CanStart reports whether a task of that size may start now. A worker that is being probed after a suspension gets one
@@ -87,7 +89,7 @@
 	if h.ClockAt(at)-reading > lapseMargin {
 		h.clock, h.clockAt = reading, at
 	}
-	h.contacted = at
+	h.contacted, h.suspectUntil = at, time.Time{}
 }
 
 // ClockAt estimates the worker's clock.
@@ -133,6 +135,9 @@
 	return true
 }
 
+// Unanswered records a call without an answer: the worker gets nothing until then, or until its next answer.
+func (h *Host) Unanswered(until time.Time) { h.suspectUntil = until }
+
 // Stalled records that the worker does not carry out what it has started, or does not answer.
 func (h *Host) Stalled(now time.Time) { h.suspend(now) }
 
--- a/pool/start.go
+++ b/pool/start.go
@@ -16,6 +16,11 @@
 	// callTimeout bounds a call that the worker answers at once; a round trip between zones takes 3 to 6 ms, and a lost
 	// packet is sent again after 200 ms.
 	callTimeout = 300 * time.Millisecond
+	// startTimeout bounds a start. A start that takes longer is looked for in the worker's list, which does no harm.
+	startTimeout = 150 * time.Millisecond
+	// suspectTime is how long a worker gets no tasks after a call without an answer, unless it answers the next one. One
+	// lost answer says little of the worker: where orders get lost, it happens to all workers several times a second.
+	suspectTime = 400 * time.Millisecond
 	// roomRetry is the time for which a worker that has less room than known gets no task.
 	roomRetry = 50 * time.Millisecond
 	// stopRetry is the pause between stop calls that are not answered.
@@ -25,7 +30,7 @@
 // start makes one start call and records its outcome.
 func (p *Pool) start(s startEffect) {
 	p.counter(metric.PoolStarts).Inc(1)
-	ctx, cancel := context.WithTimeout(p.ctx, callTimeout)
+	ctx, cancel := context.WithTimeout(p.ctx, startTimeout)
 	verdict, reply, err := p.o.Calls.Start(ctx, s.host.address, link.HostStart{
 		Key: s.run.order.Key, Spec: s.run.order.Spec, LeaseEnd: s.leaseEnd, Token: s.token,
 	})
@@ -92,7 +97,7 @@
 func (p *Pool) startFailed(s startEffect, err error, now time.Time, fx *effects) {
 	r, t := s.run, s.host
 	p.o.Calls.Forget(t.address)
-	t.host.Stalled(now)
+	t.host.Unanswered(now.Add(suspectTime))
 	proven := errorx.HasTrait(err, fault.ProvenNotStarted)
 	p.o.Logger.Warn("start was not answered", "task", r.order.Key.String(), "worker", t.host.Listing.Worker,
 		"not_sent", proven, "error", err)
--- a/pool/tend.go
+++ b/pool/tend.go
@@ -18,7 +18,11 @@
 	// holdWait is how long a worker may delay its answer while nothing ends. It is shorter than a third of the lease.
 	holdWait = 250 * time.Millisecond
 	// holdRetry is the pause after a failed look.
-	holdRetry = 50 * time.Millisecond
+	holdRetry = 10 * time.Millisecond
+	// acquireRetry is the pause after a failed acquisition.
+	acquireRetry = 50 * time.Millisecond
+	// firstLookTimeout is the time for the answer to a look; a round trip takes up to 6 ms.
+	firstLookTimeout = 80 * time.Millisecond
 	// settleDelay is the pause before a worker is acquired that could not be reached before. After a partition the other
 	// members are heard within it, and the worker may have an owner among them.
 	settleDelay = time.Second
@@ -62,12 +66,12 @@
 			pause(ctx, wait, nil)
 			if reached, err := p.look(ctx, t); err != nil {
 				unreached = true
-				pause(ctx, holdRetry+rand.N(holdRetry), nil)
+				pause(ctx, acquireRetry+rand.N(acquireRetry), nil)
 			} else if unreached {
 				unreached = false
 				pause(ctx, settleDelay, nil)
 			} else if !p.acquire(ctx, t, reached) {
-				pause(ctx, holdRetry+rand.N(holdRetry), nil)
+				pause(ctx, acquireRetry+rand.N(acquireRetry), nil)
 			}
 			continue
 		}
@@ -80,7 +84,7 @@
 			return
 		}
 		sent := p.o.Now()
-		callCtx, cancel := context.WithTimeout(ctx, hold.Wait+callTimeout)
+		callCtx, cancel := context.WithTimeout(ctx, hold.Wait+p.lookTimeout(t))
 		reply, err := p.o.Calls.Hold(callCtx, t.address, hold)
 		cancel()
 		if !p.held(t, sent, reply, err) {
@@ -89,6 +93,17 @@
 	}
 }
 
+// lookTimeout returns how long an answer to a look may take beyond its wait. The first one that is late is asked for
+// again soon, since the ends that it would have told delay jobs; the next ones get time for packets that are sent again.
+func (p *Pool) lookTimeout(t *tended) time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if t.failing {
+		return callTimeout
+	}
+	return firstLookTimeout
+}
+
 func pause(ctx context.Context, d time.Duration, wake <-chan struct{}) {
 	timer := time.NewTimer(d)
 	defer timer.Stop()
@@ -240,7 +255,10 @@
 	}
 	if err != nil {
 		p.o.Calls.Forget(t.address)
-		t.host.Stalled(now)
+		t.host.Unanswered(now.Add(suspectTime))
+		if t.failing {
+			t.host.Stalled(now)
+		}
 		t.failing = true
 		p.o.Logger.Warn("worker did not answer a look", "worker", t.address.Worker, "runs", len(t.runs), "error", err)
 		return false
--- a/standin/runhost.go
+++ b/standin/runhost.go
@@ -54,6 +54,10 @@
 	down    bool
 	// late holds orders back that get no answer and are carried out after this time.
 	late time.Duration
+	// lateEach makes each call of that number late by lateBy; zero makes none late.
+	lateEach int
+	lateBy   time.Duration
+	calls    int
 	// losesAnswers makes the worker carry starts out without an answer.
 	losesAnswers bool
 	// rejects makes the worker reject every start as unhealthy.
@@ -103,6 +107,13 @@
 	h.late = d
 }
 
+// SetLateEach makes each nth call get no answer and be carried out only after a delay.
+func (h *RunHost) SetLateEach(n int, delay time.Duration) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.lateEach, h.lateBy = n, delay
+}
+
 // SetLosingAnswers makes the worker carry starts out and lose its answers to them.
 func (h *RunHost) SetLosingAnswers(loses bool) {
 	h.mu.Lock()
@@ -167,6 +178,9 @@
 func (h *RunHost) deliver(order func()) bool {
 	h.mu.Lock()
 	down, late := h.down, h.late
+	if h.calls++; h.lateEach > 0 && h.calls%h.lateEach == 0 {
+		late = h.lateBy
+	}
 	h.mu.Unlock()
 	if down {
 		return false
