--- /dev/null
+++ b/pool/pool_test.go
@@ -0,0 +1,210 @@
+package pool
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+	"github.com/stretchr/testify/require"
+
+	"github.com/cicadadale/cicadadale/contract"
+	"github.com/cicadadale/cicadadale/link"
+	"github.com/cicadadale/cicadadale/machine"
+	"github.com/cicadadale/cicadadale/standin"
+)
+
+const testHome = "home/1"
+
+// observer keeps the order in which tasks start. mu guards it.
+type observer struct {
+	mu      sync.Mutex
+	started []string
+	workers map[string]string
+}
+
+func (o *observer) Started(worker string, key contract.RunKey) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.started = append(o.started, key.Batch)
+	o.workers[key.Batch] = worker
+}
+
+func (o *observer) Ended(string, contract.RunKey, contract.RunState) {}
+
+// hostCalls reaches stand-ins of workers without a network.
+type hostCalls map[string]*standin.RunHost
+
+func (c hostCalls) Start(
+	ctx context.Context, a link.HostAddress, s link.HostStart,
+) (link.StartVerdict, link.HostReply, error) {
+	return c[a.Worker].Start(ctx, s)
+}
+
+func (c hostCalls) Stop(
+	ctx context.Context, a link.HostAddress, k contract.RunKey, token uint64,
+) (link.HostReply, error) {
+	return c[a.Worker].Stop(ctx, k, token)
+}
+
+func (c hostCalls) Hold(ctx context.Context, a link.HostAddress, h link.HostHold) (link.HoldReply, error) {
+	return c[a.Worker].Hold(ctx, h)
+}
+
+func (c hostCalls) Forget(link.HostAddress) {}
+
+// bench is a pool with workers. Tasks take the number of milliseconds in takes, by job.
+type bench struct {
+	pool    *Pool
+	calls   hostCalls
+	list    []machine.Listing
+	seen    *observer
+	takes   map[string]time.Duration
+	sizes   map[string]int
+	mu      sync.Mutex
+	reports map[contract.RunKey]contract.RunReport
+}
+
+func newBench(workers int) *bench {
+	b := &bench{
+		calls: hostCalls{}, seen: &observer{workers: make(map[string]string)}, takes: make(map[string]time.Duration),
+		sizes: make(map[string]int), reports: make(map[contract.RunKey]contract.RunReport),
+	}
+	for i := range workers {
+		id := fmt.Sprintf("w%d", i)
+		capacity := machine.Resources{CPUMillis: 2000, MemoryMB: 1000}
+		h := standin.NewRunHost(standin.RunHostOptions{
+			ID: id, Capacity: capacity, MaxLease: time.Second, Observer: b.seen,
+			Work: func(k contract.RunKey) standin.RunOutcome {
+				return standin.RunOutcome{Takes: b.takes[k.Batch], Stalls: b.takes[k.Batch] == 0}
+			},
+			Need: func(k contract.RunKey) machine.Resources { return machine.Resources{CPUMillis: b.sizes[k.Batch]} },
+		})
+		b.calls[id] = h
+		b.list = append(b.list, machine.Listing{Worker: id, Backend: "s", Address: id, Born: h.Born(), Capacity: capacity})
+	}
+	b.pool = New(Options{
+		Backend: "s", Calls: b.calls, Lease: time.Second, Now: time.Now, Logger: slog.New(slog.DiscardHandler),
+		Metrics: metrics.NewRegistry(), Takeover: func(contract.Takeover) {},
+		Report: func(_ string, r contract.RunReport) {
+			b.mu.Lock()
+			defer b.mu.Unlock()
+			b.reports[r.Key] = r
+		},
+	})
+	b.pool.SetHosts(b.list)
+	time.Sleep(100 * time.Millisecond)
+	return b
+}
+
+// order orders one task of a job.
+func (b *bench) order(job string, cpu, priority int, target, limit time.Duration) contract.RunKey {
+	b.sizes[job] = cpu
+	if _, ok := b.takes[job]; !ok {
+		b.takes[job] = 100 * time.Millisecond
+	}
+	key := contract.RunKey{Batch: job, Run: 1}
+	now := time.Now()
+	b.pool.Order(testHome, contract.TaskOrder{
+		Key: key, Backend: "s", Need: machine.Resources{CPUMillis: cpu}, Priority: priority, Accepted: now,
+		Target: now.Add(target), Deadline: now.Add(limit), Expected: 100 * time.Millisecond,
+	}, now)
+	return key
+}
+
+func (b *bench) state(k contract.RunKey) contract.RunState {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.reports[k].State
+}
+
+// Answers a load beyond the room of the workers. Guards against urgent work that waits behind less urgent work, and against
+// late work that takes the room of work that can still be in time.
+func TestOrderOfWaitingTasks(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(1)
+		defer b.pool.Close()
+		b.order("first", 2000, 0, time.Second, 5*time.Second)
+		b.order("late", 2000, 0, 50*time.Millisecond, 5*time.Second)
+		b.order("low", 2000, 2, 4*time.Second, 5*time.Second)
+		b.order("high", 2000, 0, 4*time.Second, 5*time.Second)
+		b.order("soon", 2000, 0, 3*time.Second, 5*time.Second)
+		time.Sleep(time.Second)
+		require.Equal(t, []string{"first", "soon", "high", "low", "late"}, b.seen.started)
+	})
+}
+
+// Guards against large tasks that never start because small ones fill each gap.
+func TestLargeTaskIsNotStarved(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(1)
+		defer b.pool.Close()
+		for i := range 40 {
+			b.order(fmt.Sprintf("small-%d", i), 1000, 1, 20*time.Second, 30*time.Second)
+			if i == 2 {
+				b.order("large", 2000, 1, 10*time.Second, 30*time.Second)
+			}
+			if i > 2 {
+				time.Sleep(45 * time.Millisecond)
+			}
+		}
+		require.Contains(t, b.seen.started, "large")
+	})
+}
+
+// Guards against a run that stands still and holds its room and its job until the lease ends with the home.
+func TestStalledRunIsEnded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(1)
+		defer b.pool.Close()
+		b.takes["stalls"] = 0
+		key := b.order("stalls", 1000, 0, time.Second, 5*time.Second)
+		for range 15 {
+			time.Sleep(100 * time.Millisecond)
+			b.pool.Refresh(testHome, []contract.RunKey{key}, time.Now())
+		}
+		require.Equal(t, contract.RunEnded, b.state(key))
+	})
+}
+
+// Guards against new tasks on a worker that drains, and against tasks that wait for a worker that cannot run them.
+func TestDrainingWorkerGetsNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(2)
+		defer b.pool.Close()
+		b.list[0].Draining = true
+		b.pool.SetHosts(b.list)
+		for i := range 6 {
+			b.order(fmt.Sprintf("job-%d", i), 1000, 0, time.Second, 5*time.Second)
+		}
+		time.Sleep(600 * time.Millisecond)
+		require.Len(t, b.seen.workers, 6)
+		for job, worker := range b.seen.workers {
+			require.Equal(t, "w1", worker, job)
+		}
+		b.list[1].Draining = true
+		b.pool.SetHosts(b.list)
+		require.Equal(t, contract.RunInfeasible, b.state(b.order("none", 1000, 0, time.Second, 5*time.Second)))
+	})
+}
+
+// Guards against work that goes on after its home is gone, or does not refresh it any more.
+func TestRunsNeedTheirHome(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(1)
+		defer b.pool.Close()
+		b.takes["gone"], b.takes["silent"] = 10*time.Second, 10*time.Second
+		gone := b.order("gone", 1000, 0, time.Second, 20*time.Second)
+		time.Sleep(100 * time.Millisecond)
+		b.pool.HomeGone(testHome)
+		time.Sleep(100 * time.Millisecond)
+		require.Equal(t, contract.RunEnded, b.state(gone))
+		silent := b.order("silent", 1000, 0, time.Second, 20*time.Second)
+		time.Sleep(1100 * time.Millisecond)
+		require.Equal(t, contract.RunEnded, b.state(silent))
+	})
+}
