--- a/command/edge.go
+++ b/command/edge.go
@@ -64,7 +64,32 @@
 	defer stop()
 	lines := logbuffer.New(os.Stdout, time.Now)
 	defer lines.Close()
-	return serveEdge(ctx, settings, newLoggerTo(lines, settings.Log.Level, settings.Log.Format))
+	level := &slog.LevelVar{}
+	level.Set(logLevel(settings.Log.Level))
+	logger := newLoggerTo(lines, level, settings.Log.Format)
+	reload := make(chan os.Signal, 1)
+	signal.Notify(reload, syscall.SIGHUP)
+	defer signal.Stop(reload)
+	go func(last config.Edge) {
+		for range reload {
+			last = reloadEdge(path, last, level, logger)
+		}
+	}(settings)
+	return serveEdge(ctx, settings, logger)
+}
+
+// reloadEdge reads the settings again and applies the level of the log. The addresses and bounds of a process are those of
+// its start. It returns the settings that are in force.
+func reloadEdge(path string, last config.Edge, level *slog.LevelVar, logger *slog.Logger) config.Edge {
+	next, err := config.LoadEdge(path)
+	if err != nil {
+		logger.Error("settings cannot be reloaded; the last ones stay in force", "error", err)
+		return last
+	}
+	level.Set(logLevel(next.Log.Level))
+	logger.Info("settings reloaded", "log_level", next.Log.Level, "needs_restart", last.NeedsRestart(next))
+	last.Log.Level = next.Log.Level
+	return last
 }
 
 // serveEdge runs the daemon until ctx ends.
--- /dev/null
+++ b/command/edge_test.go
@@ -0,0 +1,60 @@
+package command
+
+import (
+	"bytes"
+	"log/slog"
+	"os"
+	"path/filepath"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/cicadadale/cicadadale/config"
+)
+
+const edgeSettings = `[vm]
+id = "edge-1"
+failure_domain = "a"
+cpu_share = 0.4
+[listen]
+front = "127.0.0.1:1"
+readiness = "127.0.0.1:2"
+peers = "127.0.0.1:3"
+[store]
+address = "127.0.0.1:4"
+[runs]
+lease_ms = 1000
+[stop]
+grace_s = 6
+[log]
+level = "LEVEL"
+`
+
+// Guards against a process that ends on SIGHUP, applies half of a bad file, or does not say that it needs a restart.
+func TestSettingsAreReloaded(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "edge.toml")
+	write := func(level, more string) {
+		text := bytes.ReplaceAll([]byte(edgeSettings+more), []byte("LEVEL"), []byte(level))
+		require.NoError(t, os.WriteFile(path, text, 0o600))
+	}
+	write("info", "")
+	settings, err := config.LoadEdge(path)
+	require.NoError(t, err)
+	var out bytes.Buffer
+	level := &slog.LevelVar{}
+	logger := newLoggerTo(&out, level, "json")
+
+	write("warn", "")
+	settings = reloadEdge(path, settings, level, logger)
+	require.Equal(t, slog.LevelWarn, level.Level())
+
+	write("debug", "[nonsense]\n")
+	settings = reloadEdge(path, settings, level, logger)
+	require.Equal(t, slog.LevelWarn, level.Level())
+	require.Contains(t, out.String(), "the last ones stay in force")
+	require.Contains(t, out.String(), "nonsense")
+
+	write("info", "format = \"text\"\n")
+	reloadEdge(path, settings, level, logger)
+	require.Contains(t, out.String(), `"needs_restart":true`)
+}
--- a/command/entry.go
+++ b/command/entry.go
@@ -105,17 +105,24 @@
 // newLogger returns the text logger of the tools.
 func newLogger(level string) *slog.Logger { return newFormatLogger(level, "text") }
 
-func newFormatLogger(level, format string) *slog.Logger { return newLoggerTo(os.Stderr, level, format) }
+func newFormatLogger(level, format string) *slog.Logger {
+	return newLoggerTo(os.Stderr, logLevel(level), format)
+}
 
 // newLoggerTo returns a logger that writes to w.
-func newLoggerTo(w io.Writer, level, format string) *slog.Logger {
-	var l slog.Level
-	if err := l.UnmarshalText([]byte(level)); err != nil {
-		l = slog.LevelInfo
-	}
-	o := &slog.HandlerOptions{Level: l}
+func newLoggerTo(w io.Writer, level slog.Leveler, format string) *slog.Logger {
+	o := &slog.HandlerOptions{Level: level}
 	if format == "json" {
 		return slog.New(slog.NewJSONHandler(w, o))
 	}
 	return slog.New(slog.NewTextHandler(w, o))
 }
+
+// logLevel returns the level of a name that the settings have checked.
+func logLevel(name string) slog.Level {
+	var l slog.Level
+	if err := l.UnmarshalText([]byte(name)); err != nil {
+		return slog.LevelInfo
+	}
+	return l
+}
--- a/config/edge.go
+++ b/config/edge.go
@@ -56,6 +56,12 @@
 // Grace returns the time that a stop may take.
 func (e Edge) Grace() time.Duration { return time.Duration(e.Stop.GraceS * float64(time.Second)) }
 
+// NeedsRestart reports whether other settings differ from these in more than the log's level.
+func (e Edge) NeedsRestart(o Edge) bool {
+	return e.VM != o.VM || e.Listen != o.Listen || e.Store != o.Store || e.Runs != o.Runs || e.Stop != o.Stop ||
+		e.Log.Format != o.Log.Format
+}
+
 // LoadEdge reads a settings file and returns all findings at once.
 func LoadEdge(path string) (Edge, error) {
 	text, err := os.ReadFile(path)
