--- /dev/null
+++ b/edge/network_test.go
@@ -0,0 +1,200 @@
+package edge
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"net"
+	"sync"
+	"time"
+)
+
+var errCut = errors.New("the machines are cut off from each other")
+
+// network is the links between the machines of a test. Machines on two sides of a cut hear nothing of each other.
+type network struct {
+	mu        sync.Mutex
+	listeners map[string]*memListener
+	cut       func(a, b string) bool
+	// held delays what is sent between two machines until it is released.
+	held    func(from, to string) bool
+	release chan struct{}
+	conns   []*memConn
+}
+
+func newNetwork() *network {
+	return &network{listeners: make(map[string]*memListener), cut: func(string, string) bool { return false },
+		held: func(string, string) bool { return false }, release: make(chan struct{}),
+	}
+}
+
+// hold delays what is sent on some links; a nil function releases all of it.
+func (n *network) hold(held func(from, to string) bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if held == nil {
+		held = func(string, string) bool { return false }
+	}
+	n.held = held
+	close(n.release)
+	n.release = make(chan struct{})
+}
+
+// closeConns closes all ends of a machine, as the end of its process does; without a name those of all machines.
+func (n *network) closeConns(vm string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for _, c := range n.conns {
+		if c.from == vm || vm == "" {
+			_ = c.Close()
+		}
+		if vm == "" {
+			// What was sent to a machine that has ended is read by nobody.
+			_ = c.Conn.Close()
+		}
+	}
+}
+
+// wait returns once a link is not held.
+func (n *network) wait(from, to string) {
+	for {
+		n.mu.Lock()
+		held, release := n.held(from, to), n.release
+		n.mu.Unlock()
+		if !held {
+			return
+		}
+		<-release
+	}
+}
+
+func (n *network) setCut(cut func(a, b string) bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.cut = cut
+}
+
+func (n *network) isCut(a, b string) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.cut(a, b)
+}
+
+func (n *network) listen(vm string) *memListener {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	l := &memListener{vm: vm, conns: make(chan net.Conn), closed: make(chan struct{})}
+	n.listeners[vm] = l
+	return l
+}
+
+func (n *network) dial(ctx context.Context, from, to string) (net.Conn, error) {
+	n.mu.Lock()
+	l := n.listeners[to]
+	n.mu.Unlock()
+	if l == nil {
+		return nil, errCut
+	}
+	if n.isCut(from, to) {
+		<-ctx.Done()
+		return nil, errCut
+	}
+	a, b := net.Pipe()
+	select {
+	case l.conns <- newMemConn(b, n, to, from):
+		return newMemConn(a, n, from, to), nil
+	case <-l.closed:
+		return nil, errCut
+	case <-ctx.Done():
+		return nil, errCut
+	}
+}
+
+type memListener struct {
+	vm     string
+	conns  chan net.Conn
+	once   sync.Once
+	closed chan struct{}
+}
+
+func (l *memListener) Accept() (net.Conn, error) {
+	select {
+	case c := <-l.conns:
+		return c, nil
+	case <-l.closed:
+		return nil, net.ErrClosed
+	}
+}
+
+func (l *memListener) Close() error {
+	l.once.Do(func() { close(l.closed) })
+	return nil
+}
+
+func (l *memListener) Addr() net.Addr { return memAddr(l.vm) }
+
+type memAddr string
+
+func (a memAddr) Network() string { return "mem" }
+func (a memAddr) String() string  { return string(a) }
+
+// memConn is one end of a connection. What is written is delivered by a goroutine, also after the end has been closed, as
+// the buffers of a network do. It is lost while the machines are cut off from each other.
+type memConn struct {
+	net.Conn
+	network  *network
+	from, to string
+	lost     bool
+	once     sync.Once
+	closed   chan struct{}
+	chunks   chan []byte
+}
+
+const memBuffer = 4096
+
+func newMemConn(c net.Conn, n *network, from, to string) *memConn {
+	m := &memConn{
+		Conn: c, network: n, from: from, to: to, closed: make(chan struct{}), chunks: make(chan []byte, memBuffer),
+	}
+	n.mu.Lock()
+	n.conns = append(n.conns, m)
+	n.mu.Unlock()
+	go m.deliver()
+	return m
+}
+
+func (c *memConn) Write(b []byte) (int, error) {
+	// Once bytes have been lost, nothing later arrives on the connection.
+	if c.lost = c.lost || c.network.isCut(c.from, c.to); c.lost {
+		return len(b), nil
+	}
+	select {
+	case <-c.closed:
+		return 0, net.ErrClosed
+	case c.chunks <- bytes.Clone(b):
+		return len(b), nil
+	}
+}
+
+func (c *memConn) Close() error {
+	c.once.Do(func() { close(c.closed) })
+	// A reader of this end is released at once; what was written is still delivered.
+	return c.SetReadDeadline(time.Now())
+}
+
+func (c *memConn) deliver() {
+	defer func() { _ = c.Conn.Close() }()
+	for {
+		select {
+		case chunk := <-c.chunks:
+			c.network.wait(c.from, c.to)
+			if _, err := c.Conn.Write(chunk); err != nil {
+				return
+			}
+		case <-c.closed:
+			if len(c.chunks) == 0 {
+				return
+			}
+		}
+	}
+}
