--- a/contract/batch.go
+++ b/contract/batch.go
@@ -137,5 +137,5 @@
 	Born   int64
 	// Token is the fencing token of the new owner.
 	Token uint64
-	Runs   []RunKey
+	Runs  []RunKey
 }
