--- a/load/mutations.sh
+++ b/load/mutations.sh
@@ -55,7 +55,9 @@
 
 # A planned stop appends and announces no closure, and the members do not pass it on.
 drop_closure() {
-  replace entry/closures.go '	d.homes.Succeed(successionOf(c), d.o.Now())
+  replace entry/closures.go '	if d.homes.Succeed(successionOf(c), d.o.Now()) {
+		d.spread(successionOf(c))
+	}
 	if' '	if'
   replace entry/closures.go '		d.homes.Learn(successionOf(c), d.o.Now())' '		_ = c'
   replace entry/closures.go '	record := c.d.closure(s)
