--- a/pool/tend.go
+++ b/pool/maintain.go
@@ -35,9 +35,9 @@
 	tokenSpread = 1 << 20
 )
 
-// tended is an owned worker with its runs. The pool's lock guards host, runs and lost; the goroutine of tend owns the
+// ownedHost is an owned worker with its runs. The pool's lock guards host, runs and lost; the goroutine of maintain owns the
 // rest.
-type tended struct {
+type ownedHost struct {
 	host    *machine.Host
 	runs    map[contract.RunKey]*run
 	address link.HostAddress
@@ -51,15 +51,15 @@
 	unacknowledged bool
 }
 
-func (t *tended) wake() {
+func (t *ownedHost) wake() {
 	select {
 	case t.kick <- struct{}{}:
 	default:
 	}
 }
 
-// tend owns a worker until ctx ends: it acquires it, renews the lease of its runs and collects their ends.
-func (p *Pool) tend(ctx context.Context, t *tended) {
+// maintain owns a worker until ctx ends: it acquires it, renews the lease of its runs and collects their ends.
+func (p *Pool) maintain(ctx context.Context, t *ownedHost) {
 	unreached := false
 	for ctx.Err() == nil {
 		if owned, wait := p.ownership(t); !owned {
@@ -95,7 +95,7 @@
 
 // lookTimeout returns how long an answer to a look may take beyond its wait. The first one that is late is asked for
 // again soon, since the ends that it would have told delay jobs; the next ones get time for packets that are sent again.
-func (p *Pool) lookTimeout(t *tended) time.Duration {
+func (p *Pool) lookTimeout(t *ownedHost) time.Duration {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if t.failing {
@@ -115,7 +115,7 @@
 }
 
 // ownership reports whether the worker is owned, and otherwise how long to wait before it is taken back.
-func (p *Pool) ownership(t *tended) (bool, time.Duration) {
+func (p *Pool) ownership(t *ownedHost) (bool, time.Duration) {
 	now := p.o.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -129,7 +129,7 @@
 }
 
 // nextHold returns the next look, and whether it has to be made now.
-func (p *Pool) nextHold(t *tended) (link.HostHold, bool) {
+func (p *Pool) nextHold(t *ownedHost) (link.HostHold, bool) {
 	now := p.o.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -146,7 +146,7 @@
 }
 
 // look reads the clock of a worker that is not owned, without effect on its owner.
-func (p *Pool) look(ctx context.Context, t *tended) (time.Duration, error) {
+func (p *Pool) look(ctx context.Context, t *ownedHost) (time.Duration, error) {
 	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	reply, err := p.o.Calls.Hold(callCtx, t.address, link.HostHold{})
@@ -158,7 +158,7 @@
 
 // acquire makes this VM the owner of a worker: the token is taken from the worker's own clock, so that a later owner has
 // a higher one whatever the clocks of the VMs say.
-func (p *Pool) acquire(ctx context.Context, t *tended, clock time.Duration) bool {
+func (p *Pool) acquire(ctx context.Context, t *ownedHost, clock time.Duration) bool {
 	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	token := uint64(max(clock.Milliseconds(), 0)+1)*tokenSpread + rand.Uint64N(tokenSpread)
@@ -192,7 +192,7 @@
 }
 
 // adopt takes over the runs found on a worker, for their homes to claim. p.mu is held.
-func (p *Pool) adopt(t *tended, reply link.HoldReply, now time.Time) []contract.RunKey {
+func (p *Pool) adopt(t *ownedHost, reply link.HoldReply, now time.Time) []contract.RunKey {
 	var found []contract.RunKey
 	for _, running := range reply.Running {
 		found = append(found, running.Key)
@@ -225,7 +225,7 @@
 }
 
 // loseOwnership records that another VM has taken a worker. Its runs are for that VM to report. p.mu is held.
-func (p *Pool) loseOwnership(t *tended, now time.Time, fx *effects) {
+func (p *Pool) loseOwnership(t *ownedHost, now time.Time, fx *effects) {
 	if t.host.Token == 0 {
 		return
 	}
@@ -242,7 +242,7 @@
 }
 
 // held records the answer to a look. It reports whether the worker answered.
-func (p *Pool) held(t *tended, sent time.Time, reply link.HoldReply, err error) bool {
+func (p *Pool) held(t *ownedHost, sent time.Time, reply link.HoldReply, err error) bool {
 	now := p.o.Now()
 	var fx effects
 	p.mu.Lock()
@@ -280,7 +280,7 @@
 }
 
 // lifeEnded records that a worker has been restarted: nothing that was ordered before runs any more. p.mu is held.
-func (p *Pool) lifeEnded(t *tended, now time.Time, fx *effects) {
+func (p *Pool) lifeEnded(t *ownedHost, now time.Time, fx *effects) {
 	p.o.Logger.Warn("worker has been restarted", "worker", t.address.Worker, "born", t.address.Born, "runs", len(t.runs))
 	for _, r := range t.runs {
 		if r.state != runStarting {
@@ -292,7 +292,7 @@
 }
 
 // takeEnds records the ends of runs. p.mu is held.
-func (p *Pool) takeEnds(t *tended, reply link.HoldReply, now time.Time, fx *effects) {
+func (p *Pool) takeEnds(t *ownedHost, reply link.HoldReply, now time.Time, fx *effects) {
 	t.unacknowledged = len(reply.Ended) > 0
 	for _, e := range reply.Ended {
 		t.host.LastSeen = max(t.host.LastSeen, e.Number)
@@ -331,7 +331,7 @@
 const kindSpeedWeight = 0.05
 
 // compareRunning checks the worker's list of runs against ours. p.mu is held.
-func (p *Pool) compareRunning(t *tended, reply link.HoldReply, sent, now time.Time, fx *effects) {
+func (p *Pool) compareRunning(t *ownedHost, reply link.HoldReply, sent, now time.Time, fx *effects) {
 	listed := make(map[contract.RunKey]int, len(reply.Running))
 	for _, running := range reply.Running {
 		listed[running.Key] = running.Progress
@@ -373,7 +373,7 @@
 }
 
 // stopStray stops a run that nobody of this VM has ordered: a start that was carried out late. p.mu is held.
-func (p *Pool) stopStray(t *tended, key contract.RunKey, now time.Time) {
+func (p *Pool) stopStray(t *ownedHost, key contract.RunKey, now time.Time) {
 	r := &run{order: contract.TaskOrder{Key: key, Need: p.typical}, state: runRunning, host: t, claimed: true,
 		unwanted: true, refreshed: now, queued: now, started: now, progressAt: now}
 	t.host.Reserve(r.order.Need)
--- a/pool/match.go
+++ b/pool/match.go
@@ -23,7 +23,7 @@
 	if len(p.waiting.runs) == 0 {
 		return
 	}
-	var reserved *tended
+	var reserved *ownedHost
 	for _, t := range p.withRoom(now) {
 		p.waiting.sort(now, t.host.Speed())
 		if reserved == nil {
@@ -42,14 +42,14 @@
 }
 
 // withRoom returns the workers on which a task may start, the fastest first and of equally fast ones the fullest.
-func (p *Pool) withRoom(now time.Time) []*tended {
-	var hosts []*tended
+func (p *Pool) withRoom(now time.Time) []*ownedHost {
+	var hosts []*ownedHost
 	for _, t := range p.hosts {
 		if t.host.CanStart(machine.Resources{}, now) && t.host.Free().CPUMillis > 0 {
 			hosts = append(hosts, t)
 		}
 	}
-	slices.SortFunc(hosts, func(a, b *tended) int {
+	slices.SortFunc(hosts, func(a, b *ownedHost) int {
 		if better(a.host, b.host) {
 			return -1
 		}
@@ -60,7 +60,7 @@
 
 // suits reports whether a task may start on a worker now. A task whose data are in a rack of this pool waits for that
 // rack for as long as it runs.
-func (p *Pool) suits(t *tended, r *run, now time.Time) bool {
+func (p *Pool) suits(t *ownedHost, r *run, now time.Time) bool {
 	o := r.order
 	if now.Sub(r.refreshed) > refreshTimeout {
 		// The home counts the run as lost; the next sweep ends it.
@@ -86,7 +86,7 @@
 }
 
 // reserve returns the worker that is kept free for the most urgent task, if it has waited for room for long.
-func (p *Pool) reserve(now time.Time) *tended {
+func (p *Pool) reserve(now time.Time) *ownedHost {
 	if len(p.waiting.runs) == 0 || now.Sub(p.waiting.runs[0].queued) < headReserve {
 		return nil
 	}
@@ -108,8 +108,8 @@
 }
 
 // largestFree returns the worker that needs to free the least room for a task.
-func (p *Pool) largestFree(o contract.TaskOrder) *tended {
-	var best *tended
+func (p *Pool) largestFree(o contract.TaskOrder) *ownedHost {
+	var best *ownedHost
 	for _, t := range p.hosts {
 		if t.host.Token == 0 || t.host.Listing.Draining || !t.host.Listing.CanHold(o.Need, o.RequiredLabel) {
 			continue
@@ -122,7 +122,7 @@
 }
 
 // begin reserves room for a run and plans its start call. p.mu is held.
-func (p *Pool) begin(r *run, t *tended, now time.Time, fx *effects) {
+func (p *Pool) begin(r *run, t *ownedHost, now time.Time, fx *effects) {
 	t.host.Reserve(r.order.Need)
 	t.runs[r.order.Key] = r
 	r.host, r.state, r.started, r.ran = t, runStarting, now, true
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -49,7 +49,7 @@
 	tasks  sync.WaitGroup
 
 	mu      sync.Mutex
-	hosts   map[string]*tended
+	hosts   map[string]*ownedHost
 	runs    map[contract.RunKey]*run
 	waiting queue
 	barred  map[contract.RunKey]barrier
@@ -69,14 +69,14 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	p := &Pool{
 		o: o, ctx: ctx, cancel: cancel,
-		hosts: make(map[string]*tended), runs: make(map[contract.RunKey]*run),
+		hosts: make(map[string]*ownedHost), runs: make(map[contract.RunKey]*run),
 		barred: make(map[contract.RunKey]barrier), speeds: make(map[string]float64),
 	}
 	p.spawn(p.sweepPeriodically)
 	return p
 }
 
-// Close ends the tending of all workers without stopping their runs, which lapse.
+// Close ends the maintenance of all workers without stopping their runs, which lapse.
 func (p *Pool) Close() {
 	p.cancel()
 	p.tasks.Wait()
@@ -133,15 +133,15 @@
 	}
 }
 
-// addHost starts to tend a worker. p.mu is held.
+// addHost starts to maintain a worker. p.mu is held.
 func (p *Pool) addHost(l machine.Listing) {
 	ctx, cancel := context.WithCancel(p.ctx)
-	t := &tended{
+	t := &ownedHost{
 		host: machine.NewHost(l, p.speedOf(l)), kick: make(chan struct{}, 1), cancel: cancel,
 		runs: make(map[contract.RunKey]*run), address: link.HostAddress{Worker: l.Worker, Address: l.Address, Born: l.Born},
 	}
 	p.hosts[l.Worker] = t
-	p.spawn(func() { p.tend(ctx, t) })
+	p.spawn(func() { p.maintain(ctx, t) })
 }
 
 // speedOf predicts the speed of a worker from others with the same first label, which names its kind. p.mu is held.
@@ -154,9 +154,9 @@
 	return 1
 }
 
-// dropHost stops tending a worker. The runs of a life that has ended are over; the others are for the worker's next
+// dropHost stops maintaining a worker. The runs of a life that has ended are over; the others are for the worker's next
 // owner, and their homes learn of them from it. p.mu is held.
-func (p *Pool) dropHost(t *tended, lifeEnded bool, fx *effects) {
+func (p *Pool) dropHost(t *ownedHost, lifeEnded bool, fx *effects) {
 	t.cancel()
 	t.lost = true
 	delete(p.hosts, t.host.Listing.Worker)
@@ -426,7 +426,7 @@
 }
 
 // sweepHost ends the runs of a worker that has not answered for so long that their lease has lapsed. p.mu is held.
-func (p *Pool) sweepHost(t *tended, now time.Time, fx *effects) {
+func (p *Pool) sweepHost(t *ownedHost, now time.Time, fx *effects) {
 	if len(t.runs) == 0 || now.Before(t.host.LapsedBy()) {
 		return
 	}
--- a/pool/run.go
+++ b/pool/run.go
@@ -26,7 +26,7 @@
 	order contract.TaskOrder
 	home  string
 	state runState
-	host  *tended
+	host  *ownedHost
 	// claimed is false for a run that was found on a worker and that no home has asked for yet.
 	claimed  bool
 	unwanted bool
@@ -65,7 +65,7 @@
 // startEffect is a start call, with the values that the decision has fixed.
 type startEffect struct {
 	run      *run
-	host     *tended
+	host     *ownedHost
 	token    uint64
 	leaseEnd time.Duration
 }
--- a/pool/start.go
+++ b/pool/start.go
@@ -161,7 +161,7 @@
 }
 
 // stopped records the answer to a stop call. It reports whether nothing is left to be done.
-func (p *Pool) stopped(r *run, t *tended, reply link.HostReply, err error) bool {
+func (p *Pool) stopped(r *run, t *ownedHost, reply link.HostReply, err error) bool {
 	now := p.o.Now()
 	var fx effects
 	p.mu.Lock()
