edge: divide the workers one division at a time

Links, the store's readers and the ticker divide the workers; an older division could be applied after a newer one, so that workers were given up and acquired again within half a second. Found by reading; no run shows it.

--- a/edge/daemon.go
+++ b/edge/daemon.go
@@ -79,6 +79,10 @@
 	tasks   sync.WaitGroup
 	started time.Time
 
+	// dividing is held while the workers are divided, so that no older division is applied after a newer one. It is
+	// locked before all others.
+	dividing sync.Mutex
+
 	mu            sync.Mutex
 	pools         map[string]*pool.Pool
 	desired       contract.Desired
@@ -257,6 +261,8 @@
 
 // divide hands the pools the workers that this process owns.
 func (d *Daemon) divide() {
+	d.dividing.Lock()
+	defer d.dividing.Unlock()
 	d.mu.Lock()
 	owning := d.joined && !d.stopping
 	d.mu.Unlock()
