edge: answer what arrives while the process ends

After the last job the process ended 0.2 s later whatever had arrived. It waits until every accepted job is answered now, once no new connections are accepted. TestJobDuringTheEndIsAnswered fails without the wait.

--- a/command/edge.go
+++ b/command/edge.go
@@ -141,6 +141,7 @@
 	defer cancel()
 	daemon.Stop(deadline)
 	ingress.Close()
+	daemon.Finish(deadline)
 	// What is left ends with the process: closing it in order would wait for reads of the store.
 	return nil
 }
--- a/edge/daemon.go
+++ b/edge/daemon.go
@@ -362,7 +362,24 @@
 	d.o.Logger.Info("stopped; all jobs are answered")
 }
 
+// Finish waits until all accepted jobs are answered. It is called once no new connections are accepted: a client may send
+// a request on an open one until the process ends.
+func (d *Daemon) Finish(ctx context.Context) {
+	ticker := time.NewTicker(finishInterval)
+	defer ticker.Stop()
+	for d.home.Active() > 0 {
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			d.o.Logger.Warn("ending with jobs that are not answered", "jobs", d.home.Active())
+			return
+		}
+	}
+}
+
 const (
+	// finishInterval is the time between looks for jobs at the end of a process.
+	finishInterval = 5 * time.Millisecond
 	// stopQuietTicks is the number of ticks without a job after which a stopping process ends.
 	stopQuietTicks = 6
 	// rotationDelay is the time for which the balancer sends new connections to a process that is not ready any more: it
--- a/edge/daemon_test.go
+++ b/edge/daemon_test.go
@@ -151,6 +151,29 @@
 	})
 }
 
+// Guards against a job that arrives on an open connection after the last one has been answered, while the process ends: its
+// connection must not be closed without an answer.
+func TestJobDuringTheEndIsAnswered(t *testing.T) {
+	run(t, func(t *testing.T) {
+		d := newDeployment(t, 1, 2, 4)
+		defer d.close()
+		d.work = func(contract.RunKey) standin.RunOutcome { return standin.RunOutcome{Takes: 400 * time.Millisecond} }
+		ctx, cancel := context.WithTimeout(context.Background(), testGrace)
+		defer cancel()
+		d.daemons["edge-0-0"].Stop(ctx)
+		answer := d.submit("edge-0-0", testJob("00000000000000aa", 2, 6*time.Second))
+		time.Sleep(time.Millisecond)
+		d.daemons["edge-0-0"].Finish(ctx)
+		time.Sleep(time.Millisecond)
+		select {
+		case a := <-answer:
+			require.Equal(t, batch.Completed, a.Outcome)
+		default:
+			t.Fatal("the process would have ended without an answer")
+		}
+	})
+}
+
 // Guards against a start without an answer that is carried out late, beside the run that has replaced it.
 func TestLateOrdersStartNothing(t *testing.T) {
 	run(t, func(t *testing.T) {
