pool: keep runs that no home claims alive no longer

A worker's new owner renewed the lease of the runs that it found for 0.4 s and a stop, until 1.35 s after the death of a home that was also their owner; clients send again after 1.3 s. TestRunsEndWithAHomeThatLosesPower passed before the change as well: it checks 1.25 s with quick calls.

--- a/edge/daemon_test.go
+++ b/edge/daemon_test.go
@@ -130,6 +130,27 @@
 	})
 }
 
+// Guards against runs that outlive a home that has lost power: the next owner of its workers must not keep them alive until
+// the clients send their jobs again.
+func TestRunsEndWithAHomeThatLosesPower(t *testing.T) {
+	run(t, func(t *testing.T) {
+		for _, vm := range []string{"edge-0-0", "edge-0-1", "edge-0-2"} {
+			d := newDeployment(t, 1, 3, 6)
+			d.work = func(contract.RunKey) standin.RunOutcome { return standin.RunOutcome{Takes: 5 * time.Second} }
+			d.submit(vm, testJob("00000000000000aa", 10, 20*time.Second))
+			time.Sleep(500 * time.Millisecond)
+			d.net.setCut(func(a, b string) bool { return a == vm || b == vm })
+			time.Sleep(1250 * time.Millisecond)
+			for id := range d.hosts {
+				reply, err := d.hosts[id].Hold(context.Background(), link.HostHold{Token: 1 << 62})
+				require.NoError(t, err)
+				require.Empty(t, reply.Running, "runs of %s on %s", vm, id)
+			}
+			d.close()
+		}
+	})
+}
+
 // Guards against a planned stop that loses or repeats the jobs of the process.
 func TestStopAnswersAllJobs(t *testing.T) {
 	run(t, func(t *testing.T) {
--- a/pool/maintain.go
+++ b/pool/maintain.go
@@ -58,6 +58,16 @@
 	}
 }
 
+// wanted reports whether a home has asked for any run of the worker.
+func (t *ownedHost) wanted() bool {
+	for _, r := range t.runs {
+		if r.claimed {
+			return true
+		}
+	}
+	return false
+}
+
 // maintain owns a worker until ctx ends: it acquires it, renews the lease of its runs and collects their ends.
 func (p *Pool) maintain(ctx context.Context, t *ownedHost) {
 	unreached := false
@@ -137,11 +147,14 @@
 	if len(t.runs) == 0 {
 		return h, t.unacknowledged
 	}
+	// The lease is not extended while the worker does not answer, or no home wants its runs: they end when it lapses.
 	if t.failing {
-		// The lease is not extended, so that the runs of a worker that is gone are over when it has lapsed.
 		return h, true
 	}
-	h.LeaseEnd, h.Wait = t.host.ExtendLease(p.o.Lease, now), holdWait
+	h.Wait = holdWait
+	if t.wanted() {
+		h.LeaseEnd = t.host.ExtendLease(p.o.Lease, now)
+	}
 	return h, true
 }
 
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -22,8 +22,9 @@
 	// finalRetention is how long the end of a run is kept for a home that does not acknowledge it.
 	finalRetention = 10 * time.Second
 	sweepInterval  = 100 * time.Millisecond
-	// claimWindow is the time in which homes claim the runs found on a worker that has changed its owner.
-	claimWindow = 400 * time.Millisecond
+	// claimWindow is the time in which homes claim the runs found on a worker that has changed its owner. The home of a run
+	// may have died with the last owner, and its clients send their jobs again 1.3 s later.
+	claimWindow = 150 * time.Millisecond
 )
 
 // Options are the parts of a pool.
