--- a/pool/maintain.go
+++ b/pool/maintain.go
@@ -367,7 +367,8 @@
 // observe records the progress of a run, and gives up a run that stands still. p.mu is held.
 func (p *Pool) observe(r *run, progress int, now time.Time, fx *effects) {
 	if r.state == runDoubtful && !r.unwanted {
-		r.state = runRunning
+		// Looks that were sent before this one was answered prove nothing about the run.
+		r.state, r.answered = runRunning, now
 		fx.report(r)
 	}
 	if progress != r.progress {
--- a/pool/pool_test.go
+++ b/pool/pool_test.go
@@ -208,3 +208,33 @@
 		require.Equal(t, contract.RunEnded, b.state(silent))
 	})
 }
+
+// slowCalls answers looks after a round trip.
+type slowCalls struct{ hostCalls }
+
+func (c slowCalls) Hold(ctx context.Context, a link.HostAddress, h link.HostHold) (link.HoldReply, error) {
+	time.Sleep(5 * time.Millisecond)
+	return c.hostCalls.Hold(ctx, a, h)
+}
+
+// Guards against a run that counts as over because the answer to an earlier look, made before its start arrived, is delivered
+// after a later look has found the run.
+func TestDelayedLookEndsNoRun(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(1)
+		defer b.pool.Close()
+		b.pool.o.Calls = slowCalls{b.calls}
+		b.takes["a"] = 5 * time.Second
+		b.calls["w0"].SetLosingAnswers(true)
+		start := time.Now()
+		key := b.order("a", 1000, 0, time.Second, 20*time.Second)
+		time.Sleep(20 * time.Millisecond)
+		require.Equal(t, contract.RunStarted, b.state(key))
+		b.pool.mu.Lock()
+		host := b.pool.hosts["w0"]
+		b.pool.mu.Unlock()
+		early := link.HoldReply{HostReply: link.HostReply{Clock: host.host.ClockAt(time.Now()), Born: b.list[0].Born}}
+		b.pool.held(host, start.Add(time.Millisecond), early, nil)
+		require.Equal(t, contract.RunStarted, b.state(key))
+	})
+}
