--- a/load/mutations.sh
+++ b/load/mutations.sh
@@ -59,7 +59,9 @@
 		d.spread(successionOf(c))
 	}
 	if' '	if'
-  replace entry/closures.go '		d.homes.Learn(successionOf(c), d.o.Now())' '		_ = c'
+  replace entry/closures.go '		if d.homes.Learn(successionOf(c), d.o.Now()) {
+			d.spread(successionOf(c))
+		}' '		_ = c'
   replace entry/closures.go '	record := c.d.closure(s)
 ' '	if c.d != nil {
 		return
