standin: a worker's speed changes for the tasks that run

Cause of the known red TestShortSoakRunIsClean and of the same violation of the soak: a task of 1 to 3 s that started on a worker while it was slowed down tenfold kept that speed after the fault had ended, and ran for up to 30 s, beyond the bound of 20 s after all faults.

The soak now says what the home knows of a job without an answer.

--- a/load/soak.go
+++ b/load/soak.go
@@ -1,6 +1,7 @@
 package load
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -311,6 +312,28 @@
 	}
 }
 
+// progressOf asks the home of a job what it knows of it.
+func (s *Soak) progressOf(rec *JobRecord) string {
+	s.mu.Lock()
+	home := s.homes[rec.ID.Home]
+	s.mu.Unlock()
+	if home == nil {
+		return "home not asked"
+	}
+	client, err := s.gateways.Client(home.Callers)
+	if err != nil {
+		return "home not asked: " + err.Error()
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), attemptTimeout)
+	defer cancel()
+	p, err := client.Status(ctx, rec.Ref())
+	if err != nil {
+		return "home does not say: " + err.Error()
+	}
+	return fmt.Sprintf("home has %d of %d tasks finished, %d running, %d waiting, verdict %q", p.Finished, p.Tasks, p.Running,
+		p.Waiting, p.Verdict)
+}
+
 // learn records which process minted a job id.
 func (s *Soak) learn(id contract.JobID, p *EntryProcess) {
 	s.mu.Lock()
@@ -327,7 +350,7 @@
 		s.checked(CheckAnswerArrives, 1)
 		if _, ok := rec.First(); !ok {
 			s.violate(rec.violation(CheckAnswerArrives, -1, rec.last(), fmt.Sprintf("no final answer after %d attempts, home %s, "+
-				"last error %v", len(rec.Attempts()), s.fate(rec.ID.Home), rec.last().Err)))
+				"last error %v, %s", len(rec.Attempts()), s.fate(rec.ID.Home), rec.last().Err, s.progressOf(rec))))
 			continue
 		}
 		for _, name := range []string{CheckAnswerWhole, CheckResultsRight, CheckNotRunTrue, CheckNoLateStart} {
--- a/standin/control.go
+++ b/standin/control.go
@@ -127,13 +127,13 @@
 	}
 }
 
-// rate returns the speed of a task relative to its slot. A checkpointed task goes on only while a slot is idle.
+// rate returns the speed of a task relative to a worker of speed 1. A checkpointed task goes on only while a slot is idle.
 func (w *Worker) rate(t *workerTask) (rate float64, lapses time.Time, stop string) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	rate = 1
+	rate = w.o.Speed / max(w.faults.Slowdown, 1)
 	if t.control.throttled {
-		rate = throttledRate
+		rate *= throttledRate
 	}
 	if t.control.checkpointed && t.life.busy >= w.o.Slots {
 		rate = 0
--- a/standin/control_test.go
+++ b/standin/control_test.go
@@ -18,14 +18,24 @@
 
 // startTask starts a task of an hour and returns its request and the channel of its reply.
 func startTask(t *testing.T, lease time.Duration) (*link.Workers, dispatch.StartRequest, <-chan dispatch.StartReply) {
+	t.Helper()
+	_, workers, req, replies := startTaskOf(t, lease, time.Hour, WorkerFaults{})
+	return workers, req, replies
+}
+
+// startTaskOf starts a task of some length on a worker with faults.
+func startTaskOf(
+	t *testing.T, lease, length time.Duration, faults WorkerFaults,
+) (*Worker, *link.Workers, dispatch.StartRequest, <-chan dispatch.StartReply) {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
 	started := make(chan string, 1)
 	w := NewWorker(l, WorkerOptions{
 		ID: "w", Slots: 1, Started: func(task string) { started <- task },
-		Work: func(string, string, []byte) ([]byte, time.Duration, error) { return nil, time.Hour, nil },
+		Work: func(string, string, []byte) ([]byte, time.Duration, error) { return nil, length, nil },
 	})
+	w.SetFaults(faults)
 	t.Cleanup(func() { _ = w.Close() })
 	fleet := machine.NewFleet()
 	known, _ := fleet.Upsert(machine.WorkerSpec{ID: "w", Address: w.Address(), Service: "s", Slots: 1})
@@ -48,7 +58,21 @@
 		close(replies)
 	}()
 	<-started
-	return workers, req, replies
+	return w, workers, req, replies
+}
+
+// Guards against slowness that outlives its end for the tasks that started meanwhile: a soak run would wait for them longer
+// than its bound, which counts from the end of all faults.
+func TestSlownessEndsForRunningTasks(t *testing.T) {
+	const hourOfMillis = 3_600_000
+	w, _, _, replies := startTaskOf(t, time.Minute, time.Millisecond, WorkerFaults{Slowdown: hourOfMillis})
+	select {
+	case <-replies:
+		t.Fatal("the slow task has ended")
+	case <-time.After(10 * time.Millisecond):
+	}
+	w.SetFaults(WorkerFaults{})
+	require.Equal(t, contract.OutcomeDone, (<-replies).Outcome)
 }
 
 // Guards against a stopped task that is reported as not run or done, and against calls that reach another process.
--- a/standin/worker.go
+++ b/standin/worker.go
@@ -128,11 +128,14 @@
 // Close stops serving.
 func (w *Worker) Close() error { return w.server.Stop() }
 
-// SetFaults replaces the failures shown.
+// SetFaults replaces the failures shown. A change of speed applies to the tasks that run.
 func (w *Worker) SetFaults(f WorkerFaults) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.faults = f
+	for _, t := range w.life.running {
+		t.control.wake()
+	}
 }
 
 // SetLeaving makes the worker reject all starts.
@@ -224,7 +227,6 @@
 	w.mu.Lock()
 	f := w.faults
 	w.mu.Unlock()
-	speed := w.o.Speed / max(f.Slowdown, 1)
 	outcome, reason := link.OutcomeDone, ""
 	if err != nil {
 		outcome, reason, result = link.OutcomeFailed, err.Error(), nil
@@ -232,7 +234,7 @@
 	if f.FailAll {
 		nominal, outcome, reason, result = 0, link.OutcomeFailed, "worker fails everything", nil
 	}
-	stopped, over := w.work(t, time.Duration(float64(nominal)/speed))
+	stopped, over := w.work(t, nominal)
 	if stopped != "" {
 		outcome, reason, result = link.OutcomeFailed, stopped, nil
 	}
