batch: pause between orders that their owners do not carry out

Change: the task waits 30 ms after an order that its owner does not know, twice as long after each further one, 400 ms at most.

--- a/batch/advance.go
+++ b/batch/advance.go
@@ -12,6 +12,12 @@
 // of the job may have used higher numbers.
 const unstartedGap = 10_000
 
+const (
+	// placeRetryMost bounds the pause between orders of a task that owners do not carry out.
+	placeRetryMost      = 400 * time.Millisecond
+	maxUnknownDoublings = 8
+)
+
 // advance places what can be placed, moves what waits behind others, and answers a job that has ended. The lock of the
 // job's shard is held.
 func (h *Home) advance(j *job, now time.Time, out *outbox) {
@@ -89,6 +95,12 @@
 	}
 }
 
+// unknownRetry is the pause before a task is placed again after n orders in a row that their owners did not carry out. An
+// owner whose messages are delayed rejects each order at once, and would be sent the next one as fast as messages travel.
+func unknownRetry(n int) time.Duration {
+	return min(placeRetry<<min(n, maxUnknownDoublings), placeRetryMost)
+}
+
 // end fixes the outcome of a job and withdraws its runs.
 func (h *Home) end(j *job, o Outcome, reason string, now time.Time, out *outbox) {
 	if j.state != jobActive {
@@ -171,6 +183,8 @@
 		// The owner of a lost run does not know it, but it may be alive on a worker that another VM has taken.
 		if t.state != taskLost {
 			h.unplace(t, r.Ran)
+			t.retryAt = now.Add(unknownRetry(t.unknown))
+			t.unknown++
 		}
 	case contract.RunEnded:
 		if t.started && !t.withdrawn {
@@ -190,7 +204,7 @@
 	if r.Token < t.token {
 		return
 	}
-	t.state, t.owner, t.started, t.worker, t.token = taskPlaced, owner, true, r.Worker, r.Token
+	t.state, t.owner, t.started, t.worker, t.token, t.unknown = taskPlaced, owner, true, r.Worker, r.Token, 0
 	if j.state != jobActive {
 		out.withdraw(j.place(t), r.Key)
 	}
--- a/batch/job.go
+++ b/batch/job.go
@@ -38,6 +38,8 @@
 	placedAt  time.Time
 	lostUntil time.Time
 	retryAt   time.Time
+	// unknown counts the orders in a row of which their owners know nothing.
+	unknown int
 	// unable lists the owners none of whose workers can hold the task.
 	unable []string
 }
