edge: random faults in virtual time

Daemons are killed, stopped, cut off on one side or both, and delayed, workers crash, lose answers and carry orders out late, the store is silent for some; clients send again as the platform's do.

--- /dev/null
+++ b/edge/chaos_test.go
@@ -0,0 +1,357 @@
+package edge
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"slices"
+	"strconv"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/cicadadale/cicadadale/batch"
+	"github.com/cicadadale/cicadadale/contract"
+	"github.com/cicadadale/cicadadale/standin"
+)
+
+const (
+	chaosZones       = 3
+	chaosDaemons     = 2
+	chaosWorkers     = 5
+	chaosDuration    = 20 * time.Second
+	chaosSubmissions = 25 * time.Millisecond
+	// resendDelay is the time after which a client sends a job again whose connection has broken.
+	resendDelay = 1300 * time.Millisecond
+	// chaosSeedVariable selects one seed, chaosCountVariable the number of fresh seeds.
+	chaosSeedVariable  = "EDGE_CHAOS_SEED"
+	chaosCountVariable = "EDGE_CHAOS_COUNT"
+)
+
+// chaos plays random faults on a deployment while clients submit jobs. mu guards the fields below it.
+type chaos struct {
+	d   *deployment
+	rng *rand.Rand
+
+	mu      sync.Mutex
+	faults  map[int]func(from, to string) bool
+	held    map[int]func(from, to string) bool
+	next    int
+	refused map[string]bool
+	trace   []string
+}
+
+// Guards against tasks that run twice at the same time, and refused jobs that have run, under random faults that overlap.
+func TestRandomFaultsBreakNoRule(t *testing.T) {
+	seeds := []uint64{1, 2, 3, 4, 5, 6}
+	if s, err := strconv.ParseUint(os.Getenv(chaosSeedVariable), 10, 64); err == nil {
+		seeds = []uint64{s}
+	}
+	if n, err := strconv.Atoi(os.Getenv(chaosCountVariable)); err == nil {
+		seeds = nil
+		for range n {
+			seeds = append(seeds, rand.Uint64N(1<<32))
+		}
+	}
+	for _, seed := range seeds {
+		t.Run(strconv.FormatUint(seed, 10), func(t *testing.T) { run(t, func(t *testing.T) { playChaos(t, seed) }) })
+	}
+}
+
+func playChaos(t *testing.T, seed uint64) {
+	d := newDeployment(t, chaosZones, chaosDaemons, chaosWorkers)
+	c := &chaos{
+		d: d, rng: rand.New(rand.NewPCG(seed, 1)), faults: make(map[int]func(from, to string) bool),
+		held: make(map[int]func(from, to string) bool), refused: make(map[string]bool),
+	}
+	work := rand.New(rand.NewPCG(seed, 2))
+	var workMu sync.Mutex
+	d.work = func(contract.RunKey) standin.RunOutcome {
+		workMu.Lock()
+		defer workMu.Unlock()
+		takes := time.Duration(50+work.IntN(600)) * time.Millisecond
+		if work.IntN(30) == 0 {
+			takes *= 5
+		}
+		return standin.RunOutcome{Takes: takes, Fails: work.IntN(300) == 0, Stalls: work.IntN(200) == 0}
+	}
+	var clients sync.WaitGroup
+	end := time.Now().Add(chaosDuration)
+	clients.Go(func() { c.inject(end) })
+	requests := rand.New(rand.NewPCG(seed, 3))
+	for i := 0; time.Now().Before(end); i++ {
+		id, zone, limit := fmt.Sprintf("%016x", i), requests.IntN(chaosZones), time.Duration(1200+requests.IntN(4000))*time.Millisecond
+		tasks, pick, leaves := 1+requests.IntN(6), requests.Uint64(), requests.IntN(12) == 0
+		clients.Go(func() { c.client(id, zone, tasks, limit, pick, leaves) })
+		time.Sleep(time.Duration(1+requests.IntN(2*int(chaosSubmissions/time.Millisecond))) * time.Millisecond)
+	}
+	clients.Wait()
+	time.Sleep(3 * time.Second)
+	c.close()
+}
+
+// close ends the deployment and checks what was seen.
+func (c *chaos) close() {
+	for vm := range c.d.daemons {
+		c.d.killDaemon(vm)
+	}
+	c.d.net.closeConns("")
+	c.d.wg.Wait()
+	if len(c.d.seen.twice) > 0 {
+		for _, line := range c.trace {
+			c.d.t.Log(line)
+		}
+	}
+	c.d.checkTwice()
+}
+
+// client sends a job, and sends it again after a broken connection or an answer that leaves its fate open.
+func (c *chaos) client(id string, zone, tasks int, limit time.Duration, pick uint64, leaves bool) {
+	deadline := time.Now().Add(limit)
+	rejections, attempts := 0, 0
+	for ; time.Now().Before(deadline); attempts++ {
+		daemon := c.choose(zone, pick+uint64(attempts))
+		if daemon == nil {
+			time.Sleep(100 * time.Millisecond)
+			attempts--
+			continue
+		}
+		ctx, cancel := context.WithDeadline(context.Background(), deadline)
+		if leaves {
+			ctx, cancel = context.WithTimeout(context.Background(), limit/3)
+		}
+		answer := daemon.Submit(ctx, testJob(id, tasks, time.Until(deadline)))
+		cancel()
+		switch answer.Outcome {
+		case batch.Refused:
+			rejections++
+		case batch.Abandoned:
+			time.Sleep(resendDelay)
+			continue
+		}
+		break
+	}
+	if attempts >= 0 && rejections > 0 && attempts+1 == rejections {
+		time.Sleep(5 * time.Second)
+		require.Zero(c.d.t, c.d.seen.startsOf(id), "starts of refused job %s", id)
+	}
+}
+
+// choose returns a daemon of a failure domain.
+func (c *chaos) choose(zone int, pick uint64) *Daemon {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var ready []*Daemon
+	for i := range chaosDaemons {
+		if daemon := c.d.daemons[fmt.Sprintf("edge-%d-%d", zone, i)]; daemon != nil && daemon.Ready() {
+			ready = append(ready, daemon)
+		}
+	}
+	if len(ready) == 0 {
+		return nil
+	}
+	return ready[pick%uint64(len(ready))]
+}
+
+// inject starts a fault every now and then, until end, and waits for all of them to end.
+func (c *chaos) inject(end time.Time) {
+	var faults sync.WaitGroup
+	defer faults.Wait()
+	begin := time.Now()
+	for time.Now().Before(end.Add(-5 * time.Second)) {
+		time.Sleep(time.Duration(50+c.rng.IntN(900)) * time.Millisecond)
+		kinds := []func(rng *rand.Rand) string{
+			c.kill, c.stop, c.cutDaemon, c.cutZone, c.cutOneWay, c.cutWorkers, c.holdDaemon, c.lateOrders, c.lostAnswers, c.crashWorker,
+			c.storeSilent,
+		}
+		kind, rng := kinds[c.rng.IntN(len(kinds))], rand.New(rand.NewPCG(c.rng.Uint64(), 0))
+		faults.Go(func() {
+			at := time.Since(begin)
+			what := kind(rng)
+			c.mu.Lock()
+			defer c.mu.Unlock()
+			c.trace = append(c.trace, fmt.Sprintf("%v to %v: %s", at, time.Since(begin), what))
+		})
+	}
+}
+
+func faultTime(rng *rand.Rand) time.Duration {
+	return time.Duration(100+rng.IntN(4000)) * time.Millisecond
+}
+
+func anyDaemon(rng *rand.Rand) (vm string, zone int) {
+	zone = rng.IntN(chaosZones)
+	return fmt.Sprintf("edge-%d-%d", zone, rng.IntN(chaosDaemons)), zone
+}
+
+func anyWorker(rng *rand.Rand) string {
+	return fmt.Sprintf("worker-%d-%d", rng.IntN(chaosZones), rng.IntN(chaosWorkers))
+}
+
+// take removes a daemon from those that clients reach; nil if another fault has it.
+func (c *chaos) take(vm string) *Daemon {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	daemon := c.d.daemons[vm]
+	delete(c.d.daemons, vm)
+	return daemon
+}
+
+func (c *chaos) start(vm string, zone int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.d.startDaemon(zoneName(zone), vm)
+}
+
+func (c *chaos) kill(rng *rand.Rand) string {
+	vm, zone := anyDaemon(rng)
+	daemon := c.take(vm)
+	if daemon == nil {
+		return "nothing"
+	}
+	daemon.Close()
+	c.d.net.closeConns(vm)
+	time.Sleep(faultTime(rng) / 2)
+	c.start(vm, zone)
+	return "kill " + vm
+}
+
+func (c *chaos) stop(rng *rand.Rand) string {
+	vm, zone := anyDaemon(rng)
+	daemon := c.take(vm)
+	if daemon == nil {
+		return "nothing"
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), testGrace)
+	defer cancel()
+	daemon.Stop(ctx)
+	daemon.Close()
+	c.d.net.closeConns(vm)
+	time.Sleep(time.Duration(rng.IntN(1000)) * time.Millisecond)
+	c.start(vm, zone)
+	return "stop " + vm
+}
+
+// cut cuts links for a while.
+func (c *chaos) cut(d time.Duration, f func(from, to string) bool) {
+	c.mu.Lock()
+	n := c.next
+	c.next++
+	c.faults[n] = f
+	c.applyCuts()
+	c.mu.Unlock()
+	time.Sleep(d)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	delete(c.faults, n)
+	c.applyCuts()
+}
+
+// applyCuts puts the present cuts and delays in force. c.mu is held.
+func (c *chaos) applyCuts() {
+	anyOf := func(m map[int]func(from, to string) bool) func(from, to string) bool {
+		var all []func(from, to string) bool
+		for _, f := range m {
+			all = append(all, f)
+		}
+		return func(from, to string) bool {
+			return slices.ContainsFunc(all, func(f func(from, to string) bool) bool { return f(from, to) })
+		}
+	}
+	c.d.net.setCut(anyOf(c.faults))
+	c.d.net.hold(anyOf(c.held))
+}
+
+func (c *chaos) cutDaemon(rng *rand.Rand) string {
+	vm, _ := anyDaemon(rng)
+	c.cut(faultTime(rng), func(from, to string) bool { return from == vm || to == vm })
+	return "cut " + vm
+}
+
+func (c *chaos) cutZone(rng *rand.Rand) string {
+	z := rng.IntN(chaosZones)
+	c.cut(faultTime(rng), func(from, to string) bool { return inZone(from, z) != inZone(to, z) })
+	return fmt.Sprintf("cut zone %d", z)
+}
+
+func (c *chaos) cutOneWay(rng *rand.Rand) string {
+	vm, _ := anyDaemon(rng)
+	if rng.IntN(2) == 0 {
+		c.cut(faultTime(rng), func(from, _ string) bool { return from == vm })
+		return "cut from " + vm
+	}
+	c.cut(faultTime(rng), func(_, to string) bool { return to == vm })
+	return "cut to " + vm
+}
+
+func (c *chaos) cutWorkers(rng *rand.Rand) string {
+	a, b := anyWorker(rng), anyWorker(rng)
+	c.cut(faultTime(rng), func(_, to string) bool { return to == a || to == b })
+	return "cut " + a + " " + b
+}
+
+// holdDaemon delays all that a daemon sends and receives, as a VM does that stands still or is very slow.
+func (c *chaos) holdDaemon(rng *rand.Rand) string {
+	vm, _ := anyDaemon(rng)
+	c.mu.Lock()
+	n := c.next
+	c.next++
+	c.held[n] = func(from, to string) bool { return from == vm || to == vm }
+	c.applyCuts()
+	c.mu.Unlock()
+	time.Sleep(faultTime(rng))
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	delete(c.held, n)
+	c.applyCuts()
+	return "hold " + vm
+}
+
+func (c *chaos) lateOrders(rng *rand.Rand) string {
+	for _, h := range c.d.hosts {
+		h.SetLateEach(10+rng.IntN(10), time.Duration(2000+rng.IntN(10000))*time.Millisecond)
+	}
+	time.Sleep(faultTime(rng))
+	for _, h := range c.d.hosts {
+		h.SetLateEach(0, 0)
+	}
+	return "late orders"
+}
+
+func (c *chaos) lostAnswers(rng *rand.Rand) string {
+	h := c.d.hosts[anyWorker(rng)]
+	h.SetLosingAnswers(true)
+	time.Sleep(faultTime(rng))
+	h.SetLosingAnswers(false)
+	return "lost answers"
+}
+
+func (c *chaos) crashWorker(rng *rand.Rand) string {
+	id := anyWorker(rng)
+	h := c.d.hosts[id]
+	h.Crash()
+	time.Sleep(faultTime(rng))
+	h.Restart()
+	born := h.Born()
+	c.d.store.update(func() {
+		workers := slices.Clone(c.d.store.workers)
+		for i := range workers {
+			if workers[i].Worker == id {
+				workers[i].Born = born
+			}
+		}
+		c.d.store.workers = workers
+	})
+	return "crash " + id
+}
+
+func (c *chaos) storeSilent(rng *rand.Rand) string {
+	vm, _ := anyDaemon(rng)
+	c.d.store.update(func() { c.d.store.silent[vm] = true })
+	time.Sleep(faultTime(rng))
+	c.d.store.update(func() { c.d.store.silent[vm] = false })
+	return "store silent for " + vm
+}
--- a/edge/deployment_test.go
+++ b/edge/deployment_test.go
@@ -3,10 +3,12 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"log/slog"
 	"net"
 	"os"
 	"slices"
+	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -193,7 +195,7 @@
 	defer r.mu.Unlock()
 	task := key.Task()
 	if others := r.running[task]; len(others) > 0 {
-		r.twice = append(r.twice, fmt.Sprintf("%s on %s beside %v", key, worker, others))
+		r.twice = append(r.twice, fmt.Sprintf("%s on %s beside %v at %v", key, worker, others, time.Now()))
 	}
 	r.running[task] = append(r.running[task], key)
 	r.starts[task]++
@@ -223,6 +225,33 @@
 	return n
 }
 
+// testLog keeps what all daemons of a test log.
+type testLog struct {
+	mu    sync.Mutex
+	lines []string
+}
+
+// Write implements io.Writer.
+func (l *testLog) Write(b []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.lines = append(l.lines, string(b))
+	return len(b), nil
+}
+
+// of returns the lines that hold a text.
+func (l *testLog) of(text string) []string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var found []string
+	for _, line := range l.lines {
+		if strings.Contains(line, text) {
+			found = append(found, line)
+		}
+	}
+	return found
+}
+
 // deployment is a whole system in one process: daemons, workers and a store.
 type deployment struct {
 	t       *testing.T
@@ -231,6 +260,7 @@
 	hosts   map[string]*standin.RunHost
 	daemons map[string]*Daemon
 	seen    *runsSeen
+	log     *testLog
 	work    func(key contract.RunKey) standin.RunOutcome
 	wg      sync.WaitGroup
 }
@@ -239,6 +269,7 @@
 	n := newNetwork()
 	d := &deployment{
 		t: t, net: n, store: newMemStore(n), hosts: make(map[string]*standin.RunHost), daemons: make(map[string]*Daemon),
+		log: &testLog{},
 		seen: &runsSeen{
 			running: make(map[contract.RunKey][]contract.RunKey), starts: make(map[contract.RunKey]int),
 			done: make(map[contract.RunKey]int),
@@ -281,11 +312,11 @@
 }
 
 func (d *deployment) startDaemon(zone, vm string) *Daemon {
-	level := slog.LevelError
+	out := io.Writer(d.log)
 	if os.Getenv("EDGE_TEST_LOG") != "" {
-		level = slog.LevelInfo
+		out = io.MultiWriter(d.log, os.Stderr)
 	}
-	logger := slog.New(slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{Level: level})).With("vm", vm)
+	logger := slog.New(slog.NewTextHandler(out, nil)).With("vm", vm)
 	daemon, err := New(Options{
 		Self: machine.Member{
 			VM: vm, Incarnation: machine.NewIncarnation(), Address: vm, Domain: zone, CPUMillis: 400,
@@ -313,8 +344,19 @@
 	}
 	d.net.closeConns("")
 	d.wg.Wait()
+	d.checkTwice()
+}
+
+// checkTwice fails the test if a task has run twice at the same time, with what the daemons have logged of it.
+func (d *deployment) checkTwice() {
 	d.seen.mu.Lock()
 	defer d.seen.mu.Unlock()
+	for _, task := range d.seen.twice {
+		job, _, _ := strings.Cut(task, "#")
+		for _, line := range d.log.of(job) {
+			d.t.Log(line)
+		}
+	}
 	require.Empty(d.t, d.seen.twice, "tasks that ran twice at the same time")
 }
 
