pool, edge: runs end before their jobs are sent again, and restarts end no live run

- A worker restarts under its id and address, and its entry in the store lags.
The owner took the old entry for another life and counted the runs of the new life as over.
The worker's own answers now say which life it is, and its lists which runs belong to it.
(TestEntryOfAnotherLifeEndsNoRun)
- An order that was queued for a process that had ended reached the next one on its VM; its stamp lay in the future there, so the run was never given up.
Stamps now count from a random number, and what is queued for a process goes with it.
(TestStampOfAnEarlierProcessProvesNothing)
- A run whose home had died was kept alive by the lease of other runs on its worker when its stop was not delivered.
The lease of a worker now ends 1.2 s after the oldest refresh of its runs, which is before clients send again, and is not extended while a run on it is unclaimed.
(TestRunOfALostHomeLapsesBeforeItsJobIsSentAgain)
- A call with the token of its last life raised the fence of a restarted worker, and the tokens of later owners, counted from its new clock, stayed lower.
Tokens now rise over restarts.
(TestTokenOfTheLastLifeKeepsNoOwnerOut)

Homes count the lapse of a run of a lost owner from when the owner was last heard, 1.26 s, in place of 1.15 s from when it counted as gone, 0.7 s later.

--- a/batch/advance.go
+++ b/batch/advance.go
@@ -81,7 +81,7 @@
 		t.retryAt = now.Add(placeRetry)
 		return
 	}
-	t.state, t.owner, t.placedAt = taskPlaced, owner, now
+	t.state, t.owner, t.placedAt, t.wantedAt = taskPlaced, owner, now, now
 	t.started, t.withdrawn, t.worker, t.token, t.recalled = false, false, "", 0, time.Time{}
 	out.order(owner, j.order(t))
 }
@@ -221,17 +221,20 @@
 	}
 }
 
-// lose records that the fate of a run is not known until its lease has lapsed.
-func (h *Home) lose(t *task, now time.Time) {
+// lose records that the fate of a run is not known until its lease has lapsed. heard is when its owner was last heard: a
+// refresh counts at the owner as no newer than what the home had heard of it.
+func (h *Home) lose(t *task, heard time.Time) {
 	if t.state != taskPlaced {
 		return
 	}
-	t.state, t.lostUntil = taskLost, now.Add(lapse)
+	if t.wantedAt.Before(heard) {
+		heard = t.wantedAt
+	}
+	t.state, t.lostUntil = taskLost, heard.Add(lapse)
 }
 
-// OwnerGone tells the home that an owner cannot be reached any more.
-func (h *Home) OwnerGone(owner string) {
-	now := h.o.Now()
+// OwnerGone tells the home that an owner cannot be reached any more, and when it was last heard.
+func (h *Home) OwnerGone(owner string, heard time.Time) {
 	lost := 0
 	for i := range h.shards {
 		s := &h.shards[i]
@@ -239,7 +242,7 @@
 		for _, j := range s.jobs {
 			for k := range j.tasks {
 				if t := &j.tasks[k]; t.owner == owner && t.state == taskPlaced {
-					h.lose(t, now)
+					h.lose(t, heard)
 					lost++
 				}
 			}
@@ -281,7 +284,7 @@
 		case found && j.state == jobActive && takeover.Token > t.token:
 			h.o.Logger.Info("claiming a run from the new owner of its worker", "task", key.String(),
 				"worker", takeover.Worker, "owner", owner, "last_owner", t.owner)
-			t.state, t.owner, t.placedAt = taskPlaced, owner, now
+			t.state, t.owner, t.placedAt, t.wantedAt = taskPlaced, owner, now, now
 			t.worker, t.token, t.started = takeover.Worker, takeover.Token, true
 			j.ran = true
 			order := j.order(t)
--- a/batch/home.go
+++ b/batch/home.go
@@ -21,9 +21,9 @@
 	tickInterval = 50 * time.Millisecond
 	// refreshInterval is the time between refreshes of runs; owners stop runs that are not refreshed for 800 ms.
 	refreshInterval = 200 * time.Millisecond
-	// lapse is the time after which a run is over whose owner is not heard of any more: owners stop runs that are not
-	// refreshed, and workers stop runs whose lease of a second is not renewed, by clocks that may be 2% slow.
-	lapse = 1150 * time.Millisecond
+	// lapse is the time after its last refresh at which a run is over for certain: owners let its lease end 1.2 s after it,
+	// on workers' clocks that may be 2% slow.
+	lapse = 1260 * time.Millisecond
 	// answerRetention is how long the answer to a job is kept for repeated submissions.
 	answerRetention = 30 * time.Second
 	// moveAfter is the wait in an owner's queue after which a task moves to an owner with room.
@@ -124,7 +124,7 @@
 			}
 			h.advance(j, now, out)
 			if refresh {
-				out.refresh(j)
+				out.refresh(j, now)
 			}
 		}
 		s.mu.Unlock()
@@ -206,7 +206,7 @@
 
 // runEpoch keeps the numbers of runs short. A job that is sent again to another home must have higher numbers than its
 // first runs, which workers refuse to repeat, so the numbers start from the time of day.
-var runEpoch = time.Date(2020, 1, 1, 0, 0, 0, 0, time.UTC)
+var runEpoch = time.Date(2000, 1, 1, 0, 0, 0, 0, time.UTC)
 
 func firstRun(accepted time.Time) uint64 {
 	return uint64(max(accepted.Sub(runEpoch).Milliseconds(), 1))
--- a/batch/home_test.go
+++ b/batch/home_test.go
@@ -75,7 +75,7 @@
 func TestRefusalNeedsProof(t *testing.T) {
 	answer := play(t, func() contract.Batch { return testBatch(1, 3*time.Second) }, func(h *Home, _ *recorder) {
 		h.o.Rooms.Remove(testOwner)
-		h.OwnerGone(testOwner)
+		h.OwnerGone(testOwner, time.Now())
 	})
 	require.Equal(t, Abandoned, answer.Outcome)
 }
@@ -164,3 +164,18 @@
 	})
 	require.Equal(t, Completed, answer.Outcome)
 }
+
+// Guards against a storm of orders: an owner whose messages are delayed rejects each order at once.
+func TestRejectedOrdersAreSpaced(t *testing.T) {
+	play(t, func() contract.Batch { return testBatch(1, 3*time.Second) }, func(h *Home, out *recorder) {
+		for begin, seen := time.Now(), 0; time.Since(begin) < time.Second; time.Sleep(time.Millisecond) {
+			orders := slices.Clone(out.orders)
+			for _, o := range orders[seen:] {
+				tell(h, o.Key, contract.RunUnknown, false)
+			}
+			seen = len(orders)
+		}
+		h.Cancel("00000000000000aa")
+		require.Less(t, len(out.orders), 10)
+	})
+}
--- a/batch/job.go
+++ b/batch/job.go
@@ -33,9 +33,11 @@
 	recalled time.Time
 	worker   string
 	// token is the fencing token under which the run was started, as far as it is known.
-	token     uint64
-	failures  int
-	placedAt  time.Time
+	token    uint64
+	failures int
+	placedAt time.Time
+	// wantedAt is when the home has last told the owner that it wants the run.
+	wantedAt  time.Time
 	lostUntil time.Time
 	retryAt   time.Time
 	// unknown counts the orders in a row of which their owners know nothing.
--- a/batch/outbox.go
+++ b/batch/outbox.go
@@ -1,6 +1,10 @@
 package batch
 
-import "github.com/cicadadale/cicadadale/contract"
+import (
+	"time"
+
+	"github.com/cicadadale/cicadadale/contract"
+)
 
 // outbox collects the messages of a decision, which are sent after the locks are released.
 type outbox struct {
@@ -36,7 +40,7 @@
 
 // refresh adds the runs of a job that may be alive. Runs that are to be withdrawn are withdrawn again, in case the first
 // message was lost.
-func (o *outbox) refresh(j *job) {
+func (o *outbox) refresh(j *job, now time.Time) {
 	for i := range j.tasks {
 		t := &j.tasks[i]
 		if t.state != taskPlaced {
@@ -46,6 +50,7 @@
 			o.withdraw(j.place(t), j.key(t))
 			continue
 		}
+		t.wantedAt = now
 		add(&o.refreshes, j.place(t), j.key(t))
 	}
 }
--- a/command/edge.go
+++ b/command/edge.go
@@ -17,6 +17,7 @@
 	"github.com/cicadadale/cicadadale/admin"
 	"github.com/cicadadale/cicadadale/config"
 	"github.com/cicadadale/cicadadale/edge"
+	"github.com/cicadadale/cicadadale/internal/bootclock"
 	"github.com/cicadadale/cicadadale/internal/logbuffer"
 	"github.com/cicadadale/cicadadale/machine"
 	"github.com/cicadadale/cicadadale/platform"
@@ -118,17 +119,18 @@
 		served := admin.ServeMetrics(l, registry)
 		defer func() { logger.Debug("metrics server stopped", "error", served.Stop()) }()
 	}
+	clock := bootclock.New()
 	daemon, err := edge.New(edge.Options{
 		Self: self, Store: store, Calls: platform.NewWorkers(), Peers: peers, Lease: s.Lease(), Grace: s.Grace(),
 		Dial: func(ctx context.Context, address string) (net.Conn, error) {
 			return dialer.DialContext(ctx, "tcp", address)
 		},
-		Now: time.Now, Logger: logger, Metrics: registry,
+		Now: clock.Now, Logger: logger, Metrics: registry,
 	})
 	if err != nil {
 		return errors.Join(err, peers.Close())
 	}
-	ingress := platform.NewIngress(s.Listen.Front, s.Listen.Readiness, daemon, logger)
+	ingress := platform.NewIngress(s.Listen.Front, s.Listen.Readiness, daemon, clock.Now, logger)
 	failed := make(chan error, 1)
 	go func() { failed <- ingress.Run() }()
 	select {
--- a/edge/chaos_test.go
+++ b/edge/chaos_test.go
@@ -336,6 +336,8 @@
 	time.Sleep(faultTime(rng))
 	h.Restart()
 	born := h.Born()
+	// The entry of the new life comes some time after its start, and later if the store is away.
+	time.Sleep(time.Duration(rng.IntN(1500)) * time.Millisecond)
 	c.d.store.update(func() {
 		workers := slices.Clone(c.d.store.workers)
 		for i := range workers {
--- a/edge/daemon.go
+++ b/edge/daemon.go
@@ -4,6 +4,7 @@
 	"context"
 	"log/slog"
 	"maps"
+	"math/rand/v2"
 	"net"
 	"sync"
 	"time"
@@ -37,6 +38,9 @@
 	orphanDelay = 2 * time.Second
 )
 
+// stampRange bounds the stamp of the start of a process.
+const stampRange = 1 << 40
+
 // Store is what the daemon needs of the platform's store. The calls that follow something run until ctx ends and hand
 // each newer state to the callback, first the present one.
 type Store interface {
@@ -78,6 +82,8 @@
 	cancel  context.CancelFunc
 	tasks   sync.WaitGroup
 	started time.Time
+	// firstStamp is the stamp of the start. It is random, so that a stamp of an earlier process of the VM proves nothing.
+	firstStamp uint64
 
 	// dividing is held while the workers are divided, so that no older division is applied after a newer one. It is
 	// locked before all others.
@@ -102,7 +108,8 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	d := &Daemon{
 		o: o, self: o.Self.ID(), rooms: zone.NewRooms(o.Self.ID(), o.Self.Domain), cancel: cancel, started: o.Now(),
-		pools: make(map[string]*pool.Pool), present: make(map[string]time.Time), workers: newWorkers(o.Logger),
+		firstStamp: rand.Uint64N(stampRange),
+		pools:      make(map[string]*pool.Pool), present: make(map[string]time.Time), workers: newWorkers(o.Logger),
 	}
 	d.members = newMembers(o.Self, d.dialPeer, o.Logger)
 	d.home = batch.New(batch.Options{
@@ -169,8 +176,8 @@
 
 // tick does what only the passing of time decides.
 func (d *Daemon) tick(now time.Time) {
-	for _, id := range d.members.Expire(now) {
-		d.memberGone(id)
+	for _, gone := range d.members.Expire(now) {
+		d.memberGone(gone)
 	}
 	dropped, joined := d.workers.expire(now), d.join(now)
 	if dropped || joined || now.Sub(d.lastDivided()) > divideInterval {
@@ -195,12 +202,12 @@
 }
 
 // memberGone tells all parts that a process cannot be reached any more.
-func (d *Daemon) memberGone(id string) {
-	d.rooms.Remove(id)
+func (d *Daemon) memberGone(gone departure) {
+	d.rooms.Remove(gone.id)
 	for _, p := range d.allPools() {
-		p.HomeGone(id)
+		p.HomeGone(gone.id)
 	}
-	d.home.OwnerGone(id)
+	d.home.OwnerGone(gone.id, gone.heard)
 	d.divide()
 }
 
@@ -318,7 +325,7 @@
 }
 
 func (d *Daemon) learn(m machine.Member, direct bool) {
-	if replaced := d.members.Learn(m, direct); replaced != "" {
+	if replaced := d.members.Learn(m, direct); replaced.id != "" {
 		d.memberGone(replaced)
 	}
 }
--- a/edge/daemon_test.go
+++ b/edge/daemon_test.go
@@ -352,3 +352,19 @@
 		}
 	})
 }
+
+// Guards against messages for an earlier process of a VM that count as fresh at the present one: what they refresh would
+// never count as given up by its home.
+func TestStampOfAnEarlierProcessProvesNothing(t *testing.T) {
+	run(t, func(t *testing.T) {
+		d := newDeployment(t, 1, 1, 1)
+		defer d.close()
+		now := time.Now()
+		stamp := d.daemons["edge-0-0"].stamp(now)
+		require.WithinDuration(t, now, d.daemons["edge-0-0"].stampTime(stamp), time.Millisecond)
+		d.killDaemon("edge-0-0")
+		daemon := d.startDaemon(zoneName(0), "edge-0-0")
+		require.Zero(t, daemon.stampTime(stamp))
+		require.Zero(t, daemon.stampTime(0))
+	})
+}
--- a/edge/member.go
+++ b/edge/member.go
@@ -22,6 +22,12 @@
 	stamp uint64
 }
 
+// departure is a process that is not live any more, and when it was last heard.
+type departure struct {
+	id    string
+	heard time.Time
+}
+
 // candidate returns a member as an owner of workers.
 func candidate(m machine.Member) zone.Candidate {
 	return zone.Candidate{ID: m.ID(), VM: m.VM, Domain: m.Domain, Weight: float64(max(m.CPUMillis, 1))}
--- a/edge/members.go
+++ b/edge/members.go
@@ -33,34 +33,33 @@
 }
 
 // Learn records that a process is said to exist. A process that is heard of directly counts more than what a list says.
-// It returns the id of the process that it replaces.
-func (m *Members) Learn(info machine.Member, direct bool) (replaced string) {
+// It returns the process that it replaces, if that was live.
+func (m *Members) Learn(info machine.Member, direct bool) (replaced departure) {
 	if info.VM == m.self.VM || info.VM == "" || info.Address == "" {
-		return ""
+		return departure{}
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	known, ok := m.byVM[info.VM]
 	if ok && known.info == info {
-		return ""
+		return departure{}
 	}
 	if ok && known.live && !direct {
-		return ""
+		return departure{}
 	}
 	if ok {
 		if known.live {
-			replaced = known.info.ID()
-		}
-		if known.info.Address != info.Address {
-			go known.peer.Close()
-			known.peer = m.dial(info.VM, info.Address)
+			replaced = departure{known.info.ID(), known.heard}
 		}
+		// What is queued was meant for the process that is replaced.
+		go known.peer.Close()
+		known.peer = m.dial(info.VM, info.Address)
 		known.info, known.live, known.heard, known.ownsNothing, known.stamp = info, false, time.Time{}, true, 0
 	} else {
 		m.byVM[info.VM] = &member{info: info, peer: m.dial(info.VM, info.Address), ownsNothing: true}
 	}
 	m.logger.Info("member learned", "member", info.ID(), "address", info.Address, "domain", info.Domain,
-		"direct", direct, "replaces", replaced)
+		"direct", direct, "replaces", replaced.id)
 	return replaced
 }
 
@@ -96,10 +95,10 @@
 
 // Expire returns the processes that have been silent for too long and are not live any more. One that refuses connections
 // is not there, and is not waited for as long as one that may be slow or cut off.
-func (m *Members) Expire(now time.Time) []string {
+func (m *Members) Expire(now time.Time) []departure {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	var gone []string
+	var gone []departure
 	for _, e := range m.byVM {
 		timeout := silenceTimeout
 		if e.peer.Failing() {
@@ -107,7 +106,7 @@
 		}
 		if e.live && now.Sub(e.heard) > timeout {
 			e.live = false
-			gone = append(gone, e.info.ID())
+			gone = append(gone, departure{e.info.ID(), e.heard})
 			m.logger.Warn("member is silent", "member", e.info.ID(), "since", now.Sub(e.heard))
 		}
 	}
--- a/edge/messages.go
+++ b/edge/messages.go
@@ -127,14 +127,17 @@
 	}
 }
 
-// stamp returns the time since the start of this process, as it is sent to the other members.
+// stamp returns the time of this process as it is sent to the other members.
 func (d *Daemon) stamp(now time.Time) uint64 {
-	return uint64(max(now.Sub(d.started).Milliseconds(), 0))
+	return d.firstStamp + uint64(max(now.Sub(d.started).Milliseconds(), 0))
 }
 
-// stampTime returns when this process sent a stamp.
+// stampTime returns when this process sent a stamp: the start of the time for one that it has not sent.
 func (d *Daemon) stampTime(stamp uint64) time.Time {
-	return d.started.Add(time.Duration(stamp) * time.Millisecond)
+	if stamp < d.firstStamp || stamp > d.stamp(d.o.Now()) {
+		return time.Time{}
+	}
+	return d.started.Add(time.Duration(stamp-d.firstStamp) * time.Millisecond)
 }
 
 func (d *Daemon) updateRooms(id, domain string, ownsNothing bool, rooms map[string]zone.BackendRoom) {
--- a/link/hostcalls.go
+++ b/link/hostcalls.go
@@ -38,11 +38,10 @@
 	return "unrecognised"
 }
 
-// HostAddress names one life of a worker.
+// HostAddress names a worker and where it is reached.
 type HostAddress struct {
 	Worker  string
 	Address string
-	Born    int64
 }
 
 // HostStart orders a run. LeaseEnd is a time on the worker's clock.
--- a/machine/host.go
+++ b/machine/host.go
@@ -92,6 +92,14 @@
 	h.contacted, h.suspectUntil = at, time.Time{}
 }
 
+// Restarted records that the worker has begun a new life, with a clock and numbers of ends of its own. What was ordered
+// before and reaches it late may run there for the longest lease.
+func (h *Host) Restarted(reading time.Duration, at time.Time, longestLease time.Duration) {
+	h.clock, h.clockAt, h.contacted = reading, at, at
+	h.leaseEnd = reading + longestLease
+	h.LastSeen = 0
+}
+
 // ClockAt estimates the worker's clock.
 func (h *Host) ClockAt(t time.Time) time.Duration { return h.clock + t.Sub(h.clockAt) }
 
--- a/pool/maintain.go
+++ b/pool/maintain.go
@@ -31,10 +31,22 @@
 	// stallTimeout is the time without progress after which a run counts as standing still. One percent of the longest
 	// tasks on the slowest workers takes half a second.
 	stallTimeout = 900 * time.Millisecond
-	// tokenSpread makes two VMs that take a worker in the same millisecond use different tokens.
-	tokenSpread = 1 << 20
+	// tokenSpread makes two VMs that take a worker in the same millisecond use different tokens. Tokens stay below 2^53, up
+	// to which every decoder of JSON reads numbers exactly.
+	tokenSpread = 1 << 12
 )
 
+// tokenEpoch is where fencing tokens start to count.
+var tokenEpoch = time.Date(2020, 1, 1, 0, 0, 0, 0, time.UTC)
+
+// newToken returns a fencing token for a worker that has said its start and its clock. It rises with the worker's own time
+// and over its restarts, whatever the clocks of the VMs say: a call with the token of an earlier life may have reached the
+// new one, and must not keep later owners out.
+func newToken(reply link.HoldReply) uint64 {
+	millis := max(reply.Born-tokenEpoch.UnixMilli(), 0) + max(reply.Clock.Milliseconds(), 0) + 1
+	return uint64(millis)*tokenSpread + rand.Uint64N(tokenSpread)
+}
+
 // ownedHost is an owned worker with its runs. The pool's lock guards host, runs and lost; the goroutine of maintain owns the
 // rest.
 type ownedHost struct {
@@ -45,6 +57,8 @@
 	kick    chan struct{}
 	lost    bool
 	lostAt  time.Time
+	// born is the life of the worker that was last heard of; zero before the first.
+	born int64
 	// failing is set from a look without an answer to the next answer.
 	failing bool
 	// unacknowledged is set while the worker may hold ends that it has not been told to forget.
@@ -58,14 +72,20 @@
 	}
 }
 
-// wanted reports whether a home has asked for any run of the worker.
-func (t *ownedHost) wanted() bool {
+// leaseLimit returns the time at which the lease of a worker may end at most, if it is extended now. One lease holds for
+// all runs of a worker, so the run that was refreshed longest ago decides, and a run that no home has claimed lets the lease
+// end: the home may have died, and its client may have the job run elsewhere by then.
+func (t *ownedHost) leaseLimit(now time.Time, lease time.Duration) time.Time {
+	limit := now.Add(lease)
 	for _, r := range t.runs {
-		if r.claimed {
-			return true
+		if !r.claimed {
+			return now
+		}
+		if end := r.refreshed.Add(refreshedLease); end.Before(limit) {
+			limit = end
 		}
 	}
-	return false
+	return limit
 }
 
 // maintain owns a worker until ctx ends: it acquires it, renews the lease of its runs and collects their ends.
@@ -147,34 +167,33 @@
 	if len(t.runs) == 0 {
 		return h, t.unacknowledged
 	}
-	// The lease is not extended while the worker does not answer, or no home wants its runs: they end when it lapses.
+	// The lease is not extended while the worker does not answer: its runs end when it lapses.
 	if t.failing {
 		return h, true
 	}
 	h.Wait = holdWait
-	if t.wanted() {
-		h.LeaseEnd = t.host.ExtendLease(p.o.Lease, now)
+	if left := t.leaseLimit(now, p.o.Lease).Sub(now); left > 0 {
+		h.LeaseEnd = t.host.ExtendLease(left, now)
 	}
 	return h, true
 }
 
 // look reads the clock of a worker that is not owned, without effect on its owner.
-func (p *Pool) look(ctx context.Context, t *ownedHost) (time.Duration, error) {
+func (p *Pool) look(ctx context.Context, t *ownedHost) (link.HoldReply, error) {
 	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	reply, err := p.o.Calls.Hold(callCtx, t.address, link.HostHold{})
 	if err != nil {
 		p.o.Calls.Forget(t.address)
 	}
-	return reply.Clock, err
+	return reply, err
 }
 
-// acquire makes this VM the owner of a worker: the token is taken from the worker's own clock, so that a later owner has
-// a higher one whatever the clocks of the VMs say.
-func (p *Pool) acquire(ctx context.Context, t *ownedHost, clock time.Duration) bool {
+// acquire makes this VM the owner of a worker that has answered a look.
+func (p *Pool) acquire(ctx context.Context, t *ownedHost, looked link.HoldReply) bool {
 	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	token := uint64(max(clock.Milliseconds(), 0)+1)*tokenSpread + rand.Uint64N(tokenSpread)
+	token := newToken(looked)
 	reply, err := p.o.Calls.Hold(callCtx, t.address, link.HostHold{Token: token})
 	if err != nil || reply.Fenced || reply.OtherLife {
 		p.o.Logger.Info("worker was not acquired", "worker", t.address.Worker, "token", token, "fenced", reply.Fenced,
@@ -188,6 +207,10 @@
 		p.mu.Unlock()
 		return false
 	}
+	if t.born != 0 && reply.Born != t.born {
+		t.host.Restarted(reply.Clock, now, p.o.Lease)
+	}
+	t.born = reply.Born
 	t.host.SetClock(reply.Clock, now)
 	t.host.Token = token
 	t.unacknowledged = len(reply.Ended) > 0
@@ -199,7 +222,7 @@
 		"ended", len(reply.Ended))
 	p.apply(fx)
 	p.o.Takeover(contract.Takeover{
-		Worker: t.address.Worker, Born: t.address.Born, Token: token, Runs: found,
+		Worker: t.address.Worker, Born: reply.Born, Token: token, Runs: found,
 	})
 	return true
 }
@@ -216,7 +239,7 @@
 		delete(p.barred, running.Key)
 		r := &run{
 			order: contract.TaskOrder{Key: running.Key, Need: p.typical}, state: runRunning, host: t, ran: true, token: t.host.Token,
-			refreshed: now, queued: now, started: now, progress: running.Progress, progressAt: now,
+			queued: now, started: now, progress: running.Progress, progressAt: now,
 		}
 		t.host.Reserve(r.order.Need)
 		t.runs[running.Key] = r
@@ -277,10 +300,13 @@
 		return false
 	}
 	t.failing = false
-	if reply.OtherLife || (reply.Born != 0 && reply.Born != t.address.Born) {
+	if reply.OtherLife {
 		p.lifeEnded(t, now, &fx)
 		return false
 	}
+	if reply.Born != 0 && reply.Born != t.born {
+		p.restarted(t, reply, now)
+	}
 	t.host.SetClock(reply.Clock, now)
 	if reply.Fenced {
 		p.loseOwnership(t, now, &fx)
@@ -292,9 +318,19 @@
 	return true
 }
 
-// lifeEnded records that a worker has been restarted: nothing that was ordered before runs any more. p.mu is held.
+// restarted records that a worker has begun a new life. Its lists tell which of the runs were started in it; the others are
+// over. p.mu is held.
+func (p *Pool) restarted(t *ownedHost, reply link.HoldReply, now time.Time) {
+	p.o.Logger.Warn("worker has been restarted", "worker", t.address.Worker, "born", reply.Born, "last_born", t.born,
+		"runs", len(t.runs), "running", len(reply.Running))
+	t.born = reply.Born
+	t.host.Restarted(reply.Clock, now, p.o.Lease)
+}
+
+// lifeEnded records that another worker answers at the address: nothing that was ordered before runs any more. p.mu is held.
 func (p *Pool) lifeEnded(t *ownedHost, now time.Time, fx *effects) {
-	p.o.Logger.Warn("worker has been restarted", "worker", t.address.Worker, "born", t.address.Born, "runs", len(t.runs))
+	p.o.Logger.Warn("another worker answers at the address", "worker", t.address.Worker, "address", t.address.Address,
+		"runs", len(t.runs))
 	for _, r := range t.runs {
 		if r.state != runStarting {
 			p.finish(r, contract.RunEnded, 0, fx)
@@ -388,8 +424,8 @@
 
 // stopStray stops a run that nobody of this VM has ordered: a start that was carried out late. p.mu is held.
 func (p *Pool) stopStray(t *ownedHost, key contract.RunKey, now time.Time) {
-	r := &run{order: contract.TaskOrder{Key: key, Need: p.typical}, state: runRunning, host: t, claimed: true,
-		unwanted: true, refreshed: now, queued: now, started: now, progressAt: now}
+	r := &run{order: contract.TaskOrder{Key: key, Need: p.typical}, state: runRunning, host: t,
+		unwanted: true, queued: now, started: now, progressAt: now}
 	t.host.Reserve(r.order.Need)
 	t.runs[key] = r
 	p.runs[key] = r
--- a/pool/match.go
+++ b/pool/match.go
@@ -45,7 +45,8 @@
 func (p *Pool) withRoom(now time.Time) []*ownedHost {
 	var hosts []*ownedHost
 	for _, t := range p.hosts {
-		if t.host.CanStart(machine.Resources{}, now) && t.host.Free().CPUMillis > 0 {
+		if t.host.CanStart(machine.Resources{}, now) && t.host.Free().CPUMillis > 0 &&
+			t.leaseLimit(now, p.o.Lease).Sub(now) >= minStartLease {
 			hosts = append(hosts, t)
 		}
 	}
@@ -128,7 +129,8 @@
 	r.host, r.state, r.started, r.ran = t, runStarting, now, true
 	r.progress, r.progressAt, r.token = 0, now, t.host.Token
 	fx.starts = append(fx.starts, startEffect{
-		run: r, host: t, token: t.host.Token, leaseEnd: t.host.ExtendLease(p.o.Lease, now),
+		run: r, host: t, token: t.host.Token,
+		leaseEnd: t.host.ExtendLease(t.leaseLimit(now, p.o.Lease).Sub(now), now),
 	})
 	t.wake()
 }
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -19,6 +19,11 @@
 	// refreshTimeout is the time without a refresh by its home after which a run is stopped. With the lease of a worker
 	// it keeps the runs of a lost home shorter than the time after which a client sends its job again.
 	refreshTimeout = 800 * time.Millisecond
+	// refreshedLease is how long after the last refresh of a run its lease may end. Clients send a job again 1.3 s after its
+	// home has died; workers' clocks are up to 2% slow.
+	refreshedLease = 1200 * time.Millisecond
+	// minStartLease is the least lease with which a task is started.
+	minStartLease = 150 * time.Millisecond
 	// finalRetention is how long the end of a run is kept for a home that does not acknowledge it.
 	finalRetention = 10 * time.Second
 	sweepInterval  = 100 * time.Millisecond
@@ -92,7 +97,8 @@
 }
 
 // SetHosts replaces the set of owned workers. A worker that is not owned any more is abandoned at once: its new owner
-// takes its runs over.
+// takes its runs over. One that is listed at another address has been restarted. Whether one at the same address has been,
+// its own answers say: its entry may be older or newer than the life that the runs belong to.
 func (p *Pool) SetHosts(listings []machine.Listing) {
 	now := p.o.Now()
 	var fx effects
@@ -101,7 +107,7 @@
 	for _, l := range listings {
 		keep[l.Worker] = true
 		t, ok := p.hosts[l.Worker]
-		if ok && (t.host.Listing.Born != l.Born || t.host.Listing.Address != l.Address) {
+		if ok && t.host.Listing.Address != l.Address {
 			p.dropHost(t, true, &fx)
 			ok = false
 		}
@@ -112,6 +118,9 @@
 		if l.Draining && !t.host.Listing.Draining {
 			p.o.Logger.Info("worker is draining; no new tasks", "worker", l.Worker, "runs", t.host.Runs())
 		}
+		if l.Born != t.host.Listing.Born {
+			t.wake()
+		}
 		t.host.Listing = l
 	}
 	for id, t := range p.hosts {
@@ -139,7 +148,7 @@
 	ctx, cancel := context.WithCancel(p.ctx)
 	t := &ownedHost{
 		host: machine.NewHost(l, p.speedOf(l)), kick: make(chan struct{}, 1), cancel: cancel,
-		runs: make(map[contract.RunKey]*run), address: link.HostAddress{Worker: l.Worker, Address: l.Address, Born: l.Born},
+		runs: make(map[contract.RunKey]*run), address: link.HostAddress{Worker: l.Worker, Address: l.Address},
 	}
 	p.hosts[l.Worker] = t
 	p.spawn(func() { p.maintain(ctx, t) })
@@ -195,6 +204,9 @@
 
 func (p *Pool) order(home string, o contract.TaskOrder, fresh, now time.Time, fx *effects) {
 	if r, ok := p.runs[o.Key]; ok {
+		if !r.claimed {
+			r.refreshed = fresh
+		}
 		r.home, r.refreshed, r.claimed = home, later(r.refreshed, fresh), true
 		if r.order.Spec == nil {
 			p.describe(r, o)
@@ -411,7 +423,7 @@
 		case r.state == runFinal && now.Sub(r.ended) > finalRetention:
 			delete(p.runs, k)
 		case r.state == runFinal || r.unwanted:
-		case !r.claimed && now.Sub(r.refreshed) > claimWindow, r.claimed && now.Sub(r.refreshed) > refreshTimeout:
+		case !r.claimed && now.Sub(r.queued) > claimWindow, r.claimed && now.Sub(r.refreshed) > refreshTimeout:
 			p.o.Logger.Info("run is not wanted any more", "task", k.String(), "home", r.home, "claimed", r.claimed,
 				"since_refresh", now.Sub(r.refreshed))
 			p.counter(metric.PoolRunsUnwanted).Inc(1)
--- a/pool/pool_test.go
+++ b/pool/pool_test.go
@@ -37,30 +37,38 @@
 func (o *observer) Ended(string, contract.RunKey, contract.RunState) {}
 
 // hostCalls reaches stand-ins of workers without a network.
-type hostCalls map[string]*standin.RunHost
+type hostCalls struct {
+	hosts map[string]*standin.RunHost
+	// stopsFail makes all stops get no answer and have no effect.
+	stopsFail bool
+}
 
-func (c hostCalls) Start(
+func (c *hostCalls) Start(
 	ctx context.Context, a link.HostAddress, s link.HostStart,
 ) (link.StartVerdict, link.HostReply, error) {
-	return c[a.Worker].Start(ctx, s)
+	return c.hosts[a.Worker].Start(ctx, s)
 }
 
-func (c hostCalls) Stop(
+func (c *hostCalls) Stop(
 	ctx context.Context, a link.HostAddress, k contract.RunKey, token uint64,
 ) (link.HostReply, error) {
-	return c[a.Worker].Stop(ctx, k, token)
+	if c.stopsFail {
+		<-ctx.Done()
+		return link.HostReply{}, ctx.Err()
+	}
+	return c.hosts[a.Worker].Stop(ctx, k, token)
 }
 
-func (c hostCalls) Hold(ctx context.Context, a link.HostAddress, h link.HostHold) (link.HoldReply, error) {
-	return c[a.Worker].Hold(ctx, h)
+func (c *hostCalls) Hold(ctx context.Context, a link.HostAddress, h link.HostHold) (link.HoldReply, error) {
+	return c.hosts[a.Worker].Hold(ctx, h)
 }
 
-func (c hostCalls) Forget(link.HostAddress) {}
+func (c *hostCalls) Forget(link.HostAddress) {}
 
 // bench is a pool with workers. Tasks take the number of milliseconds in takes, by job.
 type bench struct {
 	pool    *Pool
-	calls   hostCalls
+	calls   *hostCalls
 	list    []machine.Listing
 	seen    *observer
 	takes   map[string]time.Duration
@@ -71,7 +79,7 @@
 
 func newBench(workers int) *bench {
 	b := &bench{
-		calls: hostCalls{}, seen: &observer{workers: make(map[string]string)}, takes: make(map[string]time.Duration),
+		calls: &hostCalls{hosts: make(map[string]*standin.RunHost)}, seen: &observer{workers: make(map[string]string)}, takes: make(map[string]time.Duration),
 		sizes: make(map[string]int), reports: make(map[contract.RunKey]contract.RunReport),
 	}
 	for i := range workers {
@@ -84,7 +92,7 @@
 			},
 			Need: func(k contract.RunKey) machine.Resources { return machine.Resources{CPUMillis: b.sizes[k.Batch]} },
 		})
-		b.calls[id] = h
+		b.calls.hosts[id] = h
 		b.list = append(b.list, machine.Listing{Worker: id, Backend: "s", Address: id, Born: h.Born(), Capacity: capacity})
 	}
 	b.pool = New(Options{
@@ -210,7 +218,7 @@
 }
 
 // slowCalls answers looks after a round trip.
-type slowCalls struct{ hostCalls }
+type slowCalls struct{ *hostCalls }
 
 func (c slowCalls) Hold(ctx context.Context, a link.HostAddress, h link.HostHold) (link.HoldReply, error) {
 	time.Sleep(5 * time.Millisecond)
@@ -225,7 +233,7 @@
 		defer b.pool.Close()
 		b.pool.o.Calls = slowCalls{b.calls}
 		b.takes["a"] = 5 * time.Second
-		b.calls["w0"].SetLosingAnswers(true)
+		b.calls.hosts["w0"].SetLosingAnswers(true)
 		start := time.Now()
 		key := b.order("a", 1000, 0, time.Second, 20*time.Second)
 		time.Sleep(20 * time.Millisecond)
@@ -238,3 +246,63 @@
 		require.Equal(t, contract.RunStarted, b.state(key))
 	})
 }
+
+// Guards against a run that outlives the time at which its client sends the job again, 1.3 s after its home has died, when
+// its stop does not reach the worker while other runs keep the lease of the worker alive.
+func TestRunOfALostHomeLapsesBeforeItsJobIsSentAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(1)
+		defer b.pool.Close()
+		b.takes["lost"], b.takes["kept"] = 5*time.Second, 5*time.Second
+		lost := b.order("lost", 500, 0, time.Second, 10*time.Second)
+		kept := b.order("kept", 500, 0, time.Second, 10*time.Second)
+		b.calls.stopsFail = true
+		for died := time.Now(); time.Since(died) < 1300*time.Millisecond; time.Sleep(100 * time.Millisecond) {
+			b.pool.Refresh(testHome, []contract.RunKey{kept}, time.Now())
+		}
+		reply, err := b.calls.hosts["w0"].Hold(context.Background(), link.HostHold{Token: 1 << 62})
+		require.NoError(t, err)
+		for _, r := range reply.Running {
+			require.NotEqual(t, lost, r.Key)
+		}
+	})
+}
+
+// Guards against runs that count as over because the entry of a restarted worker names another life than its answers: the
+// task would be started again beside them.
+func TestEntryOfAnotherLifeEndsNoRun(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(1)
+		defer b.pool.Close()
+		b.calls.hosts["w0"].Crash()
+		time.Sleep(time.Second)
+		b.calls.hosts["w0"].Restart()
+		time.Sleep(time.Second)
+		b.takes["a"] = 800 * time.Millisecond
+		key := b.order("a", 500, 0, time.Second, 10*time.Second)
+		time.Sleep(100 * time.Millisecond)
+		require.Equal(t, contract.RunStarted, b.state(key))
+		b.list[0].Born = b.calls.hosts["w0"].Born()
+		b.pool.SetHosts(b.list)
+		time.Sleep(300 * time.Millisecond)
+		require.Equal(t, contract.RunStarted, b.state(key))
+	})
+}
+
+// Guards against a restarted worker that nobody can own: a call with the fencing token of its last life has reached it, and
+// the tokens of later owners were lower because they counted from its new clock.
+func TestTokenOfTheLastLifeKeepsNoOwnerOut(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(1)
+		time.Sleep(time.Minute)
+		b.calls.hosts["w0"].Crash()
+		b.calls.hosts["w0"].Restart()
+		time.Sleep(2 * time.Second)
+		b.pool.Close()
+		next := New(b.pool.o)
+		defer next.Close()
+		next.SetHosts(b.list)
+		time.Sleep(2 * time.Second)
+		require.Equal(t, []string{"w0"}, next.Owned())
+	})
+}
