--- a/pool/pool_test.go
+++ b/pool/pool_test.go
@@ -294,11 +294,15 @@
 func TestTokenOfTheLastLifeKeepsNoOwnerOut(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		b := newBench(1)
+		b.pool.Close()
 		time.Sleep(time.Minute)
+		last := New(b.pool.o)
+		last.SetHosts(b.list)
+		time.Sleep(time.Second)
 		b.calls.hosts["w0"].Crash()
 		b.calls.hosts["w0"].Restart()
 		time.Sleep(2 * time.Second)
-		b.pool.Close()
+		last.Close()
 		next := New(b.pool.o)
 		defer next.Close()
 		next.SetHosts(b.list)
