--- a/pool/maintain.go
+++ b/pool/maintain.go
@@ -37,7 +37,7 @@
 )
 
 // tokenEpoch is where fencing tokens start to count.
-var tokenEpoch = time.Date(2020, 1, 1, 0, 0, 0, 0, time.UTC)
+var tokenEpoch = time.Date(2000, 1, 1, 0, 0, 0, 0, time.UTC)
 
 // newToken returns a fencing token for a worker that has said its start and its clock. It rises with the worker's own time
 // and over its restarts, whatever the clocks of the VMs say: a call with the token of an earlier life may have reached the
