--- a/pool/maintain.go
+++ b/pool/maintain.go
@@ -39,11 +39,11 @@
 // tokenEpoch is where fencing tokens start to count.
 var tokenEpoch = time.Date(2000, 1, 1, 0, 0, 0, 0, time.UTC)
 
-// newToken returns a fencing token for a worker that has said its start and its clock. It rises with the worker's own time
-// and over its restarts, whatever the clocks of the VMs say: a call with the token of an earlier life may have reached the
-// new one, and must not keep later owners out.
-func newToken(reply link.HoldReply) uint64 {
-	millis := max(reply.Born-tokenEpoch.UnixMilli(), 0) + max(reply.Clock.Milliseconds(), 0) + 1
+// newToken returns a fencing token for a worker that started at born, in milliseconds of Unix time, and whose clock shows
+// that reading. It rises with the worker's own time and over its restarts, whatever the clocks of the VMs say: a call with
+// the token of an earlier life may have reached the new one, and must not keep later owners out.
+func newToken(born int64, clock time.Duration) uint64 {
+	millis := max(born-tokenEpoch.UnixMilli(), 0) + max(clock.Milliseconds(), 0) + 1
 	return uint64(millis)*tokenSpread + rand.Uint64N(tokenSpread)
 }
 
@@ -189,11 +189,21 @@
 	return reply, err
 }
 
+// bornOf returns the start of a worker's life. The answer to a look that is fenced does not say it; the worker's entry does.
+func (p *Pool) bornOf(t *ownedHost, looked link.HoldReply) int64 {
+	if looked.Born != 0 {
+		return looked.Born
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return max(t.born, t.host.Listing.Born)
+}
+
 // acquire makes this VM the owner of a worker that has answered a look.
 func (p *Pool) acquire(ctx context.Context, t *ownedHost, looked link.HoldReply) bool {
 	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	token := newToken(looked)
+	token := newToken(p.bornOf(t, looked), looked.Clock)
 	reply, err := p.o.Calls.Hold(callCtx, t.address, link.HostHold{Token: token})
 	if err != nil || reply.Fenced || reply.OtherLife {
 		p.o.Logger.Info("worker was not acquired", "worker", t.address.Worker, "token", token, "fenced", reply.Fenced,
--- a/pool/pool_test.go
+++ b/pool/pool_test.go
@@ -303,6 +303,7 @@
 		b.calls.hosts["w0"].Restart()
 		time.Sleep(2 * time.Second)
 		last.Close()
+		b.list[0].Born = b.calls.hosts["w0"].Born()
 		next := New(b.pool.o)
 		defer next.Close()
 		next.SetHosts(b.list)
@@ -310,3 +311,18 @@
 		require.Equal(t, []string{"w0"}, next.Owned())
 	})
 }
+
+// Guards against workers that no later owner can acquire: a look at a worker with another owner is fenced, and its answer does
+// not say when the worker started, from which the token counts.
+func TestNextOwnerAcquiresAWorker(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		time.Sleep(time.Hour)
+		b := newBench(1)
+		b.pool.Close()
+		next := New(b.pool.o)
+		defer next.Close()
+		next.SetHosts(b.list)
+		time.Sleep(time.Second)
+		require.Equal(t, []string{"w0"}, next.Owned())
+	})
+}
--- a/standin/runhost.go
+++ b/standin/runhost.go
@@ -331,9 +331,8 @@
 	h.mu.Lock()
 	if !h.admit(c.Token) {
 		defer h.mu.Unlock()
-		reply := h.reply()
-		reply.Fenced = true
-		return link.HoldReply{HostReply: reply}, nil
+		// As on the platform, a fenced answer says the clock but not the life.
+		return link.HoldReply{HostReply: link.HostReply{Clock: h.reply().Clock, Fenced: true}}, nil
 	}
 	if c.LeaseEnd > 0 {
 		h.extend(c.LeaseEnd)
