--- a/command/edge.go
+++ b/command/edge.go
@@ -1,6 +1,7 @@
 package command
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -104,7 +105,7 @@
 		return errors.Join(err, peers.Close())
 	}
 	self := machine.Member{
-		VM: s.VM.ID, Incarnation: machine.NewIncarnation(), Address: peers.Addr().String(), Domain: s.VM.FailureDomain,
+		VM: s.VM.ID, Incarnation: machine.NewIncarnation(), Address: cmp.Or(s.Listen.Advertise, peers.Addr().String()), Domain: s.VM.FailureDomain,
 		CPUMillis: int(s.VM.CPUShare * millisPerCore),
 	}
 	logger.Info("starting", "member", self.ID(), "version", Version, "front", s.Listen.Front, "peers", self.Address,
--- a/config/edge.go
+++ b/config/edge.go
@@ -32,6 +32,8 @@
 	Front     string `toml:"front"`
 	Readiness string `toml:"readiness"`
 	Peers     string `toml:"peers"`
+	// Advertise is where other members reach the peers address, if that differs from it.
+	Advertise string `toml:"advertise"`
 	Metrics   string `toml:"metrics"`
 }
 
@@ -117,9 +119,12 @@
 			findings = append(findings, e.finding(a.key, "%s", reason))
 		}
 	}
-	if e.Listen.Metrics != "" {
-		if reason := addressFinding(e.Listen.Metrics); reason != "" {
-			findings = append(findings, e.finding("listen.metrics", "%s", reason))
+	optional := []struct{ key, value string }{
+		{"listen.metrics", e.Listen.Metrics}, {"listen.advertise", e.Listen.Advertise},
+	}
+	for _, a := range optional {
+		if reason := addressFinding(a.value); a.value != "" && reason != "" {
+			findings = append(findings, e.finding(a.key, "%s", reason))
 		}
 	}
 	if e.VM.CPUShare <= 0 {
--- a/edge/chaos_test.go
+++ b/edge/chaos_test.go
@@ -90,6 +90,7 @@
 	}
 	clients.Wait()
 	time.Sleep(3 * time.Second)
+	c.checkService(t)
 	c.close()
 }
 
@@ -108,6 +109,20 @@
 	c.d.checkTwice()
 }
 
+// checkService fails the test if a daemon does not serve after the faults, or a worker has no owner.
+func (c *chaos) checkService(t *testing.T) {
+	owned := 0
+	var answers []<-chan batch.Answer
+	for vm, daemon := range c.d.daemons {
+		owned += len(daemon.pool(testBackend).Owned())
+		answers = append(answers, c.d.submit(vm, testJob("f00000000000"+vm[5:6]+vm[7:8]+"00", 3, 5*time.Second)))
+	}
+	for _, a := range answers {
+		require.Equal(t, batch.Completed, (<-a).Outcome)
+	}
+	require.Equal(t, chaosZones*chaosWorkers, owned, "workers with an owner")
+}
+
 // client sends a job, and sends it again after a broken connection or an answer that leaves its fate open.
 func (c *chaos) client(id string, zone, tasks int, limit time.Duration, pick uint64, leaves bool) {
 	deadline := time.Now().Add(limit)
--- a/edge/deployment_test.go
+++ b/edge/deployment_test.go
@@ -201,7 +201,7 @@
 	r.starts[task]++
 }
 
-func (r *runsSeen) Ended(_ string, key contract.RunKey, state contract.RunState) {
+func (r *runsSeen) Ended(_ string, key contract.RunKey, state contract.RunState, _ time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	task := key.Task()
--- /dev/null
+++ b/internal/child/process.go
@@ -0,0 +1,65 @@
+// Package child runs programs as child processes, which tests stop, pause and end by signals.
+package child
+
+import (
+	"os"
+	"os/exec"
+	"sync"
+	"syscall"
+	"time"
+)
+
+// Process is one child process. mu guards the error of its end.
+type Process struct {
+	cmd    *exec.Cmd
+	exited chan struct{}
+
+	mu  sync.Mutex
+	err error
+}
+
+// Start runs a program whose output is appended to a file.
+func Start(output, program string, args ...string) (*Process, error) {
+	out, err := os.OpenFile(output, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		return nil, err
+	}
+	defer func() { _ = out.Close() }()
+	cmd := exec.Command(program, args...)
+	cmd.Stderr, cmd.Stdout = out, out
+	if err := cmd.Start(); err != nil {
+		return nil, err
+	}
+	p := &Process{cmd: cmd, exited: make(chan struct{})}
+	go func() {
+		err := cmd.Wait()
+		p.mu.Lock()
+		p.err = err
+		p.mu.Unlock()
+		close(p.exited)
+	}()
+	return p, nil
+}
+
+// Signal sends a signal. A process that has ended gets none.
+func (p *Process) Signal(s syscall.Signal) { _ = p.cmd.Process.Signal(s) }
+
+// Exited is closed when the process has ended.
+func (p *Process) Exited() <-chan struct{} { return p.exited }
+
+// Err returns the error with which the process has ended.
+func (p *Process) Err() error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.err
+}
+
+// Wait returns when the process has ended, with its error, or false after the timeout.
+func (p *Process) Wait(timeout time.Duration) (error, bool) { //nolint:revive // The error is a result, not a failure.
+	select {
+	case <-p.exited:
+		return p.Err(), true
+	case <-time.After(timeout):
+		return nil, false
+	}
+}
--- a/load/process.go
+++ b/load/process.go
@@ -5,13 +5,13 @@
 	"math/rand/v2"
 	"net"
 	"os"
-	"os/exec"
 	"path/filepath"
 	"strings"
 	"sync"
 	"syscall"
 	"time"
 
+	"github.com/cicadadale/cicadadale/internal/child"
 	"github.com/cicadadale/cicadadale/platform"
 	"github.com/cicadadale/cicadadale/zone"
 )
@@ -41,9 +41,7 @@
 	ended func(p *EntryProcess, err error)
 
 	mu        sync.Mutex
-	cmd       *exec.Cmd
-	exited    chan struct{}
-	err       error
+	process   *child.Process
 	expected  bool
 	busy      bool
 	retired   bool
@@ -111,32 +109,23 @@
 	if err != nil {
 		return err
 	}
-	out, err := os.OpenFile(p.log, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	process, err := child.Start(p.log, self, "entry", "--settings", p.settings)
 	if err != nil {
 		return err
 	}
-	defer func() { _ = out.Close() }()
-	cmd := exec.Command(self, "entry", "--settings", p.settings)
-	cmd.Stderr, cmd.Stdout = out, out
-	if err := cmd.Start(); err != nil {
-		return err
-	}
-	exited := make(chan struct{})
 	p.mu.Lock()
-	p.cmd, p.exited, p.err, p.disturbed, p.expected = cmd, exited, nil, false, false
+	p.process, p.disturbed, p.expected = process, false, false
 	p.mu.Unlock()
 	go func() {
-		err := cmd.Wait()
+		<-process.Exited()
 		p.mu.Lock()
-		p.err = err
 		expected := p.expected
 		p.mu.Unlock()
-		close(exited)
 		if !expected && p.ended != nil {
-			p.ended(p, err)
+			p.ended(p, process.Err())
 		}
 	}()
-	return p.waitListening(exited)
+	return p.waitListening(process.Exited())
 }
 
 func (p *EntryProcess) waitListening(exited <-chan struct{}) error {
@@ -159,8 +148,7 @@
 func (p *EntryProcess) Signal(s syscall.Signal) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	// A process that has ended needs no signal.
-	_ = p.cmd.Process.Signal(s)
+	p.process.Signal(s)
 }
 
 // Expect says that the daemon is about to be ended on purpose.
@@ -183,16 +171,9 @@
 // Wait returns when the daemon has ended, with its error, or false after the timeout.
 func (p *EntryProcess) Wait(timeout time.Duration) (error, bool) { //nolint:revive // The error is a result, not a failure.
 	p.mu.Lock()
-	exited := p.exited
+	process := p.process
 	p.mu.Unlock()
-	select {
-	case <-exited:
-		p.mu.Lock()
-		defer p.mu.Unlock()
-		return p.err, true
-	case <-time.After(timeout):
-		return nil, false
-	}
+	return process.Wait(timeout)
 }
 
 // Kill ends the daemon at once.
--- a/pool/pool_test.go
+++ b/pool/pool_test.go
@@ -34,7 +34,7 @@
 	o.workers[key.Batch] = worker
 }
 
-func (o *observer) Ended(string, contract.RunKey, contract.RunState) {}
+func (o *observer) Ended(string, contract.RunKey, contract.RunState, time.Time) {}
 
 // hostCalls reaches stand-ins of workers without a network.
 type hostCalls struct {
--- /dev/null
+++ b/standin/hostserver.go
@@ -0,0 +1,174 @@
+package standin
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/cloudwego/hertz/pkg/app"
+
+	"github.com/cicadadale/cicadadale/contract"
+	"github.com/cicadadale/cicadadale/internal/httpserve"
+	"github.com/cicadadale/cicadadale/link"
+)
+
+// unansweredFor is how long a call that gets no answer is kept before its connection ends.
+const unansweredFor = 3 * time.Second
+
+// HostServer serves a RunHost over HTTP, by the protocol of the users' platform.
+type HostServer struct {
+	host   *RunHost
+	id     string
+	server *httpserve.Server
+}
+
+// ServeHost serves a worker on a listener.
+func ServeHost(l net.Listener, id string, host *RunHost) *HostServer {
+	s := &HostServer{host: host, id: id, server: httpserve.New(l, nil)}
+	s.server.POST("/-/run-start", s.start)
+	s.server.POST("/-/run-stop", s.stop)
+	s.server.POST("/-/hold", s.hold)
+	s.server.Start()
+	return s
+}
+
+// Close ends the server.
+func (s *HostServer) Close() error { return s.server.Stop() }
+
+// hostCall is the body of all calls to a worker.
+type hostCall struct {
+	Task     string `json:"task"`
+	Run      uint64 `json:"run_id"`
+	Spec     string `json:"task_spec"`
+	Until    int64  `json:"until_ms"`
+	Token    uint64 `json:"fencing_token"`
+	LastSeen uint64 `json:"last_seen"`
+	Wait     int64  `json:"wait_ms"`
+}
+
+// hostAnswer is the body of all answers.
+type hostAnswer struct {
+	Clock   int64   `json:"clock_ms"`
+	Born    int64   `json:"born,omitempty"`
+	Reason  string  `json:"reason,omitempty"`
+	Running [][]any `json:"running,omitempty"`
+	Ended   [][]any `json:"ended_runs,omitempty"`
+}
+
+// read decodes a call for this worker. It answers one that is not.
+func (s *HostServer) read(c *app.RequestContext) (hostCall, bool) {
+	var call hostCall
+	if target := string(c.GetHeader("Target-Instance")); target != s.id {
+		c.SetStatusCode(http.StatusMisdirectedRequest)
+		return call, false
+	}
+	if err := json.Unmarshal(c.Request.Body(), &call); err != nil {
+		c.SetStatusCode(http.StatusBadRequest)
+		return call, false
+	}
+	return call, true
+}
+
+func (c hostCall) key() contract.RunKey {
+	parts := strings.Split(c.Task, ".")
+	if len(parts) != 4 {
+		return contract.RunKey{Batch: c.Task, Run: c.Run}
+	}
+	// Names that a daemon of this project does not write count as step and index 0.
+	step, _ := strconv.Atoi(parts[2])
+	index, _ := strconv.Atoi(parts[3])
+	return contract.RunKey{Batch: parts[0], Step: step, Index: index, Run: c.Run}
+}
+
+func taskName(k contract.RunKey) string { return fmt.Sprintf("%s.0.%d.%d", k.Batch, k.Step, k.Index) }
+
+var startReasons = map[link.StartVerdict]string{
+	link.StartFenced: "fence", link.StartSuperseded: "old", link.StartExpired: "late", link.StartNoRoom: "room",
+}
+
+func (s *HostServer) start(ctx context.Context, c *app.RequestContext) {
+	call, ok := s.read(c)
+	if !ok {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, unansweredFor)
+	defer cancel()
+	verdict, reply, err := s.host.Start(ctx, link.HostStart{
+		Key: call.key(), Spec: []byte(call.Spec), LeaseEnd: time.Duration(call.Until) * time.Millisecond, Token: call.Token,
+	})
+	out := hostAnswer{Clock: reply.Clock.Milliseconds()}
+	switch {
+	case err != nil:
+		lose(c)
+	case verdict == link.StartAccepted:
+		c.JSON(http.StatusOK, out)
+	case verdict == link.StartUnhealthy:
+		c.JSON(http.StatusServiceUnavailable, out)
+	default:
+		out.Reason = startReasons[verdict]
+		c.JSON(http.StatusConflict, out)
+	}
+}
+
+// lose ends the connection of a call that gets no answer.
+func lose(c *app.RequestContext) {
+	c.SetConnectionClose()
+	// The caller has given up; closing its connection without a byte makes a late answer impossible.
+	_ = c.GetConn().Close()
+}
+
+func (s *HostServer) stop(ctx context.Context, c *app.RequestContext) {
+	call, ok := s.read(c)
+	if !ok {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, unansweredFor)
+	defer cancel()
+	reply, err := s.host.Stop(ctx, call.key(), call.Token)
+	s.answer(c, link.HoldReply{HostReply: reply}, err)
+}
+
+func (s *HostServer) hold(ctx context.Context, c *app.RequestContext) {
+	call, ok := s.read(c)
+	if !ok {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, unansweredFor)
+	defer cancel()
+	reply, err := s.host.Hold(ctx, link.HostHold{
+		Token: call.Token, LastSeen: call.LastSeen, LeaseEnd: time.Duration(call.Until) * time.Millisecond,
+		Wait: time.Duration(call.Wait) * time.Millisecond,
+	})
+	s.answer(c, reply, err)
+}
+
+var endNames = map[contract.RunState]string{contract.RunDone: "done", contract.RunFailed: "failed"}
+
+func (s *HostServer) answer(c *app.RequestContext, reply link.HoldReply, err error) {
+	if err != nil {
+		lose(c)
+		return
+	}
+	out := hostAnswer{Clock: reply.Clock.Milliseconds(), Born: reply.Born}
+	if reply.Fenced {
+		out.Reason = "fence"
+		c.JSON(http.StatusConflict, out)
+		return
+	}
+	for _, r := range reply.Running {
+		out.Running = append(out.Running, []any{taskName(r.Key), r.Key.Run, "", r.Progress})
+	}
+	for _, e := range reply.Ended {
+		name, ok := endNames[e.State]
+		if !ok {
+			name = "stopped"
+		}
+		out.Ended = append(out.Ended, []any{e.Number, taskName(e.Key), e.Key.Run, name, ""})
+	}
+	c.JSON(http.StatusOK, out)
+}
--- a/standin/runhost.go
+++ b/standin/runhost.go
@@ -28,7 +28,8 @@
 // RunObserver is told of the starts and ends on all workers, under the lock of none.
 type RunObserver interface {
 	Started(worker string, key contract.RunKey)
-	Ended(worker string, key contract.RunKey, state contract.RunState)
+	// Ended is told when the run was over, which for a lapsed lease may be earlier than the call.
+	Ended(worker string, key contract.RunKey, state contract.RunState, at time.Time)
 }
 
 // RunHost is a worker that fences its callers, leases its runs and lists their ends. mu guards all fields below it.
@@ -140,7 +141,7 @@
 	defer h.mu.Unlock()
 	h.down = true
 	for _, r := range h.running {
-		h.endRun(r, contract.RunEnded)
+		h.endRun(r, contract.RunEnded, time.Now())
 	}
 	h.fence, h.lease, h.ends, h.ended = 0, 0, nil, 0
 	clear(h.barred)
@@ -261,7 +262,7 @@
 		return
 	}
 	for _, r := range h.running {
-		h.endRun(r, contract.RunEnded)
+		h.endRun(r, contract.RunEnded, h.born.Add(h.lease))
 	}
 }
 
@@ -275,11 +276,11 @@
 	if r.stopping {
 		state = contract.RunEnded
 	}
-	h.endRun(r, state)
+	h.endRun(r, state, time.Now())
 }
 
 // endRun lists the end of a run and frees its room. h.mu is held.
-func (h *RunHost) endRun(r *hostRun, state contract.RunState) {
+func (h *RunHost) endRun(r *hostRun, state contract.RunState, at time.Time) {
 	if h.running[r.key] != r {
 		return
 	}
@@ -291,7 +292,7 @@
 	h.barred[r.key.Task()] = max(h.barred[r.key.Task()], r.key.Run)
 	h.ended++
 	h.ends = append(h.ends, link.EndedRun{Number: h.ended, Key: r.key, State: state})
-	h.observer.Ended(h.id, r.key, state)
+	h.observer.Ended(h.id, r.key, state, at)
 	close(h.changed)
 	h.changed = make(chan struct{})
 }
