soak: edge daemons as separate processes under random faults

Children that are killed, paused, stopped as planned and reloaded by signals; relays that cut, delay, silence or deafen connections between daemons, to workers and to the store; workers that crash, lose answers, reject, and carry orders out late; a store that is down or loses answers. Clients keep their connections and send again as the platform's do.

--- a/command/root.go
+++ b/command/root.go
@@ -20,7 +20,7 @@
 			"docs/OPERATIONS.md.",
 		Commands: []*cli.Command{
 			entryCommand(), edgeCommand(), standinCommand(), jobCommand(), schemaCommand(), configCommand(), timelineCommand(), logsCommand(), demoCommand(),
-			loadCommand(), soakCommand(), versionCommand(),
+			loadCommand(), soakCommand(), edgeSoakCommand(), versionCommand(),
 		},
 	}
 }
--- a/load/relay.go
+++ b/load/relay.go
@@ -4,6 +4,7 @@
 	"net"
 	"sync"
 	"sync/atomic"
+	"time"
 )
 
 const relayBuffer = 32 << 10
@@ -17,6 +18,8 @@
 	target string
 	cuts   int
 	losing int
+	// delay is the time by which what passes in either direction is held back.
+	delay  time.Duration
 	conns  map[*relayConn]bool
 	closed bool
 }
@@ -25,6 +28,8 @@
 type relayConn struct {
 	near, far net.Conn
 	silent    atomic.Bool
+	// deaf connections pass replies only.
+	deaf      atomic.Bool
 	loseReply atomic.Bool
 }
 
@@ -83,6 +88,28 @@
 	}
 }
 
+// SilenceRequests makes the open connections silent for good towards the target; what the target sends still passes.
+func (r *Relay) SilenceRequests() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for c := range r.conns {
+		c.deaf.Store(true)
+	}
+}
+
+// SetDelay holds back what passes from now on. Zero ends it.
+func (r *Relay) SetDelay(d time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.delay = d
+}
+
+func (r *Relay) delayed() time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.delay
+}
+
 // LoseReplies drops the next reply on each connection that is open or opened until KeepReplies, and then ends the
 // connection.
 func (r *Relay) LoseReplies() {
@@ -158,8 +185,8 @@
 		c.close()
 	}
 	var wg sync.WaitGroup
-	wg.Go(func() { c.pass(near, far, false) })
-	wg.Go(func() { c.pass(far, near, true) })
+	wg.Go(func() { r.pass(c, near, far, false) })
+	wg.Go(func() { r.pass(c, far, near, true) })
 	wg.Wait()
 	r.mu.Lock()
 	delete(r.conns, c)
@@ -167,7 +194,7 @@
 }
 
 // pass copies one direction until either end closes.
-func (c *relayConn) pass(from, to net.Conn, reply bool) {
+func (r *Relay) pass(c *relayConn, from, to net.Conn, reply bool) {
 	defer c.close()
 	buf := make([]byte, relayBuffer)
 	for {
@@ -178,9 +205,12 @@
 		if reply && c.loseReply.Load() {
 			return
 		}
-		if c.silent.Load() {
+		if c.silent.Load() || (c.deaf.Load() && !reply) {
 			continue
 		}
+		if d := r.delayed(); d > 0 {
+			time.Sleep(d)
+		}
 		if _, err := to.Write(buf[:n]); err != nil {
 			return
 		}
--- /dev/null
+++ b/soak/client.go
@@ -0,0 +1,133 @@
+package soak
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"time"
+)
+
+const (
+	// resendDelay is the time after which a client sends a job again whose connection has broken.
+	resendDelay = 1300 * time.Millisecond
+	// answerSlack is how long after its time limit an answer may come.
+	answerSlack = 500 * time.Millisecond
+	clientPause = 20 * time.Millisecond
+	mostTasks   = 6
+)
+
+// attempt is one submission of a job.
+type attempt struct {
+	status int
+	state  string
+	err    error
+	daemon *daemon
+	sent   time.Time
+	took   time.Duration
+}
+
+// job is a job with what its client saw of it.
+type job struct {
+	id       string
+	tasks    int
+	limit    time.Duration
+	attempts []attempt
+}
+
+// refused reports whether all attempts were rejected as not run.
+func (j *job) refused() bool {
+	for _, a := range j.attempts {
+		if a.status != http.StatusTooManyRequests && a.status != http.StatusServiceUnavailable {
+			return false
+		}
+	}
+	return len(j.attempts) > 0
+}
+
+// client is one client of a failure domain. It keeps its connections open.
+type client struct {
+	s      *Soak
+	rng    *rand.Rand
+	http   *http.Client
+	domain string
+}
+
+func newClient(s *Soak, domain string, rng *rand.Rand) *client {
+	return &client{s: s, rng: rng, domain: domain, http: &http.Client{Transport: &http.Transport{}}}
+}
+
+// run submits jobs one after the other until end.
+func (c *client) run(end time.Time) {
+	defer c.http.CloseIdleConnections()
+	for time.Now().Before(end) {
+		j := &job{
+			id: fmt.Sprintf("%016x", c.rng.Uint64()), tasks: 1 + c.rng.IntN(mostTasks),
+			limit: time.Duration(1200+c.rng.IntN(3000)) * time.Millisecond,
+		}
+		c.submit(j)
+		c.s.keep(j)
+		time.Sleep(clientPause)
+	}
+}
+
+// submit sends a job until it has an answer, its time is up, or it has been refused.
+func (c *client) submit(j *job) {
+	deadline := time.Now().Add(j.limit)
+	pick := c.rng.IntN(len(c.s.daemons))
+	for n := 0; ; n++ {
+		a := c.attempt(j, c.s.near(c.domain, pick+n), time.Until(deadline))
+		j.attempts = append(j.attempts, a)
+		again := a.err != nil || a.status == http.StatusBadGateway || a.status == http.StatusGatewayTimeout
+		if !again || time.Until(deadline) < resendDelay {
+			return
+		}
+		time.Sleep(resendDelay)
+	}
+}
+
+func (c *client) attempt(j *job, d *daemon, left time.Duration) attempt {
+	a := attempt{daemon: d, sent: time.Now()}
+	body, err := json.Marshal(map[string]any{
+		"task_spec": j.id, "best_effort": true,
+		"steps": []map[string]any{{"count": j.tasks, "cpu": taskCPU, "mem_mb": taskMemory, "estimate_ms": 300}},
+	})
+	if err != nil {
+		a.err = err
+		return a
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), left+answerSlack)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+d.front+routePrefix+j.id, bytes.NewReader(body))
+	if err != nil {
+		a.err = err
+		return a
+	}
+	req.Host = routeHost
+	req.Header.Set("Deadline-Ms", strconv.FormatInt(left.Milliseconds(), 10))
+	resp, err := c.http.Do(req)
+	a.took = time.Since(a.sent)
+	if err != nil {
+		a.err = err
+		return a
+	}
+	defer func() { _ = resp.Body.Close() }()
+	text, err := io.ReadAll(resp.Body)
+	if err != nil {
+		a.err = err
+		return a
+	}
+	a.status = resp.StatusCode
+	var answer struct {
+		State string `json:"state"`
+	}
+	if a.status == http.StatusOK {
+		a.err = json.Unmarshal(text, &answer)
+	}
+	a.state = answer.State
+	return a
+}
--- /dev/null
+++ b/soak/fault.go
@@ -0,0 +1,264 @@
+package soak
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/cicadadale/cicadadale/load"
+	"github.com/cicadadale/cicadadale/standin"
+)
+
+// faults maps the name of each kind to what injects it. A kind returns when the fault has ended, with what it struck, or
+// nothing if it could not be injected.
+var faults = map[string]func(s *Soak, rng *rand.Rand) string{
+	"kill":               (*Soak).kill,
+	"kill_all":           (*Soak).killAll,
+	"pause":              (*Soak).pause,
+	"planned_stop":       (*Soak).plannedStop,
+	"reload":             (*Soak).reload,
+	"peers_cut":          (*Soak).cutPeers,
+	"peers_silent":       (*Soak).silencePeers,
+	"peers_one_way":      (*Soak).silencePeerRequests,
+	"peers_slow":         (*Soak).slowPeers,
+	"store_cut":          (*Soak).cutStore,
+	"store_silent":       (*Soak).silenceStore,
+	"store_down":         (*Soak).storeDown,
+	"store_loses":        (*Soak).storeLoses,
+	"worker_cut":         (*Soak).cutWorker,
+	"worker_silent":      (*Soak).silenceWorker,
+	"worker_slow":        (*Soak).slowWorker,
+	"worker_crash":       (*Soak).crashWorker,
+	"worker_late_orders": (*Soak).lateOrders,
+	"worker_loses":       (*Soak).loseStarts,
+	"worker_rejects":     (*Soak).rejectStarts,
+}
+
+// calmTail is the time at the end of a run in which no fault starts.
+const calmTail = time.Second
+
+// inject starts faults drawn from the seed until end, and waits for all of them to end.
+func (s *Soak) inject(rng *rand.Rand, end time.Time) {
+	kinds := FaultKinds()
+	if len(s.o.Faults) > 0 {
+		kinds = s.o.Faults
+	}
+	var all sync.WaitGroup
+	defer all.Wait()
+	for time.Now().Before(end.Add(-calmTail)) {
+		time.Sleep(time.Duration(50+rng.IntN(500)) * time.Millisecond)
+		kind, own := kinds[rng.IntN(len(kinds))], rand.New(rand.NewPCG(rng.Uint64(), 0))
+		all.Go(func() {
+			begin := time.Now()
+			if struck := faults[kind](s, own); struck != "" {
+				s.injected(kind, struck, begin)
+			}
+		})
+	}
+}
+
+func lasting(rng *rand.Rand) time.Duration {
+	return time.Duration(200+rng.IntN(3000)) * time.Millisecond
+}
+
+func (s *Soak) anyDaemon(rng *rand.Rand) *daemon { return s.daemons[rng.IntN(len(s.daemons))] }
+
+func (s *Soak) anyWorker(rng *rand.Rand) *worker { return s.workers[rng.IntN(len(s.workers))] }
+
+// restart starts a daemon again after a pause.
+func (s *Soak) restart(d *daemon, pause time.Duration) {
+	time.Sleep(pause)
+	if err := d.start(); err != nil {
+		s.violate("daemon_starts", err.Error())
+	}
+}
+
+func (s *Soak) kill(rng *rand.Rand) string {
+	d := s.anyDaemon(rng)
+	if !d.reserve() {
+		return ""
+	}
+	defer d.release()
+	d.end(syscall.SIGKILL, startTimeout)
+	s.restart(d, lasting(rng)/2)
+	return d.vm
+}
+
+func (s *Soak) killAll(rng *rand.Rand) string {
+	pause := lasting(rng) / 2
+	var all sync.WaitGroup
+	for _, d := range s.daemons {
+		if d.reserve() {
+			all.Go(func() {
+				defer d.release()
+				d.end(syscall.SIGKILL, startTimeout)
+				s.restart(d, pause)
+			})
+		}
+	}
+	all.Wait()
+	return "all"
+}
+
+func (s *Soak) pause(rng *rand.Rand) string {
+	d := s.anyDaemon(rng)
+	if !d.reserve() {
+		return ""
+	}
+	defer d.release()
+	d.signal(syscall.SIGSTOP)
+	time.Sleep(lasting(rng))
+	d.signal(syscall.SIGCONT)
+	return d.vm
+}
+
+func (s *Soak) plannedStop(rng *rand.Rand) string {
+	d := s.anyDaemon(rng)
+	if !d.reserve() {
+		return ""
+	}
+	defer d.release()
+	begin := time.Now()
+	if !d.end(syscall.SIGTERM, grace+time.Second) {
+		s.violate("stop_ends_in_time", fmt.Sprintf("%s still runs %v after SIGTERM", d.vm, time.Since(begin)))
+		d.end(syscall.SIGKILL, startTimeout)
+	}
+	s.stopped(d, begin)
+	s.restart(d, time.Duration(rng.IntN(1000))*time.Millisecond)
+	return d.vm
+}
+
+func (s *Soak) reload(rng *rand.Rand) string {
+	d := s.anyDaemon(rng)
+	if !d.reserve() {
+		return ""
+	}
+	defer d.release()
+	d.signal(syscall.SIGHUP)
+	return d.vm
+}
+
+// cut cuts a relay for a while.
+func cut(r *load.Relay, rng *rand.Rand) {
+	r.Cut()
+	time.Sleep(lasting(rng))
+	r.Mend()
+}
+
+func slow(r *load.Relay, rng *rand.Rand) {
+	r.SetDelay(time.Duration(20+rng.IntN(400)) * time.Millisecond)
+	time.Sleep(lasting(rng))
+	r.SetDelay(0)
+}
+
+func (s *Soak) cutPeers(rng *rand.Rand) string {
+	d := s.anyDaemon(rng)
+	cut(d.peers, rng)
+	return d.vm
+}
+
+func (s *Soak) silencePeers(rng *rand.Rand) string {
+	d := s.anyDaemon(rng)
+	d.peers.Silence()
+	return d.vm
+}
+
+func (s *Soak) silencePeerRequests(rng *rand.Rand) string {
+	d := s.anyDaemon(rng)
+	d.peers.SilenceRequests()
+	return d.vm
+}
+
+func (s *Soak) slowPeers(rng *rand.Rand) string {
+	d := s.anyDaemon(rng)
+	slow(d.peers, rng)
+	return d.vm
+}
+
+func (s *Soak) cutStore(rng *rand.Rand) string {
+	d := s.anyDaemon(rng)
+	cut(d.store, rng)
+	return d.vm
+}
+
+func (s *Soak) silenceStore(rng *rand.Rand) string {
+	d := s.anyDaemon(rng)
+	d.store.Silence()
+	return d.vm
+}
+
+func (s *Soak) storeDown(rng *rand.Rand) string {
+	s.store.SetDown(true)
+	time.Sleep(lasting(rng))
+	s.store.SetDown(false)
+	return "store"
+}
+
+func (s *Soak) storeLoses(rng *rand.Rand) string {
+	s.store.SetLosingAnswers(true)
+	time.Sleep(lasting(rng))
+	s.store.SetLosingAnswers(false)
+	return "store"
+}
+
+func (s *Soak) cutWorker(rng *rand.Rand) string {
+	w := s.anyWorker(rng)
+	cut(w.relay, rng)
+	return w.id
+}
+
+func (s *Soak) silenceWorker(rng *rand.Rand) string {
+	w := s.anyWorker(rng)
+	w.relay.Silence()
+	return w.id
+}
+
+func (s *Soak) slowWorker(rng *rand.Rand) string {
+	w := s.anyWorker(rng)
+	slow(w.relay, rng)
+	return w.id
+}
+
+func (s *Soak) crashWorker(rng *rand.Rand) string {
+	w := s.anyWorker(rng)
+	if !w.crashing.TryLock() {
+		return ""
+	}
+	defer w.crashing.Unlock()
+	w.host.Crash()
+	time.Sleep(lasting(rng))
+	w.host.Restart()
+	// The entry of the new life comes some time after its start.
+	time.Sleep(lasting(rng) / 2)
+	s.list(w)
+	return w.id
+}
+
+// onWorker applies a fault to a worker for a while.
+func (s *Soak) onWorker(rng *rand.Rand, set func(h *standin.RunHost, on bool)) string {
+	w := s.anyWorker(rng)
+	set(w.host, true)
+	time.Sleep(lasting(rng))
+	set(w.host, false)
+	return w.id
+}
+
+func (s *Soak) lateOrders(rng *rand.Rand) string {
+	each, delay := 5+rng.IntN(10), time.Duration(2000+rng.IntN(6000))*time.Millisecond
+	return s.onWorker(rng, func(h *standin.RunHost, on bool) {
+		if !on {
+			each = 0
+		}
+		h.SetLateEach(each, delay)
+	})
+}
+
+func (s *Soak) loseStarts(rng *rand.Rand) string {
+	return s.onWorker(rng, (*standin.RunHost).SetLosingAnswers)
+}
+
+func (s *Soak) rejectStarts(rng *rand.Rand) string {
+	return s.onWorker(rng, (*standin.RunHost).SetRejecting)
+}
