--- /dev/null
+++ b/soak/soak_test.go
@@ -0,0 +1,57 @@
+package soak_test
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"os"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/cicadadale/cicadadale/command"
+	"github.com/cicadadale/cicadadale/soak"
+)
+
+// TestMain runs the edge daemon when the soak starts the test binary as a child process.
+func TestMain(m *testing.M) {
+	if len(os.Args) > 1 && os.Args[1] == "edge" {
+		if err := command.Root().Run(context.Background(), os.Args); err != nil {
+			_, _ = fmt.Fprintln(os.Stderr, err)
+			os.Exit(1)
+		}
+		return
+	}
+	os.Exit(m.Run())
+}
+
+// Guards against a soak that starts nothing, injects nothing or checks nothing, and against daemons that break a promise as
+// separate processes.
+func TestShortSoakOfEdgeDaemonsIsClean(t *testing.T) {
+	program, err := os.Executable()
+	require.NoError(t, err)
+	kinds := []string{"kill", "planned_stop", "pause", "peers_silent", "store_cut", "worker_crash", "worker_loses"}
+	var out bytes.Buffer
+	r, err := soak.Run(soak.Options{
+		Program: program, Seed: 1, Duration: 4 * time.Second, Domains: 2, Daemons: 2, Workers: 4, Faults: kinds,
+		Dir: t.TempDir(), Out: &out,
+	})
+	require.NoError(t, err)
+	require.Zero(t, r.Violations, out.String())
+	require.Positive(t, r.TasksStarted)
+	require.Positive(t, r.Completed)
+	require.NotEmpty(t, r.FaultsInjected)
+	checks := []string{
+		soak.CheckRunsOnce, soak.CheckRefusalTrue, soak.CheckAnswerWhole, soak.CheckProcessLives, soak.CheckServedAfter,
+	}
+	for _, c := range checks {
+		require.Positive(t, r.InvariantChecks[c], c)
+	}
+}
+
+// Guards against a misspelt kind of fault that leaves a run without faults.
+func TestUnknownFaultIsAnError(t *testing.T) {
+	_, err := soak.Run(soak.Options{Faults: []string{"kil"}})
+	require.ErrorContains(t, err, "kil")
+}
