--- a/load/process.go
+++ b/load/process.go
@@ -68,7 +68,7 @@
 		view: s.View, ended: s.Ended,
 	}
 	for _, address := range []*string{&p.Callers, &p.Peers, &p.Admin} {
-		a, err := freeAddress()
+		a, err := FreeAddress()
 		if err != nil {
 			return nil, err
 		}
@@ -81,8 +81,9 @@
 	return p, os.WriteFile(p.settings, []byte(text), 0o600)
 }
 
-// freeAddress draws a port that nothing listens on. It is no part of the seeded choices.
-func freeAddress() (string, error) {
+// FreeAddress draws a loopback address that nothing listens on, below the ports of outgoing connections. It is no part of the
+// seeded choices of a run.
+func FreeAddress() (string, error) {
 	var last error
 	for range portAttempts {
 		address := fmt.Sprintf("127.0.0.1:%d", firstPort+rand.IntN(lastPort-firstPort))
--- a/soak/daemon.go
+++ b/soak/daemon.go
@@ -51,14 +51,12 @@
 		log: filepath.Join(dir, vm+".log"),
 	}
 	for _, a := range []*string{&d.front, &d.readiness, &d.listen} {
-		l, err := net.Listen("tcp", loopback)
+		// The daemon is started again at the same addresses.
+		address, err := load.FreeAddress()
 		if err != nil {
 			return nil, err
 		}
-		*a = l.Addr().String()
-		if err := l.Close(); err != nil {
-			return nil, err
-		}
+		*a = address
 	}
 	var err error
 	if d.peers, err = load.NewRelay(d.listen); err != nil {
