batch, pool: steps with dependencies and limits of tasks per worker for unstored jobs

A task is placed once all steps that its step depends on are done; the time of a job is predicted along its longest chain of steps. An owner starts no more tasks of a step on a worker than its limit says.

--- a/batch/advance.go
+++ b/batch/advance.go
@@ -44,7 +44,7 @@
 	}
 	switch {
 	case j.state != jobActive:
-	case t.state == taskUnplaced && !now.Before(t.retryAt):
+	case t.state == taskUnplaced && !now.Before(t.retryAt) && j.due(t.step):
 		h.place(j, t, now, out)
 	case h.shouldMove(j, t, now):
 		h.o.Logger.Info("moving a queued task to an owner with room", "task", j.key(t).String(), "owner", t.owner,
@@ -74,7 +74,7 @@
 
 // place orders the next run of a task.
 func (h *Home) place(j *job, t *task, now time.Time, out *outbox) {
-	owner, ok := h.o.Rooms.Reserve(j.batch.Backend, j.batch.Priority, j.expected,
+	owner, ok := h.o.Rooms.Reserve(j.batch.Backend, j.batch.Priority, j.steps[t.step].expected,
 		func(id string) bool { return slices.Contains(t.unable, id) })
 	if !ok {
 		t.unable = nil
@@ -176,6 +176,7 @@
 	case contract.RunDone:
 		t.state = taskDone
 		j.done++
+		j.steps[t.step].left--
 		h.kinds.learn(j.batch.Route, j.batch.Steps[t.step].Estimate, r.RunTime)
 	case contract.RunFailed:
 		h.failed(j, t, r, now, out)
--- a/batch/home.go
+++ b/batch/home.go
@@ -181,7 +181,7 @@
 			return nil, &Answer{Outcome: Failed, Reason: "no worker can hold the tasks"}
 		}
 	}
-	expected := h.kinds.expected(b.Route, b.Steps[0].Estimate)
+	steps, expected, chain := h.plan(b)
 	wait, known := h.o.Rooms.Wait(b.Backend, b.Priority)
 	left := b.Deadline.Sub(now)
 	if known && !(prospects{deadline: b.Deadline, expected: expected}).endsInTime(now, wait) {
@@ -190,8 +190,7 @@
 		h.counter(metric.BatchJobsRefused).Inc(1)
 		return nil, &Answer{Outcome: Refused, Reason: "overloaded", RetryAfter: wait}
 	}
-	j := &job{batch: b, expected: expected, tasks: make([]task, 0, b.Tasks())}
-	chain := h.kinds.longest(expected, b.Steps[0].Count)
+	j := &job{batch: b, steps: steps, expected: expected, tasks: make([]task, 0, b.Tasks())}
 	j.target = b.Accepted.Add(time.Duration(b.TargetFactor*float64(chain)) + b.TargetSlack)
 	for s, step := range b.Steps {
 		for i := range step.Count {
@@ -200,10 +199,27 @@
 	}
 	h.counter(metric.BatchJobsAccepted).Inc(1)
 	h.o.Logger.Info("job accepted", "job", b.ID, "route", b.Route, "tasks", len(j.tasks), "priority", b.Priority,
-		"estimate", b.Steps[0].Estimate, "expected_run", expected, "expected_wait", wait, "time_left", left, "target_in", j.target.Sub(now))
+		"steps", len(b.Steps), "estimate", b.Steps[0].Estimate, "expected_run", expected, "expected_wait", wait, "time_left", left, "target_in", j.target.Sub(now))
 	return j, nil
 }
 
+// plan predicts the run times of the steps of a job. expected is the time that its longest chain of steps takes on the mean,
+// slowest the same with the longest task of each step.
+func (h *Home) plan(b contract.Batch) (steps []step, expected, slowest time.Duration) {
+	steps = make([]step, len(b.Steps))
+	means, ends := make([]time.Duration, len(b.Steps)), make([]time.Duration, len(b.Steps))
+	for i, s := range b.Steps {
+		steps[i] = step{expected: h.kinds.expected(b.Route, s.Estimate), left: s.Count}
+		for _, d := range s.DependsOn {
+			means[i], ends[i] = max(means[i], means[d]), max(ends[i], ends[d])
+		}
+		means[i] += steps[i].expected
+		ends[i] += h.kinds.longest(steps[i].expected, s.Count)
+		expected, slowest = max(expected, means[i]), max(slowest, ends[i])
+	}
+	return steps, expected, slowest
+}
+
 // runEpoch keeps the numbers of runs short. A job that is sent again to another home must have higher numbers than its
 // first runs, which workers refuse to repeat, so the numbers start from the time of day.
 var runEpoch = time.Date(2000, 1, 1, 0, 0, 0, 0, time.UTC)
--- a/batch/home_test.go
+++ b/batch/home_test.go
@@ -179,3 +179,37 @@
 		require.Less(t, len(out.orders), 10)
 	})
 }
+
+// Guards against a step that starts before all tasks of the steps that it depends on are done, and against a job that is
+// answered before its last step.
+func TestStepsWaitForThoseTheyDependOn(t *testing.T) {
+	answer := play(t, func() contract.Batch {
+		b := testBatch(2, 3*time.Second)
+		b.Steps = append(b.Steps, b.Steps[0], b.Steps[0])
+		b.Steps[1].Count, b.Steps[1].DependsOn = 1, []int{0}
+		b.Steps[2].Count, b.Steps[2].DependsOn = 1, []int{0, 1}
+		return b
+	}, func(h *Home, out *recorder) {
+		steps := func() []int {
+			var all []int
+			for _, o := range out.orders {
+				all = append(all, o.Key.Step)
+			}
+			return all
+		}
+		finish := func(n int) {
+			key := out.orders[n].Key
+			tell(h, key, contract.RunStarted, true)
+			tell(h, key, contract.RunDone, true)
+		}
+		finish(0)
+		time.Sleep(200 * time.Millisecond)
+		require.Equal(t, []int{0, 0}, steps())
+		finish(1)
+		require.Equal(t, []int{0, 0, 1}, steps())
+		finish(2)
+		require.Equal(t, []int{0, 0, 1, 2}, steps())
+		finish(3)
+	})
+	require.Equal(t, Completed, answer.Outcome)
+}
--- a/batch/job.go
+++ b/batch/job.go
@@ -56,9 +56,19 @@
 	jobEnded
 )
 
+// step is the progress of one step of a job.
+type step struct {
+	// expected is the expected run time of one of its tasks, left the number of its tasks that are not done.
+	expected time.Duration
+	left     int
+}
+
 // job is a batch with its tasks. The lock of its shard guards it.
 type job struct {
-	batch    contract.Batch
+	batch contract.Batch
+	// steps is the progress of each step of the batch.
+	steps []step
+	// expected is the expected run time of the whole job on workers that are free.
 	expected time.Duration
 	target   time.Time
 	tasks    []task
@@ -83,10 +93,11 @@
 // order returns the order for a task's present run.
 func (j *job) order(t *task) contract.TaskOrder {
 	step := &j.batch.Steps[t.step]
+	expected := j.steps[t.step].expected
 	return contract.TaskOrder{
 		Key: j.key(t), Backend: j.batch.Backend, Spec: j.batch.Spec, Need: step.Need, Priority: j.batch.Priority,
-		Accepted: j.batch.Accepted, Target: j.target, Deadline: j.batch.Deadline, Expected: j.expected,
-		RequiredLabel: step.RequiredLabel, PreferredRack: step.PreferredRack,
+		Accepted: j.batch.Accepted, Target: j.target, Deadline: j.batch.Deadline, Expected: expected,
+		RequiredLabel: step.RequiredLabel, PreferredRack: step.PreferredRack, PerWorkerLimit: step.PerWorkerLimit,
 	}
 }
 
@@ -105,6 +116,16 @@
 	return prospects{accepted: j.batch.Accepted, target: j.target, deadline: j.batch.Deadline, expected: j.expected}
 }
 
+// due reports whether all steps that a step depends on are done.
+func (j *job) due(step int) bool {
+	for _, d := range j.batch.Steps[step].DependsOn {
+		if j.steps[d].left > 0 {
+			return false
+		}
+	}
+	return true
+}
+
 // queued reports whether no task has started.
 func (j *job) queued() bool {
 	for i := range j.tasks {
--- a/contract/batch.go
+++ b/contract/batch.go
@@ -21,6 +21,9 @@
 	return k
 }
 
+// InStep reports whether two keys name tasks of the same step.
+func (k RunKey) InStep(o RunKey) bool { return k.Batch == o.Batch && k.Step == o.Step }
+
 // String returns the key in the form batch.step.index#run.
 func (k RunKey) String() string {
 	b := append([]byte(k.Batch), '.')
@@ -36,7 +39,10 @@
 	Estimate       time.Duration
 	RequiredLabel  string
 	PreferredRack  string
+	// PerWorkerLimit is the number of tasks of the step that may run on one worker; zero for any.
 	PerWorkerLimit int
+	// DependsOn lists earlier steps whose tasks are all done before one of this step starts.
+	DependsOn []int
 }
 
 // Batch is a job whose answer is the reply to its submission: nothing of it outlives its home.
@@ -81,6 +87,8 @@
 	Expected      time.Duration
 	RequiredLabel string
 	PreferredRack string
+	// PerWorkerLimit is the number of tasks of the step that may run on one worker; zero for any.
+	PerWorkerLimit int
 	// Claim says that the run has been started already: an owner that does not know it must not start it.
 	Claim bool
 }
--- a/edge/messages.go
+++ b/edge/messages.go
@@ -298,7 +298,7 @@
 		MemoryMb: uint32(o.Need.MemoryMB), Gpus: uint32(o.Need.GPUs), Priority: uint32(max(o.Priority, 0)),
 		TargetMs: int32(o.Target.Sub(now).Milliseconds()), DeadlineMs: int32(o.Deadline.Sub(now).Milliseconds()),
 		ExpectedMs: clampMillis(o.Expected), RequiredLabel: o.RequiredLabel, PreferredRack: o.PreferredRack, Claim: o.Claim,
-		AgeMs: clampMillis(now.Sub(o.Accepted)),
+		AgeMs: clampMillis(now.Sub(o.Accepted)), PerWorker: uint32(max(o.PerWorkerLimit, 0)),
 	}
 }
 
@@ -312,7 +312,7 @@
 		Target:   now.Add(time.Duration(m.GetTargetMs()) * time.Millisecond),
 		Deadline: now.Add(time.Duration(m.GetDeadlineMs()) * time.Millisecond),
 		Expected: time.Duration(m.GetExpectedMs()) * time.Millisecond, RequiredLabel: m.GetRequiredLabel(),
-		PreferredRack: m.GetPreferredRack(), Claim: m.GetClaim(),
+		PreferredRack: m.GetPreferredRack(), Claim: m.GetClaim(), PerWorkerLimit: int(m.GetPerWorker()),
 		Accepted: now.Add(-time.Duration(m.GetAgeMs()) * time.Millisecond),
 	}
 }
--- a/pool/match.go
+++ b/pool/match.go
@@ -70,12 +70,26 @@
 	if !t.host.CanStart(o.Need, now) || !t.host.Listing.CanHold(o.Need, o.RequiredLabel) {
 		return false
 	}
+	if o.PerWorkerLimit > 0 && t.inStep(o.Key) >= o.PerWorkerLimit {
+		return false
+	}
 	if o.PreferredRack == "" || t.host.Listing.HasLabel(o.PreferredRack) || now.Sub(r.queued) > o.Expected {
 		return true
 	}
 	return !p.hasRack(o.PreferredRack, now)
 }
 
+// inStep returns the number of runs of a step on the worker.
+func (t *ownedHost) inStep(key contract.RunKey) int {
+	n := 0
+	for k := range t.runs {
+		if k.InStep(key) {
+			n++
+		}
+	}
+	return n
+}
+
 // hasRack reports whether a usable worker of the pool is in a rack.
 func (p *Pool) hasRack(rack string, now time.Time) bool {
 	for _, t := range p.hosts {
--- a/pool/pool_test.go
+++ b/pool/pool_test.go
@@ -326,3 +326,23 @@
 		require.Equal(t, []string{"w0"}, next.Owned())
 	})
 }
+
+// Guards against more tasks of a step on one worker than its limit allows, and against a limit that keeps other jobs out.
+func TestLimitOfTasksPerWorker(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(2)
+		defer b.pool.Close()
+		b.sizes["spread"], b.takes["spread"] = 500, time.Second
+		now := time.Now()
+		for i := range 4 {
+			b.pool.Order(testHome, contract.TaskOrder{
+				Key: contract.RunKey{Batch: "spread", Index: i, Run: 1}, Backend: "s", Need: machine.Resources{CPUMillis: 500},
+				Accepted: now, Target: now.Add(time.Second), Deadline: now.Add(10 * time.Second), Expected: time.Second,
+				PerWorkerLimit: 1,
+			}, now)
+		}
+		b.order("other", 500, 0, time.Second, 10*time.Second)
+		time.Sleep(100 * time.Millisecond)
+		require.ElementsMatch(t, []string{"spread", "spread", "other"}, b.seen.started)
+	})
+}
