batch: answer an unproven refusal at the time limit

A refusal waits for the owners' proof that no run has started; an owner that has gone gives it when its runs have lapsed, 1.26 s later. At the time limit the answer is now that the fate is open. (TestUnprovenRefusalIsAnsweredAtTheTimeLimit fails without the change.) Ruled out: connections that the stop closes early; the log shows the jobs as accepted and not answered.

--- a/batch/advance.go
+++ b/batch/advance.go
@@ -30,6 +30,10 @@
 	if j.state == jobActive && j.done == len(j.tasks) {
 		h.end(j, Completed, "", now, out)
 	}
+	if j.state == jobEnding && j.outcome == Refused && !now.Before(j.batch.Deadline) {
+		// It is not known whether a run has started, and the caller waits no longer.
+		j.outcome, j.answer = Abandoned, Answer{Outcome: Abandoned, Reason: "time limit"}
+	}
 	if j.state == jobEnding && (j.settled() || j.outcome != Refused) {
 		h.answer(j, now)
 	}
--- a/batch/home_test.go
+++ b/batch/home_test.go
@@ -213,3 +213,20 @@
 	})
 	require.Equal(t, Completed, answer.Outcome)
 }
+
+// Guards against an answer that comes after the time limit: a refusal waits for the proof that nothing has started, which an
+// owner out of reach gives late or never.
+func TestUnprovenRefusalIsAnsweredAtTheTimeLimit(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h, _ := newTestHome()
+		defer h.Close()
+		begin := time.Now()
+		time.AfterFunc(900*time.Millisecond, func() {
+			h.o.Rooms.Remove(testOwner)
+			h.OwnerGone(testOwner, time.Now())
+		})
+		answer := h.Submit(context.Background(), testBatch(1, time.Second))
+		require.Equal(t, Abandoned, answer.Outcome)
+		require.Less(t, time.Since(begin), 1100*time.Millisecond)
+	})
+}
