edge: control that grows less with the number of members

At 102 machines a daemon took 61% of its processor share in the middle and 76% at the busiest, and 809 and 1,011 kB/s: every daemon read the heartbeats of all workers, and told all others its room five times a second and more.

Change: in a failure domain of more than 16 members three read the workers' entries and pass changes on; statuses come as much less often as there are more members; acknowledgements carry the receiver's stamp, so that what a home and an owner send each other keeps its freshness without statuses; a member is silent if what was sent to it is not acknowledged. Deployments of up to 16 members a failure domain and 50 in all behave as before.

--- a/edge/daemon.go
+++ b/edge/daemon.go
@@ -24,6 +24,10 @@
 	// statusInterval is the time between two statuses to all members. The own failure domain, where most tasks are
 	// placed, is told of changed rooms with the next tick. With 42 members this halves the messages of a daemon.
 	statusInterval = 200 * time.Millisecond
+	// nearShare and farShare are the time between statuses for each member that gets them, so that the statuses that a
+	// process receives in a second do not grow with the number of members.
+	nearShare = 2500 * time.Microsecond
+	farShare  = 4 * time.Millisecond
 	// joinDelay is how long a process that starts waits for the other members before it owns workers. A process that
 	// took workers before it knows the others would take all of them.
 	joinDelay = 400 * time.Millisecond
@@ -44,7 +48,8 @@
 // Store is what the daemon needs of the platform's store. The calls that follow something run until ctx ends and hand
 // each newer state to the callback, first the present one.
 type Store interface {
-	FollowWorkers(ctx context.Context, f func([]machine.Listing))
+	// FollowWorkers reads nothing while active is false, and lists all workers again afterwards.
+	FollowWorkers(ctx context.Context, active func() bool, f func([]machine.Listing))
 	FollowDesired(ctx context.Context, f func(contract.Desired))
 	FollowMembers(ctx context.Context, f func([]machine.Member))
 	PublishMember(ctx context.Context, m machine.Member) error
@@ -79,6 +84,7 @@
 	home    *batch.Home
 	server  *link.PeerServer
 	workers *workers
+	feed    *workerFeed
 	cancel  context.CancelFunc
 	tasks   sync.WaitGroup
 	started time.Time
@@ -92,12 +98,14 @@
 	mu            sync.Mutex
 	pools         map[string]*pool.Pool
 	desired       contract.Desired
-	listed        bool
+	storeRead     bool
 	joined        bool
 	stopping      bool
 	stoppingSince time.Time
-	sent          time.Time
-	lastRoom      map[string]zone.BackendRoom
+	// sentNear and sentFar are the times of the last statuses to the own failure domain and to all.
+	sentNear time.Time
+	sentFar  time.Time
+	lastRoom map[string]zone.BackendRoom
 	// present says when a member was last seen in a failure domain.
 	present map[string]time.Time
 	divided time.Time
@@ -115,14 +123,15 @@
 	d.home = batch.New(batch.Options{
 		Owners: owners{d}, Rooms: d.rooms, Fits: d.workers.fits, Now: o.Now, Logger: o.Logger, Metrics: o.Metrics,
 	})
-	server, err := link.ServePeers(o.Peers, d.handle)
+	d.feed = newWorkerFeed(d.self, d.members, o.Now, o.Logger)
+	server, err := link.ServePeers(o.Peers, d.handle, func() uint64 { return d.stamp(o.Now()) })
 	if err != nil {
 		cancel()
 		d.home.Close()
 		return nil, err
 	}
 	d.server = server
-	d.spawn(func() { o.Store.FollowWorkers(ctx, d.setListings) })
+	d.spawn(func() { o.Store.FollowWorkers(ctx, d.feed.Reads, d.listed) })
 	d.spawn(func() { o.Store.FollowDesired(ctx, func(s contract.Desired) { d.setDesired(s, "store") }) })
 	d.spawn(func() { o.Store.FollowMembers(ctx, d.setMembers) })
 	d.spawn(func() { d.announce(ctx) })
@@ -140,8 +149,9 @@
 
 func (d *Daemon) dialPeer(vm, address string) *link.Peer {
 	return link.NewPeer(vm, address, link.PeerOptions{
-		Self: link.Identity{VM: machine.EntryVM{ID: d.o.Self.VM, Incarnation: d.o.Self.Incarnation}},
-		Dial: d.o.Dial, Lamport: func() uint64 { return 0 }, Now: d.o.Now, Logger: d.o.Logger, Metrics: d.o.Metrics,
+		Self:    link.Identity{VM: machine.EntryVM{ID: d.o.Self.VM, Incarnation: d.o.Self.Incarnation}},
+		Stamped: func(vm string, stamp uint64) { d.members.Stamped(vm, stamp, d.o.Now()) },
+		Dial:    d.o.Dial, Lamport: func() uint64 { return 0 }, Now: d.o.Now, Logger: d.o.Logger, Metrics: d.o.Metrics,
 	})
 }
 
@@ -181,6 +191,7 @@
 	}
 	dropped, joined := d.workers.expire(now), d.join(now)
 	if dropped || joined || now.Sub(d.lastDivided()) > divideInterval {
+		d.feed.Decide()
 		d.divide()
 	}
 	d.sendStatus(now)
@@ -190,7 +201,7 @@
 func (d *Daemon) join(now time.Time) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if d.joined || d.stopping || !d.listed || now.Sub(d.started) < joinDelay {
+	if d.joined || d.stopping || !d.storeRead || now.Sub(d.started) < joinDelay {
 		return false
 	}
 	if !d.members.Settled() && now.Sub(d.started) < joinLimit {
@@ -292,6 +303,14 @@
 	}
 }
 
+// listed takes the platform's list of workers from the store, and passes it on.
+func (d *Daemon) listed(l []machine.Listing) {
+	d.setListings(l)
+	if m := d.feed.PassOn(l); m != nil {
+		d.members.BroadcastNear(m)
+	}
+}
+
 // setListings takes the platform's list of workers.
 func (d *Daemon) setListings(l []machine.Listing) {
 	d.workers.set(l, d.o.Now())
@@ -320,7 +339,7 @@
 	}
 	d.members.Keep(listed)
 	d.mu.Lock()
-	d.listed = true
+	d.storeRead = true
 	d.mu.Unlock()
 }
 
--- a/edge/deployment_test.go
+++ b/edge/deployment_test.go
@@ -79,8 +79,11 @@
 	}
 }
 
-func (v view) FollowWorkers(ctx context.Context, f func([]machine.Listing)) {
+func (v view) FollowWorkers(ctx context.Context, active func() bool, f func([]machine.Listing)) {
 	v.follow(ctx, func() {
+		if !active() {
+			return
+		}
 		v.s.mu.Lock()
 		list := slices.Clone(v.s.workers)
 		v.s.mu.Unlock()
--- a/edge/member.go
+++ b/edge/member.go
@@ -11,6 +11,8 @@
 // member is what this process knows of another one. The lock of Members guards it.
 type member struct {
 	info machine.Member
+	// id is the ID of info.
+	id   string
 	peer *link.Peer
 	// heard is when the last message came from this incarnation; zero if none has.
 	heard       time.Time
--- a/edge/members.go
+++ b/edge/members.go
@@ -18,6 +18,9 @@
 // refusedTimeout is the same for a member to which no connection can be opened.
 const refusedTimeout = 400 * time.Millisecond
 
+// silentStatuses is the number of statuses in a row that are missed by a member that is silent.
+const silentStatuses = 4
+
 // Members holds the other processes and the links to them. mu guards all fields below it.
 type Members struct {
 	self   machine.Member
@@ -49,14 +52,14 @@
 	}
 	if ok {
 		if known.live {
-			replaced = departure{known.info.ID(), known.heard}
+			replaced = departure{known.id, known.heard}
 		}
 		// What is queued was meant for the process that is replaced.
 		go known.peer.Close()
 		known.peer = m.dial(info.VM, info.Address)
-		known.info, known.live, known.heard, known.ownsNothing, known.stamp = info, false, time.Time{}, true, 0
+		known.info, known.id, known.live, known.heard, known.ownsNothing, known.stamp = info, info.ID(), false, time.Time{}, true, 0
 	} else {
-		m.byVM[info.VM] = &member{info: info, peer: m.dial(info.VM, info.Address), ownsNothing: true}
+		m.byVM[info.VM] = &member{info: info, id: info.ID(), peer: m.dial(info.VM, info.Address), ownsNothing: true}
 	}
 	m.logger.Info("member learned", "member", info.ID(), "address", info.Address, "domain", info.Domain,
 		"direct", direct, "replaces", replaced.id)
@@ -69,7 +72,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	e, ok := m.byVM[vm]
-	if !ok || e.info.ID() != id {
+	if !ok || e.id != id {
 		return false, false
 	}
 	became = !e.live
@@ -101,12 +104,17 @@
 	var gone []departure
 	for _, e := range m.byVM {
 		timeout := silenceTimeout
-		if e.peer.Failing() {
+		switch {
+		case e.peer.Failing():
 			timeout = refusedTimeout
+		case e.info.Domain != m.self.Domain && e.peer.Stuck(now) < silenceTimeout:
+			// Statuses to other failure domains are rarer where there are many members; what has been sent to this one has been
+			// acknowledged.
+			timeout = max(silenceTimeout, silentStatuses*time.Duration(len(m.byVM))*farShare)
 		}
 		if e.live && now.Sub(e.heard) > timeout {
 			e.live = false
-			gone = append(gone, departure{e.info.ID(), e.heard})
+			gone = append(gone, departure{e.id, e.heard})
 			m.logger.Warn("member is silent", "member", e.info.ID(), "since", now.Sub(e.heard))
 		}
 	}
@@ -187,7 +195,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	for _, e := range m.byVM {
-		if e.info.ID() == id {
+		if e.id == id {
 			e.peer.Send(msgs...)
 			return
 		}
@@ -219,13 +227,47 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	for _, e := range m.byVM {
-		if e.info.ID() == id {
+		if e.id == id {
 			return e.stamp
 		}
 	}
 	return 0
 }
 
+// Stamped records a sign of life of a process: the stamp that came with an acknowledgement.
+func (m *Members) Stamped(vm string, stamp uint64, now time.Time) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if e, ok := m.byVM[vm]; ok && e.live {
+		e.stamp, e.heard = max(e.stamp, stamp), now
+	}
+}
+
+// Counts returns the numbers of other processes in the own failure domain and in others.
+func (m *Members) Counts() (near, far int) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, e := range m.byVM {
+		if e.info.Domain == m.self.Domain {
+			near++
+		}
+	}
+	return near, len(m.byVM) - near
+}
+
+// NearLive returns the ids of the live processes of the own failure domain that are not about to leave.
+func (m *Members) NearLive() []string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var ids []string
+	for _, e := range m.byVM {
+		if e.live && !e.leaving && e.info.Domain == m.self.Domain {
+			ids = append(ids, e.id)
+		}
+	}
+	return ids
+}
+
 // Behind returns the live processes whose desired state is older than a version.
 func (m *Members) Behind(version uint64) []string {
 	m.mu.Lock()
@@ -233,7 +275,7 @@
 	var ids []string
 	for _, e := range m.byVM {
 		if e.live && e.desired < version {
-			ids = append(ids, e.info.ID())
+			ids = append(ids, e.id)
 		}
 	}
 	return ids
--- a/edge/messages.go
+++ b/edge/messages.go
@@ -99,23 +99,30 @@
 	}
 	d.mu.Lock()
 	ownsNothing, leaving := !d.joined || d.stopping, d.stopping
-	due, changed := now.Sub(d.sent) >= statusInterval, !maps.Equal(rooms, d.lastRoom)
-	d.lastRoom = rooms
-	if due {
-		d.sent = now
+	near, far := d.members.Counts()
+	toFar := now.Sub(d.sentFar) >= max(statusInterval, time.Duration(near+far)*farShare)
+	toNear := now.Sub(d.sentNear) >= statusInterval ||
+		(!maps.Equal(rooms, d.lastRoom) && now.Sub(d.sentNear) >= time.Duration(near)*nearShare)
+	if toNear || toFar {
+		d.lastRoom, d.sentNear = rooms, now
+	}
+	if toFar {
+		d.sentFar = now
 	}
 	version, document := d.desired.Version, d.desired.Document
 	d.mu.Unlock()
 	d.updateRooms(d.self, d.o.Self.Domain, ownsNothing, rooms)
-	if !due && !changed {
+	if !toNear && !toFar {
 		return
 	}
-	status := &api.PoolStatus{OwnsNothing: ownsNothing, Leaving: leaving, DesiredVersion: version, StampMs: d.stamp(now), Sender: encodeMember(d.o.Self)}
+	status := &api.PoolStatus{OwnsNothing: ownsNothing, Leaving: leaving, DesiredVersion: version, StampMs: d.stamp(now), Sender: encodeMember(d.o.Self),
+		WorkerList: d.feed.Sequence(),
+	}
 	for backend, room := range rooms {
 		status.Rooms = append(status.Rooms, encodeRoom(backend, room))
 	}
 	m := &api.PeerMessage{Body: &api.PeerMessage_PoolStatus{PoolStatus: status}}
-	if !due {
+	if !toFar {
 		d.members.BroadcastNear(m)
 		return
 	}
@@ -218,6 +225,14 @@
 			return
 		}
 		d.setDesired(s, id)
+	case *api.PeerMessage_WorkerList:
+		if list, current := d.feed.Take(id, b.WorkerList); current {
+			d.setListings(list)
+		}
+	case *api.PeerMessage_WorkerListRequest:
+		if full := d.feed.Full(); full != nil {
+			d.members.Send(id, full)
+		}
 	case *api.PeerMessage_MemberList:
 		for _, info := range b.MemberList.GetMembers() {
 			d.learn(decodeMember(info), false)
@@ -231,6 +246,9 @@
 		rooms[r.GetBackend()] = decodeRoom(r)
 	}
 	d.updateRooms(id, s.GetSender().GetDomain(), s.GetOwnsNothing(), rooms)
+	if s.GetSender().GetDomain() == d.o.Self.Domain && d.feed.Announced(id, s.GetWorkerList()) {
+		d.members.Send(id, &api.PeerMessage{Body: &api.PeerMessage_WorkerListRequest{WorkerListRequest: &api.WorkerListRequest{}}})
+	}
 	if d.members.Status(vm, s.GetOwnsNothing(), s.GetLeaving(), s.GetDesiredVersion(), s.GetStampMs()) {
 		d.divide()
 	}
--- /dev/null
+++ b/edge/workerfeed_test.go
@@ -0,0 +1,66 @@
+package edge
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/cicadadale/cicadadale/machine"
+)
+
+// Guards against a large failure domain in which all members read the workers' entries, which the store cannot serve, and
+// against members that learn nothing of workers because others read for them.
+func TestFewMembersReadTheListForAll(t *testing.T) {
+	run(t, func(t *testing.T) {
+		const members, workers = readersLimit + 4, 12
+		d := newDeployment(t, 1, members, workers)
+		defer d.close()
+		time.Sleep(2 * feedTimeout)
+		reading := 0
+		for _, daemon := range d.daemons {
+			if daemon.feed.Reads() {
+				reading++
+			}
+		}
+		require.Equal(t, readers, reading)
+		d.addWorker(zoneName(0), "worker-0-new")
+		time.Sleep(time.Second)
+		require.Equal(t, workers+1, ownedBy(d, 0))
+		for vm, daemon := range d.daemons {
+			require.Len(t, daemon.workers.all(), workers+1, vm)
+		}
+		for vm, daemon := range d.daemons {
+			if daemon.feed.Reads() {
+				d.killDaemon(vm)
+			}
+		}
+		time.Sleep(2 * feedTimeout)
+		d.addWorker(zoneName(0), "worker-0-newer")
+		time.Sleep(2 * time.Second)
+		require.Equal(t, workers+2, ownedBy(d, 0), "after the readers have died")
+	})
+}
+
+// Guards against a change that is applied to another list than the one that it belongs to.
+func TestChangeAfterAGapIsNotApplied(t *testing.T) {
+	now := time.Now()
+	f := newWorkerFeed("b/1", nil, func() time.Time { return now }, nil)
+	f.needs, f.reading = true, false
+	source := newWorkerFeed("a/1", newMembers(machine.Member{VM: "a", Domain: "z"}, nil, nil), f.now, nil)
+	list := []machine.Listing{{Worker: "w1"}}
+	require.Nil(t, source.PassOn(list), "a small failure domain needs no message")
+	full := source.Full().GetWorkerList()
+	got, current := f.Take("a/1", full)
+	require.True(t, current)
+	require.Equal(t, list, got)
+	require.False(t, f.Announced("a/1", 1))
+	late := source.Full().GetWorkerList()
+	late.Full, late.Sequence = false, 3
+	_, current = f.Take("a/1", late)
+	require.False(t, current)
+	require.False(t, f.Announced("a/1", 3), "a change may be on its way")
+	now = now.Add(listGrace)
+	require.True(t, f.Announced("a/1", 3), "the full list is asked for")
+	require.False(t, f.Announced("a/1", 3), "once")
+}
--- a/entry/cluster_test.go
+++ b/entry/cluster_test.go
@@ -348,7 +348,7 @@
 		{Name: shortKind, Expected: 100 * time.Millisecond, Deadline: time.Minute},
 		{Name: longKind, Expected: 5 * time.Second, Class: backend.ClassLong, Deadline: time.Minute},
 	}))
-	server, err := link.ServePeers(c.net.listen(id), d.receive)
+	server, err := link.ServePeers(c.net.listen(id), d.receive, nil)
 	require.NoError(c.t, err)
 	m.server = server
 	d.peers.applyList(c.vms)
--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -167,7 +167,7 @@
 func (d *Daemon) Start() error {
 	ctx, cancel := context.WithCancel(context.Background())
 	d.cancel = cancel
-	server, err := link.ServePeers(d.o.Peers, d.receive)
+	server, err := link.ServePeers(d.o.Peers, d.receive, nil)
 	if err != nil {
 		cancel()
 		return err
--- a/link/example_test.go
+++ b/link/example_test.go
@@ -26,7 +26,7 @@
 	server, err := link.ServePeers(l, func(env *api.Envelope) link.Reception {
 		received <- fmt.Sprintf("%s sent %d message", env.GetFromVm(), len(env.GetMessages()))
 		return link.Accepted
-	})
+	}, nil)
 	if err != nil {
 		fmt.Println(err)
 		return
--- a/link/peer.go
+++ b/link/peer.go
@@ -57,6 +57,8 @@
 	Sent func(vm string, now time.Time)
 	// Acked is told when a peer has acknowledged a message, with the time at which it was sent.
 	Acked func(vm string, sent time.Time)
+	// Stamped is told the stamp that came with an acknowledgement.
+	Stamped func(vm string, stamp uint64)
 	// Replaced is told when a connection has ended, so that nothing sent over it will be replied to for certain.
 	Replaced func(vm string)
 	// Refused is told when a peer refuses this incarnation permanently.
@@ -321,17 +323,20 @@
 	return env
 }
 
-func (p *Peer) silent(now time.Time) bool {
+func (p *Peer) silent(now time.Time) bool { return p.Stuck(now) > ackTimeout }
+
+// Stuck returns how long the oldest envelope has waited for an acknowledgement, or for any since the last one came.
+func (p *Peer) Stuck(now time.Time) time.Duration {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if len(p.unacked) == 0 {
-		return false
+		return 0
 	}
 	since := p.unacked[0].sent
 	if p.progress.After(since) {
 		since = p.progress
 	}
-	return now.Sub(since) > ackTimeout
+	return now.Sub(since)
 }
 
 func (p *Peer) receiveAcks(stream api.DRPCPeer_ExchangeClient, failed chan<- error) {
@@ -342,6 +347,9 @@
 			return
 		}
 		p.acknowledge(env.GetAck(), p.o.Now())
+		if stamp := env.GetStampMs(); stamp != 0 && p.o.Stamped != nil {
+			p.o.Stamped(p.vm, stamp)
+		}
 	}
 }
 
--- a/link/peer_test.go
+++ b/link/peer_test.go
@@ -90,7 +90,7 @@
 		server, err := link.ServePeers(l, func(*api.Envelope) link.Reception {
 			heard <- time.Now()
 			return link.Accepted
-		})
+		}, nil)
 		require.NoError(t, err)
 		muted := make(chan struct{})
 		dials := 0
--- a/link/peerserver.go
+++ b/link/peerserver.go
@@ -44,14 +44,16 @@
 // PeerServer accepts the links of other entry VMs.
 type PeerServer struct {
 	handler PeerHandler
+	stamp   func() uint64
 	cancel  context.CancelFunc
 	done    chan struct{}
 }
 
-// ServePeers accepts links on l in the background.
-func ServePeers(l net.Listener, handler PeerHandler) (*PeerServer, error) {
+// ServePeers accepts links on l in the background. Each acknowledgement carries the stamp, the time of this process as it
+// counts it; nil sends none.
+func ServePeers(l net.Listener, handler PeerHandler, stamp func() uint64) (*PeerServer, error) {
 	ctx, cancel := context.WithCancel(context.Background())
-	s := &PeerServer{handler: handler, cancel: cancel, done: make(chan struct{})}
+	s := &PeerServer{handler: handler, stamp: stamp, cancel: cancel, done: make(chan struct{})}
 	mux := drpcmux.New()
 	if err := api.DRPCRegisterPeer(mux, s); err != nil {
 		cancel()
@@ -86,7 +88,11 @@
 		case Ignored:
 			return errNotHeard
 		}
-		if err := stream.Send(&api.Envelope{Ack: env.GetSequence()}); err != nil {
+		ack := &api.Envelope{Ack: env.GetSequence()}
+		if s.stamp != nil {
+			ack.StampMs = s.stamp()
+		}
+		if err := stream.Send(ack); err != nil {
 			return err
 		}
 	}
