--- a/edge/messages.go
+++ b/edge/messages.go
@@ -187,13 +187,11 @@
 	return &api.PeerMessage{Body: &api.PeerMessage_MemberList{MemberList: list}}
 }
 
+// handleMessage takes what concerns the tasks of jobs, and hands the rest on.
 func (d *Daemon) handleMessage(id, vm string, m *api.PeerMessage) {
-	now := d.o.Now()
 	switch b := m.GetBody().(type) {
-	case *api.PeerMessage_PoolStatus:
-		d.handleStatus(id, vm, b.PoolStatus)
 	case *api.PeerMessage_TaskOrder:
-		o := decodeOrder(b.TaskOrder, now)
+		o := decodeOrder(b.TaskOrder, d.o.Now())
 		d.pool(o.Backend).Order(id, o, d.stampTime(b.TaskOrder.GetStampMs()))
 	case *api.PeerMessage_TaskRefresh:
 		d.pool(b.TaskRefresh.GetBackend()).Refresh(id, decodeKeys(b.TaskRefresh.GetKeys()),
@@ -210,14 +208,24 @@
 	case *api.PeerMessage_TaskReport:
 		r := b.TaskReport
 		d.home.Report(batch.Place{Owner: id, Backend: r.GetBackend()}, contract.RunReport{
-			Key: decodeKey(r.GetKey()), State: contract.RunState(r.GetState()), Worker: r.GetWorker(), Ran: r.GetRan(), Token: r.GetToken(),
-			RunTime: time.Duration(r.GetRunMs()) * time.Millisecond,
+			Key: decodeKey(r.GetKey()), State: contract.RunState(r.GetState()), Worker: r.GetWorker(), Ran: r.GetRan(),
+			Token: r.GetToken(), RunTime: time.Duration(r.GetRunMs()) * time.Millisecond,
 		})
 	case *api.PeerMessage_WorkerTakeover:
 		t := b.WorkerTakeover
 		d.home.Takeover(id, contract.Takeover{
 			Worker: t.GetWorker(), Born: t.GetBorn(), Token: t.GetToken(), Runs: decodeKeys(t.GetRuns()),
 		})
+	default:
+		d.handleView(id, vm, m)
+	}
+}
+
+// handleView takes what tells this process of members, workers and the desired state.
+func (d *Daemon) handleView(id, vm string, m *api.PeerMessage) {
+	switch b := m.GetBody().(type) {
+	case *api.PeerMessage_PoolStatus:
+		d.handleStatus(id, vm, b.PoolStatus)
 	case *api.PeerMessage_DesiredState:
 		s, err := d.o.Store.DecodeDesired(b.DesiredState.GetDocument())
 		if err != nil {
--- a/soak/daemon.go
+++ b/soak/daemon.go
@@ -141,13 +141,6 @@
 	return d.failed
 }
 
-// isEnding reports whether the process has been told to end.
-func (d *daemon) isEnding() bool {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	return d.ending
-}
-
 func (d *daemon) close() {
 	_ = d.end(syscall.SIGKILL, startTimeout)
 	d.peers.Close()
