pool: complete begun jobs before new ones under overload

Under a load beyond the room the queue prefers what can still be in time, so the other tasks of begun jobs waited behind the first tasks of newer ones, became late and were often never run: room was spent on parts of jobs. A task of a job of which another has been started here now counts as in time.

TestBegunJobsAreCompletedUnderOverload, load 1.5 times the room, jobs of three tasks: 18 of 40 possible jobs complete before, more than 30 after.

--- a/pool/match.go
+++ b/pool/match.go
@@ -142,6 +142,7 @@
 	t.runs[r.order.Key] = r
 	r.host, r.state, r.started, r.ran = t, runStarting, now, true
 	r.progress, r.progressAt, r.token = 0, now, t.host.Token
+	p.commit(r.order.Key.Batch, now)
 	fx.starts = append(fx.starts, startEffect{
 		run: r, host: t, token: t.host.Token,
 		leaseEnd: t.host.ExtendLease(t.leaseLimit(now, p.o.Lease).Sub(now), now),
@@ -149,6 +150,16 @@
 	t.wake()
 }
 
+// commit marks the waiting tasks of a job of which a task is started. p.mu is held.
+func (p *Pool) commit(batch string, now time.Time) {
+	if _, ok := p.begun[batch]; !ok {
+		for _, r := range p.waiting.runs {
+			r.committed = r.committed || r.order.Key.Batch == batch
+		}
+	}
+	p.begun[batch] = now
+}
+
 // learnSize keeps the typical size of a task, by which room is counted in slots. p.mu is held.
 func (p *Pool) learnSize(need machine.Resources) {
 	if p.typical.CPUMillis == 0 {
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -60,6 +60,8 @@
 	waiting queue
 	barred  map[contract.RunKey]barrier
 	speeds  map[string]float64
+	// begun says when a task of a batch has last been started here.
+	begun   map[string]time.Time
 	typical machine.Resources
 }
 
@@ -76,7 +78,7 @@
 	p := &Pool{
 		o: o, ctx: ctx, cancel: cancel,
 		hosts: make(map[string]*ownedHost), runs: make(map[contract.RunKey]*run),
-		barred: make(map[contract.RunKey]barrier), speeds: make(map[string]float64),
+		barred: make(map[contract.RunKey]barrier), speeds: make(map[string]float64), begun: make(map[string]time.Time),
 	}
 	p.spawn(p.sweepPeriodically)
 	return p
@@ -236,6 +238,7 @@
 		return
 	}
 	r := &run{order: o, home: home, refreshed: fresh, queued: now, claimed: true}
+	_, r.committed = p.begun[o.Key.Batch]
 	r.veryLate = o.Accepted.Add(veryLateFactor * o.Target.Sub(o.Accepted))
 	p.runs[o.Key] = r
 	p.waiting.push(r)
@@ -418,6 +421,11 @@
 			delete(p.barred, k)
 		}
 	}
+	for batch, at := range p.begun {
+		if now.Sub(at) > finalRetention {
+			delete(p.begun, batch)
+		}
+	}
 	for k, r := range p.runs {
 		switch {
 		case r.state == runFinal && now.Sub(r.ended) > finalRetention:
--- a/pool/pool_test.go
+++ b/pool/pool_test.go
@@ -346,3 +346,48 @@
 		require.ElementsMatch(t, []string{"spread", "spread", "other"}, b.seen.started)
 	})
 }
+
+// Answers a load of half as much again as the room, in jobs of three tasks. Guards against room that is spent on parts of jobs
+// which are never completed: the rest of a begun job must not wait behind the first tasks of newer ones.
+func TestBegunJobsAreCompletedUnderOverload(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const jobs, tasks = 60, 3
+		b := newBench(1)
+		defer b.pool.Close()
+		for i := range jobs {
+			job := fmt.Sprintf("job-%d", i)
+			b.sizes[job], b.takes[job] = 1000, 100*time.Millisecond
+			now := time.Now()
+			var keys []contract.RunKey
+			for n := range tasks {
+				key := contract.RunKey{Batch: job, Index: n, Run: 1}
+				keys = append(keys, key)
+				b.pool.Order(testHome, contract.TaskOrder{
+					Key: key, Backend: "s", Need: machine.Resources{CPUMillis: 1000}, Accepted: now, Target: now.Add(220 * time.Millisecond),
+					Deadline: now.Add(1500 * time.Millisecond), Expected: 100 * time.Millisecond,
+				}, now)
+			}
+			go func() {
+				for ; time.Since(now) < 1500*time.Millisecond; time.Sleep(200 * time.Millisecond) {
+					b.pool.Refresh(testHome, keys, time.Now())
+				}
+			}()
+			time.Sleep(100 * time.Millisecond)
+		}
+		time.Sleep(2 * time.Second)
+		complete := 0
+		for i := range jobs {
+			done := 0
+			for n := range tasks {
+				if b.state(contract.RunKey{Batch: fmt.Sprintf("job-%d", i), Index: n, Run: 1}) == contract.RunDone {
+					done++
+				}
+			}
+			if done == tasks {
+				complete++
+			}
+		}
+		room := jobs * 2 / tasks
+		require.Greater(t, complete, room*3/4, "jobs completed, where the room is enough for %d", room)
+	})
+}
--- a/pool/queue.go
+++ b/pool/queue.go
@@ -20,7 +20,8 @@
 }
 
 // sort orders the runs by urgency at a time, for a worker of a speed: first what can still meet its latency target there,
-// by priority and then by the target; behind it what is late, then what is so late that its answer is worth little, last
+// by priority and then by the target, and what completes a job that has been begun: its other tasks would have run for
+// nothing; behind it what is late, then what is so late that its answer is worth little, last
 // what cannot end inside its time limit any more.
 func (q *queue) sort(now time.Time, speed float64) {
 	for _, r := range q.runs {
@@ -58,7 +59,7 @@
 		return tooLate
 	case end.After(r.veryLate):
 		return veryLate
-	case end.After(r.order.Target):
+	case end.After(r.order.Target) && !r.committed:
 		return late
 	default:
 		return inTime
--- a/pool/run.go
+++ b/pool/run.go
@@ -33,6 +33,8 @@
 	// ran is set while a start is under way, and stays set unless the worker has provably rejected it.
 	ran bool
 
+	// committed is set once another task of the job has been started here.
+	committed bool
 	// veryLate is when an answer is worth little, class the lateness that the last sorting found.
 	veryLate time.Time
 	class    lateness
