pool: keep the ends of runs whose home is silent

Its home was paused for 1.76 s; an owner on another VM ran a task of it within 0.15 s, counted the home as gone after 0.7 s and forgot the end. When the home went on it withdrew the run, was told that the owner does not know it, and took that for the proof that nothing had run. Ruled out: a lost acknowledgement, the home had sent none.

Ends are now kept for 10 s whether their home is heard or not, and an owner's ignorance proves nothing of an order that is more than 5 s old. (TestEndsOutliveTheSilenceOfTheirHome fails without the change.)

--- a/batch/advance.go
+++ b/batch/advance.go
@@ -16,6 +16,9 @@
 	// placeRetryMost bounds the pause between orders of a task that owners do not carry out.
 	placeRetryMost      = 400 * time.Millisecond
 	maxUnknownDoublings = 8
+	// unknownProof is the time after an order within which an owner that does not know it proves that it has not run. Owners
+	// keep the ends of runs for 10 s.
+	unknownProof = 5 * time.Second
 )
 
 // advance places what can be placed, moves what waits behind others, and answers a job that has ended. The lock of the
@@ -187,6 +190,7 @@
 	case contract.RunUnknown:
 		// The owner of a lost run does not know it, but it may be alive on a worker that another VM has taken.
 		if t.state != taskLost {
+			j.ran = j.ran || now.Sub(t.placedAt) > unknownProof
 			h.unplace(t, r.Ran)
 			t.retryAt = now.Add(unknownRetry(t.unknown))
 			t.unknown++
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -358,18 +358,15 @@
 	}
 }
 
-// HomeGone ends all runs of a home that is not there any more.
+// HomeGone ends all runs of a home that is not heard any more. Their ends are kept: the home may only have stood still, and
+// must not take what has run for what has not.
 func (p *Pool) HomeGone(home string) {
 	now := p.o.Now()
 	var fx effects
 	p.mu.Lock()
 	ended := 0
 	for _, r := range p.runs {
-		if r.home != home {
-			continue
-		}
-		if r.state == runFinal {
-			delete(p.runs, r.order.Key)
+		if r.home != home || r.state == runFinal {
 			continue
 		}
 		ended++
--- a/pool/pool_test.go
+++ b/pool/pool_test.go
@@ -391,3 +391,21 @@
 		require.Greater(t, complete, room*3/4, "jobs completed, where the room is enough for %d", room)
 	})
 }
+
+// Guards against a refusal that is not true: a home that stood still must learn that its run has ended, although its owner has
+// meanwhile counted it as gone.
+func TestEndsOutliveTheSilenceOfTheirHome(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(1)
+		defer b.pool.Close()
+		key := b.order("a", 1000, 0, time.Second, 10*time.Second)
+		time.Sleep(300 * time.Millisecond)
+		require.Equal(t, contract.RunDone, b.state(key))
+		b.pool.HomeGone(testHome)
+		b.mu.Lock()
+		clear(b.reports)
+		b.mu.Unlock()
+		b.pool.Withdraw(testHome, []contract.RunKey{key})
+		require.Equal(t, contract.RunDone, b.state(key))
+	})
+}
