--- a/batch/advance.go
+++ b/batch/advance.go
@@ -188,13 +188,7 @@
 	case contract.RunFailed:
 		h.failed(j, t, r, now, out)
 	case contract.RunUnknown:
-		// The owner of a lost run does not know it, but it may be alive on a worker that another VM has taken.
-		if t.state != taskLost {
-			j.ran = j.ran || now.Sub(t.placedAt) > unknownProof
-			h.unplace(t, r.Ran)
-			t.retryAt = now.Add(unknownRetry(t.unknown))
-			t.unknown++
-		}
+		h.unknown(j, t, r, now)
 	case contract.RunEnded:
 		if t.started && !t.withdrawn {
 			h.o.Logger.Info("run has ended before its task was done", "task", r.Key.String(), "worker", r.Worker)
@@ -208,6 +202,18 @@
 	}
 }
 
+// unknown records that an owner knows nothing of an order. The owner of a lost run does not know it, but it may be alive on a
+// worker that another VM has taken.
+func (h *Home) unknown(j *job, t *task, r contract.RunReport, now time.Time) {
+	if t.state == taskLost {
+		return
+	}
+	j.ran = j.ran || now.Sub(t.placedAt) > unknownProof
+	h.unplace(t, r.Ran)
+	t.retryAt = now.Add(unknownRetry(t.unknown))
+	t.unknown++
+}
+
 // started records that a run goes on at an owner. A report that is older than what is known has no effect.
 func (h *Home) started(j *job, t *task, owner string, r contract.RunReport, out *outbox) {
 	if r.Token < t.token {
--- a/contract/batch.go
+++ b/contract/batch.go
@@ -34,11 +34,11 @@
 
 // Step is a set of equal tasks of a batch.
 type Step struct {
-	Count          int
-	Need           machine.Resources
-	Estimate       time.Duration
-	RequiredLabel  string
-	PreferredRack  string
+	Count         int
+	Need          machine.Resources
+	Estimate      time.Duration
+	RequiredLabel string
+	PreferredRack string
 	// PerWorkerLimit is the number of tasks of the step that may run on one worker; zero for any.
 	PerWorkerLimit int
 	// DependsOn lists earlier steps whose tasks are all done before one of this step starts.
--- a/soak/client.go
+++ b/soak/client.go
@@ -10,6 +10,8 @@
 	"net/http"
 	"strconv"
 	"time"
+
+	"github.com/cicadadale/cicadadale/standin"
 )
 
 const (
@@ -92,14 +94,7 @@
 
 func (c *client) attempt(j *job, d *daemon, left time.Duration) attempt {
 	a := attempt{daemon: d, sent: time.Now()}
-	body, err := json.Marshal(map[string]any{
-		"task_spec": j.id, "best_effort": true,
-		"steps": []map[string]any{{"count": j.tasks, "cpu": taskCPU, "mem_mb": taskMemory, "estimate_ms": 300}},
-	})
-	if err != nil {
-		a.err = err
-		return a
-	}
+	body := standin.JobDocument(j.id, j.tasks, taskNeed, taskEstimateMS)
 	ctx, cancel := context.WithTimeout(context.Background(), left+answerSlack)
 	defer cancel()
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+d.front+routePrefix+j.id, bytes.NewReader(body))
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -1,7 +1,6 @@
 package soak
 
 import (
-	"encoding/json"
 	"fmt"
 	"io"
 	"maps"
@@ -26,8 +25,8 @@
 	service     = "bookings"
 	routeHost   = "soak.example"
 	routePrefix = "/jobs/"
-	taskCPU     = 27_000
-	taskMemory  = 64
+	// taskEstimateMS is the run time that clients declare.
+	taskEstimateMS = 300
 	// maxLease is the longest lease that workers grant.
 	maxLease         = time.Second
 	clientsPerDomain = 12
@@ -37,6 +36,12 @@
 	closingJobs = 3
 )
 
+// capacity is the room of each worker, taskNeed what each task takes of it.
+var (
+	capacity = machine.Resources{CPUMillis: 64_000, MemoryMB: 131_072}
+	taskNeed = machine.Resources{CPUMillis: 27_000, MemoryMB: 64}
+)
+
 // Options select a run. Program is the binary whose edge daemons run.
 type Options struct {
 	Program  string
@@ -172,18 +177,10 @@
 
 // publish writes the operator's desired state.
 func (s *Soak) publish() {
-	document, err := json.Marshal(map[string]any{
-		"version": 1, "limits": map[string]any{},
-		"routes": []map[string]any{{
-			"name": "jobs", "host": routeHost, "path_prefix": routePrefix, "service": service, "priority": 0, "attempts": 2,
-			"slo_factor": 1.6, "slo_ms": 60, "timeout_ms": 10_000,
-		}},
-		"services": []map[string]any{{"name": service, "admission_check": true}},
-	})
-	if err != nil {
-		panic("a literal cannot be encoded: " + err.Error())
-	}
-	s.store.Put("keyed.op", "config", document)
+	s.store.Put("keyed.op", "config", standin.DesiredDocument(1, contract.Route{
+		Name: "jobs", Host: routeHost, PathPrefix: routePrefix, Backend: service, Attempts: 2, TargetFactor: 1.6,
+		TargetSlack: 60 * time.Millisecond, Timeout: 10 * time.Second,
+	}))
 }
 
 func (s *Soak) addWorker(domain, id string) error {
@@ -192,10 +189,8 @@
 		return err
 	}
 	host := standin.NewRunHost(standin.RunHostOptions{
-		ID: id, Capacity: machine.Resources{CPUMillis: 64_000, MemoryMB: 131_072}, MaxLease: maxLease, Observer: s.runs,
-		Work: work, Need: func(contract.RunKey) machine.Resources {
-			return machine.Resources{CPUMillis: taskCPU, MemoryMB: taskMemory}
-		},
+		ID: id, Capacity: capacity, MaxLease: maxLease, Observer: s.runs,
+		Work: work, Need: func(contract.RunKey) machine.Resources { return taskNeed },
 	})
 	relay, err := load.NewRelay(l.Addr().String())
 	if err != nil {
@@ -209,15 +204,10 @@
 
 // list writes a worker's entry.
 func (s *Soak) list(w *worker) {
-	entry, err := json.Marshal(map[string]any{
-		"service": service, "address": w.relay.Address(), "zone": w.domain, "version": "1", "slots": 8, "state": "ready",
-		"cold_left_ms": 0, "sequence": 1, "born": w.host.Born(), "labels": []string{"a", "r1"},
-		"capacity": map[string]int{"cpu": 64_000, "mem_mb": 131_072},
-	})
-	if err != nil {
-		panic("a literal cannot be encoded: " + err.Error())
-	}
-	s.store.Put("keyed.servers", w.id, entry)
+	s.store.Put("keyed.servers", w.id, standin.EntryDocument(machine.Listing{
+		Worker: w.id, Backend: service, Address: w.relay.Address(), Zone: w.domain, Born: w.host.Born(), Capacity: capacity,
+		Labels: []string{"a", "r1"},
+	}))
 }
 
 // work says how a run goes: most take less than a second, a few several.
--- /dev/null
+++ b/standin/documents.go
@@ -0,0 +1,56 @@
+package standin
+
+import (
+	"encoding/json"
+
+	"github.com/cicadadale/cicadadale/contract"
+	"github.com/cicadadale/cicadadale/machine"
+)
+
+// slotsShown is the number of slots that a worker's entry names; the worker's capacity decides.
+const slotsShown = 8
+
+// mustEncode encodes a document that is made of strings and numbers only.
+func mustEncode(document any) []byte {
+	b, err := json.Marshal(document)
+	if err != nil {
+		panic("a document of strings and numbers cannot be encoded: " + err.Error())
+	}
+	return b
+}
+
+// JobDocument is the body of a submission of a job of one step that needs not be stored.
+func JobDocument(spec string, tasks int, need machine.Resources, estimateMS int) []byte {
+	return mustEncode(map[string]any{
+		"task_spec": spec, "best_effort": true,
+		"steps": []map[string]any{{
+			"count": tasks, "cpu": need.CPUMillis, "mem_mb": need.MemoryMB, "estimate_ms": estimateMS,
+		}},
+	})
+}
+
+// DesiredDocument is a desired state of one route to one service, whose workers guard their capacity.
+func DesiredDocument(version int, r contract.Route) []byte {
+	return mustEncode(map[string]any{
+		"version": version, "limits": map[string]any{},
+		"routes": []map[string]any{{
+			"name": r.Name, "host": r.Host, "path_prefix": r.PathPrefix, "service": r.Backend, "priority": r.Priority,
+			"attempts": r.Attempts, "slo_factor": r.TargetFactor, "slo_ms": r.TargetSlack.Milliseconds(),
+			"timeout_ms": r.Timeout.Milliseconds(),
+		}},
+		"services": []map[string]any{{"name": r.Backend, "admission_check": true}},
+	})
+}
+
+// EntryDocument is a worker's entry in the store.
+func EntryDocument(l machine.Listing) []byte {
+	state := "ready"
+	if l.Draining {
+		state = "draining"
+	}
+	return mustEncode(map[string]any{
+		"service": l.Backend, "address": l.Address, "zone": l.Zone, "version": "1", "slots": slotsShown, "state": state,
+		"cold_left_ms": 0, "sequence": 1, "born": l.Born, "labels": l.Labels,
+		"capacity": map[string]int{"cpu": l.Capacity.CPUMillis, "mem_mb": l.Capacity.MemoryMB, "gpus": l.Capacity.GPUs},
+	})
+}
--- a/standin/hostserver.go
+++ b/standin/hostserver.go
@@ -30,9 +30,9 @@
 // ServeHost serves a worker on a listener.
 func ServeHost(l net.Listener, id string, host *RunHost) *HostServer {
 	s := &HostServer{host: host, id: id, server: httpserve.New(l, nil)}
-	s.server.POST("/-/run-start", s.start)
-	s.server.POST("/-/run-stop", s.stop)
-	s.server.POST("/-/hold", s.hold)
+	s.server.POST("/-/run-start", s.serve(s.start))
+	s.server.POST("/-/run-stop", s.serve(s.stop))
+	s.server.POST("/-/hold", s.serve(s.hold))
 	s.server.Start()
 	return s
 }
@@ -60,18 +60,22 @@
 	Ended   [][]any `json:"ended_runs,omitempty"`
 }
 
-// read decodes a call for this worker. It answers one that is not.
-func (s *HostServer) read(c *app.RequestContext) (hostCall, bool) {
-	var call hostCall
-	if target := string(c.GetHeader("Target-Instance")); target != s.id {
-		c.SetStatusCode(http.StatusMisdirectedRequest)
-		return call, false
-	}
-	if err := json.Unmarshal(c.Request.Body(), &call); err != nil {
-		c.SetStatusCode(http.StatusBadRequest)
-		return call, false
+// serve decodes a call for this worker and hands it on. It answers one that is not.
+func (s *HostServer) serve(handle func(ctx context.Context, c *app.RequestContext, call hostCall)) app.HandlerFunc {
+	return func(ctx context.Context, c *app.RequestContext) {
+		if target := string(c.GetHeader("Target-Instance")); target != s.id {
+			c.SetStatusCode(http.StatusMisdirectedRequest)
+			return
+		}
+		var call hostCall
+		if err := json.Unmarshal(c.Request.Body(), &call); err != nil {
+			c.SetStatusCode(http.StatusBadRequest)
+			return
+		}
+		ctx, cancel := context.WithTimeout(ctx, unansweredFor)
+		defer cancel()
+		handle(ctx, c, call)
 	}
-	return call, true
 }
 
 func (c hostCall) key() contract.RunKey {
@@ -91,13 +95,7 @@
 	link.StartFenced: "fence", link.StartSuperseded: "old", link.StartExpired: "late", link.StartNoRoom: "room",
 }
 
-func (s *HostServer) start(ctx context.Context, c *app.RequestContext) {
-	call, ok := s.read(c)
-	if !ok {
-		return
-	}
-	ctx, cancel := context.WithTimeout(ctx, unansweredFor)
-	defer cancel()
+func (s *HostServer) start(ctx context.Context, c *app.RequestContext, call hostCall) {
 	verdict, reply, err := s.host.Start(ctx, link.HostStart{
 		Key: call.key(), Spec: []byte(call.Spec), LeaseEnd: time.Duration(call.Until) * time.Millisecond, Token: call.Token,
 	})
@@ -122,24 +120,12 @@
 	_ = c.GetConn().Close()
 }
 
-func (s *HostServer) stop(ctx context.Context, c *app.RequestContext) {
-	call, ok := s.read(c)
-	if !ok {
-		return
-	}
-	ctx, cancel := context.WithTimeout(ctx, unansweredFor)
-	defer cancel()
+func (s *HostServer) stop(ctx context.Context, c *app.RequestContext, call hostCall) {
 	reply, err := s.host.Stop(ctx, call.key(), call.Token)
 	s.answer(c, link.HoldReply{HostReply: reply}, err)
 }
 
-func (s *HostServer) hold(ctx context.Context, c *app.RequestContext) {
-	call, ok := s.read(c)
-	if !ok {
-		return
-	}
-	ctx, cancel := context.WithTimeout(ctx, unansweredFor)
-	defer cancel()
+func (s *HostServer) hold(ctx context.Context, c *app.RequestContext, call hostCall) {
 	reply, err := s.host.Hold(ctx, link.HostHold{
 		Token: call.Token, LastSeen: call.LastSeen, LeaseEnd: time.Duration(call.Until) * time.Millisecond,
 		Wait: time.Duration(call.Wait) * time.Millisecond,
