--- a/edge/chaos_test.go
+++ b/edge/chaos_test.go
@@ -46,7 +46,8 @@
 
 // Guards against tasks that run twice at the same time, and refused jobs that have run, under random faults that overlap.
 func TestRandomFaultsBreakNoRule(t *testing.T) {
-	seeds := []uint64{1, 2, 3, 4, 5, 6}
+	// 2, 4 and 6 have shown a storm of orders; the large ones tasks that ran twice (docs/incidents.md).
+	seeds := []uint64{1, 2, 3, 4, 5, 6, 3155103057, 3276521355, 2379117824, 3714615900}
 	if s, err := strconv.ParseUint(os.Getenv(chaosSeedVariable), 10, 64); err == nil {
 		seeds = []uint64{s}
 	}
