--- a/command/e2e_test.go
+++ b/command/e2e_test.go
@@ -34,10 +34,12 @@
 	dir    string
 	// ip is a loopback address of its own, on which no outgoing connection takes the ports reserved below.
 	ip string
+	// reserved holds the addresses given out: the kernel may choose a port again that has been closed.
+	reserved map[string]bool
 }
 
 func newSite(t testing.TB) *site {
-	s := &site{t: t, dir: t.TempDir()}
+	s := &site{t: t, dir: t.TempDir(), reserved: make(map[string]bool)}
 	s.binary = filepath.Join(s.dir, "cicadadale")
 	out, err := exec.Command("go", "build", "-o", s.binary, "../cmd/cicadadale").CombinedOutput()
 	require.NoError(t, err, string(out))
@@ -45,12 +47,17 @@
 	return s
 }
 
-// address reserves a free port.
+// address reserves a free port. It gives none out twice.
 func (s *site) address() string {
-	l, err := net.Listen("tcp", s.ip+":0")
-	require.NoError(s.t, err)
-	require.NoError(s.t, l.Close())
-	return l.Addr().String()
+	for {
+		l, err := net.Listen("tcp", s.ip+":0")
+		require.NoError(s.t, err)
+		require.NoError(s.t, l.Close())
+		if address := l.Addr().String(); !s.reserved[address] {
+			s.reserved[address] = true
+			return address
+		}
+	}
 }
 
 // process is a running command.
