load, soak: addresses that are given out once

Each run now remembers what it has given out, and a run of the edge daemons takes a loopback address of its own. The code of the daemons is unchanged.

--- a/load/process.go
+++ b/load/process.go
@@ -50,15 +50,17 @@
 
 // EntrySetup is what an entry daemon's settings are made from.
 type EntrySetup struct {
-	ID       string
-	Domain   zone.DomainID
-	Dir      string
-	Schema   string
-	Log      string
-	Slots    int
-	View     *View
-	LogLevel string
-	Ended    func(p *EntryProcess, err error)
+	ID     string
+	Domain zone.DomainID
+	Dir    string
+	Schema string
+	Log    string
+	Slots  int
+	View   *View
+	// Addresses gives out those that the daemon listens on.
+	Addresses *Addresses
+	LogLevel  string
+	Ended     func(p *EntryProcess, err error)
 }
 
 // NewEntryProcess writes the settings of a daemon.
@@ -68,7 +70,7 @@
 		view: s.View, ended: s.Ended,
 	}
 	for _, address := range []*string{&p.Callers, &p.Peers, &p.Admin} {
-		a, err := FreeAddress()
+		a, err := s.Addresses.Free()
 		if err != nil {
 			return nil, err
 		}
@@ -81,17 +83,34 @@
 	return p, os.WriteFile(p.settings, []byte(text), 0o600)
 }
 
-// FreeAddress draws a loopback address that nothing listens on, below the ports of outgoing connections. It is no part of the
-// seeded choices of a run.
-func FreeAddress() (string, error) {
+// Addresses gives out loopback addresses. mu guards the map.
+type Addresses struct {
+	ip string
+
+	mu    sync.Mutex
+	given map[string]bool
+}
+
+// NewAddresses returns addresses of one IP number.
+func NewAddresses(ip string) *Addresses { return &Addresses{ip: ip, given: make(map[string]bool)} }
+
+// Free draws an address that nothing listens on and that was not given out before, below the ports of outgoing connections.
+// It is no part of the seeded choices of a run.
+func (a *Addresses) Free() (string, error) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
 	var last error
 	for range portAttempts {
-		address := fmt.Sprintf("127.0.0.1:%d", firstPort+rand.IntN(lastPort-firstPort))
+		address := fmt.Sprintf("%s:%d", a.ip, firstPort+rand.IntN(lastPort-firstPort))
+		if a.given[address] {
+			continue
+		}
 		l, err := net.Listen("tcp", address)
 		if err != nil {
 			last = err
 			continue
 		}
+		a.given[address] = true
 		return address, l.Close()
 	}
 	return "", fmt.Errorf("no free port: %w", last)
--- a/load/soak.go
+++ b/load/soak.go
@@ -88,8 +88,10 @@
 	network  *Network
 	recorder *Recorder
 	gateways *Gateways
-	begin    time.Time
-	faults   sync.WaitGroup
+	// addresses are those of the daemons.
+	addresses *Addresses
+	begin     time.Time
+	faults    sync.WaitGroup
 
 	mu      sync.Mutex
 	workers []*soakWorker
@@ -119,7 +121,7 @@
 // RunSoak performs a randomised run.
 func RunSoak(o SoakOptions) (SoakReport, error) {
 	s := &Soak{
-		o: o, roster: NewRoster(), network: NewNetwork(), recorder: NewRecorder(), gateways: NewGateways(),
+		o: o, roster: NewRoster(), network: NewNetwork(), recorder: NewRecorder(), gateways: NewGateways(), addresses: NewAddresses("127.0.0.1"),
 		shown: make(map[string]map[string]time.Time), homes: make(map[machine.Incarnation]*EntryProcess),
 		stopped: make(map[machine.Incarnation]time.Time), crashed: make(map[machine.Incarnation]time.Time),
 		losses:   make(map[zone.DomainID][]time.Time),
@@ -216,7 +218,7 @@
 		return err
 	}
 	p, err := NewEntryProcess(EntrySetup{
-		ID: id, Domain: domain, Dir: s.dir, Schema: s.schemaPath(), Log: logs.Address(), Slots: soakSlots, View: view,
+		ID: id, Domain: domain, Dir: s.dir, Schema: s.schemaPath(), Log: logs.Address(), Slots: soakSlots, View: view, Addresses: s.addresses,
 		LogLevel: "info", Ended: s.restart,
 	})
 	if err != nil {
--- a/soak/daemon.go
+++ b/soak/daemon.go
@@ -45,14 +45,16 @@
 }
 
 // newDaemon writes the settings of a daemon.
-func newDaemon(o Options, dir, vm, domain, storeAddress string) (*daemon, error) {
+func newDaemon(
+	o Options, addresses *load.Addresses, dir, vm, domain, storeAddress string,
+) (*daemon, error) {
 	d := &daemon{
 		vm: vm, domain: domain, program: o.Program, settings: filepath.Join(dir, vm+".toml"),
 		log: filepath.Join(dir, vm+".log"),
 	}
 	for _, a := range []*string{&d.front, &d.readiness, &d.listen} {
 		// The daemon is started again at the same addresses.
-		address, err := load.FreeAddress()
+		address, err := addresses.Free()
 		if err != nil {
 			return nil, err
 		}
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -160,9 +160,11 @@
 			}
 		}
 	}
+	addresses := load.NewAddresses(ownLoopback())
 	for domain := range s.o.Domains {
 		for n := range s.o.Daemons {
-			d, err := newDaemon(s.o, s.dir, fmt.Sprintf("edge-%d-%d", domain, n), domainName(domain), l.Addr().String())
+			vm := fmt.Sprintf("edge-%d-%d", domain, n)
+			d, err := newDaemon(s.o, addresses, s.dir, vm, domainName(domain), l.Addr().String())
 			if err != nil {
 				return err
 			}
@@ -175,6 +177,12 @@
 	return nil
 }
 
+// ownLoopback returns a loopback address on which other runs on this machine, and outgoing connections, take no ports.
+func ownLoopback() string {
+	part := func() int { return 1 + rand.IntN(250) }
+	return fmt.Sprintf("127.%d.%d.%d", part(), part(), part())
+}
+
 // publish writes the operator's desired state.
 func (s *Soak) publish() {
 	s.store.Put("keyed.op", "config", standin.DesiredDocument(1, contract.Route{
