entry, zone: reports of holdings omit no grant on its way to the scheduler

Cause of TestLongCap (4 long tasks on a worker instead of 3): for 3 s after a takeover a VM reports its own holdings to its own allocator. A grant that was allocated and had not reached the scheduler was missing from the report, and the allocator kept no list of its own grants in transit, so the slot counted as free and was granted again. Reports of other members had the same gap: they named the last grant received, which may not have reached their scheduler either, and a demand made the allocator drop its record of that grant.

Change: the allocator numbers its own grants and drops an own report that is older than the last of them or made while one is in transit. Reports to other allocators name the last grant that the scheduler holds, read before the holdings. A demand no longer removes grants in transit from the record; a report does.

--- a/entry/capacity.go
+++ b/entry/capacity.go
@@ -87,11 +87,12 @@
 
 // reportHoldingsTo reports to one allocator the slots held on its workers.
 func (s *slotBroker) reportHoldingsTo(st *serviceSlots, sched *dispatch.Scheduler, allocator string) {
+	delivered := st.lastDelivered(allocator)
 	var held []zone.Held
 	for _, h := range zoneHeld(sched.Held()) {
 		if s.Allocator(h.Worker) == allocator {
 			held = append(held, h)
 		}
 	}
-	s.sendReport(st, allocator, held, st.planner.Received(allocator), false)
+	s.sendReport(st, allocator, held, delivered, false)
 }
--- a/entry/slotmessages.go
+++ b/entry/slotmessages.go
@@ -126,6 +126,7 @@
 	s.d.dispatcher.Grant(st.name, grants)
 	st.mu.Lock()
 	st.addDelivering(sum, -1)
+	st.delivered[vm] = m.GetNumber()
 	st.mu.Unlock()
 	s.handleStatus(vm, m.GetStatus(), true)
 }
@@ -138,8 +139,8 @@
 		return
 	}
 	st := s.service(service)
-	received := st.planner.Received(vm)
-	s.sendReport(st, vm, zoneHeld(sched.Held()), received, true)
+	delivered := st.lastDelivered(vm)
+	s.sendReport(st, vm, zoneHeld(sched.Held()), delivered, true)
 }
 
 // returnGroup holds the returns of one service to one allocator.
--- a/entry/slotreports.go
+++ b/entry/slotreports.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"maps"
 	"time"
 
 	"github.com/cicadadale/cicadadale/api"
@@ -35,37 +36,33 @@
 		byAllocator[name] = nil
 	}
 	st.reported = make(map[string]bool)
-	received := make(map[string]uint64)
-	for name := range byAllocator {
-		received[name] = st.planner.Received(name)
-	}
+	delivered := maps.Clone(st.delivered)
+	lastOwn, ownDelivered := st.allocator.OwnGrants()
 	for _, h := range zoneHeld(sched.Held()) {
 		name := s.Allocator(h.Worker)
 		if name == "" {
 			continue
 		}
-		if _, ok := received[name]; !ok {
-			received[name] = st.planner.Received(name)
-		}
 		byAllocator[name] = append(byAllocator[name], h)
 		st.reported[name] = true
 	}
 	var own []zone.Allocation
-	if now.Before(st.reconcileUntil) {
-		own = st.allocator.Report(self, byAllocator[self], received[self], false, now)
+	if now.Before(st.reconcileUntil) && ownDelivered {
+		own = st.allocator.ReportOwn(byAllocator[self], lastOwn, now)
 	}
 	st.mu.Unlock()
 	s.deliver(st, own)
 	for name, held := range byAllocator {
 		if name != self {
-			s.sendReport(st, name, held, received[name], false)
+			s.sendReport(st, name, held, delivered[name], false)
 		}
 	}
 }
 
-func (s *slotBroker) sendReport(st *serviceSlots, vm string, held []zone.Held, received uint64, complete bool) {
+// sendReport reports holdings that include the slots of all grants up to the number delivered.
+func (s *slotBroker) sendReport(st *serviceSlots, vm string, held []zone.Held, delivered uint64, complete bool) {
 	s.d.peers.send(vm, &api.PeerMessage{Body: &api.PeerMessage_HoldingsReport{HoldingsReport: &api.HoldingsReport{
-		Service: st.name, Held: slotCounts(held), Received: received, Complete: complete,
+		Service: st.name, Held: slotCounts(held), Received: delivered, Complete: complete,
 	}}})
 }
 
@@ -139,7 +136,7 @@
 // memberGone takes back the slots held by a member that is gone.
 func (s *slotBroker) memberGone(vm string) {
 	for _, st := range s.all() {
-		st.planner.Reset(vm)
+		st.forget(vm)
 		s.deliver(st, st.allocator.MemberGone(vm, s.d.o.Now()))
 	}
 }
--- a/entry/slots.go
+++ b/entry/slots.go
@@ -64,6 +64,9 @@
 	// delivering counts the slots granted for the demand that the scheduler has not received yet. They must not be
 	// requested again.
 	delivering zone.Count
+	// delivered holds the number of the last grant of each allocator whose slots the scheduler holds. Reports name it, not
+	// the last grant received: the slots of a grant on its way to the scheduler are missing from them.
+	delivered map[string]uint64
 	// lastAnnounced is the number of free slots last reported to the members.
 	lastAnnounced  int
 	demandedAt     time.Time            // time of the last demand received from a member
@@ -102,6 +105,7 @@
 			name: name, allocator: zone.NewSlotAllocator(self, uint64(s.d.o.VM.Incarnation)),
 			planner:      zone.NewDemandPlanner(self),
 			statusSentAt: make(map[string]time.Time), reported: make(map[string]bool),
+			delivered: make(map[string]uint64),
 		}
 		s.services[name] = st
 	}
@@ -278,6 +282,22 @@
 	st.delivering.Long += sign * c.Long
 }
 
+// lastDelivered returns the number of the last grant of an allocator that has reached the scheduler. It is read before the
+// holdings that are reported with it.
+func (st *serviceSlots) lastDelivered(allocator string) uint64 {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	return st.delivered[allocator]
+}
+
+// forget drops what is known of an allocator whose process has ended.
+func (st *serviceSlots) forget(allocator string) {
+	st.planner.Reset(allocator)
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	delete(st.delivered, allocator)
+}
+
 // sumFor returns the number of slots allocated to a member.
 func sumFor(member string, allocations []zone.Allocation) zone.Count {
 	var c zone.Count
@@ -365,6 +385,7 @@
 		}
 		st.planner.RecordGrant(member, sum, allocations[0].Number)
 		s.d.dispatcher.Grant(st.name, grants)
+		st.allocator.Delivered()
 		return
 	}
 	for _, a := range allocations {
--- a/zone/allocation.go
+++ b/zone/allocation.go
@@ -160,6 +160,9 @@
 		m := a.member(grant.Member)
 		if i == 0 || out[i-1].Member != grant.Member {
 			m.number++
+			if grant.Member == a.self {
+				a.undelivered++
+			}
 		}
 		grant.Number = m.number
 		if grant.Member != a.self {
--- a/zone/allocator.go
+++ b/zone/allocator.go
@@ -86,6 +86,9 @@
 
 	recall recallState
 	checks Checks
+
+	// undelivered is the number of grants to this VM that have not reached its scheduler yet.
+	undelivered int
 }
 
 // Checks counts the invariant checks of an allocator.
@@ -112,7 +115,7 @@
 	recalledAt time.Time
 }
 
-// unackedGrant is a grant that the member has not acknowledged.
+// unackedGrant is a grant that no report of the member's holdings covers yet.
 type unackedGrant struct {
 	number uint64
 	worker machine.WorkerID
@@ -194,8 +197,7 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	m := a.member(member)
-	m.dropSettled(n.Received, now)
-	unacked := m.unackedSlots()
+	unacked := m.unackedSlots(n.Received, now)
 	m.need = Count{Short: max(0, n.Tasks.Short-unacked.Short), Long: max(0, n.Tasks.Long-unacked.Long)}
 	m.refreshed, m.seen = now, now
 	m.shortSince, m.longSince = now.Add(-n.ShortWait), now.Add(-n.LongWait)
@@ -256,22 +258,58 @@
 	m := a.member(member)
 	m.seen = now
 	m.dropSettled(received, now)
+	a.replaceHeld(member, held, m.unacked, now)
+	if complete {
+		delete(a.awaiting, member)
+	}
+	a.endTakeover(now)
+	return a.allocate(now)
+}
+
+// OwnGrants returns the number of the last grant to this VM, and whether all grants to it have been delivered.
+func (a *SlotAllocator) OwnGrants() (last uint64, delivered bool) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.member(a.self).number, a.undelivered == 0
+}
+
+// Delivered records that one grant to this VM has reached its scheduler.
+func (a *SlotAllocator) Delivered() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.undelivered--
+}
+
+// ReportOwn replaces the record of the slots that this VM holds. last is the number of the last grant when held was
+// read, after all grants up to it had been delivered. The report is dropped if there are later grants: held may lack
+// their slots, which would count as free.
+func (a *SlotAllocator) ReportOwn(held []Held, last uint64, now time.Time) []Allocation {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	m := a.member(a.self)
+	m.seen = now
+	if m.number != last {
+		return nil
+	}
+	a.replaceHeld(a.self, held, nil, now)
+	a.endTakeover(now)
+	return a.allocate(now)
+}
+
+// replaceHeld replaces the record of the slots that a member holds: those of a report and of the grants that the member
+// has not received. It expects a.mu to be held.
+func (a *SlotAllocator) replaceHeld(member string, held []Held, unacked []unackedGrant, now time.Time) {
 	counts := make(map[machine.WorkerID]Count, len(held))
 	for _, h := range held {
 		counts[h.Worker] = h.Slots
 	}
-	for _, f := range m.unacked {
+	for _, f := range unacked {
 		c := counts[f.worker]
 		counts[f.worker] = Count{Short: c.Short + f.slots.Short, Long: c.Long + f.slots.Long}
 	}
 	for _, w := range a.workers {
 		a.setHeld(w, member, counts[w.id], now)
 	}
-	if complete {
-		delete(a.awaiting, member)
-	}
-	a.endTakeover(now)
-	return a.allocate(now)
 }
 
 // MemberGone takes back all slots that a member held and drops its demand.
@@ -398,23 +436,30 @@
 	}
 }
 
-// dropSettled removes the grants that the member has received and those that count as lost.
-func (m *grantee) dropSettled(received uint64, now time.Time) {
+// inTransit reports whether a grant is later than the last one that the member has received, and does not count as lost.
+func (g unackedGrant) inTransit(received uint64, now time.Time) bool {
+	return g.number > received && now.Sub(g.sent) < grantDelivery
+}
+
+// dropSettled removes the grants that a report of the member's holdings covers and those that count as lost.
+func (m *grantee) dropSettled(reported uint64, now time.Time) {
 	kept := m.unacked[:0]
-	for _, f := range m.unacked {
-		if f.number > received && now.Sub(f.sent) < grantDelivery {
-			kept = append(kept, f)
+	for _, g := range m.unacked {
+		if g.inTransit(reported, now) {
+			kept = append(kept, g)
 		}
 	}
 	m.unacked = kept
 }
 
-// unackedSlots counts the slots granted but not yet acknowledged.
-func (m *grantee) unackedSlots() Count {
+// unackedSlots counts the slots of the grants that are in transit to the member.
+func (m *grantee) unackedSlots(received uint64, now time.Time) Count {
 	var c Count
-	for _, f := range m.unacked {
-		c.Short += f.slots.Short
-		c.Long += f.slots.Long
+	for _, g := range m.unacked {
+		if g.inTransit(received, now) {
+			c.Short += g.slots.Short
+			c.Long += g.slots.Long
+		}
 	}
 	return c
 }
--- a/zone/allocator_test.go
+++ b/zone/allocator_test.go
@@ -317,3 +317,29 @@
 	require.Empty(t, p.Plan(Count{Short: 5}, now), "an older report does not answer the demand")
 	require.Equal(t, []DemandPart{{Allocator: "entry-2"}}, p.Plan(Count{}, now), "a demand without a need is withdrawn")
 }
+
+// Guards against a slot that is granted twice because a report lacks a grant on its way to the scheduler of the VM that
+// reports.
+func TestReportOmitsNoGrantInTransit(t *testing.T) {
+	now := time.Unix(1000, 0)
+	allocator := NewSlotAllocator(testSelf, 1)
+	allocator.Assign(testOffers(1, 8), nil, nil, now)
+
+	allocator.Demand(testSelf, Need{Tasks: Count{Short: 2}}, now)
+	last, delivered := allocator.OwnGrants()
+	require.False(t, delivered, "the scheduler has not got the grant")
+	allocator.Delivered()
+	_, delivered = allocator.OwnGrants()
+	require.True(t, delivered)
+	held := []Held{{Worker: "w0", Slots: Count{Short: 2}}}
+	allocator.Demand(testSelf, Need{Tasks: Count{Short: 3}}, now)
+	allocator.ReportOwn(held, last, now)
+	require.Equal(t, 3, allocator.Free(), "a grant was made after the holdings were read")
+
+	grant := allocator.Demand("entry-1", Need{Tasks: Count{Short: 1}}, now)
+	allocator.Demand("entry-1", Need{Received: grant[0].Number}, now)
+	allocator.Report("entry-1", nil, 0, false, now)
+	require.Equal(t, 2, allocator.Free(), "received, but not in the report")
+	allocator.Report("entry-1", nil, grant[0].Number, false, now)
+	require.Equal(t, 3, allocator.Free(), "in the report")
+}
--- a/zone/demandplanner.go
+++ b/zone/demandplanner.go
@@ -126,16 +126,6 @@
 	a.requested.Long = max(0, a.requested.Long-c.Long)
 }
 
-// Received returns the number of the last grant from an allocator.
-func (p *DemandPlanner) Received(allocator string) uint64 {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if a, ok := p.allocators[allocator]; ok {
-		return a.received
-	}
-	return 0
-}
-
 // Reset clears the demand and the free slots of an allocator whose process has ended.
 func (p *DemandPlanner) Reset(allocator string) {
 	p.mu.Lock()
