pool, batch, edge: a run is over when its home says so

A worker has one lease for all its runs. An order that the network had delayed by up to 0.8 s was started under the lease that had just been extended for other runs, and ran until 1.8 s after its last refresh; its home counts 1.26 s. 2. A poll that was admitted before a worker passed to another VM returned afterwards. The former owner took the runs that it listed for its own, sent stops without a token, and counted their lease as expired; it reported that when it had acquired the worker again. 3. A refresh read the newest timestamp of the owner when it was sent, not when it was decided on. In between the home could mark the run as lost, counting from an earlier contact. The model of the argument found a fourth: an end that was reported before the owner lost a worker and acquired it again.

Change: a run starts only if the lease granted so far ends in time for it, and leases are extended by 0.8 s at most, so that orders up to 0.4 s old always can. Replies under an earlier token are ignored, and an owner that has lost a worker forgets its runs. Messages about runs echo the contact that was read under the lock of the job, and the expiry counts from it. A home believes an end only under the current token.

--- a/batch/advance.go
+++ b/batch/advance.go
@@ -90,9 +90,9 @@
 		t.retryAt = now.Add(placeRetry)
 		return
 	}
-	t.state, t.owner, t.placedAt, t.refreshedAt = taskPlaced, owner, now, now
+	t.state, t.owner, t.placedAt, t.contactAt = taskPlaced, owner, now, time.Time{}
 	t.started, t.withdrawn, t.worker, t.token, t.recalledAt = false, false, "", 0, time.Time{}
-	out.order(owner, j.order(t))
+	out.order(t, j.order(t))
 }
 
 // unplace makes a task ready for its next run.
@@ -157,7 +157,7 @@
 // Report processes an owner's report of a run.
 func (h *Home) Report(from PoolRef, r contract.RunReport) {
 	now := h.o.Now()
-	out := newOutbox()
+	out := newOutbox(h.o.Owners)
 	if r.State.Final() {
 		out.acknowledge(from, r.Key)
 	}
@@ -170,14 +170,13 @@
 		}
 	}
 	s.mu.Unlock()
-	out.send(h.o.Owners)
+	out.send()
 }
 
 // applyReport applies an owner's report to the current run of a task. The lock of the job's shard is held.
 func (h *Home) applyReport(j *job, t *task, owner string, r contract.RunReport, now time.Time, out *outbox) {
 	j.mayHaveRun = j.mayHaveRun || r.MayHaveStarted
-	if t.owner != owner && r.State != contract.RunDone && r.State != contract.RunStarted {
-		// An owner other than the current one can prove only that the run is done or runs on one of its workers.
+	if !t.proves(owner, r) {
 		return
 	}
 	switch r.State {
@@ -201,7 +200,21 @@
 		t.infeasibleOwners = append(t.infeasibleOwners, owner)
 		h.unplace(t, r.MayHaveStarted)
 	case contract.RunLost:
-		h.markLost(t, now)
+		h.markLost(t)
+	}
+}
+
+// proves reports whether an owner's report says something about the current run. An owner other than the current one can
+// prove only that the run is done or runs on one of its workers. An end under an earlier token proves nothing: the owner
+// has lost the worker since and acquired it again.
+func (t *task) proves(owner string, r contract.RunReport) bool {
+	switch r.State {
+	case contract.RunDone, contract.RunStarted:
+		return true
+	case contract.RunEnded:
+		return t.owner == owner && r.Token >= t.token
+	default:
+		return t.owner == owner
 	}
 }
 
@@ -239,22 +252,18 @@
 	}
 }
 
-// markLost records that the state of a run is unknown until its lease has expired. lastContact is when the home last
-// heard from the owner. The time to the expiry counts from lastContact or from the last refresh, whichever is earlier:
-// the owner dates a refresh back to the newest of its timestamps that the home had received.
-func (h *Home) markLost(t *task, lastContact time.Time) {
+// markLost records that the state of a run is unknown until its lease has expired. The time to the expiry counts from the
+// arrival of the last contact that was echoed for the run: the owner had sent it before, and lets the lease end within
+// leaseAfterRefresh of that. A later contact proves nothing, since no message about the run has echoed it.
+func (h *Home) markLost(t *task) {
 	if t.state != taskPlaced {
 		return
 	}
-	if t.refreshedAt.Before(lastContact) {
-		lastContact = t.refreshedAt
-	}
-	t.state, t.expiresAt = taskLost, lastContact.Add(runExpiry)
+	t.state, t.expiresAt = taskLost, t.contactAt.Add(runExpiry)
 }
 
-// OwnerUnreachable marks the runs at an owner that can no longer be reached as lost. lastContact is when it was last
-// contacted.
-func (h *Home) OwnerUnreachable(owner string, lastContact time.Time) {
+// OwnerUnreachable marks the runs at an owner that can no longer be reached as lost.
+func (h *Home) OwnerUnreachable(owner string) {
 	lost := 0
 	for i := range h.shards {
 		s := &h.shards[i]
@@ -262,7 +271,7 @@
 		for _, j := range s.jobs {
 			for k := range j.tasks {
 				if t := &j.tasks[k]; t.owner == owner && t.state == taskPlaced {
-					h.markLost(t, lastContact)
+					h.markLost(t)
 					lost++
 				}
 			}
@@ -278,7 +287,7 @@
 // owner. A run that was started there under the previous owner and is not found has ended.
 func (h *Home) Takeover(owner string, t contract.Takeover) {
 	now := h.o.Now()
-	out := newOutbox()
+	out := newOutbox(h.o.Owners)
 	for i := range h.shards {
 		s := &h.shards[i]
 		s.mu.Lock()
@@ -289,7 +298,7 @@
 		}
 		s.mu.Unlock()
 	}
-	out.send(h.o.Owners)
+	out.send()
 }
 
 func (h *Home) applyTakeover(j *job, owner string, takeover contract.Takeover, now time.Time, out *outbox) {
@@ -304,12 +313,12 @@
 		case found && j.state == jobActive && takeover.Token > t.token:
 			h.o.Logger.Info("claiming a run from the new owner of its worker", "task", key.String(),
 				"worker", takeover.Worker, "owner", owner, "last_owner", t.owner)
-			t.state, t.owner, t.placedAt, t.refreshedAt = taskPlaced, owner, now, now
+			t.state, t.owner, t.placedAt = taskPlaced, owner, now
 			t.worker, t.token, t.started = takeover.Worker, takeover.Token, true
 			j.mayHaveRun = true
 			order := j.order(t)
 			order.Claim = true
-			out.order(owner, order)
+			out.order(t, order)
 		case !found && t.started && t.worker == takeover.Worker && takeover.Token > t.token:
 			h.unplace(t, true)
 		}
--- a/batch/home.go
+++ b/batch/home.go
@@ -21,8 +21,8 @@
 	tickInterval = 50 * time.Millisecond
 	// refreshInterval is the time between refreshes of runs; owners stop runs that are not refreshed for 800 ms.
 	refreshInterval = 200 * time.Millisecond
-	// runExpiry is the time after its last refresh at which a run has certainly ended: owners let its lease end within
-	// 1.2 s, on workers' clocks that may run 2% slow.
+	// runExpiry is the time after the last contact that was echoed for a run at which the run has certainly ended: owners let
+	// its lease end within 1.2 s, on workers' clocks that may run 2% slow.
 	runExpiry = 1260 * time.Millisecond
 	// answerRetention is how long the answer to a job is kept for repeated submissions.
 	answerRetention = 30 * time.Second
@@ -34,10 +34,19 @@
 	placeRetry = 30 * time.Millisecond
 )
 
+// Contact is the newest timestamp that an owner has sent, read from its own clock, and when it arrived here.
+type Contact struct {
+	Timestamp  uint64
+	ReceivedAt time.Time
+}
+
 // Owners sends messages to the owners of workers, this VM included. The calls do not block and do not call the home.
 type Owners interface {
-	Order(owner string, o contract.TaskOrder)
-	Refresh(p PoolRef, keys []contract.RunKey)
+	// LastContact returns the newest contact with an owner, the zero value for one that has not sent a timestamp.
+	LastContact(owner string) Contact
+	// Order and Refresh echo the timestamp of a contact, from which the owner dates the message.
+	Order(owner string, o contract.TaskOrder, echo Contact)
+	Refresh(p PoolRef, keys []contract.RunKey, echo Contact)
 	Withdraw(p PoolRef, keys []contract.RunKey)
 	// Recall withdraws only runs that have not started.
 	Recall(p PoolRef, keys []contract.RunKey)
@@ -112,7 +121,7 @@
 
 // tick advances all jobs, drops expired answers and refreshes runs.
 func (h *Home) tick(now time.Time, refresh bool) {
-	out := newOutbox()
+	out := newOutbox(h.o.Owners)
 	for i := range h.shards {
 		s := &h.shards[i]
 		s.mu.Lock()
@@ -125,19 +134,19 @@
 			}
 			h.advance(j, now, out)
 			if refresh {
-				out.refresh(j, now)
+				out.refresh(j)
 			}
 		}
 		s.mu.Unlock()
 	}
-	out.send(h.o.Owners)
+	out.send()
 }
 
 // Submit accepts a job, or joins the one that is known under its id, and waits for its answer. When ctx ends, the
 // caller has disconnected; a job without any waiting caller is cancelled.
 func (h *Home) Submit(ctx context.Context, b contract.Batch) Answer {
 	now := h.o.Now()
-	out := newOutbox()
+	out := newOutbox(h.o.Owners)
 	s := h.shard(b.ID)
 	s.mu.Lock()
 	j, known := s.jobs[b.ID]
@@ -156,13 +165,13 @@
 	if j.state == jobEnded {
 		answer := j.answer
 		s.mu.Unlock()
-		out.send(h.o.Owners)
+		out.send()
 		return answer
 	}
 	waiter := make(chan Answer, 1)
 	j.waiters = append(j.waiters, waiter)
 	s.mu.Unlock()
-	out.send(h.o.Owners)
+	out.send()
 	select {
 	case answer := <-waiter:
 		return answer
@@ -235,7 +244,7 @@
 // callerLeft removes a caller that has disconnected, and cancels the job if it was the last one.
 func (h *Home) callerLeft(id string, waiter chan Answer) Answer {
 	now := h.o.Now()
-	out := newOutbox()
+	out := newOutbox(h.o.Owners)
 	s := h.shard(id)
 	s.mu.Lock()
 	j, ok := s.jobs[id]
@@ -252,7 +261,7 @@
 		}
 	}
 	s.mu.Unlock()
-	out.send(h.o.Owners)
+	out.send()
 	select {
 	case answer := <-waiter:
 		return answer
@@ -264,7 +273,7 @@
 // Cancel ends a job. It reports whether the job is known.
 func (h *Home) Cancel(id string) bool {
 	now := h.o.Now()
-	out := newOutbox()
+	out := newOutbox(h.o.Owners)
 	s := h.shard(id)
 	s.mu.Lock()
 	j, ok := s.jobs[id]
@@ -273,7 +282,7 @@
 		h.advance(j, now, out)
 	}
 	s.mu.Unlock()
-	out.send(h.o.Owners)
+	out.send()
 	return ok
 }
 
--- a/batch/home_test.go
+++ b/batch/home_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"log/slog"
 	"slices"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -18,20 +19,55 @@
 
 const testOwner = "edge-1/1"
 
-// recorder keeps the messages to owners.
+// recorder keeps the messages to owners. mu guards them: the home sends from several goroutines.
 type recorder struct {
+	mu          sync.Mutex
 	orders      []contract.TaskOrder
 	withdrawals []contract.RunKey
 	acks        []contract.RunKey
+	// contact is the contact with all owners; nil for one of now.
+	contact *Contact
+	// refreshed is the contact that the last refresh echoed.
+	refreshed Contact
 }
 
-func (r *recorder) Order(_ string, o contract.TaskOrder) { r.orders = append(r.orders, o) }
-func (r *recorder) Refresh(PoolRef, []contract.RunKey)   {}
-func (r *recorder) Recall(PoolRef, []contract.RunKey)    {}
+func (r *recorder) LastContact(string) Contact {
+	if r.contact != nil {
+		return *r.contact
+	}
+	return Contact{Timestamp: 1, ReceivedAt: time.Now()}
+}
+
+func (r *recorder) Order(_ string, o contract.TaskOrder, _ Contact) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.orders = append(r.orders, o)
+}
+
+// sentOrders returns a copy of the orders sent so far.
+func (r *recorder) sentOrders() []contract.TaskOrder {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return slices.Clone(r.orders)
+}
+
+func (r *recorder) Refresh(_ PoolRef, _ []contract.RunKey, echo Contact) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.refreshed = echo
+}
+
+func (r *recorder) Recall(PoolRef, []contract.RunKey) {}
 func (r *recorder) Withdraw(_ PoolRef, keys []contract.RunKey) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
 	r.withdrawals = append(r.withdrawals, keys...)
 }
-func (r *recorder) Acknowledge(_ PoolRef, keys []contract.RunKey) { r.acks = append(r.acks, keys...) }
+func (r *recorder) Acknowledge(_ PoolRef, keys []contract.RunKey) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.acks = append(r.acks, keys...)
+}
 
 func newTestHome() (*Home, *recorder) {
 	capacity := zone.NewCapacityView("self/1", "z")
@@ -78,7 +114,7 @@
 func TestRefusalRequiresProofOfNoStart(t *testing.T) {
 	answer := withOwner(t, func() contract.Batch { return testBatch(1, 3*time.Second) }, func(h *Home, _ *recorder) {
 		h.o.Capacity.Remove(testOwner)
-		h.OwnerUnreachable(testOwner, time.Now())
+		h.OwnerUnreachable(testOwner)
 	})
 	require.Equal(t, Abandoned, answer.Outcome)
 }
@@ -88,7 +124,7 @@
 func TestUnstartedJobIsRefused(t *testing.T) {
 	answer := withOwner(t, func() contract.Batch { return testBatch(1, time.Second) }, func(h *Home, out *recorder) {
 		h.o.Capacity.Remove(testOwner)
-		reportRun(h, out.orders[0].Key, contract.RunUnknown, false)
+		reportRun(h, out.sentOrders()[0].Key, contract.RunUnknown, false)
 	})
 	require.Equal(t, Refused, answer.Outcome)
 }
@@ -96,12 +132,12 @@
 // Guards against an answer before all tasks have ended, and against outcomes that are not acknowledged.
 func TestJobIsAnsweredAfterAllTasks(t *testing.T) {
 	answer := withOwner(t, func() contract.Batch { return testBatch(3, time.Second) }, func(h *Home, out *recorder) {
-		require.Len(t, out.orders, 3)
-		for _, o := range slices.Clone(out.orders) {
+		require.Len(t, out.sentOrders(), 3)
+		for _, o := range out.sentOrders() {
 			require.Equal(t, StateQueued, h.State("00000000000000aa"))
 			reportRun(h, o.Key, contract.RunQueued, false)
 		}
-		for _, o := range slices.Clone(out.orders) {
+		for _, o := range out.sentOrders() {
 			reportRun(h, o.Key, contract.RunStarted, true)
 			require.Equal(t, StateRunning, h.State("00000000000000aa"))
 			reportRun(h, o.Key, contract.RunDone, true)
@@ -116,11 +152,11 @@
 // Guards against more or fewer attempts of a task than its route allows.
 func TestAttemptsAreCounted(t *testing.T) {
 	answer := withOwner(t, func() contract.Batch { return testBatch(1, time.Second) }, func(h *Home, out *recorder) {
-		reportRun(h, out.orders[0].Key, contract.RunFailed, true)
-		require.Len(t, out.orders, 2)
-		require.Greater(t, out.orders[1].Key.Run, out.orders[0].Key.Run)
-		reportRun(h, out.orders[1].Key, contract.RunFailed, true)
-		require.Len(t, out.orders, 2)
+		reportRun(h, out.sentOrders()[0].Key, contract.RunFailed, true)
+		require.Len(t, out.sentOrders(), 2)
+		require.Greater(t, out.sentOrders()[1].Key.Run, out.sentOrders()[0].Key.Run)
+		reportRun(h, out.sentOrders()[1].Key, contract.RunFailed, true)
+		require.Len(t, out.sentOrders(), 2)
 	})
 	require.Equal(t, Failed, answer.Outcome)
 }
@@ -150,7 +186,7 @@
 		start := time.Now()
 		require.Equal(t, Failed, h.Submit(context.Background(), b).Outcome)
 		require.Equal(t, start, time.Now())
-		require.Empty(t, out.orders)
+		require.Empty(t, out.sentOrders())
 	})
 }
 
@@ -160,11 +196,11 @@
 		again := make(chan Answer, 1)
 		go func() { again <- h.Submit(context.Background(), testBatch(1, time.Second)) }()
 		synctest.Wait()
-		require.Len(t, out.orders, 1)
-		reportRun(h, out.orders[0].Key, contract.RunDone, true)
+		require.Len(t, out.sentOrders(), 1)
+		reportRun(h, out.sentOrders()[0].Key, contract.RunDone, true)
 		require.Equal(t, Completed, (<-again).Outcome)
 		require.Equal(t, Completed, h.Submit(context.Background(), testBatch(1, time.Second)).Outcome)
-		require.Len(t, out.orders, 1)
+		require.Len(t, out.sentOrders(), 1)
 	})
 	require.Equal(t, Completed, answer.Outcome)
 }
@@ -173,14 +209,14 @@
 func TestRejectedOrdersAreSpaced(t *testing.T) {
 	withOwner(t, func() contract.Batch { return testBatch(1, 3*time.Second) }, func(h *Home, out *recorder) {
 		for begin, seen := time.Now(), 0; time.Since(begin) < time.Second; time.Sleep(time.Millisecond) {
-			orders := slices.Clone(out.orders)
+			orders := out.sentOrders()
 			for _, o := range orders[seen:] {
 				reportRun(h, o.Key, contract.RunUnknown, false)
 			}
 			seen = len(orders)
 		}
 		h.Cancel("00000000000000aa")
-		require.Less(t, len(out.orders), 10)
+		require.Less(t, len(out.sentOrders()), 10)
 	})
 }
 
@@ -196,13 +232,13 @@
 	}, func(h *Home, out *recorder) {
 		steps := func() []int {
 			var all []int
-			for _, o := range out.orders {
+			for _, o := range out.sentOrders() {
 				all = append(all, o.Key.Step)
 			}
 			return all
 		}
 		finish := func(n int) {
-			key := out.orders[n].Key
+			key := out.sentOrders()[n].Key
 			reportRun(h, key, contract.RunStarted, true)
 			reportRun(h, key, contract.RunDone, true)
 		}
@@ -227,10 +263,42 @@
 		begin := time.Now()
 		time.AfterFunc(900*time.Millisecond, func() {
 			h.o.Capacity.Remove(testOwner)
-			h.OwnerUnreachable(testOwner, time.Now())
+			h.OwnerUnreachable(testOwner)
 		})
 		answer := h.Submit(context.Background(), testBatch(1, time.Second))
 		require.Equal(t, Abandoned, answer.Outcome)
 		require.Less(t, time.Since(begin), 1100*time.Millisecond)
 	})
 }
+
+// Guards against a run that its owner keeps alive after its home has treated it as ended: a message of the owner arrives
+// between the decision to refresh a run and the refresh, which must not echo it.
+func TestRefreshEchoesNoLaterContact(t *testing.T) {
+	earlier := Contact{Timestamp: 1, ReceivedAt: time.Unix(1, 0)}
+	owners := &recorder{contact: &earlier}
+	j := &job{batch: testBatch(1, time.Second), tasks: []task{{state: taskPlaced, owner: testOwner}}}
+	out := newOutbox(owners)
+	out.refresh(j)
+	owners.contact = &Contact{Timestamp: 2, ReceivedAt: time.Unix(2, 0)}
+	out.send()
+	require.Equal(t, earlier, owners.refreshed)
+	require.Equal(t, earlier.ReceivedAt, j.tasks[0].contactAt)
+}
+
+// Guards against an end that an owner reported before it lost the worker and acquired it again: the owner in between may
+// have kept the run alive.
+func TestEndUnderEarlierTokenIsIgnored(t *testing.T) {
+	withOwner(t, func() contract.Batch { return testBatch(1, time.Second) }, func(h *Home, out *recorder) {
+		key := out.sentOrders()[0].Key
+		report := func(state contract.RunState, token uint64) {
+			h.Report(PoolRef{Owner: testOwner, Backend: "s"}, contract.RunReport{
+				Key: key, State: state, MayHaveStarted: true, Token: token,
+			})
+		}
+		report(contract.RunStarted, 3)
+		report(contract.RunEnded, 1)
+		require.Len(t, out.sentOrders(), 1, "orders after an end under an earlier token")
+		report(contract.RunEnded, 3)
+		require.Len(t, out.sentOrders(), 2, "orders after an end under the current token")
+	})
+}
--- a/batch/job.go
+++ b/batch/job.go
@@ -36,16 +36,24 @@
 	token    uint64
 	failures int
 	placedAt time.Time
-	// refreshedAt is when the home last confirmed the run to its owner.
-	refreshedAt time.Time
-	expiresAt   time.Time
-	retryAt     time.Time
+	// contactAt is the latest arrival of a contact that was echoed in an order or refresh of the current run. Owners date
+	// these messages back to the contact.
+	contactAt time.Time
+	expiresAt time.Time
+	retryAt   time.Time
 	// unknownOrders counts the consecutive orders that their owners reported as unknown.
 	unknownOrders int
 	// infeasibleOwners lists the owners none of whose workers can hold the task.
 	infeasibleOwners []string
 }
 
+// confirm records that a message about the current run echoes a contact with its owner.
+func (t *task) confirm(c Contact) {
+	if c.ReceivedAt.After(t.contactAt) {
+		t.contactAt = c.ReceivedAt
+	}
+}
+
 // jobState is the state of a job at its home.
 type jobState uint8
 
--- a/batch/outbox.go
+++ b/batch/outbox.go
@@ -1,13 +1,15 @@
 package batch
 
 import (
-	"time"
-
 	"github.com/cicadadale/cicadadale/contract"
 )
 
 // outbox collects the messages that result from a decision; they are sent after the locks are released.
 type outbox struct {
+	owners Owners
+	// contacts holds the contacts that the messages echo, by owner. They are read when the messages are decided on: by the
+	// time they are sent, the home may have treated their runs as ended, after an earlier contact.
+	contacts    map[string]Contact
 	orders      []ownerOrder
 	refreshes   map[PoolRef][]contract.RunKey
 	withdrawals map[PoolRef][]contract.RunKey
@@ -26,10 +28,24 @@
 	order contract.TaskOrder
 }
 
-func newOutbox() *outbox { return &outbox{} }
+func newOutbox(owners Owners) *outbox {
+	return &outbox{owners: owners, contacts: make(map[string]Contact)}
+}
+
+// contact returns the contact that messages to an owner echo.
+func (o *outbox) contact(owner string) Contact {
+	c, ok := o.contacts[owner]
+	if !ok {
+		c = o.owners.LastContact(owner)
+		o.contacts[owner] = c
+	}
+	return c
+}
 
-func (o *outbox) order(owner string, t contract.TaskOrder) {
-	o.orders = append(o.orders, ownerOrder{owner, t})
+// order adds an order for a task's current run.
+func (o *outbox) order(t *task, order contract.TaskOrder) {
+	t.confirm(o.contact(t.owner))
+	o.orders = append(o.orders, ownerOrder{t.owner, order})
 }
 
 func (o *outbox) withdraw(p PoolRef, k contract.RunKey) { add(&o.withdrawals, p, k) }
@@ -40,7 +56,7 @@
 
 // refresh adds the runs of a job that may be alive. Withdrawn runs are withdrawn again, in case the first message was
 // lost.
-func (o *outbox) refresh(j *job, now time.Time) {
+func (o *outbox) refresh(j *job) {
 	for i := range j.tasks {
 		t := &j.tasks[i]
 		if t.state != taskPlaced {
@@ -50,7 +66,7 @@
 			o.withdraw(j.poolRef(t), j.key(t))
 			continue
 		}
-		t.refreshedAt = now
+		t.confirm(o.contact(t.owner))
 		add(&o.refreshes, j.poolRef(t), j.key(t))
 	}
 }
@@ -62,20 +78,20 @@
 	(*m)[p] = append((*m)[p], k)
 }
 
-func (o *outbox) send(owners Owners) {
+func (o *outbox) send() {
 	for ref, keys := range o.acks {
-		owners.Acknowledge(ref, keys)
+		o.owners.Acknowledge(ref, keys)
 	}
 	for ref, keys := range o.withdrawals {
-		owners.Withdraw(ref, keys)
+		o.owners.Withdraw(ref, keys)
 	}
 	for ref, keys := range o.recalls {
-		owners.Recall(ref, keys)
+		o.owners.Recall(ref, keys)
 	}
 	for _, m := range o.orders {
-		owners.Order(m.owner, m.order)
+		o.owners.Order(m.owner, m.order, o.contacts[m.owner])
 	}
 	for ref, keys := range o.refreshes {
-		owners.Refresh(ref, keys)
+		o.owners.Refresh(ref, keys, o.contacts[ref.Owner])
 	}
 }
--- a/edge/daemon.go
+++ b/edge/daemon.go
@@ -220,12 +220,12 @@
 }
 
 // handleDeparture informs all components that a process can no longer be reached.
-func (d *Daemon) handleDeparture(departed departure) {
-	d.capacity.Remove(departed.id)
+func (d *Daemon) handleDeparture(member string) {
+	d.capacity.Remove(member)
 	for _, p := range d.allPools() {
-		p.HomeUnreachable(departed.id)
+		p.HomeUnreachable(member)
 	}
-	d.home.OwnerUnreachable(departed.id, departed.lastContact)
+	d.home.OwnerUnreachable(member)
 	d.assignWorkers()
 }
 
@@ -351,7 +351,7 @@
 }
 
 func (d *Daemon) learn(m machine.Member, direct bool) {
-	if replaced := d.members.Learn(m, direct); replaced.id != "" {
+	if replaced := d.members.Learn(m, direct); replaced != "" {
 		d.handleDeparture(replaced)
 	}
 }
--- a/edge/member.go
+++ b/edge/member.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/cicadadale/cicadadale/batch"
 	"github.com/cicadadale/cicadadale/link"
 	"github.com/cicadadale/cicadadale/machine"
 	"github.com/cicadadale/cicadadale/zone"
@@ -21,14 +22,15 @@
 	leaving     bool
 	// desiredVersion is the version of the member's desired state.
 	desiredVersion uint64
-	// timestamp is the member's newest timestamp; the member reads it from its own clock.
-	timestamp uint64
+	// newest is the member's newest timestamp.
+	newest batch.Contact
 }
 
-// departure is a process that is no longer live, and when it was last contacted.
-type departure struct {
-	id          string
-	lastContact time.Time
+// recordTimestamp records a timestamp unless a newer one is known.
+func (m *member) recordTimestamp(timestamp uint64, now time.Time) {
+	if timestamp > m.newest.Timestamp {
+		m.newest = batch.Contact{Timestamp: timestamp, ReceivedAt: now}
+	}
 }
 
 // candidate returns a member as a candidate for owning workers.
--- a/edge/members.go
+++ b/edge/members.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/cicadadale/cicadadale/api"
+	"github.com/cicadadale/cicadadale/batch"
 	"github.com/cicadadale/cicadadale/link"
 	"github.com/cicadadale/cicadadale/machine"
 	"github.com/cicadadale/cicadadale/zone"
@@ -36,34 +37,34 @@
 }
 
 // Learn records a process that is named by a list or by its own status (direct). A list does not replace a live
-// process. Learn returns the process that it replaces, if that was live.
-func (m *Members) Learn(info machine.Member, direct bool) (replaced departure) {
+// process. Learn returns the id of the process that it replaces, if that was live.
+func (m *Members) Learn(info machine.Member, direct bool) (replaced string) {
 	if info.VM == m.self.VM || info.VM == "" || info.Address == "" {
-		return departure{}
+		return ""
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	known, ok := m.byVM[info.VM]
 	if ok && known.info == info {
-		return departure{}
+		return ""
 	}
 	if ok && known.live && !direct {
-		return departure{}
+		return ""
 	}
 	if ok {
 		if known.live {
-			replaced = departure{known.id, known.lastContact}
+			replaced = known.id
 		}
 		// The queued messages were meant for the process that is replaced.
 		go known.peer.Close()
 		known.peer = m.dial(info.VM, info.Address)
-		known.info, known.id, known.live, known.lastContact, known.ownsNothing, known.timestamp =
-			info, info.ID(), false, time.Time{}, true, 0
+		known.info, known.id, known.live, known.lastContact, known.ownsNothing, known.newest =
+			info, info.ID(), false, time.Time{}, true, batch.Contact{}
 	} else {
 		m.byVM[info.VM] = &member{info: info, id: info.ID(), peer: m.dial(info.VM, info.Address), ownsNothing: true}
 	}
 	m.logger.Info("member discovered", "member", info.ID(), "address", info.Address, "domain", info.Domain,
-		"direct", direct, "replaces", replaced.id)
+		"direct", direct, "replaces", replaced)
 	return replaced
 }
 
@@ -86,7 +87,9 @@
 
 // UpdateStatus records the status of a live process. It reports whether the process has started or stopped being a
 // candidate owner.
-func (m *Members) UpdateStatus(vm string, ownsNothing, leaving bool, desiredVersion, timestamp uint64) bool {
+func (m *Members) UpdateStatus(
+	vm string, ownsNothing, leaving bool, desiredVersion, timestamp uint64, now time.Time,
+) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	e, ok := m.byVM[vm]
@@ -94,17 +97,17 @@
 		return false
 	}
 	changed := e.ownsNothing != ownsNothing
-	e.ownsNothing, e.leaving, e.desiredVersion, e.timestamp =
-		ownsNothing, leaving, desiredVersion, max(e.timestamp, timestamp)
+	e.ownsNothing, e.leaving, e.desiredVersion = ownsNothing, leaving, desiredVersion
+	e.recordTimestamp(timestamp, now)
 	return changed
 }
 
-// Expire returns the processes that have just ceased to be live for lack of messages. A process to which no connection
+// Expire returns the ids of the processes that have just ceased to be live for lack of messages. A process to which no connection
 // is open has probably ended, so its timeout is shorter than that of one that may only be slow or partitioned.
-func (m *Members) Expire(now time.Time) []departure {
+func (m *Members) Expire(now time.Time) []string {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	var departed []departure
+	var departed []string
 	for _, e := range m.byVM {
 		timeout := silenceTimeout
 		switch {
@@ -117,7 +120,7 @@
 		}
 		if e.live && now.Sub(e.lastContact) > timeout {
 			e.live = false
-			departed = append(departed, departure{e.id, e.lastContact})
+			departed = append(departed, e.id)
 			m.logger.Warn("member is silent; treating it as departed", "member", e.info.ID(), "since", now.Sub(e.lastContact))
 		}
 	}
@@ -225,16 +228,16 @@
 	}
 }
 
-// LastTimestamp returns the newest timestamp that a process has sent, read from its own clock.
-func (m *Members) LastTimestamp(id string) uint64 {
+// LastContact returns the newest timestamp that a process has sent, and when it arrived.
+func (m *Members) LastContact(id string) batch.Contact {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	for _, e := range m.byVM {
 		if e.id == id {
-			return e.timestamp
+			return e.newest
 		}
 	}
-	return 0
+	return batch.Contact{}
 }
 
 // RecordTimestamp records contact with a process: the timestamp that came with an acknowledgement.
@@ -242,7 +245,8 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if e, ok := m.byVM[vm]; ok && e.live {
-		e.timestamp, e.lastContact = max(e.timestamp, timestamp), now
+		e.recordTimestamp(timestamp, now)
+		e.lastContact = now
 	}
 }
 
--- a/edge/messages.go
+++ b/edge/messages.go
@@ -16,26 +16,33 @@
 // owners implements batch.Owners: it passes orders to the local pools or sends them to other members.
 type owners struct{ d *Daemon }
 
+// LastContact implements batch.Owners.
+func (s owners) LastContact(owner string) batch.Contact {
+	if owner == s.d.self {
+		return batch.Contact{ReceivedAt: s.d.o.Now()}
+	}
+	return s.d.members.LastContact(owner)
+}
+
 // Order implements batch.Owners.
-func (s owners) Order(owner string, o contract.TaskOrder) {
+func (s owners) Order(owner string, o contract.TaskOrder, echo batch.Contact) {
 	if owner == s.d.self {
-		s.d.pool(o.Backend).Order(s.d.self, o, s.d.o.Now())
+		s.d.pool(o.Backend).Order(s.d.self, o, echo.ReceivedAt)
 		return
 	}
 	m := encodeOrder(o, s.d.o.Now())
-	m.StampMs = s.d.members.LastTimestamp(owner)
+	m.StampMs = echo.Timestamp
 	s.d.members.Send(owner, &api.PeerMessage{Body: &api.PeerMessage_TaskOrder{TaskOrder: m}})
 }
 
 // Refresh implements batch.Owners.
-func (s owners) Refresh(p batch.PoolRef, keys []contract.RunKey) {
+func (s owners) Refresh(p batch.PoolRef, keys []contract.RunKey, echo batch.Contact) {
 	if p.Owner == s.d.self {
-		s.d.pool(p.Backend).Refresh(s.d.self, keys, s.d.o.Now())
+		s.d.pool(p.Backend).Refresh(s.d.self, keys, echo.ReceivedAt)
 		return
 	}
 	s.d.members.Send(p.Owner, &api.PeerMessage{Body: &api.PeerMessage_TaskRefresh{
-		TaskRefresh: &api.TaskRefresh{Backend: p.Backend, Keys: encodeKeys(keys),
-			StampMs: s.d.members.LastTimestamp(p.Owner)},
+		TaskRefresh: &api.TaskRefresh{Backend: p.Backend, Keys: encodeKeys(keys), StampMs: echo.Timestamp},
 	}})
 }
 
@@ -261,7 +268,7 @@
 		d.members.Send(id, &api.PeerMessage{Body: &api.PeerMessage_WorkerListRequest{
 			WorkerListRequest: &api.WorkerListRequest{}}})
 	}
-	if d.members.UpdateStatus(vm, s.GetOwnsNothing(), s.GetLeaving(), s.GetDesiredVersion(), s.GetStampMs()) {
+	if d.members.UpdateStatus(vm, s.GetOwnsNothing(), s.GetLeaving(), s.GetDesiredVersion(), s.GetStampMs(), d.o.Now()) {
 		d.assignWorkers()
 	}
 }
--- a/machine/host.go
+++ b/machine/host.go
@@ -118,6 +118,10 @@
 	return end
 }
 
+// LeaseEndsBy reports whether every lease granted so far ends by a local time, by the estimate of the worker's clock that
+// ExtendLease uses.
+func (h *Host) LeaseEndsBy(t time.Time) bool { return h.leaseEnd <= h.ClockAt(t) }
+
 // LeasesExpireBy returns the time by which the leases of all tasks ordered so far have certainly expired if the worker
 // is not contacted again.
 func (h *Host) LeasesExpireBy() time.Time {
--- a/pool/maintain.go
+++ b/pool/maintain.go
@@ -78,7 +78,7 @@
 // a worker, so the least recently refreshed run decides. A run that no home has claimed prevents an extension: its
 // home may have died, and its client may be running the job elsewhere before the lease ends.
 func (h *ownedHost) leaseLimit(now time.Time, lease time.Duration) time.Time {
-	limit := now.Add(lease)
+	limit := now.Add(min(lease, maxLease))
 	for _, r := range h.runs {
 		if !r.claimed {
 			return now
@@ -90,6 +90,13 @@
 	return limit
 }
 
+// leaseEndsInTime reports whether the lease that the worker has been granted so far ends in time for a run that is not
+// refreshed again. A worker has one lease for all its runs, and no call shortens it: what was granted for the runs of
+// another home would keep this one alive after its home has treated it as ended.
+func (h *ownedHost) leaseEndsInTime(r *run) bool {
+	return h.host.LeaseEndsBy(r.refreshedAt.Add(leaseAfterRefresh))
+}
+
 // maintain owns a worker until ctx ends: it acquires the worker, renews the lease of its runs and collects their
 // outcomes.
 func (p *Pool) maintain(ctx context.Context, h *ownedHost) {
@@ -120,7 +127,7 @@
 		callCtx, cancel := context.WithTimeout(ctx, poll.Wait+p.pollTimeout(h))
 		reply, err := p.o.Calls.Poll(callCtx, h.address, poll)
 		cancel()
-		if !p.handlePollReply(h, sent, reply, err) {
+		if !p.handlePollReply(h, poll.Token, sent, reply, err) {
 			pause(ctx, pollRetry, nil)
 		}
 	}
@@ -228,7 +235,7 @@
 	h.host.SetClock(reply.Clock, now)
 	h.host.Token = token
 	h.unackedOutcomes = len(reply.Ended) > 0
-	found := p.adopt(h, reply, now)
+	found := p.adopt(h, reply, now, &fx)
 	p.match(now, &fx)
 	p.mu.Unlock()
 	p.counter(metric.PoolWorkersAcquired).Inc(1)
@@ -241,11 +248,13 @@
 	return true
 }
 
-// adopt registers the runs found on a worker, for their homes to claim. p.mu is held.
-func (p *Pool) adopt(h *ownedHost, reply link.PollReply, now time.Time) []contract.RunKey {
+// adopt registers the runs found on a worker, for their homes to claim. The previous owner may have extended their
+// lease just before. p.mu is held.
+func (p *Pool) adopt(h *ownedHost, reply link.PollReply, now time.Time, fx *effects) []contract.RunKey {
 	var found []contract.RunKey
 	for _, running := range reply.Running {
 		found = append(found, running.Key)
+		h.host.ExtendLease(p.o.Lease, now)
 		if r, ok := p.runs[running.Key]; ok && r.host == h {
 			r.token = h.host.Token
 			continue
@@ -259,33 +268,35 @@
 		h.host.Reserve(r.order.Need)
 		h.runs[running.Key] = r
 		p.runs[running.Key] = r
-		h.host.ExtendLease(p.o.Lease, now)
 	}
 	for _, e := range reply.Ended {
 		found = append(found, e.Key)
 		h.host.LastOutcome = max(h.host.LastOutcome, e.Number)
-		if _, ok := p.runs[e.Key]; ok {
+		if r, ok := p.runs[e.Key]; ok {
+			if r.host == h {
+				p.finish(r, e.State, 0, fx)
+			}
 			continue
 		}
 		p.runs[e.Key] = &run{
 			order: contract.TaskOrder{Key: e.Key}, state: runFinal, endedAt: now,
-			outcome: contract.RunReport{Key: e.Key, State: e.State, Worker: h.address.Worker, MayHaveStarted: true},
+			outcome: contract.RunReport{Key: e.Key, State: e.State, Worker: h.address.Worker, Token: h.host.Token,
+				MayHaveStarted: true},
 		}
 	}
 	return found
 }
 
-// loseOwnership records that another VM has acquired a worker. That VM reports its runs from now on. A run with a start
-// call in progress is left to the result of that call. p.mu is held.
+// loseOwnership records that another VM has acquired a worker. That VM reports its runs from now on, and extends their
+// lease. A run with a start call in progress is left to the result of that call. p.mu is held.
 func (p *Pool) loseOwnership(h *ownedHost, now time.Time, fx *effects) {
-	if h.host.Token == 0 {
-		return
+	if h.host.Token != 0 {
+		p.o.Logger.Warn("lost ownership of worker to another VM", "worker", h.address.Worker, "token", h.host.Token,
+			"runs", len(h.runs))
+		p.counter(metric.PoolWorkersLost).Inc(1)
+		h.host.Token = 0
+		h.ownershipLostAt = now
 	}
-	p.o.Logger.Warn("lost ownership of worker to another VM", "worker", h.address.Worker, "token", h.host.Token,
-		"runs", len(h.runs))
-	p.counter(metric.PoolWorkersLost).Inc(1)
-	h.host.Token = 0
-	h.ownershipLostAt = now
 	for _, r := range h.runs {
 		if r.state != runStarting {
 			p.forget(r, fx)
@@ -293,8 +304,9 @@
 	}
 }
 
-// handlePollReply processes the reply to a poll. It reports whether the poll succeeded.
-func (p *Pool) handlePollReply(h *ownedHost, sent time.Time, reply link.PollReply, err error) bool {
+// handlePollReply processes the reply to a poll that was made under a fencing token. It reports whether the poll
+// succeeded.
+func (p *Pool) handlePollReply(h *ownedHost, token uint64, sent time.Time, reply link.PollReply, err error) bool {
 	now := p.o.Now()
 	var fx effects
 	p.mu.Lock()
@@ -302,7 +314,9 @@
 		p.mu.Unlock()
 		p.apply(fx)
 	}()
-	if h.dropped {
+	if h.dropped || h.host.Token != token {
+		// A worker delays its reply until a run ends, so this one may have been admitted before this VM lost the worker. It
+		// lists runs of the next owner, which must not be stopped or ended here.
 		return false
 	}
 	if err != nil {
@@ -442,7 +456,7 @@
 // stopUnordered stops a run that this VM has not ordered: a start that was executed late. p.mu is held.
 func (p *Pool) stopUnordered(h *ownedHost, key contract.RunKey, now time.Time) {
 	r := &run{order: contract.TaskOrder{Key: key, Need: p.typicalSize}, state: runRunning, host: h,
-		cancelled: true, queuedAt: now, startedAt: now, progressAt: now}
+		cancelled: true, queuedAt: now, startedAt: now, progressAt: now, token: h.host.Token}
 	h.host.Reserve(r.order.Need)
 	h.runs[key] = r
 	p.runs[key] = r
--- a/pool/match.go
+++ b/pool/match.go
@@ -69,7 +69,7 @@
 		// The home already treats the run as lost; the next sweep ends it.
 		return false
 	}
-	if !h.host.CanStart(o.Need, now) || !h.host.Listing.CanHold(o.Need, o.RequiredLabel) {
+	if !h.host.CanStart(o.Need, now) || !h.host.Listing.CanHold(o.Need, o.RequiredLabel) || !h.leaseEndsInTime(r) {
 		return false
 	}
 	if o.PerWorkerLimit > 0 && h.runsOfStep(o.Key) >= o.PerWorkerLimit {
--- /dev/null
+++ b/pool/ownership_test.go
@@ -0,0 +1,89 @@
+package pool
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/cicadadale/cicadadale/contract"
+	"github.com/cicadadale/cicadadale/link"
+	"github.com/cicadadale/cicadadale/machine"
+)
+
+// otherOwner acquires a worker as another VM would, and extends its lease every 100 ms until it is fenced.
+func otherOwner(t *testing.T, f *fixture, worker string) {
+	t.Helper()
+	f.pool.mu.Lock()
+	token := f.pool.hosts[worker].host.Token + 1
+	f.pool.mu.Unlock()
+	host := f.calls.hosts[worker]
+	extend := func() bool {
+		reply, err := host.Poll(context.Background(), link.HostPoll{Token: token})
+		require.NoError(t, err)
+		if reply.Fenced {
+			return false
+		}
+		reply, err = host.Poll(context.Background(), link.HostPoll{Token: token, LeaseEnd: reply.Clock + time.Second})
+		require.NoError(t, err)
+		return !reply.Fenced
+	}
+	require.True(t, extend())
+	go func() {
+		for extend() {
+			time.Sleep(100 * time.Millisecond)
+		}
+	}()
+}
+
+// Guards against a run that is reported as ended while its worker runs it: the worker passes to another VM while a poll
+// is in progress, and back half a second later. The reply to the poll was admitted under the old ownership, and lists a
+// run that this VM no longer holds.
+func TestReplyToPollOfEarlierOwnershipEndsNoRun(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(1)
+		defer f.pool.Close()
+		f.setRunTime("kept", 10*time.Second)
+		f.setSize("kept", 500)
+		kept := contract.RunKey{Batch: "kept", Run: 1}
+		order := contract.TaskOrder{
+			Key: kept, Backend: "s", Need: machine.Resources{CPUMillis: 500}, Accepted: time.Now(),
+			Target: time.Now().Add(time.Second), Deadline: time.Now().Add(20 * time.Second), Expected: time.Second,
+		}
+		// The order is old, so the lease that this VM knows of ends before it acquires the worker again.
+		f.pool.Order(testHome, order, time.Now().Add(50*time.Millisecond-refreshTimeout))
+		time.Sleep(20 * time.Millisecond)
+		require.Equal(t, contract.RunStarted, f.state(kept))
+		otherOwner(t, f, "w0")
+		// The start of this task finds that the worker has another owner, before the poll in progress returns.
+		f.order("fenced", 500, 0, time.Second, 20*time.Second)
+		order.Claim = true
+		for range 200 {
+			time.Sleep(10 * time.Millisecond)
+			f.pool.Order(testHome, order, time.Now())
+			if state := f.state(kept); state.Final() && state != contract.RunLost && f.observer.endOf("kept").IsZero() {
+				require.Fail(t, "the worker runs a task that was reported as "+state.String())
+			}
+		}
+	})
+}
+
+// Guards against an outcome that is dropped, so that its task is run again: the run ends while another VM owns the
+// worker, and this VM learns of it when it acquires the worker again.
+func TestOutcomeListedAtAcquisitionIsReported(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(1)
+		defer f.pool.Close()
+		key := f.order("done", 500, 0, time.Second, 20*time.Second)
+		f.pool.mu.Lock()
+		host, r := f.pool.hosts["w0"], f.pool.runs[key]
+		var fx effects
+		f.pool.adopt(host, link.PollReply{Ended: []link.EndedRun{{Number: 1, Key: key, State: contract.RunDone}}},
+			time.Now(), &fx)
+		f.pool.mu.Unlock()
+		require.Equal(t, contract.RunDone, r.outcome.State)
+		require.Equal(t, contract.RunDone, fx.reports[0].State)
+	})
+}
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -22,6 +22,12 @@
 	// leaseAfterRefresh is the longest time from the last refresh of a run to the end of its lease. Clients submit a job
 	// again 1.3 s after its home has died, and workers' clocks run up to 2% slow.
 	leaseAfterRefresh = 1200 * time.Millisecond
+	// maxOrderAge is the age up to which an order can be started on any worker: leases are so much shorter than
+	// leaseAfterRefresh. Orders are as old as the owner's timestamp that they echo, which members send every 200 ms, and
+	// every 400 ms to other failure domains of a deployment with 100 members.
+	maxOrderAge = 400 * time.Millisecond
+	// maxLease bounds the extension of a lease, whatever workers grant.
+	maxLease = leaseAfterRefresh - maxOrderAge
 	// minStartLease is the shortest lease with which a task is started.
 	minStartLease = 150 * time.Millisecond
 	// finalRetention is how long the pool keeps the outcome of a run that its home does not acknowledge, a barred run and
@@ -449,9 +455,10 @@
 	p.apply(fx)
 }
 
-// sweepHost ends the runs of a worker that has not replied before their lease expired. p.mu is held.
+// sweepHost ends the runs of a worker that has not replied before their lease expired. Of a worker that this VM does not
+// own the lease is not known. p.mu is held.
 func (p *Pool) sweepHost(h *ownedHost, now time.Time, fx *effects) {
-	if len(h.runs) == 0 || now.Before(h.host.LeasesExpireBy()) {
+	if len(h.runs) == 0 || h.host.Token == 0 || now.Before(h.host.LeasesExpireBy()) {
 		return
 	}
 	p.o.Logger.Warn("worker does not answer; its lease has expired, treating its runs as ended",
--- a/pool/pool_test.go
+++ b/pool/pool_test.go
@@ -28,6 +28,8 @@
 	mu      sync.Mutex
 	started []string
 	workers map[string]string
+	// ended holds the time at which the last run of each job ended.
+	ended map[string]time.Time
 }
 
 func (o *startObserver) Started(worker string, key contract.RunKey) {
@@ -51,7 +53,18 @@
 	return maps.Clone(o.workers)
 }
 
-func (o *startObserver) Ended(string, contract.RunKey, contract.RunState, time.Time) {}
+func (o *startObserver) Ended(_ string, key contract.RunKey, _ contract.RunState, at time.Time) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.ended[key.Batch] = at
+}
+
+// endOf returns when the last run of a job ended; zero if none has ended.
+func (o *startObserver) endOf(job string) time.Time {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.ended[job]
+}
 
 // hostCalls calls stand-ins of workers without a network.
 type hostCalls struct {
@@ -104,7 +117,7 @@
 func newFixture(workers int) *fixture {
 	f := &fixture{
 		calls:    &hostCalls{hosts: make(map[string]*standin.RunHost)},
-		observer: &startObserver{workers: make(map[string]string)}, durations: make(map[string]time.Duration),
+		observer: &startObserver{workers: make(map[string]string), ended: make(map[string]time.Time)}, durations: make(map[string]time.Duration),
 		sizes: make(map[string]int), reports: make(map[contract.RunKey]contract.RunReport),
 	}
 	for i := range workers {
@@ -297,7 +310,7 @@
 		early := link.PollReply{HostReply: link.HostReply{
 			Clock: host.host.ClockAt(time.Now()), StartTime: f.list[0].StartTime,
 		}}
-		f.pool.handlePollReply(host, start.Add(time.Millisecond), early, nil)
+		f.pool.handlePollReply(host, host.host.Token, start.Add(time.Millisecond), early, nil)
 		require.Equal(t, contract.RunStarted, f.state(key))
 	})
 }
--- a/pool/start.go
+++ b/pool/start.go
@@ -64,11 +64,15 @@
 		metric.Histogram(metric.PoolCallTime, p.o.Metrics).Update(now.Sub(r.startedAt).Microseconds())
 		p.o.Logger.Info("run started", "task", r.order.Key.String(), "worker", h.host.Listing.Worker, "token", s.token,
 			"queued_for", r.startedAt.Sub(r.queuedAt), "call_took", now.Sub(r.startedAt), "home", r.home)
-		if r.cancelled {
+		switch {
+		case h.host.Token == 0:
+			// Another VM has acquired the worker after the start; it reports the run from now on.
+			p.forget(r, fx)
+		case r.cancelled:
 			fx.stops = append(fx.stops, r)
-			return
+		default:
+			fx.report(r)
 		}
-		fx.report(r)
 		return
 	}
 	p.o.Logger.Info("worker rejected a start", "task", r.order.Key.String(), "worker", h.host.Listing.Worker,
@@ -83,7 +87,9 @@
 		p.finish(r, contract.RunFailed, 0, fx)
 		return
 	case link.StartFenced:
-		p.loseOwnership(h, now, fx)
+		if h.host.Token == s.token {
+			p.loseOwnership(h, now, fx)
+		}
 	case link.StartNoCapacity:
 		h.host.MarkFullUntil(now.Add(capacityRetry))
 		h.wake()
@@ -127,7 +133,7 @@
 	ctx, cancel := context.WithTimeout(p.ctx, callTimeout)
 	reply, err := p.o.Calls.Poll(ctx, h.address, poll)
 	cancel()
-	p.handlePollReply(h, sent, reply, err)
+	p.handlePollReply(h, poll.Token, sent, reply, err)
 	p.mu.Lock()
 	inDoubt := r.state == runInDoubt
 	p.mu.Unlock()
@@ -137,7 +143,7 @@
 }
 
 // stop ends a run on its worker. If the run has not started there, the worker rejects a start of it that arrives later.
-// stop retries until the worker replies, the lease expires or the run has ended otherwise.
+// stop retries until the worker replies, the lease expires, the run has ended otherwise or another VM owns the worker.
 func (p *Pool) stop(r *run) {
 	for {
 		p.mu.Lock()
@@ -146,12 +152,19 @@
 			p.mu.Unlock()
 			return
 		}
+		if h.host.Token == 0 {
+			var fx effects
+			p.forget(r, &fx)
+			p.mu.Unlock()
+			p.apply(fx)
+			return
+		}
 		address, token := h.address, h.host.Token
 		p.mu.Unlock()
 		ctx, cancel := context.WithTimeout(p.ctx, callTimeout)
 		reply, err := p.o.Calls.Stop(ctx, address, r.order.Key, token)
 		cancel()
-		if p.handleStopReply(r, h, reply, err) {
+		if p.handleStopReply(r, h, token, reply, err) {
 			return
 		}
 		select {
@@ -162,8 +175,9 @@
 	}
 }
 
-// handleStopReply processes the reply to a stop call. It reports whether nothing is left to do.
-func (p *Pool) handleStopReply(r *run, h *ownedHost, reply link.HostReply, err error) bool {
+// handleStopReply processes the reply to a stop call that was made under a fencing token. It reports whether nothing is
+// left to do.
+func (p *Pool) handleStopReply(r *run, h *ownedHost, token uint64, reply link.HostReply, err error) bool {
 	now := p.o.Now()
 	var fx effects
 	p.mu.Lock()
@@ -179,6 +193,10 @@
 		return false
 	}
 	h.host.SetClock(reply.Clock, now)
+	if reply.Fenced && h.host.Token != token {
+		// The stop was made under the token of an earlier ownership.
+		return false
+	}
 	if reply.Fenced {
 		p.loseOwnership(h, now, &fx)
 		return true
