--- a/batch/home.go
+++ b/batch/home.go
@@ -145,10 +145,28 @@
 // Submit accepts a job, or joins the one that is known under its id, and waits for its answer. When ctx ends, the
 // caller has disconnected; a job without any waiting caller is cancelled.
 func (h *Home) Submit(ctx context.Context, b contract.Batch) Answer {
-	now := h.o.Now()
 	out := newOutbox(h.o.Owners)
+	waiter, answer := h.join(b, h.o.Now(), out)
+	out.send()
+	if waiter == nil {
+		return answer
+	}
+	select {
+	case answer := <-waiter:
+		return answer
+	case <-ctx.Done():
+		return h.callerLeft(b.ID, waiter)
+	case <-h.done:
+		return Answer{Outcome: Abandoned, Reason: "the process ends"}
+	}
+}
+
+// join adds a caller to the job that is known under its id, or to a new one. It returns the channel that receives the
+// answer, or the answer if there is one already.
+func (h *Home) join(b contract.Batch, now time.Time, out *outbox) (chan Answer, Answer) {
 	s := h.shard(b.ID)
 	s.mu.Lock()
+	defer s.mu.Unlock()
 	j, known := s.jobs[b.ID]
 	if known && j.state == jobEnded && j.answer.Outcome == Refused {
 		known = false
@@ -156,30 +174,17 @@
 	if !known {
 		var rejection *Answer
 		if j, rejection = h.accept(b, now); rejection != nil {
-			s.mu.Unlock()
-			return *rejection
+			return nil, *rejection
 		}
 		s.jobs[b.ID] = j
 		h.advance(j, now, out)
 	}
 	if j.state == jobEnded {
-		answer := j.answer
-		s.mu.Unlock()
-		out.send()
-		return answer
+		return nil, j.answer
 	}
 	waiter := make(chan Answer, 1)
 	j.waiters = append(j.waiters, waiter)
-	s.mu.Unlock()
-	out.send()
-	select {
-	case answer := <-waiter:
-		return answer
-	case <-ctx.Done():
-		return h.callerLeft(b.ID, waiter)
-	case <-h.done:
-		return Answer{Outcome: Abandoned, Reason: "the process ends"}
-	}
+	return waiter, Answer{}
 }
 
 // accept creates a new job, or returns the answer to one that cannot be served: it has failed if no worker can hold its
--- a/contract/batch.go
+++ b/contract/batch.go
@@ -65,6 +65,9 @@
 	Deadline time.Time
 }
 
+// MaxBatchTasks bounds the tasks of a batch, so that one submission cannot use up the memory of its home.
+const MaxBatchTasks = 10_000
+
 // Tasks returns the number of tasks of all steps.
 func (b *Batch) Tasks() int {
 	n := 0
--- /dev/null
+++ b/edge/badinput_test.go
@@ -0,0 +1,75 @@
+package edge
+
+import (
+	"context"
+	"log/slog"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+	"github.com/stretchr/testify/require"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/cicadadale/cicadadale/api"
+	"github.com/cicadadale/cicadadale/contract"
+	"github.com/cicadadale/cicadadale/machine"
+)
+
+// Guards against a message of another member that ends the process: fields that are missing, out of range or of a
+// member that is not known.
+func FuzzPeerEnvelope(f *testing.F) {
+	network := newNetwork()
+	store := newMemStore(network)
+	store.desired = contract.Desired{Version: 1, Document: []byte("1")}
+	d := &deployment{t: nil, net: network, store: store}
+	daemon, err := New(Options{
+		Self:  machine.Member{VM: "edge-a", Incarnation: 1, Address: "edge-a", Domain: "zone-a", CPUMillis: 400},
+		Store: storeView{store, "edge-a"}, Calls: workerCalls{d, "edge-a"}, Peers: network.listen("edge-a"), Lease: testLease,
+		Grace: testGrace, Now: time.Now, Logger: slog.New(slog.DiscardHandler), Metrics: metrics.NewRegistry(),
+		Dial: func(context.Context, string) (net.Conn, error) { return nil, errUnreachable },
+	})
+	require.NoError(f, err)
+	f.Cleanup(daemon.Close)
+	for _, m := range oddMessages() {
+		f.Add(encode(f, m))
+	}
+	f.Fuzz(func(_ *testing.T, data []byte) {
+		var env api.Envelope
+		if proto.Unmarshal(data, &env) != nil {
+			return
+		}
+		daemon.handle(&env)
+	})
+}
+
+// oddMessages are messages of each kind without any field, from a member that introduces itself.
+func oddMessages() []*api.PeerMessage {
+	return []*api.PeerMessage{
+		{Body: &api.PeerMessage_TaskOrder{TaskOrder: &api.TaskOrder{}}},
+		{Body: &api.PeerMessage_TaskRefresh{TaskRefresh: &api.TaskRefresh{Keys: []*api.TaskKey{nil, {}}}}},
+		{Body: &api.PeerMessage_TaskWithdrawal{TaskWithdrawal: &api.TaskWithdrawal{Keys: []*api.TaskKey{{}}}}},
+		{Body: &api.PeerMessage_TaskAck{TaskAck: &api.TaskAck{Keys: []*api.TaskKey{{}}}}},
+		{Body: &api.PeerMessage_TaskReport{TaskReport: &api.TaskReport{State: 99}}},
+		{Body: &api.PeerMessage_WorkerTakeover{WorkerTakeover: &api.WorkerTakeover{}}},
+		{Body: &api.PeerMessage_PoolStatus{PoolStatus: &api.PoolStatus{Rooms: []*api.BackendRoom{{
+			WaitingMs: make([]uint32, 99),
+		}}}}},
+		{Body: &api.PeerMessage_DesiredState{DesiredState: &api.DesiredState{}}},
+		{Body: &api.PeerMessage_WorkerList{WorkerList: &api.WorkerList{}}},
+		{Body: &api.PeerMessage_WorkerListRequest{WorkerListRequest: &api.WorkerListRequest{}}},
+		{Body: &api.PeerMessage_MemberList{MemberList: &api.MemberList{Members: []*api.Member{{}}}}},
+		{},
+	}
+}
+
+func encode(f *testing.F, m *api.PeerMessage) []byte {
+	f.Helper()
+	hello := &api.PeerMessage{Body: &api.PeerMessage_PoolStatus{PoolStatus: &api.PoolStatus{
+		Sender: &api.Member{Vm: "edge-b", Incarnation: 1, Address: "edge-b", Domain: "zone-a", CpuMillis: 400},
+	}}}
+	data, err := proto.Marshal(&api.Envelope{FromVm: "edge-b", FromIncarnation: 1,
+		Messages: []*api.PeerMessage{hello, m}})
+	require.NoError(f, err)
+	return data
+}
--- a/edge/messages.go
+++ b/edge/messages.go
@@ -275,7 +275,7 @@
 
 func encodeMember(m machine.Member) *api.Member {
 	return &api.Member{
-		Vm: m.VM, Incarnation: uint64(m.Incarnation), Address: m.Address, Domain: m.Domain, CpuMillis: uint32(m.CPUMillis),
+		Vm: m.VM, Incarnation: uint64(m.Incarnation), Address: m.Address, Domain: m.Domain, CpuMillis: clamp(m.CPUMillis),
 	}
 }
 
@@ -287,7 +287,7 @@
 }
 
 func encodeCapacity(backend string, c zone.BackendCapacity) *api.BackendRoom {
-	m := &api.BackendRoom{Backend: backend, FreeSlots: uint32(c.Free), Slots: uint32(c.Slots)}
+	m := &api.BackendRoom{Backend: backend, FreeSlots: clamp(c.Free), Slots: clamp(c.Slots)}
 	for _, w := range c.Waiting {
 		m.WaitingMs = append(m.WaitingMs, clampMillis(w))
 	}
@@ -331,11 +331,11 @@
 // encodeOrder converts times to remaining durations, since the clocks of two VMs differ.
 func encodeOrder(o contract.TaskOrder, now time.Time) *api.TaskOrder {
 	return &api.TaskOrder{
-		Key: encodeKey(o.Key), Backend: o.Backend, Spec: o.Spec, CpuMillis: uint32(o.Need.CPUMillis),
-		MemoryMb: uint32(o.Need.MemoryMB), Gpus: uint32(o.Need.GPUs), Priority: uint32(max(o.Priority, 0)),
-		TargetMs: int32(o.Target.Sub(now).Milliseconds()), DeadlineMs: int32(o.Deadline.Sub(now).Milliseconds()),
+		Key: encodeKey(o.Key), Backend: o.Backend, Spec: o.Spec, CpuMillis: clamp(o.Need.CPUMillis),
+		MemoryMb: clamp(o.Need.MemoryMB), Gpus: clamp(o.Need.GPUs), Priority: clamp(o.Priority),
+		TargetMs: signedMillis(o.Target.Sub(now)), DeadlineMs: signedMillis(o.Deadline.Sub(now)),
 		ExpectedMs: clampMillis(o.Expected), RequiredLabel: o.RequiredLabel, PreferredRack: o.PreferredRack, Claim: o.Claim,
-		AgeMs: clampMillis(now.Sub(o.Accepted)), PerWorker: uint32(max(o.PerWorkerLimit, 0)),
+		AgeMs: clampMillis(now.Sub(o.Accepted)), PerWorker: clamp(o.PerWorkerLimit),
 	}
 }
 
@@ -357,3 +357,11 @@
 func clampMillis(d time.Duration) uint32 {
 	return uint32(min(max(d.Milliseconds(), 0), math.MaxUint32))
 }
+
+// clamp converts a number that is not negative to the range of the messages. A need that is cut off would pass for a
+// small one.
+func clamp(n int) uint32 { return uint32(min(max(int64(n), 0), math.MaxUint32)) }
+
+func signedMillis(d time.Duration) int32 {
+	return int32(min(max(d.Milliseconds(), math.MinInt32), math.MaxInt32))
+}
