edge, zone, link: control messages that do not grow with the number of VMs

Change: statuses every 200 ms go to the own failure domain and to contacts; beyond 32 members elsewhere these are three partners in each failure domain, chosen by weighted rendezvous, and the members that place tasks here. The others hear every 20 ms a member, 3 s at most, and get no tasks. A member that stays behind requests the desired state of one other. Workers are assigned again only when the list or the owners change. A timer watches for acknowledgements only while some are missing, and statuses are acknowledged every 250 ms at most. Among owners of equal cost the choice is random by free capacity. Outcomes are acknowledged by the next poll.

--- /dev/null
+++ b/edge/contacts.go
@@ -0,0 +1,120 @@
+package edge
+
+import (
+	"time"
+
+	"github.com/cicadadale/cicadadale/api"
+	"github.com/cicadadale/cicadadale/zone"
+)
+
+// The contacts of a process are the members with which it exchanges statuses every statusInterval: those of its failure
+// domain, and in others its partners, the owners at which its home places tasks. The other members hear of it less often,
+// so that its messages grow with the number of failure domains and not with that of members.
+
+// nearInterval returns the time between statuses to the own failure domain while nothing changes.
+func nearInterval(near int) time.Duration {
+	return max(time.Duration(near)*nearStatusSpacing, statusInterval)
+}
+
+// interval returns the time between the statuses of a member, in a deployment with near other members of this failure
+// domain and far ones of others.
+func (m *Members) interval(e *member, near, far int) time.Duration {
+	if e.info.Domain == m.self.Domain {
+		return nearInterval(near)
+	}
+	return farInterval(near + far)
+}
+
+// farInterval returns the time between statuses to members of other failure domains that are not contacts.
+func farInterval(members int) time.Duration {
+	return min(max(time.Duration(members)*farStatusSpacing, statusInterval), maxStatusInterval)
+}
+
+// ChoosePartners chooses the partners again if the set of members that may own workers has changed. A larger owner is
+// the partner of more members, in proportion to its share of a core.
+func (m *Members) ChoosePartners() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.partnersVersion == m.ownersVersion {
+		return
+	}
+	m.partnersVersion = m.ownersVersion
+	var far []zone.Candidate
+	for _, e := range m.byVM {
+		if e.info.Domain != m.self.Domain && e.live && !e.ownsNothing {
+			far = append(far, candidate(e.info))
+		}
+	}
+	chosen := make(map[string]bool)
+	if len(far) > maxFullMesh {
+		for _, id := range zone.Partners(m.self.VM, far, partnersPerDomain) {
+			chosen[id] = true
+		}
+	}
+	for _, e := range m.byVM {
+		e.partner = len(far) <= maxFullMesh || chosen[e.id]
+	}
+}
+
+// Use records that this process sends an order or refresh to a member.
+func (m *Members) Use(id string, now time.Time) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, e := range m.byVM {
+		if e.id == id {
+			e.usedAt = now
+			return
+		}
+	}
+}
+
+// RecordSubscription records that a process needs the statuses of this one.
+func (m *Members) RecordSubscription(vm string, now time.Time) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if e, ok := m.byVM[vm]; ok {
+		e.subscribedAt = now
+	}
+}
+
+// Subscribes reports whether this process needs the statuses of a member, because it places tasks there.
+func (m *Members) Subscribes(vm string, now time.Time) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	e, ok := m.byVM[vm]
+	return ok && m.subscribes(e, now)
+}
+
+// subscribes expects m.mu to be held.
+func (m *Members) subscribes(e *member, now time.Time) bool {
+	return e.info.Domain == m.self.Domain || e.partner || now.Sub(e.usedAt) < useTime
+}
+
+// statusRecipients selects the members that receive a status: those of the own failure domain, the contacts in others,
+// or all.
+type statusRecipients struct {
+	near, contacts, all bool
+}
+
+// SendStatus queues the status of this process for some members. Those whose statuses it needs are told so.
+func (m *Members) SendStatus(status *api.PoolStatus, to statusRecipients, now time.Time) {
+	plain := []*api.PeerMessage{{Body: &api.PeerMessage_PoolStatus{PoolStatus: status}}}
+	subscription := &api.PoolStatus{
+		Rooms: status.Rooms, OwnsNothing: status.OwnsNothing, Leaving: status.Leaving, StampMs: status.StampMs,
+		DesiredVersion: status.DesiredVersion, Sender: status.Sender, WorkerList: status.WorkerList, Subscribe: true,
+	}
+	subscribing := []*api.PeerMessage{{Body: &api.PeerMessage_PoolStatus{PoolStatus: subscription}}}
+	m.broadcast(func(e *member) []*api.PeerMessage {
+		near, needed := e.info.Domain == m.self.Domain, m.subscribes(e, now)
+		contact := needed || now.Sub(e.subscribedAt) < subscriptionTime
+		selected := to.all || (to.near && near) || (to.contacts && contact && !near)
+		switch {
+		case !selected:
+			return nil
+		case needed && !near:
+			return subscribing
+		default:
+			return plain
+		}
+	})
+}
--- a/edge/daemon.go
+++ b/edge/daemon.go
@@ -3,9 +3,9 @@
 import (
 	"context"
 	"log/slog"
-	"maps"
 	"math/rand/v2"
 	"net"
+	"slices"
 	"sync"
 	"time"
 
@@ -21,16 +21,13 @@
 
 const (
 	tickInterval = 50 * time.Millisecond
-	// statusInterval is the shortest time between statuses to all members, and the longest between statuses to the own
-	// failure domain. Most tasks are placed there, so it is told of changed capacity earlier, at the next tick that
-	// nearStatusSpacing allows. With 42 members, sending fewer statuses to other failure domains halves the messages of
-	// a daemon.
-	statusInterval = 200 * time.Millisecond
-	// nearStatusSpacing and farStatusSpacing are the time between statuses per receiving member, in the own failure
-	// domain and in total, so that the number of statuses that a process receives per second does not grow with the
-	// number of members.
-	nearStatusSpacing = 2500 * time.Microsecond
-	farStatusSpacing  = 4 * time.Millisecond
+	// nearStatusSpacing is the time between statuses per member of the own failure domain, which are told of changed
+	// capacity earlier than the others since most tasks are placed there.
+	nearStatusSpacing = 6 * time.Millisecond
+	// desiredStateLag is how long this process lets others have a newer desired state before it requests theirs. Usually
+	// the store passes the new one to all within milliseconds. desiredStateRetry is the pause between requests.
+	desiredStateLag   = 300 * time.Millisecond
+	desiredStateRetry = 500 * time.Millisecond
 	// joinDelay is how long a starting process waits for the other members before it owns workers. Without it, a process
 	// that does not know the others yet would acquire all workers.
 	joinDelay = 400 * time.Millisecond
@@ -99,6 +96,8 @@
 	// assignMu is held while workers are assigned, so that an older assignment never overwrites a newer one. It is locked
 	// before all other locks.
 	assignMu sync.Mutex
+	// assignedFrom is the basis of the last assignment; assignMu guards it.
+	assignedFrom assignmentBasis
 
 	mu      sync.Mutex
 	pools   map[string]*pool.Pool
@@ -108,13 +107,19 @@
 	joined        bool
 	stopping      bool
 	stoppingSince time.Time
-	// sentNear and sentFar are the times of the last statuses to the own failure domain and to all members.
+	// sentNear, sentContacts and sentAll are the times of the last statuses to the own failure domain, to the contacts in
+	// others, and to all members.
 	sentNear       time.Time
-	sentFar        time.Time
+	sentContacts   time.Time
+	sentAll        time.Time
 	lastCapacities map[string]zone.BackendCapacity
 	// lastPresent is when a member was last seen, by failure domain.
 	lastPresent map[string]time.Time
 	assignedAt  time.Time
+	// behindSince is when a member was first seen with a newer desired state than this process; zero if there is none.
+	// requestedAt is when the newer one was last requested.
+	behindSince time.Time
+	requestedAt time.Time
 }
 
 // New starts a daemon.
@@ -201,7 +206,9 @@
 		d.feed.UpdateReading()
 		d.assignWorkers()
 	}
+	d.members.ChoosePartners()
 	d.sendStatus(now)
+	d.requestDesired(now)
 }
 
 // join lets a starting process own workers once it knows the other members. It reports whether that happened now.
@@ -255,10 +262,11 @@
 	return p
 }
 
-// orphanCheck returns a function that reports whether a failure domain has been without a member for longer than
-// orphanDelay, so that other domains take over its workers. It also records that workers are assigned now.
-func (d *Daemon) orphanCheck(now time.Time) func(domain string) bool {
+// orphanedDomains returns the failure domains with workers that have been without a member for longer than orphanDelay,
+// so that other domains take over their workers. It also records that workers are assigned now.
+func (d *Daemon) orphanedDomains(now time.Time) []string {
 	present := d.members.LiveDomains()
+	domains := d.workers.Domains()
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.assignedAt = now
@@ -268,14 +276,13 @@
 	for domain := range present {
 		d.lastPresent[domain] = now
 	}
-	last := maps.Clone(d.lastPresent)
-	return func(domain string) bool {
-		lastSeen, ok := last[domain]
+	return slices.DeleteFunc(domains, func(domain string) bool {
+		lastSeen, ok := d.lastPresent[domain]
 		if !ok {
 			lastSeen = d.started
 		}
-		return now.Sub(lastSeen) > orphanDelay
-	}
+		return now.Sub(lastSeen) <= orphanDelay
+	})
 }
 
 func (d *Daemon) lastAssignment() time.Time {
@@ -284,6 +291,19 @@
 	return d.assignedAt
 }
 
+// assignmentBasis is what an assignment of workers follows from. While it does not change, neither does the assignment.
+type assignmentBasis struct {
+	owning bool
+	// workers and owners are the versions of the list of workers and of the set of members that may own some.
+	workers, owners uint64
+	// orphaned are the failure domains without a member, in order.
+	orphaned []string
+}
+
+func (b assignmentBasis) equal(o assignmentBasis) bool {
+	return b.owning == o.owning && b.workers == o.workers && b.owners == o.owners && slices.Equal(b.orphaned, o.orphaned)
+}
+
 // assignWorkers gives each pool the workers that this process owns.
 func (d *Daemon) assignWorkers() {
 	d.assignMu.Lock()
@@ -291,14 +311,21 @@
 	d.mu.Lock()
 	owning := d.joined && !d.stopping
 	d.mu.Unlock()
+	basis := assignmentBasis{
+		owning: owning, workers: d.workers.Version(), owners: d.members.OwnersVersion(),
+		orphaned: d.orphanedDomains(d.o.Now()),
+	}
+	if basis.equal(d.assignedFrom) {
+		return
+	}
+	d.assignedFrom = basis
 	candidates := d.members.Owners()
 	if owning {
 		candidates = append(candidates, candidate(d.o.Self))
 	}
-	orphaned := d.orphanCheck(d.o.Now())
 	owned := make(map[string][]machine.Listing)
-	for _, l := range d.workers.all() {
-		if id, ok := zone.OwnerOf(l.Worker, l.Zone, candidates, orphaned(l.Zone)); ok && id == d.self {
+	for _, l := range d.workers.in(append(basis.orphaned, d.o.Self.Domain)) {
+		if id, ok := zone.OwnerOf(l.Worker, l.Zone, candidates, slices.Contains(basis.orphaned, l.Zone)); ok && id == d.self {
 			owned[l.Backend] = append(owned[l.Backend], l)
 		}
 	}
--- a/edge/deployment_test.go
+++ b/edge/deployment_test.go
@@ -136,7 +136,7 @@
 func (v storeView) DecodeDesired(document []byte) (contract.Desired, error) {
 	v.s.mu.Lock()
 	defer v.s.mu.Unlock()
-	if string(document) != fmt.Sprint(v.s.desired.Version) {
+	if string(document) != string(v.s.desired.Document) {
 		return contract.Desired{}, fmt.Errorf("version %s is not known", document)
 	}
 	return v.s.desired, nil
--- a/edge/member.go
+++ b/edge/member.go
@@ -24,6 +24,11 @@
 	desiredVersion uint64
 	// newest is the member's newest timestamp.
 	newest batch.Contact
+	// partner is set for a member whose statuses this process needs. usedAt is when it last sent an order or refresh to
+	// the member, subscribedAt when the member last subscribed to its statuses.
+	partner      bool
+	usedAt       time.Time
+	subscribedAt time.Time
 }
 
 // recordTimestamp records a timestamp unless a newer one is known.
--- a/edge/members.go
+++ b/edge/members.go
@@ -19,6 +19,24 @@
 // refusedTimeout is the same timeout for a member to which no connection is open, as when it refuses connections.
 const refusedTimeout = 400 * time.Millisecond
 
+const (
+	// statusInterval is the longest time between statuses within a failure domain, and the time between statuses to the
+	// contacts in others.
+	statusInterval = 200 * time.Millisecond
+	// farStatusSpacing is the time between statuses per member of other failure domains, up to maxStatusInterval, so that
+	// their number per second does not grow with the number of members. Links without a message are closed after 5 s.
+	farStatusSpacing  = 20 * time.Millisecond
+	maxStatusInterval = 3 * time.Second
+	// maxFullMesh is the number of members of other failure domains up to which all of them are contacts. Beyond it,
+	// partnersPerDomain members of each are chosen as partners.
+	maxFullMesh       = 32
+	partnersPerDomain = 3
+	// useTime is how long a member stays a contact after this process has sent it an order or refresh, subscriptionTime
+	// after it has sent a status that subscribes.
+	useTime          = 2 * time.Second
+	subscriptionTime = 1500 * time.Millisecond
+)
+
 // missedStatuses is the number of consecutive statuses that a member may miss before it is treated as silent.
 const missedStatuses = 4
 
@@ -30,6 +48,10 @@
 
 	mu   sync.Mutex
 	byVM map[string]*member
+	// ownersVersion counts the changes of the set of members that may own workers, partnersVersion is that for which the
+	// partners were chosen.
+	ownersVersion   uint64
+	partnersVersion uint64
 }
 
 func newMembers(self machine.Member, dial func(vm, address string) *link.Peer, logger *slog.Logger) *Members {
@@ -57,6 +79,7 @@
 		}
 		// The queued messages were meant for the process that is replaced.
 		go known.peer.Close()
+		m.ownersVersion++
 		known.peer = m.dial(info.VM, info.Address)
 		known.info, known.id, known.live, known.lastContact, known.ownsNothing, known.newest =
 			info, info.ID(), false, time.Time{}, true, batch.Contact{}
@@ -80,6 +103,7 @@
 	becameLive = !e.live
 	e.lastContact, e.live = now, true
 	if becameLive {
+		m.ownersVersion++
 		m.logger.Info("member is live", "member", id)
 	}
 	return becameLive, true
@@ -97,6 +121,9 @@
 		return false
 	}
 	changed := e.ownsNothing != ownsNothing
+	if changed {
+		m.ownersVersion++
+	}
 	e.ownsNothing, e.leaving, e.desiredVersion = ownsNothing, leaving, desiredVersion
 	e.recordTimestamp(timestamp, now)
 	return changed
@@ -107,19 +134,21 @@
 func (m *Members) Expire(now time.Time) []string {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	near, far := m.counts()
 	var departed []string
 	for _, e := range m.byVM {
-		timeout := silenceTimeout
+		timeout, interval := silenceTimeout, m.interval(e, near, far)
 		switch {
 		case e.peer.Failing():
 			timeout = refusedTimeout
-		case e.info.Domain != m.self.Domain && e.peer.AckDelay(now) < silenceTimeout:
-			// Members send statuses to other failure domains less often if there are many members. This one acknowledges the
-			// messages that it is sent, so it may miss some statuses.
-			timeout = max(silenceTimeout, missedStatuses*time.Duration(len(m.byVM))*farStatusSpacing)
+		case interval > statusInterval && e.peer.AckDelay(now) < silenceTimeout:
+			// Members send statuses less often if there are many. This one acknowledges the messages that it is sent, so it may
+			// miss some statuses.
+			timeout = max(silenceTimeout, missedStatuses*interval)
 		}
 		if e.live && now.Sub(e.lastContact) > timeout {
 			e.live = false
+			m.ownersVersion++
 			departed = append(departed, e.id)
 			m.logger.Warn("member is silent; treating it as departed", "member", e.info.ID(), "since", now.Sub(e.lastContact))
 		}
@@ -153,6 +182,13 @@
 	return all
 }
 
+// OwnersVersion returns a number that changes with the result of Owners.
+func (m *Members) OwnersVersion() uint64 {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.ownersVersion
+}
+
 // LiveDomains returns the failure domains with a live process that is not leaving: it owns workers or is about to.
 func (m *Members) LiveDomains() map[string]bool {
 	m.mu.Lock()
@@ -210,19 +246,29 @@
 
 // Broadcast queues messages for all known processes. A process that is not live gets them too, so that both sides of a
 // healed partition make contact, but at most one batch is queued for it.
-func (m *Members) Broadcast(msgs ...*api.PeerMessage) { m.broadcast(false, msgs) }
+func (m *Members) Broadcast(msgs ...*api.PeerMessage) {
+	m.broadcast(func(*member) []*api.PeerMessage { return msgs })
+}
 
 // BroadcastNear queues messages for the processes of the own failure domain.
-func (m *Members) BroadcastNear(msgs ...*api.PeerMessage) { m.broadcast(true, msgs) }
+func (m *Members) BroadcastNear(msgs ...*api.PeerMessage) {
+	m.broadcast(func(e *member) []*api.PeerMessage {
+		if e.info.Domain != m.self.Domain {
+			return nil
+		}
+		return msgs
+	})
+}
 
-func (m *Members) broadcast(near bool, msgs []*api.PeerMessage) {
+// broadcast queues the messages that choose returns for a member. It is called with m.mu held.
+func (m *Members) broadcast(choose func(e *member) []*api.PeerMessage) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	for _, e := range m.byVM {
-		if near && e.info.Domain != m.self.Domain {
+		if !e.live && !e.peer.Flushed() {
 			continue
 		}
-		if e.live || e.peer.Flushed() {
+		if msgs := choose(e); len(msgs) > 0 {
 			e.peer.Send(msgs...)
 		}
 	}
@@ -254,6 +300,11 @@
 func (m *Members) Counts() (near, far int) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	return m.counts()
+}
+
+// counts expects m.mu to be held.
+func (m *Members) counts() (near, far int) {
 	for _, e := range m.byVM {
 		if e.info.Domain == m.self.Domain {
 			near++
@@ -275,13 +326,13 @@
 	return ids
 }
 
-// Behind returns the live processes whose desired state is older than the given version.
-func (m *Members) Behind(version uint64) []string {
+// Ahead returns the live processes whose desired state is newer than the given version.
+func (m *Members) Ahead(version uint64) []string {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	var ids []string
 	for _, e := range m.byVM {
-		if e.live && e.desiredVersion < version {
+		if e.live && e.desiredVersion > version {
 			ids = append(ids, e.id)
 		}
 	}
--- a/edge/messages.go
+++ b/edge/messages.go
@@ -3,6 +3,7 @@
 import (
 	"maps"
 	"math"
+	"math/rand/v2"
 	"time"
 
 	"github.com/cicadadale/cicadadale/api"
@@ -30,8 +31,10 @@
 		s.d.pool(o.Backend).Order(s.d.self, o, echo.ReceivedAt)
 		return
 	}
-	m := encodeOrder(o, s.d.o.Now())
+	now := s.d.o.Now()
+	m := encodeOrder(o, now)
 	m.StampMs = echo.Timestamp
+	s.d.members.Use(owner, now)
 	s.d.members.Send(owner, &api.PeerMessage{Body: &api.PeerMessage_TaskOrder{TaskOrder: m}})
 }
 
@@ -41,6 +44,7 @@
 		s.d.pool(p.Backend).Refresh(s.d.self, keys, echo.ReceivedAt)
 		return
 	}
+	s.d.members.Use(p.Owner, s.d.o.Now())
 	s.d.members.Send(p.Owner, &api.PeerMessage{Body: &api.PeerMessage_TaskRefresh{
 		TaskRefresh: &api.TaskRefresh{Backend: p.Backend, Keys: encodeKeys(keys), StampMs: echo.Timestamp},
 	}})
@@ -108,19 +112,25 @@
 	d.mu.Lock()
 	ownsNothing, leaving := !d.joined || d.stopping, d.stopping
 	near, far := d.members.Counts()
-	toFar := now.Sub(d.sentFar) >= max(statusInterval, time.Duration(near+far)*farStatusSpacing)
-	toNear := now.Sub(d.sentNear) >= statusInterval ||
-		(!maps.Equal(capacities, d.lastCapacities) && now.Sub(d.sentNear) >= time.Duration(near)*nearStatusSpacing)
-	if toNear || toFar {
+	to := statusRecipients{
+		near: now.Sub(d.sentNear) >= nearInterval(near) ||
+			(!maps.Equal(capacities, d.lastCapacities) && now.Sub(d.sentNear) >= time.Duration(near)*nearStatusSpacing),
+		contacts: now.Sub(d.sentContacts) >= statusInterval,
+		all:      now.Sub(d.sentAll) >= farInterval(near+far),
+	}
+	if to.near || to.all {
 		d.lastCapacities, d.sentNear = capacities, now
 	}
-	if toFar {
-		d.sentFar = now
+	if to.contacts || to.all {
+		d.sentContacts = now
 	}
-	version, document := d.desired.Version, d.desired.Document
+	if to.all {
+		d.sentAll = now
+	}
+	version := d.desired.Version
 	d.mu.Unlock()
 	d.updateCapacity(d.self, d.o.Self.Domain, ownsNothing, capacities)
-	if !toNear && !toFar {
+	if to == (statusRecipients{}) {
 		return
 	}
 	status := &api.PoolStatus{OwnsNothing: ownsNothing, Leaving: leaving, DesiredVersion: version,
@@ -130,19 +140,49 @@
 	for backend, capacity := range capacities {
 		status.Rooms = append(status.Rooms, encodeCapacity(backend, capacity))
 	}
-	m := &api.PeerMessage{Body: &api.PeerMessage_PoolStatus{PoolStatus: status}}
-	if !toFar {
-		d.members.BroadcastNear(m)
-		return
+	d.members.SendStatus(status, to, now)
+}
+
+// requestDesired requests the desired state of a member that has had a newer one for a while. Only one member is asked
+// at a time: the document may be large, and all members send it at once if they offer it unasked.
+func (d *Daemon) requestDesired(now time.Time) {
+	d.mu.Lock()
+	version := d.desired.Version
+	d.mu.Unlock()
+	ahead := d.members.Ahead(version)
+	d.mu.Lock()
+	switch {
+	case len(ahead) == 0:
+		d.behindSince = time.Time{}
+	case d.behindSince.IsZero():
+		d.behindSince = now
 	}
-	d.members.Broadcast(m)
-	for _, id := range d.members.Behind(version) {
-		d.members.Send(id, &api.PeerMessage{Body: &api.PeerMessage_DesiredState{
-			DesiredState: &api.DesiredState{Version: version, Document: document},
+	due := len(ahead) > 0 && now.Sub(d.behindSince) >= desiredStateLag && now.Sub(d.requestedAt) >= desiredStateRetry
+	if due {
+		d.requestedAt = now
+	}
+	d.mu.Unlock()
+	if due {
+		d.members.Send(ahead[rand.IntN(len(ahead))], &api.PeerMessage{Body: &api.PeerMessage_DesiredStateRequest{
+			DesiredStateRequest: &api.DesiredStateRequest{},
 		}})
 	}
 }
 
+// sendDesired sends the desired state of this process to a member that has requested it.
+func (d *Daemon) sendDesired(id string) {
+	d.mu.Lock()
+	version, document := d.desired.Version, d.desired.Document
+	d.mu.Unlock()
+	if version == 0 {
+		return
+	}
+	d.o.Logger.Info("sending the desired state to a member that has an older one", "member", id, "version", version)
+	d.members.Send(id, &api.PeerMessage{Body: &api.PeerMessage_DesiredState{
+		DesiredState: &api.DesiredState{Version: version, Document: document},
+	}})
+}
+
 // timestamp returns the time since the start of this process, in milliseconds, offset by firstTimestamp.
 func (d *Daemon) timestamp(now time.Time) uint64 {
 	return d.firstTimestamp + uint64(max(now.Sub(d.started).Milliseconds(), 0))
@@ -243,6 +283,8 @@
 			return
 		}
 		d.setDesired(s, id)
+	case *api.PeerMessage_DesiredStateRequest:
+		d.sendDesired(id)
 	case *api.PeerMessage_WorkerList:
 		if list, current := d.feed.Apply(id, b.WorkerList); current {
 			d.setListings(list)
@@ -263,12 +305,21 @@
 	for _, r := range s.GetRooms() {
 		capacities[r.GetBackend()] = decodeCapacity(r)
 	}
-	d.updateCapacity(id, s.GetSender().GetDomain(), s.GetOwnsNothing(), capacities)
+	now := d.o.Now()
+	if s.GetSubscribe() {
+		d.members.RecordSubscription(vm, now)
+	}
+	if d.members.Subscribes(vm, now) {
+		d.updateCapacity(id, s.GetSender().GetDomain(), s.GetOwnsNothing(), capacities)
+	} else {
+		// Its statuses come too seldom for tasks to be placed there.
+		d.capacity.Remove(id)
+	}
 	if s.GetSender().GetDomain() == d.o.Self.Domain && d.feed.RecordSequence(id, s.GetWorkerList()) {
 		d.members.Send(id, &api.PeerMessage{Body: &api.PeerMessage_WorkerListRequest{
 			WorkerListRequest: &api.WorkerListRequest{}}})
 	}
-	if d.members.UpdateStatus(vm, s.GetOwnsNothing(), s.GetLeaving(), s.GetDesiredVersion(), s.GetStampMs(), d.o.Now()) {
+	if d.members.UpdateStatus(vm, s.GetOwnsNothing(), s.GetLeaving(), s.GetDesiredVersion(), s.GetStampMs(), now) {
 		d.assignWorkers()
 	}
 }
--- a/edge/workerfeed_test.go
+++ b/edge/workerfeed_test.go
@@ -28,7 +28,7 @@
 		time.Sleep(time.Second)
 		require.Equal(t, workers+1, ownedBy(d, 0))
 		for vm, daemon := range d.daemons {
-			require.Len(t, daemon.workers.all(), workers+1, vm)
+			require.Len(t, daemon.workers.in(daemon.workers.Domains()), workers+1, vm)
 		}
 		for vm, daemon := range d.daemons {
 			if daemon.feed.Reads() {
--- a/edge/workers.go
+++ b/edge/workers.go
@@ -2,6 +2,8 @@
 
 import (
 	"log/slog"
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -20,6 +22,8 @@
 	mu      sync.Mutex
 	byID    map[string]machine.Listing
 	missing map[string]time.Time
+	// version counts the changes of byID.
+	version uint64
 }
 
 func newWorkers(logger *slog.Logger) *workers {
@@ -36,10 +40,14 @@
 	for _, l := range list {
 		listed[l.Worker] = true
 		delete(w.missing, l.Worker)
-		if _, ok := w.byID[l.Worker]; !ok {
+		known, ok := w.byID[l.Worker]
+		if !ok {
 			w.logger.Info("worker listed", "worker", l.Worker, "backend", l.Backend, "zone", l.Zone,
 				"cpu_millis", l.Capacity.CPUMillis, "draining", l.Draining)
 		}
+		if !ok || !known.Equal(l) {
+			w.version++
+		}
 		w.byID[l.Worker] = l
 	}
 	for id := range w.byID {
@@ -59,18 +67,40 @@
 		if now.Sub(since) > missingGrace {
 			delete(w.missing, id)
 			delete(w.byID, id)
+			w.version++
 			dropped = true
 		}
 	}
 	return dropped
 }
 
-func (w *workers) all() []machine.Listing {
+// Version returns a number that changes with the list.
+func (w *workers) Version() uint64 {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.version
+}
+
+// Domains returns the failure domains with workers, in order.
+func (w *workers) Domains() []string {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	domains := make(map[string]bool)
+	for _, l := range w.byID {
+		domains[l.Zone] = true
+	}
+	return slices.Sorted(maps.Keys(domains))
+}
+
+// in returns the workers of some failure domains.
+func (w *workers) in(domains []string) []machine.Listing {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	list := make([]machine.Listing, 0, len(w.byID))
+	var list []machine.Listing
 	for _, l := range w.byID {
-		list = append(list, l)
+		if slices.Contains(domains, l.Zone) {
+			list = append(list, l)
+		}
 	}
 	return list
 }
--- a/link/peer.go
+++ b/link/peer.go
@@ -30,8 +30,9 @@
 	redialDelay = 200 * time.Millisecond
 	// ackTimeout is the time without an acknowledgement after which a link is considered silent and is replaced. With
 	// the wait for the next heartbeat and the check interval, a silent link is replaced within 1.5 s.
-	ackTimeout    = 800 * time.Millisecond
-	checkInterval = 200 * time.Millisecond
+	ackTimeout = 800 * time.Millisecond
+	// failureWait bounds the wait for the error that the peer returned after a failed send.
+	failureWait = 200 * time.Millisecond
 	// outboxBytes and batchBytes bound the memory of the queued messages and the size of an envelope. A single message
 	// may exceed batchBytes, up to maxEnvelopeBytes.
 	outboxBytes = 32 << 20
@@ -99,7 +100,12 @@
 	// unacked holds the envelopes that were sent and not acknowledged, oldest first.
 	unacked []sentEnvelope
 	lastAck time.Time
-	open    bool
+	// silence is the timer that closes a connection without acknowledgements. It runs while envelopes are unacknowledged,
+	// so that an idle link wakes nothing up.
+	silence *time.Timer
+	// connections counts the connections opened, so that the timer of an earlier one has no effect.
+	connections int
+	open        bool
 	// dialed is true after the first attempt to connect.
 	dialed bool
 }
@@ -211,10 +217,13 @@
 	}
 	p.counter(metric.PeerLinksOpened).Inc(1)
 	p.o.Timeline.Record(timeline.Event{Kind: timeline.LinkOpened, Peer: p.vm})
-	p.reset()
 	failed := make(chan error, 2)
+	p.reset(func() {
+		failed <- errSilent
+		_ = raw.Close()
+	})
+	defer p.stopSilenceTimer()
 	go p.receiveAcks(stream, failed)
-	go p.watch(ctx, raw, failed)
 	return p.sendLoop(ctx, stream, failed)
 }
 
@@ -222,32 +231,45 @@
 	return drpcmanager.Options{Reader: drpcwire.ReaderOptions{MaximumBufferSize: maxEnvelopeBytes}}
 }
 
-// watch closes a connection without acknowledgements. It runs apart from the sender, which blocks when the buffers of a
-// silent connection are full.
-func (p *Peer) watch(ctx context.Context, raw net.Conn, failed chan<- error) {
-	check := time.NewTicker(checkInterval)
-	defer check.Stop()
-	for {
-		select {
-		case <-check.C:
-			if p.isSilent(p.o.Now()) {
-				failed <- errSilent
-				_ = raw.Close()
-				return
-			}
-		case <-ctx.Done():
-			return
+// reset prepares the state for a new stream, whose envelopes are numbered from 1. replace closes its connection. It is
+// called from a timer, not by the sender, which blocks when the buffers of a silent connection are full.
+func (p *Peer) reset(replace func()) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.lastSequence = 0
+	p.unacked = nil
+	p.open, p.dialed = true, true
+	p.connections++
+	connection := p.connections
+	p.silence = time.AfterFunc(ackTimeout, func() {
+		if p.isSilent(connection) {
+			replace()
 		}
+	})
+	p.silence.Stop()
+}
+
+// isSilent reports whether a connection is silent. Otherwise the timer is set to the time at which it will be, unless all
+// envelopes are acknowledged.
+func (p *Peer) isSilent(connection int) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.connections != connection || p.silence == nil || len(p.unacked) == 0 {
+		return false
 	}
+	delay := p.ackDelay(p.o.Now())
+	if delay >= ackTimeout {
+		return true
+	}
+	p.silence.Reset(ackTimeout - delay)
+	return false
 }
 
-// reset prepares the state for a new stream, whose envelopes are numbered from 1.
-func (p *Peer) reset() {
+func (p *Peer) stopSilenceTimer() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.lastSequence = 0
-	p.unacked = nil
-	p.open, p.dialed = true, true
+	p.silence.Stop()
+	p.silence = nil
 }
 
 // setOpen records whether the link has a connection.
@@ -279,9 +301,9 @@
 }
 
 // firstError returns the error that ended the connection; a failed send is only its consequence. It waits for up to
-// checkInterval for the receiver to read the error that the peer returned.
+// failureWait for the receiver to read the error that the peer returned.
 func firstError(failed <-chan error, err error) error {
-	timer := time.NewTimer(checkInterval)
+	timer := time.NewTimer(failureWait)
 	defer timer.Stop()
 	select {
 	case first := <-failed:
@@ -315,6 +337,9 @@
 	p.lastSequence++
 	sequence := p.lastSequence
 	p.unacked = append(p.unacked, sentEnvelope{sequence: sequence, sent: p.o.Now()})
+	if len(p.unacked) == 1 {
+		p.silence.Reset(ackTimeout)
+	}
 	p.mu.Unlock()
 	env := &api.Envelope{Sequence: sequence, Lamport: p.o.Lamport(), Messages: batch}
 	if sequence == 1 {
@@ -328,13 +353,16 @@
 	return env
 }
 
-func (p *Peer) isSilent(now time.Time) bool { return p.AckDelay(now) > ackTimeout }
-
 // AckDelay returns the time since the oldest unacknowledged envelope was sent or the last acknowledgement arrived,
 // whichever is later.
 func (p *Peer) AckDelay(now time.Time) time.Duration {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	return p.ackDelay(now)
+}
+
+// ackDelay expects p.mu to be held.
+func (p *Peer) ackDelay(now time.Time) time.Duration {
 	if len(p.unacked) == 0 {
 		return 0
 	}
--- a/link/peerserver.go
+++ b/link/peerserver.go
@@ -22,6 +22,9 @@
 const (
 	// codeRefused is the drpc error code for an incarnation that is refused permanently.
 	codeRefused = 1
+	// ackSpacing is the shortest time between acknowledgements of statuses. The next status brings the next one, long
+	// before the sender's ackTimeout.
+	ackSpacing = 250 * time.Millisecond
 	// peerIdleTimeout closes inbound connections without a message; heartbeats arrive every 500 ms.
 	peerIdleTimeout = 5 * time.Second
 )
@@ -71,6 +74,7 @@
 // Exchange implements the generated server interface: it passes envelopes to the handler and acknowledges them.
 func (s *PeerServer) Exchange(stream api.DRPCPeer_ExchangeStream) error {
 	var sender *api.Envelope
+	var acked time.Time
 	for {
 		env, err := stream.Recv()
 		if err != nil {
@@ -89,6 +93,11 @@
 		case Ignored:
 			return errNotListed
 		}
+		now := time.Now()
+		if onlyStatus(env) && now.Sub(acked) < ackSpacing {
+			continue
+		}
+		acked = now
 		ack := &api.Envelope{Ack: env.GetSequence()}
 		if s.timestamp != nil {
 			ack.StampMs = s.timestamp()
@@ -99,6 +108,16 @@
 	}
 }
 
+// onlyStatus reports whether an envelope contains nothing but statuses, of which a later one replaces an earlier one.
+func onlyStatus(env *api.Envelope) bool {
+	for _, m := range env.GetMessages() {
+		if m.GetPoolStatus() == nil {
+			return false
+		}
+	}
+	return len(env.GetMessages()) > 0
+}
+
 // Close stops accepting links and closes all streams.
 func (s *PeerServer) Close() {
 	s.cancel()
--- a/pool/maintain.go
+++ b/pool/maintain.go
@@ -63,8 +63,6 @@
 	startTime int64
 	// pollFailed is set when a poll gets no reply, and cleared by the next reply.
 	pollFailed bool
-	// unackedOutcomes is set while the worker may hold outcomes that have not been acknowledged.
-	unackedOutcomes bool
 }
 
 func (h *ownedHost) wake() {
@@ -175,7 +173,8 @@
 	defer p.mu.Unlock()
 	poll := link.HostPoll{Token: h.host.Token, LastOutcome: h.host.LastOutcome}
 	if len(h.runs) == 0 {
-		return poll, h.unackedOutcomes
+		// Outcomes are acknowledged by the next poll of the idle worker, or by the first one of the next run.
+		return poll, false
 	}
 	// The lease is not extended while the worker does not reply: its runs end when the lease expires.
 	if h.pollFailed {
@@ -234,7 +233,6 @@
 	h.startTime = reply.StartTime
 	h.host.SetClock(reply.Clock, now)
 	h.host.Token = token
-	h.unackedOutcomes = len(reply.Ended) > 0
 	found := p.adopt(h, reply, now, &fx)
 	p.match(now, &fx)
 	p.mu.Unlock()
@@ -373,7 +371,6 @@
 
 // recordOutcomes records the outcomes of runs. p.mu is held.
 func (p *Pool) recordOutcomes(h *ownedHost, reply link.PollReply, now time.Time, fx *effects) {
-	h.unackedOutcomes = len(reply.Ended) > 0
 	for _, e := range reply.Ended {
 		h.host.LastOutcome = max(h.host.LastOutcome, e.Number)
 		r, ok := h.runs[e.Key]
--- a/zone/capacity.go
+++ b/zone/capacity.go
@@ -1,6 +1,7 @@
 package zone
 
 import (
+	"math/rand/v2"
 	"sync"
 	"time"
 )
@@ -123,14 +124,17 @@
 	return false
 }
 
-// best returns the owner with the lowest sum of expected wait and message cost. It expects v.mu to be held.
+// best returns an owner with the lowest sum of expected wait and message cost. It expects v.mu to be held.
+//
+// Of several owners with free capacity and the same cost, each is chosen with a probability proportional to its free
+// capacity: homes have the same, slightly old view, and would all place their tasks at the same owner.
 func (v *CapacityView) best(
 	backend string, priority int, exclude func(id string) bool,
 ) (string, *BackendCapacity, time.Duration) {
 	var bestID string
 	var bestCapacity *BackendCapacity
 	var bestWait time.Duration
-	bestCost := time.Duration(-1)
+	bestCost, free := time.Duration(-1), 0
 	for id, o := range v.owners {
 		capacity := o.capacities[backend]
 		if o.leaving || capacity == nil || capacity.Slots == 0 || exclude(id) {
@@ -138,17 +142,29 @@
 		}
 		wait := capacity.Wait(priority)
 		cost := wait + v.messageCost(id, o)
-		if bestCost < 0 || cost < bestCost || (cost == bestCost && preferred(capacity, bestCapacity, id, bestID)) {
+		better := bestCost < 0 || cost < bestCost
+		switch {
+		case better:
+			free = capacity.Free
+		case cost > bestCost:
+			continue
+		case capacity.Free > 0:
+			free += capacity.Free
+			better = rand.IntN(free) < capacity.Free
+		default:
+			better = preferred(capacity, bestCapacity, id, bestID)
+		}
+		if better {
 			bestID, bestCapacity, bestWait, bestCost = id, capacity, wait, cost
 		}
 	}
 	return bestID, bestCapacity, bestWait
 }
 
-// preferred breaks ties by the share of free capacity, so that owners of equal cost fill up evenly.
+// preferred breaks ties between full owners by their size, so that owners of equal cost get queues in proportion to it.
 func preferred(a, b *BackendCapacity, aID, bID string) bool {
-	if d := a.Free*b.Slots - b.Free*a.Slots; d != 0 {
-		return d > 0
+	if a.Slots != b.Slots {
+		return a.Slots > b.Slots
 	}
 	return aID < bID
 }
