--- a/batch/advance.go
+++ b/batch/advance.go
@@ -64,10 +64,10 @@
 	}
 }
 
-// shouldMove reports whether a task is queued at its owner while another one has free capacity.
+// shouldMove decides whether a task that is queued at its owner moves to another one with free capacity.
 func (h *Home) shouldMove(j *job, t *task, now time.Time) bool {
 	return t.state == taskPlaced && !t.started && now.Sub(t.placedAt) > moveAfter &&
-		now.Sub(t.recalledAt) > recallRetry && h.o.Capacity.OtherOwnerHasCapacity(j.batch.Backend, t.owner)
+		now.Sub(t.recalledAt) > recallRetry && h.o.Capacity.ShouldMove(j.batch.Backend, t.owner, j.steps[t.step].expected)
 }
 
 // checkDeadline ends a job whose deadline has passed, or refuses one that has not started and cannot end before it.
--- a/link/peer.go
+++ b/link/peer.go
@@ -9,6 +9,7 @@
 
 	"github.com/rcrowley/go-metrics"
 	"google.golang.org/protobuf/proto"
+	"google.golang.org/protobuf/reflect/protoreflect"
 	"storj.io/drpc/drpcconn"
 	"storj.io/drpc/drpcerr"
 	"storj.io/drpc/drpcmanager"
@@ -93,6 +94,8 @@
 
 	mu     sync.Mutex
 	outbox []queuedMessage
+	// sentByKind counts the messages of each kind.
+	sentByKind map[protoreflect.Name]metrics.Counter
 	// bytes is the size of the messages in the outbox.
 	bytes int
 	// lastSequence is the number of the last envelope sent on the current stream.
@@ -115,6 +118,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	p := &Peer{
 		o: o, vm: vm, address: address, cancel: cancel, done: make(chan struct{}), wake: make(chan struct{}, 1),
+		sentByKind: make(map[protoreflect.Name]metrics.Counter),
 	}
 	go p.maintain(ctx)
 	return p
@@ -130,6 +134,7 @@
 	for _, m := range msgs {
 		size := proto.Size(m)
 		p.outbox = append(p.outbox, queuedMessage{message: m, size: size})
+		p.countKind(m)
 		p.bytes += size
 	}
 	for len(p.outbox) > outboxLimit || (p.bytes > outboxBytes && len(p.outbox) > 1) {
@@ -148,6 +153,23 @@
 	}
 }
 
+// messageBody is the field of a message that names its kind.
+var messageBody = (&api.PeerMessage{}).ProtoReflect().Descriptor().Oneofs().ByName("body")
+
+// countKind counts a message by its kind. It expects p.mu to be held.
+func (p *Peer) countKind(m *api.PeerMessage) {
+	field := m.ProtoReflect().WhichOneof(messageBody)
+	if field == nil {
+		return
+	}
+	c, ok := p.sentByKind[field.Name()]
+	if !ok {
+		c = p.counter(metric.PeerMessagesSentOfKind(string(field.Name())))
+		p.sentByKind[field.Name()] = c
+	}
+	c.Inc(1)
+}
+
 // Failing reports whether the last attempt to connect failed and no connection is open.
 func (p *Peer) Failing() bool {
 	p.mu.Lock()
--- a/metric/metric.go
+++ b/metric/metric.go
@@ -57,3 +57,6 @@
 	PoolQueueTime       = "pool.queue_time"
 	PoolCallTime        = "pool.start_call_time"
 )
+
+// PeerMessagesSentOfKind returns the name of the counter of the messages of one kind that were sent to other VMs.
+func PeerMessagesSentOfKind(kind string) string { return PeerMessagesSent + "." + kind }
--- a/zone/capacity.go
+++ b/zone/capacity.go
@@ -109,19 +109,31 @@
 	return wait, capacity != nil
 }
 
-// OtherOwnerHasCapacity reports whether an owner other than id has free capacity.
-func (v *CapacityView) OtherOwnerHasCapacity(backend, id string) bool {
+// ShouldMove decides whether a task that waits at an owner moves to another one with free capacity. All homes see the same
+// free capacity, so each lets only such a share of its tasks move that together they fill it: a task that finds the
+// capacity taken has cost its messages in vain.
+func (v *CapacityView) ShouldMove(backend, owner string, expected time.Duration) bool {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	for other, o := range v.owners {
-		if other == id || o.leaving {
+	free := 0
+	var waiting time.Duration
+	for id, o := range v.owners {
+		capacity := o.capacities[backend]
+		if capacity == nil || o.leaving {
 			continue
 		}
-		if capacity := o.capacities[backend]; capacity != nil && capacity.Free > 0 {
-			return true
+		for _, w := range capacity.Waiting {
+			waiting += w
 		}
+		if id != owner {
+			free += capacity.Free
+		}
+	}
+	if free == 0 {
+		return false
 	}
-	return false
+	tasks := int(waiting / max(expected, time.Millisecond))
+	return tasks <= free || rand.IntN(tasks) < free
 }
 
 // best returns an owner with the lowest sum of expected wait and message cost. It expects v.mu to be held.
--- a/zone/capacity_test.go
+++ b/zone/capacity_test.go
@@ -63,3 +63,32 @@
 	require.Len(t, chosen, len(candidates), "candidates that are a partner of some member")
 	require.Equal(t, chosen[candidates[0].ID], changed, "only the partner that has left is replaced")
 }
+
+// Guards against all waiting tasks that move to the few owners with free capacity: most find it taken, and the messages
+// of their moves keep small VMs from starting others.
+func TestFewTasksMoveToLittleCapacity(t *testing.T) {
+	const tries = 1000
+	cases := []struct {
+		free, waiting int
+		most, least   int
+	}{
+		{free: 2, waiting: 100, most: tries / 20, least: 1},
+		{free: 10, waiting: 5, most: tries, least: tries},
+		{free: 0, waiting: 5, most: 0, least: 0},
+	}
+	for _, c := range cases {
+		v := NewCapacityView("home", "z")
+		full := &BackendCapacity{Slots: 8}
+		full.Waiting[0] = time.Duration(c.waiting) * 100 * time.Millisecond
+		v.Update("full", "z", false, map[string]*BackendCapacity{"s": full})
+		v.Update("other", "z", false, map[string]*BackendCapacity{"s": {Free: c.free, Slots: 16}})
+		moves := 0
+		for range tries {
+			if v.ShouldMove("s", "full", 100*time.Millisecond) {
+				moves++
+			}
+		}
+		require.LessOrEqual(t, moves, c.most, "%d free, %d waiting", c.free, c.waiting)
+		require.GreaterOrEqual(t, moves, c.least, "%d free, %d waiting", c.free, c.waiting)
+	}
+}
