--- a/command/edge.go
+++ b/command/edge.go
@@ -9,6 +9,7 @@
 	"net"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 	"time"
 
@@ -31,6 +32,11 @@
 	millisPerCore = 1000
 	// stopMargin is the part of the grace period that is reserved for closing connections.
 	stopMargin = 300 * time.Millisecond
+	// gcPercent lets the heap grow to three times the live memory between two collections. A collection delays all other
+	// work of a process with one core, and the live memory of a daemon is a few megabytes. memoryLimit makes collections
+	// frequent before the smallest VMs, of 144 MB, run out of memory.
+	gcPercent   = 200
+	memoryLimit = 100 << 20
 	// peerDialTimeout bounds the opening of a connection to another member.
 	peerDialTimeout = 500 * time.Millisecond
 )
@@ -96,6 +102,8 @@
 
 // serveEdge runs the daemon until ctx is cancelled, then stops it gracefully.
 func serveEdge(ctx context.Context, s config.Edge, logger *slog.Logger) error {
+	debug.SetGCPercent(gcPercent)
+	debug.SetMemoryLimit(memoryLimit)
 	peers, err := net.Listen("tcp", s.Listen.Peers)
 	if err != nil {
 		return err
--- a/edge/contacts.go
+++ b/edge/contacts.go
@@ -7,7 +7,7 @@
 	"github.com/cicadadale/cicadadale/zone"
 )
 
-// The contacts of a process are the members with which it exchanges statuses every statusInterval: those of its failure
+// The contacts of a process are the members with which it exchanges statuses several times a second: those of its failure
 // domain, and in others its partners, the owners at which its home places tasks. The other members hear of it less often,
 // so that its messages grow with the number of failure domains and not with that of members.
 
@@ -16,6 +16,11 @@
 	return max(time.Duration(near)*nearStatusSpacing, statusInterval)
 }
 
+// contactInterval returns the time between statuses to the contacts in other failure domains.
+func contactInterval(contacts int) time.Duration {
+	return min(max(time.Duration(contacts)*contactSpacing, statusInterval), maxContactInterval)
+}
+
 // interval returns the time between the statuses of a member, in a deployment with near other members of this failure
 // domain and far ones of others.
 func (m *Members) interval(e *member, near, far int) time.Duration {
@@ -96,25 +101,53 @@
 	near, contacts, all bool
 }
 
-// SendStatus queues the status of this process for some members. Those whose statuses it needs are told so.
-func (m *Members) SendStatus(status *api.PoolStatus, to statusRecipients, now time.Time) {
-	plain := []*api.PeerMessage{{Body: &api.PeerMessage_PoolStatus{PoolStatus: status}}}
-	subscription := &api.PoolStatus{
-		Rooms: status.Rooms, OwnsNothing: status.OwnsNothing, Leaving: status.Leaving, StampMs: status.StampMs,
-		DesiredVersion: status.DesiredVersion, Sender: status.Sender, WorkerList: status.WorkerList, Subscribe: true,
-	}
-	subscribing := []*api.PeerMessage{{Body: &api.PeerMessage_PoolStatus{PoolStatus: subscription}}}
+// SendStatus queues the status of this process for some members. Those whose statuses it needs are told so. The status
+// introduces this process to members that are not live, and to all from time to time: the description of a member is
+// larger than the rest. SendStatus returns the number of contacts in other failure domains.
+func (m *Members) SendStatus(status *api.PoolStatus, to statusRecipients, now time.Time) (contacts int) {
+	variants := make(map[statusVariant][]*api.PeerMessage)
 	m.broadcast(func(e *member) []*api.PeerMessage {
 		near, needed := e.info.Domain == m.self.Domain, m.subscribes(e, now)
 		contact := needed || now.Sub(e.subscribedAt) < subscriptionTime
-		selected := to.all || (to.near && near) || (to.contacts && contact && !near)
-		switch {
-		case !selected:
+		if contact && !near {
+			contacts++
+		}
+		selected := to.all || (near && to.near) || (!near && to.contacts && contact)
+		if !selected {
 			return nil
-		case needed && !near:
-			return subscribing
-		default:
-			return plain
 		}
+		v := statusVariant{subscribe: needed && !near, introduce: to.all || !e.live}
+		if variants[v] == nil {
+			variants[v] = []*api.PeerMessage{m.encodeStatus(status, v)}
+		}
+		return variants[v]
 	})
+	return contacts
+}
+
+// statusVariant is what a status contains depending on its receiver.
+type statusVariant struct {
+	subscribe, introduce bool
+}
+
+func (m *Members) encodeStatus(status *api.PoolStatus, v statusVariant) *api.PeerMessage {
+	out := &api.PoolStatus{
+		Rooms: status.GetRooms(), OwnsNothing: status.GetOwnsNothing(), Leaving: status.GetLeaving(),
+		StampMs: status.GetStampMs(), DesiredVersion: status.GetDesiredVersion(), WorkerList: status.GetWorkerList(),
+		Subscribe: v.subscribe,
+	}
+	if v.introduce {
+		out.Sender = encodeMember(m.self)
+	}
+	return &api.PeerMessage{Body: &api.PeerMessage_PoolStatus{PoolStatus: out}}
+}
+
+// Domain returns the failure domain of a known VM.
+func (m *Members) Domain(vm string) string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if e, ok := m.byVM[vm]; ok {
+		return e.info.Domain
+	}
+	return ""
 }
--- a/edge/daemon.go
+++ b/edge/daemon.go
@@ -23,7 +23,7 @@
 	tickInterval = 50 * time.Millisecond
 	// nearStatusSpacing is the time between statuses per member of the own failure domain, which are told of changed
 	// capacity earlier than the others since most tasks are placed there.
-	nearStatusSpacing = 6 * time.Millisecond
+	nearStatusSpacing = 8 * time.Millisecond
 	// desiredStateLag is how long this process lets others have a newer desired state before it requests theirs. Usually
 	// the store passes the new one to all within milliseconds. desiredStateRetry is the pause between requests.
 	desiredStateLag   = 300 * time.Millisecond
@@ -109,9 +109,11 @@
 	stoppingSince time.Time
 	// sentNear, sentContacts and sentAll are the times of the last statuses to the own failure domain, to the contacts in
 	// others, and to all members.
-	sentNear       time.Time
-	sentContacts   time.Time
-	sentAll        time.Time
+	sentNear     time.Time
+	sentContacts time.Time
+	sentAll      time.Time
+	// contacts is the number of contacts in other failure domains.
+	contacts       int
 	lastCapacities map[string]zone.BackendCapacity
 	// lastPresent is when a member was last seen, by failure domain.
 	lastPresent map[string]time.Time
--- a/edge/deployment_test.go
+++ b/edge/deployment_test.go
@@ -194,6 +194,8 @@
 	starts   map[contract.RunKey]int
 	done     map[contract.RunKey]int
 	overlaps []string
+	// started names the workers on which tasks have started.
+	started []string
 }
 
 func (r *runObserver) Started(worker string, key contract.RunKey) {
@@ -205,6 +207,7 @@
 	}
 	r.running[task] = append(r.running[task], key)
 	r.starts[task]++
+	r.started = append(r.started, worker)
 }
 
 func (r *runObserver) Ended(_ string, key contract.RunKey, state contract.RunState, _ time.Time) {
--- a/edge/members.go
+++ b/edge/members.go
@@ -20,9 +20,12 @@
 const refusedTimeout = 400 * time.Millisecond
 
 const (
-	// statusInterval is the longest time between statuses within a failure domain, and the time between statuses to the
-	// contacts in others.
-	statusInterval = 200 * time.Millisecond
+	// statusInterval is the time between statuses to a few members. It grows with their number: by nearStatusSpacing within
+	// the failure domain, and by contactSpacing up to maxContactInterval for the contacts in others, whose orders must not
+	// echo timestamps older than the 400 ms up to which they can be started on any worker.
+	statusInterval     = 200 * time.Millisecond
+	contactSpacing     = 10 * time.Millisecond
+	maxContactInterval = 300 * time.Millisecond
 	// farStatusSpacing is the time between statuses per member of other failure domains, up to maxStatusInterval, so that
 	// their number per second does not grow with the number of members. Links without a message are closed after 5 s.
 	farStatusSpacing  = 20 * time.Millisecond
--- a/edge/messages.go
+++ b/edge/messages.go
@@ -115,7 +115,7 @@
 	to := statusRecipients{
 		near: now.Sub(d.sentNear) >= nearInterval(near) ||
 			(!maps.Equal(capacities, d.lastCapacities) && now.Sub(d.sentNear) >= time.Duration(near)*nearStatusSpacing),
-		contacts: now.Sub(d.sentContacts) >= statusInterval,
+		contacts: now.Sub(d.sentContacts) >= contactInterval(d.contacts),
 		all:      now.Sub(d.sentAll) >= farInterval(near+far),
 	}
 	if to.near || to.all {
@@ -134,13 +134,15 @@
 		return
 	}
 	status := &api.PoolStatus{OwnsNothing: ownsNothing, Leaving: leaving, DesiredVersion: version,
-		StampMs: d.timestamp(now), Sender: encodeMember(d.o.Self),
-		WorkerList: d.feed.Sequence(),
+		StampMs: d.timestamp(now), WorkerList: d.feed.Sequence(),
 	}
 	for backend, capacity := range capacities {
 		status.Rooms = append(status.Rooms, encodeCapacity(backend, capacity))
 	}
-	d.members.SendStatus(status, to, now)
+	contacts := d.members.SendStatus(status, to, now)
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.contacts = contacts
 }
 
 // requestDesired requests the desired state of a member that has had a newer one for a while. Only one member is asked
@@ -215,8 +217,8 @@
 	}
 	becameLive, known := d.members.RecordContact(id, vm, d.o.Now())
 	if !known {
-		// The sender's next status contains its address. It arrives within 200 ms, later only from another failure domain
-		// of a deployment with more than 50 members.
+		// A status that introduces the sender contains its address. The sender's first one does, and one of every round to
+		// all members.
 		return link.Accepted
 	}
 	if becameLive {
@@ -305,17 +307,17 @@
 	for _, r := range s.GetRooms() {
 		capacities[r.GetBackend()] = decodeCapacity(r)
 	}
-	now := d.o.Now()
+	now, domain := d.o.Now(), d.members.Domain(vm)
 	if s.GetSubscribe() {
 		d.members.RecordSubscription(vm, now)
 	}
 	if d.members.Subscribes(vm, now) {
-		d.updateCapacity(id, s.GetSender().GetDomain(), s.GetOwnsNothing(), capacities)
+		d.updateCapacity(id, domain, s.GetOwnsNothing(), capacities)
 	} else {
 		// Its statuses come too seldom for tasks to be placed there.
 		d.capacity.Remove(id)
 	}
-	if s.GetSender().GetDomain() == d.o.Self.Domain && d.feed.RecordSequence(id, s.GetWorkerList()) {
+	if domain == d.o.Self.Domain && d.feed.RecordSequence(id, s.GetWorkerList()) {
 		d.members.Send(id, &api.PeerMessage{Body: &api.PeerMessage_WorkerListRequest{
 			WorkerListRequest: &api.WorkerListRequest{}}})
 	}
