entry, zone: ask the other members before a home's jobs are reported as lost

Cause of planned_stop_cuts_no_request in soak, from the answers in its logs: a member that was cut off while a home started and stopped had no record of it, and one that had seen the home's VM restart had none of its tombstone. Both reported the jobs as lost, although others knew the successor.

Change: before that, the VM list is read again, and all members that are reachable are asked whether they know the home or its successor; one that does sends its records. Without an answer of all of them the caller is told to try again.

--- a/entry/fence.go
+++ b/entry/fence.go
@@ -3,11 +3,13 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
 
 	"github.com/cicadadale/cicadadale/api"
+	"github.com/cicadadale/cicadadale/machine"
 	"github.com/cicadadale/cicadadale/metric"
 	"github.com/cicadadale/cicadadale/zone"
 )
@@ -56,6 +58,43 @@
 	return n
 }
 
+// unknownToMembers reports whether all reachable members answer that they have no record of an incarnation. This VM may have
+// missed its start and its tombstone while it was cut off.
+func (d *Daemon) unknownToMembers(ctx context.Context, inc machine.Incarnation) bool {
+	return !d.anyMember(ctx, inc, (*api.SilenceVoteReply).GetKnown)
+}
+
+// withoutSuccessor reports whether all reachable members answer that they know no successor of an incarnation that is gone.
+func (d *Daemon) withoutSuccessor(ctx context.Context, home zone.Home) bool {
+	if home.GoneConfirmed {
+		return true
+	}
+	if d.anyMember(ctx, home.Incarnation, (*api.SilenceVoteReply).GetSucceeded) {
+		return false
+	}
+	d.homes.ConfirmGone(home.Incarnation)
+	return true
+}
+
+// anyMember asks all reachable members about an incarnation, and reports whether the question is answered with yes, or not at
+// all, by one of them. A member that has a record of the incarnation sends all its records.
+func (d *Daemon) anyMember(ctx context.Context, inc machine.Incarnation, question func(*api.SilenceVoteReply) bool) bool {
+	var yes atomic.Bool
+	var queries sync.WaitGroup
+	for _, vm := range d.domain.Reachable() {
+		queries.Go(func() {
+			resp, err := d.peers.request(ctx, vm, &api.Request{Body: &api.Request_SilenceVote{
+				SilenceVote: &api.SilenceVote{Incarnation: uint64(inc), RequestRecords: true},
+			}}, voteTimeout)
+			if err != nil || question(resp.GetSilenceVote()) {
+				yes.Store(true)
+			}
+		})
+	}
+	queries.Wait()
+	return yes.Load()
+}
+
 // refusedBy is called when a member refuses this incarnation.
 func (d *Daemon) refusedBy(vm string) { d.fence("entry VM " + vm + " treats this incarnation as gone") }
 
--- a/entry/membership.go
+++ b/entry/membership.go
@@ -34,6 +34,25 @@
 	d.slots.reassign()
 }
 
+// listedMembers returns the other entry VMs of the failure domain, with those that the VM list has gained since it was
+// last applied.
+func (d *Daemon) listedMembers(ctx context.Context) ([]string, error) {
+	members := d.domain.Listed()
+	if d.o.List == nil {
+		return members, nil
+	}
+	vms, err := d.o.List.List(ctx)
+	if err != nil {
+		return nil, err
+	}
+	for _, l := range platform.EntryListings(vms) {
+		if l.Domain == d.o.Domain && l.VM.ID != d.o.VM.ID {
+			members = append(members, l.VM.ID)
+		}
+	}
+	return members, nil
+}
+
 func (d *Daemon) applyWorkers(specs []machine.WorkerSpec) {
 	listed := make(map[machine.WorkerID]bool, len(specs))
 	for _, s := range specs {
--- a/entry/messages.go
+++ b/entry/messages.go
@@ -100,8 +100,15 @@
 		resp.Body = &api.Response_HandOver{HandOver: &api.HandOverAck{Part: b.HandOver.GetPart()}}
 		return err
 	case *api.Request_SilenceVote:
-		silent := d.homes.Silent(machine.Incarnation(b.SilenceVote.GetIncarnation()), b.SilenceVote.GetPromise(), d.o.Now())
-		resp.Body = &api.Response_SilenceVote{SilenceVote: &api.SilenceVoteReply{Silent: silent}}
+		inc := machine.Incarnation(b.SilenceVote.GetIncarnation())
+		known, succeeded := d.homes.Remembers(inc)
+		reply := &api.SilenceVoteReply{
+			Silent: d.homes.Silent(inc, b.SilenceVote.GetPromise(), d.o.Now()), Known: known, Succeeded: succeeded,
+		}
+		resp.Body = &api.Response_SilenceVote{SilenceVote: reply}
+		if reply.Known && b.SilenceVote.GetRequestRecords() {
+			d.peers.send(vm, d.homesMessage())
+		}
 		return nil
 	case *api.Request_Claim:
 		return d.serveClaim(ctx, vm, b.Claim, resp)
--- a/entry/router.go
+++ b/entry/router.go
@@ -233,11 +233,14 @@
 			// A member that is cut off from the others may have missed the tombstone of a home after a planned stop.
 			return "", false, fault.Unavailable.New("the home of job %s is gone; its successor may be out of reach", id)
 		}
+		if !d.withoutSuccessor(ctx, home) {
+			return "", false, fault.Unavailable.New("the home of job %s is gone; its successor is not known here yet", id)
+		}
 		return "", false, fault.With(fault.JobLost, fault.ReasonHomeGone, "the home of job %s is gone", id)
 	case zone.HomeSilent:
 		return "", false, fault.Unavailable.New("the home of job %s cannot be reached", id)
 	default:
-		return "", false, d.unknownHome(id)
+		return "", false, d.unknownHome(ctx, id)
 	}
 }
 
@@ -247,11 +250,15 @@
 	return err == nil
 }
 
-// unknownHome returns the error for a job whose home is not known. If all members are known, the home is not one of
-// them and ended longer ago than the members remember. The outcome of all its jobs is then reported as unknown, because
-// nothing is proven about them.
-func (d *Daemon) unknownHome(id contract.JobID) error {
-	for _, vm := range d.domain.Listed() {
+// unknownHome returns the error for a job whose home is not known. If the VM list shows no process that this one does not
+// know, and no member has a record of the home, it ended longer ago than the members remember. The outcome of all its
+// jobs is then reported as unknown, because nothing is proven about them.
+func (d *Daemon) unknownHome(ctx context.Context, id contract.JobID) error {
+	members, err := d.listedMembers(ctx)
+	if err != nil {
+		return fault.Unavailable.New("the home of job %s is not known, and the VM list cannot be read", id)
+	}
+	for _, vm := range members {
 		if d.homes.Current(vm) == 0 {
 			return fault.Unavailable.New("the home of job %s is not known, nor who runs on entry VM %s", id, vm)
 		}
@@ -262,6 +269,9 @@
 	if d.o.Now().Sub(d.started) < zone.SilenceLimit {
 		return fault.Unavailable.New("the home of job %s is not known yet", id)
 	}
+	if !d.unknownToMembers(ctx, id.Home) {
+		return fault.Unavailable.New("the home of job %s is not known here, but may be known to another member", id)
+	}
 	return fault.With(fault.JobLost, fault.ReasonHomeGone,
 		"the home of job %s is no member of its failure domain any more", id)
 }
--- a/zone/domain.go
+++ b/zone/domain.go
@@ -176,6 +176,19 @@
 	return live
 }
 
+// Reachable returns the ids of the other members that have been in contact and silent for less than SilenceLimit since.
+func (d *FailureDomain) Reachable() []string {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	var ids []string
+	for id, m := range d.members {
+		if id != d.self && (m.state == MemberLive || m.state == MemberSuspect) {
+			ids = append(ids, id)
+		}
+	}
+	return ids
+}
+
 // MemberView is a member as shown to operators.
 type MemberView struct {
 	ID          string `json:"id"`
--- a/zone/homes.go
+++ b/zone/homes.go
@@ -36,6 +36,8 @@
 	State       HomeState
 	VM          string
 	Incarnation machine.Incarnation
+	// GoneConfirmed is set for a home that is gone once no live member knew a successor.
+	GoneConfirmed bool
 }
 
 // Succession names the incarnation that answers for a home that is stopping or has stopped.
@@ -77,8 +79,10 @@
 	// refusalPromised and gone refuse the incarnation permanently.
 	refusalPromised bool
 	gone            bool
-	retainedSince   time.Time // start of the retention period
-	succession      Succession
+	// goneConfirmed is set once no live member knew a successor of an incarnation that is gone.
+	goneConfirmed bool
+	retainedSince time.Time // start of the retention period
+	succession    Succession
 }
 
 // NewHomes returns an empty registry.
@@ -251,6 +255,23 @@
 	return true
 }
 
+// Remembers reports whether there is a record of an incarnation, and whether it names a successor.
+func (h *Homes) Remembers(inc machine.Incarnation) (known, succeeded bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	r, known := h.records[inc]
+	return known, known && r.succession.Successor != 0
+}
+
+// ConfirmGone records that no live member knows a successor of an incarnation that is gone.
+func (h *Homes) ConfirmGone(inc machine.Incarnation) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if r, ok := h.records[inc]; ok {
+		r.goneConfirmed = true
+	}
+}
+
 // Locate returns the incarnation that answers for the job ids of inc, following successors.
 func (h *Homes) Locate(inc machine.Incarnation, now time.Time) Home {
 	h.mu.Lock()
@@ -264,7 +285,7 @@
 			inc = succession.Successor
 			continue
 		}
-		return Home{State: r.state(now), VM: r.vm, Incarnation: inc}
+		return Home{State: r.state(now), VM: r.vm, Incarnation: inc, GoneConfirmed: r.goneConfirmed}
 	}
 	return Home{State: HomeUnknown, Incarnation: inc}
 }
