edge: constants of the statuses together, log line for chosen partners

Cause: read as a newcomer, the intervals of the statuses stood in three files, and the choice of partners left no trace in the log.

Change: they stand in contacts.go; the partners are logged when they change. No change of behaviour.

--- a/edge/contacts.go
+++ b/edge/contacts.go
@@ -1,6 +1,8 @@
 package edge
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/cicadadale/cicadadale/api"
@@ -11,6 +13,30 @@
 // domain, and in others its partners, the owners at which its home places tasks. The other members hear of it less often,
 // so that its messages grow with the number of failure domains and not with that of members.
 
+const (
+	// nearStatusSpacing is the time between statuses per member of the own failure domain, which are told of changed
+	// capacity earlier than the others since most tasks are placed there.
+	nearStatusSpacing = 8 * time.Millisecond
+	// statusInterval is the time between statuses to a few members. It grows with their number: by nearStatusSpacing within
+	// the failure domain, and by contactSpacing up to maxContactInterval for the contacts in others, whose orders must not
+	// echo timestamps older than the 400 ms up to which they can be started on any worker.
+	statusInterval     = 200 * time.Millisecond
+	contactSpacing     = 10 * time.Millisecond
+	maxContactInterval = 300 * time.Millisecond
+	// farStatusSpacing is the time between statuses per member of other failure domains, up to maxStatusInterval, so that
+	// their number per second does not grow with the number of members. Links without a message are closed after 5 s.
+	farStatusSpacing  = 20 * time.Millisecond
+	maxStatusInterval = 3 * time.Second
+	// maxFullMesh is the number of members of other failure domains up to which all of them are contacts. Beyond it,
+	// partnersPerDomain members of each are chosen as partners.
+	maxFullMesh       = 32
+	partnersPerDomain = 3
+	// useTime is how long a member stays a contact after this process has sent it an order or refresh, subscriptionTime
+	// after it has sent a status that subscribes.
+	useTime          = 2 * time.Second
+	subscriptionTime = 1500 * time.Millisecond
+)
+
 // nearInterval returns the time between statuses to the own failure domain while nothing changes.
 func nearInterval(near int) time.Duration {
 	return max(time.Duration(near)*nearStatusSpacing, statusInterval)
@@ -56,8 +82,15 @@
 			chosen[id] = true
 		}
 	}
+	changed := false
 	for _, e := range m.byVM {
-		e.partner = len(far) <= maxFullMesh || chosen[e.id]
+		partner := len(far) <= maxFullMesh || chosen[e.id]
+		changed = changed || partner != e.partner
+		e.partner = partner
+	}
+	if changed && len(chosen) > 0 {
+		m.logger.Info("partners chosen; tasks for other failure domains are placed there",
+			"partners", slices.Sorted(maps.Keys(chosen)), "candidates", len(far))
 	}
 }
 
--- a/edge/daemon.go
+++ b/edge/daemon.go
@@ -21,9 +21,6 @@
 
 const (
 	tickInterval = 50 * time.Millisecond
-	// nearStatusSpacing is the time between statuses per member of the own failure domain, which are told of changed
-	// capacity earlier than the others since most tasks are placed there.
-	nearStatusSpacing = 8 * time.Millisecond
 	// desiredStateLag is how long this process lets others have a newer desired state before it requests theirs. Usually
 	// the store passes the new one to all within milliseconds. desiredStateRetry is the pause between requests.
 	desiredStateLag   = 300 * time.Millisecond
--- a/edge/members.go
+++ b/edge/members.go
@@ -12,34 +12,13 @@
 	"github.com/cicadadale/cicadadale/zone"
 )
 
-// silenceTimeout is the time without a message after which a member is no longer live. Members send a status at least
-// every 200 ms within their failure domain, and to others unless there are many members.
+// silenceTimeout is the time without a message after which a member is no longer live, unless there are so many members
+// that statuses come seldom.
 const silenceTimeout = 700 * time.Millisecond
 
 // refusedTimeout is the same timeout for a member to which no connection is open, as when it refuses connections.
 const refusedTimeout = 400 * time.Millisecond
 
-const (
-	// statusInterval is the time between statuses to a few members. It grows with their number: by nearStatusSpacing within
-	// the failure domain, and by contactSpacing up to maxContactInterval for the contacts in others, whose orders must not
-	// echo timestamps older than the 400 ms up to which they can be started on any worker.
-	statusInterval     = 200 * time.Millisecond
-	contactSpacing     = 10 * time.Millisecond
-	maxContactInterval = 300 * time.Millisecond
-	// farStatusSpacing is the time between statuses per member of other failure domains, up to maxStatusInterval, so that
-	// their number per second does not grow with the number of members. Links without a message are closed after 5 s.
-	farStatusSpacing  = 20 * time.Millisecond
-	maxStatusInterval = 3 * time.Second
-	// maxFullMesh is the number of members of other failure domains up to which all of them are contacts. Beyond it,
-	// partnersPerDomain members of each are chosen as partners.
-	maxFullMesh       = 32
-	partnersPerDomain = 3
-	// useTime is how long a member stays a contact after this process has sent it an order or refresh, subscriptionTime
-	// after it has sent a status that subscribes.
-	useTime          = 2 * time.Second
-	subscriptionTime = 1500 * time.Millisecond
-)
-
 // missedStatuses is the number of consecutive statuses that a member may miss before it is treated as silent.
 const missedStatuses = 4
 
@@ -132,8 +111,8 @@
 	return changed
 }
 
-// Expire returns the ids of the processes that have just ceased to be live for lack of messages. A process to which no connection
-// is open has probably ended, so its timeout is shorter than that of one that may only be slow or partitioned.
+// Expire returns the ids of the processes that have just ceased to be live for lack of messages. A process to which no
+// connection is open has probably ended, so its timeout is shorter than that of one that may only be slow or partitioned.
 func (m *Members) Expire(now time.Time) []string {
 	m.mu.Lock()
 	defer m.mu.Unlock()
