pool, batch: log who started each run and what proved its end

A search of the logs by a task's name did not show the start of a run before its reply, the incarnation of the worker, the owner that the home had chosen, nor from which fact the run was taken to be over. "run ended" looked the same for a listed end, an answered stop, an expired lease and a restart, and runs that were left to the next owner had no line.

The owner now logs each start as it is sent, a typed proof with each end, and each run that it leaves to the next owner, finds on a worker or bars. The home logs its orders, one line for the tasks that it orders together, the proof behind each next run, and reports without effect. Each proof has a counter.

--- a/batch/advance.go
+++ b/batch/advance.go
@@ -1,6 +1,7 @@
 package batch
 
 import (
+	"fmt"
 	"slices"
 	"time"
 
@@ -31,6 +32,7 @@
 	for i := range j.tasks {
 		h.advanceTask(j, &j.tasks[i], now, out)
 	}
+	h.recordOrders(j, out)
 	if j.state == jobActive && j.done == len(j.tasks) {
 		h.endJob(j, Completed, "", now, out)
 	}
@@ -47,8 +49,9 @@
 func (h *Home) advanceTask(j *job, t *task, now time.Time, out *outbox) {
 	if t.state == taskLost && !now.Before(t.expiresAt) {
 		h.o.Logger.Info("lease of a lost run has expired; treating the run as ended", "task", j.key(t).String(),
-			"owner", t.owner)
+			"owner", t.owner, "worker", t.worker, "token", t.token, "since_contact", now.Sub(t.contactAt))
 		j.mayHaveRun = true
+		h.recordEnd(j, t, proofExpired, "", 0, true)
 		h.unplace(t, true)
 	}
 	switch {
@@ -93,6 +96,7 @@
 	t.state, t.owner, t.placedAt, t.contactAt = taskPlaced, owner, now, time.Time{}
 	t.started, t.withdrawn, t.worker, t.token, t.recalledAt = false, false, "", 0, time.Time{}
 	out.order(t, j.order(t))
+	out.ordered = append(out.ordered, fmt.Sprintf("%s at %s, contact %v ago", j.key(t), t.owner, now.Sub(t.contactAt)))
 }
 
 // unplace makes a task ready for its next run.
@@ -164,7 +168,10 @@
 	s := h.shard(r.Key.Batch)
 	s.mu.Lock()
 	if j, ok := s.jobs[r.Key.Batch]; ok {
-		if t := j.find(r.Key); t != nil && (t.state == taskPlaced || t.state == taskLost) {
+		switch t := j.find(r.Key); {
+		case t == nil && j.state != jobEnded:
+			h.recordIgnored(from.Owner, r, "not the current run")
+		case t != nil && (t.state == taskPlaced || t.state == taskLost):
 			h.applyReport(j, t, from.Owner, r, now, out)
 			h.advance(j, now, out)
 		}
@@ -177,30 +184,34 @@
 func (h *Home) applyReport(j *job, t *task, owner string, r contract.RunReport, now time.Time, out *outbox) {
 	j.mayHaveRun = j.mayHaveRun || r.MayHaveStarted
 	if !t.proves(owner, r) {
+		h.recordIgnored(owner, r, "other owner or older token")
 		return
 	}
 	switch r.State {
 	case contract.RunStarted:
 		h.handleStarted(j, t, owner, r, out)
 	case contract.RunDone:
+		h.recordDone(j, t, owner, r)
 		t.state = taskDone
 		j.done++
 		j.steps[t.step].remaining--
 		h.kinds.learn(j.batch.Route, j.batch.Steps[t.step].Estimate, r.RunTime)
 	case contract.RunFailed:
-		h.handleFailed(j, t, r, now, out)
+		h.handleFailed(j, t, owner, r, now, out)
 	case contract.RunUnknown:
-		h.handleUnknown(j, t, r, now)
+		h.handleUnknown(j, t, owner, r, now)
 	case contract.RunEnded:
-		if t.started && !t.withdrawn {
-			h.o.Logger.Info("run ended before its task was done", "task", r.Key.String(), "worker", r.Worker)
-		}
+		h.recordEnd(j, t, proofReported, owner, r.Token, r.MayHaveStarted)
 		h.unplace(t, r.MayHaveStarted)
 	case contract.RunInfeasible:
 		t.infeasibleOwners = append(t.infeasibleOwners, owner)
+		h.recordEnd(j, t, proofInfeasible, owner, r.Token, r.MayHaveStarted)
 		h.unplace(t, r.MayHaveStarted)
 	case contract.RunLost:
-		h.markLost(t)
+		if h.markLost(t) {
+			h.o.Logger.Info("owner has lost the worker of a run; the run is in doubt", "task", r.Key.String(), "owner", owner,
+				"worker", r.Worker, "token", t.token, "expires_in", t.expiresAt.Sub(now))
+		}
 	}
 }
 
@@ -220,11 +231,13 @@
 
 // handleUnknown records that an owner does not know an order. This proves nothing of a lost run, which may be alive on
 // a worker that another VM has acquired.
-func (h *Home) handleUnknown(j *job, t *task, r contract.RunReport, now time.Time) {
+func (h *Home) handleUnknown(j *job, t *task, owner string, r contract.RunReport, now time.Time) {
 	if t.state == taskLost {
+		h.recordIgnored(owner, r, "proves nothing about a lost run")
 		return
 	}
 	j.mayHaveRun = j.mayHaveRun || now.Sub(t.placedAt) > unknownProofWindow
+	h.recordEnd(j, t, proofUnknown, owner, r.Token, r.MayHaveStarted)
 	h.unplace(t, r.MayHaveStarted)
 	t.retryAt = now.Add(unknownRetry(t.unknownOrders))
 	t.unknownOrders++
@@ -233,8 +246,13 @@
 // handleStarted records that a run has started at an owner. A report under an older fencing token has no effect.
 func (h *Home) handleStarted(j *job, t *task, owner string, r contract.RunReport, out *outbox) {
 	if r.Token < t.token {
+		h.recordIgnored(owner, r, "older token")
 		return
 	}
+	if t.owner != owner || (t.started && t.token != r.Token) || t.state == taskLost {
+		h.o.Logger.Info("run continues under another owner or token", "task", r.Key.String(), "owner", owner,
+			"worker", r.Worker, "token", r.Token, "last_owner", t.owner, "last_token", t.token)
+	}
 	t.state, t.owner, t.started, t.worker, t.token, t.unknownOrders = taskPlaced, owner, true, r.Worker, r.Token, 0
 	if j.state != jobActive {
 		out.withdraw(j.poolRef(t), r.Key)
@@ -242,10 +260,11 @@
 }
 
 // handleFailed counts a failed run. A task that has failed as often as its route allows fails the job.
-func (h *Home) handleFailed(j *job, t *task, r contract.RunReport, now time.Time, out *outbox) {
+func (h *Home) handleFailed(j *job, t *task, owner string, r contract.RunReport, now time.Time, out *outbox) {
 	t.failures++
 	h.o.Logger.Info("run failed", "task", r.Key.String(), "worker", r.Worker, "failures", t.failures,
 		"attempts", j.batch.Attempts)
+	h.recordEnd(j, t, proofFailed, owner, r.Token, true)
 	h.unplace(t, true)
 	if t.failures >= j.batch.Attempts {
 		h.endJob(j, Failed, "a task has failed as often as allowed", now, out)
@@ -254,17 +273,19 @@
 
 // markLost records that the state of a run is unknown until its lease has expired. The time to the expiry counts from the
 // arrival of the last contact that was echoed for the run: the owner had sent it before, and lets the lease end within
-// leaseAfterRefresh of that. A later contact proves nothing, since no message about the run has echoed it.
-func (h *Home) markLost(t *task) {
+// leaseAfterRefresh of that. A later contact proves nothing, since no message about the run has echoed it. It reports
+// whether the run was not lost before.
+func (h *Home) markLost(t *task) bool {
 	if t.state != taskPlaced {
-		return
+		return false
 	}
 	t.state, t.expiresAt = taskLost, t.contactAt.Add(runExpiry)
+	return true
 }
 
 // OwnerUnreachable marks the runs at an owner that can no longer be reached as lost.
 func (h *Home) OwnerUnreachable(owner string) {
-	lost := 0
+	var lost []string
 	for i := range h.shards {
 		s := &h.shards[i]
 		s.mu.Lock()
@@ -272,14 +293,15 @@
 			for k := range j.tasks {
 				if t := &j.tasks[k]; t.owner == owner && t.state == taskPlaced {
 					h.markLost(t)
-					lost++
+					lost = append(lost, j.key(t).String())
 				}
 			}
 		}
 		s.mu.Unlock()
 	}
-	if lost > 0 {
-		h.o.Logger.Warn("owner of workers is unreachable; its runs are in doubt", "owner", owner, "runs", lost)
+	if len(lost) > 0 {
+		h.o.Logger.Warn("owner of workers is unreachable; its runs are in doubt", "owner", owner, "runs", len(lost),
+			"tasks", lost)
 	}
 }
 
@@ -312,7 +334,8 @@
 		switch {
 		case found && j.state == jobActive && takeover.Token > t.token:
 			h.o.Logger.Info("claiming a run from the new owner of its worker", "task", key.String(),
-				"worker", takeover.Worker, "owner", owner, "last_owner", t.owner)
+				"worker", takeover.Worker, "owner", owner, "token", takeover.Token, "worker_start", takeover.StartTime,
+				"last_owner", t.owner, "last_worker", t.worker, "last_token", t.token)
 			t.state, t.owner, t.placedAt = taskPlaced, owner, now
 			t.worker, t.token, t.started = takeover.Worker, takeover.Token, true
 			j.mayHaveRun = true
@@ -320,6 +343,7 @@
 			order.Claim = true
 			out.order(t, order)
 		case !found && t.started && t.worker == takeover.Worker && takeover.Token > t.token:
+			h.recordEnd(j, t, proofTakeover, owner, takeover.Token, true)
 			h.unplace(t, true)
 		}
 	}
--- a/batch/outbox.go
+++ b/batch/outbox.go
@@ -15,6 +15,8 @@
 	withdrawals map[PoolRef][]contract.RunKey
 	recalls     map[PoolRef][]contract.RunKey
 	acks        map[PoolRef][]contract.RunKey
+	// ordered describes the orders for the log, until the job has been advanced.
+	ordered []string
 }
 
 // PoolRef names a pool: the workers of a back end that an owner has.
--- a/machine/host.go
+++ b/machine/host.go
@@ -122,6 +122,9 @@
 // ExtendLease uses.
 func (h *Host) LeaseEndsBy(t time.Time) bool { return h.leaseEnd <= h.ClockAt(t) }
 
+// LeaseEnd returns the latest end of a lease granted so far, on the worker's clock.
+func (h *Host) LeaseEnd() time.Duration { return h.leaseEnd }
+
 // LeasesExpireBy returns the time by which the leases of all tasks ordered so far have certainly expired if the worker
 // is not contacted again.
 func (h *Host) LeasesExpireBy() time.Time {
--- a/pool/maintain.go
+++ b/pool/maintain.go
@@ -264,13 +264,15 @@
 		found = append(found, running.Key)
 		h.host.ExtendLease(p.o.Lease, now)
 		if r, ok := p.runs[running.Key]; ok && r.host == h {
-			r.token = h.host.Token
+			r.token, r.workerStart = h.host.Token, h.startTime
 			continue
 		}
+		p.o.Logger.Info("run found on an acquired worker", "task", running.Key.String(), "worker", h.address.Worker,
+			"token", h.host.Token, "worker_start", h.startTime, "lease_end", h.host.LeaseEnd())
 		delete(p.barredRuns, running.Key)
 		r := &run{
 			order: contract.TaskOrder{Key: running.Key, Need: p.typicalSize}, state: runRunning, host: h,
-			mayHaveRun: true, token: h.host.Token,
+			mayHaveRun: true, token: h.host.Token, workerStart: h.startTime,
 			queuedAt: now, startedAt: now, progress: running.Progress, progressAt: now,
 		}
 		h.host.Reserve(r.order.Need)
@@ -282,10 +284,12 @@
 		h.host.LastOutcome = max(h.host.LastOutcome, e.Number)
 		if r, ok := p.runs[e.Key]; ok {
 			if r.host == h {
-				p.finish(r, e.State, 0, fx)
+				p.finish(r, e.State, proofListed, 0, fx)
 			}
 			continue
 		}
+		p.o.Logger.Info("end of a run found on an acquired worker", "task", e.Key.String(), "worker", h.address.Worker,
+			"state", e.State.String(), "token", h.host.Token, "worker_start", h.startTime)
 		p.runs[e.Key] = &run{
 			order: contract.TaskOrder{Key: e.Key}, state: runFinal, endedAt: now,
 			outcome: contract.RunReport{Key: e.Key, State: e.State, Worker: h.address.Worker, Token: h.host.Token,
@@ -307,7 +311,7 @@
 	}
 	for _, r := range h.runs {
 		if r.state != runStarting {
-			p.forget(r, fx)
+			p.forget(r, leftFenced, fx)
 		}
 	}
 }
@@ -372,7 +376,7 @@
 		"worker", h.address.Worker, "address", h.address.Address, "runs", len(h.runs))
 	for _, r := range h.runs {
 		if r.state != runStarting {
-			p.finish(r, contract.RunEnded, 0, fx)
+			p.finish(r, contract.RunEnded, proofOtherWorker, 0, fx)
 		}
 	}
 	h.host.Token = 0
@@ -382,9 +386,14 @@
 // recordOutcomes records the outcomes of runs. p.mu is held.
 func (p *Pool) recordOutcomes(h *ownedHost, reply link.PollReply, now time.Time, fx *effects) {
 	for _, e := range reply.Ended {
+		listedBefore := e.Number <= h.host.LastOutcome
 		h.host.LastOutcome = max(h.host.LastOutcome, e.Number)
 		r, ok := h.runs[e.Key]
 		if !ok {
+			if !listedBefore {
+				p.o.Logger.Info("worker lists the end of a run that is not held here", "task", e.Key.String(),
+					"worker", h.address.Worker, "state", e.State.String(), "worker_start", h.startTime)
+			}
 			continue
 		}
 		took := now.Sub(r.startedAt)
@@ -397,7 +406,7 @@
 				p.o.Logger.Warn("worker suspended after repeated run failures", "worker", h.address.Worker)
 			}
 		}
-		p.finish(r, e.State, took, fx)
+		p.finish(r, e.State, proofListed, took, fx)
 	}
 }
 
@@ -430,10 +439,11 @@
 		progress, ok := listed[key]
 		switch {
 		case ok:
+			r.workerStart = h.startTime
 			p.recordProgress(r, progress, now, fx)
 		case r.state == runRunning && r.startedAt.Before(sent) && !r.confirmedAt.After(sent):
 			// The run was confirmed before the poll was sent, and the reply lists neither the run nor its outcome.
-			p.finish(r, contract.RunEnded, 0, fx)
+			p.finish(r, contract.RunEnded, r.unlistedProof(), 0, fx)
 		}
 	}
 }
@@ -443,6 +453,8 @@
 	if r.state == runInDoubt && !r.cancelled {
 		// Replies to polls that were sent before this reply arrived prove nothing about the run.
 		r.state, r.confirmedAt = runRunning, now
+		p.o.Logger.Info("worker lists a run whose start had no reply", "task", r.order.Key.String(),
+			"worker", r.host.address.Worker, "token", r.token, "worker_start", r.workerStart)
 		fx.report(r)
 	}
 	if progress != r.progress {
@@ -463,11 +475,12 @@
 // stopUnordered stops a run that this VM has not ordered: a start that was executed late. p.mu is held.
 func (p *Pool) stopUnordered(h *ownedHost, key contract.RunKey, now time.Time) {
 	r := &run{order: contract.TaskOrder{Key: key, Need: p.typicalSize}, state: runRunning, host: h,
-		cancelled: true, queuedAt: now, startedAt: now, progressAt: now, token: h.host.Token}
+		cancelled: true, queuedAt: now, startedAt: now, progressAt: now, token: h.host.Token,
+		workerStart: h.startTime}
 	h.host.Reserve(r.order.Need)
 	h.runs[key] = r
 	p.runs[key] = r
 	p.o.Logger.Warn("worker runs a task that was not ordered; stopping it", "task", key.String(),
-		"worker", h.address.Worker)
+		"worker", h.address.Worker, "token", h.host.Token, "worker_start", h.startTime)
 	p.spawn(func() { p.stop(r) })
 }
--- a/pool/match.go
+++ b/pool/match.go
@@ -145,10 +145,10 @@
 	h.host.Reserve(r.order.Need)
 	h.runs[r.order.Key] = r
 	r.host, r.state, r.startedAt, r.mayHaveRun = h, runStarting, now, true
-	r.progress, r.progressAt, r.token = 0, now, h.host.Token
+	r.progress, r.progressAt, r.token, r.workerStart, r.stopAnswered = 0, now, h.host.Token, h.startTime, false
 	p.markCommitted(r.order.Key.Batch, now)
 	fx.starts = append(fx.starts, startEffect{
-		run: r, host: h, token: h.host.Token,
+		run: r, host: h, token: h.host.Token, decidedAt: now, workerStart: h.startTime,
 		leaseEnd: h.host.ExtendLease(h.leaseLimit(now, p.o.Lease).Sub(now), now),
 	})
 	h.wake()
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -152,7 +152,7 @@
 func (p *Pool) returnInfeasible(fx *effects) {
 	for _, r := range slices.Clone(p.waiting.runs) {
 		if !p.feasible(r.order) {
-			p.finish(r, contract.RunInfeasible, 0, fx)
+			p.finish(r, contract.RunInfeasible, proofNotStarted, 0, fx)
 		}
 	}
 }
@@ -186,24 +186,13 @@
 	delete(p.hosts, h.host.Listing.Worker)
 	for _, r := range h.runs {
 		if restarted {
-			p.finish(r, contract.RunEnded, 0, fx)
+			p.finish(r, contract.RunEnded, proofMoved, 0, fx)
 			continue
 		}
-		p.forget(r, fx)
+		p.forget(r, leftReassigned, fx)
 	}
 }
 
-// forget drops a run whose outcome another owner decides. p.mu is held.
-func (p *Pool) forget(r *run, fx *effects) {
-	worker := r.host.host.Listing.Worker
-	p.detach(r)
-	delete(p.runs, r.order.Key)
-	p.barredRuns[r.order.Key] = barredRun{at: p.o.Now(), state: contract.RunLost}
-	fx.reports = append(fx.reports, report{r.home, contract.RunReport{
-		Key: r.order.Key, State: contract.RunLost, Worker: worker, MayHaveStarted: r.mayHaveRun,
-	}})
-}
-
 // Order queues a task, unless its run is already known. The home cannot have sent the order before sentAfter: an order
 // that the network has delayed for too long is rejected, since its home already treats the run as lost.
 func (p *Pool) Order(home string, o contract.TaskOrder, sentAfter time.Time) {
@@ -220,6 +209,8 @@
 	if r, ok := p.runs[o.Key]; ok {
 		if !r.claimed {
 			r.refreshedAt = sentAfter
+			p.o.Logger.Info("run found on a worker is claimed by its home", "task", o.Key.String(), "home", home,
+				"claim", o.Claim, "older_than", now.Sub(sentAfter))
 		}
 		r.home, r.refreshedAt, r.claimed = home, later(r.refreshedAt, sentAfter), true
 		if r.order.Spec == nil {
@@ -236,6 +227,8 @@
 			b = barredRun{at: now, state: contract.RunLost}
 			p.barredRuns[o.Key] = b
 		}
+		p.o.Logger.Info("order of a barred run; not started", "task", o.Key.String(), "home", home,
+			"state", b.state.String(), "claim", o.Claim)
 		fx.reports = append(fx.reports, report{home, contract.RunReport{Key: o.Key, State: b.state}})
 		return
 	}
@@ -309,6 +302,7 @@
 	b, ok := p.barredRuns[k]
 	if !ok {
 		b.state = contract.RunUnknown
+		p.o.Logger.Info("run is not known; barring it", "task", k.String(), "home", home)
 	}
 	b.at = now
 	p.barredRuns[k] = b
@@ -347,7 +341,7 @@
 	switch r.state {
 	case runWaiting:
 		p.waiting.remove(r)
-		p.finish(r, contract.RunEnded, 0, fx)
+		p.finish(r, contract.RunEnded, proofNotStarted, 0, fx)
 	case runStarting, runInDoubt:
 		// The goroutine that makes the start call stops the run once the call has returned.
 		r.cancelled = true
@@ -376,18 +370,18 @@
 	now := p.o.Now()
 	var fx effects
 	p.mu.Lock()
-	ended := 0
+	var ended []string
 	for _, r := range p.runs {
 		if r.home != home || r.state == runFinal {
 			continue
 		}
-		ended++
+		ended = append(ended, r.order.Key.String())
 		p.withdraw(r, &fx)
 	}
 	p.match(now, &fx)
 	p.mu.Unlock()
-	if ended > 0 {
-		p.o.Logger.Info("home is unreachable; stopping its runs", "home", home, "runs", ended)
+	if len(ended) > 0 {
+		p.o.Logger.Info("home is unreachable; stopping its runs", "home", home, "runs", len(ended), "tasks", ended)
 	}
 	p.apply(fx)
 }
@@ -468,7 +462,7 @@
 			// The goroutine that makes the start call handles its result.
 			continue
 		}
-		p.finish(r, contract.RunEnded, 0, fx)
+		p.finish(r, contract.RunEnded, proofLeaseExpired, 0, fx)
 	}
 	h.host.Suspend(now)
 }
--- a/pool/run.go
+++ b/pool/run.go
@@ -42,6 +42,10 @@
 	queuedAt    time.Time
 	refreshedAt time.Time
 	token       uint64
+	// workerStart is the start time of the incarnation of the worker to which the run was sent or which listed it last.
+	workerStart int64
+	// stopAnswered is set once the worker has answered a stop of the run.
+	stopAnswered bool
 	// startedAt is when the start call was made, or when the run was found on a worker.
 	startedAt time.Time
 	// confirmedAt is when a reply of the worker last settled whether the run had started. Replies to polls that were sent
@@ -74,6 +78,9 @@
 	host     *ownedHost
 	token    uint64
 	leaseEnd time.Duration
+	// decidedAt is the time of the decision, workerStart the start time of the worker's incarnation known then.
+	decidedAt   time.Time
+	workerStart int64
 }
 
 // report adds a report of the run's current state. A run is reported as started only once its worker has confirmed it:
@@ -113,22 +120,45 @@
 }
 
 // finish records the outcome of a run and frees its capacity. p.mu is held.
-func (p *Pool) finish(r *run, state contract.RunState, took time.Duration, fx *effects) {
+func (p *Pool) finish(r *run, state contract.RunState, proof endProof, took time.Duration, fx *effects) {
 	if r.state == runFinal {
 		return
 	}
 	now := p.o.Now()
 	worker := ""
+	var lease []any
 	if r.host != nil {
 		worker = r.host.host.Listing.Worker
+		if proof != proofListed {
+			lease = []any{"lease_end", r.host.host.LeaseEnd(), "worker_clock", r.host.host.ClockAt(now)}
+		}
 	}
 	p.detach(r)
 	r.state, r.endedAt = runFinal, now
 	r.outcome = contract.RunReport{Key: r.order.Key, State: state, Worker: worker, Token: r.token,
 		MayHaveStarted: r.mayHaveRun, RunTime: took}
 	fx.report(r)
-	p.o.Logger.Info("run ended", "task", r.order.Key.String(), "state", state.String(), "worker", worker,
-		"run_time", took, "home", r.home)
+	p.counter(proofs[proof].counter).Inc(1)
+	p.o.Logger.Info("run ended", append([]any{"task", r.order.Key.String(), "state", state.String(), "worker", worker,
+		"proof", proof.String(), "token", r.token, "worker_start", r.workerStart, "run_time", took, "home", r.home},
+		lease...)...)
+}
+
+// forget drops a run whose outcome another owner decides. p.mu is held.
+func (p *Pool) forget(r *run, reason endProof, fx *effects) {
+	now := p.o.Now()
+	h := r.host.host
+	worker := h.Listing.Worker
+	p.counter(proofs[reason].counter).Inc(1)
+	p.o.Logger.Info("run is left to the next owner of its worker", "task", r.order.Key.String(), "worker", worker,
+		"reason", reason.String(), "token", r.token, "worker_start", r.workerStart, "lease_end", h.LeaseEnd(),
+		"worker_clock", h.ClockAt(now), "home", r.home)
+	p.detach(r)
+	delete(p.runs, r.order.Key)
+	p.barredRuns[r.order.Key] = barredRun{at: now, state: contract.RunLost}
+	fx.reports = append(fx.reports, report{r.home, contract.RunReport{
+		Key: r.order.Key, State: contract.RunLost, Worker: worker, MayHaveStarted: r.mayHaveRun,
+	}})
 }
 
 // detach removes a run from the queue and frees its capacity. p.mu is held.
@@ -148,7 +178,7 @@
 func (p *Pool) requeue(r *run, fx *effects) {
 	r.mayHaveRun = false
 	if r.cancelled {
-		p.finish(r, contract.RunEnded, 0, fx)
+		p.finish(r, contract.RunEnded, proofNotStarted, 0, fx)
 		return
 	}
 	p.detach(r)
--- a/pool/start.go
+++ b/pool/start.go
@@ -32,6 +32,8 @@
 // start makes one start call and records its result.
 func (p *Pool) start(s startEffect) {
 	p.counter(metric.PoolStarts).Inc(1)
+	p.o.Logger.Info("sending a start", "task", s.run.order.Key.String(), "worker", s.host.address.Worker,
+		"token", s.token, "worker_start", s.workerStart, "lease_end", s.leaseEnd, "decided", p.o.Now().Sub(s.decidedAt))
 	ctx, cancel := context.WithTimeout(p.ctx, startTimeout)
 	verdict, reply, err := p.o.Calls.Start(ctx, s.host.address, link.HostStart{
 		Key: s.run.order.Key, Spec: s.run.order.Spec, LeaseEnd: s.leaseEnd, Token: s.token,
@@ -42,6 +44,9 @@
 	p.mu.Lock()
 	if s.run.state == runStarting && s.run.host == s.host {
 		p.handleStartReply(s, verdict, reply, err, now, &fx)
+	} else {
+		p.o.Logger.Warn("start returned after its run had been given up", "task", s.run.order.Key.String(),
+			"worker", s.host.address.Worker, "token", s.token, "verdict", verdict.String(), "error", err)
 	}
 	p.match(now, &fx)
 	p.mu.Unlock()
@@ -60,6 +65,9 @@
 	h.host.SetClock(reply.Clock, now)
 	if verdict == link.StartAccepted {
 		r.state, r.confirmedAt = runRunning, now
+		if reply.StartTime != 0 {
+			r.workerStart = reply.StartTime
+		}
 		metric.Histogram(metric.PoolQueueTime, p.o.Metrics).Update(r.startedAt.Sub(r.queuedAt).Microseconds())
 		metric.Histogram(metric.PoolCallTime, p.o.Metrics).Update(now.Sub(r.startedAt).Microseconds())
 		p.o.Logger.Info("run started", "task", r.order.Key.String(), "worker", h.host.Listing.Worker, "token", s.token,
@@ -67,7 +75,7 @@
 		switch {
 		case h.host.Token == 0:
 			// Another VM has acquired the worker after the start; it reports the run from now on.
-			p.forget(r, fx)
+			p.forget(r, leftNotOwned, fx)
 		case r.cancelled:
 			fx.stops = append(fx.stops, r)
 		default:
@@ -80,11 +88,11 @@
 	switch verdict {
 	case link.StartSuperseded:
 		r.mayHaveRun = false
-		p.finish(r, contract.RunEnded, 0, fx)
+		p.finish(r, contract.RunEnded, proofNotStarted, 0, fx)
 		return
 	case link.StartInvalid:
 		r.mayHaveRun = false
-		p.finish(r, contract.RunFailed, 0, fx)
+		p.finish(r, contract.RunFailed, proofNotStarted, 0, fx)
 		return
 	case link.StartFenced:
 		if h.host.Token == s.token {
@@ -108,7 +116,7 @@
 	h.host.MarkSuspectUntil(now.Add(suspectTime))
 	notStarted := errorx.HasTrait(err, fault.ProvenNotStarted)
 	p.o.Logger.Warn("worker did not answer a start", "task", r.order.Key.String(), "worker", h.host.Listing.Worker,
-		"not_sent", notStarted, "error", err)
+		"token", s.token, "not_sent", notStarted, "error", err)
 	if notStarted {
 		p.requeue(r, fx)
 		return
@@ -154,7 +162,7 @@
 		}
 		if h.host.Token == 0 {
 			var fx effects
-			p.forget(r, &fx)
+			p.forget(r, leftNotOwned, &fx)
 			p.mu.Unlock()
 			p.apply(fx)
 			return
@@ -203,7 +211,9 @@
 	}
 	// The run has ended once its outcome is listed, or once a later poll lists neither the run nor an outcome: then it
 	// never started there, and the worker rejects a start that arrives late.
-	r.state, r.confirmedAt, r.cancelled = runRunning, now, true
+	r.state, r.confirmedAt, r.cancelled, r.stopAnswered = runRunning, now, true, true
+	p.o.Logger.Info("worker answered a stop", "task", r.order.Key.String(), "worker", h.address.Worker, "token", token,
+		"worker_start", reply.StartTime)
 	h.wake()
 	p.match(now, &fx)
 	return true
