pool: acquire a restarted worker under a new token

Callers: a task had two runs at a time. A start call without an answer is barred by a stop, and its task runs elsewhere. If the worker then restarts under its id, its new incarnation has seen no fencing token and does not know the bar; the owner kept its token. A start that the network delivers seconds later was executed there. Cause: the token that makes a delayed call harmless was renewed when a worker changed hands, and not when the worker lost all that it knew. Class: a fence that does not survive the restart of the one who checks it. Change: at a restart the owner gives the worker up and acquires it again, under a token above every one that it has used there. Runs of the previous incarnation end once the new one has answered under that token without listing them. Replies to calls under an earlier token no longer set the worker's clock. A worker that another VM acquires first keeps its runs in doubt. A start that arrives between the restart and the acquisition, one round trip after the first reply, is still executed; it is then found on the worker and counts as running.

--- a/pool/maintain.go
+++ b/pool/maintain.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/cicadadale/cicadadale/contract"
@@ -65,6 +66,11 @@
 	ownershipLostAt time.Time
 	// startTime identifies the incarnation of the worker that replied last; zero before the first reply.
 	startTime int64
+	// restarted is set from the restart of the worker until its new incarnation has been acquired. Until then runs may hold
+	// runs of the previous incarnation.
+	restarted bool
+	// lastToken is the highest token under which this VM has owned the worker.
+	lastToken uint64
 	// pollFailed is set when a poll gets no reply, and cleared by the next reply.
 	pollFailed bool
 }
@@ -219,15 +225,26 @@
 	return max(h.startTime, h.host.Listing.StartTime)
 }
 
+// lastTokenOf returns the last token under which this VM owned the worker. A worker whose time of day was set back
+// before its restart would get a lower one from its start time.
+func (p *Pool) lastTokenOf(h *ownedHost) uint64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return h.lastToken
+}
+
 // acquire makes this VM the owner of a worker that has replied to a probe.
 func (p *Pool) acquire(ctx context.Context, h *ownedHost, probed link.PollReply) bool {
 	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	token := newToken(p.startTimeOf(h, probed), probed.Clock)
+	token := max(newToken(p.startTimeOf(h, probed), probed.Clock), p.lastTokenOf(h)+1)
 	reply, err := p.o.Calls.Poll(callCtx, h.address, link.HostPoll{Token: token})
 	if err != nil || reply.Fenced || reply.OtherWorker {
 		p.o.Logger.Info("could not acquire the worker; retrying", "worker", h.address.Worker, "token", token,
 			"fenced", reply.Fenced, "other_life", reply.OtherWorker, "error", err)
+		if reply.Fenced {
+			p.leaveToOtherOwner(h)
+		}
 		return false
 	}
 	now := p.o.Now()
@@ -237,13 +254,7 @@
 		p.mu.Unlock()
 		return false
 	}
-	if h.startTime != 0 && reply.StartTime != h.startTime {
-		h.host.Restarted(reply.Clock, now, p.o.Lease)
-	}
-	h.startTime = reply.StartTime
-	h.host.SetClock(reply.Clock, now)
-	h.host.Token = token
-	found := p.adopt(h, reply, now, &fx)
+	found := p.own(h, token, reply, now, &fx)
 	p.match(now, &fx)
 	p.mu.Unlock()
 	p.counter(metric.PoolWorkersAcquired).Inc(1)
@@ -256,6 +267,45 @@
 	return true
 }
 
+// own records that this VM has acquired a worker, and returns the runs found on it. p.mu is held.
+func (p *Pool) own(h *ownedHost, token uint64, reply link.PollReply, now time.Time, fx *effects) []contract.RunKey {
+	if h.startTime != 0 && reply.StartTime != h.startTime {
+		h.host.Restarted(reply.Clock, now, p.o.Lease)
+		h.restarted = true
+	}
+	h.startTime = reply.StartTime
+	h.host.SetClock(reply.Clock, now)
+	h.host.Token, h.lastToken = token, token
+	found := p.adopt(h, reply, now, fx)
+	if h.restarted {
+		h.restarted = false
+		p.endPreviousIncarnation(h, found, fx)
+	}
+	return found
+}
+
+// endPreviousIncarnation ends the runs of a restarted worker that its new incarnation does not list. Start calls to the
+// previous one that are delayed by the network are rejected from now on, as their token is lower. p.mu is held.
+func (p *Pool) endPreviousIncarnation(h *ownedHost, listed []contract.RunKey, fx *effects) {
+	for key, r := range h.runs {
+		if r.state != runStarting && !slices.Contains(listed, key) {
+			p.finish(r, contract.RunEnded, proofRestarted, 0, fx)
+		}
+	}
+}
+
+// leaveToOtherOwner forgets the runs of a restarted worker whose new incarnation another VM has acquired.
+func (p *Pool) leaveToOtherOwner(h *ownedHost) {
+	var fx effects
+	p.mu.Lock()
+	if h.restarted {
+		h.restarted, h.ownershipLostAt = false, p.o.Now()
+		p.loseOwnership(h, h.ownershipLostAt, &fx)
+	}
+	p.mu.Unlock()
+	p.apply(fx)
+}
+
 // adopt registers the runs found on a worker, for their homes to claim. The previous owner may have extended their
 // lease just before. p.mu is held.
 func (p *Pool) adopt(h *ownedHost, reply link.PollReply, now time.Time, fx *effects) []contract.RunKey {
@@ -326,7 +376,7 @@
 		p.mu.Unlock()
 		p.apply(fx)
 	}()
-	if h.dropped || h.host.Token != token {
+	if h.dropped || token == 0 || h.host.Token != token {
 		// A worker delays its reply until a run ends, so this one may have been admitted before this VM lost the worker. It
 		// lists runs of the next owner, which must not be stopped or ended here.
 		return false
@@ -348,6 +398,7 @@
 	}
 	if reply.StartTime != 0 && reply.StartTime != h.startTime {
 		p.handleRestart(h, reply, now)
+		return false
 	}
 	h.host.SetClock(reply.Clock, now)
 	if reply.Fenced {
@@ -360,13 +411,16 @@
 	return true
 }
 
-// handleRestart records that a worker has been restarted. The lists in its reply show which runs belong to the new
-// incarnation; the others have ended. p.mu is held.
+// handleRestart records that a worker has been restarted, and gives it up until its new incarnation is acquired under a
+// higher token. The new incarnation has seen no token and knows none of the runs that were stopped on the previous one:
+// a start call that is delivered late would run a task there again. p.mu is held.
 func (p *Pool) handleRestart(h *ownedHost, reply link.PollReply, now time.Time) {
-	p.o.Logger.Warn("worker has been restarted", "worker", h.address.Worker, "born", reply.StartTime,
-		"last_born", h.startTime, "runs", len(h.runs), "running", len(reply.Running))
+	p.o.Logger.Warn("worker has been restarted; acquiring it under a new token", "worker", h.address.Worker,
+		"born", reply.StartTime, "last_born", h.startTime, "runs", len(h.runs), "running", len(reply.Running),
+		"token", h.host.Token)
 	h.startTime = reply.StartTime
 	h.host.Restarted(reply.Clock, now, p.o.Lease)
+	h.host.Token, h.restarted = 0, true
 }
 
 // handleOtherWorker records that another worker answers at the address: no earlier run of this worker is alive. A run
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -452,7 +452,8 @@
 // sweepHost ends the runs of a worker that has not replied before their lease expired. Of a worker that this VM does not
 // own the lease is not known. p.mu is held.
 func (p *Pool) sweepHost(h *ownedHost, now time.Time, fx *effects) {
-	if len(h.runs) == 0 || h.host.Token == 0 || now.Before(h.host.LeasesExpireBy()) {
+	leaseKnown := h.host.Token != 0 || h.restarted
+	if len(h.runs) == 0 || !leaseKnown || now.Before(h.host.LeasesExpireBy()) {
 		return
 	}
 	p.o.Logger.Warn("worker does not answer; its lease has expired, treating its runs as ended",
--- a/pool/start.go
+++ b/pool/start.go
@@ -62,7 +62,10 @@
 		p.handleStartError(s, err, now, fx)
 		return
 	}
-	h.host.SetClock(reply.Clock, now)
+	if h.host.Token == s.token {
+		// Otherwise the reply may come from an earlier incarnation, whose clock differs.
+		h.host.SetClock(reply.Clock, now)
+	}
 	if verdict == link.StartAccepted {
 		r.state, r.confirmedAt = runRunning, now
 		if reply.StartTime != 0 {
@@ -73,7 +76,7 @@
 		p.o.Logger.Info("run started", "task", r.order.Key.String(), "worker", h.host.Listing.Worker, "token", s.token,
 			"queued_for", r.startedAt.Sub(r.queuedAt), "call_took", now.Sub(r.startedAt), "home", r.home)
 		switch {
-		case h.host.Token == 0:
+		case h.host.Token == 0 && !h.restarted:
 			// Another VM has acquired the worker after the start; it reports the run from now on.
 			p.forget(r, leftNotOwned, fx)
 		case r.cancelled:
@@ -137,11 +140,13 @@
 	}
 	poll := link.HostPoll{Token: h.host.Token, LastOutcome: h.host.LastOutcome}
 	p.mu.Unlock()
-	sent := p.o.Now()
-	ctx, cancel := context.WithTimeout(p.ctx, callTimeout)
-	reply, err := p.o.Calls.Poll(ctx, h.address, poll)
-	cancel()
-	p.handlePollReply(h, poll.Token, sent, reply, err)
+	if poll.Token != 0 {
+		sent := p.o.Now()
+		ctx, cancel := context.WithTimeout(p.ctx, callTimeout)
+		reply, err := p.o.Calls.Poll(ctx, h.address, poll)
+		cancel()
+		p.handlePollReply(h, poll.Token, sent, reply, err)
+	}
 	p.mu.Lock()
 	inDoubt := r.state == runInDoubt
 	p.mu.Unlock()
@@ -160,7 +165,7 @@
 			p.mu.Unlock()
 			return
 		}
-		if h.host.Token == 0 {
+		if h.host.Token == 0 && !h.restarted {
 			var fx effects
 			p.forget(r, leftNotOwned, &fx)
 			p.mu.Unlock()
@@ -169,10 +174,7 @@
 		}
 		address, token := h.address, h.host.Token
 		p.mu.Unlock()
-		ctx, cancel := context.WithTimeout(p.ctx, callTimeout)
-		reply, err := p.o.Calls.Stop(ctx, address, r.order.Key, token)
-		cancel()
-		if p.handleStopReply(r, h, token, reply, err) {
+		if token != 0 && p.stopOnce(r, h, address, token) {
 			return
 		}
 		select {
@@ -183,6 +185,14 @@
 	}
 }
 
+// stopOnce makes one stop call. It reports whether nothing is left to do.
+func (p *Pool) stopOnce(r *run, h *ownedHost, address link.HostAddress, token uint64) bool {
+	ctx, cancel := context.WithTimeout(p.ctx, callTimeout)
+	defer cancel()
+	reply, err := p.o.Calls.Stop(ctx, address, r.order.Key, token)
+	return p.handleStopReply(r, h, token, reply, err)
+}
+
 // handleStopReply processes the reply to a stop call that was made under a fencing token. It reports whether nothing is
 // left to do.
 func (p *Pool) handleStopReply(r *run, h *ownedHost, token uint64, reply link.HostReply, err error) bool {
@@ -200,7 +210,9 @@
 		p.o.Calls.CloseIdleConnections(h.address)
 		return false
 	}
-	h.host.SetClock(reply.Clock, now)
+	if h.host.Token == token {
+		h.host.SetClock(reply.Clock, now)
+	}
 	if reply.Fenced && h.host.Token != token {
 		// The stop was made under the token of an earlier ownership.
 		return false
