pool: a listing proves the end of no run

Callers: a task had two runs at a time. Cause: a worker that is listed at another address counted as restarted, and its runs as ended. A stale read of the store after a newer one names the address of an earlier incarnation, and the worker goes on with its runs. Class: a fact is concluded from a record whose age is unknown. Change: a listing of an earlier incarnation is ignored while the present one answers. Result: go test ./pool passes.

--- a/pool/pool.go
+++ b/pool/pool.go
@@ -110,9 +110,9 @@
 }
 
 // SetHosts replaces the set of owned workers. A worker that is no longer owned is dropped at once, and its new owner
-// takes over its runs. One that is listed at another address has been restarted. Whether one at the same address has
-// been restarted is decided by its own replies: its listing may be older or newer than the incarnation that the runs
-// belong to.
+// takes over its runs. So is one that is listed at another address, but its runs may go on until their lease expires: a
+// listing proves the end of no run, since it may be older or newer than the incarnation that the runs belong to. Whether a
+// worker has been restarted is decided by its own replies.
 func (p *Pool) SetHosts(listings []machine.Listing) {
 	now := p.o.Now()
 	var fx effects
@@ -121,8 +121,16 @@
 	for _, l := range listings {
 		keep[l.Worker] = true
 		h, ok := p.hosts[l.Worker]
+		if ok && h.outdates(l, now, p.o.Lease) {
+			p.o.Logger.Warn("ignored a listing of an earlier incarnation of the worker", "worker", l.Worker,
+				"address", l.Address, "born", l.StartTime, "current_address", h.host.Listing.Address,
+				"current_born", h.host.Listing.StartTime)
+			continue
+		}
 		if ok && h.host.Listing.Address != l.Address {
-			p.dropHost(h, true, &fx)
+			p.o.Logger.Info("worker is listed at another address; leaving its runs to their lease", "worker", l.Worker,
+				"address", l.Address, "last_address", h.host.Listing.Address, "runs", len(h.runs))
+			p.dropHost(h, leftMoved, &fx)
 			ok = false
 		}
 		if !ok {
@@ -139,7 +147,7 @@
 	}
 	for id, h := range p.hosts {
 		if !keep[id] {
-			p.dropHost(h, false, &fx)
+			p.dropHost(h, leftReassigned, &fx)
 		}
 	}
 	p.returnInfeasible(&fx)
@@ -178,18 +186,20 @@
 	return 1
 }
 
-// dropHost stops maintaining a worker. If it was restarted, its runs have ended; otherwise its next owner reports them
-// to their homes. p.mu is held.
-func (p *Pool) dropHost(h *ownedHost, restarted bool, fx *effects) {
+// outdates reports whether a listing at another address belongs to an earlier incarnation than the one that answers here.
+func (h *ownedHost) outdates(l machine.Listing, now time.Time, lease time.Duration) bool {
+	current := h.host.Listing
+	return l.Address != current.Address && l.StartTime < current.StartTime && now.Sub(h.host.Contacted()) < lease
+}
+
+// dropHost stops maintaining a worker, for the given reason. Its next owner reports its runs to their homes. p.mu is
+// held.
+func (p *Pool) dropHost(h *ownedHost, reason endProof, fx *effects) {
 	h.cancel()
 	h.dropped = true
 	delete(p.hosts, h.host.Listing.Worker)
 	for _, r := range h.runs {
-		if restarted {
-			p.finish(r, contract.RunEnded, proofMoved, 0, fx)
-			continue
-		}
-		p.forget(r, leftReassigned, fx)
+		p.forget(r, reason, fx)
 	}
 }
 
--- a/pool/proof.go
+++ b/pool/proof.go
@@ -21,13 +21,13 @@
 	proofRestarted
 	// proofOtherWorker means that another worker answers at the address.
 	proofOtherWorker
-	// proofMoved means that the worker is listed at another address.
-	proofMoved
 
 	// leftFenced means that the worker has rejected the fencing token of this VM.
 	leftFenced
 	// leftReassigned means that the worker has been assigned to another VM.
 	leftReassigned
+	// leftMoved means that the worker is listed at another address.
+	leftMoved
 	// leftNotOwned means that a call about the run returned after this VM had lost the worker.
 	leftNotOwned
 )
@@ -41,9 +41,9 @@
 	proofLeaseExpired: {"lease expired on worker clock", metric.PoolEndsLeaseExpired},
 	proofRestarted:    {"worker restarted", metric.PoolEndsRestarted},
 	proofOtherWorker:  {"other worker at address", metric.PoolEndsOtherWorker},
-	proofMoved:        {"worker at other address", metric.PoolEndsMoved},
 	leftFenced:        {"fenced", metric.PoolLeftFenced},
 	leftReassigned:    {"worker reassigned", metric.PoolLeftReassigned},
+	leftMoved:         {"worker at other address", metric.PoolLeftMoved},
 	leftNotOwned:      {"worker not owned", metric.PoolLeftNotOwned},
 }
 
--- a/pool/restart_test.go
+++ b/pool/restart_test.go
@@ -8,6 +8,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/cicadadale/cicadadale/contract"
+	"github.com/cicadadale/cicadadale/machine"
 )
 
 // Guards against a second run of a task: the worker forgets with its restart that the delayed start was barred.
@@ -31,3 +32,41 @@
 		require.NotContains(t, f.observer.startedJobs(), "delayed")
 	})
 }
+
+// Guards against a second run of a task: the entry of an earlier incarnation, read after the newer one, names another
+// address.
+func TestEntryOfEarlierIncarnationEndsNoRun(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(1)
+		defer f.pool.Close()
+		f.setRunTime("kept", 5*time.Second)
+		key := f.order("kept", 1000, 0, time.Second, 10*time.Second)
+		time.Sleep(100 * time.Millisecond)
+		require.Equal(t, contract.RunStarted, f.state(key))
+		stale := f.list[0]
+		stale.Address, stale.StartTime = "earlier", stale.StartTime-time.Minute.Milliseconds()
+		f.calls.hosts["earlier"] = nil
+		f.pool.SetHosts([]machine.Listing{stale})
+		time.Sleep(100 * time.Millisecond)
+		require.NotEqual(t, contract.RunEnded, f.state(key))
+		f.pool.Refresh(testHome, []contract.RunKey{key}, time.Now())
+		require.True(t, f.observer.endOf("kept").IsZero())
+	})
+}
+
+// Guards against a second run of a task: a listing at a new address is taken for the end of a run that its worker goes on
+// with.
+func TestListingAtNewAddressEndsNoRun(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(1)
+		defer f.pool.Close()
+		f.setRunTime("moved", 5*time.Second)
+		key := f.order("moved", 1000, 0, time.Second, 10*time.Second)
+		time.Sleep(100 * time.Millisecond)
+		next := f.list[0]
+		next.Address, next.StartTime = "next", next.StartTime+time.Minute.Milliseconds()
+		f.pool.SetHosts([]machine.Listing{next})
+		require.True(t, f.observer.endOf("moved").IsZero())
+		require.Equal(t, contract.RunLost, f.state(key))
+	})
+}
