--- a/batch/home.go
+++ b/batch/home.go
@@ -71,6 +71,7 @@
 	kinds  *kinds
 	cancel context.CancelFunc
 	done   chan struct{}
+	pause  pauseDetector
 	shards [shards]shard
 }
 
@@ -84,6 +85,7 @@
 func New(o Options) *Home {
 	ctx, cancel := context.WithCancel(context.Background())
 	h := &Home{o: o, kinds: newKinds(), cancel: cancel, done: make(chan struct{})}
+	h.pause.lastTick = o.Now()
 	for i := range h.shards {
 		h.shards[i].jobs = make(map[string]*job)
 	}
@@ -108,6 +110,11 @@
 		select {
 		case <-ticker.C:
 			now := h.o.Now()
+			if gap := h.pause.tick(now); gap > 0 {
+				h.counter(metric.BatchPauses).Inc(1)
+				h.o.Logger.Warn("process was paused; ordering no run until callers that have left are noticed",
+					"pause", gap, "recovery", pauseRecovery)
+			}
 			refresh := now.Sub(refreshed) >= refreshInterval
 			if refresh {
 				refreshed = now
--- /dev/null
+++ b/batch/pause.go
@@ -0,0 +1,43 @@
+package batch
+
+import (
+	"sync"
+	"time"
+)
+
+const (
+	// pauseLimit is the time without a tick from which the process counts as paused. A caller whose connection broke in
+	// the meantime may have submitted its job to another home 1.3 s later.
+	pauseLimit = 500 * time.Millisecond
+	// pauseRecovery is the time after a pause in which no run is ordered: what arrived during the pause is handled first,
+	// such as the ends of callers' connections.
+	pauseRecovery = 100 * time.Millisecond
+)
+
+// pauseDetector finds out that the process has been paused, or was so slow that its view of the callers is old. mu guards
+// the fields below it.
+type pauseDetector struct {
+	mu        sync.Mutex
+	lastTick  time.Time
+	resumesAt time.Time
+}
+
+// tick records that the process runs. It returns the length of the pause that ends now, zero if there was none.
+func (d *pauseDetector) tick(now time.Time) time.Duration {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	gap := now.Sub(d.lastTick)
+	d.lastTick = now
+	if gap <= pauseLimit {
+		return 0
+	}
+	d.resumesAt = now.Add(pauseRecovery)
+	return gap
+}
+
+// paused reports whether the process has just been paused, so that its callers may have left without its notice.
+func (d *pauseDetector) paused(now time.Time) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return now.Sub(d.lastTick) > pauseLimit || now.Before(d.resumesAt)
+}
--- a/metric/describe.go
+++ b/metric/describe.go
@@ -75,6 +75,7 @@
 		{BatchEndsUnknown, "runs over at their home: not known to the owner, which never starts them"},
 		{BatchEndsTakeover, "runs over at their home: not listed by the next owner of the worker"},
 		{BatchEndsExpired, "runs over at their home: lease expired, counted from the last contact"},
+		{BatchPauses, "pauses of the process after which no run was ordered for a moment"},
 		{BatchAnswerTime, "time from the arrival of a job to its answer, in microseconds"},
 		{PoolQueueTime, "time that a task waits for room at the owner of workers, in microseconds"},
 		{PoolCallTime, "time of a start call to a worker, in microseconds"},
--- a/metric/metric.go
+++ b/metric/metric.go
@@ -70,6 +70,7 @@
 	BatchEndsUnknown     = "batch.ends_unknown"
 	BatchEndsTakeover    = "batch.ends_takeover"
 	BatchEndsExpired     = "batch.ends_expired"
+	BatchPauses          = "batch.pauses"
 	BatchAnswerTime      = "batch.answer_time"
 	PoolQueueTime        = "pool.queue_time"
 	PoolCallTime         = "pool.start_call_time"
