command: logs finds the runs of a task by the platform's name of it

Cause: a report names a task as the platform does, with the occurrence, and the log leaves that out: a search by the reported name found nothing. Change: --id of cicadadale logs takes the platform's name of a task. Result: TestLogsAreFoundByThePlatformsTaskName; go test ./command ./platform passes.

--- a/command/logs.go
+++ b/command/logs.go
@@ -14,6 +14,8 @@
 	"time"
 
 	"github.com/urfave/cli/v3"
+
+	"github.com/cicadadale/cicadadale/platform"
 )
 
 // maxLogLine bounds the length of a log line, so that a file of another kind is rejected instead of read into memory.
@@ -29,17 +31,28 @@
 			"differ, so lines of different daemons may be out of order by the difference.\n\n" +
 			"Example: cicadadale logs --id 5c0e7a21d94b36f8 edge-*.log",
 		Flags: []cli.Flag{
-			&cli.StringFlag{Name: "id", Required: true, Usage: "`ID` of a job, or the name of a worker or member"},
+			&cli.StringFlag{Name: "id", Required: true, Usage: "`ID` of a job, or the name of a task, worker or member"},
 		},
 		Action: func(_ context.Context, c *cli.Command) error {
 			if c.Args().Len() == 0 {
 				return errors.New("logs: no file is given")
 			}
-			return showLogs(c.Root().Writer, c.String("id"), c.Args().Slice())
+			return showLogs(c.Root().Writer, searchText(c.String("id")), c.Args().Slice())
 		},
 	}
 }
 
+// searchText returns the text that the lines about an id contain. The log names a task JOB.STEP.INDEX#RUN, the platform
+// JOB.OCCURRENCE.STEP.INDEX.
+func searchText(id string) string {
+	task, err := platform.ParseTaskName(id)
+	if err != nil {
+		return id
+	}
+	name, _, _ := strings.Cut(task.String(), "#")
+	return name + "#"
+}
+
 // logLine is a line of a daemon's log, formatted for output.
 type logLine struct {
 	at     time.Time
--- a/command/logs_test.go
+++ b/command/logs_test.go
@@ -35,3 +35,10 @@
 func TestLogsOfMissingFile(t *testing.T) {
 	require.ErrorContains(t, showLogs(&bytes.Buffer{}, "aa11", []string{"missing.log"}), "missing.log")
 }
+
+// Guards against a task of a report whose runs are not found in the log under the platform's name.
+func TestLogsAreFoundByThePlatformsTaskName(t *testing.T) {
+	require.Equal(t, "275fe5929024891d.0.1#", searchText("275fe5929024891d.0.0.1"))
+	require.Equal(t, "275fe5929024891d", searchText("275fe5929024891d"))
+	require.Equal(t, "edge-kerry-1", searchText("edge-kerry-1"))
+}
