standin: a delayed start is not executed while its worker is down

Cause: the stand-in of a worker executed calls that a fault delays also while it was down, which looks like a second run of a task. The program is not concerned. Change: such calls are dropped while the worker is down. Result: TestDelayedStartIsNotExecutedWhileTheWorkerIsDown fails without the change; go test ./standin passes.

--- a/standin/runhost.go
+++ b/standin/runhost.go
@@ -134,6 +134,12 @@
 	return h.losesReplies
 }
 
+func (h *RunHost) isDown() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.down
+}
+
 // SetRejecting makes the worker reject all starts as unhealthy, or ends that fault.
 func (h *RunHost) SetRejecting(rejects bool) {
 	h.mu.Lock()
@@ -195,7 +201,11 @@
 	}
 	if delay > 0 {
 		if execute != nil {
-			time.AfterFunc(delay, execute)
+			time.AfterFunc(delay, func() {
+				if !h.isDown() {
+					execute()
+				}
+			})
 		}
 		return false
 	}
