batch: a home on a slow VM orders runs

Callers: jobs at a VM that is slowed down tenfold were accepted and never started. Cause: the rule that a paused home orders nothing for a moment took ticks half a second apart for pauses, one after the other, and a task without a run is ordered at a tick. Change: only a second without a tick is a pause. A caller whose connection broke within it submits its job again 0.3 s after the process goes on at the earliest, and by then the home has noticed.

--- a/batch/pause.go
+++ b/batch/pause.go
@@ -7,8 +7,8 @@
 
 const (
 	// pauseLimit is the time without a tick from which the process counts as paused. A caller whose connection broke in
-	// the meantime may have submitted its job to another home 1.3 s later.
-	pauseLimit = 500 * time.Millisecond
+	// the meantime submits its job to another home 1.3 s later, which leaves the time to notice it after a shorter pause.
+	pauseLimit = time.Second
 	// pauseRecovery is the time after a pause in which no run is ordered: what arrived during the pause is handled first,
 	// such as the ends of callers' connections.
 	pauseRecovery = 100 * time.Millisecond
--- /dev/null
+++ b/batch/slow_home_test.go
@@ -0,0 +1,38 @@
+package batch
+
+import (
+	"context"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// Guards against jobs that are never placed by a home on a slow VM, whose ticks are more than pauseLimit apart.
+func TestSlowHomeOrdersRuns(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		start := time.Now()
+		var slow atomic.Bool
+		now := func() time.Time {
+			if !slow.Load() {
+				return time.Now()
+			}
+			// A twelfth of the speed: ticks are 600 ms apart.
+			return start.Add(12 * time.Since(start))
+		}
+		h, out := newTestHomeAt(now)
+		defer h.Close()
+		slow.Store(true)
+		time.Sleep(2*tickInterval + tickInterval/100)
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		b := testBatch(1, time.Minute)
+		b.Accepted = now()
+		b.Deadline = b.Accepted.Add(time.Minute)
+		go h.Submit(ctx, b)
+		time.Sleep(time.Second)
+		require.NotEmpty(t, out.sentOrders(), "%v after the job was submitted", now().Sub(b.Accepted))
+	})
+}
