pool: an acquired worker has the lease that its previous owner granted

Callers: a task could have two runs at a time. Cause: at an acquisition the previous owner's lease was counted only if a run was found. On an idle worker whose lease had just been extended, a run of an old order then outlived the time at which its home counts it as over: 1.59 s after its refresh instead of 1.2 s. TestLeaseModel has this as a mutation, for a rule that the code did not keep. Change: an acquired worker counts as leased for as long as workers grant, whether something runs there or not. An order that is so old that its run would end under that lease too late waits for up to a second. TestReplyToPollOfEarlierOwnershipEndsNoRun orders its old run a second later, as it would not start before.

--- a/pool/maintain.go
+++ b/pool/maintain.go
@@ -267,7 +267,8 @@
 	return true
 }
 
-// own records that this VM has acquired a worker, and returns the runs found on it. p.mu is held.
+// own records that this VM has acquired a worker, and returns the runs found on it. The previous owner may have extended
+// the lease just before, also that of an idle worker. p.mu is held.
 func (p *Pool) own(h *ownedHost, token uint64, reply link.PollReply, now time.Time, fx *effects) []contract.RunKey {
 	if h.startTime != 0 && reply.StartTime != h.startTime {
 		h.host.Restarted(reply.Clock, now, p.o.Lease)
@@ -276,6 +277,7 @@
 	h.startTime = reply.StartTime
 	h.host.SetClock(reply.Clock, now)
 	h.host.Token, h.lastToken = token, token
+	h.host.ExtendLease(p.o.Lease, now)
 	found := p.adopt(h, reply, now, fx)
 	if h.restarted {
 		h.restarted = false
@@ -306,13 +308,11 @@
 	p.apply(fx)
 }
 
-// adopt registers the runs found on a worker, for their homes to claim. The previous owner may have extended their
-// lease just before. p.mu is held.
+// adopt registers the runs found on a worker, for their homes to claim. p.mu is held.
 func (p *Pool) adopt(h *ownedHost, reply link.PollReply, now time.Time, fx *effects) []contract.RunKey {
 	var found []contract.RunKey
 	for _, running := range reply.Running {
 		found = append(found, running.Key)
-		h.host.ExtendLease(p.o.Lease, now)
 		if r, ok := p.runs[running.Key]; ok && r.host == h {
 			r.token, r.workerStart = h.host.Token, h.startTime
 			continue
--- a/pool/ownership_test.go
+++ b/pool/ownership_test.go
@@ -52,6 +52,8 @@
 			Key: kept, Backend: "s", Need: machine.Resources{CPUMillis: 500}, Accepted: time.Now(),
 			Target: time.Now().Add(time.Second), Deadline: time.Now().Add(20 * time.Second), Expected: time.Second,
 		}
+		// An old order is not started while the previous owner's lease may last.
+		time.Sleep(time.Second)
 		// The order is old, so the lease that this VM knows of ends before it acquires the worker again.
 		f.pool.Order(testHome, order, time.Now().Add(50*time.Millisecond-refreshTimeout))
 		time.Sleep(20 * time.Millisecond)
