pool: the lease of a restarted worker ends no run in doubt

Callers: a task could have two runs at a time. Cause: since the runs of a restarted worker that is out of reach end when the lease has expired. A start without an answer carries its lease as a time on the clock of the previous incarnation, which means nothing on the next one: it was reported as ended and executed two seconds later. Change: on a restarted worker that has not been acquired, the lease ends only runs that the worker had confirmed. Those in doubt wait until it is acquired, or until it is no longer listed and their home counts the time. Result: TestUnreachableRestartedWorkerEndsNoRunInDoubt fails without the change; the tests of pool and edge about restarts, doubt, delays and random faults pass.

--- a/pool/pool.go
+++ b/pool/pool.go
@@ -459,18 +459,34 @@
 	p.apply(fx)
 }
 
+// endsWithLease reports whether the run is over once the lease of its worker has expired. The goroutine that makes a start
+// call handles its result. A start whose outcome is in doubt may still be executed by the next incarnation of the worker,
+// on whose clock its lease means nothing, until that has been acquired.
+func (r *run) endsWithLease() bool {
+	return r.state != runStarting && (!r.host.restarted || (r.state == runRunning && !r.stopAnswered))
+}
+
+// holdsProvable reports whether a run of the worker is over once the lease has expired.
+func (h *ownedHost) holdsProvable() bool {
+	for _, r := range h.runs {
+		if r.endsWithLease() {
+			return true
+		}
+	}
+	return false
+}
+
 // sweepHost ends the runs of a worker that has not replied before their lease expired. Of a worker that this VM does not
 // own the lease is not known. p.mu is held.
 func (p *Pool) sweepHost(h *ownedHost, now time.Time, fx *effects) {
 	leaseKnown := h.host.Token != 0 || h.restarted
-	if len(h.runs) == 0 || !leaseKnown || now.Before(h.host.LeasesExpireBy()) {
+	if !h.holdsProvable() || !leaseKnown || now.Before(h.host.LeasesExpireBy()) {
 		return
 	}
 	p.o.Logger.Warn("worker does not answer; its lease has expired, treating its runs as ended",
 		"worker", h.host.Listing.Worker, "runs", len(h.runs), "since_contact", now.Sub(h.host.Contacted()))
 	for _, r := range h.runs {
-		if r.state == runStarting {
-			// The goroutine that makes the start call handles its result.
+		if !r.endsWithLease() {
 			continue
 		}
 		p.finish(r, contract.RunEnded, proofLeaseExpired, 0, fx)
--- a/pool/restart_test.go
+++ b/pool/restart_test.go
@@ -95,3 +95,43 @@
 		require.NotZero(t, f.ownedToken("w0"))
 	})
 }
+
+// Guards against a run in doubt that is reported as ended while its start may still be executed: the worker has been
+// restarted, is then unreachable, and its new incarnation has not been acquired, so nothing rejects the start.
+func TestUnreachableRestartedWorkerEndsNoRunInDoubt(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(1)
+		defer f.pool.Close()
+		host := f.calls.hosts["w0"]
+		time.Sleep(time.Minute)
+		host.SetDelay(3500 * time.Millisecond)
+		f.setRunTime("doubt", 5*time.Second)
+		key := f.order("doubt", 1000, 0, time.Second, 10*time.Second)
+		time.Sleep(10 * time.Millisecond)
+		host.Crash()
+		time.Sleep(250 * time.Millisecond)
+		host.SetDelay(0)
+		host.Restart()
+		// One reply shows the restart; then the worker is out of reach.
+		for range 1000 {
+			time.Sleep(time.Millisecond)
+			f.pool.mu.Lock()
+			restarted := f.pool.hosts["w0"].restarted
+			f.pool.mu.Unlock()
+			if restarted {
+				break
+			}
+		}
+		host.SetDelay(time.Hour)
+		for range 60 {
+			time.Sleep(100 * time.Millisecond)
+			f.pool.Refresh(testHome, []contract.RunKey{key}, time.Now())
+			if f.state(key) == contract.RunEnded {
+				at := time.Now()
+				time.Sleep(5 * time.Second)
+				require.NotContains(t, f.observer.startedJobs(), "doubt", "reported as ended at %v", at)
+				return
+			}
+		}
+	})
+}
