pool: a listing that was ignored is applied once its worker is silent

Callers: a worker could be lost to its owner until the list of workers changed. Cause: since a listing with an earlier start time is ignored while the worker answers, and was not looked at again. A worker whose time of day was set back before it restarted at another address looks like that. Change: the pool keeps the ignored listing, and applies it once the worker no longer answers at the present address. Result: TestListingIsAppliedOnceTheEarlierAddressIsSilent fails without the change; go test ./pool passes.

--- a/pool/maintain.go
+++ b/pool/maintain.go
@@ -71,6 +71,8 @@
 	restarted bool
 	// lastToken is the highest token under which this VM has owned the worker.
 	lastToken uint64
+	// ignored is a listing that seems to be that of an earlier incarnation; nil if there is none.
+	ignored *machine.Listing
 	// pollFailed is set when a poll gets no reply, and cleared by the next reply.
 	pollFailed bool
 }
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -125,12 +125,11 @@
 			p.o.Logger.Warn("ignored a listing of an earlier incarnation of the worker", "worker", l.Worker,
 				"address", l.Address, "born", l.StartTime, "current_address", h.host.Listing.Address,
 				"current_born", h.host.Listing.StartTime)
+			h.ignored = &l
 			continue
 		}
 		if ok && h.host.Listing.Address != l.Address {
-			p.o.Logger.Info("worker is listed at another address; leaving its runs to their lease", "worker", l.Worker,
-				"address", l.Address, "last_address", h.host.Listing.Address, "runs", len(h.runs))
-			p.dropHost(h, leftMoved, &fx)
+			p.dropMoved(h, l, &fx)
 			ok = false
 		}
 		if !ok {
@@ -143,7 +142,7 @@
 		if l.StartTime != h.host.Listing.StartTime {
 			h.wake()
 		}
-		h.host.Listing = l
+		h.host.Listing, h.ignored = l, nil
 	}
 	for id, h := range p.hosts {
 		if !keep[id] {
@@ -186,6 +185,23 @@
 	return 1
 }
 
+// dropMoved drops a worker that is listed at another address. p.mu is held.
+func (p *Pool) dropMoved(h *ownedHost, l machine.Listing, fx *effects) {
+	p.o.Logger.Info("worker is listed at another address; leaving its runs to their lease", "worker", l.Worker,
+		"address", l.Address, "last_address", h.host.Listing.Address, "runs", len(h.runs))
+	p.dropHost(h, leftMoved, fx)
+}
+
+// applyIgnored moves a worker to the address of a listing that was ignored, once it no longer answers at the present one.
+// A worker whose time of day was set back before its restart looks like an earlier incarnation. p.mu is held.
+func (p *Pool) applyIgnored(h *ownedHost, now time.Time, fx *effects) {
+	if h.ignored == nil || h.outdates(*h.ignored, now, p.o.Lease) {
+		return
+	}
+	p.dropMoved(h, *h.ignored, fx)
+	p.addHost(*h.ignored)
+}
+
 // outdates reports whether a listing at another address belongs to an earlier incarnation than the one that answers here.
 func (h *ownedHost) outdates(l machine.Listing, now time.Time, lease time.Duration) bool {
 	current := h.host.Listing
@@ -453,6 +469,7 @@
 	}
 	for _, h := range p.hosts {
 		p.sweepHost(h, now, &fx)
+		p.applyIgnored(h, now, &fx)
 	}
 	p.match(now, &fx)
 	p.mu.Unlock()
--- a/pool/restart_test.go
+++ b/pool/restart_test.go
@@ -135,3 +135,21 @@
 		}
 	})
 }
+
+// Guards against a worker that is never acquired again: its listing was ignored as that of an earlier incarnation, since
+// its time of day was set back, and the list is not applied again while it does not change.
+func TestListingIsAppliedOnceTheEarlierAddressIsSilent(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(1)
+		defer f.pool.Close()
+		next := f.list[0]
+		next.Address, next.StartTime = "next", next.StartTime-time.Minute.Milliseconds()
+		f.calls.hosts["w0"].Crash()
+		f.pool.SetHosts([]machine.Listing{next})
+		time.Sleep(10 * time.Second)
+		f.pool.mu.Lock()
+		address := f.pool.hosts["w0"].address.Address
+		f.pool.mu.Unlock()
+		require.Equal(t, "next", address)
+	})
+}
