pool: an entry of an earlier incarnation does not end draining

Callers: a task could be started on a worker that is about to leave (DRAIN). Cause: only a listing at another address was compared with the present incarnation. An older one at the same address replaced the newer, with its state and capacity. Change: a listing with an earlier start time than the incarnation that answers is ignored at any address, until another incarnation answers.

--- a/pool/pool.go
+++ b/pool/pool.go
@@ -192,20 +192,24 @@
 	p.dropHost(h, leftMoved, fx)
 }
 
-// applyIgnored moves a worker to the address of a listing that was ignored, once it no longer answers at the present one.
-// A worker whose time of day was set back before its restart looks like an earlier incarnation. p.mu is held.
+// applyIgnored applies a listing that was ignored, once the worker no longer answers as the incarnation listed before. A worker whose time of day was set back before its restart looks like an earlier incarnation. p.mu is held.
 func (p *Pool) applyIgnored(h *ownedHost, now time.Time, fx *effects) {
 	if h.ignored == nil || h.outdates(*h.ignored, now, p.o.Lease) {
 		return
 	}
+	if h.ignored.Address == h.host.Listing.Address {
+		h.host.Listing, h.ignored = *h.ignored, nil
+		return
+	}
 	p.dropMoved(h, *h.ignored, fx)
 	p.addHost(*h.ignored)
 }
 
-// outdates reports whether a listing at another address belongs to an earlier incarnation than the one that answers here.
+// outdates reports whether a listing belongs to an earlier incarnation of a worker than the one that answers here, whose
+// own listing is known.
 func (h *ownedHost) outdates(l machine.Listing, now time.Time, lease time.Duration) bool {
-	current := h.host.Listing
-	return l.Address != current.Address && l.StartTime < current.StartTime && now.Sub(h.host.Contacted()) < lease
+	current := h.host.Listing.StartTime
+	return l.StartTime < current && current == h.startTime && now.Sub(h.host.Contacted()) < lease
 }
 
 // dropHost stops maintaining a worker, for the given reason. Its next owner reports its runs to their homes. p.mu is
--- a/pool/restart_test.go
+++ b/pool/restart_test.go
@@ -153,3 +153,21 @@
 		require.Equal(t, "next", address)
 	})
 }
+
+// Guards against a task that is started on a draining worker: an entry of its earlier incarnation, at the same address,
+// is read after the one that says that it drains.
+func TestEntryOfEarlierIncarnationDoesNotEndDraining(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(1)
+		defer f.pool.Close()
+		stale := f.list[0]
+		stale.StartTime -= time.Minute.Milliseconds()
+		f.order("before", 500, 0, time.Second, 5*time.Second)
+		f.list[0].Draining = true
+		f.pool.SetHosts(f.list)
+		f.pool.SetHosts([]machine.Listing{stale})
+		f.order("after", 500, 0, time.Second, 5*time.Second)
+		time.Sleep(100 * time.Millisecond)
+		require.NotContains(t, f.observer.startedJobs(), "after")
+	})
+}
