edge: a timestamp counts only for the process that sent it

Callers: tasks hung at a home that could no longer order from one of the owners. Cause: acknowledgements and statuses were recorded by VM. One of an earlier process on the VM that is read after the present one is known leaves its timestamp behind, and timestamps of a process start from a random number: in half of the cases all later ones count as older, and every order that echoes it is rejected as delayed until that owner restarts. Change: they are recorded only for the process that sent them. Result: TestTimestampOfPreviousProcessIsNotEchoedToTheNext fails without the change; go test ./edge passes.

--- a/edge/daemon.go
+++ b/edge/daemon.go
@@ -157,10 +157,10 @@
 	}()
 }
 
-func (d *Daemon) dialPeer(vm, address string) *link.Peer {
-	return link.NewPeer(vm, address, link.PeerOptions{
+func (d *Daemon) dialPeer(m machine.Member) *link.Peer {
+	return link.NewPeer(m.VM, m.Address, link.PeerOptions{
 		Self:        link.Identity{VM: machine.EntryVM{ID: d.o.Self.VM, Incarnation: d.o.Self.Incarnation}},
-		OnTimestamp: func(vm string, timestamp uint64) { d.members.RecordTimestamp(vm, timestamp, d.o.Now()) },
+		OnTimestamp: func(vm string, timestamp uint64) { d.members.RecordTimestamp(m.ID(), vm, timestamp, d.o.Now()) },
 		Dial:        d.o.Dial,
 		Lamport:     func() uint64 { return 0 }, Now: d.o.Now, Logger: d.o.Logger, Metrics: d.o.Metrics,
 	})
--- a/edge/members.go
+++ b/edge/members.go
@@ -25,7 +25,7 @@
 // Members holds the other processes and the links to them. mu guards the field below it.
 type Members struct {
 	self   machine.Member
-	dial   func(vm, address string) *link.Peer
+	dial   func(m machine.Member) *link.Peer
 	logger *slog.Logger
 
 	mu   sync.Mutex
@@ -36,7 +36,7 @@
 	partnersVersion uint64
 }
 
-func newMembers(self machine.Member, dial func(vm, address string) *link.Peer, logger *slog.Logger) *Members {
+func newMembers(self machine.Member, dial func(m machine.Member) *link.Peer, logger *slog.Logger) *Members {
 	return &Members{self: self, dial: dial, logger: logger, byVM: make(map[string]*member)}
 }
 
@@ -62,11 +62,11 @@
 		// The queued messages were meant for the process that is replaced.
 		go known.peer.Close()
 		m.ownersVersion++
-		known.peer = m.dial(info.VM, info.Address)
+		known.peer = m.dial(info)
 		known.info, known.id, known.live, known.lastContact, known.ownsNothing, known.newest =
 			info, info.ID(), false, time.Time{}, true, batch.Contact{}
 	} else {
-		m.byVM[info.VM] = &member{info: info, id: info.ID(), peer: m.dial(info.VM, info.Address), ownsNothing: true}
+		m.byVM[info.VM] = &member{info: info, id: info.ID(), peer: m.dial(info), ownsNothing: true}
 	}
 	m.logger.Info("member discovered", "member", info.ID(), "address", info.Address, "domain", info.Domain,
 		"direct", direct, "replaces", replaced)
@@ -92,14 +92,15 @@
 }
 
 // UpdateStatus records the status of a live process. It reports whether the process has started or stopped being a
-// candidate owner.
+// candidate owner. A status of a process that has been replaced on its VM is dropped: its timestamps start from another
+// number.
 func (m *Members) UpdateStatus(
-	vm string, ownsNothing, leaving bool, desiredVersion, timestamp uint64, now time.Time,
+	id, vm string, ownsNothing, leaving bool, desiredVersion, timestamp uint64, now time.Time,
 ) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	e, ok := m.byVM[vm]
-	if !ok {
+	if !ok || e.id != id {
 		return false
 	}
 	changed := e.ownsNothing != ownsNothing
@@ -268,11 +269,12 @@
 	return batch.Contact{}
 }
 
-// RecordTimestamp records contact with a process: the timestamp that came with an acknowledgement.
-func (m *Members) RecordTimestamp(vm string, timestamp uint64, now time.Time) {
+// RecordTimestamp records contact with a process: the timestamp that came with an acknowledgement. One of a process that
+// has been replaced on its VM is dropped.
+func (m *Members) RecordTimestamp(id, vm string, timestamp uint64, now time.Time) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if e, ok := m.byVM[vm]; ok && e.live {
+	if e, ok := m.byVM[vm]; ok && e.id == id && e.live {
 		e.recordTimestamp(timestamp, now)
 		e.lastContact = now
 	}
--- a/edge/messages.go
+++ b/edge/messages.go
@@ -328,7 +328,7 @@
 		d.members.Send(id, &api.PeerMessage{Body: &api.PeerMessage_WorkerListRequest{
 			WorkerListRequest: &api.WorkerListRequest{}}})
 	}
-	if d.members.UpdateStatus(vm, s.GetOwnsNothing(), s.GetLeaving(), s.GetDesiredVersion(), s.GetStampMs(), now) {
+	if d.members.UpdateStatus(id, vm, s.GetOwnsNothing(), s.GetLeaving(), s.GetDesiredVersion(), s.GetStampMs(), now) {
 		d.assignWorkers()
 	}
 }
--- /dev/null
+++ b/edge/previousprocess_test.go
@@ -0,0 +1,42 @@
+package edge
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+	"github.com/stretchr/testify/require"
+
+	"github.com/cicadadale/cicadadale/link"
+	"github.com/cicadadale/cicadadale/machine"
+)
+
+// Guards against an owner that no home can order from any longer: an acknowledgement of its previous process is read
+// after the present one has become known, and its timestamp, which starts from another random number, counts as newer
+// than all later ones.
+func TestTimestampOfPreviousProcessIsNotEchoedToTheNext(t *testing.T) {
+	dial := func(m machine.Member) *link.Peer {
+		return link.NewPeer(m.VM, m.Address, link.PeerOptions{
+			Dial:    func(context.Context, string) (net.Conn, error) { return nil, errors.New("no network") },
+			Lamport: func() uint64 { return 0 }, Now: time.Now, Logger: slog.New(slog.DiscardHandler),
+			Metrics: metrics.NewRegistry(),
+		})
+	}
+	m := newMembers(machine.Member{VM: "self"}, dial, slog.New(slog.DiscardHandler))
+	defer m.Close()
+	before := machine.Member{VM: "edge", Incarnation: 1, Address: "a"}
+	after := machine.Member{VM: "edge", Incarnation: 2, Address: "a"}
+	now := time.Now()
+	m.Learn(before, true)
+	m.RecordContact(before.ID(), "edge", now)
+	m.UpdateStatus(before.ID(), "edge", false, false, 0, 9_000_000, now)
+	m.Learn(after, true)
+	m.RecordContact(after.ID(), "edge", now)
+	m.RecordTimestamp(before.ID(), "edge", 9_000_100, now)
+	m.UpdateStatus(after.ID(), "edge", false, false, 0, 1_000, now.Add(time.Second))
+	require.EqualValues(t, 1_000, m.LastContact(after.ID()).Timestamp)
+}
