edge: a replaced process keeps no capacity

Callers: tasks were placed at a process that is gone and hung until their deadline. Cause: a status that is handled while its process is replaced on the VM entered its capacity after the replacement had removed it, and nothing removed it later. Change: after a status has been applied, the capacity goes if the process is no longer the one known on its VM. Result: TestStatusOfReplacedProcessIsDropped fails without the change.

--- a/edge/members.go
+++ b/edge/members.go
@@ -91,6 +91,14 @@
 	return becameLive, true
 }
 
+// Current reports whether a process is the one that is known on its VM.
+func (m *Members) Current(id, vm string) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	e, ok := m.byVM[vm]
+	return ok && e.id == id
+}
+
 // UpdateStatus records the status of a live process. It reports whether the process has started or stopped being a
 // candidate owner. A status of a process that has been replaced on its VM is dropped: its timestamps start from another
 // number.
--- a/edge/messages.go
+++ b/edge/messages.go
@@ -324,6 +324,10 @@
 		// Its statuses come too seldom for tasks to be placed there.
 		d.capacity.Remove(id)
 	}
+	if !d.members.Current(id, vm) {
+		// The process was replaced while its status was handled.
+		d.capacity.Remove(id)
+	}
 	if domain == d.o.Self.Domain && d.feed.RecordSequence(id, s.GetWorkerList()) {
 		d.members.Send(id, &api.PeerMessage{Body: &api.PeerMessage_WorkerListRequest{
 			WorkerListRequest: &api.WorkerListRequest{}}})
--- a/edge/previousprocess_test.go
+++ b/edge/previousprocess_test.go
@@ -11,6 +11,7 @@
 	"github.com/rcrowley/go-metrics"
 	"github.com/stretchr/testify/require"
 
+	"github.com/cicadadale/cicadadale/api"
 	"github.com/cicadadale/cicadadale/link"
 	"github.com/cicadadale/cicadadale/machine"
 )
@@ -40,3 +41,22 @@
 	m.UpdateStatus(after.ID(), "edge", false, false, 0, 1_000, now.Add(time.Second))
 	require.EqualValues(t, 1_000, m.LastContact(after.ID()).Timestamp)
 }
+
+// Guards against tasks placed at a process that is gone: its last status is handled after its successor on the VM has
+// replaced it, and no later event removes its capacity.
+func TestStatusOfReplacedProcessIsDropped(t *testing.T) {
+	inVirtualTime(t, func(t *testing.T) {
+		d := newDeployment(t, 1, 2, 2)
+		defer d.close()
+		daemon, before := d.daemons["edge-0-0"], d.daemons["edge-0-1"].self
+		d.killDaemon("edge-0-1")
+		d.startDaemon(zoneName(0), "edge-0-1")
+		time.Sleep(settleTime)
+		daemon.handleMessage(before, "edge-0-1", &api.PeerMessage{Body: &api.PeerMessage_PoolStatus{PoolStatus: &api.PoolStatus{
+			Rooms: []*api.BackendRoom{{Backend: testBackend, FreeSlots: 5, Slots: 5}},
+		}}})
+		time.Sleep(settleTime)
+		id, ok := daemon.capacity.Reserve(testBackend, 0, time.Second, func(id string) bool { return id != before })
+		require.False(t, ok, "capacity of %s after it was replaced", id)
+	})
+}
