platform, standin: a refused connection to a worker is told from a broken one

The caller of a worker learned only that a call failed. That nobody listens at the address is the sign of a crashed process, while a broken or silent connection also occurs on the way; it is an error type of its own now. The stand-in for a worker can be crashed by a run, and then refuses connections until it is back under its id or replaced by another worker.

--- a/fault/fault.go
+++ b/fault/fault.go
@@ -15,6 +15,8 @@
 	ProvenNotStarted = errorx.RegisterTrait("proven_not_started")
 	// Retriable marks errors after which the same call may succeed later.
 	Retriable = errorx.RegisterTrait("retriable")
+	// ConnectionRefused marks errors that show that the machine answers and no process listens at the address.
+	ConnectionRefused = errorx.RegisterTrait("connection_refused")
 )
 
 var namespace = errorx.NewNamespace("cicadadale")
@@ -23,6 +25,8 @@
 var (
 	// NotStarted means that a start was never written to a socket or was rejected by the worker.
 	NotStarted = namespace.NewType("not_started", ProvenNotStarted, Retriable)
+	// NotListening means that a connection was refused, so that nothing was written to a socket.
+	NotListening = namespace.NewType("not_listening", ProvenNotStarted, Retriable, ConnectionRefused)
 	// InDoubt means that a start was sent and no reply was received.
 	InDoubt = namespace.NewType("in_doubt")
 	// Refused means that a job was not accepted, or that a task of it was not run.
@@ -79,7 +83,7 @@
 
 func init() {
 	for _, t := range []*errorx.Type{
-		NotStarted, InDoubt, Refused, Overloaded, Draining, Invalid, UnknownJob, Expired, Unavailable, Violation,
+		NotStarted, NotListening, InDoubt, Refused, Overloaded, Draining, Invalid, UnknownJob, Expired, Unavailable, Violation,
 		HandedOver, NeverAccepted, JobLost, Failed,
 	} {
 		byCode[t.FullName()] = t
@@ -127,6 +131,9 @@
 // IsProvenNotStarted reports whether err proves that nothing has been or will be executed.
 func IsProvenNotStarted(err error) bool { return errorx.HasTrait(err, ProvenNotStarted) }
 
+// IsConnectionRefused reports whether err shows that no process listens at the address.
+func IsConnectionRefused(err error) bool { return errorx.HasTrait(err, ConnectionRefused) }
+
 // IsRetriable reports whether the same call may succeed later.
 func IsRetriable(err error) bool { return errorx.HasTrait(err, Retriable) }
 
--- a/standin/runhost.go
+++ b/standin/runhost.go
@@ -23,6 +23,10 @@
 	Duration time.Duration
 	Fails    bool
 	Stalls   bool
+	// CrashesFor is how long the worker refuses connections after the run has crashed it at the end of Duration; zero for a
+	// run that does not crash it. Afterwards it runs again, under another id if Replaced is set.
+	CrashesFor time.Duration
+	Replaced   bool
 }
 
 // RunObserver is notified of the starts and ends of runs on all workers. Its methods are called with the worker's mutex
@@ -57,6 +61,9 @@
 	changed    chan struct{}
 	leaseTimer *time.Timer
 	down       bool
+	// refuses is set while the worker refuses connections, replaced once a worker with another id answers at its address.
+	refuses  bool
+	replaced bool
 	// delay is the time after which starts and stops are executed. While it is set, no call is answered. Zero disables
 	// the delay.
 	delay time.Duration
@@ -145,6 +152,11 @@
 func (h *RunHost) Crash() {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	h.crash()
+}
+
+// crash expects h.mu to be held.
+func (h *RunHost) crash() {
 	h.down = true
 	for _, r := range h.running {
 		h.endRun(r, contract.RunEnded, time.Now())
@@ -153,11 +165,52 @@
 	clear(h.superseded)
 }
 
+// crashBy crashes the worker as the plan of a run says.
+func (h *RunHost) crashBy(r *hostRun) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.running[r.key] != r {
+		return
+	}
+	h.crash()
+	h.refuses = true
+	time.AfterFunc(r.plan.CrashesFor, func() {
+		h.Restart()
+		h.mu.Lock()
+		defer h.mu.Unlock()
+		h.replaced = h.replaced || r.plan.Replaced
+	})
+}
+
+// SetRefusing makes the worker refuse connections, or ends that fault. Its runs go on.
+func (h *RunHost) SetRefusing(refuses bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.refuses = refuses
+}
+
+// connect returns the error of a call to a worker that refuses connections.
+func (h *RunHost) connect() error {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.refuses {
+		return fault.NotListening.New("worker %s refuses connections", h.id)
+	}
+	return nil
+}
+
+// isReplaced reports whether another worker answers at the address.
+func (h *RunHost) isReplaced() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.replaced
+}
+
 // Restart starts a new incarnation of the worker.
 func (h *RunHost) Restart() {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.down, h.startTime = false, time.Now()
+	h.down, h.refuses, h.startTime = false, false, time.Now()
 }
 
 func (h *RunHost) clock() time.Duration { return time.Since(h.startTime) }
@@ -204,6 +257,12 @@
 
 // Start executes a start call. Start, Stop and Poll are the calls of link.HostCalls, for one worker.
 func (h *RunHost) Start(ctx context.Context, s link.HostStart) (link.StartVerdict, link.HostReply, error) {
+	if err := h.connect(); err != nil {
+		return 0, link.HostReply{}, err
+	}
+	if h.isReplaced() {
+		return link.StartOtherWorker, link.HostReply{OtherWorker: true}, nil
+	}
 	if !h.deliver(func() { h.start(s) }) {
 		return 0, link.HostReply{}, h.awaitTimeout(ctx)
 	}
@@ -243,7 +302,10 @@
 	h.used = h.used.Plus(need)
 	h.running[s.Key] = r
 	h.observer.Started(h.id, s.Key)
-	if !r.plan.Stalls {
+	switch {
+	case r.plan.CrashesFor > 0:
+		r.timer = time.AfterFunc(r.plan.Duration, func() { h.crashBy(r) })
+	case !r.plan.Stalls:
 		r.timer = time.AfterFunc(r.plan.Duration, func() { h.complete(r) })
 	}
 	return link.StartAccepted, reply
@@ -306,6 +368,12 @@
 
 // Stop stops a run, or prevents it from starting if it has not started yet.
 func (h *RunHost) Stop(ctx context.Context, key contract.RunKey, token uint64) (link.HostReply, error) {
+	if err := h.connect(); err != nil {
+		return link.HostReply{}, err
+	}
+	if h.isReplaced() {
+		return link.HostReply{OtherWorker: true}, nil
+	}
 	if !h.deliver(func() { h.stop(key, token) }) {
 		return link.HostReply{}, h.awaitTimeout(ctx)
 	}
@@ -333,6 +401,12 @@
 
 // Poll extends the lease and lists the runs. It waits up to c.Wait for a run to end if it has no ended run to report.
 func (h *RunHost) Poll(ctx context.Context, c link.HostPoll) (link.PollReply, error) {
+	if err := h.connect(); err != nil {
+		return link.PollReply{}, err
+	}
+	if h.isReplaced() {
+		return link.PollReply{HostReply: link.HostReply{OtherWorker: true}}, nil
+	}
 	if !h.deliver(nil) {
 		return link.PollReply{}, h.awaitTimeout(ctx)
 	}
