pool, batch, edge: crashes of workers under a task are counted, and the task is given up after two

Callers saw: a task that crashes each worker that starts it was placed again without limit until its time limit, worker after worker, and its caller heard of it only then. A run whose worker had crashed was reported like one that was stopped.

Runs end as before, once their lease has passed, but as crashed. All members keep a ledger of the crashes with the tasks that were on the worker, so that the count survives the home, the owner and a lost report. A task under which a worker has crashed runs alone on its next one; after two crashes, one of them alone, its job is answered as failed at once, also if it is submitted again elsewhere.

--- a/batch/advance.go
+++ b/batch/advance.go
@@ -67,9 +67,10 @@
 	}
 }
 
-// shouldMove decides whether a task that is queued at its owner moves to another one with free capacity.
+// shouldMove decides whether a task that is queued at its owner moves to another one with free capacity. A task that runs
+// alone stays: free capacity says nothing about empty workers, and its owner is emptying one for it.
 func (h *Home) shouldMove(j *job, t *task, now time.Time) bool {
-	return t.state == taskPlaced && !t.started && now.Sub(t.placedAt) > moveAfter &&
+	return t.state == taskPlaced && !t.started && !t.alone && now.Sub(t.placedAt) > moveAfter &&
 		now.Sub(t.recalledAt) > recallRetry && h.o.Capacity.ShouldMove(j.batch.Backend, t.owner, j.steps[t.step].expected)
 }
 
@@ -95,6 +96,7 @@
 	}
 	t.state, t.owner, t.placedAt, t.contactAt = taskPlaced, owner, now, time.Time{}
 	t.started, t.withdrawn, t.worker, t.token, t.recalledAt = false, false, "", 0, time.Time{}
+	t.alone = h.suspect(j, t)
 	out.order(t, j.order(t))
 	out.ordered = append(out.ordered, fmt.Sprintf("%s at %s, contact %v ago", j.key(t), t.owner, now.Sub(t.contactAt)))
 }
@@ -203,6 +205,10 @@
 	case contract.RunEnded:
 		h.recordEnd(j, t, proofReported, owner, r.Token, r.MayHaveStarted)
 		h.unplace(t, r.MayHaveStarted)
+	case contract.RunCrashed:
+		t.crashed = true
+		h.recordEnd(j, t, proofReported, owner, r.Token, true)
+		h.unplace(t, true)
 	case contract.RunInfeasible:
 		t.infeasibleOwners = append(t.infeasibleOwners, owner)
 		h.recordEnd(j, t, proofInfeasible, owner, r.Token, r.MayHaveStarted)
@@ -222,7 +228,7 @@
 	switch r.State {
 	case contract.RunDone, contract.RunStarted:
 		return true
-	case contract.RunEnded:
+	case contract.RunEnded, contract.RunCrashed:
 		return t.owner == owner && r.Token >= t.token
 	default:
 		return t.owner == owner
--- a/batch/home.go
+++ b/batch/home.go
@@ -57,6 +57,8 @@
 type Options struct {
 	Owners   Owners
 	Capacity *zone.CapacityView
+	// Crashes records the workers that have crashed under tasks.
+	Crashes *contract.CrashLedger
 	// Fits reports whether any listed worker of a back end can hold a task. known is false if no worker of the back end
 	// is listed.
 	Fits    func(backend string, need machine.Resources, label string) (fits, known bool)
@@ -197,6 +199,9 @@
 // accept creates a new job, or returns the answer to one that cannot be served: it has failed if no worker can hold its
 // tasks, and is refused if it cannot end before its deadline.
 func (h *Home) accept(b contract.Batch, now time.Time) (*job, *Answer) {
+	if answer := h.crashedBefore(b); answer != nil {
+		return nil, answer
+	}
 	for _, step := range b.Steps {
 		if fits, known := h.o.Fits(b.Backend, step.Need, step.RequiredLabel); known && !fits {
 			h.o.Logger.Info("job failed: no worker can hold its tasks", "job", b.ID, "route", b.Route,
--- a/batch/home_test.go
+++ b/batch/home_test.go
@@ -77,8 +77,9 @@
 	capacity.Update(testOwner, "z", false, map[string]*zone.BackendCapacity{"s": {Free: 100, Slots: 100}})
 	out := &recorder{}
 	return New(Options{
-		Owners: out, Capacity: capacity, Now: now, Logger: slog.New(slog.DiscardHandler), Metrics: metrics.NewRegistry(),
-		Fits: func(_ string, need machine.Resources, _ string) (bool, bool) { return need.CPUMillis <= 64_000, true },
+		Owners: out, Capacity: capacity, Crashes: contract.NewCrashLedger(), Now: now, Logger: slog.New(slog.DiscardHandler),
+		Metrics: metrics.NewRegistry(),
+		Fits:    func(_ string, need machine.Resources, _ string) (bool, bool) { return need.CPUMillis <= 64_000, true },
 	}), out
 }
 
--- a/batch/job.go
+++ b/batch/job.go
@@ -35,6 +35,10 @@
 	// token is the fencing token under which the run was started; zero while it is unknown.
 	token    uint64
 	failures int
+	// crashed is set once an owner has reported that a run ended with its worker, alone if the current run is ordered to be
+	// alone on its worker.
+	crashed  bool
+	alone    bool
 	placedAt time.Time
 	// contactAt is the latest arrival of a contact that was echoed in an order or refresh of the current run. Owners date
 	// these messages back to the contact.
@@ -107,6 +111,7 @@
 		Key: j.key(t), Backend: j.batch.Backend, Spec: j.batch.Spec, Need: step.Need, Priority: j.batch.Priority,
 		Accepted: j.batch.Accepted, Target: j.target, Deadline: j.batch.Deadline, Expected: expected,
 		RequiredLabel: step.RequiredLabel, PreferredRack: step.PreferredRack, PerWorkerLimit: step.PerWorkerLimit,
+		Route: j.batch.Route, Alone: t.alone,
 	}
 }
 
--- a/contract/batch.go
+++ b/contract/batch.go
@@ -96,6 +96,11 @@
 	// Claim is set if the home claims a run that has already been started: an owner without a record of the run must not
 	// start it.
 	Claim bool
+	// Route is the route of the job.
+	Route string
+	// Alone is set for a task under which a worker has crashed: it runs on a worker without other runs, so that its next
+	// crash proves who caused it.
+	Alone bool
 }
 
 // RunState is the state of a run as known to the owner of its worker.
@@ -117,11 +122,13 @@
 	// RunLost means that the owner has lost the worker to another VM: the run may continue until its lease expires, and
 	// the new owner of the worker has a record of it.
 	RunLost
+	// RunCrashed means that the run has ended with its worker, which has crashed.
+	RunCrashed
 )
 
 // String returns the state's name for logs.
 func (s RunState) String() string {
-	names := [...]string{"queued", "started", "done", "failed", "ended", "unknown", "infeasible", "lost"}
+	names := [...]string{"queued", "started", "done", "failed", "ended", "unknown", "infeasible", "lost", "crashed"}
 	if int(s) < len(names) {
 		return names[s]
 	}
--- /dev/null
+++ b/contract/crash.go
@@ -0,0 +1,36 @@
+package contract
+
+import "time"
+
+// WorkerCrash is the crash of one incarnation of a worker, as seen by the owner of the worker.
+type WorkerCrash struct {
+	Worker string
+	// StartTime identifies the incarnation, as in machine.Listing.
+	StartTime int64
+	Backend   string
+	// At is when the owner lost contact.
+	At time.Time
+	// Tasks are those that ran or may have run on the worker.
+	Tasks []CrashedTask
+	// Refuted is set if the same incarnation has answered again: it had not crashed.
+	Refuted bool
+}
+
+// CrashedTask is a task that was on a worker when it crashed. The key has no run.
+type CrashedTask struct {
+	Key   RunKey
+	Route string
+}
+
+// Involves reports whether a task was on the worker.
+func (c *WorkerCrash) Involves(task RunKey) bool {
+	for _, t := range c.Tasks {
+		if t.Key == task.Task() {
+			return true
+		}
+	}
+	return false
+}
+
+// Alone reports whether a single task was on the worker.
+func (c *WorkerCrash) Alone() bool { return len(c.Tasks) == 1 }
--- /dev/null
+++ b/edge/crashes.go
@@ -0,0 +1,74 @@
+package edge
+
+import (
+	"time"
+
+	"github.com/cicadadale/cicadadale/api"
+	"github.com/cicadadale/cicadadale/contract"
+)
+
+// crashRepeat is how long after a crash the owner announces it again, in case the first announcement was lost. The runs of
+// the crashed worker are over by then, and their next ones about to be ordered.
+const crashRepeat = 800 * time.Millisecond
+
+// workerCrashed records the crash of an own worker, or that one has been refuted, and tells all members.
+func (d *Daemon) workerCrashed(c contract.WorkerCrash) {
+	d.recordCrash(c)
+	d.members.Broadcast(encodeCrash(c, d.o.Now()))
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.unrepeated = append(d.unrepeated, c)
+}
+
+// recordCrash records the crash of a worker, and gives up the tasks that have crashed too many.
+func (d *Daemon) recordCrash(c contract.WorkerCrash) {
+	if d.crashes.Record(c, d.o.Now()) {
+		d.home.Crashed(c)
+	}
+}
+
+// repeatCrashes announces crashes of own workers again.
+func (d *Daemon) repeatCrashes(now time.Time) {
+	d.mu.Lock()
+	var due []*api.PeerMessage
+	for len(d.unrepeated) > 0 && now.Sub(d.unrepeated[0].At) >= crashRepeat {
+		due = append(due, encodeCrash(d.unrepeated[0], now))
+		d.unrepeated = d.unrepeated[1:]
+	}
+	d.mu.Unlock()
+	if len(due) > 0 {
+		d.members.Broadcast(due...)
+	}
+}
+
+// crashList returns all crashes that count, for a member that has just joined.
+func (d *Daemon) crashList() []*api.PeerMessage {
+	now := d.o.Now()
+	var list []*api.PeerMessage
+	for _, c := range d.crashes.Crashes() {
+		list = append(list, encodeCrash(c, now))
+	}
+	return list
+}
+
+// encodeCrash converts the time to an age, since the clocks of two VMs differ.
+func encodeCrash(c contract.WorkerCrash, now time.Time) *api.PeerMessage {
+	m := &api.WorkerCrash{
+		Worker: c.Worker, Born: c.StartTime, Backend: c.Backend, AgeMs: clampMillis(now.Sub(c.At)), Refuted: c.Refuted,
+	}
+	for _, t := range c.Tasks {
+		m.Tasks = append(m.Tasks, &api.CrashedTask{Key: encodeKey(t.Key), Route: t.Route})
+	}
+	return &api.PeerMessage{Body: &api.PeerMessage_WorkerCrash{WorkerCrash: m}}
+}
+
+func decodeCrash(m *api.WorkerCrash, now time.Time) contract.WorkerCrash {
+	c := contract.WorkerCrash{
+		Worker: m.GetWorker(), StartTime: m.GetBorn(), Backend: m.GetBackend(), Refuted: m.GetRefuted(),
+		At: now.Add(-time.Duration(m.GetAgeMs()) * time.Millisecond),
+	}
+	for _, t := range m.GetTasks() {
+		c.Tasks = append(c.Tasks, contract.CrashedTask{Key: decodeKey(t.GetKey()).Task(), Route: t.GetRoute()})
+	}
+	return c
+}
--- a/edge/daemon.go
+++ b/edge/daemon.go
@@ -79,6 +79,7 @@
 	self       string
 	members    *Members
 	capacity   *zone.CapacityView
+	crashes    *contract.CrashLedger
 	home       *batch.Home
 	server     *link.PeerServer
 	workers    *workers
@@ -119,6 +120,8 @@
 	// requestedAt is when the newer one was last requested.
 	behindSince time.Time
 	requestedAt time.Time
+	// unrepeated are the crashes of own workers that are to be announced again.
+	unrepeated []contract.WorkerCrash
 }
 
 // New starts a daemon.
@@ -128,10 +131,11 @@
 		o: o, self: o.Self.ID(), capacity: zone.NewCapacityView(o.Self.ID(), o.Self.Domain), cancel: cancel, started: o.Now(),
 		firstTimestamp: rand.Uint64N(timestampRange),
 		pools:          make(map[string]*pool.Pool), lastPresent: make(map[string]time.Time), workers: newWorkers(o.Logger),
+		crashes: contract.NewCrashLedger(),
 	}
 	d.members = newMembers(o.Self, d.dialPeer, o.Logger)
 	d.home = batch.New(batch.Options{
-		Owners: owners{d}, Capacity: d.capacity, Fits: d.workers.fits, Now: o.Now, Logger: o.Logger, Metrics: o.Metrics,
+		Owners: owners{d}, Capacity: d.capacity, Crashes: d.crashes, Fits: d.workers.fits, Now: o.Now, Logger: o.Logger, Metrics: o.Metrics,
 	})
 	d.feed = newWorkerFeed(d.self, d.members, o.Now, o.Logger)
 	server, err := link.ServePeers(o.Peers, d.handle, func() uint64 { return d.timestamp(o.Now()) })
@@ -205,6 +209,8 @@
 		d.feed.UpdateReading()
 		d.assignWorkers()
 	}
+	d.crashes.Expire(now)
+	d.repeatCrashes(now)
 	d.members.ChoosePartners()
 	d.sendStatus(now)
 	d.requestDesired(now)
@@ -254,7 +260,7 @@
 		p = pool.New(pool.Options{
 			Backend: backend, Calls: d.o.Calls, Lease: d.o.Lease, Now: d.o.Now, Logger: d.o.Logger, Metrics: d.o.Metrics,
 			Report:   func(home string, r contract.RunReport) { d.report(home, backend, r) },
-			Takeover: d.takeover,
+			Takeover: d.takeover, Crashed: d.workerCrashed,
 		})
 		d.pools[backend] = p
 	}
--- a/edge/messages.go
+++ b/edge/messages.go
@@ -229,7 +229,7 @@
 		return link.Accepted
 	}
 	if becameLive {
-		d.members.Send(id, d.memberList())
+		d.members.Send(id, append(d.crashList(), d.memberList())...)
 		d.assignWorkers()
 	}
 	for _, m := range env.GetMessages() {
@@ -275,6 +275,8 @@
 		d.home.Takeover(id, contract.Takeover{
 			Worker: t.GetWorker(), StartTime: t.GetBorn(), Token: t.GetToken(), Runs: decodeKeys(t.GetRuns()),
 		})
+	case *api.PeerMessage_WorkerCrash:
+		d.recordCrash(decodeCrash(b.WorkerCrash, d.o.Now()))
 	default:
 		d.handleClusterState(id, vm, m)
 	}
@@ -396,6 +398,7 @@
 		TargetMs: signedMillis(o.Target.Sub(now)), DeadlineMs: signedMillis(o.Deadline.Sub(now)),
 		ExpectedMs: clampMillis(o.Expected), RequiredLabel: o.RequiredLabel, PreferredRack: o.PreferredRack, Claim: o.Claim,
 		AgeMs: clampMillis(now.Sub(o.Accepted)), PerWorker: clamp(o.PerWorkerLimit),
+		Route: o.Route, Alone: o.Alone,
 	}
 }
 
@@ -410,7 +413,7 @@
 		Deadline: now.Add(time.Duration(m.GetDeadlineMs()) * time.Millisecond),
 		Expected: time.Duration(m.GetExpectedMs()) * time.Millisecond, RequiredLabel: m.GetRequiredLabel(),
 		PreferredRack: m.GetPreferredRack(), Claim: m.GetClaim(), PerWorkerLimit: int(m.GetPerWorker()),
-		Accepted: now.Add(-time.Duration(m.GetAgeMs()) * time.Millisecond),
+		Accepted: now.Add(-time.Duration(m.GetAgeMs()) * time.Millisecond), Route: m.GetRoute(), Alone: m.GetAlone(),
 	}
 }
 
--- a/pool/maintain.go
+++ b/pool/maintain.go
@@ -73,6 +73,7 @@
 	lastToken uint64
 	// pollFailed is set when a poll gets no reply, and cleared by the next reply.
 	pollFailed bool
+	watch      crashWatch
 }
 
 func (h *ownedHost) wake() {
@@ -275,7 +276,7 @@
 	}
 	h.startTime = reply.StartTime
 	h.host.SetClock(reply.Clock, now)
-	h.host.Token, h.lastToken = token, token
+	h.host.Token, h.lastToken, h.watch = token, token, crashWatch{}
 	found := p.adopt(h, reply, now, fx)
 	if h.restarted {
 		h.restarted = false
@@ -388,6 +389,7 @@
 			h.host.Suspend(now)
 		}
 		h.pollFailed = true
+		p.watchFailure(h, sent, now, err, &fx)
 		p.o.Logger.Warn("worker did not answer a poll", "worker", h.address.Worker, "runs", len(h.runs), "error", err)
 		return false
 	}
@@ -397,9 +399,10 @@
 		return false
 	}
 	if reply.StartTime != 0 && reply.StartTime != h.startTime {
-		p.handleRestart(h, reply, now)
+		p.handleRestart(h, reply, now, &fx)
 		return false
 	}
+	p.watchReply(h, reply.StartTime, &fx)
 	h.host.SetClock(reply.Clock, now)
 	if reply.Fenced {
 		p.loseOwnership(h, now, &fx)
@@ -414,7 +417,9 @@
 // handleRestart records that a worker has been restarted, and gives it up until its new incarnation is acquired under a
 // higher token. The new incarnation has seen no token and knows none of the runs that were stopped on the previous one:
 // a start call that is delivered late would run a task there again. p.mu is held.
-func (p *Pool) handleRestart(h *ownedHost, reply link.PollReply, now time.Time) {
+func (p *Pool) handleRestart(h *ownedHost, reply link.PollReply, now time.Time, fx *effects) {
+	p.recordCrash(h, now, "has been restarted", reply.Running, fx)
+	h.watch = crashWatch{}
 	p.o.Logger.Warn("worker has been restarted; acquiring it under a new token", "worker", h.address.Worker,
 		"born", reply.StartTime, "last_born", h.startTime, "runs", len(h.runs), "running", len(reply.Running),
 		"token", h.host.Token)
@@ -426,6 +431,8 @@
 // handleOtherWorker records that another worker answers at the address: no earlier run of this worker is alive. A run
 // with a start call in progress is left to the result of that call. p.mu is held.
 func (p *Pool) handleOtherWorker(h *ownedHost, now time.Time, fx *effects) {
+	p.recordCrash(h, now, "has been replaced", nil, fx)
+	h.watch = crashWatch{}
 	p.o.Logger.Warn("another worker answers at this address; the runs of the owned worker have ended",
 		"worker", h.address.Worker, "address", h.address.Address, "runs", len(h.runs))
 	for _, r := range h.runs {
--- a/pool/match.go
+++ b/pool/match.go
@@ -22,8 +22,10 @@
 // p.mu is held.
 func (p *Pool) match(now time.Time, fx *effects) {
 	if len(p.waiting.runs) == 0 {
+		p.emptying = nil
 		return
 	}
+	p.updateEmptying(now)
 	var reserved *ownedHost
 	for _, h := range p.hostsWithCapacity(now) {
 		p.waiting.sort(now, h.host.Speed())
@@ -72,6 +74,14 @@
 	if !h.host.CanStart(o.Need, now) || !h.host.Listing.CanHold(o.Need, o.RequiredLabel) || !h.leaseEndsInTime(r) {
 		return false
 	}
+	if !h.admits(o) || (h == p.emptying && !o.Alone) {
+		return false
+	}
+	if o.Alone {
+		if _, more := p.aloneHosts(); !more {
+			return false
+		}
+	}
 	if o.PerWorkerLimit > 0 && h.runsOfStep(o.Key) >= o.PerWorkerLimit {
 		return false
 	}
@@ -104,7 +114,7 @@
 
 // reserve returns the worker that is kept free for the most urgent task, if that task has waited for reserveDelay.
 func (p *Pool) reserve(now time.Time) *ownedHost {
-	if len(p.waiting.runs) == 0 || now.Sub(p.waiting.runs[0].queuedAt) < reserveDelay {
+	if len(p.waiting.runs) == 0 || now.Sub(p.waiting.runs[0].queuedAt) < reserveDelay || p.waiting.runs[0].order.Alone {
 		return nil
 	}
 	return p.largestFree(p.waiting.runs[0].order)
@@ -130,7 +140,7 @@
 func (p *Pool) largestFree(o contract.TaskOrder) *ownedHost {
 	var best *ownedHost
 	for _, h := range p.hosts {
-		if h.host.Token == 0 || h.host.Listing.Draining || !h.host.Listing.CanHold(o.Need, o.RequiredLabel) {
+		if h == p.emptying || h.hasAlone() || h.host.Token == 0 || h.host.Listing.Draining || !h.host.Listing.CanHold(o.Need, o.RequiredLabel) {
 			continue
 		}
 		if best == nil || h.host.Free().CPUMillis > best.host.Free().CPUMillis {
@@ -154,6 +164,16 @@
 	h.wake()
 }
 
+// speedOf predicts the speed of a worker from others with the same first label, which names its kind. p.mu is held.
+func (p *Pool) speedOf(l machine.Listing) float64 {
+	if len(l.Labels) > 0 {
+		if s, ok := p.speeds[l.Labels[0]]; ok {
+			return s
+		}
+	}
+	return 1
+}
+
 // markCommitted marks the queued tasks of a job once one of its tasks is started. p.mu is held.
 func (p *Pool) markCommitted(batch string, now time.Time) {
 	if _, ok := p.lastStarts[batch]; !ok {
@@ -185,7 +205,9 @@
 			continue
 		}
 		capacity.Slots += slotsIn(h.host.Listing.Capacity, p.typicalSize)
-		capacity.Free += slotsIn(h.host.Free(), p.typicalSize)
+		if h != p.emptying && !h.hasAlone() {
+			capacity.Free += slotsIn(h.host.Free(), p.typicalSize)
+		}
 	}
 	for _, r := range p.waiting.runs {
 		capacity.Waiting[min(max(r.order.Priority, 0), zone.Priorities-1)] += r.order.Expected
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -49,9 +49,11 @@
 	Report func(home string, r contract.RunReport)
 	// Takeover announces to all homes that this VM has become the owner of a worker.
 	Takeover func(t contract.Takeover)
-	Now      func() time.Time
-	Logger   *slog.Logger
-	Metrics  metrics.Registry
+	// Crashed records the crash of a worker, or that one has been refuted, and announces it to all members.
+	Crashed func(c contract.WorkerCrash)
+	Now     func() time.Time
+	Logger  *slog.Logger
+	Metrics metrics.Registry
 }
 
 // Pool is the shard of one back end: the owned workers, the queued tasks and the runs. mu guards all fields below it.
@@ -73,13 +75,8 @@
 	lastStarts map[string]time.Time
 	// typicalSize is the moving average of the sizes of ordered tasks, zero until the first one is ordered.
 	typicalSize machine.Resources
-}
-
-// barredRun is a run that the pool does not hold and must not start. Its state is reported to homes: RunUnknown if the
-// run was never here, RunLost if it may be alive on a worker that another VM has acquired.
-type barredRun struct {
-	at    time.Time
-	state contract.RunState
+	// emptying is the worker that is kept free of other tasks for the next task that runs alone; nil if there is none.
+	emptying *ownedHost
 }
 
 // New returns a pool without workers.
@@ -176,16 +173,6 @@
 	p.spawn(func() { p.maintain(ctx, h) })
 }
 
-// speedOf predicts the speed of a worker from others with the same first label, which names its kind. p.mu is held.
-func (p *Pool) speedOf(l machine.Listing) float64 {
-	if len(l.Labels) > 0 {
-		if s, ok := p.speeds[l.Labels[0]]; ok {
-			return s
-		}
-	}
-	return 1
-}
-
 // outdates reports whether a listing at another address belongs to an earlier incarnation than the one that answers here.
 func (h *ownedHost) outdates(l machine.Listing, now time.Time, lease time.Duration) bool {
 	current := h.host.Listing
@@ -195,6 +182,10 @@
 // dropHost stops maintaining a worker, for the given reason. Its next owner reports its runs to their homes. p.mu is
 // held.
 func (p *Pool) dropHost(h *ownedHost, reason endProof, fx *effects) {
+	if h.watch.refusing() {
+		// The next owner does not know what ran there.
+		p.recordCrash(h, h.watch.refusedSince, "refuses connections", nil, fx)
+	}
 	h.cancel()
 	h.dropped = true
 	delete(p.hosts, h.host.Listing.Worker)
--- a/pool/pool_test.go
+++ b/pool/pool_test.go
@@ -112,6 +112,9 @@
 	sizes     map[string]int
 	mu        sync.Mutex
 	reports   map[contract.RunKey]contract.RunReport
+	crashes   []contract.WorkerCrash
+	// crash selects the jobs whose tasks crash their worker, and how they do.
+	crash map[string]standin.RunPlan
 }
 
 func newFixture(workers int) *fixture {
@@ -126,6 +129,9 @@
 		h := standin.NewRunHost(standin.RunHostOptions{
 			ID: id, Capacity: capacity, MaxLease: time.Second, Observer: f.observer,
 			Plan: func(k contract.RunKey) standin.RunPlan {
+				if plan, ok := f.crash[k.Batch]; ok {
+					return plan
+				}
 				d := f.runTime(k.Batch)
 				return standin.RunPlan{Duration: d, Stalls: d == 0}
 			},
@@ -139,6 +145,11 @@
 	f.pool = New(Options{
 		Backend: "s", Calls: f.calls, Lease: time.Second, Now: time.Now, Logger: slog.New(slog.DiscardHandler),
 		Metrics: metrics.NewRegistry(), Takeover: func(contract.Takeover) {},
+		Crashed: func(c contract.WorkerCrash) {
+			f.mu.Lock()
+			defer f.mu.Unlock()
+			f.crashes = append(f.crashes, c)
+		},
 		Report: func(_ string, r contract.RunReport) {
 			f.mu.Lock()
 			defer f.mu.Unlock()
--- a/pool/run.go
+++ b/pool/run.go
@@ -32,6 +32,8 @@
 	cancelled bool
 	// mayHaveRun is set when a start call is made, and cleared only if the run has provably not started.
 	mayHaveRun bool
+	// crashed is set if the worker has crashed while the run may have been on it. It says nothing about when the run ends.
+	crashed bool
 
 	// committed is set once another task of the job has been started in this pool.
 	committed bool
@@ -58,6 +60,13 @@
 	outcome    contract.RunReport
 }
 
+// barredRun is a run that the pool does not hold and must not start. Its state is reported to homes: RunUnknown if the
+// run was never here, RunLost if it may be alive on a worker that another VM has acquired.
+type barredRun struct {
+	at    time.Time
+	state contract.RunState
+}
+
 // report is a message to a home.
 type report struct {
 	home string
@@ -70,6 +79,7 @@
 	stops   []*run
 	inDoubt []*run
 	reports []report
+	crashes []contract.WorkerCrash
 }
 
 // startEffect is a start call with the values fixed by the decision.
@@ -103,6 +113,10 @@
 
 // apply makes the calls. No lock is held.
 func (p *Pool) apply(fx effects) {
+	// Homes have to know of a crash before they order the next runs of its tasks.
+	for _, c := range fx.crashes {
+		p.o.Crashed(c)
+	}
 	for _, r := range fx.reports {
 		if r.home != "" {
 			p.o.Report(r.home, r.RunReport)
@@ -133,6 +147,9 @@
 			lease = []any{"lease_end", r.host.host.LeaseEnd(), "worker_clock", r.host.host.ClockAt(now)}
 		}
 	}
+	if state == contract.RunEnded && r.crashed {
+		state = contract.RunCrashed
+	}
 	p.detach(r)
 	r.state, r.endedAt = runFinal, now
 	r.outcome = contract.RunReport{Key: r.order.Key, State: state, Worker: worker, Token: r.token,
@@ -182,7 +199,7 @@
 		return
 	}
 	p.detach(r)
-	r.state = runWaiting
+	r.state, r.crashed = runWaiting, false
 	p.waiting.push(r)
 	p.counter(metric.PoolStartsRejected).Inc(1)
 }
