contract, pool, edge: a route under which workers crash is confined to some workers

Callers of all routes were hurt while tasks of one route crashed workers: each crash takes the neighbours and the room of a worker for some seconds, and two or three a second took most workers of a deployment.

The ledger knows the routes of the tasks on the crashed workers. The route that explains most crashes is blamed for them, then the one that explains most of the others; crashes at the same moment count as one event, so that the loss of many workers at once confines nothing. A route that has crashed a quarter of the workers within 4 s starts its tasks on half of them, after a half on a quarter, chosen by a hash of their addresses, until no crash under it was recorded for 4 s. The other routes use these workers last. A suspect of a confined route waits until all workers of the route are back.

--- a/edge/crash_test.go
+++ b/edge/crash_test.go
@@ -32,21 +32,21 @@
 	return standin.RunPlan{Duration: time.Second}
 }
 
-// ownerOfStarted returns the daemon that owns the worker on which the last run has started, and that worker.
-func (d *deployment) ownerOfStarted() (vm, worker string) {
+// ownerOfStarted returns the daemon that owns the worker on which the last run has started.
+func (d *deployment) ownerOfStarted() string {
 	d.observer.mu.Lock()
-	worker = d.observer.started[len(d.observer.started)-1]
+	worker := d.observer.started[len(d.observer.started)-1]
 	d.observer.mu.Unlock()
 	for vm, daemon := range d.daemons {
 		for _, p := range daemon.allPools() {
 			for _, id := range p.Owned() {
 				if id == worker {
-					return vm, worker
+					return vm
 				}
 			}
 		}
 	}
-	return "", worker
+	return ""
 }
 
 // awaitStarts waits until a job has had n starts.
@@ -149,7 +149,7 @@
 				d.plan = deadlyPlan
 				answer := d.submit("edge-0-0", testJob("deadly", 1, patientLimit))
 				d.awaitStarts("deadly", 1)
-				owner, _ := d.ownerOfStarted()
+				owner := d.ownerOfStarted()
 				time.Sleep(crashAfter + after*time.Millisecond)
 				if owner != "edge-0-0" && owner != "" {
 					d.killDaemon(owner)
@@ -169,7 +169,7 @@
 		d.plan = deadlyPlan
 		answer := d.submit("edge-0-0", testJob("deadly", 1, patientLimit))
 		d.awaitStarts("deadly", 1)
-		owner, _ := d.ownerOfStarted()
+		owner := d.ownerOfStarted()
 		d.net.setCut(func(a, b string) bool {
 			return (a == owner && b == "edge-0-0") || (b == owner && a == "edge-0-0")
 		})
--- a/edge/crashes.go
+++ b/edge/crashes.go
@@ -3,8 +3,11 @@
 import (
 	"time"
 
+	"github.com/rcrowley/go-metrics"
+
 	"github.com/cicadadale/cicadadale/api"
 	"github.com/cicadadale/cicadadale/contract"
+	"github.com/cicadadale/cicadadale/metric"
 )
 
 // crashRepeat is how long after a crash the owner announces it again, in case the first announcement was lost. The runs of
@@ -27,6 +30,25 @@
 	}
 }
 
+// updateCrashes drops the crashes that no longer count, announces new ones again, and confines or releases routes.
+func (d *Daemon) updateCrashes(now time.Time) {
+	d.crashes.Expire(now)
+	d.repeatCrashes(now)
+	crashes := d.crashes.Crashes()
+	if len(crashes) == 0 {
+		return
+	}
+	confined, released := d.confined.Update(crashes, d.workers.count, now)
+	for _, route := range confined {
+		metrics.GetOrRegisterCounter(metric.RoutesConfined, d.o.Metrics).Inc(1)
+		d.o.Logger.Warn("workers crash under a route; confining its tasks to some workers", "route", route)
+	}
+	for _, route := range released {
+		metrics.GetOrRegisterCounter(metric.RoutesReleased, d.o.Metrics).Inc(1)
+		d.o.Logger.Info("no more workers crash under a route; releasing its tasks", "route", route)
+	}
+}
+
 // repeatCrashes announces crashes of own workers again.
 func (d *Daemon) repeatCrashes(now time.Time) {
 	d.mu.Lock()
--- a/edge/daemon.go
+++ b/edge/daemon.go
@@ -80,6 +80,7 @@
 	members    *Members
 	capacity   *zone.CapacityView
 	crashes    *contract.CrashLedger
+	confined   *contract.Confinement
 	home       *batch.Home
 	server     *link.PeerServer
 	workers    *workers
@@ -131,7 +132,7 @@
 		o: o, self: o.Self.ID(), capacity: zone.NewCapacityView(o.Self.ID(), o.Self.Domain), cancel: cancel, started: o.Now(),
 		firstTimestamp: rand.Uint64N(timestampRange),
 		pools:          make(map[string]*pool.Pool), lastPresent: make(map[string]time.Time), workers: newWorkers(o.Logger),
-		crashes: contract.NewCrashLedger(),
+		crashes: contract.NewCrashLedger(), confined: contract.NewConfinement(),
 	}
 	d.members = newMembers(o.Self, d.dialPeer, o.Logger)
 	d.home = batch.New(batch.Options{
@@ -209,8 +210,7 @@
 		d.feed.UpdateReading()
 		d.assignWorkers()
 	}
-	d.crashes.Expire(now)
-	d.repeatCrashes(now)
+	d.updateCrashes(now)
 	d.members.ChoosePartners()
 	d.sendStatus(now)
 	d.requestDesired(now)
@@ -260,7 +260,7 @@
 		p = pool.New(pool.Options{
 			Backend: backend, Calls: d.o.Calls, Lease: d.o.Lease, Now: d.o.Now, Logger: d.o.Logger, Metrics: d.o.Metrics,
 			Report:   func(home string, r contract.RunReport) { d.report(home, backend, r) },
-			Takeover: d.takeover, Crashed: d.workerCrashed,
+			Takeover: d.takeover, Crashed: d.workerCrashed, Confinement: d.confined,
 		})
 		d.pools[backend] = p
 	}
--- a/edge/workers.go
+++ b/edge/workers.go
@@ -120,3 +120,16 @@
 	}
 	return false, known
 }
+
+// count returns the number of workers of a back end.
+func (w *workers) count(backend string) int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	n := 0
+	for _, l := range w.byID {
+		if l.Backend == backend {
+			n++
+		}
+	}
+	return n
+}
--- a/metric/metric.go
+++ b/metric/metric.go
@@ -75,6 +75,8 @@
 	BatchTasksSuspected  = "batch.tasks_suspected"
 	BatchTasksGivenUp    = "batch.tasks_given_up"
 	BatchAnswerTime      = "batch.answer_time"
+	RoutesConfined       = "edge.routes_confined"
+	RoutesReleased       = "edge.routes_released"
 	PoolQueueTime        = "pool.queue_time"
 	PoolCallTime         = "pool.start_call_time"
 )
--- a/pool/alone.go
+++ b/pool/alone.go
@@ -20,30 +20,31 @@
 	return false
 }
 
-// admits reports whether the other runs on a worker allow for one more. A task that runs alone needs an empty worker.
-func (h *ownedHost) admits(o contract.TaskOrder) bool {
+// mayJoin reports whether a task may start beside the runs of a worker, and despite the confinement of its route. A task
+// that runs alone needs an empty worker, and not too many may be held for such tasks. p.mu is held.
+func (p *Pool) mayJoin(h *ownedHost, o contract.TaskOrder, now time.Time) bool {
 	if o.Alone {
-		return len(h.runs) == 0
+		return len(h.runs) == 0 && p.moreAlone() && p.mayRunOn(h, o, now)
 	}
-	return !h.hasAlone()
+	return h != p.emptying && !h.hasAlone() && p.mayRunOn(h, o, now)
 }
 
-// aloneHosts returns the number of workers with a run that is alone, and whether more may be held for such runs.
-// p.mu is held.
-func (p *Pool) aloneHosts() (held int, more bool) {
+// moreAlone reports whether more workers may be held for tasks that run alone. p.mu is held.
+func (p *Pool) moreAlone() bool {
+	held := 0
 	for _, h := range p.hosts {
 		if h.hasAlone() {
 			held++
 		}
 	}
-	return held, held < max(int(aloneShare*float64(len(p.hosts))), 1)
+	return held < max(int(aloneShare*float64(len(p.hosts))), 1)
 }
 
 // updateEmptying chooses the worker on which no other tasks start until the most urgent task that runs alone can: without
 // it such tasks starve, since a worker hardly ever becomes empty by itself. p.mu is held.
 func (p *Pool) updateEmptying(now time.Time) {
 	r := p.nextAlone(now)
-	if _, more := p.aloneHosts(); r == nil || !more {
+	if r == nil || !p.moreAlone() {
 		p.emptying = nil
 		return
 	}
@@ -71,7 +72,8 @@
 }
 
 func (p *Pool) canEmpty(h *ownedHost, r *run, now time.Time) bool {
-	return h.host.Usable(now) && h.host.Listing.CanHold(r.order.Need, r.order.RequiredLabel) && !h.hasAlone()
+	return h.host.Usable(now) && h.host.Listing.CanHold(r.order.Need, r.order.RequiredLabel) && !h.hasAlone() &&
+		p.mayRunOn(h, r.order, now)
 }
 
 // emptiesSooner orders workers by the time at which the last of their runs is expected to end.
--- a/pool/crash_test.go
+++ b/pool/crash_test.go
@@ -180,3 +180,42 @@
 	f.pool.mu.Unlock()
 	f.pool.Refresh(testHome, keys, time.Now())
 }
+
+// Guards against tasks of a confined route that start on all workers, and against other tasks that cannot use the workers
+// left to them.
+func TestConfinedRouteStartsOnlyOnSomeWorkers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(8)
+		defer f.pool.Close()
+		now := time.Now()
+		var crashes []contract.WorkerCrash
+		for i := range 4 {
+			crashes = append(crashes, contract.WorkerCrash{
+				Worker: "x", StartTime: int64(i), Backend: "s", At: now.Add(-time.Duration(i) * 300 * time.Millisecond),
+				Tasks: []contract.CrashedTask{{Route: "deadly"}},
+			})
+		}
+		confined, _ := f.pool.o.Confinement.Update(crashes, func(string) int { return 8 }, now)
+		require.Equal(t, []string{"deadly"}, confined)
+		orderUnder := func(job, route string, alone bool) {
+			f.setRunTime(job, time.Second)
+			f.setSize(job, 1500)
+			f.pool.Order(testHome, contract.TaskOrder{
+				Key: contract.RunKey{Batch: job, Run: 1}, Backend: "s", Need: machine.Resources{CPUMillis: 1500}, Accepted: now,
+				Target: now.Add(time.Second), Deadline: now.Add(20 * time.Second), Expected: time.Second, Route: route, Alone: alone,
+			}, now)
+		}
+		for i := range 8 {
+			orderUnder("deadly"+string(rune('0'+i)), "deadly", false)
+		}
+		time.Sleep(100 * time.Millisecond)
+		started := len(f.observer.startedJobs())
+		require.NotZero(t, started)
+		require.LessOrEqual(t, started, 2, "a quarter of the workers")
+		for i := range 8 {
+			orderUnder("sound"+string(rune('0'+i)), "sound", false)
+		}
+		time.Sleep(100 * time.Millisecond)
+		require.GreaterOrEqual(t, len(f.observer.startedJobs()), 7)
+	})
+}
--- a/pool/maintain.go
+++ b/pool/maintain.go
@@ -60,6 +60,7 @@
 	host            *machine.Host
 	runs            map[contract.RunKey]*run
 	address         link.HostAddress
+	addressHash     uint64
 	cancel          context.CancelFunc
 	wakeup          chan struct{}
 	dropped         bool
--- a/pool/match.go
+++ b/pool/match.go
@@ -1,6 +1,7 @@
 package pool
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -25,6 +26,7 @@
 		p.emptying = nil
 		return
 	}
+	p.updateExposure()
 	p.updateEmptying(now)
 	var reserved *ownedHost
 	for _, h := range p.hostsWithCapacity(now) {
@@ -44,8 +46,11 @@
 	}
 }
 
+// exposureClasses is the number of classes of workers by the routes that are confined to them.
+const exposureClasses = 4
+
 // hostsWithCapacity returns the workers on which a task may start, the fastest first and of equally fast ones the
-// fullest.
+// fullest. Those on which tasks of confined routes start come last, so that the others lose less with them.
 func (p *Pool) hostsWithCapacity(now time.Time) []*ownedHost {
 	var hosts []*ownedHost
 	for _, h := range p.hosts {
@@ -55,6 +60,9 @@
 		}
 	}
 	slices.SortFunc(hosts, func(a, b *ownedHost) int {
+		if d := cmp.Compare(int(p.exposure[b]*exposureClasses), int(p.exposure[a]*exposureClasses)); d != 0 {
+			return d
+		}
 		if preferred(a.host, b.host) {
 			return -1
 		}
@@ -74,14 +82,9 @@
 	if !h.host.CanStart(o.Need, now) || !h.host.Listing.CanHold(o.Need, o.RequiredLabel) || !h.leaseEndsInTime(r) {
 		return false
 	}
-	if !h.admits(o) || (h == p.emptying && !o.Alone) {
+	if !p.mayJoin(h, o, now) {
 		return false
 	}
-	if o.Alone {
-		if _, more := p.aloneHosts(); !more {
-			return false
-		}
-	}
 	if o.PerWorkerLimit > 0 && h.runsOfStep(o.Key) >= o.PerWorkerLimit {
 		return false
 	}
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -51,9 +51,11 @@
 	Takeover func(t contract.Takeover)
 	// Crashed records the crash of a worker, or that one has been refuted, and announces it to all members.
 	Crashed func(c contract.WorkerCrash)
-	Now     func() time.Time
-	Logger  *slog.Logger
-	Metrics metrics.Registry
+	// Confinement names the routes whose tasks start only on some workers.
+	Confinement *contract.Confinement
+	Now         func() time.Time
+	Logger      *slog.Logger
+	Metrics     metrics.Registry
 }
 
 // Pool is the shard of one back end: the owned workers, the queued tasks and the runs. mu guards all fields below it.
@@ -77,6 +79,9 @@
 	typicalSize machine.Resources
 	// emptying is the worker that is kept free of other tasks for the next task that runs alone; nil if there is none.
 	emptying *ownedHost
+	// exposure ranks the workers from 0 to 1: tasks of a route that is confined to a share of the workers start on those with
+	// a lower rank. It is empty while no route is confined.
+	exposure map[*ownedHost]float64
 }
 
 // New returns a pool without workers.
@@ -86,7 +91,7 @@
 		o: o, ctx: ctx, cancel: cancel,
 		hosts: make(map[string]*ownedHost), runs: make(map[contract.RunKey]*run),
 		barredRuns: make(map[contract.RunKey]barredRun), speeds: make(map[string]float64),
-		lastStarts: make(map[string]time.Time),
+		lastStarts: make(map[string]time.Time), exposure: make(map[*ownedHost]float64),
 	}
 	p.spawn(p.sweepPeriodically)
 	return p
@@ -168,6 +173,7 @@
 	h := &ownedHost{
 		host: machine.NewHost(l, p.speedOf(l)), wakeup: make(chan struct{}, 1), cancel: cancel,
 		runs: make(map[contract.RunKey]*run), address: link.HostAddress{Worker: l.Worker, Address: l.Address},
+		addressHash: hashAddress(l.Address),
 	}
 	p.hosts[l.Worker] = h
 	p.spawn(func() { p.maintain(ctx, h) })
--- a/pool/pool_test.go
+++ b/pool/pool_test.go
@@ -145,6 +145,7 @@
 	f.pool = New(Options{
 		Backend: "s", Calls: f.calls, Lease: time.Second, Now: time.Now, Logger: slog.New(slog.DiscardHandler),
 		Metrics: metrics.NewRegistry(), Takeover: func(contract.Takeover) {},
+		Confinement: contract.NewConfinement(),
 		Crashed: func(c contract.WorkerCrash) {
 			f.mu.Lock()
 			defer f.mu.Unlock()
