--- a/metric/metric.go
+++ b/metric/metric.go
@@ -71,7 +71,12 @@
 	BatchEndsTakeover    = "batch.ends_takeover"
 	BatchEndsExpired     = "batch.ends_expired"
 	BatchPauses          = "batch.pauses"
+	PoolRunsCrashed      = "pool.runs_crashed"
+	BatchTasksSuspected  = "batch.tasks_suspected"
+	BatchTasksGivenUp    = "batch.tasks_given_up"
 	BatchAnswerTime      = "batch.answer_time"
+	RoutesConfined       = "edge.routes_confined"
+	RoutesReleased       = "edge.routes_released"
 	PoolQueueTime        = "pool.queue_time"
 	PoolCallTime         = "pool.start_call_time"
 )
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -49,9 +49,13 @@
 	Report func(home string, r contract.RunReport)
 	// Takeover announces to all homes that this VM has become the owner of a worker.
 	Takeover func(t contract.Takeover)
-	Now      func() time.Time
-	Logger   *slog.Logger
-	Metrics  metrics.Registry
+	// Crashed records the crash of a worker, or that one has been refuted, and announces it to all members.
+	Crashed func(c contract.WorkerCrash)
+	// Confinement names the routes whose tasks start only on some workers.
+	Confinement *contract.Confinement
+	Now         func() time.Time
+	Logger      *slog.Logger
+	Metrics     metrics.Registry
 }
 
 // Pool is the shard of one back end: the owned workers, the queued tasks and the runs. mu guards all fields below it.
@@ -73,13 +77,11 @@
 	lastStarts map[string]time.Time
 	// typicalSize is the moving average of the sizes of ordered tasks, zero until the first one is ordered.
 	typicalSize machine.Resources
-}
-
-// barredRun is a run that the pool does not hold and must not start. Its state is reported to homes: RunUnknown if the
-// run was never here, RunLost if it may be alive on a worker that another VM has acquired.
-type barredRun struct {
-	at    time.Time
-	state contract.RunState
+	// emptying is the worker that is kept free of other tasks for the next task that runs alone; nil if there is none.
+	emptying *ownedHost
+	// exposure ranks the workers from 0 to 1: tasks of a route that is confined to a share of the workers start on those with
+	// a lower rank. It is empty while no route is confined.
+	exposure map[*ownedHost]float64
 }
 
 // New returns a pool without workers.
@@ -89,7 +91,7 @@
 		o: o, ctx: ctx, cancel: cancel,
 		hosts: make(map[string]*ownedHost), runs: make(map[contract.RunKey]*run),
 		barredRuns: make(map[contract.RunKey]barredRun), speeds: make(map[string]float64),
-		lastStarts: make(map[string]time.Time),
+		lastStarts: make(map[string]time.Time), exposure: make(map[*ownedHost]float64),
 	}
 	p.spawn(p.sweepPeriodically)
 	return p
@@ -170,21 +172,12 @@
 	h := &ownedHost{
 		host: machine.NewHost(l, p.speedOf(l)), wakeup: make(chan struct{}, 1), cancel: cancel,
 		runs: make(map[contract.RunKey]*run), address: link.HostAddress{Worker: l.Worker, Address: l.Address},
+		addressHash: hashAddress(l.Address),
 	}
 	p.hosts[l.Worker] = h
 	p.spawn(func() { p.maintain(ctx, h) })
 }
 
-// speedOf predicts the speed of a worker from others with the same first label, which names its kind. p.mu is held.
-func (p *Pool) speedOf(l machine.Listing) float64 {
-	if len(l.Labels) > 0 {
-		if s, ok := p.speeds[l.Labels[0]]; ok {
-			return s
-		}
-	}
-	return 1
-}
-
 // dropMoved drops a worker that is listed at another address. p.mu is held.
 func (p *Pool) dropMoved(h *ownedHost, l machine.Listing, fx *effects) {
 	p.o.Logger.Info("worker is listed at another address; leaving its runs to their lease", "worker", l.Worker,
@@ -192,7 +185,8 @@
 	p.dropHost(h, leftMoved, fx)
 }
 
-// applyIgnored applies a listing that was ignored, once the worker no longer answers as the incarnation listed before. A worker whose time of day was set back before its restart looks like an earlier incarnation. p.mu is held.
+// applyIgnored applies a listing that was ignored, once the worker no longer answers as the incarnation listed before. A
+// worker whose time of day was set back before its restart looks like an earlier incarnation. p.mu is held.
 func (p *Pool) applyIgnored(h *ownedHost, now time.Time, fx *effects) {
 	if h.ignored == nil || h.outdates(*h.ignored, now, p.o.Lease) {
 		return
@@ -215,6 +209,10 @@
 // dropHost stops maintaining a worker, for the given reason. Its next owner reports its runs to their homes. p.mu is
 // held.
 func (p *Pool) dropHost(h *ownedHost, reason endProof, fx *effects) {
+	if h.watch.refusing() {
+		// The next owner does not know what ran there.
+		p.recordCrash(h, h.watch.refusedSince, "refuses connections", nil, fx)
+	}
 	h.cancel()
 	h.dropped = true
 	delete(p.hosts, h.host.Listing.Worker)
