edge: random faults that overlap, over a network to the workers with faults of its own

The random-fault test executes late calls at once or after a fixed time, suspends no daemon, restarts workers only at their addresses, and its tasks end before a late call arrives.

A daemon is suspended by its clock: no goroutine passes a reading of it.

--- a/edge/deployment_test.go
+++ b/edge/deployment_test.go
@@ -272,19 +272,29 @@
 	log      *testLog
 	plan     func(key contract.RunKey) standin.RunPlan
 	wg       sync.WaitGroup
+	// workerNet is the network to the workers; nil for one without faults of its own.
+	workerNet *workerNetwork
 }
 
 func newDeployment(t *testing.T, zones, daemonsPerZone, workersPerZone int) *deployment {
+	return newDeploymentOver(nil, t, zones, daemonsPerZone, workersPerZone)
+}
+
+// newDeploymentOver returns a deployment whose daemons call the workers over w.
+func newDeploymentOver(w *workerNetwork, t *testing.T, zones, daemonsPerZone, workersPerZone int) *deployment {
 	n := newNetwork()
 	d := &deployment{
 		t: t, net: n, store: newMemStore(n), hosts: make(map[string]*standin.RunHost), daemons: make(map[string]*Daemon),
-		log: &testLog{},
+		log: &testLog{}, workerNet: w,
 		observer: &runObserver{
 			running: make(map[contract.RunKey][]contract.RunKey), starts: make(map[contract.RunKey]int),
 			done: make(map[contract.RunKey]int),
 		},
 		plan: func(contract.RunKey) standin.RunPlan { return standin.RunPlan{Duration: 100 * time.Millisecond} },
 	}
+	if w != nil {
+		w.d = d
+	}
 	d.store.desired = contract.Desired{
 		Version: 1, Document: []byte("1"),
 		Routes: []contract.Route{{Name: "r", Host: "h", PathPrefix: "/q/", Backend: testBackend, Attempts: 2}},
@@ -313,6 +323,9 @@
 		Need: func(contract.RunKey) machine.Resources { return machine.Resources{CPUMillis: taskCPU, MemoryMB: 64} },
 	})
 	d.hosts[id] = h
+	if d.workerNet != nil {
+		d.workerNet.setListening(id, id)
+	}
 	d.store.update(func() {
 		d.store.workers = append(d.store.workers, machine.Listing{
 			Worker: id, Backend: testBackend, Address: id, Zone: zone, StartTime: h.StartTime(), Capacity: capacity,
@@ -326,13 +339,17 @@
 		out = io.MultiWriter(d.log, os.Stderr)
 	}
 	logger := slog.New(slog.NewTextHandler(out, nil)).With("vm", vm)
+	calls, now := link.HostCalls(workerCalls{d, vm}), time.Now
+	if d.workerNet != nil {
+		calls, now = faultyCalls{d.workerNet, vm}, d.workerNet.now(vm)
+	}
 	daemon, err := New(Options{
 		Self: machine.Member{
 			VM: vm, Incarnation: machine.NewIncarnation(), Address: vm, Domain: zone, CPUMillis: 400,
 		},
-		Store: storeView{d.store, vm}, Calls: workerCalls{d, vm}, Peers: d.net.listen(vm), Lease: testLease, Grace: testGrace,
+		Store: storeView{d.store, vm}, Calls: calls, Peers: d.net.listen(vm), Lease: testLease, Grace: testGrace,
 		Dial: func(ctx context.Context, address string) (net.Conn, error) { return d.net.dial(ctx, vm, address) },
-		Now:  time.Now, Logger: logger, Metrics: metrics.NewRegistry(),
+		Now:  now, Logger: logger, Metrics: metrics.NewRegistry(),
 	})
 	require.NoError(d.t, err)
 	d.daemons[vm] = daemon
