edge: late start calls that reach a restarted worker, known red

A start call without a reply is barred by an answered stop and its task is started elsewhere. The worker crashes and is back under its id. It has seen no token and no stop, its clock has begun anew, so the late call is in time and is executed, under a full lease: two runs at the same time. The lease that the call carries ends the run no earlier, as docs/platform.md assumes, since it is a time on the earlier clock.

--- a/edge/overlap_test.go
+++ b/edge/overlap_test.go
@@ -50,6 +50,8 @@
 		"kill", "stop", "cutDaemon", "cutZone", "cutOneWay", "cutWorkers", "delayDaemon", "storeUnavailable", "isolate", "reset",
 		"lostReplies", "lateCalls", "lateCalls", "restart", "restart", "suspend", "suspend",
 	}},
+	{name: "late-calls-at-restarted-workers", seeds: []uint64{1, 2}, lateSurvives: true,
+		faults: []string{"lateCalls", "restart", "restart"}},
 }
 
 // overlap is a chaos with faults of longer duration, of which several are always active, and with long tasks, so that
