edge: suspended home that starts a task beside the next home, known red

A home is suspended for 2.2 s. The channel of a client breaks meanwhile, and the client submits its job to another daemon 1.3 s later, whose runs are alive. The first home continues: its own pool finds the run unrefreshed or its lease expired, reports it as ended, and the home orders the next one at once, on its own workers. Only milliseconds later it learns that the channel is broken, and stops that run, 26 to 70 ms after its start:

--- /dev/null
+++ b/edge/suspension_test.go
@@ -0,0 +1,43 @@
+package edge
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+
+	"github.com/cicadadale/cicadadale/batch"
+	"github.com/cicadadale/cicadadale/contract"
+	"github.com/cicadadale/cicadadale/standin"
+)
+
+// Guards against a home that continues after a suspension and starts a task again whose client has submitted the job to
+// another daemon in the meantime, before the home learns that the client's channel is broken.
+func TestResumedHomeStartsNoRunBesideTheNextHome(t *testing.T) {
+	inVirtualTime(t, func(t *testing.T) {
+		w := newWorkerNetwork(1, false)
+		d := newDeploymentOver(w, t, 2, 1, 2)
+		d.plan = func(contract.RunKey) standin.RunPlan { return standin.RunPlan{Duration: 8 * time.Second} }
+		c := &chaos{d: d, cuts: make(map[int]func(from, to string) bool), delays: make(map[int]func(from, to string) bool)}
+		o := &overlap{chaos: c, net: w, waiting: make(chan struct{}, 1)}
+		const job = "0123456789abcdef"
+		ctx, breakChannel := context.WithCancel(context.Background())
+		d.wg.Go(func() { d.daemons["edge-0-0"].Submit(ctx, testJob(job, 2, 12*time.Second)) })
+		time.Sleep(500 * time.Millisecond)
+		resume := o.suspend("edge-0-0")
+		time.Sleep(200 * time.Millisecond)
+		// The channel breaks now. The client submits the job again after resendDelay, and the home learns of the end of the
+		// channel soon after it continues.
+		time.Sleep(resendDelay)
+		next := d.submit("edge-1-0", testJob(job, 2, 12*time.Second))
+		time.Sleep(700 * time.Millisecond)
+		resume()
+		time.Sleep(5 * time.Millisecond)
+		breakChannel()
+		synctest.Wait()
+		assert.Equal(t, batch.Completed, (<-next).Outcome)
+		d.close()
+	})
+}
