edge: isolated home that keeps its runs beside the next home, known red

A home refreshes the runs in its own pool itself, so their lease never ends while it lives. If it is cut off from its clients and the other members, but reaches its workers, only the members that take its workers over end its runs: after 0.7 s of silence and the claim window within its failure domain, after 2 s more if it is the only member there. Its clients submit their jobs again after 1.3 s:

--- a/edge/overlap_test.go
+++ b/edge/overlap_test.go
@@ -53,6 +53,7 @@
 	{name: "late-calls-at-restarted-workers", seeds: []uint64{1, 2}, lateSurvives: true,
 		faults: []string{"lateCalls", "restart", "restart"}},
 	{name: "channels-broken-during-suspensions", seeds: []uint64{1, 2}, faults: []string{"suspendBroken", "suspendBroken", "suspend"}},
+	{name: "isolated-homes-with-workers", seeds: []uint64{1, 2}, faults: []string{"isolateWithWorkers", "lateCalls", "cutOneWay"}},
 }
 
 // overlap is a chaos with faults of longer duration, of which several are always active, and with long tasks, so that
