pool: entry of an earlier incarnation at another address ends live runs, known red

SetHosts treats a worker that is listed at another address as restarted and reports all its runs as ended, without comparing the start times of the two entries. If the store returns the entry of the earlier incarnation after that of the present one, the runs of the present one are alive, and their tasks are started elsewhere. When the newer entry is back, the same happens again.

--- a/edge/overlap_test.go
+++ b/edge/overlap_test.go
@@ -54,6 +54,7 @@
 		faults: []string{"lateCalls", "restart", "restart"}},
 	{name: "channels-broken-during-suspensions", seeds: []uint64{1, 2}, faults: []string{"suspendBroken", "suspendBroken", "suspend"}},
 	{name: "isolated-homes-with-workers", seeds: []uint64{1, 2}, faults: []string{"isolateWithWorkers", "lateCalls", "cutOneWay"}},
+	{name: "entries-of-earlier-incarnations", seeds: []uint64{1, 2}, faults: []string{"staleEntry", "lateCalls"}},
 }
 
 // overlap is a chaos with faults of longer duration, of which several are always active, and with long tasks, so that
