pool, batch: a claim counts only for the takeover that it answers

Callers: a task could have two runs at a time. Cause: the claim of a run named no token. One that is delayed until the same VM owns the worker again extended the lease in the later ownership, while the home believed in the owner between, whose end of the run counts by a lease that it knows of. Change: a claim carries the token of the takeover, and a run found on a worker is claimed only under the token under which it was announced. Evidence: TestClaimOfEarlierOwnershipExtendsNoLease, now a test of the pool, fails without the change. TestReplyToPollOfEarlierOwnershipEndsNoRun claims under the present token, as homes do.

--- a/batch/advance.go
+++ b/batch/advance.go
@@ -346,7 +346,7 @@
 			t.worker, t.token, t.started = takeover.Worker, takeover.Token, true
 			j.mayHaveRun = true
 			order := j.order(t)
-			order.Claim = true
+			order.Claim, order.ClaimToken = true, takeover.Token
 			out.order(t, order)
 		case !found && t.started && t.worker == takeover.Worker && takeover.Token > t.token:
 			h.recordEnd(j, t, proofTakeover, owner, takeover.Token, true)
--- a/contract/batch.go
+++ b/contract/batch.go
@@ -96,6 +96,8 @@
 	// Claim is set if the home claims a run that has already been started: an owner without a record of the run must not
 	// start it.
 	Claim bool
+	// ClaimToken is the fencing token of the takeover that a claim answers.
+	ClaimToken uint64
 	// Route is the route of the job.
 	Route string
 	// Alone is set for a task under which a worker has crashed: it runs on a worker without other runs, so that its next
--- a/edge/leasemodel_test.go
+++ b/edge/leasemodel_test.go
@@ -389,15 +389,3 @@
 		})
 	}
 }
-
-// Guards against a lease that is extended for a claim that was made of an earlier ownership. Claims do not name the token
-// of the takeover that they answer, so pools believe them in a later ownership too. The clause becomes one of
-// TestLeaseModel, which it is already, when claims name it.
-func TestClaimOfEarlierOwnershipExtendsNoLease(t *testing.T) {
-	states, violation := exploreLeases(claimOfEarlierToken)
-	t.Logf("%d states", states)
-	for _, s := range violation {
-		t.Logf("%+v", s)
-	}
-	require.Empty(t, violation)
-}
--- a/edge/messages.go
+++ b/edge/messages.go
@@ -402,7 +402,7 @@
 		TargetMs: signedMillis(o.Target.Sub(now)), DeadlineMs: signedMillis(o.Deadline.Sub(now)),
 		ExpectedMs: clampMillis(o.Expected), RequiredLabel: o.RequiredLabel, PreferredRack: o.PreferredRack, Claim: o.Claim,
 		AgeMs: clampMillis(now.Sub(o.Accepted)), PerWorker: clamp(o.PerWorkerLimit),
-		Route: o.Route, Alone: o.Alone,
+		Route: o.Route, Alone: o.Alone, ClaimToken: o.ClaimToken,
 	}
 }
 
@@ -417,7 +417,7 @@
 		Deadline: now.Add(time.Duration(m.GetDeadlineMs()) * time.Millisecond),
 		Expected: time.Duration(m.GetExpectedMs()) * time.Millisecond, RequiredLabel: m.GetRequiredLabel(),
 		PreferredRack: m.GetPreferredRack(), Claim: m.GetClaim(), PerWorkerLimit: int(m.GetPerWorker()),
-		Accepted: now.Add(-time.Duration(m.GetAgeMs()) * time.Millisecond), Route: m.GetRoute(), Alone: m.GetAlone(),
+		Accepted: now.Add(-time.Duration(m.GetAgeMs()) * time.Millisecond), Route: m.GetRoute(), Alone: m.GetAlone(), ClaimToken: m.GetClaimToken(),
 	}
 }
 
--- a/pool/ownership_test.go
+++ b/pool/ownership_test.go
@@ -64,6 +64,7 @@
 		order.Claim = true
 		for range 200 {
 			time.Sleep(10 * time.Millisecond)
+			order.ClaimToken = f.ownedToken("w0")
 			f.pool.Order(testHome, order, time.Now())
 			if state := f.state(kept); state.Final() && state != contract.RunLost && f.observer.endOf("kept").IsZero() {
 				require.Fail(t, "the worker runs a task that was reported as "+state.String())
@@ -89,3 +90,26 @@
 		require.Equal(t, contract.RunDone, fx.reports[0].State)
 	})
 }
+
+// Guards against a lease that is extended for a claim that was made of an earlier ownership.
+func TestClaimOfEarlierOwnershipExtendsNoLease(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(1)
+		defer f.pool.Close()
+		f.setRunTime("found", 10*time.Second)
+		key := f.order("found", 500, 0, time.Second, 20*time.Second)
+		time.Sleep(20 * time.Millisecond)
+		earlier := f.ownedToken("w0")
+		f.pool.SetHosts(nil)
+		f.pool.SetHosts(f.list)
+		time.Sleep(20 * time.Millisecond)
+		require.Greater(t, f.ownedToken("w0"), earlier)
+		for range 10 {
+			f.pool.Order(testHome, contract.TaskOrder{
+				Key: key, Backend: "s", Need: machine.Resources{CPUMillis: 500}, Claim: true, ClaimToken: earlier,
+			}, time.Now())
+			time.Sleep(100 * time.Millisecond)
+		}
+		require.NotZero(t, f.observer.endOf("found"))
+	})
+}
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -235,6 +235,12 @@
 
 func (p *Pool) order(home string, o contract.TaskOrder, sentAfter, now time.Time, fx *effects) {
 	if r, ok := p.runs[o.Key]; ok {
+		if !r.claimed && o.ClaimToken != r.token {
+			// The lease would be extended for a claim of an earlier ownership, and the home may believe in a later one.
+			p.o.Logger.Info("claim of an earlier ownership ignored", "task", o.Key.String(), "home", home,
+				"claim_token", o.ClaimToken, "token", r.token)
+			return
+		}
 		if !r.claimed {
 			r.refreshedAt = sentAfter
 			p.o.Logger.Info("run found on a worker is claimed by its home", "task", o.Key.String(), "home", home,
