--- a/contract/crashledger.go
+++ b/contract/crashledger.go
@@ -22,12 +22,10 @@
 }
 
 // CrashLedger records the crashes of workers that this VM has seen or been told of. All members keep one, so that the
-// count of a task survives its home and the owners of the workers. mu guards the fields below it.
+// count of a task survives its home and the owners of the workers. mu guards the field below it.
 type CrashLedger struct {
 	mu      sync.Mutex
 	crashes map[workerLife]WorkerCrash
-	// version counts the changes.
-	version uint64
 }
 
 // NewCrashLedger returns an empty ledger.
@@ -46,7 +44,6 @@
 	if ok && (known.Refuted || !c.Refuted) {
 		return false
 	}
-	l.version++
 	l.crashes[life] = c
 	if len(l.crashes) > maxCrashes {
 		l.dropOldest()
@@ -72,7 +69,6 @@
 	defer l.mu.Unlock()
 	for life, c := range l.crashes {
 		if now.Sub(c.At) > CrashRetention {
-			l.version++
 			delete(l.crashes, life)
 		}
 	}
@@ -137,10 +133,3 @@
 	slices.SortFunc(all, func(a, b WorkerCrash) int { return a.At.Compare(b.At) })
 	return all
 }
-
-// Version returns a number that changes with the ledger.
-func (l *CrashLedger) Version() uint64 {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.version
-}
