pool: tests of workers whose capacity shrinks and that guard nothing

RunHost takes a capacity that changes and can start whatever it is told to start; it counts the starts that bring it over its capacity.

The tests find no fault: after a listing with a smaller capacity nothing is started until what runs and what is being stopped fits; runs that no longer fit continue; runs found at an acquisition and runs that were not ordered, whose sizes are not known, keep further starts from the worker until they are claimed or gone; a worker below its load does not reduce the free capacity of the others.

--- a/pool/pool_test.go
+++ b/pool/pool_test.go
@@ -114,7 +114,10 @@
 	reports   map[contract.RunKey]contract.RunReport
 }
 
-func newFixture(workers int) *fixture {
+func newFixture(workers int) *fixture { return newFixtureOf(workers, false) }
+
+// newFixtureOf returns a fixture whose workers start whatever they are told to start, if unguarded is set.
+func newFixtureOf(workers int, unguarded bool) *fixture {
 	f := &fixture{
 		calls:    &hostCalls{hosts: make(map[string]*standin.RunHost)},
 		observer: &startObserver{workers: make(map[string]string), ended: make(map[string]time.Time)}, durations: make(map[string]time.Duration),
@@ -124,7 +127,7 @@
 		id := fmt.Sprintf("w%d", i)
 		capacity := machine.Resources{CPUMillis: 2000, MemoryMB: 1000}
 		h := standin.NewRunHost(standin.RunHostOptions{
-			ID: id, Capacity: capacity, MaxLease: time.Second, Observer: f.observer,
+			ID: id, Capacity: capacity, MaxLease: time.Second, Observer: f.observer, Unguarded: unguarded,
 			Plan: func(k contract.RunKey) standin.RunPlan {
 				d := f.runTime(k.Batch)
 				return standin.RunPlan{Duration: d, Stalls: d == 0}
--- a/standin/runhost.go
+++ b/standin/runhost.go
@@ -68,6 +68,9 @@
 	losesReplies bool
 	// rejects makes the worker reject every start as unhealthy.
 	rejects bool
+	// unguarded makes the worker start tasks for which it has no capacity left; overfilled counts these.
+	unguarded  bool
+	overfilled int
 }
 
 // hostRun is a run on a RunHost.
@@ -88,13 +91,15 @@
 	Plan     func(key contract.RunKey) RunPlan
 	Need     func(key contract.RunKey) machine.Resources
 	Observer RunObserver
+	// Unguarded is set for a worker that starts whatever it is told to start.
+	Unguarded bool
 }
 
 // NewRunHost returns a worker without runs.
 func NewRunHost(o RunHostOptions) *RunHost {
 	return &RunHost{
 		id: o.ID, capacity: o.Capacity, maxLease: o.MaxLease, plan: o.Plan, need: o.Need, observer: o.Observer,
-		startTime: time.Now(), running: make(map[contract.RunKey]*hostRun),
+		unguarded: o.Unguarded, startTime: time.Now(), running: make(map[contract.RunKey]*hostRun),
 		superseded: make(map[contract.RunKey]uint64), changed: make(chan struct{}),
 	}
 }
@@ -141,6 +146,20 @@
 	h.rejects = rejects
 }
 
+// SetCapacity changes the worker's capacity. What runs continues.
+func (h *RunHost) SetCapacity(capacity machine.Resources) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.capacity = capacity
+}
+
+// Overfilled returns the number of starts that have brought an unguarded worker over its capacity.
+func (h *RunHost) Overfilled() int {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.overfilled
+}
+
 // Crash ends all runs and discards all state. The worker does not answer until Restart.
 func (h *RunHost) Crash() {
 	h.mu.Lock()
@@ -237,7 +256,10 @@
 	}
 	need := h.need(s.Key)
 	if !h.capacity.Minus(h.used).Fits(need) {
-		return link.StartNoCapacity, reply
+		if !h.unguarded {
+			return link.StartNoCapacity, reply
+		}
+		h.overfilled++
 	}
 	r := &hostRun{key: s.Key, started: time.Now(), plan: h.plan(s.Key)}
 	h.used = h.used.Plus(need)
