--- a/machine/listing.go
+++ b/machine/listing.go
@@ -33,9 +33,11 @@
 	// StartTime is the start time of this incarnation in Unix milliseconds. A worker that restarts under the same name
 	// has another one.
 	StartTime int64
-	Capacity  Resources
-	Labels    []string
-	Draining  bool
+	// Sequence numbers the entries of an incarnation; zero if it is not known.
+	Sequence int64
+	Capacity Resources
+	Labels   []string
+	Draining bool
 }
 
 // CanHold reports whether the worker, when idle, can run a task of that size that requires the label, if any.
@@ -46,7 +48,7 @@
 // HasLabel reports whether the worker has the label.
 func (l Listing) HasLabel(label string) bool { return slices.Contains(l.Labels, label) }
 
-// Equal reports whether both entries have the same content.
+// Equal reports whether both entries have the same content; their sequence numbers do not count.
 func (l Listing) Equal(o Listing) bool {
 	return l.Worker == o.Worker && l.Backend == o.Backend && l.Address == o.Address && l.Zone == o.Zone &&
 		l.StartTime == o.StartTime && l.Capacity == o.Capacity && l.Draining == o.Draining && slices.Equal(l.Labels, o.Labels)
