edge: a job is not failed while the workers that can hold it have shrunk

Cause: a job was answered as failed, since no worker can hold its tasks, by the capacity that the workers have at the moment. Effect: while all workers that can hold a job had shrunk, callers got a final "failed" for jobs that could be done a moment later. Change: the largest capacity that a worker's incarnation has shown decides. The job waits, and is refused with a time to retry if it cannot end before its deadline. A process that has started since the workers shrank has not seen the larger capacity and still answers "failed". A change of a capacity is logged.

--- /dev/null
+++ b/edge/capacity_test.go
@@ -0,0 +1,88 @@
+package edge
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/cicadadale/cicadadale/batch"
+	"github.com/cicadadale/cicadadale/contract"
+	"github.com/cicadadale/cicadadale/machine"
+	"github.com/cicadadale/cicadadale/standin"
+)
+
+// setCapacity changes the capacity of some workers, and lists it.
+func (d *deployment) setCapacity(cpu int, workers ...string) {
+	capacity := machine.Resources{CPUMillis: cpu, MemoryMB: 131_072}
+	d.store.update(func() {
+		for i := range d.store.workers {
+			l := &d.store.workers[i]
+			for _, id := range workers {
+				if l.Worker == id {
+					l.Capacity = capacity
+					d.hosts[id].SetCapacity(capacity)
+				}
+			}
+		}
+	})
+}
+
+// Guards against a job that is answered as failed, as one that no worker can ever hold, because the capacity of all
+// workers has shrunk for a while.
+func TestJobWaitsWhileWorkersHaveShrunk(t *testing.T) {
+	inVirtualTime(t, func(t *testing.T) {
+		d := newDeployment(t, 1, 2, 2)
+		defer d.close()
+		d.setCapacity(taskCPU/2, "worker-0-0", "worker-0-1")
+		time.Sleep(100 * time.Millisecond)
+		long := d.submit("edge-0-0", testJob("00000000000000aa", 4, 5*time.Second))
+		short := d.submit("edge-0-1", testJob("00000000000000bb", 2, time.Second))
+		require.Equal(t, batch.Refused, (<-short).Outcome)
+		require.Empty(t, d.observer.started)
+		d.setCapacity(2*taskCPU, "worker-0-0", "worker-0-1")
+		require.Equal(t, batch.Completed, (<-long).Outcome)
+		never := testJob("00000000000000cc", 1, time.Second)
+		never.Steps[0].Need.CPUMillis = 64_001
+		require.Equal(t, batch.Failed, (<-d.submit("edge-0-0", never)).Outcome)
+	})
+}
+
+// Guards against starts over the capacity of a worker that has shrunk, by the process that owned it, the one that takes it
+// over when that process dies, and one that is restarted.
+func TestShrunkWorkerIsNotOverfilledAfterItsOwnerDies(t *testing.T) {
+	inVirtualTime(t, func(t *testing.T) {
+		d := newDeploymentOf(t, 1, 3, 2, true)
+		defer d.close()
+		d.plan = func(contract.RunKey) standin.RunPlan { return standin.RunPlan{Duration: 400 * time.Millisecond} }
+		stop := make(chan struct{})
+		d.wg.Go(func() {
+			for i := 0; ; i++ {
+				d.submit("edge-0-0", testJob(fmt.Sprintf("%016x", i), 2, 4*time.Second))
+				select {
+				case <-stop:
+					return
+				case <-time.After(100 * time.Millisecond):
+				}
+			}
+		})
+		workers := []string{"worker-0-0", "worker-0-1"}
+		time.Sleep(time.Second)
+		for i, cpu := range []int{taskCPU, 64_000, taskCPU + taskCPU/2, taskCPU - 1, 64_000} {
+			d.setCapacity(cpu, workers...)
+			time.Sleep(300 * time.Millisecond)
+			vm := []string{"edge-0-1", "edge-0-2"}[i%2]
+			d.killDaemon(vm)
+			time.Sleep(2 * time.Second)
+			d.startDaemon(zoneName(0), vm)
+			time.Sleep(2 * time.Second)
+		}
+		close(stop)
+		time.Sleep(5 * time.Second)
+		for _, id := range workers {
+			require.Zero(t, d.hosts[id].Overfilled(), id)
+		}
+		require.Greater(t, len(d.observer.started), 50)
+	})
+}
--- a/edge/deployment_test.go
+++ b/edge/deployment_test.go
@@ -270,15 +270,21 @@
 	daemons  map[string]*Daemon
 	observer *runObserver
 	log      *testLog
-	plan     func(key contract.RunKey) standin.RunPlan
-	wg       sync.WaitGroup
+	// unguarded is set if the workers start whatever they are told to start.
+	unguarded bool
+	plan      func(key contract.RunKey) standin.RunPlan
+	wg        sync.WaitGroup
 }
 
 func newDeployment(t *testing.T, zones, daemonsPerZone, workersPerZone int) *deployment {
+	return newDeploymentOf(t, zones, daemonsPerZone, workersPerZone, false)
+}
+
+func newDeploymentOf(t *testing.T, zones, daemonsPerZone, workersPerZone int, unguarded bool) *deployment {
 	n := newNetwork()
 	d := &deployment{
 		t: t, net: n, store: newMemStore(n), hosts: make(map[string]*standin.RunHost), daemons: make(map[string]*Daemon),
-		log: &testLog{},
+		log: &testLog{}, unguarded: unguarded,
 		observer: &runObserver{
 			running: make(map[contract.RunKey][]contract.RunKey), starts: make(map[contract.RunKey]int),
 			done: make(map[contract.RunKey]int),
@@ -308,7 +314,7 @@
 func (d *deployment) addWorker(zone, id string) {
 	capacity := machine.Resources{CPUMillis: 64_000, MemoryMB: 131_072}
 	h := standin.NewRunHost(standin.RunHostOptions{
-		ID: id, Capacity: capacity, MaxLease: testLease, Observer: d.observer,
+		ID: id, Capacity: capacity, MaxLease: testLease, Observer: d.observer, Unguarded: d.unguarded,
 		Plan: func(k contract.RunKey) standin.RunPlan { return d.plan(k) },
 		Need: func(contract.RunKey) machine.Resources { return machine.Resources{CPUMillis: taskCPU, MemoryMB: 64} },
 	})
--- a/edge/workers.go
+++ b/edge/workers.go
@@ -22,6 +22,8 @@
 	mu      sync.Mutex
 	byID    map[string]machine.Listing
 	missing map[string]time.Time
+	// largest holds the entry of each worker with the largest capacity that its incarnation has shown.
+	largest map[string]machine.Listing
 	// version counts the changes of byID.
 	version uint64
 }
@@ -29,6 +31,7 @@
 func newWorkers(logger *slog.Logger) *workers {
 	return &workers{
 		logger: logger, byID: make(map[string]machine.Listing), missing: make(map[string]time.Time),
+		largest: make(map[string]machine.Listing),
 	}
 }
 
@@ -45,10 +48,19 @@
 			w.logger.Info("worker listed", "worker", l.Worker, "backend", l.Backend, "zone", l.Zone,
 				"cpu_millis", l.Capacity.CPUMillis, "draining", l.Draining)
 		}
+		if ok && known.Capacity != l.Capacity {
+			w.logger.Info("capacity of worker has changed", "worker", l.Worker, "born", l.StartTime,
+				"cpu_millis", l.Capacity.CPUMillis, "last_cpu_millis", known.Capacity.CPUMillis,
+				"memory_mb", l.Capacity.MemoryMB, "last_memory_mb", known.Capacity.MemoryMB)
+		}
 		if !ok || !known.Equal(l) {
 			w.version++
 		}
 		w.byID[l.Worker] = l
+		if largest, ok := w.largest[l.Worker]; ok && largest.StartTime == l.StartTime {
+			l.Capacity = l.Capacity.Max(largest.Capacity)
+		}
+		w.largest[l.Worker] = l
 	}
 	for id := range w.byID {
 		if _, ok := w.missing[id]; !ok && !listed[id] {
@@ -67,6 +79,7 @@
 		if now.Sub(since) > missingGrace {
 			delete(w.missing, id)
 			delete(w.byID, id)
+			delete(w.largest, id)
 			w.version++
 			dropped = true
 		}
@@ -105,11 +118,12 @@
 	return list
 }
 
-// fits reports whether any worker of a back end can hold a task. known is false if the back end has no worker.
+// fits reports whether any worker of a back end can hold a task with the largest capacity that it has shown: one that has
+// shrunk may grow again while the task waits. known is false if the back end has no worker.
 func (w *workers) fits(backend string, need machine.Resources, label string) (fits, known bool) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	for _, l := range w.byID {
+	for _, l := range w.largest {
 		if l.Backend != backend {
 			continue
 		}
--- a/machine/listing.go
+++ b/machine/listing.go
@@ -24,6 +24,13 @@
 	return Resources{CPUMillis: r.CPUMillis - o.CPUMillis, MemoryMB: r.MemoryMB - o.MemoryMB, GPUs: r.GPUs - o.GPUs}
 }
 
+// Max returns the larger of each amount of r and o.
+func (r Resources) Max(o Resources) Resources {
+	return Resources{
+		CPUMillis: max(r.CPUMillis, o.CPUMillis), MemoryMB: max(r.MemoryMB, o.MemoryMB), GPUs: max(r.GPUs, o.GPUs),
+	}
+}
+
 // Listing is an entry of the platform's list of workers. It describes one incarnation of a worker.
 type Listing struct {
 	Worker  string
