batch: a task that no owner can hold now is ordered at growing intervals

Cause: when every owner had answered that none of its workers can hold a task, the task was ordered from all of them again after 30 ms, until its job ended. With capacities that shrink for seconds this is no longer rare: each waiting task cost one order and one report per owner every 50 ms. Change: the pause doubles up to 400 ms, as for orders that owners do not know.

--- a/batch/advance.go
+++ b/batch/advance.go
@@ -13,10 +13,10 @@
 const unstartedRunGap = 10_000
 
 const (
-	// maxPlaceRetry bounds the pause between orders of a task that its owners report as unknown.
+	// maxPlaceRetry bounds the pause between orders of a task that its owners cannot take.
 	maxPlaceRetry = 400 * time.Millisecond
-	// maxUnknownDoublings keeps the shift in unknownRetry from overflowing.
-	maxUnknownDoublings = 8
+	// maxDoublings keeps the shift in doubledRetry from overflowing.
+	maxDoublings = 8
 	// unknownProofWindow is the time after an order within which an owner that does not know the run proves that it has
 	// not run. Owners keep the outcomes of runs for 10 s.
 	unknownProofWindow = 5 * time.Second
@@ -86,8 +86,12 @@
 	owner, ok := h.o.Capacity.Reserve(j.batch.Backend, j.batch.Priority, j.steps[t.step].expected,
 		func(id string) bool { return slices.Contains(t.infeasibleOwners, id) })
 	if !ok {
-		t.infeasibleOwners = nil
 		t.retryAt = now.Add(placeRetry)
+		if len(t.infeasibleOwners) > 0 {
+			t.retryAt = now.Add(doubledRetry(t.infeasibleRounds))
+			t.infeasibleRounds++
+		}
+		t.infeasibleOwners = nil
 		return
 	}
 	t.state, t.owner, t.placedAt, t.contactAt = taskPlaced, owner, now, time.Time{}
@@ -104,11 +108,11 @@
 	}
 }
 
-// unknownRetry is the pause before a task is placed again after n consecutive orders that their owners reported as
-// unknown. An owner whose messages are delayed rejects each order at once, and would be sent the next one as fast as
-// messages travel.
-func unknownRetry(n int) time.Duration {
-	return min(placeRetry<<min(n, maxUnknownDoublings), maxPlaceRetry)
+// doubledRetry is the pause before a task is placed again after n pauses for the same reason: an order that its owner
+// reported as unknown, or owners none of whose workers can hold the task now. They reject each order at once, and would be
+// sent the next one as fast as messages travel.
+func doubledRetry(n int) time.Duration {
+	return min(placeRetry<<min(n, maxDoublings), maxPlaceRetry)
 }
 
 // endJob sets the outcome of a job and withdraws its runs.
@@ -226,7 +230,7 @@
 	}
 	j.mayHaveRun = j.mayHaveRun || now.Sub(t.placedAt) > unknownProofWindow
 	h.unplace(t, r.MayHaveStarted)
-	t.retryAt = now.Add(unknownRetry(t.unknownOrders))
+	t.retryAt = now.Add(doubledRetry(t.unknownOrders))
 	t.unknownOrders++
 }
 
@@ -236,6 +240,7 @@
 		return
 	}
 	t.state, t.owner, t.started, t.worker, t.token, t.unknownOrders = taskPlaced, owner, true, r.Worker, r.Token, 0
+	t.infeasibleRounds = 0
 	if j.state != jobActive {
 		out.withdraw(j.poolRef(t), r.Key)
 	}
--- a/batch/home_test.go
+++ b/batch/home_test.go
@@ -302,3 +302,19 @@
 		require.Len(t, out.sentOrders(), 2, "orders after an end under the current token")
 	})
 }
+
+// Guards against orders as fast as messages travel while no owner has a worker that can hold the task.
+func TestInfeasibleTaskIsOrderedAtGrowingIntervals(t *testing.T) {
+	orders := 0
+	withOwner(t, func() contract.Batch { return testBatch(1, 6*time.Second) }, func(h *Home, out *recorder) {
+		for end := time.Now().Add(5 * time.Second); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
+			sent := out.sentOrders()
+			for _, o := range sent[orders:] {
+				reportRun(h, o.Key, contract.RunInfeasible, false)
+			}
+			orders = len(sent)
+		}
+	})
+	t.Logf("%d orders in 5 s", orders)
+	require.LessOrEqual(t, orders, 5+int(5*time.Second/maxPlaceRetry))
+}
--- a/batch/job.go
+++ b/batch/job.go
@@ -45,6 +45,8 @@
 	unknownOrders int
 	// infeasibleOwners lists the owners none of whose workers can hold the task.
 	infeasibleOwners []string
+	// infeasibleRounds counts the consecutive times that all owners have reported so.
+	infeasibleRounds int
 }
 
 // confirm records that a message about the current run echoes a contact with its owner.
