edge: a reader that cannot reach the store does not hide what another has read

Cause: in a failure domain of more than 16 members three read the workers' entries, and the others used the list of the one with the lowest id as long as it was in contact, whether or not it could reach the store. Effect: members that could reach the store themselves kept the capacity from before a worker shrank, and started tasks over it; a drain could be missed in the same way. Change: of what the readers in contact show for one incarnation of a worker, the smallest capacity counts, and a drain that any of them shows. Changes from a reader whose full list has not been requested are kept from the first one on, and dropped when one has been missed.

--- a/edge/capacity_test.go
+++ b/edge/capacity_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -86,3 +87,50 @@
 		require.Greater(t, len(d.observer.started), 50)
 	})
 }
+
+// Guards against starts over a capacity that has shrunk, in a failure domain of which only some members read the list of
+// workers, when one of these cannot reach the store.
+func TestReaderWithoutStoreDoesNotHideShrunkWorkers(t *testing.T) {
+	inVirtualTime(t, func(t *testing.T) {
+		const workers = 12
+		d := newDeploymentOf(t, 1, directReadLimit+4, workers, true)
+		defer d.close()
+		d.plan = func(contract.RunKey) standin.RunPlan { return standin.RunPlan{Duration: 400 * time.Millisecond} }
+		time.Sleep(2 * feedTimeout)
+		var reading, names []string
+		for vm, daemon := range d.daemons {
+			if daemon.feed.Reads() {
+				reading = append(reading, vm)
+			}
+		}
+		require.Len(t, reading, readers)
+		d.store.update(func() { d.store.unavailable[slices.Min(reading)] = true })
+		for w := range workers {
+			names = append(names, fmt.Sprintf("worker-0-%d", w))
+		}
+		d.setCapacity(taskCPU, names...)
+		time.Sleep(time.Second)
+		for i := range 10 {
+			d.submit(fmt.Sprintf("edge-0-%d", i), testJob(fmt.Sprintf("%016x", i), 4, 10*time.Second))
+		}
+		time.Sleep(5 * time.Second)
+		over := 0
+		for _, id := range names {
+			if d.hosts[id].Overfilled() > 0 && d.ownerOf(id) != slices.Min(reading) {
+				over++
+			}
+		}
+		require.Zero(t, over, "workers filled over their capacity by members that can reach the store")
+		require.Len(t, d.observer.started, 40)
+	})
+}
+
+// ownerOf returns the VM that owns a worker.
+func (d *deployment) ownerOf(worker string) string {
+	for vm, daemon := range d.daemons {
+		if slices.Contains(daemon.pool(testBackend).Owned(), worker) {
+			return vm
+		}
+	}
+	return ""
+}
--- a/edge/workerfeed.go
+++ b/edge/workerfeed.go
@@ -30,8 +30,10 @@
 
 // receivedList is the list of workers as forwarded by one reader.
 type receivedList struct {
-	sequence    uint64
+	sequence uint64
+	// workers holds only what has changed since sequence was first known, unless complete is set.
 	workers     map[string]machine.Listing
+	complete    bool
 	lastContact time.Time
 	requested   time.Time
 	// behindSince is when the reader's statuses began to announce another list than the one known here; zero if they do
@@ -164,11 +166,11 @@
 	}
 	r := f.received[id]
 	if r == nil {
-		r = &receivedList{}
+		r = &receivedList{workers: make(map[string]machine.Listing)}
 		f.received[id] = r
 	}
 	r.lastContact = now
-	if r.sequence == sequence {
+	if r.complete && r.sequence == sequence {
 		f.lastFed, r.behindSince = now, time.Time{}
 		return false
 	}
@@ -180,6 +182,9 @@
 	}
 	if source := f.preferredReader(now); source != "" && source != id && now.Sub(f.lastFed) < feedTimeout/2 {
 		// The list of another reader is complete.
+		if r.sequence != sequence {
+			r.startAnew(sequence)
+		}
 		return false
 	}
 	due := now.Sub(r.requested) > listRequestInterval
@@ -189,38 +194,81 @@
 	return due
 }
 
-// Apply records a full list or a change of it. It returns the list that is now known from that member, and whether it
-// is the one to use: that of the preferred reader.
+// Apply records a full list or a change of it. It returns the list to use, and whether it may have changed: that of the
+// preferred reader, restricted by what other readers have read.
 func (f *workerFeed) Apply(id string, m *api.WorkerList) ([]machine.Listing, bool) {
 	now := f.now()
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	r := f.received[id]
 	if r == nil {
-		r = &receivedList{}
+		r = &receivedList{workers: make(map[string]machine.Listing)}
 		f.received[id] = r
 	}
 	switch {
 	case m.GetFull():
-		r.workers = make(map[string]machine.Listing, len(m.GetWorkers()))
-	case r.workers == nil || m.GetSequence() != r.sequence+1:
+		r.workers, r.complete = make(map[string]machine.Listing, len(m.GetWorkers())), true
+	case m.GetSequence() == r.sequence+1:
+	case r.complete:
 		return nil, false
+	default:
+		r.startAnew(m.GetSequence())
+	}
+	r.sequence, r.lastContact, r.behindSince = m.GetSequence(), now, time.Time{}
+	if r.complete {
+		f.lastFed = now
 	}
-	r.sequence, r.lastContact, f.lastFed, r.behindSince = m.GetSequence(), now, now, time.Time{}
 	for _, l := range m.GetWorkers() {
 		r.workers[l.GetWorker()] = decodeListing(l)
 	}
 	for _, worker := range m.GetRemoved() {
 		delete(r.workers, worker)
 	}
-	return slices.Collect(maps.Values(r.workers)), f.reliesOnReaders && f.preferredReader(now) == id
+	preferred := f.preferredReader(now)
+	if !f.reliesOnReaders || preferred == "" || (preferred != id && !f.received[preferred].contradicts(m)) {
+		return nil, false
+	}
+	return f.restricted(preferred, now), true
+}
+
+// startAnew drops what is known after a change has been missed.
+func (r *receivedList) startAnew(sequence uint64) {
+	r.sequence, r.complete = sequence, false
+	clear(r.workers)
+}
+
+// contradicts reports whether the list has another entry for one of the workers in a message.
+func (r *receivedList) contradicts(m *api.WorkerList) bool {
+	return slices.ContainsFunc(m.GetWorkers(), func(l *api.WorkerListing) bool {
+		known, ok := r.workers[l.GetWorker()]
+		return ok && !known.Equal(decodeListing(l))
+	})
+}
+
+// restricted returns the list of a reader, with the smallest capacity that the readers in contact show for the same
+// incarnation of a worker, and the drains that any of them shows. A reader that cannot reach the store stays in contact
+// with an old list. f.mu is held.
+func (f *workerFeed) restricted(preferred string, now time.Time) []machine.Listing {
+	list := slices.Collect(maps.Values(f.received[preferred].workers))
+	for id, r := range f.received {
+		if id == preferred || now.Sub(r.lastContact) > feedTimeout {
+			continue
+		}
+		for i := range list {
+			if other, ok := r.workers[list[i].Worker]; ok && other.StartTime == list[i].StartTime {
+				list[i].Capacity = list[i].Capacity.Min(other.Capacity)
+				list[i].Draining = list[i].Draining || other.Draining
+			}
+		}
+	}
+	return list
 }
 
 // preferredReader returns the reader with the lowest id among those with a list and recent contact. f.mu is held.
 func (f *workerFeed) preferredReader(now time.Time) string {
 	best := ""
 	for id, r := range f.received {
-		if now.Sub(r.lastContact) > feedTimeout || r.workers == nil {
+		if now.Sub(r.lastContact) > feedTimeout || !r.complete {
 			continue
 		}
 		if best == "" || id < best {
--- a/edge/workerfeed_test.go
+++ b/edge/workerfeed_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/cicadadale/cicadadale/api"
 	"github.com/cicadadale/cicadadale/machine"
 )
 
@@ -64,3 +65,41 @@
 	require.True(t, f.RecordSequence("a/1", 3), "the full list is requested")
 	require.False(t, f.RecordSequence("a/1", 3), "once per interval")
 }
+
+// Guards against a capacity from before a worker has shrunk, and a drain that is missed, because the preferred reader no
+// longer hears from the store while another one does.
+func TestStaleReaderDoesNotHideWhatAnotherHasRead(t *testing.T) {
+	now := time.Now()
+	f := newWorkerFeed("c/1", nil, func() time.Time { return now }, nil)
+	f.reliesOnReaders, f.reading = true, false
+	entry := func(cpu uint32, draining bool) *api.WorkerListing {
+		return &api.WorkerListing{Worker: "w1", Born: 5, CpuMillis: cpu, MemoryMb: 100, Draining: draining}
+	}
+	list := func(sequence uint64, full bool, l *api.WorkerListing) *api.WorkerList {
+		return &api.WorkerList{Sequence: sequence, Full: full, Workers: []*api.WorkerListing{l}}
+	}
+	got, current := f.Apply("a/1", list(1, true, entry(64_000, false)))
+	require.True(t, current)
+	require.Equal(t, 64_000, got[0].Capacity.CPUMillis)
+	_, current = f.Apply("b/1", list(1, true, entry(64_000, false)))
+	require.False(t, current, "it shows nothing else")
+
+	got, current = f.Apply("b/1", list(2, false, entry(16_000, false)))
+	require.True(t, current)
+	require.Equal(t, 16_000, got[0].Capacity.CPUMillis)
+	got, current = f.Apply("b/1", list(3, false, entry(64_000, true)))
+	require.True(t, current)
+	require.Equal(t, 64_000, got[0].Capacity.CPUMillis)
+	require.True(t, got[0].Draining)
+
+	later := entry(32_000, false)
+	later.Born = 9
+	got, current = f.Apply("a/1", list(2, false, later))
+	require.True(t, current)
+	require.Equal(t, 32_000, got[0].Capacity.CPUMillis, "another incarnation")
+	require.False(t, got[0].Draining)
+	now = now.Add(2 * feedTimeout)
+	got, _ = f.Apply("a/1", list(3, false, entry(64_000, false)))
+	require.Equal(t, 64_000, got[0].Capacity.CPUMillis, "the other reader is out of contact")
+	require.False(t, got[0].Draining)
+}
--- a/machine/listing.go
+++ b/machine/listing.go
@@ -31,6 +31,13 @@
 	}
 }
 
+// Min returns the smaller of each amount of r and o.
+func (r Resources) Min(o Resources) Resources {
+	return Resources{
+		CPUMillis: min(r.CPUMillis, o.CPUMillis), MemoryMB: min(r.MemoryMB, o.MemoryMB), GPUs: min(r.GPUs, o.GPUs),
+	}
+}
+
 // Listing is an entry of the platform's list of workers. It describes one incarnation of a worker.
 type Listing struct {
 	Worker  string
