--- a/edge/deployment_test.go
+++ b/edge/deployment_test.go
@@ -270,22 +270,39 @@
 	daemons  map[string]*Daemon
 	observer *runObserver
 	log      *testLog
-	plan     func(key contract.RunKey) standin.RunPlan
-	wg       sync.WaitGroup
+	// unguarded is set if the workers start whatever they are told to start.
+	unguarded bool
+	plan      func(key contract.RunKey) standin.RunPlan
+	wg        sync.WaitGroup
 	// workerNet is the network to the workers; nil for one without faults of its own.
 	workerNet *workerNetwork
 }
 
+// deploymentOptions are the properties of a deployment beside its size.
+type deploymentOptions struct {
+	workerNet *workerNetwork
+	unguarded bool
+}
+
 func newDeployment(t *testing.T, zones, daemonsPerZone, workersPerZone int) *deployment {
-	return newDeploymentOver(nil, t, zones, daemonsPerZone, workersPerZone)
+	return newDeploymentWith(deploymentOptions{}, t, zones, daemonsPerZone, workersPerZone)
 }
 
 // newDeploymentOver returns a deployment whose daemons call the workers over w.
 func newDeploymentOver(w *workerNetwork, t *testing.T, zones, daemonsPerZone, workersPerZone int) *deployment {
-	n := newNetwork()
+	return newDeploymentWith(deploymentOptions{workerNet: w}, t, zones, daemonsPerZone, workersPerZone)
+}
+
+// newDeploymentOf returns a deployment whose workers guard their capacity unless they are unguarded.
+func newDeploymentOf(t *testing.T, zones, daemonsPerZone, workersPerZone int, unguarded bool) *deployment {
+	return newDeploymentWith(deploymentOptions{unguarded: unguarded}, t, zones, daemonsPerZone, workersPerZone)
+}
+
+func newDeploymentWith(o deploymentOptions, t *testing.T, zones, daemonsPerZone, workersPerZone int) *deployment {
+	n, w, unguarded := newNetwork(), o.workerNet, o.unguarded
 	d := &deployment{
 		t: t, net: n, store: newMemStore(n), hosts: make(map[string]*standin.RunHost), daemons: make(map[string]*Daemon),
-		log: &testLog{}, workerNet: w,
+		log: &testLog{}, workerNet: w, unguarded: unguarded,
 		observer: &runObserver{
 			running: make(map[contract.RunKey][]contract.RunKey), starts: make(map[contract.RunKey]int),
 			done: make(map[contract.RunKey]int),
@@ -297,7 +314,8 @@
 	}
 	d.store.desired = contract.Desired{
 		Version: 1, Document: []byte("1"),
-		Routes: []contract.Route{{Name: "r", Host: "h", PathPrefix: "/q/", Backend: testBackend, Attempts: 2}},
+		Backends: map[string]contract.BackendPolicy{testBackend: {Name: testBackend, GuardsCapacity: !unguarded}},
+		Routes:   []contract.Route{{Name: "r", Host: "h", PathPrefix: "/q/", Backend: testBackend, Attempts: 2}},
 	}
 	for z := range zones {
 		for w := range workersPerZone {
@@ -318,7 +336,7 @@
 func (d *deployment) addWorker(zone, id string) {
 	capacity := machine.Resources{CPUMillis: 64_000, MemoryMB: 131_072}
 	h := standin.NewRunHost(standin.RunHostOptions{
-		ID: id, Capacity: capacity, MaxLease: testLease, Observer: d.observer,
+		ID: id, Capacity: capacity, MaxLease: testLease, Observer: d.observer, Unguarded: d.unguarded,
 		Plan: func(k contract.RunKey) standin.RunPlan { return d.plan(k) },
 		Need: func(contract.RunKey) machine.Resources { return machine.Resources{CPUMillis: taskCPU, MemoryMB: 64} },
 	})
--- a/pool/pool_test.go
+++ b/pool/pool_test.go
@@ -117,7 +117,10 @@
 	crash map[string]standin.RunPlan
 }
 
-func newFixture(workers int) *fixture {
+func newFixture(workers int) *fixture { return newFixtureOf(workers, false) }
+
+// newFixtureOf returns a fixture whose workers start whatever they are told to start, if unguarded is set.
+func newFixtureOf(workers int, unguarded bool) *fixture {
 	f := &fixture{
 		calls:    &hostCalls{hosts: make(map[string]*standin.RunHost)},
 		observer: &startObserver{workers: make(map[string]string), ended: make(map[string]time.Time)}, durations: make(map[string]time.Duration),
@@ -127,7 +130,7 @@
 		id := fmt.Sprintf("w%d", i)
 		capacity := machine.Resources{CPUMillis: 2000, MemoryMB: 1000}
 		h := standin.NewRunHost(standin.RunHostOptions{
-			ID: id, Capacity: capacity, MaxLease: time.Second, Observer: f.observer,
+			ID: id, Capacity: capacity, MaxLease: time.Second, Observer: f.observer, Unguarded: unguarded,
 			Plan: func(k contract.RunKey) standin.RunPlan {
 				if plan, ok := f.crash[k.Batch]; ok {
 					return plan
@@ -143,7 +146,7 @@
 		})
 	}
 	f.pool = New(Options{
-		Backend: "s", Calls: f.calls, Lease: time.Second, Now: time.Now, Logger: slog.New(slog.DiscardHandler),
+		Backend: "s", Calls: f.calls, Lease: time.Second, GuardsCapacity: !unguarded, Now: time.Now, Logger: slog.New(slog.DiscardHandler),
 		Metrics: metrics.NewRegistry(), Takeover: func(contract.Takeover) {},
 		Confinement: contract.NewConfinement(),
 		Crashed: func(c contract.WorkerCrash) {
