pool: a claim of a run that has ended is answered

Callers: jobs hung until their time limit after a change of the owner. Cause: since a claim is ignored unless its token is that of the run. An outcome that is found at an acquisition has no token of its own, so its home never learned of it. Change: only the claim of a run that has not ended depends on the token.

--- a/pool/ownership_test.go
+++ b/pool/ownership_test.go
@@ -91,6 +91,22 @@
 	})
 }
 
+// Guards against a home that never learns the outcome of a run that the next owner of its worker found.
+func TestClaimOfFoundOutcomeIsAnswered(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(1)
+		defer f.pool.Close()
+		key := contract.RunKey{Batch: "found", Run: 1}
+		f.pool.mu.Lock()
+		var fx effects
+		f.pool.adopt(f.pool.hosts["w0"], link.PollReply{Ended: []link.EndedRun{{Number: 1, Key: key, State: contract.RunDone}}},
+			time.Now(), &fx)
+		f.pool.mu.Unlock()
+		f.pool.Order(testHome, contract.TaskOrder{Key: key, Backend: "s", Claim: true, ClaimToken: f.ownedToken("w0")}, time.Now())
+		require.Equal(t, contract.RunDone, f.state(key))
+	})
+}
+
 // Guards against a lease that is extended for a claim that was made of an earlier ownership.
 func TestClaimOfEarlierOwnershipExtendsNoLease(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -238,7 +238,7 @@
 
 func (p *Pool) order(home string, o contract.TaskOrder, sentAfter, now time.Time, fx *effects) {
 	if r, ok := p.runs[o.Key]; ok {
-		if !r.claimed && o.ClaimToken != r.token {
+		if !r.claimed && r.state != runFinal && o.ClaimToken != r.token {
 			// The lease would be extended for a claim of an earlier ownership, and the home may believe in a later one.
 			p.o.Logger.Info("claim of an earlier ownership ignored", "task", o.Key.String(), "home", home,
 				"claim_token", o.ClaimToken, "token", r.token)
