--- a/pool/maintain.go
+++ b/pool/maintain.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"math/rand/v2"
-	"slices"
 	"time"
 
 	"github.com/cicadadale/cicadadale/contract"
@@ -37,23 +36,8 @@
 	// stallTimeout is the time without progress after which a run is treated as stalled. One percent of the longest tasks
 	// on the slowest workers takes half a second.
 	stallTimeout = 900 * time.Millisecond
-	// tokenRandomRange makes it unlikely that two VMs that acquire a worker in the same millisecond use the same token.
-	// Tokens stay below 2^53, the limit up to which every JSON decoder reads integers exactly.
-	tokenRandomRange = 1 << 12
 )
 
-// tokenEpoch is the origin of the time part of fencing tokens.
-var tokenEpoch = time.Date(2000, 1, 1, 0, 0, 0, 0, time.UTC)
-
-// newToken returns a fencing token for a worker that started at startTime, in milliseconds of Unix time, and whose
-// clock shows the given reading. Tokens increase with the worker's own clock and across its restarts, independently of
-// the clocks of the VMs: a call with the token of an earlier incarnation may have reached the new one, and must not
-// lock out later owners.
-func newToken(startTime int64, clock time.Duration) uint64 {
-	millis := max(startTime-tokenEpoch.UnixMilli(), 0) + max(clock.Milliseconds(), 0) + 1
-	return uint64(millis)*tokenRandomRange + rand.Uint64N(tokenRandomRange)
-}
-
 // ownedHost is a worker that this VM owns or tries to acquire, with its runs. address, cancel and wakeup do not change;
 // the pool's lock guards all other fields.
 type ownedHost struct {
@@ -225,158 +209,6 @@
 	return reply, err
 }
 
-// startTimeOf returns the start time of a worker's incarnation. The reply to a fenced poll does not contain it; the
-// worker's listing does.
-func (p *Pool) startTimeOf(h *ownedHost, probed link.PollReply) int64 {
-	if probed.StartTime != 0 {
-		return probed.StartTime
-	}
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return max(h.startTime, h.host.Listing.StartTime)
-}
-
-// lastTokenOf returns the last token under which this VM owned the worker. A worker whose time of day was set back
-// before its restart would get a lower one from its start time.
-func (p *Pool) lastTokenOf(h *ownedHost) uint64 {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return h.lastToken
-}
-
-// acquire makes this VM the owner of a worker that has replied to a probe.
-func (p *Pool) acquire(ctx context.Context, h *ownedHost, probed link.PollReply) bool {
-	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
-	token := max(newToken(p.startTimeOf(h, probed), probed.Clock), p.lastTokenOf(h)+1)
-	reply, err := p.o.Calls.Poll(callCtx, h.address, link.HostPoll{Token: token})
-	if err != nil || reply.Fenced || reply.OtherWorker {
-		p.o.Logger.Info("could not acquire the worker; retrying", "worker", h.address.Worker, "token", token,
-			"fenced", reply.Fenced, "other_life", reply.OtherWorker, "error", err)
-		if reply.Fenced {
-			p.leaveToOtherOwner(h)
-		}
-		return false
-	}
-	now := p.o.Now()
-	var fx effects
-	p.mu.Lock()
-	if h.dropped {
-		p.mu.Unlock()
-		return false
-	}
-	found := p.own(h, token, reply, now, &fx)
-	p.match(now, &fx)
-	p.mu.Unlock()
-	p.counter(metric.PoolWorkersAcquired).Inc(1)
-	p.o.Logger.Info("worker acquired", "worker", h.address.Worker, "token", token, "running", len(reply.Running),
-		"ended", len(reply.Ended))
-	p.apply(fx)
-	p.o.Takeover(contract.Takeover{
-		Worker: h.address.Worker, StartTime: reply.StartTime, Token: token, Runs: found,
-	})
-	return true
-}
-
-// own records that this VM has acquired a worker, and returns the runs found on it. The previous owner may have extended
-// the lease just before, also that of an idle worker. p.mu is held.
-func (p *Pool) own(h *ownedHost, token uint64, reply link.PollReply, now time.Time, fx *effects) []contract.RunKey {
-	if h.startTime != 0 && reply.StartTime != h.startTime {
-		h.host.Restarted(reply.Clock, now, p.o.Lease)
-		h.restarted = true
-	}
-	h.startTime = reply.StartTime
-	h.host.SetClock(reply.Clock, now)
-	h.host.Token, h.lastToken, h.watch = token, token, crashWatch{}
-	h.host.ExtendLease(p.o.Lease, now)
-	found := p.adopt(h, reply, now, fx)
-	if h.restarted {
-		h.restarted = false
-		p.endPreviousIncarnation(h, found, fx)
-	}
-	return found
-}
-
-// endPreviousIncarnation ends the runs of a restarted worker that its new incarnation does not list. Start calls to the
-// previous one that are delayed by the network are rejected from now on, as their token is lower. p.mu is held.
-func (p *Pool) endPreviousIncarnation(h *ownedHost, listed []contract.RunKey, fx *effects) {
-	for key, r := range h.runs {
-		if r.state != runStarting && !slices.Contains(listed, key) {
-			p.finish(r, contract.RunEnded, proofRestarted, 0, fx)
-		}
-	}
-}
-
-// leaveToOtherOwner forgets the runs of a restarted worker whose new incarnation another VM has acquired.
-func (p *Pool) leaveToOtherOwner(h *ownedHost) {
-	var fx effects
-	p.mu.Lock()
-	if h.restarted {
-		h.restarted, h.ownershipLostAt = false, p.o.Now()
-		p.loseOwnership(h, h.ownershipLostAt, &fx)
-	}
-	p.mu.Unlock()
-	p.apply(fx)
-}
-
-// adopt registers the runs found on a worker, for their homes to claim. p.mu is held.
-func (p *Pool) adopt(h *ownedHost, reply link.PollReply, now time.Time, fx *effects) []contract.RunKey {
-	var found []contract.RunKey
-	for _, running := range reply.Running {
-		found = append(found, running.Key)
-		if r, ok := p.runs[running.Key]; ok && r.host == h {
-			r.token, r.workerStart = h.host.Token, h.startTime
-			continue
-		}
-		p.o.Logger.Info("run found on an acquired worker", "task", running.Key.String(), "worker", h.address.Worker,
-			"token", h.host.Token, "worker_start", h.startTime, "lease_end", h.host.LeaseEnd())
-		delete(p.barredRuns, running.Key)
-		r := &run{
-			order: contract.TaskOrder{Key: running.Key, Need: p.typicalSize}, state: runRunning, host: h,
-			mayHaveRun: true, token: h.host.Token, workerStart: h.startTime,
-			queuedAt: now, startedAt: now, progress: running.Progress, progressAt: now,
-		}
-		h.host.Reserve(r.order.Need)
-		h.runs[running.Key] = r
-		p.runs[running.Key] = r
-	}
-	for _, e := range reply.Ended {
-		found = append(found, e.Key)
-		h.host.LastOutcome = max(h.host.LastOutcome, e.Number)
-		if r, ok := p.runs[e.Key]; ok {
-			if r.host == h {
-				p.finish(r, e.State, proofListed, 0, fx)
-			}
-			continue
-		}
-		p.o.Logger.Info("end of a run found on an acquired worker", "task", e.Key.String(), "worker", h.address.Worker,
-			"state", e.State.String(), "token", h.host.Token, "worker_start", h.startTime)
-		p.runs[e.Key] = &run{
-			order: contract.TaskOrder{Key: e.Key}, state: runFinal, endedAt: now,
-			outcome: contract.RunReport{Key: e.Key, State: e.State, Worker: h.address.Worker, Token: h.host.Token,
-				MayHaveStarted: true},
-		}
-	}
-	return found
-}
-
-// loseOwnership records that another VM has acquired a worker. That VM reports its runs from now on, and extends their
-// lease. A run with a start call in progress is left to the result of that call. p.mu is held.
-func (p *Pool) loseOwnership(h *ownedHost, now time.Time, fx *effects) {
-	if h.host.Token != 0 {
-		p.o.Logger.Warn("lost ownership of worker to another VM", "worker", h.address.Worker, "token", h.host.Token,
-			"runs", len(h.runs))
-		p.counter(metric.PoolWorkersLost).Inc(1)
-		h.host.Token = 0
-		h.ownershipLostAt = now
-	}
-	for _, r := range h.runs {
-		if r.state != runStarting {
-			p.forget(r, leftFenced, fx)
-		}
-	}
-}
-
 // handlePollReply processes the reply to a poll that was made under a fencing token. It reports whether the poll
 // succeeded.
 func (p *Pool) handlePollReply(h *ownedHost, token uint64, sent time.Time, reply link.PollReply, err error) bool {
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"log/slog"
-	"slices"
 	"sync"
 	"time"
 
@@ -114,116 +113,6 @@
 	}()
 }
 
-// SetHosts replaces the set of owned workers. A worker that is no longer owned is dropped at once, and its new owner
-// takes over its runs. So is one that is listed at another address, but its runs may go on until their lease expires: a
-// listing proves the end of no run, since it may be older or newer than the incarnation that the runs belong to. Whether a
-// worker has been restarted is decided by its own replies.
-func (p *Pool) SetHosts(listings []machine.Listing) {
-	now := p.o.Now()
-	var fx effects
-	p.mu.Lock()
-	keep := make(map[string]bool, len(listings))
-	for _, l := range listings {
-		keep[l.Worker] = true
-		h, ok := p.hosts[l.Worker]
-		if ok && h.outdates(l, now, p.o.Lease) {
-			p.o.Logger.Warn("ignored a listing of an earlier incarnation of the worker", "worker", l.Worker,
-				"address", l.Address, "born", l.StartTime, "current_address", h.host.Listing.Address,
-				"current_born", h.host.Listing.StartTime)
-			h.ignored = &l
-			continue
-		}
-		if ok && h.host.Listing.Address != l.Address {
-			p.dropMoved(h, l, &fx)
-			ok = false
-		}
-		if !ok {
-			p.addHost(l)
-			continue
-		}
-		if l.Draining && !h.host.Listing.Draining {
-			p.o.Logger.Info("worker is draining; starting no new tasks", "worker", l.Worker, "runs", h.host.Runs())
-		}
-		if l.StartTime != h.host.Listing.StartTime {
-			h.wake()
-		}
-		h.host.Listing, h.ignored = l, nil
-	}
-	for id, h := range p.hosts {
-		if !keep[id] {
-			p.dropHost(h, leftReassigned, &fx)
-		}
-	}
-	p.returnInfeasible(&fx)
-	p.match(now, &fx)
-	p.mu.Unlock()
-	p.apply(fx)
-}
-
-// returnInfeasible returns queued tasks that no worker of the pool can hold any longer to their homes. p.mu is held.
-func (p *Pool) returnInfeasible(fx *effects) {
-	for _, r := range slices.Clone(p.waiting.runs) {
-		if !p.feasible(r.order) {
-			p.finish(r, contract.RunInfeasible, proofNotStarted, 0, fx)
-		}
-	}
-}
-
-// addHost starts maintaining a worker. p.mu is held.
-func (p *Pool) addHost(l machine.Listing) {
-	ctx, cancel := context.WithCancel(p.ctx)
-	h := &ownedHost{
-		host: machine.NewHost(l, p.speedOf(l)), wakeup: make(chan struct{}, 1), cancel: cancel,
-		runs: make(map[contract.RunKey]*run), address: link.HostAddress{Worker: l.Worker, Address: l.Address},
-		addressHash: hashAddress(l.Address),
-	}
-	p.hosts[l.Worker] = h
-	p.spawn(func() { p.maintain(ctx, h) })
-}
-
-// dropMoved drops a worker that is listed at another address. p.mu is held.
-func (p *Pool) dropMoved(h *ownedHost, l machine.Listing, fx *effects) {
-	p.o.Logger.Info("worker is listed at another address; leaving its runs to their lease", "worker", l.Worker,
-		"address", l.Address, "last_address", h.host.Listing.Address, "runs", len(h.runs))
-	p.dropHost(h, leftMoved, fx)
-}
-
-// applyIgnored applies a listing that was ignored, once the worker no longer answers as the incarnation listed before. A
-// worker whose time of day was set back before its restart looks like an earlier incarnation. p.mu is held.
-func (p *Pool) applyIgnored(h *ownedHost, now time.Time, fx *effects) {
-	if h.ignored == nil || h.outdates(*h.ignored, now, p.o.Lease) {
-		return
-	}
-	if h.ignored.Address == h.host.Listing.Address {
-		h.host.Listing, h.ignored = *h.ignored, nil
-		return
-	}
-	p.dropMoved(h, *h.ignored, fx)
-	p.addHost(*h.ignored)
-}
-
-// outdates reports whether a listing belongs to an earlier incarnation of a worker than the one that answers here, whose
-// own listing is known.
-func (h *ownedHost) outdates(l machine.Listing, now time.Time, lease time.Duration) bool {
-	current := h.host.Listing.StartTime
-	return l.StartTime < current && current == h.startTime && now.Sub(h.host.Contacted()) < lease
-}
-
-// dropHost stops maintaining a worker, for the given reason. Its next owner reports its runs to their homes. p.mu is
-// held.
-func (p *Pool) dropHost(h *ownedHost, reason endProof, fx *effects) {
-	if h.watch.refusing() {
-		// The next owner does not know what ran there.
-		p.recordCrash(h, h.watch.refusedSince, "refuses connections", nil, fx)
-	}
-	h.cancel()
-	h.dropped = true
-	delete(p.hosts, h.host.Listing.Worker)
-	for _, r := range h.runs {
-		p.forget(r, reason, fx)
-	}
-}
-
 // Order queues a task, unless its run is already known. The home cannot have sent the order before sentAfter: an order
 // that the network has delayed for too long is rejected, since its home already treats the run as lost.
 func (p *Pool) Order(home string, o contract.TaskOrder, sentAfter time.Time) {
@@ -521,16 +410,3 @@
 	}
 	h.host.Suspend(now)
 }
-
-// Owned returns the workers that this VM has acquired and still owns.
-func (p *Pool) Owned() []string {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	var ids []string
-	for id, h := range p.hosts {
-		if h.host.Token != 0 {
-			ids = append(ids, id)
-		}
-	}
-	return ids
-}
