--- a/edge/previousprocess_test.go
+++ b/edge/previousprocess_test.go
@@ -60,3 +60,26 @@
 		require.False(t, ok, "capacity of %s after it was replaced", id)
 	})
 }
+
+// Guards against a live process that is taken for departed: the last status of its predecessor on the VM, which waited in
+// the buffer of an earlier connection, is read after its own.
+func TestLateStatusOfPreviousProcessDoesNotReplaceTheNext(t *testing.T) {
+	inVirtualTime(t, func(t *testing.T) {
+		d := newDeployment(t, 1, 2, 2)
+		defer d.close()
+		daemon, before := d.daemons["edge-0-0"], d.daemons["edge-0-1"].o.Self
+		d.killDaemon("edge-0-1")
+		after := d.startDaemon(zoneName(0), "edge-0-1")
+		time.Sleep(settleTime)
+		require.NotZero(t, daemon.members.LastContact(after.self).Timestamp)
+		daemon.handle(&api.Envelope{
+			FromVm: before.VM, FromIncarnation: uint64(before.Incarnation),
+			Messages: []*api.PeerMessage{{Body: &api.PeerMessage_PoolStatus{PoolStatus: &api.PoolStatus{Sender: encodeMember(before)}}}},
+		})
+		start := time.Now()
+		for time.Since(start) < settleTime && daemon.members.LastContact(after.self).Timestamp == 0 {
+			time.Sleep(time.Millisecond)
+		}
+		require.Zero(t, time.Since(start), "the live process is unknown for this time")
+	})
+}
