--- a/pool/idlelease_test.go
+++ b/pool/idlelease_test.go
@@ -32,7 +32,7 @@
 		f := newFixture(1)
 		defer f.pool.Close()
 		f.calls.dropStops = true
-		token := f.ownedToken("w0") + 1
+		token := f.ownedToken() + 1
 		f.pool.SetHosts(nil)
 		host := f.calls.hosts["w0"]
 		reply, err := host.Poll(context.Background(), link.HostPoll{Token: token})
@@ -41,7 +41,7 @@
 		require.NoError(t, err)
 		f.pool.SetHosts(f.list)
 		time.Sleep(10 * time.Millisecond)
-		require.NotZero(t, f.ownedToken("w0"))
+		require.NotZero(t, f.ownedToken())
 		_, sent := f.ageOrder("outlives", 700*time.Millisecond)
 		time.Sleep(3 * time.Second)
 		if end := f.observer.endOf("outlives"); !end.IsZero() {
--- a/pool/ownership_test.go
+++ b/pool/ownership_test.go
@@ -13,6 +13,16 @@
 	"github.com/cicadadale/cicadadale/machine"
 )
 
+// ownedToken returns the fencing token of the first worker; zero if it is not owned.
+func (f *fixture) ownedToken() uint64 {
+	f.pool.mu.Lock()
+	defer f.pool.mu.Unlock()
+	if h, ok := f.pool.hosts["w0"]; ok {
+		return h.host.Token
+	}
+	return 0
+}
+
 // otherOwner acquires a worker as another VM would, and extends its lease every 100 ms until it is fenced.
 func otherOwner(t *testing.T, f *fixture, worker string) {
 	t.Helper()
@@ -64,7 +74,7 @@
 		order.Claim = true
 		for range 200 {
 			time.Sleep(10 * time.Millisecond)
-			order.ClaimToken = f.ownedToken("w0")
+			order.ClaimToken = f.ownedToken()
 			f.pool.Order(testHome, order, time.Now())
 			if state := f.state(kept); state.Final() && state != contract.RunLost && f.observer.endOf("kept").IsZero() {
 				require.Fail(t, "the worker runs a task that was reported as "+state.String())
@@ -102,7 +112,7 @@
 		f.pool.adopt(f.pool.hosts["w0"], link.PollReply{Ended: []link.EndedRun{{Number: 1, Key: key, State: contract.RunDone}}},
 			time.Now(), &fx)
 		f.pool.mu.Unlock()
-		f.pool.Order(testHome, contract.TaskOrder{Key: key, Backend: "s", Claim: true, ClaimToken: f.ownedToken("w0")}, time.Now())
+		f.pool.Order(testHome, contract.TaskOrder{Key: key, Backend: "s", Claim: true, ClaimToken: f.ownedToken()}, time.Now())
 		require.Equal(t, contract.RunDone, f.state(key))
 	})
 }
@@ -115,11 +125,11 @@
 		f.setRunTime("found", 10*time.Second)
 		key := f.order("found", 500, 0, time.Second, 20*time.Second)
 		time.Sleep(20 * time.Millisecond)
-		earlier := f.ownedToken("w0")
+		earlier := f.ownedToken()
 		f.pool.SetHosts(nil)
 		f.pool.SetHosts(f.list)
 		time.Sleep(20 * time.Millisecond)
-		require.Greater(t, f.ownedToken("w0"), earlier)
+		require.Greater(t, f.ownedToken(), earlier)
 		for range 10 {
 			f.pool.Order(testHome, contract.TaskOrder{
 				Key: key, Backend: "s", Need: machine.Resources{CPUMillis: 500}, Claim: true, ClaimToken: earlier,
--- a/pool/restart_test.go
+++ b/pool/restart_test.go
@@ -92,7 +92,7 @@
 		time.Sleep(acquireRetry)
 		host.SetDelay(0)
 		time.Sleep(callTimeout + 4*acquireRetry)
-		require.NotZero(t, f.ownedToken("w0"))
+		require.NotZero(t, f.ownedToken())
 	})
 }
 
--- a/pool/starttime_test.go
+++ b/pool/starttime_test.go
@@ -24,6 +24,6 @@
 		_, err := host.Poll(context.Background(), link.HostPoll{Token: newToken(host.StartTime(), 0)})
 		require.NoError(t, err)
 		time.Sleep(10 * time.Second)
-		require.NotZero(t, f.ownedToken("w0"))
+		require.NotZero(t, f.ownedToken())
 	})
 }
