pool, batch, contract, edge, standin: names and comments that a reader stumbled on

Change: names (supersedes, hasRunOverAfterLease, confinementRank, crashBucket, logOrders and others), comments with their reason in place of dense sentences, the reason that callers get for a job that is given up. What the software does stays as it is.

--- a/batch/advance.go
+++ b/batch/advance.go
@@ -32,7 +32,7 @@
 	for i := range j.tasks {
 		h.advanceTask(j, &j.tasks[i], now, out)
 	}
-	h.recordOrders(j, out)
+	h.logOrders(j, out)
 	if j.state == jobActive && j.done == len(j.tasks) {
 		h.endJob(j, Completed, "", now, out)
 	}
@@ -176,7 +176,7 @@
 	if j, ok := s.jobs[r.Key.Batch]; ok {
 		switch t := j.find(r.Key); {
 		case t == nil && j.state != jobEnded:
-			h.recordIgnored(from.Owner, r, "not the current run")
+			h.logIgnored(from.Owner, r, "not the current run")
 		case t != nil && (t.state == taskPlaced || t.state == taskLost):
 			h.applyReport(j, t, from.Owner, r, now, out)
 			h.advance(j, now, out)
@@ -190,14 +190,14 @@
 func (h *Home) applyReport(j *job, t *task, owner string, r contract.RunReport, now time.Time, out *outbox) {
 	j.mayHaveRun = j.mayHaveRun || r.MayHaveStarted
 	if !t.proves(owner, r) {
-		h.recordIgnored(owner, r, "other owner or older token")
+		h.logIgnored(owner, r, "other owner or older token")
 		return
 	}
 	switch r.State {
 	case contract.RunStarted:
 		h.handleStarted(j, t, owner, r, out)
 	case contract.RunDone:
-		h.recordDone(j, t, owner, r)
+		h.logRerunDone(j, t, owner, r)
 		t.state = taskDone
 		j.done++
 		j.steps[t.step].remaining--
@@ -243,7 +243,7 @@
 // a worker that another VM has acquired.
 func (h *Home) handleUnknown(j *job, t *task, owner string, r contract.RunReport, now time.Time) {
 	if t.state == taskLost {
-		h.recordIgnored(owner, r, "proves nothing about a lost run")
+		h.logIgnored(owner, r, "proves nothing about a lost run")
 		return
 	}
 	j.mayHaveRun = j.mayHaveRun || now.Sub(t.placedAt) > unknownProofWindow
@@ -256,7 +256,7 @@
 // handleStarted records that a run has started at an owner. A report under an older fencing token has no effect.
 func (h *Home) handleStarted(j *job, t *task, owner string, r contract.RunReport, out *outbox) {
 	if r.Token < t.token {
-		h.recordIgnored(owner, r, "older token")
+		h.logIgnored(owner, r, "older token")
 		return
 	}
 	if t.owner != owner || (t.started && t.token != r.Token) || t.state == taskLost {
--- a/batch/crash.go
+++ b/batch/crash.go
@@ -8,7 +8,7 @@
 )
 
 // givenUpReason is the reason of a job that failed because workers crashed under one of its tasks.
-const givenUpReason = "its workers crashed while running it"
+const givenUpReason = "workers crashed while running one of its tasks"
 
 // Crashed gives up the tasks that have crashed too many workers. It is called after a crash has been recorded.
 func (h *Home) Crashed(c contract.WorkerCrash) {
@@ -35,7 +35,7 @@
 		return
 	}
 	h.counter(metric.BatchTasksGivenUp).Inc(1)
-	h.o.Logger.Warn("task given up: its workers crashed while running it", "task", task.Task().String(),
+	h.o.Logger.Warn("task given up: workers crashed while running it", "task", task.Task().String(),
 		"route", j.batch.Route, "time_left", j.batch.Deadline.Sub(now))
 	h.endJob(j, Failed, givenUpReason, now, out)
 }
--- a/batch/pause.go
+++ b/batch/pause.go
@@ -6,8 +6,9 @@
 )
 
 const (
-	// pauseLimit is the time without a tick from which the process counts as paused. A caller whose connection broke in
-	// the meantime submits its job to another home 1.3 s later, which leaves the time to notice it after a shorter pause.
+	// pauseLimit is the time between ticks from which the process counts as paused. A caller submits its job again 1.3 s
+	// after its connection breaks, so after a shorter pause the home still has time to notice the broken connection. On a
+	// slow VM ticks are up to 600 ms apart, which is no pause.
 	pauseLimit = time.Second
 	// pauseRecovery is the time after a pause in which no run is ordered: what arrived during the pause is handled first,
 	// such as the ends of callers' connections.
--- a/batch/pause_test.go
+++ b/batch/pause_test.go
@@ -20,8 +20,8 @@
 // pause lets time pass in which the process does not run.
 func (c *pausableClock) pause(d time.Duration) { c.paused.Add(int64(d)) }
 
-// afterPause submits a job to a home whose process is then paused, as is known from the end of its run. f plays the first
-// moments after the pause. It returns the number of runs that the home has ordered.
+// afterPause submits a job, pauses the process of its home, reports the end of its run and calls f. It returns the number
+// of runs that the home has ordered.
 func afterPause(t *testing.T, f func(callerLeaves context.CancelFunc)) int {
 	t.Helper()
 	orders := 0
--- a/batch/proof.go
+++ b/batch/proof.go
@@ -45,24 +45,24 @@
 		"started", t.started, "may_have_run", ran, "withdrawn", t.withdrawn)
 }
 
-// recordOrders logs the runs of a job that have been ordered together.
-func (h *Home) recordOrders(j *job, out *outbox) {
+// logOrders logs the runs of a job that have been ordered together.
+func (h *Home) logOrders(j *job, out *outbox) {
 	if len(out.ordered) > 0 {
 		h.o.Logger.Info("tasks ordered", "job", j.batch.ID, "tasks", out.ordered)
 		out.ordered = nil
 	}
 }
 
-// recordDone logs the end of a task that has had several runs.
-func (h *Home) recordDone(j *job, t *task, owner string, r contract.RunReport) {
+// logRerunDone logs the end of a task that has had several runs.
+func (h *Home) logRerunDone(j *job, t *task, owner string, r contract.RunReport) {
 	if t.run > firstRunNumber(j.batch.Accepted) {
 		h.o.Logger.Info("task done after several runs", "task", r.Key.String(), "source", owner, "source_token", r.Token,
 			"worker", r.Worker, "owner", t.owner, "token", t.token)
 	}
 }
 
-// recordIgnored logs a report without effect.
-func (h *Home) recordIgnored(owner string, r contract.RunReport, reason string) {
+// logIgnored logs a report without effect.
+func (h *Home) logIgnored(owner string, r contract.RunReport, reason string) {
 	if r.State == contract.RunQueued {
 		return
 	}
--- a/batch/slow_home_test.go
+++ b/batch/slow_home_test.go
@@ -10,7 +10,7 @@
 	"github.com/stretchr/testify/require"
 )
 
-// Guards against jobs that are never placed by a home on a slow VM, whose ticks are more than pauseLimit apart.
+// Guards against a pauseLimit so short that a home on a slow VM, whose ticks are 600 ms apart, never orders a run.
 func TestSlowHomeOrdersRuns(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		start := time.Now()
--- a/contract/confinement.go
+++ b/contract/confinement.go
@@ -8,18 +8,20 @@
 )
 
 const (
-	// A route that crashes a quarter of the workers within crashWindow is confined to half of them, one that crashes half of
-	// them to a quarter: the more it crashes, the less it keeps by using more of them, and the more it costs the others.
+	// A route whose tasks crash a quarter of the workers within crashWindow may use half of the workers, one that crashes
+	// half of them a quarter. With more workers such a route would not complete more tasks, and would take capacity from the
+	// others.
 	confiningCrashes, confinedShare            = 0.25, 0.5
 	severelyConfiningCrashes, severelyConfined = 0.5, 0.25
 	// crashWindow is the time over which crashes are counted; a crashed worker is away for about as long.
 	crashWindow = 4 * time.Second
 	// minConfiningCrashes is the smallest number of crashes that confines a route, whatever the number of workers.
 	minConfiningCrashes = 3
-	// crashMoment is the time within which several crashes count as one event, minCrashMoments the smallest number of
-	// events that confines a route: a fault that takes many workers at once is none of their tasks.
-	crashMoment     = 250 * time.Millisecond
-	minCrashMoments = 3
+	// crashBucket is the length of the intervals in which crashes are counted. Crashes in one interval count as one event,
+	// since a fault that takes down many workers at once is not caused by a task. minCrashBuckets is the smallest number of
+	// events that confines a route.
+	crashBucket     = 250 * time.Millisecond
+	minCrashBuckets = 3
 	// releaseAfter is the time without a crash under a confined route after which it is released.
 	releaseAfter = 4 * time.Second
 )
@@ -106,9 +108,9 @@
 func shareAfter(blamed []WorkerCrash, workers int) float64 {
 	moments := make(map[int64]bool)
 	for _, c := range blamed {
-		moments[c.At.UnixNano()/int64(crashMoment)] = true
+		moments[c.At.UnixNano()/int64(crashBucket)] = true
 	}
-	if len(moments) < minCrashMoments || len(blamed) < minConfiningCrashes {
+	if len(moments) < minCrashBuckets || len(blamed) < minConfiningCrashes {
 		return 1
 	}
 	switch crashed := float64(len(blamed)) / float64(max(workers, 1)); {
--- a/edge/crashes.go
+++ b/edge/crashes.go
@@ -20,7 +20,7 @@
 	d.members.Broadcast(encodeCrash(c, d.o.Now()))
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.unrepeated = append(d.unrepeated, c)
+	d.crashesToRepeat = append(d.crashesToRepeat, c)
 }
 
 // recordCrash records the crash of a worker, and gives up the tasks that have crashed too many.
@@ -53,9 +53,9 @@
 func (d *Daemon) repeatCrashes(now time.Time) {
 	d.mu.Lock()
 	var due []*api.PeerMessage
-	for len(d.unrepeated) > 0 && now.Sub(d.unrepeated[0].At) >= crashRepeat {
-		due = append(due, encodeCrash(d.unrepeated[0], now))
-		d.unrepeated = d.unrepeated[1:]
+	for len(d.crashesToRepeat) > 0 && now.Sub(d.crashesToRepeat[0].At) >= crashRepeat {
+		due = append(due, encodeCrash(d.crashesToRepeat[0], now))
+		d.crashesToRepeat = d.crashesToRepeat[1:]
 	}
 	d.mu.Unlock()
 	if len(due) > 0 {
--- a/edge/daemon.go
+++ b/edge/daemon.go
@@ -121,8 +121,8 @@
 	// requestedAt is when the newer one was last requested.
 	behindSince time.Time
 	requestedAt time.Time
-	// unrepeated are the crashes of own workers that are to be announced again.
-	unrepeated []contract.WorkerCrash
+	// crashesToRepeat are the crashes of own workers that are to be announced again.
+	crashesToRepeat []contract.WorkerCrash
 }
 
 // New starts a daemon.
--- a/pool/alone.go
+++ b/pool/alone.go
@@ -24,13 +24,13 @@
 // that runs alone needs an empty worker, and not too many may be held for such tasks. p.mu is held.
 func (p *Pool) mayJoin(h *ownedHost, o contract.TaskOrder, now time.Time) bool {
 	if o.Alone {
-		return len(h.runs) == 0 && p.moreAlone() && p.mayRunOn(h, o, now)
+		return len(h.runs) == 0 && p.mayHoldAnother() && p.mayRunOn(h, o, now)
 	}
 	return h != p.emptying && !h.hasAlone() && p.mayRunOn(h, o, now)
 }
 
-// moreAlone reports whether more workers may be held for tasks that run alone. p.mu is held.
-func (p *Pool) moreAlone() bool {
+// mayHoldAnother reports whether more workers may be held for tasks that run alone. p.mu is held.
+func (p *Pool) mayHoldAnother() bool {
 	held := 0
 	for _, h := range p.hosts {
 		if h.hasAlone() {
@@ -44,7 +44,7 @@
 // it such tasks starve, since a worker hardly ever becomes empty by itself. p.mu is held.
 func (p *Pool) updateEmptying(now time.Time) {
 	r := p.nextAlone(now)
-	if r == nil || !p.moreAlone() {
+	if r == nil || !p.mayHoldAnother() {
 		p.emptying = nil
 		return
 	}
--- a/pool/confine.go
+++ b/pool/confine.go
@@ -10,11 +10,11 @@
 	"github.com/cicadadale/cicadadale/contract"
 )
 
-// updateExposure ranks the workers for the tasks of confined routes, which start only on the first ones. They are ranked
-// by a hash of their addresses, so that a crashed worker is succeeded by the one that replaces it there and not by another
-// one. p.mu is held.
-func (p *Pool) updateExposure() {
-	clear(p.exposure)
+// updateConfinementRanks ranks the workers for the tasks of confined routes, which start only on the first ones. The rank
+// follows from a hash of the address, so that a crashed worker is succeeded by the one that replaces it there and not by
+// another one. p.mu is held.
+func (p *Pool) updateConfinementRanks() {
+	clear(p.confinementRank)
 	if !p.o.Confinement.Any() {
 		return
 	}
@@ -26,7 +26,7 @@
 		return cmp.Or(cmp.Compare(a.addressHash, b.addressHash), cmp.Compare(a.address.Worker, b.address.Worker))
 	})
 	for i, h := range hosts {
-		p.exposure[h] = float64(i) / float64(len(hosts))
+		p.confinementRank[h] = float64(i) / float64(len(hosts))
 	}
 }
 
@@ -34,16 +34,16 @@
 // has crashed waits until all workers of the route are back: it would probably take the next one from the other tasks.
 // p.mu is held.
 func (p *Pool) mayRunOn(h *ownedHost, o contract.TaskOrder, now time.Time) bool {
-	if len(p.exposure) == 0 {
+	if len(p.confinementRank) == 0 {
 		return true
 	}
 	share := p.o.Confinement.Share(o.Route)
-	return share == 1 || (p.exposure[h] < share && (!o.Alone || p.allUsable(share, now)))
+	return share == 1 || (p.confinementRank[h] < share && (!o.Alone || p.allUsable(share, now)))
 }
 
 // allUsable reports whether all workers of a confined route are usable. p.mu is held.
 func (p *Pool) allUsable(share float64, now time.Time) bool {
-	for h, rank := range p.exposure {
+	for h, rank := range p.confinementRank {
 		if rank < share && !h.host.Usable(now) {
 			return false
 		}
--- a/pool/crash.go
+++ b/pool/crash.go
@@ -13,14 +13,14 @@
 	// crashConfirmation is how long a worker refuses connections before it is treated as crashed. A listener that is being
 	// replaced is back sooner.
 	crashConfirmation = 150 * time.Millisecond
-	// maxSilence is the longest time from the first poll that fails to the first refused connection or the answer of the next
-	// incarnation, if the process has crashed: the connections of a process close with it. After a longer silence the machine
-	// has lost power or was cut off, which is no fault of its tasks.
+	// maxSilence is how long polls may fail in other ways before the first refused connection, or the reply of the next
+	// incarnation, for the worker still to count as crashed. When a process exits, its connections close at once. A longer
+	// silence points to a power loss or a network fault, which no task has caused.
 	maxSilence = 400 * time.Millisecond
 )
 
-// crashWatch collects what the polls of a worker show about the end of its process. Silence shows nothing: the worker or
-// the way to it may be at fault. It is reset by each reply.
+// crashWatch collects what the polls of a worker show about the end of its process. Timeouts are no evidence: the worker
+// or the way to it may be at fault. It is reset by each reply.
 type crashWatch struct {
 	// failingSince is when the first poll that failed was sent, refusedSince when the worker began to refuse connections.
 	failingSince time.Time
--- a/pool/hosts.go
+++ b/pool/hosts.go
@@ -22,7 +22,7 @@
 	for _, l := range listings {
 		keep[l.Worker] = true
 		h, ok := p.hosts[l.Worker]
-		if ok && h.outdates(l, now, p.o.Lease) {
+		if ok && h.supersedes(l, now, p.o.Lease) {
 			p.o.Logger.Warn("ignored a listing of an earlier incarnation of the worker", "worker", l.Worker,
 				"address", l.Address, "born", l.StartTime, "current_address", h.host.Listing.Address,
 				"current_born", h.host.Listing.StartTime)
@@ -87,7 +87,7 @@
 // applyIgnored applies a listing that was ignored, once the worker no longer answers as the incarnation listed before. A
 // worker whose time of day was set back before its restart looks like an earlier incarnation. p.mu is held.
 func (p *Pool) applyIgnored(h *ownedHost, now time.Time, fx *effects) {
-	if h.ignored == nil || h.outdates(*h.ignored, now, p.o.Lease) {
+	if h.ignored == nil || h.supersedes(*h.ignored, now, p.o.Lease) {
 		return
 	}
 	if h.ignored.Address == h.host.Listing.Address {
@@ -98,9 +98,10 @@
 	p.addHost(*h.ignored)
 }
 
-// outdates reports whether a listing belongs to an earlier incarnation of a worker than the one that answers here, whose
-// own listing is known.
-func (h *ownedHost) outdates(l machine.Listing, now time.Time, lease time.Duration) bool {
+// supersedes reports whether the listed incarnation of a worker, which replies, is later than that of another listing. It
+// holds only while the worker has replied within a lease: one whose wall clock was set back before a restart would
+// otherwise be ignored for good.
+func (h *ownedHost) supersedes(l machine.Listing, now time.Time, lease time.Duration) bool {
 	current := h.host.Listing.StartTime
 	return l.StartTime < current && current == h.startTime && now.Sub(h.host.Contacted()) < lease
 }
--- a/pool/match.go
+++ b/pool/match.go
@@ -25,7 +25,7 @@
 		p.emptying = nil
 		return
 	}
-	p.updateExposure()
+	p.updateConfinementRanks()
 	p.updateEmptying(now)
 	var reserved *ownedHost
 	for _, h := range p.hostsWithCapacity(now) {
@@ -45,8 +45,8 @@
 	}
 }
 
-// exposureClasses is the number of classes of workers by the routes that are confined to them.
-const exposureClasses = 4
+// rankClasses divides the confinement ranks into quarters, as confined routes get a quarter or half of the workers.
+const rankClasses = 4
 
 // hostsWithCapacity returns the workers on which a task may start, the fastest first and of equally fast ones the
 // fullest. Those on which tasks of confined routes start come last, so that the others lose less with them.
@@ -59,7 +59,7 @@
 		}
 	}
 	slices.SortFunc(hosts, func(a, b *ownedHost) int {
-		if d := cmp.Compare(int(p.exposure[b]*exposureClasses), int(p.exposure[a]*exposureClasses)); d != 0 {
+		if d := cmp.Compare(int(p.confinementRank[b]*rankClasses), int(p.confinementRank[a]*rankClasses)); d != 0 {
 			return d
 		}
 		if preferred(a.host, b.host) {
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -81,9 +81,9 @@
 	guardsCapacity bool
 	// emptying is the worker that is kept free of other tasks for the next task that runs alone; nil if there is none.
 	emptying *ownedHost
-	// exposure ranks the workers from 0 to 1: tasks of a route that is confined to a share of the workers start on those with
-	// a lower rank. It is empty while no route is confined.
-	exposure map[*ownedHost]float64
+	// confinementRank ranks the workers from 0 to 1: tasks of a route that is confined to a share of the workers start on
+	// those with a lower rank. It is empty while no route is confined.
+	confinementRank map[*ownedHost]float64
 }
 
 // New returns a pool without workers.
@@ -93,7 +93,7 @@
 		o: o, ctx: ctx, cancel: cancel,
 		hosts: make(map[string]*ownedHost), runs: make(map[contract.RunKey]*run),
 		barredRuns: make(map[contract.RunKey]barredRun), speeds: make(map[string]float64),
-		lastStarts: make(map[string]time.Time), exposure: make(map[*ownedHost]float64), guardsCapacity: o.GuardsCapacity,
+		lastStarts: make(map[string]time.Time), confinementRank: make(map[*ownedHost]float64), guardsCapacity: o.GuardsCapacity,
 	}
 	p.spawn(p.sweepPeriodically)
 	return p
@@ -128,7 +128,8 @@
 func (p *Pool) order(home string, o contract.TaskOrder, sentAfter, now time.Time, fx *effects) {
 	if r, ok := p.runs[o.Key]; ok {
 		if !r.claimed && r.state != runFinal && o.ClaimToken != r.token {
-			// The lease would be extended for a claim of an earlier ownership, and the home may believe in a later one.
+			// The claim answers an earlier takeover. It must not extend the lease, since the home may by now follow the run at
+			// another owner.
 			p.o.Logger.Info("claim of an earlier ownership ignored", "task", o.Key.String(), "home", home,
 				"claim_token", o.ClaimToken, "token", r.token)
 			return
@@ -376,17 +377,17 @@
 	p.apply(fx)
 }
 
-// endsWithLease reports whether the run is over once the lease of its worker has expired. The goroutine that makes a start
+// overAfterLease reports whether the run is over once the lease of its worker has expired. The goroutine that makes a start
 // call handles its result. A start whose outcome is in doubt may still be executed by the next incarnation of the worker,
 // on whose clock its lease means nothing, until that has been acquired.
-func (r *run) endsWithLease() bool {
+func (r *run) overAfterLease() bool {
 	return r.state != runStarting && (!r.host.restarted || (r.state == runRunning && !r.stopAnswered))
 }
 
-// holdsProvable reports whether a run of the worker is over once the lease has expired.
-func (h *ownedHost) holdsProvable() bool {
+// hasRunOverAfterLease reports whether any run of the worker is over once the lease has expired.
+func (h *ownedHost) hasRunOverAfterLease() bool {
 	for _, r := range h.runs {
-		if r.endsWithLease() {
+		if r.overAfterLease() {
 			return true
 		}
 	}
@@ -397,13 +398,13 @@
 // own the lease is not known. p.mu is held.
 func (p *Pool) sweepHost(h *ownedHost, now time.Time, fx *effects) {
 	leaseKnown := h.host.Token != 0 || h.restarted
-	if !h.holdsProvable() || !leaseKnown || now.Before(h.host.LeasesExpireBy()) {
+	if !h.hasRunOverAfterLease() || !leaseKnown || now.Before(h.host.LeasesExpireBy()) {
 		return
 	}
 	p.o.Logger.Warn("worker does not answer; its lease has expired, treating its runs as ended",
 		"worker", h.host.Listing.Worker, "runs", len(h.runs), "since_contact", now.Sub(h.host.Contacted()))
 	for _, r := range h.runs {
-		if !r.endsWithLease() {
+		if !r.overAfterLease() {
 			continue
 		}
 		p.finish(r, contract.RunEnded, proofLeaseExpired, 0, fx)
--- a/standin/runhost.go
+++ b/standin/runhost.go
@@ -214,8 +214,8 @@
 	h.refuses = refuses
 }
 
-// connect returns the error of a call to a worker that refuses connections.
-func (h *RunHost) connect() error {
+// connectionError returns the error of a call to a worker that refuses connections.
+func (h *RunHost) connectionError() error {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if h.refuses {
@@ -286,7 +286,7 @@
 
 // Start executes a start call. Start, Stop and Poll are the calls of link.HostCalls, for one worker.
 func (h *RunHost) Start(ctx context.Context, s link.HostStart) (link.StartVerdict, link.HostReply, error) {
-	if err := h.connect(); err != nil {
+	if err := h.connectionError(); err != nil {
 		return 0, link.HostReply{}, err
 	}
 	if h.isReplaced() {
@@ -400,7 +400,7 @@
 
 // Stop stops a run, or prevents it from starting if it has not started yet.
 func (h *RunHost) Stop(ctx context.Context, key contract.RunKey, token uint64) (link.HostReply, error) {
-	if err := h.connect(); err != nil {
+	if err := h.connectionError(); err != nil {
 		return link.HostReply{}, err
 	}
 	if h.isReplaced() {
@@ -433,7 +433,7 @@
 
 // Poll extends the lease and lists the runs. It waits up to c.Wait for a run to end if it has no ended run to report.
 func (h *RunHost) Poll(ctx context.Context, c link.HostPoll) (link.PollReply, error) {
-	if err := h.connect(); err != nil {
+	if err := h.connectionError(); err != nil {
 		return link.PollReply{}, err
 	}
 	if h.isReplaced() {
