pool: the tests' switch for lost stops has no race

Cause: tests of the capacity set the switch while the pool's goroutines read it; go test -race ./pool reports two races. Change: it is atomic.

--- a/pool/capacity_test.go
+++ b/pool/capacity_test.go
@@ -60,11 +60,11 @@
 		require.Equal(t, contract.RunStarted, f.state(second))
 		require.Len(t, f.observer.startedJobs(), 2)
 
-		f.calls.dropStops = true
+		f.calls.dropStops.Store(true)
 		f.pool.Withdraw(testHome, []contract.RunKey{first, second})
 		f.keepAlive(500*time.Millisecond, third)
 		require.Len(t, f.observer.startedJobs(), 2, "what is being stopped holds its capacity")
-		f.calls.dropStops = false
+		f.calls.dropStops.Store(false)
 		f.keepAlive(500*time.Millisecond, third)
 		require.Len(t, f.observer.startedJobs(), 3)
 		require.Zero(t, f.overfilled())
@@ -151,7 +151,7 @@
 		defer f.pool.Close()
 		kept := f.orderLong("kept", 200)
 		time.Sleep(20 * time.Millisecond)
-		f.calls.dropStops = true
+		f.calls.dropStops.Store(true)
 		f.setSize("stray", 1700)
 		f.setRunTime("stray", 5*time.Second)
 		f.pool.mu.Lock()
@@ -166,7 +166,7 @@
 		other := f.orderLong("other", 200)
 		f.keepAlive(400*time.Millisecond, kept, other)
 		require.Equal(t, []string{"kept", "stray"}, f.observer.startedJobs())
-		f.calls.dropStops = false
+		f.calls.dropStops.Store(false)
 		f.keepAlive(500*time.Millisecond, kept, other)
 		require.Contains(t, f.observer.startedJobs(), "other")
 		require.Zero(t, f.overfilled())
--- a/pool/idlelease_test.go
+++ b/pool/idlelease_test.go
@@ -31,7 +31,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		f := newFixture(1)
 		defer f.pool.Close()
-		f.calls.dropStops = true
+		f.calls.dropStops.Store(true)
 		token := f.ownedToken() + 1
 		f.pool.SetHosts(nil)
 		host := f.calls.hosts["w0"]
--- a/pool/lease_test.go
+++ b/pool/lease_test.go
@@ -18,7 +18,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		for _, age := range []time.Duration{0, maxOrderAge, 600 * time.Millisecond, refreshTimeout} {
 			f := newFixture(1)
-			f.calls.dropStops = true
+			f.calls.dropStops.Store(true)
 			f.setRunTime("other", 10*time.Second)
 			other := f.order("other", 1000, 0, time.Second, 20*time.Second)
 			f.setRunTime("delayed", 10*time.Second)
--- a/pool/pool_test.go
+++ b/pool/pool_test.go
@@ -70,7 +70,7 @@
 type hostCalls struct {
 	hosts map[string]*standin.RunHost
 	// dropStops makes all stop calls time out without effect.
-	dropStops bool
+	dropStops atomic.Bool
 	// delayPolls makes polls take a round trip.
 	delayPolls atomic.Bool
 }
@@ -84,7 +84,7 @@
 func (c *hostCalls) Stop(
 	ctx context.Context, a link.HostAddress, k contract.RunKey, token uint64,
 ) (link.HostReply, error) {
-	if c.dropStops {
+	if c.dropStops.Load() {
 		<-ctx.Done()
 		return link.HostReply{}, ctx.Err()
 	}
@@ -340,7 +340,7 @@
 		f.setRunTime("kept", 5*time.Second)
 		lost := f.order("lost", 500, 0, time.Second, 10*time.Second)
 		kept := f.order("kept", 500, 0, time.Second, 10*time.Second)
-		f.calls.dropStops = true
+		f.calls.dropStops.Store(true)
 		for died := time.Now(); time.Since(died) < 1300*time.Millisecond; time.Sleep(100 * time.Millisecond) {
 			f.pool.Refresh(testHome, []contract.RunKey{kept}, time.Now())
 		}
--- a/pool/restartlease_test.go
+++ b/pool/restartlease_test.go
@@ -17,7 +17,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		for _, age := range []time.Duration{0, maxOrderAge, 600 * time.Millisecond} {
 			f := newFixture(1)
-			f.calls.dropStops = true
+			f.calls.dropStops.Store(true)
 			f.setRunTime("late", 10*time.Second)
 			time.Sleep(3*idlePollInterval + idlePollInterval/2)
 			f.calls.hosts["w0"].Crash()
