edge: the test of unanswered calls waits for its jobs

Cause: it closed the channel of the results after 5 s, and go test -race sees no order between that and the last result. Change: it waits for the jobs, which end within their time limit of 4 s. What it asserts is unchanged.

--- a/edge/daemon_test.go
+++ b/edge/daemon_test.go
@@ -302,7 +302,7 @@
 			})
 			time.Sleep(28 * time.Millisecond)
 		}
-		time.Sleep(5 * time.Second)
+		d.wg.Wait()
 		close(took)
 		inTime := 0
 		for x := range took {
