--- a/pool/restart_test.go
+++ b/pool/restart_test.go
@@ -171,3 +171,16 @@
 		require.NotContains(t, f.observer.startedJobs(), "after")
 	})
 }
+
+// Guards against a task that is started on a draining worker whose entry does not name its start time.
+func TestListingWithoutStartTimeIsApplied(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(1)
+		defer f.pool.Close()
+		f.list[0].Draining, f.list[0].StartTime = true, 0
+		f.pool.SetHosts(f.list)
+		f.order("after", 500, 0, time.Second, 5*time.Second)
+		time.Sleep(100 * time.Millisecond)
+		require.NotContains(t, f.observer.startedJobs(), "after")
+	})
+}
