--- a/batch/job.go
+++ b/batch/job.go
@@ -35,9 +35,9 @@
 	// token is the fencing token under which the run was started; zero while it is unknown.
 	token    uint64
 	failures int
-	// crashed is set once an owner has reported that a run ended with its worker, alone if the current run is ordered to be
-	// alone on its worker.
-	crashed  bool
+	// crashed is set once an owner has reported that a run ended with its worker.
+	crashed bool
+	// alone is set if the current run is ordered to be alone on its worker.
 	alone    bool
 	placedAt time.Time
 	// contactAt is the latest arrival of a contact that was echoed in an order or refresh of the current run. Owners date
--- a/edge/daemon.go
+++ b/edge/daemon.go
@@ -371,7 +371,8 @@
 	d.applyPolicies()
 }
 
-// applyPolicies passes the policies of the back ends to their pools.
+// applyPolicies passes the policies of the back ends to their pools. assignMu keeps an older policy from replacing a newer
+// one.
 func (d *Daemon) applyPolicies() {
 	d.assignMu.Lock()
 	defer d.assignMu.Unlock()
