--- a/review/_stand/rig.go
+++ b/review/_stand/rig.go
@@ -143,6 +143,7 @@
 	vm        string
 	front     string
 	readiness string
+	metrics   string
 	settings  string
 	log       string
 
@@ -163,8 +164,8 @@
 // addDaemon starts an edge daemon with the command of the deploy file, and settings as the template makes them.
 func (r *rig) addDaemon(vm, zone string) (*daemon, error) {
 	d := &daemon{r: r, vm: vm, settings: filepath.Join(r.dir, vm+".toml"), log: filepath.Join(r.dir, vm+".log")}
-	var peers, metrics string
-	for _, a := range []*string{&d.front, &d.readiness, &peers, &metrics} {
+	var peers string
+	for _, a := range []*string{&d.front, &d.readiness, &d.metrics, &peers} {
 		address, err := freeAddress()
 		if err != nil {
 			return nil, err
@@ -174,7 +175,7 @@
 	text := fmt.Sprintf("[vm]\nid = %q\nfailure_domain = %q\ncpu_share = %v\n\n[listen]\nfront = %q\nreadiness = %q\n"+
 		"peers = %q\nmetrics = %q\n\n[store]\naddress = %q\n\n[runs]\nlease_ms = %d\n\n[stop]\ngrace_s = %d\n\n"+
 		"[log]\nlevel = \"info\"\nformat = \"json\"\n",
-		vm, zone, cpuShare, d.front, d.readiness, peers, metrics, r.store.address, maxHoldMs, graceS)
+		vm, zone, cpuShare, d.front, d.readiness, peers, d.metrics, r.store.address, maxHoldMs, graceS)
 	if err := os.WriteFile(d.settings, []byte(text), 0o600); err != nil {
 		return nil, err
 	}
