--- a/review/_stand/cancelcase.go
+++ b/review/_stand/cancelcase.go
@@ -14,15 +14,18 @@
 	firstStep    = 4 * time.Second
 	secondStep   = 2 * time.Second
 	cancelLimit  = 20 * time.Second
-	cancelCPU    = 20000
-	cancelJobs   = 4
-	keptJobs     = 8
+	cancelCPU    = 15000
+	copiedJobs   = 2
+	copiedCPU    = 1000
+	copyAfter    = 3500 * time.Millisecond
+	cancelJobs   = 3
+	keptJobs     = 10
 )
 
 func init() { cases["cancel-elsewhere"] = cancelElsewhere }
 
 // cancelElsewhere lets clients cancel jobs by DELETE over channels that the platform has forwarded to another daemon than
-// the one that holds the job.
+// the one that holds the job. Other jobs are cancelled where they are held, and a copy of their submission arrives late.
 func cancelElsewhere(r *rig, trouble bool) ([]string, error) {
 	for i := range 4 {
 		if _, err := r.addWorker(fmt.Sprintf("i-%04d", i), "a", "r1-1"); err != nil {
@@ -69,12 +72,44 @@
 			}
 		}
 	}
+	if trouble {
+		copies, err := r.cancelAndCopy(a, b, acks)
+		if err != nil {
+			return nil, err
+		}
+		done = append(done, copies...)
+	}
 	for _, d := range done {
 		<-d
 	}
 	return r.runsAfter(acks), nil
 }
 
+// cancelAndCopy lets clients cancel jobs by DELETE at the daemon that holds them. Seconds after that a copy of the
+// submission of each arrives at another daemon.
+func (r *rig) cancelAndCopy(a, b *daemon, acks map[string]time.Time) ([]<-chan outcome, error) {
+	steps := []step{{count: 1, cpu: copiedCPU, work: secondStep}}
+	var ids []string
+	for range copiedJobs {
+		id := newJobID()
+		first := r.submit(a, cancelPrefix, id, steps, cancelLimit)
+		time.Sleep(100 * time.Millisecond)
+		o := r.cancel(a, cancelPrefix, id)
+		if o.status != http.StatusOK {
+			return nil, fmt.Errorf("a cancel at the daemon of the job got no 200: %v", o)
+		}
+		<-first
+		acks[id] = o.ended
+		ids = append(ids, id)
+	}
+	time.Sleep(copyAfter)
+	var copies []<-chan outcome
+	for _, id := range ids {
+		copies = append(copies, r.submit(b, cancelPrefix, id, steps, cancelLimit))
+	}
+	return copies, nil
+}
+
 // cancel sends a DELETE for a job over a new channel.
 func (r *rig) cancel(d *daemon, prefix, id string) outcome {
 	o := outcome{job: id, sent: time.Now()}
