--- a/review/5/run.sh
+++ b/review/5/run.sh
@@ -1,6 +1,6 @@
 #!/usr/bin/env bash
-# Plays the case resend-cancelled. Exit status: 1 if the rule was broken, 0 if it held, 2 if the case could not run.
+# Plays the case restart-kind. Exit status: 1 if the rule was broken, 0 if it held, 2 if the case could not run.
 folder="$(cd "$(dirname "$0")" && pwd)"
 cd "$folder/../.." || exit 2
 [ -x target/cicadadale ] && [ -x target/review-stand ] || exit 2
-exec target/review-stand resend-cancelled "$folder/record.txt"
+exec target/review-stand restart-kind "$folder/record.txt"
--- a/review/_stand/rig.go
+++ b/review/_stand/rig.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -152,8 +153,28 @@
 	exited chan struct{}
 }
 
+// Ports from firstPort on, below those that systems use for outgoing connections: an address must be free again when its
+// process or worker starts anew.
+const (
+	firstPort = 20000
+	ports     = 12000
+	portTries = 100
+)
+
+// listen listens on a free address.
+func listen() (net.Listener, error) {
+	var err error
+	for range portTries {
+		var l net.Listener
+		if l, err = net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", firstPort+rand.IntN(ports))); err == nil {
+			return l, nil
+		}
+	}
+	return nil, err
+}
+
 func freeAddress() (string, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	l, err := listen()
 	if err != nil {
 		return "", err
 	}
--- a/review/_stand/worker.go
+++ b/review/_stand/worker.go
@@ -172,7 +172,7 @@
 
 func newWorker(r *rig, id, kind, rack string) (*worker, error) {
 	w := &worker{r: r, id: id, labels: []string{kind, rack}}
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	l, err := listen()
 	if err != nil {
 		return nil, err
 	}
