pool: log which incarnation's entry a start was decided on

Two hypotheses looked the same in the log: the owner had not noticed the restart yet, or it had and still used the entry of the incarnation before. "sending a start" named the incarnation that replied last, but not the one that the entry describes.

The line now has entry_start and label.

--- a/pool/match.go
+++ b/pool/match.go
@@ -160,7 +160,7 @@
 	r.progress, r.progressAt, r.token, r.workerStart, r.stopAnswered = 0, now, h.host.Token, h.startTime, false
 	p.markCommitted(r.order.Key.Batch, now)
 	fx.starts = append(fx.starts, startEffect{
-		run: r, host: h, token: h.host.Token, decidedAt: now, workerStart: h.startTime,
+		run: r, host: h, token: h.host.Token, decidedAt: now, workerStart: h.startTime, entryStart: h.host.Listing.StartTime,
 		leaseEnd: h.host.ExtendLease(h.leaseLimit(now, p.o.Lease).Sub(now), now),
 	})
 	h.wake()
--- a/pool/run.go
+++ b/pool/run.go
@@ -88,9 +88,11 @@
 	host     *ownedHost
 	token    uint64
 	leaseEnd time.Duration
-	// decidedAt is the time of the decision, workerStart the start time of the worker's incarnation known then.
+	// decidedAt is the time of the decision, workerStart the start time of the worker's incarnation known then, entryStart that
+	// of the incarnation which the worker's entry described.
 	decidedAt   time.Time
 	workerStart int64
+	entryStart  int64
 }
 
 // report adds a report of the run's current state. A run is reported as started only once its worker has confirmed it:
--- a/pool/start.go
+++ b/pool/start.go
@@ -33,7 +33,8 @@
 func (p *Pool) start(s startEffect) {
 	p.counter(metric.PoolStarts).Inc(1)
 	p.o.Logger.Info("sending a start", "task", s.run.order.Key.String(), "worker", s.host.address.Worker,
-		"token", s.token, "worker_start", s.workerStart, "lease_end", s.leaseEnd, "decided", p.o.Now().Sub(s.decidedAt))
+		"token", s.token, "worker_start", s.workerStart, "entry_start", s.entryStart, "label", s.run.order.RequiredLabel,
+		"lease_end", s.leaseEnd, "decided", p.o.Now().Sub(s.decidedAt))
 	ctx, cancel := context.WithTimeout(p.ctx, startTimeout)
 	verdict, reply, err := p.o.Calls.Start(ctx, s.host.address, link.HostStart{
 		Key: s.run.order.Key, Spec: s.run.order.Spec, LeaseEnd: s.leaseEnd, Token: s.token,
