pool: no start by the label of an earlier incarnation

Cause: the pool keeps the last entry of a worker, and takes the labels from it in each decision. The entry describes one incarnation. Nothing compared it with the incarnation that replies, but for the capacity of workers that do not guard it.

Change: the start time of the incarnation that replied last moves to machine.Host, which compares it with that of the entry. A label counts only if they agree. A task that requires one goes back to its home as infeasible when a restart is noticed, so that it is ordered from other owners instead of waiting. Tasks without a label start as before.

Why it works: the comparison is made under the pool's lock at the decision, with the reply that told of the restart; no start can be decided after it on the older entry, whoever owns the worker and however long the store is away. A restart that no reply has told of yet is a matter of its own.

Tests in pool/kind_test.go, all four failing before the change: start on the older label, the queued task, takeover by a VM that has read only the older entry, and a worker reserved or emptied for a task it must not run.

--- a/machine/host.go
+++ b/machine/host.go
@@ -26,6 +26,8 @@
 // it.
 type Host struct {
 	Listing Listing
+	// StartTime identifies the incarnation of the worker that replied last; zero before the first reply.
+	StartTime int64
 	// Token is the fencing token of this ownership; zero until the worker has been acquired.
 	Token uint64
 	// LastOutcome is the number of the last outcome that the worker may delete.
--- /dev/null
+++ b/machine/hostentry.go
@@ -0,0 +1,15 @@
+package machine
+
+// EntryCurrent reports whether the worker's entry describes the incarnation that replied last. A new incarnation may be of
+// another kind, so after a restart the labels of the last known entry say nothing until the next one has been read.
+func (h *Host) EntryCurrent() bool {
+	return h.Listing.StartTime == 0 || h.StartTime == 0 || h.Listing.StartTime == h.StartTime
+}
+
+// CanHold reports whether the worker, when idle, can run a task of that size that requires the label, if any.
+func (h *Host) CanHold(need Resources, label string) bool {
+	if label != "" && !h.EntryCurrent() {
+		return false
+	}
+	return h.Listing.CanHold(need, label)
+}
--- a/pool/alone.go
+++ b/pool/alone.go
@@ -72,7 +72,7 @@
 }
 
 func (p *Pool) canEmpty(h *ownedHost, r *run, now time.Time) bool {
-	return h.host.Usable(now) && h.host.Listing.CanHold(r.order.Need, r.order.RequiredLabel) && !h.hasAlone() &&
+	return h.host.Usable(now) && h.host.CanHold(r.order.Need, r.order.RequiredLabel) && !h.hasAlone() &&
 		p.mayRunOn(h, r.order, now)
 }
 
--- a/pool/capacity.go
+++ b/pool/capacity.go
@@ -15,8 +15,7 @@
 // capacityKnown reports whether the capacity of a worker is that of the incarnation which replied last. A worker that does
 // not guard its capacity gets no task until the entry of its new incarnation has been read. p.mu is held.
 func (p *Pool) capacityKnown(h *ownedHost) bool {
-	listed := h.host.Listing.StartTime
-	return p.guardsCapacity || listed == 0 || h.startTime == 0 || listed == h.startTime
+	return p.guardsCapacity || h.host.EntryCurrent()
 }
 
 // ReservedCPU returns the CPU that is reserved for runs on each worker, in thousandths of a core, without idle
--- a/pool/crash.go
+++ b/pool/crash.go
@@ -82,7 +82,7 @@
 		return
 	}
 	c := contract.WorkerCrash{
-		Worker: h.address.Worker, StartTime: h.startTime, Backend: p.o.Backend, At: at,
+		Worker: h.address.Worker, StartTime: h.host.StartTime, Backend: p.o.Backend, At: at,
 	}
 	for key, r := range h.runs {
 		if !r.mayHaveRun || lists(listed, key) {
--- a/pool/hosts.go
+++ b/pool/hosts.go
@@ -103,7 +103,7 @@
 // otherwise be ignored for good.
 func (h *ownedHost) supersedes(l machine.Listing, now time.Time, lease time.Duration) bool {
 	current := h.host.Listing.StartTime
-	return l.StartTime != 0 && l.StartTime < current && current == h.startTime && now.Sub(h.host.Contacted()) < lease
+	return l.StartTime != 0 && l.StartTime < current && current == h.host.StartTime && now.Sub(h.host.Contacted()) < lease
 }
 
 // dropHost stops maintaining a worker, for the given reason. Its next owner reports its runs to their homes. p.mu is
--- /dev/null
+++ b/pool/kind_test.go
@@ -0,0 +1,150 @@
+package pool
+
+import (
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/cicadadale/cicadadale/contract"
+	"github.com/cicadadale/cicadadale/machine"
+)
+
+// setLabels gives the workers their kinds, and lists them.
+func (f *fixture) setLabels(kinds ...string) {
+	for i, kind := range kinds {
+		f.list[i].Labels = []string{kind}
+	}
+	f.pool.SetHosts(f.list)
+}
+
+// restartAs restarts a worker that is of another kind from now on. Its entry is read by the next call of listRestarted.
+func (f *fixture) restartAs(worker int) {
+	h := f.calls.hosts[f.list[worker].Worker]
+	h.Crash()
+	time.Sleep(time.Millisecond)
+	h.Restart()
+}
+
+// listRestarted lists the present incarnation of a worker.
+func (f *fixture) listRestarted(worker int, labels ...string) {
+	f.list[worker].StartTime = f.calls.hosts[f.list[worker].Worker].StartTime()
+	f.list[worker].Labels = labels
+	f.pool.SetHosts(f.list)
+}
+
+// orderLabelled orders a task that requires a label.
+func (f *fixture) orderLabelled(job, label string) contract.RunKey {
+	return f.orderWith(job, func(o *contract.TaskOrder) { o.RequiredLabel = label })
+}
+
+// orderWith orders a task of half a worker, changed by a function.
+func (f *fixture) orderWith(job string, change func(o *contract.TaskOrder)) contract.RunKey {
+	f.setSize(job, 1000)
+	f.setDefaultRunTime(job, 100*time.Millisecond)
+	now := time.Now()
+	o := contract.TaskOrder{
+		Key: contract.RunKey{Batch: job, Run: 1}, Backend: "s", Need: machine.Resources{CPUMillis: 1000}, Accepted: now,
+		Target: now.Add(time.Second), Deadline: now.Add(30 * time.Second), Expected: 100 * time.Millisecond,
+	}
+	change(&o)
+	f.pool.Order(testHome, o, now)
+	return o.Key
+}
+
+// Guards against a start by the label of an earlier incarnation: a worker comes back as another kind, and its owner has
+// noticed the restart but not read the new entry.
+func TestLabelOfEarlierIncarnationStartsNoTask(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(2)
+		defer f.pool.Close()
+		f.setLabels("b", "a")
+		f.restartAs(0)
+		time.Sleep(2 * time.Second)
+		key := f.orderLabelled("labelled", "b")
+		require.Equal(t, contract.RunInfeasible, f.state(key), "the home asks other owners meanwhile")
+		time.Sleep(300 * time.Millisecond)
+		f.listRestarted(0, "a")
+		f.orderLabelled("after the entry", "b")
+		time.Sleep(300 * time.Millisecond)
+		require.Empty(t, f.observer.startedJobs())
+
+		f.restartAs(0)
+		time.Sleep(2 * time.Second)
+		f.listRestarted(0, "b")
+		key = f.orderLabelled("kind is back", "b")
+		f.keepAlive(300*time.Millisecond, key)
+		require.Equal(t, []string{"kind is back"}, f.observer.startedJobs())
+	})
+}
+
+// Guards against a queued task that starts by the label of an earlier incarnation once its worker has been acquired again,
+// and against one that waits for that worker while other owners have workers with the label.
+func TestQueuedTaskLeavesRestartedWorkerOfUnknownKind(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(1)
+		defer f.pool.Close()
+		f.setLabels("b")
+		f.setRunTime("first", 5*time.Second)
+		f.setRunTime("second", 5*time.Second)
+		keys := []contract.RunKey{f.orderLabelled("first", "b"), f.orderLabelled("second", "b")}
+		queued := f.orderLabelled("queued", "b")
+		f.keepAlive(100*time.Millisecond, append(keys, queued)...)
+		require.Len(t, f.observer.startedJobs(), 2)
+		f.restartAs(0)
+		f.keepAlive(2*time.Second, queued)
+		require.Len(t, f.observer.startedJobs(), 2)
+		require.Equal(t, contract.RunInfeasible, f.state(queued))
+	})
+}
+
+// Guards against a VM that takes over a restarted worker, has read only the older entry, and starts tasks by its label.
+func TestTakeoverWithOlderEntryStartsNoLabelledTask(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(1)
+		defer f.pool.Close()
+		f.pool.SetHosts(nil)
+		f.restartAs(0)
+		time.Sleep(time.Second)
+		f.setLabels("b")
+		time.Sleep(time.Second)
+		key := f.orderLabelled("labelled", "b")
+		f.keepAlive(time.Second, key)
+		require.Empty(t, f.observer.startedJobs())
+		plain := f.orderWith("plain", func(*contract.TaskOrder) {})
+		f.keepAlive(100*time.Millisecond, plain)
+		require.Equal(t, []string{"plain"}, f.observer.startedJobs())
+	})
+}
+
+// Guards against a worker that is kept free for a task which it must not run: the entry with the label of the task is that
+// of an earlier incarnation, and the tasks behind it wait in vain.
+func TestWorkerOfUnknownKindIsNotReservedForLabelledTask(t *testing.T) {
+	for _, alone := range []bool{false, true} {
+		synctest.Test(t, func(t *testing.T) {
+			f := newFixture(2)
+			defer f.pool.Close()
+			f.setLabels("b", "b")
+			// One worker keeps its kind and is full, so the labelled task waits for it.
+			f.setRunTime("full-0", 20*time.Second)
+			f.setRunTime("full-1", 20*time.Second)
+			f.restartAs(0)
+			time.Sleep(2 * time.Second)
+			full := []contract.RunKey{f.orderLabelled("full-0", "b"), f.orderLabelled("full-1", "b")}
+			f.keepAlive(100*time.Millisecond, full...)
+			require.Len(t, f.observer.startedJobs(), 2)
+			keys := append(full, f.orderWith("labelled", func(o *contract.TaskOrder) {
+				o.RequiredLabel, o.Alone = "b", alone
+			}))
+			f.keepAlive(2*reserveDelay, keys...)
+			for i := range 4 {
+				keys = append(keys, f.orderWith(fmt.Sprintf("plain-%d", i), func(o *contract.TaskOrder) { o.Priority = 1 }))
+			}
+			f.keepAlive(time.Second, keys...)
+			require.Len(t, f.observer.startedJobs(), 6, "alone: %v", alone)
+			require.NotContains(t, f.observer.startedJobs(), "labelled")
+		})
+	}
+}
--- a/pool/maintain.go
+++ b/pool/maintain.go
@@ -49,8 +49,6 @@
 	wakeup          chan struct{}
 	dropped         bool
 	ownershipLostAt time.Time
-	// startTime identifies the incarnation of the worker that replied last; zero before the first reply.
-	startTime int64
 	// restarted is set from the restart of the worker until its new incarnation has been acquired. Until then runs may hold
 	// runs of the previous incarnation.
 	restarted bool
@@ -240,7 +238,7 @@
 		p.handleOtherWorker(h, now, &fx)
 		return false
 	}
-	if reply.StartTime != 0 && reply.StartTime != h.startTime {
+	if reply.StartTime != 0 && reply.StartTime != h.host.StartTime {
 		p.handleRestart(h, reply, now, &fx)
 		return false
 	}
@@ -263,11 +261,12 @@
 	p.recordCrash(h, now, "has been restarted", reply.Running, fx)
 	h.watch = crashWatch{}
 	p.o.Logger.Warn("worker has been restarted; acquiring it under a new token", "worker", h.address.Worker,
-		"born", reply.StartTime, "last_born", h.startTime, "runs", len(h.runs), "running", len(reply.Running),
+		"born", reply.StartTime, "last_born", h.host.StartTime, "runs", len(h.runs), "running", len(reply.Running),
 		"token", h.host.Token)
-	h.startTime = reply.StartTime
+	h.host.StartTime = reply.StartTime
 	h.host.Restarted(reply.Clock, now, p.o.Lease)
 	h.host.Token, h.restarted = 0, true
+	p.returnInfeasible(fx)
 }
 
 // handleOtherWorker records that another worker answers at the address: no earlier run of this worker is alive. A run
@@ -295,7 +294,7 @@
 		if !ok {
 			if !listedBefore {
 				p.o.Logger.Info("worker lists the end of a run that is not held here", "task", e.Key.String(),
-					"worker", h.address.Worker, "state", e.State.String(), "worker_start", h.startTime)
+					"worker", h.address.Worker, "state", e.State.String(), "worker_start", h.host.StartTime)
 			}
 			continue
 		}
@@ -342,7 +341,7 @@
 		progress, ok := listed[key]
 		switch {
 		case ok:
-			r.workerStart = h.startTime
+			r.workerStart = h.host.StartTime
 			p.recordProgress(r, progress, now, fx)
 		case r.state == runRunning && r.startedAt.Before(sent) && !r.confirmedAt.After(sent):
 			// The run was confirmed before the poll was sent, and the reply lists neither the run nor its outcome.
@@ -379,11 +378,11 @@
 func (p *Pool) stopUnordered(h *ownedHost, key contract.RunKey, now time.Time) {
 	r := &run{order: contract.TaskOrder{Key: key, Need: p.typicalSize}, state: runRunning, host: h,
 		cancelled: true, queuedAt: now, startedAt: now, progressAt: now, token: h.host.Token,
-		workerStart: h.startTime}
+		workerStart: h.host.StartTime}
 	h.host.Reserve(r.order.Need)
 	h.runs[key] = r
 	p.runs[key] = r
 	p.o.Logger.Warn("worker runs a task that was not ordered; stopping it", "task", key.String(),
-		"worker", h.address.Worker, "token", h.host.Token, "worker_start", h.startTime)
+		"worker", h.address.Worker, "token", h.host.Token, "worker_start", h.host.StartTime)
 	p.spawn(func() { p.stop(r) })
 }
--- a/pool/match.go
+++ b/pool/match.go
@@ -78,7 +78,7 @@
 		// The home already treats the run as lost; the next sweep ends it.
 		return false
 	}
-	if !h.host.CanStart(o.Need, now) || !h.host.Listing.CanHold(o.Need, o.RequiredLabel) || !h.leaseEndsInTime(r) {
+	if !h.host.CanStart(o.Need, now) || !h.host.CanHold(o.Need, o.RequiredLabel) || !h.leaseEndsInTime(r) {
 		return false
 	}
 	if !p.mayJoin(h, o, now) {
@@ -142,7 +142,7 @@
 func (p *Pool) largestFree(o contract.TaskOrder) *ownedHost {
 	var best *ownedHost
 	for _, h := range p.hosts {
-		if h == p.emptying || h.hasAlone() || h.host.Token == 0 || h.host.Listing.Draining || !h.host.Listing.CanHold(o.Need, o.RequiredLabel) {
+		if h == p.emptying || h.hasAlone() || h.host.Token == 0 || h.host.Listing.Draining || !h.host.CanHold(o.Need, o.RequiredLabel) {
 			continue
 		}
 		if best == nil || h.host.Free().CPUMillis > best.host.Free().CPUMillis {
@@ -157,10 +157,10 @@
 	h.host.Reserve(r.order.Need)
 	h.runs[r.order.Key] = r
 	r.host, r.state, r.startedAt, r.mayHaveRun = h, runStarting, now, true
-	r.progress, r.progressAt, r.token, r.workerStart, r.stopAnswered = 0, now, h.host.Token, h.startTime, false
+	r.progress, r.progressAt, r.token, r.workerStart, r.stopAnswered = 0, now, h.host.Token, h.host.StartTime, false
 	p.markCommitted(r.order.Key.Batch, now)
 	fx.starts = append(fx.starts, startEffect{
-		run: r, host: h, token: h.host.Token, decidedAt: now, workerStart: h.startTime, entryStart: h.host.Listing.StartTime,
+		run: r, host: h, token: h.host.Token, decidedAt: now, workerStart: h.host.StartTime, entryStart: h.host.Listing.StartTime,
 		leaseEnd: h.host.ExtendLease(h.leaseLimit(now, p.o.Lease).Sub(now), now),
 	})
 	h.wake()
--- a/pool/ownership.go
+++ b/pool/ownership.go
@@ -35,7 +35,7 @@
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return max(h.startTime, h.host.Listing.StartTime)
+	return max(h.host.StartTime, h.host.Listing.StartTime)
 }
 
 // lastTokenOf returns the last token under which this VM owned the worker. A worker whose time of day was set back
@@ -83,12 +83,13 @@
 // own records that this VM has acquired a worker, and returns the runs found on it. The previous owner may have extended
 // the lease just before, also that of an idle worker. p.mu is held.
 func (p *Pool) own(h *ownedHost, token uint64, reply link.PollReply, now time.Time, fx *effects) []contract.RunKey {
-	if h.startTime != 0 && reply.StartTime != h.startTime {
+	if h.host.StartTime != 0 && reply.StartTime != h.host.StartTime {
 		h.host.Restarted(reply.Clock, now, p.o.Lease)
 		h.restarted = true
 	}
-	h.startTime = reply.StartTime
+	h.host.StartTime = reply.StartTime
 	h.host.SetClock(reply.Clock, now)
+	p.returnInfeasible(fx)
 	h.host.Token, h.lastToken, h.watch = token, token, crashWatch{}
 	h.host.ExtendLease(p.o.Lease, now)
 	found := p.adopt(h, reply, now, fx)
@@ -127,15 +128,15 @@
 	for _, running := range reply.Running {
 		found = append(found, running.Key)
 		if r, ok := p.runs[running.Key]; ok && r.host == h {
-			r.token, r.workerStart = h.host.Token, h.startTime
+			r.token, r.workerStart = h.host.Token, h.host.StartTime
 			continue
 		}
 		p.o.Logger.Info("run found on an acquired worker", "task", running.Key.String(), "worker", h.address.Worker,
-			"token", h.host.Token, "worker_start", h.startTime, "lease_end", h.host.LeaseEnd())
+			"token", h.host.Token, "worker_start", h.host.StartTime, "lease_end", h.host.LeaseEnd())
 		delete(p.barredRuns, running.Key)
 		r := &run{
 			order: contract.TaskOrder{Key: running.Key, Need: p.typicalSize}, state: runRunning, host: h,
-			mayHaveRun: true, token: h.host.Token, workerStart: h.startTime,
+			mayHaveRun: true, token: h.host.Token, workerStart: h.host.StartTime,
 			queuedAt: now, startedAt: now, progress: running.Progress, progressAt: now,
 		}
 		h.host.Reserve(r.order.Need)
@@ -152,7 +153,7 @@
 			continue
 		}
 		p.o.Logger.Info("end of a run found on an acquired worker", "task", e.Key.String(), "worker", h.address.Worker,
-			"state", e.State.String(), "token", h.host.Token, "worker_start", h.startTime)
+			"state", e.State.String(), "token", h.host.Token, "worker_start", h.host.StartTime)
 		p.runs[e.Key] = &run{
 			order: contract.TaskOrder{Key: e.Key}, state: runFinal, endedAt: now,
 			outcome: contract.RunReport{Key: e.Key, State: e.State, Worker: h.address.Worker, Token: h.host.Token,
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -193,10 +193,11 @@
 	r.order = o
 }
 
-// feasible reports whether a worker of the pool can ever hold the task. p.mu is held.
+// feasible reports whether a worker of the pool can hold the task once it is idle, by what is known of its present
+// incarnation. p.mu is held.
 func (p *Pool) feasible(o contract.TaskOrder) bool {
 	for _, h := range p.hosts {
-		if !h.host.Listing.Draining && h.host.Listing.CanHold(o.Need, o.RequiredLabel) {
+		if !h.host.Listing.Draining && h.host.CanHold(o.Need, o.RequiredLabel) {
 			return true
 		}
 	}
--- a/pool/proof.go
+++ b/pool/proof.go
@@ -53,7 +53,7 @@
 // unlistedProof returns what proves the end of a run that the current incarnation of its worker does not list.
 func (r *run) unlistedProof() endProof {
 	switch {
-	case r.workerStart != r.host.startTime:
+	case r.workerStart != r.host.host.StartTime:
 		return proofRestarted
 	case r.stopAnswered:
 		return proofStopped
