pool: a rack of an earlier incarnation holds no task back

What callers saw: a task whose data is in a rack waits for a worker there, for up to its expected run time, although the only worker of the rack has restarted and may be elsewhere, while another worker is idle. It also starts on a restarted worker as if that were near its data.

No rule is broken, the task runs later or takes remote_factor as long.

Change: a worker counts as being in a rack only while its entry describes the incarnation that replies.

TestTaskDoesNotWaitForRackOfEarlierIncarnation fails before the change (the task has not started after 0.1 s; its expected run time is 1 s).

--- a/machine/hostentry.go
+++ b/machine/hostentry.go
@@ -13,3 +13,6 @@
 	}
 	return h.Listing.CanHold(need, label)
 }
+
+// InRack reports whether the worker is known to be in a rack.
+func (h *Host) InRack(rack string) bool { return h.EntryCurrent() && h.Listing.HasLabel(rack) }
--- a/pool/kind_test.go
+++ b/pool/kind_test.go
@@ -148,3 +148,29 @@
 		})
 	}
 }
+
+// Guards against a task that waits for a rack in which only an earlier incarnation of a worker was, while another worker is
+// idle.
+func TestTaskDoesNotWaitForRackOfEarlierIncarnation(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(2)
+		defer f.pool.Close()
+		f.setLabels("r1", "r2")
+		f.setRunTime("full-0", 20*time.Second)
+		f.setRunTime("full-1", 20*time.Second)
+		f.restartAs(0)
+		time.Sleep(2 * time.Second)
+		f.pool.mu.Lock()
+		f.pool.hosts["w1"].host.MarkFullUntil(time.Now().Add(100 * time.Millisecond))
+		f.pool.mu.Unlock()
+		plain := func(*contract.TaskOrder) {}
+		keys := []contract.RunKey{f.orderWith("full-0", plain), f.orderWith("full-1", plain)}
+		f.keepAlive(200*time.Millisecond, keys...)
+		require.Equal(t, map[string]string{"full-0": "w0", "full-1": "w0"}, f.observer.workerOfJob())
+		keys = append(keys, f.orderWith("near its data", func(o *contract.TaskOrder) {
+			o.PreferredRack, o.Expected = "r1", time.Second
+		}))
+		f.keepAlive(100*time.Millisecond, keys...)
+		require.Equal(t, "w1", f.observer.workerOfJob()["near its data"])
+	})
+}
--- a/pool/match.go
+++ b/pool/match.go
@@ -87,7 +87,7 @@
 	if o.PerWorkerLimit > 0 && h.runsOfStep(o.Key) >= o.PerWorkerLimit {
 		return false
 	}
-	if o.PreferredRack == "" || h.host.Listing.HasLabel(o.PreferredRack) || now.Sub(r.queuedAt) > o.Expected {
+	if o.PreferredRack == "" || h.host.InRack(o.PreferredRack) || now.Sub(r.queuedAt) > o.Expected {
 		return true
 	}
 	return !p.hasRack(o.PreferredRack, now)
@@ -107,7 +107,7 @@
 // hasRack reports whether a usable worker of the pool is in a rack.
 func (p *Pool) hasRack(rack string, now time.Time) bool {
 	for _, h := range p.hosts {
-		if h.host.Usable(now) && h.host.Listing.HasLabel(rack) {
+		if h.host.Usable(now) && h.host.InRack(rack) {
 			return true
 		}
 	}
