pool: a restarted worker is not kept idle by the drain of its last life

What callers saw: a worker that drained, ended and came back under its id gets no task until its own entry has been read; while the store is down it is lost for that long, and jobs are refused although it is idle.

Change: the drain of an entry holds unless the worker has replied as a later incarnation. That of an entry whose incarnation has not replied yet holds, so that no drain is missed in that order (second test). A crash counts as one of a draining worker by the same fact.

Weighed: to wait for the entry.

TestDrainOfEarlierIncarnationKeepsNoTaskAway fails before the change; TestDrainOfNextIncarnationHoldsBeforeItsFirstReply passes before and after.

--- a/machine/host.go
+++ b/machine/host.go
@@ -76,7 +76,7 @@
 // Usable reports whether new tasks may start: the worker is owned, responds, is not draining, not full and not
 // suspended.
 func (h *Host) Usable(now time.Time) bool {
-	return h.Token != 0 && !h.Listing.Draining && !now.Before(h.suspendUntil) && !now.Before(h.fullUntil) &&
+	return h.Token != 0 && !h.Draining() && !now.Before(h.suspendUntil) && !now.Before(h.fullUntil) &&
 		!now.Before(h.suspectUntil)
 }
 
--- a/machine/hostentry.go
+++ b/machine/hostentry.go
@@ -16,3 +16,10 @@
 
 // InRack reports whether the worker is known to be in a rack.
 func (h *Host) InRack(rack string) bool { return h.EntryCurrent() && h.Listing.HasLabel(rack) }
+
+// Draining reports whether the worker drains. An incarnation that has ended can no longer drain; one that has not replied
+// yet can.
+func (h *Host) Draining() bool {
+	ended := h.Listing.StartTime != 0 && h.Listing.StartTime < h.StartTime
+	return h.Listing.Draining && !ended
+}
--- a/pool/crash.go
+++ b/pool/crash.go
@@ -78,7 +78,7 @@
 // incarnation lists. Each of the runs ends as crashed, once it is proven to have ended. The exit of a worker that drains is
 // no crash, nor is a restart after a silence. p.mu is held.
 func (p *Pool) recordCrash(h *ownedHost, at time.Time, cause string, listed []link.RunningRun, fx *effects) {
-	if h.watch.crash != nil || h.watch.silent || h.host.Listing.Draining {
+	if h.watch.crash != nil || h.watch.silent || h.host.Draining() {
 		return
 	}
 	c := contract.WorkerCrash{
--- a/pool/kind_test.go
+++ b/pool/kind_test.go
@@ -174,3 +174,36 @@
 		require.Equal(t, "w1", f.observer.workerOfJob()["near its data"])
 	})
 }
+
+// Guards against a restarted worker that gets no tasks because an earlier incarnation was draining, for as long as its own
+// entry cannot be read.
+func TestDrainOfEarlierIncarnationKeepsNoTaskAway(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(1)
+		defer f.pool.Close()
+		f.list[0].Draining = true
+		f.pool.SetHosts(f.list)
+		require.Equal(t, contract.RunInfeasible, f.state(f.order("draining", 1000, 0, time.Second, 5*time.Second)))
+		f.restartAs(0)
+		time.Sleep(2 * time.Second)
+		f.order("restarted", 1000, 0, time.Second, 5*time.Second)
+		time.Sleep(100 * time.Millisecond)
+		require.Equal(t, []string{"restarted"}, f.observer.startedJobs())
+		f.listRestarted(0)
+		f.list[0].Draining = true
+		f.pool.SetHosts(f.list)
+		require.Equal(t, contract.RunInfeasible, f.state(f.order("drains too", 1000, 0, time.Second, 5*time.Second)))
+	})
+}
+
+// Guards against a drain that is missed because the entry of the next incarnation is read before that has replied.
+func TestDrainOfNextIncarnationHoldsBeforeItsFirstReply(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(1)
+		defer f.pool.Close()
+		f.list[0].StartTime += 1000
+		f.list[0].Draining = true
+		f.pool.SetHosts(f.list)
+		require.Equal(t, contract.RunInfeasible, f.state(f.order("draining", 1000, 0, time.Second, 5*time.Second)))
+	})
+}
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -197,7 +197,7 @@
 // incarnation. p.mu is held.
 func (p *Pool) feasible(o contract.TaskOrder) bool {
 	for _, h := range p.hosts {
-		if !h.host.Listing.Draining && h.host.CanHold(o.Need, o.RequiredLabel) {
+		if !h.host.Draining() && h.host.CanHold(o.Need, o.RequiredLabel) {
 			return true
 		}
 	}
