pool: the learned speed of a worker ends with its incarnation

What callers saw: a worker that comes back as another kind is chosen, and its tasks are ordered, by the speed that was learned of its last life, until some of its own runs have ended; and the run times on it change the typical speed of the kind that it was before, by which new workers of that kind are judged.

A speed is then that of the kind which the entry names, or the mean while it is not known.

--- a/machine/host.go
+++ b/machine/host.go
@@ -53,7 +53,7 @@
 }
 
 // NewHost returns a host without runs that has not been contacted.
-func NewHost(l Listing, speed float64) *Host { return &Host{Listing: l, speed: speed} }
+func NewHost(l Listing) *Host { return &Host{Listing: l, speed: 1} }
 
 // Reserve allocates the resources of a run.
 func (h *Host) Reserve(need Resources) {
@@ -140,6 +140,9 @@
 // Speed returns the learned speed, relative to the mean of its back end.
 func (h *Host) Speed() float64 { return h.speed }
 
+// ResetSpeed replaces the learned speed by a predicted one.
+func (h *Host) ResetSpeed(speed float64) { h.speed = speed }
+
 // Succeeded records a successful run; took is its run time, expected the one at speed 1.
 func (h *Host) Succeeded(took, expected time.Duration) {
 	h.failures, h.suspension = 0, 0
--- a/machine/hostentry.go
+++ b/machine/hostentry.go
@@ -23,3 +23,11 @@
 	ended := h.Listing.StartTime != 0 && h.Listing.StartTime < h.StartTime
 	return h.Listing.Draining && !ended
 }
+
+// Kind returns the kind of worker, which the first label of its entry names; it is empty if that is not known.
+func (h *Host) Kind() string {
+	if len(h.Listing.Labels) == 0 || !h.EntryCurrent() {
+		return ""
+	}
+	return h.Listing.Labels[0]
+}
--- a/pool/hosts.go
+++ b/pool/hosts.go
@@ -40,10 +40,7 @@
 		if l.Draining && !h.host.Listing.Draining {
 			p.o.Logger.Info("worker is draining; starting no new tasks", "worker", l.Worker, "runs", h.host.Runs())
 		}
-		if l.StartTime != h.host.Listing.StartTime {
-			h.wake()
-		}
-		h.host.Listing, h.ignored = l, nil
+		p.setEntry(h, l)
 	}
 	for id, h := range p.hosts {
 		if !keep[id] {
@@ -69,10 +66,11 @@
 func (p *Pool) addHost(l machine.Listing) {
 	ctx, cancel := context.WithCancel(p.ctx)
 	h := &ownedHost{
-		host: machine.NewHost(l, p.speedOf(l)), wakeup: make(chan struct{}, 1), cancel: cancel,
+		host: machine.NewHost(l), wakeup: make(chan struct{}, 1), cancel: cancel,
 		runs: make(map[contract.RunKey]*run), address: link.HostAddress{Worker: l.Worker, Address: l.Address},
 		addressHash: hashAddress(l.Address),
 	}
+	h.host.ResetSpeed(p.typicalSpeed(h.host.Kind()))
 	p.hosts[l.Worker] = h
 	p.spawn(func() { p.maintain(ctx, h) })
 }
@@ -91,7 +89,7 @@
 		return
 	}
 	if h.ignored.Address == h.host.Listing.Address {
-		h.host.Listing, h.ignored = *h.ignored, nil
+		p.setEntry(h, *h.ignored)
 		return
 	}
 	p.dropMoved(h, *h.ignored, fx)
--- a/pool/kind_test.go
+++ b/pool/kind_test.go
@@ -207,3 +207,42 @@
 		require.Equal(t, contract.RunInfeasible, f.state(f.order("draining", 1000, 0, time.Second, 5*time.Second)))
 	})
 }
+
+// Guards against a worker that is judged by the speed of an earlier incarnation of another kind, and against run times that
+// are learned for the kind of an earlier incarnation.
+func TestSpeedFollowsKindOfIncarnation(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(1)
+		defer f.pool.Close()
+		f.setLabels("fast")
+		speedOf := func(kind string) (host, typical float64) {
+			f.pool.mu.Lock()
+			defer f.pool.mu.Unlock()
+			return f.pool.hosts["w0"].host.Speed(), f.pool.speeds[kind]
+		}
+		for i := range 20 {
+			f.setRunTime(fmt.Sprintf("quick-%d", i), 40*time.Millisecond)
+			f.order(fmt.Sprintf("quick-%d", i), 1000, 0, time.Second, 5*time.Second)
+		}
+		time.Sleep(2 * time.Second)
+		host, typical := speedOf("fast")
+		require.Greater(t, host, 1.5)
+		require.Greater(t, typical, 1.1)
+		f.pool.mu.Lock()
+		f.pool.speeds["slow"] = 0.5
+		f.pool.mu.Unlock()
+
+		f.restartAs(0)
+		time.Sleep(2 * time.Second)
+		host, _ = speedOf("fast")
+		require.Equal(t, 1.0, host, "of unknown kind")
+		f.setRunTime("unknown", 400*time.Millisecond)
+		f.order("unknown", 1000, 0, 5*time.Second, 5*time.Second)
+		f.keepAlive(600*time.Millisecond, contract.RunKey{Batch: "unknown", Run: 1})
+		_, after := speedOf("fast")
+		require.Equal(t, typical, after)
+		f.listRestarted(0, "slow")
+		host, _ = speedOf("slow")
+		require.Equal(t, 0.5, host)
+	})
+}
--- a/pool/maintain.go
+++ b/pool/maintain.go
@@ -263,10 +263,8 @@
 	p.o.Logger.Warn("worker has been restarted; acquiring it under a new token", "worker", h.address.Worker,
 		"born", reply.StartTime, "last_born", h.host.StartTime, "runs", len(h.runs), "running", len(reply.Running),
 		"token", h.host.Token)
-	h.host.StartTime = reply.StartTime
-	h.host.Restarted(reply.Clock, now, p.o.Lease)
-	h.host.Token, h.restarted = 0, true
-	p.returnInfeasible(fx)
+	p.beginIncarnation(h, reply.HostReply, now, fx)
+	h.host.Token = 0
 }
 
 // handleOtherWorker records that another worker answers at the address: no earlier run of this worker is alive. A run
@@ -312,22 +310,6 @@
 	}
 }
 
-// learnSpeed updates the typical speed of workers of the same kind. p.mu is held.
-func (p *Pool) learnSpeed(h *machine.Host) {
-	if len(h.Listing.Labels) == 0 {
-		return
-	}
-	kind := h.Listing.Labels[0]
-	s, ok := p.speeds[kind]
-	if !ok {
-		s = 1
-	}
-	p.speeds[kind] = s + kindSpeedWeight*(h.Speed()-s)
-}
-
-// kindSpeedWeight is the weight of one run in the typical speed of a kind of workers.
-const kindSpeedWeight = 0.05
-
 // reconcileRuns compares the worker's list of runs with the pool's. p.mu is held.
 func (p *Pool) reconcileRuns(h *ownedHost, reply link.PollReply, sent, now time.Time, fx *effects) {
 	listed := make(map[contract.RunKey]int, len(reply.Running))
--- a/pool/match.go
+++ b/pool/match.go
@@ -166,16 +166,6 @@
 	h.wake()
 }
 
-// speedOf predicts the speed of a worker from others with the same first label, which names its kind. p.mu is held.
-func (p *Pool) speedOf(l machine.Listing) float64 {
-	if len(l.Labels) > 0 {
-		if s, ok := p.speeds[l.Labels[0]]; ok {
-			return s
-		}
-	}
-	return 1
-}
-
 // markCommitted marks the queued tasks of a job once one of its tasks is started. p.mu is held.
 func (p *Pool) markCommitted(batch string, now time.Time) {
 	if _, ok := p.lastStarts[batch]; !ok {
--- a/pool/ownership.go
+++ b/pool/ownership.go
@@ -83,13 +83,10 @@
 // own records that this VM has acquired a worker, and returns the runs found on it. The previous owner may have extended
 // the lease just before, also that of an idle worker. p.mu is held.
 func (p *Pool) own(h *ownedHost, token uint64, reply link.PollReply, now time.Time, fx *effects) []contract.RunKey {
-	if h.host.StartTime != 0 && reply.StartTime != h.host.StartTime {
-		h.host.Restarted(reply.Clock, now, p.o.Lease)
-		h.restarted = true
+	if reply.StartTime != h.host.StartTime {
+		p.beginIncarnation(h, reply.HostReply, now, fx)
 	}
-	h.host.StartTime = reply.StartTime
 	h.host.SetClock(reply.Clock, now)
-	p.returnInfeasible(fx)
 	h.host.Token, h.lastToken, h.watch = token, token, crashWatch{}
 	h.host.ExtendLease(p.o.Lease, now)
 	found := p.adopt(h, reply, now, fx)
