pool: no start on a restarted worker whose back end is not known

What callers could see: a task starts on a worker of another service (ROUTE: "on a worker of a service to which no desired state sends the queue"), on one that has come back under its id and address in another service and whose new entry has not been read.

The pool of the service that the older entry names acquires the worker and starts tasks.

Change: a restarted worker gets tasks before its entry is read only if the desired state names a single back end, so that there is no other to which it could belong, and its workers guard their capacity. The slots of others are not told to the members either.

--- a/contract/desired.go
+++ b/contract/desired.go
@@ -43,6 +43,9 @@
 	IdleTimeout    time.Duration
 }
 
+// SoleBackend reports whether all workers belong to one back end.
+func (d *Desired) SoleBackend() bool { return len(d.Backends) == 1 }
+
 // Match returns the route of the host with the longest matching path prefix.
 func (d *Desired) Match(host, path string) (Route, bool) {
 	best := -1
--- a/edge/daemon.go
+++ b/edge/daemon.go
@@ -259,9 +259,9 @@
 	if !ok {
 		p = pool.New(pool.Options{
 			Backend: backend, Calls: d.o.Calls, Lease: d.o.Lease, Now: d.o.Now, Logger: d.o.Logger, Metrics: d.o.Metrics,
-			GuardsCapacity: d.desired.Backends[backend].GuardsCapacity,
-			Report:         func(home string, r contract.RunReport) { d.report(home, backend, r) },
-			Takeover:       d.takeover, Crashed: d.workerCrashed, Confinement: d.confined,
+			Policy:   poolPolicy(d.desired, backend),
+			Report:   func(home string, r contract.RunReport) { d.report(home, backend, r) },
+			Takeover: d.takeover, Crashed: d.workerCrashed, Confinement: d.confined,
 		})
 		d.pools[backend] = p
 	}
@@ -377,13 +377,18 @@
 	d.assignMu.Lock()
 	defer d.assignMu.Unlock()
 	d.mu.Lock()
-	policies := d.desired.Backends
+	desired := d.desired
 	d.mu.Unlock()
 	for backend, p := range d.allPools() {
-		p.SetGuardsCapacity(policies[backend].GuardsCapacity)
+		p.SetPolicy(poolPolicy(desired, backend))
 	}
 }
 
+// poolPolicy returns what a desired state says of the workers of a back end.
+func poolPolicy(desired contract.Desired, backend string) pool.Policy {
+	return pool.Policy{GuardsCapacity: desired.Backends[backend].GuardsCapacity, SoleBackend: desired.SoleBackend()}
+}
+
 // setMembers applies the store's list of members.
 func (d *Daemon) setMembers(list []machine.Member) {
 	listed := make(map[string]bool, len(list))
--- a/pool/capacity.go
+++ b/pool/capacity.go
@@ -5,17 +5,26 @@
 	"github.com/cicadadale/cicadadale/zone"
 )
 
-// SetGuardsCapacity sets whether the workers reject tasks that exceed their capacity.
-func (p *Pool) SetGuardsCapacity(guards bool) {
+// Policy is what the desired state says of the workers of a pool.
+type Policy struct {
+	// GuardsCapacity is set if the workers reject tasks that exceed their capacity.
+	GuardsCapacity bool
+	// SoleBackend is set if the desired state names no other back end to which a worker may belong.
+	SoleBackend bool
+}
+
+// SetPolicy applies a newer desired state.
+func (p *Pool) SetPolicy(policy Policy) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.guardsCapacity = guards
+	p.policy = policy
 }
 
-// capacityKnown reports whether the capacity of a worker is that of the incarnation which replied last. A worker that does
-// not guard its capacity gets no task until the entry of its new incarnation has been read. p.mu is held.
-func (p *Pool) capacityKnown(h *ownedHost) bool {
-	return p.guardsCapacity || h.host.EntryCurrent()
+// entrySuffices reports whether enough is known of a worker to start tasks that require no label. Until the entry of a new
+// incarnation has been read, its back end is known only if there is no other, and its capacity matters only if it does not
+// guard that itself. p.mu is held.
+func (p *Pool) entrySuffices(h *ownedHost) bool {
+	return h.host.EntryCurrent() || (p.policy.GuardsCapacity && p.policy.SoleBackend)
 }
 
 // ReservedCPU returns the CPU that is reserved for runs on each worker, in thousandths of a core, without idle
@@ -39,7 +48,7 @@
 	defer p.mu.Unlock()
 	var capacity zone.BackendCapacity
 	for _, h := range p.hosts {
-		if !h.host.Usable(now) || !p.capacityKnown(h) {
+		if !h.host.Usable(now) || !p.entrySuffices(h) {
 			continue
 		}
 		capacity.Slots += slotsIn(h.host.Listing.Capacity, p.typicalSize)
--- a/pool/match.go
+++ b/pool/match.go
@@ -53,7 +53,7 @@
 func (p *Pool) hostsWithCapacity(now time.Time) []*ownedHost {
 	var hosts []*ownedHost
 	for _, h := range p.hosts {
-		if p.capacityKnown(h) && h.host.CanStart(machine.Resources{}, now) && h.host.Free().CPUMillis > 0 &&
+		if p.entrySuffices(h) && h.host.CanStart(machine.Resources{}, now) && h.host.Free().CPUMillis > 0 &&
 			h.leaseLimit(now, p.o.Lease).Sub(now) >= minStartLease {
 			hosts = append(hosts, h)
 		}
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -44,8 +44,8 @@
 	Calls   link.HostCalls
 	// Lease is the longest lease that workers grant.
 	Lease time.Duration
-	// GuardsCapacity is set if the workers reject tasks that exceed their capacity; see SetGuardsCapacity.
-	GuardsCapacity bool
+	// Policy is what the present desired state says of the workers; see SetPolicy.
+	Policy Policy
 	// Report sends the state of a run to its home. It is called without holding the lock of the pool.
 	Report func(home string, r contract.RunReport)
 	// Takeover announces to all homes that this VM has become the owner of a worker.
@@ -77,8 +77,8 @@
 	// lastStarts is the time at which this pool last started a task of a batch, by batch.
 	lastStarts map[string]time.Time
 	// typicalSize is the moving average of the sizes of ordered tasks, zero until the first one is ordered.
-	typicalSize    machine.Resources
-	guardsCapacity bool
+	typicalSize machine.Resources
+	policy      Policy
 	// emptying is the worker that is kept free of other tasks for the next task that runs alone; nil if there is none.
 	emptying *ownedHost
 	// confinementRank ranks the workers from 0 to 1: tasks of a route that is confined to a share of the workers start on
@@ -93,7 +93,7 @@
 		o: o, ctx: ctx, cancel: cancel,
 		hosts: make(map[string]*ownedHost), runs: make(map[contract.RunKey]*run),
 		barredRuns: make(map[contract.RunKey]barredRun), speeds: make(map[string]float64),
-		lastStarts: make(map[string]time.Time), confinementRank: make(map[*ownedHost]float64), guardsCapacity: o.GuardsCapacity,
+		lastStarts: make(map[string]time.Time), confinementRank: make(map[*ownedHost]float64), policy: o.Policy,
 	}
 	p.spawn(p.sweepPeriodically)
 	return p
--- a/pool/pool_test.go
+++ b/pool/pool_test.go
@@ -146,7 +146,7 @@
 		})
 	}
 	f.pool = New(Options{
-		Backend: "s", Calls: f.calls, Lease: time.Second, GuardsCapacity: !unguarded, Now: time.Now, Logger: slog.New(slog.DiscardHandler),
+		Backend: "s", Calls: f.calls, Lease: time.Second, Policy: Policy{GuardsCapacity: !unguarded, SoleBackend: true}, Now: time.Now, Logger: slog.New(slog.DiscardHandler),
 		Metrics: metrics.NewRegistry(), Takeover: func(contract.Takeover) {},
 		Confinement: contract.NewConfinement(),
 		Crashed: func(c contract.WorkerCrash) {
