pool: a labelled task starts only on a worker that has just replied

An idle worker is polled twice a second; one that is back within milliseconds as another kind accepts a start for up to half a second before any reply names its new incarnation.

Without a reply of the incarnation that the decision was made for, the start is not sent and the task is queued again, or returned to its home if no other worker can hold it. It costs such tasks a round trip and a look at the worker; tasks without a label are started as before. No order of the platform names an incarnation, so a restart between that reply and the start, a few milliseconds, stays open.

--- a/pool/kind_test.go
+++ b/pool/kind_test.go
@@ -246,3 +246,49 @@
 		require.Equal(t, 0.5, host)
 	})
 }
+
+// Guards against a labelled task that starts on a worker which has restarted as another kind since its last reply: an idle
+// worker is polled only twice a second.
+func TestLabelledTaskDoesNotStartOnUnnoticedIncarnation(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(1)
+		defer f.pool.Close()
+		f.calls.delayPolls.Store(true)
+		f.setLabels("b")
+		time.Sleep(2 * time.Second)
+		f.orderLabelled("before", "b")
+		time.Sleep(200 * time.Millisecond)
+		require.Equal(t, []string{"before"}, f.observer.startedJobs())
+		for delay := time.Millisecond; delay < idlePollInterval; delay += 20 * time.Millisecond {
+			f.restartAs(0)
+			time.Sleep(delay)
+			key := f.orderLabelled(fmt.Sprintf("after %v", delay), "b")
+			time.Sleep(100 * time.Millisecond)
+			require.Equal(t, contract.RunInfeasible, f.state(key), "after %v", delay)
+			time.Sleep(2 * time.Second)
+			f.listRestarted(0, "b")
+			time.Sleep(idlePollInterval)
+		}
+		require.Equal(t, []string{"before"}, f.observer.startedJobs())
+	})
+}
+
+// Guards against a labelled task that is lost, or that starts, when the worker does not answer the poll before its start.
+func TestLabelledTaskWaitsForWorkerThatDoesNotConfirm(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(2)
+		defer f.pool.Close()
+		f.setLabels("b", "a")
+		time.Sleep(300 * time.Millisecond)
+		f.calls.hosts["w0"].Crash()
+		key := f.orderLabelled("labelled", "b")
+		f.keepAlive(time.Second, key)
+		require.Empty(t, f.observer.startedJobs())
+		f.calls.hosts["w0"].Restart()
+		f.keepAlive(time.Second, key)
+		f.listRestarted(0, "b")
+		key = f.orderLabelled("second", "b")
+		f.keepAlive(5*time.Second, key)
+		require.Equal(t, []string{"second"}, f.observer.startedJobs())
+	})
+}
--- a/pool/maintain.go
+++ b/pool/maintain.go
@@ -180,7 +180,7 @@
 	now := p.o.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	poll := link.HostPoll{Token: h.host.Token, LastOutcome: h.host.LastOutcome}
+	poll := h.pollWithoutLease()
 	if len(h.runs) == 0 {
 		// Outcomes are acknowledged by the next poll of the idle worker, or by the first one of the next run.
 		return poll, false
@@ -196,6 +196,11 @@
 	return poll, true
 }
 
+// pollWithoutLease returns a poll that extends no lease and does not wait. The pool's lock is held.
+func (h *ownedHost) pollWithoutLease() link.HostPoll {
+	return link.HostPoll{Token: h.host.Token, LastOutcome: h.host.LastOutcome}
+}
+
 // probe reads the clock of a worker that is not owned, without affecting its owner.
 func (p *Pool) probe(ctx context.Context, h *ownedHost) (link.PollReply, error) {
 	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
--- a/pool/run.go
+++ b/pool/run.go
@@ -204,4 +204,7 @@
 	r.state, r.crashed = runWaiting, false
 	p.waiting.push(r)
 	p.counter(metric.PoolStartsRejected).Inc(1)
+	if !p.feasible(r.order) {
+		p.finish(r, contract.RunInfeasible, proofNotStarted, 0, fx)
+	}
 }
--- a/pool/start.go
+++ b/pool/start.go
@@ -31,6 +31,9 @@
 
 // start makes one start call and records its result.
 func (p *Pool) start(s startEffect) {
+	if !p.confirmIncarnation(s) {
+		return
+	}
 	p.counter(metric.PoolStarts).Inc(1)
 	p.o.Logger.Info("sending a start", "task", s.run.order.Key.String(), "worker", s.host.address.Worker,
 		"token", s.token, "worker_start", s.workerStart, "entry_start", s.entryStart, "label", s.run.order.RequiredLabel,
@@ -139,7 +142,7 @@
 		p.mu.Unlock()
 		return
 	}
-	poll := link.HostPoll{Token: h.host.Token, LastOutcome: h.host.LastOutcome}
+	poll := h.pollWithoutLease()
 	p.mu.Unlock()
 	if poll.Token != 0 {
 		sent := p.o.Now()
