edge: an owner that the store rejects learns a restarted worker's entry

What callers saw: while the store rejects one daemon and serves the others (platform_down, how = nodes; core_cut), the restarted workers of that daemon are lost to tasks that require a label, and if the workers do not guard their capacity, to all tasks, although every other member has read the new entry.

Change: an owner whose worker replies as an incarnation that its entry does not describe for 0.4 s asks two random live members for the entry of just that incarnation, four times a second, and uses it until its own list shows another one than it replaced. An answer counts only while the request is open, so a late one replaces nothing. The messages are new and ignored by an earlier version. Nothing is sent while no worker has restarted.

Tests in edge/kind_test.go: TestEntryOfRestartedWorkerIsLearnedFromOtherMembers fails without the request (the job is refused after 3 s) and, at the list that comes again, without the rule for that.

--- a/edge/badinput_test.go
+++ b/edge/badinput_test.go
@@ -58,6 +58,8 @@
 		{Body: &api.PeerMessage_DesiredState{DesiredState: &api.DesiredState{}}},
 		{Body: &api.PeerMessage_WorkerList{WorkerList: &api.WorkerList{}}},
 		{Body: &api.PeerMessage_WorkerListRequest{WorkerListRequest: &api.WorkerListRequest{}}},
+		{Body: &api.PeerMessage_WorkerEntryRequest{WorkerEntryRequest: &api.WorkerEntryRequest{}}},
+		{Body: &api.PeerMessage_WorkerEntry{WorkerEntry: &api.WorkerEntry{}}},
 		{Body: &api.PeerMessage_MemberList{MemberList: &api.MemberList{Members: []*api.Member{{}}}}},
 		{},
 	}
--- a/edge/daemon.go
+++ b/edge/daemon.go
@@ -85,6 +85,7 @@
 	server     *link.PeerServer
 	workers    *workers
 	feed       *workerFeed
+	entries    *entryRequests
 	cancel     context.CancelFunc
 	goroutines sync.WaitGroup
 	started    time.Time
@@ -138,6 +139,7 @@
 	d.home = batch.New(batch.Options{
 		Owners: owners{d}, Capacity: d.capacity, Crashes: d.crashes, Fits: d.workers.fits, Now: o.Now, Logger: o.Logger, Metrics: o.Metrics,
 	})
+	d.entries = newEntryRequests(d.members, o.Logger)
 	d.feed = newWorkerFeed(d.self, d.members, o.Now, o.Logger)
 	server, err := link.ServePeers(o.Peers, d.handle, func() uint64 { return d.timestamp(o.Now()) })
 	if err != nil {
@@ -214,6 +216,7 @@
 	d.members.ChoosePartners()
 	d.sendStatus(now)
 	d.requestDesired(now)
+	d.requestEntries(now)
 }
 
 // join lets a starting process own workers once it knows the other members. It reports whether that happened now.
--- /dev/null
+++ b/edge/kind_test.go
@@ -0,0 +1,167 @@
+package edge
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/cicadadale/cicadadale/batch"
+	"github.com/cicadadale/cicadadale/contract"
+	"github.com/cicadadale/cicadadale/machine"
+)
+
+// setKind changes the labels of a worker, and lists its present incarnation.
+func (d *deployment) setKind(worker, kind string) {
+	d.store.update(func() {
+		for i := range d.store.workers {
+			if l := &d.store.workers[i]; l.Worker == worker {
+				l.Labels, l.StartTime = []string{kind}, d.hosts[worker].StartTime()
+			}
+		}
+	})
+}
+
+// restart restarts a worker at once. Its new entry is not listed yet.
+func (d *deployment) restart(worker string) {
+	d.hosts[worker].Crash()
+	time.Sleep(3 * time.Millisecond)
+	d.hosts[worker].Restart()
+}
+
+// labelledJob returns a job of one task that requires a label.
+func labelledJob(id, label string, limit time.Duration) contract.Batch {
+	b := testJob(id, 1, limit)
+	b.Steps[0].RequiredLabel = label
+	return b
+}
+
+// setStoreUnavailable makes the store reject a VM, or serve it again.
+func (d *deployment) setStoreUnavailable(vm string, unavailable bool) {
+	d.store.update(func() { d.store.unavailable[vm] = unavailable })
+}
+
+// Guards against labelled tasks that start on a worker which has come back as another kind while the store is down, whoever
+// owns it: the owner that saw the restart, or one that takes it over with the older entry. Other tasks must start there.
+func TestNoTaskStartsByLabelOfEarlierIncarnation(t *testing.T) {
+	inVirtualTime(t, func(t *testing.T) {
+		d := newDeployment(t, 2, 2, 3)
+		defer d.close()
+		var workers []string
+		for id := range d.hosts {
+			d.setKind(id, "b")
+			workers = append(workers, id)
+		}
+		time.Sleep(time.Second)
+		for vm := range d.daemons {
+			d.setStoreUnavailable(vm, true)
+		}
+		const changed = "worker-0-0"
+		d.restart(changed)
+		stop := make(chan struct{})
+		d.wg.Go(func() {
+			for i := 0; ; i++ {
+				d.submit(fmt.Sprintf("edge-1-%d", i%2), labelledJob(fmt.Sprintf("%016x", i), "b", 3*time.Second))
+				select {
+				case <-stop:
+					return
+				case <-time.After(10 * time.Millisecond):
+				}
+			}
+		})
+		startsOn := func() (n int) {
+			d.observer.mu.Lock()
+			defer d.observer.mu.Unlock()
+			for _, worker := range d.observer.started {
+				if worker == changed {
+					n++
+				}
+			}
+			return n
+		}
+		time.Sleep(2 * time.Second)
+		require.Zero(t, startsOn(), "under the owner that saw the restart")
+		d.killDaemon(d.ownerOf(changed))
+		time.Sleep(3 * time.Second)
+		require.NotEmpty(t, d.ownerOf(changed))
+		require.Zero(t, startsOn(), "under the next owner")
+		close(stop)
+		time.Sleep(4 * time.Second)
+		vm := d.ownerOf(changed)
+		answers := make([]<-chan batch.Answer, 2*len(workers))
+		for i := range answers {
+			answers[i] = d.submit(vm, testJob(fmt.Sprintf("%016x", 1<<32+i), 1, 3*time.Second))
+		}
+		for _, answer := range answers {
+			require.Equal(t, batch.Completed, (<-answer).Outcome)
+		}
+		require.NotZero(t, startsOn(), "tasks without a label")
+	})
+}
+
+// Guards against a restarted worker that is lost to labelled tasks, and if it does not guard its capacity to all, for as long
+// as the store rejects its owner, although other members have read its entry.
+func TestEntryOfRestartedWorkerIsLearnedFromOtherMembers(t *testing.T) {
+	for _, unguarded := range []bool{false, true} {
+		inVirtualTime(t, func(t *testing.T) {
+			d := newDeploymentOf(t, 2, 2, 1, unguarded)
+			defer d.close()
+			const changed = "worker-0-0"
+			d.setKind(changed, "a")
+			d.setKind("worker-1-0", "a")
+			time.Sleep(time.Second)
+			owner := d.ownerOf(changed)
+			before := d.daemons[owner].workers.in([]string{zoneName(0), zoneName(1)})
+			d.setStoreUnavailable(owner, true)
+			d.restart(changed)
+			d.setKind(changed, "b")
+			time.Sleep(3 * time.Second)
+			job := labelledJob("00000000000000aa", "b", 3*time.Second)
+			require.Equal(t, batch.Completed, (<-d.submit("edge-1-0", job)).Outcome)
+			require.Equal(t, owner, d.ownerOf(changed))
+
+			// The list that this owner has still shows the previous incarnation.
+			d.daemons[owner].setListings(before)
+			_, ok := d.daemons[owner].workers.entry(changed, d.hosts[changed].StartTime())
+			require.True(t, ok)
+			job = labelledJob("00000000000000bb", "a", 3*time.Second)
+			require.Equal(t, batch.Completed, (<-d.submit("edge-1-0", job)).Outcome)
+			require.Equal(t, []string{changed, "worker-1-0"}, d.observer.started)
+
+			// The entry that is learned is that of the incarnation that replies, also when it changes again.
+			d.restart(changed)
+			d.setKind(changed, "c")
+			time.Sleep(3 * time.Second)
+			job = labelledJob("00000000000000cc", "c", 3*time.Second)
+			require.Equal(t, batch.Completed, (<-d.submit("edge-1-0", job)).Outcome)
+			d.setStoreUnavailable(owner, false)
+			d.setKind(changed, "d")
+			time.Sleep(time.Second)
+			job = labelledJob("00000000000000dd", "d", 3*time.Second)
+			require.Equal(t, batch.Completed, (<-d.submit("edge-1-0", job)).Outcome, "the store is read again")
+		})
+	}
+}
+
+// Guards against an entry that another member sends unasked, or too late, and that replaces a newer one.
+func TestEntryThatIsNotMissingIsIgnored(t *testing.T) {
+	inVirtualTime(t, func(t *testing.T) {
+		d := newDeployment(t, 1, 1, 1)
+		defer d.close()
+		daemon := d.daemons["edge-0-0"]
+		old, ok := daemon.workers.entry("worker-0-0", d.hosts["worker-0-0"].StartTime())
+		require.True(t, ok)
+		d.restart("worker-0-0")
+		d.setKind("worker-0-0", "b")
+		time.Sleep(time.Second)
+		daemon.handleEntry("edge-0-1/1", encodeEntry(old))
+		now, ok := daemon.workers.entry("worker-0-0", d.hosts["worker-0-0"].StartTime())
+		require.True(t, ok)
+		require.Equal(t, []string{"b"}, now.Labels)
+		unknown := machine.Listing{Worker: "worker-0-9", Backend: testBackend, Address: "worker-0-9", StartTime: 1}
+		daemon.handleEntry("edge-0-1/1", encodeEntry(unknown))
+		_, ok = daemon.workers.entry("worker-0-9", 1)
+		require.False(t, ok)
+	})
+}
--- a/edge/members.go
+++ b/edge/members.go
@@ -318,6 +318,19 @@
 	return ids
 }
 
+// Live returns the ids of all live processes.
+func (m *Members) Live() []string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var ids []string
+	for _, e := range m.byVM {
+		if e.live {
+			ids = append(ids, e.id)
+		}
+	}
+	return ids
+}
+
 // Ahead returns the live processes whose desired state is newer than the given version.
 func (m *Members) Ahead(version uint64) []string {
 	m.mu.Lock()
--- a/edge/messages.go
+++ b/edge/messages.go
@@ -304,6 +304,10 @@
 		if full := d.feed.FullList(); full != nil {
 			d.members.Send(id, full)
 		}
+	case *api.PeerMessage_WorkerEntryRequest:
+		d.sendEntry(id, b.WorkerEntryRequest)
+	case *api.PeerMessage_WorkerEntry:
+		d.handleEntry(id, b.WorkerEntry)
 	case *api.PeerMessage_MemberList:
 		for _, info := range b.MemberList.GetMembers() {
 			d.learn(decodeMember(info), false)
--- a/edge/workers.go
+++ b/edge/workers.go
@@ -24,14 +24,23 @@
 	missing map[string]time.Time
 	// largest holds the entry of each worker with the largest capacity that its incarnation has shown.
 	largest map[string]machine.Listing
+	// learned holds the entries that other members have read, by worker, until the list shows another one than they replaced.
+	learned map[string]learnedEntry
 	// version counts the changes of byID.
 	version uint64
 }
 
+// learnedEntry is the entry of an incarnation that another member has read.
+type learnedEntry struct {
+	machine.Listing
+	// replaces is the start time of the incarnation whose entry is in the list that this process has.
+	replaces int64
+}
+
 func newWorkers(logger *slog.Logger) *workers {
 	return &workers{
 		logger: logger, byID: make(map[string]machine.Listing), missing: make(map[string]time.Time),
-		largest: make(map[string]machine.Listing),
+		largest: make(map[string]machine.Listing), learned: make(map[string]learnedEntry),
 	}
 }
 
@@ -43,6 +52,7 @@
 	for _, l := range list {
 		listed[l.Worker] = true
 		delete(w.missing, l.Worker)
+		l = w.newest(l)
 		known, ok := w.byID[l.Worker]
 		if !ok {
 			w.logger.Info("worker listed", "worker", l.Worker, "backend", l.Backend, "zone", l.Zone,
@@ -56,11 +66,7 @@
 		if !ok || !known.Equal(l) {
 			w.version++
 		}
-		w.byID[l.Worker] = l
-		if largest, ok := w.largest[l.Worker]; ok && largest.StartTime == l.StartTime {
-			l.Capacity = l.Capacity.Max(largest.Capacity)
-		}
-		w.largest[l.Worker] = l
+		w.record(l)
 	}
 	for id := range w.byID {
 		if _, ok := w.missing[id]; !ok && !listed[id] {
@@ -70,6 +76,54 @@
 	}
 }
 
+// record replaces the entry of a worker. w.mu is held.
+func (w *workers) record(l machine.Listing) {
+	w.byID[l.Worker] = l
+	if largest, ok := w.largest[l.Worker]; ok && largest.StartTime == l.StartTime {
+		l.Capacity = l.Capacity.Max(largest.Capacity)
+	}
+	w.largest[l.Worker] = l
+}
+
+// newest returns the learned entry of a worker if the list still shows the one that it has replaced. w.mu is held.
+func (w *workers) newest(l machine.Listing) machine.Listing {
+	learned, ok := w.learned[l.Worker]
+	if !ok {
+		return l
+	}
+	if learned.replaces != l.StartTime {
+		delete(w.learned, l.Worker)
+		return l
+	}
+	return learned.Listing
+}
+
+// learn applies the entry of a listed worker's incarnation that another member has read. It reports whether it is used.
+func (w *workers) learn(l machine.Listing) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	known, ok := w.byID[l.Worker]
+	if !ok || known.StartTime == l.StartTime {
+		return false
+	}
+	replaces := known.StartTime
+	if earlier, ok := w.learned[l.Worker]; ok {
+		replaces = earlier.replaces
+	}
+	w.learned[l.Worker] = learnedEntry{Listing: l, replaces: replaces}
+	w.record(l)
+	w.version++
+	return true
+}
+
+// entry returns the entry of an incarnation of a worker, if it is the known one.
+func (w *workers) entry(worker string, startTime int64) (machine.Listing, bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	l, ok := w.byID[worker]
+	return l, ok && l.StartTime == startTime
+}
+
 // expire drops the workers that have been missing for longer than missingGrace. It reports whether there were any.
 func (w *workers) expire(now time.Time) bool {
 	w.mu.Lock()
@@ -80,6 +134,7 @@
 			delete(w.missing, id)
 			delete(w.byID, id)
 			delete(w.largest, id)
+			delete(w.learned, id)
 			w.version++
 			dropped = true
 		}
--- a/pool/incarnation.go
+++ b/pool/incarnation.go
@@ -36,6 +36,25 @@
 	h.wake()
 }
 
+// Incarnation identifies one life of a worker.
+type Incarnation struct {
+	Worker    string
+	StartTime int64
+}
+
+// IncarnationsWithoutEntry returns the owned workers whose known entry is that of another incarnation.
+func (p *Pool) IncarnationsWithoutEntry() []Incarnation {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var list []Incarnation
+	for id, h := range p.hosts {
+		if h.host.Token != 0 && !h.host.EntryCurrent() {
+			list = append(list, Incarnation{Worker: id, StartTime: h.host.StartTime})
+		}
+	}
+	return list
+}
+
 // typicalSpeed predicts the speed of a worker from others of its kind. p.mu is held.
 func (p *Pool) typicalSpeed(kind string) float64 {
 	if s, ok := p.speeds[kind]; ok {
