edge: an old list does not prove that no worker has a label

What callers saw: a job whose tasks require a label is answered "failed" at once, which is final, by a daemon that the store rejects, although a worker has restarted as the kind that the job needs and could run it.

Change: if only the label is missing and the list was not confirmed for 3 s (workers renew their entries every 1.5 s), the job is accepted; the owners, who know what replies, decide. If none can hold it, it is refused as not run (503). With a list that is read, and for tasks that are larger than any worker has been, the answer stays "failed" at once.

TestOldListProvesNoMissingLabel fails before the change ("failed" instead of "completed").

--- a/edge/daemon.go
+++ b/edge/daemon.go
@@ -48,6 +48,8 @@
 type Store interface {
 	// FollowWorkers reads nothing while active is false, and lists all workers again afterwards.
 	FollowWorkers(ctx context.Context, active func() bool, f func([]machine.Listing))
+	// WorkersReadAt returns when entries of workers were last read. Workers renew them every 1.5 s.
+	WorkersReadAt() time.Time
 	FollowDesired(ctx context.Context, f func(contract.Desired))
 	FollowMembers(ctx context.Context, f func([]machine.Member))
 	PublishMember(ctx context.Context, m machine.Member) error
@@ -137,7 +139,7 @@
 	}
 	d.members = newMembers(o.Self, d.dialPeer, o.Logger)
 	d.home = batch.New(batch.Options{
-		Owners: owners{d}, Capacity: d.capacity, Crashes: d.crashes, Fits: d.workers.fits, Now: o.Now, Logger: o.Logger, Metrics: o.Metrics,
+		Owners: owners{d}, Capacity: d.capacity, Crashes: d.crashes, Fits: d.fits, Now: o.Now, Logger: o.Logger, Metrics: o.Metrics,
 	})
 	d.entries = newEntryRequests(d.members, o.Logger)
 	d.feed = newWorkerFeed(d.self, d.members, o.Now, o.Logger)
--- a/edge/deployment_test.go
+++ b/edge/deployment_test.go
@@ -44,13 +44,22 @@
 	desired contract.Desired
 	members map[string]machine.Member
 	changed chan struct{}
-	// unavailable names the VMs for which the store is unavailable.
-	unavailable map[string]bool
+	// unavailable names the VMs for which the store is unavailable, unavailableSince when that began.
+	unavailable      map[string]bool
+	unavailableSince map[string]time.Time
+}
+
+// readAt returns when a VM last read the store. s.mu is held.
+func (s *memStore) readAt(vm string) time.Time {
+	if s.unavailable[vm] {
+		return s.unavailableSince[vm]
+	}
+	return time.Now()
 }
 
 func newMemStore(n *network) *memStore {
 	return &memStore{network: n, members: make(map[string]machine.Member), changed: make(chan struct{}),
-		unavailable: map[string]bool{}}
+		unavailable: map[string]bool{}, unavailableSince: map[string]time.Time{}}
 }
 
 func (s *memStore) update(f func()) {
@@ -94,6 +103,12 @@
 	})
 }
 
+func (v storeView) WorkersReadAt() time.Time {
+	v.s.mu.Lock()
+	defer v.s.mu.Unlock()
+	return v.s.readAt(v.vm)
+}
+
 func (v storeView) FollowDesired(ctx context.Context, f func(contract.Desired)) {
 	v.follow(ctx, func() {
 		v.s.mu.Lock()
--- a/edge/kind_test.go
+++ b/edge/kind_test.go
@@ -39,7 +39,7 @@
 
 // setStoreUnavailable makes the store reject a VM, or serve it again.
 func (d *deployment) setStoreUnavailable(vm string, unavailable bool) {
-	d.store.update(func() { d.store.unavailable[vm] = unavailable })
+	d.store.update(func() { d.store.unavailable[vm], d.store.unavailableSince[vm] = unavailable, time.Now() })
 }
 
 // Guards against labelled tasks that start on a worker which has come back as another kind while the store is down, whoever
@@ -165,3 +165,31 @@
 		require.False(t, ok)
 	})
 }
+
+// Guards against the answer that a job has failed because no worker can hold its tasks, given by a home whose list of workers
+// is old: the store rejects it, and a worker has restarted as the kind that the job needs.
+func TestOldListProvesNoMissingLabel(t *testing.T) {
+	inVirtualTime(t, func(t *testing.T) {
+		d := newDeployment(t, 2, 2, 1)
+		defer d.close()
+		for id := range d.hosts {
+			d.setKind(id, "a")
+		}
+		time.Sleep(time.Second)
+		const home = "edge-1-0"
+		submit := func(id, label string, cpu int) batch.Answer {
+			job := labelledJob(id, label, 3*time.Second)
+			job.Steps[0].Need.CPUMillis = cpu
+			return <-d.submit(home, job)
+		}
+		require.Equal(t, batch.Failed, submit("00000000000000aa", "b", taskCPU).Outcome, "the list is new")
+		d.setStoreUnavailable(home, true)
+		time.Sleep(time.Second)
+		d.restart("worker-0-0")
+		d.setKind("worker-0-0", "b")
+		time.Sleep(maxListAge)
+		require.Equal(t, batch.Completed, submit("00000000000000bb", "b", taskCPU).Outcome)
+		require.Equal(t, batch.Failed, submit("00000000000000cc", "b", 64_001).Outcome, "larger than any worker has been")
+		require.Equal(t, batch.Refused, submit("00000000000000dd", "c", taskCPU).Outcome, "has not run and may be sent again")
+	})
+}
--- a/edge/workerfeed.go
+++ b/edge/workerfeed.go
@@ -73,6 +73,13 @@
 	return f.reading
 }
 
+// LastFed returns when a reader whose list is complete here was last contacted.
+func (f *workerFeed) LastFed() time.Time {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.lastFed
+}
+
 // UpdateReading decides whether this process reads the list itself.
 func (f *workerFeed) UpdateReading() {
 	near := f.members.NearLive()
--- a/edge/workers.go
+++ b/edge/workers.go
@@ -190,6 +190,12 @@
 	return false, known
 }
 
+// holds reports whether any worker of a back end can hold a task of that size, whatever its labels.
+func (w *workers) holds(backend string, need machine.Resources) bool {
+	fits, _ := w.fits(backend, need, "")
+	return fits
+}
+
 // count returns the number of workers of a back end.
 func (w *workers) count(backend string) int {
 	w.mu.Lock()
