--- a/edge/kind_test.go
+++ b/edge/kind_test.go
@@ -23,16 +23,19 @@
 	})
 }
 
-// restart restarts a worker at once. Its new entry is not listed yet.
-func (d *deployment) restart(worker string) {
-	d.hosts[worker].Crash()
+// changedWorker is the worker that restarts as another kind in the tests of this file.
+const changedWorker = "worker-0-0"
+
+// restartChanged restarts changedWorker at once. Its new entry is not listed yet.
+func (d *deployment) restartChanged() {
+	d.hosts[changedWorker].Crash()
 	time.Sleep(3 * time.Millisecond)
-	d.hosts[worker].Restart()
+	d.hosts[changedWorker].Restart()
 }
 
-// labelledJob returns a job of one task that requires a label.
-func labelledJob(id, label string, limit time.Duration) contract.Batch {
-	b := testJob(id, 1, limit)
+// labelledJob returns a job of one task that requires a label, with a time limit of 3 s.
+func labelledJob(id, label string) contract.Batch {
+	b := testJob(id, 1, 3*time.Second)
 	b.Steps[0].RequiredLabel = label
 	return b
 }
@@ -57,12 +60,11 @@
 		for vm := range d.daemons {
 			d.setStoreUnavailable(vm, true)
 		}
-		const changed = "worker-0-0"
-		d.restart(changed)
+		d.restartChanged()
 		stop := make(chan struct{})
 		d.wg.Go(func() {
 			for i := 0; ; i++ {
-				d.submit(fmt.Sprintf("edge-1-%d", i%2), labelledJob(fmt.Sprintf("%016x", i), "b", 3*time.Second))
+				d.submit(fmt.Sprintf("edge-1-%d", i%2), labelledJob(fmt.Sprintf("%016x", i), "b"))
 				select {
 				case <-stop:
 					return
@@ -74,7 +76,7 @@
 			d.observer.mu.Lock()
 			defer d.observer.mu.Unlock()
 			for _, worker := range d.observer.started {
-				if worker == changed {
+				if worker == changedWorker {
 					n++
 				}
 			}
@@ -82,13 +84,13 @@
 		}
 		time.Sleep(2 * time.Second)
 		require.Zero(t, startsOn(), "under the owner that saw the restart")
-		d.killDaemon(d.ownerOf(changed))
+		d.killDaemon(d.ownerOf(changedWorker))
 		time.Sleep(3 * time.Second)
-		require.NotEmpty(t, d.ownerOf(changed))
+		require.NotEmpty(t, d.ownerOf(changedWorker))
 		require.Zero(t, startsOn(), "under the next owner")
 		close(stop)
 		time.Sleep(4 * time.Second)
-		vm := d.ownerOf(changed)
+		vm := d.ownerOf(changedWorker)
 		answers := make([]<-chan batch.Answer, 2*len(workers))
 		for i := range answers {
 			answers[i] = d.submit(vm, testJob(fmt.Sprintf("%016x", 1<<32+i), 1, 3*time.Second))
@@ -107,38 +109,37 @@
 		inVirtualTime(t, func(t *testing.T) {
 			d := newDeploymentOf(t, 2, 2, 1, unguarded)
 			defer d.close()
-			const changed = "worker-0-0"
-			d.setKind(changed, "a")
+			d.setKind(changedWorker, "a")
 			d.setKind("worker-1-0", "a")
 			time.Sleep(time.Second)
-			owner := d.ownerOf(changed)
+			owner := d.ownerOf(changedWorker)
 			before := d.daemons[owner].workers.in([]string{zoneName(0), zoneName(1)})
 			d.setStoreUnavailable(owner, true)
-			d.restart(changed)
-			d.setKind(changed, "b")
+			d.restartChanged()
+			d.setKind(changedWorker, "b")
 			time.Sleep(3 * time.Second)
-			job := labelledJob("00000000000000aa", "b", 3*time.Second)
+			job := labelledJob("00000000000000aa", "b")
 			require.Equal(t, batch.Completed, (<-d.submit("edge-1-0", job)).Outcome)
-			require.Equal(t, owner, d.ownerOf(changed))
+			require.Equal(t, owner, d.ownerOf(changedWorker))
 
 			// The list that this owner has still shows the previous incarnation.
 			d.daemons[owner].setListings(before)
-			_, ok := d.daemons[owner].workers.entry(changed, d.hosts[changed].StartTime())
+			_, ok := d.daemons[owner].workers.entry(changedWorker, d.hosts[changedWorker].StartTime())
 			require.True(t, ok)
-			job = labelledJob("00000000000000bb", "a", 3*time.Second)
+			job = labelledJob("00000000000000bb", "a")
 			require.Equal(t, batch.Completed, (<-d.submit("edge-1-0", job)).Outcome)
-			require.Equal(t, []string{changed, "worker-1-0"}, d.observer.started)
+			require.Equal(t, []string{changedWorker, "worker-1-0"}, d.observer.started)
 
 			// The entry that is learned is that of the incarnation that replies, also when it changes again.
-			d.restart(changed)
-			d.setKind(changed, "c")
+			d.restartChanged()
+			d.setKind(changedWorker, "c")
 			time.Sleep(3 * time.Second)
-			job = labelledJob("00000000000000cc", "c", 3*time.Second)
+			job = labelledJob("00000000000000cc", "c")
 			require.Equal(t, batch.Completed, (<-d.submit("edge-1-0", job)).Outcome)
 			d.setStoreUnavailable(owner, false)
-			d.setKind(changed, "d")
+			d.setKind(changedWorker, "d")
 			time.Sleep(time.Second)
-			job = labelledJob("00000000000000dd", "d", 3*time.Second)
+			job = labelledJob("00000000000000dd", "d")
 			require.Equal(t, batch.Completed, (<-d.submit("edge-1-0", job)).Outcome, "the store is read again")
 		})
 	}
@@ -150,13 +151,13 @@
 		d := newDeployment(t, 1, 1, 1)
 		defer d.close()
 		daemon := d.daemons["edge-0-0"]
-		old, ok := daemon.workers.entry("worker-0-0", d.hosts["worker-0-0"].StartTime())
+		old, ok := daemon.workers.entry(changedWorker, d.hosts[changedWorker].StartTime())
 		require.True(t, ok)
-		d.restart("worker-0-0")
-		d.setKind("worker-0-0", "b")
+		d.restartChanged()
+		d.setKind(changedWorker, "b")
 		time.Sleep(time.Second)
 		daemon.handleEntry("edge-0-1/1", encodeEntry(old))
-		now, ok := daemon.workers.entry("worker-0-0", d.hosts["worker-0-0"].StartTime())
+		now, ok := daemon.workers.entry(changedWorker, d.hosts[changedWorker].StartTime())
 		require.True(t, ok)
 		require.Equal(t, []string{"b"}, now.Labels)
 		unknown := machine.Listing{Worker: "worker-0-9", Backend: testBackend, Address: "worker-0-9", StartTime: 1}
@@ -178,15 +179,15 @@
 		time.Sleep(time.Second)
 		const home = "edge-1-0"
 		submit := func(id, label string, cpu int) batch.Answer {
-			job := labelledJob(id, label, 3*time.Second)
+			job := labelledJob(id, label)
 			job.Steps[0].Need.CPUMillis = cpu
 			return <-d.submit(home, job)
 		}
 		require.Equal(t, batch.Failed, submit("00000000000000aa", "b", taskCPU).Outcome, "the list is new")
 		d.setStoreUnavailable(home, true)
 		time.Sleep(time.Second)
-		d.restart("worker-0-0")
-		d.setKind("worker-0-0", "b")
+		d.restartChanged()
+		d.setKind(changedWorker, "b")
 		time.Sleep(maxListAge)
 		require.Equal(t, batch.Completed, submit("00000000000000bb", "b", taskCPU).Outcome)
 		require.Equal(t, batch.Failed, submit("00000000000000cc", "b", 64_001).Outcome, "larger than any worker has been")
--- a/pool/kind_test.go
+++ b/pool/kind_test.go
@@ -20,24 +20,24 @@
 	f.pool.SetHosts(f.list)
 }
 
-// restartAs restarts a worker that is of another kind from now on. Its entry is read by the next call of listRestarted.
-func (f *fixture) restartAs(worker int) {
-	h := f.calls.hosts[f.list[worker].Worker]
+// restartFirst restarts the first worker. Its new entry is read by the next call of listRestarted.
+func (f *fixture) restartFirst() {
+	h := f.calls.hosts["w0"]
 	h.Crash()
 	time.Sleep(time.Millisecond)
 	h.Restart()
 }
 
-// listRestarted lists the present incarnation of a worker.
-func (f *fixture) listRestarted(worker int, labels ...string) {
-	f.list[worker].StartTime = f.calls.hosts[f.list[worker].Worker].StartTime()
-	f.list[worker].Labels = labels
+// listRestarted lists the present incarnation of the first worker.
+func (f *fixture) listRestarted(labels ...string) {
+	f.list[0].StartTime = f.calls.hosts["w0"].StartTime()
+	f.list[0].Labels = labels
 	f.pool.SetHosts(f.list)
 }
 
-// orderLabelled orders a task that requires a label.
-func (f *fixture) orderLabelled(job, label string) contract.RunKey {
-	return f.orderWith(job, func(o *contract.TaskOrder) { o.RequiredLabel = label })
+// orderLabelled orders a task that requires the label b.
+func (f *fixture) orderLabelled(job string) contract.RunKey {
+	return f.orderWith(job, func(o *contract.TaskOrder) { o.RequiredLabel = "b" })
 }
 
 // orderWith orders a task of half a worker, changed by a function.
@@ -61,20 +61,20 @@
 		f := newFixture(2)
 		defer f.pool.Close()
 		f.setLabels("b", "a")
-		f.restartAs(0)
+		f.restartFirst()
 		time.Sleep(2 * time.Second)
-		key := f.orderLabelled("labelled", "b")
+		key := f.orderLabelled("labelled")
 		require.Equal(t, contract.RunInfeasible, f.state(key), "the home asks other owners meanwhile")
 		time.Sleep(300 * time.Millisecond)
-		f.listRestarted(0, "a")
-		f.orderLabelled("after the entry", "b")
+		f.listRestarted("a")
+		f.orderLabelled("after the entry")
 		time.Sleep(300 * time.Millisecond)
 		require.Empty(t, f.observer.startedJobs())
 
-		f.restartAs(0)
+		f.restartFirst()
 		time.Sleep(2 * time.Second)
-		f.listRestarted(0, "b")
-		key = f.orderLabelled("kind is back", "b")
+		f.listRestarted("b")
+		key = f.orderLabelled("kind is back")
 		f.keepAlive(300*time.Millisecond, key)
 		require.Equal(t, []string{"kind is back"}, f.observer.startedJobs())
 	})
@@ -89,11 +89,11 @@
 		f.setLabels("b")
 		f.setRunTime("first", 5*time.Second)
 		f.setRunTime("second", 5*time.Second)
-		keys := []contract.RunKey{f.orderLabelled("first", "b"), f.orderLabelled("second", "b")}
-		queued := f.orderLabelled("queued", "b")
+		keys := []contract.RunKey{f.orderLabelled("first"), f.orderLabelled("second")}
+		queued := f.orderLabelled("queued")
 		f.keepAlive(100*time.Millisecond, append(keys, queued)...)
 		require.Len(t, f.observer.startedJobs(), 2)
-		f.restartAs(0)
+		f.restartFirst()
 		f.keepAlive(2*time.Second, queued)
 		require.Len(t, f.observer.startedJobs(), 2)
 		require.Equal(t, contract.RunInfeasible, f.state(queued))
@@ -106,11 +106,11 @@
 		f := newFixture(1)
 		defer f.pool.Close()
 		f.pool.SetHosts(nil)
-		f.restartAs(0)
+		f.restartFirst()
 		time.Sleep(time.Second)
 		f.setLabels("b")
 		time.Sleep(time.Second)
-		key := f.orderLabelled("labelled", "b")
+		key := f.orderLabelled("labelled")
 		f.keepAlive(time.Second, key)
 		require.Empty(t, f.observer.startedJobs())
 		plain := f.orderWith("plain", func(*contract.TaskOrder) {})
@@ -130,9 +130,9 @@
 			// One worker keeps its kind and is full, so the labelled task waits for it.
 			f.setRunTime("full-0", 20*time.Second)
 			f.setRunTime("full-1", 20*time.Second)
-			f.restartAs(0)
+			f.restartFirst()
 			time.Sleep(2 * time.Second)
-			full := []contract.RunKey{f.orderLabelled("full-0", "b"), f.orderLabelled("full-1", "b")}
+			full := []contract.RunKey{f.orderLabelled("full-0"), f.orderLabelled("full-1")}
 			f.keepAlive(100*time.Millisecond, full...)
 			require.Len(t, f.observer.startedJobs(), 2)
 			keys := append(full, f.orderWith("labelled", func(o *contract.TaskOrder) {
@@ -158,7 +158,7 @@
 		f.setLabels("r1", "r2")
 		f.setRunTime("full-0", 20*time.Second)
 		f.setRunTime("full-1", 20*time.Second)
-		f.restartAs(0)
+		f.restartFirst()
 		time.Sleep(2 * time.Second)
 		f.pool.mu.Lock()
 		f.pool.hosts["w1"].host.MarkFullUntil(time.Now().Add(100 * time.Millisecond))
@@ -184,12 +184,12 @@
 		f.list[0].Draining = true
 		f.pool.SetHosts(f.list)
 		require.Equal(t, contract.RunInfeasible, f.state(f.order("draining", 1000, 0, time.Second, 5*time.Second)))
-		f.restartAs(0)
+		f.restartFirst()
 		time.Sleep(2 * time.Second)
 		f.order("restarted", 1000, 0, time.Second, 5*time.Second)
 		time.Sleep(100 * time.Millisecond)
 		require.Equal(t, []string{"restarted"}, f.observer.startedJobs())
-		f.listRestarted(0)
+		f.listRestarted()
 		f.list[0].Draining = true
 		f.pool.SetHosts(f.list)
 		require.Equal(t, contract.RunInfeasible, f.state(f.order("drains too", 1000, 0, time.Second, 5*time.Second)))
@@ -232,7 +232,7 @@
 		f.pool.speeds["slow"] = 0.5
 		f.pool.mu.Unlock()
 
-		f.restartAs(0)
+		f.restartFirst()
 		time.Sleep(2 * time.Second)
 		host, _ = speedOf("fast")
 		require.Equal(t, 1.0, host, "of unknown kind")
@@ -241,7 +241,7 @@
 		f.keepAlive(600*time.Millisecond, contract.RunKey{Batch: "unknown", Run: 1})
 		_, after := speedOf("fast")
 		require.Equal(t, typical, after)
-		f.listRestarted(0, "slow")
+		f.listRestarted("slow")
 		host, _ = speedOf("slow")
 		require.Equal(t, 0.5, host)
 	})
@@ -256,17 +256,17 @@
 		f.calls.delayPolls.Store(true)
 		f.setLabels("b")
 		time.Sleep(2 * time.Second)
-		f.orderLabelled("before", "b")
+		f.orderLabelled("before")
 		time.Sleep(200 * time.Millisecond)
 		require.Equal(t, []string{"before"}, f.observer.startedJobs())
 		for delay := time.Millisecond; delay < idlePollInterval; delay += 20 * time.Millisecond {
-			f.restartAs(0)
+			f.restartFirst()
 			time.Sleep(delay)
-			key := f.orderLabelled(fmt.Sprintf("after %v", delay), "b")
+			key := f.orderLabelled(fmt.Sprintf("after %v", delay))
 			time.Sleep(100 * time.Millisecond)
 			require.Equal(t, contract.RunInfeasible, f.state(key), "after %v", delay)
 			time.Sleep(2 * time.Second)
-			f.listRestarted(0, "b")
+			f.listRestarted("b")
 			time.Sleep(idlePollInterval)
 		}
 		require.Equal(t, []string{"before"}, f.observer.startedJobs())
@@ -281,13 +281,13 @@
 		f.setLabels("b", "a")
 		time.Sleep(300 * time.Millisecond)
 		f.calls.hosts["w0"].Crash()
-		key := f.orderLabelled("labelled", "b")
+		key := f.orderLabelled("labelled")
 		f.keepAlive(time.Second, key)
 		require.Empty(t, f.observer.startedJobs())
 		f.calls.hosts["w0"].Restart()
 		f.keepAlive(time.Second, key)
-		f.listRestarted(0, "b")
-		key = f.orderLabelled("second", "b")
+		f.listRestarted("b")
+		key = f.orderLabelled("second")
 		f.keepAlive(5*time.Second, key)
 		require.Equal(t, []string{"second"}, f.observer.startedJobs())
 	})
--- a/pool/service_test.go
+++ b/pool/service_test.go
@@ -18,7 +18,7 @@
 			f := newFixture(1)
 			defer f.pool.Close()
 			f.pool.SetPolicy(Policy{GuardsCapacity: true, SoleBackend: sole})
-			f.restartAs(0)
+			f.restartFirst()
 			time.Sleep(2 * time.Second)
 			slots := f.pool.FreeCapacity().Slots
 			key := f.order("first", 1000, 0, time.Second, 30*time.Second)
@@ -30,7 +30,7 @@
 			}
 			require.Zero(t, slots, "told to other members")
 			require.Empty(t, f.observer.startedJobs())
-			f.listRestarted(0)
+			f.listRestarted()
 			f.keepAlive(time.Second, key)
 			require.Equal(t, []string{"first"}, f.observer.startedJobs())
 			require.Equal(t, contract.RunDone, f.state(key))
