batch: a job whose callers have left is not answered as cancelled

What callers saw: a client gets 200 "cancelled" for a job that it has not cancelled (MIXED: its state can't be read). And, as the review saw without a case: a job that is sent again after a reset to the same daemon is answered so for 30 s, though it could run; in a zone with one daemon it is lost. After a time limit it is answered 504 for 30 s in the same way.

Cause: one outcome stood for two events, a caller's cancel and the loss of all callers. The second is nobody's decision and says nothing that is final.

Change: CallerLeft is an outcome of its own. A job that ended so, or at its time limit, starts anew when it is submitted again, with higher numbers of runs; while its runs are being stopped, the returning caller waits for that. Such a job is not known to GET. Cancels by callers stay as they were.

--- a/batch/advance.go
+++ b/batch/advance.go
@@ -36,15 +36,19 @@
 	if j.state == jobActive && j.done == len(j.tasks) {
 		h.endJob(j, Completed, "", now, out)
 	}
-	if j.state == jobEnding && j.outcome == Refused && !now.Before(j.batch.Deadline) {
+	if j.state == jobEnding && j.answersAfterRuns() && !now.Before(j.batch.Deadline) {
 		// A run may have started, and the caller does not wait beyond the deadline.
 		j.outcome, j.answer = Abandoned, Answer{Outcome: Abandoned, Reason: "time limit"}
 	}
-	if j.state == jobEnding && (j.noLiveRuns() || j.outcome != Refused) {
+	if j.state == jobEnding && (j.noLiveRuns() || !j.answersAfterRuns()) {
 		h.respond(j, now)
 	}
 }
 
+// answersAfterRuns reports whether the job is answered only once its runs are over: a refusal states that none has started,
+// and a job whose callers had left starts anew for the next one.
+func (j *job) answersAfterRuns() bool { return j.outcome == Refused || j.outcome == CallerLeft }
+
 // advanceTask places, moves or expires one task, as its state and the time require.
 func (h *Home) advanceTask(j *job, t *task, now time.Time, out *outbox) {
 	if t.state == taskLost && !now.Before(t.expiresAt) {
--- a/batch/home.go
+++ b/batch/home.go
@@ -154,6 +154,17 @@
 // Submit accepts a job, or joins the one that is known under its id, and waits for its answer. When ctx ends, the
 // caller has disconnected; a job without any waiting caller is cancelled.
 func (h *Home) Submit(ctx context.Context, b contract.Batch) Answer {
+	for {
+		answer := h.submit(ctx, b)
+		if answer.Outcome != CallerLeft || ctx.Err() != nil {
+			return answer
+		}
+		// Earlier callers of the job had left. Its runs are over now, and it starts anew for this one.
+	}
+}
+
+// submit makes one attempt of Submit.
+func (h *Home) submit(ctx context.Context, b contract.Batch) Answer {
 	out := newOutbox(h.o.Owners)
 	waiter, answer := h.join(b, h.o.Now(), out)
 	out.send()
@@ -177,12 +188,13 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	j, known := s.jobs[b.ID]
-	if known && j.state == jobEnded && j.answer.Outcome == Refused {
-		known = false
+	lastRun := uint64(0)
+	if known && j.state == jobEnded && j.answer.Outcome.mayStartAnew() {
+		known, lastRun = false, j.lastRun()
 	}
 	if !known {
 		var rejection *Answer
-		if j, rejection = h.accept(b, now); rejection != nil {
+		if j, rejection = h.accept(b, lastRun, now); rejection != nil {
 			return nil, *rejection
 		}
 		s.jobs[b.ID] = j
@@ -197,8 +209,8 @@
 }
 
 // accept creates a new job, or returns the answer to one that cannot be served: it has failed if no worker can hold its
-// tasks, and is refused if it cannot end before its deadline.
-func (h *Home) accept(b contract.Batch, now time.Time) (*job, *Answer) {
+// tasks, and is refused if it cannot end before its deadline. The runs of its tasks get higher numbers than lastRun.
+func (h *Home) accept(b contract.Batch, lastRun uint64, now time.Time) (*job, *Answer) {
 	if answer := h.crashedBefore(b); answer != nil {
 		return nil, answer
 	}
@@ -222,7 +234,7 @@
 	j.target = b.Accepted.Add(time.Duration(b.TargetFactor*float64(slowest)) + b.TargetSlack)
 	for s, step := range b.Steps {
 		for i := range step.Count {
-			j.tasks = append(j.tasks, task{step: s, index: i, run: firstRunNumber(b.Accepted)})
+			j.tasks = append(j.tasks, task{step: s, index: i, run: max(firstRunNumber(b.Accepted), lastRun+1)})
 		}
 	}
 	h.counter(metric.BatchJobsAccepted).Inc(1)
@@ -258,7 +270,7 @@
 	return uint64(max(accepted.Sub(runEpoch).Milliseconds(), 1))
 }
 
-// callerLeft removes a caller that has disconnected, and cancels the job if it was the last one.
+// callerLeft removes a caller that has disconnected, and ends the job if it was the last one.
 func (h *Home) callerLeft(id string, waiter chan Answer) Answer {
 	now := h.o.Now()
 	out := newOutbox(h.o.Owners)
@@ -273,7 +285,7 @@
 			}
 		}
 		if len(j.waiters) == 0 && j.state == jobActive {
-			h.endJob(j, Cancelled, "caller left", now, out)
+			h.endJob(j, CallerLeft, "caller left", now, out)
 			h.advance(j, now, out)
 		}
 	}
@@ -283,7 +295,7 @@
 	case answer := <-waiter:
 		return answer
 	default:
-		return Answer{Outcome: Cancelled, Reason: "caller left"}
+		return Answer{Outcome: CallerLeft, Reason: "caller left"}
 	}
 }
 
@@ -316,7 +328,7 @@
 		return StateCompleted
 	case j.state == jobEnded && j.answer.Outcome == Failed:
 		return StateFailed
-	case j.state == jobEnded && j.answer.Outcome == Refused:
+	case j.state == jobEnded && (j.answer.Outcome == Refused || j.answer.Outcome == CallerLeft):
 		return StateUnknown
 	case j.state == jobEnded:
 		return StateCancelled
--- a/batch/job.go
+++ b/batch/job.go
@@ -162,6 +162,15 @@
 	return true
 }
 
+// lastRun returns the highest number of a run of any task.
+func (j *job) lastRun() uint64 {
+	last := uint64(0)
+	for i := range j.tasks {
+		last = max(last, j.tasks[i].run)
+	}
+	return last
+}
+
 // Outcome is how a job ended.
 type Outcome uint8
 
@@ -174,17 +183,23 @@
 	Refused
 	// Abandoned jobs were not completed before their deadline or the end of the process; some tasks may have run.
 	Abandoned
+	// CallerLeft jobs were stopped because all their callers had disconnected. Nobody has cancelled them, and a caller that
+	// lost its connection may submit the job again; some tasks may have run.
+	CallerLeft
 )
 
 // String returns the outcome's name for logs.
 func (o Outcome) String() string {
-	names := [...]string{"completed", "failed", "cancelled", "refused", "abandoned"}
+	names := [...]string{"completed", "failed", "cancelled", "refused", "abandoned", "caller left"}
 	if int(o) < len(names) {
 		return names[o]
 	}
 	return "invalid"
 }
 
+// mayStartAnew reports whether a job that ended so starts anew if it is submitted again: its callers got no result.
+func (o Outcome) mayStartAnew() bool { return o == Refused || o == Abandoned || o == CallerLeft }
+
 // Answer is the result of a job as its caller gets it.
 type Answer struct {
 	Outcome Outcome
