batch: homes that accept a job in the same millisecond use other run numbers

Cause: a run's number was only the time of its acceptance in milliseconds. That two homes never accept a job so close together rested on the 1.3 s after which clients send again.

Change: numbers are multiples of 1,024 with a remainder that follows from the home's id; later runs of a task keep the remainder. They stay below 2^53 for 170 years. The order between homes stays that of the acceptance. Two homes share a remainder once in 1,024.

--- a/batch/advance.go
+++ b/batch/advance.go
@@ -9,10 +9,6 @@
 	"github.com/cicadadale/cicadadale/metric"
 )
 
-// unstartedRunGap is added to the number of the next run when the previous one has ended without having run. The worker
-// may have rejected it because an earlier home of the job has used higher numbers.
-const unstartedRunGap = 10_000
-
 const (
 	// maxPlaceRetry bounds the pause between orders of a task that its owners cannot take.
 	maxPlaceRetry = 400 * time.Millisecond
@@ -112,10 +108,7 @@
 // unplace makes a task ready for its next run.
 func (h *Home) unplace(t *task, ran bool) {
 	t.state, t.started, t.withdrawn = taskUnplaced, false, false
-	t.run++
-	if !ran {
-		t.run += unstartedRunGap
-	}
+	t.run = nextRun(t.run, ran)
 }
 
 // doubledRetry is the pause before a task is placed again after n pauses for the same reason: an order that its owner
--- a/batch/home.go
+++ b/batch/home.go
@@ -55,6 +55,8 @@
 
 // Options configure a home.
 type Options struct {
+	// Self is the id of this process.
+	Self     string
 	Owners   Owners
 	Capacity *zone.CapacityView
 	// Crashes records the workers that have crashed under tasks.
@@ -71,6 +73,7 @@
 type Home struct {
 	o      Options
 	kinds  *kinds
+	runs   runNumbers
 	cancel context.CancelFunc
 	done   chan struct{}
 	pause  pauseDetector
@@ -86,7 +89,7 @@
 // New returns a home without jobs.
 func New(o Options) *Home {
 	ctx, cancel := context.WithCancel(context.Background())
-	h := &Home{o: o, kinds: newKinds(), cancel: cancel, done: make(chan struct{})}
+	h := &Home{o: o, kinds: newKinds(), runs: newRunNumbers(o.Self), cancel: cancel, done: make(chan struct{})}
 	h.pause.lastTick = o.Now()
 	for i := range h.shards {
 		h.shards[i].jobs = make(map[string]*job)
@@ -234,7 +237,7 @@
 	j.target = b.Accepted.Add(time.Duration(b.TargetFactor*float64(slowest)) + b.TargetSlack)
 	for s, step := range b.Steps {
 		for i := range step.Count {
-			j.tasks = append(j.tasks, task{step: s, index: i, run: max(firstRunNumber(b.Accepted), lastRun+1)})
+			j.tasks = append(j.tasks, task{step: s, index: i, run: h.runs.first(b.Accepted, lastRun)})
 		}
 	}
 	h.counter(metric.BatchJobsAccepted).Inc(1)
@@ -261,15 +264,6 @@
 	return steps, expected, slowest
 }
 
-// runEpoch is the origin of the run numbers of a job; a recent one keeps them short. The first number is the time at
-// which the job was accepted, in milliseconds, since a job that is submitted again to another home must get higher
-// numbers than its first runs, which workers refuse to repeat.
-var runEpoch = time.Date(2000, 1, 1, 0, 0, 0, 0, time.UTC)
-
-func firstRunNumber(accepted time.Time) uint64 {
-	return uint64(max(accepted.Sub(runEpoch).Milliseconds(), 1))
-}
-
 // callerLeft removes a caller that has disconnected, and ends the job if it was the last one.
 func (h *Home) callerLeft(id string, waiter chan Answer) Answer {
 	now := h.o.Now()
--- a/batch/home_test.go
+++ b/batch/home_test.go
@@ -72,12 +72,14 @@
 func newTestHome() (*Home, *recorder) { return newTestHomeAt(time.Now) }
 
 // newTestHomeAt returns a home with a clock of its own.
-func newTestHomeAt(now func() time.Time) (*Home, *recorder) {
+func newTestHomeAt(now func() time.Time) (*Home, *recorder) { return newTestHomeOf("self/1", now) }
+
+func newTestHomeOf(self string, now func() time.Time) (*Home, *recorder) {
 	capacity := zone.NewCapacityView("self/1", "z")
 	capacity.Update(testOwner, "z", false, map[string]*zone.BackendCapacity{"s": {Free: 100, Slots: 100}})
 	out := &recorder{}
 	return New(Options{
-		Owners: out, Capacity: capacity, Crashes: contract.NewCrashLedger(), Now: now, Logger: slog.New(slog.DiscardHandler),
+		Self: self, Owners: out, Capacity: capacity, Crashes: contract.NewCrashLedger(), Now: now, Logger: slog.New(slog.DiscardHandler),
 		Metrics: metrics.NewRegistry(),
 		Fits:    func(_ string, need machine.Resources, _ string) (bool, bool) { return need.CPUMillis <= 64_000, true },
 	}), out
--- a/batch/proof.go
+++ b/batch/proof.go
@@ -55,7 +55,7 @@
 
 // logRerunDone logs the end of a task that has had several runs.
 func (h *Home) logRerunDone(j *job, t *task, owner string, r contract.RunReport) {
-	if t.run > firstRunNumber(j.batch.Accepted) {
+	if t.run > h.runs.first(j.batch.Accepted, 0) {
 		h.o.Logger.Info("task done after several runs", "task", r.Key.String(), "source", owner, "source_token", r.Token,
 			"worker", r.Worker, "owner", t.owner, "token", t.token)
 	}
--- a/edge/daemon.go
+++ b/edge/daemon.go
@@ -139,7 +139,7 @@
 	}
 	d.members = newMembers(o.Self, d.dialPeer, o.Logger)
 	d.home = batch.New(batch.Options{
-		Owners: owners{d}, Capacity: d.capacity, Crashes: d.crashes, Fits: d.fits, Now: o.Now, Logger: o.Logger, Metrics: o.Metrics,
+		Self: d.self, Owners: owners{d}, Capacity: d.capacity, Crashes: d.crashes, Fits: d.fits, Now: o.Now, Logger: o.Logger, Metrics: o.Metrics,
 	})
 	d.entries = newEntryRequests(d.members, o.Logger)
 	d.feed = newWorkerFeed(d.self, d.members, o.Now, o.Logger)
