edge: the tests' map of daemons has a lock; known red: shrunk workers

- "fatal error: concurrent map read and map write" in 1 of 60 runs: a goroutine of the test submits jobs while the test kills daemons.
The map of the tests' deployment now has a lock for its changes and for reads by other goroutines.
No check is changed.

--- a/edge/deployment_test.go
+++ b/edge/deployment_test.go
@@ -282,9 +282,11 @@
 	net      *network
 	store    *memStore
 	hosts    map[string]*standin.RunHost
-	daemons  map[string]*Daemon
 	observer *runObserver
 	log      *testLog
+	// daemonsMu guards changes of daemons, and reads by other goroutines than that of the test.
+	daemonsMu sync.Mutex
+	daemons   map[string]*Daemon
 	// unguarded is set if the workers start whatever they are told to start.
 	unguarded bool
 	plan      func(key contract.RunKey) standin.RunPlan
@@ -385,14 +387,18 @@
 		Now:  now, Logger: logger, Metrics: metrics.NewRegistry(),
 	})
 	require.NoError(d.t, err)
+	d.daemonsMu.Lock()
+	defer d.daemonsMu.Unlock()
 	d.daemons[vm] = daemon
 	return daemon
 }
 
 // killDaemon ends a daemon at once, without stopping its runs.
 func (d *deployment) killDaemon(vm string) {
+	d.daemonsMu.Lock()
 	daemon := d.daemons[vm]
 	delete(d.daemons, vm)
+	d.daemonsMu.Unlock()
 	daemon.Close()
 	d.net.closeConns(vm)
 }
@@ -433,7 +439,9 @@
 // submit submits a job in the background. The channel receives its answer.
 func (d *deployment) submit(vm string, b contract.Batch) <-chan batch.Answer {
 	out := make(chan batch.Answer, 1)
+	d.daemonsMu.Lock()
 	daemon := d.daemons[vm]
+	d.daemonsMu.Unlock()
 	require.NotNil(d.t, daemon, vm)
 	d.wg.Go(func() { out <- daemon.Submit(context.Background(), b) })
 	return out
