pool: a start that did not reach its worker is not blamed for the crash

Cause, first part: when a worker has crashed, each run with a start call under way was blamed, also if the call then showed that nothing had been sent. An idle worker has the most free capacity and is polled twice a second, so it attracts starts just after its crash; and as it had no other run, the crash counted as one under the task alone, after which a single other crash gives the task up.

Change: a run is blamed if the crashed incarnation has accepted its start or has listed it.

--- a/contract/crash.go
+++ b/contract/crash.go
@@ -10,8 +10,10 @@
 	Backend   string
 	// At is when the owner lost contact.
 	At time.Time
-	// Tasks are those that ran or may have run on the worker.
+	// Tasks are those that are known to have begun on the worker and not to have ended.
 	Tasks []CrashedTask
+	// Shared is set if other tasks may have begun there too.
+	Shared bool
 	// Refuted is set if the same incarnation has answered again: it had not crashed.
 	Refuted bool
 }
@@ -32,5 +34,5 @@
 	return false
 }
 
-// Alone reports whether a single task was on the worker.
-func (c *WorkerCrash) Alone() bool { return len(c.Tasks) == 1 }
+// Alone reports whether only a single task can have been on the worker.
+func (c *WorkerCrash) Alone() bool { return len(c.Tasks) == 1 && !c.Shared }
--- a/edge/crashes.go
+++ b/edge/crashes.go
@@ -77,6 +77,7 @@
 func encodeCrash(c contract.WorkerCrash, now time.Time) *api.PeerMessage {
 	m := &api.WorkerCrash{
 		Worker: c.Worker, Born: c.StartTime, Backend: c.Backend, AgeMs: clampMillis(now.Sub(c.At)), Refuted: c.Refuted,
+		Shared: c.Shared,
 	}
 	for _, t := range c.Tasks {
 		m.Tasks = append(m.Tasks, &api.CrashedTask{Key: encodeKey(t.Key), Route: t.Route})
@@ -86,7 +87,7 @@
 
 func decodeCrash(m *api.WorkerCrash, now time.Time) contract.WorkerCrash {
 	c := contract.WorkerCrash{
-		Worker: m.GetWorker(), StartTime: m.GetBorn(), Backend: m.GetBackend(), Refuted: m.GetRefuted(),
+		Worker: m.GetWorker(), StartTime: m.GetBorn(), Backend: m.GetBackend(), Refuted: m.GetRefuted(), Shared: m.GetShared(),
 		At: now.Add(-time.Duration(m.GetAgeMs()) * time.Millisecond),
 	}
 	for _, t := range m.GetTasks() {
--- a/pool/crash.go
+++ b/pool/crash.go
@@ -74,9 +74,10 @@
 	h.watch = crashWatch{}
 }
 
-// recordCrash records that the known incarnation of a worker has crashed under its runs, except those that a later
-// incarnation lists. Each of the runs ends as crashed, once it is proven to have ended. The exit of a worker that drains is
-// no crash, nor is a restart after a silence. p.mu is held.
+// recordCrash records that the known incarnation of a worker has crashed under its runs. Only those that are known to have
+// begun there are blamed: a start that was on its way may have found the worker down. Those that a later incarnation lists
+// are not over. Each of the others ends as crashed, once it is proven to have ended. The exit of a worker that drains is no
+// crash, nor is a restart after a silence. p.mu is held.
 func (p *Pool) recordCrash(h *ownedHost, at time.Time, cause string, listed []link.RunningRun, fx *effects) {
 	if h.watch.crash != nil || h.watch.silent || h.host.Draining() {
 		return
@@ -88,6 +89,10 @@
 		if !r.mayHaveRun || lists(listed, key) {
 			continue
 		}
+		if !r.begun || r.workerStart != h.host.StartTime {
+			c.Shared = true
+			continue
+		}
 		r.crashed = true
 		c.Tasks = append(c.Tasks, contract.CrashedTask{Key: key.Task(), Route: r.order.Route})
 	}
--- a/pool/run.go
+++ b/pool/run.go
@@ -32,6 +32,8 @@
 	cancelled bool
 	// mayHaveRun is set when a start call is made, and cleared only if the run has provably not started.
 	mayHaveRun bool
+	// begun is set once the worker has accepted the start of the run or has listed it, as the incarnation workerStart.
+	begun bool
 	// crashed is set if the worker has crashed while the run may have been on it. It says nothing about when the run ends.
 	crashed bool
 
@@ -201,7 +203,7 @@
 		return
 	}
 	p.detach(r)
-	r.state, r.crashed = runWaiting, false
+	r.state, r.crashed, r.begun = runWaiting, false, false
 	p.waiting.push(r)
 	p.counter(metric.PoolStartsRejected).Inc(1)
 	if !p.feasible(r.order) {
--- a/pool/start.go
+++ b/pool/start.go
@@ -71,7 +71,7 @@
 		h.host.SetClock(reply.Clock, now)
 	}
 	if verdict == link.StartAccepted {
-		r.state, r.confirmedAt = runRunning, now
+		r.state, r.confirmedAt, r.begun = runRunning, now, true
 		if reply.StartTime != 0 {
 			r.workerStart = reply.StartTime
 		}
