batch, edge: a planned stop answers all jobs and starts none at its end

What callers saw: LOST around a planned stop, in two ways.

Cause: the end of the process follows from "no unanswered job" and from the end of the grace period, but neither was told to the part that accepts jobs and answers them. Between the last check and the exit, 10 to 200 ms, jobs were still accepted; and only jobs that arrived during the stop had their deadline brought forward.

Change: Finish makes the home refuse jobs that it does not know before it looks whether any is unanswered; both are decided under the lock of the job's shard, so that none is accepted unseen. The process stays for 50 ms after its last answer, which the server writes after the handler ends.

--- a/batch/home.go
+++ b/batch/home.go
@@ -4,6 +4,7 @@
 	"context"
 	"log/slog"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -77,7 +78,9 @@
 	cancel context.CancelFunc
 	done   chan struct{}
 	pause  pauseDetector
-	shards [shards]shard
+	// refusesNew is set once the process ends as soon as its jobs are answered.
+	refusesNew atomic.Bool
+	shards     [shards]shard
 }
 
 // shard holds the jobs whose ids hash to it. mu guards the map and the jobs in it.
@@ -195,6 +198,10 @@
 	if known && j.state == jobEnded && j.answer.Outcome.mayStartAnew() {
 		known, lastRun = false, j.lastRun()
 	}
+	if !known && h.refusesNew.Load() {
+		h.o.Logger.Info("job refused: the process ends", "job", b.ID, "route", b.Route)
+		return nil, Answer{Outcome: Refused, Reason: "the process ends"}
+	}
 	if !known {
 		var rejection *Answer
 		if j, rejection = h.accept(b, lastRun, now); rejection != nil {
--- a/batch/home_test.go
+++ b/batch/home_test.go
@@ -69,6 +69,13 @@
 	r.acks = append(r.acks, keys...)
 }
 
+// withdrawn returns a copy of the withdrawals.
+func (r *recorder) withdrawn() []contract.RunKey {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return slices.Clone(r.withdrawals)
+}
+
 func newTestHome() (*Home, *recorder) { return newTestHomeAt(time.Now) }
 
 // newTestHomeAt returns a home with a clock of its own.
--- a/command/edge.go
+++ b/command/edge.go
@@ -32,6 +32,9 @@
 	millisPerCore = 1000
 	// stopMargin is the part of the grace period that is reserved for closing connections.
 	stopMargin = 300 * time.Millisecond
+	// answerLinger is how long the process stays after its last job has been answered: the server writes an answer only
+	// after the job's handler has returned it.
+	answerLinger = 50 * time.Millisecond
 	// gcPercent lets the heap grow to three times the live memory between two collections. A collection delays all other
 	// work of a process with one core, and the live memory of a daemon is a few megabytes. memoryLimit makes collections
 	// frequent before the smallest VMs, of 144 MB, run out of memory.
@@ -153,6 +156,7 @@
 	daemon.Stop(deadline)
 	ingress.Close()
 	daemon.Finish(deadline)
+	time.Sleep(answerLinger)
 	// The rest ends with the process: an orderly close would wait for pending reads of the store.
 	return nil
 }
--- a/edge/daemon.go
+++ b/edge/daemon.go
@@ -425,7 +425,9 @@
 func (d *Daemon) Stop(ctx context.Context) {
 	d.mu.Lock()
 	d.stopping, d.stoppingSince = true, d.o.Now()
+	end := d.answerBy()
 	d.mu.Unlock()
+	d.home.LimitDeadlines(end)
 	d.o.Logger.Info("stopping", "jobs", d.home.Active())
 	d.sendStatus(d.o.Now())
 	d.assignWorkers()
@@ -452,9 +454,10 @@
 	d.o.Logger.Info("stopped; all jobs answered")
 }
 
-// Finish waits until all accepted jobs are answered. It is called once no new connections are accepted, since a client
-// may send a request on an open connection until the process ends.
+// Finish waits until all accepted jobs are answered, and refuses all others. It is called once no new connections are
+// accepted, since a client may send a request on an open connection until the process ends.
 func (d *Daemon) Finish(ctx context.Context) {
+	d.home.RefuseNew()
 	ticker := time.NewTicker(finishInterval)
 	defer ticker.Stop()
 	for d.home.Active() > 0 {
--- a/edge/front.go
+++ b/edge/front.go
@@ -26,16 +26,16 @@
 // grace period.
 func (d *Daemon) Submit(ctx context.Context, b contract.Batch) batch.Answer {
 	d.mu.Lock()
-	if d.stopping {
-		end := d.stoppingSince.Add(d.o.Grace - stopReserve)
-		if end.Before(b.Deadline) {
-			b.Deadline = end
-		}
+	if end := d.answerBy(); d.stopping && end.Before(b.Deadline) {
+		b.Deadline = end
 	}
 	d.mu.Unlock()
 	return d.home.Submit(ctx, b)
 }
 
+// answerBy returns the time by which a stopping process must have answered its jobs. d.mu is held.
+func (d *Daemon) answerBy() time.Time { return d.stoppingSince.Add(d.o.Grace - stopReserve) }
+
 // Stopping reports whether the process is stopping, so that its clients should connect elsewhere.
 func (d *Daemon) Stopping() bool {
 	d.mu.Lock()
