edge: a cancel reaches its job at any member, and late copies of it

Cause: a cancel was looked up among the jobs of the daemon that got it, and left nothing behind. Nobody told other members of it.

Change: contract.CancelLedger, one on each member, holds the jobs that callers have cancelled for 60 s, 20,000 at most. The member that gets the call records the cancel, tells all members at once and again after 0.8 s, and answers 200; a member that comes into contact gets the list. A home ends a job that is named, and does not accept one that is in the ledger; it is answered "cancelled". The record is written before the job is looked up, so that a copy that arrives at the same time is either seen or not accepted. A cancel costs a message to each member, twice; sites whose clients close their channels instead send none.

--- a/batch/home.go
+++ b/batch/home.go
@@ -62,6 +62,8 @@
 	Capacity *zone.CapacityView
 	// Crashes records the workers that have crashed under tasks.
 	Crashes *contract.CrashLedger
+	// Cancels records the jobs that callers have cancelled at any member.
+	Cancels *contract.CancelLedger
 	// Fits reports whether any listed worker of a back end can hold a task. known is false if no worker of the back end
 	// is listed.
 	Fits    func(backend string, need machine.Resources, label string) (fits, known bool)
@@ -224,6 +226,10 @@
 	if answer := h.crashedBefore(b); answer != nil {
 		return nil, answer
 	}
+	if h.o.Cancels.Cancelled(b.ID) {
+		h.o.Logger.Info("copy of a cancelled job not started", "job", b.ID, "route", b.Route)
+		return nil, &Answer{Outcome: Cancelled, Reason: "cancelled by a caller"}
+	}
 	for _, step := range b.Steps {
 		if fits, known := h.o.Fits(b.Backend, step.Need, step.RequiredLabel); known && !fits {
 			h.o.Logger.Info("job failed: no worker can hold its tasks", "job", b.ID, "route", b.Route,
@@ -300,7 +306,8 @@
 	}
 }
 
-// Cancel ends a job. It reports whether the job is known.
+// Cancel ends a job. It reports whether the job is known. The cancel has been recorded before, so that a copy which arrives
+// meanwhile is not accepted.
 func (h *Home) Cancel(id string) bool {
 	now := h.o.Now()
 	out := newOutbox(h.o.Owners)
--- a/batch/home_test.go
+++ b/batch/home_test.go
@@ -86,7 +86,7 @@
 	capacity.Update(testOwner, "z", false, map[string]*zone.BackendCapacity{"s": {Free: 100, Slots: 100}})
 	out := &recorder{}
 	return New(Options{
-		Self: self, Owners: out, Capacity: capacity, Crashes: contract.NewCrashLedger(), Now: now, Logger: slog.New(slog.DiscardHandler),
+		Self: self, Owners: out, Capacity: capacity, Crashes: contract.NewCrashLedger(), Cancels: contract.NewCancelLedger(), Now: now, Logger: slog.New(slog.DiscardHandler),
 		Metrics: metrics.NewRegistry(),
 		Fits:    func(_ string, need machine.Resources, _ string) (bool, bool) { return need.CPUMillis <= 64_000, true },
 	}), out
--- a/edge/badinput_test.go
+++ b/edge/badinput_test.go
@@ -60,6 +60,7 @@
 		{Body: &api.PeerMessage_WorkerListRequest{WorkerListRequest: &api.WorkerListRequest{}}},
 		{Body: &api.PeerMessage_WorkerEntryRequest{WorkerEntryRequest: &api.WorkerEntryRequest{}}},
 		{Body: &api.PeerMessage_WorkerEntry{WorkerEntry: &api.WorkerEntry{}}},
+		{Body: &api.PeerMessage_JobCancel{JobCancel: &api.JobCancel{}}},
 		{Body: &api.PeerMessage_MemberList{MemberList: &api.MemberList{Members: []*api.Member{{}}}}},
 		{},
 	}
--- a/edge/daemon.go
+++ b/edge/daemon.go
@@ -82,6 +82,7 @@
 	members    *Members
 	capacity   *zone.CapacityView
 	crashes    *contract.CrashLedger
+	cancels    *contract.CancelLedger
 	confined   *contract.Confinement
 	home       *batch.Home
 	server     *link.PeerServer
@@ -126,6 +127,8 @@
 	requestedAt time.Time
 	// crashesToRepeat are the crashes of own workers that are to be announced again.
 	crashesToRepeat []contract.WorkerCrash
+	// cancelsToRepeat are the cancels of own callers that are to be announced again.
+	cancelsToRepeat []contract.JobCancel
 }
 
 // New starts a daemon.
@@ -135,11 +138,11 @@
 		o: o, self: o.Self.ID(), capacity: zone.NewCapacityView(o.Self.ID(), o.Self.Domain), cancel: cancel, started: o.Now(),
 		firstTimestamp: rand.Uint64N(timestampRange),
 		pools:          make(map[string]*pool.Pool), lastPresent: make(map[string]time.Time), workers: newWorkers(o.Logger),
-		crashes: contract.NewCrashLedger(), confined: contract.NewConfinement(),
+		crashes: contract.NewCrashLedger(), cancels: contract.NewCancelLedger(), confined: contract.NewConfinement(),
 	}
 	d.members = newMembers(o.Self, d.dialPeer, o.Logger)
 	d.home = batch.New(batch.Options{
-		Self: d.self, Owners: owners{d}, Capacity: d.capacity, Crashes: d.crashes, Fits: d.fits, Now: o.Now, Logger: o.Logger, Metrics: o.Metrics,
+		Self: d.self, Owners: owners{d}, Capacity: d.capacity, Crashes: d.crashes, Cancels: d.cancels, Fits: d.fits, Now: o.Now, Logger: o.Logger, Metrics: o.Metrics,
 	})
 	d.entries = newEntryRequests(d.members, o.Logger)
 	d.feed = newWorkerFeed(d.self, d.members, o.Now, o.Logger)
@@ -215,6 +218,7 @@
 		d.assignWorkers()
 	}
 	d.updateCrashes(now)
+	d.updateCancels(now)
 	d.members.ChoosePartners()
 	d.sendStatus(now)
 	d.requestDesired(now)
--- a/edge/deployment_test.go
+++ b/edge/deployment_test.go
@@ -249,6 +249,19 @@
 	return n
 }
 
+// runningTasks returns the tasks that have a run.
+func (r *runObserver) runningTasks() []contract.RunKey {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var tasks []contract.RunKey
+	for task, runs := range r.running {
+		if len(runs) > 0 {
+			tasks = append(tasks, task)
+		}
+	}
+	return tasks
+}
+
 // testLog keeps the log lines of all daemons of a test.
 type testLog struct {
 	mu    sync.Mutex
--- a/edge/front.go
+++ b/edge/front.go
@@ -43,9 +43,6 @@
 	return d.stopping
 }
 
-// Cancel ends a job of this home. It reports whether the job is known.
-func (d *Daemon) Cancel(id string) bool { return d.home.Cancel(id) }
-
 // JobState returns the state of a job of this home.
 func (d *Daemon) JobState(id string) batch.State { return d.home.State(id) }
 
--- a/edge/messages.go
+++ b/edge/messages.go
@@ -229,7 +229,7 @@
 		return link.Accepted
 	}
 	if becameLive {
-		d.members.Send(id, append(d.crashList(), d.memberList())...)
+		d.members.Send(id, append(append(d.crashList(), d.cancelList()...), d.memberList())...)
 		d.assignWorkers()
 	}
 	for _, m := range env.GetMessages() {
@@ -277,6 +277,8 @@
 		})
 	case *api.PeerMessage_WorkerCrash:
 		d.recordCrash(decodeCrash(b.WorkerCrash, d.o.Now()))
+	case *api.PeerMessage_JobCancel:
+		d.handleCancel(id, decodeCancel(b.JobCancel, d.o.Now()))
 	default:
 		d.handleClusterState(id, vm, m)
 	}
