batch: a tick that was interrupted by a pause orders no run

Cause: a tick reads the clock, the process is paused, and the tick goes on with the time from before the pause, at which nothing looks paused.

Change: whether the process was paused is decided by the clock at the moment of the order, not by the time of the tick.

TestTickInterruptedByPauseOrdersNoRun fails before the change and needs no luck.

--- a/batch/advance.go
+++ b/batch/advance.go
@@ -56,7 +56,7 @@
 	}
 	switch {
 	case j.state != jobActive:
-	case t.state == taskUnplaced && !now.Before(t.retryAt) && j.stepReady(t.step) && !h.pause.paused(now):
+	case t.state == taskUnplaced && !now.Before(t.retryAt) && j.stepReady(t.step) && !h.pause.paused(h.o.Now()):
 		h.place(j, t, now, out)
 	case h.shouldMove(j, t, now):
 		h.o.Logger.Info("moving a queued task to an owner with free capacity", "task", j.key(t).String(), "owner", t.owner,
--- a/batch/pause_test.go
+++ b/batch/pause_test.go
@@ -58,3 +58,23 @@
 func TestPausedHomeContinuesItsJobs(t *testing.T) {
 	require.Equal(t, 2, afterPause(t, func(context.CancelFunc) {}))
 }
+
+// Guards against a run that is ordered by a tick which read the clock before the process was paused, and goes on after it.
+func TestTickInterruptedByPauseOrdersNoRun(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		clock := &pausableClock{}
+		h, out := newTestHomeAt(clock.now)
+		defer h.Close()
+		ctx, leave := context.WithCancel(context.Background())
+		defer leave()
+		go h.Submit(ctx, testBatch(1, 10*time.Second))
+		synctest.Wait()
+		run := out.sentOrders()[0].Key
+		reportRun(h, run, contract.RunStarted, true)
+		before := clock.now()
+		clock.pause(3 * time.Second)
+		reportRun(h, run, contract.RunEnded, true)
+		h.tick(before, false)
+		require.Len(t, out.sentOrders(), 1)
+	})
+}
