--- a/batch/home.go
+++ b/batch/home.go
@@ -160,14 +160,14 @@
 }
 
 // Submit accepts a job, or joins the one that is known under its id, and waits for its answer. When ctx ends, the
-// caller has disconnected; a job without any waiting caller is cancelled.
+// caller has disconnected; a job without any waiting caller ends. It starts anew for the next caller, which waits until the
+// runs of the earlier one are over.
 func (h *Home) Submit(ctx context.Context, b contract.Batch) Answer {
 	for {
 		answer := h.submit(ctx, b)
 		if answer.Outcome != CallerLeft || ctx.Err() != nil {
 			return answer
 		}
-		// Earlier callers of the job had left. Its runs are over now, and it starts anew for this one.
 	}
 }
 
--- a/edge/cancels.go
+++ b/edge/cancels.go
@@ -7,20 +7,15 @@
 	"github.com/cicadadale/cicadadale/contract"
 )
 
-// cancelRepeat is how long after a cancel it is announced again, in case the first announcement was lost. Tasks of the job
-// must be gone 3 s after the answer.
-const cancelRepeat = 800 * time.Millisecond
-
 // Cancel ends a job, whichever member is its home, and keeps copies of it from starting. It reports whether the cancel was
 // recorded, which it always is: this process does not know all jobs of the others.
 func (d *Daemon) Cancel(id string) bool {
 	now := d.o.Now()
 	c := contract.JobCancel{Job: id, At: now}
 	if d.cancels.Record(c, now) {
-		d.members.Broadcast(encodeCancel(c, now))
-		d.mu.Lock()
-		d.cancelsToRepeat = append(d.cancelsToRepeat, c)
-		d.mu.Unlock()
+		d.announced.Announce(announcement{at: now, encode: func(now time.Time) *api.PeerMessage {
+			return encodeCancel(c, now)
+		}})
 	}
 	known := d.home.Cancel(id)
 	d.o.Logger.Info("job cancelled by a caller", "job", id, "known_here", known)
@@ -34,21 +29,6 @@
 	}
 }
 
-// updateCancels drops the cancels that no longer count, and announces new ones again.
-func (d *Daemon) updateCancels(now time.Time) {
-	d.cancels.Expire(now)
-	d.mu.Lock()
-	var due []*api.PeerMessage
-	for len(d.cancelsToRepeat) > 0 && now.Sub(d.cancelsToRepeat[0].At) >= cancelRepeat {
-		due = append(due, encodeCancel(d.cancelsToRepeat[0], now))
-		d.cancelsToRepeat = d.cancelsToRepeat[1:]
-	}
-	d.mu.Unlock()
-	if len(due) > 0 {
-		d.members.Broadcast(due...)
-	}
-}
-
 // cancelList returns all cancels that count, for a member that has just joined or was out of contact.
 func (d *Daemon) cancelList() []*api.PeerMessage {
 	now := d.o.Now()
--- a/edge/crashes.go
+++ b/edge/crashes.go
@@ -10,17 +10,12 @@
 	"github.com/cicadadale/cicadadale/metric"
 )
 
-// crashRepeat is how long after a crash the owner announces it again, in case the first announcement was lost. The runs of
-// the crashed worker are over by then, and their next ones about to be ordered.
-const crashRepeat = 800 * time.Millisecond
-
 // workerCrashed records the crash of an own worker, or that one has been refuted, and tells all members.
 func (d *Daemon) workerCrashed(c contract.WorkerCrash) {
 	d.recordCrash(c)
-	d.members.Broadcast(encodeCrash(c, d.o.Now()))
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	d.crashesToRepeat = append(d.crashesToRepeat, c)
+	d.announced.Announce(announcement{at: d.o.Now(), encode: func(now time.Time) *api.PeerMessage {
+		return encodeCrash(c, now)
+	}})
 }
 
 // recordCrash records the crash of a worker, and gives up the tasks that have crashed too many.
@@ -30,10 +25,9 @@
 	}
 }
 
-// updateCrashes drops the crashes that no longer count, announces new ones again, and confines or releases routes.
+// updateCrashes drops the crashes that no longer count, and confines or releases routes.
 func (d *Daemon) updateCrashes(now time.Time) {
 	d.crashes.Expire(now)
-	d.repeatCrashes(now)
 	crashes := d.crashes.Crashes()
 	if len(crashes) == 0 {
 		return
@@ -49,20 +43,6 @@
 	}
 }
 
-// repeatCrashes announces crashes of own workers again.
-func (d *Daemon) repeatCrashes(now time.Time) {
-	d.mu.Lock()
-	var due []*api.PeerMessage
-	for len(d.crashesToRepeat) > 0 && now.Sub(d.crashesToRepeat[0].At) >= crashRepeat {
-		due = append(due, encodeCrash(d.crashesToRepeat[0], now))
-		d.crashesToRepeat = d.crashesToRepeat[1:]
-	}
-	d.mu.Unlock()
-	if len(due) > 0 {
-		d.members.Broadcast(due...)
-	}
-}
-
 // crashList returns all crashes that count, for a member that has just joined.
 func (d *Daemon) crashList() []*api.PeerMessage {
 	now := d.o.Now()
--- a/edge/daemon.go
+++ b/edge/daemon.go
@@ -89,6 +89,7 @@
 	workers    *workers
 	feed       *workerFeed
 	entries    *entryRequests
+	announced  *announcements
 	cancel     context.CancelFunc
 	goroutines sync.WaitGroup
 	started    time.Time
@@ -125,10 +126,6 @@
 	// requestedAt is when the newer one was last requested.
 	behindSince time.Time
 	requestedAt time.Time
-	// crashesToRepeat are the crashes of own workers that are to be announced again.
-	crashesToRepeat []contract.WorkerCrash
-	// cancelsToRepeat are the cancels of own callers that are to be announced again.
-	cancelsToRepeat []contract.JobCancel
 }
 
 // New starts a daemon.
@@ -142,9 +139,11 @@
 	}
 	d.members = newMembers(o.Self, d.dialPeer, o.Logger)
 	d.home = batch.New(batch.Options{
-		Self: d.self, Owners: owners{d}, Capacity: d.capacity, Crashes: d.crashes, Cancels: d.cancels, Fits: d.fits, Now: o.Now, Logger: o.Logger, Metrics: o.Metrics,
+		Self: d.self, Owners: owners{d}, Capacity: d.capacity, Crashes: d.crashes, Cancels: d.cancels, Fits: d.fits,
+		Now: o.Now, Logger: o.Logger, Metrics: o.Metrics,
 	})
-	d.entries = newEntryRequests(d.members, o.Logger)
+	d.entries = newEntryRequests(d.members)
+	d.announced = &announcements{members: d.members}
 	d.feed = newWorkerFeed(d.self, d.members, o.Now, o.Logger)
 	server, err := link.ServePeers(o.Peers, d.handle, func() uint64 { return d.timestamp(o.Now()) })
 	if err != nil {
@@ -218,7 +217,8 @@
 		d.assignWorkers()
 	}
 	d.updateCrashes(now)
-	d.updateCancels(now)
+	d.cancels.Expire(now)
+	d.announced.Repeat(now)
 	d.members.ChoosePartners()
 	d.sendStatus(now)
 	d.requestDesired(now)
--- a/edge/entryrequests.go
+++ b/edge/entryrequests.go
@@ -1,7 +1,6 @@
 package edge
 
 import (
-	"log/slog"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -34,15 +33,14 @@
 // serve others. mu guards the field below it; it is not held while Members is called.
 type entryRequests struct {
 	members *Members
-	logger  *slog.Logger
 
 	mu sync.Mutex
 	// open holds the requests that have not been answered, by worker.
 	open map[string]entryRequest
 }
 
-func newEntryRequests(members *Members, logger *slog.Logger) *entryRequests {
-	return &entryRequests{members: members, logger: logger, open: make(map[string]entryRequest)}
+func newEntryRequests(members *Members) *entryRequests {
+	return &entryRequests{members: members, open: make(map[string]entryRequest)}
 }
 
 // Update asks for the entries of incarnations that are missing, and drops the requests for all others.
