edge: the age of the list of workers is measured by one clock

After a suspension of 3 s the list looked old for good, and a job whose label no worker has waited for its time limit (503) instead of being answered "failed" at once.

Change: the client returns the time since it last read the list.

TestListIsNotOldAfterASuspension fails before the change, by the daemon's clock that is an hour ahead.

--- a/edge/daemon.go
+++ b/edge/daemon.go
@@ -48,8 +48,8 @@
 type Store interface {
 	// FollowWorkers reads nothing while active is false, and lists all workers again afterwards.
 	FollowWorkers(ctx context.Context, active func() bool, f func([]machine.Listing))
-	// WorkersReadAt returns when entries of workers were last read. Workers renew them every 1.5 s.
-	WorkersReadAt() time.Time
+	// SinceWorkersRead returns the time since entries of workers were last read. Workers renew them every 1.5 s.
+	SinceWorkersRead() time.Duration
 	FollowDesired(ctx context.Context, f func(contract.Desired))
 	FollowMembers(ctx context.Context, f func([]machine.Member))
 	PublishMember(ctx context.Context, m machine.Member) error
--- a/edge/deployment_test.go
+++ b/edge/deployment_test.go
@@ -103,10 +103,10 @@
 	})
 }
 
-func (v storeView) WorkersReadAt() time.Time {
+func (v storeView) SinceWorkersRead() time.Duration {
 	v.s.mu.Lock()
 	defer v.s.mu.Unlock()
-	return v.s.readAt(v.vm)
+	return time.Since(v.s.readAt(v.vm))
 }
 
 func (v storeView) FollowDesired(ctx context.Context, f func(contract.Desired)) {
@@ -302,6 +302,7 @@
 	daemons   map[string]*Daemon
 	// unguarded is set if the workers start whatever they are told to start.
 	unguarded bool
+	clock     func() time.Time
 	plan      func(key contract.RunKey) standin.RunPlan
 	wg        sync.WaitGroup
 	// workerNet is the network to the workers; nil for one without faults of its own.
@@ -312,6 +313,8 @@
 type deploymentOptions struct {
 	workerNet *workerNetwork
 	unguarded bool
+	// clock is the clock of the daemons; nil for that of the test.
+	clock func() time.Time
 }
 
 func newDeployment(t *testing.T, zones, daemonsPerZone, workersPerZone int) *deployment {
@@ -332,7 +335,7 @@
 	n, w, unguarded := newNetwork(), o.workerNet, o.unguarded
 	d := &deployment{
 		t: t, net: n, store: newMemStore(n), hosts: make(map[string]*standin.RunHost), daemons: make(map[string]*Daemon),
-		log: &testLog{}, workerNet: w, unguarded: unguarded,
+		log: &testLog{}, workerNet: w, unguarded: unguarded, clock: o.clock,
 		observer: &runObserver{
 			running: make(map[contract.RunKey][]contract.RunKey), starts: make(map[contract.RunKey]int),
 			done: make(map[contract.RunKey]int),
@@ -388,6 +391,9 @@
 	}
 	logger := slog.New(slog.NewTextHandler(out, nil)).With("vm", vm)
 	calls, now := link.HostCalls(workerCalls{d, vm}), time.Now
+	if d.clock != nil {
+		now = d.clock
+	}
 	if d.workerNet != nil {
 		calls, now = faultyCalls{d.workerNet, vm}, d.workerNet.now(vm)
 	}
--- a/edge/fits.go
+++ b/edge/fits.go
@@ -23,9 +23,5 @@
 // listAge returns the time since the list of workers was last confirmed by the store, or by a member that reads it for this
 // one.
 func (d *Daemon) listAge() time.Duration {
-	readAt := d.o.Store.WorkersReadAt()
-	if fed := d.feed.LastFed(); fed.After(readAt) {
-		readAt = fed
-	}
-	return d.o.Now().Sub(readAt)
+	return min(d.o.Store.SinceWorkersRead(), d.o.Now().Sub(d.feed.LastFed()))
 }
--- a/edge/kind_test.go
+++ b/edge/kind_test.go
@@ -194,3 +194,18 @@
 		require.Equal(t, batch.Refused, submit("00000000000000dd", "c", taskCPU).Outcome, "has not run and may be sent again")
 	})
 }
+
+// Guards against a list that looks old for good once the machine has been suspended: the daemon's clock then runs ahead of
+// the one by which the reading of the list is dated.
+func TestListIsNotOldAfterASuspension(t *testing.T) {
+	inVirtualTime(t, func(t *testing.T) {
+		ahead := func() time.Time { return time.Now().Add(time.Hour) }
+		d := newDeploymentWith(deploymentOptions{clock: ahead}, t, 1, 1, 1)
+		defer d.close()
+		d.setKind(changedWorker, "a")
+		time.Sleep(time.Second)
+		fits, known := d.daemons["edge-0-0"].fits(testBackend, machine.Resources{CPUMillis: taskCPU}, "b")
+		require.False(t, fits)
+		require.True(t, known)
+	})
+}
