edgesoak: faults between clients and daemons, waves of exits, checks of answers

New kinds: clients_half_close, _reset, _cut, _silent, _slow, _leave; worker_exit and worker_exit_wave (connections are refused, a share of the workers at once); worker_repeats (each answer once more, late) and worker_spoils (empty, cut or bare answers). New checks: an answer is whole and one that the protocol has for a submission; a job is "failed" only if a task has failed as often as its route allows. Lost requests in planned stops are not counted if their client left or their connection had a fault.

TestRelayFaults' echo server now closes a connection whose end it has read.

--- a/command/edgesoak.go
+++ b/command/edgesoak.go
@@ -28,6 +28,9 @@
 			&cli.IntFlag{Name: "daemons", Value: 2, Usage: "number of daemons in each failure domain"},
 			&cli.IntFlag{Name: "workers", Value: 6, Usage: "number of workers in each failure domain"},
 			&cli.StringSliceFlag{Name: "fault", Usage: "inject only this `KIND`; may be repeated"},
+			&cli.DurationFlag{Name: "fault-interval", Usage: "inject faults at this interval instead of a random one"},
+			&cli.FloatFlag{Name: "wave-share", Usage: "share of the workers that worker_exit_wave ends (default: 0.17)"},
+			&cli.DurationFlag{Name: "wave-down", Usage: "for how long worker_exit_wave ends workers (default: 500ms)"},
 			&cli.StringFlag{Name: "dir", Usage: "keep the daemons' settings and logs in `DIR`"},
 			&cli.BoolFlag{Name: "json", Usage: "print a JSON object as the last line"},
 		},
@@ -43,7 +46,9 @@
 	w := c.Root().Writer
 	r, err := soak.Run(soak.Options{
 		Program: program, Seed: c.Uint64("seed"), Duration: c.Duration("duration"), Domains: c.Int("domains"),
-		Daemons: c.Int("daemons"), Workers: c.Int("workers"), Faults: c.StringSlice("fault"), Dir: c.String("dir"), Out: w,
+		Daemons: c.Int("daemons"), Workers: c.Int("workers"),
+		Faults: c.StringSlice("fault"), Dir: c.String("dir"), Out: w,
+		FaultInterval: c.Duration("fault-interval"), WaveShare: c.Float("wave-share"), WaveDown: c.Duration("wave-down"),
 	})
 	if err != nil {
 		return err
--- a/load/relay.go
+++ b/load/relay.go
@@ -1,7 +1,10 @@
 package load
 
 import (
+	"bytes"
+	"maps"
 	"net"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -11,17 +14,21 @@
 
 // Relay forwards TCP connections to a target and injects network faults. mu guards the fields below it.
 type Relay struct {
-	listener net.Listener
+	address string
 
-	mu     sync.Mutex
-	target string
+	mu       sync.Mutex
+	listener net.Listener
+	target   string
 	// cuts and replyDrops count the calls of Cut and LoseReplies that have not been reverted.
 	cuts       int
 	replyDrops int
 	// delay is added to everything that is forwarded, in either direction.
-	delay  time.Duration
-	conns  map[*relayConn]bool
-	closed bool
+	delay time.Duration
+	// repeatAfter is the time after which everything that the target sends is sent to the client once more; zero disables
+	// this.
+	repeatAfter time.Duration
+	conns       map[*relayConn]bool
+	closed      bool
 }
 
 // relayConn is one connection through a relay.
@@ -39,23 +46,48 @@
 	if err != nil {
 		return nil, err
 	}
-	r := &Relay{listener: l, target: target, conns: make(map[*relayConn]bool)}
-	go r.accept()
+	r := &Relay{listener: l, address: l.Addr().String(), target: target, conns: make(map[*relayConn]bool)}
+	go r.accept(l)
 	return r, nil
 }
 
 // Address returns the address on which the relay listens.
-func (r *Relay) Address() string { return r.listener.Addr().String() }
+func (r *Relay) Address() string { return r.address }
 
 // Close closes the relay and its connections.
 func (r *Relay) Close() {
 	r.mu.Lock()
 	r.closed = true
+	_ = r.listener.Close()
 	r.mu.Unlock()
+	r.closeAll()
+}
+
+// StopListening closes all connections and the listener, as the exit of the target would: new connections are refused
+// until Listen is called.
+func (r *Relay) StopListening() {
+	r.mu.Lock()
 	_ = r.listener.Close()
+	r.mu.Unlock()
 	r.closeAll()
 }
 
+// Listen reverts StopListening.
+func (r *Relay) Listen() error {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.closed {
+		return net.ErrClosed
+	}
+	l, err := net.Listen("tcp", r.address)
+	if err != nil {
+		return err
+	}
+	r.listener = l
+	go r.accept(l)
+	return nil
+}
+
 // SetTarget changes the target of new connections.
 func (r *Relay) SetTarget(address string) {
 	r.mu.Lock()
@@ -97,6 +129,45 @@
 	}
 }
 
+// Reset resets all open connections, in both directions.
+func (r *Relay) Reset() {
+	for _, c := range r.open() {
+		c.reset()
+	}
+}
+
+// CloseRequests closes the clients' half of the open connections: the target reads the end of what the clients send, and
+// what the target sends is still forwarded.
+func (r *Relay) CloseRequests() {
+	for _, c := range r.open() {
+		c.dropRequests.Store(true)
+		if half, ok := c.server.(*net.TCPConn); ok {
+			// An error means that the connection is closed already.
+			_ = half.CloseWrite()
+		}
+	}
+}
+
+// SetRepeat makes the relay send everything that the target sends once more, after a delay. Zero ends this fault.
+func (r *Relay) SetRepeat(after time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.repeatAfter = after
+}
+
+// repeat sends what the target has sent once more, if that fault is set.
+func (r *Relay) repeat(b []byte, to net.Conn) {
+	r.mu.Lock()
+	after := r.repeatAfter
+	r.mu.Unlock()
+	if after <= 0 {
+		return
+	}
+	again := bytes.Clone(b)
+	// The connection may have been closed by then.
+	time.AfterFunc(after, func() { _, _ = to.Write(again) })
+}
+
 // SetDelay delays everything that is forwarded from now on; zero removes the delay.
 func (r *Relay) SetDelay(d time.Duration) {
 	r.mu.Lock()
@@ -134,35 +205,48 @@
 	}
 }
 
-func (r *Relay) closeAll() {
+// open returns the open connections.
+func (r *Relay) open() []*relayConn {
 	r.mu.Lock()
-	conns := make([]*relayConn, 0, len(r.conns))
-	for c := range r.conns {
-		conns = append(conns, c)
-	}
-	r.mu.Unlock()
-	for _, c := range conns {
+	defer r.mu.Unlock()
+	return slices.Collect(maps.Keys(r.conns))
+}
+
+func (r *Relay) closeAll() {
+	for _, c := range r.open() {
 		c.close()
 	}
 }
 
+// reset closes both connections with a reset.
+func (c *relayConn) reset() {
+	for _, conn := range []net.Conn{c.client, c.server} {
+		if tcp, ok := conn.(*net.TCPConn); ok {
+			// An error means that the connection is closed already.
+			_ = tcp.SetLinger(0)
+		}
+	}
+	c.close()
+}
+
 func (c *relayConn) close() {
 	// The peer may have closed the connection already.
 	_ = c.client.Close()
 	_ = c.server.Close()
 }
 
-func (r *Relay) accept() {
+func (r *Relay) accept(l net.Listener) {
 	for {
-		client, err := r.listener.Accept()
+		client, err := l.Accept()
 		if err != nil {
 			return
 		}
-		go r.open(client)
+		go r.forward(client)
 	}
 }
 
-func (r *Relay) open(client net.Conn) {
+// forward connects a client to the target until either side closes its connection.
+func (r *Relay) forward(client net.Conn) {
 	r.mu.Lock()
 	target, refuse := r.target, r.cuts > 0 || r.closed
 	r.mu.Unlock()
@@ -214,5 +298,8 @@
 		if _, err := to.Write(buf[:n]); err != nil {
 			return
 		}
+		if reply {
+			r.repeat(buf[:n], to)
+		}
 	}
 }
--- a/load/soak_test.go
+++ b/load/soak_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"os"
+	"syscall"
 	"testing"
 	"time"
 
@@ -59,7 +60,10 @@
 			if err != nil {
 				return
 			}
-			go func() { _, _ = io.Copy(c, c) }()
+			go func() {
+				_, _ = io.Copy(c, c)
+				_ = c.Close()
+			}()
 		}
 	}()
 	return l.Addr().String()
@@ -113,3 +117,40 @@
 	require.ErrorAs(t, err, &timeout)
 	require.True(t, timeout.Timeout())
 }
+
+// Guards against relays whose faults between clients and daemons do not reach both sides.
+func TestRelayFaultsOfOneSide(t *testing.T) {
+	r, err := load.NewRelay(startEchoServer(t))
+	require.NoError(t, err)
+	defer r.Close()
+
+	c := dialRelay(t, r)
+	r.Reset()
+	_, err = c.Read(make([]byte, 1))
+	require.ErrorIs(t, err, syscall.ECONNRESET)
+
+	c = dialRelay(t, r)
+	r.CloseRequests()
+	// The echo server closes the connection when it has read the end of the requests.
+	_, err = c.Read(make([]byte, 1))
+	require.ErrorIs(t, err, io.EOF)
+
+	c = dialRelay(t, r)
+	r.StopListening()
+	require.False(t, roundTrips(c))
+	_, err = net.Dial("tcp", r.Address())
+	require.ErrorIs(t, err, syscall.ECONNREFUSED)
+	require.NoError(t, r.Listen())
+	dialRelay(t, r)
+
+	r.SetRepeat(time.Millisecond)
+	c, err = net.Dial("tcp", r.Address())
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = c.Close() })
+	_, err = c.Write([]byte("ab"))
+	require.NoError(t, err)
+	answers := make([]byte, 4)
+	_, err = io.ReadFull(c, answers)
+	require.NoError(t, err)
+	require.Equal(t, "abab", string(answers))
+}
--- a/soak/check.go
+++ b/soak/check.go
@@ -12,6 +12,8 @@
 	CheckRunsOnce          = "task_runs_once_at_a_time"
 	CheckRefusedNotRun     = "refused_job_has_not_run"
 	CheckCompletedDone     = "completed_job_is_done"
+	CheckFailedHasCause    = "failed_job_has_a_cause"
+	CheckAnswerIsAllowed   = "answer_is_one_of_the_protocol"
 	CheckStopCutsNothing   = "planned_stop_cuts_no_request"
 	CheckNoUnexpectedExit  = "process_ends_only_on_order"
 	CheckServesAfterFaults = "served_after_faults"
@@ -50,29 +52,58 @@
 		s.reportViolation(CheckRefusedNotRun, fmt.Sprintf("job %s was refused, but has run", j.id))
 	}
 	for _, a := range j.attempts {
+		s.checkAnswer(j, a)
 		s.countChecks(CheckCompletedDone, 1)
 		if a.state == "completed" && !s.runs.done(j.id, j.tasks) {
 			s.reportViolation(CheckCompletedDone, fmt.Sprintf("job %s: %s answered completed, but not all %d tasks are done",
 				j.id, a.daemon.vm, j.tasks))
 		}
+		s.countChecks(CheckFailedHasCause, 1)
+		if a.state == "failed" && !s.runs.failed(j.id, j.tasks, attempts) {
+			s.reportViolation(CheckFailedHasCause, fmt.Sprintf("job %s: %s answered failed, but no task has failed %d times",
+				j.id, a.daemon.vm, attempts))
+		}
 		if a.err != nil {
 			s.checkLostRequest(j, a)
 		}
 	}
 }
 
+// checkAnswer checks that an answer is whole, and one that the protocol has for a submission: the job has ended as
+// completed or failed, was not accepted, or its outcome is in doubt.
+func (s *Soak) checkAnswer(j *job, a attempt) {
+	s.countChecks(CheckAnswerIsAllowed, 1)
+	allowed := false
+	switch a.status {
+	case http.StatusOK:
+		allowed = a.body == `{"state":"completed"}` || a.body == `{"state":"failed"}`
+	case http.StatusTooManyRequests, http.StatusServiceUnavailable, http.StatusBadGateway, http.StatusGatewayTimeout:
+		allowed = true
+	case 0:
+		// No answer has arrived.
+		allowed = a.err != nil
+	}
+	if !allowed {
+		s.reportViolation(CheckAnswerIsAllowed, fmt.Sprintf("job %s: %s answered %d %q", j.id, a.daemon.vm, a.status, a.body))
+	}
+}
+
 // checkLostRequest checks that a request without an answer was not lost in a planned stop of its daemon. A request
 // counts as lost in a stop if it failed before its time limit, between the start of the stop and 1 s after its end. A
-// request that was sent less than grace/6 before that end, or later, does not count.
+// request that was sent less than grace/6 before that end, or later, does not count, nor does one whose client left or
+// whose connection was disturbed.
 func (s *Soak) checkLostRequest(j *job, a attempt) {
 	s.countChecks(CheckStopCutsNothing, 1)
 	lost := a.sent.Add(a.elapsed)
+	if a.daemon.disturbed(a.sent, lost) {
+		return
+	}
 	s.mu.Lock()
 	stops := s.stops
 	s.mu.Unlock()
 	for _, stop := range stops {
 		if stop.daemon == a.daemon && a.sent.Before(stop.end.Add(-grace/6)) && a.sent.After(stop.begin.Add(-j.limit)) &&
-			lost.After(stop.begin) && !lost.After(stop.end.Add(time.Second)) && a.elapsed < j.limit {
+			lost.After(stop.begin) && !lost.After(stop.end.Add(time.Second)) && a.elapsed < min(j.limit, j.patience) {
 			s.reportViolation(CheckStopCutsNothing, fmt.Sprintf("job %s at %s, sent %v after SIGTERM, lost after %v: %v",
 				j.id, a.daemon.vm, a.sent.Sub(stop.begin), a.elapsed, a.err))
 		}
@@ -83,7 +114,7 @@
 func (s *Soak) checkServing(d *daemon) {
 	c := newClient(s, d.domain, rand.New(rand.NewPCG(s.o.Seed, 9)))
 	for range finalJobs {
-		j := &job{id: fmt.Sprintf("%016x", rand.Uint64()), tasks: 2, limit: 8 * time.Second}
+		j := &job{id: fmt.Sprintf("%016x", rand.Uint64()), tasks: 2, limit: 8 * time.Second, patience: 8 * time.Second}
 		a := c.attempt(j, d, j.limit)
 		s.countChecks(CheckServesAfterFaults, 1)
 		if a.status != http.StatusOK {
--- a/soak/client.go
+++ b/soak/client.go
@@ -25,7 +25,9 @@
 
 // attempt is one submission of a job.
 type attempt struct {
-	status  int
+	status int
+	// body is the whole body of the answer, state the one that it names.
+	body    string
 	state   string
 	err     error
 	daemon  *daemon
@@ -33,11 +35,12 @@
 	elapsed time.Duration
 }
 
-// job is a job with the attempts of its client.
+// job is a job with the attempts of its client, which waits for the answer for the time of patience.
 type job struct {
 	id       string
 	tasks    int
 	limit    time.Duration
+	patience time.Duration
 	attempts []attempt
 }
 
@@ -51,6 +54,14 @@
 	return len(j.attempts) > 0
 }
 
+// waits returns for how long the client waits for an answer to one attempt.
+func (j *job) waits() time.Duration {
+	if j.patience < j.limit {
+		return j.patience
+	}
+	return j.limit + answerSlack
+}
+
 // client submits jobs to the daemons of one failure domain over persistent connections.
 type client struct {
 	s      *Soak
@@ -80,11 +91,16 @@
 // submit submits a job and retries until it is answered or refused, or until its time limit leaves no time for another
 // attempt. Each retry goes to the next daemon of the failure domain.
 func (c *client) submit(j *job) {
-	deadline := time.Now().Add(j.limit)
+	begin := time.Now()
+	deadline := begin.Add(j.limit)
+	j.patience = c.s.patience(j, c.rng)
 	pick := c.rng.IntN(len(c.s.daemons))
 	for n := 0; ; n++ {
 		a := c.attempt(j, c.s.daemonOf(c.domain, pick+n), time.Until(deadline))
 		j.attempts = append(j.attempts, a)
+		if time.Since(begin) >= j.patience {
+			return
+		}
 		retry := a.err != nil || a.status == http.StatusBadGateway || a.status == http.StatusGatewayTimeout
 		if !retry || time.Until(deadline) < resendDelay {
 			return
@@ -96,9 +112,9 @@
 func (c *client) attempt(j *job, d *daemon, left time.Duration) attempt {
 	a := attempt{daemon: d, sent: time.Now()}
 	body := standin.JobDocument(j.id, j.tasks, taskNeed, taskEstimateMS)
-	ctx, cancel := context.WithTimeout(context.Background(), left+answerSlack)
+	ctx, cancel := context.WithTimeout(context.Background(), min(left+answerSlack, j.waits()))
 	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+d.front+routePrefix+j.id, bytes.NewReader(body))
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+d.clients.Address()+routePrefix+j.id, bytes.NewReader(body))
 	if err != nil {
 		a.err = err
 		return a
@@ -117,7 +133,7 @@
 		a.err = err
 		return a
 	}
-	a.status = resp.StatusCode
+	a.status, a.body = resp.StatusCode, string(text)
 	var answer struct {
 		State string `json:"state"`
 	}
--- /dev/null
+++ b/soak/clientfault.go
@@ -0,0 +1,82 @@
+package soak
+
+import (
+	"math/rand/v2"
+	"slices"
+	"time"
+)
+
+// This file has the faults between the clients and the daemons. Clients reach a daemon through its relay clients.
+
+// span is a time in which a fault lay between clients and a daemon.
+type span struct{ begin, end time.Time }
+
+// disturb injects a fault between clients and the daemon, and records when it did.
+func (d *daemon) disturb(inject func()) {
+	begin := time.Now()
+	inject()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.disturbances = append(d.disturbances, span{begin, time.Now()})
+}
+
+// disturbed reports whether a fault lay between clients and the daemon at any moment of a time.
+func (d *daemon) disturbed(begin, end time.Time) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return slices.ContainsFunc(d.disturbances, func(s span) bool { return s.begin.Before(end) && begin.Before(s.end) })
+}
+
+// halfCloseClients closes the clients' half of all open connections to a daemon, as a relay or load balancer does that
+// closes one side first. The clients can still read.
+func (s *Soak) halfCloseClients(rng *rand.Rand) string {
+	d := s.randomDaemon(rng)
+	d.disturb(func() { d.clients.CloseRequests() })
+	return d.vm
+}
+
+func (s *Soak) resetClients(rng *rand.Rand) string {
+	d := s.randomDaemon(rng)
+	d.disturb(func() { d.clients.Reset() })
+	return d.vm
+}
+
+func (s *Soak) cutClients(rng *rand.Rand) string {
+	d := s.randomDaemon(rng)
+	d.disturb(func() { cutRelay(d.clients, rng) })
+	return d.vm
+}
+
+func (s *Soak) silenceClients(rng *rand.Rand) string {
+	d := s.randomDaemon(rng)
+	d.disturb(func() { d.clients.Silence() })
+	return d.vm
+}
+
+func (s *Soak) slowClients(rng *rand.Rand) string {
+	d := s.randomDaemon(rng)
+	d.disturb(func() { slowRelay(d.clients, rng) })
+	return d.vm
+}
+
+// sendClientsAway makes clients leave before their time limit, for a random time.
+func (s *Soak) sendClientsAway(rng *rand.Rand) string {
+	s.leaving.Add(1)
+	time.Sleep(faultDuration(rng))
+	s.leaving.Add(-1)
+	return "clients"
+}
+
+// patience returns how long a client waits for the answer to a job.
+func (s *Soak) patience(j *job, rng *rand.Rand) time.Duration {
+	if s.leaving.Load() == 0 || rng.IntN(2) == 0 {
+		return j.limit
+	}
+	return minPatience + time.Duration(rng.Int64N(int64(maxPatience-minPatience)))
+}
+
+const (
+	// minPatience and maxPatience bound the time after which a client leaves while clients_leave is injected.
+	minPatience = 50 * time.Millisecond
+	maxPatience = 450 * time.Millisecond
+)
--- a/soak/daemon.go
+++ b/soak/daemon.go
@@ -26,9 +26,11 @@
 	vm     string
 	domain string
 	front  string
-	// readiness and listen are the daemon's readiness and peer addresses; members reach it through the relay peers.
+	// readiness and listen are the daemon's readiness and peer addresses. Clients reach it through the relay clients, members
+	// through the relay peers.
 	readiness string
 	listen    string
+	clients   *load.Relay
 	peers     *load.Relay
 	store     *load.Relay
 	settings  string
@@ -43,6 +45,8 @@
 	failed bool
 	// stopping is set before the process is signalled to exit.
 	stopping bool
+	// disturbances are the times of the faults between clients and the daemon.
+	disturbances []span
 }
 
 // newDaemon opens a daemon's relays and writes its settings file.
@@ -62,6 +66,9 @@
 		*a = address
 	}
 	var err error
+	if d.clients, err = load.NewRelay(d.front); err != nil {
+		return nil, err
+	}
 	if d.peers, err = load.NewRelay(d.listen); err != nil {
 		return nil, err
 	}
@@ -146,6 +153,7 @@
 
 func (d *daemon) close() {
 	_ = d.terminate(syscall.SIGKILL, startTimeout)
+	d.clients.Close()
 	d.peers.Close()
 	d.store.Close()
 }
--- a/soak/fault.go
+++ b/soak/fault.go
@@ -8,7 +8,6 @@
 	"time"
 
 	"github.com/cicadadale/cicadadale/load"
-	"github.com/cicadadale/cicadadale/standin"
 )
 
 // faults maps each fault kind to the function that injects it. The function returns when the fault has ended, with the
@@ -34,6 +33,16 @@
 	"worker_late_orders": (*Soak).delayCalls,
 	"worker_loses":       (*Soak).loseStarts,
 	"worker_rejects":     (*Soak).rejectStarts,
+	"worker_exit":        (*Soak).exitWorker,
+	"worker_exit_wave":   (*Soak).exitWave,
+	"worker_repeats":     (*Soak).repeatAnswers,
+	"worker_spoils":      (*Soak).spoilAnswers,
+	"clients_half_close": (*Soak).halfCloseClients,
+	"clients_reset":      (*Soak).resetClients,
+	"clients_cut":        (*Soak).cutClients,
+	"clients_silent":     (*Soak).silenceClients,
+	"clients_slow":       (*Soak).slowClients,
+	"clients_leave":      (*Soak).sendClientsAway,
 }
 
 // faultFreeTail is the time at the end of a run during which no fault starts.
@@ -48,7 +57,7 @@
 	var all sync.WaitGroup
 	defer all.Wait()
 	for time.Now().Before(end.Add(-faultFreeTail)) {
-		time.Sleep(time.Duration(50+rng.IntN(500)) * time.Millisecond)
+		time.Sleep(s.faultGap(rng))
 		kind, faultRNG := kinds[rng.IntN(len(kinds))], rand.New(rand.NewPCG(rng.Uint64(), 0))
 		all.Go(func() {
 			begin := time.Now()
@@ -59,6 +68,14 @@
 	}
 }
 
+// faultGap returns the time until the next fault.
+func (s *Soak) faultGap(rng *rand.Rand) time.Duration {
+	if s.o.FaultInterval > 0 {
+		return s.o.FaultInterval
+	}
+	return time.Duration(50+rng.IntN(500)) * time.Millisecond
+}
+
 func faultDuration(rng *rand.Rand) time.Duration {
 	return time.Duration(200+rng.IntN(3000)) * time.Millisecond
 }
@@ -202,63 +219,3 @@
 	s.store.SetLosingReplies(false)
 	return "store"
 }
-
-func (s *Soak) cutWorker(rng *rand.Rand) string {
-	w := s.randomWorker(rng)
-	cutRelay(w.relay, rng)
-	return w.id
-}
-
-func (s *Soak) silenceWorker(rng *rand.Rand) string {
-	w := s.randomWorker(rng)
-	w.relay.Silence()
-	return w.id
-}
-
-func (s *Soak) slowWorker(rng *rand.Rand) string {
-	w := s.randomWorker(rng)
-	slowRelay(w.relay, rng)
-	return w.id
-}
-
-func (s *Soak) crashWorker(rng *rand.Rand) string {
-	w := s.randomWorker(rng)
-	if !w.crashing.TryLock() {
-		return ""
-	}
-	defer w.crashing.Unlock()
-	w.host.Crash()
-	time.Sleep(faultDuration(rng))
-	w.host.Restart()
-	// The server list is updated only some time after the new incarnation has started.
-	time.Sleep(faultDuration(rng) / 2)
-	s.putEntry(w)
-	return w.id
-}
-
-// onWorker applies a fault to a random worker for a random time.
-func (s *Soak) onWorker(rng *rand.Rand, set func(h *standin.RunHost, on bool)) string {
-	w := s.randomWorker(rng)
-	set(w.host, true)
-	time.Sleep(faultDuration(rng))
-	set(w.host, false)
-	return w.id
-}
-
-func (s *Soak) delayCalls(rng *rand.Rand) string {
-	n, delay := 5+rng.IntN(10), time.Duration(2000+rng.IntN(6000))*time.Millisecond
-	return s.onWorker(rng, func(h *standin.RunHost, on bool) {
-		if !on {
-			n = 0
-		}
-		h.SetDelayEveryNth(n, delay)
-	})
-}
-
-func (s *Soak) loseStarts(rng *rand.Rand) string {
-	return s.onWorker(rng, (*standin.RunHost).SetLosingReplies)
-}
-
-func (s *Soak) rejectStarts(rng *rand.Rand) string {
-	return s.onWorker(rng, (*standin.RunHost).SetRejecting)
-}
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -11,6 +11,7 @@
 	"path/filepath"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -28,7 +29,9 @@
 	// taskEstimateMS is the run time that clients declare for each task.
 	taskEstimateMS = 300
 	// maxLease is the longest lease that workers grant.
-	maxLease         = time.Second
+	maxLease = time.Second
+	// attempts is the number of runs of a task that may fail before its job has failed.
+	attempts         = 2
 	clientsPerDomain = 12
 	// settleTime is how long the run waits, after the start and after the last fault, for the daemons to find each other.
 	settleTime = 4 * time.Second
@@ -52,6 +55,12 @@
 	Domains, Daemons, Workers int
 	// Faults limits the fault kinds; empty means all.
 	Faults []string
+	// FaultInterval is the time between faults; zero draws it from the seed.
+	FaultInterval time.Duration
+	// WaveShare and WaveDown are the share of the workers that worker_exit_wave ends, and for how long; zero means the
+	// defaults.
+	WaveShare float64
+	WaveDown  time.Duration
 	// Dir receives the settings and logs of the daemons; if empty, a temporary directory is used.
 	Dir string
 	Out io.Writer
@@ -96,6 +105,8 @@
 	runs    *runRecorder
 	workers []*worker
 	daemons []*daemon
+	// leaving counts the faults that make clients leave.
+	leaving atomic.Int32
 
 	mu     sync.Mutex
 	jobs   []*job
@@ -188,7 +199,7 @@
 // publish writes the operator's desired state to the store.
 func (s *Soak) publish() {
 	s.store.Put("keyed.op", "config", standin.DesiredDocument(1, contract.Route{
-		Name: "jobs", Host: routeHost, PathPrefix: routePrefix, Backend: service, Attempts: 2, TargetFactor: 1.6,
+		Name: "jobs", Host: routeHost, PathPrefix: routePrefix, Backend: service, Attempts: attempts, TargetFactor: 1.6,
 		TargetSlack: 60 * time.Millisecond, Timeout: 10 * time.Second,
 	}))
 }
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -51,6 +51,24 @@
 	}
 }
 
+// Guards against answers that a submission does not have, such as a job that is answered as cancelled because its client has
+// closed its half of the connection.
+func TestClientFaultsSpoilNoAnswer(t *testing.T) {
+	program, err := os.Executable()
+	require.NoError(t, err)
+	var out bytes.Buffer
+	r, err := soak.Run(soak.Options{
+		Program: program, Seed: 1, Duration: 4 * time.Second, Domains: 2, Daemons: 2, Workers: 4, Dir: t.TempDir(), Out: &out,
+		Faults: []string{"clients_half_close", "clients_reset", "clients_leave"}, FaultInterval: 150 * time.Millisecond,
+	})
+	require.NoError(t, err)
+	require.Zero(t, r.Violations, out.String())
+	require.Positive(t, r.Completed)
+	require.NotZero(t, r.FaultsInjected["clients_half_close"])
+	require.Positive(t, r.InvariantChecks[soak.CheckAnswerIsAllowed])
+	require.Positive(t, r.InvariantChecks[soak.CheckFailedHasCause])
+}
+
 // Guards against a misspelt fault kind that leaves a run without faults.
 func TestUnknownFaultIsAnError(t *testing.T) {
 	_, err := soak.Run(soak.Options{Faults: []string{"kil"}})
--- a/soak/watch.go
+++ b/soak/watch.go
@@ -101,3 +101,21 @@
 	}
 	return true
 }
+
+// failed reports whether a task of a job has at least n runs that have failed.
+func (r *runRecorder) failed(job string, tasks, n int) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for i := range tasks {
+		failures := 0
+		for _, run := range r.tasks[contract.RunKey{Batch: job, Index: i}] {
+			if run.state == contract.RunFailed {
+				failures++
+			}
+		}
+		if failures >= n {
+			return true
+		}
+	}
+	return false
+}
--- a/standin/hostserver.go
+++ b/standin/hostserver.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/cloudwego/hertz/pkg/app"
@@ -25,6 +26,43 @@
 	host   *RunHost
 	id     string
 	server *httpserve.Server
+	// faultyAnswers is the fault of the answers, of type AnswerFault.
+	faultyAnswers atomic.Int32
+}
+
+// AnswerFault is a way in which the answers of a worker are not whole.
+type AnswerFault int32
+
+// Faults of answers.
+const (
+	// AnswersWhole is no fault.
+	AnswersWhole AnswerFault = iota
+	// AnswersEmpty have their status and no body.
+	AnswersEmpty
+	// AnswersCut end in the middle of the body, though its length is that of the whole body.
+	AnswersCut
+	// AnswersBare have a JSON object without any field as their body.
+	AnswersBare
+)
+
+// SetAnswerFault makes the worker execute calls and answer them with a fault, or ends that.
+func (s *HostServer) SetAnswerFault(f AnswerFault) { s.faultyAnswers.Store(int32(f)) }
+
+// spoil applies the fault of the answers to one.
+func (s *HostServer) spoil(c *app.RequestContext) {
+	switch AnswerFault(s.faultyAnswers.Load()) {
+	case AnswersEmpty:
+		c.Response.ResetBody()
+	case AnswersBare:
+		c.Response.SetBodyString("{}")
+	case AnswersCut:
+		body := c.Response.Body()
+		head := fmt.Sprintf("HTTP/1.1 %d -\r\nContent-Type: application/json\r\nContent-Length: %d\r\n\r\n",
+			c.Response.StatusCode(), len(body))
+		// The caller may have closed the connection.
+		_, _ = c.GetConn().Write(append([]byte(head), body[:len(body)/2]...))
+		dropConnection(c)
+	}
 }
 
 // ServeHost serves a worker on l in the background.
@@ -75,6 +113,7 @@
 		ctx, cancel := context.WithTimeout(ctx, unansweredTimeout)
 		defer cancel()
 		handle(ctx, c, call)
+		s.spoil(c)
 	}
 }
 
