--- a/soak/check.go
+++ b/soak/check.go
@@ -14,11 +14,15 @@
 	CheckCompletedDone     = "completed_job_is_done"
 	CheckFailedHasCause    = "failed_job_has_a_cause"
 	CheckAnswerIsAllowed   = "answer_is_one_of_the_protocol"
+	CheckCancelledEnds     = "cancelled_job_starts_no_task"
 	CheckStopCutsNothing   = "planned_stop_cuts_no_request"
 	CheckNoUnexpectedExit  = "process_ends_only_on_order"
 	CheckServesAfterFaults = "served_after_faults"
 )
 
+// cancelTime is the time after the acknowledged cancel of a job from which none of its tasks may start.
+const cancelTime = 3 * time.Second
+
 // check verifies the guarantees after the run.
 func (s *Soak) check() {
 	for _, pair := range s.runs.overlapping() {
@@ -51,6 +55,12 @@
 	if j.refused() && s.runs.started(j.id, j.tasks) {
 		s.reportViolation(CheckRefusedNotRun, fmt.Sprintf("job %s was refused, but has run", j.id))
 	}
+	if !j.cancelled.IsZero() {
+		s.countChecks(CheckCancelledEnds, 1)
+		if s.runs.startedAfter(j.id, j.tasks, j.cancelled.Add(cancelTime)) {
+			s.reportViolation(CheckCancelledEnds, fmt.Sprintf("job %s: a task started more than %v after its cancel", j.id, cancelTime))
+		}
+	}
 	for _, a := range j.attempts {
 		s.checkAnswer(j, a)
 		s.countChecks(CheckCompletedDone, 1)
--- a/soak/client.go
+++ b/soak/client.go
@@ -21,6 +21,8 @@
 	answerSlack = 500 * time.Millisecond
 	clientPause = 20 * time.Millisecond
 	maxTasks    = 6
+	// While clients_cancel is injected, one in cancelledShare jobs is cancelled.
+	cancelledShare = 4
 )
 
 // attempt is one submission of a job.
@@ -42,6 +44,8 @@
 	limit    time.Duration
 	patience time.Duration
 	attempts []attempt
+	// cancelled is when a daemon acknowledged that the job is cancelled; zero if none has.
+	cancelled time.Time
 }
 
 // refused reports whether every attempt was refused, which states that the job has not run.
@@ -95,6 +99,8 @@
 	deadline := begin.Add(j.limit)
 	j.patience = c.s.patience(j, c.rng)
 	pick := c.rng.IntN(len(c.s.daemons))
+	stop := c.scheduleCancel(j)
+	defer stop()
 	for n := 0; ; n++ {
 		a := c.attempt(j, c.s.daemonOf(c.domain, pick+n), time.Until(deadline))
 		j.attempts = append(j.attempts, a)
@@ -109,6 +115,49 @@
 	}
 }
 
+// scheduleCancel makes some jobs be cancelled while clients_cancel is injected. The returned function waits until that is
+// done, and prevents it if the job has ended before.
+func (c *client) scheduleCancel(j *job) (stop func()) {
+	if c.s.cancelling.Load() == 0 || c.rng.IntN(cancelledShare) > 0 {
+		return func() {}
+	}
+	after := time.Duration(c.rng.IntN(int(maxPatience)))
+	d := c.s.randomDaemon(c.rng)
+	ended, done := make(chan struct{}), make(chan struct{})
+	go func() {
+		defer close(done)
+		select {
+		case <-time.After(after):
+			c.cancel(j, d)
+		case <-ended:
+		}
+	}()
+	return func() {
+		close(ended)
+		<-done
+	}
+}
+
+// cancel sends the cancel of a job to a daemon.
+func (c *client) cancel(j *job, d *daemon) {
+	ctx, cancel := context.WithTimeout(context.Background(), j.limit)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodDelete, "http://"+d.clients.Address()+routePrefix+j.id, nil)
+	if err != nil {
+		return
+	}
+	req.Host = routeHost
+	resp, err := c.http.Do(req)
+	if err != nil {
+		// The cancel has not been acknowledged.
+		return
+	}
+	_ = resp.Body.Close()
+	if resp.StatusCode == http.StatusOK || resp.StatusCode == http.StatusGone {
+		j.cancelled = time.Now()
+	}
+}
+
 func (c *client) attempt(j *job, d *daemon, left time.Duration) attempt {
 	a := attempt{daemon: d, sent: time.Now()}
 	body := standin.JobDocument(j.id, j.tasks, taskNeed, taskEstimateMS)
--- a/soak/clientfault.go
+++ b/soak/clientfault.go
@@ -67,6 +67,14 @@
 	return "clients"
 }
 
+// cancelJobs makes clients cancel some of their jobs at a random daemon, for a random time.
+func (s *Soak) cancelJobs(rng *rand.Rand) string {
+	s.cancelling.Add(1)
+	time.Sleep(faultDuration(rng))
+	s.cancelling.Add(-1)
+	return "clients"
+}
+
 // patience returns how long a client waits for the answer to a job.
 func (s *Soak) patience(j *job, rng *rand.Rand) time.Duration {
 	if s.leaving.Load() == 0 || rng.IntN(2) == 0 {
--- a/soak/fault.go
+++ b/soak/fault.go
@@ -43,6 +43,7 @@
 	"clients_silent":     (*Soak).silenceClients,
 	"clients_slow":       (*Soak).slowClients,
 	"clients_leave":      (*Soak).sendClientsAway,
+	"clients_cancel":     (*Soak).cancelJobs,
 }
 
 // faultFreeTail is the time at the end of a run during which no fault starts.
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -105,8 +105,9 @@
 	runs    *runRecorder
 	workers []*worker
 	daemons []*daemon
-	// leaving counts the faults that make clients leave.
-	leaving atomic.Int32
+	// leaving and cancelling count the faults that make clients leave or cancel their jobs.
+	leaving    atomic.Int32
+	cancelling atomic.Int32
 
 	mu     sync.Mutex
 	jobs   []*job
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -59,7 +59,7 @@
 	var out bytes.Buffer
 	r, err := soak.Run(soak.Options{
 		Program: program, Seed: 1, Duration: 4 * time.Second, Domains: 2, Daemons: 2, Workers: 4, Dir: t.TempDir(), Out: &out,
-		Faults: []string{"clients_half_close", "clients_reset", "clients_leave"}, FaultInterval: 150 * time.Millisecond,
+		Faults: []string{"clients_half_close", "clients_reset", "clients_leave", "clients_cancel"}, FaultInterval: 150 * time.Millisecond,
 	})
 	require.NoError(t, err)
 	require.Zero(t, r.Violations, out.String())
@@ -67,6 +67,7 @@
 	require.NotZero(t, r.FaultsInjected["clients_half_close"])
 	require.Positive(t, r.InvariantChecks[soak.CheckAnswerIsAllowed])
 	require.Positive(t, r.InvariantChecks[soak.CheckFailedHasCause])
+	require.Positive(t, r.InvariantChecks[soak.CheckCancelledEnds])
 }
 
 // Guards against a misspelt fault kind that leaves a run without faults.
--- a/soak/watch.go
+++ b/soak/watch.go
@@ -86,6 +86,20 @@
 	return false
 }
 
+// startedAfter reports whether any task of a job has been started after a time.
+func (r *runRecorder) startedAfter(job string, tasks int, at time.Time) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for i := range tasks {
+		for _, run := range r.tasks[contract.RunKey{Batch: job, Index: i}] {
+			if run.begin.After(at) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // done reports whether each task of a job has a successful run.
 func (r *runRecorder) done(job string, tasks int) bool {
 	r.mu.Lock()
