--- a/command/edge.go
+++ b/command/edge.go
@@ -78,6 +78,8 @@
 	level := &slog.LevelVar{}
 	level.Set(logLevel(settings.Log.Level))
 	logger := newLoggerTo(logOutput, level, settings.Log.Format)
+	// net/http reports responses that nobody has asked for to the default logger.
+	slog.SetDefault(logger)
 	reload := make(chan os.Signal, 1)
 	signal.Notify(reload, syscall.SIGHUP)
 	defer signal.Stop(reload)
