--- a/standin/hostserver.go
+++ b/standin/hostserver.go
@@ -91,11 +91,16 @@
 
 // hostAnswer is the union of the bodies of all answers of a worker.
 type hostAnswer struct {
-	Clock   int64   `json:"clock_ms"`
-	Born    int64   `json:"born,omitempty"`
-	Reason  string  `json:"reason,omitempty"`
-	Running [][]any `json:"running,omitempty"`
-	Ended   [][]any `json:"ended_runs,omitempty"`
+	Clock  int64  `json:"clock_ms"`
+	Born   int64  `json:"born,omitempty"`
+	Reason string `json:"reason,omitempty"`
+}
+
+// listAnswer is the answer to a poll.
+type listAnswer struct {
+	hostAnswer
+	Running [][]any `json:"running"`
+	Ended   [][]any `json:"ended_runs"`
 }
 
 // serve decodes a call and passes it to handle. It rejects a call that is malformed or for another worker.
@@ -165,7 +170,9 @@
 
 func (s *HostServer) stop(ctx context.Context, c *app.RequestContext, call hostCall) {
 	reply, err := s.host.Stop(ctx, call.key(), call.Token)
-	s.answer(c, link.PollReply{HostReply: reply}, err)
+	if out, ok := s.admitted(c, reply, err); ok {
+		c.JSON(http.StatusOK, out)
+	}
 }
 
 func (s *HostServer) poll(ctx context.Context, c *app.RequestContext, call hostCall) {
@@ -173,22 +180,11 @@
 		Token: call.Token, LastOutcome: call.LastSeen, LeaseEnd: time.Duration(call.Until) * time.Millisecond,
 		Wait: time.Duration(call.Wait) * time.Millisecond,
 	})
-	s.answer(c, reply, err)
-}
-
-var outcomeNames = map[contract.RunState]string{contract.RunDone: "done", contract.RunFailed: "failed"}
-
-func (s *HostServer) answer(c *app.RequestContext, reply link.PollReply, err error) {
-	if err != nil {
-		dropConnection(c)
-		return
-	}
-	out := hostAnswer{Clock: reply.Clock.Milliseconds(), Born: reply.StartTime}
-	if reply.Fenced {
-		out.Reason = "fence"
-		c.JSON(http.StatusConflict, out)
+	admitted, ok := s.admitted(c, reply.HostReply, err)
+	if !ok {
 		return
 	}
+	out := listAnswer{hostAnswer: admitted, Running: [][]any{}, Ended: [][]any{}}
 	// The empty columns are the checkpoints, which this worker does not have.
 	for _, r := range reply.Running {
 		out.Running = append(out.Running, []any{taskName(r.Key), r.Key.Run, "", r.Progress})
@@ -202,3 +198,21 @@
 	}
 	c.JSON(http.StatusOK, out)
 }
+
+var outcomeNames = map[contract.RunState]string{contract.RunDone: "done", contract.RunFailed: "failed"}
+
+// admitted returns the common part of the answer to a call. It answers a call that fails or is fenced itself, and returns
+// false.
+func (s *HostServer) admitted(c *app.RequestContext, reply link.HostReply, err error) (hostAnswer, bool) {
+	if err != nil {
+		dropConnection(c)
+		return hostAnswer{}, false
+	}
+	out := hostAnswer{Clock: reply.Clock.Milliseconds(), Born: reply.StartTime}
+	if reply.Fenced {
+		out.Reason = "fence"
+		c.JSON(http.StatusConflict, out)
+		return hostAnswer{}, false
+	}
+	return out, true
+}
