--- a/command/edge.go
+++ b/command/edge.go
@@ -113,10 +113,7 @@
 	if err != nil {
 		return err
 	}
-	store, err := platform.NewLogStore(s.Store.Address, logger)
-	if err != nil {
-		return errors.Join(err, peers.Close())
-	}
+	store := platform.NewLogStore(s.Store.Address, logger)
 	self := machine.Member{
 		VM: s.VM.ID, Incarnation: machine.NewIncarnation(), Address: cmp.Or(s.Listen.Advertise, peers.Addr().String()), Domain: s.VM.FailureDomain,
 		CPUMillis: int(s.VM.CPUShare * millisPerCore),
