contract: a task is not blamed for crashes of workers that come in waves

A crash in a wave is not counted against tasks: an idle worker has crashed at the same time, or others have at the same moment under tasks of several jobs. One job may crash any number of workers at a time and is still given up. Owners record the crashes of idle workers for this. A task that crashed only in waves is not suspected either, so it does not wait for an empty worker, and waves confine no route.

Suspect and GivenUp became one verdict; the tests of both demand the same as before.

--- a/batch/crash.go
+++ b/batch/crash.go
@@ -31,7 +31,7 @@
 
 // giveUp ends the job of a task that must not start again. The lock of the job's shard is held.
 func (h *Home) giveUp(j *job, task contract.RunKey, now time.Time, out *outbox) {
-	if !h.o.Crashes.GivenUp(task) {
+	if h.o.Crashes.Judge(task) != contract.GivenUp {
 		return
 	}
 	h.counter(metric.BatchTasksGivenUp).Inc(1)
@@ -51,9 +51,15 @@
 	return &Answer{Outcome: Failed, Reason: givenUpReason}
 }
 
-// suspect reports whether the next run of a task must be alone on its worker, since a worker has crashed under the task.
+// suspect reports whether the next run of a task must be alone on its worker, since a worker has crashed under the task and
+// not under others too at the same time.
 func (h *Home) suspect(j *job, t *task) bool {
-	if !t.crashed && !h.o.Crashes.Suspect(j.key(t)) {
+	switch verdict := h.o.Crashes.Judge(j.key(t)); {
+	case verdict == contract.CrashedInWaves:
+		h.o.Logger.Info("workers have crashed in a wave; the task on one of them is not suspected", "task", j.key(t).String(),
+			"route", j.batch.Route)
+		return false
+	case verdict == contract.NoCrash && !t.crashed:
 		return false
 	}
 	h.counter(metric.BatchTasksSuspected).Inc(1)
--- a/contract/confinement.go
+++ b/contract/confinement.go
@@ -93,10 +93,10 @@
 	return confined, released
 }
 
-// recentCrashes returns the crashes within crashWindow by back end.
+// recentCrashes returns the crashes within crashWindow by back end, but for those in waves.
 func recentCrashes(crashes []WorkerCrash, now time.Time) map[string][]WorkerCrash {
 	recent := make(map[string][]WorkerCrash)
-	for _, c := range crashes {
+	for _, c := range withoutWaves(crashes) {
 		if !c.Refuted && now.Sub(c.At) <= crashWindow {
 			recent[c.Backend] = append(recent[c.Backend], c)
 		}
--- a/contract/crash.go
+++ b/contract/crash.go
@@ -10,7 +10,7 @@
 	Backend   string
 	// At is when the owner lost contact.
 	At time.Time
-	// Tasks are those that are known to have begun on the worker and not to have ended.
+	// Tasks are those that are known to have begun on the worker and not to have ended. There are none if it was idle.
 	Tasks []CrashedTask
 	// Shared is set if other tasks may have begun there too.
 	Shared bool
@@ -36,3 +36,16 @@
 
 // Alone reports whether only a single task can have been on the worker.
 func (c *WorkerCrash) Alone() bool { return len(c.Tasks) == 1 && !c.Shared }
+
+// idle reports whether the worker cannot have had any task, so that none has caused the crash.
+func (c *WorkerCrash) idle() bool { return len(c.Tasks) == 0 && !c.Shared }
+
+// involvesJob reports whether a task of a job was on the worker.
+func (c *WorkerCrash) involvesJob(job string) bool {
+	for _, t := range c.Tasks {
+		if t.Key.Batch == job {
+			return true
+		}
+	}
+	return false
+}
--- a/contract/crashledger.go
+++ b/contract/crashledger.go
@@ -1,6 +1,7 @@
 package contract
 
 import (
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -74,35 +75,55 @@
 	}
 }
 
-// Suspect reports whether a worker has crashed under a task.
-func (l *CrashLedger) Suspect(task RunKey) bool {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	n, _ := l.count(task)
-	return n > 0
-}
+// CrashVerdict is what the crashes of workers under a task show of it.
+type CrashVerdict uint8
+
+// Verdicts.
+const (
+	// NoCrash means that no worker is known to have crashed under the task.
+	NoCrash CrashVerdict = iota
+	// CrashedInWaves means that workers have crashed under it, each of them with others at the same time: the workers are at
+	// fault.
+	CrashedInWaves
+	// Suspected tasks run alone on a worker, which shows whether they crash it.
+	Suspected
+	// GivenUp tasks must not start again: two workers have crashed under them, one of them while the task was alone there. A
+	// task that has only shared crashed workers with others may be innocent of all of them.
+	GivenUp
+)
 
-// GivenUp reports whether a task must not start again: two workers have crashed under it, one of them while it was alone
-// there. A task that has only shared crashed workers with others may be innocent of all of them.
-func (l *CrashLedger) GivenUp(task RunKey) bool {
+// Judge returns the verdict on a task.
+func (l *CrashLedger) Judge(task RunKey) CrashVerdict {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	n, alone := l.count(task)
-	return n >= crashesToGiveUp && alone > 0
+	return l.judge(task)
 }
 
-// count returns the number of workers that have crashed under a task, and on how many of them it was alone. l.mu is held.
-func (l *CrashLedger) count(task RunKey) (crashes, alone int) {
+// judge expects l.mu to be held.
+func (l *CrashLedger) judge(task RunKey) CrashVerdict {
+	verdict, crashes, alone := NoCrash, 0, 0
+	var all []WorkerCrash
 	for _, c := range l.crashes {
 		if c.Refuted || !c.Involves(task) {
 			continue
 		}
+		if all == nil {
+			all = slices.Collect(maps.Values(l.crashes))
+		}
+		if inWave(c, all) {
+			verdict = max(verdict, CrashedInWaves)
+			continue
+		}
+		verdict = Suspected
 		crashes++
 		if c.Alone() {
 			alone++
 		}
 	}
-	return crashes, alone
+	if crashes >= crashesToGiveUp && alone > 0 {
+		return GivenUp
+	}
+	return verdict
 }
 
 // GivenUpTask returns a task of a job that is given up, if there is one.
@@ -111,10 +132,7 @@
 	defer l.mu.Unlock()
 	for _, c := range l.crashes {
 		for _, t := range c.Tasks {
-			if t.Key.Batch != job {
-				continue
-			}
-			if n, alone := l.count(t.Key); n >= crashesToGiveUp && alone > 0 {
+			if t.Key.Batch == job && l.judge(t.Key) == GivenUp {
 				return t.Key, true
 			}
 		}
--- a/edge/crash_test.go
+++ b/edge/crash_test.go
@@ -2,6 +2,9 @@
 
 import (
 	"fmt"
+	"maps"
+	"math/rand/v2"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -208,3 +211,40 @@
 		require.Empty(t, d.log.linesWith("worker has crashed"))
 	})
 }
+
+// Guards against jobs that are answered as failed because the workers of their tasks exit in waves. Part of the workers is
+// idle, and the rest has tasks of other jobs.
+func TestWavesOfExitsFailNoJob(t *testing.T) {
+	inVirtualTime(t, func(t *testing.T) {
+		const waves, exits = 10, 4
+		rng := rand.New(rand.NewPCG(1, 0))
+		d := newDeployment(t, 1, 2, 12)
+		defer d.close()
+		d.plan = func(contract.RunKey) standin.RunPlan { return standin.RunPlan{Duration: 1200 * time.Millisecond} }
+		var answers []<-chan batch.Answer
+		for i := range 16 {
+			answers = append(answers, d.submit("edge-0-0", testJob(fmt.Sprintf("innocent-%d", i), 1, patientLimit)))
+		}
+		workers := slices.Sorted(maps.Keys(d.hosts))
+		for range waves {
+			var down []*standin.RunHost
+			for _, n := range rng.Perm(len(workers))[:exits] {
+				down = append(down, d.hosts[workers[n]])
+			}
+			for _, h := range down {
+				h.Crash()
+				h.SetRefusing(true)
+			}
+			time.Sleep(500 * time.Millisecond)
+			for _, h := range down {
+				h.Restart()
+			}
+			time.Sleep(450 * time.Millisecond)
+		}
+		for i, answer := range answers {
+			a := <-answer
+			require.Equal(t, batch.Completed, a.Outcome, "innocent-%d: %s", i, a.Reason)
+		}
+		require.NotEmpty(t, d.log.linesWith("worker has crashed"))
+	})
+}
--- a/pool/crash.go
+++ b/pool/crash.go
@@ -76,8 +76,9 @@
 
 // recordCrash records that the known incarnation of a worker has crashed under its runs. Only those that are known to have
 // begun there are blamed: a start that was on its way may have found the worker down. Those that a later incarnation lists
-// are not over. Each of the others ends as crashed, once it is proven to have ended. The exit of a worker that drains is no
-// crash, nor is a restart after a silence. p.mu is held.
+// are not over. Each of the others ends as crashed, once it is proven to have ended. The crash of an idle worker is recorded
+// too, since it shows that workers crash by themselves. The exit of a worker that drains is no crash, nor is a restart after
+// a silence. p.mu is held.
 func (p *Pool) recordCrash(h *ownedHost, at time.Time, cause string, listed []link.RunningRun, fx *effects) {
 	if h.watch.crash != nil || h.watch.silent || h.host.Draining() {
 		return
@@ -96,7 +97,7 @@
 		r.crashed = true
 		c.Tasks = append(c.Tasks, contract.CrashedTask{Key: key.Task(), Route: r.order.Route})
 	}
-	if len(c.Tasks) == 0 {
+	if len(c.Tasks) == 0 && c.Shared {
 		return
 	}
 	h.watch.crash = &c
