--- a/command/config.go
+++ b/command/config.go
@@ -56,10 +56,7 @@
 }
 
 func openConfigLog(ctx context.Context, c *cli.Command) (*configLog, error) {
-	log, err := platform.NewHTTPLog(c.String("log"))
-	if err != nil {
-		return nil, err
-	}
+	log := platform.NewHTTPLog(c.String("log"))
 	l := &configLog{log: log, state: contract.NewConfigState(config.Check), verdicts: make(map[string]contract.ConfigVerdict)}
 	if err := l.read(ctx); err != nil {
 		return nil, err
--- a/command/configwatch.go
+++ b/command/configwatch.go
@@ -69,10 +69,7 @@
 	if a := c.StringSlice("entry"); len(a) > 0 {
 		return a, nil
 	}
-	list, err := platform.NewHTTPVMList(c.String("list"))
-	if err != nil {
-		return nil, err
-	}
+	list := platform.NewHTTPVMList(c.String("list"))
 	vms, err := list.List(ctx)
 	if err != nil {
 		return nil, err
--- a/command/control_bench_test.go
+++ b/command/control_bench_test.go
@@ -186,10 +186,8 @@
 	require.NoError(h.t, err)
 	peers, err := net.Listen("tcp", h.ip+":0")
 	require.NoError(h.t, err)
-	logs, err := platform.NewHTTPLog(env.platform.URL())
-	require.NoError(h.t, err)
-	list, err := platform.NewHTTPVMList(env.platform.URL())
-	require.NoError(h.t, err)
+	logs := platform.NewHTTPLog(env.platform.URL())
+	list := platform.NewHTTPVMList(env.platform.URL())
 	services, findings := schema.Load(schema.Source{"glashaus.proto": schemas.Glashaus}, "glashaus.proto")
 	require.Empty(h.t, findings)
 	vm := machine.EntryVM{ID: id, PeerAddress: peers.Addr().String(), CallerAddress: callers.Addr().String()}
--- a/command/entryparts.go
+++ b/command/entryparts.go
@@ -63,14 +63,8 @@
 // options opens the listeners and returns the options of the daemon.
 func (p *entryParts) options() (entry.Options, error) {
 	s := p.settings
-	logs, err := platform.NewHTTPLog(s.Platform.Log)
-	if err != nil {
-		return entry.Options{}, err
-	}
-	list, err := platform.NewHTTPVMList(s.Platform.List)
-	if err != nil {
-		return entry.Options{}, err
-	}
+	logs := platform.NewHTTPLog(s.Platform.Log)
+	list := platform.NewHTTPVMList(s.Platform.List)
 	o := entry.Options{
 		Domain: zone.DomainID(s.VM.Domain), Region: zone.RegionID(s.VM.Region), Services: p.services, Log: logs,
 		List: list, Connections: s.Workers.Connections, TimelineEvents: s.Timeline.Events, Logger: p.logger,
--- a/entry/log_bench_test.go
+++ b/entry/log_bench_test.go
@@ -28,8 +28,7 @@
 	p := standin.NewPlatform(l)
 	b.Cleanup(func() { _ = p.Close() })
 	return p, func() platform.Log {
-		log, err := platform.NewHTTPLog(p.URL())
-		require.NoError(b, err)
+		log := platform.NewHTTPLog(p.URL())
 		return log
 	}
 }
--- a/load/deployment.go
+++ b/load/deployment.go
@@ -129,14 +129,8 @@
 	if err != nil {
 		return err
 	}
-	logs, err := platform.NewHTTPLog(d.Platform.URL())
-	if err != nil {
-		return err
-	}
-	list, err := platform.NewHTTPVMList(d.Platform.URL())
-	if err != nil {
-		return err
-	}
+	logs := platform.NewHTTPLog(d.Platform.URL())
+	list := platform.NewHTTPVMList(d.Platform.URL())
 	d.Platform.SetVM(platform.VM{
 		ID: id, Kind: platform.KindEntry, Domain: domain, PeerAddress: peers.Addr().String(),
 		CallerAddress: callers.Addr().String(),
--- a/load/soakconfig.go
+++ b/load/soakconfig.go
@@ -37,14 +37,11 @@
 	revisions map[uint64]uint64 // highest revision by incarnation
 }
 
-func newOperators(s *Soak) (*operators, error) {
-	log, err := platform.NewHTTPLog(s.platform.URL())
-	if err != nil {
-		return nil, err
-	}
+func newOperators(s *Soak) *operators {
+	log := platform.NewHTTPLog(s.platform.URL())
 	return &operators{
 		s: s, log: log, state: contract.NewConfigState(config.Check), revisions: make(map[uint64]uint64),
-	}, nil
+	}
 }
 
 // run publishes competing changes until end. It has its own random source, so that the draws of the other faults do not
--- a/standin/platform_test.go
+++ b/standin/platform_test.go
@@ -39,10 +39,8 @@
 	require.NoError(t, err)
 	p := NewPlatformWith(l, limits)
 	t.Cleanup(func() { _ = p.Close() })
-	log, err := platform.NewHTTPLog(p.URL())
-	require.NoError(t, err)
-	list, err := platform.NewHTTPVMList(p.URL())
-	require.NoError(t, err)
+	log := platform.NewHTTPLog(p.URL())
+	list := platform.NewHTTPVMList(p.URL())
 	return p, log, list
 }
 
