--- a/soak/clientfault.go
+++ b/soak/clientfault.go
@@ -6,8 +6,6 @@
 	"time"
 )
 
-// This file has the faults between the clients and the daemons. Clients reach a daemon through its relay clients.
-
 // span is a time in which a fault lay between clients and a daemon.
 type span struct{ begin, end time.Time }
 
@@ -27,38 +25,6 @@
 	return slices.ContainsFunc(d.disturbances, func(s span) bool { return s.begin.Before(end) && begin.Before(s.end) })
 }
 
-// halfCloseClients closes the clients' half of all open connections to a daemon, as a relay or load balancer does that
-// closes one side first. The clients can still read.
-func (s *Soak) halfCloseClients(rng *rand.Rand) string {
-	d := s.randomDaemon(rng)
-	d.disturb(func() { d.clients.CloseRequests() })
-	return d.vm
-}
-
-func (s *Soak) resetClients(rng *rand.Rand) string {
-	d := s.randomDaemon(rng)
-	d.disturb(func() { d.clients.Reset() })
-	return d.vm
-}
-
-func (s *Soak) cutClients(rng *rand.Rand) string {
-	d := s.randomDaemon(rng)
-	d.disturb(func() { cutRelay(d.clients, rng) })
-	return d.vm
-}
-
-func (s *Soak) silenceClients(rng *rand.Rand) string {
-	d := s.randomDaemon(rng)
-	d.disturb(func() { d.clients.Silence() })
-	return d.vm
-}
-
-func (s *Soak) slowClients(rng *rand.Rand) string {
-	d := s.randomDaemon(rng)
-	d.disturb(func() { slowRelay(d.clients, rng) })
-	return d.vm
-}
-
 // sendClientsAway makes clients leave before their time limit, for a random time.
 func (s *Soak) sendClientsAway(rng *rand.Rand) string {
 	s.leaving.Add(1)
--- a/soak/fault.go
+++ b/soak/fault.go
@@ -6,44 +6,49 @@
 	"sync"
 	"syscall"
 	"time"
-
-	"github.com/cicadadale/cicadadale/load"
 )
 
-// faults maps each fault kind to the function that injects it. The function returns when the fault has ended, with the
-// name of its target, or an empty string if it could not be injected.
-var faults = map[string]func(s *Soak, rng *rand.Rand) string{
-	"kill":               (*Soak).kill,
-	"kill_all":           (*Soak).killAll,
-	"pause":              (*Soak).pause,
-	"planned_stop":       (*Soak).plannedStop,
-	"reload":             (*Soak).reload,
-	"peers_cut":          (*Soak).cutPeers,
-	"peers_silent":       (*Soak).silencePeers,
-	"peers_one_way":      (*Soak).silencePeerRequests,
-	"peers_slow":         (*Soak).slowPeers,
-	"store_cut":          (*Soak).cutStore,
-	"store_silent":       (*Soak).silenceStore,
-	"store_down":         (*Soak).storeDown,
-	"store_loses":        (*Soak).loseStoreAnswers,
-	"worker_cut":         (*Soak).cutWorker,
-	"worker_silent":      (*Soak).silenceWorker,
-	"worker_slow":        (*Soak).slowWorker,
+// faultFunc injects a fault. It returns when the fault has ended, with the name of its target, or an empty string if it
+// could not be injected.
+type faultFunc func(s *Soak, rng *rand.Rand) string
+
+// faults maps each fault kind to the function that injects it.
+var faults = map[string]faultFunc{
+	"kill":         (*Soak).kill,
+	"kill_all":     (*Soak).killAll,
+	"pause":        (*Soak).pause,
+	"planned_stop": (*Soak).plannedStop,
+	"reload":       (*Soak).reload,
+
+	"clients_half_close": onClients(halfClose),
+	"clients_reset":      onClients(reset),
+	"clients_cut":        onClients(cut),
+	"clients_silent":     onClients(silence),
+	"clients_slow":       onClients(slow),
+	"clients_leave":      (*Soak).sendClientsAway,
+	"clients_cancel":     (*Soak).cancelJobs,
+
+	"peers_cut":     onPeers(cut),
+	"peers_silent":  onPeers(silence),
+	"peers_one_way": onPeers(silenceRequests),
+	"peers_slow":    onPeers(slow),
+
+	"store_cut":    onStoreLink(cut),
+	"store_silent": onStoreLink(silence),
+	"store_down":   (*Soak).storeDown,
+	"store_loses":  (*Soak).loseStoreAnswers,
+
+	"worker_cut":         onWorkerLink(cut),
+	"worker_silent":      onWorkerLink(silence),
+	"worker_slow":        onWorkerLink(slow),
+	"worker_repeats":     onWorkerLink(repeatAnswers),
 	"worker_crash":       (*Soak).crashWorker,
+	"worker_exit":        (*Soak).exitWorker,
+	"worker_exit_wave":   (*Soak).exitWave,
 	"worker_late_orders": (*Soak).delayCalls,
 	"worker_loses":       (*Soak).loseStarts,
 	"worker_rejects":     (*Soak).rejectStarts,
-	"worker_exit":        (*Soak).exitWorker,
-	"worker_exit_wave":   (*Soak).exitWave,
-	"worker_repeats":     (*Soak).repeatAnswers,
 	"worker_spoils":      (*Soak).spoilAnswers,
-	"clients_half_close": (*Soak).halfCloseClients,
-	"clients_reset":      (*Soak).resetClients,
-	"clients_cut":        (*Soak).cutClients,
-	"clients_silent":     (*Soak).silenceClients,
-	"clients_slow":       (*Soak).slowClients,
-	"clients_leave":      (*Soak).sendClientsAway,
-	"clients_cancel":     (*Soak).cancelJobs,
 }
 
 // faultFreeTail is the time at the end of a run during which no fault starts.
@@ -158,55 +163,6 @@
 	return d.vm
 }
 
-// cutRelay closes a relay's connections and refuses new ones for a random time.
-func cutRelay(r *load.Relay, rng *rand.Rand) {
-	r.Cut()
-	time.Sleep(faultDuration(rng))
-	r.Restore()
-}
-
-func slowRelay(r *load.Relay, rng *rand.Rand) {
-	r.SetDelay(time.Duration(20+rng.IntN(400)) * time.Millisecond)
-	time.Sleep(faultDuration(rng))
-	r.SetDelay(0)
-}
-
-func (s *Soak) cutPeers(rng *rand.Rand) string {
-	d := s.randomDaemon(rng)
-	cutRelay(d.peers, rng)
-	return d.vm
-}
-
-func (s *Soak) silencePeers(rng *rand.Rand) string {
-	d := s.randomDaemon(rng)
-	d.peers.Silence()
-	return d.vm
-}
-
-func (s *Soak) silencePeerRequests(rng *rand.Rand) string {
-	d := s.randomDaemon(rng)
-	d.peers.SilenceRequests()
-	return d.vm
-}
-
-func (s *Soak) slowPeers(rng *rand.Rand) string {
-	d := s.randomDaemon(rng)
-	slowRelay(d.peers, rng)
-	return d.vm
-}
-
-func (s *Soak) cutStore(rng *rand.Rand) string {
-	d := s.randomDaemon(rng)
-	cutRelay(d.store, rng)
-	return d.vm
-}
-
-func (s *Soak) silenceStore(rng *rand.Rand) string {
-	d := s.randomDaemon(rng)
-	d.store.Silence()
-	return d.vm
-}
-
 func (s *Soak) storeDown(rng *rand.Rand) string {
 	s.store.SetDown(true)
 	time.Sleep(faultDuration(rng))
--- a/soak/workerfault.go
+++ b/soak/workerfault.go
@@ -15,24 +15,6 @@
 	defaultWaveDown  = 500 * time.Millisecond
 )
 
-func (s *Soak) cutWorker(rng *rand.Rand) string {
-	w := s.randomWorker(rng)
-	cutRelay(w.relay, rng)
-	return w.id
-}
-
-func (s *Soak) silenceWorker(rng *rand.Rand) string {
-	w := s.randomWorker(rng)
-	w.relay.Silence()
-	return w.id
-}
-
-func (s *Soak) slowWorker(rng *rand.Rand) string {
-	w := s.randomWorker(rng)
-	slowRelay(w.relay, rng)
-	return w.id
-}
-
 func (s *Soak) crashWorker(rng *rand.Rand) string {
 	w := s.randomWorker(rng)
 	if !w.crashing.TryLock() {
@@ -101,15 +83,6 @@
 	return fmt.Sprintf("%d workers", len(exited))
 }
 
-// repeatAnswers makes a worker send its answers twice, the second time late.
-func (s *Soak) repeatAnswers(rng *rand.Rand) string {
-	w := s.randomWorker(rng)
-	w.relay.SetRepeat(time.Duration(1+rng.IntN(40)) * time.Millisecond)
-	time.Sleep(faultDuration(rng))
-	w.relay.SetRepeat(0)
-	return w.id
-}
-
 // spoilAnswers makes a worker execute its calls and answer them with bodies that are not whole.
 func (s *Soak) spoilAnswers(rng *rand.Rand) string {
 	w := s.randomWorker(rng)
