--- a/pool/crash.go
+++ b/pool/crash.go
@@ -102,6 +102,10 @@
 	}
 	h.watch.crash = &c
 	fx.crashes = append(fx.crashes, c)
+	if len(c.Tasks) == 0 {
+		p.o.Logger.Info("idle worker has crashed", "worker", c.Worker, "cause", cause, "since_contact", at.Sub(h.host.Contacted()))
+		return
+	}
 	p.counter(metric.PoolRunsCrashed).Inc(int64(len(c.Tasks)))
 	p.o.Logger.Warn("worker has crashed with its runs", "worker", c.Worker, "cause", cause, "tasks", taskNames(c.Tasks),
 		"since_contact", at.Sub(h.host.Contacted()))
--- a/soak/clientfault.go
+++ b/soak/clientfault.go
@@ -2,28 +2,14 @@
 
 import (
 	"math/rand/v2"
-	"slices"
 	"time"
 )
 
-// span is a time in which a fault lay between clients and a daemon.
-type span struct{ begin, end time.Time }
-
-// disturb injects a fault between clients and the daemon, and records when it did.
-func (d *daemon) disturb(inject func()) {
-	begin := time.Now()
-	inject()
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	d.disturbances = append(d.disturbances, span{begin, time.Now()})
-}
-
-// disturbed reports whether a fault lay between clients and the daemon at any moment of a time.
-func (d *daemon) disturbed(begin, end time.Time) bool {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	return slices.ContainsFunc(d.disturbances, func(s span) bool { return s.begin.Before(end) && begin.Before(s.end) })
-}
+const (
+	// minPatience and maxPatience bound the time after which a client leaves while clients_leave is injected.
+	minPatience = 50 * time.Millisecond
+	maxPatience = 450 * time.Millisecond
+)
 
 // sendClientsAway makes clients leave before their time limit, for a random time.
 func (s *Soak) sendClientsAway(rng *rand.Rand) string {
@@ -48,9 +34,3 @@
 	}
 	return minPatience + time.Duration(rng.Int64N(int64(maxPatience-minPatience)))
 }
-
-const (
-	// minPatience and maxPatience bound the time after which a client leaves while clients_leave is injected.
-	minPatience = 50 * time.Millisecond
-	maxPatience = 450 * time.Millisecond
-)
--- a/soak/daemon.go
+++ b/soak/daemon.go
@@ -5,6 +5,7 @@
 	"net"
 	"os"
 	"path/filepath"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -157,3 +158,22 @@
 	d.peers.Close()
 	d.store.Close()
 }
+
+// span is a time in which a fault lay between clients and a daemon.
+type span struct{ begin, end time.Time }
+
+// disturb injects a fault between clients and the daemon, and records when it did.
+func (d *daemon) disturb(inject func()) {
+	begin := time.Now()
+	inject()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.disturbances = append(d.disturbances, span{begin, time.Now()})
+}
+
+// disturbed reports whether a fault lay between clients and the daemon at any moment of a time.
+func (d *daemon) disturbed(begin, end time.Time) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return slices.ContainsFunc(d.disturbances, func(s span) bool { return s.begin.Before(end) && begin.Before(s.end) })
+}
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -123,6 +123,9 @@
 	s := &Soak{o: o, begin: time.Now(), runs: newRunRecorder(), report: Report{
 		Seed: o.Seed, FaultsInjected: make(map[string]int), InvariantChecks: make(map[string]int),
 	}}
+	if o.WaveShare < 0 || o.WaveShare > 1 {
+		return Report{}, fmt.Errorf("share of a wave %v is not between 0 and 1", o.WaveShare)
+	}
 	for _, kind := range o.Faults {
 		if _, ok := faults[kind]; !ok {
 			return Report{}, fmt.Errorf("unknown fault kind %q; known kinds are %v", kind, FaultKinds())
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -70,8 +70,10 @@
 	require.Positive(t, r.InvariantChecks[soak.CheckCancelledEnds])
 }
 
-// Guards against a misspelt fault kind that leaves a run without faults.
+// Guards against a misspelt fault kind that leaves a run without faults, and against a wave of more workers than there are.
 func TestUnknownFaultIsAnError(t *testing.T) {
 	_, err := soak.Run(soak.Options{Faults: []string{"kil"}})
 	require.ErrorContains(t, err, "kil")
+	_, err = soak.Run(soak.Options{WaveShare: 1.5})
+	require.ErrorContains(t, err, "1.5")
 }
