pool: the exit of an idle worker is dated to the first refused connection

TestExitOfIdleWorkerIsDatedToTheFirstRefusal fails without the change (910 ms instead of at most 500).

--- a/pool/blame_test.go
+++ b/pool/blame_test.go
@@ -51,3 +51,24 @@
 		require.False(t, crashes[0].Alone())
 	})
 }
+
+// Guards against an idle worker whose exit is dated to the reply of its next incarnation, up to half a second after the first
+// refused connection: the crashes of busy workers in the same wave would not be seen to be simultaneous.
+func TestExitOfIdleWorkerIsDatedToTheFirstRefusal(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(1)
+		defer f.pool.Close()
+		time.Sleep(2 * time.Second)
+		exit := time.Now()
+		worker := f.calls.hosts["w0"]
+		worker.Crash()
+		worker.SetRefusing(true)
+		time.Sleep(500*time.Millisecond + idlePollInterval/10)
+		worker.Restart()
+		time.Sleep(2 * time.Second)
+		crashes := f.recordedCrashes()
+		require.Len(t, crashes, 1)
+		require.Empty(t, crashes[0].Tasks)
+		require.LessOrEqual(t, crashes[0].At.Sub(exit), idlePollInterval)
+	})
+}
--- a/pool/crash.go
+++ b/pool/crash.go
@@ -51,6 +51,15 @@
 // refusing reports whether the worker has refused all connections since the loss of contact.
 func (w *crashWatch) refusing() bool { return !w.refusedSince.IsZero() && !w.silent }
 
+// endedBy returns when the end of the process was first noticed, by a refused connection or else now by the reply of another
+// process.
+func (w *crashWatch) endedBy(now time.Time) time.Time {
+	if w.refusedSince.IsZero() {
+		return now
+	}
+	return w.refusedSince
+}
+
 // watchFailure records a failed poll, and a crash once the worker has refused connections for long enough. p.mu is held.
 func (p *Pool) watchFailure(h *ownedHost, sent, now time.Time, err error, fx *effects) {
 	h.watch.recordFailure(sent, now, err)
--- a/pool/maintain.go
+++ b/pool/maintain.go
@@ -263,7 +263,7 @@
 // higher token. The new incarnation has seen no token and knows none of the runs that were stopped on the previous one:
 // a start call that is delivered late would run a task there again. p.mu is held.
 func (p *Pool) handleRestart(h *ownedHost, reply link.PollReply, now time.Time, fx *effects) {
-	p.recordCrash(h, now, "has been restarted", reply.Running, fx)
+	p.recordCrash(h, h.watch.endedBy(now), "has been restarted", reply.Running, fx)
 	h.watch = crashWatch{}
 	p.o.Logger.Warn("worker has been restarted; acquiring it under a new token", "worker", h.address.Worker,
 		"born", reply.StartTime, "last_born", h.host.StartTime, "runs", len(h.runs), "running", len(reply.Running),
@@ -275,7 +275,7 @@
 // handleOtherWorker records that another worker answers at the address: no earlier run of this worker is alive. A run
 // with a start call in progress is left to the result of that call. p.mu is held.
 func (p *Pool) handleOtherWorker(h *ownedHost, now time.Time, fx *effects) {
-	p.recordCrash(h, now, "has been replaced", nil, fx)
+	p.recordCrash(h, h.watch.endedBy(now), "has been replaced", nil, fx)
 	h.watch = crashWatch{}
 	p.o.Logger.Warn("another worker answers at this address; the runs of the owned worker have ended",
 		"worker", h.address.Worker, "address", h.address.Address, "runs", len(h.runs))
