batch, edge: log jobs that two members hold, and the age of the caller's proof

The log could not tell whether two runs of a task come from two homes of which one does not know that its caller is gone: no line said when a home last had any sign of its caller, nor that another member holds the job.

A home announces the jobs that it has held for 250 ms to its contacts, once and again each 600 ms. A member that accepts one of them logs the home ("job is held by another member"). Members record when an envelope was sent that another one has acknowledged, and "tasks ordered" shows the age of the caller's proof: its submission, or the last contact with a majority of the members. Two counters. Nothing is decided by these facts yet.

--- a/batch/advance.go
+++ b/batch/advance.go
@@ -28,7 +28,7 @@
 	for i := range j.tasks {
 		h.advanceTask(j, &j.tasks[i], now, out)
 	}
-	h.logOrders(j, out)
+	h.logOrders(j, now, out)
 	if j.state == jobActive && j.done == len(j.tasks) {
 		h.endJob(j, Completed, "", now, out)
 	}
@@ -164,7 +164,7 @@
 // Report processes an owner's report of a run.
 func (h *Home) Report(from PoolRef, r contract.RunReport) {
 	now := h.o.Now()
-	out := newOutbox(h.o.Owners)
+	out := h.newOutbox()
 	if r.State.Final() {
 		out.acknowledge(from, r.Key)
 	}
@@ -317,7 +317,7 @@
 // owner. A run that was started there under the previous owner and is not found has ended.
 func (h *Home) Takeover(owner string, t contract.Takeover) {
 	now := h.o.Now()
-	out := newOutbox(h.o.Owners)
+	out := h.newOutbox()
 	for i := range h.shards {
 		s := &h.shards[i]
 		s.mu.Lock()
--- a/batch/crash.go
+++ b/batch/crash.go
@@ -16,7 +16,7 @@
 		return
 	}
 	now := h.o.Now()
-	out := newOutbox(h.o.Owners)
+	out := h.newOutbox()
 	for _, task := range c.Tasks {
 		s := h.shard(task.Key.Batch)
 		s.mu.Lock()
--- a/batch/home.go
+++ b/batch/home.go
@@ -59,11 +59,14 @@
 	// Self is the id of this process.
 	Self     string
 	Owners   Owners
+	Members  Membership
 	Capacity *zone.CapacityView
 	// Crashes records the workers that have crashed under tasks.
 	Crashes *contract.CrashLedger
 	// Cancels records the jobs that callers have cancelled at any member.
 	Cancels *contract.CancelLedger
+	// Held records the jobs that other members have announced.
+	Held *contract.HeldLedger
 	// Fits reports whether any listed worker of a back end can hold a task. known is false if no worker of the back end
 	// is listed.
 	Fits    func(backend string, need machine.Resources, label string) (fits, known bool)
@@ -80,6 +83,10 @@
 	cancel context.CancelFunc
 	done   chan struct{}
 	pause  pauseDetector
+	// announcedAt is the time of the last announcement of jobs, isolated is set while there is no contact with a majority of
+	// the members. Only the goroutine of run uses them.
+	announcedAt time.Time
+	isolated    bool
 	// refusesNew is set once the process ends as soon as its jobs are answered.
 	refusesNew atomic.Bool
 	shards     [shards]shard
@@ -138,7 +145,12 @@
 
 // tick advances all jobs, drops expired answers and refreshes runs.
 func (h *Home) tick(now time.Time, refresh bool) {
-	out := newOutbox(h.o.Owners)
+	out := h.newOutbox()
+	announce := now.Sub(h.announcedAt) >= announceInterval
+	if announce {
+		h.announcedAt = now
+		h.logIsolation(now, out)
+	}
 	for i := range h.shards {
 		s := &h.shards[i]
 		s.mu.Lock()
@@ -153,6 +165,9 @@
 			if refresh {
 				out.refresh(j)
 			}
+			if announce {
+				out.announce(j, now)
+			}
 		}
 		s.mu.Unlock()
 	}
@@ -173,7 +188,7 @@
 
 // submit makes one attempt of Submit.
 func (h *Home) submit(ctx context.Context, b contract.Batch) Answer {
-	out := newOutbox(h.o.Owners)
+	out := h.newOutbox()
 	waiter, answer := h.join(b, h.o.Now(), out)
 	out.send()
 	if waiter == nil {
@@ -246,7 +261,10 @@
 		h.counter(metric.BatchJobsRefused).Inc(1)
 		return nil, &Answer{Outcome: Refused, Reason: "overloaded", RetryAfter: wait}
 	}
-	j := &job{batch: b, steps: steps, expected: expected, tasks: make([]task, 0, b.Tasks())}
+	j := &job{
+		batch: b, steps: steps, expected: expected, tasks: make([]task, 0, b.Tasks()), submittedAt: b.Accepted,
+		electorate: h.o.Members.Electorate(),
+	}
 	j.target = b.Accepted.Add(time.Duration(b.TargetFactor*float64(slowest)) + b.TargetSlack)
 	for s, step := range b.Steps {
 		for i := range step.Count {
@@ -257,6 +275,11 @@
 	h.o.Logger.Info("job accepted", "job", b.ID, "route", b.Route, "tasks", len(j.tasks), "priority", b.Priority,
 		"steps", len(b.Steps), "estimate", b.Steps[0].Estimate, "expected_run", expected, "expected_wait", wait,
 		"time_left", left, "target_in", j.target.Sub(now))
+	if held, ok := h.o.Held.Of(b.ID); ok {
+		h.counter(metric.BatchJobsHeldElsewhere).Inc(1)
+		h.o.Logger.Warn("job is held by another member", "job", b.ID, "home", held.Home, "accepted_ago",
+			now.Sub(held.Accepted), "announced_ago", now.Sub(held.HeardAt))
+	}
 	return j, nil
 }
 
@@ -280,7 +303,7 @@
 // callerLeft removes a caller that has disconnected, and ends the job if it was the last one.
 func (h *Home) callerLeft(id string, waiter chan Answer) Answer {
 	now := h.o.Now()
-	out := newOutbox(h.o.Owners)
+	out := h.newOutbox()
 	s := h.shard(id)
 	s.mu.Lock()
 	j, ok := s.jobs[id]
@@ -310,7 +333,7 @@
 // meanwhile is not accepted.
 func (h *Home) Cancel(id string) bool {
 	now := h.o.Now()
-	out := newOutbox(h.o.Owners)
+	out := h.newOutbox()
 	s := h.shard(id)
 	s.mu.Lock()
 	j, ok := s.jobs[id]
--- a/batch/home_test.go
+++ b/batch/home_test.go
@@ -25,6 +25,7 @@
 	orders      []contract.TaskOrder
 	withdrawals []contract.RunKey
 	acks        []contract.RunKey
+	held        []contract.HeldJob
 	// contact is the contact with all owners; nil for one of now.
 	contact *Contact
 	// refreshed is the contact that the last refresh echoed.
@@ -76,6 +77,17 @@
 	return slices.Clone(r.withdrawals)
 }
 
+// Electorate returns that of a home without other members.
+func (r *recorder) Electorate() *zone.Electorate { return zone.NewElectorate(nil) }
+
+func (r *recorder) MajorityContact(*zone.Electorate) time.Time { return time.Now() }
+
+func (r *recorder) AnnounceHeld(jobs []contract.HeldJob) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.held = append(r.held, jobs...)
+}
+
 func newTestHome() (*Home, *recorder) { return newTestHomeAt(time.Now) }
 
 // newTestHomeAt returns a home with a clock of its own.
@@ -86,7 +98,8 @@
 	capacity.Update(testOwner, "z", false, map[string]*zone.BackendCapacity{"s": {Free: 100, Slots: 100}})
 	out := &recorder{}
 	return New(Options{
-		Self: self, Owners: out, Capacity: capacity, Crashes: contract.NewCrashLedger(), Cancels: contract.NewCancelLedger(), Now: now, Logger: slog.New(slog.DiscardHandler),
+		Self: self, Owners: out, Capacity: capacity, Crashes: contract.NewCrashLedger(), Cancels: contract.NewCancelLedger(),
+		Members: out, Held: contract.NewHeldLedger(), Now: now, Logger: slog.New(slog.DiscardHandler),
 		Metrics: metrics.NewRegistry(),
 		Fits:    func(_ string, need machine.Resources, _ string) (bool, bool) { return need.CPUMillis <= 64_000, true },
 	}), out
@@ -290,7 +303,7 @@
 	earlier := Contact{Timestamp: 1, ReceivedAt: time.Unix(1, 0)}
 	owners := &recorder{contact: &earlier}
 	j := &job{batch: testBatch(1, time.Second), tasks: []task{{state: taskPlaced, owner: testOwner}}}
-	out := newOutbox(owners)
+	out := newOutbox(owners, owners)
 	out.refresh(j)
 	owners.contact = &Contact{Timestamp: 2, ReceivedAt: time.Unix(2, 0)}
 	out.send()
--- a/batch/job.go
+++ b/batch/job.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/cicadadale/cicadadale/contract"
+	"github.com/cicadadale/cicadadale/zone"
 )
 
 // taskState is the state of a task at its home.
@@ -95,6 +96,11 @@
 	answer     Answer
 	endedAt    time.Time
 	waiters    []chan Answer
+	// submittedAt is when the last caller submitted the job here, announcedAt when it was last announced to other members.
+	submittedAt time.Time
+	announcedAt time.Time
+	// electorate is the set of members with a majority of which the home must be in contact to keep the job's runs.
+	electorate *zone.Electorate
 }
 
 // key returns the key of a task's current run.
--- /dev/null
+++ b/batch/membership.go
@@ -0,0 +1,77 @@
+package batch
+
+import (
+	"time"
+
+	"github.com/cicadadale/cicadadale/contract"
+	"github.com/cicadadale/cicadadale/metric"
+	"github.com/cicadadale/cicadadale/zone"
+)
+
+const (
+	// announceAfter is the age at which a job is announced to the other members, announceRepeat the pause before it is
+	// announced again, in case a message was lost. Clients submit a job again 1.3 s after its channel has broken, and it was
+	// accepted before that, so the members know of it in time without a message for each short job.
+	announceAfter  = 250 * time.Millisecond
+	announceRepeat = 600 * time.Millisecond
+	// announceInterval is the time between announcements.
+	announceInterval = 100 * time.Millisecond
+	// contactSlack is added to the time of the last contact with a majority: an owner's timestamp arrives with the same
+	// acknowledgement, a round trip after the message that is acknowledged was sent. The lease of a run is so much shorter
+	// than the time after which clients submit jobs again.
+	contactSlack = 50 * time.Millisecond
+	// isolationWarning is the time without contact with a majority from which a home logs that it is isolated.
+	isolationWarning = 500 * time.Millisecond
+)
+
+// Membership tells a home of the other members. The calls do not block and do not call the home.
+type Membership interface {
+	// Electorate returns the members on which a job that is accepted now depends.
+	Electorate() *zone.Electorate
+	// MajorityContact returns the latest time at which this process was in contact with a majority of an electorate.
+	MajorityContact(e *zone.Electorate) time.Time
+	// AnnounceHeld tells the other members of jobs that this home holds.
+	AnnounceHeld(jobs []contract.HeldJob)
+}
+
+// provenAt returns the latest time at which the caller of a job is known to have had no other home: when it submitted the job
+// here, or the last contact with a majority of the members that it could have turned to since. The lock of the job's shard
+// is held.
+func (o *outbox) provenAt(j *job) time.Time {
+	if contact := o.majorityContact(j.electorate); contact.After(j.submittedAt) {
+		return contact
+	}
+	return j.submittedAt
+}
+
+// majorityContact returns the last contact with a majority of an electorate, with contactSlack added.
+func (o *outbox) majorityContact(e *zone.Electorate) time.Time {
+	at, ok := o.majorities[e]
+	if !ok {
+		at = o.members.MajorityContact(e).Add(contactSlack)
+		o.majorities[e] = at
+	}
+	return at
+}
+
+// announce adds a job to the next announcement if it is due. The lock of the job's shard is held.
+func (o *outbox) announce(j *job, now time.Time) {
+	if now.Sub(j.batch.Accepted) < announceAfter || now.Sub(j.announcedAt) < announceRepeat {
+		return
+	}
+	j.announcedAt = now
+	o.held = append(o.held, contract.HeldJob{Job: j.batch.ID, Accepted: j.batch.Accepted})
+}
+
+// logIsolation logs once when the home has lost contact with a majority of the members, and when it has it again.
+func (h *Home) logIsolation(now time.Time, out *outbox) {
+	since := now.Sub(out.majorityContact(h.o.Members.Electorate()))
+	switch isolated := since > isolationWarning; {
+	case isolated && !h.isolated:
+		h.counter(metric.BatchIsolations).Inc(1)
+		h.o.Logger.Warn("no contact with a majority of the members", "since", since, "jobs", h.Active())
+	case !isolated && h.isolated:
+		h.o.Logger.Info("in contact with a majority of the members again")
+	}
+	h.isolated = since > isolationWarning
+}
--- a/batch/outbox.go
+++ b/batch/outbox.go
@@ -1,12 +1,18 @@
 package batch
 
 import (
+	"time"
+
 	"github.com/cicadadale/cicadadale/contract"
+	"github.com/cicadadale/cicadadale/zone"
 )
 
 // outbox collects the messages that result from a decision; they are sent after the locks are released.
 type outbox struct {
-	owners Owners
+	owners  Owners
+	members Membership
+	// majorities holds the last contacts with a majority of each electorate.
+	majorities map[*zone.Electorate]time.Time
 	// contacts holds the contacts that the messages echo, by owner. They are read when the messages are decided on: by the
 	// time they are sent, the home may have treated their runs as ended, after an earlier contact.
 	contacts    map[string]Contact
@@ -15,6 +21,8 @@
 	withdrawals map[PoolRef][]contract.RunKey
 	recalls     map[PoolRef][]contract.RunKey
 	acks        map[PoolRef][]contract.RunKey
+	// held are the jobs to announce to the other members.
+	held []contract.HeldJob
 	// ordered describes the orders for the log, until the job has been advanced.
 	ordered []string
 }
@@ -30,8 +38,13 @@
 	order contract.TaskOrder
 }
 
-func newOutbox(owners Owners) *outbox {
-	return &outbox{owners: owners, contacts: make(map[string]Contact)}
+func (h *Home) newOutbox() *outbox { return newOutbox(h.o.Owners, h.o.Members) }
+
+func newOutbox(owners Owners, members Membership) *outbox {
+	return &outbox{
+		owners: owners, members: members, contacts: make(map[string]Contact),
+		majorities: make(map[*zone.Electorate]time.Time),
+	}
 }
 
 // contact returns the contact that messages to an owner echo.
@@ -96,4 +109,7 @@
 	for ref, keys := range o.refreshes {
 		o.owners.Refresh(ref, keys, o.contacts[ref.Owner])
 	}
+	if len(o.held) > 0 {
+		o.members.AnnounceHeld(o.held)
+	}
 }
--- a/batch/proof.go
+++ b/batch/proof.go
@@ -1,6 +1,8 @@
 package batch
 
 import (
+	"time"
+
 	"github.com/cicadadale/cicadadale/contract"
 	"github.com/cicadadale/cicadadale/metric"
 )
@@ -46,9 +48,10 @@
 }
 
 // logOrders logs the runs of a job that have been ordered together.
-func (h *Home) logOrders(j *job, out *outbox) {
+func (h *Home) logOrders(j *job, now time.Time, out *outbox) {
 	if len(out.ordered) > 0 {
-		h.o.Logger.Info("tasks ordered", "job", j.batch.ID, "tasks", out.ordered)
+		h.o.Logger.Info("tasks ordered", "job", j.batch.ID, "tasks", out.ordered,
+			"since_caller_proof", max(now.Sub(out.provenAt(j)), 0))
 		out.ordered = nil
 	}
 }
--- a/edge/contacts.go
+++ b/edge/contacts.go
@@ -98,11 +98,8 @@
 func (m *Members) Use(id string, now time.Time) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	for _, e := range m.byVM {
-		if e.id == id {
-			e.usedAt = now
-			return
-		}
+	if e := m.byID(id); e != nil {
+		e.usedAt = now
 	}
 }
 
--- a/edge/daemon.go
+++ b/edge/daemon.go
@@ -83,6 +83,7 @@
 	capacity   *zone.CapacityView
 	crashes    *contract.CrashLedger
 	cancels    *contract.CancelLedger
+	held       *contract.HeldLedger
 	confined   *contract.Confinement
 	home       *batch.Home
 	server     *link.PeerServer
@@ -135,11 +136,13 @@
 		o: o, self: o.Self.ID(), capacity: zone.NewCapacityView(o.Self.ID(), o.Self.Domain), cancel: cancel, started: o.Now(),
 		firstTimestamp: rand.Uint64N(timestampRange),
 		pools:          make(map[string]*pool.Pool), lastPresent: make(map[string]time.Time), workers: newWorkers(o.Logger),
-		crashes: contract.NewCrashLedger(), cancels: contract.NewCancelLedger(), confined: contract.NewConfinement(),
+		crashes: contract.NewCrashLedger(), cancels: contract.NewCancelLedger(), held: contract.NewHeldLedger(),
+		confined: contract.NewConfinement(),
 	}
 	d.members = newMembers(o.Self, d.dialPeer, o.Logger)
 	d.home = batch.New(batch.Options{
-		Self: d.self, Owners: owners{d}, Capacity: d.capacity, Crashes: d.crashes, Cancels: d.cancels, Fits: d.fits,
+		Self: d.self, Owners: owners{d}, Members: membership{d}, Capacity: d.capacity, Crashes: d.crashes,
+		Cancels: d.cancels, Held: d.held, Fits: d.fits,
 		Now: o.Now, Logger: o.Logger, Metrics: o.Metrics,
 	})
 	d.entries = newEntryRequests(d.members)
@@ -171,6 +174,7 @@
 func (d *Daemon) dialPeer(m machine.Member) *link.Peer {
 	return link.NewPeer(m.VM, m.Address, link.PeerOptions{
 		Self:        link.Identity{VM: machine.EntryVM{ID: d.o.Self.VM, Incarnation: d.o.Self.Incarnation}},
+		OnAck:       func(vm string, sent time.Time) { d.members.RecordAck(m.ID(), vm, sent) },
 		OnTimestamp: func(vm string, timestamp uint64) { d.members.RecordTimestamp(m.ID(), vm, timestamp, d.o.Now()) },
 		Dial:        d.o.Dial,
 		Lamport:     func() uint64 { return 0 }, Now: d.o.Now, Logger: d.o.Logger, Metrics: d.o.Metrics,
@@ -218,8 +222,10 @@
 	}
 	d.updateCrashes(now)
 	d.cancels.Expire(now)
+	d.held.Expire(now)
 	d.announced.Repeat(now)
 	d.members.ChoosePartners()
+	d.members.UpdateElectorate()
 	d.sendStatus(now)
 	d.requestDesired(now)
 	d.requestEntries(now)
@@ -425,65 +431,6 @@
 	return !d.stopping && d.desired.Version != 0
 }
 
-// Stop ends the daemon gracefully: it releases its workers, finishes the jobs that it has accepted, and leaves.
-func (d *Daemon) Stop(ctx context.Context) {
-	d.mu.Lock()
-	d.stopping, d.stoppingSince = true, d.o.Now()
-	end := d.answerBy()
-	d.mu.Unlock()
-	d.home.LimitDeadlines(end)
-	d.o.Logger.Info("stopping", "jobs", d.home.Active())
-	d.sendStatus(d.o.Now())
-	d.assignWorkers()
-	d.spawn(func() {
-		if err := d.o.Store.RemoveMember(ctx, d.o.Self.VM); err != nil {
-			d.o.Logger.Warn("store did not confirm the removal of this member; it may stay listed", "error", err)
-		}
-	})
-	ticker := time.NewTicker(tickInterval)
-	defer ticker.Stop()
-	idleTicks, since := 0, d.o.Now()
-	for idleTicks < stopIdleTicks || d.o.Now().Sub(since) < balancerDelay {
-		select {
-		case <-ticker.C:
-			idleTicks++
-			if d.home.Active() > 0 {
-				idleTicks = 0
-			}
-		case <-ctx.Done():
-			d.o.Logger.Warn("stop timed out with unanswered jobs", "jobs", d.home.Active())
-			return
-		}
-	}
-	d.o.Logger.Info("stopped; all jobs answered")
-}
-
-// Finish waits until all accepted jobs are answered, and refuses all others. It is called once no new connections are
-// accepted, since a client may send a request on an open connection until the process ends.
-func (d *Daemon) Finish(ctx context.Context) {
-	d.home.RefuseNew()
-	ticker := time.NewTicker(finishInterval)
-	defer ticker.Stop()
-	for d.home.Active() > 0 {
-		select {
-		case <-ticker.C:
-		case <-ctx.Done():
-			d.o.Logger.Warn("process ends with unanswered jobs", "jobs", d.home.Active())
-			return
-		}
-	}
-}
-
-const (
-	// finishInterval is the time between checks for unanswered jobs at the end of a process.
-	finishInterval = 5 * time.Millisecond
-	// stopIdleTicks is the number of ticks without a job after which a stopping process ends.
-	stopIdleTicks = 6
-	// balancerDelay is how long the balancer keeps sending new connections to a process that is no longer ready: it needs
-	// two failed checks, one a second.
-	balancerDelay = 2300 * time.Millisecond
-)
-
 // Close stops all components at once.
 func (d *Daemon) Close() {
 	d.cancel()
--- a/edge/member.go
+++ b/edge/member.go
@@ -22,8 +22,11 @@
 	leaving     bool
 	// desiredVersion is the version of the member's desired state.
 	desiredVersion uint64
-	// newest is the member's newest timestamp.
-	newest batch.Contact
+	// newest is the member's newest timestamp, samples some of the last ones, the oldest first.
+	newest  batch.Contact
+	samples []batch.Contact
+	// ackedAt is when the newest message was sent that the member has acknowledged.
+	ackedAt time.Time
 	// partner is set for a member whose statuses this process needs. usedAt is when it last sent an order or refresh to
 	// the member, subscribedAt when the member last subscribed to its statuses.
 	partner      bool
@@ -31,13 +34,6 @@
 	subscribedAt time.Time
 }
 
-// recordTimestamp records a timestamp unless a newer one is known.
-func (m *member) recordTimestamp(timestamp uint64, now time.Time) {
-	if timestamp > m.newest.Timestamp {
-		m.newest = batch.Contact{Timestamp: timestamp, ReceivedAt: now}
-	}
-}
-
 // candidate returns a member as a candidate for owning workers.
 func candidate(m machine.Member) zone.Candidate {
 	return zone.Candidate{ID: m.ID(), VM: m.VM, Domain: m.Domain, Weight: float64(max(m.CPUMillis, 1))}
--- /dev/null
+++ b/edge/membercontact.go
@@ -0,0 +1,128 @@
+package edge
+
+import (
+	"time"
+
+	"github.com/cicadadale/cicadadale/batch"
+	"github.com/cicadadale/cicadadale/zone"
+)
+
+const (
+	// contactSampleSpacing and contactSampleAge bound the samples that are kept of a member's timestamps. Older contacts are
+	// of no use: owners stop a run that was refreshed 800 ms ago.
+	contactSampleSpacing = 20 * time.Millisecond
+	contactSampleAge     = 1200 * time.Millisecond
+	// transitTime is the time that a message may have taken to arrive, unless its sender has acknowledged a later one.
+	transitTime = 200 * time.Millisecond
+	// oneWayLimit is the time for which messages of a member count as contact although it acknowledges none. A slow VM sends
+	// statuses up to 600 ms apart.
+	oneWayLimit = 600 * time.Millisecond
+)
+
+// recordTimestamp records a timestamp unless a newer one is known.
+func (m *member) recordTimestamp(timestamp uint64, now time.Time) {
+	if timestamp <= m.newest.Timestamp {
+		return
+	}
+	m.newest = batch.Contact{Timestamp: timestamp, ReceivedAt: now}
+	if n := len(m.samples); n > 0 && now.Sub(m.samples[n-1].ReceivedAt) < contactSampleSpacing {
+		return
+	}
+	for len(m.samples) > 0 && now.Sub(m.samples[0].ReceivedAt) > contactSampleAge {
+		m.samples = m.samples[1:]
+	}
+	m.samples = append(m.samples, m.newest)
+}
+
+// contactUntil returns the newest contact that was received no later than a time, as far as known.
+func (m *member) contactUntil(limit time.Time) batch.Contact {
+	if !m.newest.ReceivedAt.After(limit) {
+		return m.newest
+	}
+	for i := len(m.samples) - 1; i >= 0; i-- {
+		if !m.samples[i].ReceivedAt.After(limit) {
+			return m.samples[i]
+		}
+	}
+	return batch.Contact{}
+}
+
+// reachedAt returns a time at which messages passed between this process and the member: that of the newest message which
+// the member has acknowledged, or of its own last message for a while after that.
+func (m *member) reachedAt() time.Time {
+	heard := m.lastContact.Add(-transitTime)
+	if limit := m.ackedAt.Add(oneWayLimit); heard.After(limit) {
+		heard = limit
+	}
+	if heard.After(m.ackedAt) {
+		return heard
+	}
+	return m.ackedAt
+}
+
+// RecordAck records that a process has acknowledged a message that was sent at a time.
+func (m *Members) RecordAck(id, vm string, sent time.Time) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if e, ok := m.byVM[vm]; ok && e.id == id && sent.After(e.ackedAt) {
+		e.ackedAt = sent
+	}
+}
+
+// UpdateElectorate chooses the members on which the jobs accepted from now on depend: those with which this process
+// exchanges statuses several times a second, and that are not about to leave.
+func (m *Members) UpdateElectorate() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var ids []string
+	for _, e := range m.byVM {
+		if e.live && !e.leaving && !e.ackedAt.IsZero() && (e.partner || e.info.Domain == m.self.Domain) {
+			ids = append(ids, e.id)
+		}
+	}
+	if next := zone.NewElectorate(ids); !next.Equal(m.electorate) {
+		m.electorate = next
+	}
+}
+
+// Electorate returns the members on which a job that is accepted now depends.
+func (m *Members) Electorate() *zone.Electorate {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.electorate
+}
+
+// MajorityContact returns the latest time at which this process was in contact with a majority of an electorate.
+func (m *Members) MajorityContact(e *zone.Electorate, now time.Time) time.Time {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return e.MajorityContact(now, func(id string) (time.Time, bool) {
+		known := m.byID(id)
+		if known == nil || known.leaving {
+			return time.Time{}, false
+		}
+		return known.reachedAt(), true
+	})
+}
+
+// LastHeard returns when the last message of a process arrived. live is false once it counts as departed, known if
+// another process or none is known on its VM.
+func (m *Members) LastHeard(id string) (at time.Time, live, known bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	e := m.byID(id)
+	if e == nil {
+		return time.Time{}, false, false
+	}
+	return e.lastContact, e.live, true
+}
+
+// byID returns a known process, nil for none. It expects m.mu to be held.
+func (m *Members) byID(id string) *member {
+	for _, e := range m.byVM {
+		if e.id == id {
+			return e
+		}
+	}
+	return nil
+}
--- a/edge/members.go
+++ b/edge/members.go
@@ -34,10 +34,12 @@
 	// partners were chosen.
 	ownersVersion   uint64
 	partnersVersion uint64
+	electorate      *zone.Electorate
 }
 
 func newMembers(self machine.Member, dial func(m machine.Member) *link.Peer, logger *slog.Logger) *Members {
-	return &Members{self: self, dial: dial, logger: logger, byVM: make(map[string]*member)}
+	return &Members{self: self, dial: dial, logger: logger, byVM: make(map[string]*member),
+		electorate: zone.NewElectorate(nil)}
 }
 
 // Learn records a process that is named by a list or by its own status (direct). A list does not replace a live
@@ -65,6 +67,7 @@
 		known.peer = m.dial(info)
 		known.info, known.id, known.live, known.lastContact, known.ownsNothing, known.newest =
 			info, info.ID(), false, time.Time{}, true, batch.Contact{}
+		known.samples, known.ackedAt = nil, time.Time{}
 	} else {
 		m.byVM[info.VM] = &member{info: info, id: info.ID(), peer: m.dial(info), ownsNothing: true}
 	}
@@ -227,11 +230,8 @@
 func (m *Members) Send(id string, msgs ...*api.PeerMessage) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	for _, e := range m.byVM {
-		if e.id == id {
-			e.peer.Send(msgs...)
-			return
-		}
+	if e := m.byID(id); e != nil {
+		e.peer.Send(msgs...)
 	}
 }
 
@@ -251,6 +251,16 @@
 	})
 }
 
+// BroadcastContacts queues messages for the live processes with which this one exchanges statuses several times a second.
+func (m *Members) BroadcastContacts(msgs ...*api.PeerMessage) {
+	m.broadcast(func(e *member) []*api.PeerMessage {
+		if !e.live || (!e.partner && e.info.Domain != m.self.Domain) {
+			return nil
+		}
+		return msgs
+	})
+}
+
 // broadcast queues the messages that choose returns for a member. It is called with m.mu held.
 func (m *Members) broadcast(choose func(e *member) []*api.PeerMessage) {
 	m.mu.Lock()
@@ -265,14 +275,12 @@
 	}
 }
 
-// LastContact returns the newest timestamp that a process has sent, and when it arrived.
-func (m *Members) LastContact(id string) batch.Contact {
+// LastContact returns the newest timestamp of a process that arrived no later than a time, and when it arrived.
+func (m *Members) LastContact(id string, limit time.Time) batch.Contact {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	for _, e := range m.byVM {
-		if e.id == id {
-			return e.newest
-		}
+	if e := m.byID(id); e != nil {
+		return e.contactUntil(limit)
 	}
 	return batch.Contact{}
 }
--- a/edge/messages.go
+++ b/edge/messages.go
@@ -22,7 +22,7 @@
 	if owner == s.d.self {
 		return batch.Contact{ReceivedAt: s.d.o.Now()}
 	}
-	return s.d.members.LastContact(owner)
+	return s.d.members.LastContact(owner, s.d.o.Now())
 }
 
 // Order implements batch.Owners.
@@ -279,6 +279,8 @@
 		d.recordCrash(decodeCrash(b.WorkerCrash, d.o.Now()))
 	case *api.PeerMessage_JobCancel:
 		d.handleCancel(id, decodeCancel(b.JobCancel, d.o.Now()))
+	case *api.PeerMessage_HeldJobs:
+		d.handleHeldJobs(id, b.HeldJobs)
 	default:
 		d.handleClusterState(id, vm, m)
 	}
--- a/edge/previousprocess_test.go
+++ b/edge/previousprocess_test.go
@@ -39,7 +39,7 @@
 	m.RecordContact(after.ID(), "edge", now)
 	m.RecordTimestamp(before.ID(), "edge", 9_000_100, now)
 	m.UpdateStatus(after.ID(), "edge", false, false, 0, 1_000, now.Add(time.Second))
-	require.EqualValues(t, 1_000, m.LastContact(after.ID()).Timestamp)
+	require.EqualValues(t, 1_000, m.LastContact(after.ID(), now.Add(time.Second)).Timestamp)
 }
 
 // Guards against tasks placed at a process that is gone: its last status is handled after its successor on the VM has
@@ -71,13 +71,13 @@
 		d.killDaemon("edge-0-1")
 		after := d.startDaemon(zoneName(0), "edge-0-1")
 		time.Sleep(settleTime)
-		require.NotZero(t, daemon.members.LastContact(after.self).Timestamp)
+		require.NotZero(t, daemon.members.LastContact(after.self, time.Now()).Timestamp)
 		daemon.handle(&api.Envelope{
 			FromVm: before.VM, FromIncarnation: uint64(before.Incarnation),
 			Messages: []*api.PeerMessage{{Body: &api.PeerMessage_PoolStatus{PoolStatus: &api.PoolStatus{Sender: encodeMember(before)}}}},
 		})
 		start := time.Now()
-		for time.Since(start) < settleTime && daemon.members.LastContact(after.self).Timestamp == 0 {
+		for time.Since(start) < settleTime && daemon.members.LastContact(after.self, time.Now()).Timestamp == 0 {
 			time.Sleep(time.Millisecond)
 		}
 		require.Zero(t, time.Since(start), "the live process is unknown for this time")
--- a/metric/describe.go
+++ b/metric/describe.go
@@ -77,6 +77,8 @@
 		{BatchEndsTakeover, "runs over at their home: not listed by the next owner of the worker"},
 		{BatchEndsExpired, "runs over at their home: lease expired, counted from the last contact"},
 		{BatchPauses, "pauses of the process after which no run was ordered for a moment"},
+		{BatchJobsHeldElsewhere, "jobs accepted that another member had announced as its own"},
+		{BatchIsolations, "losses of contact with a majority of the members"},
 		{BatchTasksSuspected, "orders of tasks under which a worker has crashed, to run alone on a worker"},
 		{BatchTasksGivenUp, "tasks given up because their workers crashed while running them"},
 		{BatchAnswerTime, "time from the arrival of a job to its answer, in microseconds"},
