batch, edge: the next home of a job waits until the earlier one has released it

What callers saw: two runs of one task, started by two members over a second apart, while all members are in touch.

Cause: a home takes its caller to be waiting for as long as neither FIN nor RST has arrived. If the channel breaks at the client's end only, the client submits the job again to another member after 1.3 s, and nothing ends the runs of the first one. No member asked whether another one has the job.

A member that accepts one of them starts nothing and asks the announced home to release it, directly and, from the second request on, through all live members. That home ends the job as superseded, stops its runs, and answers once they are over, with the result if the job had ended; then the job starts, or is answered with that result. The runs of a silent home count as over 1.6 s after its last message. Two homes that learn of each other too late keep the job where the caller has turned last.

A job that is not submitted again waits for nothing. A channel that relays or load balancers keep open cannot be proven at the home: their kernels acknowledge what is sent.

Tests of the decisions in batch/release_test.go.

--- a/batch/advance.go
+++ b/batch/advance.go
@@ -22,6 +22,7 @@
 // advance places tasks that are ready, moves queued tasks to owners with free capacity, and answers a job that has
 // ended. The lock of the job's shard is held.
 func (h *Home) advance(j *job, now time.Time, out *outbox) {
+	h.checkRelease(j, now, out)
 	if j.state == jobActive {
 		h.checkDeadline(j, now, out)
 	}
@@ -56,6 +57,7 @@
 	}
 	switch {
 	case j.state != jobActive:
+	case j.earlier != nil:
 	case t.state == taskUnplaced && !now.Before(t.retryAt) && j.stepReady(t.step) && !h.pause.paused(h.o.Now()):
 		h.place(j, t, now, out)
 	case h.shouldMove(j, t, now):
--- a/batch/home.go
+++ b/batch/home.go
@@ -230,6 +230,7 @@
 	if j.state == jobEnded {
 		return nil, j.answer
 	}
+	j.submittedAt = later(j.submittedAt, b.Accepted)
 	waiter := make(chan Answer, 1)
 	j.waiters = append(j.waiters, waiter)
 	return waiter, Answer{}
@@ -276,9 +277,7 @@
 		"steps", len(b.Steps), "estimate", b.Steps[0].Estimate, "expected_run", expected, "expected_wait", wait,
 		"time_left", left, "target_in", j.target.Sub(now))
 	if held, ok := h.o.Held.Of(b.ID); ok {
-		h.counter(metric.BatchJobsHeldElsewhere).Inc(1)
-		h.o.Logger.Warn("job is held by another member", "job", b.ID, "home", held.Home, "accepted_ago",
-			now.Sub(held.Accepted), "announced_ago", now.Sub(held.HeardAt))
+		h.awaitRelease(j, held, now)
 	}
 	return j, nil
 }
@@ -359,7 +358,8 @@
 		return StateCompleted
 	case j.state == jobEnded && j.answer.Outcome == Failed:
 		return StateFailed
-	case j.state == jobEnded && (j.answer.Outcome == Refused || j.answer.Outcome == CallerLeft):
+	case j.state == jobEnded && (j.answer.Outcome == Refused || j.answer.Outcome == CallerLeft ||
+		j.answer.Outcome == Superseded):
 		return StateUnknown
 	case j.state == jobEnded:
 		return StateCancelled
--- a/batch/home_test.go
+++ b/batch/home_test.go
@@ -26,6 +26,8 @@
 	withdrawals []contract.RunKey
 	acks        []contract.RunKey
 	held        []contract.HeldJob
+	releases    []contract.JobRelease
+	heard       time.Time
 	// contact is the contact with all owners; nil for one of now.
 	contact *Contact
 	// refreshed is the contact that the last refresh echoed.
@@ -82,6 +84,19 @@
 
 func (r *recorder) MajorityContact(*zone.Electorate) time.Time { return time.Now() }
 
+// LastHeard returns the time that the test has set, of a member that is no longer live.
+func (r *recorder) LastHeard(string) (time.Time, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.heard, false
+}
+
+func (r *recorder) Release(request contract.JobRelease, _ bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.releases = append(r.releases, request)
+}
+
 func (r *recorder) AnnounceHeld(jobs []contract.HeldJob) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/batch/job.go
+++ b/batch/job.go
@@ -101,6 +101,10 @@
 	announcedAt time.Time
 	// electorate is the set of members with a majority of which the home must be in contact to keep the job's runs.
 	electorate *zone.Electorate
+	// earlier is the home that has to release the job before it starts here; nil if there is none. released is the one that
+	// has released it.
+	earlier  *earlierHome
+	released string
 }
 
 // key returns the key of a task's current run.
@@ -158,8 +162,11 @@
 	return true
 }
 
-// noLiveRuns reports whether no run of any task can be alive.
+// noLiveRuns reports whether no run of any task can be alive, here or at an earlier home.
 func (j *job) noLiveRuns() bool {
+	if j.earlier != nil {
+		return false
+	}
 	for i := range j.tasks {
 		if s := j.tasks[i].state; s == taskPlaced || s == taskLost {
 			return false
@@ -192,11 +199,13 @@
 	// CallerLeft jobs were stopped because all their callers had disconnected. Nobody has cancelled them, and a caller that
 	// lost its connection may submit the job again; some tasks may have run.
 	CallerLeft
+	// Superseded jobs were stopped because their caller has submitted them to another member.
+	Superseded
 )
 
 // String returns the outcome's name for logs.
 func (o Outcome) String() string {
-	names := [...]string{"completed", "failed", "cancelled", "refused", "abandoned", "caller left"}
+	names := [...]string{"completed", "failed", "cancelled", "refused", "abandoned", "caller left", "superseded"}
 	if int(o) < len(names) {
 		return names[o]
 	}
@@ -204,7 +213,9 @@
 }
 
 // mayStartAnew reports whether a job that ended so starts anew if it is submitted again: its callers got no result.
-func (o Outcome) mayStartAnew() bool { return o == Refused || o == Abandoned || o == CallerLeft }
+func (o Outcome) mayStartAnew() bool {
+	return o == Refused || o == Abandoned || o == CallerLeft || o == Superseded
+}
 
 // Answer is the result of a job as its caller gets it.
 type Answer struct {
--- a/batch/membership.go
+++ b/batch/membership.go
@@ -30,6 +30,10 @@
 	Electorate() *zone.Electorate
 	// MajorityContact returns the latest time at which this process was in contact with a majority of an electorate.
 	MajorityContact(e *zone.Electorate) time.Time
+	// LastHeard returns when the last message of a member arrived, and whether it still counts as live.
+	LastHeard(member string) (at time.Time, live bool)
+	// Release asks the home of a job to release it, repeated requests also through other members.
+	Release(r contract.JobRelease, repeated bool)
 	// AnnounceHeld tells the other members of jobs that this home holds.
 	AnnounceHeld(jobs []contract.HeldJob)
 }
@@ -38,10 +42,14 @@
 // here, or the last contact with a majority of the members that it could have turned to since. The lock of the job's shard
 // is held.
 func (o *outbox) provenAt(j *job) time.Time {
-	if contact := o.majorityContact(j.electorate); contact.After(j.submittedAt) {
-		return contact
+	return later(j.submittedAt, o.majorityContact(j.electorate))
+}
+
+func later(a, b time.Time) time.Time {
+	if b.After(a) {
+		return b
 	}
-	return j.submittedAt
+	return a
 }
 
 // majorityContact returns the last contact with a majority of an electorate, with contactSlack added.
--- a/batch/outbox.go
+++ b/batch/outbox.go
@@ -21,6 +21,8 @@
 	withdrawals map[PoolRef][]contract.RunKey
 	recalls     map[PoolRef][]contract.RunKey
 	acks        map[PoolRef][]contract.RunKey
+	// releases are the requests to earlier homes.
+	releases []releaseRequest
 	// held are the jobs to announce to the other members.
 	held []contract.HeldJob
 	// ordered describes the orders for the log, until the job has been advanced.
@@ -38,6 +40,11 @@
 	order contract.TaskOrder
 }
 
+type releaseRequest struct {
+	contract.JobRelease
+	repeated bool
+}
+
 func (h *Home) newOutbox() *outbox { return newOutbox(h.o.Owners, h.o.Members) }
 
 func newOutbox(owners Owners, members Membership) *outbox {
@@ -109,6 +116,9 @@
 	for ref, keys := range o.refreshes {
 		o.owners.Refresh(ref, keys, o.contacts[ref.Owner])
 	}
+	for _, r := range o.releases {
+		o.members.Release(r.JobRelease, r.repeated)
+	}
 	if len(o.held) > 0 {
 		o.members.AnnounceHeld(o.held)
 	}
--- /dev/null
+++ b/batch/release.go
@@ -0,0 +1,141 @@
+package batch
+
+import (
+	"time"
+
+	"github.com/cicadadale/cicadadale/contract"
+	"github.com/cicadadale/cicadadale/metric"
+)
+
+const (
+	// releaseRetry is the pause before the earlier home of a job is asked again.
+	releaseRetry = 50 * time.Millisecond
+	// homeExpiry is the time after the last message of a home at which its runs are certainly over: their leases end 1.23 s
+	// after its last contact with a majority, and members hear of each other every 300 ms.
+	homeExpiry = 1600 * time.Millisecond
+	// releaseTimeout is the shortest time for which a silent home is asked, through the members that may still reach it.
+	releaseTimeout = 400 * time.Millisecond
+	// sameSubmission is the difference of two times of acceptance below which a client has sent its job to two homes at once,
+	// rather than again after its channel broke.
+	sameSubmission = 600 * time.Millisecond
+)
+
+// earlierHome is the member that has announced a job which is submitted again here. The job starts when that member has ended
+// its runs.
+type earlierHome struct {
+	contract.HeldJob
+	// since is when the home was first asked to release the job, askedAt when it was last asked, requests how often.
+	since    time.Time
+	askedAt  time.Time
+	requests int
+}
+
+// awaitRelease lets a job wait until the home that has announced it has ended its runs. The lock of the job's shard is held.
+func (h *Home) awaitRelease(j *job, held contract.HeldJob, now time.Time) {
+	j.earlier, j.mayHaveRun = &earlierHome{HeldJob: held, since: now}, true
+	h.counter(metric.BatchJobsHeldElsewhere).Inc(1)
+	h.o.Logger.Warn("job is held by another member; waiting until it has ended its runs", "job", j.batch.ID,
+		"home", held.Home, "accepted_ago", now.Sub(held.Accepted), "announced_ago", now.Sub(held.HeardAt))
+}
+
+// checkRelease asks the earlier home of a job to release it, or concludes from its silence that its runs are over. The lock
+// of the job's shard is held.
+func (h *Home) checkRelease(j *job, now time.Time, out *outbox) {
+	e := j.earlier
+	if e == nil {
+		return
+	}
+	heard, live := h.o.Members.LastHeard(e.Home)
+	if !live && now.Sub(heard) >= homeExpiry && now.Sub(e.since) >= releaseTimeout {
+		h.o.Logger.Info("earlier home of a job is silent; its runs are over", "job", j.batch.ID, "home", e.Home,
+			"since_message", now.Sub(heard), "waited", now.Sub(e.since))
+		h.clearEarlier(j)
+		return
+	}
+	if now.Sub(e.askedAt) < releaseRetry {
+		return
+	}
+	e.askedAt = now
+	e.requests++
+	out.releases = append(out.releases, releaseRequest{
+		JobRelease: contract.JobRelease{Job: j.batch.ID, Home: e.Home, Accepted: j.submittedAt}, repeated: e.requests > 1,
+	})
+}
+
+// clearEarlier lets a job start whose earlier home has no run of it any more. The lock of the job's shard is held.
+func (h *Home) clearEarlier(j *job) {
+	h.o.Held.Forget(j.batch.ID, j.earlier.Home)
+	j.released, j.earlier = j.earlier.Home, nil
+}
+
+// Released records that the earlier home of a job has released it, with the result of the job if it had one.
+func (h *Home) Released(r contract.JobReleased) {
+	now := h.o.Now()
+	out := h.newOutbox()
+	s := h.shard(r.Job)
+	s.mu.Lock()
+	if j, ok := s.jobs[r.Job]; ok && j.earlier != nil && j.earlier.Home == r.Home {
+		h.o.Logger.Info("earlier home has released a job", "job", r.Job, "home", r.Home, "completed", r.Completed,
+			"failed", r.Failed, "waited", now.Sub(j.earlier.since))
+		h.clearEarlier(j)
+		switch {
+		case r.Completed:
+			h.endJob(j, Completed, "completed at its earlier home", now, out)
+		case r.Failed:
+			h.endJob(j, Failed, "failed at its earlier home", now, out)
+		}
+		h.advance(j, now, out)
+	}
+	s.mu.Unlock()
+	out.send()
+}
+
+// Release ends the runs of a job that its caller has submitted to another member. over is false while a run may be alive, or
+// if the caller has submitted the job here again since.
+func (h *Home) Release(r contract.JobRelease) (released contract.JobReleased, over bool) {
+	released = contract.JobReleased{Job: r.Job, Home: h.o.Self, Requester: r.Requester}
+	now := h.o.Now()
+	out := h.newOutbox()
+	s := h.shard(r.Job)
+	s.mu.Lock()
+	j, ok := s.jobs[r.Job]
+	if ok && j.state == jobActive && !r.Accepted.Before(j.submittedAt) {
+		h.supersede(j, r.Requester, now, out)
+	}
+	over = !ok || j.state == jobEnded
+	if ok && over {
+		released.Completed, released.Failed = j.answer.Outcome == Completed, j.answer.Outcome == Failed
+	}
+	s.mu.Unlock()
+	out.send()
+	return released, over
+}
+
+// supersede ends a job that its caller has submitted to another member. The lock of the job's shard is held.
+func (h *Home) supersede(j *job, member string, now time.Time, out *outbox) {
+	h.counter(metric.BatchJobsSuperseded).Inc(1)
+	h.o.Logger.Warn("job was submitted to another member; ending its runs", "job", j.batch.ID, "member", member,
+		"accepted_ago", now.Sub(j.batch.Accepted), "since_caller_proof", max(now.Sub(out.provenAt(j)), 0))
+	h.endJob(j, Superseded, "submitted to another member", now, out)
+	h.advance(j, now, out)
+}
+
+// HeldElsewhere resolves the case that another member announces a job that this home has too, because neither knew of the
+// other in time. The home to which the caller has turned last keeps it.
+func (h *Home) HeldElsewhere(held contract.HeldJob) {
+	now := h.o.Now()
+	out := h.newOutbox()
+	s := h.shard(held.Job)
+	s.mu.Lock()
+	if j, ok := s.jobs[held.Job]; ok && j.state == jobActive && j.earlier == nil && j.released != held.Home {
+		switch later := held.Accepted.Sub(j.submittedAt); {
+		case later > sameSubmission, later > -sameSubmission && h.o.Self < held.Home:
+			h.supersede(j, held.Home, now, out)
+		default:
+			h.awaitRelease(j, held, now)
+			h.checkRelease(j, now, out)
+		}
+	}
+	s.mu.Unlock()
+	out.send()
+}
--- /dev/null
+++ b/batch/release_test.go
@@ -0,0 +1,151 @@
+package batch
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/cicadadale/cicadadale/contract"
+)
+
+const (
+	testJobID    = "00000000000000aa"
+	earlierOwner = "other/1"
+)
+
+// heldBatch returns a batch that another member has announced, which accepted it 1.5 s before.
+func heldBatch(h *Home) contract.Batch {
+	b := testBatch(1, 5*time.Second)
+	h.o.Held.Record(contract.HeldJob{
+		Job: b.ID, Home: earlierOwner, Accepted: time.Now().Add(-1500 * time.Millisecond), HeardAt: time.Now(),
+	})
+	return b
+}
+
+// atHome runs f with a home in virtual time, and a function that submits a job in the background.
+func atHome(t *testing.T, f func(h *Home, out *recorder, submit func(contract.Batch) chan Answer)) {
+	synctest.Test(t, func(*testing.T) {
+		h, out := newTestHome()
+		defer h.Close()
+		f(h, out, func(b contract.Batch) chan Answer {
+			done := make(chan Answer, 1)
+			go func() { done <- h.Submit(context.Background(), b) }()
+			synctest.Wait()
+			return done
+		})
+	})
+}
+
+// Guards against a run beside that of the home which has announced the job, before that home has released it.
+func TestJobHeldElsewhereStartsOnceReleased(t *testing.T) {
+	atHome(t, func(h *Home, out *recorder, submit func(contract.Batch) chan Answer) {
+		out.heard = time.Now().Add(time.Hour)
+		submit(heldBatch(h))
+		time.Sleep(time.Second)
+		require.Empty(t, out.sentOrders())
+		require.NotEmpty(t, out.releases)
+		require.Equal(t, earlierOwner, out.releases[0].Home)
+		h.Released(contract.JobReleased{Job: testJobID, Home: "third/1"})
+		require.Empty(t, out.sentOrders(), "the answer of another member proves nothing")
+		h.Released(contract.JobReleased{Job: testJobID, Home: earlierOwner})
+		require.Len(t, out.sentOrders(), 1)
+	})
+}
+
+// Guards against a second run of a job that its earlier home has completed, whose answer was lost on the way.
+func TestJobCompletedElsewhereIsAnswered(t *testing.T) {
+	for outcome, released := range map[Outcome]contract.JobReleased{
+		Completed: {Completed: true}, Failed: {Failed: true},
+	} {
+		atHome(t, func(h *Home, out *recorder, submit func(contract.Batch) chan Answer) {
+			out.heard = time.Now().Add(time.Hour)
+			answer := submit(heldBatch(h))
+			released.Job, released.Home = testJobID, earlierOwner
+			h.Released(released)
+			require.Equal(t, outcome, (<-answer).Outcome)
+			require.Empty(t, out.sentOrders())
+		})
+	}
+}
+
+// Guards against a job that waits for ever for a home that is gone, and against one that starts while the runs of a silent
+// home may be alive.
+func TestJobOfSilentHomeStartsWhenItsRunsAreOver(t *testing.T) {
+	atHome(t, func(h *Home, out *recorder, submit func(contract.Batch) chan Answer) {
+		out.heard = time.Now().Add(-1300 * time.Millisecond)
+		submit(heldBatch(h))
+		time.Sleep(250 * time.Millisecond)
+		require.Empty(t, out.sentOrders())
+		time.Sleep(250 * time.Millisecond)
+		require.Len(t, out.sentOrders(), 1)
+	})
+}
+
+// Guards against a refusal of a job that may have run at its earlier home.
+func TestJobHeldElsewhereIsNotRefused(t *testing.T) {
+	atHome(t, func(h *Home, out *recorder, submit func(contract.Batch) chan Answer) {
+		out.heard = time.Now().Add(time.Hour)
+		require.Equal(t, Abandoned, (<-submit(heldBatch(h))).Outcome)
+	})
+}
+
+// Guards against a release that is stated while a run may be alive, and against a job that is never released.
+func TestReleaseWaitsForTheEndOfRuns(t *testing.T) {
+	atHome(t, func(h *Home, out *recorder, submit func(contract.Batch) chan Answer) {
+		answer := submit(testBatch(1, 5*time.Second))
+		key := out.sentOrders()[0].Key
+		reportRun(h, key, contract.RunStarted, true)
+		time.Sleep(time.Second)
+		request := contract.JobRelease{Job: testJobID, Home: "self/1", Requester: "next/1", Accepted: time.Now()}
+		_, over := h.Release(request)
+		require.False(t, over)
+		require.Equal(t, Superseded, (<-answer).Outcome)
+		require.Contains(t, out.withdrawn(), key)
+		reportRun(h, key, contract.RunEnded, true)
+		released, over := h.Release(request)
+		require.True(t, over)
+		require.Equal(t, contract.JobReleased{Job: testJobID, Home: "self/1", Requester: "next/1"}, released)
+		unknown, over := h.Release(contract.JobRelease{Job: "00000000000000bb", Requester: "next/1", Accepted: time.Now()})
+		require.True(t, over)
+		require.Equal(t, "00000000000000bb", unknown.Job)
+	})
+}
+
+// Guards against the loss of a job whose caller has come back to its first home: an older request must not end it.
+func TestReleaseForAnEarlierSubmissionIsIgnored(t *testing.T) {
+	atHome(t, func(h *Home, out *recorder, submit func(contract.Batch) chan Answer) {
+		submit(testBatch(1, 5*time.Second))
+		_, over := h.Release(contract.JobRelease{
+			Job: testJobID, Requester: "next/1", Accepted: time.Now().Add(-time.Second),
+		})
+		require.False(t, over)
+		require.Empty(t, out.withdrawn())
+	})
+}
+
+// Guards against two homes that both keep a job, or both give it up, when they learn of each other.
+func TestLaterHomeKeepsTheJob(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		home   string
+		offset time.Duration
+		keeps  bool
+	}{
+		{"accepted later elsewhere", "other/1", 1300 * time.Millisecond, false},
+		{"accepted earlier elsewhere", "other/1", -1300 * time.Millisecond, true},
+		{"accepted at once, lower id here", "zzz/1", 3 * time.Millisecond, false},
+		{"accepted at once, higher id here", "aaa/1", 3 * time.Millisecond, true},
+	} {
+		atHome(t, func(h *Home, out *recorder, submit func(contract.Batch) chan Answer) {
+			out.heard = time.Now().Add(time.Hour)
+			submit(testBatch(1, 5*time.Second))
+			accepted := time.Now().Add(c.offset)
+			h.HeldElsewhere(contract.HeldJob{Job: testJobID, Home: c.home, Accepted: accepted, HeardAt: time.Now()})
+			require.Equal(t, !c.keeps, len(out.withdrawn()) > 0, c.name)
+			require.Equal(t, c.keeps, len(out.releases) > 0, c.name)
+		})
+	}
+}
--- a/contract/heldjob.go
+++ b/contract/heldjob.go
@@ -83,3 +83,21 @@
 	l.order[0] = HeldJob{}
 	l.order = l.order[1:]
 }
+
+// JobRelease asks the home of a job to end its runs, since the job has been submitted again to the requester.
+type JobRelease struct {
+	Job       string
+	Home      string
+	Requester string
+	// Accepted is when the requester accepted the job.
+	Accepted time.Time
+}
+
+// JobReleased states that no run of a job is alive at a home, and that it starts none unless the job is submitted there again.
+type JobReleased struct {
+	Job       string
+	Home      string
+	Requester string
+	// Completed and Failed are set if the job had ended with that result.
+	Completed, Failed bool
+}
--- a/edge/heldjobs.go
+++ b/edge/heldjobs.go
@@ -27,11 +27,79 @@
 	s.d.members.BroadcastContacts(encodeHeldJobs(jobs, s.d.o.Now()))
 }
 
+// LastHeard implements batch.Membership.
+func (s membership) LastHeard(member string) (at time.Time, live bool) {
+	return s.d.members.LastHeard(member)
+}
+
+// Release implements batch.Membership.
+func (s membership) Release(r contract.JobRelease, repeated bool) {
+	d := s.d
+	r.Requester = d.self
+	m := encodeRelease(r, d.o.Now())
+	d.members.Send(r.Home, m)
+	if !repeated {
+		return
+	}
+	for _, id := range d.members.Live() {
+		if id != r.Home {
+			d.members.Send(id, m)
+		}
+	}
+}
+
+// handleRelease releases a job that is held here, or forwards the request of a member that may be out of contact with the
+// job's home.
+func (d *Daemon) handleRelease(id string, m *api.JobRelease) {
+	if m.GetHome() != d.self {
+		if id == m.GetRequester() {
+			d.members.Send(m.GetHome(), &api.PeerMessage{Body: &api.PeerMessage_JobRelease{JobRelease: m}})
+		}
+		return
+	}
+	if released, over := d.home.Release(decodeRelease(m, d.o.Now())); over {
+		d.members.Send(id, encodeReleased(released))
+	}
+}
+
+// handleReleased passes the answer to a request for a release to the home, or forwards it to the requester.
+func (d *Daemon) handleReleased(id string, m *api.JobReleased) {
+	switch {
+	case m.GetRequester() == d.self:
+		d.home.Released(contract.JobReleased{
+			Job: m.GetJob(), Home: m.GetHome(), Requester: d.self, Completed: m.GetCompleted(), Failed: m.GetFailed(),
+		})
+	case id == m.GetHome():
+		d.members.Send(m.GetRequester(), &api.PeerMessage{Body: &api.PeerMessage_JobReleased{JobReleased: m}})
+	}
+}
+
+func encodeRelease(r contract.JobRelease, now time.Time) *api.PeerMessage {
+	return &api.PeerMessage{Body: &api.PeerMessage_JobRelease{JobRelease: &api.JobRelease{
+		Job: r.Job, Home: r.Home, Requester: r.Requester, AgeMs: clampMillis(now.Sub(r.Accepted)),
+	}}}
+}
+
+func decodeRelease(m *api.JobRelease, now time.Time) contract.JobRelease {
+	return contract.JobRelease{
+		Job: m.GetJob(), Home: m.GetHome(), Requester: m.GetRequester(),
+		Accepted: now.Add(-time.Duration(m.GetAgeMs()) * time.Millisecond),
+	}
+}
+
+func encodeReleased(r contract.JobReleased) *api.PeerMessage {
+	return &api.PeerMessage{Body: &api.PeerMessage_JobReleased{JobReleased: &api.JobReleased{
+		Job: r.Job, Home: r.Home, Requester: r.Requester, Completed: r.Completed, Failed: r.Failed,
+	}}}
+}
+
 // handleHeldJobs records the jobs that another member has announced.
 func (d *Daemon) handleHeldJobs(id string, m *api.HeldJobs) {
 	now := d.o.Now()
 	for _, held := range m.GetJobs() {
-		d.held.Record(decodeHeldJob(id, held, now))
+		h := decodeHeldJob(id, held, now)
+		d.held.Record(h)
+		d.home.HeldElsewhere(h)
 	}
 }
 
--- a/edge/membercontact.go
+++ b/edge/membercontact.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/cicadadale/cicadadale/batch"
+	"github.com/cicadadale/cicadadale/contract"
 	"github.com/cicadadale/cicadadale/zone"
 )
 
@@ -105,16 +106,27 @@
 	})
 }
 
-// LastHeard returns when the last message of a process arrived. live is false once it counts as departed, known if
-// another process or none is known on its VM.
-func (m *Members) LastHeard(id string) (at time.Time, live, known bool) {
+// LastHeard returns when the last message of a process arrived, and whether it counts as live. One that has been replaced or
+// dropped is remembered for as long as the jobs that it has announced.
+func (m *Members) LastHeard(id string) (at time.Time, live bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	e := m.byID(id)
-	if e == nil {
-		return time.Time{}, false, false
+	if e := m.byID(id); e != nil {
+		return e.lastContact, e.live
+	}
+	return m.departed[id], false
+}
+
+// recordDeparture remembers the last message of a process that is about to be replaced or dropped. It expects m.mu to be held.
+func (m *Members) recordDeparture(e *member) {
+	for id, at := range m.departed {
+		if e.lastContact.Sub(at) > contract.HeldRetention {
+			delete(m.departed, id)
+		}
+	}
+	if !e.lastContact.IsZero() {
+		m.departed[e.id] = e.lastContact
 	}
-	return e.lastContact, e.live, true
 }
 
 // byID returns a known process, nil for none. It expects m.mu to be held.
--- a/edge/members.go
+++ b/edge/members.go
@@ -35,11 +35,13 @@
 	ownersVersion   uint64
 	partnersVersion uint64
 	electorate      *zone.Electorate
+	// departed holds the times of the last messages of processes that were replaced or dropped.
+	departed map[string]time.Time
 }
 
 func newMembers(self machine.Member, dial func(m machine.Member) *link.Peer, logger *slog.Logger) *Members {
 	return &Members{self: self, dial: dial, logger: logger, byVM: make(map[string]*member),
-		electorate: zone.NewElectorate(nil)}
+		electorate: zone.NewElectorate(nil), departed: make(map[string]time.Time)}
 }
 
 // Learn records a process that is named by a list or by its own status (direct). A list does not replace a live
@@ -61,6 +63,7 @@
 		if known.live {
 			replaced = known.id
 		}
+		m.recordDeparture(known)
 		// The queued messages were meant for the process that is replaced.
 		go known.peer.Close()
 		m.ownersVersion++
@@ -156,6 +159,7 @@
 	defer m.mu.Unlock()
 	for vm, e := range m.byVM {
 		if !listed[vm] && !e.live {
+			m.recordDeparture(e)
 			go e.peer.Close()
 			delete(m.byVM, vm)
 			m.logger.Info("member dropped", "member", e.info.ID())
--- a/edge/messages.go
+++ b/edge/messages.go
@@ -281,6 +281,10 @@
 		d.handleCancel(id, decodeCancel(b.JobCancel, d.o.Now()))
 	case *api.PeerMessage_HeldJobs:
 		d.handleHeldJobs(id, b.HeldJobs)
+	case *api.PeerMessage_JobRelease:
+		d.handleRelease(id, b.JobRelease)
+	case *api.PeerMessage_JobReleased:
+		d.handleReleased(id, b.JobReleased)
 	default:
 		d.handleClusterState(id, vm, m)
 	}
--- a/metric/describe.go
+++ b/metric/describe.go
@@ -78,6 +78,7 @@
 		{BatchEndsExpired, "runs over at their home: lease expired, counted from the last contact"},
 		{BatchPauses, "pauses of the process after which no run was ordered for a moment"},
 		{BatchJobsHeldElsewhere, "jobs accepted that another member had announced as its own"},
+		{BatchJobsSuperseded, "jobs ended because their callers had submitted them to another member"},
 		{BatchIsolations, "losses of contact with a majority of the members"},
 		{BatchTasksSuspected, "orders of tasks under which a worker has crashed, to run alone on a worker"},
 		{BatchTasksGivenUp, "tasks given up because their workers crashed while running them"},
--- a/metric/metric.go
+++ b/metric/metric.go
@@ -72,6 +72,7 @@
 	BatchEndsExpired       = "batch.ends_expired"
 	BatchPauses            = "batch.pauses"
 	BatchJobsHeldElsewhere = "batch.jobs_held_elsewhere"
+	BatchJobsSuperseded    = "batch.jobs_superseded"
 	BatchIsolations        = "batch.isolations"
 	PoolRunsCrashed        = "pool.runs_crashed"
 	BatchTasksSuspected    = "batch.tasks_suspected"
