batch, edge: a home that is cut off from most members gives its jobs up

What callers saw: two runs of one task. A home that is cut off from its clients and from the other members, but not from the workers, keeps its runs alive and starts more, while its clients' jobs run at other members.

Cause: the chain of leases from the worker through the owner to the home had no last link. Nothing that the home believes about its callers ever expired.

Change: a job depends on the members that its home was in contact with when it accepted the job (zone.Electorate). The messages about its runs echo no contact later than the last one with a majority of them, dated by the envelopes that they have acknowledged, or than the job's submission. After 0.8 s without a majority the job ends with 504. Jobs accepted afterwards depend on the members that are left.

Cost: the jobs in flight on the smaller side of a cut, on both sides of an even one, are submitted again by their clients. Two members need each other.

--- a/batch/advance.go
+++ b/batch/advance.go
@@ -25,6 +25,7 @@
 	h.checkRelease(j, now, out)
 	if j.state == jobActive {
 		h.checkDeadline(j, now, out)
+		h.checkIsolation(j, now, out)
 	}
 	for i := range j.tasks {
 		h.advanceTask(j, &j.tasks[i], now, out)
@@ -57,7 +58,7 @@
 	}
 	switch {
 	case j.state != jobActive:
-	case j.earlier != nil:
+	case j.earlier != nil || now.Sub(out.provenAt(j)) > orderProofLimit:
 	case t.state == taskUnplaced && !now.Before(t.retryAt) && j.stepReady(t.step) && !h.pause.paused(h.o.Now()):
 		h.place(j, t, now, out)
 	case h.shouldMove(j, t, now):
@@ -103,7 +104,7 @@
 	t.state, t.owner, t.placedAt, t.contactAt = taskPlaced, owner, now, time.Time{}
 	t.started, t.withdrawn, t.worker, t.token, t.recalledAt = false, false, "", 0, time.Time{}
 	t.alone = h.suspect(j, t)
-	out.order(t, j.order(t))
+	out.order(j, t, j.order(t))
 	out.ordered = append(out.ordered, fmt.Sprintf("%s at %s, contact %v ago", j.key(t), t.owner, now.Sub(t.contactAt)))
 }
 
@@ -351,7 +352,7 @@
 			j.mayHaveRun = true
 			order := j.order(t)
 			order.Claim, order.ClaimToken = true, takeover.Token
-			out.order(t, order)
+			out.order(j, t, order)
 		case !found && t.started && t.worker == takeover.Worker && takeover.Token > t.token:
 			h.recordEnd(j, t, proofTakeover, owner, takeover.Token, true)
 			h.unplace(t, true)
--- a/batch/home.go
+++ b/batch/home.go
@@ -43,8 +43,8 @@
 
 // Owners sends messages to the owners of workers, this VM included. The calls do not block and do not call the home.
 type Owners interface {
-	// LastContact returns the newest contact with an owner, the zero value for one that has not sent a timestamp.
-	LastContact(owner string) Contact
+	// LastContact returns the newest contact with an owner up to a time, the zero value if none is known.
+	LastContact(owner string, limit time.Time) Contact
 	// Order and Refresh echo the timestamp of a contact, from which the owner dates the message.
 	Order(owner string, o contract.TaskOrder, echo Contact)
 	Refresh(p PoolRef, keys []contract.RunKey, echo Contact)
--- a/batch/membership.go
+++ b/batch/membership.go
@@ -20,6 +20,10 @@
 	// acknowledgement, a round trip after the message that is acknowledged was sent. The lease of a run is so much shorter
 	// than the time after which clients submit jobs again.
 	contactSlack = 50 * time.Millisecond
+	// isolationTimeout is the time without a proof of the caller after which a job ends: its owners stop runs then that are
+	// refreshed with so old an echo. orderProofLimit is the time from which no run is ordered, as owners would soon stop it.
+	isolationTimeout = 800 * time.Millisecond
+	orderProofLimit  = 600 * time.Millisecond
 	// isolationWarning is the time without contact with a majority from which a home logs that it is isolated.
 	isolationWarning = 500 * time.Millisecond
 )
@@ -62,6 +66,20 @@
 	return at
 }
 
+// checkIsolation ends a job whose home has lost contact with a majority of the members: they may have accepted it again. A caller
+// that is still there submits it again, and jobs accepted from then on depend on the members that are left. The lock of the
+// job's shard is held.
+func (h *Home) checkIsolation(j *job, now time.Time, out *outbox) {
+	since := now.Sub(out.provenAt(j))
+	if j.state != jobActive || since <= isolationTimeout || h.pause.stalled(h.o.Now()) {
+		return
+	}
+	h.counter(metric.BatchJobsIsolated).Inc(1)
+	h.o.Logger.Warn("job ended: no contact with a majority of the members", "job", j.batch.ID, "route", j.batch.Route,
+		"since_caller_proof", since)
+	h.endJob(j, Abandoned, "no contact with a majority of the members", now, out)
+}
+
 // announce adds a job to the next announcement if it is due. The lock of the job's shard is held.
 func (o *outbox) announce(j *job, now time.Time) {
 	if now.Sub(j.batch.Accepted) < announceAfter || now.Sub(j.announcedAt) < announceRepeat {
--- /dev/null
+++ b/batch/membership_test.go
@@ -0,0 +1,68 @@
+package batch
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/cicadadale/cicadadale/contract"
+)
+
+// Guards against a home that keeps the runs of its jobs while it is cut off from the members that may accept them again.
+func TestIsolatedHomeEndsItsJobs(t *testing.T) {
+	atHome(t, func(h *Home, out *recorder, submit func(contract.Batch) chan Answer) {
+		answer := submit(testBatch(1, 5*time.Second))
+		key := out.sentOrders()[0].Key
+		reportRun(h, key, contract.RunStarted, true)
+		time.Sleep(500 * time.Millisecond)
+		out.setMajorityAt(time.Now())
+		time.Sleep(isolationTimeout)
+		require.Empty(t, out.withdrawn(), "while the proof of the caller counts")
+		time.Sleep(contactSlack + 2*tickInterval)
+		require.Contains(t, out.withdrawn(), key)
+		require.Equal(t, Abandoned, (<-answer).Outcome)
+	})
+}
+
+// Guards against a run that is ordered when its home has been out of contact with a majority for so long that the job may run
+// elsewhere.
+func TestIsolatedHomeOrdersNoRun(t *testing.T) {
+	atHome(t, func(h *Home, out *recorder, submit func(contract.Batch) chan Answer) {
+		submit(testBatch(1, 5*time.Second))
+		key := out.sentOrders()[0].Key
+		reportRun(h, key, contract.RunStarted, true)
+		time.Sleep(500 * time.Millisecond)
+		out.setMajorityAt(time.Now())
+		time.Sleep(orderProofLimit + contactSlack + 10*time.Millisecond)
+		reportRun(h, key, contract.RunEnded, true)
+		require.Len(t, out.sentOrders(), 1)
+	})
+}
+
+// Guards against a home that refuses service while it is cut off together with its clients.
+func TestJobAcceptedInIsolationStarts(t *testing.T) {
+	atHome(t, func(_ *Home, out *recorder, submit func(contract.Batch) chan Answer) {
+		out.setMajorityAt(time.Now().Add(-time.Hour))
+		submit(testBatch(1, 5*time.Second))
+		require.Len(t, out.sentOrders(), 1)
+	})
+}
+
+// Guards against messages for each short job, and against a job that other members do not know of when it may be submitted
+// again.
+func TestOnlyLongJobsAreAnnounced(t *testing.T) {
+	atHome(t, func(h *Home, out *recorder, submit func(contract.Batch) chan Answer) {
+		submit(testBatch(1, 5*time.Second))
+		time.Sleep(announceAfter - tickInterval)
+		require.Empty(t, out.announced())
+		time.Sleep(announceInterval + 2*tickInterval)
+		require.Len(t, out.announced(), 1)
+		require.Equal(t, testJobID, out.announced()[0].Job)
+		time.Sleep(announceRepeat + announceInterval)
+		require.Len(t, out.announced(), 2)
+		reportRun(h, out.sentOrders()[0].Key, contract.RunDone, true)
+		time.Sleep(2 * announceRepeat)
+		require.Len(t, out.announced(), 2)
+	})
+}
--- a/batch/outbox.go
+++ b/batch/outbox.go
@@ -13,11 +13,11 @@
 	members Membership
 	// majorities holds the last contacts with a majority of each electorate.
 	majorities map[*zone.Electorate]time.Time
-	// contacts holds the contacts that the messages echo, by owner. They are read when the messages are decided on: by the
-	// time they are sent, the home may have treated their runs as ended, after an earlier contact.
-	contacts    map[string]Contact
+	// contacts holds the contacts that the messages echo. They are read when the messages are decided on: by the time they
+	// are sent, the home may have treated their runs as ended, after an earlier contact.
+	contacts    map[contactKey]Contact
 	orders      []ownerOrder
-	refreshes   map[PoolRef][]contract.RunKey
+	refreshes   map[refreshKey][]contract.RunKey
 	withdrawals map[PoolRef][]contract.RunKey
 	recalls     map[PoolRef][]contract.RunKey
 	acks        map[PoolRef][]contract.RunKey
@@ -35,9 +35,22 @@
 	Backend string
 }
 
+// contactKey names the newest contact with an owner up to a time.
+type contactKey struct {
+	owner string
+	limit time.Time
+}
+
+// refreshKey names the runs in a pool that are refreshed with the same echo.
+type refreshKey struct {
+	pool PoolRef
+	echo Contact
+}
+
 type ownerOrder struct {
 	owner string
 	order contract.TaskOrder
+	echo  Contact
 }
 
 type releaseRequest struct {
@@ -49,25 +62,27 @@
 
 func newOutbox(owners Owners, members Membership) *outbox {
 	return &outbox{
-		owners: owners, members: members, contacts: make(map[string]Contact),
+		owners: owners, members: members, contacts: make(map[contactKey]Contact),
 		majorities: make(map[*zone.Electorate]time.Time),
 	}
 }
 
-// contact returns the contact that messages to an owner echo.
-func (o *outbox) contact(owner string) Contact {
-	c, ok := o.contacts[owner]
+// contact returns the contact that messages to an owner echo: no later one than limit.
+func (o *outbox) contact(owner string, limit time.Time) Contact {
+	key := contactKey{owner, limit}
+	c, ok := o.contacts[key]
 	if !ok {
-		c = o.owners.LastContact(owner)
-		o.contacts[owner] = c
+		c = o.owners.LastContact(owner, limit)
+		o.contacts[key] = c
 	}
 	return c
 }
 
-// order adds an order for a task's current run.
-func (o *outbox) order(t *task, order contract.TaskOrder) {
-	t.confirm(o.contact(t.owner))
-	o.orders = append(o.orders, ownerOrder{t.owner, order})
+// order adds an order for a task's current run. The run lives no longer than its lease after the last proof of the caller.
+func (o *outbox) order(j *job, t *task, order contract.TaskOrder) {
+	echo := o.contact(t.owner, o.provenAt(j))
+	t.confirm(echo)
+	o.orders = append(o.orders, ownerOrder{t.owner, order, echo})
 }
 
 func (o *outbox) withdraw(p PoolRef, k contract.RunKey) { add(&o.withdrawals, p, k) }
@@ -88,16 +103,17 @@
 			o.withdraw(j.poolRef(t), j.key(t))
 			continue
 		}
-		t.confirm(o.contact(t.owner))
-		add(&o.refreshes, j.poolRef(t), j.key(t))
+		echo := o.contact(t.owner, o.majorityContact(j.electorate))
+		t.confirm(echo)
+		add(&o.refreshes, refreshKey{j.poolRef(t), echo}, j.key(t))
 	}
 }
 
-func add(m *map[PoolRef][]contract.RunKey, p PoolRef, k contract.RunKey) {
+func add[K comparable](m *map[K][]contract.RunKey, key K, k contract.RunKey) {
 	if *m == nil {
-		*m = make(map[PoolRef][]contract.RunKey)
+		*m = make(map[K][]contract.RunKey)
 	}
-	(*m)[p] = append((*m)[p], k)
+	(*m)[key] = append((*m)[key], k)
 }
 
 func (o *outbox) send() {
@@ -111,10 +127,10 @@
 		o.owners.Recall(ref, keys)
 	}
 	for _, m := range o.orders {
-		o.owners.Order(m.owner, m.order, o.contacts[m.owner])
+		o.owners.Order(m.owner, m.order, m.echo)
 	}
-	for ref, keys := range o.refreshes {
-		o.owners.Refresh(ref, keys, o.contacts[ref.Owner])
+	for r, keys := range o.refreshes {
+		o.owners.Refresh(r.pool, keys, r.echo)
 	}
 	for _, r := range o.releases {
 		o.members.Release(r.JobRelease, r.repeated)
--- a/batch/pause.go
+++ b/batch/pause.go
@@ -13,14 +13,19 @@
 	// pauseRecovery is the time after a pause in which no run is ordered: what arrived during the pause is handled first,
 	// such as the ends of callers' connections.
 	pauseRecovery = 100 * time.Millisecond
+	// stallLimit is the time between ticks from which acknowledgements of other members may wait to be read, stallRecovery the
+	// time in which they are.
+	stallLimit    = 200 * time.Millisecond
+	stallRecovery = 200 * time.Millisecond
 )
 
 // pauseDetector finds out that the process has been paused, or was so slow that its view of the callers is old. mu guards
 // the fields below it.
 type pauseDetector struct {
-	mu        sync.Mutex
-	lastTick  time.Time
-	resumesAt time.Time
+	mu           sync.Mutex
+	lastTick     time.Time
+	resumesAt    time.Time
+	stalledUntil time.Time
 }
 
 // tick records that the process runs. It returns the length of the pause that ends now, zero if there was none.
@@ -29,6 +34,9 @@
 	defer d.mu.Unlock()
 	gap := now.Sub(d.lastTick)
 	d.lastTick = now
+	if gap > stallLimit {
+		d.stalledUntil = now.Add(stallRecovery)
+	}
 	if gap <= pauseLimit {
 		return 0
 	}
@@ -42,3 +50,11 @@
 	defer d.mu.Unlock()
 	return now.Sub(d.lastTick) > pauseLimit || now.Before(d.resumesAt)
 }
+
+// stalled reports whether the process runs so slowly, or has just been paused, that its last contact with the other members
+// may be newer than it knows.
+func (d *pauseDetector) stalled(now time.Time) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return now.Sub(d.lastTick) > stallLimit || now.Before(d.stalledUntil)
+}
--- a/edge/deployment_test.go
+++ b/edge/deployment_test.go
@@ -466,5 +466,20 @@
 	return out
 }
 
+// submitUntilAnswered submits a job as a client does, which submits it again after an answer without a result.
+func (d *deployment) submitUntilAnswered(vm string, b contract.Batch) <-chan batch.Answer {
+	out := make(chan batch.Answer, 1)
+	d.wg.Go(func() {
+		answer := <-d.submit(vm, b)
+		for answer.Outcome == batch.Abandoned && time.Until(b.Deadline) > resendDelay {
+			time.Sleep(resendDelay)
+			b.Accepted = time.Now()
+			answer = <-d.submit(vm, b)
+		}
+		out <- answer
+	})
+	return out
+}
+
 // inVirtualTime runs a test in virtual time.
 func inVirtualTime(t *testing.T, f func(t *testing.T)) { synctest.Test(t, f) }
--- a/edge/messages.go
+++ b/edge/messages.go
@@ -18,11 +18,14 @@
 type owners struct{ d *Daemon }
 
 // LastContact implements batch.Owners.
-func (s owners) LastContact(owner string) batch.Contact {
-	if owner == s.d.self {
-		return batch.Contact{ReceivedAt: s.d.o.Now()}
+func (s owners) LastContact(owner string, limit time.Time) batch.Contact {
+	if owner != s.d.self {
+		return s.d.members.LastContact(owner, limit)
+	}
+	if now := s.d.o.Now(); now.Before(limit) {
+		limit = now
 	}
-	return s.d.members.LastContact(owner, s.d.o.Now())
+	return batch.Contact{ReceivedAt: limit}
 }
 
 // Order implements batch.Owners.
--- a/metric/describe.go
+++ b/metric/describe.go
@@ -79,6 +79,7 @@
 		{BatchPauses, "pauses of the process after which no run was ordered for a moment"},
 		{BatchJobsHeldElsewhere, "jobs accepted that another member had announced as its own"},
 		{BatchJobsSuperseded, "jobs ended because their callers had submitted them to another member"},
+		{BatchJobsIsolated, "jobs ended because their home was out of contact with a majority of the members"},
 		{BatchIsolations, "losses of contact with a majority of the members"},
 		{BatchTasksSuspected, "orders of tasks under which a worker has crashed, to run alone on a worker"},
 		{BatchTasksGivenUp, "tasks given up because their workers crashed while running them"},
--- a/metric/metric.go
+++ b/metric/metric.go
@@ -73,6 +73,7 @@
 	BatchPauses            = "batch.pauses"
 	BatchJobsHeldElsewhere = "batch.jobs_held_elsewhere"
 	BatchJobsSuperseded    = "batch.jobs_superseded"
+	BatchJobsIsolated      = "batch.jobs_isolated"
 	BatchIsolations        = "batch.isolations"
 	PoolRunsCrashed        = "pool.runs_crashed"
 	BatchTasksSuspected    = "batch.tasks_suspected"
