batch, edge: close the ways to a second home that the model found

- the next home has not heard of the job because only the link between the two homes is cut: members now pass on the announcements of a member that others do not hear (HeldJobsRequest), and each one counts as a sign of life
- the next home is cut off from all, and counts the other one as over by its silence: it now waits unless the other was replaced or it reaches at least half of the members itself
- a home that was paused has a proof of its caller again, and orders a run before it hears what other members hold: it orders nothing for 0.5 s
- a member that has just restarted has heard of no job: members that gain contact get the whole list

--- a/batch/advance.go
+++ b/batch/advance.go
@@ -23,6 +23,7 @@
 // ended. The lock of the job's shard is held.
 func (h *Home) advance(j *job, now time.Time, out *outbox) {
 	h.checkRelease(j, now, out)
+	h.checkProof(j, now, out)
 	if j.state == jobActive {
 		h.checkDeadline(j, now, out)
 		h.checkIsolation(j, now, out)
@@ -58,7 +59,7 @@
 	}
 	switch {
 	case j.state != jobActive:
-	case j.earlier != nil || now.Sub(out.provenAt(j)) > orderProofLimit:
+	case j.earlier != nil || now.Before(j.ordersFrom) || now.Sub(j.provenUntil) > orderProofLimit:
 	case t.state == taskUnplaced && !now.Before(t.retryAt) && j.stepReady(t.step) && !h.pause.paused(h.o.Now()):
 		h.place(j, t, now, out)
 	case h.shouldMove(j, t, now):
--- a/batch/home.go
+++ b/batch/home.go
@@ -264,7 +264,8 @@
 	}
 	j := &job{
 		batch: b, steps: steps, expected: expected, tasks: make([]task, 0, b.Tasks()), submittedAt: b.Accepted,
-		electorate: h.o.Members.Electorate(),
+		provenUntil: b.Accepted,
+		electorate:  h.o.Members.Electorate(),
 	}
 	j.target = b.Accepted.Add(time.Duration(b.TargetFactor*float64(slowest)) + b.TargetSlack)
 	for s, step := range b.Steps {
--- a/batch/home_test.go
+++ b/batch/home_test.go
@@ -29,7 +29,9 @@
 	releases    []contract.JobRelease
 	heard       time.Time
 	majorityAt  time.Time
-	now         func() time.Time
+	// othersMayHaveMajority is the answer of CanHaveMajority.
+	othersMayHaveMajority bool
+	now                   func() time.Time
 	// contact is the contact with all owners; nil for one of now.
 	contact *Contact
 	// refreshed is the contact that the last refresh echoed.
@@ -101,6 +103,13 @@
 	return r.heard, false
 }
 
+// CanHaveMajority returns what the test has set.
+func (r *recorder) CanHaveMajority(string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.othersMayHaveMajority
+}
+
 func (r *recorder) Release(request contract.JobRelease, _ bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/batch/job.go
+++ b/batch/job.go
@@ -99,6 +99,9 @@
 	// submittedAt is when the last caller submitted the job here, announcedAt when it was last announced to other members.
 	submittedAt time.Time
 	announcedAt time.Time
+	// provenUntil is the latest known proof of the caller, ordersFrom the time before which no run is ordered.
+	provenUntil time.Time
+	ordersFrom  time.Time
 	// electorate is the set of members with a majority of which the home must be in contact to keep the job's runs.
 	electorate *zone.Electorate
 	// earlier is the home that has to release the job before it starts here; nil if there is none. released is the one that
--- a/batch/membership.go
+++ b/batch/membership.go
@@ -24,6 +24,10 @@
 	// refreshed with so old an echo. orderProofLimit is the time from which no run is ordered, as owners would soon stop it.
 	isolationTimeout = 800 * time.Millisecond
 	orderProofLimit  = 600 * time.Millisecond
+	// proofLapse is the time without a proof of the caller after which no run is alive any more, reproofDelay how long a home that
+	// has a proof again orders nothing: by then it has heard of the homes to which its callers may have turned meanwhile.
+	proofLapse   = 1200 * time.Millisecond
+	reproofDelay = 500 * time.Millisecond
 	// isolationWarning is the time without contact with a majority from which a home logs that it is isolated.
 	isolationWarning = 500 * time.Millisecond
 )
@@ -36,6 +40,8 @@
 	MajorityContact(e *zone.Electorate) time.Time
 	// LastHeard returns when the last message of a member arrived, and whether it still counts as live.
 	LastHeard(member string) (at time.Time, live bool)
+	// CanHaveMajority reports whether a silent member may be in contact with a majority of the members.
+	CanHaveMajority(member string) bool
 	// Release asks the home of a job to release it, repeated requests also through other members.
 	Release(r contract.JobRelease, repeated bool)
 	// AnnounceHeld tells the other members of jobs that this home holds.
@@ -80,6 +86,18 @@
 	h.endJob(j, Abandoned, "no contact with a majority of the members", now, out)
 }
 
+// checkProof defers the orders of a job whose caller is proven again after a lapse, as after a pause of the process, and has the
+// job announced at once. The lock of the job's shard is held.
+func (h *Home) checkProof(j *job, now time.Time, out *outbox) {
+	proven := out.provenAt(j)
+	if lapse := proven.Sub(j.provenUntil); lapse > proofLapse {
+		h.o.Logger.Warn("caller of a job is proven again; ordering no run until other members have announced theirs",
+			"job", j.batch.ID, "lapse", lapse, "delay", reproofDelay)
+		j.ordersFrom, j.announcedAt = now.Add(reproofDelay), time.Time{}
+	}
+	j.provenUntil = later(j.provenUntil, proven)
+}
+
 // announce adds a job to the next announcement if it is due. The lock of the job's shard is held.
 func (o *outbox) announce(j *job, now time.Time) {
 	if now.Sub(j.batch.Accepted) < announceAfter || now.Sub(j.announcedAt) < announceRepeat {
--- a/batch/membership_test.go
+++ b/batch/membership_test.go
@@ -1,7 +1,9 @@
 package batch
 
 import (
+	"context"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/require"
@@ -66,3 +68,25 @@
 		require.Len(t, out.announced(), 2)
 	})
 }
+
+// Guards against a run that a home orders after a lapse of contact, before it hears that its caller has turned to another
+// member meanwhile.
+func TestReprovenHomeOrdersAfterADelay(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		clock := &pausableClock{}
+		h, out := newTestHomeAt(clock.now)
+		defer h.Close()
+		go h.Submit(context.Background(), testBatch(1, 10*time.Second))
+		synctest.Wait()
+		key := out.sentOrders()[0].Key
+		reportRun(h, key, contract.RunStarted, true)
+		time.Sleep(tickInterval)
+		clock.pause(2 * time.Second)
+		reportRun(h, key, contract.RunEnded, true)
+		time.Sleep(reproofDelay - tickInterval)
+		require.Len(t, out.sentOrders(), 1)
+		require.NotEmpty(t, out.announced())
+		time.Sleep(3 * tickInterval)
+		require.Len(t, out.sentOrders(), 2)
+	})
+}
--- a/batch/release.go
+++ b/batch/release.go
@@ -46,7 +46,9 @@
 		return
 	}
 	heard, live := h.o.Members.LastHeard(e.Home)
-	if !live && now.Sub(heard) >= homeExpiry && now.Sub(e.since) >= releaseTimeout {
+	heard = later(heard, e.HeardAt)
+	silent := !live && now.Sub(heard) >= homeExpiry && now.Sub(e.since) >= releaseTimeout
+	if silent && !h.o.Members.CanHaveMajority(e.Home) {
 		h.o.Logger.Info("earlier home of a job is silent; its runs are over", "job", j.batch.ID, "home", e.Home,
 			"since_message", now.Sub(heard), "waited", now.Sub(e.since))
 		h.clearEarlier(j)
@@ -120,6 +122,22 @@
 	h.advance(j, now, out)
 }
 
+// Held returns the jobs that have not ended.
+func (h *Home) Held() []contract.HeldJob {
+	var jobs []contract.HeldJob
+	for i := range h.shards {
+		s := &h.shards[i]
+		s.mu.Lock()
+		for _, j := range s.jobs {
+			if j.state != jobEnded {
+				jobs = append(jobs, contract.HeldJob{Job: j.batch.ID, Accepted: j.batch.Accepted})
+			}
+		}
+		s.mu.Unlock()
+	}
+	return jobs
+}
+
 // HeldElsewhere resolves the case that another member announces a job that this home has too, because neither knew of the
 // other in time. The home to which the caller has turned last keeps it.
 func (h *Home) HeldElsewhere(held contract.HeldJob) {
@@ -127,10 +145,18 @@
 	out := h.newOutbox()
 	s := h.shard(held.Job)
 	s.mu.Lock()
-	if j, ok := s.jobs[held.Job]; ok && j.state == jobActive && j.earlier == nil && j.released != held.Home {
-		switch later := held.Accepted.Sub(j.submittedAt); {
-		case later > sameSubmission, later > -sameSubmission && h.o.Self < held.Home:
+	j, ok := s.jobs[held.Job]
+	switch {
+	case !ok || j.state != jobActive:
+	case j.earlier != nil && j.earlier.Home == held.Home:
+		// The home is alive, as a member knows to which it has announced the job.
+		j.earlier.HeldJob = held
+	case j.earlier == nil:
+		switch after := held.Accepted.Sub(j.submittedAt); {
+		case after > sameSubmission, after > -sameSubmission && h.o.Self < held.Home:
 			h.supersede(j, held.Home, now, out)
+		case j.released == held.Home:
+			// The announcement was sent before the release.
 		default:
 			h.awaitRelease(j, held, now)
 			h.checkRelease(j, now, out)
--- a/batch/release_test.go
+++ b/batch/release_test.go
@@ -16,11 +16,12 @@
 	earlierOwner = "other/1"
 )
 
-// heldBatch returns a batch that another member has announced, which accepted it 1.5 s before.
+// heldBatch returns a batch that another member has accepted 1.5 s and announced 1.3 s before.
 func heldBatch(h *Home) contract.Batch {
 	b := testBatch(1, 5*time.Second)
 	h.o.Held.Record(contract.HeldJob{
-		Job: b.ID, Home: earlierOwner, Accepted: time.Now().Add(-1500 * time.Millisecond), HeardAt: time.Now(),
+		Job: b.ID, Home: earlierOwner, Accepted: time.Now().Add(-1500 * time.Millisecond),
+		HeardAt: time.Now().Add(-1300 * time.Millisecond),
 	})
 	return b
 }
@@ -149,3 +150,29 @@
 		})
 	}
 }
+
+// Guards against a start beside the runs of a home that is only out of reach here, and keeps a majority elsewhere.
+func TestJobOfHomeWithMajorityWaits(t *testing.T) {
+	atHome(t, func(h *Home, out *recorder, submit func(contract.Batch) chan Answer) {
+		out.heard, out.othersMayHaveMajority = time.Now().Add(-time.Hour), true
+		answer := submit(heldBatch(h))
+		require.Equal(t, Abandoned, (<-answer).Outcome)
+		require.Empty(t, out.sentOrders())
+	})
+}
+
+// Guards against a start beside the runs of a silent home whose announcements another member passes on.
+func TestPassedOnAnnouncementKeepsAJobWaiting(t *testing.T) {
+	atHome(t, func(h *Home, out *recorder, submit func(contract.Batch) chan Answer) {
+		out.heard = time.Now().Add(-time.Hour)
+		b := heldBatch(h)
+		submit(b)
+		held, _ := h.o.Held.Of(b.ID)
+		for range 6 {
+			held.HeardAt = time.Now()
+			h.HeldElsewhere(held)
+			time.Sleep(announceRepeat)
+		}
+		require.Empty(t, out.sentOrders())
+	})
+}
--- a/contract/heldjob.go
+++ b/contract/heldjob.go
@@ -56,6 +56,19 @@
 	return h, ok
 }
 
+// HeldBy returns the jobs that a home has announced.
+func (l *HeldLedger) HeldBy(home string) []HeldJob {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var jobs []HeldJob
+	for _, h := range l.byJob {
+		if h.Home == home {
+			jobs = append(jobs, h)
+		}
+	}
+	return jobs
+}
+
 // Forget drops a job that its home has released.
 func (l *HeldLedger) Forget(job, home string) {
 	l.mu.Lock()
--- a/edge/daemon.go
+++ b/edge/daemon.go
@@ -84,6 +84,7 @@
 	crashes    *contract.CrashLedger
 	cancels    *contract.CancelLedger
 	held       *contract.HeldLedger
+	relays     *heldRelays
 	confined   *contract.Confinement
 	home       *batch.Home
 	server     *link.PeerServer
@@ -137,6 +138,7 @@
 		firstTimestamp: rand.Uint64N(timestampRange),
 		pools:          make(map[string]*pool.Pool), lastPresent: make(map[string]time.Time), workers: newWorkers(o.Logger),
 		crashes: contract.NewCrashLedger(), cancels: contract.NewCancelLedger(), held: contract.NewHeldLedger(),
+		relays:   newHeldRelays(),
 		confined: contract.NewConfinement(),
 	}
 	d.members = newMembers(o.Self, d.dialPeer, o.Logger)
@@ -227,6 +229,7 @@
 	d.members.ChoosePartners()
 	d.members.UpdateElectorate()
 	d.sendStatus(now)
+	d.requestHeldJobs(now)
 	d.requestDesired(now)
 	d.requestEntries(now)
 }
--- a/edge/heldjobs.go
+++ b/edge/heldjobs.go
@@ -24,7 +24,7 @@
 
 // AnnounceHeld implements batch.Membership.
 func (s membership) AnnounceHeld(jobs []contract.HeldJob) {
-	s.d.members.BroadcastContacts(encodeHeldJobs(jobs, s.d.o.Now()))
+	s.d.members.BroadcastContacts(encodeHeldJobs("", jobs, s.d.o.Now()))
 }
 
 // LastHeard implements batch.Membership.
@@ -32,6 +32,11 @@
 	return s.d.members.LastHeard(member)
 }
 
+// CanHaveMajority implements batch.Membership.
+func (s membership) CanHaveMajority(member string) bool {
+	return s.d.members.CanHaveMajority(member, s.d.o.Now())
+}
+
 // Release implements batch.Membership.
 func (s membership) Release(r contract.JobRelease, repeated bool) {
 	d := s.d
@@ -93,19 +98,66 @@
 	}}}
 }
 
-// handleHeldJobs records the jobs that another member has announced.
+// handleHeldJobs records the jobs that another member has announced, and passes its own announcement on to members that do
+// not hear it.
 func (d *Daemon) handleHeldJobs(id string, m *api.HeldJobs) {
 	now := d.o.Now()
+	home := m.GetHome()
+	if home == "" {
+		home = id
+		for _, requester := range d.relays.requesters(home, now) {
+			d.members.Send(requester, &api.PeerMessage{Body: &api.PeerMessage_HeldJobs{
+				HeldJobs: &api.HeldJobs{Home: home, Jobs: m.GetJobs()},
+			}})
+		}
+	}
+	if home == d.self {
+		return
+	}
 	for _, held := range m.GetJobs() {
-		h := decodeHeldJob(id, held, now)
+		h := decodeHeldJob(home, held, now)
 		d.held.Record(h)
 		d.home.HeldElsewhere(h)
 	}
 }
 
+// requestHeldJobs asks the members in contact to pass on what the silent ones announce.
+func (d *Daemon) requestHeldJobs(now time.Time) {
+	silent := d.members.Silent(now)
+	if len(silent) == 0 || !d.relays.due(now) {
+		return
+	}
+	d.members.BroadcastContacts(&api.PeerMessage{Body: &api.PeerMessage_HeldJobsRequest{
+		HeldJobsRequest: &api.HeldJobsRequest{Homes: silent},
+	}})
+}
+
+// handleHeldJobsRequest sends a member the jobs that silent members have announced here, and passes on what they announce.
+func (d *Daemon) handleHeldJobsRequest(id string, m *api.HeldJobsRequest) {
+	now := d.o.Now()
+	for _, home := range m.GetHomes() {
+		if _, live := d.members.LastHeard(home); !live {
+			continue
+		}
+		d.relays.add(home, id, now)
+		if jobs := d.held.HeldBy(home); len(jobs) > 0 {
+			d.members.Send(id, encodeHeldJobs(home, jobs, now))
+		}
+	}
+}
+
+// heldList returns the announcement of all jobs held here, for a member that has just joined or was out of contact.
+func (d *Daemon) heldList() []*api.PeerMessage {
+	jobs := d.home.Held()
+	if len(jobs) == 0 {
+		return nil
+	}
+	return []*api.PeerMessage{encodeHeldJobs("", jobs, d.o.Now())}
+}
+
 // encodeHeldJobs converts times to ages, since the clocks of two VMs differ.
-func encodeHeldJobs(jobs []contract.HeldJob, now time.Time) *api.PeerMessage {
-	list := &api.HeldJobs{}
+func encodeHeldJobs(home string, jobs []contract.HeldJob, now time.Time) *api.PeerMessage {
+	list := &api.HeldJobs{Home: home}
 	for _, j := range jobs {
 		list.Jobs = append(list.Jobs, &api.HeldJob{Job: j.Job, AgeMs: clampMillis(now.Sub(j.Accepted))})
 	}
--- a/edge/membercontact.go
+++ b/edge/membercontact.go
@@ -18,6 +18,10 @@
 	// oneWayLimit is the time for which messages of a member count as contact although it acknowledges none. A slow VM sends
 	// statuses up to 600 ms apart.
 	oneWayLimit = 600 * time.Millisecond
+	// reachLimit is the age of the last contact up to which a member counts as reached.
+	reachLimit = 600 * time.Millisecond
+	// silentMemory is how long after its last message the announcements of a silent member are asked of others.
+	silentMemory = time.Minute
 )
 
 // recordTimestamp records a timestamp unless a newer one is known.
@@ -77,7 +81,7 @@
 	defer m.mu.Unlock()
 	var ids []string
 	for _, e := range m.byVM {
-		if e.live && !e.leaving && !e.ackedAt.IsZero() && (e.partner || e.info.Domain == m.self.Domain) {
+		if e.live && !e.leaving && !e.ackedAt.IsZero() && m.isContact(e) {
 			ids = append(ids, e.id)
 		}
 	}
@@ -129,6 +133,43 @@
 	}
 }
 
+// CanHaveMajority reports whether a silent process may be in contact with a majority of the members: unless it has been replaced
+// or dropped, or this process reaches at least half of them, itself included.
+func (m *Members) CanHaveMajority(id string, now time.Time) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.byID(id) == nil {
+		return false
+	}
+	members, reached := 1, 1
+	for _, e := range m.byVM {
+		if e.leaving || !m.isContact(e) {
+			continue
+		}
+		members++
+		if e.live && now.Sub(e.reachedAt()) <= reachLimit {
+			reached++
+		}
+	}
+	return 2*reached < members
+}
+
+// isContact reports whether this process exchanges statuses with a member several times a second. It expects m.mu to be held.
+func (m *Members) isContact(e *member) bool { return e.partner || e.info.Domain == m.self.Domain }
+
+// Silent returns the processes that have ceased to be live not long ago.
+func (m *Members) Silent(now time.Time) []string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var ids []string
+	for _, e := range m.byVM {
+		if !e.live && !e.leaving && !e.lastContact.IsZero() && now.Sub(e.lastContact) < silentMemory {
+			ids = append(ids, e.id)
+		}
+	}
+	return ids
+}
+
 // byID returns a known process, nil for none. It expects m.mu to be held.
 func (m *Members) byID(id string) *member {
 	for _, e := range m.byVM {
--- a/edge/members.go
+++ b/edge/members.go
@@ -258,7 +258,7 @@
 // BroadcastContacts queues messages for the live processes with which this one exchanges statuses several times a second.
 func (m *Members) BroadcastContacts(msgs ...*api.PeerMessage) {
 	m.broadcast(func(e *member) []*api.PeerMessage {
-		if !e.live || (!e.partner && e.info.Domain != m.self.Domain) {
+		if !e.live || !m.isContact(e) {
 			return nil
 		}
 		return msgs
--- a/edge/messages.go
+++ b/edge/messages.go
@@ -4,6 +4,7 @@
 	"maps"
 	"math"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/cicadadale/cicadadale/api"
@@ -232,7 +233,7 @@
 		return link.Accepted
 	}
 	if becameLive {
-		d.members.Send(id, append(append(d.crashList(), d.cancelList()...), d.memberList())...)
+		d.members.Send(id, slices.Concat(d.crashList(), d.cancelList(), d.heldList(), []*api.PeerMessage{d.memberList()})...)
 		d.assignWorkers()
 	}
 	for _, m := range env.GetMessages() {
@@ -284,6 +285,8 @@
 		d.handleCancel(id, decodeCancel(b.JobCancel, d.o.Now()))
 	case *api.PeerMessage_HeldJobs:
 		d.handleHeldJobs(id, b.HeldJobs)
+	case *api.PeerMessage_HeldJobsRequest:
+		d.handleHeldJobsRequest(id, b.HeldJobsRequest)
 	case *api.PeerMessage_JobRelease:
 		d.handleRelease(id, b.JobRelease)
 	case *api.PeerMessage_JobReleased:
