load: outages of a relay that neither side notices

The faults of a relay could not show a channel that breaks at the client's end only, nor a partition that is silent, lasts and holds for new connections: Cut and Reset show at both ends, Silence leaves new connections alone.

Relay.LoseClients closes the clients' side of the open connections while the target's side stays open. Relay.Partition passes nothing on and keeps both sides open, for all connections or for those of named senders; NewSenderRelay takes a function that names the sender from the first bytes of a connection. During both, new connections are accepted, get no answer and do not reach the target. Outages nest; connections in one are closed when the last ends, since what was sent on them is lost. Other faults do not reach them before that. Connections wait for the end of an outage on a condition.

--- a/load/relay.go
+++ b/load/relay.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"io"
 	"maps"
 	"net"
 	"slices"
@@ -10,11 +11,21 @@
 	"time"
 )
 
-const relayBuffer = 32 << 10
+const (
+	relayBuffer = 32 << 10
+	// maxFirstBytes is the number of bytes after which the sender of a connection counts as unknown.
+	maxFirstBytes = 1 << 20
+)
+
+// SenderFunc names the sender of a connection from the first bytes that it has sent. It returns false while more bytes
+// are needed, and an empty name if the bytes name no sender.
+type SenderFunc func(first []byte) (sender string, decided bool)
 
 // Relay forwards TCP connections to a target and injects network faults. mu guards the fields below it.
 type Relay struct {
 	address string
+	// identify is nil if the relay does not tell senders apart.
+	identify SenderFunc
 
 	mu       sync.Mutex
 	listener net.Listener
@@ -28,25 +39,46 @@
 	// this.
 	repeatAfter time.Duration
 	conns       map[*relayConn]bool
-	closed      bool
+	// outages are the outages that have not ended; ended wakes up what waits for the end of one.
+	outages map[*Outage]bool
+	ended   *sync.Cond
+	closed  bool
 }
 
 // relayConn is one connection through a relay.
 type relayConn struct {
-	client, server net.Conn
-	dropAll        atomic.Bool
+	client net.Conn
+	// sender is empty until the sender is known, and outages is the number of outages that affect the connection. Both are
+	// guarded by the mutex of the relay.
+	sender  string
+	outages int
+
+	dropAll atomic.Bool
 	// dropRequests discards what the client sends; replies are forwarded.
 	dropRequests atomic.Bool
 	dropReply    atomic.Bool
+
+	// mu guards the fields below. server is nil until the target is connected.
+	mu     sync.Mutex
+	server net.Conn
+	closed bool
 }
 
 // NewRelay starts a relay on a loopback address.
-func NewRelay(target string) (*Relay, error) {
+func NewRelay(target string) (*Relay, error) { return NewSenderRelay(target, nil) }
+
+// NewSenderRelay starts a relay on a loopback address that tells connections apart by their senders. It connects the
+// target once the sender is known, so senders have to speak first.
+func NewSenderRelay(target string, identify SenderFunc) (*Relay, error) {
 	l, err := net.Listen("tcp", loopback)
 	if err != nil {
 		return nil, err
 	}
-	r := &Relay{listener: l, address: l.Addr().String(), target: target, conns: make(map[*relayConn]bool)}
+	r := &Relay{
+		listener: l, address: l.Addr().String(), identify: identify, target: target, conns: make(map[*relayConn]bool),
+		outages: make(map[*Outage]bool),
+	}
+	r.ended = sync.NewCond(&r.mu)
 	go r.accept(l)
 	return r, nil
 }
@@ -59,8 +91,12 @@
 	r.mu.Lock()
 	r.closed = true
 	_ = r.listener.Close()
+	conns := slices.Collect(maps.Keys(r.conns))
+	r.ended.Broadcast()
 	r.mu.Unlock()
-	r.closeAll()
+	for _, c := range conns {
+		c.close()
+	}
 }
 
 // StopListening closes all connections and the listener, as the exit of the target would: new connections are refused
@@ -141,7 +177,7 @@
 func (r *Relay) CloseRequests() {
 	for _, c := range r.open() {
 		c.dropRequests.Store(true)
-		if half, ok := c.server.(*net.TCPConn); ok {
+		if half, ok := c.target().(*net.TCPConn); ok {
 			// An error means that the connection is closed already.
 			_ = half.CloseWrite()
 		}
@@ -155,8 +191,8 @@
 	r.repeatAfter = after
 }
 
-// repeat sends what the target has sent once more, if that fault is set.
-func (r *Relay) repeat(b []byte, to net.Conn) {
+// repeat sends what the target has sent to the client once more, if that fault is set.
+func (r *Relay) repeat(c *relayConn, b []byte) {
 	r.mu.Lock()
 	after := r.repeatAfter
 	r.mu.Unlock()
@@ -165,7 +201,11 @@
 	}
 	again := bytes.Clone(b)
 	// The connection may have been closed by then.
-	time.AfterFunc(after, func() { _, _ = to.Write(again) })
+	time.AfterFunc(after, func() {
+		if !c.dropAll.Load() {
+			_, _ = c.client.Write(again)
+		}
+	})
 }
 
 // SetDelay delays everything that is forwarded from now on; zero removes the delay.
@@ -205,11 +245,17 @@
 	}
 }
 
-// open returns the open connections.
+// open returns the open connections without those in an outage, whose ends learn of no other fault until it is over.
 func (r *Relay) open() []*relayConn {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return slices.Collect(maps.Keys(r.conns))
+	var open []*relayConn
+	for c := range r.conns {
+		if c.outages == 0 {
+			open = append(open, c)
+		}
+	}
+	return open
 }
 
 func (r *Relay) closeAll() {
@@ -220,7 +266,7 @@
 
 // reset closes both connections with a reset.
 func (c *relayConn) reset() {
-	for _, conn := range []net.Conn{c.client, c.server} {
+	for _, conn := range []net.Conn{c.client, c.target()} {
 		if tcp, ok := conn.(*net.TCPConn); ok {
 			// An error means that the connection is closed already.
 			_ = tcp.SetLinger(0)
@@ -230,9 +276,33 @@
 }
 
 func (c *relayConn) close() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.closed = true
 	// The peer may have closed the connection already.
 	_ = c.client.Close()
-	_ = c.server.Close()
+	if c.server != nil {
+		_ = c.server.Close()
+	}
+}
+
+// attach adds the connection to the target. It reports false, and closes that, if the client's has been closed.
+func (c *relayConn) attach(server net.Conn) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.closed {
+		_ = server.Close()
+		return false
+	}
+	c.server = server
+	return true
+}
+
+// target returns the connection to the target, nil if there is none yet.
+func (c *relayConn) target() net.Conn {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.server
 }
 
 func (r *Relay) accept(l net.Listener) {
@@ -245,41 +315,86 @@
 	}
 }
 
-// forward connects a client to the target until either side closes its connection.
+// forward connects a client to the target until either side closes its connection. The end of one side becomes visible
+// at the other when the connection is in no outage.
 func (r *Relay) forward(client net.Conn) {
-	r.mu.Lock()
-	target, refuse := r.target, r.cuts > 0 || r.closed
-	r.mu.Unlock()
-	if refuse {
-		_ = client.Close()
+	c := &relayConn{client: client}
+	defer r.remove(c)
+	defer r.closeAfterOutages(c)
+	if !r.add(c) {
 		return
 	}
-	server, err := net.Dial("tcp", target)
+	first, err := r.readSender(c)
 	if err != nil {
-		_ = client.Close()
 		return
 	}
-	c := &relayConn{client: client, server: server}
-	r.mu.Lock()
-	refuse = r.cuts > 0 || r.closed
-	c.dropReply.Store(r.replyDrops > 0)
-	r.conns[c] = true
-	r.mu.Unlock()
-	if refuse {
-		c.close()
+	target, ok := r.admit(c)
+	if !ok {
+		return
+	}
+	server, err := net.Dial("tcp", target)
+	if err != nil || !c.attach(server) {
+		return
 	}
 	var wg sync.WaitGroup
-	wg.Go(func() { r.pass(c, client, server, false) })
+	wg.Go(func() { r.pass(c, io.MultiReader(bytes.NewReader(first), client), server, false) })
 	wg.Go(func() { r.pass(c, server, client, true) })
 	wg.Wait()
+}
+
+// add registers a new connection. It reports false if the relay refuses connections.
+func (r *Relay) add(c *relayConn) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.cuts > 0 || r.closed {
+		return false
+	}
+	c.dropReply.Store(r.replyDrops > 0)
+	r.conns[c] = true
+	r.joinOutages(c)
+	return true
+}
+
+func (r *Relay) remove(c *relayConn) {
 	r.mu.Lock()
+	defer r.mu.Unlock()
 	delete(r.conns, c)
-	r.mu.Unlock()
+}
+
+// readSender reads from a new connection until its sender is known, and returns what it has read.
+func (r *Relay) readSender(c *relayConn) ([]byte, error) {
+	if r.identify == nil {
+		return nil, nil
+	}
+	var first []byte
+	buf := make([]byte, relayBuffer)
+	for len(first) < maxFirstBytes {
+		n, err := c.client.Read(buf)
+		if err != nil {
+			return nil, err
+		}
+		first = append(first, buf[:n]...)
+		if sender, decided := r.identify(first); decided {
+			r.mu.Lock()
+			defer r.mu.Unlock()
+			c.sender = sender
+			r.joinOutages(c)
+			break
+		}
+	}
+	return first, nil
+}
+
+// admit returns the target of a new connection, false if the connection is in an outage.
+func (r *Relay) admit(c *relayConn) (string, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.target, c.outages == 0
 }
 
 // pass copies one direction until either end closes the connection.
-func (r *Relay) pass(c *relayConn, from, to net.Conn, reply bool) {
-	defer c.close()
+func (r *Relay) pass(c *relayConn, from io.Reader, to io.Writer, reply bool) {
+	defer r.closeAfterOutages(c)
 	buf := make([]byte, relayBuffer)
 	for {
 		n, err := from.Read(buf)
@@ -299,7 +414,7 @@
 			return
 		}
 		if reply {
-			r.repeat(buf[:n], to)
+			r.repeat(c, buf[:n])
 		}
 	}
 }
