edgesoak: faults that show at neither end while they last

No kind of edgesoak could make a daemon keep connections whose clients are gone, nor keep members apart for longer than a redial: clients_cut and _reset show at the daemon at once, peers_silent lets new connections through.

New kinds, each for 2 to 5 s: clients_abandoned, isolated, isolated_from_store, peers_partitioned, pair_and_callers and domain_partitioned (docs/workloads.md). Those that affect clients are recorded as disturbances of the daemon. The relay at a daemon's peer port takes the sender from the first envelope of a stream. Checks are as before.

go test ./load ./soak passes. The new test fails if the sender is not found.

--- a/soak/daemon.go
+++ b/soak/daemon.go
@@ -70,7 +70,7 @@
 	if d.clients, err = load.NewRelay(d.front); err != nil {
 		return nil, err
 	}
-	if d.peers, err = load.NewRelay(d.listen); err != nil {
+	if d.peers, err = load.NewSenderRelay(d.listen, peerSender); err != nil {
 		return nil, err
 	}
 	if d.store, err = load.NewRelay(storeAddress); err != nil {
--- a/soak/fault.go
+++ b/soak/fault.go
@@ -28,10 +28,17 @@
 	"clients_leave":      (*Soak).sendClientsAway,
 	"clients_cancel":     (*Soak).cancelJobs,
 
-	"peers_cut":     onPeers(cut),
-	"peers_silent":  onPeers(silence),
-	"peers_one_way": onPeers(silenceRequests),
-	"peers_slow":    onPeers(slow),
+	"clients_abandoned":   (*Soak).abandonClients,
+	"isolated":            (*Soak).isolate,
+	"isolated_from_store": (*Soak).isolateFromStore,
+	"pair_and_callers":    (*Soak).partitionPairAndAbandon,
+
+	"peers_cut":          onPeers(cut),
+	"peers_silent":       onPeers(silence),
+	"peers_one_way":      onPeers(silenceRequests),
+	"peers_slow":         onPeers(slow),
+	"peers_partitioned":  (*Soak).partitionPair,
+	"domain_partitioned": (*Soak).partitionDomain,
 
 	"store_cut":    onStoreLink(cut),
 	"store_silent": onStoreLink(silence),
