edge: tests of announcements that are passed on, and of the list for a new member

Each fails without its rule: without the requests two cases of TestCallerLostUnseenGetsNoSecondRun (the two homes are cut off from each other 100 ms after the job was accepted), without the list TestRestartedMemberLearnsOfHeldJobs.

--- a/batch/home.go
+++ b/batch/home.go
@@ -276,7 +276,7 @@
 	h.counter(metric.BatchJobsAccepted).Inc(1)
 	h.o.Logger.Info("job accepted", "job", b.ID, "route", b.Route, "tasks", len(j.tasks), "priority", b.Priority,
 		"steps", len(b.Steps), "estimate", b.Steps[0].Estimate, "expected_run", expected, "expected_wait", wait,
-		"time_left", left, "target_in", j.target.Sub(now))
+		"time_left", left, "target_in", j.target.Sub(now), "electorate", j.electorate.Size())
 	if held, ok := h.o.Held.Of(b.ID); ok {
 		h.awaitRelease(j, held, now)
 	}
--- a/edge/lostcaller_test.go
+++ b/edge/lostcaller_test.go
@@ -18,6 +18,10 @@
 	// cut selects the links that are cut, cutAfter is the time from the break of the channel to the cut.
 	cut      func(from, to string) bool
 	cutAfter time.Duration
+	// breakAfter is the time from the acceptance of the job to the break; zero means 500 ms, by which time members know of it.
+	breakAfter time.Duration
+	// minDaemons is the smallest number of daemons in a failure domain for which the case is played.
+	minDaemons int
 	// completes is set if the next home can complete the job. A home that is cut off from the members but not from the
 	// workers takes the workers over again and again.
 	completes bool
@@ -42,6 +46,9 @@
 		{name: "home and next home cut off from each other", cut: betweenMembers(func(from, to string) bool {
 			return from == home && to == next
 		})},
+		{name: "cut off from each other before the members know of the job", cut: betweenMembers(func(from, to string) bool {
+			return from == home && to == next
+		}), breakAfter: 100 * time.Millisecond, minDaemons: 2},
 		{name: "failure domain of the home cut off", cut: betweenMembers(func(from, to string) bool {
 			return from[:6] == home[:6] && to[:6] != home[:6]
 		})},
@@ -52,7 +59,7 @@
 // notice of the first home.
 func TestCallerLostUnseenGetsNoSecondRun(t *testing.T) {
 	for _, c := range lostCallerCases() {
-		for _, daemons := range []int{1, 2, 3} {
+		for daemons := max(c.minDaemons, 1); daemons <= 3; daemons++ {
 			t.Run(fmt.Sprintf("%s, %d daemons", c.name, 2*daemons), func(t *testing.T) {
 				inVirtualTime(t, func(t *testing.T) { submitAfterUnseenBreak(t, c, daemons) })
 			})
@@ -66,8 +73,11 @@
 	d.plan = func(contract.RunKey) standin.RunPlan { return standin.RunPlan{Duration: 8 * time.Second} }
 	const job = "0123456789abcdef"
 	d.submit("edge-0-0", testJob(job, 4, 12*time.Second))
-	time.Sleep(500 * time.Millisecond)
-	time.Sleep(c.cutAfter)
+	breakAfter := c.breakAfter
+	if breakAfter == 0 {
+		breakAfter = 500 * time.Millisecond
+	}
+	time.Sleep(breakAfter + c.cutAfter)
 	d.net.setCut(c.cut)
 	time.Sleep(resendDelay - c.cutAfter)
 	next := d.submit("edge-1-0", testJob(job, 4, 14*time.Second))
@@ -76,3 +86,22 @@
 	}
 	d.close()
 }
+
+// Guards against two runs of a task whose client has submitted its job to a member that was not there when the first home
+// announced it.
+func TestRestartedMemberLearnsOfHeldJobs(t *testing.T) {
+	inVirtualTime(t, func(t *testing.T) {
+		d := newDeployment(t, 2, 2, 3)
+		d.plan = func(contract.RunKey) standin.RunPlan { return standin.RunPlan{Duration: 8 * time.Second} }
+		const job = "0123456789abcdef"
+		d.submit("edge-0-0", testJob(job, 4, 12*time.Second))
+		time.Sleep(900 * time.Millisecond)
+		d.killDaemon("edge-1-0")
+		time.Sleep(200 * time.Millisecond)
+		d.startDaemon(zoneName(1), "edge-1-0")
+		time.Sleep(resendDelay - 1100*time.Millisecond)
+		next := d.submit("edge-1-0", testJob(job, 4, 14*time.Second))
+		assert.Equal(t, batch.Completed, (<-next).Outcome)
+		d.close()
+	})
+}
--- a/zone/electorate.go
+++ b/zone/electorate.go
@@ -19,6 +19,9 @@
 	return &Electorate{members: members}
 }
 
+// Size returns the number of members.
+func (e *Electorate) Size() int { return len(e.members) }
+
 // Equal reports whether two electorates have the same members.
 func (e *Electorate) Equal(o *Electorate) bool { return slices.Equal(e.members, o.members) }
 
