pool: acquire a restarted worker whose start time is not known

A token is taken from the start and the clock of the worker's incarnation. The reply to a fenced call names no start time, so the owner used the one that it last knew: of a worker that had restarted and that another VM had acquired since, each token was too low until the worker had run for as long as its earlier incarnation had.

If the clock in the reply has run back, the start time is now taken to be at least the known one plus what the earlier clock would show by now. After a token that was fenced nevertheless, as when this VM has never had a reply or the worker's clock was slow, the next one is ahead of the clock by 1 s, then by a quarter and 1 s more each time. A fenced reply no longer sets the clock that is known of the incarnation. A token that is ahead is fenced less often than it should be: a later owner, and a late start of this owner on a third incarnation, see it for at most a quarter of the earlier incarnation's uptime.

--- a/machine/host.go
+++ b/machine/host.go
@@ -112,6 +112,15 @@
 // ClockAt estimates the worker's clock at a local time.
 func (h *Host) ClockAt(t time.Time) time.Duration { return h.clock + t.Sub(h.clockAt) }
 
+// EarliestStart returns a lower bound of the start time, in Unix milliseconds, of the incarnation whose clock shows a
+// reading now. A clock that has run back is that of an incarnation later than the known one. Clocks may be slow, not fast.
+func (h *Host) EarliestStart(reading time.Duration, now time.Time) int64 {
+	if h.StartTime == 0 || reading >= h.clock {
+		return h.StartTime
+	}
+	return h.StartTime + (h.ClockAt(now) - reading).Milliseconds()
+}
+
 // ExtendLease returns the time on the worker's clock at which a lease of that length ends if it starts now. It
 // records the latest such time, until which any task ordered so far may run.
 func (h *Host) ExtendLease(length time.Duration, now time.Time) time.Duration {
--- a/pool/maintain.go
+++ b/pool/maintain.go
@@ -54,6 +54,8 @@
 	restarted bool
 	// lastToken is the highest token under which this VM has owned the worker.
 	lastToken uint64
+	// tokenAdvance is how far the next token is ahead of the worker's clock; zero unless the worker has fenced one.
+	tokenAdvance time.Duration
 	// ignored is a listing that seems to be that of an earlier incarnation; nil if there is none.
 	ignored *machine.Listing
 	// pollFailed is set when a poll gets no reply, and cleared by the next reply.
@@ -248,11 +250,12 @@
 		return false
 	}
 	p.watchReply(h, reply.StartTime, &fx)
-	h.host.SetClock(reply.Clock, now)
 	if reply.Fenced {
+		// The clock may be that of another incarnation, which the reply does not name.
 		p.loseOwnership(h, now, &fx)
 		return false
 	}
+	h.host.SetClock(reply.Clock, now)
 	p.recordOutcomes(h, reply, now, &fx)
 	p.reconcileRuns(h, reply, sent, now, &fx)
 	p.match(now, &fx)
--- a/pool/ownership.go
+++ b/pool/ownership.go
@@ -27,36 +27,47 @@
 	return uint64(millis)*tokenRandomRange + rand.Uint64N(tokenRandomRange)
 }
 
-// startTimeOf returns the start time of a worker's incarnation. The reply to a fenced poll does not contain it; the
-// worker's listing does.
+const (
+	// minTokenAdvance is added to the time part of a token after the worker has fenced one that was taken from its clock.
+	minTokenAdvance = time.Second
+	// maxTokenAdvance bounds it to more than the life of a worker. It keeps tokens below their limit.
+	maxTokenAdvance = 1 << 12 * time.Hour
+)
+
+// nextTokenAdvance returns how far the next token is ahead of the worker's clock, given that of the fenced one. It grows by
+// a quarter, since a later owner that takes its token from the clock is fenced for as long as this one is too far ahead.
+func nextTokenAdvance(fenced time.Duration) time.Duration {
+	return min(fenced+fenced/4+minTokenAdvance, maxTokenAdvance)
+}
+
+// startTimeOf returns the start time of a worker's incarnation, or the latest known time before it: the reply to a fenced
+// poll does not contain it. p.mu is held.
 func (p *Pool) startTimeOf(h *ownedHost, probed link.PollReply) int64 {
 	if probed.StartTime != 0 {
 		return probed.StartTime
 	}
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return max(h.host.StartTime, h.host.Listing.StartTime)
+	return max(h.host.EarliestStart(probed.Clock, p.o.Now()), h.host.Listing.StartTime)
 }
 
-// lastTokenOf returns the last token under which this VM owned the worker. A worker whose time of day was set back
-// before its restart would get a lower one from its start time.
-func (p *Pool) lastTokenOf(h *ownedHost) uint64 {
+// tokenFor returns the token under which this VM tries to acquire a worker that has replied to a probe. It is higher than
+// the last one: a worker whose time of day was set back before its restart would get a lower one from its start time.
+func (p *Pool) tokenFor(h *ownedHost, probed link.PollReply) uint64 {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return h.lastToken
+	return max(newToken(p.startTimeOf(h, probed), probed.Clock+h.tokenAdvance), h.lastToken+1)
 }
 
 // acquire makes this VM the owner of a worker that has replied to a probe.
 func (p *Pool) acquire(ctx context.Context, h *ownedHost, probed link.PollReply) bool {
 	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	token := max(newToken(p.startTimeOf(h, probed), probed.Clock), p.lastTokenOf(h)+1)
+	token := p.tokenFor(h, probed)
 	reply, err := p.o.Calls.Poll(callCtx, h.address, link.HostPoll{Token: token})
 	if err != nil || reply.Fenced || reply.OtherWorker {
 		p.o.Logger.Info("could not acquire the worker; retrying", "worker", h.address.Worker, "token", token,
 			"fenced", reply.Fenced, "other_life", reply.OtherWorker, "error", err)
 		if reply.Fenced {
-			p.leaveToOtherOwner(h)
+			p.handleFencedAcquisition(h)
 		}
 		return false
 	}
@@ -87,7 +98,7 @@
 		p.beginIncarnation(h, reply.HostReply, now, fx)
 	}
 	h.host.SetClock(reply.Clock, now)
-	h.host.Token, h.lastToken, h.watch = token, token, crashWatch{}
+	h.host.Token, h.lastToken, h.tokenAdvance, h.watch = token, token, 0, crashWatch{}
 	h.host.ExtendLease(p.o.Lease, now)
 	found := p.adopt(h, reply, now, fx)
 	if h.restarted {
@@ -107,10 +118,12 @@
 	}
 }
 
-// leaveToOtherOwner forgets the runs of a restarted worker whose new incarnation another VM has acquired.
-func (p *Pool) leaveToOtherOwner(h *ownedHost) {
+// handleFencedAcquisition makes the next token higher. It forgets the runs of a restarted worker whose new incarnation
+// another VM has acquired.
+func (p *Pool) handleFencedAcquisition(h *ownedHost) {
 	var fx effects
 	p.mu.Lock()
+	h.tokenAdvance = nextTokenAdvance(h.tokenAdvance)
 	if h.restarted {
 		h.restarted, h.ownershipLostAt = false, p.o.Now()
 		p.loseOwnership(h, h.ownershipLostAt, &fx)
--- a/pool/start.go
+++ b/pool/start.go
@@ -66,9 +66,8 @@
 		p.handleStartError(s, err, now, fx)
 		return
 	}
-	if h.host.Token == s.token {
-		// Otherwise the reply may come from an earlier incarnation, whose clock differs.
-		h.host.SetClock(reply.Clock, now)
+	if verdict != link.StartFenced {
+		h.recordReading(s.token, reply, now)
 	}
 	if verdict == link.StartAccepted {
 		r.state, r.confirmedAt, r.begun = runRunning, now, true
@@ -116,6 +115,14 @@
 	p.requeue(r, fx)
 }
 
+// recordReading records the clock in the reply to a call that was made under a fencing token. Under another token than the
+// present one the reply may come from an earlier incarnation, whose clock differs. p.mu is held.
+func (h *ownedHost) recordReading(token uint64, reply link.HostReply, now time.Time) {
+	if h.host.Token == token {
+		h.host.SetClock(reply.Clock, now)
+	}
+}
+
 // handleStartError processes a start call without a reply. p.mu is held.
 func (p *Pool) handleStartError(s startEffect, err error, now time.Time, fx *effects) {
 	r, h := s.run, s.host
@@ -214,8 +221,8 @@
 		p.o.Calls.CloseIdleConnections(h.address)
 		return false
 	}
-	if h.host.Token == token {
-		h.host.SetClock(reply.Clock, now)
+	if !reply.Fenced {
+		h.recordReading(token, reply, now)
 	}
 	if reply.Fenced && h.host.Token != token {
 		// The stop was made under the token of an earlier ownership.
