pool: poll the worker before the start of a run that was refreshed long ago

The end of a lease is a time on the clock of one incarnation. A worker that had restarted since its last reply got one that is far ahead of its new clock, and granted the longest lease: the run lived up to 1 s from its start, however old the order was, while its home counts it as over 1.26 s after the contact.

A start now waits for a poll if the longest lease could keep the run beyond 1.2 s after its last refresh, unless the worker has replied within 20 ms, as before for tasks that require a label. With leases of 1 s that is the start of a run that was refreshed more than 200 ms ago. A younger one ends in time even under the longest lease. A missing reply to this poll makes the worker suspect, like a start without a reply, but no longer counts as a failed poll of its maintenance, since several starts may wait for one worker. A restart within the 20 ms or while the start is under way is still not noticed.

Cost: one poll and one round trip for each such start; the new counter pool.starts_confirmed shows them.

--- a/metric/describe.go
+++ b/metric/describe.go
@@ -51,6 +51,7 @@
 		{PoolStarts, "start calls to owned workers"},
 		{PoolStartsRejected, "start calls that provably started nothing"},
 		{PoolStartsInDoubt, "start calls without an answer"},
+		{PoolStartsConfirmed, "start calls preceded by a poll of the worker"},
 		{PoolRunsAbandoned, "runs stopped because their home did not refresh or claim them"},
 		{PoolRunsStalled, "runs stopped because they stood still"},
 		{PoolRunsCrashed, "runs that ended with their worker, which crashed"},
--- a/metric/metric.go
+++ b/metric/metric.go
@@ -46,6 +46,7 @@
 	PoolStarts           = "pool.starts"
 	PoolStartsRejected   = "pool.starts_rejected"
 	PoolStartsInDoubt    = "pool.starts_in_doubt"
+	PoolStartsConfirmed  = "pool.starts_confirmed"
 	PoolRunsAbandoned    = "pool.runs_unwanted"
 	PoolRunsStalled      = "pool.runs_stalled"
 	PoolWorkersAcquired  = "pool.workers_acquired"
--- a/pool/confirm.go
+++ b/pool/confirm.go
@@ -3,29 +3,37 @@
 import (
 	"context"
 	"time"
+
+	"github.com/cicadadale/cicadadale/metric"
 )
 
-// maxConfirmedAge is how old the last reply of a worker may be for a task that requires a label to start there without
-// another poll. A round trip takes 3 to 6 ms.
+// maxConfirmedAge is how old the last reply of a worker may be for a start that depends on the worker's incarnation to be
+// sent without another poll. A round trip takes 3 to 6 ms.
 const maxConfirmedAge = 20 * time.Millisecond
 
-// confirmIncarnation polls a worker before the start of a task that requires a label, unless it has just replied: a worker
-// that has restarted since its last reply may be of another kind, and an idle one is polled only twice a second. It reports
-// whether the start may be sent; otherwise the run is queued again.
+// needsConfirmation reports whether a worker has to be polled before a start. It may have restarted since its last reply,
+// and an idle one is polled only twice a second. The new incarnation may be of another kind than a label requires. It grants
+// the longest lease, since the end of the lease in the start is a time on the clock of the earlier one: only a run that was
+// refreshed a short time ago may live that long.
+func (p *Pool) needsConfirmation(s startEffect) bool {
+	now := p.o.Now()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if now.Sub(s.host.host.Contacted()) <= maxConfirmedAge {
+		return false
+	}
+	return s.run.order.RequiredLabel != "" || now.Add(p.o.Lease).After(s.run.refreshedAt.Add(leaseAfterRefresh))
+}
+
+// confirmIncarnation polls a worker before a start that needs it. It reports whether the start may be sent; otherwise the
+// run is queued again.
 func (p *Pool) confirmIncarnation(s startEffect) bool {
-	if s.run.order.RequiredLabel == "" || p.recentlyReplied(s.host) {
+	if !p.needsConfirmation(s) {
 		return true
 	}
-	p.mu.Lock()
-	poll := s.host.pollWithoutLease()
-	p.mu.Unlock()
+	p.counter(metric.PoolStartsConfirmed).Inc(1)
 	sent := p.o.Now()
-	if poll.Token == s.token {
-		ctx, cancel := context.WithTimeout(p.ctx, startTimeout)
-		reply, err := p.o.Calls.Poll(ctx, s.host.address, poll)
-		cancel()
-		p.handlePollReply(s.host, poll.Token, sent, reply, err)
-	}
+	p.pollBeforeStart(s, sent)
 	now := p.o.Now()
 	var fx effects
 	p.mu.Lock()
@@ -45,10 +53,26 @@
 	return confirmed
 }
 
-// recentlyReplied reports whether a worker has replied within maxConfirmedAge.
-func (p *Pool) recentlyReplied(h *ownedHost) bool {
-	now := p.o.Now()
+// pollBeforeStart polls the worker of a start. Several starts may wait for a worker that is silent at once, so a missing
+// reply only makes the worker suspect: the polls that maintain it decide on its suspension.
+func (p *Pool) pollBeforeStart(s startEffect, sent time.Time) {
+	h := s.host
 	p.mu.Lock()
-	defer p.mu.Unlock()
-	return now.Sub(h.host.Contacted()) <= maxConfirmedAge
+	poll := h.pollWithoutLease()
+	p.mu.Unlock()
+	if poll.Token != s.token {
+		return
+	}
+	ctx, cancel := context.WithTimeout(p.ctx, startTimeout)
+	reply, err := p.o.Calls.Poll(ctx, h.address, poll)
+	cancel()
+	if err == nil {
+		p.handlePollReply(h, poll.Token, sent, reply, nil)
+		return
+	}
+	p.o.Calls.CloseIdleConnections(h.address)
+	p.mu.Lock()
+	h.host.MarkSuspectUntil(p.o.Now().Add(suspectTime))
+	p.mu.Unlock()
+	p.o.Logger.Warn("worker did not answer a poll before a start", "worker", h.address.Worker, "error", err)
 }
--- a/pool/restartlease_test.go
+++ b/pool/restartlease_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/cicadadale/cicadadale/contract"
 	"github.com/cicadadale/cicadadale/machine"
+	"github.com/cicadadale/cicadadale/metric"
 )
 
 // Guards against a run that outlives the time at which its home treats it as ended: its worker has been restarted between
@@ -35,3 +36,24 @@
 		}
 	})
 }
+
+// Guards against a call and a round trip before each start: a poll is needed only before that of a run that the longest
+// lease would keep for too long.
+func TestOnlyStartsOfOldOrdersAreConfirmed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		for age, confirmed := range map[time.Duration]int64{0: 0, 200 * time.Millisecond: 0, 201 * time.Millisecond: 1} {
+			f := newFixture(1)
+			time.Sleep(3*idlePollInterval + idlePollInterval/2)
+			sent := time.Now().Add(-age)
+			f.setRunTime("aged", 100*time.Millisecond)
+			f.pool.Order(testHome, contract.TaskOrder{
+				Key: contract.RunKey{Batch: "aged", Run: 1}, Backend: "s", Need: machine.Resources{CPUMillis: 500},
+				Accepted: sent, Target: sent.Add(time.Second), Deadline: sent.Add(20 * time.Second), Expected: time.Second,
+			}, sent)
+			time.Sleep(10 * time.Millisecond)
+			assert.Equal(t, []string{"aged"}, f.observer.startedJobs(), "order of age %v", age)
+			assert.Equal(t, confirmed, f.pool.counter(metric.PoolStartsConfirmed).Count(), "order of age %v", age)
+			f.pool.Close()
+		}
+	})
+}
