--- a/batch/release.go
+++ b/batch/release.go
@@ -33,7 +33,7 @@
 // awaitRelease lets a job wait until the home that has announced it has ended its runs. The lock of the job's shard is held.
 func (h *Home) awaitRelease(j *job, held contract.HeldJob, now time.Time) {
 	j.earlier, j.mayHaveRun = &earlierHome{HeldJob: held, since: now}, true
-	h.counter(metric.BatchJobsHeldElsewhere).Inc(1)
+	h.counter(metric.BatchHeldElsewhere).Inc(1)
 	h.o.Logger.Warn("job is held by another member; waiting until it has ended its runs", "job", j.batch.ID,
 		"home", held.Home, "accepted_ago", now.Sub(held.Accepted), "announced_ago", now.Sub(held.HeardAt))
 }
