--- a/metric/describe.go
+++ b/metric/describe.go
@@ -8,7 +8,7 @@
 
 // Descriptions returns the help texts of all metrics, for the exposition and the status page.
 func Descriptions() []Description {
-	return []Description{
+	return append([]Description{
 		{JobsMinted, "job ids handed out"},
 		{JobsAccepted, "jobs accepted by this home"},
 		{JobsResubmitted, "submissions of a job that was accepted before"},
@@ -48,6 +48,13 @@
 		{ConfigRejected, "configuration records rejected"},
 		{LogErrors, "failed calls to the platform's log"},
 		{QueueWaiting, "tasks that wait for a slot"},
+		{SlotsHeld, "slots held by this VM, idle or busy"},
+	}, edgeDescriptions()...)
+}
+
+// edgeDescriptions returns the help texts of the metrics of the edge daemon.
+func edgeDescriptions() []Description {
+	return []Description{
 		{PoolStarts, "start calls to owned workers"},
 		{PoolStartsRejected, "start calls that provably started nothing"},
 		{PoolStartsInDoubt, "start calls without an answer"},
@@ -89,6 +96,5 @@
 		{RoutesReleased, "confined routes released since no more workers crashed"},
 		{PoolQueueTime, "time that a task waits for room at the owner of workers, in microseconds"},
 		{PoolCallTime, "time of a start call to a worker, in microseconds"},
-		{SlotsHeld, "slots held by this VM, idle or busy"},
 	}
 }
