soak: test of callers that are lost unseen, known to be red

A daemon whose clients are gone without FIN or RST goes on with their jobs while the clients send them to another daemon. No test showed it.

TestCallersLostUnseenGetNoSecondRun runs clients_abandoned and isolated for 13 s with two daemons. Options.LongRuns makes half of the runs six times as long, so that runs are under way when the jobs arrive at the other daemon; without it one in 41 is, as before.

--- a/soak/soak.go
+++ b/soak/soak.go
@@ -37,6 +37,9 @@
 	settleTime = 4 * time.Second
 	// finalJobs is the number of jobs that each daemon must serve after the faults.
 	finalJobs = 3
+	// One in defaultLongRuns runs takes longRunFactor times as long as the others.
+	defaultLongRuns = 41
+	longRunFactor   = 6
 )
 
 // capacity is the capacity of each worker, taskNeed the resources that each task needs. A worker can run two tasks at a
@@ -61,6 +64,8 @@
 	// defaults.
 	WaveShare float64
 	WaveDown  time.Duration
+	// LongRuns makes one in that many runs take six times as long as the others; zero means the default, 41.
+	LongRuns int
 	// Dir receives the settings and logs of the daemons; if empty, a temporary directory is used.
 	Dir string
 	Out io.Writer
@@ -217,7 +222,7 @@
 	}
 	host := standin.NewRunHost(standin.RunHostOptions{
 		ID: id, Capacity: capacity, MaxLease: maxLease, Observer: s.runs,
-		Plan: plannedRun, Need: func(contract.RunKey) machine.Resources { return taskNeed },
+		Plan: s.plannedRun, Need: func(contract.RunKey) machine.Resources { return taskNeed },
 	})
 	relay, err := load.NewRelay(l.Addr().String())
 	if err != nil {
@@ -239,11 +244,15 @@
 
 // plannedRun derives the course of a run from its key: most runs take less than a second, and a few take up to several
 // seconds, fail or never end.
-func plannedRun(key contract.RunKey) standin.RunPlan {
+func (s *Soak) plannedRun(key contract.RunKey) standin.RunPlan {
+	longRuns := uint64(defaultLongRuns)
+	if s.o.LongRuns > 0 {
+		longRuns = uint64(s.o.LongRuns)
+	}
 	h := xxhash.Sum64String(key.String())
 	duration := time.Duration(30+h%500) * time.Millisecond
-	if h%41 == 0 {
-		duration *= 6
+	if h%longRuns == 0 {
+		duration *= longRunFactor
 	}
 	return standin.RunPlan{Duration: duration, Fails: h%503 == 1, Stalls: h%307 == 2}
 }
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -70,6 +70,26 @@
 	require.Positive(t, r.InvariantChecks[soak.CheckCancelledEnds])
 }
 
+// Guards against a daemon that starts or keeps runs for clients that it has lost without notice while another daemon starts them.
+func TestCallersLostUnseenGetNoSecondRun(t *testing.T) {
+	for _, kind := range []string{"clients_abandoned", "isolated"} {
+		t.Run(kind, func(t *testing.T) {
+			program, err := os.Executable()
+			require.NoError(t, err)
+			var out bytes.Buffer
+			r, err := soak.Run(soak.Options{
+				Program: program, Seed: 336, Duration: 13 * time.Second, Domains: 1, Daemons: 2, Workers: 12, Dir: t.TempDir(), Out: &out,
+				Faults: []string{kind}, FaultInterval: 3 * time.Second, LongRuns: 2,
+			})
+			require.NoError(t, err)
+			require.Zero(t, r.Violations, out.String())
+			require.Positive(t, r.FaultsInjected[kind])
+			require.Positive(t, r.InvariantChecks[soak.CheckRunsOnce])
+			require.Positive(t, r.Completed)
+		})
+	}
+}
+
 // Guards against a misspelt fault kind that leaves a run without faults, and against a wave of more workers than there are.
 func TestUnknownFaultIsAnError(t *testing.T) {
 	_, err := soak.Run(soak.Options{Faults: []string{"kil"}})
