--- a/batch/home.go
+++ b/batch/home.go
@@ -83,6 +83,8 @@
 	cancel context.CancelFunc
 	done   chan struct{}
 	pause  pauseDetector
+	// waits counts the waits for earlier homes of jobs.
+	waits atomic.Uint64
 	// announcedAt is the time of the last announcement of jobs, isolated is set while there is no contact with a majority of
 	// the members. Only the goroutine of run uses them.
 	announcedAt time.Time
@@ -146,7 +148,7 @@
 // tick advances all jobs, drops expired answers and refreshes runs.
 func (h *Home) tick(now time.Time, refresh bool) {
 	out := h.newOutbox()
-	announce := now.Sub(h.announcedAt) >= announceInterval
+	announce := now.Sub(h.announcedAt) >= h.nextAnnouncement()
 	if announce {
 		h.announcedAt = now
 		h.logIsolation(now, out)
@@ -387,14 +389,15 @@
 	return n
 }
 
-// Active returns the number of jobs that have not ended.
+// Active returns the number of jobs that have not ended, without those that are answered and wait only for an earlier home.
 func (h *Home) Active() int {
 	n := 0
 	for i := range h.shards {
 		s := &h.shards[i]
 		s.mu.Lock()
 		for _, j := range s.jobs {
-			if j.state != jobEnded {
+			waits := j.state == jobEnding && len(j.waiters) == 0 && j.ownRunsOver()
+			if j.state != jobEnded && !waits {
 				n++
 			}
 		}
--- a/batch/job.go
+++ b/batch/job.go
@@ -167,9 +167,11 @@
 
 // noLiveRuns reports whether no run of any task can be alive, here or at an earlier home.
 func (j *job) noLiveRuns() bool {
-	if j.earlier != nil {
-		return false
-	}
+	return j.earlier == nil && j.ownRunsOver()
+}
+
+// ownRunsOver reports whether no run that this home has ordered can be alive.
+func (j *job) ownRunsOver() bool {
 	for i := range j.tasks {
 		if s := j.tasks[i].state; s == taskPlaced || s == taskLost {
 			return false
--- a/batch/membership.go
+++ b/batch/membership.go
@@ -14,8 +14,11 @@
 	// accepted before that, so the members know of it in time without a message for each short job.
 	announceAfter  = 250 * time.Millisecond
 	announceRepeat = 600 * time.Millisecond
-	// announceInterval is the time between announcements.
-	announceInterval = 100 * time.Millisecond
+	// announceInterval is the time between announcements to a few members. It grows by announceSpacing with each member, up to
+	// maxAnnounceInterval: all members must know of a job 1.3 s after its acceptance.
+	announceInterval    = 100 * time.Millisecond
+	announceSpacing     = 4 * time.Millisecond
+	maxAnnounceInterval = 500 * time.Millisecond
 	// contactSlack is added to the time of the last contact with a majority: an owner's timestamp arrives with the same
 	// acknowledgement, a round trip after the message that is acknowledged was sent. The lease of a run is so much shorter
 	// than the time after which clients submit jobs again.
@@ -44,6 +47,8 @@
 	CanHaveMajority(member string) bool
 	// Release asks the home of a job to release it, repeated requests also through other members.
 	Release(r contract.JobRelease, repeated bool)
+	// Count returns the number of other members.
+	Count() int
 	// AnnounceHeld tells the other members of jobs that this home holds.
 	AnnounceHeld(jobs []contract.HeldJob)
 }
@@ -62,6 +67,14 @@
 	return a
 }
 
+// currentElectorate returns the members on which a job that is accepted now depends.
+func (o *outbox) currentElectorate() *zone.Electorate {
+	if o.electorate == nil {
+		o.electorate = o.members.Electorate()
+	}
+	return o.electorate
+}
+
 // majorityContact returns the last contact with a majority of an electorate, with contactSlack added.
 func (o *outbox) majorityContact(e *zone.Electorate) time.Time {
 	at, ok := o.majorities[e]
@@ -86,9 +99,14 @@
 	h.endJob(j, Abandoned, "no contact with a majority of the members", now, out)
 }
 
-// checkProof defers the orders of a job whose caller is proven again after a lapse, as after a pause of the process, and has the
-// job announced at once. The lock of the job's shard is held.
+// checkProof extends the electorate of a job by the members that have returned. It defers the orders of a job whose caller is
+// proven again after a lapse, as after a pause of the process, and has the job announced at once. The lock of the job's shard
+// is held.
 func (h *Home) checkProof(j *job, now time.Time, out *outbox) {
+	if current := out.currentElectorate(); current != j.electorate && current.Includes(j.electorate) {
+		// The caller of a job that was accepted while members were out of contact may turn to them from now on.
+		j.electorate = current
+	}
 	proven := out.provenAt(j)
 	if lapse := proven.Sub(j.provenUntil); lapse > proofLapse {
 		h.o.Logger.Warn("caller of a job is proven again; ordering no run until other members have announced theirs",
@@ -98,18 +116,23 @@
 	j.provenUntil = later(j.provenUntil, proven)
 }
 
+// nextAnnouncement returns the time between announcements.
+func (h *Home) nextAnnouncement() time.Duration {
+	return min(max(time.Duration(h.o.Members.Count())*announceSpacing, announceInterval), maxAnnounceInterval)
+}
+
 // announce adds a job to the next announcement if it is due. The lock of the job's shard is held.
 func (o *outbox) announce(j *job, now time.Time) {
 	if now.Sub(j.batch.Accepted) < announceAfter || now.Sub(j.announcedAt) < announceRepeat {
 		return
 	}
 	j.announcedAt = now
-	o.held = append(o.held, contract.HeldJob{Job: j.batch.ID, Accepted: j.batch.Accepted})
+	o.held = append(o.held, contract.HeldJob{Job: j.batch.ID, Accepted: j.submittedAt})
 }
 
 // logIsolation logs once when the home has lost contact with a majority of the members, and when it has it again.
 func (h *Home) logIsolation(now time.Time, out *outbox) {
-	since := now.Sub(out.majorityContact(h.o.Members.Electorate()))
+	since := now.Sub(out.majorityContact(out.currentElectorate()))
 	switch isolated := since > isolationWarning; {
 	case isolated && !h.isolated:
 		h.counter(metric.BatchIsolations).Inc(1)
--- a/batch/membership_test.go
+++ b/batch/membership_test.go
@@ -9,6 +9,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/cicadadale/cicadadale/contract"
+	"github.com/cicadadale/cicadadale/zone"
 )
 
 // Guards against a home that keeps the runs of its jobs while it is cut off from the members that may accept them again.
@@ -90,3 +91,22 @@
 		require.Len(t, out.sentOrders(), 2)
 	})
 }
+
+// Guards against a home that keeps the runs of a job which it accepted alone, after other members have returned and it is cut
+// off from them.
+func TestJobDependsOnMembersThatReturn(t *testing.T) {
+	atHome(t, func(h *Home, out *recorder, submit func(contract.Batch) chan Answer) {
+		answer := submit(testBatch(1, 5*time.Second))
+		key := out.sentOrders()[0].Key
+		reportRun(h, key, contract.RunStarted, true)
+		returned := zone.NewElectorate([]string{"other/1"})
+		out.mu.Lock()
+		out.electorate, out.needsMajority = returned, returned
+		out.mu.Unlock()
+		time.Sleep(time.Second)
+		out.setMajorityAt(time.Now())
+		time.Sleep(isolationTimeout + contactSlack + 2*tickInterval)
+		require.Contains(t, out.withdrawn(), key)
+		require.Equal(t, Abandoned, (<-answer).Outcome)
+	})
+}
--- a/batch/outbox.go
+++ b/batch/outbox.go
@@ -11,6 +11,8 @@
 type outbox struct {
 	owners  Owners
 	members Membership
+	// electorate is the current one, nil until it is needed.
+	electorate *zone.Electorate
 	// majorities holds the last contacts with a majority of each electorate.
 	majorities map[*zone.Electorate]time.Time
 	// contacts holds the contacts that the messages echo. They are read when the messages are decided on: by the time they
--- a/contract/heldjob.go
+++ b/contract/heldjob.go
@@ -102,8 +102,11 @@
 	Job       string
 	Home      string
 	Requester string
-	// Accepted is when the requester accepted the job.
+	// Accepted is when the requester accepted the job. At the home it is the earliest such time: a request that was delayed must
+	// not seem newer than the caller's return to the home.
 	Accepted time.Time
+	// Wait is the number of the requester's wait for the release.
+	Wait uint64
 }
 
 // JobReleased states that no run of a job is alive at a home, and that it starts none unless the job is submitted there again.
@@ -111,6 +114,8 @@
 	Job       string
 	Home      string
 	Requester string
+	// Wait is the number in the request.
+	Wait uint64
 	// Completed and Failed are set if the job had ended with that result.
 	Completed, Failed bool
 }
--- a/edge/daemon.go
+++ b/edge/daemon.go
@@ -175,11 +175,13 @@
 
 func (d *Daemon) dialPeer(m machine.Member) *link.Peer {
 	return link.NewPeer(m.VM, m.Address, link.PeerOptions{
-		Self:        link.Identity{VM: machine.EntryVM{ID: d.o.Self.VM, Incarnation: d.o.Self.Incarnation}},
-		OnAck:       func(vm string, sent time.Time) { d.members.RecordAck(m.ID(), vm, sent) },
-		OnTimestamp: func(vm string, timestamp uint64) { d.members.RecordTimestamp(m.ID(), vm, timestamp, d.o.Now()) },
-		Dial:        d.o.Dial,
-		Lamport:     func() uint64 { return 0 }, Now: d.o.Now, Logger: d.o.Logger, Metrics: d.o.Metrics,
+		Self: link.Identity{VM: machine.EntryVM{ID: d.o.Self.VM, Incarnation: d.o.Self.Incarnation}},
+		// Announcements on the connection that has ended may be lost.
+		OnDisconnect: func(string) { d.repeatHeldList(m.ID()) },
+		OnAck:        func(vm string, sent time.Time) { d.members.RecordAck(m.ID(), vm, sent) },
+		OnTimestamp:  func(vm string, timestamp uint64) { d.members.RecordTimestamp(m.ID(), vm, timestamp, d.o.Now()) },
+		Dial:         d.o.Dial,
+		Lamport:      func() uint64 { return 0 }, Now: d.o.Now, Logger: d.o.Logger, Metrics: d.o.Metrics,
 	})
 }
 
--- a/edge/heldjobs.go
+++ b/edge/heldjobs.go
@@ -11,6 +11,9 @@
 // maxHeldAge bounds the age of a job in an announcement. No job is older than its longest time limit.
 const maxHeldAge = time.Hour
 
+// maxJobID is the length in bytes up to which a job in an announcement is recorded.
+const maxJobID = 64
+
 // membership implements batch.Membership.
 type membership struct{ d *Daemon }
 
@@ -22,9 +25,12 @@
 	return s.d.members.MajorityContact(e, s.d.o.Now())
 }
 
+// Count implements batch.Membership.
+func (s membership) Count() int { return s.d.members.Count() }
+
 // AnnounceHeld implements batch.Membership.
 func (s membership) AnnounceHeld(jobs []contract.HeldJob) {
-	s.d.members.BroadcastContacts(encodeHeldJobs("", jobs, s.d.o.Now()))
+	s.d.members.Broadcast(encodeHeldJobs("", jobs, s.d.o.Now()))
 }
 
 // LastHeard implements batch.Membership.
@@ -34,14 +40,17 @@
 
 // CanHaveMajority implements batch.Membership.
 func (s membership) CanHaveMajority(member string) bool {
-	return s.d.members.CanHaveMajority(member, s.d.o.Now())
+	s.d.mu.Lock()
+	stopping := s.d.stopping
+	s.d.mu.Unlock()
+	return s.d.members.CanHaveMajority(member, stopping, s.d.o.Now())
 }
 
 // Release implements batch.Membership.
 func (s membership) Release(r contract.JobRelease, repeated bool) {
 	d := s.d
 	r.Requester = d.self
-	m := encodeRelease(r, d.o.Now())
+	m := d.encodeRelease(r)
 	d.members.Send(r.Home, m)
 	if !repeated {
 		return
@@ -58,11 +67,12 @@
 func (d *Daemon) handleRelease(id string, m *api.JobRelease) {
 	if m.GetHome() != d.self {
 		if id == m.GetRequester() {
+			m.StampMs = d.members.LastContact(m.GetHome(), d.o.Now()).Timestamp
 			d.members.Send(m.GetHome(), &api.PeerMessage{Body: &api.PeerMessage_JobRelease{JobRelease: m}})
 		}
 		return
 	}
-	if released, over := d.home.Release(decodeRelease(m, d.o.Now())); over {
+	if released, over := d.home.Release(d.decodeRelease(m)); over {
 		d.members.Send(id, encodeReleased(released))
 	}
 }
@@ -72,29 +82,34 @@
 	switch {
 	case m.GetRequester() == d.self:
 		d.home.Released(contract.JobReleased{
-			Job: m.GetJob(), Home: m.GetHome(), Requester: d.self, Completed: m.GetCompleted(), Failed: m.GetFailed(),
+			Job: m.GetJob(), Home: m.GetHome(), Requester: d.self, Wait: m.GetWait(),
+			Completed: m.GetCompleted(), Failed: m.GetFailed(),
 		})
 	case id == m.GetHome():
 		d.members.Send(m.GetRequester(), &api.PeerMessage{Body: &api.PeerMessage_JobReleased{JobReleased: m}})
 	}
 }
 
-func encodeRelease(r contract.JobRelease, now time.Time) *api.PeerMessage {
+func (d *Daemon) encodeRelease(r contract.JobRelease) *api.PeerMessage {
+	now := d.o.Now()
 	return &api.PeerMessage{Body: &api.PeerMessage_JobRelease{JobRelease: &api.JobRelease{
-		Job: r.Job, Home: r.Home, Requester: r.Requester, AgeMs: clampMillis(now.Sub(r.Accepted)),
+		Job: r.Job, Home: r.Home, Requester: r.Requester, AgeMs: clampMillis(now.Sub(r.Accepted)), Wait: r.Wait,
+		StampMs: d.members.LastContact(r.Home, now).Timestamp,
 	}}}
 }
 
-func decodeRelease(m *api.JobRelease, now time.Time) contract.JobRelease {
+// decodeRelease dates the request by the timestamp that it echoes, since it may have been delayed.
+func (d *Daemon) decodeRelease(m *api.JobRelease) contract.JobRelease {
+	age := min(time.Duration(m.GetAgeMs())*time.Millisecond, maxHeldAge)
 	return contract.JobRelease{
-		Job: m.GetJob(), Home: m.GetHome(), Requester: m.GetRequester(),
-		Accepted: now.Add(-time.Duration(m.GetAgeMs()) * time.Millisecond),
+		Job: m.GetJob(), Home: m.GetHome(), Requester: m.GetRequester(), Wait: m.GetWait(),
+		Accepted: d.sentAt(m.GetStampMs()).Add(-age),
 	}
 }
 
 func encodeReleased(r contract.JobReleased) *api.PeerMessage {
 	return &api.PeerMessage{Body: &api.PeerMessage_JobReleased{JobReleased: &api.JobReleased{
-		Job: r.Job, Home: r.Home, Requester: r.Requester, Completed: r.Completed, Failed: r.Failed,
+		Job: r.Job, Home: r.Home, Requester: r.Requester, Completed: r.Completed, Failed: r.Failed, Wait: r.Wait,
 	}}}
 }
 
@@ -115,6 +130,9 @@
 		return
 	}
 	for _, held := range m.GetJobs() {
+		if id := held.GetJob(); id == "" || len(id) > maxJobID {
+			continue
+		}
 		h := decodeHeldJob(home, held, now)
 		d.held.Record(h)
 		d.home.HeldElsewhere(h)
@@ -155,6 +173,13 @@
 	return []*api.PeerMessage{encodeHeldJobs("", jobs, d.o.Now())}
 }
 
+// repeatHeldList announces all jobs again to a live member.
+func (d *Daemon) repeatHeldList(id string) {
+	if _, live := d.members.LastHeard(id); live {
+		d.members.Send(id, d.heldList()...)
+	}
+}
+
 // encodeHeldJobs converts times to ages, since the clocks of two VMs differ.
 func encodeHeldJobs(home string, jobs []contract.HeldJob, now time.Time) *api.PeerMessage {
 	list := &api.HeldJobs{Home: home}
--- a/edge/membercontact.go
+++ b/edge/membercontact.go
@@ -82,7 +82,7 @@
 	var ids []string
 	for _, e := range m.byVM {
 		if e.live && !e.leaving && !e.ackedAt.IsZero() && m.isContact(e) {
-			ids = append(ids, e.id)
+			ids = append(ids, e.info.VM)
 		}
 	}
 	if next := zone.NewElectorate(ids); !next.Equal(m.electorate) {
@@ -101,9 +101,10 @@
 func (m *Members) MajorityContact(e *zone.Electorate, now time.Time) time.Time {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return e.MajorityContact(now, func(id string) (time.Time, bool) {
-		known := m.byID(id)
-		if known == nil || known.leaving {
+	return e.MajorityContact(now, func(vm string) (time.Time, bool) {
+		// A process that has replaced the one at acceptance stands in for it, since the caller may turn to it.
+		known, ok := m.byVM[vm]
+		if !ok || known.leaving {
 			return time.Time{}, false
 		}
 		return known.reachedAt(), true
@@ -134,14 +135,17 @@
 }
 
 // CanHaveMajority reports whether a silent process may be in contact with a majority of the members: unless it has been replaced
-// or dropped, or this process reaches at least half of them, itself included.
-func (m *Members) CanHaveMajority(id string, now time.Time) bool {
+// or dropped, or this process reaches at least half of them, itself included unless it is stopping.
+func (m *Members) CanHaveMajority(id string, stopping bool, now time.Time) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if m.byID(id) == nil {
 		return false
 	}
 	members, reached := 1, 1
+	if stopping {
+		reached = 0
+	}
 	for _, e := range m.byVM {
 		if e.leaving || !m.isContact(e) {
 			continue
@@ -157,13 +161,14 @@
 // isContact reports whether this process exchanges statuses with a member several times a second. It expects m.mu to be held.
 func (m *Members) isContact(e *member) bool { return e.partner || e.info.Domain == m.self.Domain }
 
-// Silent returns the processes that have ceased to be live not long ago.
+// Silent returns the processes that have ceased to be live not long ago, or that have not been heard since this one started.
 func (m *Members) Silent(now time.Time) []string {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	var ids []string
 	for _, e := range m.byVM {
-		if !e.live && !e.leaving && !e.lastContact.IsZero() && now.Sub(e.lastContact) < silentMemory {
+		recent := e.lastContact.IsZero() || now.Sub(e.lastContact) < silentMemory
+		if !e.live && !e.leaving && recent {
 			ids = append(ids, e.id)
 		}
 	}
--- a/zone/electorate.go
+++ b/zone/electorate.go
@@ -5,7 +5,7 @@
 	"time"
 )
 
-// Electorate is the set of other members that a home was in contact with when it accepted a job. The home keeps the job's runs
+// Electorate is the set of other members that a home has been in contact with since it accepted a job. The home keeps the job's runs
 // only while it is in contact with a majority of them, itself included: of two parts of a deployment that have lost each
 // other, at most one has that, and the clients of the other part submit their jobs again. An electorate does not change.
 type Electorate struct {
@@ -22,6 +22,16 @@
 // Size returns the number of members.
 func (e *Electorate) Size() int { return len(e.members) }
 
+// Includes reports whether an electorate has all members of another one.
+func (e *Electorate) Includes(o *Electorate) bool {
+	for _, id := range o.members {
+		if _, ok := slices.BinarySearch(e.members, id); !ok {
+			return false
+		}
+	}
+	return true
+}
+
 // Equal reports whether two electorates have the same members.
 func (e *Electorate) Equal(o *Electorate) bool { return slices.Equal(e.members, o.members) }
 
