edge: model of a job that is submitted again to a second home

The models so far cover one run, its owners and worker. The report of two runs of one task is about a caller whose channel breaks unseen and who submits the job to another home, which no model has.

The new model explores a home, its caller, the next home and a third member, with every message between them lost or not, restarts of the other two members, and the proof, announcement and release of a job.

--- /dev/null
+++ b/edge/homemodel_test.go
@@ -0,0 +1,422 @@
+package edge
+
+// The model below explores every interleaving of one task, its caller and the members of a deployment. Home A accepts the
+// job at time 0. The caller's channel to A breaks, seen by A or not, and the caller submits the job again to home B. A third
+// member W may exist, of which any two are a majority; of A and B alone both are. A run lives until it is stopped or its
+// lease ends. The property is that a run of A and one of B are never alive at the same time. A second one is that B is not
+// blocked: it starts the job once A releases it, and once A is silent while B is in touch with W.
+//
+// The property is restricted (see unrestricted): a job that B has not heard of does not reach B while that is out of touch
+// with W. It needs a home that was in touch with another member when it accepted the job.
+//
+// Links are cut and heal at any time, each for itself. So each message may be lost, which covers every cut, and there is
+// no state of a link. Left out because they only make B wait longer: announcements, requests and answers that arrive late,
+// and refreshes that A sends later than it could. The lease of a run is as old as the contact that A may echo.
+//
+// Times are ticks. Their relations are those of the constants.
+const (
+	homeExpiry = modelRunExpiry // lease, drift of the worker's clock and slack of a contact's date: 1.27 s
+	homeResend = 5              // time from the break to the next submission: 1.3 s
+	homeGone   = 6              // silence of A after which B starts without an answer: 1.6 s
+	shortGone  = homeExpiry     // a silence that is too short
+	// homeAnnounce is the age at which a job is announced (0.25 s), homeRepeat the time to the next announcement (0.8 s).
+	homeAnnounce = 1
+	homeRepeat   = 3
+	// homeOutage is the time without a proof after which A ends the job: 0.8 s.
+	homeOutage = 3
+	// homeTouch is the age up to which the contact of B with W allows a start.
+	homeTouch = 1
+)
+
+// homeClause is a clause of the protocol, or a set of them.
+type homeClause uint32
+
+const (
+	majorityProof homeClause = 1 << iota
+	datedBySending
+	jobAnnounced
+	waitForAnswer
+	answerAfterEnd
+	fullSilence
+	answeredStop
+	startWithoutAnswer
+	// The clauses above, proof, announcement and release, are not enough without those below.
+	recordedJob
+	endWithoutProof
+	forwardedJob
+	forwardedContact
+	touchForStart
+	touchBySending
+	settledMember
+	lastClause
+
+	everyClause homeClause = lastClause - 1
+)
+
+// homeFaults says what happens if a clause is left out.
+var homeFaults = map[homeClause]string{
+	majorityProof:      "A refreshes its runs without contact with a majority",
+	datedBySending:     "A dates a contact by the arrival of an acknowledgement",
+	jobAnnounced:       "A announces no job and counts contacts all the same",
+	waitForAnswer:      "B starts a job that A holds without waiting",
+	answerAfterEnd:     "A answers before its runs are over",
+	fullSilence:        "B waits for a silence as short as a lease",
+	answeredStop:       "A treats a run as over when a stop gets no answer",
+	startWithoutAnswer: "B starts a job that A holds only after an answer",
+	recordedJob:        "A counts contacts with members that have not heard of the job",
+	endWithoutProof:    "A keeps a job whose proof has lapsed and counts the next contact",
+	forwardedJob:       "W does not tell B which jobs A holds",
+	forwardedContact:   "W does not tell B when it last heard of A",
+	touchForStart:      "B starts without an answer while it is out of touch with W",
+	touchBySending:     "B dates its contact with W by the arrival of a message",
+	settledMember:      "a member that has just started serves jobs and counts for B",
+}
+
+// homeModel is a deployment and the protocol of its homes.
+type homeModel struct {
+	// proves says whether contact with B or W proves to A that it is in the majority: A was in touch with them when it
+	// accepted the job. With neither, A alone is the majority. With third, W exists.
+	proves [2]bool
+	third  bool
+	// restarts lets B and W restart, which makes them forget what they know.
+	restarts bool
+	// lossless excludes cuts between members, seen excludes breaks that A does not see.
+	lossless, seen bool
+	// unrestricted lets B start a job that it has not heard of while it is out of touch with W, so that members that are cut
+	// off serve their callers. The property does not hold then.
+	unrestricted bool
+	clauses      homeClause
+}
+
+func (m *homeModel) has(c homeClause) bool { return m.clauses&c != 0 }
+
+const (
+	memberB = 0
+	memberW = 1
+)
+
+// nextPhase is the state of the job at B.
+type nextPhase uint8
+
+const (
+	nextUnaware nextPhase = iota
+	nextWaits
+	nextRuns
+)
+
+// homeState is a state of the model.
+type homeState struct {
+	broken   bool
+	brokenAt uint8 // time since the break
+
+	// A: whether it holds the job, whether a run is alive, whether a stop has been answered after the end of the job.
+	held, run, stopped bool
+	// proof is the age of the acceptance or of the newest contact with a majority, announceIn the time to the next
+	// announcement. late holds the ages of messages of A whose acknowledgements by B and W are delayed.
+	proof, announceIn uint8
+	late              [2]uint8
+
+	// knows says whether B and W know that A holds the job, heard how long ago they heard of A, age since when they run.
+	knows      [2]bool
+	heard, age [2]uint8
+
+	next  nextPhase
+	touch uint8 // age of the newest contact of B with W
+}
+
+func (m *homeModel) first() homeState {
+	s := homeState{
+		held: true, run: true, announceIn: homeAnnounce, late: [2]uint8{oldest, oldest},
+		heard: [2]uint8{homeGone, homeGone}, age: [2]uint8{oldest, oldest},
+	}
+	for member, inTouch := range m.proves {
+		if inTouch {
+			s.heard[member] = 0
+		}
+	}
+	return s
+}
+
+func (s *homeState) violated() bool { return s.run && s.next == nextRuns }
+
+// visitHome is called with an event and the state that it leads to.
+type visitHome func(event string, n homeState)
+
+func (m *homeModel) events(s homeState, visit visitHome) {
+	m.tick(s, visit)
+	m.callerEvents(s, visit)
+	m.homeEvents(s, visit)
+	for member := range s.heard {
+		if member == memberB || m.third {
+			m.contactEvents(s, member, visit)
+			m.restart(s, member, visit)
+		}
+	}
+	m.touchEvents(s, visit)
+	m.nextEvents(s, visit)
+}
+
+// tick lets time pass. The announcement that is due reaches any of the members.
+func (m *homeModel) tick(s homeState, visit visitHome) {
+	if m.lossless {
+		m.exchangeAll(&s)
+	}
+	s.pass()
+	if s.proof > homeOutage && m.has(endWithoutProof) {
+		s.end()
+	}
+	if s.announceIn > 0 || !s.held || !m.has(jobAnnounced) {
+		visit("tick", s)
+		return
+	}
+	s.announceIn = homeRepeat
+	receivers := []string{"none", "B"}
+	if m.third {
+		receivers = []string{"none", "B", "W", "B and W"}
+	}
+	for set, names := range receivers {
+		if m.lossless && set+1 < len(receivers) {
+			continue
+		}
+		n := s
+		for member := range n.knows {
+			if set>>member&1 == 1 {
+				n.knows[member], n.heard[member] = true, 0
+			}
+		}
+		visit("tick, announcement to "+names, n)
+	}
+}
+
+// pass adds a tick to all ages. The run ends at the end of its lease.
+func (s *homeState) pass() {
+	if s.broken {
+		s.brokenAt = min(s.brokenAt+1, homeResend)
+	}
+	s.proof, s.touch, s.announceIn = older(s.proof), min(s.touch+1, homeTouch+1), sooner(s.announceIn)
+	for member := range s.heard {
+		s.heard[member] = min(s.heard[member]+1, homeGone)
+		s.late[member], s.age[member] = older(s.late[member]), older(s.age[member])
+	}
+	if s.proof > homeExpiry {
+		s.run = false
+	}
+}
+
+// exchangeAll delivers everything that a tick without cuts delivers.
+func (m *homeModel) exchangeAll(s *homeState) {
+	for member := range s.heard {
+		s.heard[member] = 0
+		m.renew(s, member, 0)
+	}
+	m.forward(s)
+	if s.next == nextWaits {
+		s.end()
+	}
+}
+
+func (m *homeModel) callerEvents(s homeState, visit visitHome) {
+	if !s.broken {
+		s.broken = true
+		if !m.seen {
+			visit("break, unseen", s)
+		}
+		s.end()
+		visit("break, seen by A", s)
+		return
+	}
+	if s.next != nextUnaware || s.brokenAt < homeResend || (m.has(settledMember) && s.age[memberB] < oldest) {
+		return
+	}
+	switch {
+	case s.knows[memberB] && m.has(waitForAnswer):
+		s.next = nextWaits
+		visit("B gets the job and waits", s)
+	case s.knows[memberB] || m.unrestricted || m.inTouch(&s):
+		s.next = nextRuns
+		visit("B gets the job and starts it", s)
+	}
+}
+
+// inTouch reports whether B would have heard of contacts of A with a majority.
+func (m *homeModel) inTouch(s *homeState) bool { return !m.third || s.touch <= homeTouch }
+
+// end makes A end the job and send a stop.
+func (s *homeState) end() { s.held, s.late = false, [2]uint8{oldest, oldest} }
+
+// renew counts a contact of A with a member, dated by the sending of the message that the member has acknowledged.
+func (m *homeModel) renew(s *homeState, member int, age uint8) {
+	recorded := s.knows[member] || !m.has(recordedJob) || !m.has(jobAnnounced)
+	inTime := s.proof <= homeOutage || !m.has(endWithoutProof)
+	if s.held && m.proves[member] && recorded && inTime {
+		s.proof = min(s.proof, age)
+	}
+}
+
+func (m *homeModel) homeEvents(s homeState, visit visitHome) {
+	if s.held {
+		if m.proves == [2]bool{} || !m.has(majorityProof) {
+			s.proof = 0
+		}
+		s.run = s.proof < homeExpiry
+		visit("A starts or refreshes", s)
+		return
+	}
+	n := s
+	n.run = false
+	visit("stop executed, answer lost", n)
+	n.stopped = true
+	visit("stop answered", n)
+	if !m.has(answeredStop) {
+		s.stopped = true
+		visit("stop lost", s)
+	}
+}
+
+// contactEvents lets A exchange messages with a member. An acknowledgement may arrive late.
+func (m *homeModel) contactEvents(s homeState, member int, visit visitHome) {
+	names := [2]string{"B", "W"}
+	n := s
+	n.heard[member] = 0
+	delayed := n
+	m.renew(&n, member, 0)
+	visit("contact of A and "+names[member], n)
+	if n.proof != delayed.proof {
+		delayed.late[member] = 0
+		visit(names[member]+" hears of A, acknowledgement delayed", delayed)
+	}
+	if age := s.late[member]; age < oldest {
+		s.late[member] = oldest
+		if !m.has(datedBySending) {
+			age = 0
+		}
+		m.renew(&s, member, age)
+		visit("delayed acknowledgement of "+names[member], s)
+	}
+}
+
+// restart makes a member forget what it knows. It counts A as heard of then. B loses a job that waits there.
+func (m *homeModel) restart(s homeState, member int, visit visitHome) {
+	if !m.restarts || s.next == nextRuns || min(s.age[memberB], s.age[memberW]) < oldest {
+		return
+	}
+	s.knows[member], s.heard[member], s.age[member] = false, 0, 0
+	if member == memberW {
+		visit("W restarts", s)
+		return
+	}
+	s.touch = homeTouch + 1
+	if s.next == nextWaits {
+		s.next, s.brokenAt = nextUnaware, 0
+	}
+	visit("B restarts", s)
+}
+
+// touchEvents lets B exchange messages with W.
+func (m *homeModel) touchEvents(s homeState, visit visitHome) {
+	if !m.third {
+		return
+	}
+	n := s
+	m.forward(&n)
+	visit("contact of B and W", n)
+	if !m.has(touchBySending) {
+		s.touch = 0
+		visit("late message of W", s)
+	}
+}
+
+// forward makes W tell B what it knows.
+func (m *homeModel) forward(s *homeState) {
+	if !m.third {
+		return
+	}
+	if s.age[memberW] == oldest || !m.has(settledMember) {
+		s.touch = 0
+	}
+	if m.has(forwardedJob) {
+		s.knows[memberB] = s.knows[memberB] || s.knows[memberW]
+	}
+	if m.has(forwardedContact) {
+		s.heard[memberB] = min(s.heard[memberB], s.heard[memberW])
+	}
+}
+
+// nextEvents lets B ask A to release the job, and start it.
+func (m *homeModel) nextEvents(s homeState, visit visitHome) {
+	if s.next != nextWaits {
+		return
+	}
+	n := s
+	n.end()
+	visit("A is asked and ends the job", n)
+	n = s
+	n.next = nextRuns
+	if m.released(&s) {
+		visit("A answers, B starts", n)
+	}
+	if m.silent(&s) {
+		visit("B starts without an answer", n)
+	}
+}
+
+// released reports whether A answers that its runs are over.
+func (m *homeModel) released(s *homeState) bool {
+	return !s.held && (s.stopped || s.proof > homeExpiry || !m.has(answerAfterEnd))
+}
+
+// silent reports whether B starts without an answer.
+func (m *homeModel) silent(s *homeState) bool {
+	silence := uint8(homeGone)
+	if !m.has(fullSilence) {
+		silence = shortGone
+	}
+	return m.has(startWithoutAnswer) && s.heard[memberB] >= silence && (m.inTouch(s) || !m.has(touchForStart))
+}
+
+// blocked reports whether B waits for ever: neither a silence of A, while B is in touch with W, nor the release of the job
+// by A makes it start.
+func (m *homeModel) blocked(s homeState) bool {
+	if s.next != nextWaits {
+		return false
+	}
+	silent, asked := s, s
+	asked.end()
+	for range homeGone + homeExpiry {
+		for member := range s.heard {
+			silent.heard[member], silent.age[member] = min(silent.heard[member]+1, homeGone), older(silent.age[member])
+		}
+		m.forward(&silent)
+		asked.proof = older(asked.proof)
+	}
+	return !m.silent(&silent) || !m.released(&asked)
+}
+
+// homeStep is an event and the state that it leads from.
+type homeStep struct {
+	from  homeState
+	event string
+}
+
+// explore visits all states that can be reached. It returns their number and, if a property does not hold, the events that
+// lead there.
+func (m homeModel) explore() (states int, violation []string) {
+	first := m.first()
+	steps := map[homeState]homeStep{first: {}}
+	for queue := []homeState{first}; len(queue) > 0; queue = queue[1:] {
+		s := queue[0]
+		if s.violated() || m.blocked(s) {
+			for ; s != first; s = steps[s].from {
+				violation = append([]string{steps[s].event}, violation...)
+			}
+			return len(steps), violation
+		}
+		m.events(s, func(event string, n homeState) {
+			if _, known := steps[n]; !known {
+				steps[n] = homeStep{s, event}
+				queue = append(queue, n)
+			}
+		})
+	}
+	return len(steps), nil
+}
