pool: end a run after an earlier one that its restarted worker lists

A start that is barred on one incarnation of a worker can be executed by the next, before its owner has acquired that. If the next run of the task was on the same worker, the owner found the late run at the acquisition and at the same moment reported the next run as ended, since the new incarnation did not list it. The home ordered a third run, beside the late one, which was stopped only 150 ms later, when no home had claimed it.

The owner now stops such an earlier run at once, and reports no run as ended from its absence in a list while the list shows another run of its task.

--- a/pool/maintain.go
+++ b/pool/maintain.go
@@ -334,7 +334,11 @@
 			r.workerStart, r.begun = h.host.StartTime, true
 			p.recordProgress(r, progress, now, fx)
 		case r.state == runRunning && r.startedAt.Before(sent) && !r.confirmedAt.After(sent):
-			// The run was confirmed before the poll was sent, and the reply lists neither the run nor its outcome.
+			// The run was confirmed before the poll was sent, and the reply lists neither the run nor its outcome. The next run of
+			// the task may be ordered once it is reported as ended.
+			if _, ok := otherRunOf(key, reply.Running); ok {
+				continue
+			}
 			p.finish(r, contract.RunEnded, r.unlistedProof(), 0, fx)
 		}
 	}
--- a/pool/ownership.go
+++ b/pool/ownership.go
@@ -103,19 +103,41 @@
 	found := p.adopt(h, reply, now, fx)
 	if h.restarted {
 		h.restarted = false
-		p.endPreviousIncarnation(h, found, fx)
+		p.endPreviousIncarnation(h, reply, found, fx)
 	}
 	return found
 }
 
 // endPreviousIncarnation ends the runs of a restarted worker that its new incarnation does not list. Start calls to the
-// previous one that are delayed by the network are rejected from now on, as their token is lower. p.mu is held.
-func (p *Pool) endPreviousIncarnation(h *ownedHost, listed []contract.RunKey, fx *effects) {
+// previous one that are delayed by the network are rejected from now on, as their token is lower. One that was executed
+// before runs an earlier run of a task, which is stopped; the present run ends after it. p.mu is held.
+func (p *Pool) endPreviousIncarnation(h *ownedHost, reply link.PollReply, found []contract.RunKey, fx *effects) {
 	for key, r := range h.runs {
-		if r.state != runStarting && !slices.Contains(listed, key) {
+		if r.state == runStarting || slices.Contains(found, key) {
+			continue
+		}
+		other, ok := otherRunOf(key, reply.Running)
+		if !ok {
 			p.finish(r, contract.RunEnded, proofRestarted, 0, fx)
+			continue
+		}
+		if late := h.runs[other]; other.Run < key.Run && !late.claimed && !late.cancelled {
+			p.o.Logger.Warn("restarted worker runs an earlier run of a task; stopping it", "task", other.String(),
+				"worker", h.address.Worker, "token", h.host.Token, "worker_start", h.host.StartTime, "run", key.Run)
+			late.cancelled = true
+			fx.stops = append(fx.stops, late)
+		}
+	}
+}
+
+// otherRunOf returns the run of the same task that a worker lists as running.
+func otherRunOf(key contract.RunKey, running []link.RunningRun) (contract.RunKey, bool) {
+	for _, r := range running {
+		if r.Key != key && r.Key.Task() == key.Task() {
+			return r.Key, true
 		}
 	}
+	return contract.RunKey{}, false
 }
 
 // handleFencedAcquisition makes the next token higher. It forgets the runs of a restarted worker whose new incarnation
--- a/pool/restart_test.go
+++ b/pool/restart_test.go
@@ -184,3 +184,45 @@
 		require.NotContains(t, f.observer.startedJobs(), "after")
 	})
 }
+
+// Guards against a run beside a late one: the worker has been restarted, a start that was barred before is executed there,
+// and the next run of the task, which ended with the earlier incarnation, is reported as ended meanwhile.
+func TestRunEndsAfterEarlierRunOnRestartedWorker(t *testing.T) {
+	const delay = 3 * time.Second
+	for before := 5 * time.Millisecond; before < 100*time.Millisecond; before += 5 * time.Millisecond {
+		synctest.Test(t, func(t *testing.T) {
+			f := newFixture(1)
+			defer f.pool.Close()
+			host := f.calls.hosts["w0"]
+			time.Sleep(time.Minute)
+			host.SetDelay(delay)
+			f.setRunTime("task", 20*time.Second)
+			sent := time.Now()
+			first := f.order("task", 1000, 0, time.Second, 30*time.Second)
+			time.Sleep(10 * time.Millisecond)
+			host.SetDelay(0)
+			time.Sleep(400 * time.Millisecond)
+			require.Equal(t, contract.RunEnded, f.state(first))
+			second := first
+			second.Run = 2
+			f.pool.Order(testHome, contract.TaskOrder{
+				Key: second, Backend: "s", Need: machine.Resources{CPUMillis: 1000}, Accepted: time.Now(),
+				Target: time.Now().Add(time.Second), Deadline: time.Now().Add(30 * time.Second), Expected: time.Second,
+			}, time.Now())
+			var crashed time.Time
+			for time.Since(sent) < 2*delay && f.state(second) != contract.RunEnded && f.state(second) != contract.RunCrashed {
+				time.Sleep(time.Millisecond)
+				f.pool.Refresh(testHome, []contract.RunKey{second}, time.Now())
+				if crashed.IsZero() && time.Since(sent) >= delay-before {
+					crashed = time.Now()
+					host.Crash()
+					host.Restart()
+				}
+			}
+			require.True(t, f.state(second).Final())
+			if len(f.observer.startedJobs()) == 2 {
+				require.True(t, f.observer.endOf("task").After(crashed), "the first run goes on, %v after the restart", before)
+			}
+		})
+	}
+}
