pool: stop a late run that was reported as over when it is found

A start that was barred and is executed by the next incarnation of its worker is found when the owner acquires that. It was left running for 150 ms, for its home to claim it, although this owner had reported it as over: the home claims no such run and orders the next one at any time.

The owner now stops a run that it has reported as over as soon as it finds it. Since a home acknowledges reports at once, the pool keeps for 10 s that an acknowledged run is over if a start of it may still be executed, as it does for runs that it bars.

--- a/pool/ownership.go
+++ b/pool/ownership.go
@@ -165,6 +165,7 @@
 		}
 		p.o.Logger.Info("run found on an acquired worker", "task", running.Key.String(), "worker", h.address.Worker,
 			"token", h.host.Token, "worker_start", h.host.StartTime, "lease_end", h.host.LeaseEnd())
+		over := p.isOver(running.Key)
 		delete(p.barredRuns, running.Key)
 		r := &run{
 			order: contract.TaskOrder{Key: running.Key, Need: p.typicalSize}, state: runRunning, host: h,
@@ -174,6 +175,11 @@
 		h.host.Reserve(r.order.Need)
 		h.runs[running.Key] = r
 		p.runs[running.Key] = r
+		if over {
+			// A start that was barred has been executed late. The next run of the task may be ordered at any time.
+			r.cancelled = true
+			fx.stops = append(fx.stops, r)
+		}
 	}
 	for _, e := range reply.Ended {
 		found = append(found, e.Key)
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -281,13 +281,16 @@
 	}
 }
 
-// Acknowledge discards the outcomes of runs.
+// Acknowledge discards the outcomes of runs. That a run which may yet be started late is over is kept.
 func (p *Pool) Acknowledge(keys []contract.RunKey) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for _, k := range keys {
 		if r, ok := p.runs[k]; ok && r.state == runFinal {
 			delete(p.runs, k)
+			if state := r.outcome.State; r.mayHaveRun && (state == contract.RunEnded || state == contract.RunCrashed) {
+				p.barredRuns[k] = barredRun{at: p.o.Now(), state: state}
+			}
 		}
 	}
 }
--- a/pool/restart_test.go
+++ b/pool/restart_test.go
@@ -226,3 +226,37 @@
 		})
 	}
 }
+
+// Guards against a second run of a task: a start that was barred and reported as over is executed by the next incarnation
+// of its worker, whose owner leaves the run to be claimed.
+func TestRunThatWasReportedAsOverIsStoppedAtAcquisition(t *testing.T) {
+	const delay, before = 3 * time.Second, 10 * time.Millisecond
+	for _, acknowledged := range []bool{false, true} {
+		synctest.Test(t, func(t *testing.T) {
+			f := newFixture(1)
+			defer f.pool.Close()
+			host := f.calls.hosts["w0"]
+			time.Sleep(time.Minute)
+			host.SetDelay(delay)
+			f.setRunTime("late", 5*time.Second)
+			sent := time.Now()
+			key := f.order("late", 1000, 0, time.Second, 10*time.Second)
+			time.Sleep(10 * time.Millisecond)
+			host.SetDelay(0)
+			time.Sleep(400 * time.Millisecond)
+			require.Equal(t, contract.RunEnded, f.state(key))
+			if acknowledged {
+				f.pool.Acknowledge([]contract.RunKey{key})
+			}
+			time.Sleep(time.Until(sent.Add(delay - before)))
+			host.Crash()
+			host.Restart()
+			for f.ownedStartTime() != host.StartTime() || f.ownedToken() == 0 {
+				time.Sleep(time.Millisecond)
+			}
+			require.Equal(t, []string{"late"}, f.observer.startedJobs())
+			time.Sleep(claimWindow / 2)
+			require.False(t, f.observer.endOf("late").IsZero(), "acknowledged: %v", acknowledged)
+		})
+	}
+}
--- a/pool/run.go
+++ b/pool/run.go
@@ -63,12 +63,22 @@
 }
 
 // barredRun is a run that the pool does not hold and must not start. Its state is reported to homes: RunUnknown if the
-// run was never here, RunLost if it may be alive on a worker that another VM has acquired.
+// run was never here, RunLost if it may be alive on a worker that another VM has acquired, RunEnded or RunCrashed if it is
+// over and a start of it may still be executed.
 type barredRun struct {
 	at    time.Time
 	state contract.RunState
 }
 
+// isOver reports whether this pool has reported a run as over. p.mu is held.
+func (p *Pool) isOver(key contract.RunKey) bool {
+	if r, ok := p.runs[key]; ok {
+		return r.state == runFinal
+	}
+	state := p.barredRuns[key].state
+	return state == contract.RunEnded || state == contract.RunCrashed
+}
+
 // report is a message to a home.
 type report struct {
 	home string
