--- a/pool/ownership.go
+++ b/pool/ownership.go
@@ -103,21 +103,43 @@
 	found := p.adopt(h, reply, now, fx)
 	if h.restarted {
 		h.restarted = false
-		p.endPreviousIncarnation(h, found, fx)
+		p.endPreviousIncarnation(h, reply, found, fx)
 	}
 	return found
 }
 
 // endPreviousIncarnation ends the runs of a restarted worker that its new incarnation does not list. Start calls to the
-// previous one that are delayed by the network are rejected from now on, as their token is lower. p.mu is held.
-func (p *Pool) endPreviousIncarnation(h *ownedHost, listed []contract.RunKey, fx *effects) {
+// previous one that are delayed by the network are rejected from now on, as their token is lower. One that was executed
+// before runs an earlier run of a task, which is stopped; the present run ends after it. p.mu is held.
+func (p *Pool) endPreviousIncarnation(h *ownedHost, reply link.PollReply, found []contract.RunKey, fx *effects) {
 	for key, r := range h.runs {
-		if r.state != runStarting && !slices.Contains(listed, key) {
+		if r.state == runStarting || slices.Contains(found, key) {
+			continue
+		}
+		other, ok := otherRunOf(key, reply.Running)
+		if !ok {
 			p.finish(r, contract.RunEnded, proofRestarted, 0, fx)
+			continue
+		}
+		if late := h.runs[other]; other.Run < key.Run && !late.claimed && !late.cancelled {
+			p.o.Logger.Warn("restarted worker runs an earlier run of a task; stopping it", "task", other.String(),
+				"worker", h.address.Worker, "token", h.host.Token, "worker_start", h.host.StartTime, "run", key.Run)
+			late.cancelled = true
+			fx.stops = append(fx.stops, late)
 		}
 	}
 }
 
+// otherRunOf returns the run of the same task that a worker lists as running.
+func otherRunOf(key contract.RunKey, running []link.RunningRun) (contract.RunKey, bool) {
+	for _, r := range running {
+		if r.Key != key && r.Key.Task() == key.Task() {
+			return r.Key, true
+		}
+	}
+	return contract.RunKey{}, false
+}
+
 // handleFencedAcquisition makes the next token higher. It forgets the runs of a restarted worker whose new incarnation
 // another VM has acquired.
 func (p *Pool) handleFencedAcquisition(h *ownedHost) {
@@ -143,6 +165,7 @@
 		}
 		p.o.Logger.Info("run found on an acquired worker", "task", running.Key.String(), "worker", h.address.Worker,
 			"token", h.host.Token, "worker_start", h.host.StartTime, "lease_end", h.host.LeaseEnd())
+		over := p.isOver(running.Key)
 		delete(p.barredRuns, running.Key)
 		r := &run{
 			order: contract.TaskOrder{Key: running.Key, Need: p.typicalSize}, state: runRunning, host: h,
@@ -152,6 +175,11 @@
 		h.host.Reserve(r.order.Need)
 		h.runs[running.Key] = r
 		p.runs[running.Key] = r
+		if over {
+			// A start that was barred has been executed late. The next run of the task may be ordered at any time.
+			r.cancelled = true
+			fx.stops = append(fx.stops, r)
+		}
 	}
 	for _, e := range reply.Ended {
 		found = append(found, e.Key)
--- a/pool/restart_test.go
+++ b/pool/restart_test.go
@@ -8,6 +8,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/cicadadale/cicadadale/contract"
+	"github.com/cicadadale/cicadadale/link"
 	"github.com/cicadadale/cicadadale/machine"
 )
 
@@ -184,3 +185,106 @@
 		require.NotContains(t, f.observer.startedJobs(), "after")
 	})
 }
+
+// Guards against a run beside a late one: the worker has been restarted, a start that was barred before is executed there,
+// and the next run of the task, which ended with the earlier incarnation, is reported as ended meanwhile.
+func TestRunEndsAfterEarlierRunOnRestartedWorker(t *testing.T) {
+	const delay = 3 * time.Second
+	for before := 5 * time.Millisecond; before < 100*time.Millisecond; before += 5 * time.Millisecond {
+		synctest.Test(t, func(t *testing.T) {
+			f := newFixture(1)
+			defer f.pool.Close()
+			host := f.calls.hosts["w0"]
+			time.Sleep(time.Minute)
+			host.SetDelay(delay)
+			f.setRunTime("task", 20*time.Second)
+			sent := time.Now()
+			first := f.order("task", 1000, 0, time.Second, 30*time.Second)
+			time.Sleep(10 * time.Millisecond)
+			host.SetDelay(0)
+			time.Sleep(400 * time.Millisecond)
+			require.Equal(t, contract.RunEnded, f.state(first))
+			second := first
+			second.Run = 2
+			f.pool.Order(testHome, contract.TaskOrder{
+				Key: second, Backend: "s", Need: machine.Resources{CPUMillis: 1000}, Accepted: time.Now(),
+				Target: time.Now().Add(time.Second), Deadline: time.Now().Add(30 * time.Second), Expected: time.Second,
+			}, time.Now())
+			var crashed time.Time
+			for time.Since(sent) < 2*delay && f.state(second) != contract.RunEnded && f.state(second) != contract.RunCrashed {
+				time.Sleep(time.Millisecond)
+				f.pool.Refresh(testHome, []contract.RunKey{second}, time.Now())
+				if crashed.IsZero() && time.Since(sent) >= delay-before {
+					crashed = time.Now()
+					host.Crash()
+					host.Restart()
+				}
+			}
+			require.True(t, f.state(second).Final())
+			if len(f.observer.startedJobs()) == 2 {
+				require.True(t, f.observer.endOf("task").After(crashed), "the first run goes on, %v after the restart", before)
+			}
+		})
+	}
+}
+
+// Guards against a second run of a task: a start that was barred and reported as over is executed by the next incarnation
+// of its worker, whose owner leaves the run to be claimed.
+func TestRunThatWasReportedAsOverIsStoppedAtAcquisition(t *testing.T) {
+	const delay, before = 3 * time.Second, 10 * time.Millisecond
+	for _, acknowledged := range []bool{false, true} {
+		synctest.Test(t, func(t *testing.T) {
+			f := newFixture(1)
+			defer f.pool.Close()
+			host := f.calls.hosts["w0"]
+			time.Sleep(time.Minute)
+			host.SetDelay(delay)
+			f.setRunTime("late", 5*time.Second)
+			sent := time.Now()
+			key := f.order("late", 1000, 0, time.Second, 10*time.Second)
+			time.Sleep(10 * time.Millisecond)
+			host.SetDelay(0)
+			time.Sleep(400 * time.Millisecond)
+			require.Equal(t, contract.RunEnded, f.state(key))
+			if acknowledged {
+				f.pool.Acknowledge([]contract.RunKey{key})
+			}
+			time.Sleep(time.Until(sent.Add(delay - before)))
+			host.Crash()
+			host.Restart()
+			for f.ownedStartTime() != host.StartTime() || f.ownedToken() == 0 {
+				time.Sleep(time.Millisecond)
+			}
+			require.Equal(t, []string{"late"}, f.observer.startedJobs())
+			time.Sleep(claimWindow / 2)
+			require.False(t, f.observer.endOf("late").IsZero(), "acknowledged: %v", acknowledged)
+		})
+	}
+}
+
+// Guards against a start under the token of an earlier incarnation, which the next one accepts until it is acquired: the
+// restart is noticed between the decision and the call.
+func TestStartDecidedBeforeNoticedRestartIsNotSent(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(1)
+		defer f.pool.Close()
+		time.Sleep(time.Minute)
+		f.setSize("decided", 1000)
+		now, host := time.Now(), f.calls.hosts["w0"]
+		host.Crash()
+		host.Restart()
+		var fx effects
+		f.pool.mu.Lock()
+		f.pool.order(testHome, contract.TaskOrder{
+			Key: contract.RunKey{Batch: "decided", Run: 1}, Backend: "s", Need: machine.Resources{CPUMillis: 1000}, Accepted: now,
+			Target: now.Add(time.Second), Deadline: now.Add(5 * time.Second), Expected: time.Second,
+		}, now, now, &fx)
+		f.pool.match(now, &fx)
+		reply := link.PollReply{HostReply: link.HostReply{StartTime: host.StartTime()}}
+		f.pool.handleRestart(f.pool.hosts["w0"], reply, now, &fx)
+		f.pool.mu.Unlock()
+		require.Len(t, fx.starts, 1)
+		f.pool.start(fx.starts[0])
+		require.Empty(t, f.observer.startedJobs())
+	})
+}
