edge: odd announcements and requests change nothing, expired relays are dropped

The seeds of FuzzPeerEnvelope now hold the new kinds of messages: empty and huge ids, ages and timestamps out of range, unknown homes. The relays of a home that is gone were kept for ever; the tick drops them. go test ./edge -run 'Fuzz|CallerLost|Restarted' passes.

--- a/edge/badinput_test.go
+++ b/edge/badinput_test.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"log/slog"
+	"math"
 	"net"
+	"strings"
 	"testing"
 	"time"
 
@@ -61,6 +63,13 @@
 		{Body: &api.PeerMessage_WorkerEntryRequest{WorkerEntryRequest: &api.WorkerEntryRequest{}}},
 		{Body: &api.PeerMessage_WorkerEntry{WorkerEntry: &api.WorkerEntry{}}},
 		{Body: &api.PeerMessage_JobCancel{JobCancel: &api.JobCancel{}}},
+		{Body: &api.PeerMessage_HeldJobs{HeldJobs: &api.HeldJobs{Jobs: []*api.HeldJob{
+			nil, {}, {Job: strings.Repeat("a", 1<<16)}, {Job: "0123456789abcdef", AgeMs: math.MaxUint32},
+		}}}},
+		{Body: &api.PeerMessage_HeldJobs{HeldJobs: &api.HeldJobs{Home: "edge-x/1", Jobs: []*api.HeldJob{{Job: "a"}}}}},
+		{Body: &api.PeerMessage_HeldJobsRequest{HeldJobsRequest: &api.HeldJobsRequest{Homes: []string{"", "edge-x/1"}}}},
+		{Body: &api.PeerMessage_JobRelease{JobRelease: &api.JobRelease{AgeMs: math.MaxUint32, StampMs: math.MaxUint64}}},
+		{Body: &api.PeerMessage_JobReleased{JobReleased: &api.JobReleased{Completed: true, Failed: true}}},
 		{Body: &api.PeerMessage_MemberList{MemberList: &api.MemberList{Members: []*api.Member{{}}}}},
 		{},
 	}
--- a/edge/daemon.go
+++ b/edge/daemon.go
@@ -227,6 +227,7 @@
 	d.updateCrashes(now)
 	d.cancels.Expire(now)
 	d.held.Expire(now)
+	d.relays.expire(now)
 	d.announced.Repeat(now)
 	d.members.ChoosePartners()
 	d.members.UpdateElectorate()
--- a/edge/heldrelays.go
+++ b/edge/heldrelays.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"maps"
 	"sync"
 	"time"
 )
@@ -37,18 +38,25 @@
 	defer r.mu.Unlock()
 	var ids []string
 	for id, until := range r.until[home] {
-		if now.After(until) {
-			delete(r.until[home], id)
-			continue
+		if now.Before(until) {
+			ids = append(ids, id)
 		}
-		ids = append(ids, id)
-	}
-	if len(r.until[home]) == 0 {
-		delete(r.until, home)
 	}
 	return ids
 }
 
+// expire drops the requests that no longer count.
+func (r *heldRelays) expire(now time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for home, requesters := range r.until {
+		maps.DeleteFunc(requesters, func(_ string, until time.Time) bool { return !now.Before(until) })
+		if len(requesters) == 0 {
+			delete(r.until, home)
+		}
+	}
+}
+
 // due reports whether the own requests are to be sent again.
 func (r *heldRelays) due(now time.Time) bool {
 	r.mu.Lock()
