--- a/batch/membership_test.go
+++ b/batch/membership_test.go
@@ -28,8 +28,7 @@
 	})
 }
 
-// Guards against a run that is ordered when its home has been out of contact with a majority for so long that the job may run
-// elsewhere.
+// Guards against a run that a home orders after so long without a majority that the job may run elsewhere.
 func TestIsolatedHomeOrdersNoRun(t *testing.T) {
 	atHome(t, func(h *Home, out *recorder, submit func(contract.Batch) chan Answer) {
 		submit(testBatch(1, 5*time.Second))
@@ -52,8 +51,7 @@
 	})
 }
 
-// Guards against messages for each short job, and against a job that other members do not know of when it may be submitted
-// again.
+// Guards against messages for each short job, and against a job that is unknown when it may be submitted again.
 func TestOnlyLongJobsAreAnnounced(t *testing.T) {
 	atHome(t, func(h *Home, out *recorder, submit func(contract.Batch) chan Answer) {
 		submit(testBatch(1, 5*time.Second))
@@ -70,8 +68,7 @@
 	})
 }
 
-// Guards against a run that a home orders after a lapse of contact, before it hears that its caller has turned to another
-// member meanwhile.
+// Guards against a run that a home orders after a lapse, before it hears that its caller has turned to another member.
 func TestReprovenHomeOrdersAfterADelay(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		clock := &pausableClock{}
@@ -92,8 +89,7 @@
 	})
 }
 
-// Guards against a home that keeps the runs of a job which it accepted alone, after other members have returned and it is cut
-// off from them.
+// Guards against runs of a job that its home accepted alone, and keeps when it is cut off from members that had returned.
 func TestJobDependsOnMembersThatReturn(t *testing.T) {
 	atHome(t, func(h *Home, out *recorder, submit func(contract.Batch) chan Answer) {
 		answer := submit(testBatch(1, 5*time.Second))
--- a/batch/release_test.go
+++ b/batch/release_test.go
@@ -74,8 +74,7 @@
 	}
 }
 
-// Guards against a job that waits for ever for a home that is gone, and against one that starts while the runs of a silent
-// home may be alive.
+// Guards against a job that waits for ever for a home that is gone, or starts while the runs of a silent home may be alive.
 func TestJobOfSilentHomeStartsWhenItsRunsAreOver(t *testing.T) {
 	atHome(t, func(h *Home, out *recorder, submit func(contract.Batch) chan Answer) {
 		out.heard = time.Now().Add(-1300 * time.Millisecond)
@@ -117,7 +116,7 @@
 	})
 }
 
-// Guards against the loss of a job whose caller has come back to its first home: an older request must not end it.
+// Guards against an older request that ends a job whose caller has come back to its first home.
 func TestReleaseForAnEarlierSubmissionIsIgnored(t *testing.T) {
 	atHome(t, func(h *Home, out *recorder, submit func(contract.Batch) chan Answer) {
 		submit(testBatch(1, 5*time.Second))
--- a/edge/lostcaller_test.go
+++ b/edge/lostcaller_test.go
@@ -55,8 +55,7 @@
 	}
 }
 
-// Guards against two runs of a task whose client has submitted its job to another member, after its channel broke without
-// notice of the first home.
+// Guards against two runs of a task whose client has turned to another member, unseen by the job's first home.
 func TestCallerLostUnseenGetsNoSecondRun(t *testing.T) {
 	for _, c := range lostCallerCases() {
 		for daemons := max(c.minDaemons, 1); daemons <= 3; daemons++ {
@@ -87,8 +86,7 @@
 	d.close()
 }
 
-// Guards against two runs of a task whose client has submitted its job to a member that was not there when the first home
-// announced it.
+// Guards against two runs of a task whose job comes to a member that was not there when its first home announced it.
 func TestRestartedMemberLearnsOfHeldJobs(t *testing.T) {
 	inVirtualTime(t, func(t *testing.T) {
 		d := newDeployment(t, 2, 2, 3)
