--- a/edge/membercontact.go
+++ b/edge/membercontact.go
@@ -20,6 +20,8 @@
 	oneWayLimit = 600 * time.Millisecond
 	// reachLimit is the age of the last contact up to which a member counts as reached.
 	reachLimit = 600 * time.Millisecond
+	// majorityAge is the time for which a computed contact with a majority is used. An older contact is a weaker proof.
+	majorityAge = 20 * time.Millisecond
 	// silentMemory is how long after its last message the announcements of a silent member are asked of others.
 	silentMemory = time.Minute
 )
@@ -97,10 +99,26 @@
 	return m.electorate
 }
 
-// MajorityContact returns the latest time at which this process was in contact with a majority of an electorate.
+// majority is the contact with a majority of an electorate, as computed at a time.
+type majority struct {
+	of         *zone.Electorate
+	contact    time.Time
+	computedAt time.Time
+}
+
+// MajorityContact returns a time at which this process was in contact with a majority of an electorate, the latest one but for
+// majorityAge.
 func (m *Members) MajorityContact(e *zone.Electorate, now time.Time) time.Time {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	if m.majority.of != e || now.Sub(m.majority.computedAt) >= majorityAge {
+		m.majority = majority{of: e, contact: m.majorityContact(e, now), computedAt: now}
+	}
+	return m.majority.contact
+}
+
+// majorityContact expects m.mu to be held.
+func (m *Members) majorityContact(e *zone.Electorate, now time.Time) time.Time {
 	return e.MajorityContact(now, func(vm string) (time.Time, bool) {
 		// A process that has replaced the one at acceptance stands in for it, since the caller may turn to it.
 		known, ok := m.byVM[vm]
