edge: announce held jobs with the statuses to contacts

Cause: each announcement was an envelope of its own for each member.

An announcement of a job that is not held here takes a look-up and no more.

--- a/batch/release.go
+++ b/batch/release.go
@@ -162,13 +162,17 @@
 // HeldElsewhere resolves the case that another member announces a job that this home has too, because neither knew of the
 // other in time. The home to which the caller has turned last keeps it.
 func (h *Home) HeldElsewhere(held contract.HeldJob) {
-	now := h.o.Now()
-	out := h.newOutbox()
 	s := h.shard(held.Job)
 	s.mu.Lock()
 	j, ok := s.jobs[held.Job]
+	if !ok || j.state != jobActive {
+		// Most announcements are of jobs that this home does not have.
+		s.mu.Unlock()
+		return
+	}
+	now := h.o.Now()
+	out := h.newOutbox()
 	switch {
-	case !ok || j.state != jobActive:
 	case j.earlier != nil && j.earlier.Home == held.Home:
 		// The home is alive, as a member knows to which it has announced the job.
 		j.earlier.HeldJob = held
--- a/edge/contacts.go
+++ b/edge/contacts.go
@@ -133,8 +133,11 @@
 
 // SendStatus queues the status of this process for some members. Those whose statuses it needs are told so. The status
 // introduces this process to members that are not live, and to all from time to time: the description of a member is
-// larger than the rest. SendStatus returns the number of contacts in other failure domains.
-func (m *Members) SendStatus(status *api.PoolStatus, to statusRecipients, now time.Time) (contacts int) {
+// larger than the rest. The announcements held of jobs go with it, to the contacts in the own failure domain and in others.
+// SendStatus returns the number of contacts in other failure domains.
+func (m *Members) SendStatus(
+	status *api.PoolStatus, held heldMessages, to statusRecipients, now time.Time,
+) (contacts int) {
 	variants := make(map[statusVariant][]*api.PeerMessage)
 	m.broadcast(func(e *member) []*api.PeerMessage {
 		near, needed := e.info.Domain == m.self.Domain, m.subscribes(e, now)
@@ -146,9 +149,18 @@
 		if !selected {
 			return nil
 		}
-		v := statusVariant{subscribe: needed && !near, introduce: to.all || !e.live}
+		v := statusVariant{subscribe: needed && !near, introduce: to.all || !e.live, announcement: held.far}
+		if near {
+			v.announcement = held.near
+		}
+		if !m.isContact(e) {
+			v.announcement = nil
+		}
 		if variants[v] == nil {
 			variants[v] = []*api.PeerMessage{m.encodeStatus(status, v)}
+			if v.announcement != nil {
+				variants[v] = append(variants[v], v.announcement)
+			}
 		}
 		return variants[v]
 	})
@@ -158,6 +170,13 @@
 // statusVariant is what a status contains depending on its receiver.
 type statusVariant struct {
 	subscribe, introduce bool
+	// announcement is sent with the status; nil for none.
+	announcement *api.PeerMessage
+}
+
+// heldMessages are the announcements of jobs for the own failure domain and for others; nil for none.
+type heldMessages struct {
+	near, far *api.PeerMessage
 }
 
 func (m *Members) encodeStatus(status *api.PoolStatus, v statusVariant) *api.PeerMessage {
--- a/edge/daemon.go
+++ b/edge/daemon.go
@@ -85,6 +85,7 @@
 	cancels    *contract.CancelLedger
 	held       *contract.HeldLedger
 	relays     *heldRelays
+	toAnnounce announcedJobs
 	confined   *contract.Confinement
 	home       *batch.Home
 	server     *link.PeerServer
--- a/edge/heldjobs.go
+++ b/edge/heldjobs.go
@@ -30,7 +30,8 @@
 
 // AnnounceHeld implements batch.Membership.
 func (s membership) AnnounceHeld(jobs []contract.HeldJob) {
-	s.d.members.Broadcast(encodeHeldJobs("", jobs, s.d.o.Now()))
+	s.d.toAnnounce.add(jobs)
+	s.d.members.BroadcastOthers(encodeHeldJobs("", jobs, s.d.o.Now()))
 }
 
 // LastHeard implements batch.Membership.
--- a/edge/members.go
+++ b/edge/members.go
@@ -272,6 +272,16 @@
 	})
 }
 
+// BroadcastOthers queues messages for the live processes that are no contacts.
+func (m *Members) BroadcastOthers(msgs ...*api.PeerMessage) {
+	m.broadcast(func(e *member) []*api.PeerMessage {
+		if !e.live || m.isContact(e) {
+			return nil
+		}
+		return msgs
+	})
+}
+
 // broadcast queues the messages that choose returns for a member. It is called with m.mu held.
 func (m *Members) broadcast(choose func(e *member) []*api.PeerMessage) {
 	m.mu.Lock()
