--- a/edge/contacts.go
+++ b/edge/contacts.go
@@ -149,12 +149,8 @@
 		if !selected {
 			return nil
 		}
-		v := statusVariant{subscribe: needed && !near, introduce: to.all || !e.live, announcement: held.far}
-		if near {
-			v.announcement = held.near
-		}
-		if !m.isContact(e) {
-			v.announcement = nil
+		v := statusVariant{
+			subscribe: needed && !near, introduce: to.all || !e.live, announcement: held.message(near, m.isContact(e)),
 		}
 		if variants[v] == nil {
 			variants[v] = []*api.PeerMessage{m.encodeStatus(status, v)}
@@ -179,6 +175,18 @@
 	near, far *api.PeerMessage
 }
 
+// message returns the announcement for a member.
+func (h heldMessages) message(near, contact bool) *api.PeerMessage {
+	switch {
+	case !contact:
+		return nil
+	case near:
+		return h.near
+	default:
+		return h.far
+	}
+}
+
 func (m *Members) encodeStatus(status *api.PoolStatus, v statusVariant) *api.PeerMessage {
 	out := &api.PoolStatus{
 		Rooms: status.GetRooms(), OwnsNothing: status.GetOwnsNothing(), Leaving: status.GetLeaving(),
