edge, batch: date messages of members by 50 ms, count contacts once a tick

Trace: members acknowledge every second status, so the contact with a majority was up to 0.45 s old; the messages of members counted as 0.2 s old. A home whose owner had been slow for 0.5 s could not echo the owner's newest timestamp yet, and the owner stopped the run after 0.85 s. Announcements in envelopes of their own had hidden this by the acknowledgements that they got.

Messages count as 50 ms old, more than their way takes: with contactSlack, the proof is the time of arrival, as that of the owners' timestamps is. A run is over 1.3 s after a cut as long as messages took less than 76 ms before it. The contact with a majority is computed by each tick and used until the next one, in place of the cache of 20 ms in Members.

--- a/batch/home.go
+++ b/batch/home.go
@@ -84,7 +84,8 @@
 	done   chan struct{}
 	pause  pauseDetector
 	// waits counts the waits for earlier homes of jobs.
-	waits atomic.Uint64
+	waits    atomic.Uint64
+	contacts majorityContacts
 	// announcedAt is the time of the last announcement of jobs, isolated is set while there is no contact with a majority of
 	// the members. Only the goroutine of run uses them.
 	announcedAt time.Time
@@ -147,7 +148,7 @@
 
 // tick advances all jobs, drops expired answers and refreshes runs.
 func (h *Home) tick(now time.Time, refresh bool) {
-	out := h.newOutbox()
+	out := newOutbox(h.o.Owners, h.o.Members)
 	announce := now.Sub(h.announcedAt) >= h.nextAnnouncement()
 	if announce {
 		h.announcedAt = now
@@ -173,6 +174,7 @@
 		}
 		s.mu.Unlock()
 	}
+	h.contacts.set(out.majorities)
 	out.send()
 }
 
--- a/batch/membership.go
+++ b/batch/membership.go
@@ -1,6 +1,7 @@
 package batch
 
 import (
+	"sync"
 	"time"
 
 	"github.com/cicadadale/cicadadale/contract"
@@ -75,8 +76,32 @@
 	return o.electorate
 }
 
-// majorityContact returns the last contact with a majority of an electorate, with contactSlack added.
+// majorityContacts holds the last contacts with a majority of each electorate, as found by the last tick. mu guards the field
+// below it.
+type majorityContacts struct {
+	mu sync.Mutex
+	// at is replaced by each tick, never changed.
+	at map[*zone.Electorate]time.Time
+}
+
+func (c *majorityContacts) set(at map[*zone.Electorate]time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.at = at
+}
+
+func (c *majorityContacts) get() map[*zone.Electorate]time.Time {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.at
+}
+
+// majorityContact returns the last contact with a majority of an electorate, with contactSlack added. Between ticks, that of
+// the last tick is used: an older contact is a weaker proof.
 func (o *outbox) majorityContact(e *zone.Electorate) time.Time {
+	if at, ok := o.lastMajorities[e]; ok {
+		return at
+	}
 	at, ok := o.majorities[e]
 	if !ok {
 		at = o.members.MajorityContact(e).Add(contactSlack)
--- a/batch/outbox.go
+++ b/batch/outbox.go
@@ -13,6 +13,8 @@
 	members Membership
 	// electorate is the current one, nil until it is needed.
 	electorate *zone.Electorate
+	// lastMajorities holds the contacts that the last tick has found; nil in a tick.
+	lastMajorities map[*zone.Electorate]time.Time
 	// majorities holds the last contacts with a majority of each electorate.
 	majorities map[*zone.Electorate]time.Time
 	// contacts holds the contacts that the messages echo. They are read when the messages are decided on: by the time they
@@ -60,7 +62,11 @@
 	repeated bool
 }
 
-func (h *Home) newOutbox() *outbox { return newOutbox(h.o.Owners, h.o.Members) }
+func (h *Home) newOutbox() *outbox {
+	out := newOutbox(h.o.Owners, h.o.Members)
+	out.lastMajorities = h.contacts.get()
+	return out
+}
 
 func newOutbox(owners Owners, members Membership) *outbox {
 	return &outbox{
--- a/edge/membercontact.go
+++ b/edge/membercontact.go
@@ -13,15 +13,14 @@
 	// of no use: owners stop a run that was refreshed 800 ms ago.
 	contactSampleSpacing = 20 * time.Millisecond
 	contactSampleAge     = 1200 * time.Millisecond
-	// transitTime is the time that a message may have taken to arrive, unless its sender has acknowledged a later one.
-	transitTime = 200 * time.Millisecond
+	// transitTime is the time that a message may have taken to arrive, unless its sender has acknowledged a later one. Between
+	// failure domains it is a few milliseconds.
+	transitTime = 50 * time.Millisecond
 	// oneWayLimit is the time for which messages of a member count as contact although it acknowledges none. A slow VM sends
 	// statuses up to 600 ms apart.
 	oneWayLimit = 600 * time.Millisecond
 	// reachLimit is the age of the last contact up to which a member counts as reached.
 	reachLimit = 600 * time.Millisecond
-	// majorityAge is the time for which a computed contact with a majority is used. An older contact is a weaker proof.
-	majorityAge = 20 * time.Millisecond
 	// silentMemory is how long after its last message the announcements of a silent member are asked of others.
 	silentMemory = time.Minute
 )
@@ -99,26 +98,10 @@
 	return m.electorate
 }
 
-// majority is the contact with a majority of an electorate, as computed at a time.
-type majority struct {
-	of         *zone.Electorate
-	contact    time.Time
-	computedAt time.Time
-}
-
-// MajorityContact returns a time at which this process was in contact with a majority of an electorate, the latest one but for
-// majorityAge.
+// MajorityContact returns the latest time at which this process was in contact with a majority of an electorate.
 func (m *Members) MajorityContact(e *zone.Electorate, now time.Time) time.Time {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if m.majority.of != e || now.Sub(m.majority.computedAt) >= majorityAge {
-		m.majority = majority{of: e, contact: m.majorityContact(e, now), computedAt: now}
-	}
-	return m.majority.contact
-}
-
-// majorityContact expects m.mu to be held.
-func (m *Members) majorityContact(e *zone.Electorate, now time.Time) time.Time {
 	return e.MajorityContact(now, func(vm string) (time.Time, bool) {
 		// A process that has replaced the one at acceptance stands in for it, since the caller may turn to it.
 		known, ok := m.byVM[vm]
--- a/edge/members.go
+++ b/edge/members.go
@@ -35,7 +35,6 @@
 	ownersVersion   uint64
 	partnersVersion uint64
 	electorate      *zone.Electorate
-	majority        majority
 	// departed holds the times of the last messages of processes that were replaced or dropped.
 	departed map[string]time.Time
 }
