edge: close the ends of connections that the tests' network does not accept

Trace: the four goroutines are the senders of connections that were dialled while the deployment was closing. The network makes the accepted end before the listener takes it; if the listener is closed instead, nothing closes that end, unless the test closes all connections later. The dial closes it now. Test code only; no check changes.

--- a/edge/network_test.go
+++ b/edge/network_test.go
@@ -101,14 +101,16 @@
 		return nil, errUnreachable
 	}
 	a, b := net.Pipe()
+	accepted := newMemConn(b, n, to, from)
 	select {
-	case l.conns <- newMemConn(b, n, to, from):
+	case l.conns <- accepted:
 		return newMemConn(a, n, from, to), nil
 	case <-l.closed:
-		return nil, errUnreachable
 	case <-ctx.Done():
-		return nil, errUnreachable
 	}
+	// Nobody else closes an end that was not accepted: the test may have closed all connections already.
+	_ = accepted.Close()
+	return nil, errUnreachable
 }
 
 type memListener struct {
