pool: report the end of a run under the token of the acquisition that lists it

Callers saw: a job that never gets its answer before its time limit, and a home that holds it for good.

Cause: a member finds a run on a worker that it acquires, stops it unclaimed, loses the worker and acquires it again. The worker still lists the end of the run, so the takeover names it and its home claims it under the new token. The pool kept the outcome under the token of the earlier acquisition. The home takes no end under an earlier token, acknowledges the report all the same, and from then on the pool answers each refresh with an end under token zero, which is ignored for ever.

Change: an end that an acquired worker lists is reported under the token of this acquisition, also if the pool knew it before, and an acknowledged end keeps its token. The new test fails before the change (token one lower than the claim).

--- a/pool/ownership.go
+++ b/pool/ownership.go
@@ -185,9 +185,7 @@
 		found = append(found, e.Key)
 		h.host.LastOutcome = max(h.host.LastOutcome, e.Number)
 		if r, ok := p.runs[e.Key]; ok {
-			if r.host == h {
-				p.finish(r, e.State, proofListed, 0, fx)
-			}
+			p.adoptEnd(h, r, e, fx)
 			continue
 		}
 		p.o.Logger.Info("end of a run found on an acquired worker", "task", e.Key.String(), "worker", h.address.Worker,
@@ -201,6 +199,18 @@
 	return found
 }
 
+// adoptEnd records that an acquired worker lists the end of a run that this pool knows. A home may claim the run under the
+// token of the acquisition, and takes no end under an earlier one. p.mu is held.
+func (p *Pool) adoptEnd(h *ownedHost, r *run, e link.EndedRun, fx *effects) {
+	switch {
+	case r.state == runFinal && r.outcome.Worker == h.address.Worker:
+		r.outcome.Token = h.host.Token
+	case r.host == h:
+		r.token = h.host.Token
+		p.finish(r, e.State, proofListed, 0, fx)
+	}
+}
+
 // loseOwnership records that another VM has acquired a worker. That VM reports its runs from now on, and extends their
 // lease. A run with a start call in progress is left to the result of that call. p.mu is held.
 func (p *Pool) loseOwnership(h *ownedHost, now time.Time, fx *effects) {
--- a/pool/ownership_test.go
+++ b/pool/ownership_test.go
@@ -117,6 +117,34 @@
 	})
 }
 
+// Guards against a job that never ends: its home claims a run at the next acquisition, and ignores an end under the last one.
+func TestEndOfEarlierOwnershipIsReportedUnderTheTokenOfTheClaim(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(1)
+		defer f.pool.Close()
+		key := f.order("ended", 500, 0, time.Second, 20*time.Second)
+		time.Sleep(50 * time.Millisecond)
+		f.pool.Withdraw(testHome, []contract.RunKey{key})
+		time.Sleep(50 * time.Millisecond)
+		require.Equal(t, contract.RunEnded, f.state(key))
+		claim := f.ownedToken() + 1
+		f.pool.mu.Lock()
+		var fx effects
+		host := f.pool.hosts["w0"]
+		found := f.pool.own(host, claim, link.PollReply{
+			HostReply: link.HostReply{StartTime: host.host.StartTime, Clock: host.host.ClockAt(time.Now())},
+			Ended:     []link.EndedRun{{Number: 1, Key: key, State: contract.RunEnded}},
+		}, time.Now(), &fx)
+		f.pool.mu.Unlock()
+		require.Contains(t, found, key)
+		f.pool.Order(testHome, contract.TaskOrder{Key: key, Backend: "s", Claim: true, ClaimToken: claim}, time.Now())
+		require.Equal(t, claim, f.token(key), "answer to the claim")
+		f.pool.Acknowledge([]contract.RunKey{key})
+		f.pool.Refresh(testHome, []contract.RunKey{key}, time.Now())
+		require.Equal(t, claim, f.token(key), "answer to a refresh after the acknowledgement")
+	})
+}
+
 // Guards against a lease that is extended for a claim that was made of an earlier ownership.
 func TestClaimOfEarlierOwnershipExtendsNoLease(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -156,7 +156,7 @@
 		}
 		p.o.Logger.Info("order of a barred run; not started", "task", o.Key.String(), "home", home,
 			"state", b.state.String(), "claim", o.Claim)
-		fx.reports = append(fx.reports, report{home, contract.RunReport{Key: o.Key, State: b.state}})
+		fx.reports = append(fx.reports, report{home, contract.RunReport{Key: o.Key, State: b.state, Token: b.token}})
 		return
 	}
 	if now.Sub(sentAfter) > refreshTimeout {
@@ -234,7 +234,7 @@
 	}
 	b.at = now
 	p.barredRuns[k] = b
-	fx.reports = append(fx.reports, report{home, contract.RunReport{Key: k, State: b.state}})
+	fx.reports = append(fx.reports, report{home, contract.RunReport{Key: k, State: b.state, Token: b.token}})
 }
 
 // Withdraw ends runs. Queued runs never start; running ones are stopped.
@@ -289,7 +289,7 @@
 		if r, ok := p.runs[k]; ok && r.state == runFinal {
 			delete(p.runs, k)
 			if state := r.outcome.State; r.mayHaveRun && (state == contract.RunEnded || state == contract.RunCrashed) {
-				p.barredRuns[k] = barredRun{at: p.o.Now(), state: state}
+				p.barredRuns[k] = barredRun{at: p.o.Now(), state: state, token: r.outcome.Token}
 			}
 		}
 	}
--- a/pool/run.go
+++ b/pool/run.go
@@ -68,6 +68,8 @@
 type barredRun struct {
 	at    time.Time
 	state contract.RunState
+	// token is the one under which a run that is over has ended.
+	token uint64
 }
 
 // isOver reports whether this pool has reported a run as over. p.mu is held.
