pool: report the outcome of an unclaimed run to the home that asks for it

Callers saw: a job whose run was over, or even done, waits 10 s more, and then runs the task again.

Cause: the owner of a worker finds a run there and names it in its takeover. The home believes in the new owner and claims the run, but the claim is lost on a link that breaks, or answers an earlier acquisition. The run of the pool then has no home. The pool sent its outcome to the home that it knows, so nobody got it: each refresh and each withdrawal was left without an answer until the outcome was dropped 10 s later, and a refresh was answered with "unknown".

Change: refreshes and withdrawals of a run that is over are answered to the member that sent them. The home judges the answer by its token as before.

Measured: TestOutcomeIsReportedToTheHomeThatAsksForIt fails before the change (no report).

--- a/pool/ownership_test.go
+++ b/pool/ownership_test.go
@@ -117,6 +117,26 @@
 	})
 }
 
+// Guards against a home that holds a run for 10 s, and then runs its task again, since its claim of the run was lost: the pool
+// knew no home to which to report the outcome.
+func TestOutcomeIsReportedToTheHomeThatAsksForIt(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(1)
+		defer f.pool.Close()
+		refreshed, withdrawn := contract.RunKey{Batch: "refreshed", Run: 1}, contract.RunKey{Batch: "withdrawn", Run: 1}
+		f.pool.mu.Lock()
+		var fx effects
+		f.pool.adopt(f.pool.hosts["w0"], link.PollReply{Ended: []link.EndedRun{
+			{Number: 1, Key: refreshed, State: contract.RunDone}, {Number: 2, Key: withdrawn, State: contract.RunEnded},
+		}}, time.Now(), &fx)
+		f.pool.mu.Unlock()
+		f.pool.Refresh(testHome, []contract.RunKey{refreshed}, time.Now())
+		require.Equal(t, contract.RunDone, f.state(refreshed))
+		f.pool.Withdraw(testHome, []contract.RunKey{withdrawn})
+		require.Equal(t, contract.RunEnded, f.state(withdrawn))
+	})
+}
+
 // Guards against a job that never ends: its home claims a run at the next acquisition, and ignores an end under the last one.
 func TestEndOfEarlierOwnershipIsReportedUnderTheTokenOfTheClaim(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -218,7 +218,8 @@
 		}
 		r.refreshedAt = later(r.refreshedAt, sentAfter)
 		if r.state == runFinal {
-			fx.report(r)
+			// Its claim may have been lost, so the run may not know its home.
+			fx.answer(home, r)
 		}
 	}
 	p.mu.Unlock()
@@ -253,18 +254,21 @@
 			p.reportUnknown(home, k, now, &fx)
 			continue
 		}
-		if onlyWaiting && r.state != runWaiting {
+		switch {
+		case r.state == runFinal:
+			fx.answer(home, r)
+		case onlyWaiting && r.state != runWaiting:
 			fx.report(r)
-			continue
+		default:
+			p.withdraw(r, &fx)
 		}
-		p.withdraw(r, &fx)
 	}
 	p.match(now, &fx)
 	p.mu.Unlock()
 	p.apply(fx)
 }
 
-// withdraw ends one run. p.mu is held.
+// withdraw ends one run that is not over. p.mu is held.
 func (p *Pool) withdraw(r *run, fx *effects) {
 	switch r.state {
 	case runWaiting:
@@ -276,8 +280,6 @@
 	case runRunning:
 		r.cancelled = true
 		fx.stops = append(fx.stops, r)
-	case runFinal:
-		fx.report(r)
 	}
 }
 
--- a/pool/run.go
+++ b/pool/run.go
@@ -109,10 +109,13 @@
 	entryStart  int64
 }
 
-// report adds a report of the run's current state. A run is reported as started only once its worker has confirmed it:
-// until then it may still move to another worker, and the next owner of the worker must not be able to declare it
-// ended.
-func (fx *effects) report(r *run) {
+// report adds a report of the run's current state to its home. A run that no home has claimed has none.
+func (fx *effects) report(r *run) { fx.answer(r.home, r) }
+
+// answer adds a report of the run's current state to the home that has asked for it. A run is reported as started only once
+// its worker has confirmed it: until then it may still move to another worker, and the next owner of the worker must not be
+// able to declare it ended.
+func (fx *effects) answer(home string, r *run) {
 	msg := r.outcome
 	switch r.state {
 	case runFinal:
@@ -124,7 +127,7 @@
 	default:
 		msg = contract.RunReport{Key: r.order.Key, State: contract.RunQueued, MayHaveStarted: r.mayHaveRun}
 	}
-	fx.reports = append(fx.reports, report{r.home, msg})
+	fx.reports = append(fx.reports, report{home, msg})
 }
 
 // apply makes the calls. No lock is held.
