batch: defer the orders of a job that is proven again by the clock, not by the start of the tick

A tick that read the clock, was paused and went on found the caller of a job proven again after a lapse, and set the time before which it orders nothing to 0.5 s after the old reading, which had passed. The home could order a run before it had heard what other members hold.

The time counts from a new reading of the clock.

TestTickInterruptedByPauseDefersOrders failed before in 5 of 5 runs and passes in 3,000. TestReprovenHomeOrdersAfterADelay had failed at the same check in 4 of 300 runs beside other work, in none of 4,000 others without the change and in none of 6,000 with it; that it was the same cause is likely, not shown.

--- a/batch/membership.go
+++ b/batch/membership.go
@@ -136,7 +136,8 @@
 	if lapse := proven.Sub(j.provenUntil); lapse > proofLapse {
 		h.o.Logger.Warn("caller of a job is proven again; ordering no run until other members have announced theirs",
 			"job", j.batch.ID, "lapse", lapse, "delay", reproofDelay)
-		j.ordersFrom, j.announcedAt = now.Add(reproofDelay), time.Time{}
+		// The process may have been paused since now was read.
+		j.ordersFrom, j.announcedAt = h.o.Now().Add(reproofDelay), time.Time{}
 	}
 	j.provenUntil = later(j.provenUntil, proven)
 }
--- a/batch/membership_test.go
+++ b/batch/membership_test.go
@@ -89,6 +89,26 @@
 	})
 }
 
+// Guards against an order after a lapse without the delay, by a tick that read the clock before the process was paused.
+func TestTickInterruptedByPauseDefersOrders(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		clock := &pausableClock{}
+		h, out := newTestHomeAt(clock.now)
+		defer h.Close()
+		go h.Submit(context.Background(), testBatch(1, 10*time.Second))
+		synctest.Wait()
+		key := out.sentOrders()[0].Key
+		reportRun(h, key, contract.RunStarted, true)
+		time.Sleep(tickInterval / 2)
+		before := clock.now()
+		clock.pause(2 * time.Second)
+		h.tick(before, false)
+		reportRun(h, key, contract.RunEnded, true)
+		time.Sleep(reproofDelay - tickInterval)
+		require.Len(t, out.sentOrders(), 1)
+	})
+}
+
 // Guards against runs of a job that its home accepted alone, and keeps when it is cut off from members that had returned.
 func TestJobDependsOnMembersThatReturn(t *testing.T) {
 	atHome(t, func(h *Home, out *recorder, submit func(contract.Batch) chan Answer) {
