batch: tests of the echoes, of the waits for an earlier home and of a stalled home

No test failed, or none certainly, with these changes of the code; each of the new tests fails with its change and passes without it.

- a refresh or an order echoes the newest contact, or a refresh none (outbox.go): TestMessagesAboutRunsEchoNoContactWithoutMajority
- releaseTimeout is zero: TestSilentHomeIsAskedThroughOthersFirst
- a caller that rejoins does not renew submittedAt (home.go): TestReleaseForASubmissionBeforeTheCallersReturnIsIgnored
- the case j.released in HeldElsewhere is dropped: TestAnnouncementFromBeforeTheReleaseIsIgnored
- checkIsolation ignores that the home is stalled: TestStalledHomeReadsAcknowledgementsFirst; TestPausedHomeContinuesItsJobs fails with it too

noLiveRuns without the earlier home fails TestEndedJobIsOverForTheHomeItWaitsFor already. The contacts of the tests' recorder now keep to the limit, as those of the members do. go test ./batch -count=30: passed.

--- a/batch/home_test.go
+++ b/batch/home_test.go
@@ -37,21 +37,26 @@
 	now                   func() time.Time
 	// contact is the contact with all owners; nil for one of now.
 	contact *Contact
-	// refreshed is the contact that the last refresh echoed.
+	// refreshed and ordered are the contacts that the last refresh and the last order echoed.
 	refreshed Contact
+	ordered   Contact
 }
 
-func (r *recorder) LastContact(string, time.Time) Contact {
+func (r *recorder) LastContact(_ string, limit time.Time) Contact {
 	if r.contact != nil {
 		return *r.contact
 	}
-	return Contact{Timestamp: 1, ReceivedAt: time.Now()}
+	if now := time.Now(); now.Before(limit) {
+		limit = now
+	}
+	return Contact{Timestamp: 1, ReceivedAt: limit}
 }
 
-func (r *recorder) Order(_ string, o contract.TaskOrder, _ Contact) {
+func (r *recorder) Order(_ string, o contract.TaskOrder, echo Contact) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.orders = append(r.orders, o)
+	r.ordered = echo
 }
 
 // sentOrders returns a copy of the orders sent so far.
@@ -67,6 +72,13 @@
 	r.refreshed = echo
 }
 
+// echoes returns the contacts that the last order and the last refresh echoed.
+func (r *recorder) echoes() (order, refresh Contact) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.ordered, r.refreshed
+}
+
 func (r *recorder) Recall(PoolRef, []contract.RunKey) {}
 func (r *recorder) Withdraw(_ PoolRef, keys []contract.RunKey) {
 	r.mu.Lock()
@@ -372,6 +384,27 @@
 	require.Equal(t, earlier.ReceivedAt, j.tasks[0].contactAt)
 }
 
+// Guards against a run that its owner keeps alive after the home has lost contact with a majority of the members, and against
+// one that is stopped since its refreshes echo no contact.
+func TestMessagesAboutRunsEchoNoContactWithoutMajority(t *testing.T) {
+	atHome(t, func(h *Home, out *recorder, submit func(contract.Batch) chan Answer) {
+		submit(testBatch(1, 5*time.Second))
+		key := out.sentOrders()[0].Key
+		reportRun(h, key, contract.RunStarted, true)
+		time.Sleep(500 * time.Millisecond)
+		isolatedAt := time.Now()
+		_, refresh := out.echoes()
+		require.WithinDuration(t, isolatedAt, refresh.ReceivedAt, refreshInterval+tickInterval)
+		out.setMajorityAt(isolatedAt)
+		time.Sleep(orderProofLimit)
+		reportRun(h, key, contract.RunEnded, true)
+		order, refresh := out.echoes()
+		require.Len(t, out.sentOrders(), 2)
+		require.Equal(t, isolatedAt.Add(contactSlack), order.ReceivedAt)
+		require.Equal(t, isolatedAt.Add(contactSlack), refresh.ReceivedAt)
+	})
+}
+
 // Guards against an end that an owner reported before it lost the worker and acquired it again: the owner in between may
 // have kept the run alive.
 func TestEndUnderEarlierTokenIsIgnored(t *testing.T) {
--- a/batch/membership_test.go
+++ b/batch/membership_test.go
@@ -109,6 +109,25 @@
 	})
 }
 
+// Guards against jobs that a slow process ends: it has not yet read the acknowledgements that have arrived meanwhile.
+func TestStalledHomeReadsAcknowledgementsFirst(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		clock := &pausableClock{}
+		h, out := newTestHomeAt(clock.now)
+		defer h.Close()
+		go h.Submit(context.Background(), testBatch(1, 10*time.Second))
+		synctest.Wait()
+		reportRun(h, out.sentOrders()[0].Key, contract.RunStarted, true)
+		time.Sleep(time.Second + tickInterval/2)
+		out.setMajorityAt(clock.now())
+		clock.pause(isolationTimeout + contactSlack)
+		time.Sleep(2 * tickInterval)
+		out.setMajorityAt(clock.now())
+		time.Sleep(stallRecovery)
+		require.Empty(t, out.withdrawn())
+	})
+}
+
 // Guards against runs of a job that its home accepted alone, and keeps when it is cut off from members that had returned.
 func TestJobDependsOnMembersThatReturn(t *testing.T) {
 	atHome(t, func(h *Home, out *recorder, submit func(contract.Batch) chan Answer) {
--- a/batch/release_test.go
+++ b/batch/release_test.go
@@ -86,6 +86,20 @@
 	})
 }
 
+// Guards against a start beside the runs of a home that is silent only here, before the other members were asked to reach it.
+func TestSilentHomeIsAskedThroughOthersFirst(t *testing.T) {
+	atHome(t, func(h *Home, out *recorder, submit func(contract.Batch) chan Answer) {
+		b := testBatch(1, 5*time.Second)
+		h.o.Held.Record(contract.HeldJob{Job: b.ID, Home: earlierOwner, HeardAt: time.Now().Add(-2 * homeExpiry)})
+		submit(b)
+		time.Sleep(releaseTimeout - 10*time.Millisecond)
+		require.Empty(t, out.sentOrders())
+		require.Greater(t, len(out.releases), 1, "repeated requests go through other members")
+		time.Sleep(2 * tickInterval)
+		require.Len(t, out.sentOrders(), 1)
+	})
+}
+
 // Guards against a refusal of a job that may have run at its earlier home.
 func TestJobHeldElsewhereIsNotRefused(t *testing.T) {
 	atHome(t, func(h *Home, out *recorder, submit func(contract.Batch) chan Answer) {
@@ -128,6 +142,40 @@
 	})
 }
 
+// Guards against a request from before the caller came back, which ends the job that another call of the caller still awaits.
+func TestReleaseForASubmissionBeforeTheCallersReturnIsIgnored(t *testing.T) {
+	atHome(t, func(h *Home, out *recorder, submit func(contract.Batch) chan Answer) {
+		submit(testBatch(1, 5*time.Second))
+		reportRun(h, out.sentOrders()[0].Key, contract.RunStarted, true)
+		time.Sleep(time.Second)
+		elsewhere := time.Now()
+		time.Sleep(time.Second)
+		submit(testBatch(1, 5*time.Second))
+		_, over := h.Release(contract.JobRelease{Job: testJobID, Requester: "next/1", Accepted: elsewhere})
+		require.False(t, over)
+		require.Empty(t, out.withdrawn())
+		require.Equal(t, time.Now(), h.Held()[0].Accepted, "the time by which homes decide which one keeps the job")
+	})
+}
+
+// Guards against a job that waits again for the home that has released it, because of an announcement that was under way.
+func TestAnnouncementFromBeforeTheReleaseIsIgnored(t *testing.T) {
+	atHome(t, func(h *Home, out *recorder, submit func(contract.Batch) chan Answer) {
+		out.heard = time.Now().Add(time.Hour)
+		b := heldBatch(h)
+		held, _ := h.o.Held.Of(b.ID)
+		b.Steps = append(b.Steps, b.Steps[0])
+		b.Steps[1].DependsOn = []int{0}
+		submit(b)
+		h.Released(contract.JobReleased{Job: testJobID, Home: earlierOwner, Wait: out.releases[0].Wait})
+		requests := len(out.releases)
+		h.HeldElsewhere(held)
+		reportRun(h, out.sentOrders()[0].Key, contract.RunDone, true)
+		require.Len(t, out.sentOrders(), 2, "the next step starts without another wait")
+		require.Len(t, out.releases, requests)
+	})
+}
+
 // Guards against two homes that both keep a job, or both give it up, when they learn of each other.
 func TestLaterHomeKeepsTheJob(t *testing.T) {
 	for _, c := range []struct {
