--- a/edge/secondhome_test.go
+++ b/edge/secondhome_test.go
@@ -93,6 +93,36 @@
 	})
 }
 
+// Guards against a second run of a job that a home has completed with which the next home has no contact: the other members
+// pass neither the request nor the answer on.
+func TestResultIsReleasedThroughOtherMembers(t *testing.T) {
+	withSecondHome(t, 2, 2, time.Second, func(t *testing.T, d *deployment) {
+		d.submit("edge-0-0", testJob(secondHomeJob, 4, 12*time.Second))
+		time.Sleep(1500 * time.Millisecond)
+		d.net.setCut(betweenMembers(func(from, to string) bool { return from == "edge-0-0" && to == "edge-1-0" }))
+		time.Sleep(500 * time.Millisecond)
+		start := time.Now()
+		next := d.submit("edge-1-0", testJob(secondHomeJob, 4, 12*time.Second))
+		assert.Equal(t, batch.Completed, (<-next).Outcome)
+		assert.Equal(t, 4, d.observer.startsOf(secondHomeJob))
+		assert.Less(t, time.Since(start), 500*time.Millisecond, "no longer than two requests and their way")
+	})
+}
+
+// Guards against a job that its earlier home does not release, since the request echoes the last timestamp that the next home
+// had of it, from before the job was accepted.
+func TestRequestThroughOtherMembersIsDatedByThem(t *testing.T) {
+	withSecondHome(t, 2, 2, 8*time.Second, func(t *testing.T, d *deployment) {
+		d.net.setCut(betweenMembers(func(from, to string) bool { return from == "edge-0-0" && to == "edge-1-0" }))
+		time.Sleep(2 * time.Second)
+		d.submit("edge-0-0", testJob(secondHomeJob, 4, 12*time.Second))
+		time.Sleep(500*time.Millisecond + resendDelay)
+		d.submit("edge-1-0", testJob(secondHomeJob, 4, 12*time.Second))
+		time.Sleep(300 * time.Millisecond)
+		assert.Equal(t, 8, d.observer.startsOf(secondHomeJob), "before the members learn that two of them have the job")
+	})
+}
+
 // Guards against a job of a live caller that a delayed request ends, and against two homes that wait for each other for ever.
 func TestCallerThatReturnsToItsFirstHomeIsServed(t *testing.T) {
 	for _, heal := range []time.Duration{-time.Second, -300 * time.Millisecond, 0, 100 * time.Millisecond, time.Second} {
