standin: end runs whose lease is over before any call or timer changes them

The timers of a run and of its lease may fire late, in any order, when the machine is busy or the process was paused. A run whose lease was over by the worker's clock was then completed, or went on because a poll or a start extended the lease, or was recorded with a later end. The soak could report two runs of a task that the dispatcher had not caused.

Each call and timer first ends the runs whose lease is over, at the end of the lease.

--- a/standin/runhost.go
+++ b/standin/runhost.go
@@ -182,6 +182,7 @@
 
 // crash expects h.mu to be held.
 func (h *RunHost) crash() {
+	h.expire()
 	h.down = true
 	for _, r := range h.running {
 		h.endRun(r, contract.RunEnded, time.Now())
@@ -194,6 +195,7 @@
 func (h *RunHost) crashBy(r *hostRun) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	h.expire()
 	if h.running[r.key] != r {
 		return
 	}
@@ -305,6 +307,7 @@
 func (h *RunHost) start(s link.HostStart) (link.StartVerdict, link.HostReply) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	h.expire()
 	reply := h.reply()
 	if h.rejects {
 		return link.StartUnhealthy, reply
@@ -359,7 +362,12 @@
 func (h *RunHost) expireLease() {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if h.down || h.clock() < h.leaseEnd {
+	h.expire()
+}
+
+// expire ends the runs if their lease is over. It precedes each change, since the timer may be late. h.mu must be held.
+func (h *RunHost) expire() {
+	if h.clock() < h.leaseEnd {
 		return
 	}
 	for _, r := range h.running {
@@ -370,6 +378,7 @@
 func (h *RunHost) complete(r *hostRun) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	h.expire()
 	state := contract.RunDone
 	if r.plan.Fails {
 		state = contract.RunFailed
@@ -415,6 +424,7 @@
 func (h *RunHost) stop(key contract.RunKey, token uint64) link.HostReply {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	h.expire()
 	reply := h.reply()
 	if !h.admit(token) {
 		reply.Fenced = true
@@ -443,6 +453,7 @@
 		return link.PollReply{}, h.awaitTimeout(ctx)
 	}
 	h.mu.Lock()
+	h.expire()
 	if !h.admit(c.Token) {
 		defer h.mu.Unlock()
 		// As on the platform, the answer to a fenced call contains the clock but not the start time.
@@ -464,6 +475,7 @@
 			return link.PollReply{}, fault.InDoubt.New("caller of worker %s stopped waiting", h.id)
 		}
 		h.mu.Lock()
+		h.expire()
 	}
 	defer h.mu.Unlock()
 	if h.down {
