batch: pass the result of an earlier home on to the third home of a job

A job was submitted to A, then to B, which waited for A to release it, then to C, which had B end it. The result that A then sent to B had no effect, since the job had ended there as superseded: B answered C that no run was alive, without a result, and C started the job anew although it was completed. The same held for a caller that left B and returned there.

A job that has ended without a result and still waits for its earlier home adopts the result; one that was cancelled does not.

TestResultReachesTheThirdHome and TestResultReachesACallerThatReturns fail without the change and pass with it. TestResultOfEarlierHomeDoesNotUndoACancel fails if every ended job adopts the result. go test ./batch -count=30: passed.

--- a/batch/release.go
+++ b/batch/release.go
@@ -101,9 +101,9 @@
 		h.clearEarlier(j, now)
 		switch {
 		case r.Completed:
-			h.endJob(j, Completed, "completed at its earlier home", now, out)
+			h.adoptResult(j, Completed, "completed at its earlier home", now, out)
 		case r.Failed:
-			h.endJob(j, Failed, "failed at its earlier home", now, out)
+			h.adoptResult(j, Failed, "failed at its earlier home", now, out)
 		}
 		h.advance(j, now, out)
 	}
@@ -111,6 +111,16 @@
 	out.send()
 }
 
+// adoptResult ends a job with the result that it had at its earlier home. A job that has ended here without a result gets it too: its
+// caller may submit the job again, or wait at a third home for this one. The lock of the job's shard is held.
+func (h *Home) adoptResult(j *job, o Outcome, reason string, now time.Time, out *outbox) {
+	if j.state == jobEnding && j.outcome.mayStartAnew() {
+		j.outcome, j.answer = o, Answer{Outcome: o, Reason: reason}
+		return
+	}
+	h.endJob(j, o, reason, now, out)
+}
+
 // Release ends the runs of a job that its caller has submitted to another member. over is false while a run may be alive, or
 // if the caller has submitted the job here again since.
 func (h *Home) Release(r contract.JobRelease) (released contract.JobReleased, over bool) {
--- a/batch/release_test.go
+++ b/batch/release_test.go
@@ -74,6 +74,64 @@
 	}
 }
 
+// Guards against a second run of a completed job in a chain of three homes: the result comes to the second one after the third
+// one has ended its job.
+func TestResultReachesTheThirdHome(t *testing.T) {
+	for outcome, released := range map[Outcome]contract.JobReleased{
+		Completed: {Completed: true}, Failed: {Failed: true},
+	} {
+		atHome(t, func(h *Home, out *recorder, submit func(contract.Batch) chan Answer) {
+			out.heard = time.Now().Add(time.Hour)
+			answer := submit(heldBatch(h))
+			third := contract.JobRelease{Job: testJobID, Home: "self/1", Requester: "third/1", Accepted: time.Now()}
+			_, over := h.Release(third)
+			require.False(t, over, "the runs of the first home may be alive")
+			require.Equal(t, Superseded, (<-answer).Outcome)
+			released.Job, released.Home, released.Wait = testJobID, earlierOwner, out.releases[0].Wait
+			h.Released(released)
+			forwarded, over := h.Release(third)
+			require.True(t, over)
+			require.Equal(t, contract.JobReleased{
+				Job: testJobID, Home: "self/1", Requester: "third/1", Completed: released.Completed, Failed: released.Failed,
+			}, forwarded)
+			require.Equal(t, outcome, (<-submit(testBatch(1, 5*time.Second))).Outcome, "submitted here again")
+			require.Empty(t, out.sentOrders())
+		})
+	}
+}
+
+// Guards against a second run of a completed job whose caller has left and returned while its home waited for the earlier one.
+func TestResultReachesACallerThatReturns(t *testing.T) {
+	atHome(t, func(h *Home, out *recorder, submit func(contract.Batch) chan Answer) {
+		out.heard = time.Now().Add(time.Hour)
+		ctx, leave := context.WithCancel(context.Background())
+		go h.Submit(ctx, heldBatch(h))
+		synctest.Wait()
+		leave()
+		synctest.Wait()
+		answer := submit(testBatch(1, 5*time.Second))
+		h.Released(contract.JobReleased{
+			Job: testJobID, Home: earlierOwner, Wait: out.releases[0].Wait, Completed: true,
+		})
+		require.Equal(t, Completed, (<-answer).Outcome)
+		require.Empty(t, out.sentOrders())
+	})
+}
+
+// Guards against a result that replaces the answer to a job which a caller has cancelled meanwhile.
+func TestResultOfEarlierHomeDoesNotUndoACancel(t *testing.T) {
+	atHome(t, func(h *Home, out *recorder, submit func(contract.Batch) chan Answer) {
+		out.heard = time.Now().Add(time.Hour)
+		answer := submit(heldBatch(h))
+		h.Cancel(testJobID)
+		require.Equal(t, Cancelled, (<-answer).Outcome)
+		h.Released(contract.JobReleased{
+			Job: testJobID, Home: earlierOwner, Wait: out.releases[0].Wait, Completed: true,
+		})
+		require.Equal(t, StateCancelled, h.State(testJobID))
+	})
+}
+
 // Guards against a job that waits for ever for a home that is gone, or starts while the runs of a silent home may be alive.
 func TestJobOfSilentHomeStartsWhenItsRunsAreOver(t *testing.T) {
 	atHome(t, func(h *Home, out *recorder, submit func(contract.Batch) chan Answer) {
