batch: end a job 0.8 s after the last proof of its caller, not when the proof is lost

A process that has replaced another one on its VM counts as out of contact until it has acknowledged a message. With two members, or if half of the others were replaced at once, the last known contact with a majority then dropped to none for a moment, and a tick in that moment ended all jobs older than 0.8 s with 504, also after a planned stop of the other member.

Messages about runs go on to echo no contact that is not proven at the time, so the runs end no later than before if the contact does not return.

--- a/batch/membership.go
+++ b/batch/membership.go
@@ -114,7 +114,7 @@
 // that is still there submits it again, and jobs accepted from then on depend on the members that are left. The lock of the
 // job's shard is held.
 func (h *Home) checkIsolation(j *job, now time.Time, out *outbox) {
-	since := now.Sub(out.provenAt(j))
+	since := now.Sub(j.provenUntil)
 	if j.state != jobActive || since <= isolationTimeout || h.pause.stalled(h.o.Now()) {
 		return
 	}
--- a/batch/membership_test.go
+++ b/batch/membership_test.go
@@ -109,6 +109,21 @@
 	})
 }
 
+// Guards against a job that ends although its caller was proven a moment ago: a member was replaced, and the process that stands in
+// for it has not acknowledged a message yet.
+func TestProofLostForAMomentEndsNoJob(t *testing.T) {
+	atHome(t, func(h *Home, out *recorder, submit func(contract.Batch) chan Answer) {
+		submit(testBatch(1, 5*time.Second))
+		reportRun(h, out.sentOrders()[0].Key, contract.RunStarted, true)
+		time.Sleep(time.Second)
+		out.setMajorityAt(time.Now().Add(-time.Hour))
+		time.Sleep(isolationTimeout / 2)
+		out.setMajorityAt(time.Time{})
+		time.Sleep(time.Second)
+		require.Empty(t, out.withdrawn())
+	})
+}
+
 // Guards against jobs that a slow process ends: it has not yet read the acknowledgements that have arrived meanwhile.
 func TestStalledHomeReadsAcknowledgementsFirst(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/edge/secondhome_test.go
+++ b/edge/secondhome_test.go
@@ -93,6 +93,28 @@
 	})
 }
 
+// Guards against jobs that end since a member was replaced as planned: the next process on its VM has acknowledged nothing yet.
+func TestPlannedReplacementEndsNoJob(t *testing.T) {
+	for _, gap := range []time.Duration{0, 50, 300, 750, 1000, 2000} {
+		withSecondHome(t, 2, 1, 8*time.Second, func(t *testing.T, d *deployment) {
+			answer := d.submit("edge-0-0", testJob(secondHomeJob, 1, 20*time.Second))
+			time.Sleep(time.Second)
+			stopDaemon(d, "edge-1-0")
+			time.Sleep(gap * time.Millisecond)
+			d.startDaemon(zoneName(1), "edge-1-0")
+			assert.Equal(t, batch.Completed, (<-answer).Outcome, "replaced after %d ms", gap)
+		})
+	}
+}
+
+// stopDaemon ends a daemon as planned.
+func stopDaemon(d *deployment, vm string) {
+	ctx, cancel := context.WithTimeout(context.Background(), testGrace)
+	defer cancel()
+	d.daemons[vm].Stop(ctx)
+	d.killDaemon(vm)
+}
+
 // Guards against a second run of a job that a home has completed with which the next home has no contact: the other members
 // pass neither the request nor the answer on.
 func TestResultIsReleasedThroughOtherMembers(t *testing.T) {
