--- a/batch/membership.go
+++ b/batch/membership.go
@@ -114,7 +114,7 @@
 // that is still there submits it again, and jobs accepted from then on depend on the members that are left. The lock of the
 // job's shard is held.
 func (h *Home) checkIsolation(j *job, now time.Time, out *outbox) {
-	since := now.Sub(out.provenAt(j))
+	since := now.Sub(j.provenUntil)
 	if j.state != jobActive || since <= isolationTimeout || h.pause.stalled(h.o.Now()) {
 		return
 	}
@@ -136,7 +136,8 @@
 	if lapse := proven.Sub(j.provenUntil); lapse > proofLapse {
 		h.o.Logger.Warn("caller of a job is proven again; ordering no run until other members have announced theirs",
 			"job", j.batch.ID, "lapse", lapse, "delay", reproofDelay)
-		j.ordersFrom, j.announcedAt = now.Add(reproofDelay), time.Time{}
+		// The process may have been paused since now was read.
+		j.ordersFrom, j.announcedAt = h.o.Now().Add(reproofDelay), time.Time{}
 	}
 	j.provenUntil = later(j.provenUntil, proven)
 }
--- a/batch/membership_test.go
+++ b/batch/membership_test.go
@@ -89,6 +89,60 @@
 	})
 }
 
+// Guards against an order after a lapse without the delay, by a tick that read the clock before the process was paused.
+func TestTickInterruptedByPauseDefersOrders(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		clock := &pausableClock{}
+		h, out := newTestHomeAt(clock.now)
+		defer h.Close()
+		go h.Submit(context.Background(), testBatch(1, 10*time.Second))
+		synctest.Wait()
+		key := out.sentOrders()[0].Key
+		reportRun(h, key, contract.RunStarted, true)
+		time.Sleep(tickInterval / 2)
+		before := clock.now()
+		clock.pause(2 * time.Second)
+		h.tick(before, false)
+		reportRun(h, key, contract.RunEnded, true)
+		time.Sleep(reproofDelay - tickInterval)
+		require.Len(t, out.sentOrders(), 1)
+	})
+}
+
+// Guards against a job that ends although its caller was proven a moment ago: a member was replaced, and the process that stands in
+// for it has not acknowledged a message yet.
+func TestProofLostForAMomentEndsNoJob(t *testing.T) {
+	atHome(t, func(h *Home, out *recorder, submit func(contract.Batch) chan Answer) {
+		submit(testBatch(1, 5*time.Second))
+		reportRun(h, out.sentOrders()[0].Key, contract.RunStarted, true)
+		time.Sleep(time.Second)
+		out.setMajorityAt(time.Now().Add(-time.Hour))
+		time.Sleep(isolationTimeout / 2)
+		out.setMajorityAt(time.Time{})
+		time.Sleep(time.Second)
+		require.Empty(t, out.withdrawn())
+	})
+}
+
+// Guards against jobs that a slow process ends: it has not yet read the acknowledgements that have arrived meanwhile.
+func TestStalledHomeReadsAcknowledgementsFirst(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		clock := &pausableClock{}
+		h, out := newTestHomeAt(clock.now)
+		defer h.Close()
+		go h.Submit(context.Background(), testBatch(1, 10*time.Second))
+		synctest.Wait()
+		reportRun(h, out.sentOrders()[0].Key, contract.RunStarted, true)
+		time.Sleep(time.Second + tickInterval/2)
+		out.setMajorityAt(clock.now())
+		clock.pause(isolationTimeout + contactSlack)
+		time.Sleep(2 * tickInterval)
+		out.setMajorityAt(clock.now())
+		time.Sleep(stallRecovery)
+		require.Empty(t, out.withdrawn())
+	})
+}
+
 // Guards against runs of a job that its home accepted alone, and keeps when it is cut off from members that had returned.
 func TestJobDependsOnMembersThatReturn(t *testing.T) {
 	atHome(t, func(h *Home, out *recorder, submit func(contract.Batch) chan Answer) {
