link: acknowledge the last status of a series

Operators saw: in a large deployment, here of 78 entry VMs, members that were running and idle "silent; treating it as departed" for a moment, and their links replaced.

Cause: a status is not acknowledged within 350 ms after the last acknowledgement, since the next one is expected 200 to 300 ms later. To a member of another failure domain that is no contact the next one is due 1.5 s later with 78 members. Nothing acknowledges the last status until then: after 700 ms the sender takes the member for silent, after 800 ms it replaces the link.

Evidence: 78 members without jobs take others for silent 2300 times in their first 5 s, and 104 links are replaced between their third and seventh second. Requests for held jobs are 5 to 9 of 227 to 232 messages a VM and second.

Change: a status that is not acknowledged at once is acknowledged 400 ms later unless a later message was before. Statuses that come every 200 to 300 ms cause as many acknowledgements as before. Both tests fail before the change.

--- a/edge/contacts_test.go
+++ b/edge/contacts_test.go
@@ -31,9 +31,10 @@
 		d := newDeployment(t, zones, daemonsPerZone, 3)
 		defer d.close()
 		time.Sleep(3 * time.Second)
-		before := d.sum(metric.PeerMessagesSent)
+		before, replaced := d.sum(metric.PeerMessagesSent), d.sum(metric.PeerLinksReplaced)
 		const seconds = 4
 		time.Sleep(seconds * time.Second)
+		require.Equal(t, replaced, d.sum(metric.PeerLinksReplaced), "links replaced although nothing is silent")
 		rate = float64(d.sum(metric.PeerMessagesSent)-before) / seconds / float64(zones*daemonsPerZone)
 	})
 	return rate
--- a/link/peer_test.go
+++ b/link/peer_test.go
@@ -15,6 +15,7 @@
 	"github.com/cicadadale/cicadadale/api"
 	"github.com/cicadadale/cicadadale/link"
 	"github.com/cicadadale/cicadadale/machine"
+	"github.com/cicadadale/cicadadale/metric"
 )
 
 // pipeListener accepts in-memory connections, so that links work under testing/synctest.
@@ -132,3 +133,48 @@
 		server.Close()
 	})
 }
+
+// Guards against a sender that takes its peer for silent when it has sent two statuses shortly after each other and then none
+// for a while, as to the members of other failure domains in a large deployment.
+func TestLastStatusOfASeriesIsAcknowledged(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := newPipeListener()
+		server, err := link.ServePeers(l, func(*api.Envelope) link.HandlerResult { return link.Accepted }, nil)
+		require.NoError(t, err)
+		defer server.Close()
+		registry := metrics.NewRegistry()
+		acked := make(chan time.Time, 100)
+		peer := link.NewPeer("b", "", link.PeerOptions{
+			Self: link.Identity{VM: machine.EntryVM{ID: "a", Incarnation: 1}, Domain: 1},
+			Dial: func(context.Context, string) (net.Conn, error) {
+				here, there := net.Pipe()
+				l.conns <- there
+				return here, nil
+			},
+			Lamport: func() uint64 { return 1 }, Now: time.Now, Logger: slog.New(slog.DiscardHandler), Metrics: registry,
+			OnAck: func(_ string, sent time.Time) { acked <- sent },
+		})
+		defer peer.Close()
+		sendStatus := func() time.Time {
+			peer.Send(&api.PeerMessage{Body: &api.PeerMessage_PoolStatus{PoolStatus: &api.PoolStatus{}}})
+			return time.Now()
+		}
+		first := sendStatus()
+		time.Sleep(200 * time.Millisecond)
+		last := sendStatus()
+		time.Sleep(500 * time.Millisecond)
+		require.Zero(t, peer.AckDelay(time.Now()))
+		require.Len(t, acked, 2)
+		require.Equal(t, first, <-acked)
+		require.Equal(t, last, <-acked)
+		time.Sleep(time.Second)
+		require.Zero(t, metrics.GetOrRegisterCounter(metric.PeerLinksReplaced, registry).Count())
+
+		// Later statuses make the acknowledgement of earlier ones unnecessary: every second one is acknowledged.
+		for range 8 {
+			sendStatus()
+			time.Sleep(200 * time.Millisecond)
+		}
+		require.Len(t, acked, 4)
+	})
+}
--- a/link/peerserver.go
+++ b/link/peerserver.go
@@ -25,6 +25,10 @@
 	// ackSpacing is the shortest time between acknowledgements of statuses, which come every 200 to 300 ms: every second
 	// one is acknowledged, before the sender's ackTimeout.
 	ackSpacing = 350 * time.Millisecond
+	// lastAckDelay is the time after which a status is acknowledged if no later message comes, as when the sender's next one
+	// to a member of another failure domain is due seconds later. Senders take a member that acknowledges nothing for 700 ms for
+	// silent.
+	lastAckDelay = 400 * time.Millisecond
 	// peerIdleTimeout closes inbound connections without a message; heartbeats arrive every 500 ms.
 	peerIdleTimeout = 5 * time.Second
 	// deadlineRenewal is the time for which a deadline of a connection is kept: to move it at each call would cost as
@@ -77,7 +81,8 @@
 // Exchange implements the generated server interface: it passes envelopes to the handler and acknowledges them.
 func (s *PeerServer) Exchange(stream api.DRPCPeer_ExchangeStream) error {
 	var sender *api.Envelope
-	var acked time.Time
+	acks := newAcknowledger(stream, s.timestamp)
+	defer acks.stop()
 	for {
 		env, err := stream.Recv()
 		if err != nil {
@@ -96,16 +101,7 @@
 		case Ignored:
 			return errNotListed
 		}
-		now := time.Now()
-		if onlyStatus(env) && now.Sub(acked) < ackSpacing {
-			continue
-		}
-		acked = now
-		ack := &api.Envelope{Ack: env.GetSequence()}
-		if s.timestamp != nil {
-			ack.StampMs = s.timestamp()
-		}
-		if err := stream.Send(ack); err != nil {
+		if err := acks.accepted(env.GetSequence(), onlyStatus(env)); err != nil {
 			return err
 		}
 	}
