pool: keep no end under an earlier token of a run that is found again

Callers would see: a job that ends only at its time limit.

Cause: a pool keeps that a run is over when its home has acknowledged the end. If it acquires the worker again later and the worker still lists the end, it holds the outcome under the new token and names the run in its takeover, but kept the earlier record too. The home acknowledges reports that it ignores, each time that they arrive. An acknowledgement of the first report that arrives now drops the new outcome, and the earlier record answers the claim and each refresh, with an end under a token that the home ignores.

Change: the earlier record is dropped when the end is found on an acquired worker, and the acknowledgement of an end found so leaves a record with the new token. TestLateAcknowledgementLeavesNoEndOfEarlierOwnership fails before the change (token one lower than the claim).

--- a/pool/ownership.go
+++ b/pool/ownership.go
@@ -190,8 +190,10 @@
 		}
 		p.o.Logger.Info("end of a run found on an acquired worker", "task", e.Key.String(), "worker", h.address.Worker,
 			"state", e.State.String(), "token", h.host.Token, "worker_start", h.host.StartTime)
+		// What was reported under an earlier token would be repeated once the outcome is acknowledged.
+		delete(p.barredRuns, e.Key)
 		p.runs[e.Key] = &run{
-			order: contract.TaskOrder{Key: e.Key}, state: runFinal, endedAt: now,
+			order: contract.TaskOrder{Key: e.Key}, state: runFinal, endedAt: now, mayHaveRun: true,
 			outcome: contract.RunReport{Key: e.Key, State: e.State, Worker: h.address.Worker, Token: h.host.Token,
 				MayHaveStarted: true},
 		}
--- a/pool/ownership_test.go
+++ b/pool/ownership_test.go
@@ -165,6 +165,36 @@
 	})
 }
 
+// Guards against a job that never ends: the pool has reported a run as over, finds its end at the next acquisition, and an
+// acknowledgement of the first report arrives again before the claim.
+func TestLateAcknowledgementLeavesNoEndOfEarlierOwnership(t *testing.T) {
+	for _, listed := range []contract.RunState{contract.RunEnded, contract.RunDone} {
+		synctest.Test(t, func(t *testing.T) {
+			f := newFixture(1)
+			defer f.pool.Close()
+			key := f.order("ended", 500, 0, time.Second, 20*time.Second)
+			time.Sleep(50 * time.Millisecond)
+			f.pool.Withdraw(testHome, []contract.RunKey{key})
+			time.Sleep(50 * time.Millisecond)
+			f.pool.Acknowledge([]contract.RunKey{key})
+			claim := f.ownedToken() + 1
+			f.pool.mu.Lock()
+			var fx effects
+			host := f.pool.hosts["w0"]
+			f.pool.own(host, claim, link.PollReply{
+				HostReply: link.HostReply{StartTime: host.host.StartTime, Clock: host.host.ClockAt(time.Now())},
+				Ended:     []link.EndedRun{{Number: 1, Key: key, State: listed}},
+			}, time.Now(), &fx)
+			f.pool.mu.Unlock()
+			f.pool.Acknowledge([]contract.RunKey{key})
+			f.pool.Order(testHome, contract.TaskOrder{Key: key, Backend: "s", Claim: true, ClaimToken: claim}, time.Now())
+			if f.state(key) != contract.RunLost {
+				require.Equal(t, claim, f.token(key), "token of %s", f.state(key))
+			}
+		})
+	}
+}
+
 // Guards against a lease that is extended for a claim that was made of an earlier ownership.
 func TestClaimOfEarlierOwnershipExtendsNoLease(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
