batch: withdraw the found run of an ended job until it is over

Callers would see: a run of a cancelled job goes on to its end; a job that was submitted to another member waits for it there.

Cause: a job ends while its run is lost, since its owner is unreachable. The run is not marked as withdrawn then. When the owner reports it again, the home withdraws it once and holds it as placed. If that message is lost, the home refreshes the run each 200 ms as if it were wanted.

Found by reading.

Change: such a run is marked as withdrawn, so that the withdrawal is repeated instead of a refresh. TestFoundRunOfEndedJobIsWithdrawnAgain fails before the change (one withdrawal in a second).

--- a/batch/advance.go
+++ b/batch/advance.go
@@ -267,6 +267,8 @@
 	t.state, t.owner, t.started, t.worker, t.token, t.unknownOrders = taskPlaced, owner, true, r.Worker, r.Token, 0
 	t.infeasibleRounds = 0
 	if j.state != jobActive {
+		// The run may have been lost when the job ended.
+		t.withdrawn = true
 		out.withdraw(j.poolRef(t), r.Key)
 	}
 }
