batch: end no run at a takeover that names another run of its task

Callers could see: a task with two runs at the same time.

Cause: a worker restarts, and a start of an earlier run, delivered late, is executed by its new incarnation before the owner has acquired that. The owner then stops the earlier run and does not report the present one as ended before that is over (endPreviousIncarnation, reconcileRuns). But its takeover names only the earlier run, from which the home concluded that the present one is over, and ordered the next one at once.

Found by reading.

Change: a takeover that names any run of a task ends no run of it. The report of the owner, the loss of the run or its expiry do. TestTakeoverWithAnotherRunOfTheTaskEndsNone fails before the change (second order at the takeover).

--- a/batch/advance.go
+++ b/batch/advance.go
@@ -320,7 +320,8 @@
 }
 
 // Takeover records that an owner has acquired a worker with some runs on it. The home claims its runs from the new
-// owner. A run that was started there under the previous owner and is not found has ended.
+// owner. A run that was started there under the previous owner and is not found has ended, unless another run of the task is:
+// a start that was executed late, which the new owner stops before it reports the end.
 func (h *Home) Takeover(owner string, t contract.Takeover) {
 	now := h.o.Now()
 	out := h.newOutbox()
@@ -337,6 +338,11 @@
 	out.send()
 }
 
+// namesTask reports whether a takeover names any run of a task.
+func namesTask(t contract.Takeover, key contract.RunKey) bool {
+	return slices.ContainsFunc(t.Runs, func(k contract.RunKey) bool { return k.Task() == key.Task() })
+}
+
 func (h *Home) applyTakeover(j *job, owner string, takeover contract.Takeover, now time.Time, out *outbox) {
 	for i := range j.tasks {
 		t := &j.tasks[i]
@@ -356,7 +362,7 @@
 			order := j.order(t)
 			order.Claim, order.ClaimToken = true, takeover.Token
 			out.order(j, t, order)
-		case !found && t.started && t.worker == takeover.Worker && takeover.Token > t.token:
+		case t.started && t.worker == takeover.Worker && takeover.Token > t.token && !namesTask(takeover, key):
 			h.recordEnd(j, t, proofTakeover, owner, takeover.Token, true)
 			h.unplace(t, true)
 		}
