batch: hold no run as placed at an owner that is gone

Callers could see: a job that ends only at its time limit. Its home would hold it for ever, and count it as active.

Cause: the departure of an owner marks its runs as lost once. Links handle messages on other goroutines: a report or takeover of that owner which passed the check of its sender before the departure is handled after it, and places the run at that owner again. A process that is gone or has been replaced is not marked as departed again, and messages to it are dropped.

Found by reading; a race of two goroutines, not reproduced between daemons.

Change: a run that is placed at an owner of which nothing has arrived for 5 s is marked as lost, and so over, as the last contact that was echoed for it is older than its lease.

--- a/batch/advance.go
+++ b/batch/advance.go
@@ -17,6 +17,10 @@
 	// unknownProofWindow is the time after an order within which an owner that does not know the run proves that it has
 	// not run. Owners keep the outcomes of runs for 10 s.
 	unknownProofWindow = 5 * time.Second
+	// ownerSilence is the time without a message of an owner after which no run is held as placed there. Members count as
+	// departed long before, and their runs as lost. A report or a takeover that is handled at that moment places a run at a
+	// process that will not be heard again.
+	ownerSilence = 5 * time.Second
 )
 
 // advance places tasks that are ready, moves queued tasks to owners with free capacity, and answers a job that has
@@ -50,6 +54,10 @@
 
 // advanceTask places, moves or expires one task, as its state and the time require.
 func (h *Home) advanceTask(j *job, t *task, now time.Time, out *outbox) {
+	if t.state == taskPlaced && out.ownerIsGone(t, now) {
+		h.o.Logger.Warn("owner of a run is gone; the run is in doubt", "task", j.key(t).String(), "owner", t.owner)
+		h.markLost(t)
+	}
 	if t.state == taskLost && !now.Before(t.expiresAt) {
 		h.o.Logger.Info("lease of a lost run has expired; treating the run as ended", "task", j.key(t).String(),
 			"owner", t.owner, "worker", t.worker, "token", t.token, "since_contact", now.Sub(t.contactAt))
@@ -71,6 +79,12 @@
 	}
 }
 
+// ownerIsGone reports whether a task is placed at an owner of which no message has arrived for ownerSilence.
+func (o *outbox) ownerIsGone(t *task, now time.Time) bool {
+	return now.Sub(t.contactAt) > ownerSilence && now.Sub(t.placedAt) > ownerSilence &&
+		now.Sub(o.contact(t.owner, now).ReceivedAt) > ownerSilence
+}
+
 // shouldMove decides whether a task that is queued at its owner moves to another one with free capacity. A task that runs
 // alone stays: free capacity says nothing about empty workers, and its owner is emptying one for it.
 func (h *Home) shouldMove(j *job, t *task, now time.Time) bool {
--- a/batch/lostrun_test.go
+++ b/batch/lostrun_test.go
@@ -11,12 +11,13 @@
 	"github.com/cicadadale/cicadadale/contract"
 )
 
-// withLostRun lets f act after the owner of a job's only run has become unreachable.
+// withLostRun lets f act after the owner of a job's only run has become unreachable. No message of it arrives any more.
 func withLostRun(t *testing.T, f func(h *Home, out *recorder, run contract.RunKey)) {
 	t.Helper()
 	synctest.Test(t, func(*testing.T) {
 		h, out := newTestHome()
 		defer h.Close()
+		out.contact = &Contact{Timestamp: 1, ReceivedAt: time.Now()}
 		ctx, cancel := context.WithCancel(context.Background())
 		defer cancel()
 		go h.Submit(ctx, testBatch(1, time.Minute))
@@ -59,3 +60,18 @@
 	})
 	require.Equal(t, Completed, answer.Outcome)
 }
+
+// Guards against a run that is placed for ever at a process that is gone: a report that had arrived before is handled after
+// the departure of its owner.
+func TestRunIsNotHeldAtAnOwnerThatIsGone(t *testing.T) {
+	withLostRun(t, func(h *Home, out *recorder, run contract.RunKey) {
+		reportRun(h, run, contract.RunStarted, true)
+		time.Sleep(2 * time.Second)
+		require.Len(t, out.sentOrders(), 1, "orders while messages of the owner may only be late")
+		time.Sleep(ownerSilence)
+		require.Greater(t, len(out.sentOrders()), 1)
+		h.Cancel(run.Batch)
+		time.Sleep(2 * ownerSilence)
+		require.Zero(t, h.Active(), "jobs that have not ended")
+	})
+}
