--- a/batch/advance.go
+++ b/batch/advance.go
@@ -17,6 +17,10 @@
 	// unknownProofWindow is the time after an order within which an owner that does not know the run proves that it has
 	// not run. Owners keep the outcomes of runs for 10 s.
 	unknownProofWindow = 5 * time.Second
+	// ownerSilence is the time without a message of an owner after which no run is held as placed there. Members count as
+	// departed long before, and their runs as lost. A report or a takeover that is handled at that moment places a run at a
+	// process that will not be heard again.
+	ownerSilence = 5 * time.Second
 )
 
 // advance places tasks that are ready, moves queued tasks to owners with free capacity, and answers a job that has
@@ -50,6 +54,10 @@
 
 // advanceTask places, moves or expires one task, as its state and the time require.
 func (h *Home) advanceTask(j *job, t *task, now time.Time, out *outbox) {
+	if t.state == taskPlaced && out.ownerIsGone(t, now) {
+		h.o.Logger.Warn("owner of a run is gone; the run is in doubt", "task", j.key(t).String(), "owner", t.owner)
+		h.markLost(t)
+	}
 	if t.state == taskLost && !now.Before(t.expiresAt) {
 		h.o.Logger.Info("lease of a lost run has expired; treating the run as ended", "task", j.key(t).String(),
 			"owner", t.owner, "worker", t.worker, "token", t.token, "since_contact", now.Sub(t.contactAt))
@@ -71,6 +79,12 @@
 	}
 }
 
+// ownerIsGone reports whether a task is placed at an owner of which no message has arrived for ownerSilence.
+func (o *outbox) ownerIsGone(t *task, now time.Time) bool {
+	return now.Sub(t.contactAt) > ownerSilence && now.Sub(t.placedAt) > ownerSilence &&
+		now.Sub(o.contact(t.owner, now).ReceivedAt) > ownerSilence
+}
+
 // shouldMove decides whether a task that is queued at its owner moves to another one with free capacity. A task that runs
 // alone stays: free capacity says nothing about empty workers, and its owner is emptying one for it.
 func (h *Home) shouldMove(j *job, t *task, now time.Time) bool {
@@ -267,6 +281,8 @@
 	t.state, t.owner, t.started, t.worker, t.token, t.unknownOrders = taskPlaced, owner, true, r.Worker, r.Token, 0
 	t.infeasibleRounds = 0
 	if j.state != jobActive {
+		// The run may have been lost when the job ended.
+		t.withdrawn = true
 		out.withdraw(j.poolRef(t), r.Key)
 	}
 }
@@ -318,7 +334,8 @@
 }
 
 // Takeover records that an owner has acquired a worker with some runs on it. The home claims its runs from the new
-// owner. A run that was started there under the previous owner and is not found has ended.
+// owner. A run that was started there under the previous owner and is not found has ended, unless another run of the task is:
+// a start that was executed late, which the new owner stops before it reports the end.
 func (h *Home) Takeover(owner string, t contract.Takeover) {
 	now := h.o.Now()
 	out := h.newOutbox()
@@ -335,6 +352,11 @@
 	out.send()
 }
 
+// namesTask reports whether a takeover names any run of a task.
+func namesTask(t contract.Takeover, key contract.RunKey) bool {
+	return slices.ContainsFunc(t.Runs, func(k contract.RunKey) bool { return k.Task() == key.Task() })
+}
+
 func (h *Home) applyTakeover(j *job, owner string, takeover contract.Takeover, now time.Time, out *outbox) {
 	for i := range j.tasks {
 		t := &j.tasks[i]
@@ -354,7 +376,7 @@
 			order := j.order(t)
 			order.Claim, order.ClaimToken = true, takeover.Token
 			out.order(j, t, order)
-		case !found && t.started && t.worker == takeover.Worker && takeover.Token > t.token:
+		case t.started && t.worker == takeover.Worker && takeover.Token > t.token && !namesTask(takeover, key):
 			h.recordEnd(j, t, proofTakeover, owner, takeover.Token, true)
 			h.unplace(t, true)
 		}
