edge: shrink the tests' workers once all owners have read the entry

Cause: TestShrunkWorkerIsNotOverfilledAfterItsOwnerDies failed in 30 of 800 runs. In the 14 failures of 400 runs that were traced to the decision, every excess start was sent at the instant at which the test shrinks the worker and its entry, and decided on the earlier entry (before the owner applied the new one). No owner can know of the smaller capacity then.

Change: setCapacity publishes a smaller entry first and shrinks the worker when all goroutines wait, at the same virtual time: the store wakes its readers at the change and messages take no time, so every owner has read the entry. The check stays at zero, without an exception for any start after that.

--- a/edge/capacity_test.go
+++ b/edge/capacity_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"slices"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/require"
@@ -14,20 +15,33 @@
 	"github.com/cicadadale/cicadadale/standin"
 )
 
-// setCapacity changes the capacity of some workers, and lists it.
+// setCapacity changes the capacity of some workers, and lists it. No owner can know a smaller capacity before it has read
+// the entry, so a worker shrinks once all have. The store wakes its readers at the change, and no message takes time: all of
+// that is done when every goroutine waits, before the time of the test moves on.
 func (d *deployment) setCapacity(cpu int, workers ...string) {
 	capacity := machine.Resources{CPUMillis: cpu, MemoryMB: 131_072}
+	for _, id := range workers {
+		d.hosts[id].SetCapacity(capacity.Max(d.listedCapacity(id)))
+	}
 	d.store.update(func() {
 		for i := range d.store.workers {
-			l := &d.store.workers[i]
-			for _, id := range workers {
-				if l.Worker == id {
-					l.Capacity = capacity
-					d.hosts[id].SetCapacity(capacity)
-				}
+			if l := &d.store.workers[i]; slices.Contains(workers, l.Worker) {
+				l.Capacity = capacity
 			}
 		}
 	})
+	synctest.Wait()
+	for _, id := range workers {
+		d.hosts[id].SetCapacity(capacity)
+	}
+}
+
+// listedCapacity returns the capacity in a worker's entry.
+func (d *deployment) listedCapacity(worker string) machine.Resources {
+	d.store.mu.Lock()
+	defer d.store.mu.Unlock()
+	i := slices.IndexFunc(d.store.workers, func(l machine.Listing) bool { return l.Worker == worker })
+	return d.store.workers[i].Capacity
 }
 
 // Guards against a job that is answered as failed, as one that no worker can ever hold, because the capacity of all
