edge: date announcements of held jobs by their sending

Callers saw: a job that its home ends ("submitted to another member") although its caller has returned to it and waits there.

Cause: an announcement carries the age of a job, and its receiver counted that from the arrival. One that a cut has delayed by seconds made the submission at the other member, which had been abandoned meanwhile, appear to be later than the caller's return. A member that passes an announcement on passed the old age on too.

Change: an announcement carries its sender's timestamp, as a status does. What is passed on carries the age at that time.

--- a/edge/announcedjobs.go
+++ b/edge/announcedjobs.go
@@ -24,14 +24,14 @@
 }
 
 // take returns the announcements for the recipients of a status, nil for none.
-func (a *announcedJobs) take(to statusRecipients, now time.Time) (held heldMessages) {
+func (a *announcedJobs) take(to statusRecipients, now time.Time, timestamp uint64) (held heldMessages) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if len(a.near) > 0 && (to.near || to.all) {
-		held.near, a.near = encodeHeldJobs("", a.near, now), nil
+		held.near, a.near = encodeHeldJobs("", a.near, now, timestamp), nil
 	}
 	if len(a.far) > 0 && (to.contacts || to.all) {
-		held.far, a.far = encodeHeldJobs("", a.far, now), nil
+		held.far, a.far = encodeHeldJobs("", a.far, now, timestamp), nil
 	}
 	return held
 }
--- a/edge/heldjobs.go
+++ b/edge/heldjobs.go
@@ -31,7 +31,7 @@
 // AnnounceHeld implements batch.Membership.
 func (s membership) AnnounceHeld(jobs []contract.HeldJob) {
 	s.d.toAnnounce.add(jobs)
-	s.d.members.BroadcastOthers(encodeHeldJobs("", jobs, s.d.o.Now()))
+	s.d.members.BroadcastOthers(s.d.encodeHeldJobs("", jobs))
 }
 
 // LastHeard implements batch.Membership.
@@ -119,22 +119,19 @@
 func (d *Daemon) handleHeldJobs(id string, m *api.HeldJobs) {
 	now := d.o.Now()
 	home := m.GetHome()
+	if home == d.self {
+		return
+	}
+	var requesters []string
 	if home == "" {
 		home = id
-		for _, requester := range d.relays.requesters(home, now) {
-			d.members.Send(requester, &api.PeerMessage{Body: &api.PeerMessage_HeldJobs{
-				HeldJobs: &api.HeldJobs{Home: home, Jobs: m.GetJobs()},
-			}})
-		}
+		requesters = d.relays.requesters(home, now)
 	}
-	if home == d.self {
-		return
+	jobs := decodeHeldJobs(home, m, now, d.members.SentAt(id, m.GetStampMs(), now))
+	for _, requester := range requesters {
+		d.members.Send(requester, d.encodeHeldJobs(home, jobs))
 	}
-	for _, held := range m.GetJobs() {
-		if id := held.GetJob(); id == "" || len(id) > maxJobID {
-			continue
-		}
-		h := decodeHeldJob(home, held, now)
+	for _, h := range jobs {
 		d.held.Record(h)
 		d.home.HeldElsewhere(h)
 	}
@@ -160,7 +157,7 @@
 		}
 		d.relays.add(home, id, now)
 		if jobs := d.held.HeldBy(home); len(jobs) > 0 {
-			d.members.Send(id, encodeHeldJobs(home, jobs, now))
+			d.members.Send(id, d.encodeHeldJobs(home, jobs))
 		}
 	}
 }
@@ -171,7 +168,7 @@
 	if len(jobs) == 0 {
 		return nil
 	}
-	return []*api.PeerMessage{encodeHeldJobs("", jobs, d.o.Now())}
+	return []*api.PeerMessage{d.encodeHeldJobs("", jobs)}
 }
 
 // repeatHeldList announces all jobs again to a live member.
@@ -181,16 +178,30 @@
 	}
 }
 
+func (d *Daemon) encodeHeldJobs(home string, jobs []contract.HeldJob) *api.PeerMessage {
+	now := d.o.Now()
+	return encodeHeldJobs(home, jobs, now, d.timestamp(now))
+}
+
 // encodeHeldJobs converts times to ages, since the clocks of two VMs differ.
-func encodeHeldJobs(home string, jobs []contract.HeldJob, now time.Time) *api.PeerMessage {
-	list := &api.HeldJobs{Home: home}
+func encodeHeldJobs(home string, jobs []contract.HeldJob, now time.Time, timestamp uint64) *api.PeerMessage {
+	list := &api.HeldJobs{Home: home, StampMs: timestamp}
 	for _, j := range jobs {
 		list.Jobs = append(list.Jobs, &api.HeldJob{Job: j.Job, AgeMs: clampMillis(now.Sub(j.Accepted))})
 	}
 	return &api.PeerMessage{Body: &api.PeerMessage_HeldJobs{HeldJobs: list}}
 }
 
-func decodeHeldJob(home string, m *api.HeldJob, now time.Time) contract.HeldJob {
-	age := min(time.Duration(m.GetAgeMs())*time.Millisecond, maxHeldAge)
-	return contract.HeldJob{Job: m.GetJob(), Home: home, Accepted: now.Add(-age), HeardAt: now}
+// decodeHeldJobs returns the valid jobs of an announcement that was sent at a time. If the time of a delayed one were that of its
+// arrival, the home to which the caller has returned meanwhile would end the job.
+func decodeHeldJobs(home string, m *api.HeldJobs, now, sent time.Time) []contract.HeldJob {
+	var jobs []contract.HeldJob
+	for _, held := range m.GetJobs() {
+		if id := held.GetJob(); id == "" || len(id) > maxJobID {
+			continue
+		}
+		age := min(time.Duration(held.GetAgeMs())*time.Millisecond, maxHeldAge)
+		jobs = append(jobs, contract.HeldJob{Job: held.GetJob(), Home: home, Accepted: sent.Add(-age), HeardAt: now})
+	}
+	return jobs
 }
--- a/edge/member.go
+++ b/edge/member.go
@@ -30,6 +30,7 @@
 	// newest is the member's newest timestamp, samples some of the last ones, the oldest first.
 	newest  batch.Contact
 	samples []batch.Contact
+	clock   memberClock
 	// ackedAt is when the newest message was sent that the member has acknowledged.
 	ackedAt time.Time
 	// partner is set for a member whose statuses this process needs. usedAt is when it last sent an order or refresh to
--- a/edge/membercontact.go
+++ b/edge/membercontact.go
@@ -31,6 +31,7 @@
 		return
 	}
 	m.newest = batch.Contact{Timestamp: timestamp, ReceivedAt: now}
+	m.clock.record(timestamp, now)
 	if n := len(m.samples); n > 0 && now.Sub(m.samples[n-1].ReceivedAt) < contactSampleSpacing {
 		return
 	}
--- a/edge/members.go
+++ b/edge/members.go
@@ -72,7 +72,7 @@
 		known.peer = m.dial(info)
 		known.info, known.id, known.live, known.lastContact, known.ownsNothing, known.newest =
 			info, info.ID(), false, time.Time{}, true, batch.Contact{}
-		known.leaving, known.samples, known.ackedAt = false, nil, time.Time{}
+		known.leaving, known.samples, known.ackedAt, known.clock = false, nil, time.Time{}, memberClock{}
 	} else {
 		m.byVM[info.VM] = &member{info: info, id: info.ID(), peer: m.dial(info), ownsNothing: true}
 	}
--- a/edge/messages.go
+++ b/edge/messages.go
@@ -150,7 +150,7 @@
 	for backend, capacity := range capacities {
 		status.Rooms = append(status.Rooms, encodeCapacity(backend, capacity))
 	}
-	contacts := d.members.SendStatus(status, d.toAnnounce.take(to, now), to, now)
+	contacts := d.members.SendStatus(status, d.toAnnounce.take(to, now, status.GetStampMs()), to, now)
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.contacts = contacts
