edge: date requests for a release that another member passes on

Callers saw: a job that its home ends ("submitted to another member") although its caller has returned to it and waits there.

Cause: a member that cannot reach the home sends its request to the others as well, and the one that passes it on put its own newest timestamp of the home into it. The age of the submission stayed that of the sending. A request that was delayed on the first link by seconds was dated as if it had been sent just now: later than the caller's return.

Evidence: with requests delayed for 2.2 s, the home took the other submission for 0.9 s to 1.2 s later than its own, which was 1.3 s later than that.

Change: a request echoes the timestamp of the member that it is sent to, which adds the time since then to the age.

--- a/edge/heldjobs.go
+++ b/edge/heldjobs.go
@@ -51,14 +51,13 @@
 func (s membership) Release(r contract.JobRelease, repeated bool) {
 	d := s.d
 	r.Requester = d.self
-	m := d.encodeRelease(r)
-	d.members.Send(r.Home, m)
+	d.members.Send(r.Home, d.encodeRelease(r, r.Home))
 	if !repeated {
 		return
 	}
 	for _, id := range d.members.Live() {
 		if id != r.Home {
-			d.members.Send(id, m)
+			d.members.Send(id, d.encodeRelease(r, id))
 		}
 	}
 }
@@ -68,8 +67,7 @@
 func (d *Daemon) handleRelease(id string, m *api.JobRelease) {
 	if m.GetHome() != d.self {
 		if id == m.GetRequester() {
-			m.StampMs = d.members.LastContact(m.GetHome(), d.o.Now()).Timestamp
-			d.members.Send(m.GetHome(), &api.PeerMessage{Body: &api.PeerMessage_JobRelease{JobRelease: m}})
+			d.forwardRelease(m)
 		}
 		return
 	}
@@ -78,6 +76,18 @@
 	}
 }
 
+// forwardRelease passes a request on to the job's home. The request may have been delayed on its way here, so the time since
+// the timestamp that it echoes is added to the age of the requester's job: an older one ends no job that was submitted since.
+func (d *Daemon) forwardRelease(m *api.JobRelease) {
+	now, sent := d.o.Now(), d.sentAt(m.GetStampMs())
+	if sent.IsZero() {
+		return
+	}
+	m.AgeMs = clampMillis(jobAge(m.GetAgeMs()) + now.Sub(sent))
+	m.StampMs = d.members.LastContact(m.GetHome(), now).Timestamp
+	d.members.Send(m.GetHome(), &api.PeerMessage{Body: &api.PeerMessage_JobRelease{JobRelease: m}})
+}
+
 // handleReleased passes the answer to a request for a release to the home, or forwards it to the requester.
 func (d *Daemon) handleReleased(id string, m *api.JobReleased) {
 	switch {
@@ -91,20 +101,20 @@
 	}
 }
 
-func (d *Daemon) encodeRelease(r contract.JobRelease) *api.PeerMessage {
+// encodeRelease encodes a request that is sent to a member, whose timestamp it echoes.
+func (d *Daemon) encodeRelease(r contract.JobRelease, to string) *api.PeerMessage {
 	now := d.o.Now()
 	return &api.PeerMessage{Body: &api.PeerMessage_JobRelease{JobRelease: &api.JobRelease{
 		Job: r.Job, Home: r.Home, Requester: r.Requester, AgeMs: clampMillis(now.Sub(r.Accepted)), Wait: r.Wait,
-		StampMs: d.members.LastContact(r.Home, now).Timestamp,
+		StampMs: d.members.LastContact(to, now).Timestamp,
 	}}}
 }
 
 // decodeRelease dates the request by the timestamp that it echoes, since it may have been delayed.
 func (d *Daemon) decodeRelease(m *api.JobRelease) contract.JobRelease {
-	age := min(time.Duration(m.GetAgeMs())*time.Millisecond, maxHeldAge)
 	return contract.JobRelease{
 		Job: m.GetJob(), Home: m.GetHome(), Requester: m.GetRequester(), Wait: m.GetWait(),
-		Accepted: d.sentAt(m.GetStampMs()).Add(-age),
+		Accepted: d.sentAt(m.GetStampMs()).Add(-jobAge(m.GetAgeMs())),
 	}
 }
 
@@ -200,8 +210,12 @@
 		if id := held.GetJob(); id == "" || len(id) > maxJobID {
 			continue
 		}
-		age := min(time.Duration(held.GetAgeMs())*time.Millisecond, maxHeldAge)
-		jobs = append(jobs, contract.HeldJob{Job: held.GetJob(), Home: home, Accepted: sent.Add(-age), HeardAt: now})
+		jobs = append(jobs, contract.HeldJob{Job: held.GetJob(), Home: home, Accepted: sent.Add(-jobAge(held.GetAgeMs())), HeardAt: now})
 	}
 	return jobs
 }
+
+// jobAge returns the age of a job in a message.
+func jobAge(millis uint32) time.Duration {
+	return min(time.Duration(millis)*time.Millisecond, maxHeldAge)
+}
--- a/edge/secondhome_test.go
+++ b/edge/secondhome_test.go
@@ -192,3 +192,20 @@
 		})
 	}
 }
+
+// Guards against a job of a live caller that a request ends which was delayed on its way to the member that passes it on.
+func TestDelayedRequestThatIsPassedOnEndsNoJob(t *testing.T) {
+	withSecondHome(t, 2, 2, 6*time.Second, func(t *testing.T, d *deployment) {
+		d.submit("edge-0-0", testJob(secondHomeJob, 1, 14*time.Second))
+		time.Sleep(500*time.Millisecond + resendDelay - 20*time.Millisecond)
+		d.net.setCut(betweenMembers(func(from, to string) bool { return from == "edge-1-0" && to == "edge-0-0" }))
+		d.net.setDelayed(func(from, to string) bool { return from == "edge-1-0" && isMember(to) })
+		time.Sleep(20 * time.Millisecond)
+		d.submit("edge-1-0", testJob(secondHomeJob, 1, 14*time.Second))
+		time.Sleep(resendDelay)
+		back := d.submit("edge-0-0", testJob(secondHomeJob, 1, 14*time.Second))
+		time.Sleep(900 * time.Millisecond)
+		d.net.setDelayed(nil)
+		assert.Equal(t, batch.Completed, (<-back).Outcome)
+	})
+}
