--- a/batch/advance.go
+++ b/batch/advance.go
@@ -27,7 +27,7 @@
 // ended. The lock of the job's shard is held.
 func (h *Home) advance(j *job, now time.Time, out *outbox) {
 	h.checkRelease(j, now, out)
-	h.checkProof(j, now, out)
+	h.checkProof(j, out)
 	if j.state == jobActive {
 		h.checkDeadline(j, now, out)
 		h.checkIsolation(j, now, out)
--- a/batch/membership.go
+++ b/batch/membership.go
@@ -127,7 +127,7 @@
 // checkProof extends the electorate of a job by the members that have returned. It defers the orders of a job whose caller is
 // proven again after a lapse, as after a pause of the process, and has the job announced at once. The lock of the job's shard
 // is held.
-func (h *Home) checkProof(j *job, now time.Time, out *outbox) {
+func (h *Home) checkProof(j *job, out *outbox) {
 	if current := out.currentElectorate(); current != j.electorate && current.Includes(j.electorate) {
 		// The caller of a job that was accepted while members were out of contact may turn to them from now on.
 		j.electorate = current
