--- a/batch/convergence_test.go
+++ b/batch/convergence_test.go
@@ -270,7 +270,7 @@
 		m.toHome.settle()
 		m.fromHome.settle()
 	}
-	time.Sleep(maxStrayDelay)
+	time.Sleep(maxMessageDelay)
 	time.Sleep(quietTime)
 	stuck := c.withoutRun()
 	time.Sleep(reportTime)
--- a/batch/convergencenet_test.go
+++ b/batch/convergencenet_test.go
@@ -23,10 +23,10 @@
 	contactSamples = 64
 	// linkQueue bounds the messages under way on a link.
 	linkQueue = 1 << 14
-	// strayPercent is the share of messages that are delivered once more, and of those that later ones overtake, while there
-	// are faults; maxStrayDelay bounds their delay.
-	strayPercent  = 4
-	maxStrayDelay = 1500 * time.Millisecond
+	// lateMessagePercent is the share of messages that are delivered once more, and of those that later ones overtake, while there
+	// are faults; maxMessageDelay bounds their delay.
+	lateMessagePercent = 4
+	maxMessageDelay    = 1500 * time.Millisecond
 )
 
 // random is a source of random numbers for several goroutines. mu guards it.
@@ -55,7 +55,7 @@
 }
 
 // memberLink carries the messages of one member to another in their order. While it is cut they are lost, as are those
-// under way when it is cut; while it is held they wait. Some stray: they arrive late, as those of an earlier connection do,
+// under way when it is cut; while it is held they wait. Some arrive late and out of order, as those of an earlier connection do,
 // and some of these have arrived before. mu guards the fields below it.
 type memberLink struct {
 	rng      *random
@@ -76,15 +76,15 @@
 	return l
 }
 
-// send sends a message. Links between members send none again, so orders, which have no answer if they arrive again after the
-// run is over, arrive once. The messages that members send again by themselves may also arrive again late.
+// send sends a message. Links between members send no message twice, and owners rely on that for orders: one that was answered as
+// infeasible would be carried out if it arrived again. The messages that homes and owners repeat may arrive again late.
 func (l *memberLink) send(deliver func(), once bool) {
 	l.mu.Lock()
 	m, quiet := sentMessage{deliver, l.connection}, l.quiet
 	l.mu.Unlock()
-	if fate := l.rng.intN(100); !quiet && fate < 2*strayPercent {
-		time.AfterFunc(l.rng.between(10*time.Millisecond, maxStrayDelay), deliver)
-		if once || fate < strayPercent {
+	if fate := l.rng.intN(100); !quiet && fate < 2*lateMessagePercent {
+		time.AfterFunc(l.rng.between(10*time.Millisecond, maxMessageDelay), deliver)
+		if once || fate < lateMessagePercent {
 			return
 		}
 	}
