edge: learn the process that was listed while its predecessor still counted as live

Callers could get two runs of a task: a member stops and the next process on its VM is listed within 0.7 s, while the last message of the first still counts. Lists replace no live process, so the entry was skipped, and not read again unless the list changed. A home that was cut off from the VM meanwhile did not count the next process, to which its caller could turn, and went on alone.

The entry is kept, and learnt when the known process ceases to be live, unless that has replaced the listed one.

TestSuccessorOfStoppedMemberStaysInTheElectorate now has gaps of 0.2, 0.5 and 1 s.

--- a/edge/member.go
+++ b/edge/member.go
@@ -13,6 +13,8 @@
 // member is the state of another process as known to this one. The lock of Members guards it.
 type member struct {
 	info machine.Member
+	// listed is the process that the last list names on the VM. It is not learnt while the known one is live.
+	listed machine.Member
 	// id is the ID of info.
 	id string
 	// replaced holds the last incarnations of the VM before this one, at most maxReplaced.
--- a/edge/members.go
+++ b/edge/members.go
@@ -45,15 +45,23 @@
 }
 
 // Learn records a process that is named by a list or by its own status (direct). Neither a list nor a late status of a
-// process that it has replaced replaces a live process. Learn returns the id of the process that it replaces, if that was
-// live.
+// process that it has replaced replaces a live process; a listed one is learnt once that is not live any more. Learn returns the
+// id of the process that it replaces, if that was live.
 func (m *Members) Learn(info machine.Member, direct bool) (replaced string) {
 	if info.VM == m.self.VM || info.VM == "" || info.Address == "" {
 		return ""
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	return m.learn(info, direct)
+}
+
+// learn expects m.mu to be held.
+func (m *Members) learn(info machine.Member, direct bool) (replaced string) {
 	known, ok := m.byVM[info.VM]
+	if ok && !direct {
+		known.listed = info
+	}
 	if ok && known.info == info {
 		return ""
 	}
@@ -133,7 +141,8 @@
 }
 
 // Expire returns the ids of the processes that have just ceased to be live for lack of messages. A process to which no
-// connection is open has probably ended, so its timeout is shorter than that of one that may only be slow or partitioned.
+// connection is open has probably ended, so its timeout is shorter than that of one that may only be slow or partitioned. The
+// process that was listed on its VM meanwhile takes its place.
 func (m *Members) Expire(now time.Time) []string {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -154,6 +163,9 @@
 			m.ownersVersion++
 			departed = append(departed, e.id)
 			m.logger.Warn("member is silent; treating it as departed", "member", e.info.ID(), "since", now.Sub(e.lastContact))
+			if e.listed.VM != "" && !e.hasReplaced(e.listed.Incarnation) {
+				m.learn(e.listed, false)
+			}
 		}
 	}
 	return departed
--- a/edge/secondhome_test.go
+++ b/edge/secondhome_test.go
@@ -95,17 +95,19 @@
 
 // Guards against a home that goes on alone after a member has left, and does not count the process that has replaced it.
 func TestSuccessorOfStoppedMemberStaysInTheElectorate(t *testing.T) {
-	withSecondHome(t, 2, 1, 12*time.Second, func(t *testing.T, d *deployment) {
-		d.submit("edge-0-0", testJob(secondHomeJob, 4, 16*time.Second))
-		time.Sleep(600 * time.Millisecond)
-		stopDaemon(d, "edge-1-0")
-		d.net.setCut(betweenMembers(func(string, string) bool { return true }))
-		time.Sleep(time.Second)
-		d.startDaemon(zoneName(1), "edge-1-0")
-		time.Sleep(resendDelay)
-		d.submit("edge-1-0", testJob(secondHomeJob, 4, 14*time.Second))
-		time.Sleep(4 * time.Second)
-	})
+	for _, gap := range []time.Duration{200 * time.Millisecond, 500 * time.Millisecond, time.Second} {
+		withSecondHome(t, 2, 1, 12*time.Second, func(t *testing.T, d *deployment) {
+			d.submit("edge-0-0", testJob(secondHomeJob, 4, 16*time.Second))
+			time.Sleep(600 * time.Millisecond)
+			stopDaemon(d, "edge-1-0")
+			d.net.setCut(betweenMembers(func(string, string) bool { return true }))
+			time.Sleep(gap)
+			d.startDaemon(zoneName(1), "edge-1-0")
+			time.Sleep(resendDelay)
+			d.submit("edge-1-0", testJob(secondHomeJob, 4, 14*time.Second))
+			time.Sleep(4 * time.Second)
+		})
+	}
 }
 
 // Guards against jobs that end since a member was replaced as planned: the next process on its VM has acknowledged nothing yet.
