--- a/pool/ownership_test.go
+++ b/pool/ownership_test.go
@@ -23,6 +23,13 @@
 	return 0
 }
 
+// token returns the fencing token in the last report of a run.
+func (f *fixture) token(k contract.RunKey) uint64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.reports[k].Token
+}
+
 // otherOwner acquires a worker as another VM would, and extends its lease every 100 ms until it is fenced.
 func otherOwner(t *testing.T, f *fixture, worker string) {
 	t.Helper()
--- a/pool/pool_test.go
+++ b/pool/pool_test.go
@@ -217,13 +217,6 @@
 	return f.reports[k].State
 }
 
-// token returns the fencing token in the last report of a run.
-func (f *fixture) token(k contract.RunKey) uint64 {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return f.reports[k].Token
-}
-
 // Guards against urgent tasks queued behind less urgent ones, and against late tasks that take capacity from tasks
 // that can still meet their target. One worker gets more tasks than it can run at once.
 func TestOrderOfWaitingTasks(t *testing.T) {
