pool: log what tells a late start on a restarted worker from an end that was concluded too early

Cause: a run that is found on a worker after its end was reported can have been started late by a later incarnation, or its end was concluded from an older answer. The lines of the run did not differ, and those of the restart did not say for how long the worker had not been heard of. Change: 'run ended' says whether the start of the run has had no reply (start_unanswered); 'run found on an acquired worker' and 'worker runs a task that was not ordered' say whether this VM has reported the run as ended (ended_here); 'worker has been restarted' has the time since the last contact.

--- a/pool/maintain.go
+++ b/pool/maintain.go
@@ -287,7 +287,7 @@
 	h.watch = crashWatch{}
 	p.o.Logger.Warn("worker has been restarted; acquiring it under a new token", "worker", h.address.Worker,
 		"born", reply.StartTime, "last_born", h.host.StartTime, "runs", len(h.runs), "running", len(reply.Running),
-		"token", h.host.Token)
+		"token", h.host.Token, "since_contact", now.Sub(h.host.Contacted()))
 	p.beginIncarnation(h, reply.HostReply, now, fx)
 	h.host.Token = 0
 }
@@ -387,6 +387,7 @@
 
 // stopUnordered stops a run that this VM has not ordered: a start that was executed late. p.mu is held.
 func (p *Pool) stopUnordered(h *ownedHost, key contract.RunKey, now time.Time) {
+	over := p.isOver(key)
 	r := &run{order: contract.TaskOrder{Key: key, Need: p.typicalSize}, state: runRunning, host: h,
 		cancelled: true, queuedAt: now, startedAt: now, progressAt: now, token: h.host.Token,
 		workerStart: h.host.StartTime}
@@ -394,6 +395,6 @@
 	h.runs[key] = r
 	p.runs[key] = r
 	p.o.Logger.Warn("worker runs a task that was not ordered; stopping it", "task", key.String(),
-		"worker", h.address.Worker, "token", h.host.Token, "worker_start", h.host.StartTime)
+		"worker", h.address.Worker, "token", h.host.Token, "worker_start", h.host.StartTime, "ended_here", over)
 	p.spawn(func() { p.stop(r) })
 }
--- a/pool/match.go
+++ b/pool/match.go
@@ -157,7 +157,8 @@
 	h.host.Reserve(r.order.Need)
 	h.runs[r.order.Key] = r
 	r.host, r.state, r.startedAt, r.mayHaveRun, r.begun = h, runStarting, now, true, false
-	r.progress, r.progressAt, r.token, r.workerStart, r.stopAnswered = 0, now, h.host.Token, h.host.StartTime, false
+	r.progress, r.progressAt, r.token, r.workerStart = 0, now, h.host.Token, h.host.StartTime
+	r.stopAnswered, r.startUnanswered = false, false
 	p.markCommitted(r.order.Key.Batch, now)
 	fx.starts = append(fx.starts, startEffect{
 		run: r, host: h, token: h.host.Token, decidedAt: now, workerStart: h.host.StartTime, entryStart: h.host.Listing.StartTime,
--- a/pool/ownership.go
+++ b/pool/ownership.go
@@ -164,9 +164,9 @@
 			r.token, r.workerStart, r.begun = h.host.Token, h.host.StartTime, true
 			continue
 		}
-		p.o.Logger.Info("run found on an acquired worker", "task", running.Key.String(), "worker", h.address.Worker,
-			"token", h.host.Token, "worker_start", h.host.StartTime, "lease_end", h.host.LeaseEnd())
 		over := p.isOver(running.Key)
+		p.o.Logger.Info("run found on an acquired worker", "task", running.Key.String(), "worker", h.address.Worker,
+			"token", h.host.Token, "worker_start", h.host.StartTime, "lease_end", h.host.LeaseEnd(), "ended_here", over)
 		delete(p.barredRuns, running.Key)
 		r := &run{
 			order: contract.TaskOrder{Key: running.Key, Need: p.typicalSize}, state: runRunning, host: h,
--- a/pool/run.go
+++ b/pool/run.go
@@ -50,6 +50,8 @@
 	workerStart int64
 	// stopAnswered is set once the worker has answered a stop of the run.
 	stopAnswered bool
+	// startUnanswered is set once the start call of the run has ended without a reply: it may still be executed.
+	startUnanswered bool
 	// startedAt is when the start call was made, or when the run was found on a worker.
 	startedAt time.Time
 	// confirmedAt is when a reply of the worker last settled whether the run had started. Replies to polls that were sent
@@ -176,7 +178,8 @@
 	fx.report(r)
 	p.counter(proofs[proof].counter).Inc(1)
 	p.o.Logger.Info("run ended", append([]any{"task", r.order.Key.String(), "state", state.String(), "worker", worker,
-		"proof", proof.String(), "token", r.token, "worker_start", r.workerStart, "run_time", took, "home", r.home},
+		"proof", proof.String(), "token", r.token, "worker_start", r.workerStart, "start_unanswered", r.startUnanswered,
+		"run_time", took, "home", r.home},
 		lease...)...)
 }
 
--- a/pool/start.go
+++ b/pool/start.go
@@ -136,7 +136,7 @@
 		return
 	}
 	p.counter(metric.PoolStartsInDoubt).Inc(1)
-	r.state = runInDoubt
+	r.state, r.startUnanswered = runInDoubt, true
 	fx.inDoubt = append(fx.inDoubt, r)
 }
 
