pool: keep a poll open at idle workers, so that a restart is noticed at once

What callers see: nothing by itself; with a start that is executed late, two runs of one task. Cause: an idle worker was polled twice a second. One that had restarted under its id was acquired up to 0.76 s later, and until then its new incarnation executed every late start: it has seen no token and no stop. While the worker was down the polls came as seldom, and while a poll was under way that the new incarnation delays, nobody acquired it. Change: a worker without runs delays its reply to a poll by 500 ms, so there are as many calls as before, and the end of its process breaks the connection. A failed poll is repeated after 10 ms, then each 100 ms. A restart that another call shows ends the wait for the poll under way. A suspension is not made longer while it lasts, since polls of a worker that is down are more frequent now. The stand-in closes the waiting polls of a process that has ended; those of a worker that is silent stay without a reply.

--- a/machine/host.go
+++ b/machine/host.go
@@ -178,6 +178,9 @@
 // Suspend suspends a worker that does not execute its tasks or does not respond.
 func (h *Host) Suspend(now time.Time) { h.suspend(now) }
 
+// Suspended reports whether the worker is suspended.
+func (h *Host) Suspended(now time.Time) bool { return now.Before(h.suspendUntil) }
+
 func (h *Host) suspend(now time.Time) {
 	h.suspension = min(max(2*h.suspension, minSuspension), maxSuspension)
 	h.suspendUntil = now.Add(h.suspension)
--- a/pool/crash.go
+++ b/pool/crash.go
@@ -22,7 +22,8 @@
 // crashWatch collects what the polls of a worker show about the end of its process. Timeouts are no evidence: the worker
 // or the way to it may be at fault. It is reset by each reply.
 type crashWatch struct {
-	// failingSince is when the first poll that failed was sent, refusedSince when the worker began to refuse connections.
+	// failingSince is when the first poll that failed was sent, or its connection broke while the worker could still delay its
+	// reply; refusedSince is when the worker began to refuse connections.
 	failingSince time.Time
 	refusedSince time.Time
 	// silent is set once the polls fail in a way that is not that of a crashed process.
@@ -31,10 +32,10 @@
 	crash *contract.WorkerCrash
 }
 
-// recordFailure records a poll that failed.
-func (w *crashWatch) recordFailure(sent, now time.Time, err error) {
+// recordFailure records a poll that failed, and since when the worker may have failed to reply.
+func (w *crashWatch) recordFailure(sent, failingSince, now time.Time, err error) {
 	if w.failingSince.IsZero() {
-		w.failingSince = sent
+		w.failingSince = failingSince
 	}
 	first := w.refusedSince.IsZero()
 	if first && now.Sub(w.failingSince) > maxSilence {
@@ -61,8 +62,8 @@
 }
 
 // watchFailure records a failed poll, and a crash once the worker has refused connections for long enough. p.mu is held.
-func (p *Pool) watchFailure(h *ownedHost, sent, now time.Time, err error, fx *effects) {
-	h.watch.recordFailure(sent, now, err)
+func (p *Pool) watchFailure(h *ownedHost, sent, failingSince, now time.Time, err error, fx *effects) {
+	h.watch.recordFailure(sent, failingSince, now, err)
 	if h.watch.refusing() && now.Sub(h.watch.refusedSince) >= crashConfirmation {
 		p.recordCrash(h, h.watch.refusedSince, "refuses connections", nil, fx)
 	}
--- a/pool/hosts.go
+++ b/pool/hosts.go
@@ -66,7 +66,7 @@
 func (p *Pool) addHost(l machine.Listing) {
 	ctx, cancel := context.WithCancel(p.ctx)
 	h := &ownedHost{
-		host: machine.NewHost(l), wakeup: make(chan struct{}, 1), cancel: cancel,
+		host: machine.NewHost(l), wakeup: make(chan struct{}, 1), restartNoticed: make(chan struct{}, 1), cancel: cancel,
 		runs: make(map[contract.RunKey]*run), address: link.HostAddress{Worker: l.Worker, Address: l.Address},
 		addressHash: hashAddress(l.Address),
 	}
--- a/pool/maintain.go
+++ b/pool/maintain.go
@@ -12,9 +12,14 @@
 )
 
 const (
-	// idlePollInterval is the time between polls of a worker without runs. They keep the estimate of its clock current
-	// and detect an unresponsive worker before tasks are lost to it.
+	// idlePollInterval is how long a worker without runs may delay its reply to a poll. A poll is always open there: its
+	// connection breaks when the process of the worker ends, so that a restart is noticed at once. The replies keep the
+	// estimate of the worker's clock current and show an unresponsive worker before tasks are lost to it.
 	idlePollInterval = 500 * time.Millisecond
+	// minIdlePollInterval is the shortest time between two polls of a worker without runs, in case it does not wait.
+	minIdlePollInterval = 100 * time.Millisecond
+	// downPollInterval is the pause after a failed poll of a worker without runs.
+	downPollInterval = 100 * time.Millisecond
 	// maxPollWait is how long a worker may delay its reply while no run ends. It is shorter than a third of the lease.
 	maxPollWait = 250 * time.Millisecond
 	// pollRetry is the pause after a failed poll.
@@ -41,15 +46,17 @@
 	stallTimeout = 900 * time.Millisecond
 )
 
-// ownedHost is a worker that this VM owns or tries to acquire, with its runs. address, cancel and wakeup do not change;
+// ownedHost is a worker that this VM owns or tries to acquire, with its runs. address, cancel and the channels do not change;
 // the pool's lock guards all other fields.
 type ownedHost struct {
-	host            *machine.Host
-	runs            map[contract.RunKey]*run
-	address         link.HostAddress
-	addressHash     uint64
-	cancel          context.CancelFunc
-	wakeup          chan struct{}
+	host        *machine.Host
+	runs        map[contract.RunKey]*run
+	address     link.HostAddress
+	addressHash uint64
+	cancel      context.CancelFunc
+	wakeup      chan struct{}
+	// restartNoticed is signalled when a reply shows that the worker has been restarted.
+	restartNoticed  chan struct{}
 	dropped         bool
 	ownershipLostAt time.Time
 	// restarted is set from the restart of the worker until its new incarnation has been acquired. Until then runs may hold
@@ -66,9 +73,12 @@
 	watch      crashWatch
 }
 
-func (h *ownedHost) wake() {
+func (h *ownedHost) wake() { signal(h.wakeup) }
+
+// signal sends to a channel with a buffer of one, unless it holds a signal already.
+func signal(c chan<- struct{}) {
 	select {
-	case h.wakeup <- struct{}{}:
+	case c <- struct{}{}:
 	default:
 	}
 }
@@ -118,21 +128,63 @@
 			}
 			continue
 		}
-		poll, due := p.nextPoll(h)
-		if !due {
-			pause(ctx, idlePollInterval, h.wakeup)
-			poll, _ = p.nextPoll(h)
-		}
-		if ctx.Err() != nil {
-			return
+		poll, idle := p.nextPoll(h)
+		p.pollOwned(ctx, h, poll, idle)
+	}
+}
+
+// pollOwned polls an owned worker, and pauses before the next poll if that is needed. It returns before the worker has replied
+// if the worker is found to have been restarted, or if it was idle and another poll is due: the one under way then ends by
+// itself.
+func (p *Pool) pollOwned(ctx context.Context, h *ownedHost, poll link.HostPoll, idle bool) {
+	var due <-chan struct{}
+	if idle {
+		due = h.wakeup
+	}
+	sent := p.o.Now()
+	replied := make(chan bool, 1)
+	p.spawn(func() { replied <- p.poll(ctx, h, poll) })
+	select {
+	case ok := <-replied:
+		if d := p.pollPause(h, poll, sent, ok); d > 0 {
+			pause(ctx, d, due)
 		}
-		sent := p.o.Now()
-		callCtx, cancel := context.WithTimeout(ctx, poll.Wait+p.pollTimeout(h))
-		reply, err := p.o.Calls.Poll(callCtx, h.address, poll)
-		cancel()
-		if !p.handlePollReply(h, poll.Token, sent, reply, err) {
-			pause(ctx, pollRetry, nil)
+	case <-due:
+	case <-h.restartNoticed:
+	}
+}
+
+// poll makes one poll and processes its reply. It reports whether the poll succeeded.
+func (p *Pool) poll(ctx context.Context, h *ownedHost, poll link.HostPoll) bool {
+	sent := p.o.Now()
+	callCtx, cancel := context.WithTimeout(ctx, poll.Wait+p.pollTimeout(h))
+	defer cancel()
+	reply, err := p.o.Calls.Poll(callCtx, h.address, poll)
+	if err != nil {
+		p.handlePollFailure(h, poll, sent, err)
+		return false
+	}
+	return p.handlePollReply(h, poll.Token, sent, reply, nil)
+}
+
+// pollPause returns the pause after a poll. The first poll that fails is repeated soon, since only its connection may have
+// broken.
+func (p *Pool) pollPause(h *ownedHost, poll link.HostPoll, sent time.Time, ok bool) time.Duration {
+	now := p.o.Now()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	switch {
+	case len(h.runs) > 0:
+		if ok {
+			return 0
 		}
+		return pollRetry
+	case ok:
+		return minIdlePollInterval - now.Sub(sent)
+	case h.pollFailed && poll.Wait == 0:
+		return downPollInterval
+	default:
+		return pollRetry
 	}
 }
 
@@ -194,25 +246,25 @@
 	return lost && p.o.Yield != nil && p.o.Yield()
 }
 
-// nextPoll returns the next poll, and whether it has to be sent at once.
-func (p *Pool) nextPoll(h *ownedHost) (link.HostPoll, bool) {
+// nextPoll returns the next poll, and whether it is that of a worker without runs.
+func (p *Pool) nextPoll(h *ownedHost) (poll link.HostPoll, idle bool) {
 	now := p.o.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	poll := h.pollWithoutLease()
-	if len(h.runs) == 0 {
-		// Outcomes are acknowledged by the next poll of the idle worker, or by the first one of the next run.
+	poll = h.pollWithoutLease()
+	switch {
+	case h.pollFailed:
+		// The lease is not extended while the worker does not reply: its runs end when the lease expires.
 		return poll, false
-	}
-	// The lease is not extended while the worker does not reply: its runs end when the lease expires.
-	if h.pollFailed {
+	case len(h.runs) == 0:
+		poll.Wait = idlePollInterval
 		return poll, true
 	}
 	poll.Wait = maxPollWait
 	if left := h.leaseLimit(now, p.o.Lease).Sub(now); left > 0 {
 		poll.LeaseEnd = h.host.ExtendLease(left, now)
 	}
-	return poll, true
+	return poll, false
 }
 
 // pollWithoutLease returns a poll that extends no lease and does not wait. The pool's lock is held.
@@ -231,6 +283,35 @@
 	return reply, err
 }
 
+// handlePollFailure records that a poll got no reply. A connection that breaks before the worker owed a reply says nothing
+// about the time before.
+func (p *Pool) handlePollFailure(h *ownedHost, poll link.HostPoll, sent time.Time, err error) {
+	now := p.o.Now()
+	failingSince := sent
+	if now.Before(sent.Add(poll.Wait)) {
+		failingSince = now
+	}
+	var fx effects
+	p.mu.Lock()
+	if !h.dropped && poll.Token != 0 && h.host.Token == poll.Token {
+		p.recordPollFailure(h, sent, failingSince, now, err, &fx)
+	}
+	p.mu.Unlock()
+	p.apply(fx)
+}
+
+// recordPollFailure records a poll without a reply, and since when the worker may have failed to reply. p.mu is held.
+func (p *Pool) recordPollFailure(h *ownedHost, sent, failingSince, now time.Time, err error, fx *effects) {
+	p.o.Calls.CloseIdleConnections(h.address)
+	h.host.MarkSuspectUntil(now.Add(suspectTime))
+	if h.pollFailed && !h.host.Suspended(now) {
+		h.host.Suspend(now)
+	}
+	h.pollFailed = true
+	p.watchFailure(h, sent, failingSince, now, err, fx)
+	p.o.Logger.Warn("worker did not answer a poll", "worker", h.address.Worker, "runs", len(h.runs), "error", err)
+}
+
 // handlePollReply processes the reply to a poll that was made under a fencing token. It reports whether the poll
 // succeeded.
 func (p *Pool) handlePollReply(h *ownedHost, token uint64, sent time.Time, reply link.PollReply, err error) bool {
@@ -247,14 +328,7 @@
 		return false
 	}
 	if err != nil {
-		p.o.Calls.CloseIdleConnections(h.address)
-		h.host.MarkSuspectUntil(now.Add(suspectTime))
-		if h.pollFailed {
-			h.host.Suspend(now)
-		}
-		h.pollFailed = true
-		p.watchFailure(h, sent, now, err, &fx)
-		p.o.Logger.Warn("worker did not answer a poll", "worker", h.address.Worker, "runs", len(h.runs), "error", err)
+		p.recordPollFailure(h, sent, sent, now, err, &fx)
 		return false
 	}
 	h.pollFailed = false
@@ -290,6 +364,7 @@
 		"token", h.host.Token, "since_contact", now.Sub(h.host.Contacted()))
 	p.beginIncarnation(h, reply.HostReply, now, fx)
 	h.host.Token = 0
+	signal(h.restartNoticed)
 }
 
 // handleOtherWorker records that another worker answers at the address: no earlier run of this worker is alive. A run
--- a/pool/ownership.go
+++ b/pool/ownership.go
@@ -106,6 +106,10 @@
 		h.restarted = false
 		p.endPreviousIncarnation(h, reply, found, fx)
 	}
+	select {
+	case <-h.restartNoticed:
+	default:
+	}
 	return found
 }
 
--- a/standin/runhost.go
+++ b/standin/runhost.go
@@ -57,11 +57,13 @@
 	superseded map[contract.RunKey]uint64
 	endedRuns  []link.EndedRun
 	endedCount uint64
-	// changed is closed and replaced when a run ends.
+	// changed is closed and replaced when a run ends, the worker crashes or refuses connections.
 	changed    chan struct{}
 	leaseTimer *time.Timer
 	down       bool
-	// refuses is set while the worker refuses connections, replaced once a worker with another id answers at its address.
+	// incarnation counts the crashes.
+	incarnation int
+	// refuses is set while the worker refuses connections, and those of a crashed process are closed; replaced once a worker with another id answers at its address.
 	refuses  bool
 	replaced bool
 	// delay is the time after which starts and stops are executed. While it is set, no call is answered. Zero disables
@@ -184,11 +186,19 @@
 func (h *RunHost) crash() {
 	h.expire()
 	h.down = true
+	h.incarnation++
 	for _, r := range h.running {
 		h.endRun(r, contract.RunEnded, time.Now())
 	}
 	h.fence, h.leaseEnd, h.endedRuns, h.endedCount = 0, 0, nil, 0
 	clear(h.superseded)
+	h.notify()
+}
+
+// notify releases the polls that wait for a change. It expects h.mu to be held.
+func (h *RunHost) notify() {
+	close(h.changed)
+	h.changed = make(chan struct{})
 }
 
 // crashBy crashes the worker as the plan of a run says.
@@ -201,6 +211,7 @@
 	}
 	h.crash()
 	h.refuses = true
+	h.notify()
 	time.AfterFunc(r.plan.CrashesFor, func() {
 		h.Restart()
 		h.mu.Lock()
@@ -214,6 +225,7 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.refuses = refuses
+	h.notify()
 }
 
 // connectionError returns the error of a call to a worker that refuses connections.
@@ -403,8 +415,7 @@
 	h.endedCount++
 	h.endedRuns = append(h.endedRuns, link.EndedRun{Number: h.endedCount, Key: r.key, State: state})
 	h.observer.Ended(h.id, r.key, state, at)
-	close(h.changed)
-	h.changed = make(chan struct{})
+	h.notify()
 }
 
 // Stop stops a run, or prevents it from starting if it has not started yet.
@@ -440,60 +451,3 @@
 	}
 	return reply
 }
-
-// Poll extends the lease and lists the runs. It waits up to c.Wait for a run to end if it has no ended run to report.
-func (h *RunHost) Poll(ctx context.Context, c link.HostPoll) (link.PollReply, error) {
-	if err := h.connectionError(); err != nil {
-		return link.PollReply{}, err
-	}
-	if h.isReplaced() {
-		return link.PollReply{HostReply: link.HostReply{OtherWorker: true}}, nil
-	}
-	if !h.deliver(nil) {
-		return link.PollReply{}, h.awaitTimeout(ctx)
-	}
-	h.mu.Lock()
-	h.expire()
-	if !h.admit(c.Token) {
-		defer h.mu.Unlock()
-		// As on the platform, the answer to a fenced call contains the clock but not the start time.
-		return link.PollReply{HostReply: link.HostReply{Clock: h.reply().Clock, Fenced: true}}, nil
-	}
-	if c.LeaseEnd > 0 {
-		h.extend(c.LeaseEnd)
-	}
-	for len(h.endedRuns) > 0 && h.endedRuns[0].Number <= c.LastOutcome {
-		h.endedRuns = h.endedRuns[1:]
-	}
-	if len(h.endedRuns) == 0 && c.Wait > 0 {
-		changed := h.changed
-		h.mu.Unlock()
-		select {
-		case <-changed:
-		case <-time.After(c.Wait):
-		case <-ctx.Done():
-			return link.PollReply{}, fault.InDoubt.New("caller of worker %s stopped waiting", h.id)
-		}
-		h.mu.Lock()
-		h.expire()
-	}
-	defer h.mu.Unlock()
-	if h.down {
-		return link.PollReply{}, fault.InDoubt.New("worker %s has crashed", h.id)
-	}
-	return h.list(), nil
-}
-
-// list returns the running and ended runs. h.mu must be held.
-func (h *RunHost) list() link.PollReply {
-	out := link.PollReply{HostReply: h.reply()}
-	for _, r := range h.running {
-		progress := 0
-		if !r.plan.Stalls && r.plan.Duration > 0 {
-			progress = int(100 * time.Since(r.started) / r.plan.Duration)
-		}
-		out.Running = append(out.Running, link.RunningRun{Key: r.key, Progress: progress})
-	}
-	out.Ended = append(out.Ended, h.endedRuns[:min(len(h.endedRuns), maxEndedListed)]...)
-	return out
-}
