--- a/edge/restartnextmodel_test.go
+++ b/edge/restartnextmodel_test.go
@@ -22,6 +22,8 @@
 	leavesSilent bool
 	// laterStartsLate lets the starts of runs 2 and 3 at A get no reply and be executed late too.
 	laterStartsLate bool
+	// rejectsSecond makes A reject a start while it runs another run of the task. Workers are not known to do so.
+	rejectsSecond bool
 	// mutation leaves out a clause of the rules for run 1.
 	mutation restartMutation
 }
@@ -55,7 +57,9 @@
 	pollsAfterStop
 	// reportsAfterEarlier makes the owner report a run of an earlier incarnation as over only while A lists no earlier run.
 	reportsAfterEarlier
+	lastNextRunClause
 
+	everyNextRunClause = lastNextRunClause - 1
 	// anyWorkerClauses let the next run go to any worker, with the rules that hold for its last run there.
 	anyWorkerClauses = waitsForList | pollsAfterStop | reportsAfterEarlier
 )
@@ -118,7 +122,11 @@
 func (s taskState) next(r nextRunRules, visit visitTask) {
 	rules := presentRules
 	rules.mutation = r.mutation
-	s.restartState.next(rules, func(n restartState) { s.firstRunEvent(n, r, visit) })
+	s.restartState.next(rules, func(n restartState) {
+		if started := n.running && !s.running; !started || s.accepts(r) {
+			s.firstRunEvent(n, r, visit)
+		}
+	})
 	s.recordEvents(r, visit)
 	for i := range s.runs {
 		switch s.runs[i].phase {
@@ -131,10 +139,23 @@
 			s.ends(i, r, visit)
 			s.proofsOf(i, r, visit)
 		}
-		s.lateStart(i, visit)
+		s.lateStart(i, r, visit)
 	}
 }
 
+// accepts reports whether A accepts the start of a run beside those that it runs.
+func (s *taskState) accepts(r nextRunRules) bool {
+	if !r.rejectsSecond {
+		return true
+	}
+	for i := range s.runs {
+		if w := &s.runs[i]; w.alive && !w.elsewhere {
+			return false
+		}
+	}
+	return !s.running
+}
+
 // firstRunEvent completes an event of the restart model by what it means for the next runs.
 func (s taskState) firstRunEvent(to restartState, r nextRunRules, visit visitTask) {
 	n := s
@@ -263,6 +284,9 @@
 		visit(fmt.Sprintf("the start of run %d gets no reply", i+2), n)
 		w.pending, w.unanswered = false, false
 	}
+	if !s.accepts(r) {
+		return
+	}
 	w.alive, n.fence = true, s.token
 	visit(fmt.Sprintf("incarnation %d of A starts run %d", s.incarnation, i+2), n)
 }
@@ -289,7 +313,7 @@
 func (s *taskState) anyUnanswered() bool { return s.runs[0].unanswered || s.runs[1].unanswered }
 
 // lateStart executes a start of run 2 or 3 on A that got no reply, or loses it.
-func (s taskState) lateStart(i int, visit visitTask) {
+func (s taskState) lateStart(i int, r nextRunRules, visit visitTask) {
 	w := &s.runs[i]
 	if !w.pending {
 		return
@@ -297,7 +321,7 @@
 	w.pending = false
 	visit(fmt.Sprintf("the start of run %d is lost", i+2), s)
 	rejected := s.fence > w.token || w.barred || (w.phase == nextOver && s.incarnation == w.sentTo)
-	if !s.down && !rejected {
+	if !s.down && !rejected && s.accepts(r) {
 		w.alive, s.fence = true, w.token
 		visit(fmt.Sprintf("incarnation %d of A executes the start of run %d", s.incarnation, i+2), s)
 	}
