edge: a start after a done run, as a separate finding of the restart model

Cause: with the next run at the worker of the start, run 2 may be done there before the worker restarts and executes the late start of run 1. The property of two runs at the same time does not see that. Change: a second property, that no earlier run runs once a later one has been reported as done, and a rule that makes the report wait until the record of the start has ended. The test requires a counterexample without that rule and none with it. Such a rule needs the bound of the time for which a call can be under way.

--- a/edge/restartnextcases_test.go
+++ b/edge/restartnextcases_test.go
@@ -112,3 +112,16 @@
 	_, violation = late.check(t, twoRuns)
 	require.Empty(t, violation)
 }
+
+// Guards against a claim that the place of the next run prevents a start after an end that was taken note of: run 2 is done on
+// A, which restarts then and executes the start of run 1. The property is that no run of a task starts once a later one has
+// been reported as done. Only the bound of the window keeps it: the result of run 2 would have to wait until A has answered a
+// poll after the window.
+func TestRestartModelLeavesStartAfterDone(t *testing.T) {
+	rules := nextRunRules{clauses: everyNextRunClause}
+	_, violation := rules.check(t, runAfterDone)
+	require.NotEmpty(t, violation)
+	rules.doneAfterRecord = true
+	_, violation = rules.check(t, runAfterDone)
+	require.Empty(t, violation)
+}
--- a/edge/restartnextmodel_test.go
+++ b/edge/restartnextmodel_test.go
@@ -24,6 +24,8 @@
 	laterStartsLate bool
 	// rejectsSecond makes A reject a start while it runs another run of the task. Workers are not known to do so.
 	rejectsSecond bool
+	// doneAfterRecord makes the owner report a run as done only once it has no record of a start without a reply.
+	doneAfterRecord bool
 	// mutation leaves out a clause of the rules for run 1.
 	mutation restartMutation
 }
@@ -119,6 +121,9 @@
 // twoRuns reports whether two runs of the task are alive at the same time.
 func twoRuns(s taskState) bool { return s.alive() > 1 }
 
+// runAfterDone reports whether run 1 runs although a later run has been reported as done.
+func runAfterDone(s taskState) bool { return s.done && s.running }
+
 func (s taskState) next(r nextRunRules, visit visitTask) {
 	rules := presentRules
 	rules.mutation = r.mutation
@@ -340,8 +345,10 @@
 	}
 	n.report(i, r)
 	visit(fmt.Sprintf("run %d fails", i+2), n)
-	n.done = true
-	visit(fmt.Sprintf("run %d is done, and reported as done", i+2), n)
+	if !r.doneAfterRecord || s.recordEnded {
+		n.done = true
+		visit(fmt.Sprintf("run %d is done, and reported as done", i+2), n)
+	}
 }
 
 // bar makes the present incarnation of A reject run i and all earlier ones.
