edge, standin: a late start at a restarted worker beside the next run

A deployment test delivers such starts 5 to 700 ms after the restart, at ten phases against the polls, in seven cases.

--- a/edge/chaos_test.go
+++ b/edge/chaos_test.go
@@ -101,11 +101,7 @@
 
 // close stops the deployment and checks the observed runs.
 func (c *chaos) close() {
-	for vm := range c.d.daemons {
-		c.d.killDaemon(vm)
-	}
-	c.d.net.closeConns("")
-	c.d.wg.Wait()
+	c.d.end()
 	if len(c.d.observer.overlaps) > 0 {
 		for _, line := range c.trace {
 			c.d.t.Log(line)
--- a/edge/deployment_test.go
+++ b/edge/deployment_test.go
@@ -423,12 +423,17 @@
 }
 
 func (d *deployment) close() {
+	d.end()
+	d.checkOverlaps()
+}
+
+// end ends all daemons and connections.
+func (d *deployment) end() {
 	for vm := range d.daemons {
 		d.killDaemon(vm)
 	}
 	d.net.closeConns("")
 	d.wg.Wait()
-	d.checkOverlaps()
 }
 
 // checkOverlaps fails the test if a task had two runs at the same time, and prints the daemons' log lines about it.
--- /dev/null
+++ b/edge/laterestart_test.go
@@ -0,0 +1,179 @@
+package edge
+
+import (
+	"fmt"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/cicadadale/cicadadale/batch"
+	"github.com/cicadadale/cicadadale/contract"
+	"github.com/cicadadale/cicadadale/machine"
+	"github.com/cicadadale/cicadadale/standin"
+)
+
+const (
+	lateStartHome = "edge-0-0"
+	// lateStartWorkers is the number of workers of each of the two failure domains. The job has a task for every slot.
+	lateStartWorkers = 3
+	lateStartTasks   = 2 * 2 * lateStartWorkers
+	// lateStartJobs bounds the number of jobs until one has a task at the worker.
+	lateStartJobs = 10
+	// lateStartRun is the run time of the next runs, which are alive when the late starts are delivered.
+	lateStartRun = 25 * time.Second
+	// lateStartDown is how long the worker is down: too short for most polls to notice.
+	lateStartDown = 10 * time.Millisecond
+)
+
+// lateStart is a deployment in which starts at one worker have got no reply and are still under way.
+type lateStart struct {
+	d      *deployment
+	worker string
+	job    string
+	answer <-chan batch.Answer
+}
+
+// lateStartCases are what happens from the starts without a reply until the worker restarts.
+var lateStartCases = []struct {
+	name   string
+	events func(t *testing.T, s *lateStart)
+}{
+	{"worker-answers-until-it-crashes", func(*testing.T, *lateStart) { time.Sleep(3 * time.Second) }},
+	{"starts-are-late-by-eleven-seconds", func(*testing.T, *lateStart) { time.Sleep(11 * time.Second) }},
+	{"worker-crashes-before-it-answers-a-stop", func(_ *testing.T, s *lateStart) {
+		s.host().Crash()
+		time.Sleep(3 * time.Second)
+	}},
+	{"owner-is-killed", func(t *testing.T, s *lateStart) {
+		time.Sleep(500 * time.Millisecond)
+		s.d.killDaemon(s.d.ownerOf(s.worker))
+		time.Sleep(2500 * time.Millisecond)
+		require.NotEmpty(t, s.d.ownerOf(s.worker))
+	}},
+	{"worker-restarts-twice", func(_ *testing.T, s *lateStart) {
+		time.Sleep(2 * time.Second)
+		s.restart()
+		time.Sleep(1500 * time.Millisecond)
+	}},
+	{"job-is-submitted-again-after-504", func(t *testing.T, s *lateStart) {
+		time.Sleep(400 * time.Millisecond)
+		s.d.net.setCut(betweenMembers(func(from, to string) bool { return from == lateStartHome || to == lateStartHome }))
+		require.Equal(t, batch.Abandoned, (<-s.answer).Outcome)
+		time.Sleep(resendDelay)
+		s.d.net.setCut(noCut)
+		s.answer = s.d.submit("edge-1-0", testJob(s.job, lateStartTasks, 30*time.Second))
+		time.Sleep(2500 * time.Millisecond)
+	}},
+	{"home-is-killed-and-job-submitted-again", func(_ *testing.T, s *lateStart) {
+		time.Sleep(400 * time.Millisecond)
+		s.d.killDaemon(lateStartHome)
+		time.Sleep(resendDelay)
+		s.answer = s.d.submit("edge-1-0", testJob(s.job, lateStartTasks, 30*time.Second))
+		time.Sleep(2500 * time.Millisecond)
+	}},
+}
+
+// Guards against a second run of a task: a start that got no reply is executed late, by the next incarnation of its worker,
+// beside the next run of the task.
+func TestLateStartAtRestartedWorkerIsNoSecondRun(t *testing.T) {
+	delays := []time.Duration{5, 10, 30, 50, 100, 200, 400, 700}
+	phases := []time.Duration{0, 50, 100, 150, 200, 250, 300, 350, 400, 450}
+	for _, c := range lateStartCases {
+		t.Run(c.name, func(t *testing.T) {
+			broken, begun, example := make(map[time.Duration]int), 0, ""
+			for _, delay := range delays {
+				for _, phase := range phases {
+					inVirtualTime(t, func(t *testing.T) {
+						s := &lateStart{d: newDeployment(t, 2, 2, lateStartWorkers)}
+						defer s.d.end()
+						s.submit(t)
+						c.events(t, s)
+						n, overlaps := s.deliver(t, phase*time.Millisecond, delay*time.Millisecond)
+						begun += n
+						if len(overlaps) > 0 {
+							broken[delay*time.Millisecond]++
+							example = overlaps[0]
+						}
+					})
+				}
+			}
+			t.Logf("%d late starts were executed", begun)
+			require.Emptyf(t, broken, "deployments with two runs of a task, by the time from the restart to the delivery, of %d each; %s",
+				len(phases), example)
+		})
+	}
+}
+
+// submit submits jobs until one worker, which is not owned by the home, has got starts without replying.
+func (s *lateStart) submit(t *testing.T) {
+	var mu sync.Mutex
+	held := make(map[contract.RunKey]bool)
+	s.d.plan = func(k contract.RunKey) standin.RunPlan {
+		mu.Lock()
+		defer mu.Unlock()
+		if held[k.Task()] {
+			return standin.RunPlan{Duration: lateStartRun}
+		}
+		return standin.RunPlan{Duration: 50 * time.Millisecond}
+	}
+	var workers []string
+	for id := range s.d.hosts {
+		if s.d.ownerOf(id) != lateStartHome {
+			workers = append(workers, id)
+		}
+	}
+	s.worker = slices.Min(workers)
+	s.host().SetHoldingStarts(1)
+	for n := 0; n < lateStartJobs && len(s.host().Held()) == 0; n++ {
+		time.Sleep(300 * time.Millisecond)
+		s.job = fmt.Sprintf("%016x", n)
+		s.answer = s.d.submit(lateStartHome, testJob(s.job, lateStartTasks, 30*time.Second))
+		time.Sleep(20 * time.Millisecond)
+	}
+	s.host().SetHoldingStarts(0)
+	mu.Lock()
+	defer mu.Unlock()
+	for _, start := range s.host().Held() {
+		held[start.Key.Task()] = true
+	}
+	require.NotEmpty(t, held)
+}
+
+func (s *lateStart) host() *standin.RunHost { return s.d.hosts[s.worker] }
+
+// restart restarts the worker under its id. The store lists the new incarnation a second later.
+func (s *lateStart) restart() {
+	s.host().Crash()
+	time.Sleep(lateStartDown)
+	s.host().Restart()
+	started := s.host().StartTime()
+	s.d.wg.Go(func() {
+		time.Sleep(time.Second)
+		s.d.store.update(func() {
+			s.d.store.workers = slices.Clone(s.d.store.workers)
+			i := slices.IndexFunc(s.d.store.workers, func(l machine.Listing) bool { return l.Worker == s.worker })
+			s.d.store.workers[i].StartTime = started
+		})
+	})
+}
+
+// deliver restarts the worker after phase and delivers the late starts that long after the restart. It returns how many late starts have been executed and which runs of a task have overlapped.
+func (s *lateStart) deliver(t *testing.T, phase, delay time.Duration) (begun int, overlaps []string) {
+	time.Sleep(phase)
+	for _, start := range s.host().Held() {
+		s.d.observer.mu.Lock()
+		next := s.d.observer.running[start.Key.Task()]
+		s.d.observer.mu.Unlock()
+		require.NotEmpty(t, next, "next run of %s", start.Key)
+	}
+	s.restart()
+	time.Sleep(delay)
+	begun = s.host().DeliverHeld()
+	time.Sleep(4 * time.Second)
+	s.d.observer.mu.Lock()
+	defer s.d.observer.mu.Unlock()
+	return begun, s.d.observer.overlaps
+}
--- a/standin/runhost.go
+++ b/standin/runhost.go
@@ -75,6 +75,7 @@
 	losesReplies bool
 	// rejects makes the worker reject every start as unhealthy.
 	rejects bool
+	held    heldStarts
 	// unguarded makes the worker start tasks for which it has no capacity left; overfilled counts these.
 	unguarded  bool
 	overfilled int
@@ -118,47 +119,12 @@
 	return h.startTime.UnixMilli()
 }
 
-// SetDelay makes the worker execute starts and stops only after a delay, and leave all calls unanswered. Zero ends this
-// fault.
-func (h *RunHost) SetDelay(d time.Duration) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	h.delay = d
-}
-
-// SetDelayEveryNth applies the fault of SetDelay to every nth call only. An n of 0 ends it.
-func (h *RunHost) SetDelayEveryNth(n int, delay time.Duration) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	h.delayEveryNth, h.nthDelay = n, delay
-}
-
-// SetLosingReplies makes the worker execute starts without replying, or ends that fault.
-func (h *RunHost) SetLosingReplies(loses bool) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	h.losesReplies = loses
-}
-
-func (h *RunHost) isLosingReplies() bool {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	return h.losesReplies
-}
-
 func (h *RunHost) isDown() bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	return h.down
 }
 
-// SetRejecting makes the worker reject all starts as unhealthy, or ends that fault.
-func (h *RunHost) SetRejecting(rejects bool) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	h.rejects = rejects
-}
-
 // SetCapacity changes the worker's capacity. What runs continues.
 func (h *RunHost) SetCapacity(capacity machine.Resources) {
 	h.mu.Lock()
@@ -209,23 +175,6 @@
 	})
 }
 
-// SetRefusing makes the worker refuse connections, or ends that fault. Its runs go on.
-func (h *RunHost) SetRefusing(refuses bool) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	h.refuses = refuses
-}
-
-// connectionError returns the error of a call to a worker that refuses connections.
-func (h *RunHost) connectionError() error {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	if h.refuses {
-		return fault.NotListening.New("worker %s refuses connections", h.id)
-	}
-	return nil
-}
-
 // isReplaced reports whether another worker answers at the address.
 func (h *RunHost) isReplaced() bool {
 	h.mu.Lock()
@@ -255,37 +204,6 @@
 	return true
 }
 
-// awaitTimeout waits until the caller gives up and returns the error of an unanswered call.
-func (h *RunHost) awaitTimeout(ctx context.Context) error {
-	<-ctx.Done()
-	return fault.InDoubt.New("worker %s does not answer", h.id)
-}
-
-// deliver reports whether a call is executed now. Otherwise the worker is down, or a fault delays its calls: execute
-// then runs after the delay, unless it is nil.
-func (h *RunHost) deliver(execute func()) bool {
-	h.mu.Lock()
-	down, delay := h.down, h.delay
-	if h.calls++; h.delayEveryNth > 0 && h.calls%h.delayEveryNth == 0 {
-		delay = h.nthDelay
-	}
-	h.mu.Unlock()
-	if down {
-		return false
-	}
-	if delay > 0 {
-		if execute != nil {
-			time.AfterFunc(delay, func() {
-				if !h.isDown() {
-					execute()
-				}
-			})
-		}
-		return false
-	}
-	return true
-}
-
 // Start executes a start call. Start, Stop and Poll are the calls of link.HostCalls, for one worker.
 func (h *RunHost) Start(ctx context.Context, s link.HostStart) (link.StartVerdict, link.HostReply, error) {
 	if err := h.connectionError(); err != nil {
@@ -294,7 +212,7 @@
 	if h.isReplaced() {
 		return link.StartOtherWorker, link.HostReply{OtherWorker: true}, nil
 	}
-	if !h.deliver(func() { h.start(s) }) {
+	if h.holds(s) || !h.deliver(func() { h.start(s) }) {
 		return 0, link.HostReply{}, h.awaitTimeout(ctx)
 	}
 	verdict, reply := h.start(s)
