pool, batch: order the next run of a task where an earlier start may still be executed

Cause: a start got no reply, its run was stopped, and the next run was ordered at another worker. The first worker restarted: its new incarnation knew of no stop and no token, and executed the start. The class is a conclusion about one incarnation (a stop bars the start) that was taken to hold for the next one. Change: the owner records a start without a reply for 15 s and reports it with the end of every run of the task; the home orders the next run at the same owner and does not move it, and the owner starts it on the same worker, also if that is suspended, after a poll. On one worker two runs of a task never overlap: a stop bars the earlier one in this incarnation, a restart ends the later one too. A run does not start while the pool knows of another run of the task on one of its workers. A worker with such a record is polled each 50 ms, each 10 ms while it does not reply. If it has not replied for 400 ms, the next run goes elsewhere as before, and is counted (pool.starts_beside_late). New tests in pool and batch fail without the rule.

--- a/batch/advance.go
+++ b/batch/advance.go
@@ -86,9 +86,10 @@
 }
 
 // shouldMove decides whether a task that is queued at its owner moves to another one with free capacity. A task that runs
-// alone stays: free capacity says nothing about empty workers, and its owner is emptying one for it.
+// alone stays: free capacity says nothing about empty workers, and its owner is emptying one for it. So does one that waits
+// for the worker that may still execute an earlier start.
 func (h *Home) shouldMove(j *job, t *task, now time.Time) bool {
-	return t.state == taskPlaced && !t.started && !t.alone && now.Sub(t.placedAt) > moveAfter &&
+	return t.state == taskPlaced && !t.started && !t.alone && !t.mayStartLate(now) && now.Sub(t.placedAt) > moveAfter &&
 		now.Sub(t.recalledAt) > recallRetry && h.o.Capacity.ShouldMove(j.batch.Backend, t.owner, j.steps[t.step].expected)
 }
 
@@ -105,8 +106,7 @@
 
 // place orders the next run of a task.
 func (h *Home) place(j *job, t *task, now time.Time, out *outbox) {
-	owner, ok := h.o.Capacity.Reserve(j.batch.Backend, j.batch.Priority, j.steps[t.step].expected,
-		func(id string) bool { return slices.Contains(t.infeasibleOwners, id) })
+	owner, ok := h.chooseOwner(j, t, now)
 	if !ok {
 		t.retryAt = now.Add(placeRetry)
 		if len(t.infeasibleOwners) > 0 {
@@ -123,6 +123,18 @@
 	out.ordered = append(out.ordered, fmt.Sprintf("%s at %s, contact %v ago", j.key(t), t.owner, now.Sub(t.contactAt)))
 }
 
+// chooseOwner chooses the owner that starts the next run of a task: the one whose worker may still execute an earlier start,
+// since that owner starts it on this worker, or the one that is expected to start it first.
+func (h *Home) chooseOwner(j *job, t *task, now time.Time) (string, bool) {
+	expected := j.steps[t.step].expected
+	excluded := func(id string) bool { return slices.Contains(t.infeasibleOwners, id) }
+	if t.mayStartLate(now) && !excluded(t.lateOwner) &&
+		h.o.Capacity.ReserveAt(t.lateOwner, j.batch.Backend, j.batch.Priority, expected) {
+		return t.lateOwner, true
+	}
+	return h.o.Capacity.Reserve(j.batch.Backend, j.batch.Priority, expected, excluded)
+}
+
 // unplace makes a task ready for its next run.
 func (h *Home) unplace(t *task, ran bool) {
 	t.state, t.started, t.withdrawn = taskUnplaced, false, false
@@ -208,6 +220,9 @@
 		h.logIgnored(owner, r, "other owner or older token")
 		return
 	}
+	if r.MayStartLate {
+		t.lateOwner, t.lateUntil = owner, now.Add(contract.LateStartLimit)
+	}
 	switch r.State {
 	case contract.RunStarted:
 		h.handleStarted(j, t, owner, r, out)
--- a/batch/job.go
+++ b/batch/job.go
@@ -46,6 +46,10 @@
 	contactAt time.Time
 	expiresAt time.Time
 	retryAt   time.Time
+	// lateOwner is the owner of the worker that may still execute an earlier start of the task, until lateUntil; empty if there is
+	// none.
+	lateOwner string
+	lateUntil time.Time
 	// unknownOrders counts the consecutive orders that their owners reported as unknown.
 	unknownOrders int
 	// infeasibleOwners lists the owners none of whose workers can hold the task.
@@ -61,6 +65,9 @@
 	}
 }
 
+// mayStartLate reports whether a worker may still execute an earlier start of the task.
+func (t *task) mayStartLate(now time.Time) bool { return t.lateOwner != "" && now.Before(t.lateUntil) }
+
 // jobState is the state of a job at its home.
 type jobState uint8
 
--- a/contract/batch.go
+++ b/contract/batch.go
@@ -140,6 +140,9 @@
 // Final reports whether the state can no longer change.
 func (s RunState) Final() bool { return s >= RunDone }
 
+// LateStartLimit is the longest time after which a call to a worker that got no reply is executed. The platform says seconds.
+const LateStartLimit = 15 * time.Second
+
 // RunReport is an owner's report of a run to the home of its batch.
 type RunReport struct {
 	Key    RunKey
@@ -149,6 +152,9 @@
 	Token uint64
 	// MayHaveStarted is set if a start of the run was sent and not provably rejected.
 	MayHaveStarted bool
+	// MayStartLate is set if a start of the task that got no reply may still be executed. The next run is ordered at the same
+	// owner, which starts it on the same worker.
+	MayStartLate bool
 	// RunTime is how long the run took, for final reports of runs that started.
 	RunTime time.Duration
 }
--- a/edge/messages.go
+++ b/edge/messages.go
@@ -95,7 +95,7 @@
 	}
 	d.members.Send(home, &api.PeerMessage{Body: &api.PeerMessage_TaskReport{TaskReport: &api.TaskReport{
 		Key: encodeKey(r.Key), State: uint32(r.State), Worker: r.Worker, Backend: backend,
-		RunMs: clampMillis(r.RunTime), Ran: r.MayHaveStarted, Token: r.Token,
+		RunMs: clampMillis(r.RunTime), Ran: r.MayHaveStarted, Token: r.Token, MayStartLate: r.MayStartLate,
 	}}})
 }
 
@@ -273,6 +273,7 @@
 		d.home.Report(batch.PoolRef{Owner: id, Backend: r.GetBackend()}, contract.RunReport{
 			Key: decodeKey(r.GetKey()), State: contract.RunState(r.GetState()), Worker: r.GetWorker(),
 			MayHaveStarted: r.GetRan(), Token: r.GetToken(), RunTime: time.Duration(r.GetRunMs()) * time.Millisecond,
+			MayStartLate: r.GetMayStartLate(),
 		})
 	case *api.PeerMessage_WorkerTakeover:
 		t := b.WorkerTakeover
--- a/machine/host.go
+++ b/machine/host.go
@@ -89,6 +89,11 @@
 	return h.Free().Fits(need)
 }
 
+// CanStartSuspended reports the same whether or not the worker is suspended.
+func (h *Host) CanStartSuspended(need Resources, now time.Time) bool {
+	return h.Token != 0 && !h.Draining() && !now.Before(h.fullUntil) && !now.Before(h.suspectUntil) && h.Free().Fits(need)
+}
+
 // SetClock records a reading of the worker's clock that was received at local time at, and so taken before it.
 func (h *Host) SetClock(reading time.Duration, at time.Time) {
 	if h.clockAt.IsZero() || reading >= h.ClockAt(at) || reading < h.clock {
--- a/metric/describe.go
+++ b/metric/describe.go
@@ -58,6 +58,8 @@
 		{PoolStarts, "start calls to owned workers"},
 		{PoolStartsRejected, "start calls that provably started nothing"},
 		{PoolStartsInDoubt, "start calls without an answer"},
+		{PoolStartsWhereLate, "starts of tasks on the worker that may still execute an earlier start of them"},
+		{PoolStartsBesideLate, "starts of tasks beside a silent worker that may still execute an earlier start of them"},
 		{PoolStartsConfirmed, "start calls preceded by a poll of the worker"},
 		{PoolRunsAbandoned, "runs stopped because their home did not refresh or claim them"},
 		{PoolRunsStalled, "runs stopped because they stood still"},
--- a/metric/metric.go
+++ b/metric/metric.go
@@ -46,6 +46,8 @@
 	PoolStarts           = "pool.starts"
 	PoolStartsRejected   = "pool.starts_rejected"
 	PoolStartsInDoubt    = "pool.starts_in_doubt"
+	PoolStartsWhereLate  = "pool.starts_where_late"
+	PoolStartsBesideLate = "pool.starts_beside_late"
 	PoolStartsConfirmed  = "pool.starts_confirmed"
 	PoolRunsAbandoned    = "pool.runs_unwanted"
 	PoolRunsStalled      = "pool.runs_stalled"
--- /dev/null
+++ b/pool/latestart_test.go
@@ -0,0 +1,130 @@
+package pool
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/cicadadale/cicadadale/contract"
+	"github.com/cicadadale/cicadadale/metric"
+	"github.com/cicadadale/cicadadale/standin"
+)
+
+// orderRun orders a later run of a task.
+func (f *fixture) orderRun(job string, run uint64) contract.RunKey {
+	return f.orderWith(job, func(o *contract.TaskOrder) { o.Key.Run = run })
+}
+
+// withUnansweredStart lets f act once the start of the first run of "task" at some worker has got no reply and its run has
+// been reported as over. The start is held.
+func withUnansweredStart(t *testing.T, workers int, f func(f *fixture, worker string, host *standin.RunHost)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		fix := newFixture(workers)
+		defer fix.pool.Close()
+		time.Sleep(time.Second)
+		for _, h := range fix.calls.hosts {
+			h.SetHoldingStarts(1)
+		}
+		key := fix.orderRun("task", 1)
+		fix.refreshFor(500*time.Millisecond, key)
+		for _, h := range fix.calls.hosts {
+			h.SetHoldingStarts(0)
+		}
+		for id, h := range fix.calls.hosts {
+			if len(h.Held()) > 0 {
+				require.Equal(t, contract.RunEnded, fix.state(key))
+				require.True(t, fix.report(key).MayStartLate, "report of the end")
+				f(fix, id, h)
+			}
+		}
+		require.NotEmpty(t, fix.observer.startedJobs())
+	})
+}
+
+func (f *fixture) report(key contract.RunKey) contract.RunReport {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.reports[key]
+}
+
+// Guards against a second run of a task beside a late start: the next run starts on another worker than the one that may
+// still execute the earlier start, although that one answers.
+func TestNextRunStartsOnTheWorkerOfTheUnansweredStart(t *testing.T) {
+	withUnansweredStart(t, 5, func(f *fixture, worker string, _ *standin.RunHost) {
+		for run := uint64(2); run < 10; run++ {
+			f.refreshFor(time.Second, f.orderRun("task", run))
+			require.Equal(t, worker, f.observer.workerOfJob()["task"], "run %d", run)
+		}
+		require.EqualValues(t, 8, f.pool.counter(metric.PoolStartsWhereLate).Count())
+		f.refreshFor(contract.LateStartLimit)
+		require.Zero(t, len(f.pool.late.byTask)+len(f.pool.late.workers), "starts that cannot be executed any more")
+	})
+}
+
+// Guards against a task that waits for a worker that is gone until the job fails.
+func TestNextRunStartsElsewhereIfTheWorkerIsSilent(t *testing.T) {
+	withUnansweredStart(t, 2, func(f *fixture, worker string, host *standin.RunHost) {
+		host.Crash()
+		f.refreshFor(silenceLimit + sweepInterval)
+		f.refreshFor(time.Second, f.orderRun("task", 2))
+		require.NotEqual(t, worker, f.observer.workerOfJob()["task"])
+		require.EqualValues(t, 1, f.pool.counter(metric.PoolStartsBesideLate).Count())
+	})
+}
+
+// Guards against a task that waits for the end of a suspension although it starts nowhere else.
+func TestNextRunStartsOnSuspendedWorker(t *testing.T) {
+	withUnansweredStart(t, 2, func(f *fixture, worker string, _ *standin.RunHost) {
+		f.pool.mu.Lock()
+		f.pool.hosts[worker].host.Suspend(time.Now())
+		f.pool.mu.Unlock()
+		f.orderRun("task", 2)
+		time.Sleep(10 * time.Millisecond)
+		require.Equal(t, worker, f.observer.workerOfJob()["task"])
+	})
+}
+
+// Guards against the next run that starts beside the earlier one, which a restarted worker has executed late and which is
+// being stopped.
+func TestNextRunWaitsForTheEndOfALateStart(t *testing.T) {
+	withUnansweredStart(t, 2, func(f *fixture, _ string, host *standin.RunHost) {
+		f.setRunTime("task", 10*time.Second)
+		f.calls.dropStops.Store(true)
+		host.Crash()
+		host.Restart()
+		require.Equal(t, 1, host.DeliverHeld())
+		next := f.orderRun("task", 2)
+		f.refreshFor(700*time.Millisecond, next)
+		require.Len(t, f.observer.startedJobs(), 1, "the late start only")
+		f.calls.dropStops.Store(false)
+		f.refreshFor(time.Second, next)
+		require.Len(t, f.observer.startedJobs(), 2)
+	})
+}
+
+// Guards against a late start that is executed by a restarted worker which is not polled for long: its owner stops it once
+// it has acquired the new incarnation.
+func TestProcessThatRestartsIsAcquiredAtOnce(t *testing.T) {
+	withUnansweredStart(t, 1, func(f *fixture, _ string, host *standin.RunHost) {
+		for down := time.Millisecond; down < 3*time.Second; down = down*5 + time.Millisecond {
+			f.refreshFor(time.Second)
+			host.Crash()
+			host.SetRefusing(true)
+			time.Sleep(down)
+			token := f.lastToken()
+			host.Restart()
+			time.Sleep(2 * lateStartPollPause)
+			require.Greater(t, f.lastToken(), token, "down for %v", down)
+		}
+		f.refreshFor(time.Second, f.orderRun("task", 2))
+	})
+}
+
+func (f *fixture) lastToken() uint64 {
+	f.pool.mu.Lock()
+	defer f.pool.mu.Unlock()
+	return f.pool.hosts["w0"].lastToken
+}
--- a/pool/maintain.go
+++ b/pool/maintain.go
@@ -68,9 +68,11 @@
 	tokenAdvance time.Duration
 	// ignored is a listing that seems to be that of an earlier incarnation; nil if there is none.
 	ignored *machine.Listing
-	// pollFailed is set when a poll gets no reply, and cleared by the next reply.
-	pollFailed bool
-	watch      crashWatch
+	// pollFailed is set when a poll gets no reply, and cleared by the next reply. failedPolls counts the polls without a reply
+	// since the last one.
+	pollFailed  bool
+	failedPolls int
+	watch       crashWatch
 }
 
 func (h *ownedHost) wake() { signal(h.wakeup) }
@@ -179,8 +181,12 @@
 			return 0
 		}
 		return pollRetry
+	case ok && p.hasLateStart(h):
+		return lateStartPollPause - now.Sub(sent)
 	case ok:
 		return minIdlePollInterval - now.Sub(sent)
+	case h.pollFailed && poll.Wait == 0 && p.hasLateStart(h):
+		return lateStartPollPause
 	case h.pollFailed && poll.Wait == 0:
 		return downPollInterval
 	default:
@@ -207,6 +213,10 @@
 		return firstPollTimeout
 	case len(h.runs) > 0 && now.Before(h.host.LeasesExpireBy()):
 		return leasePollTimeout
+	case p.hasLateStart(h) && h.failedPolls%slowPollEvery == 0:
+		return firstPollTimeout
+	case p.hasLateStart(h):
+		return lateStartPollTimeout
 	default:
 		return callTimeout
 	}
@@ -257,16 +267,24 @@
 		// The lease is not extended while the worker does not reply: its runs end when the lease expires.
 		return poll, false
 	case len(h.runs) == 0:
-		poll.Wait = idlePollInterval
+		poll.Wait = p.pollWait(h, idlePollInterval)
 		return poll, true
 	}
-	poll.Wait = maxPollWait
+	poll.Wait = p.pollWait(h, maxPollWait)
 	if left := h.leaseLimit(now, p.o.Lease).Sub(now); left > 0 {
 		poll.LeaseEnd = h.host.ExtendLease(left, now)
 	}
 	return poll, false
 }
 
+// pollWait returns how long a worker may delay its reply to a poll. p.mu is held.
+func (p *Pool) pollWait(h *ownedHost, longest time.Duration) time.Duration {
+	if p.hasLateStart(h) {
+		return lateStartPollInterval
+	}
+	return longest
+}
+
 // pollWithoutLease returns a poll that extends no lease and does not wait. The pool's lock is held.
 func (h *ownedHost) pollWithoutLease() link.HostPoll {
 	return link.HostPoll{Token: h.host.Token, LastOutcome: h.host.LastOutcome}
@@ -308,6 +326,7 @@
 		h.host.Suspend(now)
 	}
 	h.pollFailed = true
+	h.failedPolls++
 	p.watchFailure(h, sent, failingSince, now, err, fx)
 	p.o.Logger.Warn("worker did not answer a poll", "worker", h.address.Worker, "runs", len(h.runs), "error", err)
 }
@@ -331,7 +350,7 @@
 		p.recordPollFailure(h, sent, sent, now, err, &fx)
 		return false
 	}
-	h.pollFailed = false
+	h.pollFailed, h.failedPolls = false, 0
 	if reply.OtherWorker {
 		p.handleOtherWorker(h, now, &fx)
 		return false
@@ -347,6 +366,7 @@
 		return false
 	}
 	h.host.SetClock(reply.Clock, now)
+	p.late.listed(h.address.Worker, sent)
 	p.recordOutcomes(h, reply, now, &fx)
 	p.reconcileRuns(h, reply, sent, now, &fx)
 	p.match(now, &fx)
@@ -467,7 +487,7 @@
 		cancelled: true, queuedAt: now, startedAt: now, progressAt: now, token: h.host.Token,
 		workerStart: h.host.StartTime}
 	h.host.Reserve(r.order.Need)
-	h.runs[key] = r
+	p.addToHost(r, h)
 	p.runs[key] = r
 	p.o.Logger.Warn("worker runs a task that was not ordered; stopping it", "task", key.String(),
 		"worker", h.address.Worker, "token", h.host.Token, "worker_start", h.host.StartTime, "ended_here", over)
--- a/pool/match.go
+++ b/pool/match.go
@@ -27,6 +27,7 @@
 	}
 	p.updateConfinementRanks()
 	p.updateEmptying(now)
+	p.startAtLateWorkers(now, fx)
 	var reserved *ownedHost
 	for _, h := range p.hostsWithCapacity(now) {
 		p.waiting.sort(now, h.host.Speed())
@@ -74,23 +75,30 @@
 // that rack for at most its expected run time.
 func (p *Pool) canStart(h *ownedHost, r *run, now time.Time) bool {
 	o := r.order
-	if now.Sub(r.refreshedAt) > refreshTimeout {
-		// The home already treats the run as lost; the next sweep ends it.
+	if !h.host.CanStart(o.Need, now) || !p.admits(h, r, now) || p.workerOfLateStart(o, now) != nil {
 		return false
 	}
-	if !h.host.CanStart(o.Need, now) || !h.host.CanHold(o.Need, o.RequiredLabel) || !h.leaseEndsInTime(r) {
-		return false
+	if o.PreferredRack == "" || h.host.InRack(o.PreferredRack) || now.Sub(r.queuedAt) > o.Expected {
+		return true
 	}
-	if !p.mayJoin(h, o, now) {
+	return !p.hasRack(o.PreferredRack, now)
+}
+
+// admits reports whether a task may start on a worker that has room for it.
+func (p *Pool) admits(h *ownedHost, r *run, now time.Time) bool {
+	o := r.order
+	if now.Sub(r.refreshedAt) > refreshTimeout {
+		// The home already treats the run as lost; the next sweep ends it.
 		return false
 	}
-	if o.PerWorkerLimit > 0 && h.runsOfStep(o.Key) >= o.PerWorkerLimit {
+	if p.onWorkers[o.Key.Task()] > 0 {
+		// An earlier run, whose start was executed late, is being stopped.
 		return false
 	}
-	if o.PreferredRack == "" || h.host.InRack(o.PreferredRack) || now.Sub(r.queuedAt) > o.Expected {
-		return true
+	if !h.host.CanHold(o.Need, o.RequiredLabel) || !h.leaseEndsInTime(r) || !p.mayJoin(h, o, now) {
+		return false
 	}
-	return !p.hasRack(o.PreferredRack, now)
+	return o.PerWorkerLimit == 0 || h.runsOfStep(o.Key) < o.PerWorkerLimit
 }
 
 // runsOfStep returns the number of runs of a step on the worker.
@@ -119,6 +127,9 @@
 	if len(p.waiting.runs) == 0 || now.Sub(p.waiting.runs[0].queuedAt) < reserveDelay || p.waiting.runs[0].order.Alone {
 		return nil
 	}
+	if h := p.workerOfLateStart(p.waiting.runs[0].order, now); h != nil {
+		return h
+	}
 	return p.largestFree(p.waiting.runs[0].order)
 }
 
@@ -155,7 +166,8 @@
 // assign reserves capacity for a run and adds its start call to fx. p.mu is held.
 func (p *Pool) assign(r *run, h *ownedHost, now time.Time, fx *effects) {
 	h.host.Reserve(r.order.Need)
-	h.runs[r.order.Key] = r
+	p.addToHost(r, h)
+	p.logLateStarts(r, h)
 	r.host, r.state, r.startedAt, r.mayHaveRun, r.begun = h, runStarting, now, true, false
 	r.progress, r.progressAt, r.token, r.workerStart = 0, now, h.host.Token, h.host.StartTime
 	r.stopAnswered, r.startUnanswered = false, false
--- a/pool/ownership.go
+++ b/pool/ownership.go
@@ -178,7 +178,7 @@
 			queuedAt: now, startedAt: now, progress: running.Progress, progressAt: now,
 		}
 		h.host.Reserve(r.order.Need)
-		h.runs[running.Key] = r
+		p.addToHost(r, h)
 		p.runs[running.Key] = r
 		if over {
 			// A start that was barred has been executed late. The next run of the task may be ordered at any time.
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -73,6 +73,9 @@
 	runs       map[contract.RunKey]*run
 	waiting    queue
 	barredRuns map[contract.RunKey]barredRun
+	// onWorkers counts the runs of each task that are on workers, or whose start is under way.
+	onWorkers map[contract.RunKey]int
+	late      lateStarts
 	// speeds is the typical speed of each kind of worker, relative to the mean of the back end. The first label of a
 	// listing names the kind.
 	speeds map[string]float64
@@ -95,6 +98,7 @@
 		o: o, ctx: ctx, cancel: cancel,
 		hosts: make(map[string]*ownedHost), runs: make(map[contract.RunKey]*run),
 		barredRuns: make(map[contract.RunKey]barredRun), speeds: make(map[string]float64),
+		onWorkers: make(map[contract.RunKey]int), late: newLateStarts(),
 		lastStarts: make(map[string]time.Time), confinementRank: make(map[*ownedHost]float64), policy: o.Policy,
 	}
 	p.spawn(p.sweepPeriodically)
@@ -158,7 +162,7 @@
 		}
 		p.o.Logger.Info("order of a barred run; not started", "task", o.Key.String(), "home", home,
 			"state", b.state.String(), "claim", o.Claim)
-		fx.reports = append(fx.reports, report{home, contract.RunReport{Key: o.Key, State: b.state, Token: b.token}})
+		fx.reports = append(fx.reports, report{home, p.barredReport(o.Key, b)})
 		return
 	}
 	if now.Sub(sentAfter) > refreshTimeout {
@@ -237,7 +241,12 @@
 	}
 	b.at = now
 	p.barredRuns[k] = b
-	fx.reports = append(fx.reports, report{home, contract.RunReport{Key: k, State: b.state, Token: b.token}})
+	fx.reports = append(fx.reports, report{home, p.barredReport(k, b)})
+}
+
+// barredReport returns the report of a barred run. p.mu is held.
+func (p *Pool) barredReport(k contract.RunKey, b barredRun) contract.RunReport {
+	return contract.RunReport{Key: k, State: b.state, Token: b.token, MayStartLate: p.late.ofTask(k)}
 }
 
 // Withdraw ends runs. Queued runs never start; running ones are stopped.
@@ -354,8 +363,9 @@
 func (p *Pool) sweep(now time.Time) {
 	var fx effects
 	p.mu.Lock()
+	p.late.sweep(now, leaseAfterRefresh)
 	for k, b := range p.barredRuns {
-		if now.Sub(b.at) > finalRetention {
+		if now.Sub(b.at) > finalRetention && !p.late.ofTask(k) {
 			delete(p.barredRuns, k)
 		}
 	}
--- a/pool/run.go
+++ b/pool/run.go
@@ -174,7 +174,7 @@
 	p.detach(r)
 	r.state, r.endedAt = runFinal, now
 	r.outcome = contract.RunReport{Key: r.order.Key, State: state, Worker: worker, Token: r.token,
-		MayHaveStarted: r.mayHaveRun, RunTime: took}
+		MayHaveStarted: r.mayHaveRun, RunTime: took, MayStartLate: p.late.ofTask(r.order.Key)}
 	fx.report(r)
 	p.counter(proofs[proof].counter).Inc(1)
 	p.o.Logger.Info("run ended", append([]any{"task", r.order.Key.String(), "state", state.String(), "worker", worker,
@@ -211,6 +211,18 @@
 	r.host.host.Release(r.order.Need)
 	delete(r.host.runs, r.order.Key)
 	r.host = nil
+	task := r.order.Key.Task()
+	if p.onWorkers[task]--; p.onWorkers[task] <= 0 {
+		delete(p.onWorkers, task)
+	}
+}
+
+// addToHost records that a run is on a worker, or that its start is sent there. p.mu is held.
+func (p *Pool) addToHost(r *run, h *ownedHost) {
+	if _, ok := h.runs[r.order.Key]; !ok {
+		p.onWorkers[r.order.Key.Task()]++
+	}
+	h.runs[r.order.Key] = r
 }
 
 // requeue returns a run to the queue that has provably not started. p.mu is held.
--- a/pool/start.go
+++ b/pool/start.go
@@ -51,6 +51,9 @@
 	} else {
 		p.o.Logger.Warn("start returned after its run had been given up", "task", s.run.order.Key.String(),
 			"worker", s.host.address.Worker, "token", s.token, "verdict", verdict.String(), "error", err)
+		if err != nil && !errorx.HasTrait(err, fault.ProvenNotStarted) {
+			p.late.add(s.run.order.Key, s.host.address.Worker, now)
+		}
 	}
 	p.match(now, &fx)
 	p.mu.Unlock()
@@ -137,6 +140,7 @@
 	}
 	p.counter(metric.PoolStartsInDoubt).Inc(1)
 	r.state, r.startUnanswered = runInDoubt, true
+	p.late.add(r.order.Key, h.address.Worker, now)
 	fx.inDoubt = append(fx.inDoubt, r)
 }
 
--- a/zone/capacity.go
+++ b/zone/capacity.go
@@ -92,14 +92,31 @@
 	if capacity == nil {
 		return "", false
 	}
-	if capacity.Free > 0 {
-		capacity.Free--
-	} else {
-		capacity.Waiting[min(max(priority, 0), Priorities-1)] += expected
-	}
+	capacity.reserve(priority, expected)
 	return best, true
 }
 
+// ReserveAt counts a task at an owner until the owner's next report. It returns false if the owner is not known to have
+// workers of the back end, or is leaving.
+func (v *CapacityView) ReserveAt(owner, backend string, priority int, expected time.Duration) bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	o := v.owners[owner]
+	if o == nil || o.leaving || o.capacities[backend] == nil {
+		return false
+	}
+	o.capacities[backend].reserve(priority, expected)
+	return true
+}
+
+func (c *BackendCapacity) reserve(priority int, expected time.Duration) {
+	if c.Free > 0 {
+		c.Free--
+		return
+	}
+	c.Waiting[min(max(priority, 0), Priorities-1)] += expected
+}
+
 // Wait returns the shortest expected wait of a task of that priority. It returns false if no owner has workers of the
 // back end.
 func (v *CapacityView) Wait(backend string, priority int) (time.Duration, bool) {
