logbuffer: write whole lines in pieces that a pipe takes atomically

Cause: what 20 ms had brought was written in one write.

Change: each write holds as many whole lines as fit into 4096 bytes; a longer line is written alone, and can still be torn. The standard output is used as it is inherited: a blocking pipe makes such a write wait, a non-blocking one returns EAGAIN with nothing written, upon which Go waits for the poller; neither continues a short write. Nothing else in the daemon writes to the standard output: the default logger and net/http go through the same buffer, hertz logs fatal errors only. Not covered: a pipe that another process makes non-blocking after the start; Go then reports EAGAIN and the lines of that write are lost whole.

--- a/internal/logbuffer/logbuffer.go
+++ b/internal/logbuffer/logbuffer.go
@@ -1,8 +1,10 @@
 // Package logbuffer decouples logging from a slow log output. A goroutine writes the lines from a bounded buffer; lines
-// that do not fit or exceed the rate are dropped, and a log line reports their number once lines are accepted again.
+// that do not fit or exceed the rate are dropped, and a log line reports their number once lines are accepted again. Lines of
+// up to 4 KiB arrive whole at a pipe to which several processes write.
 package logbuffer
 
 import (
+	"bytes"
 	"fmt"
 	"io"
 	"sync"
@@ -18,6 +20,9 @@
 	burstBytes     = 2 << 20
 	// flushInterval is the minimum time between two writes, in which lines are batched.
 	flushInterval = 20 * time.Millisecond
+	// atomicWriteBytes is PIPE_BUF of Linux: a pipe takes a write of at most so many bytes as a whole. A longer one to a full pipe
+	// is continued after writes of other processes, whose lines then stand within a line of this one.
+	atomicWriteBytes = 4096
 )
 
 // Buffer is an io.Writer that never blocks on the underlying writer. mu guards all fields below it.
@@ -98,14 +103,33 @@
 	}
 }
 
-// flush writes all queued lines. If the write fails, they are lost: there is no other place to report the error.
+// flush writes all queued lines. Lines whose write fails are lost: there is no other place to report the error.
 func (b *Buffer) flush() {
 	b.mu.Lock()
 	lines := b.lines
 	b.lines, b.spare = b.spare[:0], nil
 	b.mu.Unlock()
-	_, _ = b.out.Write(lines)
+	for rest := lines; len(rest) > 0; {
+		n := atomicLength(rest)
+		_, _ = b.out.Write(rest[:n])
+		rest = rest[n:]
+	}
 	b.mu.Lock()
 	b.spare = lines[:0]
 	b.mu.Unlock()
 }
+
+// atomicLength returns the length of the whole lines at the start of lines that fit into an atomic write, or of the first line
+// if that is longer.
+func atomicLength(lines []byte) int {
+	if len(lines) <= atomicWriteBytes {
+		return len(lines)
+	}
+	if i := bytes.LastIndexByte(lines[:atomicWriteBytes], '\n'); i >= 0 {
+		return i + 1
+	}
+	if i := bytes.IndexByte(lines[atomicWriteBytes:], '\n'); i >= 0 {
+		return atomicWriteBytes + i + 1
+	}
+	return len(lines)
+}
