batch, edge: log "none" for the time since something that has not happened

Cause: the difference to a zero time is the longest duration. "tasks ordered" named an owner with "contact 2562047h47m16.854775807s ago" where the home had no contact with it up to the proof of the caller, and "since_contact" of a lost run, "expires_in" of a run whose owner has lost its worker and "since_feed" of a member that had no list of workers had the same value. "majority_ago" and "since_majority" of a home that had reached no majority since its start gave the time since the start.

Change: internal/logattr formats such times in one place: "none" as an attribute, "no contact" in a text. A run whose owner has lost its worker is logged with "since_contact" too, and "expires_in" is at least zero. The ages that cannot be unset stay as they were.

--- a/batch/advance.go
+++ b/batch/advance.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/cicadadale/cicadadale/contract"
+	"github.com/cicadadale/cicadadale/internal/logattr"
 	"github.com/cicadadale/cicadadale/metric"
 )
 
@@ -60,7 +61,7 @@
 	}
 	if t.state == taskLost && !now.Before(t.expiresAt) {
 		h.o.Logger.Info("lease of a lost run has expired; treating the run as ended", "task", j.key(t).String(),
-			"owner", t.owner, "worker", t.worker, "token", t.token, "since_contact", now.Sub(t.contactAt))
+			"owner", t.owner, "worker", t.worker, "token", t.token, logattr.Since("since_contact", now, t.contactAt))
 		j.mayHaveRun = true
 		h.recordEnd(j, t, proofExpired, "", 0, true)
 		h.unplace(t, true)
@@ -120,7 +121,7 @@
 	t.started, t.withdrawn, t.worker, t.token, t.recalledAt = false, false, "", 0, time.Time{}
 	t.alone = h.suspect(j, t)
 	out.order(j, t, j.order(t))
-	out.ordered = append(out.ordered, fmt.Sprintf("%s at %s, contact %v ago", j.key(t), t.owner, now.Sub(t.contactAt)))
+	out.ordered = append(out.ordered, fmt.Sprintf("%s at %s, %s", j.key(t), t.owner, logattr.Ago("contact", now, t.contactAt)))
 }
 
 // unplace makes a task ready for its next run.
@@ -235,7 +236,8 @@
 	case contract.RunLost:
 		if h.markLost(t) {
 			h.o.Logger.Info("owner has lost the worker of a run; the run is in doubt", "task", r.Key.String(), "owner", owner,
-				"worker", r.Worker, "token", t.token, "expires_in", t.expiresAt.Sub(now))
+				"worker", r.Worker, "token", t.token, logattr.Since("since_contact", now, t.contactAt),
+				"expires_in", max(t.expiresAt.Sub(now), 0))
 		}
 	}
 }
--- a/batch/home.go
+++ b/batch/home.go
@@ -266,7 +266,7 @@
 	answerBy := h.answerBy(b, b.Accepted, now, out)
 	if known && !(forecast{deadline: answerBy, expected: expected}).meetsDeadline(now, wait) {
 		h.o.Logger.Info("job refused: cannot end before its deadline", "job", b.ID, "route", b.Route, "wait", wait,
-			"expected", expected, "time_left", left, "since_majority", h.sinceMajority(now, out))
+			"expected", expected, "time_left", left, h.majorityAttr("since_majority", now, out))
 		h.counter(metric.BatchJobsRefused).Inc(1)
 		return nil, &Answer{Outcome: Refused, Reason: "overloaded", RetryAfter: wait}
 	}
@@ -285,7 +285,7 @@
 	h.o.Logger.Info("job accepted", "job", b.ID, "route", b.Route, "tasks", len(j.tasks), "priority", b.Priority,
 		"steps", len(b.Steps), "estimate", b.Steps[0].Estimate, "expected_run", expected, "expected_wait", wait,
 		"time_left", left, "target_in", j.target.Sub(now), "electorate", j.electorate.Size(),
-		"members", h.o.Members.Count(), "majority_ago", max(h.sinceMajority(now, out), 0))
+		"members", h.o.Members.Count(), h.majorityAttr("majority_ago", now, out))
 	if held, ok := h.o.Held.Of(b.ID); ok {
 		h.awaitRelease(j, held, now)
 	}
--- a/batch/home_test.go
+++ b/batch/home_test.go
@@ -165,12 +165,16 @@
 func newTestHomeAt(now func() time.Time) (*Home, *recorder) { return newTestHomeOf("self/1", now) }
 
 func newTestHomeOf(self string, now func() time.Time) (*Home, *recorder) {
+	return newTestHomeWithLog(self, now, slog.New(slog.DiscardHandler))
+}
+
+func newTestHomeWithLog(self string, now func() time.Time, logger *slog.Logger) (*Home, *recorder) {
 	capacity := zone.NewCapacityView("self/1", "z")
 	capacity.Update(testOwner, "z", false, map[string]*zone.BackendCapacity{"s": {Free: 100, Slots: 100}})
 	out := &recorder{now: now}
 	return New(Options{
 		Self: self, Owners: out, Capacity: capacity, Crashes: contract.NewCrashLedger(), Cancels: contract.NewCancelLedger(),
-		Members: out, Held: contract.NewHeldLedger(), Now: now, Logger: slog.New(slog.DiscardHandler),
+		Members: out, Held: contract.NewHeldLedger(), Now: now, Logger: logger,
 		Metrics: metrics.NewRegistry(),
 		Fits:    func(_ string, need machine.Resources, _ string) (bool, bool) { return need.CPUMillis <= 64_000, true },
 	}), out
--- a/batch/membership.go
+++ b/batch/membership.go
@@ -1,10 +1,12 @@
 package batch
 
 import (
+	"log/slog"
 	"sync"
 	"time"
 
 	"github.com/cicadadale/cicadadale/contract"
+	"github.com/cicadadale/cicadadale/internal/logattr"
 	"github.com/cicadadale/cicadadale/metric"
 	"github.com/cicadadale/cicadadale/zone"
 )
@@ -118,6 +120,16 @@
 	return now.Sub(later(out.majorityContact(out.currentElectorate()), h.started))
 }
 
+// majorityAttr returns the log attribute of the time since the last contact with a majority of the members. There was none if it
+// is older than this home.
+func (h *Home) majorityAttr(key string, now time.Time, out *outbox) slog.Attr {
+	at := out.majorityContact(out.currentElectorate())
+	if at.Before(h.started) {
+		at = time.Time{}
+	}
+	return logattr.Since(key, now, at)
+}
+
 // answerBy returns the time by which a job has to end to be answered with a result: its deadline, or the time at which this home
 // has to give it up if it is cut off from a majority of the members. The lock of the job's shard is held.
 func (h *Home) answerBy(b contract.Batch, provenUntil, now time.Time, out *outbox) time.Time {
--- a/batch/proof.go
+++ b/batch/proof.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/cicadadale/cicadadale/contract"
+	"github.com/cicadadale/cicadadale/internal/logattr"
 	"github.com/cicadadale/cicadadale/metric"
 )
 
@@ -74,7 +75,7 @@
 
 // attrs returns the log attributes of a proof.
 func (p soleHomeProof) attrs(now time.Time) slog.Attr {
-	return slog.Group("sole_home", "by", p.by, "ago", max(now.Sub(p.at), 0))
+	return slog.Group("sole_home", "by", p.by, logattr.Since("ago", now, p.at))
 }
 
 // logOrders logs the runs of a job that have been ordered together, and why no other home can have the job.
--- a/edge/workerfeed.go
+++ b/edge/workerfeed.go
@@ -10,6 +10,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/cicadadale/cicadadale/api"
+	"github.com/cicadadale/cicadadale/internal/logattr"
 	"github.com/cicadadale/cicadadale/machine"
 )
 
@@ -90,7 +91,7 @@
 	reading := !f.reliesOnReaders || now.Sub(f.lastFed) > feedTimeout
 	if reading != f.reading {
 		f.logger.Info("changed whether this process reads the worker list itself", "reads", reading, "members", len(near)+1,
-			"since_feed", now.Sub(f.lastFed))
+			logattr.Since("since_feed", now, f.lastFed))
 	}
 	f.reading = reading
 }
--- a/edge/workerfeed_test.go
+++ b/edge/workerfeed_test.go
@@ -1,6 +1,8 @@
 package edge
 
 import (
+	"bytes"
+	"log/slog"
 	"testing"
 	"time"
 
@@ -43,6 +45,17 @@
 	})
 }
 
+// Guards against an age of 292 years in the line of a member that has not received a list yet.
+func TestReadingWithoutFeedIsLoggedSo(t *testing.T) {
+	var log bytes.Buffer
+	now := time.Now()
+	f := newWorkerFeed("b/1", newMembers(machine.Member{VM: "b", Domain: "z"}, nil, nil), func() time.Time { return now },
+		slog.New(slog.NewTextHandler(&log, nil)))
+	f.reading = false
+	f.UpdateReading()
+	require.Contains(t, log.String(), "reads=true members=1 since_feed=none")
+}
+
 // Guards against a change that is applied to another list than the one that it belongs to.
 func TestChangeAfterGapIsNotApplied(t *testing.T) {
 	now := time.Now()
