batch: name at most 24 tasks in a log line

Cause: "tasks ordered" and "owner of workers is unreachable; its runs are in doubt" named all tasks of a job, or all runs at an owner, in one line. For a job of 500 tasks that is 51,563 bytes, which a pipe to which several daemons write does not take whole. Change: both lists are split into lines of at most 24 tasks, about 3 KB. "runs" still counts all runs at the owner. The limit of an atomic write is exported by logbuffer, for the test.

--- a/batch/advance.go
+++ b/batch/advance.go
@@ -329,10 +329,7 @@
 		}
 		s.mu.Unlock()
 	}
-	if len(lost) > 0 {
-		h.o.Logger.Warn("owner of workers is unreachable; its runs are in doubt", "owner", owner, "runs", len(lost),
-			"tasks", lost)
-	}
+	h.logUnreachable(owner, lost)
 }
 
 // Takeover records that an owner has acquired a worker with some runs on it. The home claims its runs from the new
--- a/batch/proof.go
+++ b/batch/proof.go
@@ -2,6 +2,7 @@
 
 import (
 	"log/slog"
+	"slices"
 	"time"
 
 	"github.com/cicadadale/cicadadale/contract"
@@ -78,12 +79,24 @@
 	return slog.Group("sole_home", "by", p.by, logattr.Since("ago", now, p.at))
 }
 
+// tasksPerLine is the number of tasks that a log line names at most. An order takes about 110 bytes, and a pipe takes lines of up to
+// 4 KiB whole.
+const tasksPerLine = 24
+
 // logOrders logs the runs of a job that have been ordered together, and why no other home can have the job.
 func (h *Home) logOrders(j *job, now time.Time, out *outbox) {
-	if len(out.ordered) > 0 {
-		h.o.Logger.Info("tasks ordered", "job", j.batch.ID, "tasks", out.ordered,
-			out.soleHomeProof(j).attrs(now), "released_by", j.released)
-		out.ordered = nil
+	for tasks := range slices.Chunk(out.ordered, tasksPerLine) {
+		h.o.Logger.Info("tasks ordered", "job", j.batch.ID, "tasks", tasks, out.soleHomeProof(j).attrs(now),
+			"released_by", j.released)
+	}
+	out.ordered = nil
+}
+
+// logUnreachable logs the runs at an owner that can no longer be reached.
+func (h *Home) logUnreachable(owner string, runs []string) {
+	for tasks := range slices.Chunk(runs, tasksPerLine) {
+		h.o.Logger.Warn("owner of workers is unreachable; its runs are in doubt", "owner", owner, "runs", len(runs),
+			"tasks", tasks)
 	}
 }
 
--- a/internal/logbuffer/logbuffer.go
+++ b/internal/logbuffer/logbuffer.go
@@ -20,9 +20,9 @@
 	burstBytes     = 2 << 20
 	// flushInterval is the minimum time between two writes, in which lines are batched.
 	flushInterval = 20 * time.Millisecond
-	// atomicWriteBytes is PIPE_BUF of Linux: a pipe takes a write of at most so many bytes as a whole. A longer one to a full pipe
+	// AtomicWriteBytes is PIPE_BUF of Linux: a pipe takes a write of at most so many bytes as a whole. A longer one to a full pipe
 	// is continued after writes of other processes, whose lines then stand within a line of this one.
-	atomicWriteBytes = 4096
+	AtomicWriteBytes = 4096
 )
 
 // Buffer is an io.Writer that never blocks on the underlying writer. mu guards all fields below it.
@@ -122,14 +122,14 @@
 // atomicLength returns the length of the whole lines at the start of lines that fit into an atomic write, or of the first line
 // if that is longer.
 func atomicLength(lines []byte) int {
-	if len(lines) <= atomicWriteBytes {
+	if len(lines) <= AtomicWriteBytes {
 		return len(lines)
 	}
-	if i := bytes.LastIndexByte(lines[:atomicWriteBytes], '\n'); i >= 0 {
+	if i := bytes.LastIndexByte(lines[:AtomicWriteBytes], '\n'); i >= 0 {
 		return i + 1
 	}
-	if i := bytes.IndexByte(lines[atomicWriteBytes:], '\n'); i >= 0 {
-		return atomicWriteBytes + i + 1
+	if i := bytes.IndexByte(lines[AtomicWriteBytes:], '\n'); i >= 0 {
+		return AtomicWriteBytes + i + 1
 	}
 	return len(lines)
 }
--- a/internal/logbuffer/pipe_test.go
+++ b/internal/logbuffer/pipe_test.go
@@ -109,16 +109,16 @@
 		require.NoError(t, err)
 		synctest.Wait()
 		for _, l := range []string{
-			line("a", atomicWriteBytes/4), line("b", atomicWriteBytes*3/4), line("c", 1), line("d", atomicWriteBytes+1),
-			line("e", 10), line("f", atomicWriteBytes-10), line("g", 20),
+			line("a", AtomicWriteBytes/4), line("b", AtomicWriteBytes*3/4), line("c", 1), line("d", AtomicWriteBytes+1),
+			line("e", 10), line("f", AtomicWriteBytes-10), line("g", 20),
 		} {
 			_, err := b.Write([]byte(l))
 			require.NoError(t, err)
 		}
 		b.Close()
 		require.Equal(t, []string{
-			"first\n", line("a", atomicWriteBytes/4) + line("b", atomicWriteBytes*3/4), line("c", 1), line("d", atomicWriteBytes+1),
-			line("e", 10) + line("f", atomicWriteBytes-10), line("g", 20),
+			"first\n", line("a", AtomicWriteBytes/4) + line("b", AtomicWriteBytes*3/4), line("c", 1), line("d", AtomicWriteBytes+1),
+			line("e", 10) + line("f", AtomicWriteBytes-10), line("g", 20),
 		}, w.writes)
 	})
 }
