batch: visit the jobs of all shards in one place

Cause: the loop over all shards, with the lock of each, stood in seven places besides the tick, which also deletes jobs. Change: lockedJobs yields all jobs, each under the lock of its shard, and unlocks if the caller stops early; six methods and a test accessor use it.

--- a/batch/advance.go
+++ b/batch/advance.go
@@ -316,18 +316,13 @@
 // OwnerUnreachable marks the runs at an owner that can no longer be reached as lost.
 func (h *Home) OwnerUnreachable(owner string) {
 	var lost []string
-	for i := range h.shards {
-		s := &h.shards[i]
-		s.mu.Lock()
-		for _, j := range s.jobs {
-			for k := range j.tasks {
-				if t := &j.tasks[k]; t.owner == owner && t.state == taskPlaced {
-					h.markLost(t)
-					lost = append(lost, j.key(t).String())
-				}
+	for j := range h.lockedJobs() {
+		for i := range j.tasks {
+			if t := &j.tasks[i]; t.owner == owner && t.state == taskPlaced {
+				h.markLost(t)
+				lost = append(lost, j.key(t).String())
 			}
 		}
-		s.mu.Unlock()
 	}
 	h.logUnreachable(owner, lost)
 }
@@ -338,15 +333,10 @@
 func (h *Home) Takeover(owner string, t contract.Takeover) {
 	now := h.o.Now()
 	out := h.newOutbox()
-	for i := range h.shards {
-		s := &h.shards[i]
-		s.mu.Lock()
-		for _, j := range s.jobs {
-			if j.state != jobEnded {
-				h.applyTakeover(j, owner, t, now, out)
-			}
+	for j := range h.lockedJobs() {
+		if j.state != jobEnded {
+			h.applyTakeover(j, owner, t, now, out)
 		}
-		s.mu.Unlock()
 	}
 	out.send()
 }
--- a/batch/export_test.go
+++ b/batch/export_test.go
@@ -15,18 +15,13 @@
 // HeldRuns returns the runs that are placed or lost.
 func (h *Home) HeldRuns() []HeldRun {
 	var runs []HeldRun
-	for i := range h.shards {
-		s := &h.shards[i]
-		s.mu.Lock()
-		for _, j := range s.jobs {
-			for k := range j.tasks {
-				if t := &j.tasks[k]; t.state == taskPlaced || t.state == taskLost {
-					runs = append(runs, HeldRun{Key: j.key(t), Owner: t.owner, Token: t.token, Started: t.started,
-						Lost: t.state == taskLost})
-				}
+	for j := range h.lockedJobs() {
+		for i := range j.tasks {
+			if t := &j.tasks[i]; t.state == taskPlaced || t.state == taskLost {
+				runs = append(runs, HeldRun{Key: j.key(t), Owner: t.owner, Token: t.token, Started: t.started,
+					Lost: t.state == taskLost})
 			}
 		}
-		s.mu.Unlock()
 	}
 	return runs
 }
--- a/batch/home.go
+++ b/batch/home.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"iter"
 	"log/slog"
 	"sync"
 	"sync/atomic"
@@ -103,6 +104,29 @@
 	jobs map[string]*job
 }
 
+// all yields the jobs of a shard while its lock is held. It reports whether all were wanted.
+func (s *shard) all(yield func(*job) bool) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, j := range s.jobs {
+		if !yield(j) {
+			return false
+		}
+	}
+	return true
+}
+
+// lockedJobs yields all jobs. The lock of the shard of the present one is held meanwhile.
+func (h *Home) lockedJobs() iter.Seq[*job] {
+	return func(yield func(*job) bool) {
+		for i := range h.shards {
+			if !h.shards[i].all(yield) {
+				return
+			}
+		}
+	}
+}
+
 // New returns a home without jobs.
 func New(o Options) *Home {
 	ctx, cancel := context.WithCancel(context.Background())
@@ -383,15 +407,10 @@
 // Pending returns the number of accepted jobs of a route of which no task has started.
 func (h *Home) Pending(route string) int {
 	n := 0
-	for i := range h.shards {
-		s := &h.shards[i]
-		s.mu.Lock()
-		for _, j := range s.jobs {
-			if j.state == jobActive && j.batch.Route == route && j.queued() {
-				n++
-			}
+	for j := range h.lockedJobs() {
+		if j.state == jobActive && j.batch.Route == route && j.queued() {
+			n++
 		}
-		s.mu.Unlock()
 	}
 	return n
 }
@@ -399,16 +418,11 @@
 // Active returns the number of jobs that have not ended, without those that are answered and wait only for an earlier home.
 func (h *Home) Active() int {
 	n := 0
-	for i := range h.shards {
-		s := &h.shards[i]
-		s.mu.Lock()
-		for _, j := range s.jobs {
-			waits := j.state == jobEnding && len(j.waiters) == 0 && j.ownRunsOver()
-			if j.state != jobEnded && !waits {
-				n++
-			}
+	for j := range h.lockedJobs() {
+		waits := j.state == jobEnding && len(j.waiters) == 0 && j.ownRunsOver()
+		if j.state != jobEnded && !waits {
+			n++
 		}
-		s.mu.Unlock()
 	}
 	return n
 }
--- a/batch/release.go
+++ b/batch/release.go
@@ -156,15 +156,10 @@
 // Held returns the jobs that have not ended.
 func (h *Home) Held() []contract.HeldJob {
 	var jobs []contract.HeldJob
-	for i := range h.shards {
-		s := &h.shards[i]
-		s.mu.Lock()
-		for _, j := range s.jobs {
-			if j.state != jobEnded {
-				jobs = append(jobs, contract.HeldJob{Job: j.batch.ID, Accepted: j.submittedAt})
-			}
+	for j := range h.lockedJobs() {
+		if j.state != jobEnded {
+			jobs = append(jobs, contract.HeldJob{Job: j.batch.ID, Accepted: j.submittedAt})
 		}
-		s.mu.Unlock()
 	}
 	return jobs
 }
--- a/batch/stop.go
+++ b/batch/stop.go
@@ -5,15 +5,10 @@
 // LimitDeadlines brings the deadlines of all jobs forward to the time by which this process must have answered them. Jobs
 // that cannot end by then are refused or abandoned as at any deadline.
 func (h *Home) LimitDeadlines(end time.Time) {
-	for i := range h.shards {
-		s := &h.shards[i]
-		s.mu.Lock()
-		for _, j := range s.jobs {
-			if end.Before(j.batch.Deadline) {
-				j.batch.Deadline = end
-			}
+	for j := range h.lockedJobs() {
+		if end.Before(j.batch.Deadline) {
+			j.batch.Deadline = end
 		}
-		s.mu.Unlock()
 	}
 }
 
