batch: read the requests for a release under their lock in tests

Cause: tests read recorder.releases while the goroutine of the home appends to it. go test -race ./batch -count=10 reported the race of TestCancelledJobStopsWaiting on. Change: an accessor returns a copy that is made under the lock, as for the other messages. The checks are the same.

--- a/batch/home_test.go
+++ b/batch/home_test.go
@@ -140,6 +140,13 @@
 	r.releases = append(r.releases, request)
 }
 
+// requests returns a copy of the requests for a release.
+func (r *recorder) requests() []contract.JobRelease {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return slices.Clone(r.releases)
+}
+
 func (r *recorder) AnnounceHeld(jobs []contract.HeldJob) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/batch/release_test.go
+++ b/batch/release_test.go
@@ -47,13 +47,13 @@
 		submit(heldBatch(h))
 		time.Sleep(time.Second)
 		require.Empty(t, out.sentOrders())
-		require.NotEmpty(t, out.releases)
-		require.Equal(t, earlierOwner, out.releases[0].Home)
-		h.Released(contract.JobReleased{Job: testJobID, Home: "third/1", Wait: out.releases[0].Wait})
+		require.NotEmpty(t, out.requests())
+		require.Equal(t, earlierOwner, out.requests()[0].Home)
+		h.Released(contract.JobReleased{Job: testJobID, Home: "third/1", Wait: out.requests()[0].Wait})
 		require.Empty(t, out.sentOrders(), "the answer of another member proves nothing")
-		h.Released(contract.JobReleased{Job: testJobID, Home: earlierOwner, Wait: out.releases[0].Wait + 1})
+		h.Released(contract.JobReleased{Job: testJobID, Home: earlierOwner, Wait: out.requests()[0].Wait + 1})
 		require.Empty(t, out.sentOrders(), "the answer to another wait proves nothing")
-		h.Released(contract.JobReleased{Job: testJobID, Home: earlierOwner, Wait: out.releases[0].Wait})
+		h.Released(contract.JobReleased{Job: testJobID, Home: earlierOwner, Wait: out.requests()[0].Wait})
 		require.Len(t, out.sentOrders(), 1)
 	})
 }
@@ -66,7 +66,7 @@
 		atHome(t, func(h *Home, out *recorder, submit func(contract.Batch) chan Answer) {
 			out.heard = time.Now().Add(time.Hour)
 			answer := submit(heldBatch(h))
-			released.Job, released.Home, released.Wait = testJobID, earlierOwner, out.releases[0].Wait
+			released.Job, released.Home, released.Wait = testJobID, earlierOwner, out.requests()[0].Wait
 			h.Released(released)
 			require.Equal(t, outcome, (<-answer).Outcome)
 			require.Empty(t, out.sentOrders())
@@ -87,7 +87,7 @@
 			_, over := h.Release(third)
 			require.False(t, over, "the runs of the first home may be alive")
 			require.Equal(t, Superseded, (<-answer).Outcome)
-			released.Job, released.Home, released.Wait = testJobID, earlierOwner, out.releases[0].Wait
+			released.Job, released.Home, released.Wait = testJobID, earlierOwner, out.requests()[0].Wait
 			h.Released(released)
 			forwarded, over := h.Release(third)
 			require.True(t, over)
@@ -111,7 +111,7 @@
 		synctest.Wait()
 		answer := submit(testBatch(1, 5*time.Second))
 		h.Released(contract.JobReleased{
-			Job: testJobID, Home: earlierOwner, Wait: out.releases[0].Wait, Completed: true,
+			Job: testJobID, Home: earlierOwner, Wait: out.requests()[0].Wait, Completed: true,
 		})
 		require.Equal(t, Completed, (<-answer).Outcome)
 		require.Empty(t, out.sentOrders())
@@ -126,7 +126,7 @@
 		h.Cancel(testJobID)
 		require.Equal(t, Cancelled, (<-answer).Outcome)
 		h.Released(contract.JobReleased{
-			Job: testJobID, Home: earlierOwner, Wait: out.releases[0].Wait, Completed: true,
+			Job: testJobID, Home: earlierOwner, Wait: out.requests()[0].Wait, Completed: true,
 		})
 		require.Equal(t, StateCancelled, h.State(testJobID))
 	})
@@ -152,7 +152,7 @@
 		submit(b)
 		time.Sleep(releaseTimeout - 10*time.Millisecond)
 		require.Empty(t, out.sentOrders())
-		require.Greater(t, len(out.releases), 1, "repeated requests go through other members")
+		require.Greater(t, len(out.requests()), 1, "repeated requests go through other members")
 		time.Sleep(2 * tickInterval)
 		require.Len(t, out.sentOrders(), 1)
 	})
@@ -225,12 +225,12 @@
 		b.Steps = append(b.Steps, b.Steps[0])
 		b.Steps[1].DependsOn = []int{0}
 		submit(b)
-		h.Released(contract.JobReleased{Job: testJobID, Home: earlierOwner, Wait: out.releases[0].Wait})
-		requests := len(out.releases)
+		h.Released(contract.JobReleased{Job: testJobID, Home: earlierOwner, Wait: out.requests()[0].Wait})
+		requests := len(out.requests())
 		h.HeldElsewhere(held)
 		reportRun(h, out.sentOrders()[0].Key, contract.RunDone, true)
 		require.Len(t, out.sentOrders(), 2, "the next step starts without another wait")
-		require.Len(t, out.releases, requests)
+		require.Len(t, out.requests(), requests)
 	})
 }
 
@@ -253,7 +253,7 @@
 			accepted := time.Now().Add(c.offset)
 			h.HeldElsewhere(contract.HeldJob{Job: testJobID, Home: c.home, Accepted: accepted, HeardAt: time.Now()})
 			require.Equal(t, !c.keeps, len(out.withdrawn()) > 0, c.name)
-			require.Equal(t, c.keeps, len(out.releases) > 0, c.name)
+			require.Equal(t, c.keeps, len(out.requests()) > 0, c.name)
 		})
 	}
 }
@@ -294,7 +294,7 @@
 		}
 		h.o.Held.Record(third)
 		h.HeldElsewhere(third)
-		h.Released(contract.JobReleased{Job: testJobID, Home: earlierOwner, Wait: out.releases[0].Wait})
+		h.Released(contract.JobReleased{Job: testJobID, Home: earlierOwner, Wait: out.requests()[0].Wait})
 		require.Empty(t, out.sentOrders())
 	})
 }
@@ -308,9 +308,9 @@
 		require.Equal(t, Cancelled, (<-answer).Outcome)
 		require.Zero(t, h.Active())
 		time.Sleep(contract.HeldRetention + time.Second)
-		requests := len(out.releases)
+		requests := len(out.requests())
 		time.Sleep(time.Minute)
-		require.Len(t, out.releases, requests)
+		require.Len(t, out.requests(), requests)
 	})
 }
 
