--- a/batch/advance.go
+++ b/batch/advance.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/cicadadale/cicadadale/contract"
+	"github.com/cicadadale/cicadadale/internal/logattr"
 	"github.com/cicadadale/cicadadale/metric"
 )
 
@@ -60,7 +61,7 @@
 	}
 	if t.state == taskLost && !now.Before(t.expiresAt) {
 		h.o.Logger.Info("lease of a lost run has expired; treating the run as ended", "task", j.key(t).String(),
-			"owner", t.owner, "worker", t.worker, "token", t.token, "since_contact", now.Sub(t.contactAt))
+			"owner", t.owner, "worker", t.worker, "token", t.token, logattr.Since("since_contact", now, t.contactAt))
 		j.mayHaveRun = true
 		h.recordEnd(j, t, proofExpired, "", 0, true)
 		h.unplace(t, true)
@@ -120,7 +121,7 @@
 	t.started, t.withdrawn, t.worker, t.token, t.recalledAt = false, false, "", 0, time.Time{}
 	t.alone = h.suspect(j, t)
 	out.order(j, t, j.order(t))
-	out.ordered = append(out.ordered, fmt.Sprintf("%s at %s, contact %v ago", j.key(t), t.owner, now.Sub(t.contactAt)))
+	out.ordered = append(out.ordered, fmt.Sprintf("%s at %s, %s", j.key(t), t.owner, logattr.Ago("contact", now, t.contactAt)))
 }
 
 // chooseOwner chooses the owner that starts the next run of a task: the one whose worker may still execute an earlier start,
@@ -250,7 +251,8 @@
 	case contract.RunLost:
 		if h.markLost(t) {
 			h.o.Logger.Info("owner has lost the worker of a run; the run is in doubt", "task", r.Key.String(), "owner", owner,
-				"worker", r.Worker, "token", t.token, "expires_in", t.expiresAt.Sub(now))
+				"worker", r.Worker, "token", t.token, logattr.Since("since_contact", now, t.contactAt),
+				"expires_in", max(t.expiresAt.Sub(now), 0))
 		}
 	}
 }
@@ -329,23 +331,15 @@
 // OwnerUnreachable marks the runs at an owner that can no longer be reached as lost.
 func (h *Home) OwnerUnreachable(owner string) {
 	var lost []string
-	for i := range h.shards {
-		s := &h.shards[i]
-		s.mu.Lock()
-		for _, j := range s.jobs {
-			for k := range j.tasks {
-				if t := &j.tasks[k]; t.owner == owner && t.state == taskPlaced {
-					h.markLost(t)
-					lost = append(lost, j.key(t).String())
-				}
+	for j := range h.lockedJobs() {
+		for i := range j.tasks {
+			if t := &j.tasks[i]; t.owner == owner && t.state == taskPlaced {
+				h.markLost(t)
+				lost = append(lost, j.key(t).String())
 			}
 		}
-		s.mu.Unlock()
-	}
-	if len(lost) > 0 {
-		h.o.Logger.Warn("owner of workers is unreachable; its runs are in doubt", "owner", owner, "runs", len(lost),
-			"tasks", lost)
 	}
+	h.logUnreachable(owner, lost)
 }
 
 // Takeover records that an owner has acquired a worker with some runs on it. The home claims its runs from the new
@@ -354,15 +348,10 @@
 func (h *Home) Takeover(owner string, t contract.Takeover) {
 	now := h.o.Now()
 	out := h.newOutbox()
-	for i := range h.shards {
-		s := &h.shards[i]
-		s.mu.Lock()
-		for _, j := range s.jobs {
-			if j.state != jobEnded {
-				h.applyTakeover(j, owner, t, now, out)
-			}
+	for j := range h.lockedJobs() {
+		if j.state != jobEnded {
+			h.applyTakeover(j, owner, t, now, out)
 		}
-		s.mu.Unlock()
 	}
 	out.send()
 }
