pool: log lines without ages of nothing, and a stop that reads its run under the lock

Cause: 'older_than', 'since_refresh' and 'since_contact' were differences to a zero time if there was no contact; 'home is unreachable' named all runs in one line, which a pipe does not take whole; a stop read the key of its run without the lock, which the race detector shows in TestHomeConvergesOnceTheNetworkIsQuiet. Result: go test -race ./batch -run TestHomeConverges -count=3 passes, no behaviour changes.

--- a/batch/proof.go
+++ b/batch/proof.go
@@ -79,13 +79,9 @@
 	return slog.Group("sole_home", "by", p.by, logattr.Since("ago", now, p.at))
 }
 
-// tasksPerLine is the number of tasks that a log line names at most. An order takes about 110 bytes, and a pipe takes lines of up to
-// 4 KiB whole.
-const tasksPerLine = 24
-
 // logOrders logs the runs of a job that have been ordered together, and why no other home can have the job.
 func (h *Home) logOrders(j *job, now time.Time, out *outbox) {
-	for tasks := range slices.Chunk(out.ordered, tasksPerLine) {
+	for tasks := range slices.Chunk(out.ordered, logattr.TasksPerLine) {
 		h.o.Logger.Info("tasks ordered", "job", j.batch.ID, "tasks", tasks, out.soleHomeProof(j).attrs(now),
 			"released_by", j.released)
 	}
@@ -94,7 +90,7 @@
 
 // logUnreachable logs the runs at an owner that can no longer be reached.
 func (h *Home) logUnreachable(owner string, runs []string) {
-	for tasks := range slices.Chunk(runs, tasksPerLine) {
+	for tasks := range slices.Chunk(runs, logattr.TasksPerLine) {
 		h.o.Logger.Warn("owner of workers is unreachable; its runs are in doubt", "owner", owner, "runs", len(runs),
 			"tasks", tasks)
 	}
--- a/internal/logattr/logattr.go
+++ b/internal/logattr/logattr.go
@@ -7,6 +7,10 @@
 	"time"
 )
 
+// TasksPerLine is the number of tasks that a log line names at most. An order takes about 110 bytes, and a pipe takes lines of up
+// to 4 KiB whole.
+const TasksPerLine = 24
+
 // none stands for the time since an event that has not occurred. The difference to a zero time is no age: it is the longest duration.
 const none = "none"
 
--- a/pool/crash.go
+++ b/pool/crash.go
@@ -5,6 +5,7 @@
 
 	"github.com/cicadadale/cicadadale/contract"
 	"github.com/cicadadale/cicadadale/fault"
+	"github.com/cicadadale/cicadadale/internal/logattr"
 	"github.com/cicadadale/cicadadale/link"
 	"github.com/cicadadale/cicadadale/metric"
 )
@@ -113,12 +114,12 @@
 	h.watch.crash = &c
 	fx.crashes = append(fx.crashes, c)
 	if len(c.Tasks) == 0 {
-		p.o.Logger.Info("idle worker has crashed", "worker", c.Worker, "cause", cause, "since_contact", at.Sub(h.host.Contacted()))
+		p.o.Logger.Info("idle worker has crashed", "worker", c.Worker, "cause", cause, logattr.Since("since_contact", at, h.host.Contacted()))
 		return
 	}
 	p.counter(metric.PoolRunsCrashed).Inc(int64(len(c.Tasks)))
 	p.o.Logger.Warn("worker has crashed with its runs", "worker", c.Worker, "cause", cause, "tasks", taskNames(c.Tasks),
-		"since_contact", at.Sub(h.host.Contacted()))
+		logattr.Since("since_contact", at, h.host.Contacted()))
 }
 
 func taskNames(tasks []contract.CrashedTask) []string {
--- a/pool/maintain.go
+++ b/pool/maintain.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/cicadadale/cicadadale/contract"
+	"github.com/cicadadale/cicadadale/internal/logattr"
 	"github.com/cicadadale/cicadadale/link"
 	"github.com/cicadadale/cicadadale/machine"
 	"github.com/cicadadale/cicadadale/metric"
@@ -381,7 +382,7 @@
 	h.watch = crashWatch{}
 	p.o.Logger.Warn("worker has been restarted; acquiring it under a new token", "worker", h.address.Worker,
 		"born", reply.StartTime, "last_born", h.host.StartTime, "runs", len(h.runs), "running", len(reply.Running),
-		"token", h.host.Token, "since_contact", now.Sub(h.host.Contacted()))
+		"token", h.host.Token, logattr.Since("since_contact", now, h.host.Contacted()))
 	p.beginIncarnation(h, reply.HostReply, now, fx)
 	h.host.Token = 0
 	signal(h.restartNoticed)
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -3,12 +3,14 @@
 import (
 	"context"
 	"log/slog"
+	"slices"
 	"sync"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
 
 	"github.com/cicadadale/cicadadale/contract"
+	"github.com/cicadadale/cicadadale/internal/logattr"
 	"github.com/cicadadale/cicadadale/link"
 	"github.com/cicadadale/cicadadale/machine"
 	"github.com/cicadadale/cicadadale/metric"
@@ -143,7 +145,7 @@
 		if !r.claimed {
 			r.refreshedAt = sentAfter
 			p.o.Logger.Info("run found on a worker is claimed by its home", "task", o.Key.String(), "home", home,
-				"claim", o.Claim, "older_than", now.Sub(sentAfter))
+				"claim", o.Claim, logattr.Since("older_than", now, sentAfter))
 		}
 		r.home, r.refreshedAt, r.claimed = home, later(r.refreshedAt, sentAfter), true
 		if r.order.Spec == nil {
@@ -167,7 +169,7 @@
 	}
 	if now.Sub(sentAfter) > refreshTimeout {
 		p.o.Logger.Warn("order was delayed by the network; rejected", "task", o.Key.String(), "home", home,
-			"older_than", now.Sub(sentAfter))
+			logattr.Since("older_than", now, sentAfter))
 		p.reportUnknown(home, o.Key, now, fx)
 		return
 	}
@@ -324,8 +326,8 @@
 	}
 	p.match(now, &fx)
 	p.mu.Unlock()
-	if len(ended) > 0 {
-		p.o.Logger.Info("home is unreachable; stopping its runs", "home", home, "runs", len(ended), "tasks", ended)
+	for tasks := range slices.Chunk(ended, logattr.TasksPerLine) {
+		p.o.Logger.Info("home is unreachable; stopping its runs", "home", home, "runs", len(ended), "tasks", tasks)
 	}
 	p.apply(fx)
 }
@@ -381,7 +383,7 @@
 		case r.state == runFinal || r.cancelled:
 		case !r.claimed && now.Sub(r.queuedAt) > claimWindow, r.claimed && now.Sub(r.refreshedAt) > refreshTimeout:
 			p.o.Logger.Info("run was not refreshed or claimed; stopping it", "task", k.String(), "home", r.home,
-				"claimed", r.claimed, "since_refresh", now.Sub(r.refreshedAt))
+				"claimed", r.claimed, logattr.Since("since_refresh", now, r.refreshedAt))
 			p.counter(metric.PoolRunsAbandoned).Inc(1)
 			p.withdraw(r, &fx)
 		}
@@ -420,7 +422,7 @@
 		return
 	}
 	p.o.Logger.Warn("worker does not answer; its lease has expired, treating its runs as ended",
-		"worker", h.host.Listing.Worker, "runs", len(h.runs), "since_contact", now.Sub(h.host.Contacted()))
+		"worker", h.host.Listing.Worker, "runs", len(h.runs), logattr.Since("since_contact", now, h.host.Contacted()))
 	for _, r := range h.runs {
 		if !r.overAfterLease() {
 			continue
--- a/pool/start.go
+++ b/pool/start.go
@@ -187,9 +187,9 @@
 			p.apply(fx)
 			return
 		}
-		address, token := h.address, h.host.Token
+		key, token := r.order.Key, h.host.Token
 		p.mu.Unlock()
-		if token != 0 && p.stopOnce(r, h, address, token) {
+		if token != 0 && p.stopOnce(r, key, h, token) {
 			return
 		}
 		select {
@@ -201,10 +201,10 @@
 }
 
 // stopOnce makes one stop call. It reports whether nothing is left to do.
-func (p *Pool) stopOnce(r *run, h *ownedHost, address link.HostAddress, token uint64) bool {
+func (p *Pool) stopOnce(r *run, key contract.RunKey, h *ownedHost, token uint64) bool {
 	ctx, cancel := context.WithTimeout(p.ctx, callTimeout)
 	defer cancel()
-	reply, err := p.o.Calls.Stop(ctx, address, r.order.Key, token)
+	reply, err := p.o.Calls.Stop(ctx, h.address, key, token)
 	return p.handleStopReply(r, h, token, reply, err)
 }
 
