pool: acquire a restarted worker from the reply that shows its restart

Cause: until a restarted worker is acquired under a higher token, it executes late starts. The owner polled it twice more first: a probe for its clock, which the reply that shows the restart has given already, and the acquisition. Change: the acquisition follows from that reply. Polls of a worker that may execute a late start are delayed by 100 ms instead of 50 ms, since a process that ends breaks them.

--- a/pool/latestart.go
+++ b/pool/latestart.go
@@ -11,7 +11,7 @@
 const (
 	// lateStartPollInterval is how long a worker may delay its reply to a poll while it may execute a late start. A restart that
 	// closes no connection is noticed by the next poll.
-	lateStartPollInterval = 50 * time.Millisecond
+	lateStartPollInterval = 100 * time.Millisecond
 	// lateStartPollTimeout bounds polls of such a worker that does not reply, lateStartPollPause is the pause between them. Each
 	// slowPollEvery-th has the timeout of first polls, in case replies take longer.
 	lateStartPollTimeout = 25 * time.Millisecond
--- a/pool/maintain.go
+++ b/pool/maintain.go
@@ -56,6 +56,8 @@
 	addressHash uint64
 	cancel      context.CancelFunc
 	wakeup      chan struct{}
+	// restartReply is the reply that has shown a restart, until the worker is acquired from it.
+	restartReply *link.PollReply
 	// restartNoticed is signalled when a reply shows that the worker has been restarted.
 	restartNoticed  chan struct{}
 	dropped         bool
@@ -120,6 +122,9 @@
 				pause(ctx, reacquireDelay, nil)
 				continue
 			}
+			if p.acquireRestarted(ctx, h) {
+				continue
+			}
 			if probed, err := p.probe(ctx, h); err != nil {
 				unreached = true
 				pause(ctx, acquireRetry+rand.N(acquireRetry), nil)
@@ -195,6 +200,16 @@
 	}
 }
 
+// acquireRestarted acquires a worker from the reply that has shown its restart, if there is one. Until then the new incarnation
+// executes late starts.
+func (p *Pool) acquireRestarted(ctx context.Context, h *ownedHost) bool {
+	p.mu.Lock()
+	reply := h.restartReply
+	h.restartReply = nil
+	p.mu.Unlock()
+	return reply != nil && p.acquire(ctx, h, *reply)
+}
+
 // hasRestarted reports whether this VM owned the previous incarnation of a worker that it has not acquired since.
 func (p *Pool) hasRestarted(h *ownedHost) bool {
 	p.mu.Lock()
@@ -384,7 +399,7 @@
 		"born", reply.StartTime, "last_born", h.host.StartTime, "runs", len(h.runs), "running", len(reply.Running),
 		"token", h.host.Token, logattr.Since("since_contact", now, h.host.Contacted()))
 	p.beginIncarnation(h, reply.HostReply, now, fx)
-	h.host.Token = 0
+	h.host.Token, h.restartReply = 0, &reply
 	signal(h.restartNoticed)
 }
 
