pool: an answer older than the end of a run is no news of it

Callers see: a task may be run again after it was done. Its outcome was replaced by a run "not ordered", which ended as stopped; a home that had not received the outcome yet was told that end instead. Cause: answers to two polls of a worker overtake each other. The one that the worker had written before the run ended, handled after the one that lists the end, showed a run that the pool no longer held, and that was taken for a start executed late. Why this corrects it: each worker keeps when its runs left it, for as long as an answer to a poll may take. A list counts as news of such a run only if its poll was sent later. A run that is really executed after its end is listed by the next poll too, and still stopped (TestRunExecutedAfterItsEndIsStopped). The rule concerns single runs, so that a worker on which runs end all the time is not spared.

--- a/pool/hosts.go
+++ b/pool/hosts.go
@@ -67,7 +67,7 @@
 	ctx, cancel := context.WithCancel(p.ctx)
 	h := &ownedHost{
 		host: machine.NewHost(l), wakeup: make(chan struct{}, 1), cancel: cancel,
-		runs: make(map[contract.RunKey]*run), address: link.HostAddress{Worker: l.Worker, Address: l.Address},
+		runs: make(map[contract.RunKey]*run), leftAt: make(map[contract.RunKey]time.Time), address: link.HostAddress{Worker: l.Worker, Address: l.Address},
 		addressHash: hashAddress(l.Address),
 	}
 	h.host.ResetSpeed(p.typicalSpeed(h.host.Kind()))
--- a/pool/maintain.go
+++ b/pool/maintain.go
@@ -44,8 +44,11 @@
 // ownedHost is a worker that this VM owns or tries to acquire, with its runs. address, cancel and wakeup do not change;
 // the pool's lock guards all other fields.
 type ownedHost struct {
-	host            *machine.Host
-	runs            map[contract.RunKey]*run
+	host *machine.Host
+	runs map[contract.RunKey]*run
+	// leftAt holds when each run left runs, for longer than an answer to a poll may take. An answer to a poll that was sent
+	// before is no news of such a run.
+	leftAt          map[contract.RunKey]time.Time
 	address         link.HostAddress
 	addressHash     uint64
 	cancel          context.CancelFunc
@@ -73,6 +76,15 @@
 	}
 }
 
+// forgetLeft drops the runs that left so long ago that each poll sent before has been answered or given up.
+func (h *ownedHost) forgetLeft(now time.Time) {
+	for key, at := range h.leftAt {
+		if now.Sub(at) > maxPollWait+callTimeout {
+			delete(h.leftAt, key)
+		}
+	}
+}
+
 // leaseLimit returns the latest time to which the lease of a worker may be extended now. One lease covers all runs of
 // a worker, so the least recently refreshed run decides. A run that no home has claimed prevents an extension: its
 // home may have died, and its client may be running the job elsewhere before the lease ends.
@@ -340,7 +352,8 @@
 	listed := make(map[contract.RunKey]int, len(reply.Running))
 	for _, running := range reply.Running {
 		listed[running.Key] = running.Progress
-		if _, ok := h.runs[running.Key]; !ok {
+		_, held := h.runs[running.Key]
+		if !held && !h.leftAt[running.Key].After(sent) {
 			p.stopUnordered(h, running.Key, now)
 		}
 	}
--- /dev/null
+++ b/pool/olderanswer_test.go
@@ -0,0 +1,81 @@
+package pool
+
+import (
+	"maps"
+	"slices"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/cicadadale/cicadadale/contract"
+	"github.com/cicadadale/cicadadale/link"
+)
+
+// firstHost returns the first worker and its token.
+func (f *fixture) firstHost() (*ownedHost, uint64) {
+	f.pool.mu.Lock()
+	defer f.pool.mu.Unlock()
+	h := f.pool.hosts["w0"]
+	return h, h.host.Token
+}
+
+// runsOf returns the runs that the pool holds on a worker.
+func (f *fixture) runsOf(h *ownedHost) []contract.RunKey {
+	f.pool.mu.Lock()
+	defer f.pool.mu.Unlock()
+	return slices.Collect(maps.Keys(h.runs))
+}
+
+// Guards against an outcome that is replaced, so that a home which has not received it runs the task again: the answer to
+// another poll, which the worker has written before the run ended, arrives after the one that lists the end.
+func TestAnswerOlderThanAnEndReplacesNoOutcome(t *testing.T) {
+	for _, acknowledged := range []bool{false, true} {
+		synctest.Test(t, func(t *testing.T) {
+			f := newFixture(1)
+			defer f.pool.Close()
+			f.setRunTime("ended", 30*time.Millisecond)
+			key := f.order("ended", 500, 0, time.Second, 5*time.Second)
+			time.Sleep(10 * time.Millisecond)
+			h, token := f.firstHost()
+			older, err := f.calls.hosts["w0"].Poll(t.Context(), link.HostPoll{Token: token})
+			require.NoError(t, err)
+			require.Len(t, older.Running, 1)
+			sent := time.Now()
+			time.Sleep(40 * time.Millisecond)
+			require.Equal(t, contract.RunDone, f.state(key))
+			if acknowledged {
+				f.pool.Acknowledge([]contract.RunKey{key})
+			}
+			f.pool.handlePollReply(h, token, sent, older, nil)
+			require.Empty(t, f.runsOf(h), "acknowledged: %v", acknowledged)
+			if !acknowledged {
+				f.pool.Refresh(testHome, []contract.RunKey{key}, time.Now())
+				require.Equal(t, contract.RunDone, f.state(key))
+			}
+		})
+	}
+}
+
+// Guards against a late run that is never stopped: an answer to a poll that was sent after the end of the run is news, also
+// on a worker on which other runs end all the time.
+func TestRunExecutedAfterItsEndIsStopped(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(1)
+		defer f.pool.Close()
+		key := f.order("late", 500, 0, time.Second, 5*time.Second)
+		time.Sleep(150 * time.Millisecond)
+		require.Equal(t, contract.RunDone, f.state(key))
+		for range 5 {
+			f.order("other", 500, 0, time.Second, 5*time.Second)
+			time.Sleep(time.Millisecond)
+		}
+		h, token := f.firstHost()
+		f.pool.handlePollReply(h, token, time.Now(), link.PollReply{
+			HostReply: link.HostReply{Clock: h.host.ClockAt(time.Now()), StartTime: h.host.StartTime},
+			Running:   []link.RunningRun{{Key: key}},
+		}, nil)
+		require.Contains(t, f.runsOf(h), key)
+	})
+}
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -377,6 +377,7 @@
 		}
 	}
 	for _, h := range p.hosts {
+		h.forgetLeft(now)
 		p.sweepHost(h, now, &fx)
 		p.applyIgnored(h, now, &fx)
 	}
--- a/pool/run.go
+++ b/pool/run.go
@@ -207,6 +207,7 @@
 	}
 	r.host.host.Release(r.order.Need)
 	delete(r.host.runs, r.order.Key)
+	r.host.leftAt[r.order.Key] = p.o.Now()
 	r.host = nil
 }
 
