pool: an answer without a clock sets none

Callers see: tasks wait up to a quarter of a second longer for a worker that has rejected a start, or are rejected by it as expired and started elsewhere. Cause: an unhealthy worker may reject a start without a body, and another worker at the address rejects each call. Their answers were taken for a reading of zero. Until the next answer to a poll, leases ended at a time long past on the clock of the worker, none granted before seemed to end in time for the next start, and the worker counted as heard of, so that a start which depends on its incarnation was not preceded by a poll. Evidence: TestAnswerWithoutClockSetsNone; before, the estimate of a clock at one minute was -1 ms after such an answer. Why this corrects it: only an answer with a clock, from the worker that was called, is a reading.

--- a/pool/olderanswer_test.go
+++ b/pool/olderanswer_test.go
@@ -79,3 +79,28 @@
 		require.Contains(t, f.runsOf(h), key)
 	})
 }
+
+// Guards against starts that a worker rejects as expired, and a worker that counts as confirmed: the answer to a call names no
+// clock, or comes from another worker at the address.
+func TestAnswerWithoutClockSetsNone(t *testing.T) {
+	for name, reply := range map[string]link.HostReply{
+		"no clock": {}, "another worker": {OtherWorker: true, Clock: time.Millisecond},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newFixture(1)
+				defer f.pool.Close()
+				time.Sleep(time.Minute)
+				h, token := f.firstHost()
+				now := time.Now()
+				f.pool.mu.Lock()
+				clock, contacted := h.host.ClockAt(now), h.host.Contacted()
+				h.recordReading(token, reply, now.Add(time.Millisecond))
+				clockAfter, contactedAfter := h.host.ClockAt(now), h.host.Contacted()
+				f.pool.mu.Unlock()
+				require.Equal(t, clock, clockAfter)
+				require.Equal(t, contacted, contactedAfter)
+			})
+		})
+	}
+}
--- a/pool/start.go
+++ b/pool/start.go
@@ -116,9 +116,10 @@
 }
 
 // recordReading records the clock in the reply to a call that was made under a fencing token. Under another token than the
-// present one the reply may come from an earlier incarnation, whose clock differs. p.mu is held.
+// present one the reply may come from an earlier incarnation, whose clock differs. The rejections of an unhealthy worker may
+// have no clock, and those of another worker at the address have that of its own. p.mu is held.
 func (h *ownedHost) recordReading(token uint64, reply link.HostReply, now time.Time) {
-	if h.host.Token == token {
+	if h.host.Token == token && !reply.OtherWorker && reply.Clock > 0 {
 		h.host.SetClock(reply.Clock, now)
 	}
 }
