pool: a stop is answered only by the owned incarnation

Callers see: a run goes on that its owner has stopped, as long as its home refreshes it. Cause: the answer to a stop under an earlier token, which the worker may have given before it restarted and was acquired again, counted as the answer of the present incarnation. That one has got no stop: a start that was executed late there went on, marked as being stopped, so that nothing stopped it again. So did the rejection by another worker at the address. Evidence: TestStopIsAnsweredOnlyByTheOwnedIncarnation; before, both counted as answered. Why this corrects it: the token orders answers, since a restarted worker is acquired under a higher one. A stop that was not answered under the present token by the called worker is repeated under it, or ends with the run when the next poll shows what happened.

--- a/pool/olderanswer_test.go
+++ b/pool/olderanswer_test.go
@@ -80,6 +80,44 @@
 	})
 }
 
+// runningOn orders a task that runs for 5 s and returns its run once it has been confirmed.
+func (f *fixture) runningOn(t *testing.T, job string) *run {
+	t.Helper()
+	f.setRunTime(job, 5*time.Second)
+	key := f.order(job, 500, 0, time.Second, 20*time.Second)
+	time.Sleep(10 * time.Millisecond)
+	require.Equal(t, contract.RunStarted, f.state(key))
+	f.pool.mu.Lock()
+	defer f.pool.mu.Unlock()
+	return f.pool.runs[key]
+}
+
+// Guards against a run that is never stopped: the answer to its stop is that of another worker at the address, or to a stop
+// under an earlier token, which an earlier incarnation of the worker may have given.
+func TestStopIsAnsweredOnlyByTheOwnedIncarnation(t *testing.T) {
+	for name, answer := range map[string]struct {
+		reply      link.HostReply
+		underToken func(present uint64) uint64
+	}{
+		"another worker":   {link.HostReply{OtherWorker: true}, func(present uint64) uint64 { return present }},
+		"an earlier token": {link.HostReply{Clock: time.Second}, func(present uint64) uint64 { return present - 1 }},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newFixture(1)
+				defer f.pool.Close()
+				r := f.runningOn(t, "stopped")
+				h, token := f.firstHost()
+				require.False(t, f.pool.handleStopReply(r, h, answer.underToken(token), answer.reply, nil), "stop counts as answered")
+				f.pool.mu.Lock()
+				stopped := r.stopAnswered
+				f.pool.mu.Unlock()
+				require.False(t, stopped)
+			})
+		})
+	}
+}
+
 // Guards against starts that a worker rejects as expired, and a worker that counts as confirmed: the answer to a call names no
 // clock, or comes from another worker at the address.
 func TestAnswerWithoutClockSetsNone(t *testing.T) {
--- a/pool/start.go
+++ b/pool/start.go
@@ -222,17 +222,16 @@
 		p.o.Calls.CloseIdleConnections(h.address)
 		return false
 	}
-	if !reply.Fenced {
-		h.recordReading(token, reply, now)
-	}
-	if reply.Fenced && h.host.Token != token {
-		// The stop was made under the token of an earlier ownership.
+	if h.host.Token != token || reply.OtherWorker {
+		// The stop was made under the token of an earlier ownership, and may have been answered by an earlier incarnation, or
+		// another worker is at the address, which the next poll shows.
 		return false
 	}
 	if reply.Fenced {
 		p.loseOwnership(h, now, &fx)
 		return true
 	}
+	h.recordReading(token, reply, now)
 	// The run has ended once its outcome is listed, or once a later poll lists neither the run nor an outcome: then it
 	// never started there, and the worker rejects a start that arrives late.
 	r.state, r.confirmedAt, r.cancelled, r.stopAnswered = runRunning, now, true, true
