pool: a late poll on a restarted worker counts before its runs are over

Callers see: two runs of a task at the same time. Cause: a worker restarts and accepts a start before its owner notices. When the owner has noticed, and cannot reach the worker to acquire it, it counted the longest lease from the reply that showed the restart. But until the acquisition nothing rejects the calls to the earlier incarnation: a poll without a response that is executed late names the end of a lease on the earlier clock, which the new incarnation grants as the longest lease from then on. Why this corrects it: the lease of a restarted worker that has not been acquired is not known, so it ends only runs that are certainly not on it: those that an earlier incarnation has listed. An accepted start proves less, as its answer does not name the incarnation. The others are over once the acquisition, which fences those calls, does not list them, or they are left to the next owner.

--- a/pool/maintain.go
+++ b/pool/maintain.go
@@ -361,7 +361,7 @@
 		progress, ok := listed[key]
 		switch {
 		case ok:
-			r.workerStart, r.begun = h.host.StartTime, true
+			r.workerStart, r.listedBy, r.begun = h.host.StartTime, h.host.StartTime, true
 			p.recordProgress(r, progress, now, fx)
 		case r.state == runRunning && r.startedAt.Before(sent) && !r.confirmedAt.After(sent):
 			// The run was confirmed before the poll was sent, and the reply lists neither the run nor its outcome. The next run of
--- a/pool/ownership.go
+++ b/pool/ownership.go
@@ -161,7 +161,7 @@
 	for _, running := range reply.Running {
 		found = append(found, running.Key)
 		if r, ok := p.runs[running.Key]; ok && r.host == h {
-			r.token, r.workerStart, r.begun = h.host.Token, h.host.StartTime, true
+			r.token, r.workerStart, r.listedBy, r.begun = h.host.Token, h.host.StartTime, h.host.StartTime, true
 			continue
 		}
 		p.o.Logger.Info("run found on an acquired worker", "task", running.Key.String(), "worker", h.address.Worker,
@@ -170,7 +170,7 @@
 		delete(p.barredRuns, running.Key)
 		r := &run{
 			order: contract.TaskOrder{Key: running.Key, Need: p.typicalSize}, state: runRunning, host: h,
-			mayHaveRun: true, begun: true, token: h.host.Token, workerStart: h.host.StartTime,
+			mayHaveRun: true, begun: true, token: h.host.Token, workerStart: h.host.StartTime, listedBy: h.host.StartTime,
 			queuedAt: now, startedAt: now, progress: running.Progress, progressAt: now,
 		}
 		h.host.Reserve(r.order.Need)
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -387,10 +387,17 @@
 }
 
 // overAfterLease reports whether the run is over once the lease of its worker has expired. The goroutine that makes a start
-// call handles its result. A start whose outcome is in doubt may still be executed by the next incarnation of the worker,
-// on whose clock its lease means nothing, until that has been acquired.
+// call handles its result. Until a restarted worker has been acquired, nothing rejects the calls to its earlier incarnation,
+// and on its clock their leases mean nothing: only a run that an earlier incarnation has listed is certainly not on this one.
 func (r *run) overAfterLease() bool {
-	return r.state != runStarting && (!r.host.restarted || (r.state == runRunning && !r.stopAnswered))
+	switch {
+	case r.state == runStarting:
+		return false
+	case r.host.restarted:
+		return r.listedBy != 0 && r.listedBy != r.host.host.StartTime
+	default:
+		return true
+	}
 }
 
 // hasRunOverAfterLease reports whether any run of the worker is over once the lease has expired.
--- a/pool/run.go
+++ b/pool/run.go
@@ -48,6 +48,8 @@
 	token       uint64
 	// workerStart is the start time of the incarnation of the worker to which the run was sent or which listed it last.
 	workerStart int64
+	// listedBy is the start time of the incarnation whose list has named the run last; zero if none has.
+	listedBy int64
 	// stopAnswered is set once the worker has answered a stop of the run.
 	stopAnswered bool
 	// startedAt is when the start call was made, or when the run was found on a worker.
