pool: a start in doubt is over only after the longest lease

Callers see: two runs of a task at the same time, for a moment. Cause: an idle worker restarts between two polls, executes a start, and is out of reach from then on. The end of the lease in the call is a time on the clock of the earlier incarnation, so the new one grants the longest lease, while the owner counted the shorter one that it had meant. A run that has been accepted is not concerned: its answer has set the clock. A call that is executed later still is not covered by any time.

--- a/machine/host.go
+++ b/machine/host.go
@@ -138,9 +138,12 @@
 
 // LeasesExpireBy returns the time by which the leases of all tasks ordered so far have certainly expired if the worker
 // is not contacted again.
-func (h *Host) LeasesExpireBy() time.Time {
-	left := h.leaseEnd - h.clock
-	return h.clockAt.Add(left + time.Duration(float64(left)*2*clockDrift) + clockMargin)
+func (h *Host) LeasesExpireBy() time.Time { return LeaseOverBy(h.clockAt, h.leaseEnd-h.clock) }
+
+// LeaseOverBy returns the time by which a lease of that length has certainly expired that a worker granted no later than at a
+// local time.
+func LeaseOverBy(granted time.Time, length time.Duration) time.Time {
+	return granted.Add(length + time.Duration(float64(length)*2*clockDrift) + clockMargin)
 }
 
 // Contacted returns when the worker last responded.
--- a/pool/leaseexpiry_test.go
+++ b/pool/leaseexpiry_test.go
@@ -60,3 +60,27 @@
 		}
 	})
 }
+
+// Guards against a second run of a task beside the first: an idle worker has restarted unnoticed, executes a start, and is out
+// of reach from then on. Its new incarnation grants the longest lease, as the end of the lease is a time on the earlier clock.
+func TestStartInDoubtOnUnnoticedRestartIsNotOverBeforeTheLongestLease(t *testing.T) {
+	for phase := time.Duration(0); phase < sweepInterval; phase += 10 * time.Millisecond {
+		synctest.Test(t, func(t *testing.T) {
+			f := newFixture(1)
+			defer f.pool.Close()
+			time.Sleep(time.Minute + idlePollInterval/2 + phase)
+			host := f.calls.hosts["w0"]
+			host.Crash()
+			host.Restart()
+			host.SetDelay(time.Millisecond)
+			f.setRunTime("doubt", 10*time.Second)
+			key := f.order("doubt", 500, 0, time.Second, 20*time.Second)
+			time.Sleep(10 * time.Millisecond)
+			host.SetDelay(time.Hour)
+			require.Equal(t, []string{"doubt"}, f.observer.startedJobs())
+			f.refreshUntilFinal(key, nil)
+			require.Equal(t, contract.RunEnded, f.state(key))
+			require.NotZero(t, f.observer.endOf("doubt"), "the run goes on, %v after a sweep", phase)
+		})
+	}
+}
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -389,21 +389,24 @@
 // overAfterLease reports whether the run is over once the lease of its worker has expired. The goroutine that makes a start
 // call handles its result. Until a restarted worker has been acquired, nothing rejects the calls to its earlier incarnation,
 // and on its clock their leases mean nothing: only a run that an earlier incarnation has listed is certainly not on this one.
-func (r *run) overAfterLease() bool {
+// The start of a run in doubt may have been executed by an incarnation that has not replied yet, under the longest lease.
+func (r *run) overAfterLease(now time.Time, longestLease time.Duration) bool {
 	switch {
 	case r.state == runStarting:
 		return false
 	case r.host.restarted:
 		return r.listedBy != 0 && r.listedBy != r.host.host.StartTime
+	case r.state == runInDoubt:
+		return !now.Before(machine.LeaseOverBy(r.doubtSince, longestLease))
 	default:
 		return true
 	}
 }
 
 // hasRunOverAfterLease reports whether any run of the worker is over once the lease has expired.
-func (h *ownedHost) hasRunOverAfterLease() bool {
+func (h *ownedHost) hasRunOverAfterLease(now time.Time, longestLease time.Duration) bool {
 	for _, r := range h.runs {
-		if r.overAfterLease() {
+		if r.overAfterLease(now, longestLease) {
 			return true
 		}
 	}
@@ -414,13 +417,13 @@
 // own the lease is not known. p.mu is held.
 func (p *Pool) sweepHost(h *ownedHost, now time.Time, fx *effects) {
 	leaseKnown := h.host.Token != 0 || h.restarted
-	if !h.hasRunOverAfterLease() || !leaseKnown || now.Before(h.host.LeasesExpireBy()) {
+	if !h.hasRunOverAfterLease(now, p.o.Lease) || !leaseKnown || now.Before(h.host.LeasesExpireBy()) {
 		return
 	}
 	p.o.Logger.Warn("worker does not answer; its lease has expired, treating its runs as ended",
 		"worker", h.host.Listing.Worker, "runs", len(h.runs), "since_contact", now.Sub(h.host.Contacted()))
 	for _, r := range h.runs {
-		if !r.overAfterLease() {
+		if !r.overAfterLease(now, p.o.Lease) {
 			continue
 		}
 		p.finish(r, contract.RunEnded, proofLeaseExpired, 0, fx)
--- a/pool/run.go
+++ b/pool/run.go
@@ -50,6 +50,8 @@
 	workerStart int64
 	// listedBy is the start time of the incarnation whose list has named the run last; zero if none has.
 	listedBy int64
+	// doubtSince is when the start call was given up without a reply.
+	doubtSince time.Time
 	// stopAnswered is set once the worker has answered a stop of the run.
 	stopAnswered bool
 	// startedAt is when the start call was made, or when the run was found on a worker.
--- a/pool/start.go
+++ b/pool/start.go
@@ -137,7 +137,7 @@
 		return
 	}
 	p.counter(metric.PoolStartsInDoubt).Inc(1)
-	r.state = runInDoubt
+	r.state, r.doubtSince = runInDoubt, now
 	fx.inDoubt = append(fx.inDoubt, r)
 }
 
