pool: only the answer to its own poll confirms an incarnation

Callers see: a run may go on beside the next one of its task, for up to a third of a second, if its owner is lost right after the start. Cause: before the start of an order that is not fresh, the worker is polled to make sure that it has not restarted. Any answer that arrived after the poll had been sent counted, also one that was written before: that to an earlier poll or stop, held up by the network. Evidence: TestOlderAnswerConfirmsNoIncarnation; before, the start was sent to an incarnation that the owner did not know. Why this corrects it: the start is sent only if this poll was answered, which the worker cannot have done before it was sent.

--- a/pool/confirm.go
+++ b/pool/confirm.go
@@ -29,19 +29,17 @@
 // decided, so that no later incarnation is known, and has replied to a poll if the start needs it. Otherwise the run is
 // queued again.
 func (p *Pool) confirmIncarnation(s startEffect) bool {
-	var repliedAfter time.Time
+	answered := true
 	if p.needsConfirmation(s) {
 		p.counter(metric.PoolStartsConfirmed).Inc(1)
-		repliedAfter = p.o.Now()
-		p.pollBeforeStart(s, repliedAfter)
+		answered = p.pollBeforeStart(s)
 	}
 	now := p.o.Now()
 	var fx effects
 	p.mu.Lock()
 	r, h := s.run, s.host
 	held := r.state == runStarting && r.host == h
-	confirmed := held && h.host.Token == s.token && !h.host.Contacted().Before(repliedAfter) &&
-		h.host.CanHold(r.order.Need, r.order.RequiredLabel)
+	confirmed := held && answered && h.host.Token == s.token && h.host.CanHold(r.order.Need, r.order.RequiredLabel)
 	if held && !confirmed {
 		p.o.Logger.Info("worker was not confirmed to be the incarnation of its entry; start not sent",
 			"task", r.order.Key.String(), "worker", h.address.Worker, "label", r.order.RequiredLabel,
@@ -54,26 +52,28 @@
 	return confirmed
 }
 
-// pollBeforeStart polls the worker of a start. Several starts may wait for a worker that is silent at once, so a missing
+// pollBeforeStart polls the worker of a start, and reports whether the worker has answered this poll: an answer to another
+// call that arrives meanwhile may be older. Several starts may wait for a worker that is silent at once, so a missing
 // reply only makes the worker suspect: the polls that maintain it decide on its suspension.
-func (p *Pool) pollBeforeStart(s startEffect, sent time.Time) {
+func (p *Pool) pollBeforeStart(s startEffect) bool {
 	h := s.host
 	p.mu.Lock()
 	poll := h.pollWithoutLease()
 	p.mu.Unlock()
 	if poll.Token != s.token {
-		return
+		return false
 	}
+	sent := p.o.Now()
 	ctx, cancel := context.WithTimeout(p.ctx, startTimeout)
 	reply, err := p.o.Calls.Poll(ctx, h.address, poll)
 	cancel()
 	if err == nil {
-		p.handlePollReply(h, poll.Token, sent, reply, nil)
-		return
+		return p.handlePollReply(h, poll.Token, sent, reply, nil)
 	}
 	p.o.Calls.CloseIdleConnections(h.address)
 	p.mu.Lock()
 	h.host.MarkSuspectUntil(p.o.Now().Add(suspectTime))
 	p.mu.Unlock()
 	p.o.Logger.Warn("worker did not answer a poll before a start", "worker", h.address.Worker, "error", err)
+	return false
 }
--- a/pool/olderanswer_test.go
+++ b/pool/olderanswer_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/cicadadale/cicadadale/contract"
 	"github.com/cicadadale/cicadadale/link"
+	"github.com/cicadadale/cicadadale/machine"
 )
 
 // firstHost returns the first worker and its token.
@@ -142,3 +143,37 @@
 		})
 	}
 }
+
+// Guards against a run that outlives the time at which its home treats it as ended: the poll that is to confirm the incarnation
+// of its worker gets no answer, and an older answer arrives meanwhile.
+func TestOlderAnswerConfirmsNoIncarnation(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(1)
+		defer f.pool.Close()
+		time.Sleep(3*idlePollInterval + idlePollInterval/2)
+		h, token := f.firstHost()
+		host := f.calls.hosts["w0"]
+		older, err := host.Poll(t.Context(), link.HostPoll{Token: token})
+		require.NoError(t, err)
+		sent := time.Now()
+		host.SetDelay(time.Hour)
+		f.setSize("old", 500)
+		f.setRunTime("old", 5*time.Second)
+		ordered := time.Now().Add(-600 * time.Millisecond)
+		f.pool.Order(testHome, contract.TaskOrder{
+			Key: contract.RunKey{Batch: "old", Run: 1}, Backend: "s", Need: machine.Resources{CPUMillis: 500}, Accepted: ordered,
+			Target: ordered.Add(time.Second), Deadline: ordered.Add(20 * time.Second), Expected: time.Second,
+		}, ordered)
+		time.Sleep(startTimeout / 2)
+		f.pool.handlePollReply(h, token, sent, older, nil)
+		host.Crash()
+		host.Restart()
+		host.SetDelay(0)
+		for start := time.Now(); time.Since(start) < time.Second && len(f.observer.startedJobs()) == 0; {
+			time.Sleep(time.Millisecond)
+		}
+		if len(f.observer.startedJobs()) > 0 {
+			require.Equal(t, host.StartTime(), f.ownedStartTime(), "known incarnation at the start")
+		}
+	})
+}
