pool: show that an entry with the address of another worker ends no run

A rejection by another worker at the address (421) ends the runs of the worker that was there. It proves that only because of what precedes it: the runs were started at that address by calls that name the worker, it has answered there under the present token, and the call that was rejected was made later, so another process listens where that of the worker did. An entry with another address never reaches this conclusion, since the runs are left to their lease first and the worker is not acquired where another one answers. The comment says why the conclusion holds.

--- a/pool/maintain.go
+++ b/pool/maintain.go
@@ -304,8 +304,9 @@
 	h.host.Token = 0
 }
 
-// handleOtherWorker records that another worker answers at the address: no earlier run of this worker is alive. A run
-// with a start call in progress is left to the result of that call. p.mu is held.
+// handleOtherWorker records that another worker answers at the address: no earlier run of this worker is alive, since all
+// were started at this address, where the worker has answered under the present token. Whatever entry has named it, the process
+// that was there has ended. A run with a start call in progress is left to the result of that call. p.mu is held.
 func (p *Pool) handleOtherWorker(h *ownedHost, now time.Time, fx *effects) {
 	p.recordCrash(h, h.watch.endedBy(now), "has been replaced", nil, fx)
 	h.watch = crashWatch{}
--- a/pool/olderanswer_test.go
+++ b/pool/olderanswer_test.go
@@ -73,8 +73,11 @@
 			time.Sleep(time.Millisecond)
 		}
 		h, token := f.firstHost()
+		f.pool.mu.Lock()
+		reply := link.HostReply{Clock: h.host.ClockAt(time.Now()), StartTime: h.host.StartTime}
+		f.pool.mu.Unlock()
 		f.pool.handlePollReply(h, token, time.Now(), link.PollReply{
-			HostReply: link.HostReply{Clock: h.host.ClockAt(time.Now()), StartTime: h.host.StartTime},
+			HostReply: reply,
 			Running:   []link.RunningRun{{Key: key}},
 		}, nil)
 		require.Contains(t, f.runsOf(h), key)
