pool: acknowledge outcomes only to a worker that answers

Callers see: a task is run again after it was done. Cause: each poll acknowledged the outcomes up to the last number that the owner had read. A restarted worker numbers its outcomes anew, so the poll that shows the restart drops those of the new incarnation with the same numbers, which nobody has read. A run that had ended there was then over without an outcome, and ran again. Evidence: TestOutcomeOfRestartedWorkerIsNotAcknowledgedUnread; before, the run was reported as ended instead of done. Why this corrects it: polls that follow one without a reply, precede a start or resolve a start in doubt acknowledge nothing: they are sent when the worker may have restarted. Outcomes that are listed again are known and have no effect. A poll that is the first one to reach a restarted worker while nothing has failed still acknowledges, so an outcome that precedes it is lost as before; a run there has then been started at most a few milliseconds before.

--- a/pool/maintain.go
+++ b/pool/maintain.go
@@ -212,14 +212,16 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	poll := h.pollWithoutLease()
+	if h.pollFailed {
+		// The lease is not extended while the worker does not reply: its runs end when the lease expires. It may have
+		// restarted, so the outcomes with the numbers up to the last one here may be others, which nobody has read.
+		return poll, len(h.runs) > 0
+	}
+	poll.LastOutcome = h.host.LastOutcome
 	if len(h.runs) == 0 {
 		// Outcomes are acknowledged by the next poll of the idle worker, or by the first one of the next run.
 		return poll, false
 	}
-	// The lease is not extended while the worker does not reply: its runs end when the lease expires.
-	if h.pollFailed {
-		return poll, true
-	}
 	poll.Wait = maxPollWait
 	if left := h.leaseLimit(now, p.o.Lease).Sub(now); left > 0 {
 		poll.LeaseEnd = h.host.ExtendLease(left, now)
@@ -227,10 +229,8 @@
 	return poll, true
 }
 
-// pollWithoutLease returns a poll that extends no lease and does not wait. The pool's lock is held.
-func (h *ownedHost) pollWithoutLease() link.HostPoll {
-	return link.HostPoll{Token: h.host.Token, LastOutcome: h.host.LastOutcome}
-}
+// pollWithoutLease returns a poll that extends no lease, does not wait and acknowledges no outcome. The pool's lock is held.
+func (h *ownedHost) pollWithoutLease() link.HostPoll { return link.HostPoll{Token: h.host.Token} }
 
 // probe reads the clock of a worker that is not owned, without affecting its owner.
 func (p *Pool) probe(ctx context.Context, h *ownedHost) (link.PollReply, error) {
