--- a/pool/maintain.go
+++ b/pool/maintain.go
@@ -50,8 +50,11 @@
 // ownedHost is a worker that this VM owns or tries to acquire, with its runs. address, cancel and the channels do not change;
 // the pool's lock guards all other fields.
 type ownedHost struct {
-	host        *machine.Host
-	runs        map[contract.RunKey]*run
+	host *machine.Host
+	runs map[contract.RunKey]*run
+	// leftAt holds when each run left runs, for longer than an answer to a poll may take. An answer to a poll that was sent
+	// before is no news of such a run.
+	leftAt      map[contract.RunKey]time.Time
 	address     link.HostAddress
 	addressHash uint64
 	cancel      context.CancelFunc
@@ -88,6 +91,15 @@
 	}
 }
 
+// forgetLeft drops the runs that left so long ago that each poll sent before has been answered or given up.
+func (h *ownedHost) forgetLeft(now time.Time) {
+	for key, at := range h.leftAt {
+		if now.Sub(at) > idlePollInterval+callTimeout {
+			delete(h.leftAt, key)
+		}
+	}
+}
+
 // leaseLimit returns the latest time to which the lease of a worker may be extended now. One lease covers all runs of
 // a worker, so the least recently refreshed run decides. A run that no home has claimed prevents an extension: its
 // home may have died, and its client may be running the job elsewhere before the lease ends.
@@ -278,11 +290,14 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	poll = h.pollWithoutLease()
-	switch {
-	case h.pollFailed:
-		// The lease is not extended while the worker does not reply: its runs end when the lease expires.
+	if h.pollFailed {
+		// The lease is not extended while the worker does not reply: its runs end when the lease expires. It may have
+		// restarted, so the outcomes with the numbers up to the last one here may be others, which nobody has read.
 		return poll, false
-	case len(h.runs) == 0:
+	}
+	poll.LastOutcome = h.host.LastOutcome
+	if len(h.runs) == 0 {
+		// Outcomes are acknowledged by the next poll of the idle worker, or by the first one of the next run.
 		poll.Wait = p.pollWait(h, idlePollInterval)
 		return poll, true
 	}
@@ -301,10 +316,8 @@
 	return longest
 }
 
-// pollWithoutLease returns a poll that extends no lease and does not wait. The pool's lock is held.
-func (h *ownedHost) pollWithoutLease() link.HostPoll {
-	return link.HostPoll{Token: h.host.Token, LastOutcome: h.host.LastOutcome}
-}
+// pollWithoutLease returns a poll that extends no lease, does not wait and acknowledges no outcome. The pool's lock is held.
+func (h *ownedHost) pollWithoutLease() link.HostPoll { return link.HostPoll{Token: h.host.Token} }
 
 // probe reads the clock of a worker that is not owned, without affecting its owner.
 func (p *Pool) probe(ctx context.Context, h *ownedHost) (link.PollReply, error) {
@@ -403,8 +416,9 @@
 	signal(h.restartNoticed)
 }
 
-// handleOtherWorker records that another worker answers at the address: no earlier run of this worker is alive. A run
-// with a start call in progress is left to the result of that call. p.mu is held.
+// handleOtherWorker records that another worker answers at the address: no earlier run of this worker is alive, since all
+// were started at this address, where the worker has answered under the present token. Whatever entry has named it, the process
+// that was there has ended. A run with a start call in progress is left to the result of that call. p.mu is held.
 func (p *Pool) handleOtherWorker(h *ownedHost, now time.Time, fx *effects) {
 	p.recordCrash(h, h.watch.endedBy(now), "has been replaced", nil, fx)
 	h.watch = crashWatch{}
@@ -451,7 +465,8 @@
 	listed := make(map[contract.RunKey]int, len(reply.Running))
 	for _, running := range reply.Running {
 		listed[running.Key] = running.Progress
-		if _, ok := h.runs[running.Key]; !ok {
+		_, held := h.runs[running.Key]
+		if !held && !h.leftAt[running.Key].After(sent) {
 			p.stopUnordered(h, running.Key, now)
 		}
 	}
@@ -459,7 +474,7 @@
 		progress, ok := listed[key]
 		switch {
 		case ok:
-			r.workerStart, r.begun = h.host.StartTime, true
+			r.workerStart, r.listedBy, r.begun = h.host.StartTime, h.host.StartTime, true
 			p.recordProgress(r, progress, now, fx)
 		case r.state == runRunning && r.startedAt.Before(sent) && !r.confirmedAt.After(sent):
 			// The run was confirmed before the poll was sent, and the reply lists neither the run nor its outcome. The next run of
--- a/pool/run.go
+++ b/pool/run.go
@@ -48,6 +48,10 @@
 	token       uint64
 	// workerStart is the start time of the incarnation of the worker to which the run was sent or which listed it last.
 	workerStart int64
+	// listedBy is the start time of the incarnation whose list has named the run last; zero if none has.
+	listedBy int64
+	// doubtSince is when the start call was given up without a reply.
+	doubtSince time.Time
 	// stopAnswered is set once the worker has answered a stop of the run.
 	stopAnswered bool
 	// startUnanswered is set once the start call of the run has ended without a reply: it may still be executed.
@@ -210,6 +214,7 @@
 	}
 	r.host.host.Release(r.order.Need)
 	delete(r.host.runs, r.order.Key)
+	r.host.leftAt[r.order.Key] = p.o.Now()
 	r.host = nil
 	task := r.order.Key.Task()
 	if p.onWorkers[task]--; p.onWorkers[task] <= 0 {
--- a/pool/start.go
+++ b/pool/start.go
@@ -119,9 +119,10 @@
 }
 
 // recordReading records the clock in the reply to a call that was made under a fencing token. Under another token than the
-// present one the reply may come from an earlier incarnation, whose clock differs. p.mu is held.
+// present one the reply may come from an earlier incarnation, whose clock differs. The rejections of an unhealthy worker may
+// have no clock, and those of another worker at the address have that of its own. p.mu is held.
 func (h *ownedHost) recordReading(token uint64, reply link.HostReply, now time.Time) {
-	if h.host.Token == token {
+	if h.host.Token == token && !reply.OtherWorker && reply.Clock > 0 {
 		h.host.SetClock(reply.Clock, now)
 	}
 }
@@ -139,7 +140,7 @@
 		return
 	}
 	p.counter(metric.PoolStartsInDoubt).Inc(1)
-	r.state, r.startUnanswered = runInDoubt, true
+	r.state, r.startUnanswered, r.doubtSince = runInDoubt, true, now
 	p.late.add(r.order.Key, h.address.Worker, now)
 	fx.inDoubt = append(fx.inDoubt, r)
 }
@@ -225,17 +226,16 @@
 		p.o.Calls.CloseIdleConnections(h.address)
 		return false
 	}
-	if !reply.Fenced {
-		h.recordReading(token, reply, now)
-	}
-	if reply.Fenced && h.host.Token != token {
-		// The stop was made under the token of an earlier ownership.
+	if h.host.Token != token || reply.OtherWorker {
+		// The stop was made under the token of an earlier ownership, and may have been answered by an earlier incarnation, or
+		// another worker is at the address, which the next poll shows.
 		return false
 	}
 	if reply.Fenced {
 		p.loseOwnership(h, now, &fx)
 		return true
 	}
+	h.recordReading(token, reply, now)
 	// The run has ended once its outcome is listed, or once a later poll lists neither the run nor an outcome: then it
 	// never started there, and the worker rejects a start that arrives late.
 	r.state, r.confirmedAt, r.cancelled, r.stopAnswered = runRunning, now, true, true
