--- a/fault/fault.go
+++ b/fault/fault.go
@@ -17,6 +17,9 @@
 	Retriable = errorx.RegisterTrait("retriable")
 	// ConnectionRefused marks errors that show that the machine answers and no process listens at the address.
 	ConnectionRefused = errorx.RegisterTrait("connection_refused")
+	// Answered marks errors of calls that got an answer which says nothing reliable about their execution. A call without any
+	// answer may be executed long afterwards, these were when they were answered.
+	Answered = errorx.RegisterTrait("answered")
 )
 
 var namespace = errorx.NewNamespace("cicadadale")
@@ -29,6 +32,8 @@
 	NotListening = namespace.NewType("not_listening", ProvenNotStarted, Retriable, ConnectionRefused)
 	// InDoubt means that a start was sent and no reply was received.
 	InDoubt = namespace.NewType("in_doubt")
+	// AnsweredInDoubt means that a start was sent and its reply is not whole, or may be that to another call.
+	AnsweredInDoubt = InDoubt.NewSubtype("answered", Answered)
 	// Refused means that a job was not accepted, or that a task of it was not run.
 	Refused = namespace.NewType("refused", ProvenNotStarted)
 	// Overloaded is a refusal for lack of capacity or quota.
--- /dev/null
+++ b/pool/hostcalls_test.go
@@ -0,0 +1,51 @@
+package pool
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"github.com/cicadadale/cicadadale/contract"
+	"github.com/cicadadale/cicadadale/fault"
+	"github.com/cicadadale/cicadadale/link"
+	"github.com/cicadadale/cicadadale/standin"
+)
+
+// hostCalls calls stand-ins of workers without a network.
+type hostCalls struct {
+	hosts map[string]*standin.RunHost
+	// dropStops makes all stop calls time out without effect.
+	dropStops atomic.Bool
+	// spoilStarts makes all starts be rejected by answers that cannot be relied on.
+	spoilStarts atomic.Bool
+	// delayPolls makes polls take a round trip.
+	delayPolls atomic.Bool
+}
+
+func (c *hostCalls) Start(
+	ctx context.Context, a link.HostAddress, s link.HostStart,
+) (link.StartVerdict, link.HostReply, error) {
+	if c.spoilStarts.Load() {
+		return 0, link.HostReply{}, fault.AnsweredInDoubt.New("rejection by worker %s is not whole", a.Worker)
+	}
+	return c.hosts[a.Worker].Start(ctx, s)
+}
+
+func (c *hostCalls) Stop(
+	ctx context.Context, a link.HostAddress, k contract.RunKey, token uint64,
+) (link.HostReply, error) {
+	if c.dropStops.Load() {
+		<-ctx.Done()
+		return link.HostReply{}, ctx.Err()
+	}
+	return c.hosts[a.Worker].Stop(ctx, k, token)
+}
+
+func (c *hostCalls) Poll(ctx context.Context, a link.HostAddress, h link.HostPoll) (link.PollReply, error) {
+	if c.delayPolls.Load() {
+		time.Sleep(5 * time.Millisecond)
+	}
+	return c.hosts[a.Worker].Poll(ctx, h)
+}
+
+func (c *hostCalls) CloseIdleConnections(link.HostAddress) {}
--- a/pool/latestart_test.go
+++ b/pool/latestart_test.go
@@ -12,9 +12,9 @@
 	"github.com/cicadadale/cicadadale/standin"
 )
 
-// orderRun orders a later run of a task.
-func (f *fixture) orderRun(job string, run uint64) contract.RunKey {
-	return f.orderWith(job, func(o *contract.TaskOrder) { o.Key.Run = run })
+// orderRun orders a run of "task".
+func (f *fixture) orderRun(run uint64) contract.RunKey {
+	return f.orderWith("task", func(o *contract.TaskOrder) { o.Key.Run = run })
 }
 
 // withUnansweredStart lets f act once the start of the first run of "task" at some worker has got no reply and its run has
@@ -28,7 +28,7 @@
 		for _, h := range fix.calls.hosts {
 			h.SetHoldingStarts(1)
 		}
-		key := fix.orderRun("task", 1)
+		key := fix.orderRun(1)
 		fix.refreshFor(500*time.Millisecond, key)
 		for _, h := range fix.calls.hosts {
 			h.SetHoldingStarts(0)
@@ -55,7 +55,7 @@
 func TestNextRunStartsOnTheWorkerOfTheUnansweredStart(t *testing.T) {
 	withUnansweredStart(t, 5, func(f *fixture, worker string, _ *standin.RunHost) {
 		for run := uint64(2); run < 10; run++ {
-			f.refreshFor(time.Second, f.orderRun("task", run))
+			f.refreshFor(time.Second, f.orderRun(run))
 			require.Equal(t, worker, f.observer.workerOfJob()["task"], "run %d", run)
 		}
 		require.EqualValues(t, 8, f.pool.counter(metric.PoolStartsWhereLate).Count())
@@ -69,7 +69,7 @@
 	withUnansweredStart(t, 2, func(f *fixture, worker string, host *standin.RunHost) {
 		host.Crash()
 		f.refreshFor(silenceLimit + sweepInterval)
-		f.refreshFor(time.Second, f.orderRun("task", 2))
+		f.refreshFor(time.Second, f.orderRun(2))
 		require.NotEqual(t, worker, f.observer.workerOfJob()["task"])
 		require.EqualValues(t, 1, f.pool.counter(metric.PoolStartsBesideLate).Count())
 	})
@@ -81,7 +81,7 @@
 		f.pool.mu.Lock()
 		f.pool.hosts[worker].host.Suspend(time.Now())
 		f.pool.mu.Unlock()
-		f.orderRun("task", 2)
+		f.orderRun(2)
 		time.Sleep(10 * time.Millisecond)
 		require.Equal(t, worker, f.observer.workerOfJob()["task"])
 	})
@@ -96,7 +96,7 @@
 		host.Crash()
 		host.Restart()
 		require.Equal(t, 1, host.DeliverHeld())
-		next := f.orderRun("task", 2)
+		next := f.orderRun(2)
 		f.refreshFor(700*time.Millisecond, next)
 		require.Len(t, f.observer.startedJobs(), 1, "the late start only")
 		f.calls.dropStops.Store(false)
@@ -119,7 +119,7 @@
 			time.Sleep(2 * lateStartPollPause)
 			require.Greater(t, f.lastToken(), token, "down for %v", down)
 		}
-		f.refreshFor(time.Second, f.orderRun("task", 2))
+		f.refreshFor(time.Second, f.orderRun(2))
 	})
 }
 
@@ -128,3 +128,17 @@
 	defer f.pool.mu.Unlock()
 	return f.pool.hosts["w0"].lastToken
 }
+
+// Guards against a task that waits for an unhealthy worker: rejections without a body cannot be told from each other, so they are in
+// doubt, but they are no starts that are executed late.
+func TestRejectionInDoubtBindsNoTask(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(2)
+		defer f.pool.Close()
+		f.calls.spoilStarts.Store(true)
+		key := f.orderRun(1)
+		f.refreshFor(500*time.Millisecond, key)
+		require.Equal(t, contract.RunEnded, f.state(key))
+		require.False(t, f.report(key).MayStartLate)
+	})
+}
--- a/pool/pool_test.go
+++ b/pool/pool_test.go
@@ -7,7 +7,6 @@
 	"maps"
 	"slices"
 	"sync"
-	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -66,40 +65,6 @@
 	return o.ended[job]
 }
 
-// hostCalls calls stand-ins of workers without a network.
-type hostCalls struct {
-	hosts map[string]*standin.RunHost
-	// dropStops makes all stop calls time out without effect.
-	dropStops atomic.Bool
-	// delayPolls makes polls take a round trip.
-	delayPolls atomic.Bool
-}
-
-func (c *hostCalls) Start(
-	ctx context.Context, a link.HostAddress, s link.HostStart,
-) (link.StartVerdict, link.HostReply, error) {
-	return c.hosts[a.Worker].Start(ctx, s)
-}
-
-func (c *hostCalls) Stop(
-	ctx context.Context, a link.HostAddress, k contract.RunKey, token uint64,
-) (link.HostReply, error) {
-	if c.dropStops.Load() {
-		<-ctx.Done()
-		return link.HostReply{}, ctx.Err()
-	}
-	return c.hosts[a.Worker].Stop(ctx, k, token)
-}
-
-func (c *hostCalls) Poll(ctx context.Context, a link.HostAddress, h link.HostPoll) (link.PollReply, error) {
-	if c.delayPolls.Load() {
-		time.Sleep(5 * time.Millisecond)
-	}
-	return c.hosts[a.Worker].Poll(ctx, h)
-}
-
-func (c *hostCalls) CloseIdleConnections(link.HostAddress) {}
-
 // fixture is a pool with workers. durations holds the run times of tasks, sizes their CPU need in thousandths of a
 // core, both by job; a task with a run time of zero stalls. mu guards durations, sizes and reports: the workers read
 // the first two and the pool writes the third while a test runs.
--- a/pool/start.go
+++ b/pool/start.go
@@ -51,7 +51,7 @@
 	} else {
 		p.o.Logger.Warn("start returned after its run had been given up", "task", s.run.order.Key.String(),
 			"worker", s.host.address.Worker, "token", s.token, "verdict", verdict.String(), "error", err)
-		if err != nil && !errorx.HasTrait(err, fault.ProvenNotStarted) {
+		if err != nil && !errorx.HasTrait(err, fault.ProvenNotStarted) && !errorx.HasTrait(err, fault.Answered) {
 			p.late.add(s.run.order.Key, s.host.address.Worker, now)
 		}
 	}
@@ -140,8 +140,10 @@
 		return
 	}
 	p.counter(metric.PoolStartsInDoubt).Inc(1)
-	r.state, r.startUnanswered, r.doubtSince = runInDoubt, true, now
-	p.late.add(r.order.Key, h.address.Worker, now)
+	r.state, r.doubtSince = runInDoubt, now
+	if r.startUnanswered = !errorx.HasTrait(err, fault.Answered); r.startUnanswered {
+		p.late.add(r.order.Key, h.address.Worker, now)
+	}
 	fx.inDoubt = append(fx.inDoubt, r)
 }
 
