edge: test of a job whose home was removed from the list

A member that waits for the earlier home of a job starts it once that home is silent and has been dropped from the list of members, also if the member itself reaches nobody. The home may be alive and in contact with a majority: it was removed by mistake, or while it was cut off.

--- a/edge/listchange_test.go
+++ b/edge/listchange_test.go
@@ -163,3 +163,22 @@
 	defer cancel()
 	daemon.Stop(ctx)
 }
+
+// Guards against a member without a majority that starts a job whose home it has dropped from the list, but that has one.
+func TestJobOfHomeThatWasRemovedFromTheListGetsNoSecondRun(t *testing.T) {
+	inVirtualTime(t, func(t *testing.T) {
+		d := newDeployment(t, 3, 1, 3)
+		d.plan = func(contract.RunKey) standin.RunPlan { return standin.RunPlan{Duration: 15 * time.Second} }
+		d.submit("edge-0-0", testJob(secondHomeJob, 2, 20*time.Second))
+		time.Sleep(time.Second)
+		d.setStoreAway(true, "edge-0-0", "edge-2-0")
+		side := inDomains("1")
+		d.net.setCut(func(from, to string) bool { return side(from) != side(to) })
+		time.Sleep(time.Second)
+		require.NoError(t, storeView{d.store, "edge-2-0"}.RemoveMember(t.Context(), "edge-0-0"))
+		time.Sleep(resendDelay)
+		d.submit("edge-1-0", testJob(secondHomeJob, 2, 20*time.Second))
+		time.Sleep(4 * time.Second)
+		d.close()
+	})
+}
