batch: let a job depend on the present members

A caller sees two runs of a task at a time if, while its job runs, one member leaves and others join, and the job is then submitted to one of those on the other side of a cut. A job depended on the members at its acceptance; the present ones took their place only if they included all of those, so never once one had left. The home kept the job with a majority of the few that were left.

A job now depends on the members that are present at each time. All listed members count, whether or not they are in contact, so the present ones are never fewer than those to which the caller may turn.

--- a/batch/membership.go
+++ b/batch/membership.go
@@ -141,14 +141,12 @@
 	h.endJob(j, Abandoned, "no contact with a majority of the members", now, out)
 }
 
-// checkProof extends the electorate of a job by the members that have returned. It defers the orders of a job whose caller is
+// checkProof lets a job depend on the present members. It defers the orders of a job whose caller is
 // proven again after a lapse, as after a pause of the process, and has the job announced at once. The lock of the job's shard
 // is held.
 func (h *Home) checkProof(j *job, out *outbox) {
-	if current := out.currentElectorate(); current != j.electorate && current.Includes(j.electorate) {
-		// The caller of a job that was accepted while members were out of contact may turn to them from now on.
-		j.electorate = current
-	}
+	// The caller may turn to members that have joined since the job was accepted.
+	j.electorate = out.currentElectorate()
 	proven := out.provenAt(j)
 	if lapse := proven.Sub(j.provenUntil); lapse > proofLapse {
 		h.o.Logger.Warn("caller of a job is proven again; ordering no run until other members have announced theirs",
