edge: count majorities of each list of members in force

A caller sees two runs of a task at a time after members were removed from the list, joined it or left, if a cut follows before all have read the new list. Majorities were counted of the list that a member had read last, so both sides of the cut could be a majority: one of the earlier list, one of the new one. With ten members, six of which remove four silent ones, two that have not read that are a majority of ten with the four, and the other four are one of six. An operator's removal and members that join do the same.

A list that has been read now comes into force beside the earlier ones, and a home needs a majority of each. Statuses carry the versions in force, which are offsets of the store's topic. Contact with a member does not count while a list is in force there that this process has not read; it requests that list, so that members without the store follow and a process that starts takes over the earlier lists. The newest list settles, and the earlier ones are dropped, when all live members count by it and are a majority of each earlier one. So two homes either have a list in common, of which two majorities meet, or one of them has only lists that the members of the other one's majorities have read, which that one does not count. Of a series of changes few lists come into force, so that the cost does not grow with the number of VMs that restart; a status grows by a few bytes.

The model of two homes has a deployment that has grown, and a mutation that brings the second run back. Store.FollowMembers passes a list with its version, so the stubs of the tests do too; no check in them has changed.

--- a/command/member.go
+++ b/command/member.go
@@ -22,9 +22,12 @@
 		Name:  "member",
 		Usage: "list the edge daemons that the platform's store names, and remove those that are gone for good",
 		Description: "Jobs depend on a majority of the listed daemons. Daemons remove members that have been silent for two " +
-			"minutes, unless they are no majority themselves: after the loss of half of the VMs for good, remove their entries " +
-			"here. A daemon that is removed although it is alive announces itself again.\n\n" +
-			"Example: cicadadale member remove --store 10.200.1.7:8169 edge-cork-a-1",
+			"minutes, unless they are no majority themselves: after the loss of half of the VMs for good, declare them gone " +
+			"here. Daemons that are removed without --gone count until a majority of the list before has read the new one; " +
+			"those that are gone count no more at once. Declare a daemon gone only when its process has ended: two sides of a " +
+			"partition that have each declared the other gone run jobs twice. A daemon that is removed although it is alive " +
+			"announces itself again.\n\n" +
+			"Example: cicadadale member remove --gone --store 10.200.1.7:8169 edge-cork-a-1",
 		Commands: []*cli.Command{memberListCommand(), memberRemoveCommand()},
 	}
 }
@@ -58,23 +61,27 @@
 
 func memberRemoveCommand() *cli.Command {
 	return &cli.Command{
-		Name: "remove", Usage: "remove daemons from the list", ArgsUsage: "VM...", Flags: memberFlags(),
+		Name: "remove", Usage: "remove daemons from the list", ArgsUsage: "VM...",
+		Flags: append(memberFlags(), &cli.BoolFlag{Name: "gone", Usage: "the VMs are gone for good; their daemons have ended"}),
 		Action: func(ctx context.Context, c *cli.Command) error {
 			ctx, cancel := context.WithTimeout(ctx, c.Duration("timeout"))
 			defer cancel()
 			store := memberStore(c)
-			members, err := listMembers(ctx, store)
+			listed, err := listMembers(ctx, store)
 			if err != nil {
 				return err
 			}
+			var members []machine.Member
 			for _, vm := range c.Args().Slice() {
-				if !slices.ContainsFunc(members, func(m machine.Member) bool { return m.VM == vm }) {
+				i := slices.IndexFunc(listed, func(m machine.Member) bool { return m.VM == vm })
+				if i < 0 {
 					return fmt.Errorf("%s is not listed", vm)
 				}
+				members = append(members, listed[i])
 			}
-			for _, vm := range c.Args().Slice() {
-				if err := store.RemoveMember(ctx, vm); err != nil {
-					return fmt.Errorf("removing %s: %w", vm, err)
+			for _, m := range members {
+				if err := removeMember(ctx, store, m, c.Bool("gone")); err != nil {
+					return fmt.Errorf("removing %s: %w", m.VM, err)
 				}
 			}
 			return nil
@@ -82,6 +89,14 @@
 	}
 }
 
+// removeMember removes a daemon from the list, or declares it gone for good.
+func removeMember(ctx context.Context, store *platform.LogStore, m machine.Member, gone bool) error {
+	if gone {
+		return store.DeclareGone(ctx, m)
+	}
+	return store.RemoveMember(ctx, m.VM)
+}
+
 func memberStore(c *cli.Command) *platform.LogStore {
 	return platform.NewLogStore(c.String("store"), slog.New(slog.DiscardHandler))
 }
@@ -92,8 +107,8 @@
 	defer cancel()
 	var members []machine.Member
 	read := false
-	store.FollowMembers(ctx, func(list []machine.Member) {
-		members, read = list, true
+	store.FollowMembers(ctx, func(list machine.MemberList) {
+		members, read = list.Members, true
 		cancel()
 	})
 	if !read {
--- a/command/member_test.go
+++ b/command/member_test.go
@@ -42,3 +42,20 @@
 	require.NoError(t, err)
 	require.Equal(t, "edge-2 a 127.0.0.1:1\n", out)
 }
+
+// Guards against VMs that an operator has declared gone and that members count, and against one that stays gone after its next start.
+func TestMembersAreDeclaredGone(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	log := standin.ServeKeyedLog(l)
+	t.Cleanup(func() { require.NoError(t, log.Close()) })
+	store := platform.NewLogStore(log.Address(), slog.New(slog.DiscardHandler))
+	gone := machine.Member{VM: "edge-1", Domain: "a", Address: "127.0.0.1:1", CPUMillis: 400}
+	require.NoError(t, store.PublishMember(t.Context(), gone))
+	require.NoError(t, Root().Run(t.Context(), []string{"cicadadale", "member", "remove", "--gone", "--store", log.Address(), "edge-1"}))
+	lists := make(chan machine.MemberList, 10)
+	go store.FollowMembers(t.Context(), func(list machine.MemberList) { lists <- list })
+	require.Equal(t, machine.MemberList{Version: 2, Gone: []string{"edge-1"}}, <-lists)
+	require.NoError(t, store.PublishMember(t.Context(), gone))
+	require.Equal(t, machine.MemberList{Version: 3, Members: []machine.Member{gone}}, <-lists)
+}
--- a/edge/contacts.go
+++ b/edge/contacts.go
@@ -191,7 +191,7 @@
 	out := &api.PoolStatus{
 		Rooms: status.GetRooms(), OwnsNothing: status.GetOwnsNothing(), Leaving: status.GetLeaving(),
 		StampMs: status.GetStampMs(), DesiredVersion: status.GetDesiredVersion(), WorkerList: status.GetWorkerList(),
-		Subscribe: v.subscribe,
+		Subscribe: v.subscribe, ListsInForce: status.GetListsInForce(), ListsSettled: status.GetListsSettled(),
 	}
 	if v.introduce {
 		out.Sender = encodeMember(m.self)
--- a/edge/daemon.go
+++ b/edge/daemon.go
@@ -54,7 +54,7 @@
 	// SinceWorkersRead returns the time since entries of workers were last read. Workers renew them every 1.5 s.
 	SinceWorkersRead() time.Duration
 	FollowDesired(ctx context.Context, f func(contract.Desired))
-	FollowMembers(ctx context.Context, f func([]machine.Member))
+	FollowMembers(ctx context.Context, f func(machine.MemberList))
 	PublishMember(ctx context.Context, m machine.Member) error
 	RemoveMember(ctx context.Context, vm string) error
 	// DecodeDesired decodes a document that a peer has forwarded.
@@ -135,6 +135,8 @@
 	// requestedAt is when the newer one was last requested.
 	behindSince time.Time
 	requestedAt time.Time
+	// listsRequestedAt is when the lists in force at another member were last requested.
+	listsRequestedAt time.Time
 	// published is set once the store has listed this process.
 	published bool
 }
@@ -168,7 +170,7 @@
 	d.server = server
 	d.spawn(func() { o.Store.FollowWorkers(ctx, d.feed.Reads, d.handleWorkerList) })
 	d.spawn(func() { o.Store.FollowDesired(ctx, func(s contract.Desired) { d.setDesired(s, "store") }) })
-	d.spawn(func() { o.Store.FollowMembers(ctx, func(list []machine.Member) { d.setMembers(ctx, list) }) })
+	d.spawn(func() { o.Store.FollowMembers(ctx, func(list machine.MemberList) { d.setMembers(ctx, list) }) })
 	d.spawn(func() { d.announce(ctx) })
 	d.spawn(func() { d.run(ctx) })
 	return d, nil
@@ -244,10 +246,12 @@
 	d.relays.expire(now)
 	d.announced.Repeat(now)
 	d.members.ChoosePartners()
+	d.members.SettleLists(now)
 	d.members.UpdateElectorate()
 	d.sendStatus(now)
 	d.requestHeldJobs(now)
 	d.requestDesired(now)
+	d.requestLists(now)
 	d.requestEntries(now)
 }
 
@@ -429,10 +433,10 @@
 }
 
 // setMembers applies the store's list of members.
-func (d *Daemon) setMembers(ctx context.Context, list []machine.Member) {
-	listed := make(map[string]bool, len(list))
-	for _, m := range list {
-		listed[m.VM] = true
+func (d *Daemon) setMembers(ctx context.Context, list machine.MemberList) {
+	d.members.ReadList(list, d.o.Now())
+	listed := listedVMs(list)
+	for _, m := range list.Members {
 		d.learn(m, false)
 	}
 	d.members.Prune(listed)
--- a/edge/deployment_test.go
+++ b/edge/deployment_test.go
@@ -43,7 +43,10 @@
 	workers []machine.Listing
 	desired contract.Desired
 	members map[string]machine.Member
-	changed chan struct{}
+	// gone holds the VMs that were declared gone, listVersion counts the changes of members and gone.
+	gone        map[string]bool
+	listVersion uint64
+	changed     chan struct{}
 	// unavailable names the VMs for which the store is unavailable, unavailableSince when that began.
 	unavailable      map[string]bool
 	unavailableSince map[string]time.Time
@@ -58,7 +61,7 @@
 }
 
 func newMemStore(n *network) *memStore {
-	return &memStore{network: n, members: make(map[string]machine.Member), changed: make(chan struct{}),
+	return &memStore{network: n, members: make(map[string]machine.Member), gone: make(map[string]bool), changed: make(chan struct{}),
 		unavailable: map[string]bool{}, unavailableSince: map[string]time.Time{}}
 }
 
@@ -120,12 +123,15 @@
 	})
 }
 
-func (v storeView) FollowMembers(ctx context.Context, f func([]machine.Member)) {
+func (v storeView) FollowMembers(ctx context.Context, f func(machine.MemberList)) {
 	v.follow(ctx, func() {
 		v.s.mu.Lock()
-		var list []machine.Member
+		list := machine.MemberList{Version: v.s.listVersion}
 		for _, m := range v.s.members {
-			list = append(list, m)
+			list.Members = append(list.Members, m)
+		}
+		for vm := range v.s.gone {
+			list.Gone = append(list.Gone, vm)
 		}
 		v.s.mu.Unlock()
 		f(list)
@@ -139,12 +145,19 @@
 	if unavailable {
 		return errUnreachable
 	}
-	v.s.update(func() { v.s.members[m.VM] = m })
+	v.s.update(func() {
+		v.s.members[m.VM] = m
+		delete(v.s.gone, m.VM)
+		v.s.listVersion++
+	})
 	return nil
 }
 
 func (v storeView) RemoveMember(_ context.Context, vm string) error {
-	v.s.update(func() { delete(v.s.members, vm) })
+	v.s.update(func() {
+		delete(v.s.members, vm)
+		v.s.listVersion++
+	})
 	return nil
 }
 
--- a/edge/electorate.go
+++ b/edge/electorate.go
@@ -1,6 +1,9 @@
 package edge
 
 import (
+	"iter"
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/cicadadale/cicadadale/zone"
@@ -11,7 +14,7 @@
 
 // UpdateElectorate chooses the members on which jobs depend: all that are listed and not about to leave, whether or not they are
 // in contact, since the callers of a part of the deployment that is cut off may turn to the rest. In large deployments the
-// contacts in other failure domains stand for the members there.
+// contacts in other failure domains stand for the members there. While several lists are in force, jobs depend on each.
 func (m *Members) UpdateElectorate() {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -20,30 +23,24 @@
 
 // nextElectorate returns the present electorate unless it has changed. It expects m.mu to be held.
 func (m *Members) nextElectorate() *zone.Electorate {
-	domains := m.electorsByDomain()
-	unreachable := 0
-	for _, d := range domains {
-		if d.electors == 0 {
-			unreachable += d.members * zone.MemberWeight
+	next := m.electorateOf(maps.Keys(m.byVM), m.leaving)
+	var others []*zone.Electorate
+	for _, list := range m.lists.inForce {
+		if m.isKnownSet(list.vms) {
+			continue
 		}
-	}
-	size, same := 0, unreachable == m.electorate.Unreachable()
-	for _, e := range m.byVM {
-		if m.isElector(e) {
-			size++
-			same = same && m.electorate.Weight(e.info.VM) == domains[e.info.Domain].weight()
+		other := m.electorateOf(maps.Keys(list.vms), m.leaving || !list.vms[m.self.VM])
+		if !slices.ContainsFunc(others, other.Equal) {
+			others = append(others, other)
 		}
 	}
-	if same && size == m.electorate.Size() {
-		return m.electorate
+	if len(others) > 0 {
+		next = next.Joint(others)
 	}
-	electors := make([]zone.Elector, 0, size)
-	for _, e := range m.byVM {
-		if m.isElector(e) {
-			electors = append(electors, zone.Elector{Member: e.info.VM, Weight: domains[e.info.Domain].weight()})
-		}
+	if next.Equal(m.electorate) {
+		return m.electorate
 	}
-	return zone.NewWeightedElectorate(electors, unreachable)
+	return next
 }
 
 // domainElectors counts the other members of a failure domain that are not leaving, and the electors among them.
@@ -52,21 +49,41 @@
 // weight returns the weight of each elector.
 func (d domainElectors) weight() int { return d.members * zone.MemberWeight / d.electors }
 
-// electorsByDomain expects m.mu to be held.
-func (m *Members) electorsByDomain() map[string]domainElectors {
+// electorateOf returns the electorate of some VMs, of which this process is one unless it is outside. Nobody stands for those that
+// have been dropped. It expects m.mu to be held.
+func (m *Members) electorateOf(vms iter.Seq[string], outside bool) *zone.Electorate {
 	domains := make(map[string]domainElectors)
-	for _, e := range m.byVM {
-		if e.leaving {
-			continue
+	unreachable := 0
+	var chosen []*member
+	for vm := range vms {
+		e, known := m.byVM[vm]
+		switch {
+		case vm == m.self.VM || m.hasLeft(vm):
+		case !known:
+			unreachable += zone.MemberWeight
+		default:
+			d := domains[e.info.Domain]
+			d.members++
+			if m.isElector(e) {
+				d.electors++
+				chosen = append(chosen, e)
+			}
+			domains[e.info.Domain] = d
 		}
-		d := domains[e.info.Domain]
-		d.members++
-		if m.isElector(e) {
-			d.electors++
+	}
+	for _, d := range domains {
+		if d.electors == 0 {
+			unreachable += d.members * zone.MemberWeight
 		}
-		domains[e.info.Domain] = d
 	}
-	return domains
+	electors := make([]zone.Elector, 0, len(chosen))
+	for _, e := range chosen {
+		electors = append(electors, zone.Elector{Member: e.info.VM, Weight: domains[e.info.Domain].weight()})
+	}
+	if outside {
+		return zone.NewOuterElectorate(electors, unreachable)
+	}
+	return zone.NewWeightedElectorate(electors, unreachable)
 }
 
 // isElector reports whether jobs depend on contact with a member. It expects m.mu to be held.
@@ -92,13 +109,29 @@
 		// A process that has replaced the one at acceptance stands in for it, since the caller may turn to it. One that has not
 		// acknowledged anything yet is not reached.
 		known, ok := m.byVM[vm]
-		if !ok || known.leaving {
-			return time.Time{}, false
+		if !ok || m.hasLeft(vm) {
+			return time.Time{}, !m.hasLeft(vm)
 		}
-		return known.reachedAt(), true
+		return m.countedAt(known), true
 	})
 }
 
+// countedAt returns the time of the last contact with a member that counts. None does while a list is in force at the member that
+// this process has not read: the member may be part of a majority of that list. It expects m.mu to be held.
+func (m *Members) countedAt(e *member) time.Time {
+	if m.lists.covers(e.lists) {
+		e.countedAt = earlier(e.reachedAt(), e.statusAt.Add(statusLimit))
+	}
+	return e.countedAt
+}
+
+func earlier(a, b time.Time) time.Time {
+	if b.Before(a) {
+		return b
+	}
+	return a
+}
+
 // CanHaveMajority reports whether a silent process may be in contact with a majority of the members: unless it has been replaced
 // or dropped, or this process reaches at least half of them, itself included unless it is stopping.
 func (m *Members) CanHaveMajority(id string, stopping bool, now time.Time) bool {
@@ -107,22 +140,10 @@
 	if m.byID(id) == nil {
 		return false
 	}
-	electorate := m.nextElectorate()
-	total, reached := zone.MemberWeight+electorate.Unreachable(), zone.MemberWeight
-	if stopping {
-		reached = 0
-	}
-	for _, e := range m.byVM {
-		if !m.isElector(e) {
-			continue
-		}
-		weight := electorate.Weight(e.info.VM)
-		total += weight
-		if e.live && now.Sub(e.reachedAt()) <= reachLimit {
-			reached += weight
-		}
-	}
-	return 2*reached < total
+	return !m.nextElectorate().ReachesHalf(!stopping, func(vm string) bool {
+		e, known := m.byVM[vm]
+		return known && e.live && now.Sub(m.countedAt(e)) <= reachLimit
+	})
 }
 
 // IsCutOff reports whether this process has had no contact with a majority of the members for some time.
--- a/edge/homemodel_test.go
+++ b/edge/homemodel_test.go
@@ -57,6 +57,7 @@
 	touchBySending
 	settledMember
 	listedElectorate
+	listsInForce
 	lastClause
 
 	everyClause homeClause = lastClause - 1
@@ -83,6 +84,7 @@
 	touchBySending:     "B dates its contact with W by the arrival of a message",
 	settledMember:      "a member that has just started serves jobs and counts for B",
 	listedElectorate:   "A counts its majority of the members that it was in touch with when it accepted the job",
+	listsInForce:       "B counts its majority of the newest list alone, while A counts by the one before",
 }
 
 // homeModel is a deployment and the protocol of its homes.
@@ -90,6 +92,8 @@
 	// inTouch says whether A was in touch with B and W when it accepted the job. With third, W exists.
 	inTouch [2]bool
 	third   bool
+	// grown says that A has read no list yet on which B and W are: it is a majority by itself until it has.
+	grown bool
 	// restarts lets B and W restart, which makes them forget what they know.
 	restarts bool
 	// lossless excludes cuts between members, seen excludes breaks that A does not see.
@@ -105,14 +109,6 @@
 
 func (m *homeModel) has(c homeClause) bool { return m.clauses&c != 0 }
 
-// proves reports whether contact with a member proves to A that it is in the majority. With neither, A alone is the majority.
-func (m *homeModel) proves(member int) bool {
-	if !m.has(listedElectorate) {
-		return m.inTouch[member]
-	}
-	return member == memberB || m.third
-}
-
 const (
 	memberB = 0
 	memberW = 1
@@ -147,6 +143,10 @@
 	knows      [2]bool
 	heard, age [2]uint8
 
+	// read says whether A has read the list with B and W, told whether B and W know that.
+	read bool
+	told [2]bool
+
 	next  nextPhase
 	touch uint8 // age of the newest contact of B with W
 }
@@ -183,6 +183,7 @@
 		}
 	}
 	m.touchEvents(s, visit)
+	m.listEvents(s, visit)
 	m.nextEvents(s, visit)
 }
 
@@ -280,7 +281,7 @@
 	case s.knows[memberB] && m.has(waitForAnswer):
 		s.next = nextWaits
 		visit("B gets the job and waits", s)
-	case m.excluded(&s):
+	case m.excluded(&s) || !m.counts(&s):
 	case s.knows[memberB] || m.unrestricted || m.inTouchWithW(&s):
 		s.next = nextRuns
 		visit("B gets the job and starts it", s)
@@ -302,7 +303,7 @@
 func (m *homeModel) renew(s *homeState, member int, age uint8) {
 	recorded := s.knows[member] || !m.has(recordedJob)
 	inTime := s.proof <= homeOutage || !m.has(endWithoutProof)
-	if s.held && m.proves(member) && recorded && inTime {
+	if s.held && m.proves(s, member) && recorded && inTime {
 		s.proof = min(s.proof, age)
 		s.counted = s.counted || (s.broken && s.unknown())
 	}
@@ -310,9 +311,10 @@
 
 func (m *homeModel) homeEvents(s homeState, visit visitHome) {
 	if s.held {
-		alone := !m.proves(memberB) && !m.proves(memberW)
+		alone := !m.proves(&s, memberB) && !m.proves(&s, memberW)
 		if alone || !m.has(majorityProof) {
 			s.proof = 0
+			s.counted = s.counted || (alone && s.broken && s.unknown())
 		}
 		s.run = s.proof < homeLease
 		visit("A starts or refreshes", s)
@@ -339,7 +341,7 @@
 func (m *homeModel) contactEvents(s homeState, member int, visit visitHome) {
 	names := contactNames[member]
 	n := s
-	n.heard[member] = 0
+	n.heard[member], n.told[member] = 0, s.read
 	delayed := n
 	m.renew(&n, member, 0)
 	visit(names[0], n)
@@ -362,7 +364,7 @@
 	if !m.restarts || s.next == nextRuns || min(s.age[memberB], s.age[memberW]) < oldest {
 		return
 	}
-	s.knows[member], s.heard[member], s.age[member] = false, 0, 0
+	s.knows[member], s.heard[member], s.age[member], s.told[member] = false, 0, 0, false
 	if member == memberW {
 		visit("W restarts", s)
 		return
@@ -399,6 +401,7 @@
 	if m.has(forwardedJob) && s.knows[memberW] {
 		s.learn(memberB)
 	}
+	s.told[memberB] = s.told[memberB] || s.told[memberW]
 	if m.has(forwardedContact) {
 		s.heard[memberB] = min(s.heard[memberB], s.heard[memberW])
 	}
@@ -433,7 +436,7 @@
 	if !m.has(fullSilence) {
 		silence = shortGone
 	}
-	return m.has(startWithoutAnswer) && s.heard[memberB] >= silence && (m.inTouchWithW(s) || !m.has(touchForStart))
+	return m.has(startWithoutAnswer) && m.counts(s) && s.heard[memberB] >= silence && (m.inTouchWithW(s) || !m.has(touchForStart))
 }
 
 // blocked reports whether B waits for ever: neither a silence of A, while B is in touch with W, nor the release of the job
@@ -451,7 +454,7 @@
 		m.forward(&silent)
 		asked.proof = older(asked.proof)
 	}
-	return !m.silent(&silent) || !m.released(&asked)
+	return (m.counts(&s) && !m.silent(&silent)) || !m.released(&asked)
 }
 
 // homeStep is a state, the index of the one that it was reached from, and the event.
--- a/edge/homemodelcases_test.go
+++ b/edge/homemodelcases_test.go
@@ -19,7 +19,7 @@
 )
 
 // Deployments for which the property holds. In homesABCut and homesAWCut, A was out of touch with W or B when it accepted the job,
-// in the last two it was in touch with nobody.
+// in homesAlone2 and homesAlone3 it was in touch with nobody, in homesGrown it had not read the list that B and W had joined.
 var (
 	homesAB     = homeModel{inTouch: [2]bool{true, false}, clauses: everyClause}
 	homesABW    = homeModel{inTouch: [2]bool{true, true}, third: true, clauses: everyClause}
@@ -27,6 +27,7 @@
 	homesAWCut  = homeModel{inTouch: [2]bool{false, true}, third: true, clauses: everyClause}
 	homesAlone2 = homeModel{clauses: everyClause}
 	homesAlone3 = homeModel{third: true, clauses: everyClause}
+	homesGrown  = homeModel{third: true, grown: true, clauses: everyClause}
 )
 
 // check explores a model and logs the events that lead to a violation.
@@ -40,11 +41,11 @@
 // Guards against two homes that run a task at once, and against a home that waits for ever; every clause is needed.
 func TestHomeModel(t *testing.T) {
 	var models []homeModel
-	for _, m := range []homeModel{homesAB, homesABW, homesABCut, homesAWCut, homesAlone2, homesAlone3} {
+	for _, m := range []homeModel{homesAB, homesABW, homesABCut, homesAWCut, homesAlone2, homesAlone3, homesGrown} {
 		models = append(models, m)
 		m.restarts = m != homesABW // 1.3 million states
 		states, violation := m.explore()
-		fmt.Printf("home model: %d states, in touch with B and W at acceptance: %v, W exists: %v\n", states, m.inTouch, m.third)
+		fmt.Printf("home model: %d states, in touch with B and W at acceptance: %v, W exists: %v, grown: %v\n", states, m.inTouch, m.third, m.grown)
 		require.Empty(t, violation)
 	}
 	restarting := homesAB
--- a/edge/member.go
+++ b/edge/member.go
@@ -29,6 +29,13 @@
 	silentSince time.Time
 	ownsNothing bool
 	leaving     bool
+	// lists are the versions of the lists in force at the member, in ascending order, listsSettled the one before which it knows
+	// of none. statusAt is when it last told them.
+	lists        []uint64
+	listsSettled uint64
+	statusAt     time.Time
+	// countedAt is the last contact that counted; see Members.countedAt.
+	countedAt time.Time
 	// desiredVersion is the version of the member's desired state.
 	desiredVersion uint64
 	// newest is the member's newest timestamp, samples some of the last ones, the oldest first.
--- a/edge/membercontact.go
+++ b/edge/membercontact.go
@@ -20,6 +20,8 @@
 	oneWayLimit = 600 * time.Millisecond
 	// reachLimit is the age of the last contact up to which a member counts as reached.
 	reachLimit = 600 * time.Millisecond
+	// statusLimit is the age of a member's last status up to which its acknowledgements count: statuses say which lists are in force.
+	statusLimit = time.Second
 	// silentMemory is how long after its last message the announcements of a silent member are asked of others.
 	silentMemory = time.Minute
 )
--- a/edge/members.go
+++ b/edge/members.go
@@ -35,13 +35,17 @@
 	ownersVersion   uint64
 	partnersVersion uint64
 	electorate      *zone.Electorate
+	lists           memberLists
+	// leaving is set once this process is about to leave.
+	leaving bool
 	// departed holds the times of the last messages of processes that were replaced or dropped.
 	departed map[string]time.Time
 }
 
 func newMembers(self machine.Member, dial func(m machine.Member) *link.Peer, logger *slog.Logger) *Members {
 	return &Members{self: self, dial: dial, logger: logger, byVM: make(map[string]*member),
-		electorate: zone.NewElectorate(nil), departed: make(map[string]time.Time)}
+		electorate: zone.NewElectorate(nil), departed: make(map[string]time.Time),
+		lists: memberLists{left: make(map[string]bool)}}
 }
 
 // Learn records a process that is named by a list or by its own status (direct). Neither a list nor a late status of a
@@ -81,7 +85,8 @@
 		known.info, known.id, known.live, known.lastContact, known.ownsNothing, known.newest =
 			info, info.ID(), false, time.Time{}, true, batch.Contact{}
 		known.leaving, known.samples, known.ackedAt, known.clock = false, nil, time.Time{}, memberClock{}
-		known.silentSince = time.Time{}
+		known.silentSince, known.lists, known.listsSettled = time.Time{}, nil, 0
+		known.statusAt, known.countedAt = time.Time{}, time.Time{}
 	} else {
 		m.byVM[info.VM] = &member{info: info, id: info.ID(), peer: m.dial(info), ownsNothing: true}
 	}
@@ -137,6 +142,7 @@
 		m.ownersVersion++
 	}
 	e.ownsNothing, e.leaving, e.desiredVersion = ownsNothing, leaving, desiredVersion
+	e.statusAt = now
 	e.recordTimestamp(timestamp, now)
 	return changed
 }
@@ -182,6 +188,9 @@
 	for vm, e := range m.byVM {
 		if !listed[vm] && !e.live {
 			m.recordDeparture(e)
+			if e.leaving {
+				m.lists.left[vm] = true
+			}
 			go e.peer.Close()
 			delete(m.byVM, vm)
 			m.logger.Info("member dropped", "member", e.info.ID())
--- a/edge/messages.go
+++ b/edge/messages.go
@@ -147,6 +147,7 @@
 	status := &api.PoolStatus{OwnsNothing: ownsNothing, Leaving: leaving, DesiredVersion: version,
 		StampMs: d.timestamp(now), WorkerList: d.feed.Sequence(),
 	}
+	status.ListsInForce, status.ListsSettled = d.members.ListVersions()
 	for backend, capacity := range capacities {
 		status.Rooms = append(status.Rooms, encodeCapacity(backend, capacity))
 	}
@@ -323,9 +324,9 @@
 	case *api.PeerMessage_WorkerEntry:
 		d.handleEntry(id, b.WorkerEntry)
 	case *api.PeerMessage_MemberList:
-		for _, info := range b.MemberList.GetMembers() {
-			d.learn(decodeMember(info), false)
-		}
+		d.handleMemberList(b.MemberList)
+	case *api.PeerMessage_MemberListRequest:
+		d.sendLists(id, b.MemberListRequest)
 	}
 }
 
@@ -352,6 +353,7 @@
 		d.members.Send(id, &api.PeerMessage{Body: &api.PeerMessage_WorkerListRequest{
 			WorkerListRequest: &api.WorkerListRequest{}}})
 	}
+	d.members.RecordLists(id, vm, s.GetListsInForce(), s.GetListsSettled(), now)
 	if d.members.UpdateStatus(id, vm, s.GetOwnsNothing(), s.GetLeaving(), s.GetDesiredVersion(), s.GetStampMs(), now) {
 		d.assignWorkers()
 	}
--- a/machine/member.go
+++ b/machine/member.go
@@ -11,3 +11,12 @@
 
 // ID identifies the process among all that ever run on its VM.
 func (m Member) ID() string { return m.VM + "/" + m.Incarnation.String() }
+
+// MemberList is the list of all members as of a version of the store. Later versions are higher; a store without any record has
+// version 0.
+type MemberList struct {
+	Version uint64
+	Members []Member
+	// Gone holds the VMs that an operator has declared gone for good.
+	Gone []string
+}
--- a/zone/electorate_test.go
+++ b/zone/electorate_test.go
@@ -69,3 +69,29 @@
 	require.True(t, reaching("far-0", "far-1", "near-1"), "50 of 97")
 	require.False(t, NewWeightedElectorate(nil, MemberWeight).MajorityContact(now, nil).Equal(now), "one of two")
 }
+
+// Guards against a majority of one list of members that counts without one of another list in force, and against a home that counts in
+// a list which does not name it.
+func TestMajorityOfEachList(t *testing.T) {
+	now := time.Now()
+	member := func(vms ...string) (electors []Elector) {
+		for _, vm := range vms {
+			electors = append(electors, Elector{vm, MemberWeight})
+		}
+		return electors
+	}
+	later, earlier := NewElectorate([]string{"a", "b"}), NewOuterElectorate(member("b", "c", "d"), 0)
+	for reached, want := range map[string]bool{"a": false, "b": false, "ab": false, "cd": false, "ac": false, "bc": true, "acd": true} {
+		has := func(vm string) bool { return strings.Contains(reached, vm) }
+		at := later.Joint([]*Electorate{earlier}).MajorityContact(now, func(vm string) (time.Time, bool) {
+			if has(vm) {
+				return now, true
+			}
+			return time.Time{}, true
+		})
+		require.Equal(t, want, at.Equal(now), reached)
+		require.Equal(t, want, later.Joint([]*Electorate{earlier}).ReachesHalf(true, has), reached)
+	}
+	require.False(t, later.Equal(later.Joint([]*Electorate{earlier})))
+	require.True(t, NewOuterElectorate(nil, 0).MajorityContact(now, nil).Equal(now), "all others have left, and so does the home")
+}
