edge: test of members that leave and are each a majority with one that stays

The members that stay do not count those that are about to leave, while these count themselves. Of two that stay, each is a majority with one of two that leave, on both sides of a cut. Once the list without them has been read it decides; the test has nobody read it.

--- a/edge/listchange_test.go
+++ b/edge/listchange_test.go
@@ -182,3 +182,22 @@
 		d.close()
 	})
 }
+
+// Guards against the same while nobody reads the list without them.
+func TestMembersThatLeaveUnlistedAreNoMajority(t *testing.T) {
+	inVirtualTime(t, func(t *testing.T) {
+		d := newDeployment(t, 4, 1, 1)
+		d.setStoreAway(true, "edge-0-0", "edge-1-0", "edge-2-0", "edge-3-0")
+		for _, vm := range []string{"edge-1-0", "edge-3-0"} {
+			leaving := d.daemons[vm]
+			d.wg.Go(func() { stopWithin(leaving, testGrace) })
+		}
+		time.Sleep(500 * time.Millisecond)
+		outside := inDomains("2", "3")
+		d.cutParts(outside)
+		time.Sleep(1500 * time.Millisecond)
+		d.requireOneMajority(outside)
+		time.Sleep(testGrace)
+		d.close()
+	})
+}
