edge: start no job of a home that is only dropped from the list

A caller sees two runs of a task at a time if the home of its job is removed from the list by mistake, or while it is cut off, and the job is then submitted to a member that has read so and reaches nobody else. That member took a home which it had dropped for one that has ended, and did not ask whether it reaches half of the members itself.

Only a process that another one has replaced on its VM has ended. For one that was dropped, the next home has to reach half of the members of each list in force, as for any silent one. TestJobOfHomeThatWasRemovedFromTheListGetsNoSecondRun failed always, also with the lists in force alone, and passes now.

--- a/edge/electorate.go
+++ b/edge/electorate.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"github.com/cicadadale/cicadadale/machine"
 	"github.com/cicadadale/cicadadale/zone"
 )
 
@@ -132,12 +133,13 @@
 	return a
 }
 
-// CanHaveMajority reports whether a silent process may be in contact with a majority of the members: unless it has been replaced
-// or dropped, or this process reaches at least half of them, itself included unless it is stopping.
+// CanHaveMajority reports whether a silent process may be in contact with a majority of the members: unless it has been replaced,
+// or this process reaches at least half of them, itself included unless it is stopping. One that was dropped from the list may be
+// alive, and counts by the list before as long as it has not read the new one.
 func (m *Members) CanHaveMajority(id string, stopping bool, now time.Time) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if m.byID(id) == nil {
+	if e, known := m.byVM[machine.VMOf(id)]; known && e.id != id {
 		return false
 	}
 	return !m.nextElectorate().ReachesHalf(!stopping, func(vm string) bool {
--- a/machine/member.go
+++ b/machine/member.go
@@ -1,5 +1,7 @@
 package machine
 
+import "strings"
+
 // Member is a process of the deployment and the address at which its peers reach it.
 type Member struct {
 	VM          string      `json:"vm"`
@@ -12,6 +14,9 @@
 // ID identifies the process among all that ever run on its VM.
 func (m Member) ID() string { return m.VM + "/" + m.Incarnation.String() }
 
+// VMOf returns the VM of a process by its ID.
+func VMOf(id string) string { return id[:max(strings.LastIndexByte(id, '/'), 0)] }
+
 // MemberList is the list of all members as of a version of the store. Later versions are higher; a store without any record has
 // version 0.
 type MemberList struct {
