edge: do not count a process that is about to leave

A job that is submitted again across a cut can have two runs at a time while two members leave: each counted itself, and was a majority with one of the two that stay. The members that stay count neither.

A process that is about to leave counts itself no more, so that it needs a majority of those that stay, as they do. Its jobs are not affected while it is in contact with them. TestMembersThatLeaveUnlistedAreNoMajority failed always and passes now.

--- a/edge/stop.go
+++ b/edge/stop.go
@@ -11,6 +11,7 @@
 	d.stopping, d.stoppingSince = true, d.o.Now()
 	end := d.answerBy()
 	d.mu.Unlock()
+	d.members.SetLeaving()
 	d.home.LimitDeadlines(end)
 	d.o.Logger.Info("stopping", "jobs", d.home.Active())
 	d.sendStatus(d.o.Now())
