--- a/pool/match.go
+++ b/pool/match.go
@@ -169,7 +169,7 @@
 	p.addToHost(r, h)
 	p.logLateStarts(r, h)
 	r.host, r.state, r.startedAt, r.mayHaveRun, r.begun = h, runStarting, now, true, false
-	r.listedBy = 0
+	r.listedBy, r.confirmedClock = 0, 0
 	r.progress, r.progressAt, r.token, r.workerStart = 0, now, h.host.Token, h.host.StartTime
 	r.stopAnswered, r.startUnanswered = false, false
 	p.markCommitted(r.order.Key.Batch, now)
--- a/pool/ownership.go
+++ b/pool/ownership.go
@@ -167,6 +167,7 @@
 		p.late.executed(running.Key, h.address.Worker)
 		if r, ok := p.runs[running.Key]; ok && r.host == h {
 			r.token, r.workerStart, r.listedBy, r.begun = h.host.Token, h.host.StartTime, h.host.StartTime, true
+			r.confirmedClock = reply.Clock
 			continue
 		}
 		over := p.isOver(running.Key)
