soak, standin: worker_late_restart, starts that are executed after a restart

Change: the fault kind leaves starts at a worker without an answer, restarts it 2 to 8 s later and executes them 0 to 300 ms after that; the next runs of the tasks last until 2 s after the restart. The result counts the starts held and those executed. The short run in ./soak asks for such starts and no violation.

--- a/soak/client.go
+++ b/soak/client.go
@@ -86,7 +86,7 @@
 	for time.Now().Before(end) {
 		j := &job{
 			id: fmt.Sprintf("%016x", c.rng.Uint64()), tasks: 1 + c.rng.IntN(maxTasks),
-			limit: time.Duration(1200+c.rng.IntN(3000)) * time.Millisecond,
+			limit: c.s.late.limit(time.Duration(1200+c.rng.IntN(3000)) * time.Millisecond),
 		}
 		c.submit(j)
 		c.s.recordJob(j)
--- /dev/null
+++ b/soak/laterestart.go
@@ -0,0 +1,163 @@
+package soak
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/cicadadale/cicadadale/contract"
+)
+
+const (
+	// minLateness and maxLateness bound the time from the first start that is held until the restart of its worker.
+	minLateness = 2 * time.Second
+	maxLateness = 8 * time.Second
+	// maxHold bounds the time for which a worker holds starts.
+	maxHold = 800 * time.Millisecond
+	// maxLateDown bounds the time for which the worker is down, maxAfterRestart the time from its restart until the starts
+	// are executed.
+	maxLateDown     = 150 * time.Millisecond
+	maxAfterRestart = 300 * time.Millisecond
+	// runMargin is how long after the worker's restart the next runs of the tasks go on.
+	runMargin = 2 * time.Second
+	// lateJobLimit is the time limit of the jobs that are submitted while starts are held.
+	lateJobLimit = 16 * time.Second
+)
+
+// lateTask is a task of which a start is held or a worker has been restarted, by the fault with that number. Its runs last at
+// least until end.
+type lateTask struct {
+	fault int
+	end   time.Time
+}
+
+// lateTasks are the tasks that worker_late_restart concerns, and its results. mu guards all fields.
+type lateTasks struct {
+	mu    sync.Mutex
+	tasks map[contract.RunKey]lateTask
+	// faults is the number of the last fault, holding the number of workers that hold starts, held the number of starts that were held, executed the number of
+	// these that have begun a run after a restart.
+	faults, holding, held, executed int
+}
+
+func newLateTasks() *lateTasks { return &lateTasks{tasks: make(map[contract.RunKey]lateTask)} }
+
+// beginHold counts a worker that begins to hold starts, and returns the number of the fault.
+func (l *lateTasks) beginHold() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.holding++
+	l.faults++
+	return l.faults
+}
+
+func (l *lateTasks) endHold() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.holding--
+}
+
+// add records a start that is held. Later runs of its task last until end.
+func (l *lateTasks) add(task contract.RunKey, fault int, end time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	t, ok := l.tasks[task]
+	if !ok {
+		t.fault = fault
+	}
+	t.end = end
+	l.tasks[task] = t
+	l.held++
+}
+
+// limit returns the time limit of a job that is submitted now.
+func (l *lateTasks) limit(drawn time.Duration) time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.holding > 0 {
+		return lateJobLimit
+	}
+	return drawn
+}
+
+// runTime returns the run time of a run that is started now, given the one that its key says.
+func (l *lateTasks) runTime(key contract.RunKey, planned time.Duration) time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return max(planned, time.Until(l.tasks[key.Task()].end))
+}
+
+// claim records that a fault restarts the worker of some runs. It reports false if one of them is of a task that another
+// fault concerns.
+func (l *lateTasks) claim(fault int, runs []contract.RunKey) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, key := range runs {
+		if t, ok := l.tasks[key.Task()]; ok && t.fault != fault {
+			return false
+		}
+	}
+	for _, key := range runs {
+		t := l.tasks[key.Task()]
+		t.fault = fault
+		l.tasks[key.Task()] = t
+	}
+	return true
+}
+
+// restartBeforeLateStarts makes a worker leave starts without an answer for a time, restarts it some seconds later and
+// executes them then. A worker is spared if it runs a task that an earlier fault concerns: a task that loses two workers is
+// given up.
+func (s *Soak) restartBeforeLateStarts(rng *rand.Rand) string {
+	w := s.randomWorker(rng)
+	if !w.crashing.TryLock() {
+		return ""
+	}
+	defer w.crashing.Unlock()
+	crash := time.Now().Add(minLateness + time.Duration(rng.Int64N(int64(maxLateness-minLateness))))
+	hold := maxHold/4 + time.Duration(rng.Int64N(int64(3*maxHold/4)))
+	down := time.Duration(rng.Int64N(int64(maxLateDown)))
+	// The square makes short times frequent, in which the restart has not been noticed.
+	after := time.Duration(math.Pow(rng.Float64(), 2) * float64(maxAfterRestart))
+	fault := s.late.beginHold()
+	w.host.NotifyHeld(func(key contract.RunKey) {
+		s.late.add(key.Task(), fault, crash.Add(runMargin))
+	})
+	w.host.SetHoldingStarts(1)
+	time.Sleep(hold)
+	w.host.SetHoldingStarts(0)
+	s.late.endHold()
+	held := len(w.host.Held())
+	time.Sleep(time.Until(crash))
+	if held == 0 || !s.late.claim(fault, s.runs.runsOn(w.id)) {
+		w.host.DiscardHeld()
+		return ""
+	}
+	s.restartWorker(w, rng.IntN(2) == 0, down)
+	time.Sleep(after)
+	executed := w.host.DeliverHeld()
+	s.late.mu.Lock()
+	s.late.executed += executed
+	s.late.mu.Unlock()
+	time.Sleep(faultDuration(rng) / 2)
+	s.putEntry(w)
+	return fmt.Sprintf("%s, %d of %d starts executed %v after the restart", w.id, executed, held, after)
+}
+
+// restartWorker restarts a worker, whose connections break meanwhile unless it is silent.
+func (s *Soak) restartWorker(w *worker, silent bool, down time.Duration) {
+	if !silent {
+		w.relay.StopListening()
+	}
+	w.host.Crash()
+	time.Sleep(down)
+	w.host.Restart()
+	if silent {
+		return
+	}
+	if err := w.relay.Listen(); err != nil {
+		s.reportViolation("worker_listens", err.Error())
+	}
+}
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -82,7 +82,11 @@
 	Jobs            int            `json:"jobs"`
 	Completed       int            `json:"jobs_completed"`
 	Refused         int            `json:"jobs_refused"`
-	Dir             string         `json:"dir"`
+	// StartsHeld counts the starts that workers have left without an answer for worker_late_restart, LateStarts those of them
+	// that have begun a run after the restart.
+	StartsHeld int    `json:"starts_held"`
+	LateStarts int    `json:"late_starts_executed"`
+	Dir        string `json:"dir"`
 }
 
 // worker is a worker stand-in behind a relay. crashing is held while it is down.
@@ -108,6 +112,7 @@
 	begin   time.Time
 	store   *standin.KeyedLog
 	runs    *runRecorder
+	late    *lateTasks
 	workers []*worker
 	daemons []*daemon
 	// leaving and cancelling count the faults that make clients leave or cancel their jobs.
@@ -127,7 +132,7 @@
 
 // Run executes a soak run and returns its report.
 func Run(o Options) (Report, error) {
-	s := &Soak{o: o, begin: time.Now(), runs: newRunRecorder(), report: Report{
+	s := &Soak{o: o, begin: time.Now(), runs: newRunRecorder(), late: newLateTasks(), report: Report{
 		Seed: o.Seed, FaultsInjected: make(map[string]int), InvariantChecks: make(map[string]int),
 	}}
 	if o.WaveShare < 0 || o.WaveShare > 1 {
@@ -155,9 +160,12 @@
 	clients.Wait()
 	time.Sleep(settleTime)
 	s.check()
+	s.late.mu.Lock()
+	defer s.late.mu.Unlock()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.report.TasksStarted, s.report.Dir = s.runs.count(), s.dir
+	s.report.StartsHeld, s.report.LateStarts = s.late.held, s.late.executed
 	return s.report, nil
 }
 
@@ -257,7 +265,7 @@
 	if h%longRuns == 0 {
 		duration *= longRunFactor
 	}
-	return standin.RunPlan{Duration: duration, Fails: h%503 == 1, Stalls: h%307 == 2}
+	return standin.RunPlan{Duration: s.late.runTime(key, duration), Fails: h%503 == 1, Stalls: h%307 == 2}
 }
 
 // daemonOf returns the daemon of a failure domain that pick selects.
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -71,7 +71,7 @@
 }
 
 // requireNoSecondRun runs a soak with one kind of fault, in which every other run is long, and checks that it finds no violation.
-func requireNoSecondRun(t *testing.T, kind string, o soak.Options) {
+func requireNoSecondRun(t *testing.T, kind string, o soak.Options) soak.Report {
 	t.Helper()
 	program, err := os.Executable()
 	require.NoError(t, err)
@@ -83,6 +83,7 @@
 	require.Positive(t, r.FaultsInjected[kind])
 	require.Positive(t, r.InvariantChecks[soak.CheckRunsOnce])
 	require.Positive(t, r.Completed)
+	return r
 }
 
 // Guards against a daemon that starts or keeps runs for clients that it has lost without notice while another daemon starts them.
@@ -103,6 +104,15 @@
 	})
 }
 
+// Guards against a second run of a task whose first start got no answer and is executed late, when its worker has just restarted.
+func TestLateStartsAtRestartedWorkersAreNoSecondRuns(t *testing.T) {
+	r := requireNoSecondRun(t, "worker_late_restart", soak.Options{
+		Seed: 43, Duration: 6 * time.Second, Domains: 2, Daemons: 2, Workers: 6, FaultInterval: 300 * time.Millisecond,
+	})
+	t.Logf("%d starts held, %d of them executed after a restart", r.StartsHeld, r.LateStarts)
+	require.Positive(t, r.LateStarts)
+}
+
 // Guards against a misspelt fault kind that leaves a run without faults, and against a wave of more workers than there are.
 func TestUnknownFaultIsAnError(t *testing.T) {
 	_, err := soak.Run(soak.Options{Faults: []string{"kil"}})
--- a/soak/watch.go
+++ b/soak/watch.go
@@ -56,6 +56,21 @@
 	return n
 }
 
+// runsOn returns the runs that a worker has.
+func (r *runRecorder) runsOn(worker string) []contract.RunKey {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var keys []contract.RunKey
+	for _, runs := range r.tasks {
+		for _, run := range runs {
+			if run.open && run.worker == worker {
+				keys = append(keys, run.key)
+			}
+		}
+	}
+	return keys
+}
+
 // overlapping describes the pairs of runs of the same task that overlapped in time.
 func (r *runRecorder) overlapping() []string {
 	r.mu.Lock()
