edge: late starts after a broken connection, at a silent worker, and under a next owner

Cause: the deployment test of late starts had workers that fall silent when they crash. Whether their connections break decides when the restart is noticed, since a poll is kept open at idle workers. Owners that are killed early and workers that are down for longer were missing. Change: each case is played both ways, with the worker down for 13 to 125 ms instead of 10 ms, which was also the pause of its owner after a failed poll. Three cases are new: a worker that is down for 3 s, an owner that is killed before it stops the run, and one whose next run fails under the next owner.

--- a/edge/laterestart_test.go
+++ b/edge/laterestart_test.go
@@ -24,16 +24,49 @@
 	lateStartJobs = 10
 	// lateStartRun is the run time of the next runs, which are alive when the late starts are delivered.
 	lateStartRun = 25 * time.Second
-	// lateStartDown is how long the worker is down: too short for most polls to notice.
-	lateStartDown = 10 * time.Millisecond
+	// lateStartDown is the shortest time for which the worker is down; it differs between the phases.
+	lateStartDown = 13 * time.Millisecond
 )
 
 // lateStart is a deployment in which starts at one worker have got no reply and are still under way.
 type lateStart struct {
-	d      *deployment
+	d *deployment
+	// silent is set if the connections of the worker stay open and new ones get no answer when it crashes.
+	silent bool
+	// phase shifts the restart against the polls.
+	phase  time.Duration
 	worker string
 	job    string
 	answer <-chan batch.Answer
+
+	// mu guards the fields below it. held are the tasks with a late start, failing how long each of their next runs takes until
+	// it fails; later ones are long.
+	mu      sync.Mutex
+	held    map[contract.RunKey]bool
+	failing map[contract.RunKey]time.Duration
+}
+
+// planned returns the course of a run: long if the task has a late start.
+func (s *lateStart) planned(k contract.RunKey) standin.RunPlan {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.held[k.Task()] {
+		return standin.RunPlan{Duration: 50 * time.Millisecond}
+	}
+	if d, ok := s.failing[k.Task()]; ok {
+		delete(s.failing, k.Task())
+		return standin.RunPlan{Duration: d, Fails: true}
+	}
+	return standin.RunPlan{Duration: lateStartRun}
+}
+
+// failNextRuns makes the next run of each task with a late start fail after a time.
+func (s *lateStart) failNextRuns(after time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for task := range s.held {
+		s.failing[task] = after
+	}
 }
 
 // lateStartCases are what happens from the starts without a reply until the worker restarts.
@@ -44,7 +77,12 @@
 	{"worker-answers-until-it-crashes", func(*testing.T, *lateStart) { time.Sleep(3 * time.Second) }},
 	{"starts-are-late-by-eleven-seconds", func(*testing.T, *lateStart) { time.Sleep(11 * time.Second) }},
 	{"worker-crashes-before-it-answers-a-stop", func(_ *testing.T, s *lateStart) {
-		s.host().Crash()
+		s.crash()
+		time.Sleep(3 * time.Second)
+	}},
+	{"worker-is-down-for-seconds", func(_ *testing.T, s *lateStart) {
+		time.Sleep(time.Second)
+		s.crash()
 		time.Sleep(3 * time.Second)
 	}},
 	{"owner-is-killed", func(t *testing.T, s *lateStart) {
@@ -53,6 +91,16 @@
 		time.Sleep(2500 * time.Millisecond)
 		require.NotEmpty(t, s.d.ownerOf(s.worker))
 	}},
+	{"owner-is-killed-before-it-stops-the-run", func(_ *testing.T, s *lateStart) {
+		s.d.killDaemon(s.d.ownerOf(s.worker))
+		time.Sleep(3 * time.Second)
+	}},
+	{"owner-is-killed-and-next-run-fails", func(_ *testing.T, s *lateStart) {
+		s.failNextRuns(2 * time.Second)
+		time.Sleep(500 * time.Millisecond)
+		s.d.killDaemon(s.d.ownerOf(s.worker))
+		time.Sleep(4 * time.Second)
+	}},
 	{"worker-restarts-twice", func(_ *testing.T, s *lateStart) {
 		time.Sleep(2 * time.Second)
 		s.restart()
@@ -79,46 +127,47 @@
 // Guards against a second run of a task: a start that got no reply is executed late, by the next incarnation of its worker,
 // beside the next run of the task.
 func TestLateStartAtRestartedWorkerIsNoSecondRun(t *testing.T) {
-	delays := []time.Duration{5, 10, 30, 50, 100, 200, 400, 700}
-	phases := []time.Duration{0, 50, 100, 150, 200, 250, 300, 350, 400, 450}
 	for _, c := range lateStartCases {
 		t.Run(c.name, func(t *testing.T) {
-			broken, begun, example := make(map[time.Duration]int), 0, ""
-			for _, delay := range delays {
-				for _, phase := range phases {
-					inVirtualTime(t, func(t *testing.T) {
-						s := &lateStart{d: newDeployment(t, 2, 2, lateStartWorkers)}
-						defer s.d.end()
-						s.submit(t)
-						c.events(t, s)
-						n, overlaps := s.deliver(t, phase*time.Millisecond, delay*time.Millisecond)
-						begun += n
-						if len(overlaps) > 0 {
-							broken[delay*time.Millisecond]++
-							example = overlaps[0]
-						}
-					})
-				}
-			}
-			t.Logf("%d late starts were executed", begun)
-			require.Emptyf(t, broken, "deployments with two runs of a task, by the time from the restart to the delivery, of %d each; %s",
-				len(phases), example)
+			t.Run("connections-break", func(t *testing.T) { requireNoLateSecondRun(t, false, c.events) })
+			t.Run("silent", func(t *testing.T) { requireNoLateSecondRun(t, true, c.events) })
 		})
 	}
 }
 
-// submit submits jobs until one worker, which is not owned by the home, has got starts without replying.
-func (s *lateStart) submit(t *testing.T) {
-	var mu sync.Mutex
-	held := make(map[contract.RunKey]bool)
-	s.d.plan = func(k contract.RunKey) standin.RunPlan {
-		mu.Lock()
-		defer mu.Unlock()
-		if held[k.Task()] {
-			return standin.RunPlan{Duration: lateStartRun}
+// requireNoLateSecondRun delivers the starts at several times after the restart, and restarts at several phases against the
+// polls. It fails the test if a task has two runs at the same time in any of these deployments.
+func requireNoLateSecondRun(t *testing.T, silent bool, events func(t *testing.T, s *lateStart)) {
+	delays := []time.Duration{5, 10, 30, 50, 100, 200, 400, 700}
+	phases := []time.Duration{0, 50, 100, 150, 200, 250, 300, 350, 400, 450}
+	broken, begun, example := make(map[time.Duration]int), 0, ""
+	for _, delay := range delays {
+		for _, phase := range phases {
+			inVirtualTime(t, func(t *testing.T) {
+				s := &lateStart{
+					d: newDeployment(t, 2, 2, lateStartWorkers), silent: silent, phase: phase * time.Millisecond,
+					held: make(map[contract.RunKey]bool), failing: make(map[contract.RunKey]time.Duration),
+				}
+				defer s.d.end()
+				s.submit(t)
+				events(t, s)
+				n, overlaps := s.deliver(t, delay*time.Millisecond)
+				begun += n
+				if len(overlaps) > 0 {
+					broken[delay*time.Millisecond]++
+					example = overlaps[0]
+				}
+			})
 		}
-		return standin.RunPlan{Duration: 50 * time.Millisecond}
 	}
+	t.Logf("%d late starts were executed", begun)
+	require.Emptyf(t, broken, "deployments with two runs of a task, by the time from the restart to the delivery, of %d each; %s",
+		len(phases), example)
+}
+
+// submit submits jobs until one worker, which is not owned by the home, has got starts without replying.
+func (s *lateStart) submit(t *testing.T) {
+	s.d.plan = s.planned
 	var workers []string
 	for id := range s.d.hosts {
 		if s.d.ownerOf(id) != lateStartHome {
@@ -126,6 +175,11 @@
 		}
 	}
 	s.worker = slices.Min(workers)
+	s.host().NotifyHeld(func(k contract.RunKey) {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.held[k.Task()] = true
+	})
 	s.host().SetHoldingStarts(1)
 	for n := 0; n < lateStartJobs && len(s.host().Held()) == 0; n++ {
 		time.Sleep(300 * time.Millisecond)
@@ -134,20 +188,21 @@
 		time.Sleep(20 * time.Millisecond)
 	}
 	s.host().SetHoldingStarts(0)
-	mu.Lock()
-	defer mu.Unlock()
-	for _, start := range s.host().Held() {
-		held[start.Key.Task()] = true
-	}
-	require.NotEmpty(t, held)
+	require.NotEmpty(t, s.host().Held())
 }
 
 func (s *lateStart) host() *standin.RunHost { return s.d.hosts[s.worker] }
 
+// crash ends the process of the worker. Unless it is silent, its connections break and it refuses new ones.
+func (s *lateStart) crash() {
+	s.host().Crash()
+	s.host().SetRefusing(!s.silent)
+}
+
 // restart restarts the worker under its id. The store lists the new incarnation a second later.
 func (s *lateStart) restart() {
-	s.host().Crash()
-	time.Sleep(lateStartDown)
+	s.crash()
+	time.Sleep(lateStartDown + s.phase/4)
 	s.host().Restart()
 	started := s.host().StartTime()
 	s.d.wg.Go(func() {
@@ -160,10 +215,10 @@
 	})
 }
 
-// deliver restarts the worker after phase and delivers the late starts that long after the restart. It returns how many late
-// starts have been executed and which runs of a task have overlapped.
-func (s *lateStart) deliver(t *testing.T, phase, delay time.Duration) (begun int, overlaps []string) {
-	time.Sleep(phase)
+// deliver restarts the worker and delivers the late starts that long after the restart. It returns how many late starts have
+// been executed and which runs of a task have overlapped.
+func (s *lateStart) deliver(t *testing.T, delay time.Duration) (begun int, overlaps []string) {
+	time.Sleep(s.phase)
 	next := 0
 	for _, start := range s.host().Held() {
 		s.d.observer.mu.Lock()
