edge: let processes that have just started bring no lists into force

When many VMs restart at the same time, each reads another version of the list first.

A process that has just started settles nothing, so the others need not count by its list, and a list that is pending at them does not come into force for it. It takes over exactly the lists that are in force at one of the others.

--- a/edge/electorate.go
+++ b/edge/electorate.go
@@ -120,7 +120,7 @@
 // countedAt returns the time of the last contact with a member that counts. None does while a list is in force at the member that
 // this process has not read: the member may be part of a majority of that list. It expects m.mu to be held.
 func (m *Members) countedAt(e *member) time.Time {
-	if m.lists.covers(e.lists) {
+	if m.coversLists(e) {
 		e.countedAt = earlier(e.reachedAt(), e.statusAt.Add(statusLimit))
 	}
 	return e.countedAt
--- a/edge/listeffects_test.go
+++ b/edge/listeffects_test.go
@@ -151,3 +151,30 @@
 		d.requireSettled()
 	})
 }
+
+// Guards against a list in force for each VM of those that restart at the same time: all members would count by all of them.
+func TestFewListsComeIntoForceWhileManyVMsRestart(t *testing.T) {
+	inVirtualTime(t, func(t *testing.T) {
+		d := newDeployment(t, 2, 12, 1)
+		defer d.close()
+		most := 0
+		watch := func(ticks int) {
+			for range ticks {
+				time.Sleep(tickInterval)
+				for _, daemon := range d.daemons {
+					versions, _ := daemon.members.ListVersions()
+					most = max(most, len(versions))
+				}
+			}
+		}
+		for n := range 12 {
+			vm := fmt.Sprintf("edge-1-%d", n)
+			d.killDaemon(vm)
+			d.startDaemon(zoneName(1), vm)
+			watch(1)
+		}
+		watch(80)
+		assert.LessOrEqual(t, most, maxInForce)
+		d.requireSettled()
+	})
+}
--- a/edge/memberlists.go
+++ b/edge/memberlists.go
@@ -142,6 +142,23 @@
 	}
 }
 
+// takeOver makes the lists in force those of another member, once this process has them all. No settling rests on the lists that it
+// has read since its start, so these need not stay in force; the newest one is pending.
+func (l *memberLists) takeOver(versions []uint64, settled uint64, now time.Time) {
+	for _, v := range versions {
+		if !l.holds(v) {
+			return
+		}
+	}
+	newest := l.newest()
+	l.inForce = slices.DeleteFunc(l.inForce, func(list listInForce) bool { return !slices.Contains(versions, list.Version) })
+	l.settled = settled
+	if len(l.inForce) == 1 {
+		clear(l.left)
+	}
+	l.read(newest, now)
+}
+
 // versions returns the versions of the lists in force.
 func (l *memberLists) versions() []uint64 {
 	var versions []uint64
@@ -191,25 +208,34 @@
 	return m.lists.versions(), m.lists.settled
 }
 
-// RecordLists records which lists are in force at a process, as its status says. A list that is pending here comes into force with it.
+// RecordLists records which lists are in force at a process, as its status says. A list that is pending here comes into force with it, unless
+// the process has just started.
 func (m *Members) RecordLists(id, vm string, inForce []uint64, settled uint64, now time.Time) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if e, ok := m.byVM[vm]; ok && e.id == id {
 		e.lists, e.listsSettled = inForce, settled
 	}
-	if slices.Contains(inForce, m.lists.pending.Version) {
+	if settled != 0 && slices.Contains(inForce, m.lists.pending.Version) {
 		m.lists.adoptNow(now)
 	}
 }
 
+// coversLists reports whether no list is in force at a member that this process would have to need a majority of. The list of a
+// member that has just started counts for nothing if this process knows a settled one, which that member takes over. It expects
+// m.mu to be held.
+func (m *Members) coversLists(e *member) bool {
+	started := e.listsSettled == 0 && m.lists.settled != 0
+	return started || m.lists.covers(e.lists)
+}
+
 // AheadInLists returns the live processes at which lists are in force that this process has not read.
 func (m *Members) AheadInLists() []string {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	var ids []string
 	for _, e := range m.byVM {
-		if e.live && !m.lists.covers(e.lists) {
+		if e.live && !m.coversLists(e) {
 			ids = append(ids, e.id)
 		}
 	}
@@ -225,7 +251,11 @@
 	defer m.mu.Unlock()
 	m.lists.adopt(now)
 	for _, e := range m.byVM {
-		if e.live && e.listsSettled > m.lists.settled {
+		switch {
+		case !e.live || e.listsSettled <= m.lists.settled:
+		case m.lists.settled == 0:
+			m.lists.takeOver(e.lists, e.listsSettled, now)
+		default:
 			m.lists.settle(e.listsSettled)
 		}
 	}
