pool: the clock of a worker orders its lists against the start of a run

Callers see: two runs of a task at the same time. Cause: a list without a run ended it if its poll had been sent after the answer that confirmed the run. That relies on each answer being the one to its call. Where a list from before the start was taken for a later one, the run counted as over. Evidence: TestListOfEarlierClockEndsNoRun for runs that were confirmed by their start, a list and a stop; before, each was reported as ended. Why this corrects it: the clock of an incarnation never runs back, and each answer reads it. A list with a clock that reads no more than that of the answer which confirmed the run may be from before it and ends nothing; the next list decides, which in practice reads at least a round trip more. Readings of two incarnations are not compared.

--- a/pool/maintain.go
+++ b/pool/maintain.go
@@ -363,7 +363,10 @@
 		switch {
 		case ok:
 			r.workerStart, r.listedBy, r.begun = h.host.StartTime, h.host.StartTime, true
+			r.confirmedClock = max(r.confirmedClock, reply.Clock)
 			p.recordProgress(r, progress, now, fx)
+		case r.workerStart == h.host.StartTime && reply.Clock <= r.confirmedClock:
+			// The list may be from before the run, whenever its poll was sent. The next one decides.
 		case r.state == runRunning && r.startedAt.Before(sent) && !r.confirmedAt.After(sent):
 			// The run was confirmed before the poll was sent, and the reply lists neither the run nor its outcome. The next run of
 			// the task may be ordered once it is reported as ended.
--- a/pool/match.go
+++ b/pool/match.go
@@ -157,7 +157,7 @@
 	h.host.Reserve(r.order.Need)
 	h.runs[r.order.Key] = r
 	r.host, r.state, r.startedAt, r.mayHaveRun, r.begun = h, runStarting, now, true, false
-	r.listedBy = 0
+	r.listedBy, r.confirmedClock = 0, 0
 	r.progress, r.progressAt, r.token, r.workerStart, r.stopAnswered = 0, now, h.host.Token, h.host.StartTime, false
 	p.markCommitted(r.order.Key.Batch, now)
 	fx.starts = append(fx.starts, startEffect{
--- a/pool/olderanswer_test.go
+++ b/pool/olderanswer_test.go
@@ -180,3 +180,38 @@
 		}
 	})
 }
+
+// Guards against a run that is reported as ended while it goes on: a list from before its start is taken for the answer to a
+// poll that was sent after it, as when a worker answers twice. The worker's clock shows that the list may be older.
+func TestListOfEarlierClockEndsNoRun(t *testing.T) {
+	for name, confirm := range map[string]func(f *fixture, r *run, h *ownedHost, reply link.HostReply){
+		"start answered": func(*fixture, *run, *ownedHost, link.HostReply) {},
+		"listed": func(f *fixture, r *run, h *ownedHost, reply link.HostReply) {
+			f.pool.handlePollReply(h, r.token, time.Now(), link.PollReply{
+				HostReply: reply, Running: []link.RunningRun{{Key: r.order.Key}},
+			}, nil)
+		},
+		"stop answered": func(f *fixture, r *run, h *ownedHost, reply link.HostReply) {
+			f.pool.handleStopReply(r, h, r.token, reply, nil)
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newFixture(1)
+				defer f.pool.Close()
+				h, token := f.firstHost()
+				early, err := f.calls.hosts["w0"].Poll(t.Context(), link.HostPoll{Token: token})
+				require.NoError(t, err)
+				r := f.runningOn(t, "kept")
+				if name != "start answered" {
+					time.Sleep(time.Millisecond)
+					early.Clock += 11 * time.Millisecond
+					confirm(f, r, h, early.HostReply)
+					time.Sleep(time.Millisecond)
+				}
+				f.pool.handlePollReply(h, token, time.Now(), early, nil)
+				require.Contains(t, f.runsOf(h), r.order.Key)
+			})
+		})
+	}
+}
--- a/pool/ownership.go
+++ b/pool/ownership.go
@@ -162,6 +162,7 @@
 		found = append(found, running.Key)
 		if r, ok := p.runs[running.Key]; ok && r.host == h {
 			r.token, r.workerStart, r.listedBy, r.begun = h.host.Token, h.host.StartTime, h.host.StartTime, true
+			r.confirmedClock = reply.Clock
 			continue
 		}
 		p.o.Logger.Info("run found on an acquired worker", "task", running.Key.String(), "worker", h.address.Worker,
--- a/pool/run.go
+++ b/pool/run.go
@@ -59,6 +59,9 @@
 	// confirmedAt is when a reply of the worker last settled whether the run had started. Replies to polls that were sent
 	// earlier prove nothing about the run.
 	confirmedAt time.Time
+	// confirmedClock is the worker's clock in the latest reply which shows that the worker knows the run. A list with a clock
+	// that reads no more may be older.
+	confirmedClock time.Duration
 	// progress is a percentage, progressAt when it last changed.
 	progress   int
 	progressAt time.Time
--- a/pool/start.go
+++ b/pool/start.go
@@ -70,7 +70,7 @@
 		h.recordReading(s.token, reply, now)
 	}
 	if verdict == link.StartAccepted {
-		r.state, r.confirmedAt, r.begun = runRunning, now, true
+		r.state, r.confirmedAt, r.confirmedClock, r.begun = runRunning, now, reply.Clock, true
 		if reply.StartTime != 0 {
 			r.workerStart = reply.StartTime
 		}
@@ -234,7 +234,7 @@
 	h.recordReading(token, reply, now)
 	// The run has ended once its outcome is listed, or once a later poll lists neither the run nor an outcome: then it
 	// never started there, and the worker rejects a start that arrives late.
-	r.state, r.confirmedAt, r.cancelled, r.stopAnswered = runRunning, now, true, true
+	r.state, r.confirmedAt, r.confirmedClock, r.cancelled, r.stopAnswered = runRunning, now, reply.Clock, true, true
 	p.o.Logger.Info("worker answered a stop", "task", r.order.Key.String(), "worker", h.address.Worker, "token", token,
 		"worker_start", reply.StartTime)
 	h.wake()
