edge: two starts of a task without a reply, in the deployment test of late starts

Cause: a task does not wait for a worker that has left two of its starts without a reply; its next run is ordered elsewhere, and either start may be executed by the next incarnation of the worker.

--- a/edge/laterestart_test.go
+++ b/edge/laterestart_test.go
@@ -82,6 +82,12 @@
 		s.crash()
 		time.Sleep(3 * time.Second)
 	}},
+	{"two-starts-of-a-task-get-no-reply", func(_ *testing.T, s *lateStart) {
+		s.host().SetHoldingStarts(1)
+		time.Sleep(600 * time.Millisecond)
+		s.host().SetHoldingStarts(0)
+		time.Sleep(2400 * time.Millisecond)
+	}},
 	{"worker-is-down-for-seconds", func(_ *testing.T, s *lateStart) {
 		s.oneByOne = true
 		time.Sleep(time.Second)
