--- a/contract/batch.go
+++ b/contract/batch.go
@@ -140,7 +140,8 @@
 // Final reports whether the state can no longer change.
 func (s RunState) Final() bool { return s >= RunDone }
 
-// LateStartLimit is the longest time after which a call to a worker that got no reply is executed. The platform says seconds.
+// LateStartLimit is the longest time after which a call to a worker that got no reply is executed. The platform says "seconds" of
+// it; calls have been executed 12 s later.
 const LateStartLimit = 15 * time.Second
 
 // RunReport is an owner's report of a run to the home of its batch.
--- a/contract/crashwave.go
+++ b/contract/crashwave.go
@@ -5,7 +5,8 @@
 const (
 	// waveWindow is the time within which crashes count as simultaneous. Owners notice the exit of a busy worker at once.
 	waveWindow = 25 * time.Millisecond
-	// idleNotice is the time within which the owner of an idle worker notices its exit: it polls twice a second.
+	// idleNotice is the time within which the owner of an idle worker notices its exit: the connection of a poll that is open there
+	// breaks at once, or its reply is missing after half a second.
 	idleNotice = 600 * time.Millisecond
 	// waveJobs is the number of jobs that simultaneous crashes take at least to be blamed on the workers: tasks of that many
 	// jobs hardly ever crash their workers at the same moment.
--- a/pool/kind_test.go
+++ b/pool/kind_test.go
@@ -247,8 +247,8 @@
 	})
 }
 
-// Guards against a labelled task that starts on a worker which has restarted as another kind since its last reply: an idle
-// worker is polled only twice a second.
+// Guards against a labelled task that starts on a worker which has restarted as another kind since its last reply, without
+// breaking a connection.
 func TestLabelledTaskDoesNotStartOnUnnoticedIncarnation(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := newFixture(1)
--- a/pool/latestart.go
+++ b/pool/latestart.go
@@ -17,8 +17,8 @@
 	lateStartPollTimeout = 25 * time.Millisecond
 	lateStartPollPause   = 20 * time.Millisecond
 	slowPollEvery        = 10
-	// silenceLimit is the time without a reply after which a task does not wait for a worker any longer, maxLateStartWait the
-	// longest wait for one that replies and has no room.
+	// silenceLimit is the time without a reply after which a task does not wait for a worker any longer: a lost packet is
+	// retransmitted within it. maxLateStartWait is the longest wait for one that replies and has no room.
 	silenceLimit     = 400 * time.Millisecond
 	maxLateStartWait = time.Second
 )
