pool: a task leaves the worker of its late starts after a second without an answer to a start

Cause: a task went elsewhere once a worker had left two of its starts without a reply. Change: the task leaves a worker 1 s after the first of its starts there got no reply, unless the worker has accepted another start since the last one. Failed polls of a worker with late starts are repeated after 10 ms again, as a pause of 20 ms let later starts through. TestTaskLeavesAWorkerThatLosesItsStarts still holds.

--- a/pool/latestart.go
+++ b/pool/latestart.go
@@ -15,10 +15,10 @@
 	// lateStartPollTimeout bounds polls of such a worker that does not reply, lateStartPollPause is the pause between them. Each
 	// slowPollEvery-th has the timeout of first polls, in case replies take longer.
 	lateStartPollTimeout = 25 * time.Millisecond
-	lateStartPollPause   = 20 * time.Millisecond
+	lateStartPollPause   = 10 * time.Millisecond
 	slowPollEvery        = 10
 	// silenceLimit is the time without a reply after which a task does not wait for a worker any longer: a lost packet is
-	// retransmitted within it. maxLateStartWait is the longest wait for one that replies and has no room.
+	// retransmitted within it. maxLateStartWait is the longest wait for one that replies and has no room, or answers no start.
 	silenceLimit     = 400 * time.Millisecond
 	maxLateStartWait = time.Second
 )
@@ -28,6 +28,7 @@
 type lateStart struct {
 	worker string
 	run    uint64
+	at     time.Time
 	// until is when the call cannot be executed any more.
 	until time.Time
 	// rejects is set once the worker has rejected a later run of the task as unhealthy.
@@ -48,7 +49,7 @@
 // add records a start call without a reply.
 func (l *lateStarts) add(key contract.RunKey, worker string, now time.Time) {
 	until := now.Add(contract.LateStartLimit)
-	l.byTask[key.Task()] = append(l.byTask[key.Task()], lateStart{worker: worker, run: key.Run, until: until})
+	l.byTask[key.Task()] = append(l.byTask[key.Task()], lateStart{worker: worker, run: key.Run, at: now, until: until})
 	l.workers[worker] = until
 }
 
@@ -71,19 +72,18 @@
 	}
 }
 
-// only returns the start of a task at a worker, if there is one and no other. A worker that has left two starts of a task
-// without a reply may lose all of them.
-func (l *lateStarts) only(key contract.RunKey, worker string) (lateStart, bool) {
-	var found []lateStart
+// between returns when the first and the last start of a task at a worker got no reply.
+func (l *lateStarts) between(key contract.RunKey, worker string) (first, last time.Time) {
 	for _, s := range l.byTask[key.Task()] {
-		if s.worker == worker {
-			found = append(found, s)
+		if s.worker != worker {
+			continue
 		}
+		if first.IsZero() {
+			first = s.at
+		}
+		last = s.at
 	}
-	if len(found) != 1 {
-		return lateStart{}, false
-	}
-	return found[0], true
+	return first, last
 }
 
 // ofTask reports whether a start of a task may still be executed.
@@ -134,16 +134,21 @@
 		return nil
 	}
 	for _, s := range starts {
-		if _, only := p.late.only(o.Key, s.worker); !only || s.rejects {
-			continue
-		}
-		if h := p.hosts[s.worker]; h != nil && h.replies(now) && h.host.CanHold(o.Need, o.RequiredLabel) {
+		h := p.hosts[s.worker]
+		if h != nil && !s.rejects && h.replies(now) && h.host.CanHold(o.Need, o.RequiredLabel) && !p.losesStarts(h, o.Key, now) {
 			return h
 		}
 	}
 	return nil
 }
 
+// losesStarts reports whether a worker has left the starts of a task without a reply for some time, and answered no other
+// start since: it may lose all of them. p.mu is held.
+func (p *Pool) losesStarts(h *ownedHost, key contract.RunKey, now time.Time) bool {
+	first, last := p.late.between(key, h.address.Worker)
+	return now.Sub(first) > maxLateStartWait && !h.startAnsweredAt.After(last)
+}
+
 // replies reports whether a worker that is owned, or whose next incarnation is being acquired, has replied lately.
 func (h *ownedHost) replies(now time.Time) bool {
 	return (h.host.Token != 0 || h.restarted) && now.Sub(h.host.Contacted()) <= silenceLimit && !h.host.Draining()
--- a/pool/maintain.go
+++ b/pool/maintain.go
@@ -65,6 +65,8 @@
 	restartNoticed  chan struct{}
 	dropped         bool
 	ownershipLostAt time.Time
+	// startAnsweredAt is when the worker has last accepted a start.
+	startAnsweredAt time.Time
 	// takenOverAt is when the worker was acquired, unless it had only been restarted under this owner.
 	takenOverAt time.Time
 	// restarted is set from the restart of the worker until its new incarnation has been acquired. Until then runs may hold
--- a/pool/start.go
+++ b/pool/start.go
@@ -73,6 +73,7 @@
 		h.recordReading(s.token, reply, now)
 	}
 	if verdict == link.StartAccepted {
+		h.startAnsweredAt = now
 		r.state, r.confirmedAt, r.confirmedClock, r.begun = runRunning, now, reply.Clock, true
 		if reply.StartTime != 0 {
 			r.workerStart = reply.StartTime
