pool: a task waits for the full worker of its late start

Cause: a task left the worker of its late start after 1 s in the queue. Change: a task waits for room there as long as the start may be executed; it is the first one to get it. It still leaves a worker that has answered no start for 1 s, that is silent or that has rejected it.

--- a/pool/latestart.go
+++ b/pool/latestart.go
@@ -18,7 +18,7 @@
 	lateStartPollPause   = 10 * time.Millisecond
 	slowPollEvery        = 10
 	// silenceLimit is the time without a reply after which a task does not wait for a worker any longer: a lost packet is
-	// retransmitted within it. maxLateStartWait is the longest wait for one that replies and has no room, or answers no start.
+	// retransmitted within it. maxLateStartWait is the longest wait for one that replies and answers no start.
 	silenceLimit     = 400 * time.Millisecond
 	maxLateStartWait = time.Second
 )
@@ -125,15 +125,10 @@
 }
 
 // workerOfLateStart returns the worker that may still execute an earlier start of a task, if it answers and can hold the task:
-// the next run starts there and nowhere else. A restart that lets the worker execute the earlier start ends the next run
-// first. p.mu is held.
-func (p *Pool) workerOfLateStart(r *run, now time.Time) *ownedHost {
-	o := r.order
-	starts := p.late.byTask[o.Key.Task()]
-	if len(starts) == 0 || now.Sub(r.queuedAt) > maxLateStartWait {
-		return nil
-	}
-	for _, s := range starts {
+// the next run starts there and nowhere else, and waits until there is room. A restart that lets the worker execute the
+// earlier start ends the next run first. p.mu is held.
+func (p *Pool) workerOfLateStart(o contract.TaskOrder, now time.Time) *ownedHost {
+	for _, s := range p.late.byTask[o.Key.Task()] {
 		h := p.hosts[s.worker]
 		if h != nil && !s.rejects && h.replies(now) && h.host.CanHold(o.Need, o.RequiredLabel) && !p.losesStarts(h, o.Key, now) {
 			return h
@@ -162,7 +157,7 @@
 	}
 	for i := 0; i < len(p.waiting.runs); {
 		r := p.waiting.runs[i]
-		h := p.workerOfLateStart(r, now)
+		h := p.workerOfLateStart(r.order, now)
 		if h == nil || !p.entrySuffices(h) || h.leaseLimit(now, p.o.Lease).Sub(now) < minStartLease ||
 			!h.host.CanStartSuspended(r.order.Need, now) || !p.admits(h, r, now) {
 			i++
--- a/pool/match.go
+++ b/pool/match.go
@@ -75,7 +75,7 @@
 // that rack for at most its expected run time.
 func (p *Pool) canStart(h *ownedHost, r *run, now time.Time) bool {
 	o := r.order
-	if !h.host.CanStart(o.Need, now) || !p.admits(h, r, now) || p.workerOfLateStart(r, now) != nil {
+	if !h.host.CanStart(o.Need, now) || !p.admits(h, r, now) || p.workerOfLateStart(o, now) != nil {
 		return false
 	}
 	if o.PreferredRack == "" || h.host.InRack(o.PreferredRack) || now.Sub(r.queuedAt) > o.Expected {
@@ -127,7 +127,7 @@
 	if len(p.waiting.runs) == 0 || now.Sub(p.waiting.runs[0].queuedAt) < reserveDelay || p.waiting.runs[0].order.Alone {
 		return nil
 	}
-	if h := p.workerOfLateStart(p.waiting.runs[0], now); h != nil {
+	if h := p.workerOfLateStart(p.waiting.runs[0].order, now); h != nil {
 		return h
 	}
 	return p.largestFree(p.waiting.runs[0].order)
