--- a/edge/memberlists.go
+++ b/edge/memberlists.go
@@ -208,8 +208,8 @@
 	return m.lists.versions(), m.lists.settled
 }
 
-// RecordLists records which lists are in force at a process, as its status says. A list that is pending here comes into force with it, unless
-// the process has just started.
+// RecordLists records which lists are in force at a process, as its status says. A list that is pending here comes into force
+// with it, unless the process has just started.
 func (m *Members) RecordLists(id, vm string, inForce []uint64, settled uint64, now time.Time) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
--- a/pool/confirm.go
+++ b/pool/confirm.go
@@ -11,10 +11,10 @@
 // sent without another poll. A round trip takes 3 to 6 ms.
 const maxConfirmedAge = 20 * time.Millisecond
 
-// needsConfirmation reports whether a worker has to be polled before a start. It may have restarted since its last reply,
-// and a restart that breaks no connection is noticed only by the next poll. The new incarnation may be of another kind than a label requires. It grants
-// the longest lease, since the end of the lease in the start is a time on the clock of the earlier one: only a run that was
-// refreshed a short time ago may live that long.
+// needsConfirmation reports whether a worker has to be polled before a start. It may have restarted since its last reply, and a
+// restart that breaks no connection is noticed only by the next poll. The new incarnation may be of another kind than a label
+// requires. It grants the longest lease, since the end of the lease in the start is a time on the clock of the earlier one: only
+// a run that was refreshed a short time ago may live that long.
 func (p *Pool) needsConfirmation(s startEffect) bool {
 	now := p.o.Now()
 	p.mu.Lock()
--- a/soak/laterestart.go
+++ b/soak/laterestart.go
@@ -37,8 +37,8 @@
 type lateTasks struct {
 	mu    sync.Mutex
 	tasks map[contract.RunKey]lateTask
-	// faults is the number of the last fault, holding the number of workers that hold starts, held the number of starts that were held, executed the number of
-	// these that have begun a run after a restart.
+	// faults is the number of the last fault, holding the number of workers that hold starts, held the number of starts that
+	// were held, executed the number of these that have begun a run after a restart.
 	faults, holding, held, executed int
 }
 
--- a/standin/runhost.go
+++ b/standin/runhost.go
@@ -63,7 +63,8 @@
 	down       bool
 	// incarnation counts the crashes.
 	incarnation int
-	// refuses is set while the worker refuses connections, and those of a crashed process are closed; replaced once a worker with another id answers at its address.
+	// refuses is set while the worker refuses connections, and those of a crashed process are closed; replaced once a worker
+	// with another id answers at its address.
 	refuses  bool
 	replaced bool
 	// delay is the time after which starts and stops are executed. While it is set, no call is answered. Zero disables
--- a/zone/electorate.go
+++ b/zone/electorate.go
@@ -110,9 +110,9 @@
 	return 2*half >= total
 }
 
-// MajorityContact returns the latest time at which the home was in contact with a majority, also of each of the other electorates:
-// now if it needs no other member, the zero time if the electors are too few. contact returns the time of the last contact with a member, and false for one that
-// has left or was dropped since.
+// MajorityContact returns the latest time at which the home was in contact with a majority, also of each of the other
+// electorates: now if it needs no other member, the zero time if the electors are too few. contact returns the time of the last
+// contact with a member, and false for one that has left or was dropped since.
 func (e *Electorate) MajorityContact(now time.Time, contact func(member string) (time.Time, bool)) time.Time {
 	at := e.majorityContact(now, contact)
 	for _, o := range e.others {
