pool, batch: log what tells the hypotheses of two runs apart

A run that is taken for over and listed later could not be dated: the end of a run in a list now carries the worker's clock, also if the run is not held here, and a run found on an acquired worker says which later run of its task is known. The delay of the periodic check of all jobs gets a histogram (batch.tick_delay_us) and a line when it begins: a home that is late notices a lost caller late too. Nothing is decided differently; go test ./pool ./batch passes.

--- a/batch/home.go
+++ b/batch/home.go
@@ -153,10 +153,13 @@
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
 	refreshed := h.o.Now()
+	checked, late := refreshed, false
 	for {
 		select {
 		case <-ticker.C:
 			now := h.o.Now()
+			late = h.recordTick(now.Sub(checked), late)
+			checked = now
 			if gap := h.pause.tick(now); gap > 0 {
 				h.counter(metric.BatchPauses).Inc(1)
 				h.o.Logger.Warn("process was paused; ordering no run until callers that have left are noticed",
@@ -173,6 +176,17 @@
 	}
 }
 
+// recordTick records the time since the last check of all jobs, and logs once when the checks become late: a home that is so slow
+// notices callers that have left late too. It reports whether this check was late.
+func (h *Home) recordTick(gap time.Duration, lastLate bool) bool {
+	metric.Histogram(metric.BatchTickDelay, h.o.Metrics).Update(max(gap-tickInterval, 0).Microseconds())
+	late := gap > stallLimit
+	if late && !lastLate {
+		h.o.Logger.Warn("periodic checks of jobs are late", "gap", gap, "jobs", h.Active())
+	}
+	return late
+}
+
 // tick advances all jobs, drops expired answers and refreshes runs.
 func (h *Home) tick(now time.Time, refresh bool) {
 	out := newOutbox(h.o.Owners, h.o.Members)
--- a/metric/describe.go
+++ b/metric/describe.go
@@ -87,6 +87,7 @@
 		{BatchEndsTakeover, "runs over at their home: not listed by the next owner of the worker"},
 		{BatchEndsExpired, "runs over at their home: lease expired, counted from the last contact"},
 		{BatchPauses, "pauses of the process after which no run was ordered for a moment"},
+		{BatchTickDelay, "delay of the periodic check of all jobs (µs)"},
 		{BatchHeldElsewhere, "jobs accepted that another member had announced as its own"},
 		{BatchJobsSuperseded, "jobs ended because their callers had submitted them to another member"},
 		{BatchJobsIsolated, "jobs ended because their home was out of contact with a majority of the members"},
--- a/metric/metric.go
+++ b/metric/metric.go
@@ -74,6 +74,7 @@
 	BatchEndsTakeover    = "batch.ends_takeover"
 	BatchEndsExpired     = "batch.ends_expired"
 	BatchPauses          = "batch.pauses"
+	BatchTickDelay       = "batch.tick_delay_us"
 	BatchHeldElsewhere   = "batch.jobs_held_elsewhere"
 	BatchJobsSuperseded  = "batch.jobs_superseded"
 	BatchJobsIsolated    = "batch.jobs_isolated"
--- a/pool/maintain.go
+++ b/pool/maintain.go
@@ -250,7 +250,8 @@
 		if !ok {
 			if !listedBefore {
 				p.o.Logger.Info("worker lists the end of a run that is not held here", "task", e.Key.String(),
-					"worker", h.address.Worker, "state", e.State.String(), "worker_start", h.host.StartTime)
+					"worker", h.address.Worker, "state", e.State.String(), "worker_start", h.host.StartTime,
+					"worker_clock", reply.Clock)
 			}
 			continue
 		}
--- a/pool/ownership.go
+++ b/pool/ownership.go
@@ -175,7 +175,8 @@
 		}
 		over := p.isOver(running.Key)
 		p.o.Logger.Info("run found on an acquired worker", "task", running.Key.String(), "worker", h.address.Worker,
-			"token", h.host.Token, "worker_start", h.host.StartTime, "lease_end", h.host.LeaseEnd(), "ended_here", over)
+			"token", h.host.Token, "worker_start", h.host.StartTime, "lease_end", h.host.LeaseEnd(),
+			"worker_clock", reply.Clock, "ended_here", over, "later_run", p.laterRun(running.Key))
 		delete(p.barredRuns, running.Key)
 		r := &run{
 			order: contract.TaskOrder{Key: running.Key, Need: p.typicalSize}, state: runRunning, host: h,
@@ -199,7 +200,7 @@
 			continue
 		}
 		p.o.Logger.Info("end of a run found on an acquired worker", "task", e.Key.String(), "worker", h.address.Worker,
-			"state", e.State.String(), "token", h.host.Token, "worker_start", h.host.StartTime)
+			"state", e.State.String(), "token", h.host.Token, "worker_start", h.host.StartTime, "worker_clock", reply.Clock)
 		// What was reported under an earlier token would be repeated once the outcome is acknowledged.
 		delete(p.barredRuns, e.Key)
 		p.runs[e.Key] = &run{
@@ -211,6 +212,17 @@
 	return found
 }
 
+// laterRun returns the number of a later run of a task that this pool holds, zero if there is none. p.mu is held.
+func (p *Pool) laterRun(key contract.RunKey) uint64 {
+	last := uint64(0)
+	for k, r := range p.runs {
+		if k.Run > key.Run && r.state != runFinal && k.Task() == key.Task() {
+			last = max(last, k.Run)
+		}
+	}
+	return last
+}
+
 // adoptEnd records that an acquired worker lists the end of a run that this pool knows. A home may claim the run under the
 // token of the acquisition, and takes no end under an earlier one. p.mu is held.
 func (p *Pool) adoptEnd(h *ownedHost, r *run, e link.EndedRun, fx *effects) {
--- a/pool/run.go
+++ b/pool/run.go
@@ -168,12 +168,10 @@
 	}
 	now := p.o.Now()
 	worker := ""
-	var lease []any
+	var clock []any
 	if r.host != nil {
 		worker = r.host.host.Listing.Worker
-		if proof != proofListed {
-			lease = []any{"lease_end", r.host.host.LeaseEnd(), "worker_clock", r.host.host.ClockAt(now)}
-		}
+		clock = []any{"lease_end", r.host.host.LeaseEnd(), "worker_clock", r.host.host.ClockAt(now)}
 	}
 	if state == contract.RunEnded && r.crashed {
 		state = contract.RunCrashed
@@ -187,7 +185,7 @@
 	p.o.Logger.Info("run ended", append([]any{"task", r.order.Key.String(), "state", state.String(), "worker", worker,
 		"proof", proof.String(), "token", r.token, "worker_start", r.workerStart, "start_unanswered", r.startUnanswered,
 		"run_time", took, "home", r.home},
-		lease...)...)
+		clock...)...)
 }
 
 // forget drops a run whose outcome another owner decides. p.mu is held.
