contract, api: a ledger of starts without a reply, for all members

The record of a start that got no reply is lost with the owner of its worker, and the next home of the job never has it. The ledger holds such starts by task and worker, TaskOrder names the only worker on which a run may start, and RunReport names the workers that may still execute an earlier start. Nothing uses them yet.

--- a/contract/batch.go
+++ b/contract/batch.go
@@ -98,6 +98,9 @@
 	Claim bool
 	// ClaimToken is the fencing token of the takeover that a claim answers.
 	ClaimToken uint64
+	// OnlyWorker is the worker that may still execute an earlier start of the task. The run starts there and on no other
+	// worker. Empty for any worker.
+	OnlyWorker string
 	// Route is the route of the job.
 	Route string
 	// Alone is set for a task under which a worker has crashed: it runs on a worker without other runs, so that its next
@@ -140,10 +143,6 @@
 // Final reports whether the state can no longer change.
 func (s RunState) Final() bool { return s >= RunDone }
 
-// LateStartLimit is the longest time after which a call to a worker that got no reply is executed. The platform says "seconds" of
-// it; calls have been executed 12 s later.
-const LateStartLimit = 15 * time.Second
-
 // RunReport is an owner's report of a run to the home of its batch.
 type RunReport struct {
 	Key    RunKey
@@ -156,6 +155,9 @@
 	// MayStartLate is set if a start of the task that got no reply may still be executed. The next run is ordered at the same
 	// owner, which starts it on the same worker.
 	MayStartLate bool
+	// LateWorkers are the workers that may still execute an earlier start of the task, or a start of this run that has had no
+	// reply yet. The next run is ordered at such a worker or not at all.
+	LateWorkers []string
 	// RunTime is how long the run took, for final reports of runs that started.
 	RunTime time.Duration
 }
--- /dev/null
+++ b/contract/latestart.go
@@ -0,0 +1,141 @@
+package contract
+
+import (
+	"maps"
+	"slices"
+	"sync"
+	"time"
+)
+
+const (
+	// LateStartLimit is the longest time after which a call to a worker that got no reply is executed. The platform says
+	// "seconds" of it; calls have been executed 12 s later.
+	LateStartLimit = 15 * time.Second
+	// LateStartRetention adds the longest lease of a run that was started at the end of that time.
+	LateStartRetention = LateStartLimit + 1300*time.Millisecond
+	// maxLateStarts bounds the ledger against a flood of announcements; the starts that end first are dropped first.
+	maxLateStarts = 50_000
+)
+
+// LateStart is a start of a task that got no reply. Its worker may still execute it, also as a later incarnation, which knows
+// of no stop and has seen no fencing token. Until Until the next run of the task starts on that worker or nowhere: there, a
+// restart that lets the worker execute the earlier start ends the next run first.
+type LateStart struct {
+	// Task has no run.
+	Task   RunKey
+	Worker string
+	Until  time.Time
+}
+
+// LateStartLedger records the starts without a reply that this VM has made or been told of. All members keep one, so that a
+// record survives the owner of the worker and the home of the job. mu guards the field below it.
+type LateStartLedger struct {
+	mu     sync.Mutex
+	byTask map[RunKey]map[string]time.Time
+	count  int
+}
+
+// NewLateStartLedger returns an empty ledger.
+func NewLateStartLedger() *LateStartLedger {
+	return &LateStartLedger{byTask: make(map[RunKey]map[string]time.Time)}
+}
+
+// Record adds a start. Of two records of a task at a worker the one that ends later is kept.
+func (l *LateStartLedger) Record(s LateStart) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	workers := l.byTask[s.Task.Task()]
+	if workers == nil {
+		workers = make(map[string]time.Time)
+		l.byTask[s.Task.Task()] = workers
+	}
+	known, ok := workers[s.Worker]
+	if !ok {
+		l.count++
+	}
+	if s.Until.After(known) {
+		workers[s.Worker] = s.Until
+	}
+	if l.count > maxLateStarts {
+		l.dropOldest()
+	}
+}
+
+// Workers returns the workers that may still execute an earlier start of a task, in order.
+func (l *LateStartLedger) Workers(task RunKey) []string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	workers := l.byTask[task.Task()]
+	if len(workers) == 0 {
+		return nil
+	}
+	return slices.Sorted(maps.Keys(workers))
+}
+
+// Executed drops the record of a task at a worker that cannot execute any earlier start of it any more.
+func (l *LateStartLedger) Executed(task RunKey, worker string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.drop(task.Task(), worker)
+}
+
+// Replaced drops the records of a worker whose process has left its address for good.
+func (l *LateStartLedger) Replaced(worker string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for task := range l.byTask {
+		l.drop(task, worker)
+	}
+}
+
+// Expire drops the records that have ended.
+func (l *LateStartLedger) Expire(now time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for task, workers := range l.byTask {
+		for worker, until := range workers {
+			if !now.Before(until) {
+				l.drop(task, worker)
+			}
+		}
+	}
+}
+
+// All returns the records, in no order.
+func (l *LateStartLedger) All() []LateStart {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	all := make([]LateStart, 0, l.count)
+	for task, workers := range l.byTask {
+		for worker, until := range workers {
+			all = append(all, LateStart{Task: task, Worker: worker, Until: until})
+		}
+	}
+	return all
+}
+
+// drop expects l.mu to be held.
+func (l *LateStartLedger) drop(task RunKey, worker string) {
+	workers := l.byTask[task]
+	if _, ok := workers[worker]; !ok {
+		return
+	}
+	delete(workers, worker)
+	l.count--
+	if len(workers) == 0 {
+		delete(l.byTask, task)
+	}
+}
+
+// dropOldest expects l.mu to be held.
+func (l *LateStartLedger) dropOldest() {
+	var oldest LateStart
+	for task, workers := range l.byTask {
+		for worker, until := range workers {
+			if oldest.Until.IsZero() || until.Before(oldest.Until) {
+				oldest = LateStart{Task: task, Worker: worker, Until: until}
+			}
+		}
+	}
+	l.drop(oldest.Task, oldest.Worker)
+}
