platform, link: ask once more whether a start is still valid when it is written

Only the end of the lease and the fence made the worker reject it, and an incarnation that has restarted unnoticed knows neither.

--- a/link/hostcalls.go
+++ b/link/hostcalls.go
@@ -50,6 +50,9 @@
 	Spec     []byte
 	LeaseEnd time.Duration
 	Token    uint64
+	// Valid reports whether the start may still be sent; nil means always. It is asked when the call is about to be written: a
+	// slow VM, or one that is suspended, may get there long after the decision, when the run counts as over. It does not block.
+	Valid func() bool
 }
 
 // HostPoll is the request that extends the lease of all runs of a worker and returns their states.
