contract: look up and end late starts by worker

A pool keeps its own record of the starts without a reply, since the ledger cannot tell which workers may execute one, and ends no record with a list of the worker's runs. The ledger now indexes its records by worker and has HasWorker, Has, Empty and Listed; Replaced no longer visits all tasks. TestListEndsLateStartsThatAreOver passes.

--- a/contract/latestart.go
+++ b/contract/latestart.go
@@ -32,26 +32,35 @@
 type LateStartLedger struct {
 	mu     sync.Mutex
 	byTask map[RunKey]map[string]time.Time
-	count  int
+	// byWorker holds the tasks that have a record at each worker.
+	byWorker map[string]map[RunKey]struct{}
+	count    int
 }
 
 // NewLateStartLedger returns an empty ledger.
 func NewLateStartLedger() *LateStartLedger {
-	return &LateStartLedger{byTask: make(map[RunKey]map[string]time.Time)}
+	return &LateStartLedger{
+		byTask: make(map[RunKey]map[string]time.Time), byWorker: make(map[string]map[RunKey]struct{}),
+	}
 }
 
 // Record adds a start. Of two records of a task at a worker the one that ends later is kept.
 func (l *LateStartLedger) Record(s LateStart) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	workers := l.byTask[s.Task.Task()]
+	task := s.Task.Task()
+	workers := l.byTask[task]
 	if workers == nil {
 		workers = make(map[string]time.Time)
-		l.byTask[s.Task.Task()] = workers
+		l.byTask[task] = workers
 	}
 	known, ok := workers[s.Worker]
 	if !ok {
 		l.count++
+		if l.byWorker[s.Worker] == nil {
+			l.byWorker[s.Worker] = make(map[RunKey]struct{})
+		}
+		l.byWorker[s.Worker][task] = struct{}{}
 	}
 	if s.Until.After(known) {
 		workers[s.Worker] = s.Until
@@ -72,6 +81,39 @@
 	return slices.Sorted(maps.Keys(workers))
 }
 
+// Empty reports whether there is no record.
+func (l *LateStartLedger) Empty() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.count == 0
+}
+
+// Has reports whether any worker may still execute an earlier start of a task.
+func (l *LateStartLedger) Has(task RunKey) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return len(l.byTask[task.Task()]) > 0
+}
+
+// HasWorker reports whether a worker may still execute a start.
+func (l *LateStartLedger) HasWorker(worker string) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return len(l.byWorker[worker]) > 0
+}
+
+// Listed drops the starts at a worker that could not be executed any more when a list of its runs was asked for: what they
+// have started is in the list.
+func (l *LateStartLedger) Listed(worker string, asked time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for task := range l.byWorker[worker] {
+		if asked.After(l.byTask[task][worker].Add(LateStartLimit - LateStartRetention)) {
+			l.drop(task, worker)
+		}
+	}
+}
+
 // Executed drops the record of a task at a worker that cannot execute any earlier start of it any more.
 func (l *LateStartLedger) Executed(task RunKey, worker string) {
 	l.mu.Lock()
@@ -83,7 +125,7 @@
 func (l *LateStartLedger) Replaced(worker string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	for task := range l.byTask {
+	for task := range l.byWorker[worker] {
 		l.drop(task, worker)
 	}
 }
@@ -125,6 +167,10 @@
 	if len(workers) == 0 {
 		delete(l.byTask, task)
 	}
+	delete(l.byWorker[worker], task)
+	if len(l.byWorker[worker]) == 0 {
+		delete(l.byWorker, worker)
+	}
 }
 
 // dropOldest expects l.mu to be held.
--- a/contract/latestart_test.go
+++ b/contract/latestart_test.go
@@ -38,6 +38,28 @@
 	require.Empty(t, ledger.Workers(task))
 }
 
+// Guards against a record that ends with a list which was asked for while the start could still be executed, and against
+// records of other workers that end with it.
+func TestListEndsLateStartsThatAreOver(t *testing.T) {
+	now := time.Now()
+	first, second := RunKey{Batch: "a"}, RunKey{Batch: "b"}
+	ledger := NewLateStartLedger()
+	require.True(t, ledger.Empty())
+	ledger.Record(LateStart{Task: first, Worker: "w1", Until: now.Add(LateStartRetention)})
+	ledger.Record(LateStart{Task: first, Worker: "w2", Until: now.Add(LateStartRetention)})
+	ledger.Record(LateStart{Task: second, Worker: "w1", Until: now.Add(time.Second + LateStartRetention)})
+	ledger.Listed("w1", now.Add(LateStartLimit))
+	require.Len(t, ledger.All(), 3)
+	ledger.Listed("w1", now.Add(LateStartLimit+time.Millisecond))
+	require.Equal(t, []string{"w2"}, ledger.Workers(first))
+	require.True(t, ledger.Has(second))
+	require.True(t, ledger.HasWorker("w1"))
+	ledger.Listed("w1", now.Add(time.Second+LateStartLimit+time.Millisecond))
+	require.False(t, ledger.Has(second))
+	require.False(t, ledger.HasWorker("w1"))
+	require.False(t, ledger.Empty())
+}
+
 // Guards against a ledger that grows without bound when a member floods it.
 func TestLateStartLedgerIsBounded(t *testing.T) {
 	now := time.Now()
