--- a/pool/ownership.go
+++ b/pool/ownership.go
@@ -173,10 +173,10 @@
 			r.confirmedClock = reply.Clock
 			continue
 		}
-		over := p.isOver(running.Key)
+		over, laterRun := p.isOver(running.Key), p.laterRun(running.Key)
 		p.o.Logger.Info("run found on an acquired worker", "task", running.Key.String(), "worker", h.address.Worker,
 			"token", h.host.Token, "worker_start", h.host.StartTime, "lease_end", h.host.LeaseEnd(),
-			"worker_clock", reply.Clock, "ended_here", over, "later_run", p.laterRun(running.Key))
+			"worker_clock", reply.Clock, "ended_here", over, "later_run", laterRun)
 		delete(p.barredRuns, running.Key)
 		r := &run{
 			order: contract.TaskOrder{Key: running.Key, Need: p.typicalSize}, state: runRunning, host: h,
@@ -186,8 +186,8 @@
 		h.host.Reserve(r.order.Need)
 		p.addToHost(r, h)
 		p.runs[running.Key] = r
-		if over {
-			// A start that was barred has been executed late. The next run of the task may be ordered at any time.
+		if over || laterRun != 0 {
+			// A start has been executed late. No home claims the run, and a later run of the task may start at any time.
 			r.cancelled = true
 			fx.stops = append(fx.stops, r)
 		}
@@ -212,14 +212,21 @@
 	return found
 }
 
-// laterRun returns the number of a later run of a task that this pool holds, zero if there is none. p.mu is held.
+// laterRun returns the number of a later run of a task that this pool knows, zero if there is none. A home orders a run only
+// when the earlier ones are over, so it proves that they are. p.mu is held.
 func (p *Pool) laterRun(key contract.RunKey) uint64 {
 	last := uint64(0)
-	for k, r := range p.runs {
-		if k.Run > key.Run && r.state != runFinal && k.Task() == key.Task() {
-			last = max(last, k.Run)
+	later := func(k contract.RunKey) {
+		if k.Run > last && k.Run > key.Run && k.Task() == key.Task() {
+			last = k.Run
 		}
 	}
+	for k := range p.runs {
+		later(k)
+	}
+	for k := range p.barredRuns {
+		later(k)
+	}
 	return last
 }
 
--- a/pool/ownership_test.go
+++ b/pool/ownership_test.go
@@ -224,3 +224,29 @@
 		require.NotZero(t, f.observer.endOf("found"))
 	})
 }
+
+// Guards against two runs of a task: an earlier run is found on an acquired worker while the pool holds a later one, or has
+// ended it, and the earlier one goes on until nobody has claimed it.
+func TestFoundRunBeforeALaterRunIsStoppedAtOnce(t *testing.T) {
+	for _, ended := range []bool{false, true} {
+		synctest.Test(t, func(t *testing.T) {
+			f := newFixture(2)
+			defer f.pool.Close()
+			later := f.orderWith("task", func(o *contract.TaskOrder) { o.Key.Run = 5 })
+			if ended {
+				f.pool.Withdraw(testHome, []contract.RunKey{later})
+				time.Sleep(200 * time.Millisecond)
+				require.Equal(t, contract.RunEnded, f.state(later))
+				f.pool.Acknowledge([]contract.RunKey{later})
+			}
+			earlier := later
+			earlier.Run = 4
+			var fx effects
+			f.pool.mu.Lock()
+			f.pool.adopt(f.pool.hosts["w0"], link.PollReply{Running: []link.RunningRun{{Key: earlier}}}, time.Now(), &fx)
+			f.pool.mu.Unlock()
+			require.Len(t, fx.stops, 1, "later run ended: %v", ended)
+			require.Equal(t, earlier, fx.stops[0].order.Key)
+		})
+	}
+}
