pool: start a task at the worker of its unanswered start or not at all

A task left the worker that may still execute an earlier start if that was silent, drained, was unhealthy or lost starts, and the record was lost with the owner: two runs overlapped once the worker came back. The pool now records into the ledger of all members (Options.LateStarts), tells the daemon of each record (LateStart, WorkerReplaced), and starts a queued task only where the ledger and TaskOrder.OnlyWorker allow it. A task that has no such worker here goes back to its home as not started, with LateWorkers. Reports name LateWorkers; MayStartLate is set only if the one such worker is here. A record ends with a list that shows the run only if the task has no earlier record at that worker.

TestNextRunStartsElsewhereIfTheWorkerIsSilent and TestTaskLeavesAWorkerThatLosesItsStarts tested the exceptions. They are replaced by TestNextRunWaitsForASilentWorker, TestNextRunStartsElsewhereOnceNoStartIsLate and TestTaskStaysAtAWorkerThatLosesItsStarts, which allow no start elsewhere for 15 s; the test of the unhealthy worker now requires the task to wait there and bounds its starts by unhealthyRetry.

--- a/metric/describe.go
+++ b/metric/describe.go
@@ -59,7 +59,7 @@
 		{PoolStartsRejected, "start calls that provably started nothing"},
 		{PoolStartsInDoubt, "start calls without an answer"},
 		{PoolStartsWhereLate, "starts of tasks on the worker that may still execute an earlier start of them"},
-		{PoolStartsBesideLate, "starts of tasks beside a silent worker that may still execute an earlier start of them"},
+		{PoolReturnedLate, "queued tasks returned to their homes since no worker here may start them while others may execute earlier starts"},
 		{PoolStartsConfirmed, "start calls preceded by a poll of the worker"},
 		{PoolRunsAbandoned, "runs stopped because their home did not refresh or claim them"},
 		{PoolRunsStalled, "runs stopped because they stood still"},
--- a/metric/metric.go
+++ b/metric/metric.go
@@ -47,7 +47,7 @@
 	PoolStartsRejected   = "pool.starts_rejected"
 	PoolStartsInDoubt    = "pool.starts_in_doubt"
 	PoolStartsWhereLate  = "pool.starts_where_late"
-	PoolStartsBesideLate = "pool.starts_beside_late"
+	PoolReturnedLate     = "pool.returned_late"
 	PoolStartsConfirmed  = "pool.starts_confirmed"
 	PoolRunsAbandoned    = "pool.runs_unwanted"
 	PoolRunsStalled      = "pool.runs_stalled"
--- a/pool/alone.go
+++ b/pool/alone.go
@@ -72,7 +72,7 @@
 }
 
 func (p *Pool) canEmpty(h *ownedHost, r *run, now time.Time) bool {
-	if bound := p.workerOfLateStart(r.order, now); bound != nil && bound != h {
+	if r.onlyWorker != "" && r.onlyWorker != h.address.Worker {
 		return false
 	}
 	return h.host.Usable(now) && h.host.CanHold(r.order.Need, r.order.RequiredLabel) && !h.hasAlone() &&
--- a/pool/capacity.go
+++ b/pool/capacity.go
@@ -57,6 +57,9 @@
 		}
 	}
 	for _, r := range p.waiting.runs {
+		if p.stuck(r, now) {
+			continue
+		}
 		capacity.Waiting[min(max(r.order.Priority, 0), zone.Priorities-1)] += r.order.Expected
 		capacity.Free--
 	}
--- a/pool/confirm.go
+++ b/pool/confirm.go
@@ -19,7 +19,7 @@
 	now := p.o.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.late.ofTask(s.run.order.Key) {
+	if p.o.LateStarts.Has(s.run.order.Key) {
 		// A later incarnation may run an earlier run of the task.
 		return true
 	}
--- a/pool/latestart_test.go
+++ b/pool/latestart_test.go
@@ -14,16 +14,13 @@
 	"github.com/cicadadale/cicadadale/standin"
 )
 
-// failuresUntilSuspended is the number of rejections after which a worker is suspended.
-const failuresUntilSuspended = 2
-
 // orderRun orders a run of "task".
 func (f *fixture) orderRun(run uint64) contract.RunKey {
 	return f.orderWith("task", func(o *contract.TaskOrder) { o.Key.Run = run })
 }
 
-// withUnansweredStart lets f act once the start of the first run of "task" at some worker has got no reply and its run has
-// been reported as over. The start is held.
+// withUnansweredStart lets f act once the start of the first run of "task" at some worker has got no reply and its run, which
+// has been withdrawn meanwhile, has been reported as over. The start is held.
 func withUnansweredStart(t *testing.T, workers int, f func(f *fixture, worker string, host *standin.RunHost)) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
@@ -34,14 +31,17 @@
 			h.SetHoldingStarts(1)
 		}
 		key := fix.orderRun(1)
-		fix.refreshFor(500*time.Millisecond, key)
+		time.Sleep(20 * time.Millisecond)
 		for _, h := range fix.calls.hosts {
 			h.SetHoldingStarts(0)
 		}
+		fix.pool.Withdraw(testHome, []contract.RunKey{key})
+		time.Sleep(480 * time.Millisecond)
 		for id, h := range fix.calls.hosts {
 			if len(h.Held()) > 0 {
 				require.Equal(t, contract.RunEnded, fix.state(key))
 				require.True(t, fix.report(key).MayStartLate, "report of the end")
+				require.Equal(t, []string{id}, fix.report(key).LateWorkers, "report of the end")
 				f(fix, id, h)
 			}
 		}
@@ -65,18 +65,35 @@
 		}
 		require.EqualValues(t, 8, f.pool.counter(metric.PoolStartsWhereLate).Count())
 		f.refreshFor(contract.LateStartLimit)
-		require.Zero(t, len(f.pool.late.byTask)+len(f.pool.late.workers), "starts that cannot be executed any more")
+		require.Empty(t, f.pool.o.LateStarts.All(), "starts that cannot be executed any more")
 	})
 }
 
-// Guards against a task that waits for a worker that is gone until the job fails.
-func TestNextRunStartsElsewhereIfTheWorkerIsSilent(t *testing.T) {
+// Guards against a second run of a task: the worker that may still execute the earlier start is silent when the next run is
+// ordered, which starts elsewhere.
+func TestNextRunWaitsForASilentWorker(t *testing.T) {
 	withUnansweredStart(t, 2, func(f *fixture, worker string, host *standin.RunHost) {
 		host.Crash()
-		f.refreshFor(silenceLimit + sweepInterval)
-		f.refreshFor(time.Second, f.orderRun(2))
+		f.refreshFor(time.Second)
+		key := f.orderRun(2)
+		f.refreshFor(5*time.Second, key)
+		require.Empty(t, f.observer.startedJobs())
+		host.Restart()
+		f.refreshFor(time.Second, key)
+		require.Equal(t, worker, f.observer.workerOfJob()["task"])
+	})
+}
+
+// Guards against a task that waits for a worker that is gone, although no earlier start can be executed any more.
+func TestNextRunStartsElsewhereOnceNoStartIsLate(t *testing.T) {
+	withUnansweredStart(t, 2, func(f *fixture, worker string, host *standin.RunHost) {
+		host.Crash()
+		key := f.orderRun(2)
+		f.refreshFor(contract.LateStartLimit, key)
+		require.Empty(t, f.observer.startedJobs())
+		f.refreshFor(2*time.Second, key)
 		require.NotEqual(t, worker, f.observer.workerOfJob()["task"])
-		require.EqualValues(t, 1, f.pool.counter(metric.PoolStartsBesideLate).Count())
+		require.Len(t, f.observer.startedJobs(), 1)
 	})
 }
 
@@ -148,19 +165,23 @@
 	})
 }
 
-// Guards against a task that is lost because its worker leaves all starts without a reply, though it answers polls.
-func TestTaskLeavesAWorkerThatLosesItsStarts(t *testing.T) {
+// Guards against a second run of a task: its worker leaves all starts without a reply, though it answers polls, and the next run
+// starts elsewhere.
+func TestTaskStaysAtAWorkerThatLosesItsStarts(t *testing.T) {
 	withUnansweredStart(t, 2, func(f *fixture, worker string, host *standin.RunHost) {
 		host.SetHoldingStarts(1)
-		for run := uint64(2); run <= 4; run++ {
-			f.refreshFor(300*time.Millisecond, f.orderRun(run))
+		for run := uint64(2); run <= 8; run++ {
+			key := f.orderRun(run)
+			f.refreshFor(300*time.Millisecond, key)
+			f.pool.Withdraw(testHome, []contract.RunKey{key})
+			f.refreshFor(300 * time.Millisecond)
+			require.Equal(t, contract.RunEnded, f.state(key))
 		}
-		require.GreaterOrEqual(t, len(host.Held()), 2)
-		f.pool.mu.Lock()
-		f.pool.hosts[worker].host.Suspend(time.Now())
-		f.pool.mu.Unlock()
-		f.refreshFor(500*time.Millisecond, f.orderRun(5))
-		require.NotEqual(t, worker, f.observer.workerOfJob()["task"])
+		require.GreaterOrEqual(t, len(host.Held()), 7)
+		require.Empty(t, f.observer.startedJobs())
+		host.SetHoldingStarts(0)
+		f.refreshFor(500*time.Millisecond, f.orderRun(9))
+		require.Equal(t, worker, f.observer.workerOfJob()["task"])
 		require.Len(t, f.observer.startedJobs(), 1)
 	})
 }
@@ -173,7 +194,6 @@
 		h := f.pool.hosts[worker]
 		free := h.host.Free()
 		h.host.Reserve(free)
-		h.startAnsweredAt = time.Now()
 		f.pool.mu.Unlock()
 		key := f.orderRun(2)
 		f.refreshFor(5*time.Second, key)
@@ -186,14 +206,19 @@
 	})
 }
 
-// Guards against start calls that follow each other at once: a worker rejects the only task that has to start there.
+// Guards against start calls that follow each other at once: a worker rejects the only task that has to start there. The task
+// starts nowhere else.
 func TestUnhealthyWorkerIsNotStartedAtWithoutPause(t *testing.T) {
 	withUnansweredStart(t, 2, func(f *fixture, worker string, host *standin.RunHost) {
 		host.SetRejecting(true)
 		starts := f.pool.counter(metric.PoolStarts).Count()
-		f.refreshFor(time.Second, f.orderRun(2))
-		require.NotEqual(t, worker, f.observer.workerOfJob()["task"])
-		require.LessOrEqual(t, f.pool.counter(metric.PoolStarts).Count()-starts, int64(1+failuresUntilSuspended))
+		key := f.orderRun(2)
+		f.refreshFor(time.Second, key)
+		require.Empty(t, f.observer.startedJobs())
+		require.LessOrEqual(t, f.pool.counter(metric.PoolStarts).Count()-starts, int64(1+time.Second/unhealthyRetry))
+		host.SetRejecting(false)
+		f.refreshFor(2*unhealthyRetry, key)
+		require.Equal(t, worker, f.observer.workerOfJob()["task"])
 	})
 }
 
--- a/pool/maintain.go
+++ b/pool/maintain.go
@@ -65,8 +65,8 @@
 	restartNoticed  chan struct{}
 	dropped         bool
 	ownershipLostAt time.Time
-	// startAnsweredAt is when the worker has last accepted a start.
-	startAnsweredAt time.Time
+	// rejectedUntil is when a task may be sent again to a worker that has rejected one as unhealthy.
+	rejectedUntil time.Time
 	// takenOverAt is when the worker was acquired, unless it had only been restarted under this owner.
 	takenOverAt time.Time
 	// restarted is set from the restart of the worker until its new incarnation has been acquired. Until then runs may hold
@@ -237,6 +237,8 @@
 			p.finish(r, contract.RunEnded, proofOtherWorker, 0, fx)
 		}
 	}
+	p.o.LateStarts.Replaced(h.address.Worker)
+	fx.replaced = append(fx.replaced, h.address.Worker)
 	h.host.Token = 0
 	h.host.Suspend(now)
 }
@@ -246,6 +248,7 @@
 	for _, e := range reply.Ended {
 		listedBefore := e.Number <= h.host.LastOutcome
 		h.host.LastOutcome = max(h.host.LastOutcome, e.Number)
+		p.executed(e.Key, h)
 		r, ok := h.runs[e.Key]
 		if !ok {
 			if !listedBefore {
@@ -274,7 +277,7 @@
 	listed := make(map[contract.RunKey]int, len(reply.Running))
 	for _, running := range reply.Running {
 		listed[running.Key] = running.Progress
-		p.late.executed(running.Key, h.address.Worker)
+		p.executed(running.Key, h)
 		_, held := h.runs[running.Key]
 		if !held && !h.leftAt[running.Key].After(sent) {
 			p.stopUnordered(h, running.Key, now)
--- a/pool/match.go
+++ b/pool/match.go
@@ -25,18 +25,20 @@
 		p.emptying = nil
 		return
 	}
+	p.bindWaiting(now, fx)
 	p.updateConfinementRanks()
 	p.updateEmptying(now)
-	p.startAtLateWorkers(now, fx)
+	p.startBound(now, fx)
 	var reserved *ownedHost
+	first := 0
 	for _, h := range p.hostsWithCapacity(now) {
 		p.waiting.sort(now, h.host.Speed())
 		if reserved == nil {
-			reserved = p.reserve(now)
+			reserved, first = p.reserve(now)
 		}
 		for i := 0; i < len(p.waiting.runs) && h.host.Usable(now); {
 			r := p.waiting.runs[i]
-			if (h == reserved && i > 0) || !p.canStart(h, r, now) {
+			if (h == reserved && i > first) || !p.canStart(h, r, now) {
 				i++
 				continue
 			}
@@ -75,7 +77,7 @@
 // that rack for at most its expected run time.
 func (p *Pool) canStart(h *ownedHost, r *run, now time.Time) bool {
 	o := r.order
-	if !h.host.CanStart(o.Need, now) || !p.admits(h, r, now) || p.workerOfLateStart(o, now) != nil {
+	if !h.host.CanStart(o.Need, now) || !p.admits(h, r, now) || r.onlyWorker != "" {
 		return false
 	}
 	if o.PreferredRack == "" || h.host.InRack(o.PreferredRack) || now.Sub(r.queuedAt) > o.Expected {
@@ -122,15 +124,21 @@
 	return false
 }
 
-// reserve returns the worker that is kept free for the most urgent task, if that task has waited for reserveDelay.
-func (p *Pool) reserve(now time.Time) *ownedHost {
-	if len(p.waiting.runs) == 0 || now.Sub(p.waiting.runs[0].queuedAt) < reserveDelay || p.waiting.runs[0].order.Alone {
-		return nil
+// reserve returns the worker that is kept free for the most urgent task and the place of that task in the queue, if it has
+// waited for reserveDelay. Tasks that wait for one worker which takes none reserve nothing. p.mu is held.
+func (p *Pool) reserve(now time.Time) (*ownedHost, int) {
+	first := slices.IndexFunc(p.waiting.runs, func(r *run) bool { return !p.stuck(r, now) })
+	if first < 0 {
+		return nil, 0
 	}
-	if h := p.workerOfLateStart(p.waiting.runs[0].order, now); h != nil {
-		return h
+	r := p.waiting.runs[first]
+	if now.Sub(r.queuedAt) < reserveDelay || r.order.Alone {
+		return nil, first
 	}
-	return p.largestFree(p.waiting.runs[0].order)
+	if r.onlyWorker != "" {
+		return p.hosts[r.onlyWorker], first
+	}
+	return p.largestFree(r.order), first
 }
 
 // speedStep is the width of a speed class, relative to the mean speed of the back end. Workers of the same class are
@@ -169,7 +177,7 @@
 	p.addToHost(r, h)
 	p.logLateStarts(r, h)
 	r.host, r.state, r.startedAt, r.mayHaveRun, r.begun = h, runStarting, now, true, false
-	r.listedBy, r.confirmedClock = 0, 0
+	r.listedBy, r.confirmedClock, r.sentTo, r.firstLate = 0, 0, h.address.Worker, false
 	r.progress, r.progressAt, r.token, r.workerStart = 0, now, h.host.Token, h.host.StartTime
 	r.stopAnswered, r.startUnanswered = false, false
 	p.markCommitted(r.order.Key.Batch, now)
--- a/pool/poll.go
+++ b/pool/poll.go
@@ -201,7 +201,7 @@
 		return false
 	}
 	h.host.SetClock(reply.Clock, now)
-	p.late.listed(h.address.Worker, sent)
+	p.o.LateStarts.Listed(h.address.Worker, sent)
 	p.recordOutcomes(h, reply, now, &fx)
 	p.reconcileRuns(h, reply, sent, now, &fx)
 	p.match(now, &fx)
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -58,9 +58,15 @@
 	Yield func() bool
 	// Confinement names the routes whose tasks start only on some workers.
 	Confinement *contract.Confinement
-	Now         func() time.Time
-	Logger      *slog.Logger
-	Metrics     metrics.Registry
+	// LateStarts records the starts without a reply. All pools of a VM share it; nil means one of its own.
+	LateStarts *contract.LateStartLedger
+	// LateStart announces such a start to all members, WorkerReplaced that a worker cannot execute any, since another one
+	// answers at its address. Both are called without holding the lock of the pool and may be nil.
+	LateStart      func(s contract.LateStart)
+	WorkerReplaced func(worker string)
+	Now            func() time.Time
+	Logger         *slog.Logger
+	Metrics        metrics.Registry
 }
 
 // Pool is the shard of one back end: the owned workers, the queued tasks and the runs. mu guards all fields below it.
@@ -77,7 +83,6 @@
 	barredRuns map[contract.RunKey]barredRun
 	// onWorkers counts the runs of each task that are on workers, or whose start is under way.
 	onWorkers map[contract.RunKey]int
-	late      lateStarts
 	// speeds is the typical speed of each kind of worker, relative to the mean of the back end. The first label of a
 	// listing names the kind.
 	speeds map[string]float64
@@ -100,9 +105,12 @@
 		o: o, ctx: ctx, cancel: cancel,
 		hosts: make(map[string]*ownedHost), runs: make(map[contract.RunKey]*run),
 		barredRuns: make(map[contract.RunKey]barredRun), speeds: make(map[string]float64),
-		onWorkers: make(map[contract.RunKey]int), late: newLateStarts(),
+		onWorkers:  make(map[contract.RunKey]int),
 		lastStarts: make(map[string]time.Time), confinementRank: make(map[*ownedHost]float64), policy: o.Policy,
 	}
+	if p.o.LateStarts == nil {
+		p.o.LateStarts = contract.NewLateStartLedger()
+	}
 	p.spawn(p.sweepPeriodically)
 	return p
 }
@@ -202,8 +210,11 @@
 }
 
 // feasible reports whether a worker of the pool can hold the task once it is idle, by what is known of its present
-// incarnation. p.mu is held.
+// incarnation. A task that has to start on one worker waits for it, whatever that worker can hold now. p.mu is held.
 func (p *Pool) feasible(o contract.TaskOrder) bool {
+	if o.OnlyWorker != "" {
+		return p.hosts[o.OnlyWorker] != nil
+	}
 	for _, h := range p.hosts {
 		if !h.host.Draining() && h.host.CanHold(o.Need, o.RequiredLabel) {
 			return true
@@ -248,7 +259,7 @@
 
 // barredReport returns the report of a barred run. p.mu is held.
 func (p *Pool) barredReport(k contract.RunKey, b barredRun) contract.RunReport {
-	return contract.RunReport{Key: k, State: b.state, Token: b.token, MayStartLate: p.late.ofTask(k)}
+	return contract.RunReport{Key: k, State: b.state, Token: b.token}
 }
 
 // Withdraw ends runs. Queued runs never start; running ones are stopped.
@@ -368,7 +379,7 @@
 	p.dropExpired(now)
 	for k, r := range p.runs {
 		switch {
-		case r.state == runFinal && now.Sub(r.endedAt) > finalRetention && !p.late.ofTask(k):
+		case r.state == runFinal && now.Sub(r.endedAt) > finalRetention && !p.o.LateStarts.Has(k):
 			delete(p.runs, k)
 		case r.state == runFinal || r.cancelled:
 		case !r.claimed && now.Sub(r.queuedAt) > claimWindow, r.claimed && now.Sub(r.refreshedAt) > refreshTimeout:
@@ -390,9 +401,9 @@
 
 // dropExpired drops records that are not needed any more. p.mu is held.
 func (p *Pool) dropExpired(now time.Time) {
-	p.late.sweep(now, leaseAfterRefresh)
+	p.o.LateStarts.Expire(now)
 	for k, b := range p.barredRuns {
-		if now.Sub(b.at) > finalRetention && !p.late.ofTask(k) {
+		if now.Sub(b.at) > finalRetention && !p.o.LateStarts.Has(k) {
 			delete(p.barredRuns, k)
 		}
 	}
--- a/pool/pool_test.go
+++ b/pool/pool_test.go
@@ -78,6 +78,9 @@
 	mu        sync.Mutex
 	reports   map[contract.RunKey]contract.RunReport
 	crashes   []contract.WorkerCrash
+	// lateStarts and replaced are what the pool has announced of starts without a reply.
+	lateStarts []contract.LateStart
+	replaced   []string
 	// crash selects the jobs whose tasks crash their worker, and how they do.
 	crash map[string]standin.RunPlan
 }
@@ -119,6 +122,16 @@
 			defer f.mu.Unlock()
 			f.crashes = append(f.crashes, c)
 		},
+		LateStart: func(s contract.LateStart) {
+			f.mu.Lock()
+			defer f.mu.Unlock()
+			f.lateStarts = append(f.lateStarts, s)
+		},
+		WorkerReplaced: func(worker string) {
+			f.mu.Lock()
+			defer f.mu.Unlock()
+			f.replaced = append(f.replaced, worker)
+		},
 		Report: func(_ string, r contract.RunReport) {
 			f.mu.Lock()
 			defer f.mu.Unlock()
--- a/pool/run.go
+++ b/pool/run.go
@@ -56,6 +56,12 @@
 	stopAnswered bool
 	// startUnanswered is set once the start call of the run has ended without a reply: it may still be executed.
 	startUnanswered bool
+	// sentTo is the worker of the last start call. firstLate is set if that call got no reply and the task has no earlier start
+	// which that worker may still execute.
+	sentTo    string
+	firstLate bool
+	// onlyWorker is the worker on which a queued run has to start; empty for any.
+	onlyWorker string
 	// startedAt is when the start call was made, or when the run was found on a worker.
 	startedAt time.Time
 	// confirmedAt is when a reply of the worker last settled whether the run had started. Replies to polls that were sent
@@ -103,6 +109,9 @@
 	inDoubt []*run
 	reports []report
 	crashes []contract.WorkerCrash
+	// lateStarts are start calls that got no reply, replaced the workers whose processes have left their addresses.
+	lateStarts []contract.LateStart
+	replaced   []string
 }
 
 // startEffect is a start call with the values fixed by the decision.
@@ -145,6 +154,18 @@
 	for _, c := range fx.crashes {
 		p.o.Crashed(c)
 	}
+	// They also have to know which workers may still execute a start before they order the next run of its task.
+	for _, s := range fx.lateStarts {
+		if p.o.LateStart != nil {
+			p.o.LateStart(s)
+		}
+	}
+	for _, worker := range fx.replaced {
+		if p.o.WorkerReplaced != nil {
+			p.o.WorkerReplaced(worker)
+		}
+	}
+	p.completeReports(fx.reports)
 	for _, r := range fx.reports {
 		if r.home != "" {
 			p.o.Report(r.home, r.RunReport)
@@ -179,7 +200,7 @@
 	p.detach(r)
 	r.state, r.endedAt = runFinal, now
 	r.outcome = contract.RunReport{Key: r.order.Key, State: state, Worker: worker, Token: r.token,
-		MayHaveStarted: r.mayHaveRun, RunTime: took, MayStartLate: p.late.ofTask(r.order.Key)}
+		MayHaveStarted: r.mayHaveRun, RunTime: took}
 	fx.report(r)
 	p.counter(proofs[proof].counter).Inc(1)
 	p.o.Logger.Info("run ended", append([]any{"task", r.order.Key.String(), "state", state.String(), "worker", worker,
--- a/pool/start.go
+++ b/pool/start.go
@@ -52,7 +52,7 @@
 		p.o.Logger.Warn("start returned after its run had been given up", "task", s.run.order.Key.String(),
 			"worker", s.host.address.Worker, "token", s.token, "verdict", verdict.String(), "error", err)
 		if err != nil && !errorx.HasTrait(err, fault.ProvenNotStarted) && !errorx.HasTrait(err, fault.Answered) {
-			p.late.add(s.run.order.Key, s.host.address.Worker, now)
+			p.recordLateStart(s.run, s.host, now, &fx)
 		}
 	}
 	p.match(now, &fx)
@@ -73,7 +73,6 @@
 		h.recordReading(s.token, reply, now)
 	}
 	if verdict == link.StartAccepted {
-		h.startAnsweredAt = now
 		r.state, r.confirmedAt, r.confirmedClock, r.begun = runRunning, now, reply.Clock, true
 		if reply.StartTime != 0 {
 			r.workerStart = reply.StartTime
@@ -113,7 +112,7 @@
 		h.wake()
 	case link.StartUnhealthy:
 		h.host.Failed(now)
-		p.late.rejected(r.order.Key, h.address.Worker)
+		h.rejectedUntil = now.Add(unhealthyRetry)
 	case link.StartOtherWorker:
 		h.host.Suspend(now)
 	}
@@ -144,7 +143,7 @@
 	p.counter(metric.PoolStartsInDoubt).Inc(1)
 	r.state, r.doubtSince = runInDoubt, now
 	if r.startUnanswered = !errorx.HasTrait(err, fault.Answered); r.startUnanswered {
-		p.late.add(r.order.Key, h.address.Worker, now)
+		p.recordLateStart(r, h, now, fx)
 	}
 	fx.inDoubt = append(fx.inDoubt, r)
 }
