--- a/pool/alone.go
+++ b/pool/alone.go
@@ -59,11 +59,11 @@
 	}
 }
 
-// nextAlone returns the most urgent waiting task that runs alone. p.mu is held.
+// nextAlone returns the most urgent waiting task that runs alone and may start somewhere. p.mu is held.
 func (p *Pool) nextAlone(now time.Time) *run {
 	var next *run
 	for _, r := range p.waiting.runs {
-		if r.order.Alone && now.Sub(r.refreshedAt) <= refreshTimeout &&
+		if r.order.Alone && now.Sub(r.refreshedAt) <= refreshTimeout && !p.stuck(r, now) &&
 			(next == nil || r.order.Deadline.Before(next.order.Deadline)) {
 			next = r
 		}
@@ -72,7 +72,7 @@
 }
 
 func (p *Pool) canEmpty(h *ownedHost, r *run, now time.Time) bool {
-	if bound := p.workerOfLateStart(r.order, now); bound != nil && bound != h {
+	if r.onlyWorker != "" && r.onlyWorker != h.address.Worker {
 		return false
 	}
 	return h.host.Usable(now) && h.host.CanHold(r.order.Need, r.order.RequiredLabel) && !h.hasAlone() &&
--- a/pool/pool_test.go
+++ b/pool/pool_test.go
@@ -4,8 +4,6 @@
 	"context"
 	"fmt"
 	"log/slog"
-	"maps"
-	"slices"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -22,49 +20,6 @@
 
 const testHome = "home/1"
 
-// startObserver records the order in which tasks start. mu guards it.
-type startObserver struct {
-	mu      sync.Mutex
-	started []string
-	workers map[string]string
-	// ended holds the time at which the last run of each job ended.
-	ended map[string]time.Time
-}
-
-func (o *startObserver) Started(worker string, key contract.RunKey) {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	o.started = append(o.started, key.Batch)
-	o.workers[key.Batch] = worker
-}
-
-// startedJobs returns a copy of the jobs of the started tasks, in the order of their starts.
-func (o *startObserver) startedJobs() []string {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	return slices.Clone(o.started)
-}
-
-// workerOfJob returns a copy of the worker of each started job.
-func (o *startObserver) workerOfJob() map[string]string {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	return maps.Clone(o.workers)
-}
-
-func (o *startObserver) Ended(_ string, key contract.RunKey, _ contract.RunState, at time.Time) {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	o.ended[key.Batch] = at
-}
-
-// endOf returns when the last run of a job ended; zero if none has ended.
-func (o *startObserver) endOf(job string) time.Time {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	return o.ended[job]
-}
-
 // fixture is a pool with workers. durations holds the run times of tasks, sizes their CPU need in thousandths of a
 // core, both by job; a task with a run time of zero stalls. mu guards durations, sizes and reports: the workers read
 // the first two and the pool writes the third while a test runs.
@@ -77,7 +32,12 @@
 	sizes     map[string]int
 	mu        sync.Mutex
 	reports   map[contract.RunKey]contract.RunReport
+	// reportLog holds all reports in their order.
+	reportLog []contract.RunReport
 	crashes   []contract.WorkerCrash
+	// lateStarts and replaced are what the pool has announced of starts without a reply.
+	lateStarts []contract.LateStart
+	replaced   []string
 	// crash selects the jobs whose tasks crash their worker, and how they do.
 	crash map[string]standin.RunPlan
 }
@@ -87,8 +47,9 @@
 // newFixtureOf returns a fixture whose workers start whatever they are told to start, if unguarded is set.
 func newFixtureOf(workers int, unguarded bool) *fixture {
 	f := &fixture{
-		calls:    &hostCalls{hosts: make(map[string]*standin.RunHost)},
-		observer: &startObserver{workers: make(map[string]string), ended: make(map[string]time.Time)}, durations: make(map[string]time.Duration),
+		calls: &hostCalls{hosts: make(map[string]*standin.RunHost)},
+		observer: &startObserver{workers: make(map[string]string), ended: make(map[string]time.Time),
+			alive: make(map[contract.RunKey]map[contract.RunKey]string)}, durations: make(map[string]time.Duration),
 		sizes: make(map[string]int), reports: make(map[contract.RunKey]contract.RunReport),
 	}
 	for i := range workers {
@@ -119,10 +80,21 @@
 			defer f.mu.Unlock()
 			f.crashes = append(f.crashes, c)
 		},
+		LateStart: func(s contract.LateStart) {
+			f.mu.Lock()
+			defer f.mu.Unlock()
+			f.lateStarts = append(f.lateStarts, s)
+		},
+		WorkerReplaced: func(worker string) {
+			f.mu.Lock()
+			defer f.mu.Unlock()
+			f.replaced = append(f.replaced, worker)
+		},
 		Report: func(_ string, r contract.RunReport) {
 			f.mu.Lock()
 			defer f.mu.Unlock()
 			f.reports[r.Key] = r
+			f.reportLog = append(f.reportLog, r)
 		},
 	})
 	f.pool.SetHosts(f.list)
--- a/pool/run.go
+++ b/pool/run.go
@@ -56,6 +56,17 @@
 	stopAnswered bool
 	// startUnanswered is set once the start call of the run has ended without a reply: it may still be executed.
 	startUnanswered bool
+	// sentTo is the worker of the last start call. firstLate is set if that call got no reply and the task has no earlier start
+	// which that worker may still execute.
+	sentTo    string
+	firstLate bool
+	// repeating is set while the start call of a run in doubt is repeated. resolve wakes the goroutine that repeats it.
+	repeating bool
+	resolve   chan struct{}
+	// onlyWorker is the worker on which a queued run has to start; empty for any. unplaceable is set if no worker of the pool
+	// may start it.
+	onlyWorker  string
+	unplaceable bool
 	// startedAt is when the start call was made, or when the run was found on a worker.
 	startedAt time.Time
 	// confirmedAt is when a reply of the worker last settled whether the run had started. Replies to polls that were sent
@@ -103,6 +114,9 @@
 	inDoubt []*run
 	reports []report
 	crashes []contract.WorkerCrash
+	// lateStarts are start calls that got no reply, replaced the workers whose processes have left their addresses.
+	lateStarts []contract.LateStart
+	replaced   []string
 }
 
 // startEffect is a start call with the values fixed by the decision.
@@ -116,6 +130,8 @@
 	decidedAt   time.Time
 	workerStart int64
 	entryStart  int64
+	// firstLate is what the run had before a repeated call.
+	firstLate bool
 }
 
 // report adds a report of the run's current state to its home. A run that no home has claimed has none.
@@ -135,6 +151,10 @@
 		}
 	default:
 		msg = contract.RunReport{Key: r.order.Key, State: contract.RunQueued, MayHaveStarted: r.mayHaveRun}
+		if r.host != nil {
+			msg.Worker = r.host.address.Worker
+			msg.LateWorkers = []string{msg.Worker}
+		}
 	}
 	fx.reports = append(fx.reports, report{home, msg})
 }
@@ -145,6 +165,18 @@
 	for _, c := range fx.crashes {
 		p.o.Crashed(c)
 	}
+	// They also have to know which workers may still execute a start before they order the next run of its task.
+	for _, s := range fx.lateStarts {
+		if p.o.LateStart != nil {
+			p.o.LateStart(s)
+		}
+	}
+	for _, worker := range fx.replaced {
+		if p.o.WorkerReplaced != nil {
+			p.o.WorkerReplaced(worker)
+		}
+	}
+	p.completeReports(fx.reports)
 	for _, r := range fx.reports {
 		if r.home != "" {
 			p.o.Report(r.home, r.RunReport)
@@ -179,7 +211,7 @@
 	p.detach(r)
 	r.state, r.endedAt = runFinal, now
 	r.outcome = contract.RunReport{Key: r.order.Key, State: state, Worker: worker, Token: r.token,
-		MayHaveStarted: r.mayHaveRun, RunTime: took, MayStartLate: p.late.ofTask(r.order.Key)}
+		MayHaveStarted: r.mayHaveRun, RunTime: took}
 	fx.report(r)
 	p.counter(proofs[proof].counter).Inc(1)
 	p.o.Logger.Info("run ended", append([]any{"task", r.order.Key.String(), "state", state.String(), "worker", worker,
@@ -193,6 +225,11 @@
 	now := p.o.Now()
 	h := r.host.host
 	worker := h.Listing.Worker
+	var lateWorkers []string
+	if r.state == runStarting || r.state == runInDoubt {
+		// The start call under way may get no reply.
+		lateWorkers = []string{worker}
+	}
 	p.counter(proofs[reason].counter).Inc(1)
 	p.o.Logger.Info("run is left to the next owner of its worker", "task", r.order.Key.String(), "worker", worker,
 		"reason", reason.String(), "token", r.token, "worker_start", r.workerStart, "lease_end", h.LeaseEnd(),
@@ -201,7 +238,7 @@
 	delete(p.runs, r.order.Key)
 	p.barredRuns[r.order.Key] = barredRun{at: now, state: contract.RunLost}
 	fx.reports = append(fx.reports, report{r.home, contract.RunReport{
-		Key: r.order.Key, State: contract.RunLost, Worker: worker, MayHaveStarted: r.mayHaveRun,
+		Key: r.order.Key, State: contract.RunLost, Worker: worker, MayHaveStarted: r.mayHaveRun, LateWorkers: lateWorkers,
 	}})
 }
 
