edge: tell all members of starts without a reply

The record of a start that got no reply is lost when the owner of its worker is killed. Each daemon has a ledger of such starts now. A message holds 1,000 entries at most; a malformed entry is ignored, and no record lasts longer than contract.LateStartRetention.

With a daemon that sends no list to a member that returns, TestLateStartsReachMembersThatMissedThem fails; without the message to members that are no contacts, and without the one that goes with a status, TestLateStartsAreAnnouncedToAllMembersInTime fails.

--- a/edge/announcedjobs.go
+++ b/edge/announcedjobs.go
@@ -24,7 +24,7 @@
 }
 
 // take returns the announcements for the recipients of a status, nil for none.
-func (a *announcedJobs) take(to statusRecipients, now time.Time, timestamp uint64) (held heldMessages) {
+func (a *announcedJobs) take(to statusRecipients, now time.Time, timestamp uint64) (held audienceMessages) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if len(a.near) > 0 && (to.near || to.all) {
--- a/edge/contacts.go
+++ b/edge/contacts.go
@@ -133,10 +133,10 @@
 
 // SendStatus queues the status of this process for some members. Those whose statuses it needs are told so. The status
 // introduces this process to members that are not live, and to all from time to time: the description of a member is
-// larger than the rest. The announcements held of jobs go with it, to the contacts in the own failure domain and in others.
+// larger than the rest. The attached announcements go with it, to the contacts in the own failure domain and in others.
 // SendStatus returns the number of contacts in other failure domains.
 func (m *Members) SendStatus(
-	status *api.PoolStatus, held heldMessages, to statusRecipients, now time.Time,
+	status *api.PoolStatus, attached statusAttachments, to statusRecipients, now time.Time,
 ) (contacts int) {
 	variants := make(map[statusVariant][]*api.PeerMessage)
 	m.broadcast(func(e *member) []*api.PeerMessage {
@@ -150,12 +150,15 @@
 			return nil
 		}
 		v := statusVariant{
-			subscribe: needed && !near, introduce: to.all || !e.live, announcement: held.message(near, m.isContact(e)),
+			subscribe: needed && !near, introduce: to.all || !e.live,
+			held: attached.held.message(near, m.isContact(e)), late: attached.late.message(near, m.isContact(e)),
 		}
 		if variants[v] == nil {
 			variants[v] = []*api.PeerMessage{m.encodeStatus(status, v)}
-			if v.announcement != nil {
-				variants[v] = append(variants[v], v.announcement)
+			for _, announcement := range []*api.PeerMessage{v.held, v.late} {
+				if announcement != nil {
+					variants[v] = append(variants[v], announcement)
+				}
 			}
 		}
 		return variants[v]
@@ -166,24 +169,29 @@
 // statusVariant is what a status contains depending on its receiver.
 type statusVariant struct {
 	subscribe, introduce bool
-	// announcement is sent with the status; nil for none.
-	announcement *api.PeerMessage
+	// held and late are the announcements that are sent with the status; nil for none.
+	held, late *api.PeerMessage
 }
 
-// heldMessages are the announcements of jobs for the own failure domain and for others; nil for none.
-type heldMessages struct {
+// statusAttachments are the announcements of jobs and of starts without a reply that are sent with a status.
+type statusAttachments struct {
+	held, late audienceMessages
+}
+
+// audienceMessages are an announcement for the contacts in the own failure domain and for those in others; nil for none.
+type audienceMessages struct {
 	near, far *api.PeerMessage
 }
 
 // message returns the announcement for a member.
-func (h heldMessages) message(near, contact bool) *api.PeerMessage {
+func (a audienceMessages) message(near, contact bool) *api.PeerMessage {
 	switch {
 	case !contact:
 		return nil
 	case near:
-		return h.near
+		return a.near
 	default:
-		return h.far
+		return a.far
 	}
 }
 
--- a/edge/daemon.go
+++ b/edge/daemon.go
@@ -89,16 +89,19 @@
 	held       *contract.HeldLedger
 	relays     *heldRelays
 	toAnnounce announcedJobs
-	confined   *contract.Confinement
-	home       *batch.Home
-	server     *link.PeerServer
-	workers    *workers
-	feed       *workerFeed
-	entries    *entryRequests
-	announced  *announcements
-	cancel     context.CancelFunc
-	goroutines sync.WaitGroup
-	started    time.Time
+	lateStarts *contract.LateStartLedger
+	// announcedLate holds the starts without a reply to announce.
+	announcedLate announcedLateStarts
+	confined      *contract.Confinement
+	home          *batch.Home
+	server        *link.PeerServer
+	workers       *workers
+	feed          *workerFeed
+	entries       *entryRequests
+	announced     *announcements
+	cancel        context.CancelFunc
+	goroutines    sync.WaitGroup
+	started       time.Time
 	// firstTimestamp is the timestamp of the start. It is random, so that a timestamp of a previous process of the VM
 	// proves nothing.
 	firstTimestamp uint64
@@ -149,7 +152,7 @@
 		firstTimestamp: rand.Uint64N(timestampRange),
 		pools:          make(map[string]*pool.Pool), lastPresent: make(map[string]time.Time), workers: newWorkers(o.Logger),
 		crashes: contract.NewCrashLedger(), cancels: contract.NewCancelLedger(), held: contract.NewHeldLedger(),
-		relays:   newHeldRelays(),
+		relays: newHeldRelays(), lateStarts: contract.NewLateStartLedger(),
 		confined: contract.NewConfinement(),
 	}
 	d.members = newMembers(o.Self, d.dialPeer, o.Logger)
@@ -245,6 +248,7 @@
 	d.held.Expire(now)
 	d.relays.expire(now)
 	d.announced.Repeat(now)
+	d.updateLateStarts(now)
 	d.members.ChoosePartners()
 	d.members.SettleLists(now)
 	d.members.UpdateElectorate()
--- /dev/null
+++ b/edge/latestarts.go
@@ -0,0 +1,221 @@
+package edge
+
+import (
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cicadadale/cicadadale/api"
+	"github.com/cicadadale/cicadadale/contract"
+)
+
+const (
+	// maxLateStartsInMessage bounds the starts, and the replaced workers, in one announcement.
+	maxLateStartsInMessage = 1000
+	// maxWorkerID is the length in bytes up to which the id of a worker in an announcement is recorded.
+	maxWorkerID = 256
+	// lateStartInterval is the time between announcements to members that are no contacts, for a few of them. It grows by
+	// lateStartSpacing with each member, up to maxLateStartInterval: all have to know of a start without a reply before its job
+	// can be submitted to another home, 1.3 s after its channel has broken.
+	lateStartInterval    = 100 * time.Millisecond
+	lateStartSpacing     = 4 * time.Millisecond
+	maxLateStartInterval = 500 * time.Millisecond
+)
+
+// lateStartNews are starts without a reply, and workers that cannot execute any such start any more.
+type lateStartNews struct {
+	starts   []contract.LateStart
+	replaced []string
+}
+
+func (n *lateStartNews) empty() bool { return len(n.starts) == 0 && len(n.replaced) == 0 }
+
+func (n *lateStartNews) add(o lateStartNews) {
+	n.starts = append(n.starts, o.starts...)
+	n.replaced = append(n.replaced, o.replaced...)
+}
+
+// take removes the news that one message holds and returns the message, nil for none.
+func (n *lateStartNews) take(now time.Time) *api.PeerMessage {
+	if n.empty() {
+		return nil
+	}
+	starts, replaced := min(len(n.starts), maxLateStartsInMessage), min(len(n.replaced), maxLateStartsInMessage)
+	m := encodeLateStarts(lateStartNews{n.starts[:starts], n.replaced[:replaced]}, now)
+	n.starts, n.replaced = n.starts[starts:], n.replaced[replaced:]
+	return m
+}
+
+// current returns the news that a ledger still confirms. A worker of which there is a record again has come back.
+func (n lateStartNews) current(ledger *contract.LateStartLedger) lateStartNews {
+	var left lateStartNews
+	for _, s := range n.starts {
+		if slices.Contains(ledger.Workers(s.Task), s.Worker) {
+			left.starts = append(left.starts, s)
+		}
+	}
+	if len(n.replaced) == 0 {
+		return left
+	}
+	recorded := make(map[string]bool)
+	for _, s := range ledger.All() {
+		recorded[s.Worker] = true
+	}
+	for _, worker := range n.replaced {
+		if !recorded[worker] {
+			left.replaced = append(left.replaced, worker)
+		}
+	}
+	return left
+}
+
+// announcedLateStarts holds what the other members are to be told of starts without a reply. Contacts are told with the next
+// status, since an envelope of its own costs as much as a status. mu guards the fields below it.
+type announcedLateStarts struct {
+	mu sync.Mutex
+	// near and far are the news for the contacts in the own failure domain and in others, others those for all other members.
+	near, far, others lateStartNews
+	// toRepeat are the news that are to be told again, the oldest first.
+	toRepeat []toldLateStarts
+	// othersToldAt is when the members that are no contacts were last told.
+	othersToldAt time.Time
+}
+
+// toldLateStarts are news that were added at a time.
+type toldLateStarts struct {
+	lateStartNews
+	at time.Time
+}
+
+// add adds news to the next announcements. They are told once more after announcementRepeat.
+func (a *announcedLateStarts) add(n lateStartNews, now time.Time) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.tell(n)
+	a.toRepeat = append(a.toRepeat, toldLateStarts{n, now})
+}
+
+// tell expects a.mu to be held.
+func (a *announcedLateStarts) tell(n lateStartNews) {
+	for _, audience := range []*lateStartNews{&a.near, &a.far, &a.others} {
+		audience.add(n)
+	}
+}
+
+// repeat tells the news again that are old enough and still hold.
+func (a *announcedLateStarts) repeat(now time.Time, ledger *contract.LateStartLedger) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	var due lateStartNews
+	for len(a.toRepeat) > 0 && now.Sub(a.toRepeat[0].at) >= announcementRepeat {
+		due.add(a.toRepeat[0].lateStartNews)
+		a.toRepeat = a.toRepeat[1:]
+	}
+	if !due.empty() {
+		a.tell(due.current(ledger))
+	}
+}
+
+// take returns the announcements for the recipients of a status.
+func (a *announcedLateStarts) take(to statusRecipients, now time.Time) (late audienceMessages) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if to.near || to.all {
+		late.near = a.near.take(now)
+	}
+	if to.contacts || to.all {
+		late.far = a.far.take(now)
+	}
+	return late
+}
+
+// takeOthers returns the announcement for the members that are no contacts if it is due, nil for none.
+func (a *announcedLateStarts) takeOthers(members int, now time.Time) *api.PeerMessage {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	interval := min(max(time.Duration(members)*lateStartSpacing, lateStartInterval), maxLateStartInterval)
+	if a.others.empty() || now.Sub(a.othersToldAt) < interval {
+		return nil
+	}
+	a.othersToldAt = now
+	return a.others.take(now)
+}
+
+// lateStart records a start of an own pool that got no reply, and tells all members.
+func (d *Daemon) lateStart(s contract.LateStart) {
+	d.lateStarts.Record(s)
+	d.announcedLate.add(lateStartNews{starts: []contract.LateStart{s}}, d.o.Now())
+}
+
+// workerReplaced records that a worker of an own pool cannot execute any earlier start any more, and tells all members.
+func (d *Daemon) workerReplaced(worker string) {
+	d.lateStarts.Replaced(worker)
+	d.announcedLate.add(lateStartNews{replaced: []string{worker}}, d.o.Now())
+}
+
+// updateLateStarts drops the records that have ended, and sends the announcements that are due without a status.
+func (d *Daemon) updateLateStarts(now time.Time) {
+	d.lateStarts.Expire(now)
+	d.announcedLate.repeat(now, d.lateStarts)
+	if m := d.announcedLate.takeOthers(d.members.Count(), now); m != nil {
+		d.members.BroadcastOthers(m)
+	}
+}
+
+// handleLateStarts records what another member has announced.
+func (d *Daemon) handleLateStarts(m *api.LateStarts) {
+	news := decodeLateStarts(m, d.o.Now())
+	for _, worker := range news.replaced {
+		d.lateStarts.Replaced(worker)
+	}
+	for _, s := range news.starts {
+		d.lateStarts.Record(s)
+	}
+}
+
+// lateStartList returns all records, for a member that has just joined or was out of contact.
+func (d *Daemon) lateStartList() []*api.PeerMessage {
+	now := d.o.Now()
+	news := lateStartNews{starts: d.lateStarts.All()}
+	var list []*api.PeerMessage
+	for !news.empty() {
+		list = append(list, news.take(now))
+	}
+	return list
+}
+
+// encodeLateStarts converts times to remaining durations, since the clocks of two VMs differ.
+func encodeLateStarts(n lateStartNews, now time.Time) *api.PeerMessage {
+	m := &api.LateStarts{Replaced: n.replaced}
+	for _, s := range n.starts {
+		m.Starts = append(m.Starts, &api.LateStart{
+			Task: encodeKey(s.Task.Task()), Worker: s.Worker, LeftMs: clampMillis(s.Until.Sub(now)),
+		})
+	}
+	return &api.PeerMessage{Body: &api.PeerMessage_LateStarts{LateStarts: m}}
+}
+
+// decodeLateStarts returns the valid entries of an announcement.
+func decodeLateStarts(m *api.LateStarts, now time.Time) lateStartNews {
+	var n lateStartNews
+	for _, s := range firstOf(m.GetStarts(), maxLateStartsInMessage) {
+		job, left := s.GetTask().GetJob(), time.Duration(s.GetLeftMs())*time.Millisecond
+		if job == "" || len(job) > maxJobID || !validWorker(s.GetWorker()) || left == 0 {
+			continue
+		}
+		n.starts = append(n.starts, contract.LateStart{
+			Task: decodeKey(s.GetTask()).Task(), Worker: s.GetWorker(), Until: now.Add(min(left, contract.LateStartRetention)),
+		})
+	}
+	n.replaced = decodeWorkers(firstOf(m.GetReplaced(), maxLateStartsInMessage))
+	return n
+}
+
+// decodeWorkers returns the valid ids of a list.
+func decodeWorkers(list []string) []string {
+	return slices.DeleteFunc(slices.Clone(list), func(worker string) bool { return !validWorker(worker) })
+}
+
+func validWorker(id string) bool { return id != "" && len(id) <= maxWorkerID }
+
+func firstOf[T any](list []T, n int) []T { return list[:min(len(list), n)] }
--- /dev/null
+++ b/edge/latestarts_test.go
@@ -0,0 +1,147 @@
+package edge
+
+import (
+	"fmt"
+	"math"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/cicadadale/cicadadale/api"
+	"github.com/cicadadale/cicadadale/contract"
+)
+
+// lateStartNewsTime is the time within which all members have to know of a start without a reply: a job is submitted again 1.3 s
+// after its channel has broken, and the start may have been made 0.7 s later.
+const lateStartNewsTime = 600 * time.Millisecond
+
+var lateTask = contract.RunKey{Batch: "00000000000000aa", Step: 1, Index: 2}
+
+func (d *deployment) lateWorkers(vm string) []string {
+	return d.daemons[vm].lateStarts.Workers(lateTask)
+}
+
+// announceLate lets a daemon announce a start without a reply.
+func (d *deployment) announceLate(vm, worker string) {
+	key := lateTask
+	key.Run = 7
+	d.daemons[vm].lateStart(contract.LateStart{
+		Task: key, Worker: worker, Until: time.Now().Add(contract.LateStartRetention),
+	})
+}
+
+// Guards against a record of a start without a reply that is lost with the owner of the worker: all members know of it before its
+// job can be submitted to another home, also in a deployment in which most members are no contacts.
+func TestLateStartsAreAnnouncedToAllMembersInTime(t *testing.T) {
+	for _, daemons := range []int{2, maxFullMesh + 4} {
+		inVirtualTime(t, func(t *testing.T) {
+			d := newDeployment(t, 2, daemons, 1)
+			defer d.close()
+			time.Sleep(3 * time.Second)
+			d.announceLate("edge-0-0", "w")
+			time.Sleep(lateStartNewsTime)
+			for vm := range d.daemons {
+				require.Equal(t, []string{"w"}, d.lateWorkers(vm), vm)
+			}
+			d.daemons["edge-0-0"].workerReplaced("w")
+			time.Sleep(lateStartNewsTime)
+			for vm := range d.daemons {
+				require.Empty(t, d.lateWorkers(vm), vm)
+			}
+		})
+	}
+}
+
+// Guards against a record that is lost with the message, that a member which joins or returns does not get, or that is kept for ever.
+func TestLateStartsReachMembersThatMissedThem(t *testing.T) {
+	inVirtualTime(t, func(t *testing.T) {
+		d := newDeployment(t, 2, 2, 1)
+		defer d.close()
+		d.net.setCut(betweenMembers(func(_, to string) bool { return to == "edge-1-1" }))
+		d.announceLate("edge-0-0", "w")
+		time.Sleep(2 * time.Second)
+		require.Empty(t, d.lateWorkers("edge-1-1"))
+		d.killDaemon("edge-0-0")
+		d.net.setCut(noCut)
+		d.startDaemon(zoneName(0), "edge-0-2")
+		time.Sleep(2 * time.Second)
+		for _, vm := range []string{"edge-1-1", "edge-0-2"} {
+			require.Equal(t, []string{"w"}, d.lateWorkers(vm), vm)
+		}
+		time.Sleep(contract.LateStartRetention)
+		for vm := range d.daemons {
+			require.Empty(t, d.lateWorkers(vm), vm)
+		}
+	})
+}
+
+// Guards against an announcement that is repeated although it does not hold any more: a worker has been replaced, or there is a
+// start without a reply at a worker that has come back.
+func TestLateStartsAreRepeatedWhileTheyHold(t *testing.T) {
+	now, ledger := time.Now(), contract.NewLateStartLedger()
+	record := func(worker string) contract.LateStart {
+		s := contract.LateStart{Task: lateTask, Worker: worker, Until: now.Add(time.Second)}
+		ledger.Record(s)
+		return s
+	}
+	var a announcedLateStarts
+	all := statusRecipients{all: true}
+	a.add(lateStartNews{starts: []contract.LateStart{record("a"), record("b")}, replaced: []string{"c", "d"}}, now)
+	first := a.take(all, now).near.GetLateStarts()
+	require.Len(t, first.GetStarts(), 2)
+	require.Equal(t, []string{"c", "d"}, first.GetReplaced())
+
+	ledger.Replaced("a")
+	record("c")
+	a.repeat(now.Add(announcementRepeat-1), ledger)
+	require.Nil(t, a.take(all, now).near)
+	a.repeat(now.Add(announcementRepeat), ledger)
+	again := a.take(all, now.Add(announcementRepeat))
+	require.Len(t, again.near.GetLateStarts().GetStarts(), 1)
+	require.Equal(t, "b", again.near.GetLateStarts().GetStarts()[0].GetWorker())
+	require.Equal(t, []string{"d"}, again.near.GetLateStarts().GetReplaced())
+	require.NotNil(t, again.far)
+	require.NotNil(t, a.takeOthers(1, now))
+	a.repeat(now.Add(time.Hour), ledger)
+	require.Nil(t, a.take(all, now).near)
+}
+
+// Guards against a message without bound, and news that are dropped because they do not fit into one.
+func TestLateStartMessagesAreBounded(t *testing.T) {
+	now := time.Now()
+	news := lateStartNews{replaced: []string{"r"}}
+	for i := range 2*maxLateStartsInMessage + 1 {
+		news.starts = append(news.starts, contract.LateStart{
+			Task: contract.RunKey{Batch: fmt.Sprint(i)}, Worker: "w", Until: now.Add(time.Second),
+		})
+	}
+	var received lateStartNews
+	for messages := 0; !news.empty(); messages++ {
+		require.Less(t, messages, 3)
+		received.add(decodeLateStarts(news.take(now).GetLateStarts(), now))
+	}
+	require.Len(t, received.starts, 2*maxLateStartsInMessage+1)
+	require.Equal(t, []string{"r"}, received.replaced)
+	require.Equal(t, now.Add(time.Second), received.starts[0].Until)
+}
+
+// Guards against a malformed announcement or report that is recorded, or that leads to a record that never ends.
+func TestMalformedLateStartsAreIgnored(t *testing.T) {
+	now := time.Now()
+	long := strings.Repeat("a", maxWorkerID+1)
+	valid := &api.LateStart{Task: &api.TaskKey{Job: "a", Run: 5}, Worker: "w", LeftMs: math.MaxUint32}
+	m := &api.LateStarts{Replaced: []string{"", long, "r"}, Starts: []*api.LateStart{
+		nil, {}, {Task: valid.GetTask(), LeftMs: 1}, {Task: valid.GetTask(), Worker: long, LeftMs: 1}, {Worker: "w", LeftMs: 1},
+		{Task: &api.TaskKey{Job: long}, Worker: "w", LeftMs: 1}, {Task: valid.GetTask(), Worker: "w"}, valid,
+	}}
+	news := decodeLateStarts(m, now)
+	require.Equal(t, []contract.LateStart{
+		{Task: contract.RunKey{Batch: "a"}, Worker: "w", Until: now.Add(contract.LateStartRetention)},
+	}, news.starts)
+	require.Equal(t, []string{"r"}, news.replaced)
+	m.Starts = slices.Repeat([]*api.LateStart{valid}, maxLateStartsInMessage+1)
+	require.Len(t, decodeLateStarts(m, now).starts, maxLateStartsInMessage)
+}
--- a/edge/messages.go
+++ b/edge/messages.go
@@ -3,7 +3,6 @@
 import (
 	"maps"
 	"math"
-	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -151,52 +150,15 @@
 	for backend, capacity := range capacities {
 		status.Rooms = append(status.Rooms, encodeCapacity(backend, capacity))
 	}
-	contacts := d.members.SendStatus(status, d.toAnnounce.take(to, now, status.GetStampMs()), to, now)
+	attached := statusAttachments{
+		held: d.toAnnounce.take(to, now, status.GetStampMs()), late: d.announcedLate.take(to, now),
+	}
+	contacts := d.members.SendStatus(status, attached, to, now)
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.contacts = contacts
 }
 
-// requestDesired requests the desired state of a member that has had a newer one for a while. Only one member is asked
-// at a time: the document may be large, and all members send it at once if they offer it unasked.
-func (d *Daemon) requestDesired(now time.Time) {
-	d.mu.Lock()
-	version := d.desired.Version
-	d.mu.Unlock()
-	ahead := d.members.Ahead(version)
-	d.mu.Lock()
-	switch {
-	case len(ahead) == 0:
-		d.behindSince = time.Time{}
-	case d.behindSince.IsZero():
-		d.behindSince = now
-	}
-	due := len(ahead) > 0 && now.Sub(d.behindSince) >= desiredStateLag && now.Sub(d.requestedAt) >= desiredStateRetry
-	if due {
-		d.requestedAt = now
-	}
-	d.mu.Unlock()
-	if due {
-		d.members.Send(ahead[rand.IntN(len(ahead))], &api.PeerMessage{Body: &api.PeerMessage_DesiredStateRequest{
-			DesiredStateRequest: &api.DesiredStateRequest{},
-		}})
-	}
-}
-
-// sendDesired sends the desired state of this process to a member that has requested it.
-func (d *Daemon) sendDesired(id string) {
-	d.mu.Lock()
-	version, document := d.desired.Version, d.desired.Document
-	d.mu.Unlock()
-	if version == 0 {
-		return
-	}
-	d.o.Logger.Info("sending the desired state to a member that has an older one", "member", id, "version", version)
-	d.members.Send(id, &api.PeerMessage{Body: &api.PeerMessage_DesiredState{
-		DesiredState: &api.DesiredState{Version: version, Document: document},
-	}})
-}
-
 // timestamp returns the time since the start of this process, in milliseconds, offset by firstTimestamp.
 func (d *Daemon) timestamp(now time.Time) uint64 {
 	return d.firstTimestamp + uint64(max(now.Sub(d.started).Milliseconds(), 0))
@@ -234,7 +196,8 @@
 		return link.Accepted
 	}
 	if becameLive {
-		d.members.Send(id, slices.Concat(d.crashList(), d.cancelList(), d.heldList(), []*api.PeerMessage{d.memberList()})...)
+		d.members.Send(id, slices.Concat(d.crashList(), d.cancelList(), d.heldList(), d.lateStartList(),
+			[]*api.PeerMessage{d.memberList()})...)
 		d.assignWorkers()
 	}
 	for _, m := range env.GetMessages() {
@@ -285,6 +248,8 @@
 		d.recordCrash(decodeCrash(b.WorkerCrash, d.o.Now()))
 	case *api.PeerMessage_JobCancel:
 		d.handleCancel(id, decodeCancel(b.JobCancel, d.o.Now()))
+	case *api.PeerMessage_LateStarts:
+		d.handleLateStarts(b.LateStarts)
 	case *api.PeerMessage_HeldJobs:
 		d.handleHeldJobs(id, b.HeldJobs)
 	case *api.PeerMessage_HeldJobsRequest:
@@ -438,7 +403,8 @@
 		Deadline: now.Add(time.Duration(m.GetDeadlineMs()) * time.Millisecond),
 		Expected: time.Duration(m.GetExpectedMs()) * time.Millisecond, RequiredLabel: m.GetRequiredLabel(),
 		PreferredRack: m.GetPreferredRack(), Claim: m.GetClaim(), PerWorkerLimit: int(m.GetPerWorker()),
-		Accepted: now.Add(-time.Duration(m.GetAgeMs()) * time.Millisecond), Route: m.GetRoute(), Alone: m.GetAlone(), ClaimToken: m.GetClaimToken(),
+		Accepted: now.Add(-time.Duration(m.GetAgeMs()) * time.Millisecond), Route: m.GetRoute(), Alone: m.GetAlone(),
+		ClaimToken: m.GetClaimToken(),
 	}
 }
 
