batch, edge: order the next run where an earlier start may be executed

The home knew only the owner of the worker that may still execute an earlier start of a task, from the last report of the task, and lost that with the owner or the job. It now records the workers that any report names in the daemon's ledger. While that names one worker for a task, the next run is ordered from the present owner of the worker, as the list of workers and the members give it, for this worker only, and is not moved. While it names several, or the worker is not listed or has no live owner, the task is not ordered and is tried again with the usual pauses. Reports of the pools name the workers beside MayStartLate.

TestNextRunIsOrderedAtTheOwnerOfALateStart required only the same owner for 20 runs. In its place, TestNextRunIsOrderedOnlyOnTheWorkerOfALateStart requires for 20 runs the present owner and the only worker, also after the worker has changed its owner in the middle and without free capacity there. With an order that ignores the ledger, as before, it fails, and so do TestTaskIsNotBoundToAWorkerWithoutALateStart and TestTaskIsNotOrderedWithoutTheWorkerOfALateStart. TestOrderAndReportNameWorkersOfLateStarts fails without the field in decodeOrder, TestOwnerOfIsTheMemberThatHasTheWorker if this process is left out of the candidates. All pass now. The code that assigns workers moves to a file of its own.

--- a/batch/advance.go
+++ b/batch/advance.go
@@ -90,8 +90,9 @@
 // alone stays: free capacity says nothing about empty workers, and its owner is emptying one for it. So does one that waits
 // for the worker that may still execute an earlier start.
 func (h *Home) shouldMove(j *job, t *task, now time.Time) bool {
-	return t.state == taskPlaced && !t.started && !t.alone && !t.waitsForLateWorker(now) && now.Sub(t.placedAt) > moveAfter &&
-		now.Sub(t.recalledAt) > recallRetry && h.o.Capacity.ShouldMove(j.batch.Backend, t.owner, j.steps[t.step].expected)
+	return t.state == taskPlaced && !t.started && !t.alone && now.Sub(t.placedAt) > moveAfter &&
+		now.Sub(t.recalledAt) > recallRetry && !h.hasLateStart(j, t) &&
+		h.o.Capacity.ShouldMove(j.batch.Backend, t.owner, j.steps[t.step].expected)
 }
 
 // checkDeadline ends a job whose deadline has passed, or refuses one that has not started and cannot end before it.
@@ -107,7 +108,7 @@
 
 // place orders the next run of a task.
 func (h *Home) place(j *job, t *task, now time.Time, out *outbox) {
-	owner, ok := h.chooseOwner(j, t, now)
+	owner, onlyWorker, ok := h.chooseOwner(j, t)
 	if !ok {
 		t.retryAt = now.Add(placeRetry)
 		if len(t.infeasibleOwners) > 0 {
@@ -119,21 +120,21 @@
 	}
 	t.state, t.owner, t.placedAt, t.contactAt = taskPlaced, owner, now, time.Time{}
 	t.started, t.withdrawn, t.worker, t.token, t.recalledAt = false, false, "", 0, time.Time{}
+	t.onlyWorker, t.lateWait = onlyWorker, ""
 	t.alone = h.suspect(j, t)
 	out.order(j, t, j.order(t))
 	out.ordered = append(out.ordered, fmt.Sprintf("%s at %s, %s", j.key(t), t.owner, logattr.Ago("contact", now, t.contactAt)))
 }
 
-// chooseOwner chooses the owner that starts the next run of a task: the one whose worker may still execute an earlier start,
-// since that owner starts it on this worker, or the one that is expected to start it first.
-func (h *Home) chooseOwner(j *job, t *task, now time.Time) (string, bool) {
-	expected := j.steps[t.step].expected
-	excluded := func(id string) bool { return slices.Contains(t.infeasibleOwners, id) }
-	if t.mayStartLate(now) && !excluded(t.lateOwner) &&
-		h.o.Capacity.ReserveAt(t.lateOwner, j.batch.Backend, j.batch.Priority, expected) {
-		return t.lateOwner, true
+// chooseOwner chooses the owner that starts the next run of a task: the one that is expected to start it first, or the owner of
+// the only worker on which it may start, which it returns too.
+func (h *Home) chooseOwner(j *job, t *task) (owner, onlyWorker string, ok bool) {
+	if late := h.o.LateStarts.Workers(j.key(t)); len(late) > 0 {
+		return h.ownerOfLateStart(j, t, late)
 	}
-	return h.o.Capacity.Reserve(j.batch.Backend, j.batch.Priority, expected, excluded)
+	excluded := func(id string) bool { return slices.Contains(t.infeasibleOwners, id) }
+	owner, ok = h.o.Capacity.Reserve(j.batch.Backend, j.batch.Priority, j.steps[t.step].expected, excluded)
+	return owner, "", ok
 }
 
 // unplace makes a task ready for its next run.
@@ -195,6 +196,7 @@
 // Report processes an owner's report of a run.
 func (h *Home) Report(from PoolRef, r contract.RunReport) {
 	now := h.o.Now()
+	h.recordLateWorkers(r, now)
 	out := h.newOutbox()
 	if r.State.Final() {
 		out.acknowledge(from, r.Key)
@@ -221,9 +223,6 @@
 		h.logIgnored(owner, r, "other owner or older token")
 		return
 	}
-	if r.MayStartLate {
-		t.lateOwner, t.lateUntil = owner, now.Add(contract.LateStartLimit)
-	}
 	switch r.State {
 	case contract.RunStarted:
 		h.handleStarted(j, t, owner, r, out)
--- a/batch/convergence_test.go
+++ b/batch/convergence_test.go
@@ -102,6 +102,7 @@
 	runs     *liveRuns
 	owners   map[string]*convergenceOwner
 	ids      []string
+	late     *lateWorkers
 	callers  sync.WaitGroup
 	members  sync.WaitGroup
 }
@@ -145,6 +146,7 @@
 		t: t, rng: newRandom(seed, 1), began: time.Now(), done: make(chan struct{}), log: &lockedLog{},
 		capacity: zone.NewCapacityView(convergenceHome, "z"), ids: []string{"a/1", "b/1"},
 		runs: &liveRuns{running: make(map[contract.RunKey]contract.RunKey)}, owners: make(map[string]*convergenceOwner),
+		late: &lateWorkers{ledger: contract.NewLateStartLedger()},
 	}
 	if c.rng.intN(2) == 0 {
 		// The home owns workers too.
@@ -168,6 +170,7 @@
 	c.home = batch.New(batch.Options{
 		Self: convergenceHome, Owners: toOwners{c}, Members: newMajority(), Capacity: c.capacity,
 		Crashes: contract.NewCrashLedger(), Cancels: contract.NewCancelLedger(), Held: contract.NewHeldLedger(),
+		LateStarts: c.late.ledger, OwnerOf: c.late.ownerOf,
 		Fits: func(string, machine.Resources, string) (bool, bool) { return true, true }, Now: time.Now,
 		Logger: c.logger(convergenceHome), Metrics: metrics.NewRegistry(),
 	})
@@ -226,6 +229,7 @@
 			return
 		case <-ticker.C:
 		}
+		c.late.ledger.Expire(time.Now())
 		capacity, timestamp := m.pool.FreeCapacity(), c.timestamp(time.Now())
 		c.toHome(m, func() {
 			m.contact.record(batch.Contact{Timestamp: timestamp, ReceivedAt: time.Now()})
@@ -248,6 +252,7 @@
 		Worker: convergenceWorker, Backend: convergenceBackend, Address: convergenceWorker, StartTime: c.host.StartTime(),
 		Capacity: machine.Resources{CPUMillis: workerSlots * taskCPU},
 	}
+	c.late.assign(owners)
 	for _, id := range c.ids {
 		if slices.Contains(owners, id) {
 			c.owners[id].pool.SetHosts([]machine.Listing{listing})
--- a/batch/convergencenet_test.go
+++ b/batch/convergencenet_test.go
@@ -366,3 +366,27 @@
 }
 
 func (w *workerWay) CloseIdleConnections(link.HostAddress) {}
+
+// lateWorkers is what the home knows of starts without a reply, and of the owner of the worker. mu guards the field below it.
+type lateWorkers struct {
+	ledger *contract.LateStartLedger
+
+	mu     sync.Mutex
+	owners []string
+}
+
+func (l *lateWorkers) assign(owners []string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.owners = owners
+}
+
+// ownerOf returns the first of the owners to which the worker is assigned.
+func (l *lateWorkers) ownerOf(string) (string, bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if len(l.owners) == 0 {
+		return "", false
+	}
+	return l.owners[0], true
+}
--- a/batch/home.go
+++ b/batch/home.go
@@ -68,6 +68,10 @@
 	Cancels *contract.CancelLedger
 	// Held records the jobs that other members have announced.
 	Held *contract.HeldLedger
+	// LateStarts records the starts without a reply that workers may still execute.
+	LateStarts *contract.LateStartLedger
+	// OwnerOf returns the live member that owns a listed worker. It does not block and does not call the home.
+	OwnerOf func(worker string) (owner string, ok bool)
 	// Fits reports whether any listed worker of a back end can hold a task. known is false if no worker of the back end
 	// is listed.
 	Fits    func(backend string, need machine.Resources, label string) (fits, known bool)
--- a/batch/home_test.go
+++ b/batch/home_test.go
@@ -26,12 +26,14 @@
 	orderOwners []string
 	recalls     []contract.RunKey
 	withdrawals []contract.RunKey
-	acks        []contract.RunKey
-	held        []contract.HeldJob
-	releases    []contract.JobRelease
-	heard       time.Time
-	majorityAt  time.Time
-	electorate  *zone.Electorate
+	// workerOwners holds the owners of the listed workers.
+	workerOwners map[string]string
+	acks         []contract.RunKey
+	held         []contract.HeldJob
+	releases     []contract.JobRelease
+	heard        time.Time
+	majorityAt   time.Time
+	electorate   *zone.Electorate
 	// needsMajority is the only electorate to which majorityAt applies, nil for all.
 	needsMajority *zone.Electorate
 	// othersMayHaveMajority is the answer of CanHaveMajority.
@@ -105,6 +107,14 @@
 	return slices.Clone(r.withdrawals)
 }
 
+// ownerOfWorker returns the owner that the test has set.
+func (r *recorder) ownerOfWorker(worker string) (string, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	owner, ok := r.workerOwners[worker]
+	return owner, ok
+}
+
 // Electorate returns the one that the test has set, by default that of a home without other members.
 func (r *recorder) Electorate() *zone.Electorate {
 	r.mu.Lock()
@@ -188,7 +198,8 @@
 	out := &recorder{now: now}
 	return New(Options{
 		Self: self, Owners: out, Capacity: capacity, Crashes: contract.NewCrashLedger(), Cancels: contract.NewCancelLedger(),
-		Members: out, Held: contract.NewHeldLedger(), Now: now, Logger: logger,
+		Members: out, Held: contract.NewHeldLedger(), LateStarts: contract.NewLateStartLedger(), OwnerOf: out.ownerOfWorker,
+		Now: now, Logger: logger,
 		Metrics: metrics.NewRegistry(),
 		Fits:    func(_ string, need machine.Resources, _ string) (bool, bool) { return need.CPUMillis <= 64_000, true },
 	}), out
--- a/batch/job.go
+++ b/batch/job.go
@@ -46,10 +46,11 @@
 	contactAt time.Time
 	expiresAt time.Time
 	retryAt   time.Time
-	// lateOwner is the owner of the worker that may still execute an earlier start of the task, until lateUntil; empty if there is
-	// none.
-	lateOwner string
-	lateUntil time.Time
+	// onlyWorker is the worker to which the current run is bound, since it may still execute an earlier start of the task; empty
+	// for any.
+	onlyWorker string
+	// lateWait is the last logged reason for which the task is not ordered while an earlier start may still be executed.
+	lateWait string
 	// unknownOrders counts the consecutive orders that their owners reported as unknown.
 	unknownOrders int
 	// infeasibleOwners lists the owners none of whose workers can hold the task.
@@ -65,14 +66,6 @@
 	}
 }
 
-// mayStartLate reports whether a worker may still execute an earlier start of the task.
-func (t *task) mayStartLate(now time.Time) bool { return t.lateOwner != "" && now.Before(t.lateUntil) }
-
-// waitsForLateWorker reports whether the task is queued at the owner of that worker.
-func (t *task) waitsForLateWorker(now time.Time) bool {
-	return t.mayStartLate(now) && t.owner == t.lateOwner
-}
-
 // jobState is the state of a job at its home.
 type jobState uint8
 
@@ -138,7 +131,7 @@
 		Key: j.key(t), Backend: j.batch.Backend, Spec: j.batch.Spec, Need: step.Need, Priority: j.batch.Priority,
 		Accepted: j.batch.Accepted, Target: j.target, Deadline: j.batch.Deadline, Expected: expected,
 		RequiredLabel: step.RequiredLabel, PreferredRack: step.PreferredRack, PerWorkerLimit: step.PerWorkerLimit,
-		Route: j.batch.Route, Alone: t.alone,
+		Route: j.batch.Route, Alone: t.alone, OnlyWorker: t.onlyWorker,
 	}
 }
 
--- a/batch/latestart_test.go
+++ b/batch/latestart_test.go
@@ -1,8 +1,10 @@
 package batch
 
 import (
+	"context"
 	"slices"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/require"
@@ -11,6 +13,12 @@
 	"github.com/cicadadale/cicadadale/zone"
 )
 
+const (
+	lateWorker = "w"
+	// otherOwner is an owner with more free capacity than testOwner.
+	otherOwner = "other/1"
+)
+
 func (r *recorder) ownerOf(order int) string {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -23,28 +31,161 @@
 	return slices.Clone(r.recalls)
 }
 
-// Guards against two runs of a task: the next run is ordered at another owner, or moved to one, while a worker of the last
-// owner may still execute an earlier start. Later runs that report no such start stay there too.
-func TestNextRunIsOrderedAtTheOwnerOfALateStart(t *testing.T) {
-	answer := withOwner(t, func() contract.Batch { return testBatch(1, 20*time.Second) }, func(h *Home, out *recorder) {
-		h.o.Capacity.Update("other/1", "z", false, map[string]*zone.BackendCapacity{"s": {Free: 100, Slots: 100}})
-		owner := out.ownerOf(0)
+func (r *recorder) setWorkerOwners(owners map[string]string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.workerOwners = owners
+}
+
+// last returns the number of orders and the last one.
+func (r *recorder) last() (int, contract.TaskOrder) {
+	orders := r.sentOrders()
+	return len(orders), orders[len(orders)-1]
+}
+
+// withLateStart lets f act after the first run of a task has ended, whose start at lateWorker may still be executed. The worker
+// is owned by otherOwner now.
+func withLateStart(t *testing.T, limit time.Duration, f func(h *Home, out *recorder)) Answer {
+	t.Helper()
+	return withOwner(t, func() contract.Batch { return testBatch(1, limit) }, func(h *Home, out *recorder) {
+		h.o.Capacity.Update(otherOwner, "z", false, map[string]*zone.BackendCapacity{"s": {Free: 100, Slots: 100}})
+		out.setWorkerOwners(map[string]string{lateWorker: otherOwner})
+		reportLate(h, out.ownerOf(0), out.sentOrders()[0].Key, contract.RunEnded, lateWorker)
+		f(h, out)
+	})
+}
+
+// reportLate reports a run that may have started, and the workers that may still execute a start of its task.
+func reportLate(h *Home, owner string, key contract.RunKey, state contract.RunState, workers ...string) {
+	h.Report(PoolRef{Owner: owner, Backend: "s"}, contract.RunReport{
+		Key: key, State: state, MayHaveStarted: true, Token: 1, LateWorkers: workers,
+	})
+}
+
+// Guards against two runs of a task: the next run is ordered elsewhere than on the worker that may still execute an earlier
+// start, or moved to another owner. Later runs whose reports name no worker stay there too, and the run follows the worker to its
+// next owner, whatever the owners' free capacity.
+func TestNextRunIsOrderedOnlyOnTheWorkerOfALateStart(t *testing.T) {
+	answer := withLateStart(t, 20*time.Second, func(h *Home, out *recorder) {
+		owners := []string{otherOwner, testOwner}
 		for run := range 20 {
-			orders := out.sentOrders()
-			require.Len(t, orders, run+1)
-			last := orders[run].Key
-			if run > 0 {
-				require.Equal(t, owner, out.ownerOf(run), "run %d", run)
-				time.Sleep(10 * moveAfter)
-				require.NotContains(t, out.recalled(), last, "a task that waits for the worker is moved")
+			owner := owners[run/10]
+			n, last := out.last()
+			require.Equal(t, run+2, n, "orders")
+			require.Equal(t, owner, out.ownerOf(run+1), "run %d", run)
+			require.Equal(t, lateWorker, last.OnlyWorker)
+			time.Sleep(10 * moveAfter)
+			require.NotContains(t, out.recalled(), last.Key, "a task that waits for the worker is moved")
+			if run == 9 {
+				out.setWorkerOwners(map[string]string{lateWorker: owners[1]})
+				h.o.Capacity.Remove(owners[1])
 			}
-			h.Report(PoolRef{Owner: owner, Backend: "s"}, contract.RunReport{
-				Key: last, State: contract.RunEnded, MayHaveStarted: true, MayStartLate: true,
-			})
+			reportLate(h, owner, last.Key, contract.RunEnded)
+		}
+		_, last := out.last()
+		reportLate(h, testOwner, last.Key, contract.RunDone)
+	})
+	require.Equal(t, Completed, answer.Outcome)
+}
+
+// Guards against a task that is bound to a worker after its earlier start cannot be executed any more.
+func TestTaskIsNotBoundToAWorkerWithoutALateStart(t *testing.T) {
+	answer := withLateStart(t, 30*time.Second, func(h *Home, out *recorder) {
+		_, last := out.last()
+		require.Equal(t, lateWorker, last.OnlyWorker)
+		h.o.LateStarts.Expire(time.Now().Add(contract.LateStartRetention - time.Millisecond))
+		reportLate(h, otherOwner, last.Key, contract.RunEnded)
+		_, last = out.last()
+		require.Equal(t, lateWorker, last.OnlyWorker)
+		h.o.LateStarts.Expire(time.Now().Add(contract.LateStartRetention))
+		reportLate(h, otherOwner, last.Key, contract.RunEnded)
+		_, last = out.last()
+		require.Empty(t, last.OnlyWorker)
+		reportRun(h, last.Key, contract.RunDone, true)
+	})
+	require.Equal(t, Completed, answer.Outcome)
+}
+
+// Guards against a run that ends as provably not started and binds its task to a worker.
+func TestRunThatDidNotStartLeavesNoLateStart(t *testing.T) {
+	answer := withOwner(t, func() contract.Batch { return testBatch(1, time.Second) }, func(h *Home, out *recorder) {
+		reportRun(h, out.sentOrders()[0].Key, contract.RunEnded, false)
+		n, last := out.last()
+		require.Equal(t, 2, n)
+		require.Empty(t, last.OnlyWorker)
+		require.Empty(t, h.o.LateStarts.All())
+		reportRun(h, last.Key, contract.RunDone, true)
+	})
+	require.Equal(t, Completed, answer.Outcome)
+}
+
+// Guards against two runs of a task: it is ordered while the worker that may still execute its earlier start has no owner, the
+// owner has no such worker, or there are two such workers.
+func TestTaskIsNotOrderedWithoutTheWorkerOfALateStart(t *testing.T) {
+	answer := withLateStart(t, 10*time.Second, func(h *Home, out *recorder) {
+		waits := func(reason string, report func()) {
+			t.Helper()
+			n, _ := out.last()
+			report()
+			time.Sleep(time.Second)
+			after, _ := out.last()
+			require.Equal(t, n, after, reason)
 		}
-		h.Report(PoolRef{Owner: owner, Backend: "s"}, contract.RunReport{
-			Key: out.sentOrders()[20].Key, State: contract.RunDone, MayHaveStarted: true,
+		_, last := out.last()
+		out.setWorkerOwners(nil)
+		waits("worker without an owner", func() {
+			reportLate(h, otherOwner, last.Key, contract.RunEnded, lateWorker)
 		})
+
+		out.setWorkerOwners(map[string]string{lateWorker: otherOwner})
+		time.Sleep(100 * time.Millisecond)
+		n, last := out.last()
+		reportLate(h, otherOwner, last.Key, contract.RunInfeasible, lateWorker)
+		after, _ := out.last()
+		require.Equal(t, n, after, "owner that has just reported the run as infeasible")
+		time.Sleep(2 * maxPlaceRetry)
+		after, last = out.last()
+		require.Greater(t, after, n)
+		require.Equal(t, otherOwner, out.ownerOf(after-1))
+
+		out.setWorkerOwners(map[string]string{lateWorker: testOwner})
+		reportLate(h, otherOwner, last.Key, contract.RunInfeasible, lateWorker)
+		n, last = out.last()
+		require.Equal(t, after+1, n, "the next owner gets the order at once")
+		require.Equal(t, testOwner, out.ownerOf(n-1))
+
+		out.setWorkerOwners(map[string]string{lateWorker: testOwner, "x": testOwner})
+		waits("two workers", func() { reportLate(h, testOwner, last.Key, contract.RunEnded, lateWorker, "x") })
+
+		h.o.LateStarts.Executed(last.Key, "x")
+		time.Sleep(100 * time.Millisecond)
+		_, last = out.last()
+		require.Equal(t, lateWorker, last.OnlyWorker)
+		reportLate(h, testOwner, last.Key, contract.RunDone)
 	})
 	require.Equal(t, Completed, answer.Outcome)
 }
+
+// Guards against a record that is lost since the report which names the worker is of an earlier run, of a job that has ended here,
+// or of one that this home has never had: the next home of the job may be this one.
+func TestLateStartsAreRecordedFromAnyReport(t *testing.T) {
+	synctest.Test(t, func(*testing.T) {
+		h, out := newTestHome()
+		defer h.Close()
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		go h.Submit(ctx, testBatch(1, time.Minute))
+		synctest.Wait()
+		key := out.sentOrders()[0].Key
+		earlier := key
+		earlier.Run--
+		reportLate(h, otherOwner, earlier, contract.RunQueued, "earlier")
+		reportLate(h, otherOwner, key, contract.RunLost, "other-owner")
+		reportRun(h, key, contract.RunDone, true)
+		reportLate(h, testOwner, key, contract.RunQueued, "ended")
+		require.Equal(t, []string{"earlier", "ended", "other-owner"}, h.o.LateStarts.Workers(key))
+		key.Batch = "00000000000000bb"
+		reportLate(h, testOwner, key, contract.RunQueued, "unknown")
+		require.Equal(t, []string{"unknown"}, h.o.LateStarts.Workers(key))
+	})
+}
--- /dev/null
+++ b/edge/assignment.go
@@ -0,0 +1,119 @@
+package edge
+
+import (
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cicadadale/cicadadale/machine"
+	"github.com/cicadadale/cicadadale/zone"
+)
+
+// orphanedDomains returns the failure domains with workers that have been without a member for longer than orphanDelay, or
+// cutOffOrphanDelay, so that other domains take over their workers. It also records that workers are assigned now.
+func (d *Daemon) orphanedDomains(now time.Time) []string {
+	present, delay := d.members.LiveDomains(), orphanDelay
+	if d.members.IsCutOff(now) {
+		delay = cutOffOrphanDelay
+	}
+	domains := d.workers.Domains()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.assignedAt = now
+	if !d.stopping {
+		present[d.o.Self.Domain] = true
+	}
+	for domain := range present {
+		d.lastPresent[domain] = now
+	}
+	return slices.DeleteFunc(domains, func(domain string) bool {
+		lastSeen, ok := d.lastPresent[domain]
+		if !ok {
+			lastSeen = d.started
+		}
+		return now.Sub(lastSeen) <= delay
+	})
+}
+
+func (d *Daemon) lastAssignment() time.Time {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.assignedAt
+}
+
+// assignmentBasis is what an assignment of workers follows from. While it does not change, neither does the assignment.
+type assignmentBasis struct {
+	owning bool
+	// workers and owners are the versions of the list of workers and of the set of members that may own some.
+	workers, owners uint64
+	// orphaned are the failure domains without a member, in order.
+	orphaned []string
+}
+
+func (b assignmentBasis) equal(o assignmentBasis) bool {
+	return b.owning == o.owning && b.workers == o.workers && b.owners == o.owners && slices.Equal(b.orphaned, o.orphaned)
+}
+
+// assignWorkers gives each pool the workers that this process owns.
+func (d *Daemon) assignWorkers() {
+	d.assignMu.Lock()
+	defer d.assignMu.Unlock()
+	d.mu.Lock()
+	owning := d.joined && !d.stopping
+	d.mu.Unlock()
+	basis := assignmentBasis{
+		owning: owning, workers: d.workers.Version(), owners: d.members.OwnersVersion(),
+		orphaned: d.orphanedDomains(d.o.Now()),
+	}
+	if basis.equal(d.assignedFrom) {
+		return
+	}
+	d.assignedFrom = basis
+	candidates := d.members.Owners()
+	if owning {
+		candidates = append(candidates, candidate(d.o.Self))
+	}
+	d.ownership.set(candidates, basis.orphaned)
+	owned := make(map[string][]machine.Listing)
+	for _, l := range d.workers.in(append(slices.Clone(basis.orphaned), d.o.Self.Domain)) {
+		if id, ok := zone.OwnerOf(l.Worker, l.Zone, candidates, slices.Contains(basis.orphaned, l.Zone)); ok && id == d.self {
+			owned[l.Backend] = append(owned[l.Backend], l)
+		}
+	}
+	for backend := range owned {
+		d.pool(backend)
+	}
+	for backend, p := range d.allPools() {
+		p.SetHosts(owned[backend])
+	}
+}
+
+// ownership is what the owners of the workers followed from at the last assignment. mu guards the fields below it.
+type ownership struct {
+	mu sync.Mutex
+	// candidates and orphaned are replaced by each assignment, never changed.
+	candidates []zone.Candidate
+	orphaned   []string
+}
+
+func (o *ownership) set(candidates []zone.Candidate, orphaned []string) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.candidates, o.orphaned = candidates, orphaned
+}
+
+func (o *ownership) get() (candidates []zone.Candidate, orphaned []string) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.candidates, o.orphaned
+}
+
+// ownerOf returns the live member that owns a listed worker, which may be this one.
+func (d *Daemon) ownerOf(worker string) (string, bool) {
+	domain, ok := d.workers.domain(worker)
+	if !ok {
+		return "", false
+	}
+	candidates, orphaned := d.ownership.get()
+	return zone.OwnerOf(worker, domain, candidates, slices.Contains(orphaned, domain))
+}
--- a/edge/badinput_test.go
+++ b/edge/badinput_test.go
@@ -70,6 +70,7 @@
 			Starts:   []*api.LateStart{nil, {}, {Task: &api.TaskKey{Job: "0123456789abcdef"}, Worker: "w", LeftMs: math.MaxUint32}},
 			Replaced: []string{"", strings.Repeat("a", 1<<16), "w"},
 		}}},
+		{Body: &api.PeerMessage_TaskReport{TaskReport: &api.TaskReport{LateWorkers: []string{"", strings.Repeat("a", 1<<16)}}}},
 		{Body: &api.PeerMessage_HeldJobs{HeldJobs: &api.HeldJobs{Home: "edge-x/1", Jobs: []*api.HeldJob{{Job: "a"}}}}},
 		{Body: &api.PeerMessage_HeldJobsRequest{HeldJobsRequest: &api.HeldJobsRequest{Homes: []string{"", "edge-x/1"}}}},
 		{Body: &api.PeerMessage_JobRelease{JobRelease: &api.JobRelease{AgeMs: math.MaxUint32, StampMs: math.MaxUint64}}},
--- a/edge/daemon.go
+++ b/edge/daemon.go
@@ -5,7 +5,6 @@
 	"log/slog"
 	"math/rand/v2"
 	"net"
-	"slices"
 	"sync"
 	"time"
 
@@ -92,16 +91,18 @@
 	lateStarts *contract.LateStartLedger
 	// announcedLate holds the starts without a reply to announce.
 	announcedLate announcedLateStarts
-	confined      *contract.Confinement
-	home          *batch.Home
-	server        *link.PeerServer
-	workers       *workers
-	feed          *workerFeed
-	entries       *entryRequests
-	announced     *announcements
-	cancel        context.CancelFunc
-	goroutines    sync.WaitGroup
-	started       time.Time
+	// ownership is that of the last assignment of workers.
+	ownership  ownership
+	confined   *contract.Confinement
+	home       *batch.Home
+	server     *link.PeerServer
+	workers    *workers
+	feed       *workerFeed
+	entries    *entryRequests
+	announced  *announcements
+	cancel     context.CancelFunc
+	goroutines sync.WaitGroup
+	started    time.Time
 	// firstTimestamp is the timestamp of the start. It is random, so that a timestamp of a previous process of the VM
 	// proves nothing.
 	firstTimestamp uint64
@@ -158,7 +159,7 @@
 	d.members = newMembers(o.Self, d.dialPeer, o.Logger)
 	d.home = batch.New(batch.Options{
 		Self: d.self, Owners: owners{d}, Members: membership{d}, Capacity: d.capacity, Crashes: d.crashes,
-		Cancels: d.cancels, Held: d.held, Fits: d.fits,
+		Cancels: d.cancels, Held: d.held, Fits: d.fits, LateStarts: d.lateStarts, OwnerOf: d.ownerOf,
 		Now: o.Now, Logger: o.Logger, Metrics: o.Metrics,
 	})
 	d.entries = newEntryRequests(d.members)
@@ -312,84 +313,6 @@
 	return p
 }
 
-// orphanedDomains returns the failure domains with workers that have been without a member for longer than orphanDelay, or
-// cutOffOrphanDelay, so that other domains take over their workers. It also records that workers are assigned now.
-func (d *Daemon) orphanedDomains(now time.Time) []string {
-	present, delay := d.members.LiveDomains(), orphanDelay
-	if d.members.IsCutOff(now) {
-		delay = cutOffOrphanDelay
-	}
-	domains := d.workers.Domains()
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	d.assignedAt = now
-	if !d.stopping {
-		present[d.o.Self.Domain] = true
-	}
-	for domain := range present {
-		d.lastPresent[domain] = now
-	}
-	return slices.DeleteFunc(domains, func(domain string) bool {
-		lastSeen, ok := d.lastPresent[domain]
-		if !ok {
-			lastSeen = d.started
-		}
-		return now.Sub(lastSeen) <= delay
-	})
-}
-
-func (d *Daemon) lastAssignment() time.Time {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	return d.assignedAt
-}
-
-// assignmentBasis is what an assignment of workers follows from. While it does not change, neither does the assignment.
-type assignmentBasis struct {
-	owning bool
-	// workers and owners are the versions of the list of workers and of the set of members that may own some.
-	workers, owners uint64
-	// orphaned are the failure domains without a member, in order.
-	orphaned []string
-}
-
-func (b assignmentBasis) equal(o assignmentBasis) bool {
-	return b.owning == o.owning && b.workers == o.workers && b.owners == o.owners && slices.Equal(b.orphaned, o.orphaned)
-}
-
-// assignWorkers gives each pool the workers that this process owns.
-func (d *Daemon) assignWorkers() {
-	d.assignMu.Lock()
-	defer d.assignMu.Unlock()
-	d.mu.Lock()
-	owning := d.joined && !d.stopping
-	d.mu.Unlock()
-	basis := assignmentBasis{
-		owning: owning, workers: d.workers.Version(), owners: d.members.OwnersVersion(),
-		orphaned: d.orphanedDomains(d.o.Now()),
-	}
-	if basis.equal(d.assignedFrom) {
-		return
-	}
-	d.assignedFrom = basis
-	candidates := d.members.Owners()
-	if owning {
-		candidates = append(candidates, candidate(d.o.Self))
-	}
-	owned := make(map[string][]machine.Listing)
-	for _, l := range d.workers.in(append(basis.orphaned, d.o.Self.Domain)) {
-		if id, ok := zone.OwnerOf(l.Worker, l.Zone, candidates, slices.Contains(basis.orphaned, l.Zone)); ok && id == d.self {
-			owned[l.Backend] = append(owned[l.Backend], l)
-		}
-	}
-	for backend := range owned {
-		d.pool(backend)
-	}
-	for backend, p := range d.allPools() {
-		p.SetHosts(owned[backend])
-	}
-}
-
 // handleWorkerList applies the platform's list of workers as read from the store, and forwards it.
 func (d *Daemon) handleWorkerList(l []machine.Listing) {
 	d.setListings(l)
--- a/edge/latestarts.go
+++ b/edge/latestarts.go
@@ -12,8 +12,10 @@
 const (
 	// maxLateStartsInMessage bounds the starts, and the replaced workers, in one announcement.
 	maxLateStartsInMessage = 1000
-	// maxWorkerID is the length in bytes up to which the id of a worker in an announcement is recorded.
-	maxWorkerID = 256
+	// maxWorkerID is the length in bytes up to which the id of a worker in an announcement or report is recorded, maxLateWorkers
+	// the number of workers recorded from a report.
+	maxWorkerID    = 256
+	maxLateWorkers = 16
 	// lateStartInterval is the time between announcements to members that are no contacts, for a few of them. It grows by
 	// lateStartSpacing with each member, up to maxLateStartInterval: all have to know of a start without a reply before its job
 	// can be submitted to another home, 1.3 s after its channel has broken.
@@ -211,6 +213,9 @@
 	return n
 }
 
+// decodeLateWorkers returns the valid workers of a report.
+func decodeLateWorkers(list []string) []string { return decodeWorkers(firstOf(list, maxLateWorkers)) }
+
 // decodeWorkers returns the valid ids of a list.
 func decodeWorkers(list []string) []string {
 	return slices.DeleteFunc(slices.Clone(list), func(worker string) bool { return !validWorker(worker) })
--- a/edge/latestarts_test.go
+++ b/edge/latestarts_test.go
@@ -144,4 +144,56 @@
 	require.Equal(t, []string{"r"}, news.replaced)
 	m.Starts = slices.Repeat([]*api.LateStart{valid}, maxLateStartsInMessage+1)
 	require.Len(t, decodeLateStarts(m, now).starts, maxLateStartsInMessage)
+	require.Len(t, decodeLateWorkers(append(slices.Repeat([]string{"w"}, maxLateWorkers), "x")), maxLateWorkers)
+	require.Equal(t, []string{"w"}, decodeLateWorkers([]string{"", "w", long}))
+}
+
+// Guards against an order that loses the only worker on which its run may start, and a report that loses the workers.
+func TestOrderAndReportNameWorkersOfLateStarts(t *testing.T) {
+	now := time.Now()
+	require.Equal(t, "w", decodeOrder(encodeOrder(contract.TaskOrder{OnlyWorker: "w"}, now), now).OnlyWorker)
+	inVirtualTime(t, func(t *testing.T) {
+		d := newDeployment(t, 1, 2, 1)
+		defer d.close()
+		d.daemons["edge-0-0"].report(d.daemons["edge-0-1"].self, testBackend, contract.RunReport{
+			Key: lateTask, State: contract.RunQueued, LateWorkers: []string{"w"},
+		})
+		time.Sleep(50 * time.Millisecond)
+		require.Equal(t, []string{"w"}, d.lateWorkers("edge-0-1"))
+	})
+}
+
+// Guards against an order at a member that does not own the worker: each member has to name the one that does, also after the
+// failure domain of the worker has lost its members.
+func TestOwnerOfIsTheMemberThatHasTheWorker(t *testing.T) {
+	inVirtualTime(t, func(t *testing.T) {
+		d := newDeployment(t, 2, 2, 4)
+		defer d.close()
+		requireSame := func() {
+			t.Helper()
+			for worker := range d.hosts {
+				owner := d.ownerOf(worker)
+				require.NotEmpty(t, owner, worker)
+				for vm, daemon := range d.daemons {
+					id, ok := daemon.ownerOf(worker)
+					require.True(t, ok)
+					require.Equal(t, d.daemons[owner].self, id, "%s at %s", worker, vm)
+				}
+			}
+			_, ok := d.daemons["edge-1-0"].ownerOf("unknown")
+			require.False(t, ok)
+		}
+		requireSame()
+		d.killDaemon("edge-0-0")
+		time.Sleep(time.Second)
+		requireSame()
+		d.killDaemon("edge-0-1")
+		time.Sleep(silenceTimeout + 100*time.Millisecond)
+		for worker := range d.hosts {
+			if strings.HasPrefix(worker, "worker-0") {
+				_, ok := d.daemons["edge-1-0"].ownerOf(worker)
+				require.False(t, ok, "worker without an owner")
+			}
+		}
+	})
 }
--- a/edge/messages.go
+++ b/edge/messages.go
@@ -95,6 +95,7 @@
 	d.members.Send(home, &api.PeerMessage{Body: &api.PeerMessage_TaskReport{TaskReport: &api.TaskReport{
 		Key: encodeKey(r.Key), State: uint32(r.State), Worker: r.Worker, Backend: backend,
 		RunMs: clampMillis(r.RunTime), Ran: r.MayHaveStarted, Token: r.Token, MayStartLate: r.MayStartLate,
+		LateWorkers: r.LateWorkers,
 	}}})
 }
 
@@ -237,7 +238,7 @@
 		d.home.Report(batch.PoolRef{Owner: id, Backend: r.GetBackend()}, contract.RunReport{
 			Key: decodeKey(r.GetKey()), State: contract.RunState(r.GetState()), Worker: r.GetWorker(),
 			MayHaveStarted: r.GetRan(), Token: r.GetToken(), RunTime: time.Duration(r.GetRunMs()) * time.Millisecond,
-			MayStartLate: r.GetMayStartLate(),
+			MayStartLate: r.GetMayStartLate(), LateWorkers: decodeLateWorkers(r.GetLateWorkers()),
 		})
 	case *api.PeerMessage_WorkerTakeover:
 		t := b.WorkerTakeover
@@ -388,7 +389,7 @@
 		TargetMs: signedMillis(o.Target.Sub(now)), DeadlineMs: signedMillis(o.Deadline.Sub(now)),
 		ExpectedMs: clampMillis(o.Expected), RequiredLabel: o.RequiredLabel, PreferredRack: o.PreferredRack, Claim: o.Claim,
 		AgeMs: clampMillis(now.Sub(o.Accepted)), PerWorker: clamp(o.PerWorkerLimit),
-		Route: o.Route, Alone: o.Alone, ClaimToken: o.ClaimToken,
+		Route: o.Route, Alone: o.Alone, ClaimToken: o.ClaimToken, OnlyWorker: o.OnlyWorker,
 	}
 }
 
@@ -404,7 +405,7 @@
 		Expected: time.Duration(m.GetExpectedMs()) * time.Millisecond, RequiredLabel: m.GetRequiredLabel(),
 		PreferredRack: m.GetPreferredRack(), Claim: m.GetClaim(), PerWorkerLimit: int(m.GetPerWorker()),
 		Accepted: now.Add(-time.Duration(m.GetAgeMs()) * time.Millisecond), Route: m.GetRoute(), Alone: m.GetAlone(),
-		ClaimToken: m.GetClaimToken(),
+		ClaimToken: m.GetClaimToken(), OnlyWorker: m.GetOnlyWorker(),
 	}
 }
 
--- a/edge/workers.go
+++ b/edge/workers.go
@@ -124,6 +124,14 @@
 	return l, ok && l.StartTime == startTime
 }
 
+// domain returns the failure domain of a listed worker.
+func (w *workers) domain(worker string) (string, bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	l, ok := w.byID[worker]
+	return l.Zone, ok
+}
+
 // expire drops the workers that have been missing for longer than missingGrace. It reports whether there were any.
 func (w *workers) expire(now time.Time) bool {
 	w.mu.Lock()
--- a/metric/describe.go
+++ b/metric/describe.go
@@ -92,6 +92,8 @@
 		{BatchJobsSuperseded, "jobs ended because their callers had submitted them to another member"},
 		{BatchJobsIsolated, "jobs ended because their home was out of contact with a majority of the members"},
 		{BatchIsolations, "losses of contact with a majority of the members"},
+		{BatchOrdersWhereLate, "orders of tasks to the worker that may still execute an earlier start of them"},
+		{BatchLateStartWaits, "waits of tasks because the worker that may still execute an earlier start has no owner or is not the only one"},
 		{BatchTasksSuspected, "orders of tasks under which a worker has crashed, to run alone on a worker"},
 		{BatchTasksGivenUp, "tasks given up because their workers crashed while running them"},
 		{BatchAnswerTime, "time from the arrival of a job to its answer, in microseconds"},
--- a/metric/metric.go
+++ b/metric/metric.go
@@ -80,6 +80,8 @@
 	BatchJobsIsolated    = "batch.jobs_isolated"
 	BatchIsolations      = "batch.isolations"
 	PoolRunsCrashed      = "pool.runs_crashed"
+	BatchOrdersWhereLate = "batch.orders_where_late"
+	BatchLateStartWaits  = "batch.late_start_waits"
 	BatchTasksSuspected  = "batch.tasks_suspected"
 	BatchTasksGivenUp    = "batch.tasks_given_up"
 	BatchAnswerTime      = "batch.answer_time"
--- a/pool/latestart.go
+++ b/pool/latestart.go
@@ -89,6 +89,17 @@
 // ofTask reports whether a start of a task may still be executed.
 func (l *lateStarts) ofTask(key contract.RunKey) bool { return len(l.byTask[key.Task()]) > 0 }
 
+// workersOf returns the workers that may still execute an earlier start of a task.
+func (l *lateStarts) workersOf(key contract.RunKey) []string {
+	var workers []string
+	for _, s := range l.byTask[key.Task()] {
+		if !slices.Contains(workers, s.worker) {
+			workers = append(workers, s.worker)
+		}
+	}
+	return workers
+}
+
 // at reports whether a worker may still execute a late start.
 func (l *lateStarts) at(worker string) bool { return !l.workers[worker].IsZero() }
 
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -248,7 +248,8 @@
 
 // barredReport returns the report of a barred run. p.mu is held.
 func (p *Pool) barredReport(k contract.RunKey, b barredRun) contract.RunReport {
-	return contract.RunReport{Key: k, State: b.state, Token: b.token, MayStartLate: p.late.ofTask(k)}
+	return contract.RunReport{Key: k, State: b.state, Token: b.token, MayStartLate: p.late.ofTask(k),
+		LateWorkers: p.late.workersOf(k)}
 }
 
 // Withdraw ends runs. Queued runs never start; running ones are stopped.
--- a/pool/run.go
+++ b/pool/run.go
@@ -179,7 +179,7 @@
 	p.detach(r)
 	r.state, r.endedAt = runFinal, now
 	r.outcome = contract.RunReport{Key: r.order.Key, State: state, Worker: worker, Token: r.token,
-		MayHaveStarted: r.mayHaveRun, RunTime: took, MayStartLate: p.late.ofTask(r.order.Key)}
+		MayHaveStarted: r.mayHaveRun, RunTime: took, MayStartLate: p.late.ofTask(r.order.Key), LateWorkers: p.late.workersOf(r.order.Key)}
 	fx.report(r)
 	p.counter(proofs[proof].counter).Inc(1)
 	p.o.Logger.Info("run ended", append([]any{"task", r.order.Key.String(), "state", state.String(), "worker", worker,
