batch: end a job in time whose task waits for a late start

A task that may start only on the worker which may still execute an earlier start can miss the deadline of its job. The job was then answered at the deadline, or refused as not run although a run may have started. It ends as abandoned (504) now, with a reason, a log line and a counter of its own, once the expected run time of the task reaches beyond the deadline, unless the current run of the task may have started. A job that is not accepted while a worker may still execute a start of one of its tasks, which another home has ordered, is answered 504 too.

TestJobWithALateStartEndsOnceItCannotEndInTime and TestJobWithALateStartIsNotRefused fail without the change: outcome "time limit" and "refused". TestJobIsNotGivenUpWhileItsRunMayHaveStarted fails if a run that may have started counts as waiting.

--- a/batch/advance.go
+++ b/batch/advance.go
@@ -100,6 +100,8 @@
 	switch {
 	case !now.Before(j.batch.Deadline):
 		h.endJob(j, Abandoned, "time limit", now, out)
+	case h.lateStartExceedsDeadline(j, now):
+		h.endJob(j, Abandoned, lateStartReason, now, out)
 	case !j.mayHaveRun && j.queued() && j.forecast(h.answerBy(j.batch, j.provenUntil, now, out)).shouldRefuse(now):
 		h.counter(metric.BatchJobsRefused).Inc(1)
 		h.endJob(j, Refused, "no room in time", now, out)
@@ -120,7 +122,7 @@
 	}
 	t.state, t.owner, t.placedAt, t.contactAt = taskPlaced, owner, now, time.Time{}
 	t.started, t.withdrawn, t.worker, t.token, t.recalledAt = false, false, "", 0, time.Time{}
-	t.onlyWorker, t.lateWait = onlyWorker, ""
+	t.onlyWorker, t.mayHaveStarted, t.lateWait = onlyWorker, false, ""
 	t.alone = h.suspect(j, t)
 	out.order(j, t, j.order(t))
 	out.ordered = append(out.ordered, fmt.Sprintf("%s at %s, %s", j.key(t), t.owner, logattr.Ago("contact", now, t.contactAt)))
@@ -170,7 +172,7 @@
 // respond sends the outcome of a job to its callers. A refusal is given only if certainly no run has started.
 func (h *Home) respond(j *job, now time.Time) {
 	if j.outcome == Refused {
-		if j.mayHaveRun {
+		if j.mayHaveRun || h.anyLateStart(&j.batch) {
 			j.answer.Outcome = Abandoned
 		}
 		if wait, ok := h.o.Capacity.Wait(j.batch.Backend, j.batch.Priority); ok {
@@ -223,6 +225,7 @@
 		h.logIgnored(owner, r, "other owner or older token")
 		return
 	}
+	t.mayHaveStarted = t.mayHaveStarted || r.MayHaveStarted
 	switch r.State {
 	case contract.RunStarted:
 		h.handleStarted(j, t, owner, r, out)
--- a/batch/home.go
+++ b/batch/home.go
@@ -266,7 +266,7 @@
 	}
 	if !known && h.refusesNew.Load() {
 		h.o.Logger.Info("job refused: the process ends", "job", b.ID, "route", b.Route)
-		return nil, Answer{Outcome: Refused, Reason: "the process ends"}
+		return nil, Answer{Outcome: h.refusedOutcome(&b), Reason: "the process ends"}
 	}
 	if !known {
 		var rejection *Answer
@@ -310,7 +310,7 @@
 		h.o.Logger.Info("job refused: cannot end before its deadline", "job", b.ID, "route", b.Route, "wait", wait,
 			"expected", expected, "time_left", left, h.majorityAttr("since_majority", now, out))
 		h.counter(metric.BatchJobsRefused).Inc(1)
-		return nil, &Answer{Outcome: Refused, Reason: "overloaded", RetryAfter: wait}
+		return nil, &Answer{Outcome: h.refusedOutcome(&b), Reason: "overloaded", RetryAfter: wait}
 	}
 	j := &job{
 		batch: b, steps: steps, expected: expected, tasks: make([]task, 0, b.Tasks()), submittedAt: b.Accepted,
--- a/batch/home_test.go
+++ b/batch/home_test.go
@@ -107,14 +107,6 @@
 	return slices.Clone(r.withdrawals)
 }
 
-// ownerOfWorker returns the owner that the test has set.
-func (r *recorder) ownerOfWorker(worker string) (string, bool) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	owner, ok := r.workerOwners[worker]
-	return owner, ok
-}
-
 // Electorate returns the one that the test has set, by default that of a home without other members.
 func (r *recorder) Electorate() *zone.Electorate {
 	r.mu.Lock()
--- a/batch/job.go
+++ b/batch/job.go
@@ -49,6 +49,8 @@
 	// onlyWorker is the worker to which the current run is bound, since it may still execute an earlier start of the task; empty
 	// for any.
 	onlyWorker string
+	// mayHaveStarted is set once the owner has reported that the start of the current run may have been executed.
+	mayHaveStarted bool
 	// lateWait is the last logged reason for which the task is not ordered while an earlier start may still be executed.
 	lateWait string
 	// unknownOrders counts the consecutive orders that their owners reported as unknown.
--- a/batch/latestart.go
+++ b/batch/latestart.go
@@ -9,6 +9,10 @@
 	"github.com/cicadadale/cicadadale/metric"
 )
 
+// lateStartReason is the reason of a job that ends because the only worker on which one of its tasks may start cannot run it
+// in time.
+const lateStartReason = "a worker may still execute an earlier start of a task"
+
 // recordLateWorkers records the workers that a report names, also if it concerns a run that is not the current one or a job
 // that has ended here: the next home of the job needs the record too.
 func (h *Home) recordLateWorkers(r contract.RunReport, now time.Time) {
@@ -22,6 +26,27 @@
 // hasLateStart reports whether a worker may still execute an earlier start of a task.
 func (h *Home) hasLateStart(j *job, t *task) bool { return len(h.o.LateStarts.Workers(j.key(t))) > 0 }
 
+// anyLateStart reports whether a worker may still execute a start of any task of a job, ordered by this home or another one.
+func (h *Home) anyLateStart(b *contract.Batch) bool {
+	for s, step := range b.Steps {
+		for i := range step.Count {
+			if len(h.o.LateStarts.Workers(contract.RunKey{Batch: b.ID, Step: s, Index: i})) > 0 {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// refusedOutcome returns the outcome of a job that is not accepted: Refused states that no run starts, which is not true while a
+// worker may still execute a start that an earlier home has ordered.
+func (h *Home) refusedOutcome(b *contract.Batch) Outcome {
+	if h.anyLateStart(b) {
+		return Abandoned
+	}
+	return Refused
+}
+
 // ownerOfLateStart returns the owner at which the next run of a task is ordered that some workers may still start late. It is
 // ordered on the only such worker; there a restart that lets the worker execute the earlier start ends the next run first.
 // With two such workers the next run would not be safe on either. The lock of the job's shard is held.
@@ -58,3 +83,26 @@
 	h.o.Logger.Info("task is not ordered while an earlier start may still be executed", "task", j.key(t).String(),
 		"reason", reason, "time_left", j.batch.Deadline.Sub(h.o.Now()))
 }
+
+// lateStartExceedsDeadline reports whether a task of a job cannot end before the deadline because it is bound to a worker that
+// may still execute an earlier start. A task whose current run may have started is not bound any more. The lock of the job's
+// shard is held.
+func (h *Home) lateStartExceedsDeadline(j *job, now time.Time) bool {
+	for i := range j.tasks {
+		t := &j.tasks[i]
+		bound := t.state == taskUnplaced || (t.onlyWorker != "" && !t.started && !t.mayHaveStarted)
+		if t.state == taskDone || !bound || !now.Add(j.steps[t.step].expected).After(j.batch.Deadline) {
+			continue
+		}
+		late := h.o.LateStarts.Workers(j.key(t))
+		if len(late) == 0 {
+			continue
+		}
+		h.counter(metric.BatchJobsLateStart).Inc(1)
+		h.o.Logger.Warn("job ended: a task cannot end in time on the worker that may still execute an earlier start",
+			"job", j.batch.ID, "route", j.batch.Route, "task", j.key(t).String(), "workers", late, "owner", t.owner,
+			"expected", j.steps[t.step].expected, "time_left", j.batch.Deadline.Sub(now))
+		return true
+	}
+	return false
+}
--- a/batch/latestart_test.go
+++ b/batch/latestart_test.go
@@ -31,6 +31,14 @@
 	return slices.Clone(r.recalls)
 }
 
+// ownerOfWorker returns the owner that the test has set.
+func (r *recorder) ownerOfWorker(worker string) (string, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	owner, ok := r.workerOwners[worker]
+	return owner, ok
+}
+
 func (r *recorder) setWorkerOwners(owners map[string]string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -189,3 +197,69 @@
 		require.Equal(t, []string{"unknown"}, h.o.LateStarts.Workers(key))
 	})
 }
+
+// Guards against a job that waits until its deadline for a task that cannot end in time any more, is answered earlier than that,
+// or is refused although a run may have started.
+func TestJobWithALateStartEndsOnceItCannotEndInTime(t *testing.T) {
+	// The tests' tasks are expected to take 100 ms.
+	const limit, expected = 2 * time.Second, 100 * time.Millisecond
+	for _, queued := range []bool{false, true} {
+		answer := withLateStart(t, limit, func(h *Home, out *recorder) {
+			if !queued {
+				_, last := out.last()
+				out.setWorkerOwners(nil)
+				reportLate(h, otherOwner, last.Key, contract.RunEnded, lateWorker)
+			}
+			time.Sleep(limit - expected)
+			require.Equal(t, 1, h.Active())
+			time.Sleep(tickInterval + 10*time.Millisecond)
+			_, last := out.last()
+			if queued {
+				require.Contains(t, out.withdrawn(), last.Key)
+			}
+		})
+		require.Equal(t, Abandoned, answer.Outcome)
+		require.Equal(t, lateStartReason, answer.Reason)
+	}
+}
+
+// Guards against a job that is given up although the run of its task on the worker may have started and may end in time.
+func TestJobIsNotGivenUpWhileItsRunMayHaveStarted(t *testing.T) {
+	answer := withLateStart(t, 2*time.Second, func(h *Home, out *recorder) {
+		_, last := out.last()
+		reportLate(h, otherOwner, last.Key, contract.RunQueued, lateWorker)
+		time.Sleep(2*time.Second - 10*time.Millisecond)
+		reportLate(h, otherOwner, last.Key, contract.RunDone)
+	})
+	require.Equal(t, Completed, answer.Outcome)
+}
+
+// Guards against an answer that no run has started while a worker may still execute a start that an earlier home has ordered.
+func TestJobWithALateStartIsNotRefused(t *testing.T) {
+	synctest.Test(t, func(*testing.T) {
+		h, out := newTestHome()
+		defer h.Close()
+		record := func(id string) {
+			h.o.LateStarts.Record(contract.LateStart{
+				Task: contract.RunKey{Batch: id, Index: 1}, Worker: lateWorker, Until: time.Now().Add(time.Minute),
+			})
+		}
+		submit := func(id string, limit time.Duration) Answer {
+			b := testBatch(2, limit)
+			b.ID = id
+			return h.Submit(context.Background(), b)
+		}
+		require.Equal(t, Refused, submit("a", 50*time.Millisecond).Outcome)
+		record("a")
+		require.Equal(t, Abandoned, submit("a", 50*time.Millisecond).Outcome)
+		record("b")
+		require.Equal(t, Abandoned, submit("b", time.Second).Outcome)
+		orders := out.sentOrders()
+		require.NotEmpty(t, orders)
+		require.False(t, slices.ContainsFunc(orders, func(o contract.TaskOrder) bool { return o.Key.Index == 1 }))
+		h.RefuseNew()
+		record("c")
+		require.Equal(t, Abandoned, submit("c", time.Second).Outcome)
+		require.Equal(t, Refused, submit("d", time.Second).Outcome)
+	})
+}
--- a/metric/describe.go
+++ b/metric/describe.go
@@ -94,6 +94,7 @@
 		{BatchIsolations, "losses of contact with a majority of the members"},
 		{BatchOrdersWhereLate, "orders of tasks to the worker that may still execute an earlier start of them"},
 		{BatchLateStartWaits, "waits of tasks because the worker that may still execute an earlier start has no owner or is not the only one"},
+		{BatchJobsLateStart, "jobs ended because a task could not end in time on the worker that may still execute an earlier start"},
 		{BatchTasksSuspected, "orders of tasks under which a worker has crashed, to run alone on a worker"},
 		{BatchTasksGivenUp, "tasks given up because their workers crashed while running them"},
 		{BatchAnswerTime, "time from the arrival of a job to its answer, in microseconds"},
--- a/metric/metric.go
+++ b/metric/metric.go
@@ -82,6 +82,7 @@
 	PoolRunsCrashed      = "pool.runs_crashed"
 	BatchOrdersWhereLate = "batch.orders_where_late"
 	BatchLateStartWaits  = "batch.late_start_waits"
+	BatchJobsLateStart   = "batch.jobs_late_start"
 	BatchTasksSuspected  = "batch.tasks_suspected"
 	BatchTasksGivenUp    = "batch.tasks_given_up"
 	BatchAnswerTime      = "batch.answer_time"
