batch: withdraw an earlier run that a takeover names

An acquired worker may run an earlier run of a task, which was started late, beside the present one. The home now answers the takeover with a withdrawal of that run at once, so that it is stopped after a round trip, also if the task is done or not ordered. While the job waits for its earlier home, that home decides. The current run, later ones and those of other jobs are left alone.

TestTakeoverWithAnEarlierRunIsAnsweredWithItsWithdrawal finds no withdrawal without the change, and passes now.

--- a/batch/advance.go
+++ b/batch/advance.go
@@ -366,6 +366,7 @@
 func (h *Home) applyTakeover(j *job, owner string, takeover contract.Takeover, now time.Time, out *outbox) {
 	for i := range j.tasks {
 		t := &j.tasks[i]
+		h.withdrawEarlier(j, t, owner, takeover, out)
 		if t.state != taskPlaced && t.state != taskLost {
 			continue
 		}
--- a/batch/latestart.go
+++ b/batch/latestart.go
@@ -106,3 +106,22 @@
 	}
 	return false
 }
+
+// withdrawEarlier withdraws the earlier runs of a task that a new owner has found on its worker: they were started late, and
+// are stopped a round trip after the takeover. While the job waits for its earlier home, that home decides. The lock of the
+// job's shard is held.
+func (h *Home) withdrawEarlier(j *job, t *task, owner string, takeover contract.Takeover, out *outbox) {
+	if j.earlier != nil {
+		return
+	}
+	key := j.key(t)
+	for _, k := range takeover.Runs {
+		if k.Task() != key.Task() || k.Run >= key.Run {
+			continue
+		}
+		h.o.Logger.Warn("withdrawing an earlier run of a task from the new owner of its worker", "task", k.String(),
+			"current", key.String(), "worker", takeover.Worker, "owner", owner, "token", takeover.Token,
+			"worker_start", takeover.StartTime)
+		out.withdraw(PoolRef{Owner: owner, Backend: j.batch.Backend}, k)
+	}
+}
--- a/batch/latestart_test.go
+++ b/batch/latestart_test.go
@@ -263,3 +263,27 @@
 		require.Equal(t, Refused, submit("d", time.Second).Outcome)
 	})
 }
+
+// Guards against an earlier run of a task that goes on until its new owner stops it as not claimed: it was started late, beside the
+// present run, and is withdrawn at once. The current run, a later one and those of other jobs are not.
+func TestTakeoverWithAnEarlierRunIsAnsweredWithItsWithdrawal(t *testing.T) {
+	answer := withOwner(t, func() contract.Batch { return testBatch(2, time.Second) }, func(h *Home, out *recorder) {
+		runs := out.sentOrders()
+		// The first task is done, the second one runs.
+		reportRun(h, runs[0].Key, contract.RunDone, true)
+		h.Report(PoolRef{Owner: testOwner, Backend: "s"}, contract.RunReport{
+			Key: runs[1].Key, State: contract.RunStarted, Worker: lateWorker, Token: 1, MayHaveStarted: true,
+		})
+		earlier, later, other := []contract.RunKey{runs[0].Key, runs[1].Key}, runs[1].Key, runs[1].Key
+		earlier[0].Run--
+		earlier[1].Run -= 2
+		later.Run++
+		other.Batch = "00000000000000bb"
+		h.Takeover(otherOwner, contract.Takeover{
+			Worker: lateWorker, Token: 2, Runs: []contract.RunKey{earlier[0], earlier[1], runs[1].Key, later, other},
+		})
+		require.ElementsMatch(t, earlier, out.withdrawn())
+		reportRun(h, runs[1].Key, contract.RunDone, true)
+	})
+	require.Equal(t, Completed, answer.Outcome)
+}
