--- a/edge/daemon.go
+++ b/edge/daemon.go
@@ -306,6 +306,7 @@
 			Policy:   poolPolicy(d.desired, backend),
 			Report:   func(home string, r contract.RunReport) { d.report(home, backend, r) },
 			Takeover: d.takeover, Crashed: d.workerCrashed, Confinement: d.confined,
+			LateStarts: d.lateStarts, LateStart: d.lateStart, WorkerReplaced: d.workerReplaced,
 			Yield: func() bool { return d.members.IsCutOff(d.o.Now()) },
 		})
 		d.pools[backend] = p
