batch, contract: a start that is answered late is no late start

An owner names the worker of a start that has had no reply for 10 ms, in case the owner is lost. If the reply was only slow, or rejected the start, the home kept the record for 16.3 s: the next run of the task was bound to that worker, and with another slow reply elsewhere there were two workers and no run at all. The ledger keeps the run of such a record. The home drops it when a later report of the run, other than queued, unknown or lost, does not name the worker. A record that also stands for another start of the task stays.

Five cases of TestSlowReplyToAStartLeavesNoLateStart fail without the change to the home: the worker is still recorded. All pass now, with TestAnsweredStartEndsOnlyItsOwnRecord.

--- a/batch/advance.go
+++ b/batch/advance.go
@@ -226,6 +226,7 @@
 		return
 	}
 	t.mayHaveStarted = t.mayHaveStarted || r.MayHaveStarted
+	h.dropAnsweredStart(t, owner, r)
 	switch r.State {
 	case contract.RunStarted:
 		h.handleStarted(j, t, owner, r, out)
--- a/batch/latestart.go
+++ b/batch/latestart.go
@@ -16,10 +16,26 @@
 // recordLateWorkers records the workers that a report names, also if it concerns a run that is not the current one or a job
 // that has ended here: the next home of the job needs the record too.
 func (h *Home) recordLateWorkers(r contract.RunReport, now time.Time) {
+	key := r.Key
+	if r.State != contract.RunQueued {
+		// The start of the run itself, if it is late, stays so.
+		key = key.Task()
+	}
 	for _, worker := range r.LateWorkers {
-		h.o.LateStarts.Record(contract.LateStart{
-			Task: r.Key.Task(), Worker: worker, Until: now.Add(contract.LateStartRetention),
-		})
+		h.o.LateStarts.Record(contract.LateStart{Task: key, Worker: worker, Until: now.Add(contract.LateStartRetention)})
+	}
+}
+
+// dropAnsweredStart drops the records of the start of a run whose owner had reported it as not answered yet, once the owner
+// does not name the worker any more: the reply was only slow, or the start was rejected. Another owner knows only of its worker.
+func (h *Home) dropAnsweredStart(t *task, owner string, r contract.RunReport) {
+	if r.State == contract.RunQueued || r.State == contract.RunUnknown || r.State == contract.RunLost {
+		return
+	}
+	for _, worker := range h.o.LateStarts.Workers(r.Key) {
+		if !slices.Contains(r.LateWorkers, worker) && (owner == t.owner || worker == r.Worker) {
+			h.o.LateStarts.Answered(r.Key, worker)
+		}
 	}
 }
 
--- a/batch/latestart_test.go
+++ b/batch/latestart_test.go
@@ -198,6 +198,54 @@
 	})
 }
 
+// Guards against a task that is bound to a worker, or not ordered at all, because the worker's reply to a start was slow or a
+// rejection; and against a record that is dropped with it although the owner, an earlier report or a later one says that a
+// start is late.
+func TestSlowReplyToAStartLeavesNoLateStart(t *testing.T) {
+	late := contract.RunReport{State: contract.RunEnded, Worker: lateWorker, LateWorkers: []string{lateWorker}}
+	for _, c := range []struct {
+		name    string
+		before  bool
+		owner   string
+		report  contract.RunReport
+		workers []string
+	}{
+		{"started", false, testOwner, contract.RunReport{State: contract.RunStarted, Worker: lateWorker}, nil},
+		{"started at another worker", false, testOwner, contract.RunReport{State: contract.RunStarted, Worker: "x"}, nil},
+		{"failed", false, testOwner, contract.RunReport{State: contract.RunFailed, Worker: lateWorker}, nil},
+		{"rejected", false, testOwner, contract.RunReport{State: contract.RunEnded}, nil},
+		{"found by another owner", false, otherOwner, contract.RunReport{State: contract.RunStarted, Worker: lateWorker}, nil},
+		{"found elsewhere", false, otherOwner, contract.RunReport{State: contract.RunStarted, Worker: "x"}, []string{lateWorker}},
+		{"ended, by another owner", false, otherOwner, contract.RunReport{State: contract.RunEnded}, []string{lateWorker}},
+		{"still queued", false, testOwner, contract.RunReport{State: contract.RunQueued}, []string{lateWorker}},
+		{"lost", false, testOwner, contract.RunReport{State: contract.RunLost, Worker: lateWorker}, []string{lateWorker}},
+		{"late", false, testOwner, late, []string{lateWorker}},
+		{"started, beside an earlier start", true, testOwner, contract.RunReport{State: contract.RunStarted, Worker: lateWorker},
+			[]string{lateWorker}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				h, out := newTestHome()
+				defer h.Close()
+				ctx, cancel := context.WithCancel(context.Background())
+				defer cancel()
+				go h.Submit(ctx, testBatch(1, time.Minute))
+				synctest.Wait()
+				key := out.sentOrders()[0].Key
+				if c.before {
+					h.o.LateStarts.Record(contract.LateStart{Task: key.Task(), Worker: lateWorker, Until: time.Now().Add(time.Second)})
+				}
+				reportLate(h, testOwner, key, contract.RunQueued, lateWorker)
+				reportLate(h, testOwner, key, contract.RunQueued, lateWorker)
+				require.Equal(t, []string{lateWorker}, h.o.LateStarts.Workers(key))
+				c.report.Key, c.report.Token = key, 1
+				h.Report(PoolRef{Owner: c.owner, Backend: "s"}, c.report)
+				require.Equal(t, c.workers, h.o.LateStarts.Workers(key))
+			})
+		})
+	}
+}
+
 // Guards against a job that waits until its deadline for a task that cannot end in time any more, is answered earlier than that,
 // or is refused although a run may have started.
 func TestJobWithALateStartEndsOnceItCannotEndInTime(t *testing.T) {
--- a/contract/latestart.go
+++ b/contract/latestart.go
@@ -21,7 +21,7 @@
 // of no stop and has seen no fencing token. Until Until the next run of the task starts on that worker or nowhere: there, a
 // restart that lets the worker execute the earlier start ends the next run first.
 type LateStart struct {
-	// Task has no run.
+	// Task names the run if this is known to be the only start of the task at the worker that got no reply.
 	Task   RunKey
 	Worker string
 	Until  time.Time
@@ -31,16 +31,22 @@
 // record survives the owner of the worker and the home of the job. mu guards the field below it.
 type LateStartLedger struct {
 	mu     sync.Mutex
-	byTask map[RunKey]map[string]time.Time
+	byTask map[RunKey]map[string]lateRecord
 	// byWorker holds the tasks that have a record at each worker.
 	byWorker map[string]map[RunKey]struct{}
 	count    int
 }
 
+// lateRecord is the record of a task at a worker. run is the only run whose start it stands for, zero if there may be others.
+type lateRecord struct {
+	until time.Time
+	run   uint64
+}
+
 // NewLateStartLedger returns an empty ledger.
 func NewLateStartLedger() *LateStartLedger {
 	return &LateStartLedger{
-		byTask: make(map[RunKey]map[string]time.Time), byWorker: make(map[string]map[RunKey]struct{}),
+		byTask: make(map[RunKey]map[string]lateRecord), byWorker: make(map[string]map[RunKey]struct{}),
 	}
 }
 
@@ -51,20 +57,25 @@
 	task := s.Task.Task()
 	workers := l.byTask[task]
 	if workers == nil {
-		workers = make(map[string]time.Time)
+		workers = make(map[string]lateRecord)
 		l.byTask[task] = workers
 	}
-	known, ok := workers[s.Worker]
+	record, ok := workers[s.Worker]
 	if !ok {
+		record.run = s.Task.Run
 		l.count++
 		if l.byWorker[s.Worker] == nil {
 			l.byWorker[s.Worker] = make(map[RunKey]struct{})
 		}
 		l.byWorker[s.Worker][task] = struct{}{}
 	}
-	if s.Until.After(known) {
-		workers[s.Worker] = s.Until
+	if record.run != s.Task.Run {
+		record.run = 0
 	}
+	if s.Until.After(record.until) {
+		record.until = s.Until
+	}
+	workers[s.Worker] = record
 	if l.count > maxLateStarts {
 		l.dropOldest()
 	}
@@ -108,7 +119,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for task := range l.byWorker[worker] {
-		if asked.After(l.byTask[task][worker].Add(LateStartLimit - LateStartRetention)) {
+		if asked.After(l.byTask[task][worker].until.Add(LateStartLimit - LateStartRetention)) {
 			l.drop(task, worker)
 		}
 	}
@@ -121,6 +132,16 @@
 	l.drop(task.Task(), worker)
 }
 
+// Answered drops the record of a run at a worker that has answered its start after all, unless the record also stands for other
+// starts of the task.
+func (l *LateStartLedger) Answered(run RunKey, worker string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if record, ok := l.byTask[run.Task()][worker]; ok && run.Run != 0 && record.run == run.Run {
+		l.drop(run.Task(), worker)
+	}
+}
+
 // Replaced drops the records of a worker whose process has left its address for good.
 func (l *LateStartLedger) Replaced(worker string) {
 	l.mu.Lock()
@@ -135,8 +156,8 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for task, workers := range l.byTask {
-		for worker, until := range workers {
-			if !now.Before(until) {
+		for worker, record := range workers {
+			if !now.Before(record.until) {
 				l.drop(task, worker)
 			}
 		}
@@ -149,8 +170,8 @@
 	defer l.mu.Unlock()
 	all := make([]LateStart, 0, l.count)
 	for task, workers := range l.byTask {
-		for worker, until := range workers {
-			all = append(all, LateStart{Task: task, Worker: worker, Until: until})
+		for worker, record := range workers {
+			all = append(all, LateStart{Task: task, Worker: worker, Until: record.until})
 		}
 	}
 	return all
@@ -177,9 +198,9 @@
 func (l *LateStartLedger) dropOldest() {
 	var oldest LateStart
 	for task, workers := range l.byTask {
-		for worker, until := range workers {
-			if oldest.Until.IsZero() || until.Before(oldest.Until) {
-				oldest = LateStart{Task: task, Worker: worker, Until: until}
+		for worker, record := range workers {
+			if oldest.Until.IsZero() || record.until.Before(oldest.Until) {
+				oldest = LateStart{Task: task, Worker: worker, Until: record.until}
 			}
 		}
 	}
--- a/contract/latestart_test.go
+++ b/contract/latestart_test.go
@@ -71,3 +71,31 @@
 	require.Empty(t, ledger.Workers(RunKey{Batch: "0"}), "the first to end is dropped")
 	require.NotEmpty(t, ledger.Workers(RunKey{Batch: "5"}))
 }
+
+// Guards against a start that counts as late although its worker has answered it, and against a record of another start of the
+// task that ends with it.
+func TestAnsweredStartEndsOnlyItsOwnRecord(t *testing.T) {
+	first, second := RunKey{Batch: "a", Run: 1}, RunKey{Batch: "a", Run: 2}
+	for _, c := range []struct {
+		name     string
+		recorded []RunKey
+		kept     bool
+	}{
+		{"its start", []RunKey{first, first}, false},
+		{"start of another run", []RunKey{second}, true},
+		{"starts of two runs", []RunKey{first, second}, true},
+		{"unknown start before it", []RunKey{first.Task(), first}, true},
+		{"unknown start after it", []RunKey{first, first.Task(), first}, true},
+		{"unknown start", []RunKey{first.Task()}, true},
+	} {
+		ledger := NewLateStartLedger()
+		for i, run := range c.recorded {
+			ledger.Record(LateStart{Task: run, Worker: "w", Until: time.Now().Add(time.Duration(-i) * time.Second)})
+		}
+		ledger.Answered(first, "x")
+		ledger.Answered(first.Task(), "w")
+		require.Len(t, ledger.All(), 1, c.name)
+		ledger.Answered(first, "w")
+		require.Equal(t, c.kept, ledger.Has(first), c.name)
+	}
+}
