edge: announce only starts without a reply that are not settled soon

Most are settled at once by a list of the worker or a repeated start. So a start is announced after 100 ms if the ledger still has it, and as before once more after 0.8 s. Members that are no contacts are told every 400 ms at least, to keep within 0.6 s. edge.late_starts_announced counts them.

TestLateStartsAreToldAndRepeatedWhileTheyHold also requires that a settled start is not told, which fails without the check in advance; TestLateStartsAreAnnouncedToAllMembersInTime passes as before, in deployments of 4 and 72 members.

--- a/edge/latestarts.go
+++ b/edge/latestarts.go
@@ -5,8 +5,11 @@
 	"sync"
 	"time"
 
+	"github.com/rcrowley/go-metrics"
+
 	"github.com/cicadadale/cicadadale/api"
 	"github.com/cicadadale/cicadadale/contract"
+	"github.com/cicadadale/cicadadale/metric"
 )
 
 const (
@@ -16,12 +19,15 @@
 	// the number of workers recorded from a report.
 	maxWorkerID    = 256
 	maxLateWorkers = 16
+	// lateStartSettleTime is the time within which most starts without a reply are settled by a list of their worker or by a
+	// repeated start. Only what is left then is announced.
+	lateStartSettleTime = 100 * time.Millisecond
 	// lateStartInterval is the time between announcements to members that are no contacts, for a few of them. It grows by
 	// lateStartSpacing with each member, up to maxLateStartInterval: all have to know of a start without a reply before its job
 	// can be submitted to another home, 1.3 s after its channel has broken.
 	lateStartInterval    = 100 * time.Millisecond
 	lateStartSpacing     = 4 * time.Millisecond
-	maxLateStartInterval = 500 * time.Millisecond
+	maxLateStartInterval = 400 * time.Millisecond
 )
 
 // lateStartNews are starts without a reply, and workers that cannot execute any such start any more.
@@ -77,45 +83,52 @@
 	mu sync.Mutex
 	// near and far are the news for the contacts in the own failure domain and in others, others those for all other members.
 	near, far, others lateStartNews
-	// toRepeat are the news that are to be told again, the oldest first.
-	toRepeat []toldLateStarts
+	// untold are the news that have not been told yet, toRepeat those that are to be told again, both the oldest first.
+	untold, toRepeat []datedLateStarts
 	// othersToldAt is when the members that are no contacts were last told.
 	othersToldAt time.Time
 }
 
-// toldLateStarts are news that were added at a time.
-type toldLateStarts struct {
+// datedLateStarts are news that arrived or were told at a time.
+type datedLateStarts struct {
 	lateStartNews
 	at time.Time
 }
 
-// add adds news to the next announcements. They are told once more after announcementRepeat.
+// splitByTime returns the news up to a time, and the later ones.
+func splitByTime(list []datedLateStarts, limit time.Time) (due lateStartNews, left []datedLateStarts) {
+	n := 0
+	for n < len(list) && !list[n].at.After(limit) {
+		due.add(list[n].lateStartNews)
+		n++
+	}
+	return due, list[n:]
+}
+
+// add adds news to the announcements that follow after lateStartSettleTime. They are told once more after announcementRepeat.
 func (a *announcedLateStarts) add(n lateStartNews, now time.Time) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.tell(n)
-	a.toRepeat = append(a.toRepeat, toldLateStarts{n, now})
-}
-
-// tell expects a.mu to be held.
-func (a *announcedLateStarts) tell(n lateStartNews) {
-	for _, audience := range []*lateStartNews{&a.near, &a.far, &a.others} {
-		audience.add(n)
-	}
+	a.untold = append(a.untold, datedLateStarts{n, now})
 }
 
-// repeat tells the news again that are old enough and still hold.
-func (a *announcedLateStarts) repeat(now time.Time, ledger *contract.LateStartLedger) {
+// advance adds the news that are due and still hold to the next announcements. It returns the number of starts that are told
+// for the first time.
+func (a *announcedLateStarts) advance(now time.Time, ledger *contract.LateStartLedger) int {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	var due lateStartNews
-	for len(a.toRepeat) > 0 && now.Sub(a.toRepeat[0].at) >= announcementRepeat {
-		due.add(a.toRepeat[0].lateStartNews)
-		a.toRepeat = a.toRepeat[1:]
+	var again, first lateStartNews
+	again, a.toRepeat = splitByTime(a.toRepeat, now.Add(-announcementRepeat))
+	first, a.untold = splitByTime(a.untold, now.Add(-lateStartSettleTime))
+	again, first = again.current(ledger), first.current(ledger)
+	if !first.empty() {
+		a.toRepeat = append(a.toRepeat, datedLateStarts{first, now})
 	}
-	if !due.empty() {
-		a.tell(due.current(ledger))
+	for _, audience := range []*lateStartNews{&a.near, &a.far, &a.others} {
+		audience.add(again)
+		audience.add(first)
 	}
+	return len(first.starts)
 }
 
 // take returns the announcements for the recipients of a status.
@@ -143,7 +156,7 @@
 	return a.others.take(now)
 }
 
-// lateStart records a start of an own pool that got no reply, and tells all members.
+// lateStart records a start of an own pool that got no reply, and tells all members unless it is settled soon.
 func (d *Daemon) lateStart(s contract.LateStart) {
 	d.lateStarts.Record(s)
 	d.announcedLate.add(lateStartNews{starts: []contract.LateStart{s}}, d.o.Now())
@@ -158,7 +171,9 @@
 // updateLateStarts drops the records that have ended, and sends the announcements that are due without a status.
 func (d *Daemon) updateLateStarts(now time.Time) {
 	d.lateStarts.Expire(now)
-	d.announcedLate.repeat(now, d.lateStarts)
+	if n := d.announcedLate.advance(now, d.lateStarts); n > 0 {
+		metrics.GetOrRegisterCounter(metric.LateStartsAnnounced, d.o.Metrics).Inc(int64(n))
+	}
 	if m := d.announcedLate.takeOthers(d.members.Count(), now); m != nil {
 		d.members.BroadcastOthers(m)
 	}
--- a/edge/latestarts_test.go
+++ b/edge/latestarts_test.go
@@ -78,9 +78,9 @@
 	})
 }
 
-// Guards against an announcement that is repeated although it does not hold any more: a worker has been replaced, or there is a
-// start without a reply at a worker that has come back.
-func TestLateStartsAreRepeatedWhileTheyHold(t *testing.T) {
+// Guards against an announcement of a start that is settled at once, and one that is repeated although it does not hold any
+// more: a worker has been replaced, or there is a start without a reply at a worker that has come back.
+func TestLateStartsAreToldAndRepeatedWhileTheyHold(t *testing.T) {
 	now, ledger := time.Now(), contract.NewLateStartLedger()
 	record := func(worker string) contract.LateStart {
 		s := contract.LateStart{Task: lateTask, Worker: worker, Until: now.Add(time.Second)}
@@ -89,23 +89,32 @@
 	}
 	var a announcedLateStarts
 	all := statusRecipients{all: true}
-	a.add(lateStartNews{starts: []contract.LateStart{record("a"), record("b")}, replaced: []string{"c", "d"}}, now)
+	a.add(lateStartNews{
+		starts: []contract.LateStart{record("a"), record("b"), record("settled")}, replaced: []string{"c", "d"},
+	}, now)
+	ledger.Executed(lateTask, "settled")
+	require.Zero(t, a.advance(now.Add(lateStartSettleTime-1), ledger))
+	require.Nil(t, a.take(all, now).near)
+	now = now.Add(lateStartSettleTime)
+	require.Equal(t, 2, a.advance(now, ledger))
 	first := a.take(all, now).near.GetLateStarts()
 	require.Len(t, first.GetStarts(), 2)
 	require.Equal(t, []string{"c", "d"}, first.GetReplaced())
+	require.NotNil(t, a.takeOthers(1, now))
 
 	ledger.Replaced("a")
 	record("c")
-	a.repeat(now.Add(announcementRepeat-1), ledger)
+	require.Zero(t, a.advance(now.Add(announcementRepeat-1), ledger))
 	require.Nil(t, a.take(all, now).near)
-	a.repeat(now.Add(announcementRepeat), ledger)
-	again := a.take(all, now.Add(announcementRepeat))
+	now = now.Add(announcementRepeat)
+	require.Zero(t, a.advance(now, ledger))
+	again := a.take(all, now)
 	require.Len(t, again.near.GetLateStarts().GetStarts(), 1)
 	require.Equal(t, "b", again.near.GetLateStarts().GetStarts()[0].GetWorker())
 	require.Equal(t, []string{"d"}, again.near.GetLateStarts().GetReplaced())
 	require.NotNil(t, again.far)
 	require.NotNil(t, a.takeOthers(1, now))
-	a.repeat(now.Add(time.Hour), ledger)
+	a.advance(now.Add(time.Hour), ledger)
 	require.Nil(t, a.take(all, now).near)
 }
 
--- a/metric/metric.go
+++ b/metric/metric.go
@@ -87,6 +87,7 @@
 	BatchTasksSuspected  = "batch.tasks_suspected"
 	BatchTasksGivenUp    = "batch.tasks_given_up"
 	BatchAnswerTime      = "batch.answer_time"
+	LateStartsAnnounced  = "edge.late_starts_announced"
 	RoutesConfined       = "edge.routes_confined"
 	RoutesReleased       = "edge.routes_released"
 	PoolQueueTime        = "pool.queue_time"
