edge: test that a bound task starts at any owner of its worker

The owner of the worker that may still execute an earlier start can be in another failure domain and no contact of the home, so that the home knows no capacity of it and the first order may echo an old timestamp.

--- a/edge/latestarts_test.go
+++ b/edge/latestarts_test.go
@@ -11,6 +11,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/cicadadale/cicadadale/api"
+	"github.com/cicadadale/cicadadale/batch"
 	"github.com/cicadadale/cicadadale/contract"
 )
 
@@ -206,3 +207,27 @@
 		}
 	})
 }
+
+// Guards against a task that starts elsewhere, or never, because the owner of the only worker on which it may start is in another
+// failure domain and no contact of the home.
+func TestTaskStartsAtTheWorkerOfItsLateStartAnywhere(t *testing.T) {
+	for _, daemons := range []int{2, maxFullMesh + 4} {
+		inVirtualTime(t, func(t *testing.T) {
+			d := newDeployment(t, 2, daemons, 2)
+			defer d.close()
+			time.Sleep(3 * time.Second)
+			home := d.daemons["edge-0-0"]
+			for i, worker := range []string{"worker-0-0", "worker-0-1", "worker-1-0", "worker-1-1"} {
+				job := fmt.Sprintf("%016x", i)
+				home.lateStarts.Record(contract.LateStart{
+					Task: contract.RunKey{Batch: job}, Worker: worker, Until: time.Now().Add(contract.LateStartRetention),
+				})
+				require.Equal(t, batch.Completed, (<-d.submit("edge-0-0", testJob(job, 1, 5*time.Second))).Outcome)
+				require.Equal(t, 1, d.observer.startsOf(job))
+				d.observer.mu.Lock()
+				require.Equal(t, worker, d.observer.started[len(d.observer.started)-1])
+				d.observer.mu.Unlock()
+			}
+		})
+	}
+}
