--- a/edge/latestarts.go
+++ b/edge/latestarts.go
@@ -9,6 +9,7 @@
 
 	"github.com/cicadadale/cicadadale/api"
 	"github.com/cicadadale/cicadadale/contract"
+	"github.com/cicadadale/cicadadale/internal/logattr"
 	"github.com/cicadadale/cicadadale/metric"
 )
 
@@ -112,9 +113,9 @@
 	a.untold = append(a.untold, datedLateStarts{n, now})
 }
 
-// advance adds the news that are due and still hold to the next announcements. It returns the number of starts that are told
-// for the first time.
-func (a *announcedLateStarts) advance(now time.Time, ledger *contract.LateStartLedger) int {
+// advance adds the news that are due and still hold to the next announcements. It returns the starts that are told for the
+// first time.
+func (a *announcedLateStarts) advance(now time.Time, ledger *contract.LateStartLedger) []contract.LateStart {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	var again, first lateStartNews
@@ -128,7 +129,7 @@
 		audience.add(again)
 		audience.add(first)
 	}
-	return len(first.starts)
+	return first.starts
 }
 
 // take returns the announcements for the recipients of a status.
@@ -171,14 +172,24 @@
 // updateLateStarts drops the records that have ended, and sends the announcements that are due without a status.
 func (d *Daemon) updateLateStarts(now time.Time) {
 	d.lateStarts.Expire(now)
-	if n := d.announcedLate.advance(now, d.lateStarts); n > 0 {
-		metrics.GetOrRegisterCounter(metric.LateStartsAnnounced, d.o.Metrics).Inc(int64(n))
-	}
+	d.logLateStarts(d.announcedLate.advance(now, d.lateStarts))
 	if m := d.announcedLate.takeOthers(d.members.Count(), now); m != nil {
 		d.members.BroadcastOthers(m)
 	}
 }
 
+// logLateStarts logs and counts the starts that are announced for the first time.
+func (d *Daemon) logLateStarts(starts []contract.LateStart) {
+	metrics.GetOrRegisterCounter(metric.LateStartsAnnounced, d.o.Metrics).Inc(int64(len(starts)))
+	for chunk := range slices.Chunk(starts, logattr.TasksPerLine) {
+		var tasks []string
+		for _, s := range chunk {
+			tasks = append(tasks, s.Task.Task().String()+" at "+s.Worker)
+		}
+		d.o.Logger.Info("announcing starts without a reply", "starts", len(starts), "tasks", tasks)
+	}
+}
+
 // handleLateStarts records what another member has announced.
 func (d *Daemon) handleLateStarts(m *api.LateStarts) {
 	news := decodeLateStarts(m, d.o.Now())
