edge: test a late start whose home and owner are lost together

The cases of TestLateStartAtRestartedWorkerIsNoSecondRun have the home and the owner of the worker on different VMs, where reports are enough. TestLateStartIsKnownWithoutItsHomeAndOwner kills a home that owns the worker, so that only the announcement of the start tells the next home.

--- a/edge/laterestart_test.go
+++ b/edge/laterestart_test.go
@@ -129,13 +129,16 @@
 		s.answer = s.d.submit("edge-1-0", testJob(s.job, lateStartTasks, 30*time.Second))
 		time.Sleep(2500 * time.Millisecond)
 	}},
-	{"home-is-killed-and-job-submitted-again", func(_ *testing.T, s *lateStart) {
-		time.Sleep(400 * time.Millisecond)
-		s.d.killDaemon(lateStartHome)
-		time.Sleep(resendDelay)
-		s.answer = s.d.submit("edge-1-0", testJob(s.job, lateStartTasks, 30*time.Second))
-		time.Sleep(2500 * time.Millisecond)
-	}},
+	{"home-is-killed-and-job-submitted-again", killHome},
+}
+
+// killHome kills the home of the job, which is then submitted to another one.
+func killHome(_ *testing.T, s *lateStart) {
+	time.Sleep(400 * time.Millisecond)
+	s.d.killDaemon(lateStartHome)
+	time.Sleep(resendDelay)
+	s.answer = s.d.submit("edge-1-0", testJob(s.job, lateStartTasks, 30*time.Second))
+	time.Sleep(2500 * time.Millisecond)
 }
 
 // Guards against a second run of a task: a start that got no reply is executed late, by the next incarnation of its worker,
@@ -143,15 +146,22 @@
 func TestLateStartAtRestartedWorkerIsNoSecondRun(t *testing.T) {
 	for _, c := range lateStartCases {
 		t.Run(c.name, func(t *testing.T) {
-			t.Run("connections-break", func(t *testing.T) { requireNoLateSecondRun(t, false, c.events) })
-			t.Run("silent", func(t *testing.T) { requireNoLateSecondRun(t, true, c.events) })
+			t.Run("connections-break", func(t *testing.T) { requireNoLateSecondRun(t, false, false, c.events) })
+			t.Run("silent", func(t *testing.T) { requireNoLateSecondRun(t, true, false, c.events) })
 		})
 	}
 }
 
+// Guards against a second run of a task: the home that has ordered the run and owns the worker is lost, so that only what it has
+// announced tells the next home of the start.
+func TestLateStartIsKnownWithoutItsHomeAndOwner(t *testing.T) {
+	t.Run("connections-break", func(t *testing.T) { requireNoLateSecondRun(t, false, true, killHome) })
+	t.Run("silent", func(t *testing.T) { requireNoLateSecondRun(t, true, true, killHome) })
+}
+
 // requireNoLateSecondRun delivers the starts at several times after the restart, and restarts at several phases against the
-// polls. It fails the test if a task has two runs at the same time in any of these deployments.
-func requireNoLateSecondRun(t *testing.T, silent bool, events func(t *testing.T, s *lateStart)) {
+// polls. atHome is set if the home owns the worker. It fails the test if a task has two runs at the same time in any of these deployments.
+func requireNoLateSecondRun(t *testing.T, silent, atHome bool, events func(t *testing.T, s *lateStart)) {
 	delays := []time.Duration{5, 10, 30, 50, 100, 200, 400, 700}
 	phases := []time.Duration{0, 50, 100, 150, 200, 250, 300, 350, 400, 450}
 	broken, begun, example := make(map[time.Duration]int), 0, ""
@@ -163,7 +173,7 @@
 					held: make(map[contract.RunKey]bool), failing: make(map[contract.RunKey]time.Duration),
 				}
 				defer s.d.end()
-				s.submit(t)
+				s.submit(t, atHome)
 				events(t, s)
 				n, overlaps := s.deliver(t, delay*time.Millisecond)
 				begun += n
@@ -179,12 +189,12 @@
 		len(phases), example)
 }
 
-// submit submits jobs until one worker, which is not owned by the home, has got starts without replying.
-func (s *lateStart) submit(t *testing.T) {
+// submit submits jobs until one worker, which the home owns or another member, has got starts without replying.
+func (s *lateStart) submit(t *testing.T, atHome bool) {
 	s.d.plan = s.planned
 	var workers []string
 	for id := range s.d.hosts {
-		if s.d.ownerOf(id) != lateStartHome {
+		if (s.d.ownerOf(id) == lateStartHome) == atHome {
 			workers = append(workers, id)
 		}
 	}
