--- a/batch/home.go
+++ b/batch/home.go
@@ -68,6 +68,10 @@
 	Cancels *contract.CancelLedger
 	// Held records the jobs that other members have announced.
 	Held *contract.HeldLedger
+	// LateStarts records the starts without a reply that workers may still execute.
+	LateStarts *contract.LateStartLedger
+	// OwnerOf returns the live member that owns a listed worker. It does not block and does not call the home.
+	OwnerOf func(worker string) (owner string, ok bool)
 	// Fits reports whether any listed worker of a back end can hold a task. known is false if no worker of the back end
 	// is listed.
 	Fits    func(backend string, need machine.Resources, label string) (fits, known bool)
@@ -262,7 +266,7 @@
 	}
 	if !known && h.refusesNew.Load() {
 		h.o.Logger.Info("job refused: the process ends", "job", b.ID, "route", b.Route)
-		return nil, Answer{Outcome: Refused, Reason: "the process ends"}
+		return nil, Answer{Outcome: h.refusedOutcome(&b), Reason: "the process ends"}
 	}
 	if !known {
 		var rejection *Answer
@@ -306,7 +310,7 @@
 		h.o.Logger.Info("job refused: cannot end before its deadline", "job", b.ID, "route", b.Route, "wait", wait,
 			"expected", expected, "time_left", left, h.majorityAttr("since_majority", now, out))
 		h.counter(metric.BatchJobsRefused).Inc(1)
-		return nil, &Answer{Outcome: Refused, Reason: "overloaded", RetryAfter: wait}
+		return nil, &Answer{Outcome: h.refusedOutcome(&b), Reason: "overloaded", RetryAfter: wait}
 	}
 	j := &job{
 		batch: b, steps: steps, expected: expected, tasks: make([]task, 0, b.Tasks()), submittedAt: b.Accepted,
--- a/edge/daemon.go
+++ b/edge/daemon.go
@@ -5,7 +5,6 @@
 	"log/slog"
 	"math/rand/v2"
 	"net"
-	"slices"
 	"sync"
 	"time"
 
@@ -89,6 +88,11 @@
 	held       *contract.HeldLedger
 	relays     *heldRelays
 	toAnnounce announcedJobs
+	lateStarts *contract.LateStartLedger
+	// announcedLate holds the starts without a reply to announce.
+	announcedLate announcedLateStarts
+	// ownership is that of the last assignment of workers.
+	ownership  ownership
 	confined   *contract.Confinement
 	home       *batch.Home
 	server     *link.PeerServer
@@ -149,13 +153,13 @@
 		firstTimestamp: rand.Uint64N(timestampRange),
 		pools:          make(map[string]*pool.Pool), lastPresent: make(map[string]time.Time), workers: newWorkers(o.Logger),
 		crashes: contract.NewCrashLedger(), cancels: contract.NewCancelLedger(), held: contract.NewHeldLedger(),
-		relays:   newHeldRelays(),
+		relays: newHeldRelays(), lateStarts: contract.NewLateStartLedger(),
 		confined: contract.NewConfinement(),
 	}
 	d.members = newMembers(o.Self, d.dialPeer, o.Logger)
 	d.home = batch.New(batch.Options{
 		Self: d.self, Owners: owners{d}, Members: membership{d}, Capacity: d.capacity, Crashes: d.crashes,
-		Cancels: d.cancels, Held: d.held, Fits: d.fits,
+		Cancels: d.cancels, Held: d.held, Fits: d.fits, LateStarts: d.lateStarts, OwnerOf: d.ownerOf,
 		Now: o.Now, Logger: o.Logger, Metrics: o.Metrics,
 	})
 	d.entries = newEntryRequests(d.members)
@@ -245,6 +249,7 @@
 	d.held.Expire(now)
 	d.relays.expire(now)
 	d.announced.Repeat(now)
+	d.updateLateStarts(now)
 	d.members.ChoosePartners()
 	d.members.SettleLists(now)
 	d.members.UpdateElectorate()
@@ -301,6 +306,7 @@
 			Policy:   poolPolicy(d.desired, backend),
 			Report:   func(home string, r contract.RunReport) { d.report(home, backend, r) },
 			Takeover: d.takeover, Crashed: d.workerCrashed, Confinement: d.confined,
+			LateStarts: d.lateStarts, LateStart: d.lateStart, WorkerReplaced: d.workerReplaced,
 			Yield: func() bool { return d.members.IsCutOff(d.o.Now()) },
 		})
 		d.pools[backend] = p
@@ -308,84 +314,6 @@
 	return p
 }
 
-// orphanedDomains returns the failure domains with workers that have been without a member for longer than orphanDelay, or
-// cutOffOrphanDelay, so that other domains take over their workers. It also records that workers are assigned now.
-func (d *Daemon) orphanedDomains(now time.Time) []string {
-	present, delay := d.members.LiveDomains(), orphanDelay
-	if d.members.IsCutOff(now) {
-		delay = cutOffOrphanDelay
-	}
-	domains := d.workers.Domains()
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	d.assignedAt = now
-	if !d.stopping {
-		present[d.o.Self.Domain] = true
-	}
-	for domain := range present {
-		d.lastPresent[domain] = now
-	}
-	return slices.DeleteFunc(domains, func(domain string) bool {
-		lastSeen, ok := d.lastPresent[domain]
-		if !ok {
-			lastSeen = d.started
-		}
-		return now.Sub(lastSeen) <= delay
-	})
-}
-
-func (d *Daemon) lastAssignment() time.Time {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	return d.assignedAt
-}
-
-// assignmentBasis is what an assignment of workers follows from. While it does not change, neither does the assignment.
-type assignmentBasis struct {
-	owning bool
-	// workers and owners are the versions of the list of workers and of the set of members that may own some.
-	workers, owners uint64
-	// orphaned are the failure domains without a member, in order.
-	orphaned []string
-}
-
-func (b assignmentBasis) equal(o assignmentBasis) bool {
-	return b.owning == o.owning && b.workers == o.workers && b.owners == o.owners && slices.Equal(b.orphaned, o.orphaned)
-}
-
-// assignWorkers gives each pool the workers that this process owns.
-func (d *Daemon) assignWorkers() {
-	d.assignMu.Lock()
-	defer d.assignMu.Unlock()
-	d.mu.Lock()
-	owning := d.joined && !d.stopping
-	d.mu.Unlock()
-	basis := assignmentBasis{
-		owning: owning, workers: d.workers.Version(), owners: d.members.OwnersVersion(),
-		orphaned: d.orphanedDomains(d.o.Now()),
-	}
-	if basis.equal(d.assignedFrom) {
-		return
-	}
-	d.assignedFrom = basis
-	candidates := d.members.Owners()
-	if owning {
-		candidates = append(candidates, candidate(d.o.Self))
-	}
-	owned := make(map[string][]machine.Listing)
-	for _, l := range d.workers.in(append(basis.orphaned, d.o.Self.Domain)) {
-		if id, ok := zone.OwnerOf(l.Worker, l.Zone, candidates, slices.Contains(basis.orphaned, l.Zone)); ok && id == d.self {
-			owned[l.Backend] = append(owned[l.Backend], l)
-		}
-	}
-	for backend := range owned {
-		d.pool(backend)
-	}
-	for backend, p := range d.allPools() {
-		p.SetHosts(owned[backend])
-	}
-}
-
 // handleWorkerList applies the platform's list of workers as read from the store, and forwards it.
 func (d *Daemon) handleWorkerList(l []machine.Listing) {
 	d.setListings(l)
