--- a/edge/restartnextcases_test.go
+++ b/edge/restartnextcases_test.go
@@ -48,6 +48,7 @@
 	waitsForList:                "an answered stop counts as the end of an earlier run",
 	pollsAfterStop:              "the reply to a poll that was sent before the stop was answered counts",
 	reportsAfterEarlier:         "a run is reported as over at the acquisition although the new incarnation lists an earlier one",
+	waitsForSilent:              "the next run goes elsewhere while the worker is silent",
 }
 
 // Guards against two runs of a task while a start of one of them may still be executed by a later incarnation of its
@@ -94,25 +95,6 @@
 	}
 }
 
-// Guards against a claim that the rule covers a worker that is silent when the next run is ordered. That run goes elsewhere,
-// and the worker may restart and execute the start beside it. Without silence nothing is left, as the test above shows.
-func TestRestartModelLeavesSilentWorker(t *testing.T) {
-	_, violation := nextRunRules{clauses: everyNextRunClause, leavesSilent: true}.check(t, twoRuns)
-	require.NotEmpty(t, violation)
-}
-
-// Guards against a claim that the rule covers starts of two runs at one worker that both got no reply. A restarted worker may
-// execute both before it is acquired. Nothing else is left of late starts of the next runs: if a worker rejected a start
-// while it runs another run of the task, they would break nothing.
-func TestRestartModelLeavesTwoLateStarts(t *testing.T) {
-	late := nextRunRules{clauses: everyNextRunClause, laterStartsLate: true}
-	_, violation := late.check(t, twoRuns)
-	require.NotEmpty(t, violation)
-	late.rejectsSecond = true
-	_, violation = late.check(t, twoRuns)
-	require.Empty(t, violation)
-}
-
 // Guards against a claim that the place of the next run prevents a start after an end that was taken note of: run 2 is done on
 // A, which restarts then and executes the start of run 1. The property is that no run of a task starts once a later one has
 // been reported as done. Only the bound of the window keeps it: the result of run 2 would have to wait until A has answered a
--- a/edge/restartnextmodel_test.go
+++ b/edge/restartnextmodel_test.go
@@ -14,16 +14,10 @@
 // later incarnation may have executed the start of run 1, and A may crash before the start or after it. So the model lets the
 // home order at A in every state.
 //
-// Left out: a change of A's owner and a job that passes to another home, after both of which nobody has the record of the
-// start, and starts without a reply at other workers.
+// Starts of runs 2 and 3 without a reply, the loss of A's owner and of the home, and records that other members have are the
+// subject of repeatmodel_test.go.
 type nextRunRules struct {
 	clauses nextRunClause
-	// leavesSilent makes a next run go elsewhere while A is down, so that no poll of it is answered.
-	leavesSilent bool
-	// laterStartsLate lets the starts of runs 2 and 3 at A get no reply and be executed late too.
-	laterStartsLate bool
-	// rejectsSecond makes A reject a start while it runs another run of the task. Workers are not known to do so.
-	rejectsSecond bool
 	// doneAfterRecord makes the owner report a run as done only once it has no record of a start without a reply.
 	doneAfterRecord bool
 	// mutation leaves out a clause of the rules for run 1.
@@ -59,6 +53,8 @@
 	pollsAfterStop
 	// reportsAfterEarlier makes the owner report a run of an earlier incarnation as over only while A lists no earlier run.
 	reportsAfterEarlier
+	// waitsForSilent makes a next run wait while A is down, so that no poll of it is answered.
+	waitsForSilent
 	lastNextRunClause
 
 	everyNextRunClause = lastNextRunClause - 1
@@ -85,10 +81,6 @@
 	elsewhere, alive bool
 	// The start call at A: the incarnation that the owner knew and the token.
 	sentTo, token uint8
-	// unanswered is set if the call got no reply, pending while it may still be executed.
-	unanswered, pending bool
-	// barred is set if a stop bars the start on the present incarnation.
-	barred bool
 }
 
 // taskState is a state of the model: run 1 with A and its owner, and the next runs.
@@ -128,9 +120,7 @@
 	rules := presentRules
 	rules.mutation = r.mutation
 	s.restartState.next(rules, func(n restartState) {
-		if started := n.running && !s.running; !started || s.accepts(r) {
-			s.firstRunEvent(n, r, visit)
-		}
+		s.firstRunEvent(n, r, visit)
 	})
 	s.recordEvents(r, visit)
 	for i := range s.runs {
@@ -144,21 +134,7 @@
 			s.ends(i, r, visit)
 			s.proofsOf(i, r, visit)
 		}
-		s.lateStart(i, r, visit)
-	}
-}
-
-// accepts reports whether A accepts the start of a run beside those that it runs.
-func (s *taskState) accepts(r nextRunRules) bool {
-	if !r.rejectsSecond {
-		return true
-	}
-	for i := range s.runs {
-		if w := &s.runs[i]; w.alive && !w.elsewhere {
-			return false
-		}
 	}
-	return !s.running
 }
 
 // firstRunEvent completes an event of the restart model by what it means for the next runs.
@@ -204,7 +180,7 @@
 func (s *taskState) endRunsOnA() {
 	for i := range s.runs {
 		w := &s.runs[i]
-		w.alive, w.barred = w.alive && w.elsewhere, false
+		w.alive = w.alive && w.elsewhere
 	}
 }
 
@@ -261,7 +237,7 @@
 	n := s
 	n.runs[i].phase = nextOrdered
 	visit(fmt.Sprintf("run %d is ordered at the owner of A", i+2), n)
-	if s.hints>>i&1 == 0 || !r.has(nextAtOwner) || (r.leavesSilent && s.down) {
+	if s.hints>>i&1 == 0 || !r.has(nextAtOwner) || (s.down && !r.has(waitsForSilent)) {
 		n.runs[i].elsewhere = true
 		visit(fmt.Sprintf("run %d is ordered elsewhere", i+2), n)
 	}
@@ -272,7 +248,7 @@
 	return s.listed || (i > 0 && s.runs[0].alive && !s.runs[0].elsewhere && s.known == s.incarnation)
 }
 
-// startOnA lets the owner start a run on A. The call is executed at once, never, or late.
+// startOnA lets the owner start a run on A. The call is executed at once or never.
 func (s taskState) startOnA(i int, r nextRunRules, visit visitTask) {
 	if s.down || s.runs[i].elsewhere || (s.known != s.incarnation && r.has(confirmsStart)) || s.token < s.fence {
 		return
@@ -284,21 +260,13 @@
 	w := &n.runs[i]
 	w.phase, w.sentTo, w.token = nextSent, s.known, s.token
 	visit(fmt.Sprintf("the start of run %d is lost", i+2), n)
-	if r.laterStartsLate {
-		w.pending, w.unanswered = true, true
-		visit(fmt.Sprintf("the start of run %d gets no reply", i+2), n)
-		w.pending, w.unanswered = false, false
-	}
-	if !s.accepts(r) {
-		return
-	}
 	w.alive, n.fence = true, s.token
 	visit(fmt.Sprintf("incarnation %d of A starts run %d", s.incarnation, i+2), n)
 }
 
 // startElsewhere starts a run that was ordered elsewhere, or lets A's owner start it on another of its workers.
 func (s taskState) startElsewhere(i int, r nextRunRules, visit visitTask) {
-	silent := r.leavesSilent && s.down
+	silent := s.down && !r.has(waitsForSilent)
 	if !s.runs[i].elsewhere && !silent && r.has(nextAtWorker) && !s.mayLeaveA(i, r) {
 		return
 	}
@@ -309,29 +277,12 @@
 
 // mayLeaveA reports whether A's owner may start a run on another of its workers.
 func (s *taskState) mayLeaveA(i int, r nextRunRules) bool {
-	if !s.recordEnded || s.anyUnanswered() {
+	if !s.recordEnded {
 		return false
 	}
 	return !r.has(startsElsewhereAfterEarlier) || !s.listsEarlier(i)
 }
 
-func (s *taskState) anyUnanswered() bool { return s.runs[0].unanswered || s.runs[1].unanswered }
-
-// lateStart executes a start of run 2 or 3 on A that got no reply, or loses it.
-func (s taskState) lateStart(i int, r nextRunRules, visit visitTask) {
-	w := &s.runs[i]
-	if !w.pending {
-		return
-	}
-	w.pending = false
-	visit(fmt.Sprintf("the start of run %d is lost", i+2), s)
-	rejected := s.fence > w.token || w.barred || (w.phase == nextOver && s.incarnation == w.sentTo)
-	if !s.down && !rejected && s.accepts(r) {
-		w.alive, s.fence = true, w.token
-		visit(fmt.Sprintf("incarnation %d of A executes the start of run %d", s.incarnation, i+2), s)
-	}
-}
-
 // ends lets a run that is alive end by itself, done or failed. Its end bars earlier runs on the incarnation.
 func (s taskState) ends(i int, r nextRunRules, visit visitTask) {
 	w := s.runs[i]
@@ -341,7 +292,7 @@
 	n := s
 	n.runs[i].alive = false
 	if !w.elsewhere {
-		n.bar(i)
+		n.barred = true
 	}
 	n.report(i, r)
 	visit(fmt.Sprintf("run %d fails", i+2), n)
@@ -351,14 +302,6 @@
 	}
 }
 
-// bar makes the present incarnation of A reject run i and all earlier ones.
-func (s *taskState) bar(i int) {
-	s.barred = true
-	for j := range s.runs[:i+1] {
-		s.runs[j].barred = true
-	}
-}
-
 // proofsOf lets a run be reported as over by an answered stop, by its lease, or by a later incarnation of A.
 func (s taskState) proofsOf(i int, r nextRunRules, visit visitTask) {
 	w := s.runs[i]
@@ -379,7 +322,7 @@
 		return
 	}
 	if w.sentTo == s.known {
-		s.bar(i)
+		s.barred = true
 		over("A answers a stop of run %d, which is reported as over", false)
 		return
 	}
@@ -391,7 +334,7 @@
 // report records the report that a run is over.
 func (s *taskState) report(i int, r nextRunRules) {
 	s.runs[i].phase = nextOver
-	if s.runs[i].unanswered || (r.has(keptForTask) && (!s.recordEnded || s.anyUnanswered())) {
+	if r.has(keptForTask) && !s.recordEnded {
 		s.hints |= 1 << (i + 1)
 	}
 }
