batch, platform: look at the caller before a run is ordered or refreshed

A home learnt that a caller had left from the goroutine that reads its connection. On a slow VM the periodic check runs before that goroutine, so the home went on refreshing runs after the kernel had seen the reset, and they outlived the 1.3 s after which the client submits the job to another member; once a client had sent its next request, the goroutine noticed nothing at all. The home now polls the connection itself, without waiting, before each refresh and before an order or claim that comes more than 50 ms after the last look. No message about a run echoes a contact that arrived after the time read before the look. A job all of whose callers have left ends in the same tick.

--- a/batch/advance.go
+++ b/batch/advance.go
@@ -107,6 +107,9 @@
 
 // place orders the next run of a task.
 func (h *Home) place(j *job, t *task, now time.Time, out *outbox) {
+	if !h.checkCallers(j, now, out) {
+		return
+	}
 	owner, ok := h.chooseOwner(j, t, now)
 	if !ok {
 		t.retryAt = now.Add(placeRetry)
@@ -183,7 +186,7 @@
 		metric.Histogram(metric.BatchAnswerTime, h.o.Metrics).Update(now.Sub(j.batch.Accepted).Microseconds())
 	}
 	for _, w := range j.waiters {
-		w <- j.answer
+		w.answer <- j.answer
 	}
 	j.waiters = nil
 	if j.noLiveRuns() {
@@ -370,7 +373,7 @@
 		key := j.key(t)
 		found := slices.Contains(takeover.Runs, key)
 		switch {
-		case found && j.state == jobActive && takeover.Token > t.token:
+		case found && takeover.Token > t.token && h.checkCallers(j, now, out):
 			h.o.Logger.Info("claiming a run from the new owner of its worker", "task", key.String(),
 				"worker", takeover.Worker, "owner", owner, "token", takeover.Token, "worker_start", takeover.StartTime,
 				"last_owner", t.owner, "last_worker", t.worker, "last_token", t.token)
--- a/batch/home.go
+++ b/batch/home.go
@@ -205,6 +205,9 @@
 				}
 				continue
 			}
+			if refresh {
+				h.checkCallers(j, now, out)
+			}
 			h.advance(j, now, out)
 			if refresh {
 				out.refresh(j)
@@ -219,39 +222,8 @@
 	out.send()
 }
 
-// Submit accepts a job, or joins the one that is known under its id, and waits for its answer. When ctx ends, the
-// caller has disconnected; a job without any waiting caller ends. It starts anew for the next caller, which waits until the
-// runs of the earlier one are over.
-func (h *Home) Submit(ctx context.Context, b contract.Batch) Answer {
-	for {
-		answer := h.submit(ctx, b)
-		if answer.Outcome != CallerLeft || ctx.Err() != nil {
-			return answer
-		}
-	}
-}
-
-// submit makes one attempt of Submit.
-func (h *Home) submit(ctx context.Context, b contract.Batch) Answer {
-	out := h.newOutbox()
-	waiter, answer := h.join(b, h.o.Now(), out)
-	out.send()
-	if waiter == nil {
-		return answer
-	}
-	select {
-	case answer := <-waiter:
-		return answer
-	case <-ctx.Done():
-		return h.callerLeft(b.ID, waiter)
-	case <-h.done:
-		return Answer{Outcome: Abandoned, Reason: "the process ends"}
-	}
-}
-
-// join adds a caller to the job that is known under its id, or to a new one. It returns the channel that receives the
-// answer, or the answer if there is one already.
-func (h *Home) join(b contract.Batch, now time.Time, out *outbox) (chan Answer, Answer) {
+// join adds a caller to the job that is known under its id, or to a new one. It returns the answer if there is one already.
+func (h *Home) join(b contract.Batch, w *waiter, now time.Time, out *outbox) (answer Answer, ended bool) {
 	s := h.shard(b.ID)
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -262,23 +234,24 @@
 	}
 	if !known && h.refusesNew.Load() {
 		h.o.Logger.Info("job refused: the process ends", "job", b.ID, "route", b.Route)
-		return nil, Answer{Outcome: Refused, Reason: "the process ends"}
+		return Answer{Outcome: Refused, Reason: "the process ends"}, true
 	}
 	if !known {
 		var rejection *Answer
 		if j, rejection = h.accept(b, lastRun, now, out); rejection != nil {
-			return nil, *rejection
+			return *rejection, true
 		}
 		s.jobs[b.ID] = j
-		h.advance(j, now, out)
 	}
 	if j.state == jobEnded {
-		return nil, j.answer
+		return j.answer, true
+	}
+	j.submittedAt, j.seenAt = later(j.submittedAt, b.Accepted), later(j.seenAt, b.Accepted)
+	j.waiters = append(j.waiters, w)
+	if !known {
+		h.advance(j, now, out)
 	}
-	j.submittedAt = later(j.submittedAt, b.Accepted)
-	waiter := make(chan Answer, 1)
-	j.waiters = append(j.waiters, waiter)
-	return waiter, Answer{}
+	return Answer{}, false
 }
 
 // accept creates a new job, or returns the answer to one that cannot be served: it has failed if no worker can hold its
@@ -347,35 +320,6 @@
 	return steps, expected, slowest
 }
 
-// callerLeft removes a caller that has disconnected, and ends the job if it was the last one.
-func (h *Home) callerLeft(id string, waiter chan Answer) Answer {
-	now := h.o.Now()
-	out := h.newOutbox()
-	s := h.shard(id)
-	s.mu.Lock()
-	j, ok := s.jobs[id]
-	if ok {
-		for i, w := range j.waiters {
-			if w == waiter {
-				j.waiters = append(j.waiters[:i], j.waiters[i+1:]...)
-				break
-			}
-		}
-		if len(j.waiters) == 0 && j.state == jobActive {
-			h.endJob(j, CallerLeft, "caller left", now, out)
-			h.advance(j, now, out)
-		}
-	}
-	s.mu.Unlock()
-	out.send()
-	select {
-	case answer := <-waiter:
-		return answer
-	default:
-		return Answer{Outcome: CallerLeft, Reason: "caller left"}
-	}
-}
-
 // Cancel ends a job. It reports whether the job is known. The cancel has been recorded before, so that a copy which arrives
 // meanwhile is not accepted.
 func (h *Home) Cancel(id string) bool {
--- a/batch/home_test.go
+++ b/batch/home_test.go
@@ -48,7 +48,7 @@
 	if r.contact != nil {
 		return *r.contact
 	}
-	if now := time.Now(); now.Before(limit) {
+	if now := r.now(); now.Before(limit) {
 		limit = now
 	}
 	return Contact{Timestamp: 1, ReceivedAt: limit}
--- a/batch/job.go
+++ b/batch/job.go
@@ -107,10 +107,12 @@
 	outcome    Outcome
 	answer     Answer
 	endedAt    time.Time
-	waiters    []chan Answer
+	waiters    []*waiter
 	// submittedAt is when the last caller submitted the job here, announcedAt when it was last announced to other members.
 	submittedAt time.Time
 	announcedAt time.Time
+	// seenAt is a time at which a caller was there.
+	seenAt time.Time
 	// provenUntil is the latest known proof of the caller, ordersFrom the time before which no run is ordered.
 	provenUntil time.Time
 	ordersFrom  time.Time
--- a/batch/outbox.go
+++ b/batch/outbox.go
@@ -86,9 +86,10 @@
 	return c
 }
 
-// order adds an order for a task's current run. The run lives no longer than its lease after the last proof of the caller.
+// order adds an order for a task's current run. The run lives no longer than its lease after the last proof of the caller, and after
+// the last look at the callers.
 func (o *outbox) order(j *job, t *task, order contract.TaskOrder) {
-	echo := o.contact(t.owner, o.provenAt(j))
+	echo := o.contact(t.owner, earlier(o.provenAt(j), j.seenAt))
 	t.confirm(echo)
 	o.orders = append(o.orders, ownerOrder{t.owner, order, echo})
 }
@@ -111,7 +112,7 @@
 			o.withdraw(j.poolRef(t), j.key(t))
 			continue
 		}
-		echo := o.contact(t.owner, o.majorityContact(j.electorate))
+		echo := o.contact(t.owner, earlier(o.majorityContact(j.electorate), j.seenAt))
 		t.confirm(echo)
 		add(&o.refreshes, refreshKey{j.poolRef(t), echo}, j.key(t))
 	}
--- a/edge/chaos_test.go
+++ b/edge/chaos_test.go
@@ -46,6 +46,10 @@
 	trace   []string
 }
 
+func newChaos(d *deployment) *chaos {
+	return &chaos{d: d, cuts: make(map[int]func(from, to string) bool), delays: make(map[int]func(from, to string) bool)}
+}
+
 // Guards against tasks with two runs at the same time, and against refused jobs that have run, under overlapping
 // random faults.
 func TestRandomFaultsBreakNoInvariant(t *testing.T) {
@@ -314,18 +318,23 @@
 // delayDaemon delays all data that a daemon sends and receives, as on a VM that is paused or very slow.
 func (c *chaos) delayDaemon(rng *rand.Rand) string {
 	vm, _ := anyDaemon(rng)
+	c.delay(faultTime(rng), func(from, to string) bool { return from == vm || to == vm })
+	return "delay " + vm
+}
+
+// delay holds up the data on some links for a time.
+func (c *chaos) delay(d time.Duration, links func(from, to string) bool) {
 	c.mu.Lock()
 	n := c.next
 	c.next++
-	c.delays[n] = func(from, to string) bool { return from == vm || to == vm }
+	c.delays[n] = links
 	c.applyCuts()
 	c.mu.Unlock()
-	time.Sleep(faultTime(rng))
+	time.Sleep(d)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	delete(c.delays, n)
 	c.applyCuts()
-	return "delay " + vm
 }
 
 func (c *chaos) delayedStarts(rng *rand.Rand) string {
--- a/edge/deployment_test.go
+++ b/edge/deployment_test.go
@@ -10,6 +10,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -197,6 +198,8 @@
 func (c workerCalls) Stop(
 	ctx context.Context, a link.HostAddress, key contract.RunKey, token uint64,
 ) (link.HostReply, error) {
+	ctx, cancel := c.d.awaitStop(ctx)
+	defer cancel()
 	h, err := c.reach(ctx, a)
 	if err != nil {
 		return link.HostReply{}, err
@@ -319,6 +322,8 @@
 	wg        sync.WaitGroup
 	// workerNet is the network to the workers; nil for one without faults of its own.
 	workerNet *workerNetwork
+	// stopDelay is the time, in nanoseconds, by which all owners are late with the calls that stop runs.
+	stopDelay atomic.Int64
 }
 
 // deploymentOptions are the properties of a deployment beside its size.
--- a/edge/faultycalls_test.go
+++ b/edge/faultycalls_test.go
@@ -174,6 +174,8 @@
 func (c faultyCalls) Stop(
 	ctx context.Context, a link.HostAddress, key contract.RunKey, token uint64,
 ) (link.HostReply, error) {
+	ctx, cancel := c.w.d.awaitStop(ctx)
+	defer cancel()
 	return exchange(ctx, c, a, link.HostReply{OtherWorker: true},
 		func(ctx context.Context, h *standin.RunHost) (link.HostReply, error) { return h.Stop(ctx, key, token) })
 }
--- a/edge/front.go
+++ b/edge/front.go
@@ -25,12 +25,17 @@
 // Submit runs a job and returns its answer. While the process is stopping, it shortens the job's deadline to fit the
 // grace period.
 func (d *Daemon) Submit(ctx context.Context, b contract.Batch) batch.Answer {
+	return d.SubmitFrom(ctx, nil, b)
+}
+
+// SubmitFrom is Submit for a caller that the home can look at itself.
+func (d *Daemon) SubmitFrom(ctx context.Context, c batch.Caller, b contract.Batch) batch.Answer {
 	d.mu.Lock()
 	if end := d.answerBy(); d.stopping && end.Before(b.Deadline) {
 		b.Deadline = end
 	}
 	d.mu.Unlock()
-	return d.home.Submit(ctx, b)
+	return d.home.SubmitFrom(ctx, c, b)
 }
 
 // answerBy returns the time by which a stopping process must have answered its jobs. d.mu is held.
--- a/edge/suspension_test.go
+++ b/edge/suspension_test.go
@@ -21,8 +21,7 @@
 		w := newWorkerNetwork(1, false)
 		d := newDeploymentOver(w, t, 3, 1, 2)
 		d.plan = func(contract.RunKey) standin.RunPlan { return standin.RunPlan{Duration: 8 * time.Second} }
-		c := &chaos{d: d, cuts: make(map[int]func(from, to string) bool), delays: make(map[int]func(from, to string) bool)}
-		o := &overlap{chaos: c, net: w, waiting: make(chan struct{}, 1)}
+		o := &overlap{chaos: newChaos(d), net: w, waiting: make(chan struct{}, 1)}
 		const job = "0123456789abcdef"
 		ctx, breakChannel := context.WithCancel(context.Background())
 		d.wg.Go(func() { d.daemons["edge-0-0"].Submit(ctx, testJob(job, 2, 12*time.Second)) })
--- a/metric/describe.go
+++ b/metric/describe.go
@@ -88,6 +88,8 @@
 		{BatchEndsExpired, "runs over at their home: lease expired, counted from the last contact"},
 		{BatchPauses, "pauses of the process after which no run was ordered for a moment"},
 		{BatchTickDelay, "delay of the periodic check of all jobs (µs)"},
+		{BatchCallerLooks, "looks at the connections of callers before runs are ordered or refreshed"},
+		{BatchCallersGone, "jobs ended because a look has shown that all callers had left"},
 		{BatchHeldElsewhere, "jobs accepted that another member had announced as its own"},
 		{BatchJobsSuperseded, "jobs ended because their callers had submitted them to another member"},
 		{BatchJobsIsolated, "jobs ended because their home was out of contact with a majority of the members"},
--- a/metric/metric.go
+++ b/metric/metric.go
@@ -75,6 +75,8 @@
 	BatchEndsExpired     = "batch.ends_expired"
 	BatchPauses          = "batch.pauses"
 	BatchTickDelay       = "batch.tick_delay_us"
+	BatchCallerLooks     = "batch.caller_looks"
+	BatchCallersGone     = "batch.callers_gone"
 	BatchHeldElsewhere   = "batch.jobs_held_elsewhere"
 	BatchJobsSuperseded  = "batch.jobs_superseded"
 	BatchJobsIsolated    = "batch.jobs_isolated"
