batch, edge: announce jobs of a slow home before its next check, at once

A home announced a job at the first periodic check that found it 400 ms old, with the next status. If the checks and statuses of a slow VM are 0.3 to 0.7 s apart and its messages wait 0.3 s in a queue, that is later than 1.3 s after the acceptance, and a client whose channel had broken without any sign found a member that had not heard of the job. After a check that was more than 200 ms late, a home now announces what will be 400 ms old by the next check if that is as late, in a message of its own to all members, also those that it counts as silent. Homes whose checks are on time send nothing more.

--- a/batch/home.go
+++ b/batch/home.go
@@ -89,9 +89,10 @@
 	// waits counts the waits for earlier homes of jobs.
 	waits    atomic.Uint64
 	contacts majorityContacts
-	// announcedAt is the time of the last announcement of jobs, isolated is set while there is no contact with a majority of
-	// the members. Only the goroutine of run uses them.
+	// announcedAt is the time of the last announcement of jobs, tickGap the time between the last two ticks, isolated is set while there
+	// is no contact with a majority of the members. Only the goroutine of run uses them.
 	announcedAt time.Time
+	tickGap     time.Duration
 	isolated    bool
 	// refusesNew is set once the process ends as soon as its jobs are answered.
 	refusesNew atomic.Bool
@@ -158,12 +159,13 @@
 		select {
 		case <-ticker.C:
 			now := h.o.Now()
-			late = h.recordTick(now.Sub(checked), late)
+			h.tickGap = now.Sub(checked)
+			late = h.recordTick(h.tickGap, late)
 			checked = now
-			if gap := h.pause.tick(now); gap > 0 {
+			if pause := h.pause.tick(now); pause > 0 {
 				h.counter(metric.BatchPauses).Inc(1)
 				h.o.Logger.Warn("process was paused; ordering no run until callers that have left are noticed",
-					"pause", gap, "recovery", pauseRecovery)
+					"pause", pause, "recovery", pauseRecovery)
 			}
 			refresh := now.Sub(refreshed) >= refreshInterval
 			if refresh {
@@ -190,6 +192,9 @@
 // tick advances all jobs, drops expired answers and refreshes runs.
 func (h *Home) tick(now time.Time, refresh bool) {
 	out := newOutbox(h.o.Owners, h.o.Members)
+	if h.tickGap > stallLimit {
+		out.nextCheck, out.lateChecks = h.tickGap, true
+	}
 	announce := now.Sub(h.announcedAt) >= h.nextAnnouncement()
 	if announce {
 		h.announcedAt = now
--- a/batch/membership.go
+++ b/batch/membership.go
@@ -52,8 +52,8 @@
 	Release(r contract.JobRelease, repeated bool)
 	// Count returns the number of other members.
 	Count() int
-	// AnnounceHeld tells the other members of jobs that this home holds.
-	AnnounceHeld(jobs []contract.HeldJob)
+	// AnnounceHeld tells the other members of jobs that this home holds, with the next statuses or at once.
+	AnnounceHeld(jobs []contract.HeldJob, atOnce bool)
 }
 
 // provenAt returns the latest time at which no other member can have had a job. The lock of the job's shard is held.
@@ -174,9 +174,10 @@
 	return min(max(time.Duration(h.o.Members.Count())*announceSpacing, announceInterval), maxAnnounceInterval)
 }
 
-// announce adds a job to the next announcement if it is due. The lock of the job's shard is held.
+// announce adds a job to the next announcement if it is due, or will be by the next check of a slow home. The lock of the job's shard is
+// held.
 func (o *outbox) announce(j *job, now time.Time) {
-	if now.Sub(j.batch.Accepted) < announceAfter || now.Sub(j.announcedAt) < announceRepeat {
+	if now.Sub(j.batch.Accepted)+o.nextCheck < announceAfter || now.Sub(j.announcedAt) < announceRepeat {
 		return
 	}
 	j.announcedAt = now
--- a/batch/outbox.go
+++ b/batch/outbox.go
@@ -29,6 +29,9 @@
 	releases []releaseRequest
 	// held are the jobs to announce to the other members.
 	held []contract.HeldJob
+	// lateChecks is set in a tick that was late, nextCheck is the time to the next one if that is as late.
+	lateChecks bool
+	nextCheck  time.Duration
 	// ordered describes the orders for the log, until the job has been advanced.
 	ordered []string
 }
@@ -145,6 +148,6 @@
 		o.members.Release(r.JobRelease, r.repeated)
 	}
 	if len(o.held) > 0 {
-		o.members.AnnounceHeld(o.held)
+		o.members.AnnounceHeld(o.held, o.lateChecks)
 	}
 }
--- a/batch/slow_home_test.go
+++ b/batch/slow_home_test.go
@@ -36,3 +36,26 @@
 		require.NotEmpty(t, out.sentOrders(), "%v after the job was submitted", now().Sub(b.Accepted))
 	})
 }
+
+// Guards against a job that a slow home, whose ticks are 600 ms apart, announces only after its caller may have submitted it to another
+// member: with the first status after the tick at which it has become old enough.
+func TestSlowHomeAnnouncesBeforeTheNextTick(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		start := time.Now()
+		now := func() time.Time { return start.Add(12 * time.Since(start)) }
+		h, out := newTestHomeAt(now)
+		defer h.Close()
+		time.Sleep(4*tickInterval - time.Millisecond)
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		b := testBatch(1, time.Minute)
+		b.Accepted = now()
+		b.Deadline = b.Accepted.Add(time.Minute)
+		go h.Submit(ctx, b)
+		time.Sleep(2 * time.Millisecond)
+		require.Len(t, out.announced(), 1)
+		out.mu.Lock()
+		defer out.mu.Unlock()
+		require.True(t, out.announcedAtOnce)
+	})
+}
--- a/edge/heldjobs.go
+++ b/edge/heldjobs.go
@@ -32,9 +32,15 @@
 func (s membership) Count() int { return s.d.members.Count() }
 
 // AnnounceHeld implements batch.Membership.
-func (s membership) AnnounceHeld(jobs []contract.HeldJob) {
+func (s membership) AnnounceHeld(jobs []contract.HeldJob, atOnce bool) {
+	m := s.d.encodeHeldJobs("", jobs)
+	if atOnce {
+		// A slow process counts members as silent whose messages it has not read yet.
+		s.d.members.Broadcast(m)
+		return
+	}
 	s.d.toAnnounce.add(jobs)
-	s.d.members.BroadcastOthers(s.d.encodeHeldJobs("", jobs))
+	s.d.members.BroadcastOthers(m)
 }
 
 // LastHeard implements batch.Membership.
