--- a/batch/home.go
+++ b/batch/home.go
@@ -93,9 +93,10 @@
 	// waits counts the waits for earlier homes of jobs.
 	waits    atomic.Uint64
 	contacts majorityContacts
-	// announcedAt is the time of the last announcement of jobs, isolated is set while there is no contact with a majority of
-	// the members. Only the goroutine of run uses them.
+	// announcedAt is the time of the last announcement of jobs, tickGap the time between the last two ticks, isolated is set while there
+	// is no contact with a majority of the members. Only the goroutine of run uses them.
 	announcedAt time.Time
+	tickGap     time.Duration
 	isolated    bool
 	// refusesNew is set once the process ends as soon as its jobs are answered.
 	refusesNew atomic.Bool
@@ -162,12 +163,13 @@
 		select {
 		case <-ticker.C:
 			now := h.o.Now()
-			late = h.recordTick(now.Sub(checked), late)
+			h.tickGap = now.Sub(checked)
+			late = h.recordTick(h.tickGap, late)
 			checked = now
-			if gap := h.pause.tick(now); gap > 0 {
+			if pause := h.pause.tick(now); pause > 0 {
 				h.counter(metric.BatchPauses).Inc(1)
 				h.o.Logger.Warn("process was paused; ordering no run until callers that have left are noticed",
-					"pause", gap, "recovery", pauseRecovery)
+					"pause", pause, "recovery", pauseRecovery)
 			}
 			refresh := now.Sub(refreshed) >= refreshInterval
 			if refresh {
@@ -194,6 +196,9 @@
 // tick advances all jobs, drops expired answers and refreshes runs.
 func (h *Home) tick(now time.Time, refresh bool) {
 	out := newOutbox(h.o.Owners, h.o.Members)
+	if h.tickGap > stallLimit {
+		out.nextCheck, out.lateChecks = h.tickGap, true
+	}
 	announce := now.Sub(h.announcedAt) >= h.nextAnnouncement()
 	if announce {
 		h.announcedAt = now
@@ -209,6 +214,9 @@
 				}
 				continue
 			}
+			if refresh {
+				h.checkCallers(j, now, out)
+			}
 			h.advance(j, now, out)
 			if refresh {
 				out.refresh(j)
@@ -223,39 +231,8 @@
 	out.send()
 }
 
-// Submit accepts a job, or joins the one that is known under its id, and waits for its answer. When ctx ends, the
-// caller has disconnected; a job without any waiting caller ends. It starts anew for the next caller, which waits until the
-// runs of the earlier one are over.
-func (h *Home) Submit(ctx context.Context, b contract.Batch) Answer {
-	for {
-		answer := h.submit(ctx, b)
-		if answer.Outcome != CallerLeft || ctx.Err() != nil {
-			return answer
-		}
-	}
-}
-
-// submit makes one attempt of Submit.
-func (h *Home) submit(ctx context.Context, b contract.Batch) Answer {
-	out := h.newOutbox()
-	waiter, answer := h.join(b, h.o.Now(), out)
-	out.send()
-	if waiter == nil {
-		return answer
-	}
-	select {
-	case answer := <-waiter:
-		return answer
-	case <-ctx.Done():
-		return h.callerLeft(b.ID, waiter)
-	case <-h.done:
-		return Answer{Outcome: Abandoned, Reason: "the process ends"}
-	}
-}
-
-// join adds a caller to the job that is known under its id, or to a new one. It returns the channel that receives the
-// answer, or the answer if there is one already.
-func (h *Home) join(b contract.Batch, now time.Time, out *outbox) (chan Answer, Answer) {
+// join adds a caller to the job that is known under its id, or to a new one. It returns the answer if there is one already.
+func (h *Home) join(b contract.Batch, w *waiter, now time.Time, out *outbox) (answer Answer, ended bool) {
 	s := h.shard(b.ID)
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -266,23 +243,24 @@
 	}
 	if !known && h.refusesNew.Load() {
 		h.o.Logger.Info("job refused: the process ends", "job", b.ID, "route", b.Route)
-		return nil, Answer{Outcome: h.refusedOutcome(&b), Reason: "the process ends"}
+		return Answer{Outcome: h.refusedOutcome(&b), Reason: "the process ends"}, true
 	}
 	if !known {
 		var rejection *Answer
 		if j, rejection = h.accept(b, lastRun, now, out); rejection != nil {
-			return nil, *rejection
+			return *rejection, true
 		}
 		s.jobs[b.ID] = j
-		h.advance(j, now, out)
 	}
 	if j.state == jobEnded {
-		return nil, j.answer
+		return j.answer, true
+	}
+	j.submittedAt, j.seenAt = later(j.submittedAt, b.Accepted), later(j.seenAt, b.Accepted)
+	j.waiters = append(j.waiters, w)
+	if !known {
+		h.advance(j, now, out)
 	}
-	j.submittedAt = later(j.submittedAt, b.Accepted)
-	waiter := make(chan Answer, 1)
-	j.waiters = append(j.waiters, waiter)
-	return waiter, Answer{}
+	return Answer{}, false
 }
 
 // accept creates a new job, or returns the answer to one that cannot be served: it has failed if no worker can hold its
@@ -351,35 +329,6 @@
 	return steps, expected, slowest
 }
 
-// callerLeft removes a caller that has disconnected, and ends the job if it was the last one.
-func (h *Home) callerLeft(id string, waiter chan Answer) Answer {
-	now := h.o.Now()
-	out := h.newOutbox()
-	s := h.shard(id)
-	s.mu.Lock()
-	j, ok := s.jobs[id]
-	if ok {
-		for i, w := range j.waiters {
-			if w == waiter {
-				j.waiters = append(j.waiters[:i], j.waiters[i+1:]...)
-				break
-			}
-		}
-		if len(j.waiters) == 0 && j.state == jobActive {
-			h.endJob(j, CallerLeft, "caller left", now, out)
-			h.advance(j, now, out)
-		}
-	}
-	s.mu.Unlock()
-	out.send()
-	select {
-	case answer := <-waiter:
-		return answer
-	default:
-		return Answer{Outcome: CallerLeft, Reason: "caller left"}
-	}
-}
-
 // Cancel ends a job. It reports whether the job is known. The cancel has been recorded before, so that a copy which arrives
 // meanwhile is not accepted.
 func (h *Home) Cancel(id string) bool {
--- a/batch/home_test.go
+++ b/batch/home_test.go
@@ -30,10 +30,12 @@
 	workerOwners map[string]string
 	acks         []contract.RunKey
 	held         []contract.HeldJob
-	releases     []contract.JobRelease
-	heard        time.Time
-	majorityAt   time.Time
-	electorate   *zone.Electorate
+	// announcedAtOnce is set if the last announcement does not wait for the next statuses.
+	announcedAtOnce bool
+	releases        []contract.JobRelease
+	heard           time.Time
+	majorityAt      time.Time
+	electorate      *zone.Electorate
 	// needsMajority is the only electorate to which majorityAt applies, nil for all.
 	needsMajority *zone.Electorate
 	// othersMayHaveMajority is the answer of CanHaveMajority.
@@ -50,7 +52,7 @@
 	if r.contact != nil {
 		return *r.contact
 	}
-	if now := time.Now(); now.Before(limit) {
+	if now := r.now(); now.Before(limit) {
 		limit = now
 	}
 	return Contact{Timestamp: 1, ReceivedAt: limit}
@@ -156,10 +158,11 @@
 	return slices.Clone(r.releases)
 }
 
-func (r *recorder) AnnounceHeld(jobs []contract.HeldJob) {
+func (r *recorder) AnnounceHeld(jobs []contract.HeldJob, atOnce bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.held = append(r.held, jobs...)
+	r.announcedAtOnce = atOnce
 }
 
 func (r *recorder) setMajorityAt(at time.Time) {
