pool: report the worker of a start that has had no reply for 10 ms

If the owner of a worker is lost while a start call is under way, nobody else knows where the start may still be executed, and the home orders the next run anywhere. A call that takes longer than 10 ms is now reported once as queued, with the worker in Worker and LateWorkers, from a timer; answers about starting runs and the report of a run that was lost with a call under way name the worker too. On the code before, TestHomeHearsOfAStartWithoutAReply (no report) and TestReportOfALostRunNamesTheWorkerOfItsStart (no worker) fail; both pass now. TestAnsweredStartIsNotReportedBefore passes before and after: it guards against a message for each start.

--- a/pool/pool_test.go
+++ b/pool/pool_test.go
@@ -77,6 +77,8 @@
 	sizes     map[string]int
 	mu        sync.Mutex
 	reports   map[contract.RunKey]contract.RunReport
+	// reportLog holds all reports in their order.
+	reportLog []contract.RunReport
 	crashes   []contract.WorkerCrash
 	// lateStarts and replaced are what the pool has announced of starts without a reply.
 	lateStarts []contract.LateStart
@@ -136,6 +138,7 @@
 			f.mu.Lock()
 			defer f.mu.Unlock()
 			f.reports[r.Key] = r
+			f.reportLog = append(f.reportLog, r)
 		},
 	})
 	f.pool.SetHosts(f.list)
--- a/pool/run.go
+++ b/pool/run.go
@@ -149,6 +149,10 @@
 		}
 	default:
 		msg = contract.RunReport{Key: r.order.Key, State: contract.RunQueued, MayHaveStarted: r.mayHaveRun}
+		if r.host != nil {
+			msg.Worker = r.host.address.Worker
+			msg.LateWorkers = []string{msg.Worker}
+		}
 	}
 	fx.reports = append(fx.reports, report{home, msg})
 }
@@ -219,6 +223,11 @@
 	now := p.o.Now()
 	h := r.host.host
 	worker := h.Listing.Worker
+	var lateWorkers []string
+	if r.state == runStarting || r.state == runInDoubt {
+		// The start call under way may get no reply.
+		lateWorkers = []string{worker}
+	}
 	p.counter(proofs[reason].counter).Inc(1)
 	p.o.Logger.Info("run is left to the next owner of its worker", "task", r.order.Key.String(), "worker", worker,
 		"reason", reason.String(), "token", r.token, "worker_start", r.workerStart, "lease_end", h.LeaseEnd(),
@@ -227,7 +236,7 @@
 	delete(p.runs, r.order.Key)
 	p.barredRuns[r.order.Key] = barredRun{at: now, state: contract.RunLost}
 	fx.reports = append(fx.reports, report{r.home, contract.RunReport{
-		Key: r.order.Key, State: contract.RunLost, Worker: worker, MayHaveStarted: r.mayHaveRun,
+		Key: r.order.Key, State: contract.RunLost, Worker: worker, MayHaveStarted: r.mayHaveRun, LateWorkers: lateWorkers,
 	}})
 }
 
--- a/pool/start.go
+++ b/pool/start.go
@@ -19,6 +19,9 @@
 	// startTimeout bounds a start call. It may be short: if no reply has arrived by then, a poll determines whether the
 	// run has started.
 	startTimeout = 150 * time.Millisecond
+	// startReportDelay is how long a start call may take until the home is told of its worker: if this VM is lost then, the
+	// home knows which worker may still execute the start.
+	startReportDelay = 10 * time.Millisecond
 	// suspectTime is how long a worker gets no tasks after a call without a reply, unless it replies to the next one. A
 	// single lost reply says little about the worker: on a lossy network it happens to all workers several times a
 	// second.
@@ -59,11 +62,24 @@
 		"lease_end", s.leaseEnd, "decided", p.o.Now().Sub(s.decidedAt))
 	ctx, cancel := context.WithTimeout(p.ctx, startTimeout)
 	defer cancel()
+	report := time.AfterFunc(startReportDelay, func() { p.reportUnanswered(s) })
+	defer report.Stop()
 	return p.o.Calls.Start(ctx, s.host.address, link.HostStart{
 		Key: s.run.order.Key, Spec: s.run.order.Spec, LeaseEnd: s.leaseEnd, Token: s.token,
 	})
 }
 
+// reportUnanswered reports a run whose start call has had no reply for startReportDelay.
+func (p *Pool) reportUnanswered(s startEffect) {
+	var fx effects
+	p.mu.Lock()
+	if r := s.run; r.host == s.host && (r.state == runStarting || r.state == runInDoubt) {
+		fx.report(r)
+	}
+	p.mu.Unlock()
+	p.apply(fx)
+}
+
 // handleAbandonedStart processes the result of a start call whose run has been given up meanwhile. p.mu is held.
 func (p *Pool) handleAbandonedStart(s startEffect, verdict link.StartVerdict, err error, now time.Time, fx *effects) {
 	p.o.Logger.Warn("start returned after its run had been given up", "task", s.run.order.Key.String(),
