pool: return a task that cannot start here after a pause

The home and the pool of one VM call each other: a home that does not know why a task came back ordered it again within the report, and go test ./edge ended with a stack overflow in Order and Report. A task is now held for 20 ms at least, during which it starts nowhere and reserves no worker. TestTaskIsNotReturnedWhileItIsOrdered fails without the condition (10,000 rounds at once, at most 50 allowed) and passes with it. Tasks that wait for one worker that takes none no longer hide others that run alone, either.

--- a/pool/alone.go
+++ b/pool/alone.go
@@ -59,11 +59,11 @@
 	}
 }
 
-// nextAlone returns the most urgent waiting task that runs alone. p.mu is held.
+// nextAlone returns the most urgent waiting task that runs alone and may start somewhere. p.mu is held.
 func (p *Pool) nextAlone(now time.Time) *run {
 	var next *run
 	for _, r := range p.waiting.runs {
-		if r.order.Alone && now.Sub(r.refreshedAt) <= refreshTimeout &&
+		if r.order.Alone && now.Sub(r.refreshedAt) <= refreshTimeout && !p.stuck(r, now) &&
 			(next == nil || r.order.Deadline.Before(next.order.Deadline)) {
 			next = r
 		}
--- a/pool/bound_test.go
+++ b/pool/bound_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/cicadadale/cicadadale/contract"
 	"github.com/cicadadale/cicadadale/link"
+	"github.com/cicadadale/cicadadale/metric"
 	"github.com/cicadadale/cicadadale/standin"
 )
 
@@ -75,6 +76,7 @@
 					f.recordLate(worker)
 				}
 				key := f.orderWith("task", func(o *contract.TaskOrder) { o.OnlyWorker = c.only })
+				time.Sleep(returnDelay + sweepInterval)
 				report := f.report(key)
 				require.Equal(t, c.state, report.State)
 				require.False(t, report.MayHaveStarted)
@@ -86,6 +88,27 @@
 	}
 }
 
+// Guards against a home and a pool of one VM that pass a task to each other without a pause, until the stack of the process
+// overflows: the home does not know why the task cannot start here.
+func TestTaskIsNotReturnedWhileItIsOrdered(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(1)
+		defer f.pool.Close()
+		f.recordLate("other")
+		f.pool.o.Report = func(_ string, r contract.RunReport) {
+			if r.State == contract.RunEnded && r.Key.Run < 10_000 {
+				f.orderRun(r.Key.Run + 1)
+			}
+		}
+		f.orderRun(1)
+		time.Sleep(time.Second)
+		returned := f.pool.counter(metric.PoolReturnedLate).Count()
+		require.Positive(t, returned)
+		require.LessOrEqual(t, returned, int64(time.Second/returnDelay))
+		require.Empty(t, f.observer.startedJobs())
+	})
+}
+
 // Guards against a queued task that waits for a worker after the announcement of a late start elsewhere, or after its worker
 // has been assigned to another owner.
 func TestQueuedTaskIsReturnedOnceItCannotStartHere(t *testing.T) {
--- a/pool/latestart.go
+++ b/pool/latestart.go
@@ -20,6 +20,9 @@
 	// unhealthyRetry is the pause after a worker has rejected a start as unhealthy before a task that starts nowhere else is
 	// sent to it again.
 	unhealthyRetry = 200 * time.Millisecond
+	// returnDelay is how long a task that can start on no worker of the pool is held before it goes back to its home. A home
+	// that does not know the reason could order it again here at once, without end.
+	returnDelay = 20 * time.Millisecond
 )
 
 // recordLateStart records a start call of a run that got no reply. Its worker may execute it later, also as another
@@ -47,20 +50,20 @@
 
 // bindWaiting determines for each queued task the only worker on which it may start, if an earlier start of it may still be
 // executed. A restart that lets that worker execute the earlier start ends the next run first. A task that cannot start on
-// any worker of this pool is returned to its home. p.mu is held.
+// any worker of this pool is returned to its home, after a pause. p.mu is held.
 func (p *Pool) bindWaiting(now time.Time, fx *effects) {
 	var unbound []*run
 	noRecords := p.o.LateStarts.Empty()
 	for _, r := range p.waiting.runs {
 		if noRecords && r.order.OnlyWorker == "" {
-			r.onlyWorker = ""
+			r.onlyWorker, r.unplaceable = "", false
 			continue
 		}
 		worker, ok := p.onlyWorkerOf(r.order)
-		r.onlyWorker = worker
 		// The record of the home has ended by then, so that it may order the task anywhere.
 		expired := r.order.OnlyWorker != "" && now.Sub(r.queuedAt) > contract.LateStartRetention
-		if !ok || expired {
+		r.onlyWorker, r.unplaceable = worker, !ok || expired
+		if r.unplaceable && now.Sub(r.queuedAt) >= returnDelay {
 			unbound = append(unbound, r)
 		}
 	}
@@ -92,7 +95,7 @@
 func (p *Pool) startBound(now time.Time, fx *effects) {
 	for i := 0; i < len(p.waiting.runs); {
 		r := p.waiting.runs[i]
-		if r.onlyWorker == "" || !p.canStartBound(p.hosts[r.onlyWorker], r, now) {
+		if r.onlyWorker == "" || r.unplaceable || !p.canStartBound(p.hosts[r.onlyWorker], r, now) {
 			i++
 			continue
 		}
@@ -107,10 +110,10 @@
 		h.host.CanStartSuspended(r.order.Need, now) && p.admits(h, r, now)
 }
 
-// stuck reports whether a queued task waits for a worker that takes no task now. p.mu is held.
+// stuck reports whether a queued task waits for a worker that takes no task now, or to be returned to its home. p.mu is held.
 func (p *Pool) stuck(r *run, now time.Time) bool {
 	h := p.hosts[r.onlyWorker]
-	return h != nil && !h.host.Usable(now)
+	return r.unplaceable || (h != nil && !h.host.Usable(now))
 }
 
 // logLateStarts records that a task starts that has an earlier start which may still be executed. p.mu is held.
--- a/pool/match.go
+++ b/pool/match.go
@@ -77,7 +77,7 @@
 // that rack for at most its expected run time.
 func (p *Pool) canStart(h *ownedHost, r *run, now time.Time) bool {
 	o := r.order
-	if !h.host.CanStart(o.Need, now) || !p.admits(h, r, now) || r.onlyWorker != "" {
+	if !h.host.CanStart(o.Need, now) || !p.admits(h, r, now) || r.onlyWorker != "" || r.unplaceable {
 		return false
 	}
 	if o.PreferredRack == "" || h.host.InRack(o.PreferredRack) || now.Sub(r.queuedAt) > o.Expected {
--- a/pool/run.go
+++ b/pool/run.go
@@ -63,8 +63,10 @@
 	// repeating is set while the start call of a run in doubt is repeated. resolve wakes the goroutine that repeats it.
 	repeating bool
 	resolve   chan struct{}
-	// onlyWorker is the worker on which a queued run has to start; empty for any.
-	onlyWorker string
+	// onlyWorker is the worker on which a queued run has to start; empty for any. unplaceable is set if no worker of the pool
+	// may start it.
+	onlyWorker  string
+	unplaceable bool
 	// startedAt is when the start call was made, or when the run was found on a worker.
 	startedAt time.Time
 	// confirmedAt is when a reply of the worker last settled whether the run had started. Replies to polls that were sent
