pool: test late starts under random faults

No test of the pool mixed held starts, lost replies, delays, crashes and restarts. The observer of the tests records runs of a task that are alive together.

--- a/pool/pool_test.go
+++ b/pool/pool_test.go
@@ -27,6 +27,9 @@
 	mu      sync.Mutex
 	started []string
 	workers map[string]string
+	// alive holds the workers of the runs of each task that have not ended, overlaps those of a task that were alive together.
+	alive    map[contract.RunKey]map[contract.RunKey]string
+	overlaps []string
 	// ended holds the time at which the last run of each job ended.
 	ended map[string]time.Time
 }
@@ -34,6 +37,15 @@
 func (o *startObserver) Started(worker string, key contract.RunKey) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
+	alive := o.alive[key.Task()]
+	for other, at := range alive {
+		o.overlaps = append(o.overlaps, fmt.Sprintf("%s at %s beside %s at %s", key, worker, other, at))
+	}
+	if alive == nil {
+		alive = make(map[contract.RunKey]string)
+		o.alive[key.Task()] = alive
+	}
+	alive[key] = worker
 	o.started = append(o.started, key.Batch)
 	o.workers[key.Batch] = worker
 }
@@ -56,6 +68,7 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	o.ended[key.Batch] = at
+	delete(o.alive[key.Task()], key)
 }
 
 // endOf returns when the last run of a job ended; zero if none has ended.
@@ -92,8 +105,9 @@
 // newFixtureOf returns a fixture whose workers start whatever they are told to start, if unguarded is set.
 func newFixtureOf(workers int, unguarded bool) *fixture {
 	f := &fixture{
-		calls:    &hostCalls{hosts: make(map[string]*standin.RunHost)},
-		observer: &startObserver{workers: make(map[string]string), ended: make(map[string]time.Time)}, durations: make(map[string]time.Duration),
+		calls: &hostCalls{hosts: make(map[string]*standin.RunHost)},
+		observer: &startObserver{workers: make(map[string]string), ended: make(map[string]time.Time),
+			alive: make(map[contract.RunKey]map[contract.RunKey]string)}, durations: make(map[string]time.Duration),
 		sizes: make(map[string]int), reports: make(map[contract.RunKey]contract.RunReport),
 	}
 	for i := range workers {
--- /dev/null
+++ b/pool/randomfaults_test.go
@@ -0,0 +1,122 @@
+package pool
+
+import (
+	"fmt"
+	"maps"
+	"math/rand/v2"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/cicadadale/cicadadale/contract"
+	"github.com/cicadadale/cicadadale/standin"
+)
+
+const (
+	// faultyDeployments is the number of deployments with random faults, faultyTime how long each of them lasts.
+	faultyDeployments = 20
+	faultyTime        = 40 * time.Second
+)
+
+// faultyWorkers is a pool whose workers fail at random, and a home that orders the next run of each task when the last one is
+// over.
+type faultyWorkers struct {
+	*fixture
+	rng *rand.Rand
+	// runs holds the present run of each job, which has one task after the other.
+	runs map[string]contract.RunKey
+	// heldSince is when the starts that a worker holds began to be held, at the earliest.
+	heldSince map[*standin.RunHost]time.Time
+}
+
+// Guards against two runs of a task that are alive together, or a task that gets no run any more, while workers leave starts
+// without a reply, execute them up to 15 s later, and are restarted under their ids.
+func TestLateStartsUnderRandomFaultsLeaveOneRunOfATask(t *testing.T) {
+	for seed := range uint64(faultyDeployments) {
+		synctest.Test(t, func(t *testing.T) {
+			w := &faultyWorkers{fixture: newFixture(3), rng: rand.New(rand.NewPCG(seed, 0)), runs: make(map[string]contract.RunKey), heldSince: make(map[*standin.RunHost]time.Time)}
+			defer w.pool.Close()
+			for i := range 4 {
+				job := fmt.Sprintf("task-%d", i)
+				w.setRunTime(job, time.Duration(1+i)*time.Second)
+				w.runs[job] = contract.RunKey{Batch: job}
+			}
+			for end := time.Now().Add(faultyTime); time.Now().Before(end); {
+				w.fault()
+				w.proceed(time.Duration(w.rng.IntN(300)) * time.Millisecond)
+			}
+			require.Empty(t, w.observer.overlaps, "seed %d", seed)
+			w.calls.dropStops.Store(false)
+			for _, h := range w.calls.hosts {
+				w.heal(h)
+			}
+			before := maps.Clone(w.runs)
+			w.proceed(contract.LateStartRetention + 10*time.Second)
+			for job, key := range w.runs {
+				require.Greater(t, key.Index, before[job].Index, "seed %d: %s", seed, key)
+			}
+			require.Empty(t, w.observer.overlaps, "seed %d", seed)
+		})
+	}
+}
+
+// proceed plays the home for a time.
+func (w *faultyWorkers) proceed(d time.Duration) {
+	for end := time.Now().Add(d); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
+		for job, key := range w.runs {
+			if state := w.state(key); key.Run == 0 || state.Final() {
+				key.Run++
+				if state == contract.RunDone {
+					key.Index, key.Run = key.Index+1, 1
+				}
+				w.runs[job] = key
+				w.orderWith(job, func(o *contract.TaskOrder) { o.Key = key })
+				continue
+			}
+			w.pool.Refresh(testHome, []contract.RunKey{key}, time.Now())
+		}
+	}
+}
+
+// fault makes a worker fail in some way.
+func (w *faultyWorkers) fault() {
+	id := fmt.Sprintf("w%d", w.rng.IntN(len(w.calls.hosts)))
+	h := w.calls.hosts[id]
+	for _, host := range w.calls.hosts {
+		if time.Since(w.heldSince[host]) > contract.LateStartLimit-5*time.Second {
+			host.DiscardHeld()
+			w.heldSince[host] = time.Now()
+		}
+	}
+	switch w.rng.IntN(8) {
+	case 0, 1:
+		h.SetHoldingStarts(1 + w.rng.IntN(2))
+	case 2:
+		w.heal(h)
+	case 3:
+		h.SetLosingReplies(true)
+	case 4:
+		h.SetDelay(time.Duration(w.rng.IntN(2000)) * time.Millisecond)
+		w.proceed(time.Duration(w.rng.IntN(500)) * time.Millisecond)
+		h.SetDelay(0)
+	case 5:
+		w.calls.dropStops.Store(!w.calls.dropStops.Load())
+	default:
+		h.Crash()
+		h.SetRefusing(w.rng.IntN(2) == 0)
+		w.proceed(time.Duration(w.rng.IntN(2000)) * time.Millisecond)
+		h.Restart()
+		time.Sleep(time.Duration(w.rng.IntN(100)) * time.Millisecond)
+		h.DeliverHeld()
+		w.heldSince[h] = time.Now()
+	}
+}
+
+// heal ends the faults of a worker, but for the starts that are under way.
+func (w *faultyWorkers) heal(h *standin.RunHost) {
+	h.SetHoldingStarts(0)
+	h.SetLosingReplies(false)
+	h.SetDelay(0)
+}
