pool: do not write a start whose lease is nearly over

The pool checked the lease and the age of the refresh when it decided on a start, and nothing checked again until the worker did, by the end of the lease and the token. A worker that restarted meanwhile knows neither, and executes the start beside the next run.

--- a/pool/hostcalls_test.go
+++ b/pool/hostcalls_test.go
@@ -20,6 +20,8 @@
 	spoilStarts atomic.Bool
 	// delayPolls makes polls take a round trip.
 	delayPolls atomic.Bool
+	// writeDelay is the time from the decision on a start until it is written.
+	writeDelay time.Duration
 }
 
 func (c *hostCalls) Start(
@@ -28,6 +30,13 @@
 	if c.spoilStarts.Load() {
 		return 0, link.HostReply{}, fault.AnsweredInDoubt.New("rejection by worker %s is not whole", a.Worker)
 	}
+	if c.writeDelay > 0 {
+		time.Sleep(c.writeDelay)
+		if !s.Valid() {
+			return 0, link.HostReply{}, fault.NotStarted.New("start at worker %s is not valid any more", a.Worker)
+		}
+		ctx = context.Background()
+	}
 	return c.hosts[a.Worker].Start(ctx, s)
 }
 
--- a/pool/repeat.go
+++ b/pool/repeat.go
@@ -191,9 +191,10 @@
 
 // startCall returns a start call of a run with the values of this decision. p.mu is held.
 func (p *Pool) startCall(r *run, h *ownedHost, now time.Time) startEffect {
+	limit := h.leaseLimit(now, p.o.Lease)
 	return startEffect{
 		run: r, host: h, token: h.host.Token, decidedAt: now, workerStart: h.host.StartTime, entryStart: h.host.Listing.StartTime,
-		leaseEnd: h.host.ExtendLease(h.leaseLimit(now, p.o.Lease).Sub(now), now),
+		leaseEnd: h.host.ExtendLease(limit.Sub(now), now), sendBy: limit.Add(-minStartLease),
 	}
 }
 
--- a/pool/run.go
+++ b/pool/run.go
@@ -130,6 +130,9 @@
 	decidedAt   time.Time
 	workerStart int64
 	entryStart  int64
+	// sendBy is the time after which the call is not written any more. Its lease would be too short, and an incarnation of the
+	// worker that has restarted unnoticed would not see that it is over.
+	sendBy time.Time
 	// firstLate is what the run had before a repeated call.
 	firstLate bool
 }
