--- a/soak/check.go
+++ b/soak/check.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"net/http"
 	"slices"
+	"sync"
 	"time"
 )
 
@@ -33,13 +34,15 @@
 	for _, j := range s.jobs {
 		s.checkJob(j)
 	}
+	var serving sync.WaitGroup
 	for _, d := range s.daemons {
 		s.countChecks(CheckNoUnexpectedExit, 1)
 		if d.hasFailed() {
 			s.reportViolation(CheckNoUnexpectedExit, fmt.Sprintf("%s exited unexpectedly, see %s", d.vm, d.log))
 		}
-		s.checkServing(d)
+		serving.Go(func() { s.checkServing(d) })
 	}
+	serving.Wait()
 }
 
 func (s *Soak) checkJob(j *job) {
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -72,15 +72,24 @@
 
 // requireNoSecondRun runs a soak with one kind of fault, in which every other run is long, and checks that it finds no violation.
 func requireNoSecondRun(t *testing.T, kind string, o soak.Options) soak.Report {
+	t.Helper()
+	return requireNoSecondRunUnder(t, []string{kind}, o)
+}
+
+// requireNoSecondRunUnder runs a soak with several kinds of faults, in which every other run is long, and checks that each kind
+// was injected and no violation found.
+func requireNoSecondRunUnder(t *testing.T, kinds []string, o soak.Options) soak.Report {
 	t.Helper()
 	program, err := os.Executable()
 	require.NoError(t, err)
 	var out bytes.Buffer
-	o.Program, o.Faults, o.LongRuns, o.Dir, o.Out = program, []string{kind}, 2, t.TempDir(), &out
+	o.Program, o.Faults, o.LongRuns, o.Dir, o.Out = program, kinds, 2, t.TempDir(), &out
 	r, err := soak.Run(o)
 	require.NoError(t, err)
 	require.Zero(t, r.Violations, out.String())
-	require.Positive(t, r.FaultsInjected[kind])
+	for _, kind := range kinds {
+		require.Positive(t, r.FaultsInjected[kind], kind)
+	}
 	require.Positive(t, r.InvariantChecks[soak.CheckRunsOnce])
 	require.Positive(t, r.Completed)
 	return r
@@ -113,6 +122,18 @@
 	require.Positive(t, r.LateStarts)
 }
 
+// Guards against a second run of a task whose first starts got no answer, when the next one starts elsewhere while their worker
+// is silent and a restart of that worker executes them: crashes, repeated answers and pauses of daemons make the home conclude
+// early that a run is over. Half of the faults are restarts, so that some of them execute a start.
+func TestLateStartsAmongOtherFaultsAreNoSecondRuns(t *testing.T) {
+	late := "worker_late_restart"
+	r := requireNoSecondRunUnder(t, []string{late, late, late, "worker_repeats", "worker_crash", "pause"}, soak.Options{
+		Seed: 71, Duration: 5 * time.Second, Domains: 4, Daemons: 3, Workers: 8, FaultInterval: 250 * time.Millisecond,
+	})
+	t.Logf("%d starts held, %d of them executed after a restart", r.StartsHeld, r.LateStarts)
+	require.Positive(t, r.LateStarts)
+}
+
 // Guards against a misspelt fault kind that leaves a run without faults, and against a wave of more workers than there are.
 func TestUnknownFaultIsAnError(t *testing.T) {
 	_, err := soak.Run(soak.Options{Faults: []string{"kil"}})
