soak, load: worker_late_restart kills owners that have left starts without a reply

worker_late_restart executed held starts after a restart, but nothing combined that with the loss of the worker's owner, whose memory has the record of the start; kill hits it by chance only.

The relay names that daemon (Relay.LastSender). The check is the one for two runs at once. The result has the number of owners killed.

--- a/load/relay.go
+++ b/load/relay.go
@@ -38,7 +38,9 @@
 	// repeatAfter is the time after which everything that the target sends is sent to the client once more; zero disables
 	// this.
 	repeatAfter time.Duration
-	conns       map[*relayConn]bool
+	// lastSender is the client that has sent last.
+	lastSender string
+	conns      map[*relayConn]bool
 	// outages are the outages that have not ended; ended wakes up what waits for the end of one.
 	outages map[*Outage]bool
 	ended   *sync.Cond
@@ -215,9 +217,20 @@
 	r.delay = d
 }
 
-func (r *Relay) currentDelay() time.Duration {
+// LastSender returns the sender that the target has last received something from.
+func (r *Relay) LastSender() string {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	return r.lastSender
+}
+
+// recordPassing records that something is forwarded, and returns the delay with which it is.
+func (r *Relay) recordPassing(c *relayConn, reply bool) time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if !reply {
+		r.lastSender = c.sender
+	}
 	return r.delay
 }
 
@@ -419,7 +432,7 @@
 		if c.dropAll.Load() || (c.dropRequests.Load() && !reply) {
 			continue
 		}
-		if d := r.currentDelay(); d > 0 {
+		if d := r.recordPassing(c, reply); d > 0 {
 			time.Sleep(d)
 		}
 		if _, err := to.Write(buf[:n]); err != nil {
--- a/load/relay_test.go
+++ b/load/relay_test.go
@@ -137,6 +137,26 @@
 	requireReads(t, <-accepted, "y")
 }
 
+// Guards against a relay that takes a client for the last sender that has only connected, or sent something earlier.
+func TestLastSenderIsTheOneThatSentLast(t *testing.T) {
+	target, accepted := startTarget(t)
+	r, err := load.NewSenderRelay(target, func(first []byte) (string, bool) { return string(first[:len(first)-1]), len(first) > 1 })
+	require.NoError(t, err)
+	defer r.Close()
+	require.Empty(t, r.LastSender())
+	a := connect(t, r, "a.")
+	atA := <-accepted
+	requireReads(t, atA, "a.")
+	connect(t, r, "b.")
+	atB := <-accepted
+	requireReads(t, atB, "b.")
+	require.Equal(t, "b", r.LastSender())
+	send(t, a, "request")
+	requireReads(t, atA, "request")
+	send(t, atB, "answer")
+	require.Equal(t, "a", r.LastSender())
+}
+
 // Guards against a partition between two machines that affects a third one, or that a connection escapes whose sender was
 // not known when it began.
 func TestPartitionOfOneSender(t *testing.T) {
--- a/soak/laterestart.go
+++ b/soak/laterestart.go
@@ -5,6 +5,7 @@
 	"math"
 	"math/rand/v2"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/cicadadale/cicadadale/contract"
@@ -22,6 +23,10 @@
 	maxAfterRestart = 300 * time.Millisecond
 	// runMargin is how long after the worker's restart the next runs of the tasks go on.
 	runMargin = 2 * time.Second
+	// One in ownerLossEvery faults kills the owner of the worker, at the latest ownerLossDelay after the worker has stopped
+	// holding starts, and before its restart.
+	ownerLossEvery = 3
+	ownerLossDelay = 600 * time.Millisecond
 	// lateJobLimit is the time limit of the jobs that are submitted while starts are held.
 	lateJobLimit = 16 * time.Second
 )
@@ -38,8 +43,9 @@
 	mu    sync.Mutex
 	tasks map[contract.RunKey]lateTask
 	// faults is the number of the last fault, holding the number of workers that hold starts, held the number of starts that
-	// were held, executed the number of these that have begun a run after a restart.
-	faults, holding, held, executed int
+	// were held, executed the number of these that have begun a run after a restart, ownersKilled the number of owners that were
+	// killed while starts of theirs were under way.
+	faults, holding, held, executed, ownersKilled int
 }
 
 func newLateTasks() *lateTasks { return &lateTasks{tasks: make(map[contract.RunKey]lateTask)} }
@@ -108,7 +114,7 @@
 }
 
 // restartBeforeLateStarts makes a worker leave starts without an answer for a time, restarts it some seconds later and
-// executes them then. A worker is spared if it runs a task that an earlier fault concerns: a task that loses two workers is
+// executes them then. Some faults kill the owner of the worker in between, and start it again. A worker is spared if it runs a task that an earlier fault concerns: a task that loses two workers is
 // given up.
 func (s *Soak) restartBeforeLateStarts(rng *rand.Rand) string {
 	w := s.randomWorker(rng)
@@ -121,6 +127,14 @@
 	down := time.Duration(rng.Int64N(int64(maxLateDown)))
 	// The square makes short times frequent, in which the restart has not been noticed.
 	after := time.Duration(math.Pow(rng.Float64(), 2) * float64(maxAfterRestart))
+	silent := rng.IntN(2) == 0
+	var loss sync.WaitGroup
+	defer loss.Wait()
+	if rng.IntN(ownerLossEvery) == 0 {
+		at := hold/2 + time.Duration(rng.Int64N(int64(hold/2+ownerLossDelay)))
+		back := faultDuration(rng) / 2
+		loss.Go(func() { s.killOwner(w, at, back) })
+	}
 	fault := s.late.beginHold()
 	w.host.NotifyHeld(func(key contract.RunKey) {
 		s.late.add(key.Task(), fault, crash.Add(runMargin))
@@ -135,7 +149,7 @@
 		w.host.DiscardHeld()
 		return ""
 	}
-	s.restartWorker(w, rng.IntN(2) == 0, down)
+	s.restartWorker(w, silent, down)
 	time.Sleep(after)
 	executed := w.host.DeliverHeld()
 	s.late.mu.Lock()
@@ -146,6 +160,25 @@
 	return fmt.Sprintf("%s, %d of %d starts executed %v after the restart", w.id, executed, held, after)
 }
 
+// killOwner kills the owner of a worker after a time, if the worker holds starts then, and starts it again.
+func (s *Soak) killOwner(w *worker, after, back time.Duration) {
+	time.Sleep(after)
+	source, begin := w.relay.LastSender(), time.Now()
+	for _, d := range s.daemons {
+		if d.source != source || len(w.host.Held()) == 0 || !d.reserve() {
+			continue
+		}
+		defer d.release()
+		d.terminate(syscall.SIGKILL, startTimeout)
+		s.restart(d, back)
+		s.late.mu.Lock()
+		s.late.ownersKilled++
+		s.late.mu.Unlock()
+		s.recordFault("kill", d.vm+", owner of "+w.id, begin)
+		return
+	}
+}
+
 // restartWorker restarts a worker, whose connections break meanwhile unless it is silent.
 func (s *Soak) restartWorker(w *worker, silent bool, down time.Duration) {
 	if !silent {
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -83,10 +83,11 @@
 	Completed       int            `json:"jobs_completed"`
 	Refused         int            `json:"jobs_refused"`
 	// StartsHeld counts the starts that workers have left without an answer for worker_late_restart, LateStarts those of them
-	// that have begun a run after the restart.
-	StartsHeld int    `json:"starts_held"`
-	LateStarts int    `json:"late_starts_executed"`
-	Dir        string `json:"dir"`
+	// that have begun a run after the restart, OwnersKilled the owners that were killed while the starts were held.
+	StartsHeld   int    `json:"starts_held"`
+	LateStarts   int    `json:"late_starts_executed"`
+	OwnersKilled int    `json:"owners_killed"`
+	Dir          string `json:"dir"`
 }
 
 // worker is a worker stand-in behind a relay. crashing is held while it is down.
@@ -165,7 +166,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.report.TasksStarted, s.report.Dir = s.runs.count(), s.dir
-	s.report.StartsHeld, s.report.LateStarts = s.late.held, s.late.executed
+	s.report.StartsHeld, s.report.LateStarts, s.report.OwnersKilled = s.late.held, s.late.executed, s.late.ownersKilled
 	return s.report, nil
 }
 
