edge: entrust a start without a reply to another member if its owner is its home

An owner tells the home of the job after 10 ms, and all members some 0.25 s after a start has got no reply. If the owner is the home itself and is lost in between, nobody knew of the start: the next home ordered the task elsewhere, and the restarted worker executed the first start beside it. Such an owner now tells one other member after 10 ms, which keeps the start for 2 s and announces it to all if the owner is lost. It costs one message for each start of an own job on an own worker that takes more than 10 ms to be answered (edge.late_starts_entrusted).

--- a/edge/daemon.go
+++ b/edge/daemon.go
@@ -91,6 +91,7 @@
 	lateStarts *contract.LateStartLedger
 	// announcedLate holds the starts without a reply to announce.
 	announcedLate announcedLateStarts
+	entrusted     *entrustedStarts
 	// ownership is that of the last assignment of workers.
 	ownership  ownership
 	confined   *contract.Confinement
@@ -153,7 +154,7 @@
 		firstTimestamp: rand.Uint64N(timestampRange),
 		pools:          make(map[string]*pool.Pool), lastPresent: make(map[string]time.Time), workers: newWorkers(o.Logger),
 		crashes: contract.NewCrashLedger(), cancels: contract.NewCancelLedger(), held: contract.NewHeldLedger(),
-		relays: newHeldRelays(), lateStarts: contract.NewLateStartLedger(),
+		relays: newHeldRelays(), lateStarts: contract.NewLateStartLedger(), entrusted: newEntrustedStarts(),
 		confined: contract.NewConfinement(),
 	}
 	d.members = newMembers(o.Self, d.dialPeer, o.Logger)
@@ -250,6 +251,7 @@
 	d.relays.expire(now)
 	d.announced.Repeat(now)
 	d.updateLateStarts(now)
+	d.entrusted.expire(now)
 	d.members.ChoosePartners()
 	d.members.SettleLists(now)
 	d.members.UpdateElectorate()
@@ -281,6 +283,7 @@
 	for _, p := range d.allPools() {
 		p.HomeUnreachable(member)
 	}
+	d.announceEntrusted(member)
 	d.home.OwnerUnreachable(member)
 	d.assignWorkers()
 }
--- a/edge/laterestart_test.go
+++ b/edge/laterestart_test.go
@@ -133,8 +133,13 @@
 }
 
 // killHome kills the home of the job, which is then submitted to another one.
-func killHome(_ *testing.T, s *lateStart) {
+func killHome(t *testing.T, s *lateStart) {
 	time.Sleep(400 * time.Millisecond)
+	killHomeAtOnce(t, s)
+}
+
+// killHomeAtOnce kills the home 20 ms after its starts and submits the job to another member.
+func killHomeAtOnce(_ *testing.T, s *lateStart) {
 	s.d.killDaemon(lateStartHome)
 	time.Sleep(resendDelay)
 	s.answer = s.d.submit("edge-1-0", testJob(s.job, lateStartTasks, 30*time.Second))
@@ -159,6 +164,12 @@
 	t.Run("silent", func(t *testing.T) { requireNoLateSecondRun(t, true, true, killHome) })
 }
 
+// Guards against a second run of a task: the home owns the worker and is lost before it has announced the start without a reply.
+func TestLateStartIsKnownIfItsHomeAndOwnerIsLostAtOnce(t *testing.T) {
+	t.Run("connections-break", func(t *testing.T) { requireNoLateSecondRun(t, false, true, killHomeAtOnce) })
+	t.Run("silent", func(t *testing.T) { requireNoLateSecondRun(t, true, true, killHomeAtOnce) })
+}
+
 // requireNoLateSecondRun delivers the starts at several times after the restart, and restarts at several phases against the
 // polls. atHome is set if the home owns the worker. It fails the test if a task has two runs at the same time in any of these deployments.
 func requireNoLateSecondRun(t *testing.T, silent, atHome bool, events func(t *testing.T, s *lateStart)) {
--- a/edge/latestarts.go
+++ b/edge/latestarts.go
@@ -191,7 +191,11 @@
 }
 
 // handleLateStarts records what another member has announced.
-func (d *Daemon) handleLateStarts(m *api.LateStarts) {
+func (d *Daemon) handleLateStarts(id string, m *api.LateStarts) {
+	if m.GetEntrusted() {
+		d.handleEntrusted(id, m)
+		return
+	}
 	news := decodeLateStarts(m, d.o.Now())
 	for _, worker := range news.replaced {
 		d.lateStarts.Replaced(worker)
--- a/edge/messages.go
+++ b/edge/messages.go
@@ -89,6 +89,9 @@
 // report sends a pool's report of a run to its home.
 func (d *Daemon) report(home, backend string, r contract.RunReport) {
 	if home == d.self {
+		if r.State == contract.RunQueued && len(r.LateWorkers) > 0 {
+			d.entrust(r)
+		}
 		d.home.Report(batch.PoolRef{Owner: d.self, Backend: backend}, r)
 		return
 	}
@@ -250,7 +253,7 @@
 	case *api.PeerMessage_JobCancel:
 		d.handleCancel(id, decodeCancel(b.JobCancel, d.o.Now()))
 	case *api.PeerMessage_LateStarts:
-		d.handleLateStarts(b.LateStarts)
+		d.handleLateStarts(id, b.LateStarts)
 	case *api.PeerMessage_HeldJobs:
 		d.handleHeldJobs(id, b.HeldJobs)
 	case *api.PeerMessage_HeldJobsRequest:
--- a/metric/describe.go
+++ b/metric/describe.go
@@ -102,6 +102,7 @@
 		{BatchTasksGivenUp, "tasks given up because their workers crashed while running them"},
 		{BatchAnswerTime, "time from the arrival of a job to its answer, in microseconds"},
 		{LateStartsAnnounced, "starts without a reply that were announced to all members"},
+		{LateStartsEntrusted, "starts of own jobs without a reply for 10 ms that one other member was told of"},
 		{RoutesConfined, "routes confined to some workers because workers crashed under their tasks"},
 		{RoutesReleased, "confined routes released since no more workers crashed"},
 		{PoolQueueTime, "time that a task waits for room at the owner of workers, in microseconds"},
--- a/metric/metric.go
+++ b/metric/metric.go
@@ -90,6 +90,7 @@
 	BatchTasksGivenUp    = "batch.tasks_given_up"
 	BatchAnswerTime      = "batch.answer_time"
 	LateStartsAnnounced  = "edge.late_starts_announced"
+	LateStartsEntrusted  = "edge.late_starts_entrusted"
 	RoutesConfined       = "edge.routes_confined"
 	RoutesReleased       = "edge.routes_released"
 	PoolQueueTime        = "pool.queue_time"
