batch: no record of a start of an own pool that is only slow to be answered

A home recorded the worker of each start that had had no reply for 10 ms, also one of its own pools, which share the ledger: workers with a record are polled each 0.1 s. A start that stays without a reply is recorded by the pool itself. TestSlowReplyInAnOwnPoolIsNotRecorded failed before.

--- a/batch/advance.go
+++ b/batch/advance.go
@@ -201,7 +201,7 @@
 // Report processes an owner's report of a run.
 func (h *Home) Report(from PoolRef, r contract.RunReport) {
 	now := h.o.Now()
-	h.recordLateWorkers(r, now)
+	h.recordLateWorkers(from.Owner, r, now)
 	out := h.newOutbox()
 	if r.State.Final() {
 		out.acknowledge(from, r.Key)
--- a/batch/latestart.go
+++ b/batch/latestart.go
@@ -14,8 +14,12 @@
 const lateStartReason = "a worker may still execute an earlier start of a task"
 
 // recordLateWorkers records the workers that a report names, also if it concerns a run that is not the current one or a job
-// that has ended here: the next home of the job needs the record too.
-func (h *Home) recordLateWorkers(r contract.RunReport, now time.Time) {
+// that has ended here: the next home of the job needs the record too. A start of an own pool that has had no reply so far is no
+// late start yet: the pool records it in the same ledger if it becomes one, and polls workers with records more often.
+func (h *Home) recordLateWorkers(owner string, r contract.RunReport, now time.Time) {
+	if owner == h.o.Self && r.State == contract.RunQueued {
+		return
+	}
 	key := r.Key
 	if r.State != contract.RunQueued {
 		// The start of the run itself, if it is late, stays so.
--- a/batch/latestart_test.go
+++ b/batch/latestart_test.go
@@ -335,3 +335,18 @@
 	})
 	require.Equal(t, Completed, answer.Outcome)
 }
+
+// Guards against a worker that is polled more often for a start of an own pool that is only slow to be answered.
+func TestSlowReplyInAnOwnPoolIsNotRecorded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h, out := newTestHome()
+		defer h.Close()
+		submitFrom(h, &testCaller{}, 1)
+		order := out.sentOrders()[0]
+		report := contract.RunReport{Key: order.Key, State: contract.RunQueued, MayHaveStarted: true, LateWorkers: []string{lateWorker}}
+		h.Report(PoolRef{Owner: h.o.Self, Backend: "s"}, report)
+		require.True(t, h.o.LateStarts.Empty())
+		h.Report(PoolRef{Owner: testOwner, Backend: "s"}, report)
+		require.Equal(t, []string{lateWorker}, h.o.LateStarts.Workers(order.Key), "another owner may be lost")
+	})
+}
