--- a/edge/latereview_test.go
+++ b/edge/latereview_test.go
@@ -56,6 +56,13 @@
 			d := newDeployment(t, 2, 2, 1)
 			defer d.close()
 			time.Sleep(3 * time.Second)
+			home := d.daemons["edge-0-0"]
+			key := lateTask
+			key.Run = 7
+			home.report(home.self, testBackend, contract.RunReport{
+				Key: key, State: contract.RunQueued, Worker: "w", MayHaveStarted: true, LateWorkers: []string{"w"},
+			})
+			time.Sleep(140 * time.Millisecond)
 			d.announceLate("edge-0-0", "w")
 			time.Sleep(after)
 			d.killDaemon("edge-0-0")
