batch, edge: the release of a job carries its starts without a reply

A home that released a job knew from the owner's report which workers might still execute starts of its tasks, but the next home learnt it only from the announcement, which comes later than the release: it ordered the next run anywhere. JobReleased carries the records now.

--- a/batch/release.go
+++ b/batch/release.go
@@ -92,6 +92,9 @@
 // Released records that the earlier home of a job has released it, with the result of the job if it had one.
 func (h *Home) Released(r contract.JobReleased) {
 	now := h.o.Now()
+	for _, late := range r.LateStarts {
+		h.o.LateStarts.Record(late)
+	}
 	out := h.newOutbox()
 	s := h.shard(r.Job)
 	s.mu.Lock()
@@ -141,6 +144,9 @@
 	}
 	s.mu.Unlock()
 	out.send()
+	if over {
+		released.LateStarts = h.o.LateStarts.OfJob(r.Job)
+	}
 	return released, over
 }
 
--- a/contract/heldjob.go
+++ b/contract/heldjob.go
@@ -118,4 +118,6 @@
 	Wait uint64
 	// Completed and Failed are set if the job had ended with that result.
 	Completed, Failed bool
+	// LateStarts are the starts of the job that workers may still execute, as far as the home knows.
+	LateStarts []LateStart
 }
--- a/contract/latestart.go
+++ b/contract/latestart.go
@@ -195,6 +195,17 @@
 	return all
 }
 
+// OfJob returns the records of the tasks of a job, in no order.
+func (l *LateStartLedger) OfJob(job string) []LateStart {
+	var list []LateStart
+	for _, s := range l.All() {
+		if s.Task.Batch == job {
+			list = append(list, s)
+		}
+	}
+	return list
+}
+
 // drop expects l.mu to be held.
 func (l *LateStartLedger) drop(task RunKey, worker string) {
 	workers := l.byTask[task]
--- a/edge/heldjobs.go
+++ b/edge/heldjobs.go
@@ -81,7 +81,7 @@
 		return
 	}
 	if released, over := d.home.Release(d.decodeRelease(m)); over {
-		d.members.Send(id, encodeReleased(released))
+		d.members.Send(id, encodeReleased(released, d.o.Now()))
 	}
 }
 
@@ -103,7 +103,7 @@
 	case m.GetRequester() == d.self:
 		d.home.Released(contract.JobReleased{
 			Job: m.GetJob(), Home: m.GetHome(), Requester: d.self, Wait: m.GetWait(),
-			Completed: m.GetCompleted(), Failed: m.GetFailed(),
+			Completed: m.GetCompleted(), Failed: m.GetFailed(), LateStarts: decodeStarts(m.GetLateStarts(), d.o.Now()),
 		})
 	case id == m.GetHome():
 		d.members.Send(m.GetRequester(), &api.PeerMessage{Body: &api.PeerMessage_JobReleased{JobReleased: m}})
@@ -127,9 +127,10 @@
 	}
 }
 
-func encodeReleased(r contract.JobReleased) *api.PeerMessage {
+func encodeReleased(r contract.JobReleased, now time.Time) *api.PeerMessage {
 	return &api.PeerMessage{Body: &api.PeerMessage_JobReleased{JobReleased: &api.JobReleased{
 		Job: r.Job, Home: r.Home, Requester: r.Requester, Completed: r.Completed, Failed: r.Failed, Wait: r.Wait,
+		LateStarts: encodeStarts(r.LateStarts, now),
 	}}}
 }
 
--- a/edge/latestarts.go
+++ b/edge/latestarts.go
@@ -218,29 +218,41 @@
 
 // encodeLateStarts converts times to remaining durations, since the clocks of two VMs differ.
 func encodeLateStarts(n lateStartNews, now time.Time) *api.PeerMessage {
-	m := &api.LateStarts{Replaced: n.replaced}
-	for _, s := range n.starts {
-		m.Starts = append(m.Starts, &api.LateStart{
+	m := &api.LateStarts{Replaced: n.replaced, Starts: encodeStarts(n.starts, now)}
+	return &api.PeerMessage{Body: &api.PeerMessage_LateStarts{LateStarts: m}}
+}
+
+func encodeStarts(starts []contract.LateStart, now time.Time) []*api.LateStart {
+	var list []*api.LateStart
+	for _, s := range starts {
+		list = append(list, &api.LateStart{
 			Task: encodeKey(s.Task.Task()), Worker: s.Worker, LeftMs: clampMillis(s.Until.Sub(now)),
 		})
 	}
-	return &api.PeerMessage{Body: &api.PeerMessage_LateStarts{LateStarts: m}}
+	return list
 }
 
 // decodeLateStarts returns the valid entries of an announcement.
 func decodeLateStarts(m *api.LateStarts, now time.Time) lateStartNews {
-	var n lateStartNews
-	for _, s := range firstOf(m.GetStarts(), maxLateStartsInMessage) {
+	return lateStartNews{
+		starts:   decodeStarts(m.GetStarts(), now),
+		replaced: decodeWorkers(firstOf(m.GetReplaced(), maxLateStartsInMessage)),
+	}
+}
+
+// decodeStarts returns the valid ones of some starts.
+func decodeStarts(list []*api.LateStart, now time.Time) []contract.LateStart {
+	var starts []contract.LateStart
+	for _, s := range firstOf(list, maxLateStartsInMessage) {
 		job, left := s.GetTask().GetJob(), time.Duration(s.GetLeftMs())*time.Millisecond
 		if job == "" || len(job) > maxJobID || !validWorker(s.GetWorker()) || left == 0 {
 			continue
 		}
-		n.starts = append(n.starts, contract.LateStart{
+		starts = append(starts, contract.LateStart{
 			Task: decodeKey(s.GetTask()).Task(), Worker: s.GetWorker(), Until: now.Add(min(left, contract.LateStartRetention)),
 		})
 	}
-	n.replaced = decodeWorkers(firstOf(m.GetReplaced(), maxLateStartsInMessage))
-	return n
+	return starts
 }
 
 // decodeLateWorkers returns the valid workers of a report.
