pool: an order for one worker is a record of a late start

An owner that had not heard of the start without a reply started the task without a poll before, since only its own records asked for one. If the worker had restarted unnoticed and executed the earlier start, two runs overlapped. The owner records the worker that an order names.

--- a/pool/pool.go
+++ b/pool/pool.go
@@ -185,6 +185,10 @@
 		fx.reports = append(fx.reports, report{home, contract.RunReport{Key: o.Key, State: contract.RunInfeasible}})
 		return
 	}
+	if o.OnlyWorker != "" && !p.o.LateStarts.Has(o.Key) {
+		// The home knows of a late start of which this VM may not have heard.
+		p.o.LateStarts.Record(contract.LateStart{Task: o.Key.Task(), Worker: o.OnlyWorker, Until: now.Add(contract.LateStartRetention)})
+	}
 	r := &run{order: o, home: home, refreshedAt: sentAfter, queuedAt: now, claimed: true}
 	_, r.committed = p.lastStarts[o.Key.Batch]
 	r.veryLateAfter = o.Accepted.Add(veryLateFactor * o.Target.Sub(o.Accepted))
