pool: no worker is kept free for a bound task that it cannot hold

A task that may start on one worker only reserved that worker after 0.15 s, also if its present incarnation was too small for the task: other tasks did not start there for up to 16.3 s.

--- a/pool/latestart.go
+++ b/pool/latestart.go
@@ -110,10 +110,11 @@
 		h.host.CanStartSuspended(r.order.Need, now) && p.admits(h, r, now)
 }
 
-// stuck reports whether a queued task waits for a worker that takes no task now, or to be returned to its home. p.mu is held.
+// stuck reports whether a queued task waits for a worker that takes no task now or cannot hold this one, or to be returned to its
+// home. p.mu is held.
 func (p *Pool) stuck(r *run, now time.Time) bool {
 	h := p.hosts[r.onlyWorker]
-	return r.unplaceable || (h != nil && !h.host.Usable(now))
+	return r.unplaceable || (h != nil && (!h.host.Usable(now) || !h.host.CanHold(r.order.Need, r.order.RequiredLabel)))
 }
 
 // logLateStarts records that a task starts that has an earlier start which may still be executed. p.mu is held.
