pool: a barred run of another home proves nothing of a found one

A run that is found on an acquired worker was stopped at once if any later run of its task was known here, also one that had only been barred. An earlier home of the job may have used higher numbers, so a wanted run was stopped.

--- a/pool/ownership.go
+++ b/pool/ownership.go
@@ -203,8 +203,9 @@
 	return found
 }
 
-// laterRun returns the number of a later run of a task that this pool knows, zero if there is none. A home orders a run only
-// when the earlier ones are over, so it proves that they are. p.mu is held.
+// laterRun returns the number of a later run of a task that this pool has or has had, zero if there is none. A home orders a run
+// only when the earlier ones are over, so it proves that they are. One that was barred without being known proves nothing: an
+// earlier home of the job may have used higher numbers. p.mu is held.
 func (p *Pool) laterRun(key contract.RunKey) uint64 {
 	last := uint64(0)
 	later := func(k contract.RunKey) {
@@ -215,8 +216,10 @@
 	for k := range p.runs {
 		later(k)
 	}
-	for k := range p.barredRuns {
-		later(k)
+	for k, b := range p.barredRuns {
+		if b.state != contract.RunUnknown {
+			later(k)
+		}
 	}
 	return last
 }
