pool, batch: report a start that is rejected after its home was told of it

A home that was told after 10 ms that a start had had no reply kept its record when the worker then rejected the start: the task stayed at that worker for up to 16.3 s. The owner reports the rejection, and the home drops the record of that start.

--- a/batch/latestart.go
+++ b/batch/latestart.go
@@ -33,7 +33,9 @@
 // dropAnsweredStart drops the records of the start of a run whose owner had reported it as not answered yet, once the owner
 // does not name the worker any more: the reply was only slow, or the start was rejected. Another owner knows only of its worker.
 func (h *Home) dropAnsweredStart(t *task, owner string, r contract.RunReport) {
-	if r.State == contract.RunQueued || r.State == contract.RunUnknown || r.State == contract.RunLost {
+	// A queued run with a worker and without a start is one that the worker has rejected.
+	rejected := r.State == contract.RunQueued && r.Worker != "" && !r.MayHaveStarted
+	if (r.State == contract.RunQueued && !rejected) || r.State == contract.RunUnknown || r.State == contract.RunLost {
 		return
 	}
 	for _, worker := range h.o.LateStarts.Workers(r.Key) {
--- a/batch/latestart_test.go
+++ b/batch/latestart_test.go
@@ -218,6 +218,7 @@
 		{"found elsewhere", false, otherOwner, contract.RunReport{State: contract.RunStarted, Worker: "x"}, []string{lateWorker}},
 		{"ended, by another owner", false, otherOwner, contract.RunReport{State: contract.RunEnded}, []string{lateWorker}},
 		{"still queued", false, testOwner, contract.RunReport{State: contract.RunQueued}, []string{lateWorker}},
+		{"rejected, and queued again", false, testOwner, contract.RunReport{State: contract.RunQueued, Worker: lateWorker}, nil},
 		{"lost", false, testOwner, contract.RunReport{State: contract.RunLost, Worker: lateWorker}, []string{lateWorker}},
 		{"late", false, testOwner, late, []string{lateWorker}},
 		{"started, beside an earlier start", true, testOwner, contract.RunReport{State: contract.RunStarted, Worker: lateWorker},
--- a/pool/match.go
+++ b/pool/match.go
@@ -179,7 +179,7 @@
 	r.host, r.state, r.startedAt, r.mayHaveRun, r.begun = h, runStarting, now, true, false
 	r.listedBy, r.confirmedClock, r.sentTo, r.firstLate = 0, 0, h.address.Worker, false
 	r.progress, r.progressAt, r.token, r.workerStart = 0, now, h.host.Token, h.host.StartTime
-	r.stopAnswered, r.startUnanswered = false, false
+	r.stopAnswered, r.startUnanswered, r.reportedUnanswered = false, false, false
 	p.markCommitted(r.order.Key.Batch, now)
 	fx.starts = append(fx.starts, p.startCall(r, h, now))
 	h.wake()
--- a/pool/run.go
+++ b/pool/run.go
@@ -54,6 +54,8 @@
 	doubtSince time.Time
 	// stopAnswered is set once the worker has answered a stop of the run.
 	stopAnswered bool
+	// reportedUnanswered is set once the home has been told that the start call has had no reply so far.
+	reportedUnanswered bool
 	// startUnanswered is set once the start call of the run has ended without a reply: it may still be executed.
 	startUnanswered bool
 	// sentTo is the worker of the last start call. firstLate is set if that call got no reply and the task has no earlier start
@@ -278,6 +280,13 @@
 		p.finish(r, contract.RunEnded, proofNotStarted, 0, fx)
 		return
 	}
+	if r.reportedUnanswered {
+		// The home takes the start for one that may still be executed.
+		r.reportedUnanswered = false
+		fx.reports = append(fx.reports, report{r.home, contract.RunReport{
+			Key: r.order.Key, State: contract.RunQueued, Worker: r.sentTo,
+		}})
+	}
 	p.detach(r)
 	r.state, r.crashed, r.begun = runWaiting, false, false
 	p.waiting.push(r)
--- a/pool/start.go
+++ b/pool/start.go
@@ -75,6 +75,7 @@
 	var fx effects
 	p.mu.Lock()
 	if r := s.run; r.host == s.host && (r.state == runStarting || r.state == runInDoubt) {
+		r.reportedUnanswered = true
 		fx.report(r)
 	}
 	p.mu.Unlock()
