edge: announce the starts of a lost member at once

A member that announced the starts which a lost one had entrusted to it did so with its next status. It broadcasts them at once, and once more after 0.8 s as before.

--- a/edge/entrustedstarts.go
+++ b/edge/entrustedstarts.go
@@ -85,7 +85,8 @@
 	metrics.GetOrRegisterCounter(metric.LateStartsEntrusted, d.o.Metrics).Inc(1)
 }
 
-// announceEntrusted records and announces the starts that a lost member has entrusted to this one.
+// announceEntrusted records the starts that a lost member has entrusted to this one, and announces them at once: this process may
+// be lost too before its next status.
 func (d *Daemon) announceEntrusted(member string) {
 	n := d.entrusted.take(member)
 	if n.empty() {
@@ -95,7 +96,11 @@
 	for _, s := range n.starts {
 		d.lateStarts.Record(s)
 	}
-	d.announcedLate.add(n, d.o.Now().Add(-lateStartSettleTime))
+	now := d.o.Now()
+	d.announcedLate.add(n, now)
+	for !n.empty() {
+		d.members.Broadcast(n.take(now))
+	}
 }
 
 // handleEntrusted keeps the starts that another member has entrusted to this one.
