edge: tell a member that is in contact again only what it has missed

Each member sent all its records of starts without a reply to each one that came into contact again. Members of the own failure domain send what was made since the last contact now, others what they have announced themselves.

--- a/contract/latestart.go
+++ b/contract/latestart.go
@@ -195,6 +195,11 @@
 	return all
 }
 
+// MadeSince returns the records of starts that were made after a time, in no order.
+func (l *LateStartLedger) MadeSince(at time.Time) []LateStart {
+	return slices.DeleteFunc(l.All(), func(s LateStart) bool { return !s.Until.After(at.Add(LateStartRetention)) })
+}
+
 // OfJob returns the records of the tasks of a job, in no order.
 func (l *LateStartLedger) OfJob(job string) []LateStart {
 	var list []LateStart
--- a/edge/latestarts.go
+++ b/edge/latestarts.go
@@ -23,6 +23,8 @@
 	// lateStartSettleTime is the time within which most starts without a reply are settled by a list of their worker or by a
 	// repeated start. Only what is left then is announced.
 	lateStartSettleTime = 100 * time.Millisecond
+	// missedBefore is how long before its last message a member that is in contact again may have missed announcements.
+	missedBefore = time.Second
 	// lateStartInterval is the time between announcements to members that are no contacts, for a few of them. It grows by
 	// lateStartSpacing with each member, up to maxLateStartInterval: all have to know of a start without a reply before its job
 	// can be submitted to another home, 1.3 s after its channel has broken.
@@ -86,6 +88,8 @@
 	near, far, others lateStartNews
 	// untold are the news that have not been told yet, toRepeat those that are to be told again, both the oldest first.
 	untold, toRepeat []datedLateStarts
+	// told are the news of the last contract.LateStartRetention, the oldest first.
+	told []datedLateStarts
 	// othersToldAt is when the members that are no contacts were last told.
 	othersToldAt time.Time
 }
@@ -124,7 +128,9 @@
 	again, first = again.current(ledger), first.current(ledger)
 	if !first.empty() {
 		a.toRepeat = append(a.toRepeat, datedLateStarts{first, now})
+		a.told = append(a.told, datedLateStarts{first, now})
 	}
+	_, a.told = splitByTime(a.told, now.Add(-contract.LateStartRetention))
 	for _, audience := range []*lateStartNews{&a.near, &a.far, &a.others} {
 		audience.add(again)
 		audience.add(first)
@@ -132,6 +138,18 @@
 	return first.starts
 }
 
+// toldSince returns the news that were told after a time.
+func (a *announcedLateStarts) toldSince(limit time.Time) lateStartNews {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	_, later := splitByTime(a.told, limit)
+	var news lateStartNews
+	for _, n := range later {
+		news.add(n.lateStartNews)
+	}
+	return news
+}
+
 // take returns the announcements for the recipients of a status.
 func (a *announcedLateStarts) take(to statusRecipients, now time.Time) (late audienceMessages) {
 	a.mu.Lock()
@@ -205,10 +223,19 @@
 	}
 }
 
-// lateStartList returns all records, for a member that has just joined or was out of contact.
-func (d *Daemon) lateStartList() []*api.PeerMessage {
+// lateStartList returns the records that a member may have missed which has just joined or was out of contact: those that were made
+// meanwhile, from other failure domains only what this process has announced itself. All records from all members would be as many
+// as members times records, and slow members are out of contact again and again.
+func (d *Daemon) lateStartList(id string) []*api.PeerMessage {
 	now := d.o.Now()
-	news := lateStartNews{starts: d.lateStarts.All()}
+	heard, near := d.members.HeardBefore(id)
+	var news lateStartNews
+	since := heard.Add(-missedBefore)
+	if near {
+		news.starts = d.lateStarts.MadeSince(since)
+	} else {
+		news = d.announcedLate.toldSince(since).current(d.lateStarts)
+	}
 	var list []*api.PeerMessage
 	for !news.empty() {
 		list = append(list, news.take(now))
--- a/edge/member.go
+++ b/edge/member.go
@@ -25,6 +25,8 @@
 	// lastContact is when the last message of this incarnation arrived; zero if none has.
 	lastContact time.Time
 	live        bool
+	// heardBefore is the last message before the process became live; zero if that was its first one.
+	heardBefore time.Time
 	// silentSince is when the process was first seen as not live; zero while it is live.
 	silentSince time.Time
 	ownsNothing bool
--- a/edge/members.go
+++ b/edge/members.go
@@ -109,6 +109,9 @@
 		return false, false
 	}
 	becameLive = !e.live
+	if becameLive {
+		e.heardBefore = e.lastContact
+	}
 	e.lastContact, e.live, e.otherSince, e.silentSince = now, true, time.Time{}, time.Time{}
 	if becameLive {
 		m.ownersVersion++
@@ -117,6 +120,17 @@
 	return becameLive, true
 }
 
+// HeardBefore returns when the last message of a process arrived before it became live, the zero time if there was none, and whether
+// it is in the own failure domain.
+func (m *Members) HeardBefore(id string) (at time.Time, near bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if e := m.byID(id); e != nil {
+		return e.heardBefore, e.info.Domain == m.self.Domain
+	}
+	return time.Time{}, false
+}
+
 // Current reports whether a process is the one that is known on its VM.
 func (m *Members) Current(id, vm string) bool {
 	m.mu.Lock()
--- a/edge/messages.go
+++ b/edge/messages.go
@@ -200,7 +200,7 @@
 		return link.Accepted
 	}
 	if becameLive {
-		d.members.Send(id, slices.Concat(d.crashList(), d.cancelList(), d.heldList(), d.lateStartList(),
+		d.members.Send(id, slices.Concat(d.crashList(), d.cancelList(), d.heldList(), d.lateStartList(id),
 			[]*api.PeerMessage{d.memberList()})...)
 		d.assignWorkers()
 	}
