--- a/contract/batch.go
+++ b/contract/batch.go
@@ -152,8 +152,7 @@
 	Token uint64
 	// MayHaveStarted is set if a start of the run was sent and not provably rejected.
 	MayHaveStarted bool
-	// MayStartLate is set if a start of the task that got no reply may still be executed. The next run is ordered at the same
-	// owner, which starts it on the same worker.
+	// MayStartLate is set if the only worker in LateWorkers belongs to the sender. Homes go by LateWorkers.
 	MayStartLate bool
 	// LateWorkers are the workers that may still execute an earlier start of the task, or a start of this run that has had no
 	// reply yet. The next run is ordered at such a worker or not at all.
--- a/contract/latestart.go
+++ b/contract/latestart.go
@@ -31,7 +31,7 @@
 }
 
 // LateStartLedger records the starts without a reply that this VM has made or been told of. All members keep one, so that a
-// record survives the owner of the worker and the home of the job. mu guards the field below it.
+// record survives the owner of the worker and the home of the job. mu guards the fields below it.
 type LateStartLedger struct {
 	mu     sync.Mutex
 	byTask map[RunKey]map[string]lateRecord
