edge: a new process gets all records from one member of each failure domain

Since only members of its own failure domain told a new process the records of starts without a reply that others had made. The first member of each other domain sends them now. TestLateStartsReachDomainOfNewProcesses failed before and passes.

--- a/edge/latestarts.go
+++ b/edge/latestarts.go
@@ -225,13 +225,14 @@
 
 // lateStartList returns the records that a member may have missed which has just joined or was out of contact: those that were made
 // meanwhile, from other failure domains only what this process has announced itself. All records from all members would be as many
-// as members times records, and slow members are out of contact again and again.
+// as members times records, and slow members are out of contact again and again. A new process gets them from one member of each
+// other domain too, as all of its own may be new.
 func (d *Daemon) lateStartList(id string) []*api.PeerMessage {
 	now := d.o.Now()
 	heard, near := d.members.HeardBefore(id)
 	var news lateStartNews
 	since := heard.Add(-missedBefore)
-	if near {
+	if near || (heard.IsZero() && d.members.IsFirstOfDomain()) {
 		news.starts = d.lateStarts.MadeSince(since)
 	} else {
 		news = d.announcedLate.toldSince(since).current(d.lateStarts)
--- a/edge/latestarts_test.go
+++ b/edge/latestarts_test.go
@@ -79,6 +79,26 @@
 	})
 }
 
+// Guards against a record that a failure domain loses whose processes are all replaced one after the other.
+func TestLateStartsReachDomainOfNewProcesses(t *testing.T) {
+	inVirtualTime(t, func(t *testing.T) {
+		d := newDeployment(t, 2, 2, 1)
+		defer d.close()
+		time.Sleep(3 * time.Second)
+		d.announceLate("edge-0-0", "w")
+		time.Sleep(time.Second)
+		d.killDaemon("edge-0-0")
+		d.killDaemon("edge-0-1")
+		time.Sleep(time.Second)
+		d.startDaemon(zoneName(0), "edge-0-2")
+		d.startDaemon(zoneName(0), "edge-0-3")
+		time.Sleep(2 * time.Second)
+		for vm := range d.daemons {
+			require.Equal(t, []string{"w"}, d.lateWorkers(vm), vm)
+		}
+	})
+}
+
 // Guards against an announcement of a start that is settled at once, and one that is repeated although it does not hold any
 // more: a worker has been replaced, or there is a start without a reply at a worker that has come back.
 func TestLateStartsAreToldAndRepeatedWhileTheyHold(t *testing.T) {
--- a/edge/members.go
+++ b/edge/members.go
@@ -131,6 +131,18 @@
 	return time.Time{}, false
 }
 
+// IsFirstOfDomain reports whether this process has the first id of the live ones of its failure domain.
+func (m *Members) IsFirstOfDomain() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for vm, e := range m.byVM {
+		if e.live && e.info.Domain == m.self.Domain && vm < m.self.VM {
+			return false
+		}
+	}
+	return true
+}
+
 // Current reports whether a process is the one that is known on its VM.
 func (m *Members) Current(id, vm string) bool {
 	m.mu.Lock()
