--- a/edge/latestarts_test.go
+++ b/edge/latestarts_test.go
@@ -85,7 +85,7 @@
 		d := newDeployment(t, 2, 2, 1)
 		defer d.close()
 		time.Sleep(3 * time.Second)
-		d.announceLate("edge-0-0", "w")
+		d.announceLate("edge-0-1", "w")
 		time.Sleep(time.Second)
 		d.killDaemon("edge-0-0")
 		d.killDaemon("edge-0-1")
