--- a/edge/latereview_test.go
+++ b/edge/latereview_test.go
@@ -63,7 +63,7 @@
 				Key: key, State: contract.RunQueued, Worker: "w", MayHaveStarted: true, LateWorkers: []string{"w"},
 			})
 			time.Sleep(140 * time.Millisecond)
-			d.announceLate("edge-0-0", "w")
+			d.announceLate("edge-0-0")
 			time.Sleep(after)
 			d.killDaemon("edge-0-0")
 			time.Sleep(resendDelay)
--- a/edge/latestarts_test.go
+++ b/edge/latestarts_test.go
@@ -25,12 +25,12 @@
 	return d.daemons[vm].lateStarts.Workers(lateTask)
 }
 
-// announceLate lets a daemon announce a start without a reply.
-func (d *deployment) announceLate(vm, worker string) {
+// announceLate lets a daemon announce a start without a reply at the worker "w".
+func (d *deployment) announceLate(vm string) {
 	key := lateTask
 	key.Run = 7
 	d.daemons[vm].lateStart(contract.LateStart{
-		Task: key, Worker: worker, Until: time.Now().Add(contract.LateStartRetention),
+		Task: key, Worker: "w", Until: time.Now().Add(contract.LateStartRetention),
 	})
 }
 
@@ -42,7 +42,7 @@
 			d := newDeployment(t, 2, daemons, 1)
 			defer d.close()
 			time.Sleep(3 * time.Second)
-			d.announceLate("edge-0-0", "w")
+			d.announceLate("edge-0-0")
 			time.Sleep(lateStartNewsTime)
 			for vm := range d.daemons {
 				require.Equal(t, []string{"w"}, d.lateWorkers(vm), vm)
@@ -62,7 +62,7 @@
 		d := newDeployment(t, 2, 2, 1)
 		defer d.close()
 		d.net.setCut(betweenMembers(func(_, to string) bool { return to == "edge-1-1" }))
-		d.announceLate("edge-0-0", "w")
+		d.announceLate("edge-0-0")
 		time.Sleep(2 * time.Second)
 		require.Empty(t, d.lateWorkers("edge-1-1"))
 		d.killDaemon("edge-0-0")
@@ -85,7 +85,7 @@
 		d := newDeployment(t, 2, 2, 1)
 		defer d.close()
 		time.Sleep(3 * time.Second)
-		d.announceLate("edge-0-1", "w")
+		d.announceLate("edge-0-1")
 		time.Sleep(time.Second)
 		d.killDaemon("edge-0-0")
 		d.killDaemon("edge-0-1")
