--- a/review/_stand2/main.go
+++ b/review/_stand2/main.go
@@ -28,6 +28,7 @@
 	"cancel-cut":       cancelCut,
 	"cancel-dropped":   cancelDropped,
 	"smaller-kind":     smallerKind,
+	"larger-side":      largerSide,
 }
 
 func main() {
