--- a/review/_stand2/users.go
+++ b/review/_stand2/users.go
@@ -26,6 +26,8 @@
 const (
 	// maxFDs is limits.max_fds of the pages' settings.
 	maxFDs = 4100
+	// ownFDs is the number of descriptors that this program needs beside one for each user.
+	ownFDs = 1000
 	// users is the number of clients, each with one open channel: 1,500 a daemon while all are up.
 	users = 9000
 	// sendEvery is the time between two jobs of a user: 150 jobs a second in all, as the traffic of the first site.
@@ -111,6 +113,10 @@
 
 // usersReturn kills four of six daemons, whose users connect to the other two.
 func usersReturn(r *recorder, program string, trouble bool) (bool, error) {
+	var own unix.Rlimit
+	if err := unix.Getrlimit(unix.RLIMIT_NOFILE, &own); err != nil || own.Cur < users+ownFDs {
+		return false, fmt.Errorf("this process needs %d open files and may have %d: %w", users+ownFDs, own.Cur, err)
+	}
 	g, err := newRig(r, program, 8, machine.Resources{CPUMillis: 1000, MemoryMB: 64}, func(contract.RunKey) time.Duration { return 50 * time.Millisecond })
 	if g != nil {
 		g.quiet.Store(true)
