--- a/review/_stand2/latezone.go
+++ b/review/_stand2/latezone.go
@@ -15,16 +15,17 @@
 
 // Times of the case late-zone.
 const (
-	// lateOrders is the time in which every second order to the workers of the zone gets no answer and is carried out later.
-	lateOrders = time.Second
-	// everySecond is that share, of half of the orders.
-	everySecond = 2
+	// lateOrders is the time in which one in lateShare starts at each worker of the zone gets no answer and is carried out later, as
+	// applied_late with x = 0.055 in the first site file.
+	lateOrders = 5500 * time.Millisecond
+	lateShare  = 19
 	// zoneDown is the time for which the zone is without power.
 	zoneDown = 1700 * time.Millisecond
-	// carriedOut is the time after which the first orders are carried out, and the last ones a second later: 2 to 12 s on the pages.
+	// carriedOut is the time from the loss of the zone to that at which the late orders are carried out: 2 to 7.5 s after they were
+	// sent, of 2 to 12 s on the pages.
 	carriedOut = 2 * time.Second
-	// submitEvery is the time between two jobs.
-	submitEvery = 50 * time.Millisecond
+	// submitEvery is the time between two jobs of two tasks: 95 tasks a second, as the traffic of this zone in the first site file.
+	submitEvery = 21 * time.Millisecond
 	// longTask is the run time of a task.
 	longTask = 3 * time.Second
 	// lateLimit is the time limit of the jobs.
@@ -37,9 +38,9 @@
 	home *daemon
 }
 
-// lateZone takes the power from a zone, its daemons and its workers, while half of the orders to these are carried out late.
+// lateZone takes the power from a zone, its daemons and its workers, while some of the orders to these are carried out late.
 func lateZone(r *recorder, program string, trouble bool) (bool, error) {
-	g, err := newRig(r, program, 6, machine.Resources{CPUMillis: 8000, MemoryMB: 64}, func(contract.RunKey) time.Duration { return longTask })
+	g, err := newRig(r, program, 6, machine.Resources{CPUMillis: 1000, MemoryMB: 64}, func(contract.RunKey) time.Duration { return longTask })
 	if g != nil {
 		defer g.close()
 	}
@@ -74,9 +75,9 @@
 		}
 	})
 	if trouble {
-		g.printf("every second start at the workers of %s gets no answer and is carried out later", zone)
+		g.printf("one in %d starts at each worker of %s gets no answer and is carried out later", lateShare, zone)
 		for _, w := range workers {
-			w.host.SetHoldingStarts(everySecond)
+			w.host.SetHoldingStarts(lateShare)
 		}
 	}
 	time.Sleep(lateOrders)
