config, contract: settings that select what is done while there is too little room

Cause: parts that answer an overload need one place where a deployment asks for them, before they are built beside each other. Change: the section overload of an edge daemon's settings with shed and steal, both off by default, and contract.OverloadPolicy, which edge.Options carries. Nothing uses them yet. Result: go build, and the tests of config and command pass.

--- a/command/edge.go
+++ b/command/edge.go
@@ -18,6 +18,7 @@
 
 	"github.com/cicadadale/cicadadale/admin"
 	"github.com/cicadadale/cicadadale/config"
+	"github.com/cicadadale/cicadadale/contract"
 	"github.com/cicadadale/cicadadale/edge"
 	"github.com/cicadadale/cicadadale/internal/bootclock"
 	"github.com/cicadadale/cicadadale/internal/logbuffer"
@@ -134,7 +135,7 @@
 	clock := bootclock.New()
 	daemon, err := edge.New(edge.Options{
 		Self: self, Store: store, Calls: platform.NewWorkersFrom(net.ParseIP(s.Runs.Source)), Peers: peers,
-		Lease: s.Lease(), Grace: s.Grace(),
+		Lease: s.Lease(), Grace: s.Grace(), Overload: contract.OverloadPolicy{Shed: s.Overload.Shed, Steal: s.Overload.Steal},
 		Dial: func(ctx context.Context, address string) (net.Conn, error) {
 			return dialer.DialContext(ctx, "tcp", address)
 		},
--- a/config/edge.go
+++ b/config/edge.go
@@ -10,12 +10,13 @@
 
 // Edge holds the settings of an edge daemon.
 type Edge struct {
-	VM     EdgeVM     `toml:"vm"`
-	Listen EdgeListen `toml:"listen"`
-	Store  EdgeStore  `toml:"store"`
-	Runs   EdgeRuns   `toml:"runs"`
-	Stop   EdgeStop   `toml:"stop"`
-	Log    Log        `toml:"log"`
+	VM       EdgeVM       `toml:"vm"`
+	Listen   EdgeListen   `toml:"listen"`
+	Store    EdgeStore    `toml:"store"`
+	Runs     EdgeRuns     `toml:"runs"`
+	Stop     EdgeStop     `toml:"stop"`
+	Overload EdgeOverload `toml:"overload"`
+	Log      Log          `toml:"log"`
 
 	file  string
 	lines map[string]int
@@ -55,6 +56,15 @@
 	GraceS float64 `toml:"grace_s"`
 }
 
+// EdgeOverload selects what the daemon does while there is too little room on the workers.
+type EdgeOverload struct {
+	// Shed orders waiting jobs by what their delay costs their callers, and refuses those whose answer would come too late
+	// to be of use.
+	Shed bool `toml:"shed"`
+	// Steal lets an owner with room take waiting runs from owners without.
+	Steal bool `toml:"steal"`
+}
+
 // Lease returns the longest lease of a run.
 func (e Edge) Lease() time.Duration { return time.Duration(e.Runs.LeaseMs) * time.Millisecond }
 
@@ -64,7 +74,7 @@
 // NeedsRestart reports whether o differs from e in anything but the log level.
 func (e Edge) NeedsRestart(o Edge) bool {
 	return e.VM != o.VM || e.Listen != o.Listen || e.Store != o.Store || e.Runs != o.Runs || e.Stop != o.Stop ||
-		e.Log.Format != o.Log.Format
+		e.Overload != o.Overload || e.Log.Format != o.Log.Format
 }
 
 // LoadEdge reads a settings file and returns all findings at once.
--- a/edge/daemon.go
+++ b/edge/daemon.go
@@ -71,10 +71,12 @@
 	// Lease is the longest lease of a run.
 	Lease time.Duration
 	// Grace is the time from the order to stop to the end of the process.
-	Grace   time.Duration
-	Now     func() time.Time
-	Logger  *slog.Logger
-	Metrics metrics.Registry
+	Grace time.Duration
+	// Overload selects what is done while there is too little room on the workers.
+	Overload contract.OverloadPolicy
+	Now      func() time.Time
+	Logger   *slog.Logger
+	Metrics  metrics.Registry
 }
 
 // Daemon is one process. Its components have locks of their own; mu guards the fields below it.
