edge: a returning process does not wait for members that cannot be reached

Cause: a starting process waited until 2 s after its start for listed members that did not answer. After the loss of all daemons, nothing was served for these 2 s if one of the listed VMs did not return, and a process that restarted alone owned nothing meanwhile. Change: a process joins 0.4 s after its start if each listed member has sent a status or refuses connections. The workers of listed members that have not joined stay reserved for them until 2 s after the start, unless the deployment was running before.

--- a/edge/assignment.go
+++ b/edge/assignment.go
@@ -48,10 +48,13 @@
 	workers, owners uint64
 	// orphaned are the failure domains without a member, in order.
 	orphaned []string
+	// reserved are the members whose workers are left to them although they have not joined, in order.
+	reserved []zone.Candidate
 }
 
 func (b assignmentBasis) equal(o assignmentBasis) bool {
-	return b.owning == o.owning && b.workers == o.workers && b.owners == o.owners && slices.Equal(b.orphaned, o.orphaned)
+	return b.owning == o.owning && b.workers == o.workers && b.owners == o.owners && slices.Equal(b.orphaned, o.orphaned) &&
+		slices.Equal(b.reserved, o.reserved)
 }
 
 // assignWorkers gives each pool the workers that this process owns.
@@ -61,9 +64,10 @@
 	d.mu.Lock()
 	owning := d.joined && !d.stopping
 	d.mu.Unlock()
+	now := d.o.Now()
 	basis := assignmentBasis{
 		owning: owning, workers: d.workers.Version(), owners: d.members.OwnersVersion(),
-		orphaned: d.orphanedDomains(d.o.Now()),
+		orphaned: d.orphanedDomains(now), reserved: d.reservedOwners(now),
 	}
 	if basis.equal(d.assignedFrom) {
 		return
@@ -73,10 +77,12 @@
 	if owning {
 		candidates = append(candidates, candidate(d.o.Self))
 	}
-	d.ownership.set(candidates, basis.orphaned)
+	candidates = append(candidates, basis.reserved...)
+	state := ownershipState{candidates: candidates, reserved: basis.reserved, orphaned: basis.orphaned}
+	d.ownership.set(state)
 	owned := make(map[string][]machine.Listing)
 	for _, l := range d.workers.in(append(slices.Clone(basis.orphaned), d.o.Self.Domain)) {
-		if id, ok := zone.OwnerOf(l.Worker, l.Zone, candidates, slices.Contains(basis.orphaned, l.Zone)); ok && id == d.self {
+		if id, ok := state.ownerOf(l.Worker, l.Zone); ok && id == d.self {
 			owned[l.Backend] = append(owned[l.Backend], l)
 		}
 	}
@@ -88,24 +94,38 @@
 	}
 }
 
-// ownership is what the owners of the workers followed from at the last assignment. mu guards the fields below it.
+// ownershipState is what the owners of the workers followed from at an assignment. It is replaced, never changed.
+type ownershipState struct {
+	// candidates includes the reserved members, which are not known to own anything.
+	candidates, reserved []zone.Candidate
+	orphaned             []string
+}
+
+// ownerOf returns the member that owns a worker of a failure domain. It returns false if that has not joined.
+func (s ownershipState) ownerOf(worker, domain string) (string, bool) {
+	id, ok := zone.OwnerOf(worker, domain, s.candidates, slices.Contains(s.orphaned, domain))
+	if !ok || slices.ContainsFunc(s.reserved, func(c zone.Candidate) bool { return c.ID == id }) {
+		return "", false
+	}
+	return id, true
+}
+
+// ownership holds the state of the last assignment. mu guards the field below it.
 type ownership struct {
-	mu sync.Mutex
-	// candidates and orphaned are replaced by each assignment, never changed.
-	candidates []zone.Candidate
-	orphaned   []string
+	mu    sync.Mutex
+	state ownershipState
 }
 
-func (o *ownership) set(candidates []zone.Candidate, orphaned []string) {
+func (o *ownership) set(s ownershipState) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	o.candidates, o.orphaned = candidates, orphaned
+	o.state = s
 }
 
-func (o *ownership) get() (candidates []zone.Candidate, orphaned []string) {
+func (o *ownership) get() ownershipState {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	return o.candidates, o.orphaned
+	return o.state
 }
 
 // ownerOf returns the live member that owns a listed worker, which may be this one.
@@ -114,6 +134,5 @@
 	if !ok {
 		return "", false
 	}
-	candidates, orphaned := d.ownership.get()
-	return zone.OwnerOf(worker, domain, candidates, slices.Contains(orphaned, domain))
+	return d.ownership.get().ownerOf(worker, domain)
 }
--- a/edge/daemon.go
+++ b/edge/daemon.go
@@ -24,11 +24,6 @@
 	// the store passes the new one to all within milliseconds. desiredStateRetry is the pause between requests.
 	desiredStateLag   = 300 * time.Millisecond
 	desiredStateRetry = 500 * time.Millisecond
-	// joinDelay is how long a starting process waits for the other members before it owns workers. Without it, a process
-	// that does not know the others yet would acquire all workers.
-	joinDelay = 400 * time.Millisecond
-	// joinLimit ends the wait for members that are listed but do not answer.
-	joinLimit = 2 * time.Second
 	// publishRetry is the pause before this process is announced again after a failed call.
 	publishRetry = time.Second
 	// assignInterval is the longest time between two assignments of workers to owners.
@@ -264,21 +259,6 @@
 	d.requestEntries(now)
 }
 
-// join lets a starting process own workers once it knows the other members. It reports whether that happened now.
-func (d *Daemon) join(now time.Time) bool {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	if d.joined || d.stopping || !d.membersRead || now.Sub(d.started) < joinDelay {
-		return false
-	}
-	if !d.members.AllLive() && now.Sub(d.started) < joinLimit {
-		return false
-	}
-	d.joined = true
-	d.o.Logger.Info("joined the deployment; ready to own workers", "members", d.members.Count()+1)
-	return true
-}
-
 // handleDeparture informs all components that a process can no longer be reached.
 func (d *Daemon) handleDeparture(member string) {
 	d.capacity.Remove(member)
--- a/edge/members.go
+++ b/edge/members.go
@@ -268,18 +268,6 @@
 	return all
 }
 
-// AllLive reports whether every known process is live.
-func (m *Members) AllLive() bool {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	for _, e := range m.byVM {
-		if !e.live {
-			return false
-		}
-	}
-	return true
-}
-
 // Count returns the number of other processes that are known.
 func (m *Members) Count() int {
 	m.mu.Lock()
