--- a/edge/daemon.go
+++ b/edge/daemon.go
@@ -365,14 +365,6 @@
 	}
 }
 
-// Ready reports whether this process can accept jobs. It does not have to own workers yet: jobs wait for owners, which
-// are known within half a second, while the balancer checks only once a second.
-func (d *Daemon) Ready() bool {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	return !d.stopping && d.desired.Version != 0
-}
-
 // Close stops all components at once.
 func (d *Daemon) Close() {
 	d.cancel()
