command: explain shows what an edge daemon would do with a request

Cause: operators could see why a job was refused or where it ran only from the logs, after the fact. Change: POST /explain on the metrics listener and the command explain. The home decides on a copy of its state (Home.Explain): the code is that which serves jobs, and nothing is accepted, reserved, sent, counted or logged. Decoding, routes and deadlines are those of the ingress.

--- a/admin/server.go
+++ b/admin/server.go
@@ -47,14 +47,33 @@
 	return s
 }
 
-// ServeMetrics serves only the metrics of a registry, at /metrics.
-func ServeMetrics(l net.Listener, registry metrics.Registry) *Server {
+// Query is a read-only call of the metrics server. Answer gets the body of the request and returns what is sent as JSON, or an error
+// that says what is wrong with the request.
+type Query struct {
+	Path   string
+	Answer func(body []byte) (any, error)
+}
+
+// ServeMetrics serves only the metrics of a registry, at /metrics, and some queries.
+func ServeMetrics(l net.Listener, registry metrics.Registry, queries ...Query) *Server {
 	s := &Server{o: Options{Listener: l, Metrics: registry}, http: httpserve.New(l, nil)}
 	s.http.GET("/metrics", s.metrics)
+	for _, q := range queries {
+		s.http.POST(q.Path, q.serve)
+	}
 	s.http.Start()
 	return s
 }
 
+func (q Query) serve(_ context.Context, c *app.RequestContext) {
+	answer, err := q.Answer(c.Request.Body())
+	if err != nil {
+		c.String(http.StatusBadRequest, "%s\n", err)
+		return
+	}
+	c.JSON(http.StatusOK, answer)
+}
+
 // Address returns the address of the listener.
 func (s *Server) Address() string { return s.http.Address() }
 
--- a/batch/pause.go
+++ b/batch/pause.go
@@ -22,12 +22,29 @@
 // pauseDetector finds out that the process has been paused, or was so slow that its view of the callers is old. mu guards
 // the fields below it.
 type pauseDetector struct {
-	mu           sync.Mutex
+	mu sync.Mutex
+	pauseState
+}
+
+// pauseState is what a pauseDetector knows.
+type pauseState struct {
 	lastTick     time.Time
 	resumesAt    time.Time
 	stalledUntil time.Time
 }
 
+func (d *pauseDetector) get() pauseState {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.pauseState
+}
+
+func (d *pauseDetector) set(s pauseState) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.pauseState = s
+}
+
 // tick records that the process runs. It returns the length of the pause that ends now, zero if there was none.
 func (d *pauseDetector) tick(now time.Time) time.Duration {
 	d.mu.Lock()
--- a/command/edge.go
+++ b/command/edge.go
@@ -124,15 +124,16 @@
 		"store", s.Store.Address, "failure_domain", self.Domain)
 	dialer := net.Dialer{Timeout: peerDialTimeout}
 	registry := metrics.NewRegistry()
+	clock := bootclock.New()
+	explain := &explainer{now: clock.Now}
 	if s.Listen.Metrics != "" {
 		l, err := net.Listen("tcp", s.Listen.Metrics)
 		if err != nil {
 			return errors.Join(err, peers.Close())
 		}
-		metricsServer := admin.ServeMetrics(l, registry)
+		metricsServer := admin.ServeMetrics(l, registry, explain.query())
 		defer func() { logger.Debug("metrics server stopped", "error", metricsServer.Stop()) }()
 	}
-	clock := bootclock.New()
 	daemon, err := edge.New(edge.Options{
 		Self: self, Store: store, Calls: platform.NewWorkersFrom(net.ParseIP(s.Runs.Source)), Peers: peers,
 		Lease: s.Lease(), Grace: s.Grace(), Overload: contract.OverloadPolicy{Shed: s.Overload.Shed, Steal: s.Overload.Steal},
@@ -144,6 +145,7 @@
 	if err != nil {
 		return errors.Join(err, peers.Close())
 	}
+	explain.daemon.Store(daemon)
 	ingress := platform.NewIngress(s.Listen.Front, s.Listen.Readiness, daemon, clock.Now, logger)
 	ingressDone := make(chan error, 1)
 	go func() { ingressDone <- ingress.Run() }()
--- a/command/root.go
+++ b/command/root.go
@@ -20,7 +20,7 @@
 			"docs/OPERATIONS.md.",
 		Commands: []*cli.Command{
 			entryCommand(), edgeCommand(), standinCommand(), jobCommand(), schemaCommand(), configCommand(),
-			timelineCommand(), logsCommand(), memberCommand(), demoCommand(), loadCommand(), soakCommand(), edgeSoakCommand(), versionCommand(),
+			timelineCommand(), logsCommand(), explainCommand(), memberCommand(), demoCommand(), loadCommand(), soakCommand(), edgeSoakCommand(), versionCommand(),
 		},
 	}
 }
--- a/edge/front.go
+++ b/edge/front.go
@@ -30,12 +30,17 @@
 
 // SubmitFrom is Submit for a caller that the home can look at itself.
 func (d *Daemon) SubmitFrom(ctx context.Context, c batch.Caller, b contract.Batch) batch.Answer {
+	d.limitDeadline(&b)
+	return d.home.SubmitFrom(ctx, c, b)
+}
+
+// limitDeadline makes the deadline of a job fit the grace period while the process is stopping.
+func (d *Daemon) limitDeadline(b *contract.Batch) {
 	d.mu.Lock()
+	defer d.mu.Unlock()
 	if end := d.answerBy(); d.stopping && end.Before(b.Deadline) {
 		b.Deadline = end
 	}
-	d.mu.Unlock()
-	return d.home.SubmitFrom(ctx, c, b)
 }
 
 // answerBy returns the time by which a stopping process must have answered its jobs. d.mu is held.
