batch: explain says whether a submission joins a known job

Cause: a job that had ended without a result was explained as one that is joined, although its submission starts it anew. Change: joining and explaining ask the same question (job.startsAnew).

--- a/batch/explain.go
+++ b/batch/explain.go
@@ -11,8 +11,8 @@
 
 // Explanation is what a home would decide on a job now.
 type Explanation struct {
-	// State is that of the job if it is known here: a submission joins it.
-	State State
+	// Known is the state of the job if a submission would join it here, StateUnknown if it would be a new job.
+	Known State
 	// Accepted is set if the job would be accepted. Otherwise Answer is what its caller would get.
 	Accepted bool
 	Answer   Answer
@@ -45,7 +45,7 @@
 func (h *Home) Explain(b contract.Batch) Explanation {
 	now := h.o.Now()
 	r := h.rehearsal()
-	e := Explanation{State: h.State(b.ID)}
+	e := Explanation{Known: h.joinable(b.ID)}
 	e.Wait, e.OwnerKnown = r.o.Capacity.Wait(b.Backend, b.Priority)
 	_, e.Expected, _ = r.plan(b)
 	out := r.newOutbox()
@@ -70,6 +70,19 @@
 	return e
 }
 
+// joinable returns the state of a job that a submission under its id would join, StateUnknown if there is none.
+func (h *Home) joinable(id string) State {
+	s := h.shard(id)
+	s.mu.Lock()
+	j, ok := s.jobs[id]
+	joins := ok && !j.startsAnew()
+	s.mu.Unlock()
+	if !joins {
+		return StateUnknown
+	}
+	return h.State(id)
+}
+
 // rehearsal returns a home without jobs that decides as this one does now. Its view of the capacity, its counters and its log are its
 // own.
 func (h *Home) rehearsal() *Home {
--- a/batch/explain_test.go
+++ b/batch/explain_test.go
@@ -99,3 +99,25 @@
 		require.Equal(t, "waits for an owner of workers", e.Tasks[0].Reason)
 	})
 }
+
+// Guards against a job that is said to be joined although its submission would start it anew, and the other way round.
+func TestExplanationOfAKnownJob(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h, out := newTestHome()
+		defer h.Close()
+		b := testBatch(1, time.Second)
+		done := make(chan Answer, 1)
+		go func() { done <- h.Submit(context.Background(), b) }()
+		synctest.Wait()
+		require.Equal(t, StateQueued, h.Explain(b).Known)
+		reportRun(h, out.sentOrders()[0].Key, contract.RunDone, true)
+		require.Equal(t, Completed, (<-done).Outcome)
+		require.Equal(t, StateCompleted, h.Explain(b).Known)
+
+		refused := testBatch(1, time.Second)
+		refused.ID = "00000000000000bb"
+		h.o.Capacity.Remove(testOwner)
+		require.Equal(t, Refused, h.Submit(context.Background(), refused).Outcome)
+		require.Equal(t, StateUnknown, h.Explain(refused).Known)
+	})
+}
--- a/batch/home.go
+++ b/batch/home.go
@@ -238,7 +238,7 @@
 	defer s.mu.Unlock()
 	j, known := s.jobs[b.ID]
 	lastRun := uint64(0)
-	if known && j.state == jobEnded && j.answer.Outcome.mayStartAnew() {
+	if known && j.startsAnew() {
 		known, lastRun = false, j.lastRun()
 	}
 	if !known && h.refusesNew.Load() {
--- a/batch/job.go
+++ b/batch/job.go
@@ -232,6 +232,9 @@
 	return o == Refused || o == Abandoned || o == CallerLeft || o == Superseded
 }
 
+// startsAnew reports whether the job has ended so that the next submission under its id is a new job.
+func (j *job) startsAnew() bool { return j.state == jobEnded && j.answer.Outcome.mayStartAnew() }
+
 // Answer is the result of a job as its caller gets it.
 type Answer struct {
 	Outcome Outcome
