zone, pool: place tasks at owners that can start them on a worker that is not slow

Cause: a third of the workers of one grown deployment take twice as long as the others. An owner starts tasks on its fastest workers, but a home chooses among owners with free capacity by the number of their free slots alone, so that in calm, with a quarter of the slots in use, a tenth of all tasks ran on slow workers. Change: owners report how many of their free slots are on slow workers. With the setting placement.avoid_slow a home prefers owners with others, in another failure domain if need be, but any free slot to a queue.

--- a/config/edge.go
+++ b/config/edge.go
@@ -10,13 +10,14 @@
 
 // Edge holds the settings of an edge daemon.
 type Edge struct {
-	VM       EdgeVM       `toml:"vm"`
-	Listen   EdgeListen   `toml:"listen"`
-	Store    EdgeStore    `toml:"store"`
-	Runs     EdgeRuns     `toml:"runs"`
-	Stop     EdgeStop     `toml:"stop"`
-	Overload EdgeOverload `toml:"overload"`
-	Log      Log          `toml:"log"`
+	VM        EdgeVM        `toml:"vm"`
+	Listen    EdgeListen    `toml:"listen"`
+	Store     EdgeStore     `toml:"store"`
+	Runs      EdgeRuns      `toml:"runs"`
+	Stop      EdgeStop      `toml:"stop"`
+	Placement EdgePlacement `toml:"placement"`
+	Overload  EdgeOverload  `toml:"overload"`
+	Log       Log           `toml:"log"`
 
 	file  string
 	lines map[string]int
@@ -56,6 +57,12 @@
 	GraceS float64 `toml:"grace_s"`
 }
 
+// EdgePlacement selects how a home chooses among owners with free capacity.
+type EdgePlacement struct {
+	// AvoidSlow places tasks at owners that can start them on a worker that is not slow, in another failure domain if need be.
+	AvoidSlow bool `toml:"avoid_slow"`
+}
+
 // EdgeOverload selects what the daemon does while there is too little room on the workers.
 type EdgeOverload struct {
 	// Shed orders waiting jobs by what their delay costs their callers, and refuses those whose answer would come too late
@@ -74,7 +81,7 @@
 // NeedsRestart reports whether o differs from e in anything but the log level.
 func (e Edge) NeedsRestart(o Edge) bool {
 	return e.VM != o.VM || e.Listen != o.Listen || e.Store != o.Store || e.Runs != o.Runs || e.Stop != o.Stop ||
-		e.Overload != o.Overload || e.Log.Format != o.Log.Format
+		e.Placement != o.Placement || e.Overload != o.Overload || e.Log.Format != o.Log.Format
 }
 
 // LoadEdge reads a settings file and returns all findings at once.
--- a/edge/daemon.go
+++ b/edge/daemon.go
@@ -72,6 +72,8 @@
 	Lease time.Duration
 	// Grace is the time from the order to stop to the end of the process.
 	Grace time.Duration
+	// AvoidSlow places tasks at owners that can start them on a worker that is not slow.
+	AvoidSlow bool
 	// Overload selects what is done while there is too little room on the workers.
 	Overload contract.OverloadPolicy
 	Now      func() time.Time
@@ -152,7 +154,7 @@
 func New(o Options) (*Daemon, error) {
 	ctx, cancel := context.WithCancel(context.Background())
 	d := &Daemon{
-		o: o, self: o.Self.ID(), capacity: zone.NewCapacityView(o.Self.ID(), o.Self.Domain), cancel: cancel, started: o.Now(),
+		o: o, self: o.Self.ID(), capacity: newCapacityView(o), cancel: cancel, started: o.Now(),
 		firstTimestamp: rand.Uint64N(timestampRange),
 		pools:          make(map[string]*pool.Pool), lastPresent: make(map[string]time.Time), workers: newWorkers(o.Logger),
 		crashes: contract.NewCrashLedger(), cancels: contract.NewCancelLedger(), held: contract.NewHeldLedger(),
@@ -183,6 +185,13 @@
 	return d, nil
 }
 
+func newCapacityView(o Options) *zone.CapacityView {
+	if o.AvoidSlow {
+		return zone.NewSpeedAwareCapacityView(o.Self.ID(), o.Self.Domain)
+	}
+	return zone.NewCapacityView(o.Self.ID(), o.Self.Domain)
+}
+
 func (d *Daemon) spawn(f func()) {
 	d.goroutines.Add(1)
 	go func() {
--- a/edge/messages.go
+++ b/edge/messages.go
@@ -343,7 +343,9 @@
 }
 
 func encodeCapacity(backend string, c zone.BackendCapacity) *api.BackendRoom {
-	m := &api.BackendRoom{Backend: backend, FreeSlots: clamp(c.Free), Slots: clamp(c.Slots)}
+	m := &api.BackendRoom{
+		Backend: backend, FreeSlots: clamp(c.Free), Slots: clamp(c.Slots), SlowFreeSlots: clamp(c.SlowFree),
+	}
 	for _, w := range c.Waiting {
 		m.WaitingMs = append(m.WaitingMs, clampMillis(w))
 	}
@@ -351,7 +353,9 @@
 }
 
 func decodeCapacity(m *api.BackendRoom) zone.BackendCapacity {
-	c := zone.BackendCapacity{Free: int(m.GetFreeSlots()), Slots: int(m.GetSlots())}
+	c := zone.BackendCapacity{
+		Free: int(m.GetFreeSlots()), Slots: int(m.GetSlots()), SlowFree: int(min(m.GetSlowFreeSlots(), m.GetFreeSlots())),
+	}
 	for i, w := range m.GetWaitingMs() {
 		if i < len(c.Waiting) {
 			c.Waiting[i] = time.Duration(w) * time.Millisecond
--- a/pool/capacity.go
+++ b/pool/capacity.go
@@ -13,6 +13,9 @@
 	SoleBackend bool
 }
 
+// slowSpeed is the speed, relative to the mean of the back end, below which a worker counts as slow.
+const slowSpeed = 0.75
+
 // SetPolicy applies a newer desired state.
 func (p *Pool) SetPolicy(policy Policy) {
 	p.mu.Lock()
@@ -52,8 +55,13 @@
 			continue
 		}
 		capacity.Slots += slotsIn(h.host.Listing.Capacity, p.typicalSize)
-		if h != p.emptying && !h.hasAlone() {
-			capacity.Free += slotsIn(h.host.Free(), p.typicalSize)
+		if h == p.emptying || h.hasAlone() {
+			continue
+		}
+		free := slotsIn(h.host.Free(), p.typicalSize)
+		capacity.Free += free
+		if h.host.Speed() < slowSpeed {
+			capacity.SlowFree += free
 		}
 	}
 	for _, r := range p.waiting.runs {
@@ -64,6 +72,7 @@
 		capacity.Free--
 	}
 	capacity.Free = max(capacity.Free, 0)
+	capacity.SlowFree = min(capacity.SlowFree, capacity.Free)
 	return capacity
 }
 
--- a/pool/capacity_test.go
+++ b/pool/capacity_test.go
@@ -229,3 +229,20 @@
 		require.Len(t, f.observer.startedJobs(), 1)
 	})
 }
+
+// Guards against owners that report free slots on slow workers as good ones, so that homes place tasks there.
+func TestFreeCapacityCountsSlowWorkers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(3)
+		defer f.pool.Close()
+		f.order("sizes", 1000, 0, time.Second, 5*time.Second)
+		time.Sleep(time.Second)
+		require.Zero(t, f.pool.FreeCapacity().SlowFree)
+		f.pool.mu.Lock()
+		f.pool.hosts["w1"].host.ResetSpeed(slowSpeed / 2)
+		f.pool.mu.Unlock()
+		capacity := f.pool.FreeCapacity()
+		require.Equal(t, 6, capacity.Free)
+		require.Equal(t, 2, capacity.SlowFree)
+	})
+}
--- a/zone/capacity.go
+++ b/zone/capacity.go
@@ -15,6 +15,8 @@
 	// idle.
 	Free  int
 	Slots int
+	// SlowFree are those of Free on slow workers. Tasks start there last.
+	SlowFree int
 	// Waiting is the work in the owner's queue by priority, as run time at the mean speed.
 	Waiting [Priorities]time.Duration
 }
@@ -43,6 +45,9 @@
 	// beyond.
 	sameDomainCost  = time.Millisecond
 	otherDomainCost = 4 * time.Millisecond
+	// slowWorkerCost is what a start on a slow worker is taken to cost: more than an order to another failure domain, since the
+	// run takes much longer there, and less than the wait at an owner without free capacity.
+	slowWorkerCost = 5 * time.Millisecond
 )
 
 // ownerState is the last report of a member that owns workers.
@@ -53,10 +58,12 @@
 }
 
 // CapacityView is the view that the homes of jobs have of the owners of workers and their free capacity. Its mutex
-// guards all fields but self and domain, which are not changed.
+// guards the fields below it; the others are not changed.
 type CapacityView struct {
 	self   string
 	domain string
+	// avoidSlow is set if tasks are placed where they start on a worker that is not slow.
+	avoidSlow bool
 
 	mu     sync.Mutex
 	owners map[string]*ownerState
@@ -67,6 +74,14 @@
 	return &CapacityView{self: self, domain: domain, owners: make(map[string]*ownerState)}
 }
 
+// NewSpeedAwareCapacityView returns one that places tasks where they start on a worker that is not slow, in another failure
+// domain if need be.
+func NewSpeedAwareCapacityView(self, domain string) *CapacityView {
+	v := NewCapacityView(self, domain)
+	v.avoidSlow = true
+	return v
+}
+
 // Update replaces the capacities that an owner has reported.
 func (v *CapacityView) Update(id, domain string, leaving bool, capacities map[string]*BackendCapacity) {
 	v.mu.Lock()
@@ -112,6 +127,7 @@
 func (c *BackendCapacity) reserve(priority int, expected time.Duration) {
 	if c.Free > 0 {
 		c.Free--
+		c.SlowFree = min(c.SlowFree, c.Free)
 		return
 	}
 	c.Waiting[min(max(priority, 0), Priorities-1)] += expected
@@ -170,16 +186,20 @@
 			continue
 		}
 		wait := capacity.Wait(priority)
+		first, slow := v.freeFirst(capacity)
 		cost := wait + v.messageCost(id, o)
+		if slow {
+			cost += slowWorkerCost
+		}
 		better := bestCost < 0 || cost < bestCost
 		switch {
 		case better:
-			free = capacity.Free
+			free = first
 		case cost > bestCost:
 			continue
-		case capacity.Free > 0:
-			free += capacity.Free
-			better = rand.IntN(free) < capacity.Free
+		case first > 0:
+			free += first
+			better = rand.IntN(free) < first
 		default:
 			better = preferred(capacity, bestCapacity, id, bestID)
 		}
@@ -190,6 +210,18 @@
 	return bestID, bestCapacity, bestWait
 }
 
+// freeFirst returns the slots in which the next tasks start: the free ones on workers that are not slow, or those on slow
+// workers if there are no others.
+func (v *CapacityView) freeFirst(c *BackendCapacity) (slots int, slow bool) {
+	if !v.avoidSlow {
+		return c.Free, false
+	}
+	if fast := c.Free - c.SlowFree; fast > 0 {
+		return fast, false
+	}
+	return c.Free, c.Free > 0
+}
+
 // preferred breaks ties between full owners by their size, so that owners of equal cost get queues in proportion to it.
 func preferred(a, b *BackendCapacity, aID, bID string) bool {
 	if a.Slots != b.Slots {
