pool, zone, batch: owners with free capacity take waiting runs from others

Cause: a task that finds no free capacity waits in the queue of one owner while another owner gets room; its home notices after 40 ms at the earliest, by statuses that are older still.

Change: where overload.steal is set, an owner that gets room invites one or two loaded owners to give up waiting runs. They end such runs as not started and suggest the inviting owner, where the home orders the next run at once.

--- a/batch/advance.go
+++ b/batch/advance.go
@@ -91,7 +91,7 @@
 // for the worker that may still execute an earlier start.
 func (h *Home) shouldMove(j *job, t *task, now time.Time) bool {
 	return t.state == taskPlaced && !t.started && !t.alone && now.Sub(t.placedAt) > moveAfter &&
-		now.Sub(t.recalledAt) > recallRetry && !h.hasLateStart(j, t) &&
+		now.Sub(t.recalledAt) > recallRetry && !t.justSuggested(now) && !h.hasLateStart(j, t) &&
 		h.o.Capacity.ShouldMove(j.batch.Backend, t.owner, j.steps[t.step].expected)
 }
 
@@ -127,6 +127,7 @@
 	t.started, t.withdrawn, t.worker, t.token, t.recalledAt = false, false, "", 0, time.Time{}
 	t.onlyWorker, t.mayHaveStarted, t.lateWait = onlyWorker, false, ""
 	t.alone = h.suspect(j, t)
+	t.suggested, t.suggestion = t.suggestion.owner == owner, suggestion{}
 	out.order(j, t, j.order(t))
 	out.ordered = append(out.ordered, fmt.Sprintf("%s at %s, %s", j.key(t), t.owner, logattr.Ago("contact", now, t.contactAt)))
 }
@@ -137,6 +138,9 @@
 	if late := h.o.LateStarts.Workers(j.key(t)); len(late) > 0 {
 		return h.ownerOfLateStart(j, t, late)
 	}
+	if h.reserveSuggested(j, t) {
+		return t.suggestion.owner, "", true
+	}
 	excluded := func(id string) bool { return slices.Contains(t.infeasibleOwners, id) }
 	owner, ok = h.o.Capacity.Reserve(j.batch.Backend, j.batch.Priority, j.steps[t.step].expected, excluded)
 	return owner, "", ok
@@ -246,6 +250,7 @@
 	case contract.RunEnded:
 		h.recordEnd(j, t, proofReported, owner, r.Token, r.MayHaveStarted)
 		h.unplace(t, r.MayHaveStarted)
+		t.suggestion = suggestionOf(r, now)
 	case contract.RunCrashed:
 		t.crashed = true
 		h.recordEnd(j, t, proofReported, owner, r.Token, true)
--- a/batch/job.go
+++ b/batch/job.go
@@ -59,6 +59,9 @@
 	infeasibleOwners []string
 	// infeasibleRounds counts the consecutive times that all owners have reported so.
 	infeasibleRounds int
+	// suggestion is that of the last owner, suggested is set if the current run was ordered by one.
+	suggestion suggestion
+	suggested  bool
 }
 
 // confirm records that a message about the current run echoes a contact with its owner.
@@ -135,7 +138,7 @@
 		Key: j.key(t), Backend: j.batch.Backend, Spec: j.batch.Spec, Need: step.Need, Priority: j.batch.Priority,
 		Accepted: j.batch.Accepted, Target: j.target, Deadline: j.batch.Deadline, Expected: expected,
 		RequiredLabel: step.RequiredLabel, PreferredRack: step.PreferredRack, PerWorkerLimit: step.PerWorkerLimit,
-		Route: j.batch.Route, Alone: t.alone, OnlyWorker: t.onlyWorker,
+		Route: j.batch.Route, Alone: t.alone, OnlyWorker: t.onlyWorker, Suggested: t.suggested,
 	}
 }
 
--- a/contract/batch.go
+++ b/contract/batch.go
@@ -106,6 +106,8 @@
 	// Alone is set for a task under which a worker has crashed: it runs on a worker without other runs, so that its next
 	// crash proves who caused it.
 	Alone bool
+	// Suggested is set if the owner that had the task before has suggested this one, on its invitation.
+	Suggested bool
 }
 
 // RunState is the state of a run as known to the owner of its worker.
@@ -157,6 +159,9 @@
 	// LateWorkers are the workers that may still execute an earlier start of the task, or a start of this run that has had no
 	// reply yet. The next run is ordered at such a worker or not at all.
 	LateWorkers []string
+	// NextOwner is the owner that has invited this one to give up the run, which never started. It is a hint where to order the
+	// next run; empty for none.
+	NextOwner string
 	// RunTime is how long the run took, for final reports of runs that started.
 	RunTime time.Duration
 }
--- a/edge/daemon.go
+++ b/edge/daemon.go
@@ -312,6 +312,7 @@
 			Report:   func(home string, r contract.RunReport) { d.report(home, backend, r) },
 			Takeover: d.takeover, Crashed: d.workerCrashed, Confinement: d.confined,
 			LateStarts: d.lateStarts, LateStart: d.lateStart, WorkerReplaced: d.workerReplaced,
+			Room:  d.roomCallback(backend),
 			Yield: func() bool { return d.members.IsCutOff(d.o.Now()) },
 		})
 		d.pools[backend] = p
--- a/edge/deployment_test.go
+++ b/edge/deployment_test.go
@@ -317,6 +317,7 @@
 	daemons   map[string]*Daemon
 	// unguarded is set if the workers start whatever they are told to start.
 	unguarded bool
+	overload  contract.OverloadPolicy
 	clock     func() time.Time
 	plan      func(key contract.RunKey) standin.RunPlan
 	wg        sync.WaitGroup
@@ -330,6 +331,7 @@
 type deploymentOptions struct {
 	workerNet *workerNetwork
 	unguarded bool
+	overload  contract.OverloadPolicy
 	// clock is the clock of the daemons; nil for that of the test.
 	clock func() time.Time
 }
@@ -352,7 +354,7 @@
 	n, w, unguarded := newNetwork(), o.workerNet, o.unguarded
 	d := &deployment{
 		t: t, net: n, store: newMemStore(n), hosts: make(map[string]*standin.RunHost), daemons: make(map[string]*Daemon),
-		log: &testLog{}, workerNet: w, unguarded: unguarded, clock: o.clock,
+		log: &testLog{}, workerNet: w, unguarded: unguarded, overload: o.overload, clock: o.clock,
 		observer: &runObserver{
 			running: make(map[contract.RunKey][]contract.RunKey), starts: make(map[contract.RunKey]int),
 			done: make(map[contract.RunKey]int),
@@ -418,7 +420,7 @@
 		Self: machine.Member{
 			VM: vm, Incarnation: machine.NewIncarnation(), Address: vm, Domain: zone, CPUMillis: 400,
 		},
-		Store: storeView{d.store, vm}, Calls: calls, Peers: d.net.listen(vm), Lease: testLease, Grace: testGrace,
+		Store: storeView{d.store, vm}, Calls: calls, Peers: d.net.listen(vm), Lease: testLease, Grace: testGrace, Overload: d.overload,
 		Dial: func(ctx context.Context, address string) (net.Conn, error) { return d.net.dial(ctx, vm, address) },
 		Now:  now, Logger: logger, Metrics: metrics.NewRegistry(),
 	})
--- a/edge/messages.go
+++ b/edge/messages.go
@@ -98,7 +98,7 @@
 	d.members.Send(home, &api.PeerMessage{Body: &api.PeerMessage_TaskReport{TaskReport: &api.TaskReport{
 		Key: encodeKey(r.Key), State: uint32(r.State), Worker: r.Worker, Backend: backend,
 		RunMs: clampMillis(r.RunTime), Ran: r.MayHaveStarted, Token: r.Token, MayStartLate: r.MayStartLate,
-		LateWorkers: r.LateWorkers,
+		LateWorkers: r.LateWorkers, NextOwner: r.NextOwner,
 	}}})
 }
 
@@ -242,6 +242,7 @@
 			Key: decodeKey(r.GetKey()), State: contract.RunState(r.GetState()), Worker: r.GetWorker(),
 			MayHaveStarted: r.GetRan(), Token: r.GetToken(), RunTime: time.Duration(r.GetRunMs()) * time.Millisecond,
 			MayStartLate: r.GetMayStartLate(), LateWorkers: decodeLateWorkers(r.GetLateWorkers()),
+			NextOwner: r.GetNextOwner(),
 		})
 	case *api.PeerMessage_WorkerTakeover:
 		t := b.WorkerTakeover
@@ -267,7 +268,7 @@
 	}
 }
 
-// handleClusterState processes messages about members, workers and the desired state.
+// handleClusterState processes messages about members, workers and their capacity, and the desired state.
 func (d *Daemon) handleClusterState(id, vm string, m *api.PeerMessage) {
 	switch b := m.GetBody().(type) {
 	case *api.PeerMessage_PoolStatus:
@@ -279,6 +280,8 @@
 			return
 		}
 		d.setDesired(s, id)
+	case *api.PeerMessage_TaskInvitation:
+		d.handleInvitation(id, b.TaskInvitation)
 	case *api.PeerMessage_DesiredStateRequest:
 		d.sendDesired(id)
 	case *api.PeerMessage_WorkerList:
@@ -319,6 +322,7 @@
 		// The process was replaced while its status was handled.
 		d.capacity.Remove(id)
 	}
+	d.inviteWaiting(capacities)
 	if domain == d.o.Self.Domain && d.feed.RecordSequence(id, s.GetWorkerList()) {
 		d.members.Send(id, &api.PeerMessage{Body: &api.PeerMessage_WorkerListRequest{
 			WorkerListRequest: &api.WorkerListRequest{}}})
@@ -392,7 +396,7 @@
 		TargetMs: signedMillis(o.Target.Sub(now)), DeadlineMs: signedMillis(o.Deadline.Sub(now)),
 		ExpectedMs: clampMillis(o.Expected), RequiredLabel: o.RequiredLabel, PreferredRack: o.PreferredRack, Claim: o.Claim,
 		AgeMs: clampMillis(now.Sub(o.Accepted)), PerWorker: clamp(o.PerWorkerLimit),
-		Route: o.Route, Alone: o.Alone, ClaimToken: o.ClaimToken, OnlyWorker: o.OnlyWorker,
+		Route: o.Route, Alone: o.Alone, ClaimToken: o.ClaimToken, OnlyWorker: o.OnlyWorker, Suggested: o.Suggested,
 	}
 }
 
@@ -408,7 +412,7 @@
 		Expected: time.Duration(m.GetExpectedMs()) * time.Millisecond, RequiredLabel: m.GetRequiredLabel(),
 		PreferredRack: m.GetPreferredRack(), Claim: m.GetClaim(), PerWorkerLimit: int(m.GetPerWorker()),
 		Accepted: now.Add(-time.Duration(m.GetAgeMs()) * time.Millisecond), Route: m.GetRoute(), Alone: m.GetAlone(),
-		ClaimToken: m.GetClaimToken(), OnlyWorker: m.GetOnlyWorker(),
+		ClaimToken: m.GetClaimToken(), OnlyWorker: m.GetOnlyWorker(), Suggested: m.GetSuggested(),
 	}
 }
 
--- a/pool/maintain.go
+++ b/pool/maintain.go
@@ -87,6 +87,8 @@
 	// lastFailure is when the last poll without a reply was given up. Polls that were sent before may fail for the same cause.
 	lastFailure time.Time
 	watch       crashWatch
+	// offer is the last offer of the free capacity to other owners.
+	offer gapOffer
 }
 
 func (h *ownedHost) wake() { signal(h.wakeup) }
--- a/pool/match.go
+++ b/pool/match.go
@@ -21,6 +21,7 @@
 // its own speed; the fastest choose first, so that they get the tasks that only they can finish before the deadline.
 // p.mu is held.
 func (p *Pool) match(now time.Time, fx *effects) {
+	fx.room = fx.room || p.hasGap(now)
 	if len(p.waiting.runs) == 0 {
 		p.emptying = nil
 		return
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -64,9 +64,12 @@
 	// answers at its address. Both are called without holding the lock of the pool and may be nil.
 	LateStart      func(s contract.LateStart)
 	WorkerReplaced func(worker string)
-	Now            func() time.Time
-	Logger         *slog.Logger
-	Metrics        metrics.Registry
+	// Room is called when the workers may have free capacity for runs that wait at other owners; see Offer. It is called
+	// without holding the lock of the pool; nil if such runs are not wanted.
+	Room    func()
+	Now     func() time.Time
+	Logger  *slog.Logger
+	Metrics metrics.Registry
 }
 
 // Pool is the shard of one back end: the owned workers, the queued tasks and the runs. mu guards all fields below it.
@@ -96,6 +99,11 @@
 	// confinementRank ranks the workers from 0 to 1: tasks of a route that is confined to a share of the workers start on
 	// those with a lower rank. It is empty while no route is confined.
 	confinementRank map[*ownedHost]float64
+	// offeredAt is when free capacity was last offered, offerDue when offerTimer calls Options.Room; offerTimer is nil while no
+	// call is due.
+	offeredAt  time.Time
+	offerDue   time.Time
+	offerTimer *time.Timer
 }
 
 // New returns a pool without workers.
@@ -118,6 +126,7 @@
 // Close ends the maintenance of all workers without stopping their runs, which end when their lease expires.
 func (p *Pool) Close() {
 	p.cancel()
+	p.stopOffers()
 	p.goroutines.Wait()
 }
 
@@ -194,6 +203,7 @@
 	r.veryLateAfter = o.Accepted.Add(veryLateFactor * o.Target.Sub(o.Accepted))
 	p.runs[o.Key] = r
 	p.waiting.push(r)
+	p.recordSuggested(home, o)
 	p.learnSize(o.Need)
 }
 
--- a/pool/run.go
+++ b/pool/run.go
@@ -119,6 +119,8 @@
 	// lateStarts are start calls that got no reply, replaced the workers whose processes have left their addresses.
 	lateStarts []contract.LateStart
 	replaced   []string
+	// room is set if the workers have free capacity to offer to other owners.
+	room bool
 }
 
 // startEffect is a start call with the values fixed by the decision.
@@ -196,6 +198,9 @@
 	for _, r := range fx.inDoubt {
 		p.spawn(func() { p.resolveInDoubt(r) })
 	}
+	if fx.room {
+		p.o.Room()
+	}
 }
 
 // finish records the outcome of a run and frees its capacity. p.mu is held.
--- a/zone/capacity.go
+++ b/zone/capacity.go
@@ -50,6 +50,8 @@
 	domain     string
 	leaving    bool
 	capacities map[string]*BackendCapacity
+	// invitations counts those that this member has sent since the report, by back end.
+	invitations map[string]int
 }
 
 // CapacityView is the view that the homes of jobs have of the owners of workers and their free capacity. Its mutex
@@ -139,9 +141,7 @@
 		if capacity == nil || o.leaving {
 			continue
 		}
-		for _, w := range capacity.Waiting {
-			waiting += w
-		}
+		waiting += capacity.allWaiting()
 		if id != owner {
 			free += capacity.Free
 		}
