--- a/pool/match.go
+++ b/pool/match.go
@@ -17,11 +17,16 @@
 	reserveDelay = 150 * time.Millisecond
 )
 
-// match starts queued tasks on workers with free capacity. Each worker takes the most urgent task that fits, judged by
+// match starts queued tasks on workers with free capacity, and notes whether that leaves some. p.mu is held.
+func (p *Pool) match(now time.Time, fx *effects) {
+	p.startQueued(now, fx)
+	fx.room = p.hasGap(now)
+}
+
+// startQueued starts queued tasks on workers with free capacity. Each worker takes the most urgent task that fits, judged by
 // its own speed; the fastest choose first, so that they get the tasks that only they can finish before the deadline.
 // p.mu is held.
-func (p *Pool) match(now time.Time, fx *effects) {
-	fx.room = fx.room || p.hasGap(now)
+func (p *Pool) startQueued(now time.Time, fx *effects) {
 	if len(p.waiting.runs) == 0 {
 		p.emptying = nil
 		return
@@ -175,6 +180,7 @@
 // assign reserves capacity for a run and adds its start call to fx. p.mu is held.
 func (p *Pool) assign(r *run, h *ownedHost, now time.Time, fx *effects) {
 	h.host.Reserve(r.order.Need)
+	h.offer.shrink(h.host.Free())
 	p.addToHost(r, h)
 	p.logLateStarts(r, h)
 	r.host, r.state, r.startedAt, r.mayHaveRun, r.begun = h, runStarting, now, true, false
--- a/pool/steal.go
+++ b/pool/steal.go
@@ -29,13 +29,16 @@
 	suggestedStay = 100 * time.Millisecond
 )
 
-// gapOffer is the last offer of a worker's free capacity.
+// gapOffer is the last offer of a worker's free capacity. free is the smallest that the worker has had since.
 type gapOffer struct {
 	at     time.Time
 	free   machine.Resources
 	repeat time.Duration
 }
 
+// shrink records that a run takes some of the free capacity.
+func (o *gapOffer) shrink(free machine.Resources) { o.free = o.free.Min(free) }
+
 // due returns the time until the free capacity may be offered: at once if it has grown since the last offer.
 func (o gapOffer) due(free machine.Resources, now time.Time) time.Duration {
 	if free.CPUMillis > o.free.CPUMillis || free.MemoryMB > o.free.MemoryMB {
