--- a/edge/stealmodel_test.go
+++ b/edge/stealmodel_test.go
@@ -150,7 +150,7 @@
 	}
 	switch s.runs[o][r] {
 	case stealWaiting:
-		if !s.lost[o] && !(o == 0 && s.lateRuns) {
+		if !s.lost[o] && (o != 0 || !s.lateRuns) {
 			set(stealStarting, false)
 		}
 	case stealStarting:
--- a/pool/steal.go
+++ b/pool/steal.go
@@ -19,10 +19,10 @@
 	// minGapShare is the smallest gap that is offered, relative to the typical size of a task.
 	minGapShare = 0.5
 	// offerSpacing is the shortest time between two offers, so that several gaps share a message.
-	offerSpacing = 10 * time.Millisecond
+	offerSpacing = 5 * time.Millisecond
 	// offerRepeat is the time after which the same gap is offered again: the runs that an offer has led to have arrived by
 	// then. It doubles with each offer up to maxOfferRepeat, and starts anew when the gap grows.
-	offerRepeat    = 40 * time.Millisecond
+	offerRepeat    = 80 * time.Millisecond
 	maxOfferRepeat = 320 * time.Millisecond
 	// suggestedStay is how long a run that was ordered here by a suggestion is not given up, so that it does not pass between
 	// owners that fill up.
