pool: the timeout of starts follows the time in which workers answer them

Cause: while a twentieth of the starts at workers gets no reply, a third of the jobs with eight short tasks has such a start. Each waits for 150 ms before the start is repeated, most of the time that the job has to its target: a third of these jobs were on time. What follows it stays: a poll, and the start under the same run number at the same worker.

--- a/command/edge.go
+++ b/command/edge.go
@@ -135,7 +135,7 @@
 	clock := bootclock.New()
 	daemon, err := edge.New(edge.Options{
 		Self: self, Store: store, Calls: platform.NewWorkersFrom(net.ParseIP(s.Runs.Source)), Peers: peers,
-		Lease: s.Lease(), Grace: s.Grace(), AvoidSlow: s.Placement.AvoidSlow,
+		Lease: s.Lease(), Grace: s.Grace(), AvoidSlow: s.Placement.AvoidSlow, AdaptStartTimeout: s.Runs.AdaptStartTimeout,
 		Overload: contract.OverloadPolicy{Shed: s.Overload.Shed, Steal: s.Overload.Steal},
 		Dial: func(ctx context.Context, address string) (net.Conn, error) {
 			return dialer.DialContext(ctx, "tcp", address)
--- a/config/edge.go
+++ b/config/edge.go
@@ -46,10 +46,12 @@
 }
 
 // EdgeRuns holds what applies to runs on workers. LeaseMs is the longest lease of a run, in milliseconds. Source is the IP
-// address from which workers are called, for VMs with several; empty leaves the choice to the system.
+// address from which workers are called, for VMs with several; empty leaves the choice to the system. AdaptStartTimeout makes
+// the timeout of starts follow the time in which workers answer them.
 type EdgeRuns struct {
-	LeaseMs int    `toml:"lease_ms"`
-	Source  string `toml:"source"`
+	LeaseMs           int    `toml:"lease_ms"`
+	Source            string `toml:"source"`
+	AdaptStartTimeout bool   `toml:"adapt_start_timeout"`
 }
 
 // EdgeStop bounds a graceful stop. GraceS is the time from SIGTERM to the exit of the process, in seconds.
--- a/edge/daemon.go
+++ b/edge/daemon.go
@@ -72,6 +72,8 @@
 	Lease time.Duration
 	// Grace is the time from the order to stop to the end of the process.
 	Grace time.Duration
+	// AdaptStartTimeout makes the timeout of starts follow the time in which workers answer them.
+	AdaptStartTimeout bool
 	// AvoidSlow places tasks at owners that can start them on a worker that is not slow.
 	AvoidSlow bool
 	// Overload selects what is done while there is too little room on the workers.
@@ -316,7 +318,7 @@
 	p, ok := d.pools[backend]
 	if !ok {
 		p = pool.New(pool.Options{
-			Backend: backend, Calls: d.o.Calls, Lease: d.o.Lease, Now: d.o.Now, Logger: d.o.Logger, Metrics: d.o.Metrics,
+			Backend: backend, Calls: d.o.Calls, Lease: d.o.Lease, AdaptStartTimeout: d.o.AdaptStartTimeout, Now: d.o.Now, Logger: d.o.Logger, Metrics: d.o.Metrics,
 			Policy:   poolPolicy(d.desired, backend),
 			Report:   func(home string, r contract.RunReport) { d.report(home, backend, r) },
 			Takeover: d.takeover, Crashed: d.workerCrashed, Confinement: d.confined,
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -46,6 +46,8 @@
 	Calls   link.HostCalls
 	// Lease is the longest lease that workers grant.
 	Lease time.Duration
+	// AdaptStartTimeout makes the timeout of starts follow the time in which workers answer them.
+	AdaptStartTimeout bool
 	// Policy is what the present desired state says of the workers; see SetPolicy.
 	Policy Policy
 	// Report sends the state of a run to its home. It is called without holding the lock of the pool.
@@ -94,6 +96,8 @@
 	// typicalSize is the moving average of the sizes of ordered tasks, zero until the first one is ordered.
 	typicalSize machine.Resources
 	policy      Policy
+	// callTimes is how long workers take to answer starts.
+	callTimes callTimes
 	// emptying is the worker that is kept free of other tasks for the next task that runs alone; nil if there is none.
 	emptying *ownedHost
 	// confinementRank ranks the workers from 0 to 1: tasks of a route that is confined to a share of the workers start on
--- a/pool/start.go
+++ b/pool/start.go
@@ -16,7 +16,7 @@
 	// callTimeout bounds a call that the worker answers at once; a round trip between zones takes 3 to 6 ms, and a lost
 	// packet is retransmitted after 200 ms.
 	callTimeout = 300 * time.Millisecond
-	// startTimeout bounds a start call. It may be short: if no reply has arrived by then, a poll determines whether the
+	// startTimeout bounds a start call; see also callTimes. It may be short: if no reply has arrived by then, a poll determines whether the
 	// run has started.
 	startTimeout = 150 * time.Millisecond
 	// startReportDelay is how long a start call may take until the home is told of its worker: if this VM is lost then, the
@@ -60,7 +60,7 @@
 	p.o.Logger.Info("sending a start", "task", s.run.order.Key.String(), "worker", s.host.address.Worker,
 		"token", s.token, "worker_start", s.workerStart, "entry_start", s.entryStart, "label", s.run.order.RequiredLabel,
 		"lease_end", s.leaseEnd, "decided", p.o.Now().Sub(s.decidedAt))
-	ctx, cancel := context.WithTimeout(p.ctx, startTimeout)
+	ctx, cancel := context.WithTimeout(p.ctx, p.startTimeout())
 	defer cancel()
 	report := time.AfterFunc(startReportDelay, func() { p.reportUnanswered(s) })
 	defer report.Stop()
@@ -125,6 +125,7 @@
 	}
 	metric.Histogram(metric.PoolQueueTime, p.o.Metrics).Update(r.startedAt.Sub(r.queuedAt).Microseconds())
 	metric.Histogram(metric.PoolCallTime, p.o.Metrics).Update(now.Sub(r.startedAt).Microseconds())
+	p.callTimes.record(now.Sub(r.startedAt))
 	p.o.Logger.Info("run started", "task", r.order.Key.String(), "worker", h.host.Listing.Worker, "token", s.token,
 		"queued_for", r.startedAt.Sub(r.queuedAt), "call_took", now.Sub(r.startedAt), "home", r.home)
 	switch {
