contract, platform, edge, pool, batch: evacuation of a failure domain

Cause: an operator's evacuation of a failure domain was ignored; tasks went on starting on its workers. Change: the reader of the operator's topic collects the keys evacuate/DOMAIN into contract.Evacuations, versioned by the topic's offset. Statuses carry the version, and a member that is behind asks one that is ahead with the request for the desired state, which now names the versions held. Pools start and repeat nothing on evacuated workers, check once more before the call is written, return queued tasks that no other worker can hold, and count no slots there. Homes refuse jobs that only evacuated workers can hold, with a Retry-After. The paths of the pools and of the members have no tests of their own yet.

--- a/batch/advance.go
+++ b/batch/advance.go
@@ -95,7 +95,8 @@
 		h.o.Capacity.ShouldMove(j.batch.Backend, t.owner, j.steps[t.step].expected)
 }
 
-// checkDeadline ends a job whose deadline has passed, or refuses one that has not started and cannot end before it.
+// checkDeadline ends a job whose deadline has passed, or refuses one that has not started and cannot end before it or be served
+// anywhere.
 func (h *Home) checkDeadline(j *job, now time.Time, out *outbox) {
 	switch {
 	case !now.Before(j.batch.Deadline):
@@ -105,6 +106,10 @@
 	case !j.mayHaveRun && j.queued() && j.forecast(h.answerBy(j.batch, j.provenUntil, now, out)).shouldRefuse(now):
 		h.counter(metric.BatchJobsRefused).Inc(1)
 		h.endJob(j, Refused, "no room in time", now, out)
+	case !j.mayHaveRun && j.queued() && h.hasEvacuatedTask(j):
+		h.counter(metric.BatchJobsEvacuated).Inc(1)
+		h.endJob(j, Refused, evacuatedReason, now, out)
+		j.answer.RetryAfter = evacuationRetry
 	}
 }
 
@@ -178,7 +183,7 @@
 		if j.mayHaveRun || h.anyLateStart(&j.batch) {
 			j.answer.Outcome = Abandoned
 		}
-		if wait, ok := h.o.Capacity.Wait(j.batch.Backend, j.batch.Priority); ok {
+		if wait, ok := h.o.Capacity.Wait(j.batch.Backend, j.batch.Priority); ok && j.answer.RetryAfter == 0 {
 			j.answer.RetryAfter = wait
 		}
 	}
--- a/batch/home.go
+++ b/batch/home.go
@@ -74,10 +74,13 @@
 	OwnerOf func(worker string) (owner string, ok bool)
 	// Fits reports whether any listed worker of a back end can hold a task. known is false if no worker of the back end
 	// is listed.
-	Fits    func(backend string, need machine.Resources, label string) (fits, known bool)
-	Now     func() time.Time
-	Logger  *slog.Logger
-	Metrics metrics.Registry
+	Fits func(backend string, need machine.Resources, label string) (fits, known bool)
+	// Evacuated reports whether all listed workers of a back end that can hold a task are in evacuated failure domains. It does
+	// not block and does not call the home; nil means that none are.
+	Evacuated func(backend string, need machine.Resources, label string) bool
+	Now       func() time.Time
+	Logger    *slog.Logger
+	Metrics   metrics.Registry
 }
 
 // Home holds the jobs that this VM has accepted.
@@ -280,6 +283,11 @@
 			return nil, &Answer{Outcome: Failed, Reason: "no worker can hold the tasks"}
 		}
 	}
+	if h.anyStepEvacuated(&b) {
+		h.o.Logger.Info("job refused: all workers that can hold its tasks are evacuated", "job", b.ID, "route", b.Route)
+		h.counter(metric.BatchJobsEvacuated).Inc(1)
+		return nil, &Answer{Outcome: h.refusedOutcome(&b), Reason: evacuatedReason, RetryAfter: evacuationRetry}
+	}
 	steps, expected, slowest := h.plan(b)
 	wait, known := h.o.Capacity.Wait(b.Backend, b.Priority)
 	left := b.Deadline.Sub(now)
--- a/edge/contacts.go
+++ b/edge/contacts.go
@@ -200,6 +200,7 @@
 		Rooms: status.GetRooms(), OwnsNothing: status.GetOwnsNothing(), Leaving: status.GetLeaving(),
 		StampMs: status.GetStampMs(), DesiredVersion: status.GetDesiredVersion(), WorkerList: status.GetWorkerList(),
 		Subscribe: v.subscribe, ListsInForce: status.GetListsInForce(), ListsSettled: status.GetListsSettled(),
+		EvacuationsVersion: status.GetEvacuationsVersion(),
 	}
 	if v.introduce {
 		out.Sender = encodeMember(m.self)
--- a/edge/daemon.go
+++ b/edge/daemon.go
@@ -52,7 +52,8 @@
 	FollowWorkers(ctx context.Context, active func() bool, f func([]machine.Listing))
 	// SinceWorkersRead returns the time since entries of workers were last read. Workers renew them every 1.5 s.
 	SinceWorkersRead() time.Duration
-	FollowDesired(ctx context.Context, f func(contract.Desired))
+	// FollowDesired reads what the operator publishes: the desired state, and the evacuations after each change.
+	FollowDesired(ctx context.Context, desired func(contract.Desired), evacuations func(contract.Evacuations))
 	FollowMembers(ctx context.Context, f func(machine.MemberList))
 	PublishMember(ctx context.Context, m machine.Member) error
 	RemoveMember(ctx context.Context, vm string) error
@@ -95,17 +96,18 @@
 	announcedLate announcedLateStarts
 	entrusted     *entrustedStarts
 	// ownership is that of the last assignment of workers.
-	ownership  ownership
-	confined   *contract.Confinement
-	home       *batch.Home
-	server     *link.PeerServer
-	workers    *workers
-	feed       *workerFeed
-	entries    *entryRequests
-	announced  *announcements
-	cancel     context.CancelFunc
-	goroutines sync.WaitGroup
-	started    time.Time
+	ownership   ownership
+	evacuations evacuations
+	confined    *contract.Confinement
+	home        *batch.Home
+	server      *link.PeerServer
+	workers     *workers
+	feed        *workerFeed
+	entries     *entryRequests
+	announced   *announcements
+	cancel      context.CancelFunc
+	goroutines  sync.WaitGroup
+	started     time.Time
 	// firstTimestamp is the timestamp of the start. It is random, so that a timestamp of a previous process of the VM
 	// proves nothing.
 	firstTimestamp uint64
@@ -162,7 +164,7 @@
 	d.members = newMembers(o.Self, d.dialPeer, o.Logger)
 	d.home = batch.New(batch.Options{
 		Self: d.self, Owners: owners{d}, Members: membership{d}, Capacity: d.capacity, Crashes: d.crashes,
-		Cancels: d.cancels, Held: d.held, Fits: d.fits, LateStarts: d.lateStarts, OwnerOf: d.ownerOf,
+		Cancels: d.cancels, Held: d.held, Fits: d.fits, Evacuated: d.evacuated, LateStarts: d.lateStarts, OwnerOf: d.ownerOf,
 		Now: o.Now, Logger: o.Logger, Metrics: o.Metrics,
 	})
 	d.entries = newEntryRequests(d.members)
@@ -176,7 +178,10 @@
 	}
 	d.server = server
 	d.spawn(func() { o.Store.FollowWorkers(ctx, d.feed.Reads, d.handleWorkerList) })
-	d.spawn(func() { o.Store.FollowDesired(ctx, func(s contract.Desired) { d.setDesired(s, "store") }) })
+	d.spawn(func() {
+		o.Store.FollowDesired(ctx, func(s contract.Desired) { d.setDesired(s, "store") },
+			func(e contract.Evacuations) { d.setEvacuations(e, "store") })
+	})
 	d.spawn(func() { o.Store.FollowMembers(ctx, func(list machine.MemberList) { d.setMembers(ctx, list) }) })
 	d.spawn(func() { d.announce(ctx) })
 	d.spawn(func() { d.run(ctx) })
@@ -308,7 +313,7 @@
 	if !ok {
 		p = pool.New(pool.Options{
 			Backend: backend, Calls: d.o.Calls, Lease: d.o.Lease, Now: d.o.Now, Logger: d.o.Logger, Metrics: d.o.Metrics,
-			Policy:   poolPolicy(d.desired, backend),
+			Policy:   poolPolicy(d.desired, d.evacuations.get(), backend),
 			Report:   func(home string, r contract.RunReport) { d.report(home, backend, r) },
 			Takeover: d.takeover, Crashed: d.workerCrashed, Confinement: d.confined,
 			LateStarts: d.lateStarts, LateStart: d.lateStart, WorkerReplaced: d.workerReplaced,
@@ -355,14 +360,17 @@
 	d.mu.Lock()
 	desired := d.desired
 	d.mu.Unlock()
+	evacuations := d.evacuations.get()
 	for backend, p := range d.allPools() {
-		p.SetPolicy(poolPolicy(desired, backend))
+		p.SetPolicy(poolPolicy(desired, evacuations, backend))
 	}
 }
 
-// poolPolicy returns what a desired state says of the workers of a back end.
-func poolPolicy(desired contract.Desired, backend string) pool.Policy {
-	return pool.Policy{GuardsCapacity: desired.Backends[backend].GuardsCapacity, SoleBackend: desired.SoleBackend()}
+// poolPolicy returns what the operators say of the workers of a back end.
+func poolPolicy(desired contract.Desired, evacuations contract.Evacuations, backend string) pool.Policy {
+	return pool.Policy{
+		GuardsCapacity: desired.Backends[backend].GuardsCapacity, SoleBackend: desired.SoleBackend(), Evacuations: evacuations,
+	}
 }
 
 // setMembers applies the store's list of members.
--- a/edge/deployment_test.go
+++ b/edge/deployment_test.go
@@ -42,7 +42,9 @@
 	mu      sync.Mutex
 	workers []machine.Listing
 	desired contract.Desired
-	members map[string]machine.Member
+	// evacuations is the set that the operator has published last.
+	evacuations contract.Evacuations
+	members     map[string]machine.Member
 	// gone holds the VMs that were declared gone, listVersion counts the changes of members and gone.
 	gone        map[string]bool
 	listVersion uint64
@@ -112,13 +114,16 @@
 	return time.Since(v.s.readAt(v.vm))
 }
 
-func (v storeView) FollowDesired(ctx context.Context, f func(contract.Desired)) {
+func (v storeView) FollowDesired(
+	ctx context.Context, desired func(contract.Desired), evacuations func(contract.Evacuations),
+) {
 	v.follow(ctx, func() {
 		v.s.mu.Lock()
-		d := v.s.desired
+		d, e := v.s.desired, v.s.evacuations
 		v.s.mu.Unlock()
+		evacuations(e)
 		if d.Version > 0 {
-			f(d)
+			desired(d)
 		}
 	})
 }
--- a/edge/member.go
+++ b/edge/member.go
@@ -40,6 +40,8 @@
 	countedAt time.Time
 	// desiredVersion is the version of the member's desired state.
 	desiredVersion uint64
+	// evacuationsVersion is the version of the evacuations that the member knows.
+	evacuationsVersion uint64
 	// newest is the member's newest timestamp, samples some of the last ones, the oldest first.
 	newest  batch.Contact
 	samples []batch.Contact
--- a/edge/members.go
+++ b/edge/members.go
@@ -410,13 +410,22 @@
 	return ids
 }
 
-// Ahead returns the live processes whose desired state is newer than the given version.
-func (m *Members) Ahead(version uint64) []string {
+// RecordEvacuations records which set of evacuated failure domains a process knows, as its status says.
+func (m *Members) RecordEvacuations(id, vm string, version uint64) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if e, ok := m.byVM[vm]; ok && e.id == id {
+		e.evacuationsVersion = version
+	}
+}
+
+// Ahead returns the live processes whose desired state or evacuations are newer than the given versions.
+func (m *Members) Ahead(desired, evacuations uint64) []string {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	var ids []string
 	for _, e := range m.byVM {
-		if e.live && e.desiredVersion > version {
+		if e.live && (e.desiredVersion > desired || e.evacuationsVersion > evacuations) {
 			ids = append(ids, e.id)
 		}
 	}
--- a/edge/messages.go
+++ b/edge/messages.go
@@ -148,7 +148,7 @@
 		return
 	}
 	status := &api.PoolStatus{OwnsNothing: ownsNothing, Leaving: leaving, DesiredVersion: version,
-		StampMs: d.timestamp(now), WorkerList: d.feed.Sequence(),
+		StampMs: d.timestamp(now), WorkerList: d.feed.Sequence(), EvacuationsVersion: d.evacuations.get().Version,
 	}
 	status.ListsInForce, status.ListsSettled = d.members.ListVersions()
 	for backend, capacity := range capacities {
@@ -273,14 +273,9 @@
 	case *api.PeerMessage_PoolStatus:
 		d.handleStatus(id, vm, b.PoolStatus)
 	case *api.PeerMessage_DesiredState:
-		s, err := d.o.Store.DecodeDesired(b.DesiredState.GetDocument())
-		if err != nil {
-			d.o.Logger.Warn("cannot decode the desired state from a peer; keeping the current one", "peer", id, "error", err)
-			return
-		}
-		d.setDesired(s, id)
+		d.handleDesired(id, b.DesiredState)
 	case *api.PeerMessage_DesiredStateRequest:
-		d.sendDesired(id)
+		d.sendDesired(id, b.DesiredStateRequest)
 	case *api.PeerMessage_WorkerList:
 		if list, current := d.feed.Apply(id, b.WorkerList); current {
 			d.setListings(list)
@@ -323,6 +318,7 @@
 		d.members.Send(id, &api.PeerMessage{Body: &api.PeerMessage_WorkerListRequest{
 			WorkerListRequest: &api.WorkerListRequest{}}})
 	}
+	d.members.RecordEvacuations(id, vm, s.GetEvacuationsVersion())
 	d.members.RecordLists(id, vm, s.GetListsInForce(), s.GetListsSettled(), now)
 	if d.members.UpdateStatus(id, vm, s.GetOwnsNothing(), s.GetLeaving(), s.GetDesiredVersion(), s.GetStampMs(), now) {
 		d.assignWorkers()
--- a/machine/host.go
+++ b/machine/host.go
@@ -32,8 +32,10 @@
 	Token uint64
 	// LastOutcome is the number of the last outcome that the worker may delete.
 	LastOutcome uint64
-	used        Resources
-	runs        int
+	// Evacuated is set while the failure domain of the worker is evacuated.
+	Evacuated bool
+	used      Resources
+	runs      int
 
 	// clock is the worker's clock at local time clockAt.
 	clock   time.Duration
@@ -73,10 +75,9 @@
 // Free returns the free capacity.
 func (h *Host) Free() Resources { return h.Listing.Capacity.Minus(h.used) }
 
-// Usable reports whether new tasks may start: the worker is owned, responds, is not draining, not full and not
-// suspended.
+// Usable reports whether new tasks may start: the worker is owned, responds, is schedulable, not full and not suspended.
 func (h *Host) Usable(now time.Time) bool {
-	return h.Token != 0 && !h.Draining() && !now.Before(h.suspendUntil) && !now.Before(h.fullUntil) &&
+	return h.Token != 0 && h.Schedulable() && !now.Before(h.suspendUntil) && !now.Before(h.fullUntil) &&
 		!now.Before(h.suspectUntil)
 }
 
@@ -91,7 +92,7 @@
 
 // CanStartSuspended reports the same whether or not the worker is suspended.
 func (h *Host) CanStartSuspended(need Resources, now time.Time) bool {
-	return h.Token != 0 && !h.Draining() && !now.Before(h.fullUntil) && !now.Before(h.suspectUntil) && h.Free().Fits(need)
+	return h.Token != 0 && h.Schedulable() && !now.Before(h.fullUntil) && !now.Before(h.suspectUntil) && h.Free().Fits(need)
 }
 
 // SetClock records a reading of the worker's clock that was received at local time at, and so taken before it.
--- a/machine/hostentry.go
+++ b/machine/hostentry.go
@@ -24,6 +24,9 @@
 	return h.Listing.Draining && !ended
 }
 
+// Schedulable reports whether the worker's operators let new tasks start: it does not drain and is not evacuated.
+func (h *Host) Schedulable() bool { return !h.Draining() && !h.Evacuated }
+
 // Kind returns the kind of worker, which the first label of its entry names; it is empty if that is not known.
 func (h *Host) Kind() string {
 	if len(h.Listing.Labels) == 0 || !h.EntryCurrent() {
--- a/pool/alone.go
+++ b/pool/alone.go
@@ -31,13 +31,17 @@
 
 // mayHoldAnother reports whether more workers may be held for tasks that run alone. p.mu is held.
 func (p *Pool) mayHoldAnother() bool {
-	held := 0
+	held, serving := 0, 0
 	for _, h := range p.hosts {
+		if h.host.Evacuated {
+			continue
+		}
+		serving++
 		if h.hasAlone() {
 			held++
 		}
 	}
-	return held < max(int(aloneShare*float64(len(p.hosts))), 1)
+	return held < max(int(aloneShare*float64(serving)), 1)
 }
 
 // updateEmptying chooses the worker on which no other tasks start until the most urgent task that runs alone can: without
--- a/pool/capacity.go
+++ b/pool/capacity.go
@@ -1,23 +1,36 @@
 package pool
 
 import (
+	"github.com/cicadadale/cicadadale/contract"
 	"github.com/cicadadale/cicadadale/machine"
 	"github.com/cicadadale/cicadadale/zone"
 )
 
-// Policy is what the desired state says of the workers of a pool.
+// Policy is what the operators say of the workers of a pool: by the desired state, but for the evacuations.
 type Policy struct {
 	// GuardsCapacity is set if the workers reject tasks that exceed their capacity.
 	GuardsCapacity bool
 	// SoleBackend is set if the desired state names no other back end to which a worker may belong.
 	SoleBackend bool
+	// Evacuations are the failure domains on whose workers no task may start.
+	Evacuations contract.Evacuations
 }
 
-// SetPolicy applies a newer desired state.
+// SetPolicy applies a newer policy. Queued tasks that no worker may start any more go back to their homes, and workers that may
+// start tasks again do so at once.
 func (p *Pool) SetPolicy(policy Policy) {
+	now := p.o.Now()
+	var fx effects
 	p.mu.Lock()
-	defer p.mu.Unlock()
 	p.policy = policy
+	p.evacuated.Store(&policy.Evacuations)
+	for _, h := range p.hosts {
+		h.host.Evacuated = policy.Evacuations.Contains(h.host.Listing.Zone)
+	}
+	p.returnInfeasible(&fx)
+	p.match(now, &fx)
+	p.mu.Unlock()
+	p.apply(fx)
 }
 
 // entrySuffices reports whether enough is known of a worker to start tasks that require no label. Until the entry of a new
--- a/pool/confine.go
+++ b/pool/confine.go
@@ -12,7 +12,7 @@
 
 // updateConfinementRanks ranks the workers for the tasks of confined routes, which start only on the first ones. The rank
 // follows from a hash of the address, so that a crashed worker is succeeded by the one that replaces it there and not by
-// another one. p.mu is held.
+// another one. Evacuated workers have none, or a confined route might be left without a worker. p.mu is held.
 func (p *Pool) updateConfinementRanks() {
 	clear(p.confinementRank)
 	if !p.o.Confinement.Any() {
@@ -20,7 +20,9 @@
 	}
 	hosts := make([]*ownedHost, 0, len(p.hosts))
 	for _, h := range p.hosts {
-		hosts = append(hosts, h)
+		if !h.host.Evacuated {
+			hosts = append(hosts, h)
+		}
 	}
 	slices.SortFunc(hosts, func(a, b *ownedHost) int {
 		return cmp.Or(cmp.Compare(a.addressHash, b.addressHash), cmp.Compare(a.address.Worker, b.address.Worker))
--- a/pool/confirm.go
+++ b/pool/confirm.go
@@ -30,8 +30,8 @@
 }
 
 // confirmIncarnation reports whether a start may be sent: the worker is still owned under the token for which the start was
-// decided, so that no later incarnation is known, and has replied to a poll if the start needs it. Otherwise the run is
-// queued again.
+// decided, so that no later incarnation is known, has not been evacuated, and has replied to a poll if the start needs it.
+// Otherwise the run is queued again.
 func (p *Pool) confirmIncarnation(s startEffect) bool {
 	answered := true
 	if p.needsConfirmation(s) {
@@ -43,10 +43,11 @@
 	p.mu.Lock()
 	r, h := s.run, s.host
 	held := r.state == runStarting && r.host == h
-	confirmed := held && answered && h.host.Token == s.token && h.host.CanHold(r.order.Need, r.order.RequiredLabel)
+	confirmed := held && answered && h.host.Token == s.token && !h.host.Evacuated &&
+		h.host.CanHold(r.order.Need, r.order.RequiredLabel)
 	if held && !confirmed {
-		p.o.Logger.Info("worker was not confirmed to be the incarnation of its entry; start not sent",
-			"task", r.order.Key.String(), "worker", h.address.Worker, "label", r.order.RequiredLabel,
+		p.o.Logger.Info("worker was not confirmed to be the incarnation of its entry, or is evacuated; start not sent",
+			"task", r.order.Key.String(), "worker", h.address.Worker, "label", r.order.RequiredLabel, "evacuated", h.host.Evacuated,
 			"decided_for", s.workerStart, "born", h.host.StartTime)
 		p.requeue(r, &fx)
 		p.match(now, &fx)
--- a/pool/hosts.go
+++ b/pool/hosts.go
@@ -8,6 +8,7 @@
 	"github.com/cicadadale/cicadadale/contract"
 	"github.com/cicadadale/cicadadale/link"
 	"github.com/cicadadale/cicadadale/machine"
+	"github.com/cicadadale/cicadadale/metric"
 )
 
 // SetHosts replaces the set of owned workers. A worker that is no longer owned is dropped at once, and its new owner
@@ -57,11 +58,19 @@
 func (p *Pool) returnInfeasible(fx *effects) {
 	for _, r := range slices.Clone(p.waiting.runs) {
 		if !p.feasible(r.order) {
-			p.finish(r, contract.RunInfeasible, proofNotStarted, 0, fx)
+			p.returnRun(r, fx)
 		}
 	}
 }
 
+// returnRun returns a queued task that no worker of the pool may start to its home. p.mu is held.
+func (p *Pool) returnRun(r *run, fx *effects) {
+	if p.infeasibleByEvacuation(r.order) {
+		p.counter(metric.PoolTasksEvacuated).Inc(1)
+	}
+	p.finish(r, contract.RunInfeasible, proofNotStarted, 0, fx)
+}
+
 // addHost starts maintaining a worker. p.mu is held.
 func (p *Pool) addHost(l machine.Listing) {
 	ctx, cancel := context.WithCancel(p.ctx)
@@ -72,6 +81,7 @@
 		addressHash: hashAddress(l.Address),
 	}
 	h.host.ResetSpeed(p.typicalSpeed(h.host.Kind()))
+	h.host.Evacuated = p.policy.Evacuations.Contains(l.Zone)
 	p.hosts[l.Worker] = h
 	p.spawn(func() { p.maintain(ctx, h) })
 }
--- a/pool/incarnation.go
+++ b/pool/incarnation.go
@@ -27,6 +27,7 @@
 func (p *Pool) setEntry(h *ownedHost, l machine.Listing) {
 	sameIncarnation := l.StartTime == h.host.Listing.StartTime
 	h.host.Listing, h.ignored = l, nil
+	h.host.Evacuated = p.policy.Evacuations.Contains(l.Zone)
 	if sameIncarnation {
 		return
 	}
--- a/pool/match.go
+++ b/pool/match.go
@@ -161,7 +161,7 @@
 func (p *Pool) largestFree(o contract.TaskOrder) *ownedHost {
 	var best *ownedHost
 	for _, h := range p.hosts {
-		if h == p.emptying || h.hasAlone() || h.host.Token == 0 || h.host.Draining() || !h.host.CanHold(o.Need, o.RequiredLabel) {
+		if h == p.emptying || h.hasAlone() || h.host.Token == 0 || !h.host.Schedulable() || !h.host.CanHold(o.Need, o.RequiredLabel) {
 			continue
 		}
 		if best == nil || h.host.Free().CPUMillis > best.host.Free().CPUMillis {
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -5,6 +5,7 @@
 	"log/slog"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
@@ -46,7 +47,7 @@
 	Calls   link.HostCalls
 	// Lease is the longest lease that workers grant.
 	Lease time.Duration
-	// Policy is what the present desired state says of the workers; see SetPolicy.
+	// Policy is what the operators say of the workers at present; see SetPolicy.
 	Policy Policy
 	// Report sends the state of a run to its home. It is called without holding the lock of the pool.
 	Report func(home string, r contract.RunReport)
@@ -91,6 +92,8 @@
 	// typicalSize is the moving average of the sizes of ordered tasks, zero until the first one is ordered.
 	typicalSize machine.Resources
 	policy      Policy
+	// evacuated is the set of policy, for checks that do not wait for mu. It is replaced under mu.
+	evacuated atomic.Pointer[contract.Evacuations]
 	// emptying is the worker that is kept free of other tasks for the next task that runs alone; nil if there is none.
 	emptying *ownedHost
 	// confinementRank ranks the workers from 0 to 1: tasks of a route that is confined to a share of the workers start on
@@ -111,6 +114,7 @@
 	if p.o.LateStarts == nil {
 		p.o.LateStarts = contract.NewLateStartLedger()
 	}
+	p.evacuated.Store(&o.Policy.Evacuations)
 	p.spawn(p.sweepPeriodically)
 	return p
 }
@@ -220,7 +224,7 @@
 		return p.hosts[o.OnlyWorker] != nil
 	}
 	for _, h := range p.hosts {
-		if !h.host.Draining() && h.host.CanHold(o.Need, o.RequiredLabel) {
+		if h.host.Schedulable() && h.host.CanHold(o.Need, o.RequiredLabel) {
 			return true
 		}
 	}
--- a/pool/repeat.go
+++ b/pool/repeat.go
@@ -83,7 +83,7 @@
 // canRepeat reports whether the start of a run in doubt may be sent again now. p.mu is held.
 func (p *Pool) canRepeat(r *run, now time.Time) bool {
 	h, o := r.host, r.order
-	if h.host.Token == 0 || h.host.Draining() || now.Before(h.rejectedUntil) || now.Sub(r.refreshedAt) > refreshTimeout {
+	if h.host.Token == 0 || !h.host.Schedulable() || now.Before(h.rejectedUntil) || now.Sub(r.refreshedAt) > refreshTimeout {
 		return false
 	}
 	if p.onWorkers[o.Key.Task()] > 1 {
@@ -193,8 +193,9 @@
 func (p *Pool) startCall(r *run, h *ownedHost, now time.Time) startEffect {
 	limit := h.leaseLimit(now, p.o.Lease)
 	return startEffect{
-		run: r, host: h, token: h.host.Token, decidedAt: now, workerStart: h.host.StartTime, entryStart: h.host.Listing.StartTime,
-		leaseEnd: h.host.ExtendLease(limit.Sub(now), now), sendBy: limit.Add(-minStartLease),
+		run: r, host: h, token: h.host.Token, domain: h.host.Listing.Zone, decidedAt: now, workerStart: h.host.StartTime,
+		entryStart: h.host.Listing.StartTime,
+		leaseEnd:   h.host.ExtendLease(limit.Sub(now), now), sendBy: limit.Add(-minStartLease),
 	}
 }
 
--- a/pool/run.go
+++ b/pool/run.go
@@ -126,6 +126,7 @@
 	run      *run
 	host     *ownedHost
 	token    uint64
+	domain   string
 	leaseEnd time.Duration
 	// decidedAt is the time of the decision, workerStart the start time of the worker's incarnation known then, entryStart that
 	// of the incarnation which the worker's entry described.
@@ -292,6 +293,6 @@
 	p.waiting.push(r)
 	p.counter(metric.PoolStartsRejected).Inc(1)
 	if !p.feasible(r.order) {
-		p.finish(r, contract.RunInfeasible, proofNotStarted, 0, fx)
+		p.returnRun(r, fx)
 	}
 }
--- a/pool/start.go
+++ b/pool/start.go
@@ -66,7 +66,7 @@
 	defer report.Stop()
 	return p.o.Calls.Start(ctx, s.host.address, link.HostStart{
 		Key: s.run.order.Key, Spec: s.run.order.Spec, LeaseEnd: s.leaseEnd, Token: s.token,
-		Valid: func() bool { return p.o.Now().Before(s.sendBy) },
+		Valid: func() bool { return p.o.Now().Before(s.sendBy) && !p.evacuated.Load().Contains(s.domain) },
 	})
 }
 
