--- a/pool/crash_test.go
+++ b/pool/crash_test.go
@@ -181,6 +181,20 @@
 	f.pool.Refresh(testHome, keys, time.Now())
 }
 
+// confine confines a route to a quarter of eight workers.
+func (f *fixture) confine(t *testing.T, route string) {
+	now := time.Now()
+	var crashes []contract.WorkerCrash
+	for i := range 4 {
+		crashes = append(crashes, contract.WorkerCrash{
+			Worker: "x", StartTime: int64(i), Backend: "s", At: now.Add(-time.Duration(i) * 300 * time.Millisecond),
+			Tasks: []contract.CrashedTask{{Route: route}},
+		})
+	}
+	confined, _ := f.pool.o.Confinement.Update(crashes, func(string) int { return 8 }, now)
+	require.Equal(t, []string{route}, confined)
+}
+
 // Guards against tasks of a confined route that start on all workers, and against other tasks that cannot use the workers
 // left to them.
 func TestConfinedRouteStartsOnlyOnSomeWorkers(t *testing.T) {
@@ -188,15 +202,7 @@
 		f := newFixture(8)
 		defer f.pool.Close()
 		now := time.Now()
-		var crashes []contract.WorkerCrash
-		for i := range 4 {
-			crashes = append(crashes, contract.WorkerCrash{
-				Worker: "x", StartTime: int64(i), Backend: "s", At: now.Add(-time.Duration(i) * 300 * time.Millisecond),
-				Tasks: []contract.CrashedTask{{Route: "deadly"}},
-			})
-		}
-		confined, _ := f.pool.o.Confinement.Update(crashes, func(string) int { return 8 }, now)
-		require.Equal(t, []string{"deadly"}, confined)
+		f.confine(t, "deadly")
 		orderUnder := func(job, route string, alone bool) {
 			f.setRunTime(job, time.Second)
 			f.setSize(job, 1500)
