--- a/edge/chaos_test.go
+++ b/edge/chaos_test.go
@@ -65,12 +65,26 @@
 		}
 	}
 	for _, seed := range seeds {
-		t.Run(strconv.FormatUint(seed, 10), func(t *testing.T) { inVirtualTime(t, func(t *testing.T) { runChaos(t, seed) }) })
+		t.Run(strconv.FormatUint(seed, 10), func(t *testing.T) {
+			inVirtualTime(t, func(t *testing.T) { runChaos(t, seed, contract.OverloadPolicy{}) })
+		})
+	}
+}
+
+// Guards against the same while owners take runs from each other.
+func TestRandomFaultsBreakNoInvariantWhileStealing(t *testing.T) {
+	for range 3 {
+		seed := rand.Uint64N(1 << 32)
+		t.Run(strconv.FormatUint(seed, 10), func(t *testing.T) {
+			inVirtualTime(t, func(t *testing.T) {
+				runChaos(t, seed, contract.OverloadPolicy{Steal: true})
+			})
+		})
 	}
 }
 
-func runChaos(t *testing.T, seed uint64) {
-	d := newDeployment(t, chaosZones, chaosDaemons, chaosWorkers)
+func runChaos(t *testing.T, seed uint64, overload contract.OverloadPolicy) {
+	d := newDeploymentWith(deploymentOptions{overload: overload}, t, chaosZones, chaosDaemons, chaosWorkers)
 	c := &chaos{
 		d: d, rng: rand.New(rand.NewPCG(seed, 1)), cuts: make(map[int]func(from, to string) bool),
 		delays: make(map[int]func(from, to string) bool), refused: make(map[string]bool),
