pool, batch: shed what would be answered too late, and share the workers among routes

Cause: at 1.05 to 1.4 times the capacity, owners run jobs whose answer is of no use, the lowest priority gets what is left, small runs fill every gap that a large one needs, and homes refuse by the deadline alone. Change: under overload.shed, contract.AnswerTimes states when an answer is on time, late or of no use; pool/order.go orders a queue by that and by the recent work of each route for the weight of its priority, pool/reservation.go keeps a worker free for large runs that are behind and lets others run there until then; batch/shedding.go recalls the queued runs of a job that cannot meet its target while others wait and refuses it once all are back; the owners of its other tasks hear when a job has started (TaskUrgency). Refusals name the time after which the queue of their priority has drained. Without the setting only the common definition of the times is new.

--- a/batch/advance.go
+++ b/batch/advance.go
@@ -32,6 +32,7 @@
 	if j.state == jobActive {
 		h.checkDeadline(j, now, out)
 		h.checkIsolation(j, now, out)
+		h.checkShedding(j, now, out)
 	}
 	for i := range j.tasks {
 		h.advanceTask(j, &j.tasks[i], now, out)
@@ -67,7 +68,7 @@
 		h.unplace(t, true)
 	}
 	switch {
-	case j.state != jobActive:
+	case j.state != jobActive || j.shedding != keep:
 	case j.earlier != nil || now.Before(j.ordersFrom) || now.Sub(j.provenUntil) > orderProofLimit:
 	case t.state == taskUnplaced && !now.Before(t.retryAt) && j.stepReady(t.step) && !h.pause.paused(h.o.Now()):
 		h.place(j, t, now, out)
@@ -182,9 +183,7 @@
 		if j.mayHaveRun || h.anyLateStart(&j.batch) {
 			j.answer.Outcome = Abandoned
 		}
-		if wait, ok := h.o.Capacity.Wait(j.batch.Backend, j.batch.Priority); ok {
-			j.answer.RetryAfter = wait
-		}
+		j.answer.RetryAfter = h.retryAfter(&j.batch)
 	}
 	if len(j.waiters) > 0 || j.noLiveRuns() {
 		h.o.Logger.Info("job answered", "job", j.batch.ID, "route", j.batch.Route, "outcome", j.answer.Outcome.String(),
@@ -234,6 +233,7 @@
 	}
 	t.mayHaveStarted = t.mayHaveStarted || r.MayHaveStarted
 	h.dropAnsweredStart(t, owner, r)
+	h.announceStart(j, r, out)
 	switch r.State {
 	case contract.RunStarted:
 		h.handleStarted(j, t, owner, r, out)
--- a/batch/convergencenet_test.go
+++ b/batch/convergencenet_test.go
@@ -245,6 +245,10 @@
 	o.send(p.Owner, false, func(m *convergenceOwner) { m.pool.Recall(convergenceHome, keys) })
 }
 
+func (o toOwners) JobStarted(p batch.PoolRef, keys []contract.RunKey) {
+	o.send(p.Owner, false, func(m *convergenceOwner) { m.pool.JobStarted(keys) })
+}
+
 func (o toOwners) Acknowledge(p batch.PoolRef, keys []contract.RunKey) {
 	o.send(p.Owner, false, func(m *convergenceOwner) { m.pool.Acknowledge(keys) })
 }
--- a/batch/home.go
+++ b/batch/home.go
@@ -52,6 +52,8 @@
 	Withdraw(p PoolRef, keys []contract.RunKey)
 	// Recall withdraws only runs that have not started.
 	Recall(p PoolRef, keys []contract.RunKey)
+	// JobStarted says that other tasks of the jobs of queued runs have started.
+	JobStarted(p PoolRef, keys []contract.RunKey)
 	Acknowledge(p PoolRef, keys []contract.RunKey)
 }
 
@@ -72,6 +74,8 @@
 	LateStarts *contract.LateStartLedger
 	// OwnerOf returns the live member that owns a listed worker. It does not block and does not call the home.
 	OwnerOf func(worker string) (owner string, ok bool)
+	// Overload selects which waiting jobs are refused while there is too little room.
+	Overload contract.OverloadPolicy
 	// Fits reports whether any listed worker of a back end can hold a task. known is false if no worker of the back end
 	// is listed.
 	Fits    func(backend string, need machine.Resources, label string) (fits, known bool)
@@ -281,14 +285,14 @@
 		}
 	}
 	steps, expected, slowest := h.plan(b)
-	wait, known := h.o.Capacity.Wait(b.Backend, b.Priority)
+	wait, known := h.expectedWait(&b)
 	left := b.Deadline.Sub(now)
 	answerBy := h.answerBy(b, b.Accepted, now, out)
-	if known && !(forecast{deadline: answerBy, expected: expected}).meetsDeadline(now, wait) {
+	if known && !(forecast{contract.AnswerTimes{Deadline: answerBy}, expected}).meetsDeadline(now, wait) {
 		h.o.Logger.Info("job refused: cannot end before its deadline", "job", b.ID, "route", b.Route, "wait", wait,
 			"expected", expected, "time_left", left, h.majorityAttr("since_majority", now, out))
 		h.counter(metric.BatchJobsRefused).Inc(1)
-		return nil, &Answer{Outcome: h.refusedOutcome(&b), Reason: "overloaded", RetryAfter: wait}
+		return nil, &Answer{Outcome: h.refusedOutcome(&b), Reason: "overloaded", RetryAfter: h.retryAfter(&b)}
 	}
 	j := &job{
 		batch: b, steps: steps, expected: expected, tasks: make([]task, 0, b.Tasks()), submittedAt: b.Accepted,
@@ -296,6 +300,12 @@
 		electorate:  h.o.Members.Electorate(),
 	}
 	j.target = b.Accepted.Add(time.Duration(b.TargetFactor*float64(slowest)) + b.TargetSlack)
+	held, heldElsewhere := h.o.Held.Of(b.ID)
+	if !heldElsewhere && lastRun == 0 {
+		if answer := h.refuseAtDoor(j, now); answer != nil {
+			return nil, answer
+		}
+	}
 	for s, step := range b.Steps {
 		for i := range step.Count {
 			j.tasks = append(j.tasks, task{step: s, index: i, run: h.runs.first(b.Accepted, lastRun)})
@@ -306,7 +316,7 @@
 		"steps", len(b.Steps), "estimate", b.Steps[0].Estimate, "expected_run", expected, "expected_wait", wait,
 		"time_left", left, "target_in", j.target.Sub(now), "electorate", j.electorate.Size(),
 		"members", h.o.Members.Count(), h.majorityAttr("majority_ago", now, out))
-	if held, ok := h.o.Held.Of(b.ID); ok {
+	if heldElsewhere {
 		h.awaitRelease(j, held, now)
 	}
 	return j, nil
--- a/batch/home_test.go
+++ b/batch/home_test.go
@@ -29,7 +29,9 @@
 	// workerOwners holds the owners of the listed workers.
 	workerOwners map[string]string
 	acks         []contract.RunKey
-	held         []contract.HeldJob
+	// urgent holds the runs of jobs that were said to have started.
+	urgent []contract.RunKey
+	held   []contract.HeldJob
 	// announcedAtOnce is set if the last announcement does not wait for the next statuses.
 	announcedAtOnce bool
 	releases        []contract.JobRelease
@@ -102,6 +104,13 @@
 	r.acks = append(r.acks, keys...)
 }
 
+// JobStarted implements Owners.
+func (r *recorder) JobStarted(_ PoolRef, keys []contract.RunKey) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.urgent = append(r.urgent, keys...)
+}
+
 // withdrawn returns a copy of the withdrawals.
 func (r *recorder) withdrawn() []contract.RunKey {
 	r.mu.Lock()
--- a/batch/job.go
+++ b/batch/job.go
@@ -102,10 +102,14 @@
 	state  jobState
 	// mayHaveRun is set once a run of any task may have started.
 	mayHaveRun bool
-	outcome    Outcome
-	answer     Answer
-	endedAt    time.Time
-	waiters    []*waiter
+	// shedding is the reason for which the queued runs are being recalled, so that the job can be refused.
+	shedding shedReason
+	// announcedStart is set once the owners of queued runs have been told that the job has started.
+	announcedStart bool
+	outcome        Outcome
+	answer         Answer
+	endedAt        time.Time
+	waiters        []*waiter
 	// submittedAt is when the last caller submitted the job here, announcedAt when it was last announced to other members.
 	submittedAt time.Time
 	announcedAt time.Time
@@ -139,6 +143,7 @@
 		Accepted: j.batch.Accepted, Target: j.target, Deadline: j.batch.Deadline, Expected: expected,
 		RequiredLabel: step.RequiredLabel, PreferredRack: step.PreferredRack, PerWorkerLimit: step.PerWorkerLimit,
 		Route: j.batch.Route, Alone: t.alone, OnlyWorker: t.onlyWorker, Suggested: t.suggested,
+		JobStarted: j.announcedStart,
 	}
 }
 
@@ -153,9 +158,14 @@
 	return nil
 }
 
+// times returns the times on which the usefulness of the answer depends, if it has to come by a time.
+func (j *job) times(answerBy time.Time) contract.AnswerTimes {
+	return contract.AnswerTimes{Accepted: j.batch.Accepted, Target: j.target, Deadline: answerBy}
+}
+
 // forecast returns what decides whether the job is refused that has to end by a time.
 func (j *job) forecast(answerBy time.Time) forecast {
-	return forecast{accepted: j.batch.Accepted, target: j.target, deadline: answerBy, expected: j.expected}
+	return forecast{j.times(answerBy), j.expected}
 }
 
 // stepReady reports whether all steps that a step depends on are done.
--- a/batch/outbox.go
+++ b/batch/outbox.go
@@ -25,6 +25,7 @@
 	withdrawals map[PoolRef][]contract.RunKey
 	recalls     map[PoolRef][]contract.RunKey
 	acks        map[PoolRef][]contract.RunKey
+	urgent      map[PoolRef][]contract.RunKey
 	// releases are the requests to earlier homes.
 	releases []releaseRequest
 	// held are the jobs to announce to the other members.
@@ -101,6 +102,8 @@
 
 func (o *outbox) recall(p PoolRef, k contract.RunKey) { add(&o.recalls, p, k) }
 
+func (o *outbox) jobStarted(p PoolRef, k contract.RunKey) { add(&o.urgent, p, k) }
+
 func (o *outbox) acknowledge(p PoolRef, k contract.RunKey) { add(&o.acks, p, k) }
 
 // refresh adds the runs of a job that may be alive. Withdrawn runs are withdrawn again, in case the first message was
@@ -138,6 +141,9 @@
 	for ref, keys := range o.recalls {
 		o.owners.Recall(ref, keys)
 	}
+	for ref, keys := range o.urgent {
+		o.owners.JobStarted(ref, keys)
+	}
 	for _, m := range o.orders {
 		o.owners.Order(m.owner, m.order, m.echo)
 	}
--- a/contract/batch.go
+++ b/contract/batch.go
@@ -101,6 +101,8 @@
 	// OnlyWorker is the worker that may still execute an earlier start of the task. The run starts there and on no other
 	// worker. Empty for any worker.
 	OnlyWorker string
+	// JobStarted is set if another task of the job has started.
+	JobStarted bool
 	// Route is the route of the job.
 	Route string
 	// Alone is set for a task under which a worker has crashed: it runs on a worker without other runs, so that its next
--- a/edge/badinput_test.go
+++ b/edge/badinput_test.go
@@ -51,6 +51,7 @@
 		{Body: &api.PeerMessage_TaskOrder{TaskOrder: &api.TaskOrder{}}},
 		{Body: &api.PeerMessage_TaskRefresh{TaskRefresh: &api.TaskRefresh{Keys: []*api.TaskKey{nil, {}}}}},
 		{Body: &api.PeerMessage_TaskWithdrawal{TaskWithdrawal: &api.TaskWithdrawal{Keys: []*api.TaskKey{{}}}}},
+		{Body: &api.PeerMessage_TaskUrgency{TaskUrgency: &api.TaskUrgency{Keys: []*api.TaskKey{{}}}}},
 		{Body: &api.PeerMessage_TaskAck{TaskAck: &api.TaskAck{Keys: []*api.TaskKey{{}}}}},
 		{Body: &api.PeerMessage_TaskReport{TaskReport: &api.TaskReport{State: 99}}},
 		{Body: &api.PeerMessage_WorkerTakeover{WorkerTakeover: &api.WorkerTakeover{}}},
--- a/edge/daemon.go
+++ b/edge/daemon.go
@@ -165,7 +165,8 @@
 	d.home = batch.New(batch.Options{
 		Self: d.self, Owners: owners{d}, Members: membership{d}, Capacity: d.capacity, Crashes: d.crashes,
 		Cancels: d.cancels, Held: d.held, Fits: d.fits, LateStarts: d.lateStarts, OwnerOf: d.ownerOf,
-		Now: o.Now, Logger: o.Logger, Metrics: o.Metrics,
+		Overload: o.Overload,
+		Now:      o.Now, Logger: o.Logger, Metrics: o.Metrics,
 	})
 	d.entries = newEntryRequests(d.members)
 	d.announced = &announcements{members: d.members}
@@ -318,6 +319,7 @@
 		p = pool.New(pool.Options{
 			Backend: backend, Calls: d.o.Calls, Lease: d.o.Lease, Now: d.o.Now, Logger: d.o.Logger, Metrics: d.o.Metrics,
 			Policy:   poolPolicy(d.desired, backend),
+			Overload: d.o.Overload,
 			Report:   func(home string, r contract.RunReport) { d.report(home, backend, r) },
 			Takeover: d.takeover, Crashed: d.workerCrashed, Confinement: d.confined,
 			LateStarts: d.lateStarts, LateStart: d.lateStart, WorkerReplaced: d.workerReplaced,
--- a/edge/messages.go
+++ b/edge/messages.go
@@ -75,6 +75,17 @@
 	}})
 }
 
+// JobStarted implements batch.Owners.
+func (s owners) JobStarted(p batch.PoolRef, keys []contract.RunKey) {
+	if p.Owner == s.d.self {
+		s.d.pool(p.Backend).JobStarted(keys)
+		return
+	}
+	s.d.members.Send(p.Owner, &api.PeerMessage{Body: &api.PeerMessage_TaskUrgency{
+		TaskUrgency: &api.TaskUrgency{Backend: p.Backend, Keys: encodeKeys(keys)},
+	}})
+}
+
 // Acknowledge implements batch.Owners.
 func (s owners) Acknowledge(p batch.PoolRef, keys []contract.RunKey) {
 	if p.Owner == s.d.self {
@@ -123,6 +134,7 @@
 	for backend, p := range d.allPools() {
 		capacities[backend] = p.FreeCapacity()
 	}
+	d.recordWaiting(capacities)
 	d.mu.Lock()
 	ownsNothing, leaving := !d.joined || d.stopping, d.stopping
 	near, far := d.members.Counts()
@@ -228,12 +240,9 @@
 		d.pool(b.TaskRefresh.GetBackend()).Refresh(id, decodeKeys(b.TaskRefresh.GetKeys()),
 			d.sentAt(b.TaskRefresh.GetStampMs()))
 	case *api.PeerMessage_TaskWithdrawal:
-		w := b.TaskWithdrawal
-		if w.GetOnlyQueued() {
-			d.pool(w.GetBackend()).Recall(id, decodeKeys(w.GetKeys()))
-			return
-		}
-		d.pool(w.GetBackend()).Withdraw(id, decodeKeys(w.GetKeys()))
+		d.handleWithdrawal(id, b.TaskWithdrawal)
+	case *api.PeerMessage_TaskUrgency:
+		d.pool(b.TaskUrgency.GetBackend()).JobStarted(decodeKeys(b.TaskUrgency.GetKeys()))
 	case *api.PeerMessage_TaskAck:
 		d.pool(b.TaskAck.GetBackend()).Acknowledge(decodeKeys(b.TaskAck.GetKeys()))
 	case *api.PeerMessage_TaskReport:
@@ -268,6 +277,14 @@
 	}
 }
 
+func (d *Daemon) handleWithdrawal(home string, w *api.TaskWithdrawal) {
+	if w.GetOnlyQueued() {
+		d.pool(w.GetBackend()).Recall(home, decodeKeys(w.GetKeys()))
+		return
+	}
+	d.pool(w.GetBackend()).Withdraw(home, decodeKeys(w.GetKeys()))
+}
+
 // handleClusterState processes messages about members, workers and their capacity, and the desired state.
 func (d *Daemon) handleClusterState(id, vm string, m *api.PeerMessage) {
 	switch b := m.GetBody().(type) {
@@ -401,6 +418,7 @@
 		ExpectedMs: clampMillis(o.Expected), RequiredLabel: o.RequiredLabel, PreferredRack: o.PreferredRack, Claim: o.Claim,
 		AgeMs: clampMillis(now.Sub(o.Accepted)), PerWorker: clamp(o.PerWorkerLimit),
 		Route: o.Route, Alone: o.Alone, ClaimToken: o.ClaimToken, OnlyWorker: o.OnlyWorker, Suggested: o.Suggested,
+		JobStarted: o.JobStarted,
 	}
 }
 
@@ -417,6 +435,7 @@
 		PreferredRack: m.GetPreferredRack(), Claim: m.GetClaim(), PerWorkerLimit: int(m.GetPerWorker()),
 		Accepted: now.Add(-time.Duration(m.GetAgeMs()) * time.Millisecond), Route: m.GetRoute(), Alone: m.GetAlone(),
 		ClaimToken: m.GetClaimToken(), OnlyWorker: m.GetOnlyWorker(), Suggested: m.GetSuggested(),
+		JobStarted: m.GetJobStarted(),
 	}
 }
 
--- a/metric/describe.go
+++ b/metric/describe.go
@@ -73,6 +73,8 @@
 		{PoolWorkersLost, "workers taken by another VM"},
 		{BatchJobsAccepted, "jobs accepted whose answer is the reply to their submission"},
 		{BatchJobsRefused, "such jobs refused because they could not end in time"},
+		{BatchJobsShed, "jobs refused while they could still have ended before their deadline, also by priority and reason"},
+		{PoolWaitingMs, "run time of the queued tasks, in milliseconds, also by priority"},
 		{BatchTasksMoved, "queued tasks moved to an owner with room"},
 		{PoolEndsNotStarted, "runs over: never sent, or start provably not executed"},
 		{PoolEndsListed, "runs over: end listed by the worker"},
--- a/metric/metric.go
+++ b/metric/metric.go
@@ -1,6 +1,8 @@
 // Package metric defines the names of all metrics.
 package metric
 
+import "strconv"
+
 // Names of the metrics. Operators rely on them; docs/OPERATIONS.md describes each.
 const (
 	JobsMinted           = "jobs.minted"
@@ -60,6 +62,7 @@
 	PoolWorkersLost      = "pool.workers_lost"
 	BatchJobsAccepted    = "batch.jobs_accepted"
 	BatchJobsRefused     = "batch.jobs_refused"
+	BatchJobsShed        = "batch.jobs_shed"
 	BatchTasksMoved      = "batch.tasks_moved"
 	PoolEndsNotStarted   = "pool.ends_not_started"
 	PoolEndsListed       = "pool.ends_listed"
@@ -99,7 +102,17 @@
 	RoutesReleased       = "edge.routes_released"
 	PoolQueueTime        = "pool.queue_time"
 	PoolCallTime         = "pool.start_call_time"
+	PoolWaitingMs        = "pool.waiting_ms"
 )
 
 // PeerMessagesSentOfKind returns the name of the counter of the messages of one kind that were sent to other VMs.
 func PeerMessagesSentOfKind(kind string) string { return PeerMessagesSent + "." + kind }
+
+// BatchJobsShedFor returns the name of the counter of the jobs of a priority that were refused for a reason before their deadline was
+// at stake.
+func BatchJobsShedFor(priority int, reason string) string {
+	return BatchJobsShed + ".p" + strconv.Itoa(priority) + "." + reason
+}
+
+// PoolWaitingMsOf returns the name of the gauge of the work of a priority that waits for free capacity at this VM, in milliseconds.
+func PoolWaitingMsOf(priority int) string { return PoolWaitingMs + ".p" + strconv.Itoa(priority) }
--- a/pool/match.go
+++ b/pool/match.go
@@ -35,6 +35,15 @@
 	p.updateConfinementRanks()
 	p.updateEmptying(now)
 	p.startBound(now, fx)
+	if p.o.Overload.Shed {
+		p.startByShares(now, fx)
+		return
+	}
+	p.startByPriority(now, fx)
+}
+
+// startByPriority starts queued tasks in the order of queue.sort. p.mu is held.
+func (p *Pool) startByPriority(now time.Time, fx *effects) {
 	var reserved *ownedHost
 	first := 0
 	for _, h := range p.hostsWithCapacity(now) {
@@ -192,6 +201,10 @@
 	r.progress, r.progressAt, r.token, r.workerStart = 0, now, h.host.Token, h.host.StartTime
 	r.stopAnswered, r.startUnanswered, r.reportedUnanswered = false, false, false
 	p.markCommitted(r.order.Key.Batch, now)
+	if p.o.Overload.Shed {
+		p.shares.add(r.order.Route, r.order.Expected, r.order.Need.CPUMillis, now)
+		p.shares.count(p.isLarge(r), true, now)
+	}
 	fx.starts = append(fx.starts, p.startCall(r, h, now))
 	h.wake()
 }
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -56,6 +56,8 @@
 	Crashed func(c contract.WorkerCrash)
 	// Yield reports whether this VM leaves workers that it has lost to another one. It may be nil.
 	Yield func() bool
+	// Overload selects how the queue is ordered while there is too little room.
+	Overload contract.OverloadPolicy
 	// Confinement names the routes whose tasks start only on some workers.
 	Confinement *contract.Confinement
 	// LateStarts records the starts without a reply. All pools of a VM share it; nil means one of its own.
@@ -99,6 +101,9 @@
 	// confinementRank ranks the workers from 0 to 1: tasks of a route that is confined to a share of the workers start on
 	// those with a lower rank. It is empty while no route is confined.
 	confinementRank map[*ownedHost]float64
+	// shares is what each route has used lately, shareOrder the order of the queue by it.
+	shares     shares
+	shareOrder shareOrder
 	// offeredAt is when free capacity was last offered, offerDue when offerTimer calls Options.Room; offerTimer is nil while no
 	// call is due.
 	offeredAt  time.Time
@@ -115,6 +120,7 @@
 		barredRuns: make(map[contract.RunKey]barredRun), speeds: make(map[string]float64),
 		onWorkers:  make(map[contract.RunKey]int),
 		lastStarts: make(map[string]time.Time), confinementRank: make(map[*ownedHost]float64), policy: o.Policy,
+		shares: newShares(),
 	}
 	if p.o.LateStarts == nil {
 		p.o.LateStarts = contract.NewLateStartLedger()
@@ -198,12 +204,18 @@
 		// The home knows of a late start of which this VM may not have heard.
 		p.o.LateStarts.Record(contract.LateStart{Task: o.Key.Task(), Worker: o.OnlyWorker, Until: now.Add(contract.LateStartRetention)})
 	}
-	r := &run{order: o, home: home, refreshedAt: sentAfter, queuedAt: now, claimed: true}
-	_, r.committed = p.lastStarts[o.Key.Batch]
-	r.veryLateAfter = o.Accepted.Add(veryLateFactor * o.Target.Sub(o.Accepted))
+	p.enqueue(&run{order: o, home: home, refreshedAt: sentAfter, queuedAt: now, claimed: true}, now)
+}
+
+// enqueue queues a new run. p.mu is held.
+func (p *Pool) enqueue(r *run, now time.Time) {
+	o := r.order
+	_, started := p.lastStarts[o.Key.Batch]
+	r.committed = started || o.JobStarted
 	p.runs[o.Key] = r
 	p.waiting.push(r)
-	p.recordSuggested(home, o)
+	p.shares.count(p.isLarge(r), false, now)
+	p.recordSuggested(r.home, o)
 	p.learnSize(o.Need)
 }
 
@@ -417,6 +429,7 @@
 // dropExpired drops records that are not needed any more. p.mu is held.
 func (p *Pool) dropExpired(now time.Time) {
 	p.o.LateStarts.Expire(now)
+	p.shares.dropUnused(now)
 	for k, b := range p.barredRuns {
 		if now.Sub(b.at) > finalRetention && !p.o.LateStarts.Has(k) {
 			delete(p.barredRuns, k)
--- a/pool/queue.go
+++ b/pool/queue.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"github.com/cicadadale/cicadadale/contract"
 	"github.com/cicadadale/cicadadale/machine"
 )
 
@@ -28,11 +29,11 @@
 
 // sort orders the runs by urgency at a given time, for a worker of a given speed. First come runs that can still meet
 // their latency target there, by priority and then by target, together with the late runs of started jobs, whose other
-// tasks would otherwise have run in vain; then the other late runs, then runs so late that their answer is worth
-// little, last runs that cannot end before their deadline.
+// tasks would otherwise have run in vain; then the other late runs, then runs whose answer would be of no use, last runs
+// that cannot end before their deadline.
 func (q *queue) sort(now time.Time, speed float64) {
 	for _, r := range q.runs {
-		r.class = r.lateness(now, speed)
+		r.class = r.usefulness(now, speed)
 	}
 	slices.SortStableFunc(q.runs, func(a, b *run) int {
 		if d := int(a.class) - int(b.class); d != 0 {
@@ -45,34 +46,19 @@
 	})
 }
 
-// lateness classifies a run by the value of the answer that it can still produce.
-type lateness uint8
-
-const (
-	// onTime runs include late runs of jobs of which another task has been started.
-	onTime lateness = iota
-	late
-	// veryLate answers come after three times the latency target.
-	veryLate
-	// tooLate runs cannot end before their deadline.
-	tooLate
-)
-
-// veryLateFactor is the multiple of the latency target after which an answer is worth little.
-const veryLateFactor = 3
-
-func (r *run) lateness(now time.Time, speed float64) lateness {
-	end := now.Add(time.Duration(float64(r.order.Expected) / max(speed, minMatchSpeed)))
-	switch {
-	case end.After(r.order.Deadline):
-		return tooLate
-	case end.After(r.veryLateAfter):
-		return veryLate
-	case end.After(r.order.Target) && !r.committed:
-		return late
-	default:
-		return onTime
+// usefulness predicts the usefulness of the answer to which a run belongs if it starts now on a worker of a given speed. Late
+// runs of jobs of which another task has been started count as on time.
+func (r *run) usefulness(now time.Time, speed float64) contract.Usefulness {
+	use := r.order.Times().At(now.Add(r.runTime(speed)))
+	if use == contract.Late && r.committed {
+		return contract.OnTime
 	}
+	return use
+}
+
+// runTime returns the expected run time on a worker of a given speed.
+func (r *run) runTime(speed float64) time.Duration {
+	return time.Duration(float64(r.order.Expected) / max(speed, minMatchSpeed))
 }
 
 // minMatchSpeed limits the run time predicted for a very slow worker.
--- a/pool/run.go
+++ b/pool/run.go
@@ -37,11 +37,10 @@
 	// crashed is set if the worker has crashed while the run may have been on it. It says nothing about when the run ends.
 	crashed bool
 
-	// committed is set once another task of the job has been started in this pool.
+	// committed is set once another task of the job is known to have been started.
 	committed bool
-	// veryLateAfter is the time after which an answer is worth little, class the lateness found by the last sort.
-	veryLateAfter time.Time
-	class         lateness
+	// class is the usefulness found by the last sort.
+	class contract.Usefulness
 
 	queuedAt    time.Time
 	refreshedAt time.Time
--- a/pool/steal_test.go
+++ b/pool/steal_test.go
@@ -31,7 +31,7 @@
 		if change != nil {
 			change(&o)
 		}
-		return &run{order: o, veryLateAfter: o.Target.Add(time.Minute)}
+		return &run{order: o}
 	}
 	for name, c := range map[string]struct {
 		queue []*run
