--- a/edge/daemon.go
+++ b/edge/daemon.go
@@ -169,7 +169,7 @@
 	d.home = batch.New(batch.Options{
 		Self: d.self, Owners: owners{d}, Members: membership{d}, Capacity: d.capacity, Crashes: d.crashes,
 		Cancels: d.cancels, Held: d.held, Fits: d.fits, Evacuated: d.evacuated, LateStarts: d.lateStarts, OwnerOf: d.ownerOf,
-		Now: o.Now, Logger: o.Logger, Metrics: o.Metrics,
+		Overload: o.Overload, Now: o.Now, Logger: o.Logger, Metrics: o.Metrics,
 	})
 	d.entries = newEntryRequests(d.members)
 	d.announced = &announcements{members: d.members}
@@ -324,10 +324,10 @@
 	if !ok {
 		p = pool.New(pool.Options{
 			Backend: backend, Calls: d.o.Calls, Lease: d.o.Lease, Now: d.o.Now, Logger: d.o.Logger, Metrics: d.o.Metrics,
-			AdaptStartTimeout: d.o.AdaptStartTimeout,
-			Policy:            poolPolicy(d.desired, d.evacuations.get(), backend),
-			Report:            func(home string, r contract.RunReport) { d.report(home, backend, r) },
-			Takeover:          d.takeover, Crashed: d.workerCrashed, Confinement: d.confined,
+			AdaptStartTimeout: d.o.AdaptStartTimeout, Overload: d.o.Overload,
+			Policy:   poolPolicy(d.desired, d.evacuations.get(), backend),
+			Report:   func(home string, r contract.RunReport) { d.report(home, backend, r) },
+			Takeover: d.takeover, Crashed: d.workerCrashed, Confinement: d.confined,
 			LateStarts: d.lateStarts, LateStart: d.lateStart, WorkerReplaced: d.workerReplaced,
 			Room:  d.roomCallback(backend),
 			Yield: func() bool { return d.members.IsCutOff(d.o.Now()) },
