--- a/edge/evacuation_test.go
+++ b/edge/evacuation_test.go
@@ -145,7 +145,8 @@
 		defer d.close()
 		d.plan = func(contract.RunKey) standin.RunPlan { return standin.RunPlan{Duration: 3 * time.Second} }
 		running := d.submit("edge-0-0", testJob("00000000000000aa", 4, 20*time.Second))
-		time.Sleep(100 * time.Millisecond)
+		time.Sleep(500 * time.Millisecond)
+		require.Equal(t, 4, d.observer.startsOf("00000000000000aa"), "tasks that fill all slots")
 		queued := d.submit("edge-0-0", testJob("00000000000000bb", 1, 20*time.Second))
 		time.Sleep(100 * time.Millisecond)
 		d.evacuate("zone-0", "zone-1")
--- a/pool/evacuation_test.go
+++ b/pool/evacuation_test.go
@@ -1,6 +1,7 @@
 package pool
 
 import (
+	"fmt"
 	"slices"
 	"testing"
 	"testing/synctest"
@@ -52,11 +53,29 @@
 		}
 		time.Sleep(300 * time.Millisecond)
 		require.Equal(t, map[string]string{"1": "w1", "2": "w1", "3": "w1", "4": "w1"}, f.observer.workerOfJob())
-		f.evacuate()
+		f.setRunTime("5", time.Second)
 		f.order("5", 2000, 0, time.Second, 5*time.Second)
-		f.order("6", 2000, 0, time.Second, 5*time.Second)
-		time.Sleep(10 * time.Millisecond)
-		require.Contains(t, []string{f.observer.workerOfJob()["5"], f.observer.workerOfJob()["6"]}, "w0")
+		f.order("waiting", 2000, 0, time.Second, 5*time.Second)
+		f.evacuate()
+		time.Sleep(time.Millisecond)
+		require.Equal(t, "w1", f.observer.workerOfJob()["5"])
+		require.Equal(t, "w0", f.observer.workerOfJob()["waiting"], "started at once")
+	})
+}
+
+// Guards against a large task that starves since the worker kept free for it is evacuated, while small ones fill the other one.
+func TestEvacuatedWorkerIsNotKeptFree(t *testing.T) {
+	inDomains(t, []string{"a", "b"}, func(t *testing.T, f *fixture) {
+		f.evacuate("a")
+		keys := []contract.RunKey{f.order("first", 1000, 0, time.Second, 20*time.Second)}
+		time.Sleep(50 * time.Millisecond)
+		keys = append(keys, f.order("large", 2000, 0, time.Second, 20*time.Second))
+		for i := range 40 {
+			keys = append(keys, f.order(fmt.Sprintf("small%d", i), 1000, 0, 500*time.Millisecond, 20*time.Second))
+			f.pool.Refresh(testHome, keys, time.Now())
+			time.Sleep(50 * time.Millisecond)
+		}
+		require.Contains(t, f.observer.startedJobs(), "large")
 	})
 }
 
@@ -195,6 +214,22 @@
 	})
 }
 
+// Guards against too many of the serving workers being held for tasks that run alone, since evacuated ones were counted.
+func TestEvacuatedWorkersLeaveNoMoreWorkersToTasksThatRunAlone(t *testing.T) {
+	inDomains(t, []string{"a", "a", "a", "a", "a", "a", "b", "b"}, func(t *testing.T, f *fixture) {
+		f.evacuate("a")
+		for _, job := range []string{"alone1", "alone2"} {
+			f.setRunTime(job, time.Second)
+			f.orderAlone(job, 1000)
+		}
+		time.Sleep(10 * time.Millisecond)
+		require.Len(t, f.observer.startedJobs(), 1)
+		f.order("other", 2000, 0, time.Second, 5*time.Second)
+		time.Sleep(10 * time.Millisecond)
+		require.Contains(t, f.observer.startedJobs(), "other")
+	})
+}
+
 // Guards against a confined route that is left without a worker: all on which it may start are evacuated.
 func TestConfinedRouteKeepsAWorker(t *testing.T) {
 	domains := []string{"a", "b", "c", "d", "e", "f", "g", "h"}
