--- a/pool/evacuation_test.go
+++ b/pool/evacuation_test.go
@@ -56,6 +56,7 @@
 		f.setRunTime("5", time.Second)
 		f.order("5", 2000, 0, time.Second, 5*time.Second)
 		f.order("waiting", 2000, 0, time.Second, 5*time.Second)
+		time.Sleep(sweepInterval / 2)
 		f.evacuate()
 		time.Sleep(time.Millisecond)
 		require.Equal(t, "w1", f.observer.workerOfJob()["5"])
