--- a/batch/advance.go
+++ b/batch/advance.go
@@ -233,7 +233,6 @@
 	}
 	t.mayHaveStarted = t.mayHaveStarted || r.MayHaveStarted
 	h.dropAnsweredStart(t, owner, r)
-	h.announceStart(j, r, out)
 	switch r.State {
 	case contract.RunStarted:
 		h.handleStarted(j, t, owner, r, out)
@@ -266,6 +265,7 @@
 				"expires_in", max(t.expiresAt.Sub(now), 0))
 		}
 	}
+	h.announceStart(j, r, out)
 }
 
 // proves reports whether an owner's report says something about the current run. An owner other than the current one can
--- a/pool/order.go
+++ b/pool/order.go
@@ -6,6 +6,10 @@
 	"github.com/cicadadale/cicadadale/contract"
 )
 
+// startedWeight is the weight of the runs of started jobs, relative to that of others of their priority. The work that has been done for
+// such a job is wasted if its other tasks are late. The weight is bounded, so that a large job of low priority does not hold up urgent ones.
+const startedWeight = 4
+
 // shareKey names what runs have in common of whose route's share the order depends.
 type shareKey struct {
 	route    string
@@ -25,7 +29,7 @@
 // shareOrder orders the queued runs of a pool by what their delay costs their callers. First come runs whose answer would
 // be on time, then those whose answer would be late. Runs whose answer would be of no use start only while no other run
 // waits, unless a task of their job has started. Among runs of the same usefulness, the route goes first that has used the
-// least for the weight of its priority; within a route, started jobs and then earlier targets do.
+// least for the weight of its priority, which is higher for started jobs; within a route, started jobs, then large runs, then earlier targets.
 //
 // It is valid for one decision, under the lock of the pool. The slices are kept to be used again.
 type shareOrder struct {
@@ -156,11 +160,19 @@
 	return use
 }
 
+// shareUsed returns the recent work of the route, for the weight that its priority has for this run.
+func (c *candidate) shareUsed() float64 {
+	if c.run.committed {
+		return *c.used / startedWeight
+	}
+	return *c.used
+}
+
 // before orders runs of the same usefulness.
 func (c *candidate) before(o *candidate) bool {
 	switch {
-	case *c.used != *o.used:
-		return *c.used < *o.used
+	case c.shareUsed() != o.shareUsed():
+		return c.shareUsed() < o.shareUsed()
 	case c.run.order.Priority != o.run.order.Priority:
 		return c.run.order.Priority < o.run.order.Priority
 	case c.run.committed != o.run.committed:
