--- a/batch/advance.go
+++ b/batch/advance.go
@@ -96,7 +96,8 @@
 		h.o.Capacity.ShouldMove(j.batch.Backend, t.owner, j.steps[t.step].expected)
 }
 
-// checkDeadline ends a job whose deadline has passed, or refuses one that has not started and cannot end before it.
+// checkDeadline ends a job whose deadline has passed, or refuses one that has not started and cannot end before it or be served
+// anywhere.
 func (h *Home) checkDeadline(j *job, now time.Time, out *outbox) {
 	switch {
 	case !now.Before(j.batch.Deadline):
@@ -106,6 +107,10 @@
 	case !j.mayHaveRun && j.queued() && j.forecast(h.answerBy(j.batch, j.provenUntil, now, out)).shouldRefuse(now):
 		h.counter(metric.BatchJobsRefused).Inc(1)
 		h.endJob(j, Refused, "no room in time", now, out)
+	case !j.mayHaveRun && j.queued() && h.hasEvacuatedTask(j):
+		h.counter(metric.BatchJobsEvacuated).Inc(1)
+		h.endJob(j, Refused, evacuatedReason, now, out)
+		j.answer.RetryAfter = evacuationRetry
 	}
 }
 
@@ -183,7 +188,9 @@
 		if j.mayHaveRun || h.anyLateStart(&j.batch) {
 			j.answer.Outcome = Abandoned
 		}
-		j.answer.RetryAfter = h.retryAfter(&j.batch)
+		if j.answer.RetryAfter == 0 {
+			j.answer.RetryAfter = h.retryAfter(&j.batch)
+		}
 	}
 	if len(j.waiters) > 0 || j.noLiveRuns() {
 		h.o.Logger.Info("job answered", "job", j.batch.ID, "route", j.batch.Route, "outcome", j.answer.Outcome.String(),
