edge, pool: the same free capacity is offered to two owners

Cause: an invited owner often has nothing that fits, and the gap is offered to the next one only 80 ms later. Each owner that keeps a worker free for a large task after 150 ms keeps a large share of its few workers free.

Change: two owners get the same gaps. Where owners take runs from each other, a worker is reserved after 300 ms instead of 150 ms.

--- a/edge/stealing.go
+++ b/edge/stealing.go
@@ -13,7 +13,8 @@
 )
 
 const (
-	// maxInvited is the number of owners to which free capacity is offered at once. Each is offered other workers.
+	// maxInvited is the number of owners to which the same free capacity is offered: one of them often has nothing that fits. Runs
+	// that both give up for it wait here for the next free capacity.
 	maxInvited = 2
 	// maxInvitationAge is the age from which an invitation is dropped. It counts from the newest timestamp that the sender had,
 	// which is up to a status interval old.
@@ -36,25 +37,19 @@
 		return
 	}
 	gaps := d.pool(backend).Offer()
+	if len(gaps) == 0 {
+		return
+	}
 	now := d.o.Now()
-	for i, part := range divideGaps(gaps, len(owners)) {
-		d.capacity.RecordInvitation(owners[i], backend)
+	for _, owner := range owners {
+		d.capacity.RecordInvitation(owner, backend)
 		metrics.GetOrRegisterCounter(metric.PoolInvitationsSent, d.o.Metrics).Inc(1)
-		d.members.Send(owners[i], &api.PeerMessage{Body: &api.PeerMessage_TaskInvitation{TaskInvitation: &api.TaskInvitation{
-			Backend: backend, Gaps: encodeGaps(part), StampMs: d.members.LastContact(owners[i], now).Timestamp,
+		d.members.Send(owner, &api.PeerMessage{Body: &api.PeerMessage_TaskInvitation{TaskInvitation: &api.TaskInvitation{
+			Backend: backend, Gaps: encodeGaps(gaps), StampMs: d.members.LastContact(owner, now).Timestamp,
 		}}})
 	}
 }
 
-// divideGaps divides gaps between up to n owners, so that none is offered twice.
-func divideGaps(gaps []contract.FreeGap, n int) [][]contract.FreeGap {
-	parts := make([][]contract.FreeGap, min(n, len(gaps)))
-	for i, g := range gaps {
-		parts[i%len(parts)] = append(parts[i%len(parts)], g)
-	}
-	return parts
-}
-
 // inviteWaiting offers free capacity after the status of an owner has shown that runs wait there.
 func (d *Daemon) inviteWaiting(capacities map[string]zone.BackendCapacity) {
 	if !d.o.Overload.Steal {
--- a/pool/match.go
+++ b/pool/match.go
@@ -15,6 +15,9 @@
 	// reserveDelay is the wait after which a worker is reserved for the most urgent task, so that smaller tasks behind it
 	// do not take the capacity that it needs. Without it, large tasks starve while small ones fill each gap.
 	reserveDelay = 150 * time.Millisecond
+	// stealingReserveDelay is the same where owners take runs from each other: another one may have room for the task sooner, and
+	// what is kept free here is lost to smaller ones.
+	stealingReserveDelay = 300 * time.Millisecond
 )
 
 // match starts queued tasks on workers with free capacity, and notes whether that leaves some. p.mu is held.
@@ -138,7 +141,7 @@
 		return nil, 0
 	}
 	r := p.waiting.runs[first]
-	if now.Sub(r.queuedAt) < reserveDelay || r.order.Alone {
+	if now.Sub(r.queuedAt) < p.reserveDelay() || r.order.Alone {
 		return nil, first
 	}
 	if r.onlyWorker != "" {
@@ -147,6 +150,14 @@
 	return p.largestFree(r.order), first
 }
 
+// reserveDelay returns the wait after which a worker is reserved for the most urgent task.
+func (p *Pool) reserveDelay() time.Duration {
+	if p.o.Room != nil {
+		return stealingReserveDelay
+	}
+	return reserveDelay
+}
+
 // speedStep is the width of a speed class, relative to the mean speed of the back end. Workers of the same class are
 // treated as equally fast.
 const speedStep = 0.15
