clientlimit, edge: bound what clients make the process hold

Cause: the HTTP server buffers a head before it compares it with the limit, keeps what unfinished requests have sent, has no limit for all clients together, and ends the process when accepting a connection fails. The limits of the desired state were not used.

Its connections hand whole requests to the server and refuse what exceeds the limits of the desired state (431, 413, 408) or the budget for all requests (503); its listeners bound the connections, let those without a request give way, and try again when accepting fails. Both follow from the new settings vm.memory_mb and vm.max_fds, as does the memory from which on garbage is collected more often. The listeners for readiness and metrics have 32 connections each. After a body of more than 16 KiB the connection is closed with the answer, since the server keeps buffers of that size.

--- /dev/null
+++ b/clientlimit/limits.go
@@ -0,0 +1,88 @@
+package clientlimit
+
+import "time"
+
+// Limits bound one request of a client.
+type Limits struct {
+	// HeadBytes counts the first line, the fields and the empty line after them. BodyBytes counts the contents of a body without
+	// the overhead of its encoding.
+	HeadBytes, BodyBytes int
+	// HeadTime is the time from the first byte of a head to its last one.
+	HeadTime time.Duration
+	// IdleTime is the time without progress in a body, and that for which a connection may be idle while connections are scarce.
+	IdleTime time.Duration
+}
+
+const (
+	// The defaults lie above the limits that desired states set.
+	defaultHeadBytes = 64 << 10
+	defaultBodyBytes = 1 << 20
+	defaultHeadTime  = 30 * time.Second
+	defaultIdleTime  = 75 * time.Second
+	// bodyIdleTimes is the number of idle times after which a body must be complete, however steadily it progresses.
+	bodyIdleTimes = 8
+)
+
+// WithDefaults replaces what is not set.
+func (l Limits) WithDefaults() Limits {
+	if l.HeadBytes <= 0 {
+		l.HeadBytes = defaultHeadBytes
+	}
+	if l.BodyBytes <= 0 {
+		l.BodyBytes = defaultBodyBytes
+	}
+	if l.HeadTime <= 0 {
+		l.HeadTime = defaultHeadTime
+	}
+	if l.IdleTime <= 0 {
+		l.IdleTime = defaultIdleTime
+	}
+	return l
+}
+
+const (
+	// defaultMemoryMB is the memory of the smallest VM.
+	defaultMemoryMB = 144
+	// fileDescriptors are not available to sockets.
+	fileDescriptors = 200
+	// ownShare of the sockets, one in that many, are for the process's own calls.
+	ownShare = 4
+	// connectionBytes is what a connection holds: buffers, goroutines and bytes that were received and not yet read.
+	connectionBytes = 32 << 10
+	// connectionShare and requestShare are the parts of the memory that all connections and all requests may take, one in that many.
+	connectionShare = 2
+	requestShare    = 6
+	// collectPercent is the share of the memory from which on garbage is collected more often.
+	collectPercent = 70
+	minConnections = 16
+)
+
+// VM is the machine's part of the limits. Zero means the default.
+type VM struct {
+	MemoryMB int
+	// Descriptors is the number of descriptors that the process may have.
+	Descriptors int
+}
+
+func (v VM) memoryBytes() int64 {
+	if v.MemoryMB <= 0 {
+		return defaultMemoryMB << 20
+	}
+	return int64(v.MemoryMB) << 20
+}
+
+// Connections returns the number of connections that clients may have.
+func (v VM) Connections() int {
+	byMemory := int(v.memoryBytes() / connectionShare / connectionBytes)
+	if v.Descriptors <= 0 {
+		return byMemory
+	}
+	sockets := v.Descriptors - fileDescriptors
+	return max(min(sockets-sockets/ownShare, byMemory), minConnections)
+}
+
+// RequestBytes returns the budget for the requests of all clients.
+func (v VM) RequestBytes() int64 { return v.memoryBytes() / requestShare }
+
+// CollectionBytes returns the memory from which on garbage is collected more often.
+func (v VM) CollectionBytes() int64 { return v.memoryBytes() / 100 * collectPercent }
--- /dev/null
+++ b/clientlimit/process.go
@@ -0,0 +1,55 @@
+package clientlimit
+
+import (
+	"log/slog"
+
+	"github.com/rcrowley/go-metrics"
+	"golang.org/x/sys/unix"
+)
+
+const (
+	// checkConnections is the number of connections that the balancer's checks or the metrics may have.
+	checkConnections = 32
+	checkHeadBytes   = 16 << 10
+	checkBodyBytes   = 4 << 10
+)
+
+// Process is what the clients of a process share.
+type Process struct {
+	vm      VM
+	budget  *Budget
+	logger  *slog.Logger
+	metrics metrics.Registry
+}
+
+// NewProcess returns the limits of a process on a VM. If the VM does not state its descriptors, the limit of the process applies.
+func NewProcess(vm VM, logger *slog.Logger, r metrics.Registry) *Process {
+	if vm.Descriptors <= 0 {
+		vm.Descriptors = descriptorLimit()
+	}
+	return &Process{vm: vm, budget: NewBudget(vm.RequestBytes()), logger: logger, metrics: r}
+}
+
+// descriptorLimit returns the number of descriptors that the process may have, 0 if it is not known.
+func descriptorLimit() int {
+	var l unix.Rlimit
+	if err := unix.Getrlimit(unix.RLIMIT_NOFILE, &l); err != nil {
+		return 0
+	}
+	return int(min(l.Cur, 1<<30))
+}
+
+// Clients returns the options of the listener for clients.
+func (p *Process) Clients(limits func() Limits) Options {
+	return p.options(p.vm.Connections(), limits)
+}
+
+// Checks returns the options of a listener for the balancer's checks or for metrics.
+func (p *Process) Checks() Options {
+	limits := Limits{HeadBytes: checkHeadBytes, BodyBytes: checkBodyBytes}.WithDefaults()
+	return p.options(checkConnections, func() Limits { return limits })
+}
+
+func (p *Process) options(connections int, limits func() Limits) Options {
+	return Options{Connections: connections, Budget: p.budget, Limits: limits, Logger: p.logger, Metrics: p.metrics}
+}
--- /dev/null
+++ b/clientlimit/table.go
@@ -0,0 +1,115 @@
+package clientlimit
+
+import (
+	"container/list"
+	"sync"
+	"time"
+)
+
+// Table holds the connections of the clients of a listener. mu guards the fields below it and those of its members.
+type Table struct {
+	limit int
+
+	mu   sync.Mutex
+	open int
+	// fresh holds the members that have not completed a request yet, idle those between two requests, the oldest first.
+	fresh, idle list.List
+}
+
+// Member is one connection in a Table.
+type Member struct {
+	// close closes the connection that gives way to another one.
+	close func()
+	// place is the member's place in one of the lists, nil while its request is being served.
+	place     *list.Element
+	in        *list.List
+	idleSince time.Time
+	removed   bool
+}
+
+// NewTable returns a table for a number of connections.
+func NewTable(limit int) *Table { return &Table{limit: limit} }
+
+// Admit adds a connection and returns its member, nil if there is no room. idleTime is the time for which a connection may be idle
+// without giving way. A connection that has given way is returned to be closed; it does not count any more.
+func (t *Table) Admit(closeConn func(), now time.Time, idleTime time.Duration) (admitted, gaveWay *Member) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.open >= t.limit {
+		if gaveWay = t.candidate(now, idleTime); gaveWay == nil {
+			return nil, nil
+		}
+		t.remove(gaveWay)
+	}
+	t.open++
+	admitted = &Member{close: closeConn}
+	t.put(admitted, &t.fresh)
+	return admitted, gaveWay
+}
+
+// candidate returns the connection that gives way to a new one, nil for none. t.mu is held.
+func (t *Table) candidate(now time.Time, idleTime time.Duration) *Member {
+	if first := t.fresh.Front(); first != nil {
+		return first.Value.(*Member)
+	}
+	if first := t.idle.Front(); first != nil {
+		if m := first.Value.(*Member); now.Sub(m.idleSince) >= idleTime {
+			return m
+		}
+	}
+	return nil
+}
+
+// Serving records that the server handles a request of a connection, which does not give way meanwhile.
+func (t *Table) Serving(m *Member) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.takeOut(m)
+}
+
+// Answered records that a request has been answered.
+func (t *Table) Answered(m *Member, now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if m.removed {
+		return
+	}
+	t.takeOut(m)
+	m.idleSince = now
+	t.put(m, &t.idle)
+}
+
+// Remove removes a closed connection.
+func (t *Table) Remove(m *Member) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.remove(m)
+}
+
+// Open returns the number of connections.
+func (t *Table) Open() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.open
+}
+
+// remove removes a member once. t.mu is held.
+func (t *Table) remove(m *Member) {
+	if m.removed {
+		return
+	}
+	m.removed = true
+	t.open--
+	t.takeOut(m)
+}
+
+// put adds a member at the end of a list. t.mu is held.
+func (t *Table) put(m *Member, l *list.List) { m.place, m.in = l.PushBack(m), l }
+
+// takeOut removes a member from its list. t.mu is held.
+func (t *Table) takeOut(m *Member) {
+	if m.place != nil {
+		m.in.Remove(m.place)
+		m.place, m.in = nil, nil
+	}
+}
--- a/command/edge.go
+++ b/command/edge.go
@@ -17,6 +17,7 @@
 	"github.com/urfave/cli/v3"
 
 	"github.com/cicadadale/cicadadale/admin"
+	"github.com/cicadadale/cicadadale/clientlimit"
 	"github.com/cicadadale/cicadadale/config"
 	"github.com/cicadadale/cicadadale/contract"
 	"github.com/cicadadale/cicadadale/edge"
@@ -37,10 +38,9 @@
 	// after the job's handler has returned it.
 	answerLinger = 50 * time.Millisecond
 	// gcPercent lets the heap grow to three times the live memory between two collections. A collection delays all other
-	// work of a process with one core, and the live memory of a daemon is a few megabytes. memoryLimit makes collections
-	// frequent before the smallest VMs, of 144 MB, run out of memory.
-	gcPercent   = 200
-	memoryLimit = 100 << 20
+	// work of a process with one core, and the live memory of a daemon is a few megabytes. Collections become frequent before the
+	// memory of the VM is used up.
+	gcPercent = 200
 	// peerDialTimeout bounds the opening of a connection to another member.
 	peerDialTimeout = 500 * time.Millisecond
 )
@@ -109,7 +109,8 @@
 // serveEdge runs the daemon until ctx is cancelled, then stops it gracefully.
 func serveEdge(ctx context.Context, s config.Edge, logger *slog.Logger) error {
 	debug.SetGCPercent(gcPercent)
-	debug.SetMemoryLimit(memoryLimit)
+	vm := clientlimit.VM{MemoryMB: s.VM.MemoryMB, Descriptors: s.VM.MaxFDs}
+	debug.SetMemoryLimit(vm.CollectionBytes())
 	peers, err := net.Listen("tcp", s.Listen.Peers)
 	if err != nil {
 		return err
@@ -124,8 +125,9 @@
 		"store", s.Store.Address, "failure_domain", self.Domain)
 	dialer := net.Dialer{Timeout: peerDialTimeout}
 	registry := metrics.NewRegistry()
+	clients := clientlimit.NewProcess(vm, logger, registry)
 	if s.Listen.Metrics != "" {
-		l, err := net.Listen("tcp", s.Listen.Metrics)
+		l, err := clientlimit.Listen(s.Listen.Metrics, clients.Checks())
 		if err != nil {
 			return errors.Join(err, peers.Close())
 		}
@@ -144,7 +146,9 @@
 	if err != nil {
 		return errors.Join(err, peers.Close())
 	}
-	ingress := platform.NewIngress(s.Listen.Front, s.Listen.Readiness, daemon, clock.Now, logger)
+	ingress := platform.NewIngress(platform.IngressOptions{
+		Front: s.Listen.Front, Readiness: s.Listen.Readiness, Jobs: daemon, Now: clock.Now, Logger: logger, Clients: clients,
+	})
 	ingressDone := make(chan error, 1)
 	go func() { ingressDone <- ingress.Run() }()
 	select {
--- a/config/edge.go
+++ b/config/edge.go
@@ -22,11 +22,15 @@
 	lines map[string]int
 }
 
-// EdgeVM identifies the machine. CPUShare is its share of CPU time, in cores.
+// EdgeVM describes the machine. CPUShare is its share of CPU time, in cores.
 type EdgeVM struct {
 	ID            string  `toml:"id"`
 	FailureDomain string  `toml:"failure_domain"`
 	CPUShare      float64 `toml:"cpu_share"`
+	// MemoryMB and MaxFDs are the memory, in MB, and the descriptors that the process may have. What clients can make it hold
+	// follows from them; 0 means the defaults.
+	MemoryMB int `toml:"memory_mb"`
+	MaxFDs   int `toml:"max_fds"`
 }
 
 // EdgeListen holds the addresses that the process binds.
@@ -143,6 +147,12 @@
 	if e.VM.CPUShare <= 0 {
 		findings = append(findings, e.finding("vm.cpu_share", "must be greater than 0"))
 	}
+	if e.VM.MemoryMB < 0 {
+		findings = append(findings, e.finding("vm.memory_mb", "must not be negative"))
+	}
+	if e.VM.MaxFDs < 0 {
+		findings = append(findings, e.finding("vm.max_fds", "must not be negative"))
+	}
 	if e.Runs.Source != "" && net.ParseIP(e.Runs.Source) == nil {
 		findings = append(findings, e.finding("runs.source", "%q is not an IP address", e.Runs.Source))
 	}
--- a/edge/front.go
+++ b/edge/front.go
@@ -22,6 +22,13 @@
 	return route, found, true
 }
 
+// RequestLimits returns the limits of requests in the desired state, zero values while there is none.
+func (d *Daemon) RequestLimits() contract.RequestLimits {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.desired.Limits
+}
+
 // Submit runs a job and returns its answer. While the process is stopping, it shortens the job's deadline to fit the
 // grace period.
 func (d *Daemon) Submit(ctx context.Context, b contract.Batch) batch.Answer {
--- a/metric/describe.go
+++ b/metric/describe.go
@@ -105,6 +105,13 @@
 		{LateStartsEntrusted, "starts of own jobs without a reply for 10 ms that one other member was told of"},
 		{RoutesConfined, "routes confined to some workers because workers crashed under their tasks"},
 		{RoutesReleased, "confined routes released since no more workers crashed"},
+		{ClientsHeadTooLarge, "requests of clients refused with 431"},
+		{ClientsBodyTooLarge, "requests of clients refused with 413"},
+		{ClientsTooSlow, "requests of clients refused with 408"},
+		{ClientsMalformed, "requests of clients refused with 400 since the end of their head or body is not clear"},
+		{ClientsNoRoom, "requests of clients refused with 503 since all requests together hold as many bytes as they may"},
+		{ClientsNoConnection, "connections of clients refused since there are as many as there may be"},
+		{ClientsGaveWay, "connections of clients closed to make room for others"},
 		{PoolQueueTime, "time that a task waits for room at the owner of workers, in microseconds"},
 		{PoolCallTime, "time of a start call to a worker, in microseconds"},
 	}
--- a/metric/metric.go
+++ b/metric/metric.go
@@ -93,6 +93,13 @@
 	LateStartsEntrusted  = "edge.late_starts_entrusted"
 	RoutesConfined       = "edge.routes_confined"
 	RoutesReleased       = "edge.routes_released"
+	ClientsHeadTooLarge  = "clients.head_too_large"
+	ClientsBodyTooLarge  = "clients.body_too_large"
+	ClientsTooSlow       = "clients.too_slow"
+	ClientsMalformed     = "clients.malformed"
+	ClientsNoRoom        = "clients.no_room"
+	ClientsNoConnection  = "clients.no_connection"
+	ClientsGaveWay       = "clients.gave_way"
 	PoolQueueTime        = "pool.queue_time"
 	PoolCallTime         = "pool.start_call_time"
 )
