clientlimit, entry: bound what callers make the entry daemon hold

Cause: a caller's message without its end is kept, up to 5 MiB a call, the metadata of a call up to 16 MB, and connections take all descriptors, so that the daemon cannot reach its workers.

Change: the callers' listener bounds its connections, and each connection counts the bytes of unfinished messages from the frames in both directions and takes them from a budget of a third of the memory; without room for 2 s it is closed. Metadata has at most 64 KiB, a handshake 10 s; connections without calls end after 10 min. The listener for operators has 32 connections. New settings of the entry daemon: vm.memory_mb and vm.max_fds.

--- a/clientlimit/budget.go
+++ b/clientlimit/budget.go
@@ -1,25 +1,55 @@
 package clientlimit
 
-import "sync"
+import (
+	"sync"
+	"time"
+)
 
-// Budget is what the requests of all clients may hold. mu guards free.
+// Budget is what the requests of all clients may hold. mu guards the fields below it.
 type Budget struct {
 	mu   sync.Mutex
 	free int64
+	// grown is closed and replaced when bytes are given back.
+	grown chan struct{}
 }
 
 // NewBudget returns a budget of a number of bytes.
-func NewBudget(bytes int64) *Budget { return &Budget{free: bytes} }
+func NewBudget(bytes int64) *Budget { return &Budget{free: bytes, grown: make(chan struct{})} }
 
 // take reserves bytes, or reports that there are not as many left.
 func (b *Budget) take(bytes int64) bool {
+	taken, _ := b.tryTake(bytes)
+	return taken
+}
+
+// takeWithin reserves bytes as soon as there are as many left, or reports that there were not within a time.
+func (b *Budget) takeWithin(bytes int64, timeout time.Duration) bool {
+	taken, grown := b.tryTake(bytes)
+	if taken {
+		return true
+	}
+	end := time.NewTimer(timeout)
+	defer end.Stop()
+	for !taken {
+		select {
+		case <-grown:
+			taken, grown = b.tryTake(bytes)
+		case <-end.C:
+			return false
+		}
+	}
+	return true
+}
+
+// tryTake reserves bytes if there are as many left. grown is closed when there are more.
+func (b *Budget) tryTake(bytes int64) (taken bool, grown <-chan struct{}) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if bytes > b.free {
-		return false
+		return false, b.grown
 	}
 	b.free -= bytes
-	return true
+	return true, nil
 }
 
 // giveBack returns bytes that were taken.
@@ -30,4 +60,6 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.free += bytes
+	close(b.grown)
+	b.grown = make(chan struct{})
 }
--- a/clientlimit/limits.go
+++ b/clientlimit/limits.go
@@ -52,6 +52,9 @@
 	// connectionShare and requestShare are the parts of the memory that all connections and all requests may take, one in that many.
 	connectionShare = 2
 	requestShare    = 6
+	// callConnectionShare and callShare are the same for calls over HTTP/2, whose messages are larger.
+	callConnectionShare = 4
+	callShare           = 3
 	// collectPercent is the share of the memory from which on garbage is collected more often.
 	collectPercent = 70
 	minConnections = 16
@@ -72,8 +75,14 @@
 }
 
 // Connections returns the number of connections that clients may have.
-func (v VM) Connections() int {
-	byMemory := int(v.memoryBytes() / connectionShare / connectionBytes)
+func (v VM) Connections() int { return v.connections(connectionShare) }
+
+// CallConnections returns the number of connections for calls over HTTP/2.
+func (v VM) CallConnections() int { return v.connections(callConnectionShare) }
+
+// connections returns the number of connections that a share of the memory and the descriptors allow.
+func (v VM) connections(share int64) int {
+	byMemory := int(v.memoryBytes() / share / connectionBytes)
 	if v.Descriptors <= 0 {
 		return byMemory
 	}
@@ -84,5 +93,8 @@
 // RequestBytes returns the budget for the requests of all clients.
 func (v VM) RequestBytes() int64 { return v.memoryBytes() / requestShare }
 
+// CallBytes returns the budget for the unfinished messages of all calls over HTTP/2.
+func (v VM) CallBytes() int64 { return v.memoryBytes() / callShare }
+
 // CollectionBytes returns the memory from which on garbage is collected more often.
 func (v VM) CollectionBytes() int64 { return v.memoryBytes() / 100 * collectPercent }
--- a/clientlimit/listener.go
+++ b/clientlimit/listener.go
@@ -35,6 +35,8 @@
 	Limits  func() Limits
 	Logger  *slog.Logger
 	Metrics metrics.Registry
+	// Bare connections are bounded in number only: their protocol is not HTTP/1.1, or TLS lies above them.
+	Bare bool
 }
 
 // Listener accepts the connections of clients within limits. mu guards the fields below it.
@@ -126,7 +128,6 @@
 // admit returns the connection as the server sees it, or nil after refusing it.
 func (l *Listener) admit(conn net.Conn) net.Conn {
 	now := time.Now()
-	c := newConn(conn, l)
 	admitted, gaveWay := l.table.Admit(func() { _ = conn.Close() }, now, l.o.Limits().IdleTime)
 	if gaveWay != nil {
 		gaveWay.close()
@@ -136,10 +137,16 @@
 		l.note(NoConnection)
 		// The response fits into the buffers of a new connection, so this does not wait.
 		_ = conn.SetWriteDeadline(now.Add(refusalTimeout))
-		_, _ = io.WriteString(conn, responses[NoConnection])
+		if !l.o.Bare {
+			_, _ = io.WriteString(conn, responses[NoConnection])
+		}
 		_ = conn.Close()
 		return nil
 	}
+	if l.o.Bare {
+		return &bareConn{Conn: conn, table: l.table, member: admitted}
+	}
+	c := newConn(conn, l)
 	c.member = admitted
 	if err := c.SetReadDeadline(now.Add(firstRequestTime)); err != nil {
 		_ = c.Close()
@@ -148,6 +155,30 @@
 	return c
 }
 
+// bareConn is a connection that is bounded in number only. It gives way until it has sent something.
+type bareConn struct {
+	net.Conn
+	table   *Table
+	member  *Member
+	spoken  sync.Once
+	closing sync.Once
+}
+
+// Read implements net.Conn.
+func (c *bareConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if n > 0 {
+		c.spoken.Do(func() { c.table.Serving(c.member) })
+	}
+	return n, err
+}
+
+// Close implements net.Conn.
+func (c *bareConn) Close() error {
+	c.closing.Do(func() { c.table.Remove(c.member) })
+	return c.Conn.Close()
+}
+
 // note counts and logs a refusal.
 func (l *Listener) note(r Refusal) {
 	l.counters[r].Inc(1)
--- a/clientlimit/process.go
+++ b/clientlimit/process.go
@@ -2,6 +2,7 @@
 
 import (
 	"log/slog"
+	"net"
 
 	"github.com/rcrowley/go-metrics"
 	"golang.org/x/sys/unix"
@@ -16,10 +17,12 @@
 
 // Process is what the clients of a process share.
 type Process struct {
-	vm      VM
-	budget  *Budget
-	logger  *slog.Logger
-	metrics metrics.Registry
+	vm VM
+	// requests is the budget for requests over HTTP/1.1, calls that for unfinished messages over HTTP/2. A process serves clients by one of
+	// them.
+	requests, calls *Budget
+	logger          *slog.Logger
+	metrics         metrics.Registry
 }
 
 // NewProcess returns the limits of a process on a VM. If the VM does not state its descriptors, the limit of the process applies.
@@ -27,7 +30,7 @@
 	if vm.Descriptors <= 0 {
 		vm.Descriptors = descriptorLimit()
 	}
-	return &Process{vm: vm, budget: NewBudget(vm.RequestBytes()), logger: logger, metrics: r}
+	return &Process{vm: vm, requests: NewBudget(vm.RequestBytes()), calls: NewBudget(vm.CallBytes()), logger: logger, metrics: r}
 }
 
 // descriptorLimit returns the number of descriptors that the process may have, 0 if it is not known.
@@ -51,5 +54,19 @@
 }
 
 func (p *Process) options(connections int, limits func() Limits) Options {
-	return Options{Connections: connections, Budget: p.budget, Limits: limits, Logger: p.logger, Metrics: p.metrics}
+	return Options{Connections: connections, Budget: p.requests, Limits: limits, Logger: p.logger, Metrics: p.metrics}
+}
+
+// Calls returns the options of a listener for calls over HTTP/2.
+func (p *Process) Calls() Options {
+	limits := Limits{}.WithDefaults()
+	o := p.options(p.vm.CallConnections(), func() Limits { return limits })
+	o.Bare = true
+	return o
+}
+
+// LimitCalls bounds the unfinished messages on a connection for calls over HTTP/2, above TLS.
+func (p *Process) LimitCalls(conn net.Conn) net.Conn {
+	refused := newCounters(p.metrics)
+	return &CallConn{Conn: conn, budget: p.calls, scanner: NewFrameScanner(), note: func(r Refusal) { refused[r].Inc(1) }}
 }
--- a/command/entryparts.go
+++ b/command/entryparts.go
@@ -7,14 +7,17 @@
 	"net"
 	"time"
 
+	"github.com/rcrowley/go-metrics"
 	"google.golang.org/grpc/credentials"
 
 	"github.com/cicadadale/cicadadale/backend"
+	"github.com/cicadadale/cicadadale/clientlimit"
 	"github.com/cicadadale/cicadadale/config"
 	"github.com/cicadadale/cicadadale/entry"
 	"github.com/cicadadale/cicadadale/internal/tlsfiles"
 	"github.com/cicadadale/cicadadale/machine"
 	"github.com/cicadadale/cicadadale/platform"
+	"github.com/cicadadale/cicadadale/rpc"
 	"github.com/cicadadale/cicadadale/schema"
 	"github.com/cicadadale/cicadadale/zone"
 )
@@ -72,19 +75,23 @@
 	if o.TimelineEvents == 0 {
 		o.TimelineEvents = entry.TimelineDisabled
 	}
-	if err := listen(s.Listen, &o); err != nil {
+	o.Metrics = metrics.NewRegistry()
+	vm := clientlimit.VM{MemoryMB: s.VM.MemoryMB, Descriptors: s.VM.MaxFDs}
+	clients := clientlimit.NewProcess(vm, p.logger, o.Metrics)
+	if err := listen(s.Listen, clients, &o); err != nil {
 		return o, err
 	}
 	o.VM = machine.EntryVM{
 		ID: s.VM.ID, PeerAddress: o.PeerListener.Addr().String(), CallerAddress: o.CallerListener.Addr().String(),
 	}
 	p.secure(&o)
+	o.CallerCredentials = rpc.LimitCalls(o.CallerCredentials, clients)
 	return o, nil
 }
 
-func listen(s config.Listen, o *entry.Options) error {
+func listen(s config.Listen, clients *clientlimit.Process, o *entry.Options) error {
 	var err error
-	if o.CallerListener, err = net.Listen("tcp", s.Callers); err != nil {
+	if o.CallerListener, err = clientlimit.Listen(s.Callers, clients.Calls()); err != nil {
 		return fmt.Errorf("listen for callers: %w", err)
 	}
 	if o.PeerListener, err = net.Listen("tcp", s.Peers); err != nil {
@@ -93,7 +100,7 @@
 	if s.Admin == "" {
 		return nil
 	}
-	if o.AdminListener, err = net.Listen("tcp", s.Admin); err != nil {
+	if o.AdminListener, err = clientlimit.Listen(s.Admin, clients.Checks()); err != nil {
 		return fmt.Errorf("listen for operators: %w", err)
 	}
 	return nil
--- a/config/entry.go
+++ b/config/entry.go
@@ -35,6 +35,10 @@
 	ID     string `toml:"id"`
 	Domain uint16 `toml:"failure_domain"`
 	Region string `toml:"region"`
+	// MemoryMB and MaxFDs are the memory, in MB, and the descriptors that the process may have. What callers can make it hold follows
+	// from them; 0 means the defaults.
+	MemoryMB int `toml:"memory_mb"`
+	MaxFDs   int `toml:"max_fds"`
 }
 
 // Listen holds the addresses that the process binds.
--- a/config/validate.go
+++ b/config/validate.go
@@ -49,6 +49,12 @@
 	if v.entry.VM.Domain == 0 {
 		v.add("vm.failure_domain", "must be at least 1")
 	}
+	if v.entry.VM.MemoryMB < 0 {
+		v.add("vm.memory_mb", "must not be negative")
+	}
+	if v.entry.VM.MaxFDs < 0 {
+		v.add("vm.max_fds", "must not be negative")
+	}
 }
 
 func (v *validation) listen() {
--- a/rpc/server.go
+++ b/rpc/server.go
@@ -48,10 +48,10 @@
 	l net.Listener, jobs Jobs, now func() time.Time, creds credentials.TransportCredentials, r metrics.Registry,
 ) *Server {
 	invalid := metrics.GetOrRegisterCounter(metric.InvalidRequests, r)
-	opts := []grpc.ServerOption{
+	opts := append(connectionLimits(),
 		grpc.MaxRecvMsgSize(maxMessageBytes), grpc.MaxSendMsgSize(maxMessageBytes),
 		grpc.StatsHandler(oversizeCounter{counter: invalid}),
-	}
+	)
 	if creds != nil {
 		opts = append(opts, grpc.Creds(creds))
 	}
