hostile: specifications over their limit in jobs of many tasks

Cause: a specification is copied for each task that is started, and nothing bounds it but the body of the request.

Change: one more crowd: 400 clients, each with a job of 500 tasks whose specification has 204,800 bytes.

--- /dev/null
+++ b/hostile/edgejobs_test.go
@@ -0,0 +1,26 @@
+package hostile
+
+import (
+	"fmt"
+	"io"
+	"strings"
+	"testing"
+
+	"github.com/cicadadale/cicadadale/standin"
+)
+
+const (
+	largestJobTasks = 500
+	// largeSpecBytes is far more than the 4,000 bytes that a job's specification may have.
+	largeSpecBytes = 200 << 10
+)
+
+// Guards against a specification over its limit that is copied for each task of its job.
+func TestLargeSpecificationsOfManyTasks(t *testing.T) {
+	d, c := startEdge(t, deployedBodyBytes), newCrowd(t)
+	body := string(standin.JobDocument(strings.Repeat("s", largeSpecBytes), largestJobTasks, taskNeed, estimateMS))
+	c.attack(d.front, largeCrowd, func(w io.Writer) error {
+		return writeAll(w, d.head(fmt.Sprintf("Content-Length: %d\r\n\r\n", len(body))), body)
+	})
+	d.requireServing()
+}
