--- a/batch/job.go
+++ b/batch/job.go
@@ -59,6 +59,9 @@
 	infeasibleOwners []string
 	// infeasibleRounds counts the consecutive times that all owners have reported so.
 	infeasibleRounds int
+	// suggestion is that of the last owner, suggested is set if the current run was ordered by one.
+	suggestion suggestion
+	suggested  bool
 }
 
 // confirm records that a message about the current run echoes a contact with its owner.
@@ -99,10 +102,14 @@
 	state  jobState
 	// mayHaveRun is set once a run of any task may have started.
 	mayHaveRun bool
-	outcome    Outcome
-	answer     Answer
-	endedAt    time.Time
-	waiters    []*waiter
+	// shedding is the reason for which the queued runs are being recalled, so that the job can be refused.
+	shedding shedReason
+	// announcedStart is set once the owners of queued runs have been told that the job has started.
+	announcedStart bool
+	outcome        Outcome
+	answer         Answer
+	endedAt        time.Time
+	waiters        []*waiter
 	// submittedAt is when the last caller submitted the job here, announcedAt when it was last announced to other members.
 	submittedAt time.Time
 	announcedAt time.Time
@@ -135,7 +142,8 @@
 		Key: j.key(t), Backend: j.batch.Backend, Spec: j.batch.Spec, Need: step.Need, Priority: j.batch.Priority,
 		Accepted: j.batch.Accepted, Target: j.target, Deadline: j.batch.Deadline, Expected: expected,
 		RequiredLabel: step.RequiredLabel, PreferredRack: step.PreferredRack, PerWorkerLimit: step.PerWorkerLimit,
-		Route: j.batch.Route, Alone: t.alone, OnlyWorker: t.onlyWorker,
+		Route: j.batch.Route, Alone: t.alone, OnlyWorker: t.onlyWorker, Suggested: t.suggested,
+		JobStarted: j.announcedStart,
 	}
 }
 
@@ -150,9 +158,14 @@
 	return nil
 }
 
+// times returns the times on which the usefulness of the answer depends, if it has to come by a time.
+func (j *job) times(answerBy time.Time) contract.AnswerTimes {
+	return contract.AnswerTimes{Accepted: j.batch.Accepted, Target: j.target, Deadline: answerBy}
+}
+
 // forecast returns what decides whether the job is refused that has to end by a time.
 func (j *job) forecast(answerBy time.Time) forecast {
-	return forecast{accepted: j.batch.Accepted, target: j.target, deadline: answerBy, expected: j.expected}
+	return forecast{j.times(answerBy), j.expected}
 }
 
 // stepReady reports whether all steps that a step depends on are done.
--- a/config/edge.go
+++ b/config/edge.go
@@ -10,23 +10,28 @@
 
 // Edge holds the settings of an edge daemon.
 type Edge struct {
-	VM       EdgeVM       `toml:"vm"`
-	Listen   EdgeListen   `toml:"listen"`
-	Store    EdgeStore    `toml:"store"`
-	Runs     EdgeRuns     `toml:"runs"`
-	Stop     EdgeStop     `toml:"stop"`
-	Overload EdgeOverload `toml:"overload"`
-	Log      Log          `toml:"log"`
+	VM        EdgeVM        `toml:"vm"`
+	Listen    EdgeListen    `toml:"listen"`
+	Store     EdgeStore     `toml:"store"`
+	Runs      EdgeRuns      `toml:"runs"`
+	Stop      EdgeStop      `toml:"stop"`
+	Placement EdgePlacement `toml:"placement"`
+	Overload  EdgeOverload  `toml:"overload"`
+	Log       Log           `toml:"log"`
 
 	file  string
 	lines map[string]int
 }
 
-// EdgeVM identifies the machine. CPUShare is its share of CPU time, in cores.
+// EdgeVM describes the machine. CPUShare is its share of CPU time, in cores.
 type EdgeVM struct {
 	ID            string  `toml:"id"`
 	FailureDomain string  `toml:"failure_domain"`
 	CPUShare      float64 `toml:"cpu_share"`
+	// MemoryMB and MaxFDs are the memory, in MB, and the descriptors that the process may have. What clients can make it hold
+	// follows from them; 0 means the defaults.
+	MemoryMB int `toml:"memory_mb"`
+	MaxFDs   int `toml:"max_fds"`
 }
 
 // EdgeListen holds the addresses that the process binds.
@@ -45,10 +50,12 @@
 }
 
 // EdgeRuns holds what applies to runs on workers. LeaseMs is the longest lease of a run, in milliseconds. Source is the IP
-// address from which workers are called, for VMs with several; empty leaves the choice to the system.
+// address from which workers are called, for VMs with several; empty leaves the choice to the system. AdaptStartTimeout makes
+// the timeout of starts follow the time in which workers answer them.
 type EdgeRuns struct {
-	LeaseMs int    `toml:"lease_ms"`
-	Source  string `toml:"source"`
+	LeaseMs           int    `toml:"lease_ms"`
+	Source            string `toml:"source"`
+	AdaptStartTimeout bool   `toml:"adapt_start_timeout"`
 }
 
 // EdgeStop bounds a graceful stop. GraceS is the time from SIGTERM to the exit of the process, in seconds.
@@ -56,6 +63,12 @@
 	GraceS float64 `toml:"grace_s"`
 }
 
+// EdgePlacement selects how a home chooses among owners with free capacity.
+type EdgePlacement struct {
+	// AvoidSlow places tasks at owners that can start them on a worker that is not slow, in another failure domain if need be.
+	AvoidSlow bool `toml:"avoid_slow"`
+}
+
 // EdgeOverload selects what the daemon does while there is too little room on the workers.
 type EdgeOverload struct {
 	// Shed orders waiting jobs by what their delay costs their callers, and refuses those whose answer would come too late
@@ -74,7 +87,7 @@
 // NeedsRestart reports whether o differs from e in anything but the log level.
 func (e Edge) NeedsRestart(o Edge) bool {
 	return e.VM != o.VM || e.Listen != o.Listen || e.Store != o.Store || e.Runs != o.Runs || e.Stop != o.Stop ||
-		e.Overload != o.Overload || e.Log.Format != o.Log.Format
+		e.Placement != o.Placement || e.Overload != o.Overload || e.Log.Format != o.Log.Format
 }
 
 // LoadEdge reads a settings file and returns all findings at once.
@@ -143,6 +156,12 @@
 	if e.VM.CPUShare <= 0 {
 		findings = append(findings, e.finding("vm.cpu_share", "must be greater than 0"))
 	}
+	if e.VM.MemoryMB < 0 {
+		findings = append(findings, e.finding("vm.memory_mb", "must not be negative"))
+	}
+	if e.VM.MaxFDs < 0 {
+		findings = append(findings, e.finding("vm.max_fds", "must not be negative"))
+	}
 	if e.Runs.Source != "" && net.ParseIP(e.Runs.Source) == nil {
 		findings = append(findings, e.finding("runs.source", "%q is not an IP address", e.Runs.Source))
 	}
--- a/edge/daemon.go
+++ b/edge/daemon.go
@@ -47,7 +47,8 @@
 	FollowWorkers(ctx context.Context, active func() bool, f func([]machine.Listing))
 	// SinceWorkersRead returns the time since entries of workers were last read. Workers renew them every 1.5 s.
 	SinceWorkersRead() time.Duration
-	FollowDesired(ctx context.Context, f func(contract.Desired))
+	// FollowDesired reads what the operator publishes: the desired state, and the evacuations after each change.
+	FollowDesired(ctx context.Context, desired func(contract.Desired), evacuations func(contract.Evacuations))
 	FollowMembers(ctx context.Context, f func(machine.MemberList))
 	PublishMember(ctx context.Context, m machine.Member) error
 	RemoveMember(ctx context.Context, vm string) error
@@ -67,6 +68,10 @@
 	Lease time.Duration
 	// Grace is the time from the order to stop to the end of the process.
 	Grace time.Duration
+	// AdaptStartTimeout makes the timeout of starts follow the time in which workers answer them.
+	AdaptStartTimeout bool
+	// AvoidSlow places tasks at owners that can start them on a worker that is not slow.
+	AvoidSlow bool
 	// Overload selects what is done while there is too little room on the workers.
 	Overload contract.OverloadPolicy
 	Now      func() time.Time
@@ -90,17 +95,18 @@
 	announcedLate announcedLateStarts
 	entrusted     *entrustedStarts
 	// ownership is that of the last assignment of workers.
-	ownership  ownership
-	confined   *contract.Confinement
-	home       *batch.Home
-	server     *link.PeerServer
-	workers    *workers
-	feed       *workerFeed
-	entries    *entryRequests
-	announced  *announcements
-	cancel     context.CancelFunc
-	goroutines sync.WaitGroup
-	started    time.Time
+	ownership   ownership
+	evacuations evacuations
+	confined    *contract.Confinement
+	home        *batch.Home
+	server      *link.PeerServer
+	workers     *workers
+	feed        *workerFeed
+	entries     *entryRequests
+	announced   *announcements
+	cancel      context.CancelFunc
+	goroutines  sync.WaitGroup
+	started     time.Time
 	// firstTimestamp is the timestamp of the start. It is random, so that a timestamp of a previous process of the VM
 	// proves nothing.
 	firstTimestamp uint64
@@ -147,7 +153,7 @@
 func New(o Options) (*Daemon, error) {
 	ctx, cancel := context.WithCancel(context.Background())
 	d := &Daemon{
-		o: o, self: o.Self.ID(), capacity: zone.NewCapacityView(o.Self.ID(), o.Self.Domain), cancel: cancel, started: o.Now(),
+		o: o, self: o.Self.ID(), capacity: newCapacityView(o), cancel: cancel, started: o.Now(),
 		firstTimestamp: rand.Uint64N(timestampRange),
 		pools:          make(map[string]*pool.Pool), lastPresent: make(map[string]time.Time), workers: newWorkers(o.Logger),
 		crashes: contract.NewCrashLedger(), cancels: contract.NewCancelLedger(), held: contract.NewHeldLedger(),
@@ -157,8 +163,8 @@
 	d.members = newMembers(o.Self, d.dialPeer, o.Logger)
 	d.home = batch.New(batch.Options{
 		Self: d.self, Owners: owners{d}, Members: membership{d}, Capacity: d.capacity, Crashes: d.crashes,
-		Cancels: d.cancels, Held: d.held, Fits: d.fits, LateStarts: d.lateStarts, OwnerOf: d.ownerOf,
-		Now: o.Now, Logger: o.Logger, Metrics: o.Metrics,
+		Cancels: d.cancels, Held: d.held, Fits: d.fits, Evacuated: d.evacuated, LateStarts: d.lateStarts, OwnerOf: d.ownerOf,
+		Overload: o.Overload, Now: o.Now, Logger: o.Logger, Metrics: o.Metrics,
 	})
 	d.entries = newEntryRequests(d.members)
 	d.announced = &announcements{members: d.members}
@@ -171,13 +177,23 @@
 	}
 	d.server = server
 	d.spawn(func() { o.Store.FollowWorkers(ctx, d.feed.Reads, d.handleWorkerList) })
-	d.spawn(func() { o.Store.FollowDesired(ctx, func(s contract.Desired) { d.setDesired(s, "store") }) })
+	d.spawn(func() {
+		o.Store.FollowDesired(ctx, func(s contract.Desired) { d.setDesired(s, "store") },
+			func(e contract.Evacuations) { d.setEvacuations(e, "store") })
+	})
 	d.spawn(func() { o.Store.FollowMembers(ctx, func(list machine.MemberList) { d.setMembers(ctx, list) }) })
 	d.spawn(func() { d.announce(ctx) })
 	d.spawn(func() { d.run(ctx) })
 	return d, nil
 }
 
+func newCapacityView(o Options) *zone.CapacityView {
+	if o.AvoidSlow {
+		return zone.NewSpeedAwareCapacityView(o.Self.ID(), o.Self.Domain)
+	}
+	return zone.NewCapacityView(o.Self.ID(), o.Self.Domain)
+}
+
 func (d *Daemon) spawn(f func()) {
 	d.goroutines.Add(1)
 	go func() {
@@ -288,10 +304,12 @@
 	if !ok {
 		p = pool.New(pool.Options{
 			Backend: backend, Calls: d.o.Calls, Lease: d.o.Lease, Now: d.o.Now, Logger: d.o.Logger, Metrics: d.o.Metrics,
-			Policy:   poolPolicy(d.desired, backend),
+			AdaptStartTimeout: d.o.AdaptStartTimeout, Overload: d.o.Overload,
+			Policy:   poolPolicy(d.desired, d.evacuations.get(), backend),
 			Report:   func(home string, r contract.RunReport) { d.report(home, backend, r) },
 			Takeover: d.takeover, Crashed: d.workerCrashed, Confinement: d.confined,
 			LateStarts: d.lateStarts, LateStart: d.lateStart, WorkerReplaced: d.workerReplaced,
+			Room:  d.roomCallback(backend),
 			Yield: func() bool { return d.members.IsCutOff(d.o.Now()) },
 		})
 		d.pools[backend] = p
@@ -335,14 +353,17 @@
 	d.mu.Lock()
 	desired := d.desired
 	d.mu.Unlock()
+	evacuations := d.evacuations.get()
 	for backend, p := range d.allPools() {
-		p.SetPolicy(poolPolicy(desired, backend))
+		p.SetPolicy(poolPolicy(desired, evacuations, backend))
 	}
 }
 
-// poolPolicy returns what a desired state says of the workers of a back end.
-func poolPolicy(desired contract.Desired, backend string) pool.Policy {
-	return pool.Policy{GuardsCapacity: desired.Backends[backend].GuardsCapacity, SoleBackend: desired.SoleBackend()}
+// poolPolicy returns what the operators say of the workers of a back end.
+func poolPolicy(desired contract.Desired, evacuations contract.Evacuations, backend string) pool.Policy {
+	return pool.Policy{
+		GuardsCapacity: desired.Backends[backend].GuardsCapacity, SoleBackend: desired.SoleBackend(), Evacuations: evacuations,
+	}
 }
 
 // setMembers applies the store's list of members.
--- a/edge/deployment_test.go
+++ b/edge/deployment_test.go
@@ -42,7 +42,9 @@
 	mu      sync.Mutex
 	workers []machine.Listing
 	desired contract.Desired
-	members map[string]machine.Member
+	// evacuations is the set that the operator has published last.
+	evacuations contract.Evacuations
+	members     map[string]machine.Member
 	// gone holds the VMs that were declared gone, listVersion counts the changes of members and gone.
 	gone        map[string]bool
 	listVersion uint64
@@ -112,13 +114,16 @@
 	return time.Since(v.s.readAt(v.vm))
 }
 
-func (v storeView) FollowDesired(ctx context.Context, f func(contract.Desired)) {
+func (v storeView) FollowDesired(
+	ctx context.Context, desired func(contract.Desired), evacuations func(contract.Evacuations),
+) {
 	v.follow(ctx, func() {
 		v.s.mu.Lock()
-		d := v.s.desired
+		d, e := v.s.desired, v.s.evacuations
 		v.s.mu.Unlock()
+		evacuations(e)
 		if d.Version > 0 {
-			f(d)
+			desired(d)
 		}
 	})
 }
@@ -317,6 +322,7 @@
 	daemons   map[string]*Daemon
 	// unguarded is set if the workers start whatever they are told to start.
 	unguarded bool
+	overload  contract.OverloadPolicy
 	clock     func() time.Time
 	plan      func(key contract.RunKey) standin.RunPlan
 	wg        sync.WaitGroup
@@ -330,6 +336,7 @@
 type deploymentOptions struct {
 	workerNet *workerNetwork
 	unguarded bool
+	overload  contract.OverloadPolicy
 	// clock is the clock of the daemons; nil for that of the test.
 	clock func() time.Time
 }
@@ -352,7 +359,7 @@
 	n, w, unguarded := newNetwork(), o.workerNet, o.unguarded
 	d := &deployment{
 		t: t, net: n, store: newMemStore(n), hosts: make(map[string]*standin.RunHost), daemons: make(map[string]*Daemon),
-		log: &testLog{}, workerNet: w, unguarded: unguarded, clock: o.clock,
+		log: &testLog{}, workerNet: w, unguarded: unguarded, overload: o.overload, clock: o.clock,
 		observer: &runObserver{
 			running: make(map[contract.RunKey][]contract.RunKey), starts: make(map[contract.RunKey]int),
 			done: make(map[contract.RunKey]int),
@@ -418,7 +425,7 @@
 		Self: machine.Member{
 			VM: vm, Incarnation: machine.NewIncarnation(), Address: vm, Domain: zone, CPUMillis: 400,
 		},
-		Store: storeView{d.store, vm}, Calls: calls, Peers: d.net.listen(vm), Lease: testLease, Grace: testGrace,
+		Store: storeView{d.store, vm}, Calls: calls, Peers: d.net.listen(vm), Lease: testLease, Grace: testGrace, Overload: d.overload,
 		Dial: func(ctx context.Context, address string) (net.Conn, error) { return d.net.dial(ctx, vm, address) },
 		Now:  now, Logger: logger, Metrics: metrics.NewRegistry(),
 	})
--- a/metric/metric.go
+++ b/metric/metric.go
@@ -1,6 +1,8 @@
 // Package metric defines the names of all metrics.
 package metric
 
+import "strconv"
+
 // Names of the metrics. Operators rely on them; docs/OPERATIONS.md describes each.
 const (
 	JobsMinted           = "jobs.minted"
@@ -49,6 +51,13 @@
 	PoolStartsRepeated   = "pool.starts_repeated"
 	PoolStartsWhereLate  = "pool.starts_where_late"
 	PoolReturnedLate     = "pool.returned_late"
+	PoolInvitationsSent  = "pool.invitations_sent"
+	PoolInvitationsLate  = "pool.invitations_late"
+	PoolRunsGivenUp      = "pool.runs_given_up"
+	PoolRunsReceived     = "pool.runs_received"
+	PoolTasksEvacuated   = "pool.returned_evacuated"
+	DomainsEvacuated     = "domains.evacuated"
+	BatchJobsEvacuated   = "batch.jobs_evacuated"
 	PoolStartsConfirmed  = "pool.starts_confirmed"
 	PoolRunsAbandoned    = "pool.runs_unwanted"
 	PoolRunsStalled      = "pool.runs_stalled"
@@ -56,6 +65,7 @@
 	PoolWorkersLost      = "pool.workers_lost"
 	BatchJobsAccepted    = "batch.jobs_accepted"
 	BatchJobsRefused     = "batch.jobs_refused"
+	BatchJobsShed        = "batch.jobs_shed"
 	BatchTasksMoved      = "batch.tasks_moved"
 	PoolEndsNotStarted   = "pool.ends_not_started"
 	PoolEndsListed       = "pool.ends_listed"
@@ -93,9 +103,26 @@
 	LateStartsEntrusted  = "edge.late_starts_entrusted"
 	RoutesConfined       = "edge.routes_confined"
 	RoutesReleased       = "edge.routes_released"
+	ClientsHeadTooLarge  = "clients.head_too_large"
+	ClientsBodyTooLarge  = "clients.body_too_large"
+	ClientsTooSlow       = "clients.too_slow"
+	ClientsMalformed     = "clients.malformed"
+	ClientsNoRoom        = "clients.no_room"
+	ClientsNoConnection  = "clients.no_connection"
+	ClientsGaveWay       = "clients.gave_way"
 	PoolQueueTime        = "pool.queue_time"
 	PoolCallTime         = "pool.start_call_time"
+	PoolWaitingMs        = "pool.waiting_ms"
 )
 
 // PeerMessagesSentOfKind returns the name of the counter of the messages of one kind that were sent to other VMs.
 func PeerMessagesSentOfKind(kind string) string { return PeerMessagesSent + "." + kind }
+
+// BatchJobsShedFor returns the name of the counter of the jobs of a priority that were refused for a reason before their deadline was
+// at stake.
+func BatchJobsShedFor(priority int, reason string) string {
+	return BatchJobsShed + ".p" + strconv.Itoa(priority) + "." + reason
+}
+
+// PoolWaitingMsOf returns the name of the gauge of the work of a priority that waits for free capacity at this VM, in milliseconds.
+func PoolWaitingMsOf(priority int) string { return PoolWaitingMs + ".p" + strconv.Itoa(priority) }
--- a/pool/capacity.go
+++ b/pool/capacity.go
@@ -1,23 +1,39 @@
 package pool
 
 import (
+	"github.com/cicadadale/cicadadale/contract"
 	"github.com/cicadadale/cicadadale/machine"
 	"github.com/cicadadale/cicadadale/zone"
 )
 
-// Policy is what the desired state says of the workers of a pool.
+// Policy is what the operators say of the workers of a pool: by the desired state, but for the evacuations.
 type Policy struct {
 	// GuardsCapacity is set if the workers reject tasks that exceed their capacity.
 	GuardsCapacity bool
 	// SoleBackend is set if the desired state names no other back end to which a worker may belong.
 	SoleBackend bool
+	// Evacuations are the failure domains on whose workers no task may start.
+	Evacuations contract.Evacuations
 }
 
-// SetPolicy applies a newer desired state.
+// slowSpeed is the speed, relative to the mean of the back end, below which a worker counts as slow.
+const slowSpeed = 0.75
+
+// SetPolicy applies a newer policy. Queued tasks that no worker may start any more go back to their homes, and workers that may
+// start tasks again do so at once.
 func (p *Pool) SetPolicy(policy Policy) {
+	now := p.o.Now()
+	var fx effects
 	p.mu.Lock()
-	defer p.mu.Unlock()
 	p.policy = policy
+	p.evacuated.Store(&policy.Evacuations)
+	for _, h := range p.hosts {
+		h.host.Evacuated = policy.Evacuations.Contains(h.host.Listing.Zone)
+	}
+	p.returnInfeasible(&fx)
+	p.match(now, &fx)
+	p.mu.Unlock()
+	p.apply(fx)
 }
 
 // entrySuffices reports whether enough is known of a worker to start tasks that require no label. Until the entry of a new
@@ -52,8 +68,13 @@
 			continue
 		}
 		capacity.Slots += slotsIn(h.host.Listing.Capacity, p.typicalSize)
-		if h != p.emptying && !h.hasAlone() {
-			capacity.Free += slotsIn(h.host.Free(), p.typicalSize)
+		if h == p.emptying || h.hasAlone() {
+			continue
+		}
+		free := slotsIn(h.host.Free(), p.typicalSize)
+		capacity.Free += free
+		if h.host.Speed() < slowSpeed {
+			capacity.SlowFree += free
 		}
 	}
 	for _, r := range p.waiting.runs {
@@ -64,6 +85,7 @@
 		capacity.Free--
 	}
 	capacity.Free = max(capacity.Free, 0)
+	capacity.SlowFree = min(capacity.SlowFree, capacity.Free)
 	return capacity
 }
 
--- a/pool/match.go
+++ b/pool/match.go
@@ -15,12 +15,21 @@
 	// reserveDelay is the wait after which a worker is reserved for the most urgent task, so that smaller tasks behind it
 	// do not take the capacity that it needs. Without it, large tasks starve while small ones fill each gap.
 	reserveDelay = 150 * time.Millisecond
+	// stealingReserveDelay is the same where owners take runs from each other: another one may have room for the task sooner, and
+	// what is kept free here is lost to smaller ones.
+	stealingReserveDelay = 300 * time.Millisecond
 )
 
-// match starts queued tasks on workers with free capacity. Each worker takes the most urgent task that fits, judged by
+// match starts queued tasks on workers with free capacity, and notes whether that leaves some. p.mu is held.
+func (p *Pool) match(now time.Time, fx *effects) {
+	p.startQueued(now, fx)
+	fx.room = p.hasGap(now)
+}
+
+// startQueued starts queued tasks on workers with free capacity. Each worker takes the most urgent task that fits, judged by
 // its own speed; the fastest choose first, so that they get the tasks that only they can finish before the deadline.
 // p.mu is held.
-func (p *Pool) match(now time.Time, fx *effects) {
+func (p *Pool) startQueued(now time.Time, fx *effects) {
 	if len(p.waiting.runs) == 0 {
 		p.emptying = nil
 		return
@@ -29,6 +38,15 @@
 	p.updateConfinementRanks()
 	p.updateEmptying(now)
 	p.startBound(now, fx)
+	if p.o.Overload.Shed {
+		p.startByShares(now, fx)
+		return
+	}
+	p.startByPriority(now, fx)
+}
+
+// startByPriority starts queued tasks in the order of queue.sort. p.mu is held.
+func (p *Pool) startByPriority(now time.Time, fx *effects) {
 	var reserved *ownedHost
 	first := 0
 	for _, h := range p.hostsWithCapacity(now) {
@@ -136,7 +154,7 @@
 		return nil, 0
 	}
 	r := p.waiting.runs[first]
-	if now.Sub(r.queuedAt) < reserveDelay || r.order.Alone {
+	if now.Sub(r.queuedAt) < p.reserveDelay() || r.order.Alone {
 		return nil, first
 	}
 	if r.onlyWorker != "" {
@@ -145,6 +163,14 @@
 	return p.largestFree(r.order), first
 }
 
+// reserveDelay returns the wait after which a worker is reserved for the most urgent task.
+func (p *Pool) reserveDelay() time.Duration {
+	if p.o.Room != nil {
+		return stealingReserveDelay
+	}
+	return reserveDelay
+}
+
 // speedStep is the width of a speed class, relative to the mean speed of the back end. Workers of the same class are
 // treated as equally fast.
 const speedStep = 0.15
@@ -165,7 +191,7 @@
 func (p *Pool) largestFree(o contract.TaskOrder) *ownedHost {
 	var best *ownedHost
 	for _, h := range p.hosts {
-		if h == p.emptying || h.hasAlone() || h.host.Token == 0 || h.host.Draining() || !h.host.CanHold(o.Need, o.RequiredLabel) {
+		if h == p.emptying || h.hasAlone() || h.host.Token == 0 || !h.host.Schedulable() || !h.host.CanHold(o.Need, o.RequiredLabel) {
 			continue
 		}
 		if best == nil || h.host.Free().CPUMillis > best.host.Free().CPUMillis {
@@ -178,6 +204,7 @@
 // assign reserves capacity for a run and adds its start call to fx. p.mu is held.
 func (p *Pool) assign(r *run, h *ownedHost, now time.Time, fx *effects) {
 	h.host.Reserve(r.order.Need)
+	h.offer.shrink(h.host.Free())
 	p.addToHost(r, h)
 	p.logLateStarts(r, h)
 	r.host, r.state, r.startedAt, r.mayHaveRun, r.begun = h, runStarting, now, true, false
@@ -185,6 +212,10 @@
 	r.progress, r.progressAt, r.token, r.workerStart = 0, now, h.host.Token, h.host.StartTime
 	r.stopAnswered, r.startUnanswered, r.reportedUnanswered = false, false, false
 	p.markCommitted(r.order.Key.Batch, now)
+	if p.o.Overload.Shed {
+		p.shares.add(r.order.Route, r.order.Expected, r.order.Need.CPUMillis, now)
+		p.shares.count(p.isLarge(r), true, now)
+	}
 	fx.starts = append(fx.starts, p.startCall(r, h, now))
 	h.wake()
 }
--- a/pool/run.go
+++ b/pool/run.go
@@ -37,11 +37,10 @@
 	// crashed is set if the worker has crashed while the run may have been on it. It says nothing about when the run ends.
 	crashed bool
 
-	// committed is set once another task of the job has been started in this pool.
+	// committed is set once another task of the job is known to have been started.
 	committed bool
-	// veryLateAfter is the time after which an answer is worth little, class the lateness found by the last sort.
-	veryLateAfter time.Time
-	class         lateness
+	// class is the usefulness found by the last sort.
+	class contract.Usefulness
 
 	queuedAt    time.Time
 	refreshedAt time.Time
@@ -119,6 +118,8 @@
 	// lateStarts are start calls that got no reply, replaced the workers whose processes have left their addresses.
 	lateStarts []contract.LateStart
 	replaced   []string
+	// room is set if the workers have free capacity to offer to other owners.
+	room bool
 }
 
 // startEffect is a start call with the values fixed by the decision.
@@ -126,6 +127,7 @@
 	run      *run
 	host     *ownedHost
 	token    uint64
+	domain   string
 	leaseEnd time.Duration
 	// decidedAt is the time of the decision, workerStart the start time of the worker's incarnation known then, entryStart that
 	// of the incarnation which the worker's entry described.
@@ -196,6 +198,9 @@
 	for _, r := range fx.inDoubt {
 		p.spawn(func() { p.resolveInDoubt(r) })
 	}
+	if fx.room {
+		p.o.Room()
+	}
 }
 
 // finish records the outcome of a run and frees its capacity. p.mu is held.
@@ -292,6 +297,6 @@
 	p.waiting.push(r)
 	p.counter(metric.PoolStartsRejected).Inc(1)
 	if !p.feasible(r.order) {
-		p.finish(r, contract.RunInfeasible, proofNotStarted, 0, fx)
+		p.returnRun(r, fx)
 	}
 }
