batch: explain waits as the decision does, also while jobs are shed

Cause: the wait that explain showed was not the one that a new job is refused by when overload.shed is set. Change: Home.expectedWait gives both. A test with a job that is shed at the door.

--- a/batch/explain.go
+++ b/batch/explain.go
@@ -46,7 +46,7 @@
 	now := h.o.Now()
 	r := h.rehearsal()
 	e := Explanation{Known: h.joinable(b.ID)}
-	e.Wait, e.OwnerKnown = r.o.Capacity.Wait(b.Backend, b.Priority)
+	e.Wait, e.OwnerKnown = r.expectedWait(&b)
 	_, e.Expected, _ = r.plan(b)
 	out := r.newOutbox()
 	answer, ended := r.join(b, &waiter{answer: make(chan Answer, 1)}, now, out)
--- a/batch/explain_test.go
+++ b/batch/explain_test.go
@@ -83,6 +83,21 @@
 	}
 }
 
+// Guards against an explanation by other rules than those that hold while there is too little room.
+func TestExplanationOfAJobThatIsShed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h, _ := shedHome(true)
+		defer h.Close()
+		h.o.Capacity.Update(testOwner, "z", false, map[string]*zone.BackendCapacity{"s": full(time.Minute)})
+		b := testBatch(2, 30*time.Second)
+		e := h.Explain(b)
+		require.False(t, e.Accepted)
+		require.Equal(t, shedAtDoor.String(), e.Answer.Reason)
+		require.Zero(t, counted(h))
+		require.Equal(t, h.Submit(context.Background(), b), e.Answer)
+	})
+}
+
 // Guards against an explanation that says nothing of why a task is not ordered.
 func TestExplanationNamesWhatTasksWaitFor(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
