batch, pool: a log line for each refusal of a waiting job; faults while jobs are shed

Cause: a refusal while waiting was logged with its answer only; a worker could be kept free for a run of a route that is confined to others. Change: a line when the runs of a job are recalled, with the waiting work; reservations only on usable workers on which the route may start; the play of random faults also runs with shedding, and checks that no refused job has started.

--- a/batch/convergence_test.go
+++ b/batch/convergence_test.go
@@ -52,6 +52,22 @@
 	mu       sync.Mutex
 	running  map[contract.RunKey]contract.RunKey
 	overlaps []string
+	// started and refused hold the jobs of which a run has started, and those that were refused.
+	started map[string]bool
+	refused []string
+}
+
+func (l *liveRuns) jobRefused(id string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.refused = append(l.refused, id)
+}
+
+// refusedAndStarted returns the jobs that were refused although a run has started.
+func (l *liveRuns) refusedAndStarted() []string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return slices.DeleteFunc(slices.Clone(l.refused), func(id string) bool { return !l.started[id] })
 }
 
 // Started implements standin.RunObserver.
@@ -62,6 +78,7 @@
 		l.overlaps = append(l.overlaps, fmt.Sprintf("%s beside %s", key, other))
 	}
 	l.running[key.Task()] = key
+	l.started[key.Batch] = true
 }
 
 // Ended implements standin.RunObserver.
@@ -136,16 +153,19 @@
 	}
 	for _, seed := range seeds {
 		t.Run(strconv.FormatUint(seed, 10), func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) { newConvergence(t, seed).play(seed) })
+			synctest.Test(t, func(t *testing.T) { newConvergence(t, seed, contract.OverloadPolicy{}).play(seed) })
+		})
+		t.Run(strconv.FormatUint(seed, 10)+"-shed", func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) { newConvergence(t, seed, contract.OverloadPolicy{Shed: true}).play(seed) })
 		})
 	}
 }
 
-func newConvergence(t *testing.T, seed uint64) *convergence {
+func newConvergence(t *testing.T, seed uint64, overload contract.OverloadPolicy) *convergence {
 	c := &convergence{
 		t: t, rng: newRandom(seed, 1), began: time.Now(), done: make(chan struct{}), log: &lockedLog{},
 		capacity: zone.NewCapacityView(convergenceHome, "z"), ids: []string{"a/1", "b/1"},
-		runs: &liveRuns{running: make(map[contract.RunKey]contract.RunKey)}, owners: make(map[string]*convergenceOwner),
+		runs: &liveRuns{running: make(map[contract.RunKey]contract.RunKey), started: make(map[string]bool)}, owners: make(map[string]*convergenceOwner),
 		late: &lateWorkers{ledger: contract.NewLateStartLedger()},
 	}
 	if c.rng.intN(2) == 0 {
@@ -165,12 +185,12 @@
 		Need: func(contract.RunKey) machine.Resources { return machine.Resources{CPUMillis: taskCPU} },
 	})
 	for i, id := range c.ids {
-		c.addOwner(id, seed, uint64(10*(i+1)))
+		c.addOwner(id, seed, uint64(10*(i+1)), overload)
 	}
 	c.home = batch.New(batch.Options{
 		Self: convergenceHome, Owners: toOwners{c}, Members: newMajority(), Capacity: c.capacity,
 		Crashes: contract.NewCrashLedger(), Cancels: contract.NewCancelLedger(), Held: contract.NewHeldLedger(),
-		LateStarts: c.late.ledger, OwnerOf: c.late.ownerOf,
+		LateStarts: c.late.ledger, OwnerOf: c.late.ownerOf, Overload: overload,
 		Fits: func(string, machine.Resources, string) (bool, bool) { return true, true }, Now: time.Now,
 		Logger: c.logger(convergenceHome), Metrics: metrics.NewRegistry(),
 	})
@@ -189,7 +209,7 @@
 	return slog.New(slog.NewTextHandler(c.log, nil)).With("vm", vm)
 }
 
-func (c *convergence) addOwner(id string, seed, stream uint64) {
+func (c *convergence) addOwner(id string, seed, stream uint64, overload contract.OverloadPolicy) {
 	m := &convergenceOwner{
 		id: id, way: &workerWay{rng: newRandom(seed, stream), host: c.host},
 		toHome:   newMemberLink(newRandom(seed, stream+1), c.done, &c.members),
@@ -199,7 +219,7 @@
 	m.pool = pool.New(pool.Options{
 		Backend: convergenceBackend, Calls: m.way, Lease: time.Second,
 		Policy: pool.Policy{GuardsCapacity: true, SoleBackend: true}, Now: time.Now, Logger: c.logger(id),
-		Metrics: metrics.NewRegistry(), Confinement: contract.NewConfinement(), Crashed: func(contract.WorkerCrash) {},
+		Metrics: metrics.NewRegistry(), Overload: overload, Confinement: contract.NewConfinement(), Crashed: func(contract.WorkerCrash) {},
 		Takeover: func(t contract.Takeover) { c.toHome(m, func() { c.home.Takeover(id, t) }) },
 		Report: func(_ string, r contract.RunReport) {
 			c.toHome(m, func() { c.home.Report(batch.PoolRef{Owner: id, Backend: convergenceBackend}, r) })
@@ -288,6 +308,8 @@
 	require.Empty(c.t, stuck, "runs that the home holds and no owner has")
 	require.Zero(c.t, active, "jobs that have not ended")
 	require.Empty(c.t, c.runs.overlaps, "tasks that ran twice at the same time")
+	require.Empty(c.t, c.runs.refusedAndStarted(), "jobs that were refused although a run has started")
+	c.t.Logf("%d jobs refused", len(c.runs.refused))
 }
 
 // close ends the members. Callers whose jobs have not ended are answered by the end of the home.
@@ -334,7 +356,9 @@
 		}
 		c.callers.Go(func() {
 			defer cancel()
-			c.home.Submit(ctx, job)
+			if c.home.Submit(ctx, job).Outcome == batch.Refused {
+				c.runs.jobRefused(id)
+			}
 		})
 		time.Sleep(rng.between(100*time.Millisecond, 700*time.Millisecond))
 	}
--- a/batch/shedding.go
+++ b/batch/shedding.go
@@ -1,6 +1,7 @@
 package batch
 
 import (
+	"slices"
 	"time"
 
 	"github.com/cicadadale/cicadadale/contract"
@@ -94,14 +95,11 @@
 	if !h.o.Overload.Shed || j.state != jobActive {
 		return
 	}
-	if j.mayHaveRun || !j.queued() || h.anyLateStart(&j.batch) {
+	if j.mayHaveRun || !j.queued() || (!h.o.LateStarts.Empty() && h.anyLateStart(&j.batch)) {
 		h.keepStarted(j)
 		return
 	}
-	if j.shedding == keep {
-		j.shedding = j.sheddable().whileWaiting(now, func() zone.Backlog { return h.o.Capacity.Backlog(j.batch.Backend) })
-	}
-	if j.shedding == keep {
+	if j.shedding == keep && !h.beginShedding(j, now) {
 		return
 	}
 	h.recallAll(j, now, out)
@@ -111,6 +109,22 @@
 	}
 }
 
+// beginShedding decides whether a waiting job is refused, and logs it.
+func (h *Home) beginShedding(j *job, now time.Time) bool {
+	var backlog zone.Backlog
+	j.shedding = j.sheddable().whileWaiting(now, func() zone.Backlog {
+		backlog = h.o.Capacity.Backlog(j.batch.Backend)
+		return backlog
+	})
+	if j.shedding == keep {
+		return false
+	}
+	h.o.Logger.Info("refusing a job that waits; recalling its queued runs", "job", j.batch.ID, "route", j.batch.Route,
+		"priority", j.batch.Priority, "reason", j.shedding.String(), "waited", now.Sub(j.batch.Accepted),
+		"target", j.target.Sub(j.batch.Accepted), "expected", j.expected, "work_waiting", backlog.Total(), "slots", backlog.Slots)
+	return true
+}
+
 // keepStarted gives up the refusal of a job of which a run has started meanwhile.
 func (h *Home) keepStarted(j *job) {
 	if j.shedding == keep {
@@ -135,13 +149,17 @@
 // announceStart tells the owners of the queued runs of a job that a task of it has started, so that the work done is not wasted. That
 // matters only while no owner has free capacity. The lock of the job's shard is held.
 func (h *Home) announceStart(j *job, r contract.RunReport, out *outbox) {
-	if !h.o.Overload.Shed || j.announcedStart || j.state != jobActive || len(j.tasks) == 1 ||
-		(r.State != contract.RunStarted && r.State != contract.RunDone) || !h.o.Capacity.Backlog(j.batch.Backend).Full() {
+	if !h.o.Overload.Shed || j.announcedStart || j.state != jobActive ||
+		(r.State != contract.RunStarted && r.State != contract.RunDone) {
+		return
+	}
+	waiting := func(t task) bool { return t.state == taskPlaced && !t.started }
+	if !slices.ContainsFunc(j.tasks, waiting) || !h.o.Capacity.Backlog(j.batch.Backend).Full() {
 		return
 	}
 	j.announcedStart = true
 	for i := range j.tasks {
-		if t := &j.tasks[i]; t.state == taskPlaced && !t.started {
+		if t := &j.tasks[i]; waiting(*t) {
 			out.jobStarted(j.poolRef(t), j.key(t))
 		}
 	}
--- a/pool/order.go
+++ b/pool/order.go
@@ -74,12 +74,16 @@
 			p.updateUsed(r.order.Route, now)
 		}
 	}
+	// The runs must not be kept after their end.
+	clear(p.shareOrder.candidates)
+	p.shareOrder.reserved = reservation{}
 }
 
 // orderByShares prepares the order of the queued runs for a decision. p.mu is held.
 func (p *Pool) orderByShares(now time.Time, speed float64) {
 	o := &p.shareOrder
-	o.candidates, o.used, o.useful = o.candidates[:0], make(map[shareKey]*float64), false
+	o.candidates, o.useful = o.candidates[:0], false
+	clear(o.used)
 	for _, r := range p.waiting.runs {
 		stuck := p.stuck(r, now)
 		o.candidates = append(o.candidates, candidate{run: r, used: p.usedBy(r, now), stuck: stuck, large: p.isLarge(r) && !r.order.Alone})
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -127,7 +127,7 @@
 		barredRuns: make(map[contract.RunKey]barredRun), speeds: make(map[string]float64),
 		onWorkers:  make(map[contract.RunKey]int),
 		lastStarts: make(map[string]time.Time), confinementRank: make(map[*ownedHost]float64), policy: o.Policy,
-		shares: newShares(),
+		shares: newShares(), shareOrder: shareOrder{used: make(map[shareKey]*float64)},
 	}
 	if p.o.LateStarts == nil {
 		p.o.LateStarts = contract.NewLateStartLedger()
--- a/pool/reservation.go
+++ b/pool/reservation.go
@@ -21,7 +21,7 @@
 func (p *Pool) reserveSoonest(r *run, now time.Time) reservation {
 	best := reservation{run: r}
 	for _, h := range p.hosts {
-		if (r.onlyWorker != "" && r.onlyWorker != h.address.Worker) || !p.canReserve(h, r) {
+		if (r.onlyWorker != "" && r.onlyWorker != h.address.Worker) || !p.canReserve(h, r, now) {
 			continue
 		}
 		at, free, ok := h.fitsAt(r.order.Need, now)
@@ -33,9 +33,9 @@
 }
 
 // canReserve reports whether a worker may be kept free for a run. p.mu is held.
-func (p *Pool) canReserve(h *ownedHost, r *run) bool {
-	return h != p.emptying && !h.hasAlone() && h.host.Token != 0 && !h.host.Draining() &&
-		h.host.CanHold(r.order.Need, r.order.RequiredLabel)
+func (p *Pool) canReserve(h *ownedHost, r *run, now time.Time) bool {
+	return h != p.emptying && !h.hasAlone() && h.host.Usable(now) && h.host.CanHold(r.order.Need, r.order.RequiredLabel) &&
+		p.mayRunOn(h, r.order, now)
 }
 
 // fitsAt returns when a need is expected to fit on a worker, as its runs end, and the capacity that is free then. It returns false if
