edge: tests of shedding in whole deployments

Cause: the refusals were tested with one home and with recorded messages, not with the daemons' links, statuses and faults.

--- a/edge/chaos_test.go
+++ b/edge/chaos_test.go
@@ -83,6 +83,18 @@
 	}
 }
 
+// Guards against the same, refused jobs that have run above all, while jobs are shed and owners take runs from each other.
+func TestRandomFaultsBreakNoInvariantWhileShedding(t *testing.T) {
+	for range 3 {
+		seed := rand.Uint64N(1 << 32)
+		t.Run(strconv.FormatUint(seed, 10), func(t *testing.T) {
+			inVirtualTime(t, func(t *testing.T) {
+				runChaos(t, seed, contract.OverloadPolicy{Shed: true, Steal: true})
+			})
+		})
+	}
+}
+
 func runChaos(t *testing.T, seed uint64, overload contract.OverloadPolicy) {
 	d := newDeploymentWith(deploymentOptions{overload: overload}, t, chaosZones, chaosDaemons, chaosWorkers)
 	c := &chaos{
