--- a/soak/check.go
+++ b/soak/check.go
@@ -11,15 +11,16 @@
 
 // Names of the checks, as reported.
 const (
-	CheckRunsOnce          = "task_runs_once_at_a_time"
-	CheckRefusedNotRun     = "refused_job_has_not_run"
-	CheckCompletedDone     = "completed_job_is_done"
-	CheckFailedHasCause    = "failed_job_has_a_cause"
-	CheckAnswerIsAllowed   = "answer_is_one_of_the_protocol"
-	CheckCancelledEnds     = "cancelled_job_starts_no_task"
-	CheckStopCutsNothing   = "planned_stop_cuts_no_request"
-	CheckNoUnexpectedExit  = "process_ends_only_on_order"
-	CheckServesAfterFaults = "served_after_faults"
+	CheckRunsOnce             = "task_runs_once_at_a_time"
+	CheckRefusedNotRun        = "refused_job_has_not_run"
+	CheckCompletedDone        = "completed_job_is_done"
+	CheckFailedHasCause       = "failed_job_has_a_cause"
+	CheckAnswerIsAllowed      = "answer_is_one_of_the_protocol"
+	CheckCancelledEnds        = "cancelled_job_starts_no_task"
+	CheckStopCutsNothing      = "planned_stop_cuts_no_request"
+	CheckNoUnexpectedExit     = "process_ends_only_on_order"
+	CheckServesAfterFaults    = "served_after_faults"
+	CheckEvacuatedGetsNothing = "evacuated_domain_gets_no_task"
 )
 
 // cancelTime is the time after the acknowledged cancel of a job from which none of its tasks may start.
@@ -34,6 +35,7 @@
 	for _, j := range s.jobs {
 		s.checkJob(j)
 	}
+	s.checkEvacuated()
 	var serving sync.WaitGroup
 	for _, d := range s.daemons {
 		s.countChecks(CheckNoUnexpectedExit, 1)
--- a/soak/fault.go
+++ b/soak/fault.go
@@ -19,6 +19,7 @@
 	"pause":        (*Soak).pause,
 	"planned_stop": (*Soak).plannedStop,
 	"reload":       (*Soak).reload,
+	"evacuation":   (*Soak).evacuate,
 
 	"clients_half_close": onClients(halfClose),
 	"clients_reset":      onClients(reset),
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -119,10 +119,14 @@
 	// leaving and cancelling count the faults that make clients leave or cancel their jobs.
 	leaving    atomic.Int32
 	cancelling atomic.Int32
+	// evacuating is held while a failure domain is evacuated.
+	evacuating sync.Mutex
 
 	mu    sync.Mutex
 	jobs  []*job
 	stops []stopRecord
+	// injected are the faults that have ended, evacuated the evacuations.
+	injected, evacuated []period
 	// allKilled are the times at which all daemons were back after they had been killed at once.
 	allKilled []time.Time
 	report    Report
@@ -297,6 +301,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.report.FaultsInjected[kind]++
+	s.injected = append(s.injected, period{kind: kind, begin: begin, end: time.Now()})
 	f, err := os.OpenFile(filepath.Join(s.dir, "faults.log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
 		_, _ = fmt.Fprintln(s.o.Out, "cannot log faults:", err)
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -70,6 +70,21 @@
 	require.Positive(t, r.InvariantChecks[soak.CheckCancelledEnds])
 }
 
+// Guards against starts in a failure domain that is evacuated while members are cut off from the store.
+func TestEvacuatedDomainsGetNoTask(t *testing.T) {
+	program, err := os.Executable()
+	require.NoError(t, err)
+	var out bytes.Buffer
+	r, err := soak.Run(soak.Options{
+		Program: program, Seed: 1, Duration: 8 * time.Second, Domains: 2, Daemons: 2, Workers: 4, Dir: t.TempDir(), Out: &out,
+		Faults: []string{"evacuation", "store_silent"}, FaultInterval: time.Second,
+	})
+	require.NoError(t, err)
+	require.Zero(t, r.Violations, out.String())
+	require.Positive(t, r.Completed)
+	require.Positive(t, r.InvariantChecks[soak.CheckEvacuatedGetsNothing])
+}
+
 // requireNoSecondRun runs a soak with one kind of fault, in which every other run is long, and checks that it finds no violation.
 func requireNoSecondRun(t *testing.T, kind string, o soak.Options) soak.Report {
 	t.Helper()
--- a/standin/documents.go
+++ b/standin/documents.go
@@ -42,6 +42,9 @@
 	})
 }
 
+// EvacuationDocument returns the record of an evacuated failure domain, which its key names.
+func EvacuationDocument() []byte { return mustEncode(map[string]any{}) }
+
 // EntryDocument returns a worker's entry in the store.
 func EntryDocument(l machine.Listing) []byte {
 	state := "ready"
