pool: random faults with evacuated failure domains

Cause: evacuations were tested one at a time, not among lost starts and restarts. Change: the test with random faults has a second variant that evacuates domains and takes them back. Leaving out the record of a late start at an evacuated worker is found by TestBoundTaskWaitsForItsEvacuatedWorker, not by this test: its home withdraws no run.

--- a/pool/randomfaults_test.go
+++ b/pool/randomfaults_test.go
@@ -11,6 +11,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/cicadadale/cicadadale/contract"
+	"github.com/cicadadale/cicadadale/metric"
 	"github.com/cicadadale/cicadadale/standin"
 )
 
@@ -20,6 +21,9 @@
 	faultyTime        = 40 * time.Second
 )
 
+// faultyDomains are the failure domains of the workers that fail, one of each.
+var faultyDomains = []string{"a", "b", "c"}
+
 // faultyWorkers is a pool whose workers fail at random, and a home that orders the next run of each task when the last one is
 // over.
 type faultyWorkers struct {
@@ -34,21 +38,44 @@
 // Guards against two runs of a task that are alive together, or a task that gets no run any more, while workers leave starts
 // without a reply, execute them up to 15 s later, and are restarted under their ids.
 func TestLateStartsUnderRandomFaultsLeaveOneRunOfATask(t *testing.T) {
+	playRandomFaults(t, (*faultyWorkers).fault)
+}
+
+// Guards against the same while failure domains are evacuated and taken back: an evacuation must not let a task run elsewhere
+// that an evacuated worker may still execute.
+func TestLateStartsUnderEvacuationsLeaveOneRunOfATask(t *testing.T) {
+	returned := int64(0)
+	playRandomFaults(t, func(w *faultyWorkers) {
+		if w.rng.IntN(2) == 0 {
+			first := w.rng.IntN(len(faultyDomains))
+			w.evacuate(faultyDomains[first : first+w.rng.IntN(len(faultyDomains)-first+1)]...)
+		}
+		w.fault()
+		returned += w.pool.counter(metric.PoolTasksEvacuated).Count()
+	})
+	require.Positive(t, returned)
+}
+
+// playRandomFaults plays a home and random faults in several deployments, and checks the runs of the tasks.
+func playRandomFaults(t *testing.T, fault func(w *faultyWorkers)) {
+	t.Helper()
 	for seed := range uint64(faultyDeployments) {
 		synctest.Test(t, func(t *testing.T) {
-			w := &faultyWorkers{fixture: newFixture(3), rng: rand.New(rand.NewPCG(seed, 0)), runs: make(map[string]contract.RunKey), heldSince: make(map[*standin.RunHost]time.Time)}
+			w := &faultyWorkers{fixture: newFixture(len(faultyDomains)), rng: rand.New(rand.NewPCG(seed, 0)), runs: make(map[string]contract.RunKey), heldSince: make(map[*standin.RunHost]time.Time)}
 			defer w.pool.Close()
+			w.setDomains(faultyDomains...)
 			for i := range 4 {
 				job := fmt.Sprintf("task-%d", i)
 				w.setRunTime(job, time.Duration(1+i)*time.Second)
 				w.runs[job] = contract.RunKey{Batch: job}
 			}
 			for end := time.Now().Add(faultyTime); time.Now().Before(end); {
-				w.fault()
+				fault(w)
 				w.proceed(time.Duration(w.rng.IntN(300)) * time.Millisecond)
 			}
 			require.Empty(t, w.observer.overlaps, "seed %d", seed)
 			w.calls.dropStops.Store(false)
+			w.evacuate()
 			for _, h := range w.calls.hosts {
 				w.heal(h)
 			}
