--- a/batch/advance.go
+++ b/batch/advance.go
@@ -32,6 +32,7 @@
 	if j.state == jobActive {
 		h.checkDeadline(j, now, out)
 		h.checkIsolation(j, now, out)
+		h.checkShedding(j, now, out)
 	}
 	for i := range j.tasks {
 		h.advanceTask(j, &j.tasks[i], now, out)
@@ -67,7 +68,7 @@
 		h.unplace(t, true)
 	}
 	switch {
-	case j.state != jobActive:
+	case j.state != jobActive || j.shedding != keep:
 	case j.earlier != nil || now.Before(j.ordersFrom) || now.Sub(j.provenUntil) > orderProofLimit:
 	case t.state == taskUnplaced && !now.Before(t.retryAt) && j.stepReady(t.step) && !h.pause.paused(h.o.Now()):
 		h.place(j, t, now, out)
@@ -91,7 +92,7 @@
 // for the worker that may still execute an earlier start.
 func (h *Home) shouldMove(j *job, t *task, now time.Time) bool {
 	return t.state == taskPlaced && !t.started && !t.alone && now.Sub(t.placedAt) > moveAfter &&
-		now.Sub(t.recalledAt) > recallRetry && !h.hasLateStart(j, t) &&
+		now.Sub(t.recalledAt) > recallRetry && !t.justSuggested(now) && !h.hasLateStart(j, t) &&
 		h.o.Capacity.ShouldMove(j.batch.Backend, t.owner, j.steps[t.step].expected)
 }
 
@@ -132,6 +133,7 @@
 	t.started, t.withdrawn, t.worker, t.token, t.recalledAt = false, false, "", 0, time.Time{}
 	t.onlyWorker, t.mayHaveStarted, t.lateWait = onlyWorker, false, ""
 	t.alone = h.suspect(j, t)
+	t.suggested, t.suggestion = t.suggestion.owner == owner, suggestion{}
 	out.order(j, t, j.order(t))
 	out.ordered = append(out.ordered, fmt.Sprintf("%s at %s, %s", j.key(t), t.owner, logattr.Ago("contact", now, t.contactAt)))
 }
@@ -142,6 +144,9 @@
 	if late := h.o.LateStarts.Workers(j.key(t)); len(late) > 0 {
 		return h.ownerOfLateStart(j, t, late)
 	}
+	if h.reserveSuggested(j, t) {
+		return t.suggestion.owner, "", true
+	}
 	excluded := func(id string) bool { return slices.Contains(t.infeasibleOwners, id) }
 	owner, ok = h.o.Capacity.Reserve(j.batch.Backend, j.batch.Priority, j.steps[t.step].expected, excluded)
 	return owner, "", ok
@@ -183,8 +188,8 @@
 		if j.mayHaveRun || h.anyLateStart(&j.batch) {
 			j.answer.Outcome = Abandoned
 		}
-		if wait, ok := h.o.Capacity.Wait(j.batch.Backend, j.batch.Priority); ok && j.answer.RetryAfter == 0 {
-			j.answer.RetryAfter = wait
+		if j.answer.RetryAfter == 0 {
+			j.answer.RetryAfter = h.retryAfter(&j.batch)
 		}
 	}
 	if len(j.waiters) > 0 || j.noLiveRuns() {
@@ -251,6 +256,7 @@
 	case contract.RunEnded:
 		h.recordEnd(j, t, proofReported, owner, r.Token, r.MayHaveStarted)
 		h.unplace(t, r.MayHaveStarted)
+		t.suggestion = suggestionOf(r, now)
 	case contract.RunCrashed:
 		t.crashed = true
 		h.recordEnd(j, t, proofReported, owner, r.Token, true)
@@ -266,6 +272,7 @@
 				"expires_in", max(t.expiresAt.Sub(now), 0))
 		}
 	}
+	h.announceStart(j, r, out)
 }
 
 // proves reports whether an owner's report says something about the current run. An owner other than the current one can
--- a/edge/daemon.go
+++ b/edge/daemon.go
@@ -24,11 +24,6 @@
 	// the store passes the new one to all within milliseconds. desiredStateRetry is the pause between requests.
 	desiredStateLag   = 300 * time.Millisecond
 	desiredStateRetry = 500 * time.Millisecond
-	// joinDelay is how long a starting process waits for the other members before it owns workers. Without it, a process
-	// that does not know the others yet would acquire all workers.
-	joinDelay = 400 * time.Millisecond
-	// joinLimit ends the wait for members that are listed but do not answer.
-	joinLimit = 2 * time.Second
 	// publishRetry is the pause before this process is announced again after a failed call.
 	publishRetry = time.Second
 	// assignInterval is the longest time between two assignments of workers to owners.
@@ -73,6 +68,10 @@
 	Lease time.Duration
 	// Grace is the time from the order to stop to the end of the process.
 	Grace time.Duration
+	// AdaptStartTimeout makes the timeout of starts follow the time in which workers answer them.
+	AdaptStartTimeout bool
+	// AvoidSlow places tasks at owners that can start them on a worker that is not slow.
+	AvoidSlow bool
 	// Overload selects what is done while there is too little room on the workers.
 	Overload contract.OverloadPolicy
 	Now      func() time.Time
@@ -154,7 +153,7 @@
 func New(o Options) (*Daemon, error) {
 	ctx, cancel := context.WithCancel(context.Background())
 	d := &Daemon{
-		o: o, self: o.Self.ID(), capacity: zone.NewCapacityView(o.Self.ID(), o.Self.Domain), cancel: cancel, started: o.Now(),
+		o: o, self: o.Self.ID(), capacity: newCapacityView(o), cancel: cancel, started: o.Now(),
 		firstTimestamp: rand.Uint64N(timestampRange),
 		pools:          make(map[string]*pool.Pool), lastPresent: make(map[string]time.Time), workers: newWorkers(o.Logger),
 		crashes: contract.NewCrashLedger(), cancels: contract.NewCancelLedger(), held: contract.NewHeldLedger(),
@@ -165,7 +164,7 @@
 	d.home = batch.New(batch.Options{
 		Self: d.self, Owners: owners{d}, Members: membership{d}, Capacity: d.capacity, Crashes: d.crashes,
 		Cancels: d.cancels, Held: d.held, Fits: d.fits, Evacuated: d.evacuated, LateStarts: d.lateStarts, OwnerOf: d.ownerOf,
-		Now: o.Now, Logger: o.Logger, Metrics: o.Metrics,
+		Overload: o.Overload, Now: o.Now, Logger: o.Logger, Metrics: o.Metrics,
 	})
 	d.entries = newEntryRequests(d.members)
 	d.announced = &announcements{members: d.members}
@@ -188,6 +187,13 @@
 	return d, nil
 }
 
+func newCapacityView(o Options) *zone.CapacityView {
+	if o.AvoidSlow {
+		return zone.NewSpeedAwareCapacityView(o.Self.ID(), o.Self.Domain)
+	}
+	return zone.NewCapacityView(o.Self.ID(), o.Self.Domain)
+}
+
 func (d *Daemon) spawn(f func()) {
 	d.goroutines.Add(1)
 	go func() {
@@ -269,21 +275,6 @@
 	d.requestEntries(now)
 }
 
-// join lets a starting process own workers once it knows the other members. It reports whether that happened now.
-func (d *Daemon) join(now time.Time) bool {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	if d.joined || d.stopping || !d.membersRead || now.Sub(d.started) < joinDelay {
-		return false
-	}
-	if !d.members.AllLive() && now.Sub(d.started) < joinLimit {
-		return false
-	}
-	d.joined = true
-	d.o.Logger.Info("joined the deployment; ready to own workers", "members", d.members.Count()+1)
-	return true
-}
-
 // handleDeparture informs all components that a process can no longer be reached.
 func (d *Daemon) handleDeparture(member string) {
 	d.capacity.Remove(member)
@@ -313,10 +304,12 @@
 	if !ok {
 		p = pool.New(pool.Options{
 			Backend: backend, Calls: d.o.Calls, Lease: d.o.Lease, Now: d.o.Now, Logger: d.o.Logger, Metrics: d.o.Metrics,
+			AdaptStartTimeout: d.o.AdaptStartTimeout, Overload: d.o.Overload,
 			Policy:   poolPolicy(d.desired, d.evacuations.get(), backend),
 			Report:   func(home string, r contract.RunReport) { d.report(home, backend, r) },
 			Takeover: d.takeover, Crashed: d.workerCrashed, Confinement: d.confined,
 			LateStarts: d.lateStarts, LateStart: d.lateStart, WorkerReplaced: d.workerReplaced,
+			Room:  d.roomCallback(backend),
 			Yield: func() bool { return d.members.IsCutOff(d.o.Now()) },
 		})
 		d.pools[backend] = p
@@ -393,14 +386,6 @@
 	}
 }
 
-// Ready reports whether this process can accept jobs. It does not have to own workers yet: jobs wait for owners, which
-// are known within half a second, while the balancer checks only once a second.
-func (d *Daemon) Ready() bool {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	return !d.stopping && d.desired.Version != 0
-}
-
 // Close stops all components at once.
 func (d *Daemon) Close() {
 	d.cancel()
--- a/edge/messages.go
+++ b/edge/messages.go
@@ -75,6 +75,17 @@
 	}})
 }
 
+// JobStarted implements batch.Owners.
+func (s owners) JobStarted(p batch.PoolRef, keys []contract.RunKey) {
+	if p.Owner == s.d.self {
+		s.d.pool(p.Backend).JobStarted(keys)
+		return
+	}
+	s.d.members.Send(p.Owner, &api.PeerMessage{Body: &api.PeerMessage_TaskUrgency{
+		TaskUrgency: &api.TaskUrgency{Backend: p.Backend, Keys: encodeKeys(keys)},
+	}})
+}
+
 // Acknowledge implements batch.Owners.
 func (s owners) Acknowledge(p batch.PoolRef, keys []contract.RunKey) {
 	if p.Owner == s.d.self {
@@ -98,7 +109,7 @@
 	d.members.Send(home, &api.PeerMessage{Body: &api.PeerMessage_TaskReport{TaskReport: &api.TaskReport{
 		Key: encodeKey(r.Key), State: uint32(r.State), Worker: r.Worker, Backend: backend,
 		RunMs: clampMillis(r.RunTime), Ran: r.MayHaveStarted, Token: r.Token, MayStartLate: r.MayStartLate,
-		LateWorkers: r.LateWorkers,
+		LateWorkers: r.LateWorkers, NextOwner: r.NextOwner,
 	}}})
 }
 
@@ -123,6 +134,7 @@
 	for backend, p := range d.allPools() {
 		capacities[backend] = p.FreeCapacity()
 	}
+	d.recordWaiting(capacities)
 	d.mu.Lock()
 	ownsNothing, leaving := !d.joined || d.stopping, d.stopping
 	near, far := d.members.Counts()
@@ -228,12 +240,9 @@
 		d.pool(b.TaskRefresh.GetBackend()).Refresh(id, decodeKeys(b.TaskRefresh.GetKeys()),
 			d.sentAt(b.TaskRefresh.GetStampMs()))
 	case *api.PeerMessage_TaskWithdrawal:
-		w := b.TaskWithdrawal
-		if w.GetOnlyQueued() {
-			d.pool(w.GetBackend()).Recall(id, decodeKeys(w.GetKeys()))
-			return
-		}
-		d.pool(w.GetBackend()).Withdraw(id, decodeKeys(w.GetKeys()))
+		d.handleWithdrawal(id, b.TaskWithdrawal)
+	case *api.PeerMessage_TaskUrgency:
+		d.pool(b.TaskUrgency.GetBackend()).JobStarted(decodeKeys(b.TaskUrgency.GetKeys()))
 	case *api.PeerMessage_TaskAck:
 		d.pool(b.TaskAck.GetBackend()).Acknowledge(decodeKeys(b.TaskAck.GetKeys()))
 	case *api.PeerMessage_TaskReport:
@@ -242,6 +251,7 @@
 			Key: decodeKey(r.GetKey()), State: contract.RunState(r.GetState()), Worker: r.GetWorker(),
 			MayHaveStarted: r.GetRan(), Token: r.GetToken(), RunTime: time.Duration(r.GetRunMs()) * time.Millisecond,
 			MayStartLate: r.GetMayStartLate(), LateWorkers: decodeLateWorkers(r.GetLateWorkers()),
+			NextOwner: r.GetNextOwner(),
 		})
 	case *api.PeerMessage_WorkerTakeover:
 		t := b.WorkerTakeover
@@ -267,13 +277,23 @@
 	}
 }
 
-// handleClusterState processes messages about members, workers and the desired state.
+func (d *Daemon) handleWithdrawal(home string, w *api.TaskWithdrawal) {
+	if w.GetOnlyQueued() {
+		d.pool(w.GetBackend()).Recall(home, decodeKeys(w.GetKeys()))
+		return
+	}
+	d.pool(w.GetBackend()).Withdraw(home, decodeKeys(w.GetKeys()))
+}
+
+// handleClusterState processes messages about members, workers and their capacity, and the desired state.
 func (d *Daemon) handleClusterState(id, vm string, m *api.PeerMessage) {
 	switch b := m.GetBody().(type) {
 	case *api.PeerMessage_PoolStatus:
 		d.handleStatus(id, vm, b.PoolStatus)
 	case *api.PeerMessage_DesiredState:
 		d.handleDesired(id, b.DesiredState)
+	case *api.PeerMessage_TaskInvitation:
+		d.handleInvitation(id, b.TaskInvitation)
 	case *api.PeerMessage_DesiredStateRequest:
 		d.sendDesired(id, b.DesiredStateRequest)
 	case *api.PeerMessage_WorkerList:
@@ -314,6 +334,7 @@
 		// The process was replaced while its status was handled.
 		d.capacity.Remove(id)
 	}
+	d.inviteWaiting(capacities)
 	if domain == d.o.Self.Domain && d.feed.RecordSequence(id, s.GetWorkerList()) {
 		d.members.Send(id, &api.PeerMessage{Body: &api.PeerMessage_WorkerListRequest{
 			WorkerListRequest: &api.WorkerListRequest{}}})
@@ -339,7 +360,9 @@
 }
 
 func encodeCapacity(backend string, c zone.BackendCapacity) *api.BackendRoom {
-	m := &api.BackendRoom{Backend: backend, FreeSlots: clamp(c.Free), Slots: clamp(c.Slots)}
+	m := &api.BackendRoom{
+		Backend: backend, FreeSlots: clamp(c.Free), Slots: clamp(c.Slots), SlowFreeSlots: clamp(c.SlowFree),
+	}
 	for _, w := range c.Waiting {
 		m.WaitingMs = append(m.WaitingMs, clampMillis(w))
 	}
@@ -347,7 +370,9 @@
 }
 
 func decodeCapacity(m *api.BackendRoom) zone.BackendCapacity {
-	c := zone.BackendCapacity{Free: int(m.GetFreeSlots()), Slots: int(m.GetSlots())}
+	c := zone.BackendCapacity{
+		Free: int(m.GetFreeSlots()), Slots: int(m.GetSlots()), SlowFree: int(min(m.GetSlowFreeSlots(), m.GetFreeSlots())),
+	}
 	for i, w := range m.GetWaitingMs() {
 		if i < len(c.Waiting) {
 			c.Waiting[i] = time.Duration(w) * time.Millisecond
@@ -388,7 +413,8 @@
 		TargetMs: signedMillis(o.Target.Sub(now)), DeadlineMs: signedMillis(o.Deadline.Sub(now)),
 		ExpectedMs: clampMillis(o.Expected), RequiredLabel: o.RequiredLabel, PreferredRack: o.PreferredRack, Claim: o.Claim,
 		AgeMs: clampMillis(now.Sub(o.Accepted)), PerWorker: clamp(o.PerWorkerLimit),
-		Route: o.Route, Alone: o.Alone, ClaimToken: o.ClaimToken, OnlyWorker: o.OnlyWorker,
+		Route: o.Route, Alone: o.Alone, ClaimToken: o.ClaimToken, OnlyWorker: o.OnlyWorker, Suggested: o.Suggested,
+		JobStarted: o.JobStarted,
 	}
 }
 
@@ -404,7 +430,8 @@
 		Expected: time.Duration(m.GetExpectedMs()) * time.Millisecond, RequiredLabel: m.GetRequiredLabel(),
 		PreferredRack: m.GetPreferredRack(), Claim: m.GetClaim(), PerWorkerLimit: int(m.GetPerWorker()),
 		Accepted: now.Add(-time.Duration(m.GetAgeMs()) * time.Millisecond), Route: m.GetRoute(), Alone: m.GetAlone(),
-		ClaimToken: m.GetClaimToken(), OnlyWorker: m.GetOnlyWorker(),
+		ClaimToken: m.GetClaimToken(), OnlyWorker: m.GetOnlyWorker(), Suggested: m.GetSuggested(),
+		JobStarted: m.GetJobStarted(),
 	}
 }
 
--- a/pool/capacity.go
+++ b/pool/capacity.go
@@ -16,6 +16,9 @@
 	Evacuations contract.Evacuations
 }
 
+// slowSpeed is the speed, relative to the mean of the back end, below which a worker counts as slow.
+const slowSpeed = 0.75
+
 // SetPolicy applies a newer policy. Queued tasks that no worker may start any more go back to their homes, and workers that may
 // start tasks again do so at once.
 func (p *Pool) SetPolicy(policy Policy) {
@@ -65,8 +68,13 @@
 			continue
 		}
 		capacity.Slots += slotsIn(h.host.Listing.Capacity, p.typicalSize)
-		if h != p.emptying && !h.hasAlone() {
-			capacity.Free += slotsIn(h.host.Free(), p.typicalSize)
+		if h == p.emptying || h.hasAlone() {
+			continue
+		}
+		free := slotsIn(h.host.Free(), p.typicalSize)
+		capacity.Free += free
+		if h.host.Speed() < slowSpeed {
+			capacity.SlowFree += free
 		}
 	}
 	for _, r := range p.waiting.runs {
@@ -77,6 +85,7 @@
 		capacity.Free--
 	}
 	capacity.Free = max(capacity.Free, 0)
+	capacity.SlowFree = min(capacity.SlowFree, capacity.Free)
 	return capacity
 }
 
