pool: a run that would be late on a slow worker waits for a better one while it can

Cause: where a third of the workers takes twice as long, their free capacity is what tasks find at a demand peak: most jobs that are late then ran on a slow worker (run time 409 ms instead of 161 ms), though others became free within a few milliseconds. Change: with overload.shed a run does not start on a slow worker on which it would be late while it would be on time on one of mean speed and the pool has such a worker. Owners give up no run for a slow worker on which it would be late.

--- a/pool/order.go
+++ b/pool/order.go
@@ -36,7 +36,9 @@
 	candidates []candidate
 	used       map[shareKey]*float64
 	// useful is set if a run whose answer can be of use waits for a worker that may take it.
-	useful   bool
+	useful bool
+	// faster is set if the pool has a usable worker that is not slow.
+	faster   bool
 	reserved reservation
 }
 
@@ -82,6 +84,7 @@
 // orderByShares prepares the order of the queued runs for a decision. p.mu is held.
 func (p *Pool) orderByShares(now time.Time, speed float64) {
 	o := &p.shareOrder
+	o.faster = p.hasFaster(now)
 	o.candidates, o.useful = o.candidates[:0], false
 	clear(o.used)
 	for _, r := range p.waiting.runs {
@@ -203,6 +206,9 @@
 		if class >= contract.Useless && o.useful && !c.run.committed {
 			continue
 		}
+		if o.faster && c.run.awaitsFaster(now, speed) {
+			continue
+		}
 		if best != nil && (class > bestClass || (class == bestClass && !c.before(best))) {
 			continue
 		}
--- a/pool/steal.go
+++ b/pool/steal.go
@@ -221,7 +221,8 @@
 				break
 			}
 			o := r.order
-			if !gap.Holds(o.Need, o.RequiredLabel) || slices.Contains(chosen, r) || !mayGiveUp(r) || !endsInTime(o, gap.Speed, now) {
+			if !gap.Holds(o.Need, o.RequiredLabel) || slices.Contains(chosen, r) || !mayGiveUp(r) ||
+				!endsInTime(o, gap.Speed, now) || r.awaitsFaster(now, gap.Speed) {
 				continue
 			}
 			chosen = append(chosen, r)
