pool: one function decides which fitting runs are held back

Cause: the linter counts bestFor as too complex since runs wait for better workers. Change: the two reasons to hold a run back are a function of shareOrder. Result: the linter and the tests of the order pass.

--- a/pool/order.go
+++ b/pool/order.go
@@ -191,6 +191,15 @@
 	}
 }
 
+// holdsBack reports whether a run of a given usefulness does not start now on a worker of a given speed that has room for it:
+// others can still be of use, or a better worker is worth waiting for.
+func (o *shareOrder) holdsBack(r *run, use contract.Usefulness, now time.Time, speed float64) bool {
+	if use >= contract.Useless && o.useful && !r.committed {
+		return true
+	}
+	return o.faster && r.awaitsFaster(now, speed)
+}
+
 // bestFor returns the first run in the order that can start on a worker now; nil if there is none. p.mu is held.
 func (p *Pool) bestFor(h *ownedHost, now time.Time) *run {
 	o := &p.shareOrder
@@ -203,10 +212,7 @@
 			continue
 		}
 		class := c.run.prospect(now, speed)
-		if class >= contract.Useless && o.useful && !c.run.committed {
-			continue
-		}
-		if o.faster && c.run.awaitsFaster(now, speed) {
+		if o.holdsBack(c.run, class, now, speed) {
 			continue
 		}
 		if best != nil && (class > bestClass || (class == bestClass && !c.before(best))) {
