--- a/pool/order.go
+++ b/pool/order.go
@@ -36,7 +36,9 @@
 	candidates []candidate
 	used       map[shareKey]*float64
 	// useful is set if a run whose answer can be of use waits for a worker that may take it.
-	useful   bool
+	useful bool
+	// faster is set if the pool has a usable worker that is not slow.
+	faster   bool
 	reserved reservation
 }
 
@@ -74,12 +76,17 @@
 			p.updateUsed(r.order.Route, now)
 		}
 	}
+	// The runs must not be kept after their end.
+	clear(p.shareOrder.candidates)
+	p.shareOrder.reserved = reservation{}
 }
 
 // orderByShares prepares the order of the queued runs for a decision. p.mu is held.
 func (p *Pool) orderByShares(now time.Time, speed float64) {
 	o := &p.shareOrder
-	o.candidates, o.used, o.useful = o.candidates[:0], make(map[shareKey]*float64), false
+	o.faster = p.hasFaster(now)
+	o.candidates, o.useful = o.candidates[:0], false
+	clear(o.used)
 	for _, r := range p.waiting.runs {
 		stuck := p.stuck(r, now)
 		o.candidates = append(o.candidates, candidate{run: r, used: p.usedBy(r, now), stuck: stuck, large: p.isLarge(r) && !r.order.Alone})
@@ -184,6 +191,15 @@
 	}
 }
 
+// holdsBack reports whether a run of a given usefulness does not start now on a worker of a given speed that has room for it:
+// others can still be of use, or a better worker is worth waiting for.
+func (o *shareOrder) holdsBack(r *run, use contract.Usefulness, now time.Time, speed float64) bool {
+	if use >= contract.Useless && o.useful && !r.committed {
+		return true
+	}
+	return o.faster && r.awaitsFaster(now, speed)
+}
+
 // bestFor returns the first run in the order that can start on a worker now; nil if there is none. p.mu is held.
 func (p *Pool) bestFor(h *ownedHost, now time.Time) *run {
 	o := &p.shareOrder
@@ -196,7 +212,7 @@
 			continue
 		}
 		class := c.run.prospect(now, speed)
-		if class >= contract.Useless && o.useful && !c.run.committed {
+		if o.holdsBack(c.run, class, now, speed) {
 			continue
 		}
 		if best != nil && (class > bestClass || (class == bestClass && !c.before(best))) {
