--- a/command/explain.go
+++ b/command/explain.go
@@ -161,8 +161,8 @@
 	}
 	writeExplainedJob(&b, e.Job)
 	for _, o := range e.Owners {
-		fmt.Fprintf(&b, "owner     %s in %s: %d of %d free, expected wait %d ms, order %d ms, waiting by priority %v ms%s\n",
-			o.Owner, o.Domain, o.Free, o.Slots, o.WaitMs, o.CostMs, o.WaitingMs, mark(o.Leaving, ", leaving"))
+		fmt.Fprintf(&b, "owner     %s in %s: %d of %d free%s, expected wait %d ms, order %d ms, waiting by priority %v ms%s\n",
+			o.Owner, o.Domain, o.Free, o.Slots, mark(o.SlowFree > 0, fmt.Sprintf(" (%d on slow workers)", o.SlowFree)), o.WaitMs, o.CostMs, o.WaitingMs, mark(o.Leaving, ", leaving"))
 	}
 	writeExplainedTasks(&b, e.Tasks)
 	return b.String()
--- a/zone/capacity.go
+++ b/zone/capacity.go
@@ -186,11 +186,8 @@
 			continue
 		}
 		wait := capacity.Wait(priority)
-		first, slow := v.freeFirst(capacity)
-		cost := wait + v.messageCost(id, o)
-		if slow {
-			cost += slowWorkerCost
-		}
+		first, _ := v.freeFirst(capacity)
+		cost := wait + v.orderCost(id, o, capacity)
 		better := bestCost < 0 || cost < bestCost
 		switch {
 		case better:
@@ -230,6 +227,15 @@
 	return aID < bID
 }
 
+// orderCost returns what an order to an owner costs beside the wait there. v.mu is held.
+func (v *CapacityView) orderCost(id string, o *ownerState, c *BackendCapacity) time.Duration {
+	cost := v.messageCost(id, o)
+	if _, slow := v.freeFirst(c); slow {
+		cost += slowWorkerCost
+	}
+	return cost
+}
+
 func (v *CapacityView) messageCost(id string, o *ownerState) time.Duration {
 	switch {
 	case id == v.self:
--- a/zone/capacitysnapshot.go
+++ b/zone/capacitysnapshot.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 )
@@ -11,13 +12,16 @@
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	c := NewCapacityView(v.self, v.domain)
+	c.avoidSlow = v.avoidSlow
 	for id, o := range v.owners {
 		capacities := make(map[string]*BackendCapacity, len(o.capacities))
 		for backend, capacity := range o.capacities {
 			copied := *capacity
 			capacities[backend] = &copied
 		}
-		c.owners[id] = &ownerState{domain: o.domain, leaving: o.leaving, capacities: capacities}
+		copied := *o
+		copied.capacities, copied.invitations = capacities, maps.Clone(o.invitations)
+		c.owners[id] = &copied
 	}
 	return c
 }
@@ -28,8 +32,8 @@
 	// Leaving is set for an owner that gets no tasks any more.
 	Leaving bool
 	BackendCapacity
-	// Wait is the expected wait of a task of the priority asked for, MessageCost what an order costs in addition.
-	Wait, MessageCost time.Duration
+	// Wait is the expected wait of a task of the priority asked for, OrderCost what an order there costs in addition.
+	Wait, OrderCost time.Duration
 }
 
 // Owners returns the owners of workers of a back end, those first at which a task of that priority is expected to start first.
@@ -44,11 +48,11 @@
 		}
 		all = append(all, OwnerCapacity{
 			ID: id, Domain: o.domain, Leaving: o.leaving, BackendCapacity: *capacity, Wait: capacity.Wait(priority),
-			MessageCost: v.messageCost(id, o),
+			OrderCost: v.orderCost(id, o, capacity),
 		})
 	}
 	slices.SortFunc(all, func(a, b OwnerCapacity) int {
-		return cmp.Or(cmp.Compare(a.Wait+a.MessageCost, b.Wait+b.MessageCost), cmp.Compare(a.ID, b.ID))
+		return cmp.Or(cmp.Compare(a.Wait+a.OrderCost, b.Wait+b.OrderCost), cmp.Compare(a.ID, b.ID))
 	})
 	return all
 }
--- a/zone/capacitysnapshot_test.go
+++ b/zone/capacitysnapshot_test.go
@@ -35,3 +35,14 @@
 	}
 	require.Equal(t, []string{"near", "far", "a"}, ids)
 }
+
+// Guards against a copy that places tasks by other rules than the view, or whose owners are listed in another order.
+func TestCloneAvoidsSlowWorkersAsTheViewDoes(t *testing.T) {
+	v := NewSpeedAwareCapacityView("a", "z")
+	v.Update("a", "z", false, map[string]*BackendCapacity{"b": {Free: 2, SlowFree: 2, Slots: 2}})
+	v.Update("near", "z", false, map[string]*BackendCapacity{"b": {Free: 2, Slots: 2}})
+	owner, ok := v.Clone().Reserve("b", 0, time.Second, func(string) bool { return false })
+	require.True(t, ok)
+	require.Equal(t, "near", owner)
+	require.Equal(t, "near", v.Clone().Owners("b", 0)[0].ID)
+}
