pool, edge: no worker is kept free in an evacuated domain; none is owned before the set is known

Change: canReserve asks Schedulable; a starting process joins once it has read or learned a set of evacuated domains, also an empty one. Result: the tests of evacuations, joining and reservations pass; TestEvacuatedWorkerIsNotKeptFree fails without the first change.

--- a/edge/evacuations.go
+++ b/edge/evacuations.go
@@ -12,11 +12,19 @@
 	"github.com/cicadadale/cicadadale/metric"
 )
 
-// evacuations is the newest known set of evacuated failure domains. mu guards current; it is locked after all others but those
+// evacuations is the newest known set of evacuated failure domains. mu guards the fields below it; it is locked after all others but those
 // of ledgers, also while the lock of a home's shard is held.
 type evacuations struct {
 	mu      sync.Mutex
 	current contract.Evacuations
+	// read is set once any set has been applied, also that of a topic without records.
+	read bool
+}
+
+func (e *evacuations) known() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.read
 }
 
 func (e *evacuations) get() contract.Evacuations {
@@ -30,7 +38,7 @@
 func (e *evacuations) replace(newer contract.Evacuations) (last contract.Evacuations, changed bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	last = e.current
+	last, e.read = e.current, true
 	if newer.Version <= last.Version {
 		return last, false
 	}
--- a/edge/joining.go
+++ b/edge/joining.go
@@ -21,6 +21,8 @@
 type joinState struct {
 	// membersRead is set once the list of members has been read from the store.
 	membersRead bool
+	// evacuationsKnown is set once the evacuated failure domains have been read from the store or learned from a member.
+	evacuationsKnown bool
 	// allAnswered is set if each listed member has sent a status or cannot be connected to.
 	allAnswered bool
 	sinceStart  time.Duration
@@ -30,7 +32,7 @@
 // loss of all members it would serve nothing for joinLimit if one of them does not return. Their workers are reserved instead.
 func (s joinState) mayJoin() bool {
 	switch {
-	case !s.membersRead || s.sinceStart < joinDelay:
+	case !s.membersRead || !s.evacuationsKnown || s.sinceStart < joinDelay:
 		return false
 	case s.allAnswered:
 		return true
@@ -53,7 +55,9 @@
 	if d.joined || d.stopping {
 		return false
 	}
-	s := joinState{membersRead: d.membersRead, allAnswered: allAnswered, sinceStart: now.Sub(d.started)}
+	s := joinState{
+		membersRead: d.membersRead, evacuationsKnown: d.evacuations.known(), allAnswered: allAnswered, sinceStart: now.Sub(d.started),
+	}
 	if !s.mayJoin() {
 		return false
 	}
--- a/edge/joining_test.go
+++ b/edge/joining_test.go
@@ -11,18 +11,19 @@
 	"github.com/cicadadale/cicadadale/zone"
 )
 
-// Guards against a process that owns workers before it knows the other members, and against one that waits for members that
+// Guards against a process that owns workers before it knows the other members or which domains are evacuated, and against one that waits for members that
 // cannot be connected to.
 func TestJoinWaitsOnlyForMembersThatMayAnswer(t *testing.T) {
 	for name, c := range map[string]struct {
 		state joinState
 		joins bool
 	}{
-		"the list is not read":               {joinState{allAnswered: true, sinceStart: joinLimit}, false},
-		"statuses may be on their way":       {joinState{membersRead: true, allAnswered: true, sinceStart: joinDelay - 1}, false},
-		"all have answered or failed":        {joinState{membersRead: true, allAnswered: true, sinceStart: joinDelay}, true},
-		"one is connected and sends nothing": {joinState{membersRead: true, sinceStart: joinLimit - 1}, false},
-		"the limit has passed":               {joinState{membersRead: true, sinceStart: joinLimit}, true},
+		"the list is not read":               {joinState{evacuationsKnown: true, allAnswered: true, sinceStart: joinLimit}, false},
+		"the evacuations are not known":      {joinState{membersRead: true, allAnswered: true, sinceStart: joinLimit}, false},
+		"statuses may be on their way":       {joinState{membersRead: true, evacuationsKnown: true, allAnswered: true, sinceStart: joinDelay - 1}, false},
+		"all have answered or failed":        {joinState{membersRead: true, evacuationsKnown: true, allAnswered: true, sinceStart: joinDelay}, true},
+		"one is connected and sends nothing": {joinState{membersRead: true, evacuationsKnown: true, sinceStart: joinLimit - 1}, false},
+		"the limit has passed":               {joinState{membersRead: true, evacuationsKnown: true, sinceStart: joinLimit}, true},
 	} {
 		require.Equal(t, c.joins, c.state.mayJoin(), name)
 	}
--- a/pool/evacuation_test.go
+++ b/pool/evacuation_test.go
@@ -66,18 +66,23 @@
 
 // Guards against a large task that starves since the worker kept free for it is evacuated, while small ones fill the other one.
 func TestEvacuatedWorkerIsNotKeptFree(t *testing.T) {
-	inDomains(t, []string{"a", "b"}, func(t *testing.T, f *fixture) {
-		f.evacuate("a")
-		keys := []contract.RunKey{f.order("first", 1000, 0, time.Second, 20*time.Second)}
-		time.Sleep(50 * time.Millisecond)
-		keys = append(keys, f.order("large", 2000, 0, time.Second, 20*time.Second))
-		for i := range 40 {
-			keys = append(keys, f.order(fmt.Sprintf("small%d", i), 1000, 0, 500*time.Millisecond, 20*time.Second))
-			f.pool.Refresh(testHome, keys, time.Now())
+	for _, shed := range []bool{false, true} {
+		inDomains(t, []string{"a", "b"}, func(t *testing.T, f *fixture) {
+			f.pool.mu.Lock()
+			f.pool.o.Overload.Shed = shed
+			f.pool.mu.Unlock()
+			f.evacuate("a")
+			keys := []contract.RunKey{f.order("first", 1000, 0, time.Second, 20*time.Second)}
 			time.Sleep(50 * time.Millisecond)
-		}
-		require.Contains(t, f.observer.startedJobs(), "large")
-	})
+			keys = append(keys, f.order("large", 2000, 0, time.Second, 20*time.Second))
+			for i := range 40 {
+				keys = append(keys, f.order(fmt.Sprintf("small%d", i), 1000, 0, 500*time.Millisecond, 20*time.Second))
+				f.pool.Refresh(testHome, keys, time.Now())
+				time.Sleep(50 * time.Millisecond)
+			}
+			require.Contains(t, f.observer.startedJobs(), "large", "shed %v", shed)
+		})
+	}
 }
 
 // Guards against queued tasks that wait at an owner all of whose workers are evacuated, against orders that it takes afterwards,
--- a/pool/reservation.go
+++ b/pool/reservation.go
@@ -34,7 +34,7 @@
 
 // canReserve reports whether a worker may be kept free for a run. p.mu is held.
 func (p *Pool) canReserve(h *ownedHost, r *run) bool {
-	return h != p.emptying && !h.hasAlone() && h.host.Token != 0 && !h.host.Draining() &&
+	return h != p.emptying && !h.hasAlone() && h.host.Token != 0 && h.host.Schedulable() &&
 		h.host.CanHold(r.order.Need, r.order.RequiredLabel)
 }
 
