platform: bound the specification of a job; clientlimit: smaller budget, larger free requests

Cause: each start of a task carries a copy of its job's specification, which was bounded by the body only. With a sixth of the memory as budget, requests that were read and refused left so much garbage that the peak came close to the VM's memory. Requests of up to 4 KiB were free, so a job with the largest specification was counted until its answer.

Change: a task_spec of more than 4,000 bytes is answered 400. The budget is a twelfth of the memory; requests of up to 8 KiB are free.

--- a/clientlimit/assembler.go
+++ b/clientlimit/assembler.go
@@ -7,8 +7,8 @@
 
 const (
 	// freeBytes of a request are part of its connection's share of the memory and not of the budget, so that ordinary small
-	// requests are served also when the budget is used up.
-	freeBytes = 4 << 10
+	// requests are served also when the budget is used up. A job with the largest specification is one of them.
+	freeBytes = 8 << 10
 	// copies is the number of times that the bytes of a request are held while it is read, decoded and served.
 	copies      = 4
 	firstBytes  = 512
--- a/clientlimit/assembler_test.go
+++ b/clientlimit/assembler_test.go
@@ -11,7 +11,7 @@
 )
 
 var (
-	testLimits = Limits{HeadBytes: 1 << 10, BodyBytes: 4 << 10, HeadTime: time.Second, IdleTime: 2 * time.Second}
+	testLimits = Limits{HeadBytes: 1 << 10, BodyBytes: 16 << 10, HeadTime: time.Second, IdleTime: 2 * time.Second}
 	testStart  = time.Unix(1_000_000, 0)
 )
 
@@ -87,7 +87,7 @@
 		"announced body":     {testHead + "Content-Length: 2147483648\r\n\r\n", BodyTooLarge, 200},
 		"body over by one":   {fmt.Sprintf("%sContent-Length: %d\r\n\r\n", testHead, testLimits.BodyBytes+1), BodyTooLarge, 200},
 		"announced chunk":    {chunked + "80000000\r\n", BodyTooLarge, 200},
-		"chunks over by one": {chunked + strings.Repeat("400\r\n"+strings.Repeat("b", 1024)+"\r\n", 4) + "1\r\nb\r\n", BodyTooLarge, 5000},
+		"chunks over by one": {chunked + strings.Repeat("400\r\n"+strings.Repeat("b", 1024)+"\r\n", 16) + "1\r\nb\r\n", BodyTooLarge, 17_000},
 		"trailer":            {chunked + "0\r\n" + strings.Repeat("X: y\r\n", 1000), HeadTooLarge, 1000},
 		"extension":          {chunked + "1;" + strings.Repeat("x", 5000), Malformed, 1500},
 		"no chunk size":      {chunked + "x\r\n", Malformed, 200},
@@ -115,12 +115,12 @@
 // Guards against bytes that are held without being counted, against a small request that is refused because others have used up
 // the budget, and against bytes that stay counted.
 func TestBudgetBoundsUnfinishedRequests(t *testing.T) {
-	budget := NewBudget(20 << 10)
-	unfinished := testHead + "Content-Length: 4096\r\n\r\n" + strings.Repeat("b", 4095)
+	budget := NewBudget(80 << 10)
+	unfinished := testHead + "Content-Length: 16384\r\n\r\n" + strings.Repeat("b", 16_383)
 	first, second, small := Assembler{budget: budget}, Assembler{budget: budget}, Assembler{budget: budget}
 	_, _, refused := assemble(&first, unfinished, 100)
 	require.Equal(t, Accepted, refused)
-	require.Less(t, budget.free, int64(5<<10))
+	require.Less(t, budget.free, int64(20<<10))
 	_, used, refused := assemble(&second, unfinished, 100)
 	require.Equal(t, NoRoom, refused)
 	require.LessOrEqual(t, used, freeBytes)
@@ -129,7 +129,7 @@
 	require.Equal(t, Accepted, refused)
 	require.NotEmpty(t, request)
 	first.Release()
-	require.EqualValues(t, 20<<10, budget.free)
+	require.EqualValues(t, 80<<10, budget.free)
 }
 
 // Guards against memory that is reserved for a body because it was announced.
--- a/clientlimit/limits.go
+++ b/clientlimit/limits.go
@@ -51,7 +51,7 @@
 	connectionBytes = 32 << 10
 	// connectionShare and requestShare are the parts of the memory that all connections and all requests may take, one in that many.
 	connectionShare = 2
-	requestShare    = 6
+	requestShare    = 12
 	// callConnectionShare and callShare are the same for calls over HTTP/2, whose messages are larger.
 	callConnectionShare = 4
 	callShare           = 3
--- a/contract/batch.go
+++ b/contract/batch.go
@@ -65,6 +65,9 @@
 	Deadline time.Time
 }
 
+// MaxSpecBytes bounds the specification of the tasks of a batch. Each start of a task carries a copy.
+const MaxSpecBytes = 4_000
+
 // MaxBatchTasks bounds the tasks of a batch, so that one submission cannot use up the memory of its home.
 const MaxBatchTasks = 10_000
 
