--- a/clientlimit/budget.go
+++ b/clientlimit/budget.go
@@ -63,3 +63,12 @@
 	close(b.grown)
 	b.grown = make(chan struct{})
 }
+
+// TaskRoom is the number of tasks that all accepted jobs together may still have.
+type TaskRoom struct{ budget *Budget }
+
+// Take reserves room for the tasks of a job, or reports that there is not enough left.
+func (r TaskRoom) Take(tasks int) bool { return r.budget.take(int64(tasks)) }
+
+// GiveBack returns the room of a job that has been answered.
+func (r TaskRoom) GiveBack(tasks int) { r.budget.giveBack(int64(tasks)) }
--- a/clientlimit/limits.go
+++ b/clientlimit/limits.go
@@ -55,6 +55,10 @@
 	// callConnectionShare and callShare are the same for calls over HTTP/2, whose messages are larger.
 	callConnectionShare = 4
 	callShare           = 3
+	// taskBytes is what a task of an accepted job holds until the job has been answered, taskShare the part of the memory for all of
+	// them, one in that many.
+	taskBytes = 512
+	taskShare = 16
 	// collectPercent is the share of the memory from which on garbage is collected more often.
 	collectPercent = 70
 	minConnections = 16
@@ -96,5 +100,8 @@
 // CallBytes returns the budget for the unfinished messages of all calls over HTTP/2.
 func (v VM) CallBytes() int64 { return v.memoryBytes() / callShare }
 
+// Tasks returns the number of tasks that all accepted jobs together may have.
+func (v VM) Tasks() int { return int(v.memoryBytes() / taskShare / taskBytes) }
+
 // CollectionBytes returns the memory from which on garbage is collected more often.
 func (v VM) CollectionBytes() int64 { return v.memoryBytes() / 100 * collectPercent }
--- a/clientlimit/listener.go
+++ b/clientlimit/listener.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"log/slog"
 	"net"
 	"sync"
@@ -135,11 +134,6 @@
 	}
 	if admitted == nil {
 		l.note(NoConnection)
-		// The response fits into the buffers of a new connection, so this does not wait.
-		_ = conn.SetWriteDeadline(now.Add(refusalTimeout))
-		if !l.o.Bare {
-			_, _ = io.WriteString(conn, responses[NoConnection])
-		}
 		_ = conn.Close()
 		return nil
 	}
--- a/clientlimit/process.go
+++ b/clientlimit/process.go
@@ -6,6 +6,8 @@
 
 	"github.com/rcrowley/go-metrics"
 	"golang.org/x/sys/unix"
+
+	"github.com/cicadadale/cicadadale/metric"
 )
 
 const (
@@ -21,6 +23,7 @@
 	// requests is the budget for requests over HTTP/1.1, calls that for unfinished messages over HTTP/2. A process serves clients by one of
 	// them.
 	requests, calls *Budget
+	tasks           TaskRoom
 	logger          *slog.Logger
 	metrics         metrics.Registry
 }
@@ -30,7 +33,8 @@
 	if vm.Descriptors <= 0 {
 		vm.Descriptors = descriptorLimit()
 	}
-	return &Process{vm: vm, requests: NewBudget(vm.RequestBytes()), calls: NewBudget(vm.CallBytes()), logger: logger, metrics: r}
+	return &Process{vm: vm, requests: NewBudget(vm.RequestBytes()), calls: NewBudget(vm.CallBytes()),
+		tasks: TaskRoom{NewBudget(int64(vm.Tasks()))}, logger: logger, metrics: r}
 }
 
 // descriptorLimit returns the number of descriptors that the process may have, 0 if it is not known.
@@ -42,6 +46,14 @@
 	return int(min(l.Cur, 1<<30))
 }
 
+// Tasks returns the room for the tasks of accepted jobs.
+func (p *Process) Tasks() TaskRoom { return p.tasks }
+
+// NoteTasksRefused counts a job that was refused for want of room for its tasks.
+func (p *Process) NoteTasksRefused() {
+	metrics.GetOrRegisterCounter(metric.ClientsNoTaskRoom, p.metrics).Inc(1)
+}
+
 // Clients returns the options of the listener for clients.
 func (p *Process) Clients(limits func() Limits) Options {
 	return p.options(p.vm.Connections(), limits)
--- a/clientlimit/refusal.go
+++ b/clientlimit/refusal.go
@@ -25,16 +25,16 @@
 		"no room for connections", "gave way"}[r]
 }
 
-// responses are the answers to refused requests. A connection that gives way gets none.
+// responses are the answers to refused requests. Connections that are refused or give way get none. The answer for want of room does not state
+// that the job never runs: the request may be a copy of one that runs already, which only the server could tell.
 var responses = [refusals]string{
-	HeadTooLarge: response("431 Request Header Fields Too Large", ""),
-	BodyTooLarge: response("413 Request Entity Too Large", ""),
-	TooSlow:      response("408 Request Timeout", ""),
-	Malformed:    response("400 Bad Request", ""),
-	NoRoom:       response("503 Service Unavailable", "Retry-After: 1\r\n"),
-	NoConnection: response("503 Service Unavailable", "Retry-After: 1\r\n"),
+	HeadTooLarge: response("431 Request Header Fields Too Large"),
+	BodyTooLarge: response("413 Request Entity Too Large"),
+	TooSlow:      response("408 Request Timeout"),
+	Malformed:    response("400 Bad Request"),
+	NoRoom:       response("504 Gateway Timeout"),
 }
 
-func response(status, field string) string {
-	return "HTTP/1.1 " + status + "\r\n" + field + "Content-Length: 0\r\nConnection: close\r\n\r\n"
+func response(status string) string {
+	return "HTTP/1.1 " + status + "\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"
 }
--- a/metric/metric.go
+++ b/metric/metric.go
@@ -98,6 +98,7 @@
 	ClientsTooSlow       = "clients.too_slow"
 	ClientsMalformed     = "clients.malformed"
 	ClientsNoRoom        = "clients.no_room"
+	ClientsNoTaskRoom    = "clients.no_room_for_tasks"
 	ClientsNoConnection  = "clients.no_connection"
 	ClientsGaveWay       = "clients.gave_way"
 	PoolQueueTime        = "pool.queue_time"
