contract: a tight latency target bounds the margin for longer runs

Cause: a run with a target of less than 1.25 times its expected time never counted as on time, so its route came behind all others. Change: the margin is at most half of the time that the target leaves for waiting. A table test.

--- a/contract/usefulness.go
+++ b/contract/usefulness.go
@@ -6,8 +6,12 @@
 const uselessFactor = 3
 
 // runTimeMargin is how much longer than expected a run may take, as a share of its expected run time, before an answer that is
-// expected on time is late: half of all runs take longer than expected.
-const runTimeMargin = 0.25
+// expected on time is late: half of all runs take longer than expected. slackMargin bounds it for tight targets, as a share of the time
+// that the target leaves for waiting.
+const (
+	runTimeMargin = 0.25
+	slackMargin   = 0.5
+)
 
 // Usefulness is what an answer is worth to its caller, by the time at which it comes. A higher value is worth less.
 type Usefulness uint8
@@ -51,13 +55,15 @@
 }
 
 // Expect returns the usefulness of an answer that needs a run of an expected time from now on. It is on time only if it would be so
-// with a longer run too, by runTimeMargin.
+// with a longer run too, by runTimeMargin and slackMargin.
 func (t AnswerTimes) Expect(now time.Time, run time.Duration) Usefulness {
-	use := t.At(now.Add(run))
-	if use == OnTime && now.Add(run+time.Duration(runTimeMargin*float64(run))).After(t.Target) {
-		return Late
+	end := now.Add(run)
+	slack := max(t.Target.Sub(t.Accepted)-run, 0)
+	margin := min(time.Duration(runTimeMargin*float64(run)), time.Duration(slackMargin*float64(slack)))
+	if use := t.At(end); use != OnTime || !end.Add(margin).After(t.Target) {
+		return use
 	}
-	return use
+	return Late
 }
 
 // Times returns the times on which the usefulness of the answer depends.
--- a/contract/usefulness_test.go
+++ b/contract/usefulness_test.go
@@ -28,3 +28,27 @@
 		require.Equal(t, c.want, times.At(at(c.end)), name)
 	}
 }
+
+// Guards against runs that start at the last moment, so that half of them are late, and against targets that no run can meet because
+// they are tight.
+func TestExpectedUsefulness(t *testing.T) {
+	start := time.Unix(1000, 0)
+	ms := func(n int) time.Duration { return time.Duration(n) * time.Millisecond }
+	for name, c := range map[string]struct {
+		target, run, after int
+		want               Usefulness
+	}{
+		"a quarter longer is on time":    {200, 100, 75, OnTime},
+		"a quarter longer is late":       {200, 100, 76, Late},
+		"late":                           {200, 100, 101, Late},
+		"of no use":                      {200, 100, 501, Useless},
+		"tight target, at once":          {110, 100, 0, OnTime},
+		"tight target, half of the time": {110, 100, 5, OnTime},
+		"tight target, later":            {110, 100, 6, Late},
+		"no time to wait":                {100, 100, 0, OnTime},
+		"out of reach":                   {90, 100, 0, Late},
+	} {
+		times := AnswerTimes{Accepted: start, Target: start.Add(ms(c.target)), Deadline: start.Add(ms(2000))}
+		require.Equal(t, c.want, times.Expect(start.Add(ms(c.after)), ms(c.run)), name)
+	}
+}
