pool: a run that needs a worker for itself does not hold others back

Cause: while a task that runs alone waited, runs whose answer is of no use did not start, also in gaps that it cannot use. Change: such a task does not count when they are held back.

--- a/pool/order.go
+++ b/pool/order.go
@@ -35,7 +35,8 @@
 type shareOrder struct {
 	candidates []candidate
 	used       map[shareKey]*float64
-	// useful is set if a run whose answer can be of use waits for a worker that may take it.
+	// useful is set if a run whose answer can be of use waits for a worker that may take it. Runs that need a worker for themselves do
+	// not count: they cannot use a gap.
 	useful   bool
 	reserved reservation
 }
@@ -87,7 +88,7 @@
 	for _, r := range p.waiting.runs {
 		stuck := p.stuck(r, now)
 		o.candidates = append(o.candidates, candidate{run: r, used: p.usedBy(r, now), stuck: stuck, large: p.isLarge(r) && !r.order.Alone})
-		o.useful = o.useful || (!stuck && r.prospect(now, speed) < contract.Useless)
+		o.useful = o.useful || (!stuck && !r.order.Alone && r.prospect(now, speed) < contract.Useless)
 	}
 	o.reserved = reservation{}
 	if r := o.toReserve(now, speed, p.shares.largeBehind(now)); r != nil {
