--- a/pool/fasterworker_test.go
+++ b/pool/fasterworker_test.go
@@ -19,11 +19,11 @@
 		faster bool
 		want   string
 	}{
-		{"on time on the fast worker, which becomes free soon", 300 * time.Millisecond, true, "fast"},
+		{"on time on the fast worker, which becomes free soon", 260 * time.Millisecond, true, "fast"},
 		{"on time on the slow worker too", time.Second, true, "slow"},
 		{"late on either", 90 * time.Millisecond, true, "slow"},
 		{"the fast worker becomes free too late", 260 * time.Millisecond, false, "slow"},
-		{"no fast worker", 300 * time.Millisecond, false, "slow"},
+		{"no fast worker", 260 * time.Millisecond, false, "slow"},
 	}
 	for i, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
@@ -61,7 +61,7 @@
 func TestRunsAreNotGivenUpForSlowWorkers(t *testing.T) {
 	now := time.Now()
 	r := &run{order: contract.TaskOrder{
-		Accepted: now, Target: now.Add(300 * time.Millisecond), Deadline: now.Add(time.Second), Expected: 100 * time.Millisecond,
+		Accepted: now, Target: now.Add(260 * time.Millisecond), Deadline: now.Add(time.Second), Expected: 100 * time.Millisecond,
 	}}
 	q := queue{runs: []*run{r}}
 	always := func(*run) bool { return true }
