pool: one message offers the free capacity of all idle workers

Cause: while runs wait elsewhere that fit nowhere, each idle worker had a schedule of its own for repeated offers, and each offer was a message. Tests of batch and edge hung instead of failing.

The tests stop their homes and deployments when they fail.

--- a/batch/suggestion_test.go
+++ b/batch/suggestion_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -16,14 +17,26 @@
 
 // newSuggestionTest returns a home that has ordered the only task of a job at testOwner, which has free capacity. suggestedOwner is farther
 // away and full by its last report.
-func newSuggestionTest(ctx context.Context) (*Home, *recorder, contract.TaskOrder) {
-	h, out := newTestHome()
+func newSuggestionTest() (h *Home, out *recorder, first contract.TaskOrder, end func()) {
+	h, out = newTestHome()
+	ctx, cancel := context.WithCancel(context.Background())
 	full := map[string]*zone.BackendCapacity{"s": {Slots: 10, Waiting: [zone.Priorities]time.Duration{time.Second}}}
 	h.o.Capacity.Update(suggestedOwner, "other zone", false, full)
 	b := testBatch(1, 10*time.Second)
 	go h.Submit(ctx, b)
 	synctest.Wait()
-	return h, out, out.sentOrders()[0]
+	return h, out, out.sentOrders()[0], func() {
+		cancel()
+		synctest.Wait()
+		h.Close()
+	}
+}
+
+// owners returns a copy of the owners of the orders sent so far.
+func (r *recorder) owners() []string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return slices.Clone(r.orderOwners)
 }
 
 // Guards against a task that goes back to the queue of a full owner although its last owner has named one that can start it, and against
@@ -62,8 +75,8 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				ctx, cancel := context.WithCancel(context.Background())
-				h, out, first := newSuggestionTest(ctx)
+				h, out, first, end := newSuggestionTest()
+				defer end()
 				out.workerOwners = map[string]string{"w": testOwner}
 				if c.prepare != nil {
 					c.prepare(h, first)
@@ -77,16 +90,13 @@
 				}
 				h.Report(PoolRef{Owner: source, Backend: "s"}, r)
 				time.Sleep(2 * tickInterval)
-				cancel()
-				synctest.Wait()
-				h.Close()
 				if c.want == "" {
 					require.Len(t, out.sentOrders(), 1)
 					return
 				}
 				require.Len(t, out.sentOrders(), 2)
 				second := out.sentOrders()[1]
-				require.Equal(t, c.want, out.orderOwners[1])
+				require.Equal(t, c.want, out.owners()[1])
 				require.Equal(t, c.want == suggestedOwner, second.Suggested)
 				require.Greater(t, second.Key.Run, first.Key.Run, "number of the next run")
 			})
@@ -97,8 +107,8 @@
 // Guards against a suggestion that is followed when the free capacity is gone: the home may not order the task at once.
 func TestOldSuggestionIsNotFollowed(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		ctx, cancel := context.WithCancel(context.Background())
-		h, out, first := newSuggestionTest(ctx)
+		h, out, first, end := newSuggestionTest()
+		defer end()
 		for j := range h.lockedJobs() {
 			j.ordersFrom = time.Now().Add(2 * suggestionLife)
 		}
@@ -106,10 +116,7 @@
 			Key: first.Key, State: contract.RunEnded, NextOwner: suggestedOwner,
 		})
 		time.Sleep(4 * suggestionLife)
-		cancel()
-		synctest.Wait()
-		h.Close()
-		require.Equal(t, []string{testOwner, testOwner}, out.orderOwners)
+		require.Equal(t, []string{testOwner, testOwner}, out.owners())
 	})
 }
 
@@ -117,21 +124,14 @@
 // capacity all the time.
 func TestSuggestedRunIsNotRecalledAtOnce(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		ctx, cancel := context.WithCancel(context.Background())
-		h, out, first := newSuggestionTest(ctx)
+		h, out, first, end := newSuggestionTest()
+		defer end()
 		h.Report(PoolRef{Owner: testOwner, Backend: "s"}, contract.RunReport{
 			Key: first.Key, State: contract.RunEnded, NextOwner: suggestedOwner,
 		})
 		time.Sleep(suggestedStay - tickInterval)
-		out.mu.Lock()
-		require.Empty(t, out.recalls)
-		out.mu.Unlock()
+		require.Empty(t, out.recalled())
 		time.Sleep(3 * tickInterval)
-		out.mu.Lock()
-		require.NotEmpty(t, out.recalls, "a run that waits there for long is moved")
-		out.mu.Unlock()
-		cancel()
-		synctest.Wait()
-		h.Close()
+		require.NotEmpty(t, out.recalled(), "a run that waits there for long is moved")
 	})
 }
--- a/edge/stealing_test.go
+++ b/edge/stealing_test.go
@@ -52,7 +52,10 @@
 	s.answer = d.submit(s.home, testJob(stolenJob, stolenTasks, 20*time.Second))
 	// The periodic checks of the home are as far away as possible.
 	time.Sleep(300*time.Millisecond + tickInterval/5)
-	require.Positive(t, s.waitingAt(s.full), "tasks wait at the full owner")
+	if s.waitingAt(s.full) == 0 {
+		d.close()
+		require.Fail(t, "no task waits at the full owner")
+	}
 	return s
 }
 
--- a/pool/steal.go
+++ b/pool/steal.go
@@ -85,26 +85,37 @@
 	return gaps
 }
 
-// hostsToOffer returns the workers whose free capacity may be offered now, the largest first, and the time until that of another
-// one may be, zero if there is none. p.mu is held.
+// settled reports whether the runs that the last offer has led to have arrived.
+func (o gapOffer) settled(now time.Time) bool { return now.Sub(o.at) >= offerRepeat }
+
+// hostsToOffer returns the workers whose free capacity is offered now, the largest first, and the time until that of another one
+// may be, zero if there is none. If any is due, those that are to be offered again later are offered too, so that one message does
+// for all. p.mu is held.
 func (p *Pool) hostsToOffer(now time.Time) (hosts []*ownedHost, wait time.Duration) {
 	candidates := p.hostsWithCapacity(now)
 	p.waiting.sort(now, 1)
 	reserved, _ := p.reserve(now)
+	var later []*ownedHost
 	for _, h := range candidates {
 		free := h.host.Free()
 		if h == reserved || h == p.emptying || h.hasAlone() || !free.Fits(p.minGap()) {
 			continue
 		}
 		due := h.offer.due(free, now)
-		if due == 0 {
+		switch {
+		case due == 0:
 			hosts = append(hosts, h)
 			due = offerRepeat
+		case h.offer.settled(now):
+			later = append(later, h)
 		}
 		if wait == 0 || due < wait {
 			wait = due
 		}
 	}
+	if len(hosts) > 0 {
+		hosts = append(hosts, later...)
+	}
 	slices.SortStableFunc(hosts, func(a, b *ownedHost) int {
 		return cmp.Compare(b.host.Free().CPUMillis, a.host.Free().CPUMillis)
 	})
--- a/pool/steal_test.go
+++ b/pool/steal_test.go
@@ -126,8 +126,8 @@
 			running,
 		}
 		late := contract.RunKey{Batch: "late", Run: 5}
-		f.pool.o.LateStarts.Record(contract.LateStart{Task: late.Task(), Worker: "w0", Until: time.Now().Add(time.Minute)})
 		bound = append(bound, queued("late", func(*contract.TaskOrder) {}))
+		f.pool.o.LateStarts.Record(contract.LateStart{Task: late.Task(), Worker: "w0", Until: time.Now().Add(time.Minute)})
 		f.pool.GiveUp(testInviter, []contract.FreeGap{gapOf(100_000, 1, 100)})
 		require.Equal(t, contract.RunEnded, f.state(free))
 		for _, key := range bound {
@@ -279,3 +279,24 @@
 		require.False(t, slices.ContainsFunc(gaps, func(g contract.FreeGap) bool { return g.Free.CPUMillis < 2000 || g.Tasks != 2 }))
 	})
 }
+
+// Guards against a message for each worker that has been idle for long while runs wait elsewhere that fit nowhere: their free
+// capacity is offered at once once any of it is due. The offers to 3 idle workers of a pool are counted over 10 s; the third one
+// becomes idle later.
+func TestOffersOfIdleWorkersAreJoined(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(3)
+		defer f.pool.Close()
+		f.roomCalls()
+		f.setRunTime("job", 130*time.Millisecond)
+		f.order("job", 2000, 0, time.Second, 5*time.Second)
+		synctest.Wait()
+		messages := 0
+		for end := time.Now().Add(10 * time.Second); time.Now().Before(end); time.Sleep(offerSpacing) {
+			if len(f.pool.Offer()) > 0 {
+				messages++
+			}
+		}
+		require.LessOrEqual(t, messages, int(10*time.Second/maxOfferRepeat)+5)
+	})
+}
