--- a/batch/advance.go
+++ b/batch/advance.go
@@ -32,6 +32,7 @@
 	if j.state == jobActive {
 		h.checkDeadline(j, now, out)
 		h.checkIsolation(j, now, out)
+		h.checkShedding(j, now, out)
 	}
 	for i := range j.tasks {
 		h.advanceTask(j, &j.tasks[i], now, out)
@@ -67,7 +68,7 @@
 		h.unplace(t, true)
 	}
 	switch {
-	case j.state != jobActive:
+	case j.state != jobActive || j.shedding != keep:
 	case j.earlier != nil || now.Before(j.ordersFrom) || now.Sub(j.provenUntil) > orderProofLimit:
 	case t.state == taskUnplaced && !now.Before(t.retryAt) && j.stepReady(t.step) && !h.pause.paused(h.o.Now()):
 		h.place(j, t, now, out)
@@ -95,7 +96,8 @@
 		h.o.Capacity.ShouldMove(j.batch.Backend, t.owner, j.steps[t.step].expected)
 }
 
-// checkDeadline ends a job whose deadline has passed, or refuses one that has not started and cannot end before it.
+// checkDeadline ends a job whose deadline has passed, or refuses one that has not started and cannot end before it or be served
+// anywhere.
 func (h *Home) checkDeadline(j *job, now time.Time, out *outbox) {
 	switch {
 	case !now.Before(j.batch.Deadline):
@@ -105,6 +107,10 @@
 	case !j.mayHaveRun && j.queued() && j.forecast(h.answerBy(j.batch, j.provenUntil, now, out)).shouldRefuse(now):
 		h.counter(metric.BatchJobsRefused).Inc(1)
 		h.endJob(j, Refused, "no room in time", now, out)
+	case !j.mayHaveRun && j.queued() && h.hasEvacuatedTask(j):
+		h.counter(metric.BatchJobsEvacuated).Inc(1)
+		h.endJob(j, Refused, evacuatedReason, now, out)
+		j.answer.RetryAfter = evacuationRetry
 	}
 }
 
@@ -182,8 +188,8 @@
 		if j.mayHaveRun || h.anyLateStart(&j.batch) {
 			j.answer.Outcome = Abandoned
 		}
-		if wait, ok := h.o.Capacity.Wait(j.batch.Backend, j.batch.Priority); ok {
-			j.answer.RetryAfter = wait
+		if j.answer.RetryAfter == 0 {
+			j.answer.RetryAfter = h.retryAfter(&j.batch)
 		}
 	}
 	if len(j.waiters) > 0 || j.noLiveRuns() {
@@ -266,6 +272,7 @@
 				"expires_in", max(t.expiresAt.Sub(now), 0))
 		}
 	}
+	h.announceStart(j, r, out)
 }
 
 // proves reports whether an owner's report says something about the current run. An owner other than the current one can
--- /dev/null
+++ b/clientlimit/process.go
@@ -0,0 +1,84 @@
+package clientlimit
+
+import (
+	"log/slog"
+	"net"
+
+	"github.com/rcrowley/go-metrics"
+	"golang.org/x/sys/unix"
+
+	"github.com/cicadadale/cicadadale/metric"
+)
+
+const (
+	// checkConnections is the number of connections that the balancer's checks or the metrics may have.
+	checkConnections = 32
+	checkHeadBytes   = 16 << 10
+	checkBodyBytes   = 4 << 10
+)
+
+// Process is what the clients of a process share.
+type Process struct {
+	vm VM
+	// requests is the budget for requests over HTTP/1.1, calls that for unfinished messages over HTTP/2. A process serves clients by one of
+	// them.
+	requests, calls *Budget
+	tasks           TaskRoom
+	logger          *slog.Logger
+	metrics         metrics.Registry
+}
+
+// NewProcess returns the limits of a process on a VM. If the VM does not state its descriptors, the limit of the process applies.
+func NewProcess(vm VM, logger *slog.Logger, r metrics.Registry) *Process {
+	if vm.Descriptors <= 0 {
+		vm.Descriptors = descriptorLimit()
+	}
+	return &Process{vm: vm, requests: NewBudget(vm.RequestBytes()), calls: NewBudget(vm.CallBytes()),
+		tasks: TaskRoom{NewBudget(int64(vm.Tasks()))}, logger: logger, metrics: r}
+}
+
+// descriptorLimit returns the number of descriptors that the process may have, 0 if it is not known.
+func descriptorLimit() int {
+	var l unix.Rlimit
+	if err := unix.Getrlimit(unix.RLIMIT_NOFILE, &l); err != nil {
+		return 0
+	}
+	return int(min(l.Cur, 1<<30))
+}
+
+// Tasks returns the room for the tasks of accepted jobs.
+func (p *Process) Tasks() TaskRoom { return p.tasks }
+
+// NoteTasksRefused counts a job that was refused for want of room for its tasks.
+func (p *Process) NoteTasksRefused() {
+	metrics.GetOrRegisterCounter(metric.ClientsNoTaskRoom, p.metrics).Inc(1)
+}
+
+// Clients returns the options of the listener for clients.
+func (p *Process) Clients(limits func() Limits) Options {
+	return p.options(p.vm.Connections(), limits)
+}
+
+// Checks returns the options of a listener for the balancer's checks or for metrics.
+func (p *Process) Checks() Options {
+	limits := Limits{HeadBytes: checkHeadBytes, BodyBytes: checkBodyBytes}.WithDefaults()
+	return p.options(checkConnections, func() Limits { return limits })
+}
+
+func (p *Process) options(connections int, limits func() Limits) Options {
+	return Options{Connections: connections, Budget: p.requests, Limits: limits, Logger: p.logger, Metrics: p.metrics}
+}
+
+// Calls returns the options of a listener for calls over HTTP/2.
+func (p *Process) Calls() Options {
+	limits := Limits{}.WithDefaults()
+	o := p.options(p.vm.CallConnections(), func() Limits { return limits })
+	o.Bare = true
+	return o
+}
+
+// LimitCalls bounds the unfinished messages on a connection for calls over HTTP/2, above TLS.
+func (p *Process) LimitCalls(conn net.Conn) net.Conn {
+	refused := newCounters(p.metrics)
+	return &CallConn{Conn: conn, budget: p.calls, scanner: NewFrameScanner(), note: func(r Refusal) { refused[r].Inc(1) }}
+}
--- a/contract/batch.go
+++ b/contract/batch.go
@@ -65,6 +65,9 @@
 	Deadline time.Time
 }
 
+// MaxSpecBytes bounds the specification of the tasks of a batch. Each start of a task carries a copy.
+const MaxSpecBytes = 4_000
+
 // MaxBatchTasks bounds the tasks of a batch, so that one submission cannot use up the memory of its home.
 const MaxBatchTasks = 10_000
 
@@ -101,6 +104,8 @@
 	// OnlyWorker is the worker that may still execute an earlier start of the task. The run starts there and on no other
 	// worker. Empty for any worker.
 	OnlyWorker string
+	// JobStarted is set if another task of the job has started.
+	JobStarted bool
 	// Route is the route of the job.
 	Route string
 	// Alone is set for a task under which a worker has crashed: it runs on a worker without other runs, so that its next
--- a/edge/daemon.go
+++ b/edge/daemon.go
@@ -24,11 +24,6 @@
 	// the store passes the new one to all within milliseconds. desiredStateRetry is the pause between requests.
 	desiredStateLag   = 300 * time.Millisecond
 	desiredStateRetry = 500 * time.Millisecond
-	// joinDelay is how long a starting process waits for the other members before it owns workers. Without it, a process
-	// that does not know the others yet would acquire all workers.
-	joinDelay = 400 * time.Millisecond
-	// joinLimit ends the wait for members that are listed but do not answer.
-	joinLimit = 2 * time.Second
 	// publishRetry is the pause before this process is announced again after a failed call.
 	publishRetry = time.Second
 	// assignInterval is the longest time between two assignments of workers to owners.
@@ -52,7 +47,8 @@
 	FollowWorkers(ctx context.Context, active func() bool, f func([]machine.Listing))
 	// SinceWorkersRead returns the time since entries of workers were last read. Workers renew them every 1.5 s.
 	SinceWorkersRead() time.Duration
-	FollowDesired(ctx context.Context, f func(contract.Desired))
+	// FollowDesired reads what the operator publishes: the desired state, and the evacuations after each change.
+	FollowDesired(ctx context.Context, desired func(contract.Desired), evacuations func(contract.Evacuations))
 	FollowMembers(ctx context.Context, f func(machine.MemberList))
 	PublishMember(ctx context.Context, m machine.Member) error
 	RemoveMember(ctx context.Context, vm string) error
@@ -72,6 +68,10 @@
 	Lease time.Duration
 	// Grace is the time from the order to stop to the end of the process.
 	Grace time.Duration
+	// AdaptStartTimeout makes the timeout of starts follow the time in which workers answer them.
+	AdaptStartTimeout bool
+	// AvoidSlow places tasks at owners that can start them on a worker that is not slow.
+	AvoidSlow bool
 	// Overload selects what is done while there is too little room on the workers.
 	Overload contract.OverloadPolicy
 	Now      func() time.Time
@@ -95,17 +95,18 @@
 	announcedLate announcedLateStarts
 	entrusted     *entrustedStarts
 	// ownership is that of the last assignment of workers.
-	ownership  ownership
-	confined   *contract.Confinement
-	home       *batch.Home
-	server     *link.PeerServer
-	workers    *workers
-	feed       *workerFeed
-	entries    *entryRequests
-	announced  *announcements
-	cancel     context.CancelFunc
-	goroutines sync.WaitGroup
-	started    time.Time
+	ownership   ownership
+	evacuations evacuations
+	confined    *contract.Confinement
+	home        *batch.Home
+	server      *link.PeerServer
+	workers     *workers
+	feed        *workerFeed
+	entries     *entryRequests
+	announced   *announcements
+	cancel      context.CancelFunc
+	goroutines  sync.WaitGroup
+	started     time.Time
 	// firstTimestamp is the timestamp of the start. It is random, so that a timestamp of a previous process of the VM
 	// proves nothing.
 	firstTimestamp uint64
@@ -152,7 +153,7 @@
 func New(o Options) (*Daemon, error) {
 	ctx, cancel := context.WithCancel(context.Background())
 	d := &Daemon{
-		o: o, self: o.Self.ID(), capacity: zone.NewCapacityView(o.Self.ID(), o.Self.Domain), cancel: cancel, started: o.Now(),
+		o: o, self: o.Self.ID(), capacity: newCapacityView(o), cancel: cancel, started: o.Now(),
 		firstTimestamp: rand.Uint64N(timestampRange),
 		pools:          make(map[string]*pool.Pool), lastPresent: make(map[string]time.Time), workers: newWorkers(o.Logger),
 		crashes: contract.NewCrashLedger(), cancels: contract.NewCancelLedger(), held: contract.NewHeldLedger(),
@@ -162,8 +163,8 @@
 	d.members = newMembers(o.Self, d.dialPeer, o.Logger)
 	d.home = batch.New(batch.Options{
 		Self: d.self, Owners: owners{d}, Members: membership{d}, Capacity: d.capacity, Crashes: d.crashes,
-		Cancels: d.cancels, Held: d.held, Fits: d.fits, LateStarts: d.lateStarts, OwnerOf: d.ownerOf,
-		Now: o.Now, Logger: o.Logger, Metrics: o.Metrics,
+		Cancels: d.cancels, Held: d.held, Fits: d.fits, Evacuated: d.evacuated, LateStarts: d.lateStarts, OwnerOf: d.ownerOf,
+		Overload: o.Overload, Now: o.Now, Logger: o.Logger, Metrics: o.Metrics,
 	})
 	d.entries = newEntryRequests(d.members)
 	d.announced = &announcements{members: d.members}
@@ -176,13 +177,23 @@
 	}
 	d.server = server
 	d.spawn(func() { o.Store.FollowWorkers(ctx, d.feed.Reads, d.handleWorkerList) })
-	d.spawn(func() { o.Store.FollowDesired(ctx, func(s contract.Desired) { d.setDesired(s, "store") }) })
+	d.spawn(func() {
+		o.Store.FollowDesired(ctx, func(s contract.Desired) { d.setDesired(s, "store") },
+			func(e contract.Evacuations) { d.setEvacuations(e, "store") })
+	})
 	d.spawn(func() { o.Store.FollowMembers(ctx, func(list machine.MemberList) { d.setMembers(ctx, list) }) })
 	d.spawn(func() { d.announce(ctx) })
 	d.spawn(func() { d.run(ctx) })
 	return d, nil
 }
 
+func newCapacityView(o Options) *zone.CapacityView {
+	if o.AvoidSlow {
+		return zone.NewSpeedAwareCapacityView(o.Self.ID(), o.Self.Domain)
+	}
+	return zone.NewCapacityView(o.Self.ID(), o.Self.Domain)
+}
+
 func (d *Daemon) spawn(f func()) {
 	d.goroutines.Add(1)
 	go func() {
@@ -264,21 +275,6 @@
 	d.requestEntries(now)
 }
 
-// join lets a starting process own workers once it knows the other members. It reports whether that happened now.
-func (d *Daemon) join(now time.Time) bool {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	if d.joined || d.stopping || !d.membersRead || now.Sub(d.started) < joinDelay {
-		return false
-	}
-	if !d.members.AllLive() && now.Sub(d.started) < joinLimit {
-		return false
-	}
-	d.joined = true
-	d.o.Logger.Info("joined the deployment; ready to own workers", "members", d.members.Count()+1)
-	return true
-}
-
 // handleDeparture informs all components that a process can no longer be reached.
 func (d *Daemon) handleDeparture(member string) {
 	d.capacity.Remove(member)
@@ -308,7 +304,8 @@
 	if !ok {
 		p = pool.New(pool.Options{
 			Backend: backend, Calls: d.o.Calls, Lease: d.o.Lease, Now: d.o.Now, Logger: d.o.Logger, Metrics: d.o.Metrics,
-			Policy:   poolPolicy(d.desired, backend),
+			AdaptStartTimeout: d.o.AdaptStartTimeout, Overload: d.o.Overload,
+			Policy:   poolPolicy(d.desired, d.evacuations.get(), backend),
 			Report:   func(home string, r contract.RunReport) { d.report(home, backend, r) },
 			Takeover: d.takeover, Crashed: d.workerCrashed, Confinement: d.confined,
 			LateStarts: d.lateStarts, LateStart: d.lateStart, WorkerReplaced: d.workerReplaced,
@@ -356,14 +353,17 @@
 	d.mu.Lock()
 	desired := d.desired
 	d.mu.Unlock()
+	evacuations := d.evacuations.get()
 	for backend, p := range d.allPools() {
-		p.SetPolicy(poolPolicy(desired, backend))
+		p.SetPolicy(poolPolicy(desired, evacuations, backend))
 	}
 }
 
-// poolPolicy returns what a desired state says of the workers of a back end.
-func poolPolicy(desired contract.Desired, backend string) pool.Policy {
-	return pool.Policy{GuardsCapacity: desired.Backends[backend].GuardsCapacity, SoleBackend: desired.SoleBackend()}
+// poolPolicy returns what the operators say of the workers of a back end.
+func poolPolicy(desired contract.Desired, evacuations contract.Evacuations, backend string) pool.Policy {
+	return pool.Policy{
+		GuardsCapacity: desired.Backends[backend].GuardsCapacity, SoleBackend: desired.SoleBackend(), Evacuations: evacuations,
+	}
 }
 
 // setMembers applies the store's list of members.
@@ -386,14 +386,6 @@
 	}
 }
 
-// Ready reports whether this process can accept jobs. It does not have to own workers yet: jobs wait for owners, which
-// are known within half a second, while the balancer checks only once a second.
-func (d *Daemon) Ready() bool {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	return !d.stopping && d.desired.Version != 0
-}
-
 // Close stops all components at once.
 func (d *Daemon) Close() {
 	d.cancel()
--- a/edge/front.go
+++ b/edge/front.go
@@ -22,6 +22,13 @@
 	return route, found, true
 }
 
+// RequestLimits returns the limits of requests in the desired state, zero values while there is none.
+func (d *Daemon) RequestLimits() contract.RequestLimits {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.desired.Limits
+}
+
 // Submit runs a job and returns its answer. While the process is stopping, it shortens the job's deadline to fit the
 // grace period.
 func (d *Daemon) Submit(ctx context.Context, b contract.Batch) batch.Answer {
@@ -30,12 +37,17 @@
 
 // SubmitFrom is Submit for a caller that the home can look at itself.
 func (d *Daemon) SubmitFrom(ctx context.Context, c batch.Caller, b contract.Batch) batch.Answer {
+	d.limitDeadline(&b)
+	return d.home.SubmitFrom(ctx, c, b)
+}
+
+// limitDeadline makes the deadline of a job fit the grace period while the process is stopping.
+func (d *Daemon) limitDeadline(b *contract.Batch) {
 	d.mu.Lock()
+	defer d.mu.Unlock()
 	if end := d.answerBy(); d.stopping && end.Before(b.Deadline) {
 		b.Deadline = end
 	}
-	d.mu.Unlock()
-	return d.home.SubmitFrom(ctx, c, b)
 }
 
 // answerBy returns the time by which a stopping process must have answered its jobs. d.mu is held.
--- a/pool/match.go
+++ b/pool/match.go
@@ -38,9 +38,22 @@
 	p.updateConfinementRanks()
 	p.updateEmptying(now)
 	p.startBound(now, fx)
+	if p.o.Overload.Shed {
+		p.startByShares(now, fx)
+		return
+	}
+	p.startByPriority(now, fx)
+}
+
+// startByPriority starts queued tasks in the order of queue.sort. p.mu is held.
+func (p *Pool) startByPriority(now time.Time, fx *effects) {
 	var reserved *ownedHost
 	first := 0
 	for _, h := range p.hostsWithCapacity(now) {
+		if !p.waiting.anyFits(h.host.Free()) {
+			// At a demand peak most workers have gaps that are too small for any queued task, and sorting takes much longer.
+			continue
+		}
 		p.waiting.sort(now, h.host.Speed())
 		if reserved == nil {
 			reserved, first = p.reserve(now)
@@ -178,7 +191,7 @@
 func (p *Pool) largestFree(o contract.TaskOrder) *ownedHost {
 	var best *ownedHost
 	for _, h := range p.hosts {
-		if h == p.emptying || h.hasAlone() || h.host.Token == 0 || h.host.Draining() || !h.host.CanHold(o.Need, o.RequiredLabel) {
+		if h == p.emptying || h.hasAlone() || h.host.Token == 0 || !h.host.Schedulable() || !h.host.CanHold(o.Need, o.RequiredLabel) {
 			continue
 		}
 		if best == nil || h.host.Free().CPUMillis > best.host.Free().CPUMillis {
@@ -199,6 +212,10 @@
 	r.progress, r.progressAt, r.token, r.workerStart = 0, now, h.host.Token, h.host.StartTime
 	r.stopAnswered, r.startUnanswered, r.reportedUnanswered = false, false, false
 	p.markCommitted(r.order.Key.Batch, now)
+	if p.o.Overload.Shed {
+		p.shares.add(r.order.Route, r.order.Expected, r.order.Need.CPUMillis, now)
+		p.shares.count(p.isLarge(r), true, now)
+	}
 	fx.starts = append(fx.starts, p.startCall(r, h, now))
 	h.wake()
 }
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -5,6 +5,7 @@
 	"log/slog"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
@@ -46,7 +47,9 @@
 	Calls   link.HostCalls
 	// Lease is the longest lease that workers grant.
 	Lease time.Duration
-	// Policy is what the present desired state says of the workers; see SetPolicy.
+	// AdaptStartTimeout makes the timeout of starts follow the time in which workers answer them.
+	AdaptStartTimeout bool
+	// Policy is what the operators say of the workers at present; see SetPolicy.
 	Policy Policy
 	// Report sends the state of a run to its home. It is called without holding the lock of the pool.
 	Report func(home string, r contract.RunReport)
@@ -56,6 +59,8 @@
 	Crashed func(c contract.WorkerCrash)
 	// Yield reports whether this VM leaves workers that it has lost to another one. It may be nil.
 	Yield func() bool
+	// Overload selects how the queue is ordered while there is too little room.
+	Overload contract.OverloadPolicy
 	// Confinement names the routes whose tasks start only on some workers.
 	Confinement *contract.Confinement
 	// LateStarts records the starts without a reply. All pools of a VM share it; nil means one of its own.
@@ -94,11 +99,18 @@
 	// typicalSize is the moving average of the sizes of ordered tasks, zero until the first one is ordered.
 	typicalSize machine.Resources
 	policy      Policy
+	// callTimes is how long workers take to answer starts.
+	callTimes callTimes
+	// evacuated is the set of policy, for checks that do not wait for mu. It is replaced under mu.
+	evacuated atomic.Pointer[contract.Evacuations]
 	// emptying is the worker that is kept free of other tasks for the next task that runs alone; nil if there is none.
 	emptying *ownedHost
 	// confinementRank ranks the workers from 0 to 1: tasks of a route that is confined to a share of the workers start on
 	// those with a lower rank. It is empty while no route is confined.
 	confinementRank map[*ownedHost]float64
+	// shares is what each route has used lately, shareOrder the order of the queue by it.
+	shares     shares
+	shareOrder shareOrder
 	// offeredAt is when free capacity was last offered, offerDue when offerTimer calls Options.Room; offerTimer is nil while no
 	// call is due.
 	offeredAt  time.Time
@@ -115,10 +127,12 @@
 		barredRuns: make(map[contract.RunKey]barredRun), speeds: make(map[string]float64),
 		onWorkers:  make(map[contract.RunKey]int),
 		lastStarts: make(map[string]time.Time), confinementRank: make(map[*ownedHost]float64), policy: o.Policy,
+		shares: newShares(), shareOrder: shareOrder{used: make(map[shareKey]*float64)},
 	}
 	if p.o.LateStarts == nil {
 		p.o.LateStarts = contract.NewLateStartLedger()
 	}
+	p.evacuated.Store(&o.Policy.Evacuations)
 	p.spawn(p.sweepPeriodically)
 	return p
 }
@@ -198,12 +212,18 @@
 		// The home knows of a late start of which this VM may not have heard.
 		p.o.LateStarts.Record(contract.LateStart{Task: o.Key.Task(), Worker: o.OnlyWorker, Until: now.Add(contract.LateStartRetention)})
 	}
-	r := &run{order: o, home: home, refreshedAt: sentAfter, queuedAt: now, claimed: true}
-	_, r.committed = p.lastStarts[o.Key.Batch]
-	r.veryLateAfter = o.Accepted.Add(veryLateFactor * o.Target.Sub(o.Accepted))
+	p.enqueue(&run{order: o, home: home, refreshedAt: sentAfter, queuedAt: now, claimed: true}, now)
+}
+
+// enqueue queues a new run. p.mu is held.
+func (p *Pool) enqueue(r *run, now time.Time) {
+	o := r.order
+	_, started := p.lastStarts[o.Key.Batch]
+	r.committed = started || o.JobStarted
 	p.runs[o.Key] = r
 	p.waiting.push(r)
-	p.recordSuggested(home, o)
+	p.shares.count(p.isLarge(r), false, now)
+	p.recordSuggested(r.home, o)
 	p.learnSize(o.Need)
 }
 
@@ -230,7 +250,7 @@
 		return p.hosts[o.OnlyWorker] != nil
 	}
 	for _, h := range p.hosts {
-		if !h.host.Draining() && h.host.CanHold(o.Need, o.RequiredLabel) {
+		if h.host.Schedulable() && h.host.CanHold(o.Need, o.RequiredLabel) {
 			return true
 		}
 	}
@@ -417,6 +437,7 @@
 // dropExpired drops records that are not needed any more. p.mu is held.
 func (p *Pool) dropExpired(now time.Time) {
 	p.o.LateStarts.Expire(now)
+	p.shares.dropUnused(now)
 	for k, b := range p.barredRuns {
 		if now.Sub(b.at) > finalRetention && !p.o.LateStarts.Has(k) {
 			delete(p.barredRuns, k)
--- a/pool/run.go
+++ b/pool/run.go
@@ -37,11 +37,10 @@
 	// crashed is set if the worker has crashed while the run may have been on it. It says nothing about when the run ends.
 	crashed bool
 
-	// committed is set once another task of the job has been started in this pool.
+	// committed is set once another task of the job is known to have been started.
 	committed bool
-	// veryLateAfter is the time after which an answer is worth little, class the lateness found by the last sort.
-	veryLateAfter time.Time
-	class         lateness
+	// class is the usefulness found by the last sort.
+	class contract.Usefulness
 
 	queuedAt    time.Time
 	refreshedAt time.Time
@@ -128,6 +127,7 @@
 	run      *run
 	host     *ownedHost
 	token    uint64
+	domain   string
 	leaseEnd time.Duration
 	// decidedAt is the time of the decision, workerStart the start time of the worker's incarnation known then, entryStart that
 	// of the incarnation which the worker's entry described.
@@ -297,6 +297,6 @@
 	p.waiting.push(r)
 	p.counter(metric.PoolStartsRejected).Inc(1)
 	if !p.feasible(r.order) {
-		p.finish(r, contract.RunInfeasible, proofNotStarted, 0, fx)
+		p.returnRun(r, fx)
 	}
 }
