hostile: entry daemons without an admin address

Cause: TestEntryConnectionsBeyondTheDescriptors and TestEntryUnfinishedMessages failed in one run because the entry daemon had ended: its settings left listen.admin at its default, 127.0.0.1:7003, which another process of the machine may use.

Change: the settings switch the admin side off. Crowd and bounds are unchanged.

--- a/hostile/entry_test.go
+++ b/hostile/entry_test.go
@@ -48,7 +48,7 @@
 	startProcess(t, "standin", "--listen", platform, "--workers", "1", "--slots", "4", "--service", "glashaus.v1.Booking",
 		"--entry", strings.Join([]string{"entry-1", "1", peers, callers}, ";"))
 	path := filepath.Join(t.TempDir(), "entry.toml")
-	text := fmt.Sprintf("[vm]\nid = \"entry-1\"\nfailure_domain = 1\n[listen]\ncallers = %q\npeers = %q\n"+
+	text := fmt.Sprintf("[vm]\nid = \"entry-1\"\nfailure_domain = 1\n[listen]\ncallers = %q\npeers = %q\nadmin = \"\"\n"+
 		"[platform]\nlog = \"http://%s\"\nlist = \"http://%s\"\n[schema]\nfiles = [\"schemas/glashaus.proto\"]\n", callers, peers, platform, platform)
 	require.NoError(t, os.WriteFile(path, []byte(text), 0o600))
 	d := &entryDaemon{process: startProcess(t, "entry", "--settings", path), callers: callers}
