pool: tests of stealing without data races

Cause: go test -race found that two tests of stealing read what other goroutines write: the number of calls, and the pools while they are created.

Change: the number is read under its lock; workers are added once all pools exist.

--- a/pool/steal_test.go
+++ b/pool/steal_test.go
@@ -171,17 +171,21 @@
 	})
 }
 
-// roomCalls counts the calls of Options.Room of a fixture.
-func (f *fixture) roomCalls() *int {
-	n := new(int)
+// roomCalls counts the calls of Options.Room of a fixture. The result returns their number.
+func (f *fixture) roomCalls() func() int {
+	n := 0
 	f.pool.mu.Lock()
 	defer f.pool.mu.Unlock()
 	f.pool.o.Room = func() {
 		f.mu.Lock()
 		defer f.mu.Unlock()
-		*n++
+		n++
+	}
+	return func() int {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		return n
 	}
-	return n
 }
 
 // Guards against invitations without free capacity, and against ones that are repeated for the same free capacity as fast as
@@ -246,18 +250,18 @@
 		f.setRunTime("job", 50*time.Millisecond)
 		f.order("job", 2000, 0, time.Second, 5*time.Second)
 		synctest.Wait()
-		before := *calls
+		before := calls()
 		time.Sleep(20 * time.Millisecond)
-		require.Equal(t, before, *calls, "the worker is full")
+		require.Equal(t, before, calls(), "the worker is full")
 		time.Sleep(31 * time.Millisecond)
 		synctest.Wait()
-		require.Greater(t, *calls, before, "the run has ended")
+		require.Greater(t, calls(), before, "the run has ended")
 		require.Len(t, f.pool.Offer(), 1)
-		before = *calls
+		before = calls()
 		time.Sleep(offerRepeat)
 		synctest.Wait()
-		require.Greater(t, *calls, before, "the offer may be repeated")
-		require.Less(t, *calls, before+4)
+		require.Greater(t, calls(), before, "the offer may be repeated")
+		require.Less(t, calls(), before+4)
 	})
 }
 
--- a/pool/stealload_test.go
+++ b/pool/stealload_test.go
@@ -67,9 +67,9 @@
 // newLoadedPools returns pools whose workers have 32 cores, a third of them 48 cores and 2.4 times the speed.
 func newLoadedPools(steal bool) *loadedPools {
 	l := &loadedPools{rng: rand.New(rand.NewPCG(1, 2)), tasks: make(map[string]*loadedTask), registry: metrics.NewRegistry()}
+	listings := make([][]machine.Listing, loadPools)
 	for i := range loadPools {
 		calls := &hostCalls{hosts: make(map[string]*standin.RunHost)}
-		var list []machine.Listing
 		for w := range loadWorkers {
 			capacity, speed := machine.Resources{CPUMillis: 32_000, MemoryMB: 1000}, 1.0
 			if w%3 == 0 {
@@ -83,7 +83,7 @@
 				Need: func(k contract.RunKey) machine.Resources { return l.task(k).order.Need },
 			})
 			calls.hosts[id] = h
-			list = append(list, machine.Listing{Worker: id, Backend: "s", Address: id, StartTime: h.StartTime(), Capacity: capacity})
+			listings[i] = append(listings[i], machine.Listing{Worker: id, Backend: "s", Address: id, StartTime: h.StartTime(), Capacity: capacity})
 		}
 		o := Options{
 			Backend: "s", Calls: calls, Lease: time.Second, Policy: Policy{GuardsCapacity: true, SoleBackend: true}, Now: time.Now,
@@ -96,7 +96,9 @@
 		}
 		l.pools = append(l.pools, New(o))
 		l.views = append(l.views, zone.NewCapacityView(ownerName(i), "z"))
-		l.pools[i].SetHosts(list)
+	}
+	for i, p := range l.pools {
+		p.SetHosts(listings[i])
 	}
 	return l
 }
