pool: the start timeout grows when all answers become slower

Cause: only answered starts entered the averages, so once all answers took longer than the adapted timeout none was recorded any more. Each start was in doubt from then on, its worker was avoided and the start was announced to all members.

Change: a start without a reply doubles the timeout, up to the fixed one, until a start is answered. A lost reply lengthens only the next few calls.

--- a/pool/hostcalls_test.go
+++ b/pool/hostcalls_test.go
@@ -20,6 +20,8 @@
 	spoilStarts atomic.Bool
 	// delayPolls makes polls take a round trip.
 	delayPolls atomic.Bool
+	// answerDelay is the time in nanoseconds for which the answers to starts are under way; the workers execute the starts at once.
+	answerDelay atomic.Int64
 	// writeDelay is the time from the decision on a start until it is written.
 	writeDelay time.Duration
 }
@@ -37,7 +39,15 @@
 		}
 		ctx = context.Background()
 	}
-	return c.hosts[a.Worker].Start(ctx, s)
+	verdict, reply, err := c.hosts[a.Worker].Start(ctx, s)
+	if d := time.Duration(c.answerDelay.Load()); d > 0 {
+		select {
+		case <-time.After(d):
+		case <-ctx.Done():
+			return 0, link.HostReply{}, fault.InDoubt.New("worker %s does not answer in time", a.Worker)
+		}
+	}
+	return verdict, reply, err
 }
 
 func (c *hostCalls) Stop(
--- a/pool/start.go
+++ b/pool/start.go
@@ -202,6 +202,9 @@
 	if !notStarted {
 		p.counter(metric.PoolStartsInDoubt).Inc(1)
 	}
+	if !notStarted && !errorx.HasTrait(err, fault.Answered) {
+		p.callTimes.recordUnanswered()
+	}
 	return notStarted
 }
 
