pool: a run waits for a faster worker only if one can take it, and no slow one is kept free for it

Cause: a run that would be late on a slow worker waited as long as any faster worker was usable, also one without the label, the memory or, while its route is confined, the rank that it needs. The reservation and the emptying of a worker did not ask whether the run starts there, so a slow worker stayed idle for a run that waited for a better one.

Change: waitsForFaster looks for a worker that can hold the run; the order of the queue, reservations and emptied workers ask it. Workers that run a bound task are not affected, nor are pools without overload.shed.

--- a/pool/alone.go
+++ b/pool/alone.go
@@ -80,7 +80,7 @@
 		return false
 	}
 	return h.host.Usable(now) && h.host.CanHold(r.order.Need, r.order.RequiredLabel) && !h.hasAlone() &&
-		p.mayRunOn(h, r.order, now)
+		p.mayRunOn(h, r.order, now) && !p.waitsForFaster(h, r, now)
 }
 
 // emptiesSooner orders workers by the time at which the last of their runs is expected to end.
--- a/pool/fasterworker.go
+++ b/pool/fasterworker.go
@@ -17,10 +17,24 @@
 	return times.Expect(now, r.runTime(speed)) != contract.OnTime && times.Expect(now, r.runTime(1)) == contract.OnTime
 }
 
-// hasFaster reports whether the pool has a usable worker that is not slow. p.mu is held.
-func (p *Pool) hasFaster(now time.Time) bool {
+// hasFast reports whether the pool has a usable worker that is not slow. p.mu is held.
+func (p *Pool) hasFast(now time.Time) bool {
+	return p.anyFast(now, func(*ownedHost) bool { return true })
+}
+
+// waitsForFaster reports whether a queued run does not start on a worker because a better one that can hold it is worth waiting for. p.mu
+// is held.
+func (p *Pool) waitsForFaster(h *ownedHost, r *run, now time.Time) bool {
+	return p.o.Overload.Shed && r.onlyWorker == "" && r.awaitsFaster(now, h.host.Speed()) &&
+		p.anyFast(now, func(h *ownedHost) bool {
+			return h.host.CanHold(r.order.Need, r.order.RequiredLabel) && p.mayRunOn(h, r.order, now)
+		})
+}
+
+// anyFast reports whether a usable worker that is not slow meets a condition. p.mu is held.
+func (p *Pool) anyFast(now time.Time, meets func(h *ownedHost) bool) bool {
 	for _, h := range p.hosts {
-		if h.host.Speed() >= slowSpeed && h.host.Usable(now) {
+		if h.host.Speed() >= slowSpeed && h.host.Usable(now) && meets(h) {
 			return true
 		}
 	}
--- a/pool/order.go
+++ b/pool/order.go
@@ -85,7 +85,7 @@
 // orderByShares prepares the order of the queued runs for a decision. p.mu is held.
 func (p *Pool) orderByShares(now time.Time, speed float64) {
 	o := &p.shareOrder
-	o.faster = p.hasFaster(now)
+	o.faster = p.hasFast(now)
 	o.candidates, o.useful = o.candidates[:0], false
 	clear(o.used)
 	for _, r := range p.waiting.runs {
@@ -192,13 +192,14 @@
 	}
 }
 
-// holdsBack reports whether a run of a given usefulness does not start now on a worker of a given speed that has room for it:
-// others can still be of use, or a better worker is worth waiting for.
-func (o *shareOrder) holdsBack(r *run, use contract.Usefulness, now time.Time, speed float64) bool {
+// holdsBack reports whether a run of a given usefulness does not start now on a worker that has room for it: others can still be
+// of use, or a better worker is worth waiting for. p.mu is held.
+func (p *Pool) holdsBack(h *ownedHost, r *run, use contract.Usefulness, now time.Time) bool {
+	o := &p.shareOrder
 	if use >= contract.Useless && o.useful && !r.committed {
 		return true
 	}
-	return o.faster && r.awaitsFaster(now, speed)
+	return o.faster && p.waitsForFaster(h, r, now)
 }
 
 // bestFor returns the first run in the order that can start on a worker now; nil if there is none. p.mu is held.
@@ -213,7 +214,7 @@
 			continue
 		}
 		class := c.run.prospect(now, speed)
-		if o.holdsBack(c.run, class, now, speed) {
+		if p.holdsBack(h, c.run, class, now) {
 			continue
 		}
 		if best != nil && (class > bestClass || (class == bestClass && !c.before(best))) {
