pool: no worker is kept free for a run that the limit of its step keeps off it

Cause: a worker was reserved for the first run of the order of shares wherever that run fits. While as many tasks of its step as are allowed on a worker ran there, it did not start, and the free capacity stayed idle.

Change: canReserve asks for the limit too, by allowsAnotherOf.

--- a/pool/heldback_test.go
+++ b/pool/heldback_test.go
@@ -80,3 +80,19 @@
 		require.Equal(t, "w1", f.observer.workerOfJob()["other"])
 	})
 }
+
+// Guards against a worker that is kept free for a run which may not start there: as many tasks of its step as are allowed on a
+// worker run there already.
+func TestNoWorkerIsReservedBeyondTheLimitOfAStep(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newSheddingFixture()
+		defer f.pool.Close()
+		limited := func(o *contract.TaskOrder) { o.PerWorkerLimit, o.Expected = 1, 2*time.Second }
+		keys := []contract.RunKey{f.orderOf("limited", "r", 0, limited)}
+		keys = append(keys, f.orderOf("limited", "r", 0, func(o *contract.TaskOrder) { limited(o); o.Key.Index = 1 }))
+		f.refreshFor(reserveDelay+50*time.Millisecond, keys...)
+		f.orderOf("other", "r", 1, nil)
+		time.Sleep(50 * time.Millisecond)
+		require.Equal(t, []string{"limited", "other"}, f.observer.startedJobs())
+	})
+}
--- a/pool/match.go
+++ b/pool/match.go
@@ -122,6 +122,11 @@
 	if !h.host.CanHold(o.Need, o.RequiredLabel) || !h.leaseEndsInTime(r) || !p.mayJoin(h, o, now) {
 		return false
 	}
+	return h.allowsAnotherOf(o)
+}
+
+// allowsAnotherOf reports whether the limit of a task's step for each worker allows another run on the worker.
+func (h *ownedHost) allowsAnotherOf(o contract.TaskOrder) bool {
 	return o.PerWorkerLimit == 0 || h.runsOfStep(o.Key) < o.PerWorkerLimit
 }
 
--- a/pool/reservation.go
+++ b/pool/reservation.go
@@ -35,7 +35,7 @@
 // canReserve reports whether a worker may be kept free for a run, which then has to be able to start there. p.mu is held.
 func (p *Pool) canReserve(h *ownedHost, r *run, now time.Time) bool {
 	return h != p.emptying && !h.hasAlone() && h.host.Usable(now) && h.host.CanHold(r.order.Need, r.order.RequiredLabel) &&
-		p.mayRunOn(h, r.order, now) && !p.waitsForFaster(h, r, now)
+		h.allowsAnotherOf(r.order) && p.mayRunOn(h, r.order, now) && !p.waitsForFaster(h, r, now)
 }
 
 // fitsAt returns when a need is expected to fit on a worker, as its runs end, and the capacity that is free then. It returns false if
