clientlimit: the field's word for connections that are closed for others

Cause: "gave way" is not the usual term for a connection that is closed to make room for another one.

Change: "evicted" in names, log lines and pages; the metric is clients.evicted. No change of behaviour.

--- a/clientlimit/listener.go
+++ b/clientlimit/listener.go
@@ -127,10 +127,10 @@
 // admit returns the connection as the server sees it, or nil after refusing it.
 func (l *Listener) admit(conn net.Conn) net.Conn {
 	now := time.Now()
-	admitted, gaveWay := l.table.Admit(func() { _ = conn.Close() }, now, l.o.Limits().IdleTime)
-	if gaveWay != nil {
-		gaveWay.close()
-		l.note(GaveWay)
+	admitted, evicted := l.table.Admit(func() { _ = conn.Close() }, now, l.o.Limits().IdleTime)
+	if evicted != nil {
+		evicted.close()
+		l.note(Evicted)
 	}
 	if admitted == nil {
 		l.note(NoConnection)
@@ -149,7 +149,7 @@
 	return c
 }
 
-// bareConn is a connection that is bounded in number only. It gives way until it has sent something.
+// bareConn is a connection that is bounded in number only. It may be evicted until it has sent something.
 type bareConn struct {
 	net.Conn
 	table   *Table
--- a/clientlimit/listener_test.go
+++ b/clientlimit/listener_test.go
@@ -67,7 +67,7 @@
 	second, err := l.Accept()
 	require.NoError(t, err)
 	_, err = inner.clients[0].Read(make([]byte, 1))
-	require.ErrorIs(t, err, io.EOF, "the first connection has given way")
+	require.ErrorIs(t, err, io.EOF, "the first connection is evicted")
 	require.NoError(t, first.Close())
 	require.Equal(t, 1, l.table.Open())
 	l.table.Serving(second.(*Conn).member)
@@ -75,7 +75,7 @@
 	require.Nil(t, l.admit(third))
 	_, err = client.Read(make([]byte, 1))
 	require.ErrorIs(t, err, io.EOF)
-	for name, want := range map[string]int64{metric.ClientsGaveWay: 1, metric.ClientsNoConnection: 1, metric.ClientsNoRoom: 0} {
+	for name, want := range map[string]int64{metric.ClientsEvicted: 1, metric.ClientsNoConnection: 1, metric.ClientsNoRoom: 0} {
 		require.Equal(t, want, metrics.GetOrRegisterCounter(name, r).Count(), name)
 	}
 }
--- a/clientlimit/refusal.go
+++ b/clientlimit/refusal.go
@@ -14,18 +14,18 @@
 	NoRoom
 	// NoConnection means that there are as many connections as there may be.
 	NoConnection
-	// GaveWay is the reason of a connection that was closed to make room for another one.
-	GaveWay
+	// Evicted is the reason of a connection that was closed to make room for another one.
+	Evicted
 	refusals
 )
 
 // String returns the reason as log lines have it.
 func (r Refusal) String() string {
 	return [refusals]string{"accepted", "head too large", "body too large", "too slow", "malformed request", "no room for requests",
-		"no room for connections", "gave way"}[r]
+		"no room for connections", "evicted"}[r]
 }
 
-// responses are the answers to refused requests. Connections that are refused or give way get none. The answer for want of room does not state
+// responses are the answers to refused requests. Connections that are refused or evicted get none. The answer for want of room does not state
 // that the job never runs: the request may be a copy of one that runs already, which only the server could tell.
 var responses = [refusals]string{
 	HeadTooLarge: response("431 Request Header Fields Too Large"),
--- a/clientlimit/report.go
+++ b/clientlimit/report.go
@@ -24,7 +24,7 @@
 		Malformed:    metrics.GetOrRegisterCounter(metric.ClientsMalformed, r),
 		NoRoom:       metrics.GetOrRegisterCounter(metric.ClientsNoRoom, r),
 		NoConnection: metrics.GetOrRegisterCounter(metric.ClientsNoConnection, r),
-		GaveWay:      metrics.GetOrRegisterCounter(metric.ClientsGaveWay, r),
+		Evicted:      metrics.GetOrRegisterCounter(metric.ClientsEvicted, r),
 	}
 }
 
--- a/clientlimit/table.go
+++ b/clientlimit/table.go
@@ -18,7 +18,7 @@
 
 // Member is one connection in a Table.
 type Member struct {
-	// close closes the connection that gives way to another one.
+	// close closes the connection when it is evicted.
 	close func()
 	// place is the member's place in one of the lists, nil while its request is being served.
 	place     *list.Element
@@ -31,23 +31,23 @@
 func NewTable(limit int) *Table { return &Table{limit: limit} }
 
 // Admit adds a connection and returns its member, nil if there is no room. idleTime is the time for which a connection may be idle
-// without giving way. A connection that has given way is returned to be closed; it does not count any more.
-func (t *Table) Admit(closeConn func(), now time.Time, idleTime time.Duration) (admitted, gaveWay *Member) {
+// without being evicted. An evicted connection is returned to be closed; it does not count any more.
+func (t *Table) Admit(closeConn func(), now time.Time, idleTime time.Duration) (admitted, evicted *Member) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.open >= t.limit {
-		if gaveWay = t.candidate(now, idleTime); gaveWay == nil {
+		if evicted = t.candidate(now, idleTime); evicted == nil {
 			return nil, nil
 		}
-		t.remove(gaveWay)
+		t.remove(evicted)
 	}
 	t.open++
 	admitted = &Member{close: closeConn}
 	t.put(admitted, &t.fresh)
-	return admitted, gaveWay
+	return admitted, evicted
 }
 
-// candidate returns the connection that gives way to a new one, nil for none. t.mu is held.
+// candidate returns the connection to evict for a new one, nil for none. t.mu is held.
 func (t *Table) candidate(now time.Time, idleTime time.Duration) *Member {
 	if first := t.fresh.Front(); first != nil {
 		return first.Value.(*Member)
@@ -60,7 +60,7 @@
 	return nil
 }
 
-// Serving records that the server handles a request of a connection, which does not give way meanwhile.
+// Serving records that the server handles a request of a connection, which is not evicted meanwhile.
 func (t *Table) Serving(m *Member) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- a/clientlimit/table_test.go
+++ b/clientlimit/table_test.go
@@ -11,28 +11,28 @@
 
 func ignoreClose() {}
 
-// Guards against a connection that gives way while its request is being served, and against an idle one that gives way before those
+// Guards against a connection that is evicted while its request is being served, and against an idle one that is evicted before those
 // that have sent no request.
-func TestWhichConnectionGivesWay(t *testing.T) {
+func TestWhichConnectionIsEvicted(t *testing.T) {
 	table, now := NewTable(3), testStart
-	admit := func() (admitted, gaveWay *Member) { return table.Admit(ignoreClose, now, testIdleTime) }
+	admit := func() (admitted, evicted *Member) { return table.Admit(ignoreClose, now, testIdleTime) }
 	served, _ := admit()
 	idle, _ := admit()
 	table.Serving(served)
 	table.Serving(idle)
 	table.Answered(idle, now)
 	fresh, _ := admit()
-	next, gaveWay := admit()
+	next, evicted := admit()
 	require.NotNil(t, next)
-	require.Same(t, fresh, gaveWay)
+	require.Same(t, fresh, evicted)
 	table.Serving(next)
-	refused, gaveWay := admit()
+	refused, evicted := admit()
 	require.Nil(t, refused, "the idle connection has not been idle for long")
-	require.Nil(t, gaveWay)
+	require.Nil(t, evicted)
 	now = now.Add(testIdleTime)
-	last, gaveWay := admit()
+	last, evicted := admit()
 	require.NotNil(t, last)
-	require.Same(t, idle, gaveWay)
+	require.Same(t, idle, evicted)
 	table.Serving(last)
 	refused, _ = admit()
 	require.Nil(t, refused, "all connections are being served")
--- a/metric/describe.go
+++ b/metric/describe.go
@@ -112,7 +112,7 @@
 		{ClientsNoRoom, "requests of clients refused with 504 since all requests together hold as many bytes as they may"},
 		{ClientsNoTaskRoom, "jobs of clients refused with 503 since all accepted jobs together have as many tasks as they may"},
 		{ClientsNoConnection, "connections of clients refused since there are as many as there may be"},
-		{ClientsGaveWay, "connections of clients closed to make room for others"},
+		{ClientsEvicted, "connections of clients closed to make room for others"},
 		{PoolQueueTime, "time that a task waits for room at the owner of workers, in microseconds"},
 		{PoolCallTime, "time of a start call to a worker, in microseconds"},
 	}
--- a/metric/metric.go
+++ b/metric/metric.go
@@ -100,7 +100,7 @@
 	ClientsNoRoom        = "clients.no_room"
 	ClientsNoTaskRoom    = "clients.no_room_for_tasks"
 	ClientsNoConnection  = "clients.no_connection"
-	ClientsGaveWay       = "clients.gave_way"
+	ClientsEvicted       = "clients.evicted"
 	PoolQueueTime        = "pool.queue_time"
 	PoolCallTime         = "pool.start_call_time"
 )
