pool: the worker that the order by shares keeps free is not offered

Cause: an offer left out the worker that the order by priority would reserve, after 300 ms, whatever order is in force. With overload.shed other workers are reserved, some at once, so runs were taken from other owners for capacity that they then did not get.

Change: reservedHost asks the order in force.

--- a/pool/heldback_test.go
+++ b/pool/heldback_test.go
@@ -96,3 +96,19 @@
 		require.Equal(t, []string{"limited", "other"}, f.observer.startedJobs())
 	})
 }
+
+// Guards against runs that are taken from another owner for capacity which they do not get: while the queue is ordered by shares,
+// a worker is kept free for the first run too.
+func TestWorkerReservedInTheOrderBySharesIsNotOffered(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newSheddingFixture()
+		defer f.pool.Close()
+		f.roomCalls()
+		small := f.orderOf("small", "r", 0, func(o *contract.TaskOrder) { o.Need.CPUMillis, o.Expected = 800, 5*time.Second })
+		synctest.Wait()
+		require.Len(t, f.pool.Offer(), 1, "nothing waits")
+		large := f.orderOf("large", "r", 0, func(o *contract.TaskOrder) { o.Need.CPUMillis = 2000 })
+		f.refreshFor(reserveDelay+50*time.Millisecond, small, large)
+		require.Empty(t, f.pool.Offer(), "kept for the large task")
+	})
+}
--- a/pool/order.go
+++ b/pool/order.go
@@ -77,7 +77,11 @@
 			p.updateUsed(r.order.Route, now)
 		}
 	}
-	// The runs must not be kept after their end.
+	p.clearOrder()
+}
+
+// clearOrder drops the runs of a decision, which must not be kept after their end. p.mu is held.
+func (p *Pool) clearOrder() {
 	clear(p.shareOrder.candidates)
 	p.shareOrder.reserved = reservation{}
 }
--- a/pool/steal.go
+++ b/pool/steal.go
@@ -89,8 +89,7 @@
 // one may be, zero if there is none. p.mu is held.
 func (p *Pool) hostsToOffer(now time.Time) (hosts []*ownedHost, wait time.Duration) {
 	candidates := p.hostsWithCapacity(now)
-	p.waiting.sort(now, 1)
-	reserved, _ := p.reserve(now)
+	reserved := p.reservedHost(now)
 	for _, h := range candidates {
 		free := h.host.Free()
 		if h == reserved || h == p.emptying || h.hasAlone() || !free.Fits(p.minGap()) {
@@ -111,6 +110,18 @@
 	return hosts, wait
 }
 
+// reservedHost returns the worker that the next match would keep free for a queued run; nil if there is none. p.mu is held.
+func (p *Pool) reservedHost(now time.Time) *ownedHost {
+	if p.o.Overload.Shed {
+		p.orderByShares(now, 1)
+		defer p.clearOrder()
+		return p.shareOrder.reserved.host
+	}
+	p.waiting.sort(now, 1)
+	reserved, _ := p.reserve(now)
+	return reserved
+}
+
 // minGap returns the size below which free capacity is not offered. p.mu is held.
 func (p *Pool) minGap() machine.Resources {
 	return machine.Resources{
