batch: owners hear that a job has started also if there was room when it did

Cause: the home announced a started job only at the report of a start or an end, and only while no owner had free capacity. If the room was gone later and no further report came, the owner of a waiting task never heard of it: it ran the task last, and not at all while other runs could be of use, so that the work done was wasted at the deadline.

Change: once such a job cannot meet its target any more, the checks of the home announce it, under the same conditions and still once.

--- a/batch/advance.go
+++ b/batch/advance.go
@@ -272,7 +272,9 @@
 				"expires_in", max(t.expiresAt.Sub(now), 0))
 		}
 	}
-	h.announceStart(j, r, out)
+	if r.State == contract.RunStarted || r.State == contract.RunDone {
+		h.announceStart(j, out)
+	}
 }
 
 // proves reports whether an owner's report says something about the current run. An owner other than the current one can
--- a/batch/shedding.go
+++ b/batch/shedding.go
@@ -97,6 +97,10 @@
 	}
 	if j.mayHaveRun || !j.queued() || (!h.o.LateStarts.Empty() && h.anyLateStart(&j.batch)) {
 		h.keepStarted(j)
+		if !j.queued() && j.times(j.batch.Deadline).Expect(now, j.expected) != contract.OnTime {
+			// There may have been free capacity when the last report of a start came.
+			h.announceStart(j, out)
+		}
 		return
 	}
 	if j.shedding == keep && !h.beginShedding(j, now) {
@@ -148,9 +152,8 @@
 
 // announceStart tells the owners of the queued runs of a job that a task of it has started, so that the work done is not wasted. That
 // matters only while no owner has free capacity. The lock of the job's shard is held.
-func (h *Home) announceStart(j *job, r contract.RunReport, out *outbox) {
-	if !h.o.Overload.Shed || j.announcedStart || j.state != jobActive ||
-		(r.State != contract.RunStarted && r.State != contract.RunDone) {
+func (h *Home) announceStart(j *job, out *outbox) {
+	if !h.o.Overload.Shed || j.announcedStart || j.state != jobActive {
 		return
 	}
 	waiting := func(t task) bool { return t.state == taskPlaced && !t.started }
