pool: starts of runs that are over before the reply count for the start timeout too

Cause: a poll that lists the end of a short run makes its start call an abandoned one, which entered neither the average call time nor the count of unanswered starts. With runs shorter than the timeout, that never followed slower answers.

Change: handleAbandonedStart records answered and unanswered calls as the other results do.

--- a/pool/start.go
+++ b/pool/start.go
@@ -86,7 +86,11 @@
 func (p *Pool) handleAbandonedStart(s startEffect, verdict link.StartVerdict, err error, now time.Time, fx *effects) {
 	p.o.Logger.Warn("start returned after its run had been given up", "task", s.run.order.Key.String(),
 		"worker", s.host.address.Worker, "token", s.token, "verdict", verdict.String(), "error", err)
-	if err != nil && !errorx.HasTrait(err, fault.ProvenNotStarted) && !errorx.HasTrait(err, fault.Answered) {
+	switch {
+	case err == nil:
+		p.callTimes.record(now.Sub(s.decidedAt))
+	case !errorx.HasTrait(err, fault.ProvenNotStarted) && !errorx.HasTrait(err, fault.Answered):
+		p.callTimes.recordUnanswered()
 		p.recordLateStart(s.run, s.host, now, fx)
 	}
 }
