--- a/pool/order.go
+++ b/pool/order.go
@@ -10,19 +10,19 @@
 // such a job is wasted if its other tasks are late. The weight is bounded, so that a large job of low priority does not hold up urgent ones.
 const startedWeight = 4
 
-// shareKey names what runs have in common of whose route's share the order depends.
+// shareKey identifies a share of the workers: that of a route, by the weight of a priority.
 type shareKey struct {
 	route    string
 	priority int
 }
 
-// candidate is a queued run in a shareOrder. used is the recent work of its route for the weight of its priority.
+// candidate is a queued run in a shareOrder. used is the recent work of its route, divided by the weight of its priority.
 type candidate struct {
 	run  *run
 	used *float64
 	// large is set if the run needs clearly more than a typical one, so that few gaps fit it.
 	large bool
-	// stuck is set if the run waits for a worker that takes none now.
+	// stuck is set if the run has to start on one worker, which takes no run now.
 	stuck bool
 }
 
@@ -108,7 +108,7 @@
 	return isLarge(r.order.Need.CPUMillis, p.typicalSize.CPUMillis)
 }
 
-// usedBy returns the recent work of a run's route for the weight of its priority. p.mu is held.
+// usedBy returns the recent work of a run's route, divided by the weight of its priority. p.mu is held.
 func (p *Pool) usedBy(r *run, now time.Time) *float64 {
 	key := shareKey{r.order.Route, r.order.Priority}
 	used := p.shareOrder.used[key]
@@ -120,7 +120,7 @@
 	return used
 }
 
-// updateUsed applies the start of a task to the order. p.mu is held.
+// updateUsed recomputes the recent work of a route after the start of one of its tasks. p.mu is held.
 func (p *Pool) updateUsed(route string, now time.Time) {
 	for key, used := range p.shareOrder.used {
 		if key.route == route {
@@ -172,7 +172,7 @@
 	return use
 }
 
-// shareUsed returns the recent work of the route, for the weight that its priority has for this run.
+// shareUsed returns the recent work of the route, divided by the weight of this run: higher if its job has started.
 func (c *candidate) shareUsed() float64 {
 	if c.run.committed {
 		return *c.used / startedWeight
--- a/pool/shares.go
+++ b/pool/shares.go
@@ -22,7 +22,7 @@
 
 func isLarge(cpuMillis, typical int) bool { return float64(cpuMillis) > largeFactor*float64(typical) }
 
-// decaying is a sum of which earlier parts count for less.
+// decaying is a sum whose parts count for less the older they are, with the time constant shareMemory.
 type decaying struct {
 	sum float64
 	at  time.Time
--- a/pool/starttimeout.go
+++ b/pool/starttimeout.go
@@ -42,7 +42,7 @@
 
 // startTimeout returns how long to wait for the answer to a start. After it a poll tells whether the run has started, and if not
 // the start is repeated, so a short timeout saves time that the job has to its target. On a busy VM answers are read late, and a
-// timeout that ends calls which the worker has answered would only add more. Starts without a reply
+// timeout that ends calls which the worker has answered would only add more calls. Starts without a reply
 // double it until one is answered: if all answers have become slower than the averages say, none would be recorded otherwise.
 func (c *callTimes) startTimeout() time.Duration {
 	if !c.known {
--- a/pool/steal.go
+++ b/pool/steal.go
@@ -138,7 +138,7 @@
 	return min(max(slotsIn(free, p.minGap()), 1), maxGapTasks)
 }
 
-// hasGap reports whether a worker may have free capacity to offer. p.mu is held.
+// hasGap reports whether a worker may have free capacity to offer. It may say so of one that hostsToOffer leaves out. p.mu is held.
 func (p *Pool) hasGap(now time.Time) bool {
 	if p.o.Room == nil {
 		return false
