--- a/pool/steal.go
+++ b/pool/steal.go
@@ -93,8 +93,7 @@
 // for all. p.mu is held.
 func (p *Pool) hostsToOffer(now time.Time) (hosts []*ownedHost, wait time.Duration) {
 	candidates := p.hostsWithCapacity(now)
-	p.waiting.sort(now, 1)
-	reserved, _ := p.reserve(now)
+	reserved := p.reservedHost(now)
 	var later []*ownedHost
 	for _, h := range candidates {
 		free := h.host.Free()
@@ -122,6 +121,18 @@
 	return hosts, wait
 }
 
+// reservedHost returns the worker that the next match would keep free for a queued run; nil if there is none. p.mu is held.
+func (p *Pool) reservedHost(now time.Time) *ownedHost {
+	if p.o.Overload.Shed {
+		p.orderByShares(now, 1)
+		defer p.clearOrder()
+		return p.shareOrder.reserved.host
+	}
+	p.waiting.sort(now, 1)
+	reserved, _ := p.reserve(now)
+	return reserved
+}
+
 // minGap returns the size below which free capacity is not offered. p.mu is held.
 func (p *Pool) minGap() machine.Resources {
 	return machine.Resources{
@@ -138,7 +149,7 @@
 	return min(max(slotsIn(free, p.minGap()), 1), maxGapTasks)
 }
 
-// hasGap reports whether a worker may have free capacity to offer. p.mu is held.
+// hasGap reports whether a worker may have free capacity to offer. It may say so of one that hostsToOffer leaves out. p.mu is held.
 func (p *Pool) hasGap(now time.Time) bool {
 	if p.o.Room == nil {
 		return false
