pool: a route without an attainable target gets its share

Cause: the owner judged each run by three times its latency target, also where there is no target or one that no run can meet. Such runs were of no use from the start and never started while others waited, though their home judges them by the deadline alone. Change: a run whose target could not be met from the start counts as on time until its deadline, so that the shares decide.

--- a/pool/order.go
+++ b/pool/order.go
@@ -165,8 +165,13 @@
 // prospect is usefulness with a margin for runs that take longer than expected: a job that starts at the last moment is late as
 // often as not.
 func (r *run) prospect(now time.Time, speed float64) contract.Usefulness {
-	use := r.order.Times().Expect(now, r.runTime(speed))
-	if use == contract.Late && r.committed {
+	times := r.order.Times()
+	use := times.Expect(now, r.runTime(speed))
+	switch {
+	case use == contract.Late && r.committed:
+		return contract.OnTime
+	case use != contract.Expired && times.Expect(times.Accepted, r.order.Expected) != contract.OnTime:
+		// A target that could not be met from the start says nothing about the value of the answer.
 		return contract.OnTime
 	}
 	return use
