batch: an ended job keeps its answer, not its tasks

Cause: a job kept its tasks and steps for 30 s after its end, while the room for tasks was given back with the answer. A client that submits jobs of 10,000 tasks and leaves or cancels each made a home hold 131 MiB with 40 requests of some hundred bytes.

Change: when a job ends, its tasks, steps and specification are dropped. The highest run number stays, so that a copy gets higher ones.

--- a/batch/advance.go
+++ b/batch/advance.go
@@ -203,8 +203,7 @@
 	}
 	j.waiters = nil
 	if j.noLiveRuns() {
-		j.state, j.endedAt = jobEnded, now
-		j.batch.Spec = nil
+		j.end(now)
 	}
 }
 
--- a/batch/job.go
+++ b/batch/job.go
@@ -97,9 +97,11 @@
 	expected time.Duration
 	// target is when the answer becomes late.
 	target time.Time
-	tasks  []task
-	done   int
-	state  jobState
+	// tasks is empty once the job has ended; endedRun is the highest number of a run of any of them then.
+	tasks    []task
+	endedRun uint64
+	done     int
+	state    jobState
 	// mayHaveRun is set once a run of any task may have started.
 	mayHaveRun bool
 	// shedding is the reason for which the queued runs are being recalled, so that the job can be refused.
@@ -205,13 +207,21 @@
 
 // lastRun returns the highest number of a run of any task.
 func (j *job) lastRun() uint64 {
-	last := uint64(0)
+	last := j.endedRun
 	for i := range j.tasks {
 		last = max(last, j.tasks[i].run)
 	}
 	return last
 }
 
+// end ends the job, of which no run is alive. Its answer is kept, but not its tasks: the room for these is given to other jobs once the
+// callers have been answered.
+func (j *job) end(now time.Time) {
+	j.endedRun = j.lastRun()
+	j.state, j.endedAt = jobEnded, now
+	j.tasks, j.steps, j.batch.Steps, j.batch.Spec = nil, nil, nil, nil
+}
+
 // Outcome is how a job ended.
 type Outcome uint8
 
