clientlimit, command: explain takes every job inside the limits of clients

Cause: the metrics listener refused bodies over 4 KiB with 413, since it had the limits of the balancer's checks. A job with the largest specification could not be explained.

Change: the listener of the edge daemon for metrics and queries has the default limit of a body, from the same budget.

Result: TestExplainTakesTheLargestSpecification failed with 413 and passes. go test ./command -run TestExplain and ./clientlimit pass.

--- a/clientlimit/process.go
+++ b/clientlimit/process.go
@@ -11,7 +11,7 @@
 )
 
 const (
-	// checkConnections is the number of connections that the balancer's checks or the metrics may have.
+	// checkConnections is the number of connections that the balancer's checks, or the operators, may have.
 	checkConnections = 32
 	checkHeadBytes   = 16 << 10
 	checkBodyBytes   = 4 << 10
@@ -59,12 +59,18 @@
 	return p.options(p.vm.Connections(), limits)
 }
 
-// Checks returns the options of a listener for the balancer's checks or for metrics.
+// Checks returns the options of a listener for the balancer's checks or for the state of the process, whose requests have no bodies.
 func (p *Process) Checks() Options {
 	limits := Limits{HeadBytes: checkHeadBytes, BodyBytes: checkBodyBytes}.WithDefaults()
 	return p.options(checkConnections, func() Limits { return limits })
 }
 
+// Operators returns the options of a listener for metrics and the queries of operators, which may contain the body of a client's request.
+func (p *Process) Operators() Options {
+	limits := Limits{HeadBytes: checkHeadBytes}.WithDefaults()
+	return p.options(checkConnections, func() Limits { return limits })
+}
+
 func (p *Process) options(connections int, limits func() Limits) Options {
 	return Options{Connections: connections, Budget: p.requests, Limits: limits, Logger: p.logger, Metrics: p.metrics}
 }
--- a/command/edge.go
+++ b/command/edge.go
@@ -129,7 +129,7 @@
 	explain := &explainer{now: clock.Now}
 	clients := clientlimit.NewProcess(vm, logger, registry)
 	if s.Listen.Metrics != "" {
-		l, err := clientlimit.Listen(s.Listen.Metrics, clients.Checks())
+		l, err := clientlimit.Listen(s.Listen.Metrics, clients.Operators())
 		if err != nil {
 			return errors.Join(err, peers.Close())
 		}
--- a/command/explain_test.go
+++ b/command/explain_test.go
@@ -4,9 +4,11 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"log/slog"
 	"net"
 	"os"
 	"path/filepath"
+	"strings"
 	"testing"
 	"time"
 
@@ -14,6 +16,8 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/cicadadale/cicadadale/admin"
+	"github.com/cicadadale/cicadadale/clientlimit"
+	"github.com/cicadadale/cicadadale/contract"
 	"github.com/cicadadale/cicadadale/platform"
 )
 
@@ -21,6 +25,10 @@
 func serveExplanation(t *testing.T, e platform.Explanation) (string, *platform.ExplainRequest) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
+	return serveExplanationOn(t, l, e)
+}
+
+func serveExplanationOn(t *testing.T, l net.Listener, e platform.Explanation) (string, *platform.ExplainRequest) {
 	last := &platform.ExplainRequest{}
 	s := admin.ServeMetrics(l, metrics.NewRegistry(), admin.Query{Path: platform.ExplainPath,
 		Answer: func(body []byte) (answer any, err error) {
@@ -79,3 +87,18 @@
 	_, err = (&explainer{now: time.Now}).query().Answer([]byte(`{"path":"/q/1"}`))
 	require.ErrorIs(t, err, errStarting)
 }
+
+// Guards against a job inside the limits of clients that cannot be explained, since the metrics listener allows smaller bodies.
+func TestExplainTakesTheLargestSpecification(t *testing.T) {
+	l, err := clientlimit.Listen("127.0.0.1:0",
+		clientlimit.NewProcess(clientlimit.VM{}, slog.New(slog.DiscardHandler), metrics.NewRegistry()).Operators())
+	require.NoError(t, err)
+	address, last := serveExplanationOn(t, l, platform.Explanation{Result: "accepted"})
+	file := filepath.Join(t.TempDir(), "job.json")
+	body := `{"task_spec":"` + strings.Repeat("s", contract.MaxSpecBytes) + `","steps":[{"count":1}]}`
+	require.NoError(t, os.WriteFile(file, []byte(body), 0o600))
+	out, err := explain("--daemon", address, "--host", "h", "--path", "/q/5c0e7a21d94b36f8", "--body", file)
+	require.NoError(t, err)
+	require.Contains(t, out, "accepted")
+	require.JSONEq(t, body, string(last.Body))
+}
