platform, batch, edge: no refusal for want of room of a job that may have run

Cause: a job for whose tasks there was no room got 503 unless it was known here as queued, running or ended with a result. A worker may still execute a start that another home has ordered, another member may hold the job, or its caller had left it here.

Change: the home decides on the answer (Home.RefusalOf): 504 in these cases and for a cancelled job, 503 otherwise.

--- a/batch/latestart.go
+++ b/batch/latestart.go
@@ -69,6 +69,25 @@
 	return Refused
 }
 
+// RefusalOf returns the answer to a job that is turned away before it has been submitted here. It is refused only if nothing is known of
+// it: a job that another member holds, that has been cancelled or was accepted here may have run.
+func (h *Home) RefusalOf(b *contract.Batch, reason string, retryAfter time.Duration) Answer {
+	a := Answer{Outcome: h.refusedOutcome(b), Reason: reason, RetryAfter: retryAfter}
+	if _, held := h.o.Held.Of(b.ID); held || h.o.Cancels.Cancelled(b.ID) || h.mayHaveServed(b.ID) {
+		a.Outcome = Abandoned
+	}
+	return a
+}
+
+// mayHaveServed reports whether a job is or was here and has not been refused.
+func (h *Home) mayHaveServed(id string) bool {
+	s := h.shard(id)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	j, known := s.jobs[id]
+	return known && (j.state != jobEnded || j.answer.Outcome != Refused)
+}
+
 // ownerOfLateStart returns the owner at which the next run of a task is ordered that some workers may still start late. It is
 // ordered on the only such worker; there a restart that lets the worker execute the earlier start ends the next run first.
 // With two such workers the next run would not be safe on either. The lock of the job's shard is held.
--- a/batch/retention_test.go
+++ b/batch/retention_test.go
@@ -45,3 +45,33 @@
 	}
 	return 0
 }
+
+// Guards against a refusal, which states that nothing has run, of a job that another member holds, that was cancelled or accepted
+// here, or of which a worker may still execute a start.
+func TestOnlyUnknownJobsAreRefusedUnsubmitted(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h, out := newTestHome()
+		defer h.Close()
+		b := testBatch(1, time.Minute)
+		refusal := Answer{Outcome: Refused, Reason: "no room", RetryAfter: time.Second}
+		require.Equal(t, refusal, h.RefusalOf(&b, refusal.Reason, refusal.RetryAfter))
+		outcome := func(id string) Outcome {
+			b.ID = id
+			return h.RefusalOf(&b, refusal.Reason, refusal.RetryAfter).Outcome
+		}
+		h.o.Held.Record(contract.HeldJob{Job: "held", Home: "other/1", Accepted: time.Now(), HeardAt: time.Now()})
+		require.Equal(t, Abandoned, outcome("held"))
+		h.o.LateStarts.Record(contract.LateStart{
+			Task: contract.RunKey{Batch: "late"}, Worker: lateWorker, Until: time.Now().Add(contract.LateStartRetention),
+		})
+		require.Equal(t, Abandoned, outcome("late"))
+		h.o.Cancels.Record(contract.JobCancel{Job: "cancelled", At: time.Now()}, time.Now())
+		require.Equal(t, Abandoned, outcome("cancelled"))
+		for _, o := range submitAndLeave(t, h, out) {
+			reportRun(h, o.Key, contract.RunEnded, true)
+		}
+		left := testBatch(1, time.Minute).ID
+		require.Equal(t, StateUnknown, h.State(left))
+		require.Equal(t, Abandoned, outcome(left))
+	})
+}
--- a/edge/front.go
+++ b/edge/front.go
@@ -41,6 +41,11 @@
 	return d.home.SubmitFrom(ctx, c, b)
 }
 
+// RefusalOf returns the answer to a job that is turned away before it has been submitted.
+func (d *Daemon) RefusalOf(b *contract.Batch, reason string, retryAfter time.Duration) batch.Answer {
+	return d.home.RefusalOf(b, reason, retryAfter)
+}
+
 // limitDeadline makes the deadline of a job fit the grace period while the process is stopping.
 func (d *Daemon) limitDeadline(b *contract.Batch) {
 	d.mu.Lock()
