clientlimit: one interim response for each body, and none after it

Cause: a client that waits for 100 Continue got one for each piece of the first line of a chunk, and one more from the HTTP server after it had sent its body. Clients stop reading after a few interim responses, and simple ones take a late one for the answer.

Change: the interim response is sent only before the first byte after the head; that of the server is dropped.

--- a/clientlimit/assembler.go
+++ b/clientlimit/assembler.go
@@ -46,6 +46,8 @@
 	chunks chunkDecoder
 	// body is where the contents of a chunked body begin.
 	body int
+	// bodyBegun is set once any byte after the head has arrived, also one of the encoding.
+	bodyBegun bool
 	// began is the start of the head, or that of the body; progress the time of the last bytes.
 	began, progress time.Time
 }
@@ -80,8 +82,10 @@
 		case readingHead:
 			n, refused = a.addHead(b[used:], now)
 		case readingBody:
+			a.bodyBegun = true
 			n, refused = a.addBody(b[used:])
 		default:
+			a.bodyBegun = true
 			n, refused = a.addChunks(b[used:])
 		}
 		used += n
@@ -94,7 +98,7 @@
 
 // AwaitsContinue reports whether the client waits for an interim response before it sends the body.
 func (a *Assembler) AwaitsContinue() bool {
-	return a.head.expectsContinue && (a.phase == readingBody || a.phase == readingChunks) && len(a.buf) <= a.body
+	return a.head.expectsContinue && (a.phase == readingBody || a.phase == readingChunks) && !a.bodyBegun
 }
 
 // Deadline returns the time by which the next bytes must arrive.
--- a/clientlimit/assembler_test.go
+++ b/clientlimit/assembler_test.go
@@ -198,3 +198,18 @@
 		}
 	})
 }
+
+// Guards against an interim response for each piece of the first line of a chunk: clients give up after a few.
+func TestOneInterimResponse(t *testing.T) {
+	a := Assembler{budget: NewBudget(1 << 20)}
+	a.Begin(testLimits, testStart)
+	interim := 0
+	for _, piece := range []string{testHead + "Expect: 100-continue\r\nTransfer-Encoding: chunked\r\n\r\n", "1", ";x", "\r", "\n", "b"} {
+		_, refused := a.Add([]byte(piece), testStart)
+		require.Equal(t, Accepted, refused)
+		if a.AwaitsContinue() {
+			interim++
+		}
+	}
+	require.Equal(t, 1, interim)
+}
--- a/clientlimit/conn.go
+++ b/clientlimit/conn.go
@@ -21,10 +21,7 @@
 	lingerBytes    = 128 << 10
 )
 
-var (
-	interimPrefix   = []byte("HTTP/1.1 100 ")
-	interimResponse = []byte("HTTP/1.1 100 Continue\r\n\r\n")
-)
+var interimResponse = []byte("HTTP/1.1 100 Continue\r\n\r\n")
 
 // errNoRawConn is the error of a connection without a descriptor.
 var errNoRawConn = errors.New("the connection has no descriptor")
@@ -161,11 +158,15 @@
 
 // Write writes a part of an answer.
 func (c *Conn) Write(b []byte) (int, error) {
+	if c.serving && bytes.Equal(b, interimResponse) {
+		// The server asks for a body that it has already been handed.
+		return len(b), nil
+	}
 	if err := c.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
 		return 0, err
 	}
 	n, err := c.Conn.Write(b)
-	if c.serving && !bytes.HasPrefix(b, interimPrefix) {
+	if c.serving {
 		c.serving = false
 		c.request.Release()
 		c.listener.table.Answered(c.member, time.Now())
