clientlimit: accept an empty line behind a request

Cause: a client that ends a body with CR LF, which RFC 9112 has servers ignore before a request line, got 400 with its next request and lost its keep-alive connection.

Change: one line end behind each request is dropped; a first request still may not begin with one, and further ones are malformed.

--- a/clientlimit/conn.go
+++ b/clientlimit/conn.go
@@ -19,6 +19,8 @@
 	refusalTimeout = 100 * time.Millisecond
 	lingerTime     = 200 * time.Millisecond
 	lingerBytes    = 128 << 10
+	// maxLineEnd is the length of the longer line end, CR LF.
+	maxLineEnd = 2
 )
 
 var interimResponse = []byte("HTTP/1.1 100 Continue\r\n\r\n")
@@ -41,6 +43,8 @@
 	// serving is set from the moment when the server has read a request to that when it answers it.
 	serving bool
 	refused bool
+	// lineEnd is the number of bytes of a line end that may still follow the last request.
+	lineEnd int
 
 	mu sync.Mutex
 	// server is the deadline that the server has set, own that of the request being read; zero means none. aborted is set while the
@@ -84,7 +88,7 @@
 	}
 	n := copy(p, c.ready)
 	if c.ready = c.ready[n:]; len(c.ready) == 0 {
-		c.ready, c.serving = nil, true
+		c.ready, c.serving, c.lineEnd = nil, true, maxLineEnd
 		c.listener.table.Serving(c.member)
 	}
 	return n, nil
@@ -112,6 +116,11 @@
 
 // accept adds received bytes to the request being read. borrowed means that the bytes are the server's buffer, not unread.
 func (c *Conn) accept(b []byte, borrowed bool) {
+	b = c.skipLineEnd(b)
+	if len(b) == 0 {
+		c.unread = nil
+		return
+	}
 	var used int
 	if c.request.Empty() {
 		limits := c.listener.o.Limits()
@@ -138,6 +147,18 @@
 	}
 }
 
+// skipLineEnd drops an empty line behind a request, which some clients send after a body.
+func (c *Conn) skipLineEnd(b []byte) []byte {
+	for c.lineEnd > 0 && len(b) > 0 && (b[0] == '\r' || b[0] == '\n') {
+		b = b[1:]
+		c.lineEnd--
+	}
+	if len(b) > 0 {
+		c.lineEnd = 0
+	}
+	return b
+}
+
 // keep keeps the bytes behind a request.
 func (c *Conn) keep(rest []byte, borrowed bool) {
 	switch {
