--- a/clientlimit/conn.go
+++ b/clientlimit/conn.go
@@ -114,7 +114,8 @@
 	return nil, err
 }
 
-// accept adds received bytes to the request being read. borrowed means that the bytes are the server's buffer, not unread.
+// accept adds received bytes to the request being read. borrowed means that b is the server's buffer, which it will overwrite, and not
+// c.unread.
 func (c *Conn) accept(b []byte, borrowed bool) {
 	b = c.skipLineEnd(b)
 	if len(b) == 0 {
--- a/edge/joining.go
+++ b/edge/joining.go
@@ -23,7 +23,7 @@
 	membersRead bool
 	// evacuationsKnown is set once the evacuated failure domains have been read from the store or learned from a member.
 	evacuationsKnown bool
-	// allAnswered is set if each listed member has sent a status or cannot be connected to.
+	// allAnswered is what Members.AllAnswered reports.
 	allAnswered bool
 	sinceStart  time.Duration
 }
