batch, docs: a job is refused on arrival, not at the door

Cause: names, a counter's suffix and the pages used a figure of speech for the refusal of a new job. Change: on arrival, also as the reason in batch.jobs_shed.pN.arrival, which is new in this work; behaviour stays.

--- a/batch/explain_test.go
+++ b/batch/explain_test.go
@@ -92,7 +92,7 @@
 		b := testBatch(2, 30*time.Second)
 		e := h.Explain(b)
 		require.False(t, e.Accepted)
-		require.Equal(t, shedAtDoor.String(), e.Answer.Reason)
+		require.Equal(t, shedOnArrival.String(), e.Answer.Reason)
 		require.Zero(t, counted(h))
 		require.Equal(t, h.Submit(context.Background(), b), e.Answer)
 	})
--- a/batch/home.go
+++ b/batch/home.go
@@ -310,7 +310,7 @@
 	j.target = b.Accepted.Add(time.Duration(b.TargetFactor*float64(slowest)) + b.TargetSlack)
 	held, heldElsewhere := h.o.Held.Of(b.ID)
 	if !heldElsewhere && lastRun == 0 {
-		if answer := h.refuseAtDoor(j, now); answer != nil {
+		if answer := h.refuseOnArrival(j, now); answer != nil {
 			return nil, answer
 		}
 	}
--- a/batch/shedding.go
+++ b/batch/shedding.go
@@ -14,8 +14,8 @@
 
 const (
 	keep shedReason = iota
-	// shedAtDoor jobs would wait so long that their answer would be of no use, even if no other priority is served.
-	shedAtDoor
+	// shedOnArrival jobs would wait so long that their answer would be of no use, even if no other priority is served.
+	shedOnArrival
 	// shedTarget jobs cannot meet their target any more, and others wait that may.
 	shedTarget
 	// shedUseless jobs would be answered when it is of no use any more.
@@ -24,10 +24,10 @@
 
 // shedReasons holds the text of each reason in answers and logs, and its suffix in the names of counters.
 var shedReasons = [...]struct{ text, counter string }{
-	keep:        {"", ""},
-	shedAtDoor:  {"the expected wait is too long", "door"},
-	shedTarget:  {"latency target missed while others wait", "target"},
-	shedUseless: {"too late to be of use", "useless"},
+	keep:          {"", ""},
+	shedOnArrival: {"the expected wait is too long", "arrival"},
+	shedTarget:    {"latency target missed while others wait", "target"},
+	shedUseless:   {"too late to be of use", "useless"},
 }
 
 // String returns the text of the reason.
@@ -70,11 +70,11 @@
 	}
 }
 
-// atDoor decides whether a new job is refused. The wait is the shortest that is possible: an estimate of it must not refuse a job that
+// onArrival decides whether a new job is refused. The wait is the shortest that is possible: an estimate of it must not refuse a job that
 // could have been served.
-func (s sheddable) atDoor(now time.Time, b zone.Backlog) shedReason {
+func (s sheddable) onArrival(now time.Time, b zone.Backlog) shedReason {
 	if s.attainable() && b.Full() && s.times.At(now.Add(b.LeastWait(s.priority)+s.expected)) >= contract.Useless {
-		return shedAtDoor
+		return shedOnArrival
 	}
 	return keep
 }
@@ -175,13 +175,13 @@
 	h.counter(metric.BatchJobsShedFor(b.Priority, shedReasons[reason].counter)).Inc(1)
 }
 
-// refuseAtDoor refuses a new job that would wait for too long. It returns nil for a job that is not refused.
-func (h *Home) refuseAtDoor(j *job, now time.Time) *Answer {
+// refuseOnArrival refuses a new job that would wait for too long. It returns nil for a job that is not refused.
+func (h *Home) refuseOnArrival(j *job, now time.Time) *Answer {
 	if !h.o.Overload.Shed {
 		return nil
 	}
 	b := h.o.Capacity.Backlog(j.batch.Backend)
-	reason := j.sheddable().atDoor(now, b)
+	reason := j.sheddable().onArrival(now, b)
 	if reason == keep {
 		return nil
 	}
--- a/batch/shedding_test.go
+++ b/batch/shedding_test.go
@@ -71,7 +71,7 @@
 }
 
 // Guards against refusing a new job by an estimate although it could be served: only the work of its own priority counts.
-func TestSheddingAtTheDoor(t *testing.T) {
+func TestSheddingOnArrival(t *testing.T) {
 	for name, c := range map[string]struct {
 		waiting  time.Duration
 		priority int
@@ -79,13 +79,13 @@
 	}{
 		"late at best":             {4 * time.Second, 0, keep},
 		"at the limit":             {5 * time.Second, 0, keep},
-		"of no use at best":        {5100 * time.Millisecond, 0, shedAtDoor},
+		"of no use at best":        {5100 * time.Millisecond, 0, shedOnArrival},
 		"work of another priority": {time.Minute, 1, keep},
 		"nothing waits":            {0, 0, keep},
 	} {
 		s := testSheddable()
 		s.priority = c.priority
-		require.Equal(t, c.want, s.atDoor(s.times.Accepted, backlogOf(full(c.waiting))), name)
+		require.Equal(t, c.want, s.onArrival(s.times.Accepted, backlogOf(full(c.waiting))), name)
 	}
 }
 
