hostile: further crowds that the processes bear

Cause: of the crowds that the operators describe, some were never played: jobs that wait with a store, jobs that have ended, cancels of unknown jobs, checks and metrics during an attack, clients that come back, the operators' listener of the entry daemon, bytes that are not HTTP/2, pings and messages in frames of a byte. No product code.

--- a/hostile/crowd_test.go
+++ b/hostile/crowd_test.go
@@ -13,6 +13,9 @@
 // writeTimeout ends the attack of a client whose bytes are not read any more.
 const writeTimeout = time.Second
 
+// repeatedChecks are made while a crowd comes back again and again.
+const repeatedChecks = 5
+
 // crowd is a number of clients with a connection each, which stay open until the test ends.
 type crowd struct {
 	t  *testing.T
@@ -53,6 +56,34 @@
 	attackers.Wait()
 }
 
+// attackReading is like attack, but the clients read and drop what they are sent until the test ends.
+func (c *crowd) attackReading(address string, clients int, send func(w io.Writer) error) {
+	c.t.Helper()
+	c.attack(address, clients, func(w io.Writer) error {
+		go func() { _, _ = io.Copy(io.Discard, w.(timedWriter).Conn) }()
+		return send(w)
+	})
+}
+
+// attackAgain lets each client of a crowd send over one connection after another until the test ends.
+func (c *crowd) attackAgain(address string, clients int, send func(w io.Writer) error) {
+	c.t.Helper()
+	var attackers sync.WaitGroup
+	for range clients {
+		attackers.Go(func() {
+			for c.t.Context().Err() == nil {
+				conn, err := net.DialTimeout("tcp", address, writeTimeout)
+				if err != nil {
+					continue
+				}
+				_ = send(timedWriter{conn})
+				_ = conn.Close()
+			}
+		})
+	}
+	c.t.Cleanup(attackers.Wait)
+}
+
 // timedWriter gives up a write that the other side does not read.
 type timedWriter struct{ net.Conn }
 
--- a/hostile/edge_test.go
+++ b/hostile/edge_test.go
@@ -63,8 +63,19 @@
 	jobs      atomic.Uint64
 }
 
+// desiredLimits are the limits of the desired state that differ between tests.
+type desiredLimits struct {
+	bodyBytes, idleTimeoutMS int
+}
+
 // startEdge starts an edge daemon with a limit for bodies and waits until it has answered a job.
 func startEdge(t *testing.T, bodyBytes int) *edgeDaemon {
+	t.Helper()
+	return startEdgeWith(t, desiredLimits{bodyBytes: bodyBytes, idleTimeoutMS: idleTimeoutMS})
+}
+
+// startEdgeWith starts an edge daemon with limits of the desired state and waits until it has answered a job.
+func startEdgeWith(t *testing.T, limits desiredLimits) *edgeDaemon {
 	t.Helper()
 	ip := fmt.Sprintf("127.%d.%d.%d", 1+rand.IntN(250), 1+rand.IntN(250), 1+rand.IntN(250))
 	addresses := load.NewAddresses(ip)
@@ -78,7 +89,7 @@
 	settings := filepath.Join(t.TempDir(), "edge.toml")
 	text := fmt.Sprintf("[vm]\nid = \"edge-1\"\nfailure_domain = \"domain-1\"\ncpu_share = 0.4\n[listen]\nfront = %q\nreadiness = %q\n"+
 		"peers = %q\nmetrics = %q\n[store]\naddress = %q\n[runs]\nlease_ms = %d\n[stop]\ngrace_s = 6.0\n",
-		d.front, d.readiness, free(), d.metrics, startStore(t, bodyBytes), maxLease.Milliseconds())
+		d.front, d.readiness, free(), d.metrics, startStore(t, limits), maxLease.Milliseconds())
 	require.NoError(t, os.WriteFile(settings, []byte(text), 0o600))
 	d.process = startProcess(t, "edge", "--settings", settings)
 	d.requireJobAnswered()
@@ -86,7 +97,7 @@
 }
 
 // startStore starts a store with a desired state and a worker, and returns its address.
-func startStore(t *testing.T, bodyBytes int) string {
+func startStore(t *testing.T, limits desiredLimits) string {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
@@ -97,8 +108,8 @@
 		Name: "jobs", Host: routeHost, PathPrefix: routePrefix, Backend: backend, Attempts: 2, TargetFactor: 2,
 		TargetSlack: time.Second, Timeout: 10 * time.Second,
 	}), &desired))
-	desired["limits"] = map[string]int{"max_header_bytes": maxHeaderBytes, "max_body_bytes": bodyBytes,
-		"header_timeout_ms": headerTimeoutMS, "idle_timeout_ms": idleTimeoutMS}
+	desired["limits"] = map[string]int{"max_header_bytes": maxHeaderBytes, "max_body_bytes": limits.bodyBytes,
+		"header_timeout_ms": headerTimeoutMS, "idle_timeout_ms": limits.idleTimeoutMS}
 	document, err := json.Marshal(desired)
 	require.NoError(t, err)
 	store.Put("keyed.op", "config", document)
--- a/hostile/entry_test.go
+++ b/hostile/entry_test.go
@@ -23,6 +23,7 @@
 	messageBytes = 4 << 20
 	// headFrameBytes is less than the largest frame that HTTP/2 allows without negotiation.
 	headFrameBytes = 16_000
+	data           = 0x0
 	headers        = 0x1
 	settings       = 0x4
 	continuation   = 0x9
@@ -32,26 +33,27 @@
 type entryDaemon struct {
 	*process
 	callers string
+	admin   string
 }
 
 // startEntry starts an entry daemon and waits until it has answered a job.
 func startEntry(t *testing.T) *entryDaemon {
 	t.Helper()
 	addresses := load.NewAddresses(fmt.Sprintf("127.%d.%d.%d", 1+rand.IntN(250), 1+rand.IntN(250), 1+rand.IntN(250)))
-	var free [3]string
+	var free [4]string
 	for n := range free {
 		a, err := addresses.Free()
 		require.NoError(t, err)
 		free[n] = a
 	}
-	platform, callers, peers := free[0], free[1], free[2]
+	platform, callers, peers, admin := free[0], free[1], free[2], free[3]
 	startProcess(t, "standin", "--listen", platform, "--workers", "1", "--slots", "4", "--service", "glashaus.v1.Booking",
 		"--entry", strings.Join([]string{"entry-1", "1", peers, callers}, ";"))
 	path := filepath.Join(t.TempDir(), "entry.toml")
-	text := fmt.Sprintf("[vm]\nid = \"entry-1\"\nfailure_domain = 1\n[listen]\ncallers = %q\npeers = %q\nadmin = \"\"\n"+
-		"[platform]\nlog = \"http://%s\"\nlist = \"http://%s\"\n[schema]\nfiles = [\"schemas/glashaus.proto\"]\n", callers, peers, platform, platform)
+	text := fmt.Sprintf("[vm]\nid = \"entry-1\"\nfailure_domain = 1\n[listen]\ncallers = %q\npeers = %q\nadmin = %q\n"+
+		"[platform]\nlog = \"http://%s\"\nlist = \"http://%s\"\n[schema]\nfiles = [\"schemas/glashaus.proto\"]\n", callers, peers, admin, platform, platform)
 	require.NoError(t, os.WriteFile(path, []byte(text), 0o600))
-	d := &entryDaemon{process: startProcess(t, "entry", "--settings", path), callers: callers}
+	d := &entryDaemon{process: startProcess(t, "entry", "--settings", path), callers: callers, admin: admin}
 	d.requireJobAnswered()
 	return d
 }
