clientlimit: make room for newcomers after a second of idleness

What callers saw: once a crowd held all connections of an edge daemon, each answered once and then silent, no other client could connect for as long as the idle time of the desired state, which is more than a minute by default. Cause: at the limit, an idle connection was evicted only after that idle time. Change: the one that has been idle longest is evicted after 1 s. While there is room nothing is evicted, as before; a connection whose request is being served never is. A newcomer has a request to send, so its place is worth more than an idle one.

--- a/clientlimit/limits.go
+++ b/clientlimit/limits.go
@@ -9,7 +9,7 @@
 	HeadBytes, BodyBytes int
 	// HeadTime is the time from the first byte of a head to its last one.
 	HeadTime time.Duration
-	// IdleTime is the time without progress in a body, and that for which a connection may be idle while connections are scarce.
+	// IdleTime is the time without progress in a body.
 	IdleTime time.Duration
 }
 
--- a/clientlimit/listener.go
+++ b/clientlimit/listener.go
@@ -22,6 +22,10 @@
 	firstRequestTime = 75 * time.Second
 )
 
+// minIdleTime is the time for which a connection is idle before it is closed to make room for another one: a client may be about to send
+// the next request.
+const minIdleTime = time.Second
+
 // errNotListening is the error of a listener that was not opened.
 var errNotListening = errors.New("the listener is not open")
 
@@ -127,7 +131,7 @@
 // admit returns the connection as the server sees it, or nil after refusing it.
 func (l *Listener) admit(conn net.Conn) net.Conn {
 	now := time.Now()
-	admitted, evicted := l.table.Admit(func() { _ = conn.Close() }, now, l.o.Limits().IdleTime)
+	admitted, evicted := l.table.Admit(func() { _ = conn.Close() }, now, minIdleTime)
 	if evicted != nil {
 		evicted.close()
 		l.note(Evicted)
--- a/hostile/edgeclients_test.go
+++ b/hostile/edgeclients_test.go
@@ -25,6 +25,15 @@
 	cancelsOfAClient      = 4_000
 )
 
+// Guards against answered connections that stay and take the place of other clients' ones.
+func TestAnsweredConnectionsThatStay(t *testing.T) {
+	d, c := startEdgeWith(t, desiredLimits{bodyBytes: maxBodyBytes, idleTimeoutMS: longIdleTimeoutMS}), newCrowd(t)
+	c.attackReading(d.front, beyondDescriptors, func(w io.Writer) error {
+		return writeAll(w, "GET "+routePrefix+" HTTP/1.1\r\nHost: "+routeHost+"\r\n\r\n")
+	})
+	d.requireServing()
+}
+
 // Guards against what jobs hold that wait for room at a worker.
 func TestJobsThatWait(t *testing.T) {
 	d, c := startEdge(t, maxBodyBytes), newCrowd(t)
