clientlimit, rpc: bound what open calls hold, for the process

What callers saw: 40 clients with a few MB of frames made an entry daemon hold 0.3 to 1.5 GB, on a VM of 144 MB. What they had taken was still held after they had left. Cause: the bytes of messages without an end were the only thing that was counted. A call was free, and so were its metadata, a message from its end on while the call was served, what a frame holds beside its bytes, and the ends of refused calls that a client does not read. Nothing was bounded for all connections together but those bytes, and a client kept its part for as long as it stayed. Change: CallRoom bounds open calls (an eighth of the memory, 16 KiB each and their metadata) and what messages hold (a sixth, twice their bytes) for the process. A call is counted from its head until its handler has ended, a message until its call has ended; one connection has at most half of the calls (MAX_CONCURRENT_STREAMS, so that clients of gRPC wait). Without room the connection that has been stalled longest is closed, then the one that holds most gives way; a call without room ends as unavailable. A connection whose ends of calls are not read is not read further. An evicted connection is waited for, since it holds memory until the server has closed it. The tests of FrameScanner and Budget that said that a message counts until its end, and that waited for a Budget, are replaced by ones for the new rule and for CallRoom, which check as much.

--- a/clientlimit/callconn.go
+++ b/clientlimit/callconn.go
@@ -1,6 +1,8 @@
 package clientlimit
 
 import (
+	"bytes"
+	"context"
 	"io"
 	"net"
 	"sync"
@@ -8,106 +10,204 @@
 )
 
 const (
-	// freeCallBytes of unfinished messages are part of their connection's share of the memory, so that small calls are served also
-	// when the budget is used up.
+	// freeCallBytes of messages are part of their connection's share of the memory, so that small calls are served also when the
+	// room for messages is used up.
 	freeCallBytes = 16 << 10
-	// callIdleTime is the longest time without progress while a connection holds more than its share.
+	// messageCopies is the number of times that the bytes of a message are held while it is decoded or encoded.
+	messageCopies = 2
+	// callIdleTime is the longest time without progress while a connection holds more than its share of unfinished requests.
 	callIdleTime = 15 * time.Second
-	// roomTimeout is how long a connection waits for room in the budget.
-	roomTimeout = 2 * time.Second
+	// chargeBytes is the step in which a connection takes room for its messages, so that small changes do not need the lock of the room.
+	chargeBytes = 4 << 10
+	// refusedCalls is the number of calls beyond the limit of a connection that may be open because their refusals are not sent yet.
+	refusedCalls = 100
 )
 
-// CallConn is a connection for calls over HTTP/2. It counts the messages without an end against the budget. mu guards the fields below it.
+// CallConn is a connection for calls over HTTP/2. It counts what its calls hold against the room of the process. mu guards the fields
+// below it; it is locked before that of the room.
 type CallConn struct {
 	net.Conn
-	budget *Budget
-	note   func(Refusal)
+	share *CallShare
+	// accepted is the connection below TLS as the listener counts it.
+	accepted *bareConn
+	// maxOpen is the number of calls that may be open.
+	maxOpen int
+	note    func(Refusal)
+	// timed is set while the reader of the connection has set a deadline. unread holds bytes that have arrived and are not scanned yet. Both
+	// belong to the reader.
+	timed  bool
+	unread []byte
 
 	mu      sync.Mutex
 	scanner *FrameScanner
-	charged int64
-	closed  bool
+	// charged are the bytes for which the connection has room, stalledSince what the room has been told.
+	charged      int64
+	stalledSince time.Time
+	// fewer is closed when no more than maxOpen calls are open; it is nil while nothing waits for that.
+	fewer chan struct{}
+}
+
+// newCallConn returns a connection whose calls are counted against a room. accepted is the connection below TLS, which is closed to make
+// room: closing one with TLS waits for the client.
+func newCallConn(accepted *bareConn, conn net.Conn, r *CallRoom, maxOpen int, note func(Refusal)) *CallConn {
+	c := &CallConn{Conn: conn, accepted: accepted, maxOpen: maxOpen + refusedCalls, note: note, scanner: NewFrameScanner()}
+	c.share = r.Join(func() {
+		note(Evicted)
+		accepted.abort()
+	})
+	return c
 }
 
 // Read implements net.Conn. It waits while there is no room for what was received, and ends the connection after some time.
 func (c *CallConn) Read(p []byte) (int, error) {
-	if c.isCharged() {
-		if err := c.SetReadDeadline(time.Now().Add(callIdleTime)); err != nil {
-			return 0, err
-		}
+	if err := c.limitReadTime(); err != nil {
+		return 0, err
 	}
-	n, err := c.Conn.Read(p)
+	n, err := c.receive(p)
 	if n == 0 {
 		return n, err
 	}
-	before := c.isCharged()
-	if more := c.received(p[:n]); more > 0 {
-		if !c.budget.takeWithin(more, roomTimeout) {
-			c.note(NoRoom)
-			return 0, io.EOF
-		}
-		c.add(more)
+	if !c.awaitRoom(c.accepted.ctx) || !c.awaitFewerCalls() {
+		c.note(NoRoom)
+		return 0, io.EOF
 	}
-	if before && !c.isCharged() {
-		if err := c.SetReadDeadline(time.Time{}); err != nil {
-			return n, err
+	return n, err
+}
+
+// receive returns bytes that were kept, or reads some. It keeps those which the server may not read yet.
+func (c *CallConn) receive(p []byte) (int, error) {
+	if len(c.unread) > 0 {
+		n := c.scan(c.unread[:min(len(p), len(c.unread))])
+		copy(p, c.unread[:n])
+		if c.unread = c.unread[n:]; len(c.unread) == 0 {
+			c.unread = nil
 		}
+		return n, nil
 	}
-	return n, err
+	n, err := c.Conn.Read(p)
+	used := c.scan(p[:n])
+	if used < n {
+		c.unread = bytes.Clone(p[used:n])
+	}
+	return used, err
 }
 
-// received scans bytes and returns what has to be taken from the budget. What the connection has too much is given back.
-func (c *CallConn) received(b []byte) int64 {
+// scan notes received bytes and returns how many of them the server may read now.
+func (c *CallConn) scan(b []byte) int {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.scanner.Received(b)
-	return c.settle()
+	return c.scanner.Received(b, time.Now())
 }
 
-// settle gives back what the connection has taken too much, and returns what it lacks. c.mu is held.
-func (c *CallConn) settle() int64 {
-	due := int64(max(c.scanner.Held()-freeCallBytes, 0))
-	if due >= c.charged {
-		return due - c.charged
+// limitReadTime sets a deadline while the connection holds more than its share of unfinished requests. Otherwise that of the server applies.
+func (c *CallConn) limitReadTime() error {
+	if c.holdsUnfinished() {
+		c.timed = true
+		return c.SetReadDeadline(time.Now().Add(callIdleTime))
 	}
-	c.budget.giveBack(c.charged - due)
-	c.charged = due
-	return 0
+	if !c.timed {
+		return nil
+	}
+	c.timed = false
+	return c.SetReadDeadline(time.Time{})
 }
 
-func (c *CallConn) isCharged() bool {
+func (c *CallConn) holdsUnfinished() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.charged > 0
+	return c.charged > 0 && c.scanner.Incomplete() > 0
+}
+
+// awaitRoom waits until there is room for the messages of the connection, or reports that there was none within a time.
+func (c *CallConn) awaitRoom(ctx context.Context) bool {
+	due, held := c.settle()
+	if held {
+		return true
+	}
+	ctx, cancel := context.WithTimeout(ctx, roomTimeout)
+	defer cancel()
+	for !held {
+		if !c.share.Await(ctx, due) {
+			return false
+		}
+		due, held = c.settle()
+	}
+	return true
 }
 
-// add notes what was taken from the budget.
-func (c *CallConn) add(bytes int64) {
+func (c *CallConn) settle() (due int64, held bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.closed {
-		c.budget.giveBack(bytes)
-		return
+	return c.settleLocked()
+}
+
+// settleLocked tells the room what the calls of the connection hold now, and returns whether there is room for it. c.mu is
+// held.
+func (c *CallConn) settleLocked() (due int64, held bool) {
+	if c.fewer != nil && c.scanner.Open() <= c.maxOpen {
+		close(c.fewer)
+		c.fewer = nil
+	}
+	due = messageCopies * int64(max(c.scanner.Held()-freeCallBytes, 0))
+	due = (due + chargeBytes - 1) / chargeBytes * chargeBytes
+	stalledSince := c.scanner.StalledSince()
+	if due == c.charged && stalledSince.Equal(c.stalledSince) {
+		return due, true
+	}
+	if held = c.share.Hold(due, stalledSince, time.Now()); held {
+		c.charged = due
+	}
+	c.stalledSince = stalledSince
+	return due, held
+}
+
+// awaitFewerCalls waits while the server has not sent the ends of so many calls that their refusals would use up the memory. It reports
+// that the client has not read them.
+func (c *CallConn) awaitFewerCalls() bool {
+	c.mu.Lock()
+	if c.scanner.Open() <= c.maxOpen {
+		c.mu.Unlock()
+		return true
 	}
-	c.charged += bytes
-	c.settle()
+	fewer := make(chan struct{})
+	c.fewer = fewer
+	c.mu.Unlock()
+	timeout := time.NewTimer(writeTimeout)
+	defer timeout.Stop()
+	select {
+	case <-fewer:
+		return true
+	case <-timeout.C:
+		return false
+	case <-c.accepted.ctx.Done():
+		return false
+	}
+}
+
+// BeginCall takes room for a call with its metadata, or reports that there is none. cancel ends the call if it has to give way.
+func (c *CallConn) BeginCall(metadataBytes int, cancel func()) (*OpenCall, bool) {
+	bytes := int64(callBytes + max(metadataBytes-freeMetadataBytes, 0))
+	call, begun := c.share.Begin(c.accepted.ctx, bytes, cancel, time.Now())
+	if !begun {
+		c.note(NoRoom)
+	}
+	return call, begun
 }
 
-// Write implements net.Conn.
+// Write implements net.Conn. A client that does not read loses its connection.
 func (c *CallConn) Write(b []byte) (int, error) {
 	c.mu.Lock()
-	c.scanner.Sent(b)
-	c.settle()
+	c.scanner.Sent(b, time.Now())
+	c.settleLocked()
 	c.mu.Unlock()
+	if err := c.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
+		return 0, err
+	}
 	return c.Conn.Write(b)
 }
 
 // Close implements net.Conn.
 func (c *CallConn) Close() error {
-	c.mu.Lock()
-	c.closed = true
-	c.budget.giveBack(c.charged)
-	c.charged = 0
-	c.mu.Unlock()
+	c.share.Leave()
 	return c.Conn.Close()
 }
--- a/clientlimit/frames_test.go
+++ b/clientlimit/frames_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"encoding/binary"
-	"net"
 	"strings"
 	"testing"
 	"time"
@@ -14,69 +13,123 @@
 
 // frameText returns a frame of HTTP/2.
 func frameText(kind, flags byte, stream uint32, length int) string {
+	return frameHead(kind, flags, stream, length) + strings.Repeat("x", length)
+}
+
+// frameHead returns the head of a frame of HTTP/2.
+func frameHead(kind, flags byte, stream uint32, length int) string {
 	head := []byte{byte(length >> 16), byte(length >> 8), byte(length), kind, flags}
-	return string(binary.BigEndian.AppendUint32(head, stream)) + strings.Repeat("x", length)
+	return string(binary.BigEndian.AppendUint32(head, stream))
+}
+
+// scannedCalls feeds a scanner with frames in pieces of a size.
+type scannedCalls struct {
+	*FrameScanner
+	piece int
+	now   time.Time
+}
+
+func newScannedCalls(piece int) *scannedCalls {
+	return &scannedCalls{FrameScanner: NewFrameScanner(), piece: piece, now: testStart}
+}
+
+func (s *scannedCalls) receive(texts ...string) {
+	for text := strings.Join(texts, ""); text != ""; {
+		text = text[s.Received([]byte(text[:min(s.piece, len(text))]), s.now):]
+	}
 }
 
-// Guards against messages that are not counted, or that stay counted after either side has ended their stream, in whatever pieces the
-// bytes arrive.
-func TestUnfinishedMessagesAreCounted(t *testing.T) {
-	const settings = 0x4
+func (s *scannedCalls) send(texts ...string) {
+	for text := strings.Join(texts, ""); text != ""; {
+		n := min(s.piece, len(text))
+		s.Sent([]byte(text[:n]), s.now)
+		text = text[n:]
+	}
+}
+
+// eachPiece runs a test with bytes that arrive in different pieces.
+func eachPiece(test func(s *scannedCalls)) {
 	for _, piece := range []int{1, 5, 100_000} {
-		s := NewFrameScanner()
-		receive := func(texts ...string) {
-			for text := strings.Join(texts, ""); text != ""; {
-				n := min(piece, len(text))
-				s.Received([]byte(text[:n]))
-				text = text[n:]
-			}
-		}
-		receive(http2Preface, frameText(settings, 0, 0, 12), frameText(frameHeaders, 0, 1, 30), frameText(frameData, 0, 1, 1000))
-		receive(frameText(frameHeaders, 0, 3, 30), frameText(frameData, 0, 3, 500))
-		require.Equal(t, 1500, s.Held())
-		receive(frameText(frameData, flagEndStream, 1, 200))
-		require.Equal(t, 500, s.Held())
-		s.Sent([]byte(frameText(frameHeaders, 0, 3, 10)))
-		require.Equal(t, 500, s.Held())
-		s.Sent([]byte(frameText(frameHeaders, flagEndStream, 3, 10)))
-		receive(frameText(frameData, 0, 3, 700))
-		require.Zero(t, s.Held(), "the server has ended the stream")
-		receive(frameText(frameHeaders, 0, 5, 30), frameText(frameData, 0, 5, 100), frameText(frameReset, 0, 5, 4))
-		receive(frameText(frameHeaders, flagEndStream, 7, 30))
-		require.Zero(t, s.Held())
-		require.Empty(t, s.unfinished)
+		test(newScannedCalls(piece))
 	}
 }
 
-// Guards against a connection that keeps its part of the budget after it was closed, and one that reads on without room.
-func TestUnfinishedMessagesTakeFromTheBudget(t *testing.T) {
-	const free = 60_000
-	budget := NewBudget(free)
-	server, client := net.Pipe()
-	c := &CallConn{Conn: server, budget: budget, scanner: NewFrameScanner(), note: func(Refusal) {}}
-	go func() {
-		_, _ = client.Write([]byte(http2Preface + frameText(frameHeaders, 0, 1, 30) + frameText(frameData, 0, 1, 40_000)))
-	}()
-	buffer := make([]byte, 1<<20)
-	for c.scanner.Held() == 0 {
-		_, err := c.Read(buffer)
-		require.NoError(t, err)
+// heldBy returns what a call holds whose request has come in a number of frames.
+func heldBy(bytes, frames int) int { return callStreamBytes + bytes + frames*frameBytes }
+
+// Guards against requests that are not counted, that are not counted any more while their call is served, or that stay counted after
+// the server or a reset has ended the call.
+func TestRequestsAreCountedUntilTheirCallEnds(t *testing.T) {
+	eachPiece(func(s *scannedCalls) {
+		const settings = 0x4
+		s.receive(http2Preface, frameText(settings, 0, 0, 12), frameText(frameHeaders, flagEndHeaders, 1, 30), frameText(frameData, 0, 1, 1000))
+		s.receive(frameText(frameHeaders, flagEndHeaders, 3, 30), frameText(frameData, 0, 3, 500))
+		first, second := heldBy(1000, 1), heldBy(500, 1)
+		require.Equal(t, first+second, s.Held())
+		s.receive(frameText(frameData, flagEndStream, 1, 200))
+		first = heldBy(1200, 2)
+		require.Equal(t, first+second, s.Held(), "the request is being served")
+		s.send(frameText(frameHeaders, flagEndHeaders, 1, 10), frameText(frameData, 0, 1, 20))
+		require.Equal(t, first+second, s.Held(), "the answer has no end")
+		s.send(frameText(frameHeaders, flagEndHeaders|flagEndStream, 1, 10))
+		require.Equal(t, second, s.Held())
+		s.send(frameText(frameHeaders, flagEndHeaders|flagEndStream, 3, 10))
+		s.receive(frameText(frameData, 0, 3, 700))
+		require.Zero(t, s.Held(), "the server has ended the call")
+		s.receive(frameText(frameHeaders, flagEndHeaders, 5, 30), frameText(frameData, 0, 5, 100), frameText(frameReset, 0, 5, 4))
+		s.receive(frameText(frameHeaders, flagEndHeaders, 3, 30))
+		require.Zero(t, s.Held(), "a call that has ended does not begin again")
+		require.Zero(t, s.Open())
+		require.Zero(t, s.pending.Len())
+	})
+}
+
+// Guards against calls that begin without a bound before the connection has room for them.
+func TestFewCallsBeginAtOnce(t *testing.T) {
+	s := newScannedCalls(1)
+	s.receive(http2Preface)
+	var heads string
+	for n := range uint32(mostBegun + 5) {
+		heads += frameText(frameHeaders, flagEndHeaders, firstStream+2*n, 4)
 	}
-	require.EqualValues(t, free-40_000+freeCallBytes, budget.free)
-	require.False(t, budget.take(free))
-	require.NoError(t, c.Close())
-	require.EqualValues(t, free, budget.free)
+	used := s.Received([]byte(heads), s.now)
+	require.Equal(t, mostBegun, s.Open())
+	s.Received([]byte(heads[used:]), s.now)
+	require.Equal(t, mostBegun+5, s.Open())
+}
+
+// Guards against heads without an end that are not counted.
+func TestHeadsWithoutEndAreCounted(t *testing.T) {
+	eachPiece(func(s *scannedCalls) {
+		s.receive(http2Preface, frameText(frameHeaders, 0, 1, 3000), frameText(frameContinuation, 0, 1, 5000))
+		require.Equal(t, heldBy(8000, 0), s.Held())
+		s.receive(frameText(frameContinuation, flagEndHeaders, 1, 100))
+		require.Equal(t, heldBy(0, 0), s.Held())
+	})
 }
 
-// Guards against a wait for room that is missed when bytes are given back, or that never ends.
-func TestWaitForRoom(t *testing.T) {
-	budget := NewBudget(10)
-	require.True(t, budget.take(8))
-	require.False(t, budget.takeWithin(5, time.Millisecond))
-	done := make(chan bool)
-	go func() { done <- budget.takeWithin(5, time.Hour) }()
-	budget.giveBack(1)
-	budget.giveBack(7)
-	require.True(t, <-done)
-	require.EqualValues(t, 5, budget.free)
+// Guards against a connection that counts as stalled while its calls wait for the server, or that does not while they wait for the client.
+func TestCallsThatWaitForTheClientStall(t *testing.T) {
+	s := newScannedCalls(100)
+	require.Zero(t, s.StalledSince())
+	s.receive(http2Preface, frameText(frameHeaders, flagEndHeaders, 1, 30))
+	s.now = s.now.Add(time.Second)
+	s.receive(frameText(frameHeaders, flagEndHeaders, 3, 30), frameText(frameData, 0, 1, 10))
+	require.Equal(t, testStart, s.StalledSince(), "more bytes do not end the request")
+	require.Equal(t, 2, s.Incomplete())
+	s.receive(frameText(frameData, flagEndStream, 1, 10))
+	require.Equal(t, s.now, s.StalledSince())
+	s.receive(frameText(frameData, flagEndStream, 3, 10))
+	require.Zero(t, s.StalledSince())
+	require.Equal(t, 2, s.Served())
+	s.now = s.now.Add(time.Second)
+	s.send(frameText(frameHeaders, flagEndHeaders, 3, 10))
+	require.Equal(t, s.now, s.StalledSince(), "the client has to read the answer")
+	s.now = s.now.Add(time.Second)
+	s.send(frameText(frameData, 0, 3, 100))
+	require.Equal(t, s.now, s.StalledSince(), "the client has read a part of it")
+	require.Equal(t, 1, s.Served())
+	s.send(frameText(frameHeaders, flagEndStream, 3, 10), frameText(frameReset, 0, 1, 4))
+	require.Zero(t, s.StalledSince())
+	require.Zero(t, s.Served())
 }
--- a/clientlimit/limits.go
+++ b/clientlimit/limits.go
@@ -52,9 +52,16 @@
 	// connectionShare and requestShare are the parts of the memory that all connections and all requests may take, one in that many.
 	connectionShare = 2
 	requestShare    = 12
-	// callConnectionShare and callShare are the same for calls over HTTP/2, whose messages are larger.
+	// callConnectionShare, callShare and messageShare are the parts for connections with calls over HTTP/2, for the calls and for their
+	// messages.
 	callConnectionShare = 4
-	callShare           = 3
+	callShare           = 8
+	messageShare        = 6
+	// callBytes is what an open call holds with metadata of freeMetadataBytes.
+	callBytes         = 16 << 10
+	freeMetadataBytes = 4 << 10
+	// connectionCallShare is the part of the calls that one connection may have, one in that many.
+	connectionCallShare = 2
 	// taskBytes is what a task of an accepted job holds until the job has been answered, taskShare the part of the memory for all of
 	// them, one in that many.
 	taskBytes = 512
@@ -97,9 +104,15 @@
 // RequestBytes returns the budget for the requests of all clients.
 func (v VM) RequestBytes() int64 { return v.memoryBytes() / requestShare }
 
-// CallBytes returns the budget for the unfinished messages of all calls over HTTP/2.
+// CallBytes returns what the open calls over HTTP/2 of all clients may hold.
 func (v VM) CallBytes() int64 { return v.memoryBytes() / callShare }
 
+// ConnectionCalls returns the number of calls that may be open on one connection.
+func (v VM) ConnectionCalls() int { return int(v.CallBytes() / callBytes / connectionCallShare) }
+
+// MessageBytes returns what the messages of all calls over HTTP/2 may hold.
+func (v VM) MessageBytes() int64 { return v.memoryBytes() / messageShare }
+
 // Tasks returns the number of tasks that all accepted jobs together may have.
 func (v VM) Tasks() int { return int(v.memoryBytes() / taskShare / taskBytes) }
 
--- a/clientlimit/listener.go
+++ b/clientlimit/listener.go
@@ -131,18 +131,25 @@
 // admit returns the connection as the server sees it, or nil after refusing it.
 func (l *Listener) admit(conn net.Conn) net.Conn {
 	now := time.Now()
-	admitted, evicted := l.table.Admit(func() { _ = conn.Close() }, now, minIdleTime)
+	closeConn := func() { _ = conn.Close() }
+	var bare *bareConn
+	if l.o.Bare {
+		bare = newBareConn(conn, l.table)
+		closeConn = bare.abort
+	}
+	admitted, evicted := l.table.Admit(closeConn, now, minIdleTime)
 	if evicted != nil {
-		evicted.close()
 		l.note(Evicted)
+		evicted.evict()
 	}
 	if admitted == nil {
 		l.note(NoConnection)
 		_ = conn.Close()
 		return nil
 	}
-	if l.o.Bare {
-		return &bareConn{Conn: conn, table: l.table, member: admitted}
+	if bare != nil {
+		bare.member = admitted
+		return bare
 	}
 	c := newConn(conn, l)
 	c.member = admitted
@@ -153,30 +160,6 @@
 	return c
 }
 
-// bareConn is a connection that is bounded in number only. It may be evicted until it has sent something.
-type bareConn struct {
-	net.Conn
-	table   *Table
-	member  *Member
-	spoken  sync.Once
-	closing sync.Once
-}
-
-// Read implements net.Conn.
-func (c *bareConn) Read(p []byte) (int, error) {
-	n, err := c.Conn.Read(p)
-	if n > 0 {
-		c.spoken.Do(func() { c.table.Serving(c.member) })
-	}
-	return n, err
-}
-
-// Close implements net.Conn.
-func (c *bareConn) Close() error {
-	c.closing.Do(func() { c.table.Remove(c.member) })
-	return c.Conn.Close()
-}
-
 // note counts and logs a refusal.
 func (l *Listener) note(r Refusal) {
 	l.counters[r].Inc(1)
--- a/clientlimit/process.go
+++ b/clientlimit/process.go
@@ -1,6 +1,7 @@
 package clientlimit
 
 import (
+	"errors"
 	"log/slog"
 	"net"
 
@@ -20,12 +21,12 @@
 // Process is what the clients of a process share.
 type Process struct {
 	vm VM
-	// requests is the budget for requests over HTTP/1.1, calls that for unfinished messages over HTTP/2. A process serves clients by one of
-	// them.
-	requests, calls *Budget
-	tasks           TaskRoom
-	logger          *slog.Logger
-	metrics         metrics.Registry
+	// requests is the budget for requests over HTTP/1.1, calls the room for calls over HTTP/2. A process serves clients by one of them.
+	requests *Budget
+	calls    *CallRoom
+	tasks    TaskRoom
+	logger   *slog.Logger
+	metrics  metrics.Registry
 }
 
 // NewProcess returns the limits of a process on a VM. If the VM does not state its descriptors, the limit of the process applies.
@@ -33,7 +34,7 @@
 	if vm.Descriptors <= 0 {
 		vm.Descriptors = descriptorLimit()
 	}
-	return &Process{vm: vm, requests: NewBudget(vm.RequestBytes()), calls: NewBudget(vm.CallBytes()),
+	return &Process{vm: vm, requests: NewBudget(vm.RequestBytes()), calls: NewCallRoom(vm),
 		tasks: TaskRoom{NewBudget(int64(vm.Tasks()))}, logger: logger, metrics: r}
 }
 
@@ -83,8 +84,18 @@
 	return o
 }
 
-// LimitCalls bounds the unfinished messages on a connection for calls over HTTP/2, above TLS.
-func (p *Process) LimitCalls(conn net.Conn) net.Conn {
+// ConnectionCalls returns the number of calls that may be open on one connection.
+func (p *Process) ConnectionCalls() int { return p.vm.ConnectionCalls() }
+
+// errNotAccepted is the error of a connection that was not accepted by a listener for calls.
+var errNotAccepted = errors.New("the connection does not come from a listener for calls")
+
+// LimitCalls bounds the calls on a connection for HTTP/2. accepted is the connection of the listener for calls, below TLS.
+func (p *Process) LimitCalls(accepted, conn net.Conn) (*CallConn, error) {
+	bare, ok := accepted.(*bareConn)
+	if !ok {
+		return nil, errNotAccepted
+	}
 	refused := newCounters(p.metrics)
-	return &CallConn{Conn: conn, budget: p.calls, scanner: NewFrameScanner(), note: func(r Refusal) { refused[r].Inc(1) }}
+	return newCallConn(bare, conn, p.calls, p.vm.ConnectionCalls(), func(r Refusal) { refused[r].Inc(1) }), nil
 }
--- a/clientlimit/table.go
+++ b/clientlimit/table.go
@@ -25,6 +25,23 @@
 	in        *list.List
 	idleSince time.Time
 	removed   bool
+	// closed is closed when the server has closed the connection, which gone tells too.
+	closed chan struct{}
+	gone   bool
+}
+
+// evictionTimeout bounds the wait for the server to close an evicted connection.
+const evictionTimeout = time.Second
+
+// evict ends a connection that Admit has evicted, and waits until the server has closed it: until then it still holds memory.
+func (m *Member) evict() {
+	m.close()
+	timeout := time.NewTimer(evictionTimeout)
+	defer timeout.Stop()
+	select {
+	case <-m.closed:
+	case <-timeout.C:
+	}
 }
 
 // NewTable returns a table for a number of connections.
@@ -42,7 +59,7 @@
 		t.remove(evicted)
 	}
 	t.open++
-	admitted = &Member{close: closeConn}
+	admitted = &Member{close: closeConn, closed: make(chan struct{})}
 	t.put(admitted, &t.fresh)
 	return admitted, evicted
 }
@@ -79,11 +96,15 @@
 	t.put(m, &t.idle)
 }
 
-// Remove removes a closed connection.
+// Remove removes a connection that the server has closed.
 func (t *Table) Remove(m *Member) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.remove(m)
+	if !m.gone {
+		m.gone = true
+		close(m.closed)
+	}
 }
 
 // Open returns the number of connections.
--- a/command/entryparts.go
+++ b/command/entryparts.go
@@ -17,7 +17,6 @@
 	"github.com/cicadadale/cicadadale/internal/tlsfiles"
 	"github.com/cicadadale/cicadadale/machine"
 	"github.com/cicadadale/cicadadale/platform"
-	"github.com/cicadadale/cicadadale/rpc"
 	"github.com/cicadadale/cicadadale/schema"
 	"github.com/cicadadale/cicadadale/zone"
 )
@@ -85,7 +84,7 @@
 		ID: s.VM.ID, PeerAddress: o.PeerListener.Addr().String(), CallerAddress: o.CallerListener.Addr().String(),
 	}
 	p.secure(&o)
-	o.CallerCredentials = rpc.LimitCalls(o.CallerCredentials, clients)
+	o.Clients = clients
 	return o, nil
 }
 
--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -12,6 +12,7 @@
 	"google.golang.org/grpc/credentials"
 
 	"github.com/cicadadale/cicadadale/backend"
+	"github.com/cicadadale/cicadadale/clientlimit"
 	"github.com/cicadadale/cicadadale/contract"
 	"github.com/cicadadale/cicadadale/dispatch"
 	"github.com/cicadadale/cicadadale/link"
@@ -55,6 +56,8 @@
 	TimelineEvents int
 	// CallerCredentials secure connections from callers; nil serves plain TCP.
 	CallerCredentials credentials.TransportCredentials
+	// Clients bounds what callers make the process hold; nil sets no bounds.
+	Clients *clientlimit.Process
 	// Policy selects how workers are chosen; empty selects the default.
 	Policy  dispatch.Policy
 	Now     func() time.Time
@@ -181,7 +184,9 @@
 	d.refreshList(ctx)
 	d.configs.initialRead(ctx)
 	d.pollWorkers(ctx)
-	d.rpcServer = rpc.Serve(d.o.CallerListener, d, d.o.Now, d.o.CallerCredentials, d.o.Metrics)
+	d.rpcServer = rpc.Serve(d.o.CallerListener, d, rpc.ServerOptions{
+		Now: d.o.Now, Credentials: d.o.CallerCredentials, Clients: d.o.Clients, Metrics: d.o.Metrics,
+	})
 	d.loop(ctx, heartbeatInterval, func() { d.heartbeat() })
 	d.loop(ctx, delegateInterval, d.electClaimDelegate)
 	d.loops.Go(func() { d.configs.tail(ctx) })
--- a/hostile/caller_test.go
+++ b/hostile/caller_test.go
@@ -4,16 +4,22 @@
 	"bytes"
 	"encoding/binary"
 	"io"
+	"strings"
 
 	"golang.org/x/net/http2"
 	"golang.org/x/net/http2/hpack"
 )
 
 const (
-	submitPath         = "/cicadadale.v1.Dispatcher/Submit"
-	createJobsPath     = "/cicadadale.v1.Dispatcher/CreateJobs"
+	submitPath = "/cicadadale.v1.Dispatcher/Submit"
+	// dynamicTableBytes is what HPACK keeps of the fields of a connection unless the server allows more.
+	dynamicTableBytes = 4096
+	// fieldOverheadBytes is what HPACK counts for a field beside its name and its value.
+	fieldOverheadBytes = 32
 	messagePrefixBytes = 5
 	firstCall          = 1
+	// callStep is the distance of the stream ids of two calls of a client.
+	callStep = 2
 )
 
 // caller writes the frames of a gRPC client that keeps to no limits. Its fields belong to the goroutine that sends.
@@ -23,14 +29,14 @@
 	fields *hpack.Encoder
 }
 
-// newCaller begins a connection with the given settings.
-func newCaller(w io.Writer, settings ...http2.Setting) (*caller, error) {
+// newCaller begins a connection.
+func newCaller(w io.Writer) (*caller, error) {
 	if err := writeAll(w, http2.ClientPreface); err != nil {
 		return nil, err
 	}
 	c := &caller{frames: http2.NewFramer(w, nil)}
 	c.fields = hpack.NewEncoder(&c.head)
-	return c, c.frames.WriteSettings(settings...)
+	return c, c.frames.WriteSettings()
 }
 
 // begin sends the head of a call without its end.
@@ -64,3 +70,19 @@
 	message := binary.BigEndian.AppendUint32([]byte{0}, uint32(announced))
 	return c.frames.WriteData(stream, end, append(message, part...))
 }
+
+// eachCall runs a function for the stream of each call of a connection until it fails.
+func eachCall(calls int, do func(stream uint32) error) error {
+	for n := range calls {
+		if err := do(firstCall + callStep*uint32(n)); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// storedField is a field that fills the dynamic table of HPACK, so that it takes one byte each time after the first.
+func storedField() hpack.HeaderField {
+	const name = "x-stored"
+	return hpack.HeaderField{Name: name, Value: strings.Repeat("s", dynamicTableBytes-fieldOverheadBytes-len(name))}
+}
--- a/hostile/entrycalls_test.go
+++ b/hostile/entrycalls_test.go
@@ -1,17 +1,104 @@
 package hostile
 
 import (
+	"context"
+	"fmt"
 	"io"
 	"strings"
+	"sync"
 	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"golang.org/x/net/http2"
+	"golang.org/x/net/http2/hpack"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/credentials/insecure"
+	"google.golang.org/protobuf/encoding/protowire"
+
+	"github.com/cicadadale/cicadadale/api"
 )
 
 const (
-	pingFrames = 200_000
+	// openCalls are the calls that a client begins and never ends.
+	openCalls = 2_000
+	// fewOpenCalls are those of a client of a large crowd.
+	fewOpenCalls = 50
+	// metadataBytes is a little less than the metadata that a call may have.
+	metadataBytes = 60_000
+	partBytes     = 1000
+	resetCalls    = 20_000
+	pingFrames    = 200_000
 	// smallFramesBytes are sent in frames of 10 bytes, of which one belongs to a message.
 	smallFramesBytes = 2_000_000
+	// A large job has almost as many bytes as a job may have.
+	largeJobTasks     = 62
+	largePayloadBytes = 64 << 10
+	priceHire         = "PriceHire"
+	// largeJobTimeout bounds a submission that is neither answered nor refused.
+	largeJobTimeout = 20 * time.Second
 )
 
+// Guards against calls that callers begin and never end.
+func TestEntryOpenCalls(t *testing.T) {
+	d, c := startEntry(t), newCrowd(t)
+	c.attackReading(d.callers, smallCrowd, func(w io.Writer) error { return sendOpenCalls(w, openCalls) })
+	d.requireServing()
+}
+
+// Guards against a bound that holds for each connection and not for all of them together.
+func TestEntryOpenCallsOfManyConnections(t *testing.T) {
+	d, c := startEntry(t), newCrowd(t)
+	c.attackReading(d.callers, largeCrowd, func(w io.Writer) error { return sendOpenCalls(w, fewOpenCalls) })
+	d.requireServing()
+}
+
+// sendOpenCalls begins calls and never ends them.
+func sendOpenCalls(w io.Writer, calls int) error {
+	h, err := newCaller(w)
+	if err != nil {
+		return err
+	}
+	return eachCall(calls, func(stream uint32) error { return h.begin(stream, submitPath) })
+}
+
+// Guards against metadata that is short on the wire and long in memory.
+func TestEntryOpenCallsWithCompressedMetadata(t *testing.T) {
+	d, c := startEntry(t), newCrowd(t)
+	stored := storedField()
+	var metadata []hpack.HeaderField
+	for range metadataBytes / dynamicTableBytes {
+		metadata = append(metadata, stored)
+	}
+	c.attackReading(d.callers, smallCrowd, func(w io.Writer) error {
+		h, err := newCaller(w)
+		if err != nil {
+			return err
+		}
+		return eachCall(openCalls, func(stream uint32) error { return h.begin(stream, submitPath, metadata...) })
+	})
+	d.requireServing()
+}
+
+// Guards against messages that are announced as large ones, begin and never end, in many calls of a connection.
+func TestEntryOpenCallsWithPartsOfMessages(t *testing.T) {
+	d, c := startEntry(t), newCrowd(t)
+	part := strings.Repeat("p", partBytes-messagePrefixBytes)
+	c.attackReading(d.callers, smallCrowd, func(w io.Writer) error {
+		h, err := newCaller(w)
+		if err != nil {
+			return err
+		}
+		return eachCall(openCalls, func(stream uint32) error {
+			if err := h.begin(stream, submitPath); err != nil {
+				return err
+			}
+			return h.send(stream, messageBytes, part, false)
+		})
+	})
+	d.requireServing()
+}
+
 // Guards against messages in very small frames that stop short of their end, each of which holds more than its bytes.
 func TestEntryMessagesInSmallFrames(t *testing.T) {
 	d, c := startEntry(t), newCrowd(t)
@@ -31,6 +118,61 @@
 	d.requireServing()
 }
 
+// Guards against large jobs that are inside the limits each and are all submitted at the same time.
+func TestEntryLargeJobsAtTheSameTime(t *testing.T) {
+	d := startEntry(t)
+	var submitted sync.WaitGroup
+	for n := range smallCrowd {
+		conn, err := grpc.NewClient(d.callers, grpc.WithTransportCredentials(insecure.NewCredentials()))
+		require.NoError(t, err)
+		t.Cleanup(func() { _ = conn.Close() })
+		submitted.Go(func() {
+			ctx, cancel := context.WithTimeout(t.Context(), largeJobTimeout)
+			defer cancel()
+			// The job may be refused.
+			_, _ = api.NewDispatcherClient(conn).Submit(ctx, largeJob(n))
+		})
+	}
+	submitted.Wait()
+	d.requireServing()
+}
+
+// largeJob returns the submission of a job whose payloads are long.
+func largeJob(number int) *api.SubmitRequest {
+	// A field that the request kind does not have.
+	const unknownField = 100
+	payload := protowire.AppendTag(nil, unknownField, protowire.BytesType)
+	payload = protowire.AppendBytes(payload, make([]byte, largePayloadBytes-10))
+	r := &api.SubmitRequest{
+		Job: &api.JobRef{Ref: &api.JobRef_Key{Key: &api.CallerKey{
+			Customer: "hostile", Text: fmt.Sprint(number), CreatedUnixMs: time.Now().UnixMilli(),
+		}}},
+		Service: "glashaus.v1.Booking", WaitMs: 25_000,
+	}
+	for range largeJobTasks {
+		r.Tasks = append(r.Tasks, &api.Task{Kind: priceHire, Payload: payload})
+	}
+	return r
+}
+
+// Guards against calls that are begun and reset without a pause.
+func TestEntryCallsThatAreReset(t *testing.T) {
+	d, c := startEntry(t), newCrowd(t)
+	c.attackReading(d.callers, smallCrowd, func(w io.Writer) error {
+		h, err := newCaller(w)
+		if err != nil {
+			return err
+		}
+		return eachCall(resetCalls, func(stream uint32) error {
+			if err := h.begin(stream, submitPath); err != nil {
+				return err
+			}
+			return h.frames.WriteRSTStream(stream, http2.ErrCodeCancel)
+		})
+	})
+	d.requireServing()
+}
+
 // Guards against replies to pings that are kept for clients which never read them.
 func TestEntryPingsWithoutEnd(t *testing.T) {
 	d, c := startEntry(t), newCrowd(t)
@@ -49,6 +191,24 @@
 	d.requireServing()
 }
 
+// Guards against errors of calls that are kept for callers which never read them.
+func TestEntryErrorsThatAreNotRead(t *testing.T) {
+	d, c := startEntry(t), newCrowd(t)
+	c.attack(d.callers, smallCrowd, func(w io.Writer) error {
+		h, err := newCaller(w)
+		if err != nil {
+			return err
+		}
+		return eachCall(resetCalls, func(stream uint32) error {
+			if err := h.begin(stream, "/none"); err != nil {
+				return err
+			}
+			return h.send(stream, 0, "", true)
+		})
+	})
+	d.requireServing()
+}
+
 // Guards against heads and connections without end at the listener for operators.
 func TestEntryHeadsAndConnectionsAtAdmin(t *testing.T) {
 	d, c := startEntry(t), newCrowd(t)
--- a/rpc/client_test.go
+++ b/rpc/client_test.go
@@ -61,7 +61,7 @@
 		vm.home, vm.submissions = uint64(i+1), make(map[contract.JobID]int)
 		l, err := net.Listen("tcp", "127.0.0.1:0")
 		require.NoError(t, err)
-		s := Serve(l, vm, time.Now, nil, metrics.NewRegistry())
+		s := Serve(l, vm, ServerOptions{Now: time.Now, Metrics: metrics.NewRegistry()})
 		t.Cleanup(func() { s.Stop(context.Background()) })
 		addresses = append(addresses, l.Addr().String())
 	}
--- a/rpc/clientlimits.go
+++ b/rpc/clientlimits.go
@@ -20,26 +20,29 @@
 	idleConnectionTime = 10 * time.Minute
 	pingInterval       = time.Minute
 	pingTimeout        = 20 * time.Second
+	// bufferBytes is the size of the buffers of a connection for reading and for writing.
+	bufferBytes = 8 << 10
 )
 
 // connectionLimits bounds what a connection may hold before a call begins.
 func connectionLimits() []grpc.ServerOption {
 	return []grpc.ServerOption{
 		grpc.MaxHeaderListSize(maxHeaderListBytes), grpc.ConnectionTimeout(handshakeTimeout),
+		grpc.ReadBufferSize(bufferBytes), grpc.WriteBufferSize(bufferBytes),
 		grpc.KeepaliveParams(keepalive.ServerParameters{
 			MaxConnectionIdle: idleConnectionTime, Time: pingInterval, Timeout: pingTimeout,
 		}),
 	}
 }
 
-// limitedCredentials bounds the unfinished messages on each connection. The bytes of a connection are readable only after its handshake.
+// limitedCredentials bounds the calls on each connection. The bytes of a connection are readable only after its handshake.
 type limitedCredentials struct {
 	credentials.TransportCredentials
 	clients *clientlimit.Process
 }
 
-// LimitCalls returns credentials whose connections are bounded by the limits of the process. creds may be nil.
-func LimitCalls(creds credentials.TransportCredentials, clients *clientlimit.Process) credentials.TransportCredentials {
+// limitCalls returns credentials whose connections are bounded by the limits of the process. creds may be nil.
+func limitCalls(creds credentials.TransportCredentials, clients *clientlimit.Process) credentials.TransportCredentials {
 	if creds == nil {
 		creds = insecure.NewCredentials()
 	}
@@ -52,7 +55,17 @@
 	if err != nil {
 		return nil, nil, err
 	}
-	return l.clients.LimitCalls(conn), info, nil
+	limited, err := l.clients.LimitCalls(raw, conn)
+	if err != nil {
+		return nil, nil, err
+	}
+	return limited, limitedAuth{info, limited}, nil
+}
+
+// limitedAuth carries the connection of a call to its handler.
+type limitedAuth struct {
+	credentials.AuthInfo
+	conn *clientlimit.CallConn
 }
 
 // Clone implements credentials.TransportCredentials.
--- a/rpc/server.go
+++ b/rpc/server.go
@@ -10,6 +10,7 @@
 	"google.golang.org/grpc/credentials"
 
 	"github.com/cicadadale/cicadadale/api"
+	"github.com/cicadadale/cicadadale/clientlimit"
 	"github.com/cicadadale/cicadadale/contract"
 	"github.com/cicadadale/cicadadale/fault"
 	"github.com/cicadadale/cicadadale/internal/wire"
@@ -43,19 +44,30 @@
 	grpc    *grpc.Server
 }
 
-// Serve accepts callers on l in the background. creds may be nil.
-func Serve(
-	l net.Listener, jobs Jobs, now func() time.Time, creds credentials.TransportCredentials, r metrics.Registry,
-) *Server {
-	invalid := metrics.GetOrRegisterCounter(metric.InvalidRequests, r)
+// ServerOptions configure a server. Credentials may be nil for connections without TLS, Clients for callers without limits.
+type ServerOptions struct {
+	Now         func() time.Time
+	Credentials credentials.TransportCredentials
+	Clients     *clientlimit.Process
+	Metrics     metrics.Registry
+}
+
+// Serve accepts callers on l in the background.
+func Serve(l net.Listener, jobs Jobs, o ServerOptions) *Server {
+	invalid := metrics.GetOrRegisterCounter(metric.InvalidRequests, o.Metrics)
 	opts := append(connectionLimits(),
 		grpc.MaxRecvMsgSize(maxMessageBytes), grpc.MaxSendMsgSize(maxMessageBytes),
 		grpc.StatsHandler(oversizeCounter{counter: invalid}),
 	)
+	creds := o.Credentials
+	if o.Clients != nil {
+		creds = limitCalls(creds, o.Clients)
+		opts = append(opts, callLimits(o.Clients)...)
+	}
 	if creds != nil {
 		opts = append(opts, grpc.Creds(creds))
 	}
-	s := &Server{jobs: jobs, now: now, invalid: invalid, grpc: grpc.NewServer(opts...)}
+	s := &Server{jobs: jobs, now: o.Now, invalid: invalid, grpc: grpc.NewServer(opts...)}
 	api.RegisterDispatcherServer(s.grpc, s)
 	if c, ok := jobs.(ConfigurationSource); ok {
 		api.RegisterConfigurationServer(s.grpc, configurationServer{source: c})
