command: entry daemon collects garbage before the memory of its VM is used up

What callers saw: clients that come back again and again made an entry daemon hold more than the memory of its VM, although what their calls held was bounded. Cause: unlike the edge daemon, the entry daemon did not tell the runtime the memory of its VM, so garbage was collected only when the heap had doubled.

--- a/command/entryparts.go
+++ b/command/entryparts.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"log/slog"
 	"net"
+	"runtime/debug"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
@@ -76,6 +77,7 @@
 	}
 	o.Metrics = metrics.NewRegistry()
 	vm := clientlimit.VM{MemoryMB: s.VM.MemoryMB, Descriptors: s.VM.MaxFDs}
+	debug.SetMemoryLimit(vm.CollectionBytes())
 	clients := clientlimit.NewProcess(vm, p.logger, o.Metrics)
 	if err := listen(s.Listen, clients, &o); err != nil {
 		return o, err
--- a/hostile/entrycalls_test.go
+++ b/hostile/entrycalls_test.go
@@ -24,6 +24,8 @@
 	openCalls = 2_000
 	// fewOpenCalls are those of a client of a large crowd.
 	fewOpenCalls = 50
+	// largeCalls are calls of which each holds much.
+	largeCalls = 200
 	// metadataBytes is a little less than the metadata that a call may have.
 	metadataBytes = 60_000
 	partBytes     = 1000
@@ -53,6 +55,15 @@
 	d.requireServing()
 }
 
+// Guards against room that is not given back when clients leave.
+func TestEntryOpenCallsOfClientsThatComeBack(t *testing.T) {
+	d, c := startEntry(t), newCrowd(t)
+	c.attackAgain(d.callers, smallCrowd, func(w io.Writer) error { return sendOpenCalls(w, openCalls) })
+	for range repeatedChecks {
+		d.requireServing()
+	}
+}
+
 // sendOpenCalls begins calls and never ends them.
 func sendOpenCalls(w io.Writer, calls int) error {
 	h, err := newCaller(w)
@@ -62,6 +73,20 @@
 	return eachCall(calls, func(stream uint32) error { return h.begin(stream, submitPath) })
 }
 
+// Guards against the metadata of calls that never end.
+func TestEntryOpenCallsWithMetadata(t *testing.T) {
+	d, c := startEntry(t), newCrowd(t)
+	field := hpack.HeaderField{Name: "x-large", Value: strings.Repeat("m", metadataBytes), Sensitive: true}
+	c.attackReading(d.callers, smallCrowd, func(w io.Writer) error {
+		h, err := newCaller(w)
+		if err != nil {
+			return err
+		}
+		return eachCall(largeCalls, func(stream uint32) error { return h.begin(stream, submitPath, field) })
+	})
+	d.requireServing()
+}
+
 // Guards against metadata that is short on the wire and long in memory.
 func TestEntryOpenCallsWithCompressedMetadata(t *testing.T) {
 	d, c := startEntry(t), newCrowd(t)
