clientlimit, rpc: bound the answers that callers do not read

What callers saw: 40 clients that asked 20 times each for 10,000 job ids and opened no window for the answers made an entry daemon hold half a gigabyte. Cause: an answer is queued in the server until the client reads it, and was not counted. Change: an answer of more than 8 KiB takes room among the messages, twice its bytes, before it is queued, and gives it back when the frames show that its call has ended; for job ids the room is taken before they are made. Unit tests: room is given back after the answer, after a reset, and when no call is open.

--- a/clientlimit/callconn.go
+++ b/clientlimit/callconn.go
@@ -13,6 +13,8 @@
 	// freeCallBytes of messages are part of their connection's share of the memory, so that small calls are served also when the
 	// room for messages is used up.
 	freeCallBytes = 16 << 10
+	// freeAnswerBytes of an answer are part of the share of its call.
+	freeAnswerBytes = 8 << 10
 	// messageCopies is the number of times that the bytes of a message are held while it is decoded or encoded.
 	messageCopies = 2
 	// callIdleTime is the longest time without progress while a connection holds more than its share of unfinished requests.
@@ -40,6 +42,8 @@
 
 	mu      sync.Mutex
 	scanner *FrameScanner
+	// answers are the bytes that answers hold which are not sent to their end.
+	answers int64
 	// charged are the bytes for which the connection has room, stalledSince what the room has been told.
 	charged      int64
 	stalledSince time.Time
@@ -50,7 +54,8 @@
 // newCallConn returns a connection whose calls are counted against a room. accepted is the connection below TLS, which is closed to make
 // room: closing one with TLS waits for the client.
 func newCallConn(accepted *bareConn, conn net.Conn, r *CallRoom, maxOpen int, note func(Refusal)) *CallConn {
-	c := &CallConn{Conn: conn, accepted: accepted, maxOpen: maxOpen + refusedCalls, note: note, scanner: NewFrameScanner()}
+	c := &CallConn{Conn: conn, accepted: accepted, maxOpen: maxOpen + refusedCalls, note: note}
+	c.scanner = NewFrameScanner(func(answer int) { c.answers -= answerBytes(answer) })
 	c.share = r.Join(func() {
 		note(Evicted)
 		accepted.abort()
@@ -58,6 +63,14 @@
 	return c
 }
 
+// answerBytes returns what an answer of a length holds until it is sent.
+func answerBytes(length int) int64 {
+	if length <= freeAnswerBytes {
+		return 0
+	}
+	return messageCopies * int64(length)
+}
+
 // Read implements net.Conn. It waits while there is no room for what was received, and ends the connection after some time.
 func (c *CallConn) Read(p []byte) (int, error) {
 	if err := c.limitReadTime(); err != nil {
@@ -144,11 +157,16 @@
 // settleLocked tells the room what the calls of the connection hold now, and returns whether there is room for it. c.mu is
 // held.
 func (c *CallConn) settleLocked() (due int64, held bool) {
+	if c.scanner.Open() == 0 {
+		// A call that is reset before its answer was begun does not tell the length of that.
+		c.answers = 0
+	}
+	c.answers = max(c.answers, 0)
 	if c.fewer != nil && c.scanner.Open() <= c.maxOpen {
 		close(c.fewer)
 		c.fewer = nil
 	}
-	due = messageCopies * int64(max(c.scanner.Held()-freeCallBytes, 0))
+	due = messageCopies*int64(max(c.scanner.Held()-freeCallBytes, 0)) + c.answers
 	due = (due + chargeBytes - 1) / chargeBytes * chargeBytes
 	stalledSince := c.scanner.StalledSince()
 	if due == c.charged && stalledSince.Equal(c.stalledSince) {
@@ -184,6 +202,34 @@
 	}
 }
 
+// ReserveAnswer takes room for an answer of a length until it has been sent, or reports that there is none.
+func (c *CallConn) ReserveAnswer(ctx context.Context, length int) bool {
+	bytes := answerBytes(length)
+	if bytes == 0 {
+		return true
+	}
+	c.addAnswer(bytes)
+	if c.awaitRoom(ctx) {
+		return true
+	}
+	c.addAnswer(-bytes)
+	return false
+}
+
+// ReleaseAnswer gives back the room for an answer that is not sent.
+func (c *CallConn) ReleaseAnswer(length int) {
+	if bytes := answerBytes(length); bytes > 0 {
+		c.addAnswer(-bytes)
+		c.settle()
+	}
+}
+
+func (c *CallConn) addAnswer(bytes int64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.answers += bytes
+}
+
 // BeginCall takes room for a call with its metadata, or reports that there is none. cancel ends the call if it has to give way.
 func (c *CallConn) BeginCall(metadataBytes int, cancel func()) (*OpenCall, bool) {
 	bytes := int64(callBytes + max(metadataBytes-freeMetadataBytes, 0))
--- a/clientlimit/callconn_test.go
+++ b/clientlimit/callconn_test.go
@@ -1,6 +1,8 @@
 package clientlimit
 
 import (
+	"context"
+	"encoding/binary"
 	"io"
 	"net"
 	"strings"
@@ -133,3 +135,33 @@
 }
 
 const firstStream = 1
+
+// Guards against answers whose room is not given back when they have been sent or their calls have ended, and against ones that are
+// made without room.
+func TestAnswersTakeRoom(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const free, answer = 120_000, 40_000
+		r := newTestRoom()
+		r.messages, r.allMessages = free, free
+		c := newLimitedConn(t, r)
+		require.NoError(t, c.receive(http2Preface, callHead(1, flagEndStream), callHead(3, flagEndStream)))
+		require.True(t, c.ReserveAnswer(t.Context(), freeAnswerBytes))
+		require.EqualValues(t, free, r.messages, "a short answer is part of the share of its call")
+		require.True(t, c.ReserveAnswer(t.Context(), answer))
+		require.Equal(t, free-charge(answer), r.messages)
+		require.False(t, c.ReserveAnswer(t.Context(), answer))
+		ctx, cancel := context.WithCancel(t.Context())
+		cancel()
+		require.False(t, c.ReserveAnswer(ctx, answer))
+		require.Equal(t, free-charge(answer), r.messages, "answers without room hold nothing")
+		prefix := string(binary.BigEndian.AppendUint32([]byte{0}, answer))
+		c.send(t, callHead(1, 0), frameHead(frameData, 0, 1, len(prefix)), prefix, callHead(1, flagEndStream))
+		require.EqualValues(t, free, r.messages)
+		require.True(t, c.ReserveAnswer(t.Context(), answer))
+		c.ReleaseAnswer(answer)
+		require.EqualValues(t, free, r.messages)
+		require.True(t, c.ReserveAnswer(t.Context(), answer))
+		require.NoError(t, c.receive(frameText(frameReset, 0, 3, 4)))
+		require.EqualValues(t, free, r.messages, "no call is open")
+	})
+}
--- a/clientlimit/frames.go
+++ b/clientlimit/frames.go
@@ -17,6 +17,9 @@
 	flagEndStream     = 0x1
 	flagEndHeaders    = 0x4
 	streamMask        = 1<<31 - 1
+	// messagePrefixBytes precede a gRPC message: a byte for its compression, then its length.
+	messagePrefixBytes  = 5
+	messageLengthOffset = 1
 	// frameBytes is what a frame of a message holds beside its bytes.
 	frameBytes = 256
 	// callStreamBytes is what a call holds until its end has been sent, also if it was refused.
@@ -29,7 +32,8 @@
 type frameReader struct {
 	// skip is the number of bytes before the next frame head.
 	skip int
-	head [frameHeadBytes]byte
+	// head is the head of a frame, and the first bytes of a frame with a message.
+	head [frameHeadBytes + messagePrefixBytes]byte
 	have int
 }
 
@@ -38,6 +42,8 @@
 	kind, flags byte
 	stream      uint32
 	length      int
+	// message is the length of the message of gRPC if the frame is the first one of a message; it is meaningless for others.
+	message int
 }
 
 // next takes bytes from the beginning of b and returns the rest. found is set if the head of a frame is complete.
@@ -45,18 +51,33 @@
 	n := min(r.skip, len(b))
 	r.skip -= n
 	b = b[n:]
-	n = copy(r.head[r.have:], b)
-	r.have += n
-	if r.have < frameHeadBytes {
-		return b[n:], f, false
+	for r.have < r.wanted() {
+		if len(b) == 0 {
+			return b, f, false
+		}
+		n = copy(r.head[r.have:r.wanted()], b)
+		r.have += n
+		b = b[n:]
 	}
-	r.have = 0
 	f = frame{
-		length: int(r.head[0])<<16 | int(r.head[1])<<8 | int(r.head[2]), kind: r.head[3], flags: r.head[4],
-		stream: binary.BigEndian.Uint32(r.head[5:]) & streamMask,
+		length: r.length(), kind: r.head[3], flags: r.head[4],
+		stream:  binary.BigEndian.Uint32(r.head[5:]) & streamMask,
+		message: int(binary.BigEndian.Uint32(r.head[frameHeadBytes+messageLengthOffset:])),
 	}
-	r.skip = f.length
-	return b[n:], f, true
+	r.skip = f.length - (r.have - frameHeadBytes)
+	r.have = 0
+	return b, f, true
+}
+
+// length returns the length that a complete head announces.
+func (r *frameReader) length() int { return int(r.head[0])<<16 | int(r.head[1])<<8 | int(r.head[2]) }
+
+// wanted returns the number of bytes that are read of a frame before it is reported.
+func (r *frameReader) wanted() int {
+	if r.have >= frameHeadBytes && r.head[3] == frameData && r.length() >= messagePrefixBytes {
+		return len(r.head)
+	}
+	return frameHeadBytes
 }
 
 // callStream is a call on a connection, from its head to its end.
@@ -65,6 +86,8 @@
 	request int
 	// complete is set when the client has ended the request, answering when the server has begun its answer.
 	complete, answering bool
+	// answer is the length of the answer, as far as it is known.
+	answer int
 	// pending is the place among the calls that wait for the client, nil while the call waits for the server. since is when that began.
 	pending *list.Element
 	since   time.Time
@@ -81,11 +104,13 @@
 	held, head int
 	// incomplete and served are the numbers of calls whose request has no end yet, and of those that wait for the server.
 	incomplete, served int
+	// ended returns the length of an answer when its call has ended.
+	ended func(answer int)
 }
 
-// NewFrameScanner returns a scanner for a connection that begins.
-func NewFrameScanner() *FrameScanner {
-	return &FrameScanner{received: frameReader{skip: http2PrefaceBytes}, calls: make(map[uint32]*callStream)}
+// NewFrameScanner returns a scanner for a connection that begins. ended is called with the length of each answer whose call has ended.
+func NewFrameScanner(ended func(answer int)) *FrameScanner {
+	return &FrameScanner{received: frameReader{skip: http2PrefaceBytes}, calls: make(map[uint32]*callStream), ended: ended}
 }
 
 // Received notes bytes that the client has sent, up to those after which mostBegun calls have begun, and returns their number.
@@ -151,6 +176,9 @@
 	if c == nil {
 		return
 	}
+	if f.kind == frameData && c.answer == 0 {
+		c.answer = f.message
+	}
 	s.complete(f.stream)
 	if !c.answering {
 		c.answering = true
@@ -218,6 +246,9 @@
 	if c.pending != nil {
 		s.pending.Remove(c.pending)
 	}
+	if c.answer > 0 {
+		s.ended(c.answer)
+	}
 }
 
 // Held returns the bytes that the requests of the calls hold, from their first byte until the call has ended.
--- a/clientlimit/frames_test.go
+++ b/clientlimit/frames_test.go
@@ -27,10 +27,14 @@
 	*FrameScanner
 	piece int
 	now   time.Time
+	// answers are the lengths of the answers whose calls have ended.
+	answers []int
 }
 
 func newScannedCalls(piece int) *scannedCalls {
-	return &scannedCalls{FrameScanner: NewFrameScanner(), piece: piece, now: testStart}
+	s := &scannedCalls{piece: piece, now: testStart}
+	s.FrameScanner = NewFrameScanner(func(answer int) { s.answers = append(s.answers, answer) })
+	return s
 }
 
 func (s *scannedCalls) receive(texts ...string) {
@@ -108,6 +112,23 @@
 	})
 }
 
+// Guards against answers whose room is kept after they have been sent, or given back before.
+func TestLengthsOfEndedAnswersAreReported(t *testing.T) {
+	eachPiece(func(s *scannedCalls) {
+		const announced = 70_000
+		prefix := string(binary.BigEndian.AppendUint32([]byte{0}, announced))
+		s.receive(http2Preface, frameText(frameHeaders, flagEndHeaders|flagEndStream, 1, 30), frameText(frameHeaders, flagEndHeaders|flagEndStream, 3, 30))
+		s.send(frameText(frameHeaders, flagEndHeaders, 1, 10))
+		s.send(frameHead(frameData, 0, 1, len(prefix)+16_000), prefix, strings.Repeat("a", 16_000), frameText(frameData, 0, 1, 16_000))
+		require.Empty(t, s.answers)
+		s.send(frameText(frameHeaders, flagEndHeaders|flagEndStream, 1, 10))
+		require.Equal(t, []int{announced}, s.answers)
+		s.send(frameText(frameHeaders, flagEndHeaders, 3, 10), frameHead(frameData, 0, 3, len(prefix)), prefix)
+		s.receive(frameText(frameReset, 0, 3, 4))
+		require.Equal(t, []int{announced, announced}, s.answers, "the client has reset the call")
+	})
+}
+
 // Guards against a connection that counts as stalled while its calls wait for the server, or that does not while they wait for the client.
 func TestCallsThatWaitForTheClientStall(t *testing.T) {
 	s := newScannedCalls(100)
--- a/hostile/caller_test.go
+++ b/hostile/caller_test.go
@@ -11,7 +11,8 @@
 )
 
 const (
-	submitPath = "/cicadadale.v1.Dispatcher/Submit"
+	submitPath     = "/cicadadale.v1.Dispatcher/Submit"
+	createJobsPath = "/cicadadale.v1.Dispatcher/CreateJobs"
 	// dynamicTableBytes is what HPACK keeps of the fields of a connection unless the server allows more.
 	dynamicTableBytes = 4096
 	// fieldOverheadBytes is what HPACK counts for a field beside its name and its value.
@@ -29,14 +30,14 @@
 	fields *hpack.Encoder
 }
 
-// newCaller begins a connection.
-func newCaller(w io.Writer) (*caller, error) {
+// newCaller begins a connection with the given settings.
+func newCaller(w io.Writer, settings ...http2.Setting) (*caller, error) {
 	if err := writeAll(w, http2.ClientPreface); err != nil {
 		return nil, err
 	}
 	c := &caller{frames: http2.NewFramer(w, nil)}
 	c.fields = hpack.NewEncoder(&c.head)
-	return c, c.frames.WriteSettings()
+	return c, c.frames.WriteSettings(settings...)
 }
 
 // begin sends the head of a call without its end.
--- a/hostile/entrycalls_test.go
+++ b/hostile/entrycalls_test.go
@@ -15,6 +15,7 @@
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/credentials/insecure"
 	"google.golang.org/protobuf/encoding/protowire"
+	"google.golang.org/protobuf/proto"
 
 	"github.com/cicadadale/cicadadale/api"
 )
@@ -29,8 +30,12 @@
 	// metadataBytes is a little less than the metadata that a call may have.
 	metadataBytes = 60_000
 	partBytes     = 1000
+	// unreadAnswers are calls of a client whose answers are large.
+	unreadAnswers = 20
 	resetCalls    = 20_000
-	pingFrames    = 200_000
+	// mostJobIDs is the largest number of ids that one call may request.
+	mostJobIDs = 10_000
+	pingFrames = 200_000
 	// smallFramesBytes are sent in frames of 10 bytes, of which one belongs to a message.
 	smallFramesBytes = 2_000_000
 	// A large job has almost as many bytes as a job may have.
@@ -216,6 +221,26 @@
 	d.requireServing()
 }
 
+// Guards against answers that are kept for callers which never read them.
+func TestEntryAnswersThatAreNotRead(t *testing.T) {
+	d, c := startEntry(t), newCrowd(t)
+	request, err := proto.Marshal(&api.CreateJobsRequest{Count: mostJobIDs})
+	require.NoError(t, err)
+	c.attack(d.callers, smallCrowd, func(w io.Writer) error {
+		h, err := newCaller(w, http2.Setting{ID: http2.SettingInitialWindowSize, Val: 0})
+		if err != nil {
+			return err
+		}
+		return eachCall(unreadAnswers, func(stream uint32) error {
+			if err := h.begin(stream, createJobsPath); err != nil {
+				return err
+			}
+			return h.send(stream, len(request), string(request), true)
+		})
+	})
+	d.requireServing()
+}
+
 // Guards against errors of calls that are kept for callers which never read them.
 func TestEntryErrorsThatAreNotRead(t *testing.T) {
 	d, c := startEntry(t), newCrowd(t)
--- a/rpc/calllimits.go
+++ b/rpc/calllimits.go
@@ -11,19 +11,24 @@
 	"google.golang.org/grpc/stats"
 	"google.golang.org/grpc/status"
 	"google.golang.org/grpc/tap"
+	"google.golang.org/protobuf/proto"
 
+	"github.com/cicadadale/cicadadale/api"
 	"github.com/cicadadale/cicadadale/clientlimit"
 )
 
 const (
 	// metadataFieldBytes is what a field of the metadata holds beside its name and its value.
 	metadataFieldBytes = 128
+	// jobIDBytes is what an id holds in the answer to CreateJobs.
+	jobIDBytes = 64
 )
 
 // Errors for want of room say nothing of the job that a call names: it may have been submitted before. Callers may ask again under the
 // same job id.
 var (
-	errNoCallRoom = status.Error(codes.Unavailable, "too many open calls; the job's state is not known, ask again under the same job id")
+	errNoCallRoom   = status.Error(codes.Unavailable, "too many open calls; the job's state is not known, ask again under the same job id")
+	errNoAnswerRoom = status.Error(codes.Unavailable, "no room for the answer; ask again under the same job id")
 	// errCallEvicted is the cause of a context whose call gave way to another caller's.
 	errCallEvicted = errors.New("the call gave way to another caller's")
 )
@@ -112,11 +117,35 @@
 	return bytes
 }
 
-// serveCall tells the caller of a call that gave way to another one that the call may be repeated.
+// serveCall serves a call if there is room for its answer.
 func serveCall(ctx context.Context, req any, _ *grpc.UnaryServerInfo, handler grpc.UnaryHandler) (any, error) {
+	conn := connOf(ctx)
+	if conn == nil {
+		return handler(ctx, req)
+	}
+	expected := expectedAnswerBytes(req)
+	if !conn.ReserveAnswer(ctx, expected) {
+		return nil, errNoAnswerRoom
+	}
 	resp, err := handler(ctx, req)
-	if errors.Is(context.Cause(ctx), errCallEvicted) {
+	conn.ReleaseAnswer(expected)
+	switch {
+	case errors.Is(context.Cause(ctx), errCallEvicted):
 		return nil, errNoCallRoom
+	case err != nil || ctx.Err() != nil:
+		return resp, err
+	}
+	if m, ok := resp.(proto.Message); ok && !conn.ReserveAnswer(ctx, proto.Size(m)) {
+		return nil, errNoAnswerRoom
+	}
+	return resp, nil
+}
+
+// expectedAnswerBytes returns the length of an answer that is made for the call alone, as far as the request tells. Other answers are those of
+// jobs, which are there already.
+func expectedAnswerBytes(req any) int {
+	if r, ok := req.(*api.CreateJobsRequest); ok {
+		return int(min(r.GetCount(), maxJobIDs)) * jobIDBytes
 	}
-	return resp, err
+	return 0
 }
--- a/rpc/calllimits_test.go
+++ b/rpc/calllimits_test.go
@@ -171,3 +171,12 @@
 		require.Equal(t, codes.Canceled, status.Code(err), "%v", err)
 	}
 }
+
+// Guards against an answer that is made although there is no room for it.
+func TestAnswersWithoutRoomAreNotMade(t *testing.T) {
+	s := startLimitedServer(t)
+	c := s.dial()
+	_, err := c.CreateJobs(t.Context(), &api.CreateJobsRequest{Count: maxJobIDs})
+	require.Equal(t, codes.Unavailable, status.Code(err))
+	require.NoError(t, createJob(t.Context(), c))
+}
