clientlimit: a connection for calls keeps its place only while a call is served

What callers saw: a crowd of connections to an entry daemon that had sent the preface of HTTP/2, or one call that never ended, or had had one answer, kept all other callers out for as long as it stayed. Cause: a connection counted as being served from its first byte on, and such a connection is never evicted. Change: the frames tell when a call waits for the server. Only then is its connection safe; otherwise it counts as fresh until its first answer, and as idle after it, as at the edge daemon. The unit test fails without this change.

--- a/clientlimit/bareconn.go
+++ b/clientlimit/bareconn.go
@@ -6,7 +6,7 @@
 	"sync"
 )
 
-// bareConn is a connection that is bounded in number only. It may be evicted until it has sent something.
+// bareConn is a connection that is bounded in number only. What is above it tells the table when it is being served.
 type bareConn struct {
 	net.Conn
 	table  *Table
@@ -14,7 +14,6 @@
 	// ctx ends when the connection is closed or aborted.
 	ctx     context.Context
 	cancel  context.CancelFunc
-	spoken  sync.Once
 	closing sync.Once
 }
 
@@ -30,15 +29,6 @@
 	_ = c.Conn.Close()
 }
 
-// Read implements net.Conn.
-func (c *bareConn) Read(p []byte) (int, error) {
-	n, err := c.Conn.Read(p)
-	if n > 0 {
-		c.spoken.Do(func() { c.table.Serving(c.member) })
-	}
-	return n, err
-}
-
 // Close implements net.Conn.
 func (c *bareConn) Close() error {
 	c.closing.Do(func() { c.table.Remove(c.member) })
--- a/clientlimit/callconn.go
+++ b/clientlimit/callconn.go
@@ -26,7 +26,7 @@
 )
 
 // CallConn is a connection for calls over HTTP/2. It counts what its calls hold against the room of the process. mu guards the fields
-// below it; it is locked before that of the room.
+// below it; it is locked before those of the room and of the table.
 type CallConn struct {
 	net.Conn
 	share *CallShare
@@ -47,6 +47,7 @@
 	// charged are the bytes for which the connection has room, stalledSince what the room has been told.
 	charged      int64
 	stalledSince time.Time
+	serving      bool
 	// fewer is closed when no more than maxOpen calls are open; it is nil while nothing waits for that.
 	fewer chan struct{}
 }
@@ -154,7 +155,7 @@
 	return c.settleLocked()
 }
 
-// settleLocked tells the room what the calls of the connection hold now, and returns whether there is room for it. c.mu is
+// settleLocked tells the room and the table what the calls of the connection hold now, and returns whether there is room for it. c.mu is
 // held.
 func (c *CallConn) settleLocked() (due int64, held bool) {
 	if c.scanner.Open() == 0 {
@@ -162,6 +163,7 @@
 		c.answers = 0
 	}
 	c.answers = max(c.answers, 0)
+	c.noteServing()
 	if c.fewer != nil && c.scanner.Open() <= c.maxOpen {
 		close(c.fewer)
 		c.fewer = nil
@@ -179,6 +181,19 @@
 	return due, held
 }
 
+// noteServing tells the table whether a call of the connection waits for the server. c.mu is held.
+func (c *CallConn) noteServing() {
+	serving := c.scanner.Served() > 0
+	if serving == c.serving {
+		return
+	}
+	if c.serving = serving; serving {
+		c.accepted.table.Serving(c.accepted.member)
+		return
+	}
+	c.accepted.table.Answered(c.accepted.member, time.Now())
+}
+
 // awaitFewerCalls waits while the server has not sent the ends of so many calls that their refusals would use up the memory. It reports
 // that the client has not read them.
 func (c *CallConn) awaitFewerCalls() bool {
--- a/hostile/entrycalls_test.go
+++ b/hostile/entrycalls_test.go
@@ -259,6 +259,47 @@
 	d.requireServing()
 }
 
+// Guards against connections that take the place of other callers' ones without a call.
+func TestEntryConnectionsWithoutCalls(t *testing.T) {
+	d, c := startEntry(t), newCrowd(t)
+	c.attackReading(d.callers, beyondDescriptors, func(w io.Writer) error {
+		_, err := newCaller(w)
+		return err
+	})
+	d.requireServing()
+}
+
+// Guards against connections that take the place of other callers' ones with a call that never ends.
+func TestEntryConnectionsWithAnOpenCall(t *testing.T) {
+	d, c := startEntry(t), newCrowd(t)
+	c.attackReading(d.callers, beyondDescriptors, func(w io.Writer) error {
+		h, err := newCaller(w)
+		if err != nil {
+			return err
+		}
+		return h.begin(firstCall, submitPath)
+	})
+	d.requireServing()
+}
+
+// Guards against connections that stay after their call has been answered.
+func TestEntryConnectionsWithAnAnsweredCall(t *testing.T) {
+	d, c := startEntry(t), newCrowd(t)
+	request, err := proto.Marshal(&api.CreateJobsRequest{Count: 1})
+	require.NoError(t, err)
+	c.attackReading(d.callers, beyondDescriptors, func(w io.Writer) error {
+		h, err := newCaller(w)
+		if err != nil {
+			return err
+		}
+		if err := h.begin(firstCall, createJobsPath); err != nil {
+			return err
+		}
+		return h.send(firstCall, len(request), string(request), true)
+	})
+	d.requireServing()
+}
+
 // Guards against heads and connections without end at the listener for operators.
 func TestEntryHeadsAndConnectionsAtAdmin(t *testing.T) {
 	d, c := startEntry(t), newCrowd(t)
