batch: bound the jobs that an edge daemon keeps

What callers saw: 400 clients with short jobs inside all limits, one after another, made an edge daemon hold 171 MB on a VM of 144 MB; it collected garbage without end, and had 1,004 of 1,024 descriptors open since its own calls took long. Cause: the answer of an ended job is kept for 30 s for copies of the job. Nothing bounded how many are kept, but the rate at which workers end jobs. Change: a home keeps at most as many jobs as fit into a quarter of the memory at 1 KiB each (36,864 at 144 MB, 1,228 jobs a second for 30 s; 72,704 at 284 MB). A further job that is not known is refused at once with 503 and Retry-After 1, or with 504 if it may have run. No ended job is dropped before its time: its copy would run again. The unit test checks that copies are served, that a refusal is true, and that the room returns with the end of the 30 s.

--- a/batch/home.go
+++ b/batch/home.go
@@ -82,9 +82,11 @@
 	// Evacuated reports whether all listed workers of a back end that can hold a task are in evacuated failure domains. It does
 	// not block and does not call the home; nil means that none are.
 	Evacuated func(backend string, need machine.Resources, label string) bool
-	Now       func() time.Time
-	Logger    *slog.Logger
-	Metrics   metrics.Registry
+	// MaxJobs is the number of jobs that the home may keep, ended ones among them; 0 means any number.
+	MaxJobs int
+	Now     func() time.Time
+	Logger  *slog.Logger
+	Metrics metrics.Registry
 }
 
 // Home holds the jobs that this VM has accepted.
@@ -108,6 +110,8 @@
 	// refusesNew is set once the process ends as soon as its jobs are answered.
 	refusesNew atomic.Bool
 	shards     [shards]shard
+	// kept is the number of jobs in all shards, ended ones among them.
+	kept atomic.Int64
 }
 
 // shard holds the jobs whose ids hash to it. mu guards the map and the jobs in it.
@@ -217,7 +221,7 @@
 		for id, j := range s.jobs {
 			if j.state == jobEnded {
 				if now.Sub(j.endedAt) > answerRetention {
-					delete(s.jobs, id)
+					h.drop(s, id)
 				}
 				continue
 			}
@@ -244,6 +248,11 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	j, known := s.jobs[b.ID]
+	if !known {
+		if refusal, refused := h.refuseWithoutRoom(&b); refused {
+			return refusal, true
+		}
+	}
 	lastRun := uint64(0)
 	if known && j.startsAnew() {
 		known, lastRun = false, j.lastRun()
@@ -257,7 +266,7 @@
 		if j, rejection = h.accept(b, lastRun, now, out); rejection != nil {
 			return *rejection, true
 		}
-		s.jobs[b.ID] = j
+		h.keep(s, j)
 	}
 	if j.state == jobEnded {
 		return j.answer, true
--- /dev/null
+++ b/batch/kept_test.go
@@ -0,0 +1,43 @@
+package batch
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/cicadadale/cicadadale/contract"
+)
+
+// Guards against jobs that are kept without a bound, against one that is refused although it is known here or may have run, and against
+// room that is not given back when answers expire.
+func TestJobsKeptAreBounded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const most = 3
+		h, _ := newTestHome()
+		defer h.Close()
+		h.o.MaxJobs = most
+		submit := func(id string) Answer {
+			b := testBatch(1, time.Second)
+			b.ID = id
+			return h.Submit(context.Background(), b)
+		}
+		id := func(n int) string { return fmt.Sprintf("%016x", n) }
+		for n := range most {
+			require.Equal(t, Abandoned, submit(id(n)).Outcome, "no owner answers")
+		}
+		refused := submit(id(most))
+		require.Equal(t, Refused, refused.Outcome)
+		require.Equal(t, noRoomRetry, refused.RetryAfter)
+		require.NotEqual(t, refused, submit(id(0)), "a copy of a known job")
+		h.o.Cancels.Record(contract.JobCancel{Job: id(most), At: time.Now()}, time.Now())
+		require.Equal(t, Abandoned, submit(id(most)).Outcome, "a cancelled job may have run")
+		time.Sleep(answerRetention + time.Second)
+		require.Zero(t, h.kept.Load())
+		require.Equal(t, Abandoned, submit(id(most+1)).Outcome)
+		require.EqualValues(t, 1, h.kept.Load())
+	})
+}
--- a/batch/latestart.go
+++ b/batch/latestart.go
@@ -72,8 +72,8 @@
 // RefusalOf returns the answer to a job that is turned away before it has been submitted here. It is refused only if nothing is known of
 // it: a job that another member holds, that has been cancelled or was accepted here may have run.
 func (h *Home) RefusalOf(b *contract.Batch, reason string, retryAfter time.Duration) Answer {
-	a := Answer{Outcome: h.refusedOutcome(b), Reason: reason, RetryAfter: retryAfter}
-	if _, held := h.o.Held.Of(b.ID); held || h.o.Cancels.Cancelled(b.ID) || h.mayHaveServed(b.ID) {
+	a := Answer{Outcome: h.outcomeOfUnknown(b), Reason: reason, RetryAfter: retryAfter}
+	if h.mayHaveServed(b.ID) {
 		a.Outcome = Abandoned
 	}
 	return a
--- a/clientlimit/limits.go
+++ b/clientlimit/limits.go
@@ -66,6 +66,10 @@
 	// them, one in that many.
 	taskBytes = 512
 	taskShare = 16
+	// jobBytes is what a job holds beside its tasks until its answer is dropped, jobShare the part of the memory for all of them, one in
+	// that many.
+	jobBytes = 1 << 10
+	jobShare = 4
 	// collectPercent is the share of the memory from which on garbage is collected more often.
 	collectPercent = 70
 	minConnections = 16
@@ -116,5 +120,8 @@
 // Tasks returns the number of tasks that all accepted jobs together may have.
 func (v VM) Tasks() int { return int(v.memoryBytes() / taskShare / taskBytes) }
 
+// Jobs returns the number of jobs that may be kept, those that have ended and whose answers are kept among them.
+func (v VM) Jobs() int { return int(v.memoryBytes() / jobShare / jobBytes) }
+
 // CollectionBytes returns the memory from which on garbage is collected more often.
 func (v VM) CollectionBytes() int64 { return v.memoryBytes() / 100 * collectPercent }
--- a/command/edge.go
+++ b/command/edge.go
@@ -143,7 +143,7 @@
 		Dial: func(ctx context.Context, address string) (net.Conn, error) {
 			return dialer.DialContext(ctx, "tcp", address)
 		},
-		Now: clock.Now, Logger: logger, Metrics: registry,
+		MaxJobs: vm.Jobs(), Now: clock.Now, Logger: logger, Metrics: registry,
 	})
 	if err != nil {
 		return errors.Join(err, peers.Close())
--- a/edge/daemon.go
+++ b/edge/daemon.go
@@ -74,9 +74,11 @@
 	AvoidSlow bool
 	// Overload selects what is done while there is too little room on the workers.
 	Overload contract.OverloadPolicy
-	Now      func() time.Time
-	Logger   *slog.Logger
-	Metrics  metrics.Registry
+	// MaxJobs is the number of jobs that may be kept, ended ones among them; 0 means any number.
+	MaxJobs int
+	Now     func() time.Time
+	Logger  *slog.Logger
+	Metrics metrics.Registry
 }
 
 // Daemon is one process. Its components have locks of their own; mu guards the fields below it.
@@ -164,7 +166,7 @@
 	d.home = batch.New(batch.Options{
 		Self: d.self, Owners: owners{d}, Members: membership{d}, Capacity: d.capacity, Crashes: d.crashes,
 		Cancels: d.cancels, Held: d.held, Fits: d.fits, Evacuated: d.evacuated, LateStarts: d.lateStarts, OwnerOf: d.ownerOf,
-		Overload: o.Overload, Now: o.Now, Logger: o.Logger, Metrics: o.Metrics,
+		Overload: o.Overload, MaxJobs: o.MaxJobs, Now: o.Now, Logger: o.Logger, Metrics: o.Metrics,
 	})
 	d.entries = newEntryRequests(d.members)
 	d.announced = &announcements{members: d.members}
--- a/hostile/edge_test.go
+++ b/hostile/edge_test.go
@@ -63,19 +63,20 @@
 	jobs      atomic.Uint64
 }
 
-// desiredLimits are the limits of the desired state that differ between tests.
-type desiredLimits struct {
+// edgeOptions are what differs between tests: limits of the desired state, and the time that a task runs.
+type edgeOptions struct {
 	bodyBytes, idleTimeoutMS int
+	runTime                  time.Duration
 }
 
 // startEdge starts an edge daemon with a limit for bodies and waits until it has answered a job.
 func startEdge(t *testing.T, bodyBytes int) *edgeDaemon {
 	t.Helper()
-	return startEdgeWith(t, desiredLimits{bodyBytes: bodyBytes, idleTimeoutMS: idleTimeoutMS})
+	return startEdgeWith(t, edgeOptions{bodyBytes: bodyBytes, idleTimeoutMS: idleTimeoutMS, runTime: runTime})
 }
 
-// startEdgeWith starts an edge daemon with limits of the desired state and waits until it has answered a job.
-func startEdgeWith(t *testing.T, limits desiredLimits) *edgeDaemon {
+// startEdgeWith starts an edge daemon with options and waits until it has answered a job.
+func startEdgeWith(t *testing.T, o edgeOptions) *edgeDaemon {
 	t.Helper()
 	ip := fmt.Sprintf("127.%d.%d.%d", 1+rand.IntN(250), 1+rand.IntN(250), 1+rand.IntN(250))
 	addresses := load.NewAddresses(ip)
@@ -89,7 +90,7 @@
 	settings := filepath.Join(t.TempDir(), "edge.toml")
 	text := fmt.Sprintf("[vm]\nid = \"edge-1\"\nfailure_domain = \"domain-1\"\ncpu_share = 0.4\n[listen]\nfront = %q\nreadiness = %q\n"+
 		"peers = %q\nmetrics = %q\n[store]\naddress = %q\n[runs]\nlease_ms = %d\n[stop]\ngrace_s = 6.0\n",
-		d.front, d.readiness, free(), d.metrics, startStore(t, limits), maxLease.Milliseconds())
+		d.front, d.readiness, free(), d.metrics, startStore(t, o), maxLease.Milliseconds())
 	require.NoError(t, os.WriteFile(settings, []byte(text), 0o600))
 	d.process = startProcess(t, "edge", "--settings", settings)
 	d.requireJobAnswered()
@@ -97,7 +98,7 @@
 }
 
 // startStore starts a store with a desired state and a worker, and returns its address.
-func startStore(t *testing.T, limits desiredLimits) string {
+func startStore(t *testing.T, o edgeOptions) string {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
@@ -108,8 +109,8 @@
 		Name: "jobs", Host: routeHost, PathPrefix: routePrefix, Backend: backend, Attempts: 2, TargetFactor: 2,
 		TargetSlack: time.Second, Timeout: 10 * time.Second,
 	}), &desired))
-	desired["limits"] = map[string]int{"max_header_bytes": maxHeaderBytes, "max_body_bytes": limits.bodyBytes,
-		"header_timeout_ms": headerTimeoutMS, "idle_timeout_ms": limits.idleTimeoutMS}
+	desired["limits"] = map[string]int{"max_header_bytes": maxHeaderBytes, "max_body_bytes": o.bodyBytes,
+		"header_timeout_ms": headerTimeoutMS, "idle_timeout_ms": o.idleTimeoutMS}
 	document, err := json.Marshal(desired)
 	require.NoError(t, err)
 	store.Put("keyed.op", "config", document)
@@ -117,7 +118,7 @@
 	require.NoError(t, err)
 	host := standin.NewRunHost(standin.RunHostOptions{
 		ID: "worker-1", Capacity: workerCapacity, MaxLease: maxLease, Observer: ignoredRuns{},
-		Plan: func(contract.RunKey) standin.RunPlan { return standin.RunPlan{Duration: runTime} },
+		Plan: func(contract.RunKey) standin.RunPlan { return standin.RunPlan{Duration: o.runTime} },
 		Need: func(contract.RunKey) machine.Resources { return taskNeed },
 	})
 	server := standin.ServeHost(w, "worker-1", host)
--- a/hostile/edgeclients_test.go
+++ b/hostile/edgeclients_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
@@ -20,6 +21,9 @@
 	// longIdleTimeoutMS is longer than a test waits.
 	longIdleTimeoutMS = 600_000
 	jobsOfAClient     = 100
+	shortRunTime      = 5 * time.Millisecond
+	// Short jobs end sooner, so that more of them are kept at the same time.
+	shortJobsOfAClient = 500
 	// Answers without a run come sooner, so that more of them are kept at the same time.
 	hopelessJobsOfAClient = 4_000
 	cancelsOfAClient      = 4_000
@@ -27,7 +31,7 @@
 
 // Guards against answered connections that stay and take the place of other clients' ones.
 func TestAnsweredConnectionsThatStay(t *testing.T) {
-	d, c := startEdgeWith(t, desiredLimits{bodyBytes: maxBodyBytes, idleTimeoutMS: longIdleTimeoutMS}), newCrowd(t)
+	d, c := startEdgeWith(t, edgeOptions{bodyBytes: maxBodyBytes, idleTimeoutMS: longIdleTimeoutMS, runTime: runTime}), newCrowd(t)
 	c.attackReading(d.front, beyondDescriptors, func(w io.Writer) error {
 		return writeAll(w, "GET "+routePrefix+" HTTP/1.1\r\nHost: "+routeHost+"\r\n\r\n")
 	})
@@ -55,6 +59,16 @@
 	d.requireServing()
 }
 
+// Guards against what is kept of jobs that have ended while far more of them come than a deployment has.
+func TestManyShortJobsOfEachClient(t *testing.T) {
+	d, c := startEdgeWith(t, edgeOptions{bodyBytes: maxBodyBytes, idleTimeoutMS: idleTimeoutMS, runTime: shortRunTime}), newCrowd(t)
+	body := string(standin.JobDocument("short", 1, taskNeed, int(shortRunTime.Milliseconds())))
+	c.attack(d.front, largeCrowd, exchanges(shortJobsOfAClient, func(w io.Writer) error {
+		return writeAll(w, d.head(fmt.Sprintf("Content-Length: %d\r\n\r\n", len(body))), body)
+	}))
+	d.requireServing()
+}
+
 // Guards against what is kept of jobs that cannot be served in time and are answered at once.
 func TestManyHopelessJobsOfEachClient(t *testing.T) {
 	d, c := startEdge(t, maxBodyBytes), newCrowd(t)
--- a/metric/describe.go
+++ b/metric/describe.go
@@ -76,6 +76,7 @@
 		{PoolWorkersLost, "workers taken by another VM"},
 		{BatchJobsAccepted, "jobs accepted whose answer is the reply to their submission"},
 		{BatchJobsRefused, "such jobs refused because they could not end in time"},
+		{BatchJobsNoRoom, "jobs refused because the home keeps as many jobs as it may"},
 		{BatchJobsShed, "jobs refused while they could still have ended before their deadline, also by priority and reason"},
 		{PoolWaitingMs, "run time of the queued tasks, in milliseconds, also by priority"},
 		{BatchTasksMoved, "queued tasks moved to an owner with room"},
--- a/metric/metric.go
+++ b/metric/metric.go
@@ -65,6 +65,7 @@
 	PoolWorkersLost      = "pool.workers_lost"
 	BatchJobsAccepted    = "batch.jobs_accepted"
 	BatchJobsRefused     = "batch.jobs_refused"
+	BatchJobsNoRoom      = "batch.jobs_no_room"
 	BatchJobsShed        = "batch.jobs_shed"
 	BatchTasksMoved      = "batch.tasks_moved"
 	PoolEndsNotStarted   = "pool.ends_not_started"
