clientlimit: an unfinished request gives way to others when room is short

What callers saw: while a crowd stayed connected a byte short of the end of its large bodies, every other job of more than 8 KiB was answered with 504, for as long as the idle time of the desired state allowed. Cause: what an unfinished request had taken of the room for requests was given back only with its end or its time limit; a newcomer without room was refused. Change: without room, the request that has been without its end for longest gives way if that is longer than 1 s; its connection is closed. RequestRoom replaces the Budget for requests; TaskRoom, the other user of Budget, is a type of its own. Small requests and complete ones are treated as before.

--- a/clientlimit/assembler.go
+++ b/clientlimit/assembler.go
@@ -6,8 +6,8 @@
 )
 
 const (
-	// freeBytes of a request are part of its connection's share of the memory and not of the budget, so that ordinary small
-	// requests are served also when the budget is used up. A job with the largest specification is one of them.
+	// freeBytes of a request are part of their connection's share of the memory and not of the room for requests, so that ordinary
+	// small requests are served also when that is used up. A job with the largest specification is one of them.
 	freeBytes = 8 << 10
 	// copies is the number of times that the bytes of a request are held while it is read, decoded and served.
 	copies      = 4
@@ -35,12 +35,11 @@
 // Assembler gathers the bytes of one request of a client. It belongs to the goroutine that reads the client's connection.
 type Assembler struct {
 	limits Limits
-	budget *Budget
-	phase  phase
-	buf    []byte
-	// charged are the bytes that the request has taken from the budget.
-	charged int64
-	head    headScanner
+	// reserved is what the request takes of the room for all requests.
+	reserved *reservation
+	phase    phase
+	buf      []byte
+	head     headScanner
 	// need is the length of a request with a body of known length.
 	need   int
 	chunks chunkDecoder
@@ -48,8 +47,8 @@
 	body int
 	// bodyBegun is set once any byte after the head has arrived, also one of the encoding.
 	bodyBegun bool
-	// began is the start of the head, or that of the body; progress the time of the last bytes.
-	began, progress time.Time
+	// requestBegan is the start of the head; began that, or the start of the body; progress the time of the last bytes.
+	requestBegan, began, progress time.Time
 }
 
 // Whole returns the length of the request at the beginning of b if all of it is there and within the limits, else 0.
@@ -70,7 +69,7 @@
 
 // Begin prepares for the next request.
 func (a *Assembler) Begin(l Limits, now time.Time) {
-	*a = Assembler{limits: l, budget: a.budget, charged: a.charged, began: now, progress: now}
+	*a = Assembler{limits: l, reserved: a.reserved, began: now, requestBegan: now, progress: now}
 }
 
 // Add takes bytes from the beginning of b until the request is complete or refused. It returns how many.
@@ -113,17 +112,18 @@
 	return last
 }
 
-// Take returns the complete request. What it has taken from the budget is kept until Release.
+// Take returns the complete request. What it holds of the room is kept until Release.
 func (a *Assembler) Take() []byte {
+	a.reserved.finish()
 	b := a.buf
 	a.buf, a.phase = nil, readingHead
 	return b
 }
 
-// Release returns to the budget what the request has taken.
+// Release gives back what the request holds of the room.
 func (a *Assembler) Release() {
-	a.budget.giveBack(a.charged)
-	a.charged, a.buf = 0, nil
+	a.reserved.release()
+	a.buf = nil
 }
 
 func (a *Assembler) addHead(b []byte, now time.Time) (int, Refusal) {
@@ -208,7 +208,7 @@
 	return Accepted
 }
 
-// append adds bytes to the request, or reports that the budget is used up.
+// append adds bytes to the request, or reports that there is no room for them.
 func (a *Assembler) append(b []byte) bool {
 	if need := len(a.buf) + len(b); need > cap(a.buf) {
 		size := max(2*cap(a.buf), need, firstBytes)
@@ -226,18 +226,10 @@
 	return true
 }
 
-// charge takes from the budget what a request of a size holds.
+// charge takes from the room what a request of a size holds.
 func (a *Assembler) charge(size int) bool {
 	if size <= freeBytes {
 		return true
 	}
-	more := int64(copies*size) - a.charged
-	if more <= 0 {
-		return true
-	}
-	if !a.budget.take(more) {
-		return false
-	}
-	a.charged += more
-	return true
+	return a.reserved.growTo(int64(copies*size), a.requestBegan, a.progress)
 }
--- a/clientlimit/assembler_test.go
+++ b/clientlimit/assembler_test.go
@@ -60,13 +60,13 @@
 				require.Zero(t, Whole([]byte(c.sent[:len(c.sent)-1]), testLimits))
 			}
 			for _, piece := range []int{1, 7, 1000, len(c.sent) + 3} {
-				a := Assembler{budget: NewBudget(1 << 20)}
+				a := newTestAssembler(NewRequestRoom(1 << 20))
 				got, used, refused := assemble(&a, c.sent+"GET", piece)
 				require.Equal(t, Accepted, refused)
 				require.Equal(t, c.want, got)
 				require.Equal(t, len(c.sent), used)
 				a.Release()
-				require.EqualValues(t, 1<<20, a.budget.free)
+				require.EqualValues(t, 1<<20, a.reserved.room.free)
 			}
 		})
 	}
@@ -101,26 +101,26 @@
 		t.Run(name, func(t *testing.T) {
 			require.Zero(t, Whole([]byte(c.sent), testLimits))
 			for _, piece := range []int{1, 7, 1000} {
-				a := Assembler{budget: NewBudget(1 << 20)}
+				a := newTestAssembler(NewRequestRoom(1 << 20))
 				_, used, refused := assemble(&a, c.sent, piece)
 				require.Equal(t, c.refused, refused)
 				require.LessOrEqual(t, used, c.most)
 				a.Release()
-				require.EqualValues(t, 1<<20, a.budget.free)
+				require.EqualValues(t, 1<<20, a.reserved.room.free)
 			}
 		})
 	}
 }
 
 // Guards against bytes that are held without being counted, against a small request that is refused because others have used up
-// the budget, and against bytes that stay counted.
-func TestBudgetBoundsUnfinishedRequests(t *testing.T) {
-	budget := NewBudget(80 << 10)
+// the room, and against bytes that stay counted.
+func TestRoomBoundsUnfinishedRequests(t *testing.T) {
+	room := NewRequestRoom(80 << 10)
 	unfinished := testHead + "Content-Length: 16384\r\n\r\n" + strings.Repeat("b", 16_383)
-	first, second, small := Assembler{budget: budget}, Assembler{budget: budget}, Assembler{budget: budget}
+	first, second, small := newTestAssembler(room), newTestAssembler(room), newTestAssembler(room)
 	_, _, refused := assemble(&first, unfinished, 100)
 	require.Equal(t, Accepted, refused)
-	require.Less(t, budget.free, int64(20<<10))
+	require.Less(t, room.free, int64(20<<10))
 	_, used, refused := assemble(&second, unfinished, 100)
 	require.Equal(t, NoRoom, refused)
 	require.LessOrEqual(t, used, freeBytes)
@@ -129,12 +129,41 @@
 	require.Equal(t, Accepted, refused)
 	require.NotEmpty(t, request)
 	first.Release()
-	require.EqualValues(t, 80<<10, budget.free)
+	require.EqualValues(t, 80<<10, room.free)
+}
+
+// Guards against unfinished requests that keep the others out, against a complete one that gives way, and against room that is given
+// back twice.
+func TestOldestUnfinishedRequestGivesWay(t *testing.T) {
+	room := NewRequestRoom(100)
+	evicted := 0
+	join := func() *reservation { return room.newReservation(func() { evicted++ }) }
+	complete, first, second, next := join(), join(), join(), join()
+	later := testStart.Add(time.Millisecond)
+	require.True(t, complete.growTo(40, testStart, testStart))
+	complete.finish()
+	require.True(t, second.growTo(20, testStart, testStart))
+	require.True(t, first.growTo(40, later, later))
+	now := testStart.Add(stalledTime - time.Millisecond)
+	require.False(t, next.growTo(10, now, now), "none is old")
+	now = testStart.Add(stalledTime)
+	require.True(t, next.growTo(20, now, now))
+	require.Equal(t, 1, evicted)
+	require.False(t, second.growTo(1, testStart, now), "its connection has been closed")
+	second.release()
+	require.False(t, next.growTo(100, now, now.Add(time.Hour)))
+	require.Equal(t, 2, evicted, "the complete request stays")
+	for _, s := range []*reservation{complete, first, next} {
+		s.release()
+		s.release()
+	}
+	require.EqualValues(t, 100, room.free)
+	require.Zero(t, room.unfinished.Len())
 }
 
 // Guards against memory that is reserved for a body because it was announced.
 func TestAnnouncedBodyReservesNothing(t *testing.T) {
-	a := Assembler{budget: NewBudget(1 << 20)}
+	a := newTestAssembler(NewRequestRoom(1 << 20))
 	_, _, refused := assemble(&a, testHead+"Content-Length: 4096\r\n\r\nb", 1000)
 	require.Equal(t, Accepted, refused)
 	require.LessOrEqual(t, cap(a.buf), 2*firstBytes)
@@ -142,7 +171,7 @@
 
 // Guards against a head or body that may take for ever, and against a steady sender whose body is cut off for being slow.
 func TestDeadlineOfARequest(t *testing.T) {
-	a := Assembler{budget: NewBudget(1 << 20)}
+	a := newTestAssembler(NewRequestRoom(1 << 20))
 	a.Begin(testLimits, testStart)
 	_, _ = a.Add([]byte("POST"), testStart.Add(900*time.Millisecond))
 	require.Equal(t, testStart.Add(testLimits.HeadTime), a.Deadline())
@@ -161,7 +190,7 @@
 // Guards against a client that waits for ever for an interim response, or gets one after it has sent its body.
 func TestInterimResponse(t *testing.T) {
 	for _, encoding := range []string{"Content-Length: 2", "Transfer-Encoding: chunked"} {
-		a := Assembler{budget: NewBudget(1 << 20)}
+		a := newTestAssembler(NewRequestRoom(1 << 20))
 		head := testHead + "Expect: 100-Continue\r\n" + encoding + "\r\n\r\n"
 		require.Zero(t, Whole([]byte(head+"ab"), testLimits))
 		_, _, _ = assemble(&a, head, 10)
@@ -169,7 +198,7 @@
 		_, _, _ = assemble(&a, head+"1\r\nb\r\n", 1000)
 		require.False(t, a.AwaitsContinue(), encoding)
 	}
-	a := Assembler{budget: NewBudget(1 << 20)}
+	a := newTestAssembler(NewRequestRoom(1 << 20))
 	_, _, _ = assemble(&a, testHead+"Content-Length: 2\r\n\r\n", 10)
 	require.False(t, a.AwaitsContinue())
 }
@@ -183,7 +212,7 @@
 	rapid.Check(t, func(t *rapid.T) {
 		text := strings.Join(rapid.SliceOfN(parts, 1, 40).Draw(t, "parts"), "")
 		piece := rapid.IntRange(1, 100).Draw(t, "piece")
-		a := Assembler{budget: NewBudget(8 << 10)}
+		a := newTestAssembler(NewRequestRoom(8 << 10))
 		request, used, refused := assemble(&a, text, piece)
 		if request == "" && refused == Accepted && used != len(text) {
 			t.Fatalf("%d of %d bytes were used", used, len(text))
@@ -193,15 +222,15 @@
 			t.Fatalf("%q instead of %q", request, text[:whole])
 		}
 		a.Release()
-		if a.budget.free != 8<<10 {
-			t.Fatalf("%d bytes are left of the budget", a.budget.free)
+		if a.reserved.room.free != 8<<10 {
+			t.Fatalf("%d bytes are left of the room", a.reserved.room.free)
 		}
 	})
 }
 
 // Guards against an interim response for each piece of the first line of a chunk: clients give up after a few.
 func TestOneInterimResponse(t *testing.T) {
-	a := Assembler{budget: NewBudget(1 << 20)}
+	a := newTestAssembler(NewRequestRoom(1 << 20))
 	a.Begin(testLimits, testStart)
 	interim := 0
 	for _, piece := range []string{testHead + "Expect: 100-continue\r\nTransfer-Encoding: chunked\r\n\r\n", "1", ";x", "\r", "\n", "b"} {
@@ -213,3 +242,7 @@
 	}
 	require.Equal(t, 1, interim)
 }
+
+func newTestAssembler(r *RequestRoom) Assembler {
+	return Assembler{reserved: r.newReservation(ignoreClose)}
+}
--- a/clientlimit/conn.go
+++ b/clientlimit/conn.go
@@ -55,7 +55,12 @@
 
 // newConn returns a connection whose member is not set yet.
 func newConn(conn net.Conn, l *Listener) *Conn {
-	return &Conn{Conn: conn, listener: l, request: Assembler{budget: l.o.Budget}}
+	// The connection is closed below the server, which closes it then.
+	evict := func() {
+		l.note(Evicted)
+		_ = conn.Close()
+	}
+	return &Conn{Conn: conn, listener: l, request: Assembler{reserved: l.o.Requests.newReservation(evict)}}
 }
 
 // SyscallConn implements syscall.Conn.
--- a/clientlimit/listener.go
+++ b/clientlimit/listener.go
@@ -33,7 +33,8 @@
 type Options struct {
 	// Connections is the number of connections that clients may have.
 	Connections int
-	Budget      *Budget
+	// Requests is the room for the requests of all clients.
+	Requests *RequestRoom
 	// Limits returns the limits of the next request, with defaults.
 	Limits  func() Limits
 	Logger  *slog.Logger
--- a/clientlimit/listener_test.go
+++ b/clientlimit/listener_test.go
@@ -34,7 +34,7 @@
 
 func newTestListener(inner net.Listener, connections int, r metrics.Registry) *Listener {
 	l := NewListener("test", Options{
-		Connections: connections, Budget: NewBudget(1 << 20), Limits: func() Limits { return testLimits },
+		Connections: connections, Requests: NewRequestRoom(1 << 20), Limits: func() Limits { return testLimits },
 		Logger: slog.New(slog.DiscardHandler), Metrics: r,
 	})
 	l.inner = inner
--- a/clientlimit/process.go
+++ b/clientlimit/process.go
@@ -21,10 +21,10 @@
 // Process is what the clients of a process share.
 type Process struct {
 	vm VM
-	// requests is the budget for requests over HTTP/1.1, calls the room for calls over HTTP/2. A process serves clients by one of them.
-	requests *Budget
+	// requests is the room for requests over HTTP/1.1, calls that for calls over HTTP/2. A process serves clients by one of them.
+	requests *RequestRoom
 	calls    *CallRoom
-	tasks    TaskRoom
+	tasks    *TaskRoom
 	logger   *slog.Logger
 	metrics  metrics.Registry
 }
@@ -34,8 +34,8 @@
 	if vm.Descriptors <= 0 {
 		vm.Descriptors = descriptorLimit()
 	}
-	return &Process{vm: vm, requests: NewBudget(vm.RequestBytes()), calls: NewCallRoom(vm),
-		tasks: TaskRoom{NewBudget(int64(vm.Tasks()))}, logger: logger, metrics: r}
+	return &Process{vm: vm, requests: NewRequestRoom(vm.RequestBytes()), calls: NewCallRoom(vm),
+		tasks: NewTaskRoom(vm.Tasks()), logger: logger, metrics: r}
 }
 
 // descriptorLimit returns the number of descriptors that the process may have, 0 if it is not known.
@@ -48,7 +48,7 @@
 }
 
 // Tasks returns the room for the tasks of accepted jobs.
-func (p *Process) Tasks() TaskRoom { return p.tasks }
+func (p *Process) Tasks() *TaskRoom { return p.tasks }
 
 // NoteTasksRefused counts a job that was refused for want of room for its tasks.
 func (p *Process) NoteTasksRefused() {
@@ -73,7 +73,7 @@
 }
 
 func (p *Process) options(connections int, limits func() Limits) Options {
-	return Options{Connections: connections, Budget: p.requests, Limits: limits, Logger: p.logger, Metrics: p.metrics}
+	return Options{Connections: connections, Requests: p.requests, Limits: limits, Logger: p.logger, Metrics: p.metrics}
 }
 
 // Calls returns the options of a listener for calls over HTTP/2.
--- a/hostile/edge_test.go
+++ b/hostile/edge_test.go
@@ -134,14 +134,25 @@
 
 // requireJobAnswered submits an ordinary job, as often as a client may do so, until it is answered as completed.
 func (d *edgeDaemon) requireJobAnswered() {
+	d.t.Helper()
+	d.requireAnswerTo(standin.JobDocument("ordinary", 1, taskNeed, estimateMS))
+}
+
+// requireLargeJobAnswered does the same with a job of a number of bytes.
+func (d *edgeDaemon) requireLargeJobAnswered(bodyBytes int) {
+	d.t.Helper()
+	job := standin.JobDocument("large", 1, taskNeed, estimateMS)
+	d.requireAnswerTo(append(job, strings.Repeat(" ", bodyBytes-len(job))...))
+}
+
+func (d *edgeDaemon) requireAnswerTo(body []byte) {
 	d.t.Helper()
 	id := d.nextJob()
-	d.awaitAnswered(func() bool { return d.submit(id) == `{"state":"completed"}` })
+	d.awaitAnswered(func() bool { return d.submit(id, body) == `{"state":"completed"}` })
 }
 
 // submit submits a job over a new connection and returns the body of the response.
-func (d *edgeDaemon) submit(id string) string {
-	body := standin.JobDocument("ordinary", 1, taskNeed, estimateMS)
+func (d *edgeDaemon) submit(id string, body []byte) string {
 	req, err := http.NewRequest(http.MethodPost, "http://"+d.front+routePrefix+id, bytes.NewReader(body))
 	if err != nil {
 		return ""
--- a/hostile/edgeclients_test.go
+++ b/hostile/edgeclients_test.go
@@ -38,6 +38,19 @@
 	d.requireServing()
 }
 
+// Guards against bodies that stop short of their end and keep the room for those of other clients.
+func TestUnfinishedBodiesThatStay(t *testing.T) {
+	d, c := startEdgeWith(t, edgeOptions{bodyBytes: deployedBodyBytes, idleTimeoutMS: longIdleTimeoutMS, runTime: runTime}), newCrowd(t)
+	c.attack(d.front, largeCrowd, func(w io.Writer) error {
+		if err := writeAll(w, d.head(fmt.Sprintf("Content-Length: %d\r\n\r\n", deployedBodyBytes))); err != nil {
+			return err
+		}
+		return writeAll(w, strings.Repeat(" ", deployedBodyBytes-1))
+	})
+	d.requireLargeJobAnswered(deployedBodyBytes - bodyRoom)
+	d.requireServing()
+}
+
 // Guards against what jobs hold that wait for room at a worker.
 func TestJobsThatWait(t *testing.T) {
 	d, c := startEdge(t, maxBodyBytes), newCrowd(t)
