contract, entry: the memory of jobs and answers follows from the VM

What callers saw: clients that submitted large jobs, or many small ones, without waiting for the answers made an entry daemon hold 0.2 to 0.5 GB on a VM of 144 MB. Cause: unfinished jobs and kept answers were bounded by constants, 256 and 128 MiB, whatever the VM had; and a job was counted with 512 bytes beside its payload where the structs, the map entry and the text of a refusal take 830. Change: the bounds are an eighth and a quarter of vm.memory_mb, for the whole table instead of a sixteenth for each shard, so that one large job finds room in a small table. The table's rules stay: a job beyond the bound is refused as not run, and that is recorded; the oldest answers are dropped and their jobs never run again. TestAnswersAreBoundedByBytes sets its own bound and checks the whole table.

--- a/clientlimit/limits.go
+++ b/clientlimit/limits.go
@@ -70,6 +70,10 @@
 	// that many.
 	jobBytes = 1 << 10
 	jobShare = 4
+	// answerShare and pendingShare are the parts for the answers that an entry daemon keeps and for the jobs that it has accepted and not
+	// answered, one in that many.
+	answerShare  = 4
+	pendingShare = 8
 	// collectPercent is the share of the memory from which on garbage is collected more often.
 	collectPercent = 70
 	minConnections = 16
@@ -123,5 +127,11 @@
 // Jobs returns the number of jobs that may be kept, those that have ended and whose answers are kept among them.
 func (v VM) Jobs() int { return int(v.memoryBytes() / jobShare / jobBytes) }
 
+// AnswerBytes returns what the answers that an entry daemon keeps may hold.
+func (v VM) AnswerBytes() int64 { return v.memoryBytes() / answerShare }
+
+// PendingJobBytes returns what the jobs that an entry daemon has accepted and not answered may hold.
+func (v VM) PendingJobBytes() int64 { return v.memoryBytes() / pendingShare }
+
 // CollectionBytes returns the memory from which on garbage is collected more often.
 func (v VM) CollectionBytes() int64 { return v.memoryBytes() / 100 * collectPercent }
--- a/command/entryparts.go
+++ b/command/entryparts.go
@@ -14,6 +14,7 @@
 	"github.com/cicadadale/cicadadale/backend"
 	"github.com/cicadadale/cicadadale/clientlimit"
 	"github.com/cicadadale/cicadadale/config"
+	"github.com/cicadadale/cicadadale/contract"
 	"github.com/cicadadale/cicadadale/entry"
 	"github.com/cicadadale/cicadadale/internal/tlsfiles"
 	"github.com/cicadadale/cicadadale/machine"
@@ -87,6 +88,7 @@
 	}
 	p.secure(&o)
 	o.Clients = clients
+	o.JobBounds = contract.JobBounds{RetainedBytes: vm.AnswerBytes(), PendingBytes: vm.PendingJobBytes()}
 	return o, nil
 }
 
--- a/contract/answer.go
+++ b/contract/answer.go
@@ -81,7 +81,7 @@
 // jobOverhead and reportOverhead estimate the memory of a job and of a task report beyond payloads and results, from
 // the sizes of the structs and the map entry.
 const (
-	jobOverhead    = 512
+	jobOverhead    = 832
 	reportOverhead = 96
 )
 
--- a/contract/handover.go
+++ b/contract/handover.go
@@ -152,7 +152,7 @@
 			j.fire(jobEventHandedOver)
 			j.tasks = nil
 			j.spec.Tasks = nil
-			s.pending -= j.size
+			s.usage.pending.Add(-int64(j.size))
 			j.size = 0
 			close(j.done)
 		}
--- a/contract/handover_test.go
+++ b/contract/handover_test.go
@@ -62,9 +62,11 @@
 
 // Guards against unbounded memory for answers; ids dropped early are refused and never run again.
 func TestAnswersAreBoundedByBytes(t *testing.T) {
+	const bound = 1 << 20
 	table := NewJobTable(1, 7)
+	table.SetBounds(JobBounds{RetainedBytes: bound, PendingBytes: bound})
 	now := time.Now()
-	result := make([]byte, RetainedBytes/jobShards/4)
+	result := make([]byte, bound/4)
 	ids := table.Mint(6 * jobShards)
 	for n := 0; n < len(ids); n += jobShards {
 		_, err := table.Accept(JobSpec{ID: ids[n], Tasks: make([]TaskSpec, 1)}, now)
@@ -73,7 +75,19 @@
 		require.True(t, ok)
 		table.Finish(TaskID{Job: ids[n]}, TaskReport{Outcome: OutcomeDone}, result, now)
 	}
-	require.LessOrEqual(t, table.shard(ids[0]).retained, RetainedBytes/jobShards)
+	require.LessOrEqual(t, table.usage.retained.Load(), int64(bound))
+	require.Zero(t, table.usage.pending.Load())
 	_, err := table.Accept(JobSpec{ID: ids[0], Tasks: make([]TaskSpec, 1)}, now)
 	require.Equal(t, fault.Expired.FullName(), fault.Code(err))
 }
+
+// Guards against a large job that is refused although the table has room for it, and against unfinished jobs without a bound.
+func TestUnfinishedJobsAreBoundedByBytes(t *testing.T) {
+	table := NewJobTable(1, 7)
+	table.SetBounds(JobBounds{RetainedBytes: 10 << 20, PendingBytes: 10 << 20})
+	ids := table.Mint(3)
+	for n, id := range ids {
+		_, err := table.Accept(JobSpec{ID: id, Tasks: []TaskSpec{{Payload: make([]byte, MaxJobBytes)}}}, time.Now())
+		require.Equal(t, n == len(ids)-1, fault.Code(err) == fault.Overloaded.FullName(), "%v", err)
+	}
+}
--- a/contract/jobtable.go
+++ b/contract/jobtable.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cicadadale/cicadadale/fault"
@@ -12,13 +13,25 @@
 const (
 	jobShards = 16
 	// AnswerRetention is how long a finished job's answer is kept for resubmissions.
-	AnswerRetention = 10 * time.Minute
+	AnswerRetention      = 10 * time.Minute
+	defaultRetainedBytes = 128 << 20
+	defaultPendingBytes  = 256 << 20
+)
+
+// JobBounds bound the memory of a JobTable.
+type JobBounds struct {
 	// RetainedBytes bounds the memory of the retained answers; beyond it the oldest are dropped early, and requests for
 	// their ids are answered as expired.
-	RetainedBytes = 128 << 20
+	RetainedBytes int64
 	// PendingBytes bounds the memory of unfinished jobs; beyond it new jobs are refused as not run.
-	PendingBytes = 256 << 20
-)
+	PendingBytes int64
+}
+
+// jobUsage is the memory of all jobs of a table.
+type jobUsage struct {
+	bounds            JobBounds
+	retained, pending atomic.Int64
+}
 
 // Names of the invariants that the table checks.
 const (
@@ -38,6 +51,7 @@
 	check   Check
 	mint    mint
 	shards  [jobShards]jobShard
+	usage   jobUsage
 	adopted adoptedHomes
 }
 
@@ -54,10 +68,9 @@
 	// run.
 	expired map[machine.Incarnation]uint64
 	// ended holds the ids of the jobs that have ended, in the order in which they ended.
-	ended    []JobID
-	retained int
-	pending  int
-	closed   bool
+	ended  []JobID
+	usage  *jobUsage
+	closed bool
 }
 
 // NewJobTable returns the table of the given home. A violated invariant panics unless OnCheck sets another handler.
@@ -67,7 +80,9 @@
 	for i := range t.shards {
 		t.shards[i].jobs = make(map[JobID]*Job)
 		t.shards[i].expired = make(map[machine.Incarnation]uint64)
+		t.shards[i].usage = &t.usage
 	}
+	t.usage.bounds = JobBounds{RetainedBytes: defaultRetainedBytes, PendingBytes: defaultPendingBytes}
 	t.adopted.homes = make(map[machine.Incarnation]AdoptedHome)
 	return t
 }
@@ -78,6 +93,9 @@
 	}
 }
 
+// SetBounds sets the bounds of the table's memory. It must be called before the table is shared.
+func (t *JobTable) SetBounds(b JobBounds) { t.usage.bounds = b }
+
 // OnCheck sets the handler of invariant checks. It must be called before the table is shared.
 func (t *JobTable) OnCheck(c Check) { t.check = c }
 
@@ -133,7 +151,7 @@
 		return false, fault.With(fault.Draining, fault.ReasonDraining, "this entry VM is stopping")
 	}
 	j := newJob(spec, now)
-	if s.pending+j.payloadBytes() > PendingBytes/jobShards {
+	if s.usage.pending.Load()+int64(j.payloadBytes()) > s.usage.bounds.PendingBytes {
 		return false, fault.With(fault.Overloaded, "memory", "the unfinished jobs take the memory set aside for them")
 	}
 	s.add(j)
@@ -173,7 +191,7 @@
 // add expects s.mu to be held.
 func (s *jobShard) add(j *Job) {
 	j.size = j.payloadBytes()
-	s.pending += j.size
+	s.usage.pending.Add(int64(j.size))
 	s.jobs[j.spec.ID] = j
 }
 
@@ -266,11 +284,11 @@
 // retain moves a finished job from the pending to the retained memory and drops the oldest answers beyond the bound.
 // It expects s.mu to be held.
 func (s *jobShard) retain(j *Job) {
-	s.pending -= j.size
+	s.usage.pending.Add(-int64(j.size))
 	j.size = j.answer.bytes()
-	s.retained += j.size
+	s.usage.retained.Add(int64(j.size))
 	s.ended = append(s.ended, j.spec.ID)
-	for s.retained > RetainedBytes/jobShards && len(s.ended) > 1 {
+	for s.usage.retained.Load() > s.usage.bounds.RetainedBytes && len(s.ended) > 1 {
 		s.dropOldest()
 	}
 }
@@ -279,7 +297,7 @@
 func (s *jobShard) dropOldest() {
 	id := s.ended[0]
 	s.ended = s.ended[1:]
-	s.retained -= s.jobs[id].size
+	s.usage.retained.Add(-int64(s.jobs[id].size))
 	delete(s.jobs, id)
 	s.expired[id.Home] = max(s.expired[id.Home], id.Seq)
 }
--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -58,6 +58,8 @@
 	CallerCredentials credentials.TransportCredentials
 	// Clients bounds what callers make the process hold; nil sets no bounds.
 	Clients *clientlimit.Process
+	// JobBounds bounds the memory of jobs and of their answers; the zero value selects the defaults.
+	JobBounds contract.JobBounds
 	// Policy selects how workers are chosen; empty selects the default.
 	Policy  dispatch.Policy
 	Now     func() time.Time
@@ -142,6 +144,9 @@
 	}
 	d.tombstones = newTombstoneLog(d)
 	d.table.OnCheck(d.onCheck)
+	if o.JobBounds != (contract.JobBounds{}) {
+		d.table.SetBounds(o.JobBounds)
+	}
 	d.timeline = newTimeline(o, d.clock)
 	workers, err := link.NewWorkers(d.fleet, o.VM.Incarnation, o.Connections, d.clock)
 	if err != nil {
--- a/hostile/entrycalls_test.go
+++ b/hostile/entrycalls_test.go
@@ -42,6 +42,10 @@
 	largeJobTasks     = 62
 	largePayloadBytes = 64 << 10
 	priceHire         = "PriceHire"
+	// smallJobs are those of one client, one after another.
+	smallJobs = 4_000
+	// waitingLargeJobs are those of one client, one after another.
+	waitingLargeJobs = 5
 	// largeJobTimeout bounds a submission that is neither answered nor refused.
 	largeJobTimeout = 20 * time.Second
 )
@@ -204,6 +208,13 @@
 	d.requireServing()
 }
 
+// jobKey returns the key of a job of the crowd.
+func jobKey(number int) *api.JobRef {
+	return &api.JobRef{Ref: &api.JobRef_Key{Key: &api.CallerKey{
+		Customer: "hostile", Text: fmt.Sprint(number), CreatedUnixMs: time.Now().UnixMilli(),
+	}}}
+}
+
 // largeJob returns the submission of a job whose payloads are long.
 func largeJob(number int) *api.SubmitRequest {
 	// A field that the request kind does not have.
@@ -211,10 +222,7 @@
 	payload := protowire.AppendTag(nil, unknownField, protowire.BytesType)
 	payload = protowire.AppendBytes(payload, make([]byte, largePayloadBytes-10))
 	r := &api.SubmitRequest{
-		Job: &api.JobRef{Ref: &api.JobRef_Key{Key: &api.CallerKey{
-			Customer: "hostile", Text: fmt.Sprint(number), CreatedUnixMs: time.Now().UnixMilli(),
-		}}},
-		Service: "glashaus.v1.Booking", WaitMs: 25_000,
+		Job: jobKey(number), Service: "glashaus.v1.Booking", WaitMs: 25_000,
 	}
 	for range largeJobTasks {
 		r.Tasks = append(r.Tasks, &api.Task{Kind: priceHire, Payload: payload})
@@ -355,3 +363,53 @@
 	}
 	d.requireServing()
 }
+
+// Guards against what is kept of many small jobs, accepted or refused.
+func TestEntryManySmallJobsOfEachClient(t *testing.T) {
+	d := startEntry(t)
+	var clients sync.WaitGroup
+	for n := range smallCrowd {
+		conn, err := grpc.NewClient(d.callers, grpc.WithTransportCredentials(insecure.NewCredentials()))
+		require.NoError(t, err)
+		t.Cleanup(func() { _ = conn.Close() })
+		dispatcher := api.NewDispatcherClient(conn)
+		clients.Go(func() {
+			for job := range smallJobs {
+				// The job may be refused.
+				_, _ = dispatcher.Submit(t.Context(), smallJob(n*smallJobs+job))
+			}
+		})
+	}
+	clients.Wait()
+	d.requireServing()
+}
+
+// Guards against large jobs that have been accepted and whose callers do not wait for their answers.
+func TestEntryLargeJobsThatWait(t *testing.T) {
+	d := startEntry(t)
+	var clients sync.WaitGroup
+	for n := range smallCrowd {
+		conn, err := grpc.NewClient(d.callers, grpc.WithTransportCredentials(insecure.NewCredentials()))
+		require.NoError(t, err)
+		t.Cleanup(func() { _ = conn.Close() })
+		clients.Go(func() {
+			for job := range waitingLargeJobs {
+				ctx, cancel := context.WithTimeout(t.Context(), largeJobTimeout)
+				r := largeJob(n*waitingLargeJobs + job)
+				r.WaitMs, r.DeadlineMs = 1, hourMS
+				// The job may be refused.
+				_, _ = api.NewDispatcherClient(conn).Submit(ctx, r)
+				cancel()
+			}
+		})
+	}
+	clients.Wait()
+	d.requireServing()
+}
+
+// smallJob returns the submission of a job of one task, whose caller does not wait for the answer.
+func smallJob(number int) *api.SubmitRequest {
+	return &api.SubmitRequest{
+		Job: jobKey(number), Service: "glashaus.v1.Booking", WaitMs: 1, Tasks: []*api.Task{{Kind: priceHire, Payload: []byte{0x10, 0x02, 0x18, 0x02}}},
+	}
+}
