clientlimit: a connection whose call was refused is read slowly

What callers saw: beside a crowd that opens calls, leaves and comes back, an ordinary caller's connection sometimes was not ready within 5 s, eight times in a row. Cause: 40 clients had 60,000 to 220,000 calls a second refused (counted in a trial with counters in the code), and that took the processor from the connections that were being set up; a new connection that is not ready within a second is the oldest one to be evicted. Change: after a call found no room its connection is not read for 100 ms. The call itself is refused at once.

--- a/clientlimit/callconn.go
+++ b/clientlimit/callconn.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -21,6 +22,9 @@
 	callIdleTime = 15 * time.Second
 	// chargeBytes is the step in which a connection takes room for its messages, so that small changes do not need the lock of the room.
 	chargeBytes = 4 << 10
+	// refusalPause is the time for which a connection is not read after a call of it found no room, so that refusing calls does not take
+	// the processor from other callers.
+	refusalPause = 100 * time.Millisecond
 	// refusedCalls is the number of calls beyond the limit of a connection that may be open because their refusals are not sent yet.
 	refusedCalls = 100
 )
@@ -39,6 +43,8 @@
 	// belong to the reader.
 	timed  bool
 	unread []byte
+	// refused is set when a call has been refused since the last read.
+	refused atomic.Bool
 
 	mu      sync.Mutex
 	scanner *FrameScanner
@@ -74,6 +80,9 @@
 
 // Read implements net.Conn. It waits while there is no room for what was received, and ends the connection after some time.
 func (c *CallConn) Read(p []byte) (int, error) {
+	if c.refused.Swap(false) {
+		c.pause(refusalPause)
+	}
 	if err := c.limitReadTime(); err != nil {
 		return 0, err
 	}
@@ -88,6 +97,16 @@
 	return n, err
 }
 
+// pause waits for a time unless the connection ends.
+func (c *CallConn) pause(d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-c.accepted.ctx.Done():
+	}
+}
+
 // receive returns bytes that were kept, or reads some. It keeps those which the server may not read yet.
 func (c *CallConn) receive(p []byte) (int, error) {
 	if len(c.unread) > 0 {
@@ -250,6 +269,7 @@
 	bytes := int64(callBytes + max(metadataBytes-freeMetadataBytes, 0))
 	call, begun := c.share.Begin(c.accepted.ctx, bytes, cancel, time.Now())
 	if !begun {
+		c.refused.Store(true)
 		c.note(NoRoom)
 	}
 	return call, begun
--- a/clientlimit/callconn_test.go
+++ b/clientlimit/callconn_test.go
@@ -165,3 +165,20 @@
 		require.EqualValues(t, free, r.messages, "no call is open")
 	})
 }
+
+// Guards against a connection that has its calls refused as fast as it can send them.
+func TestConnectionIsReadSlowlyAfterARefusal(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newTestRoom()
+		c := newLimitedConn(t, r)
+		require.NoError(t, c.receive(http2Preface))
+		began := time.Now()
+		_, begun := c.BeginCall(0, ignoreClose)
+		require.False(t, begun)
+		require.Equal(t, began, time.Now(), "the call is refused at once")
+		require.NoError(t, c.receive("x"))
+		require.Equal(t, refusalPause, time.Since(began))
+		require.NoError(t, c.receive("x"))
+		require.Equal(t, refusalPause, time.Since(began))
+	})
+}
