--- a/hostile/caller_test.go
+++ b/hostile/caller_test.go
@@ -25,6 +25,7 @@
 
 // caller writes the frames of a gRPC client that keeps to no limits. Its fields belong to the goroutine that sends.
 type caller struct {
+	w      io.Writer
 	frames *http2.Framer
 	head   bytes.Buffer
 	fields *hpack.Encoder
@@ -35,11 +36,34 @@
 	if err := writeAll(w, http2.ClientPreface); err != nil {
 		return nil, err
 	}
-	c := &caller{frames: http2.NewFramer(w, nil)}
+	c := &caller{w: w, frames: http2.NewFramer(w, nil)}
 	c.fields = hpack.NewEncoder(&c.head)
 	return c, c.frames.WriteSettings(settings...)
 }
 
+// attackWithCalls lets the clients of a crowd send calls over a connection each. They read and drop what they are sent.
+func (c *crowd) attackWithCalls(address string, clients int, send func(h *caller) error) {
+	c.t.Helper()
+	c.attackReading(address, clients, calls(send, nil))
+}
+
+// attackWithUnreadCalls is like attackWithCalls, but the clients read nothing.
+func (c *crowd) attackWithUnreadCalls(address string, clients int, send func(h *caller) error, settings ...http2.Setting) {
+	c.t.Helper()
+	c.attack(address, clients, calls(send, settings))
+}
+
+// calls returns a client that begins a connection with the given settings and sends calls over it.
+func calls(send func(h *caller) error, settings []http2.Setting) func(w io.Writer) error {
+	return func(w io.Writer) error {
+		h, err := newCaller(w, settings...)
+		if err != nil {
+			return err
+		}
+		return send(h)
+	}
+}
+
 // begin sends the head of a call without its end.
 func (c *caller) begin(stream uint32, path string, metadata ...hpack.HeaderField) error {
 	c.head.Reset()
--- a/hostile/entry_test.go
+++ b/hostile/entry_test.go
@@ -53,7 +53,7 @@
 		free[n] = a
 	}
 	platform, callers, peers, admin := free[0], free[1], free[2], free[3]
-	startProcess(t, "standin", "--listen", platform, "--workers", "1", "--slots", "4", "--service", "glashaus.v1.Booking",
+	startProcess(t, "standin", "--listen", platform, "--workers", "1", "--slots", "4", "--service", bookingService,
 		"--entry", strings.Join([]string{"entry-1", "1", peers, callers}, ";"))
 	path := filepath.Join(t.TempDir(), "entry.toml")
 	text := fmt.Sprintf("[vm]\nid = \"entry-1\"\nfailure_domain = 1\nmemory_mb = %d\n[listen]\ncallers = %q\npeers = %q\nadmin = %q\n"+
@@ -71,8 +71,8 @@
 	program, err := os.Executable()
 	require.NoError(d.t, err)
 	d.awaitAnswered(func() bool {
-		out, err := exec.Command(program, "job", "--entry", d.callers, "--timeout", "5s", "submit", "--service", "glashaus.v1.Booking",
-			"--kind", "PriceHire", "--payload-hex", "10021802").Output()
+		out, err := exec.Command(program, "job", "--entry", d.callers, "--timeout", "5s", "submit", "--service", bookingService,
+			"--kind", priceHire, "--payload-hex", "10021802").Output()
 		return err == nil && strings.Contains(string(out), `"verdict": "complete"`)
 	})
 }
--- a/hostile/entrycalls_test.go
+++ b/hostile/entrycalls_test.go
@@ -1,20 +1,13 @@
 package hostile
 
 import (
-	"context"
-	"fmt"
 	"io"
 	"strings"
-	"sync"
 	"testing"
-	"time"
 
 	"github.com/stretchr/testify/require"
 	"golang.org/x/net/http2"
 	"golang.org/x/net/http2/hpack"
-	"google.golang.org/grpc"
-	"google.golang.org/grpc/credentials/insecure"
-	"google.golang.org/protobuf/encoding/protowire"
 	"google.golang.org/protobuf/proto"
 
 	"github.com/cicadadale/cicadadale/api"
@@ -38,16 +31,6 @@
 	pingFrames = 200_000
 	// smallFramesBytes are sent in frames of 10 bytes, of which one belongs to a message.
 	smallFramesBytes = 2_000_000
-	// A large job has almost as many bytes as a job may have.
-	largeJobTasks     = 62
-	largePayloadBytes = 64 << 10
-	priceHire         = "PriceHire"
-	// smallJobs are those of one client, one after another.
-	smallJobs = 4_000
-	// waitingLargeJobs are those of one client, one after another.
-	waitingLargeJobs = 5
-	// largeJobTimeout bounds a submission that is neither answered nor refused.
-	largeJobTimeout = 20 * time.Second
 )
 
 // Guards against calls that callers begin and never end.
@@ -78,18 +61,14 @@
 func TestEntryMessagesOverTheLimit(t *testing.T) {
 	d, c := startEntry(t), newCrowd(t)
 	body := strings.Repeat(frame(data, firstCall, strings.Repeat("x", headFrameBytes)), attackBytes/headFrameBytes)
-	c.attackReading(d.callers, smallCrowd, func(w io.Writer) error {
-		h, err := newCaller(w)
-		if err != nil {
-			return err
-		}
+	c.attackWithCalls(d.callers, smallCrowd, func(h *caller) error {
 		if err := h.begin(firstCall, submitPath); err != nil {
 			return err
 		}
 		if err := h.send(firstCall, hugeBody, "", false); err != nil {
 			return err
 		}
-		return repeat(w, body, 2*attackBytes)
+		return repeat(h.w, body, 2*attackBytes)
 	})
 	d.requireServing()
 }
@@ -123,11 +102,7 @@
 func TestEntryOpenCallsWithMetadata(t *testing.T) {
 	d, c := startEntry(t), newCrowd(t)
 	field := hpack.HeaderField{Name: "x-large", Value: strings.Repeat("m", metadataBytes), Sensitive: true}
-	c.attackReading(d.callers, smallCrowd, func(w io.Writer) error {
-		h, err := newCaller(w)
-		if err != nil {
-			return err
-		}
+	c.attackWithCalls(d.callers, smallCrowd, func(h *caller) error {
 		return eachCall(largeCalls, func(stream uint32) error { return h.begin(stream, submitPath, field) })
 	})
 	d.requireServing()
@@ -141,11 +116,7 @@
 	for range metadataBytes / dynamicTableBytes {
 		metadata = append(metadata, stored)
 	}
-	c.attackReading(d.callers, smallCrowd, func(w io.Writer) error {
-		h, err := newCaller(w)
-		if err != nil {
-			return err
-		}
+	c.attackWithCalls(d.callers, smallCrowd, func(h *caller) error {
 		return eachCall(openCalls, func(stream uint32) error { return h.begin(stream, submitPath, metadata...) })
 	})
 	d.requireServing()
@@ -155,11 +126,7 @@
 func TestEntryOpenCallsWithPartsOfMessages(t *testing.T) {
 	d, c := startEntry(t), newCrowd(t)
 	part := strings.Repeat("p", partBytes-messagePrefixBytes)
-	c.attackReading(d.callers, smallCrowd, func(w io.Writer) error {
-		h, err := newCaller(w)
-		if err != nil {
-			return err
-		}
+	c.attackWithCalls(d.callers, smallCrowd, func(h *caller) error {
 		return eachCall(openCalls, func(stream uint32) error {
 			if err := h.begin(stream, submitPath); err != nil {
 				return err
@@ -173,71 +140,22 @@
 // Guards against messages in very small frames that stop short of their end, each of which holds more than its bytes.
 func TestEntryMessagesInSmallFrames(t *testing.T) {
 	d, c := startEntry(t), newCrowd(t)
-	c.attackReading(d.callers, smallCrowd, func(w io.Writer) error {
-		h, err := newCaller(w)
-		if err != nil {
-			return err
-		}
+	c.attackWithCalls(d.callers, smallCrowd, func(h *caller) error {
 		if err := h.begin(firstCall, submitPath); err != nil {
 			return err
 		}
 		if err := h.send(firstCall, messageBytes, "", false); err != nil {
 			return err
 		}
-		return repeat(w, strings.Repeat(frame(data, firstCall, "x"), 1000), smallFramesBytes)
+		return repeat(h.w, strings.Repeat(frame(data, firstCall, "x"), 1000), smallFramesBytes)
 	})
 	d.requireServing()
 }
 
-// Guards against large jobs that are inside the limits each and are all submitted at the same time.
-func TestEntryLargeJobsAtTheSameTime(t *testing.T) {
-	d := startEntry(t)
-	var submitted sync.WaitGroup
-	for n := range smallCrowd {
-		conn, err := grpc.NewClient(d.callers, grpc.WithTransportCredentials(insecure.NewCredentials()))
-		require.NoError(t, err)
-		t.Cleanup(func() { _ = conn.Close() })
-		submitted.Go(func() {
-			ctx, cancel := context.WithTimeout(t.Context(), largeJobTimeout)
-			defer cancel()
-			// The job may be refused.
-			_, _ = api.NewDispatcherClient(conn).Submit(ctx, largeJob(n))
-		})
-	}
-	submitted.Wait()
-	d.requireServing()
-}
-
-// jobKey returns the key of a job of the crowd.
-func jobKey(number int) *api.JobRef {
-	return &api.JobRef{Ref: &api.JobRef_Key{Key: &api.CallerKey{
-		Customer: "hostile", Text: fmt.Sprint(number), CreatedUnixMs: time.Now().UnixMilli(),
-	}}}
-}
-
-// largeJob returns the submission of a job whose payloads are long.
-func largeJob(number int) *api.SubmitRequest {
-	// A field that the request kind does not have.
-	const unknownField = 100
-	payload := protowire.AppendTag(nil, unknownField, protowire.BytesType)
-	payload = protowire.AppendBytes(payload, make([]byte, largePayloadBytes-10))
-	r := &api.SubmitRequest{
-		Job: jobKey(number), Service: "glashaus.v1.Booking", WaitMs: 25_000,
-	}
-	for range largeJobTasks {
-		r.Tasks = append(r.Tasks, &api.Task{Kind: priceHire, Payload: payload})
-	}
-	return r
-}
-
 // Guards against calls that are begun and reset without a pause.
 func TestEntryCallsThatAreReset(t *testing.T) {
 	d, c := startEntry(t), newCrowd(t)
-	c.attackReading(d.callers, smallCrowd, func(w io.Writer) error {
-		h, err := newCaller(w)
-		if err != nil {
-			return err
-		}
+	c.attackWithCalls(d.callers, smallCrowd, func(h *caller) error {
 		return eachCall(resetCalls, func(stream uint32) error {
 			if err := h.begin(stream, submitPath); err != nil {
 				return err
@@ -251,11 +169,7 @@
 // Guards against replies to pings that are kept for clients which never read them.
 func TestEntryPingsWithoutEnd(t *testing.T) {
 	d, c := startEntry(t), newCrowd(t)
-	c.attack(d.callers, smallCrowd, func(w io.Writer) error {
-		h, err := newCaller(w)
-		if err != nil {
-			return err
-		}
+	c.attackWithUnreadCalls(d.callers, smallCrowd, func(h *caller) error {
 		for range pingFrames {
 			if err := h.frames.WritePing(false, [8]byte{}); err != nil {
 				return err
@@ -271,29 +185,21 @@
 	d, c := startEntry(t), newCrowd(t)
 	request, err := proto.Marshal(&api.CreateJobsRequest{Count: mostJobIDs})
 	require.NoError(t, err)
-	c.attack(d.callers, smallCrowd, func(w io.Writer) error {
-		h, err := newCaller(w, http2.Setting{ID: http2.SettingInitialWindowSize, Val: 0})
-		if err != nil {
-			return err
-		}
+	c.attackWithUnreadCalls(d.callers, smallCrowd, func(h *caller) error {
 		return eachCall(unreadAnswers, func(stream uint32) error {
 			if err := h.begin(stream, createJobsPath); err != nil {
 				return err
 			}
 			return h.send(stream, len(request), string(request), true)
 		})
-	})
+	}, http2.Setting{ID: http2.SettingInitialWindowSize, Val: 0})
 	d.requireServing()
 }
 
 // Guards against errors of calls that are kept for callers which never read them.
 func TestEntryErrorsThatAreNotRead(t *testing.T) {
 	d, c := startEntry(t), newCrowd(t)
-	c.attack(d.callers, smallCrowd, func(w io.Writer) error {
-		h, err := newCaller(w)
-		if err != nil {
-			return err
-		}
+	c.attackWithUnreadCalls(d.callers, smallCrowd, func(h *caller) error {
 		return eachCall(resetCalls, func(stream uint32) error {
 			if err := h.begin(stream, "/none"); err != nil {
 				return err
@@ -317,11 +223,7 @@
 // Guards against connections that take the place of other callers' ones with a call that never ends.
 func TestEntryConnectionsWithAnOpenCall(t *testing.T) {
 	d, c := startEntry(t), newCrowd(t)
-	c.attackReading(d.callers, beyondDescriptors, func(w io.Writer) error {
-		h, err := newCaller(w)
-		if err != nil {
-			return err
-		}
+	c.attackWithCalls(d.callers, beyondDescriptors, func(h *caller) error {
 		return h.begin(firstCall, submitPath)
 	})
 	d.requireServing()
@@ -332,11 +234,7 @@
 	d, c := startEntry(t), newCrowd(t)
 	request, err := proto.Marshal(&api.CreateJobsRequest{Count: 1})
 	require.NoError(t, err)
-	c.attackReading(d.callers, beyondDescriptors, func(w io.Writer) error {
-		h, err := newCaller(w)
-		if err != nil {
-			return err
-		}
+	c.attackWithCalls(d.callers, beyondDescriptors, func(h *caller) error {
 		if err := h.begin(firstCall, createJobsPath); err != nil {
 			return err
 		}
@@ -363,53 +261,3 @@
 	}
 	d.requireServing()
 }
-
-// Guards against what is kept of many small jobs, accepted or refused.
-func TestEntryManySmallJobsOfEachClient(t *testing.T) {
-	d := startEntry(t)
-	var clients sync.WaitGroup
-	for n := range smallCrowd {
-		conn, err := grpc.NewClient(d.callers, grpc.WithTransportCredentials(insecure.NewCredentials()))
-		require.NoError(t, err)
-		t.Cleanup(func() { _ = conn.Close() })
-		dispatcher := api.NewDispatcherClient(conn)
-		clients.Go(func() {
-			for job := range smallJobs {
-				// The job may be refused.
-				_, _ = dispatcher.Submit(t.Context(), smallJob(n*smallJobs+job))
-			}
-		})
-	}
-	clients.Wait()
-	d.requireServing()
-}
-
-// Guards against large jobs that have been accepted and whose callers do not wait for their answers.
-func TestEntryLargeJobsThatWait(t *testing.T) {
-	d := startEntry(t)
-	var clients sync.WaitGroup
-	for n := range smallCrowd {
-		conn, err := grpc.NewClient(d.callers, grpc.WithTransportCredentials(insecure.NewCredentials()))
-		require.NoError(t, err)
-		t.Cleanup(func() { _ = conn.Close() })
-		clients.Go(func() {
-			for job := range waitingLargeJobs {
-				ctx, cancel := context.WithTimeout(t.Context(), largeJobTimeout)
-				r := largeJob(n*waitingLargeJobs + job)
-				r.WaitMs, r.DeadlineMs = 1, hourMS
-				// The job may be refused.
-				_, _ = api.NewDispatcherClient(conn).Submit(ctx, r)
-				cancel()
-			}
-		})
-	}
-	clients.Wait()
-	d.requireServing()
-}
-
-// smallJob returns the submission of a job of one task, whose caller does not wait for the answer.
-func smallJob(number int) *api.SubmitRequest {
-	return &api.SubmitRequest{
-		Job: jobKey(number), Service: "glashaus.v1.Booking", WaitMs: 1, Tasks: []*api.Task{{Kind: priceHire, Payload: []byte{0x10, 0x02, 0x18, 0x02}}},
-	}
-}
