clientlimit: an answer without room does not stop its connection from being read

What callers saw: found by reading. While an answer waited for room, the whole connection was not read, and after 2 s it was closed with all its calls. Cause: the answer was counted before it had room, so the next read found the connection over what it had taken. Change: an answer is counted only together with the room for it. Evidence: TestAnswerWithoutRoomDoesNotStopReading failed before (the connection ended), and passes now, three times under -race with the other unit tests.

--- a/clientlimit/callconn.go
+++ b/clientlimit/callconn.go
@@ -90,7 +90,7 @@
 	if n == 0 {
 		return n, err
 	}
-	if !c.awaitRoom(c.accepted.ctx) || !c.awaitFewerCalls() {
+	if !c.awaitRoom(c.accepted.ctx, 0) || !c.awaitFewerCalls() {
 		c.note(NoRoom)
 		return 0, io.EOF
 	}
@@ -151,9 +151,10 @@
 	return c.charged > 0 && c.scanner.Incomplete() > 0
 }
 
-// awaitRoom waits until there is room for the messages of the connection, or reports that there was none within a time.
-func (c *CallConn) awaitRoom(ctx context.Context) bool {
-	due, held := c.settle()
+// awaitRoom waits until there is room for the messages of the connection and for the bytes of one more answer, or reports that there was
+// none within a time.
+func (c *CallConn) awaitRoom(ctx context.Context, answer int64) bool {
+	due, held := c.settle(answer)
 	if held {
 		return true
 	}
@@ -163,15 +164,21 @@
 		if !c.share.Await(ctx, due) {
 			return false
 		}
-		due, held = c.settle()
+		due, held = c.settle(answer)
 	}
 	return true
 }
 
-func (c *CallConn) settle() (due int64, held bool) {
+// settle takes room for what the calls of the connection hold now and for one more answer, which is negative for one that is not sent.
+// Without room the answer is not counted, so that it does not keep the connection from being read.
+func (c *CallConn) settle(answer int64) (due int64, held bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.settleLocked()
+	c.answers += answer
+	if due, held = c.settleLocked(); !held && answer > 0 {
+		c.answers -= answer
+	}
+	return due, held
 }
 
 // settleLocked tells the room and the table what the calls of the connection hold now, and returns whether there is room for it. c.mu is
@@ -239,31 +246,16 @@
 // ReserveAnswer takes room for an answer of a length until it has been sent, or reports that there is none.
 func (c *CallConn) ReserveAnswer(ctx context.Context, length int) bool {
 	bytes := answerBytes(length)
-	if bytes == 0 {
-		return true
-	}
-	c.addAnswer(bytes)
-	if c.awaitRoom(ctx) {
-		return true
-	}
-	c.addAnswer(-bytes)
-	return false
+	return bytes == 0 || c.awaitRoom(ctx, bytes)
 }
 
 // ReleaseAnswer gives back the room for an answer that is not sent.
 func (c *CallConn) ReleaseAnswer(length int) {
 	if bytes := answerBytes(length); bytes > 0 {
-		c.addAnswer(-bytes)
-		c.settle()
+		c.settle(-bytes)
 	}
 }
 
-func (c *CallConn) addAnswer(bytes int64) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.answers += bytes
-}
-
 // BeginCall takes room for a call with its metadata, or reports that there is none. cancel ends the call if it has to give way.
 func (c *CallConn) BeginCall(metadataBytes int, cancel func()) (*OpenCall, bool) {
 	bytes := int64(callBytes + max(metadataBytes-freeMetadataBytes, 0))
--- a/clientlimit/callconn_test.go
+++ b/clientlimit/callconn_test.go
@@ -182,3 +182,24 @@
 		require.Equal(t, refusalPause, time.Since(began))
 	})
 }
+
+// Guards against a connection that is not read, or is closed, while an answer of it waits for room.
+func TestAnswerWithoutRoomDoesNotStopReading(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const free = 120_000
+		r := newTestRoom()
+		r.messages, r.allMessages = free, free
+		other, c := newLimitedConn(t, r), newLimitedConn(t, r)
+		require.NoError(t, other.receive(http2Preface, callHead(1, flagEndStream)))
+		require.True(t, other.ReserveAnswer(t.Context(), free/messageCopies/2))
+		require.NoError(t, c.receive(http2Preface, callHead(1, flagEndStream)))
+		began := time.Now()
+		reserved := make(chan bool)
+		go func() { reserved <- c.ReserveAnswer(t.Context(), free/messageCopies*3/4) }()
+		synctest.Wait()
+		require.NoError(t, c.receive(callHead(3, flagEndStream)))
+		require.Equal(t, began, time.Now())
+		require.False(t, <-reserved)
+		require.NoError(t, c.receive(callHead(5, flagEndStream)))
+	})
+}
