rpc: deliver the answer of a call that gives way if it is ready

What callers saw: found by reading. A call whose answer came at the moment when it had to give way ended as unavailable. Cause: the interceptor looked only at why the context had ended, not at whether the handler had an answer. Change: an answer without an error is delivered. The description of clients.no_room names calls too.

--- a/metric/describe.go
+++ b/metric/describe.go
@@ -119,7 +119,7 @@
 		{ClientsBodyTooLarge, "requests of clients refused with 413"},
 		{ClientsTooSlow, "requests of clients refused with 408"},
 		{ClientsMalformed, "requests of clients refused with 400 since the end of their head or body is not clear"},
-		{ClientsNoRoom, "requests of clients refused with 504 since all requests together hold as many bytes as they may"},
+		{ClientsNoRoom, "requests of clients refused with 504, or calls with unavailable, since all together hold as much as they may"},
 		{ClientsNoTaskRoom, "jobs of clients refused with 503 since all accepted jobs together have as many tasks as they may"},
 		{ClientsNoConnection, "connections of clients refused since there are as many as there may be"},
 		{ClientsEvicted, "connections of clients closed to make room for others"},
--- a/rpc/calllimits.go
+++ b/rpc/calllimits.go
@@ -129,10 +129,11 @@
 	}
 	resp, err := handler(ctx, req)
 	conn.ReleaseAnswer(expected)
+	evicted := errors.Is(context.Cause(ctx), errCallEvicted)
 	switch {
-	case errors.Is(context.Cause(ctx), errCallEvicted):
+	case err != nil && evicted:
 		return nil, errNoCallRoom
-	case err != nil || ctx.Err() != nil:
+	case err != nil, ctx.Err() != nil && !evicted:
 		return resp, err
 	}
 	if m, ok := resp.(proto.Message); ok && !conn.ReserveAnswer(ctx, proto.Size(m)) {
--- a/rpc/calllimits_test.go
+++ b/rpc/calllimits_test.go
@@ -25,12 +25,17 @@
 type waitingJobs struct {
 	fakeJobs
 	waiting chan struct{}
+	// ready is set if the answers come at the moment when the callers have to leave.
+	ready bool
 }
 
 // Await implements Jobs.
 func (w *waitingJobs) Await(ctx context.Context, _ contract.JobRef, _ time.Duration) (contract.Answer, error) {
 	w.waiting <- struct{}{}
 	<-ctx.Done()
+	if w.ready {
+		return complete(oneTask)
+	}
 	return contract.Answer{}, ctx.Err()
 }
 
@@ -106,6 +111,24 @@
 	}
 }
 
+// Guards against an answer that is ready and is withheld since its call has to give way.
+func TestReadyAnswersOfEvictedCallsAreDelivered(t *testing.T) {
+	s := startLimitedServer(t)
+	s.jobs.ready = true
+	ctx, cancel := context.WithCancel(t.Context())
+	first := s.awaitAll(ctx, s.dial(), s.calls)
+	second := s.awaitAll(ctx, s.dial(), s.calls)
+	require.NoError(t, createJob(ctx, s.dial()))
+	var err error
+	select {
+	case err = <-first:
+	case err = <-second:
+	}
+	require.NoError(t, err)
+	cancel()
+	drain(first, second, 2*s.calls-1)
+}
+
 // drain returns a number of results.
 func drain(first, second <-chan error, results int) []error {
 	var all []error
