--- a/clientlimit/callroom.go
+++ b/clientlimit/callroom.go
@@ -4,7 +4,6 @@
 	"container/list"
 	"context"
 	"sync"
-	"sync/atomic"
 	"time"
 )
 
@@ -45,21 +44,6 @@
 	left  bool
 }
 
-// OpenCall is a call that has not ended.
-type OpenCall struct {
-	share *CallShare
-	bytes int64
-	// index is the call's place among those of its share, noPlace once the call has been cancelled or has ended.
-	index int
-	ended bool
-	// handled is set once the server has begun to handle the call, or has given it up before.
-	handled atomic.Bool
-	// cancel ends the call to make room for others.
-	cancel func()
-}
-
-const noPlace = -1
-
 // roomWaiter waits until a number of bytes is free. ready is closed then.
 type roomWaiter struct {
 	bytes int64
@@ -207,137 +191,6 @@
 	return true
 }
 
-// Handled notes that the server has begun to handle the call, and will report its end.
-func (c *OpenCall) Handled() { c.handled.Store(true) }
-
-// Cancelled ends a call that is not handled: the server does not report the end of such a call.
-func (c *OpenCall) Cancelled() {
-	if c.handled.CompareAndSwap(false, true) {
-		c.End()
-	}
-}
-
-// End gives back the room of a call. It may be called more than once.
-func (c *OpenCall) End() {
-	s, r := c.share, c.share.room
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if c.ended {
-		return
-	}
-	c.ended = true
-	cancelled := c.index == noPlace
-	if !cancelled {
-		c.takeOut()
-	}
-	if cancelled || s.left {
-		r.ending -= c.bytes
-	} else {
-		s.addCallBytes(-c.bytes)
-	}
-	r.calls += c.bytes
-	r.wakeCalls()
-}
-
-// giveWay notes that a call is cancelled to make room. The lock of the room is held.
-func (c *OpenCall) giveWay() {
-	c.takeOut()
-	c.share.addCallBytes(-c.bytes)
-	c.share.room.ending += c.bytes
-}
-
-// takeOut removes a call from those of its share. The lock of the room is held.
-func (c *OpenCall) takeOut() {
-	s := c.share
-	last := len(s.open) - 1
-	s.open[c.index] = s.open[last]
-	s.open[c.index].index = c.index
-	s.open[last] = nil
-	s.open = s.open[:last]
-	c.index = noPlace
-}
-
-// addCallBytes expects the lock of the room to be held.
-func (s *CallShare) addCallBytes(bytes int64) {
-	s.callBytes += bytes
-	s.room.orders[mostCalls].update(s)
-}
-
-// Hold sets the bytes that the messages of a connection hold, or reports that there is no room for them.
-func (s *CallShare) Hold(bytes int64, stalledSince, now time.Time) bool {
-	r := s.room
-	r.mu.Lock()
-	if s.left {
-		r.mu.Unlock()
-		return false
-	}
-	if s.stalledSince != stalledSince {
-		s.stalledSince = stalledSince
-		r.orders[longestStalled].update(s)
-	}
-	var evictions []func()
-	more := bytes - s.messageBytes
-	for bytes <= r.allMessages && r.messages < more {
-		evict := r.evictForMessages(s, bytes, now)
-		if evict == nil {
-			break
-		}
-		evictions = append(evictions, evict)
-	}
-	held := more <= 0 || more <= r.messages
-	if held {
-		s.messageBytes = bytes
-		r.messages -= more
-		r.orders[largestMessages].update(s)
-		r.wakeMessages()
-	}
-	r.mu.Unlock()
-	for _, evict := range evictions {
-		evict()
-	}
-	return held
-}
-
-// Await waits until a connection may find room for its messages. It returns false if there will be none, or when ctx ends.
-func (s *CallShare) Await(ctx context.Context, bytes int64) bool {
-	r := s.room
-	r.mu.Lock()
-	if s.left || bytes > r.allMessages {
-		r.mu.Unlock()
-		return false
-	}
-	w := &roomWaiter{bytes: bytes - s.messageBytes, ready: make(chan struct{})}
-	place := r.messageWaiters.PushBack(w)
-	r.wakeMessages()
-	r.mu.Unlock()
-	// Other connections may have stalled for long enough meanwhile.
-	stalled := time.NewTimer(stalledTime)
-	defer stalled.Stop()
-	select {
-	case <-w.ready:
-	case <-stalled.C:
-	case <-ctx.Done():
-	}
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.messageWaiters.Remove(place)
-	return ctx.Err() == nil
-}
-
-// wakeMessages tells those that wait first that there is room. r.mu is held.
-func (r *CallRoom) wakeMessages() {
-	free := r.messages
-	for first := r.messageWaiters.Front(); first != nil; first = r.messageWaiters.Front() {
-		w := first.Value.(*roomWaiter)
-		if w.bytes > free {
-			return
-		}
-		free -= w.bytes
-		r.messageWaiters.Remove(first)
-		close(w.ready)
-	}
-}
-
 // evictForCall takes room for a call from another connection and returns what ends that connection or its call, nil if there is none that
 // has to give way. r.mu is held.
 func (r *CallRoom) evictForCall(s *CallShare, bytes int64, now time.Time) func() {
@@ -356,19 +209,6 @@
 	return call.cancel
 }
 
-// evictForMessages takes room for the messages of a connection from another one. r.mu is held.
-func (r *CallRoom) evictForMessages(s *CallShare, bytes int64, now time.Time) func() {
-	other := r.stalled(s, now)
-	if other == nil {
-		other = r.orders[largestMessages].first(s)
-		if other == nil || other.messageBytes <= bytes {
-			return nil
-		}
-	}
-	other.leave()
-	return other.closeConn
-}
-
 // stalled returns the connection that has been stalled longest, nil if none has been for long. r.mu is held.
 func (r *CallRoom) stalled(except *CallShare, now time.Time) *CallShare {
 	s := r.orders[longestStalled].first(except)
