--- a/review/11/run.sh
+++ b/review/11/run.sh
@@ -3,4 +3,4 @@
 here="$(cd "$(dirname "$0")" && pwd)"
 cd "$here/../.." || exit 2
 [ -x target/cicadadale ] && [ -x target/stand3 ] || { echo "build first: the line of deploy/system.toml, then review/build-3.sh" >&2; exit 2; }
-exec target/stand3 smaller "$here/record.txt"
+exec target/stand3 late-order "$here/record.txt"
--- a/review/_stand3/main.go
+++ b/review/_stand3/main.go
@@ -9,7 +9,7 @@
 type playCase func(r *rig, trouble bool) (broken bool, err error)
 
 var cases = map[string]playCase{
-	"smaller": smaller,
+	"late-order": lateOrder,
 }
 
 func main() {
--- a/review/_stand3/rig.go
+++ b/review/_stand3/rig.go
@@ -24,11 +24,9 @@
 
 // Bounds and names of the deployment, as on a small site.
 const (
-	maxHold      = time.Second
-	heartbeat    = 1500 * time.Millisecond
-	cancelBound  = 3 * time.Second
-	contactBound = 3 * time.Second
-	resendPause  = 1300 * time.Millisecond
+	maxHold     = time.Second
+	heartbeat   = 1500 * time.Millisecond
+	resendPause = 1300 * time.Millisecond
 
 	service = "orders"
 	host    = "orders.example"
@@ -57,6 +55,36 @@
 	workers []*worker
 	daemons []*daemon
 	done    chan struct{}
+
+	mu sync.Mutex
+	// atWork holds the runs of each task that are at work, overlaps counts the starts beside another run of the task.
+	atWork   map[contract.RunKey]int
+	overlaps int
+}
+
+// pairs returns the number of runs that were started while another run of the task was at work.
+func (r *rig) pairs() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.overlaps
+}
+
+// begin records the start of a run, and reports whether another run of its task is at work.
+func (r *rig) begin(k contract.RunKey) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.atWork[k.Task()]++
+	if r.atWork[k.Task()] == 1 {
+		return false
+	}
+	r.overlaps++
+	return true
+}
+
+func (r *rig) end(k contract.RunKey) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.atWork[k.Task()]--
 }
 
 func newRig(out io.Writer) (*rig, error) {
@@ -74,7 +102,7 @@
 	}
 	return &rig{
 		dir: dir, program: program, rec: &record{began: time.Now(), out: out}, store: standin.ServeKeyedLog(l),
-		done: make(chan struct{}),
+		done: make(chan struct{}), atWork: make(map[contract.RunKey]int),
 	}, nil
 }
 
@@ -119,9 +147,6 @@
 	labels   []string
 	state    string
 	sequence int
-	silent   bool
-	// running holds the runs that are on the worker.
-	running map[contract.RunKey]bool
 }
 
 func (w *worker) born() int64 { return w.host.StartTime() }
@@ -130,15 +155,17 @@
 func (w *worker) Started(_ string, k contract.RunKey) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.running[k] = true
-	w.rig.rec.add("worker %s: started %s, %d at work, room for %d MB", w.id, name(k), len(w.running), w.capacity.MemoryMB)
+	if w.rig.begin(k) {
+		w.rig.rec.add("TWICE: another run of the task of %s is at work", name(k))
+	}
+	w.rig.rec.add("worker %s: started %s", w.id, name(k))
 }
 
 // Ended implements standin.RunObserver.
 func (w *worker) Ended(_ string, k contract.RunKey, state contract.RunState, _ time.Time) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	delete(w.running, k)
+	w.rig.end(k)
 	w.rig.rec.add("worker %s: %s ended (%s)", w.id, name(k), state)
 }
 
@@ -146,8 +173,8 @@
 	return fmt.Sprintf("%s.0.%d.%d run %d", k.Batch, k.Step, k.Index, k.Run)
 }
 
-// addWorker starts a worker that runs each task for the time that plan returns.
-func (r *rig) addWorker(id, zone string, capacity machine.Resources, guards bool, need machine.Resources,
+// newWorker returns a worker that runs each task as plan says. It is not listed yet.
+func (r *rig) newWorker(id, zone string, capacity machine.Resources, guards bool, need machine.Resources,
 	plan func(contract.RunKey) standin.RunPlan,
 ) (*worker, error) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
@@ -155,13 +182,18 @@
 		return nil, err
 	}
 	w := &worker{rig: r, id: id, zone: zone, address: l.Addr().String(), capacity: capacity, state: "ready",
-		labels: []string{"a", "r-" + id}, running: make(map[contract.RunKey]bool)}
+		labels: []string{"a", "r-" + id}}
 	w.host = standin.NewRunHost(standin.RunHostOptions{
 		ID: id, Capacity: capacity, MaxLease: maxHold, Plan: plan, Observer: w, Unguarded: !guards,
 		Need: func(contract.RunKey) machine.Resources { return need },
 	})
 	w.server = standin.ServeHost(l, id, w.host)
 	r.workers = append(r.workers, w)
+	return w, nil
+}
+
+// runWorker lets a worker write its entry, now and at each heartbeat.
+func (r *rig) runWorker(w *worker) {
 	w.beat()
 	go func() {
 		for {
@@ -173,16 +205,12 @@
 			}
 		}
 	}()
-	return w, nil
 }
 
-// beat writes the entry of the worker, unless it is down.
+// beat writes the entry of the worker.
 func (w *worker) beat() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if w.silent {
-		return
-	}
 	w.sequence++
 	entry, _ := json.Marshal(map[string]any{
 		"service": service, "address": w.address, "zone": w.zone, "version": "1", "slots": 8, "state": w.state,
@@ -192,26 +220,6 @@
 	w.rig.store.Put("keyed.servers", w.id, entry)
 }
 
-// crash makes the worker dark: it answers nothing and sends nothing.
-func (w *worker) crash() {
-	w.mu.Lock()
-	w.silent = true
-	w.mu.Unlock()
-	w.rig.rec.add("worker %s: crashes, dark", w.id)
-	w.host.Crash()
-}
-
-// restart begins a new life of the worker under its id, with the given capacity.
-func (w *worker) restart(capacity machine.Resources, labels []string) {
-	w.host.SetCapacity(capacity)
-	w.host.Restart()
-	w.mu.Lock()
-	w.silent, w.sequence, w.capacity, w.labels = false, 0, capacity, labels
-	w.mu.Unlock()
-	w.beat()
-	w.rig.rec.add("worker %s: starts again, room for %d MB, labels %v", w.id, capacity.MemoryMB, labels)
-}
-
 // daemon is an edge daemon: a process with the command of the deploy file.
 type daemon struct {
 	rig      *rig
@@ -313,10 +321,17 @@
 	return errNotReady
 }
 
-// call makes one call of a client. A status of 0 means that there was no answer.
+// call makes one call of a client and records it. A status of 0 means that there was no answer.
 func (r *rig) call(d *daemon, method, id string, body []byte, limit time.Duration) (int, string) {
 	r.rec.add("client: %s %s at %s", method, id, d.vm)
-	client := &http.Client{Timeout: limit, Transport: &http.Transport{DisableKeepAlives: true}}
+	status, text := r.callQuietly(d, method, id, body, limit)
+	r.rec.add("client: answer to %s %s at %s: %d %s", method, id, d.vm, status, text)
+	return status, text
+}
+
+// callQuietly makes one call of a client.
+func (r *rig) callQuietly(d *daemon, method, id string, body []byte, limit time.Duration) (int, string) {
+	client := &http.Client{Timeout: limit + 100*time.Millisecond, Transport: &http.Transport{DisableKeepAlives: true}}
 	req, err := http.NewRequest(method, "http://"+d.front+prefix+id, bytes.NewReader(body))
 	if err != nil {
 		panic(err)
@@ -326,12 +341,10 @@
 	req.Header.Set("Deadline-Ms", fmt.Sprint(limit.Milliseconds()))
 	resp, err := client.Do(req)
 	if err != nil {
-		r.rec.add("client: no answer to %s %s at %s (%v)", method, id, d.vm, errors.Unwrap(err))
-		return 0, ""
+		return 0, err.Error()
 	}
 	defer func() { _ = resp.Body.Close() }()
 	text, _ := io.ReadAll(resp.Body)
-	r.rec.add("client: %s %s at %s answered %d %s", method, id, d.vm, resp.StatusCode, text)
 	return resp.StatusCode, string(text)
 }
 
