--- a/review/_stand3/late.go
+++ b/review/_stand3/late.go
@@ -35,6 +35,9 @@
 	lateTries = 3
 )
 
+// lateNeed is what each task needs.
+var lateNeed = machine.Resources{CPUMillis: 1000, MemoryMB: 64}
+
 // lateFront stands before a worker. While it is late, orders get no answer and are carried out later; their time counts from their
 // arrival at the worker. mu guards the fields below it.
 type lateFront struct {
@@ -45,6 +48,11 @@
 	late   bool
 	orders int
 	held   int
+	// keeps makes the starts that are left unanswered be kept in kept, for the next life of the worker. Stops are answered then.
+	keeps bool
+	kept  []order
+	// dark makes all calls get no answer and have no effect.
+	dark bool
 }
 
 // order is the body of a start or of a stop.
@@ -81,16 +89,18 @@
 	}
 	isOrder := req.URL.Path == "/-/run-start" || req.URL.Path == "/-/run-stop"
 	f.mu.Lock()
-	held := f.late && isOrder
+	dark, held := f.dark, f.late && isOrder && !(f.keeps && req.URL.Path == "/-/run-stop")
 	if isOrder {
 		f.orders++
 	}
-	if held {
+	if held && !dark {
 		f.held++
 	}
 	f.mu.Unlock()
-	if held {
+	if held && !dark {
 		f.hold(req.URL.Path, body)
+	}
+	if held || dark {
 		<-req.Context().Done()
 		panic(http.ErrAbortHandler)
 	}
@@ -122,6 +132,15 @@
 	key.Run = o.Run
 	rec := f.w.rig.rec
 	rec.add("worker %s: leaves %s of %s unanswered", f.w.id, path, name(key))
+	f.mu.Lock()
+	keeps := f.keeps
+	if keeps {
+		f.kept = append(f.kept, o)
+	}
+	f.mu.Unlock()
+	if keeps {
+		return
+	}
 	granted := time.Duration(o.Until)*time.Millisecond - f.clock()
 	if path == "/-/run-stop" {
 		time.AfterFunc(stopLate, func() { _, _ = f.w.host.Stop(context.Background(), key, o.Token) })
@@ -139,8 +158,24 @@
 // lateOrder plays a worker that leaves its orders unanswered for a while and carries them out late. The client of the only job that has to
 // run there gets 504 at its time limit and sends it again.
 func lateOrder(r *rig, trouble bool) (bool, error) {
+	fronts, err := r.lateDeployment()
+	if err != nil {
+		return false, err
+	}
+	stopClients := r.startOtherClients()
+	if trouble {
+		fronts[0].setLate(true)
+		time.AfterFunc(lateTime, func() { fronts[0].setLate(false) })
+	}
+	r.sendLabelled(timeLimit)
+	time.Sleep(time.Until(r.rec.began.Add(12 * time.Second)))
+	stopClients()
+	return r.judgeLate(fronts)
+}
+
+// lateDeployment starts six workers, each behind a lateFront, and six daemons. Only the first worker has the label b.
+func (r *rig) lateDeployment() ([]*lateFront, error) {
 	const workers = 6
-	need := machine.Resources{CPUMillis: 1000, MemoryMB: 64}
 	capacity := machine.Resources{CPUMillis: 16000, MemoryMB: 32768}
 	zones := []string{"a", "b", "c"}
 	var fronts []*lateFront
@@ -150,48 +185,55 @@
 		if i == 0 {
 			plan.Duration = runTime
 		}
-		w, err := r.newWorker(fmt.Sprintf("w-%d", i), zones[i%len(zones)], capacity, true, need,
+		w, err := r.newWorker(fmt.Sprintf("w-%d", i), zones[i%len(zones)], capacity, true, lateNeed,
 			func(contract.RunKey) standin.RunPlan { return plan })
 		if err != nil {
-			return false, err
+			return nil, err
 		}
 		if i == 0 {
 			w.labels[0] = "b"
 		}
 		f, err := serveLate(w)
 		if err != nil {
-			return false, err
+			return nil, err
 		}
 		fronts = append(fronts, f)
 		r.runWorker(w)
 	}
 	for i := range workers {
 		if _, err := r.addDaemon(fmt.Sprintf("edge-%d", i), zones[i%len(zones)]); err != nil {
-			return false, err
+			return nil, err
 		}
 	}
-	if err := r.awaitReady(); err != nil {
-		return false, err
+	return fronts, r.awaitReady()
+}
+
+// sendLabelled sends a job of one task that only the first worker may run, again after each answer but 200, as clients do.
+func (r *rig) sendLabelled(limit time.Duration) {
+	body := job(map[string]any{"count": 1, "cpu": lateNeed.CPUMillis, "mem_mb": lateNeed.MemoryMB,
+		"estimate_ms": runTime.Milliseconds(), "requires": "b"})
+	for try := range lateTries {
+		if status, _ := r.call(r.daemons[try%len(r.daemons)], http.MethodPost, "00000000000000a1", body, limit); status == http.StatusOK {
+			return
+		}
+		time.Sleep(resendPause)
 	}
+}
+
+// startOtherClients lets other clients send jobs until the function that it returns is called.
+func (r *rig) startOtherClients() (stop func()) {
 	over := make(chan struct{})
 	var clients sync.WaitGroup
-	clients.Go(func() { r.otherClients(over, need) })
+	clients.Go(func() { r.otherClients(over) })
 	time.Sleep(500 * time.Millisecond)
-	if trouble {
-		fronts[0].setLate(true)
-		time.AfterFunc(lateTime, func() { fronts[0].setLate(false) })
+	return func() {
+		close(over)
+		clients.Wait()
 	}
-	body := job(map[string]any{"count": 1, "cpu": need.CPUMillis, "mem_mb": need.MemoryMB, "estimate_ms": runTime.Milliseconds(),
-		"requires": "b"})
-	for try := range lateTries {
-		if status, _ := r.call(r.daemons[try%len(r.daemons)], http.MethodPost, "00000000000000a1", body, timeLimit); status == http.StatusOK {
-			break
-		}
-		time.Sleep(resendPause)
-	}
-	time.Sleep(time.Until(r.rec.began.Add(12 * time.Second)))
-	close(over)
-	clients.Wait()
+}
+
+// judgeLate reports whether two runs of a task were at work at the same time.
+func (r *rig) judgeLate(fronts []*lateFront) (bool, error) {
 	orders, held := 0, 0
 	for _, f := range fronts {
 		f.mu.Lock()
@@ -204,8 +246,8 @@
 }
 
 // otherClients send small jobs that run on the other workers until over is closed.
-func (r *rig) otherClients(over <-chan struct{}, need machine.Resources) {
-	body := job(map[string]any{"count": 1, "cpu": need.CPUMillis, "mem_mb": need.MemoryMB, "estimate_ms": otherRunTime.Milliseconds(),
+func (r *rig) otherClients(over <-chan struct{}) {
+	body := job(map[string]any{"count": 1, "cpu": lateNeed.CPUMillis, "mem_mb": lateNeed.MemoryMB, "estimate_ms": otherRunTime.Milliseconds(),
 		"requires": "a"})
 	var calls sync.WaitGroup
 	for n := 0; ; n++ {
--- a/review/_stand3/main.go
+++ b/review/_stand3/main.go
@@ -9,7 +9,9 @@
 type playCase func(r *rig, trouble bool) (broken bool, err error)
 
 var cases = map[string]playCase{
-	"late-order": lateOrder,
+	"late-order":    lateOrder,
+	"two-late":      twoLate,
+	"dropped-queue": droppedQueue,
 }
 
 func main() {
--- a/review/_stand3/rig.go
+++ b/review/_stand3/rig.go
@@ -7,6 +7,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -60,6 +61,26 @@
 	// atWork holds the runs of each task that are at work, overlaps counts the starts beside another run of the task.
 	atWork   map[contract.RunKey]int
 	overlaps int
+	starts   []start
+}
+
+// start is the start of a run on any worker.
+type start struct {
+	key contract.RunKey
+	at  time.Time
+}
+
+// startsOf returns the starts of a job.
+func (r *rig) startsOf(id string) []start {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var list []start
+	for _, s := range r.starts {
+		if s.key.Batch == id {
+			list = append(list, s)
+		}
+	}
+	return list
 }
 
 // pairs returns the number of runs that were started while another run of the task was at work.
@@ -74,6 +95,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.atWork[k.Task()]++
+	r.starts = append(r.starts, start{k, time.Now()})
 	if r.atWork[k.Task()] == 1 {
 		return false
 	}
@@ -119,8 +141,11 @@
 	}
 }
 
-// publish writes a desired state with one queue. guards is the admission check of the workers.
-func (r *rig) publish(version int, guards bool) {
+// publish writes a desired state with the queue of the jobs. guards is the admission check of the workers.
+func (r *rig) publish(version int, guards bool) { r.publishRoute(version, guards, prefix) }
+
+// publishRoute writes a desired state with one queue.
+func (r *rig) publishRoute(version int, guards bool, prefix string) {
 	doc, _ := json.Marshal(map[string]any{
 		"version": version, "limits": map[string]any{},
 		"routes": []map[string]any{{
@@ -130,7 +155,7 @@
 		"services": []map[string]any{{"name": service, "admission_check": guards}},
 	})
 	r.store.Put("keyed.op", "config", doc)
-	r.rec.add("operator: desired state %d, admission_check %v", version, guards)
+	r.rec.add("operator: desired state %d with the queue %s", version, prefix)
 }
 
 // worker is one worker of the platform with its entry in the store.
@@ -147,6 +172,7 @@
 	labels   []string
 	state    string
 	sequence int
+	silent   bool
 }
 
 func (w *worker) born() int64 { return w.host.StartTime() }
@@ -207,14 +233,27 @@
 	}()
 }
 
-// beat writes the entry of the worker.
+// silence keeps the worker from writing its entry, or ends that and writes it, as in the first moment of a life.
+func (w *worker) silence(silent bool) {
+	w.mu.Lock()
+	w.silent, w.sequence = silent, 0
+	w.mu.Unlock()
+	w.beat()
+}
+
+// beat writes the entry of the worker, unless it is down.
 func (w *worker) beat() {
+	// The stand-in of the worker calls Started and Ended with its lock held.
+	born := w.born()
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	if w.silent {
+		return
+	}
 	w.sequence++
 	entry, _ := json.Marshal(map[string]any{
 		"service": service, "address": w.address, "zone": w.zone, "version": "1", "slots": 8, "state": w.state,
-		"cold_left_ms": 0, "sequence": w.sequence, "born": w.born(), "labels": w.labels,
+		"cold_left_ms": 0, "sequence": w.sequence, "born": born, "labels": w.labels,
 		"capacity": map[string]int{"cpu": w.capacity.CPUMillis, "mem_mb": w.capacity.MemoryMB, "gpus": 0},
 	})
 	w.rig.store.Put("keyed.servers", w.id, entry)
@@ -231,13 +270,19 @@
 	exited   chan struct{}
 }
 
+// The ports of the daemons are below those that the system gives to outgoing connections, which could take one while a daemon starts.
+const firstPort, lastPort = 20000, 32000
+
+// freeAddress returns a loopback address with a free port.
 func freeAddress() string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		panic(err)
+	for {
+		l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", firstPort+rand.IntN(lastPort-firstPort)))
+		if err != nil {
+			continue
+		}
+		defer func() { _ = l.Close() }()
+		return l.Addr().String()
 	}
-	defer func() { _ = l.Close() }()
-	return l.Addr().String()
 }
 
 // addDaemon writes the settings of a daemon from the template of the deploy file and starts it.
