pool: the log tells ends of runs in doubt and answered stops apart

Both kinds of runs of a silent worker ended with one proof and one counter, and no line said whether a stop had been answered. Change: proof "lease expired, start in doubt" with the counter pool.ends_in_doubt_lease_expired; "run ended" has stop_answered.

--- a/metric/metric.go
+++ b/metric/metric.go
@@ -73,6 +73,7 @@
 	PoolEndsStopped      = "pool.ends_stopped"
 	PoolEndsUnlisted     = "pool.ends_unlisted"
 	PoolEndsLeaseExpired = "pool.ends_lease_expired"
+	PoolEndsDoubtExpired = "pool.ends_in_doubt_lease_expired"
 	PoolEndsRestarted    = "pool.ends_worker_restarted"
 	PoolEndsOtherWorker  = "pool.ends_other_worker"
 	PoolLeftFenced       = "pool.left_fenced"
--- a/pool/leaseexpiry.go
+++ b/pool/leaseexpiry.go
@@ -55,7 +55,7 @@
 		if !r.overAfterLease(now, p.o.Lease) {
 			continue
 		}
-		p.finish(r, contract.RunEnded, proofLeaseExpired, 0, fx)
+		p.finish(r, contract.RunEnded, r.leaseProof(), 0, fx)
 	}
 	h.host.Suspend(now)
 }
--- a/pool/proof.go
+++ b/pool/proof.go
@@ -17,6 +17,9 @@
 	proofUnlisted
 	// proofLeaseExpired means that the clock of a silent worker has passed every lease.
 	proofLeaseExpired
+	// proofDoubtExpired means the same of a withdrawn run whose start got no reply. It proves that nothing runs, not that the
+	// start will not be executed any more.
+	proofDoubtExpired
 	// proofRestarted means that a later incarnation of the worker does not list the run.
 	proofRestarted
 	// proofOtherWorker means that another worker answers at the address.
@@ -39,6 +42,7 @@
 	proofStopped:      {"stop answered", metric.PoolEndsStopped},
 	proofUnlisted:     {"not listed", metric.PoolEndsUnlisted},
 	proofLeaseExpired: {"lease expired on worker clock", metric.PoolEndsLeaseExpired},
+	proofDoubtExpired: {"lease expired, start in doubt", metric.PoolEndsDoubtExpired},
 	proofRestarted:    {"worker restarted", metric.PoolEndsRestarted},
 	proofOtherWorker:  {"other worker at address", metric.PoolEndsOtherWorker},
 	leftFenced:        {"fenced", metric.PoolLeftFenced},
@@ -50,6 +54,14 @@
 // String returns the name of the proof in logs.
 func (e endProof) String() string { return proofs[e].name }
 
+// leaseProof returns what the end of the lease of a silent worker proves about a run.
+func (r *run) leaseProof() endProof {
+	if r.state == runInDoubt {
+		return proofDoubtExpired
+	}
+	return proofLeaseExpired
+}
+
 // unlistedProof returns what proves the end of a run that the current incarnation of its worker does not list.
 func (r *run) unlistedProof() endProof {
 	switch {
--- a/pool/run.go
+++ b/pool/run.go
@@ -226,7 +226,7 @@
 	p.counter(proofs[proof].counter).Inc(1)
 	p.o.Logger.Info("run ended", append([]any{"task", r.order.Key.String(), "state", state.String(), "worker", worker,
 		"proof", proof.String(), "token", r.token, "worker_start", r.workerStart, "start_unanswered", r.startUnanswered,
-		"run_time", took, "home", r.home},
+		"stop_answered", r.stopAnswered, "run_time", took, "home", r.home},
 		clock...)...)
 }
 
