pool: a late start that its worker lists is not over by a lease

Callers could see: a task started beside a late run of a task, in room that the late run still held; workers that answered took no tasks. Cause: the owner counted a run as over once the lease that it had granted was past, also if the worker listed the run. The lease of a start that is executed late may count from its execution, and its late copies extend it, so that the owner does not know its end. A late run whose stop got no answer was ended and found again five times in 0.9 s, and each time its worker was suspended for longer. Change: a run in doubt, or one that was found after it had been reported as over, is over by its lease only a longest lease after the last list that has it. What a list shows goes before what the owner has granted.

--- a/pool/leaseexpiry.go
+++ b/pool/leaseexpiry.go
@@ -25,8 +25,9 @@
 		return !r.doubtSince.IsZero() && !now.Before(machine.LeaseOverBy(r.doubtSince.Add(contract.LateStartLimit), longestLease))
 	case r.repeats():
 		return !now.Before(machine.LeaseOverBy(r.doubtSince.Add(contract.LateStartLimit), longestLease))
-	case r.state == runInDoubt:
-		return !now.Before(machine.LeaseOverBy(r.doubtSince, longestLease))
+	case r.state == runInDoubt || r.executedLate:
+		// Its lease may count from when the start was executed, and late copies of the start extend it.
+		return !now.Before(machine.LeaseOverBy(later(r.doubtSince, r.listedAt), longestLease))
 	default:
 		return true
 	}
--- a/pool/maintain.go
+++ b/pool/maintain.go
@@ -295,7 +295,7 @@
 		progress, ok := listed[key]
 		switch {
 		case ok:
-			r.workerStart, r.listedBy, r.begun = h.host.StartTime, h.host.StartTime, true
+			r.workerStart, r.listedBy, r.listedAt, r.begun = h.host.StartTime, h.host.StartTime, now, true
 			r.confirmedClock = max(r.confirmedClock, reply.Clock)
 			p.recordProgress(r, progress, now, fx)
 		case r.workerStart == h.host.StartTime && reply.Clock <= r.confirmedClock:
@@ -347,7 +347,7 @@
 func (p *Pool) stopUnordered(h *ownedHost, key contract.RunKey, now time.Time) {
 	over := p.isOver(key)
 	r := &run{order: contract.TaskOrder{Key: key, Need: p.typicalSize}, state: runRunning, host: h,
-		cancelled: true, queuedAt: now, startedAt: now, progressAt: now, token: h.host.Token,
+		cancelled: true, executedLate: true, listedAt: now, queuedAt: now, startedAt: now, progressAt: now, token: h.host.Token,
 		workerStart: h.host.StartTime}
 	h.host.Reserve(r.order.Need)
 	p.addToHost(r, h)
--- a/pool/match.go
+++ b/pool/match.go
@@ -213,6 +213,7 @@
 	p.addToHost(r, h)
 	p.logLateStarts(r, h)
 	r.host, r.state, r.startedAt, r.mayHaveRun, r.begun = h, runStarting, now, true, false
+	r.listedAt = time.Time{}
 	r.listedBy, r.confirmedClock, r.sentTo, r.firstLate = 0, 0, h.address.Worker, false
 	r.progress, r.progressAt, r.token, r.workerStart = 0, now, h.host.Token, h.host.StartTime
 	r.stopAnswered, r.startUnanswered, r.reportedUnanswered = false, false, false
--- a/pool/run.go
+++ b/pool/run.go
@@ -68,6 +68,10 @@
 	// may start it.
 	onlyWorker  string
 	unplaceable bool
+	// listedAt is when the worker has listed the run last; zero if it has not.
+	listedAt time.Time
+	// executedLate is set for a run that was found on the worker although this VM has not ordered it, or has reported it as over.
+	executedLate bool
 	// awaitsBar is set once the queued run has waited for the stop of an earlier one.
 	awaitsBar bool
 	// startedAt is when the start call was made, or when the run was found on a worker.
--- a/pool/unbarredstart_test.go
+++ b/pool/unbarredstart_test.go
@@ -9,6 +9,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/cicadadale/cicadadale/contract"
+	"github.com/cicadadale/cicadadale/link"
 	"github.com/cicadadale/cicadadale/standin"
 )
 
@@ -141,3 +142,72 @@
 		require.Equal(t, []string{f.observer.workerOfJob()["task"]}, f.pool.o.LateStarts.Workers(first))
 	})
 }
+
+// Guards against a second run of a task beside a late start that its worker lists as running: the lease that its owner knows of has
+// ended, but that of the late start counts from its execution. The worker leaves the stops of that run without an answer.
+func TestNextRunWaitsWhileALateStartIsListed(t *testing.T) {
+	for delay := 1500 * time.Millisecond; delay < 2500*time.Millisecond; delay += 50 * time.Millisecond {
+		synctest.Test(t, func(t *testing.T) {
+			f := newFixture(1)
+			defer f.pool.Close()
+			f.setRunTime("task", 5*time.Second)
+			f.makeOrdersLate(delay, func(k contract.RunKey) bool { return k.Run == 1 })
+			first := f.withdrawInDoubt(500*time.Millisecond, "")
+			for !f.state(first).Final() {
+				time.Sleep(time.Millisecond)
+			}
+			next := f.orderRun(2)
+			f.refreshFor(10*time.Second, next)
+			require.Empty(t, f.observer.overlaps, "executed %v late", delay)
+			require.Equal(t, contract.RunDone, f.state(next))
+		})
+	}
+}
+
+// Guards against a late start that counts as over while its worker lists it, since the lease that its owner knows of has ended: its room is
+// free for others, and the worker is suspended again and again.
+func TestListedLateStartIsNotOver(t *testing.T) {
+	for delay := 1500 * time.Millisecond; delay < 2500*time.Millisecond; delay += 100 * time.Millisecond {
+		synctest.Test(t, func(t *testing.T) {
+			f := newFixture(1)
+			defer f.pool.Close()
+			f.setRunTime("task", 5*time.Second)
+			f.makeOrdersLate(delay, nil)
+			first := f.withdrawInDoubt(500*time.Millisecond, "")
+			for f.begunLate() == 0 {
+				time.Sleep(time.Millisecond)
+			}
+			time.Sleep(2 * lateStartPollInterval)
+			h, _ := f.firstHost()
+			for f.observer.endOf("task").IsZero() {
+				require.Equal(t, []contract.RunKey{first}, f.runsOf(h), "executed %v late", delay)
+				time.Sleep(10 * time.Millisecond)
+			}
+			time.Sleep(2 * lateStartPollInterval)
+			require.Empty(t, f.runsOf(h), "executed %v late", delay)
+		})
+	}
+}
+
+// Guards against a second run of a task beside an earlier one that only the poll before the start shows.
+func TestEarlierRunInThePollBeforeAStartHoldsTheStartBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(1)
+		defer f.pool.Close()
+		f.setRunTime("task", time.Second)
+		f.recordLate("w0")
+		f.calls.delayPolls.Store(true)
+		time.Sleep(time.Second)
+		_, token := f.firstHost()
+		next := f.orderRun(2)
+		time.AfterFunc(time.Millisecond, func() {
+			earlier := contract.RunKey{Batch: "task", Run: 1}
+			_, _, err := f.calls.hosts["w0"].Start(t.Context(), link.HostStart{Key: earlier, Token: token, LeaseEnd: time.Minute})
+			require.NoError(t, err)
+		})
+		f.refreshFor(3*time.Second, next)
+		require.Empty(t, f.observer.overlaps)
+		require.Equal(t, []string{"task", "task"}, f.observer.startedJobs())
+		require.Equal(t, contract.RunDone, f.state(next))
+	})
+}
