pool: the room of an unanswered start is kept until it is barred

Callers could see: a worker that does not guard its capacity over it (LIMIT), or two tasks of a step on one worker where the step allows one (ROUTE). One lease after its last start call a withdrawn run gave its room, and its place among the runs of its step, to others, though nothing barred its start, which its worker then executed beside them. Change: an unbarred start withholds the room of its run and counts for the limit of its step. It is no run of the worker, so that a worker which is probed after a suspension takes its one task. Result: TestLateStartDoesNotOverfillItsWorker and TestLateStartCountsForTheLimitOfItsStep failed on (one start over the capacity, two tasks of the step) and pass.

--- a/machine/host.go
+++ b/machine/host.go
@@ -69,6 +69,12 @@
 	h.runs--
 }
 
+// Withhold allocates resources that no run uses yet.
+func (h *Host) Withhold(need Resources) { h.used = h.used.Plus(need) }
+
+// Restore frees resources that Withhold has allocated.
+func (h *Host) Restore(need Resources) { h.used = h.used.Minus(need) }
+
 // Runs returns the number of runs that hold resources.
 func (h *Host) Runs() int { return h.runs }
 
--- a/pool/match.go
+++ b/pool/match.go
@@ -130,7 +130,7 @@
 	return o.PerWorkerLimit == 0 || h.runsOfStep(o.Key) < o.PerWorkerLimit
 }
 
-// runsOfStep returns the number of runs of a step on the worker.
+// runsOfStep returns the number of runs of a step on the worker, and of those that it may still start.
 func (h *ownedHost) runsOfStep(key contract.RunKey) int {
 	n := 0
 	for k := range h.runs {
@@ -138,6 +138,11 @@
 			n++
 		}
 	}
+	for k := range h.unbarred {
+		if k.InStep(key) {
+			n++
+		}
+	}
 	return n
 }
 
--- a/pool/unbarredstart.go
+++ b/pool/unbarredstart.go
@@ -11,10 +11,12 @@
 )
 
 // unbarredStart is a start without a reply whose run has been reported as over although the worker may still execute the start: it has
-// answered no stop of the run. Until it has, no other run of the task starts on the worker. The end of a lease ends what runs, not
-// what has yet to arrive. A fencing token bars it too, so it is dropped when the worker is acquired again.
+// answered no stop of the run. Until it has, no other run of the task starts on the worker, and the room of the run is kept. The end of a
+// lease ends what runs, not what has yet to arrive. A fencing token bars it too, so it is dropped when the worker is acquired again.
 type unbarredStart struct {
-	key   contract.RunKey
+	key contract.RunKey
+	// need is the room that the run takes if the start is executed.
+	need  machine.Resources
 	token uint64
 	// until is when the start cannot be executed any more and what it has started has ended.
 	until time.Time
@@ -35,19 +37,21 @@
 func (p *Pool) finishUnbarred(r *run, proof endProof, fx *effects) {
 	h := r.host
 	u := &unbarredStart{
-		key: r.order.Key, token: h.host.Token, wakeup: make(chan struct{}, 1),
+		key: r.order.Key, need: r.order.Need, token: h.host.Token, wakeup: make(chan struct{}, 1),
 		until: machine.LeaseOverBy(r.doubtSince.Add(contract.LateStartLimit), p.o.Lease),
 	}
 	p.finish(r, contract.RunEnded, proof, 0, fx)
 	h.unbarred[u.key] = u
+	h.host.Withhold(u.need)
 	p.onWorkers[u.key.Task()]++
 	p.counter(metric.PoolStartsUnbarred).Inc(1)
 	fx.bars = append(fx.bars, barEffect{h, u})
 }
 
-// removeUnbarred lets other runs of the task start on the worker. p.mu is held.
+// removeUnbarred frees the room of a start and lets other runs of its task start on the worker. p.mu is held.
 func (p *Pool) removeUnbarred(h *ownedHost, u *unbarredStart) {
 	delete(h.unbarred, u.key)
+	h.host.Restore(u.need)
 	p.releaseTask(u.key)
 }
 
--- a/pool/unbarredstart_test.go
+++ b/pool/unbarredstart_test.go
@@ -211,3 +211,53 @@
 		require.Equal(t, contract.RunDone, f.state(next))
 	})
 }
+
+// Guards against a worker that does not guard its capacity and gets more than it holds: other tasks take the room of a withdrawn run, and
+// its start is executed late beside them.
+func TestLateStartDoesNotOverfillItsWorker(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixtureOf(1, true)
+		defer f.pool.Close()
+		f.makeOrdersLate(4*time.Second, isDoubtful)
+		f.withdrawInDoubt(500*time.Millisecond, "")
+		f.refreshFor(1500 * time.Millisecond)
+		f.refreshFor(700*time.Millisecond, f.order("before", 500, 0, time.Second, 5*time.Second))
+		others := []contract.RunKey{f.orderLong("first", 1000), f.orderLong("second", 1000)}
+		for f.begunLate() == 0 {
+			f.keepAlive(10*time.Millisecond, others...)
+		}
+		require.Zero(t, f.overfilled())
+		f.endLateOrders()
+		f.keepAlive(time.Second, others...)
+		require.Len(t, f.observer.startedJobs(), 4)
+		require.Zero(t, f.overfilled())
+	})
+}
+
+// Guards against a worker that gets more runs of a step than the step allows: another one starts in the place of a withdrawn run, whose
+// start is executed late beside it.
+func TestLateStartCountsForTheLimitOfItsStep(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(1)
+		defer f.pool.Close()
+		f.setRunTime("task", 3*time.Second)
+		f.makeOrdersLate(2500*time.Millisecond, func(k contract.RunKey) bool { return k.Index == 0 })
+		one := func(o *contract.TaskOrder) { o.PerWorkerLimit = 1 }
+		first := f.orderWith("task", one)
+		f.refreshFor(200*time.Millisecond, first)
+		f.pool.Withdraw(testHome, []contract.RunKey{first})
+		f.refreshFor(1500 * time.Millisecond)
+		require.Equal(t, contract.RunEnded, f.state(first))
+		second := f.orderWith("task", func(o *contract.TaskOrder) {
+			one(o)
+			o.Key.Index = 1
+		})
+		for f.begunLate() == 0 {
+			f.refreshFor(100*time.Millisecond, second)
+		}
+		require.Len(t, f.observer.startedJobs(), 1)
+		f.endLateOrders()
+		f.refreshFor(2*time.Second, second)
+		require.Len(t, f.observer.startedJobs(), 2)
+	})
+}
