pool: an unanswered stop does not take its worker out of use

Callers saw: tasks on a worker whose lease expired, and a worker that took no tasks for over a second, because one order there got no answer. Cause: a worker has one lease for all its runs, and it was not extended for any of them while a withdrawn run in doubt was neither over nor refreshed: up to a lease after its last start call, though the worker answered its lists and did not have the run. Change: a run in doubt that its home has withdrawn ends for that home with a list that does not have it, from 0.6 s after its last refresh on ("not listed, start in doubt", pool.ends_in_doubt_unlisted): the lease of the others, 1.2 s after that refresh, can still be extended then, and all members know of the late start. It stays unbarred as after a lease: no other run of the task starts there, and its room is kept, until a stop has been answered. At a silent worker, or if the home has left the run, it ends with the lease as before.

--- a/metric/describe.go
+++ b/metric/describe.go
@@ -89,6 +89,7 @@
 		{PoolEndsStopped, "runs over: stop answered, not listed afterwards"},
 		{PoolEndsUnlisted, "runs over: confirmed, then not listed, without a stop"},
 		{PoolEndsLeaseExpired, "runs over: clock of the silent worker past every lease"},
+		{PoolEndsInDoubt, "withdrawn runs over whose start got no reply and whose stop none either: not listed"},
 		{PoolEndsDoubtExpired, "withdrawn runs over whose start got no reply and whose stop none either: clock of the silent worker past every lease"},
 		{PoolEndsRestarted, "runs over: not listed by a later incarnation of the worker"},
 		{PoolEndsOtherWorker, "runs over: another worker at the address"},
--- a/metric/metric.go
+++ b/metric/metric.go
@@ -77,6 +77,7 @@
 	PoolEndsStopped      = "pool.ends_stopped"
 	PoolEndsUnlisted     = "pool.ends_unlisted"
 	PoolEndsLeaseExpired = "pool.ends_lease_expired"
+	PoolEndsInDoubt      = "pool.ends_in_doubt_unlisted"
 	PoolEndsDoubtExpired = "pool.ends_in_doubt_lease_expired"
 	PoolEndsRestarted    = "pool.ends_worker_restarted"
 	PoolEndsOtherWorker  = "pool.ends_other_worker"
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -318,6 +318,7 @@
 		case onlyWaiting && r.state != runWaiting:
 			fx.report(r)
 		default:
+			r.withdrawn = true
 			p.withdraw(r, &fx)
 		}
 	}
--- a/pool/proof.go
+++ b/pool/proof.go
@@ -15,10 +15,12 @@
 	proofStopped
 	// proofUnlisted means that the worker had confirmed the run and lists neither the run nor its end, without a stop.
 	proofUnlisted
+	// proofDoubtUnlisted means that the worker does not list a withdrawn run whose start got no reply, and has answered no stop. It
+	// proves that nothing runs, not that the start will not be executed any more.
+	proofDoubtUnlisted
 	// proofLeaseExpired means that the clock of a silent worker has passed every lease.
 	proofLeaseExpired
-	// proofDoubtExpired means the same of a withdrawn run whose start got no reply. It proves that nothing runs, not that the
-	// start will not be executed any more.
+	// proofDoubtExpired means the same of a withdrawn run whose start got no reply. It proves no more than proofDoubtUnlisted.
 	proofDoubtExpired
 	// proofRestarted means that a later incarnation of the worker does not list the run.
 	proofRestarted
@@ -37,18 +39,19 @@
 
 // proofs holds the name and the counter of each proof.
 var proofs = [...]struct{ name, counter string }{
-	proofNotStarted:   {"not started", metric.PoolEndsNotStarted},
-	proofListed:       {"end listed", metric.PoolEndsListed},
-	proofStopped:      {"stop answered", metric.PoolEndsStopped},
-	proofUnlisted:     {"not listed", metric.PoolEndsUnlisted},
-	proofLeaseExpired: {"lease expired on worker clock", metric.PoolEndsLeaseExpired},
-	proofDoubtExpired: {"lease expired, start in doubt", metric.PoolEndsDoubtExpired},
-	proofRestarted:    {"worker restarted", metric.PoolEndsRestarted},
-	proofOtherWorker:  {"other worker at address", metric.PoolEndsOtherWorker},
-	leftFenced:        {"fenced", metric.PoolLeftFenced},
-	leftReassigned:    {"worker reassigned", metric.PoolLeftReassigned},
-	leftMoved:         {"worker at other address", metric.PoolLeftMoved},
-	leftNotOwned:      {"worker not owned", metric.PoolLeftNotOwned},
+	proofNotStarted:    {"not started", metric.PoolEndsNotStarted},
+	proofListed:        {"end listed", metric.PoolEndsListed},
+	proofStopped:       {"stop answered", metric.PoolEndsStopped},
+	proofUnlisted:      {"not listed", metric.PoolEndsUnlisted},
+	proofDoubtUnlisted: {"not listed, start in doubt", metric.PoolEndsInDoubt},
+	proofLeaseExpired:  {"lease expired on worker clock", metric.PoolEndsLeaseExpired},
+	proofDoubtExpired:  {"lease expired, start in doubt", metric.PoolEndsDoubtExpired},
+	proofRestarted:     {"worker restarted", metric.PoolEndsRestarted},
+	proofOtherWorker:   {"other worker at address", metric.PoolEndsOtherWorker},
+	leftFenced:         {"fenced", metric.PoolLeftFenced},
+	leftReassigned:     {"worker reassigned", metric.PoolLeftReassigned},
+	leftMoved:          {"worker at other address", metric.PoolLeftMoved},
+	leftNotOwned:       {"worker not owned", metric.PoolLeftNotOwned},
 }
 
 // String returns the name of the proof in logs.
--- a/pool/run.go
+++ b/pool/run.go
@@ -30,6 +30,8 @@
 	// claimed is false for a run that was found on a worker and has not been claimed by its home yet.
 	claimed   bool
 	cancelled bool
+	// withdrawn is set once the home has withdrawn the run.
+	withdrawn bool
 	// mayHaveRun is set when a start call is made, and cleared only if the run has provably not started.
 	mayHaveRun bool
 	// begun is set once the worker has accepted the start of the run or has listed it, as the incarnation workerStart.
--- a/pool/unbarredstart.go
+++ b/pool/unbarredstart.go
@@ -48,6 +48,18 @@
 	fx.bars = append(fx.bars, barEffect{h, u})
 }
 
+// maxUnrefreshedDoubt is how long after its last refresh a withdrawn run in doubt limits the lease of its worker. The lease, which ends
+// leaseAfterRefresh after the refresh, can still be extended then. By that time all members have been told of the late start.
+const maxUnrefreshedDoubt = 600 * time.Millisecond
+
+// endedInDoubt reports whether a run in doubt is over for its home by a list that was asked for at sent and does not have it. Its stop has
+// been without an answer for some time, and the worker has one lease for all its runs, which would expire for this one. A run that
+// its home has not withdrawn but left ends with its lease: the client may be running the job elsewhere then.
+func (r *run) endedInDoubt(sent, now time.Time) bool {
+	return r.state == runInDoubt && r.withdrawn && !r.repeating && sent.After(r.doubtSince) &&
+		now.Sub(r.refreshedAt) >= maxUnrefreshedDoubt
+}
+
 // removeUnbarred frees the room of a start and lets other runs of its task start on the worker. p.mu is held.
 func (p *Pool) removeUnbarred(h *ownedHost, u *unbarredStart) {
 	delete(h.unbarred, u.key)
