pool: a late start whose stop has no answer does not take its worker out of use

Cause: a run that no home has claimed kept the lease of all runs on its worker from being extended. A late start of a run that is over has no home any more, so a stop without an answer cost the other runs of the worker theirs 0.9 s later. Change: a late start of a run that its home has withdrawn limits no lease, and gets none of its own. It takes the room that was kept for it, in place of that of a typical run. One whose home has left it limits the lease as before.

--- a/pool/maintain.go
+++ b/pool/maintain.go
@@ -114,10 +114,14 @@
 
 // leaseLimit returns the latest time to which the lease of a worker may be extended now. One lease covers all runs of
 // a worker, so the least recently refreshed run decides. A run that no home has claimed prevents an extension: its
-// home may have died, and its client may be running the job elsewhere before the lease ends.
+// home may have died, and its client may be running the job elsewhere before the lease ends. A late start of a run that its home has
+// withdrawn limits nothing: no other run of its task starts before it has ended.
 func (h *ownedHost) leaseLimit(now time.Time, lease time.Duration) time.Time {
 	limit := now.Add(min(lease, maxLease))
 	for _, r := range h.runs {
+		if r.isLateAndWithdrawn() {
+			continue
+		}
 		if !r.claimed {
 			return now
 		}
@@ -348,8 +352,12 @@
 // stopUnordered stops a run that this VM has not ordered: a start that was executed late. p.mu is held.
 func (p *Pool) stopUnordered(h *ownedHost, key contract.RunKey, now time.Time) {
 	over := p.isOver(key)
-	r := &run{order: contract.TaskOrder{Key: key, Need: p.typicalSize}, state: runRunning, host: h,
-		cancelled: true, executedLate: true, listedAt: now, queuedAt: now, startedAt: now, progressAt: now, token: h.host.Token,
+	need, withdrawn := p.typicalSize, false
+	if u, ok := h.unbarred[key]; ok {
+		need, withdrawn = u.need, u.withdrawn
+	}
+	r := &run{order: contract.TaskOrder{Key: key, Need: need}, state: runRunning, host: h,
+		cancelled: true, withdrawn: withdrawn, executedLate: true, listedAt: now, queuedAt: now, startedAt: now, progressAt: now, token: h.host.Token,
 		workerStart: h.host.StartTime}
 	h.host.Reserve(r.order.Need)
 	p.addToHost(r, h)
--- a/pool/poll.go
+++ b/pool/poll.go
@@ -105,7 +105,7 @@
 		return poll, true
 	}
 	poll.Wait = p.pollWait(h, maxPollWait)
-	if left := h.leaseLimit(now, p.o.Lease).Sub(now); left > 0 {
+	if left := h.leaseLimit(now, p.o.Lease).Sub(now); left > 0 && h.needsLease() {
 		poll.LeaseEnd = h.host.ExtendLease(left, now)
 	}
 	return poll, false
--- a/pool/unbarredstart.go
+++ b/pool/unbarredstart.go
@@ -18,6 +18,8 @@
 	// need is the room that the run takes if the start is executed.
 	need  machine.Resources
 	token uint64
+	// withdrawn is set if the home of the run has withdrawn it.
+	withdrawn bool
 	// until is when the start cannot be executed any more and what it has started has ended.
 	until time.Time
 	// barredAt is when the worker answered a stop of the run; zero before that. A list that was asked for later shows whether the
@@ -37,7 +39,7 @@
 func (p *Pool) finishUnbarred(r *run, proof endProof, fx *effects) {
 	h := r.host
 	u := &unbarredStart{
-		key: r.order.Key, need: r.order.Need, token: h.host.Token, wakeup: make(chan struct{}, 1),
+		key: r.order.Key, need: r.order.Need, token: h.host.Token, withdrawn: r.withdrawn, wakeup: make(chan struct{}, 1),
 		until: machine.LeaseOverBy(r.doubtSince.Add(contract.LateStartLimit), p.o.Lease),
 	}
 	p.finish(r, contract.RunEnded, proof, 0, fx)
@@ -60,6 +62,19 @@
 		now.Sub(r.refreshedAt) >= maxUnrefreshedDoubt
 }
 
+// isLateAndWithdrawn reports whether the start of a run was executed late, after its home had withdrawn it.
+func (r *run) isLateAndWithdrawn() bool { return r.executedLate && r.withdrawn }
+
+// needsLease reports whether the worker has a run that is not only there until its stop has been answered.
+func (h *ownedHost) needsLease() bool {
+	for _, r := range h.runs {
+		if !r.isLateAndWithdrawn() {
+			return true
+		}
+	}
+	return false
+}
+
 // removeUnbarred frees the room of a start and lets other runs of its task start on the worker. p.mu is held.
 func (p *Pool) removeUnbarred(h *ownedHost, u *unbarredStart) {
 	delete(h.unbarred, u.key)
--- a/pool/unbarredstart_test.go
+++ b/pool/unbarredstart_test.go
@@ -263,28 +263,35 @@
 }
 
 // Guards against a worker that is out of use for one order without an answer: while it leaves the stop of a withdrawn run without an answer,
-// the lease of its other runs expires, or no task starts there. The worker answers its lists.
+// the lease of its other runs expires, or no task starts there. The worker answers its lists. It does not execute the start, or does so late.
 func TestUnansweredStopKeepsNoWorkerFromOtherTasks(t *testing.T) {
 	for withdrawnAfter := time.Duration(0); withdrawnAfter <= time.Second; withdrawnAfter += 100 * time.Millisecond {
-		synctest.Test(t, func(t *testing.T) {
-			f := newFixture(1)
-			defer f.pool.Close()
-			f.setRunTime("long", time.Minute)
-			long := f.order("long", 500, 0, time.Minute, 2*time.Minute)
-			f.makeOrdersLate(time.Hour, isDoubtful)
-			withdrawn := f.withdrawInDoubt(withdrawnAfter, "", long)
-			for i := range 60 {
-				short := f.order(fmt.Sprintf("short-%d", i), 500, 0, time.Second, 10*time.Second)
-				for range 3 {
-					time.Sleep(100 * time.Millisecond)
-					f.pool.Refresh(testHome, []contract.RunKey{long, short}, time.Now())
-				}
-				require.Equal(t, contract.RunDone, f.state(short), "task %d", i)
-			}
-			require.Equal(t, contract.RunStarted, f.state(long))
-			require.True(t, f.observer.endOf("long").IsZero())
-			require.Equal(t, contract.RunEnded, f.state(withdrawn))
-			require.Equal(t, map[string]int{"w0": 500}, f.pool.ReservedCPU(), "the start cannot be executed any more")
-		})
+		keepsWorkerInUse(t, withdrawnAfter, time.Hour)
+		keepsWorkerInUse(t, withdrawnAfter, 2*time.Second)
 	}
 }
+
+func keepsWorkerInUse(t *testing.T, withdrawnAfter, startDelay time.Duration) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(1)
+		defer f.pool.Close()
+		f.setRunTime("long", time.Minute)
+		long := f.order("long", 500, 0, time.Minute, 2*time.Minute)
+		f.setRunTime("task", 3*time.Second)
+		f.makeOrdersLate(startDelay, isDoubtful)
+		withdrawn := f.withdrawInDoubt(withdrawnAfter, "", long)
+		for i := range 60 {
+			short := f.order(fmt.Sprintf("short-%d", i), 500, 0, time.Second, 10*time.Second)
+			for range 3 {
+				time.Sleep(100 * time.Millisecond)
+				f.pool.Refresh(testHome, []contract.RunKey{long, short}, time.Now())
+			}
+			require.Equal(t, contract.RunDone, f.state(short), "task %d", i)
+		}
+		require.Equal(t, contract.RunStarted, f.state(long))
+		require.True(t, f.observer.endOf("long").IsZero())
+		require.Equal(t, contract.RunEnded, f.state(withdrawn))
+		require.Equal(t, map[string]int{"w0": 500}, f.pool.ReservedCPU(), "the start cannot be executed any more")
+	})
+}
