pool: lists of workers without unbarred starts are not searched for them

Cause: each list of a worker was searched, though nearly all workers have no start that is not barred. Change: reconcileUnbarred returns at once for these.

--- a/pool/unbarredstart.go
+++ b/pool/unbarredstart.go
@@ -101,6 +101,9 @@
 // reconcileUnbarred compares the worker's list of runs with the starts that are not barred. One that is listed has been executed; its
 // run is held and stopped like any other from now on. p.mu is held.
 func (p *Pool) reconcileUnbarred(h *ownedHost, reply link.PollReply, sent time.Time) {
+	if len(h.unbarred) == 0 {
+		return
+	}
 	for _, e := range reply.Ended {
 		// A worker starts no run that has ended there.
 		if u, ok := h.unbarred[e.Key]; ok {
