soak: workers that leave orders without an answer while they answer their lists

Late calls of a worker silenced its lists too, or every nth call, and a late start kept the end of the lease that it was sent with. Change: worker_late_grants (soak/lateorders.go), with LateOrders of the stand-in; the first submission of a job is short meanwhile, so that jobs are sent again while their first starts are late.

--- a/soak/client.go
+++ b/soak/client.go
@@ -45,7 +45,9 @@
 	tasks    int
 	limit    time.Duration
 	patience time.Duration
-	attempts []attempt
+	// firstLimit is the time limit of the first submission, zero for limit.
+	firstLimit time.Duration
+	attempts   []attempt
 	// cancelled is when a daemon acknowledged that the job is cancelled; zero if none has.
 	cancelled time.Time
 }
@@ -86,7 +88,8 @@
 	for time.Now().Before(end) {
 		j := &job{
 			id: fmt.Sprintf("%016x", c.rng.Uint64()), tasks: 1 + c.rng.IntN(maxTasks),
-			limit: c.s.late.limit(time.Duration(1200+c.rng.IntN(3000)) * time.Millisecond),
+			limit:      c.s.late.limit(time.Duration(1200+c.rng.IntN(3000)) * time.Millisecond),
+			firstLimit: c.s.firstLimit(c.rng),
 		}
 		c.submit(j)
 		c.s.recordJob(j)
@@ -104,7 +107,11 @@
 	stop := c.scheduleCancel(j)
 	defer stop()
 	for {
-		a := c.attempt(j, target, time.Until(deadline))
+		left := time.Until(deadline)
+		if len(j.attempts) == 0 && j.firstLimit > 0 {
+			left = min(left, j.firstLimit)
+		}
+		a := c.attempt(j, target, left)
 		j.attempts = append(j.attempts, a)
 		if time.Since(begin) >= j.patience {
 			return
--- a/soak/fault.go
+++ b/soak/fault.go
@@ -55,6 +55,7 @@
 	"worker_crash":        (*Soak).crashWorker,
 	"worker_exit":         (*Soak).exitWorker,
 	"worker_exit_wave":    (*Soak).exitWave,
+	"worker_late_grants":  (*Soak).delayOrders,
 	"worker_late_orders":  (*Soak).delayCalls,
 	"worker_late_restart": (*Soak).restartBeforeLateStarts,
 	"worker_loses":        (*Soak).loseStarts,
--- a/soak/laterestart.go
+++ b/soak/laterestart.go
@@ -67,6 +67,14 @@
 
 // add records a start that is held. Later runs of its task last until end.
 func (l *lateTasks) add(task contract.RunKey, fault int, end time.Time) {
+	l.prolong(task, fault, end)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.held++
+}
+
+// prolong makes later runs of a task last until end.
+func (l *lateTasks) prolong(task contract.RunKey, fault int, end time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	t, ok := l.tasks[task]
@@ -75,7 +83,6 @@
 	}
 	t.end = end
 	l.tasks[task] = t
-	l.held++
 }
 
 // limit returns the time limit of a job that is submitted now.
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -84,10 +84,12 @@
 	Refused         int            `json:"jobs_refused"`
 	// StartsHeld counts the starts that workers have left without an answer for worker_late_restart, LateStarts those of them
 	// that have begun a run after the restart, OwnersKilled the owners that were killed while the starts were held.
-	StartsHeld   int    `json:"starts_held"`
-	LateStarts   int    `json:"late_starts_executed"`
-	OwnersKilled int    `json:"owners_killed"`
-	Dir          string `json:"dir"`
+	StartsHeld   int `json:"starts_held"`
+	LateStarts   int `json:"late_starts_executed"`
+	OwnersKilled int `json:"owners_killed"`
+	// LateOrders counts the starts that were executed late for worker_late_grants and have begun a run.
+	LateOrders int    `json:"late_orders_executed"`
+	Dir        string `json:"dir"`
 }
 
 // worker is a worker stand-in behind a relay. crashing is held while it is down.
@@ -116,8 +118,9 @@
 	late    *lateTasks
 	workers []*worker
 	daemons []*daemon
-	// leaving and cancelling count the faults that make clients leave or cancel their jobs.
+	// leaving and cancelling count the faults that make clients leave or cancel their jobs, lateOrders those that make orders late.
 	leaving    atomic.Int32
+	lateOrders atomic.Int32
 	cancelling atomic.Int32
 	// evacuating is held while a failure domain is evacuated.
 	evacuating sync.Mutex
@@ -171,6 +174,7 @@
 	defer s.mu.Unlock()
 	s.report.TasksStarted, s.report.Dir = s.runs.count(), s.dir
 	s.report.StartsHeld, s.report.LateStarts, s.report.OwnersKilled = s.late.held, s.late.executed, s.late.ownersKilled
+	s.report.LateOrders = s.lateOrdersExecuted()
 	return s.report, nil
 }
 
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -149,6 +149,15 @@
 	require.Positive(t, r.LateStarts)
 }
 
+// Guards against a second run of a task whose first start and stop got no answer, while their worker answers its lists and executes the
+// start seconds later, with a lease that counts from then.
+func TestLateOrdersAtAnsweringWorkersAreNoSecondRuns(t *testing.T) {
+	r := requireNoSecondRun(t, "worker_late_grants", soak.Options{
+		Seed: 2, Duration: 7 * time.Second, Domains: 2, Daemons: 2, Workers: 6, FaultInterval: 300 * time.Millisecond,
+	})
+	require.Positive(t, r.LateOrders)
+}
+
 // Guards against a misspelt fault kind that leaves a run without faults, and against a wave of more workers than there are.
 func TestUnknownFaultIsAnError(t *testing.T) {
 	_, err := soak.Run(soak.Options{Faults: []string{"kil"}})
