edge: overlapping faults with orders that stay without an answer at workers that answer

Cause: the deployments in virtual time had late calls of all kinds, polls among them, and leases that end when they were to end. Change: the fault lateOrders, and two mixes of it: with channels that are reset, and with daemons that are killed or stop beside that.

--- a/edge/overlap_test.go
+++ b/edge/overlap_test.go
@@ -54,6 +54,8 @@
 		faults: []string{"lateCalls", "restart", "restart"}},
 	{name: "channels-broken-during-suspensions", seeds: []uint64{1, 2}, faults: []string{"suspendBroken", "suspendBroken", "suspend"}},
 	{name: "isolated-homes-with-workers", seeds: []uint64{1, 2}, faults: []string{"isolateWithWorkers", "lateCalls", "cutOneWay"}},
+	{name: "late-orders-at-answering-workers", seeds: []uint64{10453021, 1077058010, 1097430348}, faults: []string{"lateOrders", "lateOrders", "lateOrders", "reset"}},
+	{name: "late-orders-and-lost-owners", seeds: []uint64{2780357274, 3275951950}, faults: []string{"lateOrders", "lateOrders", "lateOrders", "reset", "kill", "stop"}},
 	{name: "entries-of-earlier-incarnations", seeds: []uint64{1, 2}, faults: []string{"staleEntry", "lateCalls"}},
 }
 
@@ -241,7 +243,7 @@
 		"cutWorkers": c.cutWorkers, "delayDaemon": c.delayDaemon, "storeUnavailable": c.storeUnavailable,
 		"lateCalls": c.lateCalls, "lostReplies": c.lossyReplies, "restart": c.restartWorkers, "suspend": c.suspendDaemons,
 		"suspendBroken": c.suspendWithBrokenChannels, "isolate": c.isolateHome, "reset": c.resetChannels,
-		"isolateWithWorkers": c.isolateHomeWithWorkers, "staleEntry": c.staleEntry,
+		"isolateWithWorkers": c.isolateHomeWithWorkers, "staleEntry": c.staleEntry, "lateOrders": c.lateOrders,
 	}
 	begin := time.Now()
 	var faults sync.WaitGroup
--- a/edge/overlapfaults_test.go
+++ b/edge/overlapfaults_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/cicadadale/cicadadale/machine"
+	"github.com/cicadadale/cicadadale/standin"
 )
 
 // occupy reserves a machine for a fault. It reports whether no other fault has reserved it.
@@ -51,6 +52,23 @@
 	return fmt.Sprintf("%d%% lost replies", percent)
 }
 
+// lateOrders makes a worker that answers its lists leave starts and stops without an answer, and execute them seconds later. The leases of
+// the starts count from then.
+func (c *overlap) lateOrders(rng *rand.Rand) string {
+	id := anyWorker(rng)
+	if !c.occupy(id) {
+		return "nothing"
+	}
+	defer c.release(id)
+	o := standin.LateOrders{
+		StartDelay: time.Duration(1000+rng.IntN(5000)) * time.Millisecond, StopDelay: time.Duration(1000+rng.IntN(9000)) * time.Millisecond,
+	}
+	c.d.hosts[id].SetLateOrders(o)
+	time.Sleep(faultTime(rng))
+	c.d.hosts[id].EndLateOrders()
+	return fmt.Sprintf("orders to %s late by %v, stops by %v", id, o.StartDelay, o.StopDelay)
+}
+
 // kill ends a daemon that is not suspended.
 func (c *overlap) kill(rng *rand.Rand) string {
 	vm, zone := anyDaemon(rng)
