pool: leases of workers in a file of their own

Cause: the limit of a lease stood among the maintenance of workers, the conclusions from a lease in two files; the constant PoolUnbarredBarred said bar twice.

--- a/metric/describe.go
+++ b/metric/describe.go
@@ -61,7 +61,7 @@
 		{PoolStartsRepeated, "start calls repeated at the same worker for a run whose start got no reply"},
 		{PoolStartsWhereLate, "starts of tasks on the worker that may still execute an earlier start of them"},
 		{PoolStartsUnbarred, "starts without a reply whose run is over for its home, while their worker has answered no stop of it"},
-		{PoolUnbarredBarred, "such starts whose worker has answered a stop since, so that it rejects them"},
+		{PoolUnbarredStopped, "such starts whose worker has answered a stop since, so that it rejects them"},
 		{PoolUnbarredExecuted, "such starts that their worker has executed"},
 		{PoolStartsAwaitStop, "queued tasks that wait until their worker has answered the stop of an earlier run"},
 		{PoolReturnedLate, "queued tasks returned to their homes since no worker here may start them while others may execute earlier starts"},
--- a/metric/metric.go
+++ b/metric/metric.go
@@ -51,7 +51,7 @@
 	PoolStartsRepeated   = "pool.starts_repeated"
 	PoolStartsWhereLate  = "pool.starts_where_late"
 	PoolStartsUnbarred   = "pool.starts_unbarred"
-	PoolUnbarredBarred   = "pool.starts_unbarred_stopped"
+	PoolUnbarredStopped  = "pool.starts_unbarred_stopped"
 	PoolUnbarredExecuted = "pool.starts_unbarred_executed"
 	PoolStartsAwaitStop  = "pool.starts_await_stop"
 	PoolReturnedLate     = "pool.returned_late"
--- a/pool/leaseexpiry.go
+++ b/pool/leaseexpiry.go
@@ -8,6 +8,10 @@
 	"github.com/cicadadale/cicadadale/machine"
 )
 
+// maxUnrefreshedDoubt is how long after its last refresh a withdrawn run in doubt limits the lease of its worker. The lease, which ends
+// leaseAfterRefresh after the refresh, can still be extended then. By that time all members have been told of the late start.
+const maxUnrefreshedDoubt = 600 * time.Millisecond
+
 // overAfterLease reports whether the run is over once the lease of its worker has expired. The goroutine that makes a start
 // call handles its result. Until a restarted worker has been acquired, nothing rejects the calls to its earlier incarnation,
 // and on its clock their leases mean nothing: only a run that an earlier incarnation has listed is certainly not on this one.
@@ -38,6 +42,20 @@
 	return !r.listedAt.IsZero() && r.confirmedClock > r.host.host.LeaseEnd()
 }
 
+// endedInDoubt reports whether a run in doubt that is not wanted is over for its home by a list that was asked for at sent and does not
+// have it. It is over after some time without an answer to its stop: the worker has one lease for all its runs, which would
+// expire for this one. A run that its home has not withdrawn but left is over with its lease: the client may be running the job
+// elsewhere then.
+func (r *run) endedInDoubt(sent, now time.Time, longestLease time.Duration) bool {
+	if r.state != runInDoubt || r.repeats() || r.repeating || !sent.After(r.doubtSince) {
+		return false
+	}
+	if r.withdrawn && now.Sub(r.refreshedAt) >= maxUnrefreshedDoubt {
+		return true
+	}
+	return r.overAfterLease(now, longestLease) && !now.Before(r.host.host.LeasesExpireBy())
+}
+
 // hasRunOverAfterLease reports whether any run of the worker is over once the lease has expired.
 func (h *ownedHost) hasRunOverAfterLease(now time.Time, longestLease time.Duration) bool {
 	for _, r := range h.runs {
--- a/pool/unbarredstart.go
+++ b/pool/unbarredstart.go
@@ -50,37 +50,6 @@
 	fx.bars = append(fx.bars, barEffect{h, u})
 }
 
-// maxUnrefreshedDoubt is how long after its last refresh a withdrawn run in doubt limits the lease of its worker. The lease, which ends
-// leaseAfterRefresh after the refresh, can still be extended then. By that time all members have been told of the late start.
-const maxUnrefreshedDoubt = 600 * time.Millisecond
-
-// endedInDoubt reports whether a run in doubt that is not wanted is over for its home by a list that was asked for at sent and does not
-// have it. It is over after some time without an answer to its stop: the worker has one lease for all its runs, which would
-// expire for this one. A run that its home has not withdrawn but left is over with its lease: the client may be running the job
-// elsewhere then.
-func (r *run) endedInDoubt(sent, now time.Time, longestLease time.Duration) bool {
-	if r.state != runInDoubt || r.repeats() || r.repeating || !sent.After(r.doubtSince) {
-		return false
-	}
-	if r.withdrawn && now.Sub(r.refreshedAt) >= maxUnrefreshedDoubt {
-		return true
-	}
-	return r.overAfterLease(now, longestLease) && !now.Before(r.host.host.LeasesExpireBy())
-}
-
-// isLateAndWithdrawn reports whether the start of a run was executed late, after its home had withdrawn it.
-func (r *run) isLateAndWithdrawn() bool { return r.executedLate && r.withdrawn }
-
-// needsLease reports whether the worker has a run that is not only there until its stop has been answered.
-func (h *ownedHost) needsLease() bool {
-	for _, r := range h.runs {
-		if !r.isLateAndWithdrawn() {
-			return true
-		}
-	}
-	return false
-}
-
 // removeUnbarred frees the room of a start and lets other runs of its task start on the worker. p.mu is held.
 func (p *Pool) removeUnbarred(h *ownedHost, u *unbarredStart) {
 	delete(h.unbarred, u.key)
@@ -129,7 +98,7 @@
 		if u.barredAt.IsZero() || !sent.After(u.barredAt) || lists(reply.Running, u.key) {
 			continue
 		}
-		p.counter(metric.PoolUnbarredBarred).Inc(1)
+		p.counter(metric.PoolUnbarredStopped).Inc(1)
 		p.removeUnbarred(h, u)
 	}
 }
