edge: entrust each start without a reply to a member of another failure domain

A job whose failure domain has lost its power is sent again to another domain and runs there; the restarted workers of the lost domain execute starts of the first submission beside it.

The announcement to all left after 0.1 s with the next status.

Change: the owner entrusts a start that has had no reply for 10 ms to a live member of another failure domain, whoever is the home, and the next copy of it to a second member. Members with an open connection and contact several times a second are preferred, and domains that do not know the start yet. Since the member may now outlive an owner that had its answer, the owner tells it of answers; otherwise the next run would be bound to a worker that has nothing to execute late.

--- a/edge/daemon.go
+++ b/edge/daemon.go
@@ -95,7 +95,9 @@
 	lateStarts *contract.LateStartLedger
 	// announcedLate holds the starts without a reply to announce.
 	announcedLate announcedLateStarts
-	entrusted     *entrustedStarts
+	// entrusted holds the starts without a reply that this process keeps for others, ownEntrusted those that others keep for it.
+	entrusted    *entrustedStarts
+	ownEntrusted *ownEntrusted
 	// ownership is that of the last assignment of workers.
 	ownership   ownership
 	evacuations evacuations
@@ -160,7 +162,8 @@
 		pools:          make(map[string]*pool.Pool), lastPresent: make(map[string]time.Time), workers: newWorkers(o.Logger),
 		crashes: contract.NewCrashLedger(), cancels: contract.NewCancelLedger(), held: contract.NewHeldLedger(),
 		relays: newHeldRelays(), lateStarts: contract.NewLateStartLedger(), entrusted: newEntrustedStarts(),
-		confined: contract.NewConfinement(),
+		ownEntrusted: newOwnEntrusted(),
+		confined:     contract.NewConfinement(),
 	}
 	d.members = newMembers(o.Self, d.dialPeer, o.Logger)
 	d.home = batch.New(batch.Options{
@@ -267,6 +270,7 @@
 	d.announced.Repeat(now)
 	d.updateLateStarts(now)
 	d.entrusted.expire(now)
+	d.sendAnswered(now)
 	d.members.ChoosePartners()
 	d.members.SettleLists(now)
 	d.members.UpdateElectorate()
--- a/edge/entrustedstarts.go
+++ b/edge/entrustedstarts.go
@@ -1,15 +1,12 @@
 package edge
 
 import (
-	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
-	"github.com/rcrowley/go-metrics"
-
 	"github.com/cicadadale/cicadadale/api"
 	"github.com/cicadadale/cicadadale/contract"
-	"github.com/cicadadale/cicadadale/metric"
 )
 
 const (
@@ -20,8 +17,8 @@
 	maxEntrustedStarts = 10_000
 )
 
-// entrustedStarts holds starts without a reply so far that other members have entrusted to this one. Their owner is the home
-// of their jobs too, so nobody else knows of them if it is lost before it announces them. mu guards the field below it.
+// entrustedStarts holds starts without a reply so far that other members have entrusted to this one: nobody else may know of them if
+// their owner is lost before it announces them. mu guards the field below it.
 type entrustedStarts struct {
 	mu       sync.Mutex
 	byMember map[string][]datedLateStarts
@@ -39,6 +36,28 @@
 	e.byMember[member] = list[max(len(list)-maxEntrustedStarts, 0):]
 }
 
+// answered drops starts of a member that have been answered. They are among its last ones.
+func (e *entrustedStarts) answered(member string, starts []contract.LateStart) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	list := e.byMember[member]
+	for _, s := range starts {
+		for i := len(list) - 1; i >= 0; i-- {
+			if dropStart(&list[i].lateStartNews, s) {
+				break
+			}
+		}
+	}
+	e.byMember[member] = slices.DeleteFunc(list, func(n datedLateStarts) bool { return n.empty() })
+}
+
+// dropStart removes a start of a run at a worker. It reports whether it was there.
+func dropStart(n *lateStartNews, s contract.LateStart) bool {
+	before := len(n.starts)
+	n.starts = slices.DeleteFunc(n.starts, func(o contract.LateStart) bool { return o.Task == s.Task && o.Worker == s.Worker })
+	return len(n.starts) < before
+}
+
 // take removes and returns the starts of a member that has been lost.
 func (e *entrustedStarts) take(member string) lateStartNews {
 	e.mu.Lock()
@@ -64,27 +83,6 @@
 	}
 }
 
-// entrust tells one other member of a start without a reply so far whose home is this process. The member announces it to all if
-// this process is lost.
-func (d *Daemon) entrust(r contract.RunReport) {
-	candidates := d.members.NearLive()
-	if len(candidates) == 0 {
-		candidates = d.members.Live()
-	}
-	if len(candidates) == 0 {
-		return
-	}
-	now := d.o.Now()
-	var n lateStartNews
-	for _, worker := range r.LateWorkers {
-		n.starts = append(n.starts, contract.LateStart{Task: r.Key.Task(), Worker: worker, Until: now.Add(contract.LateStartRetention)})
-	}
-	m := encodeLateStarts(n, now)
-	m.GetLateStarts().Entrusted = true
-	d.members.Send(candidates[rand.IntN(len(candidates))], m)
-	metrics.GetOrRegisterCounter(metric.LateStartsEntrusted, d.o.Metrics).Inc(1)
-}
-
 // announceEntrusted records the starts that a lost member has entrusted to this one, and announces them at once: this process may
 // be lost too before its next status.
 func (d *Daemon) announceEntrusted(member string) {
@@ -93,8 +91,9 @@
 		return
 	}
 	d.o.Logger.Info("announcing starts that a lost member has entrusted to this one", "member", member, "starts", len(n.starts))
-	for _, s := range n.starts {
-		d.lateStarts.Record(s)
+	for i, s := range n.starts {
+		n.starts[i].Task = s.Task.Task()
+		d.lateStarts.Record(n.starts[i])
 	}
 	now := d.o.Now()
 	d.announcedLate.add(n, now)
@@ -103,8 +102,13 @@
 	}
 }
 
-// handleEntrusted keeps the starts that another member has entrusted to this one.
+// handleEntrusted keeps the starts that another member has entrusted to this one, and drops those that have been answered.
 func (d *Daemon) handleEntrusted(member string, m *api.LateStarts) {
 	now := d.o.Now()
-	d.entrusted.add(member, lateStartNews{starts: decodeLateStarts(m, now).starts}, now)
+	if starts := decodeRuns(m.GetStarts(), now); len(starts) > 0 {
+		d.entrusted.add(member, lateStartNews{starts: starts}, now)
+	}
+	if answered := decodeRuns(m.GetAnswered(), now); len(answered) > 0 {
+		d.entrusted.answered(member, answered)
+	}
 }
--- a/edge/latestarts.go
+++ b/edge/latestarts.go
@@ -268,16 +268,26 @@
 	}
 }
 
-// decodeStarts returns the valid ones of some starts.
+// decodeStarts returns the valid ones of some starts, without their runs.
 func decodeStarts(list []*api.LateStart, now time.Time) []contract.LateStart {
+	starts := decodeRuns(list, now)
+	starts = slices.DeleteFunc(starts, func(s contract.LateStart) bool { return !s.Until.After(now) })
+	for i, s := range starts {
+		starts[i].Task = s.Task.Task()
+	}
+	return starts
+}
+
+// decodeRuns returns the valid ones of some starts of runs, also those for which no time is left.
+func decodeRuns(list []*api.LateStart, now time.Time) []contract.LateStart {
 	var starts []contract.LateStart
 	for _, s := range firstOf(list, maxLateStartsInMessage) {
 		job, left := s.GetTask().GetJob(), time.Duration(s.GetLeftMs())*time.Millisecond
-		if job == "" || len(job) > maxJobID || !validWorker(s.GetWorker()) || left == 0 {
+		if job == "" || len(job) > maxJobID || !validWorker(s.GetWorker()) {
 			continue
 		}
 		starts = append(starts, contract.LateStart{
-			Task: decodeKey(s.GetTask()).Task(), Worker: s.GetWorker(), Until: now.Add(min(left, contract.LateStartRetention)),
+			Task: decodeKey(s.GetTask()), Worker: s.GetWorker(), Until: now.Add(min(left, contract.LateStartRetention)),
 		})
 	}
 	return starts
--- /dev/null
+++ b/edge/lostdomain_test.go
@@ -0,0 +1,172 @@
+package edge
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/cicadadale/cicadadale/contract"
+	"github.com/cicadadale/cicadadale/standin"
+)
+
+const (
+	lostDomain = "zone-0"
+	// lostDomainPlays is the number of deployments of each test.
+	lostDomainPlays = 60
+	// Bounds of the drawn times: from the starts without a reply to the loss of the domain, for which it is down, from the return of
+	// its workers to that of its daemons, and to the execution of the late starts.
+	maxUntilLoss     = 200 * time.Millisecond
+	minDomainDown    = 300 * time.Millisecond
+	maxDomainDown    = 4 * time.Second
+	maxUntilDaemons  = time.Second
+	minUntilExecuted = 20 * time.Millisecond
+	maxUntilExecuted = 2 * time.Second
+	// maxEntryDelay bounds the time until the store has the entry of a restarted worker.
+	maxEntryDelay = 1500 * time.Millisecond
+)
+
+// domainLoss is a deployment of three failure domains, one of which loses its daemons and workers at once while starts there have
+// had no reply. Its workers return under their ids and execute these starts.
+type domainLoss struct {
+	t   *testing.T
+	rng *rand.Rand
+	d   *deployment
+	// The drawn times.
+	untilLoss, down, untilDaemons, untilExecuted time.Duration
+	// silent is set if the workers that are down do not refuse connections.
+	silent bool
+	// withheld keeps all messages of the domain from the others since before the starts.
+	withheld bool
+	executed int
+}
+
+func newDomainLoss(t *testing.T, seed uint64) *domainLoss {
+	rng := rand.New(rand.NewPCG(seed, 65))
+	between := func(low, high time.Duration) time.Duration { return low + time.Duration(rng.Int64N(int64(high-low))) }
+	l := &domainLoss{
+		t: t, rng: rng, d: newDeployment(t, 3, 2, 3), silent: rng.IntN(2) == 0,
+		untilLoss: between(0, maxUntilLoss), down: between(minDomainDown, maxDomainDown),
+		untilDaemons: between(0, maxUntilDaemons), untilExecuted: between(minUntilExecuted, maxUntilExecuted),
+	}
+	l.d.plan = func(contract.RunKey) standin.RunPlan { return standin.RunPlan{Duration: lateStartRun} }
+	time.Sleep(between(0, time.Second))
+	return l
+}
+
+func (l *domainLoss) workers() []string {
+	l.d.store.mu.Lock()
+	defer l.d.store.mu.Unlock()
+	var ids []string
+	for _, w := range l.d.store.workers {
+		if w.Zone == lostDomain {
+			ids = append(ids, w.Worker)
+		}
+	}
+	return ids
+}
+
+func (l *domainLoss) vms() []string { return []string{"edge-0-0", "edge-0-1"} }
+
+// play submits a job to the domain, takes the power from it, and submits the job again elsewhere. The job has tasks on the workers
+// of its home and on those of the other daemon of the domain.
+func (l *domainLoss) play() {
+	for _, id := range l.workers() {
+		l.d.hosts[id].SetHoldingStarts(1)
+	}
+	if l.withheld {
+		l.d.net.setCut(betweenMembers(func(from, to string) bool { return slices.Contains(l.vms(), from) && !slices.Contains(l.vms(), to) }))
+	}
+	const job = "00000000000000dd"
+	l.d.submit("edge-0-0", testJob(job, 2*len(l.workers()), 30*time.Second))
+	time.Sleep(l.untilLoss)
+	l.lose()
+	lost := time.Now()
+	l.d.net.setCut(noCut)
+	l.d.wg.Go(l.giveBack)
+	time.Sleep(time.Until(lost.Add(resendDelay)))
+	l.d.submit("edge-1-0", testJob(job, 2*len(l.workers()), 30*time.Second))
+	time.Sleep(time.Until(lost.Add(l.down + maxUntilExecuted + 2*time.Second)))
+}
+
+// lose ends the daemons and workers of the domain.
+func (l *domainLoss) lose() {
+	for _, id := range l.workers() {
+		l.d.hosts[id].SetHoldingStarts(0)
+		l.d.hosts[id].Crash()
+		l.d.hosts[id].SetRefusing(!l.silent)
+	}
+	for _, vm := range l.vms() {
+		l.d.killDaemon(vm)
+	}
+}
+
+// giveBack restarts the workers and then the daemons of the domain, and executes the late starts.
+func (l *domainLoss) giveBack() {
+	time.Sleep(l.down)
+	for _, id := range l.workers() {
+		l.d.hosts[id].Restart()
+		delay := time.Duration(l.rng.Int64N(int64(maxEntryDelay)))
+		l.d.wg.Go(func() { l.list(id, delay) })
+	}
+	l.d.wg.Go(func() {
+		time.Sleep(l.untilDaemons)
+		for _, vm := range l.vms() {
+			l.d.startDaemon(lostDomain, vm)
+		}
+	})
+	time.Sleep(l.untilExecuted)
+	for _, id := range l.workers() {
+		l.executed += l.d.hosts[id].DeliverHeld()
+	}
+}
+
+// list writes the entry of the present incarnation of a worker.
+func (l *domainLoss) list(worker string, delay time.Duration) {
+	time.Sleep(delay)
+	l.d.store.update(func() {
+		l.d.store.workers = slices.Clone(l.d.store.workers)
+		for i, w := range l.d.store.workers {
+			if w.Worker == worker {
+				l.d.store.workers[i].StartTime = l.d.hosts[worker].StartTime()
+			}
+		}
+	})
+}
+
+// requireNoSecondRun plays losses of a domain, and fails the test if a task has two runs at the same time in any of them.
+func requireNoSecondRun(t *testing.T, set func(l *domainLoss)) {
+	var broken []string
+	executed := 0
+	for seed := range uint64(lostDomainPlays) {
+		inVirtualTime(t, func(t *testing.T) {
+			l := newDomainLoss(t, seed)
+			defer l.d.end()
+			set(l)
+			l.play()
+			executed += l.executed
+			l.d.observer.mu.Lock()
+			defer l.d.observer.mu.Unlock()
+			if overlaps := l.d.observer.overlaps; len(overlaps) > 0 {
+				broken = append(broken, fmt.Sprintf("seed %d, lost %v after the starts, down for %v, starts executed %v after the return: %d, %s",
+					seed, l.untilLoss, l.down, l.untilExecuted, len(overlaps), overlaps[0]))
+			}
+		})
+	}
+	t.Logf("%d late starts were executed", executed)
+	require.Emptyf(t, broken, "%d of %d deployments with two runs of a task", len(broken), lostDomainPlays)
+}
+
+// Guards against a start without a reply of which only members of a failure domain know that is lost: its job is submitted elsewhere
+// and runs there, and the restarted worker executes the start beside that run.
+func TestStartsWithoutReplyAreKnownOutsideALostDomain(t *testing.T) {
+	requireNoSecondRun(t, func(l *domainLoss) {
+		l.untilLoss = max(l.untilLoss, startKnownTime)
+	})
+}
+
+// startKnownTime is the time after which a start without a reply is known outside the failure domain of its owner.
+const startKnownTime = 20 * time.Millisecond
--- a/edge/messages.go
+++ b/edge/messages.go
@@ -99,10 +99,8 @@
 
 // report sends a pool's report of a run to its home.
 func (d *Daemon) report(home, backend string, r contract.RunReport) {
+	d.updateEntrusted(home, r)
 	if home == d.self {
-		if r.State == contract.RunQueued && len(r.LateWorkers) > 0 {
-			d.entrust(r)
-		}
 		d.home.Report(batch.PoolRef{Owner: d.self, Backend: backend}, r)
 		return
 	}
--- a/metric/metric.go
+++ b/metric/metric.go
@@ -108,6 +108,7 @@
 	BatchAnswerTime      = "batch.answer_time"
 	LateStartsAnnounced  = "edge.late_starts_announced"
 	LateStartsEntrusted  = "edge.late_starts_entrusted"
+	EntrustedAnswered    = "edge.entrusted_starts_answered"
 	RoutesConfined       = "edge.routes_confined"
 	RoutesReleased       = "edge.routes_released"
 	ClientsHeadTooLarge  = "clients.head_too_large"
