pool, edge: fence restarted workers of a failure domain that has lost its members

The restarted workers of a lost failure domain execute late starts of its earlier owners until somebody acquires them. The other domains leave such workers alone for 2 s.

Change: a member that knows of no live member in the failure domain of a worker probes it (shared by rendezvous among all, at most 64 each, at most a tenth of the VM's share of a core), and a starting process those that it is going to own. An incarnation that has seen no token belongs to nobody: it is given one made of its start time alone. That is higher than those of the owners of earlier incarnations and lower than that of any owner of this one, so that nothing is taken from anybody. Runs that it lists are stopped. The start times of fenced incarnations are sent to members that become live, since a fenced worker does not tell its own.

--- a/edge/assignment.go
+++ b/edge/assignment.go
@@ -9,9 +9,10 @@
 	"github.com/cicadadale/cicadadale/zone"
 )
 
-// orphanedDomains returns the failure domains with workers that have been without a member for longer than orphanDelay, or
-// cutOffOrphanDelay, so that other domains take over their workers. It also records that workers are assigned now.
-func (d *Daemon) orphanedDomains(now time.Time) []string {
+// absentDomains returns the failure domains with workers and without a live member: those for longer than orphanDelay, or
+// cutOffOrphanDelay, are orphaned, so that other domains take over their workers; the rest is vacant. It also records that workers are
+// assigned now.
+func (d *Daemon) absentDomains(now time.Time) (vacant, orphaned []string) {
 	present, delay := d.members.LiveDomains(), orphanDelay
 	if d.members.IsCutOff(now) {
 		delay = cutOffOrphanDelay
@@ -26,13 +27,19 @@
 	for domain := range present {
 		d.lastPresent[domain] = now
 	}
-	return slices.DeleteFunc(domains, func(domain string) bool {
+	for _, domain := range domains {
 		lastSeen, ok := d.lastPresent[domain]
 		if !ok {
 			lastSeen = d.started
 		}
-		return now.Sub(lastSeen) <= delay
-	})
+		switch {
+		case now.Sub(lastSeen) > delay:
+			orphaned = append(orphaned, domain)
+		case !present[domain]:
+			vacant = append(vacant, domain)
+		}
+	}
+	return vacant, orphaned
 }
 
 func (d *Daemon) lastAssignment() time.Time {
@@ -43,18 +50,20 @@
 
 // assignmentBasis is what an assignment of workers follows from. While it does not change, neither does the assignment.
 type assignmentBasis struct {
-	owning bool
+	// owning is set once this process has joined, joining before that; neither is set while it is stopping.
+	owning, joining bool
 	// workers and owners are the versions of the list of workers and of the set of members that may own some.
 	workers, owners uint64
-	// orphaned are the failure domains without a member, in order.
-	orphaned []string
+	// vacant are the failure domains without a live member whose workers are not taken over yet, orphaned those whose workers are,
+	// both in order.
+	vacant, orphaned []string
 	// reserved are the members whose workers are left to them although they have not joined, in order.
 	reserved []zone.Candidate
 }
 
 func (b assignmentBasis) equal(o assignmentBasis) bool {
-	return b.owning == o.owning && b.workers == o.workers && b.owners == o.owners && slices.Equal(b.orphaned, o.orphaned) &&
-		slices.Equal(b.reserved, o.reserved)
+	return b.owning == o.owning && b.joining == o.joining && b.workers == o.workers && b.owners == o.owners &&
+		slices.Equal(b.vacant, o.vacant) && slices.Equal(b.orphaned, o.orphaned) && slices.Equal(b.reserved, o.reserved)
 }
 
 // assignWorkers gives each pool the workers that this process owns.
@@ -62,12 +71,13 @@
 	d.assignMu.Lock()
 	defer d.assignMu.Unlock()
 	d.mu.Lock()
-	owning := d.joined && !d.stopping
+	owning, joining := d.joined && !d.stopping, !d.joined && !d.stopping
 	d.mu.Unlock()
 	now := d.o.Now()
+	vacant, orphaned := d.absentDomains(now)
 	basis := assignmentBasis{
-		owning: owning, workers: d.workers.Version(), owners: d.members.OwnersVersion(),
-		orphaned: d.orphanedDomains(now), reserved: d.reservedOwners(now),
+		owning: owning, joining: joining, workers: d.workers.Version(), owners: d.members.OwnersVersion(),
+		vacant: vacant, orphaned: orphaned, reserved: d.reservedOwners(now),
 	}
 	if basis.equal(d.assignedFrom) {
 		return
@@ -77,6 +87,7 @@
 	if owning {
 		candidates = append(candidates, candidate(d.o.Self))
 	}
+	d.fencer.SetWorkers(d.unownedWorkers(basis, candidates))
 	candidates = append(candidates, basis.reserved...)
 	state := ownershipState{candidates: candidates, reserved: basis.reserved, orphaned: basis.orphaned}
 	d.ownership.set(state)
--- a/edge/badinput_test.go
+++ b/edge/badinput_test.go
@@ -71,6 +71,13 @@
 			Starts:   []*api.LateStart{nil, {}, {Task: &api.TaskKey{Job: "0123456789abcdef"}, Worker: "w", LeftMs: math.MaxUint32}},
 			Replaced: []string{"", strings.Repeat("a", 1<<16), "w"},
 		}}},
+		{Body: &api.PeerMessage_LateStarts{LateStarts: &api.LateStarts{
+			Entrusted: true, Starts: []*api.LateStart{nil, {}, {Task: &api.TaskKey{Job: "0123456789abcdef"}, Worker: "w"}},
+			Answered: []*api.LateStart{nil, {}, {Task: &api.TaskKey{Job: "0123456789abcdef"}, Worker: "w"}},
+		}}},
+		{Body: &api.PeerMessage_WorkerIncarnations{WorkerIncarnations: &api.WorkerIncarnations{
+			Incarnations: []*api.WorkerIncarnation{nil, {}, {Worker: "w", StartTimeMs: math.MaxInt64}, {Worker: "w", StartTimeMs: -1}},
+		}}},
 		{Body: &api.PeerMessage_TaskReport{TaskReport: &api.TaskReport{LateWorkers: []string{"", strings.Repeat("a", 1<<16)}}}},
 		{Body: &api.PeerMessage_HeldJobs{HeldJobs: &api.HeldJobs{Home: "edge-x/1", Jobs: []*api.HeldJob{{Job: "a"}}}}},
 		{Body: &api.PeerMessage_HeldJobsRequest{HeldJobsRequest: &api.HeldJobsRequest{Homes: []string{"", "edge-x/1"}}}},
--- a/edge/daemon.go
+++ b/edge/daemon.go
@@ -101,16 +101,19 @@
 	// ownership is that of the last assignment of workers.
 	ownership   ownership
 	evacuations evacuations
-	confined    *contract.Confinement
-	home        *batch.Home
-	server      *link.PeerServer
-	workers     *workers
-	feed        *workerFeed
-	entries     *entryRequests
-	announced   *announcements
-	cancel      context.CancelFunc
-	goroutines  sync.WaitGroup
-	started     time.Time
+	// fencer fences the workers that nobody owns for now, incarnations holds those that any member has fenced.
+	fencer       *pool.Fencer
+	incarnations *incarnations
+	confined     *contract.Confinement
+	home         *batch.Home
+	server       *link.PeerServer
+	workers      *workers
+	feed         *workerFeed
+	entries      *entryRequests
+	announced    *announcements
+	cancel       context.CancelFunc
+	goroutines   sync.WaitGroup
+	started      time.Time
 	// firstTimestamp is the timestamp of the start. It is random, so that a timestamp of a previous process of the VM
 	// proves nothing.
 	firstTimestamp uint64
@@ -163,8 +166,9 @@
 		crashes: contract.NewCrashLedger(), cancels: contract.NewCancelLedger(), held: contract.NewHeldLedger(),
 		relays: newHeldRelays(), lateStarts: contract.NewLateStartLedger(), entrusted: newEntrustedStarts(),
 		ownEntrusted: newOwnEntrusted(),
-		confined:     contract.NewConfinement(),
+		confined:     contract.NewConfinement(), incarnations: newIncarnations(),
 	}
+	d.fencer = newFencer(o, d.incarnations)
 	d.members = newMembers(o.Self, d.dialPeer, o.Logger)
 	d.home = batch.New(batch.Options{
 		Self: d.self, Owners: owners{d}, Members: membership{d}, Capacity: d.capacity, Crashes: d.crashes,
@@ -271,6 +275,7 @@
 	d.updateLateStarts(now)
 	d.entrusted.expire(now)
 	d.sendAnswered(now)
+	d.incarnations.expire(now)
 	d.members.ChoosePartners()
 	d.members.SettleLists(now)
 	d.members.UpdateElectorate()
@@ -315,8 +320,9 @@
 			Report:   func(home string, r contract.RunReport) { d.report(home, backend, r) },
 			Takeover: d.takeover, Crashed: d.workerCrashed, Confinement: d.confined,
 			LateStarts: d.lateStarts, LateStart: d.lateStart, WorkerReplaced: d.workerReplaced,
-			Room:  d.roomCallback(backend),
-			Yield: func() bool { return d.members.IsCutOff(d.o.Now()) },
+			LatestStart: d.incarnations.latestStart,
+			Room:        d.roomCallback(backend),
+			Yield:       func() bool { return d.members.IsCutOff(d.o.Now()) },
 		})
 		d.pools[backend] = p
 	}
@@ -397,6 +403,7 @@
 	d.cancel()
 	d.server.Close()
 	d.home.Close()
+	d.fencer.Close()
 	for _, p := range d.allPools() {
 		p.Close()
 	}
--- a/edge/lostdomain_test.go
+++ b/edge/lostdomain_test.go
@@ -170,3 +170,16 @@
 
 // startKnownTime is the time after which a start without a reply is known outside the failure domain of its owner.
 const startKnownTime = 20 * time.Millisecond
+
+// Guards against late starts that the restarted workers of a lost failure domain execute before any member acquires them: nobody
+// alive knows of these starts, so that their tasks run elsewhere.
+func TestRestartedWorkersOfALostDomainRejectEarlierStarts(t *testing.T) {
+	requireNoSecondRun(t, func(l *domainLoss) {
+		l.withheld = true
+		// The other members have noticed the loss, and have not taken the workers over yet.
+		l.down = noticedTime + l.down%(orphanDelay-assignInterval-noticedTime)
+	})
+}
+
+// noticedTime is the time after which the other members have noticed the loss of a failure domain.
+const noticedTime = 800 * time.Millisecond
--- a/edge/messages.go
+++ b/edge/messages.go
@@ -211,7 +211,7 @@
 	}
 	if becameLive {
 		d.members.Send(id, slices.Concat(d.crashList(), d.cancelList(), d.heldList(), d.lateStartList(id),
-			[]*api.PeerMessage{d.memberList()})...)
+			d.incarnationList(), []*api.PeerMessage{d.memberList()})...)
 		d.assignWorkers()
 	}
 	for _, m := range env.GetMessages() {
@@ -262,6 +262,8 @@
 		d.handleCancel(id, decodeCancel(b.JobCancel, d.o.Now()))
 	case *api.PeerMessage_LateStarts:
 		d.handleLateStarts(id, b.LateStarts)
+	case *api.PeerMessage_WorkerIncarnations:
+		d.handleIncarnations(b.WorkerIncarnations)
 	case *api.PeerMessage_HeldJobs:
 		d.handleHeldJobs(id, b.HeldJobs)
 	case *api.PeerMessage_HeldJobsRequest:
--- a/metric/describe.go
+++ b/metric/describe.go
@@ -117,6 +117,7 @@
 		{BatchTasksSuspected, "orders of tasks under which a worker has crashed, to run alone on a worker"},
 		{BatchTasksGivenUp, "tasks given up because their workers crashed while running them"},
 		{BatchAnswerTime, "time from the arrival of a job to its answer, in microseconds"},
+		{PoolWorkersFenced, "restarted workers without an owner that were made to reject starts sent to their earlier incarnations"},
 		{LateStartsAnnounced, "starts without a reply that were announced to all members"},
 		{LateStartsEntrusted, "starts without a reply for 10 ms that one other member was told of"},
 		{EntrustedAnswered, "entrusted starts that were answered later, of which the member was told"},
--- a/metric/metric.go
+++ b/metric/metric.go
@@ -106,6 +106,7 @@
 	BatchTasksSuspected  = "batch.tasks_suspected"
 	BatchTasksGivenUp    = "batch.tasks_given_up"
 	BatchAnswerTime      = "batch.answer_time"
+	PoolWorkersFenced    = "pool.workers_fenced"
 	LateStartsAnnounced  = "edge.late_starts_announced"
 	LateStartsEntrusted  = "edge.late_starts_entrusted"
 	EntrustedAnswered    = "edge.entrusted_starts_answered"
--- a/pool/ownership.go
+++ b/pool/ownership.go
@@ -27,6 +27,12 @@
 	return uint64(millis)*tokenRandomRange + rand.Uint64N(tokenRandomRange)
 }
 
+// lowestToken returns a fencing token for an incarnation that is higher than those of owners of earlier ones, and lower than that of
+// each owner of this one. It is zero for a start time that is not known.
+func lowestToken(startTime int64) uint64 {
+	return uint64(max(startTime-tokenEpoch.UnixMilli(), 0)) * tokenRandomRange
+}
+
 const (
 	// minTokenAdvance is added to the time part of a token after the worker has fenced one that was taken from its clock.
 	minTokenAdvance = time.Second
@@ -46,7 +52,11 @@
 	if probed.StartTime != 0 {
 		return probed.StartTime
 	}
-	return max(h.host.EarliestStart(probed.Clock, p.o.Now()), h.host.Listing.StartTime)
+	known := int64(0)
+	if p.o.LatestStart != nil {
+		known = p.o.LatestStart(h.address.Worker)
+	}
+	return max(h.host.EarliestStart(probed.Clock, p.o.Now()), h.host.Listing.StartTime, known)
 }
 
 // tokenFor returns the token under which this VM tries to acquire a worker that has replied to a probe. It is higher than
