pool: acquire a worker that nobody has acquired without waiting for its owner

Seen: with 3.2 s without power the workers of a lost failure domain were acquired 0.74 s after their return, by the daemons of the domain, although the others take them over after 2 s.

Cause: a pool that has not reached a worker waits reconnectDelay (1 s) after the first reply, in case its owner is only out of contact, and probes a worker that is down each 50 to 100 ms with a timeout of 300 ms. The workers were down when they were taken over, so the takeover waited until the daemons of the domain were back. In this time the workers execute late starts.

Change: the wait is only for a worker that has seen a fencing token; another one has no owner to wait for.

--- a/edge/daemon.go
+++ b/edge/daemon.go
@@ -314,7 +314,7 @@
 	p, ok := d.pools[backend]
 	if !ok {
 		p = pool.New(pool.Options{
-			Backend: backend, Calls: d.o.Calls, Lease: d.o.Lease, Now: d.o.Now, Logger: d.o.Logger, Metrics: d.o.Metrics,
+			Backend: backend, Calls: d.o.Calls, Lease: d.o.Lease, CPUMillis: d.o.Self.CPUMillis, Now: d.o.Now, Logger: d.o.Logger, Metrics: d.o.Metrics,
 			AdaptStartTimeout: d.o.AdaptStartTimeout, Overload: d.o.Overload,
 			Policy:   poolPolicy(d.desired, d.evacuations.get(), backend),
 			Report:   func(home string, r contract.RunReport) { d.report(home, backend, r) },
--- a/edge/lostdomain_test.go
+++ b/edge/lostdomain_test.go
@@ -183,3 +183,12 @@
 
 // noticedTime is the time after which the other members have noticed the loss of a failure domain.
 const noticedTime = 800 * time.Millisecond
+
+// Guards against the same starts at workers that return after other failure domains have taken them over: their next owner waits
+// before it acquires them.
+func TestWorkersTakenOverWhileDownRejectEarlierStarts(t *testing.T) {
+	requireNoSecondRun(t, func(l *domainLoss) {
+		l.withheld = true
+		l.down = orphanDelay + noticedTime + l.down%(maxDomainDown-orphanDelay-noticedTime)
+	})
+}
--- a/pool/hosts.go
+++ b/pool/hosts.go
@@ -79,7 +79,7 @@
 		runs: make(map[contract.RunKey]*run), leftAt: make(map[contract.RunKey]time.Time),
 		unbarred:    make(map[contract.RunKey]*unbarredStart),
 		address:     link.HostAddress{Worker: l.Worker, Address: l.Address},
-		addressHash: hashAddress(l.Address),
+		addressHash: hashAddress(l.Address), assignedAt: p.o.Now(),
 	}
 	h.host.ResetSpeed(p.typicalSpeed(h.host.Kind()))
 	h.host.Evacuated = p.policy.Evacuations.Contains(l.Zone)
--- a/pool/maintain.go
+++ b/pool/maintain.go
@@ -43,7 +43,7 @@
 	yieldTime = 10 * time.Second
 )
 
-// ownedHost is a worker that this VM owns or tries to acquire, with its runs. address, cancel and the channels do not change;
+// ownedHost is a worker that this VM owns or tries to acquire, with its runs. address, assignedAt, cancel and the channels do not change;
 // the pool's lock guards all other fields.
 type ownedHost struct {
 	host *machine.Host
@@ -55,8 +55,10 @@
 	unbarred    map[contract.RunKey]*unbarredStart
 	address     link.HostAddress
 	addressHash uint64
-	cancel      context.CancelFunc
-	wakeup      chan struct{}
+	// assignedAt is when the worker was assigned to this VM.
+	assignedAt time.Time
+	cancel     context.CancelFunc
+	wakeup     chan struct{}
 	// restartReply is the reply that has shown a restart, until the worker is acquired from it.
 	restartReply *link.PollReply
 	// restartNoticed is signalled when a reply shows that the worker has been restarted.
@@ -111,26 +113,11 @@
 // maintain owns a worker until ctx ends: it acquires the worker, renews the lease of its runs and collects their
 // outcomes.
 func (p *Pool) maintain(ctx context.Context, h *ownedHost) {
-	unreached := false
+	var a acquisition
 	for ctx.Err() == nil {
 		if owned, wait := p.ownership(h); !owned {
 			pause(ctx, wait, nil)
-			if p.yields(h) {
-				pause(ctx, reacquireDelay, nil)
-				continue
-			}
-			if p.acquireRestarted(ctx, h) {
-				continue
-			}
-			if probed, err := p.probe(ctx, h); err != nil {
-				unreached = true
-				pause(ctx, acquireRetry+rand.N(acquireRetry), nil)
-			} else if unreached && !p.hasRestarted(h) {
-				unreached = false
-				pause(ctx, reconnectDelay, nil)
-			} else if !p.acquire(ctx, h, probed) {
-				pause(ctx, acquireRetry+rand.N(acquireRetry), nil)
-			}
+			p.tryAcquire(ctx, h, &a)
 			continue
 		}
 		poll, idle := p.nextPoll(h)
@@ -138,6 +125,71 @@
 	}
 }
 
+// acquisition is the progress of the acquisition of a worker.
+type acquisition struct {
+	// unreached is set once a probe has had no reply, failed counts those since the last reply.
+	unreached bool
+	failed    int
+}
+
+// tryAcquire makes one attempt to acquire a worker, and pauses before the next one. After a time without contact a worker that has seen
+// a token is left to its owner for a while, in case that is only not in contact yet. One that has seen none belongs to nobody, and
+// executes starts that were sent to its earlier incarnations until it is acquired.
+func (p *Pool) tryAcquire(ctx context.Context, h *ownedHost, a *acquisition) {
+	if p.yields(h) {
+		pause(ctx, reacquireDelay, nil)
+		return
+	}
+	if p.acquireRestarted(ctx, h) {
+		return
+	}
+	probed, err := p.probe(ctx, h, p.acquireTimeout(h, a.failed))
+	switch {
+	case err != nil:
+		a.unreached = true
+		a.failed++
+		pause(ctx, p.acquirePause(h), nil)
+	case a.unreached && probed.Fenced && !p.hasRestarted(h):
+		*a = acquisition{}
+		pause(ctx, reconnectDelay, nil)
+	case !p.acquire(ctx, h, probed):
+		a.failed = 0
+		pause(ctx, acquireRetry+rand.N(acquireRetry), nil)
+	default:
+		*a = acquisition{}
+	}
+}
+
+// acquireTimeout returns the timeout of the next probe of a worker that is not acquired, given the number of those without a reply.
+func (p *Pool) acquireTimeout(h *ownedHost, failed int) time.Duration {
+	if p.o.Now().Sub(h.assignedAt) < contract.LateStartLimit {
+		return probeTimeout(failed)
+	}
+	return callTimeout
+}
+
+// acquirePause returns the pause after a probe without a reply. A worker that was assigned not long ago may execute starts of its last
+// owner once it answers.
+func (p *Pool) acquirePause(h *ownedHost) time.Duration {
+	if p.o.Now().Sub(h.assignedAt) >= contract.LateStartLimit {
+		return acquireRetry + rand.N(acquireRetry)
+	}
+	return probeInterval(p.notAcquired(), p.o.CPUMillis)
+}
+
+// notAcquired returns the number of workers that are assigned and not acquired.
+func (p *Pool) notAcquired() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	n := 0
+	for _, h := range p.hosts {
+		if h.host.Token == 0 {
+			n++
+		}
+	}
+	return n
+}
+
 // acquireRestarted acquires a worker from the reply that has shown its restart, if there is one. Until then the new incarnation
 // executes late starts.
 func (p *Pool) acquireRestarted(ctx context.Context, h *ownedHost) bool {
--- a/pool/poll.go
+++ b/pool/poll.go
@@ -123,8 +123,8 @@
 func (h *ownedHost) pollWithoutLease() link.HostPoll { return link.HostPoll{Token: h.host.Token} }
 
 // probe reads the clock of a worker that is not owned, without affecting its owner.
-func (p *Pool) probe(ctx context.Context, h *ownedHost) (link.PollReply, error) {
-	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
+func (p *Pool) probe(ctx context.Context, h *ownedHost, timeout time.Duration) (link.PollReply, error) {
+	callCtx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	reply, err := p.o.Calls.Poll(callCtx, h.address, link.HostPoll{})
 	if err != nil {
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -47,6 +47,8 @@
 	Calls   link.HostCalls
 	// Lease is the longest lease that workers grant.
 	Lease time.Duration
+	// CPUMillis is the share of a core that the VM has, in thousandths.
+	CPUMillis int
 	// AdaptStartTimeout makes the timeout of starts follow the time in which workers answer them.
 	AdaptStartTimeout bool
 	// Policy is what the operators say of the workers at present; see SetPolicy.
