--- a/soak/fault.go
+++ b/soak/fault.go
@@ -42,6 +42,7 @@
 	"domain_partitioned": (*Soak).partitionDomain,
 	"domain_cut":         (*Soak).cutDomain,
 	"domain_cut_late":    (*Soak).cutDomainBeforeClients,
+	"domain_power":       (*Soak).loseDomainPower,
 
 	"store_cut":    onStoreLink(cut),
 	"store_silent": onStoreLink(silence),
--- a/soak/laterestart.go
+++ b/soak/laterestart.go
@@ -38,7 +38,7 @@
 	end   time.Time
 }
 
-// lateTasks are the tasks that worker_late_restart concerns, and its results. mu guards all fields.
+// lateTasks are the tasks that worker_late_restart and domain_power concern, and its results. mu guards all fields.
 type lateTasks struct {
 	mu    sync.Mutex
 	tasks map[contract.RunKey]lateTask
@@ -142,14 +142,7 @@
 		back := faultDuration(rng) / 2
 		loss.Go(func() { s.killOwner(w, at, back) })
 	}
-	fault := s.late.beginHold()
-	w.host.NotifyHeld(func(key contract.RunKey) {
-		s.late.add(key.Task(), fault, crash.Add(runMargin))
-	})
-	w.host.SetHoldingStarts(1)
-	time.Sleep(hold)
-	w.host.SetHoldingStarts(0)
-	s.late.endHold()
+	fault := s.holdStarts([]*worker{w}, 1, crash.Add(runMargin), hold)
 	held := len(w.host.Held())
 	time.Sleep(time.Until(crash))
 	if held == 0 || !s.late.claim(fault, s.runs.runsOn(w.id)) {
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -82,8 +82,8 @@
 	Jobs            int            `json:"jobs"`
 	Completed       int            `json:"jobs_completed"`
 	Refused         int            `json:"jobs_refused"`
-	// StartsHeld counts the starts that workers have left without an answer for worker_late_restart, LateStarts those of them
-	// that have begun a run after the restart, OwnersKilled the owners that were killed while the starts were held.
+	// StartsHeld counts the starts that workers have left without an answer for worker_late_restart and domain_power, LateStarts those
+	// of them that have begun a run after the restart, OwnersKilled the owners that were killed while the starts were held.
 	StartsHeld   int `json:"starts_held"`
 	LateStarts   int `json:"late_starts_executed"`
 	OwnersKilled int `json:"owners_killed"`
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -128,6 +128,16 @@
 	})
 }
 
+// Guards against a second run of a task whose first start got no answer, when the failure domain of its owner and home loses its power
+// and the restarted worker executes that start.
+func TestLostFailureDomainsGetNoSecondRun(t *testing.T) {
+	r := requireNoSecondRun(t, "domain_power", soak.Options{
+		Seed: 2, Duration: 14 * time.Second, Domains: 3, Daemons: 2, Workers: 6, FaultInterval: 2500 * time.Millisecond,
+	})
+	t.Logf("%d starts held, %d of them executed", r.StartsHeld, r.LateStarts)
+	require.Positive(t, r.StartsHeld)
+}
+
 // Guards against a second run of a task whose first start got no answer and is executed late, when its worker has just restarted.
 func TestLateStartsAtRestartedWorkersAreNoSecondRuns(t *testing.T) {
 	r := requireNoSecondRun(t, "worker_late_restart", soak.Options{
