edge: messages to owners, received messages and their encoding in files of their own

The switch is split by what the messages are about: runs, jobs, members and workers. Functions are moved unchanged.

--- a/edge/entrustedstarts_test.go
+++ b/edge/entrustedstarts_test.go
@@ -9,12 +9,12 @@
 	"github.com/cicadadale/cicadadale/contract"
 )
 
-// entrustLate lets a daemon report a start without a reply so far to a home.
-func (d *deployment) entrustLate(owner, home string) contract.RunReport {
+// entrustLate lets edge-0-0 report a start without a reply so far to a home.
+func (d *deployment) entrustLate(home string) contract.RunReport {
 	key := lateTask
 	key.Run = 7
 	r := contract.RunReport{Key: key, State: contract.RunQueued, Worker: "w", MayHaveStarted: true, LateWorkers: []string{"w"}}
-	d.daemons[owner].report(d.daemons[home].self, testBackend, r)
+	d.daemons["edge-0-0"].report(d.daemons[home].self, testBackend, r)
 	return r
 }
 
@@ -41,7 +41,7 @@
 			d := newDeployment(t, 2, 2, 1)
 			defer d.close()
 			time.Sleep(3*time.Second + phase)
-			d.entrustLate("edge-0-0", "edge-0-0")
+			d.entrustLate("edge-0-0")
 			time.Sleep(10 * time.Millisecond)
 			keeper := d.keeperOf("edge-0-0")
 			require.NotEmpty(t, keeper)
@@ -69,7 +69,7 @@
 			d := newDeployment(t, 3, 2, 1)
 			defer d.close()
 			time.Sleep(3 * time.Second)
-			d.entrustLate("edge-0-0", home)
+			d.entrustLate(home)
 			time.Sleep(10 * time.Millisecond)
 			keeper := d.keeperOf("edge-0-0")
 			require.NotContains(t, []string{"", "edge-0-0", "edge-0-1", home}, keeper)
@@ -82,12 +82,12 @@
 	inVirtualTime(t, func(t *testing.T) {
 		d := newDeployment(t, 1, 2, 1)
 		defer d.close()
-		d.entrustLate("edge-0-0", "edge-0-0")
+		d.entrustLate("edge-0-0")
 		time.Sleep(10 * time.Millisecond)
 		require.Equal(t, "edge-0-1", d.keeperOf("edge-0-0"))
 		d.killDaemon("edge-0-1")
 		time.Sleep(time.Second)
-		d.entrustLate("edge-0-0", "edge-0-0")
+		d.entrustLate("edge-0-0")
 	})
 }
 
@@ -99,7 +99,7 @@
 			d := newDeployment(t, 2, 2, 1)
 			defer d.close()
 			time.Sleep(3 * time.Second)
-			r := d.entrustLate("edge-0-0", "edge-0-1")
+			r := d.entrustLate("edge-0-1")
 			time.Sleep(20 * time.Millisecond)
 			if answered {
 				r.State, r.LateWorkers = contract.RunStarted, nil
--- a/edge/messages.go
+++ b/edge/messages.go
@@ -2,7 +2,6 @@
 
 import (
 	"maps"
-	"math"
 	"slices"
 	"time"
 
@@ -14,89 +13,6 @@
 	"github.com/cicadadale/cicadadale/zone"
 )
 
-// owners implements batch.Owners: it passes orders to the local pools or sends them to other members.
-type owners struct{ d *Daemon }
-
-// LastContact implements batch.Owners.
-func (s owners) LastContact(owner string, limit time.Time) batch.Contact {
-	if owner != s.d.self {
-		return s.d.members.LastContact(owner, limit)
-	}
-	if now := s.d.o.Now(); now.Before(limit) {
-		limit = now
-	}
-	return batch.Contact{ReceivedAt: limit}
-}
-
-// Order implements batch.Owners.
-func (s owners) Order(owner string, o contract.TaskOrder, echo batch.Contact) {
-	if owner == s.d.self {
-		s.d.pool(o.Backend).Order(s.d.self, o, echo.ReceivedAt)
-		return
-	}
-	now := s.d.o.Now()
-	m := encodeOrder(o, now)
-	m.StampMs = echo.Timestamp
-	s.d.members.Use(owner, now)
-	s.d.members.Send(owner, &api.PeerMessage{Body: &api.PeerMessage_TaskOrder{TaskOrder: m}})
-}
-
-// Refresh implements batch.Owners.
-func (s owners) Refresh(p batch.PoolRef, keys []contract.RunKey, echo batch.Contact) {
-	if p.Owner == s.d.self {
-		s.d.pool(p.Backend).Refresh(s.d.self, keys, echo.ReceivedAt)
-		return
-	}
-	s.d.members.Use(p.Owner, s.d.o.Now())
-	s.d.members.Send(p.Owner, &api.PeerMessage{Body: &api.PeerMessage_TaskRefresh{
-		TaskRefresh: &api.TaskRefresh{Backend: p.Backend, Keys: encodeKeys(keys), StampMs: echo.Timestamp},
-	}})
-}
-
-// Withdraw implements batch.Owners.
-func (s owners) Withdraw(p batch.PoolRef, keys []contract.RunKey) {
-	if p.Owner == s.d.self {
-		s.d.pool(p.Backend).Withdraw(s.d.self, keys)
-		return
-	}
-	s.d.members.Send(p.Owner, &api.PeerMessage{Body: &api.PeerMessage_TaskWithdrawal{
-		TaskWithdrawal: &api.TaskWithdrawal{Backend: p.Backend, Keys: encodeKeys(keys)},
-	}})
-}
-
-// Recall implements batch.Owners.
-func (s owners) Recall(p batch.PoolRef, keys []contract.RunKey) {
-	if p.Owner == s.d.self {
-		s.d.pool(p.Backend).Recall(s.d.self, keys)
-		return
-	}
-	s.d.members.Send(p.Owner, &api.PeerMessage{Body: &api.PeerMessage_TaskWithdrawal{
-		TaskWithdrawal: &api.TaskWithdrawal{Backend: p.Backend, Keys: encodeKeys(keys), OnlyQueued: true},
-	}})
-}
-
-// JobStarted implements batch.Owners.
-func (s owners) JobStarted(p batch.PoolRef, keys []contract.RunKey) {
-	if p.Owner == s.d.self {
-		s.d.pool(p.Backend).JobStarted(keys)
-		return
-	}
-	s.d.members.Send(p.Owner, &api.PeerMessage{Body: &api.PeerMessage_TaskUrgency{
-		TaskUrgency: &api.TaskUrgency{Backend: p.Backend, Keys: encodeKeys(keys)},
-	}})
-}
-
-// Acknowledge implements batch.Owners.
-func (s owners) Acknowledge(p batch.PoolRef, keys []contract.RunKey) {
-	if p.Owner == s.d.self {
-		s.d.pool(p.Backend).Acknowledge(keys)
-		return
-	}
-	s.d.members.Send(p.Owner, &api.PeerMessage{Body: &api.PeerMessage_TaskAck{
-		TaskAck: &api.TaskAck{Backend: p.Backend, Keys: encodeKeys(keys)},
-	}})
-}
-
 // report sends a pool's report of a run to its home.
 func (d *Daemon) report(home, backend string, r contract.RunReport) {
 	d.updateEntrusted(home, r)
@@ -228,7 +144,7 @@
 	return &api.PeerMessage{Body: &api.PeerMessage_MemberList{MemberList: list}}
 }
 
-// handleMessage processes messages about the tasks of jobs, and passes the others to handleClusterState.
+// handleMessage processes messages about the runs of tasks, and passes the others to handleJobMessage.
 func (d *Daemon) handleMessage(id, vm string, m *api.PeerMessage) {
 	switch b := m.GetBody().(type) {
 	case *api.PeerMessage_TaskOrder:
@@ -256,6 +172,15 @@
 		d.home.Takeover(id, contract.Takeover{
 			Worker: t.GetWorker(), StartTime: t.GetBorn(), Token: t.GetToken(), Runs: decodeKeys(t.GetRuns()),
 		})
+	default:
+		d.handleJobMessage(id, vm, m)
+	}
+}
+
+// handleJobMessage processes messages about jobs and about what all members know of their tasks, and passes the others to
+// handleClusterState.
+func (d *Daemon) handleJobMessage(id, vm string, m *api.PeerMessage) {
+	switch b := m.GetBody().(type) {
 	case *api.PeerMessage_WorkerCrash:
 		d.recordCrash(decodeCrash(b.WorkerCrash, d.o.Now()))
 	case *api.PeerMessage_JobCancel:
@@ -345,104 +270,3 @@
 		d.assignWorkers()
 	}
 }
-
-func encodeMember(m machine.Member) *api.Member {
-	return &api.Member{
-		Vm: m.VM, Incarnation: uint64(m.Incarnation), Address: m.Address, Domain: m.Domain, CpuMillis: clamp(m.CPUMillis),
-	}
-}
-
-func decodeMember(m *api.Member) machine.Member {
-	return machine.Member{
-		VM: m.GetVm(), Incarnation: machine.Incarnation(m.GetIncarnation()), Address: m.GetAddress(),
-		Domain: m.GetDomain(), CPUMillis: int(m.GetCpuMillis()),
-	}
-}
-
-func encodeCapacity(backend string, c zone.BackendCapacity) *api.BackendRoom {
-	m := &api.BackendRoom{
-		Backend: backend, FreeSlots: clamp(c.Free), Slots: clamp(c.Slots), SlowFreeSlots: clamp(c.SlowFree),
-	}
-	for _, w := range c.Waiting {
-		m.WaitingMs = append(m.WaitingMs, clampMillis(w))
-	}
-	return m
-}
-
-func decodeCapacity(m *api.BackendRoom) zone.BackendCapacity {
-	c := zone.BackendCapacity{
-		Free: int(m.GetFreeSlots()), Slots: int(m.GetSlots()), SlowFree: int(min(m.GetSlowFreeSlots(), m.GetFreeSlots())),
-	}
-	for i, w := range m.GetWaitingMs() {
-		if i < len(c.Waiting) {
-			c.Waiting[i] = time.Duration(w) * time.Millisecond
-		}
-	}
-	return c
-}
-
-func encodeKey(k contract.RunKey) *api.TaskKey {
-	return &api.TaskKey{Job: k.Batch, Step: uint32(k.Step), Index: uint32(k.Index), Run: k.Run}
-}
-
-func decodeKey(k *api.TaskKey) contract.RunKey {
-	return contract.RunKey{Batch: k.GetJob(), Step: int(k.GetStep()), Index: int(k.GetIndex()), Run: k.GetRun()}
-}
-
-func encodeKeys(keys []contract.RunKey) []*api.TaskKey {
-	list := make([]*api.TaskKey, len(keys))
-	for i, k := range keys {
-		list[i] = encodeKey(k)
-	}
-	return list
-}
-
-func decodeKeys(list []*api.TaskKey) []contract.RunKey {
-	keys := make([]contract.RunKey, len(list))
-	for i, k := range list {
-		keys[i] = decodeKey(k)
-	}
-	return keys
-}
-
-// encodeOrder converts times to remaining durations, since the clocks of two VMs differ.
-func encodeOrder(o contract.TaskOrder, now time.Time) *api.TaskOrder {
-	return &api.TaskOrder{
-		Key: encodeKey(o.Key), Backend: o.Backend, Spec: o.Spec, CpuMillis: clamp(o.Need.CPUMillis),
-		MemoryMb: clamp(o.Need.MemoryMB), Gpus: clamp(o.Need.GPUs), Priority: clamp(o.Priority),
-		TargetMs: signedMillis(o.Target.Sub(now)), DeadlineMs: signedMillis(o.Deadline.Sub(now)),
-		ExpectedMs: clampMillis(o.Expected), RequiredLabel: o.RequiredLabel, PreferredRack: o.PreferredRack, Claim: o.Claim,
-		AgeMs: clampMillis(now.Sub(o.Accepted)), PerWorker: clamp(o.PerWorkerLimit),
-		Route: o.Route, Alone: o.Alone, ClaimToken: o.ClaimToken, OnlyWorker: o.OnlyWorker, Suggested: o.Suggested,
-		JobStarted: o.JobStarted,
-	}
-}
-
-func decodeOrder(m *api.TaskOrder, now time.Time) contract.TaskOrder {
-	return contract.TaskOrder{
-		Key: decodeKey(m.GetKey()), Backend: m.GetBackend(), Spec: m.GetSpec(),
-		Need: machine.Resources{
-			CPUMillis: int(m.GetCpuMillis()), MemoryMB: int(m.GetMemoryMb()), GPUs: int(m.GetGpus()),
-		},
-		Priority: int(m.GetPriority()),
-		Target:   now.Add(time.Duration(m.GetTargetMs()) * time.Millisecond),
-		Deadline: now.Add(time.Duration(m.GetDeadlineMs()) * time.Millisecond),
-		Expected: time.Duration(m.GetExpectedMs()) * time.Millisecond, RequiredLabel: m.GetRequiredLabel(),
-		PreferredRack: m.GetPreferredRack(), Claim: m.GetClaim(), PerWorkerLimit: int(m.GetPerWorker()),
-		Accepted: now.Add(-time.Duration(m.GetAgeMs()) * time.Millisecond), Route: m.GetRoute(), Alone: m.GetAlone(),
-		ClaimToken: m.GetClaimToken(), OnlyWorker: m.GetOnlyWorker(), Suggested: m.GetSuggested(),
-		JobStarted: m.GetJobStarted(),
-	}
-}
-
-func clampMillis(d time.Duration) uint32 {
-	return uint32(min(max(d.Milliseconds(), 0), math.MaxUint32))
-}
-
-// clamp converts a number that is not negative to the range of the messages. A need that is cut off would pass for a
-// small one.
-func clamp(n int) uint32 { return uint32(min(max(int64(n), 0), math.MaxUint32)) }
-
-func signedMillis(d time.Duration) int32 {
-	return int32(min(max(d.Milliseconds(), math.MinInt32), math.MaxInt32))
-}
