--- a/edge/repeatmodel_test.go
+++ b/edge/repeatmodel_test.go
@@ -16,8 +16,8 @@
 // that. It says nothing about the next incarnation.
 //
 // Left out: starts without a reply at other workers, so that there are never records for two workers; an owner or home that
-// is taken for lost and acts on; members that have received only a part of the announcements; a second loss of the owner or of
-// the home; a restart between the poll before a start and the arrival of the start under the next number; and time, but for the
+// is taken for lost and acts on; members that have received only a part of the announcements, but for those of one failure domain; a
+// second loss of the owner or of the home, but for the loss of both and A at once; a restart between the poll before a start and the arrival of the start under the next number; and time, but for the
 // order in which the delay of calls and the leases pass.
 type repeatRules struct {
 	clauses repeatClause
@@ -75,12 +75,14 @@
 	// waitsForFound makes the owner start a run on A, waitsElsewhere on its other workers, only while A lists no earlier one.
 	waitsForFound
 	waitsElsewhere
+	// keptOutsideDomain has a member of another failure domain know of the start before that of the owner is lost.
+	keptOutsideDomain
 	lastRepeatClause
 
 	everyRepeatClause = lastRepeatClause - 1
 	// clausesOfSingleStarts are those of the rule by which each unanswered start is made once.
 	clausesOfSingleStarts = orderedAtWorker | startedAtWorker | repeatedAtWorker | alsoDraining | keptOverReply | keptOverStops |
-		keptOverNewOne | endsWithList | outlastsLease | countsLastCopy | stopsFound | waitsForFound | waitsElsewhere
+		keptOverNewOne | endsWithList | outlastsLease | countsLastCopy | stopsFound | waitsForFound | waitsElsewhere | keptOutsideDomain
 )
 
 func (r repeatRules) has(c repeatClause) bool { return r.clauses&c != 0 }
@@ -208,10 +210,7 @@
 		}
 		return
 	case s.incarnation+1 < restartIncarnations:
-		n.down, n.acquired, n.fenced, n.known = true, false, false, false
-		for i := range n.numbers {
-			n.numbers[i].onA = unknownOnA
-		}
+		n.crash()
 		visit(fmt.Sprintf("incarnation %d of A crashes", s.incarnation), n)
 	}
 	if !s.acquired {
@@ -219,6 +218,14 @@
 	}
 }
 
+// crash ends the present incarnation of A.
+func (s *repeatState) crash() {
+	s.down, s.acquired, s.fenced, s.known = true, false, false, false
+	for i := range s.numbers {
+		s.numbers[i].onA = unknownOnA
+	}
+}
+
 // replace lets another worker be seen at the address of A, which has ended.
 func (s repeatState) replace(r repeatRules, visit visitRepeat) {
 	s.replaced = true
@@ -263,8 +270,13 @@
 	}
 }
 
-// losses lets the owner of A and the home be lost.
+// losses lets the owner of A and the home be lost, one after the other or at once with A.
 func (s repeatState) losses(r repeatRules, visit visitRepeat) {
+	if !s.nextOwner && !s.nextHome && !s.down && s.incarnation+1 < restartIncarnations {
+		n := s
+		n.loseDomain(r)
+		visit("the failure domain of A, its owner and the home is lost, and the leases of its runs pass", n)
+	}
 	if !s.nextOwner {
 		n := s
 		n.loseOwner(r)
@@ -277,6 +289,16 @@
 	}
 }
 
+func (s *repeatState) loseDomain(r repeatRules) {
+	for i := range s.numbers {
+		w := &s.numbers[i]
+		w.others = w.others && r.has(keptOutsideDomain)
+	}
+	s.crash()
+	s.loseOwner(r)
+	s.loseHome(r)
+}
+
 func (s *repeatState) loseOwner(r repeatRules) {
 	s.nextOwner, s.acquired = true, false
 	for i := range s.numbers {
--- a/edge/repeatmodelcases_test.go
+++ b/edge/repeatmodelcases_test.go
@@ -48,6 +48,7 @@
 	stopsFound:            "a run that is found on an acquired worker goes on beside a later one",
 	waitsForFound:         "a run starts on the worker that lists an earlier one",
 	waitsElsewhere:        "a run starts on another worker of the owner that knows of an earlier one",
+	keptOutsideDomain:     "only members of the failure domain of the owner know of the start when it is lost",
 }
 
 // Guards against two runs of a task after starts without a reply at a worker that restarts, is silent, or passes to another
