edge: tell the members of a failure domain the start times of workers taken over from it

A worker that has seen a token does not tell its start time, the store lists it up to 1.5 s later, and a token made of the earlier start time is fenced.

Change: whoever fences a worker or takes one of another failure domain over sends its start time to the members of that domain, at once and when they become live.

TestReturningMembersKnowTheIncarnationsOfTheirWorkers fails without the change (a worker without an owner 0.25 s after the join) and passes with it.

--- a/edge/daemon.go
+++ b/edge/daemon.go
@@ -168,7 +168,7 @@
 		ownEntrusted: newOwnEntrusted(),
 		confined:     contract.NewConfinement(), incarnations: newIncarnations(),
 	}
-	d.fencer = newFencer(o, d.incarnations)
+	d.fencer = d.newFencer()
 	d.members = newMembers(o.Self, d.dialPeer, o.Logger)
 	d.home = batch.New(batch.Options{
 		Self: d.self, Owners: owners{d}, Members: membership{d}, Capacity: d.capacity, Crashes: d.crashes,
--- a/edge/lostdomain_test.go
+++ b/edge/lostdomain_test.go
@@ -192,3 +192,37 @@
 		l.down = orphanDelay + noticedTime + l.down%(maxDomainDown-orphanDelay-noticedTime)
 	})
 }
+
+// Guards against workers that stay out of use after the return of a failure domain: they have been fenced, or taken over by other domains,
+// so that they do not tell their start time, and the store does not list it yet. The first token of their next owner has to do.
+func TestReturningMembersKnowTheIncarnationsOfTheirWorkers(t *testing.T) {
+	for _, down := range []time.Duration{time.Second, orphanDelay + noticedTime} {
+		inVirtualTime(t, func(t *testing.T) {
+			l := newDomainLoss(t, 1)
+			defer l.d.end()
+			// The longer a worker has run, the farther its next token is from one that is made of its earlier start time.
+			time.Sleep(time.Minute)
+			l.lose()
+			time.Sleep(down)
+			for _, id := range l.workers() {
+				l.d.hosts[id].Restart()
+			}
+			time.Sleep(2 * firstPollTimeoutOfWorkers)
+			for _, vm := range l.vms() {
+				l.d.startDaemon(lostDomain, vm)
+			}
+			time.Sleep(joinDelay + acquiredTime)
+			for _, id := range l.workers() {
+				require.Contains(t, l.vms(), l.d.ownerOf(id), id)
+			}
+		})
+	}
+}
+
+const (
+	// firstPollTimeoutOfWorkers is the longest timeout of a probe of a worker that is down.
+	firstPollTimeoutOfWorkers = 80 * time.Millisecond
+	// acquiredTime is the time from the join of a process to the acquisition of its workers: two ticks and two calls, one of which may
+	// be repeated.
+	acquiredTime = 250 * time.Millisecond
+)
--- a/edge/members.go
+++ b/edge/members.go
@@ -291,9 +291,12 @@
 }
 
 // BroadcastNear queues messages for the processes of the own failure domain.
-func (m *Members) BroadcastNear(msgs ...*api.PeerMessage) {
+func (m *Members) BroadcastNear(msgs ...*api.PeerMessage) { m.BroadcastDomain(m.self.Domain, msgs...) }
+
+// BroadcastDomain queues messages for the processes of a failure domain.
+func (m *Members) BroadcastDomain(domain string, msgs ...*api.PeerMessage) {
 	m.broadcast(func(e *member) []*api.PeerMessage {
-		if e.info.Domain != m.self.Domain {
+		if e.info.Domain != domain {
 			return nil
 		}
 		return msgs
--- a/edge/messages.go
+++ b/edge/messages.go
@@ -39,6 +39,9 @@
 	} else {
 		d.members.Broadcast(m)
 	}
+	if domain, ok := d.workers.domain(t.Worker); ok && domain != d.o.Self.Domain {
+		d.tellIncarnation(t.Worker, t.StartTime)
+	}
 	d.home.Takeover(d.self, t)
 }
 
--- a/edge/unowned.go
+++ b/edge/unowned.go
@@ -14,7 +14,7 @@
 )
 
 const (
-	// incarnationMemory is how long the start time of a fenced incarnation is known, in case the store does not list it.
+	// incarnationMemory is how long the start time of such an incarnation is known, in case the store does not list it.
 	incarnationMemory = time.Minute
 	// maxIncarnations bounds the start times in one message and those that are known.
 	maxIncarnations = 5000
@@ -23,21 +23,21 @@
 	maxStartAhead = time.Minute
 )
 
-// incarnations holds the start times of workers that members have fenced. A worker that has been fenced does not tell them to its next
-// owner, whose token has to be higher. mu guards the field below it.
+// incarnations holds the start times of workers that members have fenced or taken over. A worker that has seen a token does not tell
+// them to its next owner, whose token has to be higher. mu guards the field below it.
 type incarnations struct {
 	mu       sync.Mutex
-	byWorker map[string]fencedIncarnation
+	byWorker map[string]knownIncarnation
 }
 
-// fencedIncarnation is the start time of an incarnation, in milliseconds of Unix time, and when it became known.
-type fencedIncarnation struct {
+// knownIncarnation is the start time of an incarnation, in milliseconds of Unix time, and when it became known.
+type knownIncarnation struct {
 	startTime int64
 	at        time.Time
 }
 
 func newIncarnations() *incarnations {
-	return &incarnations{byWorker: make(map[string]fencedIncarnation)}
+	return &incarnations{byWorker: make(map[string]knownIncarnation)}
 }
 
 // record notes the start time of an incarnation, unless a later one is known.
@@ -48,7 +48,7 @@
 	if startTime < known.startTime || (!ok && len(i.byWorker) >= maxIncarnations) {
 		return
 	}
-	i.byWorker[worker] = fencedIncarnation{startTime, now}
+	i.byWorker[worker] = knownIncarnation{startTime, now}
 }
 
 // latestStart returns the start time that is known of a worker, zero if there is none.
@@ -65,11 +65,11 @@
 	if len(i.byWorker) == 0 {
 		return nil
 	}
-	m := &api.WorkerIncarnations{}
+	var list []*api.WorkerIncarnation
 	for worker, known := range i.byWorker {
-		m.Incarnations = append(m.Incarnations, &api.WorkerIncarnation{Worker: worker, StartTimeMs: known.startTime})
+		list = append(list, &api.WorkerIncarnation{Worker: worker, StartTimeMs: known.startTime})
 	}
-	return &api.PeerMessage{Body: &api.PeerMessage_WorkerIncarnations{WorkerIncarnations: m}}
+	return incarnationMessage(list...)
 }
 
 // expire forgets what the store has listed by now.
@@ -83,14 +83,29 @@
 	}
 }
 
-// newFencer returns a fencer that records the start times of the incarnations that it fences.
-func newFencer(o Options, known *incarnations) *pool.Fencer {
+// newFencer returns a fencer that tells of the incarnations that it fences.
+func (d *Daemon) newFencer() *pool.Fencer {
 	return pool.NewFencer(pool.FencerOptions{
-		Calls: o.Calls, CPUMillis: o.Self.CPUMillis, Logger: o.Logger, Metrics: o.Metrics,
-		Fenced: func(a link.HostAddress, startTime int64) { known.record(a.Worker, startTime, o.Now()) },
+		Calls: d.o.Calls, CPUMillis: d.o.Self.CPUMillis, Logger: d.o.Logger, Metrics: d.o.Metrics,
+		Fenced: func(a link.HostAddress, startTime int64) { d.tellIncarnation(a.Worker, startTime) },
 	})
 }
 
+// tellIncarnation tells the members of the failure domain of a worker its start time, once it has been fenced or acquired by this
+// process: they own it next if they return.
+func (d *Daemon) tellIncarnation(worker string, startTime int64) {
+	d.incarnations.record(worker, startTime, d.o.Now())
+	if domain, ok := d.workers.domain(worker); ok {
+		d.members.BroadcastDomain(domain, incarnationMessage(&api.WorkerIncarnation{Worker: worker, StartTimeMs: startTime}))
+	}
+}
+
+func incarnationMessage(list ...*api.WorkerIncarnation) *api.PeerMessage {
+	return &api.PeerMessage{Body: &api.PeerMessage_WorkerIncarnations{
+		WorkerIncarnations: &api.WorkerIncarnations{Incarnations: list},
+	}}
+}
+
 // handleIncarnations records the start times that another member has sent.
 func (d *Daemon) handleIncarnations(m *api.WorkerIncarnations) {
 	now := d.o.Now()
@@ -102,7 +117,7 @@
 	}
 }
 
-// incarnationList returns the message that tells a member that has become live of the incarnations that were fenced meanwhile.
+// incarnationList returns the message that tells a member that has become live of the incarnations that were fenced or taken over.
 func (d *Daemon) incarnationList() []*api.PeerMessage {
 	if m := d.incarnations.message(); m != nil {
 		return []*api.PeerMessage{m}
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -71,7 +71,7 @@
 	// answers at its address. Both are called without holding the lock of the pool and may be nil.
 	LateStart      func(s contract.LateStart)
 	WorkerReplaced func(worker string)
-	// LatestStart returns the start time of the last incarnation of a worker that a member has fenced, zero if there is none. It may
+	// LatestStart returns the start time of a worker that a member has fenced or taken over, zero if there is none. It may
 	// be nil, and is called with the lock of the pool held.
 	LatestStart func(worker string) int64
 	// Room is called when the workers may have free capacity for runs that wait at other owners; see Offer. It is called
