pool: a slow first reply does not delay the acquisition of a worker

A worker whose reply takes longer, as on a slow VM, counted as unreached then, and was left to an owner that is lost for another second. The first probe has 300 ms again; only those after it are short.

TestWorkerWithASlowReplyIsTakenOverAtOnce, with replies after 200 ms, fails without the change. TestWorkersTakenOverWhileDownRejectEarlierStarts still has no late start executed and no deployment of 60 broken.

--- a/pool/hostcalls_test.go
+++ b/pool/hostcalls_test.go
@@ -20,6 +20,8 @@
 	spoilStarts atomic.Bool
 	// delayPolls makes polls take a round trip.
 	delayPolls atomic.Bool
+	// pollDelay is the time in nanoseconds for which the answers to polls are under way.
+	pollDelay atomic.Int64
 	// answerDelay is the time in nanoseconds for which the answers to starts are under way; the workers execute the starts at once.
 	answerDelay atomic.Int64
 	// writeDelay is the time from the decision on a start until it is written.
@@ -64,7 +66,15 @@
 	if c.delayPolls.Load() {
 		time.Sleep(5 * time.Millisecond)
 	}
-	return c.hosts[a.Worker].Poll(ctx, h)
+	reply, err := c.hosts[a.Worker].Poll(ctx, h)
+	if d := time.Duration(c.pollDelay.Load()); d > 0 {
+		select {
+		case <-time.After(d):
+		case <-ctx.Done():
+			return link.PollReply{}, fault.InDoubt.New("worker %s does not answer in time", a.Worker)
+		}
+	}
+	return reply, err
 }
 
 func (c *hostCalls) CloseIdleConnections(link.HostAddress) {}
--- a/pool/maintain.go
+++ b/pool/maintain.go
@@ -160,12 +160,13 @@
 	}
 }
 
-// acquireTimeout returns the timeout of the next probe of a worker that is not acquired, given the number of those without a reply.
+// acquireTimeout returns the timeout of the next probe of a worker that is not acquired, given the number of those without a reply. The
+// first one allows for a slow reply: a worker without one is left to its owner for a while.
 func (p *Pool) acquireTimeout(h *ownedHost, failed int) time.Duration {
-	if p.o.Now().Sub(h.assignedAt) < contract.LateStartLimit {
-		return probeTimeout(failed)
+	if failed == 0 || p.o.Now().Sub(h.assignedAt) >= contract.LateStartLimit {
+		return callTimeout
 	}
-	return callTimeout
+	return probeTimeout(failed)
 }
 
 // acquirePause returns the pause after a probe without a reply. A worker that was assigned not long ago may execute starts of its last
--- a/pool/ownership_test.go
+++ b/pool/ownership_test.go
@@ -250,3 +250,18 @@
 		})
 	}
 }
+
+// Guards against a worker that is out of use for reconnectDelay after its owner is lost, since its first reply takes long on a slow VM.
+func TestWorkerWithASlowReplyIsTakenOverAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(1)
+		defer f.pool.Close()
+		require.Equal(t, []string{"w0"}, f.pool.Owned())
+		f.pool.SetHosts(nil)
+		f.calls.pollDelay.Store(int64(200 * time.Millisecond))
+		time.Sleep(time.Second)
+		f.pool.SetHosts(f.list)
+		time.Sleep(reconnectDelay / 2)
+		require.Equal(t, []string{"w0"}, f.pool.Owned())
+	})
+}
