--- a/edge/lostdomain_test.go
+++ b/edge/lostdomain_test.go
@@ -39,6 +39,8 @@
 	untilLoss, down, untilDaemons, untilExecuted time.Duration
 	// silent is set if the workers that are down do not refuse connections.
 	silent bool
+	// home is the first home of the job. One in another failure domain is lost homeLostAfter the domain.
+	home string
 	// withheld keeps all messages of the domain from the others since before the starts.
 	withheld bool
 	executed int
@@ -48,7 +50,7 @@
 	rng := rand.New(rand.NewPCG(seed, 65))
 	between := func(low, high time.Duration) time.Duration { return low + time.Duration(rng.Int64N(int64(high-low))) }
 	l := &domainLoss{
-		t: t, rng: rng, d: newDeployment(t, 3, 2, 3), silent: rng.IntN(2) == 0,
+		t: t, rng: rng, d: newDeployment(t, 3, 2, 3), home: "edge-0-0", silent: rng.IntN(2) == 0,
 		untilLoss: between(0, maxUntilLoss), down: between(minDomainDown, maxDomainDown),
 		untilDaemons: between(0, maxUntilDaemons), untilExecuted: between(minUntilExecuted, maxUntilExecuted),
 	}
@@ -71,8 +73,8 @@
 
 func (l *domainLoss) vms() []string { return []string{"edge-0-0", "edge-0-1"} }
 
-// play submits a job to the domain, takes the power from it, and submits the job again elsewhere. The job has tasks on the workers
-// of its home and on those of the other daemon of the domain.
+// play submits a job, takes the power from the domain, and submits the job again elsewhere once its home is lost. The job has tasks on all
+// workers of the domain, those of its home and those of others.
 func (l *domainLoss) play() {
 	for _, id := range l.workers() {
 		l.d.hosts[id].SetHoldingStarts(1)
@@ -81,14 +83,22 @@
 		l.d.net.setCut(betweenMembers(func(from, to string) bool { return slices.Contains(l.vms(), from) && !slices.Contains(l.vms(), to) }))
 	}
 	const job = "00000000000000dd"
-	l.d.submit("edge-0-0", testJob(job, 2*len(l.workers()), 30*time.Second))
+	tasks, away := 2*len(l.workers()), !slices.Contains(l.vms(), l.home)
+	if away {
+		tasks = 2 * len(l.d.hosts)
+	}
+	l.d.submit(l.home, testJob(job, tasks, 30*time.Second))
 	time.Sleep(l.untilLoss)
 	l.lose()
 	lost := time.Now()
 	l.d.net.setCut(noCut)
 	l.d.wg.Go(l.giveBack)
-	time.Sleep(time.Until(lost.Add(resendDelay)))
-	l.d.submit("edge-1-0", testJob(job, 2*len(l.workers()), 30*time.Second))
+	if away {
+		time.Sleep(homeLostAfter)
+		l.d.killDaemon(l.home)
+	}
+	time.Sleep(resendDelay)
+	l.d.submit("edge-2-0", testJob(job, tasks, 30*time.Second))
 	time.Sleep(time.Until(lost.Add(l.down + maxUntilExecuted + 2*time.Second)))
 }
 
@@ -168,6 +178,18 @@
 	})
 }
 
+// Guards against a start without a reply that is lost with the owner of its worker and, shortly after, with the home of its job: that one has
+// the record and has told nobody.
+func TestStartsWithoutReplyAreKnownWithoutOwnerAndThenHome(t *testing.T) {
+	requireNoSecondRun(t, func(l *domainLoss) {
+		l.home = "edge-1-0"
+		l.untilLoss = max(l.untilLoss, startKnownTime)
+	})
+}
+
+// homeLostAfter is the time from the loss of the failure domain to that of a home elsewhere.
+const homeLostAfter = 400 * time.Millisecond
+
 // startKnownTime is the time after which a start without a reply is known outside the failure domain of its owner.
 const startKnownTime = 20 * time.Millisecond
 
