--- a/edge/unowned.go
+++ b/edge/unowned.go
@@ -14,7 +14,7 @@
 )
 
 const (
-	// incarnationMemory is how long the start time of such an incarnation is known, in case the store does not list it.
+	// incarnationMemory is how long the start time of a fenced or acquired incarnation is known, in case the store does not list it.
 	incarnationMemory = time.Minute
 	// maxIncarnations bounds the start times in one message and those that are known.
 	maxIncarnations = 5000
--- a/pool/fencer.go
+++ b/pool/fencer.go
@@ -59,7 +59,9 @@
 
 // Close ends all probes.
 func (f *Fencer) Close() {
+	f.mu.Lock()
 	f.cancel()
+	f.mu.Unlock()
 	f.goroutines.Wait()
 }
 
