--- a/edge/lostdomain_test.go
+++ b/edge/lostdomain_test.go
@@ -149,6 +149,7 @@
 
 // requireNoSecondRun plays losses of a domain, and fails the test if a task has two runs at the same time in any of them.
 func requireNoSecondRun(t *testing.T, set func(l *domainLoss)) {
+	t.Parallel()
 	var broken []string
 	executed := 0
 	for seed := range uint64(lostDomainPlays) {
