--- a/soak/domainpower.go
+++ b/soak/domainpower.go
@@ -14,6 +14,8 @@
 	// minPowerHold and maxPowerHold bound the time for which the workers of a failure domain hold starts before it loses its power.
 	minPowerHold = 300 * time.Millisecond
 	maxPowerHold = 1500 * time.Millisecond
+	// maxHolds bounds the number of such times until a start is held: on a busy machine few tasks start.
+	maxHolds = 8
 	// maxHeldOneIn bounds the share of these starts: one in two to one in that many.
 	maxHeldOneIn = 12
 	// minPowerDown and maxPowerDown bound the time without power.
@@ -43,10 +45,15 @@
 		return ""
 	}
 	defer release()
-	fault := s.holdStarts(workers, oneIn, time.Now().Add(hold+down+lateness+runMargin), hold)
-	held, runs := 0, []contract.RunKey(nil)
+	fault, held := 0, 0
+	for n := 0; n < maxHolds && held == 0; n++ {
+		fault = s.holdStarts(workers, oneIn, time.Now().Add(hold+down+lateness+runMargin), hold)
+		for _, w := range workers {
+			held += len(w.host.Held())
+		}
+	}
+	var runs []contract.RunKey
 	for _, w := range workers {
-		held += len(w.host.Held())
 		runs = append(runs, s.runs.runsOn(w.id)...)
 	}
 	if held == 0 || !s.late.claim(fault, runs) {
