--- a/edge/chaos_test.go
+++ b/edge/chaos_test.go
@@ -53,6 +53,7 @@
 // Guards against tasks with two runs at the same time, and against refused jobs that have run, under overlapping
 // random faults.
 func TestRandomFaultsBreakNoInvariant(t *testing.T) {
+	t.Parallel()
 	// Seeds 2, 4 and 6 have caused a flood of orders, the large ones tasks that ran twice (docs/incidents.md).
 	seeds := []uint64{1, 2, 3, 4, 5, 6, 3155103057, 3276521355, 2379117824, 3714615900}
 	if s, err := strconv.ParseUint(os.Getenv(chaosSeedVariable), 10, 64); err == nil {
@@ -85,6 +86,7 @@
 
 // Guards against the same, refused jobs that have run above all, while jobs are shed and owners take runs from each other.
 func TestRandomFaultsBreakNoInvariantWhileShedding(t *testing.T) {
+	t.Parallel()
 	for range 3 {
 		seed := rand.Uint64N(1 << 32)
 		t.Run(strconv.FormatUint(seed, 10), func(t *testing.T) {
--- a/edge/cutoffdomain_test.go
+++ b/edge/cutoffdomain_test.go
@@ -54,6 +54,7 @@
 // Guards against the same in deployments in which a home exchanges statuses with all members of its own failure domain, but with few
 // of the others.
 func TestJobOfCutOffDomainOfLargeDeploymentGetsNoSecondRun(t *testing.T) {
+	t.Parallel()
 	for _, age := range []time.Duration{-500 * time.Millisecond, 50 * time.Millisecond, 300 * time.Millisecond, 1500 * time.Millisecond} {
 		withSecondHome(t, 3, 18, 8*time.Second, func(t *testing.T, d *deployment) {
 			before := max(-age, 0)
--- a/edge/homemodelcases_test.go
+++ b/edge/homemodelcases_test.go
@@ -40,6 +40,7 @@
 
 // Guards against two homes that run a task at once, and against a home that waits for ever; every clause is needed.
 func TestHomeModel(t *testing.T) {
+	t.Parallel()
 	var models []homeModel
 	for _, m := range []homeModel{homesAB, homesABW, homesABCut, homesAWCut, homesAlone2, homesAlone3, homesGrown} {
 		models = append(models, m)
--- a/edge/latenotice_test.go
+++ b/edge/latenotice_test.go
@@ -96,6 +96,7 @@
 // Guards against two runs of a task at two homes, the first of which has gone on extending its runs after the kernel had seen the
 // channel of the caller break, since the goroutine that reads the connection had not run yet.
 func TestLateNoticeOfLostCallerGetsNoSecondRun(t *testing.T) {
+	t.Parallel()
 	const ms = time.Millisecond
 	played, atBoth, broken, example := 0, 0, 0, ""
 	brokenByGap := make(map[time.Duration]int)
@@ -129,6 +130,7 @@
 // Guards against two runs of a task at two homes, the first of which is so slow that it announces the job only after the caller, whose
 // channel has broken without any sign, has submitted the job to the other.
 func TestLateAnnouncementOfSlowHomeGetsNoSecondRun(t *testing.T) {
+	t.Parallel()
 	const ms = time.Millisecond
 	played, broken, example := 0, make(map[time.Duration]int), ""
 	for _, gap := range []time.Duration{180 * ms, 250 * ms, 350 * ms, 450 * ms, 550 * ms, 600 * ms, 650 * ms, 700 * ms} {
--- a/edge/laterestart_test.go
+++ b/edge/laterestart_test.go
@@ -151,6 +151,7 @@
 func TestLateStartAtRestartedWorkerIsNoSecondRun(t *testing.T) {
 	for _, c := range lateStartCases {
 		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
 			t.Run("connections-break", func(t *testing.T) { requireNoLateSecondRun(t, false, false, c.events) })
 			t.Run("silent", func(t *testing.T) { requireNoLateSecondRun(t, true, false, c.events) })
 		})
@@ -160,12 +161,14 @@
 // Guards against a second run of a task: the home that has ordered the run and owns the worker is lost, so that only what it has
 // announced tells the next home of the start.
 func TestLateStartIsKnownWithoutItsHomeAndOwner(t *testing.T) {
+	t.Parallel()
 	t.Run("connections-break", func(t *testing.T) { requireNoLateSecondRun(t, false, true, killHome) })
 	t.Run("silent", func(t *testing.T) { requireNoLateSecondRun(t, true, true, killHome) })
 }
 
 // Guards against a second run of a task: the home owns the worker and is lost before it has announced the start without a reply.
 func TestLateStartIsKnownIfItsHomeAndOwnerIsLostAtOnce(t *testing.T) {
+	t.Parallel()
 	t.Run("connections-break", func(t *testing.T) { requireNoLateSecondRun(t, false, true, killHomeAtOnce) })
 	t.Run("silent", func(t *testing.T) { requireNoLateSecondRun(t, true, true, killHomeAtOnce) })
 }
--- a/edge/listeffects_test.go
+++ b/edge/listeffects_test.go
@@ -131,6 +131,7 @@
 
 // Guards against jobs that end, or lists that stay in force, while the VMs of a large deployment are replaced one after the other.
 func TestJobsOfLargeDeploymentLastWhileVMsAreReplaced(t *testing.T) {
+	t.Parallel()
 	inVirtualTime(t, func(t *testing.T) {
 		d := newDeployment(t, 3, 18, 3)
 		defer d.close()
--- a/edge/listmodelcases_test.go
+++ b/edge/listmodelcases_test.go
@@ -21,6 +21,7 @@
 
 // Guards against two majorities of different lists of members; every clause is needed.
 func TestListModel(t *testing.T) {
+	t.Parallel()
 	for name, lists := range listSequences {
 		t.Run(name, func(t *testing.T) {
 			states, violation := listModel{lists, everyListClause}.explore()
